--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,875 @@
+//! Every decision of stileroute: which executor gets which op, and what to do when that goes wrong.
+//!
+//! How to call it. A [`Dispatcher`] is one instance; it shares nothing with others and reads no clock.
+//! For an op, `arrive` opens an [`Op`], which the caller keeps until its last push has an outcome. Then
+//! three calls, each with the time now:
+//!   * `place`: where to send this op, or not yet, or never;
+//!   * `settle`: what to do after this outcome of a push;
+//!   * `wait`: until when to leave the op alone; call `place` again then.
+//!
+//! `place` and `settle` give back one [`Step`]; carry it out and call `place` again until it says `Hold`.
+//! What else is heard goes to `list`, `refused`, `note` and `report`; `upkeep` is called when it is due.
+//! The plain types are in `tariff.rs`; where the design comes from is told in `docs/design.md`.
+
+use crate::tariff::*;
+
+/// How much a new sample of an executor's pace may move it: the variance of a change worth following.
+const DRIFT: f64 = 0.25;
+/// Smoothing of the served share, of reports' long run and of the arrival figures.
+const SMOOTH: f64 = 0.1;
+/// Solve interval, and the fixed part of a stay aside; its random part is as long again.
+const SOLVE_EVERY: Time = SECOND;
+const ASIDE: Time = 2 * SECOND;
+/// Most credit an executor can hold, and what one answer earns; a further push costs one.
+const MOST_CREDIT: f64 = 4.0;
+const EARNED: f64 = 0.25;
+
+/// One push of an op.
+#[derive(Clone, Debug)]
+pub struct Push {
+    pub executor: usize,
+    pub outcome: Option<Outcome>,
+    sent: Time,
+    started: Option<Time>,
+    noted: Time,
+    done: f64,
+    stopping: bool,
+}
+
+/// One op, from its arrival to the outcome of its last push.
+#[derive(Clone, Debug)]
+pub struct Op {
+    pub pushes: Vec<Push>,
+    /// It has its final answer, or nobody waits for it any more.
+    pub closed: bool,
+    category: usize,
+    slots: f64,
+    memory: f64,
+    base: f64,
+    came: Time,
+    deadline: Time,
+}
+
+impl Op {
+    /// Pushes that are still out.
+    pub fn out(&self) -> bool {
+        self.pushes.iter().any(|p| p.outcome.is_none())
+    }
+    fn may_have_run(&self) -> Option<&Push> {
+        self.pushes.iter().find(|p| p.outcome.is_none_or(|o| !o.never_ran()))
+    }
+}
+
+/// One executor, as long as the list has named it.
+#[derive(Clone, Debug)]
+struct Executor {
+    active: bool,
+    domain: usize,
+    kind: usize,
+    cell: usize,
+    weight: f64,
+    size: f64,
+    started: Option<Time>,
+    /// Log of its running times over the fleet's, samples so far, and the spread of the log.
+    pace: f64,
+    samples: f64,
+    spread: f64,
+    served: f64,
+    credit: f64,
+    aside: Time,
+    trial: bool,
+    /// Own slots out there by category, and those of them that run.
+    out: Vec<f64>,
+    running: f64,
+    /// Slots held there by others when last heard, and in the long run.
+    others: f64,
+    usual: f64,
+    heard: Time,
+    probed: Time,
+    /// Recent pushes to it while cold, with their work.
+    cold: Vec<(Time, f64)>,
+    share: f64,
+    turn: f64,
+}
+
+/// What upkeep asks of the adapter.
+#[derive(Debug, Default)]
+pub struct Upkeep {
+    pub observe: bool,
+    pub probes: Vec<usize>,
+    pub next: Time,
+}
+
+/// One category as learned: log and mean of its running time for one unit of hint.
+#[derive(Clone, Debug)]
+struct Learned {
+    norm: f64,
+    mean: f64,
+    samples: f64,
+    rate: f64,
+}
+
+/// The instance.
+pub struct Dispatcher {
+    nodes: f64,
+    domain: usize,
+    tick: Time,
+    categories: Vec<Category>,
+    learned: Vec<Learned>,
+    cancel: bool,
+    second_copies: bool,
+    come_back: Time,
+    max_pushes: usize,
+    subscribe: bool,
+    cold_budget: f64,
+    tip_after: Time,
+    start_share: f64,
+    warm_within: Time,
+    gauges: Vec<Gauge>,
+    probe_every: Option<f64>,
+    live_weights: bool,
+    by_priority: bool,
+    progress: Time,
+    cross: f64,
+    by_work: bool,
+    worst_category: f64,
+    executors: Vec<Executor>,
+    /// Slots of an executor of each kind, as far as seen.
+    slots: Vec<f64>,
+    target_use: f64,
+    arrival_gap: f64,
+    arrival_square: f64,
+    last_arrival: Option<Time>,
+    slots_per_op: f64,
+    front: f64,
+    fastest: usize,
+    solved: Option<Time>,
+    observed: Option<Time>,
+    retry_observe: Time,
+    subscribed: bool,
+    /// Lines for the log, taken by the adapter.
+    pub log: Vec<String>,
+    chance: u64,
+}
+
+impl Dispatcher {
+    pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
+        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0 };
+        let mut dispatcher = Dispatcher {
+            nodes: tariff.nodes.max(1) as f64,
+            domain: tariff.domain,
+            tick: tariff.tick,
+            learned: vec![learned; tariff.categories.len()],
+            categories: tariff.categories.clone(),
+            cancel: tariff.cancel,
+            second_copies: tariff.second_copies,
+            come_back: tariff.come_back,
+            max_pushes: tariff.max_pushes,
+            subscribe: tariff.subscribe,
+            cold_budget: 0.5 * tariff.overload_factor * tariff.tip_after as f64 / tariff.nodes.max(1) as f64,
+            tip_after: tariff.tip_after,
+            start_share: tariff.start_share,
+            warm_within: tariff.warm_within,
+            gauges: tariff.gauges.clone(),
+            probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND as f64),
+            live_weights: tariff.live_weights,
+            by_priority: tariff.by_priority,
+            progress: tariff.progress,
+            cross: tariff.price_cross,
+            by_work: tariff.by_work,
+            worst_category: tariff.worst_category,
+            executors: Vec::new(),
+            slots: Vec::new(),
+            target_use: 0.6,
+            arrival_gap: 0.0,
+            arrival_square: 0.0,
+            last_arrival: None,
+            slots_per_op: 1.0,
+            front: 0.0,
+            fastest: 0,
+            solved: None,
+            observed: None,
+            retry_observe: 0,
+            subscribed: false,
+            log: Vec::new(),
+            chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
+        };
+        dispatcher.random();
+        dispatcher
+    }
+
+    /// A permuted congruential generator; from 0 up to 1.
+    fn random(&mut self) -> f64 {
+        let old = self.chance;
+        self.chance = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let mixed = (((old >> 18) ^ old) >> 27) as u32;
+        f64::from(mixed.rotate_right((old >> 59) as u32)) / 4_294_967_296.0
+    }
+
+    // ---- The three calls ----
+
+    /// Where to send this op: to an executor, not yet (`Hold`), or never (a final answer).
+    pub fn place(&mut self, now: Time, op: &mut Op) -> Step {
+        if op.closed {
+            // Work that no one waits for is called off, so that it holds up nothing behind it.
+            let left = op.pushes.iter_mut().enumerate().find(|(_, p)| p.outcome.is_none() && !p.stopping);
+            return match left {
+                Some((push, p)) if self.cancel => {
+                    p.stopping = true;
+                    Step::Stop { push }
+                }
+                _ => Step::Hold,
+            };
+        }
+        if self.solved.is_none_or(|at| now >= at + SOLVE_EVERY) {
+            self.solve(now);
+        }
+        if now + 2 * self.tick >= op.deadline {
+            return self.give_up(op, 0);
+        }
+        match op.pushes.iter().rposition(|p| p.outcome.is_none()) {
+            Some(last) => self.review(now, op, last),
+            None => self.send(now, op),
+        }
+    }
+
+    /// What to do after this outcome of a push.
+    pub fn settle(&mut self, now: Time, op: &mut Op, push: usize, outcome: Outcome, values: &[f64]) -> Step {
+        let Some(p) = op.pushes.get_mut(push).filter(|p| p.outcome.is_none()) else {
+            return Step::Hold;
+        };
+        p.outcome = Some(outcome);
+        let (x, ran) = (p.executor, p.started.map(|at| (now - at).max(1) as f64));
+        let (asked, stopping) = ((now - p.sent).max(1) as f64, p.stopping);
+        self.report(now, x, values);
+        let executor = &mut self.executors[x];
+        executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
+        if ran.is_some() {
+            executor.running = (executor.running - op.slots).max(0.0);
+        }
+        match outcome {
+            Outcome::Acked => {
+                executor.served += SMOOTH * (1.0 - executor.served);
+                executor.credit = (executor.credit + EARNED).min(MOST_CREDIT);
+                executor.trial = false;
+                self.learn(x, op, ran.unwrap_or(asked), false);
+                op.closed = true;
+            }
+            Outcome::Full => {
+                executor.served -= SMOOTH * executor.served;
+                let full = self.slots[executor.kind] * 2.0;
+                executor.others = executor.others.max(full - executor.out.iter().sum::<f64>());
+                executor.heard = now;
+            }
+            Outcome::Error | Outcome::NotConnected | Outcome::Reset => {
+                executor.served -= 2.0 * SMOOTH * executor.served;
+                self.set_aside(now, x, "failed");
+            }
+            Outcome::TimedOut => {
+                executor.credit = (executor.credit - 1.0).max(0.0);
+                self.learn(x, op, ran.unwrap_or(asked), true);
+            }
+            Outcome::Cancelled if stopping => {}
+            Outcome::Cancelled | Outcome::Moot => {}
+        }
+        self.place(now, op)
+    }
+
+    /// Until when to leave the op alone; `place` is to be asked again then.
+    pub fn wait(&self, now: Time, op: &Op) -> Time {
+        let last = op.deadline - 2 * self.tick;
+        let look = self.categories[op.category].target / 4;
+        let next = match op.pushes.iter().rfind(|p| p.outcome.is_none()) {
+            Some(p) if p.stopping => last,
+            Some(p) if p.started.is_none() => now + look,
+            Some(p) if self.progress > 0 => (p.noted + 5 * self.progress / 2).max(now + look),
+            Some(_) => last,
+            None => now + look,
+        };
+        next.min(last).max(now + self.tick)
+    }
+
+    // ---- What is heard ----
+
+    /// Opens an op. `hint` is its expected work, where one is given.
+    pub fn arrive(&mut self, now: Time, ask: Ask) -> Op {
+        let gap = self.last_arrival.map_or(0.0, |at| (now - at) as f64);
+        if self.last_arrival.is_some() {
+            let gain = if self.arrival_gap == 0.0 { 1.0 } else { SMOOTH / 4.0 };
+            self.arrival_gap += gain * (gap - self.arrival_gap);
+            self.arrival_square += gain * (gap * gap - self.arrival_square);
+        }
+        self.last_arrival = Some(now);
+        self.slots_per_op += SMOOTH / 4.0 * (ask.slots - self.slots_per_op);
+        for (category, learned) in self.learned.iter_mut().enumerate() {
+            let one = f64::from(u8::from(category == ask.category));
+            learned.rate += SMOOTH / 4.0 * (one - learned.rate);
+        }
+        Op {
+            pushes: Vec::new(),
+            closed: false,
+            category: ask.category,
+            slots: ask.slots,
+            memory: ask.memory,
+            base: ask.hint.map_or(1.0, |hint| hint.max(1) as f64),
+            came: now,
+            deadline: ask.deadline,
+        }
+    }
+
+    /// News of the list of executors; `whole` replaces what was known.
+    pub fn list(&mut self, now: Time, whole: bool, lines: &[Listed]) {
+        self.subscribed = true;
+        if whole {
+            self.executors.iter_mut().for_each(|e| e.active = false);
+        }
+        for line in lines {
+            self.enter(now, line);
+        }
+        self.solved = None;
+    }
+
+    /// A call to the list service failed: the subscription is to be asked for anew, after a random wait.
+    pub fn refused(&mut self, now: Time) {
+        self.subscribed = false;
+        self.observed = None;
+        self.retry_observe = now + SECOND / 4 + (self.random() * SECOND as f64) as Time;
+        self.log.push("list: call refused, will ask again".to_string());
+    }
+
+    /// A push has started, or has done this share of its work.
+    pub fn note(&mut self, now: Time, op: &mut Op, push: usize, done: Option<f64>) {
+        let Some(p) = op.pushes.get_mut(push).filter(|p| p.outcome.is_none()) else {
+            return;
+        };
+        p.noted = now;
+        if let Some(done) = done {
+            p.done = done;
+            return;
+        }
+        if p.started.replace(now).is_some() {
+            return;
+        }
+        let executor = &mut self.executors[p.executor];
+        executor.running += op.slots;
+        // It had room just now, so others can't hold the rest of its slots and a queue too.
+        let slots = self.slots[executor.kind].max(executor.running);
+        self.slots[executor.kind] = slots;
+        if now - p.sent < self.tick * 4 {
+            executor.others = executor.others.min(slots - executor.running);
+            executor.heard = now;
+        }
+    }
+
+    /// A load report of an executor.
+    pub fn report(&mut self, now: Time, executor: usize, values: &[f64]) {
+        if values.is_empty() || values.len() != self.gauges.len() {
+            return;
+        }
+        let gauge = |what| self.gauges.iter().position(|g| *g == what).map(|at| values[at]);
+        let kind = self.executors[executor].kind;
+        if let Some(free) = gauge(Gauge::FreeSlots) {
+            let slots = &mut self.slots[kind];
+            *slots += if free > *slots { 0.2 * (free - *slots) } else { 0.0 };
+        }
+        let slots = self.slots[kind];
+        let held = match (gauge(Gauge::FreeSlots), gauge(Gauge::Waiting), gauge(Gauge::Held)) {
+            (Some(free), Some(waiting), _) => slots - free + waiting * self.slots_per_op,
+            (_, _, Some(held)) => held * self.slots_per_op,
+            (Some(free), _, _) => slots - free,
+            _ => gauge(Gauge::Busy).map_or(0.0, |busy| busy * slots),
+        };
+        self.hear(now, executor, held);
+    }
+
+    /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
+    fn hear(&mut self, now: Time, executor: usize, held: f64) {
+        let e = &mut self.executors[executor];
+        e.others = (held - e.out.iter().sum::<f64>()).max(0.0);
+        e.usual += 2.0 * SMOOTH * (e.others - e.usual);
+        e.heard = now;
+    }
+
+    /// What the instance needs now: a subscription, probes; and when to be asked next.
+    pub fn upkeep(&mut self, now: Time) -> Upkeep {
+        let mut upkeep = Upkeep { next: now + SECOND / 10, ..Upkeep::default() };
+        let asked_long_ago = self.observed.is_none_or(|at| !self.subscribed && now > at + 5 * SECOND);
+        if self.subscribe && asked_long_ago && now >= self.retry_observe {
+            upkeep.observe = true;
+            self.observed = Some(now);
+            self.subscribed = false;
+        }
+        if let Some(every) = self.probe_every {
+            for at in 0..self.executors.len() {
+                let e = &mut self.executors[at];
+                if e.active && (now - e.heard.max(e.probed)) as f64 >= every {
+                    e.probed = now;
+                    upkeep.probes.push(at);
+                }
+            }
+        }
+        upkeep
+    }
+
+    // ---- Shares and order: the design ----
+
+    /// Re-solves the split. With time in mean gaps between own arrivals the arrival rate is one, so the
+    /// paper's e(i) = L(L2 s2 + L2 + C2 - L m) is s2 + 1 + C2 - m, s2 being the gaps' squared variation.
+    fn solve(&mut self, now: Time) {
+        self.solved = Some(now);
+        let s2 = if self.arrival_gap > 0.0 && self.last_arrival.is_some() {
+            (self.arrival_square / self.arrival_gap.powi(2) - 1.0).clamp(0.1, 4.0)
+        } else {
+            1.0
+        };
+        let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
+        let spreads: Vec<f64> =
+            self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
+        let costs = vec![1.0; rates.len()];
+        let shares = split(&rates, &spreads, &costs, s2, self.target_use);
+        let mut front = f64::INFINITY;
+        for (at, share) in shares.into_iter().enumerate() {
+            let back = share > 0.0 && self.executors[at].share <= 0.0;
+            let lag = if back { self.random() } else { 0.0 };
+            let front_now = self.front;
+            let e = &mut self.executors[at];
+            // Who is new, back or grown joins at the front of the order: no burst to catch up.
+            let ahead = if e.share > 0.0 { (e.turn - front_now * e.share).clamp(-1.0, 1.0) } else { lag };
+            e.turn = ahead;
+            e.share = share;
+            if share > 0.0 {
+                front = front.min(0.0);
+            }
+        }
+        self.front = 0.0;
+        let fastest = (0..rates.len()).max_by(|a, b| rates[*a].total_cmp(&rates[*b]));
+        self.fastest = fastest.unwrap_or(0);
+    }
+
+    /// The service rate of an executor: its slots over the smoothed running time there, less what it
+    /// fails or turns away; none while it is set aside.
+    fn rate(&self, now: Time, e: &Executor) -> f64 {
+        if !e.active || e.aside > now {
+            return 0.0;
+        }
+        self.slots[e.kind] * self.warmth(now, e) * e.served / e.pace.exp()
+    }
+
+    /// The share of its capacity that a newly started executor has at the least by now.
+    fn warmth(&self, now: Time, e: &Executor) -> f64 {
+        let age = e.started.map_or(self.warm_within, |at| now - at);
+        let ramp = age as f64 / self.warm_within.max(1) as f64;
+        (self.start_share + (1.0 - self.start_share) * ramp).clamp(0.01, 1.0)
+    }
+
+    /// Sends an op that has nothing out: in billiard order among those not well over the least busy.
+    fn send(&mut self, now: Time, op: &mut Op) -> Step {
+        if op.pushes.len() >= self.max_pushes || !self.may_send(now, op) {
+            return self.give_up(op, 0);
+        }
+        let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
+        let Some((executor, wait)) = found else {
+            let category = &self.categories[op.category];
+            if op.pushes.is_empty() && now - op.came < category.target / 4 {
+                return Step::Hold;
+            }
+            return self.give_up(op, SECOND / 5);
+        };
+        let category = &self.categories[op.category];
+        let expected = self.expected(op) * self.executors[executor].pace.exp();
+        let in_time = op.came + category.target + (category.stretch * expected) as Time;
+        let latest = if category.late > 0.0 { op.deadline } else { in_time.min(op.deadline) };
+        // An op that no executor can answer usefully is turned away now, not kept until its time is out.
+        if now as f64 + wait + expected.min(category.target as f64) > latest as f64 {
+            return self.give_up(op, wait as Time);
+        }
+        self.push(now, op, executor)
+    }
+
+    fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
+        let work = self.expected(op) * self.executors[executor].pace.exp() * op.slots;
+        let front = self.front;
+        let e = &mut self.executors[executor];
+        if !op.pushes.is_empty() {
+            e.credit = (e.credit - 1.0).max(0.0);
+        }
+        e.out[op.category] += op.slots;
+        if e.started.is_some_and(|at| now < at + self.warm_within) {
+            e.cold.push((now, work));
+        }
+        if e.share > 0.0 {
+            // Turns passed over while it was skipped are not made up for in a burst.
+            e.turn = e.turn.max(front * e.share - 1.0) + 1.0;
+            self.front = front.max((e.turn - 1.0) / e.share);
+        }
+        op.pushes.push(Push {
+            executor,
+            outcome: None,
+            sent: now,
+            started: None,
+            noted: now,
+            done: 0.0,
+            stopping: false,
+        });
+        Step::Push { executor }
+    }
+
+    /// The next executor in billiard order, least (X + Y) / P, and the wait expected there. Skipped are
+    /// those where the op would wait well longer than at the best; `strict` also keeps to the trusted.
+    fn pick(&mut self, now: Time, op: &Op, strict: bool) -> Option<(usize, f64)> {
+        let again = !op.pushes.is_empty();
+        let mut found: Vec<(usize, f64, f64)> = Vec::with_capacity(self.executors.len());
+        for at in 0..self.executors.len() {
+            if !self.fits(now, op, at) {
+                continue;
+            }
+            let e = &self.executors[at];
+            let busy = e.out.iter().any(|s| *s > 0.0);
+            let tried = op.pushes.iter().any(|p| p.executor == at);
+            if strict && (e.aside > now || e.share <= 0.0 || (e.trial && busy) || tried) {
+                continue;
+            }
+            if strict && again && e.credit < 1.0 {
+                continue;
+            }
+            let wait = self.expected_wait(now, op, at);
+            let away = if e.domain == self.domain { 0.0 } else { self.cross_delay(op) };
+            found.push((at, wait, wait + away));
+        }
+        let least = found.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
+        let well_over = least + self.expected(op) * 0.1;
+        let mut best: Option<(usize, f64, f64)> = None;
+        for (at, wait, cost) in found {
+            if cost > well_over {
+                continue;
+            }
+            let e = &self.executors[at];
+            let first = if at == self.fastest { 1.0 } else { 0.0 };
+            let lagging = e.turn.max(self.front * e.share - 1.0);
+            let turn = if e.share > 0.0 { (first + lagging) / e.share } else { f64::MAX };
+            if best.is_none_or(|b| turn < b.2) {
+                best = Some((at, wait, turn));
+            }
+        }
+        best.map(|(at, wait, _)| (at, wait))
+    }
+
+    /// The executor may get this op at all: listed, of the right kind, not drained, not cold beyond its
+    /// budget, and within the group that drops repeats.
+    fn fits(&self, now: Time, op: &Op, at: usize) -> bool {
+        let e = &self.executors[at];
+        let category = &self.categories[op.category];
+        if !e.active || category.kind.is_some_and(|kind| kind != e.kind) {
+            return false;
+        }
+        if let (Effect::Deduplicated { scope, .. }, Some(p)) = (category.effect, op.may_have_run()) {
+            // A repeat outside the group would take effect twice.
+            let before = &self.executors[p.executor];
+            let same = match scope {
+                Scope::All => true,
+                Scope::Domain => before.domain == e.domain,
+                Scope::Cell => before.cell == e.cell,
+            };
+            if !same {
+                return false;
+            }
+        }
+        if e.started.is_some_and(|start| now < start + self.warm_within) {
+            // All nodes together must not push a cold executor over: each keeps to its part of the budget.
+            let since = now - self.tip_after;
+            let spent: f64 = e.cold.iter().filter(|c| c.0 > since).map(|c| c.1).sum();
+            let work = self.expected(op) * e.pace.exp() * op.slots;
+            let room = self.cold_budget * self.slots[e.kind] * self.warmth(now, e);
+            return spent + work <= room;
+        }
+        true
+    }
+
+    // ---- Estimates ----
+
+    /// Running time expected of this op on an executor of mean pace.
+    fn expected(&self, op: &Op) -> f64 {
+        let learned = &self.learned[op.category];
+        if learned.samples > 0.0 {
+            op.base * learned.mean
+        } else if op.base > 1.0 {
+            op.base
+        } else {
+            self.categories[op.category].target as f64
+        }
+    }
+
+    /// The wait for a start at an executor, from own pushes there and what others hold as last heard.
+    fn expected_wait(&self, now: Time, op: &Op, at: usize) -> f64 {
+        let e = &self.executors[at];
+        let rank = self.categories[op.category].priority;
+        let (mut own, mut mean, mut part, mut all) = (0.0, 0.0, 0.0, 0.0);
+        for (c, category) in self.categories.iter().enumerate() {
+            let learned = &self.learned[c];
+            let weight = learned.rate * learned.mean;
+            all += weight;
+            mean += learned.rate * learned.mean;
+            if !self.by_priority || category.priority >= rank {
+                own += e.out[c];
+                part += weight;
+            }
+        }
+        let turnover = self.turnover();
+        let fresh = (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
+        let others = e.usual + (e.others - e.usual) * fresh;
+        let others = if all > 0.0 { others * part / all } else { others };
+        let _ = mean;
+        let slots = self.slots[e.kind];
+        let over = own + others + op.slots - slots;
+        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp()
+    }
+
+    /// Mean time that an op holds its slots.
+    fn turnover(&self) -> f64 {
+        let total: f64 = self.learned.iter().map(|l| l.rate * l.mean * l.samples.min(1.0)).sum();
+        let rate: f64 = self.learned.iter().map(|l| l.rate * l.samples.min(1.0)).sum();
+        if rate > 0.0 {
+            (total / rate).max(1.0)
+        } else {
+            SECOND as f64
+        }
+    }
+
+    /// The price of crossing failure domains as the wait that would cost as much.
+    fn cross_delay(&self, op: &Op) -> f64 {
+        let category = &self.categories[op.category];
+        let slack = category.target as f64 + 0.5 * category.stretch * self.expected(op);
+        self.cross / self.worth(op) * slack
+    }
+
+    /// What an op is worth against the mean op, counting that its category may be the worst served.
+    fn worth(&self, op: &Op) -> f64 {
+        let value = |c: usize| {
+            let work = if self.by_work { self.learned[c].mean.max(1e-9) } else { 1.0 };
+            self.categories[c].benefit * work
+        };
+        let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate * value(c)).sum();
+        let whole = if mean > 0.0 { value(op.category) / mean } else { 1.0 };
+        let rate = self.learned[op.category].rate.max(0.01) * self.learned.len() as f64;
+        ((1.0 - self.worst_category) * whole + self.worst_category / rate).max(0.05)
+    }
+
+    /// A running time on an executor: moves its pace and its category's mean. One that is not over
+    /// (`censored`) only counts where it is longer than expected.
+    fn learn(&mut self, x: usize, op: &Op, ran: f64, censored: bool) {
+        let sample = (ran / op.base).max(1e-9);
+        let learned = &mut self.learned[op.category];
+        let e = &mut self.executors[x];
+        if learned.samples == 0.0 {
+            learned.norm = sample.ln() - e.pace;
+            learned.mean = sample / e.pace.exp();
+        }
+        let off = sample.ln() - learned.norm - e.pace;
+        if censored && off < 0.0 {
+            return;
+        }
+        // The log keeps one heavy op from carrying the rate away; the gain is that of a slow drift seen
+        // through the spread.
+        let seen = off.clamp(-2.0, 2.0);
+        e.spread += SMOOTH * (seen * seen - e.spread);
+        e.samples += 1.0;
+        e.pace += seen * (DRIFT / (DRIFT + e.spread)).max(1.0 / (e.samples + 3.0)) * 0.7;
+        e.pace = e.pace.clamp(-3.0, 3.0);
+        if !censored {
+            learned.samples += 1.0;
+            let gain = (1.0 / learned.samples).max(SMOOTH / 4.0);
+            learned.norm += gain * off;
+            learned.mean += gain * (sample / e.pace.exp() - learned.mean);
+        }
+    }
+
+    // ---- Health, further pushes, the end of an op ----
+
+    /// Looks after an op whose push is out: is it stuck, or would it do better elsewhere?
+    fn review(&mut self, now: Time, op: &mut Op, last: usize) -> Step {
+        let p = &op.pushes[last];
+        if p.stopping {
+            return Step::Hold;
+        }
+        let (x, started, noted) = (p.executor, p.started, p.noted);
+        let look = self.categories[op.category].target / 4;
+        if now - noted < look {
+            return Step::Hold;
+        }
+        let here = if started.is_none() {
+            // Not started: it has no room, whatever it last said.
+            let full =
+                self.slots[self.executors[x].kind] - self.executors[x].out.iter().sum::<f64>() + op.slots;
+            let e = &mut self.executors[x];
+            if e.others < full {
+                e.others = full;
+                e.heard = now;
+            }
+            self.expected_wait(now, op, x)
+        } else if self.progress > 0 && now - noted >= 5 * self.progress / 2 {
+            // No progress told for so long: the executor stands still, however heavy the op is.
+            self.set_aside(now, x, "silent");
+            f64::INFINITY
+        } else {
+            return Step::Hold;
+        };
+        let movable = self.may_send(now, op) && op.pushes.len() < self.max_pushes;
+        let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
+        if !movable || !only_one || !(self.second_copies || self.cancel) {
+            return Step::Hold;
+        }
+        let Some((executor, wait)) = self.pick(now, op, true) else {
+            return Step::Hold;
+        };
+        if wait + look as f64 > here {
+            return Step::Hold;
+        }
+        if self.second_copies {
+            return self.push(now, op, executor);
+        }
+        op.pushes[last].stopping = true;
+        Step::Stop { push: last }
+    }
+
+    /// A further push would be no second effect.
+    fn may_send(&self, now: Time, op: &Op) -> bool {
+        match (self.categories[op.category].effect, op.may_have_run()) {
+            (_, None) | (Effect::Redeliverable, _) => true,
+            (Effect::AtMostOnce, Some(_)) => false,
+            // The group forgets the op once the window is over.
+            (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.tick < p.sent + window,
+        }
+    }
+
+    /// The final answer for an op that is given up: a nack only where a retry is harmless.
+    fn give_up(&mut self, op: &mut Op, come_back: Time) -> Step {
+        op.closed = true;
+        let harmless = match self.categories[op.category].effect {
+            Effect::Redeliverable | Effect::Deduplicated { scope: Scope::All, .. } => true,
+            _ => op.may_have_run().is_none(),
+        };
+        if harmless {
+            Step::Nack { come_back: come_back.min(self.come_back) }
+        } else {
+            Step::DeadLetter
+        }
+    }
+
+    /// Sets an executor aside for a fixed time and a random part, so that nodes don't return together.
+    fn set_aside(&mut self, now: Time, x: usize, why: &str) {
+        let until = now + ASIDE + (self.random() * ASIDE as f64) as Time;
+        let e = &mut self.executors[x];
+        e.credit = (e.credit - 1.0).max(0.0);
+        e.trial = true;
+        if e.aside <= now {
+            e.aside = until;
+            let (served, pace) = (e.served, e.pace.exp());
+            self.log.push(format!("executor {x} set aside: {why}, served {served:.2}, pace {pace:.2}"));
+            self.solved = None;
+        }
+    }
+
+    /// Enters one line of the list.
+    fn enter(&mut self, now: Time, line: &Listed) {
+        while self.slots.len() <= line.kind {
+            self.slots.push(1.0);
+        }
+        while self.executors.len() <= line.executor {
+            let place = self.executors.len();
+            let turn = self.random();
+            self.executors.push(Executor {
+                active: false,
+                domain: 0,
+                kind: 0,
+                cell: 0,
+                weight: 1.0,
+                size: 0.0,
+                started: None,
+                pace: 0.0,
+                samples: 0.0,
+                spread: std::f64::consts::LN_2,
+                served: 1.0,
+                credit: MOST_CREDIT / 2.0,
+                aside: 0,
+                trial: false,
+                out: vec![0.0; self.categories.len()],
+                running: 0.0,
+                others: 0.0,
+                usual: 0.0,
+                heard: now - SECOND,
+                probed: now - place as Time * 1000,
+                cold: Vec::new(),
+                share: 0.0,
+                turn,
+            });
+        }
+        let pace = self.kind_pace(line.kind);
+        let e = &mut self.executors[line.executor];
+        let restarted = line.started.is_some() && line.started != e.started;
+        (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
+        e.weight = line.weight;
+        e.size = e.size.max(line.weight);
+        if restarted {
+            // It starts over: cold, with nothing held and nothing known against it.
+            e.started = line.started;
+            (e.others, e.usual, e.running) = (0.0, 0.0, 0.0);
+            (e.served, e.trial, e.aside) = (1.0, false, now);
+            e.cold.clear();
+        }
+        if e.samples == 0.0 {
+            e.pace = pace;
+        }
+        if self.live_weights && e.weight > 0.0 && !restarted {
+            let held = self.slots[e.kind] * (e.size / e.weight - 1.0);
+            self.hear(now, line.executor, held);
+        }
+    }
+
+    /// Mean pace of the executors of a kind: what a new one of it starts with.
+    fn kind_pace(&self, kind: usize) -> f64 {
+        let seen = |e: &&Executor| e.kind == kind && e.samples > 0.0;
+        let (sum, count) =
+            self.executors.iter().filter(seen).fold((0.0, 0.0), |(s, n), e| (s + e.pace, n + 1.0));
+        if count > 0.0 {
+            sum / count
+        } else {
+            0.0
+        }
+    }
+}
+
+/// An op as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    pub category: usize,
+    pub slots: f64,
+    pub memory: f64,
+    pub hint: Option<Time>,
+    pub deadline: Time,
+}
+
+/// Equations 5 and 6 with time in mean gaps between arrivals: P = m - (sum of m - 1) sqrt(K e) / sum of
+/// sqrt(K e), e = s2 + 1 + C2 - m, the rates scaled so that they sum to one over the target use; negative
+/// e or P is clamped to zero and the rest renormalised. `spreads` are squared variations.
+pub fn split(rates: &[f64], spreads: &[f64], costs: &[f64], s2: f64, target_use: f64) -> Vec<f64> {
+    let sum: f64 = rates.iter().sum();
+    if sum <= 0.0 {
+        return vec![0.0; rates.len()];
+    }
+    let rates: Vec<f64> = rates.iter().map(|r| r / sum / target_use).collect();
+    let roots: Vec<f64> = (0..rates.len())
+        .map(|i| {
+            if rates[i] > 0.0 {
+                (costs[i] * (s2 + 1.0 + spreads[i] - rates[i]).max(0.0)).sqrt()
+            } else {
+                0.0
+            }
+        })
+        .collect();
+    let all: f64 = roots.iter().sum();
+    let spare = 1.0 / target_use - 1.0;
+    let part = |i: usize| if all > 0.0 { (rates[i] - spare * roots[i] / all).max(0.0) } else { rates[i] };
+    let shares: Vec<f64> = (0..rates.len()).map(part).collect();
+    let total: f64 = shares.iter().sum();
+    shares.iter().map(|p| p / total).collect()
+}
--- /dev/null
+++ b/src/tariff.rs
@@ -0,0 +1,136 @@
+//! The plain types that an instance is started with and told of; no decision is taken here.
+
+/// Whole tenths of a millisecond on the clock of the instance, or a span of them.
+pub type Time = i64;
+
+/// One second.
+pub const SECOND: Time = 10_000;
+
+/// Which executors drop a repeat of a deduplicated op.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Scope {
+    All,
+    Domain,
+    Cell,
+}
+
+/// What a second run of an op would do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Redeliverable,
+    Deduplicated { scope: Scope, window: Time },
+    AtMostOnce,
+}
+
+/// One category of ops.
+#[derive(Clone, Debug)]
+pub struct Category {
+    /// Target latency, to which `stretch` times the op's own work is added.
+    pub target: Time,
+    pub stretch: f64,
+    pub effect: Effect,
+    pub benefit: f64,
+    /// The part of the benefit that a late answer still earns.
+    pub late: f64,
+    /// The only kind of executor that runs it, if not any.
+    pub kind: Option<usize>,
+    pub priority: i64,
+}
+
+/// One value of a load report.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Gauge {
+    Held,
+    Waiting,
+    Busy,
+    FreeSlots,
+    FreeMemory,
+    Other,
+}
+
+/// All that is read at start. The instance derives its few figures from it and drops it.
+#[derive(Clone, Debug)]
+pub struct Tariff {
+    pub nodes: usize,
+    pub domain: usize,
+    pub tick: Time,
+    pub categories: Vec<Category>,
+    /// Ops a second, over all nodes, within each tenant's share.
+    pub quotas: Vec<f64>,
+    pub surplus_benefit: f64,
+    /// Benefit counts for each unit of work, not for each op.
+    pub by_work: bool,
+    pub cancel: bool,
+    pub probes: bool,
+    pub second_copies: bool,
+    /// The longest come-back time that clients heed; zero where none may be given.
+    pub come_back: Time,
+    pub max_pushes: usize,
+    pub subscribe: bool,
+    pub overload_factor: f64,
+    pub tip_after: Time,
+    pub start_share: f64,
+    pub warm_within: Time,
+    pub gauges: Vec<Gauge>,
+    /// Load reports come with probes only.
+    pub reports_by_probe: bool,
+    pub live_weights: bool,
+    /// Executors serve their queue by the categories' priority.
+    pub by_priority: bool,
+    pub tells_start: bool,
+    /// Time between progress notes; zero where there are none.
+    pub progress: Time,
+    pub price_cross: f64,
+    pub price_probe: f64,
+    pub price_waste: f64,
+    /// Weight of the worst-served category in the result.
+    pub worst_category: f64,
+}
+
+/// How a push ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Acked,
+    Error,
+    Full,
+    TimedOut,
+    NotConnected,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    /// The op provably never ran in this push.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::NotConnected | Outcome::Moot)
+    }
+}
+
+/// One line of the list of executors, under the index given at the door.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub executor: usize,
+    pub domain: usize,
+    pub kind: usize,
+    pub cell: usize,
+    pub active: bool,
+    pub weight: f64,
+    /// Latest start; `None` means long past.
+    pub started: Option<Time>,
+}
+
+/// What the instance is to do with an op now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Step {
+    /// Send it to this executor.
+    Push { executor: usize },
+    /// Call this push off, then ask again.
+    Stop { push: usize },
+    /// Nothing now.
+    Hold,
+    /// Final: turned away, a retry is harmless; come back after this long (zero: no advice).
+    Nack { come_back: Time },
+    /// Final: failed, nothing promised.
+    DeadLetter,
+}
