--- a/src/choice.rs
+++ b/src/choice.rs
@@ -107,6 +107,14 @@
     mean: f64,
     samples: f64,
     rate: f64,
+    base: f64,
+}
+
+impl Learned {
+    /// Mean running time of the category at mean pace.
+    fn time(&self) -> f64 {
+        self.base * self.mean
+    }
 }
 
 /// The instance.
@@ -154,7 +162,7 @@
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0 };
+        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0 };
         let mut dispatcher = Dispatcher {
             nodes: tariff.nodes.max(1) as f64,
             domain: tariff.domain,
@@ -305,13 +313,16 @@
             let one = f64::from(u8::from(category == ask.category));
             learned.rate += SMOOTH / 4.0 * (one - learned.rate);
         }
+        let base = ask.hint.map_or(1.0, |hint| hint.max(1) as f64);
+        let usual = &mut self.learned[ask.category].base;
+        *usual += if *usual == 0.0 { base } else { SMOOTH / 4.0 * (base - *usual) };
         Op {
             pushes: Vec::new(),
             closed: false,
             category: ask.category,
             slots: ask.slots,
             memory: ask.memory,
-            base: ask.hint.map_or(1.0, |hint| hint.max(1) as f64),
+            base,
             came: now,
             deadline: ask.deadline,
         }
@@ -603,12 +614,11 @@
     fn expected_wait(&self, now: Time, op: &Op, at: usize) -> f64 {
         let e = &self.executors[at];
         let rank = self.categories[op.category].priority;
-        let (mut own, mut mean, mut part, mut all) = (0.0, 0.0, 0.0, 0.0);
+        let (mut own, mut part, mut all) = (0.0, 0.0, 0.0);
         for (c, category) in self.categories.iter().enumerate() {
             let learned = &self.learned[c];
-            let weight = learned.rate * learned.mean;
+            let weight = learned.rate * learned.time();
             all += weight;
-            mean += learned.rate * learned.mean;
             if !self.by_priority || category.priority >= rank {
                 own += e.out[c];
                 part += weight;
@@ -618,7 +628,6 @@
         let fresh = (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
         let others = e.usual + (e.others - e.usual) * fresh;
         let others = if all > 0.0 { others * part / all } else { others };
-        let _ = mean;
         let slots = self.slots[e.kind];
         let over = own + others + op.slots - slots;
         (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp()
@@ -626,7 +635,7 @@
 
     /// Mean time that an op holds its slots.
     fn turnover(&self) -> f64 {
-        let total: f64 = self.learned.iter().map(|l| l.rate * l.mean * l.samples.min(1.0)).sum();
+        let total: f64 = self.learned.iter().map(|l| l.rate * l.time() * l.samples.min(1.0)).sum();
         let rate: f64 = self.learned.iter().map(|l| l.rate * l.samples.min(1.0)).sum();
         if rate > 0.0 {
             (total / rate).max(1.0)
@@ -645,7 +654,7 @@
     /// What an op is worth against the mean op, counting that its category may be the worst served.
     fn worth(&self, op: &Op) -> f64 {
         let value = |c: usize| {
-            let work = if self.by_work { self.learned[c].mean.max(1e-9) } else { 1.0 };
+            let work = if self.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
             self.categories[c].benefit * work
         };
         let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate * value(c)).sum();
