--- a/src/choice.rs
+++ b/src/choice.rs
@@ -734,7 +734,8 @@
             return Step::Hold;
         }
         if self.second_copies {
-            return self.push(now, op, executor);
+            // What waits there will run all the same; a copy only pays where the first stands still.
+            return if here.is_finite() { Step::Hold } else { self.push(now, op, executor) };
         }
         op.pushes[last].stopping = true;
         Step::Stop { push: last }
