--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
     noted: Time,
     done: f64,
     stopping: bool,
+    /// Wait expected when it was sent, before the correction by what waits turn out to be.
+    guess: f64,
 }
 
 /// One op, from its arrival to the outcome of its last push.
@@ -108,6 +110,8 @@
     samples: f64,
     rate: f64,
     base: f64,
+    guessed: f64,
+    waited: f64,
 }
 
 impl Learned {
@@ -115,6 +119,14 @@
     fn time(&self) -> f64 {
         self.base * self.mean
     }
+    /// Waits over what was expected of them: what others send unseen, and what blocks a queue's head.
+    fn correction(&self) -> f64 {
+        if self.guessed > 0.0 { (self.waited / self.guessed).clamp(0.5, 4.0) } else { 1.0 }
+    }
+    fn waited(&mut self, guess: f64, wait: f64) {
+        self.guessed += SMOOTH * (guess - self.guessed);
+        self.waited += SMOOTH * (wait - self.waited);
+    }
 }
 
 /// The instance.
@@ -162,7 +174,7 @@
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0 };
+        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0, guessed: 0.0, waited: 0.0 };
         let mut dispatcher = Dispatcher {
             nodes: tariff.nodes.max(1) as f64,
             domain: tariff.domain,
@@ -361,6 +373,7 @@
         if p.started.replace(now).is_some() {
             return;
         }
+        self.learned[op.category].waited(p.guess, (now - p.sent) as f64);
         let executor = &mut self.executors[p.executor];
         executor.running += op.slots;
         // It had room just now, so others can't hold the rest of its slots and a queue too.
@@ -499,6 +512,7 @@
 
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
         let work = self.expected(op) * self.executors[executor].pace.exp() * op.slots;
+        let guess = self.expected_wait(now, op, executor) / self.learned[op.category].correction();
         let front = self.front;
         let e = &mut self.executors[executor];
         if !op.pushes.is_empty() {
@@ -521,6 +535,7 @@
             noted: now,
             done: 0.0,
             stopping: false,
+            guess,
         });
         Step::Push { executor }
     }
@@ -630,7 +645,7 @@
         let others = if all > 0.0 { others * part / all } else { others };
         let slots = self.slots[e.kind];
         let over = own + others + op.slots - slots;
-        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp()
+        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() * self.learned[op.category].correction()
     }
 
     /// Mean time that an op holds its slots.
