--- a/src/choice.rs
+++ b/src/choice.rs
@@ -560,7 +560,9 @@
             }
             let wait = self.expected_wait(now, op, at);
             let away = if e.domain == self.domain { 0.0 } else { self.cross_delay(op) };
-            found.push((at, wait, wait + away));
+            // Running slower than the target latency allows for counts as waiting.
+            let slow = e.pace.exp() / self.warmth(now, e) - self.categories[op.category].stretch.max(1.0);
+            found.push((at, wait, wait + away + slow.max(0.0) * self.expected(op)));
         }
         let least = found.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
         let well_over = least + self.expected(op) * 0.1;
@@ -645,7 +647,7 @@
         let others = if all > 0.0 { others * part / all } else { others };
         let slots = self.slots[e.kind];
         let over = own + others + op.slots - slots;
-        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() * self.learned[op.category].correction()
+        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() / self.warmth(now, e) * self.learned[op.category].correction()
     }
 
     /// Mean time that an op holds its slots.
