--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -244,10 +244,11 @@
             if upkeep.observe {
                 reply.say("OBSERVE", &self.name, format_args!(",\"active\":true"));
             }
-            for executor in upkeep.probes {
-                let address = &self.addresses[executor];
-                reply.say("TOUCH", &self.name, format_args!(",\"executor\":\"{address}\""));
-            }
+            self.dispatcher.probes.extend(upkeep.probes);
+        }
+        for executor in self.dispatcher.probes.drain(..) {
+            let address = &self.addresses[executor];
+            reply.say("TOUCH", &self.name, format_args!(",\"executor\":\"{address}\""));
         }
         for line in self.dispatcher.log.drain(..) {
             reply.say("WRITE_LOG", &self.name, format_args!(",\"msg\":\"{line}\""));
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,9 @@
 const MOST_CREDIT: f64 = 4.0;
 const EARNED: f64 = 0.25;
 
+/// What may be spent on probes for one op, in parts of its worth.
+const PROBE_SPEND: f64 = 0.007;
+
 /// One push of an op.
 #[derive(Clone, Debug)]
 pub struct Push {
@@ -50,6 +53,8 @@
     base: f64,
     came: Time,
     deadline: Time,
+    /// When executors were probed for it.
+    asked: Option<Time>,
 }
 
 impl Op {
@@ -121,7 +126,11 @@
     }
     /// Waits over what was expected of them: what others send unseen, and what blocks a queue's head.
     fn correction(&self) -> f64 {
-        if self.guessed > 0.0 { (self.waited / self.guessed).clamp(0.5, 4.0) } else { 1.0 }
+        if self.guessed > 0.0 {
+            (self.waited / self.guessed).clamp(0.5, 4.0)
+        } else {
+            1.0
+        }
     }
     fn waited(&mut self, guess: f64, wait: f64) {
         self.guessed += SMOOTH * (guess - self.guessed);
@@ -161,20 +170,25 @@
     arrival_square: f64,
     last_arrival: Option<Time>,
     slots_per_op: f64,
+    /// Part of an executor's slots that others hold in the long run, over the fleet.
+    usual: f64,
     front: f64,
     fastest: usize,
     solved: Option<Time>,
     observed: Option<Time>,
     retry_observe: Time,
     subscribed: bool,
-    /// Lines for the log, taken by the adapter.
+    probes_per_op: usize,
+    /// Executors to probe and lines for the log, taken by the adapter.
+    pub probes: Vec<usize>,
     pub log: Vec<String>,
     chance: u64,
 }
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let learned = Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0, guessed: 0.0, waited: 0.0 };
+        let learned =
+            Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0, guessed: 0.0, waited: 0.0 };
         let mut dispatcher = Dispatcher {
             nodes: tariff.nodes.max(1) as f64,
             domain: tariff.domain,
@@ -205,12 +219,19 @@
             arrival_square: 0.0,
             last_arrival: None,
             slots_per_op: 1.0,
+            usual: 0.0,
             front: 0.0,
             fastest: 0,
             solved: None,
             observed: None,
             retry_observe: 0,
             subscribed: false,
+            probes_per_op: if tariff.probes && !tariff.reports_by_probe {
+                (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize
+            } else {
+                0
+            },
+            probes: Vec::new(),
             log: Vec::new(),
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
         };
@@ -304,6 +325,8 @@
             Some(p) if p.started.is_none() => now + look,
             Some(p) if self.progress > 0 => (p.noted + 5 * self.progress / 2).max(now + look),
             Some(_) => last,
+            // The answers to probes come within a few ticks or too late to matter.
+            None if op.asked == Some(now) => now + 4 * self.tick,
             None => now + look,
         };
         next.min(last).max(now + self.tick)
@@ -337,6 +360,7 @@
             base,
             came: now,
             deadline: ask.deadline,
+            asked: None,
         }
     }
 
@@ -393,8 +417,10 @@
         let gauge = |what| self.gauges.iter().position(|g| *g == what).map(|at| values[at]);
         let kind = self.executors[executor].kind;
         if let Some(free) = gauge(Gauge::FreeSlots) {
+            // The most ever free, seen through noise: up fast, and down a little from near the top.
             let slots = &mut self.slots[kind];
-            *slots += if free > *slots { 0.2 * (free - *slots) } else { 0.0 };
+            let gain = if free > *slots { 3.0 * SMOOTH } else { SMOOTH / 4.0 };
+            *slots += if free > 0.8 * *slots { gain * (free - *slots) } else { 0.0 };
         }
         let slots = self.slots[kind];
         let held = match (gauge(Gauge::FreeSlots), gauge(Gauge::Waiting), gauge(Gauge::Held)) {
@@ -408,10 +434,15 @@
 
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
     fn hear(&mut self, now: Time, executor: usize, held: f64) {
+        let fleet = self.usual;
         let e = &mut self.executors[executor];
+        if e.usual < 0.0 {
+            e.usual = fleet * self.slots[e.kind];
+        }
         e.others = (held - e.out.iter().sum::<f64>()).max(0.0);
         e.usual += 2.0 * SMOOTH * (e.others - e.usual);
         e.heard = now;
+        self.usual += SMOOTH / 4.0 * (e.others / self.slots[e.kind].max(1.0) - self.usual);
     }
 
     /// What the instance needs now: a subscription, probes; and when to be asked next.
@@ -491,6 +522,9 @@
         if op.pushes.len() >= self.max_pushes || !self.may_send(now, op) {
             return self.give_up(op, 0);
         }
+        if op.asked.is_none() && op.pushes.is_empty() && self.ask(now, op) {
+            return Step::Hold;
+        }
         let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
         let Some((executor, wait)) = found else {
             let category = &self.categories[op.category];
@@ -510,6 +544,30 @@
         self.push(now, op, executor)
     }
 
+    /// Probes the few executors that look best for the op, unless all were heard lately.
+    fn ask(&mut self, now: Time, op: &mut Op) -> bool {
+        op.asked = Some(now);
+        let stale = now - (self.turnover() / 10.0) as Time;
+        let mut best: Vec<(f64, f64, usize)> = Vec::new();
+        for at in 0..self.executors.len() {
+            let e = &self.executors[at];
+            if e.aside <= now && e.share > 0.0 && !e.trial && self.fits(now, op, at) {
+                let away = if e.domain == self.domain { 0.0 } else { self.cross_delay(op) };
+                best.push((self.expected_wait(now, op, at) + away, e.turn / e.share, at));
+            }
+        }
+        best.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let before = self.probes.len();
+        for (_, _, at) in best.into_iter().take(self.probes_per_op) {
+            let e = &mut self.executors[at];
+            if e.heard.max(e.probed) < stale {
+                e.probed = now;
+                self.probes.push(at);
+            }
+        }
+        self.probes.len() > before
+    }
+
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
         let work = self.expected(op) * self.executors[executor].pace.exp() * op.slots;
         let guess = self.expected_wait(now, op, executor) / self.learned[op.category].correction();
@@ -643,11 +701,13 @@
         }
         let turnover = self.turnover();
         let fresh = (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
-        let others = e.usual + (e.others - e.usual) * fresh;
+        let usual = if e.usual < 0.0 { self.usual * self.slots[e.kind] } else { e.usual };
+        let others = usual + (e.others - usual) * fresh;
         let others = if all > 0.0 { others * part / all } else { others };
         let slots = self.slots[e.kind];
         let over = own + others + op.slots - slots;
-        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() / self.warmth(now, e) * self.learned[op.category].correction()
+        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() / self.warmth(now, e)
+            * self.learned[op.category].correction()
     }
 
     /// Mean time that an op holds its slots.
@@ -799,7 +859,8 @@
     /// Enters one line of the list.
     fn enter(&mut self, now: Time, line: &Listed) {
         while self.slots.len() <= line.kind {
-            self.slots.push(1.0);
+            let known = self.slots.iter().copied().fold(1.0, f64::max);
+            self.slots.push(known);
         }
         while self.executors.len() <= line.executor {
             let place = self.executors.len();
@@ -822,7 +883,7 @@
                 out: vec![0.0; self.categories.len()],
                 running: 0.0,
                 others: 0.0,
-                usual: 0.0,
+                usual: -1.0,
                 heard: now - SECOND,
                 probed: now - place as Time * 1000,
                 cold: Vec::new(),
@@ -839,7 +900,7 @@
         if restarted {
             // It starts over: cold, with nothing held and nothing known against it.
             e.started = line.started;
-            (e.others, e.usual, e.running) = (0.0, 0.0, 0.0);
+            (e.others, e.usual, e.running) = (0.0, -1.0, 0.0);
             (e.served, e.trial, e.aside) = (1.0, false, now);
             e.cold.clear();
         }
