--- a/src/choice.rs
+++ b/src/choice.rs
@@ -536,7 +536,7 @@
         let category = &self.categories[op.category];
         let expected = self.expected(op) * self.executors[executor].pace.exp();
         let in_time = op.came + category.target + (category.stretch * expected) as Time;
-        let latest = if category.late > 0.0 { op.deadline } else { in_time.min(op.deadline) };
+        let latest = in_time.min(op.deadline);
         // An op that no executor can answer usefully is turned away now, not kept until its time is out.
         if now as f64 + wait + expected.min(category.target as f64) > latest as f64 {
             return self.give_up(op, wait as Time);
