--- a/src/choice.rs
+++ b/src/choice.rs
@@ -424,7 +424,8 @@
         }
         let slots = self.slots[kind];
         let held = match (gauge(Gauge::FreeSlots), gauge(Gauge::Waiting), gauge(Gauge::Held)) {
-            (Some(free), Some(waiting), _) => slots - free + waiting * self.slots_per_op,
+            // A queue behind free slots is held up by a wide op at its head: no room for others either.
+            (Some(_), Some(waiting), _) if waiting >= 0.5 => slots + waiting * self.slots_per_op,
             (_, _, Some(held)) => held * self.slots_per_op,
             (Some(free), _, _) => slots - free,
             _ => gauge(Gauge::Busy).map_or(0.0, |busy| busy * slots),
@@ -705,9 +706,17 @@
         let others = usual + (e.others - usual) * fresh;
         let others = if all > 0.0 { others * part / all } else { others };
         let slots = self.slots[e.kind];
-        let over = own + others + op.slots - slots;
-        (over.max(0.0) + 0.1 * (own + others)) / slots * turnover * e.pace.exp() / self.warmth(now, e)
-            * self.learned[op.category].correction()
+        let load = own + others;
+        // What queues before it, then the releases that its own slots need: a wide op waits until most of
+        // an executor is free, and the fewer run there the longer each release takes.
+        let mut time = (load - slots).max(0.0) / slots + 0.1 * load / slots;
+        let (mut running, mut need) = (load.min(slots), (load.min(slots) + op.slots - slots).min(op.slots));
+        while need > 0.0 && running > 0.0 {
+            time += need.min(1.0) / running.max(1.0);
+            running -= 1.0;
+            need -= 1.0;
+        }
+        time * turnover * e.pace.exp() / self.warmth(now, e) * self.learned[op.category].correction()
     }
 
     /// Mean time that an op holds its slots.
