--- a/src/choice.rs
+++ b/src/choice.rs
@@ -68,7 +68,7 @@
 }
 
 /// One executor, as long as the list has named it.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Executor {
     active: bool,
     domain: usize,
@@ -108,7 +108,7 @@
 }
 
 /// One category as learned: log and mean of its running time for one unit of hint.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 struct Learned {
     norm: f64,
     mean: f64,
@@ -139,8 +139,8 @@
 }
 
 /// The instance.
+#[derive(Default)]
 pub struct Dispatcher {
-    nodes: f64,
     domain: usize,
     tick: Time,
     categories: Vec<Category>,
@@ -187,13 +187,10 @@
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let learned =
-            Learned { norm: 0.0, mean: 1.0, samples: 0.0, rate: 0.0, base: 0.0, guessed: 0.0, waited: 0.0 };
         let mut dispatcher = Dispatcher {
-            nodes: tariff.nodes.max(1) as f64,
             domain: tariff.domain,
             tick: tariff.tick,
-            learned: vec![learned; tariff.categories.len()],
+            learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
             categories: tariff.categories.clone(),
             cancel: tariff.cancel,
             second_copies: tariff.second_copies,
@@ -212,28 +209,15 @@
             cross: tariff.price_cross,
             by_work: tariff.by_work,
             worst_category: tariff.worst_category,
-            executors: Vec::new(),
-            slots: Vec::new(),
             target_use: 0.6,
-            arrival_gap: 0.0,
-            arrival_square: 0.0,
-            last_arrival: None,
             slots_per_op: 1.0,
-            usual: 0.0,
-            front: 0.0,
-            fastest: 0,
-            solved: None,
-            observed: None,
-            retry_observe: 0,
-            subscribed: false,
             probes_per_op: if tariff.probes && !tariff.reports_by_probe {
                 (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize
             } else {
                 0
             },
-            probes: Vec::new(),
-            log: Vec::new(),
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
+            ..Dispatcher::default()
         };
         dispatcher.random();
         dispatcher
@@ -281,7 +265,7 @@
         };
         p.outcome = Some(outcome);
         let (x, ran) = (p.executor, p.started.map(|at| (now - at).max(1) as f64));
-        let (asked, stopping) = ((now - p.sent).max(1) as f64, p.stopping);
+        let asked = (now - p.sent).max(1) as f64;
         self.report(now, x, values);
         let executor = &mut self.executors[x];
         executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
@@ -310,7 +294,6 @@
                 executor.credit = (executor.credit - 1.0).max(0.0);
                 self.learn(x, op, ran.unwrap_or(asked), true);
             }
-            Outcome::Cancelled if stopping => {}
             Outcome::Cancelled | Outcome::Moot => {}
         }
         self.place(now, op)
@@ -473,29 +456,20 @@
     /// paper's e(i) = L(L2 s2 + L2 + C2 - L m) is s2 + 1 + C2 - m, s2 being the gaps' squared variation.
     fn solve(&mut self, now: Time) {
         self.solved = Some(now);
-        let s2 = if self.arrival_gap > 0.0 && self.last_arrival.is_some() {
-            (self.arrival_square / self.arrival_gap.powi(2) - 1.0).clamp(0.1, 4.0)
-        } else {
-            1.0
-        };
+        let squares =
+            if self.arrival_gap > 0.0 { self.arrival_square / self.arrival_gap.powi(2) } else { 2.0 };
+        let s2 = (squares - 1.0).clamp(0.1, 4.0);
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
         let costs = vec![1.0; rates.len()];
         let shares = split(&rates, &spreads, &costs, s2, self.target_use);
-        let mut front = f64::INFINITY;
         for (at, share) in shares.into_iter().enumerate() {
-            let back = share > 0.0 && self.executors[at].share <= 0.0;
-            let lag = if back { self.random() } else { 0.0 };
-            let front_now = self.front;
+            let (front, chance) = (self.front, self.random());
             let e = &mut self.executors[at];
-            // Who is new, back or grown joins at the front of the order: no burst to catch up.
-            let ahead = if e.share > 0.0 { (e.turn - front_now * e.share).clamp(-1.0, 1.0) } else { lag };
-            e.turn = ahead;
+            // Who is new, back or grown joins near the front of the order: no burst to catch up.
+            e.turn = if e.share > 0.0 { (e.turn - front * e.share).clamp(-1.0, 1.0) } else { chance };
             e.share = share;
-            if share > 0.0 {
-                front = front.min(0.0);
-            }
         }
         self.front = 0.0;
         let fastest = (0..rates.len()).max_by(|a, b| rates[*a].total_cmp(&rates[*b]));
@@ -875,29 +849,15 @@
             let place = self.executors.len();
             let turn = self.random();
             self.executors.push(Executor {
-                active: false,
-                domain: 0,
-                kind: 0,
-                cell: 0,
-                weight: 1.0,
-                size: 0.0,
-                started: None,
-                pace: 0.0,
-                samples: 0.0,
                 spread: std::f64::consts::LN_2,
                 served: 1.0,
                 credit: MOST_CREDIT / 2.0,
-                aside: 0,
-                trial: false,
                 out: vec![0.0; self.categories.len()],
-                running: 0.0,
-                others: 0.0,
                 usual: -1.0,
                 heard: now - SECOND,
                 probed: now - place as Time * 1000,
-                cold: Vec::new(),
-                share: 0.0,
                 turn,
+                ..Executor::default()
             });
         }
         let pace = self.kind_pace(line.kind);
