Let what is held against unused executors fade; one list of candidates

An executor whose share is clamped to zero gets nothing, so nothing new is learned of it; its pace now drifts to its kind's.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::io::{BufRead, Write as _};
-use stileroute::choice::{Ask, Dispatcher, Op};
+use stileroute::choice::{Ask, Dispatcher, Op, UPKEEP};
 use stileroute::tariff::{Listed, Outcome, Step, Time};
 use wire::{down, up, Batch, Element, Msg, UNIT};
 
@@ -168,13 +168,13 @@
             "CHANGE" => {
                 let ticket = ticket_of(msg)?;
                 let push = need(msg.round_no, &msg.op, "round-no")?;
-                let done = match need(msg.topic, &msg.op, "topic")? {
-                    1 => None,
-                    2 => Some(msg.x.unwrap_or(0.0)),
+                let start = match need(msg.topic, &msg.op, "topic")? {
+                    1 => true,
+                    2 => false,
                     _ => return Ok(()),
                 };
                 if let Some(op) = self.ops.get_mut(&ticket) {
-                    self.dispatcher.note(now, op, push, done);
+                    self.dispatcher.note(now, op, push, start);
                 }
             }
             "WITHDRAWN" => {
@@ -239,12 +239,10 @@
             }
         }
         if now >= self.upkeep {
-            let upkeep = self.dispatcher.upkeep(now);
-            self.upkeep = upkeep.next;
-            if upkeep.observe {
+            self.upkeep = now + UPKEEP;
+            if self.dispatcher.upkeep(now) {
                 reply.say("OBSERVE", &self.name, format_args!(",\"active\":true"));
             }
-            self.dispatcher.probes.extend(upkeep.probes);
         }
         for executor in self.dispatcher.probes.drain(..) {
             let address = &self.addresses[executor];
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -43,18 +43,13 @@
     pub scope: Option<Cow<'a, str>>,
     pub elements: Option<Vec<Element<'a>>>,
     pub generation: Option<i64>,
-    #[serde(default)]
-    pub project: usize,
     pub grade: Option<usize>,
     pub cores_needed: Option<f64>,
     pub ram_units: Option<f64>,
     pub drop_dead_ns: Option<i64>,
     pub work_ns: Option<i64>,
-    #[serde(borrow)]
-    pub label: Option<Cow<'a, str>>,
     pub round_no: Option<usize>,
     pub topic: Option<i64>,
-    pub x: Option<f64>,
     #[serde(borrow)]
     pub status: Option<Cow<'a, str>>,
     #[serde(default, rename = "final")]
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,6 +20,10 @@
 /// Solve interval, and the fixed part of a stay aside; its random part is as long again.
 const SOLVE_EVERY: Time = SECOND;
 const ASIDE: Time = 2 * SECOND;
+/// How often `upkeep` is to be called.
+pub const UPKEEP: Time = SECOND / 10;
+/// An executor is skipped where the wait is longer than at the best by this part of the op's running time.
+const WELL_OVER: f64 = 0.1;
 /// Most credit an executor can hold, and what one answer earns; a further push costs one.
 const MOST_CREDIT: f64 = 4.0;
 const EARNED: f64 = 0.25;
@@ -35,7 +39,6 @@
     sent: Time,
     started: Option<Time>,
     noted: Time,
-    done: f64,
     stopping: bool,
     /// Wait expected when it was sent, before the correction by what waits turn out to be.
     guess: f64,
@@ -49,7 +52,6 @@
     pub closed: bool,
     category: usize,
     slots: f64,
-    memory: f64,
     base: f64,
     came: Time,
     deadline: Time,
@@ -74,7 +76,6 @@
     domain: usize,
     kind: usize,
     cell: usize,
-    weight: f64,
     size: f64,
     started: Option<Time>,
     /// Log of its running times over the fleet's, samples so far, and the spread of the log.
@@ -99,12 +100,14 @@
     turn: f64,
 }
 
-/// What upkeep asks of the adapter.
-#[derive(Debug, Default)]
-pub struct Upkeep {
-    pub observe: bool,
-    pub probes: Vec<usize>,
-    pub next: Time,
+/// An executor that an op may go to.
+struct Candidate {
+    at: usize,
+    wait: f64,
+    /// The wait with the price of crossing and of running slowly.
+    cost: f64,
+    /// Its place in the billiard order, (X + Y) / P.
+    turn: f64,
 }
 
 /// One category as learned: log and mean of its running time for one unit of hint.
@@ -155,7 +158,7 @@
     start_share: f64,
     warm_within: Time,
     gauges: Vec<Gauge>,
-    probe_every: Option<f64>,
+    probe_every: Option<Time>,
     live_weights: bool,
     by_priority: bool,
     progress: Time,
@@ -202,7 +205,7 @@
             start_share: tariff.start_share,
             warm_within: tariff.warm_within,
             gauges: tariff.gauges.clone(),
-            probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND as f64),
+            probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND),
             live_weights: tariff.live_weights,
             by_priority: tariff.by_priority,
             progress: tariff.progress,
@@ -338,8 +341,8 @@
             pushes: Vec::new(),
             closed: false,
             category: ask.category,
-            slots: ask.slots,
-            memory: ask.memory,
+            // An executor has one unit of memory for each slot: the scarcer need is the op's width.
+            slots: ask.slots.max(ask.memory),
             base,
             came: now,
             deadline: ask.deadline,
@@ -367,14 +370,13 @@
         self.log.push("list: call refused, will ask again".to_string());
     }
 
-    /// A push has started, or has done this share of its work.
-    pub fn note(&mut self, now: Time, op: &mut Op, push: usize, done: Option<f64>) {
+    /// A push has started, or has got on with its work.
+    pub fn note(&mut self, now: Time, op: &mut Op, push: usize, start: bool) {
         let Some(p) = op.pushes.get_mut(push).filter(|p| p.outcome.is_none()) else {
             return;
         };
         p.noted = now;
-        if let Some(done) = done {
-            p.done = done;
+        if !start {
             return;
         }
         if p.started.replace(now).is_some() {
@@ -429,25 +431,21 @@
         self.usual += SMOOTH / 4.0 * (e.others / self.slots[e.kind].max(1.0) - self.usual);
     }
 
-    /// What the instance needs now: a subscription, probes; and when to be asked next.
-    pub fn upkeep(&mut self, now: Time) -> Upkeep {
-        let mut upkeep = Upkeep { next: now + SECOND / 10, ..Upkeep::default() };
+    /// Called every `UPKEEP`: notes whom to probe, and tells whether to subscribe to the list now.
+    pub fn upkeep(&mut self, now: Time) -> bool {
         let asked_long_ago = self.observed.is_none_or(|at| !self.subscribed && now > at + 5 * SECOND);
-        if self.subscribe && asked_long_ago && now >= self.retry_observe {
-            upkeep.observe = true;
+        let observe = self.subscribe && asked_long_ago && now >= self.retry_observe;
+        if observe {
             self.observed = Some(now);
             self.subscribed = false;
         }
-        if let Some(every) = self.probe_every {
-            for at in 0..self.executors.len() {
-                let e = &mut self.executors[at];
-                if e.active && (now - e.heard.max(e.probed)) as f64 >= every {
-                    e.probed = now;
-                    upkeep.probes.push(at);
-                }
+        for (at, e) in self.executors.iter_mut().enumerate() {
+            if self.probe_every.is_some_and(|every| e.active && now - e.heard.max(e.probed) >= every) {
+                e.probed = now;
+                self.probes.push(at);
             }
         }
-        upkeep
+        observe
     }
 
     // ---- Shares and order: the design ----
@@ -459,6 +457,15 @@
         let squares =
             if self.arrival_gap > 0.0 { self.arrival_square / self.arrival_gap.powi(2) } else { 2.0 };
         let s2 = (squares - 1.0).clamp(0.1, 4.0);
+        for at in 0..self.executors.len() {
+            // Nothing is learned of an executor that gets nothing: what is held against it fades.
+            let kind = self.kind_pace(self.executors[at].kind);
+            let e = &mut self.executors[at];
+            if e.out.iter().all(|s| *s <= 0.0) {
+                e.pace += SMOOTH * (kind - e.pace);
+                e.served += SMOOTH * (1.0 - e.served);
+            }
+        }
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
@@ -501,7 +508,7 @@
             return Step::Hold;
         }
         let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
-        let Some((executor, wait)) = found else {
+        let Some(Candidate { at: executor, wait, .. }) = found else {
             let category = &self.categories[op.category];
             if op.pushes.is_empty() && now - op.came < category.target / 4 {
                 return Step::Hold;
@@ -523,21 +530,14 @@
     fn ask(&mut self, now: Time, op: &mut Op) -> bool {
         op.asked = Some(now);
         let stale = now - (self.turnover() / 10.0) as Time;
-        let mut best: Vec<(f64, f64, usize)> = Vec::new();
-        for at in 0..self.executors.len() {
-            let e = &self.executors[at];
-            if e.aside <= now && e.share > 0.0 && !e.trial && self.fits(now, op, at) {
-                let away = if e.domain == self.domain { 0.0 } else { self.cross_delay(op) };
-                best.push((self.expected_wait(now, op, at) + away, e.turn / e.share, at));
-            }
-        }
-        best.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let mut best = self.candidates(now, op, true);
+        best.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.turn.total_cmp(&b.turn)));
         let before = self.probes.len();
-        for (_, _, at) in best.into_iter().take(self.probes_per_op) {
-            let e = &mut self.executors[at];
+        for found in best.into_iter().take(self.probes_per_op) {
+            let e = &mut self.executors[found.at];
             if e.heard.max(e.probed) < stale {
                 e.probed = now;
-                self.probes.push(at);
+                self.probes.push(found.at);
             }
         }
         self.probes.len() > before
@@ -566,53 +566,48 @@
             sent: now,
             started: None,
             noted: now,
-            done: 0.0,
             stopping: false,
             guess,
         });
         Step::Push { executor }
     }
 
-    /// The next executor in billiard order, least (X + Y) / P, and the wait expected there. Skipped are
-    /// those where the op would wait well longer than at the best; `strict` also keeps to the trusted.
-    fn pick(&mut self, now: Time, op: &Op, strict: bool) -> Option<(usize, f64)> {
-        let again = !op.pushes.is_empty();
-        let mut found: Vec<(usize, f64, f64)> = Vec::with_capacity(self.executors.len());
-        for at in 0..self.executors.len() {
-            if !self.fits(now, op, at) {
-                continue;
-            }
-            let e = &self.executors[at];
-            let busy = e.out.iter().any(|s| *s > 0.0);
+    /// The next executor in billiard order, least (X + Y) / P, among those where the op would not wait
+    /// well longer than at the best.
+    fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
+        let found = self.candidates(now, op, strict);
+        let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
+        let well_over = least + self.expected(op) * WELL_OVER;
+        found.into_iter().filter(|c| c.cost <= well_over).min_by(|a, b| a.turn.total_cmp(&b.turn))
+    }
+
+    /// Where the op may go. `strict` keeps to the trusted: none set aside, on trial with work out, tried
+    /// before, or, for a further push, without credit.
+    fn candidates(&self, now: Time, op: &Op, strict: bool) -> Vec<Candidate> {
+        let category = &self.categories[op.category];
+        let delay = self.cross_delay(op);
+        let mut found = Vec::with_capacity(self.executors.len());
+        for (at, e) in self.executors.iter().enumerate() {
+            // A trial is no place for an op that must not run twice: if it fails, the op is lost.
+            let risky = e.trial && (category.effect == Effect::AtMostOnce || e.out.iter().any(|s| *s > 0.0));
             let tried = op.pushes.iter().any(|p| p.executor == at);
-            if strict && (e.aside > now || e.share <= 0.0 || (e.trial && busy) || tried) {
-                continue;
-            }
-            if strict && again && e.credit < 1.0 {
+            let broke = !op.pushes.is_empty() && e.credit < 1.0;
+            if (strict && (e.aside > now || e.share <= 0.0 || risky || tried || broke))
+                || !self.fits(now, op, at)
+            {
                 continue;
             }
             let wait = self.expected_wait(now, op, at);
-            let away = if e.domain == self.domain { 0.0 } else { self.cross_delay(op) };
+            let away = if e.domain == self.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
-            let slow = e.pace.exp() / self.warmth(now, e) - self.categories[op.category].stretch.max(1.0);
-            found.push((at, wait, wait + away + slow.max(0.0) * self.expected(op)));
-        }
-        let least = found.iter().map(|f| f.2).fold(f64::INFINITY, f64::min);
-        let well_over = least + self.expected(op) * 0.1;
-        let mut best: Option<(usize, f64, f64)> = None;
-        for (at, wait, cost) in found {
-            if cost > well_over {
-                continue;
-            }
-            let e = &self.executors[at];
-            let first = if at == self.fastest { 1.0 } else { 0.0 };
+            let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
+            let cost = wait + away + slow.max(0.0) * self.expected(op);
+            let first = f64::from(u8::from(at == self.fastest));
             let lagging = e.turn.max(self.front * e.share - 1.0);
             let turn = if e.share > 0.0 { (first + lagging) / e.share } else { f64::MAX };
-            if best.is_none_or(|b| turn < b.2) {
-                best = Some((at, wait, turn));
-            }
+            found.push(Candidate { at, wait, cost, turn });
         }
-        best.map(|(at, wait, _)| (at, wait))
+        found
     }
 
     /// The executor may get this op at all: listed, of the right kind, not drained, not cold beyond its
@@ -787,7 +782,7 @@
         if !movable || !only_one || !(self.second_copies || self.cancel) {
             return Step::Hold;
         }
-        let Some((executor, wait)) = self.pick(now, op, true) else {
+        let Some(Candidate { at: executor, wait, .. }) = self.pick(now, op, true) else {
             return Step::Hold;
         };
         if wait + look as f64 > here {
@@ -864,7 +859,6 @@
         let e = &mut self.executors[line.executor];
         let restarted = line.started.is_some() && line.started != e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
-        e.weight = line.weight;
         e.size = e.size.max(line.weight);
         if restarted {
             // It starts over: cold, with nothing held and nothing known against it.
@@ -876,8 +870,8 @@
         if e.samples == 0.0 {
             e.pace = pace;
         }
-        if self.live_weights && e.weight > 0.0 && !restarted {
-            let held = self.slots[e.kind] * (e.size / e.weight - 1.0);
+        if self.live_weights && line.weight > 0.0 && !restarted {
+            let held = self.slots[e.kind] * (e.size / line.weight - 1.0);
             self.hear(now, line.executor, held);
         }
     }
@@ -914,15 +908,8 @@
         return vec![0.0; rates.len()];
     }
     let rates: Vec<f64> = rates.iter().map(|r| r / sum / target_use).collect();
-    let roots: Vec<f64> = (0..rates.len())
-        .map(|i| {
-            if rates[i] > 0.0 {
-                (costs[i] * (s2 + 1.0 + spreads[i] - rates[i]).max(0.0)).sqrt()
-            } else {
-                0.0
-            }
-        })
-        .collect();
+    let root = |i: usize| (costs[i] * (s2 + 1.0 + spreads[i] - rates[i]).max(0.0)).sqrt();
+    let roots: Vec<f64> = (0..rates.len()).map(|i| if rates[i] > 0.0 { root(i) } else { 0.0 }).collect();
     let all: f64 = roots.iter().sum();
     let spare = 1.0 / target_use - 1.0;
     let part = |i: usize| if all > 0.0 { (rates[i] - spare * roots[i] / all).max(0.0) } else { rates[i] };
