--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use std::borrow::Cow;
-use stileroute::tariff::{Category, Effect, Gauge, Scope, Tariff, Time};
+use stileroute::tariff::{Category, Effect, Gauge, Scope, Tariff, Terms, Time};
 
 /// Nanoseconds in one of the library's time units.
 pub const UNIT: i64 = 100_000;
@@ -101,10 +101,6 @@
     #[serde(default)]
     score_parts: Parts,
     #[serde(default)]
-    surplus_benefit: f64,
-    #[serde(default)]
-    tenants: Vec<Tenant>,
-    #[serde(default)]
     weight_kind: String,
 }
 
@@ -149,7 +145,6 @@
     class_stretch: Vec<f64>,
     progress_ns: i64,
     queue_order: String,
-    tells_start: bool,
     report_x0: String,
     report_x1: String,
 }
@@ -159,7 +154,6 @@
 struct Prices {
     cross_zone: f64,
     probe: f64,
-    waste: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -184,13 +178,6 @@
     worst_class: f64,
 }
 
-#[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Tenant {
-    #[serde(default)]
-    quota_per_s: f64,
-}
-
 impl Conf {
     /// The settings in the library's words.
     pub fn tariff(&self) -> Result<Tariff, String> {
@@ -228,34 +215,34 @@
             "x1" if self.extra.report_x1 == "free memory" => Gauge::FreeMemory,
             _ => Gauge::Other,
         };
-        Ok(Tariff {
-            nodes: self.balancers,
+        let caps = &self.caps;
+        let terms = Terms {
             domain: self.my_zone,
             tick: up(self.granularity_ns).max(1),
-            categories,
-            quotas: self.tenants.iter().map(|t| t.quota_per_s).collect(),
-            surplus_benefit: self.surplus_benefit,
-            by_work: self.benefit_by == "work",
-            cancel: self.caps.cancel,
-            probes: self.caps.probes,
-            second_copies: self.caps.parallel_tries,
-            come_back: if self.caps.retry_after { down(self.caps.max_retry_after_ns) } else { 0 },
-            max_pushes: self.caps.max_pushes,
+            cancel: caps.cancel,
+            second_copies: caps.parallel_tries,
+            come_back: if caps.retry_after { down(caps.max_retry_after_ns) } else { 0 },
+            max_pushes: caps.max_pushes,
             subscribe: self.discovery == "subscribe",
-            overload_factor: self.rules.overload_factor,
             tip_after: up(self.rules.tip_after_ns),
             start_share: self.rules.start_capacity,
             warm_within: up(self.rules.warm_within_ns),
-            gauges: self.report.names.iter().map(gauge).collect(),
-            reports_by_probe: self.report.source == "pull",
             live_weights: self.weight_kind == "live",
             by_priority: self.extra.queue_order == "priority",
-            tells_start: self.extra.tells_start,
+            by_work: self.benefit_by == "work",
             progress: down(self.extra.progress_ns),
-            price_cross: self.prices.cross_zone,
-            price_probe: self.prices.probe,
-            price_waste: self.prices.waste,
+            cross: self.prices.cross_zone,
             worst_category: self.score_parts.worst_class,
+        };
+        Ok(Tariff {
+            terms,
+            nodes: self.balancers,
+            categories,
+            probes: caps.probes,
+            overload_factor: self.rules.overload_factor,
+            gauges: self.report.names.iter().map(gauge).collect(),
+            reports_by_probe: self.report.source == "pull",
+            price_probe: self.prices.probe,
         })
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -144,27 +144,15 @@
 /// The instance.
 #[derive(Default)]
 pub struct Dispatcher {
-    domain: usize,
-    tick: Time,
+    terms: Terms,
     categories: Vec<Category>,
     learned: Vec<Learned>,
-    cancel: bool,
-    second_copies: bool,
-    come_back: Time,
-    max_pushes: usize,
-    subscribe: bool,
+    /// Work that a cold executor may get from this node within the tip time, by slot at full warmth.
     cold_budget: f64,
-    tip_after: Time,
-    start_share: f64,
-    warm_within: Time,
     gauges: Vec<Gauge>,
+    /// Probes before a first push, and the time after which an executor unheard of is probed.
+    probes_per_op: usize,
     probe_every: Option<Time>,
-    live_weights: bool,
-    by_priority: bool,
-    progress: Time,
-    cross: f64,
-    by_work: bool,
-    worst_category: f64,
     executors: Vec<Executor>,
     /// Slots of an executor of each kind, as far as seen.
     slots: Vec<f64>,
@@ -181,7 +169,6 @@
     observed: Option<Time>,
     retry_observe: Time,
     subscribed: bool,
-    probes_per_op: usize,
     /// Executors to probe and lines for the log, taken by the adapter.
     pub probes: Vec<usize>,
     pub log: Vec<String>,
@@ -190,35 +177,19 @@
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
+        let tip = tariff.overload_factor * tariff.terms.tip_after as f64;
+        let on_demand = tariff.probes && !tariff.reports_by_probe;
+        let affordable = (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize;
         let mut dispatcher = Dispatcher {
-            domain: tariff.domain,
-            tick: tariff.tick,
+            terms: tariff.terms.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
             categories: tariff.categories.clone(),
-            cancel: tariff.cancel,
-            second_copies: tariff.second_copies,
-            come_back: tariff.come_back,
-            max_pushes: tariff.max_pushes,
-            subscribe: tariff.subscribe,
-            cold_budget: 0.5 * tariff.overload_factor * tariff.tip_after as f64 / tariff.nodes.max(1) as f64,
-            tip_after: tariff.tip_after,
-            start_share: tariff.start_share,
-            warm_within: tariff.warm_within,
+            cold_budget: 0.5 * tip / tariff.nodes.max(1) as f64,
             gauges: tariff.gauges.clone(),
+            probes_per_op: if on_demand { affordable } else { 0 },
             probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND),
-            live_weights: tariff.live_weights,
-            by_priority: tariff.by_priority,
-            progress: tariff.progress,
-            cross: tariff.price_cross,
-            by_work: tariff.by_work,
-            worst_category: tariff.worst_category,
             target_use: 0.6,
             slots_per_op: 1.0,
-            probes_per_op: if tariff.probes && !tariff.reports_by_probe {
-                (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize
-            } else {
-                0
-            },
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
             ..Dispatcher::default()
         };
@@ -242,7 +213,7 @@
             // Work that no one waits for is called off, so that it holds up nothing behind it.
             let left = op.pushes.iter_mut().enumerate().find(|(_, p)| p.outcome.is_none() && !p.stopping);
             return match left {
-                Some((push, p)) if self.cancel => {
+                Some((push, p)) if self.terms.cancel => {
                     p.stopping = true;
                     Step::Stop { push }
                 }
@@ -252,7 +223,7 @@
         if self.solved.is_none_or(|at| now >= at + SOLVE_EVERY) {
             self.solve(now);
         }
-        if now + 2 * self.tick >= op.deadline {
+        if now + 2 * self.terms.tick >= op.deadline {
             return self.give_up(op, 0);
         }
         match op.pushes.iter().rposition(|p| p.outcome.is_none()) {
@@ -304,18 +275,18 @@
 
     /// Until when to leave the op alone; `place` is to be asked again then.
     pub fn wait(&self, now: Time, op: &Op) -> Time {
-        let last = op.deadline - 2 * self.tick;
+        let last = op.deadline - 2 * self.terms.tick;
         let look = self.categories[op.category].target / 4;
         let next = match op.pushes.iter().rfind(|p| p.outcome.is_none()) {
             Some(p) if p.stopping => last,
             Some(p) if p.started.is_none() => now + look,
-            Some(p) if self.progress > 0 => (p.noted + 5 * self.progress / 2).max(now + look),
+            Some(p) if self.terms.progress > 0 => (p.noted + 5 * self.terms.progress / 2).max(now + look),
             Some(_) => last,
             // The answers to probes come within a few ticks or too late to matter.
-            None if op.asked == Some(now) => now + 4 * self.tick,
+            None if op.asked == Some(now) => now + 4 * self.terms.tick,
             None => now + look,
         };
-        next.min(last).max(now + self.tick)
+        next.min(last).max(now + self.terms.tick)
     }
 
     // ---- What is heard ----
@@ -376,10 +347,7 @@
             return;
         };
         p.noted = now;
-        if !start {
-            return;
-        }
-        if p.started.replace(now).is_some() {
+        if !start || p.started.replace(now).is_some() {
             return;
         }
         self.learned[op.category].waited(p.guess, (now - p.sent) as f64);
@@ -388,7 +356,7 @@
         // It had room just now, so others can't hold the rest of its slots and a queue too.
         let slots = self.slots[executor.kind].max(executor.running);
         self.slots[executor.kind] = slots;
-        if now - p.sent < self.tick * 4 {
+        if now - p.sent < self.terms.tick * 4 {
             executor.others = executor.others.min(slots - executor.running);
             executor.heard = now;
         }
@@ -434,7 +402,7 @@
     /// Called every `UPKEEP`: notes whom to probe, and tells whether to subscribe to the list now.
     pub fn upkeep(&mut self, now: Time) -> bool {
         let asked_long_ago = self.observed.is_none_or(|at| !self.subscribed && now > at + 5 * SECOND);
-        let observe = self.subscribe && asked_long_ago && now >= self.retry_observe;
+        let observe = self.terms.subscribe && asked_long_ago && now >= self.retry_observe;
         if observe {
             self.observed = Some(now);
             self.subscribed = false;
@@ -494,14 +462,14 @@
 
     /// The share of its capacity that a newly started executor has at the least by now.
     fn warmth(&self, now: Time, e: &Executor) -> f64 {
-        let age = e.started.map_or(self.warm_within, |at| now - at);
-        let ramp = age as f64 / self.warm_within.max(1) as f64;
-        (self.start_share + (1.0 - self.start_share) * ramp).clamp(0.01, 1.0)
+        let age = e.started.map_or(self.terms.warm_within, |at| now - at);
+        let ramp = age as f64 / self.terms.warm_within.max(1) as f64;
+        (self.terms.start_share + (1.0 - self.terms.start_share) * ramp).clamp(0.01, 1.0)
     }
 
     /// Sends an op that has nothing out: in billiard order among those not well over the least busy.
     fn send(&mut self, now: Time, op: &mut Op) -> Step {
-        if op.pushes.len() >= self.max_pushes || !self.may_send(now, op) {
+        if op.pushes.len() >= self.terms.max_pushes || !self.may_send(now, op) {
             return self.give_up(op, 0);
         }
         if op.asked.is_none() && op.pushes.is_empty() && self.ask(now, op) {
@@ -552,7 +520,7 @@
             e.credit = (e.credit - 1.0).max(0.0);
         }
         e.out[op.category] += op.slots;
-        if e.started.is_some_and(|at| now < at + self.warm_within) {
+        if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
             e.cold.push((now, work));
         }
         if e.share > 0.0 {
@@ -598,7 +566,7 @@
                 continue;
             }
             let wait = self.expected_wait(now, op, at);
-            let away = if e.domain == self.domain { 0.0 } else { delay };
+            let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
             let cost = wait + away + slow.max(0.0) * self.expected(op);
@@ -630,9 +598,9 @@
                 return false;
             }
         }
-        if e.started.is_some_and(|start| now < start + self.warm_within) {
+        if e.started.is_some_and(|start| now < start + self.terms.warm_within) {
             // All nodes together must not push a cold executor over: each keeps to its part of the budget.
-            let since = now - self.tip_after;
+            let since = now - self.terms.tip_after;
             let spent: f64 = e.cold.iter().filter(|c| c.0 > since).map(|c| c.1).sum();
             let work = self.expected(op) * e.pace.exp() * op.slots;
             let room = self.cold_budget * self.slots[e.kind] * self.warmth(now, e);
@@ -664,7 +632,7 @@
             let learned = &self.learned[c];
             let weight = learned.rate * learned.time();
             all += weight;
-            if !self.by_priority || category.priority >= rank {
+            if !self.terms.by_priority || category.priority >= rank {
                 own += e.out[c];
                 part += weight;
             }
@@ -703,19 +671,19 @@
     fn cross_delay(&self, op: &Op) -> f64 {
         let category = &self.categories[op.category];
         let slack = category.target as f64 + 0.5 * category.stretch * self.expected(op);
-        self.cross / self.worth(op) * slack
+        self.terms.cross / self.worth(op) * slack
     }
 
     /// What an op is worth against the mean op, counting that its category may be the worst served.
     fn worth(&self, op: &Op) -> f64 {
         let value = |c: usize| {
-            let work = if self.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
+            let work = if self.terms.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
             self.categories[c].benefit * work
         };
         let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate * value(c)).sum();
         let whole = if mean > 0.0 { value(op.category) / mean } else { 1.0 };
         let rate = self.learned[op.category].rate.max(0.01) * self.learned.len() as f64;
-        ((1.0 - self.worst_category) * whole + self.worst_category / rate).max(0.05)
+        ((1.0 - self.terms.worst_category) * whole + self.terms.worst_category / rate).max(0.05)
     }
 
     /// A running time on an executor: moves its pace and its category's mean. One that is not over
@@ -770,16 +738,16 @@
                 e.heard = now;
             }
             self.expected_wait(now, op, x)
-        } else if self.progress > 0 && now - noted >= 5 * self.progress / 2 {
+        } else if self.terms.progress > 0 && now - noted >= 5 * self.terms.progress / 2 {
             // No progress told for so long: the executor stands still, however heavy the op is.
             self.set_aside(now, x, "silent");
             f64::INFINITY
         } else {
             return Step::Hold;
         };
-        let movable = self.may_send(now, op) && op.pushes.len() < self.max_pushes;
+        let movable = self.may_send(now, op) && op.pushes.len() < self.terms.max_pushes;
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
-        if !movable || !only_one || !(self.second_copies || self.cancel) {
+        if !movable || !only_one || !(self.terms.second_copies || self.terms.cancel) {
             return Step::Hold;
         }
         let Some(Candidate { at: executor, wait, .. }) = self.pick(now, op, true) else {
@@ -788,7 +756,7 @@
         if wait + look as f64 > here {
             return Step::Hold;
         }
-        if self.second_copies {
+        if self.terms.second_copies {
             // What waits there will run all the same; a copy only pays where the first stands still.
             return if here.is_finite() { Step::Hold } else { self.push(now, op, executor) };
         }
@@ -802,7 +770,7 @@
             (_, None) | (Effect::Redeliverable, _) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             // The group forgets the op once the window is over.
-            (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.tick < p.sent + window,
+            (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.terms.tick < p.sent + window,
         }
     }
 
@@ -814,7 +782,7 @@
             _ => op.may_have_run().is_none(),
         };
         if harmless {
-            Step::Nack { come_back: come_back.min(self.come_back) }
+            Step::Nack { come_back: come_back.min(self.terms.come_back) }
         } else {
             Step::DeadLetter
         }
@@ -870,7 +838,7 @@
         if e.samples == 0.0 {
             e.pace = pace;
         }
-        if self.live_weights && line.weight > 0.0 && !restarted {
+        if self.terms.live_weights && line.weight > 0.0 && !restarted {
             let held = self.slots[e.kind] * (e.size / line.weight - 1.0);
             self.hear(now, line.executor, held);
         }
@@ -889,16 +857,6 @@
     }
 }
 
-/// An op as it arrives.
-#[derive(Clone, Copy, Debug)]
-pub struct Ask {
-    pub category: usize,
-    pub slots: f64,
-    pub memory: f64,
-    pub hint: Option<Time>,
-    pub deadline: Time,
-}
-
 /// Equations 5 and 6 with time in mean gaps between arrivals: P = m - (sum of m - 1) sqrt(K e) / sum of
 /// sqrt(K e), e = s2 + 1 + C2 - m, the rates scaled so that they sum to one over the target use; negative
 /// e or P is clamped to zero and the rest renormalised. `spreads` are squared variations.
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -48,45 +48,60 @@
     Other,
 }
 
-/// All that is read at start. The instance derives its few figures from it and drops it.
-#[derive(Clone, Debug)]
-pub struct Tariff {
-    pub nodes: usize,
+/// What holds for the whole life of an instance just as it is read.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
     pub domain: usize,
     pub tick: Time,
-    pub categories: Vec<Category>,
-    /// Ops a second, over all nodes, within each tenant's share.
-    pub quotas: Vec<f64>,
-    pub surplus_benefit: f64,
-    /// Benefit counts for each unit of work, not for each op.
-    pub by_work: bool,
     pub cancel: bool,
-    pub probes: bool,
     pub second_copies: bool,
     /// The longest come-back time that clients heed; zero where none may be given.
     pub come_back: Time,
     pub max_pushes: usize,
     pub subscribe: bool,
-    pub overload_factor: f64,
+    /// How long a cold executor must be overloaded to fall, its share of capacity at start, and the
+    /// time by which it is warm.
     pub tip_after: Time,
     pub start_share: f64,
     pub warm_within: Time,
-    pub gauges: Vec<Gauge>,
-    /// Load reports come with probes only.
-    pub reports_by_probe: bool,
+    /// Weights in the list fall with what an executor holds.
     pub live_weights: bool,
     /// Executors serve their queue by the categories' priority.
     pub by_priority: bool,
-    pub tells_start: bool,
+    /// Benefit counts for each unit of work, not for each op.
+    pub by_work: bool,
     /// Time between progress notes; zero where there are none.
     pub progress: Time,
-    pub price_cross: f64,
-    pub price_probe: f64,
-    pub price_waste: f64,
+    /// Price of a push that crosses failure domains, in parts of an op.
+    pub cross: f64,
     /// Weight of the worst-served category in the result.
     pub worst_category: f64,
 }
 
+/// All that is read at start. The instance derives its few figures from it and drops it.
+#[derive(Clone, Debug, Default)]
+pub struct Tariff {
+    pub terms: Terms,
+    pub nodes: usize,
+    pub categories: Vec<Category>,
+    pub probes: bool,
+    pub overload_factor: f64,
+    pub gauges: Vec<Gauge>,
+    /// Load reports come with probes only.
+    pub reports_by_probe: bool,
+    pub price_probe: f64,
+}
+
+/// An op as it arrives.
+#[derive(Clone, Copy, Debug)]
+pub struct Ask {
+    pub category: usize,
+    pub slots: f64,
+    pub memory: f64,
+    pub hint: Option<Time>,
+    pub deadline: Time,
+}
+
 /// How a push ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
