Let the target use follow the load; executors without a share go last, not never

Clamped executors got nothing even in overload, and cold ones never warmed. Adds the tables of cases for module and adapter.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,6 +20,9 @@
 /// Solve interval, and the fixed part of a stay aside; its random part is as long again.
 const SOLVE_EVERY: Time = SECOND;
 const ASIDE: Time = 2 * SECOND;
+/// The bounds of the target use; it starts at the least.
+const LEAST_USE: f64 = 0.6;
+const MOST_USE: f64 = 0.95;
 /// How often `upkeep` is to be called.
 pub const UPKEEP: Time = SECOND / 10;
 /// An executor is skipped where the wait is longer than at the best by this part of the op's running time.
@@ -188,7 +191,7 @@
             gauges: tariff.gauges.clone(),
             probes_per_op: if on_demand { affordable } else { 0 },
             probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND),
-            target_use: 0.6,
+            target_use: LEAST_USE,
             slots_per_op: 1.0,
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
             ..Dispatcher::default()
@@ -306,7 +309,11 @@
             learned.rate += SMOOTH / 4.0 * (one - learned.rate);
         }
         let base = ask.hint.map_or(1.0, |hint| hint.max(1) as f64);
-        let usual = &mut self.learned[ask.category].base;
+        let learned = &mut self.learned[ask.category];
+        if ask.hint.is_none() && learned.samples == 0.0 {
+            learned.mean = self.categories[ask.category].target as f64;
+        }
+        let usual = &mut learned.base;
         *usual += if *usual == 0.0 { base } else { SMOOTH / 4.0 * (base - *usual) };
         Op {
             pushes: Vec::new(),
@@ -434,6 +441,15 @@
                 e.served += SMOOTH * (1.0 - e.served);
             }
         }
+        // The more of the fleet is held, the closer the shares come to the bare rates.
+        let (mut held, mut slots) = (0.0, 0.0);
+        for e in self.executors.iter().filter(|e| e.active) {
+            held += e.out.iter().sum::<f64>() + if e.usual < 0.0 { 0.0 } else { e.usual };
+            slots += self.slots[e.kind];
+        }
+        if slots > 0.0 {
+            self.target_use += SMOOTH * ((held / slots).clamp(LEAST_USE, MOST_USE) - self.target_use);
+        }
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
@@ -560,9 +576,7 @@
             let risky = e.trial && (category.effect == Effect::AtMostOnce || e.out.iter().any(|s| *s > 0.0));
             let tried = op.pushes.iter().any(|p| p.executor == at);
             let broke = !op.pushes.is_empty() && e.credit < 1.0;
-            if (strict && (e.aside > now || e.share <= 0.0 || risky || tried || broke))
-                || !self.fits(now, op, at)
-            {
+            if (strict && (e.aside > now || risky || tried || broke)) || !self.fits(now, op, at) {
                 continue;
             }
             let wait = self.expected_wait(now, op, at);
@@ -613,14 +627,7 @@
 
     /// Running time expected of this op on an executor of mean pace.
     fn expected(&self, op: &Op) -> f64 {
-        let learned = &self.learned[op.category];
-        if learned.samples > 0.0 {
-            op.base * learned.mean
-        } else if op.base > 1.0 {
-            op.base
-        } else {
-            self.categories[op.category].target as f64
-        }
+        op.base * self.learned[op.category].mean
     }
 
     /// The wait for a start at an executor, from own pushes there and what others hold as last heard.
@@ -658,13 +665,9 @@
 
     /// Mean time that an op holds its slots.
     fn turnover(&self) -> f64 {
-        let total: f64 = self.learned.iter().map(|l| l.rate * l.time() * l.samples.min(1.0)).sum();
-        let rate: f64 = self.learned.iter().map(|l| l.rate * l.samples.min(1.0)).sum();
-        if rate > 0.0 {
-            (total / rate).max(1.0)
-        } else {
-            SECOND as f64
-        }
+        let total: f64 = self.learned.iter().map(|l| l.rate * l.time()).sum();
+        let rate: f64 = self.learned.iter().map(|l| l.rate).sum();
+        (total / rate.max(1e-9)).max(1.0)
     }
 
     /// The price of crossing failure domains as the wait that would cost as much.
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,314 @@
+//! Tables of cases for the decisions.
+
+use stileroute::choice::{split, Dispatcher, Op};
+use stileroute::tariff::*;
+
+const MS: Time = 10;
+
+fn category(effect: Effect) -> Category {
+    Category { target: 5000, stretch: 2.0, effect, benefit: 1.0, late: 0.0, kind: None, priority: 0 }
+}
+
+fn terms() -> Terms {
+    Terms {
+        tick: 2 * MS,
+        cancel: true,
+        max_pushes: 4,
+        tip_after: SECOND,
+        start_share: 0.2,
+        warm_within: 10 * SECOND,
+        progress: SECOND,
+        ..Terms::default()
+    }
+}
+
+const DEDUPLICATED: Effect = Effect::Deduplicated { scope: Scope::Domain, window: SECOND };
+const EVERYWHERE: Effect = Effect::Deduplicated { scope: Scope::All, window: SECOND };
+const BY_CELL: Effect = Effect::Deduplicated { scope: Scope::Cell, window: SECOND };
+
+/// Categories 0 to 4: redeliverable, deduplicated by domain, everywhere and by cell, at-most-once.
+fn tariff(terms: Terms) -> Tariff {
+    let effects = [Effect::Redeliverable, DEDUPLICATED, EVERYWHERE, BY_CELL, Effect::AtMostOnce];
+    Tariff {
+        terms,
+        nodes: 2,
+        categories: effects.into_iter().map(category).collect(),
+        overload_factor: 3.0,
+        gauges: vec![Gauge::Waiting, Gauge::FreeSlots],
+        ..Tariff::default()
+    }
+}
+
+fn line(executor: usize) -> Listed {
+    Listed {
+        executor,
+        domain: executor % 2,
+        kind: 0,
+        cell: executor / 2,
+        active: true,
+        weight: 1.0,
+        started: None,
+    }
+}
+
+/// An instance that knows `count` warm executors of four slots, alternating between two domains.
+fn desk(terms: Terms, seed: u64, count: usize) -> Dispatcher {
+    let mut desk = Dispatcher::new(&tariff(terms), seed);
+    let lines: Vec<Listed> = (0..count).map(line).collect();
+    desk.list(0, true, &lines);
+    for executor in 0..count {
+        (0..20).for_each(|_| desk.report(0, executor, &[0.0, 4.0]));
+    }
+    desk
+}
+
+fn ask(category: usize) -> Ask {
+    Ask { category, slots: 1.0, memory: 0.0, hint: Some(1000), deadline: i64::MAX / 4 }
+}
+
+fn pushed(step: Step) -> usize {
+    match step {
+        Step::Push { executor } => executor,
+        other => panic!("expected a push, got {other:?}"),
+    }
+}
+
+/// Sends one op at `now` that is acked after `ran`; where it went.
+fn serve(desk: &mut Dispatcher, now: Time, category: usize, ran: Time) -> usize {
+    let mut op = desk.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(category) });
+    let executor = pushed(desk.place(now, &mut op));
+    desk.note(now, &mut op, 0, true);
+    assert_eq!(desk.settle(now + ran, &mut op, 0, Outcome::Acked, &[0.0, 4.0]), Step::Hold);
+    executor
+}
+
+#[test]
+fn shares_follow_the_cost_model() {
+    let third = 1.0 / 3.0;
+    let cases: [(&str, &[f64], f64, &[f64]); 7] = [
+        ("equal", &[1.0, 1.0, 1.0], 0.6, &[third, third, third]),
+        ("unequal, by hand", &[2.0, 1.0, 1.0], 0.6, &[0.62394, 0.18803, 0.18803]),
+        ("clamped", &[8.0, 1.0], 0.6, &[1.0, 0.0]),
+        ("one", &[5.0], 0.6, &[1.0]),
+        ("no spare: by rate alone", &[3.0, 1.0], 1.0, &[0.75, 0.25]),
+        ("one is gone", &[1.0, 0.0, 1.0], 0.6, &[0.5, 0.0, 0.5]),
+        ("none", &[0.0, 0.0], 0.6, &[0.0, 0.0]),
+    ];
+    for (name, rates, target_use, wanted) in cases {
+        let ones = vec![1.0; rates.len()];
+        // The clock's unit scales all rates alike and must not matter.
+        for unit in [1.0, 1e-4] {
+            let scaled: Vec<f64> = rates.iter().map(|r| r * unit).collect();
+            let shares = split(&scaled, &ones, &ones, 1.0, target_use);
+            for (share, want) in shares.iter().zip(wanted) {
+                assert!((share - want).abs() < 1e-4, "{name}: {shares:?}");
+            }
+            let sum: f64 = shares.iter().sum();
+            assert!(name == "none" || (sum - 1.0).abs() < 1e-9, "{name}: sums to {sum}");
+        }
+    }
+    // A dearer or more variable executor gets less.
+    let even = [1.0, 1.0];
+    assert!(split(&even, &even, &[4.0, 1.0], 1.0, 0.6)[0] < 0.5);
+    assert!(split(&even, &[4.0, 1.0], &even, 1.0, 0.6)[0] < 0.5);
+}
+
+#[test]
+fn equal_executors_take_even_turns_and_a_new_one_no_burst() {
+    for seed in 0..5 {
+        let mut desk = desk(terms(), seed, 4);
+        let mut counts = [0; 5];
+        for n in 0..40 {
+            counts[serve(&mut desk, n * SECOND / 4, 0, 100)] += 1;
+        }
+        assert!(counts[..4].iter().all(|c| (8..=12).contains(c)), "seed {seed}: {counts:?}");
+        desk.list(10 * SECOND, false, &[line(4)]);
+        let mut late = 0;
+        for n in 0..10 {
+            late += usize::from(serve(&mut desk, 10 * SECOND + n * SECOND / 4, 0, 100) == 4);
+        }
+        assert!((1..=4).contains(&late), "seed {seed}: {late} of 10 to the new one");
+    }
+}
+
+#[test]
+fn a_slow_executor_gets_a_smaller_share() {
+    let mut desk = desk(terms(), 3, 3);
+    let mut counts = [0; 3];
+    for n in 0..200 {
+        let now = n * SECOND / 4;
+        let mut op = desk.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(0) });
+        let executor = pushed(desk.place(now, &mut op));
+        desk.note(now, &mut op, 0, true);
+        let ran = if executor == 0 { 2500 } else { 1000 };
+        desk.settle(now + ran, &mut op, 0, Outcome::Acked, &[]);
+        counts[executor] += usize::from(n >= 40);
+    }
+    assert!(counts[0] * 2 < counts[1], "{counts:?}");
+}
+
+#[test]
+fn each_effect_keeps_its_rule_after_each_outcome() {
+    // What follows an outcome: a further push, a nack or a dead letter.
+    let ran = [Outcome::Error, Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled];
+    let never = [Outcome::Full, Outcome::NotConnected, Outcome::Moot];
+    for outcome in ran.into_iter().chain(never) {
+        for kind in 0..5 {
+            let mut desk = desk(terms(), 7, 4);
+            let mut op = desk.arrive(0, ask(kind));
+            let first = pushed(desk.place(0, &mut op));
+            let step = desk.settle(MS, &mut op, 0, outcome, &[]);
+            match (kind, ran.contains(&outcome)) {
+                (4, true) => assert_eq!(step, Step::DeadLetter, "{outcome:?}: may have run once"),
+                (1, true) => assert_eq!(pushed(step) % 2, first % 2, "{outcome:?}: same domain"),
+                (3, true) => assert_eq!(pushed(step) / 2, first / 2, "{outcome:?}: same cell"),
+                _ => assert_ne!(pushed(step), first, "{outcome:?} of category {kind}: elsewhere"),
+            }
+        }
+    }
+}
+
+#[test]
+fn a_deduplicated_op_is_not_resent_after_its_window() {
+    for (kind, wanted) in [(1, Step::DeadLetter), (2, Step::Nack { come_back: 0 })] {
+        let mut desk = desk(terms(), 7, 4);
+        let mut op = desk.arrive(0, ask(kind));
+        pushed(desk.place(0, &mut op));
+        assert_eq!(desk.settle(SECOND, &mut op, 0, Outcome::Error, &[]), wanted);
+    }
+}
+
+#[test]
+fn every_op_ends_before_its_ttl() {
+    let harmless = [true, false, true, false, false];
+    for (kind, harmless) in harmless.into_iter().enumerate() {
+        let mut desk = desk(Terms { cancel: false, ..terms() }, 1, 2);
+        let mut op = desk.arrive(0, Ask { deadline: SECOND, ..ask(kind) });
+        pushed(desk.place(0, &mut op));
+        desk.note(MS, &mut op, 0, true);
+        let mut now = MS;
+        let last = loop {
+            let next = desk.wait(now, &op);
+            assert!(next > now && next < SECOND);
+            now = next;
+            let step = desk.place(now, &mut op);
+            if step != Step::Hold {
+                break step;
+            }
+        };
+        assert!(now < SECOND && op.closed);
+        assert_eq!(last, if harmless { Step::Nack { come_back: 0 } } else { Step::DeadLetter });
+        // The late outcome of an answered op leads to nothing.
+        assert_eq!(desk.settle(2 * SECOND, &mut op, 0, Outcome::Error, &[]), Step::Hold);
+    }
+}
+
+#[test]
+fn nothing_goes_to_a_drained_or_dropped_executor() {
+    let mut desk = desk(terms(), 5, 4);
+    desk.list(MS, false, &[Listed { active: false, ..line(1) }]);
+    assert!((0..20).all(|n| serve(&mut desk, MS + n * SECOND / 4, 0, 100) != 1));
+    // A whole list replaces what was known.
+    desk.list(6 * SECOND, true, &[line(2)]);
+    assert!((0..8).all(|n| serve(&mut desk, 6 * SECOND + n * SECOND / 4, 0, 100) == 2));
+    desk.list(9 * SECOND, true, &[]);
+    let mut op = desk.arrive(9 * SECOND, ask(0));
+    assert_eq!(desk.place(9 * SECOND, &mut op), Step::Hold);
+    let mut now = 9 * SECOND;
+    while !op.closed {
+        now = desk.wait(now, &op);
+        assert!(now <= 9 * SECOND + 2500, "kept with nothing out");
+        assert!(matches!(desk.place(now, &mut op), Step::Hold | Step::Nack { .. }));
+    }
+}
+
+#[test]
+fn a_cold_executor_gets_no_more_than_its_part_of_the_budget() {
+    let mut desk = desk(terms(), 5, 1);
+    desk.list(0, false, &[Listed { started: Some(1), ..line(1) }]);
+    // Half of 3 times a fifth of four slots for a second, shared by two nodes.
+    let budget = 0.5 * 3.0 * 0.25 * 4.0 * SECOND as f64 / 2.0;
+    let mut work = 0.0;
+    for n in 0..60 {
+        let mut op = desk.arrive(n * MS, ask(0));
+        if desk.place(n * MS, &mut op) == (Step::Push { executor: 1 }) {
+            work += 1000.0;
+        }
+    }
+    assert!(work > 0.0 && work <= budget, "{work} of {budget}");
+}
+
+#[test]
+fn a_failing_executor_is_set_aside_and_comes_back() {
+    let mut desk = desk(terms(), 5, 2);
+    let mut bad = 0;
+    for n in 0..200 {
+        let now = n * SECOND / 10;
+        let mut op = desk.arrive(now, ask(0));
+        let executor = pushed(desk.place(now, &mut op));
+        let failing = executor == 0 && n < 100;
+        bad += usize::from(failing);
+        desk.note(now, &mut op, 0, true);
+        desk.settle(now + MS, &mut op, 0, if failing { Outcome::Error } else { Outcome::Acked }, &[]);
+    }
+    assert!((1..=6).contains(&bad), "{bad} ops met the failing executor");
+    let back = (0..20).filter(|n| serve(&mut desk, 20 * SECOND + n * SECOND / 4, 0, MS) == 0).count();
+    assert!(back >= 5, "{back} of 20 after it recovered");
+}
+
+#[test]
+fn an_op_stuck_on_a_silent_executor_is_moved() {
+    for copies in [false, true] {
+        let mut desk = desk(Terms { second_copies: copies, ..terms() }, 5, 2);
+        let mut op = desk.arrive(0, Ask { hint: Some(2 * SECOND), deadline: 20 * SECOND, ..ask(0) });
+        let first = pushed(desk.place(0, &mut op));
+        desk.note(0, &mut op, 0, true);
+        let now = desk.wait(0, &op);
+        assert!(now >= 2 * SECOND, "progress is due each second");
+        let step = desk.place(now, &mut op);
+        if copies {
+            assert_ne!(pushed(step), first);
+        } else {
+            // Never two at once: the first is called off and owes its outcome before the next.
+            assert_eq!(step, Step::Stop { push: 0 });
+            assert_eq!(desk.place(now, &mut op), Step::Hold);
+            assert_ne!(pushed(desk.settle(now + MS, &mut op, 0, Outcome::Cancelled, &[])), first);
+        }
+    }
+}
+
+#[test]
+fn an_op_that_cannot_be_in_time_is_nacked_at_once() {
+    let mut desk = desk(Terms { come_back: 2 * SECOND, ..terms() }, 5, 2);
+    let mut last = Step::Hold;
+    for n in 0..200 {
+        let mut op: Op = desk.arrive(n, ask(0));
+        last = desk.place(n, &mut op);
+        if let Step::Nack { come_back } = last {
+            assert!(come_back > 0 && come_back <= 2 * SECOND && op.pushes.is_empty());
+            return;
+        }
+    }
+    panic!("never full: {last:?}");
+}
+
+#[test]
+fn the_list_is_subscribed_to_again_after_a_refusal() {
+    let mut desk = desk(Terms { subscribe: true, ..terms() }, 5, 2);
+    assert!(desk.upkeep(0));
+    desk.refused(MS);
+    assert!(!desk.upkeep(2 * MS), "not at once: all nodes would call together");
+    assert!(desk.upkeep(2 * SECOND));
+    desk.list(3 * SECOND, false, &[]);
+    assert!(!desk.upkeep(30 * SECOND), "subscribed");
+}
+
+#[test]
+fn the_same_seed_and_events_give_the_same_answers() {
+    let run = |seed| {
+        let mut desk = desk(terms(), seed, 5);
+        (0..50).map(|n| serve(&mut desk, n * SECOND / 10, (n % 5) as usize, 300 + n * 7)).collect::<Vec<_>>()
+    };
+    assert_eq!(run(11), run(11));
+    assert_ne!(run(11), run(12), "ties come from the instance's seed");
+}
