--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,6 +20,9 @@
 /// Solve interval, and the fixed part of a stay aside; its random part is as long again.
 const SOLVE_EVERY: Time = SECOND;
 const ASIDE: Time = 2 * SECOND;
+/// Parts of a cold executor's budget: what a node sends it in its span, and what one op may take.
+const COLD_PART: f64 = 0.3;
+const ONE_COLD_OP: f64 = 0.2;
 /// The bounds of the target use; it starts at the least.
 const LEAST_USE: f64 = 0.6;
 const MOST_USE: f64 = 0.95;
@@ -150,8 +153,9 @@
     terms: Terms,
     categories: Vec<Category>,
     learned: Vec<Learned>,
-    /// Work that a cold executor may get from this node within the tip time, by slot at full warmth.
+    /// Work that tips a cold executor, by slot at full warmth, and the span in which a node spends its part.
     cold_budget: f64,
+    cold_span: Time,
     gauges: Vec<Gauge>,
     /// Probes before a first push, and the time after which an executor unheard of is probed.
     probes_per_op: usize,
@@ -169,9 +173,8 @@
     front: f64,
     fastest: usize,
     solved: Option<Time>,
-    observed: Option<Time>,
-    retry_observe: Time,
-    subscribed: bool,
+    /// When to subscribe to the list, if not subscribed; zero before the first time.
+    observe_at: Time,
     /// Executors to probe and lines for the log, taken by the adapter.
     pub probes: Vec<usize>,
     pub log: Vec<String>,
@@ -187,7 +190,8 @@
             terms: tariff.terms.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
             categories: tariff.categories.clone(),
-            cold_budget: 0.5 * tip / tariff.nodes.max(1) as f64,
+            cold_budget: tip,
+            cold_span: tariff.terms.tip_after * tariff.nodes.max(1) as Time,
             gauges: tariff.gauges.clone(),
             probes_per_op: if on_demand { affordable } else { 0 },
             probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND),
@@ -330,7 +334,9 @@
 
     /// News of the list of executors; `whole` replaces what was known.
     pub fn list(&mut self, now: Time, whole: bool, lines: &[Listed]) {
-        self.subscribed = true;
+        if self.observe_at > 0 {
+            self.observe_at = Time::MAX;
+        }
         if whole {
             self.executors.iter_mut().for_each(|e| e.active = false);
         }
@@ -342,9 +348,7 @@
 
     /// A call to the list service failed: the subscription is to be asked for anew, after a random wait.
     pub fn refused(&mut self, now: Time) {
-        self.subscribed = false;
-        self.observed = None;
-        self.retry_observe = now + SECOND / 4 + (self.random() * SECOND as f64) as Time;
+        self.observe_at = now + SECOND / 4 + (self.random() * SECOND as f64) as Time;
         self.log.push("list: call refused, will ask again".to_string());
     }
 
@@ -408,11 +412,10 @@
 
     /// Called every `UPKEEP`: notes whom to probe, and tells whether to subscribe to the list now.
     pub fn upkeep(&mut self, now: Time) -> bool {
-        let asked_long_ago = self.observed.is_none_or(|at| !self.subscribed && now > at + 5 * SECOND);
-        let observe = self.terms.subscribe && asked_long_ago && now >= self.retry_observe;
+        let observe = self.terms.subscribe && now >= self.observe_at;
         if observe {
-            self.observed = Some(now);
-            self.subscribed = false;
+            // Asked again if nothing at all is heard: a lost call must not leave the list to age.
+            self.observe_at = now + 5 * SECOND;
         }
         for (at, e) in self.executors.iter_mut().enumerate() {
             if self.probe_every.is_some_and(|every| e.active && now - e.heard.max(e.probed) >= every) {
@@ -613,12 +616,13 @@
             }
         }
         if e.started.is_some_and(|start| now < start + self.terms.warm_within) {
-            // All nodes together must not push a cold executor over: each keeps to its part of the budget.
-            let since = now - self.terms.tip_after;
-            let spent: f64 = e.cold.iter().filter(|c| c.0 > since).map(|c| c.1).sum();
-            let work = self.expected(op) * e.pace.exp() * op.slots;
+            // All nodes together must not push a cold executor over. No node knows what the others send, so
+            // each takes a small part of the budget, spread over as many spans as there are nodes, and no
+            // op so heavy that a few of them at the same moment would break it.
             let room = self.cold_budget * self.slots[e.kind] * self.warmth(now, e);
-            return spent + work <= room;
+            let work = self.expected(op) * e.pace.exp() * op.slots;
+            let spent: f64 = e.cold.iter().filter(|c| c.0 > now - self.cold_span).map(|c| c.1).sum();
+            return work <= ONE_COLD_OP * room && spent + work <= COLD_PART * room;
         }
         true
     }
