--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,8 +28,10 @@
 const MOST_USE: f64 = 0.95;
 /// How often `upkeep` is to be called.
 pub const UPKEEP: Time = SECOND / 10;
-/// An executor is skipped where the wait is longer than at the best by this part of the op's running time.
-const WELL_OVER: f64 = 0.1;
+/// What a wholly held executor counts as waiting beyond its queue, in turnovers; and how much longer a
+/// wait than the best, in turnovers, has an executor skipped. Those with room tie: the order decides.
+const CROWDED: f64 = 0.03;
+const WELL_OVER: f64 = 0.02;
 /// Most credit an executor can hold, and what one answer earns; a further push costs one.
 const MOST_CREDIT: f64 = 4.0;
 const EARNED: f64 = 0.25;
@@ -564,7 +566,7 @@
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
         let found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
-        let well_over = least + self.expected(op) * WELL_OVER;
+        let well_over = least + self.turnover() * WELL_OVER;
         found.into_iter().filter(|c| c.cost <= well_over).min_by(|a, b| a.turn.total_cmp(&b.turn))
     }
 
@@ -657,7 +659,7 @@
         let load = own + others;
         // What queues before it, then the releases that its own slots need: a wide op waits until most of
         // an executor is free, and the fewer run there the longer each release takes.
-        let mut time = (load - slots).max(0.0) / slots + 0.1 * load / slots;
+        let mut time = (load - slots).max(0.0) / slots + CROWDED * load / slots;
         let (mut running, mut need) = (load.min(slots), (load.min(slots) + op.slots - slots).min(op.slots));
         while need > 0.0 && running > 0.0 {
             time += need.min(1.0) / running.max(1.0);
@@ -677,7 +679,7 @@
     /// The price of crossing failure domains as the wait that would cost as much.
     fn cross_delay(&self, op: &Op) -> f64 {
         let category = &self.categories[op.category];
-        let slack = category.target as f64 + 0.5 * category.stretch * self.expected(op);
+        let slack = category.target as f64 + category.stretch * self.expected(op);
         self.terms.cross / self.worth(op) * slack
     }
 
