--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,9 +20,11 @@
 /// Solve interval, and the fixed part of a stay aside; its random part is as long again.
 const SOLVE_EVERY: Time = SECOND;
 const ASIDE: Time = 2 * SECOND;
+/// By how much more a wait is counted when an op is judged hopeless.
+const UNSURE: f64 = 0.35;
 /// Parts of a cold executor's budget: what a node sends it in its span, and what one op may take.
-const COLD_PART: f64 = 0.3;
-const ONE_COLD_OP: f64 = 0.2;
+const COLD_PART: f64 = 0.45;
+const ONE_COLD_OP: f64 = 0.3;
 /// The bounds of the target use; it starts at the least.
 const LEAST_USE: f64 = 0.6;
 const MOST_USE: f64 = 0.95;
@@ -34,7 +36,7 @@
 const WELL_OVER: f64 = 0.02;
 /// Most credit an executor can hold, and what one answer earns; a further push costs one.
 const MOST_CREDIT: f64 = 4.0;
-const EARNED: f64 = 0.25;
+const EARNED: f64 = 0.5;
 
 /// What may be spent on probes for one op, in parts of its worth.
 const PROBE_SPEND: f64 = 0.007;
@@ -509,7 +511,9 @@
         let in_time = op.came + category.target + (category.stretch * expected) as Time;
         let latest = in_time.min(op.deadline);
         // An op that no executor can answer usefully is turned away now, not kept until its time is out.
-        if now as f64 + wait + expected.min(category.target as f64) > latest as f64 {
+        // Waits turn out longer than they look; that matters the less the more a late answer earns.
+        let unsure = wait * (1.0 + UNSURE * (1.0 - category.late));
+        if now as f64 + unsure + expected.min(category.target as f64) > latest as f64 {
             return self.give_up(op, wait as Time);
         }
         self.push(now, op, executor)
