--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,33 +13,22 @@
 
 use crate::tariff::*;
 
-/// How much a new sample of an executor's pace may move it: the variance of a change worth following.
-const DRIFT: f64 = 0.25;
-/// Smoothing of the served share, of reports' long run and of the arrival figures.
-const SMOOTH: f64 = 0.1;
-/// Solve interval, and the fixed part of a stay aside; its random part is as long again.
-const SOLVE_EVERY: Time = SECOND;
-const ASIDE: Time = 2 * SECOND;
-/// By how much more a wait is counted when an op is judged hopeless.
-const UNSURE: f64 = 0.35;
-/// Parts of a cold executor's budget: what a node sends it in its span, and what one op may take.
-const COLD_PART: f64 = 0.45;
-const ONE_COLD_OP: f64 = 0.3;
-/// The bounds of the target use; it starts at the least.
-const LEAST_USE: f64 = 0.6;
-const MOST_USE: f64 = 0.95;
 /// How often `upkeep` is to be called.
 pub const UPKEEP: Time = SECOND / 10;
-/// What a wholly held executor counts as waiting beyond its queue, in turnovers; and how much longer a
-/// wait than the best, in turnovers, has an executor skipped. Those with room tie: the order decides.
-const CROWDED: f64 = 0.03;
-const WELL_OVER: f64 = 0.02;
-/// Most credit an executor can hold, and what one answer earns; a further push costs one.
-const MOST_CREDIT: f64 = 4.0;
-const EARNED: f64 = 0.5;
-
-/// What may be spent on probes for one op, in parts of its worth.
-const PROBE_SPEND: f64 = 0.007;
+const SOLVE_EVERY: Time = SECOND;
+const ASIDE: Time = 2 * SECOND; // the fixed part of a stay aside; the random part is as long at most
+const SMOOTH: f64 = 0.1; // gain of what is followed from outcome to outcome; a quarter of it per arrival
+const DRIFT: f64 = 0.25; // variance of a change of pace worth following, against the spread of samples
+const LEAST_USE: f64 = 0.6; // the target use starts here
+const MOST_USE: f64 = 0.95;
+const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
+const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
+const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
+const COLD_PART: f64 = 0.45; // of a cold executor's budget: what a node sends in its span,
+const ONE_COLD_OP: f64 = 0.3; // and what one op may take
+const MOST_CREDIT: f64 = 4.0; // a further push costs one,
+const EARNED: f64 = 0.5; // and an answer earns so much
+const PROBE_SPEND: f64 = 0.007; // for one op, in parts of its worth; three probes at most
 
 /// One push of an op.
 #[derive(Clone, Debug)]
@@ -139,11 +128,7 @@
     }
     /// Waits over what was expected of them: what others send unseen, and what blocks a queue's head.
     fn correction(&self) -> f64 {
-        if self.guessed > 0.0 {
-            (self.waited / self.guessed).clamp(0.5, 4.0)
-        } else {
-            1.0
-        }
+        ((self.waited + 1.0) / (self.guessed + 1.0)).clamp(0.5, 4.0)
     }
     fn waited(&mut self, guess: f64, wait: f64) {
         self.guessed += SMOOTH * (guess - self.guessed);
@@ -179,6 +164,9 @@
     solved: Option<Time>,
     /// When to subscribe to the list, if not subscribed; zero before the first time.
     observe_at: Time,
+    /// Part of the ops judged hopeless of late; told in the log as overload.
+    turned_away: f64,
+    overloaded: bool,
     /// Executors to probe and lines for the log, taken by the adapter.
     pub probes: Vec<usize>,
     pub log: Vec<String>,
@@ -249,12 +237,12 @@
             return Step::Hold;
         };
         p.outcome = Some(outcome);
-        let (x, ran) = (p.executor, p.started.map(|at| (now - at).max(1) as f64));
-        let asked = (now - p.sent).max(1) as f64;
+        let (x, started) = (p.executor, p.started);
+        let ran = (now - started.unwrap_or(p.sent)).max(1) as f64;
         self.report(now, x, values);
         let executor = &mut self.executors[x];
         executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
-        if ran.is_some() {
+        if started.is_some() {
             executor.running = (executor.running - op.slots).max(0.0);
         }
         match outcome {
@@ -262,7 +250,7 @@
                 executor.served += SMOOTH * (1.0 - executor.served);
                 executor.credit = (executor.credit + EARNED).min(MOST_CREDIT);
                 executor.trial = false;
-                self.learn(x, op, ran.unwrap_or(asked), false);
+                self.learn(x, op, ran, false);
                 op.closed = true;
             }
             Outcome::Full => {
@@ -277,7 +265,7 @@
             }
             Outcome::TimedOut => {
                 executor.credit = (executor.credit - 1.0).max(0.0);
-                self.learn(x, op, ran.unwrap_or(asked), true);
+                self.learn(x, op, ran, true);
             }
             Outcome::Cancelled | Outcome::Moot => {}
         }
@@ -304,8 +292,8 @@
 
     /// Opens an op. `hint` is its expected work, where one is given.
     pub fn arrive(&mut self, now: Time, ask: Ask) -> Op {
-        let gap = self.last_arrival.map_or(0.0, |at| (now - at) as f64);
-        if self.last_arrival.is_some() {
+        if let Some(last) = self.last_arrival {
+            let gap = (now - last) as f64;
             let gain = if self.arrival_gap == 0.0 { 1.0 } else { SMOOTH / 4.0 };
             self.arrival_gap += gain * (gap - self.arrival_gap);
             self.arrival_square += gain * (gap * gap - self.arrival_square);
@@ -436,9 +424,7 @@
     /// paper's e(i) = L(L2 s2 + L2 + C2 - L m) is s2 + 1 + C2 - m, s2 being the gaps' squared variation.
     fn solve(&mut self, now: Time) {
         self.solved = Some(now);
-        let squares =
-            if self.arrival_gap > 0.0 { self.arrival_square / self.arrival_gap.powi(2) } else { 2.0 };
-        let s2 = (squares - 1.0).clamp(0.1, 4.0);
+        let s2 = (self.arrival_square / self.arrival_gap.powi(2).max(1.0) - 1.0).clamp(0.1, 4.0);
         for at in 0..self.executors.len() {
             // Nothing is learned of an executor that gets nothing: what is held against it fades.
             let kind = self.kind_pace(self.executors[at].kind);
@@ -454,9 +440,8 @@
             held += e.out.iter().sum::<f64>() + if e.usual < 0.0 { 0.0 } else { e.usual };
             slots += self.slots[e.kind];
         }
-        if slots > 0.0 {
-            self.target_use += SMOOTH * ((held / slots).clamp(LEAST_USE, MOST_USE) - self.target_use);
-        }
+        let used = held / f64::max(slots, 1.0);
+        self.target_use += SMOOTH * (used.clamp(LEAST_USE, MOST_USE) - self.target_use);
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
@@ -492,7 +477,7 @@
 
     /// Sends an op that has nothing out: in billiard order among those not well over the least busy.
     fn send(&mut self, now: Time, op: &mut Op) -> Step {
-        if op.pushes.len() >= self.terms.max_pushes || !self.may_send(now, op) {
+        if !self.may_send(now, op) {
             return self.give_up(op, 0);
         }
         if op.asked.is_none() && op.pushes.is_empty() && self.ask(now, op) {
@@ -512,8 +497,16 @@
         let latest = in_time.min(op.deadline);
         // An op that no executor can answer usefully is turned away now, not kept until its time is out.
         // Waits turn out longer than they look; that matters the less the more a late answer earns.
-        let unsure = wait * (1.0 + UNSURE * (1.0 - category.late));
-        if now as f64 + unsure + expected.min(category.target as f64) > latest as f64 {
+        let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
+        let hopeless = now as f64 + unsure + expected.min(category.target as f64) > latest as f64;
+        self.turned_away += SMOOTH / 4.0 * (f64::from(u8::from(hopeless)) - self.turned_away);
+        if (!self.overloaded && self.turned_away > 0.2) || (self.overloaded && self.turned_away < 0.05) {
+            self.overloaded = !self.overloaded;
+            let (part, ms) = (self.turned_away, wait / 10.0);
+            let word = if self.overloaded { "begins" } else { "ends" };
+            self.log.push(format!("overload {word}: {part:.2} turned away, wait {ms:.0} ms"));
+        }
+        if hopeless {
             return self.give_up(op, wait as Time);
         }
         self.push(now, op, executor)
@@ -689,10 +682,8 @@
 
     /// What an op is worth against the mean op, counting that its category may be the worst served.
     fn worth(&self, op: &Op) -> f64 {
-        let value = |c: usize| {
-            let work = if self.terms.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
-            self.categories[c].benefit * work
-        };
+        let work = |c: usize| if self.terms.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
+        let value = |c: usize| self.categories[c].benefit * work(c);
         let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate * value(c)).sum();
         let whole = if mean > 0.0 { value(op.category) / mean } else { 1.0 };
         let rate = self.learned[op.category].rate.max(0.01) * self.learned.len() as f64;
@@ -718,8 +709,8 @@
         let seen = off.clamp(-2.0, 2.0);
         e.spread += SMOOTH * (seen * seen - e.spread);
         e.samples += 1.0;
-        e.pace += seen * (DRIFT / (DRIFT + e.spread)).max(1.0 / (e.samples + 3.0)) * 0.7;
-        e.pace = e.pace.clamp(-3.0, 3.0);
+        let gain = 0.7 * (DRIFT / (DRIFT + e.spread)).max(1.0 / (e.samples + 3.0));
+        e.pace = (e.pace + gain * seen).clamp(-3.0, 3.0);
         if !censored {
             learned.samples += 1.0;
             let gain = (1.0 / learned.samples).max(SMOOTH / 4.0);
@@ -758,33 +749,29 @@
         } else {
             return Step::Hold;
         };
-        let movable = self.may_send(now, op) && op.pushes.len() < self.terms.max_pushes;
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
-        if !movable || !only_one || !(self.terms.second_copies || self.terms.cancel) {
-            return Step::Hold;
-        }
-        let Some(Candidate { at: executor, wait, .. }) = self.pick(now, op, true) else {
+        let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
+        let better = if movable { self.pick(now, op, true) } else { None };
+        let Some(Candidate { at, .. }) = better.filter(|b| b.wait + look as f64 <= here) else {
             return Step::Hold;
         };
-        if wait + look as f64 > here {
-            return Step::Hold;
-        }
         if self.terms.second_copies {
             // What waits there will run all the same; a copy only pays where the first stands still.
-            return if here.is_finite() { Step::Hold } else { self.push(now, op, executor) };
+            return if here.is_finite() { Step::Hold } else { self.push(now, op, at) };
         }
         op.pushes[last].stopping = true;
         Step::Stop { push: last }
     }
 
-    /// A further push would be no second effect.
+    /// A further push is allowed, and would be no second effect.
     fn may_send(&self, now: Time, op: &Op) -> bool {
-        match (self.categories[op.category].effect, op.may_have_run()) {
+        let safe = match (self.categories[op.category].effect, op.may_have_run()) {
             (_, None) | (Effect::Redeliverable, _) => true,
             (Effect::AtMostOnce, Some(_)) => false,
             // The group forgets the op once the window is over.
             (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.terms.tick < p.sent + window,
-        }
+        };
+        safe && op.pushes.len() < self.terms.max_pushes
     }
 
     /// The final answer for an op that is given up: a nack only where a retry is harmless.
@@ -862,11 +849,7 @@
         let seen = |e: &&Executor| e.kind == kind && e.samples > 0.0;
         let (sum, count) =
             self.executors.iter().filter(seen).fold((0.0, 0.0), |(s, n), e| (s + e.pace, n + 1.0));
-        if count > 0.0 {
-            sum / count
-        } else {
-            0.0
-        }
+        sum / f64::max(count, 1.0)
     }
 }
 
