--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 const PROBE_SPEND: f64 = 0.007; // for one op, in parts of its worth; three probes at most
 
 /// One push of an op.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Push {
     pub executor: usize,
     pub outcome: Option<Outcome>,
@@ -39,12 +39,12 @@
     started: Option<Time>,
     noted: Time,
     stopping: bool,
-    /// Wait expected when it was sent, before the correction by what waits turn out to be.
+    /// Wait expected when it was sent, not yet corrected.
     guess: f64,
 }
 
 /// One op, from its arrival to the outcome of its last push.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Op {
     pub pushes: Vec<Push>,
     /// It has its final answer, or nobody waits for it any more.
@@ -312,15 +312,13 @@
         let usual = &mut learned.base;
         *usual += if *usual == 0.0 { base } else { SMOOTH / 4.0 * (base - *usual) };
         Op {
-            pushes: Vec::new(),
-            closed: false,
             category: ask.category,
             // An executor has one unit of memory for each slot: the scarcer need is the op's width.
             slots: ask.slots.max(ask.memory),
             base,
             came: now,
             deadline: ask.deadline,
-            asked: None,
+            ..Op::default()
         }
     }
 
@@ -459,8 +457,7 @@
         self.fastest = fastest.unwrap_or(0);
     }
 
-    /// The service rate of an executor: its slots over the smoothed running time there, less what it
-    /// fails or turns away; none while it is set aside.
+    /// The service rate: slots over the smoothed running time, less what is not served; none while aside.
     fn rate(&self, now: Time, e: &Executor) -> f64 {
         if !e.active || e.aside > now {
             return 0.0;
@@ -546,20 +543,11 @@
             e.turn = e.turn.max(front * e.share - 1.0) + 1.0;
             self.front = front.max((e.turn - 1.0) / e.share);
         }
-        op.pushes.push(Push {
-            executor,
-            outcome: None,
-            sent: now,
-            started: None,
-            noted: now,
-            stopping: false,
-            guess,
-        });
+        op.pushes.push(Push { executor, sent: now, noted: now, guess, ..Push::default() });
         Step::Push { executor }
     }
 
-    /// The next executor in billiard order, least (X + Y) / P, among those where the op would not wait
-    /// well longer than at the best.
+    /// The next in billiard order, least (X + Y) / P, of those where the op would not wait well longer.
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
         let found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
@@ -567,8 +555,7 @@
         found.into_iter().filter(|c| c.cost <= well_over).min_by(|a, b| a.turn.total_cmp(&b.turn))
     }
 
-    /// Where the op may go. `strict` keeps to the trusted: none set aside, on trial with work out, tried
-    /// before, or, for a further push, without credit.
+    /// Where the op may go; `strict` leaves out those set aside, tried before or without credit.
     fn candidates(&self, now: Time, op: &Op, strict: bool) -> Vec<Candidate> {
         let category = &self.categories[op.category];
         let delay = self.cross_delay(op);
@@ -594,8 +581,7 @@
         found
     }
 
-    /// The executor may get this op at all: listed, of the right kind, not drained, not cold beyond its
-    /// budget, and within the group that drops repeats.
+    /// The executor may get this op by the rules: listed, of its kind, in its group, not too cold.
     fn fits(&self, now: Time, op: &Op, at: usize) -> bool {
         let e = &self.executors[at];
         let category = &self.categories[op.category];
@@ -690,8 +676,7 @@
         ((1.0 - self.terms.worst_category) * whole + self.terms.worst_category / rate).max(0.05)
     }
 
-    /// A running time on an executor: moves its pace and its category's mean. One that is not over
-    /// (`censored`) only counts where it is longer than expected.
+    /// A running time moves the executor's pace and the category's mean; a `censored` one is not over.
     fn learn(&mut self, x: usize, op: &Op, ran: f64, censored: bool) {
         let sample = (ran / op.base).max(1e-9);
         let learned = &mut self.learned[op.category];
@@ -704,8 +689,7 @@
         if censored && off < 0.0 {
             return;
         }
-        // The log keeps one heavy op from carrying the rate away; the gain is that of a slow drift seen
-        // through the spread.
+        // The log keeps one heavy op from carrying the rate away.
         let seen = off.clamp(-2.0, 2.0);
         e.spread += SMOOTH * (seen * seen - e.spread);
         e.samples += 1.0;
