--- a/src/choice.rs
+++ b/src/choice.rs
@@ -659,11 +659,12 @@
         (total / rate.max(1e-9)).max(1.0)
     }
 
-    /// The price of crossing failure domains as the wait that would cost as much.
+    /// The price of crossing failure domains as the wait that would cost as much; doubled, for a crossing
+    /// also lands where others send first and this node hears least.
     fn cross_delay(&self, op: &Op) -> f64 {
         let category = &self.categories[op.category];
-        let slack = category.target as f64 + category.stretch * self.expected(op);
-        self.terms.cross / self.worth(op) * slack
+        let useful = category.target as f64 + category.stretch * self.expected(op);
+        2.0 * self.terms.cross / self.worth(op) * useful
     }
 
     /// What an op is worth against the mean op, counting that its category may be the worst served.
