--- a/src/choice.rs
+++ b/src/choice.rs
@@ -671,9 +671,10 @@
     fn worth(&self, op: &Op) -> f64 {
         let work = |c: usize| if self.terms.by_work { self.learned[c].time().max(1e-9) } else { 1.0 };
         let value = |c: usize| self.categories[c].benefit * work(c);
-        let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate * value(c)).sum();
-        let whole = if mean > 0.0 { value(op.category) / mean } else { 1.0 };
-        let rate = self.learned[op.category].rate.max(0.01) * self.learned.len() as f64;
+        let all: f64 = self.learned.iter().map(|l| l.rate).sum();
+        let mean: f64 = (0..self.learned.len()).map(|c| self.learned[c].rate / all * value(c)).sum();
+        let rate = (self.learned[op.category].rate / all).max(0.01) * self.learned.len() as f64;
+        let whole = value(op.category) / mean.max(1e-9);
         ((1.0 - self.terms.worst_category) * whole + self.terms.worst_category / rate).max(0.05)
     }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -312,3 +312,47 @@
     assert_eq!(run(11), run(11));
     assert_ne!(run(11), run(12), "ties come from the instance's seed");
 }
+
+#[test]
+fn room_is_judged_for_the_op_at_hand() {
+    // Reports of two executors (waiting, free slots), the op's width, and where it has to go.
+    let cases: [(&str, [f64; 2], [f64; 2], f64, usize); 3] = [
+        ("a wide op waits for most of an executor", [0.0, 2.0], [0.0, 4.0], 4.0, 1),
+        ("a queue behind free slots is no room", [2.0, 2.0], [0.0, 1.0], 1.0, 1),
+        ("held is worse than free", [0.0, 4.0], [0.0, 0.0], 1.0, 0),
+    ];
+    for (name, first, second, slots, wanted) in cases {
+        for seed in 0..8 {
+            let mut desk = desk(terms(), seed, 2);
+            desk.report(MS, 0, &first);
+            desk.report(MS, 1, &second);
+            let mut op = desk.arrive(MS, Ask { slots, deadline: 30 * SECOND, ..ask(0) });
+            assert_eq!(pushed(desk.place(MS, &mut op)), wanted, "{name}, seed {seed}");
+        }
+    }
+}
+
+#[test]
+fn a_waiting_push_is_moved_but_never_copied() {
+    // What waits runs all the same where copies are allowed: a copy would only waste work.
+    for copies in [false, true] {
+        let mut desk = desk(Terms { second_copies: copies, ..terms() }, 5, 2);
+        let mut op = desk.arrive(0, Ask { hint: Some(SECOND), deadline: 20 * SECOND, ..ask(0) });
+        let first = pushed(desk.place(0, &mut op));
+        let now = 2 * desk.wait(0, &op);
+        desk.report(now, first, &[9.0, 0.0]);
+        desk.report(now, 1 - first, &[0.0, 4.0]);
+        assert_eq!(desk.place(now, &mut op), if copies { Step::Hold } else { Step::Stop { push: 0 } });
+    }
+}
+
+#[test]
+fn a_crossing_is_taken_only_when_it_pays() {
+    for (cross, held, wanted) in [(0.0, 4.0, 1), (0.5, 4.0, 0), (0.05, 40.0, 1)] {
+        let mut desk = desk(Terms { cross, ..terms() }, 5, 2);
+        desk.report(MS, 0, &[held - 4.0, 0.0]);
+        desk.report(MS, 1, &[0.0, 4.0]);
+        let mut op = desk.arrive(MS, Ask { deadline: 30 * SECOND, ..ask(0) });
+        assert_eq!(pushed(desk.place(MS, &mut op)), wanted, "price {cross}, held {held}");
+    }
+}
