--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -316,7 +316,7 @@
 #[test]
 fn room_is_judged_for_the_op_at_hand() {
     // Reports of two executors (waiting, free slots), the op's width, and where it has to go.
-    let cases: [(&str, [f64; 2], [f64; 2], f64, usize); 3] = [
+    let cases = [
         ("a wide op waits for most of an executor", [0.0, 2.0], [0.0, 4.0], 4.0, 1),
         ("a queue behind free slots is no room", [2.0, 2.0], [0.0, 1.0], 1.0, 1),
         ("held is worse than free", [0.0, 4.0], [0.0, 0.0], 1.0, 0),
