Share repeated sums and steps; no candidate search where nothing is probed

Own slots out and the work of an op at an executor were written several times; carrying out steps and keeping the op went together at four places; the search for whom to probe ran where probes are not used.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -84,10 +84,10 @@
         Ok(())
     }
 
-    /// Carries out steps until there is nothing left to do for the op now.
-    fn carry(&mut self, now: Time, ticket: u64, op: &mut Op, mut step: Step, reply: &mut Reply) {
+    /// Carries out steps until there is nothing left to do for the op now, and keeps it.
+    fn carry(&mut self, now: Time, ticket: u64, mut op: Op, mut step: Step, reply: &mut Reply) {
         loop {
-            let rest = format_args!(",\"ticket\":\"{ticket:016x}\"").to_string();
+            let rest = format!(",\"ticket\":\"{ticket:016x}\"");
             match step {
                 Step::Push { executor } => {
                     let address = &self.addresses[executor];
@@ -102,9 +102,9 @@
                     reply.say("DENY", &self.name, format_args!("{rest},\"stay-away-ns\":{away}"));
                 }
                 Step::DeadLetter => reply.say("END_FAILED", &self.name, format_args!("{rest}")),
-                Step::Hold => return,
+                Step::Hold => return self.keep(now, ticket, op),
             }
-            step = self.dispatcher.place(now, op);
+            step = self.dispatcher.place(now, &mut op);
         }
     }
 
@@ -140,8 +140,7 @@
                 };
                 let mut op = self.dispatcher.arrive(now, ask);
                 let step = self.dispatcher.place(now, &mut op);
-                self.carry(now, ticket, &mut op, step, reply);
-                self.keep(now, ticket, op);
+                self.carry(now, ticket, op, step, reply);
             }
             "RESULT" => {
                 let ticket = ticket_of(msg)?;
@@ -161,8 +160,7 @@
                 if let Some(mut op) = self.ops.remove(&ticket) {
                     op.closed |= msg.last;
                     let step = self.dispatcher.settle(now, &mut op, push, outcome, values);
-                    self.carry(now, ticket, &mut op, step, reply);
-                    self.keep(now, ticket, op);
+                    self.carry(now, ticket, op, step, reply);
                 }
             }
             "CHANGE" => {
@@ -182,8 +180,7 @@
                 if let Some(mut op) = self.ops.remove(&ticket) {
                     op.closed = true;
                     let step = self.dispatcher.place(now, &mut op);
-                    self.carry(now, ticket, &mut op, step, reply);
-                    self.keep(now, ticket, op);
+                    self.carry(now, ticket, op, step, reply);
                 }
             }
             "FIRST" => {
@@ -208,10 +205,7 @@
                 let elements = msg.elements.as_deref().unwrap_or_default();
                 match scope {
                     "changes" => self.list(now, false, elements)?,
-                    "all" => self.list(now, true, elements)?,
-                    "remembered" => {
-                        self.list(now, true, elements)?;
-                    }
+                    "all" | "remembered" => self.list(now, true, elements)?,
                     other => return Err(format!("MEMBERS: field 'scope' has unknown value '{other}'")),
                 }
             }
@@ -234,8 +228,7 @@
             self.looks.remove(&ticket);
             if let Some(mut op) = self.ops.remove(&ticket) {
                 let step = self.dispatcher.place(now, &mut op);
-                self.carry(now, ticket, &mut op, step, reply);
-                self.keep(now, ticket, op);
+                self.carry(now, ticket, op, step, reply);
             }
         }
         if now >= self.upkeep {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,12 +93,19 @@
     usual: f64,
     heard: Time,
     probed: Time,
-    /// Recent pushes to it while cold, with their work.
+    /// Recent work sent to it while cold.
     cold: Vec<(Time, f64)>,
     share: f64,
     turn: f64,
 }
 
+impl Executor {
+    /// Own slots out there.
+    fn own(&self) -> f64 {
+        self.out.iter().sum()
+    }
+}
+
 /// An executor that an op may go to.
 struct Candidate {
     at: usize,
@@ -256,7 +263,7 @@
             Outcome::Full => {
                 executor.served -= SMOOTH * executor.served;
                 let full = self.slots[executor.kind] * 2.0;
-                executor.others = executor.others.max(full - executor.out.iter().sum::<f64>());
+                executor.others = executor.others.max(full - executor.own());
                 executor.heard = now;
             }
             Outcome::Error | Outcome::NotConnected | Outcome::Reset => {
@@ -389,12 +396,11 @@
 
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
     fn hear(&mut self, now: Time, executor: usize, held: f64) {
-        let fleet = self.usual;
         let e = &mut self.executors[executor];
         if e.usual < 0.0 {
-            e.usual = fleet * self.slots[e.kind];
+            e.usual = self.usual * self.slots[e.kind];
         }
-        e.others = (held - e.out.iter().sum::<f64>()).max(0.0);
+        e.others = (held - e.own()).max(0.0);
         e.usual += 2.0 * SMOOTH * (e.others - e.usual);
         e.heard = now;
         self.usual += SMOOTH / 4.0 * (e.others / self.slots[e.kind].max(1.0) - self.usual);
@@ -435,7 +441,7 @@
         // The more of the fleet is held, the closer the shares come to the bare rates.
         let (mut held, mut slots) = (0.0, 0.0);
         for e in self.executors.iter().filter(|e| e.active) {
-            held += e.out.iter().sum::<f64>() + if e.usual < 0.0 { 0.0 } else { e.usual };
+            held += e.own() + if e.usual < 0.0 { 0.0 } else { e.usual };
             slots += self.slots[e.kind];
         }
         let used = held / f64::max(slots, 1.0);
@@ -453,8 +459,7 @@
             e.share = share;
         }
         self.front = 0.0;
-        let fastest = (0..rates.len()).max_by(|a, b| rates[*a].total_cmp(&rates[*b]));
-        self.fastest = fastest.unwrap_or(0);
+        self.fastest = (0..rates.len()).max_by(|a, b| rates[*a].total_cmp(&rates[*b])).unwrap_or(0);
     }
 
     /// The service rate: slots over the smoothed running time, less what is not served; none while aside.
@@ -482,18 +487,15 @@
         }
         let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
         let Some(Candidate { at: executor, wait, .. }) = found else {
-            let category = &self.categories[op.category];
-            if op.pushes.is_empty() && now - op.came < category.target / 4 {
-                return Step::Hold;
-            }
-            return self.give_up(op, SECOND / 5);
+            let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
+            return if early { Step::Hold } else { self.give_up(op, SECOND / 5) };
         };
         let category = &self.categories[op.category];
         let expected = self.expected(op) * self.executors[executor].pace.exp();
         let in_time = op.came + category.target + (category.stretch * expected) as Time;
         let latest = in_time.min(op.deadline);
-        // An op that no executor can answer usefully is turned away now, not kept until its time is out.
-        // Waits turn out longer than they look; that matters the less the more a late answer earns.
+        // An op that none can answer usefully is turned away now, not kept until its time is out. Waits
+        // turn out longer than they look; that matters less where a late answer earns.
         let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
         let hopeless = now as f64 + unsure + expected.min(category.target as f64) > latest as f64;
         self.turned_away += SMOOTH / 4.0 * (f64::from(u8::from(hopeless)) - self.turned_away);
@@ -512,6 +514,9 @@
     /// Probes the few executors that look best for the op, unless all were heard lately.
     fn ask(&mut self, now: Time, op: &mut Op) -> bool {
         op.asked = Some(now);
+        if self.probes_per_op == 0 {
+            return false;
+        }
         let stale = now - (self.turnover() / 10.0) as Time;
         let mut best = self.candidates(now, op, true);
         best.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.turn.total_cmp(&b.turn)));
@@ -527,7 +532,7 @@
     }
 
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
-        let work = self.expected(op) * self.executors[executor].pace.exp() * op.slots;
+        let work = self.work(op, executor);
         let guess = self.expected_wait(now, op, executor) / self.learned[op.category].correction();
         let front = self.front;
         let e = &mut self.executors[executor];
@@ -600,12 +605,11 @@
                 return false;
             }
         }
-        if e.started.is_some_and(|start| now < start + self.terms.warm_within) {
-            // All nodes together must not push a cold executor over. No node knows what the others send, so
-            // each takes a small part of the budget, spread over as many spans as there are nodes, and no
-            // op so heavy that a few of them at the same moment would break it.
+        if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
+            // All nodes together must not push a cold executor over: each takes a small part of the budget,
+            // spread over as many spans as there are nodes, and no op that a few of would break it.
             let room = self.cold_budget * self.slots[e.kind] * self.warmth(now, e);
-            let work = self.expected(op) * e.pace.exp() * op.slots;
+            let work = self.work(op, at);
             let spent: f64 = e.cold.iter().filter(|c| c.0 > now - self.cold_span).map(|c| c.1).sum();
             return work <= ONE_COLD_OP * room && spent + work <= COLD_PART * room;
         }
@@ -614,6 +618,11 @@
 
     // ---- Estimates ----
 
+    /// Slot time that the op would take at an executor.
+    fn work(&self, op: &Op, at: usize) -> f64 {
+        self.expected(op) * self.executors[at].pace.exp() * op.slots
+    }
+
     /// Running time expected of this op on an executor of mean pace.
     fn expected(&self, op: &Op) -> f64 {
         op.base * self.learned[op.category].mean
@@ -640,8 +649,7 @@
         let others = if all > 0.0 { others * part / all } else { others };
         let slots = self.slots[e.kind];
         let load = own + others;
-        // What queues before it, then the releases that its own slots need: a wide op waits until most of
-        // an executor is free, and the fewer run there the longer each release takes.
+        // What queues before it, then the releases its own slots need: a wide op waits for most of them.
         let mut time = (load - slots).max(0.0) / slots + CROWDED * load / slots;
         let (mut running, mut need) = (load.min(slots), (load.min(slots) + op.slots - slots).min(op.slots));
         while need > 0.0 && running > 0.0 {
@@ -659,8 +667,7 @@
         (total / rate.max(1e-9)).max(1.0)
     }
 
-    /// The price of crossing failure domains as the wait that would cost as much; doubled, for a crossing
-    /// also lands where others send first and this node hears least.
+    /// The price of crossing domains as a wait; doubled, for it also lands where this node hears least.
     fn cross_delay(&self, op: &Op) -> f64 {
         let category = &self.categories[op.category];
         let useful = category.target as f64 + category.stretch * self.expected(op);
@@ -710,18 +717,14 @@
     /// Looks after an op whose push is out: is it stuck, or would it do better elsewhere?
     fn review(&mut self, now: Time, op: &mut Op, last: usize) -> Step {
         let p = &op.pushes[last];
-        if p.stopping {
-            return Step::Hold;
-        }
         let (x, started, noted) = (p.executor, p.started, p.noted);
         let look = self.categories[op.category].target / 4;
-        if now - noted < look {
+        if p.stopping || now - noted < look {
             return Step::Hold;
         }
         let here = if started.is_none() {
             // Not started: it has no room, whatever it last said.
-            let full =
-                self.slots[self.executors[x].kind] - self.executors[x].out.iter().sum::<f64>() + op.slots;
+            let full = self.slots[self.executors[x].kind] - self.executors[x].own() + op.slots;
             let e = &mut self.executors[x];
             if e.others < full {
                 e.others = full;
@@ -791,8 +794,7 @@
     /// Enters one line of the list.
     fn enter(&mut self, now: Time, line: &Listed) {
         while self.slots.len() <= line.kind {
-            let known = self.slots.iter().copied().fold(1.0, f64::max);
-            self.slots.push(known);
+            self.slots.push(self.slots.iter().copied().fold(1.0, f64::max));
         }
         while self.executors.len() <= line.executor {
             let place = self.executors.len();
