Probes follow own traffic, cold budget is earned, shared news counts less, late ops called off

Changes: probes for the op at hand unless own ops pay for the timer; cold budget earned over time with a random start; news from the list counts 0.3 of its distance to the usual load; moves count the price of crossing; a waiting op sure to be late is called off.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -15,6 +15,8 @@
 /// One instance with the ops and timers that the adapter keeps for it.
 struct Node {
     name: String,
+    /// Something came for it in this batch.
+    touched: bool,
     dispatcher: Dispatcher,
     categories: usize,
     /// Executors by address, and their addresses by index.
@@ -253,19 +255,18 @@
     }
 }
 
-fn run_batch(nodes: &mut Vec<Node>, batch: &Batch, reply: &mut Reply) -> Result<(), String> {
+fn run_batch(nodes: &mut HashMap<String, Node>, batch: &Batch, reply: &mut Reply) -> Result<(), String> {
     let now = up(batch.clock);
-    let mut touched: Vec<String> = Vec::new();
+    let mut touched: Vec<&str> = Vec::new();
     for msg in &batch.msgs {
         let name = need(msg.node.as_deref(), &msg.op, "node")?;
-        let known = nodes.iter().position(|n| n.name == name);
-        match (msg.op.as_ref(), known) {
-            ("SPAWN", _) => {
+        match msg.op.as_ref() {
+            "SPAWN" => {
                 let seed = need(msg.init_seed, &msg.op, "init-seed")?;
                 let tariff = need(msg.conf.as_ref(), &msg.op, "conf")?.tariff()?;
-                nodes.retain(|n| n.name != name);
-                nodes.push(Node {
+                let node = Node {
                     name: name.to_string(),
+                    touched: false,
                     dispatcher: Dispatcher::new(&tariff, seed),
                     categories: tariff.categories.len(),
                     indices: HashMap::new(),
@@ -276,18 +277,30 @@
                     looks: HashMap::new(),
                     upkeep: now,
                     bell: None,
-                });
+                };
+                nodes.insert(name.to_string(), node);
+            }
+            "KILLED" => {
+                nodes.remove(name);
             }
-            ("KILLED", _) => nodes.retain(|n| n.name != name),
-            (_, Some(at)) => nodes[at].handle(now, msg, reply)?,
-            (other, None) => eprintln!("message '{other}' for unknown instance '{name}' ignored"),
+            _ => {}
+        }
+        let Some(node) = nodes.get_mut(name) else {
+            if msg.op != "KILLED" {
+                eprintln!("message '{}' for unknown instance '{name}' ignored", msg.op);
+            }
+            continue;
+        };
+        if !std::mem::replace(&mut node.touched, true) {
+            touched.push(name);
         }
-        if touched.last().is_none_or(|last| last != name) && !touched.iter().any(|t| t == name) {
-            touched.push(name.to_string());
+        if msg.op != "SPAWN" {
+            node.handle(now, msg, reply)?;
         }
     }
     for name in touched {
-        if let Some(node) = nodes.iter_mut().find(|n| n.name == name) {
+        if let Some(node) = nodes.get_mut(name) {
+            node.touched = false;
             node.close(now, reply);
         }
     }
@@ -308,7 +321,7 @@
 fn main() {
     let mut input = std::io::stdin().lock();
     let mut output = std::io::stdout().lock();
-    let mut nodes: Vec<Node> = Vec::new();
+    let mut nodes = HashMap::new();
     let mut line = String::new();
     loop {
         line.clear();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,13 +21,15 @@
 const DRIFT: f64 = 0.25; // variance of a change of pace worth following, against the spread of samples
 const LEAST_USE: f64 = 0.6; // the target use starts here
 const MOST_USE: f64 = 0.95;
+const SHARED: f64 = 0.3; // what news counts that comes to all nodes alike: they would all act on it at once
 const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
 const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
-const COLD_PART: f64 = 0.45; // of a cold executor's budget: what a node sends in its span,
+const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
+const COVER: f64 = 0.5; // of the fleet each second: who can pay for so much probing probes on a timer
 const PROBE_SPEND: f64 = 0.007; // for one op, in parts of its worth; three probes at most
 
 /// One push of an op.
@@ -92,15 +94,18 @@
     others: f64,
     usual: f64,
     heard: Time,
+    /// What the last news counts against the usual load: less where all nodes act on the same.
+    trust: f64,
     probed: Time,
-    /// Recent work sent to it while cold.
-    cold: Vec<(Time, f64)>,
+    /// When its latest start was heard of, work sent since, and this node's luck in the cold budget.
+    known: Time,
+    spent: f64,
+    luck: f64,
     share: f64,
     turn: f64,
 }
 
 impl Executor {
-    /// Own slots out there.
     fn own(&self) -> f64 {
         self.out.iter().sum()
     }
@@ -149,13 +154,13 @@
     terms: Terms,
     categories: Vec<Category>,
     learned: Vec<Learned>,
-    /// Work that tips a cold executor, by slot at full warmth, and the span in which a node spends its part.
+    /// Work that tips a cold executor, by slot at full warmth, and the span in which a node earns so much.
     cold_budget: f64,
     cold_span: Time,
     gauges: Vec<Gauge>,
-    /// Probes before a first push, and the time after which an executor unheard of is probed.
+    /// Probes that an op may cost, and whether nothing else tells of load.
     probes_per_op: usize,
-    probe_every: Option<Time>,
+    only_probes: bool,
     executors: Vec<Executor>,
     /// Slots of an executor of each kind, as far as seen.
     slots: Vec<f64>,
@@ -182,18 +187,16 @@
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let tip = tariff.overload_factor * tariff.terms.tip_after as f64;
-        let on_demand = tariff.probes && !tariff.reports_by_probe;
         let affordable = (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize;
         let mut dispatcher = Dispatcher {
             terms: tariff.terms.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
             categories: tariff.categories.clone(),
-            cold_budget: tip,
+            cold_budget: tariff.overload_factor * tariff.terms.tip_after as f64,
             cold_span: tariff.terms.tip_after * tariff.nodes.max(1) as Time,
             gauges: tariff.gauges.clone(),
-            probes_per_op: if on_demand { affordable } else { 0 },
-            probe_every: (tariff.probes && tariff.reports_by_probe).then_some(SECOND),
+            probes_per_op: if tariff.probes { affordable } else { 0 },
+            only_probes: tariff.reports_by_probe,
             target_use: LEAST_USE,
             slots_per_op: 1.0,
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
@@ -229,10 +232,8 @@
         if self.solved.is_none_or(|at| now >= at + SOLVE_EVERY) {
             self.solve(now);
         }
-        if now + 2 * self.terms.tick >= op.deadline {
-            return self.give_up(op, 0);
-        }
         match op.pushes.iter().rposition(|p| p.outcome.is_none()) {
+            _ if now + 2 * self.terms.tick >= op.deadline => self.give_up(op, 0),
             Some(last) => self.review(now, op, last),
             None => self.send(now, op),
         }
@@ -263,8 +264,7 @@
             Outcome::Full => {
                 executor.served -= SMOOTH * executor.served;
                 let full = self.slots[executor.kind] * 2.0;
-                executor.others = executor.others.max(full - executor.own());
-                executor.heard = now;
+                (executor.others, executor.heard) = (executor.others.max(full - executor.own()), now);
             }
             Outcome::Error | Outcome::NotConnected | Outcome::Reset => {
                 executor.served -= 2.0 * SMOOTH * executor.served;
@@ -289,7 +289,7 @@
             Some(p) if self.terms.progress > 0 => (p.noted + 5 * self.terms.progress / 2).max(now + look),
             Some(_) => last,
             // The answers to probes come within a few ticks or too late to matter.
-            None if op.asked == Some(now) => now + 4 * self.terms.tick,
+            None if op.asked == Some(now) => now + (4 * self.terms.tick).max(look / 4),
             None => now + look,
         };
         next.min(last).max(now + self.terms.tick)
@@ -316,8 +316,7 @@
         if ask.hint.is_none() && learned.samples == 0.0 {
             learned.mean = self.categories[ask.category].target as f64;
         }
-        let usual = &mut learned.base;
-        *usual += if *usual == 0.0 { base } else { SMOOTH / 4.0 * (base - *usual) };
+        learned.base += if learned.base == 0.0 { base } else { SMOOTH / 4.0 * (base - learned.base) };
         Op {
             category: ask.category,
             // An executor has one unit of memory for each slot: the scarcer need is the op's width.
@@ -337,8 +336,9 @@
         if whole {
             self.executors.iter_mut().for_each(|e| e.active = false);
         }
+        let paces = self.kind_paces();
         for line in lines {
-            self.enter(now, line);
+            self.enter(now, line, &paces);
         }
         self.solved = None;
     }
@@ -359,14 +359,13 @@
             return;
         }
         self.learned[op.category].waited(p.guess, (now - p.sent) as f64);
-        let executor = &mut self.executors[p.executor];
-        executor.running += op.slots;
+        let e = &mut self.executors[p.executor];
+        e.running += op.slots;
         // It had room just now, so others can't hold the rest of its slots and a queue too.
-        let slots = self.slots[executor.kind].max(executor.running);
-        self.slots[executor.kind] = slots;
+        let slots = self.slots[e.kind].max(e.running);
+        self.slots[e.kind] = slots;
         if now - p.sent < self.terms.tick * 4 {
-            executor.others = executor.others.min(slots - executor.running);
-            executor.heard = now;
+            (e.others, e.heard) = (e.others.min(slots - e.running), now);
         }
     }
 
@@ -379,9 +378,9 @@
         let kind = self.executors[executor].kind;
         if let Some(free) = gauge(Gauge::FreeSlots) {
             // The most ever free, seen through noise: up fast, and down a little from near the top.
-            let slots = &mut self.slots[kind];
-            let gain = if free > *slots { 3.0 * SMOOTH } else { SMOOTH / 4.0 };
-            *slots += if free > 0.8 * *slots { gain * (free - *slots) } else { 0.0 };
+            let slots = self.slots[kind];
+            let gain = if free > slots { 3.0 * SMOOTH } else { SMOOTH / 4.0 };
+            self.slots[kind] += if free > 0.8 * slots { gain * (free - slots) } else { 0.0 };
         }
         let slots = self.slots[kind];
         let held = match (gauge(Gauge::FreeSlots), gauge(Gauge::Waiting), gauge(Gauge::Held)) {
@@ -391,37 +390,43 @@
             (Some(free), _, _) => slots - free,
             _ => gauge(Gauge::Busy).map_or(0.0, |busy| busy * slots),
         };
-        self.hear(now, executor, held);
+        self.hear(now, executor, held, 1.0);
     }
 
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
-    fn hear(&mut self, now: Time, executor: usize, held: f64) {
+    fn hear(&mut self, now: Time, executor: usize, held: f64, trust: f64) {
         let e = &mut self.executors[executor];
         if e.usual < 0.0 {
             e.usual = self.usual * self.slots[e.kind];
         }
-        e.others = (held - e.own()).max(0.0);
+        (e.others, e.heard, e.trust) = ((held - e.own()).max(0.0), now, trust);
         e.usual += 2.0 * SMOOTH * (e.others - e.usual);
-        e.heard = now;
         self.usual += SMOOTH / 4.0 * (e.others / self.slots[e.kind].max(1.0) - self.usual);
     }
 
-    /// Called every `UPKEEP`: notes whom to probe, and tells whether to subscribe to the list now.
+    /// Called every `UPKEEP`: tells whether to subscribe to the list now.
     pub fn upkeep(&mut self, now: Time) -> bool {
         let observe = self.terms.subscribe && now >= self.observe_at;
         if observe {
             // Asked again if nothing at all is heard: a lost call must not leave the list to age.
             self.observe_at = now + 5 * SECOND;
         }
-        for (at, e) in self.executors.iter_mut().enumerate() {
-            if self.probe_every.is_some_and(|every| e.active && now - e.heard.max(e.probed) >= every) {
-                e.probed = now;
-                self.probes.push(at);
-            }
+        let timer = self.probes_on_timer();
+        let due = |e: &Executor| timer && e.active && now - e.heard.max(e.probed) >= SECOND;
+        for (at, e) in self.executors.iter_mut().enumerate().filter(|(_, e)| due(e)) {
+            e.probed = now;
+            self.probes.push(at);
         }
         observe
     }
 
+    /// Own ops pay for hearing of every executor each second. Otherwise a timer would cost executors more
+    /// the more nodes there are, and each op has the few probed that it may go to.
+    fn probes_on_timer(&self) -> bool {
+        let needed = COVER * self.executors.iter().filter(|e| e.active).count() as f64 * self.arrival_gap;
+        self.only_probes && needed > 0.0 && (self.probes_per_op * SECOND as usize) as f64 >= needed
+    }
+
     // ---- Shares and order: the design ----
 
     /// Re-solves the split. With time in mean gaps between own arrivals the arrival rate is one, so the
@@ -429,22 +434,18 @@
     fn solve(&mut self, now: Time) {
         self.solved = Some(now);
         let s2 = (self.arrival_square / self.arrival_gap.powi(2).max(1.0) - 1.0).clamp(0.1, 4.0);
-        for at in 0..self.executors.len() {
+        let paces = self.kind_paces();
+        for e in &mut self.executors {
             // Nothing is learned of an executor that gets nothing: what is held against it fades.
-            let kind = self.kind_pace(self.executors[at].kind);
-            let e = &mut self.executors[at];
             if e.out.iter().all(|s| *s <= 0.0) {
-                e.pace += SMOOTH * (kind - e.pace);
+                e.pace += SMOOTH * (paces[e.kind] - e.pace);
                 e.served += SMOOTH * (1.0 - e.served);
             }
         }
         // The more of the fleet is held, the closer the shares come to the bare rates.
-        let (mut held, mut slots) = (0.0, 0.0);
-        for e in self.executors.iter().filter(|e| e.active) {
-            held += e.own() + if e.usual < 0.0 { 0.0 } else { e.usual };
-            slots += self.slots[e.kind];
-        }
-        let used = held / f64::max(slots, 1.0);
+        let active = self.executors.iter().filter(|e| e.active);
+        let held: f64 = active.clone().map(|e| e.own() + e.usual.max(0.0)).sum();
+        let used = held / active.map(|e| self.slots[e.kind]).sum::<f64>().max(1.0);
         self.target_use += SMOOTH * (used.clamp(LEAST_USE, MOST_USE) - self.target_use);
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
@@ -490,14 +491,7 @@
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
             return if early { Step::Hold } else { self.give_up(op, SECOND / 5) };
         };
-        let category = &self.categories[op.category];
-        let expected = self.expected(op) * self.executors[executor].pace.exp();
-        let in_time = op.came + category.target + (category.stretch * expected) as Time;
-        let latest = in_time.min(op.deadline);
-        // An op that none can answer usefully is turned away now, not kept until its time is out. Waits
-        // turn out longer than they look; that matters less where a late answer earns.
-        let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
-        let hopeless = now as f64 + unsure + expected.min(category.target as f64) > latest as f64;
+        let hopeless = !self.in_time(now, op, executor, wait);
         self.turned_away += SMOOTH / 4.0 * (f64::from(u8::from(hopeless)) - self.turned_away);
         if (!self.overloaded && self.turned_away > 0.2) || (self.overloaded && self.turned_away < 0.05) {
             self.overloaded = !self.overloaded;
@@ -514,23 +508,32 @@
     /// Probes the few executors that look best for the op, unless all were heard lately.
     fn ask(&mut self, now: Time, op: &mut Op) -> bool {
         op.asked = Some(now);
-        if self.probes_per_op == 0 {
+        if self.probes_per_op == 0 || self.probes_on_timer() {
             return false;
         }
         let stale = now - (self.turnover() / 10.0) as Time;
         let mut best = self.candidates(now, op, true);
         best.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.turn.total_cmp(&b.turn)));
         let before = self.probes.len();
-        for found in best.into_iter().take(self.probes_per_op) {
-            let e = &mut self.executors[found.at];
-            if e.heard.max(e.probed) < stale {
-                e.probed = now;
-                self.probes.push(found.at);
+        for Candidate { at, .. } in best.into_iter().take(self.probes_per_op) {
+            if self.executors[at].heard.max(self.executors[at].probed) < stale {
+                self.executors[at].probed = now;
+                self.probes.push(at);
             }
         }
         self.probes.len() > before
     }
 
+    /// An op that none can answer usefully is turned away at once, not kept until its time is out. Waits
+    /// turn out longer than they look; that matters less where a late answer earns.
+    fn in_time(&self, now: Time, op: &Op, executor: usize, wait: f64) -> bool {
+        let category = &self.categories[op.category];
+        let expected = self.expected(op) * self.executors[executor].pace.exp();
+        let in_time = op.came + category.target + (category.stretch * expected) as Time;
+        let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
+        now as f64 + unsure + expected.min(category.target as f64) <= in_time.min(op.deadline) as f64
+    }
+
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
         let work = self.work(op, executor);
         let guess = self.expected_wait(now, op, executor) / self.learned[op.category].correction();
@@ -540,9 +543,7 @@
             e.credit = (e.credit - 1.0).max(0.0);
         }
         e.out[op.category] += op.slots;
-        if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
-            e.cold.push((now, work));
-        }
+        e.spent += work;
         if e.share > 0.0 {
             // Turns passed over while it was skipped are not made up for in a burst.
             e.turn = e.turn.max(front * e.share - 1.0) + 1.0;
@@ -596,22 +597,21 @@
         if let (Effect::Deduplicated { scope, .. }, Some(p)) = (category.effect, op.may_have_run()) {
             // A repeat outside the group would take effect twice.
             let before = &self.executors[p.executor];
-            let same = match scope {
-                Scope::All => true,
-                Scope::Domain => before.domain == e.domain,
-                Scope::Cell => before.cell == e.cell,
-            };
-            if !same {
-                return false;
+            match scope {
+                Scope::Domain if before.domain != e.domain => return false,
+                Scope::Cell if before.cell != e.cell => return false,
+                _ => {}
             }
         }
         if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
-            // All nodes together must not push a cold executor over: each takes a small part of the budget,
-            // spread over as many spans as there are nodes, and no op that a few of would break it.
-            let room = self.cold_budget * self.slots[e.kind] * self.warmth(now, e);
-            let work = self.work(op, at);
-            let spent: f64 = e.cold.iter().filter(|c| c.0 > now - self.cold_span).map(|c| c.1).sum();
-            return work <= ONE_COLD_OP * room && spent + work <= COLD_PART * room;
+            // All nodes together must not push a cold executor over. Each earns its part of the budget as time
+            // passes; where that is but a fraction of an op, chance says which nodes may send one and when,
+            // or all would send their first at once. No op may be so heavy that a few of them break it.
+            let (warm, work) = (self.warmth(now, e), self.work(op, at));
+            let room = self.cold_budget * self.slots[e.kind];
+            let spans = (now - e.known) as f64 / self.cold_span as f64;
+            let earned = COLD_PART * room * (self.terms.start_share + warm) / 2.0 * spans;
+            return work <= ONE_COLD_OP * room * warm && e.spent + (1.0 - e.luck) * work <= earned;
         }
         true
     }
@@ -643,7 +643,7 @@
             }
         }
         let turnover = self.turnover();
-        let fresh = (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
+        let fresh = e.trust * (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
         let usual = if e.usual < 0.0 { self.usual * self.slots[e.kind] } else { e.usual };
         let others = usual + (e.others - usual) * fresh;
         let others = if all > 0.0 { others * part / all } else { others };
@@ -727,8 +727,7 @@
             let full = self.slots[self.executors[x].kind] - self.executors[x].own() + op.slots;
             let e = &mut self.executors[x];
             if e.others < full {
-                e.others = full;
-                e.heard = now;
+                (e.others, e.heard) = (full, now);
             }
             self.expected_wait(now, op, x)
         } else if self.terms.progress > 0 && now - noted >= 5 * self.terms.progress / 2 {
@@ -741,7 +740,10 @@
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
         let better = if movable { self.pick(now, op, true) } else { None };
-        let Some(Candidate { at, .. }) = better.filter(|b| b.wait + look as f64 <= here) else {
+        let better = better.filter(|b| b.cost + look as f64 <= here);
+        // What waits and is sure to be late only holds up what comes behind it.
+        let late = self.categories[op.category].late <= 0.0 && !self.in_time(now, op, x, 0.0);
+        let Some(at) = better.map(|b| b.at).or((movable && late).then_some(x)) else {
             return Step::Hold;
         };
         if self.terms.second_copies {
@@ -754,26 +756,25 @@
 
     /// A further push is allowed, and would be no second effect.
     fn may_send(&self, now: Time, op: &Op) -> bool {
-        let safe = match (self.categories[op.category].effect, op.may_have_run()) {
-            (_, None) | (Effect::Redeliverable, _) => true,
-            (Effect::AtMostOnce, Some(_)) => false,
-            // The group forgets the op once the window is over.
-            (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.terms.tick < p.sent + window,
-        };
-        safe && op.pushes.len() < self.terms.max_pushes
+        op.pushes.len() < self.terms.max_pushes
+            && match (self.categories[op.category].effect, op.may_have_run()) {
+                (_, None) | (Effect::Redeliverable, _) => true,
+                (Effect::AtMostOnce, Some(_)) => false,
+                // The group forgets the op once the window is over.
+                (Effect::Deduplicated { window, .. }, Some(p)) => now + 2 * self.terms.tick < p.sent + window,
+            }
     }
 
     /// The final answer for an op that is given up: a nack only where a retry is harmless.
     fn give_up(&mut self, op: &mut Op, come_back: Time) -> Step {
         op.closed = true;
-        let harmless = match self.categories[op.category].effect {
-            Effect::Redeliverable | Effect::Deduplicated { scope: Scope::All, .. } => true,
-            _ => op.may_have_run().is_none(),
-        };
-        if harmless {
-            Step::Nack { come_back: come_back.min(self.terms.come_back) }
-        } else {
-            Step::DeadLetter
+        match self.categories[op.category].effect {
+            Effect::AtMostOnce | Effect::Deduplicated { scope: Scope::Domain | Scope::Cell, .. }
+                if op.may_have_run().is_some() =>
+            {
+                Step::DeadLetter
+            }
+            _ => Step::Nack { come_back: come_back.min(self.terms.come_back) },
         }
     }
 
@@ -792,12 +793,11 @@
     }
 
     /// Enters one line of the list.
-    fn enter(&mut self, now: Time, line: &Listed) {
+    fn enter(&mut self, now: Time, line: &Listed, paces: &[f64]) {
         while self.slots.len() <= line.kind {
             self.slots.push(self.slots.iter().copied().fold(1.0, f64::max));
         }
         while self.executors.len() <= line.executor {
-            let place = self.executors.len();
             let turn = self.random();
             self.executors.push(Executor {
                 spread: std::f64::consts::LN_2,
@@ -806,12 +806,12 @@
                 out: vec![0.0; self.categories.len()],
                 usual: -1.0,
                 heard: now - SECOND,
-                probed: now - place as Time * 1000,
+                probed: now - SECOND,
                 turn,
                 ..Executor::default()
             });
         }
-        let pace = self.kind_pace(line.kind);
+        let luck = self.random();
         let e = &mut self.executors[line.executor];
         let restarted = line.started.is_some() && line.started != e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
@@ -821,23 +821,24 @@
             e.started = line.started;
             (e.others, e.usual, e.running) = (0.0, -1.0, 0.0);
             (e.served, e.trial, e.aside) = (1.0, false, now);
-            e.cold.clear();
+            (e.known, e.spent, e.luck) = (now, 0.0, luck);
         }
         if e.samples == 0.0 {
-            e.pace = pace;
+            e.pace = paces.get(line.kind).copied().unwrap_or(0.0);
         }
         if self.terms.live_weights && line.weight > 0.0 && !restarted {
             let held = self.slots[e.kind] * (e.size / line.weight - 1.0);
-            self.hear(now, line.executor, held);
+            self.hear(now, line.executor, held, SHARED);
         }
     }
 
-    /// Mean pace of the executors of a kind: what a new one of it starts with.
-    fn kind_pace(&self, kind: usize) -> f64 {
-        let seen = |e: &&Executor| e.kind == kind && e.samples > 0.0;
-        let (sum, count) =
-            self.executors.iter().filter(seen).fold((0.0, 0.0), |(s, n), e| (s + e.pace, n + 1.0));
-        sum / f64::max(count, 1.0)
+    /// Mean pace of the executors of each kind: what a new one of it starts with.
+    fn kind_paces(&self) -> Vec<f64> {
+        let mut sums = vec![(0.0, 0.0); self.slots.len()];
+        for e in self.executors.iter().filter(|e| e.samples > 0.0) {
+            sums[e.kind] = (sums[e.kind].0 + e.pace, sums[e.kind].1 + 1.0);
+        }
+        sums.into_iter().map(|(sum, count)| sum / f64::max(count, 1.0)).collect()
     }
 }
 
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -356,3 +356,45 @@
         assert_eq!(pushed(desk.place(MS, &mut op)), wanted, "price {cross}, held {held}");
     }
 }
+
+#[test]
+fn probes_follow_own_traffic() {
+    // A timer for each executor at each node would cost executors more the more nodes there are.
+    for (gap, all) in [(SECOND / 10, true), (2 * SECOND, false)] {
+        let probes = Tariff { probes: true, reports_by_probe: true, price_probe: 0.002, ..tariff(terms()) };
+        let mut desk = Dispatcher::new(&probes, 5);
+        desk.list(0, true, &(0..40).map(line).collect::<Vec<_>>());
+        let (mut asked, mut held) = (0, 0);
+        for n in 1..=20 {
+            let mut op = desk.arrive(n * gap, Ask { deadline: n * gap + 20 * SECOND, ..ask(0) });
+            held += usize::from(desk.place(n * gap, &mut op) == Step::Hold);
+            desk.upkeep(n * gap);
+            asked += std::mem::take(&mut desk.probes).len();
+        }
+        assert_eq!(held, if all { 1 } else { 20 }, "ops that wait for a probe, gap {gap}");
+        assert!(if all { asked >= 40 } else { asked <= 60 }, "{asked} probes, gap {gap}");
+    }
+}
+
+#[test]
+fn many_nodes_that_hear_of_a_start_together_do_not_push_it_over() {
+    // Each node's part is a fraction of one op: were the first op free, all would send one at once.
+    let nodes = 300;
+    let (mut first, mut all) = (0, 0);
+    for seed in 0..nodes {
+        let wide = Tariff { nodes: nodes as usize, ..tariff(terms()) };
+        let mut desk = Dispatcher::new(&wide, seed);
+        desk.list(0, true, &[Listed { started: Some(1), ..line(0) }]);
+        (0..20).for_each(|_| desk.report(0, 0, &[0.0, 4.0]));
+        for n in 0..10 {
+            let mut op = desk.arrive(n * SECOND, ask(0));
+            if let Step::Push { .. } = desk.place(n * SECOND, &mut op) {
+                (first, all) = (first + usize::from(n == 0), all + 1);
+                desk.settle(n * SECOND, &mut op, 0, Outcome::Full, &[]);
+            }
+        }
+    }
+    // Ops of 0.1 s against 3 times 0.2 to 1 of four slots for a second, less than half of it used.
+    assert!(first <= 3, "{first} at once");
+    assert!((20..=400).contains(&all), "{all} while it warms up");
+}
