Compare few executors where all hear the same; leave a lost domain alone; less CPU

The adapter needed 49 s of CPU: waits were estimated for the whole fleet at each look. Changes: where weights are live each node compares the first eight of each domain in billiard order; waits are estimated for these only; two executors of one domain out of reach without an answer between set the domain aside; the types that the caller holds moved to tariff.rs.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -8,8 +8,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::io::{BufRead, Write as _};
-use stileroute::choice::{Dispatcher, Op, UPKEEP};
-use stileroute::tariff::{Ask, Listed, Outcome, Step, Time};
+use stileroute::choice::{Dispatcher, UPKEEP};
+use stileroute::tariff::{Ask, Listed, Op, Outcome, Step, Time};
 use wire::{down, up, Batch, Element, Msg, UNIT};
 
 /// One instance with the ops and timers that the adapter keeps for it.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,7 @@
 use crate::tariff::*;
 
 /// How often `upkeep` is to be called.
-pub const UPKEEP: Time = SECOND / 10;
+pub const UPKEEP: Time = SECOND / 4;
 const SOLVE_EVERY: Time = SECOND;
 const ASIDE: Time = 2 * SECOND; // the fixed part of a stay aside; the random part is as long at most
 const SMOOTH: f64 = 0.1; // gain of what is followed from outcome to outcome; a quarter of it per arrival
@@ -22,6 +22,7 @@
 const LEAST_USE: f64 = 0.6; // the target use starts here
 const MOST_USE: f64 = 0.95;
 const SHARED: f64 = 0.3; // what news counts that comes to all nodes alike: they would all act on it at once
+const FEW: usize = 8; // executors of a domain that a node compares where all nodes hear the same
 const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
 const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
@@ -32,44 +33,6 @@
 const COVER: f64 = 0.5; // of the fleet each second: who can pay for so much probing probes on a timer
 const PROBE_SPEND: f64 = 0.007; // for one op, in parts of its worth; three probes at most
 
-/// One push of an op.
-#[derive(Clone, Debug, Default)]
-pub struct Push {
-    pub executor: usize,
-    pub outcome: Option<Outcome>,
-    sent: Time,
-    started: Option<Time>,
-    noted: Time,
-    stopping: bool,
-    /// Wait expected when it was sent, not yet corrected.
-    guess: f64,
-}
-
-/// One op, from its arrival to the outcome of its last push.
-#[derive(Clone, Debug, Default)]
-pub struct Op {
-    pub pushes: Vec<Push>,
-    /// It has its final answer, or nobody waits for it any more.
-    pub closed: bool,
-    category: usize,
-    slots: f64,
-    base: f64,
-    came: Time,
-    deadline: Time,
-    /// When executors were probed for it.
-    asked: Option<Time>,
-}
-
-impl Op {
-    /// Pushes that are still out.
-    pub fn out(&self) -> bool {
-        self.pushes.iter().any(|p| p.outcome.is_none())
-    }
-    fn may_have_run(&self) -> Option<&Push> {
-        self.pushes.iter().find(|p| p.outcome.is_none_or(|o| !o.never_ran()))
-    }
-}
-
 /// One executor, as long as the list has named it.
 #[derive(Clone, Debug, Default)]
 struct Executor {
@@ -162,8 +125,11 @@
     probes_per_op: usize,
     only_probes: bool,
     executors: Vec<Executor>,
+    /// Of each failure domain: pushes out of reach since its last answer, and until when it is left alone.
+    domains: Vec<(usize, Time)>,
     /// Slots of an executor of each kind, as far as seen.
     slots: Vec<f64>,
+    nodes: usize,
     target_use: f64,
     arrival_gap: f64,
     arrival_square: f64,
@@ -197,6 +163,7 @@
             gauges: tariff.gauges.clone(),
             probes_per_op: if tariff.probes { affordable } else { 0 },
             only_probes: tariff.reports_by_probe,
+            nodes: tariff.nodes.max(1),
             target_use: LEAST_USE,
             slots_per_op: 1.0,
             chance: seed.wrapping_mul(2).wrapping_add(0x9E37_79B9_7F4A_7C15),
@@ -258,6 +225,7 @@
                 executor.served += SMOOTH * (1.0 - executor.served);
                 executor.credit = (executor.credit + EARNED).min(MOST_CREDIT);
                 executor.trial = false;
+                self.domains[executor.domain] = (0, 0);
                 self.learn(x, op, ran, false);
                 op.closed = true;
             }
@@ -268,7 +236,7 @@
             }
             Outcome::Error | Outcome::NotConnected | Outcome::Reset => {
                 executor.served -= 2.0 * SMOOTH * executor.served;
-                self.set_aside(now, x, "failed");
+                self.set_aside(now, x, "failed", outcome != Outcome::Error);
             }
             Outcome::TimedOut => {
                 executor.credit = (executor.credit - 1.0).max(0.0);
@@ -513,7 +481,7 @@
         }
         let stale = now - (self.turnover() / 10.0) as Time;
         let mut best = self.candidates(now, op, true);
-        best.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.turn.total_cmp(&b.turn)));
+        best.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let before = self.probes.len();
         for Candidate { at, .. } in best.into_iter().take(self.probes_per_op) {
             if self.executors[at].heard.max(self.executors[at].probed) < stale {
@@ -558,31 +526,47 @@
         let found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let well_over = least + self.turnover() * WELL_OVER;
-        found.into_iter().filter(|c| c.cost <= well_over).min_by(|a, b| a.turn.total_cmp(&b.turn))
+        found.into_iter().find(|c| c.cost <= well_over)
     }
 
-    /// Where the op may go; `strict` leaves out those set aside, tried before or without credit.
+    /// Where the op may go, in billiard order; `strict` leaves out those set aside, tried before or without
+    /// credit.
     fn candidates(&self, now: Time, op: &Op, strict: bool) -> Vec<Candidate> {
         let category = &self.categories[op.category];
-        let delay = self.cross_delay(op);
         let mut found = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter().enumerate() {
             // A trial is no place for an op that must not run twice: if it fails, the op is lost.
             let risky = e.trial && (category.effect == Effect::AtMostOnce || e.out.iter().any(|s| *s > 0.0));
-            let tried = op.pushes.iter().any(|p| p.executor == at);
-            let broke = !op.pushes.is_empty() && e.credit < 1.0;
-            if (strict && (e.aside > now || risky || tried || broke)) || !self.fits(now, op, at) {
+            let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
+            let broke =
+                !op.pushes.is_empty() && (e.credit < 1.0 || op.pushes.iter().any(|p| p.executor == at));
+            if (strict && (aside || broke)) || !self.fits(now, op, at) {
                 continue;
             }
-            let wait = self.expected_wait(now, op, at);
+            let first = f64::from(u8::from(at == self.fastest));
+            let lagging = e.turn.max(self.front * e.share - 1.0);
+            let turn = if e.share > 0.0 { (first + lagging) / e.share } else { 1e9 + e.turn };
+            found.push(Candidate { at, wait: 0.0, cost: 0.0, turn });
+        }
+        found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
+        if self.terms.live_weights {
+            // All nodes hear the same news and would all choose the same: each looks at the first few only.
+            let few = FEW + found.len() / self.nodes;
+            let mut seen = vec![0; self.domains.len()];
+            found.retain(|c| {
+                let seen = &mut seen[self.executors[c.at].domain];
+                *seen += 1;
+                *seen <= few
+            });
+        }
+        let delay = self.cross_delay(op);
+        for c in &mut found {
+            let e = &self.executors[c.at];
+            c.wait = self.expected_wait(now, op, c.at);
             let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
-            let cost = wait + away + slow.max(0.0) * self.expected(op);
-            let first = f64::from(u8::from(at == self.fastest));
-            let lagging = e.turn.max(self.front * e.share - 1.0);
-            let turn = if e.share > 0.0 { (first + lagging) / e.share } else { f64::MAX };
-            found.push(Candidate { at, wait, cost, turn });
+            c.cost = c.wait + away + slow.max(0.0) * self.expected(op);
         }
         found
     }
@@ -604,8 +588,8 @@
             }
         }
         if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
-            // All nodes together must not push a cold executor over. Each earns its part of the budget as time
-            // passes; where that is but a fraction of an op, chance says which nodes may send one and when,
+            // All nodes together must not push a cold executor over. Each earns its part of the budget as
+            // time passes; where that is but a fraction of an op, chance says which nodes may send one and when,
             // or all would send their first at once. No op may be so heavy that a few of them break it.
             let (warm, work) = (self.warmth(now, e), self.work(op, at));
             let room = self.cold_budget * self.slots[e.kind];
@@ -732,7 +716,7 @@
             self.expected_wait(now, op, x)
         } else if self.terms.progress > 0 && now - noted >= 5 * self.terms.progress / 2 {
             // No progress told for so long: the executor stands still, however heavy the op is.
-            self.set_aside(now, x, "silent");
+            self.set_aside(now, x, "silent", false);
             f64::INFINITY
         } else {
             return Step::Hold;
@@ -741,9 +725,7 @@
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
         let better = if movable { self.pick(now, op, true) } else { None };
         let better = better.filter(|b| b.cost + look as f64 <= here);
-        // What waits and is sure to be late only holds up what comes behind it.
-        let late = self.categories[op.category].late <= 0.0 && !self.in_time(now, op, x, 0.0);
-        let Some(at) = better.map(|b| b.at).or((movable && late).then_some(x)) else {
+        let Some(Candidate { at, .. }) = better else {
             return Step::Hold;
         };
         if self.terms.second_copies {
@@ -778,8 +760,10 @@
         }
     }
 
-    /// Sets an executor aside for a fixed time and a random part, so that nodes don't return together.
-    fn set_aside(&mut self, now: Time, x: usize, why: &str) {
+    /// Sets an executor aside for a fixed time and a random part, so that nodes don't return together. A
+    /// second one out of reach in a domain that has not answered since speaks for the whole domain: at size
+    /// each of its executors would cost a push of an op that has but a few.
+    fn set_aside(&mut self, now: Time, x: usize, why: &str, out_of_reach: bool) {
         let until = now + ASIDE + (self.random() * ASIDE as f64) as Time;
         let e = &mut self.executors[x];
         e.credit = (e.credit - 1.0).max(0.0);
@@ -790,6 +774,12 @@
             self.log.push(format!("executor {x} set aside: {why}, served {served:.2}, pace {pace:.2}"));
             self.solved = None;
         }
+        let (lost, aside) = &mut self.domains[e.domain];
+        *lost += usize::from(out_of_reach);
+        if out_of_reach && *lost > 1 && *aside <= now {
+            *aside = until;
+            self.log.push(format!("domain {} set aside: {lost} pushes out of reach", e.domain));
+        }
     }
 
     /// Enters one line of the list.
@@ -797,6 +787,7 @@
         while self.slots.len() <= line.kind {
             self.slots.push(self.slots.iter().copied().fold(1.0, f64::max));
         }
+        self.domains.resize(self.domains.len().max(line.domain + 1), (0, 0));
         while self.executors.len() <= line.executor {
             let turn = self.random();
             self.executors.push(Executor {
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -122,6 +122,45 @@
     }
 }
 
+/// One push of an op.
+#[derive(Clone, Debug, Default)]
+pub struct Push {
+    pub executor: usize,
+    pub outcome: Option<Outcome>,
+    pub(crate) sent: Time,
+    pub(crate) started: Option<Time>,
+    pub(crate) noted: Time,
+    pub(crate) stopping: bool,
+    /// Wait expected when it was sent, not yet corrected.
+    pub(crate) guess: f64,
+}
+
+/// One op, from its arrival to the outcome of its last push.
+#[derive(Clone, Debug, Default)]
+pub struct Op {
+    pub pushes: Vec<Push>,
+    /// It has its final answer, or nobody waits for it any more.
+    pub closed: bool,
+    pub(crate) category: usize,
+    pub(crate) slots: f64,
+    pub(crate) base: f64,
+    pub(crate) came: Time,
+    pub(crate) deadline: Time,
+    /// When executors were probed for it.
+    pub(crate) asked: Option<Time>,
+}
+
+impl Op {
+    /// Pushes that are still out.
+    pub fn out(&self) -> bool {
+        self.pushes.iter().any(|p| p.outcome.is_none())
+    }
+    /// A push that may have run, or may still.
+    pub(crate) fn may_have_run(&self) -> Option<&Push> {
+        self.pushes.iter().find(|p| p.outcome.is_none_or(|o| !o.never_ran()))
+    }
+}
+
 /// One line of the list of executors, under the index given at the door.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1,6 +1,6 @@
 //! Tables of cases for the decisions.
 
-use stileroute::choice::{split, Dispatcher, Op};
+use stileroute::choice::{split, Dispatcher};
 use stileroute::tariff::*;
 
 const MS: Time = 10;
@@ -398,3 +398,43 @@
     assert!(first <= 3, "{first} at once");
     assert!((20..=400).contains(&all), "{all} while it warms up");
 }
+
+#[test]
+fn a_domain_out_of_reach_is_left_alone_as_a_whole() {
+    // At size each executor of a lost domain would cost a push of an op that has but a few.
+    for (outcome, wanted) in [(Outcome::NotConnected, 2), (Outcome::Error, 8)] {
+        let mut desk = desk(terms(), 5, 16);
+        let mut met = 0;
+        for n in 0..40 {
+            let mut op = desk.arrive(n * MS, ask(0));
+            let mut step = desk.place(n * MS, &mut op);
+            while let Step::Push { executor } = step {
+                let bad = executor % 2 == 0;
+                met += usize::from(bad);
+                let outcome = if bad { outcome } else { Outcome::Acked };
+                let last = op.pushes.len() - 1;
+                step = desk.settle(n * MS, &mut op, last, outcome, &[0.0, 4.0]);
+            }
+        }
+        assert_eq!(met, wanted, "{outcome:?}");
+    }
+}
+
+#[test]
+fn nodes_that_hear_the_same_do_not_all_choose_the_same() {
+    let mut counts = vec![0; 60];
+    for seed in 0..200 {
+        let many = Tariff { nodes: 200, ..tariff(Terms { live_weights: true, ..terms() }) };
+        let mut desk = Dispatcher::new(&many, seed);
+        let lines: Vec<Listed> = (0..60).map(|x| Listed { domain: 0, ..line(x) }).collect();
+        desk.list(0, true, &lines);
+        // All but one hold far more than they can run.
+        let busy = lines.iter().map(|l| Listed { weight: if l.executor == 7 { 1.0 } else { 0.1 }, ..*l });
+        desk.list(MS, false, &busy.collect::<Vec<_>>());
+        let mut op = desk.arrive(MS, Ask { deadline: 60 * SECOND, ..ask(0) });
+        if let Step::Push { executor } = desk.place(MS, &mut op) {
+            counts[executor] += 1;
+        }
+    }
+    assert!((10..70).contains(&counts[7]), "{counts:?} of 200 nodes to the one with room");
+}
