Probe as many more executors as an op takes slots

Cause: at grown Bern three probes seldom meet an executor with room for four slots; the category with wide ops was the worst served.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -483,7 +483,7 @@
         let mut best = self.candidates(now, op, true);
         best.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let before = self.probes.len();
-        for Candidate { at, .. } in best.into_iter().take(self.probes_per_op) {
+        for Candidate { at, .. } in best.into_iter().take(self.probes_per_op * op.slots as usize) {
             if self.executors[at].heard.max(self.executors[at].probed) < stale {
                 self.executors[at].probed = now;
                 self.probes.push(at);
