Let an executor's slowness take from an op's time left instead of adding to it

Change: where late answers earn nothing the aim goes by the op's own work, and the whole running time there counts.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -496,10 +496,13 @@
     /// turn out longer than they look; that matters less where a late answer earns.
     fn in_time(&self, now: Time, op: &Op, executor: usize, wait: f64) -> bool {
         let category = &self.categories[op.category];
-        let expected = self.expected(op) * self.executors[executor].pace.exp();
-        let in_time = op.came + category.target + (category.stretch * expected) as Time;
+        let (usual, here) = (self.expected(op), self.work(op, executor) / op.slots);
+        // An executor's slowness takes from the time left, unless a late answer earns too.
+        let strict = category.late <= 0.0;
+        let (aim, run) = if strict { (usual, here) } else { (here, here.min(category.target as f64)) };
+        let in_time = op.came + category.target + (category.stretch * aim) as Time;
         let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
-        now as f64 + unsure + expected.min(category.target as f64) <= in_time.min(op.deadline) as f64
+        now as f64 + unsure + run <= in_time.min(op.deadline) as f64
     }
 
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
