--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -213,8 +213,13 @@
             }
             "PROBE_RESULT" => {
                 let address = need(msg.executor.as_deref(), &msg.op, "executor")?;
-                if let Some(index) = self.indices.get(address) {
-                    self.dispatcher.report(now, *index, msg.gauge.as_deref().unwrap_or_default());
+                let status = msg.status.as_deref().unwrap_or_default();
+                match self.indices.get(address) {
+                    Some(index) if matches!(status, "T" | "C") => self.dispatcher.unanswered(now, *index),
+                    Some(index) => {
+                        self.dispatcher.report(now, *index, msg.gauge.as_deref().unwrap_or_default())
+                    }
+                    None => {}
                 }
             }
             "BELL" | "WHISPER" => {}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -105,10 +105,6 @@
     fn correction(&self) -> f64 {
         ((self.waited + 1.0) / (self.guessed + 1.0)).clamp(0.5, 4.0)
     }
-    fn waited(&mut self, guess: f64, wait: f64) {
-        self.guessed += SMOOTH * (guess - self.guessed);
-        self.waited += SMOOTH * (wait - self.waited);
-    }
 }
 
 /// The instance.
@@ -231,8 +227,8 @@
             }
             Outcome::Full => {
                 executor.served -= SMOOTH * executor.served;
-                let full = self.slots[executor.kind] * 2.0;
-                (executor.others, executor.heard) = (executor.others.max(full - executor.own()), now);
+                let full = self.slots[executor.kind] * 2.0 - executor.own();
+                (executor.others, executor.heard) = (executor.others.max(full), now);
             }
             Outcome::Error | Outcome::NotConnected | Outcome::Reset => {
                 executor.served -= 2.0 * SMOOTH * executor.served;
@@ -326,7 +322,9 @@
         if !start || p.started.replace(now).is_some() {
             return;
         }
-        self.learned[op.category].waited(p.guess, (now - p.sent) as f64);
+        let learned = &mut self.learned[op.category];
+        learned.guessed += SMOOTH * (p.guess - learned.guessed);
+        learned.waited += SMOOTH * ((now - p.sent) as f64 - learned.waited);
         let e = &mut self.executors[p.executor];
         e.running += op.slots;
         // It had room just now, so others can't hold the rest of its slots and a queue too.
@@ -361,6 +359,11 @@
         self.hear(now, executor, held, 1.0);
     }
 
+    /// A probe of an executor got no answer. Else each node would lose pushes there, of ops that have but few.
+    pub fn unanswered(&mut self, now: Time, executor: usize) {
+        self.set_aside(now, executor, "probe not answered", true);
+    }
+
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
     fn hear(&mut self, now: Time, executor: usize, held: f64, trust: f64) {
         let e = &mut self.executors[executor];
@@ -433,10 +436,8 @@
 
     /// The service rate: slots over the smoothed running time, less what is not served; none while aside.
     fn rate(&self, now: Time, e: &Executor) -> f64 {
-        if !e.active || e.aside > now {
-            return 0.0;
-        }
-        self.slots[e.kind] * self.warmth(now, e) * e.served / e.pace.exp()
+        let on = f64::from(u8::from(e.active && e.aside <= now));
+        on * self.slots[e.kind] * self.warmth(now, e) * e.served / e.pace.exp()
     }
 
     /// The share of its capacity that a newly started executor has at the least by now.
@@ -463,9 +464,8 @@
         self.turned_away += SMOOTH / 4.0 * (f64::from(u8::from(hopeless)) - self.turned_away);
         if (!self.overloaded && self.turned_away > 0.2) || (self.overloaded && self.turned_away < 0.05) {
             self.overloaded = !self.overloaded;
-            let (part, ms) = (self.turned_away, wait / 10.0);
-            let word = if self.overloaded { "begins" } else { "ends" };
-            self.log.push(format!("overload {word}: {part:.2} turned away, wait {ms:.0} ms"));
+            let (word, part) = (if self.overloaded { "begins" } else { "ends" }, self.turned_away);
+            self.log.push(format!("overload {word}: {part:.2} turned away, wait {:.0} ms", wait / 10.0));
         }
         if hopeless {
             return self.give_up(op, wait as Time);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -478,3 +478,16 @@
         assert_eq!(sent, wanted, "late answers earn {late}");
     }
 }
+
+#[test]
+fn an_executor_that_does_not_answer_its_probe_gets_no_op() {
+    // Two of one domain speak for the whole domain: executors 0, 2 and 4 are in the first, the rest not.
+    for (silent, left) in [(vec![], 6), (vec![1], 5), (vec![0, 2], 3)] {
+        let mut desk = desk(terms(), 5, 6);
+        silent.iter().for_each(|x| desk.unanswered(0, *x));
+        let mut met: Vec<usize> = (0..24).map(|n| serve(&mut desk, n * 40 * MS, 0, 100)).collect();
+        met.sort_unstable();
+        met.dedup();
+        assert!(met.len() == left && silent.iter().all(|x| !met.contains(x)), "{silent:?}: {met:?}");
+    }
+}
