Spread retries to the list service with the number of nodes

Cause: all nodes subscribe at once and retried within 1.25 s, so that the service of fixed capacity was swamped again.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -307,9 +307,10 @@
         self.solved = None;
     }
 
-    /// A call to the list service failed: the subscription is to be asked for anew, after a random wait.
+    /// A call to the list service failed: subscribe anew after a random wait, longer the more nodes there are.
     pub fn refused(&mut self, now: Time) {
-        self.observe_at = now + SECOND / 4 + (self.random() * SECOND as f64) as Time;
+        let spread = SECOND + SECOND * self.nodes as Time / 100;
+        self.observe_at = now + SECOND / 4 + (self.random() * spread as f64) as Time;
         self.log.push("list: call refused, will ask again".to_string());
     }
 
