Keep at-most-once ops off executors that stand empty in a busy fleet

Cause: executors that fail fast hold nothing and look free; at many nodes each lost at-most-once ops there to learn it.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,6 +28,7 @@
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
+const HOLLOW: f64 = 0.3; // of the fleet's usual load: an executor that holds less is in doubt
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
 const COVER: f64 = 0.5; // of the fleet each second: who can pay for so much probing probes on a timer
@@ -50,6 +51,7 @@
     credit: f64,
     aside: Time,
     trial: bool,
+    acked: Time,
     /// Own slots out there by category, and those of them that run.
     out: Vec<f64>,
     running: f64,
@@ -220,7 +222,7 @@
             Outcome::Acked => {
                 executor.served += SMOOTH * (1.0 - executor.served);
                 executor.credit = (executor.credit + EARNED).min(MOST_CREDIT);
-                executor.trial = false;
+                (executor.trial, executor.acked) = (false, now);
                 self.domains[executor.domain] = (0, 0);
                 self.learn(x, op, ran, false);
                 op.closed = true;
@@ -309,8 +311,8 @@
 
     /// A call to the list service failed: subscribe anew after a random wait, longer the more nodes there are.
     pub fn refused(&mut self, now: Time) {
-        let spread = SECOND + SECOND * self.nodes as Time / 100;
-        self.observe_at = now + SECOND / 4 + (self.random() * spread as f64) as Time;
+        let spread = (SECOND * (100 + self.nodes as Time) / 100) as f64;
+        self.observe_at = now + SECOND / 4 + (self.random() * spread) as Time;
         self.log.push("list: call refused, will ask again".to_string());
     }
 
@@ -368,11 +370,9 @@
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
     fn hear(&mut self, now: Time, executor: usize, held: f64, trust: f64) {
         let e = &mut self.executors[executor];
-        if e.usual < 0.0 {
-            e.usual = self.usual * self.slots[e.kind];
-        }
+        let usual = if e.usual < 0.0 { self.usual * self.slots[e.kind] } else { e.usual };
         (e.others, e.heard, e.trust) = ((held - e.own()).max(0.0), now, trust);
-        e.usual += 2.0 * SMOOTH * (e.others - e.usual);
+        e.usual = usual + 2.0 * SMOOTH * (e.others - usual);
         self.usual += SMOOTH / 4.0 * (e.others / self.slots[e.kind].max(1.0) - self.usual);
     }
 
@@ -422,8 +422,7 @@
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
-        let costs = vec![1.0; rates.len()];
-        let shares = split(&rates, &spreads, &costs, s2, self.target_use);
+        let shares = split(&rates, &spreads, &vec![1.0; rates.len()], s2, self.target_use);
         for (at, share) in shares.into_iter().enumerate() {
             let (front, chance) = (self.front, self.random());
             let e = &mut self.executors[at];
@@ -539,8 +538,13 @@
         let category = &self.categories[op.category];
         let mut found = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter().enumerate() {
-            // A trial is no place for an op that must not run twice: if it fails, the op is lost.
-            let risky = e.trial && (category.effect == Effect::AtMostOnce || e.out.iter().any(|s| *s > 0.0));
+            // A trial is no place for an op that must not run twice: if it fails, the op is lost. Nor is one
+            // that stands empty in a busy fleet and has not served lately: it may fail all that it gets.
+            let empty = e.others + e.own() < HOLLOW * self.usual * self.slots[e.kind];
+            let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
+            let doubtful = e.trial || (empty && old && now - e.acked > 5 * SECOND);
+            let risky =
+                if category.effect == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
             let broke =
                 !op.pushes.is_empty() && (e.credit < 1.0 || op.pushes.iter().any(|p| p.executor == at));
@@ -558,12 +562,12 @@
             let few = FEW + found.len() / self.nodes;
             let mut seen = vec![0; self.domains.len()];
             found.retain(|c| {
-                let seen = &mut seen[self.executors[c.at].domain];
-                *seen += 1;
-                *seen <= few
+                seen[self.executors[c.at].domain] += 1;
+                seen[self.executors[c.at].domain] <= few
             });
         }
         let (delay, turnover) = (self.cross_delay(op), self.turnover());
+        let blind = if op.asked.is_some() && op.pushes.is_empty() { turnover } else { 0.0 };
         for c in &mut found {
             let e = &self.executors[c.at];
             c.wait = self.expected_wait(now, op, c.at);
@@ -573,9 +577,7 @@
             // Not heard of when others were asked, it may be full: all c slots are held r^c of the time.
             let unheard = 1.0 - (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
             let held = (self.usual + e.own() / self.slots[e.kind]).min(1.0).powf(self.slots[e.kind]);
-            let blind =
-                if op.asked.is_some() && op.pushes.is_empty() { turnover * unheard * held } else { 0.0 };
-            c.cost = c.wait + away + blind + slow.max(0.0) * self.expected(op);
+            c.cost = c.wait + away + blind * unheard * held + slow.max(0.0) * self.expected(op);
         }
         found
     }
@@ -590,10 +592,9 @@
         if let (Effect::Deduplicated { scope, .. }, Some(p)) = (category.effect, op.may_have_run()) {
             // A repeat outside the group would take effect twice.
             let before = &self.executors[p.executor];
-            match scope {
-                Scope::Domain if before.domain != e.domain => return false,
-                Scope::Cell if before.cell != e.cell => return false,
-                _ => {}
+            let domain = scope == Scope::Domain && before.domain != e.domain;
+            if domain || (scope == Scope::Cell && before.cell != e.cell) {
+                return false;
             }
         }
         if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
@@ -655,9 +656,8 @@
 
     /// Mean time that an op holds its slots.
     fn turnover(&self) -> f64 {
-        let total: f64 = self.learned.iter().map(|l| l.rate * l.time()).sum();
-        let rate: f64 = self.learned.iter().map(|l| l.rate).sum();
-        (total / rate.max(1e-9)).max(1.0)
+        let sum: f64 = self.learned.iter().map(|l| l.rate * l.time()).sum();
+        (sum / self.learned.iter().map(|l| l.rate).sum::<f64>().max(1e-9)).max(1.0)
     }
 
     /// The price of crossing domains as a wait; doubled, for it also lands where this node hears least.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -491,3 +491,19 @@
         assert!(met.len() == left && silent.iter().all(|x| !met.contains(x)), "{silent:?}: {met:?}");
     }
 }
+
+#[test]
+fn an_empty_executor_in_a_busy_fleet_gets_no_at_most_once_op() {
+    // What fails all that it gets at once looks free: each node would lose ops there to learn it.
+    for (kind, started, wanted) in [(4, None, false), (0, None, true), (4, Some(1), true)] {
+        let mut desk = desk(terms(), 5, 2);
+        desk.list(0, true, &[Listed { started, ..line(0) }, line(1)]);
+        for n in 0..200 {
+            desk.report(11 * SECOND + n * MS, 1, &[0.0, 1.0]);
+        }
+        let now = 14 * SECOND;
+        desk.report(now, 0, &[0.0, 4.0]);
+        let mut op = desk.arrive(now, Ask { deadline: now + 30 * SECOND, ..ask(kind) });
+        assert_eq!(pushed(desk.place(now, &mut op)) == 0, wanted, "category {kind}, started {started:?}");
+    }
+}
