Doubt only executors that stand empty where much is usually held

Change: in doubt only when it holds nothing and at least 1.5 slots are usually held, so that standing empty by chance is rare.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -28,7 +28,7 @@
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
-const HOLLOW: f64 = 0.3; // of the fleet's usual load: an executor that holds less is in doubt
+const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
 const COVER: f64 = 0.5; // of the fleet each second: who can pay for so much probing probes on a timer
@@ -540,7 +540,7 @@
         for (at, e) in self.executors.iter().enumerate() {
             // A trial is no place for an op that must not run twice: if it fails, the op is lost. Nor is one
             // that stands empty in a busy fleet and has not served lately: it may fail all that it gets.
-            let empty = e.others + e.own() < HOLLOW * self.usual * self.slots[e.kind];
+            let empty = e.others + e.own() < 0.5 && self.usual * self.slots[e.kind] > HOLLOW;
             let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
             let doubtful = e.trial || (empty && old && now - e.acked > 5 * SECOND);
             let risky =
