--- a/src/choice.rs
+++ b/src/choice.rs
@@ -309,7 +309,7 @@
         self.solved = None;
     }
 
-    /// A call to the list service failed: subscribe anew after a random wait, longer the more nodes there are.
+    /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes.
     pub fn refused(&mut self, now: Time) {
         let spread = (SECOND * (100 + self.nodes as Time) / 100) as f64;
         self.observe_at = now + SECOND / 4 + (self.random() * spread) as Time;
@@ -362,7 +362,7 @@
         self.hear(now, executor, held, 1.0);
     }
 
-    /// A probe of an executor got no answer. Else each node would lose pushes there, of ops that have but few.
+    /// A probe of an executor got no answer: don't lose pushes there, of which an op has but few.
     pub fn unanswered(&mut self, now: Time, executor: usize) {
         self.set_aside(now, executor, "probe not answered", true);
     }
@@ -574,9 +574,9 @@
             let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
-            // Not heard of when others were asked, it may be full: all c slots are held r^c of the time.
+            // Not heard of when others were asked, it may be full: all its c slots are held r^c of the time.
             let unheard = 1.0 - (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
-            let held = (self.usual + e.own() / self.slots[e.kind]).min(1.0).powf(self.slots[e.kind]);
+            let held = ((e.usual.max(0.0) + e.own()) / self.slots[e.kind]).min(1.0).powf(self.slots[e.kind]);
             c.cost = c.wait + away + blind * unheard * held + slow.max(0.0) * self.expected(op);
         }
         found
@@ -599,7 +599,7 @@
         }
         if e.started.is_some_and(|at| now < at + self.terms.warm_within) {
             // All nodes together must not push a cold executor over. Each earns its part of the budget as
-            // time passes; where that is but a fraction of an op, chance says which nodes may send one and when,
+            // time passes; where that is a fraction of an op, chance says which nodes may send one and when,
             // or all would send their first at once. No op may be so heavy that a few of them break it.
             let (warm, work) = (self.warmth(now, e), self.work(op, at));
             let room = self.cold_budget * self.slots[e.kind];
