--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -507,3 +507,21 @@
         assert_eq!(pushed(desk.place(now, &mut op)) == 0, wanted, "category {kind}, started {started:?}");
     }
 }
+
+#[test]
+fn an_executor_back_from_a_restart_counts_as_empty_though_unheard_of() {
+    // Doubted by the fleet's load, the restarted ones of a release stay empty while the others queue.
+    let asks = Tariff { probes: true, price_probe: 0.002, ..tariff(terms()) };
+    let mut desk = Dispatcher::new(&asks, 5);
+    let lines: Vec<Listed> = (0..8).map(|x| Listed { domain: 0, ..line(x) }).collect();
+    desk.list(0, true, &lines);
+    for n in 1..400 {
+        desk.report(n * MS, (n % 8) as usize, &[0.0, if n < 100 { 4.0 } else { 0.0 }]);
+    }
+    desk.list(SECOND, false, &[Listed { started: Some(1), ..lines[3] }]);
+    let now = 30 * SECOND;
+    (0..8).filter(|x| *x != 3).for_each(|x| desk.report(now, x, &[1.0, 0.0]));
+    let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(0) });
+    assert_eq!(desk.place(now, &mut op), Step::Hold);
+    assert_eq!(pushed(desk.place(now + 4 * MS, &mut op)), 3);
+}
