Walk the fleet for probes only where probes go on a timer

Found on re-reading: every upkeep and every op counted and walked all executors, also where reports come with answers and no timer can act.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -383,20 +383,20 @@
             // Asked again if nothing at all is heard: a lost call must not leave the list to age.
             self.observe_at = now + 5 * SECOND;
         }
-        let timer = self.probes_on_timer();
-        let due = |e: &Executor| timer && e.active && now - e.heard.max(e.probed) >= SECOND;
-        for (at, e) in self.executors.iter_mut().enumerate().filter(|(_, e)| due(e)) {
+        let whole = if self.probes_on_timer() { self.executors.len() } else { 0 };
+        let due = |e: &Executor| e.active && now - e.heard.max(e.probed) >= SECOND;
+        for (at, e) in self.executors.iter_mut().enumerate().take(whole).filter(|(_, e)| due(e)) {
             e.probed = now;
             self.probes.push(at);
         }
         observe
     }
 
-    /// Own ops pay for hearing of every executor each second. Otherwise a timer would cost executors more
-    /// the more nodes there are, and each op has the few probed that it may go to.
+    /// Own ops pay for hearing of all each second; else a timer would cost more the more nodes there are.
     fn probes_on_timer(&self) -> bool {
-        let needed = COVER * self.executors.iter().filter(|e| e.active).count() as f64 * self.arrival_gap;
-        self.only_probes && needed > 0.0 && (self.probes_per_op * SECOND as usize) as f64 >= needed
+        let active = if self.only_probes { self.executors.iter().filter(|e| e.active).count() } else { 0 };
+        let needed = COVER * active as f64 * self.arrival_gap;
+        needed > 0.0 && (self.probes_per_op * SECOND as usize) as f64 >= needed
     }
 
     // ---- Shares and order: the design ----
