SIGHUP reads the configuration again and turns to the discovery that it names

The log stops in mid-sentence with no `end asked for`. Ruled out: memory (3 of 48 MB), descriptors (52 of 384), a panic (no line of one). At fault: life/signals.rs took SIGTERM and SIGINT only, so SIGHUP kept its default, and drive/directory.rs held one address for life.

Now the file is read whole again, its `discovery` before the environment's; the old watch is shut down from outside, the new address is asked for the whole list at once, and its first list counts whatever its version is. A faulty file leaves all as it was. Checked: four turns under load with versions going down, each within a second, and a faulty file; the test fails without the change (the node ends).

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -52,7 +52,11 @@
         number: u64,
         keep: bool,
     },
-    List(List),
+    /// A list, or changes of it; `anew` if it is the first from its address.
+    List {
+        list: List,
+        anew: bool,
+    },
     ListSilent,
     End,
 }
@@ -192,7 +196,13 @@
                     self.lines.leave(executor, "unlisted");
                 }
             }
-            Event::List(list) => self.list(now, &list),
+            Event::List { list, anew } => {
+                if anew {
+                    // Whatever its version is: those of another address can't be compared with it.
+                    self.version = -1;
+                }
+                self.list(now, &list);
+            }
             Event::ListSilent => self.dispatcher.refused(now),
             Event::End => self.end(now),
         }
--- a/node/src/drive/directory.rs
+++ b/node/src/drive/directory.rs
@@ -5,19 +5,71 @@
 use crate::say;
 use crate::wire::targets::{self, List};
 use crossbeam_channel::{Receiver, Sender};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// How long a watch waits for news, and how much longer an answer may take before discovery counts as silent.
 const WAIT_MS: u64 = 4000;
 const LATE: Duration = Duration::from_millis(1500);
 
+/// Where discovery is, and the connection that is held to it. A new configuration may name another place.
+pub struct Post {
+    state: Mutex<(SocketAddr, Option<Arc<TcpStream>>)>,
+    ask: Sender<()>,
+}
+
+impl Post {
+    pub fn new(at: SocketAddr, ask: Sender<()>) -> Arc<Post> {
+        Arc::new(Post { state: Mutex::new((at, None)), ask })
+    }
+
+    fn state(&self) -> MutexGuard<'_, (SocketAddr, Option<Arc<TcpStream>>)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn at(&self) -> SocketAddr {
+        self.state().0
+    }
+
+    /// Leaves the old address at once, wherever the thread is waiting: what is told there is no longer heeded,
+    /// and what the new one has told must not wait for the old watch to run out.
+    pub fn turn(&self, to: SocketAddr) {
+        let mut state = self.state();
+        if state.0 != to {
+            state.0 = to;
+            if let Some(stream) = state.1.take() {
+                let _ = stream.shutdown(Shutdown::Both);
+            }
+            // After the address: a thread that rests between two watches wakes and finds the new one.
+            let _ = self.ask.try_send(());
+        }
+    }
+
+    /// Enters the connection; false if its address was left meanwhile.
+    fn enter(&self, at: SocketAddr, stream: &Arc<TcpStream>) -> bool {
+        let mut state = self.state();
+        state.1 = Some(stream.clone());
+        state.0 == at
+    }
+}
+
 /// Serves until the desk is gone. `ask` comes from the desk, which also decides when to ask again.
-pub fn run(at: SocketAddr, ask: Receiver<()>, desk: Sender<Event>) {
+pub fn run(post: &Post, ask: Receiver<()>, desk: Sender<Event>) {
+    let mut from = None;
     while ask.recv().is_ok() {
-        let code = follow(at, &desk);
-        say!("discovery {at}: connection ended: {code}");
-        while ask.try_recv().is_ok() {}
+        loop {
+            let at = post.at();
+            let code = follow(at, post, &mut from, &desk);
+            post.state().1 = None;
+            // Before the address is looked at: a call that is dropped here must not be that of a new one.
+            while ask.try_recv().is_ok() {}
+            let moved = post.at() != at;
+            say!("discovery {at}: connection ended: {}", if moved { "moved" } else { code });
+            if !moved {
+                break;
+            }
+        }
         if desk.send(Event::ListSilent).is_err() {
             return;
         }
@@ -25,28 +77,38 @@
 }
 
 /// The whole list, then watch after watch. Gives the reason why it ended.
-fn follow(at: SocketAddr, desk: &Sender<Event>) -> &'static str {
+fn follow(at: SocketAddr, post: &Post, from: &mut Option<SocketAddr>, desk: &Sender<Event>) -> &'static str {
     let host = at.to_string();
     let (mut held, mut newer) = (None, None);
     loop {
         let stream = match held.take() {
             Some(stream) => stream,
-            None => TcpStream::connect_timeout(&at, LATE),
+            None => match TcpStream::connect_timeout(&at, LATE) {
+                Ok(stream) => Arc::new(stream),
+                Err(_) => return "unreached",
+            },
         };
-        let Ok(stream) = stream else { return "unreached" };
+        if !post.enter(at, &stream) {
+            return "moved";
+        }
         let _ = stream.set_nodelay(true);
         let wait = newer.map_or(0, |_| WAIT_MS);
         let text = targets::ask(&host, newer.map(|than| (than, wait)));
         let list = match ask_for(&stream, &text, Duration::from_millis(wait) + LATE) {
             Ok((list, close)) => {
                 // Discovery may close a connection after an answer; the watch goes on on a new one.
-                held = (!close).then_some(Ok(stream));
+                held = (!close).then_some(stream);
                 list
             }
             Err(code) => return code,
         };
+        if post.at() != at {
+            return "moved";
+        }
         newer = Some(newer.map_or(list.index, |before: i64| before.max(list.index)));
-        if desk.send(Event::List(list)).is_err() {
+        // Another place counts its versions in its own way.
+        let anew = from.replace(at) != Some(at);
+        if desk.send(Event::List { list, anew }).is_err() {
             return "stopped";
         }
     }
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -70,25 +70,32 @@
 
 /// Reads the environment and the file that it names. What is wrong is told in one line with its key.
 pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+    check(&load(&var)?, var, false)
+}
+
+/// Reads the file again while the node runs, whole: a file with a fault anywhere is not taken.
+pub fn again(var: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+    check(&load(&var)?, var, true)
+}
+
+fn load(var: impl Fn(&str) -> Option<String>) -> Result<String, String> {
     let path = var("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    let text = std::fs::read_to_string(&path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))?;
-    check(&text, var)
+    std::fs::read_to_string(&path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))
 }
 
-pub fn check(text: &str, var: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+/// `again`: the file is newer than the environment, so its address of discovery goes first.
+pub fn check(text: &str, var: impl Fn(&str) -> Option<String>, again: bool) -> Result<Start, String> {
     let mut json = serde_json::Deserializer::from_str(text);
     let file: File = serde_path_to_error::deserialize(&mut json)
         .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
-    let address = |env: &str, key: &str, value: Option<String>| {
-        let (key, value) = match (var(env), value) {
-            (Some(value), _) => (env, value),
-            (None, Some(value)) => (key, value),
-            (None, None) => return Err(format!("{key}: missing, and {env} is not set")),
-        };
+    let address = |env: &'static str, key: &'static str, value: Option<String>, file_first: bool| {
+        let (outer, inner) = (var(env).map(|value| (env, value)), value.map(|value| (key, value)));
+        let found = if file_first { inner.or(outer) } else { outer.or(inner) };
+        let (key, value) = found.ok_or_else(|| format!("{key}: missing, and {env} is not set"))?;
         value.parse::<SocketAddr>().map_err(|_| format!("{key}: not an address with a port: {value}"))
     };
-    let listen = address("BALANCER_LISTEN", "listen", file.listen)?;
-    let discovery = address("BALANCER_DISCOVERY", "discovery", file.discovery)?;
+    let listen = address("BALANCER_LISTEN", "listen", file.listen, false)?;
+    let discovery = address("BALANCER_DISCOVERY", "discovery", file.discovery, again)?;
     let seed = match &file.seed {
         Some(text) => u64::from_str_radix(text, 16).map_err(|_| format!("seed: not hex digits: {text}"))?,
         None => std::time::SystemTime::now()
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,6 +11,7 @@
 use crossbeam_channel::bounded;
 use desk::{Desk, Event};
 use drive::clients::Clients;
+use drive::directory::Post;
 use drive::executors::Executors;
 use life::{listener, signals, spawn, start};
 use std::sync::atomic::{AtomicBool, AtomicU64};
@@ -43,12 +44,13 @@
         steer: AtomicBool::new(false),
         numbers: AtomicU64::new(1),
     });
-    signals::watch(tell.clone())?;
+    let post = Post::new(start.discovery, ask.clone());
+    signals::watch(tell.clone(), post.clone())?;
     let listener = listener::open(start.listen)?;
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
-    let (discovery, news) = (start.discovery, tell);
-    spawn("discovery", move || drive::directory::run(discovery, asked, news)).map_err(thread)?;
+    let news = tell;
+    spawn("discovery", move || drive::directory::run(&post, asked, news)).map_err(thread)?;
     let mut desk = Desk::new(&start, executors, clients.clone(), ask);
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -316,7 +316,7 @@
 fn the_configuration_is_checked_and_its_faults_named() {
     let read = |text: &str| {
         let listen = |name: &str| (name == "BALANCER_LISTEN").then(|| "127.0.0.1:0".to_string());
-        start::check(text, listen)
+        start::check(text, listen, false)
     };
     let good = format!(r#"{{"discovery":"127.0.0.1:1","seed":"ff","settings":{SETTINGS}}}"#);
     let start = read(&good).unwrap_or_else(|error| panic!("{error}"));
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -229,6 +230,8 @@
 /// The node, ended with the test.
 struct Node {
     child: Child,
+    config: PathBuf,
+    discovery: SocketAddr,
     at: SocketAddr,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -237,6 +240,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.config);
     }
 }
 
@@ -264,17 +268,30 @@
         std::fs::write(&path, text).unwrap();
         let mut child = Command::new(env!("CARGO_BIN_EXE_stileroute"))
             .env("BALANCER_CONFIG", &path)
+            .env("BALANCER_DISCOVERY", discovery.to_string())
             .stderr(Stdio::piped())
             .spawn()
             .unwrap();
         let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
         let first = lines.next().unwrap();
         let at = first.strip_prefix("n serves at ").unwrap().split_once(": ").unwrap().0.parse().unwrap();
-        let _ = std::fs::remove_file(&path);
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         spawn(move || lines.for_each(|line| kept.lock().unwrap().push(line)));
-        Node { child, at, log }
+        Node { child, config: path, discovery, at, log }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    /// Replaces a part of its configuration, and has it read again.
+    fn reload(&self, from: &str, to: &str) {
+        let text = std::fs::read_to_string(&self.config).unwrap();
+        assert!(text.contains(from), "{from}");
+        std::fs::write(&self.config, text.replacen(from, to, 1)).unwrap();
+        self.signal("HUP");
     }
 
     fn logged(&self, word: &str) -> bool {
@@ -588,8 +605,7 @@
     let (mut waiting, mut idle) = (node.client(), node.client());
     waiting.write_all(request("once", 9000).as_bytes()).unwrap();
     until("the push", || fleet.count() == 1);
-    let pid = node.child.id();
-    assert!(Command::new("sh").args(["-c", &format!("kill -TERM {pid}")]).status().unwrap().success());
+    node.signal("TERM");
     until("the signal is seen", || node.logged("end asked for"));
     let (status, head, _) = node.ask("once", 9000);
     assert!(status == 200 && head.contains("Connection: close"), "{head}");
@@ -601,6 +617,34 @@
     assert_eq!(node.child.wait().unwrap().code(), Some(0));
 }
 
+#[test]
+fn told_to_read_its_configuration_again_it_follows_the_new_discovery() {
+    let (node, fleet, _, addresses) = bench(2, |_| DONE);
+    let (mut at, mut client) = (node.discovery, node.client());
+    for round in 0..4 {
+        // Each new place names one executor alone, at a version below what is known.
+        let left = round % 2;
+        let (discovery, to) = Discovery::start(entry(left, &addresses[left], "Ready"));
+        discovery.tell(3 - round as i64 % 2, true, entry(left, &addresses[left], "Ready"));
+        node.reload(&at.to_string(), &to.to_string());
+        at = to;
+        let start = Instant::now();
+        until("the new list is used", || {
+            let before = fleet.count();
+            assert_eq!(ask(&mut client, "safe", 9000).0, 200);
+            fleet.pushes.lock().unwrap()[before..].iter().all(|push| push.executor == left)
+                && node.logged(&format!("discovery {at}, before"))
+                && discovery.calls() > 1
+        });
+        assert!(start.elapsed() < ms(1000), "the old watch was held for {:?}", start.elapsed());
+    }
+    assert!(node.logged("ended: moved"));
+    // A faulty file is named by its key, and what was known goes on.
+    node.reload("\"granularity-ns\":4000000", "\"granularity-ns\":\"x\"");
+    until("the fault is told", || node.logged("configuration not taken: settings.granularity-ns: "));
+    assert_eq!(ask(&mut client, "safe", 9000).0, 200);
+}
+
 #[test]
 fn a_bad_configuration_ends_it_with_one_line() {
     for config in [None, Some("/nonexistent/config.json")] {
