After SIGTERM connected clients are served for 1.5 s, then steered off

The restarts overlap: the second node is told to end while the first one is still down, and closed its idle connections 0.5 s later and turned away all that came after 0.65 s (STEER_AFTER, LATE in desk.rs), so for more than a second nobody served. Ruled out: seats (119 connections in all), the restart itself (ready 0.02 s after its start), requests lost at the end (none).

Now /-/ready says no at once, so that no new clients are sent here; who is connected is served as ever for 1.5 s and steered off after that. An op's deadline ends with the grace, and whether that is still enough is the module's to judge.

--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -92,10 +92,12 @@
     by: Time,
 }
 
-/// After the signal, idle clients are kept so long: the front may still send new connections here. What
-/// comes later than `LATE` would be counted as lost if it could not be finished, so it is turned away.
-const STEER_AFTER: Time = SECOND / 2;
-const LATE: Time = SECOND * 65 / 100;
+/// After the signal, clients that are connected are served as ever for so long: where the node that would take
+/// them is being restarted too, a connection closed early leaves them with nobody. The front sends no new ones
+/// before long, for the node is no longer ready. Then they are steered off, and what is in hand is finished.
+const STEER_AFTER: Time = SECOND * 3 / 2;
+/// From then on a request may cross the end of its connection; its client needs a moment to see that.
+const LEAVE_AFTER: Time = STEER_AFTER + SECOND / 4;
 /// What is left of the grace for answers to be written.
 const LAST_WRITES: Time = SECOND / 4;
 
@@ -219,12 +221,7 @@
     ) {
         let mut deadline = self.clock.at(came) + asked.budget;
         if let Some(ending) = &self.ending {
-            if now >= ending.since + LATE {
-                let until = self.clock.instant(deadline);
-                let body = Body::Text("the node is about to end\n".to_string());
-                let _ = reply.try_send(Reply { status: 503, body, come_back: 0, until });
-                return;
-            }
+            // Whether that is still enough for it is the module's to judge.
             deadline = deadline.min(ending.by);
         }
         let Asked { category, slots, memory, hint, .. } = *asked;
@@ -390,7 +387,7 @@
             }
         }
         self.dispatcher.list(now, list.whole, &lines);
-        if self.addresses.iter().any(|executor| executor.1) {
+        if self.ending.is_none() && self.addresses.iter().any(|executor| executor.1) {
             self.clients.ready.store(true, Ordering::Relaxed);
         }
     }
@@ -413,6 +410,7 @@
                 let _ = self.ask.try_send(());
             }
             if self.ending.as_ref().is_some_and(|ending| now >= ending.since + STEER_AFTER) {
+                self.clients.steer.store(true, Ordering::Relaxed);
                 self.clients.seats.end_idle("steered");
             }
         }
@@ -434,7 +432,7 @@
         let tickets = self.ops.tickets();
         say!("end asked for: {} ops in hand", tickets.len());
         self.ending = Some(Ending { since: now, by });
-        self.clients.steer.store(true, Ordering::Relaxed);
+        self.clients.ready.store(false, Ordering::Relaxed);
         for ticket in tickets {
             let Some(mut held) = self.ops.take(ticket) else { continue };
             held.op.end_by(by);
@@ -447,6 +445,6 @@
         let Some(ending) = &self.ending else { return false };
         let now = self.clock.now();
         let quiet = self.ops.is_empty() && self.clients.seats.quiet();
-        now >= ending.since + SECOND && (quiet || now >= ending.by + LAST_WRITES / 2)
+        now >= ending.since + LEAVE_AFTER && (quiet || now >= ending.by + LAST_WRITES / 2)
     }
 }
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -220,7 +220,7 @@
         if path == names::READY || path == names::HEALTHY {
             // Who asks this needs no seat for longer.
             seat.set_last();
-            let ready = self.ready.load(Ordering::Relaxed) && !self.steer.load(Ordering::Relaxed);
+            let ready = self.ready.load(Ordering::Relaxed);
             return Err(match path == names::HEALTHY || ready {
                 true => own(200, "in service"),
                 false => own(503, "not ready"),
