--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -253,8 +253,9 @@
             How::Unconnected if given_up.is_some() => (Outcome::Moot, None),
             How::Unconnected => (Outcome::NotConnected, None),
             How::Lost => (given_up.unwrap_or(Outcome::Reset), None),
+            How::Broken => (given_up.unwrap_or(Outcome::Broken), None),
         };
-        if outcome == Outcome::NotConnected {
+        if matches!(outcome, Outcome::NotConnected | Outcome::Broken) {
             // What is idle there may be as dead, and silent: a push on it could not be told from one that ran.
             self.lines.leave(held.op.pushes[push].executor, "suspect");
         }
@@ -321,15 +322,26 @@
     fn push(&mut self, ticket: u64, push: usize, executor: usize, held: &Held) -> Option<Arc<Link>> {
         let leave_by = self.clock.instant(held.op.leave_by(self.effects[held.op.category]));
         let work = Work::Push { ticket, push, request: held.request.clone() };
-        self.give(executor, work, self.clock.instant(held.op.deadline), leave_by)
+        // A connection that ended while it was idle, or leads to a machine that has vanished, swallows what is
+        // written to it, and nothing tells whether that ran. An op that may be pushed only once goes on a new
+        // one, which takes some round trips and shows that someone is there; where it fails, the op never ran.
+        let anew = self.effects[held.op.category] == Effect::AtMostOnce;
+        self.give(executor, work, anew, self.clock.instant(held.op.deadline), leave_by)
     }
 
     /// Gives a task to an idle connection, or to a new one.
-    fn give(&mut self, executor: usize, work: Work, until: Instant, leave_by: Instant) -> Option<Arc<Link>> {
+    fn give(
+        &mut self,
+        executor: usize,
+        work: Work,
+        anew: bool,
+        until: Instant,
+        leave_by: Instant,
+    ) -> Option<Arc<Link>> {
         let now = Instant::now();
         let to = self.addresses.get(executor)?.0?;
         let task = Task { work, to, until, leave_by };
-        if let Some(line) = self.lines.reuse(executor, now) {
+        if let Some(line) = if anew { None } else { self.lines.reuse(executor, now) } {
             let link = line.link.clone();
             link.renew();
             let sent = line.tasks.try_send(task).is_ok();
@@ -416,7 +428,7 @@
         }
         for executor in std::mem::take(&mut self.dispatcher.probes) {
             let until = Instant::now() + 2 * self.executors.dial;
-            self.give(executor, Work::Probe { executor }, until, until);
+            self.give(executor, Work::Probe { executor }, false, until, until);
         }
         for line in self.dispatcher.log.drain(..) {
             say!("{line}");
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -39,6 +39,9 @@
     Untried,
     /// All was written, and the connection ended without the last line: it may have run.
     Lost,
+    /// The same, on a connection used before and without a word of answer: it may have run, but the connection is
+    /// more likely to have ended while it was idle than the executor to have failed.
+    Broken,
 }
 
 /// What the desk holds of a connection, to end it from outside.
@@ -117,7 +120,7 @@
     let mut to = String::new();
     while let Ok(task) = tasks.recv() {
         to = task.to.to_string();
-        let mut carried = Carried { number, task: &task, link, shared, code: "closed", told: false };
+        let mut carried = Carried { number, task: &task, link, shared, code: "closed", told: false, used: false };
         let keep = match &task.work {
             Work::Push { request, .. } => carried.push(request, &mut stream),
             Work::Probe { executor } => carried.probe(*executor, &mut stream),
@@ -145,6 +148,8 @@
     /// Why the connection ends, if it does.
     code: &'static str,
     told: bool,
+    /// The connection has carried something before.
+    used: bool,
 }
 
 impl Carried<'_> {
@@ -210,7 +215,10 @@
             *held = None;
         }
         let stream = match held.take() {
-            Some(stream) => stream,
+            Some(stream) => {
+                self.used = true;
+                stream
+            }
             None => Arc::new(self.connect()?),
         };
         if !self.link.enter(&stream) || Instant::now() >= self.task.leave_by {
@@ -253,7 +261,7 @@
     ) -> bool {
         let (task, shared) = (self.task, self.shared);
         let Work::Push { ticket, push, .. } = task.work else { return false };
-        let (mut chunk, mut ended) = ([0; super::CHUNK], None);
+        let (mut chunk, mut ended, mut silent) = ([0; super::CHUNK], None, true);
         let mut input = &*stream;
         loop {
             let mut tell = |heard| {
@@ -270,7 +278,10 @@
             }
             match &read {
                 Ok(0) | Err(_) => answer.end(&mut tell),
-                Ok(bytes) => answer.feed(&chunk[..*bytes], &mut tell),
+                Ok(bytes) => {
+                    silent = false;
+                    answer.feed(&chunk[..*bytes], &mut tell);
+                }
             }
             if let Some((told, load)) = ended.take() {
                 let how = match told {
@@ -298,10 +309,12 @@
                 read => {
                     self.code = match (self.link.off(), read) {
                         (true, _) => "called-off",
+                        _ if self.used && silent => "broken",
                         (false, Ok(_)) => "ended",
                         (false, Err(_)) => "reset",
                     };
-                    return self.end(Some(stream), How::Lost);
+                    let how = if self.code == "broken" { How::Broken } else { How::Lost };
+                    return self.end(Some(stream), how);
                 }
             }
         }
--- a/node/src/store/lines.rs
+++ b/node/src/store/lines.rs
@@ -23,6 +23,9 @@
     next: u64,
 }
 
+/// Most idle connections to one executor: it holds only so many, and few pushes leave at once.
+const IDLE: usize = 8;
+
 impl Lines {
     pub fn new(most: usize, keep: Duration) -> Lines {
         Lines { idle: HashMap::new(), out: HashMap::new(), most, keep, next: 0 }
@@ -63,7 +66,11 @@
     pub fn back(&mut self, number: u64, keep: bool, now: Instant) -> Option<usize> {
         let line = self.out.remove(&number).filter(|_| keep)?;
         let executor = line.executor;
-        self.idle.entry(executor).or_default().push((now, line));
+        let idle = self.idle.entry(executor).or_default();
+        idle.push((now, line));
+        if idle.len() > IDLE {
+            end(idle.remove(0).1, "surplus");
+        }
         Some(executor)
     }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -242,7 +242,7 @@
                 executor.credit = (executor.credit - 1.0).max(0.0);
                 self.learn(x, op, ran, true);
             }
-            Outcome::Cancelled | Outcome::Moot => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Broken => {}
         }
         self.place(now, op)
     }
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -113,6 +113,8 @@
     Reset,
     Cancelled,
     Moot,
+    /// The connection ended under it, as one does that was idle: it may have run, and blames no one.
+    Broken,
     /// Refused for what the op itself is: final, for every executor would refuse it.
     Unfit,
 }
