--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -377,7 +377,8 @@
                 names::MEMORY => (&mut asked.memory, 0.0),
                 _ => continue,
             };
-            let value = value.trim().parse::<f64>().ok().filter(|v| (least..1e4).contains(v));
+            let plain = value.trim().bytes().all(|b| b.is_ascii_digit() || b == b'.');
+            let value = value.trim().parse::<f64>().ok().filter(|v| plain && (least..1e4).contains(v));
             *to = value.ok_or_else(|| wrong(format!("{}: {name}: not a usable number", names::FIGURES)))?;
         }
         Ok(asked)
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -507,6 +507,7 @@
         ("Idempotency-Key: ", "X-Other: ", 400, "Idempotency-Key"),
         ("X-Call-Cost: ", "X-Call-Cost: x", 400, "X-Call-Cost"),
         ("slots=1", "slots=none", 400, "X-Call-Info"),
+        ("slots=1", "slots=+1e1", 400, "X-Call-Info"),
         ("POST ", "PUT ", 405, "PUT"),
         ("POST ", "POST POST ", 400, "malformed"),
         ("Content-Length: 9", "Content-Length: 70000", 413, "64 KiB"),
