--- a/src/choice.rs
+++ b/src/choice.rs
@@ -207,9 +207,7 @@
         self.report(now, x, values);
         let executor = &mut self.executors[x];
         executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
-        if started.is_some() {
-            executor.running = (executor.running - op.slots).max(0.0);
-        }
+        executor.running -= if started.is_some() { op.slots.min(executor.running) } else { 0.0 };
         match outcome {
             Outcome::Acked => {
                 executor.served += SMOOTH * (1.0 - executor.served);
@@ -299,9 +297,7 @@
             self.executors.iter_mut().for_each(|e| e.active = false);
         }
         let paces = self.kind_paces();
-        for line in lines {
-            self.enter(now, line, &paces);
-        }
+        lines.iter().for_each(|line| self.enter(now, line, &paces));
         self.solved = None;
     }
 
@@ -520,10 +516,18 @@
 
     /// The next in billiard order, least (X + Y) / P, of those where the op would not wait well longer.
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
-        let found = self.candidates(now, op, strict);
+        let mut found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let well_over = least + self.turnover() * WELL_OVER;
-        found.into_iter().find(|c| c.cost <= well_over)
+        let first = found.iter().position(|c| c.cost <= well_over)?;
+        // Before it is turned away an op may cross, if that costs less than it is worth; only while nodes are
+        // so few that each knows of the other domains from its own traffic.
+        let few = self.nodes <= self.executors.len() && self.terms.cross > 0.0 && !self.overloaded;
+        let late = |c: &Candidate| !self.in_time(now, op, c.at, c.wait);
+        let far = |c: &Candidate| self.executors[c.at].domain != self.terms.domain;
+        let pays = few && self.terms.cross < self.worth(op) && late(&found[first]);
+        let other = if pays { found.iter().position(|c| far(c) && !late(c)) } else { None };
+        Some(found.swap_remove(other.unwrap_or(first)))
     }
 
     /// Where the op may go, in billiard order; `strict` leaves out those set aside, tried before or without
@@ -818,9 +822,7 @@
             (e.others, e.usual, e.running, e.served) = (0.0, -1.0, 0.0, 1.0);
             (e.trial, e.aside, e.known, e.spent, e.luck) = (false, now, now, 0.0, luck);
         }
-        if e.samples == 0.0 {
-            e.pace = paces.get(line.kind).copied().unwrap_or(0.0);
-        }
+        e.pace = if e.samples == 0.0 { paces.get(line.kind).copied().unwrap_or(0.0) } else { e.pace };
         if self.terms.live_weights && line.weight > 0.0 && !restarted {
             let held = self.slots[e.kind] * (e.size / line.weight - 1.0);
             self.hear(now, line.executor, held, SHARED);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -378,6 +378,30 @@
     }
 }
 
+#[test]
+fn an_op_may_cross_before_it_is_turned_away() {
+    // Price, nodes, what is held near here, and whether the op goes across; else it stays, or is turned away.
+    for (cross, nodes, held, across) in [
+        (0.3, 2, 4.0, false),
+        (0.3, 2, 8.0, true),
+        (0.3, 9, 8.0, false),
+        (1.5, 2, 8.0, false),
+        (0.0, 2, 8.0, true),
+    ] {
+        let mut posted = tariff(Terms { cross, ..terms() });
+        posted.nodes = nodes;
+        posted.categories.iter_mut().for_each(|category| category.target = 1000);
+        let mut desk = Dispatcher::new(&posted, 5);
+        desk.list(0, true, &[line(0), line(1)]);
+        (0..20).for_each(|_| (0..2).for_each(|executor| desk.report(0, executor, &[0.0, 4.0])));
+        desk.report(MS, 0, &[held - 4.0, 0.0]);
+        desk.report(MS, 1, &[0.0, 4.0]);
+        let mut op = desk.arrive(MS, Ask { deadline: 30 * SECOND, ..ask(0) });
+        let step = desk.place(MS, &mut op);
+        assert_eq!(step == Step::Push { executor: 1 }, across, "{cross}, {nodes}, {held}: {step:?}");
+    }
+}
+
 #[test]
 fn probes_follow_own_traffic() {
     // A timer for each executor at each node would cost executors more the more nodes there are.
