--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -235,15 +235,16 @@
         if self.seats.busy() > self.budget.requests {
             return Err(Reply { come_back: self.door.come_back, ..own(503, "too many requests in hand") });
         }
-        if pen.is_none() {
-            *pen = Some(self.pen(seat).map_err(|error| {
+        let pen = match pen {
+            Some(pen) => pen,
+            None => pen.insert(self.pen(seat).map_err(|error| {
                 say!("client connection {}: no thread for its answers: {error}", seat.number);
                 seat.set_last();
                 own(503, "no thread free")
-            })?);
-        }
+            })?),
+        };
         let ticket = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let Some(reply) = pen.as_ref().map(|pen| pen.replies.clone()) else { return Ok(ticket) };
+        let reply = pen.replies.clone();
         let request = Arc::new(request);
         let sent = self.desk.send(Event::Asked { ticket, request, asked, came, reply });
         sent.map(|()| ticket).map_err(|_| own(503, "the node has ended"))
