Rig: a model of the fleet in simulated time, with faults, baselines and a judge

Change: a package rig/ with a library and the binary stileroute-rig. Baselines (random, turn by turn, least in flight, two choices, one that sees) live here only.

The judge at first blamed the module for pushes and call-offs that cross on slow ways (overlap is now counted against what the ways can add), and the model sent pushes that the node would no longer let leave.

--- /dev/null
+++ b/rig/src/judge.rs
@@ -0,0 +1,347 @@
+//! The judge of the four rules. It keeps a ledger of what clients and executors saw, never of what a node says, and
+//! reads it when the day is over.
+
+use crate::fleet::{ms, seconds};
+use crate::plan::{EffectName, Group, Plan, What};
+use serde::{Deserialize, Serialize};
+use std::collections::HashMap;
+use stileroute::tariff::Time;
+
+/// How a push ended, as its executor knows it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum End {
+    Done,
+    Failed,
+    Lost,
+    /// Handed back unstarted, and told so.
+    Returned,
+    /// Its connection never came up, or broke before the last byte.
+    Cut,
+    /// Its connection broke later, at the executor's end or on the way.
+    Broken,
+}
+
+impl End {
+    fn never_ran(self) -> bool {
+        matches!(self, End::Returned | End::Cut)
+    }
+}
+
+/// A final answer, as its client saw it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Answer {
+    Acked,
+    /// Come back after so long; zero for no advice.
+    Nacked(Time),
+    DeadLettered,
+    /// The connection ended with no whole answer.
+    Nothing,
+}
+
+/// One entry of the ledger.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Saw {
+    Asked,
+    /// The first byte of a push has come to an executor.
+    Pushed(usize),
+    Began(usize),
+    Ended(usize, End),
+    /// The node has given the push up: its connection is closed.
+    GivenUp(usize),
+    Answered(Answer),
+    /// The client went away, or its node was killed: nobody is owed an answer.
+    Released,
+}
+
+/// One op, which is one try of a client's job.
+#[derive(Clone, Debug)]
+pub struct Sheet {
+    pub job: usize,
+    pub node: usize,
+    pub category: usize,
+    pub asked: Time,
+    pub deadline: Time,
+    pub seen: Vec<(Time, Saw)>,
+}
+
+/// A broken rule, with the op that shows it and what was seen of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Broken {
+    pub rule: u8,
+    pub op: usize,
+    pub what: String,
+    pub line: Vec<String>,
+}
+
+/// A cold executor that was pushed over.
+#[derive(Clone, Copy, Debug)]
+pub struct Fall {
+    pub executor: usize,
+    pub at: Time,
+}
+
+/// The ledger of a day.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    pub sheets: Vec<Sheet>,
+    /// By node and executor, when what was told of it: whether it takes new work.
+    pub told: HashMap<(usize, usize), Vec<(Time, bool)>>,
+    pub falls: Vec<Fall>,
+    /// Domain and cell of each executor.
+    pub groups: Vec<(usize, usize)>,
+}
+
+impl Ledger {
+    /// Opens the sheet of an op; its number names the op from then on.
+    pub fn open(&mut self, job: usize, node: usize, category: usize, at: Time, deadline: Time) -> usize {
+        let seen = vec![(at, Saw::Asked)];
+        self.sheets.push(Sheet { job, node, category, asked: at, deadline, seen });
+        self.sheets.len() - 1
+    }
+
+    pub fn saw(&mut self, op: usize, at: Time, what: Saw) {
+        self.sheets[op].seen.push((at, what));
+    }
+
+    pub fn told(&mut self, node: usize, executor: usize, at: Time, active: bool) {
+        let told = self.told.entry((node, executor)).or_default();
+        if told.last().is_none_or(|(_, last)| *last != active) {
+            told.push((at, active));
+        }
+    }
+}
+
+/// What the judge holds a day to.
+pub struct Judge<'a> {
+    plan: &'a Plan,
+    /// What the clocks and the network may add to each limit.
+    slack: Time,
+    /// The same with what a slow way adds for a part of the fleet: of two pushes, or of a push and a call-off, each
+    /// may have been longer on its way than the other, which no node can see.
+    crossing: Time,
+}
+
+impl<'a> Judge<'a> {
+    pub fn new(plan: &'a Plan, slack_ms: f64) -> Judge<'a> {
+        let slower = plan.fault.iter().filter(|fault| fault.what == What::Delay).map(|fault| ms(fault.ms));
+        Judge { plan, slack: ms(slack_ms), crossing: ms(slack_ms) + slower.max().unwrap_or(0) }
+    }
+
+    /// Every broken rule of the day, the first of each op and rule, in order of rule and op.
+    pub fn read(&self, ledger: &Ledger) -> Vec<Broken> {
+        let mut broken = Vec::new();
+        let mut began_before: HashMap<usize, Vec<usize>> = HashMap::new();
+        for (op, sheet) in ledger.sheets.iter().enumerate() {
+            let mut say = |rule: u8, what: String| {
+                // The first of each rule: those of this op stand at the end.
+                if !broken.iter().rev().take_while(|b: &&Broken| b.op == op).any(|b| b.rule == rule) {
+                    broken.push(Broken { rule, op, what, line: self.time_line(ledger, op) });
+                }
+            };
+            self.one_answer(sheet, &mut say);
+            self.no_second_effect(ledger, sheet, &mut say);
+            self.drains(ledger, sheet, &mut say);
+            let began = sheet.seen.iter().filter(|(_, saw)| matches!(saw, Saw::Began(_))).count();
+            if began > 0 && self.plan.category[sheet.category].effect == EffectName::AtMostOnce {
+                let before = began_before.entry(sheet.job).or_default();
+                if let Some(first) = before.first() {
+                    say(2, format!("begun again by a client's retry, after op {first} had begun it"));
+                }
+                before.push(op);
+            }
+        }
+        for fall in &ledger.falls {
+            let span = seconds(self.plan.fleet.cold.tip_after_s);
+            let sent = |sheet: &Sheet| {
+                let recent = |(at, saw): &(Time, Saw)| {
+                    *saw == Saw::Pushed(fall.executor) && *at > fall.at - span && *at <= fall.at
+                };
+                sheet.seen.iter().filter(|entry| recent(entry)).count()
+            };
+            let pushes: Vec<(usize, usize)> = ledger
+                .sheets
+                .iter()
+                .enumerate()
+                .map(|(op, sheet)| (op, sent(sheet)))
+                .filter(|p| p.1 > 0)
+                .collect();
+            let mut nodes: Vec<usize> = pushes.iter().map(|(op, _)| ledger.sheets[*op].node).collect();
+            nodes.sort_unstable();
+            nodes.dedup();
+            let op = pushes.last().map_or(0, |(op, _)| *op);
+            let what = format!(
+                "cold executor {} pushed over at {:.1} ms by {} pushes of {} nodes",
+                fall.executor,
+                fall.at as f64 / 10.0,
+                pushes.iter().map(|p| p.1).sum::<usize>(),
+                nodes.len()
+            );
+            broken.push(Broken { rule: 4, op, what, line: self.time_line(ledger, op) });
+        }
+        broken.sort_by_key(|b| (b.rule, b.op));
+        broken
+    }
+
+    /// Rule 1: one final answer before the deadline, and nothing is sent for the op after it.
+    fn one_answer(&self, sheet: &Sheet, say: &mut impl FnMut(u8, String)) {
+        let answers: Vec<(Time, Answer)> = sheet
+            .seen
+            .iter()
+            .filter_map(|(at, saw)| if let Saw::Answered(answer) = saw { Some((*at, *answer)) } else { None })
+            .collect();
+        let released = sheet.seen.iter().any(|(_, saw)| *saw == Saw::Released);
+        match answers.first() {
+            None if !released => say(1, "no answer".to_string()),
+            Some((_, Answer::Nothing)) if !released => {
+                say(1, "its connection ended with no answer".to_string())
+            }
+            Some((at, _)) if *at > sheet.deadline + self.slack => {
+                say(1, "answered after its deadline".to_string())
+            }
+            _ => {}
+        }
+        if answers.len() > 1 {
+            say(1, format!("answered {} times", answers.len()));
+        }
+        if let Some((answered, _)) = answers.first() {
+            let after =
+                |(at, saw): &&(Time, Saw)| matches!(saw, Saw::Pushed(_)) && *at > answered + self.crossing;
+            if sheet.seen.iter().any(|entry| after(&entry)) {
+                say(1, "pushed after its answer".to_string());
+            }
+        }
+    }
+
+    /// Rule 2: further pushes and nacks only where they are harmless, and never two at once where that is forbidden.
+    fn no_second_effect(&self, ledger: &Ledger, sheet: &Sheet, say: &mut impl FnMut(u8, String)) {
+        let category = &self.plan.category[sheet.category];
+        // Executor, when it came, how it ended and when, when it was given up.
+        struct Out {
+            executor: usize,
+            came: Time,
+            ended: Option<(Time, End)>,
+            given_up: Option<Time>,
+        }
+        let over =
+            |p: &Out| [p.ended.map(|e| e.0), p.given_up].into_iter().flatten().min().unwrap_or(Time::MAX);
+        let mut out: Vec<Out> = Vec::new();
+        let mut began = 0;
+        let mut may_have_run_at_nack = None;
+        for (at, saw) in &sheet.seen {
+            match *saw {
+                Saw::Pushed(executor) => out.push(Out { executor, came: *at, ended: None, given_up: None }),
+                Saw::Began(_) => began += 1,
+                Saw::Ended(executor, end) => {
+                    let open = |p: &&mut Out| p.executor == executor && p.ended.is_none();
+                    if let Some(p) = out.iter_mut().find(open) {
+                        p.ended = Some((*at, end));
+                    }
+                }
+                Saw::GivenUp(executor) => {
+                    let open =
+                        |p: &&mut Out| p.executor == executor && p.given_up.is_none() && p.ended.is_none();
+                    if let Some(p) = out.iter_mut().find(open) {
+                        p.given_up = Some(*at);
+                    }
+                }
+                Saw::Answered(Answer::Nacked(_)) => {
+                    // What is still out may run, and so may what was given up without a word.
+                    let harmless = |p: &&Out| p.ended.is_some_and(|(_, end)| end.never_ran());
+                    may_have_run_at_nack = out.iter().find(|p| !harmless(p)).map(|p| p.executor);
+                }
+                _ => {}
+            }
+        }
+        let local = category.effect == EffectName::Deduplicated && category.group != Group::All;
+        if let Some(executor) =
+            may_have_run_at_nack.filter(|_| local || category.effect == EffectName::AtMostOnce)
+        {
+            say(2, format!("nacked, though executor {executor} may have run it"));
+        }
+        for (number, push) in out.iter().enumerate() {
+            for before in &out[..number] {
+                let told_never =
+                    before.ended.is_some_and(|(at, end)| end.never_ran() && at <= push.came + self.slack);
+                // How long both were out; which of them came first says nothing of which was sent first.
+                let until = over(before).min(over(push));
+                if until.saturating_sub(push.came) > self.crossing
+                    && (!self.plan.fleet.second_copies || category.effect == EffectName::AtMostOnce)
+                {
+                    let (first, second) = (before.executor, push.executor);
+                    say(2, format!("two pushes at once, at executors {first} and {second}"));
+                }
+                match category.effect {
+                    _ if told_never => {}
+                    EffectName::Redeliverable => {}
+                    EffectName::AtMostOnce => {
+                        let first = before.executor;
+                        say(2, format!("pushed again, though executor {first} may have run it"));
+                    }
+                    EffectName::Deduplicated => {
+                        let group = |x: usize| match category.group {
+                            Group::All => 0,
+                            Group::Domain => ledger.groups[x].0,
+                            Group::Cell => ledger.groups[x].1,
+                        };
+                        if group(before.executor) != group(push.executor) {
+                            let (first, second) = (before.executor, push.executor);
+                            say(2, format!("resent outside its group, from executor {first} to {second}"));
+                        }
+                        if push.came > before.came + ms(category.window_ms) + self.crossing {
+                            say(2, "resent after its window".to_string());
+                        }
+                    }
+                }
+            }
+        }
+        if category.effect == EffectName::AtMostOnce && began > 1 {
+            say(2, format!("begun {began} times"));
+        }
+    }
+
+    /// Rule 3: nothing new to an executor later than the grace after its node was told.
+    fn drains(&self, ledger: &Ledger, sheet: &Sheet, say: &mut impl FnMut(u8, String)) {
+        let grace = ms(self.plan.fleet.grace_ms) + self.slack;
+        for (at, saw) in &sheet.seen {
+            let Saw::Pushed(executor) = *saw else { continue };
+            let Some(told) = ledger.told.get(&(sheet.node, executor)) else { continue };
+            // News on its way while the push was made is within the grace in any case.
+            let Some((since, active)) = told.iter().rfind(|(since, _)| since <= at) else { continue };
+            if !active && *at > since + grace {
+                let late = (at - since) as f64 / 10.0;
+                say(3, format!("pushed to executor {executor} {late:.1} ms after it was told to be leaving"));
+            }
+        }
+    }
+
+    /// What was seen of an op, an entry a line, in order of time.
+    fn time_line(&self, ledger: &Ledger, op: usize) -> Vec<String> {
+        let Some(sheet) = ledger.sheets.get(op) else { return Vec::new() };
+        let category = &self.plan.category[sheet.category].name;
+        let mut lines = vec![format!(
+            "op {op}: job {}, category {category}, node {}, deadline {:.1} ms",
+            sheet.job,
+            sheet.node,
+            sheet.deadline as f64 / 10.0
+        )];
+        let mut seen = sheet.seen.clone();
+        seen.sort_by_key(|(at, _)| *at);
+        for (at, saw) in seen {
+            let text = match saw {
+                Saw::Asked => "asked".to_string(),
+                Saw::Pushed(x) => format!("pushed to executor {x}"),
+                Saw::Began(x) => format!("begun at executor {x}"),
+                Saw::Ended(x, end) => format!("ended at executor {x}: {}", format!("{end:?}").to_lowercase()),
+                Saw::GivenUp(x) => format!("given up at executor {x}"),
+                Saw::Answered(Answer::Nacked(0)) => "nacked".to_string(),
+                Saw::Answered(Answer::Nacked(after)) => {
+                    format!("nacked, back in {:.1} ms", after as f64 / 10.0)
+                }
+                Saw::Answered(answer) => format!("answered: {}", format!("{answer:?}").to_lowercase()),
+                Saw::Released => "released: its client or its node is gone".to_string(),
+            };
+            lines.push(format!("{:>12.1} ms  {text}", at as f64 / 10.0));
+        }
+        lines
+    }
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,13 @@
+//! The rig: one model of the fleet, played in simulated time or behind real sockets, with load, faults, experiments
+//! and a judge of the four rules that keeps its own ledger. `docs/rig.md` tells how far it may be trusted.
+
+pub mod faults;
+pub mod fleet;
+pub mod judge;
+pub mod load;
+pub mod plan;
+pub mod policy;
+pub mod report;
+pub mod run;
+pub mod settings;
+pub mod sim;
--- /dev/null
+++ b/rig/src/run.rs
@@ -0,0 +1,66 @@
+//! Plays the points of an experiment, several at once; the order of the report is that of the grid.
+
+use crate::plan::{Cell, Experiment, Plan};
+use crate::policy::{policy, Policy};
+use crate::report::{figures, Played, Report};
+use crate::sim::Sim;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Mutex;
+use stileroute::tariff::Tariff;
+
+/// What clocks and network add to a limit of the rules in simulated time, in milliseconds: a call-off is on its way
+/// while the next push is, which a farther way lets arrive first.
+pub fn slack(plan: &Plan) -> f64 {
+    2.0 + 2.0 * plan.fleet.far_ms
+}
+
+/// Plays one day with the policy that the plan names.
+pub fn play_simulated(plan: &Plan, seed: u64) -> Result<Played, String> {
+    let make = |_: usize, tariff: &Tariff, seed: u64| policy(plan.policy, tariff, seed);
+    play_with(plan, seed, &make)
+}
+
+/// Plays one day with policies that the caller makes.
+pub fn play_with(
+    plan: &Plan,
+    seed: u64,
+    make: &dyn Fn(usize, &Tariff, u64) -> Box<dyn Policy>,
+) -> Result<Played, String> {
+    let day = Sim::new(plan, seed, make)?.play();
+    let mut played = figures(plan, &day.ledger, &day.asked, &day.meant, slack(plan));
+    played.seed = seed;
+    (played.to_cold, played.to_gone, played.crossed) = (day.to_cold, day.to_gone, day.crossed);
+    (played.events, played.log) = (day.events, day.log);
+    Ok(played)
+}
+
+/// Plays every point in simulated time on so many threads; `step` is called after each.
+pub fn simulate(experiment: &Experiment, threads: usize, step: &(dyn Fn() + Sync)) -> Result<Report, String> {
+    let cells = &experiment.cells;
+    let next = AtomicUsize::new(0);
+    let played: Mutex<Vec<Option<Result<Played, String>>>> = Mutex::new(vec![None; cells.len()]);
+    let work = || {
+        while let Some(Cell { label, seed, plan }) = cells.get(next.fetch_add(1, Ordering::SeqCst)) {
+            let at = cells.iter().position(|c| std::ptr::eq(&c.plan, plan)).unwrap_or(0);
+            let own = play_simulated(plan, *seed).map(|own| Played { label: label.clone(), ..own });
+            if let Ok(mut played) = played.lock() {
+                played[at] = Some(own);
+            }
+            step();
+        }
+    };
+    std::thread::scope(|scope| {
+        (0..threads.clamp(1, 64)).for_each(|_| {
+            scope.spawn(work);
+        });
+    });
+    let played = played.into_inner().map_err(|_| "a play ended in a panic".to_string())?;
+    let played: Result<Vec<Played>, String> =
+        played.into_iter().map(|own| own.unwrap_or_else(|| Err("a play was not done".to_string()))).collect();
+    Ok(Report {
+        experiment: experiment.plan.name.clone(),
+        how: "sim".to_string(),
+        against: experiment.against.clone(),
+        played: played?,
+    })
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -172,6 +172,11 @@
         }
     }
 
+    /// The fraction of own ops that each executor is to get, as last solved, by index.
+    pub fn shares(&self) -> impl Iterator<Item = f64> + '_ {
+        self.executors.iter().map(|e| e.share)
+    }
+
     // ---- The three calls ----
 
     /// Where to send this op: to an executor, not yet (`Hold`), or never (a final answer).
