--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -3,11 +3,15 @@
 
 pub mod faults;
 pub mod fleet;
+pub mod hunt;
 pub mod judge;
 pub mod load;
+pub mod page;
 pub mod plan;
+pub mod play;
 pub mod policy;
 pub mod report;
 pub mod run;
 pub mod settings;
 pub mod sim;
+pub mod stand;
--- /dev/null
+++ b/rig/src/play/clients.rs
@@ -0,0 +1,249 @@
+//! Clients: an open loop, in which each job is due at its time whatever became of those before it, and rude ones.
+
+use super::executors::result_of;
+use super::http::{Message, Reader};
+use super::world::{locked, World};
+use crate::fleet::ms;
+use crate::judge::{Answer, Saw};
+use crate::load::{Asked, Source};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+use stileroute::tariff::Time;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout, timeout_at};
+
+/// A node as the front sees it.
+#[derive(Debug)]
+pub struct Seen {
+    pub at: SocketAddr,
+    pub domain: usize,
+    pub takes: bool,
+    /// Counts its starts.
+    pub life: u64,
+    /// Stands still since, and the last stretch in which it did.
+    pub paused: Option<Time>,
+    pub stood: (Time, Time),
+    idle: Vec<TcpStream>,
+}
+
+/// The front: which node a client's next connection goes to.
+pub struct Front {
+    nodes: Mutex<Vec<Seen>>,
+    source: Mutex<Source>,
+}
+
+impl Front {
+    pub fn new(nodes: Vec<(SocketAddr, usize)>, source: Source) -> Front {
+        let seen = |(at, domain)| Seen {
+            at,
+            domain,
+            takes: true,
+            life: 0,
+            paused: None,
+            stood: (0, 0),
+            idle: Vec::new(),
+        };
+        Front { nodes: Mutex::new(nodes.into_iter().map(seen).collect()), source: Mutex::new(source) }
+    }
+
+    pub fn node<T>(&self, node: usize, work: impl FnOnce(&mut Seen) -> T) -> T {
+        work(&mut locked(&self.nodes)[node])
+    }
+
+    fn pick(&self, domain: usize) -> Option<usize> {
+        let nodes = locked(&self.nodes);
+        let ready: Vec<usize> = (0..nodes.len()).filter(|n| nodes[*n].takes).collect();
+        let near: Vec<usize> = ready.iter().copied().filter(|n| nodes[*n].domain == domain).collect();
+        let among = if near.is_empty() { ready } else { near };
+        (!among.is_empty()).then(|| among[locked(&self.source).pick(among.len())])
+    }
+
+    pub fn draw(&self, due: Time, world: &World) -> (Asked, Time) {
+        let mut source = locked(&self.source);
+        world.weather(|weather| {
+            let asked = source.draw(due, weather);
+            (asked, due + source.gap(weather))
+        })
+    }
+}
+
+enum Heard {
+    Whole(Message),
+    /// The connection ended with nothing at all said on it.
+    Closed,
+    Broken,
+    Late,
+}
+
+/// Reads one answer.
+async fn hear(stream: &mut TcpStream, until: tokio::time::Instant) -> Heard {
+    let mut reader = Reader::default();
+    let mut bytes = [0; 4096];
+    loop {
+        match timeout_at(until, stream.read(&mut bytes)).await {
+            Err(_) => return Heard::Late,
+            Ok(Ok(read)) if read > 0 => reader.feed(&bytes[..read]),
+            Ok(_) => return if reader.is_empty() { Heard::Closed } else { Heard::Broken },
+        }
+        match reader.next(true) {
+            Ok(Some(message)) => return Heard::Whole(message),
+            Ok(None) => {}
+            Err(_) => return Heard::Broken,
+        }
+    }
+}
+
+fn request(world: &World, op: usize, job: usize, asked: &Asked) -> String {
+    let category = &world.plan.category[asked.category];
+    let hint = asked.hint.map_or(String::new(), |hint| format!("X-Call-Cost: {}\r\n", hint * 100));
+    format!(
+        "POST /api/{job:016x} HTTP/1.1\r\nHost: rig\r\nX-Call-Id: {op:016x}\r\nX-Call-Class: {}\r\n\
+         X-Budget-Ms: {}\r\nIdempotency-Key: {job:032x}\r\n{hint}X-Call-Info: slots={},memory={}\r\n\
+         Content-Length: 32\r\n\r\n{job:032x}",
+        category.name, category.ttl_ms as u64, category.slots, category.memory
+    )
+}
+
+/// A client's job: tried again after a nack, as often as clients do.
+pub async fn job(world: Arc<World>, front: Arc<Front>, job: usize, asked: Asked) {
+    for number in 0..=world.plan.load.retries {
+        let Some(answer) = one_try(&world, &front, job, &asked).await else { return };
+        let Answer::Nacked(come_back) = answer else { return };
+        if number < world.plan.load.retries {
+            let wait = come_back.max(ms(world.plan.load.retry_wait_ms));
+            sleep(super::world::span(wait)).await;
+        }
+    }
+}
+
+/// One op, to its answer; none where there is nobody to answer it.
+async fn one_try(world: &World, front: &Front, job: usize, asked: &Asked) -> Option<Answer> {
+    let ttl = ms(world.plan.category[asked.category].ttl_ms);
+    let begun = world.now();
+    // A connection to a node that takes some; a node that is just gone is left for another.
+    let (node, mut stream, mut used) = loop {
+        let node = front.pick(asked.domain)?;
+        let (at, idle) = front.node(node, |seen| (seen.at, seen.idle.pop()));
+        if let Some(stream) = idle {
+            break (node, stream, true);
+        }
+        match timeout(Duration::from_millis(500), TcpStream::connect(at)).await {
+            Ok(Ok(stream)) => {
+                let _ = stream.set_nodelay(true);
+                break (node, stream, false);
+            }
+            _ if world.now() > begun + ttl => return None,
+            _ => sleep(Duration::from_millis(20)).await,
+        }
+    };
+    let life = front.node(node, |seen| seen.life);
+    let now = world.now();
+    let op = locked(&world.ledger).open(job, node, asked.category, now, now + ttl);
+    let text = request(world, op, job, asked);
+    let heard = loop {
+        let sent = stream.write_all(text.as_bytes()).await;
+        let deadline = world.now() + ttl;
+        locked(&world.ledger).sheets[op].deadline = deadline;
+        let heard = match sent {
+            Ok(()) => hear(&mut stream, world.instant(deadline + 1_000)).await,
+            Err(_) => Heard::Closed,
+        };
+        // A node may close an idle connection just as a request is on its way there.
+        if !matches!(heard, Heard::Closed) || !std::mem::take(&mut used) {
+            break heard;
+        }
+        let at = front.node(node, |seen| seen.at);
+        match TcpStream::connect(at).await {
+            Ok(fresh) => {
+                let _ = fresh.set_nodelay(true);
+                stream = fresh;
+            }
+            Err(_) => break Heard::Closed,
+        }
+    };
+    let now = world.now();
+    let (dead, stood) = front.node(node, |seen| {
+        let stood = seen.paused.is_some()
+            || (seen.stood.1 + 500 >= now.min(seen.stood.1 + 500) && seen.stood.1 > begun);
+        (seen.life != life, stood)
+    });
+    let answer = match heard {
+        Heard::Whole(message) => {
+            let answer = match message.status {
+                200 if message.body == result_of(op).as_bytes() => Answer::Acked,
+                // Served with what no executor made for it.
+                200 => Answer::Nothing,
+                429 | 503 => {
+                    let after =
+                        message.header("retry-after").and_then(|text| text.trim().parse::<f64>().ok());
+                    Answer::Nacked(
+                        after.map_or(0, |seconds| crate::fleet::seconds(seconds.clamp(0.0, 3600.0))),
+                    )
+                }
+                _ => Answer::DeadLettered,
+            };
+            if !message.closes() {
+                front.node(node, |seen| {
+                    if seen.life == life {
+                        seen.idle.push(stream);
+                    }
+                });
+            }
+            answer
+        }
+        // What a killed node held, or one that stands still, is its client's to retry.
+        _ if dead || stood => {
+            world.saw(op, now, Saw::Released);
+            return None;
+        }
+        Heard::Late => return None,
+        Heard::Closed | Heard::Broken => Answer::Nothing,
+    };
+    if stood && now > locked(&world.ledger).sheets[op].deadline {
+        world.saw(op, now, Saw::Released);
+        return Some(answer);
+    }
+    world.answered(op, answer);
+    Some(answer)
+}
+
+/// What a rude client sends, and how long it may be left with nothing.
+const RUDE: [&str; 8] = [
+    "GET / HTTP/9.9\r\n\r\n",
+    "POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: -5\r\n\r\n",
+    "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Call-Class: nothing-of-the-kind\r\nX-Budget-Ms: 100\r\nContent-Length: 0\r\n\r\n",
+    "POST /api/x HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Call-Id: 1\r\nX-Budget-Ms: soon\r\nContent-Length: 99999999999\r\n\r\n",
+    "\0\0\0\0\r\n\r\n",
+    "POST /api/x HTTP/1.1\r\nHost: x\r\nX-Call-",
+    "",
+];
+
+/// One rude client, at a pace that leaves the usual ones room, until the day is over. Gives how many it sent and
+/// how many were left with neither an error nor a close.
+pub async fn rude(world: Arc<World>, front: Arc<Front>, number: usize, end: Time) -> (u64, u64) {
+    let (mut sent, mut left) = (0, 0);
+    while world.now() < end {
+        let node = (number + sent as usize) % world.plan.nodes.count;
+        let (at, takes) = front.node(node, |seen| (seen.at, seen.takes && seen.paused.is_none()));
+        let text = RUDE[(number + sent as usize / world.plan.nodes.count) % RUDE.len()];
+        sent += 1;
+        if takes {
+            if let Ok(Ok(mut stream)) = timeout(Duration::from_millis(500), TcpStream::connect(at)).await {
+                let _ = stream.write_all(text.as_bytes()).await;
+                let until = tokio::time::Instant::now() + Duration::from_millis(3_000);
+                let owed = match hear(&mut stream, until).await {
+                    Heard::Whole(message) => !(400..600).contains(&message.status),
+                    Heard::Late => true,
+                    Heard::Closed | Heard::Broken => false,
+                };
+                let still = front.node(node, |seen| seen.takes && seen.paused.is_none());
+                left += u64::from(owed && still);
+            }
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    (sent, left)
+}
--- /dev/null
+++ b/rig/src/play/world.rs
@@ -0,0 +1,81 @@
+//! What all parts of a play on sockets share: the clock, the ledger, the weather.
+
+use crate::faults::Weather;
+use crate::judge::{Answer, Ledger, Saw};
+use crate::load::Asked;
+use crate::plan::Plan;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, RwLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stileroute::tariff::Time;
+use tokio::sync::watch;
+
+/// A lock is only poisoned by a panic, and a panic of the rig is no verdict on anything.
+pub fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+pub struct World {
+    pub plan: Plan,
+    start: Instant,
+    /// Unix time at the start, in milliseconds.
+    unix: i64,
+    pub ledger: Mutex<Ledger>,
+    pub asked: Mutex<Vec<Asked>>,
+    /// Work saved of a job.
+    pub saved: Mutex<HashMap<usize, f64>>,
+    pub weather: RwLock<Weather>,
+    /// Counts the changes of the weather.
+    pub changed: watch::Sender<u64>,
+    /// Pushes under an id that no client sent.
+    pub foreign: Mutex<Vec<String>>,
+    /// Microseconds by which requests left later than they were due.
+    pub lag: Mutex<hdrhistogram::Histogram<u64>>,
+}
+
+impl World {
+    pub fn new(plan: &Plan, weather: Weather, groups: Vec<(usize, usize)>) -> Result<World, String> {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_err(|error| error.to_string())?;
+        Ok(World {
+            plan: plan.clone(),
+            start: Instant::now(),
+            unix: unix.as_millis() as i64,
+            ledger: Mutex::new(Ledger { groups, ..Ledger::default() }),
+            asked: Mutex::new(Vec::new()),
+            saved: Mutex::new(HashMap::new()),
+            weather: RwLock::new(weather),
+            changed: watch::channel(0).0,
+            foreign: Mutex::new(Vec::new()),
+            lag: Mutex::new(hdrhistogram::Histogram::new(3).map_err(|error| error.to_string())?),
+        })
+    }
+
+    pub fn now(&self) -> Time {
+        (self.start.elapsed().as_micros() / 100) as Time
+    }
+
+    pub fn instant(&self, at: Time) -> tokio::time::Instant {
+        (self.start + span(at)).into()
+    }
+
+    /// Unix milliseconds of a time.
+    pub fn unix_ms(&self, at: Time) -> i64 {
+        self.unix + at / 10
+    }
+
+    pub fn weather<T>(&self, look: impl FnOnce(&Weather) -> T) -> T {
+        look(&self.weather.read().unwrap_or_else(|poisoned| poisoned.into_inner()))
+    }
+
+    pub fn saw(&self, op: usize, at: Time, what: Saw) {
+        locked(&self.ledger).saw(op, at, what);
+    }
+
+    pub fn answered(&self, op: usize, answer: Answer) {
+        self.saw(op, self.now(), Saw::Answered(answer));
+    }
+}
+
+pub fn span(time: Time) -> Duration {
+    Duration::from_micros(time.max(0) as u64 * 100)
+}
