--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -10,7 +10,7 @@
 use std::io::{BufRead, Write as _};
 use stileroute::choice::{Dispatcher, UPKEEP};
 use stileroute::posted::{down, up, UNIT};
-use stileroute::tariff::{Ask, Listed, Op, Outcome, Step, Time};
+use stileroute::tariff::{Ask, Limits, Listed, Op, Outcome, Step, Time};
 use wire::{Batch, Element, Msg};
 
 /// One instance with the ops and timers that the adapter keeps for it.
@@ -140,6 +140,7 @@
                     memory: msg.ram_units.unwrap_or(0.0),
                     hint: msg.work_ns.filter(|w| *w > 0).map(down),
                     deadline: down(need(msg.drop_dead_ns, &msg.op, "drop-dead-ns")?),
+                    limits: Limits::default(),
                 };
                 let mut op = self.dispatcher.arrive(now, ask);
                 let step = self.dispatcher.place(now, &mut op);
--- a/node/src/desk.rs
+++ b/node/src/desk.rs
@@ -9,15 +9,19 @@
 use crate::store::indices::Indices;
 use crate::store::lines::{Line, Lines};
 use crate::store::ops::{Held, Ops, Out};
+use crate::store::queue::{Queue, Waiting};
 use crate::wire::serve::Request;
 use crate::wire::targets::List;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute::choice::{Dispatcher, UPKEEP};
-use stileroute::tariff::{Ask, Effect, Listed, Outcome, Step, Time, SECOND};
+use stileroute::tariff::{Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
+use stileroute_routes::gate::{Entry, Gate, Pass};
+use stileroute_routes::pattern::Request as Ways;
+use stileroute_routes::table::Table;
 
 /// What the other threads tell the desk.
 pub enum Event {
@@ -58,6 +62,8 @@
         anew: bool,
     },
     ListSilent,
+    /// New routes, checked.
+    Routes(Arc<Table>),
     End,
 }
 
@@ -108,8 +114,8 @@
     lines: Lines,
     executors: Arc<Executors>,
     clients: Arc<Clients>,
-    /// What a second run would do, by category.
-    effects: Vec<Effect>,
+    /// The longest come-back time that clients heed.
+    come_back: Time,
     names: Indices,
     domains: Indices,
     kinds: Indices,
@@ -120,10 +126,19 @@
     upkeep: Time,
     grace: Time,
     ending: Option<Ending>,
+    /// Routes, where the operators have any, and ops that wait for a place of theirs.
+    gate: Option<Gate>,
+    queue: Queue,
 }
 
 impl Desk {
-    pub fn new(start: &Start, executors: Arc<Executors>, clients: Arc<Clients>, ask: Sender<()>) -> Desk {
+    pub fn new(
+        start: &Start,
+        executors: Arc<Executors>,
+        clients: Arc<Clients>,
+        ask: Sender<()>,
+        routes: Option<Arc<Table>>,
+    ) -> Desk {
         let clock = Clock::new();
         let mut desk = Desk {
             dispatcher: Dispatcher::new(&start.tariff, start.seed),
@@ -131,7 +146,7 @@
             lines: Lines::new(start.budget.executors, start.keep_idle),
             executors,
             clients,
-            effects: start.tariff.categories.iter().map(|category| category.effect).collect(),
+            come_back: start.tariff.terms.come_back,
             names: Indices::default(),
             domains: Indices::of(&start.domains),
             kinds: Indices::of(&start.kinds),
@@ -141,6 +156,8 @@
             upkeep: clock.now(),
             grace: start.grace,
             ending: None,
+            gate: routes.map(Gate::new),
+            queue: Queue::default(),
             clock,
         };
         desk.list(desk.upkeep, &start.known);
@@ -150,7 +167,8 @@
     /// Serves until the end that was asked for.
     pub fn run(&mut self, events: &Receiver<Event>) {
         loop {
-            let next = self.ops.next().map_or(self.upkeep, |due| due.min(self.upkeep));
+            let due = [self.ops.next(), self.queue.next()].into_iter().flatten().min();
+            let next = due.map_or(self.upkeep, |due| due.min(self.upkeep));
             match events.recv_deadline(self.clock.instant(next)) {
                 Ok(event) => self.handle(event),
                 Err(RecvTimeoutError::Timeout) => {}
@@ -160,6 +178,7 @@
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
             }
+            self.admit();
             self.look_after();
             if self.over() {
                 return;
@@ -174,7 +193,9 @@
                 self.arrive(now, ticket, request, &asked, came, reply);
             }
             Event::Withdrawn { ticket } => {
-                if let Some(mut held) = self.ops.take(ticket) {
+                if let Some(mut waiting) = self.queue.take(ticket) {
+                    self.free(now, ticket, &mut waiting.pass);
+                } else if let Some(mut held) = self.ops.take(ticket) {
                     held.reply = None;
                     held.op.closed = true;
                     let step = self.dispatcher.place(now, &mut held.op);
@@ -206,6 +227,14 @@
                 self.list(now, &list);
             }
             Event::ListSilent => self.dispatcher.refused(now),
+            Event::Routes(table) => {
+                if let Some(wanted) = &self.clients.wanted {
+                    *wanted.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(table.headers.clone());
+                }
+                if let Some(gate) = &mut self.gate {
+                    gate.turn(table);
+                }
+            }
             Event::End => self.end(now),
         }
     }
@@ -219,15 +248,88 @@
         came: Instant,
         reply: Sender<Reply>,
     ) {
-        let mut deadline = self.clock.at(came) + asked.budget;
+        let came = self.clock.at(came);
+        let Some(gate) = &mut self.gate else {
+            return self.open(now, ticket, request, asked, came, reply, None);
+        };
+        let entry = {
+            let header = |name: &str| {
+                request.wanted.iter().find(|(own, _)| own == name).map(|(_, value)| value.as_str())
+            };
+            let tenant = gate.table().tenant_header.as_deref().and_then(header);
+            let (path, method) = (request.path.as_str(), request.method.as_str());
+            gate.enter(now, ticket, &Ways { path, method, category: asked.category, tenant, header: &header })
+        };
+        match entry {
+            Entry::In(pass) => self.open(now, ticket, request, asked, came, reply, Some(Box::new(pass))),
+            Entry::Waits(pass, until) => {
+                let until = until.min(came + asked.budget.min(pass.op));
+                let waiting = Waiting { request, asked: *asked, came, reply, pass: Box::new(pass), until };
+                self.queue.put(ticket, waiting);
+            }
+            Entry::Full(back) => self.turn_away(ticket, &request, reply, came, back),
+        }
+    }
+
+    /// An op that has no place, and never will have: nothing of it was pushed.
+    fn turn_away(&self, ticket: u64, request: &Request, reply: Sender<Reply>, came: Time, back: Time) {
+        let come_back = back.min(self.come_back);
+        let now = self.clock.now();
+        let (id, took_ms) = (request.id.as_deref().unwrap_or_default(), (now - came) as f64 / 10.0);
+        let back_ms = come_back as f64 / 10.0;
+        say!(op { op = id, code = "no-place", took_ms, come_back_ms = back_ms } "op {ticket} nacked: no place");
+        let until = self.clock.instant(now + SECOND);
+        let body = Body::Text("nacked: no place in hand\n".to_string());
+        let _ = reply.try_send(Reply { status: 503, body, come_back, until });
+    }
+
+    /// Ops that have a place now are asked of the module; those whose wait is over are turned away.
+    fn admit(&mut self) {
+        let now = self.clock.now();
+        while let Some(ticket) = self.queue.due(now) {
+            if let Some(mut waiting) = self.queue.take(ticket) {
+                let back = (waiting.until - waiting.came).max(100);
+                self.free(now, ticket, &mut waiting.pass);
+                self.turn_away(ticket, &waiting.request, waiting.reply, waiting.came, back);
+            }
+        }
+        while let Some(ticket) = self.queue.admitted.pop_front() {
+            if let Some(Waiting { request, asked, came, reply, pass, .. }) = self.queue.take(ticket) {
+                self.open(now, ticket, request, &asked, came, reply, Some(pass));
+            }
+        }
+    }
+
+    /// An op's place is free.
+    fn free(&mut self, now: Time, ticket: u64, pass: &mut Pass) {
+        self.queue.admitted.extend(pass.leave(now, ticket));
+    }
+
+    /// Opens an op at the module.
+    #[allow(clippy::too_many_arguments)]
+    fn open(
+        &mut self,
+        now: Time,
+        ticket: u64,
+        request: Arc<Request>,
+        asked: &Asked,
+        came: Time,
+        reply: Sender<Reply>,
+        pass: Option<Box<Pass>>,
+    ) {
+        let mut deadline = came + asked.budget;
+        if let Some(pass) = &pass {
+            deadline = deadline.min(came.saturating_add(pass.op));
+        }
         if let Some(ending) = &self.ending {
             // Whether that is still enough for it is the module's to judge.
             deadline = deadline.min(ending.by);
         }
         let Asked { category, slots, memory, hint, .. } = *asked;
-        let mut op = self.dispatcher.arrive(now, Ask { category, slots, memory, hint, deadline });
+        let limits = pass.as_ref().map_or_else(Limits::default, |pass| pass.limits);
+        let mut op = self.dispatcher.arrive(now, Ask { category, slots, memory, hint, deadline, limits });
         let step = self.dispatcher.place(now, &mut op);
-        let held = Held { op, reply: Some(reply), request, pushes: Vec::new() };
+        let held = Held { op, reply: Some(reply), request, pushes: Vec::new(), pass, came };
         self.carry(now, ticket, held, step);
     }
 
@@ -261,6 +363,10 @@
             // What is idle there may be as dead, and silent: a push on it could not be told from one that ran.
             self.lines.leave(held.op.pushes[push].executor, "suspect");
         }
+        if let Some(pass) = held.pass.as_ref().filter(|_| outcome == Outcome::Acked) {
+            pass.ran(now - held.pushes[push].sent);
+        }
+        held.budget(now);
         let step = self.dispatcher.settle(now, &mut held.op, push, outcome, &load.unwrap_or_default());
         // Only what is final uses up the client's answer: a called-off push must leave it to the next.
         if let Some((status, body)) = answer {
@@ -277,7 +383,10 @@
                     let push = held.pushes.len();
                     let link = self.push(ticket, push, executor, &held);
                     let untried = link.is_none();
-                    held.pushes.push(Out { link, given_up: None });
+                    held.pushes.push(Out { link, given_up: None, sent: now });
+                    if let Some(pass) = &mut held.pass {
+                        pass.pushed(now);
+                    }
                     if untried {
                         step = self.dispatcher.settle(now, &mut held.op, push, Outcome::Moot, &[]);
                         continue;
@@ -285,18 +394,36 @@
                 }
                 Step::Stop { push } => held.give_up(push, Outcome::Cancelled),
                 Step::Nack { come_back } => {
+                    self.tell(now, &held, "nacked", come_back);
                     self.answer(&mut held, 503, Body::Text("nacked\n".to_string()), come_back);
                 }
                 Step::DeadLetter => {
+                    self.tell(now, &held, "dead-lettered", 0);
                     self.answer(&mut held, 500, Body::Text("dead-lettered\n".to_string()), 0);
                 }
                 Step::Hold => break,
             }
+            held.budget(now);
             step = self.dispatcher.place(now, &mut held.op);
         }
         self.keep(now, ticket, held);
     }
 
+    /// Tells what became of an op that was not acked.
+    fn tell(&self, now: Time, held: &Held, code: &'static str, come_back: Time) {
+        let last = held.op.pushes.last().map(|push| push.executor);
+        say!(op {
+            op = held.request.id.as_deref().unwrap_or_default(),
+            route = held.pass.as_ref().map_or("-", |pass| &*pass.route),
+            category = held.request.category.as_deref().unwrap_or_default(),
+            executor = last.map_or(-1, |executor| executor as i64),
+            code,
+            pushes = held.op.pushes.len() as u64,
+            took_ms = (now - held.came) as f64 / 10.0,
+            come_back_ms = come_back as f64 / 10.0,
+        } "op {code}");
+    }
+
     /// Gives the client its answer, if it still waits for one.
     fn answer(&self, held: &mut Held, status: u16, body: Body, come_back: Time) {
         if let Some(reply) = held.reply.take() {
@@ -306,8 +433,11 @@
     }
 
     /// Puts the op back in hand and notes when to look again, or lets go of it.
-    fn keep(&mut self, now: Time, ticket: u64, held: Held) {
+    fn keep(&mut self, now: Time, ticket: u64, mut held: Held) {
         if held.op.closed && !held.op.out() {
+            if let Some(pass) = &mut held.pass {
+                self.free(now, ticket, pass);
+            }
             return;
         }
         let look = if held.op.closed {
@@ -322,7 +452,7 @@
 
     /// Sends a push out; none where this node has no room for it.
     fn push(&mut self, ticket: u64, push: usize, executor: usize, held: &Held) -> Option<Arc<Link>> {
-        let effect = self.effects[held.op.category];
+        let effect = self.dispatcher.effect(&held.op);
         let leave_by = self.clock.instant(held.op.leave_by(effect));
         let wary = effect != Effect::Redeliverable;
         let work = Work::Push { ticket, push, request: held.request.clone(), wary };
@@ -330,7 +460,9 @@
         // written to it, and nothing tells whether that ran. An op that may be pushed only once goes on a new
         // one, which takes some round trips and shows that someone is there; where it fails, the op never ran.
         let anew = effect == Effect::AtMostOnce;
-        self.give(executor, work, anew, self.clock.instant(held.op.deadline), leave_by)
+        let connect = held.pass.as_ref().and_then(|pass| pass.connect);
+        let connect = connect.map(|time| Duration::from_micros(time.max(1) as u64 * 100));
+        self.give(executor, work, anew, self.clock.instant(held.op.deadline), leave_by, connect)
     }
 
     /// Gives a task to an idle connection, or to a new one.
@@ -341,10 +473,11 @@
         anew: bool,
         until: Instant,
         leave_by: Instant,
+        connect: Option<Duration>,
     ) -> Option<Arc<Link>> {
         let now = Instant::now();
         let to = self.addresses.get(executor)?.0?;
-        let task = Task { work, to, until, leave_by };
+        let task = Task { work, to, until, leave_by, connect };
         let idle = if anew { None } else { self.lines.reuse(executor, now) };
         if let Some(line) = idle {
             let link = line.link.clone();
@@ -414,6 +547,7 @@
         let now = self.clock.now();
         while let Some(ticket) = self.ops.due(now) {
             let Some(mut held) = self.ops.take(ticket) else { continue };
+            held.budget(now);
             let step = self.dispatcher.place(now, &mut held.op);
             if now >= held.op.deadline {
                 (0..held.pushes.len()).for_each(|push| held.give_up(push, Outcome::TimedOut));
@@ -433,7 +567,7 @@
         }
         for executor in std::mem::take(&mut self.dispatcher.probes) {
             let until = Instant::now() + 2 * self.executors.dial;
-            self.give(executor, Work::Probe { executor }, false, until, until);
+            self.give(executor, Work::Probe { executor }, false, until, until, None);
         }
         for line in self.dispatcher.log.drain(..) {
             say!("{line}");
@@ -455,13 +589,19 @@
             held.op.end_by(by);
             self.keep(now, ticket, held);
         }
+        for ticket in self.queue.tickets() {
+            if let Some(mut waiting) = self.queue.take(ticket) {
+                self.free(now, ticket, &mut waiting.pass);
+                self.turn_away(ticket, &waiting.request, waiting.reply, waiting.came, SECOND);
+            }
+        }
     }
 
     /// All is answered and written, and no more can come.
     fn over(&self) -> bool {
         let Some(ending) = &self.ending else { return false };
         let now = self.clock.now();
-        let quiet = self.ops.is_empty() && self.clients.seats.quiet();
+        let quiet = self.ops.is_empty() && self.queue.is_empty() && self.clients.seats.quiet();
         now >= ending.since + LEAVE_AFTER && (quiet || now >= ending.by + LAST_WRITES / 2)
     }
 }
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -16,7 +16,7 @@
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 use stileroute::tariff::Time;
 
@@ -44,7 +44,7 @@
 }
 
 /// A request that may be taken, with its figures read.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Asked {
     pub category: usize,
     pub slots: f64,
@@ -65,6 +65,8 @@
     /// The node is about to end: clients are steered off.
     pub steer: AtomicBool,
     pub numbers: AtomicU64,
+    /// Headers that routes look at; none where there are no routes.
+    pub wanted: Option<RwLock<Arc<Vec<String>>>>,
 }
 
 /// How long a request may take to come, the first one from the opening on, and how long it may take a client
@@ -94,14 +96,16 @@
             }
             reader.end(code);
             shared.seats.remove(number);
-            say!(ended "client connection {number} ended: {}", reader.ended().unwrap_or(code));
+            let code = reader.ended().unwrap_or(code);
+            say!(ended { peer = "client", connection = number, code } "client connection {number} ended: {code}");
         };
         if let Err(error) = spawn("client-in", read) {
             // What it sent counts as taken: it is refused from here, for which the listener waits briefly.
             self.turn_away(&seat.stream);
             seat.end("no-thread");
             self.seats.remove(number);
-            say!(ended "client connection {number} ended: no-thread: {error}");
+            let code = "no-thread";
+            say!(ended { peer = "client", connection = number, code } "client connection {number} ended: no-thread: {error}");
         }
     }
 
@@ -124,6 +128,9 @@
         // When the first byte of the request that is being read came.
         let (mut came, mut timed) = (seat.opened, false);
         loop {
+            if let Some(wanted) = self.wanted.as_ref().filter(|_| inbox.idle()) {
+                inbox.want(&wanted.read().unwrap_or_else(PoisonError::into_inner));
+            }
             let fed = inbox.feed(&chunk[..read]);
             read = 0;
             let mut out = None;
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -20,6 +20,8 @@
     pub until: Instant,
     /// Beyond this nothing of it may be written any more.
     pub leave_by: Instant,
+    /// A route's own bound on the time that a new connection may take.
+    pub connect: Option<Duration>,
 }
 
 pub enum Work {
@@ -142,7 +144,7 @@
         drop(task);
         if !keep {
             link.drop_stream();
-            say!(ended "executor {to}: connection {number} ended: {code}");
+            say!(ended { peer = "executor", at = %to, connection = number, code } "executor {to}: connection {number} ended: {code}");
         }
         let gone = shared.desk.send(Event::Free { number, keep }).is_err();
         if gone || !keep {
@@ -150,7 +152,7 @@
         }
     }
     let why = link.state().end.unwrap_or("stopped");
-    say!(ended "executor {to}: connection {number} ended: {why}");
+    say!(ended { peer = "executor", at = %to, connection = number, code = why } "executor {to}: connection {number} ended: {why}");
 }
 
 struct Carried<'a> {
@@ -242,7 +244,8 @@
     fn open(&mut self, held: &mut Option<Arc<TcpStream>>) -> Result<Arc<TcpStream>, How> {
         if held.as_ref().is_some_and(|stream| !fresh(stream)) {
             // It ended while it was idle. Nothing of this task was written, so a new one may carry it.
-            say!(ended "executor {}: connection {} ended: stale", self.task.to, self.number);
+            let (to, number) = (self.task.to, self.number);
+            say!(ended { peer = "executor", at = %to, connection = number, code = "stale" } "executor {to}: connection {number} ended: stale");
             self.link.drop_stream();
             *held = None;
         }
@@ -267,7 +270,10 @@
             self.code = "called-off";
             return Err(How::Untried);
         }
-        match TcpStream::connect_timeout(&self.task.to, self.shared.dial.min(left)) {
+        match TcpStream::connect_timeout(
+            &self.task.to,
+            self.task.connect.unwrap_or(self.shared.dial).min(left),
+        ) {
             Ok(stream) => {
                 let _ = stream.set_nodelay(true);
                 Ok(stream)
--- a/node/src/life/log.rs
+++ b/node/src/life/log.rs
@@ -5,6 +5,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::OnceLock;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::field::{Field, Visit};
+use tracing::span::{Attributes, Id, Record};
+use tracing::{Event, Metadata, Subscriber};
 
 /// Lines a second; what goes beyond is counted and told. Ended connections get a part of them only: a crowd of
 /// clients must not hide what else happens.
@@ -45,7 +48,7 @@
 
 /// From now on lines are written by a thread of their own: whoever reads them may be slow, or stand still, and
 /// the desk must not stand still with him.
-pub fn open() -> std::io::Result<()> {
+pub fn open(json: bool) -> std::io::Result<()> {
     let (lines, to_write) = bounded(QUEUE);
     super::spawn("log", move || {
         for line in to_write {
@@ -56,6 +59,7 @@
         }
     })?;
     let _ = LINES.set(lines);
+    let _ = tracing::subscriber::set_global_default(Lines { json });
     Ok(())
 }
 
@@ -84,21 +88,100 @@
     }
 }
 
-/// Writes one line of the log; `ended` marks those of ended connections.
+/// Targets of events: what belongs to an ended connection, what to the fate of an op.
+pub const ENDED: &str = "stileroute::ended";
+pub const OP: &str = "stileroute::op";
+
+/// Writes events as lines: their message alone, or all their fields as JSON.
+struct Lines {
+    json: bool,
+}
+
+/// What an event says.
+#[derive(Default)]
+struct Said {
+    message: String,
+    fields: serde_json::Map<String, serde_json::Value>,
+    json: bool,
+}
+
+impl Said {
+    fn put(&mut self, field: &Field, value: impl Into<serde_json::Value>) {
+        if self.json {
+            self.fields.insert(field.name().to_string(), value.into());
+        }
+    }
+}
+
+impl Visit for Said {
+    fn record_debug(&mut self, field: &Field, value: &dyn std::fmt::Debug) {
+        if field.name() == "message" {
+            self.message = format!("{value:?}");
+        } else if self.json {
+            self.put(field, format!("{value:?}"));
+        }
+    }
+    fn record_str(&mut self, field: &Field, value: &str) {
+        self.put(field, value);
+    }
+    fn record_i64(&mut self, field: &Field, value: i64) {
+        self.put(field, value);
+    }
+    fn record_u64(&mut self, field: &Field, value: u64) {
+        self.put(field, value);
+    }
+    fn record_f64(&mut self, field: &Field, value: f64) {
+        self.put(field, value);
+    }
+}
+
+impl Subscriber for Lines {
+    /// What becomes of each op is told as JSON only: as text it would drown the rest.
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target().starts_with("stileroute") && (self.json || metadata.target() != OP)
+    }
+    fn event(&self, event: &Event<'_>) {
+        let Some(dropped) = leave(event.metadata().target() != "stileroute") else { return };
+        let mut said = Said { json: self.json, ..Said::default() };
+        if dropped > 0 {
+            self.write(&format!("log: {dropped} lines dropped"), "stileroute", serde_json::Map::new());
+        }
+        event.record(&mut said);
+        self.write(&said.message, event.metadata().target(), said.fields);
+    }
+    fn new_span(&self, _: &Attributes<'_>) -> Id {
+        Id::from_u64(1)
+    }
+    fn record(&self, _: &Id, _: &Record<'_>) {}
+    fn record_follows_from(&self, _: &Id, _: &Id) {}
+    fn enter(&self, _: &Id) {}
+    fn exit(&self, _: &Id) {}
+}
+
+impl Lines {
+    fn write(&self, message: &str, target: &str, mut fields: serde_json::Map<String, serde_json::Value>) {
+        if !self.json {
+            return write(format_args!("{message}"));
+        }
+        let at = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64);
+        fields.insert("at_ms".to_string(), at.into());
+        let about = target.rsplit("::").next().unwrap_or(target);
+        fields.insert("about".to_string(), if about == "stileroute" { "node" } else { about }.into());
+        fields.insert("message".to_string(), message.into());
+        write(format_args!("{}", serde_json::Value::Object(fields)));
+    }
+}
+
+/// Says something in the log. `ended` marks ended connections and `op` what became of an op, both with fields.
 #[macro_export]
 macro_rules! say {
-    (ended $($text:tt)*) => {
-        $crate::say!(@ true, $($text)*)
+    (ended { $($fields:tt)* } $($text:tt)*) => {
+        tracing::info!(target: $crate::life::log::ENDED, { $($fields)* }, $($text)*)
     };
-    (@ $ended:expr, $($text:tt)*) => {
-        if let Some(dropped) = $crate::life::log::leave($ended) {
-            if dropped > 0 {
-                $crate::life::log::write(format_args!("log: {dropped} lines dropped"));
-            }
-            $crate::life::log::write(format_args!($($text)*));
-        }
+    (op { $($fields:tt)* } $($text:tt)*) => {
+        tracing::info!(target: $crate::life::log::OP, { $($fields)* }, $($text)*)
     };
     ($($text:tt)*) => {
-        $crate::say!(@ false, $($text)*)
+        tracing::info!(target: "stileroute", $($text)*)
     };
 }
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -3,8 +3,10 @@
 pub mod budget;
 pub mod listener;
 pub mod log;
+pub mod operator;
 pub mod signals;
 pub mod start;
+pub mod words;
 
 /// Starts a thread with a small stack.
 pub fn spawn(
--- /dev/null
+++ b/node/src/life/operator.rs
@@ -0,0 +1,64 @@
+//! The operator file: what the platform's settings do not hold. Routes and the form of the log for now; each later
+//! subsystem adds its section here. One that has a fault anywhere is not taken at all.
+
+use super::start::Start;
+use std::path::Path;
+use std::sync::Arc;
+use stileroute_operator::{load, Fault, Keys};
+use stileroute_routes::table::Table;
+use stileroute_routes::Ground;
+
+/// The variable that names the file where the words of the command line don't.
+pub const VARIABLE: &str = "STILEROUTE_OPERATOR";
+
+#[derive(Debug)]
+pub struct Operator {
+    pub routes: Arc<Table>,
+    /// Lines of the log as JSON.
+    pub json: bool,
+}
+
+/// Reads and checks a file against the settings that hold.
+pub fn read(path: &Path, ground: &Ground) -> Result<Operator, Vec<Fault>> {
+    let text = load(path)?;
+    check(&path.display().to_string(), &text, ground)
+}
+
+pub fn check(file: &str, text: &str, ground: &Ground) -> Result<Operator, Vec<Fault>> {
+    stileroute_operator::read(file, text, |keys: &Keys| {
+        let routes = Table::read(keys, ground);
+        let json = keys.table("log").and_then(|table| {
+            let json = table.word("form", &[("text", false), ("json", true)]);
+            table.finish();
+            json
+        });
+        Some(Operator { routes: Arc::new(routes?), json: json.is_some_and(|json| json.value) })
+    })
+}
+
+/// The faults as lines, at most so many, and how many there are beyond.
+pub fn told(faults: &[Fault]) -> Vec<String> {
+    const MOST: usize = 50;
+    let mut lines: Vec<String> = faults.iter().take(MOST).map(Fault::to_string).collect();
+    if faults.len() > MOST {
+        lines.push(format!("and {} more", faults.len() - MOST));
+    }
+    lines
+}
+
+impl Start {
+    /// What routes are held against.
+    pub fn ground(&self) -> Ground {
+        let mut categories = vec![None; self.tariff.categories.len()];
+        for (name, kind) in &self.door.categories {
+            let ttl = if kind.ttl == stileroute::tariff::Time::MAX { 0 } else { kind.ttl };
+            categories[kind.at] = Some((name.clone(), ttl, self.tariff.categories[kind.at].clone()));
+        }
+        Ground {
+            categories: categories.into_iter().flatten().collect(),
+            kinds: self.kinds.clone(),
+            domains: self.domains.clone(),
+            terms: self.tariff.terms.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/node/src/life/words.rs
@@ -0,0 +1,179 @@
+//! The command line. With no words at all the program serves, as it always has.
+
+use super::operator::{self, Operator};
+use super::start::{self, Start};
+use clap::{CommandFactory, Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use stileroute_operator::Place;
+use stileroute_routes::pattern::{Path as Route, Request};
+use stileroute_routes::table::{Kind, Rule};
+use stileroute_routes::Ground;
+
+/// stileroute: pushes jobs (ops) to workers (executors), beside each submitter.
+///
+/// Without a command it serves. What the platform tells it stands in the JSON file that BALANCER_CONFIG names; what
+/// its operators add stands in a TOML file of theirs, which --operator names. Exit codes: 0 well; 2 a word, a file or a
+/// request that can't be taken, with a line for each fault on standard error.
+#[derive(Parser)]
+#[command(name = "stileroute", version, disable_version_flag = true)]
+pub struct Words {
+    /// The operators' file; without one nothing of it is on.
+    #[arg(long, global = true, env = operator::VARIABLE, value_name = "FILE")]
+    pub operator: Option<PathBuf>,
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Serves in the foreground until SIGTERM; SIGHUP reads both files again.
+    Serve,
+    /// Checks an operators' file against the settings, and tells all that is wrong with it.
+    Check {
+        /// The file; --operator where it is left out.
+        file: Option<PathBuf>,
+    },
+    /// Tells which routes match a request, in their order, and each limit that holds with the line that sets it.
+    Explain {
+        /// The path of the request.
+        #[arg(long, default_value = "/")]
+        path: String,
+        /// Its category.
+        #[arg(long)]
+        category: String,
+        #[arg(long)]
+        tenant: Option<String>,
+        /// A header, as NAME=VALUE; may be given again.
+        #[arg(long, value_name = "NAME=VALUE")]
+        header: Vec<String>,
+    },
+    /// Lists all routes in their order of precedence.
+    Routes,
+    /// Tells the version.
+    Version,
+    /// Writes completions for a shell.
+    Completions { shell: clap_complete::Shell },
+}
+
+type Lines = Result<Vec<String>, Vec<String>>;
+
+fn one<T>(line: String) -> Result<T, Vec<String>> {
+    Err(vec![line])
+}
+
+/// The settings and, where one is named, the operators' file.
+fn both(path: Option<&Path>) -> Result<(Start, Ground, Option<Operator>), Vec<String>> {
+    let start = start::read(|name| std::env::var(name).ok()).map_err(|problem| vec![problem])?;
+    let ground = start.ground();
+    let operator = match path {
+        None => None,
+        Some(path) => Some(operator::read(path, &ground).map_err(|faults| operator::told(&faults))?),
+    };
+    Ok((start, ground, operator))
+}
+
+impl Words {
+    /// The lines of every command but `serve`; faults otherwise.
+    pub fn answer(&self) -> Lines {
+        let command = self.command.as_ref().unwrap_or(&Command::Serve);
+        match command {
+            Command::Serve => Ok(Vec::new()),
+            Command::Version => Ok(vec![format!("stileroute {}", env!("CARGO_PKG_VERSION"))]),
+            Command::Completions { shell } => {
+                let mut out = Vec::new();
+                clap_complete::generate(*shell, &mut Words::command(), "stileroute", &mut out);
+                Ok(vec![String::from_utf8_lossy(&out).trim_end().to_string()])
+            }
+            Command::Check { file } => {
+                let Some(path) = file.as_deref().or(self.operator.as_deref()) else {
+                    return one("check: name a file: stileroute check FILE".to_string());
+                };
+                let (_, _, operator) = both(Some(path))?;
+                let rules = operator.map_or(0, |operator| operator.routes.rules.len());
+                Ok(vec![format!("{}: well, {rules} rules", path.display())])
+            }
+            Command::Routes => {
+                let (_, ground, operator) = self.needed("routes")?;
+                Ok(operator.routes.rules.iter().map(|rule| listed(rule, &ground)).collect())
+            }
+            Command::Explain { path, category, tenant, header } => {
+                self.explain(path, category, tenant.as_deref(), header)
+            }
+        }
+    }
+
+    fn needed(&self, what: &str) -> Result<(Start, Ground, Operator), Vec<String>> {
+        match both(self.operator.as_deref())? {
+            (start, ground, Some(operator)) => Ok((start, ground, operator)),
+            _ => one(format!("{what}: no operators' file: name one with --operator")),
+        }
+    }
+
+    fn explain(&self, path: &str, category: &str, tenant: Option<&str>, headers: &[String]) -> Lines {
+        let (_, ground, operator) = self.needed("explain")?;
+        let Some(at) = ground.categories.iter().position(|(name, ..)| name == category) else {
+            let names: Vec<&str> = ground.categories.iter().map(|(name, ..)| name.as_str()).collect();
+            return one(format!("--category: there is no '{category}', only {}", names.join(", ")));
+        };
+        if !path.starts_with('/') {
+            return one(format!("--path: '{path}' does not begin with '/'"));
+        }
+        let mut given: Vec<(String, &str)> = Vec::new();
+        for header in headers {
+            let Some((name, value)) = header.split_once('=') else {
+                return one(format!("--header: '{header}' is not NAME=VALUE"));
+            };
+            given.push((name.to_ascii_lowercase(), value));
+        }
+        let header = |name: &str| given.iter().find(|(own, _)| own == name).map(|(_, value)| *value);
+        let request = Request { path, method: "POST", category: at, tenant, header: &header };
+        let table = &operator.routes;
+        let mut matching = Vec::new();
+        table.matching(&request, &mut matching);
+        let mut lines = vec![format!("{} rules match, the first goes before the others:", matching.len())];
+        lines.extend(matching.iter().map(|n| format!("  {}", listed(&table.rules[*n as usize], &ground))));
+        let effective = table.effective(&matching);
+        let shown = effective.shown(&ground);
+        lines.push("what holds:".to_string());
+        for (key, value, place, rule) in shown {
+            let Place { line, .. } = place;
+            lines.push(format!("  {key} = {value}  (line {line}, {})", table.rules[rule as usize].name));
+        }
+        let (_, ttl, own) = &ground.categories[at];
+        let effect = table.effect(at, &effective);
+        lines.push(format!("  effect: {effect:?}, of the category: {:?}", own.effect));
+        lines.push(format!(
+            "  from the settings: TTL {} ms, {} pushes at most",
+            *ttl as f64 / 10.0,
+            ground.terms.max_pushes
+        ));
+        Ok(lines)
+    }
+}
+
+/// A rule in one line.
+fn listed(rule: &Rule, ground: &Ground) -> String {
+    let pattern = &rule.pattern;
+    let mut conditions = Vec::new();
+    match &pattern.path {
+        Route::Any => {}
+        Route::Whole(own) => {
+            let all: Vec<&str> = own.iter().map(|s| s.as_deref().unwrap_or("{}")).collect();
+            conditions.push(format!("path /{}", all.join("/")));
+        }
+        Route::Prefix(own) => conditions.push(format!("path /{}/*", own.join("/"))),
+    }
+    if let Some(category) = pattern.category {
+        conditions.push(format!("category {}", ground.categories[category].0));
+    }
+    if let Some(tenant) = &pattern.tenant {
+        conditions.push(format!("tenant {tenant}"));
+    }
+    if let Some(method) = &pattern.method {
+        conditions.push(format!("method {method}"));
+    }
+    conditions.extend(pattern.headers.iter().map(|(name, value)| format!("header {name}={value}")));
+    let what = if conditions.is_empty() { "everything".to_string() } else { conditions.join(", ") };
+    let kind = if rule.kind == Kind::Route { "route " } else { "" };
+    format!("{kind}{} (line {}): {what}", rule.name, rule.place.line)
+}
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -8,24 +8,36 @@
 mod tests;
 mod wire;
 
+use clap::Parser;
 use crossbeam_channel::bounded;
 use desk::{Desk, Event};
 use drive::clients::Clients;
 use drive::directory::Post;
 use drive::executors::Executors;
-use life::{listener, signals, spawn, start};
+use life::words::{Command, Words};
+use life::{listener, operator, signals, spawn, start};
+use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64};
-use std::sync::Arc;
+use std::sync::{Arc, RwLock};
 use store::pool::Pool;
 use store::seats::Seats;
 
 /// Events that may wait for the desk; who tells more has to wait.
 const EVENTS: usize = 1024;
 
-fn run() -> Result<(), String> {
+fn run(words: &Words) -> Result<(), String> {
     let start = start::read(|name| std::env::var(name).ok())?;
+    let mut operator = None;
+    if let Some(path) = &words.operator {
+        let ground = start.ground();
+        let read =
+            operator::read(path, &ground).map_err(|faults| operator::told(&faults).join("\nstileroute: "))?;
+        operator = Some((path.clone(), ground, read));
+    }
+    let json = operator.as_ref().is_some_and(|(.., read)| read.json);
+    let routes = operator.as_ref().map(|(.., read)| read.routes.clone());
     let budget = start.budget;
-    life::log::open().map_err(|error| format!("threads: {error}"))?;
+    life::log::open(json).map_err(|error| format!("threads: {error}"))?;
     let (tell, events) = bounded::<Event>(EVENTS);
     let (ask, asked) = bounded(1);
     let executors = Arc::new(Executors {
@@ -44,15 +56,16 @@
         ready: AtomicBool::new(false),
         steer: AtomicBool::new(false),
         numbers: AtomicU64::new(1),
+        wanted: routes.as_ref().map(|routes| RwLock::new(Arc::new(routes.headers.clone()))),
     });
     let post = Post::new(start.discovery, ask.clone());
-    signals::watch(tell.clone(), post.clone())?;
+    signals::watch(tell.clone(), post.clone(), operator.map(|(path, ground, _)| (path, ground)))?;
     let listener = listener::open(start.listen)?;
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
     let news = tell;
     spawn("discovery", move || drive::directory::run(&post, asked, news)).map_err(thread)?;
-    let mut desk = Desk::new(&start, executors, clients.clone(), ask);
+    let mut desk = Desk::new(&start, executors, clients.clone(), ask, routes);
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
     desk.run(&events);
@@ -61,7 +74,22 @@
 }
 
 fn main() {
-    let result = run();
+    let words = Words::parse();
+    if words.command.as_ref().is_some_and(|command| !matches!(command, Command::Serve)) {
+        match words.answer() {
+            Ok(lines) => {
+                // Whoever reads them may have had enough.
+                let mut out = std::io::stdout().lock();
+                let _ = lines.iter().try_for_each(|line| writeln!(out, "{line}"));
+            }
+            Err(lines) => {
+                lines.iter().for_each(|line| life::log::write(format_args!("stileroute: {line}")));
+                std::process::exit(2);
+            }
+        }
+        return;
+    }
+    let result = run(&words);
     if let Err(problem) = &result {
         life::log::write(format_args!("stileroute: {problem}"));
     }
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -5,4 +5,5 @@
 pub mod lines;
 pub mod ops;
 pub mod pool;
+pub mod queue;
 pub mod seats;
--- a/node/src/store/ops.rs
+++ b/node/src/store/ops.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use stileroute::tariff::{Op, Outcome, Time};
+use stileroute_routes::gate::Pass;
 
 /// One op, from its request to the outcome of its last push.
 pub struct Held {
@@ -16,12 +17,16 @@
     pub request: Arc<Request>,
     /// Its pushes by number.
     pub pushes: Vec<Out>,
+    /// What routes let it do, where there are routes.
+    pub pass: Option<Box<Pass>>,
+    pub came: Time,
 }
 
 /// One push: its connection while it is out, and as what it counts when it was given up.
 pub struct Out {
     pub link: Option<Arc<Link>>,
     pub given_up: Option<Outcome>,
+    pub sent: Time,
 }
 
 impl Held {
@@ -35,6 +40,13 @@
         }
     }
 
+    /// Before the module is asked what is next: whether retry budgets leave a further push.
+    pub fn budget(&mut self, now: Time) {
+        if let Some(pass) = &self.pass {
+            self.op.limits.over_budget = pass.over_budget(now);
+        }
+    }
+
     /// Its client has its answer, or is gone: nothing new may leave for it.
     pub fn keep_back(&self) {
         self.pushes.iter().filter_map(|out| out.link.as_ref()).for_each(|link| link.keep_back());
--- a/node/src/wire/serve.rs
+++ b/node/src/wire/serve.rs
@@ -18,6 +18,8 @@
     pub cost: Option<String>,
     pub figures: Option<String>,
     pub content_type: Option<String>,
+    /// Further headers that routes look at, by their names in lower case.
+    pub wanted: Vec<(String, String)>,
     /// The client wants the connection closed after the answer.
     pub close: bool,
     /// Keeps the id from being used twice at once.
@@ -56,13 +58,22 @@
     pool: Arc<Pool>,
     held: Option<Buffer>,
     open: Option<Open>,
+    /// Headers that routes look at; none where there are no routes.
+    wanted: Arc<Vec<String>>,
     /// What came behind the last request, at most as much as is fed at once.
     ahead: Vec<u8>,
 }
 
 impl Inbox {
     pub fn new(pool: Arc<Pool>) -> Inbox {
-        Inbox { pool, held: None, open: None, ahead: Vec::new() }
+        Inbox { pool, held: None, open: None, wanted: Arc::default(), ahead: Vec::new() }
+    }
+
+    /// From the next request on these headers are read too.
+    pub fn want(&mut self, wanted: &Arc<Vec<String>>) {
+        if !Arc::ptr_eq(&self.wanted, wanted) {
+            self.wanted = wanted.clone();
+        }
     }
 
     /// Nothing of a further request has come.
@@ -94,7 +105,7 @@
         if !held.add(bytes) {
             return fault(413, "request too large");
         }
-        let Some(head) = read_head(&held)? else {
+        let Some(head) = read_head(&held, &self.wanted)? else {
             if held.len() > http::HEAD {
                 return fault(431, "head too large");
             }
@@ -140,6 +151,7 @@
 /// What a head says, apart from the buffer that holds it.
 struct Head {
     texts: [Option<String>; 7],
+    wanted: Vec<(String, String)>,
     method: String,
     path: String,
     close: bool,
@@ -158,7 +170,7 @@
     "Content-Type",
 ];
 
-fn read_head(bytes: &[u8]) -> Result<Option<Head>, Fault> {
+fn read_head(bytes: &[u8], wanted: &[String]) -> Result<Option<Head>, Fault> {
     let mut headers = [httparse::EMPTY_HEADER; HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     let end = match head.parse(bytes) {
@@ -177,6 +189,10 @@
     if let Some(name) = TEXTS.iter().chain(&["Host"]).find(|name| http::repeated(headers, name)) {
         return fault(400, &format!("{name} is given twice"));
     }
+    // Routes must not be chosen by the first of two while an executor acts on the second.
+    if let Some(name) = wanted.iter().find(|name| http::repeated(headers, name)) {
+        return fault(400, &format!("{name} is given twice"));
+    }
     let framing = match framing(headers, head.version) {
         None => return fault(400, "Content-Length or Transfer-Encoding is malformed"),
         Some(Some(Framing::Length(bytes))) if bytes > http::BODY => return fault(413, "body over 64 KiB"),
@@ -192,6 +208,10 @@
     let old = head.version == Some(0);
     Ok(Some(Head {
         texts: TEXTS.map(text),
+        wanted: wanted
+            .iter()
+            .filter_map(|name| Some((name.clone(), header(headers, name)?.to_string())))
+            .collect(),
         method: head.method.unwrap_or_default().to_string(),
         path: head.path.unwrap_or_default().to_string(),
         close: has_token(headers, "Connection", "close")
@@ -204,6 +224,7 @@
 fn opened(held: Buffer, head: Head) -> Open {
     let [id, mark, category, budget, cost, figures, content_type] = head.texts;
     let (method, path, close, body) = (head.method, head.path, head.close, head.end..head.end);
+    let wanted = head.wanted;
     Open {
         request: Request {
             method,
@@ -215,6 +236,7 @@
             cost,
             figures,
             content_type,
+            wanted,
             close,
             entry: None,
             held,
--- /dev/null
+++ b/node/tests/routes.rs
@@ -0,0 +1,256 @@
+//! The program with an operators' file: its commands, its limits on sockets, and new files under load.
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+use stileroute_rig::plan::{read, Plan};
+use stileroute_rig::play::play;
+use stileroute_rig::stand::{entries, read_message, Act, Discovery, Fleet, NodeProcess};
+use stileroute_routes::limits::KEYS;
+
+const BINARY: &str = env!("CARGO_BIN_EXE_stileroute");
+
+fn deploy(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name)
+}
+
+fn run(words: &[&str]) -> Output {
+    let mut command = Command::new(BINARY);
+    command.args(words).env("BALANCER_CONFIG", deploy("example.json")).env_remove("STILEROUTE_OPERATOR");
+    command.output().unwrap()
+}
+
+fn said(out: &Output) -> (Option<i32>, String, String) {
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (out.status.code(), text(&out.stdout), text(&out.stderr))
+}
+
+/// A file of its own for a test.
+fn file(name: &str, text: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("stileroute-{}-{name}.toml", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    path
+}
+
+#[test]
+fn the_example_is_well_and_has_every_key() {
+    let path = deploy("operator.toml");
+    let (code, out, err) = said(&run(&["check", path.to_str().unwrap()]));
+    assert!(code == Some(0) && out.contains("well, 6 rules") && err.is_empty(), "{out}{err}");
+    let text = std::fs::read_to_string(&path).unwrap();
+    for key in KEYS.iter().filter(|key| **key != "copy-after") {
+        assert!(text.lines().any(|line| line.starts_with(&format!("{key} = "))), "{key}");
+    }
+}
+
+#[test]
+fn commands_tell_what_holds_and_refuse_in_lines() {
+    let path = deploy("operator.toml");
+    let operator = ["--operator", path.to_str().unwrap()];
+    let (code, out, _) =
+        said(&run(&[&operator[..], &["explain", "--path", "/api/bulk/7", "--category", "report"]].concat()));
+    assert!(code == Some(0) && out.starts_with("2 rules match"), "{out}");
+    let more = ["--tenant", "archive", "--header", "X-Source=night"];
+    let words = ["explain", "--path", "/api/bulk/7", "--category", "report"];
+    let (code, out, _) = said(&run(&[&operator[..], &words, &more].concat()));
+    assert!(code == Some(0) && out.starts_with("3 rules match"), "{out}");
+    // Each figure with the line that sets it, inherited ones too.
+    let text = std::fs::read_to_string(&path).unwrap();
+    for (key, value, by) in [
+        ("wait", "500 ms", "bulk reports"),
+        ("in-hand", "20", "bulk reports"),
+        ("op", "4000 ms", "category report"),
+    ] {
+        let line =
+            out.lines().find(|line| line.trim_start().starts_with(&format!("{key} = {value}"))).expect(&out);
+        let number: usize = line.split("(line ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+        assert!(line.contains(by) && text.lines().nth(number - 1).unwrap().starts_with(key), "{line}");
+    }
+    assert!(out.contains("effect: AtMostOnce, of the category: Redeliverable"), "{out}");
+    let (code, out, _) = said(&run(&[&operator[..], &["routes"]].concat()));
+    assert!(code == Some(0) && out.lines().count() == 6, "{out}");
+    assert!(out.starts_with("route one pallet (line ") || out.starts_with("route marked (line "), "{out}");
+    assert_eq!(said(&run(&["version"])).0, Some(0));
+    assert!(said(&run(&["completions", "bash"])).1.contains("stileroute"));
+    // What can't be taken: exit code 2, nothing on standard output, a line for each fault.
+    let bad = file("bad", "[defaults]\npushes = 9\nop = '5'\n");
+    let cases: [(&[&str], &[&str]); 6] = [
+        (
+            &["check", bad.to_str().unwrap()],
+            &[":2:1: defaults.pushes: 9 pushes are more than the 4", ":3:1: defaults.op: '5' has no unit"],
+        ),
+        (&["check", "/nonexistent.toml"], &["/nonexistent.toml:1:1: file: "]),
+        (&["check"], &["name a file"]),
+        (&["routes"], &["no operators' file"]),
+        (
+            &["--operator", path.to_str().unwrap(), "explain", "--category", "none"],
+            &["there is no 'none', only report, release"],
+        ),
+        (
+            &["--operator", path.to_str().unwrap(), "explain", "--category", "report", "--header", "x"],
+            &["is not NAME=VALUE"],
+        ),
+    ];
+    for (words, expected) in cases {
+        let (code, out, err) = said(&run(words));
+        assert!(
+            code == Some(2) && out.is_empty() && err.lines().count() == expected.len(),
+            "{words:?}: {out}{err}"
+        );
+        assert!(expected.iter().all(|line| err.contains(line)), "{words:?}: {err}");
+    }
+    // Nor does it serve under such a file.
+    let (code, _, err) = said(&run(&["--operator", bad.to_str().unwrap()]));
+    assert!(code == Some(2) && err.lines().count() == 2, "{err}");
+    std::fs::remove_file(bad).unwrap();
+}
+
+fn config(discovery: &str) -> String {
+    let settings = std::fs::read_to_string(deploy("example.json")).unwrap();
+    let mut config: serde_json::Value = serde_json::from_str(&settings).unwrap();
+    config["listen"] = "127.0.0.1:0".into();
+    config["discovery"] = discovery.into();
+    config["known"] = serde_json::Value::Null;
+    config["settings"]["failure-domains"] = serde_json::json!(["a"]);
+    config["settings"]["shapes"] = serde_json::json!(["m"]);
+    config.to_string()
+}
+
+/// A node with two executors that follow a script, under a file.
+fn node(script: fn(usize) -> Act, operator: &str) -> (NodeProcess, std::sync::Arc<Fleet>) {
+    let (fleet, addresses) = Fleet::start(2, script);
+    let (_, at) = Discovery::start(entries(&addresses));
+    let node = NodeProcess::start_with(Path::new(BINARY), &config(&at.to_string()), operator).unwrap();
+    let start = Instant::now();
+    while ask(&node, "GET /-/ready HTTP/1.1\r\n\r\n").0 != 200 {
+        assert!(start.elapsed() < Duration::from_secs(10));
+    }
+    (node, fleet)
+}
+
+fn ask(node: &NodeProcess, text: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(node.at).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(10))).unwrap();
+    stream.write_all(text.as_bytes()).unwrap();
+    let (head, body) = read_message(&mut stream).expect("an answer");
+    (head[9..12].parse().unwrap(), format!("{head}{body}"))
+}
+
+fn op(number: usize, category: &str, path: &str) -> String {
+    format!(
+        "POST {path} HTTP/1.1\r\nHost: h\r\nX-Call-Id: {number:016x}\r\nX-Call-Class: {category}\r\n\
+         X-Budget-Ms: 4000\r\nX-Call-Cost: 20000\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+#[test]
+fn limits_hold_on_sockets_and_ops_keep_those_that_they_came_in_with() {
+    let silent = |_: usize| Act::Silent;
+    let short = "[log]\nform = 'json'\n[[route]]\nname = 'short'\nmatch = { path = '/short/*' }\nop = '400ms'\npushes = 1\n";
+    let (node, fleet) = node(silent, short);
+    let start = Instant::now();
+    let (status, text) = ask(&node, &op(1, "release", "/short/1"));
+    assert!(
+        status == 500 && start.elapsed() < Duration::from_millis(900),
+        "{text} after {:?}",
+        start.elapsed()
+    );
+    // A file that comes while an op is in hand changes nothing for that op, and holds for the next.
+    let begun = Instant::now();
+    let waiting = std::thread::scope(|scope| {
+        let first = scope.spawn(|| (ask(&node, &op(2, "release", "/short/1")).0, begun.elapsed()));
+        std::thread::sleep(Duration::from_millis(100));
+        node.replace_operator(&short.replace("400ms", "1500ms")).unwrap();
+        first.join().unwrap()
+    });
+    assert!(waiting.0 == 500 && waiting.1 < Duration::from_millis(900), "{waiting:?}");
+    let start = Instant::now();
+    assert_eq!(ask(&node, &op(3, "release", "/short/1")).0, 500);
+    assert!(
+        (Duration::from_millis(1300)..Duration::from_millis(2200)).contains(&start.elapsed()),
+        "{:?}",
+        start.elapsed()
+    );
+    // A faulty one is named, whole, and what held goes on.
+    node.replace_operator("[defaults]\npushes = 9\n").unwrap();
+    let told = Instant::now();
+    while !node.logged("operators' file not taken: ") {
+        assert!(told.elapsed() < Duration::from_secs(5));
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let start = Instant::now();
+    assert_eq!(ask(&node, &op(4, "release", "/short/1")).0, 500);
+    assert!(start.elapsed() > Duration::from_millis(1300));
+    assert_eq!(fleet.count(), 4);
+    // Each dead letter is a JSON line with its fields.
+    let log = node.log.lock().unwrap();
+    let lines: Vec<serde_json::Value> =
+        log.iter().map(|line| serde_json::from_str(line).expect(line)).collect();
+    let dead: Vec<_> = lines.iter().filter(|line| line["code"] == "dead-lettered").collect();
+    assert_eq!(dead.len(), 4);
+    assert!(
+        dead.iter()
+            .all(|line| line["route"] == "short" && line["category"] == "release" && line["pushes"] == 1),
+        "{dead:?}"
+    );
+    assert!(lines
+        .iter()
+        .any(|line| line["about"] == "ended" && line["peer"] == "executor" && line["code"] == "called-off"));
+}
+
+#[test]
+fn a_place_in_hand_is_waited_for_and_no_longer_than_allowed() {
+    const SLOW: &[&str] = &["{\"state\":\"started\"}\n{\"state\":\"done\",\"result\":\"x\"}\n"];
+    let slow = |_: usize| Act::Lines(400, SLOW);
+    let (node, _fleet) = node(
+        slow,
+        "[[route]]\nname = 'r'\nmatch = { path = '/r' }\nin-hand = 1\nwait = '600ms'\nwaiting = 1\n",
+    );
+    let begun = Instant::now();
+    let answers: Vec<(u16, String, Duration)> = std::thread::scope(|scope| {
+        let asked: Vec<_> = (0..3)
+            .map(|number| {
+                let node = &node;
+                let one = scope.spawn(move || {
+                    let (status, text) = ask(node, &op(10 + number, "report", "/r"));
+                    (status, text, begun.elapsed())
+                });
+                std::thread::sleep(Duration::from_millis(60));
+                one
+            })
+            .collect();
+        asked.into_iter().map(|one| one.join().unwrap()).collect()
+    });
+    // The first runs, the second waits and runs after it, the third is told at once when to come back.
+    assert_eq!([answers[0].0, answers[1].0, answers[2].0], [200, 200, 503], "{answers:?}");
+    assert!(
+        answers[1].2 > Duration::from_millis(780) && answers[2].2 < Duration::from_millis(400),
+        "{answers:?}"
+    );
+    assert!(answers[2].1.contains("Retry-After: "), "{}", answers[2].1);
+}
+
+fn day(seconds: f64, more: &str) -> Plan {
+    let text = format!(
+        "name = 'day'\nseconds = {seconds:?}\nseeds = [1]\nreload-every-ms = 100.0\n{more}\n[fleet]\ndomains = ['a', 'b']\n\
+         [[fleet.kind]]\nname = 'k'\ncount = 6\nslots = 4.0\nspeed = [1.0, 1.2]\n[nodes]\ncount = 2\n[load]\n\
+         per-second = 80.0\nretries = 1\nretry-wait-ms = 50.0\n[[category]]\nname = 'c'\npart = 0.5\nwork-ms = 60.0\n\
+         spread = 0.3\nhint = 0.2\ntarget-ms = 400.0\nttl-ms = 3000.0\neffect = 'redeliverable'\n[[category]]\nname = 'o'\n\
+         part = 0.5\nwork-ms = 60.0\ntarget-ms = 400.0\nttl-ms = 3000.0\neffect = 'at-most-once'\n\
+         [[fault]]\nwhat = 'killed'\nfrom-s = 1.0\nfor-s = 1.5\non = 'part:0.3'\n"
+    );
+    read("day.toml", &text).unwrap().plan
+}
+
+#[test]
+fn new_files_ten_times_a_second_with_every_second_one_wrong_lose_nothing() {
+    let more = r#"operator = "[defaults]\npushes = 3"
+operator-next = ["[defaults]\npushes = 99", "[defaults]\npushes = 2\nop = '2s'", "no file", "[defaults]\nin-hand = 50\nwait = '100ms'"]"#;
+    let played = play(&day(6.0, more), 1, Path::new(BINARY)).unwrap();
+    assert!(played.broken.is_empty(), "{:?}", played.broken.first());
+    assert!(played.jobs > 300 && played.acked * 10 > played.jobs * 9, "{} of {}", played.acked, played.jobs);
+    let count = |word: &str| played.log.iter().filter(|line| line.contains(word)).count();
+    assert!(count("operators' file not taken: ") > 20 && count("operators' file read again: ") > 20);
+}
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -40,6 +40,13 @@
     pub category: Vec<Category>,
     #[serde(default)]
     pub tenant: Vec<Tenant>,
+    /// An operators' file for the nodes, as text.
+    pub operator: Option<String>,
+    /// Texts that replace it in turn, so often; one with faults must change nothing.
+    #[serde(default)]
+    pub operator_next: Vec<String>,
+    #[serde(default)]
+    pub reload_every_ms: f64,
     #[serde(default)]
     pub fault: Vec<Fault>,
     /// For `hunt` only: how days are drawn, and when one has failed.
@@ -303,6 +310,8 @@
     #[serde(default)]
     pub window_ms: f64,
     pub kind: Option<String>,
+    /// The path that clients ask for.
+    pub path: Option<String>,
     #[serde(default)]
     pub priority: i64,
 }
@@ -721,10 +730,13 @@
     Ok(())
 }
 
-/// How a value reads in a label.
+/// How a value reads in a label: one word, and not a long one.
 fn shown(value: &Value) -> String {
     match value {
-        Value::String(text) => text.clone(),
+        Value::String(text) if text.is_empty() => "none".to_string(),
+        Value::String(text) => {
+            text.split_whitespace().collect::<Vec<_>>().join("_").chars().take(40).collect()
+        }
         other => other.to_string(),
     }
 }
--- a/rig/src/play/clients.rs
+++ b/rig/src/play/clients.rs
@@ -98,9 +98,12 @@
 fn request(world: &World, op: usize, job: usize, asked: &Asked) -> String {
     let category = &world.plan.category[asked.category];
     let hint = asked.hint.map_or(String::new(), |hint| format!("X-Call-Cost: {}\r\n", hint * 100));
+    let path = category.path.clone().unwrap_or_else(|| format!("/api/{job:016x}"));
+    let tenant = world.plan.tenant.get(asked.tenant);
+    let tenant = tenant.map_or(String::new(), |tenant| format!("X-Tenant: {}\r\n", tenant.name));
     format!(
-        "POST /api/{job:016x} HTTP/1.1\r\nHost: rig\r\nX-Call-Id: {op:016x}\r\nX-Call-Class: {}\r\n\
-         X-Budget-Ms: {}\r\nIdempotency-Key: {job:032x}\r\n{hint}X-Call-Info: slots={},memory={}\r\n\
+        "POST {path} HTTP/1.1\r\nHost: rig\r\nX-Call-Id: {op:016x}\r\nX-Call-Class: {}\r\n\
+         X-Budget-Ms: {}\r\nIdempotency-Key: {job:032x}\r\n{hint}{tenant}X-Call-Info: slots={},memory={}\r\n\
          Content-Length: 32\r\n\r\n{job:032x}",
         category.name, category.ttl_ms as u64, category.slots, category.memory
     )
--- a/rig/src/play/mod.rs
+++ b/rig/src/play/mod.rs
@@ -119,15 +119,27 @@
     let rude: Vec<_> = (0..plan.load.rude)
         .map(|number| tokio::spawn(clients::rude(world.clone(), front.clone(), number, end)))
         .collect();
-    for change in changes {
-        let at = world.instant(offset + change.at);
-        loop {
-            tokio::select! {
-                () = sleep_until(at) => break,
-                Some(x) = fallen.recv() => stage.list(x, Status::Gone),
+    let mut reload = offset + ms(plan.reload_every_ms);
+    let mut turned = 0;
+    let reloads = !plan.operator_next.is_empty() && plan.reload_every_ms > 0.0;
+    let mut changes = changes.into_iter().peekable();
+    loop {
+        let next = changes.peek().map_or(end, |change| offset + change.at);
+        tokio::select! {
+            () = sleep_until(world.instant(next)) => match changes.next() {
+                Some(change) => stage.turn(change).await,
+                None => break,
+            },
+            () = sleep_until(world.instant(reload)), if reloads && reload < end => {
+                let text = &plan.operator_next[turned % plan.operator_next.len()];
+                for node in stage.nodes.iter().flatten() {
+                    node.replace_operator(text)?;
+                }
+                turned += 1;
+                reload += ms(plan.reload_every_ms);
             }
+            Some(x) = fallen.recv() => stage.list(x, Status::Gone),
         }
-        stage.turn(change).await;
     }
     let running = jobs.await.map_err(|error| error.to_string())?;
     let ttl = plan.category.iter().map(|category| category.ttl_ms).fold(0.0, f64::max);
@@ -269,7 +281,10 @@
             "known": {"index": 0, "snapshot": true, "endpoints": []},
             "settings": settings(plan, node),
         });
-        NodeProcess::start(&self.binary, &config.to_string(), &[])
+        match &plan.operator {
+            Some(operator) => NodeProcess::start_with(&self.binary, &config.to_string(), operator),
+            None => NodeProcess::start(&self.binary, &config.to_string(), &[]),
+        }
     }
 
     fn list(&mut self, x: usize, status: Status) {
--- a/rig/src/settings.rs
+++ b/rig/src/settings.rs
@@ -3,6 +3,10 @@
 
 use crate::plan::{EffectName, GaugeName, Group, Order, Plan};
 use serde_json::{json, Value};
+use std::sync::Arc;
+use stileroute::posted::Posted;
+use stileroute_routes::table::Table;
+use stileroute_routes::Ground;
 
 fn ns_of_ms(ms: f64) -> i64 {
     (ms * 1e6).round() as i64
@@ -98,6 +102,18 @@
     })
 }
 
+/// The routes of a plan, and those that replace them in turn; texts with faults are left out, as a node does.
+pub fn routes(plan: &Plan) -> Result<(Option<Arc<Table>>, Vec<Arc<Table>>), String> {
+    let Some(text) = &plan.operator else { return Ok((None, Vec::new())) };
+    let posted: Posted = serde_json::from_value(settings(plan, 0)).map_err(|error| error.to_string())?;
+    let ground = Ground::of(&posted)?;
+    let read = |text: &str| stileroute_operator::read("operator", text, |keys| Table::read(keys, &ground));
+    let first =
+        read(text).map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("; "))?;
+    let next = plan.operator_next.iter().filter_map(|text| read(text).ok()).map(Arc::new).collect();
+    Ok((Some(Arc::new(first)), next))
+}
+
 /// A line of the list, in discovery's form.
 pub fn endpoint(
     name: &str,
--- a/rig/src/sim.rs
+++ b/rig/src/sim.rs
@@ -11,11 +11,15 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
+use std::sync::Arc;
 use stileroute::choice::UPKEEP;
 use stileroute::posted::Posted;
-use stileroute::tariff::{Ask, Listed, Op, Outcome, Step, Tariff, Time, SECOND};
+use stileroute::tariff::{Ask, Limits, Listed, Op, Outcome, Step, Tariff, Time, SECOND};
+use stileroute_routes::gate::{Entry, Gate, Pass};
+use stileroute_routes::pattern::Request;
+use stileroute_routes::table::Table;
 
 /// Who decides at a node, made anew at each start of it, from its settings and a seed.
 pub type Maker<'a> = &'a dyn Fn(usize, &Tariff, u64) -> Box<dyn Policy>;
@@ -50,6 +54,10 @@
     News(u64, bool, Rc<Vec<Listed>>),
     Due,
     Upkeep,
+    /// An op has waited for a place as long as it may.
+    WaitOver(usize),
+    /// The operators' file is replaced.
+    Routes,
     /// At an executor.
     Push(usize, usize),
     Cancel(usize, usize),
@@ -89,10 +97,27 @@
     }
 }
 
+/// An op in hand with what routes let it do.
+struct Held {
+    op: Op,
+    pass: Option<Box<Pass>>,
+}
+
+impl Held {
+    fn budget(&mut self, now: Time) {
+        if let Some(pass) = &self.pass {
+            self.op.limits.over_budget = pass.over_budget(now);
+        }
+    }
+}
+
 struct Node {
     policy: Box<dyn Policy>,
     domain: usize,
-    ops: HashMap<usize, Op>,
+    gate: Option<Gate>,
+    waiting: HashMap<usize, Box<Pass>>,
+    admitted: VecDeque<usize>,
+    ops: HashMap<usize, Held>,
     due: BTreeSet<(Time, usize)>,
     looks: HashMap<usize, Time>,
     timer: Option<Time>,
@@ -110,6 +135,7 @@
 /// One push on its way or at its executor.
 struct Flight {
     executor: usize,
+    sent: Time,
     arrives: Time,
     called_off: bool,
     /// Its connection, while it counts at the executor.
@@ -148,6 +174,10 @@
     source: Source,
     chance: Pcg64Mcg,
     out: Vec<Happening>,
+    /// Routes in force, and those that replace them, turn by turn.
+    routes: Option<Arc<Table>>,
+    next_routes: Vec<Arc<Table>>,
+    turned: usize,
     day: Day,
 }
 
@@ -180,6 +210,7 @@
             let posted: Posted = serde_json::from_value(settings(plan, domain)).map_err(|e| e.to_string())?;
             tariffs.push(posted.tariff()?);
         }
+        let (routes, next_routes) = crate::settings::routes(plan)?;
         let day = Day {
             ledger: Ledger {
                 groups: specs.iter().map(|spec| (spec.domain, spec.cell)).collect(),
@@ -215,6 +246,9 @@
             source,
             chance,
             out: Vec::new(),
+            routes,
+            next_routes,
+            turned: 0,
             day,
         };
         for node in 0..plan.nodes.count {
@@ -223,6 +257,9 @@
             sim.nodes.push(Node {
                 policy: make(node, &sim.tariffs[domain], seed),
                 domain,
+                gate: sim.routes.clone().map(Gate::new),
+                waiting: HashMap::new(),
+                admitted: VecDeque::new(),
                 ops: HashMap::new(),
                 due: BTreeSet::new(),
                 looks: HashMap::new(),
@@ -245,11 +282,18 @@
         if plan.fleet.list.live_weights_s > 0.0 {
             sim.push_event(0, 0, What_::Weights);
         }
+        if !sim.next_routes.is_empty() {
+            sim.push_event(sim.reload_every(), 0, What_::Routes);
+        }
         sim.push_event(SECOND, 0, What_::Second);
         sim.push_event(0, 0, What_::Arrival);
         Ok(sim)
     }
 
+    fn reload_every(&self) -> Time {
+        ms(self.plan.reload_every_ms.max(1.0))
+    }
+
     /// What a node knows as it starts: the list as it is told first, or nothing at all.
     fn boot(&mut self, node: usize) {
         let all = Rc::new(self.listed.clone());
@@ -283,8 +327,8 @@
     }
 
     fn at_node(what: &What_) -> bool {
-        use What_::{Ask, Due, Ended, News, Note, Overdue, Upkeep};
-        matches!(what, Overdue(_) | Ask(_) | Note(..) | Ended(..) | News(..) | Due | Upkeep)
+        use What_::{Ask, Due, Ended, News, Note, Overdue, Upkeep, WaitOver};
+        matches!(what, Overdue(_) | WaitOver(_) | Ask(_) | Note(..) | Ended(..) | News(..) | Due | Upkeep)
     }
 
     fn handle(&mut self, event: Event) {
@@ -308,10 +352,12 @@
             }
             What_::Retry(job) => self.ask(job),
             What_::Ask(op) => self.arrive(who, op),
+            What_::WaitOver(op) => self.wait_over(who, op),
+            What_::Routes => self.turn_routes(),
             What_::Note(op, push, start) => {
                 let node = &mut self.nodes[who];
                 if let Some(held) = node.ops.get_mut(&op) {
-                    node.policy.note(now, held, push, start);
+                    node.policy.note(now, &mut held.op, push, start);
                 }
             }
             What_::Ended(op, push, outcome, values) => self.ended(who, op, push, outcome, &values),
@@ -401,29 +447,97 @@
             return;
         }
         let sheet = &self.day.ledger.sheets[op];
-        let (category, deadline) = (sheet.category, sheet.deadline);
-        let own = &self.plan.category[category];
-        let asked = &self.day.asked[sheet.job];
-        let ask = Ask { category, slots: own.slots, memory: own.memory, hint: asked.hint, deadline };
-        let held = self.nodes[node].policy.arrive(self.now, ask);
+        let (category, job) = (sheet.category, sheet.job);
+        let (now, tenant) = (self.now, self.day.asked[job].tenant);
+        let tenant = self.plan.tenant.get(tenant).map(|tenant| tenant.name.as_str());
+        let own = &mut self.nodes[node];
+        let Some(gate) = &mut own.gate else { return self.open(node, op, None) };
+        let path = self.plan.category[category].path.as_deref().unwrap_or("/api/job");
+        let header = |name: &str| (name == "x-tenant").then_some(tenant)?;
+        let request = Request { path, method: "POST", category, tenant, header: &header };
+        match gate.enter(now, op as u64, &request) {
+            Entry::In(pass) => self.open(node, op, Some(Box::new(pass))),
+            Entry::Waits(pass, until) => {
+                own.waiting.insert(op, Box::new(pass));
+                self.push_event(until, node, What_::WaitOver(op));
+            }
+            Entry::Full(back) => self.turn_away(op, back),
+        }
+    }
+
+    fn turn_away(&mut self, op: usize, back: Time) {
+        let back = back.min(ms(self.plan.fleet.come_back_ms));
+        self.push_event(self.now + DOOR, 0, What_::Answer(op, Answer::Nacked(back)));
+    }
+
+    fn wait_over(&mut self, node: usize, op: usize) {
+        if let Some(mut pass) = self.nodes[node].waiting.remove(&op) {
+            self.free(node, op, &mut pass);
+            self.turn_away(op, SECOND / 5);
+            self.admit(node);
+        }
+    }
+
+    fn free(&mut self, node: usize, op: usize, pass: &mut Pass) {
+        let next = pass.leave(self.now, op as u64);
+        self.nodes[node].admitted.extend(next.map(|op| op as usize));
+    }
+
+    /// Ops that have a place now are asked of the policy.
+    fn admit(&mut self, node: usize) {
+        while let Some(op) = self.nodes[node].admitted.pop_front() {
+            if let Some(pass) = self.nodes[node].waiting.remove(&op) {
+                self.open(node, op, Some(pass));
+            }
+        }
+    }
+
+    fn turn_routes(&mut self) {
+        let table = self.next_routes[self.turned % self.next_routes.len()].clone();
+        self.turned += 1;
+        self.nodes.iter_mut().filter_map(|node| node.gate.as_mut()).for_each(|gate| gate.turn(table.clone()));
+        if self.now < seconds(self.plan.seconds) {
+            self.push_event(self.now + self.reload_every(), 0, What_::Routes);
+        }
+    }
+
+    fn open(&mut self, node: usize, op: usize, pass: Option<Box<Pass>>) {
+        let sheet = &self.day.ledger.sheets[op];
+        let own = &self.plan.category[sheet.category];
+        let mut deadline = sheet.deadline;
+        let mut limits = Limits::default();
+        if let Some(pass) = &pass {
+            limits = pass.limits;
+            deadline = deadline.min(sheet.asked.saturating_add(pass.op));
+        }
+        let hint = self.day.asked[sheet.job].hint;
+        let ask =
+            Ask { category: sheet.category, slots: own.slots, memory: own.memory, hint, deadline, limits };
+        let held = Held { op: self.nodes[node].policy.arrive(self.now, ask), pass };
         self.push_event(deadline + 100, node, What_::Overdue(op));
         self.carry(node, op, held, None);
     }
 
     /// Carries out steps until there is nothing left to do for the op now, and keeps it.
-    fn carry(&mut self, node: usize, op: usize, mut held: Op, first: Option<Step>) {
+    fn carry(&mut self, node: usize, op: usize, mut held: Held, first: Option<Step>) {
         let now = self.now;
-        let mut step = first.unwrap_or_else(|| self.place(node, &mut held));
+        held.budget(now);
+        let mut step = first.unwrap_or_else(|| self.place(node, &mut held.op));
         loop {
             match step {
                 Step::Push { executor } => {
-                    let effect = self.tariffs[self.nodes[node].domain].categories[held.category].effect;
-                    let leave_by = self.nodes[node].policy.leave_by(&held, effect);
+                    let category = &self.tariffs[self.nodes[node].domain].categories[held.op.category];
+                    let effect = held.op.limits.effect.unwrap_or(category.effect);
+                    let leave_by = self.nodes[node].policy.leave_by(&held.op, effect);
+                    if let Some(pass) = &mut held.pass {
+                        pass.pushed(now);
+                    }
                     self.send(node, op, executor, leave_by);
                 }
                 Step::Stop { push } => {
                     self.stop(op, push);
-                    step = self.settle(node, &mut held, push, Outcome::Cancelled, &[]);
+                    held.budget(now);
+                    step = self.settle(node, &mut held.op, push, Outcome::Cancelled, &[]);
                     continue;
                 }
                 Step::Nack { come_back } => {
@@ -432,20 +546,24 @@
                 Step::DeadLetter => self.push_event(now + DOOR, 0, What_::Answer(op, Answer::DeadLettered)),
                 Step::Hold => break,
             }
-            step = self.place(node, &mut held);
+            held.budget(now);
+            step = self.place(node, &mut held.op);
         }
         self.take_log(node);
         let own = &mut self.nodes[node];
         if let Some(old) = own.looks.remove(&op) {
             own.due.remove(&(old, op));
         }
-        if !held.closed {
-            let look = own.policy.wait(now, &held);
+        if !held.op.closed {
+            let look = own.policy.wait(now, &held.op);
             own.looks.insert(op, look);
             own.due.insert((look, op));
         }
-        if !held.closed || held.out() {
+        if !held.op.closed || held.op.out() {
             own.ops.insert(op, held);
+        } else if let Some(mut pass) = held.pass {
+            self.free(node, op, &mut pass);
+            self.push_event(now, node, What_::Due);
         }
         self.arm(node);
     }
@@ -462,6 +580,7 @@
 
     fn due(&mut self, node: usize) {
         self.nodes[node].timer = None;
+        self.admit(node);
         while let Some((at, op)) = self.nodes[node].due.first().copied().filter(|due| due.0 <= self.now) {
             self.nodes[node].due.remove(&(at, op));
             self.nodes[node].looks.remove(&op);
@@ -504,14 +623,18 @@
 
     fn ended(&mut self, node: usize, op: usize, push: usize, outcome: Outcome, values: &[f64]) {
         let Some(mut held) = self.nodes[node].ops.remove(&op) else { return };
-        if held.pushes.get(push).is_none_or(|p| p.outcome.is_some()) {
+        if held.op.pushes.get(push).is_none_or(|p| p.outcome.is_some()) {
             self.nodes[node].ops.insert(op, held);
             return;
         }
-        if outcome == Outcome::Acked && !held.closed {
+        if let Some(pass) = held.pass.as_ref().filter(|_| outcome == Outcome::Acked) {
+            pass.ran(self.now - self.tries[op].flights[push].sent);
+        }
+        held.budget(self.now);
+        if outcome == Outcome::Acked && !held.op.closed {
             self.push_event(self.now + DOOR, 0, What_::Answer(op, Answer::Acked));
         }
-        let step = self.settle(node, &mut held, push, outcome, values);
+        let step = self.settle(node, &mut held.op, push, outcome, values);
         self.carry(node, op, held, Some(step));
     }
 
@@ -520,7 +643,7 @@
         let node = self.tries[op].node;
         if let Some(held) = self.nodes[node].ops.get(&op) {
             let out: Vec<usize> =
-                (0..held.pushes.len()).filter(|push| held.pushes[*push].outcome.is_none()).collect();
+                (0..held.op.pushes.len()).filter(|push| held.op.pushes[*push].outcome.is_none()).collect();
             for push in out {
                 self.ended(node, op, push, Outcome::TimedOut, &[]);
             }
@@ -558,8 +681,14 @@
         self.day.crossed += u64::from(self.nodes[node].domain != spec.domain);
         self.day.to_cold += u64::from(self.machines[x].cold(now));
         self.day.to_gone += u64::from(self.machines[x].up != Up::Serving);
-        let mut flight =
-            Flight { executor: x, arrives: now + lat, called_off: false, open: false, reset: false };
+        let mut flight = Flight {
+            executor: x,
+            sent: now,
+            arrives: now + lat,
+            called_off: false,
+            open: false,
+            reset: false,
+        };
         let idle = self.idle.entry((node, x)).or_default();
         let before = idle.len();
         idle.retain(|since| now - since < idle_close);
@@ -939,7 +1068,7 @@
             (What::NodeStopped, true) => {
                 self.nodes[node].takes = false;
                 let by = self.now + 3 * SECOND;
-                self.nodes[node].ops.values_mut().for_each(|op| op.end_by(by));
+                self.nodes[node].ops.values_mut().for_each(|held| held.op.end_by(by));
                 let mut all: Vec<usize> = self.nodes[node].ops.keys().copied().collect();
                 all.sort_unstable();
                 for op in all {
@@ -956,6 +1085,7 @@
                 let (domain, seed) = (self.nodes[node].domain, self.chance.random());
                 let own = &mut self.nodes[node];
                 own.policy = (self.make)(node, &self.tariffs[domain], seed);
+                own.gate = self.routes.clone().map(Gate::new);
                 (own.up, own.takes, own.version) = (true, true, 0);
                 self.boot(node);
             }
@@ -971,13 +1101,20 @@
         own.due.clear();
         own.looks.clear();
         own.timer = None;
-        let mut all: Vec<(usize, Op)> = own.ops.drain().collect();
+        let mut all: Vec<(usize, Held)> = own.ops.drain().collect();
+        let mut waited: Vec<usize> = own.waiting.drain().map(|(op, _)| op).collect();
+        waited.sort_unstable();
         all.sort_unstable_by_key(|(op, _)| *op);
+        for op in waited {
+            if killed {
+                self.day.ledger.saw(op, self.now, Saw::Released);
+            }
+        }
         for (op, held) in all {
             if killed {
                 self.day.ledger.saw(op, self.now, Saw::Released);
             }
-            for (push, p) in held.pushes.iter().enumerate().filter(|(_, p)| p.outcome.is_none()) {
+            for (push, p) in held.op.pushes.iter().enumerate().filter(|(_, p)| p.outcome.is_none()) {
                 let at = self.now + self.latency(node, p.executor);
                 self.push_event(at, p.executor, What_::Cancel(op, push));
             }
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -213,12 +213,20 @@
     TcpListener::bind("127.0.0.2:0").unwrap().local_addr().unwrap()
 }
 
+/// Writes a file beside its place and renames it there, so that nobody reads half of it.
+fn write_whole(path: &Path, text: &str) -> std::io::Result<()> {
+    let beside = path.with_extension("new");
+    std::fs::write(&beside, text)?;
+    std::fs::rename(&beside, path)
+}
+
 /// The most lines of a log that are kept.
 const LOG_LINES: usize = 20_000;
 
 /// A node as a process, ended when it is dropped.
 pub struct NodeProcess {
     child: Child,
+    operator: Option<PathBuf>,
     pub config: PathBuf,
     pub at: SocketAddr,
     pub log: Arc<Mutex<Vec<String>>>,
@@ -229,10 +237,27 @@
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.config);
+        if let Some(path) = &self.operator {
+            let _ = std::fs::remove_file(path);
+        }
     }
 }
 
 impl NodeProcess {
+    /// The same with an operators' file.
+    pub fn start_with(binary: &Path, config: &str, operator: &str) -> Result<NodeProcess, String> {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::SeqCst);
+        let first =
+            std::env::temp_dir().join(format!("stileroute-first-{}-{number}.toml", std::process::id()));
+        write_whole(&first, operator).map_err(|error| format!("{}: {error}", first.display()))?;
+        let variable = ("STILEROUTE_OPERATOR", first.display().to_string());
+        let mut node = NodeProcess::start(binary, config, &[variable])?;
+        // From here on the file belongs to the process that reads it.
+        node.operator = Some(first);
+        Ok(node)
+    }
+
     /// Starts the program with a configuration of this text, and these variables beside it, and waits until it serves; its first line of log, or
     /// the reason, where it does not.
     pub fn start(binary: &Path, config: &str, env: &[(&str, String)]) -> Result<NodeProcess, String> {
@@ -244,6 +269,7 @@
             .env("BALANCER_CONFIG", &path)
             .env_remove("BALANCER_DISCOVERY")
             .env_remove("BALANCER_LISTEN")
+            .env_remove("STILEROUTE_OPERATOR")
             .envs(env.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
@@ -272,7 +298,7 @@
                 }
             });
         });
-        Ok(NodeProcess { child, config: path, at, log })
+        Ok(NodeProcess { child, operator: None, config: path, at, log })
     }
 
     /// Sends it a signal; only ever the process that was started here.
@@ -290,6 +316,13 @@
         self.signal(Signal::SIGHUP)
     }
 
+    /// Replaces the operators' file by a rename, and has both files read again.
+    pub fn replace_operator(&self, text: &str) -> Result<(), String> {
+        let path = self.operator.as_ref().ok_or("it has no operators' file")?;
+        write_whole(path, text).map_err(|error| error.to_string())?;
+        self.signal(Signal::SIGHUP)
+    }
+
     pub fn logged(&self, word: &str) -> bool {
         self.log.lock().is_ok_and(|log| log.iter().any(|line| line.contains(word)))
     }
--- /dev/null
+++ b/routes/examples/cost.rs
@@ -0,0 +1,71 @@
+//! What a look at the routes costs, and what their check at load does: `cargo run --release --example cost`.
+
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Instant;
+use stileroute::tariff::{Category, Effect, Terms, SECOND};
+use stileroute_routes::gate::{Entry, Gate};
+use stileroute_routes::pattern::Request;
+use stileroute_routes::table::Table;
+use stileroute_routes::Ground;
+
+fn main() {
+    let category = |name: &str, effect| {
+        let own = Category { target: SECOND, stretch: 0.0, effect, benefit: 1.0, late: 0.0, kind: None, priority: 0 };
+        (name.to_string(), 9 * SECOND, own)
+    };
+    let ground = Ground {
+        categories: vec![category("lookup", Effect::Redeliverable), category("booking", Effect::AtMostOnce)],
+        terms: Terms { max_pushes: 5, ..Terms::default() },
+        ..Ground::default()
+    };
+    println!("{:>7} {:>12} {:>12} {:>12}", "routes", "check ms", "match ns", "enter ns");
+    for count in [10, 100, 1_000, 10_000] {
+        let mut text = "[node]\ntenant-header = 'X-Tenant'\n[defaults]\npushes = 3\nop = '5s'\n".to_string();
+        for number in 0..count {
+            // A mixture: exact paths, templates, prefixes, tenants.
+            let matched = match number % 4 {
+                0 => format!("path = '/api/{number}/run'"),
+                1 => format!("path = '/api/{number}/{{x}}', category = 'lookup'"),
+                2 => format!("path = '/bulk/{number}/*'"),
+                _ => format!("tenant = 't{number}'"),
+            };
+            text += &format!(
+                "[[route]]\nname = 'r{number}'\nmatch = {{ {matched} }}\nno-start = '{}ms'\nop = '{}ms'\n",
+                100 + number % 50,
+                1000 + number % 500
+            );
+        }
+        let begun = Instant::now();
+        let table = stileroute_operator::read("cost.toml", &text, |keys| Table::read(keys, &ground));
+        let checked = begun.elapsed().as_secs_f64() * 1e3;
+        let table = match table {
+            Ok(table) => Arc::new(table),
+            Err(faults) => panic!("{}", faults[0]),
+        };
+        let paths: Vec<String> = (0..1024).map(|n| format!("/api/{}/run", (n * 7919) % count)).collect();
+        let tenants: Vec<String> = (0..1024).map(|n| format!("t{}", (n * 104_729) % count)).collect();
+        let request = |n: usize| (paths[n % 1024].as_str(), Some(tenants[n % 1024].as_str()));
+        let rounds = 400_000;
+        let mut matching = Vec::new();
+        let begun = Instant::now();
+        for n in 0..rounds {
+            let (path, tenant) = request(n);
+            let request = Request { path, method: "POST", category: n % 2, tenant, header: &|_| None };
+            table.matching(&request, &mut matching);
+            black_box(table.effective(&matching).op.map(|held| held.set.value));
+        }
+        let matched = begun.elapsed().as_nanos() as f64 / rounds as f64;
+        let mut gate = Gate::new(table);
+        let begun = Instant::now();
+        for n in 0..rounds {
+            let (path, tenant) = request(n);
+            let request = Request { path, method: "POST", category: n % 2, tenant, header: &|_| None };
+            if let Entry::In(pass) = gate.enter(n as i64, n as u64, &request) {
+                black_box(pass);
+            }
+        }
+        let entered = begun.elapsed().as_nanos() as f64 / rounds as f64;
+        println!("{count:>7} {checked:>12.1} {matched:>12.0} {entered:>12.0}");
+    }
+}
--- /dev/null
+++ b/routes/src/lib.rs
@@ -0,0 +1,44 @@
+//! Routes: which limits hold for an op by path, category, tenant, method and header; whether what they come to is
+//! safe for every request that can reach them; retry budgets, places in hand and own running times. No I/O, no clock.
+//!
+//! A route only narrows what the module may do. `docs/routes.md` tells the order of precedence and why the check at
+//! load is enough.
+
+pub mod budget;
+pub mod check;
+pub mod gate;
+pub mod limits;
+pub mod pattern;
+pub mod table;
+
+use stileroute::posted::Posted;
+use stileroute::tariff::{Category, Terms, Time};
+
+/// What the platform's settings say, as far as routes are held against it.
+#[derive(Clone, Debug, Default)]
+pub struct Ground {
+    /// Categories with their names and TTLs (zero: none told).
+    pub categories: Vec<(String, Time, Category)>,
+    pub kinds: Vec<String>,
+    pub domains: Vec<String>,
+    pub terms: Terms,
+}
+
+impl Ground {
+    /// What the settings object says; the reason where it can't be read.
+    pub fn of(posted: &Posted) -> Result<Ground, String> {
+        let tariff = posted.tariff()?;
+        let names = posted.categories().into_iter().zip(posted.ttls());
+        let categories = names.zip(tariff.categories).map(|((name, ttl), own)| (name, ttl, own)).collect();
+        let (kinds, domains) = (posted.shapes.clone(), posted.failure_domains.clone());
+        Ok(Ground { categories, kinds, domains, terms: tariff.terms })
+    }
+
+    /// The longest that an op of a category is kept.
+    pub fn ttl(&self, category: usize) -> Time {
+        match self.categories[category].1 {
+            0 => Time::MAX / 4,
+            ttl => ttl,
+        }
+    }
+}
--- /dev/null
+++ b/routes/tests/common/mod.rs
@@ -0,0 +1,48 @@
+//! The ground that the tests of routes stand on.
+#![allow(dead_code)]
+
+use stileroute::tariff::{Category, Effect, Scope, Terms, SECOND};
+use stileroute_operator::Fault;
+use stileroute_routes::table::Table;
+use stileroute_routes::Ground;
+
+pub fn ground() -> Ground {
+    let category = |effect, kind| Category {
+        target: SECOND,
+        stretch: 2.0,
+        effect,
+        benefit: 1.0,
+        late: 0.0,
+        kind,
+        priority: 0,
+    };
+    let deduplicated = Effect::Deduplicated { scope: Scope::Domain, window: 3 * SECOND };
+    Ground {
+        categories: vec![
+            ("lookup".to_string(), 5 * SECOND, category(Effect::Redeliverable, None)),
+            ("notice".to_string(), 5 * SECOND, category(deduplicated, Some(0))),
+            ("booking".to_string(), 9 * SECOND, category(Effect::AtMostOnce, None)),
+        ],
+        kinds: vec!["large".to_string(), "small".to_string()],
+        domains: vec!["north".to_string(), "south".to_string()],
+        terms: Terms {
+            max_pushes: 5,
+            second_copies: true,
+            tick: 20,
+            cancel: true,
+            come_back: 2 * SECOND,
+            tip_after: SECOND,
+            start_share: 0.5,
+            warm_within: SECOND,
+            ..Terms::default()
+        },
+    }
+}
+
+pub fn read(text: &str) -> Result<Table, Vec<Fault>> {
+    read_on(text, &ground())
+}
+
+pub fn read_on(text: &str, ground: &Ground) -> Result<Table, Vec<Fault>> {
+    stileroute_operator::read("bad.toml", text, |keys| Table::read(keys, ground))
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -195,8 +195,11 @@
         if self.solved.is_none_or(|at| now >= at + SOLVE_EVERY) {
             self.solve(now);
         }
+        let overdue = |p: &Push| p.outcome.is_none() && !p.stopping && now >= p.overdue(&op.limits);
+        let late = op.pushes.iter().position(overdue);
         match op.pushes.iter().rposition(|p| p.outcome.is_none()) {
             _ if now + 2 * self.terms.tick >= op.deadline => self.give_up(op, 0),
+            Some(_) if late.is_some() => stop(op, late.unwrap_or(0)),
             Some(last) => self.review(now, op, last),
             None => self.send(now, op),
         }
@@ -243,6 +246,10 @@
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Broken => {}
         }
+        if op.limits.pause > 0 {
+            let chance = 1.0 + op.limits.pause_spread * self.chance.draw();
+            op.not_before = now + (op.limits.pause as f64 * chance) as Time;
+        }
         self.place(now, op)
     }
 
@@ -255,11 +262,15 @@
             Some(p) if p.started.is_none() => now + look,
             Some(p) if self.terms.progress > 0 => (p.noted + 5 * self.terms.progress / 2).max(now + look),
             Some(_) => last,
+            None if op.not_before > now => op.not_before,
             // The answers to probes come within a few ticks or too late to matter.
             None if op.asked == Some(now) => now + (4 * self.terms.tick).max(look / 4),
             None => now + look,
         };
-        next.min(last).max(now + self.terms.tick)
+        let copy = |p: &Push| p.sent.saturating_add(op.limits.copy_after);
+        let out = op.pushes.iter().filter(|p| p.outcome.is_none() && !p.stopping);
+        let limit = out.map(|p| p.overdue(&op.limits).min(copy(p).max(now + look))).min().unwrap_or(last);
+        next.min(last).min(limit).max(now + self.terms.tick)
     }
 
     // ---- What is heard ----
@@ -291,6 +302,7 @@
             base,
             came: now,
             deadline: ask.deadline,
+            limits: ask.limits,
             ..Op::default()
         }
     }
@@ -445,7 +457,10 @@
     /// Sends an op that has nothing out: in billiard order among those not well over the least busy.
     fn send(&mut self, now: Time, op: &mut Op) -> Step {
         if !self.may_send(now, op) {
-            return self.give_up(op, 0);
+            return self.give_up(op, op.limits.over_budget);
+        }
+        if now < op.not_before {
+            return Step::Hold;
         }
         if op.asked.is_none() && op.pushes.is_empty() && self.ask(now, op) {
             return Step::Hold;
@@ -547,7 +562,7 @@
             let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
             let doubtful = e.trial || (empty && old && now - e.acked > 5 * SECOND);
             let risky =
-                if category.effect == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
+                if self.effect(op) == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
             let broke =
                 !op.pushes.is_empty() && (e.credit < 1.0 || op.pushes.iter().any(|p| p.executor == at));
@@ -592,7 +607,11 @@
         if !e.active || category.kind.is_some_and(|kind| kind != e.kind) {
             return false;
         }
-        if let (Effect::Deduplicated { scope, .. }, Some(p)) = (category.effect, op.may_have_run()) {
+        // Beyond what the masks can name nothing is left out.
+        if op.limits.kinds >> e.kind.min(63) & 1 == 0 || op.limits.domains >> e.domain.min(63) & 1 == 0 {
+            return false;
+        }
+        if let (Effect::Deduplicated { scope, .. }, Some(p)) = (self.effect(op), op.may_have_run()) {
             // A repeat outside the group would take effect twice.
             let before = &self.executors[p.executor];
             let domain = scope == Scope::Domain && before.domain != e.domain;
@@ -714,7 +733,15 @@
         let p = &op.pushes[last];
         let (x, started, noted, sent, guess) = (p.executor, p.started, p.noted, p.sent, p.guess);
         let look = self.categories[op.category].target / 4;
-        if p.stopping || now - noted < look {
+        let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
+        let copies = self.terms.second_copies && self.effect(op) != Effect::AtMostOnce;
+        if copies && only_one && !p.stopping && now >= sent.saturating_add(op.limits.copy_after) {
+            let copy = if self.may_send(now, op) { self.pick(now, op, true) } else { None };
+            if let Some(Candidate { at, .. }) = copy {
+                return self.push(now, op, at);
+            }
+        }
+        if op.pushes[last].stopping || now - noted < look {
             return Step::Hold;
         }
         let here = if started.is_none() {
@@ -737,7 +764,6 @@
         } else {
             return Step::Hold;
         };
-        let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
         let better = if movable { self.pick(now, op, true) } else { None };
         let better = better.filter(|b| b.cost + look as f64 <= here);
@@ -746,14 +772,19 @@
             // What waits there will run all the same; a copy only pays where the first stands still.
             return if here.is_finite() { Step::Hold } else { self.push(now, op, at) };
         }
-        op.pushes[last].stopping = true;
-        Step::Stop { push: last }
+        stop(op, last)
+    }
+
+    /// What a second run of this op would do.
+    pub fn effect(&self, op: &Op) -> Effect {
+        op.limits.effect.unwrap_or(self.categories[op.category].effect)
     }
 
     /// A further push is allowed, and would be no second effect.
     fn may_send(&self, now: Time, op: &Op) -> bool {
-        op.pushes.len() < self.terms.max_pushes
-            && match (self.categories[op.category].effect, op.may_have_run()) {
+        op.pushes.len() < self.terms.max_pushes.min(op.limits.pushes)
+            && (op.pushes.is_empty() || op.limits.over_budget == 0)
+            && match (self.effect(op), op.may_have_run()) {
                 (_, None) | (Effect::Redeliverable, _) => true,
                 (Effect::AtMostOnce, Some(_)) => false,
                 // The group forgets the op once the window is over.
@@ -764,7 +795,7 @@
     /// The final answer for an op that is given up: a nack only where a retry is harmless.
     fn give_up(&mut self, op: &mut Op, come_back: Time) -> Step {
         op.closed = true;
-        match self.categories[op.category].effect {
+        match self.effect(op) {
             Effect::AtMostOnce | Effect::Deduplicated { scope: Scope::Domain | Scope::Cell, .. }
                 if op.may_have_run().is_some() =>
             {
@@ -844,6 +875,12 @@
     }
 }
 
+/// Calls a push off; only its outcome decides what comes next.
+fn stop(op: &mut Op, push: usize) -> Step {
+    op.pushes[push].stopping = true;
+    Step::Stop { push }
+}
+
 /// Equations 5 and 6 with time in mean gaps between arrivals: P = m - (sum of m - 1) sqrt(K e) / sum of
 /// sqrt(K e), e = s2 + 1 + C2 - m, the rates scaled so that they sum to one over the target use; negative
 /// e or P is clamped to zero and the rest renormalised. `spreads` are squared variations.
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -92,6 +92,44 @@
     pub price_probe: f64,
 }
 
+/// What an op may do less than its category allows. It comes in with the op and holds to its end.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Limits {
+    pub pushes: usize,
+    /// Most time of a push that has not started, and without news of one that has.
+    pub no_start: Time,
+    pub no_progress: Time,
+    /// Before a further push; the random part on top of it is as long times `pause_spread` at most.
+    pub pause: Time,
+    pub pause_spread: f64,
+    /// After so long a second copy goes out, where the settings allow any.
+    pub copy_after: Time,
+    /// Kinds and failure domains that it may go to, a bit each.
+    pub kinds: u64,
+    pub domains: u64,
+    /// A narrower effect than its category's.
+    pub effect: Option<Effect>,
+    /// No further push is left for now: what is given up is told to come back after this. Zero: there is one.
+    pub over_budget: Time,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            pushes: usize::MAX,
+            no_start: Time::MAX,
+            no_progress: Time::MAX,
+            pause: 0,
+            pause_spread: 0.0,
+            copy_after: Time::MAX,
+            kinds: u64::MAX,
+            domains: u64::MAX,
+            effect: None,
+            over_budget: 0,
+        }
+    }
+}
+
 /// An op as it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
@@ -100,6 +138,7 @@
     pub memory: f64,
     pub hint: Option<Time>,
     pub deadline: Time,
+    pub limits: Limits,
 }
 
 /// How a push ended.
@@ -147,6 +186,13 @@
     fn may_have_run(&self) -> bool {
         self.outcome.is_none_or(|outcome| !outcome.never_ran())
     }
+    /// When it has been without a start, or without news, for as long as it may.
+    pub(crate) fn overdue(&self, limits: &Limits) -> Time {
+        match self.started {
+            None => self.sent.saturating_add(limits.no_start),
+            Some(_) => self.noted.saturating_add(limits.no_progress),
+        }
+    }
 }
 
 /// One op, from its arrival to the outcome of its last push.
@@ -162,6 +208,9 @@
     pub deadline: Time,
     /// When executors were probed for it.
     pub(crate) asked: Option<Time>,
+    pub limits: Limits,
+    /// No further push before this.
+    pub(crate) not_before: Time,
 }
 
 impl Op {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -63,7 +63,14 @@
 }
 
 fn ask(category: usize) -> Ask {
-    Ask { category, slots: 1.0, memory: 0.0, hint: Some(1000), deadline: i64::MAX / 4 }
+    Ask {
+        category,
+        slots: 1.0,
+        memory: 0.0,
+        hint: Some(1000),
+        deadline: i64::MAX / 4,
+        limits: Limits::default(),
+    }
 }
 
 fn pushed(step: Step) -> usize {
