--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/example.json
 
-.PHONY: build test lint run prove-rig
+.PHONY: build test lint run prove-rig prove-routes
 
 build:
 	cargo build --release --locked
@@ -19,3 +19,7 @@
 prove-rig:
 	cargo build --release --locked --workspace
 	rig/prove.sh
+
+prove-routes:
+	cargo build --release --locked --workspace
+	routes/prove.sh
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -74,19 +74,21 @@
 #[derive(Debug)]
 pub struct Faults {
     file: String,
-    text: String,
+    /// Where each line begins.
+    lines: Vec<usize>,
     all: RefCell<BTreeSet<Fault>>,
 }
 
 impl Faults {
     pub fn new(file: &str, text: &str) -> Rc<Faults> {
-        Rc::new(Faults { file: file.to_string(), text: text.to_string(), all: RefCell::default() })
+        let ends = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n').map(|(at, _)| at + 1);
+        let lines = std::iter::once(0).chain(ends).collect();
+        Rc::new(Faults { file: file.to_string(), lines, all: RefCell::default() })
     }
 
     pub fn place(&self, at: usize, key: &str) -> Place {
-        let before = &self.text.as_bytes()[..at.min(self.text.len())];
-        let line = before.iter().filter(|b| **b == b'\n').count() + 1;
-        let column = before.iter().rev().take_while(|b| **b != b'\n').count() + 1;
+        let line = self.lines.partition_point(|begin| *begin <= at).max(1);
+        let column = at - self.lines[line - 1] + 1;
         Place { line, column, key: key.to_string() }
     }
 
@@ -266,8 +268,7 @@
     }
 
     fn offset(&self, place: &Place) -> usize {
-        let before: usize = self.faults.text.split_inclusive('\n').take(place.line - 1).map(str::len).sum();
-        before + place.column - 1
+        self.faults.lines[place.line - 1] + place.column - 1
     }
 
     /// The entries of a list of tables.
--- a/rig/src/settings.rs
+++ b/rig/src/settings.rs
@@ -102,8 +102,11 @@
     })
 }
 
+/// Routes in force, if any, and those that replace them in turn.
+pub type Routes = (Option<Arc<Table>>, Vec<Arc<Table>>);
+
 /// The routes of a plan, and those that replace them in turn; texts with faults are left out, as a node does.
-pub fn routes(plan: &Plan) -> Result<(Option<Arc<Table>>, Vec<Arc<Table>>), String> {
+pub fn routes(plan: &Plan) -> Result<Routes, String> {
     let Some(text) = &plan.operator else { return Ok((None, Vec::new())) };
     let posted: Posted = serde_json::from_value(settings(plan, 0)).map_err(|error| error.to_string())?;
     let ground = Ground::of(&posted)?;
--- a/routes/examples/cost.rs
+++ b/routes/examples/cost.rs
@@ -11,7 +11,15 @@
 
 fn main() {
     let category = |name: &str, effect| {
-        let own = Category { target: SECOND, stretch: 0.0, effect, benefit: 1.0, late: 0.0, kind: None, priority: 0 };
+        let own = Category {
+            target: SECOND,
+            stretch: 0.0,
+            effect,
+            benefit: 1.0,
+            late: 0.0,
+            kind: None,
+            priority: 0,
+        };
         (name.to_string(), 9 * SECOND, own)
     };
     let ground = Ground {
--- a/routes/src/check.rs
+++ b/routes/src/check.rs
@@ -8,7 +8,7 @@
 
 use crate::limits::{inside, narrowness, Budget, Limits, Narrowed};
 use crate::pattern::Pattern;
-use crate::table::{Kind, Table};
+use crate::table::{Kind, Rule, Table};
 use crate::Ground;
 use std::collections::BTreeSet;
 use stileroute::tariff::{Effect, Scope, Time};
@@ -120,7 +120,7 @@
 
     /// Two keys that are bad together for some values. The second may stand in the settings alone: `else_`.
     #[allow(clippy::too_many_arguments)]
-    fn pair<A: Copy + 'static, B: Copy + 'static>(
+    fn pair<A: Copy + PartialOrd + 'static, B: Copy + PartialOrd + 'static>(
         &mut self,
         category: usize,
         (a, name_a): (Key<A>, &str),
@@ -131,8 +131,17 @@
         bad: impl Fn(A, B) -> Option<String>,
     ) {
         let (firsts, seconds) = (self.of(category, a), self.of(category, b));
-        for one in &firsts {
-            for two in &seconds {
+        // Rules share few values: whether two are bad together is asked once for each two values.
+        let groups = by_value(&seconds);
+        let mut before: Option<A> = None;
+        let mut met: Vec<&Of<B>> = Vec::new();
+        for one in by_value(&firsts).into_iter().flatten() {
+            if before.is_none_or(|value| value != one.value) {
+                let bad = groups.iter().filter(|group| bad(one.value, group[0].value).is_some());
+                met = bad.flatten().copied().collect();
+                before = Some(one.value);
+            }
+            for two in &met {
                 let Some(reason) = bad(one.value, two.value) else { continue };
                 if self.told.contains(&(one.rule, two.rule, code))
                     || !self.reached(category, one.rule, a, two.rule, b)
@@ -140,7 +149,7 @@
                     continue;
                 }
                 self.told.insert((one.rule, two.rule, code));
-                let whole = if one.rule == two.rule && one.place.line.abs_diff(two.place.line) < 1 {
+                let whole = if one.rule == two.rule && one.place.line == two.place.line {
                     reason
                 } else {
                     let (left, right) = (self.name(one.rule), self.name(two.rule));
@@ -300,27 +309,28 @@
     /// A rule of which, for every category, all keys are set by rules before it that match whatever it matches.
     fn unreached(&mut self) {
         let table: &'a Table = self.table;
+        let sets: Vec<u32> = table.rules.iter().map(|rule| rule.limits.set()).collect();
         for (number, rule) in table.rules.iter().enumerate() {
-            if rule.limits.is_empty() {
+            let before = (0..number).filter(|before| sets[*before] & sets[number] != 0);
+            let covering: Vec<usize> =
+                before.filter(|n| table.rules[*n].pattern.path.covers_one(&rule.pattern.path)).collect();
+            if covering.is_empty() || sets[number] == 0 {
                 continue;
             }
-            let keys = rule.limits.set();
+            let shadowed = |category: usize, key: u32| {
+                let covers = |before: &&Rule| before.pattern.covers(&rule.pattern, &rule.pattern, category);
+                let setting = covering.iter().filter(|before| sets[**before] >> key & 1 == 1);
+                setting.map(|before| &table.rules[*before]).find(covers)
+            };
             let categories = 0..self.ground.categories.len();
             let mut own = categories.filter(|c| rule.pattern.category.is_none_or(|category| category == *c));
-            let shadowed = |category: usize, key: &usize| {
-                table.rules[..number].iter().find(|before| {
-                    before.limits.set().contains(key)
-                        && before.pattern.covers(&rule.pattern, &rule.pattern, category)
-                })
-            };
+            let keys = || (0..u32::BITS).filter(|key| sets[number] >> key & 1 == 1);
             let mut by = None;
             let reached = own.any(|category| {
-                keys.iter().any(|key| match shadowed(category, key) {
-                    Some(before) => {
-                        by = Some(before);
-                        false
-                    }
-                    None => true,
+                keys().any(|key| {
+                    let before = shadowed(category, key);
+                    by = before.or(by);
+                    before.is_none()
                 })
             });
             if let Some(before) = by.filter(|_| !reached) {
@@ -332,6 +342,21 @@
     }
 }
 
+/// Keys in groups of the same value.
+fn by_value<'b, 'a, T: Copy + PartialOrd>(all: &'b [Of<'a, T>]) -> Vec<Vec<&'b Of<'a, T>>> {
+    let mut sorted: Vec<&Of<T>> = all.iter().collect();
+    // Values are finite numbers or words, so that each two compare.
+    sorted.sort_by(|a, b| a.value.partial_cmp(&b.value).unwrap_or(std::cmp::Ordering::Equal));
+    let mut groups: Vec<Vec<&Of<T>>> = Vec::new();
+    for own in sorted {
+        match groups.last_mut().filter(|group| group[0].value == own.value) {
+            Some(group) => group.push(own),
+            None => groups.push(vec![own]),
+        }
+    }
+    groups
+}
+
 /// Checks a table against the settings, for all requests that can come; what is wrong goes to the faults.
 pub fn check(table: &Table, ground: &Ground, faults: &Faults) {
     let any = Pattern::default();
--- a/routes/src/limits.rs
+++ b/routes/src/limits.rs
@@ -13,7 +13,7 @@
 }
 
 /// How a deduplicated op is resent more narrowly, or an op is treated as of a narrower effect.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
 pub enum Narrowed {
     Redeliverable,
     Deduplicated,
@@ -99,21 +99,19 @@
         each!(merged)
     }
 
-    /// Which keys are set, by their number.
-    pub fn set(&self) -> Vec<usize> {
-        let mut all = Vec::new();
+    /// Which keys are set, a bit each.
+    pub fn set(&self) -> u32 {
+        let mut bits = 0;
         let mut number = 0;
         macro_rules! note {
             ($($key:ident),*) => { $(
-                if self.$key.is_some() {
-                    all.push(number);
-                }
+                bits |= u32::from(self.$key.is_some()) << number;
                 number += 1;
             )* };
         }
         each!(note);
         let _ = number;
-        all
+        bits
     }
 
     pub fn is_empty(&self) -> bool {
--- a/routes/src/pattern.rs
+++ b/routes/src/pattern.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Every path that matches the other matches this one.
+    pub fn covers_one(&self, other: &Path) -> bool {
+        self.meets(other) && self.covers(other, other)
+    }
+
     /// How specific it is: exact before templates before prefixes; of templates the one with more fixed segments, of
     /// prefixes the longer.
     fn rank(&self) -> (u8, usize) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -643,3 +643,77 @@
     let word = format!("executor {executor} set aside: silent");
     assert_eq!(desk.log.iter().filter(|line| line.starts_with(&word)).count(), 1);
 }
+
+#[test]
+fn limits_of_a_route_are_kept_and_only_narrow() {
+    let open = |desk: &mut Dispatcher, category, limits| {
+        let mut op = desk.arrive(0, Ask { deadline: 9 * SECOND, limits, ..ask(category) });
+        let first = pushed(desk.place(0, &mut op));
+        (op, first)
+    };
+    // What is limited, the outcome of a first push after 100 ms, and what follows for a redeliverable op.
+    let none = Limits::default();
+    let back = 700 * MS;
+    let cases = [
+        ("nothing", none, Outcome::Error, None),
+        ("one push", Limits { pushes: 1, ..none }, Outcome::Error, Some(Step::Nack { come_back: 0 })),
+        (
+            "the budget",
+            Limits { over_budget: back, ..none },
+            Outcome::Error,
+            Some(Step::Nack { come_back: back }),
+        ),
+        ("a pause", Limits { pause: 50 * MS, ..none }, Outcome::Error, Some(Step::Hold)),
+        (
+            "the effect",
+            Limits { effect: Some(Effect::AtMostOnce), ..none },
+            Outcome::Error,
+            Some(Step::DeadLetter),
+        ),
+    ];
+    for (what, limits, outcome, expected) in cases {
+        let mut desk = desk(Terms { come_back: SECOND, ..terms() }, 3, 4);
+        let (mut op, _) = open(&mut desk, 0, limits);
+        let step = desk.settle(100 * MS, &mut op, 0, outcome, &[]);
+        match expected {
+            Some(expected) => assert_eq!(step, expected, "{what}"),
+            None => assert!(matches!(step, Step::Push { .. }), "{what}: {step:?}"),
+        }
+        if limits.pause > 0 {
+            assert_eq!(desk.wait(100 * MS, &op), 150 * MS);
+            pushed(desk.place(150 * MS, &mut op));
+        }
+    }
+    // A push without a start, or without news since, is called off at its time, and not before.
+    let limits = Limits { no_start: 200 * MS, no_progress: 300 * MS, ..none };
+    for category in [0, 1, 4] {
+        for started in [false, true] {
+            let mut desk = desk(terms(), 5, 4);
+            let (mut op, _) = open(&mut desk, category, limits);
+            let due = if started { 350 * MS } else { 200 * MS };
+            if started {
+                desk.note(50 * MS, &mut op, 0, true);
+            }
+            assert!(desk.wait(100 * MS, &op) <= due);
+            assert!(!matches!(desk.place(due - 1, &mut op), Step::Stop { .. }));
+            assert_eq!(desk.place(due, &mut op), Step::Stop { push: 0 });
+            // Of an at-most-once op a time-out is a dead letter, never a push.
+            let step = desk.settle(due + 1, &mut op, 0, Outcome::Cancelled, &[]);
+            assert_eq!(step == Step::DeadLetter, category == 4, "{category}: {step:?}");
+        }
+    }
+    // Kinds and domains are left out, and a second copy goes at its time where two pushes are allowed at all.
+    for copies in [false, true] {
+        let mut desk = desk(Terms { second_copies: copies, ..terms() }, 7, 6);
+        let (mut op, first) = open(&mut desk, 0, Limits { domains: 0b10, copy_after: 400 * MS, ..none });
+        assert_eq!(first % 2, 1);
+        assert_eq!(desk.place(399 * MS, &mut op), Step::Hold);
+        match desk.place(400 * MS, &mut op) {
+            Step::Push { executor } => assert!(copies && executor % 2 == 1 && executor != first),
+            step => assert!(!copies, "{step:?}"),
+        }
+        // Never of an at-most-once op, whatever is asked for.
+        let (mut op, _) = open(&mut desk, 4, Limits { copy_after: 10 * MS, ..none });
+        assert!(!matches!(desk.place(500 * MS, &mut op), Step::Push { .. }));
+    }
+}
