Rig: latencies and its own lateness are measured, not clamped at two

Cause: the histograms grew by themselves, and such a one clamps what is recorded with saturation to its first bound: every latency read 2 us, and the rig could never have found itself late, so that a play always had a verdict.

Change: histograms with fixed bounds in one place; lateness is judged where it is kept, and a test shows both a late rig without a verdict and latencies in milliseconds.

--- a/rig/src/play/mod.rs
+++ b/rig/src/play/mod.rs
@@ -33,9 +33,6 @@
 use tokio::time::{sleep, sleep_until, timeout};
 use world::{locked, World};
 
-/// A play is without a verdict when requests left so much later than they were due: at 99 of 100, and at worst.
-const LAG_P99_MS: f64 = 20.0;
-const LAG_MOST_MS: f64 = 250.0;
 /// What clocks and scheduling add to the limits of the rules on sockets.
 pub const SLACK_MS: f64 = 50.0;
 
@@ -168,9 +165,8 @@
     for fault in &stage.faults {
         played.broken.push(Broken { rule: 1, op: 0, what: fault.clone(), line: Vec::new() });
     }
-    let lag = locked(&world.lag);
-    let (p99, worst) = (lag.value_at_quantile(0.99) as f64 / 1000.0, lag.max() as f64 / 1000.0);
-    if p99 > LAG_P99_MS || worst > LAG_MOST_MS {
+    let (p99, worst, late) = world.lateness();
+    if late {
         played.no_verdict = Some(format!("the rig was late: {p99:.1} ms at 99 %, {worst:.1} ms at worst"));
     } else if !done {
         played.no_verdict = Some("clients were left waiting beyond any deadline".to_string());
@@ -221,8 +217,7 @@
                 all.push(asked.clone());
                 all.len() - 1
             };
-            let lag = (world.now() - due).max(0) as u64 * 100;
-            locked(&world.lag).saturating_record(lag.max(1));
+            world.left(world.now() - due);
             running.push(tokio::spawn(clients::job(world.clone(), front.clone(), number, asked)));
             due = next;
         }
--- a/rig/src/play/world.rs
+++ b/rig/src/play/world.rs
@@ -15,6 +15,10 @@
     mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
+/// A play is without a verdict when requests left so much later than they were due: at 99 of 100, and at worst.
+const LAG_P99_MS: f64 = 20.0;
+const LAG_MOST_MS: f64 = 250.0;
+
 pub struct World {
     pub plan: Plan,
     start: Instant,
@@ -46,7 +50,7 @@
             weather: RwLock::new(weather),
             changed: watch::channel(0).0,
             foreign: Mutex::new(Vec::new()),
-            lag: Mutex::new(hdrhistogram::Histogram::new(3).map_err(|error| error.to_string())?),
+            lag: Mutex::new(crate::report::micros()),
         })
     }
 
@@ -71,6 +75,18 @@
         locked(&self.ledger).saw(op, at, what);
     }
 
+    /// A request left so long after it was due.
+    pub fn left(&self, late: Time) {
+        locked(&self.lag).saturating_record((late.max(0) as u64 * 100).max(1));
+    }
+
+    /// By how many milliseconds requests left late, at 99 of 100 and at worst, and whether that leaves no verdict.
+    pub fn lateness(&self) -> (f64, f64, bool) {
+        let lag = locked(&self.lag);
+        let (most, worst) = (lag.value_at_quantile(0.99) as f64 / 1000.0, lag.max() as f64 / 1000.0);
+        (most, worst, most > LAG_P99_MS || worst > LAG_MOST_MS)
+    }
+
     pub fn answered(&self, op: usize, answer: Answer) {
         self.saw(op, self.now(), Saw::Answered(answer));
     }
@@ -79,3 +95,29 @@
 pub fn span(time: Time) -> Duration {
     Duration::from_micros(time.max(0) as u64 * 100)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::fleet::specs;
+
+    #[test]
+    fn a_rig_that_is_late_itself_gives_no_verdict() {
+        let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/calm.toml");
+        let plan = crate::plan::load(&path).unwrap().plan;
+        let world = || World::new(&plan, Weather::new(&plan, &specs(&plan, 1), 1).0, Vec::new()).unwrap();
+        // So many requests so late, in tenths of a millisecond, and whether that is too late.
+        let cases = [
+            (vec![(1000, 15)], false),
+            (vec![(1000, 15), (15, 400)], true),
+            (vec![(5000, 1), (1, 3000)], true),
+        ];
+        for (requests, expected) in cases {
+            let world = world();
+            for (count, late) in &requests {
+                (0..*count).for_each(|_| world.left(*late));
+            }
+            assert_eq!(world.lateness().2, expected, "{requests:?}: {:?}", world.lateness());
+        }
+    }
+}
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -95,6 +95,13 @@
     }
 }
 
+/// A histogram of microseconds up to a day. One that grows by itself would clamp what is recorded with saturation to
+/// its first bound, two, and nothing would ever look late.
+pub fn micros() -> Histogram<u64> {
+    // The bounds are right by construction.
+    Histogram::new_with_bounds(1, 86_400_000_000, 3).unwrap_or_else(|_| unreachable!())
+}
+
 /// The figures of a day whose load began at a time. Whatever concerns ops is taken from the ledger.
 pub fn figures(
     plan: &Plan,
@@ -151,8 +158,7 @@
     let mut by_second = vec![(0.0, 0.0); seconds];
     let mut by_category = vec![(0.0, 0.0, 0u64); plan.category.len()];
     let mut by_tenant = vec![(0.0, 0.0); plan.tenant.len().max(1)];
-    let mut latency: Vec<Histogram<u64>> =
-        plan.category.iter().map(|_| Histogram::new(3).unwrap_or_else(|error| panic!("{error}"))).collect();
+    let mut latency: Vec<Histogram<u64>> = plan.category.iter().map(|_| micros()).collect();
     let mut whole = (0.0, 0.0);
     for (job, own) in asked.iter().enumerate() {
         let category = &plan.category[own.category];
@@ -379,6 +385,24 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn latencies_are_told_in_milliseconds_from_when_a_job_was_due() {
+        let text = "name='d'\nseconds=2.0\nseeds=[1]\n[fleet]\nfar-ms=10.0\n[[fleet.kind]]\nname='k'\ncount=4\n\
+            slots=4.0\nspeed=[1.0,1.0]\n[nodes]\ncount=1\n[load]\nper-second=20.0\n[[category]]\nname='c'\npart=1.0\n\
+            work-ms=250.0\ntarget-ms=900.0\nttl-ms=3000.0\neffect='redeliverable'\n";
+        let plan = crate::plan::read("d.toml", text).unwrap().plan;
+        let played = crate::run::play_simulated(&plan, 1).unwrap();
+        let [half, .., most] = played.categories[0].latency;
+        assert!(
+            (250.0..260.0).contains(&half) && most >= half && most < 2000.0,
+            "{:?}",
+            played.categories[0]
+        );
+        let mut wide = micros();
+        wide.saturating_record(7_000_000);
+        assert!((6_990_000..7_010_000).contains(&wide.max()));
+    }
+
     #[test]
     fn pairs_tell_a_difference_from_chance() {
         let play = |seed, benefit| Played { seed, benefit, jobs: 10, ..Played::default() };
