A core that knows no protocol: the desk holds fronts and outlets by what they do

Need: beanstalkd clients and workers are to come onto the same core. The desk held HTTP's requests and connections and built 200, 503 and 500, and desk, drive, store, wire and life named each other in circles.

Change: port.rs holds what stands between: Job, Push, How, Answer, list entries, events, and the traits Front, Outlet and Link. The desk (with its ops and its queue) names no protocol; HTTP's connections sit behind drive/outlet.rs, its answers are worded in drive/clients.rs, its list is turned into entries in wire/targets.rs. No behaviour is meant to change; no test was, but for paths.

--- a/node/src/desk.rs
+++ b/node/src/desk/mod.rs
@@ -1,21 +1,18 @@
 //! The desk: the one thread that owns the dispatcher, the ops and their timers. It turns what it is told
 //! into calls of the module, carries out what these give back, and never waits on a socket.
 
-use crate::drive::clients::{Asked, Body, Clients, Reply};
-use crate::drive::executors::{self, Executors, How, Link, Task, Work};
-use crate::life::spawn;
+mod ops;
+mod queue;
+
 use crate::life::start::Start;
+use crate::port::{Answer, Asked, Event, Fate, Front, How, Job, Link, List, Outlet, Push};
 use crate::say;
 use crate::store::indices::Indices;
-use crate::store::lines::{Line, Lines};
-use crate::store::ops::{Held, Ops, Out};
-use crate::store::queue::{Queue, Waiting};
-use crate::wire::serve::Request;
-use crate::wire::targets::List;
-use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
+use ops::{Held, Ops, Out};
+use queue::{Queue, Waiting};
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
-use std::sync::{Arc, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute::choice::{Dispatcher, UPKEEP};
 use stileroute::tariff::{Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
@@ -23,50 +20,6 @@
 use stileroute_routes::pattern::Request as Ways;
 use stileroute_routes::table::Table;
 
-/// What the other threads tell the desk.
-pub enum Event {
-    Asked {
-        ticket: u64,
-        request: Arc<Request>,
-        asked: Asked,
-        came: Instant,
-        reply: Sender<Reply>,
-    },
-    Withdrawn {
-        ticket: u64,
-    },
-    Note {
-        ticket: u64,
-        push: usize,
-        start: bool,
-    },
-    Ended {
-        ticket: u64,
-        push: usize,
-        how: How,
-        load: Option<Vec<f64>>,
-    },
-    /// An answer to a probe, or none in its time.
-    Probed {
-        executor: usize,
-        load: Option<Vec<f64>>,
-        lost: bool,
-    },
-    Free {
-        number: u64,
-        keep: bool,
-    },
-    /// A list, or changes of it; `anew` if it is the first from its address.
-    List {
-        list: List,
-        anew: bool,
-    },
-    ListSilent,
-    /// New routes, checked.
-    Routes(Arc<Table>),
-    End,
-}
-
 /// The desk's clock: Unix time at the start, and from then on a clock that is never set.
 struct Clock {
     start: Instant,
@@ -111,9 +64,8 @@
     clock: Clock,
     dispatcher: Dispatcher,
     ops: Ops,
-    lines: Lines,
-    executors: Arc<Executors>,
-    clients: Arc<Clients>,
+    outlet: Box<dyn Outlet>,
+    front: Arc<dyn Front>,
     /// The longest come-back time that clients heed.
     come_back: Time,
     names: Indices,
@@ -134,8 +86,8 @@
 impl Desk {
     pub fn new(
         start: &Start,
-        executors: Arc<Executors>,
-        clients: Arc<Clients>,
+        outlet: Box<dyn Outlet>,
+        front: Arc<dyn Front>,
         ask: Sender<()>,
         routes: Option<Arc<Table>>,
     ) -> Desk {
@@ -143,9 +95,8 @@
         let mut desk = Desk {
             dispatcher: Dispatcher::new(&start.tariff, start.seed),
             ops: Ops::default(),
-            lines: Lines::new(start.budget.executors, start.keep_idle),
-            executors,
-            clients,
+            outlet,
+            front,
             come_back: start.tariff.terms.come_back,
             names: Indices::default(),
             domains: Indices::of(&start.domains),
@@ -160,7 +111,7 @@
             queue: Queue::default(),
             clock,
         };
-        desk.list(desk.upkeep, &start.known);
+        desk.list(desk.upkeep, &List::from(&start.known));
         desk
     }
 
@@ -189,8 +140,8 @@
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
-            Event::Asked { ticket, request, asked, came, reply } => {
-                self.arrive(now, ticket, request, &asked, came, reply);
+            Event::Asked { ticket, job, asked, came, reply } => {
+                self.arrive(now, ticket, job, &asked, came, reply);
             }
             Event::Withdrawn { ticket } => {
                 if let Some(mut waiting) = self.queue.take(ticket) {
@@ -214,9 +165,9 @@
             }
             Event::Free { number, keep } => {
                 // It may have carried a task when its executor left the list.
-                let executor = self.lines.back(number, keep, Instant::now());
+                let executor = self.outlet.back(number, keep);
                 if let Some(executor) = executor.filter(|executor| !self.addresses[*executor].1) {
-                    self.lines.leave(executor, "unlisted");
+                    self.outlet.leave(executor, "unlisted");
                 }
             }
             Event::List { list, anew } => {
@@ -228,9 +179,7 @@
             }
             Event::ListSilent => self.dispatcher.refused(now),
             Event::Routes(table) => {
-                if let Some(wanted) = &self.clients.wanted {
-                    *wanted.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(table.headers.clone());
-                }
+                self.front.want(&table.headers);
                 if let Some(gate) = &mut self.gate {
                     gate.turn(table);
                 }
@@ -243,44 +192,42 @@
         &mut self,
         now: Time,
         ticket: u64,
-        request: Arc<Request>,
+        job: Arc<dyn Job>,
         asked: &Asked,
         came: Instant,
-        reply: Sender<Reply>,
+        reply: Sender<Answer>,
     ) {
         let came = self.clock.at(came);
         let Some(gate) = &mut self.gate else {
-            return self.open(now, ticket, request, asked, came, reply, None);
+            return self.open(now, ticket, job, asked, came, reply, None);
         };
         let entry = {
-            let header = |name: &str| {
-                request.wanted.iter().find(|(own, _)| own == name).map(|(_, value)| value.as_str())
-            };
+            let header = |name: &str| job.header(name);
             let tenant = gate.table().tenant_header.as_deref().and_then(header);
-            let (path, method) = (request.path.as_str(), request.method.as_str());
+            let (path, method) = (job.path(), job.method());
             gate.enter(now, ticket, &Ways { path, method, category: asked.category, tenant, header: &header })
         };
         match entry {
-            Entry::In(pass) => self.open(now, ticket, request, asked, came, reply, Some(Box::new(pass))),
+            Entry::In(pass) => self.open(now, ticket, job, asked, came, reply, Some(Box::new(pass))),
             Entry::Waits(pass, until) => {
                 let until = until.min(came + asked.budget.min(pass.op));
-                let waiting = Waiting { request, asked: *asked, came, reply, pass: Box::new(pass), until };
+                let waiting = Waiting { job, asked: *asked, came, reply, pass: Box::new(pass), until };
                 self.queue.put(ticket, waiting);
             }
-            Entry::Full(back) => self.turn_away(ticket, &request, reply, came, back),
+            Entry::Full(back) => self.turn_away(ticket, &*job, reply, came, back),
         }
     }
 
     /// An op that has no place, and never will have: nothing of it was pushed.
-    fn turn_away(&self, ticket: u64, request: &Request, reply: Sender<Reply>, came: Time, back: Time) {
+    fn turn_away(&self, ticket: u64, job: &dyn Job, reply: Sender<Answer>, came: Time, back: Time) {
         let come_back = back.min(self.come_back);
         let now = self.clock.now();
-        let (id, took_ms) = (request.id.as_deref().unwrap_or_default(), (now - came) as f64 / 10.0);
+        let (id, took_ms) = (job.id(), (now - came) as f64 / 10.0);
         let back_ms = come_back as f64 / 10.0;
         say!(op { op = id, code = "no-place", took_ms, come_back_ms = back_ms } "op {ticket} nacked: no place");
         let until = self.clock.instant(now + SECOND);
-        let body = Body::Text("nacked: no place in hand\n".to_string());
-        let _ = reply.try_send(Reply { status: 503, body, come_back, until });
+        let fate = Fate::Nacked { why: "nacked: no place in hand", come_back };
+        let _ = reply.try_send(Answer { fate, until });
     }
 
     /// Ops that have a place now are asked of the module; those whose wait is over are turned away.
@@ -290,12 +237,12 @@
             if let Some(mut waiting) = self.queue.take(ticket) {
                 let back = (waiting.until - waiting.came).max(100);
                 self.free(now, ticket, &mut waiting.pass);
-                self.turn_away(ticket, &waiting.request, waiting.reply, waiting.came, back);
+                self.turn_away(ticket, &*waiting.job, waiting.reply, waiting.came, back);
             }
         }
         while let Some(ticket) = self.queue.admitted.pop_front() {
-            if let Some(Waiting { request, asked, came, reply, pass, .. }) = self.queue.take(ticket) {
-                self.open(now, ticket, request, &asked, came, reply, Some(pass));
+            if let Some(Waiting { job, asked, came, reply, pass, .. }) = self.queue.take(ticket) {
+                self.open(now, ticket, job, &asked, came, reply, Some(pass));
             }
         }
     }
@@ -311,10 +258,10 @@
         &mut self,
         now: Time,
         ticket: u64,
-        request: Arc<Request>,
+        job: Arc<dyn Job>,
         asked: &Asked,
         came: Time,
-        reply: Sender<Reply>,
+        reply: Sender<Answer>,
         pass: Option<Box<Pass>>,
     ) {
         let mut deadline = came + asked.budget;
@@ -329,7 +276,7 @@
         let limits = pass.as_ref().map_or_else(Limits::default, |pass| pass.limits);
         let mut op = self.dispatcher.arrive(now, Ask { category, slots, memory, hint, deadline, limits });
         let step = self.dispatcher.place(now, &mut op);
-        let held = Held { op, reply: Some(reply), request, pushes: Vec::new(), pass, came };
+        let held = Held { op, reply: Some(reply), job, pushes: Vec::new(), pass, came };
         self.carry(now, ticket, held, step);
     }
 
@@ -339,14 +286,13 @@
         out.link = None;
         let given_up = out.given_up;
         let (outcome, answer) = match how {
-            How::Done(result) => (Outcome::Acked, Some((200, Body::Result(result)))),
+            How::Done(result) => (Outcome::Acked, Some(Fate::Acked(result))),
             // Its client is told what is wrong with it. Sent on, it would be held against one executor after
             // another, and a few bad clients would empty the fleet.
             How::Unfit(status) => {
                 let executor = held.op.pushes[push].executor;
                 say!("executor {executor}: refused an op for what it is: status {status}");
-                let text = format!("refused by an executor: status {status}\n");
-                (Outcome::Unfit, Some((status, Body::Text(text))))
+                (Outcome::Unfit, Some(Fate::Unfit { status }))
             }
             How::Failed => (Outcome::Error, None),
             How::Returned => (Outcome::Full, None),
@@ -361,7 +307,7 @@
         };
         if matches!(outcome, Outcome::NotConnected | Outcome::Broken) {
             // What is idle there may be as dead, and silent: a push on it could not be told from one that ran.
-            self.lines.leave(held.op.pushes[push].executor, "suspect");
+            self.outlet.leave(held.op.pushes[push].executor, "suspect");
         }
         if let Some(pass) = held.pass.as_ref().filter(|_| outcome == Outcome::Acked) {
             pass.ran(now - held.pushes[push].sent);
@@ -369,8 +315,8 @@
         held.budget(now);
         let step = self.dispatcher.settle(now, &mut held.op, push, outcome, &load.unwrap_or_default());
         // Only what is final uses up the client's answer: a called-off push must leave it to the next.
-        if let Some((status, body)) = answer {
-            self.answer(&mut held, status, body, 0);
+        if let Some(fate) = answer {
+            self.answer(&mut held, fate);
         }
         self.carry(now, ticket, held, step);
     }
@@ -395,11 +341,11 @@
                 Step::Stop { push } => held.give_up(push, Outcome::Cancelled),
                 Step::Nack { come_back } => {
                     self.tell(now, &held, "nacked", come_back);
-                    self.answer(&mut held, 503, Body::Text("nacked\n".to_string()), come_back);
+                    self.answer(&mut held, Fate::Nacked { why: "nacked", come_back });
                 }
                 Step::DeadLetter => {
                     self.tell(now, &held, "dead-lettered", 0);
-                    self.answer(&mut held, 500, Body::Text("dead-lettered\n".to_string()), 0);
+                    self.answer(&mut held, Fate::DeadLettered);
                 }
                 Step::Hold => break,
             }
@@ -413,9 +359,9 @@
     fn tell(&self, now: Time, held: &Held, code: &'static str, come_back: Time) {
         let last = held.op.pushes.last().map(|push| push.executor);
         say!(op {
-            op = held.request.id.as_deref().unwrap_or_default(),
+            op = held.job.id(),
             route = held.pass.as_ref().map_or("-", |pass| &*pass.route),
-            category = held.request.category.as_deref().unwrap_or_default(),
+            category = held.job.category(),
             executor = last.map_or(-1, |executor| executor as i64),
             code,
             pushes = held.op.pushes.len() as u64,
@@ -425,10 +371,10 @@
     }
 
     /// Gives the client its answer, if it still waits for one.
-    fn answer(&self, held: &mut Held, status: u16, body: Body, come_back: Time) {
+    fn answer(&self, held: &mut Held, fate: Fate) {
         if let Some(reply) = held.reply.take() {
             let until = self.clock.instant(held.op.deadline);
-            let _ = reply.try_send(Reply { status, body, come_back, until });
+            let _ = reply.try_send(Answer { fate, until });
         }
     }
 
@@ -451,57 +397,29 @@
     }
 
     /// Sends a push out; none where this node has no room for it.
-    fn push(&mut self, ticket: u64, push: usize, executor: usize, held: &Held) -> Option<Arc<Link>> {
+    fn push(&mut self, ticket: u64, push: usize, executor: usize, held: &Held) -> Option<Arc<dyn Link>> {
+        let to = self.addresses.get(executor)?.0?;
         let effect = self.dispatcher.effect(&held.op);
-        let leave_by = self.clock.instant(held.op.leave_by(effect));
-        let wary = effect != Effect::Redeliverable;
-        let work = Work::Push { ticket, push, request: held.request.clone(), wary };
-        // A connection that ended while it was idle, or leads to a machine that has vanished, swallows what is
-        // written to it, and nothing tells whether that ran. An op that may be pushed only once goes on a new
-        // one, which takes some round trips and shows that someone is there; where it fails, the op never ran.
-        let anew = effect == Effect::AtMostOnce;
         let connect = held.pass.as_ref().and_then(|pass| pass.connect);
-        let connect = connect.map(|time| Duration::from_micros(time.max(1) as u64 * 100));
-        self.give(executor, work, anew, self.clock.instant(held.op.deadline), leave_by, connect)
-    }
-
-    /// Gives a task to an idle connection, or to a new one.
-    fn give(
-        &mut self,
-        executor: usize,
-        work: Work,
-        anew: bool,
-        until: Instant,
-        leave_by: Instant,
-        connect: Option<Duration>,
-    ) -> Option<Arc<Link>> {
-        let now = Instant::now();
-        let to = self.addresses.get(executor)?.0?;
-        let task = Task { work, to, until, leave_by, connect };
-        let idle = if anew { None } else { self.lines.reuse(executor, now) };
-        if let Some(line) = idle {
-            let link = line.link.clone();
-            link.renew();
-            let sent = line.tasks.try_send(task).is_ok();
-            self.lines.lend(line);
-            return sent.then_some(link);
-        }
-        let number = self.lines.open()?;
-        let (tasks, to_do) = bounded(1);
-        let link = Arc::new(Link::default());
-        let (own, shared) = (link.clone(), self.executors.clone());
-        let _ = tasks.try_send(task);
-        if let Err(error) = spawn("executor", move || executors::run(number, to_do, &own, &shared)) {
-            say!("executor {to}: no thread for a connection: {error}");
-            return None;
-        }
-        self.lines.lend(Line { number, executor, link: link.clone(), tasks });
-        Some(link)
+        let push = Push {
+            ticket,
+            push,
+            job: held.job.clone(),
+            wary: effect != Effect::Redeliverable,
+            // A connection that ended while it was idle, or leads to a machine that has vanished, swallows what is
+            // written to it, and nothing tells whether that ran. An op that may be pushed only once goes on a new
+            // one, which takes some round trips and shows that someone is there; where it fails, the op never ran.
+            anew: effect == Effect::AtMostOnce,
+            until: self.clock.instant(held.op.deadline),
+            leave_by: self.clock.instant(held.op.leave_by(effect)),
+            connect: connect.map(|time| Duration::from_micros(time.max(1) as u64 * 100)),
+        };
+        self.outlet.push(executor, to, push)
     }
 
     fn list(&mut self, now: Time, list: &List) {
         // An older version says less than what is known; equal ones only tell that the watch goes on.
-        let news = list.index >= self.version && (list.whole || !list.endpoints.is_empty());
+        let news = list.index >= self.version && (list.whole || !list.entries.is_empty());
         self.version = self.version.max(list.index);
         if !news {
             return self.dispatcher.list(now, false, &[]);
@@ -509,36 +427,34 @@
         if list.whole {
             self.addresses.iter_mut().for_each(|executor| executor.1 = false);
         }
-        let mut lines = Vec::with_capacity(list.endpoints.len());
-        for endpoint in &list.endpoints {
-            let executor = self.names.index(&endpoint.name);
+        let mut lines = Vec::with_capacity(list.entries.len());
+        for entry in &list.entries {
+            let executor = self.names.index(&entry.name);
             self.addresses.resize(self.addresses.len().max(executor + 1), (None, false));
-            let address = endpoint.address.parse().ok();
-            let active = endpoint.active() && address.is_some();
             let before = &mut self.addresses[executor];
-            if address.is_some() && address != before.0 {
-                self.lines.leave(executor, "unlisted");
-                before.0 = address;
+            if entry.address.is_some() && entry.address != before.0 {
+                self.outlet.leave(executor, "unlisted");
+                before.0 = entry.address;
             }
-            before.1 = active;
+            before.1 = entry.active;
             lines.push(Listed {
                 executor,
-                domain: self.domains.index(&endpoint.zone),
-                kind: self.kinds.index(&endpoint.kind),
-                cell: endpoint.cell,
-                active,
-                weight: endpoint.weight,
-                started: (endpoint.since_ms > 0).then(|| endpoint.since_ms * 10),
+                domain: self.domains.index(&entry.domain),
+                kind: self.kinds.index(&entry.kind),
+                cell: entry.cell,
+                active: entry.active,
+                weight: entry.weight,
+                started: entry.started,
             });
         }
         for (executor, (_, active)) in self.addresses.iter().enumerate() {
             if !active {
-                self.lines.leave(executor, "unlisted");
+                self.outlet.leave(executor, "unlisted");
             }
         }
         self.dispatcher.list(now, list.whole, &lines);
         if self.ending.is_none() && self.addresses.iter().any(|executor| executor.1) {
-            self.clients.ready.store(true, Ordering::Relaxed);
+            self.front.ready(true);
         }
     }
 
@@ -556,18 +472,18 @@
         }
         if now >= self.upkeep {
             self.upkeep = now + UPKEEP;
-            self.lines.retire(Instant::now());
+            self.outlet.retire();
             if self.dispatcher.upkeep(now) {
                 let _ = self.ask.try_send(());
             }
             if self.ending.as_ref().is_some_and(|ending| now >= ending.since + STEER_AFTER) {
-                self.clients.steer.store(true, Ordering::Relaxed);
-                self.clients.seats.end_idle("steered");
+                self.front.steer();
             }
         }
         for executor in std::mem::take(&mut self.dispatcher.probes) {
-            let until = Instant::now() + 2 * self.executors.dial;
-            self.give(executor, Work::Probe { executor }, false, until, until, None);
+            if let Some(to) = self.addresses.get(executor).and_then(|(to, _)| *to) {
+                self.outlet.probe(executor, to);
+            }
         }
         for line in self.dispatcher.log.drain(..) {
             say!("{line}");
@@ -583,7 +499,7 @@
         let tickets = self.ops.tickets();
         say!("end asked for: {} ops in hand", tickets.len());
         self.ending = Some(Ending { since: now, by });
-        self.clients.ready.store(false, Ordering::Relaxed);
+        self.front.ready(false);
         for ticket in tickets {
             let Some(mut held) = self.ops.take(ticket) else { continue };
             held.op.end_by(by);
@@ -592,7 +508,7 @@
         for ticket in self.queue.tickets() {
             if let Some(mut waiting) = self.queue.take(ticket) {
                 self.free(now, ticket, &mut waiting.pass);
-                self.turn_away(ticket, &waiting.request, waiting.reply, waiting.came, SECOND);
+                self.turn_away(ticket, &*waiting.job, waiting.reply, waiting.came, SECOND);
             }
         }
     }
@@ -601,7 +517,7 @@
     fn over(&self) -> bool {
         let Some(ending) = &self.ending else { return false };
         let now = self.clock.now();
-        let quiet = self.ops.is_empty() && self.queue.is_empty() && self.clients.seats.quiet();
+        let quiet = self.ops.is_empty() && self.queue.is_empty() && self.front.quiet();
         now >= ending.since + LEAVE_AFTER && (quiet || now >= ending.by + LAST_WRITES / 2)
     }
 }
--- a/node/src/store/ops.rs
+++ b/node/src/desk/ops.rs
@@ -1,8 +1,6 @@
 //! The ops in hand, and when to look at which of them again.
 
-use crate::drive::clients::Reply;
-use crate::drive::executors::Link;
-use crate::wire::serve::Request;
+use crate::port::{Answer, Job, Link};
 use crossbeam_channel::Sender;
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
@@ -13,8 +11,8 @@
 pub struct Held {
     pub op: Op,
     /// The client, until it has its answer or is gone.
-    pub reply: Option<Sender<Reply>>,
-    pub request: Arc<Request>,
+    pub reply: Option<Sender<Answer>>,
+    pub job: Arc<dyn Job>,
     /// Its pushes by number.
     pub pushes: Vec<Out>,
     /// What routes let it do, where there are routes.
@@ -24,7 +22,7 @@
 
 /// One push: its connection while it is out, and as what it counts when it was given up.
 pub struct Out {
-    pub link: Option<Arc<Link>>,
+    pub link: Option<Arc<dyn Link>>,
     pub given_up: Option<Outcome>,
     pub sent: Time,
 }
--- a/node/src/store/queue.rs
+++ b/node/src/desk/queue.rs
@@ -1,7 +1,6 @@
 //! Ops that wait for a place in hand: they are taken, and not yet asked of the module.
 
-use crate::drive::clients::{Asked, Reply};
-use crate::wire::serve::Request;
+use crate::port::{Answer, Asked, Job};
 use crossbeam_channel::Sender;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
@@ -9,10 +8,10 @@
 use stileroute_routes::gate::Pass;
 
 pub struct Waiting {
-    pub request: Arc<Request>,
+    pub job: Arc<dyn Job>,
     pub asked: Asked,
     pub came: Time,
-    pub reply: Sender<Reply>,
+    pub reply: Sender<Answer>,
     pub pass: Box<Pass>,
     pub until: Time,
 }
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -1,16 +1,15 @@
 //! Connections of clients: one thread reads requests and notices a client that leaves, one writes answers.
 
-use crate::desk::Event;
 use crate::life::budget::Budget;
 use crate::life::spawn;
 use crate::life::start::Door;
+use crate::port::{Answer, Asked, Event, Fate, Front};
 use crate::say;
 use crate::store::ids::Ids;
-use crate::store::pool::Pool;
+use crate::store::pool::{Bytes, Pool};
 use crate::store::seats::{Seat, Seats};
 use crate::wire::http::is_number;
 use crate::wire::names;
-use crate::wire::push::Bytes;
 use crate::wire::serve::{answer_head, Fault, Inbox, Request};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use std::io::{Read, Write};
@@ -43,14 +42,39 @@
     }
 }
 
-/// A request that may be taken, with its figures read.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Asked {
-    pub category: usize,
-    pub slots: f64,
-    pub memory: f64,
-    pub hint: Option<Time>,
-    pub budget: Time,
+impl From<Answer> for Reply {
+    fn from(answer: Answer) -> Reply {
+        let (status, body, come_back) = match answer.fate {
+            Fate::Acked(result) => (200, Body::Result(result), 0),
+            Fate::Nacked { why, come_back } => (503, Body::Text(format!("{why}\n")), come_back),
+            Fate::DeadLettered => (500, Body::Text("dead-lettered\n".to_string()), 0),
+            Fate::Unfit { status } => {
+                (status, Body::Text(format!("refused by an executor: status {status}\n")), 0)
+            }
+        };
+        Reply { status, body, come_back, until: answer.until }
+    }
+}
+
+impl Front for Clients {
+    fn ready(&self, ready: bool) {
+        self.ready.store(ready, Ordering::Relaxed);
+    }
+
+    fn steer(&self) {
+        self.steer.store(true, Ordering::Relaxed);
+        self.seats.end_idle("steered");
+    }
+
+    fn quiet(&self) -> bool {
+        self.seats.quiet()
+    }
+
+    fn want(&self, headers: &[String]) {
+        if let Some(wanted) = &self.wanted {
+            *wanted.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(headers.to_vec());
+        }
+    }
 }
 
 /// What all these threads share.
@@ -76,7 +100,7 @@
 
 /// A connection's writer, as its reader reaches it: there is one from the first op on.
 struct Pen {
-    replies: Sender<Reply>,
+    replies: Sender<Answer>,
     written: Receiver<bool>,
 }
 
@@ -256,14 +280,14 @@
         };
         let ticket = self.numbers.fetch_add(1, Ordering::Relaxed);
         let reply = pen.replies.clone();
-        let request = Arc::new(request);
-        let sent = self.desk.send(Event::Asked { ticket, request, asked, came, reply });
+        let job = Arc::new(request);
+        let sent = self.desk.send(Event::Asked { ticket, job, asked, came, reply });
         sent.map(|()| ticket).map_err(|_| own(503, "the node has ended"))
     }
 
     /// Starts the writer of a connection.
     fn pen(self: &Arc<Clients>, seat: &Arc<Seat>) -> std::io::Result<Pen> {
-        let (replies, to_write) = bounded::<Reply>(1);
+        let (replies, to_write) = bounded::<Answer>(1);
         let (wrote, written) = bounded::<bool>(1);
         let (writer, shared) = (seat.clone(), self.clone());
         spawn("client-out", move || shared.write(&writer, &to_write, &wrote))?;
@@ -271,8 +295,9 @@
     }
 
     /// Writes answers; tells after each whether the connection goes on.
-    fn write(&self, seat: &Seat, replies: &Receiver<Reply>, wrote: &Sender<bool>) {
-        while let Ok(reply) = replies.recv() {
+    fn write(&self, seat: &Seat, replies: &Receiver<Answer>, wrote: &Sender<bool>) {
+        while let Ok(answer) = replies.recv() {
+            let reply = Reply::from(answer);
             let goes_on = self.answer(seat, &reply, true);
             drop(reply);
             let _ = wrote.send(goes_on);
--- a/node/src/drive/directory.rs
+++ b/node/src/drive/directory.rs
@@ -1,7 +1,7 @@
 //! Follows the list of executors: asks when the desk says so, then holds the watch until it breaks.
 
 use super::exchange;
-use crate::desk::Event;
+use crate::port::Event;
 use crate::say;
 use crate::wire::targets::{self, List};
 use crossbeam_channel::{Receiver, Sender};
@@ -108,7 +108,7 @@
         newer = Some(newer.map_or(list.index, |before: i64| before.max(list.index)));
         // Another place counts its versions in its own way.
         let anew = from.replace(at) != Some(at);
-        if desk.send(Event::List { list, anew }).is_err() {
+        if desk.send(Event::List { list: (&list).into(), anew }).is_err() {
             return "stopped";
         }
     }
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -1,11 +1,10 @@
 //! Connections to executors: one thread each, which carries one push or probe after another.
 
-use crate::desk::Event;
+use crate::port::{self, Event, How, Job};
 use crate::say;
 use crate::store::pool::Pool;
 use crate::wire::jobs;
-use crate::wire::push::{push_head, Answer, Bytes, Heard, Told};
-use crate::wire::serve::Request;
+use crate::wire::push::{push_head, Answer, Heard, Told};
 use crossbeam_channel::{Receiver, Sender};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -29,7 +28,7 @@
     Push {
         ticket: u64,
         push: usize,
-        request: Arc<Request>,
+        job: Arc<dyn Job>,
         wary: bool,
     },
     Probe {
@@ -37,27 +36,6 @@
     },
 }
 
-/// How a push ended on the socket.
-pub enum How {
-    Done(Bytes),
-    Failed,
-    Unfit(u16),
-    Returned,
-    /// No connection, or it broke before the request's last byte was written.
-    Unconnected,
-    /// It broke under the request, before its last byte was written; whether it had been used before.
-    Cut {
-        used: bool,
-    },
-    /// Not tried, for reasons of this node alone.
-    Untried,
-    /// All was written, and the connection ended without the last line: it may have run.
-    Lost,
-    /// The same, on a connection used before and without a word of answer: it may have run, but the connection is
-    /// more likely to have ended while it was idle than the executor to have failed.
-    Broken,
-}
-
 /// What the desk holds of a connection, to end it from outside.
 #[derive(Default)]
 pub struct Link {
@@ -76,15 +54,6 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Gives up the push that it carries, wherever its thread is waiting.
-    pub fn call_off(&self) {
-        let mut state = self.state();
-        state.off = true;
-        if let Some(stream) = &state.stream {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-
     /// A new push is about to be carried.
     pub fn renew(&self) {
         self.state().off = false;
@@ -95,12 +64,6 @@
         self.state().end.get_or_insert(why);
     }
 
-    /// Keeps back a push of which nothing was written yet: its op has its final answer.
-    pub fn keep_back(&self) {
-        let mut state = self.state();
-        state.off |= state.stream.is_none();
-    }
-
     /// Enters the connection; false if the push was given up meanwhile.
     fn enter(&self, stream: &Arc<TcpStream>) -> bool {
         let mut state = self.state();
@@ -117,6 +80,21 @@
     }
 }
 
+impl port::Link for Link {
+    fn call_off(&self) {
+        let mut state = self.state();
+        state.off = true;
+        if let Some(stream) = &state.stream {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn keep_back(&self) {
+        let mut state = self.state();
+        state.off |= state.stream.is_none();
+    }
+}
+
 /// What all these threads share.
 pub struct Executors {
     pub desk: Sender<Event>,
@@ -137,7 +115,7 @@
         let mut carried =
             Carried { number, task: &task, link, shared, code: "closed", told: false, used: false };
         let keep = match &task.work {
-            Work::Push { request, wary, .. } => carried.push(request, *wary, &mut stream),
+            Work::Push { job, wary, .. } => carried.push(&**job, *wary, &mut stream),
             Work::Probe { executor } => carried.probe(*executor, &mut stream),
         };
         let code = carried.code;
@@ -169,9 +147,8 @@
 
 impl Carried<'_> {
     /// Carries a push; true if the connection may carry another task.
-    fn push(&mut self, request: &Request, wary: bool, held: &mut Option<Arc<TcpStream>>) -> bool {
-        let id = request.id.as_deref().unwrap_or_default();
-        let Some(answer) = Answer::new(&self.shared.pool, id, self.shared.gauges.clone()) else {
+    fn push(&mut self, job: &dyn Job, wary: bool, held: &mut Option<Arc<TcpStream>>) -> bool {
+        let Some(answer) = Answer::new(&self.shared.pool, job.id(), self.shared.gauges.clone()) else {
             self.code = "no-buffer";
             return self.end(held.take(), How::Untried);
         };
@@ -180,8 +157,8 @@
             Err(how) => return self.end(None, how),
         };
         let left = self.task.until.saturating_duration_since(Instant::now());
-        let head = push_head(request, &self.task.to.to_string(), left.as_millis() as i64);
-        match self.write(&stream, &[head.as_bytes(), request.body()].concat(), wary) {
+        let head = push_head(job, &self.task.to.to_string(), left.as_millis() as i64);
+        match self.write(&stream, &[head.as_bytes(), job.body()].concat(), wary) {
             Ok(()) => self.hear(answer, stream, held),
             Err(how) => self.end(Some(stream), how),
         }
--- a/node/src/store/lines.rs
+++ b/node/src/drive/lines.rs
@@ -1,6 +1,6 @@
 //! Connections to executors: which are idle, and how many there may be.
 
-use crate::drive::executors::{Link, Task};
+use super::executors::{Link, Task};
 use crossbeam_channel::Sender;
 use std::collections::HashMap;
 use std::sync::Arc;
--- a/node/src/life/listener.rs
+++ b/node/src/drive/listener.rs
@@ -1,6 +1,6 @@
 //! The listener and its accept loop.
 
-use crate::drive::clients::Clients;
+use super::clients::Clients;
 use crate::say;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
--- a/node/src/drive/mod.rs
+++ b/node/src/drive/mod.rs
@@ -3,7 +3,11 @@
 pub mod clients;
 pub mod directory;
 pub mod executors;
+pub mod lines;
+pub mod listener;
+pub mod outlet;
 
+pub use crate::store::seats::look;
 use crate::wire::http::{Gather, Whole};
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
@@ -45,11 +49,3 @@
 pub fn passing(error: &std::io::Error) -> bool {
     matches!(error.kind(), ErrorKind::Interrupted | ErrorKind::WouldBlock | ErrorKind::TimedOut)
 }
-
-/// What a read would give now, without waiting and without taking anything; none if it can't be told.
-pub fn look(stream: &TcpStream) -> Option<std::io::Result<usize>> {
-    stream.set_nonblocking(true).ok()?;
-    let seen = stream.peek(&mut [0]);
-    stream.set_nonblocking(false).ok()?;
-    Some(seen)
-}
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -1,7 +1,6 @@
 //! Start and stop: what the node is told, what it may use, how it logs and how it ends.
 
 pub mod budget;
-pub mod listener;
 pub mod log;
 pub mod operator;
 pub mod signals;
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -3,6 +3,8 @@
 mod desk;
 mod drive;
 mod life;
+mod port;
+mod reload;
 mod store;
 #[cfg(test)]
 mod tests;
@@ -10,12 +12,15 @@
 
 use clap::Parser;
 use crossbeam_channel::bounded;
-use desk::{Desk, Event};
+use desk::Desk;
 use drive::clients::Clients;
 use drive::directory::Post;
 use drive::executors::Executors;
+use drive::listener;
+use drive::outlet::Http;
 use life::words::{Command, Words};
-use life::{listener, operator, signals, spawn, start};
+use life::{operator, signals, spawn, start};
+use port::Event;
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
@@ -58,14 +63,17 @@
         numbers: AtomicU64::new(1),
         wanted: routes.as_ref().map(|routes| RwLock::new(Arc::new(routes.headers.clone()))),
     });
+    let outlet = Http::new(executors, budget.executors, start.keep_idle);
     let post = Post::new(start.discovery, ask.clone());
-    signals::watch(tell.clone(), post.clone(), operator.map(|(path, ground, _)| (path, ground)))?;
+    let operator = operator.map(|(path, ground, _)| (path, ground));
+    let (told, turned) = (tell.clone(), post.clone());
+    signals::watch(tell.clone(), move || reload::turn(&told, &turned, operator.as_ref()))?;
     let listener = listener::open(start.listen)?;
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
     let news = tell;
     spawn("discovery", move || drive::directory::run(&post, asked, news)).map_err(thread)?;
-    let mut desk = Desk::new(&start, executors, clients.clone(), ask, routes);
+    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes);
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
     desk.run(&events);
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -1,9 +1,6 @@
-//! What is kept in memory: ops and their timers, connections, buffers, ids, names.
+//! What is kept in memory: clients' seats, buffers, ids, names.
 
 pub mod ids;
 pub mod indices;
-pub mod lines;
-pub mod ops;
 pub mod pool;
-pub mod queue;
 pub mod seats;
--- a/node/src/store/pool.rs
+++ b/node/src/store/pool.rs
@@ -1,9 +1,11 @@
 //! Buffers of one size, used again. Their number is bounded, and so is the memory that they take.
 
-use crate::wire::http::MESSAGE;
-use std::ops::{Deref, DerefMut};
+use std::ops::{Deref, DerefMut, Range};
 use std::sync::{Arc, Mutex, PoisonError};
 
+/// Bytes of a buffer: a message of any protocol at most.
+pub const SIZE: usize = 72 * 1024;
+
 pub struct Pool {
     /// Buffers at rest, and how many more may be made.
     rest: Mutex<(Vec<Box<[u8]>>, usize)>,
@@ -21,7 +23,7 @@
             Some(bytes) => bytes,
             None => {
                 rest.1 = rest.1.checked_sub(1)?;
-                vec![0; MESSAGE].into_boxed_slice()
+                vec![0; SIZE].into_boxed_slice()
             }
         };
         Some(Buffer { bytes, held: 0, pool: self.clone() })
@@ -69,3 +71,23 @@
         self.pool.rest.lock().unwrap_or_else(PoisonError::into_inner).0.push(bytes);
     }
 }
+
+/// Part of a buffer.
+pub struct Bytes {
+    held: Buffer,
+    part: Range<usize>,
+}
+
+impl Bytes {
+    /// The part must lie within what is held.
+    pub fn new(held: Buffer, part: Range<usize>) -> Bytes {
+        Bytes { held, part }
+    }
+}
+
+impl Deref for Bytes {
+    type Target = [u8];
+    fn deref(&self) -> &[u8] {
+        &self.held[self.part.clone()]
+    }
+}
--- a/node/src/store/seats.rs
+++ b/node/src/store/seats.rs
@@ -1,6 +1,5 @@
 //! The clients' connections: who is there, who waits for an answer, and who may be closed.
 
-use crate::drive::look;
 use std::collections::HashMap;
 use std::net::{Shutdown, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
@@ -234,3 +233,11 @@
         Seats::evict(&self.all(), now)
     }
 }
+
+/// What a read would give now, without waiting and without taking anything; none if it can't be told.
+pub fn look(stream: &TcpStream) -> Option<std::io::Result<usize>> {
+    stream.set_nonblocking(true).ok()?;
+    let seen = stream.peek(&mut [0]);
+    stream.set_nonblocking(false).ok()?;
+    Some(seen)
+}
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -1,10 +1,11 @@
 //! Tables of cases for what is spoken, kept and read at start; no socket is opened but for the seats.
 
 use crate::drive::executors::Link;
+use crate::drive::lines::{Line, Lines};
 use crate::life::budget::Budget;
 use crate::life::start::{self, Kind};
+use crate::port::Job;
 use crate::store::ids::Ids;
-use crate::store::lines::{Line, Lines};
 use crate::store::pool::Pool;
 use crate::store::seats::{Seat, Seats};
 use crate::wire::http::{Chunks, Garbled, Gather};
--- a/node/src/wire/push.rs
+++ b/node/src/wire/push.rs
@@ -3,28 +3,28 @@
 use super::http::{self, framing, has_token, header, Chunks, Framing, HEADERS};
 use super::jobs::{self, Word};
 use super::names;
-use super::serve::Request;
-use crate::store::pool::{Buffer, Pool};
-use std::ops::Range;
+use crate::port::Job;
+use crate::store::pool::{Buffer, Bytes, Pool};
 use std::sync::Arc;
 
 /// The head of a push. What the client sent goes on unchanged, but for the time that is left.
-pub fn push_head(request: &Request, host: &str, left_ms: i64) -> String {
-    let (method, path) = (&request.method, &request.path);
+pub fn push_head(job: &dyn Job, host: &str, left_ms: i64) -> String {
+    let (method, path) = (job.method(), job.path());
     let mut head = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n{}: {left_ms}\r\n", names::BUDGET);
+    let given = |text| Some(text).filter(|text: &&str| !text.is_empty());
     let passed = [
-        (names::CALL_ID, &request.id),
-        (names::MARK, &request.mark),
-        (names::CATEGORY, &request.category),
-        (names::COST, &request.cost),
-        ("Content-Type", &request.content_type),
+        (names::CALL_ID, given(job.id())),
+        (names::MARK, job.mark()),
+        (names::CATEGORY, given(job.category())),
+        (names::COST, job.cost()),
+        ("Content-Type", job.content_type()),
     ];
     for (name, value) in passed {
         if let Some(value) = value {
             head += &format!("{name}: {value}\r\n");
         }
     }
-    head + &format!("Content-Length: {}\r\n\r\n", request.body().len())
+    head + &format!("Content-Length: {}\r\n\r\n", job.body().len())
 }
 
 /// How a push ended, as the answer tells.
@@ -42,19 +42,6 @@
     Garbled,
 }
 
-/// Part of a buffer.
-pub struct Bytes {
-    held: Buffer,
-    part: Range<usize>,
-}
-
-impl std::ops::Deref for Bytes {
-    type Target = [u8];
-    fn deref(&self) -> &[u8] {
-        &self.held[self.part.clone()]
-    }
-}
-
 /// What a line, or the end of the answer, has told.
 pub enum Heard {
     Started,
@@ -223,7 +210,7 @@
                 Word::Done(part) => {
                     self.over = true;
                     if let Some(held) = self.held.take() {
-                        heard.push(Heard::Ended(Told::Done(Bytes { held, part }), load));
+                        heard.push(Heard::Ended(Told::Done(Bytes::new(held, part)), load));
                     }
                     return;
                 }
--- a/node/src/wire/serve.rs
+++ b/node/src/wire/serve.rs
@@ -2,6 +2,7 @@
 
 use super::http::{self, framing, has_token, header, Chunks, Framing, HEADERS};
 use super::names;
+use crate::port::Job;
 use crate::store::ids::Entry;
 use crate::store::pool::{Buffer, Pool};
 use std::ops::Range;
@@ -28,8 +29,32 @@
     body: Range<usize>,
 }
 
-impl Request {
-    pub fn body(&self) -> &[u8] {
+impl Job for Request {
+    fn id(&self) -> &str {
+        self.id.as_deref().unwrap_or_default()
+    }
+    fn category(&self) -> &str {
+        self.category.as_deref().unwrap_or_default()
+    }
+    fn mark(&self) -> Option<&str> {
+        self.mark.as_deref()
+    }
+    fn method(&self) -> &str {
+        &self.method
+    }
+    fn path(&self) -> &str {
+        &self.path
+    }
+    fn cost(&self) -> Option<&str> {
+        self.cost.as_deref()
+    }
+    fn content_type(&self) -> Option<&str> {
+        self.content_type.as_deref()
+    }
+    fn header(&self, name: &str) -> Option<&str> {
+        self.wanted.iter().find(|(own, _)| own == name).map(|(_, value)| value.as_str())
+    }
+    fn body(&self) -> &[u8] {
         &self.held[self.body.clone()]
     }
 }
--- a/node/src/wire/targets.rs
+++ b/node/src/wire/targets.rs
@@ -2,6 +2,7 @@
 
 use super::http::Whole;
 use super::names;
+use crate::port;
 use serde::Deserialize;
 
 /// A list of executors, whole or changes only.
@@ -38,6 +39,29 @@
     }
 }
 
+impl From<&List> for port::List {
+    fn from(list: &List) -> port::List {
+        let entry = |endpoint: &Endpoint| {
+            let address = endpoint.address.parse().ok();
+            port::Entry {
+                name: endpoint.name.clone(),
+                address,
+                domain: endpoint.zone.clone(),
+                kind: endpoint.kind.clone(),
+                cell: endpoint.cell,
+                active: endpoint.active() && address.is_some(),
+                weight: endpoint.weight,
+                started: (endpoint.since_ms > 0).then(|| endpoint.since_ms * 10),
+            }
+        };
+        port::List {
+            index: list.index,
+            whole: list.whole,
+            entries: list.endpoints.iter().map(entry).collect(),
+        }
+    }
+}
+
 /// Asks for the whole list, or for what is newer than a version, waiting so long for it.
 pub fn ask(host: &str, newer: Option<(i64, u64)>) -> String {
     let query = newer.map(|(than, wait)| format!("?since={than}&timeout_ms={wait}")).unwrap_or_default();
