--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -394,7 +394,7 @@
         self.waiting.push_back(Running { job, began: false, fails_at: None, next_note: 0 });
         self.fill(out);
         if cold && self.tipped(now) {
-            self.lose(now, out);
+            self.lose(out);
             self.up = Up::Fallen;
             out.push(Happening::Fallen);
         }
@@ -442,7 +442,7 @@
         }
     }
 
-    fn lose(&mut self, _now: Time, out: &mut Vec<Happening>) {
+    fn lose(&mut self, out: &mut Vec<Happening>) {
         let done = |r: &Running| 1.0 - r.job.work / r.job.whole;
         let lost = self.running.drain(..).chain(self.waiting.drain(..));
         out.extend(lost.map(|r| Happening::Lost(r.job.id, done(&r))));
@@ -451,7 +451,7 @@
     /// It dies with all that it has.
     pub fn kill(&mut self, now: Time, out: &mut Vec<Happening>) {
         self.advance(now, out);
-        self.lose(now, out);
+        self.lose(out);
         self.up = Up::Down;
     }
 
--- a/rig/src/sim.rs
+++ b/rig/src/sim.rs
@@ -44,7 +44,7 @@
 /// A request's bytes, for resets and dribbling.
 const REQUEST: usize = 400;
 
-enum What_ {
+enum Coming {
     Arrival,
     Retry(usize),
     /// At a node.
@@ -74,7 +74,7 @@
     order: u64,
     /// Node or executor, where there is one.
     who: usize,
-    what: What_,
+    what: Coming,
 }
 
 impl PartialEq for Event {
@@ -274,19 +274,19 @@
             });
             sim.boot(node);
             let phase = sim.chance.random_range(0..UPKEEP);
-            sim.push_event(phase, node, What_::Upkeep);
+            sim.push_event(phase, node, Coming::Upkeep);
         }
         for change in changes {
-            sim.push_event(change.at, 0, What_::Trouble(change));
+            sim.push_event(change.at, 0, Coming::Trouble(change));
         }
         if plan.fleet.list.live_weights_s > 0.0 {
-            sim.push_event(0, 0, What_::Weights);
+            sim.push_event(0, 0, Coming::Weights);
         }
         if !sim.next_routes.is_empty() {
-            sim.push_event(sim.reload_every(), 0, What_::Routes);
+            sim.push_event(sim.reload_every(), 0, Coming::Routes);
         }
-        sim.push_event(SECOND, 0, What_::Second);
-        sim.push_event(0, 0, What_::Arrival);
+        sim.push_event(SECOND, 0, Coming::Second);
+        sim.push_event(0, 0, Coming::Arrival);
         Ok(sim)
     }
 
@@ -304,7 +304,7 @@
         }
     }
 
-    fn push_event(&mut self, at: Time, who: usize, what: What_) {
+    fn push_event(&mut self, at: Time, who: usize, what: Coming) {
         self.order += 1;
         self.events.push(Reverse(Event { at: at.max(self.now), order: self.order, who, what }));
     }
@@ -326,8 +326,8 @@
         self.day
     }
 
-    fn at_node(what: &What_) -> bool {
-        use What_::{Ask, Due, Ended, News, Note, Overdue, Upkeep, WaitOver};
+    fn at_node(what: &Coming) -> bool {
+        use Coming::{Ask, Due, Ended, News, Note, Overdue, Upkeep, WaitOver};
         matches!(what, Overdue(_) | WaitOver(_) | Ask(_) | Note(..) | Ended(..) | News(..) | Due | Upkeep)
     }
 
@@ -340,60 +340,60 @@
             }
         }
         match event.what {
-            What_::Arrival => {
+            Coming::Arrival => {
                 if now < seconds(self.plan.seconds) {
                     let asked = self.source.draw(now, &self.weather);
                     let job = self.day.asked.len();
                     self.day.asked.push(asked);
                     self.ask(job);
                     let next = now + self.source.gap(&self.weather);
-                    self.push_event(next, 0, What_::Arrival);
+                    self.push_event(next, 0, Coming::Arrival);
                 }
             }
-            What_::Retry(job) => self.ask(job),
-            What_::Ask(op) => self.arrive(who, op),
-            What_::WaitOver(op) => self.wait_over(who, op),
-            What_::Routes => self.turn_routes(),
-            What_::Note(op, push, start) => {
+            Coming::Retry(job) => self.ask(job),
+            Coming::Ask(op) => self.arrive(who, op),
+            Coming::WaitOver(op) => self.wait_over(who, op),
+            Coming::Routes => self.turn_routes(),
+            Coming::Note(op, push, start) => {
                 let node = &mut self.nodes[who];
                 if let Some(held) = node.ops.get_mut(&op) {
                     node.policy.note(now, &mut held.op, push, start);
                 }
             }
-            What_::Ended(op, push, outcome, values) => self.ended(who, op, push, outcome, &values),
-            What_::News(version, whole, lines) => {
+            Coming::Ended(op, push, outcome, values) => self.ended(who, op, push, outcome, &values),
+            Coming::News(version, whole, lines) => {
                 match self.weather.list_late() {
                     // What is held back comes when the service is up again.
                     None => {
-                        self.push_event(now + SECOND / 5, who, What_::News(version, whole, lines));
+                        self.push_event(now + SECOND / 5, who, Coming::News(version, whole, lines));
                     }
                     Some(_) => self.hear_list(who, version, whole, &lines),
                 }
             }
-            What_::Due => self.due(who),
-            What_::Upkeep => {
+            Coming::Due => self.due(who),
+            Coming::Upkeep => {
                 if self.nodes[who].up {
                     self.nodes[who].policy.upkeep(now);
                     self.take_log(who);
                 }
                 if now < seconds(self.plan.seconds) + 30 * SECOND {
-                    self.push_event(now + UPKEEP, who, What_::Upkeep);
+                    self.push_event(now + UPKEEP, who, Coming::Upkeep);
                 }
             }
-            What_::Push(op, push) => self.reach(op, push),
-            What_::Cancel(op, push) => self.call_off(op, push),
-            What_::Machine(wake) => {
+            Coming::Push(op, push) => self.reach(op, push),
+            Coming::Cancel(op, push) => self.call_off(op, push),
+            Coming::Machine(wake) => {
                 if self.wake[who] == wake {
                     let mut out = std::mem::take(&mut self.out);
                     self.machines[who].advance(now, &mut out);
                     self.happened(who, out);
                 }
             }
-            What_::Answer(op, answer) => self.answered(op, answer),
-            What_::Overdue(op) => self.overdue(op),
-            What_::Trouble(change) => self.trouble(change),
-            What_::Weights => self.weights(),
-            What_::Second => {
+            Coming::Answer(op, answer) => self.answered(op, answer),
+            Coming::Overdue(op) => self.overdue(op),
+            Coming::Trouble(change) => self.trouble(change),
+            Coming::Weights => self.weights(),
+            Coming::Second => {
                 for node in &mut self.nodes {
                     let pushed = std::mem::take(&mut node.pushed);
                     if pushed > 0.0 {
@@ -401,7 +401,7 @@
                     }
                 }
                 if now < seconds(self.plan.seconds) {
-                    self.push_event(now + SECOND, 0, What_::Second);
+                    self.push_event(now + SECOND, 0, Coming::Second);
                 }
             }
         }
@@ -423,7 +423,7 @@
         let deadline = self.now + ms(self.plan.category[category].ttl_ms);
         let op = self.day.ledger.open(job, node, category, self.now, deadline);
         self.tries.push(Try { node, life: self.nodes[node].life, flights: Vec::new() });
-        self.push_event(self.now + DOOR, node, What_::Ask(op));
+        self.push_event(self.now + DOOR, node, Coming::Ask(op));
     }
 
     fn answered(&mut self, op: usize, answer: Answer) {
@@ -434,7 +434,7 @@
             if asked.tries < self.plan.load.retries {
                 asked.tries += 1;
                 let wait = come_back.max(ms(self.plan.load.retry_wait_ms)).max(1);
-                self.push_event(self.now + wait, 0, What_::Retry(job));
+                self.push_event(self.now + wait, 0, Coming::Retry(job));
             }
         }
     }
@@ -459,7 +459,7 @@
             Entry::In(pass) => self.open(node, op, Some(Box::new(pass))),
             Entry::Waits(pass, until) => {
                 own.waiting.insert(op, Box::new(pass));
-                self.push_event(until, node, What_::WaitOver(op));
+                self.push_event(until, node, Coming::WaitOver(op));
             }
             Entry::Full(back) => self.turn_away(op, back),
         }
@@ -467,7 +467,7 @@
 
     fn turn_away(&mut self, op: usize, back: Time) {
         let back = back.min(ms(self.plan.fleet.come_back_ms));
-        self.push_event(self.now + DOOR, 0, What_::Answer(op, Answer::Nacked(back)));
+        self.push_event(self.now + DOOR, 0, Coming::Answer(op, Answer::Nacked(back)));
     }
 
     fn wait_over(&mut self, node: usize, op: usize) {
@@ -497,7 +497,7 @@
         self.turned += 1;
         self.nodes.iter_mut().filter_map(|node| node.gate.as_mut()).for_each(|gate| gate.turn(table.clone()));
         if self.now < seconds(self.plan.seconds) {
-            self.push_event(self.now + self.reload_every(), 0, What_::Routes);
+            self.push_event(self.now + self.reload_every(), 0, Coming::Routes);
         }
     }
 
@@ -514,7 +514,7 @@
         let ask =
             Ask { category: sheet.category, slots: own.slots, memory: own.memory, hint, deadline, limits };
         let held = Held { op: self.nodes[node].policy.arrive(self.now, ask), pass };
-        self.push_event(deadline + 100, node, What_::Overdue(op));
+        self.push_event(deadline + 100, node, Coming::Overdue(op));
         self.carry(node, op, held, None);
     }
 
@@ -541,9 +541,9 @@
                     continue;
                 }
                 Step::Nack { come_back } => {
-                    self.push_event(now + DOOR, 0, What_::Answer(op, Answer::Nacked(come_back)))
+                    self.push_event(now + DOOR, 0, Coming::Answer(op, Answer::Nacked(come_back)))
                 }
-                Step::DeadLetter => self.push_event(now + DOOR, 0, What_::Answer(op, Answer::DeadLettered)),
+                Step::DeadLetter => self.push_event(now + DOOR, 0, Coming::Answer(op, Answer::DeadLettered)),
                 Step::Hold => break,
             }
             held.budget(now);
@@ -563,7 +563,7 @@
             own.ops.insert(op, held);
         } else if let Some(mut pass) = held.pass {
             self.free(node, op, &mut pass);
-            self.push_event(now, node, What_::Due);
+            self.push_event(now, node, Coming::Due);
         }
         self.arm(node);
     }
@@ -574,7 +574,7 @@
         let Some((at, _)) = own.due.first().copied() else { return };
         if own.timer.is_none_or(|timer| at < timer) {
             own.timer = Some(at);
-            self.push_event(at, node, What_::Due);
+            self.push_event(at, node, Coming::Due);
         }
     }
 
@@ -632,7 +632,7 @@
         }
         held.budget(self.now);
         if outcome == Outcome::Acked && !held.op.closed {
-            self.push_event(self.now + DOOR, 0, What_::Answer(op, Answer::Acked));
+            self.push_event(self.now + DOOR, 0, Coming::Answer(op, Answer::Acked));
         }
         let step = self.settle(node, &mut held.op, push, outcome, values);
         self.carry(node, op, held, Some(step));
@@ -704,7 +704,7 @@
         };
         if let Some((at, outcome)) = outcome {
             self.tries[op].flights.push(flight);
-            self.push_event(at, node, What_::Ended(op, push, outcome, Vec::new()));
+            self.push_event(at, node, Coming::Ended(op, push, outcome, Vec::new()));
             return;
         }
         if !old {
@@ -717,7 +717,7 @@
             self.connections[x] -= 1;
             let at = flight.arrives - lat;
             self.tries[op].flights.push(flight);
-            self.push_event(at, node, What_::Ended(op, push, Outcome::Moot, Vec::new()));
+            self.push_event(at, node, Coming::Ended(op, push, Outcome::Moot, Vec::new()));
             return;
         }
         if way.dribble {
@@ -731,10 +731,10 @@
         } else if broken && !way.back && way.bytes < REQUEST {
             flight.open = false;
             self.connections[x] -= 1;
-            self.push_event(now + 2 * lat, node, What_::Ended(op, push, Outcome::Cut, Vec::new()));
+            self.push_event(now + 2 * lat, node, Coming::Ended(op, push, Outcome::Cut, Vec::new()));
         } else {
             flight.reset = broken;
-            self.push_event(arrives, x, What_::Push(op, push));
+            self.push_event(arrives, x, Coming::Push(op, push));
         }
         self.tries[op].flights.push(flight);
     }
@@ -753,7 +753,7 @@
             self.close(op, push, false);
         } else if !way.silent {
             let at = there.max(arrives);
-            self.push_event(at, x, What_::Cancel(op, push));
+            self.push_event(at, x, Coming::Cancel(op, push));
         } else {
             self.day.ledger.saw(op, self.now, Saw::GivenUp(x));
         }
@@ -789,7 +789,7 @@
             // It died while the push was on its way, and may be back already: the connection broke before the last
             // byte.
             self.close(op, push, false);
-            self.push_event(now + lat, node, What_::Ended(op, push, Outcome::Cut, Vec::new()));
+            self.push_event(now + lat, node, Coming::Ended(op, push, Outcome::Cut, Vec::new()));
             return;
         }
         let sheet = &self.day.ledger.sheets[op];
@@ -811,8 +811,8 @@
         self.day.ledger.saw(op, now, Saw::Pushed(x));
         if self.tries[op].flights[push].reset {
             // Read whole, and its connection broken before the answer.
-            self.push_event(now + lat, node, What_::Ended(op, push, Outcome::Reset, Vec::new()));
-            self.push_event(now + 10, x, What_::Cancel(op, push));
+            self.push_event(now + lat, node, Coming::Ended(op, push, Outcome::Reset, Vec::new()));
+            self.push_event(now + 10, x, Coming::Cancel(op, push));
         }
         let mut out = std::mem::take(&mut self.out);
         self.machines[x].take(now, task, &mut out);
@@ -846,12 +846,12 @@
                 Happening::Started(id) => {
                     self.day.ledger.saw((id >> 16) as usize, now, Saw::Began(x));
                     if self.plan.fleet.tells_start {
-                        self.back(id, None, |op, push| What_::Note(op, push, true));
+                        self.back(id, None, |op, push| Coming::Note(op, push, true));
                     }
                     continue;
                 }
                 Happening::Progress(id, _) => {
-                    self.back(id, None, |op, push| What_::Note(op, push, false));
+                    self.back(id, None, |op, push| Coming::Note(op, push, false));
                     continue;
                 }
                 Happening::Done(id) => (id, End::Done, Outcome::Acked),
@@ -872,18 +872,18 @@
             let op = (id >> 16) as usize;
             self.day.ledger.saw(op, now, Saw::Ended(x, end));
             let values = self.machines[x].report(&self.plan.fleet.report.gauges);
-            self.back(id, Some(outcome), |op, push| What_::Ended(op, push, outcome, values));
+            self.back(id, Some(outcome), |op, push| Coming::Ended(op, push, outcome, values));
         }
         self.out = out;
         self.wake[x] += 1;
         if let Some(next) = self.machines[x].next() {
             let wake = self.wake[x];
-            self.push_event(next.max(self.now + 1), x, What_::Machine(wake));
+            self.push_event(next.max(self.now + 1), x, Coming::Machine(wake));
         }
     }
 
     /// Something goes back from an executor to the node of a push, if anything still passes.
-    fn back(&mut self, id: u64, outcome: Option<Outcome>, what: impl FnOnce(usize, usize) -> What_) {
+    fn back(&mut self, id: u64, outcome: Option<Outcome>, what: impl FnOnce(usize, usize) -> Coming) {
         let (op, push) = ((id >> 16) as usize, (id & 0xffff) as usize);
         let node = self.tries[op].node;
         let flight = &self.tries[op].flights[push];
@@ -925,7 +925,7 @@
         let own = &mut self.nodes[node];
         own.news_by = own.news_by.max(self.now + late);
         let at = own.news_by;
-        self.push_event(at, node, What_::News(self.version, whole, lines));
+        self.push_event(at, node, Coming::News(self.version, whole, lines));
     }
 
     fn unlist(&mut self, x: usize) {
@@ -945,10 +945,10 @@
         let lines = Rc::new(lines);
         for node in 0..self.nodes.len() {
             let at = self.nodes[node].news_by.max(self.now + every);
-            self.push_event(at, node, What_::News(self.version, false, lines.clone()));
+            self.push_event(at, node, Coming::News(self.version, false, lines.clone()));
         }
         if self.now < seconds(self.plan.seconds) {
-            self.push_event(self.now + every, 0, What_::Weights);
+            self.push_event(self.now + every, 0, Coming::Weights);
         }
     }
 
@@ -1016,7 +1016,7 @@
                     self.stuck.push((op, push));
                 } else {
                     self.close(op, push, false);
-                    self.push_event(now + 1, node, What_::Ended(op, push, Outcome::Reset, Vec::new()));
+                    self.push_event(now + 1, node, Coming::Ended(op, push, Outcome::Reset, Vec::new()));
                 }
             }
         }
@@ -1116,7 +1116,7 @@
             }
             for (push, p) in held.op.pushes.iter().enumerate().filter(|(_, p)| p.outcome.is_none()) {
                 let at = self.now + self.latency(node, p.executor);
-                self.push_event(at, p.executor, What_::Cancel(op, push));
+                self.push_event(at, p.executor, Coming::Cancel(op, push));
             }
         }
         for x in 0..self.machines.len() {
--- a/rig/tests/judge.rs
+++ b/rig/tests/judge.rs
@@ -221,12 +221,10 @@
 
 #[test]
 fn a_day_begins_with_nothing_known() {
-    let cold = "[fleet.cold]\nat-start = true\n";
-    let text = day("redeliverable", "").clone();
-    let mut plan = text;
+    let mut plan = day("redeliverable", "");
     plan.fleet.cold.at_start = true;
     let played = play_simulated(&plan, 1).unwrap();
-    assert!(played.broken.is_empty() && played.acked > 0, "{cold}{:?}", played.broken.first());
+    assert!(played.broken.is_empty() && played.acked > 0, "{:?}", played.broken.first());
     // The same days under the module itself, made by hand as a node makes it.
     let make =
         |_: usize, tariff: &Tariff, seed: u64| -> Box<dyn Policy> { Box::new(Dispatcher::new(tariff, seed)) };
--- a/routes/src/gate.rs
+++ b/routes/src/gate.rs
@@ -218,3 +218,58 @@
         places.leave(now, seat.most)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::Ground;
+    use stileroute::tariff::{Category, Effect, Terms, SECOND};
+
+    fn table(text: &str) -> Arc<Table> {
+        let own = Category {
+            target: SECOND,
+            stretch: 0.0,
+            effect: Effect::Redeliverable,
+            benefit: 1.0,
+            late: 0.0,
+            kind: None,
+            priority: 0,
+        };
+        let terms = Terms { max_pushes: 5, ..Terms::default() };
+        let ground =
+            Ground { categories: vec![("c".to_string(), 9 * SECOND, own)], terms, ..Ground::default() };
+        let read = stileroute_operator::read("t.toml", text, |keys| Table::read(keys, &ground));
+        Arc::new(read.unwrap_or_else(|faults| panic!("{}", faults[0])))
+    }
+
+    fn enter(gate: &mut Gate, now: Time, ticket: u64) -> Entry {
+        let request = Request { path: "/a", method: "POST", category: 0, tenant: None, header: &|_| None };
+        gate.enter(now, ticket, &request)
+    }
+
+    #[test]
+    fn budgets_and_places_outlive_a_new_file_and_limits_stay_with_the_op() {
+        let text =
+            "[defaults]\npushes = 2\nretry-budget = { part = 0.0, window = '20s', least = 1 }\nin-hand = 1\n";
+        let mut gate = Gate::new(table(text));
+        let Entry::In(mut first) = enter(&mut gate, 0, 1) else { panic!("no place") };
+        first.pushed(0);
+        assert_eq!(first.over_budget(0), 0);
+        first.pushed(SECOND);
+        // The one free further push is spent, and the one place taken; a new file changes neither count.
+        gate.turn(table(
+            &text.replace("pushes = 2", "pushes = 4").replace("window = '20s'", "window = '40s'"),
+        ));
+        assert!(first.over_budget(2 * SECOND) > 0 && first.limits.pushes == 2);
+        assert!(matches!(enter(&mut gate, 2 * SECOND, 2), Entry::Full(back) if back > 0));
+        assert_eq!(first.leave(2 * SECOND, 1), None);
+        let Entry::In(mut second) = enter(&mut gate, 3 * SECOND, 3) else { panic!("no place") };
+        second.pushed(3 * SECOND);
+        assert!(second.over_budget(3 * SECOND) > 0 && second.limits.pushes == 4);
+        // One that asks for more places finds them at once; a rule that is gone takes its counts with it.
+        gate.turn(table("[defaults]\nin-hand = 2\n"));
+        assert!(matches!(enter(&mut gate, 4 * SECOND, 4), Entry::In(_)));
+        gate.turn(table("[category.c]\nin-hand = 1\n"));
+        assert!(matches!(enter(&mut gate, 5 * SECOND, 5), Entry::In(_)));
+    }
+}
--- a/routes/tests/safe.rs
+++ b/routes/tests/safe.rs
@@ -242,8 +242,7 @@
                 match step {
                     Step::Push { executor } => {
                         assert!(sent.len() < ground.terms.max_pushes.min(pass.limits.pushes), "{text}");
-                        for (came, before, may) in sent.iter().filter(|s| s.2) {
-                            let _ = may;
+                        for (came, before, _) in sent.iter().filter(|s| s.2) {
                             match effect {
                                 Effect::AtMostOnce => panic!("pushed again: {text} {sent:?} {:?}", op.pushes),
                                 Effect::Deduplicated { scope, window } => {
