--- a/rig/src/sim.rs
+++ b/rig/src/sim.rs
@@ -592,24 +592,12 @@
     }
 
     fn place(&mut self, node: usize, held: &mut Op) -> Step {
-        let truth = Truth {
-            machines: &self.machines,
-            weather: &self.weather,
-            domain: self.nodes[node].domain,
-            near: ms(self.plan.fleet.near_ms),
-            far: ms(self.plan.fleet.far_ms),
-        };
+        let truth = truth(self.plan, &self.machines, &self.weather, self.nodes[node].domain);
         self.nodes[node].policy.place(self.now, held, &truth)
     }
 
     fn settle(&mut self, node: usize, held: &mut Op, push: usize, outcome: Outcome, values: &[f64]) -> Step {
-        let truth = Truth {
-            machines: &self.machines,
-            weather: &self.weather,
-            domain: self.nodes[node].domain,
-            near: ms(self.plan.fleet.near_ms),
-            far: ms(self.plan.fleet.far_ms),
-        };
+        let truth = truth(self.plan, &self.machines, &self.weather, self.nodes[node].domain);
         self.nodes[node].policy.settle(self.now, held, push, outcome, values, &truth)
     }
 
@@ -1125,3 +1113,9 @@
         }
     }
 }
+
+/// What the seeing baseline sees from a domain. It borrows no more than that, for the node itself is asked meanwhile.
+fn truth<'t>(plan: &Plan, machines: &'t [Machine], weather: &'t Weather, domain: usize) -> Truth<'t> {
+    let (near, far) = (ms(plan.fleet.near_ms), ms(plan.fleet.far_ms));
+    Truth { machines, weather, domain, near, far }
+}
