Rig: what a node that was asked to end still holds is owed, on sockets too

A stopped node counted a new life at its restart, and clients took any new life for a kill: an op that it lost at its end could be released instead of judged lost. Kills are counted apart now. A condition on nodes that stood still had a half that always held; it is gone. A plan's operators' file is checked when the plan is read, so that `check` refuses it with file, line and key; a case of the bad files shows it.

--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -790,6 +790,7 @@
             self.wrong(&path, &reason)
         })?;
         plan.check().map_err(|(path, reason)| self.wrong(&path, &reason))?;
+        crate::settings::routes(&plan).map_err(|reason| self.wrong(&["operator".to_string()], &reason))?;
         Ok(plan)
     }
 }
--- a/rig/src/play/clients.rs
+++ b/rig/src/play/clients.rs
@@ -20,8 +20,10 @@
     pub at: SocketAddr,
     pub domain: usize,
     pub takes: bool,
-    /// Counts its starts.
+    /// Counts its starts, and how often it was killed: what it held then is its clients' to retry. What one that
+    /// was asked to end held is owed all the same.
     pub life: u64,
+    pub killed: u64,
     /// Stands still since, and the last stretch in which it did.
     pub paused: Option<Time>,
     pub stood: (Time, Time),
@@ -41,6 +43,7 @@
             domain,
             takes: true,
             life: 0,
+            killed: 0,
             paused: None,
             stood: (0, 0),
             idle: Vec::new(),
@@ -141,7 +144,7 @@
             _ => sleep(Duration::from_millis(20)).await,
         }
     };
-    let life = front.node(node, |seen| seen.life);
+    let (life, killed) = front.node(node, |seen| (seen.life, seen.killed));
     let now = world.now();
     let op = locked(&world.ledger).open(job, node, asked.category, now, now + ttl);
     let text = request(world, op, job, asked);
@@ -168,9 +171,8 @@
     };
     let now = world.now();
     let (dead, stood) = front.node(node, |seen| {
-        let stood = seen.paused.is_some()
-            || (seen.stood.1 + 500 >= now.min(seen.stood.1 + 500) && seen.stood.1 > begun);
-        (seen.life != life, stood)
+        let stood = seen.paused.is_some() || seen.stood.1 > begun;
+        (seen.killed != killed, stood)
     });
     let answer = match heard {
         Heard::Whole(message) => {
--- a/rig/src/play/mod.rs
+++ b/rig/src/play/mod.rs
@@ -363,7 +363,7 @@
                 front.node(node, |seen| seen.stood = (seen.paused.take().unwrap_or(now), now));
             }
             (What::NodeKilled, true) => {
-                front.node(node, |seen| (seen.takes, seen.life) = (false, seen.life + 1));
+                front.node(node, |seen| (seen.takes, seen.killed) = (false, seen.killed + 1));
                 self.nodes[node] = None;
             }
             (What::NodeStopped, true) => {
--- a/rig/tests/plan.rs
+++ b/rig/tests/plan.rs
@@ -62,6 +62,13 @@
         ("[0.3, 0.6]", "[0.3, 'much']", 27, "vary", "load.part=much"),
         ("'load.part' = [", "'laod.part' = [", 28, "vary.laod.part", "there is no table 'laod'"),
         ("'load.part' = 0.3", "'load.part' = 0.4", 30, "against.load.part", "no value"),
+        (
+            "seeds = [1, 2]",
+            "seeds = [1]\noperator = 'defaults.pushes = 9'",
+            4,
+            "operator",
+            "9 pushes are more than the 5",
+        ),
         ("seeds = [1, 2]", "seeds = []", 3, "seeds", "nothing to play"),
         ("seconds = 6.0", "seconds = 0.0", 2, "seconds", "from 0.1"),
         ("seconds = 6.0", "seconds = 6.0.0", 2, "seconds", ""),
