Routes: running times of every category, and a quantile that adds nothing up

Own running times were kept for 64 categories, whatever the settings name, so that copy-after did nothing silently beyond; the table tells their number now. Each op under copy-after cloned and added two histograms; the sum is kept as times come in. Pass::category and Limits::is_empty had no user and are gone.

--- a/routes/src/budget.rs
+++ b/routes/src/budget.rs
@@ -146,10 +146,10 @@
     }
 }
 
-/// Own running times, older ones fading: two spans of them, of which the older goes when the newer is full.
+/// Own running times, older ones fading: those of the last whole span and of the one that is being filled.
 #[derive(Clone, Debug)]
 pub struct Times {
-    old: Histogram<u32>,
+    both: Histogram<u32>,
     new: Histogram<u32>,
 }
 
@@ -161,24 +161,25 @@
     fn default() -> Times {
         // From a tenth of a millisecond to a day at two digits; the bounds are right by construction.
         let empty = || Histogram::new_with_bounds(1, 864_000_000, 2).unwrap_or_else(|_| unreachable!());
-        Times { old: empty(), new: empty() }
+        Times { both: empty(), new: empty() }
     }
 }
 
 impl Times {
     pub fn add(&mut self, time: Time) {
-        self.new.saturating_record(time.max(1) as u64);
+        let time = time.max(1) as u64;
+        self.new.saturating_record(time);
+        self.both.saturating_record(time);
         if self.new.len() >= SPAN {
-            std::mem::swap(&mut self.old, &mut self.new);
+            std::mem::swap(&mut self.both, &mut self.new);
             self.new.reset();
         }
     }
 
-    /// The running time that such a part of the ops stays under; none as long as too few are known.
+    /// The running time that such a part of the ops stays under; none as long as too few are known. It is asked for
+    /// with each op, so nothing is added up here.
     pub fn quantile(&self, part: f64) -> Option<Time> {
-        let mut both = self.old.clone();
-        both.add(&self.new).ok()?;
-        (both.len() >= ENOUGH).then(|| both.value_at_quantile(part) as Time)
+        (self.both.len() >= ENOUGH).then(|| self.both.value_at_quantile(part) as Time)
     }
 }
 
--- a/routes/src/gate.rs
+++ b/routes/src/gate.rs
@@ -39,7 +39,6 @@
     /// The longest that the op, and one connection, may take.
     pub op: Time,
     pub connect: Option<Time>,
-    category: usize,
     purses: [Option<Purse>; 2],
     seat: Option<Seat>,
     pushes: usize,
@@ -88,7 +87,7 @@
         self.names = table.rules.iter().map(|rule| Rc::from(rule.name.as_str())).collect();
         let copies = table.rules.iter().any(|rule| rule.limits.copy_after.is_some());
         // Own running times are kept only where some rule asks for a quantile of them.
-        self.times.resize(if copies { 64 } else { 0 }, None);
+        self.times.resize(if copies { table.categories() } else { 0 }, None);
         let budget = table.node_budget.as_ref().map(|set| set.value);
         self.node = budget.map(|budget| Purse { budget, window: self.window(NODE, budget.window) });
         let known = |name: &String| name == NODE || table.rules.iter().any(|rule| rule.name == *name);
@@ -151,7 +150,6 @@
             route,
             op: value(&held.op).unwrap_or(Time::MAX / 4),
             connect: value(&held.connect),
-            category,
             purses: [purse, self.node.clone()],
             seat,
             pushes: 0,
@@ -204,10 +202,6 @@
         }
     }
 
-    pub fn category(&self) -> usize {
-        self.category
-    }
-
     /// The op is over, or leaves without having had a place. Who has its place now.
     pub fn leave(&mut self, now: Time, ticket: u64) -> Option<u64> {
         let seat = self.seat.take()?;
--- a/routes/src/limits.rs
+++ b/routes/src/limits.rs
@@ -114,10 +114,6 @@
         bits
     }
 
-    pub fn is_empty(&self) -> bool {
-        *self == Limits::default()
-    }
-
     /// The retry budget of a table.
     pub fn read_budget(keys: &Keys) -> Option<Set<Budget>> {
         let table = keys.table("retry-budget")?;
--- a/routes/src/table.rs
+++ b/routes/src/table.rs
@@ -281,6 +281,11 @@
         effective
     }
 
+    /// How many categories there are.
+    pub fn categories(&self) -> usize {
+        self.effects.len()
+    }
+
     /// The effect that holds for a category under what is effective.
     pub fn effect(&self, category: usize, effective: &Effective) -> Effect {
         let to = effective.effect.as_ref().map(|held| held.set.value);
