--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -213,18 +213,7 @@
                     other => return Err(format!("MEMBERS: field 'scope' has unknown value '{other}'")),
                 }
             }
-            "PROBE_RESULT" => {
-                let address = need(msg.executor.as_deref(), &msg.op, "executor")?;
-                let status = msg.status.as_deref().unwrap_or_default();
-                match self.indices.get(address) {
-                    Some(index) if matches!(status, "T" | "C") => self.dispatcher.unanswered(now, *index),
-                    Some(index) => {
-                        self.dispatcher.report(now, *index, msg.gauge.as_deref().unwrap_or_default())
-                    }
-                    None => {}
-                }
-            }
-            "BELL" | "WHISPER" => {}
+            "BELL" | "WHISPER" | "PROBE_RESULT" => {}
             other => eprintln!("unknown message '{other}' ignored"),
         }
         Ok(())
@@ -246,10 +235,6 @@
                 reply.say("OBSERVE", &self.name, format_args!(",\"active\":true"));
             }
         }
-        for executor in self.dispatcher.probes.drain(..) {
-            let address = &self.addresses[executor];
-            reply.say("TOUCH", &self.name, format_args!(",\"executor\":\"{address}\""));
-        }
         for line in self.dispatcher.log.drain(..) {
             reply.say("WRITE_LOG", &self.name, format_args!(",\"msg\":\"{line}\""));
         }
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -22,8 +22,6 @@
     pub node: Option<Cow<'a, str>>,
     #[serde(borrow)]
     pub ticket: Option<Cow<'a, str>>,
-    #[serde(borrow)]
-    pub executor: Option<Cow<'a, str>>,
     pub init_seed: Option<u64>,
     pub conf: Option<Box<Posted>>,
     #[serde(borrow)]
--- a/drill/tests/wire.rs
+++ b/drill/tests/wire.rs
@@ -88,20 +88,3 @@
     let (_, err, code) = drill(&(batch(1, SPAWN) + &batch(2, grade)));
     assert!(code == Some(2) && err.contains("grade"), "{err}");
 }
-
-#[test]
-fn a_failed_probe_keeps_ops_away() {
-    let ingress = r#"{"op":"INGRESS","node":"node/0","ticket":"01","grade":0,"drop-dead-ns":8000000000}"#;
-    for (status, gone) in [("S", false), ("T", true), ("C", true)] {
-        let probe = format!(
-            r#"{{"op":"PROBE_RESULT","node":"node/0","took-ns":1,"executor":"10.0.0.1:9","status":"{status}"}}"#
-        );
-        let mut input = batch(1, SPAWN) + &batch(2, &probe);
-        for n in 0..8 {
-            input += &batch(3_000_000 + n, &ingress.replace("01", &format!("{:02x}", n + 1)));
-        }
-        let (out, err, code) = drill(&input);
-        assert_eq!((err.as_str(), code), ("", Some(0)));
-        assert_eq!(!out.contains(r#""executor":"10.0.0.1:9""#), gone, "{status}: {out}");
-    }
-}
--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -159,10 +159,6 @@
                 }
             }
             Event::Ended { ticket, push, how, load } => self.ended(now, ticket, push, how, load),
-            Event::Probed { executor, lost: true, .. } => self.dispatcher.unanswered(now, executor),
-            Event::Probed { executor, load, .. } => {
-                self.dispatcher.report(now, executor, &load.unwrap_or_default());
-            }
             Event::Free { number, keep } => {
                 // It may have carried a task when its executor left the list.
                 let executor = self.outlet.back(number, keep);
@@ -480,11 +476,6 @@
                 self.front.steer();
             }
         }
-        for executor in std::mem::take(&mut self.dispatcher.probes) {
-            if let Some(to) = self.addresses.get(executor).and_then(|(to, _)| *to) {
-                self.outlet.probe(executor, to);
-            }
-        }
         for line in self.dispatcher.log.drain(..) {
             say!("{line}");
         }
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -1,9 +1,8 @@
-//! Connections to executors: one thread each, which carries one push or probe after another.
+//! Connections to executors: one thread each, which carries one push after another.
 
 use crate::port::{self, Event, How, Job};
 use crate::say;
 use crate::store::pool::Pool;
-use crate::wire::jobs;
 use crate::wire::push::{push_head, Answer, Heard, Told};
 use crossbeam_channel::{Receiver, Sender};
 use std::io::{ErrorKind, Read, Write};
@@ -15,7 +14,7 @@
 pub struct Task {
     pub work: Work,
     pub to: SocketAddr,
-    /// When the time of the op, or of the probe, is out.
+    /// When the time of the op is out.
     pub until: Instant,
     /// Beyond this nothing of it may be written any more.
     pub leave_by: Instant,
@@ -25,15 +24,7 @@
 
 pub enum Work {
     /// `wary`: a repeat is not harmless.
-    Push {
-        ticket: u64,
-        push: usize,
-        job: Arc<dyn Job>,
-        wary: bool,
-    },
-    Probe {
-        executor: usize,
-    },
+    Push { ticket: u64, push: usize, job: Arc<dyn Job>, wary: bool },
 }
 
 /// What the desk holds of a connection, to end it from outside.
@@ -116,7 +107,6 @@
             Carried { number, task: &task, link, shared, code: "closed", told: false, used: false };
         let keep = match &task.work {
             Work::Push { job, wary, .. } => carried.push(&**job, *wary, &mut stream),
-            Work::Probe { executor } => carried.probe(*executor, &mut stream),
         };
         let code = carried.code;
         drop(task);
@@ -185,38 +175,6 @@
         })
     }
 
-    /// Carries a probe, in its own time.
-    fn probe(&mut self, executor: usize, held: &mut Option<Arc<TcpStream>>) -> bool {
-        let answer = match self.open(held) {
-            Err(How::Unconnected) => None,
-            Err(_) => Some((None, false)),
-            Ok(stream) => {
-                let told = self.load(&stream);
-                let kept =
-                    told.as_ref().is_some_and(|(_, keep)| *keep) && stream.set_read_timeout(None).is_ok();
-                *held = kept.then_some(stream);
-                told
-            }
-        };
-        if held.is_none() {
-            self.link.drop_stream();
-        }
-        if answer.is_none() && self.code == "closed" {
-            self.code = "probe";
-        }
-        let (lost, load) = (answer.is_none(), answer.and_then(|(load, _)| load));
-        let _ = self.shared.desk.send(Event::Probed { executor, load, lost });
-        held.is_some()
-    }
-
-    /// Asks for the load; none if no answer comes. Also tells whether the connection may be kept.
-    fn load(&self, stream: &TcpStream) -> Option<(Option<Vec<f64>>, bool)> {
-        let text = jobs::probe(&self.task.to.to_string());
-        let whole = super::exchange(stream, &text, self.task.until).ok()?.ok()?;
-        let load = jobs::read_load_text(&String::from_utf8_lossy(&whole.body), &self.shared.gauges);
-        Some((load, !whole.close))
-    }
-
     /// The connection for this task: the one at rest, or a new one.
     fn open(&mut self, held: &mut Option<Arc<TcpStream>>) -> Result<Arc<TcpStream>, How> {
         if held.as_ref().is_some_and(|stream| !fresh(stream)) {
@@ -275,7 +233,7 @@
         held: &mut Option<Arc<TcpStream>>,
     ) -> bool {
         let (task, shared) = (self.task, self.shared);
-        let Work::Push { ticket, push, .. } = task.work else { return false };
+        let Work::Push { ticket, push, .. } = task.work;
         let (mut chunk, mut ended, mut silent) = ([0; super::CHUNK], None, true);
         let mut input = &*stream;
         loop {
@@ -345,9 +303,8 @@
 
     fn tell(&mut self, how: How, load: Option<Vec<f64>>) {
         self.told = true;
-        if let Work::Push { ticket, push, .. } = self.task.work {
-            let _ = self.shared.desk.send(Event::Ended { ticket, push, how, load });
-        }
+        let Work::Push { ticket, push, .. } = self.task.work;
+        let _ = self.shared.desk.send(Event::Ended { ticket, push, how, load });
     }
 }
 
--- a/node/src/drive/outlet.rs
+++ b/node/src/drive/outlet.rs
@@ -54,12 +54,6 @@
         Some(link)
     }
 
-    fn probe(&mut self, executor: usize, to: SocketAddr) {
-        let until = Instant::now() + 2 * self.executors.dial;
-        let work = Work::Probe { executor };
-        self.give(executor, Task { work, to, until, leave_by: until, connect: None }, false);
-    }
-
     fn back(&mut self, number: u64, keep: bool) -> Option<usize> {
         self.lines.back(number, keep, Instant::now())
     }
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -109,8 +109,6 @@
 pub trait Outlet {
     /// Sends a push out; none where this node has no room for it.
     fn push(&mut self, executor: usize, to: SocketAddr, push: Push) -> Option<Arc<dyn Link>>;
-    /// Asks an executor for its load.
-    fn probe(&mut self, executor: usize, to: SocketAddr);
     /// A connection's task is over; the executor that it is idle for now, if it is.
     fn back(&mut self, number: u64, keep: bool) -> Option<usize>;
     /// Closes what is idle there.
@@ -176,12 +174,6 @@
         how: How,
         load: Option<Vec<f64>>,
     },
-    /// An answer to a probe, or none in its time.
-    Probed {
-        executor: usize,
-        load: Option<Vec<f64>>,
-        lost: bool,
-    },
     Free {
         number: u64,
         keep: bool,
--- a/node/src/wire/jobs.rs
+++ b/node/src/wire/jobs.rs
@@ -72,11 +72,6 @@
     (word, load)
 }
 
-/// Asks an executor for its load.
-pub fn probe(host: &str) -> String {
-    format!("GET {} HTTP/1.1\r\nHost: {host}\r\n\r\n", names::PROBE)
-}
-
 /// Reads the text form of a load report: `TEXT inflight=7, queue=2`.
 pub fn read_load_text(text: &str, gauges: &[String]) -> Option<Vec<f64>> {
     let fields = text.trim().strip_prefix("TEXT").unwrap_or(text);
--- a/node/src/wire/names.rs
+++ b/node/src/wire/names.rs
@@ -2,8 +2,6 @@
 
 pub const READY: &str = "/-/ready";
 pub const HEALTHY: &str = "/-/healthy";
-/// Where an executor tells its load when asked.
-pub const PROBE: &str = "/-/load";
 pub const TARGETS: &str = "/api/targets";
 
 pub const CALL_ID: &str = "X-Call-Id";
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -467,29 +467,6 @@
     assert_eq!((node.ready(), node.ask("safe", 9000).0), (503, 503));
 }
 
-#[test]
-fn executors_are_probed_where_the_settings_allow_it() {
-    let settings = SETTINGS
-        .replace(r#""cancel":true"#, r#""cancel":true,"probes":true"#)
-        .replace(r#""names":["rif"],"source":"piggyback""#, r#""names":["busy","x0"],"source":"pull""#)
-        .replace(r#""tells-start":true"#, r#""tells-start":true,"report-x0":"free slots""#)
-        .replace(r#""discovery":"automatic""#, r#""discovery":"automatic","prices":{"probe":0.002}"#);
-    let (fleet, mut addresses) = Fleet::start(2, |_| DONE);
-    addresses.push(nowhere());
-    let (_discovery, at) = Discovery::start(entries(&addresses));
-    let node = Node::start_with(at, "", &settings, 1024);
-    until("ready", || node.ready() == 200);
-    let mut asked = 0;
-    until("all were probed", || {
-        assert_eq!(node.ask("marked", 9000).0, 200);
-        asked += 1;
-        fleet.probes.load(Ordering::SeqCst) > 1 && node.logged("probe not answered")
-    });
-    // A probe is no push, and its connection carries pushes too.
-    assert_eq!(fleet.count(), asked);
-    assert!(fleet.connections.load(Ordering::SeqCst) < asked + fleet.probes.load(Ordering::SeqCst));
-}
-
 #[test]
 fn full_tables_turn_away_and_lose_nothing() {
     // Nine requests in hand, nine other clients, ten connections to executors.
--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -80,7 +80,6 @@
     }
     fn upkeep(&mut self, now: Time) {
         Dispatcher::upkeep(self, now);
-        self.probes.clear();
     }
     fn add_shares(&self, times: f64, sums: &mut [f64]) {
         self.shares().zip(sums).for_each(|(share, sum)| *sum += share * times);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,8 +31,6 @@
 const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
-const COVER: f64 = 0.5; // of the fleet each second: who can pay for so much probing probes on a timer
-const PROBE_SPEND: f64 = 0.007; // for one op, in parts of its worth; three probes at most
 
 /// One executor, as long as the list has named it.
 #[derive(Clone, Debug, Default)]
@@ -64,7 +62,6 @@
     heard: Time,
     /// What the last news counts against the usual load: less where all nodes act on the same.
     trust: f64,
-    probed: Time,
     /// When its latest start was heard of, work sent since, and this node's luck in the cold budget.
     known: Time,
     spent: f64,
@@ -122,9 +119,6 @@
     cold_budget: f64,
     cold_span: Time,
     gauges: Vec<Gauge>,
-    /// Probes that an op may cost, and whether nothing else tells of load.
-    probes_per_op: usize,
-    only_probes: bool,
     executors: Vec<Executor>,
     /// Of each failure domain: pushes out of reach since its last answer, and until when it is left alone.
     domains: Vec<(usize, Time)>,
@@ -146,15 +140,13 @@
     /// Part of the ops judged hopeless of late; told in the log as overload.
     turned_away: f64,
     overloaded: bool,
-    /// Executors to probe and lines for the log, taken by the adapter.
-    pub probes: Vec<usize>,
+    /// Lines for the log, taken by the adapter.
     pub log: Vec<String>,
     chance: Chance,
 }
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
-        let affordable = (PROBE_SPEND / tariff.price_probe.max(1e-4)).min(3.0) as usize;
         Dispatcher {
             terms: tariff.terms.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
@@ -162,8 +154,6 @@
             cold_budget: tariff.overload_factor * tariff.terms.tip_after as f64,
             cold_span: tariff.terms.tip_after * tariff.nodes.max(1) as Time,
             gauges: tariff.gauges.clone(),
-            probes_per_op: if tariff.probes { affordable } else { 0 },
-            only_probes: tariff.reports_by_probe,
             nodes: tariff.nodes.max(1),
             target_use: LEAST_USE,
             slots_per_op: 1.0,
@@ -263,8 +253,6 @@
             Some(p) if self.terms.progress > 0 => (p.noted + 5 * self.terms.progress / 2).max(now + look),
             Some(_) => last,
             None if op.not_before > now => op.not_before,
-            // The answers to probes come within a few ticks or too late to matter.
-            None if op.asked == Some(now) => now + (4 * self.terms.tick).max(look / 4),
             None => now + look,
         };
         let copy = |p: &Push| p.sent.saturating_add(op.limits.copy_after);
@@ -369,11 +357,6 @@
         self.hear(now, executor, held, 1.0);
     }
 
-    /// A probe of an executor got no answer: don't lose pushes there, of which an op has but few.
-    pub fn unanswered(&mut self, now: Time, executor: usize) {
-        self.set_aside(now, executor, "probe not answered", true);
-    }
-
     /// What an executor holds in all, as told just now; own pushes are known better, so they come off.
     fn hear(&mut self, now: Time, executor: usize, held: f64, trust: f64) {
         let e = &mut self.executors[executor];
@@ -390,22 +373,9 @@
             // Asked again if nothing at all is heard: a lost call must not leave the list to age.
             self.observe_at = now + 5 * SECOND;
         }
-        let whole = if self.probes_on_timer() { self.executors.len() } else { 0 };
-        let due = |e: &Executor| e.active && now - e.heard.max(e.probed) >= SECOND;
-        for (at, e) in self.executors.iter_mut().enumerate().take(whole).filter(|(_, e)| due(e)) {
-            e.probed = now;
-            self.probes.push(at);
-        }
         observe
     }
 
-    /// Own ops pay for hearing of all each second; else a timer would cost more the more nodes there are.
-    fn probes_on_timer(&self) -> bool {
-        let active = if self.only_probes { self.executors.iter().filter(|e| e.active).count() } else { 0 };
-        let needed = COVER * active as f64 * self.arrival_gap;
-        needed > 0.0 && (self.probes_per_op * SECOND as usize) as f64 >= needed
-    }
-
     // ---- Shares and order: the design ----
 
     /// Re-solves the split. With time in mean gaps between own arrivals the arrival rate is one, so the
@@ -462,9 +432,6 @@
         if now < op.not_before {
             return Step::Hold;
         }
-        if op.asked.is_none() && op.pushes.is_empty() && self.ask(now, op) {
-            return Step::Hold;
-        }
         let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
         let Some(Candidate { at: executor, wait, .. }) = found else {
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
@@ -483,25 +450,6 @@
         self.push(now, op, executor)
     }
 
-    /// Probes the few executors that look best for the op, unless all were heard lately.
-    fn ask(&mut self, now: Time, op: &mut Op) -> bool {
-        if self.probes_per_op == 0 || self.probes_on_timer() {
-            return false;
-        }
-        op.asked = Some(now);
-        let stale = now - (self.turnover() / 10.0) as Time;
-        let mut best = self.candidates(now, op, true);
-        best.sort_by(|a, b| a.cost.total_cmp(&b.cost));
-        let before = self.probes.len();
-        for Candidate { at, .. } in best.into_iter().take(self.probes_per_op * op.slots as usize) {
-            if self.executors[at].heard.max(self.executors[at].probed) < stale {
-                self.executors[at].probed = now;
-                self.probes.push(at);
-            }
-        }
-        self.probes.len() > before
-    }
-
     /// An op that none can answer usefully is turned away at once, not kept until its time is out. Waits
     /// turn out longer than they look; that matters less where a late answer earns.
     fn in_time(&self, now: Time, op: &Op, executor: usize, wait: f64) -> bool {
@@ -584,18 +532,14 @@
                 seen[self.executors[c.at].domain] <= few
             });
         }
-        let (delay, turnover) = (self.cross_delay(op), self.turnover());
-        let blind = if op.asked.is_some() && op.pushes.is_empty() { turnover } else { 0.0 };
+        let delay = self.cross_delay(op);
         for c in &mut found {
             let e = &self.executors[c.at];
             c.wait = self.expected_wait(now, op, c.at);
             let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
-            // Not heard of when others were asked, it may be full: all its c slots are held r^c of the time.
-            let unheard = 1.0 - (-((now - e.heard) as f64) / (2.0 * turnover)).exp();
-            let held = ((e.usual.max(0.0) + e.own()) / self.slots[e.kind]).min(1.0).powf(self.slots[e.kind]);
-            c.cost = c.wait + away + blind * unheard * held + slow.max(0.0) * self.expected(op);
+            c.cost = c.wait + away + slow.max(0.0) * self.expected(op);
         }
         found
     }
@@ -842,7 +786,6 @@
                 barred: vec![0; self.categories.len()],
                 usual: -1.0,
                 heard: now - SECOND,
-                probed: now - SECOND,
                 turn,
                 ..Executor::default()
             });
--- a/src/posted.rs
+++ b/src/posted.rs
@@ -58,8 +58,6 @@
     #[serde(default)]
     parallel_tries: bool,
     #[serde(default)]
-    probes: bool,
-    #[serde(default)]
     retry_after: bool,
     #[serde(default)]
     max_retry_after_ns: i64,
@@ -107,14 +105,12 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Prices {
     cross_zone: f64,
-    probe: f64,
 }
 
 #[derive(Deserialize, Default)]
 #[serde(default)]
 struct Report {
     names: Vec<String>,
-    source: String,
 }
 
 #[derive(Deserialize)]
@@ -212,11 +208,8 @@
             terms,
             nodes: self.balancers,
             categories,
-            probes: caps.probes,
             overload_factor: self.rules.overload_factor,
             gauges: self.report.names.iter().map(gauge).collect(),
-            reports_by_probe: self.report.source == "pull",
-            price_probe: self.prices.probe,
         })
     }
 }
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -84,12 +84,8 @@
     pub terms: Terms,
     pub nodes: usize,
     pub categories: Vec<Category>,
-    pub probes: bool,
     pub overload_factor: f64,
     pub gauges: Vec<Gauge>,
-    /// Load reports come with probes only.
-    pub reports_by_probe: bool,
-    pub price_probe: f64,
 }
 
 /// What an op may do less than its category allows. It comes in with the op and holds to its end.
@@ -206,8 +202,6 @@
     pub(crate) base: f64,
     pub(crate) came: Time,
     pub deadline: Time,
-    /// When executors were probed for it.
-    pub(crate) asked: Option<Time>,
     pub limits: Limits,
     /// No further push before this.
     pub(crate) not_before: Time,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -409,25 +409,6 @@
     }
 }
 
-#[test]
-fn probes_follow_own_traffic() {
-    // A timer for each executor at each node would cost executors more the more nodes there are.
-    for (gap, all) in [(SECOND / 10, true), (2 * SECOND, false)] {
-        let probes = Tariff { probes: true, reports_by_probe: true, price_probe: 0.002, ..tariff(terms()) };
-        let mut desk = Dispatcher::new(&probes, 5);
-        desk.list(0, true, &(0..40).map(line).collect::<Vec<_>>());
-        let (mut asked, mut held) = (0, 0);
-        for n in 1..=20 {
-            let mut op = desk.arrive(n * gap, Ask { deadline: n * gap + 20 * SECOND, ..ask(0) });
-            held += usize::from(desk.place(n * gap, &mut op) == Step::Hold);
-            desk.upkeep(n * gap);
-            asked += std::mem::take(&mut desk.probes).len();
-        }
-        assert_eq!(held, if all { 1 } else { 20 }, "ops that wait for a probe, gap {gap}");
-        assert!(if all { asked >= 40 } else { asked <= 60 }, "{asked} probes, gap {gap}");
-    }
-}
-
 #[test]
 fn many_nodes_that_hear_of_a_start_together_do_not_push_it_over() {
     // Each node's part is a fraction of one op: were the first op free, all would send one at once.
@@ -491,26 +472,6 @@
     assert!((10..70).contains(&counts[7]), "{counts:?} of 200 nodes to the one with room");
 }
 
-#[test]
-fn once_some_were_asked_an_op_goes_where_room_was_heard_of() {
-    // Executors not heard of look alike, and their turns come first: more than half of all ops went blind.
-    for seed in 0..20 {
-        let asks = Tariff { probes: true, price_probe: 0.002, ..tariff(terms()) };
-        let mut desk = Dispatcher::new(&asks, seed);
-        desk.list(0, true, &(0..30).map(|x| Listed { domain: 0, ..line(x) }).collect::<Vec<_>>());
-        for n in 1..200 {
-            desk.report(n * MS, (n % 30) as usize, &[0.0, 1.0 + 3.0 * f64::from(n < 100)]);
-        }
-        let now = 10 * SECOND;
-        let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(0) });
-        assert_eq!(desk.place(now, &mut op), Step::Hold, "asks first");
-        let asked = std::mem::take(&mut desk.probes);
-        asked.iter().for_each(|x| desk.report(now + MS, *x, &[0.0, 4.0]));
-        let executor = pushed(desk.place(now + 4 * MS, &mut op));
-        assert!(asked.contains(&executor), "seed {seed}: {executor} of {asked:?}");
-    }
-}
-
 #[test]
 fn a_slow_executor_does_not_lengthen_the_time_left() {
     // The target is set by the op's own work: what runs there many times as long is late.
@@ -531,19 +492,6 @@
     }
 }
 
-#[test]
-fn an_executor_that_does_not_answer_its_probe_gets_no_op() {
-    // Two of one domain speak for the whole domain: executors 0, 2 and 4 are in the first, the rest not.
-    for (silent, left) in [(vec![], 6), (vec![1], 5), (vec![0, 2], 3)] {
-        let mut desk = desk(terms(), 5, 6);
-        silent.iter().for_each(|x| desk.unanswered(0, *x));
-        let mut met: Vec<usize> = (0..24).map(|n| serve(&mut desk, n * 40 * MS, 0, 100)).collect();
-        met.sort_unstable();
-        met.dedup();
-        assert!(met.len() == left && silent.iter().all(|x| !met.contains(x)), "{silent:?}: {met:?}");
-    }
-}
-
 #[test]
 fn an_empty_executor_in_a_busy_fleet_gets_no_at_most_once_op() {
     // What fails all that it gets at once looks free: each node would lose ops there to learn it.
@@ -560,24 +508,6 @@
     }
 }
 
-#[test]
-fn an_executor_back_from_a_restart_counts_as_empty_though_unheard_of() {
-    // Doubted by the fleet's load, the restarted ones of a release stay empty while the others queue.
-    let asks = Tariff { probes: true, price_probe: 0.002, ..tariff(terms()) };
-    let mut desk = Dispatcher::new(&asks, 5);
-    let lines: Vec<Listed> = (0..8).map(|x| Listed { domain: 0, ..line(x) }).collect();
-    desk.list(0, true, &lines);
-    for n in 1..400 {
-        desk.report(n * MS, (n % 8) as usize, &[0.0, if n < 100 { 4.0 } else { 0.0 }]);
-    }
-    desk.list(SECOND, false, &[Listed { started: Some(1), ..lines[3] }]);
-    let now = 30 * SECOND;
-    (0..8).filter(|x| *x != 3).for_each(|x| desk.report(now, x, &[1.0, 0.0]));
-    let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(0) });
-    assert_eq!(desk.place(now, &mut op), Step::Hold);
-    assert_eq!(pushed(desk.place(now + 4 * MS, &mut op)), 3);
-}
-
 #[test]
 fn a_category_that_is_not_started_bars_the_executor_for_itself_alone() {
     let mut desk = desk(terms(), 3, 4);
