Listed sizes, parts of the fleet, peers' news, key order and tenants' shares

To blame: slots and usual in report and hear, candidates and solve over the whole fleet, tenants and keys unread. Change: sizes count as slots where nothing is reported; peers of one part of the fleet, as many as the price of messages allows, tell one another held slots, tenants' rates and barred categories; a new connection counts as the wait that its price is worth; surplus waits for room; keyed ops go by their key's order among executors not much over the least wait.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -10,7 +10,7 @@
 use std::io::{BufRead, Write as _};
 use stileroute::choice::{Dispatcher, UPKEEP};
 use stileroute::posted::{down, up, UNIT};
-use stileroute::tariff::{Ask, Limits, Listed, Op, Outcome, Step, Time};
+use stileroute::tariff::{mark, Ask, Limits, Listed, Op, Outcome, Step, Time};
 use wire::{Batch, Element, Msg};
 
 /// One instance with the ops and timers that the adapter keeps for it.
@@ -80,6 +80,7 @@
                 cell: element.group,
                 active,
                 weight: element.nominal,
+                mark: mark(&element.executor),
                 started: (element.last_start_ns > 0).then(|| up(element.last_start_ns)),
             });
         }
@@ -141,6 +142,8 @@
                     hint: msg.work_ns.filter(|w| *w > 0).map(down),
                     deadline: down(need(msg.drop_dead_ns, &msg.op, "drop-dead-ns")?),
                     limits: Limits::default(),
+                    tenant: msg.project.unwrap_or(0),
+                    key: msg.resource.as_deref().map_or(0, mark),
                 };
                 let mut op = self.dispatcher.arrive(now, ask);
                 let step = self.dispatcher.place(now, &mut op);
@@ -213,7 +216,15 @@
                     other => return Err(format!("MEMBERS: field 'scope' has unknown value '{other}'")),
                 }
             }
-            "BELL" | "WHISPER" | "PROBE_RESULT" => {}
+            "WHISPER" => {
+                let from = need(msg.from, &msg.op, "from")?;
+                let text = need(msg.octets.as_deref(), &msg.op, "octets")?;
+                let byte = |at| text.get(at..at + 2).and_then(|two| u8::from_str_radix(two, 16).ok());
+                let bytes: Option<Vec<u8>> = (0..text.len()).step_by(2).map(byte).collect();
+                // What is no hex is handed on as nothing, which counts as bad.
+                self.dispatcher.heard(now, from, &bytes.unwrap_or_default());
+            }
+            "BELL" | "PROBE_RESULT" => {}
             other => eprintln!("unknown message '{other}' ignored"),
         }
         Ok(())
@@ -235,6 +246,11 @@
                 reply.say("OBSERVE", &self.name, format_args!(",\"active\":true"));
             }
         }
+        for letter in self.dispatcher.letters.drain(..) {
+            let hex: String = letter.text.iter().map(|byte| format!("{byte:02x}")).collect();
+            let to = letter.to.map_or("\"*\"".to_string(), |to| to.to_string());
+            reply.say("NOTIFY", &self.name, format_args!(",\"dst\":{to},\"octets\":\"{hex}\""));
+        }
         for line in self.dispatcher.log.drain(..) {
             reply.say("WRITE_LOG", &self.name, format_args!(",\"msg\":\"{line}\""));
         }
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -29,6 +29,12 @@
     pub elements: Option<Vec<Element<'a>>>,
     pub generation: Option<i64>,
     pub grade: Option<usize>,
+    pub project: Option<usize>,
+    #[serde(borrow)]
+    pub resource: Option<Cow<'a, str>>,
+    pub from: Option<usize>,
+    #[serde(borrow)]
+    pub octets: Option<Cow<'a, str>>,
     pub cores_needed: Option<f64>,
     pub ram_units: Option<f64>,
     pub drop_dead_ns: Option<i64>,
--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -270,7 +270,9 @@
         }
         let Asked { category, slots, memory, hint, .. } = *asked;
         let limits = pass.as_ref().map_or_else(Limits::default, |pass| pass.limits);
-        let mut op = self.dispatcher.arrive(now, Ask { category, slots, memory, hint, deadline, limits });
+        let mut op = self
+            .dispatcher
+            .arrive(now, Ask { category, slots, memory, hint, deadline, limits, tenant: 0, key: 0 });
         let step = self.dispatcher.place(now, &mut op);
         let held = Held { op, reply: Some(reply), job, pushes: Vec::new(), pass, came };
         self.carry(now, ticket, held, step);
@@ -434,6 +436,7 @@
             }
             before.1 = entry.active;
             lines.push(Listed {
+                mark: 0,
                 executor,
                 domain: self.domains.index(&entry.domain),
                 kind: self.kinds.index(&entry.kind),
--- a/rig/src/sim.rs
+++ b/rig/src/sim.rs
@@ -196,6 +196,7 @@
             machines.push(Machine::new(plan, spec.clone(), refresh, started));
         }
         let line = |x: usize| Listed {
+            mark: 0,
             executor: x,
             domain: specs[x].domain,
             kind: specs[x].kind,
@@ -511,8 +512,16 @@
             deadline = deadline.min(sheet.asked.saturating_add(pass.op));
         }
         let hint = self.day.asked[sheet.job].hint;
-        let ask =
-            Ask { category: sheet.category, slots: own.slots, memory: own.memory, hint, deadline, limits };
+        let ask = Ask {
+            category: sheet.category,
+            slots: own.slots,
+            memory: own.memory,
+            hint,
+            deadline,
+            limits,
+            tenant: 0,
+            key: 0,
+        };
         let held = Held { op: self.nodes[node].policy.arrive(self.now, ask), pass };
         self.push_event(deadline + 100, node, Coming::Overdue(op));
         self.carry(node, op, held, None);
--- a/routes/tests/safe.rs
+++ b/routes/tests/safe.rs
@@ -199,7 +199,6 @@
     let mut chance = Pcg64Mcg::seed_from_u64(5);
     let tariff = Tariff {
         terms: ground.terms.clone(),
-        nodes: 2,
         categories: ground.categories.iter().map(|(_, _, own)| own.clone()).collect(),
         overload_factor: 50.0,
         ..Tariff::default()
@@ -212,6 +211,7 @@
         let mut gate = Gate::new(Arc::new(table));
         let mut module = Dispatcher::new(&tariff, files);
         let line = |executor: usize| Listed {
+            mark: 0,
             executor,
             domain: executor % 2,
             kind: executor / 4,
@@ -231,7 +231,16 @@
             let Entry::In(mut pass) = gate.enter(now, ticket as u64, &request) else { continue };
             let effect = ground.categories[category].2.effect;
             let deadline = now + ground.ttl(category).min(pass.op);
-            let ask = Ask { category, slots: 1.0, memory: 0.0, hint: None, deadline, limits: pass.limits };
+            let ask = Ask {
+                category,
+                slots: 1.0,
+                memory: 0.0,
+                hint: None,
+                deadline,
+                limits: pass.limits,
+                tenant: 0,
+                key: 0,
+            };
             (0..8).for_each(|n| pass.ran(SECOND / 20 + n));
             let mut op = module.arrive(now, ask);
             let mut at = now;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,6 +12,7 @@
 //! The plain types are in `tariff.rs`; where the design comes from is told in `docs/design.md`.
 
 use crate::tariff::*;
+use std::collections::BTreeMap;
 
 /// How often `upkeep` is to be called.
 pub const UPKEEP: Time = SECOND / 4;
@@ -29,6 +30,14 @@
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
 const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
+const KEPT: f64 = 0.3; // what an op waits for an executor that keeps what it needs, in turnovers
+const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
+const TELL: Time = SECOND / 10; // peers are told at most so often, and of the tenants once a second
+const RATE_SPAN: f64 = 4.0 * SECOND as f64; // over which a tenant's rate is taken
+const FORGET: Time = 3 * SECOND; // a peer that said nothing for so long holds nothing
+const ROOMY: f64 = 0.5; // use of the fleet up to which all that is over a share is let in,
+const CRAMPED: f64 = 0.7; // and from which on none is
+const VERSION: u8 = 1; // of what peers tell one another
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
 
@@ -39,7 +48,15 @@
     domain: usize,
     kind: usize,
     cell: usize,
+    mark: u64,
     size: f64,
+    /// In the part of the fleet over which this instance solves.
+    mine: bool,
+    /// Own connections there as far as known, and when one was last used.
+    lines: f64,
+    touched: Time,
+    /// Slots held there by peers, as they last told.
+    told: f64,
     started: Option<Time>,
     /// Log of its running times over the fleet's, samples so far, and the spread of the log.
     pace: f64,
@@ -55,6 +72,7 @@
     out: Vec<f64>,
     /// Until when it gets no more of a category: it does not start what it has of it.
     barred: Vec<Time>,
+    missed: Vec<u32>,
     running: f64,
     /// Slots held there by others when last heard, and in the long run.
     others: f64,
@@ -86,6 +104,14 @@
     turn: f64,
 }
 
+/// How far an op may go: within the part of the fleet that is solved over, to all that may be trusted, or to any.
+#[derive(Clone, Copy, PartialEq)]
+enum Reach {
+    Mine,
+    Listed,
+    Any,
+}
+
 /// One category as learned: log and mean of its running time for one unit of hint.
 #[derive(Clone, Debug, Default)]
 struct Learned {
@@ -109,6 +135,14 @@
     }
 }
 
+/// What a peer told last: when, its tenants' rates, and the slots that it holds.
+#[derive(Default)]
+struct Peer {
+    at: Time,
+    rates: Vec<f64>,
+    held: BTreeMap<usize, u8>,
+}
+
 /// The instance.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -124,7 +158,18 @@
     domains: Vec<(usize, Time)>,
     /// Slots of an executor of each kind, as far as seen.
     slots: Vec<f64>,
-    nodes: usize,
+    /// Of so many parts of the fleet this instance and its peers solve over one.
+    parts: usize,
+    /// Peers by number, executors by what messages call them, and what has changed since they were told.
+    peers: BTreeMap<usize, Peer>,
+    marks: BTreeMap<u16, usize>,
+    news: Vec<(usize, Option<usize>)>,
+    told: Time,
+    /// Ops a second within each tenant's share, and as they come here.
+    quotas: Vec<f64>,
+    rates: Vec<f64>,
+    /// Part of its part of the fleet that is held.
+    used: f64,
     target_use: f64,
     arrival_gap: f64,
     arrival_square: f64,
@@ -140,21 +185,28 @@
     /// Part of the ops judged hopeless of late; told in the log as overload.
     turned_away: f64,
     overloaded: bool,
-    /// Lines for the log, taken by the adapter.
+    /// Messages to peers and lines for the log, taken by the adapter, and bad messages so far.
+    pub letters: Vec<Letter>,
+    pub garbled: u64,
     pub log: Vec<String>,
     chance: Chance,
 }
 
 impl Dispatcher {
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
+        let nodes = tariff.terms.nodes.max(1);
+        // Peers are told of every push and its end: no more of them than an op can pay for.
+        let most = (PEER_SPEND * 256.0 / 6.0 / tariff.terms.price_peer.max(1e-4)) as usize;
         Dispatcher {
             terms: tariff.terms.clone(),
+            parts: if tariff.terms.peers { (nodes / most.max(1)).max(1) } else { 1 },
+            rates: vec![0.0; tariff.quotas.len()],
+            quotas: tariff.quotas.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
             categories: tariff.categories.clone(),
             cold_budget: tariff.overload_factor * tariff.terms.tip_after as f64,
-            cold_span: tariff.terms.tip_after * tariff.nodes.max(1) as Time,
+            cold_span: tariff.terms.tip_after * nodes as Time,
             gauges: tariff.gauges.clone(),
-            nodes: tariff.nodes.max(1),
             target_use: LEAST_USE,
             slots_per_op: 1.0,
             chance: Chance::new(seed),
@@ -203,8 +255,13 @@
         let (x, started) = (p.executor, p.started);
         let ran = (now - started.unwrap_or(p.sent)).max(1) as f64;
         self.report(now, x, values);
+        self.changed(x, None);
         let executor = &mut self.executors[x];
         executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
+        executor.touched = now;
+        let broken =
+            matches!(outcome, Outcome::NotConnected | Outcome::Reset | Outcome::Cut | Outcome::Broken);
+        executor.lines -= f64::from(u8::from(broken)).min(executor.lines);
         executor.running -= if started.is_some() { op.slots.min(executor.running) } else { 0.0 };
         match outcome {
             Outcome::Acked => {
@@ -265,13 +322,19 @@
 
     /// Opens an op. `hint` is its expected work, where one is given.
     pub fn arrive(&mut self, now: Time, ask: Ask) -> Op {
+        let mut surplus = false;
         if let Some(last) = self.last_arrival {
             let gap = (now - last) as f64;
+            self.rates.iter_mut().for_each(|rate| *rate *= (-gap / RATE_SPAN).exp());
             let gain = if self.arrival_gap == 0.0 { 1.0 } else { SMOOTH / 4.0 };
             self.arrival_gap += gain * (gap - self.arrival_gap);
             self.arrival_square += gain * (gap * gap - self.arrival_square);
         }
         self.last_arrival = Some(now);
+        if let Some(rate) = self.rates.get_mut(ask.tenant) {
+            *rate += SECOND as f64 / RATE_SPAN;
+            surplus = self.chance.draw() >= self.within(ask.tenant);
+        }
         self.slots_per_op += SMOOTH / 4.0 * (ask.slots - self.slots_per_op);
         for (category, learned) in self.learned.iter_mut().enumerate() {
             let one = f64::from(u8::from(category == ask.category));
@@ -291,6 +354,8 @@
             came: now,
             deadline: ask.deadline,
             limits: ask.limits,
+            key: ask.key,
+            surplus,
             ..Op::default()
         }
     }
@@ -303,12 +368,13 @@
         }
         let paces = self.kind_paces();
         lines.iter().for_each(|line| self.enter(now, line, &paces));
+        self.deal();
         self.solved = None;
     }
 
     /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes.
     pub fn refused(&mut self, now: Time) {
-        let spread = (SECOND * (100 + self.nodes as Time) / 100) as f64;
+        let spread = (SECOND * (100 + self.terms.nodes as Time) / 100) as f64;
         self.observe_at = now + SECOND / 4 + (self.chance.draw() * spread) as Time;
         self.log.push("list: call refused, will ask again".to_string());
     }
@@ -324,6 +390,7 @@
         learned.guessed += SMOOTH * (p.guess - learned.guessed);
         learned.waited += SMOOTH * ((now - p.sent) as f64 - learned.waited);
         let e = &mut self.executors[p.executor];
+        e.missed[op.category] = 0;
         e.running += op.slots;
         // It had room just now, so others can't hold the rest of its slots and a queue too.
         let slots = self.slots[e.kind].max(e.running);
@@ -373,9 +440,117 @@
             // Asked again if nothing at all is heard: a lost call must not leave the list to age.
             self.observe_at = now + 5 * SECOND;
         }
+        let silent: Vec<usize> = self.peers.iter().filter(|p| now > p.1.at + FORGET).map(|p| *p.0).collect();
+        for peer in silent {
+            for (x, held) in self.peers.remove(&peer).unwrap_or_default().held {
+                self.executors[x].told -= f64::from(held);
+            }
+        }
+        self.tell(now);
         observe
     }
 
+    /// Tells peers what this instance holds where that has changed, what it barred, and its tenants' rates.
+    /// Only what it did or saw itself: a receiver judges for itself, and no rule rests on a message.
+    fn tell(&mut self, now: Time) {
+        let fresh = now < self.told + SECOND;
+        if !self.terms.peers || now < self.told + TELL || (self.news.is_empty() && fresh) {
+            return;
+        }
+        self.told = now;
+        self.news.sort_unstable();
+        self.news.dedup();
+        let mut text = vec![VERSION];
+        for rate in &self.rates {
+            text.extend(((rate * 10.0).min(65_535.0) as u16).to_le_bytes());
+        }
+        // At most 256 bytes: what has no room waits for the next.
+        let room = (256 - text.len()) / 3;
+        for (x, barred) in self.news.drain(..self.news.len().min(room)) {
+            let e = &self.executors[x];
+            text.extend((e.mark as u16).to_le_bytes());
+            text.push(barred.map_or((e.own() as u8).min(127), |category| 128 | category as u8));
+        }
+        let (me, parts, nodes) = (self.terms.me, self.parts, self.terms.nodes);
+        if parts == 1 {
+            self.letters.push(Letter { to: None, text });
+        } else {
+            let peers = (me % parts..nodes).step_by(parts).filter(|peer| *peer != me);
+            self.letters.extend(peers.map(|peer| Letter { to: Some(peer), text: text.clone() }));
+        }
+    }
+
+    fn changed(&mut self, x: usize, barred: Option<usize>) {
+        if self.terms.peers {
+            self.news.push((x, barred));
+        }
+    }
+
+    /// A message of a peer; one that can't be read is counted and dropped.
+    pub fn heard(&mut self, now: Time, from: usize, text: &[u8]) {
+        let rates = 2 * self.rates.len();
+        let known = from < self.terms.nodes && from != self.terms.me;
+        let whole = text.len() > rates && (text.len() - rates - 1) % 3 == 0;
+        if !self.terms.peers || !known || !whole || text[0] != VERSION {
+            self.garbled += 1;
+            return;
+        }
+        let (rates, entries) = text[1..].split_at(rates);
+        let peer = self.peers.entry(from).or_default();
+        peer.at = now;
+        peer.rates = rates.chunks(2).map(|r| f64::from(u16::from_le_bytes([r[0], r[1]])) / 10.0).collect();
+        for entry in entries.chunks(3) {
+            // One heard of from a peer alone is left out: nothing may be sent there.
+            let Some(&x) = self.marks.get(&u16::from_le_bytes([entry[0], entry[1]])) else { continue };
+            if entry[2] >= 128 {
+                self.bar(now, x, usize::from(entry[2] - 128), false);
+                continue;
+            }
+            let before = self.peers.get_mut(&from).and_then(|peer| peer.held.insert(x, entry[2]));
+            let e = &mut self.executors[x];
+            e.told += f64::from(entry[2]) - f64::from(before.unwrap_or(0));
+            let held = e.told + e.own();
+            self.hear(now, x, held, 1.0);
+        }
+    }
+
+    /// The part of a tenant's ops that is within its share, as far as this instance and its peers see.
+    fn within(&self, tenant: usize) -> f64 {
+        let others: f64 = self.peers.values().filter_map(|peer| peer.rates.get(tenant)).sum();
+        let mean = (self.rates[tenant] + others) / (1 + self.peers.len()) as f64;
+        if self.terms.surplus < 1.0 && !self.peers.is_empty() {
+            self.quotas[tenant] / (mean * self.terms.nodes as f64).max(1e-9)
+        } else {
+            1.0
+        }
+    }
+
+    /// No more of a category to an executor that does not start it, for longer each time.
+    fn bar(&mut self, now: Time, x: usize, category: usize, own: bool) {
+        let Some(look) = self.categories.get(category).map(|c| c.target / 4) else { return };
+        let e = &mut self.executors[x];
+        if e.barred[category] <= now {
+            e.barred[category] = now + ((2 * look) << e.missed[category].min(6));
+            e.missed[category] += 1;
+            if own {
+                self.changed(x, Some(category));
+            }
+        }
+    }
+
+    /// Deals the fleet out among its parts, each with its share of every kind and domain.
+    fn deal(&mut self) {
+        let mut order: Vec<usize> = (0..self.executors.len()).collect();
+        let place = |x: &usize| {
+            let e = &self.executors[*x];
+            (e.kind, e.domain, e.mark)
+        };
+        order.sort_unstable_by_key(place);
+        for (at, x) in order.into_iter().enumerate() {
+            self.executors[x].mine = at % self.parts == self.terms.me % self.parts;
+        }
+    }
+
     // ---- Shares and order: the design ----
 
     /// Re-solves the split. With time in mean gaps between own arrivals the arrival rate is one, so the
@@ -392,9 +567,11 @@
             }
         }
         // The more of the fleet is held, the closer the shares come to the bare rates.
-        let active = self.executors.iter().filter(|e| e.active);
+        let active = self.executors.iter().filter(|e| e.active && e.mine);
         let held: f64 = active.clone().map(|e| e.own() + e.usual.max(0.0)).sum();
-        let used = held / active.map(|e| self.slots[e.kind]).sum::<f64>().max(1.0);
+        let slots = active.clone().map(|e| self.slots[e.kind]).sum::<f64>().max(1.0);
+        let used = held / slots;
+        self.used = active.map(|e| e.own() + e.told).sum::<f64>() / slots;
         self.target_use += SMOOTH * (used.clamp(LEAST_USE, MOST_USE) - self.target_use);
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
@@ -413,7 +590,7 @@
 
     /// The service rate: slots over the smoothed running time, less what is not served; none while aside.
     fn rate(&self, now: Time, e: &Executor) -> f64 {
-        let on = f64::from(u8::from(e.active && e.aside <= now));
+        let on = f64::from(u8::from(e.active && e.mine && e.aside <= now));
         on * self.slots[e.kind] * self.warmth(now, e) * e.served / e.pace.exp()
     }
 
@@ -432,7 +609,14 @@
         if now < op.not_before {
             return Step::Hold;
         }
-        let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
+        // What is over a share must not take what others have a right to.
+        if op.surplus && op.pushes.is_empty() && self.used > ROOMY + (CRAMPED - ROOMY) * self.chance.draw() {
+            return self.give_up(op, SECOND);
+        }
+        let near = self.pick(now, op, Reach::Mine);
+        let near = near.filter(|c| self.parts == 1 || self.in_time(now, op, c.at, c.wait));
+        let wide = if near.is_none() && self.parts > 1 { self.pick(now, op, Reach::Listed) } else { None };
+        let found = near.or(wide).or_else(|| self.pick(now, op, Reach::Any));
         let Some(Candidate { at: executor, wait, .. }) = found else {
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
             return if early { Step::Hold } else { self.give_up(op, SECOND / 5) };
@@ -473,24 +657,29 @@
         }
         e.out[op.category] += op.slots;
         e.spent += work;
+        e.lines = if now > e.touched + self.terms.keepalive { e.own() } else { e.lines.max(e.own()) };
+        e.touched = now;
         if e.share > 0.0 {
             // Turns passed over while it was skipped are not made up for in a burst.
             e.turn = e.turn.max(front * e.share - 1.0) + 1.0;
             self.front = front.max((e.turn - 1.0) / e.share);
         }
         op.pushes.push(Push { executor, sent: now, noted: now, guess, ..Push::default() });
+        self.changed(executor, None);
+        self.tell(now);
         Step::Push { executor }
     }
 
     /// The next in billiard order, least (X + Y) / P, of those where the op would not wait well longer.
-    fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
-        let mut found = self.candidates(now, op, strict);
+    fn pick(&self, now: Time, op: &Op, reach: Reach) -> Option<Candidate> {
+        let mut found = self.candidates(now, op, reach);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
-        let well_over = least + self.turnover() * WELL_OVER;
+        // What an op needs is kept by some: it waits for those first in its key's order a little longer.
+        let well_over = least + self.turnover() * if op.key > 0 { KEPT } else { WELL_OVER };
         let first = found.iter().position(|c| c.cost <= well_over)?;
         // Before it is turned away an op may cross, if that costs less than it is worth; only while nodes are
         // so few that each knows of the other domains from its own traffic.
-        let few = self.nodes <= self.executors.len() && self.terms.cross > 0.0 && !self.overloaded;
+        let few = self.terms.nodes <= self.executors.len() && self.terms.cross > 0.0 && !self.overloaded;
         let late = |c: &Candidate| !self.in_time(now, op, c.at, c.wait);
         let far = |c: &Candidate| self.executors[c.at].domain != self.terms.domain;
         let pays = few && self.terms.cross < self.worth(op) && late(&found[first]);
@@ -498,12 +687,15 @@
         Some(found.swap_remove(other.unwrap_or(first)))
     }
 
-    /// Where the op may go, in billiard order; `strict` leaves out those set aside, tried before or without
-    /// credit.
-    fn candidates(&self, now: Time, op: &Op, strict: bool) -> Vec<Candidate> {
+    /// Where the op may go, in billiard order, or in that of its key; all but `Reach::Any` leave out those set
+    /// aside, tried before or without credit.
+    fn candidates(&self, now: Time, op: &Op, reach: Reach) -> Vec<Candidate> {
         let category = &self.categories[op.category];
         let mut found = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter().enumerate() {
+            if reach == Reach::Mine && !e.mine {
+                continue;
+            }
             // A trial is no place for an op that must not run twice: if it fails, the op is lost. Nor is one
             // that stands empty in a busy fleet and has not served lately: it may fail all that it gets.
             let empty = e.others + e.own() < 0.5 && self.usual * self.slots[e.kind] > HOLLOW;
@@ -514,18 +706,24 @@
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
             let broke =
                 !op.pushes.is_empty() && (e.credit < 1.0 || op.pushes.iter().any(|p| p.executor == at));
-            if (strict && (aside || broke)) || e.barred[op.category] > now || !self.fits(now, op, at) {
+            if (reach != Reach::Any && (aside || broke))
+                || e.barred[op.category] > now
+                || !self.fits(now, op, at)
+            {
                 continue;
             }
             let first = f64::from(u8::from(at == self.fastest));
             let lagging = e.turn.max(self.front * e.share - 1.0);
+            // The same executors come first for a key at every instance, each for its share of the keys.
+            let drawn = (mixed(op.key ^ e.mark) >> 11) as f64 / (1u64 << 53) as f64;
+            let lagging = if op.key > 0 { -drawn.max(1e-18).ln() - first } else { lagging };
             let turn = if e.share > 0.0 { (first + lagging) / e.share } else { 1e9 + e.turn };
             found.push(Candidate { at, wait: 0.0, cost: 0.0, turn });
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
         if self.terms.live_weights {
             // All nodes hear the same news and would all choose the same: each looks at the first few only.
-            let few = FEW + found.len() / self.nodes;
+            let few = FEW + found.len() / self.terms.nodes;
             let mut seen = vec![0; self.domains.len()];
             found.retain(|c| {
                 seen[self.executors[c.at].domain] += 1;
@@ -539,7 +737,9 @@
             let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
-            c.cost = c.wait + away + slow.max(0.0) * self.expected(op);
+            let idle = e.lines > e.own() && now < e.touched + self.terms.keepalive * 9 / 10;
+            let open = if idle { 0.0 } else { self.price_as_wait(op, self.terms.handshake) };
+            c.cost = c.wait + away + open + slow.max(0.0) * self.expected(op);
         }
         found
     }
@@ -628,9 +828,14 @@
 
     /// The price of crossing domains as a wait; doubled, for it also lands where this node hears least.
     fn cross_delay(&self, op: &Op) -> f64 {
+        2.0 * self.price_as_wait(op, self.terms.cross)
+    }
+
+    /// A price as the wait that would cost as much.
+    fn price_as_wait(&self, op: &Op, price: f64) -> f64 {
         let category = &self.categories[op.category];
         let useful = category.target as f64 + category.stretch * self.expected(op);
-        2.0 * self.terms.cross / self.worth(op) * useful
+        price / self.worth(op) * useful
     }
 
     /// What an op is worth against the mean op, counting that its category may be the worst served.
@@ -680,7 +885,7 @@
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
         let copies = self.terms.second_copies && self.effect(op) != Effect::AtMostOnce;
         if copies && only_one && !p.stopping && now >= sent.saturating_add(op.limits.copy_after) {
-            let copy = if self.may_send(now, op) { self.pick(now, op, true) } else { None };
+            let copy = if self.may_send(now, op) { self.pick(now, op, Reach::Mine) } else { None };
             if let Some(Candidate { at, .. }) = copy {
                 return self.push(now, op, at);
             }
@@ -688,6 +893,10 @@
         if op.pushes[last].stopping || now - noted < look {
             return Step::Hold;
         }
+        // It can't end in time any more, and late it earns nothing: better a final answer now than at the end.
+        if started.is_none() && self.categories[op.category].late <= 0.0 && !self.in_time(now, op, x, 0.0) {
+            return self.give_up(op, SECOND);
+        }
         let here = if started.is_none() {
             // Not started: it has no room, whatever it last said.
             let full = self.slots[self.executors[x].kind] - self.executors[x].own() + op.slots;
@@ -696,7 +905,7 @@
                 (e.others, e.heard) = (full, now);
             }
             if (now - sent) as f64 > look as f64 + 2.0 * guess {
-                e.barred[op.category] = now + 2 * look;
+                self.bar(now, x, op.category, true);
             }
             self.expected_wait(now, op, x)
         } else if self.terms.progress > 0 && now - noted >= 5 * self.terms.progress / 2 {
@@ -709,7 +918,7 @@
             return Step::Hold;
         };
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
-        let better = if movable { self.pick(now, op, true) } else { None };
+        let better = if movable { self.pick(now, op, Reach::Mine) } else { None };
         let better = better.filter(|b| b.cost + look as f64 <= here);
         let Some(Candidate { at, .. }) = better else { return Step::Hold };
         if self.terms.second_copies {
@@ -784,6 +993,8 @@
                 credit: MOST_CREDIT / 2.0,
                 out: vec![0.0; self.categories.len()],
                 barred: vec![0; self.categories.len()],
+                missed: vec![0; self.categories.len()],
+                touched: -self.terms.keepalive,
                 usual: -1.0,
                 heard: now - SECOND,
                 turn,
@@ -794,7 +1005,13 @@
         let e = &mut self.executors[line.executor];
         let restarted = line.started.is_some() && line.started != e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
-        e.size = e.size.max(line.weight);
+        (e.size, e.mark) = (e.size.max(line.weight), line.mark);
+        self.marks.insert(line.mark as u16, line.executor);
+        if self.gauges.is_empty() && line.weight > 0.0 {
+            // No report tells of slots: the listed sizes are all there is.
+            let slots = &mut self.slots[line.kind];
+            *slots += SMOOTH * (line.weight - *slots) * if *slots <= 1.0 { 1.0 / SMOOTH } else { 1.0 };
+        }
         if restarted {
             // It starts over: cold, with nothing held and nothing known against it.
             e.started = line.started;
--- a/src/posted.rs
+++ b/src/posted.rs
@@ -38,6 +38,8 @@
     #[serde(default)]
     granularity_ns: i64,
     #[serde(default)]
+    me: usize,
+    #[serde(default)]
     my_zone: usize,
     #[serde(default)]
     prices: Prices,
@@ -46,13 +48,32 @@
     rules: Rules,
     #[serde(default)]
     score_parts: Parts,
+    #[serde(default = "whole")]
+    surplus_benefit: f64,
+    #[serde(default)]
+    pub tenants: Vec<Tenant>,
     #[serde(default)]
     weight_kind: String,
 }
 
+fn whole() -> f64 {
+    1.0
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct Tenant {
+    #[serde(default)]
+    pub name: String,
+    #[serde(default)]
+    quota_per_s: f64,
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Caps {
+    #[serde(default)]
+    peers: bool,
     #[serde(default)]
     cancel: bool,
     #[serde(default)]
@@ -105,6 +126,8 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Prices {
     cross_zone: f64,
+    handshake: f64,
+    peer: f64,
 }
 
 #[derive(Deserialize, Default)]
@@ -126,6 +149,7 @@
 #[serde(rename_all = "kebab-case", default)]
 struct Parts {
     worst_class: f64,
+    tail: f64,
 }
 
 impl Posted {
@@ -203,11 +227,19 @@
             progress: down(self.extra.progress_ns),
             cross: self.prices.cross_zone,
             worst_category: self.score_parts.worst_class,
+            me: self.me,
+            nodes: self.balancers.max(1),
+            handshake: self.prices.handshake,
+            keepalive: down(caps.keepalive_ns),
+            peers: caps.peers,
+            price_peer: self.prices.peer,
+            surplus: self.surplus_benefit,
+            tail: self.score_parts.tail,
         };
         Ok(Tariff {
             terms,
-            nodes: self.balancers,
             categories,
+            quotas: self.tenants.iter().map(|tenant| tenant.quota_per_s).collect(),
             overload_factor: self.rules.overload_factor,
             gauges: self.report.names.iter().map(gauge).collect(),
         })
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -76,14 +76,28 @@
     pub cross: f64,
     /// Weight of the worst-served category in the result.
     pub worst_category: f64,
+    /// Number of this instance, and how many there are.
+    pub me: usize,
+    pub nodes: usize,
+    /// Price of a new connection, in parts of an op, and how long an idle one is kept.
+    pub handshake: f64,
+    pub keepalive: Time,
+    /// Instances may tell one another what they see; price of 256 bytes delivered, in parts of an op.
+    pub peers: bool,
+    pub price_peer: f64,
+    /// The part of its benefit that an op over its tenant's share keeps.
+    pub surplus: f64,
+    /// Weight of the tail in the result, in which an op that is let in and ends late costs others too.
+    pub tail: f64,
 }
 
 /// All that is read at start. The instance derives its few figures from it and drops it.
 #[derive(Clone, Debug, Default)]
 pub struct Tariff {
     pub terms: Terms,
-    pub nodes: usize,
     pub categories: Vec<Category>,
+    /// Ops a second within the share of each tenant, over all instances.
+    pub quotas: Vec<f64>,
     pub overload_factor: f64,
     pub gauges: Vec<Gauge>,
 }
@@ -135,6 +149,9 @@
     pub hint: Option<Time>,
     pub deadline: Time,
     pub limits: Limits,
+    pub tenant: usize,
+    /// What the op is about, as a hash, where an executor sets up for it and keeps that a while; else zero.
+    pub key: u64,
 }
 
 /// How a push ended.
@@ -205,6 +222,9 @@
     pub limits: Limits,
     /// No further push before this.
     pub(crate) not_before: Time,
+    pub(crate) key: u64,
+    /// Over its tenant's share.
+    pub(crate) surplus: bool,
 }
 
 impl Op {
@@ -240,6 +260,8 @@
     pub cell: usize,
     pub active: bool,
     pub weight: f64,
+    /// A hash of its name, the same at every instance.
+    pub mark: u64,
     /// Latest start; `None` means long past.
     pub started: Option<Time>,
 }
@@ -259,6 +281,26 @@
     DeadLetter,
 }
 
+/// A hash of a name that is the same at every instance (FNV-1a, its bits then mixed).
+pub fn mark(name: &str) -> u64 {
+    let step = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01B3);
+    mixed(name.bytes().fold(0xCBF2_9CE4_8422_2325, step))
+}
+
+/// Spreads the bits of a number over all of it.
+pub(crate) fn mixed(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    bits ^ (bits >> 31)
+}
+
+/// What an instance has for others: to one of them by its number, or to all.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Letter {
+    pub to: Option<usize>,
+    pub text: Vec<u8>,
+}
+
 /// A permuted congruential generator: the same seed gives the same draws.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Chance(u64);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -12,6 +12,7 @@
 fn terms() -> Terms {
     Terms {
         tick: 2 * MS,
+        nodes: 2,
         cancel: true,
         max_pushes: 4,
         tip_after: SECOND,
@@ -31,7 +32,6 @@
     let effects = [Effect::Redeliverable, DEDUPLICATED, EVERYWHERE, BY_CELL, Effect::AtMostOnce];
     Tariff {
         terms,
-        nodes: 2,
         categories: effects.into_iter().map(category).collect(),
         overload_factor: 3.0,
         gauges: vec![Gauge::Waiting, Gauge::FreeSlots],
@@ -47,6 +47,7 @@
         cell: executor / 2,
         active: true,
         weight: 1.0,
+        mark: mark(&format!("executor {executor}")),
         started: None,
     }
 }
@@ -70,6 +71,8 @@
         hint: Some(1000),
         deadline: i64::MAX / 4,
         limits: Limits::default(),
+        tenant: 0,
+        key: 0,
     }
 }
 
@@ -396,7 +399,7 @@
         (0.0, 2, 8.0, true),
     ] {
         let mut posted = tariff(Terms { cross, ..terms() });
-        posted.nodes = nodes;
+        posted.terms.nodes = nodes;
         posted.categories.iter_mut().for_each(|category| category.target = 1000);
         let mut desk = Dispatcher::new(&posted, 5);
         desk.list(0, true, &[line(0), line(1)]);
@@ -415,7 +418,7 @@
     let nodes = 300;
     let (mut first, mut all) = (0, 0);
     for seed in 0..nodes {
-        let wide = Tariff { nodes: nodes as usize, ..tariff(terms()) };
+        let wide = tariff(Terms { nodes: nodes as usize, ..terms() });
         let mut desk = Dispatcher::new(&wide, seed);
         desk.list(0, true, &[Listed { started: Some(1), ..line(0) }]);
         (0..20).for_each(|_| desk.report(0, 0, &[0.0, 4.0]));
@@ -457,7 +460,7 @@
 fn nodes_that_hear_the_same_do_not_all_choose_the_same() {
     let mut counts = vec![0; 60];
     for seed in 0..200 {
-        let many = Tariff { nodes: 200, ..tariff(Terms { live_weights: true, ..terms() }) };
+        let many = tariff(Terms { nodes: 200, live_weights: true, ..terms() });
         let mut desk = Dispatcher::new(&many, seed);
         let lines: Vec<Listed> = (0..60).map(|x| Listed { domain: 0, ..line(x) }).collect();
         desk.list(0, true, &lines);
