--- a/src/choice.rs
+++ b/src/choice.rs
@@ -390,7 +390,8 @@
         learned.guessed += SMOOTH * (p.guess - learned.guessed);
         learned.waited += SMOOTH * ((now - p.sent) as f64 - learned.waited);
         let e = &mut self.executors[p.executor];
-        e.missed[op.category] = 0;
+        // One of a few that it does start clears it of nothing.
+        e.missed[op.category] /= 2;
         e.running += op.slots;
         // It had room just now, so others can't hold the rest of its slots and a queue too.
         let slots = self.slots[e.kind].max(e.running);
@@ -490,7 +491,7 @@
     pub fn heard(&mut self, now: Time, from: usize, text: &[u8]) {
         let rates = 2 * self.rates.len();
         let known = from < self.terms.nodes && from != self.terms.me;
-        let whole = text.len() > rates && (text.len() - rates - 1) % 3 == 0;
+        let whole = text.len() > rates && (text.len() - rates - 1).is_multiple_of(3);
         if !self.terms.peers || !known || !whole || text[0] != VERSION {
             self.garbled += 1;
             return;
@@ -530,8 +531,10 @@
         let Some(look) = self.categories.get(category).map(|c| c.target / 4) else { return };
         let e = &mut self.executors[x];
         if e.barred[category] <= now {
-            e.barred[category] = now + ((2 * look) << e.missed[category].min(6));
-            e.missed[category] += 1;
+            // All would come back together and lose an op each: whoever was told of it comes back later.
+            let spread = if own { 1.0 + self.chance.draw() } else { 2.0 + 4.0 * self.chance.draw() };
+            e.barred[category] = now + (((2 * look) << (2 * e.missed[category]).min(6)) as f64 * spread) as Time;
+            e.missed[category] = (e.missed[category] + 1).min(4);
             if own {
                 self.changed(x, Some(category));
             }
@@ -615,7 +618,10 @@
         }
         let near = self.pick(now, op, Reach::Mine);
         let near = near.filter(|c| self.parts == 1 || self.in_time(now, op, c.at, c.wait));
-        let wide = if near.is_none() && self.parts > 1 { self.pick(now, op, Reach::Listed) } else { None };
+        // Who fails a category is known in the own part only.
+        let wary = |e: &Executor| e.mine && e.missed[op.category] > 0;
+        let wary = self.effect(op) == Effect::AtMostOnce && self.executors.iter().any(wary);
+        let wide = if near.is_none() && self.parts > 1 && !wary { self.pick(now, op, Reach::Listed) } else { None };
         let found = near.or(wide).or_else(|| self.pick(now, op, Reach::Any));
         let Some(Candidate { at: executor, wait, .. }) = found else {
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
@@ -640,7 +646,7 @@
         let category = &self.categories[op.category];
         let (usual, here) = (self.expected(op), self.work(op, executor) / op.slots);
         // An executor's slowness takes from the time left, unless a late answer earns too.
-        let strict = category.late <= 0.0;
+        let strict = category.late <= 0.0 || self.terms.tail > 0.0;
         let (aim, run) = if strict { (usual, here) } else { (here, here.min(category.target as f64)) };
         let in_time = op.came + category.target + (category.stretch * aim) as Time;
         let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
@@ -701,6 +707,7 @@
             let empty = e.others + e.own() < 0.5 && self.usual * self.slots[e.kind] > HOLLOW;
             let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
             let doubtful = e.trial || (empty && old && now - e.acked > 5 * SECOND);
+            let doubtful = doubtful || e.missed[op.category] > 0;
             let risky =
                 if self.effect(op) == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
