--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,6 +24,7 @@
 const MOST_USE: f64 = 0.95;
 const SHARED: f64 = 0.3; // what news counts that comes to all nodes alike: they would all act on it at once
 const FEW: usize = 8; // executors of a domain that a node compares where all nodes hear the same
+const LONG: f64 = 1.5; // the long end of a running time, over its mean
 const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
 const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
@@ -614,7 +615,8 @@
         }
         // What is over a share must not take what others have a right to.
         if op.surplus && op.pushes.is_empty() && self.used > ROOMY + (CRAMPED - ROOMY) * self.chance.draw() {
-            return self.give_up(op, SECOND);
+            // Soon enough that a second try can still be in time: counted from its first it would be late else.
+            return self.give_up(op, self.categories[op.category].target / 4);
         }
         let near = self.pick(now, op, Reach::Mine);
         let near = near.filter(|c| self.parts == 1 || self.in_time(now, op, c.at, c.wait));
@@ -643,6 +645,12 @@
     /// An op that none can answer usefully is turned away at once, not kept until its time is out. Waits
     /// turn out longer than they look; that matters less where a late answer earns.
     fn in_time(&self, now: Time, op: &Op, executor: usize, wait: f64) -> bool {
+        self.lateness(now, op, executor, wait) <= 0.0
+    }
+
+    /// By how much it would be late there. Where a tail counts, one late op costs what others earn: running
+    /// times are taken at their long end, so slow executors are left to ops that they end in time.
+    fn lateness(&self, now: Time, op: &Op, executor: usize, wait: f64) -> f64 {
         let category = &self.categories[op.category];
         let (usual, here) = (self.expected(op), self.work(op, executor) / op.slots);
         // An executor's slowness takes from the time left, unless a late answer earns too.
@@ -650,7 +658,8 @@
         let (aim, run) = if strict { (usual, here) } else { (here, here.min(category.target as f64)) };
         let in_time = op.came + category.target + (category.stretch * aim) as Time;
         let unsure = wait * (1.0 + UNSURE * (1.0 - category.late).powi(2));
-        now as f64 + unsure + run <= in_time.min(op.deadline) as f64
+        let margin = if self.terms.tail > 0.0 { LONG } else { 1.0 };
+        now as f64 + unsure + margin * run - in_time.min(op.deadline) as f64
     }
 
     fn push(&mut self, now: Time, op: &mut Op, executor: usize) -> Step {
@@ -746,7 +755,8 @@
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
             let idle = e.lines > e.own() && now < e.touched + self.terms.keepalive * 9 / 10;
             let open = if idle { 0.0 } else { self.price_as_wait(op, self.terms.handshake) };
-            c.cost = c.wait + away + open + slow.max(0.0) * self.expected(op);
+            let late = if self.terms.tail > 0.0 { self.lateness(now, op, c.at, c.wait).max(0.0) } else { 0.0 };
+            c.cost = c.wait + away + open + late + slow.max(0.0) * self.expected(op);
         }
         found
     }
