--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -5,7 +5,7 @@
 mod queue;
 
 use crate::life::start::Start;
-use crate::port::{Answer, Asked, Event, Fate, Front, How, Job, Link, List, Outlet, Push};
+use crate::port::{Answer, Asked, Carrier, Event, Fate, Front, How, Job, Link, List, Outlet, Push};
 use crate::say;
 use crate::store::indices::Indices;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
@@ -15,7 +15,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute::choice::{Dispatcher, UPKEEP};
-use stileroute::tariff::{Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
+use stileroute::tariff::{mark, Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
 use stileroute_routes::gate::{Entry, Gate, Pass};
 use stileroute_routes::pattern::Request as Ways;
 use stileroute_routes::table::Table;
@@ -81,6 +81,11 @@
     /// Routes, where the operators have any, and ops that wait for a place of theirs.
     gate: Option<Gate>,
     queue: Queue,
+    /// Messages to other nodes, bad ones among theirs so far as logged, and when that may be logged again.
+    peers: Option<Box<dyn Carrier>>,
+    bad: (u64, Time),
+    tenants: Vec<String>,
+    set_up_by_path: bool,
 }
 
 impl Desk {
@@ -90,6 +95,7 @@
         front: Arc<dyn Front>,
         ask: Sender<()>,
         routes: Option<Arc<Table>>,
+        peers: Option<Box<dyn Carrier>>,
     ) -> Desk {
         let clock = Clock::new();
         let mut desk = Desk {
@@ -109,6 +115,10 @@
             ending: None,
             gate: routes.map(Gate::new),
             queue: Queue::default(),
+            peers,
+            bad: (0, 0),
+            tenants: start.tenants.clone(),
+            set_up_by_path: start.set_up_by_path,
             clock,
         };
         desk.list(desk.upkeep, &List::from(&start.known));
@@ -159,6 +169,7 @@
                 }
             }
             Event::Ended { ticket, push, how, load } => self.ended(now, ticket, push, how, load),
+            Event::Heard { from, text } => self.dispatcher.heard(now, from, &text),
             Event::Free { number, keep } => {
                 // It may have carried a task when its executor left the list.
                 let executor = self.outlet.back(number, keep);
@@ -270,9 +281,15 @@
         }
         let Asked { category, slots, memory, hint, .. } = *asked;
         let limits = pass.as_ref().map_or_else(Limits::default, |pass| pass.limits);
-        let mut op = self
-            .dispatcher
-            .arrive(now, Ask { category, slots, memory, hint, deadline, limits, tenant: 0, key: 0 });
+        let named = self.gate.as_ref().and_then(|gate| gate.table().tenant_header.clone());
+        let named = named.filter(|_| !self.tenants.is_empty());
+        let tenant = named.and_then(|name| job.header(&name).map(str::to_string));
+        // Whose tenant is not among those of the settings has no share to be held to.
+        let tenant = self.tenants.iter().position(|own| Some(own) == tenant.as_ref()).unwrap_or(usize::MAX);
+        let about = job.path().rsplit('/').next().filter(|about| self.set_up_by_path && !about.is_empty());
+        let key = about.map_or(0, mark);
+        let ask = Ask { category, slots, memory, hint, deadline, limits, tenant, key };
+        let mut op = self.dispatcher.arrive(now, ask);
         let step = self.dispatcher.place(now, &mut op);
         let held = Held { op, reply: Some(reply), job, pushes: Vec::new(), pass, came };
         self.carry(now, ticket, held, step);
@@ -436,7 +453,7 @@
             }
             before.1 = entry.active;
             lines.push(Listed {
-                mark: 0,
+                mark: mark(&entry.name),
                 executor,
                 domain: self.domains.index(&entry.domain),
                 kind: self.kinds.index(&entry.kind),
@@ -479,6 +496,18 @@
                 self.front.steer();
             }
         }
+        for letter in self.dispatcher.letters.drain(..) {
+            if let Some(peers) = &self.peers {
+                peers.send(&letter);
+            }
+        }
+        if let Some(peers) = &self.peers {
+            let bad = self.dispatcher.garbled() + peers.dropped();
+            if bad > self.bad.0 && now >= self.bad.1 {
+                self.bad = (bad, now + 10 * SECOND);
+                say!("peers: {bad} messages dropped so far: not from a peer, not readable, or too many");
+            }
+        }
         for line in self.dispatcher.log.drain(..) {
             say!("{line}");
         }
--- a/node/src/drive/mod.rs
+++ b/node/src/drive/mod.rs
@@ -6,6 +6,7 @@
 pub mod lines;
 pub mod listener;
 pub mod outlet;
+pub mod peers;
 
 pub use crate::store::seats::look;
 use crate::wire::http::{Gather, Whole};
--- /dev/null
+++ b/node/src/drive/peers.rs
@@ -0,0 +1,67 @@
+//! Messages between nodes: one datagram each, to and from the addresses that the configuration names.
+//!
+//! Nothing waits on one and no rule rests on one: a lost datagram only makes news older. What comes from elsewhere,
+//! or is longer than a message may be, is counted and dropped; so is what comes faster than the desk takes it.
+
+use crate::port::{Carrier, Event};
+use crossbeam_channel::Sender;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use stileroute::tariff::Letter;
+
+/// The longest message.
+const LONGEST: usize = 256;
+
+/// The carrier of a node's messages.
+pub struct Peers {
+    socket: UdpSocket,
+    me: usize,
+    /// Addresses of all nodes, by number.
+    nodes: Vec<SocketAddr>,
+    /// Datagrams that were dropped here.
+    dropped: Arc<AtomicU64>,
+}
+
+impl Peers {
+    pub fn open(me: usize, nodes: &[SocketAddr]) -> Result<Peers, String> {
+        let socket = UdpSocket::bind(nodes[me]).map_err(|error| format!("peers.nodes[{me}]: {error}"))?;
+        Ok(Peers { socket, me, nodes: nodes.to_vec(), dropped: Arc::default() })
+    }
+
+    /// What takes messages in, for a thread of its own: it ends with the desk.
+    pub fn receiver(&self) -> Result<impl FnOnce(Sender<Event>) + Send + 'static, String> {
+        let socket = self.socket.try_clone().map_err(|error| format!("peers: {error}"))?;
+        let (nodes, dropped) = (self.nodes.clone(), self.dropped.clone());
+        Ok(move |desk: Sender<Event>| {
+            let mut bytes = [0; LONGEST + 1];
+            loop {
+                let Ok((length, from)) = socket.recv_from(&mut bytes) else { continue };
+                let from = nodes.iter().position(|node| *node == from).filter(|_| length <= LONGEST);
+                let event = from.map(|from| Event::Heard { from, text: bytes[..length].to_vec() });
+                match event.map(|event| desk.try_send(event)) {
+                    Some(Ok(())) => {}
+                    Some(Err(error)) if error.is_disconnected() => return,
+                    _ => {
+                        dropped.fetch_add(1, Ordering::Relaxed);
+                    }
+                }
+            }
+        })
+    }
+}
+
+impl Carrier for Peers {
+    /// One that can't leave at once is dropped.
+    fn send(&self, letter: &Letter) {
+        for (number, node) in self.nodes.iter().enumerate() {
+            if number != self.me && letter.to.is_none_or(|to| to == number) {
+                let _ = self.socket.send_to(&letter.text, node);
+            }
+        }
+    }
+
+    fn dropped(&self) -> u64 {
+        self.dropped.load(Ordering::Relaxed)
+    }
+}
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -18,6 +18,12 @@
     pub budget: Budget,
     pub known: List,
     pub tariff: Tariff,
+    /// Addresses of all nodes by number, where they send one another messages.
+    pub peers: Option<Vec<SocketAddr>>,
+    /// Names of the tenants, by index.
+    pub tenants: Vec<String>,
+    /// Executors set up for what the last part of an op's path names, and keep that a while.
+    pub set_up_by_path: bool,
     pub door: Door,
     pub domains: Vec<String>,
     pub kinds: Vec<String>,
@@ -56,9 +62,18 @@
     #[serde(default)]
     limits: Limits,
     known: Option<List>,
+    peers: Option<Peers>,
+    #[serde(default)]
+    set_up_by_path: bool,
     settings: Posted,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Peers {
+    nodes: Vec<String>,
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
@@ -96,6 +111,27 @@
     std::fs::read_to_string(&path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))
 }
 
+/// The nodes' addresses, one for each; the settings must allow messages and tell which one this is.
+fn addresses(peers: &Peers, tariff: &Tariff) -> Result<Vec<SocketAddr>, String> {
+    if !tariff.terms.peers {
+        return Err("peers: settings.caps.peers does not allow messages".to_string());
+    }
+    if peers.nodes.len() != tariff.terms.nodes {
+        let (given, wanted) = (peers.nodes.len(), tariff.terms.nodes);
+        return Err(format!("peers.nodes: {given} addresses where settings.balancers says {wanted}"));
+    }
+    let mut nodes = Vec::with_capacity(peers.nodes.len());
+    for (at, text) in peers.nodes.iter().enumerate() {
+        let node: SocketAddr =
+            text.parse().map_err(|_| format!("peers.nodes[{at}]: not an address with a port: {text}"))?;
+        if nodes.contains(&node) {
+            return Err(format!("peers.nodes[{at}]: '{text}' is given twice"));
+        }
+        nodes.push(node);
+    }
+    Ok(nodes)
+}
+
 /// `again`: the file is newer than the environment, so its address of discovery goes first.
 pub fn check(text: &str, var: impl Fn(&str) -> Option<String>, again: bool) -> Result<Start, String> {
     let mut json = serde_json::Deserializer::from_str(text);
@@ -119,6 +155,9 @@
     let mut tariff = posted.tariff().map_err(|error| format!("settings.{error}"))?;
     // On sockets the list always has to be asked for.
     tariff.terms.subscribe = true;
+    let peers = file.peers.map(|peers| addresses(&peers, &tariff)).transpose()?;
+    // Without a carrier there is nobody to tell.
+    tariff.terms.peers = peers.is_some();
     let (mut categories, ttls) = (HashMap::new(), posted.ttls());
     for (at, name) in posted.categories().into_iter().enumerate() {
         if name.is_empty() {
@@ -145,6 +184,9 @@
         seed,
         budget: Budget::split(file.limits.sockets, file.limits.memory_mb)?,
         known: file.known.unwrap_or(List { index: -1, whole: true, endpoints: Vec::new() }),
+        peers,
+        tenants: posted.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
+        set_up_by_path: file.set_up_by_path,
         door: Door { categories, come_back: tariff.terms.come_back.min(COME_BACK) },
         domains: posted.failure_domains.clone(),
         kinds: posted.shapes.clone(),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,9 +18,10 @@
 use drive::executors::Executors;
 use drive::listener;
 use drive::outlet::Http;
+use drive::peers::Peers;
 use life::words::{Command, Words};
 use life::{operator, signals, spawn, start};
-use port::Event;
+use port::{Carrier, Event};
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
@@ -71,9 +72,19 @@
     let listener = listener::open(start.listen)?;
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
+    let told_by_peers = tell.clone();
     let news = tell;
     spawn("discovery", move || drive::directory::run(&post, asked, news)).map_err(thread)?;
-    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes);
+    let peers = match &start.peers {
+        Some(nodes) => {
+            let peers = Peers::open(start.tariff.terms.me, nodes)?;
+            let (receive, tell) = (peers.receiver()?, told_by_peers);
+            spawn("peers", move || receive(tell)).map_err(thread)?;
+            Some(Box::new(peers) as Box<dyn Carrier>)
+        }
+        None => None,
+    };
+    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers);
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
     desk.run(&events);
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use stileroute::tariff::Time;
+use stileroute::tariff::{Letter, Time};
 use stileroute_routes::table::Table;
 
 /// What a client hands in. Whatever an outlet needs of it to speak its own protocol, it asks for here.
@@ -105,6 +105,13 @@
     fn keep_back(&self);
 }
 
+/// What carries messages to other nodes. It never waits.
+pub trait Carrier {
+    fn send(&self, letter: &Letter);
+    /// Messages of others that were dropped before they came to the desk.
+    fn dropped(&self) -> u64;
+}
+
 /// Where pushes go: the executors of one protocol. It never waits.
 pub trait Outlet {
     /// Sends a push out; none where this node has no room for it.
@@ -174,6 +181,11 @@
         how: How,
         load: Option<Vec<f64>>,
     },
+    /// A message of another node.
+    Heard {
+        from: usize,
+        text: Vec<u8>,
+    },
     Free {
         number: u64,
         keep: bool,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,8 +11,9 @@
 //! What else is heard goes to `list`, `refused`, `note` and `report`; `upkeep` is called when it is due.
 //! The plain types are in `tariff.rs`; where the design comes from is told in `docs/design.md`.
 
+use crate::peers::{News, Peers};
+use crate::state::{Executor, Learned};
 use crate::tariff::*;
-use std::collections::BTreeMap;
 
 /// How often `upkeep` is to be called.
 pub const UPKEEP: Time = SECOND / 4;
@@ -24,77 +25,22 @@
 const MOST_USE: f64 = 0.95;
 const SHARED: f64 = 0.3; // what news counts that comes to all nodes alike: they would all act on it at once
 const FEW: usize = 8; // executors of a domain that a node compares where all nodes hear the same
-const LONG: f64 = 1.5; // the long end of a running time, over its mean
+const LONG: f64 = 1.2; // the long end of a running time, over its mean
 const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
 const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
 const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
-const KEPT: f64 = 0.3; // what an op waits for an executor that keeps what it needs, in turnovers
+const KEPT: f64 = 0.4; // what an op waits for an executor that keeps what it needs, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
-const TELL: Time = SECOND / 10; // peers are told at most so often, and of the tenants once a second
+const TELL: Time = SECOND / 10; // peers are told at most so often
 const RATE_SPAN: f64 = 4.0 * SECOND as f64; // over which a tenant's rate is taken
-const FORGET: Time = 3 * SECOND; // a peer that said nothing for so long holds nothing
 const ROOMY: f64 = 0.5; // use of the fleet up to which all that is over a share is let in,
 const CRAMPED: f64 = 0.7; // and from which on none is
-const VERSION: u8 = 1; // of what peers tell one another
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
 
-/// One executor, as long as the list has named it.
-#[derive(Clone, Debug, Default)]
-struct Executor {
-    active: bool,
-    domain: usize,
-    kind: usize,
-    cell: usize,
-    mark: u64,
-    size: f64,
-    /// In the part of the fleet over which this instance solves.
-    mine: bool,
-    /// Own connections there as far as known, and when one was last used.
-    lines: f64,
-    touched: Time,
-    /// Slots held there by peers, as they last told.
-    told: f64,
-    started: Option<Time>,
-    /// Log of its running times over the fleet's, samples so far, and the spread of the log.
-    pace: f64,
-    samples: f64,
-    spread: f64,
-    served: f64,
-    credit: f64,
-    aside: Time,
-    trial: bool,
-    acked: Time,
-    reset: Time,
-    /// Own slots out there by category, and those of them that run.
-    out: Vec<f64>,
-    /// Until when it gets no more of a category: it does not start what it has of it.
-    barred: Vec<Time>,
-    missed: Vec<u32>,
-    running: f64,
-    /// Slots held there by others when last heard, and in the long run.
-    others: f64,
-    usual: f64,
-    heard: Time,
-    /// What the last news counts against the usual load: less where all nodes act on the same.
-    trust: f64,
-    /// When its latest start was heard of, work sent since, and this node's luck in the cold budget.
-    known: Time,
-    spent: f64,
-    luck: f64,
-    share: f64,
-    turn: f64,
-}
-
-impl Executor {
-    fn own(&self) -> f64 {
-        self.out.iter().sum()
-    }
-}
-
 /// An executor that an op may go to.
 struct Candidate {
     at: usize,
@@ -105,26 +51,6 @@
     turn: f64,
 }
 
-/// How far an op may go: within the part of the fleet that is solved over, to all that may be trusted, or to any.
-#[derive(Clone, Copy, PartialEq)]
-enum Reach {
-    Mine,
-    Listed,
-    Any,
-}
-
-/// One category as learned: log and mean of its running time for one unit of hint.
-#[derive(Clone, Debug, Default)]
-struct Learned {
-    norm: f64,
-    mean: f64,
-    samples: f64,
-    rate: f64,
-    base: f64,
-    guessed: f64,
-    waited: f64,
-}
-
 impl Learned {
     /// Mean running time of the category at mean pace.
     fn time(&self) -> f64 {
@@ -136,14 +62,6 @@
     }
 }
 
-/// What a peer told last: when, its tenants' rates, and the slots that it holds.
-#[derive(Default)]
-struct Peer {
-    at: Time,
-    rates: Vec<f64>,
-    held: BTreeMap<usize, u8>,
-}
-
 /// The instance.
 #[derive(Default)]
 pub struct Dispatcher {
@@ -161,11 +79,8 @@
     slots: Vec<f64>,
     /// Of so many parts of the fleet this instance and its peers solve over one.
     parts: usize,
-    /// Peers by number, executors by what messages call them, and what has changed since they were told.
-    peers: BTreeMap<usize, Peer>,
-    marks: BTreeMap<u16, usize>,
-    news: Vec<(usize, Option<usize>)>,
-    told: Time,
+    /// What peers told.
+    peers: Peers,
     /// Ops a second within each tenant's share, and as they come here.
     quotas: Vec<f64>,
     rates: Vec<f64>,
@@ -179,6 +94,8 @@
     /// Part of an executor's slots that others hold in the long run, over the fleet.
     usual: f64,
     front: f64,
+    /// Mean pace of each kind, as last solved.
+    paces: Vec<f64>,
     fastest: usize,
     solved: Option<Time>,
     /// When to subscribe to the list, if not subscribed; zero before the first time.
@@ -186,9 +103,8 @@
     /// Part of the ops judged hopeless of late; told in the log as overload.
     turned_away: f64,
     overloaded: bool,
-    /// Messages to peers and lines for the log, taken by the adapter, and bad messages so far.
+    /// Messages to peers and lines for the log, taken by the adapter.
     pub letters: Vec<Letter>,
-    pub garbled: u64,
     pub log: Vec<String>,
     chance: Chance,
 }
@@ -198,9 +114,11 @@
         let nodes = tariff.terms.nodes.max(1);
         // Peers are told of every push and its end: no more of them than an op can pay for.
         let most = (PEER_SPEND * 256.0 / 6.0 / tariff.terms.price_peer.max(1e-4)) as usize;
+        let parts = if tariff.terms.peers { (nodes / most.max(1)).max(1) } else { 1 };
         Dispatcher {
             terms: tariff.terms.clone(),
-            parts: if tariff.terms.peers { (nodes / most.max(1)).max(1) } else { 1 },
+            parts,
+            peers: Peers::new(&tariff.terms, parts, tariff.quotas.len()),
             rates: vec![0.0; tariff.quotas.len()],
             quotas: tariff.quotas.clone(),
             learned: vec![Learned { mean: 1.0, ..Learned::default() }; tariff.categories.len()],
@@ -256,7 +174,7 @@
         let (x, started) = (p.executor, p.started);
         let ran = (now - started.unwrap_or(p.sent)).max(1) as f64;
         self.report(now, x, values);
-        self.changed(x, None);
+        self.peers.changed(x, None);
         let executor = &mut self.executors[x];
         executor.out[op.category] = (executor.out[op.category] - op.slots).max(0.0);
         executor.touched = now;
@@ -442,89 +360,47 @@
             // Asked again if nothing at all is heard: a lost call must not leave the list to age.
             self.observe_at = now + 5 * SECOND;
         }
-        let silent: Vec<usize> = self.peers.iter().filter(|p| now > p.1.at + FORGET).map(|p| *p.0).collect();
-        for peer in silent {
-            for (x, held) in self.peers.remove(&peer).unwrap_or_default().held {
-                self.executors[x].told -= f64::from(held);
-            }
-        }
+        let gone = self.peers.forget(now);
+        self.take_in(now, gone);
         self.tell(now);
         observe
     }
 
-    /// Tells peers what this instance holds where that has changed, what it barred, and its tenants' rates.
-    /// Only what it did or saw itself: a receiver judges for itself, and no rule rests on a message.
+    /// Tells peers what this instance holds where that has changed, what it barred, and its tenants' rates: only
+    /// what it did or saw itself. A receiver judges for itself, and no rule rests on a message.
     fn tell(&mut self, now: Time) {
-        let fresh = now < self.told + SECOND;
-        if !self.terms.peers || now < self.told + TELL || (self.news.is_empty() && fresh) {
-            return;
-        }
-        self.told = now;
-        self.news.sort_unstable();
-        self.news.dedup();
-        let mut text = vec![VERSION];
-        for rate in &self.rates {
-            text.extend(((rate * 10.0).min(65_535.0) as u16).to_le_bytes());
-        }
-        // At most 256 bytes: what has no room waits for the next.
-        let room = (256 - text.len()) / 3;
-        for (x, barred) in self.news.drain(..self.news.len().min(room)) {
-            let e = &self.executors[x];
-            text.extend((e.mark as u16).to_le_bytes());
-            text.push(barred.map_or((e.own() as u8).min(127), |category| 128 | category as u8));
-        }
-        let (me, parts, nodes) = (self.terms.me, self.parts, self.terms.nodes);
-        if parts == 1 {
-            self.letters.push(Letter { to: None, text });
-        } else {
-            let peers = (me % parts..nodes).step_by(parts).filter(|peer| *peer != me);
-            self.letters.extend(peers.map(|peer| Letter { to: Some(peer), text: text.clone() }));
-        }
+        let of = |x: usize| (self.executors[x].mark, self.executors[x].own());
+        self.letters.extend(self.peers.due(now, TELL, &self.rates, of));
     }
 
-    fn changed(&mut self, x: usize, barred: Option<usize>) {
-        if self.terms.peers {
-            self.news.push((x, barred));
-        }
+    /// A message of a peer.
+    pub fn heard(&mut self, now: Time, from: usize, text: &[u8]) {
+        let news = self.peers.heard(now, from, text);
+        self.take_in(now, news);
     }
 
-    /// A message of a peer; one that can't be read is counted and dropped.
-    pub fn heard(&mut self, now: Time, from: usize, text: &[u8]) {
-        let rates = 2 * self.rates.len();
-        let known = from < self.terms.nodes && from != self.terms.me;
-        let whole = text.len() > rates && (text.len() - rates - 1).is_multiple_of(3);
-        if !self.terms.peers || !known || !whole || text[0] != VERSION {
-            self.garbled += 1;
-            return;
-        }
-        let (rates, entries) = text[1..].split_at(rates);
-        let peer = self.peers.entry(from).or_default();
-        peer.at = now;
-        peer.rates = rates.chunks(2).map(|r| f64::from(u16::from_le_bytes([r[0], r[1]])) / 10.0).collect();
-        for entry in entries.chunks(3) {
-            // One heard of from a peer alone is left out: nothing may be sent there.
-            let Some(&x) = self.marks.get(&u16::from_le_bytes([entry[0], entry[1]])) else { continue };
-            if entry[2] >= 128 {
-                self.bar(now, x, usize::from(entry[2] - 128), false);
-                continue;
+    /// Messages that could not be read, so far.
+    pub fn garbled(&self) -> u64 {
+        self.peers.garbled
+    }
+
+    fn take_in(&mut self, now: Time, news: Vec<News>) {
+        for told in news {
+            match told {
+                News::Barred(x, category) => self.bar(now, x, category, false),
+                News::Held(x, more) => {
+                    self.executors[x].told += more;
+                    let held = self.executors[x].told + self.executors[x].own();
+                    self.hear(now, x, held, 1.0);
+                }
             }
-            let before = self.peers.get_mut(&from).and_then(|peer| peer.held.insert(x, entry[2]));
-            let e = &mut self.executors[x];
-            e.told += f64::from(entry[2]) - f64::from(before.unwrap_or(0));
-            let held = e.told + e.own();
-            self.hear(now, x, held, 1.0);
         }
     }
 
     /// The part of a tenant's ops that is within its share, as far as this instance and its peers see.
     fn within(&self, tenant: usize) -> f64 {
-        let others: f64 = self.peers.values().filter_map(|peer| peer.rates.get(tenant)).sum();
-        let mean = (self.rates[tenant] + others) / (1 + self.peers.len()) as f64;
-        if self.terms.surplus < 1.0 && !self.peers.is_empty() {
-            self.quotas[tenant] / (mean * self.terms.nodes as f64).max(1e-9)
-        } else {
-            1.0
-        }
+        let all = self.peers.rate(tenant, self.rates[tenant]).filter(|_| self.terms.surplus < 1.0);
+        all.map_or(1.0, |all| self.quotas[tenant] / all.max(1e-9))
     }
 
     /// No more of a category to an executor that does not start it, for longer each time.
@@ -538,7 +414,7 @@
                 now + (((2 * look) << (2 * e.missed[category]).min(6)) as f64 * spread) as Time;
             e.missed[category] = (e.missed[category] + 1).min(4);
             if own {
-                self.changed(x, Some(category));
+                self.peers.changed(x, Some(category));
             }
         }
     }
@@ -563,11 +439,11 @@
     fn solve(&mut self, now: Time) {
         self.solved = Some(now);
         let s2 = (self.arrival_square / self.arrival_gap.powi(2).max(1.0) - 1.0).clamp(0.1, 4.0);
-        let paces = self.kind_paces();
+        self.paces = self.kind_paces();
         for e in &mut self.executors {
             // Nothing is learned of an executor that gets nothing: what is held against it fades.
             if e.out.iter().all(|s| *s <= 0.0) {
-                e.pace += SMOOTH * (paces[e.kind] - e.pace);
+                e.pace += SMOOTH * (self.paces[e.kind] - e.pace);
                 e.served += SMOOTH * (1.0 - e.served);
             }
         }
@@ -619,14 +495,7 @@
             // Soon enough that a second try can still be in time: counted from its first it would be late else.
             return self.give_up(op, self.categories[op.category].target / 4);
         }
-        let near = self.pick(now, op, Reach::Mine);
-        let near = near.filter(|c| self.parts == 1 || self.in_time(now, op, c.at, c.wait));
-        // Who fails a category is known in the own part only.
-        let wary = |e: &Executor| e.mine && e.missed[op.category] > 0;
-        let wary = self.effect(op) == Effect::AtMostOnce && self.executors.iter().any(wary);
-        let wide =
-            if near.is_none() && self.parts > 1 && !wary { self.pick(now, op, Reach::Listed) } else { None };
-        let found = near.or(wide).or_else(|| self.pick(now, op, Reach::Any));
+        let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
         let Some(Candidate { at: executor, wait, .. }) = found else {
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
             return if early { Step::Hold } else { self.give_up(op, SECOND / 5) };
@@ -682,14 +551,14 @@
             self.front = front.max((e.turn - 1.0) / e.share);
         }
         op.pushes.push(Push { executor, sent: now, noted: now, guess, ..Push::default() });
-        self.changed(executor, None);
+        self.peers.changed(executor, None);
         self.tell(now);
         Step::Push { executor }
     }
 
     /// The next in billiard order, least (X + Y) / P, of those where the op would not wait well longer.
-    fn pick(&self, now: Time, op: &Op, reach: Reach) -> Option<Candidate> {
-        let mut found = self.candidates(now, op, reach);
+    fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
+        let mut found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         // What an op needs is kept by some: it waits for those first in its key's order a little longer.
         let well_over = least + self.turnover() * if op.key > 0 { KEPT } else { WELL_OVER };
@@ -704,13 +573,13 @@
         Some(found.swap_remove(other.unwrap_or(first)))
     }
 
-    /// Where the op may go, in billiard order, or in that of its key; all but `Reach::Any` leave out those set
-    /// aside, tried before or without credit.
-    fn candidates(&self, now: Time, op: &Op, reach: Reach) -> Vec<Candidate> {
+    /// Where the op may go, in billiard order, or in that of its key; `strict` leaves out other parts of the
+    /// fleet, and those set aside, tried before or without credit.
+    fn candidates(&self, now: Time, op: &Op, strict: bool) -> Vec<Candidate> {
         let category = &self.categories[op.category];
         let mut found = Vec::with_capacity(self.executors.len());
         for (at, e) in self.executors.iter().enumerate() {
-            if reach == Reach::Mine && !e.mine {
+            if strict && !e.mine {
                 continue;
             }
             // A trial is no place for an op that must not run twice: if it fails, the op is lost. Nor is one
@@ -724,18 +593,18 @@
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
             let broke =
                 !op.pushes.is_empty() && (e.credit < 1.0 || op.pushes.iter().any(|p| p.executor == at));
-            if (reach != Reach::Any && (aside || broke))
-                || e.barred[op.category] > now
-                || !self.fits(now, op, at)
-            {
+            if (strict && (aside || broke)) || e.barred[op.category] > now || !self.fits(now, op, at) {
                 continue;
             }
             let first = f64::from(u8::from(at == self.fastest));
             let lagging = e.turn.max(self.front * e.share - 1.0);
             // The same executors come first for a key at every instance, each for its share of the keys.
             let drawn = (mixed(op.key ^ e.mark) >> 11) as f64 / (1u64 << 53) as f64;
-            let lagging = if op.key > 0 { -drawn.max(1e-18).ln() - first } else { lagging };
-            let turn = if e.share > 0.0 { (first + lagging) / e.share } else { 1e9 + e.turn };
+            let turn = match op.key {
+                _ if e.share <= 0.0 => 1e9 + e.turn,
+                0 => (first + lagging) / e.share,
+                _ => -drawn.max(1e-18).ln() / self.slots[e.kind] * self.paces[e.kind].exp(),
+            };
             found.push(Candidate { at, wait: 0.0, cost: 0.0, turn });
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
@@ -905,7 +774,7 @@
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
         let copies = self.terms.second_copies && self.effect(op) != Effect::AtMostOnce;
         if copies && only_one && !p.stopping && now >= sent.saturating_add(op.limits.copy_after) {
-            let copy = if self.may_send(now, op) { self.pick(now, op, Reach::Mine) } else { None };
+            let copy = if self.may_send(now, op) { self.pick(now, op, true) } else { None };
             if let Some(Candidate { at, .. }) = copy {
                 return self.push(now, op, at);
             }
@@ -938,7 +807,7 @@
             return Step::Hold;
         };
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
-        let better = if movable { self.pick(now, op, Reach::Mine) } else { None };
+        let better = if movable { self.pick(now, op, true) } else { None };
         let better = better.filter(|b| b.cost + look as f64 <= here);
         let Some(Candidate { at, .. }) = better else { return Step::Hold };
         if self.terms.second_copies {
@@ -1007,26 +876,16 @@
         self.domains.resize(self.domains.len().max(line.domain + 1), (0, 0));
         while self.executors.len() <= line.executor {
             let turn = self.chance.draw();
-            self.executors.push(Executor {
-                spread: std::f64::consts::LN_2,
-                served: 1.0,
-                credit: MOST_CREDIT / 2.0,
-                out: vec![0.0; self.categories.len()],
-                barred: vec![0; self.categories.len()],
-                missed: vec![0; self.categories.len()],
-                touched: -self.terms.keepalive,
-                usual: -1.0,
-                heard: now - SECOND,
-                turn,
-                ..Executor::default()
-            });
+            let executor =
+                Executor::new(now, turn, MOST_CREDIT / 2.0, self.categories.len(), self.terms.keepalive);
+            self.executors.push(executor);
         }
         let luck = self.chance.draw();
         let e = &mut self.executors[line.executor];
         let restarted = line.started.is_some() && line.started != e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
         (e.size, e.mark) = (e.size.max(line.weight), line.mark);
-        self.marks.insert(line.mark as u16, line.executor);
+        self.peers.lists(line.mark, line.executor);
         if self.gauges.is_empty() && line.weight > 0.0 {
             // No report tells of slots: the listed sizes are all there is.
             let slots = &mut self.slots[line.kind];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,8 +1,10 @@
 //! stileroute decides, beside each submitter, which executor gets which op.
 //!
 //! [`choice`] holds every decision; [`tariff`] holds the plain types it is started with; [`posted`] reads
-//! them from the settings object.
+//! them from the settings object; [`peers`] holds what instances tell one another.
 
 pub mod choice;
+pub mod peers;
 pub mod posted;
+mod state;
 pub mod tariff;
--- a/src/posted.rs
+++ b/src/posted.rs
@@ -201,6 +201,22 @@
                 priority: self.extra.class_priority.get(at).copied().unwrap_or(0),
             });
         }
+        if self.me >= self.balancers.max(1) {
+            return Err(format!("me: {} of {} instances", self.me, self.balancers));
+        }
+        let parts = [("surplus-benefit", self.surplus_benefit), ("score-parts.tail", self.score_parts.tail)];
+        if let Some((key, value)) = parts.into_iter().find(|(_, value)| !(0.0..=1.0).contains(value)) {
+            return Err(format!("{key}: not from 0 to 1: {value}"));
+        }
+        let quotas = self.tenants.iter().map(|tenant| ("tenants.quota-per-s", tenant.quota_per_s));
+        let prices = [("prices.handshake", self.prices.handshake), ("prices.peer", self.prices.peer)];
+        let wrong = |(_, value): &(&str, f64)| !value.is_finite() || *value < 0.0;
+        if let Some((key, value)) = quotas.chain(prices).find(wrong) {
+            return Err(format!("{key}: not a number from 0 on: {value}"));
+        }
+        if self.prices.handshake > 0.0 && self.caps.keepalive_ns <= 0 {
+            return Err("caps.keepalive-ns: needed where prices.handshake is set".to_string());
+        }
         let gauge = |name: &String| match name.as_str() {
             "rif" => Gauge::Held,
             "q" => Gauge::Waiting,
