--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,8 @@
 const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
 const KEPT: f64 = 0.4; // what an op waits for an executor that keeps what it needs, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
-const TELL: Time = SECOND / 10; // peers are told at most so often
+const TELL: Time = SECOND / 10; // peers are told at most so often,
+const TOLD_PER_OP: f64 = 12.0; // and so many of them for each own op
 const RATE_SPAN: f64 = 4.0 * SECOND as f64; // over which a tenant's rate is taken
 const ROOMY: f64 = 0.5; // use of the fleet up to which all that is over a share is let in,
 const CRAMPED: f64 = 0.7; // and from which on none is
@@ -370,7 +371,10 @@
     /// what it did or saw itself. A receiver judges for itself, and no rule rests on a message.
     fn tell(&mut self, now: Time) {
         let of = |x: usize| (self.executors[x].mark, self.executors[x].own());
-        self.letters.extend(self.peers.due(now, TELL, &self.rates, of));
+        // Told of every push at once, hundreds of nodes with few ops each send and take in more messages than ops.
+        let peers = (self.terms.nodes / self.parts) as f64;
+        let every = (peers * self.arrival_gap / TOLD_PER_OP).clamp(TELL as f64, SECOND as f64);
+        self.letters.extend(self.peers.due(now, every as Time, &self.rates, of));
     }
 
     /// A message of a peer.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -652,3 +652,193 @@
         assert!(!matches!(desk.place(500 * MS, &mut op), Step::Push { .. }));
     }
 }
+
+// ---- No load reports, messages between instances, priced connections, shares of tenants ----
+
+/// Settings of a deployment whose executors report nothing; `nodes` may send one another messages.
+fn silent(me: usize, nodes: usize) -> Tariff {
+    let terms = Terms { me, nodes, peers: true, price_peer: 0.01, surplus: 0.05, progress: 0, ..terms() };
+    Tariff { gauges: vec![], quotas: vec![100.0, 100.0], ..tariff(terms) }
+}
+
+fn sized(executor: usize, weight: f64) -> Listed {
+    Listed { weight, domain: 0, kind: weight as usize, ..line(executor) }
+}
+
+#[test]
+fn where_nothing_is_reported_the_listed_sizes_are_the_slots() {
+    let mut desk = Dispatcher::new(&silent(0, 1), 3);
+    desk.list(0, true, &[sized(0, 5.0), sized(1, 1.0)]);
+    let mut counts = [0; 2];
+    for _ in 0..6 {
+        let mut op = desk.arrive(MS, Ask { deadline: 20 * SECOND, ..ask(0) });
+        counts[pushed(desk.place(MS, &mut op))] += 1;
+        desk.note(MS, &mut op, 0, true);
+    }
+    assert_eq!(counts, [5, 1]);
+}
+
+#[test]
+fn parts_cover_the_fleet_and_each_instance_keeps_to_its_own() {
+    // 126 instances can pay for 42 peers each: three parts.
+    let lines: Vec<Listed> = (0..30).map(|x| sized(x, 2.0)).collect();
+    let mut met = vec![0; 30];
+    for me in 0..3 {
+        let mut desk = Dispatcher::new(&silent(me, 126), me as u64);
+        desk.list(0, true, &lines);
+        let own: Vec<usize> = (0..60).map(|n| serve(&mut desk, n * 50 * MS, 0, 100)).collect();
+        let mut own: Vec<usize> = own.into_iter().collect();
+        own.sort_unstable();
+        own.dedup();
+        assert_eq!(own.len(), 10, "instance {me}: {own:?}");
+        own.into_iter().for_each(|x| met[x] += 1);
+    }
+    assert_eq!(met, vec![1; 30]);
+}
+
+#[test]
+fn an_open_connection_is_worth_its_price() {
+    for (handshake, most) in [(0.05, 2), (0.0, 8)] {
+        let priced = Terms { handshake, keepalive: 10 * SECOND, ..silent(0, 1).terms };
+        let mut desk = Dispatcher::new(&Tariff { terms: priced, ..silent(0, 1) }, 7);
+        desk.list(0, true, &(0..8).map(|x| sized(x, 2.0)).collect::<Vec<_>>());
+        let mut met: Vec<usize> = (0..40).map(|n| serve(&mut desk, n * 100 * MS, 0, 50 * MS)).collect();
+        met.sort_unstable();
+        met.dedup();
+        assert!(met.len() <= most && (handshake > 0.0 || met.len() == 8), "price {handshake}: {met:?}");
+    }
+}
+
+#[test]
+fn ops_of_one_key_go_to_the_same_executors_at_every_instance() {
+    let lines: Vec<Listed> = (0..20).map(|x| sized(x, 4.0)).collect();
+    let homes = |seed: u64, turned: bool| -> Vec<u64> {
+        let mut desk = Dispatcher::new(&silent(0, 1), seed);
+        // Their indices differ from instance to instance; what they are called does not.
+        let own = |x: usize| if turned { 19 - x } else { x };
+        let lines: Vec<Listed> = lines.iter().map(|l| Listed { executor: own(l.executor), ..*l }).collect();
+        desk.list(0, true, &lines);
+        (1..40u64)
+            .map(|key| {
+                let now = key as Time * 100 * MS;
+                let key = mark(&format!("key {key}"));
+                let mut op = desk.arrive(now, Ask { key, deadline: now + 20 * SECOND, ..ask(0) });
+                let x = pushed(desk.place(now, &mut op));
+                desk.note(now, &mut op, 0, true);
+                desk.settle(now + 50 * MS, &mut op, 0, Outcome::Acked, &[]);
+                lines.iter().find(|l| l.executor == x).map_or(0, |l| l.mark)
+            })
+            .collect()
+    };
+    let first = homes(1, false);
+    assert_eq!(first, homes(2, true));
+    let mut met = first;
+    met.sort_unstable();
+    met.dedup();
+    assert!(met.len() > 8, "keys are spread: {} executors", met.len());
+}
+
+/// Two instances before the same executors; what the first sends comes to the second at once.
+fn pair(nodes: usize, count: usize) -> (Dispatcher, Dispatcher) {
+    let lines: Vec<Listed> = (0..count).map(|x| sized(x, 2.0)).collect();
+    let mut both = [0, 1].map(|me| Dispatcher::new(&silent(me, nodes), 5 + me as u64));
+    both.iter_mut().for_each(|desk| desk.list(0, true, &lines));
+    let [one, two] = both;
+    (one, two)
+}
+
+fn carry(now: Time, from: &mut Dispatcher, to: &mut Dispatcher) {
+    from.upkeep(now);
+    from.letters.drain(..).for_each(|letter| to.heard(now, 0, &letter.text));
+}
+
+#[test]
+fn what_is_over_a_share_waits_for_room_and_is_told_to_come_back_in_time() {
+    // Each tenant may send 100 ops a second. A peer tells that tenant 0 sends 550 there, and what it holds.
+    for (held, over) in [(0, 0.95..=1.01), (2, 0.05..=0.35)] {
+        let (mut desk, _) = pair(2, 12);
+        let mut served = [0.0; 2];
+        for n in 0..800 {
+            let now = (n + 1) * 10 * MS;
+            if n % 100 == 0 {
+                let mut text = vec![1, 2, (5500 % 256) as u8, (5500 / 256) as u8, 0, 0];
+                for x in 0..12 {
+                    text.extend((line(x).mark as u16).to_le_bytes());
+                    text.push(held);
+                }
+                desk.heard(now, 1, &text);
+            }
+            let tenant = (n % 2) as usize;
+            let mut op = desk.arrive(now, Ask { tenant, deadline: now + 20 * SECOND, ..ask(0) });
+            match desk.place(now, &mut op) {
+                Step::Push { .. } => {
+                    desk.note(now, &mut op, 0, true);
+                    desk.settle(now + MS, &mut op, 0, Outcome::Acked, &[]);
+                    // The first seconds are needed to learn the rates.
+                    served[tenant] += if n >= 400 { 1.0 / 200.0 } else { 0.0 };
+                }
+                Step::Nack { come_back } => assert!(come_back <= 1250, "{come_back}"),
+                other => panic!("{other:?}"),
+            }
+        }
+        assert!(served[1] > 0.99 && over.contains(&served[0]), "{held} held: {served:?}");
+    }
+}
+
+#[test]
+fn peers_shun_who_one_of_them_saw_fail_a_category_and_come_back_later() {
+    let (mut one, mut two) = pair(2, 2);
+    let mut op = one.arrive(0, Ask { deadline: 60 * SECOND, ..ask(4) });
+    let x = pushed(one.place(0, &mut op));
+    // It does not start, for longer than a quarter of its target and twice the wait expected.
+    one.place(130 * MS, &mut op);
+    carry(2 * SECOND, &mut one, &mut two);
+    let barred = |desk: &mut Dispatcher, category: usize| {
+        (0..20).all(|n| {
+            let now = 2 * SECOND + n * MS;
+            let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(category) });
+            let at = pushed(desk.place(now, &mut op));
+            desk.note(now, &mut op, 0, true);
+            desk.settle(now, &mut op, 0, Outcome::Acked, &[]);
+            at != x
+        })
+    };
+    assert!(barred(&mut two, 4), "the category that was not started");
+    assert!(!barred(&mut two, 0), "others are free to go there");
+}
+
+#[test]
+fn an_op_that_cannot_be_in_time_any_more_gets_its_answer_at_once() {
+    // An answer past 500 ms and twice its own work is worth nothing; its TTL is 20 s.
+    for (category, wanted) in [(4, Step::DeadLetter), (0, Step::Nack { come_back: 0 })] {
+        let mut desk = Dispatcher::new(&silent(0, 1), 3);
+        desk.list(0, true, &[sized(0, 2.0)]);
+        let mut op = desk.arrive(0, Ask { deadline: 20 * SECOND, ..ask(category) });
+        pushed(desk.place(0, &mut op));
+        let (mut now, mut step) = (0, Step::Hold);
+        while step == Step::Hold && now < 20 * SECOND {
+            now = desk.wait(now, &op);
+            step = desk.place(now, &mut op);
+        }
+        assert!(step == wanted && now < 8000, "category {category}: {step:?} at {now}");
+        assert_eq!(desk.place(now, &mut op), Step::Stop { push: 0 }, "what nobody waits for is called off");
+    }
+}
+
+#[test]
+fn hundreds_of_nodes_with_few_ops_send_few_messages() {
+    // A day of 693 nodes broke off at four million messages.
+    let mut desk = Dispatcher::new(&silent(0, 693), 3);
+    desk.list(0, true, &(0..473).map(|x| sized(x, 2.0)).collect::<Vec<_>>());
+    let mut sent = 0;
+    for n in 0..400 {
+        let now = n * SECOND / 20;
+        if n % 5 == 0 {
+            serve(&mut desk, now, 0, 10);
+        }
+        desk.upkeep(now);
+        sent += desk.letters.drain(..).count();
+    }
+    // 20 s, 80 ops, 43 peers.
+    assert!((500..1200).contains(&sent), "{sent} messages");
+}
