--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -179,7 +179,7 @@
                     _ => return Ok(()),
                 };
                 if let Some(op) = self.ops.get_mut(&ticket) {
-                    self.dispatcher.note(now, op, push, start);
+                    self.dispatcher.note(now, op, push, start, msg.x.unwrap_or(0.0));
                 }
             }
             "WITHDRAWN" => {
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -41,6 +41,7 @@
     pub work_ns: Option<i64>,
     pub round_no: Option<usize>,
     pub topic: Option<i64>,
+    pub x: Option<f64>,
     #[serde(borrow)]
     pub status: Option<Cow<'a, str>>,
     #[serde(default, rename = "final")]
--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -165,7 +165,7 @@
             }
             Event::Note { ticket, push, start } => {
                 if let Some(held) = self.ops.get(ticket) {
-                    self.dispatcher.note(now, &mut held.op, push, start);
+                    self.dispatcher.note(now, &mut held.op, push, start, 0.0);
                 }
             }
             Event::Ended { ticket, push, how, load } => self.ended(now, ticket, push, how, load),
--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -73,7 +73,7 @@
         Dispatcher::list(self, now, whole, lines);
     }
     fn note(&mut self, now: Time, op: &mut Op, push: usize, start: bool) {
-        Dispatcher::note(self, now, op, push, start);
+        Dispatcher::note(self, now, op, push, start, 0.0);
     }
     fn leave_by(&self, op: &Op, effect: Effect) -> Time {
         op.leave_by(effect)
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,14 @@
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
 const EARNED: f64 = 0.5; // and an answer earns so much
 
+/// A running time: to its end, at least so long, or reckoned from the part done.
+#[derive(Clone, Copy, PartialEq)]
+enum Sample {
+    Whole,
+    Censored,
+    Part,
+}
+
 /// An executor that an op may go to.
 struct Candidate {
     at: usize,
@@ -189,7 +197,7 @@
                 executor.credit = (executor.credit + EARNED).min(MOST_CREDIT);
                 (executor.trial, executor.acked) = (false, now);
                 self.domains[executor.domain] = (0, 0);
-                self.learn(x, op, ran, false);
+                self.learn(x, op, ran, Sample::Whole);
             }
             // A fault of the op: a few change nothing, but an executor that refuses all loses its share.
             Outcome::Unfit => executor.served -= SMOOTH * executor.served,
@@ -209,7 +217,7 @@
             }
             Outcome::TimedOut => {
                 executor.credit = (executor.credit - 1.0).max(0.0);
-                self.learn(x, op, ran, true);
+                self.learn(x, op, ran, Sample::Censored);
             }
             Outcome::Cancelled | Outcome::Moot | Outcome::Broken => {}
         }
@@ -299,10 +307,17 @@
         self.log.push("list: call refused, will ask again".to_string());
     }
 
-    /// A push has started, or has got on with its work.
-    pub fn note(&mut self, now: Time, op: &mut Op, push: usize, start: bool) {
+    /// A push has started, or has got on with its work; `done` is the share of it, where that is told.
+    pub fn note(&mut self, now: Time, op: &mut Op, push: usize, start: bool, done: f64) {
         let Some(p) = op.pushes.get_mut(push).filter(|p| p.outcome.is_none()) else { return };
+        let first = p.started == Some(p.noted);
         p.noted = now;
+        if let Some(started) = p.started.filter(|_| !start && first && done > 0.0) {
+            // The first note tells how fast it runs there, long before it ends: who has slowed down shows at once.
+            let (x, ran) = (p.executor, (now - started) as f64 / done);
+            self.learn(x, op, ran, Sample::Part);
+        }
+        let p = &mut op.pushes[push];
         if !start || p.started.replace(now).is_some() {
             return;
         }
@@ -742,8 +757,8 @@
         ((1.0 - self.terms.worst_category) * whole + self.terms.worst_category / rate).max(0.05)
     }
 
-    /// A running time moves the executor's pace and the category's mean; a `censored` one is not over.
-    fn learn(&mut self, x: usize, op: &Op, ran: f64, censored: bool) {
+    /// A running time moves the executor's pace and the category's mean; one that is not over only the pace.
+    fn learn(&mut self, x: usize, op: &Op, ran: f64, what: Sample) {
         let sample = (ran / op.base).max(1e-9);
         let learned = &mut self.learned[op.category];
         let e = &mut self.executors[x];
@@ -751,7 +766,7 @@
             (learned.norm, learned.mean) = (sample.ln() - e.pace, sample / e.pace.exp());
         }
         let off = sample.ln() - learned.norm - e.pace;
-        if censored && off < 0.0 {
+        if what == Sample::Censored && off < 0.0 {
             return;
         }
         // The log keeps one heavy op from carrying the rate away.
@@ -760,7 +775,7 @@
         e.samples += 1.0;
         let gain = 0.7 * (DRIFT / (DRIFT + e.spread)).max(1.0 / (e.samples + 3.0));
         e.pace = (e.pace + gain * seen).clamp(-3.0, 3.0);
-        if !censored {
+        if what == Sample::Whole {
             learned.samples += 1.0;
             let gain = (1.0 / learned.samples).max(SMOOTH / 4.0);
             learned.norm += gain * off;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -87,7 +87,7 @@
 fn serve(desk: &mut Dispatcher, now: Time, category: usize, ran: Time) -> usize {
     let mut op = desk.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(category) });
     let executor = pushed(desk.place(now, &mut op));
-    desk.note(now, &mut op, 0, true);
+    desk.note(now, &mut op, 0, true, 0.0);
     assert_eq!(desk.settle(now + ran, &mut op, 0, Outcome::Acked, &[0.0, 4.0]), Step::Hold);
     executor
 }
@@ -149,7 +149,7 @@
         let now = n * SECOND / 4;
         let mut op = desk.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(0) });
         let executor = pushed(desk.place(now, &mut op));
-        desk.note(now, &mut op, 0, true);
+        desk.note(now, &mut op, 0, true, 0.0);
         let ran = if executor == 0 { 2500 } else { 1000 };
         desk.settle(now + ran, &mut op, 0, Outcome::Acked, &[]);
         counts[executor] += usize::from(n >= 40);
@@ -216,7 +216,7 @@
         let mut desk = desk(Terms { cancel: false, ..terms() }, 1, 2);
         let mut op = desk.arrive(0, Ask { deadline: SECOND, ..ask(kind) });
         pushed(desk.place(0, &mut op));
-        desk.note(MS, &mut op, 0, true);
+        desk.note(MS, &mut op, 0, true, 0.0);
         let mut now = MS;
         let last = loop {
             let next = desk.wait(now, &op);
@@ -279,7 +279,7 @@
         let executor = pushed(desk.place(now, &mut op));
         let failing = executor == 0 && n < 100;
         bad += usize::from(failing);
-        desk.note(now, &mut op, 0, true);
+        desk.note(now, &mut op, 0, true, 0.0);
         desk.settle(now + MS, &mut op, 0, if failing { Outcome::Error } else { Outcome::Acked }, &[]);
     }
     assert!((1..=6).contains(&bad), "{bad} ops met the failing executor");
@@ -293,7 +293,7 @@
         let mut desk = desk(Terms { second_copies: copies, ..terms() }, 5, 2);
         let mut op = desk.arrive(0, Ask { hint: Some(3 * SECOND), deadline: 20 * SECOND, ..ask(0) });
         let first = pushed(desk.place(0, &mut op));
-        desk.note(0, &mut op, 0, true);
+        desk.note(0, &mut op, 0, true, 0.0);
         let now = desk.wait(0, &op);
         assert!(now >= 2 * SECOND, "progress is due each second");
         let step = desk.place(now, &mut op);
@@ -524,7 +524,7 @@
         if executor == 1 {
             stuck.push((now, op));
         } else {
-            desk.note(now, &mut op, 0, true);
+            desk.note(now, &mut op, 0, true, 0.0);
             desk.settle(now + 5 * MS, &mut op, 0, Outcome::Acked, &[0.0, 4.0]);
         }
         elsewhere += usize::from(serve(&mut desk, now, 2, 5 * MS) == 1);
@@ -561,7 +561,7 @@
             let now = SECOND + turn as Time * 100 * MS;
             let mut op = desk.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(0) });
             pushed(desk.place(now, &mut op));
-            desk.note(now, &mut op, 0, true);
+            desk.note(now, &mut op, 0, true, 0.0);
             desk.settle(now + 10 * MS, &mut op, 0, *outcome, &[]);
         }
         let told = desk.log.iter().any(|line| line.contains("set aside"));
@@ -571,7 +571,7 @@
     let mut desk = desk(terms(), 5, 2);
     let mut op = desk.arrive(0, Ask { deadline: 20 * SECOND, ..ask(4) });
     let executor = pushed(desk.place(0, &mut op));
-    desk.note(0, &mut op, 0, true);
+    desk.note(0, &mut op, 0, true, 0.0);
     for second in 1..18 {
         desk.place(second * SECOND, &mut op);
     }
@@ -627,7 +627,7 @@
             let (mut op, _) = open(&mut desk, category, limits);
             let due = if started { 350 * MS } else { 200 * MS };
             if started {
-                desk.note(50 * MS, &mut op, 0, true);
+                desk.note(50 * MS, &mut op, 0, true, 0.0);
             }
             assert!(desk.wait(100 * MS, &op) <= due);
             assert!(!matches!(desk.place(due - 1, &mut op), Step::Stop { .. }));
@@ -673,7 +673,7 @@
     for _ in 0..6 {
         let mut op = desk.arrive(MS, Ask { deadline: 20 * SECOND, ..ask(0) });
         counts[pushed(desk.place(MS, &mut op))] += 1;
-        desk.note(MS, &mut op, 0, true);
+        desk.note(MS, &mut op, 0, true, 0.0);
     }
     assert_eq!(counts, [5, 1]);
 }
@@ -724,7 +724,7 @@
                 let key = mark(&format!("key {key}"));
                 let mut op = desk.arrive(now, Ask { key, deadline: now + 20 * SECOND, ..ask(0) });
                 let x = pushed(desk.place(now, &mut op));
-                desk.note(now, &mut op, 0, true);
+                desk.note(now, &mut op, 0, true, 0.0);
                 desk.settle(now + 50 * MS, &mut op, 0, Outcome::Acked, &[]);
                 lines.iter().find(|l| l.executor == x).map_or(0, |l| l.mark)
             })
@@ -772,7 +772,7 @@
             let mut op = desk.arrive(now, Ask { tenant, deadline: now + 20 * SECOND, ..ask(0) });
             match desk.place(now, &mut op) {
                 Step::Push { .. } => {
-                    desk.note(now, &mut op, 0, true);
+                    desk.note(now, &mut op, 0, true, 0.0);
                     desk.settle(now + MS, &mut op, 0, Outcome::Acked, &[]);
                     // The first seconds are needed to learn the rates.
                     served[tenant] += if n >= 400 { 1.0 / 200.0 } else { 0.0 };
@@ -798,7 +798,7 @@
             let now = 2 * SECOND + n * MS;
             let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(category) });
             let at = pushed(desk.place(now, &mut op));
-            desk.note(now, &mut op, 0, true);
+            desk.note(now, &mut op, 0, true, 0.0);
             desk.settle(now, &mut op, 0, Outcome::Acked, &[]);
             at != x
         })
