--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,7 +32,7 @@
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
 const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
-const KEPT: f64 = 0.4; // what an op waits for an executor that keeps what it needs, in turnovers
+const KEPT: f64 = 0.6; // what a set-up takes, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
 const TELL: Time = SECOND / 10; // peers are told at most so often,
 const TOLD_PER_OP: f64 = 12.0; // and so many of them for each own op
@@ -579,8 +579,7 @@
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
         let mut found = self.candidates(now, op, strict);
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
-        // What an op needs is kept by some: it waits for those first in its key's order a little longer.
-        let well_over = least + self.turnover() * if op.key > 0 { KEPT } else { WELL_OVER };
+        let well_over = least + self.turnover() * WELL_OVER;
         let first = found.iter().position(|c| c.cost <= well_over)?;
         // Before it is turned away an op may cross, if that costs less than it is worth; only while nodes are
         // so few that each knows of the other domains from its own traffic.
@@ -637,9 +636,12 @@
             });
         }
         let delay = self.cross_delay(op);
+        // What the op needs is likely kept by those first in its key's order; others set up for it.
+        let (mut set_up, whole) = (0.0, if op.key > 0 { KEPT * self.turnover() } else { 0.0 });
         for c in &mut found {
             let e = &self.executors[c.at];
-            c.wait = self.expected_wait(now, op, c.at);
+            c.wait = self.expected_wait(now, op, c.at) + set_up;
+            set_up = (set_up + whole) / 2.0;
             let away = if e.domain == self.terms.domain { 0.0 } else { delay };
             // Running slower than the target latency allows for counts as waiting.
             let slow = e.pace.exp() / self.warmth(now, e) - category.stretch.max(1.0);
