--- a/src/choice.rs
+++ b/src/choice.rs
@@ -313,7 +313,7 @@
         let first = p.started == Some(p.noted);
         p.noted = now;
         if let Some(started) = p.started.filter(|_| !start && first && done > 0.0) {
-            // The first note tells how fast it runs there, long before it ends: who has slowed down shows at once.
+            // The first note tells the pace, long before the end: who has slowed down shows at once.
             let (x, ran) = (p.executor, (now - started) as f64 / done);
             self.learn(x, op, ran, Sample::Part);
         }
@@ -382,11 +382,11 @@
         observe
     }
 
-    /// Tells peers what this instance holds where that has changed, what it barred, and its tenants' rates: only
-    /// what it did or saw itself. A receiver judges for itself, and no rule rests on a message.
+    /// Tells peers what this instance holds where that has changed, what it barred, and its tenants' rates:
+    /// only what it did or saw itself. A receiver judges for itself, and no rule rests on a message.
     fn tell(&mut self, now: Time) {
         let of = |x: usize| (self.executors[x].mark, self.executors[x].own());
-        // Told of every push at once, hundreds of nodes with few ops each send and take in more messages than ops.
+        // Told of every push at once, hundreds of nodes with few ops each get more messages than ops.
         let peers = (self.terms.nodes / self.parts) as f64;
         let every = (peers * self.arrival_gap / TOLD_PER_OP).clamp(TELL as f64, SECOND as f64);
         self.letters.extend(self.peers.due(now, every as Time, &self.rates, of));
@@ -511,7 +511,7 @@
         }
         // What is over a share must not take what others have a right to.
         if op.surplus && op.pushes.is_empty() && self.used > ROOMY + (CRAMPED - ROOMY) * self.chance.draw() {
-            // Soon enough that a second try can still be in time: counted from its first it would be late else.
+            // Soon enough for a second try to be in time: lateness counts from the first.
             return self.give_up(op, self.categories[op.category].target / 4);
         }
         let found = self.pick(now, op, true).or_else(|| self.pick(now, op, false));
@@ -803,7 +803,7 @@
         if op.pushes[last].stopping || now - noted < look {
             return Step::Hold;
         }
-        // It can't end in time any more, and late it earns nothing: better a final answer now than at the end.
+        // It can't end in time any more, and late it earns nothing: better a final answer now than later.
         if started.is_none() && self.categories[op.category].late <= 0.0 && !self.in_time(now, op, x, 0.0) {
             return self.give_up(op, SECOND);
         }
