--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -842,3 +842,58 @@
     // 20 s, 80 ops, 43 peers.
     assert!((500..1200).contains(&sent), "{sent} messages");
 }
+
+#[test]
+fn the_share_done_tells_of_a_slowed_executor_before_its_op_ends() {
+    for (done, wanted) in [(0.0, true), (0.5, true), (0.05, false)] {
+        let mut desk = Dispatcher::new(&silent(0, 1), 5);
+        desk.list(0, true, &[sized(0, 4.0), sized(1, 4.0)]);
+        (0..40).for_each(|n| drop(serve(&mut desk, n * 250 * MS, 0, 1000)));
+        let now = 10 * SECOND;
+        // One op at each; the first note comes after a tenth of a second of running.
+        let mut out: Vec<(usize, Op)> = (0..2)
+            .map(|_| {
+                let mut op = desk.arrive(now, Ask { deadline: now + 60 * SECOND, ..ask(0) });
+                let x = pushed(desk.place(now, &mut op));
+                desk.note(now, &mut op, 0, true, 0.0);
+                (x, op)
+            })
+            .collect();
+        let (slow, op) = &mut out[0];
+        (0..8).for_each(|_| {
+            // Only the first note of a push counts.
+            desk.note(now + 500, op, 0, false, done);
+        });
+        desk.list(now + 500, false, &[]);
+        let slow = *slow;
+        let mut next = desk.arrive(now + 500, Ask { deadline: now + 60 * SECOND, ..ask(0) });
+        desk.place(now + 500, &mut next);
+        let share = desk.shares().nth(slow).unwrap();
+        assert_eq!(share > 0.35, wanted, "{done} done after half the usual time: share {share}");
+    }
+}
+
+#[test]
+fn an_op_waits_for_who_keeps_what_it_needs_but_not_for_longer_than_a_set_up() {
+    for (held, stays) in [(0, true), (1, true), (12, false)] {
+        let (mut desk, _) = pair(2, 6);
+        (0..30).for_each(|n| drop(serve(&mut desk, n * 250 * MS, 0, 1000)));
+        let now = 10 * SECOND;
+        let key = mark("a key");
+        let mut home = |now: Time, settle: bool| {
+            let mut op = desk.arrive(now, Ask { key, deadline: now + 60 * SECOND, ..ask(0) });
+            let x = pushed(desk.place(now, &mut op));
+            desk.note(now, &mut op, 0, true, 0.0);
+            if settle {
+                desk.settle(now + MS, &mut op, 0, Outcome::Acked, &[]);
+                let mut text = vec![1, 0];
+                text.extend((line(x).mark as u16).to_le_bytes());
+                text.push(held);
+                desk.heard(now + MS, 1, &text);
+            }
+            x
+        };
+        let first = home(now, true);
+        assert_eq!(home(now + 2 * MS, false) == first, stays, "{held} slots of two held by a peer");
+    }
+}
