--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -163,9 +163,9 @@
                     self.carry(now, ticket, held, step);
                 }
             }
-            Event::Note { ticket, push, start } => {
+            Event::Note { ticket, push, start, done } => {
                 if let Some(held) = self.ops.get(ticket) {
-                    self.dispatcher.note(now, &mut held.op, push, start, 0.0);
+                    self.dispatcher.note(now, &mut held.op, push, start, done);
                 }
             }
             Event::Ended { ticket, push, how, load } => self.ended(now, ticket, push, how, load),
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -238,12 +238,12 @@
         let mut input = &*stream;
         loop {
             let mut tell = |heard| {
-                let start = match heard {
-                    Heard::Started => true,
-                    Heard::Running => false,
+                let (start, done) = match heard {
+                    Heard::Started => (true, 0.0),
+                    Heard::Running(share) => (false, share),
                     Heard::Ended(told, load) => return ended = Some((told, load)),
                 };
-                let _ = shared.desk.send(Event::Note { ticket, push, start });
+                let _ = shared.desk.send(Event::Note { ticket, push, start, done });
             };
             let read = input.read(&mut chunk);
             if matches!(&read, Err(error) if error.kind() == ErrorKind::Interrupted) {
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -174,6 +174,8 @@
         ticket: u64,
         push: usize,
         start: bool,
+        /// Share of the job that is done; zero where it is not told.
+        done: f64,
     },
     Ended {
         ticket: u64,
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -190,7 +190,8 @@
     let mut tell = |heard: Heard| {
         words.push(match heard {
             Heard::Started => "started".to_string(),
-            Heard::Running => "running".to_string(),
+            Heard::Running(0.0) => "running".to_string(),
+            Heard::Running(share) => format!("running {share}"),
             Heard::Ended(told, load) => {
                 let told = match told {
                     Told::Done(result) => format!("done {}", String::from_utf8(result.to_vec()).unwrap()),
@@ -226,7 +227,21 @@
     let cases = [
         (
             format!("{}0\r\n\r\n", chunked(&[started, "{\"state\":\"running\",\"share\":0.4}\n", done])),
-            "started, running, done r",
+            "started, running 0.4, done r",
+            true,
+        ),
+        // What is no share spoils nothing.
+        (
+            format!(
+                "{}0\r\n\r\n",
+                chunked(&[
+                    "{\"state\":\"running\",\"share\":\"half\"}\n",
+                    "{\"state\":\"running\",\"share\":7}\n",
+                    "{\"state\":\"running\"}\n",
+                    done
+                ])
+            ),
+            "running, running, running, done r",
             true,
         ),
         // Several lines in one chunk, and one line in several.
--- a/node/src/wire/jobs.rs
+++ b/node/src/wire/jobs.rs
@@ -10,7 +10,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Word {
     Started,
-    Running,
+    /// With the share of the job that is done, from 0 to 1; zero where that is not told, or is no share.
+    Running(f64),
     /// The result lies in this part of the line's bytes.
     Done(Range<usize>),
     Failed,
@@ -29,6 +30,8 @@
     state: Cow<'a, str>,
     #[serde(borrow)]
     result: Option<Cow<'a, str>>,
+    /// Whatever it is: what can't be read as a share must not spoil the line.
+    share: Option<serde_json::Value>,
     #[serde(borrow)]
     load: Option<BTreeMap<Cow<'a, str>, f64>>,
 }
@@ -51,7 +54,7 @@
     });
     let word = match line.state.as_ref() {
         names::JOB_STARTED => Word::Started,
-        names::JOB_RUNNING => Word::Running,
+        names::JOB_RUNNING => Word::Running(share_of(line.share.as_ref())),
         names::JOB_FAILED => Word::Failed,
         names::JOB_RETURNED => Word::Returned,
         names::JOB_LOST => Word::Lost,
@@ -72,6 +75,10 @@
     (word, load)
 }
 
+fn share_of(told: Option<&serde_json::Value>) -> f64 {
+    told.and_then(serde_json::Value::as_f64).filter(|share| (0.0..=1.0).contains(share)).unwrap_or(0.0)
+}
+
 /// Reads the text form of a load report: `TEXT inflight=7, queue=2`.
 pub fn read_load_text(text: &str, gauges: &[String]) -> Option<Vec<f64>> {
     let fields = text.trim().strip_prefix("TEXT").unwrap_or(text);
--- a/node/src/wire/push.rs
+++ b/node/src/wire/push.rs
@@ -45,7 +45,7 @@
 /// What a line, or the end of the answer, has told.
 pub enum Heard {
     Started,
-    Running,
+    Running(f64),
     /// The last one, with the load report that came along.
     Ended(Told, Option<Vec<f64>>),
 }
@@ -205,7 +205,7 @@
             let (word, load) = jobs::read(held, self.id, self.gauges);
             match word {
                 Word::Started => heard.push(Heard::Started),
-                Word::Running => heard.push(Heard::Running),
+                Word::Running(share) => heard.push(Heard::Running(share)),
                 Word::Unknown => {}
                 Word::Done(part) => {
                     self.over = true;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,6 +1,6 @@
 //! Every decision of stileroute: which executor gets which op, and what to do when that goes wrong.
 //!
-//! How to call it. A [`Dispatcher`] is one instance; it shares nothing with others and reads no clock.
+//! How to call it. A [`Dispatcher`] is one instance; it reads no clock, and knows of others what they tell.
 //! For an op, `arrive` opens an [`Op`], which the caller keeps until its last push has an outcome. Then
 //! three calls, each with the time now:
 //!   * `place`: where to send this op, or not yet, or never;
