Review: what the end of probes left behind, the carrier's waits, one bound for messages

One kind of task was left in an enum of one; the stand-in still answered probes; the longest message stood in two files; the tenant's header was copied for each op; rates of peers were collected to be summed. The carrier said that it never waits, but a send could: now a millisecond at most; a read that goes on failing no longer takes a core.

--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -281,11 +281,10 @@
         }
         let Asked { category, slots, memory, hint, .. } = *asked;
         let limits = pass.as_ref().map_or_else(Limits::default, |pass| pass.limits);
-        let named = self.gate.as_ref().and_then(|gate| gate.table().tenant_header.clone());
-        let named = named.filter(|_| !self.tenants.is_empty());
-        let tenant = named.and_then(|name| job.header(&name).map(str::to_string));
+        let named = self.gate.as_ref().and_then(|gate| gate.table().tenant_header.as_deref());
+        let tenant = named.and_then(|name| job.header(name));
         // Whose tenant is not among those of the settings has no share to be held to.
-        let tenant = self.tenants.iter().position(|own| Some(own) == tenant.as_ref()).unwrap_or(usize::MAX);
+        let tenant = self.tenants.iter().position(|own| Some(own.as_str()) == tenant).unwrap_or(usize::MAX);
         let about = job.path().rsplit('/').next().filter(|about| self.set_up_by_path && !about.is_empty());
         let key = about.map_or(0, mark);
         let ask = Ask { category, slots, memory, hint, deadline, limits, tenant, key };
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -12,7 +12,11 @@
 
 /// What a connection is to carry next.
 pub struct Task {
-    pub work: Work,
+    pub ticket: u64,
+    pub push: usize,
+    pub job: Arc<dyn Job>,
+    /// A repeat is not harmless.
+    pub wary: bool,
     pub to: SocketAddr,
     /// When the time of the op is out.
     pub until: Instant,
@@ -22,11 +26,6 @@
     pub connect: Option<Duration>,
 }
 
-pub enum Work {
-    /// `wary`: a repeat is not harmless.
-    Push { ticket: u64, push: usize, job: Arc<dyn Job>, wary: bool },
-}
-
 /// What the desk holds of a connection, to end it from outside.
 #[derive(Default)]
 pub struct Link {
@@ -105,9 +104,7 @@
         to = task.to.to_string();
         let mut carried =
             Carried { number, task: &task, link, shared, code: "closed", told: false, used: false };
-        let keep = match &task.work {
-            Work::Push { job, wary, .. } => carried.push(&**job, *wary, &mut stream),
-        };
+        let keep = carried.push(&*task.job, task.wary, &mut stream);
         let code = carried.code;
         drop(task);
         if !keep {
@@ -233,7 +230,7 @@
         held: &mut Option<Arc<TcpStream>>,
     ) -> bool {
         let (task, shared) = (self.task, self.shared);
-        let Work::Push { ticket, push, .. } = task.work;
+        let (ticket, push) = (task.ticket, task.push);
         let (mut chunk, mut ended, mut silent) = ([0; super::CHUNK], None, true);
         let mut input = &*stream;
         loop {
@@ -303,7 +300,7 @@
 
     fn tell(&mut self, how: How, load: Option<Vec<f64>>) {
         self.told = true;
-        let Work::Push { ticket, push, .. } = self.task.work;
+        let (ticket, push) = (self.task.ticket, self.task.push);
         let _ = self.shared.desk.send(Event::Ended { ticket, push, how, load });
     }
 }
--- a/node/src/drive/outlet.rs
+++ b/node/src/drive/outlet.rs
@@ -1,6 +1,6 @@
 //! The executors that speak the platform's HTTP: which connection carries a push, and the threads behind them.
 
-use super::executors::{self, Executors, Link, Task, Work};
+use super::executors::{self, Executors, Link, Task};
 use super::lines::{Line, Lines};
 use crate::life::spawn;
 use crate::port::{self, Outlet};
@@ -49,8 +49,8 @@
 impl Outlet for Http {
     fn push(&mut self, executor: usize, to: SocketAddr, push: port::Push) -> Option<Arc<dyn port::Link>> {
         let port::Push { ticket, push, job, wary, anew, until, leave_by, connect } = push;
-        let work = Work::Push { ticket, push, job, wary };
-        let link = self.give(executor, Task { work, to, until, leave_by, connect }, anew)?;
+        let link =
+            self.give(executor, Task { ticket, push, job, wary, to, until, leave_by, connect }, anew)?;
         Some(link)
     }
 
--- a/node/src/drive/peers.rs
+++ b/node/src/drive/peers.rs
@@ -8,10 +8,14 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
+use stileroute::peers::LONGEST;
 use stileroute::tariff::Letter;
 
-/// The longest message.
-const LONGEST: usize = 256;
+/// The longest that the desk may be held up by a message that finds no room on its way out.
+const MOST: Duration = Duration::from_millis(1);
+/// After a failed read, so that one that goes on failing takes no core.
+const PAUSE: Duration = Duration::from_millis(10);
 
 /// The carrier of a node's messages.
 pub struct Peers {
@@ -25,7 +29,9 @@
 
 impl Peers {
     pub fn open(me: usize, nodes: &[SocketAddr]) -> Result<Peers, String> {
-        let socket = UdpSocket::bind(nodes[me]).map_err(|error| format!("peers.nodes[{me}]: {error}"))?;
+        let socket = UdpSocket::bind(nodes[me])
+            .and_then(|socket| socket.set_write_timeout(Some(MOST)).map(|()| socket))
+            .map_err(|error| format!("peers.nodes[{me}]: {error}"))?;
         Ok(Peers { socket, me, nodes: nodes.to_vec(), dropped: Arc::default() })
     }
 
@@ -36,7 +42,10 @@
         Ok(move |desk: Sender<Event>| {
             let mut bytes = [0; LONGEST + 1];
             loop {
-                let Ok((length, from)) = socket.recv_from(&mut bytes) else { continue };
+                let Ok((length, from)) = socket.recv_from(&mut bytes) else {
+                    std::thread::sleep(PAUSE);
+                    continue;
+                };
                 let from = nodes.iter().position(|node| *node == from).filter(|_| length <= LONGEST);
                 let event = from.map(|from| Event::Heard { from, text: bytes[..length].to_vec() });
                 match event.map(|event| desk.try_send(event)) {
@@ -52,7 +61,7 @@
 }
 
 impl Carrier for Peers {
-    /// One that can't leave at once is dropped.
+    /// One that can't leave by then is dropped.
     fn send(&self, letter: &Letter) {
         for (number, node) in self.nodes.iter().enumerate() {
             if number != self.me && letter.to.is_none_or(|to| to == number) {
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -105,7 +105,7 @@
     fn keep_back(&self);
 }
 
-/// What carries messages to other nodes. It never waits.
+/// What carries messages to other nodes. It drops what would make the desk wait.
 pub trait Carrier {
     fn send(&self, letter: &Letter);
     /// Messages of others that were dropped before they came to the desk.
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -45,7 +45,6 @@
 pub struct Fleet {
     pub pushes: Mutex<Vec<Push>>,
     pub connections: AtomicUsize,
-    pub probes: AtomicUsize,
     /// Pushes met with silence whose connection the node has ended.
     pub given_up: AtomicUsize,
 }
@@ -72,13 +71,6 @@
         let connection = self.connections.fetch_add(1, Ordering::SeqCst);
         stream.set_nodelay(true).unwrap();
         while let Some((head, body)) = read_message(&mut stream) {
-            if head.starts_with("GET /-/load ") {
-                self.probes.fetch_add(1, Ordering::SeqCst);
-                let load = "TEXT busy=0.25, x0=3";
-                let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{load}", load.len());
-                stream.write_all(text.as_bytes()).unwrap();
-                continue;
-            }
             let number = {
                 let mut pushes = self.pushes.lock().unwrap();
                 pushes.push(Push { executor, connection, text: format!("{head}{body}") });
--- a/src/peers.rs
+++ b/src/peers.rs
@@ -9,7 +9,8 @@
 use std::collections::BTreeMap;
 
 const VERSION: u8 = 1;
-const LONGEST: usize = 256;
+/// The longest message.
+pub const LONGEST: usize = 256;
 const BARRED: u8 = 128;
 /// Rates are told so often.
 const RATES: Time = 2 * SECOND;
@@ -151,9 +152,9 @@
 
     /// A tenant's rate over all instances, as far as this one and its peers tell; none where nobody told.
     pub fn rate(&self, tenant: usize, own: f64) -> Option<f64> {
-        let told: Vec<f64> = self.peers.values().filter_map(|p| p.rates.get(tenant)).copied().collect();
-        let mean = (own + told.iter().sum::<f64>()) / (1 + told.len()) as f64;
-        (!told.is_empty()).then_some(mean * self.nodes as f64)
+        let told = self.peers.values().filter_map(|peer| peer.rates.get(tenant));
+        let (sum, count) = told.fold((own, 1), |(sum, count), rate| (sum + rate, count + 1));
+        (count > 1).then_some(sum / f64::from(count) * self.nodes as f64)
     }
 }
 
