--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,6 +93,7 @@
     /// Ops a second within each tenant's share, and as they come here.
     quotas: Vec<f64>,
     rates: Vec<f64>,
+    faded: Time,
     /// Part of its part of the fleet that is held.
     used: f64,
     target_use: f64,
@@ -251,9 +252,9 @@
     /// Opens an op. `hint` is its expected work, where one is given.
     pub fn arrive(&mut self, now: Time, ask: Ask) -> Op {
         let mut surplus = false;
+        self.fade(now);
         if let Some(last) = self.last_arrival {
             let gap = (now - last) as f64;
-            self.rates.iter_mut().for_each(|rate| *rate *= (-gap / RATE_SPAN).exp());
             let gain = if self.arrival_gap == 0.0 { 1.0 } else { SMOOTH / 4.0 };
             self.arrival_gap += gain * (gap - self.arrival_gap);
             self.arrival_square += gain * (gap * gap - self.arrival_square);
@@ -378,6 +379,7 @@
         }
         let gone = self.peers.forget(now);
         self.take_in(now, gone);
+        self.fade(now);
         self.tell(now);
         observe
     }
@@ -416,6 +418,12 @@
         }
     }
 
+    /// Tenants' rates fade while nothing comes too: peers would go on counting what was.
+    fn fade(&mut self, now: Time) {
+        let gap = (now - std::mem::replace(&mut self.faded, now)) as f64;
+        self.rates.iter_mut().for_each(|rate| *rate *= (-gap / RATE_SPAN).exp());
+    }
+
     /// The part of a tenant's ops that is within its share, as far as this instance and its peers see.
     fn within(&self, tenant: usize) -> f64 {
         let all = self.peers.rate(tenant, self.rates[tenant]).filter(|_| self.terms.surplus < 1.0);
@@ -470,9 +478,8 @@
         let active = self.executors.iter().filter(|e| e.active && e.mine);
         let held: f64 = active.clone().map(|e| e.own() + e.usual.max(0.0)).sum();
         let slots = active.clone().map(|e| self.slots[e.kind]).sum::<f64>().max(1.0);
-        let used = held / slots;
         self.used = active.map(|e| e.own() + e.told).sum::<f64>() / slots;
-        self.target_use += SMOOTH * (used.clamp(LEAST_USE, MOST_USE) - self.target_use);
+        self.target_use += SMOOTH * ((held / slots).clamp(LEAST_USE, MOST_USE) - self.target_use);
         let rates: Vec<f64> = self.executors.iter().map(|e| self.rate(now, e)).collect();
         let spreads: Vec<f64> =
             self.executors.iter().map(|e| (e.spread.exp() - 1.0).clamp(0.1, 4.0)).collect();
@@ -604,8 +611,8 @@
             // that stands empty in a busy fleet and has not served lately: it may fail all that it gets.
             let empty = e.others + e.own() < 0.5 && self.usual * self.slots[e.kind] > HOLLOW;
             let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
-            let doubtful = e.trial || (empty && old && now - e.acked > 5 * SECOND);
-            let doubtful = doubtful || e.missed[op.category] > 0;
+            let hollow = empty && old && now - e.acked > 5 * SECOND;
+            let doubtful = e.trial || hollow || e.missed[op.category] > 0;
             let risky =
                 if self.effect(op) == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -785,6 +785,19 @@
     }
 }
 
+#[test]
+fn a_node_that_gets_nothing_any_more_tells_no_rate() {
+    let (mut desk, _) = pair(2, 4);
+    (0..100).for_each(|n| _ = serve(&mut desk, n * 100 * MS, 0, MS));
+    for (now, wanted) in [(11 * SECOND, true), (60 * SECOND, false)] {
+        desk.letters.clear();
+        desk.upkeep(now);
+        let text = &desk.letters[0].text;
+        assert_eq!(text[1], 2, "rates are told");
+        assert_eq!(u16::from_le_bytes([text[2], text[3]]) > 50, wanted, "at {now}: {text:?}");
+    }
+}
+
 #[test]
 fn peers_shun_who_one_of_them_saw_fail_a_category_and_come_back_later() {
     let (mut one, mut two) = pair(2, 2);
