An address for operators: ready, and figures counted where things happen

Without admin_addr no thread, descriptor or allocation. Tests: a call wherever it is split; figures against what clients and stand-ins saw; 40 silent callers before each call.

--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -5,13 +5,15 @@
 mod queue;
 
 use crate::life::start::Start;
-use crate::port::{Answer, Asked, Carrier, Event, Fate, Front, How, Job, Link, List, Outlet, Push};
+use crate::port::{Asked, Carrier, Event, Fate, Front, How, Job, Link, List, Outlet, Owed, Push};
 use crate::say;
+use crate::store::figures::Figures;
 use crate::store::indices::Indices;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use ops::{Held, Ops, Out};
 use queue::{Queue, Waiting};
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute::choice::{Dispatcher, UPKEEP};
@@ -73,6 +75,9 @@
     kinds: Indices,
     /// Address of each executor, and whether it is listed as active.
     addresses: Vec<(Option<SocketAddr>, bool)>,
+    /// Which executors are in the list, and what operators read of it, if any do.
+    listed: Vec<bool>,
+    figures: Option<Arc<Figures>>,
     version: i64,
     ask: Sender<()>,
     upkeep: Time,
@@ -96,6 +101,7 @@
         ask: Sender<()>,
         routes: Option<Arc<Table>>,
         peers: Option<Box<dyn Carrier>>,
+        figures: Option<Arc<Figures>>,
     ) -> Desk {
         let clock = Clock::new();
         let mut desk = Desk {
@@ -108,6 +114,8 @@
             domains: Indices::of(&start.domains),
             kinds: Indices::of(&start.kinds),
             addresses: Vec::new(),
+            listed: Vec::new(),
+            figures,
             version: -1,
             ask,
             upkeep: clock.now(),
@@ -202,7 +210,7 @@
         job: Arc<dyn Job>,
         asked: &Asked,
         came: Instant,
-        reply: Sender<Answer>,
+        reply: Owed,
     ) {
         let came = self.clock.at(came);
         let Some(gate) = &mut self.gate else {
@@ -226,15 +234,14 @@
     }
 
     /// An op that has no place, and never will have: nothing of it was pushed.
-    fn turn_away(&self, ticket: u64, job: &dyn Job, reply: Sender<Answer>, came: Time, back: Time) {
+    fn turn_away(&self, ticket: u64, job: &dyn Job, reply: Owed, came: Time, back: Time) {
         let come_back = back.min(self.come_back);
         let now = self.clock.now();
         let (id, took_ms) = (job.id(), (now - came) as f64 / 10.0);
         let back_ms = come_back as f64 / 10.0;
         say!(op { op = id, code = "no-place", took_ms, come_back_ms = back_ms } "op {ticket} nacked: no place");
         let until = self.clock.instant(now + SECOND);
-        let fate = Fate::Nacked { why: "nacked: no place in hand", come_back };
-        let _ = reply.try_send(Answer { fate, until });
+        reply.give(Fate::Nacked { why: "nacked: no place in hand", come_back }, until);
     }
 
     /// Ops that have a place now are asked of the module; those whose wait is over are turned away.
@@ -268,7 +275,7 @@
         job: Arc<dyn Job>,
         asked: &Asked,
         came: Time,
-        reply: Sender<Answer>,
+        reply: Owed,
         pass: Option<Box<Pass>>,
     ) {
         let mut deadline = came + asked.budget;
@@ -387,8 +394,7 @@
     /// Gives the client its answer, if it still waits for one.
     fn answer(&self, held: &mut Held, fate: Fate) {
         if let Some(reply) = held.reply.take() {
-            let until = self.clock.instant(held.op.deadline);
-            let _ = reply.try_send(Answer { fate, until });
+            reply.give(fate, self.clock.instant(held.op.deadline));
         }
     }
 
@@ -440,11 +446,14 @@
         }
         if list.whole {
             self.addresses.iter_mut().for_each(|executor| executor.1 = false);
+            self.listed.fill(false);
         }
         let mut lines = Vec::with_capacity(list.entries.len());
         for entry in &list.entries {
             let executor = self.names.index(&entry.name);
             self.addresses.resize(self.addresses.len().max(executor + 1), (None, false));
+            self.listed.resize(self.addresses.len(), false);
+            self.listed[executor] = entry.listed;
             let before = &mut self.addresses[executor];
             if entry.address.is_some() && entry.address != before.0 {
                 self.outlet.leave(executor, "unlisted");
@@ -468,11 +477,21 @@
             }
         }
         self.dispatcher.list(now, list.whole, &lines);
+        self.publish(now);
         if self.ending.is_none() && self.addresses.iter().any(|executor| executor.1) {
             self.front.ready(true);
         }
     }
 
+    /// What operators read of the executors.
+    fn publish(&self, now: Time) {
+        let Some(figures) = &self.figures else { return };
+        let avoided = |executor: &usize| self.listed[*executor] && self.dispatcher.avoids(now, *executor);
+        let listed = self.listed.iter().filter(|listed| **listed).count();
+        figures.listed.store(listed, Ordering::Relaxed);
+        figures.avoided.store((0..self.listed.len()).filter(avoided).count(), Ordering::Relaxed);
+    }
+
     /// Whatever has come due.
     fn look_after(&mut self) {
         let now = self.clock.now();
@@ -488,6 +507,7 @@
         if now >= self.upkeep {
             self.upkeep = now + UPKEEP;
             self.outlet.retire();
+            self.publish(now);
             if self.dispatcher.upkeep(now) {
                 let _ = self.ask.try_send(());
             }
--- a/node/src/desk/ops.rs
+++ b/node/src/desk/ops.rs
@@ -1,7 +1,6 @@
 //! The ops in hand, and when to look at which of them again.
 
-use crate::port::{Answer, Job, Link};
-use crossbeam_channel::Sender;
+use crate::port::{Job, Link, Owed};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use stileroute::tariff::{Op, Outcome, Time};
@@ -11,7 +10,7 @@
 pub struct Held {
     pub op: Op,
     /// The client, until it has its answer or is gone.
-    pub reply: Option<Sender<Answer>>,
+    pub reply: Option<Owed>,
     pub job: Arc<dyn Job>,
     /// Its pushes by number.
     pub pushes: Vec<Out>,
--- a/node/src/desk/queue.rs
+++ b/node/src/desk/queue.rs
@@ -1,7 +1,6 @@
 //! Ops that wait for a place in hand: they are taken, and not yet asked of the module.
 
-use crate::port::{Answer, Asked, Job};
-use crossbeam_channel::Sender;
+use crate::port::{Asked, Job, Owed};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
 use stileroute::tariff::Time;
@@ -11,7 +10,7 @@
     pub job: Arc<dyn Job>,
     pub asked: Asked,
     pub came: Time,
-    pub reply: Sender<Answer>,
+    pub reply: Owed,
     pub pass: Box<Pass>,
     pub until: Time,
 }
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -3,8 +3,9 @@
 use crate::life::budget::Budget;
 use crate::life::spawn;
 use crate::life::start::Door;
-use crate::port::{Answer, Asked, Event, Fate, Front};
+use crate::port::{Answer, Asked, Event, Fate, Front, Owed};
 use crate::say;
+use crate::store::figures::{Ended, Figures};
 use crate::store::ids::Ids;
 use crate::store::pool::{Bytes, Pool};
 use crate::store::seats::{Seat, Seats};
@@ -22,6 +23,8 @@
 /// An answer on its way to a client.
 pub struct Reply {
     pub status: u16,
+    /// Of the op that it ends, if it does end one.
+    pub category: Option<usize>,
     pub body: Body,
     pub come_back: Time,
     /// When no one waits for it any more.
@@ -52,7 +55,7 @@
                 (status, Body::Text(format!("refused by an executor: status {status}\n")), 0)
             }
         };
-        Reply { status, body, come_back, until: answer.until }
+        Reply { status, category: Some(answer.category), body, come_back, until: answer.until }
     }
 }
 
@@ -89,6 +92,7 @@
     /// The node is about to end: clients are steered off.
     pub steer: AtomicBool,
     pub numbers: AtomicU64,
+    pub figures: Option<Arc<Figures>>,
     /// Headers that routes look at; none where there are no routes.
     pub wanted: Option<RwLock<Arc<Vec<String>>>>,
 }
@@ -139,9 +143,11 @@
         let _ = stream.set_read_timeout(Some(BRIEF / 20));
         let _ = stream.set_write_timeout(Some(BRIEF / 20));
         while let Ok(read @ 1..) = stream.read(&mut chunk) {
-            if !matches!(inbox.feed(&chunk[..read]), Ok(None)) {
-                let _ = stream.write_all(answer_head(503, 0, 0, true).as_bytes());
-                return;
+            let fed = inbox.feed(&chunk[..read]);
+            if !matches!(fed, Ok(None)) {
+                let sent = stream.write_all(answer_head(503, 0, 0, true).as_bytes());
+                let asked = fed.ok().flatten().and_then(|request| self.door.check(&request).ok());
+                return self.count(asked.filter(|_| sent.is_ok()).map(|asked| asked.category), 503);
             }
         }
     }
@@ -262,6 +268,7 @@
             });
         }
         let asked = self.door.check(&request).map_err(|fault| own(fault.status, &fault.why))?;
+        let own = |status, text: &str| Reply { category: Some(asked.category), ..own(status, text) };
         let id = request.id.as_deref().unwrap_or_default();
         let Some(entry) = self.ids.enter(id) else {
             return Err(own(409, &format!("{}: is open here already", names::CALL_ID)));
@@ -279,7 +286,8 @@
             })?),
         };
         let ticket = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let reply = pen.replies.clone();
+        let _in_hand = self.figures.as_ref().map(Figures::take_in_hand);
+        let reply = Owed { to: pen.replies.clone(), category: asked.category, _in_hand };
         let job = Arc::new(request);
         let sent = self.desk.send(Event::Asked { ticket, job, asked, came, reply });
         sent.map(|()| ticket).map_err(|_| own(503, "the node has ended"))
@@ -319,6 +327,9 @@
         let _ = seat.stream.set_write_timeout(Some(left));
         let mut out = &seat.stream;
         let sent = out.write_all(head.as_bytes()).and_then(|()| out.write_all(body));
+        if sent.is_ok() {
+            self.count(reply.category, reply.status);
+        }
         if sent.is_err() {
             seat.end("unwritten");
         } else if close {
@@ -330,6 +341,18 @@
         sent.is_ok() && !close
     }
 
+    /// An op has its answer.
+    fn count(&self, category: Option<usize>, status: u16) {
+        if let (Some(figures), Some(category)) = (&self.figures, category) {
+            let how = match status {
+                200 => Ended::Acked,
+                503 => Ended::Nacked,
+                _ => Ended::Failed,
+            };
+            figures.ended(category, how);
+        }
+    }
+
     /// Answers what can't be taken; nothing more is read as a request here.
     fn refuse(&self, seat: &Seat, fault: Fault, code: &'static str) -> &'static str {
         seat.set_last();
@@ -360,7 +383,7 @@
 /// An answer that the node gives without the desk.
 fn own(status: u16, text: &str) -> Reply {
     let body = Body::Text(format!("{text}\n"));
-    Reply { status, body, come_back: 0, until: Instant::now() + BRIEF }
+    Reply { status, category: None, body, come_back: 0, until: Instant::now() + BRIEF }
 }
 
 /// The longest budget that is believed.
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -2,6 +2,7 @@
 
 use crate::port::{self, Event, How, Job};
 use crate::say;
+use crate::store::figures::Figures;
 use crate::store::pool::Pool;
 use crate::wire::push::{push_head, Answer, Heard, Told};
 use crossbeam_channel::{Receiver, Sender};
@@ -90,6 +91,7 @@
     pub desk: Sender<Event>,
     pub pool: Arc<Pool>,
     pub gauges: Arc<Vec<String>>,
+    pub figures: Option<Arc<Figures>>,
     pub dial: Duration,
 }
 
@@ -166,6 +168,9 @@
             }
             sent = sent.and_then(|()| out.write_all(last));
         }
+        if let Some(figures) = self.shared.figures.as_ref().filter(|_| sent.is_ok()) {
+            figures.pushed();
+        }
         sent.map_err(|_| {
             self.code = if self.link.off() { "called-off" } else { "unwritten" };
             How::Cut { used: self.used }
--- a/node/src/drive/listener.rs
+++ b/node/src/drive/listener.rs
@@ -11,7 +11,7 @@
 }
 
 /// A pause after a failed accept: without descriptors the next would fail at once, and spin.
-const PAUSE: Duration = Duration::from_millis(10);
+pub const PAUSE: Duration = Duration::from_millis(10);
 
 /// Accepts until the process ends.
 pub fn run(listener: TcpListener, clients: Arc<Clients>) {
--- a/node/src/drive/mod.rs
+++ b/node/src/drive/mod.rs
@@ -1,5 +1,6 @@
 //! The thin driver: threads that read and write sockets and tell the desk.
 
+pub mod calls;
 pub mod clients;
 pub mod directory;
 pub mod executors;
--- a/node/src/life/budget.rs
+++ b/node/src/life/budget.rs
@@ -16,6 +16,9 @@
 const KEPT: usize = 12;
 /// Of so many descriptors one more is kept: the more connections there are, the more end at once.
 const KEPT_OF: usize = 64;
+/// Operators' callers that have a place at once, and those beside them that are just leaving.
+pub const CALLERS: usize = 8;
+pub const LEAVING: usize = 4;
 /// What a thread may cost in memory: its stack as far as it is used.
 const STACK: usize = 24 * 1024;
 /// What a request in hand may cost: buffers for itself and its answer, a reader, a writer, a push.
@@ -25,10 +28,11 @@
 impl Budget {
     /// Clients' requests get a third of the descriptors at most. Each needs a connection to an executor too; a
     /// few more of these end, probe or are idle. The rest is for clients that have nothing in hand, whom a
-    /// crowd of silent ones must not keep out.
-    pub fn split(sockets: usize, memory_mb: usize) -> Result<Budget, String> {
+    /// crowd of silent ones must not keep out. `operators`: they have an address of their own.
+    pub fn split(sockets: usize, memory_mb: usize, operators: bool) -> Result<Budget, String> {
         let bytes = memory_mb << 20;
-        let free = sockets.saturating_sub(KEPT + sockets / KEPT_OF);
+        let operators = if operators { 1 + CALLERS + LEAVING } else { 0 };
+        let free = sockets.saturating_sub(KEPT + sockets / KEPT_OF + operators);
         let requests = (free / 3).min(bytes / 100 * 55 / REQUEST);
         let executors = requests + requests / 8;
         let others = free.saturating_sub(requests + executors).min(bytes / 5 / STRANGER);
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -14,6 +14,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub operators: Option<SocketAddr>,
     pub seed: u64,
     pub budget: Budget,
     pub known: List,
@@ -25,6 +27,7 @@
     /// Executors set up for what the last part of an op's path names, and keep that a while.
     pub set_up_by_path: bool,
     pub door: Door,
+    pub categories: Vec<String>,
     pub domains: Vec<String>,
     pub kinds: Vec<String>,
     pub gauges: Vec<String>,
@@ -58,6 +61,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    admin_addr: Option<String>,
     seed: Option<String>,
     #[serde(default)]
     limits: Limits,
@@ -144,6 +148,14 @@
         value.parse::<SocketAddr>().map_err(|_| format!("{key}: not an address with a port: {value}"))
     };
     let listen = address("BALANCER_LISTEN", "listen", file.listen, false)?;
+    let operators = match (var("BALANCER_ADMIN_ADDR"), &file.admin_addr) {
+        (None, None) => None,
+        _ => Some(address("BALANCER_ADMIN_ADDR", "admin_addr", file.admin_addr, false)?),
+    };
+    // Ports that are drawn differ.
+    if operators.is_some_and(|at| at == listen && at.port() != 0) {
+        return Err(format!("admin_addr: {listen} is the address of 'listen'"));
+    }
     let discovery = address("BALANCER_DISCOVERY", "discovery", file.discovery, again)?;
     let seed = match &file.seed {
         Some(text) => u64::from_str_radix(text, 16).map_err(|_| format!("seed: not hex digits: {text}"))?,
@@ -181,13 +193,15 @@
         name: var("BALANCER_NAME").or(file.name).unwrap_or_else(|| "stileroute".to_string()),
         listen,
         discovery,
+        operators,
         seed,
-        budget: Budget::split(file.limits.sockets, file.limits.memory_mb)?,
+        budget: Budget::split(file.limits.sockets, file.limits.memory_mb, operators.is_some())?,
         known: file.known.unwrap_or(List { index: -1, whole: true, endpoints: Vec::new() }),
         peers,
         tenants: posted.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
         set_up_by_path: file.set_up_by_path,
         door: Door { categories, come_back: tariff.terms.come_back.min(COME_BACK) },
+        categories: posted.categories(),
         domains: posted.failure_domains.clone(),
         kinds: posted.shapes.clone(),
         gauges: posted.gauges(),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,6 +13,7 @@
 use clap::Parser;
 use crossbeam_channel::bounded;
 use desk::Desk;
+use drive::calls::Calls;
 use drive::clients::Clients;
 use drive::directory::Post;
 use drive::executors::Executors;
@@ -23,8 +24,9 @@
 use life::{operator, signals, spawn, start};
 use port::{Carrier, Event};
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, RwLock};
+use store::figures::Figures;
 use store::pool::Pool;
 use store::seats::Seats;
 
@@ -46,10 +48,12 @@
     life::log::open(json).map_err(|error| format!("threads: {error}"))?;
     let (tell, events) = bounded::<Event>(EVENTS);
     let (ask, asked) = bounded(1);
+    let figures = start.operators.map(|_| Figures::new(&start.categories));
     let executors = Arc::new(Executors {
         desk: tell.clone(),
         pool: Pool::new(budget.executors),
         gauges: Arc::new(start.gauges.clone()),
+        figures: figures.clone(),
         dial: start.dial,
     });
     let clients = Arc::new(Clients {
@@ -62,6 +66,7 @@
         ready: AtomicBool::new(false),
         steer: AtomicBool::new(false),
         numbers: AtomicU64::new(1),
+        figures: figures.clone(),
         wanted: routes.as_ref().map(|routes| RwLock::new(Arc::new(routes.headers.clone()))),
     });
     let outlet = Http::new(executors, budget.executors, start.keep_idle);
@@ -84,9 +89,17 @@
         }
         None => None,
     };
-    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers);
+    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, figures.clone());
+    let mut calls = None;
+    if let (Some(at), Some(figures)) = (start.operators, figures) {
+        let own = clients.clone();
+        calls = Some(Calls::new(figures, move || own.ready.load(Ordering::Relaxed)).open(at)?);
+    }
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
+    if let Some(at) = calls {
+        say!("operators call at {at}");
+    }
     desk.run(&events);
     say!("{} ended", start.name);
     Ok(())
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -2,6 +2,7 @@
 //! words. A front is where ops come from, an outlet where pushes go; the desk holds both without knowing which
 //! protocol they speak, and they know the desk only by its events.
 
+use crate::store::figures::InHand;
 use crate::store::pool::Bytes;
 use crossbeam_channel::Sender;
 use std::net::SocketAddr;
@@ -37,9 +38,24 @@
     pub budget: Time,
 }
 
+/// The answer that is owed to a client; its op is in hand until this is dropped.
+pub struct Owed {
+    pub to: Sender<Answer>,
+    pub category: usize,
+    pub _in_hand: Option<InHand>,
+}
+
+impl Owed {
+    /// Gives it; whoever is gone gets none.
+    pub fn give(self, fate: Fate, until: Instant) {
+        let _ = self.to.try_send(Answer { fate, category: self.category, until });
+    }
+}
+
 /// The final answer to an op.
 pub struct Answer {
     pub fate: Fate,
+    pub category: usize,
     /// When no one waits for it any more.
     pub until: Instant,
 }
@@ -151,6 +167,8 @@
     pub domain: String,
     pub kind: String,
     pub cell: usize,
+    /// It is still in the list, whether or not it takes new work.
+    pub listed: bool,
     /// It takes new work.
     pub active: bool,
     pub weight: f64,
@@ -165,7 +183,7 @@
         job: Arc<dyn Job>,
         asked: Asked,
         came: Instant,
-        reply: Sender<Answer>,
+        reply: Owed,
     },
     Withdrawn {
         ticket: u64,
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -1,5 +1,6 @@
 //! What is kept in memory: clients' seats, buffers, ids, names.
 
+pub mod figures;
 pub mod ids;
 pub mod indices;
 pub mod pool;
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -8,6 +8,7 @@
 use crate::store::ids::Ids;
 use crate::store::pool::Pool;
 use crate::store::seats::{Seat, Seats};
+use crate::wire::call::{self, Call};
 use crate::wire::http::{Chunks, Garbled, Gather};
 use crate::wire::push::{push_head, Answer, Heard, Told};
 use crate::wire::serve::{answer_head, Inbox};
@@ -364,7 +365,7 @@
 #[test]
 fn descriptors_and_memory_are_split_within_the_limits() {
     for (sockets, memory) in [(1024, 192), (256, 32), (384, 48), (64, 192), (4096, 32), (100_000, 2048)] {
-        let budget = Budget::split(sockets, memory).unwrap();
+        let budget = Budget::split(sockets, memory, false).unwrap();
         assert!(budget.clients + budget.executors + 12 <= sockets, "{budget:?}");
         // Buffers of all connections, and the stacks of readers, writers and pushes as far as they are used.
         let threads = budget.clients + budget.requests + budget.executors;
@@ -373,9 +374,9 @@
         assert!(budget.requests * 3 <= sockets && budget.executors >= budget.requests, "{budget:?}");
         assert!(budget.clients >= budget.requests * 5 / 4, "no place for strangers: {budget:?}");
     }
-    assert!(Budget::split(256, 32).unwrap().requests >= 78);
+    assert!(Budget::split(256, 32, false).unwrap().requests >= 78);
     for (sockets, memory) in [(0, 192), (20, 192), (1024, 0)] {
-        assert!(Budget::split(sockets, memory).unwrap_err().starts_with("limits"));
+        assert!(Budget::split(sockets, memory, false).unwrap_err().starts_with("limits"));
     }
 }
 
@@ -405,6 +406,7 @@
         ("\"overload-factor\":2,", "", "settings.rules"),
         ("\"balancers\":2", "\"balancers\":\"two\"", "settings.balancers"),
         ("\"seed\"", "\"limits\":{\"sockets\":5},\"seed\"", "limits"),
+        ("\"seed\"", "\"admin_addr\":\"x\",\"seed\"", "admin_addr"),
         ("\"seed\"", "\"known\":{\"index\":\"x\"},\"seed\"", "known.index"),
         ("{\"discovery\"", "\"discovery\"", "expected"),
     ];
@@ -414,6 +416,11 @@
         let error = read(&text).map(|_| ()).unwrap_err();
         assert!(error.contains(key) && !error.contains('\n'), "{key}: {error}");
     }
+    let twice = |name: &str| {
+        let own = ["BALANCER_LISTEN", "BALANCER_ADMIN_ADDR"].contains(&name);
+        own.then(|| "127.0.0.1:2".to_string())
+    };
+    assert!(start::check(&good, twice, false).map(|_| ()).unwrap_err().contains("admin_addr"));
     assert!(start::read(|_| None).map(|_| ()).unwrap_err().contains("BALANCER_CONFIG"));
 }
 
@@ -491,6 +498,38 @@
     seats.room(1);
 }
 
+#[test]
+fn an_operators_call_is_read_wherever_it_is_split() {
+    let whole = |head: &str| format!("{head}\r\nHost: n\r\n\r\n");
+    let body = |length: usize, given: usize| {
+        format!("GET /ready HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{}", "x".repeat(given))
+    };
+    let cases: [(String, Result<Option<Call>, u16>); 13] = [
+        (whole("GET /ready HTTP/1.1"), Ok(Some(Call::Ready))),
+        (whole("GET /ready?now=1 HTTP/1.0"), Ok(Some(Call::Ready))),
+        (whole("GET /metrics HTTP/1.1"), Ok(Some(Call::Figures))),
+        (whole("PUT /metrics HTTP/1.1"), Err(405)),
+        (whole("GET /metric HTTP/1.1"), Err(404)),
+        (whole("POST /api/k HTTP/1.1"), Err(404)),
+        ("GET /ready HTTP/1.1\r\nHos".to_string(), Ok(None)),
+        (body(3, 2), Ok(None)),
+        (body(3, 3), Ok(Some(Call::Ready))),
+        (body(5000, 10), Err(413)),
+        ("nonsense\r\n\r\n".to_string(), Err(400)),
+        ("GET /ready HTTP/1.1\nHost: n\r\n\r\n".to_string(), Err(400)),
+        (format!("GET /ready HTTP/1.1\r\nX: {}", "x".repeat(5000)), Err(431)),
+    ];
+    for (text, expected) in cases {
+        for at in [0, 1, text.len() / 2, text.len() - 1] {
+            let mut inbox = call::Inbox::default();
+            let first = inbox.feed(&text.as_bytes()[..at]);
+            let read = first.and_then(|_| inbox.feed(&text.as_bytes()[at..]));
+            assert_eq!(read.map_err(|fault| fault.status), expected, "{text:.60} split at {at}");
+        }
+    }
+    assert!(call::answer(405, "PUT is not for /ready, only GET\n").contains("\r\nAllow: GET\r\n\r\nPUT"));
+}
+
 #[test]
 fn an_id_is_open_once_at_a_time() {
     let ids = Arc::new(Ids::default());
--- /dev/null
+++ b/node/src/wire/call.rs
@@ -0,0 +1,77 @@
+//! An operator's call: the bytes of one connection become one call, and its answer becomes bytes.
+
+use super::http::{self, framing, Framing, HEADERS};
+use super::names;
+use super::serve::{answer_head, Fault};
+
+/// What an operator may ask for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Call {
+    Ready,
+    Figures,
+}
+
+/// Longest call, with the body that none needs.
+const LONGEST: usize = 4 * 1024;
+
+/// Collects the bytes of one call.
+#[derive(Default)]
+pub struct Inbox {
+    held: Vec<u8>,
+}
+
+impl Inbox {
+    /// Takes bytes in; the call as soon as it is whole, or what is wrong with it.
+    pub fn feed(&mut self, bytes: &[u8]) -> Result<Option<Call>, Fault> {
+        let fault = |status, why: &str| Err(Fault { status, why: why.to_string() });
+        self.held.extend_from_slice(bytes);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let end = match head.parse(&self.held) {
+            Ok(httparse::Status::Complete(end)) => end,
+            Ok(httparse::Status::Partial) if self.held.len() > LONGEST => {
+                return fault(431, "head too large")
+            }
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(error) => return fault(400, &format!("not a request: {error}")),
+        };
+        if !http::lines_are_whole(&self.held[..end]) {
+            return fault(400, "a line does not end in CR LF");
+        }
+        let length = match framing(head.headers, head.version) {
+            Some(None) => 0,
+            Some(Some(Framing::Length(length))) if length <= LONGEST => length,
+            Some(Some(Framing::Length(_))) => return fault(413, "no call has a body"),
+            _ => return fault(400, "Content-Length or Transfer-Encoding is malformed"),
+        };
+        if self.held.len() < end + length {
+            return Ok(None);
+        }
+        let (method, path) = (head.method.unwrap_or_default(), head.path.unwrap_or_default());
+        read(method, path.split('?').next().unwrap_or_default()).map(Some)
+    }
+}
+
+fn read(method: &str, path: &str) -> Result<Call, Fault> {
+    let (call, allowed) = match path {
+        names::OPERATORS_READY => (Call::Ready, names::GET),
+        names::OPERATORS_FIGURES => (Call::Figures, names::GET),
+        _ => return Err(Fault { status: 404, why: format!("no such call: {path}") }),
+    };
+    if method != allowed {
+        return Err(Fault { status: 405, why: format!("{method} is not for {path}, only {allowed}") });
+    }
+    Ok(call)
+}
+
+/// The whole answer; there is one to a connection.
+pub fn answer(status: u16, text: &str) -> String {
+    let mut head = answer_head(status, text.len(), 0, true);
+    let mut add = |line: &str| head.insert_str(head.len() - 2, line);
+    add("Content-Type: text/plain; version=0.0.4\r\n");
+    if status == 405 {
+        let allowed = text.trim_end().rsplit(' ').next().unwrap_or_default();
+        add(&format!("Allow: {allowed}\r\n"));
+    }
+    head + text
+}
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,5 +1,6 @@
 //! What is spoken on the sockets: state machines that are fed bytes and know no socket.
 
+pub mod call;
 pub mod http;
 pub mod jobs;
 pub mod names;
--- a/node/src/wire/names.rs
+++ b/node/src/wire/names.rs
@@ -2,6 +2,9 @@
 
 pub const READY: &str = "/-/ready";
 pub const HEALTHY: &str = "/-/healthy";
+pub const OPERATORS_READY: &str = "/ready";
+pub const OPERATORS_FIGURES: &str = "/metrics";
+pub const GET: &str = "GET";
 pub const TARGETS: &str = "/api/targets";
 
 pub const CALL_ID: &str = "X-Call-Id";
@@ -24,6 +27,7 @@
 pub const JOB_LOST: &str = "lost";
 
 pub const ACTIVE: &str = "Ready";
+pub const GONE: &str = "Gone";
 
 /// What load reports call a gauge, and what the settings call it.
 const GAUGES: [(&str, &str); 7] = [
--- a/node/src/wire/targets.rs
+++ b/node/src/wire/targets.rs
@@ -49,6 +49,7 @@
                 domain: endpoint.zone.clone(),
                 kind: endpoint.kind.clone(),
                 cell: endpoint.cell,
+                listed: endpoint.status != names::GONE,
                 active: endpoint.active() && address.is_some(),
                 weight: endpoint.weight,
                 started: (endpoint.since_ms > 0).then(|| endpoint.since_ms * 10),
--- /dev/null
+++ b/node/tests/operating.rs
@@ -0,0 +1,162 @@
+//! The node in operation, as a process: the operators' address, its figures, and what operators do there.
+
+mod common;
+
+use common::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::Mutex;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use stileroute_rig::stand::{entries, nowhere, Act, Discovery, Fleet, NodeProcess, Signal};
+
+/// A node with an operators' address.
+fn operated(discovery: SocketAddr, known: &str, sockets: usize) -> (Node, SocketAddr) {
+    let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{known}]}}"#);
+    let text = format!(
+        r#"{{"name":"n","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":"{discovery}","limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
+    );
+    let process = NodeProcess::start(Path::new(env!("CARGO_BIN_EXE_stileroute")), &text, &[]).unwrap();
+    let node = Node { discovery, at: process.at, process };
+    let calls = calls_at(&node);
+    (node, calls)
+}
+
+fn calls_at(node: &Node) -> SocketAddr {
+    let mut at = None;
+    until("an address for operators", || {
+        let log = node.process.log.lock().unwrap();
+        at = log.iter().find_map(|line| line.strip_prefix("operators call at ")?.parse().ok());
+        at.is_some()
+    });
+    at.unwrap()
+}
+
+/// One call: status and body.
+fn call(at: SocketAddr, line: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(1))).unwrap();
+    stream.write_all(format!("{line} HTTP/1.1\r\nHost: n\r\n\r\n").as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap_or_else(|error| panic!("{line}: {error}"));
+    let (head, body) = text.split_once("\r\n\r\n").unwrap();
+    (head[9..12].parse().unwrap(), body.to_string())
+}
+
+fn figure(at: SocketAddr, name: &str) -> i64 {
+    let (status, text) = call(at, "GET /metrics");
+    assert_eq!(status, 200);
+    let line = text.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.unwrap_or_else(|| panic!("no {name} in {text}")).parse().unwrap()
+}
+
+/// What one of the clients saw: statuses by category, and how many left without an answer.
+type Seen = std::collections::BTreeMap<(&'static str, &'static str), i64>;
+
+#[test]
+fn the_figures_are_those_that_clients_and_executors_saw() {
+    let (fleet, addresses) = Fleet::start(3, |number| match number % 7 {
+        0 => FULL,
+        1 => ERROR,
+        2 => Act::Close,
+        3 => Act::Lines(60, &["{\"state\":\"started\"}\n{\"state\":\"done\",\"result\":\"r\"}\n"]),
+        _ => DONE,
+    });
+    let (_discovery, at) = Discovery::start(entries(&addresses));
+    let (node, calls) = operated(at, "", 64);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    let names = ["safe", "once", "marked"];
+    for name in names {
+        assert_eq!(figure(calls, &format!("svc_answered_total{{group=\"{name}\"}}")), 0);
+    }
+    // More at once than the node may have in hand, so that some are refused at the door; some leave at once.
+    let seen = Mutex::new(Seen::new());
+    std::thread::scope(|scope| {
+        for client in 0..20 {
+            let (seen, node) = (&seen, &node);
+            scope.spawn(move || {
+                let mut stream = node.client();
+                for round in 0..15 {
+                    let name = names[(client + round) % 3];
+                    if (client + round) % 11 == 0 {
+                        let mut leaves = node.client();
+                        leaves.write_all(request(name, 3000).as_bytes()).unwrap();
+                        *seen.lock().unwrap().entry(("left", name)).or_default() += 1;
+                    }
+                    stream.write_all(request(name, 3000).as_bytes()).unwrap();
+                    let (status, head, _) = hear(&mut stream);
+                    let what = match status {
+                        200 => "answered",
+                        503 => "deferred",
+                        _ => "errored",
+                    };
+                    *seen.lock().unwrap().entry((what, name)).or_default() += 1;
+                    if head.contains("Connection: close") {
+                        stream = node.client();
+                    }
+                }
+            });
+        }
+    });
+    until("nothing in hand", || figure(calls, "svc_current") == 0);
+    let seen = seen.lock().unwrap();
+    let count = |what, name| seen.get(&(what, name)).copied().unwrap_or(0);
+    for name in names {
+        for what in ["answered", "deferred", "errored"] {
+            let (told, true_count) =
+                (figure(calls, &format!("svc_{what}_total{{group=\"{name}\"}}")), count(what, name));
+            // What its client left may stand under any count or none.
+            let most = true_count + count("left", name);
+            assert!((true_count..=most).contains(&told), "{what} {name}: {told}, saw {true_count} to {most}");
+        }
+    }
+    assert!(count("errored", "once") > 0 && count("answered", "safe") > 0, "{seen:?}");
+    assert_eq!(figure(calls, "svc_sends_total"), fleet.count() as i64);
+    assert_eq!((figure(calls, "svc_cluster_size"), node.ready()), (3, 200));
+}
+
+#[test]
+fn calls_are_answered_beside_more_silent_callers_than_there_are_places() {
+    let (_fleet, addresses) = Fleet::start(1, |_| DONE);
+    let (_node, calls) = operated(nowhere(), &entries(&addresses), 64);
+    let mut held: Vec<TcpStream> = Vec::new();
+    for round in 0..5 {
+        for number in 0..40 {
+            let mut caller = TcpStream::connect(calls).unwrap();
+            if number % 2 == 0 {
+                caller.write_all(b"GET /metrics HTTP/1.1\r\nHos").unwrap();
+            }
+            held.push(caller);
+        }
+        for line in ["GET /ready", "GET /metrics"] {
+            let start = Instant::now();
+            assert_eq!(call(calls, line).0, 200);
+            assert!(start.elapsed() < Duration::from_secs(1), "round {round}: {:?}", start.elapsed());
+        }
+    }
+    // The latest few are still there, and one of them may go on with its call.
+    let mut last = held.pop().unwrap();
+    last.write_all(b"GET /ready HTTP/1.1\r\n\r\n").unwrap();
+    last.set_read_timeout(Some(WAIT)).unwrap();
+    let mut text = String::new();
+    last.read_to_string(&mut text).unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+}
+
+#[test]
+fn ready_is_yes_from_the_first_executor_to_the_signal() {
+    let (_fleet, addresses) = Fleet::start(1, |_| DONE);
+    let (discovery, at) = Discovery::start(String::new());
+    let (mut node, calls) = operated(at, "", 1024);
+    sleep(Duration::from_millis(100));
+    assert_eq!(call(calls, "GET /ready").0, 503);
+    discovery.tell(6, true, entries(&addresses));
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    // Neither address answers for the other.
+    assert_eq!((call(calls, "GET /-/ready").0, call(calls, "POST /api/k").0), (404, 404));
+    assert_eq!((call(node.at, "GET /ready").0, call(node.at, "GET /metrics").0), (405, 405));
+    node.signal(Signal::SIGTERM);
+    until("no more", || call(calls, "GET /ready").0 == 503);
+    assert!(node.process.wait(WAIT).is_some_and(|status| status.success()));
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -148,6 +148,11 @@
         self.executors.iter().map(|e| e.share)
     }
 
+    /// Whether this instance sends nothing to an executor now because of what it has seen of it.
+    pub fn avoids(&self, now: Time, executor: usize) -> bool {
+        self.executors.get(executor).is_some_and(|e| e.aside.max(self.domains[e.domain].1) > now)
+    }
+
     // ---- The three calls ----
 
     /// Where to send this op: to an executor, not yet (`Hold`), or never (a final answer).
