The clients' listener may be handed in; a process told to end leaves clients to its successor

Tried first: ending all idle connections at once. Tests: three upgrades under load, with a successor that dies before its yes; descriptors that are no listener.

--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -49,8 +49,10 @@
 
 /// The end that was asked for: when, and until when all must be answered.
 struct Ending {
-    since: Time,
     by: Time,
+    /// When clients are steered off, and when it may leave.
+    steer: Time,
+    leave: Time,
 }
 
 /// After the signal, clients that are connected are served as ever for so long: where the node that would take
@@ -58,7 +60,10 @@
 /// before long, for the node is no longer ready. Then they are steered off, and what is in hand is finished.
 const STEER_AFTER: Time = SECOND * 3 / 2;
 /// From then on a request may cross the end of its connection; its client needs a moment to see that.
-const LEAVE_AFTER: Time = STEER_AFTER + SECOND / 4;
+const LEAVE_AFTER: Time = SECOND / 4;
+/// Where a successor takes clients already they are steered to it at once, and it may leave when each connection that
+/// it had just accepted has shown what it wants.
+const SUCCEEDED: Time = SECOND / 2;
 /// What is left of the grace for answers to be written.
 const LAST_WRITES: Time = SECOND / 4;
 
@@ -511,7 +516,7 @@
             if self.dispatcher.upkeep(now) {
                 let _ = self.ask.try_send(());
             }
-            if self.ending.as_ref().is_some_and(|ending| now >= ending.since + STEER_AFTER) {
+            if self.ending.as_ref().is_some_and(|ending| now >= ending.steer) {
                 self.front.steer();
             }
         }
@@ -540,8 +545,8 @@
         let by = now + self.grace - LAST_WRITES;
         let tickets = self.ops.tickets();
         say!("end asked for: {} ops in hand", tickets.len());
-        self.ending = Some(Ending { since: now, by });
-        self.front.ready(false);
+        let (steer, stay) = if self.front.leave() { (now, SUCCEEDED) } else { (now + STEER_AFTER, 0) };
+        self.ending = Some(Ending { by, steer, leave: steer + LEAVE_AFTER + stay });
         for ticket in tickets {
             let Some(mut held) = self.ops.take(ticket) else { continue };
             held.op.end_by(by);
@@ -560,6 +565,6 @@
         let Some(ending) = &self.ending else { return false };
         let now = self.clock.now();
         let quiet = self.ops.is_empty() && self.queue.is_empty() && self.front.quiet();
-        now >= ending.since + LEAVE_AFTER && (quiet || now >= ending.by + LAST_WRITES / 2)
+        now >= ending.leave && (quiet || now >= ending.by + LAST_WRITES / 2)
     }
 }
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -64,9 +64,17 @@
         self.ready.store(ready, Ordering::Relaxed);
     }
 
+    fn leave(&self) -> bool {
+        self.ready(false);
+        self.leaving.store(true, Ordering::Relaxed);
+        self.shared
+    }
+
     fn steer(&self) {
         self.steer.store(true, Ordering::Relaxed);
-        self.seats.end_idle("steered");
+        // With a successor there is time: one that was just opened or answered may send a request this moment, which
+        // would cross the end; its next answer ends it.
+        self.seats.end_idle("steered", if self.shared { BRIEF / 4 } else { Duration::ZERO });
     }
 
     fn quiet(&self) -> bool {
@@ -89,6 +97,10 @@
     pub seats: Seats,
     pub ids: Arc<Ids>,
     pub ready: AtomicBool,
+    /// The listener was handed in: other processes accept on it too.
+    pub shared: bool,
+    /// The node is told to end.
+    pub leaving: AtomicBool,
     /// The node is about to end: clients are steered off.
     pub steer: AtomicBool,
     pub numbers: AtomicU64,
@@ -109,6 +121,14 @@
 }
 
 impl Clients {
+    pub fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::Relaxed)
+    }
+
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
     /// Starts the reader of a new connection.
     pub fn welcome(self: &Arc<Clients>, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
@@ -261,8 +281,7 @@
         if path == names::READY || path == names::HEALTHY {
             // Who asks this needs no seat for longer.
             seat.set_last();
-            let ready = self.ready.load(Ordering::Relaxed);
-            return Err(match path == names::HEALTHY || ready {
+            return Err(match path == names::HEALTHY || self.is_ready() {
                 true => own(200, "in service"),
                 false => own(503, "not ready"),
             });
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::time::Duration;
 use stileroute::posted::Posted;
 use stileroute::tariff::{Effect, Tariff, Time};
@@ -14,6 +15,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// The descriptor of a listener for clients that was handed in; it goes before `listen`.
+    pub inherited: Option<RawFd>,
     /// Where operators call, if anywhere.
     pub operators: Option<SocketAddr>,
     pub seed: u64,
@@ -156,6 +159,12 @@
     if operators.is_some_and(|at| at == listen && at.port() != 0) {
         return Err(format!("admin_addr: {listen} is the address of 'listen'"));
     }
+    let inherited = var("BALANCER_PASSED_SOCKET").map(|text| {
+        // The first three are the standard streams.
+        let number = text.parse().ok().filter(|number: &RawFd| *number > 2);
+        number.ok_or_else(|| format!("BALANCER_PASSED_SOCKET: not the number of a descriptor: {text}"))
+    });
+    let inherited = inherited.transpose()?;
     let discovery = address("BALANCER_DISCOVERY", "discovery", file.discovery, again)?;
     let seed = match &file.seed {
         Some(text) => u64::from_str_radix(text, 16).map_err(|_| format!("seed: not hex digits: {text}"))?,
@@ -193,6 +202,7 @@
         name: var("BALANCER_NAME").or(file.name).unwrap_or_else(|| "stileroute".to_string()),
         listen,
         discovery,
+        inherited,
         operators,
         seed,
         budget: Budget::split(file.limits.sockets, file.limits.memory_mb, operators.is_some())?,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -24,7 +24,7 @@
 use life::{operator, signals, spawn, start};
 use port::{Carrier, Event};
 use std::io::Write;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
 use store::figures::Figures;
 use store::pool::Pool;
@@ -35,6 +35,8 @@
 
 fn run(words: &Words) -> Result<(), String> {
     let start = start::read(|name| std::env::var(name).ok())?;
+    // Before anything else is opened, which might take the number of a descriptor that was not handed in.
+    let inherited = start.inherited.map(listener::inherited).transpose()?;
     let mut operator = None;
     if let Some(path) = &words.operator {
         let ground = start.ground();
@@ -64,6 +66,8 @@
         seats: Seats::default(),
         ids: Arc::default(),
         ready: AtomicBool::new(false),
+        shared: start.inherited.is_some(),
+        leaving: AtomicBool::new(false),
         steer: AtomicBool::new(false),
         numbers: AtomicU64::new(1),
         figures: figures.clone(),
@@ -74,7 +78,7 @@
     let operator = operator.map(|(path, ground, _)| (path, ground));
     let (told, turned) = (tell.clone(), post.clone());
     signals::watch(tell.clone(), move || reload::turn(&told, &turned, operator.as_ref()))?;
-    let listener = listener::open(start.listen)?;
+    let listener = inherited.map_or_else(|| listener::open(start.listen), Ok)?;
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
     let told_by_peers = tell.clone();
@@ -93,7 +97,7 @@
     let mut calls = None;
     if let (Some(at), Some(figures)) = (start.operators, figures) {
         let own = clients.clone();
-        calls = Some(Calls::new(figures, move || own.ready.load(Ordering::Relaxed)).open(at)?);
+        calls = Some(Calls::new(figures, move || own.is_ready()).open(at)?);
     }
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -144,6 +144,8 @@
 pub trait Front: Send + Sync {
     /// Whether new clients may be sent here.
     fn ready(&self, ready: bool);
+    /// The node is told to end: no clients are taken any more where another process takes them. True if so.
+    fn leave(&self) -> bool;
     /// The node is about to end: clients are steered off.
     fn steer(&self);
     /// Nobody is owed anything any more.
--- a/node/src/store/seats.rs
+++ b/node/src/store/seats.rs
@@ -219,10 +219,11 @@
         spare.into_iter().any(|(proven, when, seat)| when <= now && proven != strangers && seat.give_way())
     }
 
-    pub fn end_idle(&self, why: &'static str) {
+    /// Ends those that have been idle for so long.
+    pub fn end_idle(&self, why: &'static str, rested: Duration) {
         for seat in self.all().values() {
             let mut state = seat.state();
-            if seat.idle(&state) {
+            if state.since.elapsed() >= rested && seat.idle(&state) {
                 seat.cut(&mut state, why);
             }
         }
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -4,20 +4,38 @@
 
 use common::*;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::fd::OwnedFd;
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{entries, nowhere, Act, Discovery, Fleet, NodeProcess, Signal};
+use stileroute_rig::stand::{entries, nowhere, read_message, Act, Discovery, Fleet, NodeProcess, Signal};
 
 /// A node with an operators' address.
 fn operated(discovery: SocketAddr, known: &str, sockets: usize) -> (Node, SocketAddr) {
+    let text = configuration(discovery, known, sockets);
+    let process = NodeProcess::start(Path::new(env!("CARGO_BIN_EXE_stileroute")), &text, &[]).unwrap();
+    begun(discovery, process)
+}
+
+/// The same with a listener handed in; a further one on the same is its successor.
+fn shared(discovery: SocketAddr, known: &str, listener: &TcpListener, home: &Path) -> (Node, SocketAddr) {
+    let (text, binary) = (configuration(discovery, known, 256), Path::new(env!("CARGO_BIN_EXE_stileroute")));
+    let env = [("TMPDIR", home.display().to_string())];
+    let process = NodeProcess::inherit(binary, &text, &env, listener.try_clone().unwrap().into()).unwrap();
+    begun(discovery, process)
+}
+
+fn configuration(discovery: SocketAddr, known: &str, sockets: usize) -> String {
     let known = format!(r#"{{"index":1,"snapshot":true,"endpoints":[{known}]}}"#);
-    let text = format!(
+    format!(
         r#"{{"name":"n","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":"{discovery}","limits":{{"sockets":{sockets}}},"known":{known},"settings":{SETTINGS}}}"#
-    );
-    let process = NodeProcess::start(Path::new(env!("CARGO_BIN_EXE_stileroute")), &text, &[]).unwrap();
+    )
+}
+
+fn begun(discovery: SocketAddr, process: NodeProcess) -> (Node, SocketAddr) {
     let node = Node { discovery, at: process.at, process };
     let calls = calls_at(&node);
     (node, calls)
@@ -160,3 +178,114 @@
     until("no more", || call(calls, "GET /ready").0 == 503);
     assert!(node.process.wait(WAIT).is_some_and(|status| status.success()));
 }
+
+/// A client that goes on asking until told to stop: answers by status, and requests that crossed the end of their
+/// connection and were sent again.
+fn goes_on(at: SocketAddr, stop: &AtomicBool, answered: &AtomicUsize, crossed: &AtomicUsize) {
+    let open = || {
+        let stream = TcpStream::connect(at).expect("no connection is refused");
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        stream
+    };
+    let mut stream = open();
+    while !stop.load(Ordering::SeqCst) {
+        let text = request("marked", 3000);
+        let mut sent = stream.write_all(text.as_bytes()).is_ok();
+        let mut answer = if sent { read_message(&mut stream) } else { None };
+        if answer.is_none() {
+            crossed.fetch_add(1, Ordering::SeqCst);
+            stream = open();
+            sent = stream.write_all(text.as_bytes()).is_ok();
+            answer = if sent { read_message(&mut stream) } else { None };
+        }
+        let (head, _) = answer.expect("a request that was sent again is answered");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        answered.fetch_add(1, Ordering::SeqCst);
+        if head.contains("Connection: close") {
+            stream = open();
+        }
+        sleep(Duration::from_millis(3));
+    }
+}
+
+#[test]
+fn a_process_is_replaced_under_load_and_nobody_notices() {
+    let (fleet, addresses) = Fleet::start(3, |_| {
+        Act::Lines(8, &["{\"state\":\"started\"}\n{\"state\":\"done\",\"result\":\"r\"}\n"])
+    });
+    let (_discovery, at) = Discovery::start(entries(&addresses));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (home, clients) = (Home::new(), listener.local_addr().unwrap());
+    let (mut node, calls) = shared(at, &entries(&addresses), &listener, &home.0);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    let (stop, answered, crossed) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for _ in 0..8 {
+            scope.spawn(|| goes_on(clients, &stop, &answered, &crossed));
+        }
+        for round in 0..3 {
+            // A successor that never comes to its yes changes nothing.
+            let text = configuration(at, "", 256).replace("\"settings\"", "\"nothing\"");
+            let binary = Path::new(env!("CARGO_BIN_EXE_stileroute"));
+            let file = OwnedFd::from(listener.try_clone().unwrap());
+            assert!(NodeProcess::inherit(binary, &text, &[], file).is_err());
+            let (next, calls) = shared(at, &entries(&addresses), &listener, &home.0);
+            until("ready", || call(calls, "GET /ready").0 == 200);
+            let before = std::mem::replace(&mut node, next);
+            before.signal(Signal::SIGTERM);
+            let (mut before, start) = (before, Instant::now());
+            assert!(before.process.wait(WAIT).is_some_and(|status| status.success()), "round {round}");
+            assert!(start.elapsed() < Duration::from_secs(3), "{:?}", start.elapsed());
+            let goal = answered.load(Ordering::SeqCst) + 100;
+            until("the successor serves", || answered.load(Ordering::SeqCst) > goal);
+        }
+        stop.store(true, Ordering::SeqCst);
+    });
+    let (answered, crossed) = (answered.into_inner(), crossed.into_inner());
+    assert!(crossed <= 2, "{crossed} requests crossed the end of their connection");
+    let pushes = fleet.pushes.lock().unwrap();
+    let ids: std::collections::HashSet<&str> =
+        pushes.iter().filter_map(|push| push.text.split("X-Call-Id: ").nth(1)?.get(..16)).collect();
+    assert_eq!((ids.len(), pushes.len()), (answered, answered), "one push for each op");
+}
+
+/// A folder of the test's own, for what processes of one node share.
+struct Home(std::path::PathBuf);
+
+impl Home {
+    fn new() -> Home {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let name =
+            format!("stileroute-home-{}-{}", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir(&path).unwrap();
+        Home(path)
+    }
+}
+
+impl Drop for Home {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_no_listener_ends_it_with_one_line() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let files: [OwnedFd; 3] = [
+        UdpSocket::bind("127.0.0.1:0").unwrap().into(),
+        stream.into(),
+        std::fs::File::open("/dev/null").unwrap().into(),
+    ];
+    let (binary, text) = (Path::new(env!("CARGO_BIN_EXE_stileroute")), configuration(nowhere(), "", 256));
+    for file in files {
+        let error = NodeProcess::inherit(binary, &text, &[], file).map(|_| ()).unwrap_err();
+        assert!(error.contains("BALANCER_PASSED_SOCKET: descriptor 3 is no "), "{error}");
+    }
+    for number in ["3", "x", "-1", "1"] {
+        let env = [("BALANCER_PASSED_SOCKET", number.to_string())];
+        let error = NodeProcess::start(binary, &text, &env).map(|_| ()).unwrap_err();
+        assert!(error.contains("BALANCER_PASSED_SOCKET: "), "{number}: {error}");
+    }
+}
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -6,6 +6,7 @@
 use nix::unistd::Pid;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -253,11 +254,28 @@
     /// Starts the program with a configuration of this text, and these variables beside it, and waits until it serves; its first line of log, or
     /// the reason, where it does not.
     pub fn start(binary: &Path, config: &str, env: &[(&str, String)]) -> Result<NodeProcess, String> {
+        NodeProcess::begin(Command::new(binary), config, env)
+    }
+
+    /// The same with a socket, or any other file, handed in as descriptor 3.
+    pub fn inherit(
+        binary: &Path,
+        config: &str,
+        env: &[(&str, String)],
+        file: OwnedFd,
+    ) -> Result<NodeProcess, String> {
+        let mut command = Command::new("sh");
+        command.args(["-c", "exec \"$0\" 3<&0 </dev/null"]).arg(binary);
+        command.env("BALANCER_PASSED_SOCKET", "3").stdin(Stdio::from(file));
+        NodeProcess::begin(command, config, env)
+    }
+
+    fn begin(mut command: Command, config: &str, env: &[(&str, String)]) -> Result<NodeProcess, String> {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let number = NUMBER.fetch_add(1, Ordering::SeqCst);
         let path = std::env::temp_dir().join(format!("stileroute-{}-{number}.json", std::process::id()));
         std::fs::write(&path, config).map_err(|error| format!("{}: {error}", path.display()))?;
-        let mut child = Command::new(binary)
+        let mut child = command
             .env("BALANCER_CONFIG", &path)
             .env_remove("BALANCER_DISCOVERY")
             .env_remove("BALANCER_LISTEN")
@@ -265,7 +283,7 @@
             .envs(env.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
-            .map_err(|error| format!("{}: {error}", binary.display()))?;
+            .map_err(|error| format!("{}: {error}", command.get_program().to_string_lossy()))?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
         let first = lines.next().unwrap_or_default();
