Operators take executors out by hand, in both processes of a node, over an upgrade

A link knew of a push that was kept back only by whether it had a stream; a kept connection has one from the push before, so such a push left all the same (Link::keep_back): now a push is marked as begun. A start that the list tells is news only if it is later than the one known.

--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -5,10 +5,11 @@
 mod queue;
 
 use crate::life::start::Start;
-use crate::port::{Asked, Carrier, Event, Fate, Front, How, Job, Link, List, Outlet, Owed, Push};
+use crate::port::{Asked, Carrier, Event, Fate, Front, How, Job, Link, List, Order, Outlet, Owed, Push};
 use crate::say;
 use crate::store::figures::Figures;
 use crate::store::indices::Indices;
+use crate::store::outs::State;
 use crossbeam_channel::{Receiver, RecvTimeoutError, Sender};
 use ops::{Held, Ops, Out};
 use queue::{Queue, Waiting};
@@ -67,6 +68,23 @@
 /// What is left of the grace for answers to be written.
 const LAST_WRITES: Time = SECOND / 4;
 
+/// What the desk knows of an executor that was ever listed.
+#[derive(Clone, Default)]
+struct Known {
+    address: Option<SocketAddr>,
+    listed: bool,
+    /// Listed as taking work.
+    active: bool,
+    /// Taken out by hand.
+    out: bool,
+}
+
+impl Known {
+    fn takes(&self) -> bool {
+        self.active && !self.out
+    }
+}
+
 pub struct Desk {
     clock: Clock,
     dispatcher: Dispatcher,
@@ -78,10 +96,10 @@
     names: Indices,
     domains: Indices,
     kinds: Indices,
-    /// Address of each executor, and whether it is listed as active.
-    addresses: Vec<(Option<SocketAddr>, bool)>,
-    /// Which executors are in the list, and what operators read of it, if any do.
-    listed: Vec<bool>,
+    executors: Vec<Known>,
+    /// Whom operators took out, what they want, and what they read, where they have an address.
+    outs: State,
+    orders: Option<Receiver<Order>>,
     figures: Option<Arc<Figures>>,
     version: i64,
     ask: Sender<()>,
@@ -107,8 +125,10 @@
         routes: Option<Arc<Table>>,
         peers: Option<Box<dyn Carrier>>,
         figures: Option<Arc<Figures>>,
+        operators: Option<(State, Receiver<Order>)>,
     ) -> Desk {
         let clock = Clock::new();
+        let (outs, orders) = operators.map_or_else(Default::default, |(outs, orders)| (outs, Some(orders)));
         let mut desk = Desk {
             dispatcher: Dispatcher::new(&start.tariff, start.seed),
             ops: Ops::default(),
@@ -118,8 +138,9 @@
             names: Indices::default(),
             domains: Indices::of(&start.domains),
             kinds: Indices::of(&start.kinds),
-            addresses: Vec::new(),
-            listed: Vec::new(),
+            executors: Vec::new(),
+            outs,
+            orders,
             figures,
             version: -1,
             ask,
@@ -143,14 +164,15 @@
         loop {
             let due = [self.ops.next(), self.queue.next()].into_iter().flatten().min();
             let next = due.map_or(self.upkeep, |due| due.min(self.upkeep));
-            match events.recv_deadline(self.clock.instant(next)) {
-                Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => {}
+            match self.next(events, self.clock.instant(next)) {
+                Ok(Some(event)) => self.handle(event),
+                Ok(None) | Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             // What has piled up goes first: a timer must not act on older news than has come.
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
+                self.obey();
             }
             self.admit();
             self.look_after();
@@ -160,6 +182,62 @@
         }
     }
 
+    /// Waits for the next event; an order is carried out at once, and then there may be none.
+    fn next(&mut self, events: &Receiver<Event>, until: Instant) -> Result<Option<Event>, RecvTimeoutError> {
+        let Some(orders) = &self.orders else { return events.recv_deadline(until).map(Some) };
+        crossbeam_channel::select_biased! {
+            recv(orders) -> order => {
+                match order {
+                    Ok(order) => self.order(order),
+                    Err(_) => self.orders = None,
+                }
+                Ok(None)
+            }
+            recv(events) -> event => event.map(Some).map_err(|_| RecvTimeoutError::Disconnected),
+            default(until.saturating_duration_since(Instant::now())) => Err(RecvTimeoutError::Timeout),
+        }
+    }
+
+    /// Operators don't wait behind a thousand events.
+    fn obey(&mut self) {
+        while let Some(order) = self.orders.as_ref().and_then(|orders| orders.try_recv().ok()) {
+            self.order(order);
+        }
+    }
+
+    fn order(&mut self, order: Order) {
+        match order {
+            Order::Known(name, reply) => {
+                let _ = reply.try_send(self.names.known(&name).is_some());
+            }
+            Order::Outs(outs, reply) => {
+                if outs.number >= self.outs.number {
+                    self.turn_out(outs);
+                }
+                let _ = reply.try_send(true);
+            }
+        }
+    }
+
+    /// Exactly these are out by hand. When this returns nothing new leaves for one of them.
+    fn turn_out(&mut self, outs: State) {
+        let now = self.clock.now();
+        let changed: Vec<String> = self.outs.names.symmetric_difference(&outs.names).cloned().collect();
+        self.outs = outs;
+        for name in changed {
+            let out = self.outs.names.contains(&name);
+            say!("executor {name}: {} by hand", if out { "taken out" } else { "put back" });
+            let Some(executor) = self.names.known(&name) else { continue };
+            self.executors[executor].out = out;
+            self.dispatcher.disable(now, executor, out);
+            if out {
+                self.outlet.leave(executor, "disabled");
+                self.ops.withhold(executor);
+            }
+        }
+        self.publish(now);
+    }
+
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
         match event {
@@ -186,7 +264,7 @@
             Event::Free { number, keep } => {
                 // It may have carried a task when its executor left the list.
                 let executor = self.outlet.back(number, keep);
-                if let Some(executor) = executor.filter(|executor| !self.addresses[*executor].1) {
+                if let Some(executor) = executor.filter(|executor| !self.executors[*executor].takes()) {
                     self.outlet.leave(executor, "unlisted");
                 }
             }
@@ -310,7 +388,7 @@
         let Some(mut held) = self.ops.take(ticket) else { return };
         let Some(out) = held.pushes.get_mut(push) else { return };
         out.link = None;
-        let given_up = out.given_up;
+        let (given_up, withheld) = (out.given_up, out.withheld);
         let (outcome, answer) = match how {
             How::Done(result) => (Outcome::Acked, Some(Fate::Acked(result))),
             // Its client is told what is wrong with it. Sent on, it would be held against one executor after
@@ -322,6 +400,8 @@
             }
             How::Failed => (Outcome::Error, None),
             How::Returned => (Outcome::Full, None),
+            // It never left, for its executor was taken out: that is the fault of nobody.
+            How::Untried | How::Unconnected if withheld => (Outcome::Withheld, None),
             How::Untried => (Outcome::Moot, None),
             // Given up before its last byte was written: that is no fault of the executor.
             How::Unconnected | How::Cut { .. } if given_up.is_some() => (Outcome::Moot, None),
@@ -355,7 +435,7 @@
                     let push = held.pushes.len();
                     let link = self.push(ticket, push, executor, &held);
                     let untried = link.is_none();
-                    held.pushes.push(Out { link, given_up: None, sent: now });
+                    held.pushes.push(Out { link, given_up: None, withheld: false, sent: now });
                     if let Some(pass) = &mut held.pass {
                         pass.pushed(now);
                     }
@@ -423,7 +503,7 @@
 
     /// Sends a push out; none where this node has no room for it.
     fn push(&mut self, ticket: u64, push: usize, executor: usize, held: &Held) -> Option<Arc<dyn Link>> {
-        let to = self.addresses.get(executor)?.0?;
+        let to = self.executors.get(executor)?.address?;
         let effect = self.dispatcher.effect(&held.op);
         let connect = held.pass.as_ref().and_then(|pass| pass.connect);
         let push = Push {
@@ -450,21 +530,19 @@
             return self.dispatcher.list(now, false, &[]);
         }
         if list.whole {
-            self.addresses.iter_mut().for_each(|executor| executor.1 = false);
-            self.listed.fill(false);
+            self.executors.iter_mut().for_each(|known| (known.active, known.listed) = (false, false));
         }
         let mut lines = Vec::with_capacity(list.entries.len());
         for entry in &list.entries {
             let executor = self.names.index(&entry.name);
-            self.addresses.resize(self.addresses.len().max(executor + 1), (None, false));
-            self.listed.resize(self.addresses.len(), false);
-            self.listed[executor] = entry.listed;
-            let before = &mut self.addresses[executor];
-            if entry.address.is_some() && entry.address != before.0 {
+            self.executors.resize(self.executors.len().max(executor + 1), Known::default());
+            let known = &mut self.executors[executor];
+            if entry.address.is_some() && entry.address != known.address {
                 self.outlet.leave(executor, "unlisted");
-                before.0 = entry.address;
+                known.address = entry.address;
             }
-            before.1 = entry.active;
+            (known.active, known.listed) = (entry.active, entry.listed);
+            known.out = self.outs.names.contains(&entry.name);
             lines.push(Listed {
                 mark: mark(&entry.name),
                 executor,
@@ -476,14 +554,18 @@
                 started: entry.started,
             });
         }
-        for (executor, (_, active)) in self.addresses.iter().enumerate() {
-            if !active {
+        for (executor, known) in self.executors.iter().enumerate() {
+            if !known.takes() {
                 self.outlet.leave(executor, "unlisted");
             }
         }
         self.dispatcher.list(now, list.whole, &lines);
+        // Who is out by hand stays out, under whatever address it has come back.
+        for line in lines.iter().filter(|line| self.executors[line.executor].out) {
+            self.dispatcher.disable(now, line.executor, true);
+        }
         self.publish(now);
-        if self.ending.is_none() && self.addresses.iter().any(|executor| executor.1) {
+        if self.ending.is_none() && self.executors.iter().any(|known| known.active) {
             self.front.ready(true);
         }
     }
@@ -491,10 +573,10 @@
     /// What operators read of the executors.
     fn publish(&self, now: Time) {
         let Some(figures) = &self.figures else { return };
-        let avoided = |executor: &usize| self.listed[*executor] && self.dispatcher.avoids(now, *executor);
-        let listed = self.listed.iter().filter(|listed| **listed).count();
-        figures.listed.store(listed, Ordering::Relaxed);
-        figures.avoided.store((0..self.listed.len()).filter(avoided).count(), Ordering::Relaxed);
+        let listed = self.executors.iter().enumerate().filter(|(_, known)| known.listed);
+        let avoided = listed.clone().filter(|(executor, _)| self.dispatcher.avoids(now, *executor));
+        figures.listed.store(listed.count(), Ordering::Relaxed);
+        figures.avoided.store(avoided.count(), Ordering::Relaxed);
     }
 
     /// Whatever has come due.
--- a/node/src/desk/ops.rs
+++ b/node/src/desk/ops.rs
@@ -23,6 +23,8 @@
 pub struct Out {
     pub link: Option<Arc<dyn Link>>,
     pub given_up: Option<Outcome>,
+    /// Its executor was taken out by hand; it was kept back if nothing of it was written.
+    pub withheld: bool,
     pub sent: Time,
 }
 
@@ -88,6 +90,18 @@
         self.held.get_mut(&ticket)
     }
 
+    /// Keeps back what is on its way to this executor and has not begun to leave.
+    pub fn withhold(&mut self, executor: usize) {
+        for held in self.held.values_mut() {
+            for (push, out) in held.op.pushes.iter().zip(&mut held.pushes) {
+                if let Some(link) = out.link.as_ref().filter(|_| push.executor == executor) {
+                    out.withheld = true;
+                    link.keep_back();
+                }
+            }
+        }
+    }
+
     pub fn tickets(&self) -> Vec<u64> {
         let mut tickets: Vec<u64> = self.held.keys().copied().collect();
         tickets.sort_unstable();
--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -1,11 +1,15 @@
 //! The operators' address: one call to a connection, answered whatever the clients do.
 
+use super::clients::Clients;
 use super::listener;
 use crate::life::budget::{CALLERS, LEAVING};
 use crate::life::spawn;
+use crate::port::Order;
 use crate::say;
 use crate::store::figures::Figures;
+use crate::store::outs::{is_name, Outs, State, LOOK};
 use crate::wire::call::{answer, Call, Inbox};
+use crossbeam_channel::{bounded, Sender};
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -16,6 +20,8 @@
 /// How long one may take to send a call, or to take its answer in.
 const SLOW: Duration = Duration::from_secs(5);
 const BRIEF: Duration = Duration::from_millis(500);
+/// Within this a call is answered, however long the other process takes: a second is owed.
+const OWED: Duration = Duration::from_millis(700);
 /// While places are being left.
 const MOMENT: Duration = Duration::from_millis(1);
 
@@ -25,32 +31,51 @@
     whole: AtomicBool,
 }
 
-pub struct Calls {
+/// What the calls act on.
+pub struct Reach {
     pub figures: Arc<Figures>,
-    /// This process takes clients.
-    pub ready: Box<dyn Fn() -> bool + Send + Sync>,
+    pub clients: Arc<Clients>,
+    pub desk: Sender<Order>,
+    pub outs: Outs,
+}
+
+pub struct Calls {
+    reach: Reach,
     callers: Mutex<VecDeque<Arc<Caller>>>,
     /// Descriptors in use, those of callers that are on their way out too.
     open: AtomicUsize,
 }
 
 impl Calls {
-    pub fn new(figures: Arc<Figures>, ready: impl Fn() -> bool + Send + Sync + 'static) -> Arc<Calls> {
-        Arc::new(Calls {
-            figures,
-            ready: Box::new(ready),
-            callers: Mutex::default(),
-            open: AtomicUsize::new(0),
-        })
+    pub fn new(reach: Reach) -> Arc<Calls> {
+        Arc::new(Calls { reach, callers: Mutex::default(), open: AtomicUsize::new(0) })
     }
 
     /// Opens the address and serves it by a thread of its own; the address, with the port that was given.
     pub fn open(self: Arc<Calls>, at: SocketAddr) -> Result<SocketAddr, String> {
         let listener = TcpListener::bind(at).and_then(|listener| Ok((listener.local_addr()?, listener)));
         let (at, listener) = listener.map_err(|error| format!("admin_addr: {at}: {error}"))?;
-        spawn("calls", move || self.accept(&listener))
-            .map(|_| at)
-            .map_err(|error| format!("admin_addr: no thread: {error}"))
+        let thread = |error: std::io::Error| format!("admin_addr: no thread: {error}");
+        let outs = &self.reach.outs;
+        outs.carried_out(outs.state().number);
+        if outs.is_shared() {
+            let watch = self.clone();
+            spawn("outs", move || watch.follow()).map_err(thread)?;
+        }
+        spawn("calls", move || self.accept(&listener)).map(|_| at).map_err(thread)
+    }
+
+    /// Carries out here what was called out at another process of this node.
+    fn follow(&self) {
+        let outs = &self.reach.outs;
+        loop {
+            std::thread::sleep(LOOK);
+            if let Some(state) = outs.news() {
+                if self.reach.carry_out(&state, Duration::MAX) {
+                    outs.carried_out(state.number);
+                }
+            }
+        }
     }
 
     fn callers(&self) -> MutexGuard<'_, VecDeque<Arc<Caller>>> {
@@ -134,10 +159,54 @@
     }
 
     fn answer(&self, call: &Call) -> (u16, String) {
+        let text = |status, text: &str| (status, format!("{text}\n"));
         match call {
-            Call::Ready if (self.ready)() => (200, "takes clients\n".to_string()),
-            Call::Ready => (503, "takes no clients\n".to_string()),
-            Call::Figures => (200, self.figures.text()),
+            Call::Ready if self.reach.clients.is_ready() => text(200, "takes clients"),
+            Call::Ready => text(503, "takes no clients"),
+            Call::Figures => (200, self.reach.figures.text()),
+            Call::Turn { name, out } => match self.reach.turn(name, *out, Instant::now() + OWED) {
+                Ok(()) if *out => text(200, &format!("{name} is out")),
+                Ok(()) => text(200, &format!("{name} is in use")),
+                Err((status, why)) => text(status, &why),
+            },
+        }
+    }
+}
+
+impl Reach {
+    /// Asks the desk, which answers as soon as it has done so.
+    fn ask(&self, order: impl FnOnce(Sender<bool>) -> Order, most: Duration) -> Option<bool> {
+        let (reply, answer) = bounded(1);
+        self.desk.send_timeout(order(reply), most).ok()?;
+        answer.recv_timeout(most).ok()
+    }
+
+    fn carry_out(&self, state: &State, most: Duration) -> bool {
+        self.ask(|reply| Order::Outs(state.clone(), reply), most).is_some()
+    }
+
+    /// Takes an executor out or puts it back, here and at each other process of this node, before it says yes.
+    fn turn(&self, name: &str, out: bool, until: Instant) -> Result<(), (u16, String)> {
+        let late = || (503, "the node did not answer in time".to_string());
+        let left = || until.saturating_duration_since(Instant::now());
+        let known = |reply| Order::Known(name.to_string(), reply);
+        if !self.outs.state().names.contains(name)
+            && !(is_name(name) && self.ask(known, left()).ok_or_else(late)?)
+        {
+            return Err((404, format!("no executor '{name}' was ever listed here")));
+        }
+        if self.clients.shared && !self.outs.is_shared() {
+            return Err((503, "TMPDIR is not set: a successor would not know".to_string()));
+        }
+        let state = self.outs.change(name, out).map_err(|error| (503, format!("not kept: {error}")))?;
+        if !self.carry_out(&state, left()) {
+            return Err(late());
+        }
+        self.outs.carried_out(state.number);
+        // What the other process does not say in time it does all the same: it reads the file.
+        while !self.outs.all_have(state.number) && !left().is_zero() {
+            std::thread::sleep(LOOK / 4);
         }
+        Ok(())
     }
 }
--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -36,6 +36,8 @@
 #[derive(Default)]
 struct State {
     stream: Option<Arc<TcpStream>>,
+    /// The first byte of the push may be written from now on.
+    begun: bool,
     off: bool,
     end: Option<&'static str>,
 }
@@ -47,7 +49,8 @@
 
     /// A new push is about to be carried.
     pub fn renew(&self) {
-        self.state().off = false;
+        let mut state = self.state();
+        (state.off, state.begun) = (false, false);
     }
 
     /// Names the reason why it is closed while idle.
@@ -56,10 +59,11 @@
     }
 
     /// Enters the connection; false if the push was given up meanwhile.
-    fn enter(&self, stream: &Arc<TcpStream>) -> bool {
+    pub fn enter(&self, stream: &Arc<TcpStream>) -> bool {
         let mut state = self.state();
         state.stream = Some(stream.clone());
-        !state.off
+        state.begun = !state.off;
+        state.begun
     }
 
     fn off(&self) -> bool {
@@ -82,7 +86,8 @@
 
     fn keep_back(&self) {
         let mut state = self.state();
-        state.off |= state.stream.is_none();
+        // A kept connection has its stream from the push before: that one is there says nothing of this push.
+        state.off |= !state.begun;
     }
 }
 
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
+use std::path::PathBuf;
 use std::time::Duration;
 use stileroute::posted::Posted;
 use stileroute::tariff::{Effect, Tariff, Time};
@@ -17,6 +18,8 @@
     pub discovery: SocketAddr,
     /// The descriptor of a listener for clients that was handed in; it goes before `listen`.
     pub inherited: Option<RawFd>,
+    /// The folder that all processes of this node share, if there is one.
+    pub home: Option<PathBuf>,
     /// Where operators call, if anywhere.
     pub operators: Option<SocketAddr>,
     pub seed: u64,
@@ -204,6 +207,7 @@
         discovery,
         inherited,
         operators,
+        home: var("TMPDIR").map(PathBuf::from),
         seed,
         budget: Budget::split(file.limits.sockets, file.limits.memory_mb, operators.is_some())?,
         known: file.known.unwrap_or(List { index: -1, whole: true, endpoints: Vec::new() }),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -13,7 +13,7 @@
 use clap::Parser;
 use crossbeam_channel::bounded;
 use desk::Desk;
-use drive::calls::Calls;
+use drive::calls::{Calls, Reach};
 use drive::clients::Clients;
 use drive::directory::Post;
 use drive::executors::Executors;
@@ -26,12 +26,16 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
+use stileroute::tariff::mark;
 use store::figures::Figures;
+use store::outs;
 use store::pool::Pool;
 use store::seats::Seats;
 
 /// Events that may wait for the desk; who tells more has to wait.
 const EVENTS: usize = 1024;
+/// Orders of operators that may wait.
+const ORDERS: usize = 8;
 
 fn run(words: &Words) -> Result<(), String> {
     let start = start::read(|name| std::env::var(name).ok())?;
@@ -93,12 +97,18 @@
         }
         None => None,
     };
-    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, figures.clone());
-    let mut calls = None;
-    if let (Some(at), Some(figures)) = (start.operators, figures) {
-        let own = clients.clone();
-        calls = Some(Calls::new(figures, move || own.is_ready()).open(at)?);
-    }
+    let (order, orders) = bounded(ORDERS);
+    let outs = start.operators.map(|_| outs::Outs::join(start.home.as_deref(), mark(&start.name)));
+    let outs = outs.transpose().map_err(|error| format!("TMPDIR: {error}"))?;
+    let orders = outs.as_ref().map(|outs| (outs.state(), orders));
+    let mut desk =
+        Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, figures.clone(), orders);
+    let calls = match (start.operators, figures, outs) {
+        (Some(at), Some(figures), Some(outs)) => {
+            Some(Calls::new(Reach { figures, clients: clients.clone(), desk: order, outs }).open(at)?)
+        }
+        _ => None,
+    };
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
     say!("{} serves at {at}: {budget:?}", start.name);
     if let Some(at) = calls {
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -3,6 +3,7 @@
 //! protocol they speak, and they know the desk only by its events.
 
 use crate::store::figures::InHand;
+use crate::store::outs::State;
 use crate::store::pool::Bytes;
 use crossbeam_channel::Sender;
 use std::net::SocketAddr;
@@ -178,6 +179,14 @@
     pub started: Option<Time>,
 }
 
+/// What operators want of the desk, which it looks at before all else.
+pub enum Order {
+    /// Whether an executor of that name was ever listed.
+    Known(String, Sender<bool>),
+    /// These are out by hand, and no others.
+    Outs(State, Sender<bool>),
+}
+
 /// What the desk is told.
 pub enum Event {
     Asked {
--- a/node/src/store/indices.rs
+++ b/node/src/store/indices.rs
@@ -17,9 +17,14 @@
         indices
     }
 
+    /// The index of a name that has one.
+    pub fn known(&self, name: &str) -> Option<usize> {
+        self.by_name.get(name).copied()
+    }
+
     pub fn index(&mut self, name: &str) -> usize {
-        if let Some(index) = self.by_name.get(name) {
-            return *index;
+        if let Some(index) = self.known(name) {
+            return index;
         }
         let index = self.by_name.len();
         self.by_name.insert(name.to_string(), index);
--- a/node/src/store/mod.rs
+++ b/node/src/store/mod.rs
@@ -3,5 +3,6 @@
 pub mod figures;
 pub mod ids;
 pub mod indices;
+pub mod outs;
 pub mod pool;
 pub mod seats;
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -4,7 +4,7 @@
 use crate::drive::lines::{Line, Lines};
 use crate::life::budget::Budget;
 use crate::life::start::{self, Kind};
-use crate::port::Job;
+use crate::port::{Job, Link as _};
 use crate::store::ids::Ids;
 use crate::store::pool::Pool;
 use crate::store::seats::{Seat, Seats};
@@ -492,7 +492,9 @@
     assert!(!seats.quiet());
     let _ = (&all[1].stream).read(&mut [0; 4]).unwrap();
     assert!(seats.quiet());
-    seats.end_idle("steered");
+    seats.end_idle("steered", Duration::from_secs(60));
+    assert_eq!(ended(), [false, false, true, true, true, true, true, true], "nobody rested for so long");
+    seats.end_idle("steered", Duration::ZERO);
     assert!(all.iter().all(|seat| !seat.begin()));
     (0..8).for_each(|number| seats.remove(number));
     seats.room(1);
@@ -504,10 +506,20 @@
     let body = |length: usize, given: usize| {
         format!("GET /ready HTTP/1.1\r\nContent-Length: {length}\r\n\r\n{}", "x".repeat(given))
     };
-    let cases: [(String, Result<Option<Call>, u16>); 13] = [
+    let cases: [(String, Result<Option<Call>, u16>); 17] = [
         (whole("GET /ready HTTP/1.1"), Ok(Some(Call::Ready))),
         (whole("GET /ready?now=1 HTTP/1.0"), Ok(Some(Call::Ready))),
         (whole("GET /metrics HTTP/1.1"), Ok(Some(Call::Figures))),
+        (
+            whole("PUT /executors/disable/s-1 HTTP/1.1"),
+            Ok(Some(Call::Turn { name: "s-1".into(), out: true })),
+        ),
+        (
+            whole("PUT /executors/enable/a/b HTTP/1.1"),
+            Ok(Some(Call::Turn { name: "a/b".into(), out: false })),
+        ),
+        (whole("GET /executors/enable/s-1 HTTP/1.1"), Err(405)),
+        (whole("PUT /executors/s-1 HTTP/1.1"), Err(404)),
         (whole("PUT /metrics HTTP/1.1"), Err(405)),
         (whole("GET /metric HTTP/1.1"), Err(404)),
         (whole("POST /api/k HTTP/1.1"), Err(404)),
@@ -530,6 +542,25 @@
     assert!(call::answer(405, "PUT is not for /ready, only GET\n").contains("\r\nAllow: GET\r\n\r\nPUT"));
 }
 
+#[test]
+fn a_push_is_kept_back_until_its_first_byte_may_leave() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = Arc::new(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
+    // Whether the connection carried a push before, whether this one has begun, and whether it may begin then.
+    for (used, begun, may) in
+        [(false, false, false), (true, false, false), (false, true, true), (true, true, true)]
+    {
+        let link = Link::default();
+        if used {
+            assert!(link.enter(&stream));
+            link.renew();
+        }
+        assert!(!begun || link.enter(&stream));
+        link.keep_back();
+        assert_eq!(link.enter(&stream), may, "used {used}, begun {begun}");
+    }
+}
+
 #[test]
 fn an_id_is_open_once_at_a_time() {
     let ids = Arc::new(Ids::default());
--- a/node/src/wire/call.rs
+++ b/node/src/wire/call.rs
@@ -9,6 +9,11 @@
 pub enum Call {
     Ready,
     Figures,
+    /// Take this executor out, or put it back.
+    Turn {
+        name: String,
+        out: bool,
+    },
 }
 
 /// Longest call, with the body that none needs.
@@ -56,6 +61,10 @@
     let (call, allowed) = match path {
         names::OPERATORS_READY => (Call::Ready, names::GET),
         names::OPERATORS_FIGURES => (Call::Figures, names::GET),
+        _ if turned(path).is_some() => {
+            let (name, out) = turned(path).unwrap_or_default();
+            (Call::Turn { name: name.to_string(), out }, names::PUT)
+        }
         _ => return Err(Fault { status: 404, why: format!("no such call: {path}") }),
     };
     if method != allowed {
@@ -64,6 +73,12 @@
     Ok(call)
 }
 
+/// The executor that a path names, and whether it is to go out.
+fn turned(path: &str) -> Option<(&str, bool)> {
+    let named = |start, out| Some((path.strip_prefix(start)?, out));
+    named(names::OPERATORS_DISABLE, true).or_else(|| named(names::OPERATORS_ENABLE, false))
+}
+
 /// The whole answer; there is one to a connection.
 pub fn answer(status: u16, text: &str) -> String {
     let mut head = answer_head(status, text.len(), 0, true);
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -11,7 +11,9 @@
 use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{entries, nowhere, read_message, Act, Discovery, Fleet, NodeProcess, Signal};
+use stileroute_rig::stand::{
+    entries, entry, nowhere, read_message, Act, Discovery, Fleet, NodeProcess, Signal,
+};
 
 /// A node with an operators' address.
 fn operated(discovery: SocketAddr, known: &str, sockets: usize) -> (Node, SocketAddr) {
@@ -289,3 +291,99 @@
         assert!(error.contains("BALANCER_PASSED_SOCKET: "), "{number}: {error}");
     }
 }
+
+/// Pushes seen so far at this executor.
+fn at_executor(fleet: &Fleet, executor: usize) -> usize {
+    fleet.pushes.lock().unwrap().iter().filter(|push| push.executor == executor).count()
+}
+
+#[test]
+fn who_is_out_by_hand_gets_nothing_until_called_back_also_over_an_upgrade() {
+    let (fleet, addresses) = Fleet::start(3, |_| DONE);
+    let (discovery, at) = Discovery::start(entries(&addresses));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (home, clients) = (Home::new(), listener.local_addr().unwrap());
+    let (mut node, mut calls) = shared(at, "", &listener, &home.0);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    assert_eq!(call(calls, "PUT /executors/disable/s-9").0, 404);
+    assert_eq!(call(calls, "PUT /executors/enable/s-9").0, 404);
+    let (stop, answered, crossed) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
+    std::thread::scope(|scope| {
+        for _ in 0..6 {
+            scope.spawn(|| goes_on(clients, &stop, &answered, &crossed));
+        }
+        until("all are used", || (0..3).all(|executor| at_executor(&fleet, executor) > 5));
+        let holds = |executor: usize, what: &str| {
+            let (before, goal) = (at_executor(&fleet, executor), answered.load(Ordering::SeqCst) + 60);
+            until(what, || answered.load(Ordering::SeqCst) > goal);
+            assert_eq!(at_executor(&fleet, executor), before, "{what}");
+        };
+        // What has begun before the yes may still come in; it takes a moment to be counted.
+        let turn = |calls, line: &str| {
+            assert_eq!(call(calls, line).0, 200, "{line}");
+            sleep(Duration::from_millis(20));
+        };
+        turn(calls, "PUT /executors/disable/s-1");
+        turn(calls, "PUT /executors/disable/s-1");
+        holds(1, "out");
+        assert_eq!((figure(calls, "svc_cluster_size"), figure(calls, "svc_cluster_unhealthy")), (3, 1));
+        discovery.tell(7, false, entry(1, &addresses[1], "Gone"));
+        until("gone", || figure(calls, "svc_cluster_size") == 2);
+        discovery.tell(8, true, entries(&addresses));
+        until("back in the list", || figure(calls, "svc_cluster_size") == 3);
+        holds(1, "listed again");
+        // The successor knows, and what is called out at either holds at both.
+        let (next, next_calls) = shared(at, &entries(&addresses), &listener, &home.0);
+        until("ready", || call(next_calls, "GET /ready").0 == 200);
+        turn(calls, "PUT /executors/disable/s-2");
+        assert_eq!(figure(next_calls, "svc_cluster_unhealthy"), 2);
+        turn(next_calls, "PUT /executors/enable/s-1");
+        assert_eq!(figure(calls, "svc_cluster_unhealthy"), 1);
+        holds(2, "out at both");
+        let mut before = std::mem::replace(&mut node, next);
+        calls = next_calls;
+        before.signal(Signal::SIGTERM);
+        holds(2, "out while the older one ends");
+        assert!(before.process.wait(WAIT).is_some());
+        holds(2, "out at the successor");
+        // One call back undoes both, and it is used within five seconds.
+        for executor in [1, 2] {
+            let (before, start) = (at_executor(&fleet, executor), Instant::now());
+            turn(calls, &format!("PUT /executors/enable/s-{executor}"));
+            until("in use again", || at_executor(&fleet, executor) > before);
+            assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
+        }
+        stop.store(true, Ordering::SeqCst);
+    });
+    assert_eq!(figure(calls, "svc_cluster_unhealthy"), 0);
+}
+
+#[test]
+fn a_push_that_waits_for_its_connection_stays_here_and_costs_its_op_nothing() {
+    // One executor whose queue of connections is full: a new one waits until its time is out.
+    let deaf = TcpListener::bind("127.0.0.1:0").unwrap();
+    let deaf_at = deaf.local_addr().unwrap();
+    socket2::SockRef::from(&deaf).listen(0).unwrap();
+    let filler = TcpStream::connect(deaf_at).unwrap();
+    let (fleet, addresses) = Fleet::start(1, |_| DONE);
+    let known = [entry(0, &deaf_at, "Ready"), entry(1, &nowhere(), "Terminating")].join(",");
+    let (discovery, at) = Discovery::start(known.clone());
+    let (node, calls) = operated(at, &known, 256);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    let mut client = node.client();
+    client.write_all(request("once", 5000).as_bytes()).unwrap();
+    until("in hand", || figure(calls, "svc_current") == 1);
+    sleep(Duration::from_millis(50));
+    assert_eq!(call(calls, "PUT /executors/disable/s-0").0, 200);
+    // From here on it could connect, and must not; the op goes to who comes.
+    drop((filler, deaf.accept()));
+    discovery.tell(9, false, entry(1, &addresses[0], "Ready"));
+    assert_eq!(hear(&mut client).0, 200);
+    assert_eq!((fleet.count(), figure(calls, "svc_sends_total")), (1, 1));
+    deaf.set_nonblocking(true).unwrap();
+    while let Ok((mut late, _)) = deaf.accept() {
+        let mut byte = [0];
+        late.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+        assert!(!matches!(late.read(&mut byte), Ok(1..)), "a byte of a push came to who is out");
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -150,7 +150,25 @@
 
     /// Whether this instance sends nothing to an executor now because of what it has seen of it.
     pub fn avoids(&self, now: Time, executor: usize) -> bool {
-        self.executors.get(executor).is_some_and(|e| e.aside.max(self.domains[e.domain].1) > now)
+        self.executors
+            .get(executor)
+            .is_some_and(|e| e.disabled || e.aside.max(self.domains[e.domain].1) > now)
+    }
+
+    /// An executor is taken out by hand: it gets nothing until it is put back, whatever the list says. On its
+    /// return it is cold and clear of all that was held against it: who works on it may have restarted it, and the
+    /// list may tell of that late.
+    pub fn disable(&mut self, now: Time, executor: usize, out: bool) {
+        let luck = self.chance.draw();
+        let Some(e) = self.executors.get_mut(executor).filter(|e| e.disabled != out) else { return };
+        e.disabled = out;
+        if !out {
+            e.start_over(now, Some(now), luck);
+            (e.credit, e.samples) = (e.credit.max(1.0), 0.0);
+            e.barred.fill(0);
+            e.missed.fill(0);
+        }
+        self.solved = None;
     }
 
     // ---- The three calls ----
@@ -225,7 +243,7 @@
                 executor.credit = (executor.credit - 1.0).max(0.0);
                 self.learn(x, op, ran, Sample::Censored);
             }
-            Outcome::Cancelled | Outcome::Moot | Outcome::Broken => {}
+            Outcome::Cancelled | Outcome::Moot | Outcome::Withheld | Outcome::Broken => {}
         }
         if op.limits.pause > 0 {
             let chance = 1.0 + op.limits.pause_spread * self.chance.draw();
@@ -480,7 +498,7 @@
             }
         }
         // The more of the fleet is held, the closer the shares come to the bare rates.
-        let active = self.executors.iter().filter(|e| e.active && e.mine);
+        let active = self.executors.iter().filter(|e| e.takes() && e.mine);
         let held: f64 = active.clone().map(|e| e.own() + e.usual.max(0.0)).sum();
         let slots = active.clone().map(|e| self.slots[e.kind]).sum::<f64>().max(1.0);
         self.used = active.map(|e| e.own() + e.told).sum::<f64>() / slots;
@@ -502,7 +520,7 @@
 
     /// The service rate: slots over the smoothed running time, less what is not served; none while aside.
     fn rate(&self, now: Time, e: &Executor) -> f64 {
-        let on = f64::from(u8::from(e.active && e.mine && e.aside <= now));
+        let on = f64::from(u8::from(e.takes() && e.mine && e.aside <= now));
         on * self.slots[e.kind] * self.warmth(now, e) * e.served / e.pace.exp()
     }
 
@@ -670,7 +688,7 @@
     fn fits(&self, now: Time, op: &Op, at: usize) -> bool {
         let e = &self.executors[at];
         let category = &self.categories[op.category];
-        if !e.active || category.kind.is_some_and(|kind| kind != e.kind) {
+        if !e.takes() || category.kind.is_some_and(|kind| kind != e.kind) {
             return false;
         }
         // Beyond what the masks can name nothing is left out.
@@ -857,7 +875,7 @@
 
     /// A further push is allowed, and would be no second effect.
     fn may_send(&self, now: Time, op: &Op) -> bool {
-        op.pushes.len() < self.terms.max_pushes.min(op.limits.pushes)
+        op.made() < self.terms.max_pushes.min(op.limits.pushes)
             && (op.pushes.is_empty() || op.limits.over_budget == 0)
             && match (self.effect(op), op.may_have_run()) {
                 (_, None) | (Effect::Redeliverable, _) => true,
@@ -915,7 +933,8 @@
         }
         let luck = self.chance.draw();
         let e = &mut self.executors[line.executor];
-        let restarted = line.started.is_some() && line.started != e.started;
+        // Nor is an older start news to one that was put back by hand, which is taken to be cold from then on.
+        let restarted = line.started > e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
         (e.size, e.mark) = (e.size.max(line.weight), line.mark);
         self.peers.lists(line.mark, line.executor);
@@ -925,10 +944,7 @@
             *slots += SMOOTH * (line.weight - *slots) * if *slots <= 1.0 { 1.0 / SMOOTH } else { 1.0 };
         }
         if restarted {
-            // It starts over: cold, with nothing held and nothing known against it.
-            e.started = line.started;
-            (e.others, e.usual, e.running, e.served) = (0.0, -1.0, 0.0, 1.0);
-            (e.trial, e.aside, e.known, e.spent, e.luck) = (false, now, now, 0.0, luck);
+            e.start_over(now, line.started, luck);
         }
         e.pace = if e.samples == 0.0 { paces.get(line.kind).copied().unwrap_or(0.0) } else { e.pace };
         if self.terms.live_weights && line.weight > 0.0 && !restarted {
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Executor {
     pub active: bool,
+    /// Taken out by hand, whatever the list says.
+    pub disabled: bool,
     pub domain: usize,
     pub kind: usize,
     pub cell: usize,
@@ -68,6 +70,18 @@
         }
     }
 
+    /// It may be given work.
+    pub fn takes(&self) -> bool {
+        self.active && !self.disabled
+    }
+
+    /// It starts over: cold, with nothing held and nothing known against it.
+    pub fn start_over(&mut self, now: Time, started: Option<Time>, luck: f64) {
+        self.started = started;
+        (self.others, self.usual, self.running, self.served) = (0.0, -1.0, 0.0, 1.0);
+        (self.trial, self.aside, self.known, self.spent, self.luck) = (false, now, now, 0.0, luck);
+    }
+
     pub fn own(&self) -> f64 {
         self.out.iter().sum()
     }
--- a/src/tariff.rs
+++ b/src/tariff.rs
@@ -165,6 +165,8 @@
     Reset,
     Cancelled,
     Moot,
+    /// Kept back before anything of it was written, for its executor was taken out by hand.
+    Withheld,
     /// The connection broke under it before it was written to its end: it never ran.
     Cut,
     /// The connection ended under it, as one does that was idle: it may have run, and blames no one.
@@ -176,7 +178,10 @@
 impl Outcome {
     /// The op provably never ran in this push.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full | Outcome::NotConnected | Outcome::Moot | Outcome::Cut)
+        matches!(
+            self,
+            Outcome::Full | Outcome::NotConnected | Outcome::Moot | Outcome::Withheld | Outcome::Cut
+        )
     }
 }
 
@@ -232,6 +237,10 @@
     pub fn out(&self) -> bool {
         self.pushes.iter().any(|p| p.outcome.is_none())
     }
+    /// Pushes made, without those that operators kept from leaving.
+    pub(crate) fn made(&self) -> usize {
+        self.pushes.iter().filter(|p| p.outcome != Some(Outcome::Withheld)).count()
+    }
     /// No one will wait beyond this: the instance itself is to end.
     pub fn end_by(&mut self, at: Time) {
         self.deadline = self.deadline.min(at);
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -910,3 +910,51 @@
         assert_eq!(home(now + 2 * MS, false) == first, stays, "{held} slots of two held by a peer");
     }
 }
+
+#[test]
+fn who_is_out_by_hand_gets_nothing_and_comes_back_cold() {
+    let mut desk = desk(terms(), 3, 3);
+    let mut now = SECOND;
+    (0..60).for_each(|n| {
+        serve(&mut desk, now + n * 100, 0, 900);
+    });
+    // A push there that was kept back is held against nobody and takes none of the op's pushes.
+    let mut op = desk.arrive(now, Ask { limits: Limits { pushes: 2, ..Limits::default() }, ..ask(4) });
+    let first = pushed(desk.place(now, &mut op));
+    desk.disable(now, first, true);
+    let second = pushed(desk.settle(now, &mut op, 0, Outcome::Withheld, &[]));
+    let third = pushed(desk.settle(now, &mut op, 1, Outcome::NotConnected, &[]));
+    assert!(second != first && third != first && desk.avoids(now, first));
+    assert_eq!(desk.settle(now, &mut op, 2, Outcome::Acked, &[]), Step::Hold);
+    // Not by a list that names it anew, nor under a fresh start, nor twice out and asked again.
+    for round in 0..3 {
+        now += SECOND;
+        let started = (round == 2).then_some(now);
+        desk.list(now, round == 1, &[line(0), line(1), Listed { started, ..line(first) }, line(2)]);
+        desk.disable(now, first, true);
+        for n in 0..30 {
+            assert_ne!(serve(&mut desk, now + n * 300, 0, 500), first, "round {round}");
+        }
+        assert_eq!(desk.shares().nth(first), Some(0.0));
+    }
+    // All are out: what comes is nacked, and nothing is pushed.
+    (0..3).for_each(|executor| desk.disable(now, executor, true));
+    let mut none = desk.arrive(now, ask(0));
+    assert_eq!(desk.place(now, &mut none), Step::Hold);
+    assert!(matches!(desk.place(now + SECOND, &mut none), Step::Nack { .. }));
+    (0..3).filter(|executor| *executor != first).for_each(|executor| desk.disable(now, executor, false));
+    // Back, it is cold whatever the list knows of its start, and an older start is no news.
+    now += 20 * SECOND;
+    desk.disable(now, first, false);
+    desk.list(now, false, &[Listed { started: Some(now - 3 * SECOND), ..line(first) }]);
+    assert!(!desk.avoids(now, first));
+    let mut sent = Vec::new();
+    for n in 0..200 {
+        let at = now + n * 250;
+        if serve(&mut desk, at, 0, 500) == first {
+            sent.push(at - now);
+        }
+    }
+    let early = sent.iter().filter(|at| **at < SECOND).count();
+    assert!(early <= 3 && sent.first().is_some_and(|at| *at < 5 * SECOND), "{sent:?}");
+}
