A successor takes over what the process before has learned

An executor that is put back counts as started when the list said that it started, if that was while it was out, else now: its warmth was underestimated by the time that it had been up already. Tests: what is taken over and what not; a test whose assertion fails now ends its clients (one hung for ten minutes).

--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute::choice::{Dispatcher, UPKEEP};
+use stileroute::state::Memory;
 use stileroute::tariff::{mark, Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
 use stileroute_routes::gate::{Entry, Gate, Pass};
 use stileroute_routes::pattern::Request as Ways;
@@ -85,6 +86,16 @@
     }
 }
 
+/// Where operators have an address: what they want, and what they read.
+pub struct Operators {
+    pub orders: Receiver<Order>,
+    pub figures: Arc<Figures>,
+    /// Whom they took out.
+    pub outs: State,
+    /// Takes what is learned, for a successor.
+    pub learns: Option<Sender<Memory>>,
+}
+
 pub struct Desk {
     clock: Clock,
     dispatcher: Dispatcher,
@@ -97,10 +108,7 @@
     domains: Indices,
     kinds: Indices,
     executors: Vec<Known>,
-    /// Whom operators took out, what they want, and what they read, where they have an address.
-    outs: State,
-    orders: Option<Receiver<Order>>,
-    figures: Option<Arc<Figures>>,
+    operators: Option<Operators>,
     version: i64,
     ask: Sender<()>,
     upkeep: Time,
@@ -124,11 +132,9 @@
         ask: Sender<()>,
         routes: Option<Arc<Table>>,
         peers: Option<Box<dyn Carrier>>,
-        figures: Option<Arc<Figures>>,
-        operators: Option<(State, Receiver<Order>)>,
+        operators: Option<Operators>,
     ) -> Desk {
         let clock = Clock::new();
-        let (outs, orders) = operators.map_or_else(Default::default, |(outs, orders)| (outs, Some(orders)));
         let mut desk = Desk {
             dispatcher: Dispatcher::new(&start.tariff, start.seed),
             ops: Ops::default(),
@@ -139,9 +145,7 @@
             domains: Indices::of(&start.domains),
             kinds: Indices::of(&start.kinds),
             executors: Vec::new(),
-            outs,
-            orders,
-            figures,
+            operators,
             version: -1,
             ask,
             upkeep: clock.now(),
@@ -159,6 +163,12 @@
         desk
     }
 
+    /// Takes over what the process before has learned.
+    pub fn recall(&mut self, kept: Memory) {
+        say!("takes over what was learned of {} executors", kept.executors.len());
+        self.dispatcher.recall(self.clock.now(), kept);
+    }
+
     /// Serves until the end that was asked for.
     pub fn run(&mut self, events: &Receiver<Event>) {
         loop {
@@ -184,13 +194,12 @@
 
     /// Waits for the next event; an order is carried out at once, and then there may be none.
     fn next(&mut self, events: &Receiver<Event>, until: Instant) -> Result<Option<Event>, RecvTimeoutError> {
-        let Some(orders) = &self.orders else { return events.recv_deadline(until).map(Some) };
+        let Some(Operators { orders, .. }) = &self.operators else {
+            return events.recv_deadline(until).map(Some);
+        };
         crossbeam_channel::select_biased! {
             recv(orders) -> order => {
-                match order {
-                    Ok(order) => self.order(order),
-                    Err(_) => self.orders = None,
-                }
+                order.into_iter().for_each(|order| self.order(order));
                 Ok(None)
             }
             recv(events) -> event => event.map(Some).map_err(|_| RecvTimeoutError::Disconnected),
@@ -200,7 +209,7 @@
 
     /// Operators don't wait behind a thousand events.
     fn obey(&mut self) {
-        while let Some(order) = self.orders.as_ref().and_then(|orders| orders.try_recv().ok()) {
+        while let Some(order) = self.operators.as_ref().and_then(|own| own.orders.try_recv().ok()) {
             self.order(order);
         }
     }
@@ -211,9 +220,7 @@
                 let _ = reply.try_send(self.names.known(&name).is_some());
             }
             Order::Outs(outs, reply) => {
-                if outs.number >= self.outs.number {
-                    self.turn_out(outs);
-                }
+                self.turn_out(outs);
                 let _ = reply.try_send(true);
             }
         }
@@ -221,11 +228,13 @@
 
     /// Exactly these are out by hand. When this returns nothing new leaves for one of them.
     fn turn_out(&mut self, outs: State) {
+        // Two calls at once may come here in the other order.
+        let Some(own) = self.operators.as_mut().filter(|own| outs.number >= own.outs.number) else { return };
+        let changed: Vec<String> = own.outs.names.symmetric_difference(&outs.names).cloned().collect();
+        own.outs = outs.clone();
         let now = self.clock.now();
-        let changed: Vec<String> = self.outs.names.symmetric_difference(&outs.names).cloned().collect();
-        self.outs = outs;
         for name in changed {
-            let out = self.outs.names.contains(&name);
+            let out = outs.names.contains(&name);
             say!("executor {name}: {} by hand", if out { "taken out" } else { "put back" });
             let Some(executor) = self.names.known(&name) else { continue };
             self.executors[executor].out = out;
@@ -532,6 +541,7 @@
         if list.whole {
             self.executors.iter_mut().for_each(|known| (known.active, known.listed) = (false, false));
         }
+        let out_by_hand = self.operators.as_ref().map(|own| own.outs.names.clone()).unwrap_or_default();
         let mut lines = Vec::with_capacity(list.entries.len());
         for entry in &list.entries {
             let executor = self.names.index(&entry.name);
@@ -542,7 +552,7 @@
                 known.address = entry.address;
             }
             (known.active, known.listed) = (entry.active, entry.listed);
-            known.out = self.outs.names.contains(&entry.name);
+            known.out = out_by_hand.contains(&entry.name);
             lines.push(Listed {
                 mark: mark(&entry.name),
                 executor,
@@ -572,7 +582,7 @@
 
     /// What operators read of the executors.
     fn publish(&self, now: Time) {
-        let Some(figures) = &self.figures else { return };
+        let Some(Operators { figures, .. }) = &self.operators else { return };
         let listed = self.executors.iter().enumerate().filter(|(_, known)| known.listed);
         let avoided = listed.clone().filter(|(executor, _)| self.dispatcher.avoids(now, *executor));
         figures.listed.store(listed.count(), Ordering::Relaxed);
@@ -595,6 +605,10 @@
             self.upkeep = now + UPKEEP;
             self.outlet.retire();
             self.publish(now);
+            let learns = self.operators.as_ref().and_then(|own| own.learns.as_ref());
+            if let Some(learns) = learns.filter(|learns| learns.is_empty()) {
+                let _ = learns.try_send(self.dispatcher.memory());
+            }
             if self.dispatcher.upkeep(now) {
                 let _ = self.ask.try_send(());
             }
--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -9,13 +9,14 @@
 use crate::store::figures::Figures;
 use crate::store::outs::{is_name, Outs, State, LOOK};
 use crate::wire::call::{answer, Call, Inbox};
-use crossbeam_channel::{bounded, Sender};
+use crossbeam_channel::{bounded, Receiver, Sender};
 use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use stileroute::state::Memory;
 
 /// How long one may take to send a call, or to take its answer in.
 const SLOW: Duration = Duration::from_secs(5);
@@ -37,6 +38,7 @@
     pub clients: Arc<Clients>,
     pub desk: Sender<Order>,
     pub outs: Outs,
+    pub learned: Receiver<Memory>,
 }
 
 pub struct Calls {
@@ -70,6 +72,11 @@
         let outs = &self.reach.outs;
         loop {
             std::thread::sleep(LOOK);
+            if let Some(text) =
+                self.reach.learned.try_iter().last().and_then(|m| serde_json::to_string(&m).ok())
+            {
+                outs.keep(&text);
+            }
             if let Some(state) = outs.news() {
                 if self.reach.carry_out(&state, Duration::MAX) {
                     outs.carried_out(state.number);
@@ -189,10 +196,11 @@
     fn turn(&self, name: &str, out: bool, until: Instant) -> Result<(), (u16, String)> {
         let late = || (503, "the node did not answer in time".to_string());
         let left = || until.saturating_duration_since(Instant::now());
-        let known = |reply| Order::Known(name.to_string(), reply);
-        if !self.outs.state().names.contains(name)
-            && !(is_name(name) && self.ask(known, left()).ok_or_else(late)?)
-        {
+        let mut known = self.outs.state().names.contains(name);
+        if !known && is_name(name) {
+            known = self.ask(|reply| Order::Known(name.to_string(), reply), left()).ok_or_else(late)?;
+        }
+        if !known {
             return Err((404, format!("no executor '{name}' was ever listed here")));
         }
         if self.clients.shared && !self.outs.is_shared() {
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -55,7 +55,7 @@
                 (status, Body::Text(format!("refused by an executor: status {status}\n")), 0)
             }
         };
-        Reply { status, category: Some(answer.category), body, come_back, until: answer.until }
+        Reply { status, category: answer.category, body, come_back, until: answer.until }
     }
 }
 
@@ -305,8 +305,8 @@
             })?),
         };
         let ticket = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let _in_hand = self.figures.as_ref().map(Figures::take_in_hand);
-        let reply = Owed { to: pen.replies.clone(), category: asked.category, _in_hand };
+        let in_hand = self.figures.as_ref().map(|figures| figures.take_in_hand(asked.category));
+        let reply = Owed { to: pen.replies.clone(), in_hand };
         let job = Arc::new(request);
         let sent = self.desk.send(Event::Asked { ticket, job, asked, came, reply });
         sent.map(|()| ticket).map_err(|_| own(503, "the node has ended"))
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -12,7 +12,7 @@
 
 use clap::Parser;
 use crossbeam_channel::bounded;
-use desk::Desk;
+use desk::{Desk, Operators};
 use drive::calls::{Calls, Reach};
 use drive::clients::Clients;
 use drive::directory::Post;
@@ -100,13 +100,18 @@
     let (order, orders) = bounded(ORDERS);
     let outs = start.operators.map(|_| outs::Outs::join(start.home.as_deref(), mark(&start.name)));
     let outs = outs.transpose().map_err(|error| format!("TMPDIR: {error}"))?;
-    let orders = outs.as_ref().map(|outs| (outs.state(), orders));
-    let mut desk =
-        Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, figures.clone(), orders);
+    // Only where another process takes this one's place is it of use to keep what is learned.
+    let (learns, learned) = bounded(1);
+    let learns = start.inherited.map(|_| learns);
+    let kept = outs.as_ref().filter(|_| learns.is_some()).and_then(|outs| outs.kept());
+    let operators = figures.clone().zip(outs.as_ref());
+    let operators =
+        operators.map(|(figures, outs)| Operators { orders, figures, outs: outs.state(), learns });
+    let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, operators);
     let calls = match (start.operators, figures, outs) {
-        (Some(at), Some(figures), Some(outs)) => {
-            Some(Calls::new(Reach { figures, clients: clients.clone(), desk: order, outs }).open(at)?)
-        }
+        (Some(at), Some(figures), Some(outs)) => Some(
+            Calls::new(Reach { figures, clients: clients.clone(), desk: order, outs, learned }).open(at)?,
+        ),
         _ => None,
     };
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
@@ -114,6 +119,9 @@
     if let Some(at) = calls {
         say!("operators call at {at}");
     }
+    if let Some(kept) = kept.and_then(|text| serde_json::from_str(&text).ok()) {
+        desk.recall(kept);
+    }
     desk.run(&events);
     say!("{} ended", start.name);
     Ok(())
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -42,21 +42,23 @@
 /// The answer that is owed to a client; its op is in hand until this is dropped.
 pub struct Owed {
     pub to: Sender<Answer>,
-    pub category: usize,
-    pub _in_hand: Option<InHand>,
+    /// Where figures are kept.
+    pub in_hand: Option<Box<InHand>>,
 }
 
 impl Owed {
     /// Gives it; whoever is gone gets none.
     pub fn give(self, fate: Fate, until: Instant) {
-        let _ = self.to.try_send(Answer { fate, category: self.category, until });
+        let _ =
+            self.to.try_send(Answer { fate, category: self.in_hand.as_ref().map(|op| op.category), until });
     }
 }
 
 /// The final answer to an op.
 pub struct Answer {
     pub fate: Fate,
-    pub category: usize,
+    /// Under which it is counted, if it is.
+    pub category: Option<usize>,
     /// When no one waits for it any more.
     pub until: Instant,
 }
--- a/node/src/store/figures.rs
+++ b/node/src/store/figures.rs
@@ -24,11 +24,14 @@
 }
 
 /// An op is in hand for as long as this lives, so that no way out of the node can forget to take it off.
-pub struct InHand(Arc<Figures>);
+pub struct InHand {
+    figures: Arc<Figures>,
+    pub category: usize,
+}
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        self.0.in_hand.fetch_sub(1, Relaxed);
+        self.figures.in_hand.fetch_sub(1, Relaxed);
     }
 }
 
@@ -44,9 +47,9 @@
         Arc::new(Figures { categories, ..Figures::default() })
     }
 
-    pub fn take_in_hand(self: &Arc<Figures>) -> InHand {
+    pub fn take_in_hand(self: &Arc<Figures>, category: usize) -> Box<InHand> {
         self.in_hand.fetch_add(1, Relaxed);
-        InHand(self.clone())
+        Box::new(InHand { figures: self.clone(), category })
     }
 
     pub fn ended(&self, category: usize, how: Ended) {
--- a/node/src/store/outs.rs
+++ b/node/src/store/outs.rs
@@ -72,6 +72,8 @@
 
 /// How often to look for what another process has written.
 pub const LOOK: Duration = Duration::from_millis(20);
+/// How old what was learned may be.
+const KEPT: Duration = Duration::from_secs(5);
 /// How long a change waits for another process that is just changing the set.
 const TURN: Duration = Duration::from_millis(300);
 
@@ -116,7 +118,7 @@
             let state = State { number: latest.1.number + 1, names: Arc::new(names) };
             match &self.shared {
                 Some(shared) => {
-                    shared.write(&state)?;
+                    shared.replace("outs", &state.text())?;
                     shared.look(&mut latest);
                 }
                 None => latest.1 = state,
@@ -125,6 +127,19 @@
         Ok(latest.1.clone())
     }
 
+    /// Keeps what was learned for a successor; it only helps, so nothing is made of a failure.
+    pub fn keep(&self, learned: &str) {
+        let Some(shared) = &self.shared else { return };
+        let _ = shared.replace("learned", learned);
+    }
+
+    /// What another process of this node, living or just ended, has kept.
+    pub fn kept(&self) -> Option<String> {
+        let path = self.shared.as_ref()?.path("learned");
+        let age = std::fs::metadata(&path).and_then(|found| found.modified()).ok()?.elapsed();
+        age.is_ok_and(|age| age < KEPT).then(|| std::fs::read_to_string(&path).ok())?
+    }
+
     /// Says to the other processes that this one has carried out the state of this number.
     pub fn carried_out(&self, number: u64) {
         let Some(shared) = &self.shared else { return };
@@ -185,10 +200,11 @@
         Some(latest.1.clone())
     }
 
-    fn write(&self, state: &State) -> Result<()> {
-        let beside = self.path("outs.new");
-        File::create(&beside)?.write_all(state.text().as_bytes())?;
-        std::fs::rename(&beside, self.path("outs"))
+    /// Writes a file beside its place and renames it there, so that nobody reads half of it.
+    fn replace(&self, end: &str, text: &str) -> Result<()> {
+        let beside = self.path(&format!("{end}.new"));
+        File::create(&beside)?.write_all(text.as_bytes())?;
+        std::fs::rename(&beside, self.path(end))
     }
 
     /// The states that the other processes have carried out, those that live; files of those that ended are cleared
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -222,6 +222,7 @@
     until("ready", || call(calls, "GET /ready").0 == 200);
     let (stop, answered, crossed) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
     std::thread::scope(|scope| {
+        let stops = Stops(&stop);
         for _ in 0..8 {
             scope.spawn(|| goes_on(clients, &stop, &answered, &crossed));
         }
@@ -241,7 +242,7 @@
             let goal = answered.load(Ordering::SeqCst) + 100;
             until("the successor serves", || answered.load(Ordering::SeqCst) > goal);
         }
-        stop.store(true, Ordering::SeqCst);
+        drop(stops);
     });
     let (answered, crossed) = (answered.into_inner(), crossed.into_inner());
     assert!(crossed <= 2, "{crossed} requests crossed the end of their connection");
@@ -251,6 +252,15 @@
     assert_eq!((ids.len(), pushes.len()), (answered, answered), "one push for each op");
 }
 
+/// Ends the clients with the test, also one that fails: they would be waited for without end.
+struct Stops<'a>(&'a AtomicBool);
+
+impl Drop for Stops<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// A folder of the test's own, for what processes of one node share.
 struct Home(std::path::PathBuf);
 
@@ -309,6 +319,7 @@
     assert_eq!(call(calls, "PUT /executors/enable/s-9").0, 404);
     let (stop, answered, crossed) = (AtomicBool::new(false), AtomicUsize::new(0), AtomicUsize::new(0));
     std::thread::scope(|scope| {
+        let stops = Stops(&stop);
         for _ in 0..6 {
             scope.spawn(|| goes_on(clients, &stop, &answered, &crossed));
         }
@@ -332,6 +343,8 @@
         discovery.tell(8, true, entries(&addresses));
         until("back in the list", || figure(calls, "svc_cluster_size") == 3);
         holds(1, "listed again");
+        // What is learned is kept four times a second.
+        sleep(Duration::from_millis(600));
         // The successor knows, and what is called out at either holds at both.
         let (next, next_calls) = shared(at, &entries(&addresses), &listener, &home.0);
         until("ready", || call(next_calls, "GET /ready").0 == 200);
@@ -345,6 +358,7 @@
         before.signal(Signal::SIGTERM);
         holds(2, "out while the older one ends");
         assert!(before.process.wait(WAIT).is_some());
+        assert!(node.logged("takes over what was learned of 3 executors"));
         holds(2, "out at the successor");
         // One call back undoes both, and it is used within five seconds.
         for executor in [1, 2] {
@@ -353,7 +367,7 @@
             until("in use again", || at_executor(&fleet, executor) > before);
             assert!(start.elapsed() < Duration::from_secs(5), "{:?}", start.elapsed());
         }
-        stop.store(true, Ordering::SeqCst);
+        drop(stops);
     });
     assert_eq!(figure(calls, "svc_cluster_unhealthy"), 0);
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,7 +12,7 @@
 //! The plain types are in `tariff.rs`; where the design comes from is told in `docs/design.md`.
 
 use crate::peers::{News, Peers};
-use crate::state::{Executor, Learned};
+use crate::state::{Executor, Learned, Memory};
 use crate::tariff::*;
 
 /// How often `upkeep` is to be called.
@@ -152,18 +152,19 @@
     pub fn avoids(&self, now: Time, executor: usize) -> bool {
         self.executors
             .get(executor)
-            .is_some_and(|e| e.disabled || e.aside.max(self.domains[e.domain].1) > now)
+            .is_some_and(|e| e.disabled.is_some() || e.aside.max(self.domains[e.domain].1) > now)
     }
 
     /// An executor is taken out by hand: it gets nothing until it is put back, whatever the list says. On its
-    /// return it is cold and clear of all that was held against it: who works on it may have restarted it, and the
-    /// list may tell of that late.
+    /// return it is clear of all that was held against it, and cold: if the list has told of no start meanwhile, as
+    /// if it started just now, for the list may tell of that late.
     pub fn disable(&mut self, now: Time, executor: usize, out: bool) {
         let luck = self.chance.draw();
-        let Some(e) = self.executors.get_mut(executor).filter(|e| e.disabled != out) else { return };
-        e.disabled = out;
-        if !out {
-            e.start_over(now, Some(now), luck);
+        let Some(e) = self.executors.get_mut(executor).filter(|e| e.disabled.is_some() != out) else {
+            return;
+        };
+        if let Some(since) = std::mem::replace(&mut e.disabled, out.then_some(now)) {
+            e.start_over(now, e.started.filter(|at| *at > since).or(Some(now)), luck);
             (e.credit, e.samples) = (e.credit.max(1.0), 0.0);
             e.barred.fill(0);
             e.missed.fill(0);
@@ -171,6 +172,47 @@
         self.solved = None;
     }
 
+    /// What was learned, to be handed over.
+    pub fn memory(&self) -> Memory {
+        Memory {
+            categories: self.learned.clone(),
+            slots: self.slots.clone(),
+            executors: self.executors.clone(),
+            usual: self.usual,
+            slots_per_op: self.slots_per_op,
+            gap: self.arrival_gap,
+            square: self.arrival_square,
+        }
+    }
+
+    /// Takes over what the instance before has learned, of executors that the list has named here too. What that one
+    /// has out there shows in reports; of a cold budget nothing is taken over, for it may still be using it.
+    pub fn recall(&mut self, now: Time, memory: Memory) {
+        if memory.categories.len() != self.learned.len() {
+            return;
+        }
+        self.learned = memory.categories;
+        (self.usual, self.slots_per_op) = (memory.usual, memory.slots_per_op);
+        (self.arrival_gap, self.arrival_square) = (memory.gap, memory.square);
+        for (own, slots) in self.slots.iter_mut().zip(memory.slots) {
+            *own = slots;
+        }
+        for old in memory.executors {
+            let Some(e) = self.executors.iter_mut().find(|e| e.mark == old.mark) else { continue };
+            if e.started > old.started || old.out.len() != e.out.len() {
+                continue;
+            }
+            let Executor { active, domain, kind, cell, mine, known, luck, turn, .. } = *e;
+            let disabled = e.disabled.and(old.disabled).or(e.disabled);
+            *e =
+                Executor { active, domain, kind, cell, mine, disabled, known, luck, turn, spent: 0.0, ..old };
+            (e.lines, e.touched, e.told, e.running, e.share) = (0.0, -self.terms.keepalive, 0.0, 0.0, 0.0);
+            e.out.fill(0.0);
+            e.heard = e.heard.min(now);
+        }
+        self.solved = None;
+    }
+
     // ---- The three calls ----
 
     /// Where to send this op: to an executor, not yet (`Hold`), or never (a final answer).
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,5 +6,5 @@
 pub mod choice;
 pub mod peers;
 pub mod posted;
-mod state;
+pub mod state;
 pub mod tariff;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,13 +2,29 @@
 //! op or a push is in `tariff.rs`. Nothing is decided here.
 
 use crate::tariff::{Time, SECOND};
+use serde::{Deserialize, Serialize};
+
+/// What an instance has learned, for the one that takes its place. Another version reads what it knows of it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct Memory {
+    pub categories: Vec<Learned>,
+    /// Slots by kind, and each executor.
+    pub slots: Vec<f64>,
+    pub executors: Vec<Executor>,
+    pub usual: f64,
+    pub slots_per_op: f64,
+    pub gap: f64,
+    pub square: f64,
+}
 
 /// One executor, as long as the list has named it.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
 pub struct Executor {
     pub active: bool,
-    /// Taken out by hand, whatever the list says.
-    pub disabled: bool,
+    /// Since when it is taken out by hand, whatever the list says.
+    pub disabled: Option<Time>,
     pub domain: usize,
     pub kind: usize,
     pub cell: usize,
@@ -72,7 +88,7 @@
 
     /// It may be given work.
     pub fn takes(&self) -> bool {
-        self.active && !self.disabled
+        self.active && self.disabled.is_none()
     }
 
     /// It starts over: cold, with nothing held and nothing known against it.
@@ -88,7 +104,8 @@
 }
 
 /// One category as learned: log and mean of its running time for one unit of hint.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
 pub struct Learned {
     pub norm: f64,
     pub mean: f64,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -958,3 +958,45 @@
     let early = sent.iter().filter(|at| **at < SECOND).count();
     assert!(early <= 3 && sent.first().is_some_and(|at| *at < 5 * SECOND), "{sent:?}");
 }
+
+#[test]
+fn a_successor_takes_over_what_was_learned_and_no_more() {
+    let mut old = desk(terms(), 3, 4);
+    // Executor 1 runs three times as long, executor 2 has failed just now, executor 3 restarts meanwhile.
+    for n in 0..300 {
+        let now = SECOND + n * 400;
+        let mut op = old.arrive(now, Ask { deadline: now + 20 * SECOND, ..ask(0) });
+        let executor = pushed(old.place(now, &mut op));
+        old.note(now, &mut op, 0, true, 0.0);
+        let ran = if executor == 1 { 3000 } else { 1000 };
+        old.settle(now + ran, &mut op, 0, Outcome::Acked, &[0.0, 4.0]);
+    }
+    let now = 14 * SECOND;
+    let mut op = old.arrive(now, ask(0));
+    while pushed(old.place(now, &mut op)) != 2 {
+        op = old.arrive(now, ask(0));
+    }
+    old.settle(now, &mut op, 0, Outcome::NotConnected, &[]);
+    let memory = old.memory();
+    let begin = || {
+        let mut new = Dispatcher::new(&tariff(terms()), 9);
+        new.list(now, true, &[line(0), line(1), line(2), Listed { started: Some(now - 10), ..line(3) }]);
+        new
+    };
+    let shares = |new: &mut Dispatcher| {
+        let mut op = new.arrive(now, ask(0));
+        new.place(now, &mut op);
+        new.shares().collect::<Vec<f64>>()
+    };
+    let (mut bare, mut new) = (begin(), begin());
+    new.recall(now, memory.clone());
+    let (bare, shares) = (shares(&mut bare), shares(&mut new));
+    assert!(bare[1] > 0.2 && bare[2] > 0.2, "{bare:?}");
+    assert!(shares[1] < shares[0] / 2.0 && shares[2] == 0.0 && new.avoids(now, 2), "{shares:?}");
+    assert!(shares[3] < shares[0] / 2.0, "it has restarted since and is cold: {shares:?}");
+    // One that knows other categories has learned of something else.
+    let mut other = begin();
+    let categories = memory.categories[..2].to_vec();
+    other.recall(now, stileroute::state::Memory { categories, ..memory });
+    assert!(!other.avoids(now, 2));
+}
