The watch goes on from the known list; whoever is turned away asks less often

To blame: drive/directory.rs, follow, which called for the whole list first though each node starts with one; and refused in the module, whose wait did not grow. Now a watch begins from the version known, and the wait doubles while a service that is there has no room, until all nodes together call about twice a second; silence is asked again as before.

--- a/drill/src/main.rs
+++ b/drill/src/main.rs
@@ -201,7 +201,7 @@
             "MEMBERS" => {
                 let scope = need(msg.scope.as_deref(), &msg.op, "scope")?;
                 if scope == "refused" {
-                    self.dispatcher.refused(now);
+                    self.dispatcher.refused(now, false);
                     return Ok(());
                 }
                 let generation = need(msg.generation, &msg.op, "generation")?;
--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -284,7 +284,7 @@
                 }
                 self.list(now, &list);
             }
-            Event::ListSilent => self.dispatcher.refused(now),
+            Event::ListSilent { turned_away } => self.dispatcher.refused(now, turned_away),
             Event::Routes(table) => {
                 self.front.want(&table.headers);
                 if let Some(gate) = &mut self.gate {
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -110,8 +110,8 @@
 }
 
 /// How long a request may take to come, the first one from the opening on, and how long it may take a client
-/// to read its last answer.
-const SLOW: Duration = Duration::from_millis(2800);
+/// to read its last answer. Jobs may be written over two seconds; an error is owed to a bad client within three.
+const SLOW: Duration = Duration::from_millis(2400);
 const BRIEF: Duration = Duration::from_secs(1);
 
 /// A connection's writer, as its reader reaches it: there is one from the first op on.
--- a/node/src/drive/directory.rs
+++ b/node/src/drive/directory.rs
@@ -55,10 +55,10 @@
 }
 
 /// Serves until the desk is gone. `ask` comes from the desk, which also decides when to ask again.
-pub fn run(post: &Post, ask: Receiver<()>, desk: Sender<Event>) {
-    let mut from = None;
+pub fn run(post: &Post, known: i64, ask: Receiver<()>, desk: Sender<Event>) {
+    let mut from = (known >= 0).then(|| (post.at(), known));
     while ask.recv().is_ok() {
-        loop {
+        let turned_away = loop {
             let at = post.at();
             let code = follow(at, post, &mut from, &desk);
             post.state().1 = None;
@@ -67,19 +67,29 @@
             let moved = post.at() != at;
             say!("discovery {at}: connection ended: {}", if moved { "moved" } else { code });
             if !moved {
-                break;
+                break code == TURNED_AWAY;
             }
-        }
-        if desk.send(Event::ListSilent).is_err() {
+        };
+        if desk.send(Event::ListSilent { turned_away }).is_err() {
             return;
         }
     }
 }
 
-/// The whole list, then watch after watch. Gives the reason why it ended.
-fn follow(at: SocketAddr, post: &Post, from: &mut Option<SocketAddr>, desk: &Sender<Event>) -> &'static str {
+/// Why a call ended for which the service had no room.
+const TURNED_AWAY: &str = "turned-away";
+
+/// Watch after watch, from the version that is known. Only where none is known, as at another address, a call for the whole
+/// list comes first: it costs the service each line, and hundreds of nodes that start or lose it together would
+/// each make it pay for what they know already. Gives the reason why it ended.
+fn follow(
+    at: SocketAddr,
+    post: &Post,
+    from: &mut Option<(SocketAddr, i64)>,
+    desk: &Sender<Event>,
+) -> &'static str {
     let host = at.to_string();
-    let (mut held, mut newer) = (None, None);
+    let mut held = None;
     loop {
         let stream = match held.take() {
             Some(stream) => stream,
@@ -92,6 +102,7 @@
             return "moved";
         }
         let _ = stream.set_nodelay(true);
+        let newer = from.filter(|from| from.0 == at).map(|from| from.1);
         let wait = newer.map_or(0, |_| WAIT_MS);
         let text = targets::ask(&host, newer.map(|than| (than, wait)));
         let list = match ask_for(&stream, &text, Duration::from_millis(wait) + LATE) {
@@ -105,9 +116,9 @@
         if post.at() != at {
             return "moved";
         }
-        newer = Some(newer.map_or(list.index, |before: i64| before.max(list.index)));
         // Another place counts its versions in its own way.
-        let anew = from.replace(at) != Some(at);
+        let anew = newer.is_none() && from.is_some();
+        *from = Some((at, newer.map_or(list.index, |before| before.max(list.index))));
         if desk.send(Event::List { list: (&list).into(), anew }).is_err() {
             return "stopped";
         }
@@ -117,6 +128,9 @@
 fn ask_for(stream: &TcpStream, text: &str, wait: Duration) -> Result<(List, bool), &'static str> {
     let _ = stream.set_write_timeout(Some(LATE));
     let answer = exchange(stream, text, Instant::now() + wait)?;
+    if answer.as_ref().is_ok_and(|whole| matches!(whole.status, 429 | 503)) {
+        return Err(TURNED_AWAY);
+    }
     let told = answer.and_then(|whole| targets::read(&whole).map(|list| (list, whole.close)));
     told.map_err(|error| {
         say!("discovery: answer can't be read: {error}");
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -87,7 +87,8 @@
     let thread = |error: std::io::Error| format!("threads: {error}");
     let told_by_peers = tell.clone();
     let news = tell;
-    spawn("discovery", move || drive::directory::run(&post, asked, news)).map_err(thread)?;
+    let known = start.known.index;
+    spawn("discovery", move || drive::directory::run(&post, known, asked, news)).map_err(thread)?;
     let peers = match &start.peers {
         Some(nodes) => {
             let peers = Peers::open(start.tariff.terms.me, nodes)?;
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -228,7 +228,10 @@
         list: List,
         anew: bool,
     },
-    ListSilent,
+    /// No list came; `turned_away`: there was an answer, but none for this caller now.
+    ListSilent {
+        turned_away: bool,
+    },
     /// New routes, checked.
     Routes(Arc<Table>),
     End,
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -276,6 +276,17 @@
     }
 }
 
+#[test]
+fn the_watch_goes_on_from_the_list_that_is_known() {
+    let (_fleet, addresses) = Fleet::start(1, |_| DONE);
+    let (discovery, at) = Discovery::start(entries(&addresses));
+    let (_node, calls) = operated(at, "", 256);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    until("the watch goes on", || discovery.calls() > 1);
+    let calls = discovery.calls.lock().unwrap().clone();
+    assert_eq!(calls[..2], ["/api/targets?since=1&timeout_ms=4000", "/api/targets?since=5&timeout_ms=4000"]);
+}
+
 /// A folder of the test's own, for what processes of one node share.
 struct Home(std::path::PathBuf);
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -110,6 +110,8 @@
     solved: Option<Time>,
     /// When to subscribe to the list, if not subscribed; zero before the first time.
     observe_at: Time,
+    /// Calls turned away in a row.
+    turned: u32,
     /// Part of the ops judged hopeless of late; told in the log as overload.
     turned_away: f64,
     overloaded: bool,
@@ -356,6 +358,9 @@
 
     /// News of the list of executors; `whole` replaces what was known.
     pub fn list(&mut self, now: Time, whole: bool, lines: &[Listed]) {
+        if std::mem::take(&mut self.turned) > 0 {
+            self.log.push("list: followed again".to_string());
+        }
         self.observe_at = if self.observe_at > 0 { Time::MAX } else { 0 };
         if whole {
             self.executors.iter_mut().for_each(|e| e.active = false);
@@ -366,9 +371,14 @@
         self.solved = None;
     }
 
-    /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes.
-    pub fn refused(&mut self, now: Time) {
-        let spread = (SECOND * (100 + self.terms.nodes as Time) / 100) as f64;
+    /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes. `turned_away`:
+    /// the service is there and had no room, so each time in a row the wait doubles, until all nodes together call
+    /// about twice a second; calls that are turned away take room too, and nobody would ever be heard.
+    pub fn refused(&mut self, now: Time, turned_away: bool) {
+        self.turned = if turned_away { (self.turned + 1).min(8) } else { 0 };
+        let nodes = self.terms.nodes as Time;
+        let least = SECOND * (100 + nodes) / 100;
+        let spread = (least << self.turned).min(least.max(SECOND * nodes / 2)) as f64;
         self.observe_at = now + SECOND / 4 + (self.chance.draw() * spread) as Time;
         self.log.push("list: call refused, will ask again".to_string());
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -327,13 +327,45 @@
 fn the_list_is_subscribed_to_again_after_a_refusal() {
     let mut desk = desk(Terms { subscribe: true, ..terms() }, 5, 2);
     assert!(desk.upkeep(0));
-    desk.refused(MS);
+    desk.refused(MS, false);
     assert!(!desk.upkeep(2 * MS), "not at once: all nodes would call together");
     assert!(desk.upkeep(2 * SECOND));
     desk.list(3 * SECOND, false, &[]);
     assert!(!desk.upkeep(30 * SECOND), "subscribed");
 }
 
+#[test]
+fn whoever_is_turned_away_asks_less_often_the_more_nodes_there_are() {
+    // Nodes, calls turned away in a row, whether they were, and the longest wait then, in seconds.
+    let cases = [
+        (2, 6, true, 1.27),
+        (48, 1, true, 3.21),
+        (48, 3, true, 12.1),
+        (48, 9, true, 24.25),
+        (48, 9, false, 1.73),
+    ];
+    for (nodes, calls, away, most) in cases {
+        let waits = (0..200).map(|seed| {
+            let mut desk = desk(Terms { nodes, subscribe: true, ..terms() }, seed, 4);
+            (0..calls).for_each(|_| desk.refused(0, away));
+            (0..).map(|n| n * SECOND / 20).find(|at| desk.upkeep(*at)).unwrap() as f64 / SECOND as f64
+        });
+        let waits: Vec<f64> = waits.collect();
+        let (least, longest) =
+            waits.iter().fold((f64::MAX, 0.0), |(l, m), w| (f64::min(l, *w), f64::max(m, *w)));
+        assert!(
+            longest <= most + 0.05 && longest > most * 0.9 && least < 0.25 + most * 0.1,
+            "{nodes} {calls}: {least} {longest}"
+        );
+    }
+    // One list, and it counts from the beginning.
+    let mut desk = desk(Terms { nodes: 48, subscribe: true, ..terms() }, 1, 4);
+    (0..9).for_each(|_| desk.refused(0, true));
+    desk.list(0, false, &[]);
+    desk.refused(0, true);
+    assert!((0..33).any(|n| desk.upkeep(n * SECOND / 10)));
+}
+
 #[test]
 fn the_same_seed_and_events_give_the_same_answers() {
     let run = |seed| {
