--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -219,6 +219,7 @@
             Order::Known(name, reply) => {
                 let _ = reply.try_send(self.names.known(&name).is_some());
             }
+            Order::Beside(beside) => self.outlet.halve(beside),
             Order::Outs(outs, reply) => {
                 self.turn_out(outs);
                 let _ = reply.try_send(true);
--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -21,6 +21,8 @@
 /// How long one may take to send a call, or to take its answer in.
 const SLOW: Duration = Duration::from_secs(5);
 const BRIEF: Duration = Duration::from_millis(500);
+/// In how many looks to look once whether another process lives.
+const BESIDE: u64 = 25;
 /// Within this a call is answered, however long the other process takes: a second is owed.
 const OWED: Duration = Duration::from_millis(700);
 /// While places are being left.
@@ -60,6 +62,7 @@
         let thread = |error: std::io::Error| format!("admin_addr: no thread: {error}");
         let outs = &self.reach.outs;
         outs.carried_out(outs.state().number);
+        self.reach.look_beside(Duration::ZERO);
         if outs.is_shared() {
             let watch = self.clone();
             spawn("outs", move || watch.follow()).map_err(thread)?;
@@ -70,8 +73,11 @@
     /// Carries out here what was called out at another process of this node.
     fn follow(&self) {
         let outs = &self.reach.outs;
-        loop {
+        for round in 1.. {
             std::thread::sleep(LOOK);
+            if round % BESIDE == 0 {
+                self.reach.look_beside(Duration::MAX);
+            }
             if let Some(text) =
                 self.reach.learned.try_iter().last().and_then(|m| serde_json::to_string(&m).ok())
             {
@@ -181,6 +187,18 @@
 }
 
 impl Reach {
+    /// Keeps to half of what this process may hold for as long as another one lives.
+    fn look_beside(&self, most: Duration) {
+        let beside = self.outs.beside();
+        if self.clients.beside.swap(beside, Ordering::Relaxed) != beside {
+            say!(
+                "another process of this node {}",
+                if beside { "lives: half of all places" } else { "has ended" }
+            );
+            let _ = self.desk.send_timeout(Order::Beside(beside), most);
+        }
+    }
+
     /// Asks the desk, which answers as soon as it has done so.
     fn ask(&self, order: impl FnOnce(Sender<bool>) -> Order, most: Duration) -> Option<bool> {
         let (reply, answer) = bounded(1);
--- a/node/src/drive/clients.rs
+++ b/node/src/drive/clients.rs
@@ -101,6 +101,8 @@
     pub shared: bool,
     /// The node is told to end.
     pub leaving: AtomicBool,
+    /// Another process of the node lives.
+    pub beside: AtomicBool,
     /// The node is about to end: clients are steered off.
     pub steer: AtomicBool,
     pub numbers: AtomicU64,
@@ -125,6 +127,11 @@
         self.ready.load(Ordering::Relaxed)
     }
 
+    /// What this process may hold now.
+    pub fn budget(&self) -> Budget {
+        self.budget.part(self.beside.load(Ordering::Relaxed))
+    }
+
     pub fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Relaxed)
     }
@@ -300,7 +307,7 @@
             return Err(own(409, &format!("{}: is open here already", names::CALL_ID)));
         };
         request.entry = Some(entry);
-        if self.seats.busy() > self.budget.requests {
+        if self.seats.busy() > self.budget().requests {
             return Err(Reply { come_back: self.door.come_back, ..own(503, "too many requests in hand") });
         }
         let pen = match pen {
--- a/node/src/drive/lines.rs
+++ b/node/src/drive/lines.rs
@@ -19,6 +19,7 @@
     idle: HashMap<usize, Vec<(Instant, Line)>>,
     out: HashMap<u64, Line>,
     most: usize,
+    half: bool,
     keep: Duration,
     next: u64,
 }
@@ -28,7 +29,7 @@
 
 impl Lines {
     pub fn new(most: usize, keep: Duration) -> Lines {
-        Lines { idle: HashMap::new(), out: HashMap::new(), most, keep, next: 0 }
+        Lines { idle: HashMap::new(), out: HashMap::new(), most, half: false, keep, next: 0 }
     }
 
     fn count(&self) -> usize {
@@ -47,16 +48,36 @@
 
     /// A number for a new connection, if there may be one more; the longest idle one makes room.
     pub fn open(&mut self) -> Option<u64> {
-        if self.count() >= self.most {
-            let oldest = |lines: &Vec<(Instant, Line)>| lines.first().map(|(since, _)| *since);
-            let (_, lines) =
-                self.idle.iter_mut().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| oldest(l))?;
-            end(lines.remove(0).1, "evicted");
+        while self.count() >= self.most() {
+            self.evict()?;
         }
         self.next += 1;
         Some(self.next)
     }
 
+    /// Closes the longest idle one, if any is idle.
+    fn evict(&mut self) -> Option<()> {
+        let oldest = |lines: &Vec<(Instant, Line)>| lines.first().map(|(since, _)| *since);
+        let (_, lines) =
+            self.idle.iter_mut().filter(|(_, l)| !l.is_empty()).min_by_key(|(_, l)| oldest(l))?;
+        end(lines.remove(0).1, "evicted");
+        Some(())
+    }
+
+    fn most(&self) -> usize {
+        if self.half {
+            self.most / 2
+        } else {
+            self.most
+        }
+    }
+
+    /// Keeps to half of them from now on; idle ones make room at once.
+    pub fn halve(&mut self, half: bool) {
+        self.half = half;
+        while self.count() > self.most() && self.evict().is_some() {}
+    }
+
     /// The connection carries a push now.
     pub fn lend(&mut self, line: Line) {
         self.out.insert(line.number, line);
--- a/node/src/drive/listener.rs
+++ b/node/src/drive/listener.rs
@@ -45,7 +45,7 @@
         std::thread::sleep(PAUSE);
     }
     while !(clients.shared && clients.is_leaving()) {
-        clients.seats.room(clients.budget.clients);
+        clients.seats.room(|| clients.budget().clients);
         match listener.accept() {
             Ok((stream, _)) => {
                 if clients.shared {
--- a/node/src/drive/outlet.rs
+++ b/node/src/drive/outlet.rs
@@ -62,6 +62,10 @@
         self.lines.leave(executor, why);
     }
 
+    fn halve(&mut self, half: bool) {
+        self.lines.halve(half);
+    }
+
     fn retire(&mut self) {
         self.lines.retire(Instant::now());
     }
--- a/node/src/life/budget.rs
+++ b/node/src/life/budget.rs
@@ -26,13 +26,22 @@
 const STRANGER: usize = MESSAGE + STACK;
 
 impl Budget {
+    /// What is left of it while another process of the node has as much.
+    pub fn part(self, beside: bool) -> Budget {
+        let Budget { requests, clients, executors } = self;
+        let part = |all: usize| if beside { all / 2 } else { all };
+        Budget { requests: part(requests), clients: part(clients), executors: part(executors) }
+    }
+
     /// Clients' requests get a third of the descriptors at most. Each needs a connection to an executor too; a
     /// few more of these end, probe or are idle. The rest is for clients that have nothing in hand, whom a
-    /// crowd of silent ones must not keep out. `operators`: they have an address of their own.
-    pub fn split(sockets: usize, memory_mb: usize, operators: bool) -> Result<Budget, String> {
+    /// crowd of silent ones must not keep out. `operators`: they have an address of their own; `shared`:
+    /// a second process may run beside this one, which needs as much of its own.
+    pub fn split(sockets: usize, memory_mb: usize, operators: bool, shared: bool) -> Result<Budget, String> {
         let bytes = memory_mb << 20;
         let operators = if operators { 1 + CALLERS + LEAVING } else { 0 };
-        let free = sockets.saturating_sub(KEPT + sockets / KEPT_OF + operators);
+        let kept = (KEPT + operators) * if shared { 2 } else { 1 };
+        let free = sockets.saturating_sub(kept + sockets / KEPT_OF);
         let requests = (free / 3).min(bytes / 100 * 55 / REQUEST);
         let executors = requests + requests / 8;
         let others = free.saturating_sub(requests + executors).min(bytes / 5 / STRANGER);
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -209,7 +209,12 @@
         operators,
         home: var("TMPDIR").map(PathBuf::from),
         seed,
-        budget: Budget::split(file.limits.sockets, file.limits.memory_mb, operators.is_some())?,
+        budget: Budget::split(
+            file.limits.sockets,
+            file.limits.memory_mb,
+            operators.is_some(),
+            inherited.is_some(),
+        )?,
         known: file.known.unwrap_or(List { index: -1, whole: true, endpoints: Vec::new() }),
         peers,
         tenants: posted.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -72,6 +72,7 @@
         ready: AtomicBool::new(false),
         shared: start.inherited.is_some(),
         leaving: AtomicBool::new(false),
+        beside: AtomicBool::new(false),
         steer: AtomicBool::new(false),
         numbers: AtomicU64::new(1),
         figures: figures.clone(),
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -141,6 +141,8 @@
     fn leave(&mut self, executor: usize, why: &'static str);
     /// Closes what has been idle too long.
     fn retire(&mut self);
+    /// Keeps to half of its places, or to all.
+    fn halve(&mut self, half: bool);
 }
 
 /// Where ops come from: the clients of one protocol.
@@ -187,6 +189,8 @@
     Known(String, Sender<bool>),
     /// These are out by hand, and no others.
     Outs(State, Sender<bool>),
+    /// Another process of the node lives, or lives no more.
+    Beside(bool),
 }
 
 /// What the desk is told.
--- a/node/src/store/outs.rs
+++ b/node/src/store/outs.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Another process of the node lives.
+    pub fn beside(&self) -> bool {
+        self.shared.as_ref().is_some_and(|shared| !shared.others().is_empty())
+    }
+
     /// Whether each other process that lives has carried it out.
     pub fn all_have(&self, number: u64) -> bool {
         self.shared.as_ref().is_none_or(|shared| shared.others().iter().all(|other| *other >= number))
--- a/node/src/store/seats.rs
+++ b/node/src/store/seats.rs
@@ -193,9 +193,10 @@
     }
 
     /// Waits until there is a seat free of so many, and sees to it. One that is asked to go needs a moment.
-    pub fn room(&self, most: usize) {
+    pub fn room(&self, most: impl Fn() -> usize) {
         let mut all = self.all();
-        while all.len() >= most {
+        while all.len() >= most() {
+            let most = most();
             let going = all.values().filter(|seat| seat.state().cut).count();
             if all.len() - going >= most {
                 Seats::evict(&all, Instant::now());
--- a/node/src/tests.rs
+++ b/node/src/tests.rs
@@ -384,7 +384,7 @@
 #[test]
 fn descriptors_and_memory_are_split_within_the_limits() {
     for (sockets, memory) in [(1024, 192), (256, 32), (384, 48), (64, 192), (4096, 32), (100_000, 2048)] {
-        let budget = Budget::split(sockets, memory, false).unwrap();
+        let budget = Budget::split(sockets, memory, false, false).unwrap();
         assert!(budget.clients + budget.executors + 12 <= sockets, "{budget:?}");
         // Buffers of all connections, and the stacks of readers, writers and pushes as far as they are used.
         let threads = budget.clients + budget.requests + budget.executors;
@@ -393,9 +393,9 @@
         assert!(budget.requests * 3 <= sockets && budget.executors >= budget.requests, "{budget:?}");
         assert!(budget.clients >= budget.requests * 5 / 4, "no place for strangers: {budget:?}");
     }
-    assert!(Budget::split(256, 32, false).unwrap().requests >= 78);
+    assert!(Budget::split(256, 32, false, false).unwrap().requests >= 78);
     for (sockets, memory) in [(0, 192), (20, 192), (1024, 0)] {
-        assert!(Budget::split(sockets, memory, false).unwrap_err().starts_with("limits"));
+        assert!(Budget::split(sockets, memory, false, false).unwrap_err().starts_with("limits"));
     }
 }
 
@@ -472,6 +472,15 @@
     let more: Vec<bool> = (0..4).map(|_| lend(&mut lines, 2).is_some()).collect();
     assert_eq!(more, [true, true, true, false]);
     assert!(lines.reuse(0, at(33)).is_none());
+    // Half of three is one: nothing opens until all but one have gone, and idle ones go at once.
+    lines.halve(true);
+    lines.back(4, true, at(34));
+    lines.back(5, true, at(34));
+    assert!(lend(&mut lines, 2).is_none(), "one is out still");
+    lines.back(6, true, at(34));
+    assert!(lend(&mut lines, 2).is_some() && lend(&mut lines, 2).is_none());
+    lines.halve(false);
+    assert!(lend(&mut lines, 2).is_some());
 }
 
 #[test]
@@ -516,7 +525,7 @@
     seats.end_idle("steered", Duration::ZERO);
     assert!(all.iter().all(|seat| !seat.begin()));
     (0..8).for_each(|number| seats.remove(number));
-    seats.room(1);
+    seats.room(|| 1);
 }
 
 #[test]
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -287,6 +287,66 @@
     assert_eq!(calls[..2], ["/api/targets?since=1&timeout_ms=4000", "/api/targets?since=5&timeout_ms=4000"]);
 }
 
+#[test]
+fn two_processes_keep_within_the_descriptors_of_one_node() {
+    let (_fleet, addresses) = Fleet::start(1, |_| DONE);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (home, clients) = (Home::new(), listener.local_addr().unwrap());
+    let (mut first, calls) = shared(nowhere(), &entries(&addresses), &listener, &home.0);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        let stops = Stops(&stop);
+        // A crowd that says nothing and comes again when it is sent away.
+        scope.spawn(|| {
+            let mut held = std::collections::VecDeque::new();
+            while !stop.load(Ordering::SeqCst) {
+                held.extend(TcpStream::connect(clients));
+                if held.len() > 400 {
+                    held.pop_front();
+                }
+            }
+        });
+        until("full", || first.process.descriptors() > 120);
+        let (second, calls) = shared(nowhere(), &entries(&addresses), &listener, &home.0);
+        until("ready", || call(calls, "GET /ready").0 == 200);
+        let start = Instant::now();
+        let mut most = 0;
+        while start.elapsed() < Duration::from_millis(1500) {
+            most = most.max(first.process.descriptors() + second.process.descriptors());
+            sleep(Duration::from_millis(5));
+        }
+        assert!((120..=256).contains(&most), "{most} descriptors");
+        first.signal(Signal::SIGTERM);
+        assert!(first.process.wait(WAIT).is_some());
+        until("all its places again", || second.process.descriptors() > 120);
+        drop(stops);
+    });
+}
+
+#[test]
+fn a_process_that_is_told_to_end_leaves_new_connections_to_its_successor() {
+    const SLOW: Act = Act::Lines(1500, &["{\"state\":\"started\"}\n{\"state\":\"done\",\"result\":\"r\"}\n"]);
+    let (_fleet, addresses) = Fleet::start(1, |number| first(number, SLOW));
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let home = Home::new();
+    let (mut before, calls) = shared(nowhere(), &entries(&addresses), &listener, &home.0);
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    let mut early = before.client();
+    early.write_all(request("once", 4000).as_bytes()).unwrap();
+    until("in hand", || figure(calls, "svc_current") == 1);
+    before.signal(Signal::SIGTERM);
+    until("told", || before.logged("left to the successor"));
+    let mut late = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    late.write_all(request("marked", 4000).as_bytes()).unwrap();
+    late.set_read_timeout(Some(Duration::from_millis(300))).unwrap();
+    assert!(late.read(&mut [0]).is_err(), "taken by who is ending");
+    let (_next, _) = shared(nowhere(), &entries(&addresses), &listener, &home.0);
+    late.set_read_timeout(Some(WAIT)).unwrap();
+    assert_eq!((hear(&mut late).0, hear(&mut early).0), (200, 200));
+    assert!(before.process.wait(WAIT).is_some_and(|status| status.success()));
+}
+
 /// A folder of the test's own, for what processes of one node share.
 struct Home(std::path::PathBuf);
 
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -251,7 +251,7 @@
         Ok(node)
     }
 
-    /// Starts the program with a configuration of this text, and these variables beside it, and waits until it serves; its first line of log, or
+    /// Starts the program with a configuration of this text, and these variables beside it, and waits until it serves; its log, or
     /// the reason, where it does not.
     pub fn start(binary: &Path, config: &str, env: &[(&str, String)]) -> Result<NodeProcess, String> {
         NodeProcess::begin(Command::new(binary), config, env)
@@ -286,18 +286,23 @@
             .map_err(|error| format!("{}: {error}", command.get_program().to_string_lossy()))?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let mut lines = BufReader::new(stderr).lines().map_while(Result::ok);
-        let first = lines.next().unwrap_or_default();
-        let serves = first.split_once(" serves at ").and_then(|(_, rest)| rest.split_once(": "));
-        let at = match serves.and_then(|(at, _)| at.parse().ok()) {
+        let mut before = Vec::new();
+        let serves = lines.find_map(|line| {
+            let at = line.split_once(" serves at ").and_then(|(_, rest)| rest.split_once(": "));
+            let at = at.and_then(|(at, _)| at.parse().ok());
+            before.push(line);
+            at
+        });
+        let at = match serves {
             Some(at) => at,
             None => {
                 let _ = child.kill();
                 let _ = child.wait();
                 let _ = std::fs::remove_file(&path);
-                return Err(format!("the node does not serve: {first}"));
+                return Err(format!("the node does not serve: {}", before.join("; ")));
             }
         };
-        let log = Arc::new(Mutex::new(Vec::new()));
+        let log = Arc::new(Mutex::new(before));
         let kept = log.clone();
         spawn(move || {
             lines.for_each(|line| {
@@ -337,6 +342,11 @@
         self.log.lock().is_ok_and(|log| log.iter().any(|line| line.contains(word)))
     }
 
+    /// Descriptors that it holds now.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).map_or(0, Iterator::count)
+    }
+
     /// How it ended, if it has.
     pub fn ended(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().ok().flatten()
