--- a/src/choice.rs
+++ b/src/choice.rs
@@ -158,8 +158,8 @@
     }
 
     /// An executor is taken out by hand: it gets nothing until it is put back, whatever the list says. On its
-    /// return it is clear of all that was held against it, and cold: if the list has told of no start meanwhile, as
-    /// if it started just now, for the list may tell of that late.
+    /// return it is clear of all that was held against it, and cold: since a start that the list told
+    /// meanwhile, else since now, for the list may tell of that late.
     pub fn disable(&mut self, now: Time, executor: usize, out: bool) {
         let luck = self.chance.draw();
         let Some(e) = self.executors.get_mut(executor).filter(|e| e.disabled.is_some() != out) else {
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Takes over what the instance before has learned, of executors that the list has named here too. What that one
+    /// Takes over what the instance before has learned, of executors that the list has named here too. What it
     /// has out there shows in reports; of a cold budget nothing is taken over, for it may still be using it.
     pub fn recall(&mut self, now: Time, memory: Memory) {
         if memory.categories.len() != self.learned.len() {
@@ -371,9 +371,9 @@
         self.solved = None;
     }
 
-    /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes. `turned_away`:
-    /// the service is there and had no room, so each time in a row the wait doubles, until all nodes together call
-    /// about twice a second; calls that are turned away take room too, and nobody would ever be heard.
+    /// A call to the list service failed: subscribe anew after a random wait, longer with more nodes. Where
+    /// the service had no room (`turned_away`) the wait doubles each time in a row, until all nodes together
+    /// call about twice a second: calls that are turned away take room too, and nobody would ever be heard.
     pub fn refused(&mut self, now: Time, turned_away: bool) {
         self.turned = if turned_away { (self.turned + 1).min(8) } else { 0 };
         let nodes = self.terms.nodes as Time;
@@ -707,8 +707,8 @@
             };
             found.push(Candidate { at, wait: 0.0, cost: 0.0, turn });
         }
-        // An op that must not run twice goes to who has answered here, as long as there is one: who has not may fail all
-        // that it gets, and each of many nodes would lose ops there to learn it. Few nodes would crowd the first few.
+        // An op that must not run twice goes to who has answered here, if there is one: who has not may fail
+        // all that it gets, and each of many nodes would lose ops to learn it. Few would crowd the first few.
         let proven = |c: &Candidate| self.executors[c.at].acked > 0;
         let many = self.terms.nodes > self.executors.len();
         if many && strict && self.effect(op) == Effect::AtMostOnce && found.iter().any(proven) {
@@ -992,7 +992,7 @@
         }
         let luck = self.chance.draw();
         let e = &mut self.executors[line.executor];
-        // Nor is an older start news to one that was put back by hand, which is taken to be cold from then on.
+        // An older start is no news to one that was put back by hand, which is taken to be cold since then.
         let restarted = line.started > e.started;
         (e.active, e.domain, e.kind, e.cell) = (line.active, line.domain, line.kind, line.cell);
         (e.size, e.mark) = (e.size.max(line.weight), line.mark);
