A folder in TMPDIR that can't be written stops no start; its calls are a no

Read again: a node whose TMPDIR did not let itself be written ended at its start (main.rs), though only calls that it would have to keep need it. Now the start goes on with one line, and where the listener was handed in the call out is a 503.

--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -222,7 +222,7 @@
             return Err((404, format!("no executor '{name}' was ever listed here")));
         }
         if self.clients.shared && !self.outs.is_shared() {
-            return Err((503, "TMPDIR is not set: a successor would not know".to_string()));
+            return Err((503, "no folder in TMPDIR: a successor would not know".to_string()));
         }
         let state = self.outs.change(name, out).map_err(|error| (503, format!("not kept: {error}")))?;
         if !self.carry_out(&state, left()) {
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -100,8 +100,14 @@
         None => None,
     };
     let (order, orders) = bounded(ORDERS);
-    let outs = start.operators.map(|_| outs::Outs::join(start.home.as_deref(), mark(&start.name)));
-    let outs = outs.transpose().map_err(|error| format!("TMPDIR: {error}"))?;
+    // A folder that can't be written stops no start: calls that it would have to keep are a no.
+    let home = start.home.as_deref();
+    let outs = start.operators.map(|_| {
+        outs::Outs::join(home, mark(&start.name)).unwrap_or_else(|error| {
+            say!("TMPDIR: {error}: executors out by hand can't be kept");
+            outs::Outs::default()
+        })
+    });
     // Only where another process takes this one's place is it of use to keep what is learned.
     let (learns, learned) = bounded(1);
     let learns = start.inherited.map(|_| learns);
--- a/node/src/store/outs.rs
+++ b/node/src/store/outs.rs
@@ -55,6 +55,7 @@
 type Stamp = Option<(u64, i64, i64)>;
 
 /// The set, in a folder that the processes of a node share; without one it lives as long as the process.
+#[derive(Default)]
 pub struct Outs {
     shared: Option<Shared>,
     /// One change at a time in this process; what was read or made last.
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -261,6 +261,16 @@
     }
 }
 
+#[test]
+fn what_a_successor_could_not_know_is_a_no() {
+    let (_fleet, addresses) = Fleet::start(1, |_| DONE);
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let (_node, calls) = shared(nowhere(), &entries(&addresses), &listener, Path::new("/nowhere/at/all"));
+    until("ready", || call(calls, "GET /ready").0 == 200);
+    assert_eq!(call(calls, "PUT /executors/disable/s-0").0, 503);
+    assert_eq!(figure(calls, "svc_cluster_unhealthy"), 0);
+}
+
 #[test]
 fn a_client_that_asks_first_is_told_to_send_its_body() {
     let (_fleet, addresses) = Fleet::start(1, |_| DONE);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Takes over what the instance before has learned, of executors that the list has named here too. What it
-    /// has out there shows in reports; of a cold budget nothing is taken over, for it may still be using it.
+    /// Takes over what the instance before has learned, of executors that the list has named here too. What
+    /// it has out there shows in reports; of a cold budget nothing is taken over: it may still be using it.
     pub fn recall(&mut self, now: Time, memory: Memory) {
         if memory.categories.len() != self.learned.len() {
             return;
