Review: who joins the node's folder is not taken for one that has ended; a call is owed in a second

Found on reading the whole change again. - store/outs.rs, join: a process named its file before it locked it. Another that looked for living processes in between (twice a second, every 5 ms during a call) locked and removed it; the start then went on without the set of who is out, and a successor would have pushed to an executor out by hand. Now the file gets its name when it is locked. A process that can't write there still reads the set and follows it. - drive/calls.rs: the send and the answer of an order each had the whole time, and the turn to write 0.3 s more, so a call could take longer than the second it is owed.

--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -23,6 +23,8 @@
 const BRIEF: Duration = Duration::from_millis(500);
 /// In how many looks to look once whether another process lives.
 const BESIDE: u64 = 25;
+/// What must be carried out some time; it fails only when the desk has gone.
+const NO_HURRY: Duration = Duration::from_secs(86_400);
 /// Within this a call is answered, however long the other process takes: a second is owed.
 const OWED: Duration = Duration::from_millis(700);
 /// While places are being left.
@@ -76,7 +78,7 @@
         for round in 1.. {
             std::thread::sleep(LOOK);
             if round % BESIDE == 0 {
-                self.reach.look_beside(Duration::MAX);
+                self.reach.look_beside(NO_HURRY);
             }
             if let Some(text) =
                 self.reach.learned.try_iter().last().and_then(|m| serde_json::to_string(&m).ok())
@@ -84,7 +86,7 @@
                 outs.keep(&text);
             }
             if let Some(state) = outs.news() {
-                if self.reach.carry_out(&state, Duration::MAX) {
+                if self.reach.carry_out(&state, Instant::now() + NO_HURRY) {
                     outs.carried_out(state.number);
                 }
             }
@@ -200,23 +202,22 @@
     }
 
     /// Asks the desk, which answers as soon as it has done so.
-    fn ask(&self, order: impl FnOnce(Sender<bool>) -> Order, most: Duration) -> Option<bool> {
+    fn ask(&self, order: impl FnOnce(Sender<bool>) -> Order, until: Instant) -> Option<bool> {
         let (reply, answer) = bounded(1);
-        self.desk.send_timeout(order(reply), most).ok()?;
-        answer.recv_timeout(most).ok()
+        self.desk.send_deadline(order(reply), until).ok()?;
+        answer.recv_deadline(until).ok()
     }
 
-    fn carry_out(&self, state: &State, most: Duration) -> bool {
-        self.ask(|reply| Order::Outs(state.clone(), reply), most).is_some()
+    fn carry_out(&self, state: &State, until: Instant) -> bool {
+        self.ask(|reply| Order::Outs(state.clone(), reply), until).is_some()
     }
 
     /// Takes an executor out or puts it back, here and at each other process of this node, before it says yes.
     fn turn(&self, name: &str, out: bool, until: Instant) -> Result<(), (u16, String)> {
         let late = || (503, "the node did not answer in time".to_string());
-        let left = || until.saturating_duration_since(Instant::now());
         let mut known = self.outs.state().names.contains(name);
         if !known && is_name(name) {
-            known = self.ask(|reply| Order::Known(name.to_string(), reply), left()).ok_or_else(late)?;
+            known = self.ask(|reply| Order::Known(name.to_string(), reply), until).ok_or_else(late)?;
         }
         if !known {
             return Err((404, format!("no executor '{name}' was ever listed here")));
@@ -225,12 +226,12 @@
             return Err((503, "no folder in TMPDIR: a successor would not know".to_string()));
         }
         let state = self.outs.change(name, out).map_err(|error| (503, format!("not kept: {error}")))?;
-        if !self.carry_out(&state, left()) {
+        if !self.carry_out(&state, until) {
             return Err(late());
         }
         self.outs.carried_out(state.number);
         // What the other process does not say in time it does all the same: it reads the file.
-        while !self.outs.all_have(state.number) && !left().is_zero() {
+        while !self.outs.all_have(state.number) && Instant::now() < until {
             std::thread::sleep(LOOK / 4);
         }
         Ok(())
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -28,7 +28,7 @@
 use std::sync::{Arc, RwLock};
 use stileroute::tariff::mark;
 use store::figures::Figures;
-use store::outs;
+use store::outs::Outs;
 use store::pool::Pool;
 use store::seats::Seats;
 
@@ -99,27 +99,20 @@
         }
         None => None,
     };
-    let (order, orders) = bounded(ORDERS);
-    // A folder that can't be written stops no start: calls that it would have to keep are a no.
-    let home = start.home.as_deref();
-    let outs = start.operators.map(|_| {
-        outs::Outs::join(home, mark(&start.name)).unwrap_or_else(|error| {
-            say!("TMPDIR: {error}: executors out by hand can't be kept");
-            outs::Outs::default()
-        })
+    let (mut reach, mut kept) = (None, None);
+    let operators = figures.map(|figures| {
+        let ((order, orders), (learns, learned)) = (bounded(ORDERS), bounded(1));
+        let outs = Outs::join(start.home.as_deref(), mark(&start.name));
+        // Only where another process takes this one's place is it of use to keep what is learned.
+        let learns = start.inherited.map(|_| learns);
+        kept = learns.as_ref().and_then(|_| outs.kept());
+        let own = Operators { orders, figures: figures.clone(), outs: outs.state(), learns };
+        reach = Some(Reach { figures, clients: clients.clone(), desk: order, outs, learned });
+        own
     });
-    // Only where another process takes this one's place is it of use to keep what is learned.
-    let (learns, learned) = bounded(1);
-    let learns = start.inherited.map(|_| learns);
-    let kept = outs.as_ref().filter(|_| learns.is_some()).and_then(|outs| outs.kept());
-    let operators = figures.clone().zip(outs.as_ref());
-    let operators =
-        operators.map(|(figures, outs)| Operators { orders, figures, outs: outs.state(), learns });
     let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, operators);
-    let calls = match (start.operators, figures, outs) {
-        (Some(at), Some(figures), Some(outs)) => Some(
-            Calls::new(Reach { figures, clients: clients.clone(), desk: order, outs, learned }).open(at)?,
-        ),
+    let calls = match (start.operators, reach) {
+        (Some(at), Some(reach)) => Some(Calls::new(reach).open(at)?),
         _ => None,
     };
     spawn("listener", move || listener::run(listener, clients)).map_err(thread)?;
--- a/node/src/store/outs.rs
+++ b/node/src/store/outs.rs
@@ -66,9 +66,9 @@
 struct Shared {
     folder: PathBuf,
     mark: String,
-    /// The own one, locked.
-    own: File,
     own_name: String,
+    /// The own one, locked; none where it could not be written.
+    own: Option<File>,
 }
 
 /// How often to look for what another process has written.
@@ -76,15 +76,14 @@
 /// How old what was learned may be.
 const KEPT: Duration = Duration::from_secs(5);
 /// How long a change waits for another process that is just changing the set.
-const TURN: Duration = Duration::from_millis(300);
+const TURN: Duration = Duration::from_millis(200);
 
 impl Outs {
     /// Joins the processes of this node in that folder, with the set as they left it.
-    pub fn join(folder: Option<&Path>, mark: u64) -> Result<Outs> {
-        let shared = folder.map(|folder| Shared::join(folder, mark)).transpose()?;
-        let outs = Outs { shared, latest: Mutex::default() };
+    pub fn join(folder: Option<&Path>, mark: u64) -> Outs {
+        let outs = Outs { shared: folder.map(|folder| Shared::join(folder, mark)), ..Outs::default() };
         outs.news();
-        Ok(outs)
+        outs
     }
 
     fn latest(&self) -> MutexGuard<'_, (Stamp, State)> {
@@ -144,7 +143,8 @@
     /// Says to the other processes that this one has carried out the state of this number.
     pub fn carried_out(&self, number: u64) {
         let Some(shared) = &self.shared else { return };
-        if let Err(error) = shared.own.write_all_at(format!("{number:020}\n").as_bytes(), 0) {
+        let Some(own) = &shared.own else { return };
+        if let Err(error) = own.write_all_at(format!("{number:020}\n").as_bytes(), 0) {
             say!("{}: {error}", shared.own_name);
         }
     }
@@ -161,15 +161,29 @@
 }
 
 impl Shared {
-    fn join(folder: &Path, mark: u64) -> Result<Shared> {
+    /// A folder that can't be written stops no start, and hides no set that can be read there.
+    fn join(folder: &Path, mark: u64) -> Shared {
         let mark = format!("stileroute-{mark:016x}");
         let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let own_name = format!("{mark}.{}-{}.process", std::process::id(), since.as_nanos());
-        let own = File::create_new(folder.join(&own_name))?;
-        own.try_lock()?;
-        let shared = Shared { folder: folder.to_path_buf(), mark, own, own_name };
+        let mut shared = Shared { folder: folder.to_path_buf(), mark, own_name, own: None };
+        shared.own = shared
+            .enter()
+            .map_err(|error| say!("{}: {error}: executors out by hand can't be kept", folder.display()))
+            .ok();
         shared.others();
-        Ok(shared)
+        shared
+    }
+
+    /// The own file gets its name when it is locked: unlocked, another process would take it for one of a process that
+    /// has ended, and clear it away.
+    fn enter(&self) -> Result<File> {
+        let place = self.folder.join(&self.own_name);
+        let beside = place.with_extension("new");
+        let own = File::create_new(&beside)?;
+        own.try_lock()?;
+        std::fs::rename(&beside, &place)?;
+        Ok(own)
     }
 
     fn path(&self, end: &str) -> PathBuf {
@@ -261,12 +275,39 @@
         }
     }
 
+    #[test]
+    fn who_joins_is_not_taken_for_one_that_has_ended() {
+        let folder = std::env::temp_dir().join(format!("stileroute-joins-{}", std::process::id()));
+        std::fs::create_dir(&folder).unwrap();
+        let one = Outs::join(Some(&folder), 1);
+        let stop = std::sync::atomic::AtomicBool::new(false);
+        let joined = std::thread::scope(|scope| {
+            // It looks for others, and clears away what is not locked, all the while.
+            (0..2).for_each(|_| {
+                drop(scope.spawn(|| {
+                    while !stop.load(std::sync::atomic::Ordering::Relaxed) && one.all_have(0) {
+                        std::thread::yield_now();
+                    }
+                }))
+            });
+            let joins = (0..5000).all(|_| {
+                let other = Outs::join(Some(&folder), 1);
+                other.shared.as_ref().is_some_and(|shared| shared.own.is_some()) && one.beside()
+            });
+            stop.store(true, std::sync::atomic::Ordering::Relaxed);
+            joins
+        });
+        drop(one);
+        std::fs::remove_dir_all(&folder).unwrap();
+        assert!(joined);
+    }
+
     #[test]
     fn two_processes_share_one_set_and_know_of_each_other() {
         let folder = std::env::temp_dir().join(format!("stileroute-outs-{}", std::process::id()));
         std::fs::create_dir(&folder).unwrap();
-        let (one, other) = (Outs::join(Some(&folder), 1).unwrap(), Outs::join(Some(&folder), 1).unwrap());
-        let stranger = Outs::join(Some(&folder), 2).unwrap();
+        let (one, other) = (Outs::join(Some(&folder), 1), Outs::join(Some(&folder), 1));
+        let stranger = Outs::join(Some(&folder), 2);
         let first = one.change("a", true).unwrap();
         assert_eq!(one.change("a", true).unwrap(), first, "twice out is once");
         assert_eq!((other.news(), other.news(), stranger.news()), (Some(first.clone()), None, None));
@@ -277,7 +318,7 @@
         assert_eq!(second.names.len(), 2);
         // One that comes later finds what is there; one that has ended is not waited for.
         let names = |outs: &Outs| outs.state().names.iter().cloned().collect::<Vec<_>>();
-        assert_eq!(names(&Outs::join(Some(&folder), 1).unwrap()), ["a", "b"]);
+        assert_eq!(names(&Outs::join(Some(&folder), 1)), ["a", "b"]);
         drop(other);
         assert!(one.all_have(second.number));
         assert_eq!(one.change("a", false).unwrap().names.iter().collect::<Vec<_>>(), ["b"]);
--- a/node/tests/operating.rs
+++ b/node/tests/operating.rs
@@ -470,30 +470,35 @@
 
 #[test]
 fn a_push_that_waits_for_its_connection_stays_here_and_costs_its_op_nothing() {
-    // One executor whose queue of connections is full: a new one waits until its time is out.
-    let deaf = TcpListener::bind("127.0.0.1:0").unwrap();
-    let deaf_at = deaf.local_addr().unwrap();
-    socket2::SockRef::from(&deaf).listen(0).unwrap();
-    let filler = TcpStream::connect(deaf_at).unwrap();
-    let (fleet, addresses) = Fleet::start(1, |_| DONE);
-    let known = [entry(0, &deaf_at, "Ready"), entry(1, &nowhere(), "Terminating")].join(",");
-    let (discovery, at) = Discovery::start(known.clone());
-    let (node, calls) = operated(at, &known, 256);
-    until("ready", || call(calls, "GET /ready").0 == 200);
-    let mut client = node.client();
-    client.write_all(request("once", 5000).as_bytes()).unwrap();
-    until("in hand", || figure(calls, "svc_current") == 1);
-    sleep(Duration::from_millis(50));
-    assert_eq!(call(calls, "PUT /executors/disable/s-0").0, 200);
-    // From here on it could connect, and must not; the op goes to who comes.
-    drop((filler, deaf.accept()));
-    discovery.tell(9, false, entry(1, &addresses[0], "Ready"));
-    assert_eq!(hear(&mut client).0, 200);
-    assert_eq!((fleet.count(), figure(calls, "svc_sends_total")), (1, 1));
-    deaf.set_nonblocking(true).unwrap();
-    while let Ok((mut late, _)) = deaf.accept() {
-        let mut byte = [0];
-        late.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
-        assert!(!matches!(late.read(&mut byte), Ok(1..)), "a byte of a push came to who is out");
+    for comes_up in [true, false] {
+        // One executor whose queue of connections is full: a new one waits until its time is out.
+        let deaf = TcpListener::bind("127.0.0.1:0").unwrap();
+        let deaf_at = deaf.local_addr().unwrap();
+        socket2::SockRef::from(&deaf).listen(0).unwrap();
+        let filler = TcpStream::connect(deaf_at).unwrap();
+        let (fleet, addresses) = Fleet::start(1, |_| DONE);
+        let known = [entry(0, &deaf_at, "Ready"), entry(1, &nowhere(), "Terminating")].join(",");
+        let (discovery, at) = Discovery::start(known.clone());
+        let (node, calls) = operated(at, &known, 256);
+        until("ready", || call(calls, "GET /ready").0 == 200);
+        let mut client = node.client();
+        client.write_all(request("once", 5000).as_bytes()).unwrap();
+        until("in hand", || figure(calls, "svc_current") == 1);
+        sleep(Duration::from_millis(50));
+        assert_eq!(call(calls, "PUT /executors/disable/s-0").0, 200);
+        if comes_up {
+            // From here on it could connect, and must not; the op goes to who comes.
+            drop((filler, deaf.accept()));
+        }
+        discovery.tell(9, false, entry(1, &addresses[0], "Ready"));
+        assert_eq!(hear(&mut client).0, 200);
+        assert_eq!((fleet.count(), figure(calls, "svc_sends_total")), (1, 1));
+        assert!(!node.logged("set aside"), "held against who was taken out");
+        deaf.set_nonblocking(true).unwrap();
+        while let Ok((mut late, _)) = deaf.accept() {
+            let mut byte = [0];
+            late.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+            assert!(!matches!(late.read(&mut byte), Ok(1..)), "a byte of a push came to who is out");
+        }
     }
 }
