Slots, running times and waits learned from few ops; fewer executors compared by many nodes

All nodes of a domain turned at once to whoever the last list showed with room. 37 to 46% of redeliverable tries were nacked unpushed. Of those 40 looked at, the node took a kind of four slots for one of 1.0 to 1.7 (src/choice.rs, report), a category's running times for 4 to 39 times its hints after a single short op that others had held up (learn), or a wait for four times what it was, since 3 ms of way were set against an expected wait of nothing (correction).

Design: a report that tells held, waiting and free tells the slots at once; samples of a running time count by their length and start from the hint; waits are compared on top of a tenth of a running time; of n executors a node compares 8n / nodes of a domain, 2 to 8, and the list's news counts 0.6 (it was discounted to keep nodes apart, which the few now do).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -23,15 +23,14 @@
 const DRIFT: f64 = 0.25; // variance of a change of pace worth following, against the spread of samples
 const LEAST_USE: f64 = 0.6; // the target use starts here
 const MOST_USE: f64 = 0.95;
-const SHARED: f64 = 0.3; // what news counts that comes to all nodes alike: they would all act on it at once
-const FEW: usize = 8; // executors of a domain that a node compares where all nodes hear the same
+const SHARED: f64 = 0.6; // what news counts that comes to all nodes alike: they would all act on it at once
+const FEW: usize = 8; // executors of a domain that a node compares where all nodes hear the same, at the most
 const LONG: f64 = 1.2; // the long end of a running time, over its mean
 const CROWDED: f64 = 0.03; // what a wholly held executor counts as waiting beyond its queue, in turnovers
 const WELL_OVER: f64 = 0.02; // an executor is skipped for a wait so much over the best, in turnovers
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
-const HOLLOW: f64 = 1.5; // slots usually held, from which on an executor that stands empty is in doubt
 const KEPT: f64 = 0.6; // what a set-up takes, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
 const TELL: Time = SECOND / 10; // peers are told at most so often,
@@ -65,9 +64,11 @@
     fn time(&self) -> f64 {
         self.base * self.mean
     }
-    /// Waits over what was expected of them: what others send unseen, and what blocks a queue's head.
+    /// Waits over what was expected of them: what others send unseen, and what blocks a queue's head. The way
+    /// there is none: next to no wait expected it made four of each.
     fn correction(&self) -> f64 {
-        ((self.waited + 1.0) / (self.guessed + 1.0)).clamp(0.5, 4.0)
+        let way = 0.1 * self.time().max(1.0);
+        ((self.waited + way) / (self.guessed + way)).clamp(0.5, 4.0)
     }
 }
 
@@ -420,10 +421,14 @@
         let gauge = |what| self.gauges.iter().position(|g| *g == what).map(|at| values[at]);
         let kind = self.executors[executor].kind;
         if let Some(free) = gauge(Gauge::FreeSlots) {
-            // The most ever free, seen through noise: up fast, and down a little from near the top.
+            // What runs and what is free makes all; else the most ever free, up fast, down from near the top.
             let slots = self.slots[kind];
-            let gain = if free > slots { 3.0 * SMOOTH } else { SMOOTH / 4.0 };
-            self.slots[kind] += if free > 0.8 * slots { gain * (free - slots) } else { 0.0 };
+            let (seen, gain) = match (gauge(Gauge::Held), gauge(Gauge::Waiting)) {
+                (Some(h), Some(w)) => ((free + h - w).max(1.0), if slots > 1.0 { SMOOTH } else { 1.0 }),
+                _ if free > slots => (free, 3.0 * SMOOTH),
+                _ => (free, if free > 0.8 * slots { SMOOTH / 4.0 } else { 0.0 }),
+            };
+            self.slots[kind] += gain * (seen - slots);
         }
         let slots = self.slots[kind];
         let held = match (gauge(Gauge::FreeSlots), gauge(Gauge::Waiting), gauge(Gauge::Held)) {
@@ -682,12 +687,8 @@
             if strict && !e.mine {
                 continue;
             }
-            // A trial is no place for an op that must not run twice: if it fails, the op is lost. Nor is one
-            // that stands empty in a busy fleet and has not served lately: it may fail all that it gets.
-            let empty = e.others + e.own() < 0.5 && self.usual * self.slots[e.kind] > HOLLOW;
-            let old = e.started.is_none_or(|at| now >= at + 2 * self.terms.warm_within);
-            let hollow = empty && old && now - e.acked > 5 * SECOND;
-            let doubtful = e.trial || hollow || e.missed[op.category] > 0;
+            // A trial is no place for an op that must not run twice: if it fails, the op is lost.
+            let doubtful = e.trial || e.missed[op.category] > 0;
             let risky =
                 if self.effect(op) == Effect::AtMostOnce { doubtful } else { e.trial && e.own() > 0.0 };
             let aside = e.aside.max(self.domains[e.domain].1) > now || risky;
@@ -716,8 +717,8 @@
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
         if self.terms.live_weights {
-            // All nodes hear the same news and would all choose the same: each looks at the first few only.
-            let few = FEW + found.len() / self.terms.nodes;
+            // All nodes hear the same and would choose alike: each looks at a few, the fewer the more they are.
+            let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
             let mut seen = vec![0; self.domains.len()];
             found.retain(|c| {
                 seen[self.executors[c.at].domain] += 1;
@@ -853,7 +854,7 @@
         let sample = (ran / op.base).max(1e-9);
         let learned = &mut self.learned[op.category];
         let e = &mut self.executors[x];
-        if learned.samples == 0.0 {
+        if learned.samples == 0.0 && op.base <= 1.0 {
             (learned.norm, learned.mean) = (sample.ln() - e.pace, sample / e.pace.exp());
         }
         let off = sample.ln() - learned.norm - e.pace;
@@ -868,9 +869,11 @@
         e.pace = (e.pace + gain * seen).clamp(-3.0, 3.0);
         if what == Sample::Whole {
             learned.samples += 1.0;
-            let gain = (1.0 / learned.samples).max(SMOOTH / 4.0);
+            // A short op that others held up says little of the mean: samples count by their length.
+            let gain = (1.0 / (learned.samples + 3.0)).max(SMOOTH / 4.0);
             learned.norm += gain * off;
-            learned.mean += gain * (sample / e.pace.exp() - learned.mean);
+            let weight = (op.base / learned.base.max(1e-9)).min(2.0);
+            learned.mean += gain * weight * (sample / e.pace.exp() - learned.mean);
         }
     }
 
