A cold executor's budget goes to the nodes of its own domain, which use it

Design: where crossing has a price and there are several domains, four fifths of what all nodes together may send go to nodes of the executor's own domain, a fifth to the rest. The sum is as it was, nodes being spread evenly; it is under half of what the rule allows.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,7 @@
 //!   * `wait`: until when to leave the op alone; call `place` again then.
 //!
 //! `place` and `settle` give back one [`Step`]; carry it out and call `place` again until it says `Hold`.
-//! What else is heard goes to `list`, `refused`, `note` and `report`; `upkeep` is called when it is due.
-//! The plain types are in `tariff.rs`; where the design comes from is told in `docs/design.md`.
+//! What else is heard goes to `list`, `refused`, `note`, `report`; `upkeep` when due. See `docs/design.md`.
 
 use crate::peers::{News, Peers};
 use crate::state::{Executor, Learned, Memory};
@@ -31,6 +30,7 @@
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
+const NEAR: f64 = 0.8; // of that: what nodes of its own domain send, where crossing has a price
 const KEPT: f64 = 0.6; // what a set-up takes, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
 const TELL: Time = SECOND / 10; // peers are told at most so often,
@@ -606,7 +606,7 @@
             let early = op.pushes.is_empty() && now - op.came < self.categories[op.category].target / 4;
             return if early { Step::Hold } else { self.give_up(op, SECOND / 5) };
         };
-        let hopeless = !self.in_time(now, op, executor, wait);
+        let hopeless = self.lateness(now, op, executor, wait) > 0.0;
         self.turned_away += SMOOTH / 4.0 * (f64::from(u8::from(hopeless)) - self.turned_away);
         if (!self.overloaded && self.turned_away > 0.2) || (self.overloaded && self.turned_away < 0.05) {
             self.overloaded = !self.overloaded;
@@ -619,14 +619,9 @@
         self.push(now, op, executor)
     }
 
-    /// An op that none can answer usefully is turned away at once, not kept until its time is out. Waits
-    /// turn out longer than they look; that matters less where a late answer earns.
-    fn in_time(&self, now: Time, op: &Op, executor: usize, wait: f64) -> bool {
-        self.lateness(now, op, executor, wait) <= 0.0
-    }
-
-    /// By how much it would be late there. Where a tail counts, one late op costs what others earn: running
-    /// times are taken at their long end, so slow executors are left to ops that they end in time.
+    /// By how much an op would be late there: one that none can answer usefully is turned away at once. Waits
+    /// turn out longer than they look; that matters less where a late answer earns. Where a tail counts, one
+    /// late op costs what others earn: running times are taken at their long end.
     fn lateness(&self, now: Time, op: &Op, executor: usize, wait: f64) -> f64 {
         let category = &self.categories[op.category];
         let (usual, here) = (self.expected(op), self.work(op, executor) / op.slots);
@@ -671,7 +666,7 @@
         // Before it is turned away an op may cross, if that costs less than it is worth; only while nodes are
         // so few that each knows of the other domains from its own traffic.
         let few = self.terms.nodes <= self.executors.len() && self.terms.cross > 0.0 && !self.overloaded;
-        let late = |c: &Candidate| !self.in_time(now, op, c.at, c.wait);
+        let late = |c: &Candidate| self.lateness(now, op, c.at, c.wait) > 0.0;
         let far = |c: &Candidate| self.executors[c.at].domain != self.terms.domain;
         let pays = few && self.terms.cross < self.worth(op) && late(&found[first]);
         let other = if pays { found.iter().position(|c| far(c) && !late(c)) } else { None };
@@ -717,7 +712,7 @@
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
         if self.terms.live_weights {
-            // All nodes hear the same and would choose alike: each looks at a few, the fewer the more they are.
+            // All nodes hear the same and would choose alike: each looks at a few, fewer the more they are.
             let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
             let mut seen = vec![0; self.domains.len()];
             found.retain(|c| {
@@ -725,7 +720,8 @@
                 seen[self.executors[c.at].domain] <= few
             });
         }
-        let delay = self.cross_delay(op);
+        // Crossing counts double, for it also lands where this node hears least.
+        let delay = 2.0 * self.price_as_wait(op, self.terms.cross);
         // What the op needs is likely kept by those first in its key's order; others set up for it.
         let (mut set_up, whole) = (0.0, if op.key > 0 { KEPT * self.turnover() } else { 0.0 });
         for c in &mut found {
@@ -770,7 +766,12 @@
             let (warm, work) = (self.warmth(now, e), self.work(op, at));
             let room = self.cold_budget * self.slots[e.kind];
             let spans = (now - e.known) as f64 / self.cold_span as f64;
-            let earned = COLD_PART * room * (self.terms.start_share + warm) / 2.0 * spans;
+            // Nodes of other domains hardly use theirs: dealt out evenly, most of it never warms anyone.
+            let domains = self.domains.len() as f64;
+            let (near, priced) = (e.domain == self.terms.domain, self.terms.cross > 0.0 && domains > 1.0);
+            let part = if near { NEAR } else { (1.0 - NEAR) / (domains - 1.0) };
+            let part = if priced { part * domains } else { 1.0 };
+            let earned = part * COLD_PART * room * (self.terms.start_share + warm) / 2.0 * spans;
             return work <= ONE_COLD_OP * room * warm && e.spent + (1.0 - e.luck) * work <= earned;
         }
         true
@@ -826,11 +827,6 @@
         (sum / self.learned.iter().map(|l| l.rate).sum::<f64>().max(1e-9)).max(1.0)
     }
 
-    /// The price of crossing domains as a wait; doubled, for it also lands where this node hears least.
-    fn cross_delay(&self, op: &Op) -> f64 {
-        2.0 * self.price_as_wait(op, self.terms.cross)
-    }
-
     /// A price as the wait that would cost as much.
     fn price_as_wait(&self, op: &Op, price: f64) -> f64 {
         let category = &self.categories[op.category];
@@ -896,7 +892,10 @@
             return Step::Hold;
         }
         // It can't end in time any more, and late it earns nothing: better a final answer now than later.
-        if started.is_none() && self.categories[op.category].late <= 0.0 && !self.in_time(now, op, x, 0.0) {
+        if started.is_none()
+            && self.categories[op.category].late <= 0.0
+            && self.lateness(now, op, x, 0.0) > 0.0
+        {
             return self.give_up(op, SECOND);
         }
         let here = if started.is_none() {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -467,6 +467,33 @@
     assert!((20..=400).contains(&all), "{all} while it warms up");
 }
 
+#[test]
+fn a_cold_executor_is_warmed_by_the_nodes_that_send_there() {
+    // Of 90 nodes in three domains those of its own use the budget; the others are too far off to. Dealt out
+    // evenly they gave it 35 of these ops in 5 s, an eighth of what all may send.
+    let (mut work, mut near) = (0.0, 0.0);
+    for seed in 0..90 {
+        let domain = seed as usize % 3;
+        let wide = tariff(Terms { nodes: 90, domain, cross: 0.2, ..terms() });
+        let mut desk = Dispatcher::new(&wide, seed);
+        let lines = (0..3).map(|x| Listed { domain: x, started: (x == 0).then_some(1), ..line(x) });
+        desk.list(0, true, &lines.collect::<Vec<_>>());
+        (0..3).for_each(|x| (0..20).for_each(|_| desk.report(0, x, &[0.0, 4.0])));
+        for n in 0..50 {
+            let now = n * SECOND / 10;
+            // Who is warm is full: a node that may send to the cold one does.
+            (1..3).for_each(|x| desk.report(now, x, &[9.0, 0.0]));
+            let mut op = desk.arrive(now, ask(0));
+            if desk.place(now, &mut op) == (Step::Push { executor: 0 }) {
+                (work, near) = (work + 1000.0, near + if domain == 0 { 1000.0 } else { 0.0 });
+                desk.settle(now, &mut op, 0, Outcome::Full, &[]);
+            }
+        }
+    }
+    let budget = 3.0 * 0.5 * 4.0 * 5.0 * SECOND as f64;
+    assert!(near > budget / 5.0 && work < budget / 2.0, "{near} and {work} of {budget}");
+}
+
 #[test]
 fn a_domain_out_of_reach_is_left_alone_as_a_whole() {
     // At size each executor of a lost domain would cost a push of an op that has but a few.
