A push that has not started is looked after twice as often and moved where it is no later

What is true now is whether a push starts, in a few ms where there is room. review() looked only each quarter of a target latency, and asked the other place to be better by another quarter.

Design: looks each eighth of a target latency; a push that has not started moves where it would wait no longer than behind a full executor. A node of many sees few answers of one executor, so an answer earns two further pushes there, not half of one (4 in hand at most, as before).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,9 @@
 const RATE_SPAN: f64 = 4.0 * SECOND as f64; // over which a tenant's rate is taken
 const ROOMY: f64 = 0.5; // use of the fleet up to which all that is over a share is let in,
 const CRAMPED: f64 = 0.7; // and from which on none is
+const LOOKS: Time = 8; // looks after a push that has not started, in a target latency
 const MOST_CREDIT: f64 = 4.0; // a further push costs one,
-const EARNED: f64 = 0.5; // and an answer earns so much
+const EARNED: f64 = 2.0; // and an answer earns so much: a node of many sees few of them
 
 /// A running time: to its end, at least so long, or reckoned from the part done.
 #[derive(Clone, Copy, PartialEq)]
@@ -300,7 +301,7 @@
     /// Until when to leave the op alone; `place` is to be asked again then.
     pub fn wait(&self, now: Time, op: &Op) -> Time {
         let last = op.deadline - 2 * self.terms.tick;
-        let look = self.categories[op.category].target / 4;
+        let look = self.categories[op.category].target / LOOKS;
         let next = match op.pushes.iter().rfind(|p| p.outcome.is_none()) {
             Some(p) if p.stopping => last,
             Some(p) if p.started.is_none() => now + look,
@@ -660,13 +661,22 @@
     /// The next in billiard order, least (X + Y) / P, of those where the op would not wait well longer.
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
         let mut found = self.candidates(now, op, strict);
+        let late = |c: &Candidate| self.lateness(now, op, c.at, c.wait) > 0.0;
+        if self.terms.live_weights {
+            // All nodes hear the same and would choose alike: each looks at a few, fewer the more they are.
+            let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
+            let mut seen = vec![0; self.domains.len()];
+            found.retain(|c| {
+                seen[self.executors[c.at].domain] += 1;
+                seen[self.executors[c.at].domain] <= few
+            });
+        }
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let well_over = least + self.turnover() * WELL_OVER;
         let first = found.iter().position(|c| c.cost <= well_over)?;
         // Before it is turned away an op may cross, if that costs less than it is worth; only while nodes are
         // so few that each knows of the other domains from its own traffic.
         let few = self.terms.nodes <= self.executors.len() && self.terms.cross > 0.0 && !self.overloaded;
-        let late = |c: &Candidate| self.lateness(now, op, c.at, c.wait) > 0.0;
         let far = |c: &Candidate| self.executors[c.at].domain != self.terms.domain;
         let pays = few && self.terms.cross < self.worth(op) && late(&found[first]);
         let other = if pays { found.iter().position(|c| far(c) && !late(c)) } else { None };
@@ -711,15 +721,6 @@
             found.retain(proven);
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
-        if self.terms.live_weights {
-            // All nodes hear the same and would choose alike: each looks at a few, fewer the more they are.
-            let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
-            let mut seen = vec![0; self.domains.len()];
-            found.retain(|c| {
-                seen[self.executors[c.at].domain] += 1;
-                seen[self.executors[c.at].domain] <= few
-            });
-        }
         // Crossing counts double, for it also lands where this node hears least.
         let delay = 2.0 * self.price_as_wait(op, self.terms.cross);
         // What the op needs is likely kept by those first in its key's order; others set up for it.
@@ -879,7 +880,7 @@
     fn review(&mut self, now: Time, op: &mut Op, last: usize) -> Step {
         let p = &op.pushes[last];
         let (x, started, noted, sent, guess) = (p.executor, p.started, p.noted, p.sent, p.guess);
-        let look = self.categories[op.category].target / 4;
+        let look = self.categories[op.category].target / LOOKS;
         let only_one = op.pushes.iter().filter(|p| p.outcome.is_none()).count() == 1;
         let copies = self.terms.second_copies && self.effect(op) != Effect::AtMostOnce;
         if copies && only_one && !p.stopping && now >= sent.saturating_add(op.limits.copy_after) {
@@ -919,8 +920,7 @@
             return Step::Hold;
         };
         let movable = only_one && self.may_send(now, op) && (self.terms.second_copies || self.terms.cancel);
-        let better = if movable { self.pick(now, op, true) } else { None };
-        let better = better.filter(|b| b.cost + look as f64 <= here);
+        let better = movable.then(|| self.pick(now, op, true)).flatten().filter(|b| b.cost <= here);
         let Some(Candidate { at, .. }) = better else { return Step::Hold };
         if self.terms.second_copies {
             // What waits there will run all the same; a copy only pays where the first stands still.
@@ -959,9 +959,8 @@
         }
     }
 
-    /// Sets an executor aside for a fixed time and a random part, so that nodes don't return together. A
-    /// second one out of reach in a domain that has not answered since speaks for the whole domain: at size
-    /// each of its executors would cost a push of an op that has but a few.
+    /// Sets an executor aside for a time partly random, so that nodes don't return together. A second one out
+    /// of reach in a domain that has not answered since speaks for the whole domain.
     fn set_aside(&mut self, now: Time, x: usize, why: &str, out_of_reach: bool) {
         let until = now + ASIDE + (self.chance.draw() * ASIDE as f64) as Time;
         let e = &mut self.executors[x];
@@ -988,8 +987,7 @@
         self.domains.resize(self.domains.len().max(line.domain + 1), (0, 0));
         while self.executors.len() <= line.executor {
             let turn = self.chance.draw();
-            let executor =
-                Executor::new(now, turn, MOST_CREDIT / 2.0, self.categories.len(), self.terms.keepalive);
+            let executor = Executor::new(now, turn, MOST_CREDIT, self.categories.len(), self.terms.keepalive);
             self.executors.push(executor);
         }
         let luck = self.chance.draw();
