--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -497,6 +497,56 @@
     assert!(near > budget / 5.0 && work < budget / 2.0, "{near} and {work} of {budget}");
 }
 
+#[test]
+fn all_nodes_together_never_push_a_cold_executor_over() {
+    // Of 90 nodes and twelve executors in three domains: which executors start and when, by their number, and when
+    // nodes hear of it, by theirs. Each node has an op every tenth of a second and nobody warm has room.
+    type Case = (&'static str, fn(usize) -> Option<Time>, fn(u64) -> Time);
+    let cases: [Case; 3] = [
+        ("a domain returns cold", |x| (x % 3 == 0).then_some(1), |n| (n % 5) as Time * SECOND / 10),
+        ("a fleet replaced in steps", |x| (x < 8).then_some(1 + x as Time * SECOND / 2), |_| 0),
+        ("a mass start amid cold ones", |_| Some(1), |_| SECOND),
+    ];
+    for (what, started, heard) in cases {
+        let mut sent: Vec<Vec<Time>> = vec![Vec::new(); 12];
+        for node in 0..90 {
+            let domain = node as usize % 3;
+            let wide = tariff(Terms { nodes: 90, domain, cross: 0.2, live_weights: true, ..terms() });
+            let mut desk = Dispatcher::new(&wide, node);
+            let lines = |now: Time| -> Vec<Listed> {
+                let line =
+                    |x| Listed { domain: x % 3, started: started(x).filter(|at| *at <= now), ..line(x) };
+                (0..12).map(line).collect()
+            };
+            for n in 0..60 {
+                let now = heard(node) + n * SECOND / 10 + node as Time;
+                desk.list(now, n == 0, &lines(now));
+                for x in (0..12).filter(|x| started(*x).is_none_or(|at| at > now)) {
+                    desk.report(now, x, &[9.0, 0.0]);
+                }
+                let mut op = desk.arrive(now, ask(0));
+                let mut step = desk.place(now, &mut op);
+                while let Step::Push { executor } = step {
+                    sent[executor].push(now);
+                    let last = op.pushes.len() - 1;
+                    step = desk.settle(now, &mut op, last, Outcome::Full, &[]);
+                }
+            }
+        }
+        for (x, sent) in sent.iter_mut().enumerate() {
+            let Some(start) = started(x) else { continue };
+            sent.sort_unstable();
+            for from in sent.iter().filter(|at| **at >= start) {
+                // Three times its capacity at the time, in ops of a tenth of a second, over the second that tips it.
+                let warm = 0.2 + 0.8 * (*from - start) as f64 / (10 * SECOND) as f64;
+                let within = sent.iter().filter(|at| (*from..from + SECOND).contains(*at)).count();
+                assert!((within as f64) <= 3.0 * 4.0 * warm * 10.0, "{what}: {within} in a second to {x}");
+            }
+            assert!(sent.iter().any(|at| *at >= start), "{what}: nothing to {x}");
+        }
+    }
+}
+
 #[test]
 fn a_domain_out_of_reach_is_left_alone_as_a_whole() {
     // At size each executor of a lost domain would cost a push of an op that has but a few.
