--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,7 +30,7 @@
 const UNSURE: f64 = 0.8; // by how much more a wait counts when an op is judged hopeless
 const COLD_PART: f64 = 0.45; // of a cold executor's budget: what all nodes together send,
 const ONE_COLD_OP: f64 = 0.3; // and what one op may take
-const NEAR: f64 = 0.8; // of that: what nodes of its own domain send, where crossing has a price
+const NEAR: f64 = 0.8; // of what all send: the part of nodes of its own domain, where crossing has a price
 const KEPT: f64 = 0.6; // what a set-up takes, in turnovers
 const PEER_SPEND: f64 = 0.01; // for one op, in parts of its worth: two entries of three bytes to each peer
 const TELL: Time = SECOND / 10; // peers are told at most so often,
@@ -662,15 +662,6 @@
     fn pick(&self, now: Time, op: &Op, strict: bool) -> Option<Candidate> {
         let mut found = self.candidates(now, op, strict);
         let late = |c: &Candidate| self.lateness(now, op, c.at, c.wait) > 0.0;
-        if self.terms.live_weights {
-            // All nodes hear the same and would choose alike: each looks at a few, fewer the more they are.
-            let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
-            let mut seen = vec![0; self.domains.len()];
-            found.retain(|c| {
-                seen[self.executors[c.at].domain] += 1;
-                seen[self.executors[c.at].domain] <= few
-            });
-        }
         let least = found.iter().map(|c| c.cost).fold(f64::INFINITY, f64::min);
         let well_over = least + self.turnover() * WELL_OVER;
         let first = found.iter().position(|c| c.cost <= well_over)?;
@@ -721,6 +712,15 @@
             found.retain(proven);
         }
         found.sort_unstable_by(|a, b| a.turn.total_cmp(&b.turn));
+        if self.terms.live_weights {
+            // All nodes hear the same and would choose alike: each looks at a few, fewer the more they are.
+            let few = (FEW * found.len() / self.terms.nodes).clamp(2, FEW) + found.len() / self.terms.nodes;
+            let mut seen = vec![0; self.domains.len()];
+            found.retain(|c| {
+                seen[self.executors[c.at].domain] += 1;
+                seen[self.executors[c.at].domain] <= few
+            });
+        }
         // Crossing counts double, for it also lands where this node hears least.
         let delay = 2.0 * self.price_as_wait(op, self.terms.cross);
         // What the op needs is likely kept by those first in its key's order; others set up for it.
