--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -210,7 +210,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::plan::read;
+    use crate::experiment::read;
 
     #[test]
     fn troubles_overlap_flap_and_roll() {
--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -481,7 +481,7 @@
              [load]\nper-second = 1.0\n[[category]]\nname = 'c'\npart = 1.0\nwork-ms = 1.0\ntarget-ms = 10.0\n\
              ttl-ms = 100.0\neffect = 'redeliverable'\n"
         );
-        let plan = crate::plan::read("m.toml", &text).unwrap().plan;
+        let plan = crate::experiment::read("m.toml", &text).unwrap().plan;
         let spec = specs(&plan, 1).remove(0);
         Machine::new(&plan, spec, 100, None)
     }
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use stileroute_rig::plan::{self, Experiment};
+use stileroute_rig::experiment::{self, Experiment};
 use stileroute_rig::report::{compare, Played, Report};
 use stileroute_rig::{hunt, page, run};
 
@@ -115,7 +115,7 @@
 fn work(words: Words) -> Result<ExitCode, Failed> {
     match words.what {
         What::Sim { file, threads, out, timings } => {
-            let experiment = plan::load(&file).map_err(bad)?;
+            let experiment = experiment::load(&file).map_err(bad)?;
             let bar = bar(&experiment);
             let step = |played: &Played, took: Duration| {
                 if timings {
@@ -135,7 +135,7 @@
             tell(&report, out.as_deref())
         }
         What::Play { file, node, seeds, out, logs } => {
-            let mut experiment = plan::load(&file).map_err(bad)?;
+            let mut experiment = experiment::load(&file).map_err(bad)?;
             if let Some(seeds) = seeds {
                 let kept: Vec<u64> = experiment.plan.seeds.iter().copied().take(seeds).collect();
                 experiment.cells.retain(|cell| kept.contains(&cell.seed));
@@ -149,7 +149,7 @@
             tell(&report, out.as_deref())
         }
         What::Hunt { file, seed, out } => {
-            let experiment = plan::load(&file).map_err(bad)?;
+            let experiment = experiment::load(&file).map_err(bad)?;
             let days = experiment.plan.hunt.as_ref().map_or(0, |hunt| hunt.days);
             let bar = ProgressBar::new(days as u64);
             let found = hunt::hunt(&experiment.plan, seed, &|| bar.inc(1)).map_err(bad)?;
@@ -181,7 +181,7 @@
             Ok(ExitCode::SUCCESS)
         }
         What::Check { file } => {
-            let experiment = plan::load(&file).map_err(bad)?;
+            let experiment = experiment::load(&file).map_err(bad)?;
             let plan = &experiment.plan;
             println!(
                 "{}: {} plays of {} s, {} nodes, {} executors, {} categories, {} faults",
--- /dev/null
+++ b/rig/src/plan/check.rs
@@ -0,0 +1,166 @@
+//! What a plan must hold for it to be played. Everything is checked before anything is played.
+
+use super::{EffectName, Fault, On, Plan, What};
+
+impl Plan {
+    /// Key and reason of the first thing that cannot be played.
+    pub fn check(&self) -> Result<(), (Vec<String>, String)> {
+        let key = |path: &str| path.split('.').map(str::to_string).collect::<Vec<_>>();
+        let bad = |path: &str, reason: &str| Err((key(path), reason.to_string()));
+        // Not-a-number fails every comparison, so ranges are stated as what must hold.
+        let within = |value: f64, least: f64, most: f64| value >= least && value <= most;
+        if !within(self.seconds, 0.1, 86_400.0) {
+            return bad("seconds", "must be from 0.1 to 86400");
+        }
+        if self.seeds.is_empty() {
+            return bad("seeds", "there is none, so there is nothing to play");
+        }
+        let fleet = &self.fleet;
+        if fleet.domains.is_empty() {
+            return bad("fleet.domains", "there must be one at least");
+        }
+        if self.executors() == 0 {
+            return bad("fleet.kind", "there is no executor");
+        }
+        if self.executors() > 20_000 {
+            return bad("fleet.kind", "more than 20000 executors");
+        }
+        for (at, kind) in fleet.kind.iter().enumerate() {
+            let path = |name: &str| format!("fleet.kind.{at}.{name}");
+            if !within(kind.slots, 1.0, 1024.0) {
+                return bad(&path("slots"), "must be from 1 to 1024");
+            }
+            if !(within(kind.speed[0], 0.01, 100.0) && within(kind.speed[1], kind.speed[0], 100.0)) {
+                return bad(&path("speed"), "must be two rising numbers from 0.01 to 100");
+            }
+        }
+        let cold = &fleet.cold;
+        if !within(cold.start_share, 0.01, 1.0) {
+            return bad("fleet.cold.start-share", "must be from 0.01 to 1");
+        }
+        if !(within(cold.warm_within_s, 0.0, 3600.0) && within(cold.tip_after_s, 0.01, 3600.0)) {
+            return bad("fleet.cold", "times must be from 0 (tip-after-s: 0.01) to 3600 s");
+        }
+        let spans =
+            [(fleet.list.late_s, "fleet.list.late-s"), (fleet.report.refresh_ms, "fleet.report.refresh-ms")];
+        for (span, path) in spans {
+            if !(within(span[0], 0.0, 1e6) && within(span[1], span[0], 1e6)) {
+                return bad(path, "must be two rising numbers from 0");
+            }
+        }
+        if !(within(fleet.near_ms, 0.1, 10_000.0) && within(fleet.far_ms, fleet.near_ms, 10_000.0)) {
+            return bad("fleet.far-ms", "near-ms must be from 0.1, far-ms from near-ms to 10000");
+        }
+        if !(1..=64).contains(&fleet.max_pushes) {
+            return bad("fleet.max-pushes", "must be from 1 to 64");
+        }
+        if !(1..=20_000).contains(&self.nodes.count) {
+            return bad("nodes.count", "must be from 1 to 20000");
+        }
+        if (self.load.part > 0.0) == (self.load.per_second > 0.0) {
+            return bad("load", "needs either part or per-second, above 0");
+        }
+        if !(within(self.load.part, 0.0, 100.0) && within(self.load.per_second, 0.0, 1e6)) {
+            return bad("load", "part must be 100 and per-second 1000000 at the most");
+        }
+        if self.category.is_empty() {
+            return bad("category", "there is none");
+        }
+        for (at, category) in self.category.iter().enumerate() {
+            let path = |name: &str| format!("category.{at}.{name}");
+            if !within(category.part, 1e-9, 1e9) {
+                return bad(&path("part"), "must be above 0");
+            }
+            if !(within(category.work_ms, 0.1, 1e7) && within(category.spread, 0.0, 5.0)) {
+                return bad(&path("work-ms"), "must be from 0.1, and spread from 0 to 5");
+            }
+            if !(within(category.target_ms, 1.0, 1e7) && within(category.ttl_ms, category.target_ms, 1e7)) {
+                return bad(&path("ttl-ms"), "must be at least target-ms, and that 1 at least");
+            }
+            if category.effect == EffectName::Deduplicated && !within(category.window_ms, 1.0, 1e7) {
+                return bad(
+                    &path("window-ms"),
+                    "a deduplicated category needs the time in which repeats are dropped",
+                );
+            }
+            let most = fleet.kind.iter().map(|kind| kind.slots).fold(0.0, f64::max);
+            if !within(category.slots, 0.1, most) {
+                return bad(&path("slots"), "no executor has so many");
+            }
+            if let Some(kind) = &category.kind {
+                match fleet.kind.iter().find(|k| k.name == *kind) {
+                    None => return bad(&path("kind"), &format!("there is no kind '{kind}'")),
+                    Some(k) if k.slots < category.slots || k.count == 0 => {
+                        return bad(&path("kind"), "no executor of it has room for one");
+                    }
+                    Some(_) => {}
+                }
+            }
+        }
+        if let Some(hunt) = &self.hunt {
+            if !((1..=100_000).contains(&hunt.days) && (1..=20).contains(&hunt.most_faults)) {
+                return bad("hunt", "days must be from 1 to 100000, most-faults from 1 to 20");
+            }
+            if hunt.kinds.is_empty() {
+                return bad("hunt.kinds", "there is none, so there is nothing to draw");
+            }
+            if !within(hunt.below, 0.0, 1.0) {
+                return bad("hunt.below", "must be from 0 to 1");
+            }
+        }
+        for (at, fault) in self.fault.iter().enumerate() {
+            let path = |name: &str| format!("fault.{at}.{name}");
+            if !(within(fault.from_s, 0.0, 86_400.0) && within(fault.for_s, 0.0, 86_400.0)) {
+                return bad(&path("from-s"), "from-s and for-s must be from 0 to 86400");
+            }
+            if fault.from_s >= self.seconds {
+                return bad(&path("from-s"), "begins when the day is over");
+            }
+            let on = match self.on(fault) {
+                Ok(on) => on,
+                Err(reason) => return bad(&path("on"), &reason),
+            };
+            let whole = matches!(fault.what, What::DomainLost | What::DomainCut);
+            if whole && !matches!(on, On::Domain(_)) {
+                return bad(&path("on"), "must be a domain: on = \"domain:NAME\"");
+            }
+            match fault.node {
+                Some(node) if node >= self.nodes.count => {
+                    return bad(
+                        &path("node"),
+                        &format!("there is no node {node}, they are 0 to {}", self.nodes.count - 1),
+                    );
+                }
+                None if fault.what.of_node() => {
+                    return bad(&path("what"), "needs the number of a node: node = 0")
+                }
+                _ => {}
+            }
+            if fault.what == What::NodeStopped && fault.for_s < 3.5 {
+                return bad(
+                    &path("for-s"),
+                    "a node that is asked to end has 3.5 s at least to finish what it has",
+                );
+            }
+            let ends = |f: &Fault| f.from_s + f.for_s;
+            let meets = |f: &Fault| {
+                f.what.of_node() && f.node == fault.node && f.from_s <= ends(fault) && fault.from_s <= ends(f)
+            };
+            if fault.what.of_node() && self.fault[..at].iter().any(meets) {
+                return bad(&path("from-s"), "another fault of the same node is not over by then");
+            }
+            if let Some(name) = &fault.category {
+                if self.category_named(name).is_none() {
+                    return bad(&path("category"), &format!("there is no category '{name}'"));
+                }
+            }
+            if !(within(fault.part, 0.0, 1.0) && within(fault.factor, 0.01, 1000.0)) {
+                return bad(&path("part"), "part must be from 0 to 1, factor from 0.01 to 1000");
+            }
+            if fault.every_s != 0.0 && !within(fault.every_s, 0.1, 3600.0) {
+                return bad(&path("every-s"), "must be from 0.1 to 3600");
+            }
+        }
+        Ok(())
+    }
+}
--- a/rig/src/play/world.rs
+++ b/rig/src/play/world.rs
@@ -104,7 +104,7 @@
     #[test]
     fn a_rig_that_is_late_itself_gives_no_verdict() {
         let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/calm.toml");
-        let plan = crate::plan::load(&path).unwrap().plan;
+        let plan = crate::experiment::load(&path).unwrap().plan;
         let world = || World::new(&plan, Weather::new(&plan, &specs(&plan, 1), 1).0, Vec::new()).unwrap();
         // So many requests so late, in tenths of a millisecond, and whether that is too late.
         let cases = [
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -390,7 +390,7 @@
         let text = "name='d'\nseconds=2.0\nseeds=[1]\n[fleet]\nfar-ms=10.0\n[[fleet.kind]]\nname='k'\ncount=4\n\
             slots=4.0\nspeed=[1.0,1.0]\n[nodes]\ncount=1\n[load]\nper-second=20.0\n[[category]]\nname='c'\npart=1.0\n\
             work-ms=250.0\ntarget-ms=900.0\nttl-ms=3000.0\neffect='redeliverable'\n";
-        let plan = crate::plan::read("d.toml", text).unwrap().plan;
+        let plan = crate::experiment::read("d.toml", text).unwrap().plan;
         let played = crate::run::play_simulated(&plan, 1).unwrap();
         let [half, .., most] = played.categories[0].latency;
         assert!(
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -1,6 +1,7 @@
 //! Plays the points of an experiment, several at once; the order of the report is that of the grid.
 
-use crate::plan::{Cell, Experiment, Plan, PolicyName};
+use crate::experiment::{Cell, Experiment};
+use crate::plan::{Plan, PolicyName};
 use crate::policy::{policy, Policy};
 use crate::report::{figures, Played, Report};
 use crate::sim::Sim;
--- /dev/null
+++ b/rig/src/sim/mod.rs
@@ -0,0 +1,454 @@
+//! A day in simulated time: many nodes and executors in one process, one event after the other. The same plan and
+//! seed give the same day, whatever else runs beside it.
+
+mod executor;
+mod list;
+mod node;
+mod trouble;
+mod way;
+
+use crate::faults::{Change, Weather};
+use crate::fleet::{chance, ms, seconds, specs, Happening, Job, Machine, Up};
+use crate::judge::{Answer, End, Fall, Ledger, Saw};
+use crate::load::{Asked, Source};
+use crate::plan::{Plan, What};
+use crate::policy::{Policy, Truth};
+use crate::settings::{domain_of_node, settings};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::sync::Arc;
+use stileroute::choice::UPKEEP;
+use stileroute::posted::Posted;
+use stileroute::tariff::{Ask, Limits, Listed, Op, Outcome, Step, Tariff, Time, SECOND};
+use stileroute_routes::gate::{Entry, Gate, Pass};
+use stileroute_routes::pattern::Request;
+use stileroute_routes::table::Table;
+
+/// Who decides at a node, made anew at each start of it, from its settings and a seed.
+pub type Maker<'a> = &'a dyn Fn(usize, &Tariff, u64) -> Box<dyn Policy>;
+
+/// What a day leaves behind.
+pub struct Day {
+    pub ledger: Ledger,
+    pub asked: Vec<Asked>,
+    /// Pushes that the solved fractions would have given each executor; all zero for who solves none.
+    pub meant: Vec<f64>,
+    /// Pushes to executors that were cold, or that did not serve at all.
+    pub to_cold: u64,
+    pub to_gone: u64,
+    pub crossed: u64,
+    pub events: u64,
+    /// Lines that the policies logged, in order, the first thousand.
+    pub log: Vec<String>,
+}
+
+/// Between a client and its node.
+const DOOR: Time = 1;
+/// A request's bytes, for resets and dribbling.
+const REQUEST: usize = 400;
+
+enum Coming {
+    Arrival,
+    Retry(usize),
+    /// At a node.
+    Ask(usize),
+    Note(usize, usize, bool),
+    Ended(usize, usize, Outcome, Vec<f64>),
+    News(u64, bool, Rc<Vec<Listed>>),
+    Due,
+    Upkeep,
+    /// An op has waited for a place as long as it may.
+    WaitOver(usize),
+    /// The operators' file is replaced.
+    Routes,
+    /// At an executor.
+    Push(usize, usize),
+    Cancel(usize, usize),
+    Machine(u64),
+    Answer(usize, Answer),
+    Overdue(usize),
+    Trouble(Change),
+    Weights,
+    Second,
+}
+
+struct Event {
+    at: Time,
+    order: u64,
+    /// Node or executor, where there is one.
+    who: usize,
+    what: Coming,
+}
+
+impl PartialEq for Event {
+    fn eq(&self, other: &Event) -> bool {
+        self.order == other.order
+    }
+}
+
+impl Eq for Event {}
+
+impl PartialOrd for Event {
+    fn partial_cmp(&self, other: &Event) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Event {
+    fn cmp(&self, other: &Event) -> std::cmp::Ordering {
+        (self.at, self.order).cmp(&(other.at, other.order))
+    }
+}
+
+/// An op in hand with what routes let it do.
+struct Held {
+    op: Op,
+    pass: Option<Box<Pass>>,
+}
+
+impl Held {
+    fn budget(&mut self, now: Time) {
+        if let Some(pass) = &self.pass {
+            self.op.limits.over_budget = pass.over_budget(now);
+        }
+    }
+}
+
+struct Node {
+    policy: Box<dyn Policy>,
+    domain: usize,
+    gate: Option<Gate>,
+    waiting: HashMap<usize, Box<Pass>>,
+    admitted: VecDeque<usize>,
+    ops: HashMap<usize, Held>,
+    due: BTreeSet<(Time, usize)>,
+    looks: HashMap<usize, Time>,
+    timer: Option<Time>,
+    version: u64,
+    news_by: Time,
+    up: bool,
+    takes: bool,
+    /// What has come while it stands still.
+    held_up: Option<Vec<Event>>,
+    life: u64,
+    /// Pushes in this second.
+    pushed: f64,
+}
+
+/// One push on its way or at its executor.
+struct Flight {
+    executor: usize,
+    sent: Time,
+    arrives: Time,
+    called_off: bool,
+    /// Its connection, while it counts at the executor.
+    open: bool,
+    reset: bool,
+}
+
+#[derive(Default)]
+struct Try {
+    node: usize,
+    life: u64,
+    flights: Vec<Flight>,
+}
+
+pub struct Sim<'a> {
+    plan: &'a Plan,
+    make: Maker<'a>,
+    now: Time,
+    order: u64,
+    events: BinaryHeap<Reverse<Event>>,
+    nodes: Vec<Node>,
+    tariffs: Vec<Tariff>,
+    machines: Vec<Machine>,
+    /// Of each executor: the latest wake-up that counts, connections, what the list says of it.
+    wake: Vec<u64>,
+    connections: Vec<usize>,
+    listed: Vec<Listed>,
+    before: Vec<(Time, Vec<Listed>)>,
+    version: u64,
+    idle: HashMap<(usize, usize), Vec<Time>>,
+    tries: Vec<Try>,
+    /// Work saved of a job, by its number.
+    saved: HashMap<usize, f64>,
+    stuck: Vec<(usize, usize)>,
+    weather: Weather,
+    source: Source,
+    chance: Pcg64Mcg,
+    out: Vec<Happening>,
+    /// Routes in force, and those that replace them, turn by turn.
+    routes: Option<Arc<Table>>,
+    next_routes: Vec<Arc<Table>>,
+    turned: usize,
+    day: Day,
+}
+
+impl<'a> Sim<'a> {
+    pub fn new(plan: &'a Plan, seed: u64, make: Maker<'a>) -> Result<Sim<'a>, String> {
+        let specs = specs(plan, seed);
+        let (weather, changes) = Weather::new(plan, &specs, seed);
+        let source = Source::new(plan, &specs, seed);
+        let mut chance = chance(seed, 2);
+        let [least, most] = plan.fleet.report.refresh_ms;
+        let cold = plan.fleet.cold.at_start;
+        let started = cold.then_some(0);
+        let mut machines = Vec::new();
+        for spec in &specs {
+            let refresh = ms(chance.random_range(least..=most));
+            machines.push(Machine::new(plan, spec.clone(), refresh, started));
+        }
+        let line = |x: usize| Listed {
+            mark: 0,
+            executor: x,
+            domain: specs[x].domain,
+            kind: specs[x].kind,
+            cell: specs[x].cell,
+            active: true,
+            weight: 1.0,
+            started,
+        };
+        let listed: Vec<Listed> = (0..specs.len()).map(line).collect();
+        let mut tariffs = Vec::new();
+        for domain in 0..plan.fleet.domains.len() {
+            let posted: Posted = serde_json::from_value(settings(plan, domain)).map_err(|e| e.to_string())?;
+            tariffs.push(posted.tariff()?);
+        }
+        let (routes, next_routes) = crate::settings::routes(plan)?;
+        let day = Day {
+            ledger: Ledger {
+                groups: specs.iter().map(|spec| (spec.domain, spec.cell)).collect(),
+                ..Ledger::default()
+            },
+            asked: Vec::new(),
+            meant: vec![0.0; specs.len()],
+            to_cold: 0,
+            to_gone: 0,
+            crossed: 0,
+            events: 0,
+            log: Vec::new(),
+        };
+        let mut sim = Sim {
+            plan,
+            make,
+            now: 0,
+            order: 0,
+            events: BinaryHeap::new(),
+            nodes: Vec::new(),
+            tariffs,
+            wake: vec![0; machines.len()],
+            connections: vec![0; machines.len()],
+            machines,
+            before: vec![(0, listed.clone())],
+            listed,
+            version: 1,
+            idle: HashMap::new(),
+            tries: Vec::new(),
+            saved: HashMap::new(),
+            stuck: Vec::new(),
+            weather,
+            source,
+            chance,
+            out: Vec::new(),
+            routes,
+            next_routes,
+            turned: 0,
+            day,
+        };
+        for node in 0..plan.nodes.count {
+            let domain = domain_of_node(plan, node);
+            let seed = sim.chance.random();
+            sim.nodes.push(Node {
+                policy: make(node, &sim.tariffs[domain], seed),
+                domain,
+                gate: sim.routes.clone().map(Gate::new),
+                waiting: HashMap::new(),
+                admitted: VecDeque::new(),
+                ops: HashMap::new(),
+                due: BTreeSet::new(),
+                looks: HashMap::new(),
+                timer: None,
+                version: 0,
+                news_by: 0,
+                up: true,
+                takes: true,
+                held_up: None,
+                life: 0,
+                pushed: 0.0,
+            });
+            sim.boot(node);
+            let phase = sim.chance.random_range(0..UPKEEP);
+            sim.push_event(phase, node, Coming::Upkeep);
+        }
+        for change in changes {
+            sim.push_event(change.at, 0, Coming::Trouble(change));
+        }
+        if plan.fleet.list.live_weights_s > 0.0 {
+            sim.push_event(0, 0, Coming::Weights);
+        }
+        if !sim.next_routes.is_empty() {
+            sim.push_event(sim.reload_every(), 0, Coming::Routes);
+        }
+        sim.push_event(SECOND, 0, Coming::Second);
+        sim.push_event(0, 0, Coming::Arrival);
+        Ok(sim)
+    }
+
+    fn reload_every(&self) -> Time {
+        ms(self.plan.reload_every_ms.max(1.0))
+    }
+
+    /// What a node knows as it starts: the list as it is told first, or nothing at all.
+    fn boot(&mut self, node: usize) {
+        let all = Rc::new(self.listed.clone());
+        if self.plan.fleet.cold.at_start && self.now == 0 {
+            self.news(node, true, all);
+        } else {
+            self.hear_list(node, self.version, true, &all);
+        }
+    }
+
+    fn push_event(&mut self, at: Time, who: usize, what: Coming) {
+        self.order += 1;
+        self.events.push(Reverse(Event { at: at.max(self.now), order: self.order, who, what }));
+    }
+
+    /// Plays the day to its end: until the last op is over.
+    pub fn play(mut self) -> Day {
+        let last = self.plan.category.iter().map(|category| ms(category.ttl_ms)).max().unwrap_or(0);
+        let retries = self.plan.load.retries as Time;
+        let end =
+            seconds(self.plan.seconds) + (last + ms(self.plan.load.retry_wait_ms)) * (1 + retries) + SECOND;
+        while let Some(Reverse(event)) = self.events.pop() {
+            if event.at > end {
+                break;
+            }
+            self.now = event.at;
+            self.day.events += 1;
+            self.handle(event);
+        }
+        self.day
+    }
+
+    fn at_node(what: &Coming) -> bool {
+        use Coming::{Ask, Due, Ended, News, Note, Overdue, Upkeep, WaitOver};
+        matches!(what, Overdue(_) | WaitOver(_) | Ask(_) | Note(..) | Ended(..) | News(..) | Due | Upkeep)
+    }
+
+    fn handle(&mut self, event: Event) {
+        let (now, who) = (self.now, event.who);
+        if Sim::at_node(&event.what) {
+            if let Some(held) = &mut self.nodes[who].held_up {
+                held.push(event);
+                return;
+            }
+        }
+        match event.what {
+            Coming::Arrival => {
+                if now < seconds(self.plan.seconds) {
+                    let asked = self.source.draw(now, &self.weather);
+                    let job = self.day.asked.len();
+                    self.day.asked.push(asked);
+                    self.ask(job);
+                    let next = now + self.source.gap(&self.weather);
+                    self.push_event(next, 0, Coming::Arrival);
+                }
+            }
+            Coming::Retry(job) => self.ask(job),
+            Coming::Ask(op) => self.arrive(who, op),
+            Coming::WaitOver(op) => self.wait_over(who, op),
+            Coming::Routes => self.turn_routes(),
+            Coming::Note(op, push, start) => {
+                let node = &mut self.nodes[who];
+                if let Some(held) = node.ops.get_mut(&op) {
+                    node.policy.note(now, &mut held.op, push, start);
+                }
+            }
+            Coming::Ended(op, push, outcome, values) => self.ended(who, op, push, outcome, &values),
+            Coming::News(version, whole, lines) => {
+                match self.weather.list_late() {
+                    // What is held back comes when the service is up again.
+                    None => {
+                        self.push_event(now + SECOND / 5, who, Coming::News(version, whole, lines));
+                    }
+                    Some(_) => self.hear_list(who, version, whole, &lines),
+                }
+            }
+            Coming::Due => self.due(who),
+            Coming::Upkeep => {
+                if self.nodes[who].up {
+                    self.nodes[who].policy.upkeep(now);
+                    self.take_log(who);
+                }
+                if now < seconds(self.plan.seconds) + 30 * SECOND {
+                    self.push_event(now + UPKEEP, who, Coming::Upkeep);
+                }
+            }
+            Coming::Push(op, push) => self.reach(op, push),
+            Coming::Cancel(op, push) => self.call_off(op, push),
+            Coming::Machine(wake) => {
+                if self.wake[who] == wake {
+                    let mut out = std::mem::take(&mut self.out);
+                    self.machines[who].advance(now, &mut out);
+                    self.happened(who, out);
+                }
+            }
+            Coming::Answer(op, answer) => self.answered(op, answer),
+            Coming::Overdue(op) => self.overdue(op),
+            Coming::Trouble(change) => self.trouble(change),
+            Coming::Weights => self.weights(),
+            Coming::Second => {
+                for node in &mut self.nodes {
+                    let pushed = std::mem::take(&mut node.pushed);
+                    if pushed > 0.0 {
+                        node.policy.add_shares(pushed, &mut self.day.meant);
+                    }
+                }
+                if now < seconds(self.plan.seconds) {
+                    self.push_event(now + SECOND, 0, Coming::Second);
+                }
+            }
+        }
+    }
+
+    // ---- Clients ----
+
+    /// A client hands in a try of its job, at a node that takes some.
+    fn ask(&mut self, job: usize) {
+        let asked = &self.day.asked[job];
+        let (category, domain) = (asked.category, asked.domain);
+        let ready: Vec<usize> = (0..self.nodes.len()).filter(|n| self.nodes[*n].takes).collect();
+        let near: Vec<usize> = ready.iter().copied().filter(|n| self.nodes[*n].domain == domain).collect();
+        let among = if near.is_empty() { &ready } else { &near };
+        if among.is_empty() {
+            return;
+        }
+        let node = among[self.source.pick(among.len())];
+        let deadline = self.now + ms(self.plan.category[category].ttl_ms);
+        let op = self.day.ledger.open(job, node, category, self.now, deadline);
+        self.tries.push(Try { node, life: self.nodes[node].life, flights: Vec::new() });
+        self.push_event(self.now + DOOR, node, Coming::Ask(op));
+    }
+
+    fn answered(&mut self, op: usize, answer: Answer) {
+        self.day.ledger.saw(op, self.now, Saw::Answered(answer));
+        let job = self.day.ledger.sheets[op].job;
+        if let Answer::Nacked(come_back) = answer {
+            let asked = &mut self.day.asked[job];
+            if asked.tries < self.plan.load.retries {
+                asked.tries += 1;
+                let wait = come_back.max(ms(self.plan.load.retry_wait_ms)).max(1);
+                self.push_event(self.now + wait, 0, Coming::Retry(job));
+            }
+        }
+    }
+}
+
+/// What the seeing baseline sees from a domain. It borrows no more than that, for the node itself is asked meanwhile.
+fn truth<'t>(plan: &Plan, machines: &'t [Machine], weather: &'t Weather, domain: usize) -> Truth<'t> {
+    let (near, far) = (ms(plan.fleet.near_ms), ms(plan.fleet.far_ms));
+    Truth { machines, weather, domain, near, far }
+}
--- a/rig/tests/judge.rs
+++ b/rig/tests/judge.rs
@@ -3,7 +3,8 @@
 
 use stileroute::choice::Dispatcher;
 use stileroute::tariff::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time};
-use stileroute_rig::plan::{read, Plan};
+use stileroute_rig::experiment::read;
+use stileroute_rig::plan::Plan;
 use stileroute_rig::policy::{Policy, Truth};
 use stileroute_rig::report::Played;
 use stileroute_rig::run::{play_simulated, play_with};
--- a/rig/tests/plan.rs
+++ b/rig/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::process::Command;
-use stileroute_rig::plan::{load, read};
+use stileroute_rig::experiment::{load, read};
 use stileroute_rig::run::simulate;
 
 const GOOD: &str = "name = 'day'
--- a/rig/tests/routes.rs
+++ b/rig/tests/routes.rs
@@ -1,6 +1,7 @@
 //! Routes on simulated days: a retry storm held by budgets, and time-outs that cross late answers.
 
-use stileroute_rig::plan::{read, Plan};
+use stileroute_rig::experiment::read;
+use stileroute_rig::plan::Plan;
 use stileroute_rig::run::play_simulated;
 
 fn day(effect: &str, operator: &str, more: &str) -> Plan {
