Rig: sets of nodes, faults between processes, discovery with replicas, what nodes keep, fleet figures

Faults meet sets of nodes, which come back side by side; ways for each node to executors, discovery and other nodes with one task for all of them (each node knows whom it talks to under a host of its own); discovery with replicas that lag and bear so many calls; what nodes keep between lives; a site with all that is in it.

--- a/rig/src/fleet.rs
+++ b/rig/src/fleet.rs
@@ -103,6 +103,21 @@
     Fallen,
 }
 
+/// The id of whatever is no push but the work of new connections.
+const HANDSHAKE: u64 = u64::MAX;
+
+impl Happening {
+    /// It concerns no push.
+    pub fn of_handshake(self) -> bool {
+        use Happening::{Done, Failed, Lost, Progress, Returned, Started};
+        let id = match self {
+            Started(id) | Progress(id, _) | Done(id) | Failed(id) | Lost(id, _) | Returned(id) => id,
+            Happening::Fallen => return false,
+        };
+        id == HANDSHAKE
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Up {
     Serving,
@@ -400,6 +415,19 @@
         }
     }
 
+    /// A new connection takes so much work of a slot; a full queue makes it wait no less.
+    pub fn shake(&mut self, now: Time, work: f64, out: &mut Vec<Happening>) {
+        self.advance(now, out);
+        if self.takes() {
+            let (slots, memory) = (1.0f64.min(self.spec.slots), 0.0);
+            let whole = work;
+            let (priority, redeliverable, fails) = (i64::MAX, false, false);
+            let job = Job { id: HANDSHAKE, slots, memory, work, whole, priority, redeliverable, fails };
+            self.waiting.push_front(Running { job, began: false, fails_at: None, next_note: 0 });
+            self.fill(out);
+        }
+    }
+
     /// More was sent in the last span than the stated multiple of what it can do in it.
     fn tipped(&mut self, now: Time) -> bool {
         while self.sent.front().is_some_and(|(at, _)| *at <= now - self.tip_after) {
--- a/rig/src/lib.rs
+++ b/rig/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod settings;
 pub mod sim;
 pub mod stand;
+pub mod together;
--- a/rig/src/play/executors.rs
+++ b/rig/src/play/executors.rs
@@ -3,9 +3,8 @@
 use super::http::{Message, Reader};
 use super::world::{locked, span, World};
 use crate::fleet::{ms, Happening, Job, Machine, Up};
-use crate::judge::{End, Fall, Saw};
+use crate::judge::{End, Fall, Life, Saw};
 use crate::plan::{EffectName, GaugeName};
-use crate::settings::domain_of_node;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -130,9 +129,19 @@
     fn tell(&self, jobs: &mut HashMap<u64, Out>, now: Time, happening: Happening, load: &str) {
         let world = &self.world;
         let x = self.number;
+        if happening.of_handshake() {
+            return;
+        }
         let (id, end, state) = match happening {
             Happening::Fallen => {
                 locked(&world.ledger).falls.push(Fall { executor: x, at: now });
+                // Its machine is held by the caller; what it is now is known all the same.
+                locked(&world.ledger).lives[x].push(Life {
+                    at: now,
+                    up: Up::Fallen,
+                    started: None,
+                    halted: false,
+                });
                 let _ = self.fell.send(x);
                 return;
             }
@@ -199,6 +208,11 @@
                         continue;
                     }
                     self.connections.fetch_add(1, Ordering::SeqCst);
+                    locked(&self.world.ledger).connected[self.number].push(self.world.now());
+                    let work = ms(self.world.plan.fleet.handshake_work_ms) as f64;
+                    if work > 0.0 {
+                        self.with(|machine, now, out| machine.shake(now, work, out));
+                    }
                     let own = self.clone();
                     tokio::spawn(async move {
                         own.connection(stream).await;
@@ -266,7 +280,7 @@
             let _ = stream.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
             return true;
         };
-        let near = domain_of_node(&world.plan, node) == locked(&self.inner).machine.spec.domain;
+        let near = world.plan.domain_of_node(node) == locked(&self.inner).machine.spec.domain;
         let lat = span(ms(if near { world.plan.fleet.near_ms } else { world.plan.fleet.far_ms }));
         // A way shorter than the timer's grain is not worth a timer.
         if lat.as_micros() >= 1000 {
@@ -367,7 +381,15 @@
                 Some((op, sheet.job, sheet.category, sheet.node))
             }
             None => {
-                locked(&self.world.foreign).push(id.to_string());
+                // What is asked under no id at all is a probe, not a push.
+                let foreign = message.method != "GET" || !id.is_empty();
+                if foreign {
+                    locked(&self.world.foreign).push(id.to_string());
+                } else {
+                    drop(ledger);
+                    let now = self.world.now();
+                    locked(&self.world.ledger).probed[self.number].push(now);
+                }
                 None
             }
         }
@@ -385,14 +407,28 @@
     pub fn feel(&self) {
         let condition = self.world.weather(|weather| weather.condition(self.number));
         self.with(|machine, now, out| machine.set(now, condition, out));
+        self.lives();
+    }
+
+    /// Enters what it is from now on.
+    fn lives(&self) {
+        let (up, started) = {
+            let inner = locked(&self.inner);
+            (inner.machine.up, inner.machine.started)
+        };
+        let halted = self.world.weather(|weather| weather.condition(self.number)).halted;
+        let life = Life { at: self.world.now(), up, started, halted };
+        locked(&self.world.ledger).lives[self.number].push(life);
     }
 
     pub fn drain(&self) {
         self.with(|machine, now, out| machine.drain(now, out));
+        self.lives();
     }
 
     pub fn kill(&self) {
         self.with(|machine, now, out| machine.kill(now, out));
+        self.lives();
         self.life.send_modify(|life| *life += 1);
     }
 
@@ -401,6 +437,8 @@
         if !self.with(|machine, now, _| machine.start(now)) {
             return false;
         }
+        self.lives();
+        locked(&self.world.ledger).back.push(self.world.now());
         let life = *self.life.borrow();
         let own = self.clone();
         tokio::spawn(async move {
--- a/rig/src/play/world.rs
+++ b/rig/src/play/world.rs
@@ -3,7 +3,7 @@
 use crate::faults::Weather;
 use crate::judge::{Answer, Ledger, Saw};
 use crate::load::Asked;
-use crate::plan::Plan;
+use crate::plan::{Plan, What};
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -24,6 +24,8 @@
     start: Instant,
     /// Unix time at the start, in milliseconds.
     unix: i64,
+    /// How long after its deadline an answer is waited for.
+    pub patience: Time,
     pub ledger: Mutex<Ledger>,
     pub asked: Mutex<Vec<Asked>>,
     /// Work saved of a job.
@@ -44,7 +46,9 @@
             plan: plan.clone(),
             start: Instant::now(),
             unix: unix.as_millis() as i64,
-            ledger: Mutex::new(Ledger { groups, ..Ledger::default() }),
+            // A node that hardly runs is late; the judge tells by how much it may be.
+            patience: if plan.fault.iter().any(|f| f.what == What::NodeStarved) { 8_000 } else { 1_000 },
+            ledger: Mutex::new(Ledger::new(groups, plan.replicas())),
             asked: Mutex::new(Vec::new()),
             saved: Mutex::new(HashMap::new()),
             weather: RwLock::new(weather),
@@ -67,6 +71,11 @@
         self.unix + at / 10
     }
 
+    /// The time of some Unix milliseconds.
+    pub fn time_of(&self, unix_ms: i64) -> Time {
+        (unix_ms - self.unix) * 10
+    }
+
     pub fn weather<T>(&self, look: impl FnOnce(&Weather) -> T) -> T {
         look(&self.weather.read().unwrap_or_else(|poisoned| poisoned.into_inner()))
     }
--- a/rig/src/sim/executor.rs
+++ b/rig/src/sim/executor.rs
@@ -66,9 +66,13 @@
     pub(super) fn happened(&mut self, x: usize, mut out: Vec<Happening>) {
         let now = self.now;
         for happening in out.drain(..) {
+            if happening.of_handshake() {
+                continue;
+            }
             let (id, end, outcome) = match happening {
                 Happening::Fallen => {
                     self.day.ledger.falls.push(Fall { executor: x, at: now });
+                    self.lives(x);
                     self.unlist(x);
                     continue;
                 }
@@ -123,11 +127,11 @@
         let flight = &self.tries[op].flights[push];
         let (x, cut) = (flight.executor, flight.reset || flight.called_off || !flight.open);
         let domain = self.machines[x].spec.domain;
-        let way = self.weather.way(self.nodes[node].domain, x, domain);
+        let way = self.weather.way(node, self.nodes[node].domain, x, domain);
         if cut || self.tries[op].life != self.nodes[node].life {
             return;
         }
-        if way.silent {
+        if way.shut_back {
             if outcome.is_some() {
                 self.stuck.push((op, push));
             }
@@ -136,7 +140,25 @@
         if let Some(outcome) = outcome {
             self.close(op, push, outcome != Outcome::Reset);
         }
-        let at = self.now + self.latency(node, x) + way.delay;
+        let again = self.sent_again(&way);
+        let at = self.now + self.latency(node, x) + way.delay + again;
         self.push_event(at, node, what(op, push));
     }
+
+    /// Enters what an executor is from now on.
+    pub(super) fn lives(&mut self, x: usize) {
+        let machine = &self.machines[x];
+        let (up, started, halted) = (machine.up, machine.started, self.weather.condition(x).halted);
+        self.day.ledger.lives[x].push(Life { at: self.now, up, started, halted });
+    }
+
+    /// A new connection costs the executor work.
+    pub(super) fn shake(&mut self, x: usize) {
+        let work = ms(self.plan.fleet.handshake_work_ms) as f64;
+        if work > 0.0 {
+            let mut out = std::mem::take(&mut self.out);
+            self.machines[x].shake(self.now, work, &mut out);
+            self.happened(x, out);
+        }
+    }
 }
--- a/rig/src/sim/node.rs
+++ b/rig/src/sim/node.rs
@@ -96,7 +96,7 @@
         loop {
             match step {
                 Step::Push { executor } => {
-                    let category = &self.tariffs[self.nodes[node].domain].categories[held.op.category];
+                    let category = &self.tariff(node).categories[held.op.category];
                     let effect = held.op.limits.effect.unwrap_or(category.effect);
                     let leave_by = self.nodes[node].policy.leave_by(&held.op, effect);
                     if let Some(pass) = &mut held.pass {
@@ -120,6 +120,7 @@
             step = self.place(node, &mut held.op);
         }
         self.take_log(node);
+        self.post(node);
         let own = &mut self.nodes[node];
         if let Some(old) = own.looks.remove(&op) {
             own.due.remove(&(old, op));
@@ -162,7 +163,7 @@
     }
 
     pub(super) fn place(&mut self, node: usize, held: &mut Op) -> Step {
-        let truth = truth(self.plan, &self.machines, &self.weather, self.nodes[node].domain);
+        let truth = truth(self.plan, &self.machines, &self.weather, node);
         self.nodes[node].policy.place(self.now, held, &truth)
     }
 
@@ -174,7 +175,7 @@
         outcome: Outcome,
         values: &[f64],
     ) -> Step {
-        let truth = truth(self.plan, &self.machines, &self.weather, self.nodes[node].domain);
+        let truth = truth(self.plan, &self.machines, &self.weather, node);
         self.nodes[node].policy.settle(self.now, held, push, outcome, values, &truth)
     }
 
@@ -225,6 +226,46 @@
         own.policy.list(self.now, whole, lines);
         for line in lines {
             self.day.ledger.told(node, line.executor, self.now, line.active);
+            if let Some(started) = line.started {
+                self.day.ledger.told_start(node, line.executor, self.now, started);
+            }
+        }
+    }
+
+    /// Until when a node that gets only a part of its time stands still, if it does. Short spells: from a fiftieth to a
+    /// twelfth of a second, with so much between them that it gets its part.
+    pub(super) fn stands_still(&mut self, node: usize) -> Option<Time> {
+        let (from, part) = self.nodes[node].starved?;
+        let now = self.now;
+        if now < from {
+            return None;
+        }
+        if now >= self.nodes[node].still_until {
+            let still: Time = self.chance.random_range(200..800);
+            let runs = (still as f64 * part / (1.0 - part).max(0.01)).max(1.0) as Time;
+            let own = &mut self.nodes[node];
+            own.still_until = now + still;
+            own.starved = Some((now + still + runs, part));
+        }
+        let own = &self.nodes[node];
+        (now < own.still_until).then_some(own.still_until)
+    }
+
+    /// Carries the messages that a node has for others.
+    pub(super) fn post(&mut self, node: usize) {
+        for letter in self.nodes[node].policy.letters() {
+            let text = Rc::new(letter.text);
+            for to in (0..self.nodes.len()).filter(|to| *to != node && letter.to.is_none_or(|own| own == *to))
+            {
+                let (at, there) = (self.nodes[node].domain, self.nodes[to].domain);
+                let way = self.weather.between_nodes((node, at), (to, there));
+                if way.shut_there || (way.loss > 0.0 && self.chance.random_bool(way.loss)) {
+                    continue;
+                }
+                let lat = if at == there { self.plan.fleet.near_ms } else { self.plan.fleet.far_ms };
+                let arrives = self.now + ms(lat).max(1) + way.delay;
+                self.push_event(arrives, to, Coming::Letter(node, text.clone()));
+            }
         }
     }
 }
