A push whose answer tells nothing of its job is closed before the next goes out

Seen: two pushes of an op out at once, in reading the connection's thread for what may be told before it is closed, and in a test. An answer that is whole but has no last line, or says the job is lost, was told to the desk first; the desk pushed the op again while the connection of the first stood open, and it was even kept for reuse. Checked each other way out of hear, write, open and connect: a garbled answer, a broken one, a called-off and a refused push are closed before they are told, and a call-off shuts the stream down under the lock by which the thread enters it. To blame: the branch of Told::Lost in drive/executors.rs, which went the way of answers that are over. Cure: it goes the way of garbled ones. Without it the new test fails (seen).

--- a/node/src/drive/executors.rs
+++ b/node/src/drive/executors.rs
@@ -269,10 +269,11 @@
                     Told::Failed => How::Failed,
                     Told::Unfit(status) => How::Unfit(status),
                     Told::Returned => How::Returned,
-                    Told::Lost => How::Lost,
-                    Told::Garbled => {
-                        // It may still be at work on it: nothing more may be sent while this one is open.
-                        self.code = "garbled";
+                    Told::Lost | Told::Garbled => {
+                        // An answer that is whole without a last line says no more than a garbled one: it may still
+                        // be at work on it. Told before this connection is closed, the desk pushes the op again
+                        // while the first push is out, and the connection would even be kept.
+                        self.code = if matches!(told, Told::Lost) { "lost" } else { "garbled" };
                         return self.end(Some(stream), How::Lost);
                     }
                 };
--- a/node/tests/sockets.rs
+++ b/node/tests/sockets.rs
@@ -124,6 +124,37 @@
     assert!(fleet.count() >= 11 && node.logged("ended: broken") && !node.logged("set aside"));
 }
 
+/// An answer that is whole, and says nothing of what became of the job: it may still be at work. What is pushed next
+/// goes out only when the connection of that push is closed, else two are out at once.
+#[test]
+fn a_push_whose_answer_tells_nothing_is_closed_before_the_next_goes_out() {
+    const NOTHING: Act = Act::Text("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    const STARTED: Act = Act::Text(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n14\r\n{\"state\":\"started\"}\n\r\n0\r\n\r\n",
+    );
+    const LOST: Act = Act::Text(
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11\r\n{\"state\":\"lost\"}\n\r\n0\r\n\r\n",
+    );
+    let scripts: [(&str, Script); 3] = [
+        ("nothing", |n| first(n, NOTHING)),
+        ("started", |n| first(n, STARTED)),
+        ("lost", |n| first(n, LOST)),
+    ];
+    for (what, script) in scripts {
+        let (node, fleet, ..) = bench(2, script);
+        assert_eq!(node.ask("safe", 5000).0, 200, "{what}");
+        let connections: Vec<usize> =
+            fleet.pushes.lock().unwrap().iter().map(|push| push.connection).collect();
+        assert_eq!(connections.len(), 2, "{what}");
+        // Its end was on its way before the next push was; the stand-in's thread may note it a moment later.
+        let start = Instant::now();
+        while !fleet.over.lock().unwrap().contains(&connections[0]) {
+            assert!(start.elapsed() < ms(500), "{what}: the first push is still out");
+            sleep(ms(2));
+        }
+    }
+}
+
 #[test]
 fn a_silent_executor_holds_nobody_up() {
     // An at-most-once op is answered in its time, and its push is given up; another op goes its way.
--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -48,6 +48,8 @@
     pub connections: AtomicUsize,
     /// Pushes met with silence whose connection the node has ended.
     pub given_up: AtomicUsize,
+    /// Connections that are over, by number.
+    pub over: Mutex<Vec<usize>>,
 }
 
 impl Fleet {
@@ -59,7 +61,11 @@
             spawn(move || {
                 for stream in listener.incoming() {
                     let (fleet, stream) = (fleet.clone(), stream.unwrap());
-                    spawn(move || fleet.serve(executor, stream, script));
+                    spawn(move || {
+                        let connection = fleet.connections.fetch_add(1, Ordering::SeqCst);
+                        fleet.serve(executor, connection, stream, script);
+                        fleet.over.lock().unwrap().push(connection);
+                    });
                 }
             });
             address
@@ -68,8 +74,7 @@
         (fleet, addresses)
     }
 
-    fn serve(&self, executor: usize, mut stream: TcpStream, script: Script) {
-        let connection = self.connections.fetch_add(1, Ordering::SeqCst);
+    fn serve(&self, executor: usize, connection: usize, mut stream: TcpStream, script: Script) {
         stream.set_nodelay(true).unwrap();
         while let Some((head, body)) = read_message(&mut stream) {
             let number = {
