--- a/rig/src/faults.rs
+++ b/rig/src/faults.rs
@@ -266,9 +266,18 @@
 
     /// The part of a category's jobs that fails at an executor.
     pub fn failing(&self, x: usize, category: usize) -> f64 {
+        self.part_met(What::Errors, x, category)
+    }
+
+    /// The part of a category's answers that is spoilt at an executor.
+    pub fn spoilt(&self, x: usize, category: usize) -> f64 {
+        self.part_met(What::Spoilt, x, category)
+    }
+
+    fn part_met(&self, what: What, x: usize, category: usize) -> f64 {
         let meets = |t: &&Trouble| t.meets[x] && t.category.is_none_or(|c| c == category);
         let passes: f64 =
-            self.now().filter(|t| t.what == What::Errors).filter(meets).map(|t| 1.0 - t.part).product();
+            self.now().filter(|t| t.what == what).filter(meets).map(|t| 1.0 - t.part).product();
         1.0 - passes
     }
 
--- a/rig/src/hunt.rs
+++ b/rig/src/hunt.rs
@@ -89,7 +89,7 @@
         fault.nodes = Some(format!("part:{}", tenth(chance.random_range(0.1..0.8)).max(0.1)));
     }
     match what {
-        What::Errors | What::Reset => {
+        What::Errors | What::Reset | What::Spoilt => {
             fault.part = tenth(chance.random_range(0.1..1.0));
             (fault.bytes, fault.back) = (100, chance.random_bool(0.5));
         }
--- a/rig/src/plan/fault.rs
+++ b/rig/src/plan/fault.rs
@@ -92,6 +92,8 @@
     Slow,
     /// Jobs fail at once.
     Errors,
+    /// Answers end whole with no last line, as if spoilt on their way, while their jobs go on.
+    Spoilt,
     /// Nothing runs on.
     Hang,
     /// Some jobs cost many times their work.
--- a/rig/src/play/executors.rs
+++ b/rig/src/play/executors.rs
@@ -299,7 +299,9 @@
         let work = locked(&world.asked)[job].work;
         let saved = locked(&world.saved).get(&job).copied().unwrap_or(0.0);
         let own = &world.plan.category[category];
-        let fails = world.weather(|weather| weather.failing(self.number, category));
+        let (fails, spoilt) = world
+            .weather(|weather| (weather.failing(self.number, category), weather.spoilt(self.number, category)));
+        let spoilt = spoilt > 0.0 && part_of(op as u64, self.number as u64 + 5000) < spoilt;
         let task = Job {
             id,
             slots: own.slots,
@@ -314,6 +316,14 @@
         self.with(|machine, now, out| machine.take(now, task, out));
         let mut headed = false;
         let mut bytes = [0; 1024];
+        if spoilt {
+            let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                self.give_up(op, id);
+                return false;
+            }
+            headed = true;
+        }
         loop {
             tokio::select! {
                 line = lines.recv() => {
@@ -331,6 +341,13 @@
                         let _ = stream.set_zero_linger();
                         return false;
                     }
+                    if spoilt {
+                        // Nobody hears how it ends.
+                        if line.last {
+                            return true;
+                        }
+                        continue;
+                    }
                     if line.last && !headed && text.is_empty() && line.text.starts_with("{\"state\":\"returned\"") {
                         let text = "HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
                         return stream.write_all(text.as_bytes()).await.is_ok();
--- a/rig/src/sim/executor.rs
+++ b/rig/src/sim/executor.rs
@@ -38,6 +38,10 @@
             fails: fails > 0.0 && self.chance.random_bool(fails),
         };
         self.day.ledger.saw(op, now, Saw::Pushed(x));
+        let spoilt = self.weather.spoilt(x, category);
+        if spoilt > 0.0 && self.chance.random_bool(spoilt) {
+            self.tries[op].flights[push].reset = true;
+        }
         if self.tries[op].flights[push].reset {
             // Read whole, and its connection broken before the answer.
             self.push_event(now + lat, node, Coming::Ended(op, push, Outcome::Reset, Vec::new()));
