--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -38,6 +38,20 @@
     pub cells: Vec<Cell>,
     /// Label of the cells that the others are held against.
     pub against: Option<String>,
+    texts: Texts,
+}
+
+impl Experiment {
+    /// A fault at a key that only shows when something is to be done with the experiment.
+    pub fn wrong(&self, key: &str, reason: &str) -> Wrong {
+        self.texts.wrong(&key.split('.').map(str::to_string).collect::<Vec<_>>(), reason)
+    }
+
+    /// Whether each point can be played with processes on this machine; what stands against it where not.
+    pub fn bears(&self) -> Result<(), Wrong> {
+        let most = self.cells.iter().map(|cell| cell.plan.nodes.count).max().unwrap_or(0);
+        crate::play::machine::bears(most).map_err(|reason| self.wrong("nodes.count", &reason))
+    }
 }
 
 /// Line, from one, in which a span begins.
@@ -107,6 +121,7 @@
 }
 
 /// The texts that an experiment is made of: its own, then those of the files which it extends, one after the other.
+#[derive(Clone, Debug)]
 struct Texts {
     all: Vec<(String, String)>,
 }
@@ -235,7 +250,7 @@
         against.push(format!("{path}={}", shown(value)));
     }
     let against = (!against.is_empty()).then(|| against.join(" "));
-    Ok(Experiment { plan, cells, against })
+    Ok(Experiment { plan, cells, against, texts })
 }
 
 /// Reads and checks an experiment file.
--- a/rig/src/plan/mod.rs
+++ b/rig/src/plan/mod.rs
@@ -5,6 +5,7 @@
 
 pub use fault::{Between, Fault, On, Only, Set, What};
 use serde::Deserialize;
+use std::collections::BTreeMap;
 use toml::Table;
 
 /// One play: what a seed and one point of the grid make of an experiment.
@@ -41,6 +42,9 @@
     /// Path of a key to the value that the rest is held against.
     #[serde(default)]
     pub against: Table,
+    /// For `play` and for `sim`: the least and the most that a figure of the module may be, by its name.
+    #[serde(default)]
+    pub expect: BTreeMap<String, BTreeMap<String, [f64; 2]>>,
 }
 
 /// Who decides: the module, or a baseline that lives only here.
--- a/rig/src/play/mod.rs
+++ b/rig/src/play/mod.rs
@@ -139,6 +139,7 @@
         let (ledger, asked) = (locked(&world.ledger), locked(&world.asked));
         figures(plan, &ledger, &asked, None, SLACK_MS, offset, seed)
     };
+    played.hold(plan, "play");
     for foreign in locked(&world.foreign).iter().take(3) {
         let what = format!("pushed under an id that no client sent: '{foreign}'");
         played.broken.push(Broken { rule: 2, op: 0, what, line: Vec::new() });
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -39,6 +39,9 @@
     pub events: u64,
     /// Why the play has no verdict, if it has none.
     pub no_verdict: Option<String>,
+    /// Figures that are not within what the experiment expects.
+    #[serde(default)]
+    pub missed: Vec<String>,
     pub broken: Vec<Broken>,
     pub log: Vec<String>,
 }
@@ -271,10 +274,28 @@
             ("seconds of service lost", together.lost),
             ("stale decisions", together.stale.all() as f64),
             ("longest overlap, ms", together.overlap_ms),
+            ("processes restarted", together.restarted as f64),
+            ("list calls turned away", together.turned_away as f64),
             ("broken rules", self.broken.len() as f64),
         ]
     }
 
+    /// Holds the figures against what the experiment expects of this way to play it.
+    pub fn hold(&mut self, plan: &Plan, how: &str) {
+        let figures = self.figures();
+        for (name, [least, most]) in plan.expect.get(how).into_iter().flatten() {
+            let Some((_, value)) = figures.iter().find(|(own, _)| own == name) else { continue };
+            if !(*least..=*most).contains(value) {
+                self.missed.push(format!("{name} is {value:.4}, not from {least} to {most}"));
+            }
+        }
+        // A figure that is not there says nothing of whether a bound was kept.
+        let bound = plan.expect.get(how).is_some_and(|bounds| bounds.contains_key("seconds to full service"));
+        if bound && self.together.came_back && self.together.full_after.is_none() {
+            self.missed.push("service was not full again within the day".to_string());
+        }
+    }
+
     /// What the fleet did together, in two lines.
     fn together(&self) -> String {
         let t = &self.together;
@@ -349,6 +370,11 @@
         self.played.iter().any(|p| p.policy == "stileroute" && p.no_verdict.is_none() && !p.broken.is_empty())
     }
 
+    /// Whether a figure of the module is not what was expected.
+    pub fn missed(&self) -> bool {
+        self.played.iter().any(|p| p.policy == "stileroute" && p.no_verdict.is_none() && !p.missed.is_empty())
+    }
+
     /// Whether a play has no verdict.
     pub fn undecided(&self) -> bool {
         self.played.iter().any(|p| p.no_verdict.is_some())
@@ -362,6 +388,7 @@
             text.push('\n');
             text.push_str(&played.together());
             text.push('\n');
+            played.missed.iter().for_each(|missed| text.push_str(&format!("  MISSED {missed}\n")));
             for rule in 1..=4 {
                 let Some(first) = played.broken.iter().find(|b| b.rule == rule) else { continue };
                 let count = played.broken.iter().filter(|b| b.rule == rule).count();
--- a/rig/src/run.rs
+++ b/rig/src/run.rs
@@ -31,6 +31,7 @@
 ) -> Result<Played, String> {
     let day = Sim::new(plan, seed, make)?.play();
     let mut played = figures(plan, &day.ledger, &day.asked, Some(&day.meant), slack(plan), 0, seed);
+    played.hold(plan, "sim");
     (played.events, played.log) = (day.events, day.log);
     Ok(played)
 }
--- a/rig/src/sim/mod.rs
+++ b/rig/src/sim/mod.rs
@@ -137,6 +137,8 @@
     news_by: Time,
     up: bool,
     takes: bool,
+    /// It was started, and takes clients as soon as it knows of an executor.
+    starting: bool,
     /// Until when the front sends clients to it.
     seen_until: Time,
     /// What has come while it stands still.
@@ -304,6 +306,7 @@
                 news_by: 0,
                 up: true,
                 takes: true,
+                starting: false,
                 seen_until: Time::MAX,
                 held_up: None,
                 starved: None,
--- a/rig/src/sim/node.rs
+++ b/rig/src/sim/node.rs
@@ -224,6 +224,11 @@
         }
         own.version = version;
         own.policy.list(self.now, whole, lines);
+        if own.starting && lines.iter().any(|line| line.active) {
+            (own.starting, own.takes, own.seen_until) = (false, true, Time::MAX);
+            self.day.ledger.back.push(self.now);
+            self.day.ledger.starts.entry(node).or_default().push(self.now);
+        }
         for line in lines {
             self.day.ledger.told(node, line.executor, self.now, line.active);
             if let Some(started) = line.started {
--- a/rig/src/sim/trouble.rs
+++ b/rig/src/sim/trouble.rs
@@ -184,10 +184,8 @@
                 let own = &mut self.nodes[node];
                 own.policy = policy;
                 own.gate = self.routes.clone().map(Gate::new);
-                (own.up, own.takes, own.version) = (true, true, 0);
-                (own.seen_until, own.held_up, own.starved) = (Time::MAX, None, None);
-                self.day.ledger.back.push(self.now);
-                self.day.ledger.starts.entry(node).or_default().push(self.now);
+                (own.up, own.starting, own.version) = (true, true, 0);
+                (own.held_up, own.starved) = (None, None);
                 self.boot(node);
             }
             _ => {}
--- a/rig/tests/plan.rs
+++ b/rig/tests/plan.rs
@@ -57,6 +57,37 @@
         ("'slow'", "'node-stopped'\nnode = 0", 26, "fault.0.for-s", "3.5 s at least"),
         ("from-s = 1.0", "node = 3\nfrom-s = 1.0", 24, "fault.0.node", "there is no node 3"),
         ("from-s = 1.0", "category = 'd'\nfrom-s = 1.0", 24, "fault.0.category", "there is no category 'd'"),
+        ("'slow'", "'node-killed'\nnodes = 'part:0'", 24, "fault.0.nodes", "no part above 0"),
+        (
+            "'slow'",
+            "'node-killed'\nnodes = 'node:3'",
+            24,
+            "fault.0.nodes",
+            "there is no node '3', they are 0 to 2",
+        ),
+        ("'slow'", "'node-killed'\nnodes = 'domain:c'", 24, "fault.0.nodes", "there is no domain 'c'"),
+        (
+            "'slow'",
+            "'node-killed'\nnodes = 'some'",
+            24,
+            "fault.0.nodes",
+            "none of all, part:, domain:, node:",
+        ),
+        ("'slow'", "'node-killed'\nnode = 1\nnodes = 'all'", 25, "fault.0.nodes", "stands beside 'node'"),
+        ("'slow'", "'slow'\nspread-s = 1.0", 24, "fault.0.spread-s", "faults of nodes"),
+        ("'slow'", "'slow'\nbetween = 'discovery'", 24, "fault.0.between", "faults of the network"),
+        ("'slow'", "'deaf'\nbetween = 'nodes'", 24, "fault.0.between", "nodes.talk = true"),
+        ("'slow'", "'state-lost'\nnodes = 'all'", 23, "fault.0.what", "nodes.keep = true"),
+        ("'slow'", "'disabled'", 23, "fault.0.what", "nodes.keep = true"),
+        (
+            "'slow'",
+            "'list-stale'\nreplica = 3",
+            24,
+            "fault.0.replica",
+            "there is no replica 3, they are 0 to 2",
+        ),
+        ("'slow'", "'site-lost'", 26, "fault.0.on", "must be a domain"),
+        ("count = 3", "count = 3\nfront-ms = 1e6", 13, "nodes.front-ms", "from 0 to 60000"),
         ("[0.3, 0.6]", "[]", 28, "vary.load.part", "nothing to play"),
         ("[0.3, 0.6]", "0.3", 28, "vary.load.part", "must be a list"),
         ("[0.3, 0.6]", "[0.3, 'much']", 27, "vary", "load.part=much"),
@@ -69,6 +100,27 @@
             "operator",
             "9 pushes are more than the 5",
         ),
+        (
+            "[vary]",
+            "[expect.play]\n'benefit' = [0.0, 1.0]\n[vary]",
+            28,
+            "expect.play.benefit",
+            "no such figure",
+        ),
+        (
+            "[vary]",
+            "[expect.sim]\n'misplaced waiting' = [1.0, 0.0]\n[vary]",
+            28,
+            "expect.sim.misplaced waiting",
+            "rising",
+        ),
+        (
+            "[vary]",
+            "[expect.day]\n'misplaced waiting' = [0.0, 1.0]\n[vary]",
+            27,
+            "expect.day",
+            "'play' or 'sim'",
+        ),
         ("seeds = [1, 2]", "seeds = []", 3, "seeds", "nothing to play"),
         ("seconds = 6.0", "seconds = 0.0", 2, "seconds", "from 0.1"),
         ("seconds = 6.0", "seconds = 6.0.0", 2, "seconds", ""),
@@ -104,6 +156,39 @@
     std::fs::remove_file(&path).unwrap();
 }
 
+#[test]
+fn a_figure_beyond_what_is_expected_fails_and_is_named() {
+    let text = |most: f64| {
+        GOOD.replace("seeds = [1, 2]", "seeds = [1]")
+            + &format!("[expect.sim]\n'benefit in time' = [0.5, {most:?}]\n[expect.play]\n'stale decisions' = [7.0, 7.0]\n")
+    };
+    let report = |most: f64| simulate(&read("day.toml", &text(most)).unwrap(), 1, &|_, _| {}).unwrap();
+    assert!(!report(1.0).missed() && !report(1.0).text().contains("MISSED"));
+    let missed = report(0.6);
+    assert!(missed.missed() && missed.text().contains("  MISSED benefit in time is "), "{}", missed.text());
+}
+
+#[test]
+fn more_processes_than_the_machine_bears_are_refused_before_one_is_started() {
+    let path = std::env::temp_dir().join(format!("stileroute-rig-many-{}.toml", std::process::id()));
+    std::fs::write(&path, GOOD.replace("count = 3", "count = 20000")).unwrap();
+    let run = |words: &[&str]| {
+        Command::new(env!("CARGO_BIN_EXE_stileroute-rig")).args(words).arg(&path).output().unwrap()
+    };
+    for words in [&["check", "--sockets"][..], &["play"]] {
+        let out = run(words);
+        let text = String::from_utf8(out.stderr).unwrap();
+        assert_eq!(out.status.code(), Some(2), "{text}");
+        assert!(
+            text.contains(":12: nodes.count: 20000 processes are more than this machine bears"),
+            "{text}"
+        );
+        assert_eq!(text.lines().count(), 1, "{text}");
+    }
+    assert_eq!(run(&["check"]).status.code(), Some(0), "in simulated time it can be played");
+    std::fs::remove_file(&path).unwrap();
+}
+
 #[test]
 fn the_shipped_experiments_are_good_and_name_themselves() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
