--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -198,7 +198,9 @@
         if texts.all.len() > 4 {
             return Err(texts.wrong(&path, "files extend each other without end"));
         }
-        let beside = Path::new(file).with_file_name(&base);
+        // Beside the file that says so, which is not the experiment's own where that extends one of another folder.
+        let from = texts.all.last().map_or(file, |(from, _)| from);
+        let beside = Path::new(from).with_file_name(&base);
         let text = std::fs::read_to_string(&beside)
             .map_err(|error| texts.wrong(&path, &format!("{base}: {error}")))?;
         texts.all.push((beside.display().to_string(), text));
--- a/rig/tests/plan.rs
+++ b/rig/tests/plan.rs
@@ -189,6 +189,15 @@
     std::fs::remove_file(&path).unwrap();
 }
 
+#[test]
+fn a_file_of_another_folder_may_extend_one_that_extends() {
+    let base = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/fleet-killed.toml");
+    let text = format!("extends = '{}'\nname = 'elsewhere'\n", base.display());
+    let file = std::env::temp_dir().join("elsewhere.toml");
+    let plan = read(&file.display().to_string(), &text).unwrap_or_else(|wrong| panic!("{wrong}")).plan;
+    assert_eq!((plan.nodes.count, plan.executors(), plan.fault.len()), (300, 60, 1));
+}
+
 #[test]
 fn the_shipped_experiments_are_good_and_name_themselves() {
     let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments");
