--- a/rig/src/policy.rs
+++ b/rig/src/policy.rs
@@ -117,7 +117,7 @@
     /// Whether it is listed as active, its kind, and own pushes out.
     executors: Vec<(bool, usize, usize)>,
     turn: usize,
-    /// When it asks for the list next; it goes on at once with a watch that was answered.
+    /// Until when it does not ask for the list: a call of it has failed.
     asks_at: Time,
 }
 
@@ -255,11 +255,7 @@
     }
 
     fn upkeep(&mut self, now: Time) -> bool {
-        let asks = now >= self.asks_at;
-        if asks {
-            self.asks_at = now + 5 * SECOND;
-        }
-        asks
+        now >= self.asks_at
     }
 
     fn refused(&mut self, now: Time, _turned_away: bool) {
@@ -267,7 +263,6 @@
     }
 
     fn list(&mut self, _now: Time, whole: bool, lines: &[Listed]) {
-        self.asks_at = Time::MAX;
         if whole {
             self.executors.iter_mut().for_each(|e| e.0 = false);
         }
