--- a/node/src/desk/mod.rs
+++ b/node/src/desk/mod.rs
@@ -292,6 +292,7 @@
                     gate.turn(table);
                 }
             }
+            Event::Fleet { likely, safe } => self.dispatcher.fleet(likely, safe),
             Event::End => self.end(now),
         }
     }
@@ -623,7 +624,7 @@
             }
         }
         if let Some(peers) = &self.peers {
-            let bad = self.dispatcher.garbled() + peers.dropped();
+            let bad = self.dispatcher.peers.garbled + peers.dropped();
             if bad > self.bad.0 && now >= self.bad.1 {
                 self.bad = (bad, now + 10 * SECOND);
                 say!("peers: {bad} messages dropped so far: not from a peer, not readable, or too many");
--- a/node/src/drive/calls.rs
+++ b/node/src/drive/calls.rs
@@ -2,6 +2,7 @@
 
 use super::clients::Clients;
 use super::listener;
+use super::members::Shown;
 use crate::life::budget::{CALLERS, LEAVING};
 use crate::life::spawn;
 use crate::port::Order;
@@ -43,6 +44,8 @@
     pub desk: Sender<Order>,
     pub outs: Outs,
     pub learned: Receiver<Memory>,
+    /// The other instances, where they may talk.
+    pub members: Option<Arc<Shown>>,
 }
 
 pub struct Calls {
@@ -178,7 +181,14 @@
         match call {
             Call::Ready if self.reach.clients.is_ready() => text(200, "takes clients"),
             Call::Ready => text(503, "takes no clients"),
-            Call::Figures => (200, self.reach.figures.text()),
+            Call::Figures => {
+                let members = self.reach.members.as_ref().map_or(String::new(), |members| members.figures());
+                (200, self.reach.figures.text() + &members)
+            }
+            Call::Members => match &self.reach.members {
+                Some(members) => (200, members.members()),
+                None => text(404, "no members: the operators' file has no such section"),
+            },
             Call::Turn { name, out } => match self.reach.turn(name, *out, Instant::now() + OWED) {
                 Ok(()) if *out => text(200, &format!("{name} is out")),
                 Ok(()) => text(200, &format!("{name} is in use")),
--- /dev/null
+++ b/node/src/drive/members.rs
@@ -0,0 +1,219 @@
+//! Carries the messages of membership: one socket, one thread, a datagram each. Nothing waits on it; what it finds out goes
+//! to the desk when it changes, and to operators when they ask.
+
+use crate::life::members::MembersAt;
+use crate::life::spawn;
+use crate::port::Event;
+use crate::say;
+use crossbeam_channel::Sender;
+use std::fmt::Write;
+use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use stileroute_members::table::{How, Member};
+use stileroute_members::wire::LONGEST;
+use stileroute_members::{Count, Entry, Members, Send, Time, SECOND};
+
+/// How long one look for messages takes at the most: time is looked at in between.
+const LOOK: Duration = Duration::from_millis(25);
+/// Between two tellings of operators.
+const SHOWN: Time = SECOND / 2;
+/// Until so long after its start it takes the settings' number of nodes for the least: it has not heard all yet.
+const HEARS_ALL: Time = 30 * SECOND;
+
+/// What operators read.
+#[derive(Default)]
+pub struct Shown {
+    lines: Mutex<(String, String)>,
+}
+
+impl Shown {
+    fn lines(&self) -> std::sync::MutexGuard<'_, (String, String)> {
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A line a member.
+    pub fn members(&self) -> String {
+        self.lines().0.clone()
+    }
+
+    /// The figures, in Prometheus' text form.
+    pub fn figures(&self) -> String {
+        self.lines().1.clone()
+    }
+}
+
+/// The thread that carries it.
+pub struct Carrier {
+    pub shown: Arc<Shown>,
+    pub at: SocketAddrV4,
+    stop: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+/// Who this instance is.
+pub struct Me {
+    pub id: u64,
+    pub domain: u8,
+    /// Nodes that the settings name.
+    pub nodes: usize,
+    pub seed: u64,
+}
+
+impl Carrier {
+    pub fn open(at: &MembersAt, me: Me, desk: Sender<Event>) -> Result<Carrier, String> {
+        let wrong = |error: std::io::Error| format!("members: {}: {error}", at.listen);
+        let socket = UdpSocket::bind(at.listen).map_err(wrong)?;
+        socket.set_read_timeout(Some(LOOK)).map_err(wrong)?;
+        let SocketAddr::V4(bound) = socket.local_addr().map_err(wrong)? else {
+            return Err("members: no IPv4 address".to_string());
+        };
+        let own = at.advertise.unwrap_or(bound);
+        // Later than that of any process before, unless the clock was set back; then it is told so.
+        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let members = Members::new(me.id, life, own, me.domain, at.settings.clone(), me.seed ^ life);
+        let (shown, stop) = (Arc::new(Shown::default()), Arc::new(AtomicBool::new(false)));
+        let mut run = Run {
+            socket,
+            members,
+            desk,
+            shown: shown.clone(),
+            start: Instant::now(),
+            nodes: me.nodes,
+            all: at.all,
+            told: Count::default(),
+            show_at: 0,
+            was_over: false,
+        };
+        let stopped = stop.clone();
+        let thread = spawn("members", move || run.run(&stopped)).map_err(wrong)?;
+        Ok(Carrier { shown, at: own, stop, thread })
+    }
+
+    /// Tells the others that this instance goes.
+    pub fn leave(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.thread.join();
+    }
+}
+
+struct Run {
+    socket: UdpSocket,
+    members: Members,
+    desk: Sender<Event>,
+    shown: Arc<Shown>,
+    start: Instant,
+    nodes: usize,
+    all: bool,
+    told: Count,
+    show_at: Time,
+    was_over: bool,
+}
+
+impl Run {
+    fn now(&self) -> Time {
+        (self.start.elapsed().as_micros() / 100) as Time
+    }
+
+    fn run(&mut self, stop: &AtomicBool) {
+        let mut bytes = [0; LONGEST + 1];
+        while !stop.load(Ordering::Relaxed) {
+            // A burst of messages must not keep time from being looked at.
+            let until = Instant::now() + LOOK;
+            while let Ok((read, SocketAddr::V4(from))) = self.socket.recv_from(&mut bytes) {
+                let sends = self.members.heard(self.now(), from, &bytes[..read]);
+                self.send(&sends);
+                if Instant::now() >= until {
+                    break;
+                }
+            }
+            let now = self.now();
+            let sends = self.members.tick(now);
+            self.send(&sends);
+            self.tell(now);
+        }
+        let sends = self.members.leave();
+        self.send(&sends);
+    }
+
+    /// One that can't leave is lost, as any may be.
+    fn send(&self, sends: &[Send]) {
+        for send in sends {
+            let _ = self.socket.send_to(&send.text, send.to);
+        }
+    }
+
+    fn tell(&mut self, now: Time) {
+        let mut count = self.members.count(now);
+        if !self.all || now < HEARS_ALL {
+            count.safe = count.safe.max(self.nodes);
+        }
+        // Until it has heard of others, or where not all are members, who is likely to be there stands in the settings.
+        let likely = if self.all && now >= HEARS_ALL { count.likely } else { count.likely.max(self.nodes) };
+        if count != self.told && self.desk.try_send(Event::Fleet { likely, safe: count.safe }).is_ok() {
+            say!("members: {} live, {} may be sending", count.likely, count.safe);
+            self.told = count;
+        }
+        if self.members.over && !self.was_over {
+            self.was_over = true;
+            say!("members: another process has this node's name, and its place");
+        }
+        if now >= self.show_at {
+            self.show_at = now + SHOWN;
+            *self.shown.lines() = (self.lines(now), self.figures());
+        }
+    }
+
+    fn lines(&self, now: Time) -> String {
+        let mut out = line(self.members.own(), "itself", 0);
+        for Member { entry, how, since, .. } in self.members.members() {
+            let how = match how {
+                How::Itself => "from itself".to_string(),
+                How::Told(by) => format!("told by {by:016x}"),
+                How::Silent => "did not answer here".to_string(),
+                How::Unanswered => "did not answer a suspicion".to_string(),
+            };
+            out += &line(entry, &how, now - since);
+        }
+        out
+    }
+
+    fn figures(&self) -> String {
+        let figures = &self.members.figures;
+        let count = &self.told;
+        let rows = [
+            ("members_likely", "gauge", "Instances that are likely to live.", count.likely as u64),
+            ("members_safe", "gauge", "Instances that may be sending.", count.safe as u64),
+            ("members_sent_total", "counter", "Messages to other instances.", figures.sent),
+            ("members_sent_bytes_total", "counter", "Their bytes.", figures.sent_bytes),
+            ("members_heard_total", "counter", "Messages of other instances.", figures.heard),
+            ("members_garbled_total", "counter", "Messages that could not be read.", figures.garbled),
+            ("members_strangers_total", "counter", "Messages without the key.", figures.strangers),
+            ("members_replayed_total", "counter", "Messages that came again.", figures.replayed),
+            ("members_suspected_total", "counter", "Suspicions that began here.", figures.suspected),
+            ("members_refuted_total", "counter", "Suspicions of this instance, answered.", figures.refuted),
+            (
+                "members_stood_still_total",
+                "counter",
+                "Times that this instance stood still.",
+                figures.stood_still,
+            ),
+        ];
+        let mut out = String::new();
+        for (name, kind, help, value) in rows {
+            let _ = write!(out, "# HELP svc_{name} {help}\n# TYPE svc_{name} {kind}\nsvc_{name} {value}\n");
+        }
+        out
+    }
+}
+
+fn line(entry: &Entry, how: &str, age: Time) -> String {
+    let Entry { id, life, at, domain, state, .. } = entry;
+    format!(
+        "{id:016x} {at} domain {domain} life {life} {} for {:.1} s: {how}\n",
+        state.word(),
+        age as f64 / SECOND as f64
+    )
+}
--- a/node/src/drive/mod.rs
+++ b/node/src/drive/mod.rs
@@ -6,6 +6,7 @@
 pub mod executors;
 pub mod lines;
 pub mod listener;
+pub mod members;
 pub mod outlet;
 pub mod peers;
 
--- /dev/null
+++ b/node/src/life/members.rs
@@ -0,0 +1,86 @@
+//! The section `members` of the operators' file: where this instance hears others, and where it looks for them first.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use stileroute::tariff::Time;
+use stileroute_members::wire::Key;
+use stileroute_members::Settings;
+use stileroute_operator::{Keys, Place, Set};
+
+#[derive(Debug)]
+pub struct MembersAt {
+    pub listen: SocketAddrV4,
+    /// Where others find it, if that is not where it listens.
+    pub advertise: Option<SocketAddrV4>,
+    pub settings: Settings,
+    /// Every node of the fleet is a member, so who has not been heard of is not there.
+    pub all: bool,
+}
+
+/// Reads the section; the faults are told by the keys.
+pub fn read(table: &Keys, may_talk: bool) -> Option<MembersAt> {
+    let at = |place: Place, text: &str| -> Option<SocketAddrV4> {
+        let found: Option<SocketAddrV4> = text.parse().ok();
+        if found.is_none() {
+            table.faults().say(place, format!("'{text}' is no IPv4 address with a port"), None);
+        }
+        found
+    };
+    if !may_talk {
+        table.faults().say(
+            table.place(),
+            "settings.caps.peers does not allow messages among instances",
+            None,
+        );
+    }
+    let address = |given: Option<Set<String>>| given.and_then(|set| at(set.place, &set.value));
+    let listen_text = table.text("listen");
+    let missing = listen_text.is_none();
+    let listen = address(listen_text);
+    let advertise = address(table.text("advertise"));
+    if missing {
+        table.faults().say(table.place(), "needs listen, an address for messages of others", None);
+    } else if listen.is_some_and(|at| at.ip() == &Ipv4Addr::UNSPECIFIED) && advertise.is_none() {
+        table.faults().say(
+            table.place(),
+            "listens on all hosts: others need to be told one, by advertise",
+            None,
+        );
+    }
+    let mut seeds = Vec::new();
+    for seed in table.texts("seeds").map(|set| set.value).unwrap_or_default() {
+        seeds.extend(at(seed.place, &seed.value));
+    }
+    let key = table.text("key-file").and_then(|file| match key_of(&file.value) {
+        Ok(key) => Some(key),
+        Err(reason) => {
+            table.faults().say(file.place, format!("{}: {reason}", file.value), None);
+            None
+        }
+    });
+    let mut settings = Settings { seeds, key, ..Settings::default() };
+    if let Some(every) = table.time("every") {
+        let least: Time = 2_000;
+        if (least..=600_000).contains(&every.value) {
+            (settings.every, settings.timeout) = (every.value, every.value * 3 / 10);
+        } else {
+            table.faults().say(every.place, "must be from 200ms to 1m", None);
+        }
+    }
+    let all = table.flag("all").is_some_and(|set| set.value);
+    Some(MembersAt { listen: listen?, advertise, settings, all })
+}
+
+/// A key of 64 hex digits, in a file that only this program should read.
+fn key_of(path: &str) -> Result<Key, String> {
+    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+    let digits = text.trim();
+    let mut key = [0; 32];
+    if digits.len() != 64 || !digits.is_ascii() {
+        return Err("must hold 64 hex digits".to_string());
+    }
+    for (byte, at) in key.iter_mut().zip((0..64).step_by(2)) {
+        *byte =
+            u8::from_str_radix(&digits[at..at + 2], 16).map_err(|_| "must hold 64 hex digits".to_string())?;
+    }
+    Ok(key)
+}
--- a/node/src/life/mod.rs
+++ b/node/src/life/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod log;
+pub mod members;
 pub mod operator;
 pub mod signals;
 pub mod start;
--- a/node/src/life/operator.rs
+++ b/node/src/life/operator.rs
@@ -1,9 +1,11 @@
 //! The operator file: what the platform's settings do not hold. Routes and the form of the log for now; each later
 //! subsystem adds its section here. One that has a fault anywhere is not taken at all.
 
+use super::members::{self, MembersAt};
 use super::start::Start;
 use std::path::Path;
 use std::sync::Arc;
+use stileroute::tariff::Terms;
 use stileroute_operator::{load, Fault, Keys};
 use stileroute_routes::table::Table;
 use stileroute_routes::Ground;
@@ -16,6 +18,8 @@
     pub routes: Arc<Table>,
     /// Lines of the log as JSON.
     pub json: bool,
+    /// Where it hears other instances, where they may talk.
+    pub members: Option<MembersAt>,
 }
 
 /// Reads and checks a file against the settings that hold.
@@ -32,7 +36,13 @@
             table.finish();
             json
         });
-        Some(Operator { routes: Arc::new(routes?), json: json.is_some_and(|json| json.value) })
+        let members = keys.table("members").and_then(|table| {
+            let members = members::read(&table, ground.terms.peers);
+            table.finish();
+            members
+        });
+        let json = json.is_some_and(|json| json.value);
+        Some(Operator { routes: Arc::new(routes?), json, members })
     })
 }
 
@@ -58,7 +68,8 @@
             categories: categories.into_iter().flatten().collect(),
             kinds: self.kinds.clone(),
             domains: self.domains.clone(),
-            terms: self.tariff.terms.clone(),
+            // Whether messages are allowed, not whether some go out already.
+            terms: Terms { peers: self.may_talk, ..self.tariff.terms.clone() },
         }
     }
 }
--- a/node/src/life/start.rs
+++ b/node/src/life/start.rs
@@ -28,6 +28,8 @@
     pub tariff: Tariff,
     /// Addresses of all nodes by number, where they send one another messages.
     pub peers: Option<Vec<SocketAddr>>,
+    /// The settings allow messages among instances.
+    pub may_talk: bool,
     /// Names of the tenants, by index.
     pub tenants: Vec<String>,
     /// Executors set up for what the last part of an op's path names, and keep that a while.
@@ -180,6 +182,7 @@
     // On sockets the list always has to be asked for.
     tariff.terms.subscribe = true;
     let peers = file.peers.map(|peers| addresses(&peers, &tariff)).transpose()?;
+    let may_talk = tariff.terms.peers;
     // Without a carrier there is nobody to tell.
     tariff.terms.peers = peers.is_some();
     let (mut categories, ttls) = (HashMap::new(), posted.ttls());
@@ -217,6 +220,7 @@
         )?,
         known: file.known.unwrap_or(List { index: -1, whole: true, endpoints: Vec::new() }),
         peers,
+        may_talk,
         tenants: posted.tenants.iter().map(|tenant| tenant.name.clone()).collect(),
         set_up_by_path: file.set_up_by_path,
         door: Door { categories, come_back: tariff.terms.come_back.min(COME_BACK) },
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 use drive::directory::Post;
 use drive::executors::Executors;
 use drive::listener;
+use drive::members::{Carrier as MembersCarrier, Me};
 use drive::outlet::Http;
 use drive::peers::Peers;
 use life::words::{Command, Words};
@@ -50,6 +51,7 @@
     }
     let json = operator.as_ref().is_some_and(|(.., read)| read.json);
     let routes = operator.as_ref().map(|(.., read)| read.routes.clone());
+    let members_at = operator.as_mut().and_then(|(.., read)| read.members.take());
     let budget = start.budget;
     life::log::open(json).map_err(|error| format!("threads: {error}"))?;
     let (tell, events) = bounded::<Event>(EVENTS);
@@ -87,6 +89,13 @@
     let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
     let thread = |error: std::io::Error| format!("threads: {error}");
     let told_by_peers = tell.clone();
+    let members = members_at
+        .map(|at| {
+            let terms = &start.tariff.terms;
+            let (id, domain) = (mark(&start.name), terms.domain as u8);
+            MembersCarrier::open(&at, Me { id, domain, nodes: terms.nodes, seed: start.seed }, tell.clone())
+        })
+        .transpose()?;
     let news = tell;
     let known = start.known.index;
     spawn("discovery", move || drive::directory::run(&post, known, asked, news)).map_err(thread)?;
@@ -107,7 +116,8 @@
         let learns = start.inherited.map(|_| learns);
         kept = learns.as_ref().and_then(|_| outs.kept());
         let own = Operators { orders, figures: figures.clone(), outs: outs.state(), learns };
-        reach = Some(Reach { figures, clients: clients.clone(), desk: order, outs, learned });
+        let members = members.as_ref().map(|members| members.shown.clone());
+        reach = Some(Reach { figures, clients: clients.clone(), desk: order, outs, learned, members });
         own
     });
     let mut desk = Desk::new(&start, Box::new(outlet), clients.clone(), ask, routes, peers, operators);
@@ -123,7 +133,13 @@
     if let Some(kept) = kept.and_then(|text| serde_json::from_str(&text).ok()) {
         desk.recall(kept);
     }
+    if let Some(members) = &members {
+        say!("members: heard at {}", members.at);
+    }
     desk.run(&events);
+    if let Some(members) = members {
+        members.leave();
+    }
     say!("{} ended", start.name);
     Ok(())
 }
--- a/node/src/port.rs
+++ b/node/src/port.rs
@@ -236,6 +236,11 @@
     ListSilent {
         turned_away: bool,
     },
+    /// So many instances are likely to live, and so many may be sending.
+    Fleet {
+        likely: usize,
+        safe: usize,
+    },
     /// New routes, checked.
     Routes(Arc<Table>),
     End,
--- a/node/src/wire/call.rs
+++ b/node/src/wire/call.rs
@@ -9,6 +9,8 @@
 pub enum Call {
     Ready,
     Figures,
+    /// The other instances that it knows of.
+    Members,
     /// Take this executor out, or put it back.
     Turn {
         name: String,
@@ -61,6 +63,7 @@
     let (call, allowed) = match path {
         names::OPERATORS_READY => (Call::Ready, names::GET),
         names::OPERATORS_FIGURES => (Call::Figures, names::GET),
+        names::OPERATORS_MEMBERS => (Call::Members, names::GET),
         _ if turned(path).is_some() => {
             let (name, out) = turned(path).unwrap_or_default();
             (Call::Turn { name: name.to_string(), out }, names::PUT)
--- a/node/src/wire/names.rs
+++ b/node/src/wire/names.rs
@@ -4,6 +4,7 @@
 pub const HEALTHY: &str = "/-/healthy";
 pub const OPERATORS_READY: &str = "/ready";
 pub const OPERATORS_FIGURES: &str = "/metrics";
+pub const OPERATORS_MEMBERS: &str = "/members";
 pub const OPERATORS_DISABLE: &str = "/executors/disable/";
 pub const OPERATORS_ENABLE: &str = "/executors/enable/";
 pub const PUT: &str = "PUT";
--- a/rig/src/sim/way.rs
+++ b/rig/src/sim/way.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Most idle connections that a node keeps to an executor.
+const IDLE: usize = 8;
+
 impl Sim<'_> {
     pub(super) fn latency(&self, node: usize, x: usize) -> Time {
         let near = self.nodes[node].domain == self.machines[x].spec.domain;
@@ -29,7 +32,10 @@
         let before = idle.len();
         idle.retain(|since| now - since < idle_close);
         self.connections[x] -= before - idle.len();
-        let old = idle.pop().is_some();
+        // An op that may be pushed only once goes on a new connection, as the node has it; others on one that is kept.
+        let category = self.day.ledger.sheets[op].category;
+        let anew = self.plan.category[category].effect == crate::plan::EffectName::AtMostOnce;
+        let old = !anew && idle.pop().is_some();
         let refused = !old && (way.refused || !self.machines[x].takes() || self.connections[x] >= limit);
         let outcome = if way.silent() && !old {
             Some((now + ms(self.plan.fleet.dial_ms), Outcome::NotConnected))
@@ -103,7 +109,12 @@
         if std::mem::take(&mut flight.open) {
             let x = flight.executor;
             if keep && self.tries[op].life == self.nodes[node].life && self.nodes[node].up {
-                self.idle.entry((node, x)).or_default().push(self.now);
+                let idle = self.idle.entry((node, x)).or_default();
+                idle.push(self.now);
+                if idle.len() > IDLE {
+                    idle.remove(0);
+                    self.connections[x] -= 1;
+                }
             } else {
                 self.connections[x] -= 1;
             }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -91,7 +91,7 @@
     /// Of so many parts of the fleet this instance and its peers solve over one.
     parts: usize,
     /// What peers told.
-    peers: Peers,
+    pub peers: Peers,
     /// Ops a second within each tenant's share, and as they come here.
     quotas: Vec<f64>,
     rates: Vec<f64>,
@@ -481,9 +481,11 @@
         self.take_in(now, news);
     }
 
-    /// Messages that could not be read, so far.
-    pub fn garbled(&self) -> u64 {
-        self.peers.garbled
+    /// So many instances likely live, and so many may be sending: what all together may send to a cold executor
+    /// follows the second, for one that can't be heard uses its part all the same.
+    pub fn fleet(&mut self, likely: usize, safe: usize) {
+        self.terms.nodes = likely.max(1);
+        self.cold_span = self.terms.tip_after * safe.max(likely).max(1) as Time;
     }
 
     fn take_in(&mut self, now: Time, news: Vec<News>) {
