--- a/node/tests/days.rs
+++ b/node/tests/days.rs
@@ -113,6 +113,12 @@
     // One that is killed resets what it has, and is back at its address.
     executors[0].kill();
     assert!(matches!(first.read(&mut [0; 8]), Err(_) | Ok(0)));
+    // It is down first: a connection that the old listener still took would be reset.
+    let start = std::time::Instant::now();
+    while TcpStream::connect(executors[0].at).is_ok() {
+        assert!(start.elapsed() < Duration::from_secs(5), "its listener is still open");
+        std::thread::sleep(Duration::from_millis(5));
+    }
     assert!(executors[0].revive());
     let mut again = None;
     for _ in 0..200 {
