--- a/node/tests/processes.rs
+++ b/node/tests/processes.rs
@@ -2,14 +2,17 @@
 //! day without it, so that it is seen to have come to pass.
 
 use std::path::Path;
+use std::sync::{Condvar, Mutex};
 use stileroute_rig::experiment::read;
 use stileroute_rig::plan::Plan;
 use stileroute_rig::play::play;
 use stileroute_rig::report::Played;
 
 fn plan(nodes: &str, list: &str, faults: &str) -> Plan {
+    // Two sides that hold each other dead look for each other every five seconds.
+    let seconds = if nodes.contains("members") { 20.0 } else { 6.0 };
     let text = format!(
-        "name = 'day'\nseconds = 6.0\nseeds = [1]\n[fleet]\ndomains = ['a', 'b']\nfar-ms = 2.0\ngrace-ms = 500.0\n\
+        "name = 'day'\nseconds = {seconds:?}\nseeds = [1]\n[fleet]\ndomains = ['a', 'b']\nfar-ms = 2.0\ngrace-ms = 500.0\n\
          [fleet.list]\nlate-s = [0.1, 0.2]\n{list}\n[[fleet.kind]]\nname = 'k'\ncount = 6\nslots = 4.0\n\
          speed = [1.0, 1.2]\n[nodes]\n{nodes}\n[load]\nper-second = 60.0\n[[category]]\nname = 'c'\npart = 1.0\n\
          work-ms = 60.0\nspread = 0.3\nhint = 0.2\ntarget-ms = 500.0\nttl-ms = 3000.0\neffect = 'redeliverable'\n{faults}"
@@ -17,7 +20,19 @@
     read("day.toml", &text).unwrap_or_else(|wrong| panic!("{wrong}")).plan
 }
 
+/// Days that are played at once, over all tests: more, and the rig itself would be late.
+static AT_ONCE: (Mutex<usize>, Condvar) = (Mutex::new(10), Condvar::new());
+
 fn day(nodes: &str, list: &str, faults: &str) -> Played {
+    let free = AT_ONCE.0.lock().unwrap();
+    *AT_ONCE.1.wait_while(free, |free| *free == 0).unwrap() -= 1;
+    let played = std::panic::catch_unwind(|| one_day(nodes, list, faults));
+    *AT_ONCE.0.lock().unwrap() += 1;
+    AT_ONCE.1.notify_one();
+    played.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+}
+
+fn one_day(nodes: &str, list: &str, faults: &str) -> Played {
     let played = play(&plan(nodes, list, faults), 1, Path::new(env!("CARGO_BIN_EXE_stileroute"))).unwrap();
     assert!(played.no_verdict.is_none(), "{faults}: {:?}", played.no_verdict);
     assert!(played.broken.is_empty(), "{faults}: {:#?}", played.broken.first());
@@ -66,6 +81,38 @@
     assert_eq!((calm.together.restarted, calm.together.stale.all()), (0, 0));
 }
 
+/// Lines of the log that say so.
+fn said(played: &Played, word: &str) -> usize {
+    played.log.iter().filter(|line| line.contains(word)).count()
+}
+
+#[test]
+fn a_set_of_nodes_reads_its_configuration_again() {
+    let reload = format!("{}nodes = 'part:0.5'\n", fault("node-reload", 1.5, 4.0));
+    let [reload] = days([(TEN, "", reload)]);
+    // Five of ten, when the fault begins and when it ends; the rest keep theirs.
+    assert_eq!(said(&reload, "configuration read again"), 10);
+    assert!(reload.benefit > 0.97 && reload.together.restarted == 0, "{}", reload.benefit);
+}
+
+#[test]
+fn a_partition_between_nodes_is_seen_by_both_sides_and_heals() {
+    const MEMBERS: &str = "count = 12\nmembers-ms = 200.0";
+    let cut = format!("{}on = 'domain:b'\n", fault("domain-cut", 1.0, 4.8));
+    let lost = format!("{}between = 'nodes'\npart = 0.2\n", fault("loss", 0.0, 19.0));
+    let deaf = format!("{}between = 'nodes'\nnodes = 'node:7'\n", fault("deaf", 1.0, 18.0));
+    let [cut, lost, deaf, calm] =
+        days([(MEMBERS, "", cut), (MEMBERS, "", lost), (MEMBERS, "", deaf), (MEMBERS, "", String::new())]);
+    // Six on each side; budgets on cold executors go on by twelve.
+    assert!(said(&cut, "members: 6 live, 12 may be sending") >= 10, "{:#?}", cut.log);
+    // Each has counted twelve at the start, and again when the partition was over.
+    assert!(said(&cut, "members: 12 live, 12 may be sending") >= 24, "{:#?}", cut.log);
+    assert!(said(&deaf, "members: 11 live, 12 may be sending") >= 10, "{:#?}", deaf.log);
+    // With a fifth of all messages lost a suspicion may be held for true, and is taken back.
+    assert!(said(&lost, "members: 12 live, 12 may be sending") >= 12, "{:#?}", lost.log);
+    assert_eq!(said(&calm, "members: 12 live, 12 may be sending"), 12, "{:#?}", calm.log);
+}
+
 #[test]
 fn ways_of_some_nodes_break_and_those_of_others_don_t() {
     let of_node = |what: &str, more: &str| format!("{}nodes = 'node:3'\n{more}\n", fault(what, 1.0, 4.5));
--- a/rig/src/plan/check.rs
+++ b/rig/src/plan/check.rs
@@ -58,6 +58,12 @@
         if !within(fleet.handshake_work_ms, 0.0, 1e5) {
             return bad("fleet.handshake-work-ms", "must be from 0 to 100000");
         }
+        if self.nodes.members_ms != 0.0 && self.nodes.talk {
+            return bad("nodes.members-ms", "stands beside talk, which has the same addresses");
+        }
+        if self.nodes.members_ms != 0.0 && !within(self.nodes.members_ms, 200.0, 60_000.0) {
+            return bad("nodes.members-ms", "must be from 200 to 60000");
+        }
         if !within(self.nodes.front_ms, 0.0, 60_000.0) {
             return bad("nodes.front-ms", "must be from 0 to 60000");
         }
@@ -204,8 +210,8 @@
                 return bad(&path("what"), "needs nodes that keep something: nodes.keep = true");
             }
             if fault.between == Between::Nodes {
-                if !self.nodes.talk {
-                    return bad(&path("between"), "needs nodes that talk: nodes.talk = true");
+                if !self.nodes.talk && self.nodes.members_ms == 0.0 {
+                    return bad(&path("between"), "needs nodes that talk: nodes.talk = true, or members-ms");
                 }
                 if !matches!(fault.what, What::Deaf | What::Delay | What::Loss) {
                     return bad(&path("between"), "messages can be deaf, late or lost, nothing else");
--- a/rig/src/plan/mod.rs
+++ b/rig/src/plan/mod.rs
@@ -256,9 +256,12 @@
     pub sockets: usize,
     #[serde(default = "memory")]
     pub memory_mb: usize,
-    /// Nodes send one another messages.
+    /// Nodes send one another messages, each knowing all others by number.
     #[serde(default)]
     pub talk: bool,
+    /// They keep membership, and one of the others is probed so often, in milliseconds; zero for none.
+    #[serde(default)]
+    pub members_ms: f64,
     /// They have a folder that lasts between two lives, and an address for operators.
     #[serde(default)]
     pub keep: bool,
--- a/rig/src/play/nodes.rs
+++ b/rig/src/play/nodes.rs
@@ -47,6 +47,8 @@
     pub discovery: Vec<SocketAddr>,
     /// By node, the addresses of all where they talk.
     pub peers: Vec<Vec<String>>,
+    /// By node, where it hears other members and where they find it.
+    pub members: Vec<(SocketAddr, SocketAddr)>,
     /// The clients' listener of each, where processes take each other's place.
     listeners: Vec<TcpListener>,
     /// No room is left for what it keeps.
@@ -101,6 +103,7 @@
             kept,
             discovery: Vec::new(),
             peers: Vec::new(),
+            members: Vec::new(),
             listeners,
             full: vec![false; count],
             all: (0..count).map(|_| None).collect(),
@@ -139,7 +142,7 @@
         Ok(Birth {
             binary: self.binary.clone(),
             config: config.to_string(),
-            operator: plan.operator.clone(),
+            operator: self.operator(node),
             env,
             listener: listener.map(OwnedFd::from),
             longest_file: self.full[node].then_some(0),
@@ -148,6 +151,19 @@
         })
     }
 
+    /// A node's operators' file: the plan's, with a section of its own where it keeps membership.
+    fn operator(&self, node: usize) -> Option<String> {
+        let own = self.plan.operator.clone();
+        let Some((listen, advertise)) = self.members.get(node) else { return own };
+        let seeds: Vec<String> = self.members.iter().take(3).map(|(_, at)| format!("\"{at}\"")).collect();
+        Some(format!(
+            "{}\n[members]\nlisten = \"{listen}\"\nadvertise = \"{advertise}\"\nseeds = [{}]\nevery = \"{}ms\"\nall = true\n",
+            own.unwrap_or_default(),
+            seeds.join(", "),
+            self.plan.nodes.members_ms.round()
+        ))
+    }
+
     pub fn signal(&self, node: usize, signal: Signal) -> Result<(), String> {
         self.all[node].as_ref().ok_or("is gone already")?.process.signal(signal)
     }
--- a/rig/src/play/stage.rs
+++ b/rig/src/play/stage.rs
@@ -79,9 +79,15 @@
         let mut nodes = Nodes::new(&plan, seed, binary)?;
         let port = Stage::way_to_discovery(world, port)?;
         nodes.discovery = (0..plan.nodes.count).map(|node| (host_of(node), port).into()).collect();
-        if plan.nodes.talk {
+        let kept = plan.nodes.members_ms > 0.0;
+        if plan.nodes.talk || kept {
             let letters = Letters::open(world, plan.troubles(Between::Nodes)).await?;
-            nodes.peers = (0..plan.nodes.count).map(|node| letters.of(node)).collect();
+            let all = 0..plan.nodes.count;
+            if kept {
+                nodes.members = all.map(|node| letters.at(node)).collect();
+            } else {
+                nodes.peers = all.map(|node| letters.of(node)).collect();
+            }
         }
         let listed = vec![(Status::Ready, since); specs.len()];
         let stage = Stage {
--- a/rig/src/play/ways.rs
+++ b/rig/src/play/ways.rs
@@ -254,6 +254,11 @@
         Ok(Letters { own, relayed })
     }
 
+    /// Where a node listens, and where the others send to it.
+    pub fn at(&self, node: usize) -> (SocketAddr, SocketAddr) {
+        (self.own[node], self.relayed[node])
+    }
+
     /// The addresses of all nodes as one of them is told them.
     pub fn of(&self, node: usize) -> Vec<String> {
         let at = |other: usize| if other == node { self.own[other] } else { self.relayed[other] };
--- a/rig/src/settings.rs
+++ b/rig/src/settings.rs
@@ -64,7 +64,7 @@
         "balancers": plan.nodes.count,
         "caps": {
             "cancel": fleet.cancel,
-            "peers": plan.nodes.talk,
+            "peers": plan.nodes.talk || plan.nodes.members_ms > 0.0,
             "parallel-tries": fleet.second_copies,
             "retry-after": fleet.come_back_ms > 0.0,
             "max-retry-after-ns": ns_of_ms(fleet.come_back_ms),
