--- a/rig/src/play/mod.rs
+++ b/rig/src/play/mod.rs
@@ -134,6 +134,12 @@
         let (own_sent, own_left) = client.await.map_err(|error| error.to_string())?;
         (sent, left) = (sent + own_sent, left + own_left);
     }
+    let calls = stage.nodes.all.iter().flatten().filter_map(|running| running.admin);
+    let members = if plan.nodes.members_ms > 0.0 {
+        nodes::members_say(calls.collect()).await
+    } else {
+        Default::default()
+    };
     stage.end();
     let mut played = {
         let (ledger, asked) = (locked(&world.ledger), locked(&world.asked));
@@ -157,6 +163,13 @@
         played.log.push(format!("rude: {sent} requests, {left} left with neither an error nor a close"));
     }
     played.log.push(seen.line());
+    if !members.is_empty() {
+        let told = |(name, (sum, least, most)): (&String, &(u64, u64, u64))| {
+            format!("{name} {sum} ({least} to {most})")
+        };
+        let told: Vec<String> = members.iter().map(told).collect();
+        played.log.push(format!("members, over all nodes (of one): {}", told.join(", ")));
+    }
     if plan.nodes.keep {
         let bytes: usize = stage.nodes.kept.iter().map(keeps::Kept::bytes).sum();
         played.log.push(format!("kept: {bytes} bytes by {} nodes", stage.nodes.kept.len()));
--- a/rig/src/play/nodes.rs
+++ b/rig/src/play/nodes.rs
@@ -10,6 +10,7 @@
 use crate::stand::{NodeProcess, Signal};
 use rand::RngExt;
 use serde_json::json;
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
@@ -267,6 +268,34 @@
     Err(format!("the node at {at} is not ready after 20 s"))
 }
 
+/// What nodes say of membership at the end of a day: of each figure the sum, the least and the most over those that answer.
+pub async fn members_say(calls: Vec<SocketAddr>) -> BTreeMap<String, (u64, u64, u64)> {
+    let mut all: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
+    for at in calls {
+        let call = async {
+            let mut stream = TcpStream::connect(at).await.ok()?;
+            stream
+                .write_all(b"GET /metrics HTTP/1.1\r\nHost: rig\r\nConnection: close\r\n\r\n")
+                .await
+                .ok()?;
+            let mut text = String::new();
+            stream.read_to_string(&mut text).await.ok()?;
+            Some(text)
+        };
+        let Ok(Some(text)) = tokio::time::timeout(Duration::from_secs(2), call).await else { continue };
+        for line in text.lines() {
+            let figure = line.strip_prefix("svc_members_").and_then(|line| line.split_once(' '));
+            let Some((name, value)) = figure.and_then(|(name, value)| Some((name, value.parse().ok()?)))
+            else {
+                continue;
+            };
+            let sum = all.entry(name.to_string()).or_insert((0, u64::MAX, 0));
+            *sum = (sum.0 + value, sum.1.min(value), sum.2.max(value));
+        }
+    }
+    all
+}
+
 /// An operators' call; whether the answer was a yes.
 pub async fn operators_call(at: SocketAddr, path: &str) -> bool {
     let call = async {
