--- a/rig/src/stand.rs
+++ b/rig/src/stand.rs
@@ -301,7 +301,10 @@
         write_whole(&first, operator).map_err(|error| format!("{}: {error}", first.display()))?;
         let mut env = env.to_vec();
         env.push(("STILEROUTE_OPERATOR", first.display().to_string()));
-        let mut node = NodeProcess::begin(command, config, &env)?;
+        // One that does not serve leaves no file behind.
+        let mut node = NodeProcess::begin(command, config, &env).inspect_err(|_| {
+            let _ = std::fs::remove_file(&first);
+        })?;
         // From here on the file belongs to the process that reads it.
         node.operator = Some(first);
         Ok(node)
