--- /dev/null
+++ b/charter/src/lib.rs
@@ -0,0 +1,1 @@
+//! What the system is told: settings files and the operators' configurations.
--- a/node/src/wire/mod.rs
+++ b/node/src/wire/mod.rs
@@ -1,7 +1,8 @@
 //! What is spoken on the sockets: state machines that are fed bytes and know no socket.
 
 pub mod call;
-pub mod http;
+/// Heads and framing, shared with the whole system.
+pub use stileroute_hawser as http;
 pub mod jobs;
 pub mod names;
 pub mod push;
