--- /dev/null
+++ b/harbour/src/net/client.rs
@@ -0,0 +1,256 @@
+//! Requests that go out, each on a connection that carries nothing else meanwhile.
+
+use super::{ConnId, Event, Millis, Net, Side, CONNECT};
+use httparse::Status;
+use mio::net::TcpStream;
+use std::net::{SocketAddr, SocketAddrV4};
+use stileroute_hawser::{framing, has_token, header, Chunks, Framing};
+
+/// An answer, whole.
+#[derive(Clone, Debug, Default)]
+pub struct Reply {
+    pub status: u16,
+    pub seal: Option<String>,
+    pub not_run: bool,
+    pub load: Option<String>,
+    /// Which request it says it answers.
+    pub id: Option<String>,
+    pub retry_after: Option<u64>,
+}
+
+/// No answer: the verdict says whether the request may have run.
+#[derive(Clone, Copy, Debug, PartialEq, strum::Display)]
+pub enum Failure {
+    /// The connection never opened: it did not run.
+    NotConnected,
+    /// All connections that the executor takes from here are in use: it was not sent.
+    NoRoom,
+    /// Reset or closed before an answer: it may have run.
+    Broken,
+    /// Silence up to the deadline: it may have run.
+    Late,
+    /// What came is no answer, or another's: it may have run.
+    Garbled,
+}
+
+impl Failure {
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Failure::NotConnected | Failure::NoRoom)
+    }
+}
+
+pub(super) struct Outward {
+    pub to: SocketAddrV4,
+    /// The call under way, and by when it is to be answered.
+    call: Option<(u64, Millis)>,
+}
+
+/// Most of one answer's bytes.
+const MOST: usize = 1 << 20;
+/// An idle connection is given up so long before the other side would close it, and after so long where it says nothing.
+const MARGIN: Millis = 400;
+const IDLE: Millis = 4000;
+
+enum Found {
+    More,
+    Whole { reply: Reply, used: usize, keep: Option<Millis> },
+    ToEnd { reply: Reply },
+    Garbled,
+}
+
+fn parse(bytes: &[u8]) -> Found {
+    let mut from = 0;
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 48];
+        let mut head = httparse::Response::new(&mut headers);
+        let end = match head.parse(&bytes[from..]) {
+            Ok(Status::Complete(end)) => from + end,
+            Ok(Status::Partial) if bytes.len() > MOST => return Found::Garbled,
+            Ok(Status::Partial) => return Found::More,
+            Err(_) => return Found::Garbled,
+        };
+        let status = head.code.unwrap_or(0);
+        if (100..200).contains(&status) {
+            from = end;
+            continue;
+        }
+        let headers = &*head.headers;
+        let text = |name| header(headers, name).map(str::to_string);
+        let reply = Reply {
+            status,
+            seal: text("X-Server-Seal"),
+            not_run: header(headers, "X-Not-Run").is_some(),
+            load: text("X-Server-Load"),
+            id: text("X-Request-Id"),
+            retry_after: header(headers, "Retry-After").and_then(|text| text.parse().ok()),
+        };
+        let Some(framing) = framing(headers, head.version) else { return Found::Garbled };
+        let used = match framing {
+            None if status == 204 || status == 304 => end,
+            None | Some(Framing::ToEnd) => return Found::ToEnd { reply },
+            Some(Framing::Length(length)) if length > MOST => return Found::Garbled,
+            Some(Framing::Length(length)) if bytes.len() - end < length => return Found::More,
+            Some(Framing::Length(length)) => end + length,
+            Some(Framing::Chunked) => {
+                let mut chunks = Chunks::default();
+                let Ok(used) = chunks.feed(&bytes[end..], |_| {}) else { return Found::Garbled };
+                if !chunks.done() {
+                    return if bytes.len() > MOST { Found::Garbled } else { Found::More };
+                }
+                end + used
+            }
+        };
+        let close = has_token(headers, "Connection", "close") || head.version == Some(0);
+        // `timeout=5` among the words of Keep-Alive, in seconds.
+        let told = header(headers, "Keep-Alive").and_then(|text| {
+            let word = text.split([',', ' ']).find_map(|part| part.trim().strip_prefix("timeout="))?;
+            word.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
+        });
+        let keep = told.map_or(IDLE, |seconds| (seconds * 1000.0) as Millis).saturating_sub(MARGIN).min(60_000);
+        return Found::Whole { reply, used, keep: (!close && keep > 0).then_some(keep) };
+    }
+}
+
+impl Net {
+    /// Sends a request; its end comes as `Event::Replied`. Takes an idle connection, or opens one of at most `most`.
+    pub fn call(
+        &mut self,
+        to: SocketAddrV4,
+        bytes: &[u8],
+        ticket: u64,
+        deadline: Millis,
+        most: usize,
+    ) -> Result<(), Failure> {
+        let now = self.now;
+        let fresh = loop {
+            let Some(id) = self.pools.entry(to).or_default().idle.pop() else { break None };
+            if self.get(id).is_some_and(|conn| !conn.ended && conn.deadline > now + 5) {
+                break Some(id);
+            }
+            self.close(id);
+        };
+        let id = match fresh {
+            Some(id) => id,
+            None => {
+                if self.pools.get(&to).is_some_and(|pool| pool.open >= most.max(1)) {
+                    return Err(Failure::NoRoom);
+                }
+                let stream = TcpStream::connect(SocketAddr::V4(to)).map_err(|_| Failure::NotConnected)?;
+                let side = Side::Outward(Outward { to, call: None });
+                let id = self.enter(stream, side, false, Millis::MAX).ok_or(Failure::NoRoom)?;
+                self.pools.entry(to).or_default().open += 1;
+                self.opened += 1;
+                id
+            }
+        };
+        let until = if fresh.is_some() { deadline } else { deadline.min(now + CONNECT) };
+        if let Some(conn) = self.get(id) {
+            conn.deadline = until;
+            conn.out.extend_from_slice(bytes);
+            if let Side::Outward(outward) = &mut conn.side {
+                outward.call = Some((ticket, deadline));
+            }
+        }
+        self.watch(id, until);
+        self.soil(id);
+        Ok(())
+    }
+
+    pub(super) fn take_reply(&mut self, id: ConnId) {
+        let now = self.now;
+        let Some(conn) = self.get(id) else { return };
+        let Side::Outward(outward) = &mut conn.side else { return };
+        if conn.input.is_empty() {
+            return;
+        }
+        let Some((ticket, _)) = outward.call else {
+            // A second answer, or bytes that nobody asked for: whatever comes next here would be another's.
+            return self.close(id);
+        };
+        match parse(&conn.input) {
+            Found::More | Found::ToEnd { .. } => {}
+            Found::Garbled => self.finish(id, ticket, Err(Failure::Garbled), None),
+            Found::Whole { reply, used, keep } => {
+                let more = conn.input.len() > used || conn.ended;
+                conn.input.drain(..used);
+                if conn.input.capacity() > super::KEEP {
+                    conn.input = Vec::new();
+                }
+                let keep = keep.filter(|_| !more).map(|keep| now + keep);
+                self.finish(id, ticket, Ok(reply), keep);
+            }
+        }
+    }
+
+    /// Tells how the call ended, and keeps the connection until then, if at all.
+    fn finish(&mut self, id: ConnId, ticket: u64, result: Result<Reply, Failure>, keep: Option<Millis>) {
+        self.happened.push_back(Event::Replied { ticket, result });
+        if let Some(conn) = self.get(id) {
+            if let Side::Outward(outward) = &mut conn.side {
+                outward.call = None;
+                let to = outward.to;
+                if let Some(until) = keep {
+                    conn.deadline = until;
+                    self.watch(id, until);
+                    self.pools.entry(to).or_default().idle.push(id);
+                    return;
+                }
+            }
+        }
+        self.close(id);
+    }
+
+    pub(super) fn reply_to_end(&mut self, id: ConnId) {
+        let Some(conn) = self.get(id) else { return };
+        let Side::Outward(outward) = &conn.side else { return };
+        let Some((ticket, _)) = outward.call else { return self.close(id) };
+        let result = match parse(&conn.input) {
+            Found::ToEnd { reply } => Ok(reply),
+            _ => Err(Failure::Broken),
+        };
+        self.finish(id, ticket, result, None);
+    }
+
+    pub(super) fn broke(&mut self, id: ConnId) {
+        let Some(conn) = self.get(id) else { return };
+        let open = conn.open;
+        let Side::Outward(outward) = &conn.side else { return };
+        let Some((ticket, _)) = outward.call else { return self.close(id) };
+        let failure = if open { Failure::Broken } else { Failure::NotConnected };
+        self.finish(id, ticket, Err(failure), None);
+    }
+
+    pub(super) fn late(&mut self, id: ConnId) {
+        let now = self.now;
+        let Some(conn) = self.get(id) else { return };
+        let open = conn.open;
+        let Side::Outward(outward) = &conn.side else { return };
+        match outward.call {
+            None => self.close(id),
+            Some((ticket, deadline)) if now >= deadline || !open => {
+                let failure = if open { Failure::Late } else { Failure::NotConnected };
+                self.finish(id, ticket, Err(failure), None);
+            }
+            Some((_, deadline)) => {
+                conn.deadline = deadline;
+                self.watch(id, deadline);
+            }
+        }
+    }
+
+    pub(super) fn left(&mut self, id: ConnId, to: SocketAddrV4) {
+        if let Some(pool) = self.pools.get_mut(&to) {
+            pool.open = pool.open.saturating_sub(1);
+            pool.idle.retain(|idle| *idle != id);
+            if pool.open == 0 {
+                self.pools.remove(&to);
+            }
+        }
+    }
+
+    /// Closes what is idle to an address where nobody is asked any more.
+    pub fn forget(&mut self, to: SocketAddrV4) {
+        let idle = self.pools.get_mut(&to).map(|pool| std::mem::take(&mut pool.idle)).unwrap_or_default();
+        idle.into_iter().for_each(|id| self.close(id));
+    }
+}
--- /dev/null
+++ b/harbour/src/net/server.rs
@@ -0,0 +1,272 @@
+//! Requests that come in.
+
+use super::{ConnId, Event, Millis, Net, Side};
+use httparse::Status;
+use stileroute_hawser::{self as hawser, framing, has_token, header, Chunks, Framing};
+
+/// What a request may be, and how long it may take to come.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    pub head: usize,
+    pub body: usize,
+    pub head_ms: Millis,
+    pub idle_ms: Millis,
+}
+
+impl Default for Bounds {
+    fn default() -> Bounds {
+        Bounds { head: 16 << 10, body: 256 << 10, head_ms: 3000, idle_ms: 15_000 }
+    }
+}
+
+/// A request as it came, with the headers that mean something here.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    pub method: String,
+    pub target: String,
+    pub host: String,
+    pub id: String,
+    pub content_type: Option<String>,
+    pub delay_ms: Option<u64>,
+    pub left_ms: Option<u64>,
+    pub callback: Option<String>,
+    pub order_key: Option<String>,
+    pub body: Vec<u8>,
+}
+
+/// What is said to one.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: Vec<(&'static str, String)>,
+    pub json: bool,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+impl Answer {
+    pub fn bare(status: u16) -> Answer {
+        Answer { status, ..Answer::default() }
+    }
+    pub fn json(status: u16, body: String) -> Answer {
+        Answer { status, json: true, body: body.into_bytes(), ..Answer::default() }
+    }
+    /// Not taken, and never will be: trying again is harmless, after so long.
+    pub fn come_back(status: u16, seconds: u64) -> Answer {
+        Answer { status, headers: vec![("Retry-After", seconds.to_string())], ..Answer::default() }
+    }
+}
+
+pub(super) struct Inward {
+    pub port: usize,
+    /// A request is with the role; the next waits in the buffer.
+    pub busy: bool,
+    /// Bytes of a request have come, and not all of it.
+    begun: bool,
+    close: bool,
+}
+
+impl Inward {
+    pub fn new(port: usize) -> Inward {
+        Inward { port, busy: false, begun: false, close: false }
+    }
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        202 => "Accepted",
+        307 => "Temporary Redirect",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        409 => "Conflict",
+        413 => "Content Too Large",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
+
+/// What can be made of the bytes so far.
+enum Found {
+    More { expects: bool },
+    Whole { request: Request, used: usize, close: bool },
+    Fault(u16),
+}
+
+fn parse(bytes: &[u8], bounds: &Bounds) -> Found {
+    let mut headers = [httparse::EMPTY_HEADER; 64];
+    let mut head = httparse::Request::new(&mut headers);
+    let end = match head.parse(bytes) {
+        Ok(Status::Complete(end)) if end > bounds.head => return Found::Fault(431),
+        Ok(Status::Complete(end)) => end,
+        Ok(Status::Partial) if bytes.len() > bounds.head => return Found::Fault(431),
+        Ok(Status::Partial) => return Found::More { expects: false },
+        Err(httparse::Error::TooManyHeaders) => return Found::Fault(431),
+        Err(_) => return Found::Fault(400),
+    };
+    // Anything that another program could read in another way is refused: so is a request hidden in a body.
+    if !hawser::lines_are_whole(&bytes[..end]) {
+        return Found::Fault(400);
+    }
+    let headers = &*head.headers;
+    let single = ["Host", "X-Request-Id", "X-Delay-Ms", "X-Time-Left-Ms", "X-Callback-Url", "X-Order-Key"];
+    if single.iter().any(|name| hawser::repeated(headers, name)) {
+        return Found::Fault(400);
+    }
+    let text = |name| header(headers, name).map(str::to_string);
+    let number = |name| match header(headers, name) {
+        None => Ok(None),
+        Some(text) if hawser::is_number(text) => text.parse::<u64>().map(Some).map_err(|_| ()),
+        Some(_) => Err(()),
+    };
+    let Some(framing) = framing(headers, head.version) else { return Found::Fault(400) };
+    let rest = &bytes[end..];
+    let (body, used) = match framing {
+        None => (Vec::new(), end),
+        Some(Framing::Length(length)) if length > bounds.body => return Found::Fault(413),
+        Some(Framing::Length(length)) => match rest.get(..length) {
+            Some(body) => (body.to_vec(), end + length),
+            None => return Found::More { expects: has_token(headers, "Expect", "100-continue") },
+        },
+        Some(Framing::Chunked) => {
+            let (mut chunks, mut body) = (Chunks::default(), Vec::new());
+            let Ok(used) = chunks.feed(rest, |part| body.extend_from_slice(part)) else {
+                return Found::Fault(400);
+            };
+            if body.len() > bounds.body {
+                return Found::Fault(413);
+            }
+            if !chunks.done() {
+                return Found::More { expects: has_token(headers, "Expect", "100-continue") };
+            }
+            (body, end + used)
+        }
+        Some(Framing::ToEnd) => return Found::Fault(400),
+    };
+    let (Ok(delay_ms), Ok(left_ms)) = (number("X-Delay-Ms"), number("X-Time-Left-Ms")) else {
+        return Found::Fault(400);
+    };
+    let request = Request {
+        method: head.method.unwrap_or_default().to_string(),
+        target: head.path.unwrap_or_default().to_string(),
+        host: text("Host").unwrap_or_default(),
+        id: text("X-Request-Id").unwrap_or_default(),
+        content_type: text("Content-Type"),
+        delay_ms,
+        left_ms,
+        callback: text("X-Callback-Url"),
+        order_key: text("X-Order-Key"),
+        body,
+    };
+    let close = has_token(headers, "Connection", "close") || head.version == Some(0);
+    Found::Whole { request, used, close }
+}
+
+impl Net {
+    pub(super) fn take_request(&mut self, id: ConnId) {
+        let now = self.now;
+        let Some(conn) = self.get(id) else { return };
+        let Side::Inward(inward) = &conn.side else { return };
+        if inward.busy || conn.close_after || conn.input.is_empty() {
+            return;
+        }
+        let port = inward.port;
+        let bounds = self.bounds(port);
+        let Some(conn) = self.get(id) else { return };
+        let Side::Inward(inward) = &mut conn.side else { return };
+        match parse(&conn.input, &bounds) {
+            Found::More { expects } => {
+                if !std::mem::replace(&mut inward.begun, true) {
+                    conn.deadline = now + bounds.head_ms;
+                    if expects {
+                        conn.out.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        self.soil(id);
+                    }
+                    self.watch(id, now + bounds.head_ms);
+                }
+            }
+            Found::Whole { request, used, close } => {
+                (inward.busy, inward.begun) = (true, false);
+                inward.close |= close;
+                conn.input.drain(..used);
+                if conn.input.is_empty() && conn.input.capacity() > super::KEEP {
+                    conn.input = Vec::new();
+                }
+                conn.deadline = Millis::MAX;
+                self.happened.push_back(Event::Request { conn: id, port, request });
+            }
+            Found::Fault(status) => {
+                inward.busy = true;
+                let answer = Answer { close: true, ..Answer::bare(status) };
+                self.garbled += u64::from(status == 400);
+                self.answer(id, answer);
+            }
+        }
+    }
+
+    /// Answers the request that the connection waits on.
+    pub fn answer(&mut self, id: ConnId, answer: Answer) {
+        use std::io::Write;
+        let now = self.now;
+        let Some(conn) = self.get(id) else { return };
+        let Side::Inward(inward) = &mut conn.side else { return };
+        if !std::mem::take(&mut inward.busy) {
+            return;
+        }
+        let port = inward.port;
+        let close = answer.close || inward.close || conn.ended;
+        let out = &mut conn.out;
+        let _ = write!(out, "HTTP/1.1 {} {}\r\n", answer.status, reason(answer.status));
+        for (name, value) in &answer.headers {
+            let _ = write!(out, "{name}: {value}\r\n");
+        }
+        if answer.json {
+            let _ = write!(out, "Content-Type: application/json\r\n");
+        }
+        if close {
+            let _ = write!(out, "Connection: close\r\n");
+        }
+        let _ = write!(out, "Content-Length: {}\r\n\r\n", answer.body.len());
+        out.extend_from_slice(&answer.body);
+        conn.close_after |= close;
+        self.soil(id);
+        let deadline = now + self.bounds(port).idle_ms;
+        if let Some(conn) = self.get(id) {
+            conn.deadline = deadline;
+        }
+        self.watch(id, deadline);
+        self.take_request(id);
+    }
+
+    /// A request that did not come whole in time, or a connection on which none comes.
+    pub(super) fn slow_request(&mut self, id: ConnId) {
+        let Some(conn) = self.get(id) else { return };
+        let Side::Inward(inward) = &mut conn.side else { return };
+        if inward.begun {
+            inward.busy = true;
+            self.answer(id, Answer { close: true, ..Answer::bare(408) });
+        } else if !inward.busy {
+            self.close(id);
+        }
+    }
+
+    /// Closes connections on which nothing is under way.
+    pub fn close_idle(&mut self, port: usize) {
+        let idle: Vec<ConnId> = (0..self.conns.len())
+            .filter(|at| {
+                self.conns[*at].1.as_ref().is_some_and(|conn| {
+                    let quiet = conn.input.is_empty() && conn.out.is_empty();
+                    matches!(&conn.side, Side::Inward(i) if i.port == port && !i.busy && !i.begun) && quiet
+                })
+            })
+            .map(|at| self.id(at))
+            .collect();
+        idle.into_iter().for_each(|id| self.close(id));
+    }
+}
--- /dev/null
+++ b/hold/src/cargo.rs
@@ -0,0 +1,124 @@
+//! What a message is, on the wire between stores and on disk.
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds on the steady clock of this process.
+pub type Millis = u64;
+/// A node of the system, by a hash of its name.
+pub type Node = u32;
+
+/// A message's name: who took it, and its number there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key {
+    pub origin: Node,
+    pub number: u64,
+}
+
+impl Key {
+    /// As clients see it: the key, and where its first copy lies.
+    pub fn name(&self, copy: Option<Node>) -> String {
+        match copy {
+            Some(copy) => format!("{:x}.{:x}.{copy:x}", self.origin, self.number),
+            None => format!("{:x}.{:x}", self.origin, self.number),
+        }
+    }
+    /// The key, and where to ask in which order.
+    pub fn parse(name: &str) -> Option<(Key, Vec<Node>)> {
+        let mut parts = name.split('.');
+        let origin = Node::from_str_radix(parts.next()?, 16).ok()?;
+        let number = u64::from_str_radix(parts.next()?, 16).ok()?;
+        let copies = parts.map_while(|part| Node::from_str_radix(part, 16).ok());
+        Some((Key { origin, number }, std::iter::once(origin).chain(copies).collect()))
+    }
+}
+
+/// A message as it was taken.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Cargo {
+    pub id: String,
+    pub host: String,
+    pub method: String,
+    pub target: String,
+    pub content_type: Option<String>,
+    pub callback: Option<String>,
+    pub order_key: Option<String>,
+    /// Not to run sooner than so long after it was taken.
+    pub delay_ms: u64,
+    /// Time of day when it was taken, in ms: only a restart counts by it.
+    pub taken: u64,
+    /// The version of the configuration by which it was taken.
+    pub config: u64,
+    pub body: Vec<u8>,
+}
+
+/// How a message ended.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum End {
+    Complete { seal: String },
+    Failed,
+}
+
+/// A message as one store tells it to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shared {
+    pub key: Key,
+    pub owner: Node,
+    /// Rises with each change of owner: the higher one holds.
+    pub term: u32,
+    pub copies: Vec<Node>,
+    /// How long until it is due, and until it has waited too long.
+    pub due_in: u64,
+    pub tries: u32,
+    pub cargo: Cargo,
+}
+
+/// On disk.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    /// The disk's own number: another one is another disk.
+    Born { disk: u64 },
+    Put { shared: Shared },
+    End { key: Key, end: End, owed: bool, at: u64 },
+    Called { key: Key },
+    Own { key: Key, owner: Node, term: u32, copies: Vec<Node> },
+    Drop { key: Key },
+}
+
+/// Between stores.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Note {
+    /// Keep these; `Copied` when they are safe.
+    Copy(Vec<Shared>),
+    Copied(Vec<Key>),
+    /// No room on the disk: they are not safe here.
+    NotCopied(Vec<Key>),
+    Ends(Vec<(Key, End, bool)>),
+    Called(Vec<Key>),
+    /// Who owns these now.
+    Own(Vec<(Key, Node, u32)>),
+    Drop(Vec<Key>),
+    Want(Vec<Key>),
+    /// The live messages that both hold, as the sender sees them.
+    Standing { disk: u64, live: Vec<(Key, Node, u32)> },
+    /// All that was to be said to a `Standing` has been said.
+    Stood,
+    /// The sender ends: these are the receiver's from now on.
+    Handover(Vec<(Key, u32)>),
+    HandoverTaken(Vec<Key>),
+    /// Takes no more messages and copies: it is about to end.
+    Leaving,
+    Ping(u64),
+    Pong(u64),
+    /// Tokens of a service with a ceiling: so many are wanted, so many may be used.
+    TokensWanted { service: String, count: u32 },
+    Tokens { service: String, count: u32 },
+}
+
+/// Why a message was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// It has not been kept and never will run: another store may take it.
+    NotTaken,
+    /// It may run.
+    Uncertain,
+}
--- /dev/null
+++ b/hold/src/hold.rs
@@ -0,0 +1,923 @@
+//! The table of messages, with its one owner, and what happens to each from taking to end.
+
+use crate::cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
+use crate::copies::Peer;
+use crate::lane::{Lane, Picked, Server, Turn};
+use crate::ledger::Ledger;
+use crate::tokens::Bucket;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use stileroute::tariff::{Outcome as Judged, Time};
+use stileroute_charter::Config;
+
+/// Ends are told to the copies in batches, at the latest after so long.
+const TELL: Millis = 40;
+/// After a failed attempt a message waits, twice as long each time, up to the second figure.
+const AGAIN: (Millis, Millis) = (40, 1500);
+/// Beyond the time that it may wait, for clients' clocks and first tries: one that has not ended must not be called failed.
+const SLACK: Millis = 1500;
+/// Connections to one receiver of call-backs from here.
+const CALLS: usize = 4;
+/// Messages that are kept for others to pick up at the most.
+const MOST: usize = 400_000;
+const UPKEEP: Millis = 250;
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub me: Node,
+    pub zone: usize,
+    /// Number of the disk, drawn when it was empty.
+    pub disk: u64,
+    /// So many copies beside the own one.
+    pub losses: usize,
+    /// Copies lie in other zones, for a zone may be lost.
+    pub spread: bool,
+    pub window_ms: u64,
+    pub overrun: f64,
+    pub status_ms: u64,
+    pub seed: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// Not yet safe.
+    Landing,
+    /// Read from disk: it waits until those who hold copies have said what became of it.
+    Held,
+    Waiting,
+    Out,
+    /// Another store delivers it.
+    Copy,
+    Ended,
+}
+
+#[derive(Debug)]
+pub struct Entry {
+    pub cargo: Cargo,
+    pub owner: Node,
+    pub term: u32,
+    pub copies: Vec<Node>,
+    pub stage: Stage,
+    pub due: Millis,
+    pub expires: Millis,
+    pub tries: u32,
+    fails: u32,
+    pub end: Option<End>,
+    pub owed: bool,
+    /// Where it has still to become safe, and who waits for that.
+    missing: Vec<Node>,
+    ticket: Option<u64>,
+    landed: Millis,
+    turn: Option<(usize, Turn)>,
+}
+
+/// What the program is to do.
+#[derive(Debug)]
+pub enum Effect {
+    Disk { ticket: u64, records: Vec<Vec<u8>>, sync: bool },
+    Send { to: Node, note: Note },
+    Taken { ticket: u64, result: Result<String, Refusal> },
+    Deliver { attempt: u64, key: Key, to: SocketAddrV4, expect: Option<String>, timeout_ms: u64, conns: usize },
+    Call { key: Key, url: String, body: String },
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    Done { seal: String },
+    /// Can never be done.
+    Refused,
+    /// This attempt failed; the next may do.
+    Failed,
+    Full,
+    /// Over the ceiling.
+    Over,
+    /// The first one runs yet.
+    Running,
+    /// Another executor is at that address.
+    Wrong,
+    NotRun,
+    Stopped,
+    NotConnected,
+    NoRoom,
+    Broken,
+    Late,
+    Garbled,
+}
+
+/// What is said of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub enum State {
+    Waiting,
+    Complete { seal: String },
+    Failed,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Figures {
+    pub taken: u64,
+    pub refused: u64,
+    pub uncertain: u64,
+    pub done: u64,
+    pub failed: u64,
+    pub dropped: u64,
+    pub expired: u64,
+    pub attempts: u64,
+    pub again: u64,
+    pub calls: u64,
+    pub called: u64,
+    pub taken_over: u64,
+    pub handed_over: u64,
+    pub copied_anew: u64,
+    pub no_disk: u64,
+}
+
+#[derive(Default)]
+struct Receiver {
+    out: usize,
+    fails: u32,
+    pause: Millis,
+    queue: VecDeque<Key>,
+}
+
+/// What waits for the disk.
+#[derive(Clone, Debug)]
+pub(crate) enum Waits {
+    Own(Key),
+    CopyOf(Node, Key),
+    HandedBy(Node, Key),
+}
+
+pub struct Hold {
+    pub(crate) terms: Terms,
+    pub(crate) entries: HashMap<Key, Entry>,
+    pub(crate) peers: BTreeMap<Node, Peer>,
+    config: Option<Arc<Config>>,
+    lanes: Vec<Lane>,
+    lane_of: HashMap<String, usize>,
+    servers: HashMap<String, Vec<Server>>,
+    delayed: BTreeSet<(Millis, Key)>,
+    expiring: BTreeSet<(Millis, Key)>,
+    forget: VecDeque<(Millis, Key)>,
+    /// Taken by a configuration that has not come here yet.
+    early: HashSet<Key>,
+    pub(crate) landing: BTreeSet<(Millis, Key)>,
+    receivers: HashMap<String, Receiver>,
+    next_number: u64,
+    next_attempt: u64,
+    next_ticket: u64,
+    waits: HashMap<u64, Vec<Waits>>,
+    records: Vec<Vec<u8>>,
+    sync: bool,
+    due_waits: Vec<Waits>,
+    pub(crate) ends_at: Option<Millis>,
+    effects: Vec<Effect>,
+    lane_wait: Millis,
+    upkeep: Millis,
+    pub leaving: bool,
+    /// The control nodes hear this store: without them and without a peer it may be the one that is cut off.
+    pub heard: bool,
+    pub figures: Figures,
+}
+
+impl Hold {
+    /// Begins with what the disk holds. `wall` is the time of day in ms.
+    pub fn new(terms: Terms, ledger: Ledger, now: Millis, wall: u64) -> Hold {
+        let highest = ledger.highest.get(&terms.me).copied().unwrap_or(0);
+        let mut hold = Hold {
+            // Numbers never come again: beyond all that were used, and beyond what a lost disk can have used.
+            next_number: (highest + 1).max(wall / 1000 << 24),
+            next_attempt: 1,
+            next_ticket: 1,
+            entries: HashMap::new(),
+            peers: BTreeMap::new(),
+            config: None,
+            lanes: Vec::new(),
+            lane_of: HashMap::new(),
+            servers: HashMap::new(),
+            delayed: BTreeSet::new(),
+            expiring: BTreeSet::new(),
+            forget: VecDeque::new(),
+            early: HashSet::new(),
+            landing: BTreeSet::new(),
+            receivers: HashMap::new(),
+            waits: HashMap::new(),
+            records: Vec::new(),
+            sync: false,
+            due_waits: Vec::new(),
+            ends_at: None,
+            effects: Vec::new(),
+            lane_wait: 0,
+            upkeep: now,
+            leaving: false,
+            heard: true,
+            figures: Figures::default(),
+            terms,
+        };
+        for (key, kept) in ledger.all {
+            hold.recall(key, kept, now, wall);
+        }
+        hold
+    }
+
+    fn recall(&mut self, key: Key, kept: crate::ledger::Kept, now: Millis, wall: u64) {
+        let shared = kept.shared.unwrap_or_default();
+        let (end, owed) = match kept.end {
+            Some((end, owed, _)) => (Some(end), owed),
+            None => (None, false),
+        };
+        if end.is_none() && shared.cargo.id.is_empty() && shared.cargo.method.is_empty() {
+            return;
+        }
+        let gone = wall.saturating_sub(shared.cargo.taken);
+        let mut entry = Entry::of(&shared, now);
+        // Clocks of machines differ a little: rather late than early.
+        entry.due = now + (shared.cargo.delay_ms + 60).saturating_sub(gone).min(shared.cargo.delay_ms);
+        entry.stage = match (&end, shared.owner == self.terms.me) {
+            (Some(_), _) => Stage::Ended,
+            (None, true) => Stage::Held,
+            (None, false) => Stage::Copy,
+        };
+        (entry.end, entry.owed) = (end, owed);
+        if entry.stage == Stage::Ended {
+            self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+        }
+        self.entries.insert(key, entry);
+        self.expiry(key, now, gone);
+    }
+
+    fn expiry(&mut self, key: Key, now: Millis, gone: Millis) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let most = self
+            .config
+            .as_ref()
+            .and_then(|c| c.route(&entry.cargo.host, &entry.cargo.target).map(|at| c.routes[at].max_wait_ms))
+            .unwrap_or(90_000);
+        entry.expires = now + (most + SLACK).saturating_sub(gone);
+        if entry.end.is_none() {
+            self.expiring.insert((entry.expires, key));
+        }
+    }
+
+    // ---- What comes from outside ----
+
+    /// A message from an edge.
+    pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
+        let copies = self.choose(&[]);
+        if self.leaving || copies.len() < self.terms.losses || self.entries.len() >= MOST {
+            self.figures.refused += 1;
+            self.effects.push(Effect::Taken { ticket, result: Err(Refusal::NotTaken) });
+            return;
+        }
+        self.next_number += 1;
+        let key = Key { origin: self.terms.me, number: self.next_number };
+        let due_in = cargo.delay_ms;
+        let shared = Shared { key, owner: self.terms.me, term: 0, copies: copies.clone(), due_in, tries: 0, cargo };
+        self.record(&Record::Put { shared: shared.clone() }, true);
+        self.due_waits.push(Waits::Own(key));
+        let mut entry = Entry::of(&shared, now);
+        entry.stage = Stage::Landing;
+        entry.ticket = Some(ticket);
+        entry.missing = std::iter::once(self.terms.me).chain(copies.iter().copied()).collect();
+        self.entries.insert(key, entry);
+        self.landing.insert((now + crate::copies::COPY_WAIT, key));
+        self.expiry(key, now, 0);
+        for to in copies {
+            self.copy_to(to, shared.clone());
+        }
+    }
+
+    /// The disk has answered.
+    pub fn kept(&mut self, now: Millis, ticket: u64, ok: bool) {
+        for wait in self.waits.remove(&ticket).unwrap_or_default() {
+            match (wait, ok) {
+                (Waits::Own(key), true) => self.safe_at(now, key, self.terms.me),
+                (Waits::Own(key), false) => {
+                    self.figures.no_disk += 1;
+                    self.undo(key);
+                }
+                (Waits::CopyOf(from, key), true) => self.to(from).copied.push(key),
+                (Waits::CopyOf(from, key), false) => {
+                    self.figures.no_disk += 1;
+                    self.entries.remove(&key);
+                    self.to(from).not_copied.push(key);
+                }
+                (Waits::HandedBy(from, key), true) => self.to(from).handed.push(key),
+                (Waits::HandedBy(..), false) => self.figures.no_disk += 1,
+            }
+        }
+    }
+
+    /// Not safe here: it is taken back everywhere, and its client is told that nothing is known.
+    fn undo(&mut self, key: Key) {
+        let Some(entry) = self.entries.get(&key).filter(|e| e.stage == Stage::Landing) else { return };
+        let (ticket, copies) = (entry.ticket, entry.copies.clone());
+        self.record(&Record::Drop { key }, false);
+        copies.into_iter().for_each(|to| self.to(to).drop.push(key));
+        self.remove(key);
+        self.figures.uncertain += 1;
+        if let Some(ticket) = ticket {
+            self.effects.push(Effect::Taken { ticket, result: Err(Refusal::Uncertain) });
+        }
+    }
+
+    pub(crate) fn safe_at(&mut self, now: Millis, key: Key, node: Node) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.missing.retain(|missing| *missing != node);
+        if entry.stage != Stage::Landing || !entry.missing.is_empty() {
+            return;
+        }
+        entry.stage = Stage::Waiting;
+        let (ticket, copy, landed) = (entry.ticket.take(), entry.copies.first().copied(), entry.landed);
+        self.landing.remove(&(landed + crate::copies::COPY_WAIT, key));
+        if let Some(ticket) = ticket {
+            self.figures.taken += 1;
+            self.effects.push(Effect::Taken { ticket, result: Ok(key.name(copy)) });
+        }
+        self.schedule(now, key);
+    }
+
+    /// A new configuration.
+    pub fn configure(&mut self, now: Millis, fine: Time, config: Arc<Config>) {
+        for service in &config.services {
+            let at = match self.lane_of.get(&service.name) {
+                Some(at) => *at,
+                None => {
+                    let target = config.routes.iter().filter(|r| config.services[r.service].name == service.name);
+                    let target = target.map(|r| r.run_target_ms).min().unwrap_or(1000);
+                    let seed = self.terms.seed ^ stileroute::tariff::mark(&service.name);
+                    self.lanes.push(Lane::new(&service.name, self.terms.zone, 3, target, seed));
+                    self.lane_of.insert(service.name.clone(), self.lanes.len() - 1);
+                    self.lanes.len() - 1
+                }
+            };
+            let lane = &mut self.lanes[at];
+            lane.max_conns = service.max_conns.max(1) as usize;
+            lane.endpoint = service.endpoint.is_some();
+            let window = (service.rate_per_s, self.terms.window_ms, self.terms.overrun);
+            match &mut lane.bucket {
+                Some(bucket) if service.rate_per_s > 0.0 => bucket.rated(window.0, window.1, window.2),
+                bucket => {
+                    *bucket = (service.rate_per_s > 0.0).then(|| Bucket::new(now, window.0, window.1, window.2))
+                }
+            }
+            let fixed = service.endpoint.map(|address| Server {
+                id: String::new(),
+                address,
+                zone: self.terms.zone,
+                capacity: 8.0,
+                serving: true,
+                cold_left_ms: 0,
+            });
+            match fixed {
+                Some(server) => lane.list(fine, now, &[server]),
+                None => lane.list(fine, now, self.servers.get(&service.name).map_or(&[], Vec::as_slice)),
+            }
+        }
+        self.config = Some(config);
+        self.deal_duties(now);
+        // What waits is looked at anew: its route may have another service, or be gone.
+        let waiting: Vec<Key> =
+            self.entries.iter().filter(|(_, e)| e.stage == Stage::Waiting).map(|(key, _)| *key).collect();
+        self.early.clear();
+        for key in waiting {
+            self.unschedule(key);
+            self.schedule(now, key);
+        }
+    }
+
+    pub fn version(&self) -> u64 {
+        self.config.as_ref().map_or(0, |config| config.revision)
+    }
+
+    /// The executors of all services.
+    pub fn list(&mut self, now: Millis, fine: Time, servers: HashMap<String, Vec<Server>>) {
+        for lane in self.lanes.iter_mut().filter(|lane| !lane.endpoint) {
+            let (old, new) = (self.servers.get(&lane.name), servers.get(&lane.name));
+            if old != new {
+                lane.list(fine, now, new.map_or(&[], Vec::as_slice));
+            }
+        }
+        self.servers = servers;
+    }
+
+    /// Who hands out the tokens of each service: the first of the stores that are members, in an order of its own for
+    /// each service, so that the duties are spread.
+    pub(crate) fn deal_duties(&mut self, now: Millis) {
+        let nodes = 1 + self.peers.values().filter(|p| p.listed).count();
+        for lane in &mut self.lanes {
+            lane.nodes(nodes);
+            let Some(bucket) = &mut lane.bucket else { continue };
+            let holder = holder_of(&lane.name, self.terms.me, &self.peers);
+            bucket.holder(now, holder == self.terms.me && self.heard && !self.leaving);
+        }
+    }
+
+    // ---- From waiting to the end ----
+
+    /// Puts a safe message where it waits: for its time, for a configuration, or for its turn.
+    pub(crate) fn schedule(&mut self, now: Millis, key: Key) {
+        let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Waiting) else { return };
+        if entry.due > now {
+            self.delayed.insert((entry.due, key));
+            return;
+        }
+        let Some(config) = &self.config else {
+            self.early.insert(key);
+            return;
+        };
+        let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else {
+            if entry.cargo.config > config.revision {
+                self.early.insert(key);
+            } else {
+                self.figures.dropped += 1;
+                self.finish(now, key, End::Failed);
+            }
+            return;
+        };
+        if entry.cargo.config > config.revision {
+            self.early.insert(key);
+            return;
+        }
+        let route = &config.routes[route];
+        let Some(at) = self.lane_of.get(&config.services[route.service].name).copied() else { return };
+        let late = now > entry.due + route.run_target_ms;
+        let turn = (late, route.priority, entry.due, key);
+        entry.turn = Some((at, turn));
+        self.lanes[at].ready.insert(turn);
+        self.lane_wait = 0;
+    }
+
+    fn unschedule(&mut self, key: Key) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            self.delayed.remove(&(entry.due, key));
+            if let Some((at, turn)) = entry.turn.take() {
+                self.lanes[at].ready.remove(&turn);
+            }
+        }
+        self.early.remove(&key);
+    }
+
+    /// Sends what can be sent.
+    fn pump(&mut self, now: Millis, fine: Time) {
+        if self.leaving || self.cut_off(now) {
+            self.lane_wait = now + UPKEEP;
+            return;
+        }
+        self.lane_wait = Millis::MAX;
+        for at in 0..self.lanes.len() {
+            while let Some(turn) = self.lanes[at].ready.first().copied() {
+                let (late, priority, due, key) = turn;
+                let Some((config, entry)) = self.config.as_ref().zip(self.entries.get_mut(&key)) else {
+                    self.lanes[at].ready.remove(&turn);
+                    continue;
+                };
+                let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else { break };
+                let route = &config.routes[route];
+                if !late && now > due + route.run_target_ms {
+                    // Too late for its aim: those that can still be in time go first.
+                    let turn_now = (true, priority, due, key);
+                    entry.turn = Some((at, turn_now));
+                    self.lanes[at].ready.remove(&turn);
+                    self.lanes[at].ready.insert(turn_now);
+                    continue;
+                }
+                let timeout_ms = route.timeout_ms;
+                let lane = &mut self.lanes[at];
+                if now < lane.pause {
+                    self.lane_wait = self.lane_wait.min(lane.pause);
+                    break;
+                }
+                if let Some(bucket) = &mut lane.bucket {
+                    if !bucket.take(now) {
+                        let wanted = lane.ready.len().min(4) as u32;
+                        if bucket.ask(now) {
+                            let holder = holder_of(&lane.name, self.terms.me, &self.peers);
+                            let note = Note::TokensWanted { service: lane.name.clone(), count: wanted };
+                            if holder != self.terms.me {
+                                self.effects.push(Effect::Send { to: holder, note });
+                            }
+                        }
+                        self.lane_wait = self.lane_wait.min(now + 15);
+                        break;
+                    }
+                }
+                let attempt = self.next_attempt;
+                match lane.pick(fine, now, key, attempt) {
+                    Picked::Wait(until) => {
+                        if let Some(bucket) = &mut lane.bucket {
+                            bucket.give_back(now);
+                        }
+                        self.lane_wait = self.lane_wait.min(until);
+                        break;
+                    }
+                    Picked::Go { executor } => {
+                        self.next_attempt += 1;
+                        lane.ready.remove(&turn);
+                        entry.turn = None;
+                        entry.stage = Stage::Out;
+                        self.figures.attempts += 1;
+                        self.figures.again += u64::from(entry.fails > 0);
+                        let server = &lane.known[executor].server;
+                        let share = (lane.max_conns / (1 + self.peers.len())).max(2);
+                        self.effects.push(Effect::Deliver {
+                            attempt,
+                            key,
+                            to: server.address,
+                            expect: (!server.id.is_empty()).then(|| server.id.clone()),
+                            timeout_ms,
+                            conns: share,
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn cargo(&self, key: Key) -> Option<&Cargo> {
+        self.entries.get(&key).map(|entry| &entry.cargo)
+    }
+
+    /// An attempt came to its end.
+    pub fn delivered(&mut self, now: Millis, fine: Time, attempt: u64, outcome: Outcome, load: Option<[f64; 3]>) {
+        let judged = match &outcome {
+            Outcome::Done { .. } => Judged::Acked,
+            Outcome::Refused | Outcome::Failed => Judged::Unfit,
+            Outcome::Full => Judged::Full,
+            Outcome::Over | Outcome::Running | Outcome::NotRun | Outcome::NoRoom => Judged::Moot,
+            Outcome::Wrong => Judged::Error,
+            Outcome::NotConnected => Judged::NotConnected,
+            Outcome::Broken => Judged::Reset,
+            Outcome::Stopped | Outcome::Late => Judged::TimedOut,
+            Outcome::Garbled => Judged::Broken,
+        };
+        let Some(at) = self.lanes.iter().position(|lane| lane.sent.contains_key(&attempt)) else { return };
+        let Some(key) = self.lanes[at].settle(fine, now, attempt, judged, load) else { return };
+        if outcome == Outcome::Over {
+            self.lanes[at].pause = now + 200;
+        }
+        self.lane_wait = 0;
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        if entry.end.is_some() {
+            return;
+        }
+        match outcome {
+            Outcome::Done { seal } => return self.finish(now, key, End::Complete { seal }),
+            Outcome::Refused => return self.finish(now, key, End::Failed),
+            Outcome::Failed => entry.tries += 1,
+            _ => {}
+        }
+        if entry.stage != Stage::Out {
+            return;
+        }
+        entry.stage = Stage::Waiting;
+        let limit = self.config.as_ref().and_then(|config| {
+            config.route(&entry.cargo.host, &entry.cargo.target).map(|at| config.routes[at].max_tries)
+        });
+        if limit.is_some_and(|limit| entry.tries >= limit) {
+            return self.finish(now, key, End::Failed);
+        }
+        // One that was turned away, or never reached anyone, may go elsewhere soon; one that failed waits longer.
+        entry.fails += 1;
+        let pause = match outcome {
+            Outcome::Full | Outcome::NoRoom | Outcome::Wrong | Outcome::NotConnected => AGAIN.0 / 4,
+            Outcome::Running => 100,
+            _ => (AGAIN.0 << entry.fails.min(8)).min(AGAIN.1),
+        };
+        if self.leaving {
+            self.hand_over(now, key);
+            return;
+        }
+        self.delay(key, now + pause);
+    }
+
+    fn delay(&mut self, key: Key, until: Millis) {
+        // The place among those that wait stays that of its first due time: only its start is put off.
+        self.delayed.insert((until, key));
+    }
+
+    /// The message has ended.
+    pub(crate) fn finish(&mut self, now: Millis, key: Key, end: End) {
+        self.unschedule(key);
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let owed = entry.cargo.callback.is_some();
+        (entry.stage, entry.end, entry.owed) = (Stage::Ended, Some(end.clone()), owed);
+        entry.strip();
+        self.expiring.remove(&(entry.expires, key));
+        let copies = entry.copies.clone();
+        match end {
+            End::Complete { .. } => self.figures.done += 1,
+            End::Failed => self.figures.failed += 1,
+        }
+        self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+        self.record(&Record::End { key, end: end.clone(), owed, at: self.wall_of(now) }, false);
+        for to in copies {
+            self.to(to).ends.push((key, end.clone(), owed));
+        }
+        self.ends_at.get_or_insert(now + TELL);
+        if owed {
+            self.owe(key);
+        }
+    }
+
+    /// Ends of others are only compared with one another: any clock does that runs on.
+    pub(crate) fn wall_of(&self, now: Millis) -> u64 {
+        now
+    }
+
+    pub(crate) fn owe(&mut self, key: Key) {
+        let Some(url) = self.entries.get(&key).and_then(|e| e.cargo.callback.as_deref()) else { return };
+        let place = receiver(url);
+        self.receivers.entry(place).or_default().queue.push_back(key);
+    }
+
+    fn call_back(&mut self, now: Millis) -> Millis {
+        let mut next = Millis::MAX;
+        let mut calls = Vec::new();
+        for receiver in self.receivers.values_mut() {
+            // One that fails is tried with one call at a time, and less and less often.
+            let most = if receiver.fails > 0 { 1 } else { CALLS };
+            while receiver.out < most && !receiver.queue.is_empty() {
+                if now < receiver.pause {
+                    next = next.min(receiver.pause);
+                    break;
+                }
+                let Some(key) = receiver.queue.pop_front() else { break };
+                let entry = self.entries.get(&key).filter(|e| e.owed && e.owner == self.terms.me);
+                let Some((entry, end)) = entry.and_then(|e| Some((e, e.end.as_ref()?))) else { continue };
+                receiver.out += 1;
+                let id = &entry.cargo.id;
+                let body = match end {
+                    End::Complete { seal } => format!("{{\"id\":{},\"state\":\"complete\",\"seal\":{}}}", quoted(id), quoted(seal)),
+                    End::Failed => format!("{{\"id\":{},\"state\":\"failed\",\"seal\":null}}", quoted(id)),
+                };
+                calls.push((key, entry.cargo.callback.clone().unwrap_or_default(), body));
+            }
+        }
+        self.figures.calls += calls.len() as u64;
+        self.effects.extend(calls.into_iter().map(|(key, url, body)| Effect::Call { key, url, body }));
+        next
+    }
+
+    /// A call-back came to its end.
+    pub fn called(&mut self, now: Millis, key: Key, taken: bool) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let place = receiver(entry.cargo.callback.as_deref().unwrap_or_default());
+        let receiver = self.receivers.entry(place).or_default();
+        receiver.out = receiver.out.saturating_sub(1);
+        if !taken {
+            receiver.fails += 1;
+            receiver.pause = now + (50 << receiver.fails.min(6)).min(2000);
+            receiver.queue.push_back(key);
+            return;
+        }
+        receiver.fails = 0;
+        entry.owed = false;
+        entry.cargo = Cargo::default();
+        let copies = entry.copies.clone();
+        self.figures.called += 1;
+        self.record(&Record::Called { key }, false);
+        copies.into_iter().for_each(|to| self.to(to).called.push(key));
+        self.ends_at.get_or_insert(now + TELL);
+    }
+
+    /// What is known of a message, and its bytes where it has not ended in success.
+    pub fn find(&self, key: Key) -> Option<(State, &[u8])> {
+        let entry = self.entries.get(&key)?;
+        let state = match &entry.end {
+            None => State::Waiting,
+            Some(End::Complete { seal }) => State::Complete { seal: seal.clone() },
+            Some(End::Failed) => State::Failed,
+        };
+        Some((state, &entry.cargo.body))
+    }
+
+    pub(crate) fn remove(&mut self, key: Key) {
+        self.unschedule(key);
+        if let Some(entry) = self.entries.remove(&key) {
+            self.expiring.remove(&(entry.expires, key));
+            self.landing.remove(&(entry.landed + crate::copies::COPY_WAIT, key));
+        }
+    }
+
+    pub(crate) fn enter(&mut self, now: Millis, shared: &Shared, stage: Stage) {
+        let mut entry = Entry::of(shared, now);
+        entry.stage = stage;
+        let old = self.entries.remove(&shared.key);
+        if let Some(old) = old {
+            self.expiring.remove(&(old.expires, shared.key));
+        }
+        self.entries.insert(shared.key, entry);
+        self.expiry(shared.key, now, 0);
+    }
+
+    // ---- Time, disk, and what goes out ----
+
+    /// What is due. Call it at the end of each turn, then carry out what `take` gives.
+    pub fn tick(&mut self, now: Millis, fine: Time) {
+        while let Some((at, key)) = self.delayed.first().copied().filter(|(at, _)| *at <= now) {
+            self.delayed.remove(&(at, key));
+            self.schedule(now, key);
+        }
+        while let Some((at, key)) = self.expiring.first().copied().filter(|(at, _)| *at <= now) {
+            self.expiring.remove(&(at, key));
+            let own = self.entries.get(&key).is_some_and(|e| e.owner == self.terms.me && e.end.is_none());
+            if own && self.entries.get(&key).is_some_and(|e| e.stage != Stage::Landing) {
+                self.figures.expired += 1;
+                self.finish(now, key, End::Failed);
+            } else if self.entries.get(&key).is_some_and(|e| e.end.is_none()) {
+                // A copy whose owner has not told an end: kept until the owner is asked, at most so long.
+                self.forget.push_back((now + self.terms.status_ms, key));
+            }
+        }
+        while let Some((at, key)) = self.forget.front().copied() {
+            if at > now {
+                break;
+            }
+            self.forget.pop_front();
+            if self.entries.get(&key).is_some_and(|e| !(e.owed && e.owner == self.terms.me)) {
+                self.remove(key);
+            }
+        }
+        if now >= self.upkeep + UPKEEP {
+            self.upkeep = now;
+            self.lanes.iter_mut().for_each(|lane| lane.upkeep(fine));
+            self.deal_duties(now);
+            self.look_after(now);
+        }
+        self.look_after_landing(now);
+        let calls = self.call_back(now);
+        self.pump(now, fine);
+        self.lane_wait = self.lane_wait.min(calls);
+        if self.ends_at.is_some_and(|at| at <= now) {
+            self.ends_at = None;
+            self.tell_ends();
+        }
+        self.tell();
+    }
+
+    /// When `tick` is wanted next.
+    pub fn next(&self) -> Millis {
+        let first = |set: &BTreeSet<(Millis, Key)>| set.first().map_or(Millis::MAX, |(at, _)| *at);
+        let times = [
+            first(&self.delayed),
+            first(&self.expiring),
+            first(&self.landing),
+            self.ends_at.unwrap_or(Millis::MAX),
+            self.upkeep + UPKEEP,
+            self.lane_wait,
+        ];
+        times.into_iter().min().unwrap_or(0)
+    }
+
+    pub(crate) fn record(&mut self, record: &Record, sync: bool) {
+        if let Ok(bytes) = postcard::to_stdvec(record) {
+            self.records.push(bytes);
+            self.sync |= sync;
+        }
+    }
+
+    pub(crate) fn wait_for_disk(&mut self, wait: Waits) {
+        self.due_waits.push(wait);
+    }
+
+    pub(crate) fn push(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    pub fn take(&mut self) -> Vec<Effect> {
+        let mut effects = std::mem::take(&mut self.effects);
+        if !self.records.is_empty() {
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            let waits = std::mem::take(&mut self.due_waits);
+            if !waits.is_empty() {
+                self.waits.insert(ticket, waits);
+            }
+            let records = std::mem::take(&mut self.records);
+            effects.push(Effect::Disk { ticket, records, sync: std::mem::take(&mut self.sync) });
+        }
+        effects
+    }
+
+    /// Tokens are wanted by another store.
+    pub(crate) fn tokens_wanted(&mut self, now: Millis, from: Node, service: String, count: u32) {
+        let lane = self.lane_of.get(&service).map(|at| &mut self.lanes[*at]);
+        let count = lane.and_then(|l| l.bucket.as_mut()).map_or(0, |b| b.hand_out(now, count.min(16)));
+        self.effects.push(Effect::Send { to: from, note: Note::Tokens { service, count } });
+    }
+
+    pub(crate) fn tokens_came(&mut self, now: Millis, service: &str, count: u32) {
+        if let Some(bucket) = self.lane_of.get(service).and_then(|at| self.lanes[*at].bucket.as_mut()) {
+            bucket.got(now, count);
+            self.lane_wait = if count > 0 { 0 } else { self.lane_wait };
+        }
+    }
+
+    pub fn lanes(&self) -> impl Iterator<Item = (&str, usize, usize, Vec<(String, f64, usize)>)> {
+        self.lanes.iter().map(|l| (l.name.as_str(), l.ready.len(), l.sent.len(), l.shares()))
+    }
+
+    pub fn log(&mut self) -> Vec<String> {
+        self.lanes.iter_mut().flat_map(|lane| lane.log().into_iter().map(move |l| l)).collect()
+    }
+
+    /// Requests that are out, and messages that are not yet safe.
+    pub fn in_hand(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.sent.len()).sum::<usize>() + self.landing.len()
+    }
+
+    pub fn live(&self) -> usize {
+        self.entries.values().filter(|e| e.end.is_none()).count()
+    }
+}
+
+impl Default for Shared {
+    fn default() -> Shared {
+        Shared {
+            key: Key::default(),
+            owner: 0,
+            term: 0,
+            copies: Vec::new(),
+            due_in: 0,
+            tries: 0,
+            cargo: Cargo::default(),
+        }
+    }
+}
+
+impl Entry {
+    fn of(shared: &Shared, now: Millis) -> Entry {
+        Entry {
+            cargo: shared.cargo.clone(),
+            owner: shared.owner,
+            term: shared.term,
+            copies: shared.copies.clone(),
+            stage: Stage::Copy,
+            due: now + shared.due_in,
+            expires: Millis::MAX,
+            tries: shared.tries,
+            fails: 0,
+            end: None,
+            owed: false,
+            missing: Vec::new(),
+            ticket: None,
+            landed: now,
+            turn: None,
+        }
+    }
+
+    /// Of one that has ended only what a call-back needs is kept.
+    pub(crate) fn strip(&mut self) {
+        let cargo = std::mem::take(&mut self.cargo);
+        if self.owed {
+            self.cargo = Cargo { id: cargo.id, callback: cargo.callback, ..Cargo::default() };
+        }
+        if matches!(self.end, Some(End::Failed)) {
+            // Dead ones are asked for their bytes.
+            self.cargo.body = cargo.body;
+        }
+    }
+
+    pub(crate) fn still_missing(&self) -> &[Node] {
+        &self.missing
+    }
+    pub(crate) fn now_missing(&mut self, from: Node, to: Node) {
+        self.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
+    }
+    pub(crate) fn since(&self) -> Millis {
+        self.landed
+    }
+    pub(crate) fn again(&mut self, now: Millis) {
+        self.landed = now;
+    }
+}
+
+/// Who hands out the tokens of a service.
+pub(crate) fn holder_of(service: &str, me: Node, peers: &BTreeMap<Node, Peer>) -> Node {
+    let weight = |node: Node| stileroute::tariff::mark(&format!("{service}/{node}"));
+    let all = peers.iter().filter(|(_, p)| p.listed && !p.leaving).map(|(node, _)| *node);
+    all.chain(std::iter::once(me)).max_by_key(|node| weight(*node)).unwrap_or(me)
+}
+
+/// Host and port of a URL.
+fn receiver(url: &str) -> String {
+    let rest = url.strip_prefix("http://").unwrap_or(url);
+    rest.split('/').next().unwrap_or_default().to_string()
+}
+
+fn quoted(text: &str) -> String {
+    let mut out = String::with_capacity(text.len() + 2);
+    out.push('"');
+    for c in text.chars() {
+        match c {
+            '"' => out.push_str("\\\""),
+            '\\' => out.push_str("\\\\"),
+            c if (c as u32) < 0x20 => out.push_str(&format!("\\u{:04x}", c as u32)),
+            c => out.push(c),
+        }
+    }
+    out.push('"');
+    out
+}
--- /dev/null
+++ b/hold/src/lane.rs
@@ -0,0 +1,238 @@
+//! One service: who serves it, what waits for it, and the module that decides who gets the next.
+
+use crate::cargo::{Key, Millis};
+use crate::tokens::Bucket;
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddrV4;
+use stileroute::choice::Dispatcher;
+use stileroute::tariff::{
+    mark, Ask, Category, Effect, Gauge, Limits, Listed, Op, Outcome as Judged, Step, Tariff, Terms, Time, SECOND,
+};
+
+/// An executor, as the control nodes tell of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Server {
+    pub id: String,
+    pub address: SocketAddrV4,
+    pub zone: usize,
+    pub capacity: f64,
+    pub serving: bool,
+    pub cold_left_ms: u64,
+}
+
+/// What an executor that has just started is slow for, at the most that is reckoned with.
+const WARM: Time = 5 * SECOND;
+/// A crossing of zones costs bytes and time: so many parts of a message's worth.
+const CROSS: f64 = 0.15;
+/// The longest pause of a lane whose endpoint fails, and the first.
+const PAUSE: (Millis, Millis) = (2000, 50);
+
+pub(crate) struct Known {
+    pub server: Server,
+    started: Option<Time>,
+    /// When it last answered anything, and requests out there.
+    heard: Millis,
+    out: usize,
+    listed: bool,
+}
+
+/// A request that is out.
+pub(crate) struct Sent {
+    pub key: Key,
+    pub executor: usize,
+    at: Millis,
+    op: Op,
+}
+
+/// What waits: those that may still be in time first, then by priority, then by when they fell due.
+pub(crate) type Turn = (bool, i64, Millis, Key);
+
+pub(crate) struct Lane {
+    pub name: String,
+    pub known: Vec<Known>,
+    pub ready: BTreeSet<Turn>,
+    pub sent: HashMap<u64, Sent>,
+    pub bucket: Option<Bucket>,
+    pub endpoint: bool,
+    pub max_conns: usize,
+    dispatcher: Dispatcher,
+    /// Nothing goes out before this.
+    pub pause: Millis,
+    fails: u32,
+}
+
+pub(crate) enum Picked {
+    Go { executor: usize },
+    /// Not before this, unless something changes.
+    Wait(Millis),
+}
+
+impl Lane {
+    pub fn new(name: &str, domain: usize, nodes: usize, target: Millis, seed: u64) -> Lane {
+        let tariff = Tariff {
+            terms: Terms {
+                domain,
+                tick: 10,
+                come_back: SECOND,
+                max_pushes: usize::MAX,
+                tip_after: SECOND,
+                start_share: 0.6,
+                warm_within: WARM,
+                cross: CROSS,
+                nodes,
+                handshake: 0.02,
+                keepalive: 4 * SECOND,
+                ..Terms::default()
+            },
+            categories: vec![Category {
+                target: target as Time * 10,
+                stretch: 0.0,
+                effect: Effect::Redeliverable,
+                benefit: 1.0,
+                late: 0.3,
+                kind: None,
+                priority: 0,
+            }],
+            quotas: Vec::new(),
+            overload_factor: 4.0,
+            gauges: vec![Gauge::Held, Gauge::Waiting, Gauge::FreeSlots],
+        };
+        Lane {
+            name: name.to_string(),
+            known: Vec::new(),
+            ready: BTreeSet::new(),
+            sent: HashMap::new(),
+            bucket: None,
+            endpoint: false,
+            max_conns: 64,
+            dispatcher: Dispatcher::new(&tariff, seed),
+            pause: 0,
+            fails: 0,
+        }
+    }
+
+    /// So many stores deliver.
+    pub fn nodes(&mut self, nodes: usize) {
+        self.dispatcher.fleet(nodes, nodes);
+    }
+
+    pub fn shares(&self) -> Vec<(String, f64, usize)> {
+        let shares = self.dispatcher.shares().chain(std::iter::repeat(0.0));
+        let known = self.known.iter().zip(shares).filter(|(k, _)| k.listed && k.server.serving);
+        known.map(|(k, share)| (k.server.id.clone(), share, k.out)).collect()
+    }
+
+    /// Who serves now: the whole list.
+    pub fn list(&mut self, fine: Time, now: Millis, servers: &[Server]) {
+        for known in &mut self.known {
+            known.listed = false;
+        }
+        for server in servers {
+            let found = self.known.iter_mut().find(|k| k.server.id == server.id);
+            match found {
+                Some(known) => {
+                    known.listed = true;
+                    known.server = server.clone();
+                }
+                None => {
+                    let left = server.cold_left_ms as Time * 10;
+                    let started = (left > 0).then(|| fine - (WARM - left).max(0));
+                    let known = Known { server: server.clone(), started, heard: now, out: 0, listed: true };
+                    // The place of one that is gone for good is used again once the list has grown long.
+                    let gone = (self.known.len() >= 128).then(|| self.known.iter().position(|k| !k.listed && k.out == 0));
+                    match gone.flatten() {
+                        Some(at) => self.known[at] = Known { started: Some(started.unwrap_or(fine - WARM)), ..known },
+                        None => self.known.push(known),
+                    }
+                }
+            }
+        }
+        let lines: Vec<Listed> = self
+            .known
+            .iter()
+            .enumerate()
+            .map(|(executor, known)| Listed {
+                executor,
+                domain: known.server.zone,
+                kind: 0,
+                cell: 0,
+                active: known.listed && known.server.serving,
+                weight: known.server.capacity,
+                mark: mark(&known.server.id),
+                started: known.started,
+            })
+            .collect();
+        self.dispatcher.list(fine, true, &lines);
+    }
+
+    pub fn upkeep(&mut self, fine: Time) {
+        self.dispatcher.upkeep(fine);
+    }
+
+    pub fn serving(&self) -> usize {
+        self.known.iter().filter(|k| k.listed && k.server.serving).count()
+    }
+
+    /// Who gets the next message, as the design has it.
+    pub fn pick(&mut self, fine: Time, now: Millis, key: Key, attempt: u64) -> Picked {
+        if now < self.pause {
+            return Picked::Wait(self.pause);
+        }
+        if self.endpoint && self.fails > 0 && !self.sent.is_empty() {
+            // One that fails is tried with one message at a time.
+            return Picked::Wait(now + PAUSE.0);
+        }
+        if self.serving() == 0 {
+            return Picked::Wait(now + PAUSE.0);
+        }
+        let ask = Ask {
+            category: 0,
+            slots: 1.0,
+            memory: 0.0,
+            hint: None,
+            deadline: fine + 60 * SECOND,
+            limits: Limits { pushes: 1, ..Limits::default() },
+            tenant: usize::MAX,
+            key: 0,
+        };
+        let mut op = self.dispatcher.arrive(fine, ask);
+        match self.dispatcher.place(fine, &mut op) {
+            Step::Push { executor } if executor < self.known.len() => {
+                self.known[executor].out += 1;
+                self.sent.insert(attempt, Sent { key, executor, at: now, op });
+                Picked::Go { executor }
+            }
+            Step::Nack { come_back } => Picked::Wait(now + (come_back / 10).clamp(5, 100) as Millis),
+            _ => Picked::Wait(now + 20),
+        }
+    }
+
+    /// A request came to its end; `judged` is what that says of the executor.
+    pub fn settle(&mut self, fine: Time, now: Millis, attempt: u64, judged: Judged, load: Option<[f64; 3]>) -> Option<Key> {
+        let Sent { key, executor, at, mut op } = self.sent.remove(&attempt)?;
+        let known = &mut self.known[executor];
+        known.out = known.out.saturating_sub(1);
+        let silent = judged == Judged::TimedOut && known.heard < at;
+        let answered = matches!(judged, Judged::Acked | Judged::Unfit | Judged::Full | Judged::Moot);
+        if answered {
+            known.heard = now;
+        }
+        // Silence alone may be one lost answer; an executor that has answered nobody since is not there.
+        let judged = if silent { Judged::Error } else { judged };
+        if self.endpoint {
+            self.fails = if answered { 0 } else { self.fails + 1 };
+            if self.fails > 0 {
+                self.pause = now + (PAUSE.1 << self.fails.min(6)).min(PAUSE.0);
+            }
+        }
+        let values = load.map_or(Vec::new(), |values| values.to_vec());
+        self.dispatcher.settle(fine, &mut op, 0, judged, &values);
+        // Nobody waits for the op any more: the message itself may come again as another.
+        Some(key)
+    }
+
+    pub fn log(&mut self) -> Vec<String> {
+        self.dispatcher.letters.clear();
+        std::mem::take(&mut self.dispatcher.log)
+    }
+}
--- /dev/null
+++ b/hold/src/ledger.rs
@@ -0,0 +1,98 @@
+//! What the records on disk come to: read at the start, and folded when the log is made shorter.
+
+use crate::cargo::{End, Key, Record, Shared};
+use std::collections::HashMap;
+use stileroute_logbook::Fold;
+
+/// Ends are asked for so long, and then for nothing.
+const KEPT: u64 = 240_000;
+
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    pub shared: Option<Shared>,
+    pub end: Option<(End, bool, u64)>,
+}
+
+#[derive(Debug, Default)]
+pub struct Ledger {
+    pub disk: Option<u64>,
+    pub all: HashMap<Key, Kept>,
+    /// Highest number of each origin would do; only the own one is used.
+    pub highest: HashMap<u32, u64>,
+    pub unread: u64,
+    latest: u64,
+}
+
+impl Ledger {
+    pub fn enter(&mut self, record: Record) {
+        match record {
+            Record::Born { disk } => self.disk = Some(disk),
+            Record::Put { shared } => {
+                let highest = self.highest.entry(shared.key.origin).or_default();
+                *highest = (*highest).max(shared.key.number);
+                let kept = self.all.entry(shared.key).or_default();
+                if kept.end.is_none() && kept.shared.as_ref().is_none_or(|old| old.term <= shared.term) {
+                    kept.shared = Some(shared);
+                }
+            }
+            Record::End { key, end, owed, at } => {
+                let highest = self.highest.entry(key.origin).or_default();
+                *highest = (*highest).max(key.number);
+                self.latest = self.latest.max(at);
+                let kept = self.all.entry(key).or_default();
+                kept.end = Some((end, owed, at));
+                if let Some(shared) = &mut kept.shared {
+                    // What a call-back needs is kept, the rest is not.
+                    shared.cargo.body = Vec::new();
+                }
+            }
+            Record::Called { key } => {
+                if let Some((_, owed, _)) = self.all.get_mut(&key).and_then(|kept| kept.end.as_mut()) {
+                    *owed = false;
+                }
+            }
+            Record::Own { key, owner, term, copies } => {
+                if let Some(shared) = self.all.get_mut(&key).and_then(|kept| kept.shared.as_mut()) {
+                    if term >= shared.term {
+                        (shared.owner, shared.term, shared.copies) = (owner, term, copies);
+                    }
+                }
+            }
+            Record::Drop { key } => {
+                self.all.remove(&key);
+            }
+        }
+    }
+}
+
+impl Fold for Ledger {
+    fn apply(&mut self, record: &[u8]) {
+        match postcard::from_bytes(record) {
+            Ok(record) => self.enter(record),
+            Err(_) => self.unread += 1,
+        }
+    }
+
+    fn snapshot(&self, out: &mut dyn FnMut(&[u8])) {
+        let mut put = |record: &Record| {
+            if let Ok(bytes) = postcard::to_stdvec(record) {
+                out(&bytes);
+            }
+        };
+        if let Some(disk) = self.disk {
+            put(&Record::Born { disk });
+        }
+        for (key, kept) in &self.all {
+            let old = |at: u64| at + KEPT < self.latest;
+            if kept.end.as_ref().is_some_and(|(_, owed, at)| !owed && old(*at)) {
+                continue;
+            }
+            if let Some(shared) = &kept.shared {
+                put(&Record::Put { shared: shared.clone() });
+            }
+            if let Some((end, owed, at)) = &kept.end {
+                put(&Record::End { key: *key, end: end.clone(), owed: *owed, at: *at });
+            }
+        }
+    }
+}
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -1,1 +1,14 @@
-//! The durable queue: messages, copies, attempts, ends and ceilings; a state machine without I/O.
+//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state machine:
+//! events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
+
+mod cargo;
+mod copies;
+mod hold;
+mod lane;
+mod ledger;
+mod tokens;
+
+pub use cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
+pub use hold::{Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
+pub use lane::Server;
+pub use ledger::Ledger;
