--- a/charter/src/lib.rs
+++ b/charter/src/lib.rs
@@ -1,1 +1,14 @@
 //! What the system is told: settings files and the operators' configurations.
+//!
+//! [`Boot`] is what a process is told about itself, [`Config`] what an operator sent. Both are read from `jzon` values
+//! by hand: unknown fields are passed over, missing ones get a default or are a fault, and all [`Faults`] of a text
+//! are told at once. Whatever the bytes, reading ends in a value or in faults, never in a panic.
+
+mod boot;
+mod config;
+mod faults;
+mod read;
+
+pub use boot::{Boot, Bounds, Losses, Means};
+pub use config::{Config, Limits, Route, RouteKind, Service};
+pub use faults::{Fault, Faults};
