--- a/charter/src/boot.rs
+++ b/charter/src/boot.rs
@@ -84,7 +84,8 @@
 }
 
 impl Boot {
-    /// Reads a settings file. It may be changed while it is read; what is cut short is refused, and may be read again.
+    /// Reads a settings file. It may be changed while it is read; what is cut short is refused, and may be
+    /// read again.
     pub fn read(path: &Path) -> Result<Boot, Faults> {
         let name = path.display().to_string();
         let mut bytes = Vec::new();
--- a/charter/src/config.rs
+++ b/charter/src/config.rs
@@ -127,14 +127,14 @@
         Ok(Config { revision, routes, services, limits, body: body.into(), hosts, names })
     }
 
-    /// The route of a request: of its host, in any case and with any port, the longest prefix with which the path
-    /// begins, as it is written. A query is not part of the path.
+    /// The route of a request: of its host, in any case and with any port, the longest prefix with which the
+    /// path begins, as it is written. A query is not part of the path.
     pub fn route(&self, host: &str, path: &str) -> Option<usize> {
         let path = path.split('?').next().unwrap_or_default();
         let prefixes = self.hosts.get(compared(host).as_ref())?;
         let text = |at: usize| self.routes[prefixes[at].route].prefix.as_str();
-        // All that stands between the longest fitting prefix and the path begins with that prefix. So the last one
-        // that is not after the path is the one, or one it begins with is.
+        // All that stands between the longest fitting prefix and the path begins with that prefix. So the
+        // last one that is not after the path is the one, or one it begins with is.
         let mut at =
             prefixes.partition_point(|one| self.routes[one.route].prefix.as_str() <= path).checked_sub(1)?;
         while !path.starts_with(text(at)) {
--- a/charter/src/faults.rs
+++ b/charter/src/faults.rs
@@ -17,7 +17,8 @@
 pub struct Faults(pub Vec<Fault>);
 
 impl Display for Fault {
-    /// One line, with `all` for the key of the whole text. What was sent may hold line ends, with which it would write lines of its own into the log.
+    /// One line, with `all` for the key of the whole text. What was sent may hold line ends, with which it
+    /// would write lines of its own into the log.
     fn fmt(&self, f: &mut Formatter) -> fmt::Result {
         let key = if self.key.is_empty() { "all" } else { &self.key };
         let line = format!("{}: {key}: {}", self.file, self.reason);
--- a/charter/src/lib.rs
+++ b/charter/src/lib.rs
@@ -1,8 +1,9 @@
 //! What the system is told: settings files and the operators' configurations.
 //!
-//! [`Boot`] is what a process is told about itself, [`Config`] what an operator sent. Both are read from `jzon` values
-//! by hand: unknown fields are passed over, missing ones get a default or are a fault, and all [`Faults`] of a text
-//! are told at once. Whatever the bytes, reading ends in a value or in faults, never in a panic.
+//! [`Boot`] is what a process is told about itself, [`Config`] what an operator sent. Both are read from
+//! `jzon` values by hand: unknown fields are passed over, missing ones get a default or are a fault, and all
+//! [`Faults`] of a text are told at once. Whatever the bytes, reading ends in a value or in faults, never in
+//! a panic.
 
 mod boot;
 mod config;
--- a/charter/src/read.rs
+++ b/charter/src/read.rs
@@ -19,8 +19,8 @@
 const DIGITS: usize = 1100;
 /// Digits before an exponent; `jzon` drops what does not fit into 64 bits, and nobody could tell.
 const EXACT: usize = 19;
-/// Memory that the values of one text may take, and what a list or object and a comma count for at most. Without it
-/// the longest text, made of brackets alone, would take more than a machine has.
+/// Memory that the values of one text may take, and what a list or object and a comma count for at most.
+/// Without it the longest text, made of brackets alone, would take more than a machine has.
 const MEMORY: usize = 96 << 20;
 const OPENED: usize = 400;
 const COMMA: usize = 224;
@@ -45,7 +45,8 @@
         faults.push(Fault { file: self.file.clone(), key: key.to_string(), reason: reason.to_string() });
     }
 
-    /// What was read, if nothing is wrong with it. The only way out: values read beside a fault are placeholders.
+    /// What was read, if nothing is wrong with it. The only way out: values read beside a fault are
+    /// placeholders.
     pub fn check<T>(self, read: T) -> Result<T, Faults> {
         let (mut faults, more) = self.faults.into_inner();
         if more > 0 {
@@ -66,8 +67,8 @@
     }
 }
 
-/// The object that a text holds. Of a key that stands twice, `jzon` keeps the last; all nodes read the same bytes
-/// with this code, so all of them see the same.
+/// The object that a text holds. Of a key that stands twice, `jzon` keeps the last; all nodes read the same
+/// bytes with this code, so all of them see the same.
 pub fn object(bytes: &[u8]) -> Result<Object, String> {
     if bytes.len() > LONGEST {
         return Err(format!("longer than {LONGEST} bytes"));
@@ -82,8 +83,8 @@
     }
 }
 
-/// What the parser does not look after itself: numbers beyond its counters, blanks that JSON does not know, and
-/// memory. Of a text that is no JSON this may miss anything, which the parser then refuses.
+/// What the parser does not look after itself: numbers beyond its counters, blanks that JSON does not know,
+/// and memory. Of a text that is no JSON this may miss anything, which the parser then refuses.
 fn bounded(text: &str) -> Result<(), String> {
     let (mut quoted, mut escaped, mut memory) = (false, false, 0);
     // Of the number at hand: characters, and digits before its exponent.
@@ -140,8 +141,8 @@
         self.notes.add(self.path(key), reason);
     }
 
-    /// The value of a key as `read` takes it, or the default where the key is missing and there is one. Else the
-    /// fault is noted and what comes back is a placeholder.
+    /// The value of a key as `read` takes it, or the default where the key is missing and there is one. Else
+    /// the fault is noted and what comes back is a placeholder.
     pub fn get<T: Default>(
         &self,
         key: &str,
@@ -185,7 +186,8 @@
         self.get(key, Some(default), "a finite number from 0 up", number)
     }
 
-    /// A span of time in ms. Keys that end in `_s` hold seconds, others milliseconds; either may have a fraction.
+    /// A span of time in ms. Keys that end in `_s` hold seconds, others milliseconds; either may have a
+    /// fraction.
     pub fn span(&self, key: &str, default: Option<u64>) -> u64 {
         let unit = if key.ends_with("_s") { 1000.0 } else { 1.0 };
         self.get(key, default, "a span of time from 0 up that is not too long", |value| span(value, unit))
@@ -244,7 +246,8 @@
     value.as_str().filter(|text| !text.is_empty()).map(str::to_string)
 }
 
-/// A whole number, however it is written: 70, 70.0 and 7e1 are one. Where `jzon` may have dropped digits, none.
+/// A whole number, however it is written: 70, 70.0 and 7e1 are one. Where `jzon` may have dropped digits,
+/// none.
 pub fn whole(value: &JsonValue) -> Option<u64> {
     let (positive, mut mantissa, mut exponent) = value.as_number()?.as_parts();
     if mantissa == 0 {
--- /dev/null
+++ b/charter/tests/boot.rs
@@ -0,0 +1,74 @@
+//! Settings files.
+
+use assert_matches::assert_matches;
+use miette::Diagnostic;
+use stileroute_charter::{Boot, Losses};
+
+const WHOLE: &str = r#"{"node_name":"gate-3","role":"keeper","machine_class":"stone","serves":["edge","control"],
+ "ip":"10.9.0.3","zone":"weir-a","region":"weir","zones":{"weir-b":"weir","dune-a":"dune"},
+ "bind_addresses":{"front":"10.9.0.3:8011","control":"10.9.0.3:8012"},"internal_ports":[7100,7115],
+ "seed_nodes":["10.9.0.4:8012"],"first_start":true,"counted":true,"limits":{"cpu_share":0.5,"disk_mb":64},
+ "data_dir":"/var/keeper","beat_interval_ms":900,"tolerate":{"machine_losses":2,"zones":1},
+ "bounds":{"catch_up_s":4.35,"seed_lag_s":2,"contact_ms":3500,"origin_overrun":1.25},"config_mode":"new"}"#;
+
+#[test]
+fn a_whole_file_is_read_and_what_is_missing_is_usual() {
+    let boot = Boot::parse("node.json", WHOLE).unwrap();
+    assert_eq!(
+        (boot.node_name.as_str(), boot.role.as_str(), boot.class.as_str()),
+        ("gate-3", "keeper", "stone")
+    );
+    assert_eq!((boot.serves.len(), boot.ip.octets(), boot.internal_ports), (2, [10, 9, 0, 3], (7100, 7115)));
+    assert_eq!((boot.zones.len(), boot.zones["weir-a"].as_str()), (3, "weir"));
+    assert_eq!((boot.front, boot.readiness), ("10.9.0.3:8011".parse().ok(), None));
+    assert_eq!((boot.control, boot.seeds.len()), ("10.9.0.3:8012".parse().ok(), 1));
+    assert!(boot.first_start && boot.counted);
+    assert_eq!((boot.means.cpu_share, boot.means.disk_mb, boot.means.max_open_files), (0.5, 64, 4096));
+    assert_eq!((boot.data_dir, boot.beat_interval_ms), (Some("/var/keeper".into()), 900));
+    assert_eq!(boot.losses, Losses { machines: 2, zones: 1, regions: 0 });
+    let bounds = boot.bounds;
+    assert_eq!((bounds.catch_up_ms, bounds.seed_lag_ms, bounds.contact_ms), (4350, 2000, 3500));
+    assert_eq!((bounds.origin_overrun, bounds.status_ms, bounds.grace_ms), (1.25, 120_000, 6000));
+}
+
+#[test]
+fn what_is_wrong_is_refused_by_its_key() {
+    let rows = [
+        ("\"node_name\":\"gate-3\",", "", "node_name: missing"),
+        ("\"10.9.0.3\"", "\"::1\"", "ip: must be an IPv4 address"),
+        ("\"edge\",", "7,", "serves: must be a list of text"),
+        ("\"dune\"", "[]", "zones: must be an object of text"),
+        ("10.9.0.3:8011", "10.9.0.3:90000", "bind_addresses.front: must be ip:port or null"),
+        ("7100,", "7200,", "internal_ports: must be two ports"),
+        ("7100,", "", "internal_ports: must be two ports"),
+        ("10.9.0.4:8012", "weir:8012", "seed_nodes: must be a list of ip:port"),
+        ("\"first_start\":true", "\"first_start\":\"no\"", "first_start: must be true or false"),
+        ("\"cpu_share\":0.5", "\"cpu_share\":-0.5", "limits.cpu_share: must be"),
+        ("\"/var/keeper\"", "\"\"", "data_dir: must be a path or null"),
+        ("\"zones\":1", "\"zones\":1.5", "tolerate.zones: must be"),
+        ("4.35", "-1", "bounds.catch_up_s: must be a span of time"),
+        ("{\"catch_up_s\":4.35", "7,\"x\":{\"y\":1", "bounds: must be an object, is 7.0"),
+    ];
+    for (of, with, told) in rows {
+        assert!(WHOLE.contains(of), "{of}");
+        let faults = Boot::parse("node.json", &WHOLE.replacen(of, with, 1)).unwrap_err();
+        assert!(faults.to_string().starts_with(&format!("node.json: {told}")), "{of} -> {with}: {faults}");
+        assert_eq!(faults.0.len(), 1, "{faults}");
+    }
+    let faults = Boot::parse("a\nb", "{}").unwrap_err();
+    assert_eq!((faults.0.len(), faults.to_string().lines().count()), (7, 7), "{faults}");
+    assert_eq!(faults.code().unwrap().to_string(), "charter::refused");
+}
+
+#[test]
+fn a_file_is_read_from_disk_and_refused_when_cut_short() {
+    let path = std::env::temp_dir().join(format!("charter-boot-{}.json", std::process::id()));
+    assert_matches!(Boot::read(&path), Err(faults) if faults.0[0].reason.starts_with("cannot be read"));
+    std::fs::write(&path, WHOLE).unwrap();
+    let read = Boot::read(&path);
+    std::fs::remove_file(&path).unwrap();
+    assert_eq!(read, Boot::parse("node.json", WHOLE));
+    for cut in 0..WHOLE.len() {
+        assert_matches!(Boot::parse("node.json", &WHOLE[..cut]), Err(_), "{cut}");
+    }
+}
