--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -10,8 +10,6 @@
 const GONE: Millis = 2000;
 /// After its start a store waits so long for those that hold copies of what it owned.
 const PATIENCE: Millis = 3000;
-/// A message that is not safe for so long is given up: nothing is known of it.
-const LAND: Millis = 3000;
 
 /// Another store.
 #[derive(Debug, Default)]
@@ -22,6 +20,8 @@
     /// It is a member, as the control nodes tell.
     pub listed: bool,
     since: Millis,
+    /// When what it owned was last looked for.
+    looked: Millis,
     disk: Option<u64>,
     /// It has said all about what both hold, on this connection.
     stood: bool,
@@ -65,7 +65,7 @@
         peer.out = Outbox::default();
         let shared = |e: &Entry| e.owner == node || e.copies.contains(&node);
         let live = self.entries.iter().filter(|(_, e)| e.end.is_none() && shared(e));
-        let live = live.filter(|(_, e)| e.stage != Stage::Landing).map(|(key, e)| (*key, e.owner, e.term)).collect();
+        let live = live.map(|(key, e)| (*key, e.owner, e.term)).collect();
         let note = Note::Standing { disk: self.terms.disk, live };
         self.push(Effect::Send { to: node, note });
         // Ends that were told while it was away, or got lost with the connection.
@@ -160,7 +160,6 @@
                 self.copy_to(to, shared);
             }
         }
-        let _ = LAND;
     }
 
     /// A note of another store.
@@ -217,6 +216,7 @@
             }
             Note::HandoverTaken(keys) => {
                 for key in keys {
+                    self.handing.remove(&key);
                     let Some(term) = self.entries.get(&key).map(|e| e.term + 1) else { continue };
                     self.figures.handed_over += 1;
                     self.owned_by(now, key, from, term);
@@ -242,7 +242,10 @@
                 self.to(from).copied.push(key);
                 self.ends_at.get_or_insert(now);
             }
-            Some((term, None, _)) if term > shared.term => {}
+            Some((term, None, _)) if term > shared.term => {
+                let owner = self.entries.get(&key).map_or(self.terms.me, |e| e.owner);
+                self.push(Effect::Send { to: from, note: Note::Own(vec![(key, owner, term)]) });
+            }
             _ => {
                 self.record(&Record::Put { shared: shared.clone() }, true);
                 self.wait_for_disk(Waits::CopyOf(from, key));
@@ -284,13 +287,13 @@
                 entry.stage = Stage::Copy;
             }
         }
-        self.unplan(key);
+        self.unschedule(key);
     }
 
     /// What the other holds in common with this store: ends, owners and copies are set right by the newer.
     fn standing(&mut self, now: Millis, from: Node, disk: u64, live: Vec<(Key, Node, u32)>) {
         let peer = self.peers.entry(from).or_default();
-        let lost = peer.disk.replace(disk).is_some_and(|old| old != disk);
+        let same = peer.disk.replace(disk) == Some(disk);
         let (mut own, mut want, mut drop) = (Vec::new(), Vec::new(), Vec::new());
         let theirs: std::collections::HashSet<Key> = live.iter().map(|(key, _, _)| *key).collect();
         for (key, owner, term) in live {
@@ -331,12 +334,11 @@
                 self.copy_to(from, shared);
             }
         }
-        // Owned by it, and it does not name them: it has lost its disk, so they are this store's now. (One that has its
-        // disk names all it owns; what it has finished meanwhile it tells as ends.)
-        for key in orphans {
+        // Owned by it, and it does not name them. With the disk it had it never finished taking them, or has ended them,
+        // which it tells for itself; with another disk it has lost them, and they are this store's now.
+        for key in orphans.into_iter().filter(|_| !same) {
             self.take_over(now, key, 0, None);
         }
-        let _ = lost;
         self.tell_ends();
         for (note, empty) in [
             (Note::Own(own.clone()), own.is_empty()),
@@ -403,13 +405,11 @@
 
     /// Looks for stores that are gone, and for messages that have waited long enough for those that are not back.
     pub(crate) fn look_after(&mut self, now: Millis) {
-        let gone: Vec<Node> = self
-            .peers
-            .iter()
-            .filter(|(_, p)| !p.connected && !p.listed && now > p.since + GONE && self.heard)
-            .map(|(node, _)| *node)
-            .collect();
+        let heard = self.heard;
+        let gone = |p: &Peer| heard && !p.connected && !p.listed && now > p.since + GONE && now >= p.looked + 3000;
+        let gone: Vec<Node> = self.peers.iter().filter(|(_, p)| gone(p)).map(|(node, _)| *node).collect();
         for node in gone {
+            self.peers.entry(node).or_default().looked = now;
             let mut orphans: Vec<Key> = self
                 .entries
                 .iter()
@@ -435,27 +435,15 @@
             Some(peer) => peer.stood || (!peer.connected && now > PATIENCE),
             None => now > PATIENCE,
         };
-        let free: Vec<Key> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.stage == Stage::Held && e.copies.iter().all(spoken))
-            .map(|(key, _)| *key)
-            .collect();
+        let ready = |key: &Key| self.entries.get(key).is_none_or(|e| e.copies.iter().all(spoken));
+        let free: Vec<Key> = self.held.iter().copied().filter(ready).collect();
         for key in free {
-            if let Some(entry) = self.entries.get_mut(&key) {
+            self.held.remove(&key);
+            if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Held) {
                 entry.stage = Stage::Waiting;
             }
             self.schedule(now, key);
         }
-        let owed: Vec<Key> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.end.is_some() && e.owed && e.owner == self.terms.me && !e.queued)
-            .map(|(key, _)| *key)
-            .collect();
-        for key in owed {
-            self.owe(key);
-        }
     }
 
     // ---- Leaving in order ----
@@ -477,20 +465,21 @@
             .map(|(key, _)| *key)
             .collect();
         for key in waiting {
-            self.hand_over(now, key);
+            self.hand_over(key);
         }
     }
 
     /// Names the successor of one message: it is nobody's until the successor has said yes.
-    pub(crate) fn hand_over(&mut self, _now: Millis, key: Key) {
+    pub(crate) fn hand_over(&mut self, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
         let able = |node: &&Node| self.peers.get(node).is_some_and(|p| p.connected && !p.leaving);
         let (to, tries) = (entry.copies.iter().find(able).copied(), entry.tries);
         if let Some(to) = to {
-            self.unplan(key);
+            self.unschedule(key);
             if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_none()) {
                 entry.stage = Stage::Held;
             }
+            self.handing.insert(key);
             self.to(to).handover.push((key, tries));
         }
     }
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -162,6 +162,10 @@
     forget: VecDeque<(Millis, Key)>,
     /// Taken by a configuration that has not come here yet.
     early: HashSet<Key>,
+    /// Read from disk, and not yet released.
+    pub(crate) held: BTreeSet<Key>,
+    /// Offered to a successor that has not said yes.
+    pub(crate) handing: HashSet<Key>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
     receivers: HashMap<String, Receiver>,
     next_number: u64,
@@ -175,6 +179,8 @@
     effects: Vec<Effect>,
     lane_wait: Millis,
     upkeep: Millis,
+    /// The time of day when the steady clock stood at nought.
+    wall: u64,
     pub leaving: bool,
     /// The control nodes hear this store: without them and without a peer it may be the one that is cut off.
     pub heard: bool,
@@ -200,6 +206,9 @@
             expiring: BTreeSet::new(),
             forget: VecDeque::new(),
             early: HashSet::new(),
+            held: BTreeSet::new(),
+            handing: HashSet::new(),
+            wall: wall.saturating_sub(now),
             landing: BTreeSet::new(),
             receivers: HashMap::new(),
             waits: HashMap::new(),
@@ -240,10 +249,18 @@
             (None, false) => Stage::Copy,
         };
         (entry.end, entry.owed) = (end, owed);
-        if entry.stage == Stage::Ended {
-            self.forget.push_back((now + self.terms.status_ms + 60_000, key));
-        }
+        let (stage, owed) = (entry.stage, entry.owed && entry.owner == self.terms.me);
         self.entries.insert(key, entry);
+        match stage {
+            Stage::Ended => self.forget.push_back((now + self.terms.status_ms + 60_000, key)),
+            Stage::Held => {
+                self.held.insert(key);
+            }
+            _ => {}
+        }
+        if owed {
+            self.owe(key);
+        }
         self.expiry(key, now, gone);
     }
 
@@ -419,6 +436,13 @@
     /// Puts a safe message where it waits: for its time, for a configuration, or for its turn.
     pub(crate) fn schedule(&mut self, now: Millis, key: Key) {
         let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Waiting) else { return };
+        if entry.turn.is_some() {
+            return;
+        }
+        if self.leaving {
+            self.hand_over(key);
+            return;
+        }
         if entry.due > now {
             self.delayed.insert((entry.due, key));
             return;
@@ -449,7 +473,7 @@
         self.lane_wait = 0;
     }
 
-    fn unschedule(&mut self, key: Key) {
+    pub(crate) fn unschedule(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(&key) {
             self.delayed.remove(&(entry.due, key));
             if let Some((at, turn)) = entry.turn.take() {
@@ -586,7 +610,7 @@
             _ => (AGAIN.0 << entry.fails.min(8)).min(AGAIN.1),
         };
         if self.leaving {
-            self.hand_over(now, key);
+            self.hand_over(key);
             return;
         }
         self.delay(key, now + pause);
@@ -621,9 +645,8 @@
         }
     }
 
-    /// Ends of others are only compared with one another: any clock does that runs on.
     pub(crate) fn wall_of(&self, now: Millis) -> u64 {
-        now
+        self.wall + now
     }
 
     pub(crate) fn owe(&mut self, key: Key) {
@@ -660,6 +683,17 @@
         next
     }
 
+    /// A message that this store does not deliver has ended, or one that another has ended for it.
+    pub(crate) fn close_copy(&mut self, now: Millis, key: Key, end: End, owed: bool) {
+        self.unschedule(key);
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        (entry.stage, entry.end, entry.owed) = (Stage::Ended, Some(end), owed);
+        entry.strip();
+        self.expiring.remove(&(entry.expires, key));
+        self.held.remove(&key);
+        self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+    }
+
     /// A call-back came to its end.
     pub fn called(&mut self, now: Millis, key: Key, taken: bool) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
@@ -674,7 +708,7 @@
         }
         receiver.fails = 0;
         entry.owed = false;
-        entry.cargo = Cargo::default();
+        entry.strip();
         let copies = entry.copies.clone();
         self.figures.called += 1;
         self.record(&Record::Called { key }, false);
@@ -820,12 +854,12 @@
     }
 
     pub fn log(&mut self) -> Vec<String> {
-        self.lanes.iter_mut().flat_map(|lane| lane.log().into_iter().map(move |l| l)).collect()
+        self.lanes.iter_mut().flat_map(Lane::log).collect()
     }
 
     /// Requests that are out, and messages that are not yet safe.
     pub fn in_hand(&self) -> usize {
-        self.lanes.iter().map(|lane| lane.sent.len()).sum::<usize>() + self.landing.len()
+        self.lanes.iter().map(|lane| lane.sent.len()).sum::<usize>() + self.landing.len() + self.handing.len()
     }
 
     pub fn live(&self) -> usize {
--- a/hold/src/tokens.rs
+++ b/hold/src/tokens.rs
@@ -100,6 +100,16 @@
         }
     }
 
+    /// The one that was taken last was not used.
+    pub fn give_back(&mut self, now: Millis) {
+        if self.holds() {
+            self.held = (self.held + 1.0).min(self.burst);
+        } else {
+            // Not for longer than its own life: it has begun some time ago.
+            self.got.push((now + LIFE / 2, 1));
+        }
+    }
+
     /// Whether to ask the holder now; asked again where no answer came.
     pub fn ask(&mut self, now: Millis) -> bool {
         if self.holds() || self.asked.is_some_and(|at| now < at + 200) {
