--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -148,7 +148,8 @@
         let (missing, mut copies) = (entry.still_missing().to_vec(), entry.copies.clone());
         self.landing.remove(&(old + COPY_WAIT, key));
         self.landing.insert((now + COPY_WAIT, key));
-        for from in missing.into_iter().filter(|node| *node != self.terms.me) {
+        let me = self.terms.me;
+        for from in missing.into_iter().filter(|node| *node != me) {
             let Some(to) = self.choose(&copies).first().copied() else { continue };
             copies.iter_mut().filter(|c| **c == from).for_each(|c| *c = to);
             if let Some(entry) = self.entries.get_mut(&key) {
@@ -184,7 +185,7 @@
             }
             Note::Own(all) => {
                 for (key, owner, term) in all {
-                    self.owned_by(now, key, owner, term);
+                    self.owned_by(key, owner, term);
                 }
             }
             Note::Drop(keys) => {
@@ -219,7 +220,7 @@
                     self.handing.remove(&key);
                     let Some(term) = self.entries.get(&key).map(|e| e.term + 1) else { continue };
                     self.figures.handed_over += 1;
-                    self.owned_by(now, key, from, term);
+                    self.owned_by(key, from, term);
                 }
             }
             Note::Leaving => {
@@ -272,7 +273,7 @@
     }
 
     /// Who owns a message: the higher term holds, and of equal ones the lower node.
-    fn owned_by(&mut self, now: Millis, key: Key, owner: Node, term: u32) {
+    fn owned_by(&mut self, key: Key, owner: Node, term: u32) {
         let Some(entry) = self.entries.get(&key) else { return };
         let newer = term > entry.term || (term == entry.term && owner < entry.owner);
         if !newer || entry.end.is_some() && !entry.owed {
@@ -312,7 +313,7 @@
             } else if entry.term > term || (entry.term == term && entry.owner < owner) {
                 own.push((key, entry.owner, entry.term));
             } else {
-                self.owned_by(now, key, owner, term);
+                self.owned_by(key, owner, term);
             }
         }
         // What it should hold and does not: it has lost its disk, or never got the copy.
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -1,1 +1,257 @@
-//! Who decides on the control state, and which copies hold it: a state machine without I/O.
+//! Who decides on the control state, and which copies hold it. A state machine: events and a steady clock go in,
+//! [`Effect`]s come out.
+//!
+//! The state is one value, the operators' configuration, of which the highest version is the whole. A primary writes it to
+//! every copy before it answers. A small group of voters keeps only the *watch*: the epoch, who is primary, which nodes are
+//! copies, and who votes. A majority of voters, each with it on disk first, grants a new watch; no log is replicated.
+//!
+//! What keeps it safe:
+//! - a candidate is a copy of the highest watch that a majority knows, so it holds whatever was answered;
+//! - a primary acts only on acks of pulses that it sent within the lease, and a voter that acked one grants nothing to
+//!   others for longer than that: time on steady clocks, never the time of day;
+//! - a node that has lost its disk has forgotten what it granted: it votes again only after a majority of the others has
+//!   told it where they stand, and is a copy again only after it was filled.
+
+mod primary;
+mod types;
+mod voter;
+
+pub use types::*;
+
+use primary::Duty;
+use std::collections::{BTreeMap, BTreeSet};
+use voter::Learning;
+
+/// What is done when the disk has a record.
+#[derive(Clone, Debug)]
+enum After {
+    Grant { to: Voter, epoch: u64 },
+    OwnGrant { epoch: u64 },
+    Adopted { epoch: u64 },
+    Stored { to: Voter, epoch: u64, serial: u64, chart: Chart },
+    OwnStored { serial: u64 },
+}
+
+/// One control node's part.
+pub struct Pilotage {
+    terms: Terms,
+    watch: Option<Watch>,
+    /// The highest epoch that is on disk: nothing is acked by a watch that a loss of power would take back.
+    safe: u64,
+    /// Who pulsed by a watch that this node does not know: it has been granted, or it would not pulse.
+    pulsing: Option<(u64, Voter)>,
+    /// What this node's disk holds: no more than that, unless it is a copy of the highest watch.
+    chart: Chart,
+    /// The highest that is known to be in force.
+    force: Option<Chart>,
+    /// It has lost its disk, or never had one: no vote and no copy until it has learned and been filled.
+    blank: bool,
+    learning: Learning,
+    duty: Duty,
+    started: Millis,
+    /// When the primary was last heard, and pulses were last asked after.
+    heard: Millis,
+    /// A candidate waits a random while, so that two do not go on colliding.
+    stand_at: Millis,
+    learners: BTreeSet<Voter>,
+    links: BTreeMap<Voter, bool>,
+    after: BTreeMap<u64, After>,
+    next_ticket: u64,
+    serial: u64,
+    luck: u64,
+    released: bool,
+    effects: Vec<Effect>,
+}
+
+impl Pilotage {
+    pub fn new(terms: Terms, kept: Kept, now: Millis) -> Pilotage {
+        let mut seeds = terms.seeds.clone();
+        seeds.sort();
+        seeds.dedup();
+        let mut pilotage = Pilotage {
+            blank: kept.watch.is_none(),
+            safe: kept.watch.as_ref().map_or(0, |w| w.epoch),
+            pulsing: None,
+            watch: kept.watch,
+            chart: kept.chart.unwrap_or_default(),
+            force: None,
+            learning: Learning::default(),
+            duty: Duty::Follow,
+            started: now,
+            heard: now,
+            stand_at: 0,
+            learners: BTreeSet::new(),
+            links: BTreeMap::new(),
+            after: BTreeMap::new(),
+            next_ticket: 1,
+            serial: terms.seed | 1,
+            luck: terms.seed,
+            released: false,
+            effects: Vec::new(),
+            terms,
+        };
+        if pilotage.watch.is_none() && pilotage.terms.first_start && seeds.contains(&pilotage.terms.me) {
+            // Reckoned alike by all that begin: nothing has to be elected, and nobody waits for anybody.
+            let copies = seeds.iter().take(pilotage.terms.losses + 1).copied().collect();
+            let watch = Watch { epoch: 1, primary: seeds[0], copies, voters: seeds };
+            pilotage.blank = false;
+            pilotage.keep(Record::Watch(watch.clone()), After::Adopted { epoch: 1 });
+            pilotage.watch = Some(watch);
+        }
+        pilotage.draw_stand(now);
+        pilotage.resume(now);
+        pilotage
+    }
+
+    /// Goes on with the duty that its watch gives it, once the others grant that watch (again): whether it had been granted
+    /// before this process began is not on disk. What was left half done is stored again.
+    fn resume(&mut self, now: Millis) {
+        let Some(watch) = self.watch.clone() else { return };
+        if watch.primary == self.terms.me && !self.blank && !self.released {
+            self.stand_again(now, watch);
+        }
+    }
+
+    fn draw(&mut self, most: u64) -> u64 {
+        self.luck = self.luck.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.luck >> 33) % most.max(1)
+    }
+
+    fn draw_stand(&mut self, now: Millis) {
+        self.stand_at = now + self.terms.silence_ms + self.draw(self.terms.silence_ms / 3);
+    }
+
+    fn send(&mut self, to: Voter, signal: Signal) {
+        if to != self.terms.me {
+            self.effects.push(Effect::Send { to, signal });
+        }
+    }
+
+    fn keep(&mut self, record: Record, after: After) {
+        let ticket = self.next_ticket;
+        self.next_ticket += 1;
+        self.after.insert(ticket, after);
+        self.effects.push(Effect::Keep { ticket, record });
+    }
+
+    pub fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub fn watch(&self) -> Option<&Watch> {
+        self.watch.as_ref()
+    }
+    pub fn blank(&self) -> bool {
+        self.blank
+    }
+    pub fn in_force(&self) -> Option<&Chart> {
+        self.force.as_ref()
+    }
+    /// Who decides, as far as is known here.
+    pub fn primary(&self) -> Option<Voter> {
+        self.watch.as_ref().map(|w| w.primary)
+    }
+    fn epoch(&self) -> u64 {
+        self.watch.as_ref().map_or(0, |w| w.epoch)
+    }
+
+    /// A connection to another control node is open, or broke.
+    pub fn link(&mut self, now: Millis, voter: Voter, up: bool) {
+        self.links.insert(voter, up);
+        if up && self.blank {
+            self.learning.ask_at = now;
+        }
+        // The primary's process ended: no pulse will come. A short wait is left for one that starts again at once.
+        if !up && self.primary() == Some(voter) {
+            self.stand_at = self.stand_at.min(now.max(self.heard + self.terms.silence_ms) + self.terms.pulse_ms / 2);
+        }
+    }
+
+    /// A control node that is no voter has a session: it hears the pulses, and may become one.
+    pub fn learn(&mut self, voter: Voter) {
+        if voter != self.terms.me && self.learners.len() < 64 {
+            self.learners.insert(voter);
+        }
+    }
+
+    /// A chart is in force: never one below what was in force here before.
+    fn enforce(&mut self, chart: Chart) {
+        if self.force.as_ref().is_none_or(|old| chart.version > old.version) && chart.version > 0 {
+            self.effects.push(Effect::InForce { version: chart.version });
+            self.force = Some(chart);
+        }
+    }
+
+    /// The disk has a record, or could not take it.
+    pub fn kept(&mut self, now: Millis, ticket: u64, ok: bool) {
+        let Some(after) = self.after.remove(&ticket) else { return };
+        match (after, ok) {
+            (After::Grant { to, epoch }, true) => {
+                self.safe = self.safe.max(epoch);
+                if epoch == self.epoch() {
+                    self.send(to, Signal::Granted { epoch });
+                }
+            }
+            (After::OwnGrant { epoch }, true) => {
+                self.safe = self.safe.max(epoch);
+                self.granted(now, self.terms.me, epoch);
+            }
+            (After::Adopted { epoch }, true) => self.safe = self.safe.max(epoch),
+            (After::Stored { to, epoch, serial, chart }, true) if epoch == self.epoch() => {
+                self.chart = chart;
+                self.send(to, Signal::Stored { epoch, serial });
+            }
+            (After::OwnStored { serial }, true) => self.stored(now, self.terms.me, self.epoch(), serial),
+            (After::OwnStored { .. }, false) => self.own_disk_failed(now),
+            _ => {}
+        }
+    }
+
+    pub fn signal(&mut self, now: Millis, from: Voter, signal: Signal) {
+        match signal {
+            Signal::Propose { watch, released } => self.proposed(now, from, watch, released),
+            Signal::Granted { epoch } => self.granted(now, from, epoch),
+            Signal::Denied { watch } => self.adopt(now, watch),
+            Signal::Store { epoch, serial, chart } => self.store(now, from, epoch, serial, chart),
+            Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
+            Signal::Pulse { epoch, sent_at, version, digest } => {
+                self.pulsed(now, from, epoch, sent_at, version, digest)
+            }
+            Signal::PulseAck { epoch, sent_at, blank } => self.acked(now, from, epoch, sent_at, blank),
+            Signal::Handover { epoch } => self.handed(now, from, epoch),
+            Signal::WhatWatch => {
+                let watch = if self.blank { None } else { self.watch.clone() };
+                self.send(from, Signal::ThisWatch { watch });
+            }
+            Signal::ThisWatch { watch } => self.told_watch(now, from, watch),
+            Signal::AskChart => {
+                if let Some(chart) = self.force.clone() {
+                    self.send(from, Signal::ThisChart { chart });
+                }
+            }
+            Signal::ThisChart { chart } => self.enforce(chart),
+        }
+    }
+
+    /// What is due; call it at `next`, and after each event.
+    pub fn tick(&mut self, now: Millis) {
+        if self.blank {
+            self.ask_around(now);
+            return;
+        }
+        match self.duty {
+            Duty::Lead(_) => self.lead(now),
+            Duty::Stand(_) | Duty::Follow => self.stand(now),
+        }
+    }
+
+    pub fn next(&self, now: Millis) -> Millis {
+        if self.blank {
+            return self.learning.ask_at.max(now + 1);
+        }
+        match &self.duty {
+            Duty::Lead(lead) => lead.next(now, &self.terms),
+            Duty::Stand(_) | Duty::Follow => self.stand_at.max(now + 1),
+        }
+    }
+}
--- /dev/null
+++ b/pilotage/src/primary.rs
@@ -0,0 +1,448 @@
+//! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
+
+use crate::voter::majority;
+use crate::{After, Chart, Effect, Millis, Pilotage, Record, Signal, Terms, Verdict, Voter, Watch};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// A write waits so long for its turn, and is answered at the latest after so long.
+const TURN: Millis = 1500;
+const ANSWER: Millis = 2500;
+/// Most writes that wait.
+const QUEUE: usize = 32;
+/// A copy that has not acked for so long is replaced where another is there.
+const LOST: Millis = 1000;
+
+#[derive(Debug)]
+pub(crate) enum Duty {
+    Follow,
+    Stand(Stand),
+    Lead(Box<Lead>),
+}
+
+/// A watch that is asked for.
+#[derive(Debug)]
+pub(crate) struct Stand {
+    pub watch: Watch,
+    before: Watch,
+    grants: BTreeSet<Voter>,
+    pub released: bool,
+}
+
+impl Stand {
+    pub fn new(watch: Watch, before: Watch, released: bool) -> Stand {
+        Stand { watch, before, grants: BTreeSet::new(), released }
+    }
+    /// Granted by a majority of those who vote now and of those who will.
+    fn won(&self) -> bool {
+        majority(&self.watch.voters, self.grants.iter()) && majority(&self.before.voters, self.grants.iter())
+    }
+}
+
+/// A write under way.
+#[derive(Debug)]
+struct Job {
+    serial: u64,
+    chart: Chart,
+    /// Nobody where the own chart is stored again, or a copy is filled.
+    ticket: Option<u64>,
+    missing: BTreeSet<Voter>,
+    since: Millis,
+    sent: Millis,
+    /// To become a copy when it has it.
+    joins: Option<Voter>,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: u64,
+    chart: Chart,
+    since: Millis,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Lead {
+    pulse_at: Millis,
+    since: Millis,
+    acks: BTreeMap<Voter, Millis>,
+    hollow: BTreeSet<Voter>,
+    job: Option<Job>,
+    queue: VecDeque<Waiting>,
+    /// Other copies are asked for.
+    change: Option<Stand>,
+    asked: Millis,
+    /// All copies of this epoch hold the own chart.
+    settled: bool,
+    leave_by: Option<Millis>,
+}
+
+impl Lead {
+    pub fn asks_for(&self, watch: &Watch) -> bool {
+        self.change.as_ref().is_some_and(|change| change.watch == *watch)
+    }
+    fn silent(&self, now: Millis, me: Voter, voter: &Voter) -> bool {
+        *voter != me && self.acks.get(voter).is_none_or(|at| now > at + LOST) && now > self.since + LOST
+    }
+    pub fn next(&self, now: Millis, terms: &Terms) -> Millis {
+        let busy = self.job.is_some() || !self.queue.is_empty() || self.change.is_some();
+        if busy || self.leave_by.is_some() {
+            return self.pulse_at.min(now + terms.pulse_ms / 4).max(now + 1);
+        }
+        self.pulse_at.max(now + 1)
+    }
+}
+
+impl Pilotage {
+    pub(crate) fn begin_duty(&mut self, now: Millis) {
+        let lead = Lead { pulse_at: now, since: now, ..Lead::default() };
+        self.duty = Duty::Lead(Box::new(lead));
+        self.effects.push(Effect::Turn { epoch: self.epoch(), what: "leads" });
+    }
+
+    pub(crate) fn step_down(&mut self, _now: Millis) {
+        if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
+            if let Some(ticket) = lead.job.as_ref().and_then(|job| job.ticket) {
+                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
+            }
+            for waiting in lead.queue {
+                self.effects.push(Effect::Answer { ticket: waiting.ticket, verdict: Verdict::NotDone });
+            }
+            self.effects.push(Effect::Turn { epoch: self.epoch(), what: "steps down" });
+        }
+    }
+
+    /// The lease holds: more than half of the voters, this one among them, acked a pulse sent since then.
+    pub fn leads(&self, now: Millis) -> bool {
+        let (Duty::Lead(lead), Some(watch)) = (&self.duty, &self.watch) else { return false };
+        let fresh = |at: &Millis| now <= at + self.terms.lease_ms;
+        let acked = lead.acks.iter().filter(|(_, at)| fresh(at)).map(|(v, _)| v);
+        majority(&watch.voters, acked.chain(std::iter::once(&self.terms.me))) && !self.released
+    }
+
+    fn enough(&self, watch: &Watch) -> bool {
+        watch.copies.len() > self.terms.losses.min(watch.voters.len() - 1)
+    }
+
+    /// May answer: the lease holds, and enough copies hold all there is.
+    fn acts(&self, now: Millis) -> bool {
+        let settled = matches!(&self.duty, Duty::Lead(lead) if lead.settled && lead.leave_by.is_none());
+        settled && self.leads(now) && self.watch.as_ref().is_some_and(|w| self.enough(w))
+    }
+
+    /// An operator's configuration.
+    pub fn replace(&mut self, now: Millis, ticket: u64, version: u64, body: Vec<u8>) {
+        let primary = self.primary().filter(|p| *p != self.terms.me);
+        let chart = Chart { version, body };
+        let Duty::Lead(lead) = &mut self.duty else {
+            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotPrimary { primary } });
+        };
+        if lead.queue.len() >= QUEUE || lead.leave_by.is_some() {
+            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotDone });
+        }
+        lead.queue.push_back(Waiting { ticket, chart, since: now });
+        self.lead(now);
+    }
+
+    /// The newest configuration, if this is the primary and nobody else can be.
+    pub fn read(&mut self, now: Millis, ticket: u64) {
+        if self.acts(now) {
+            let chart = Some(self.chart.clone()).filter(|c| c.version > 0);
+            return self.effects.push(Effect::Chart { ticket, chart });
+        }
+        let primary = self.primary().filter(|p| *p != self.terms.me);
+        self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotPrimary { primary } });
+    }
+
+    /// The process is to end: the duty goes to a copy that is here.
+    pub fn release(&mut self, now: Millis) {
+        match &mut self.duty {
+            Duty::Lead(lead) => lead.leave_by = Some(now + 500),
+            _ => {
+                self.released = true;
+                return self.effects.push(Effect::Released);
+            }
+        }
+        self.lead(now);
+    }
+
+    fn hand_over(&mut self, now: Millis) {
+        let Some(watch) = self.watch.clone() else { return };
+        let Duty::Lead(lead) = &self.duty else { return };
+        let heard = |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
+        let next = watch.copies.iter().find(|v| **v != self.terms.me && heard(v)).copied();
+        let ready = lead.settled && lead.job.is_none();
+        self.step_down(now);
+        self.released = true;
+        if let Some(next) = next.filter(|_| ready) {
+            self.send(next, Signal::Handover { epoch: watch.epoch });
+        }
+        self.effects.push(Effect::Released);
+    }
+
+    pub(crate) fn acked(&mut self, now: Millis, from: Voter, epoch: u64, sent_at: Millis, blank: bool) {
+        let mine = self.epoch();
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if epoch != mine || sent_at > now {
+            return;
+        }
+        if blank {
+            lead.hollow.insert(from);
+            lead.acks.remove(&from);
+        } else {
+            lead.hollow.remove(&from);
+            let at = lead.acks.entry(from).or_default();
+            *at = (*at).max(sent_at);
+        }
+        self.lead(now);
+    }
+
+    /// What the primary does next.
+    pub(crate) fn lead(&mut self, now: Millis) {
+        let Some(watch) = self.watch.clone() else { return };
+        let (version, digest) = self.force.as_ref().map_or((0, 0), |c| (c.version, c.digest()));
+        let learners: Vec<Voter> = self.learners.iter().copied().filter(|l| !watch.voters.contains(l)).collect();
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if now >= lead.pulse_at {
+            lead.pulse_at = now + self.terms.pulse_ms;
+            let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, version, digest };
+            let all: Vec<Voter> = watch.voters.iter().chain(&learners).copied().collect();
+            all.into_iter().for_each(|voter| self.send(voter, pulse.clone()));
+        }
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if let Some(by) = lead.leave_by {
+            if (lead.job.is_none() && lead.change.is_none()) || now >= by {
+                return self.hand_over(now);
+            }
+        }
+        self.answer_late(now);
+        self.look_after_copies(now, &watch);
+        self.begin_job(now, &watch);
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        // What was sent may be lost: it is sent again while it is wanted.
+        let again = self.terms.pulse_ms;
+        if let Some(change) = lead.change.as_ref().filter(|_| now >= lead.asked + again) {
+            let wanted = change.watch.clone();
+            lead.asked = now;
+            self.propose(&wanted, false);
+        }
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if let Some(job) = lead.job.as_mut().filter(|job| now >= job.sent + again) {
+            job.sent = now;
+            let (missing, serial, chart) = (job.missing.clone(), job.serial, job.chart.clone());
+            for to in missing {
+                self.send(to, Signal::Store { epoch: watch.epoch, serial, chart: chart.clone() });
+            }
+        }
+    }
+
+    fn answer_late(&mut self, now: Millis) {
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        let mut late = Vec::new();
+        if let Some(job) = lead.job.as_mut().filter(|job| now > job.since + ANSWER) {
+            late.extend(job.ticket.take().map(|ticket| (ticket, Verdict::Uncertain)));
+        }
+        while lead.queue.front().is_some_and(|w| now > w.since + TURN) {
+            late.extend(lead.queue.pop_front().map(|w| (w.ticket, Verdict::NotDone)));
+        }
+        for (ticket, verdict) in late {
+            self.effects.push(Effect::Answer { ticket, verdict });
+        }
+    }
+
+    fn begin_job(&mut self, now: Millis, watch: &Watch) {
+        if !self.leads(now) {
+            return;
+        }
+        let enough = self.enough(watch);
+        let own = self.chart.clone();
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if lead.job.is_some() || lead.change.is_some() {
+            return;
+        }
+        if !lead.settled {
+            // What it holds may be on no other copy, or a copy may hold what was given up: all are made alike first.
+            return self.write(now, own, None, watch.copies.clone(), None);
+        }
+        if !enough || lead.leave_by.is_some() {
+            return;
+        }
+        while let Some(Waiting { ticket, chart, .. }) = lead.queue.pop_front() {
+            if chart.version <= self.chart.version {
+                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Unchanged });
+                continue;
+            }
+            let copies = watch.copies.clone();
+            return self.write(now, chart, Some(ticket), copies, None);
+        }
+    }
+
+    fn write(&mut self, now: Millis, chart: Chart, ticket: Option<u64>, to: Vec<Voter>, joins: Option<Voter>) {
+        self.serial = self.serial.wrapping_add(1);
+        let (serial, epoch, me) = (self.serial, self.epoch(), self.terms.me);
+        let missing: BTreeSet<Voter> = to.into_iter().collect();
+        for voter in missing.clone() {
+            self.send(voter, Signal::Store { epoch, serial, chart: chart.clone() });
+        }
+        if missing.contains(&me) {
+            self.keep(Record::Chart(chart.clone()), After::OwnStored { serial });
+        }
+        if let Duty::Lead(lead) = &mut self.duty {
+            lead.job = Some(Job { serial, chart, ticket, missing, since: now, sent: now, joins });
+        }
+    }
+
+    pub(crate) fn own_disk_failed(&mut self, now: Millis) {
+        // Whether the copies have it is not known, and this one has not: the next write makes all alike.
+        if let Duty::Lead(lead) = &mut self.duty {
+            if let Some(ticket) = lead.job.take().and_then(|job| job.ticket) {
+                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
+            }
+            lead.settled = false;
+            lead.pulse_at = lead.pulse_at.max(now + 1);
+        }
+    }
+
+    pub(crate) fn stored(&mut self, now: Millis, from: Voter, epoch: u64, serial: u64) {
+        if epoch != self.epoch() {
+            return;
+        }
+        let leads = self.leads(now);
+        let enough = self.watch.as_ref().is_some_and(|w| self.enough(w));
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        let Some(job) = lead.job.as_mut().filter(|job| job.serial == serial) else { return };
+        job.missing.remove(&from);
+        if !job.missing.is_empty() {
+            return;
+        }
+        let Some(job) = lead.job.take() else { return };
+        if let Some(voter) = job.joins {
+            return self.change_copies(now, Some(voter));
+        }
+        lead.settled = true;
+        self.chart = job.chart;
+        match (job.ticket, leads) {
+            (Some(ticket), true) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Accepted }),
+            (Some(ticket), false) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain }),
+            _ => {}
+        }
+        if enough && leads {
+            self.enforce(self.chart.clone());
+            // The others hear of it with the next pulse: now, for the data plane waits for it.
+            if let Duty::Lead(lead) = &mut self.duty {
+                lead.pulse_at = now;
+            }
+        }
+        self.lead(now);
+    }
+
+    /// Too few copies, or one that does not answer: another voter is filled, and then named.
+    fn look_after_copies(&mut self, now: Millis, watch: &Watch) {
+        if !self.leads(now) {
+            return;
+        }
+        let (me, want) = (self.terms.me, (self.terms.losses + 1).min(watch.voters.len()));
+        let learner = self.learners.iter().find(|l| !watch.voters.contains(l)).copied();
+        let own = self.chart.clone();
+        let force = self.force.as_ref().map_or(0, |c| c.version);
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if lead.change.is_some() || lead.leave_by.is_some() {
+            return;
+        }
+        let gone = |v: &Voter| *v != me && self.links.get(v) == Some(&false) || lead.silent(now, me, v);
+        if lead.job.as_ref().and_then(|job| job.joins).is_some_and(|v| gone(&v)) {
+            lead.job = None;
+        }
+        let lost: Vec<Voter> = watch.copies.iter().copied().filter(|v| gone(v) || lead.hollow.contains(v)).collect();
+        let hollow = watch.copies.iter().any(|v| lead.hollow.contains(v));
+        let here = |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
+        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v)).find(here).copied();
+        if let Some(job) = &mut lead.job {
+            // A write that waits for one that is gone is settled with the copies that come after it.
+            if job.joins.is_none() && !lost.is_empty() && job.missing.iter().all(|v| lost.contains(v)) && other.is_some() {
+                if let Some(job) = lead.job.take() {
+                    // On this disk and on all copies that are left: it is what holds from here on.
+                    let (chart, ticket) = (job.chart, job.ticket);
+                    if let Some(ticket) = ticket {
+                        lead.queue.push_front(Waiting { ticket, chart, since: now });
+                    }
+                    lead.settled = true;
+                }
+            } else {
+                return;
+            }
+        }
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if hollow {
+            // A copy that is none must not be counted on for a moment longer.
+            return self.change_copies(now, None);
+        }
+        let few = watch.copies.len() - lost.len() < want;
+        if let Some(voter) = other.filter(|_| few && (lead.settled || !lost.is_empty())) {
+            return self.write(now, own, None, vec![voter], Some(voter));
+        }
+        if let Some(learner) = learner.filter(|l| lead.acks.get(l).is_some_and(|at| now <= at + LOST) && force > 0) {
+            let mut next = watch.clone();
+            next.epoch += 1;
+            next.voters.push(learner);
+            next.voters.sort();
+            self.ask_change(now, next);
+        }
+    }
+
+    /// Asks for the watch without the copies that are lost, and with one that has been filled.
+    fn change_copies(&mut self, now: Millis, joins: Option<Voter>) {
+        let Some(watch) = self.watch.clone() else { return };
+        let me = self.terms.me;
+        let Duty::Lead(lead) = &self.duty else { return };
+        let gone = |v: &Voter| *v != me && self.links.get(v) == Some(&false) || lead.silent(now, me, v);
+        let lost = |v: &Voter| lead.hollow.contains(v) || (joins.is_some() && gone(v));
+        let mut next = watch.clone();
+        next.epoch += 1;
+        next.copies.retain(|v| !lost(v));
+        next.copies.extend(joins.filter(|v| !next.copies.contains(v)));
+        self.ask_change(now, next);
+    }
+
+    fn ask_change(&mut self, now: Millis, next: Watch) {
+        let Some(before) = self.watch.clone() else { return };
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        lead.change = Some(Stand::new(next.clone(), before, false));
+        lead.asked = now;
+        self.keep(Record::Watch(next.clone()), After::OwnGrant { epoch: next.epoch });
+        self.propose(&next, false);
+    }
+
+    /// A voter has a watch on its disk that this node asked for.
+    pub(crate) fn granted(&mut self, now: Millis, from: Voter, epoch: u64) {
+        let me = self.terms.me;
+        match &mut self.duty {
+            Duty::Stand(stand) if stand.watch.epoch == epoch => {
+                stand.grants.insert(from);
+                if stand.won() && stand.grants.contains(&me) {
+                    self.begin_duty(now);
+                    self.lead(now);
+                }
+            }
+            Duty::Lead(lead) => {
+                let Some(change) = lead.change.as_mut().filter(|c| c.watch.epoch == epoch) else { return };
+                change.grants.insert(from);
+                if !change.won() || !change.grants.contains(&me) {
+                    return;
+                }
+                if let Some(change) = lead.change.take() {
+                    lead.acks.retain(|v, _| change.watch.voters.contains(v));
+                    self.watch = Some(change.watch);
+                    lead.pulse_at = now;
+                    let settled = lead.settled;
+                    // In force only now, where there were too few copies before.
+                    let enough = self.watch.as_ref().is_some_and(|w| self.enough(w));
+                    if settled && enough && self.leads(now) {
+                        self.enforce(self.chart.clone());
+                    }
+                    self.effects.push(Effect::Turn { epoch, what: "has other copies" });
+                    self.lead(now);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/pilotage/src/types.rs
@@ -0,0 +1,128 @@
+//! The plain types.
+
+use serde::{Deserialize, Serialize};
+
+/// Milliseconds on the steady clock.
+pub type Millis = u64;
+/// A control node, by its control address.
+pub type Voter = std::net::SocketAddrV4;
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Watch {
+    pub epoch: u64,
+    pub primary: Voter,
+    pub copies: Vec<Voter>,
+    pub voters: Vec<Voter>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Chart {
+    /// Nought: none has come yet.
+    pub version: u64,
+    pub body: Vec<u8>,
+}
+
+impl Chart {
+    /// Tells two bodies of one version apart: one of them was given up, and must not be taken for the other.
+    pub fn digest(&self) -> u64 {
+        let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01B3);
+        self.body.iter().fold(0xCBF2_9CE4_8422_2325 ^ self.version, step)
+    }
+}
+
+/// Between control nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Signal {
+    /// `released`: the primary itself has stopped and named the proposer.
+    Propose { watch: Watch, released: bool },
+    Granted { epoch: u64 },
+    Denied { watch: Watch },
+    Store { epoch: u64, serial: u64, chart: Chart },
+    Stored { epoch: u64, serial: u64 },
+    Pulse { epoch: u64, sent_at: Millis, version: u64, digest: u64 },
+    PulseAck { epoch: u64, sent_at: Millis, blank: bool },
+    Handover { epoch: u64 },
+    WhatWatch,
+    ThisWatch { watch: Option<Watch> },
+    AskChart,
+    ThisChart { chart: Chart },
+}
+
+/// On disk.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Record {
+    Watch(Watch),
+    Chart(Chart),
+}
+
+/// What the records come to.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept {
+    pub watch: Option<Watch>,
+    pub chart: Option<Chart>,
+}
+
+impl Kept {
+    pub fn apply(&mut self, record: Record) {
+        match record {
+            Record::Watch(watch) if self.watch.as_ref().is_none_or(|old| old.epoch <= watch.epoch) => {
+                self.watch = Some(watch);
+            }
+            Record::Watch(_) => {}
+            // The last one stored, not the highest: one that was given up is written over by what holds.
+            Record::Chart(chart) => self.chart = Some(chart),
+        }
+    }
+    pub fn records(&self) -> impl Iterator<Item = Record> + '_ {
+        let watch = self.watch.iter().cloned().map(Record::Watch);
+        watch.chain(self.chart.iter().cloned().map(Record::Chart))
+    }
+}
+
+/// How an operator's call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Accepted,
+    /// Not above the version that is held: acknowledged, changes nothing.
+    Unchanged,
+    /// Ask there.
+    NotPrimary { primary: Option<Voter> },
+    /// It may be in force, or come in force.
+    Uncertain,
+    /// It is not in force and will not be, unless it is sent again.
+    NotDone,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Send { to: Voter, signal: Signal },
+    /// Write it, sync it, then call `kept`.
+    Keep { ticket: u64, record: Record },
+    Answer { ticket: u64, verdict: Verdict },
+    /// To one that has asked to read.
+    Chart { ticket: u64, chart: Option<Chart> },
+    InForce { version: u64 },
+    /// A change of duty, for the log.
+    Turn { epoch: u64, what: &'static str },
+    /// The duty is handed over, or there was none: the process may end.
+    Released,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub me: Voter,
+    pub seeds: Vec<Voter>,
+    pub first_start: bool,
+    /// So many machines may be lost at once: one copy more than that is held.
+    pub losses: usize,
+    pub pulse_ms: Millis,
+    pub lease_ms: Millis,
+    pub silence_ms: Millis,
+    pub seed: u64,
+}
+
+impl Terms {
+    pub fn new(me: Voter, seeds: Vec<Voter>, first_start: bool, losses: usize, seed: u64) -> Terms {
+        Terms { me, seeds, first_start, losses, pulse_ms: 200, lease_ms: 700, silence_ms: 900, seed }
+    }
+}
