--- /dev/null
+++ b/logbook/src/verify.rs
@@ -0,0 +1,109 @@
+//! What a folder holds, read without a change to it.
+
+use std::fmt;
+use std::path::Path;
+
+use crate::folder::{kind_of, log_name, snapshot_name, Names, MISSING};
+use crate::frame::{self, End, Kind};
+use crate::Trouble;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    Whole,
+    /// An opening would cut it off from this byte on.
+    Torn {
+        at: u64,
+        reason: String,
+    },
+    /// An opening would refuse the folder.
+    Damaged(String),
+    /// A snapshot covers it, or it was never finished; an opening would remove it.
+    Left,
+    /// Not of this package.
+    Foreign,
+}
+
+#[derive(Clone, Debug)]
+pub struct FileReport {
+    pub name: String,
+    pub records: u64,
+    pub bytes: u64,
+    pub state: State,
+}
+
+impl FileReport {
+    /// Of one that is not read.
+    fn of(name: String, state: State) -> FileReport {
+        FileReport { name, records: 0, bytes: 0, state }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Report {
+    pub kind: String,
+    pub files: Vec<FileReport>,
+    /// Of the files that count.
+    pub records: u64,
+    pub bytes: u64,
+}
+
+impl Report {
+    /// Whether an opening would succeed.
+    pub fn opens(&self) -> bool {
+        !self.files.iter().any(|file| matches!(file.state, State::Damaged(_)))
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        let verdict = if self.opens() { "opens" } else { "damaged" };
+        write!(f, "{}: {verdict}, {} records, {} bytes", self.kind, self.records, self.bytes)?;
+        for FileReport { name, records, bytes, state } in &self.files {
+            write!(f, "\n  {name}: {records} records, {bytes} bytes, ")?;
+            match state {
+                State::Whole => write!(f, "whole")?,
+                State::Torn { at, reason } => write!(f, "torn at byte {at}: {reason}")?,
+                State::Damaged(reason) => write!(f, "damaged: {reason}")?,
+                State::Left => write!(f, "left over")?,
+                State::Foreign => write!(f, "foreign")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Reads a folder that no process has open. Hands out the records an opening would fold, in order, up to the first damage.
+pub fn verify(dir: &Path, on_record: &mut dyn FnMut(&[u8])) -> Result<Report, Trouble> {
+    let names = Names::read(dir)?;
+    let mut report = Report { kind: kind_of(dir)?, files: Vec::new(), records: 0, bytes: 0 };
+    let snapshot = names.snapshots.last().map(|&number| (Kind::Snapshot, number));
+    let live = names.live();
+    for (kind, number) in snapshot.into_iter().chain(live.clone().map(|number| (Kind::Log, number))) {
+        let name = if kind == Kind::Log { log_name(number) } else { snapshot_name(number) };
+        let sound = report.opens();
+        if kind == Kind::Log && !names.logs.contains(&number) {
+            report.files.push(FileReport::of(name, State::Damaged(MISSING.into())));
+            continue;
+        }
+        let scan = frame::scan(&dir.join(&name), kind, number, &mut |record| {
+            if sound {
+                on_record(record);
+            }
+        })?;
+        let state = match scan.end {
+            End::Whole => State::Whole,
+            End::Torn(reason) if kind == Kind::Log && number == *live.end() => {
+                State::Torn { at: scan.good, reason }
+            }
+            End::Torn(reason) | End::Damaged(reason) => State::Damaged(reason),
+        };
+        report.records += scan.records;
+        report.bytes += scan.good;
+        report.files.push(FileReport { name, records: scan.records, bytes: scan.len, state });
+    }
+    let old = names.snapshots.range(..names.base()).map(|&number| snapshot_name(number));
+    let old = old.chain(names.logs.range(..names.base()).map(|&number| log_name(number)));
+    report.files.extend(old.chain(names.unfinished).map(|name| FileReport::of(name, State::Left)));
+    report.files.extend(names.others.into_iter().map(|name| FileReport::of(name, State::Foreign)));
+    Ok(report)
+}
