--- /dev/null
+++ b/harbour/src/edge.rs
@@ -0,0 +1,426 @@
+//! The edge: takes messages from clients, has a store keep them, and answers; asks stores what became of one.
+
+use crate::links::Word;
+use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
+use crate::node::{wall, Common};
+use crate::signals::{Class, Found, Signal};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::net::SocketAddrV4;
+use stileroute_charter::RouteKind;
+use stileroute_hold::{Cargo, Key, Node, Refusal};
+
+/// A store that has not answered for so long is taken to be gone, and another is asked.
+const PATIENCE: Millis = 400;
+/// A store that was silent gets no new messages for so long, unless it speaks.
+const SHUN: Millis = 1500;
+/// Most messages that wait for a store.
+const MOST: usize = 4000;
+/// One that asks what became of a message waits two seconds.
+const ASKER: Millis = 1800;
+/// After the order to end: so long new connections are still taken, and at the latest then the process ends.
+const LINGER: Millis = 2300;
+
+struct Put {
+    conn: ConnId,
+    cargo: Cargo,
+    tried: Vec<Node>,
+    sent: Millis,
+    until: Millis,
+    uncertain: bool,
+}
+
+struct Find {
+    conn: ConnId,
+    key: Key,
+    body: bool,
+    left: Vec<Node>,
+    asked: Node,
+    sent: Millis,
+    until: Millis,
+    /// One said that it never ended: any other answer is better.
+    waiting: Option<(Found, Option<Vec<u8>>)>,
+}
+
+#[derive(Default)]
+struct Figures {
+    taken: u64,
+    no_route: u64,
+    refused: u64,
+    uncertain: u64,
+    again: u64,
+    asked: u64,
+}
+
+pub struct Edge {
+    common: Common,
+    front: usize,
+    readiness: usize,
+    puts: HashMap<u64, Put>,
+    finds: HashMap<u64, Find>,
+    /// By when each wait is looked at.
+    waits: BTreeMap<(Millis, u64), ()>,
+    shunned: HashMap<Node, Millis>,
+    leaving: HashSet<Node>,
+    next_ticket: u64,
+    next_store: usize,
+    figures: Figures,
+}
+
+impl Edge {
+    pub fn new(mut common: Common) -> miette::Result<Edge> {
+        let missing = |what: &str| miette::miette!("settings: bind_addresses.{what}: missing for this role");
+        let front: SocketAddrV4 = common.boot.front.ok_or_else(|| missing("front"))?;
+        let ready: SocketAddrV4 = common.boot.readiness.ok_or_else(|| missing("readiness"))?;
+        let listen = |net: &mut crate::net::Net, at| net.listen(at, Some(Bounds::default()));
+        let front = listen(&mut common.net, front).map_err(|e| miette::miette!("front address: {e}"))?;
+        let readiness =
+            listen(&mut common.net, ready).map_err(|e| miette::miette!("readiness address: {e}"))?;
+        Ok(Edge {
+            common,
+            front,
+            readiness,
+            puts: HashMap::new(),
+            finds: HashMap::new(),
+            waits: BTreeMap::new(),
+            shunned: HashMap::new(),
+            leaving: HashSet::new(),
+            next_ticket: 1,
+            next_store: 0,
+            figures: Figures::default(),
+        })
+    }
+
+    pub fn run(mut self) -> miette::Result<()> {
+        loop {
+            let until = self.waits.keys().next().map_or(Millis::MAX, |(at, _)| *at);
+            let (words, events) = self.common.turn(until);
+            words.into_iter().for_each(|word| self.word(word));
+            events.into_iter().for_each(|event| self.event(event));
+            self.look_after();
+            self.common.keep_session();
+            self.connect();
+            self.common.told_to_end();
+            if self.may_end() {
+                self.common.net.flush_all();
+                return Ok(());
+            }
+        }
+    }
+
+    fn connect(&mut self) {
+        let mut wanted = self.common.cores();
+        let stores = self.common.session.members.iter().filter(|m| m.class == Class::Store);
+        wanted.extend(stores.map(|m| self.common.links.address(m.ip, Class::Store)));
+        let now = self.common.net.now();
+        self.common.links.want(now, wanted);
+    }
+
+    /// In order: no new connections after a while, each answer closes its connection, and what is in hand is finished.
+    fn may_end(&mut self) -> bool {
+        let Some(since) = self.common.leaving_since else { return false };
+        let now = self.common.net.now();
+        if now < since + LINGER {
+            return false;
+        }
+        self.common.net.stop_listening(self.front);
+        let quiet = self.common.net.in_hand() == 0;
+        if quiet {
+            self.common.net.close_idle(self.front);
+        }
+        quiet || now > since + self.common.boot.bounds.grace_ms.saturating_sub(1000)
+    }
+
+    fn ready(&self) -> bool {
+        self.common.leaving_since.is_none()
+            && self.common.config.is_some()
+            && self.common.links.up().any(|h| h.class == Class::Store && !self.leaving.contains(&h.node))
+    }
+
+    fn word(&mut self, word: Word) {
+        match word {
+            Word::Up(hello) if hello.class == Class::Store => {
+                self.leaving.remove(&hello.node);
+                self.shunned.remove(&hello.node);
+            }
+            Word::Up(_) => {}
+            Word::Down(node, Class::Store) => self.store_lost(node),
+            Word::Down(..) => {}
+            Word::Said(from, Class::Core, Signal::News(news)) => {
+                if let Some(config) = self.common.heard_news(from, &news) {
+                    let limits = &config.limits;
+                    let bounds = Bounds {
+                        head: limits.max_header_bytes,
+                        body: limits.max_body_bytes,
+                        head_ms: limits.header_timeout_ms,
+                        idle_ms: limits.idle_timeout_ms,
+                    };
+                    self.common.net.bound(self.front, bounds);
+                }
+            }
+            Word::Said(from, Class::Store, Signal::Taken { ticket, result }) => {
+                self.taken(from, ticket, result)
+            }
+            Word::Said(from, Class::Store, Signal::Found { ticket, found }) => {
+                self.found(from, ticket, found)
+            }
+            Word::Said(from, Class::Store, Signal::Leaving) => {
+                self.leaving.insert(from);
+            }
+            Word::Said(..) => {}
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        let Event::Request { conn, port, request } = event else { return };
+        if port == self.readiness {
+            let known = request.target.split('?').next() == Some("/v1/readiness");
+            let status = match (known, self.ready()) {
+                (false, _) => 404,
+                (true, true) => 200,
+                (true, false) => 503,
+            };
+            return self.common.net.answer(conn, Answer::bare(status));
+        }
+        let asks = |prefix: &str| request.target.strip_prefix(prefix).filter(|_| request.method == "GET");
+        if let Some(name) = asks("/v1/message/") {
+            self.find(conn, name, false);
+        } else if let Some(name) = asks("/v1/message-body/") {
+            self.find(conn, name, true);
+        } else {
+            self.take(conn, request);
+        }
+    }
+
+    fn answer(&mut self, conn: ConnId, answer: Answer) {
+        let close = answer.close || self.common.leaving_since.is_some();
+        self.common.net.answer(conn, Answer { close, ..answer });
+    }
+
+    fn ticket(&mut self) -> u64 {
+        self.next_ticket += 1;
+        self.next_ticket
+    }
+
+    // ---- Taking ----
+
+    fn take(&mut self, conn: ConnId, request: Request) {
+        let Some(config) = self.common.config.clone() else {
+            self.figures.refused += 1;
+            return self.answer(conn, Answer::come_back(503, 1));
+        };
+        let route = config.route(&request.host, &request.target).map(|at| &config.routes[at]);
+        let Some(route) = route.filter(|r| r.kind == RouteKind::Deferred) else {
+            self.figures.no_route += 1;
+            return self.answer(conn, Answer::bare(404));
+        };
+        let bad_url = request.callback.as_deref().is_some_and(|url| crate::store::url(url).is_none());
+        if request.id.is_empty() || request.id.len() > 256 || bad_url {
+            return self.answer(conn, Answer::bare(400));
+        }
+        if self.puts.len() >= MOST {
+            self.figures.refused += 1;
+            return self.answer(conn, Answer::come_back(503, 1));
+        }
+        let now = self.common.net.now();
+        let until = now + request.left_ms.unwrap_or(4000).clamp(50, 10_000);
+        let cargo = Cargo {
+            id: request.id,
+            host: request.host,
+            method: request.method,
+            target: request.target,
+            content_type: request.content_type,
+            callback: request.callback.filter(|_| route.callback),
+            order_key: request.order_key.filter(|_| route.in_order),
+            delay_ms: request.delay_ms.unwrap_or(0),
+            taken: wall(),
+            config: config.revision,
+            body: request.body,
+        };
+        let ticket = self.ticket();
+        let put = Put { conn, cargo, tried: Vec::new(), sent: now, until, uncertain: false };
+        self.send(ticket, put);
+    }
+
+    /// The stores to choose from: of the own zone first, in turn.
+    fn store(&mut self, not: &[Node]) -> Option<Node> {
+        let now = self.common.net.now();
+        let zone = &self.common.boot.zone;
+        let mut all: Vec<(bool, bool, Node)> = self
+            .common
+            .links
+            .up()
+            .filter(|h| h.class == Class::Store && !not.contains(&h.node) && !self.leaving.contains(&h.node))
+            .map(|h| (self.shunned.get(&h.node).is_some_and(|until| now < *until), h.zone != *zone, h.node))
+            .collect();
+        all.sort_unstable();
+        let first = *all.first()?;
+        let alike = all.iter().take_while(|s| (s.0, s.1) == (first.0, first.1)).count();
+        self.next_store = self.next_store.wrapping_add(1);
+        Some(all[self.next_store % alike].2)
+    }
+
+    fn send(&mut self, ticket: u64, mut put: Put) {
+        let now = self.common.net.now();
+        match self.store(&put.tried) {
+            Some(store) => {
+                put.tried.push(store);
+                put.sent = now;
+                self.figures.again += u64::from(put.tried.len() > 1);
+                let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
+                self.common.links.say(&mut self.common.net, store, &signal);
+                self.waits.insert(((now + PATIENCE).min(put.until), ticket), ());
+                self.puts.insert(ticket, put);
+            }
+            // Nobody has it: that is a promise, and the client may come back. Else nothing is promised.
+            None if !put.uncertain => {
+                self.figures.refused += 1;
+                self.answer(put.conn, Answer::come_back(503, 1));
+            }
+            None => {
+                self.figures.uncertain += 1;
+                self.answer(put.conn, Answer::bare(502));
+            }
+        }
+    }
+
+    fn taken(&mut self, _from: Node, ticket: u64, result: Result<String, Refusal>) {
+        let Some(mut put) = self.puts.remove(&ticket) else { return };
+        match result {
+            Ok(name) => {
+                self.figures.taken += 1;
+                let headers = vec![("X-Queue-Message-Id", name)];
+                self.answer(put.conn, Answer { status: 202, headers, ..Answer::default() });
+            }
+            Err(refusal) => {
+                put.uncertain |= refusal == Refusal::Uncertain;
+                self.send(ticket, put);
+            }
+        }
+    }
+
+    fn store_lost(&mut self, node: Node) {
+        self.leaving.remove(&node);
+        let lost: Vec<u64> = self
+            .puts
+            .iter()
+            .filter(|(_, p)| p.tried.last() == Some(&node))
+            .map(|(ticket, _)| *ticket)
+            .collect();
+        for ticket in lost {
+            if let Some(mut put) = self.puts.remove(&ticket) {
+                put.uncertain = true;
+                self.send(ticket, put);
+            }
+        }
+        let asked: Vec<u64> =
+            self.finds.iter().filter(|(_, f)| f.asked == node).map(|(ticket, _)| *ticket).collect();
+        asked.into_iter().for_each(|ticket| self.ask_next(ticket));
+    }
+
+    /// Waits that are over.
+    fn look_after(&mut self) {
+        let now = self.common.net.now();
+        while let Some((at, ticket)) = self.waits.keys().next().copied() {
+            if at > now {
+                break;
+            }
+            self.waits.remove(&(at, ticket));
+            if self.finds.contains_key(&ticket) {
+                self.ask_next(ticket);
+                continue;
+            }
+            let Some(put) = self.puts.get(&ticket) else { continue };
+            if now < put.until && now < put.sent + PATIENCE {
+                self.waits.insert(((put.sent + PATIENCE).min(put.until), ticket), ());
+                continue;
+            }
+            let Some(mut put) = self.puts.remove(&ticket) else { continue };
+            if let Some(store) = put.tried.last() {
+                self.shunned.insert(*store, now + SHUN);
+            }
+            put.uncertain = true;
+            if now >= put.until {
+                self.figures.uncertain += 1;
+                self.answer(put.conn, Answer::bare(504));
+            } else {
+                self.send(ticket, put);
+            }
+        }
+    }
+
+    // ---- Asking ----
+
+    fn find(&mut self, conn: ConnId, name: &str, body: bool) {
+        self.figures.asked += 1;
+        let now = self.common.net.now();
+        let Some((key, first)) = Key::parse(name) else { return self.answer(conn, Answer::bare(404)) };
+        let up = self.common.links.class(Class::Store);
+        let mut left: Vec<Node> = first.into_iter().filter(|n| up.contains(n)).collect();
+        left.extend(up.iter().filter(|n| !left.contains(n)).copied().collect::<Vec<_>>());
+        left.dedup();
+        left.reverse();
+        let ticket = self.ticket();
+        let until = now + ASKER;
+        self.finds.insert(ticket, Find { conn, key, body, left, asked: 0, sent: now, until, waiting: None });
+        self.ask_next(ticket);
+    }
+
+    fn ask_next(&mut self, ticket: u64) {
+        let now = self.common.net.now();
+        let Some(find) = self.finds.get_mut(&ticket) else { return };
+        match find.left.pop().filter(|_| now < find.until) {
+            Some(store) => {
+                (find.asked, find.sent) = (store, now);
+                let signal = Signal::Find { ticket, key: find.key, body: find.body };
+                self.waits.insert((now + PATIENCE, ticket), ());
+                if !self.common.links.say(&mut self.common.net, store, &signal) {
+                    self.ask_next(ticket);
+                }
+            }
+            None => {
+                if let Some(find) = self.finds.remove(&ticket) {
+                    // One that knows nothing of it says so; one that could not be asked may know.
+                    let answer = match find.waiting {
+                        Some(found) => said(found, find.body),
+                        None => Answer::bare(404),
+                    };
+                    self.answer(find.conn, answer);
+                }
+            }
+        }
+    }
+
+    fn found(&mut self, from: Node, ticket: u64, found: Option<(Found, Option<Vec<u8>>)>) {
+        let Some(find) = self.finds.get_mut(&ticket) else { return };
+        match found {
+            Some(found @ (Found::Waiting, _))
+                if find.asked == from && !find.left.is_empty() && from != find.key.origin =>
+            {
+                find.waiting = Some(found);
+                self.ask_next(ticket);
+            }
+            Some(found) => {
+                if let Some(find) = self.finds.remove(&ticket) {
+                    self.answer(find.conn, said(found, find.body));
+                }
+            }
+            None if find.asked == from => self.ask_next(ticket),
+            None => {}
+        }
+    }
+}
+
+fn said((found, bytes): (Found, Option<Vec<u8>>), body: bool) -> Answer {
+    if body {
+        return match bytes {
+            Some(bytes) => Answer { status: 200, body: bytes, ..Answer::default() },
+            None => Answer::bare(404),
+        };
+    }
+    let object = match found {
+        Found::Waiting => jzon::object! { "state" => "waiting" },
+        Found::Complete { seal } => jzon::object! { "state" => "complete", "seal" => seal },
+        Found::Failed => jzon::object! { "state" => "failed" },
+    };
+    Answer::json(200, object.dump())
+}
--- a/harbour/src/net/client.rs
+++ b/harbour/src/net/client.rs
@@ -106,7 +106,8 @@
             let word = text.split([',', ' ']).find_map(|part| part.trim().strip_prefix("timeout="))?;
             word.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
         });
-        let keep = told.map_or(IDLE, |seconds| (seconds * 1000.0) as Millis).saturating_sub(MARGIN).min(60_000);
+        let keep =
+            told.map_or(IDLE, |seconds| (seconds * 1000.0) as Millis).saturating_sub(MARGIN).min(60_000);
         return Found::Whole { reply, used, keep: (!close && keep > 0).then_some(keep) };
     }
 }
--- a/harbour/src/net/mod.rs
+++ b/harbour/src/net/mod.rs
@@ -39,13 +39,28 @@
 #[derive(Debug)]
 pub enum Event {
     /// A whole request; it wants one `answer`.
-    Request { conn: ConnId, port: usize, request: Request },
+    Request {
+        conn: ConnId,
+        port: usize,
+        request: Request,
+    },
     /// How a `call` ended.
-    Replied { ticket: u64, result: Result<Reply, Failure> },
+    Replied {
+        ticket: u64,
+        result: Result<Reply, Failure>,
+    },
     /// A connection between own processes is open, dialled here or not.
-    PeerUp { conn: ConnId, dialled: bool },
-    PeerDown { conn: ConnId },
-    Frame { conn: ConnId, bytes: Vec<u8> },
+    PeerUp {
+        conn: ConnId,
+        dialled: bool,
+    },
+    PeerDown {
+        conn: ConnId,
+    },
+    Frame {
+        conn: ConnId,
+        bytes: Vec<u8>,
+    },
     /// Another thread has something for the loop.
     Woken,
 }
@@ -53,7 +68,9 @@
 enum Side {
     Inward(Inward),
     Outward(Outward),
-    Peer { dialled: bool },
+    Peer {
+        dialled: bool,
+    },
     /// Its last answer is out; what still comes is thrown away, for closing with unread bytes would reset it.
     Lingering,
 }
@@ -184,7 +201,9 @@
                 match event.token() {
                     WAKE => self.happened.push_back(Event::Woken),
                     Token(at) if at >= LISTENERS => self.accept(at - LISTENERS),
-                    Token(at) => self.ready(at, event.is_readable() || event.is_read_closed(), event.is_writable()),
+                    Token(at) => {
+                        self.ready(at, event.is_readable() || event.is_read_closed(), event.is_writable())
+                    }
                 }
             }
             self.events = Some(events);
--- /dev/null
+++ b/harbour/src/node.rs
@@ -0,0 +1,244 @@
+//! What every role has: its settings, its loop, its links, its session with a control node, and how it is told to end.
+
+use crate::links::{Links, Word};
+use crate::net::{Event, Millis, Net};
+use crate::signals::{Class, Hello, Member, News, Signal, PROTOCOL};
+use std::net::SocketAddrV4;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use stileroute_charter::{Boot, Config};
+use stileroute_hold::Node;
+
+/// Time of day in ms.
+pub fn wall() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// A number that no other start of any process has.
+pub fn lot() -> u64 {
+    use std::hash::{BuildHasher, Hasher};
+    let mut hasher = std::collections::hash_map::RandomState::new().build_hasher();
+    hasher.write_u64(wall());
+    hasher.finish()
+}
+
+/// A node's number, from its name.
+pub fn number(name: &str) -> Node {
+    (stileroute::tariff::mark(name) >> 32) as Node
+}
+
+pub struct Common {
+    pub boot: Boot,
+    pub net: Net,
+    pub links: Links,
+    pub waker: Arc<mio::Waker>,
+    pub session: Session,
+    pub config: Option<Arc<Config>>,
+    boot_path: PathBuf,
+    term: Arc<AtomicBool>,
+    hup: Arc<AtomicBool>,
+    pub leaving_since: Option<Millis>,
+}
+
+/// The session with a control node: who it is, and what it has told.
+pub struct Session {
+    /// Control nodes by address, as far as known.
+    pub controls: Vec<(SocketAddrV4, String)>,
+    with: Option<Node>,
+    asked: Option<Millis>,
+    /// When one last answered.
+    pub heard: Millis,
+    life: u64,
+    version: u64,
+    pub members: Vec<Member>,
+    pub lost: u64,
+}
+
+impl Common {
+    pub fn start(boot: Boot, boot_path: &Path, class: Class) -> miette::Result<Common> {
+        let most = (boot.means.max_open_files.saturating_sub(260)).clamp(64, 60_000) as usize;
+        let (mut net, waker) = Net::new(most).map_err(|e| miette::miette!("event loop: {e}"))?;
+        let (term, hup) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicBool::new(false)));
+        for (signal, flag) in [(libc::SIGTERM, &term), (libc::SIGINT, &term), (libc::SIGHUP, &hup)] {
+            signal_hook::flag::register(signal, Arc::clone(flag))
+                .map_err(|e| miette::miette!("signal: {e}"))?;
+        }
+        let hello = Hello {
+            protocol: PROTOCOL,
+            node: number(&boot.node_name),
+            name: boot.node_name.clone(),
+            class,
+            zone: boot.zone.clone(),
+            ip: boot.ip,
+            life: lot(),
+            control: boot.control,
+        };
+        let links = Links::new(hello, boot.internal_ports);
+        let own = links.address(boot.ip, class);
+        net.listen(own, None).map_err(|e| miette::miette!("internal address {own}: {e}"))?;
+        let controls = boot.seeds.iter().map(|seed| (*seed, String::new())).collect();
+        let session = Session {
+            controls,
+            with: None,
+            asked: None,
+            heard: 0,
+            life: 0,
+            version: 0,
+            members: Vec::new(),
+            lost: 0,
+        };
+        let common = Common {
+            boot,
+            net,
+            links,
+            waker,
+            session,
+            config: None,
+            boot_path: boot_path.to_path_buf(),
+            term,
+            hup,
+            leaving_since: None,
+        };
+        Ok(common)
+    }
+
+    /// One turn of the loop; words of links and events of the net are told apart.
+    pub fn turn(&mut self, until: Millis) -> (Vec<Word>, Vec<Event>) {
+        let until = until.min(self.links.next()).min(self.session_next());
+        // A signal interrupts the wait; one that came just before it is seen at the latest then.
+        let until = until.min(self.net.now() + 250);
+        let happened = self.net.turn(until);
+        let (mut words, mut events) = (Vec::new(), Vec::new());
+        for event in happened {
+            events.extend(self.links.event(&mut self.net, event, &mut words));
+        }
+        words.extend(self.links.tick(&mut self.net));
+        if self.hup.swap(false, Ordering::Relaxed) {
+            self.reread();
+        }
+        (words, events)
+    }
+
+    /// The process has been told to end; true once.
+    pub fn told_to_end(&mut self) -> bool {
+        if self.leaving_since.is_none() && self.term.load(Ordering::Relaxed) {
+            self.leaving_since = Some(self.net.now());
+            tracing::info!("told to end");
+            return true;
+        }
+        false
+    }
+
+    /// The settings file has changed: what can change while a process lives is taken, whole or not at all.
+    fn reread(&mut self) {
+        match Boot::read(&self.boot_path) {
+            Ok(boot) if boot.ip == self.boot.ip && boot.node_name == self.boot.node_name => {
+                for seed in &boot.seeds {
+                    if !self.session.controls.iter().any(|(c, _)| c == seed) {
+                        self.session.controls.push((*seed, String::new()));
+                    }
+                }
+                self.boot.bounds = boot.bounds;
+                self.boot.losses = boot.losses;
+                tracing::info!("settings read again");
+            }
+            Ok(_) => tracing::warn!("settings name another node: not taken"),
+            Err(faults) => {
+                for fault in &faults.0 {
+                    tracing::warn!("{fault}");
+                }
+            }
+        }
+    }
+
+    // ---- The session ----
+
+    fn session_next(&self) -> Millis {
+        self.session.asked.map_or(self.net.now() + 100, |at| at + 2000)
+    }
+
+    /// Keeps up a session with one control node, of the own zone where one is there, and asks it for news.
+    pub fn keep_session(&mut self) {
+        let now = self.net.now();
+        let zone = self.boot.zone.clone();
+        let late = self.session.asked.is_some_and(|at| now > at + 2000);
+        if self.session.with.is_some_and(|with| late || !self.links.is_up(with)) {
+            self.session.with = None;
+            self.session.asked = None;
+            self.session.lost += 1;
+        }
+        if self.session.with.is_none() {
+            let mut all: Vec<(bool, u32, Node)> = self
+                .links
+                .up()
+                .filter(|h| h.class == Class::Core)
+                .map(|h| (h.zone != zone, h.node.rotate_left(self.links.me().node & 31), h.node))
+                .collect();
+            all.sort_unstable();
+            self.session.with = all.first().map(|(_, _, node)| *node);
+            if self.session.with.is_some() {
+                self.ask();
+            }
+        }
+    }
+
+    /// Control nodes to be connected with: those of the own zone while one of them is there, else all that are known.
+    pub fn cores(&self) -> Vec<SocketAddrV4> {
+        let zone = &self.boot.zone;
+        let known = &self.session.controls;
+        let near: Vec<SocketAddrV4> = known.iter().filter(|(_, z)| z == zone).map(|(c, _)| *c).collect();
+        let near_up = near.iter().any(|c| self.links.by_control(*c).is_some());
+        let chosen = if near_up { near } else { known.iter().map(|(c, _)| *c).collect() };
+        chosen.into_iter().map(|c| self.links.address(*c.ip(), Class::Core)).collect()
+    }
+
+    fn ask(&mut self) {
+        let Some(with) = self.session.with else { return };
+        let config = self.config.as_ref().map_or(0, |c| c.revision);
+        let ask = Signal::Ask { life: self.session.life, version: self.session.version, config };
+        if self.links.say(&mut self.net, with, &ask) {
+            self.session.asked = Some(self.net.now());
+        }
+    }
+
+    /// News came: a new configuration, if there is one, is read and given back.
+    pub fn heard_news(&mut self, from: Node, news: &News) -> Option<Arc<Config>> {
+        if self.session.with != Some(from) {
+            return None;
+        }
+        let now = self.net.now();
+        self.session.heard = now;
+        (self.session.life, self.session.version) = (news.life, news.version);
+        if let Some(members) = &news.members {
+            self.session.members = members.clone();
+            for member in members.iter().filter(|m| m.class == Class::Core) {
+                let Some(control) = member.control else { continue };
+                self.session.controls.retain(|(c, _)| *c != control);
+                self.session.controls.push((control, member.zone.clone()));
+            }
+        }
+        let mut new = None;
+        if let Some(body) = &news.config {
+            match Config::read(body) {
+                // Never back to an older one within a life.
+                Ok(config) if self.config.as_ref().is_none_or(|old| config.revision > old.revision) => {
+                    let config = Arc::new(config);
+                    self.config = Some(Arc::clone(&config));
+                    tracing::info!(version = config.revision, "configuration in force");
+                    new = Some(config);
+                }
+                Ok(_) => {}
+                Err(faults) => tracing::error!(%faults, "a configuration that can't be read"),
+            }
+        }
+        self.ask();
+        new
+    }
+
+    /// The session stands: a control node answered not long ago.
+    pub fn fresh(&self) -> bool {
+        self.session.heard > 0 && self.net.now() < self.session.heard + 2500
+    }
+}
--- /dev/null
+++ b/harbour/src/store.rs
@@ -0,0 +1,379 @@
+//! The store: keeps messages, delivers them, and calls back.
+
+use crate::links::Word;
+use crate::net::{Event, Failure, Millis, Reply};
+use crate::node::{lot, wall, Common};
+use crate::signals::{Beat, Class, Found, Signal, Standing};
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::SocketAddrV4;
+use std::sync::mpsc::Receiver;
+use std::time::Duration;
+use stileroute_hold::{Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms};
+use stileroute_logbook::{Logbook, Options, Trouble};
+
+/// A receiver of call-backs has so long.
+const CALL: Millis = 3000;
+/// Connections to one receiver.
+const CALLS: usize = 6;
+
+enum Out {
+    Attempt { attempt: u64, id: String },
+    Call(Key),
+}
+
+pub struct Store {
+    common: Common,
+    hold: Hold,
+    disk: Logbook,
+    disk_said: Receiver<(u64, Result<(), Trouble>)>,
+    servers: HashMap<String, Beat>,
+    out: HashMap<u64, Out>,
+    next_ticket: u64,
+    /// Whose messages wait to be taken: the edge, and its own ticket.
+    askers: HashMap<u64, (Node, u64)>,
+    disk_trouble: bool,
+    flushed: bool,
+}
+
+impl Store {
+    pub fn new(common: Common) -> miette::Result<Store> {
+        let dir = common
+            .boot
+            .data_dir
+            .clone()
+            .ok_or_else(|| miette::miette!("settings: data_dir: missing for a store"))?;
+        let dir = dir.join("hold");
+        std::fs::create_dir_all(&dir).map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
+        let (said, disk_said) = std::sync::mpsc::channel();
+        let waker = std::sync::Arc::clone(&common.waker);
+        let done = move |ticket, result| {
+            let _ = said.send((ticket, result));
+            let _ = waker.wake();
+        };
+        let room = common.boot.means.disk_mb << 20;
+        let options = Options { room, lazy_sync: Duration::from_millis(200), ..Options::new("hold") };
+        let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
+            .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
+        let born = ledger.disk.is_none();
+        let number = ledger.disk.unwrap_or_else(lot);
+        if born {
+            let record = postcard::to_stdvec(&Record::Born { disk: number }).unwrap_or_default();
+            disk.append(0, vec![record], true);
+        }
+        let zone = common.boot.zones.keys().position(|zone| *zone == common.boot.zone).unwrap_or(0);
+        let boot = &common.boot;
+        let terms = Terms {
+            me: common.links.me().node,
+            zone,
+            disk: number,
+            losses: boot.losses.machines,
+            spread: boot.losses.zones > 0,
+            window_ms: boot.bounds.ceiling_window_ms,
+            overrun: boot.bounds.origin_overrun,
+            status_ms: boot.bounds.status_ms,
+            seed: lot(),
+        };
+        tracing::info!(messages = ledger.all.len(), disk = number, "disk read");
+        let hold = Hold::new(terms, ledger, common.net.now(), wall());
+        Ok(Store {
+            common,
+            hold,
+            disk,
+            disk_said,
+            servers: HashMap::new(),
+            out: HashMap::new(),
+            next_ticket: 1,
+            askers: HashMap::new(),
+            disk_trouble: false,
+            flushed: false,
+        })
+    }
+
+    pub fn run(mut self) -> miette::Result<()> {
+        loop {
+            let (words, events) = self.common.turn(self.hold.next());
+            words.into_iter().for_each(|word| self.word(word));
+            events.into_iter().for_each(|event| self.event(event));
+            self.common.keep_session();
+            self.connect();
+            self.hold.heard = self.common.fresh();
+            let now = self.common.net.now();
+            if self.common.told_to_end() {
+                for edge in self.common.links.class(Class::Edge) {
+                    self.common.links.say(&mut self.common.net, edge, &Signal::Leaving);
+                }
+                self.hold.leave(now);
+            }
+            self.carry_out();
+            for line in self.hold.log() {
+                tracing::debug!("{line}");
+            }
+            if self.may_end(now) {
+                self.common.net.flush_all();
+                self.disk.stop();
+                return Ok(());
+            }
+        }
+    }
+
+    fn may_end(&mut self, now: Millis) -> bool {
+        let Some(since) = self.common.leaving_since else { return false };
+        let grace = self.common.boot.bounds.grace_ms.saturating_sub(1000);
+        let done = self.hold.in_hand() == 0 && now > since + 150;
+        if done && !self.flushed {
+            // The last ends go out before the process does: whoever took over must not run them again.
+            self.flushed = true;
+            self.hold.flush();
+            self.carry_out();
+            return false;
+        }
+        (done && now > since + 300) || now > since + grace
+    }
+
+    /// Of two stores the one with the lower address opens the connection.
+    fn connect(&mut self) {
+        let mut wanted = self.common.cores();
+        let me = self.common.boot.ip;
+        let stores = self.common.session.members.iter().filter(|m| m.class == Class::Store && m.ip > me);
+        wanted.extend(stores.map(|m| self.common.links.address(m.ip, Class::Store)));
+        let now = self.common.net.now();
+        self.common.links.want(now, wanted);
+    }
+
+    fn word(&mut self, word: Word) {
+        let now = self.common.net.now();
+        match word {
+            Word::Up(hello) if hello.class == Class::Store => self.hold.up(now, hello.node),
+            Word::Up(hello) if hello.class == Class::Edge && self.hold.leaving => {
+                self.common.links.say(&mut self.common.net, hello.node, &Signal::Leaving);
+            }
+            Word::Up(_) => {}
+            Word::Down(node, Class::Store) => self.hold.down(now, node),
+            Word::Down(..) => {}
+            Word::Said(from, Class::Core, Signal::News(news)) => {
+                let config = self.common.heard_news(from, &news);
+                if news.members.is_some() {
+                    let zone = |name: &str| {
+                        self.common.boot.zones.keys().position(|z| z == name).unwrap_or(usize::MAX >> 1)
+                    };
+                    let stores: Vec<(Node, usize)> = self
+                        .common
+                        .session
+                        .members
+                        .iter()
+                        .filter(|m| m.class == Class::Store)
+                        .map(|m| (m.node, zone(&m.zone)))
+                        .collect();
+                    self.hold.members(now, &stores);
+                }
+                if news.whole {
+                    self.servers.clear();
+                }
+                let changed = news.whole || !news.servers.is_empty();
+                for beat in news.servers {
+                    match beat.standing {
+                        Standing::Gone => {
+                            if let Some(old) = self.servers.remove(&beat.id) {
+                                self.common.net.forget(old.address);
+                            }
+                        }
+                        _ => {
+                            self.servers.insert(beat.id.clone(), beat);
+                        }
+                    }
+                }
+                let fine = self.common.net.fine();
+                if changed {
+                    self.hold.list(now, fine, self.listed());
+                }
+                if let Some(config) = config {
+                    self.hold.configure(now, fine, config);
+                }
+            }
+            Word::Said(from, Class::Edge, Signal::Put { ticket, cargo }) => {
+                self.next_ticket += 1;
+                self.askers.insert(self.next_ticket, (from, ticket));
+                self.hold.put(now, self.next_ticket, cargo);
+            }
+            Word::Said(from, Class::Edge, Signal::Find { ticket, key, body }) => {
+                let found = self.hold.find(key).map(|(state, bytes)| {
+                    let bytes = (body && !matches!(state, State::Complete { .. })).then(|| bytes.to_vec());
+                    let found = match state {
+                        State::Waiting => Found::Waiting,
+                        State::Complete { seal } => Found::Complete { seal },
+                        State::Failed => Found::Failed,
+                    };
+                    (found, bytes)
+                });
+                self.common.links.say(&mut self.common.net, from, &Signal::Found { ticket, found });
+            }
+            Word::Said(from, Class::Store, Signal::Note(note)) => self.hold.note(now, from, note),
+            Word::Said(..) => {}
+        }
+    }
+
+    fn listed(&self) -> HashMap<String, Vec<Server>> {
+        let mut all: HashMap<String, Vec<Server>> = HashMap::new();
+        let mut beats: Vec<&Beat> = self.servers.values().collect();
+        beats.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        for beat in beats {
+            let zone = self.common.boot.zones.keys().position(|zone| *zone == beat.zone);
+            all.entry(beat.backend.clone()).or_default().push(Server {
+                id: beat.id.clone(),
+                address: beat.address,
+                zone: zone.unwrap_or(self.common.boot.zones.len()),
+                capacity: f64::from(beat.capacity),
+                serving: beat.standing == Standing::Serving,
+                cold_left_ms: beat.cold_left_ms,
+            });
+        }
+        all
+    }
+
+    fn event(&mut self, event: Event) {
+        let now = self.common.net.now();
+        match event {
+            Event::Woken => {
+                while let Ok((ticket, result)) = self.disk_said.try_recv() {
+                    let trouble = result.is_err();
+                    if std::mem::replace(&mut self.disk_trouble, trouble) != trouble {
+                        match &result {
+                            Err(error) => tracing::error!(%error, "disk refuses"),
+                            Ok(()) => tracing::info!("disk takes again"),
+                        }
+                    }
+                    self.hold.kept(now, ticket, result.is_ok());
+                }
+            }
+            Event::Replied { ticket, result } => self.replied(ticket, result),
+            _ => {}
+        }
+    }
+
+    fn replied(&mut self, ticket: u64, result: Result<Reply, Failure>) {
+        let now = self.common.net.now();
+        match self.out.remove(&ticket) {
+            Some(Out::Attempt { attempt, id }) => {
+                let load = result.as_ref().ok().and_then(|reply| load(reply.load.as_deref()?));
+                let outcome = judge(&id, result);
+                let fine = self.common.net.fine();
+                self.hold.delivered(now, fine, attempt, outcome, load);
+            }
+            Some(Out::Call(key)) => self.hold.called(now, key, result.is_ok_and(|reply| reply.status == 200)),
+            None => {}
+        }
+    }
+
+    fn carry_out(&mut self) {
+        for _ in 0..8 {
+            let (now, fine) = (self.common.net.now(), self.common.net.fine());
+            self.hold.tick(now, fine);
+            let effects = self.hold.take();
+            if effects.is_empty() {
+                return;
+            }
+            effects.into_iter().for_each(|effect| self.effect(effect));
+        }
+    }
+
+    fn effect(&mut self, effect: Effect) {
+        let now = self.common.net.now();
+        match effect {
+            Effect::Disk { ticket, records, sync } => self.disk.append(ticket, records, sync),
+            Effect::Send { to, note } => {
+                self.common.links.say(&mut self.common.net, to, &Signal::Note(note));
+            }
+            Effect::Taken { ticket, result } => {
+                if let Some((edge, ticket)) = self.askers.remove(&ticket) {
+                    self.common.links.say(&mut self.common.net, edge, &Signal::Taken { ticket, result });
+                }
+            }
+            Effect::Deliver { attempt, key, to, expect, timeout_ms, conns } => {
+                let Some(cargo) = self.hold.cargo(key) else { return };
+                let mut bytes = Vec::with_capacity(cargo.body.len() + 320);
+                let _ =
+                    write!(bytes, "{} {} HTTP/1.1\r\nHost: {}\r\n", cargo.method, cargo.target, cargo.host);
+                let _ = write!(bytes, "X-Request-Id: {}\r\nX-Time-Left-Ms: {timeout_ms}\r\n", cargo.id);
+                if let Some(expect) = expect {
+                    let _ = write!(bytes, "X-Expect-Server: {expect}\r\n");
+                }
+                if let Some(kind) = &cargo.content_type {
+                    let _ = write!(bytes, "Content-Type: {kind}\r\n");
+                }
+                let _ = write!(bytes, "Content-Length: {}\r\n\r\n", cargo.body.len());
+                bytes.extend_from_slice(&cargo.body);
+                let id = cargo.id.clone();
+                self.next_ticket += 1;
+                match self.common.net.call(to, &bytes, self.next_ticket, now + timeout_ms, conns) {
+                    Ok(()) => {
+                        self.out.insert(self.next_ticket, Out::Attempt { attempt, id });
+                    }
+                    Err(failure) => {
+                        let fine = self.common.net.fine();
+                        self.hold.delivered(now, fine, attempt, judge(&id, Err(failure)), None);
+                    }
+                }
+            }
+            Effect::Call { key, url: text, body } => {
+                let Some((to, path)) = url(&text) else { return self.hold.called(now, key, false) };
+                let bytes = format!(
+                    "POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
+                    body.len()
+                );
+                self.next_ticket += 1;
+                match self.common.net.call(to, bytes.as_bytes(), self.next_ticket, now + CALL, CALLS) {
+                    Ok(()) => {
+                        self.out.insert(self.next_ticket, Out::Call(key));
+                    }
+                    Err(_) => self.hold.called(now, key, false),
+                }
+            }
+        }
+    }
+}
+
+/// `http://10.0.0.4:8080/path`: an address and a path; names are not looked up.
+pub fn url(text: &str) -> Option<(SocketAddrV4, &str)> {
+    let rest = text.strip_prefix("http://")?;
+    let at = rest.find('/').unwrap_or(rest.len());
+    let clean = !rest.bytes().any(|b| b.is_ascii_control() || b == b' ');
+    let to = rest[..at].parse().ok().filter(|_| clean)?;
+    Some((to, if at == rest.len() { "/" } else { &rest[at..] }))
+}
+
+/// `X-Server-Load`: running, waiting, slots.
+fn load(text: &str) -> Option<[f64; 3]> {
+    let mut parts =
+        text.split(',').map(|part| part.trim().parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0));
+    let (running, waiting, slots) = (parts.next()??, parts.next()??, parts.next()??);
+    Some([running + waiting, waiting, (slots - running).max(0.0)])
+}
+
+/// What an answer says of the attempt. One that names another request, or no seal, is no success.
+fn judge(id: &str, result: Result<Reply, Failure>) -> Outcome {
+    let reply = match result {
+        Ok(reply) => reply,
+        Err(Failure::NotConnected) => return Outcome::NotConnected,
+        Err(Failure::NoRoom) => return Outcome::NoRoom,
+        Err(Failure::Broken) => return Outcome::Broken,
+        Err(Failure::Late) => return Outcome::Late,
+        Err(Failure::Garbled) => return Outcome::Garbled,
+    };
+    if reply.id.as_deref() != Some(id) {
+        return Outcome::Garbled;
+    }
+    match (reply.status, reply.seal) {
+        (200..=299, Some(seal)) => Outcome::Done { seal },
+        (200..=299, None) => Outcome::Garbled,
+        (422, _) => Outcome::Refused,
+        (421, _) => Outcome::Wrong,
+        (409, _) => Outcome::Running,
+        (429, _) => Outcome::Over,
+        (503, _) => Outcome::Full,
+        (504, _) => Outcome::Stopped,
+        (500, _) if !reply.not_run => Outcome::Failed,
+        _ if reply.not_run => Outcome::NotRun,
+        _ => Outcome::Garbled,
+    }
+}
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -76,12 +76,30 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// The disk's own number: another one is another disk.
-    Born { disk: u64 },
-    Put { shared: Shared },
-    End { key: Key, end: End, owed: bool, at: u64 },
-    Called { key: Key },
-    Own { key: Key, owner: Node, term: u32, copies: Vec<Node> },
-    Drop { key: Key },
+    Born {
+        disk: u64,
+    },
+    Put {
+        shared: Shared,
+    },
+    End {
+        key: Key,
+        end: End,
+        owed: bool,
+        at: u64,
+    },
+    Called {
+        key: Key,
+    },
+    Own {
+        key: Key,
+        owner: Node,
+        term: u32,
+        copies: Vec<Node>,
+    },
+    Drop {
+        key: Key,
+    },
 }
 
 /// Between stores.
@@ -99,7 +117,10 @@
     Drop(Vec<Key>),
     Want(Vec<Key>),
     /// The live messages that both hold, as the sender sees them.
-    Standing { disk: u64, live: Vec<(Key, Node, u32)> },
+    Standing {
+        disk: u64,
+        live: Vec<(Key, Node, u32)>,
+    },
     /// All that was to be said to a `Standing` has been said.
     Stood,
     /// The sender ends: these are the receiver's from now on.
@@ -110,8 +131,14 @@
     Ping(u64),
     Pong(u64),
     /// Tokens of a service with a ceiling: so many are wanted, so many may be used.
-    TokensWanted { service: String, count: u32 },
-    Tokens { service: String, count: u32 },
+    TokensWanted {
+        service: String,
+        count: u32,
+    },
+    Tokens {
+        service: String,
+        count: u32,
+    },
 }
 
 /// Why a message was not taken.
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -157,7 +157,10 @@
                 entry.copies = copies.clone();
             }
             if let Some(shared) = self.shared(now, key) {
-                self.record(&Record::Own { key, owner: shared.owner, term: shared.term, copies: copies.clone() }, false);
+                self.record(
+                    &Record::Own { key, owner: shared.owner, term: shared.term, copies: copies.clone() },
+                    false,
+                );
                 self.copy_to(to, shared);
             }
         }
@@ -173,7 +176,9 @@
                     self.copy_elsewhere(now, key);
                 }
             }
-            Note::Ends(all) => all.into_iter().for_each(|(key, end, owed)| self.told_end(now, key, end, owed)),
+            Note::Ends(all) => {
+                all.into_iter().for_each(|(key, end, owed)| self.told_end(now, key, end, owed))
+            }
             Note::Called(keys) => {
                 for key in keys {
                     if let Some(entry) = self.entries.get_mut(&key) {
@@ -198,7 +203,8 @@
             }
             Note::Want(keys) => {
                 for key in keys {
-                    let own = self.entries.get(&key).is_some_and(|e| e.owner == self.terms.me && e.end.is_none());
+                    let own =
+                        self.entries.get(&key).is_some_and(|e| e.owner == self.terms.me && e.end.is_none());
                     if let Some(shared) = self.shared(now, key).filter(|_| own) {
                         self.figures.copied_anew += 1;
                         self.copy_to(from, shared);
@@ -407,7 +413,8 @@
     /// Looks for stores that are gone, and for messages that have waited long enough for those that are not back.
     pub(crate) fn look_after(&mut self, now: Millis) {
         let heard = self.heard;
-        let gone = |p: &Peer| heard && !p.connected && !p.listed && now > p.since + GONE && now >= p.looked + 3000;
+        let gone =
+            |p: &Peer| heard && !p.connected && !p.listed && now > p.since + GONE && now >= p.looked + 3000;
         let gone: Vec<Node> = self.peers.iter().filter(|(_, p)| gone(p)).map(|(node, _)| *node).collect();
         for node in gone {
             self.peers.entry(node).or_default().looked = now;
@@ -426,7 +433,8 @@
 
     /// Of the stores that hold a copy and are here, this is the first.
     fn first_in_line(&self, entry: &Entry) -> bool {
-        let here = |node: &&Node| **node == self.terms.me || self.peers.get(node).is_some_and(|p| p.connected);
+        let here =
+            |node: &&Node| **node == self.terms.me || self.peers.get(node).is_some_and(|p| p.connected);
         entry.copies.iter().find(here).is_none_or(|node| *node == self.terms.me)
     }
 
@@ -452,7 +460,8 @@
     /// Takes nothing more, and gives what waits to those that hold the copies.
     pub fn leave(&mut self, now: Millis) {
         self.leaving = true;
-        let peers: Vec<Node> = self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
+        let peers: Vec<Node> =
+            self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
         for to in peers {
             self.push(Effect::Send { to, note: Note::Leaving });
         }
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -75,17 +75,40 @@
 /// What the program is to do.
 #[derive(Debug)]
 pub enum Effect {
-    Disk { ticket: u64, records: Vec<Vec<u8>>, sync: bool },
-    Send { to: Node, note: Note },
-    Taken { ticket: u64, result: Result<String, Refusal> },
-    Deliver { attempt: u64, key: Key, to: SocketAddrV4, expect: Option<String>, timeout_ms: u64, conns: usize },
-    Call { key: Key, url: String, body: String },
+    Disk {
+        ticket: u64,
+        records: Vec<Vec<u8>>,
+        sync: bool,
+    },
+    Send {
+        to: Node,
+        note: Note,
+    },
+    Taken {
+        ticket: u64,
+        result: Result<String, Refusal>,
+    },
+    Deliver {
+        attempt: u64,
+        key: Key,
+        to: SocketAddrV4,
+        expect: Option<String>,
+        timeout_ms: u64,
+        conns: usize,
+    },
+    Call {
+        key: Key,
+        url: String,
+        body: String,
+    },
 }
 
 /// How an attempt ended.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
-    Done { seal: String },
+    Done {
+        seal: String,
+    },
     /// Can never be done.
     Refused,
     /// This attempt failed; the next may do.
@@ -290,7 +313,8 @@
         self.next_number += 1;
         let key = Key { origin: self.terms.me, number: self.next_number };
         let due_in = cargo.delay_ms;
-        let shared = Shared { key, owner: self.terms.me, term: 0, copies: copies.clone(), due_in, tries: 0, cargo };
+        let shared =
+            Shared { key, owner: self.terms.me, term: 0, copies: copies.clone(), due_in, tries: 0, cargo };
         self.record(&Record::Put { shared: shared.clone() }, true);
         self.due_waits.push(Waits::Own(key));
         let mut entry = Entry::of(&shared, now);
@@ -361,7 +385,8 @@
             let at = match self.lane_of.get(&service.name) {
                 Some(at) => *at,
                 None => {
-                    let target = config.routes.iter().filter(|r| config.services[r.service].name == service.name);
+                    let target =
+                        config.routes.iter().filter(|r| config.services[r.service].name == service.name);
                     let target = target.map(|r| r.run_target_ms).min().unwrap_or(1000);
                     let seed = self.terms.seed ^ stileroute::tariff::mark(&service.name);
                     self.lanes.push(Lane::new(&service.name, self.terms.zone, 3, target, seed));
@@ -376,7 +401,8 @@
             match &mut lane.bucket {
                 Some(bucket) if service.rate_per_s > 0.0 => bucket.rated(window.0, window.1, window.2),
                 bucket => {
-                    *bucket = (service.rate_per_s > 0.0).then(|| Bucket::new(now, window.0, window.1, window.2))
+                    *bucket =
+                        (service.rate_per_s > 0.0).then(|| Bucket::new(now, window.0, window.1, window.2))
                 }
             }
             let fixed = service.endpoint.map(|address| Server {
@@ -564,7 +590,14 @@
     }
 
     /// An attempt came to its end.
-    pub fn delivered(&mut self, now: Millis, fine: Time, attempt: u64, outcome: Outcome, load: Option<[f64; 3]>) {
+    pub fn delivered(
+        &mut self,
+        now: Millis,
+        fine: Time,
+        attempt: u64,
+        outcome: Outcome,
+        load: Option<[f64; 3]>,
+    ) {
         let judged = match &outcome {
             Outcome::Done { .. } => Judged::Acked,
             Outcome::Refused | Outcome::Failed => Judged::Unfit,
@@ -672,7 +705,9 @@
                 receiver.out += 1;
                 let id = &entry.cargo.id;
                 let body = match end {
-                    End::Complete { seal } => format!("{{\"id\":{},\"state\":\"complete\",\"seal\":{}}}", quoted(id), quoted(seal)),
+                    End::Complete { seal } => {
+                        format!("{{\"id\":{},\"state\":\"complete\",\"seal\":{}}}", quoted(id), quoted(seal))
+                    }
                     End::Failed => format!("{{\"id\":{},\"state\":\"failed\",\"seal\":null}}", quoted(id)),
                 };
                 calls.push((key, entry.cargo.callback.clone().unwrap_or_default(), body));
@@ -857,6 +892,11 @@
         self.lanes.iter_mut().flat_map(Lane::log).collect()
     }
 
+    /// Tells all ends now.
+    pub fn flush(&mut self) {
+        self.tell_ends();
+    }
+
     /// Requests that are out, and messages that are not yet safe.
     pub fn in_hand(&self) -> usize {
         self.lanes.iter().map(|lane| lane.sent.len()).sum::<usize>() + self.landing.len() + self.handing.len()
--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -6,7 +6,8 @@
 use std::net::SocketAddrV4;
 use stileroute::choice::Dispatcher;
 use stileroute::tariff::{
-    mark, Ask, Category, Effect, Gauge, Limits, Listed, Op, Outcome as Judged, Step, Tariff, Terms, Time, SECOND,
+    mark, Ask, Category, Effect, Gauge, Limits, Listed, Op, Outcome as Judged, Step, Tariff, Terms, Time,
+    SECOND,
 };
 
 /// An executor, as the control nodes tell of it.
@@ -62,7 +63,9 @@
 }
 
 pub(crate) enum Picked {
-    Go { executor: usize },
+    Go {
+        executor: usize,
+    },
     /// Not before this, unless something changes.
     Wait(Millis),
 }
@@ -139,9 +142,12 @@
                     let started = (left > 0).then(|| fine - (WARM - left).max(0));
                     let known = Known { server: server.clone(), started, heard: now, out: 0, listed: true };
                     // The place of one that is gone for good is used again once the list has grown long.
-                    let gone = (self.known.len() >= 128).then(|| self.known.iter().position(|k| !k.listed && k.out == 0));
+                    let gone = (self.known.len() >= 128)
+                        .then(|| self.known.iter().position(|k| !k.listed && k.out == 0));
                     match gone.flatten() {
-                        Some(at) => self.known[at] = Known { started: Some(started.unwrap_or(fine - WARM)), ..known },
+                        Some(at) => {
+                            self.known[at] = Known { started: Some(started.unwrap_or(fine - WARM)), ..known }
+                        }
                         None => self.known.push(known),
                     }
                 }
@@ -208,7 +214,14 @@
     }
 
     /// A request came to its end; `judged` is what that says of the executor.
-    pub fn settle(&mut self, fine: Time, now: Millis, attempt: u64, judged: Judged, load: Option<[f64; 3]>) -> Option<Key> {
+    pub fn settle(
+        &mut self,
+        fine: Time,
+        now: Millis,
+        attempt: u64,
+        judged: Judged,
+        load: Option<[f64; 3]>,
+    ) -> Option<Key> {
         let Sent { key, executor, at, mut op } = self.sent.remove(&attempt)?;
         let known = &mut self.known[executor];
         known.out = known.out.saturating_sub(1);
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -163,7 +163,8 @@
         }
         // The primary's process ended: no pulse will come. A short wait is left for one that starts again at once.
         if !up && self.primary() == Some(voter) {
-            self.stand_at = self.stand_at.min(now.max(self.heard + self.terms.silence_ms) + self.terms.pulse_ms / 2);
+            self.stand_at =
+                self.stand_at.min(now.max(self.heard + self.terms.silence_ms) + self.terms.pulse_ms / 2);
         }
     }
 
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -167,7 +167,8 @@
     fn hand_over(&mut self, now: Millis) {
         let Some(watch) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &self.duty else { return };
-        let heard = |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
+        let heard =
+            |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
         let next = watch.copies.iter().find(|v| **v != self.terms.me && heard(v)).copied();
         let ready = lead.settled && lead.job.is_none();
         self.step_down(now);
@@ -199,7 +200,8 @@
     pub(crate) fn lead(&mut self, now: Millis) {
         let Some(watch) = self.watch.clone() else { return };
         let (version, digest) = self.force.as_ref().map_or((0, 0), |c| (c.version, c.digest()));
-        let learners: Vec<Voter> = self.learners.iter().copied().filter(|l| !watch.voters.contains(l)).collect();
+        let learners: Vec<Voter> =
+            self.learners.iter().copied().filter(|l| !watch.voters.contains(l)).collect();
         let Duty::Lead(lead) = &mut self.duty else { return };
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
@@ -275,7 +277,14 @@
         }
     }
 
-    fn write(&mut self, now: Millis, chart: Chart, ticket: Option<u64>, to: Vec<Voter>, joins: Option<Voter>) {
+    fn write(
+        &mut self,
+        now: Millis,
+        chart: Chart,
+        ticket: Option<u64>,
+        to: Vec<Voter>,
+        joins: Option<Voter>,
+    ) {
         self.serial = self.serial.wrapping_add(1);
         let (serial, epoch, me) = (self.serial, self.epoch(), self.terms.me);
         let missing: BTreeSet<Voter> = to.into_iter().collect();
@@ -321,7 +330,9 @@
         self.chart = job.chart;
         match (job.ticket, leads) {
             (Some(ticket), true) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Accepted }),
-            (Some(ticket), false) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain }),
+            (Some(ticket), false) => {
+                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain })
+            }
             _ => {}
         }
         if enough && leads {
@@ -348,16 +359,23 @@
             return;
         }
         let gone = |v: &Voter| *v != me && self.links.get(v) == Some(&false) || lead.silent(now, me, v);
-        if lead.job.as_ref().and_then(|job| job.joins).is_some_and(|v| gone(&v)) {
-            lead.job = None;
-        }
-        let lost: Vec<Voter> = watch.copies.iter().copied().filter(|v| gone(v) || lead.hollow.contains(v)).collect();
+        let joiner_gone = lead.job.as_ref().and_then(|job| job.joins).is_some_and(|v| gone(&v));
+        let lost: Vec<Voter> =
+            watch.copies.iter().copied().filter(|v| gone(v) || lead.hollow.contains(v)).collect();
         let hollow = watch.copies.iter().any(|v| lead.hollow.contains(v));
-        let here = |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
+        let here =
+            |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
         let other = watch.voters.iter().filter(|v| !watch.copies.contains(v)).find(here).copied();
+        if joiner_gone {
+            lead.job = None;
+        }
         if let Some(job) = &mut lead.job {
             // A write that waits for one that is gone is settled with the copies that come after it.
-            if job.joins.is_none() && !lost.is_empty() && job.missing.iter().all(|v| lost.contains(v)) && other.is_some() {
+            if job.joins.is_none()
+                && !lost.is_empty()
+                && job.missing.iter().all(|v| lost.contains(v))
+                && other.is_some()
+            {
                 if let Some(job) = lead.job.take() {
                     // On this disk and on all copies that are left: it is what holds from here on.
                     let (chart, ticket) = (job.chart, job.ticket);
@@ -379,7 +397,9 @@
         if let Some(voter) = other.filter(|_| few && (lead.settled || !lost.is_empty())) {
             return self.write(now, own, None, vec![voter], Some(voter));
         }
-        if let Some(learner) = learner.filter(|l| lead.acks.get(l).is_some_and(|at| now <= at + LOST) && force > 0) {
+        if let Some(learner) =
+            learner.filter(|l| lead.acks.get(l).is_some_and(|at| now <= at + LOST) && force > 0)
+        {
             let mut next = watch.clone();
             next.epoch += 1;
             next.voters.push(learner);
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -34,18 +34,47 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Signal {
     /// `released`: the primary itself has stopped and named the proposer.
-    Propose { watch: Watch, released: bool },
-    Granted { epoch: u64 },
-    Denied { watch: Watch },
-    Store { epoch: u64, serial: u64, chart: Chart },
-    Stored { epoch: u64, serial: u64 },
-    Pulse { epoch: u64, sent_at: Millis, version: u64, digest: u64 },
-    PulseAck { epoch: u64, sent_at: Millis, blank: bool },
-    Handover { epoch: u64 },
+    Propose {
+        watch: Watch,
+        released: bool,
+    },
+    Granted {
+        epoch: u64,
+    },
+    Denied {
+        watch: Watch,
+    },
+    Store {
+        epoch: u64,
+        serial: u64,
+        chart: Chart,
+    },
+    Stored {
+        epoch: u64,
+        serial: u64,
+    },
+    Pulse {
+        epoch: u64,
+        sent_at: Millis,
+        version: u64,
+        digest: u64,
+    },
+    PulseAck {
+        epoch: u64,
+        sent_at: Millis,
+        blank: bool,
+    },
+    Handover {
+        epoch: u64,
+    },
     WhatWatch,
-    ThisWatch { watch: Option<Watch> },
+    ThisWatch {
+        watch: Option<Watch>,
+    },
     AskChart,
-    ThisChart { chart: Chart },
+    ThisChart {
+        chart: Chart,
+    },
 }
 
 /// On disk.
@@ -86,7 +115,9 @@
     /// Not above the version that is held: acknowledged, changes nothing.
     Unchanged,
     /// Ask there.
-    NotPrimary { primary: Option<Voter> },
+    NotPrimary {
+        primary: Option<Voter>,
+    },
     /// It may be in force, or come in force.
     Uncertain,
     /// It is not in force and will not be, unless it is sent again.
@@ -95,15 +126,32 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Send { to: Voter, signal: Signal },
+    Send {
+        to: Voter,
+        signal: Signal,
+    },
     /// Write it, sync it, then call `kept`.
-    Keep { ticket: u64, record: Record },
-    Answer { ticket: u64, verdict: Verdict },
+    Keep {
+        ticket: u64,
+        record: Record,
+    },
+    Answer {
+        ticket: u64,
+        verdict: Verdict,
+    },
     /// To one that has asked to read.
-    Chart { ticket: u64, chart: Option<Chart> },
-    InForce { version: u64 },
+    Chart {
+        ticket: u64,
+        chart: Option<Chart>,
+    },
+    InForce {
+        version: u64,
+    },
     /// A change of duty, for the log.
-    Turn { epoch: u64, what: &'static str },
+    Turn {
+        epoch: u64,
+        what: &'static str,
+    },
     /// The duty is handed over, or there was none: the process may end.
     Released,
 }
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -67,7 +67,15 @@
         self.resume(now);
     }
 
-    pub(crate) fn pulsed(&mut self, now: Millis, from: Voter, epoch: u64, sent_at: Millis, version: u64, digest: u64) {
+    pub(crate) fn pulsed(
+        &mut self,
+        now: Millis,
+        from: Voter,
+        epoch: u64,
+        sent_at: Millis,
+        version: u64,
+        digest: u64,
+    ) {
         if self.blank {
             return self.send(from, Signal::PulseAck { epoch, sent_at, blank: true });
         }
@@ -171,7 +179,10 @@
     /// The primary that ends has named this one.
     pub(crate) fn handed(&mut self, now: Millis, from: Voter, epoch: u64) {
         let named = self.watch.as_ref().is_some_and(|w| {
-            w.epoch == epoch && w.primary == from && w.copies.contains(&self.terms.me) && from != self.terms.me
+            w.epoch == epoch
+                && w.primary == from
+                && w.copies.contains(&self.terms.me)
+                && from != self.terms.me
         });
         if named && !self.blank && !self.released {
             self.stand_for(now, true);
