Dead messages keep their bytes on disk, and a store that is back asks before it takes over

Blamed: ledger.rs dropped the body of every ended message, copies.rs took over what the other store's list left out. Ended, unfinished and lost are now told apart by the store that owned them; numbers below the disk's first are lost ones. Ruled out by the log: no call or end was written late.

--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
-use stileroute_hold::{Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms};
+use stileroute_hold::{first_number, Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms};
 use stileroute_logbook::{Logbook, Options, Trouble};
 
 /// A receiver of call-backs has so long.
@@ -56,9 +56,9 @@
         let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
             .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
         let born = ledger.disk.is_none();
-        let number = ledger.disk.unwrap_or_else(lot);
+        let (number, first) = ledger.disk.unwrap_or_else(|| (lot(), first_number(wall())));
         if born {
-            let record = postcard::to_stdvec(&Record::Born { disk: number }).unwrap_or_default();
+            let record = postcard::to_stdvec(&Record::Born { disk: number, first }).unwrap_or_default();
             disk.append(0, vec![record], true);
         }
         let zone = common.boot.zones.keys().position(|zone| *zone == common.boot.zone).unwrap_or(0);
@@ -67,6 +67,7 @@
             me: common.links.me().node,
             zone,
             disk: number,
+            first,
             losses: boot.losses.machines,
             spread: boot.losses.zones > 0,
             window_ms: boot.bounds.ceiling_window_ms,
@@ -198,7 +199,7 @@
             }
             Word::Said(from, Class::Edge, Signal::Find { ticket, key, body }) => {
                 let found = self.hold.find(key).map(|(state, bytes)| {
-                    let bytes = (body && !matches!(state, State::Complete { .. })).then(|| bytes.to_vec());
+                    let bytes = bytes.filter(|_| body).map(<[u8]>::to_vec);
                     let found = match state {
                         State::Waiting => Found::Waiting,
                         State::Complete { seal } => Found::Complete { seal },
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -75,9 +75,10 @@
 /// On disk.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    /// The disk's own number: another one is another disk.
+    /// The disk's own number: another one is another disk. Numbers below `first` were given with a disk that is lost.
     Born {
         disk: u64,
+        first: u64,
     },
     Put {
         shared: Shared,
@@ -115,6 +116,8 @@
     /// Who owns these now.
     Own(Vec<(Key, Node, u32)>),
     Drop(Vec<Key>),
+    /// The sender owned these and has lost them with its disk.
+    Lost(Vec<Key>),
     Want(Vec<Key>),
     /// The live messages that both hold, as the sender sees them.
     Standing {
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -201,6 +201,13 @@
                     }
                 }
             }
+            Note::Lost(keys) => {
+                for key in keys {
+                    if self.entries.get(&key).is_some_and(|e| e.owner == from) {
+                        self.take_over(now, key, 0, None);
+                    }
+                }
+            }
             Note::Want(keys) => {
                 for key in keys {
                     let own =
@@ -300,14 +307,18 @@
     /// What the other holds in common with this store: ends, owners and copies are set right by the newer.
     fn standing(&mut self, now: Millis, from: Node, disk: u64, live: Vec<(Key, Node, u32)>) {
         let peer = self.peers.entry(from).or_default();
-        let same = peer.disk.replace(disk) == Some(disk);
-        let (mut own, mut want, mut drop) = (Vec::new(), Vec::new(), Vec::new());
+        if peer.disk.replace(disk).is_some_and(|old| old != disk) {
+            tracing::info!(node = from, "a store is back with another disk");
+        }
+        let (mut own, mut want, mut drop, mut lost) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let theirs: std::collections::HashSet<Key> = live.iter().map(|(key, _, _)| *key).collect();
         for (key, owner, term) in live {
             let Some(entry) = self.entries.get(&key) else {
                 match owner == from {
                     true => want.push(key),
-                    // It holds a copy of what this store has never finished taking: nobody was told that it is kept.
+                    // It holds a copy of what was lost with the disk before this one,
+                    false if owner == self.terms.me && key.number < self.terms.first => lost.push(key),
+                    // or of what this store has never finished taking: nobody was told that it is kept.
                     false if owner == self.terms.me => drop.push(key),
                     false => {}
                 }
@@ -327,12 +338,9 @@
         let both = self.entries.iter().filter(|(key, e)| e.end.is_none() && !theirs.contains(key));
         let both = both.filter(|(_, e)| e.stage != Stage::Landing);
         let mut anew = Vec::new();
-        let mut orphans = Vec::new();
         for (key, e) in both {
             if e.owner == me && e.copies.contains(&from) {
                 anew.push(*key);
-            } else if e.owner == from {
-                orphans.push(*key);
             }
         }
         for key in anew {
@@ -341,16 +349,14 @@
                 self.copy_to(from, shared);
             }
         }
-        // Owned by it, and it does not name them. With the disk it had it never finished taking them, or has ended them,
-        // which it tells for itself; with another disk it has lost them, and they are this store's now.
-        for key in orphans.into_iter().filter(|_| !same) {
-            self.take_over(now, key, 0, None);
-        }
+        // What it owned and does not name it has ended, never finished taking, or lost: it says which, for this store has
+        // named it. Taken over on its silence alone it would run twice.
         self.tell_ends();
         for (note, empty) in [
             (Note::Own(own.clone()), own.is_empty()),
             (Note::Want(want.clone()), want.is_empty()),
             (Note::Drop(drop.clone()), drop.is_empty()),
+            (Note::Lost(lost.clone()), lost.is_empty()),
         ] {
             if !empty {
                 self.push(Effect::Send { to: from, note });
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -29,6 +29,8 @@
     pub zone: usize,
     /// Number of the disk, drawn when it was empty.
     pub disk: u64,
+    /// The first number that was given with this disk.
+    pub first: u64,
     /// So many copies beside the own one.
     pub losses: usize,
     /// Copies lie in other zones, for a zone may be lost.
@@ -216,7 +218,7 @@
         let highest = ledger.highest.get(&terms.me).copied().unwrap_or(0);
         let mut hold = Hold {
             // Numbers never come again: beyond all that were used, and beyond what a lost disk can have used.
-            next_number: (highest + 1).max(wall / 1000 << 24),
+            next_number: (highest + 1).max(first_number(wall)),
             next_attempt: 1,
             next_ticket: 1,
             entries: HashMap::new(),
@@ -751,15 +753,16 @@
         self.ends_at.get_or_insert(now + TELL);
     }
 
-    /// What is known of a message, and its bytes where it has not ended in success.
-    pub fn find(&self, key: Key) -> Option<(State, &[u8])> {
+    /// What is known of a message, and its bytes where they are here.
+    pub fn find(&self, key: Key) -> Option<(State, Option<&[u8]>)> {
         let entry = self.entries.get(&key)?;
         let state = match &entry.end {
             None => State::Waiting,
             Some(End::Complete { seal }) => State::Complete { seal: seal.clone() },
             Some(End::Failed) => State::Failed,
         };
-        Some((state, &entry.cargo.body))
+        let here = !matches!(state, State::Complete { .. }) && entry.cargo.taken > 0;
+        Some((state, here.then_some(entry.cargo.body.as_slice())))
     }
 
     pub(crate) fn remove(&mut self, key: Key) {
@@ -950,7 +953,7 @@
         }
         if matches!(self.end, Some(End::Failed)) {
             // Dead ones are asked for their bytes.
-            self.cargo.body = cargo.body;
+            (self.cargo.body, self.cargo.taken) = (cargo.body, cargo.taken);
         }
     }
 
@@ -968,6 +971,11 @@
     }
 }
 
+/// Beyond all numbers that a process which ended by then can have given.
+pub fn first_number(wall: u64) -> u64 {
+    (wall / 1000) << 24
+}
+
 /// Who hands out the tokens of a service.
 pub(crate) fn holder_of(service: &str, me: Node, peers: &BTreeMap<Node, Peer>) -> Node {
     let weight = |node: Node| stileroute::tariff::mark(&format!("{service}/{node}"));
--- a/hold/src/ledger.rs
+++ b/hold/src/ledger.rs
@@ -15,7 +15,8 @@
 
 #[derive(Debug, Default)]
 pub struct Ledger {
-    pub disk: Option<u64>,
+    /// The disk's number, and the first number that was given with it.
+    pub disk: Option<(u64, u64)>,
     pub all: HashMap<Key, Kept>,
     /// Highest number of each origin would do; only the own one is used.
     pub highest: HashMap<u32, u64>,
@@ -26,7 +27,7 @@
 impl Ledger {
     pub fn enter(&mut self, record: Record) {
         match record {
-            Record::Born { disk } => self.disk = Some(disk),
+            Record::Born { disk, first } => self.disk = Some((disk, first)),
             Record::Put { shared } => {
                 let highest = self.highest.entry(shared.key.origin).or_default();
                 *highest = (*highest).max(shared.key.number);
@@ -40,11 +41,11 @@
                 *highest = (*highest).max(key.number);
                 self.latest = self.latest.max(at);
                 let kept = self.all.entry(key).or_default();
-                kept.end = Some((end, owed, at));
-                if let Some(shared) = &mut kept.shared {
-                    // What a call-back needs is kept, the rest is not.
+                // What a call-back needs is kept, the rest is not: but of dead ones the bytes are asked for.
+                if let Some(shared) = kept.shared.as_mut().filter(|_| end != End::Failed) {
                     shared.cargo.body = Vec::new();
                 }
+                kept.end = Some((end, owed, at));
             }
             Record::Called { key } => {
                 if let Some((_, owed, _)) = self.all.get_mut(&key).and_then(|kept| kept.end.as_mut()) {
@@ -79,8 +80,8 @@
                 out(&bytes);
             }
         };
-        if let Some(disk) = self.disk {
-            put(&Record::Born { disk });
+        if let Some((disk, first)) = self.disk {
+            put(&Record::Born { disk, first });
         }
         for (key, kept) in &self.all {
             let old = |at: u64| at + KEPT < self.latest;
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -9,6 +9,6 @@
 mod tokens;
 
 pub use cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
-pub use hold::{Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
+pub use hold::{first_number, Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
 pub use lane::Server;
 pub use ledger::Ledger;
