A service's first failure does not stop it: a hint for the run, and one message always goes out

Ruled out: tokens (the bucket had some), pauses (none set). Blamed: lane.rs gave no hint, so the module took the whole aim for the run until a first success and judged every further message hopeless.

--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -57,6 +57,7 @@
     pub endpoint: bool,
     pub max_conns: usize,
     dispatcher: Dispatcher,
+    target: Time,
     /// Nothing goes out before this.
     pub pause: Millis,
     fails: u32,
@@ -87,15 +88,19 @@
                 keepalive: 4 * SECOND,
                 ..Terms::default()
             },
-            categories: vec![Category {
-                target: target as Time * 10,
-                stretch: 0.0,
-                effect: Effect::Redeliverable,
-                benefit: 1.0,
-                late: 0.3,
-                kind: None,
-                priority: 0,
-            }],
+            // The second is for a lane that has nothing out: whatever its executors are like, one message goes, for else
+            // nothing more would ever be learned of them.
+            categories: [target as Time * 10, 60 * SECOND]
+                .map(|target| Category {
+                    target,
+                    stretch: 0.0,
+                    effect: Effect::Redeliverable,
+                    benefit: 1.0,
+                    late: 0.3,
+                    kind: None,
+                    priority: 0,
+                })
+                .to_vec(),
             quotas: Vec::new(),
             overload_factor: 4.0,
             gauges: vec![Gauge::Held, Gauge::Waiting, Gauge::FreeSlots],
@@ -109,6 +114,7 @@
             endpoint: false,
             max_conns: 64,
             dispatcher: Dispatcher::new(&tariff, seed),
+            target: target as Time * 10,
             pause: 0,
             fails: 0,
         }
@@ -191,11 +197,13 @@
         if self.serving() == 0 {
             return Picked::Wait(now + PAUSE.0);
         }
+        let category = usize::from(self.sent.is_empty());
         let ask = Ask {
-            category: 0,
+            category,
             slots: 1.0,
             memory: 0.0,
-            hint: None,
+            // Before the first answer: an eighth of the aim. Taken as the whole of it no message would be in time.
+            hint: Some(self.target / 8),
             deadline: fine + 60 * SECOND,
             limits: Limits { pushes: 1, ..Limits::default() },
             tenant: usize::MAX,
