--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -136,6 +136,7 @@
         for known in &mut self.known {
             known.listed = false;
         }
+        let mut new = Vec::new();
         for server in servers {
             let found = self.known.iter_mut().find(|k| k.server.id == server.id);
             match found {
@@ -152,9 +153,13 @@
                         .then(|| self.known.iter().position(|k| !k.listed && k.out == 0));
                     match gone.flatten() {
                         Some(at) => {
-                            self.known[at] = Known { started: Some(started.unwrap_or(fine - WARM)), ..known }
+                            self.known[at] = Known { started: Some(started.unwrap_or(fine - WARM)), ..known };
+                            new.push(at);
+                        }
+                        None => {
+                            new.push(self.known.len());
+                            self.known.push(known);
                         }
-                        None => self.known.push(known),
                     }
                 }
             }
@@ -175,6 +180,10 @@
             })
             .collect();
         self.dispatcher.list(fine, true, &lines);
+        // Its slots it tells with its beats, before it has told any load: guessed from none it would be overrun.
+        for at in new {
+            self.dispatcher.report(fine, at, &[0.0, 0.0, self.known[at].server.capacity]);
+        }
     }
 
     pub fn upkeep(&mut self, fine: Time) {
@@ -197,6 +206,13 @@
         if self.serving() == 0 {
             return Picked::Wait(now + PAUSE.0);
         }
+        // After a break all that waits is due at once, and each store knows only its own part of what the executors hold: no
+        // more is out from here than they work on together. One store alone can still keep all of them busy.
+        let room: f64 =
+            self.known.iter().filter(|k| k.listed && k.server.serving).map(|k| k.server.capacity).sum();
+        if !self.endpoint && self.sent.len() as f64 >= room.max(4.0) {
+            return Picked::Wait(now + 10);
+        }
         let category = usize::from(self.sent.is_empty());
         let ask = Ask {
             category,
@@ -211,6 +227,12 @@
         };
         let mut op = self.dispatcher.arrive(fine, ask);
         match self.dispatcher.place(fine, &mut op) {
+            Step::Push { executor } if self.overrun(executor) => {
+                // Closed first: else the module would send it again at once, and count that as out for ever.
+                op.closed = true;
+                self.dispatcher.settle(fine, &mut op, 0, Judged::Withheld, &[]);
+                Picked::Wait(now + 10)
+            }
             Step::Push { executor } if executor < self.known.len() => {
                 self.known[executor].out += 1;
                 self.sent.insert(attempt, Sent { key, executor, at: now, op });
@@ -221,6 +243,12 @@
         }
     }
 
+    /// It holds twice what it works on from here alone.
+    fn overrun(&self, executor: usize) -> bool {
+        let full = |k: &Known| k.out as f64 >= 2.0 * k.server.capacity;
+        !self.endpoint && self.known.get(executor).is_some_and(full)
+    }
+
     /// A request came to its end; `judged` is what that says of the executor.
     pub fn settle(
         &mut self,
