--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -26,7 +26,7 @@
 /// A crossing of zones costs bytes and time: so many parts of a message's worth.
 const CROSS: f64 = 0.15;
 /// The longest pause of a lane whose endpoint fails, and the first.
-const PAUSE: (Millis, Millis) = (2000, 50);
+const PAUSE: (Millis, Millis) = (400, 50);
 
 pub(crate) struct Known {
     pub server: Server,
