A control node that hears no primary says so, and the nodes that ask it turn to another

Log: core-akl-b was cut off from the other two, stood for epoch 2 in vain, and went on answering its zone's edges, whose sessions stood. Ruled out: the primary (acked 27 and 31 with its copy). Blamed: core.rs answered asks whatever it had heard. Now it answers 'cut off' after 0.3 s, nodes ask another for 1.5 s, and executors' calls get 503 meanwhile; it lists nobody as silent.

--- a/harbour/src/calls.rs
+++ b/harbour/src/calls.rs
@@ -95,9 +95,14 @@
 
 pub struct Heard {
     pub beat_url: Option<String>,
+    /// The others can be told of it.
+    pub told: bool,
 }
 impl From<Heard> for Answer {
     fn from(heard: Heard) -> Answer {
+        if !heard.told {
+            return fault(503, "cut off from the other control nodes");
+        }
         match heard.beat_url {
             Some(url) => Answer::json(200, jzon::object! { "beat_url" => url }.dump()),
             None => Answer::json(200, "{}".to_string()),
--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -18,6 +18,8 @@
 
 /// A node asks again as soon as it is answered; with no news it is answered after so long.
 const HOLD: Millis = 900;
+/// One that hears no primary says so, so late after it was asked.
+const CUT: Millis = 300;
 /// A session that ended is counted for so long: most nodes are back at once.
 const GRACE: Millis = 1500;
 /// Control nodes tell each other what they hold so often, and changes at once.
@@ -102,6 +104,8 @@
     passed: HashMap<u64, (Node, bool)>,
     sessions_changed: bool,
     look_at: Millis,
+    /// When it last heard no primary.
+    out_of_touch: Millis,
     released: Option<Millis>,
 }
 
@@ -163,6 +167,7 @@
             passed: HashMap::new(),
             sessions_changed: false,
             look_at: now,
+            out_of_touch: now,
             released: None,
             common,
         })
@@ -483,7 +488,12 @@
         self.look_at = now + 200;
         let silent = self.common.boot.beat_interval_ms * 16 / 5 + 300;
         let mut version = self.version;
-        for known in self.servers.values_mut() {
+        if !self.pilot.in_touch(now) {
+            // Cut off from the others: executors call them, and their silence here says nothing.
+            self.out_of_touch = now;
+        }
+        let quiet = now > self.out_of_touch + silent;
+        for known in self.servers.values_mut().filter(|_| quiet) {
             if known.beat.standing != Standing::Gone && now > known.heard + silent {
                 known.beat.standing = Standing::Gone;
                 version += 1;
@@ -570,10 +580,14 @@
     fn answer_asks(&mut self, now: Millis) {
         let force = self.pilot.in_force().map_or(0, |chart| chart.version);
         let servers_changed = self.servers.values().map(|k| k.changed).max().unwrap_or(0);
+        let in_touch = self.pilot.in_touch(now);
         let due: Vec<Node> = self
             .asks
             .iter()
             .filter(|(_, ask)| {
+                if !in_touch && self.ready && now >= ask.at + CUT {
+                    return true;
+                }
                 let stores = if ask.class == Class::Store { servers_changed } else { 0 };
                 let news = self.ready
                     && (ask.life != self.life || self.members_changed > ask.version || stores > ask.version);
@@ -583,6 +597,11 @@
             .collect();
         for node in due {
             let Some(ask) = self.asks.remove(&node) else { continue };
+            if !in_touch && self.ready && ask.config >= force {
+                let news = News { cut_off: true, ..News::default() };
+                self.common.links.say(&mut self.common.net, node, &Signal::News(news));
+                continue;
+            }
             let known = ask.life == self.life;
             let since = if known { ask.version } else { 0 };
             let config = self.pilot.in_force().filter(|c| c.version > ask.config).map(|c| c.body.clone());
@@ -657,7 +676,8 @@
             self.urgent.push(id.clone());
         }
         self.fresh.push(id);
-        Some(Heard { beat_url: None })
+        // Cut off from the others it could not tell them: the executor is to tell another as well.
+        Some(Heard { beat_url: None, told: self.pilot.in_touch(now) || !self.ready })
     }
 }
 
--- a/harbour/src/node.rs
+++ b/harbour/src/node.rs
@@ -47,6 +47,8 @@
     /// Control nodes by address, as far as known.
     pub controls: Vec<(SocketAddrV4, String)>,
     with: Option<Node>,
+    /// One that said that it is cut off, and until when others are asked first.
+    shunned: Vec<(Node, Millis)>,
     asked: Option<Millis>,
     /// When one last answered.
     pub heard: Millis,
@@ -82,6 +84,7 @@
         let session = Session {
             controls,
             with: None,
+            shunned: Vec::new(),
             asked: None,
             heard: 0,
             life: 0,
@@ -170,14 +173,20 @@
             self.session.lost += 1;
         }
         if self.session.with.is_none() {
-            let mut all: Vec<(bool, u32, Node)> = self
+            self.session.shunned.retain(|(_, until)| now < *until);
+            let shunned = |node: Node| {
+                self.session.shunned.iter().find(|(n, _)| *n == node).map_or(0, |(_, until)| *until)
+            };
+            let mut all: Vec<(Millis, bool, u32, Node)> = self
                 .links
                 .up()
                 .filter(|h| h.class == Class::Core)
-                .map(|h| (h.zone != zone, h.node.rotate_left(self.links.me().node & 31), h.node))
+                .map(|h| {
+                    (shunned(h.node), h.zone != zone, h.node.rotate_left(self.links.me().node & 31), h.node)
+                })
                 .collect();
             all.sort_unstable();
-            self.session.with = all.first().map(|(_, _, node)| *node);
+            self.session.with = all.first().map(|(.., node)| *node);
             if self.session.with.is_some() {
                 self.ask();
             }
@@ -189,7 +198,8 @@
         let zone = &self.boot.zone;
         let known = &self.session.controls;
         let near: Vec<SocketAddrV4> = known.iter().filter(|(_, z)| z == zone).map(|(c, _)| *c).collect();
-        let near_up = near.iter().any(|c| self.links.by_control(*c).is_some());
+        let good = |node: &Node| !self.session.shunned.iter().any(|(shunned, _)| shunned == node);
+        let near_up = near.iter().any(|c| self.links.by_control(*c).is_some_and(|node| good(&node)));
         let chosen = if near_up { near } else { known.iter().map(|(c, _)| *c).collect() };
         chosen.into_iter().map(|c| self.links.address(*c.ip(), Class::Core)).collect()
     }
@@ -209,6 +219,13 @@
             return None;
         }
         let now = self.net.now();
+        if news.cut_off {
+            // It may be the only one that can be reached: then it is asked again, but nothing counts as heard.
+            self.session.shunned.push((from, now + 1500));
+            self.session.with = None;
+            self.session.asked = None;
+            return None;
+        }
         self.session.heard = now;
         (self.session.life, self.session.version) = (news.life, news.version);
         if let Some(members) = &news.members {
--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -74,6 +74,8 @@
     /// Of the control node, in this life of it: others count anew.
     pub life: u64,
     pub version: u64,
+    /// The control node hears no primary: what it knows may be old, and another is to be asked.
+    pub cut_off: bool,
     /// The list is whole, not only what has changed.
     pub whole: bool,
     pub config: Option<Vec<u8>>,
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -51,6 +51,8 @@
     started: Millis,
     /// When the primary was last heard, and pulses were last asked after.
     heard: Millis,
+    /// What was heard last was a pulse: `heard` also stands for grants and starts.
+    pulsed: bool,
     /// A candidate waits a random while, so that two do not go on colliding.
     stand_at: Millis,
     learners: BTreeSet<Voter>,
@@ -79,6 +81,7 @@
             duty: Duty::Follow,
             started: now,
             heard: now,
+            pulsed: false,
             stand_at: 0,
             learners: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -147,6 +150,10 @@
     pub fn in_force(&self) -> Option<&Chart> {
         self.force.as_ref()
     }
+    /// It leads, or has heard the primary not long ago: what it tells others is not of yesterday.
+    pub fn in_touch(&self, now: Millis) -> bool {
+        !self.blank && (self.leads(now) || (self.pulsed && now < self.heard + 2 * self.terms.silence_ms))
+    }
     /// Who decides, as far as is known here.
     pub fn primary(&self) -> Option<Voter> {
         self.watch.as_ref().map(|w| w.primary)
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -35,7 +35,7 @@
         if watch.epoch <= mine.epoch || !free || !fit {
             return self.send(from, Signal::Denied { watch: mine });
         }
-        self.heard = now;
+        (self.heard, self.pulsed) = (now, false);
         self.draw_stand(now);
         self.follow(now, watch.clone());
         let epoch = watch.epoch;
@@ -91,7 +91,7 @@
             self.pulsing = Some((epoch, from));
             return self.send(from, Signal::WhatWatch);
         }
-        self.heard = now;
+        (self.heard, self.pulsed) = (now, true);
         self.draw_stand(now);
         if self.safe < mine.epoch {
             return;
