After a loss of power the control nodes meet within 0.2 s, and stores begin with the executors that are known

Blamed: a connection dialled to a machine without power hung 0.7 s (net), and control nodes told nobody of executors for 2 s after their start, stores that knew none included (core.rs).

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -589,7 +589,7 @@
                     return true;
                 }
                 let stores = if ask.class == Class::Store { servers_changed } else { 0 };
-                let news = self.ready
+                let news = (self.ready || ask.life == 0 || ask.life == self.life)
                     && (ask.life != self.life || self.members_changed > ask.version || stores > ask.version);
                 news || ask.config < force || now >= ask.at + HOLD
             })
@@ -606,7 +606,9 @@
             let since = if known { ask.version } else { 0 };
             let config = self.pilot.in_force().filter(|c| c.version > ask.config).map(|c| c.body.clone());
             let mut news = News { config, ..News::default() };
-            if self.ready {
+            if self.ready || ask.life == 0 || known {
+                // One that has just begun knows nobody: a part of the list is more than it has. One that has a list keeps
+                // that until this node's is whole.
                 (news.life, news.version) = (self.life, self.version);
                 if !known || self.members_changed > since {
                     news.members = Some(self.members.clone());
@@ -619,9 +621,6 @@
                 }
             } else {
                 (news.life, news.version) = (ask.life, ask.version);
-                if ask.life == 0 {
-                    news.members = Some(self.members.clone());
-                }
             }
             self.common.links.say(&mut self.common.net, node, &Signal::News(news));
         }
--- a/harbour/src/links.rs
+++ b/harbour/src/links.rs
@@ -10,7 +10,7 @@
 const WORD: Millis = 500;
 const SILENCE: Millis = 1600;
 /// Between two tries to open a connection.
-const RETRY: Millis = 200;
+const RETRY: Millis = 100;
 
 struct Link {
     hello: Option<Hello>,
--- a/harbour/src/net/mod.rs
+++ b/harbour/src/net/mod.rs
@@ -30,8 +30,10 @@
 /// Longest frame between own processes, and what may wait to be written to one connection before it is closed.
 const FRAME: usize = 16 << 20;
 const BACKLOG: usize = 32 << 20;
-/// How long a connection may take to open.
+/// How long a connection may take to open; between own processes, which try again at once: a machine without power says
+/// nothing, and one that has it back would not be met for as long as an old try hangs.
 const CONNECT: Millis = 700;
+const DIAL: Millis = 200;
 /// A buffer that grew beyond this is given back when it is empty.
 const KEEP: usize = 16 << 10;
 
@@ -305,7 +307,7 @@
     /// Opens a connection to another process of the system.
     pub fn dial(&mut self, to: SocketAddrV4) -> Option<ConnId> {
         let stream = TcpStream::connect(SocketAddr::V4(to)).ok()?;
-        let id = self.enter(stream, Side::Peer { dialled: true }, false, self.now + CONNECT)?;
+        let id = self.enter(stream, Side::Peer { dialled: true }, false, self.now + DIAL)?;
         self.silence_bound(id);
         Some(id)
     }
