--- a/harbour/src/calls.rs
+++ b/harbour/src/calls.rs
@@ -148,6 +148,7 @@
     }
 }
 
+#[derive(Debug)]
 pub struct Replace {
     pub body: Vec<u8>,
     pub version: u64,
@@ -183,6 +184,7 @@
     }
 }
 
+#[derive(Debug)]
 pub struct ReadSettings;
 pub enum Settings {
     Whole(Vec<u8>),
@@ -210,6 +212,7 @@
     }
 }
 
+#[derive(Debug)]
 pub struct RetireBegin {
     pub node: String,
 }
@@ -233,3 +236,118 @@
         Ok(RetireBegin { node: name.to_string() })
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use assert_matches::assert_matches;
+
+    const BEAT: &str = r#"{"backend":"crane","address":"10.0.0.9:8080","zone":"z","revision":"v1","capacity":4,
+        "state":"draining","cold_left_ms":70.5,"call_count":9,"more":[]}"#;
+
+    /// Answers what it was asked; replies to nothing at once.
+    #[derive(Default)]
+    struct Clerk(Vec<String>);
+    impl Desk<Heartbeat> for Clerk {
+        fn settle(&mut self, place: u64, call: Heartbeat) -> Option<Heard> {
+            self.0.push(format!("{place} {call:?}"));
+            Some(Heard { beat_url: Some("http://10.0.0.1:1/".to_string()) })
+        }
+    }
+    impl Desk<Leave> for Clerk {
+        fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
+            self.0.push(call.id);
+            None
+        }
+    }
+
+    fn request(method: &str, target: &str, body: &str) -> Request {
+        let (method, target) = (method.to_string(), target.to_string());
+        Request { method, target, body: body.as_bytes().to_vec(), ..Request::default() }
+    }
+
+    #[test]
+    fn a_heartbeat_is_read_or_refused_by_its_key() {
+        assert_matches!(Heartbeat::read("i-1", BEAT.as_bytes()), Ok(beat) => {
+            assert_eq!((beat.id.as_str(), beat.backend.as_str(), beat.zone.as_str()), ("i-1", "crane", "z"));
+            assert_eq!((beat.capacity, beat.draining, beat.cold_left_ms, beat.call_count), (4, true, 70, 9));
+        });
+        let rows = [
+            ("\"backend\":\"crane\",", "", "backend: no text"),
+            ("\"crane\"", "7", "backend: no text"),
+            ("10.0.0.9:8080", "crane:8080", "address: \"crane:8080\" is no"),
+            ("10.0.0.9:8080", "[::1]:8080", "address: "),
+            ("draining", "gone", "state: \"gone\" is neither"),
+            (":4", ":-4", "capacity: no number"),
+            (":9", ":\"9\"", "call_count: no number"),
+            (":9", ":1e300", "call_count: no number"),
+            ("70.5", "null,\"x\":[", "body: "),
+            (BEAT, "[]", "body: no object"),
+            (BEAT, "", "body: "),
+            (BEAT, "{\"a\":\u{0}}", "body: "),
+        ];
+        for (of, with, told) in rows {
+            assert!(BEAT.contains(of), "{of}");
+            let body = BEAT.replacen(of, with, 1);
+            assert_matches!(Heartbeat::read("i-1", body.as_bytes()), Err(e) if e.starts_with(told), "{body}");
+        }
+        for cut in 0..BEAT.len() {
+            assert_matches!(Heartbeat::read("i-1", &BEAT.as_bytes()[..cut]), Err(_), "{cut}");
+        }
+        assert_matches!(Heartbeat::read(&"i".repeat(129), BEAT.as_bytes()), Err(e) if e.starts_with("id: "));
+        assert_matches!(Heartbeat::read("i", &[b' '; 65 << 10]), Err(e) if e.starts_with("body: over"));
+        assert_matches!(Heartbeat::read("i", b"\xff"), Err(e) if e == "body: not UTF-8");
+        // A capacity that is left out or nought is one slot.
+        let none = BEAT.replace("\"capacity\":4,", "");
+        assert_matches!(Heartbeat::read("i", none.as_bytes()), Ok(Heartbeat { capacity: 1, .. }));
+    }
+
+    #[test]
+    fn the_other_calls_are_read() {
+        assert_matches!(Leave::read("i-1", b"anything"), Ok(Leave { id }) if id == "i-1");
+        assert_matches!(RetireBegin::read("s-1", b""), Ok(RetireBegin { node }) if node == "s-1");
+        assert_matches!(ReadSettings::read("", b""), Ok(ReadSettings));
+        let body = br#"{"revision":7,"routes":[],"backends":[]}"#;
+        assert_matches!(Replace::read("", body), Ok(Replace { version: 7, body: kept }) if kept == body);
+        let twice = br#"{"routes":7,"backends":[]}"#;
+        assert_matches!(Replace::read("", twice).err(), Some(e) if e.lines().count() == 2, "each fault is told");
+    }
+
+    #[test]
+    fn a_request_finds_its_call_by_method_and_path() {
+        let mut clerk = Clerk::default();
+        let beat = request("POST", "/v1/servers/i-1/heartbeat?x", BEAT);
+        assert_matches!(handle::<Heartbeat, _>(&mut clerk, 5, &beat), Some(Some(Answer { status: 200, body, .. })) => {
+            assert_eq!(body, br#"{"beat_url":"http://10.0.0.1:1/"}"#);
+        });
+        let bad = request("POST", "/v1/servers/i-1/heartbeat", "{}");
+        assert_matches!(handle::<Heartbeat, _>(&mut clerk, 5, &bad), Some(Some(Answer { status: 400, .. })));
+        assert_matches!(
+            handle::<Leave, _>(&mut clerk, 5, &request("POST", "/v1/servers/i-2/leave", "")),
+            Some(None)
+        );
+        assert_eq!((clerk.0.len(), clerk.0[1].as_str()), (2, "i-2"));
+        for (method, target) in [
+            ("GET", "/v1/servers/i-1/heartbeat"),
+            ("POST", "/v1/servers//heartbeat"),
+            ("POST", "/v1/servers/a/b/heartbeat"),
+            ("POST", "/v1/servers/heartbeat"),
+            ("POST", "/v1/servers/i-1/heartbeats"),
+            ("POST", ""),
+        ] {
+            let answer = handle::<Heartbeat, _>(&mut clerk, 5, &request(method, target, BEAT));
+            assert_matches!(answer, None, "{method} {target}");
+        }
+        let answers: [(Answer, u16); 6] = [
+            (Replaced::InForce.into(), 200),
+            (Replaced::Uncertain.into(), 504),
+            (Replaced::NotNow.into(), 503),
+            (Settings::None.into(), 404),
+            (Retire::Unknown.into(), 404),
+            (Retire::TooFew.into(), 409),
+        ];
+        for (answer, status) in answers {
+            assert_eq!((answer.status, answer.headers.is_empty()), (status, status != 503));
+        }
+    }
+}
--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -668,6 +668,9 @@
 impl Desk<Leave> for Core {
     fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
         if let Some(known) = self.servers.get_mut(&call.id) {
+            if known.beat.standing != Standing::Gone {
+                tracing::info!(id = call.id, "executor leaves");
+            }
             known.beat.standing = Standing::Gone;
             self.version += 1;
             known.changed = self.version;
--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -178,7 +178,8 @@
         let Event::Request { conn, port, request } = event else { return };
         if port == self.readiness {
             let known = request.target.split('?').next() == Some("/v1/readiness");
-            let status = match (known, self.ready()) {
+            let ready = self.ready();
+            let status = match (known, self.common.says_ready(ready)) {
                 (false, _) => 404,
                 (true, true) => 200,
                 (true, false) => 503,
--- a/harbour/src/main.rs
+++ b/harbour/src/main.rs
@@ -21,6 +21,7 @@
 use signals::Class;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use stileroute_charter::Boot;
 use words::{Task, Words, UNUSABLE};
 
 fn main() -> ExitCode {
@@ -47,9 +48,12 @@
     let Some(path) = path else {
         return unusable("command line: --boot: missing, and STILEROUTE_BOOT is not set".to_string());
     };
-    match settings::read(&path, &words, class) {
+    if words.figures.is_some_and(|at| !at.ip().is_loopback()) {
+        return unusable("command line: --figures: must be a loopback address".to_string());
+    }
+    match settings::read(&path, class) {
         Err(faults) => unusable(faults.to_string()),
-        Ok(boot) => match run(boot, &path, class) {
+        Ok(boot) => match run(Boot { figures: words.figures.or(boot.figures), ..boot }, &path, class) {
             Ok(()) => ExitCode::SUCCESS,
             Err(report) => {
                 eprintln!("{}: {report}", path.display());
@@ -59,7 +63,7 @@
     }
 }
 
-fn run(boot: stileroute_charter::Boot, path: &Path, class: Class) -> miette::Result<()> {
+fn run(boot: Boot, path: &Path, class: Class) -> miette::Result<()> {
     tracing::info!(node = boot.node_name, role = %class, first = boot.first_start, "starts");
     let common = Common::start(boot, path, class)?;
     match class {
--- a/harbour/src/net/client.rs
+++ b/harbour/src/net/client.rs
@@ -50,6 +50,7 @@
 const MARGIN: Millis = 400;
 const IDLE: Millis = 4000;
 
+#[derive(Debug)]
 enum Found {
     More,
     Whole { reply: Reply, used: usize, keep: Option<Millis> },
@@ -253,3 +254,72 @@
         idle.into_iter().for_each(|id| self.close(id));
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use assert_matches::assert_matches;
+
+    #[test]
+    fn an_answer_is_whole_when_its_framing_says_so() {
+        let begin = "HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nX-Request-Id: i\r\n";
+        let rows = [
+            (format!("{begin}Content-Length: 2\r\n\r\nok"), Some(IDLE - MARGIN)),
+            (
+                format!("{begin}Content-Length: 0\r\nKeep-Alive: timeout=5, max=9\r\n\r\n"),
+                Some(5000 - MARGIN),
+            ),
+            (format!("{begin}Content-Length: 0\r\nKeep-Alive: timeout=0.2\r\n\r\n"), None),
+            (format!("{begin}Content-Length: 0\r\nKeep-Alive: timeout=-1\r\n\r\n"), Some(IDLE - MARGIN)),
+            (format!("{begin}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"), Some(IDLE - MARGIN)),
+            (format!("{begin}Connection: close\r\nContent-Length: 2\r\n\r\nok"), None),
+            (format!("HTTP/1.1 100 Continue\r\n\r\n{begin}Content-Length: 2\r\n\r\nok"), Some(IDLE - MARGIN)),
+        ];
+        for (text, keeps) in rows {
+            for cut in 0..text.len() {
+                assert_matches!(parse(&text.as_bytes()[..cut]), Found::More, "{:?}", &text[..cut]);
+            }
+            // A second answer behind it is not part of it.
+            let second = text.clone() + "HTTP/1.1 200 OK\r\n\r\n";
+            for (text, used) in [(&text, text.len()), (&second, text.len())] {
+                assert_matches!(parse(text.as_bytes()), Found::Whole { reply, used: u, keep } => {
+                    assert_eq!((reply.status, u, keep), (200, used, keeps), "{text:?}");
+                    assert_eq!((reply.seal.as_deref(), reply.id.as_deref()), (Some("s"), Some("i")));
+                });
+            }
+        }
+        let busy = "HTTP/1.1 503 No\r\nX-Not-Run: 1\r\nX-Server-Load: 1,2,3\r\nContent-Length: 0\r\n\r\n";
+        assert_matches!(parse(busy.as_bytes()), Found::Whole { reply, .. } => {
+            assert_eq!((reply.status, reply.not_run, reply.load.as_deref()), (503, true, Some("1,2,3")));
+        });
+        assert_matches!(parse(b"HTTP/1.1 204 None\r\n\r\n"), Found::Whole { .. });
+        assert_matches!(parse(b"HTTP/1.1 200 OK\r\n\r\nto the end"), Found::ToEnd { .. });
+    }
+
+    #[test]
+    fn garbage_is_no_answer() {
+        let rows = [
+            "\0\u{1}\u{2}rubbish",
+            "HTTP/1.1 abc\r\n\r\n",
+            "HTTP/2 200 OK\r\n\r\n",
+            "ok\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nContent-Length: 9999999999\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        ];
+        for text in rows {
+            assert_matches!(parse(text.as_bytes()), Found::Garbled, "{text:?}");
+        }
+        let endless =
+            b"HTTP/1.1 200 ".iter().copied().chain(std::iter::repeat_n(b'a', MOST)).collect::<Vec<_>>();
+        assert_matches!(parse(&endless), Found::Garbled);
+        for failure in [Failure::NotConnected, Failure::NoRoom] {
+            assert!(!failure.may_have_run());
+        }
+        for failure in [Failure::Broken, Failure::Late, Failure::Garbled] {
+            assert!(failure.may_have_run());
+        }
+    }
+}
--- a/harbour/src/net/mod.rs
+++ b/harbour/src/net/mod.rs
@@ -420,20 +420,28 @@
                     break;
                 }
                 Ok(some) => {
-                    if matches!(conn.side, Side::Lingering) {
+                    // After its last answer nothing is wanted of it, but what is left unread would reset it.
+                    if matches!(conn.side, Side::Lingering) || conn.close_after {
                         continue;
                     }
                     conn.input.extend_from_slice(&scratch[..some]);
-                    let most = match conn.side {
-                        Side::Peer => FRAME + 8,
+                    let (length, port) = match &conn.side {
+                        Side::Inward(inward) => (conn.input.len(), Some(inward.port)),
+                        _ => (conn.input.len(), None),
+                    };
+                    let most = match (&conn.side, port) {
+                        (Side::Peer, _) => FRAME + 8,
+                        (_, Some(port)) => self.bounds(port).most().max(1 << 20),
                         _ => 1 << 20,
                     };
-                    if conn.input.len() > most {
-                        if let Side::Peer = conn.side {
-                            self.take_frames(id);
-                        } else {
-                            broken = true;
-                            break;
+                    if length > most {
+                        match self.get(id).map(|conn| &conn.side) {
+                            Some(Side::Peer) => self.take_frames(id),
+                            Some(Side::Inward(inward)) if !inward.busy => self.too_much(id),
+                            _ => {
+                                broken = true;
+                                break;
+                            }
                         }
                     }
                     if some < scratch.len() && !matches!(self.get(id), Some(c) if c.ended) {
--- a/harbour/src/node.rs
+++ b/harbour/src/node.rs
@@ -3,6 +3,7 @@
 use crate::links::{Links, Word};
 use crate::net::{Bounds, Event, Millis, Net};
 use crate::report::Inquiry;
+use crate::settings;
 use crate::signals::{Class, Hello, Member, News, Signal, PROTOCOL};
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
@@ -41,6 +42,7 @@
     pub inquiries: Vec<Inquiry>,
     /// The listener for figures, where one is open.
     pub scraped: Option<usize>,
+    ready: bool,
     boot_path: PathBuf,
     term: Arc<AtomicBool>,
     hup: Arc<AtomicBool>,
@@ -116,6 +118,7 @@
             config: None,
             inquiries: Vec::new(),
             scraped,
+            ready: false,
             boot_path: boot_path.to_path_buf(),
             term,
             hup,
@@ -152,9 +155,18 @@
         false
     }
 
+    /// An edge was asked whether it is ready; what has changed is logged.
+    pub fn says_ready(&mut self, ready: bool) -> bool {
+        if self.ready != ready {
+            tracing::info!(ready, "readiness");
+        }
+        self.ready = ready;
+        ready
+    }
+
     /// The settings file has changed: what can change while a process lives is taken, whole or not at all.
     fn reread(&mut self) {
-        match Boot::read(&self.boot_path) {
+        match settings::read(&self.boot_path, self.links.me().class) {
             Ok(boot) if boot.ip == self.boot.ip && boot.node_name == self.boot.node_name => {
                 for seed in &boot.seeds {
                     if !self.session.controls.iter().any(|(c, _)| c == seed) {
--- a/harbour/src/settings.rs
+++ b/harbour/src/settings.rs
@@ -4,7 +4,7 @@
 //! figure. What it works with, but not as one may expect, is warned of.
 
 use crate::signals::Class;
-use crate::words::{say, Words, UNUSABLE};
+use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::path::Path;
 use stileroute_charter::{Boot, Config, Fault, Faults};
@@ -116,9 +116,8 @@
 }
 
 /// The settings of a role that is to run, or all that is wrong with them.
-pub fn read(path: &Path, words: &Words, class: Class) -> Result<Boot, Faults> {
-    let mut boot = Boot::read(path)?;
-    boot.figures = words.figures.or(boot.figures);
+pub fn read(path: &Path, class: Class) -> Result<Boot, Faults> {
+    let boot = Boot::read(path)?;
     let (faults, warnings) = check(&path.display().to_string(), &boot, &[class]);
     for warning in warnings {
         tracing::warn!("{warning}");
--- a/harbour/src/status.rs
+++ b/harbour/src/status.rs
@@ -31,7 +31,7 @@
     stream.set_write_timeout(Some(PATIENCE)).map_err(io)?;
     let hello = Hello {
         protocol: PROTOCOL,
-        // Drawn, and with its top bit as it falls: to be taken for a node it would have to have that node's number.
+        // Drawn: a fixed one would end the connection of another who asks at the same time.
         node: lot() as u32,
         name: "visitor".to_string(),
         class: Class::Visitor,
@@ -65,8 +65,8 @@
     }
 }
 
-/// Where to begin: an address, or the addresses that a settings file leads to.
-fn doors(at: Option<&str>, boot: Option<&Path>) -> Result<Vec<SocketAddrV4>, String> {
+/// Where to begin: an address, or what a settings file leads to: the processes of its machine, and the seeds.
+fn doors(at: Option<&str>, boot: Option<&Path>, seeds: bool) -> Result<Vec<SocketAddrV4>, String> {
     if let Some(address) = at.and_then(|at| at.parse().ok()) {
         return Ok(vec![address]);
     }
@@ -75,8 +75,8 @@
     let file = file.ok_or("command line: --at: missing, and STILEROUTE_BOOT is not set")?;
     let boot = Boot::read(&file).map_err(|faults| faults.to_string())?;
     let place = |ip, class| links::address(boot.internal_ports, ip, class);
-    let mut all: Vec<SocketAddrV4> = boot.seeds.iter().map(|seed| place(*seed.ip(), Class::Core)).collect();
-    all.extend([Class::Core, Class::Store, Class::Edge].map(|class| place(boot.ip, class)));
+    let mut all = [Class::Edge, Class::Store, Class::Core].map(|class| place(boot.ip, class)).to_vec();
+    all.extend(boot.seeds.iter().filter(|_| seeds).map(|seed| place(*seed.ip(), Class::Core)));
     Ok(all)
 }
 
@@ -155,7 +155,7 @@
 }
 
 fn open(at: Option<&str>, boot: Option<&Path>) -> Result<Fleet, u8> {
-    let doors = doors(at, boot).map_err(|reason| {
+    let doors = doors(at, boot, true).map_err(|reason| {
         eprintln!("{reason}");
         UNUSABLE
     })?;
@@ -427,7 +427,7 @@
 
 /// The counters of one process, as they are or as an object of name and value.
 pub fn figures(at: Option<&str>, boot: Option<&Path>, json: bool) -> u8 {
-    let doors = match doors(at, boot) {
+    let doors = match doors(at, boot, false) {
         Ok(doors) => doors,
         Err(reason) => {
             eprintln!("{reason}");
@@ -435,8 +435,7 @@
         }
     };
     let mut reasons = Vec::new();
-    // A settings file leads to the process of its own machine first.
-    for door in doors.into_iter().rev() {
+    for door in doors {
         match ask(door, &Signal::Count { ticket: 1 }) {
             Ok(text) if json => {
                 let mut object = JsonValue::new_object();
--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -17,7 +17,7 @@
   "target_ms":80,"priority":1,"backend":"crane","max_tries":4,"max_wait_s":60,"run_target_ms":1000},
  {"name":"stuck","hostname":"quay.example","path_prefix":"/stuck/","route_type":"deferred","timeout_ms":1500,
   "target_ms":80,"priority":1,"backend":"lock","max_tries":4,"max_wait_s":60,"run_target_ms":1000}],
- "backends":[{"name":"crane"},{"name":"lock","rate_per_s":5}]}"#;
+ "backends":[{"name":"crane"},{"name":"lock","rate_per_s":5}],"limits":{"header_timeout_ms":1000}}"#;
 
 fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + Duration::from_secs(20);
@@ -56,6 +56,11 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         self.over.store(true, Ordering::Relaxed);
+        if std::thread::panicking() {
+            let status = program().args(["status", "--at", &self.at(1, 17300)]).output().unwrap();
+            eprintln!("{}", texts(&status).0);
+            self.children.iter().for_each(|(name, _)| eprintln!("{name}:\n{}", self.log(name)));
+        }
         for (_, child) in &mut self.children {
             let _ = child.kill();
             let _ = child.wait();
@@ -233,6 +238,22 @@
         |id: &str| http(&front, "GET", &format!("/v1/message/{id}"), "", "").map_or(String::new(), |a| a.2);
     until("the message has run", || state(&done).contains("s-m-1").then_some(()));
 
+    // A long configuration is taken; a body beyond the bounds is refused, however fast it comes.
+    let long = format!("{}{}", " ".repeat(2 << 20), CONFIG);
+    until("a long configuration is taken", || {
+        is(200, http(&control, "POST", "/v1/settings/replace", "", &long))
+    });
+    let told = http(&front, "POST", "/in/1", "X-Request-Id: m-3\r\n", &long);
+    assert_eq!(told.map(|answer| answer.0), Some(413));
+
+    // A request that stops half-way is answered, and so is the one behind it in the same bytes.
+    let mut slow = TcpStream::connect(&front).unwrap();
+    slow.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    slow.write_all(b"GET /none HTTP/1.1\r\nHost: h\r\n\r\nPOST /in/1 HTTP/1.1\r\nHost: qu").unwrap();
+    let mut said = String::new();
+    slow.read_to_string(&mut said).unwrap();
+    assert!(said.starts_with("HTTP/1.1 404 ") && said.contains("HTTP/1.1 408 "), "{said}");
+
     // Changes of state are logged, messages are not.
     let lines = || ["store-1", "store-2", "edge-1", "core-1"].map(|name| fleet.log(name).lines().count());
     let before = lines();
@@ -403,8 +424,17 @@
     for told in ["routes[0].timeout_ms: must be", "routes[1].backend: no service has the name"] {
         assert!(said.contains(&format!("{}: {told}", boot.display())), "{said}");
     }
-    for words in [&["--log", "loud", "core"][..], &["core"], &["status"], &["message", "x"], &["nonsense"]] {
+    for words in [
+        &["--log", "loud", "core"][..],
+        &["core"],
+        &["status"],
+        &["message", "x"],
+        &["nonsense"],
+        &["--boot", "x", "--figures", "10.0.0.1:1", "edge"],
+    ] {
         let out = program().args(words).output().unwrap();
         assert_eq!((out.status.code(), texts(&out).1.is_empty()), (Some(2), false), "{words:?}: {out:?}");
     }
+    let nobody = program().args(["status", "--at", &fleet.at(200, 17300)]).output().unwrap();
+    assert_eq!((nobody.status.code(), texts(&nobody).1.lines().count()), (Some(1), 1), "{nobody:?}");
 }
