--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -1,11 +1,14 @@
 //! The control node: executors' and operators' calls, sessions of nodes, the configuration with the others, and news.
 
+mod report;
+
 use crate::calls::{
     self, Desk, Done, Heard, Heartbeat, Leave, ReadSettings, Replace, Replaced, Retire, RetireBegin, Settings,
 };
 use crate::links::Word;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{lot, Common};
+use crate::report::Told;
 use crate::signals::{Beat, Class, Hello, Member, News, Passed, Signal, Standing};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddrV4;
@@ -181,6 +184,7 @@
             let (words, events) = self.common.turn(until);
             words.into_iter().for_each(|word| self.word(word));
             events.into_iter().for_each(|event| self.event(event));
+            self.inquiries();
             let now = self.common.net.now();
             self.pilot.tick(now);
             self.look_after(now);
@@ -683,6 +687,9 @@
 impl Desk<Leave> for Core {
     fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
         if let Some(known) = self.servers.get_mut(&call.id) {
+            if known.beat.standing != Standing::Gone {
+                tracing::info!(id = call.id, "executor leaves");
+            }
             known.beat.standing = Standing::Gone;
             self.version += 1;
             known.changed = self.version;
