Pilotage: no vote before the watch is on disk; a write begun is never 'not done'

A voter that was asked again for the watch it had in memory granted it before its disk had it (proposed). A write that was put back in the queue because a copy was lost had reached other copies, yet was answered NotDone when its turn lapsed or the primary stepped down (answer_late, step_down).

--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -57,6 +57,15 @@
     ticket: u64,
     chart: Chart,
     since: Millis,
+    /// A copy may have it already: it can't be said that it was not done.
+    begun: bool,
+}
+
+impl Waiting {
+    fn given_up(&self) -> Effect {
+        let verdict = if self.begun { Verdict::Uncertain } else { Verdict::NotDone };
+        Effect::Answer { ticket: self.ticket, verdict }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -104,7 +113,7 @@
                 self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
             }
             for waiting in lead.queue {
-                self.effects.push(Effect::Answer { ticket: waiting.ticket, verdict: Verdict::NotDone });
+                self.effects.push(waiting.given_up());
             }
             self.effects.push(Effect::Turn { epoch: self.epoch(), what: "steps down" });
         }
@@ -138,7 +147,7 @@
         if lead.queue.len() >= QUEUE || lead.leave_by.is_some() {
             return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotDone });
         }
-        lead.queue.push_back(Waiting { ticket, chart, since: now });
+        lead.queue.push_back(Waiting { ticket, chart, since: now, begun: false });
         self.lead(now);
     }
 
@@ -238,15 +247,12 @@
 
     fn answer_late(&mut self, now: Millis) {
         let Duty::Lead(lead) = &mut self.duty else { return };
-        let mut late = Vec::new();
         if let Some(job) = lead.job.as_mut().filter(|job| now > job.since + ANSWER) {
-            late.extend(job.ticket.take().map(|ticket| (ticket, Verdict::Uncertain)));
+            let late = job.ticket.take().map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
+            self.effects.extend(late);
         }
         while lead.queue.front().is_some_and(|w| now > w.since + TURN) {
-            late.extend(lead.queue.pop_front().map(|w| (w.ticket, Verdict::NotDone)));
-        }
-        for (ticket, verdict) in late {
-            self.effects.push(Effect::Answer { ticket, verdict });
+            self.effects.extend(lead.queue.pop_front().map(|w| w.given_up()));
         }
     }
 
@@ -380,7 +386,7 @@
                     // On this disk and on all copies that are left: it is what holds from here on.
                     let (chart, ticket) = (job.chart, job.ticket);
                     if let Some(ticket) = ticket {
-                        lead.queue.push_front(Waiting { ticket, chart, since: now });
+                        lead.queue.push_front(Waiting { ticket, chart, since: now, begun: true });
                     }
                     lead.settled = true;
                 }
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -26,7 +26,11 @@
         }
         let Some(mine) = self.watch.clone() else { return };
         if watch == mine {
-            return self.send(from, Signal::Granted { epoch: watch.epoch });
+            // Known in memory is not enough: a loss of power would take the vote back. It is asked for again.
+            if self.safe >= watch.epoch {
+                self.send(from, Signal::Granted { epoch: watch.epoch });
+            }
+            return;
         }
         let quiet = now >= self.heard + self.terms.silence_ms && now >= self.started + self.terms.silence_ms;
         // Whoever acked a pulse has lent the primary its vote for a while; and after a start nobody knows what it acked.
