--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -6,11 +6,12 @@
 //! copies, and who votes. A majority of voters, each with it on disk first, grants a new watch; no log is replicated.
 //!
 //! What keeps it safe:
-//! - a candidate is a copy of the highest watch that a majority knows, so it holds whatever was answered;
+//! - a candidate is a copy by the newest list of copies that a majority knows, so it holds whatever was answered; the list
+//!   is as new as the epoch in which a primary had it written down, not as the epoch in which somebody stood;
 //! - a primary acts only on acks of pulses that it sent within the lease, and a voter that acked one grants nothing to
 //!   others for longer than that: time on steady clocks, never the time of day;
 //! - a node that has lost its disk has forgotten what it granted: it votes again only after a majority of the others has
-//!   told it where they stand, and is a copy again only after it was filled.
+//!   told it where they stand, and as a copy it is hollow, and does not stand, before it was filled.
 
 mod primary;
 mod types;
@@ -25,11 +26,21 @@
 /// What is done when the disk has a record.
 #[derive(Clone, Debug)]
 enum After {
-    Grant { to: Voter, epoch: u64 },
-    OwnGrant { epoch: u64 },
-    Adopted { epoch: u64 },
+    Grant { to: Voter, watch: Watch },
+    OwnGrant { watch: Watch },
+    Adopted { watch: Watch },
     Stored { to: Voter, epoch: u64, serial: u64, chart: Chart },
     OwnStored { serial: u64 },
+    First,
+}
+
+impl After {
+    fn watch(&self) -> Option<&Watch> {
+        match self {
+            After::Grant { watch, .. } | After::OwnGrant { watch } | After::Adopted { watch } => Some(watch),
+            _ => None,
+        }
+    }
 }
 
 /// One control node's part.
@@ -44,13 +55,17 @@
     chart: Chart,
     /// The highest that is known to be in force.
     force: Option<Chart>,
-    /// It has lost its disk, or never had one: no vote and no copy until it has learned and been filled.
+    /// It has lost its disk, or never had one: no vote until it has learned.
     blank: bool,
+    /// No chart on disk: it may be named as a copy, but is none until it was filled.
+    hollow: bool,
     learning: Learning,
     duty: Duty,
     started: Millis,
     /// When the primary was last heard, and pulses were last asked after.
     heard: Millis,
+    /// Who has this node's vote until it has been silent.
+    lent: Option<Voter>,
     /// A candidate waits a random while, so that two do not go on colliding.
     stand_at: Millis,
     learners: BTreeSet<Voter>,
@@ -70,6 +85,7 @@
         seeds.dedup();
         let mut pilotage = Pilotage {
             blank: kept.watch.is_none(),
+            hollow: kept.chart.is_none(),
             safe: kept.watch.as_ref().map_or(0, |w| w.epoch),
             pulsing: None,
             watch: kept.watch,
@@ -79,6 +95,7 @@
             duty: Duty::Follow,
             started: now,
             heard: now,
+            lent: None,
             stand_at: 0,
             learners: BTreeSet::new(),
             links: BTreeMap::new(),
@@ -93,32 +110,34 @@
         if pilotage.watch.is_none() && pilotage.terms.first_start && seeds.contains(&pilotage.terms.me) {
             // Reckoned alike by all that begin: nothing has to be elected, and nobody waits for anybody.
             let copies = seeds.iter().take(pilotage.terms.losses + 1).copied().collect();
-            let watch = Watch { epoch: 1, primary: seeds[0], copies, voters: seeds };
+            let watch = Watch { epoch: 1, primary: seeds[0], copies, voters: seeds, drawn: 1 };
             pilotage.blank = false;
-            pilotage.keep(Record::Watch(watch.clone()), After::Adopted { epoch: 1 });
-            pilotage.watch = Some(watch);
+            if watch.copies.contains(&pilotage.terms.me) {
+                // That there is none yet is known too: a copy without a chart counts as one that lost it.
+                pilotage.hollow = false;
+                pilotage.keep(Record::Chart(Chart::default()), After::First);
+            }
+            pilotage.watch = Some(watch.clone());
+            if watch.primary == pilotage.terms.me {
+                pilotage.stand_first(now, watch);
+                return pilotage;
+            }
+            pilotage.keep_watch(watch.clone(), After::Adopted { watch });
         }
         pilotage.draw_stand(now);
-        pilotage.resume(now);
         pilotage
     }
 
-    /// Goes on with the duty that its watch gives it, once the others grant that watch (again): whether it had been granted
-    /// before this process began is not on disk. What was left half done is stored again.
-    fn resume(&mut self, now: Millis) {
-        let Some(watch) = self.watch.clone() else { return };
-        if watch.primary == self.terms.me && !self.blank && !self.released {
-            self.stand_again(now, watch);
-        }
-    }
-
     fn draw(&mut self, most: u64) -> u64 {
         self.luck = self.luck.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (self.luck >> 33) % most.max(1)
     }
 
     fn draw_stand(&mut self, now: Millis) {
-        self.stand_at = now + self.terms.silence_ms + self.draw(self.terms.silence_ms / 3);
+        // After a start of all, the one that was primary before is the first to stand.
+        let wait =
+            if self.primary() == Some(self.terms.me) { 0 } else { self.draw(self.terms.silence_ms / 3) };
+        self.stand_at = now + self.terms.silence_ms + wait;
     }
 
     fn send(&mut self, to: Voter, signal: Signal) {
@@ -162,9 +181,8 @@
             self.learning.ask_at = now;
         }
         // The primary's process ended: no pulse will come. A short wait is left for one that starts again at once.
-        if !up && self.primary() == Some(voter) {
-            self.stand_at =
-                self.stand_at.min(now.max(self.heard + self.terms.silence_ms) + self.terms.pulse_ms / 2);
+        if !up && self.primary() == Some(voter) && matches!(self.duty, Duty::Follow) {
+            self.stand_at = self.stand_at.min(now.max(self.free_at()) + self.terms.pulse_ms / 2);
         }
     }
 
@@ -187,23 +205,27 @@
     pub fn kept(&mut self, now: Millis, ticket: u64, ok: bool) {
         let Some(after) = self.after.remove(&ticket) else { return };
         match (after, ok) {
-            (After::Grant { to, epoch }, true) => {
-                self.safe = self.safe.max(epoch);
-                if epoch == self.epoch() {
-                    self.send(to, Signal::Granted { epoch });
+            // One that was overtaken in the meantime is not told on.
+            (After::Grant { to, watch }, true) if self.watch.as_ref() == Some(&watch) => {
+                self.safe = self.safe.max(watch.epoch);
+                self.send(to, Signal::Granted { watch });
+            }
+            (After::OwnGrant { watch }, true) => {
+                if self.watch.as_ref() == Some(&watch) {
+                    self.safe = self.safe.max(watch.epoch);
                 }
+                self.granted(now, self.terms.me, watch);
             }
-            (After::OwnGrant { epoch }, true) => {
-                self.safe = self.safe.max(epoch);
-                self.granted(now, self.terms.me, epoch);
+            (After::Adopted { watch }, true) if self.watch.as_ref() == Some(&watch) => {
+                self.safe = self.safe.max(watch.epoch);
             }
-            (After::Adopted { epoch }, true) => self.safe = self.safe.max(epoch),
             (After::Stored { to, epoch, serial, chart }, true) if epoch == self.epoch() => {
                 self.chart = chart;
+                self.hollow = false;
                 self.send(to, Signal::Stored { epoch, serial });
             }
             (After::OwnStored { serial }, true) => self.stored(now, self.terms.me, self.epoch(), serial),
-            (After::OwnStored { .. }, false) => self.own_disk_failed(now),
+            (After::OwnStored { .. } | After::OwnGrant { .. }, false) => self.own_disk_failed(now),
             _ => {}
         }
     }
@@ -211,19 +233,18 @@
     pub fn signal(&mut self, now: Millis, from: Voter, signal: Signal) {
         match signal {
             Signal::Propose { watch, released } => self.proposed(now, from, watch, released),
-            Signal::Granted { epoch } => self.granted(now, from, epoch),
+            Signal::Granted { watch } => self.granted(now, from, watch),
             Signal::Denied { watch } => self.adopt(now, watch),
-            Signal::Store { epoch, serial, chart } => self.store(now, from, epoch, serial, chart),
+            Signal::Store { epoch, serial, chart } => self.store(from, epoch, serial, chart),
             Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
             Signal::Pulse { epoch, sent_at, version, digest } => {
                 self.pulsed(now, from, epoch, sent_at, version, digest)
             }
-            Signal::PulseAck { epoch, sent_at, blank } => self.acked(now, from, epoch, sent_at, blank),
-            Signal::Handover { epoch } => self.handed(now, from, epoch),
-            Signal::WhatWatch => {
-                let watch = if self.blank { None } else { self.watch.clone() };
-                self.send(from, Signal::ThisWatch { watch });
+            Signal::PulseAck { epoch, sent_at, votes, holds } => {
+                self.acked(now, from, epoch, sent_at, (votes, holds))
             }
+            Signal::Handover { epoch } => self.handed(now, from, epoch),
+            Signal::WhatWatch => self.tell_watch(from),
             Signal::ThisWatch { watch } => self.told_watch(now, from, watch),
             Signal::AskChart => {
                 if let Some(chart) = self.force.clone() {
@@ -252,6 +273,8 @@
         }
         match &self.duty {
             Duty::Lead(lead) => lead.next(now, &self.terms),
+            // It stands no more: nothing is due but what comes in.
+            _ if self.released => now + self.terms.silence_ms,
             Duty::Stand(_) | Duty::Follow => self.stand_at.max(now + 1),
         }
     }
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -9,8 +9,12 @@
 const ANSWER: Millis = 2500;
 /// Most writes that wait.
 const QUEUE: usize = 32;
-/// A copy that has not acked for so long is replaced where another is there.
+/// A copy that has not acked, or not stored, for so long is replaced where another is there.
 const LOST: Millis = 1000;
+/// One that has not acked at all since the duty began, so long: mostly the primary of before.
+const ABSENT: Millis = 400;
+/// A voter that is silent for so long is left out, if the others are more with it than they need.
+const FORGET: Millis = 10_000;
 
 #[derive(Debug)]
 pub(crate) enum Duty {
@@ -32,9 +36,10 @@
     pub fn new(watch: Watch, before: Watch, released: bool) -> Stand {
         Stand { watch, before, grants: BTreeSet::new(), released }
     }
-    /// Granted by a majority of those who vote now and of those who will.
-    fn won(&self) -> bool {
-        majority(&self.watch.voters, self.grants.iter()) && majority(&self.before.voters, self.grants.iter())
+    /// Granted by a majority of those who vote now and of those who will; `with` one more.
+    pub fn won(&self, with: Option<Voter>) -> bool {
+        let grants = self.grants.iter().chain(with.as_ref());
+        majority(&self.watch.voters, grants.clone()) && majority(&self.before.voters, grants)
     }
 }
 
@@ -88,8 +93,18 @@
     pub fn asks_for(&self, watch: &Watch) -> bool {
         self.change.as_ref().is_some_and(|change| change.watch == *watch)
     }
-    fn silent(&self, now: Millis, me: Voter, voter: &Voter) -> bool {
-        *voter != me && self.acks.get(voter).is_none_or(|at| now > at + LOST) && now > self.since + LOST
+    pub fn asked_for(&self) -> Option<&Watch> {
+        self.change.as_ref().map(|change| &change.watch)
+    }
+    /// When it acked last, and has been silent for longer than `most`.
+    fn silent(&self, now: Millis, voter: &Voter, most: Millis) -> bool {
+        match self.acks.get(voter) {
+            Some(at) => now > at + most,
+            None => now > self.since + if most > LOST { most } else { ABSENT },
+        }
+    }
+    fn here(&self, now: Millis, voter: &Voter) -> bool {
+        self.acks.contains_key(voter) && !self.silent(now, voter, LOST)
     }
     pub fn next(&self, now: Millis, terms: &Terms) -> Millis {
         let busy = self.job.is_some() || !self.queue.is_empty() || self.change.is_some();
@@ -107,7 +122,8 @@
         self.effects.push(Effect::Turn { epoch: self.epoch(), what: "leads" });
     }
 
-    pub(crate) fn step_down(&mut self, _now: Millis) {
+    pub(crate) fn step_down(&mut self, now: Millis) {
+        self.draw_stand(now);
         if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
             if let Some(ticket) = lead.job.as_ref().and_then(|job| job.ticket) {
                 self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
@@ -134,7 +150,9 @@
     /// May answer: the lease holds, and enough copies hold all there is.
     fn acts(&self, now: Millis) -> bool {
         let settled = matches!(&self.duty, Duty::Lead(lead) if lead.settled && lead.leave_by.is_none());
-        settled && self.leads(now) && self.watch.as_ref().is_some_and(|w| self.enough(w))
+        settled
+            && self.leads(now)
+            && self.watch.as_ref().is_some_and(|w| self.enough(w) && w.drawn == w.epoch)
     }
 
     /// An operator's configuration.
@@ -166,6 +184,7 @@
         match &mut self.duty {
             Duty::Lead(lead) => lead.leave_by = Some(now + 500),
             _ => {
+                self.step_down(now);
                 self.released = true;
                 return self.effects.push(Effect::Released);
             }
@@ -173,32 +192,44 @@
         self.lead(now);
     }
 
-    fn hand_over(&mut self, now: Millis) {
+    /// A copy holds whatever was answered, settled or not: it is told that this one acts no more.
+    fn hand_over(&mut self, now: Millis, ends: bool) {
         let Some(watch) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &self.duty else { return };
-        let heard =
-            |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
-        let next = watch.copies.iter().find(|v| **v != self.terms.me && heard(v)).copied();
-        let ready = lead.settled && lead.job.is_none();
+        let able = |v: &&Voter| **v != self.terms.me && lead.here(now, v) && !lead.hollow.contains(v);
+        let next = watch.copies.iter().filter(able).find(|v| self.links.get(v) != Some(&false)).copied();
+        if next.is_none() && !ends {
+            return;
+        }
         self.step_down(now);
-        self.released = true;
-        if let Some(next) = next.filter(|_| ready) {
+        if let Some(next) = next {
             self.send(next, Signal::Handover { epoch: watch.epoch });
         }
-        self.effects.push(Effect::Released);
+        if ends {
+            self.released = true;
+            self.effects.push(Effect::Released);
+        }
     }
 
-    pub(crate) fn acked(&mut self, now: Millis, from: Voter, epoch: u64, sent_at: Millis, blank: bool) {
+    pub(crate) fn acked(
+        &mut self,
+        now: Millis,
+        from: Voter,
+        epoch: u64,
+        sent_at: Millis,
+        (votes, holds): (bool, bool),
+    ) {
         let mine = self.epoch();
         let Duty::Lead(lead) = &mut self.duty else { return };
         if epoch != mine || sent_at > now {
             return;
         }
-        if blank {
-            lead.hollow.insert(from);
-            lead.acks.remove(&from);
-        } else {
+        if holds {
             lead.hollow.remove(&from);
+        } else {
+            lead.hollow.insert(from);
+        }
+        if votes {
             let at = lead.acks.entry(from).or_default();
             *at = (*at).max(sent_at);
         }
@@ -207,6 +238,10 @@
 
     /// What the primary does next.
     pub(crate) fn lead(&mut self, now: Millis) {
+        if self.acts(now) {
+            // Also what was stored everywhere while the lease had lapsed.
+            self.enforce(self.chart.clone());
+        }
         let Some(watch) = self.watch.clone() else { return };
         let (version, digest) = self.force.as_ref().map_or((0, 0), |c| (c.version, c.digest()));
         let learners: Vec<Voter> =
@@ -221,10 +256,14 @@
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(by) = lead.leave_by {
             if (lead.job.is_none() && lead.change.is_none()) || now >= by {
-                return self.hand_over(now);
+                return self.hand_over(now, true);
             }
         }
         self.answer_late(now);
+        let stuck = |job: &Job| job.missing.contains(&self.terms.me) && now > job.since + LOST;
+        if matches!(&self.duty, Duty::Lead(lead) if lead.job.as_ref().is_some_and(stuck)) {
+            return self.own_disk_failed(now);
+        }
         self.look_after_copies(now, &watch);
         self.begin_job(now, &watch);
         let Duty::Lead(lead) = &mut self.duty else { return };
@@ -233,6 +272,9 @@
         if let Some(change) = lead.change.as_ref().filter(|_| now >= lead.asked + again) {
             let wanted = change.watch.clone();
             lead.asked = now;
+            if !change.grants.contains(&self.terms.me) {
+                self.keep_watch(wanted.clone(), After::OwnGrant { watch: wanted.clone() });
+            }
             self.propose(&wanted, false);
         }
         let Duty::Lead(lead) = &mut self.duty else { return };
@@ -257,7 +299,7 @@
     }
 
     fn begin_job(&mut self, now: Millis, watch: &Watch) {
-        if !self.leads(now) {
+        if !self.leads(now) || watch.drawn != watch.epoch {
             return;
         }
         let enough = self.enough(watch);
@@ -266,8 +308,10 @@
         if lead.job.is_some() || lead.change.is_some() {
             return;
         }
-        if !lead.settled {
-            // What it holds may be on no other copy, or a copy may hold what was given up: all are made alike first.
+        if !lead.settled || watch.copies.iter().any(|v| lead.hollow.contains(v) && lead.acks.contains_key(v))
+        {
+            // What it holds may be on no other copy, or a copy may hold what was given up, or have lost its disk: all
+            // are made alike first.
             return self.write(now, own, None, watch.copies.clone(), None);
         }
         if !enough || lead.leave_by.is_some() {
@@ -305,15 +349,14 @@
         }
     }
 
+    /// It refuses, or hangs: another is to decide. Whether the copies have what was written is not known.
     pub(crate) fn own_disk_failed(&mut self, now: Millis) {
-        // Whether the copies have it is not known, and this one has not: the next write makes all alike.
-        if let Duty::Lead(lead) = &mut self.duty {
-            if let Some(ticket) = lead.job.take().and_then(|job| job.ticket) {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
-            }
-            lead.settled = false;
-            lead.pulse_at = lead.pulse_at.max(now + 1);
+        let Duty::Lead(lead) = &mut self.duty else { return };
+        if let Some(ticket) = lead.job.take().and_then(|job| job.ticket) {
+            self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
         }
+        lead.settled = false;
+        self.hand_over(now, false);
     }
 
     pub(crate) fn stored(&mut self, now: Millis, from: Voter, epoch: u64, serial: u64) {
@@ -325,12 +368,15 @@
         let Duty::Lead(lead) = &mut self.duty else { return };
         let Some(job) = lead.job.as_mut().filter(|job| job.serial == serial) else { return };
         job.missing.remove(&from);
+        lead.hollow.remove(&from);
         if !job.missing.is_empty() {
             return;
         }
         let Some(job) = lead.job.take() else { return };
         if let Some(voter) = job.joins {
-            return self.change_copies(now, Some(voter));
+            let lost = self.watch.clone().map(|w| self.lost_copies(now, &w)).unwrap_or_default();
+            self.change_copies(now, &lost, Some(voter));
+            return self.lead(now);
         }
         lead.settled = true;
         self.chart = job.chart;
@@ -342,7 +388,6 @@
             _ => {}
         }
         if enough && leads {
-            self.enforce(self.chart.clone());
             // The others hear of it with the next pulse: now, for the data plane waits for it.
             if let Duty::Lead(lead) = &mut self.duty {
                 lead.pulse_at = now;
@@ -356,117 +401,129 @@
         if !self.leads(now) {
             return;
         }
-        let (me, want) = (self.terms.me, (self.terms.losses + 1).min(watch.voters.len()));
-        let learner = self.learners.iter().find(|l| !watch.voters.contains(l)).copied();
+        let want = self.wanted_copies(watch);
         let own = self.chart.clone();
-        let force = self.force.as_ref().map_or(0, |c| c.version);
+        let lost = self.lost_copies(now, watch);
+        let link_down = |v: &Voter| self.links.get(v) == Some(&false);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if lead.change.is_some() || lead.leave_by.is_some() {
             return;
         }
-        let gone = |v: &Voter| *v != me && self.links.get(v) == Some(&false) || lead.silent(now, me, v);
-        let joiner_gone = lead.job.as_ref().and_then(|job| job.joins).is_some_and(|v| gone(&v));
-        let lost: Vec<Voter> =
-            watch.copies.iter().copied().filter(|v| gone(v) || lead.hollow.contains(v)).collect();
-        let hollow = watch.copies.iter().any(|v| lead.hollow.contains(v));
-        let here =
-            |v: &&Voter| lead.acks.get(v).is_some_and(|at| now <= at + LOST) && !lead.hollow.contains(v);
-        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v)).find(here).copied();
-        if joiner_gone {
-            lead.job = None;
-        }
-        if let Some(job) = &mut lead.job {
-            // A write that waits for one that is gone is settled with the copies that come after it.
-            if job.joins.is_none()
-                && !lost.is_empty()
-                && job.missing.iter().all(|v| lost.contains(v))
-                && other.is_some()
-            {
-                if let Some(job) = lead.job.take() {
-                    // On this disk and on all copies that are left: it is what holds from here on.
-                    let (chart, ticket) = (job.chart, job.ticket);
-                    if let Some(ticket) = ticket {
+        if watch.drawn != watch.epoch {
+            return self.ask_change(now, watch.clone());
+        }
+        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v));
+        let other = other.copied().find(|v| lead.here(now, v) && !link_down(v));
+        if let Some(job) = &lead.job {
+            let slow = now > job.since + LOST;
+            match job.joins {
+                Some(v) if slow || link_down(&v) || !lead.here(now, &v) => lead.job = None,
+                Some(_) => return,
+                None if lost.is_empty() || !job.missing.iter().all(|v| lost.contains(v)) => return,
+                None if other.is_none() && watch.copies.len() - lost.len() < want => return,
+                // A write that waits for one that is gone is settled with the copies that come after it.
+                None => {
+                    if let Some(Job { ticket: Some(ticket), chart, .. }) = lead.job.take() {
                         lead.queue.push_front(Waiting { ticket, chart, since: now, begun: true });
                     }
-                    lead.settled = true;
+                    // Those that are left are made alike again: what was answered late may be on all of them.
+                    lead.settled = false;
                 }
-            } else {
-                return;
             }
         }
-        let Duty::Lead(lead) = &mut self.duty else { return };
-        if hollow {
-            // A copy that is none must not be counted on for a moment longer.
-            return self.change_copies(now, None);
+        let left = watch.copies.len() - lost.len();
+        if !lost.is_empty() && left >= want {
+            return self.change_copies(now, &lost, None);
         }
-        let few = watch.copies.len() - lost.len() < want;
-        if let Some(voter) = other.filter(|_| few && (lead.settled || !lost.is_empty())) {
+        if let Some(voter) = other.filter(|_| left < want) {
             return self.write(now, own, None, vec![voter], Some(voter));
         }
-        if let Some(learner) =
-            learner.filter(|l| lead.acks.get(l).is_some_and(|at| now <= at + LOST) && force > 0)
-        {
-            let mut next = watch.clone();
-            next.epoch += 1;
-            next.voters.push(learner);
-            next.voters.sort();
-            self.ask_change(now, next);
-        }
+        self.look_after_voters(now, watch);
     }
 
-    /// Asks for the watch without the copies that are lost, and with one that has been filled.
-    fn change_copies(&mut self, now: Millis, joins: Option<Voter>) {
-        let Some(watch) = self.watch.clone() else { return };
-        let me = self.terms.me;
+    fn wanted_copies(&self, watch: &Watch) -> usize {
+        (self.terms.losses + 1).min(watch.voters.len())
+    }
+
+    /// Copies that are gone, or whose disk does not take what they are sent.
+    fn lost_copies(&self, now: Millis, watch: &Watch) -> Vec<Voter> {
+        let Duty::Lead(lead) = &self.duty else { return Vec::new() };
+        let slow = lead.job.as_ref().filter(|job| now > job.since + LOST);
+        let gone = |v: &Voter| {
+            self.links.get(v) == Some(&false)
+                || lead.silent(now, v, LOST)
+                || slow.is_some_and(|job| job.missing.contains(v))
+        };
+        watch.copies.iter().copied().filter(|v| *v != self.terms.me && gone(v)).collect()
+    }
+
+    /// One voter comes or goes at a time, so that majorities of before and after always meet.
+    fn look_after_voters(&mut self, now: Millis, watch: &Watch) {
+        let force = self.force.as_ref().map_or(0, |c| c.version);
         let Duty::Lead(lead) = &self.duty else { return };
-        let gone = |v: &Voter| *v != me && self.links.get(v) == Some(&false) || lead.silent(now, me, v);
-        let lost = |v: &Voter| lead.hollow.contains(v) || (joins.is_some() && gone(v));
+        if force == 0 || lead.job.is_some() || !lead.settled {
+            return;
+        }
         let mut next = watch.clone();
-        next.epoch += 1;
-        next.copies.retain(|v| !lost(v));
-        next.copies.extend(joins.filter(|v| !next.copies.contains(v)));
+        let new = |l: &&Voter| !watch.voters.contains(l) && lead.here(now, l);
+        let gone =
+            |v: &Voter| *v != self.terms.me && lead.silent(now, v, FORGET) && !watch.copies.contains(v);
+        if let Some(learner) = self.learners.iter().find(new) {
+            next.voters.push(*learner);
+            next.voters.sort();
+        } else if let Some(at) =
+            watch.voters.iter().position(gone).filter(|_| watch.voters.len().is_multiple_of(2))
+        {
+            // An even number bears no more losses than one less, and one that is gone for good would count as lost.
+            next.voters.remove(at);
+        } else {
+            return;
+        }
         self.ask_change(now, next);
     }
 
+    /// Asks for the watch without the copies that are lost, and with one that has been filled.
+    fn change_copies(&mut self, now: Millis, lost: &[Voter], joins: Option<Voter>) {
+        let Some(mut next) = self.watch.clone() else { return };
+        next.copies.retain(|v| !lost.contains(v));
+        // One that seemed lost may be back: no more copies than are wanted, for each write waits for all.
+        let want = self.wanted_copies(&next);
+        next.copies.extend(joins.filter(|_| next.copies.len() < want));
+        if self.watch.as_ref().is_some_and(|w| w.copies != next.copies) {
+            self.ask_change(now, next);
+        }
+    }
+
     fn ask_change(&mut self, now: Millis, next: Watch) {
         let Some(before) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &mut self.duty else { return };
+        let next = Watch { epoch: before.epoch + 1, drawn: before.epoch + 1, ..next };
         lead.change = Some(Stand::new(next.clone(), before, false));
         lead.asked = now;
-        self.keep(Record::Watch(next.clone()), After::OwnGrant { epoch: next.epoch });
+        self.keep_watch(next.clone(), After::OwnGrant { watch: next.clone() });
         self.propose(&next, false);
     }
 
     /// A voter has a watch on its disk that this node asked for.
-    pub(crate) fn granted(&mut self, now: Millis, from: Voter, epoch: u64) {
-        let me = self.terms.me;
+    pub(crate) fn granted(&mut self, now: Millis, from: Voter, watch: Watch) {
         match &mut self.duty {
-            Duty::Stand(stand) if stand.watch.epoch == epoch => {
+            Duty::Stand(stand) if stand.watch == watch => {
                 stand.grants.insert(from);
-                if stand.won() && stand.grants.contains(&me) {
-                    self.begin_duty(now);
-                    self.lead(now);
-                }
+                self.count_grants(now);
             }
             Duty::Lead(lead) => {
-                let Some(change) = lead.change.as_mut().filter(|c| c.watch.epoch == epoch) else { return };
+                let Some(change) = lead.change.as_mut().filter(|c| c.watch == watch) else { return };
                 change.grants.insert(from);
-                if !change.won() || !change.grants.contains(&me) {
+                if !change.won(None) || !change.grants.contains(&self.terms.me) {
                     return;
                 }
-                if let Some(change) = lead.change.take() {
-                    lead.acks.retain(|v, _| change.watch.voters.contains(v));
-                    self.watch = Some(change.watch);
-                    lead.pulse_at = now;
-                    let settled = lead.settled;
-                    // In force only now, where there were too few copies before.
-                    let enough = self.watch.as_ref().is_some_and(|w| self.enough(w));
-                    if settled && enough && self.leads(now) {
-                        self.enforce(self.chart.clone());
-                    }
-                    self.effects.push(Effect::Turn { epoch, what: "has other copies" });
-                    self.lead(now);
-                }
+                lead.change = None;
+                self.safe = self.safe.max(watch.epoch);
+                lead.acks.retain(|v, _| watch.voters.contains(v));
+                lead.pulse_at = now;
+                self.effects.push(Effect::Turn { epoch: watch.epoch, what: "has other copies" });
+                self.watch = Some(watch);
+                self.lead(now);
             }
             _ => {}
         }
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -13,6 +13,9 @@
     pub primary: Voter,
     pub copies: Vec<Voter>,
     pub voters: Vec<Voter>,
+    /// The epoch in which a primary had these copies and voters written down. A candidate takes them over as they are; before
+    /// it acts, it has them written down anew, so that whoever knows only older ones is not voted for any more.
+    pub drawn: u64,
 }
 
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,8 +41,9 @@
         watch: Watch,
         released: bool,
     },
+    /// The whole of it: one that lost power may ask for another by the same epoch.
     Granted {
-        epoch: u64,
+        watch: Watch,
     },
     Denied {
         watch: Watch,
@@ -62,7 +66,9 @@
     PulseAck {
         epoch: u64,
         sent_at: Millis,
-        blank: bool,
+        votes: bool,
+        /// It has a chart on disk: only such a copy may stand for the duty.
+        holds: bool,
     },
     Handover {
         epoch: u64,
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter's part: granting watches, hearing the primary, standing for the duty, and learning after a lost disk.
 
 use crate::primary::{Duty, Stand};
-use crate::{After, Chart, Effect, Millis, Pilotage, Record, Signal, Voter, Watch};
+use crate::{After, Effect, Millis, Pilotage, Record, Signal, Voter, Watch};
 use std::collections::BTreeMap;
 
 /// What a node that has lost its disk has been told.
@@ -19,38 +19,56 @@
 }
 
 impl Pilotage {
+    /// Until then the vote may be lent: to whoever was heard last, or to whom an earlier life of this process acked.
+    pub(crate) fn free_at(&self) -> Millis {
+        self.heard.max(self.started) + self.terms.silence_ms
+    }
+
     /// Someone wants to be primary, or the primary wants other copies.
     pub(crate) fn proposed(&mut self, now: Millis, from: Voter, watch: Watch, released: bool) {
         if self.blank || from != watch.primary {
             return;
         }
         let Some(mine) = self.watch.clone() else { return };
-        if watch == mine {
-            // Known in memory is not enough: a loss of power would take the vote back. It is asked for again.
-            if self.safe >= watch.epoch {
-                self.send(from, Signal::Granted { epoch: watch.epoch });
-            }
-            return;
+        // Only what the one that ended has named counts as released: it may lead again, by a later epoch.
+        let released = released && watch.epoch == mine.epoch + 1;
+        // A watch may be known by hearsay while the vote is lent to another. Before the first epoch nobody led.
+        let lent_to_it = self.lent == Some(from) || watch.epoch == 1;
+        let free = released || ((lent_to_it || now >= self.free_at()) && !self.leads(now));
+        if watch == mine && free {
+            return self.grant(from, watch);
         }
-        let quiet = now >= self.heard + self.terms.silence_ms && now >= self.started + self.terms.silence_ms;
-        // Whoever acked a pulse has lent the primary its vote for a while; and after a start nobody knows what it acked.
-        let free = from == mine.primary || released || (quiet && !self.leads(now));
-        let fit = watch.epoch > mine.epoch + 1 || from == mine.primary || mine.copies.contains(&from);
+        // By the epoch alone, one that missed a change of copies and stood twice would seem to be the newer.
+        let fit = watch.drawn >= mine.drawn && watch.copies.contains(&from);
         if watch.epoch <= mine.epoch || !free || !fit {
             return self.send(from, Signal::Denied { watch: mine });
         }
         self.heard = now;
-        self.draw_stand(now);
+        self.lent = Some(from);
         self.follow(now, watch.clone());
-        let epoch = watch.epoch;
-        self.keep(Record::Watch(watch), After::Grant { to: from, epoch });
+        self.draw_stand(now);
+        self.grant(from, watch);
     }
 
-    /// Takes a watch over in memory; it is told on only when it is on disk.
-    pub(crate) fn follow(&mut self, now: Millis, watch: Watch) {
-        if watch.primary != self.terms.me {
-            self.step_down(now);
+    /// Said only when it is on disk.
+    fn grant(&mut self, to: Voter, watch: Watch) {
+        if self.safe >= watch.epoch {
+            return self.send(to, Signal::Granted { watch });
+        }
+        self.keep_watch(watch.clone(), After::Grant { to, watch });
+    }
+
+    /// Writes it, unless that is under way. Called again when it is asked for again: the disk may have refused it.
+    pub(crate) fn keep_watch(&mut self, watch: Watch, after: After) {
+        if !self.after.values().any(|pending| pending.watch() == Some(&watch)) {
+            self.keep(Record::Watch(watch), after);
         }
+    }
+
+    /// Takes a watch over in memory; it is told on only when it is on disk.
+    fn follow(&mut self, now: Millis, watch: Watch) {
+        self.step_down(now);
+        self.safe = self.safe.min(watch.epoch.saturating_sub(1));
         self.watch = Some(watch);
     }
 
@@ -60,15 +78,20 @@
         if self.blank || asked || watch.epoch <= self.epoch() {
             return;
         }
+        let watch = match &self.watch {
+            // One that missed a change of copies stands: its epoch counts, what it knows of copies does not.
+            Some(mine) if mine.drawn > watch.drawn => {
+                Watch { epoch: watch.epoch, primary: watch.primary, ..mine.clone() }
+            }
+            _ => watch,
+        };
         self.take_up(now, watch);
     }
 
     fn take_up(&mut self, now: Millis, watch: Watch) {
-        let epoch = watch.epoch;
         self.follow(now, watch.clone());
         self.draw_stand(now);
-        self.keep(Record::Watch(watch), After::Adopted { epoch });
-        self.resume(now);
+        self.keep_watch(watch.clone(), After::Adopted { watch });
     }
 
     pub(crate) fn pulsed(
@@ -81,7 +104,7 @@
         digest: u64,
     ) {
         if self.blank {
-            return self.send(from, Signal::PulseAck { epoch, sent_at, blank: true });
+            return self.send(from, Signal::PulseAck { epoch, sent_at, votes: false, holds: false });
         }
         let Some(mine) = self.watch.clone() else { return };
         if epoch < mine.epoch {
@@ -98,9 +121,12 @@
         self.heard = now;
         self.draw_stand(now);
         if self.safe < mine.epoch {
-            return;
+            return self.keep_watch(mine.clone(), After::Adopted { watch: mine });
         }
-        self.send(from, Signal::PulseAck { epoch, sent_at, blank: false });
+        // The own vote is lent from here on: a candidacy that was under way does not count with it any more.
+        self.lent = Some(from);
+        self.duty = Duty::Follow;
+        self.send(from, Signal::PulseAck { epoch, sent_at, votes: true, holds: !self.hollow });
         if self.force.as_ref().map_or(0, |c| c.version) < version {
             if self.chart.version == version && self.chart.digest() == digest {
                 self.enforce(self.chart.clone());
@@ -111,7 +137,7 @@
     }
 
     /// The primary wants this written; also to one that is to become a copy.
-    pub(crate) fn store(&mut self, _now: Millis, from: Voter, epoch: u64, serial: u64, chart: Chart) {
+    pub(crate) fn store(&mut self, from: Voter, epoch: u64, serial: u64, chart: crate::Chart) {
         if self.blank {
             return;
         }
@@ -123,10 +149,15 @@
             return;
         }
         if epoch > mine.epoch || from != mine.primary {
+            self.pulsing = Some((epoch, from));
             return self.send(from, Signal::WhatWatch);
         }
-        let after = After::Stored { to: from, epoch, serial, chart: chart.clone() };
-        self.keep(Record::Chart(chart), after);
+        let under_way =
+            |a: &After| matches!(a, After::Stored { to, serial: s, .. } if *to == from && *s == serial);
+        if !self.after.values().any(under_way) {
+            let after = After::Stored { to: from, epoch, serial, chart: chart.clone() };
+            self.keep(Record::Chart(chart), after);
+        }
     }
 
     /// Nobody has been heard for long enough: a copy stands for the duty.
@@ -138,40 +169,44 @@
         if let Duty::Stand(stand) = &self.duty {
             // Asked again: a proposal, or its answer, was lost. The same one, for it may have been granted.
             let (watch, released) = (stand.watch.clone(), stand.released);
-            if watch.epoch == mine.epoch {
-                self.stand_at = now + self.terms.pulse_ms;
-                return self.propose(&watch, released);
+            self.stand_at = now + self.terms.pulse_ms;
+            if watch == mine && self.safe < watch.epoch {
+                self.keep_watch(watch.clone(), After::OwnGrant { watch: watch.clone() });
             }
+            return self.propose(&watch, released);
         }
         self.draw_stand(now);
-        if mine.copies.contains(&self.terms.me) && mine.primary != self.terms.me {
-            self.stand_for(now, false);
+        if now < self.free_at() {
+            return;
+        }
+        if mine.copies.contains(&self.terms.me) && !self.hollow {
+            return self.stand_for(now, false);
+        }
+        // A change of copies may be known to others than those that it names: only these can stand by it.
+        for copy in mine.copies.clone() {
+            self.send(copy, Signal::ThisWatch { watch: Some(mine.clone()) });
         }
     }
 
-    pub(crate) fn stand_for(&mut self, now: Millis, released: bool) {
+    /// Asks the others first: the own vote is given when theirs suffice, so one that is cut off raises no epochs.
+    fn stand_for(&mut self, now: Millis, released: bool) {
         let Some(mine) = self.watch.clone() else { return };
         let me = self.terms.me;
         // The copies stay those of before, the lost one too: it may yet come back and stand, should this one end.
         let watch = Watch { epoch: mine.epoch + 1, primary: me, ..mine.clone() };
         self.duty = Duty::Stand(Stand::new(watch.clone(), mine, released));
-        self.watch = Some(watch.clone());
-        self.draw_stand(now);
-        self.keep(Record::Watch(watch.clone()), After::OwnGrant { epoch: watch.epoch });
-        self.propose(&watch, released);
+        self.stand_at = now + self.terms.pulse_ms;
         self.effects.push(Effect::Turn { epoch: watch.epoch, what: "stands" });
+        self.propose(&watch, released);
+        self.count_grants(now);
     }
 
-    /// Asks for the watch that is on disk already.
-    pub(crate) fn stand_again(&mut self, now: Millis, watch: Watch) {
+    /// The first watch, which all reckon alike.
+    pub(crate) fn stand_first(&mut self, now: Millis, watch: Watch) {
         self.duty = Duty::Stand(Stand::new(watch.clone(), watch.clone(), false));
         self.stand_at = now + self.terms.pulse_ms;
         self.propose(&watch, false);
-        if self.safe >= watch.epoch {
-            self.granted(now, self.terms.me, watch.epoch);
-        } else {
-            self.keep(Record::Watch(watch.clone()), After::OwnGrant { epoch: watch.epoch });
-        }
+        self.keep_watch(watch.clone(), After::OwnGrant { watch });
     }
 
     pub(crate) fn propose(&mut self, watch: &Watch, released: bool) {
@@ -180,15 +215,29 @@
         }
     }
 
+    /// A candidate's grants: with enough of the others' it gives its own, and with that on disk it leads.
+    pub(crate) fn count_grants(&mut self, now: Millis) {
+        let me = self.terms.me;
+        let Duty::Stand(stand) = &self.duty else { return };
+        if !stand.won(Some(me)) {
+            return;
+        }
+        if stand.won(None) && self.safe >= stand.watch.epoch {
+            self.begin_duty(now);
+            return self.lead(now);
+        }
+        let watch = stand.watch.clone();
+        if self.watch.as_ref() != Some(&watch) {
+            self.watch = Some(watch.clone());
+            self.keep_watch(watch.clone(), After::OwnGrant { watch });
+        }
+    }
+
     /// The primary that ends has named this one.
     pub(crate) fn handed(&mut self, now: Millis, from: Voter, epoch: u64) {
-        let named = self.watch.as_ref().is_some_and(|w| {
-            w.epoch == epoch
-                && w.primary == from
-                && w.copies.contains(&self.terms.me)
-                && from != self.terms.me
-        });
-        if named && !self.blank && !self.released {
+        let me = self.terms.me;
+        let by_it = |w: &Watch| w.epoch == epoch && w.primary == from && w.copies.contains(&me) && from != me;
+        if self.watch.as_ref().is_some_and(by_it) && !self.blank && !self.hollow && !self.released {
             self.stand_for(now, true);
         }
     }
@@ -210,6 +259,17 @@
         }
     }
 
+    /// What is asked for counts too: the asker may have granted it, and lost its disk.
+    pub(crate) fn tell_watch(&mut self, to: Voter) {
+        let asked = match &self.duty {
+            Duty::Lead(lead) => lead.asked_for(),
+            Duty::Stand(stand) => Some(&stand.watch),
+            Duty::Follow => None,
+        };
+        let watch = asked.or(self.watch.as_ref()).filter(|_| !self.blank).cloned();
+        self.send(to, Signal::ThisWatch { watch });
+    }
+
     pub(crate) fn told_watch(&mut self, now: Millis, from: Voter, watch: Option<Watch>) {
         let Some(watch) = watch else { return };
         if !self.blank {
@@ -227,24 +287,11 @@
             return;
         }
         // What this node has granted and forgotten, some of them know, or it was never granted by enough.
+        // Named as a copy it is hollow: it votes, but does not stand before the primary has filled it.
+        let newest = self.learning.told.values().max_by_key(|w| w.drawn).cloned().unwrap_or(highest.clone());
         self.blank = false;
         self.started = now;
         self.heard = now;
-        self.draw_stand(now);
-        let was_copy = highest.copies.contains(&self.terms.me);
-        self.watch = Some(highest.clone());
-        if !was_copy {
-            let epoch = highest.epoch;
-            self.keep(Record::Watch(highest), After::Adopted { epoch });
-        } else {
-            // It is named as a copy and holds nothing: until a watch names it anew it must not stand for the duty.
-            self.hollow(highest);
-        }
-    }
-
-    /// Named as a copy, but empty: tells the primary so by its acks.
-    fn hollow(&mut self, watch: Watch) {
-        self.blank = true;
-        self.watch = Some(watch);
+        self.take_up(now, Watch { epoch: highest.epoch, primary: highest.primary, ..newest });
     }
 }
