--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -53,8 +53,8 @@
     missing: BTreeSet<Voter>,
     since: Millis,
     sent: Millis,
-    /// To become a copy when it has it.
-    joins: Option<Voter>,
+    /// To become a copy when it has it, in place of those.
+    joins: Option<(Voter, Vec<Voter>)>,
 }
 
 #[derive(Debug)]
@@ -333,7 +333,7 @@
         chart: Chart,
         ticket: Option<u64>,
         to: Vec<Voter>,
-        joins: Option<Voter>,
+        joins: Option<(Voter, Vec<Voter>)>,
     ) {
         self.serial = self.serial.wrapping_add(1);
         let (serial, epoch, me) = (self.serial, self.epoch(), self.terms.me);
@@ -373,9 +373,8 @@
             return;
         }
         let Some(job) = lead.job.take() else { return };
-        if let Some(voter) = job.joins {
-            let lost = self.watch.clone().map(|w| self.lost_copies(now, &w)).unwrap_or_default();
-            self.change_copies(now, &lost, Some(voter));
+        if let Some((voter, lost)) = job.joins {
+            self.change_copies(now, voter, &lost);
             return self.lead(now);
         }
         lead.settled = true;
@@ -416,11 +415,11 @@
         let other = other.copied().find(|v| lead.here(now, v) && !link_down(v));
         if let Some(job) = &lead.job {
             let slow = now > job.since + LOST;
-            match job.joins {
-                Some(v) if slow || link_down(&v) || !lead.here(now, &v) => lead.job = None,
+            match &job.joins {
+                Some((v, _)) if slow || link_down(v) || !lead.here(now, v) => lead.job = None,
                 Some(_) => return,
                 None if lost.is_empty() || !job.missing.iter().all(|v| lost.contains(v)) => return,
-                None if other.is_none() && watch.copies.len() - lost.len() < want => return,
+                None if other.is_none() => return,
                 // A write that waits for one that is gone is settled with the copies that come after it.
                 None => {
                     if let Some(Job { ticket: Some(ticket), chart, .. }) = lead.job.take() {
@@ -431,12 +430,8 @@
                 }
             }
         }
-        let left = watch.copies.len() - lost.len();
-        if !lost.is_empty() && left >= want {
-            return self.change_copies(now, &lost, None);
-        }
-        if let Some(voter) = other.filter(|_| left < want) {
-            return self.write(now, own, None, vec![voter], Some(voter));
+        if let Some(voter) = other.filter(|_| watch.copies.len() - lost.len() < want) {
+            return self.write(now, own, None, vec![voter], Some((voter, lost)));
         }
         self.look_after_voters(now, watch);
     }
@@ -482,16 +477,13 @@
         self.ask_change(now, next);
     }
 
-    /// Asks for the watch without the copies that are lost, and with one that has been filled.
-    fn change_copies(&mut self, now: Millis, lost: &[Voter], joins: Option<Voter>) {
+    /// Asks for the watch without the copies that were lost, and with one that has been filled. No more than are wanted: each
+    /// write waits for all, and whether one that seemed lost is back does not matter any more.
+    fn change_copies(&mut self, now: Millis, joins: Voter, lost: &[Voter]) {
         let Some(mut next) = self.watch.clone() else { return };
         next.copies.retain(|v| !lost.contains(v));
-        // One that seemed lost may be back: no more copies than are wanted, for each write waits for all.
-        let want = self.wanted_copies(&next);
-        next.copies.extend(joins.filter(|_| next.copies.len() < want));
-        if self.watch.as_ref().is_some_and(|w| w.copies != next.copies) {
-            self.ask_change(now, next);
-        }
+        next.copies.push(joins);
+        self.ask_change(now, next);
     }
 
     fn ask_change(&mut self, now: Millis, next: Watch) {
--- /dev/null
+++ b/pilotage/tests/rules.rs
@@ -0,0 +1,175 @@
+//! Single rules that schedules seldom touch, one machine at a time.
+
+use stileroute_pilotage::{Chart, Effect, Kept, Pilotage, Signal, Terms, Verdict, Voter, Watch};
+
+const PULSE: Signal = Signal::Pulse { epoch: 4, sent_at: 5, version: 0, digest: 0 };
+
+fn voter(i: u8) -> Voter {
+    Voter::new([10, 0, 0, i].into(), 9000)
+}
+fn watch(epoch: u64, primary: u8, copies: [u8; 2], drawn: u64) -> Watch {
+    let voters = (1..=3).map(voter).collect();
+    Watch { epoch, primary: voter(primary), copies: copies.map(voter).to_vec(), voters, drawn }
+}
+/// Node `me`, started at 0 with this watch and a chart on its disk.
+fn machine(me: u8, watch: Watch) -> Pilotage {
+    let kept = Kept { watch: Some(watch), chart: Some(Chart::default()) };
+    Pilotage::new(Terms::new(voter(me), (1..=3).map(voter).collect(), false, 1, 1), kept, 0)
+}
+fn sent(effects: &[Effect], to: u8) -> Vec<Signal> {
+    let signal = |e: &Effect| match e {
+        Effect::Send { to: t, signal } if *t == voter(to) => Some(signal.clone()),
+        _ => None,
+    };
+    effects.iter().filter_map(signal).collect()
+}
+/// Says it, does what is asked of the disk, and tells what was sent back.
+fn say(p: &mut Pilotage, now: u64, from: u8, signal: Signal) -> Vec<Signal> {
+    p.signal(now, voter(from), signal);
+    sent(&sync(p, now), from)
+}
+fn propose(p: &mut Pilotage, now: u64, watch: &Watch, released: bool) -> Vec<Signal> {
+    let wanted = Signal::Propose { watch: watch.clone(), released };
+    say(p, now, watch.primary.ip().octets()[3], wanted)
+}
+fn ack(epoch: u64, sent_at: u64) -> Signal {
+    Signal::PulseAck { epoch, sent_at, votes: true, holds: true }
+}
+/// Does what is asked of its disk.
+fn sync(p: &mut Pilotage, now: u64) -> Vec<Effect> {
+    let mut all = p.take();
+    let mut done = 0;
+    while let Some(effect) = all.get(done) {
+        if let Effect::Keep { ticket, .. } = effect {
+            p.kept(now, *ticket, true);
+            all.extend(p.take());
+        }
+        done += 1;
+    }
+    all
+}
+fn last_store(effects: &[Effect], to: u8) -> Option<(u64, u64)> {
+    sent(effects, to).into_iter().rev().find_map(|s| match s {
+        Signal::Store { epoch, serial, .. } => Some((epoch, serial)),
+        _ => None,
+    })
+}
+/// The primary 1 by the first watch, settled, with 2 as the other copy, at the time 100.
+fn leader() -> Pilotage {
+    let terms = Terms::new(voter(1), (1..=3).map(voter).collect(), true, 1, 1);
+    let mut p = Pilotage::new(terms, Kept::default(), 0);
+    sync(&mut p, 0);
+    p.signal(0, voter(2), Signal::Granted { watch: watch(1, 1, [1, 2], 1) });
+    (2..=3).for_each(|from| p.signal(0, voter(from), ack(1, 0)));
+    let (epoch, serial) = last_store(&sync(&mut p, 0), 2).unwrap_or_default();
+    p.signal(100, voter(2), Signal::Stored { epoch, serial });
+    (2..=3).for_each(|from| p.signal(100, voter(from), ack(1, 100)));
+    sync(&mut p, 100);
+    p
+}
+
+#[test]
+fn a_grant_is_on_disk_before_it_is_told() {
+    let mut p = machine(3, watch(4, 1, [1, 2], 4));
+    let wanted = watch(5, 2, [1, 2], 4);
+    let ask = Signal::Propose { watch: wanted.clone(), released: true };
+    for (now, ticket) in [(10, 1), (20, 2)] {
+        p.signal(now, voter(2), ask.clone());
+        p.signal(now + 1, voter(2), ask.clone());
+        assert!(sent(&p.take(), 2).is_empty());
+        // The first time the disk refuses it.
+        p.kept(now + 2, ticket, ticket == 2);
+    }
+    assert_eq!(sent(&p.take(), 2), [Signal::Granted { watch: wanted }]);
+}
+
+#[test]
+fn who_missed_a_change_of_copies_gets_no_vote() {
+    let mut p = machine(3, watch(4, 1, [1, 3], 4));
+    let denied = [Signal::Denied { watch: watch(4, 1, [1, 3], 4) }];
+    assert_eq!(propose(&mut p, 2000, &watch(9, 2, [1, 2], 2), false), denied);
+    assert_eq!(propose(&mut p, 2000, &watch(9, 2, [1, 3], 4), false), denied);
+}
+
+#[test]
+fn no_vote_right_after_a_start_nor_by_an_old_release() {
+    let mut p = machine(3, watch(4, 1, [1, 2], 4));
+    let denied = [Signal::Denied { watch: watch(4, 1, [1, 2], 4) }];
+    assert_eq!(propose(&mut p, 850, &watch(5, 2, [1, 2], 4), false), denied);
+    assert_eq!(propose(&mut p, 850, &watch(6, 2, [1, 2], 4), true), denied);
+    let wanted = watch(5, 2, [1, 2], 4);
+    assert_eq!(propose(&mut p, 950, &wanted, false), [Signal::Granted { watch: wanted }]);
+}
+
+#[test]
+fn hearsay_does_not_free_a_vote_that_is_lent() {
+    let mut p = machine(3, watch(4, 1, [1, 2], 4));
+    assert_eq!(say(&mut p, 2000, 1, PULSE).len(), 1);
+    let heard_of = watch(5, 2, [1, 2], 4);
+    say(&mut p, 2010, 1, Signal::ThisWatch { watch: Some(heard_of.clone()) });
+    let denied = [Signal::Denied { watch: heard_of.clone() }];
+    assert_eq!(propose(&mut p, 2100, &heard_of, false), denied);
+    assert_eq!(propose(&mut p, 2100, &watch(6, 2, [1, 2], 4), false), denied);
+    assert_eq!(propose(&mut p, 2950, &heard_of, false), [Signal::Granted { watch: heard_of }]);
+}
+
+#[test]
+fn a_candidate_that_lends_its_vote_stands_no_more() {
+    let mut p = machine(2, watch(4, 1, [1, 2], 4));
+    p.tick(1500);
+    assert!(!sent(&p.take(), 3).is_empty());
+    say(&mut p, 1510, 1, PULSE);
+    say(&mut p, 1520, 3, Signal::Granted { watch: watch(5, 2, [1, 2], 4) });
+    assert_eq!(p.watch().map(|w| w.epoch), Some(4));
+}
+
+#[test]
+fn who_can_not_stand_tells_those_who_can() {
+    let mine = watch(4, 1, [1, 2], 4);
+    let mut p = machine(3, mine.clone());
+    p.tick(1500);
+    assert_eq!(sent(&p.take(), 2), [Signal::ThisWatch { watch: Some(mine) }]);
+}
+
+#[test]
+fn a_change_that_is_asked_for_is_told_and_a_write_begun_is_uncertain() {
+    let mut p = leader();
+    p.replace(100, 7, 1, b"new".to_vec());
+    sync(&mut p, 105);
+    p.link(110, voter(2), false);
+    p.tick(120);
+    let (epoch, serial) = last_store(&sync(&mut p, 120), 3).unwrap_or_default();
+    p.signal(130, voter(3), Signal::Stored { epoch, serial });
+    sync(&mut p, 130);
+    let told = say(&mut p, 140, 2, Signal::WhatWatch);
+    assert_eq!(told, [Signal::ThisWatch { watch: Some(watch(2, 1, [1, 3], 2)) }]);
+    p.signal(150, voter(3), Signal::Denied { watch: watch(9, 2, [1, 2], 1) });
+    assert!(p.take().contains(&Effect::Answer { ticket: 7, verdict: Verdict::Uncertain }));
+}
+
+#[test]
+fn a_joiner_that_is_gone_is_waited_for_no_more() {
+    let mut p = leader();
+    p.link(110, voter(2), false);
+    p.tick(120);
+    assert!(last_store(&sync(&mut p, 120), 3).is_some());
+    p.link(130, voter(3), false);
+    p.link(130, voter(2), true);
+    p.replace(140, 7, 1, b"new".to_vec());
+    assert!(last_store(&sync(&mut p, 140), 2).is_some());
+}
+
+#[test]
+fn a_copy_that_lost_its_disk_is_filled_in_place() {
+    let mut p = leader();
+    p.signal(110, voter(2), Signal::PulseAck { epoch: 1, sent_at: 105, votes: true, holds: false });
+    assert!(last_store(&sync(&mut p, 110), 2).is_some());
+}
+
+#[test]
+fn a_released_machine_is_not_woken_for_nothing() {
+    let mut p = machine(1, watch(4, 1, [1, 2], 4));
+    p.release(10);
+    assert_eq!(p.take(), [Effect::Released]);
+    assert!(p.next(5000) > 5500);
+}
