Pilotage: a newer list of copies is learned also by one that knows the epoch

Two votes for one epoch, one for a candidate and one for a change of copies: the copy that knew only the older list was denied for ever, and the watch it was denied with was ignored, for its epoch was not higher (voter.rs adopt). Nobody could become primary. Epoch and list are taken over each by itself now.

--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -72,20 +72,19 @@
         self.watch = Some(watch);
     }
 
-    /// A higher watch than the own one: a majority has granted it, or may.
+    /// A watch that a majority has granted, or may: a higher epoch counts, and a newer list of copies, each by itself. Who
+    /// knows a list that is newer is not voted for by one that does not, and the other way round, so both have to be told.
     pub(crate) fn adopt(&mut self, now: Millis, watch: Watch) {
-        let asked = matches!(&self.duty, Duty::Lead(lead) if lead.asks_for(&watch));
-        if self.blank || asked || watch.epoch <= self.epoch() {
+        let Some(mine) = self.watch.clone().filter(|_| !self.blank) else { return };
+        let (higher, newer) = (watch.epoch > mine.epoch, watch.drawn > mine.drawn);
+        // A primary was granted its epoch by more than half: no list that is newer, and not of a later epoch, can have been.
+        let asked = matches!(&self.duty, Duty::Lead(lead) if !higher || lead.asks_for(&watch));
+        if asked || !(higher || newer) {
             return;
         }
-        let watch = match &self.watch {
-            // One that missed a change of copies stands: its epoch counts, what it knows of copies does not.
-            Some(mine) if mine.drawn > watch.drawn => {
-                Watch { epoch: watch.epoch, primary: watch.primary, ..mine.clone() }
-            }
-            _ => watch,
-        };
-        self.take_up(now, watch);
+        let (top, list) =
+            (if higher { &watch } else { &mine }, if mine.drawn > watch.drawn { &mine } else { &watch });
+        self.take_up(now, Watch { epoch: top.epoch, primary: top.primary, ..list.clone() });
     }
 
     fn take_up(&mut self, now: Millis, watch: Watch) {
--- a/pilotage/tests/rules.rs
+++ b/pilotage/tests/rules.rs
@@ -106,6 +106,15 @@
     assert_eq!(propose(&mut p, 2950, &heard_of, false), [Signal::Granted { watch: heard_of }]);
 }
 
+#[test]
+fn epoch_and_list_of_copies_are_learned_each_by_itself() {
+    let mut p = machine(2, watch(4, 1, [1, 2], 2));
+    say(&mut p, 2000, 3, Signal::Denied { watch: watch(4, 3, [2, 3], 4) });
+    assert_eq!(p.watch(), Some(&watch(4, 1, [2, 3], 4)));
+    say(&mut p, 2000, 3, Signal::Denied { watch: watch(6, 3, [1, 3], 3) });
+    assert_eq!(p.watch(), Some(&watch(6, 3, [2, 3], 4)));
+}
+
 #[test]
 fn a_candidate_that_lends_its_vote_stands_no_more() {
     let mut p = machine(2, watch(4, 1, [1, 2], 4));
