Pilotage: a candidate keeps its own vote for a while

Three copies that stood at nearly the same time went on taking each other's votes: one that was denied by the same epoch, or asked by another candidate, gave up while the grants of a majority were under way (voter.rs adopt, proposed).

--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -29,12 +29,13 @@
     pub watch: Watch,
     before: Watch,
     grants: BTreeSet<Voter>,
+    pub since: Millis,
     pub released: bool,
 }
 
 impl Stand {
-    pub fn new(watch: Watch, before: Watch, released: bool) -> Stand {
-        Stand { watch, before, grants: BTreeSet::new(), released }
+    pub fn new(since: Millis, watch: Watch, before: Watch, released: bool) -> Stand {
+        Stand { watch, before, grants: BTreeSet::new(), since, released }
     }
     /// Granted by a majority of those who vote now and of those who will; `with` one more.
     pub fn won(&self, with: Option<Voter>) -> bool {
@@ -490,7 +491,7 @@
         let Some(before) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &mut self.duty else { return };
         let next = Watch { epoch: before.epoch + 1, drawn: before.epoch + 1, ..next };
-        lead.change = Some(Stand::new(next.clone(), before, false));
+        lead.change = Some(Stand::new(now, next.clone(), before, false));
         lead.asked = now;
         self.keep_watch(next.clone(), After::OwnGrant { watch: next.clone() });
         self.propose(&next, false);
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -24,6 +24,11 @@
         self.heard.max(self.started) + self.terms.silence_ms
     }
 
+    /// It keeps its own vote for this epoch, for a while: others may grant it that at this moment.
+    fn stands_for(&self, now: Millis, epoch: u64) -> bool {
+        matches!(&self.duty, Duty::Stand(s) if epoch <= s.watch.epoch && now < s.since + self.terms.silence_ms)
+    }
+
     /// Someone wants to be primary, or the primary wants other copies.
     pub(crate) fn proposed(&mut self, now: Millis, from: Voter, watch: Watch, released: bool) {
         if self.blank || from != watch.primary {
@@ -40,7 +45,7 @@
         }
         // By the epoch alone, one that missed a change of copies and stood twice would seem to be the newer.
         let fit = watch.drawn >= mine.drawn && watch.copies.contains(&from);
-        if watch.epoch <= mine.epoch || !free || !fit {
+        if watch.epoch <= mine.epoch || !free || !fit || self.stands_for(now, watch.epoch) {
             return self.send(from, Signal::Denied { watch: mine });
         }
         self.heard = now;
@@ -79,7 +84,7 @@
         let (higher, newer) = (watch.epoch > mine.epoch, watch.drawn > mine.drawn);
         // A primary was granted its epoch by more than half: no list that is newer, and not of a later epoch, can have been.
         let asked = matches!(&self.duty, Duty::Lead(lead) if !higher || lead.asks_for(&watch));
-        if asked || !(higher || newer) {
+        if asked || !(higher || newer) || (!newer && self.stands_for(now, watch.epoch)) {
             return;
         }
         let (top, list) =
@@ -193,7 +198,7 @@
         let me = self.terms.me;
         // The copies stay those of before, the lost one too: it may yet come back and stand, should this one end.
         let watch = Watch { epoch: mine.epoch + 1, primary: me, ..mine.clone() };
-        self.duty = Duty::Stand(Stand::new(watch.clone(), mine, released));
+        self.duty = Duty::Stand(Stand::new(now, watch.clone(), mine, released));
         self.stand_at = now + self.terms.pulse_ms;
         self.effects.push(Effect::Turn { epoch: watch.epoch, what: "stands" });
         self.propose(&watch, released);
@@ -202,7 +207,7 @@
 
     /// The first watch, which all reckon alike.
     pub(crate) fn stand_first(&mut self, now: Millis, watch: Watch) {
-        self.duty = Duty::Stand(Stand::new(watch.clone(), watch.clone(), false));
+        self.duty = Duty::Stand(Stand::new(now, watch.clone(), watch.clone(), false));
         self.stand_at = now + self.terms.pulse_ms;
         self.propose(&watch, false);
         self.keep_watch(watch.clone(), After::OwnGrant { watch });
--- a/pilotage/tests/rules.rs
+++ b/pilotage/tests/rules.rs
@@ -120,6 +120,10 @@
     let mut p = machine(2, watch(4, 1, [1, 2], 4));
     p.tick(1500);
     assert!(!sent(&p.take(), 3).is_empty());
+    // Another that stands for the same epoch does not take the own vote away.
+    let other = watch(5, 1, [1, 2], 4);
+    say(&mut p, 1505, 3, Signal::Denied { watch: other.clone() });
+    assert_eq!(propose(&mut p, 1505, &other, false), [Signal::Denied { watch: watch(4, 1, [1, 2], 4) }]);
     say(&mut p, 1510, 1, PULSE);
     say(&mut p, 1520, 3, Signal::Granted { watch: watch(5, 2, [1, 2], 4) });
     assert_eq!(p.watch().map(|w| w.epoch), Some(4));
