Pilotage: a candidacy that is lost is given up at once, and hearsay waited out briefly

A candidate kept on for a whole silence after a majority had said that their vote for the epoch was another's, and whoever learned of a watch by hearsay waited a whole silence more (voter.rs take_up), though nobody led: some 2.5 s to a new primary where two had stood.

--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -234,7 +234,7 @@
         match signal {
             Signal::Propose { watch, released } => self.proposed(now, from, watch, released),
             Signal::Granted { watch } => self.granted(now, from, watch),
-            Signal::Denied { watch } => self.adopt(now, watch),
+            Signal::Denied { watch } => self.denied(now, from, watch),
             Signal::Store { epoch, serial, chart } => self.store(from, epoch, serial, chart),
             Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
             Signal::Pulse { epoch, sent_at, version, digest } => {
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -29,13 +29,19 @@
     pub watch: Watch,
     before: Watch,
     grants: BTreeSet<Voter>,
+    /// They have given another their vote for this epoch.
+    pub against: BTreeSet<Voter>,
     pub since: Millis,
     pub released: bool,
 }
 
 impl Stand {
     pub fn new(since: Millis, watch: Watch, before: Watch, released: bool) -> Stand {
-        Stand { watch, before, grants: BTreeSet::new(), since, released }
+        Stand { watch, before, grants: BTreeSet::new(), against: BTreeSet::new(), since, released }
+    }
+    /// Those who may still grant it are no majority.
+    pub fn lost(&self) -> bool {
+        !majority(&self.watch.voters, self.watch.voters.iter().filter(|v| !self.against.contains(v)))
     }
     /// Granted by a majority of those who vote now and of those who will; `with` one more.
     pub fn won(&self, with: Option<Voter>) -> bool {
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -26,7 +26,17 @@
 
     /// It keeps its own vote for this epoch, for a while: others may grant it that at this moment.
     fn stands_for(&self, now: Millis, epoch: u64) -> bool {
-        matches!(&self.duty, Duty::Stand(s) if epoch <= s.watch.epoch && now < s.since + self.terms.silence_ms)
+        let Duty::Stand(stand) = &self.duty else { return false };
+        epoch <= stand.watch.epoch && now < stand.since + self.terms.silence_ms && !stand.lost()
+    }
+
+    pub(crate) fn denied(&mut self, now: Millis, from: Voter, watch: Watch) {
+        if let Duty::Stand(stand) = &mut self.duty {
+            if watch.epoch == stand.watch.epoch && watch != stand.watch {
+                stand.against.insert(from);
+            }
+        }
+        self.adopt(now, watch);
     }
 
     /// Someone wants to be primary, or the primary wants other copies.
@@ -94,7 +104,9 @@
 
     fn take_up(&mut self, now: Millis, watch: Watch) {
         self.follow(now, watch.clone());
-        self.draw_stand(now);
+        // If it was granted, its primary is heard soon: a whole silence more would be too long to wait for one that was not.
+        let wait = self.terms.pulse_ms * 2 + self.draw(self.terms.silence_ms / 3);
+        self.stand_at = (now + wait).max(self.free_at());
         self.keep_watch(watch.clone(), After::Adopted { watch });
     }
 
