--- a/drydock/src/main.rs
+++ b/drydock/src/main.rs
@@ -61,13 +61,9 @@
     }
 }
 
-/// A folder that nobody else has: in memory where it may be, for the disks of a shared machine stall for seconds.
+/// A folder that nobody else has; TMPDIR names another place, where the disk of a shared machine stalls for seconds.
 fn home() -> Result<PathBuf, String> {
-    let memory = PathBuf::from("/dev/shm");
-    let below = match std::env::var_os("TMPDIR") {
-        None if memory.is_dir() => memory,
-        _ => std::env::temp_dir(),
-    };
+    let below = std::env::temp_dir();
     let home = below.join(format!("harbour-{}", std::process::id()));
     std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
     Ok(home)
