Where near executors have enough in hand, a message goes to those of other zones

Blamed: lane.rs waited when the executor that the module chose, near ones first, held twice its slots, while others were idle. A change of copies records the lent vote too (the primary waited 0.9 s after a loss of power).

--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -225,21 +225,33 @@
             tenant: usize::MAX,
             key: 0,
         };
-        let mut op = self.dispatcher.arrive(fine, ask);
-        match self.dispatcher.place(fine, &mut op) {
-            Step::Push { executor } if self.overrun(executor) => {
-                // Closed first: else the module would send it again at once, and count that as out for ever.
-                op.closed = true;
-                self.dispatcher.settle(fine, &mut op, 0, Judged::Withheld, &[]);
-                Picked::Wait(now + 10)
-            }
-            Step::Push { executor } if executor < self.known.len() => {
-                self.known[executor].out += 1;
-                self.sent.insert(attempt, Sent { key, executor, at: now, op });
-                Picked::Go { executor }
+        let asked = self.dispatcher.arrive(fine, ask);
+        let mut domains = u64::MAX;
+        loop {
+            let mut op = asked.clone();
+            op.limits.domains = domains;
+            match self.dispatcher.place(fine, &mut op) {
+                Step::Push { executor } if self.overrun(executor) => {
+                    // Closed first: else the module would send it again at once, and count that as out for ever.
+                    op.closed = true;
+                    self.dispatcher.settle(fine, &mut op, 0, Judged::Withheld, &[]);
+                    // The near ones have enough in hand: those of other zones may be idle.
+                    let domain = 1u64.checked_shl(self.known[executor].server.zone as u32).unwrap_or(0);
+                    if domains & domain == 0 {
+                        return Picked::Wait(now + 10);
+                    }
+                    domains &= !domain;
+                }
+                Step::Push { executor } if executor < self.known.len() => {
+                    self.known[executor].out += 1;
+                    self.sent.insert(attempt, Sent { key, executor, at: now, op });
+                    return Picked::Go { executor };
+                }
+                Step::Nack { come_back } => {
+                    return Picked::Wait(now + (come_back / 10).clamp(5, 100) as Millis);
+                }
+                _ => return Picked::Wait(now + 20),
             }
-            Step::Nack { come_back } => Picked::Wait(now + (come_back / 10).clamp(5, 100) as Millis),
-            _ => Picked::Wait(now + 20),
         }
     }
 
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -523,6 +523,7 @@
                 lead.pulse_at = now;
                 self.effects.push(Effect::Turn { epoch: watch.epoch, what: "has other copies" });
                 self.watch = Some(watch);
+                self.lend(self.terms.me);
                 self.lead(now);
             }
             _ => {}
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -90,7 +90,10 @@
     Chart(Chart),
     /// The vote is lent to the primary of this epoch, and to nobody else. Written once in an epoch, and waited for by nobody:
     /// without it a process that has just begun waits until whatever its earlier life lent has run out.
-    Lent { epoch: u64, to: Voter },
+    Lent {
+        epoch: u64,
+        to: Voter,
+    },
 }
 
 /// What the records come to.
