roster/: executors, sessions and news as a state machine without I/O, taken out of core.rs, with tests

Moved without a change in what is said; a leave of an executor that is gone already is no news any more.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -9,8 +9,8 @@
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{lot, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Hello, Member, News, Passed, Signal, Standing};
-use std::collections::{BTreeMap, HashMap};
+use crate::signals::{Beat, Class, Hello, Member, Passed, Signal, Standing};
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
@@ -18,19 +18,7 @@
 use stileroute_hold::Node;
 use stileroute_logbook::{Fold, Logbook, Options, Trouble};
 use stileroute_pilotage::{Effect, Kept, Pilotage, Record, Terms, Verdict};
-
-/// A node asks again as soon as it is answered; with no news it is answered after so long.
-const HOLD: Millis = 900;
-/// One that hears no primary says so, so late after it was asked.
-const CUT: Millis = 300;
-/// A session that ended is counted for so long: most nodes are back at once.
-const GRACE: Millis = 1500;
-/// Control nodes tell each other what they hold so often, and changes at once.
-const TELL: Millis = 500;
-/// What an executor that is gone is remembered for: late calls of it must not bring it back.
-const TOMB: Millis = 60_000;
-/// Most executors and nodes that are kept.
-const MOST: usize = 20_000;
+use stileroute_roster::{Effect as Notice, Roster};
 
 #[derive(Default)]
 struct Ledger(Kept);
@@ -51,27 +39,6 @@
     }
 }
 
-struct Session {
-    member: Member,
-    /// When it last asked, or when its connection ended.
-    seen: Millis,
-    up: bool,
-}
-
-struct Ask {
-    life: u64,
-    version: u64,
-    config: u64,
-    at: Millis,
-    class: Class,
-}
-
-struct Known {
-    beat: Beat,
-    heard: Millis,
-    changed: u64,
-}
-
 enum Place {
     Here(ConnId),
     /// Another control node passed it on.
@@ -84,31 +51,12 @@
     pilot: Pilotage,
     disk: Logbook,
     disk_said: Receiver<(u64, Result<(), Trouble>)>,
-    sessions: HashMap<Node, Session>,
-    /// What other control nodes told of theirs, and when.
-    told: HashMap<Node, (Millis, Vec<Member>)>,
-    members: Vec<Member>,
-    members_changed: u64,
-    servers: HashMap<String, Known>,
-    asks: HashMap<Node, Ask>,
+    roster: Roster,
     places: HashMap<u64, Place>,
     next_place: u64,
-    life: u64,
-    version: u64,
-    /// From here on what it knows of executors and nodes is whole enough to be told.
-    ready_at: Millis,
-    ready: bool,
-    tell_at: Millis,
-    /// Executors that called, and those of them with news, since the others were told.
-    fresh: Vec<String>,
-    urgent: Vec<String>,
     /// Calls by their place while the machine settles them, and those that another settles.
     calls: HashMap<u64, Passed>,
     passed: HashMap<u64, (Node, bool)>,
-    sessions_changed: bool,
-    look_at: Millis,
-    /// When it last heard no primary.
-    out_of_touch: Millis,
     released: Option<Millis>,
 }
 
@@ -143,7 +91,8 @@
         let control =
             common.net.listen(at, Some(bounds)).map_err(|e| miette::miette!("control address: {e}"))?;
         let now = common.net.now();
-        let wait = common.boot.beat_interval_ms * 3 / 2 + 200;
+        let me = member_of(common.links.me(), 0);
+        let roster = Roster::new(me, lot(), common.boot.beat_interval_ms, now);
         let pilot = Pilotage::new(terms, ledger.0, now);
         tracing::info!(blank = pilot.blank(), epoch = pilot.watch().map_or(0, |w| w.epoch), "disk read");
         Ok(Core {
@@ -151,26 +100,11 @@
             pilot,
             disk,
             disk_said,
-            sessions: HashMap::new(),
-            told: HashMap::new(),
-            members: Vec::new(),
-            members_changed: 0,
-            servers: HashMap::new(),
-            asks: HashMap::new(),
+            roster,
             places: HashMap::new(),
             next_place: 1,
-            life: lot(),
-            version: 1,
-            ready_at: now + wait,
-            ready: false,
-            tell_at: now + TELL,
-            fresh: Vec::new(),
-            urgent: Vec::new(),
             calls: HashMap::new(),
             passed: HashMap::new(),
-            sessions_changed: false,
-            look_at: now,
-            out_of_touch: now,
             released: None,
             common,
         })
@@ -179,18 +113,16 @@
     pub fn run(mut self) -> miette::Result<()> {
         loop {
             let now = self.common.net.now();
-            let hold = self.asks.values().map(|ask| ask.at + HOLD).min().unwrap_or(Millis::MAX);
-            let until = self.pilot.next(now).min(self.tell_at).min(self.look_at).min(hold);
+            let until = self.pilot.next(now).min(self.roster.next());
             let (words, events) = self.common.turn(until);
             words.into_iter().for_each(|word| self.word(word));
             events.into_iter().for_each(|event| self.event(event));
             self.inquiries();
             let now = self.common.net.now();
             self.pilot.tick(now);
-            self.look_after(now);
             self.carry_out();
             self.connect();
-            self.answer_asks(now);
+            self.tell(now);
             if self.common.told_to_end() {
                 self.pilot.release(now);
                 self.carry_out();
@@ -219,7 +151,7 @@
         let me = self.common.boot.ip;
         let mut all: Vec<std::net::Ipv4Addr> = self.common.boot.seeds.iter().map(|s| *s.ip()).collect();
         all.extend(self.pilot.watch().iter().flat_map(|w| w.voters.iter().map(|v| *v.ip())));
-        all.extend(self.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
+        all.extend(self.roster.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
         // One that is no seed is not known to the others: it opens the connections itself.
         let seed = self.common.boot.seeds.iter().any(|s| *s.ip() == me);
         let wanted: Vec<SocketAddrV4> = all
@@ -241,16 +173,11 @@
                     self.pilot.link(now, control, true);
                     self.pilot.learn(control);
                 }
-                if self.ready {
-                    let all: Vec<Beat> = self.servers.values().map(|k| aged(k, now)).collect();
-                    self.common.links.say(&mut self.common.net, hello.node, &Signal::Beats(all));
-                }
-                self.sessions_changed = true;
-                self.count_members(now);
+                self.roster.core_up(now, member_of(&hello, 0));
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Core) => {
-                let control = self.members.iter().find(|m| m.node == node).and_then(|m| m.control);
+                let control = self.roster.members.iter().find(|m| m.node == node).and_then(|m| m.control);
                 if let Some(control) = control {
                     self.pilot.link(now, control, false);
                 }
@@ -264,15 +191,13 @@
                     self.places.remove(&place);
                 });
                 self.passed_to_lost(node);
+                self.roster.core_down(now, node);
             }
-            Word::Down(node, _) => {
-                self.asks.remove(&node);
-                if let Some(session) = self.sessions.get_mut(&node) {
-                    (session.up, session.seen) = (false, now);
-                }
-            }
+            Word::Down(node, _) => self.roster.session_down(now, node),
             Word::Said(from, class, Signal::Ask { life, version, config }) if class != Class::Core => {
-                self.asked(now, from, class, Ask { life, version, config, at: now, class });
+                if let Some(hello) = self.common.links.hello(from) {
+                    self.roster.asked(now, member_of(hello, config), life, version);
+                }
             }
             Word::Said(from, Class::Core, Signal::Pilot(signal)) => {
                 if let Some(voter) = self.common.links.hello(from).and_then(|h| h.control) {
@@ -280,17 +205,9 @@
                 }
             }
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
-                self.told.insert(from, (now, members));
-                self.count_members(now);
-            }
-            Word::Said(_, Class::Core, Signal::Beats(beats)) => {
-                let whole = beats.len() > 1;
-                beats.into_iter().for_each(|beat| self.merge(now, beat));
-                // Another that knew them all has told them.
-                if !self.ready && whole {
-                    self.ready_at = self.ready_at.min(now + 300);
-                }
+                self.roster.told_sessions(now, from, members)
             }
+            Word::Said(_, Class::Core, Signal::Beats(beats)) => self.roster.told_beats(now, beats),
             Word::Said(from, Class::Core, Signal::Pass { ticket, call }) => {
                 let place = self.place(Place::There(from, ticket));
                 match call {
@@ -434,199 +351,21 @@
         }
     }
 
-    // ---- Executors ----
-
-    /// What was told of an executor: the higher count of calls is the newer.
-    fn merge(&mut self, now: Millis, beat: Beat) {
-        let heard = now.saturating_sub(beat.age_ms);
-        if let Some(known) = self.servers.get_mut(&beat.id) {
-            if beat.call_count < known.beat.call_count
-                || (known.beat.standing == Standing::Gone && beat.call_count == known.beat.call_count)
-            {
-                return;
-            }
-            known.heard = known.heard.max(heard);
-            let old = std::mem::replace(&mut known.beat, beat);
-            let same = old.standing == known.beat.standing
-                && old.address == known.beat.address
-                && old.backend == known.beat.backend
-                && old.capacity == known.beat.capacity;
-            if !same {
-                self.version += 1;
-                known.changed = self.version;
-                tracing::info!(id = known.beat.id, standing = %known.beat.standing, "executor");
-            }
-            return;
-        }
-        if self.servers.len() >= MOST {
-            return;
-        }
-        // A new life at an address ends the one that was there: it may be another service's now.
-        self.version += 1;
-        let version = self.version;
-        for known in self.servers.values_mut() {
-            if known.beat.address == beat.address
-                && known.beat.standing != Standing::Gone
-                && known.heard <= heard
-            {
-                known.beat.standing = Standing::Gone;
-                known.changed = version;
-            }
-        }
-        tracing::info!(id = beat.id, backend = beat.backend, standing = %beat.standing, "executor");
-        self.servers.insert(beat.id.clone(), Known { beat, heard, changed: version });
-    }
-
-    fn look_after(&mut self, now: Millis) {
-        if !self.ready && now >= self.ready_at {
-            self.ready = true;
-            self.version += 1;
-            self.count_members(now);
-        }
-        if now >= self.tell_at || !self.urgent.is_empty() || self.sessions_changed {
-            self.tell(now);
-        }
-        if now < self.look_at {
-            return;
-        }
-        self.look_at = now + 200;
-        let silent = self.common.boot.beat_interval_ms * 16 / 5 + 300;
-        let mut version = self.version;
-        if !self.pilot.in_touch(now) {
-            // Cut off from the others: executors call them, and their silence here says nothing.
-            self.out_of_touch = now;
-        }
-        let quiet = now > self.out_of_touch + silent;
-        for known in self.servers.values_mut().filter(|_| quiet) {
-            if known.beat.standing != Standing::Gone && now > known.heard + silent {
-                known.beat.standing = Standing::Gone;
-                version += 1;
-                known.changed = version;
-                tracing::info!(id = known.beat.id, "executor silent");
-            }
-        }
-        self.version = version;
-        self.servers.retain(|_, known| known.beat.standing != Standing::Gone || now < known.heard + TOMB);
-        self.count_members(now);
-    }
-
+    /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
-        let cores = self.common.links.class(Class::Core);
-        let routine = now >= self.tell_at;
-        let ids = if routine {
-            self.tell_at = now + TELL;
-            self.urgent.clear();
-            std::mem::take(&mut self.fresh)
-        } else {
-            std::mem::take(&mut self.urgent)
-        };
-        let mut beats: Vec<Beat> = Vec::new();
-        for id in ids {
-            if let Some(known) = self.servers.get(&id).filter(|_| !beats.iter().any(|b| b.id == id)) {
-                beats.push(aged(known, now));
-            }
-        }
-        let sessions = (routine || std::mem::take(&mut self.sessions_changed)).then(|| {
-            let all = self.sessions.values().filter(|s| s.up || now < s.seen + GRACE);
-            Signal::Sessions(all.map(|s| s.member.clone()).collect())
-        });
-        for core in cores {
-            if !beats.is_empty() {
-                self.common.links.say(&mut self.common.net, core, &Signal::Beats(beats.clone()));
-            }
-            if let Some(sessions) = &sessions {
-                self.common.links.say(&mut self.common.net, core, sessions);
-            }
-        }
-    }
-
-    // ---- Sessions and news ----
-
-    fn asked(&mut self, now: Millis, from: Node, class: Class, ask: Ask) {
-        let Some(hello) = self.common.links.hello(from).cloned() else { return };
-        if self.sessions.len() >= MOST {
-            return;
-        }
-        let new = self.sessions.get(&from).is_none_or(|s| !s.up || s.member.life != hello.life);
-        let member = member_of(&hello, ask.config);
-        self.sessions.insert(from, Session { member, seen: now, up: true });
-        self.asks.insert(from, ask);
-        if new {
-            tracing::info!(node = hello.name, %class, "session");
-            self.sessions_changed = true;
-            self.count_members(now);
-        }
-    }
-
-    /// Who is there: own sessions, those that other control nodes tell, and the control nodes themselves.
-    fn count_members(&mut self, now: Millis) {
-        self.sessions.retain(|_, s| s.up || now < s.seen + GRACE);
-        self.told.retain(|_, (at, _)| now < *at + GRACE + TELL);
-        let mut all: BTreeMap<Node, Member> = BTreeMap::new();
-        let own = self.sessions.values().map(|s| &s.member);
-        let others = self.told.values().flat_map(|(_, members)| members);
-        for member in own.chain(others).filter(|m| m.class == Class::Store) {
-            all.insert(member.node, Member { config: 0, life: 0, ..member.clone() });
-        }
-        for hello in self.common.links.up().chain(std::iter::once(self.common.links.me())) {
-            if hello.class == Class::Core {
-                all.insert(hello.node, Member { life: 0, ..member_of(hello, 0) });
-            }
-        }
-        let all: Vec<Member> = all.into_values().collect();
-        if all != self.members {
-            self.members = all;
-            self.version += 1;
-            self.members_changed = self.version;
-        }
-    }
-
-    fn answer_asks(&mut self, now: Millis) {
-        let force = self.pilot.in_force().map_or(0, |chart| chart.version);
-        let servers_changed = self.servers.values().map(|k| k.changed).max().unwrap_or(0);
         let in_touch = self.pilot.in_touch(now);
-        let due: Vec<Node> = self
-            .asks
-            .iter()
-            .filter(|(_, ask)| {
-                if !in_touch && self.ready && now >= ask.at + CUT {
-                    return true;
-                }
-                let stores = if ask.class == Class::Store { servers_changed } else { 0 };
-                let news = (self.ready || ask.life == 0 || ask.life == self.life)
-                    && (ask.life != self.life || self.members_changed > ask.version || stores > ask.version);
-                news || ask.config < force || now >= ask.at + HOLD
-            })
-            .map(|(node, _)| *node)
-            .collect();
-        for node in due {
-            let Some(ask) = self.asks.remove(&node) else { continue };
-            if !in_touch && self.ready && ask.config >= force {
-                let news = News { cut_off: true, ..News::default() };
-                self.common.links.say(&mut self.common.net, node, &Signal::News(news));
-                continue;
-            }
-            let known = ask.life == self.life;
-            let since = if known { ask.version } else { 0 };
-            let config = self.pilot.in_force().filter(|c| c.version > ask.config).map(|c| c.body.clone());
-            let mut news = News { config, ..News::default() };
-            if self.ready || ask.life == 0 || known {
-                // One that has just begun knows nobody: a part of the list is more than it has. One that has a list keeps
-                // that until this node's is whole.
-                (news.life, news.version) = (self.life, self.version);
-                if !known || self.members_changed > since {
-                    news.members = Some(self.members.clone());
-                }
-                if ask.class == Class::Store {
-                    news.whole = !known;
-                    let changed = self.servers.values().filter(|k| k.changed > since);
-                    let told = changed.filter(|k| known || k.beat.standing != Standing::Gone);
-                    news.servers = told.map(|k| aged(k, now)).collect();
-                }
-            } else {
-                (news.life, news.version) = (ask.life, ask.version);
+        let force = self.pilot.in_force().map(|chart| (chart.version, chart.body.as_slice()));
+        self.roster.tick(now, in_touch, force);
+        for effect in self.roster.take() {
+            let (to, signal) = match effect {
+                Notice::News { to, news } => (vec![to], Signal::News(news)),
+                Notice::AllBeats { to, beats } => (vec![to], Signal::Beats(beats)),
+                Notice::TellBeats(beats) => (self.common.links.class(Class::Core), Signal::Beats(beats)),
+                Notice::TellSessions(all) => (self.common.links.class(Class::Core), Signal::Sessions(all)),
+            };
+            for node in to {
+                self.common.links.say(&mut self.common.net, node, &signal);
             }
-            self.common.links.say(&mut self.common.net, node, &Signal::News(news));
         }
     }
 }
@@ -644,13 +383,6 @@
     }
 }
 
-/// An executor as it is told on: with how long ago it called, and how much colder it was then.
-fn aged(known: &Known, now: Millis) -> Beat {
-    let age_ms = now.saturating_sub(known.heard);
-    let cold_left_ms = known.beat.cold_left_ms.saturating_sub(age_ms);
-    Beat { age_ms, cold_left_ms, ..known.beat.clone() }
-}
-
 fn record_bytes(record: &Record) -> Vec<u8> {
     postcard::to_stdvec(record).unwrap_or_default()
 }
@@ -658,9 +390,7 @@
 impl Desk<Heartbeat> for Core {
     fn settle(&mut self, _: u64, call: Heartbeat) -> Option<Heard> {
         let now = self.common.net.now();
-        let before = self.version;
-        let id = call.id.clone();
-        self.merge(
+        self.roster.beat(
             now,
             Beat {
                 id: call.id,
@@ -674,28 +404,14 @@
                 age_ms: 0,
             },
         );
-        // A change is told on before the answer goes out: both leave at the end of this turn.
-        if self.version != before {
-            self.urgent.push(id.clone());
-        }
-        self.fresh.push(id);
         // Cut off from the others it could not tell them: the executor is to tell another as well.
-        Some(Heard { beat_url: None, told: self.pilot.in_touch(now) || !self.ready })
+        Some(Heard { beat_url: None, told: self.pilot.in_touch(now) || !self.roster.ready })
     }
 }
 
 impl Desk<Leave> for Core {
     fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
-        if let Some(known) = self.servers.get_mut(&call.id) {
-            if known.beat.standing != Standing::Gone {
-                tracing::info!(id = call.id, "executor leaves");
-            }
-            known.beat.standing = Standing::Gone;
-            self.version += 1;
-            known.changed = self.version;
-            self.urgent.push(call.id.clone());
-            self.fresh.push(call.id);
-        }
+        self.roster.leave(&call.id);
         Some(Done)
     }
 }
@@ -722,7 +438,7 @@
 
 impl Desk<RetireBegin> for Core {
     fn settle(&mut self, _: u64, call: RetireBegin) -> Option<Retire> {
-        let known = self.members.iter().any(|m| m.class == Class::Store && m.name == call.node);
+        let known = self.roster.members.iter().any(|m| m.class == Class::Store && m.name == call.node);
         Some(if known { Retire::TooFew } else { Retire::Unknown })
     }
 }
--- a/harbour/src/core/report.rs
+++ b/harbour/src/core/report.rs
@@ -24,15 +24,15 @@
         let mut report = self.common.report();
         report["version"] = self.force().into();
         // Its own sessions last: what others told of a node may be from before it came here.
-        let told = self.told.values().flat_map(|(_, members)| members);
-        let own = self.sessions.values().filter(|s| s.up).map(|s| &s.member);
+        let told = self.roster.told.values().flat_map(|(_, members)| members);
+        let own = self.roster.sessions.values().filter(|s| s.up).map(|s| &s.member);
         let mut known = BTreeMap::new();
-        for one in self.members.iter().filter(|m| m.class == Class::Core).chain(told).chain(own) {
+        for one in self.roster.members.iter().filter(|m| m.class == Class::Core).chain(told).chain(own) {
             known.insert(one.name.clone(), member(one));
         }
         let known: Vec<JsonValue> = known.into_values().collect();
         report["known"] = known.into();
-        report["ready"] = self.ready.into();
+        report["ready"] = self.roster.ready.into();
         let list = |voters: &[std::net::SocketAddrV4]| -> JsonValue {
             voters.iter().map(|v| JsonValue::from(v.to_string())).collect::<Vec<_>>().into()
         };
@@ -46,8 +46,8 @@
             "blank" => self.pilot.blank(),
         };
         let executors: Vec<JsonValue> = self
-            .servers
-            .values()
+            .roster
+            .executors()
             .filter(|known| known.beat.standing != Standing::Gone)
             .map(|known| {
                 jzon::object! {
@@ -75,10 +75,10 @@
         sheet.gauge("harbour_control_leads", "1: this node decides, and its lease holds.", &[], leads);
         let blank = u8::from(self.pilot.blank());
         sheet.gauge("harbour_control_blank", "1: it has lost its disk and has not learned yet.", &[], blank);
-        let sessions = self.sessions.values().filter(|s| s.up).count();
+        let sessions = self.roster.sessions.values().filter(|s| s.up).count();
         sheet.gauge("harbour_sessions", "Sessions of edges and stores with this node.", &[], sessions);
         for standing in [Standing::Serving, Standing::Draining] {
-            let count = self.servers.values().filter(|k| k.beat.standing == standing).count();
+            let count = self.roster.executors().filter(|k| k.beat.standing == standing).count();
             let labels = [("standing", &*standing.to_string())];
             sheet.gauge("harbour_executors", "Executors known, by standing.", &labels, count);
         }
--- /dev/null
+++ b/roster/src/executors.rs
@@ -0,0 +1,135 @@
+//! The table of executors.
+
+use crate::{Beat, Millis, Standing, MOST};
+use std::collections::HashMap;
+
+/// What an executor that is gone is remembered for: late calls of it must not bring it back.
+const TOMB: Millis = 60_000;
+
+/// One executor, as it last told of itself.
+#[derive(Clone, Debug)]
+pub struct Known {
+    pub beat: Beat,
+    pub heard: Millis,
+    pub(crate) changed: u64,
+}
+
+impl Known {
+    /// As it is told on: with how long ago it called, and how much colder it was then.
+    pub(crate) fn aged(&self, now: Millis) -> Beat {
+        let age_ms = now.saturating_sub(self.heard);
+        let cold_left_ms = self.beat.cold_left_ms.saturating_sub(age_ms);
+        Beat { age_ms, cold_left_ms, ..self.beat.clone() }
+    }
+}
+
+pub(crate) struct Executors {
+    pub all: HashMap<String, Known>,
+    /// Those that called, and those of them with news, since the other control nodes were told.
+    fresh: Vec<String>,
+    urgent: Vec<String>,
+    /// Silent for longer than this, one is gone.
+    silence: Millis,
+    out_of_touch: Millis,
+}
+
+impl Executors {
+    pub fn new(beat_interval_ms: Millis, now: Millis) -> Executors {
+        // Three calls may be lost, or be late.
+        let silence = beat_interval_ms * 16 / 5 + 300;
+        Executors { all: HashMap::new(), fresh: Vec::new(), urgent: Vec::new(), silence, out_of_touch: now }
+    }
+
+    pub fn changed(&self) -> u64 {
+        self.all.values().map(|known| known.changed).max().unwrap_or(0)
+    }
+
+    pub fn called(&mut self, id: String, changed: bool) {
+        if changed {
+            self.urgent.push(id.clone());
+        }
+        self.fresh.push(id);
+    }
+
+    /// What was told of an executor, here or at another control node: the higher count of calls is the newer. Whether that
+    /// was news.
+    pub fn merge(&mut self, version: &mut u64, now: Millis, beat: Beat) -> bool {
+        let heard = now.saturating_sub(beat.age_ms);
+        if let Some(known) = self.all.get_mut(&beat.id) {
+            let gone = known.beat.standing == Standing::Gone;
+            if beat.call_count < known.beat.call_count || (gone && beat.call_count == known.beat.call_count) {
+                return false;
+            }
+            known.heard = known.heard.max(heard);
+            let old = std::mem::replace(&mut known.beat, beat);
+            let now = &known.beat;
+            let same = old.standing == now.standing
+                && old.address == now.address
+                && old.backend == now.backend
+                && old.capacity == now.capacity;
+            if !same {
+                *version += 1;
+                known.changed = *version;
+                tracing::info!(id = now.id, standing = %now.standing, "executor");
+            }
+            return !same;
+        }
+        if self.all.len() >= MOST {
+            return false;
+        }
+        *version += 1;
+        // A new life at an address ends the one that was there: it may be another service's now.
+        for known in self.all.values_mut() {
+            let there = known.beat.address == beat.address && known.beat.standing != Standing::Gone;
+            if there && known.heard <= heard {
+                known.beat.standing = Standing::Gone;
+                known.changed = *version;
+            }
+        }
+        tracing::info!(id = beat.id, service = beat.backend, standing = %beat.standing, "executor");
+        self.all.insert(beat.id.clone(), Known { beat, heard, changed: *version });
+        true
+    }
+
+    /// It said that it ends.
+    pub fn end(&mut self, version: &mut u64, id: &str) -> bool {
+        let Some(known) = self.all.get_mut(id).filter(|k| k.beat.standing != Standing::Gone) else {
+            return false;
+        };
+        known.beat.standing = Standing::Gone;
+        *version += 1;
+        known.changed = *version;
+        tracing::info!(id, "executor left");
+        true
+    }
+
+    /// What the other control nodes are to hear: changes at once, all that called now and then.
+    pub fn to_tell(&mut self, now: Millis, routine: bool) -> Vec<Beat> {
+        let mut ids = std::mem::take(&mut self.urgent);
+        if routine {
+            ids = std::mem::take(&mut self.fresh);
+        }
+        ids.sort_unstable();
+        ids.dedup();
+        ids.iter().filter_map(|id| self.all.get(id)).map(|known| known.aged(now)).collect()
+    }
+
+    pub fn look_for_silent(&mut self, version: &mut u64, now: Millis, in_touch: bool) {
+        if !in_touch {
+            // Cut off from the others: executors call them, and their silence here says nothing.
+            self.out_of_touch = now;
+        }
+        if now > self.out_of_touch + self.silence {
+            let silence = self.silence;
+            let silent =
+                |known: &&mut Known| known.beat.standing != Standing::Gone && now > known.heard + silence;
+            for known in self.all.values_mut().filter(silent) {
+                known.beat.standing = Standing::Gone;
+                *version += 1;
+                known.changed = *version;
+                tracing::info!(id = known.beat.id, "executor silent");
+            }
+        }
+        self.all.retain(|_, known| known.beat.standing != Standing::Gone || now < known.heard + TOMB);
+    }
+}
--- /dev/null
+++ b/roster/src/lib.rs
@@ -0,0 +1,304 @@
+//! Who is there, as one control node knows it: executors by their calls, nodes by their sessions, and who is told what. A
+//! state machine: calls, sessions and a steady clock go in, [`Effect`]s come out.
+//!
+//! - Executors: each control node has the whole table. What is told of one is merged by its count of calls, so a late call
+//!   changes nothing, and told on to the other control nodes, a change at once.
+//! - Nodes: a node is a member while its session stands here or at another control node, and a little longer, for most that
+//!   go are back at once.
+//! - News: a node asks with the version it has, and is answered when there is something newer for it, or after a while.
+//!
+//! Nothing of this is on disk: after a start the executors call again within their interval, and until then nobody who has a
+//! list is told of a shorter one.
+
+mod executors;
+mod types;
+
+pub use executors::Known;
+pub use types::*;
+
+use executors::Executors;
+use std::collections::{BTreeMap, HashMap};
+
+/// A node asks again as soon as it is answered; with no news it is answered after so long.
+pub const HOLD: Millis = 900;
+/// One that hears no primary says so, so late after it was asked.
+pub const CUT: Millis = 300;
+/// A session that ended is counted for so long: most nodes are back at once.
+pub const GRACE: Millis = 1500;
+/// Control nodes tell each other what they hold so often, and changes at once.
+pub const TELL: Millis = 500;
+/// How often silent executors and lost sessions are looked for.
+const LOOK: Millis = 200;
+/// Most nodes and executors that are kept.
+const MOST: usize = 20_000;
+
+/// What the program is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    News {
+        to: Node,
+        news: News,
+    },
+    /// To every other control node that is connected.
+    TellSessions(Vec<Member>),
+    TellBeats(Vec<Beat>),
+    /// To one control node that has just been met: all that is known.
+    AllBeats {
+        to: Node,
+        beats: Vec<Beat>,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub struct Session {
+    pub member: Member,
+    /// When it last asked, or when its connection ended.
+    pub seen: Millis,
+    pub up: bool,
+}
+
+struct Ask {
+    life: u64,
+    version: u64,
+    config: u64,
+    at: Millis,
+    class: Class,
+}
+
+pub struct Roster {
+    me: Member,
+    /// Of this process: another start counts anew.
+    life: u64,
+    version: u64,
+    executors: Executors,
+    pub sessions: HashMap<Node, Session>,
+    /// What other control nodes told of theirs, and when.
+    pub told: HashMap<Node, (Millis, Vec<Member>)>,
+    /// Control nodes that are connected.
+    cores: BTreeMap<Node, Member>,
+    pub members: Vec<Member>,
+    members_changed: u64,
+    asks: HashMap<Node, Ask>,
+    /// From here on what it knows is whole enough for those that know more than nothing.
+    ready_at: Millis,
+    pub ready: bool,
+    tell_at: Millis,
+    look_at: Millis,
+    sessions_changed: bool,
+    effects: Vec<Effect>,
+}
+
+impl Roster {
+    /// `life` is a number that no other start of any process has.
+    pub fn new(me: Member, life: u64, beat_interval_ms: Millis, now: Millis) -> Roster {
+        Roster {
+            life,
+            version: 1,
+            executors: Executors::new(beat_interval_ms, now),
+            sessions: HashMap::new(),
+            told: HashMap::new(),
+            cores: BTreeMap::new(),
+            members: Vec::new(),
+            members_changed: 0,
+            asks: HashMap::new(),
+            ready_at: now + beat_interval_ms * 3 / 2 + 200,
+            ready: false,
+            tell_at: now + TELL,
+            look_at: now,
+            sessions_changed: false,
+            effects: Vec::new(),
+            me,
+        }
+    }
+
+    pub fn take(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    pub fn executors(&self) -> impl Iterator<Item = &Known> {
+        self.executors.all.values()
+    }
+
+    // ---- Executors ----
+
+    /// An executor called here.
+    pub fn beat(&mut self, now: Millis, beat: Beat) {
+        let id = beat.id.clone();
+        // A change is told on before the answer goes out: both leave with the same turn of the loop.
+        let changed = self.executors.merge(&mut self.version, now, beat);
+        self.executors.called(id, changed);
+    }
+
+    /// An executor said that it ends.
+    pub fn leave(&mut self, id: &str) {
+        if self.executors.end(&mut self.version, id) {
+            self.executors.called(id.to_string(), true);
+        }
+    }
+
+    /// Another control node tells what executors told it.
+    pub fn told_beats(&mut self, now: Millis, beats: Vec<Beat>) {
+        let whole = beats.len() > 1;
+        for beat in beats {
+            self.executors.merge(&mut self.version, now, beat);
+        }
+        // One that knows them all has told them.
+        if !self.ready && whole {
+            self.ready_at = self.ready_at.min(now + 300);
+        }
+    }
+
+    // ---- Nodes ----
+
+    /// Another control node is connected.
+    pub fn core_up(&mut self, now: Millis, core: Member) {
+        if self.ready {
+            let beats = self.executors.all.values().map(|known| known.aged(now)).collect();
+            self.effects.push(Effect::AllBeats { to: core.node, beats });
+        }
+        self.cores.insert(core.node, core);
+        self.sessions_changed = true;
+        self.count_members(now);
+    }
+
+    pub fn core_down(&mut self, now: Millis, core: Node) {
+        self.cores.remove(&core);
+        self.count_members(now);
+    }
+
+    /// Another control node tells of its sessions.
+    pub fn told_sessions(&mut self, now: Millis, from: Node, members: Vec<Member>) {
+        self.told.insert(from, (now, members));
+        self.count_members(now);
+    }
+
+    /// A node asks: that is its session. `life` and `version` are those of the news that it had last.
+    pub fn asked(&mut self, now: Millis, member: Member, life: u64, version: u64) {
+        let node = member.node;
+        if self.sessions.len() >= MOST && !self.sessions.contains_key(&node) {
+            return;
+        }
+        let new = self.sessions.get(&node).is_none_or(|s| !s.up || s.member.life != member.life);
+        self.asks.insert(node, Ask { life, version, config: member.config, at: now, class: member.class });
+        if new {
+            tracing::info!(node = member.name, class = %member.class, "session");
+        }
+        self.sessions.insert(node, Session { member, seen: now, up: true });
+        if new {
+            self.sessions_changed = true;
+            self.count_members(now);
+        }
+    }
+
+    /// The connection with a node ended.
+    pub fn session_down(&mut self, now: Millis, node: Node) {
+        self.asks.remove(&node);
+        if let Some(session) = self.sessions.get_mut(&node) {
+            (session.up, session.seen) = (false, now);
+        }
+    }
+
+    /// Who is there: own sessions, those that other control nodes tell, and the control nodes themselves.
+    fn count_members(&mut self, now: Millis) {
+        self.sessions.retain(|_, s| s.up || now < s.seen + GRACE);
+        self.told.retain(|_, (at, _)| now < *at + GRACE + TELL);
+        let mut all: BTreeMap<Node, Member> = BTreeMap::new();
+        let own = self.sessions.values().map(|s| &s.member);
+        let others = self.told.values().flat_map(|(_, members)| members);
+        // What changes without a node's coming or going is left out: it would be news to all each time.
+        let plain = |member: &Member| Member { config: 0, life: 0, ..member.clone() };
+        for member in own.chain(others).filter(|m| m.class == Class::Store) {
+            all.insert(member.node, plain(member));
+        }
+        for core in self.cores.values().chain(std::iter::once(&self.me)) {
+            all.insert(core.node, plain(core));
+        }
+        let all: Vec<Member> = all.into_values().collect();
+        if all != self.members {
+            self.members = all;
+            self.version += 1;
+            self.members_changed = self.version;
+        }
+    }
+
+    // ---- Time and news ----
+
+    /// What is due. `in_touch`: this node leads or hears the primary; `force` is the configuration that is in force.
+    pub fn tick(&mut self, now: Millis, in_touch: bool, force: Option<(u64, &[u8])>) {
+        if !self.ready && now >= self.ready_at {
+            self.ready = true;
+            self.version += 1;
+            self.count_members(now);
+        }
+        let routine = now >= self.tell_at;
+        if routine {
+            self.tell_at = now + TELL;
+        }
+        let beats = self.executors.to_tell(now, routine);
+        if !beats.is_empty() {
+            self.effects.push(Effect::TellBeats(beats));
+        }
+        if std::mem::take(&mut self.sessions_changed) || routine {
+            let all = self.sessions.values().filter(|s| s.up || now < s.seen + GRACE);
+            self.effects.push(Effect::TellSessions(all.map(|s| s.member.clone()).collect()));
+        }
+        if now >= self.look_at {
+            self.look_at = now + LOOK;
+            self.executors.look_for_silent(&mut self.version, now, in_touch);
+            self.count_members(now);
+        }
+        self.answer(now, in_touch, force);
+    }
+
+    pub fn next(&self) -> Millis {
+        let hold = self.asks.values().map(|ask| ask.at + CUT.max(HOLD)).min().unwrap_or(Millis::MAX);
+        hold.min(self.tell_at).min(self.look_at)
+    }
+
+    fn answer(&mut self, now: Millis, in_touch: bool, force: Option<(u64, &[u8])>) {
+        let version = force.map_or(0, |(version, _)| version);
+        let executors_changed = self.executors.changed();
+        let due = |ask: &Ask| {
+            if !in_touch && self.ready && now >= ask.at + CUT {
+                return true;
+            }
+            let executors = if ask.class == Class::Store { executors_changed } else { 0 };
+            let tells = self.ready || ask.life == 0 || ask.life == self.life;
+            let newer =
+                ask.life != self.life || self.members_changed > ask.version || executors > ask.version;
+            (tells && newer) || ask.config < version || now >= ask.at + HOLD
+        };
+        let due: Vec<Node> = self.asks.iter().filter(|(_, ask)| due(ask)).map(|(node, _)| *node).collect();
+        for node in due {
+            let Some(ask) = self.asks.remove(&node) else { continue };
+            let config = force.filter(|(v, _)| *v > ask.config).map(|(_, body)| body.to_vec());
+            let news = if !in_touch && self.ready && config.is_none() {
+                News { cut_off: true, ..News::default() }
+            } else {
+                self.news(now, &ask, config)
+            };
+            self.effects.push(Effect::News { to: node, news });
+        }
+    }
+
+    fn news(&self, now: Millis, ask: &Ask, config: Option<Vec<u8>>) -> News {
+        let known = ask.life == self.life;
+        // One that has just begun knows nobody: a part of the list is more than it has. One that has a list keeps that until
+        // this node's is whole.
+        if !(self.ready || ask.life == 0 || known) {
+            return News { life: ask.life, version: ask.version, config, ..News::default() };
+        }
+        let since = if known { ask.version } else { 0 };
+        let mut news = News { life: self.life, version: self.version, config, ..News::default() };
+        if !known || self.members_changed > since {
+            news.members = Some(self.members.clone());
+        }
+        if ask.class == Class::Store {
+            news.whole = !known;
+            let changed = self.executors.all.values().filter(|k| k.changed > since);
+            let told = changed.filter(|k| known || k.beat.standing != Standing::Gone);
+            news.servers = told.map(|k| k.aged(now)).collect();
+        }
+        news
+    }
+}
--- /dev/null
+++ b/roster/tests/roster.rs
@@ -0,0 +1,180 @@
+//! Two control nodes and those that ask them, with a clock of the test's own.
+
+use assert_matches::assert_matches;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use stileroute_roster::*;
+
+fn member(node: Node, class: Class) -> Member {
+    let control = (class == Class::Core).then(|| SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000 + node as u16));
+    let ip = Ipv4Addr::LOCALHOST;
+    Member { node, name: format!("n{node}"), class, zone: "z".into(), ip, life: 1, control, config: 0 }
+}
+
+fn beat(id: &str, port: u16, count: u64, standing: Standing) -> Beat {
+    Beat {
+        id: id.into(),
+        backend: "s".into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
+        zone: "z".into(),
+        capacity: 4,
+        standing,
+        cold_left_ms: 3000,
+        call_count: count,
+        age_ms: 0,
+    }
+}
+
+/// A control node that knows enough to tell, at 3 s.
+fn ready() -> Roster {
+    let mut roster = Roster::new(member(1, Class::Core), 77, 1200, 0);
+    roster.tick(3000, true, None);
+    roster.take();
+    roster
+}
+
+fn news(effects: Vec<Effect>, node: Node) -> Option<News> {
+    effects.into_iter().find_map(|e| match e {
+        Effect::News { to, news } if to == node => Some(news),
+        _ => None,
+    })
+}
+
+/// Asks as a node does that has `had`, and gives what it is told by `until`.
+fn ask(roster: &mut Roster, now: Millis, node: Member, had: Option<&News>, until: Millis) -> Option<News> {
+    let id = node.node;
+    let (life, version) = had.map_or((0, 0), |n| (n.life, n.version));
+    roster.asked(now, node, life, version);
+    roster.tick(now, true, None);
+    let mut told = news(roster.take(), id);
+    if told.is_none() {
+        roster.tick(until, true, None);
+        told = news(roster.take(), id);
+    }
+    told
+}
+
+fn ids(news: &News) -> Vec<(String, Standing)> {
+    let mut all: Vec<_> = news.servers.iter().map(|b| (b.id.clone(), b.standing)).collect();
+    all.sort_by(|a, b| a.0.cmp(&b.0));
+    all
+}
+
+#[test]
+fn calls_are_merged_by_their_count() {
+    use Standing::*;
+    // (what comes, one after the other) -> what a store that knows nothing is told
+    let cases: [(&[Beat], &[(&str, Standing)]); 6] = [
+        (&[beat("a", 1, 1, Serving)], &[("a", Serving)]),
+        (&[beat("a", 1, 2, Draining), beat("a", 1, 1, Serving)], &[("a", Draining)]),
+        (&[beat("a", 1, 1, Serving), beat("a", 1, 1, Gone), beat("a", 1, 1, Serving)], &[]),
+        (&[beat("a", 1, 1, Gone), beat("a", 1, 2, Serving)], &[("a", Serving)]),
+        // Another life at the address ends the one before.
+        (&[beat("a", 1, 9, Serving), beat("b", 1, 1, Serving)], &[("b", Serving)]),
+        (&[beat("a", 1, 9, Serving), beat("b", 2, 1, Serving)], &[("a", Serving), ("b", Serving)]),
+    ];
+    for (number, (beats, want)) in cases.iter().enumerate() {
+        let mut roster = ready();
+        beats.iter().for_each(|b| roster.beat(3000, b.clone()));
+        let told = ask(&mut roster, 3001, member(9, Class::Store), None, 4000).expect("news");
+        let want: Vec<(String, Standing)> = want.iter().map(|(id, s)| (id.to_string(), *s)).collect();
+        assert_eq!(ids(&told), want, "case {number}");
+    }
+}
+
+#[test]
+fn a_change_is_told_at_once_and_only_what_is_newer() {
+    let mut roster = ready();
+    roster.beat(3000, beat("a", 1, 1, Standing::Serving));
+    let first = ask(&mut roster, 3001, member(9, Class::Store), None, 3001).expect("all at once");
+    assert!(first.whole && first.members.is_some());
+    // Nothing new: held, then answered with nothing.
+    let none =
+        ask(&mut roster, 3010, member(9, Class::Store), Some(&first), 3010 + HOLD).expect("after a while");
+    assert!(none.servers.is_empty() && none.members.is_none() && !none.whole);
+    roster.asked(4000, member(9, Class::Store), none.life, none.version);
+    roster.tick(4001, true, None);
+    assert_matches!(news(roster.take(), 9), None);
+    roster.beat(4002, beat("a", 1, 2, Standing::Draining));
+    roster.tick(4002, true, None);
+    let effects = roster.take();
+    assert!(effects
+        .iter()
+        .any(|e| matches!(e, Effect::TellBeats(all) if all[0].standing == Standing::Draining)));
+    assert_eq!(ids(&news(effects, 9).expect("at once")), [("a".to_string(), Standing::Draining)]);
+    // An edge is told of no executors.
+    let edge = ask(&mut roster, 4100, member(8, Class::Edge), None, 5000).expect("news");
+    assert!(edge.servers.is_empty());
+}
+
+#[test]
+fn a_control_node_that_has_just_begun_tells_no_shorter_list() {
+    let mut roster = Roster::new(member(1, Class::Core), 78, 1200, 0);
+    roster.beat(10, beat("a", 1, 5, Standing::Serving));
+    let had = News { life: 77, version: 40, ..News::default() };
+    let told = ask(&mut roster, 20, member(9, Class::Store), Some(&had), 20 + HOLD).expect("after a while");
+    assert_eq!((told.life, told.version, told.whole, told.members), (77, 40, false, None));
+    // One that knows nobody takes what there is.
+    let told = ask(&mut roster, 1000, member(8, Class::Store), None, 1000).expect("at once");
+    assert!(told.whole && told.servers.len() == 1);
+    // With the table of another control node, or after an interval of beats, it is whole.
+    roster.told_beats(1001, vec![beat("a", 1, 5, Standing::Serving), beat("b", 2, 5, Standing::Serving)]);
+    roster.tick(1400, true, None);
+    roster.take();
+    let told = ask(&mut roster, 1401, member(9, Class::Store), Some(&had), 1401).expect("at once");
+    assert!(told.whole && told.servers.len() == 2);
+}
+
+#[test]
+fn silence_ends_an_executor_but_not_where_this_node_is_the_one_that_is_cut_off() {
+    for (in_touch, want) in [(true, 0), (false, 1)] {
+        let mut roster = ready();
+        roster.beat(3000, beat("a", 1, 1, Standing::Serving));
+        for now in (3000..9000).step_by(100) {
+            roster.tick(now, in_touch, None);
+        }
+        let serving = roster.executors().filter(|k| k.beat.standing == Standing::Serving).count();
+        assert_eq!(serving, want, "in touch: {in_touch}");
+    }
+}
+
+#[test]
+fn one_that_hears_no_primary_says_so_and_tells_nothing_old() {
+    let mut roster = ready();
+    let first = ask(&mut roster, 3001, member(9, Class::Edge), None, 3001).expect("news");
+    roster.asked(3100, member(9, Class::Edge), first.life, first.version);
+    roster.tick(3100 + CUT, false, None);
+    assert!(news(roster.take(), 9).expect("soon").cut_off);
+    // A configuration that the node lacks is told all the same: it is in force, however old.
+    roster.asked(4000, member(9, Class::Edge), first.life, first.version);
+    roster.tick(4000 + CUT, false, Some((3, b"{}")));
+    let told = news(roster.take(), 9).expect("soon");
+    assert!(!told.cut_off && told.config.is_some());
+}
+
+#[test]
+fn a_store_is_a_member_while_a_session_stands_anywhere_and_a_little_longer() {
+    let (mut here, mut there) = (ready(), ready());
+    let stores = |r: &Roster| r.members.iter().filter(|m| m.class == Class::Store).count();
+    here.asked(3000, member(9, Class::Store), 0, 0);
+    here.tick(3000, true, None);
+    let sessions = here.take().into_iter().find_map(|e| match e {
+        Effect::TellSessions(all) => Some(all),
+        _ => None,
+    });
+    there.told_sessions(3001, 1, sessions.expect("told at once"));
+    assert_eq!((stores(&here), stores(&there)), (1, 1));
+    here.session_down(3100, 9);
+    here.tick(3100 + GRACE - 100, true, None);
+    assert_eq!(stores(&here), 1);
+    here.tick(3100 + GRACE + 300, true, None);
+    there.tick(3001 + GRACE + TELL + 300, true, None);
+    assert_eq!((stores(&here), stores(&there)), (0, 0));
+    // Back within the time nobody is told of anything.
+    here.asked(6000, member(9, Class::Store), 0, 0);
+    here.tick(6000, true, None);
+    let before = here.take().len();
+    here.session_down(6100, 9);
+    here.asked(6500, member(9, Class::Store), 77, u64::MAX);
+    here.tick(6500, true, None);
+    assert!(before > 0 && stores(&here) == 1);
+}
