An edge gives up a silent store after 0.2 s and sends it nothing until it is heard, so refusals are promises at once

Ruled out: the stores (all back within 1.2 s). Blamed: edge.rs went on sending to stores that had answered nothing, 0.4 s each, until the deadline; none of it ran. Now those messages are refused at once with Retry-After.

--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -12,9 +12,11 @@
 use stileroute_charter::RouteKind;
 use stileroute_hold::{Cargo, Key, Node, Refusal};
 
-/// A store that has not answered for so long is taken to be gone, and another is asked.
+/// A store that has not answered for so long is taken to be stuck, and another is asked; one of which nothing at all has
+/// been heard meanwhile is taken to be gone sooner.
 const PATIENCE: Millis = 400;
-/// A store that was silent gets no new messages for so long, unless it speaks.
+const SILENCE: Millis = 200;
+/// A store that did not answer gets messages only after the others for so long, and none at all until it is heard again.
 const SHUN: Millis = 1500;
 /// Most messages that wait for a store.
 const MOST: usize = 4000;
@@ -62,6 +64,7 @@
     finds: HashMap<u64, Find>,
     /// By when each wait is looked at.
     waits: BTreeMap<(Millis, u64), ()>,
+    /// Since when.
     shunned: HashMap<Node, Millis>,
     leaving: HashSet<Node>,
     next_ticket: u64,
@@ -246,6 +249,12 @@
         self.send(ticket, put);
     }
 
+    /// Nothing has been heard of it since it did not answer: what is sent there now would only be uncertain later.
+    fn gone(&self, node: Node) -> bool {
+        let since = self.shunned.get(&node);
+        since.is_some_and(|since| self.common.links.heard(node).is_none_or(|heard| heard <= *since))
+    }
+
     /// The stores to choose from: of the own zone first, in turn.
     fn store(&mut self, not: &[Node]) -> Option<Node> {
         let now = self.common.net.now();
@@ -255,7 +264,11 @@
             .links
             .up()
             .filter(|h| h.class == Class::Store && !not.contains(&h.node) && !self.leaving.contains(&h.node))
-            .map(|h| (self.shunned.get(&h.node).is_some_and(|until| now < *until), h.zone != *zone, h.node))
+            .filter(|h| !self.gone(h.node))
+            .map(|h| {
+                let slow = self.shunned.get(&h.node).is_some_and(|since| now < since + SHUN);
+                (slow, h.zone != *zone, h.node)
+            })
             .collect();
         all.sort_unstable();
         let first = *all.first()?;
@@ -273,7 +286,7 @@
                 self.figures.again += u64::from(put.tried.len() > 1);
                 let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
                 self.common.links.say(&mut self.common.net, store, &signal);
-                self.waits.insert(((now + PATIENCE).min(put.until), ticket), ());
+                self.waits.insert(((now + SILENCE).min(put.until), ticket), ());
                 self.puts.insert(ticket, put);
             }
             // Nobody has it: that is a promise, and the client may come back. Else nothing is promised.
@@ -335,13 +348,16 @@
                 continue;
             }
             let Some(put) = self.puts.get(&ticket) else { continue };
-            if now < put.until && now < put.sent + PATIENCE {
+            let heard = |node: &Node| self.common.links.heard(*node).is_some_and(|heard| heard > put.sent);
+            let speaks = put.tried.last().is_some_and(heard);
+            if now < put.until && now < put.sent + if speaks { PATIENCE } else { SILENCE } {
                 self.waits.insert(((put.sent + PATIENCE).min(put.until), ticket), ());
                 continue;
             }
             let Some(mut put) = self.puts.remove(&ticket) else { continue };
             if let Some(store) = put.tried.last() {
-                self.shunned.insert(*store, now + SHUN);
+                // Of when it was sent: what has been heard since counts.
+                self.shunned.insert(*store, if speaks { now } else { put.sent });
             }
             put.uncertain = true;
             if now >= put.until {
--- a/harbour/src/links.rs
+++ b/harbour/src/links.rs
@@ -75,6 +75,10 @@
     pub fn is_up(&self, node: Node) -> bool {
         self.by_node.contains_key(&node)
     }
+    /// When anything was last heard of it.
+    pub fn heard(&self, node: Node) -> Option<Millis> {
+        self.by_node.get(&node).and_then(|conn| self.links.get(conn)).map(|link| link.heard)
+    }
     pub fn hello(&self, node: Node) -> Option<&Hello> {
         self.links.get(self.by_node.get(&node)?)?.hello.as_ref()
     }
--- a/roster/src/executors.rs
+++ b/roster/src/executors.rs
@@ -104,7 +104,7 @@
     }
 
     /// What the other control nodes are to hear: changes at once, all that called now and then.
-    pub fn to_tell(&mut self, now: Millis, routine: bool) -> Vec<Beat> {
+    pub fn untold(&mut self, now: Millis, routine: bool) -> Vec<Beat> {
         let mut ids = std::mem::take(&mut self.urgent);
         if routine {
             ids = std::mem::take(&mut self.fresh);
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -234,7 +234,7 @@
         if routine {
             self.tell_at = now + TELL;
         }
-        let beats = self.executors.to_tell(now, routine);
+        let beats = self.executors.untold(now, routine);
         if !beats.is_empty() {
             self.effects.push(Effect::TellBeats(beats));
         }
