hold: copies that are missing are made again at a bounded rate, digests instead of lists

Seen: a store gone for good left its messages on one disk for the rest of their lives, and one that was back without its disk got all copies in one turn. `Standing` listed every live message on each connection and never again after it. - `thin` holds what is owned here and on too few disks: a store that is no member and not connected for 5 s, one that refused a copy or lost it with its connection, a takeover, a lost disk. Made anew at 1 MB a second (reason at the const), the new place on disk before its copy, confirmed or sent again; figures for count, bytes and time. - Digests (count, xor of a mixed hash) over 1024 numbers of each owner, on connection and every 10 s; only ranges that differ are listed. In quiet times a comparison of two stores is one note and one answer, under 120 bytes. - `live` is an index by owner, so nothing looks through all entries: those that ended are a hundred times as many.

Ruled out: comparing what is younger than 2 s, which is on its way and always differs; a sum kept up at each change.

--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -130,6 +130,21 @@
     pub ended: bool,
 }
 
+/// Numbers in a row among what one store owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Range {
+    pub owner: Node,
+    pub part: u64,
+}
+
+/// How many there are in a range, and all of them mixed into one number in which no order counts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sum {
+    pub range: Range,
+    pub count: u32,
+    pub mix: u64,
+}
+
 /// A message that is given to another store, with what its owner knows of it.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Handed {
@@ -154,9 +169,17 @@
     /// The sender owned these and has lost them with its disk.
     Lost(Vec<Key>),
     Want(Vec<Key>),
-    /// The live messages that both hold, as the sender sees them.
+    /// What both hold of the live messages, as sums over ranges; those younger than `over` ms are left out.
+    Digests {
+        disk: u64,
+        over: u64,
+        sums: Vec<Sum>,
+    },
+    /// The live messages of these ranges that both hold, as the sender sees them. `answer`: the receiver's are wanted too.
     Standing {
         disk: u64,
+        answer: bool,
+        ranges: Vec<Range>,
         live: Vec<Stands>,
     },
     /// All that was to be said to a `Standing` has been said.
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -1,8 +1,9 @@
 //! Copies of messages at other stores: making them, telling their ends, taking over what a lost store owned, and
 //! settling with one that is back who delivers what.
 
-use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Record, Shared, Stands};
+use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Range, Record, Shared, Stands};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
+use crate::repair::range;
 
 /// A copy that is not confirmed for so long is asked of another store.
 pub const COPY_WAIT: Millis = 200;
@@ -24,12 +25,18 @@
     pub leaving: bool,
     /// It is a member, as the control nodes tell.
     pub listed: bool,
-    since: Millis,
+    pub(crate) since: Millis,
     /// When what it owned was last looked for.
     looked: Millis,
+    /// What it owned was not there any more when it was last looked for.
+    pub(crate) written_off: bool,
+    /// When digests were last compared.
+    pub(crate) compared: Millis,
+    /// Its disk had no room: others are asked for copies until then.
+    pub(crate) full_until: Millis,
     disk: Option<u64>,
     /// It has said all about what both hold, on this connection.
-    stood: bool,
+    pub(crate) stood: bool,
     out: Outbox,
 }
 
@@ -77,23 +84,14 @@
         let peer = self.peers.entry(node).or_default();
         (peer.connected, peer.leaving, peer.stood, peer.since) = (true, false, false, now);
         peer.out = Outbox::default();
-        // Those that have ended count as long as their call-back is owed: it would be lost with its owner's disk.
-        let shared = |e: &Entry| e.owner == node || e.copies.contains(&node);
-        let live = self.entries.iter().filter(|(_, e)| (e.end.is_none() || e.owed) && shared(e));
-        let live = live
-            .filter(|(_, e)| e.stage != Stage::Landing)
-            .map(|(key, e)| Stands { key: *key, owner: e.owner, term: e.term, ended: e.end.is_some() })
-            .collect();
-        let note = Note::Standing { disk: self.terms.disk, live };
-        self.push(Effect::Send { to: node, note });
+        // One of the two begins: the other answers with what differs.
+        if self.terms.me < node {
+            self.compare(now, node, 0);
+        }
         // Ends that were told while it was away, or got lost with the connection.
-        let ended = |e: &Entry| e.end.is_some() && e.owner == self.terms.me && e.copies.contains(&node);
-        let owed: Vec<(Key, End, bool)> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| ended(e) && e.owed)
-            .filter_map(|(key, e)| Some((*key, e.end.clone()?, e.owed)))
-            .collect();
+        let mine = self.owned_here().filter(|(_, e)| e.copies.contains(&node));
+        let owed: Vec<(Key, End, bool)> =
+            mine.filter_map(|(key, e)| Some((key, e.end.clone()?, e.owed))).collect();
         self.to(node).ends.extend(owed);
         self.ends_at.get_or_insert(now);
         if self.leaving {
@@ -117,6 +115,7 @@
         // It may have taken these or not. They stay as they are until it says so, here or after the next start; but
         // nobody waits for its answer any more.
         self.handing.retain(|_, to| *to != node);
+        self.lost_on_the_way(now, node);
     }
 
     /// Cut off from the control nodes and from others that hold copies: they may have taken over what is here.
@@ -125,26 +124,26 @@
     }
 
     /// Where the copies of a new message go: nearby where zones need not be borne, else into other zones.
-    pub(crate) fn choose(&self, not: &[Node]) -> Vec<Node> {
-        let mut able: Vec<(bool, u32, Node)> = self
+    pub(crate) fn choose(&self, now: Millis, not: &[Node]) -> Vec<Node> {
+        let mut able: Vec<(bool, bool, u32, Node)> = self
             .peers
             .iter()
             .filter(|(node, p)| p.connected && !p.leaving && !not.contains(node))
             .map(|(node, p)| {
                 let near = p.zone == self.terms.zone;
                 // In a ring from this store on, so that copies are spread over all.
-                (near == self.terms.spread, node.wrapping_sub(self.terms.me), *node)
+                (now < p.full_until, near == self.terms.spread, node.wrapping_sub(self.terms.me), *node)
             })
             .collect();
         able.sort_unstable();
-        able.into_iter().map(|(_, _, node)| node).take(self.terms.losses).collect()
+        able.into_iter().map(|(_, _, _, node)| node).take(self.terms.losses).collect()
     }
 
     pub(crate) fn copy_to(&mut self, to: Node, shared: Shared) {
         self.to(to).copy.push(shared);
     }
 
-    fn shared(&self, now: Millis, key: Key) -> Option<Shared> {
+    pub(crate) fn shared(&self, now: Millis, key: Key) -> Option<Shared> {
         let e = self.entries.get(&key)?;
         Some(Shared {
             key,
@@ -159,7 +158,7 @@
     }
 
     /// A copy of what is live or has a call-back owed; the end follows the message.
-    fn copy_anew(&mut self, now: Millis, key: Key, to: Node) {
+    pub(crate) fn copy_anew(&mut self, now: Millis, key: Key, to: Node) {
         let own = self.entries.get(&key).filter(|e| e.owner == self.terms.me && (e.end.is_none() || e.owed));
         let Some((end, owed)) = own.map(|e| (e.end.clone(), e.owed)) else { return };
         if let Some(shared) = self.shared(now, key) {
@@ -198,7 +197,7 @@
         entry.landing = Some(next);
         self.landing.insert((next, key));
         for from in slow {
-            let Some(to) = self.choose(&copies).first().copied() else { continue };
+            let Some(to) = self.choose(now, &copies).first().copied() else { continue };
             let Some(entry) = self.entries.get_mut(&key) else { return };
             entry.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
             entry.copies.iter_mut().filter(|c| **c == from).for_each(|c| *c = to);
@@ -220,8 +219,10 @@
             Note::Copy(all) => all.into_iter().for_each(|shared| self.keep_copy(now, from, shared)),
             Note::Copied(keys) => keys.into_iter().for_each(|key| self.safe_at(now, key, from)),
             Note::NotCopied(keys) => {
+                self.peers.entry(from).or_default().full_until = now + 2000;
                 for key in keys {
                     self.copy_elsewhere(now, key, Some(from));
+                    self.not_on(now, key, from);
                 }
             }
             Note::Ends(all) => {
@@ -233,6 +234,7 @@
                     if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_some()) {
                         entry.owed = false;
                         entry.strip();
+                        self.file(key);
                         self.record(&Record::Called { key }, false);
                     }
                 }
@@ -265,16 +267,17 @@
                 }
             }
             Note::Want(keys) => {
-                keys.into_iter().for_each(|key| self.copy_anew(now, key, from));
-            }
-            Note::Standing { disk, live } => self.standing(now, from, disk, live),
-            Note::Stood => {
-                self.peers.entry(from).or_default().stood = true;
-                self.release(now);
-                if self.leaving {
-                    self.hand_all_over();
+                keys.into_iter().for_each(|key| self.not_yet_on(now, key, from));
+            }
+            Note::Digests { disk, over, sums } => self.digests(now, from, disk, over, &sums),
+            Note::Standing { disk, answer, ranges, live } => {
+                self.standing(now, from, disk, &ranges, live);
+                if answer {
+                    self.list_ranges(from, ranges, false);
                 }
+                self.push(Effect::Send { to: from, note: Note::Stood });
             }
+            Note::Stood => self.stood(now, from),
             Note::Handover(keys) => {
                 for handed in keys {
                     self.take_over(now, handed.key, Some((from, handed)));
@@ -372,6 +375,7 @@
             entry.stage = if mine { Stage::Held } else { Stage::Copy };
         }
         self.record(&Record::Own { key, owner, term, copies }, mine);
+        self.file(key);
         self.handing.remove(&key);
         self.held.remove(&key);
         self.unschedule(key);
@@ -386,12 +390,9 @@
     }
 
     /// What the other holds in common with this store: ends, owners and copies are set right by the newer.
-    fn standing(&mut self, now: Millis, from: Node, disk: u64, live: Vec<Stands>) {
+    fn standing(&mut self, now: Millis, from: Node, disk: u64, ranges: &[Range], live: Vec<Stands>) {
         let me = self.terms.me;
-        let peer = self.peers.entry(from).or_default();
-        if peer.disk.replace(disk).is_some_and(|old| old != disk) {
-            tracing::info!(node = from, "a store is back with another disk");
-        }
+        self.seen_disk(from, disk);
         let (mut own, mut want, mut drop, mut lost) = (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         let theirs: std::collections::HashSet<Key> = live.iter().map(|stands| stands.key).collect();
         for Stands { key, owner, term, ended } in live {
@@ -426,8 +427,11 @@
                         && entry.stage != Stage::Landing
                         && !entry.copies.contains(&from)
                     {
-                        // Its copy was replaced by another, which is safe.
-                        drop.push(key);
+                        // Its copy was replaced by another: if that is safe. Else it is as good as a new one.
+                        match entry.thin.is_none() && entry.missing.is_empty() {
+                            true => drop.push(key),
+                            false => self.adopt(now, key, from),
+                        }
                     } else {
                         self.owned_by(now, theirs);
                     }
@@ -435,12 +439,12 @@
             }
         }
         // What it should hold and does not: it has lost its disk, or never got the copy.
+        let asked: std::collections::HashSet<&Range> = ranges.iter().collect();
         let both =
-            self.entries.iter().filter(|(key, e)| (e.end.is_none() || e.owed) && !theirs.contains(key));
-        let both =
-            both.filter(|(_, e)| e.stage != Stage::Landing && e.owner == me && e.copies.contains(&from));
-        let anew: Vec<Key> = both.map(|(key, _)| *key).collect();
-        self.note(now, from, Note::Want(anew));
+            self.owned_here().filter(|(key, _)| asked.contains(&range(me, *key)) && !theirs.contains(key));
+        let both = both.filter(|(_, e)| e.stage != Stage::Landing && e.copies.contains(&from));
+        let anew: Vec<Key> = both.map(|(key, _)| key).collect();
+        anew.into_iter().for_each(|key| self.not_yet_on(now, key, from));
         // What it owned and does not name it has ended, never finished taking, or lost: it says which, for this store has
         // named it. Taken over on its silence alone it would run twice.
         self.tell_ends();
@@ -454,7 +458,22 @@
                 self.push(Effect::Send { to: from, note });
             }
         }
-        self.push(Effect::Send { to: from, note: Note::Stood });
+    }
+
+    pub(crate) fn seen_disk(&mut self, from: Node, disk: u64) {
+        let peer = self.peers.entry(from).or_default();
+        if peer.disk.replace(disk).is_some_and(|old| old != disk) {
+            tracing::info!(node = from, "a store is back with another disk");
+        }
+    }
+
+    /// All that another store had to say about what both hold has been said.
+    pub(crate) fn stood(&mut self, now: Millis, from: Node) {
+        let first = !std::mem::replace(&mut self.peers.entry(from).or_default().stood, true);
+        self.release(now);
+        if self.leaving && first {
+            self.hand_all_over();
+        }
     }
 
     /// This store delivers a message from now on. `from`: the one that gives it away in order.
@@ -483,20 +502,14 @@
         entry.copies.retain(|node| *node != me && *node != before);
         entry.copies.extend(giver);
         let (term, ended) = (entry.term, entry.end.is_some());
-        let mut copies = entry.copies.clone();
-        if giver.is_none() {
-            // The one that had it may come back with an empty disk, or not at all: others get a copy.
-            let mut not = copies.clone();
-            not.push(before);
-            copies.extend(self.choose(&not));
-            copies.truncate(self.terms.losses.max(1));
-        }
-        if let Some(entry) = self.entries.get_mut(&key) {
-            entry.copies = copies.clone();
-            if !ended && entry.stage != Stage::Out {
-                entry.stage = Stage::Waiting;
-            }
+        entry.missing.clear();
+        let copies = entry.copies.clone();
+        if !ended && entry.stage != Stage::Out {
+            entry.stage = Stage::Waiting;
         }
+        self.file(key);
+        // The one that had it may come back with an empty disk, or not at all: others get a copy.
+        self.look_at_copies(now, key);
         self.expiry(key);
         self.figures.taken_over += 1;
         self.record(&Record::Own { key, owner: me, term, copies: copies.clone() }, true);
@@ -507,9 +520,6 @@
                 let owned = Owned { key, owner: me, term, copies: copies.clone() };
                 let all = self.peers.values_mut().filter(|p| p.connected);
                 all.for_each(|p| p.out.own.push(owned.clone()));
-                for to in copies {
-                    self.copy_anew(now, key, to);
-                }
             }
         }
         if ended {
@@ -527,12 +537,8 @@
         let gone: Vec<Node> = self.peers.iter().filter(|(_, p)| gone(p)).map(|(node, _)| *node).collect();
         for node in gone {
             self.peers.entry(node).or_default().looked = now;
-            let mut orphans: Vec<(u64, Key)> = self
-                .entries
-                .iter()
-                .filter(|(_, e)| e.owner == node && (e.end.is_none() || e.owed))
-                .map(|(key, e)| (self.line(e), *key))
-                .collect();
+            let mut orphans: Vec<(u64, Key)> =
+                self.owned_by_node(node).map(|(key, e)| (self.line(e), key)).collect();
             orphans.sort_unstable();
             self.orphans.extend(orphans.into_iter().map(|(line, key)| (now + line * LINE, key)));
         }
@@ -549,6 +555,7 @@
             }
         }
         self.release(now);
+        self.look_at_holders(now);
     }
 
     /// How many that hold a copy, and are here, come before this store. One that is no longer named comes last.
@@ -597,11 +604,9 @@
 
     fn hand_all_over(&mut self) {
         let waiting: Vec<Key> = self
-            .entries
-            .iter()
-            .filter(|(_, e)| e.owner == self.terms.me)
-            .filter(|(_, e)| matches!(e.stage, Stage::Waiting) || (e.end.is_some() && e.owed))
-            .map(|(key, _)| *key)
+            .owned_here()
+            .filter(|(_, e)| matches!(e.stage, Stage::Waiting) || e.end.is_some())
+            .map(|(key, _)| key)
             .filter(|key| !self.handing.contains_key(key))
             .collect();
         for key in waiting {
@@ -613,7 +618,8 @@
     pub(crate) fn hand_over(&mut self, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
         let able = |node: &&Node| self.peers.get(node).is_some_and(|p| p.connected && p.stood && !p.leaving);
-        let (to, term, tries) = (entry.copies.iter().find(able).copied(), entry.term, entry.tries);
+        let safe = entry.copies.iter().filter(|node| !entry.missing.contains(node));
+        let (to, term, tries) = (safe.copied().find(|node| able(&node)), entry.term, entry.tries);
         if let Some(to) = to {
             self.unschedule(key);
             if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_none()) {
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -78,6 +78,10 @@
     pub(crate) ticket: Option<u64>,
     /// Where it stands in `landing`.
     pub(crate) landing: Option<Millis>,
+    /// Where it stands in `thin`.
+    pub(crate) thin: Option<Millis>,
+    /// By which owner it stands in `live`.
+    filed: Option<Node>,
     turn: Option<(usize, Turn)>,
 }
 
@@ -163,6 +167,14 @@
     pub handed_over: u64,
     pub copied_anew: u64,
     pub no_disk: u64,
+    /// Owned here and on too few disks, as of now; how long it took until none was, the last time.
+    pub thin: usize,
+    pub thin_ms: u64,
+    pub repaired: u64,
+    pub repaired_bytes: u64,
+    /// Comparisons with other stores, and ranges that differed.
+    pub compared: u64,
+    pub differed: u64,
 }
 
 #[derive(Default)]
@@ -199,6 +211,13 @@
     /// Offered to a successor that has not said yes.
     pub(crate) handing: HashMap<Key, Node>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
+    /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is gone. All
+    /// entries, with those that ended in the last minutes, are a hundred times as many.
+    pub(crate) live: BTreeSet<(Node, Key)>,
+    /// Owned here and on too few disks: when to see to each.
+    pub(crate) thin: BTreeSet<(Millis, Key)>,
+    pub(crate) thin_since: Option<Millis>,
+    pub(crate) bucket: crate::repair::Bytes,
     /// To be taken over by then, if their owner is not back.
     pub(crate) orphans: BTreeSet<(Millis, Key)>,
     /// Their owner has said that it has lost them with its disk.
@@ -250,6 +269,10 @@
             handing: HashMap::new(),
             wall: wall.saturating_sub(now),
             landing: BTreeSet::new(),
+            live: BTreeSet::new(),
+            thin: BTreeSet::new(),
+            thin_since: None,
+            bucket: Default::default(),
             orphans: BTreeSet::new(),
             lost: HashMap::new(),
             receivers: HashMap::new(),
@@ -300,6 +323,7 @@
         (entry.end, entry.owed) = (end, owed);
         let (stage, owed) = (entry.stage, entry.owed && entry.owner == self.terms.me);
         self.entries.insert(key, entry);
+        self.file(key);
         match stage {
             Stage::Ended => self.forget.push_back((now + self.terms.status_ms + 60_000, key)),
             Stage::Held => {
@@ -332,7 +356,7 @@
 
     /// A message from an edge.
     pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
-        let copies = self.choose(&[]);
+        let copies = self.choose(now, &[]);
         if self.leaving || copies.len() < self.terms.losses || self.entries.len() >= MOST {
             self.figures.refused += 1;
             self.effects.push(Effect::Taken { ticket, result: Err(Refusal::NotTaken) });
@@ -353,6 +377,7 @@
         entry.landing = Some(look);
         self.entries.insert(key, entry);
         self.landing.insert((look, key));
+        self.file(key);
         self.expiry(key);
         for to in copies {
             self.copy_to(to, shared.clone());
@@ -403,7 +428,12 @@
 
     pub(crate) fn safe_at(&mut self, now: Millis, key: Key, node: Node) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
+        let was = entry.missing.len();
         entry.missing.retain(|missing| *missing != node);
+        if entry.stage != Stage::Landing && was > entry.missing.len() && entry.missing.is_empty() {
+            self.figures.repaired += 1;
+            return self.look_at_copies(now, key);
+        }
         if entry.stage != Stage::Landing || !entry.missing.is_empty() {
             return;
         }
@@ -723,6 +753,7 @@
         }
         self.ends_at.get_or_insert(now + TELL);
         self.handing.remove(&key);
+        self.file(key);
         if owed {
             self.owe(key);
         }
@@ -781,6 +812,7 @@
         let (ticket, own) = (entry.ticket.take(), entry.owner == self.terms.me);
         self.held.remove(&key);
         self.handing.remove(&key);
+        self.file(key);
         self.forget.push_back((now + self.terms.status_ms + 60_000, key));
         self.uncertain(ticket);
         if own && owed {
@@ -812,6 +844,7 @@
         entry.owed = false;
         entry.strip();
         let copies = entry.copies.clone();
+        self.file(key);
         self.figures.called += 1;
         self.record(&Record::Called { key }, false);
         copies.into_iter().for_each(|to| self.to(to).called.push(key));
@@ -835,11 +868,27 @@
         if let Some(entry) = self.entries.remove(&key) {
             self.expiring.remove(&(entry.expires, key));
             entry.landing.map(|at| self.landing.remove(&(at, key)));
+            entry.thin.map(|at| self.thin.remove(&(at, key)));
+            entry.filed.map(|owner| self.live.remove(&(owner, key)));
             self.held.remove(&key);
             self.handing.remove(&key);
         }
     }
 
+    /// Keeps `live` in step with an entry that has changed.
+    pub(crate) fn file(&mut self, key: Key) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let filed = (entry.end.is_none() || entry.owed).then_some(entry.owner);
+        let was = std::mem::replace(&mut entry.filed, filed);
+        if was != filed {
+            was.map(|owner| self.live.remove(&(owner, key)));
+            filed.map(|owner| self.live.insert((owner, key)));
+        }
+        if filed != Some(self.terms.me) {
+            entry.thin.take().map(|at| self.thin.remove(&(at, key)));
+        }
+    }
+
     pub(crate) fn enter(&mut self, now: Millis, shared: &Shared, stage: Stage) {
         let mut entry = Entry::of(shared, now);
         entry.stage = stage;
@@ -848,6 +897,7 @@
         self.remove(shared.key);
         self.uncertain(old);
         self.entries.insert(shared.key, entry);
+        self.file(shared.key);
         self.expiry(shared.key);
     }
 
@@ -901,6 +951,7 @@
             self.look_after(now);
         }
         self.look_after_landing(now);
+        self.repair(now);
         let calls = self.call_back(now);
         self.pump(now, fine);
         self.lane_wait = self.lane_wait.min(calls);
@@ -918,6 +969,7 @@
             first(&self.delayed),
             first(&self.expiring),
             first(&self.landing),
+            self.next_repair(),
             self.ends_at.unwrap_or(Millis::MAX),
             self.upkeep + UPKEEP,
             self.lane_wait,
@@ -988,7 +1040,7 @@
     }
 
     pub fn live(&self) -> usize {
-        self.entries.values().filter(|e| e.end.is_none()).count()
+        self.live.len()
     }
 }
 
@@ -1012,6 +1064,8 @@
             missing: Vec::new(),
             ticket: None,
             landing: None,
+            thin: None,
+            filed: None,
             turn: None,
         }
     }
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -6,6 +6,7 @@
 mod hold;
 mod lane;
 mod ledger;
+mod repair;
 mod tokens;
 
 pub use cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
--- a/hold/tests/faults.rs
+++ b/hold/tests/faults.rs
@@ -92,11 +92,11 @@
     }
 }
 
-/// Live messages that nobody can run: what a fault leaves of their copies is seen on the disks.
+/// Live messages whose time has not come: what a fault leaves of their copies is seen on the disks.
 fn waiting(seed: u64, stores: usize) -> World {
     let mut world = World::new(stores, 1, seed);
     for n in 0..30 {
-        world.send(2500 + 20 * n as u64, n % stores, "plain", &[Does::Down], 0);
+        world.send(2500 + 20 * n as u64, n % stores, "plain", &[Does::Down], 60_000);
     }
     world
 }
@@ -270,3 +270,72 @@
     let bad: Vec<String> = (0..60 * wide()).filter_map(|seed| bad(&seed)).collect();
     assert!(bad.is_empty(), "{bad:#?}");
 }
+
+#[test]
+fn at_rest_each_message_has_its_copies() {
+    for fault in [Fault::Kill, Fault::Long, Fault::Power, Fault::Wipe, Fault::Leave, Fault::Blink] {
+        for k in (1..500).step_by(23) {
+            let mut world = waiting(17, 4);
+            world.strike = Some((k, fault));
+            world.run(20_000);
+            world.check(false);
+            world.check_copies();
+        }
+    }
+    // And with one that never comes back.
+    for at in 0..4 {
+        let mut world = waiting(18, 4);
+        world.act(2700, Act::Gone(at));
+        world.run(14_000);
+        world.check(false);
+        world.check_copies();
+    }
+}
+
+#[test]
+fn a_cut_or_a_full_disk_leaves_no_copy_out() {
+    for at in 0..3 {
+        let mut world = waiting(19, 3);
+        world.act(2600, Act::DiskFull(at, true));
+        world.act(2900, Act::Cut(at, (at + 1) % 3));
+        world.act(6000, Act::DiskFull(at, false));
+        world.act(9000, Act::Join(at, (at + 1) % 3));
+        world.run(25_000);
+        world.check(false);
+        world.check_copies();
+    }
+}
+
+#[test]
+fn copies_are_made_anew_at_their_rate() {
+    let mut world = World::new(3, 1, 20);
+    for n in 0..200 {
+        let at = world.send(2000 + 15 * n, n as usize % 3, "plain", &[Does::Well], 30_000);
+        world.messages[at].cargo.body = vec![7; 16_000];
+    }
+    world.act(6000, Act::Strike(1, Fault::Wipe));
+    world.run(20_000);
+    world.check_copies();
+    let most = world.copied.range(6..).map(|(_, bytes)| *bytes).max().unwrap();
+    // Of two stores that fill the third.
+    assert!((700_000..2_300_000).contains(&most), "{most} in a second");
+    world.run(60_000);
+    world.check(true);
+}
+
+#[test]
+fn digests_mend_what_got_lost_and_are_small_in_quiet_times() {
+    let mut world = waiting(21, 3);
+    (0..20).for_each(|n| _ = world.send(4000 + 20 * n, n as usize % 3, "plain", &[Does::Well], 0));
+    world.no_ends_until = 5000;
+    world.run(9000);
+    let left: usize = world.stores.iter().map(|s| s.hold.as_ref().unwrap().live()).sum();
+    assert_eq!(left, 30 * 2 + 20, "ends that were not told leave live copies");
+    world.run(18_000);
+    let left: usize = world.stores.iter().map(|s| s.hold.as_ref().unwrap().live()).sum();
+    assert_eq!(left, 30 * 2);
+    let before = world.bytes;
+    world.run(58_000);
+    // Three pairs, four times each; and tokens.
+    assert!(world.bytes - before < 12 * 120, "{} bytes", world.bytes - before);
+}
--- a/hold/tests/world/mod.rs
+++ b/hold/tests/world/mod.rs
@@ -131,6 +131,8 @@
     /// So many call-backs of each id are not taken.
     pub receiver_fails: usize,
     pub receiver_down: u64,
+    /// Words of ends get lost until then: no fault that is reckoned with, so that there is something to mend.
+    pub no_ends_until: u64,
     pub arrivals: Vec<u64>,
     endpoint: bool,
     pub effects: u64,
@@ -199,6 +201,7 @@
             calls: Vec::new(),
             receiver_fails: 0,
             receiver_down: 0,
+            no_ends_until: 0,
             arrivals: Vec::new(),
             endpoint: true,
             effects: 0,
@@ -533,6 +536,9 @@
     fn happen(&mut self, what: What) {
         match what {
             What::Note { from, to, link, note } => {
+                if matches!(note, Note::Ends(_)) && self.now < self.no_ends_until {
+                    return;
+                }
                 if self.links.get(&(from.min(to), from.max(to))) == Some(&link) && self.open(from, to) {
                     let from = self.stores[from].node;
                     if let Some((hold, now)) = self.hold(to) {
@@ -764,15 +770,16 @@
         waiting
     }
 
-    pub fn lies_on(&self, key: Key) -> usize {
-        let on = |store: &&Store| {
+    /// What each disk would give after a loss of power.
+    fn disks(&self, all: bool) -> Vec<Ledger> {
+        let read = |store: &Store| {
             let mut ledger = Ledger::default();
-            store.disk.iter().filter(|(_, synced)| *synced).for_each(|(record, _)| {
+            store.disk.iter().filter(|(_, synced)| *synced || all).for_each(|(record, _)| {
                 ledger.enter(postcard::from_bytes(record).unwrap());
             });
-            ledger.all.get(&key).is_some_and(|kept| kept.end.is_none() && kept.shared.is_some())
+            ledger
         };
-        self.stores.iter().filter(on).count()
+        self.stores.iter().map(read).collect()
     }
 
     /// All that was promised, as far as the stand-ins can see. `ended`: by now nothing may wait any more.
@@ -831,19 +838,19 @@
 
     /// At rest every live message lies on `losses` + 1 disks.
     pub fn check_copies(&self) {
+        let disks = self.disks(false);
         for (n, message) in self.messages.iter().enumerate() {
             let Some((State::Waiting, _)) = self.ask(n) else { continue };
             let key = Key::parse(message.name.as_deref().unwrap()).unwrap().0;
-            let copies = self.lies_on(key);
+            let lies = |l: &&Ledger| l.all.get(&key).is_some_and(|k| k.end.is_none() && k.shared.is_some());
+            let copies = disks.iter().filter(lies).count();
             assert!(copies > self.losses, "{} lies on {copies} disks", message.cargo.id);
         }
     }
 
     /// Nothing is left on any disk that a restart would take for a live message.
     pub fn check_left(&self) {
-        for store in &self.stores {
-            let mut ledger = Ledger::default();
-            store.disk.iter().for_each(|(record, _)| ledger.enter(postcard::from_bytes(record).unwrap()));
+        for (store, ledger) in self.stores.iter().zip(self.disks(true)) {
             let left = ledger.all.iter().find(|(_, kept)| kept.end.is_none() && kept.shared.is_some());
             assert!(left.is_none(), "left on the disk of {:x}: {left:?}", store.node);
         }
