hold, harbour: messages of one route and key start in the order in which they were accepted

Seen: `in_order` and X-Order-Key were read and then ignored; a row of messages started in any order, at three stores. - The edge names the row (route and key) and chooses its store by rendezvous hash over those that are up. - hold/src/row.rs: an index of live messages by row, owned or copies; only the first by (`taken`, key) starts. `taken` is raised at the store beyond all that is known of the row, so edges' clocks don't matter. - A store that is not the place of a row, or has not asked since its neighbours changed, asks the others before it keeps the message; they name what is live and remember the newcomer. One taken over, handed over or read from disk asks before it starts, and asks again while another store holds an earlier one. If more than `losses` stores are silent the answer is not enough: a message that is put is taken back, one that waits goes on waiting. - A total order that all see alike: nobody waits for a later one. After a freeze a store asks again.

Ruled out: order by the edges' clocks alone (differs by more than an answer takes), telling the place after the 202.

--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddrV4;
 use stileroute_charter::RouteKind;
-use stileroute_hold::{Cargo, Key, Node, Refusal};
+use stileroute_hold::{place, Cargo, Key, Node, Refusal};
 
 /// A store that has not answered for so long is taken to be gone, and another is asked.
 const PATIENCE: Millis = 400;
@@ -230,7 +230,10 @@
             target: request.target,
             content_type: request.content_type,
             callback: request.callback.filter(|_| route.callback),
-            order_key: request.order_key.filter(|_| route.in_order),
+            order_key: request
+                .order_key
+                .filter(|_| route.in_order)
+                .map(|key| format!("{}\0{key}", route.name)),
             delay_ms: request.delay_ms.unwrap_or(0),
             taken: wall(),
             config: config.revision,
@@ -241,8 +244,8 @@
         self.send(ticket, put);
     }
 
-    /// The stores to choose from: of the own zone first, in turn.
-    fn store(&mut self, not: &[Node]) -> Option<Node> {
+    /// The stores to choose from: of the own zone first, in turn; of a row always the same one, as long as it is there.
+    fn store(&mut self, not: &[Node], row: Option<&str>) -> Option<Node> {
         let now = self.common.net.now();
         let zone = &self.common.boot.zone;
         let mut all: Vec<(bool, bool, Node)> = self
@@ -254,6 +257,9 @@
             .collect();
         all.sort_unstable();
         let first = *all.first()?;
+        if let Some(row) = row {
+            return place(row, all.iter().filter(|s| s.0 == first.0).map(|s| s.2));
+        }
         let alike = all.iter().take_while(|s| (s.0, s.1) == (first.0, first.1)).count();
         self.next_store = self.next_store.wrapping_add(1);
         Some(all[self.next_store % alike].2)
@@ -261,7 +267,7 @@
 
     fn send(&mut self, ticket: u64, mut put: Put) {
         let now = self.common.net.now();
-        match self.store(&put.tried) {
+        match self.store(&put.tried, put.cargo.order_key.as_deref()) {
             Some(store) => {
                 put.tried.push(store);
                 put.sent = now;
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -41,6 +41,7 @@
     pub target: String,
     pub content_type: Option<String>,
     pub callback: Option<String>,
+    /// Route and key of a message that must not start before those of the same that were accepted earlier.
     pub order_key: Option<String>,
     /// Not to run sooner than so long after it was taken.
     pub delay_ms: u64,
@@ -190,6 +191,22 @@
     HandoverTaken(Vec<(Key, u32)>),
     /// It does not know these, and takes none of them.
     HandoverRefused(Vec<Key>),
+    /// What is live of this row? `announced`: the sender is about to keep this message of it.
+    RowAsk {
+        number: u64,
+        row: String,
+        taken: u64,
+        key: Key,
+        announced: bool,
+    },
+    /// A new one comes not before `beyond`.
+    RowLive {
+        number: u64,
+        beyond: u64,
+        live: Vec<(u64, Key)>,
+    },
+    /// Announced, and ended.
+    RowDone(Vec<(String, Key)>),
     /// Takes no more messages and copies: it is about to end.
     Leaving,
     Ping(u64),
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -69,6 +69,10 @@
     /// The stores that are members, as the control nodes tell.
     pub fn members(&mut self, now: Millis, stores: &[(Node, usize)]) {
         self.acquainted = true;
+        let listed = |peers: &std::collections::BTreeMap<Node, Peer>| -> Vec<Node> {
+            peers.iter().filter(|(_, p)| p.listed).map(|(node, _)| *node).collect()
+        };
+        let before = listed(&self.peers);
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
@@ -76,6 +80,9 @@
             let peer = self.peers.entry(*node).or_insert_with(|| Peer::new(now));
             (peer.zone, peer.listed) = (*zone, true);
         }
+        if listed(&self.peers) != before {
+            self.rows.changed = now;
+        }
         self.deal_duties(now);
     }
 
@@ -84,6 +91,7 @@
         let peer = self.peers.entry(node).or_default();
         (peer.connected, peer.leaving, peer.stood, peer.since) = (true, false, false, now);
         peer.out = Outbox::default();
+        self.rows.changed = now;
         // One of the two begins: the other answers with what differs.
         if self.terms.me < node {
             self.compare(now, node, 0);
@@ -116,6 +124,7 @@
         // nobody waits for its answer any more.
         self.handing.retain(|_, to| *to != node);
         self.lost_on_the_way(now, node);
+        self.row_lost(now, node);
     }
 
     /// Cut off from the control nodes and from others that hold copies: they may have taken over what is here.
@@ -196,6 +205,10 @@
         }
         entry.landing = Some(next);
         self.landing.insert((next, key));
+        if entry.asking {
+            // Nothing has been sent yet: whoever is gone by then is replaced at the next look.
+            return;
+        }
         for from in slow {
             let Some(to) = self.choose(now, &copies).first().copied() else { continue };
             let Some(entry) = self.entries.get_mut(&key) else { return };
@@ -299,7 +312,13 @@
                     self.handing.remove(&key);
                 }
             }
+            Note::RowAsk { number, row, taken, key, announced } => {
+                self.row_asked(now, from, (number, row, taken, key, announced));
+            }
+            Note::RowLive { number, beyond, live } => self.row_told(now, from, number, beyond, live),
+            Note::RowDone(all) => self.row_done(all),
             Note::Leaving => {
+                self.rows.changed = now;
                 self.peers.entry(from).or_default().leaving = true;
                 self.deal_duties(now);
             }
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -22,6 +22,8 @@
 /// Messages that are kept for others to pick up at the most.
 const MOST: usize = 400_000;
 const UPKEEP: Millis = 250;
+/// A turn that comes so much too late comes after a freeze.
+const FROZEN: Millis = 500;
 
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -82,6 +84,12 @@
     pub(crate) thin: Option<Millis>,
     /// By which owner it stands in `live`.
     filed: Option<Node>,
+    /// Its row, and where it stands there; whether others were told of it, whether they have been asked, and whether it is
+    /// kept only after that.
+    row: Option<Box<(String, u64)>>,
+    pub(crate) announced: bool,
+    pub(crate) cleared: bool,
+    pub(crate) asking: bool,
     turn: Option<(usize, Turn)>,
 }
 
@@ -218,6 +226,7 @@
     pub(crate) thin: BTreeSet<(Millis, Key)>,
     pub(crate) thin_since: Option<Millis>,
     pub(crate) bucket: crate::repair::Bytes,
+    pub(crate) rows: crate::row::Rows,
     /// To be taken over by then, if their owner is not back.
     pub(crate) orphans: BTreeSet<(Millis, Key)>,
     /// Their owner has said that it has lost them with its disk.
@@ -273,6 +282,7 @@
             thin: BTreeSet::new(),
             thin_since: None,
             bucket: Default::default(),
+            rows: Default::default(),
             orphans: BTreeSet::new(),
             lost: HashMap::new(),
             receivers: HashMap::new(),
@@ -367,8 +377,6 @@
         let due_in = cargo.delay_ms;
         let shared =
             Shared { key, owner: self.terms.me, copies: copies.clone(), due_in, cargo, ..Shared::default() };
-        self.record(&Record::Put { shared: shared.clone() }, true);
-        self.due_waits.push(Waits::Own(key));
         let mut entry = Entry::of(&shared, now);
         entry.stage = Stage::Landing;
         entry.ticket = Some(ticket);
@@ -379,8 +387,8 @@
         self.landing.insert((look, key));
         self.file(key);
         self.expiry(key);
-        for to in copies {
-            self.copy_to(to, shared.clone());
+        if self.put_in_row(now, key) {
+            self.embark(key, now);
         }
     }
 
@@ -547,6 +555,10 @@
             self.delayed.insert((start, key));
             return;
         }
+        if !self.may_start(now, key) {
+            return;
+        }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         let Some(config) = &self.config else {
             self.early.insert(key);
             return;
@@ -599,6 +611,13 @@
                     self.lanes[at].ready.remove(&turn);
                     continue;
                 };
+                // An earlier one of its row has come to light since: it waits again.
+                let spot = (entry.cargo.taken, key);
+                if entry.cargo.order_key.as_ref().is_some_and(|row| !self.rows.is_first(row, spot)) {
+                    entry.turn = None;
+                    self.lanes[at].ready.remove(&turn);
+                    continue;
+                }
                 let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else { break };
                 let route = &config.routes[route];
                 if !late && now > due + route.run_target_ms {
@@ -870,6 +889,9 @@
             entry.landing.map(|at| self.landing.remove(&(at, key)));
             entry.thin.map(|at| self.thin.remove(&(at, key)));
             entry.filed.map(|owner| self.live.remove(&(owner, key)));
+            if let Some(row) = entry.row {
+                self.rows.leave(&row.0, (row.1, key), entry.announced);
+            }
             self.held.remove(&key);
             self.handing.remove(&key);
         }
@@ -884,6 +906,16 @@
             was.map(|owner| self.live.remove(&(owner, key)));
             filed.map(|owner| self.live.insert((owner, key)));
         }
+        let row = (entry.end.is_none()).then_some(&entry.cargo.order_key);
+        let row = row.and_then(|name| name.clone()).map(|name| Box::new((name, entry.cargo.taken)));
+        if entry.row != row {
+            if let Some(old) = std::mem::replace(&mut entry.row, row) {
+                self.rows.leave(&old.0, (old.1, key), entry.announced && entry.end.is_some());
+            }
+            if let Some(new) = &entry.row {
+                self.rows.enter(&new.0, (new.1, key));
+            }
+        }
         if filed != Some(self.terms.me) {
             entry.thin.take().map(|at| self.thin.remove(&(at, key)));
         }
@@ -905,6 +937,10 @@
 
     /// What is due. Call it at the end of each turn, then carry out what `take` gives.
     pub fn tick(&mut self, now: Millis, fine: Time) {
+        if now > self.next() + FROZEN {
+            // It has slept: others may have taken messages in its place, and it has not heard of that yet.
+            self.rows.changed = now;
+        }
         while let Some((at, key)) = self.delayed.first().copied().filter(|(at, _)| *at <= now) {
             self.delayed.remove(&(at, key));
             if let Some(entry) = self.entries.get_mut(&key) {
@@ -952,6 +988,7 @@
         }
         self.look_after_landing(now);
         self.repair(now);
+        self.move_up(now);
         let calls = self.call_back(now);
         self.pump(now, fine);
         self.lane_wait = self.lane_wait.min(calls);
@@ -970,6 +1007,7 @@
             first(&self.expiring),
             first(&self.landing),
             self.next_repair(),
+            self.rows.next(),
             self.ends_at.unwrap_or(Millis::MAX),
             self.upkeep + UPKEEP,
             self.lane_wait,
@@ -1066,6 +1104,10 @@
             landing: None,
             thin: None,
             filed: None,
+            row: None,
+            announced: false,
+            cleared: false,
+            asking: false,
             turn: None,
         }
     }
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -7,9 +7,11 @@
 mod lane;
 mod ledger;
 mod repair;
+mod row;
 mod tokens;
 
 pub use cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
 pub use hold::{first_number, Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
 pub use lane::Server;
 pub use ledger::Ledger;
+pub use row::place;
--- /dev/null
+++ b/hold/src/row.rs
@@ -0,0 +1,330 @@
+//! Messages in order: of one route and key each starts when all that were accepted before it was sent have ended.
+//!
+//! All stores see one order, by (`taken`, key). `taken` is raised at the store beyond all that is known of the row when a
+//! message is put, so that clocks of edges don't matter. Edges choose the store of a row by [`place`]. One that is not the
+//! place, or has not asked since its neighbours changed, asks the others *before* it keeps the message: they name what
+//! they know of the row, and remember the newcomer. So whoever takes the next one knows of this one, wherever it is.
+//! A message that came in another way (taken over, handed over, read from disk) asks before it starts. Nobody waits for a
+//! higher one, so no two wait for each other.
+
+use crate::cargo::{Key, Millis, Node, Note, Record};
+use crate::hold::{Effect, Hold, Stage, Waits};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// While another store holds an earlier one, it is asked again so often, should its word get lost.
+const AGAIN: Millis = 100;
+/// A row is remembered so long after its last message: whoever asks less often asks first.
+const IDLE: Millis = 60_000;
+/// Named in one answer at the most: the lowest ones, and those are what the asker waits for.
+const MOST: usize = 64;
+
+/// Where a message stands among those of its row.
+type Spot = (u64, Key);
+
+#[derive(Debug, Default)]
+struct Row {
+    /// Known here: owned or copies.
+    live: BTreeSet<Spot>,
+    /// Known at others only.
+    outside: BTreeSet<Spot>,
+    /// When all the others were asked.
+    asked: Option<Millis>,
+    asking: bool,
+    next: Millis,
+    used: Millis,
+}
+
+impl Row {
+    /// Beyond all that is known, but for one.
+    fn beyond(&self, key: Key) -> u64 {
+        let all = self.live.iter().rev().chain(self.outside.iter().rev());
+        all.filter(|(_, other)| *other != key).map(|(taken, _)| taken + 1).max().unwrap_or(0)
+    }
+}
+
+#[derive(Debug)]
+struct Asking {
+    row: String,
+    key: Key,
+    waiting: BTreeSet<Node>,
+    answered: BTreeSet<Node>,
+    found: BTreeSet<Spot>,
+    beyond: u64,
+    landing: bool,
+    /// Told by others meanwhile: an answer from before does not undo that.
+    told: BTreeSet<Spot>,
+}
+
+#[derive(Debug, Default)]
+pub(crate) struct Rows {
+    all: HashMap<String, Row>,
+    asking: HashMap<u64, Asking>,
+    number: u64,
+    /// To be looked at in this turn.
+    wake: BTreeSet<String>,
+    later: BTreeSet<(Millis, String)>,
+    /// Ended, and others remember them.
+    done: Vec<(String, Key)>,
+    idle: VecDeque<(Millis, String)>,
+    /// When members or connections last changed.
+    pub changed: Millis,
+}
+
+impl Rows {
+    fn row(&mut self, name: &str) -> &mut Row {
+        if !self.all.contains_key(name) {
+            self.all.insert(name.to_string(), Row::default());
+            self.idle.push_back((IDLE, name.to_string()));
+        }
+        self.all.entry(name.to_string()).or_default()
+    }
+
+    pub fn enter(&mut self, name: &str, spot: Spot) {
+        let row = self.row(name);
+        row.outside.retain(|(_, key)| *key != spot.1);
+        row.live.insert(spot);
+    }
+
+    pub fn leave(&mut self, name: &str, spot: Spot, announced: bool) {
+        self.row(name).live.remove(&spot);
+        self.wake.insert(name.to_string());
+        if announced {
+            self.done.push((name.to_string(), spot.1));
+        }
+    }
+
+    pub fn is_first(&self, name: &str, spot: Spot) -> bool {
+        let first =
+            |row: &Row| row.live.first() == Some(&spot) && row.outside.first().is_none_or(|o| *o > spot);
+        self.all.get(name).is_none_or(first)
+    }
+
+    pub fn next(&self) -> Millis {
+        self.later.first().map_or(Millis::MAX, |(at, _)| *at)
+    }
+}
+
+/// The store of a row among those that are there: each is as likely, and few rows move when one goes.
+pub fn place(row: &str, nodes: impl Iterator<Item = Node>) -> Option<Node> {
+    nodes.max_by_key(|node| stileroute::tariff::mark(&format!("{row}/{node}")))
+}
+
+impl Hold {
+    fn connected(&self) -> BTreeSet<Node> {
+        self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect()
+    }
+
+    /// This store is where all would put a message of the row, it knows all who might have another, and has asked them.
+    fn knows(&self, row: &str) -> bool {
+        let listed = || self.peers.iter().filter(|(_, p)| p.listed);
+        let asked = self.rows.all.get(row).and_then(|row| row.asked);
+        self.acquainted
+            && self.heard
+            && listed().all(|(_, p)| p.connected && !p.leaving)
+            && place(row, listed().map(|(node, _)| *node).chain([self.terms.me])) == Some(self.terms.me)
+            && asked.is_some_and(|at| at > self.rows.changed)
+    }
+
+    /// A message of a row has been put. True: it may be kept at once.
+    pub(crate) fn put_in_row(&mut self, now: Millis, key: Key) -> bool {
+        let Some(name) = self.entries.get(&key).and_then(|e| e.cargo.order_key.clone()) else { return true };
+        let row = self.rows.row(&name);
+        row.used = now;
+        let beyond = row.beyond(key);
+        let knows = self.knows(&name);
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.cargo.taken = entry.cargo.taken.max(beyond);
+            (entry.cleared, entry.asking) = (true, !knows);
+        }
+        self.file(key);
+        if knows {
+            return true;
+        }
+        self.ask(now, name, key, true);
+        // With nobody to ask it is kept already.
+        false
+    }
+
+    fn ask(&mut self, now: Millis, name: String, key: Key, landing: bool) {
+        let Some(taken) = self.entries.get(&key).map(|e| e.cargo.taken) else { return };
+        self.rows.number += 1;
+        let number = self.rows.number;
+        let waiting = self.connected();
+        if let Some(entry) = self.entries.get_mut(&key).filter(|_| landing) {
+            entry.announced = true;
+        }
+        for to in &waiting {
+            let note = Note::RowAsk { number, row: name.clone(), taken, key, announced: landing };
+            self.push(Effect::Send { to: *to, note });
+        }
+        let (answered, found, told) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
+        let asking = Asking { row: name, key, waiting, answered, found, beyond: 0, landing, told };
+        self.rows.asking.insert(number, asking);
+        self.all_answered(now, number);
+    }
+
+    /// Another store asks, and tells of one that it is about to keep.
+    pub(crate) fn row_asked(&mut self, now: Millis, from: Node, ask: (u64, String, u64, Key, bool)) {
+        let (number, name, taken, key, announced) = ask;
+        let row = self.rows.row(&name);
+        row.used = now;
+        // What is known when it is first heard of comes before it; what comes later is put behind it.
+        let known = row.outside.iter().any(|(_, other)| *other == key);
+        let beyond = if known || !announced { 0 } else { row.beyond(key) };
+        let live = row.live.iter().filter(|(_, other)| *other != key).take(MOST).copied().collect();
+        if announced && !self.entries.contains_key(&key) {
+            row.outside.retain(|(_, other)| *other != key);
+            row.outside.insert((taken, key));
+            for asking in self.rows.asking.values_mut().filter(|a| a.row == name) {
+                asking.told.retain(|(_, other)| *other != key);
+                asking.told.insert((taken, key));
+            }
+            self.rows.wake.insert(name.clone());
+        }
+        self.push(Effect::Send { to: from, note: Note::RowLive { number, beyond, live } });
+    }
+
+    pub(crate) fn row_told(&mut self, now: Millis, from: Node, number: u64, beyond: u64, live: Vec<Spot>) {
+        let Some(asking) = self.rows.asking.get_mut(&number) else { return };
+        asking.waiting.remove(&from);
+        asking.answered.insert(from);
+        asking.beyond = asking.beyond.max(beyond);
+        asking.found.extend(live);
+        self.all_answered(now, number);
+    }
+
+    /// One is not there to answer any more: what it had lies with its copies, which are asked too.
+    pub(crate) fn row_lost(&mut self, now: Millis, node: Node) {
+        self.rows.changed = now;
+        let waiting: Vec<u64> = self.rows.asking.keys().copied().collect();
+        for number in waiting {
+            if self.rows.asking.get_mut(&number).is_some_and(|asking| asking.waiting.remove(&node)) {
+                self.all_answered(now, number);
+            }
+        }
+    }
+
+    fn all_answered(&mut self, now: Millis, number: u64) {
+        if self.rows.asking.get(&number).is_none_or(|asking| !asking.waiting.is_empty()) {
+            return;
+        }
+        let Some(asking) = self.rows.asking.remove(&number) else { return };
+        let Asking { row: name, key, answered, found, beyond, landing, told, .. } = asking;
+        // An accepted message lies on `losses` + 1 stores: if no more than `losses` are silent, all are named.
+        let there = |p: &crate::copies::Peer| p.listed || !p.written_off;
+        let silent = self.peers.iter().filter(|(node, p)| there(p) && !answered.contains(node)).count();
+        let enough = silent <= self.terms.losses && self.acquainted;
+        let row = self.rows.row(&name);
+        if !enough {
+            // One that is put is taken back soon, and its edge asks elsewhere.
+            if !landing {
+                (row.asking, row.next) = (false, now + AGAIN);
+                row.outside.extend(told);
+                self.rows.later.insert((now + AGAIN, name));
+            }
+            return;
+        }
+        row.asked = Some(now);
+        row.next = now + AGAIN;
+        if !landing {
+            row.asking = false;
+        }
+        let Some(entry) = self.entries.get_mut(&key) else {
+            self.rows.wake.insert(name);
+            return;
+        };
+        let moved = landing && beyond > entry.cargo.taken;
+        if moved {
+            entry.cargo.taken = beyond;
+        }
+        entry.cleared = true;
+        let spot = (entry.cargo.taken, key);
+        // Earlier ones that nobody names have ended. Of later ones nothing is known by that: those that came since then and
+        // were told here wait for them.
+        let row = self.rows.row(&name);
+        row.outside.retain(|other| landing || *other > spot);
+        row.outside
+            .extend(found.into_iter().chain(told).filter(|(_, other)| !self.entries.contains_key(other)));
+        self.rows.wake.insert(name.clone());
+        if moved {
+            // The others hear of its new spot before it is kept, and put what comes next behind it.
+            self.file(key);
+            self.ask(now, name, key, true);
+        } else if landing {
+            self.embark(key, now);
+        }
+    }
+
+    /// The place of a new message in its row is known: it is kept, here and at its copies.
+    pub(crate) fn embark(&mut self, key: Key, now: Millis) {
+        let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Landing) else { return };
+        entry.asking = false;
+        let copies = entry.copies.clone();
+        let Some(shared) = self.shared(now, key) else { return };
+        self.record(&Record::Put { shared: shared.clone() }, true);
+        self.wait_for_disk(Waits::Own(key));
+        copies.into_iter().for_each(|to| self.copy_to(to, shared.clone()));
+    }
+
+    /// Whether a message that is due may start, as far as its row goes. If not, it is looked at again when that changes.
+    pub(crate) fn may_start(&mut self, now: Millis, key: Key) -> bool {
+        let Some(entry) = self.entries.get(&key) else { return false };
+        let Some(name) = entry.cargo.order_key.clone() else { return true };
+        let (spot, cleared) = ((entry.cargo.taken, key), entry.cleared);
+        let row = self.rows.row(&name);
+        if row.live.first() != Some(&spot) {
+            return false;
+        }
+        if cleared && row.outside.first().is_none_or(|other| *other > spot) {
+            return true;
+        }
+        if !row.asking && now >= row.next {
+            row.asking = true;
+            self.ask(now, name, key, false);
+        } else if !row.asking {
+            let at = row.next;
+            self.rows.later.insert((at, name));
+        }
+        false
+    }
+
+    /// Others had it in mind, and it has ended.
+    pub(crate) fn row_done(&mut self, all: Vec<(String, Key)>) {
+        for (name, key) in all {
+            self.rows.row(&name).outside.retain(|(_, other)| *other != key);
+            self.rows.wake.insert(name);
+        }
+    }
+
+    /// Starts what comes next in rows that have changed.
+    pub(crate) fn move_up(&mut self, now: Millis) {
+        if !self.rows.done.is_empty() {
+            let done = std::mem::take(&mut self.rows.done);
+            for to in self.connected() {
+                self.push(Effect::Send { to, note: Note::RowDone(done.clone()) });
+            }
+        }
+        while self.rows.later.first().is_some_and(|(at, _)| *at <= now) {
+            let (_, name) = self.rows.later.pop_first().unwrap_or_default();
+            self.rows.wake.insert(name);
+        }
+        while let Some(name) = self.rows.wake.pop_first() {
+            let Some((_, key)) = self.rows.all.get(&name).and_then(|row| row.live.first().copied()) else {
+                continue;
+            };
+            if self.entries.get(&key).is_some_and(|e| e.owner == self.terms.me) {
+                self.schedule(now, key);
+            }
+        }
+        while self.rows.idle.front().is_some_and(|(at, _)| *at <= now) {
+            let Some((_, name)) = self.rows.idle.pop_front() else { break };
+            let Some(row) = self.rows.all.get(&name) else { continue };
+            // What is remembered of others only goes too: whoever puts the next message here asks first.
+            if row.live.is_empty() && !row.asking && now >= row.used + IDLE {
+                self.rows.all.remove(&name);
+            } else {
+                self.rows.idle.push_back((now + IDLE, name));
+            }
+        }
+    }
+}
