--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -26,6 +26,8 @@
 /// Messages that are kept for others to pick up at the most.
 const MOST: usize = 400_000;
 const UPKEEP: Millis = 250;
+/// A turn that comes so much too late comes after a freeze.
+const FROZEN: Millis = 500;
 
 #[derive(Clone, Debug)]
 pub struct Terms {
@@ -66,15 +68,32 @@
     pub copies: Vec<Node>,
     pub stage: Stage,
     pub due: Millis,
+    /// After a failed attempt: not before then. Its place among those that wait stays that of `due`.
+    pause: Millis,
+    /// Where it stands in `delayed`.
+    wake: Option<Millis>,
+    /// When it was taken, on this process's clock: before its start if it is less than nought.
+    born: i64,
     pub expires: Millis,
     pub tries: u32,
     fails: u32,
     pub end: Option<End>,
     pub owed: bool,
     /// Where it has still to become safe, and who waits for that.
-    missing: Vec<Node>,
-    ticket: Option<u64>,
-    landed: Millis,
+    pub(crate) missing: Vec<Node>,
+    pub(crate) ticket: Option<u64>,
+    /// Where it stands in `landing`.
+    pub(crate) landing: Option<Millis>,
+    /// Where it stands in `thin`.
+    pub(crate) thin: Option<Millis>,
+    /// By which owner it stands in `live`.
+    filed: Option<Node>,
+    /// Its row, and where it stands there; whether others were told of it, whether they have been asked, and whether it is
+    /// kept only after that.
+    row: Option<Box<(String, u64)>>,
+    pub(crate) announced: bool,
+    pub(crate) cleared: bool,
+    pub(crate) asking: bool,
     turn: Option<(usize, Turn)>,
 }
 
@@ -160,6 +179,14 @@
     pub handed_over: u64,
     pub copied_anew: u64,
     pub no_disk: u64,
+    /// Owned here and on too few disks, as of now; how long it took until none was, the last time.
+    pub thin: usize,
+    pub thin_ms: u64,
+    pub repaired: u64,
+    pub repaired_bytes: u64,
+    /// Comparisons with other stores, and ranges that differed.
+    pub compared: u64,
+    pub differed: u64,
 }
 
 #[derive(Default)]
@@ -194,9 +221,23 @@
     /// Read from disk, and not yet released.
     pub(crate) held: BTreeSet<Key>,
     /// Offered to a successor that has not said yes.
-    pub(crate) handing: HashSet<Key>,
+    pub(crate) handing: HashMap<Key, Node>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
+    /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is gone. All
+    /// entries, with those that ended in the last minutes, are a hundred times as many.
+    pub(crate) live: BTreeSet<(Node, Key)>,
+    /// Owned here and on too few disks: when to see to each.
+    pub(crate) thin: BTreeSet<(Millis, Key)>,
+    pub(crate) thin_since: Option<Millis>,
+    pub(crate) bucket: crate::repair::Bytes,
+    pub(crate) rows: crate::row::Rows,
+    /// To be taken over by then, if their owner is not back.
+    pub(crate) orphans: BTreeSet<(Millis, Key)>,
+    /// Their owner has said that it has lost them with its disk.
+    pub(crate) lost: HashMap<Key, Node>,
     receivers: HashMap<String, Receiver>,
+    /// Call-backs that are out, and where: by the time of the answer the message may know no receiver any more.
+    calling: HashMap<Key, String>,
     next_number: u64,
     next_attempt: u64,
     next_ticket: u64,
@@ -213,6 +254,8 @@
     pub leaving: bool,
     /// The control nodes hear this store: without them and without a peer it may be the one that is cut off.
     pub heard: bool,
+    /// The members have been told: before that a store would take itself for the only one.
+    pub(crate) acquainted: bool,
     pub figures: Figures,
 }
 
@@ -236,10 +279,18 @@
             forget: VecDeque::new(),
             early: HashSet::new(),
             held: BTreeSet::new(),
-            handing: HashSet::new(),
+            handing: HashMap::new(),
             wall: wall.saturating_sub(now),
             landing: BTreeSet::new(),
+            live: BTreeSet::new(),
+            thin: BTreeSet::new(),
+            thin_since: None,
+            bucket: Default::default(),
+            rows: Default::default(),
+            orphans: BTreeSet::new(),
+            lost: HashMap::new(),
             receivers: HashMap::new(),
+            calling: HashMap::new(),
             waits: HashMap::new(),
             records: Vec::new(),
             sync: false,
@@ -250,6 +301,7 @@
             upkeep: now,
             leaving: false,
             heard: true,
+            acquainted: false,
             figures: Figures::default(),
             terms,
         };
@@ -269,7 +321,12 @@
             return;
         }
         let gone = wall.saturating_sub(shared.cargo.taken);
+        // Whoever owns it, or held a copy, may be gone for good: it is missed from now on all the same.
+        for node in shared.copies.iter().chain([&shared.owner]).filter(|node| **node != self.terms.me) {
+            self.peers.entry(*node).or_insert_with(|| Peer::new(now));
+        }
         let mut entry = Entry::of(&shared, now);
+        entry.born = now as i64 - gone as i64;
         // Clocks of machines differ a little: rather late than early.
         entry.due = now + (shared.cargo.delay_ms + 60).saturating_sub(gone).min(shared.cargo.delay_ms);
         entry.stage = match (&end, shared.owner == self.terms.me) {
@@ -280,6 +337,7 @@
         (entry.end, entry.owed) = (end, owed);
         let (stage, owed) = (entry.stage, entry.owed && entry.owner == self.terms.me);
         self.entries.insert(key, entry);
+        self.file(key);
         match stage {
             Stage::Ended => self.forget.push_back((now + self.terms.status_ms + 60_000, key)),
             Stage::Held => {
@@ -290,17 +348,19 @@
         if owed {
             self.owe(key);
         }
-        self.expiry(key, now, gone);
+        self.expiry(key);
     }
 
-    fn expiry(&mut self, key: Key, now: Millis, gone: Millis) {
+    /// By when it has waited too long, as its route says now.
+    pub(crate) fn expiry(&mut self, key: Key) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
+        self.expiring.remove(&(entry.expires, key));
         let most = self
             .config
             .as_ref()
             .and_then(|c| c.route(&entry.cargo.host, &entry.cargo.target).map(|at| c.routes[at].max_wait_ms))
             .unwrap_or(90_000);
-        entry.expires = now + (most + SLACK).saturating_sub(gone);
+        entry.expires = entry.born.saturating_add_unsigned(most + SLACK).max(0) as Millis;
         if entry.end.is_none() {
             self.expiring.insert((entry.expires, key));
         }
@@ -310,7 +370,7 @@
 
     /// A message from an edge.
     pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
-        let copies = self.choose(&[]);
+        let copies = self.choose(now, &[]);
         if self.leaving || copies.len() < self.terms.losses || self.entries.len() >= MOST {
             self.figures.refused += 1;
             self.effects.push(Effect::Taken { ticket, result: Err(Refusal::NotTaken) });
@@ -320,18 +380,19 @@
         let key = Key { origin: self.terms.me, number: self.next_number };
         let due_in = cargo.delay_ms;
         let shared =
-            Shared { key, owner: self.terms.me, term: 0, copies: copies.clone(), due_in, tries: 0, cargo };
-        self.record(&Record::Put { shared: shared.clone() }, true);
-        self.due_waits.push(Waits::Own(key));
+            Shared { key, owner: self.terms.me, copies: copies.clone(), due_in, cargo, ..Shared::default() };
         let mut entry = Entry::of(&shared, now);
         entry.stage = Stage::Landing;
         entry.ticket = Some(ticket);
         entry.missing = std::iter::once(self.terms.me).chain(copies.iter().copied()).collect();
+        let look = now + crate::copies::COPY_WAIT;
+        entry.landing = Some(look);
         self.entries.insert(key, entry);
-        self.landing.insert((now + crate::copies::COPY_WAIT, key));
-        self.expiry(key, now, 0);
-        for to in copies {
-            self.copy_to(to, shared.clone());
+        self.landing.insert((look, key));
+        self.file(key);
+        self.expiry(key);
+        if self.put_in_row(now, key) {
+            self.embark(key, now);
         }
     }
 
@@ -347,37 +408,50 @@
                 (Waits::CopyOf(from, key), true) => self.to(from).copied.push(key),
                 (Waits::CopyOf(from, key), false) => {
                     self.figures.no_disk += 1;
-                    self.entries.remove(&key);
-                    self.to(from).not_copied.push(key);
+                    // Only what it wrote for the sender: it may own the message by now.
+                    if self.entries.get(&key).is_some_and(|e| e.stage == Stage::Copy && e.owner == from) {
+                        self.record(&Record::Drop { key }, false);
+                        self.remove(key);
+                        self.to(from).not_copied.push(key);
+                    }
+                }
+                // With a disk that refuses, too: the message lies on both disks, and the one that gave it away says
+                // on both restarts who owns it. Without a word the other would wait until its time is over.
+                (Waits::HandedBy(from, key), ok) => {
+                    self.figures.no_disk += u64::from(!ok);
+                    let term = self.entries.get(&key).filter(|e| e.owner == self.terms.me).map(|e| e.term);
+                    if let Some(term) = term {
+                        self.to(from).handed.push((key, term));
+                    }
                 }
-                (Waits::HandedBy(from, key), true) => self.to(from).handed.push(key),
-                (Waits::HandedBy(..), false) => self.figures.no_disk += 1,
             }
         }
     }
 
     /// Not safe here: it is taken back everywhere, and its client is told that nothing is known.
-    fn undo(&mut self, key: Key) {
+    pub(crate) fn undo(&mut self, key: Key) {
         let Some(entry) = self.entries.get(&key).filter(|e| e.stage == Stage::Landing) else { return };
         let (ticket, copies) = (entry.ticket, entry.copies.clone());
         self.record(&Record::Drop { key }, false);
         copies.into_iter().for_each(|to| self.to(to).drop.push(key));
         self.remove(key);
-        self.figures.uncertain += 1;
-        if let Some(ticket) = ticket {
-            self.effects.push(Effect::Taken { ticket, result: Err(Refusal::Uncertain) });
-        }
+        self.uncertain(ticket);
     }
 
     pub(crate) fn safe_at(&mut self, now: Millis, key: Key, node: Node) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
+        let was = entry.missing.len();
         entry.missing.retain(|missing| *missing != node);
+        if entry.stage != Stage::Landing && was > entry.missing.len() && entry.missing.is_empty() {
+            self.figures.repaired += 1;
+            return self.look_at_copies(now, key);
+        }
         if entry.stage != Stage::Landing || !entry.missing.is_empty() {
             return;
         }
         entry.stage = Stage::Waiting;
-        let (ticket, copy, landed) = (entry.ticket.take(), entry.copies.first().copied(), entry.landed);
-        self.landing.remove(&(landed + crate::copies::COPY_WAIT, key));
+        let (ticket, copy, look) = (entry.ticket.take(), entry.copies.first().copied(), entry.landing.take());
+        look.map(|at| self.landing.remove(&(at, key)));
         if let Some(ticket) = ticket {
             self.figures.taken += 1;
             self.effects.push(Effect::Taken { ticket, result: Ok(key.name(copy)) });
@@ -434,6 +508,9 @@
             self.unschedule(key);
             self.schedule(now, key);
         }
+        // So are the times that messages may wait: those read from disk did not know theirs.
+        let live = self.entries.iter().filter(|(_, e)| e.end.is_none()).map(|(key, _)| *key);
+        live.collect::<Vec<_>>().into_iter().for_each(|key| self.expiry(key));
     }
 
     pub fn version(&self) -> u64 {
@@ -459,7 +536,8 @@
             lane.nodes(nodes);
             let Some(bucket) = &mut lane.bucket else { continue };
             let holder = holder_of(&lane.name, self.terms.me, &self.peers);
-            bucket.holder(now, holder == self.terms.me && self.heard && !self.leaving);
+            let may = self.heard && self.acquainted && !self.leaving;
+            bucket.holder(now, holder == self.terms.me && may);
         }
     }
 
@@ -475,10 +553,16 @@
             self.hand_over(key);
             return;
         }
-        if entry.due > now {
-            self.delayed.insert((entry.due, key));
+        let start = entry.due.max(entry.pause);
+        if start > now {
+            entry.wake = Some(start);
+            self.delayed.insert((start, key));
+            return;
+        }
+        if !self.may_start(now, key) {
             return;
         }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         let Some(config) = &self.config else {
             self.early.insert(key);
             return;
@@ -507,7 +591,9 @@
 
     pub(crate) fn unschedule(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(&key) {
-            self.delayed.remove(&(entry.due, key));
+            if let Some(at) = entry.wake.take() {
+                self.delayed.remove(&(at, key));
+            }
             if let Some((at, turn)) = entry.turn.take() {
                 self.lanes[at].ready.remove(&turn);
             }
@@ -529,6 +615,13 @@
                     self.lanes[at].ready.remove(&turn);
                     continue;
                 };
+                // An earlier one of its row has come to light since: it waits again.
+                let spot = (entry.cargo.taken, key);
+                if entry.cargo.order_key.as_ref().is_some_and(|row| !self.rows.is_first(row, spot)) {
+                    entry.turn = None;
+                    self.lanes[at].ready.remove(&turn);
+                    continue;
+                }
                 let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else { break };
                 let route = &config.routes[route];
                 if !late && now > due + route.run_target_ms {
@@ -563,7 +656,7 @@
                 match lane.pick(fine, now, key, attempt) {
                     Picked::Wait(until) => {
                         if let Some(bucket) = &mut lane.bucket {
-                            bucket.give_back(now);
+                            bucket.give_back();
                         }
                         self.lane_wait = self.lane_wait.min(until);
                         break;
@@ -634,6 +727,11 @@
         if entry.stage != Stage::Out {
             return;
         }
+        if entry.owner != self.terms.me {
+            // While it was out another store has become its owner, and delivers it.
+            entry.stage = Stage::Copy;
+            return;
+        }
         entry.stage = Stage::Waiting;
         let limit = self.config.as_ref().and_then(|config| {
             config.route(&entry.cargo.host, &entry.cargo.target).map(|at| config.routes[at].max_tries)
@@ -644,20 +742,14 @@
         // One that was turned away, or never reached anyone, may go elsewhere soon; one that failed waits longer.
         entry.fails += 1;
         let pause = match outcome {
-            Outcome::Full | Outcome::NoRoom | Outcome::Wrong | Outcome::NotConnected => AGAIN.0 / 4,
+            Outcome::Full | Outcome::NoRoom | Outcome::Wrong | Outcome::NotConnected => {
+                (AGAIN.0 / 4) << (entry.fails / 4).min(5)
+            }
             Outcome::Running => 100,
             _ => (AGAIN.0 << entry.fails.min(8)).min(AGAIN.1),
         };
-        if self.leaving {
-            self.hand_over(key);
-            return;
-        }
-        self.delay(key, now + pause);
-    }
-
-    fn delay(&mut self, key: Key, until: Millis) {
-        // The place among those that wait stays that of its first due time: only its start is put off.
-        self.delayed.insert((until, key));
+        entry.pause = now + pause;
+        self.schedule(now, key);
     }
 
     /// The message has ended.
@@ -668,17 +760,23 @@
         (entry.stage, entry.end, entry.owed) = (Stage::Ended, Some(end.clone()), owed);
         entry.strip();
         self.expiring.remove(&(entry.expires, key));
-        let copies = entry.copies.clone();
+        let mut told = entry.copies.clone();
+        // Its run came to an end here, though another store owns it by now: that one calls back.
+        told.extend(
+            Some(entry.owner).filter(|owner| *owner != self.terms.me && !entry.copies.contains(owner)),
+        );
         match end {
             End::Complete { .. } => self.figures.done += 1,
             End::Failed => self.figures.failed += 1,
         }
         self.forget.push_back((now + self.terms.status_ms + 60_000, key));
         self.record(&Record::End { key, end: end.clone(), owed, at: self.wall_of(now) }, false);
-        for to in copies {
+        for to in told {
             self.to(to).ends.push((key, end.clone(), owed));
         }
         self.ends_at.get_or_insert(now + TELL);
+        self.handing.remove(&key);
+        self.file(key);
         if owed {
             self.owe(key);
         }
@@ -697,7 +795,7 @@
     fn call_back(&mut self, now: Millis) -> Millis {
         let mut next = Millis::MAX;
         let mut calls = Vec::new();
-        for receiver in self.receivers.values_mut() {
+        for (place, receiver) in &mut self.receivers {
             // One that fails is tried with one call at a time, and less and less often.
             let most = if receiver.fails > 0 { 1 } else { CALLS };
             while receiver.out < most && !receiver.queue.is_empty() {
@@ -707,8 +805,10 @@
                 }
                 let Some(key) = receiver.queue.pop_front() else { break };
                 let entry = self.entries.get(&key).filter(|e| e.owed && e.owner == self.terms.me);
+                let entry = entry.filter(|_| !self.calling.contains_key(&key));
                 let Some((entry, end)) = entry.and_then(|e| Some((e, e.end.as_ref()?))) else { continue };
                 receiver.out += 1;
+                self.calling.insert(key, place.clone());
                 let id = &entry.cargo.id;
                 let body = match end {
                     End::Complete { seal } => {
@@ -731,14 +831,29 @@
         (entry.stage, entry.end, entry.owed) = (Stage::Ended, Some(end), owed);
         entry.strip();
         self.expiring.remove(&(entry.expires, key));
+        entry.landing.take().map(|at| self.landing.remove(&(at, key)));
+        let (ticket, own) = (entry.ticket.take(), entry.owner == self.terms.me);
         self.held.remove(&key);
+        self.handing.remove(&key);
+        self.file(key);
         self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+        self.uncertain(ticket);
+        if own && owed {
+            self.owe(key);
+        }
+    }
+
+    /// It may run or not: its edge is told so, for nothing better can be said.
+    pub(crate) fn uncertain(&mut self, ticket: Option<u64>) {
+        if let Some(ticket) = ticket {
+            self.figures.uncertain += 1;
+            self.effects.push(Effect::Taken { ticket, result: Err(Refusal::Uncertain) });
+        }
     }
 
     /// A call-back came to its end.
     pub fn called(&mut self, now: Millis, key: Key, taken: bool) {
-        let Some(entry) = self.entries.get_mut(&key) else { return };
-        let place = receiver(entry.cargo.callback.as_deref().unwrap_or_default());
+        let Some(place) = self.calling.remove(&key) else { return };
         let receiver = self.receivers.entry(place).or_default();
         receiver.out = receiver.out.saturating_sub(1);
         if !taken {
@@ -748,9 +863,11 @@
             return;
         }
         receiver.fails = 0;
+        let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_some()) else { return };
         entry.owed = false;
         entry.strip();
         let copies = entry.copies.clone();
+        self.file(key);
         self.figures.called += 1;
         self.record(&Record::Called { key }, false);
         copies.into_iter().for_each(|to| self.to(to).called.push(key));
@@ -773,27 +890,66 @@
         self.unschedule(key);
         if let Some(entry) = self.entries.remove(&key) {
             self.expiring.remove(&(entry.expires, key));
-            self.landing.remove(&(entry.landed + crate::copies::COPY_WAIT, key));
+            entry.landing.map(|at| self.landing.remove(&(at, key)));
+            entry.thin.map(|at| self.thin.remove(&(at, key)));
+            entry.filed.map(|owner| self.live.remove(&(owner, key)));
+            if let Some(row) = entry.row {
+                self.rows.leave(&row.0, (row.1, key), entry.announced);
+            }
+            self.held.remove(&key);
+            self.handing.remove(&key);
+        }
+    }
+
+    /// Keeps `live` in step with an entry that has changed.
+    pub(crate) fn file(&mut self, key: Key) {
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let filed = (entry.end.is_none() || entry.owed).then_some(entry.owner);
+        let was = std::mem::replace(&mut entry.filed, filed);
+        if was != filed {
+            was.map(|owner| self.live.remove(&(owner, key)));
+            filed.map(|owner| self.live.insert((owner, key)));
+        }
+        let row = (entry.end.is_none()).then_some(&entry.cargo.order_key);
+        let row = row.and_then(|name| name.clone()).map(|name| Box::new((name, entry.cargo.taken)));
+        if entry.row != row {
+            if let Some(old) = std::mem::replace(&mut entry.row, row) {
+                self.rows.leave(&old.0, (old.1, key), entry.announced && entry.end.is_some());
+            }
+            if let Some(new) = &entry.row {
+                self.rows.enter(&new.0, (new.1, key));
+            }
+        }
+        if filed != Some(self.terms.me) {
+            entry.thin.take().map(|at| self.thin.remove(&(at, key)));
         }
     }
 
     pub(crate) fn enter(&mut self, now: Millis, shared: &Shared, stage: Stage) {
         let mut entry = Entry::of(shared, now);
         entry.stage = stage;
-        let old = self.entries.remove(&shared.key);
-        if let Some(old) = old {
-            self.expiring.remove(&(old.expires, shared.key));
-        }
+        // It may wait, land or be out here: none of that may go on with what is put in its place.
+        let old = self.entries.get_mut(&shared.key).and_then(|old| old.ticket.take());
+        self.remove(shared.key);
+        self.uncertain(old);
         self.entries.insert(shared.key, entry);
-        self.expiry(shared.key, now, 0);
+        self.file(shared.key);
+        self.expiry(shared.key);
     }
 
     // ---- Time, disk, and what goes out ----
 
     /// What is due. Call it at the end of each turn, then carry out what `take` gives.
     pub fn tick(&mut self, now: Millis, fine: Time) {
+        if now > self.next() + FROZEN {
+            // It has slept: others may have taken messages in its place, and it has not heard of that yet.
+            self.rows.changed = now;
+        }
         while let Some((at, key)) = self.delayed.first().copied().filter(|(at, _)| *at <= now) {
             self.delayed.remove(&(at, key));
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.wake = None;
+            }
             self.schedule(now, key);
         }
         while let Some((at, key)) = self.expiring.first().copied().filter(|(at, _)| *at <= now) {
@@ -812,8 +968,20 @@
                 break;
             }
             self.forget.pop_front();
-            if self.entries.get(&key).is_some_and(|e| !(e.owed && e.owner == self.terms.me)) {
-                self.remove(key);
+            let Some(entry) = self.entries.get(&key) else { continue };
+            match (entry.owner == self.terms.me, &entry.end) {
+                // The call-back is owed yet.
+                (true, Some(_)) if entry.owed => {
+                    self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+                }
+                // It was a copy when it was put here, and has been taken over.
+                (true, None) => {}
+                // Its owner never told an end. Left on the disk it would be read as live for ever.
+                (false, None) => {
+                    self.record(&Record::Drop { key }, false);
+                    self.remove(key);
+                }
+                _ => self.remove(key),
             }
         }
         if now >= self.upkeep + UPKEEP {
@@ -823,6 +991,8 @@
             self.look_after(now);
         }
         self.look_after_landing(now);
+        self.repair(now);
+        self.move_up(now);
         let calls = self.call_back(now);
         self.pump(now, fine);
         self.lane_wait = self.lane_wait.min(calls);
@@ -840,6 +1010,8 @@
             first(&self.delayed),
             first(&self.expiring),
             first(&self.landing),
+            self.next_repair(),
+            self.rows.next(),
             self.ends_at.unwrap_or(Millis::MAX),
             self.upkeep + UPKEEP,
             self.lane_wait,
@@ -910,21 +1082,7 @@
     }
 
     pub fn live(&self) -> usize {
-        self.entries.values().filter(|e| e.end.is_none()).count()
-    }
-}
-
-impl Default for Shared {
-    fn default() -> Shared {
-        Shared {
-            key: Key::default(),
-            owner: 0,
-            term: 0,
-            copies: Vec::new(),
-            due_in: 0,
-            tries: 0,
-            cargo: Cargo::default(),
-        }
+        self.live.len()
     }
 }
 
@@ -937,6 +1095,9 @@
             copies: shared.copies.clone(),
             stage: Stage::Copy,
             due: now + shared.due_in,
+            pause: 0,
+            wake: None,
+            born: now as i64 - shared.waited as i64,
             expires: Millis::MAX,
             tries: shared.tries,
             fails: 0,
@@ -944,7 +1105,13 @@
             owed: false,
             missing: Vec::new(),
             ticket: None,
-            landed: now,
+            landing: None,
+            thin: None,
+            filed: None,
+            row: None,
+            announced: false,
+            cleared: false,
+            asking: false,
             turn: None,
         }
     }
@@ -961,17 +1128,8 @@
         }
     }
 
-    pub(crate) fn still_missing(&self) -> &[Node] {
-        &self.missing
-    }
-    pub(crate) fn now_missing(&mut self, from: Node, to: Node) {
-        self.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
-    }
-    pub(crate) fn since(&self) -> Millis {
-        self.landed
-    }
-    pub(crate) fn again(&mut self, now: Millis) {
-        self.landed = now;
+    pub(crate) fn waited(&self, now: Millis) -> u64 {
+        (now as i64 - self.born).max(0) as u64
     }
 }
 
