A store is emptied on an operator's order: retire begin and read, complete when every copy lies elsewhere

Now the store has the order on disk before it is confirmed, hands over what it owns, the others copy anew what lies there at the rate of repair and say that they count on it no longer.

--- a/harbour/src/calls.rs
+++ b/harbour/src/calls.rs
@@ -224,12 +224,20 @@
 pub enum Retire {
     Unknown,
     TooFew,
+    /// The store has the order on its disk.
+    Taken,
+    NotNow,
 }
 impl From<Retire> for Answer {
     fn from(retire: Retire) -> Answer {
         match retire {
             Retire::Unknown => fault(404, "no such machine"),
             Retire::TooFew => fault(409, "too few would be left"),
+            Retire::Taken => Answer::json(200, "{}".to_string()),
+            Retire::NotNow => Answer {
+                headers: vec![("Retry-After", "1".to_string())],
+                ..fault(503, "it has not confirmed")
+            },
         }
     }
 }
@@ -242,6 +250,33 @@
     }
 }
 
+pub struct RetireRead {
+    pub node: String,
+}
+pub enum Retired {
+    Unknown,
+    Rolling,
+    Complete,
+}
+impl From<Retired> for Answer {
+    fn from(retired: Retired) -> Answer {
+        let state = match retired {
+            Retired::Unknown => return fault(404, "no such machine, or it is not to be emptied"),
+            Retired::Rolling => "rolling",
+            Retired::Complete => "complete",
+        };
+        Answer::json(200, jzon::object! { "state" => state }.dump())
+    }
+}
+impl Call for RetireRead {
+    type Answer = Retired;
+    const METHOD: &'static str = "GET";
+    const PATH: &'static str = "/v1/retire/*/read";
+    fn read(name: &str, _: &[u8]) -> Result<RetireRead, String> {
+        Ok(RetireRead { node: name.to_string() })
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -3,13 +3,14 @@
 mod report;
 
 use crate::calls::{
-    self, Desk, Done, Heard, Heartbeat, Leave, ReadSettings, Replace, Replaced, Retire, RetireBegin, Settings,
+    self, Desk, Done, Heard, Heartbeat, Leave, ReadSettings, Replace, Replaced, Retire, RetireBegin,
+    RetireRead, Retired, Settings,
 };
 use crate::links::Word;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{lot, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Hello, Member, Passed, Signal, Standing};
+use crate::signals::{Beat, Class, Hello, Member, Passed, Retiring, Signal, Standing};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
@@ -57,6 +58,8 @@
     /// Calls by their place while the machine settles them, and those that another settles.
     calls: HashMap<u64, Passed>,
     passed: HashMap<u64, (Node, bool)>,
+    /// Orders to empty a store that it has not confirmed, and since when.
+    retirements: HashMap<u64, (String, Millis)>,
     released: Option<Millis>,
 }
 
@@ -105,6 +108,7 @@
             next_place: 1,
             calls: HashMap::new(),
             passed: HashMap::new(),
+            retirements: HashMap::new(),
             released: None,
             common,
         })
@@ -123,6 +127,7 @@
             self.carry_out();
             self.connect();
             self.tell(now);
+            self.answer_retirements(now);
             if self.common.told_to_end() {
                 self.pilot.release(now);
                 self.carry_out();
@@ -194,9 +199,12 @@
                 self.roster.core_down(now, node);
             }
             Word::Down(node, _) => self.roster.session_down(now, node),
-            Word::Said(from, class, Signal::Ask { life, version, config }) if class != Class::Core => {
+            Word::Said(from, class, Signal::Ask { life, version, config, retiring })
+                if class != Class::Core =>
+            {
                 if let Some(hello) = self.common.links.hello(from) {
-                    self.roster.asked(now, member_of(hello, config), life, version);
+                    let member = Member { retiring, ..member_of(hello, config) };
+                    self.roster.asked(now, member, life, version);
                 }
             }
             Word::Said(from, Class::Core, Signal::Pilot(signal)) => {
@@ -204,6 +212,7 @@
                     self.pilot.signal(now, voter, signal);
                 }
             }
+            Word::Said(_, Class::Core, Signal::Retire { node }) => self.order_retirement(node),
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
                 self.roster.told_sessions(now, from, members)
             }
@@ -249,7 +258,8 @@
             .or_else(|| calls::handle::<Leave, _>(self, place, request))
             .or_else(|| calls::handle::<Replace, _>(self, place, request))
             .or_else(|| calls::handle::<ReadSettings, _>(self, place, request))
-            .or_else(|| calls::handle::<RetireBegin, _>(self, place, request));
+            .or_else(|| calls::handle::<RetireBegin, _>(self, place, request))
+            .or_else(|| calls::handle::<RetireRead, _>(self, place, request));
         match answer {
             Some(Some(answer)) => self.said(place, answer),
             Some(None) => {}
@@ -351,6 +361,26 @@
         }
     }
 
+    /// To the store, if its session is here.
+    fn order_retirement(&mut self, node: Node) {
+        if self.roster.sessions.get(&node).is_some_and(|s| s.up) {
+            self.common.links.say(&mut self.common.net, node, &Signal::Retire { node });
+        }
+    }
+
+    /// Orders to empty a store are answered when the store has the order on its disk.
+    fn answer_retirements(&mut self, now: Millis) {
+        let places: Vec<u64> = self.retirements.keys().copied().collect();
+        for place in places {
+            let Some((name, since)) = self.retirements.get(&place).cloned() else { continue };
+            let taken = self.roster.store(&name).is_some_and(|m| m.retiring != Retiring::No);
+            if taken || now > since + RETIRE {
+                self.retirements.remove(&place);
+                self.said(place, if taken { Retire::Taken.into() } else { Retire::NotNow.into() });
+            }
+        }
+    }
+
     /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
         let in_touch = self.pilot.in_touch(now);
@@ -370,6 +400,9 @@
     }
 }
 
+/// An order to empty a store is confirmed by then, or the operator sends it again.
+const RETIRE: Millis = 1500;
+
 fn member_of(hello: &Hello, config: u64) -> Member {
     Member {
         node: hello.node,
@@ -380,6 +413,7 @@
         life: hello.life,
         control: hello.control,
         config,
+        retiring: Retiring::No,
     }
 }
 
@@ -437,8 +471,36 @@
 }
 
 impl Desk<RetireBegin> for Core {
-    fn settle(&mut self, _: u64, call: RetireBegin) -> Option<Retire> {
-        let known = self.roster.members.iter().any(|m| m.class == Class::Store && m.name == call.node);
-        Some(if known { Retire::TooFew } else { Retire::Unknown })
+    fn settle(&mut self, place: u64, call: RetireBegin) -> Option<Retire> {
+        let Some(store) = self.roster.store(&call.node) else { return Some(Retire::Unknown) };
+        let (node, retiring) = (store.node, store.retiring);
+        if retiring != Retiring::No {
+            return Some(Retire::Taken);
+        }
+        // With one of those that are left lost, as is to be borne, there must still be stores for every copy.
+        let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
+        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No).count();
+        if left < 2 * self.common.boot.losses.machines + 1 {
+            return Some(Retire::TooFew);
+        }
+        let now = self.common.net.now();
+        self.retirements.insert(place, (call.node, now));
+        self.order_retirement(node);
+        for core in self.common.links.class(Class::Core) {
+            self.common.links.say(&mut self.common.net, core, &Signal::Retire { node });
+        }
+        None
+    }
+}
+
+impl Desk<RetireRead> for Core {
+    fn settle(&mut self, _: u64, call: RetireRead) -> Option<Retired> {
+        let complete = self.roster.retired.contains(&call.node);
+        Some(match self.roster.store(&call.node).map(|m| m.retiring) {
+            Some(Retiring::Rolling) => Retired::Rolling,
+            Some(Retiring::Complete) => Retired::Complete,
+            None if complete => Retired::Complete,
+            _ => Retired::Unknown,
+        })
     }
 }
--- a/harbour/src/node.rs
+++ b/harbour/src/node.rs
@@ -4,7 +4,7 @@
 use crate::net::{Bounds, Event, Millis, Net};
 use crate::report::Inquiry;
 use crate::settings;
-use crate::signals::{Class, Hello, Member, News, Signal, PROTOCOL};
+use crate::signals::{Class, Hello, Member, News, Retiring, Signal, PROTOCOL};
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -57,6 +57,8 @@
     /// The one that answered last, and since when it is this one.
     stands: Option<Node>,
     pub since: Millis,
+    /// Whether this node, a store, is to be emptied: its control node is told with each question.
+    retiring: Retiring,
     /// One that said that it is cut off, and until when others are asked first.
     shunned: Vec<(Node, Millis)>,
     asked: Option<Millis>,
@@ -105,6 +107,7 @@
             with: None,
             stands: None,
             since: 0,
+            retiring: Retiring::No,
             shunned: Vec::new(),
             asked: None,
             heard: 0,
@@ -249,10 +252,19 @@
         chosen.into_iter().map(|c| self.links.address(*c.ip(), Class::Core)).collect()
     }
 
+    /// Tells its control node at once.
+    pub fn retires(&mut self, retiring: Retiring) {
+        if std::mem::replace(&mut self.session.retiring, retiring) != retiring {
+            tracing::info!(%retiring, "retirement");
+            self.ask();
+        }
+    }
+
     fn ask(&mut self) {
         let Some(with) = self.session.with else { return };
         let config = self.config.as_ref().map_or(0, |c| c.revision);
-        let ask = Signal::Ask { life: self.session.life, version: self.session.version, config };
+        let retiring = self.session.retiring;
+        let ask = Signal::Ask { life: self.session.life, version: self.session.version, config, retiring };
         if self.links.say(&mut self.net, with, &ask) {
             self.session.asked = Some(self.net.now());
         }
--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_hold::{Cargo, Key, Node, Note, Refusal};
-pub use stileroute_roster::{Beat, Class, Member, News, Standing};
+pub use stileroute_roster::{Beat, Class, Member, News, Retiring, Standing};
 
 /// A version of the protocol: others are turned away by name.
 pub const PROTOCOL: u16 = 1;
@@ -38,6 +38,7 @@
         life: u64,
         version: u64,
         config: u64,
+        retiring: Retiring,
     },
     News(News),
     Put {
@@ -90,6 +91,10 @@
     Count {
         ticket: u64,
     },
+    /// A store is to be emptied: from control node to control node, and from the one with its session to the store.
+    Retire {
+        node: Node,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/harbour/src/state.rs
+++ b/harbour/src/state.rs
@@ -37,6 +37,7 @@
                 Record::Called { .. } => "called",
                 Record::Own { .. } => "own",
                 Record::Drop { .. } => "drop",
+                Record::Retire => "retire",
             });
             ledger.enter(record);
         }
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -6,7 +6,7 @@
 use crate::net::{Event, Failure, Millis, Reply};
 use crate::node::{lot, wall, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Found, Signal, Standing};
+use crate::signals::{Beat, Class, Found, Retiring, Signal, Standing};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddrV4;
@@ -113,6 +113,14 @@
                 self.hold.leave(now);
             }
             self.carry_out();
+            let retiring = self.hold.retired().map_or(Retiring::No, |empty| {
+                if empty {
+                    Retiring::Complete
+                } else {
+                    Retiring::Rolling
+                }
+            });
+            self.common.retires(retiring);
             for line in self.hold.log() {
                 tracing::debug!("{line}");
             }
@@ -216,6 +224,12 @@
                 self.common.links.say(&mut self.common.net, from, &Signal::Found { ticket, found });
             }
             Word::Said(from, Class::Store, Signal::Note(note)) => self.hold.note(now, from, note),
+            Word::Said(_, Class::Core, Signal::Retire { node }) if node == self.common.links.me().node => {
+                self.hold.retire(now);
+                for edge in self.common.links.class(Class::Edge) {
+                    self.common.links.say(&mut self.common.net, edge, &Signal::Leaving);
+                }
+            }
             Word::Said(..) => {}
         }
     }
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -111,6 +111,8 @@
     Drop {
         key: Key,
     },
+    /// An operator has ordered this store to be emptied.
+    Retire,
 }
 
 /// Who owns a message, and where its copies lie.
@@ -211,6 +213,10 @@
     Leaving,
     Ping(u64),
     Pong(u64),
+    /// The sender is to be emptied for good: copies that lie there are to lie elsewhere.
+    Retiring,
+    /// The sender counts on no copy that lies at the receiver.
+    Relieved,
     /// Tokens of a service with a ceiling: so many are wanted, so many may be used.
     TokensWanted {
         service: String,
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -23,6 +23,9 @@
     pub zone: usize,
     pub connected: bool,
     pub leaving: bool,
+    /// It is to be emptied for good, and when it was last told that nobody counts on it.
+    pub(crate) retiring: bool,
+    pub(crate) relieved_at: Millis,
     /// It is a member, as the control nodes tell.
     pub listed: bool,
     pub(crate) since: Millis,
@@ -105,12 +108,16 @@
         if self.leaving {
             self.push(Effect::Send { to: node, note: Note::Leaving });
         }
+        if self.retiring {
+            self.push(Effect::Send { to: node, note: Note::Retiring });
+        }
     }
 
     pub fn down(&mut self, now: Millis, node: Node) {
         let peer = self.peers.entry(node).or_default();
         (peer.connected, peer.stood, peer.since) = (false, false, now);
         peer.out = Outbox::default();
+        self.relieved.remove(&node);
         let waiting: Vec<Key> = self
             .landing
             .iter()
@@ -310,6 +317,13 @@
             Note::HandoverRefused(keys) => {
                 for key in keys {
                     self.handing.remove(&key);
+                    if self.retiring {
+                        // It holds no copy after all: it gets one, or another does, before it is asked again.
+                        if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Held) {
+                            entry.stage = Stage::Waiting;
+                        }
+                        self.not_on(now, key, from);
+                    }
                 }
             }
             Note::RowAsk { number, row, taken, key, announced } => {
@@ -322,6 +336,14 @@
                 self.peers.entry(from).or_default().leaving = true;
                 self.deal_duties(now);
             }
+            Note::Retiring => {
+                let peer = self.peers.entry(from).or_default();
+                (peer.leaving, peer.retiring) = (true, true);
+                self.deal_duties(now);
+            }
+            Note::Relieved => {
+                self.relieved.insert(from);
+            }
             Note::Ping(number) => self.push(Effect::Send { to: from, note: Note::Pong(number) }),
             Note::Pong(_) => {}
             Note::TokensWanted { service, count } => self.tokens_wanted(now, from, service, count),
@@ -575,6 +597,7 @@
         }
         self.release(now);
         self.look_at_holders(now);
+        self.look_after_retiring(now);
     }
 
     /// How many that hold a copy, and are here, come before this store. One that is no longer named comes last.
@@ -621,7 +644,7 @@
         self.hand_all_over();
     }
 
-    fn hand_all_over(&mut self) {
+    pub(crate) fn hand_all_over(&mut self) {
         let waiting: Vec<Key> = self
             .owned_here()
             .filter(|(_, e)| matches!(e.stage, Stage::Waiting) || e.end.is_some())
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -203,6 +203,7 @@
     Own(Key),
     CopyOf(Node, Key),
     HandedBy(Node, Key),
+    Retire,
 }
 
 pub struct Hold {
@@ -252,6 +253,10 @@
     /// The time of day when the steady clock stood at nought.
     wall: u64,
     pub leaving: bool,
+    /// It is to be emptied, and who counts on no copy here.
+    pub(crate) retiring: bool,
+    pub(crate) retire_kept: bool,
+    pub(crate) relieved: BTreeSet<Node>,
     /// The control nodes hear this store: without them and without a peer it may be the one that is cut off.
     pub heard: bool,
     /// The members have been told: before that a store would take itself for the only one.
@@ -300,6 +305,9 @@
             lane_wait: 0,
             upkeep: now,
             leaving: false,
+            retiring: ledger.retire,
+            retire_kept: ledger.retire,
+            relieved: BTreeSet::new(),
             heard: true,
             acquainted: false,
             figures: Figures::default(),
@@ -308,6 +316,9 @@
         for (key, kept) in ledger.all {
             hold.recall(key, kept, now, wall);
         }
+        if ledger.retire {
+            hold.begin_retiring(now);
+        }
         hold
     }
 
@@ -400,6 +411,11 @@
     pub fn kept(&mut self, now: Millis, ticket: u64, ok: bool) {
         for wait in self.waits.remove(&ticket).unwrap_or_default() {
             match (wait, ok) {
+                (Waits::Retire, ok) => {
+                    self.retire_kept = ok;
+                    // Not on disk it would be forgotten: the operator asks again.
+                    self.retiring = ok;
+                }
                 (Waits::Own(key), true) => self.safe_at(now, key, self.terms.me),
                 (Waits::Own(key), false) => {
                     self.figures.no_disk += 1;
--- a/hold/src/ledger.rs
+++ b/hold/src/ledger.rs
@@ -17,6 +17,8 @@
 pub struct Ledger {
     /// The disk's number, and the first number that was given with it.
     pub disk: Option<(u64, u64)>,
+    /// It is to be emptied.
+    pub retire: bool,
     pub all: HashMap<Key, Kept>,
     /// Highest number of each origin would do; only the own one is used.
     pub highest: HashMap<u32, u64>,
@@ -59,6 +61,7 @@
                     }
                 }
             }
+            Record::Retire => self.retire = true,
             Record::Drop { key } => {
                 self.all.remove(&key);
             }
@@ -83,6 +86,9 @@
         if let Some((disk, first)) = self.disk {
             put(&Record::Born { disk, first });
         }
+        if self.retire {
+            put(&Record::Retire);
+        }
         for (key, kept) in &self.all {
             let old = |at: u64| at + KEPT < self.latest;
             if kept.end.as_ref().is_some_and(|(_, owed, at)| !owed && old(*at)) {
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -7,6 +7,7 @@
 mod lane;
 mod ledger;
 mod repair;
+mod retire;
 mod row;
 mod tokens;
 
--- /dev/null
+++ b/hold/src/retire.rs
@@ -0,0 +1,62 @@
+//! Emptying a store for good: it takes nothing more, gives what it owns to those that hold the copies, and the others make
+//! the copies that lie here anew elsewhere. It is empty when all of them have said that they count on it no longer.
+
+use crate::cargo::{Key, Millis, Node, Note, Record};
+use crate::hold::{Effect, Hold, Waits};
+
+/// How often one that retires is told that nobody counts on it: a word lost with a connection comes again.
+const TELL: Millis = 500;
+
+impl Hold {
+    /// Ordered by an operator. It holds over restarts: the order is on disk before it is confirmed.
+    pub fn retire(&mut self, now: Millis) {
+        if std::mem::replace(&mut self.retiring, true) {
+            return;
+        }
+        self.record(&Record::Retire, true);
+        self.wait_for_disk(Waits::Retire);
+        self.begin_retiring(now);
+    }
+
+    pub(crate) fn begin_retiring(&mut self, now: Millis) {
+        self.retiring = true;
+        let peers: Vec<Node> =
+            self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
+        for to in peers {
+            self.push(Effect::Send { to, note: Note::Retiring });
+        }
+        self.leave(now);
+    }
+
+    /// Whether it retires, and the order is on disk, and if so whether every copy lies elsewhere.
+    pub fn retired(&self) -> Option<bool> {
+        if !self.retire_kept {
+            return None;
+        }
+        let empty = self.owned_here().next().is_none() && self.in_hand() == 0 && self.ends_at.is_none();
+        let mut others = self.peers.iter().filter(|(_, p)| p.listed).peekable();
+        // Cut off, or before it knows them, it can't speak for the others.
+        let known = others.peek().is_some() && self.heard && self.acquainted;
+        Some(empty && known && others.all(|(node, p)| p.connected && self.relieved.contains(node)))
+    }
+
+    /// Another store retires: what it holds for this one is copied elsewhere, at the rate of repair.
+    pub(crate) fn look_after_retiring(&mut self, now: Millis) {
+        if self.retiring {
+            self.hand_all_over();
+        }
+        let retiring =
+            self.peers.iter().filter(|(_, p)| p.retiring && p.connected && now >= p.relieved_at + TELL);
+        let retiring: Vec<Node> = retiring.map(|(node, _)| *node).collect();
+        for node in retiring {
+            let counted = self.owned_here().filter(|(_, e)| e.copies.contains(&node)).map(|(key, _)| key);
+            let counted: Vec<Key> = counted.collect();
+            let free = counted.is_empty() && self.thin.is_empty();
+            counted.into_iter().for_each(|key| self.not_on(now, key, node));
+            if free {
+                self.peers.entry(node).or_default().relieved_at = now;
+                self.push(Effect::Send { to: node, note: Note::Relieved });
+            }
+        }
+    }
+}
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -17,7 +17,7 @@
 pub use types::*;
 
 use executors::Executors;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A node asks again as soon as it is answered; with no news it is answered after so long.
 pub const HOLD: Millis = 900;
@@ -77,6 +77,8 @@
     /// Control nodes that are connected.
     cores: BTreeMap<Node, Member>,
     pub members: Vec<Member>,
+    /// Stores that were seen empty: the machine is taken away at once, and may be asked after all the same.
+    pub retired: BTreeSet<String>,
     members_changed: u64,
     asks: HashMap<Node, Ask>,
     /// From here on what it knows is whole enough for those that know more than nothing.
@@ -99,6 +101,7 @@
             told: HashMap::new(),
             cores: BTreeMap::new(),
             members: Vec::new(),
+            retired: BTreeSet::new(),
             members_changed: 0,
             asks: HashMap::new(),
             ready_at: now + beat_interval_ms * 3 / 2 + 200,
@@ -119,6 +122,11 @@
         self.executors.all.values()
     }
 
+    /// A store that is a member, by its name.
+    pub fn store(&self, name: &str) -> Option<&Member> {
+        self.members.iter().find(|m| m.class == Class::Store && m.name == name)
+    }
+
     // ---- Executors ----
 
     /// An executor called here.
@@ -178,7 +186,8 @@
         if self.sessions.len() >= MOST && !self.sessions.contains_key(&node) {
             return;
         }
-        let new = self.sessions.get(&node).is_none_or(|s| !s.up || s.member.life != member.life);
+        let same = |s: &Session| s.up && s.member.life == member.life && s.member.retiring == member.retiring;
+        let new = !self.sessions.get(&node).is_some_and(same);
         self.asks.insert(node, Ask { life, version, config: member.config, at: now, class: member.class });
         if new {
             tracing::info!(node = member.name, class = %member.class, "session");
@@ -215,6 +224,12 @@
         }
         let all: Vec<Member> = all.into_values().collect();
         if all != self.members {
+            for member in all.iter().filter(|m| m.class == Class::Store) {
+                match member.retiring {
+                    Retiring::Complete => self.retired.insert(member.name.clone()),
+                    _ => self.retired.remove(&member.name),
+                };
+            }
             self.members = all;
             self.version += 1;
             self.members_changed = self.version;
--- a/roster/src/types.rs
+++ b/roster/src/types.rs
@@ -30,6 +30,17 @@
     pub control: Option<SocketAddrV4>,
     /// The version of the configuration that it has.
     pub config: u64,
+    pub retiring: Retiring,
+}
+
+/// Whether a store is to be emptied, and whether it is empty.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[strum(serialize_all = "lowercase")]
+pub enum Retiring {
+    #[default]
+    No,
+    Rolling,
+    Complete,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -7,7 +7,17 @@
 fn member(node: Node, class: Class) -> Member {
     let control = (class == Class::Core).then(|| SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000 + node as u16));
     let ip = Ipv4Addr::LOCALHOST;
-    Member { node, name: format!("n{node}"), class, zone: "z".into(), ip, life: 1, control, config: 0 }
+    Member {
+        node,
+        name: format!("n{node}"),
+        class,
+        zone: "z".into(),
+        ip,
+        life: 1,
+        control,
+        config: 0,
+        retiring: Retiring::No,
+    }
 }
 
 fn beat(id: &str, port: u16, count: u64, standing: Standing) -> Beat {
