--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -73,7 +73,8 @@
 fn calls_are_merged_by_their_count() {
     use Standing::*;
     // (what comes, one after the other) -> what a store that knows nothing is told
-    let cases: [(&[Beat], &[(&str, Standing)]); 6] = [
+    type Case<'a> = (&'a [Beat], &'a [(&'a str, Standing)]);
+    let cases: [Case; 6] = [
         (&[beat("a", 1, 1, Serving)], &[("a", Serving)]),
         (&[beat("a", 1, 2, Draining), beat("a", 1, 1, Serving)], &[("a", Draining)]),
         (&[beat("a", 1, 1, Serving), beat("a", 1, 1, Gone), beat("a", 1, 1, Serving)], &[]),
