hold: stores that freeze and wake in the small world; a busy store is no frozen one

Seen: the test that counts questions about rows found 54 where 6 are due. `tick` took a turn that was asked for at once (`next` is 0 then) for one that came too late, and every message of a row asked the other stores first. It goes by the upkeep now.

--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -941,7 +941,7 @@
 
     /// What is due. Call it at the end of each turn, then carry out what `take` gives.
     pub fn tick(&mut self, now: Millis, fine: Time) {
-        if now > self.next() + FROZEN {
+        if now > self.upkeep + UPKEEP + FROZEN {
             // It has slept: others may have taken messages in its place, and it has not heard of that yet.
             self.rows.changed = now;
         }
--- a/hold/tests/faults.rs
+++ b/hold/tests/faults.rs
@@ -78,6 +78,11 @@
     each(Fault::Wipe, 3);
 }
 
+#[test]
+fn frozen_at_each_point() {
+    each(Fault::Freeze, 5);
+}
+
 #[test]
 fn left_in_order_at_each_point() {
     each(Fault::Leave, 3);
@@ -374,11 +379,15 @@
     // One after the other, and without long gaps between.
     let last = world.runs.iter().map(|r| r.at).max().unwrap();
     assert!(last < 12_000, "the last began at {last}");
+    // The first of each row has both others asked, and nothing else does.
+    assert_eq!(world.row_asks, 6);
 }
 
 #[test]
 fn rows_keep_their_order_through_each_fault() {
-    for fault in [Fault::Kill, Fault::Long, Fault::Power, Fault::Wipe, Fault::Leave, Fault::Blink] {
+    let all =
+        [Fault::Kill, Fault::Long, Fault::Power, Fault::Wipe, Fault::Leave, Fault::Blink, Fault::Freeze];
+    for fault in all {
         let bad = |k: &u64| {
             let mut world = rows(31 + *k % 5);
             world.strike = Some((*k, fault));
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -361,3 +361,12 @@
     one.pass(0);
     assert_matches!(one.hold.find(shared.key), Some((State::Waiting, Some(_))));
 }
+
+#[test]
+fn a_copy_whose_end_nobody_tells_is_not_left_on_the_disk() {
+    let mut one = One::ready(ledger(&shared(B, vec![ME])));
+    let key = Key { origin: B, number: 99 };
+    one.pass(61_600 + 120_500);
+    assert_eq!(one.hold.find(key), None);
+    assert!(one.records.contains(&Record::Drop { key }));
+}
--- a/hold/tests/world/mod.rs
+++ b/hold/tests/world/mod.rs
@@ -39,6 +39,8 @@
     Leave,
     /// Back at once, before anybody has missed it.
     Blink,
+    /// It stands still for four seconds, and wakes with all that it knew.
+    Freeze,
 }
 
 #[derive(Debug)]
@@ -57,6 +59,8 @@
     Members,
     Listen { at: usize },
     Lapse { at: usize, life: u64 },
+    Down { at: usize, other: usize, life: u64 },
+    Thaw { at: usize, life: u64 },
     Do(Act),
 }
 
@@ -89,6 +93,7 @@
     flushed: bool,
     listed: bool,
     gone: bool,
+    frozen: u64,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -134,6 +139,7 @@
     /// So many call-backs of each id are not taken.
     pub receiver_fails: usize,
     pub receiver_down: u64,
+    pub row_asks: usize,
     /// Words of ends get lost until then: no fault that is reckoned with, so that there is something to mend.
     pub no_ends_until: u64,
     pub arrivals: Vec<u64>,
@@ -204,6 +210,7 @@
             calls: Vec::new(),
             receiver_fails: 0,
             receiver_down: 0,
+            row_asks: 0,
             no_ends_until: 0,
             arrivals: Vec::new(),
             endpoint: true,
@@ -234,6 +241,7 @@
                 flushed: false,
                 listed: false,
                 gone: false,
+                frozen: 0,
             });
             world.start(at);
         }
@@ -357,6 +365,10 @@
             self.stores[at].leaving.get_or_insert(self.now);
             return;
         }
+        if fault == Fault::Freeze {
+            self.freeze(at, 4000);
+            return;
+        }
         self.stop(at, if fault == Fault::Power { 1000 } else { 5 });
         match fault {
             Fault::Power => self.stores[at].disk.retain(|(_, synced)| *synced),
@@ -367,12 +379,36 @@
             Fault::Blink => 20,
             Fault::Kill | Fault::Leave => 700,
             Fault::Power | Fault::Wipe => 1500,
-            Fault::Long => 7000,
+            Fault::Long | Fault::Freeze => 7000,
         };
         self.trouble(self.now + back);
         self.at(back, What::Start { at });
     }
 
+    /// Others give up its connections after a second, and its session lapses; it learns of that when it wakes.
+    fn freeze(&mut self, at: usize, ms: u64) {
+        let life = self.stores[at].life;
+        self.stores[at].frozen = self.now + ms;
+        self.trouble(self.now + ms);
+        let links: Vec<_> = self.links.iter().filter(|((a, b), _)| *a == at || *b == at).collect();
+        let links: Vec<_> = links.into_iter().map(|((a, b), link)| (*a, *b, *link)).collect();
+        links.into_iter().for_each(|(a, b, link)| self.at(1000, What::Broken { a, b, link }));
+        self.at(LAPSE, What::Lapse { at, life });
+        self.at(ms, What::Thaw { at, life });
+        (0..self.stores.len()).filter(|b| *b != at).for_each(|b| self.at(ms + 60, What::Link { a: at, b }));
+        self.at(ms + 100, What::Members);
+    }
+
+    /// Who is to see to it: it waits while that one stands still.
+    fn target(what: &What) -> Option<usize> {
+        match what {
+            What::Note { to, .. } | What::Put { to, .. } => Some(*to),
+            What::Kept { at, .. } | What::Done { at, .. } | What::Called { at, .. } => Some(*at),
+            What::Down { at, .. } | What::Listen { at } => Some(*at),
+            _ => None,
+        }
+    }
+
     fn trouble(&mut self, until: u64) {
         self.unplanned.push((self.now, until));
     }
@@ -383,12 +419,16 @@
 
     fn members(&mut self) {
         for store in &mut self.stores {
-            store.listed |= store.hold.is_some();
+            store.listed |= store.hold.is_some() && store.frozen <= self.now;
         }
         let all: Vec<(Node, usize)> =
             self.stores.iter().enumerate().filter(|(_, s)| s.listed).map(|(i, s)| (s.node, i)).collect();
         for at in 0..self.stores.len() {
+            if self.stores[at].frozen > self.now {
+                continue;
+            }
             if let Some((hold, now)) = self.hold(at) {
+                hold.heard = true;
                 hold.members(now, &all);
             }
         }
@@ -478,6 +518,7 @@
                     let size: u64 = all.iter().map(|s| s.cargo.body.len() as u64).sum();
                     *self.copied.entry(self.now / 1000).or_default() += size;
                 }
+                self.row_asks += usize::from(matches!(note, Note::RowAsk { .. }));
                 let bytes = postcard::to_stdvec(&note).unwrap();
                 self.bytes += bytes.len() as u64;
                 let wait = 1 + self.random(4);
@@ -540,6 +581,10 @@
     // ---- What happens ----
 
     fn happen(&mut self, what: What) {
+        if let Some(thaw) = World::target(&what).map(|at| self.stores[at].frozen).filter(|at| *at > self.now)
+        {
+            return self.at(thaw - self.now, what);
+        }
         match what {
             What::Note { from, to, link, note } => {
                 if matches!(note, Note::Ends(_)) && self.now < self.no_ends_until {
@@ -628,7 +673,8 @@
             }
             What::Start { at } => self.start(at),
             What::Link { a, b } => {
-                let both = self.stores[a].hold.is_some() && self.stores[b].hold.is_some();
+                let runs = |at: usize| self.stores[at].hold.is_some() && self.stores[at].frozen <= self.now;
+                let both = runs(a) && runs(b);
                 let pair = (a.min(b), a.max(b));
                 if both && self.open(a, b) && !self.links.contains_key(&pair) {
                     self.next_link += 1;
@@ -646,12 +692,24 @@
                     return;
                 }
                 self.links.remove(&(a, b));
-                for (x, y) in [(a, b), (b, a)] {
-                    let other = self.stores[y].node;
-                    if let Some((hold, now)) = self.hold(x) {
-                        hold.down(now, other);
-                        self.turn(x);
-                    }
+                for (at, other) in [(a, b), (b, a)] {
+                    let life = self.stores[at].life;
+                    self.happen(What::Down { at, other, life });
+                }
+            }
+            What::Down { at, other, life } => {
+                let other = self.stores[other].node;
+                if self.stores[at].life == life && self.stores[at].hold.is_some() {
+                    let (hold, now) = self.hold(at).unwrap();
+                    hold.down(now, other);
+                    self.turn(at);
+                }
+            }
+            // Until the control nodes have been heard again it knows that it may be cut off.
+            What::Thaw { at, life } => {
+                if let Some((hold, _)) = self.hold(at).filter(|_| life > 0) {
+                    hold.heard = false;
+                    self.turn(at);
                 }
             }
             What::Members => self.members(),
@@ -738,7 +796,7 @@
 
     pub fn run(&mut self, until: u64) {
         loop {
-            let timer = |s: &Store| s.hold.as_ref().map(|h| s.began.saturating_add(h.next()));
+            let timer = |s: &Store| s.hold.as_ref().map(|h| s.began.saturating_add(h.next()).max(s.frozen));
             let due = self.stores.iter().enumerate().filter_map(|(at, s)| Some((timer(s)?, at))).min();
             let event = self.queue.keys().next().copied();
             let due = due.map(|(when, at)| (when.max(self.now + 1), at));
