hold: a copy is asked elsewhere before the edge gives up; the rate is seen by a test

Seen: edges give up a silent store after 0.2 s since, the very moment at which a copy that did not come was asked of another store. That is done after 120 ms now. The bound on copies made anew looked at whole seconds, in which all that the test had to copy found room: it looks at tenths. Rows are tested with edges whose clocks differ by 0.4 s, and with one store left alone for a moment.

--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -85,7 +85,8 @@
 #[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    /// The disk's own number: another one is another disk. Numbers below `first` were given with a disk that is lost.
+    /// The disk's own number: another one is another disk. Numbers below `first` were given with a disk that
+    /// is lost.
     Born {
         disk: u64,
         first: u64,
@@ -176,7 +177,8 @@
         over: u64,
         sums: Vec<Sum>,
     },
-    /// The live messages of these ranges that both hold, as the sender sees them. `answer`: the receiver's are wanted too.
+    /// The live messages of these ranges that both hold, as the sender sees them. `answer`: the receiver's
+    /// are wanted too.
     Standing {
         disk: u64,
         answer: bool,
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -1,14 +1,15 @@
-//! Copies of messages at other stores: making them, telling their ends, taking over what a lost store owned, and
-//! settling with one that is back who delivers what.
+//! Copies of messages at other stores: making them, telling their ends, taking over what a lost store owned,
+//! and settling with one that is back who delivers what.
 
 use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Range, Record, Shared, Stands};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
 use crate::repair::range;
 
-/// A copy that is not confirmed for so long is asked of another store.
-pub const COPY_WAIT: Millis = 200;
-/// One that is not safe by then is taken back: its edge gives up soon (400 ms) and asks another store, and a message that
-/// two stores have taken runs twice.
+/// A copy that is not confirmed for so long is asked of another store: well before an edge gives up a silent
+/// store (200 ms).
+pub const COPY_WAIT: Millis = 120;
+/// One that is not safe by then is taken back: its edge gives up soon (400 ms) and asks another store, and a
+/// message that two stores have taken runs twice.
 const GIVE_UP: u64 = 360;
 /// A store that is no member and not connected for so long has lost what it owned to its copies.
 const GONE: Millis = 2000;
@@ -120,14 +121,15 @@
         for key in waiting {
             self.copy_elsewhere(now, key, Some(node));
         }
-        // It may have taken these or not. They stay as they are until it says so, here or after the next start; but
-        // nobody waits for its answer any more.
+        // It may have taken these or not. They stay as they are until it says so, here or after the next
+        // start; but nobody waits for its answer any more.
         self.handing.retain(|_, to| *to != node);
         self.lost_on_the_way(now, node);
         self.row_lost(now, node);
     }
 
-    /// Cut off from the control nodes and from others that hold copies: they may have taken over what is here.
+    /// Cut off from the control nodes and from others that hold copies: they may have taken over what is
+    /// here.
     pub(crate) fn cut_off(&self, now: Millis) -> bool {
         !self.heard && self.peers.values().any(|p| p.listed && !p.connected && now > p.since + GONE / 2)
     }
@@ -187,8 +189,9 @@
         }
     }
 
-    /// A copy that does not come is asked of another store. The slow one may have it all the same and is told to drop it:
-    /// it would else take over together with the other. `from`: it is known that this one has no copy.
+    /// A copy that does not come is asked of another store. The slow one may have it all the same and is told
+    /// to drop it: it would else take over together with the other. `from`: it is known that this one has no
+    /// copy.
     fn copy_elsewhere(&mut self, now: Millis, key: Key, from: Option<Node>) {
         let Some(entry) = self.entries.get_mut(&key).filter(|e| e.stage == Stage::Landing) else { return };
         if let Some(at) = entry.landing.take() {
@@ -214,7 +217,8 @@
             let Some(entry) = self.entries.get_mut(&key) else { return };
             entry.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
             entry.copies.iter_mut().filter(|c| **c == from).for_each(|c| *c = to);
-            // On disk before the answer: after a restart those that hold copies are waited for, and no others.
+            // On disk before the answer: after a restart those that hold copies are waited for, and no
+            // others.
             entry.missing.push(me);
             let (term, copies) = (entry.term, entry.copies.clone());
             self.record(&Record::Own { key, owner: me, term, copies }, true);
@@ -464,8 +468,8 @@
         let both = both.filter(|(_, e)| e.stage != Stage::Landing && e.copies.contains(&from));
         let anew: Vec<Key> = both.map(|(key, _)| key).collect();
         anew.into_iter().for_each(|key| self.not_yet_on(now, key, from));
-        // What it owned and does not name it has ended, never finished taking, or lost: it says which, for this store has
-        // named it. Taken over on its silence alone it would run twice.
+        // What it owned and does not name it has ended, never finished taking, or lost: it says which, for
+        // this store has named it. Taken over on its silence alone it would run twice.
         self.tell_ends();
         for (note, empty) in [
             (Note::Own(own.clone()), own.is_empty()),
@@ -535,7 +539,8 @@
         match giver {
             Some(giver) => self.wait_for_disk(Waits::HandedBy(giver, key)),
             None => {
-                // All are told, for another may hold a copy that nobody knows of any more, and would take over too.
+                // All are told, for another may hold a copy that nobody knows of any more, and would take
+                // over too.
                 let owned = Owned { key, owner: me, term, copies: copies.clone() };
                 let all = self.peers.values_mut().filter(|p| p.connected);
                 all.for_each(|p| p.out.own.push(owned.clone()));
@@ -548,7 +553,8 @@
         }
     }
 
-    /// Looks for stores that are gone, and for messages that have waited long enough for those that are not back.
+    /// Looks for stores that are gone, and for messages that have waited long enough for those that are not
+    /// back.
     pub(crate) fn look_after(&mut self, now: Millis) {
         let heard = self.heard && self.acquainted;
         let gone =
@@ -577,7 +583,8 @@
         self.look_at_holders(now);
     }
 
-    /// How many that hold a copy, and are here, come before this store. One that is no longer named comes last.
+    /// How many that hold a copy, and are here, come before this store. One that is no longer named comes
+    /// last.
     fn line(&self, entry: &Entry) -> u64 {
         let here = |node: &Node| self.peers.get(node).is_some_and(|p| p.connected);
         let before = entry.copies.iter().take_while(|node| **node != self.terms.me);
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -19,7 +19,8 @@
 const TELL: Millis = 40;
 /// After a failed attempt a message waits, twice as long each time, up to the second figure.
 const AGAIN: (Millis, Millis) = (40, 1500);
-/// Beyond the time that it may wait, for clients' clocks and first tries: one that has not ended must not be called failed.
+/// Beyond the time that it may wait, for clients' clocks and first tries: one that has not ended must not be
+/// called failed.
 const SLACK: Millis = 1500;
 /// Connections to one receiver of call-backs from here.
 const CALLS: usize = 4;
@@ -88,8 +89,8 @@
     pub(crate) thin: Option<Millis>,
     /// By which owner it stands in `live`.
     filed: Option<Node>,
-    /// Its row, and where it stands there; whether others were told of it, whether they have been asked, and whether it is
-    /// kept only after that.
+    /// Its row, and where it stands there; whether others were told of it, whether they have been asked, and
+    /// whether it is kept only after that.
     row: Option<Box<(String, u64)>>,
     pub(crate) announced: bool,
     pub(crate) cleared: bool,
@@ -223,8 +224,8 @@
     /// Offered to a successor that has not said yes.
     pub(crate) handing: HashMap<Key, Node>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
-    /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is gone. All
-    /// entries, with those that ended in the last minutes, are a hundred times as many.
+    /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is
+    /// gone. All entries, with those that ended in the last minutes, are a hundred times as many.
     pub(crate) live: BTreeSet<(Node, Key)>,
     /// Owned here and on too few disks: when to see to each.
     pub(crate) thin: BTreeSet<(Millis, Key)>,
@@ -236,7 +237,8 @@
     /// Their owner has said that it has lost them with its disk.
     pub(crate) lost: HashMap<Key, Node>,
     receivers: HashMap<String, Receiver>,
-    /// Call-backs that are out, and where: by the time of the answer the message may know no receiver any more.
+    /// Call-backs that are out, and where: by the time of the answer the message may know no receiver any
+    /// more.
     calling: HashMap<Key, String>,
     next_number: u64,
     next_attempt: u64,
@@ -415,8 +417,9 @@
                         self.to(from).not_copied.push(key);
                     }
                 }
-                // With a disk that refuses, too: the message lies on both disks, and the one that gave it away says
-                // on both restarts who owns it. Without a word the other would wait until its time is over.
+                // With a disk that refuses, too: the message lies on both disks, and the one that gave it
+                // away says on both restarts who owns it. Without a word the other would wait until its time
+                // is over.
                 (Waits::HandedBy(from, key), ok) => {
                     self.figures.no_disk += u64::from(!ok);
                     let term = self.entries.get(&key).filter(|e| e.owner == self.terms.me).map(|e| e.term);
@@ -528,8 +531,8 @@
         self.servers = servers;
     }
 
-    /// Who hands out the tokens of each service: the first of the stores that are members, in an order of its own for
-    /// each service, so that the duties are spread.
+    /// Who hands out the tokens of each service: the first of the stores that are members, in an order of its
+    /// own for each service, so that the duties are spread.
     pub(crate) fn deal_duties(&mut self, now: Millis) {
         let nodes = 1 + self.peers.values().filter(|p| p.listed).count();
         for lane in &mut self.lanes {
@@ -739,7 +742,8 @@
         if limit.is_some_and(|limit| entry.tries >= limit) {
             return self.finish(now, key, End::Failed);
         }
-        // One that was turned away, or never reached anyone, may go elsewhere soon; one that failed waits longer.
+        // One that was turned away, or never reached anyone, may go elsewhere soon; one that failed waits
+        // longer.
         entry.fails += 1;
         let pause = match outcome {
             Outcome::Full | Outcome::NoRoom | Outcome::Wrong | Outcome::NotConnected => {
--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -88,8 +88,8 @@
                 keepalive: 4 * SECOND,
                 ..Terms::default()
             },
-            // The second is for a lane that has nothing out: whatever its executors are like, one message goes, for else
-            // nothing more would ever be learned of them.
+            // The second is for a lane that has nothing out: whatever its executors are like, one message
+            // goes, for else nothing more would ever be learned of them.
             categories: [target as Time * 10, 60 * SECOND]
                 .map(|target| Category {
                     target,
@@ -180,7 +180,8 @@
             })
             .collect();
         self.dispatcher.list(fine, true, &lines);
-        // Its slots it tells with its beats, before it has told any load: guessed from none it would be overrun.
+        // Its slots it tells with its beats, before it has told any load: guessed from none it would be
+        // overrun.
         for at in new {
             self.dispatcher.report(fine, at, &[0.0, 0.0, self.known[at].server.capacity]);
         }
@@ -206,8 +207,9 @@
         if self.serving() == 0 {
             return Picked::Wait(now + PAUSE.0);
         }
-        // After a break all that waits is due at once, and each store knows only its own part of what the executors hold: no
-        // more is out from here than they work on together. One store alone can still keep all of them busy.
+        // After a break all that waits is due at once, and each store knows only its own part of what the
+        // executors hold: no more is out from here than they work on together. One store alone can still keep
+        // all of them busy.
         let room: f64 =
             self.known.iter().filter(|k| k.listed && k.server.serving).map(|k| k.server.capacity).sum();
         if !self.endpoint && self.sent.len() as f64 >= room.max(4.0) {
@@ -218,7 +220,8 @@
             category,
             slots: 1.0,
             memory: 0.0,
-            // Before the first answer: an eighth of the aim. Taken as the whole of it no message would be in time.
+            // Before the first answer: an eighth of the aim. Taken as the whole of it no message would be in
+            // time.
             hint: Some(self.target / 8),
             deadline: fine + 60 * SECOND,
             limits: Limits { pushes: 1, ..Limits::default() },
@@ -232,7 +235,8 @@
             op.limits.domains = domains;
             match self.dispatcher.place(fine, &mut op) {
                 Step::Push { executor } if self.overrun(executor) => {
-                    // Closed first: else the module would send it again at once, and count that as out for ever.
+                    // Closed first: else the module would send it again at once, and count that as out for
+                    // ever.
                     op.closed = true;
                     self.dispatcher.settle(fine, &mut op, 0, Judged::Withheld, &[]);
                     // The near ones have enough in hand: those of other zones may be idle.
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -1,5 +1,5 @@
-//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state machine:
-//! events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
+//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state
+//! machine: events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
 
 mod cargo;
 mod copies;
--- a/hold/src/repair.rs
+++ b/hold/src/repair.rs
@@ -1,15 +1,16 @@
-//! Copies that are missing, made again at a bounded rate; and what two stores hold, compared by sums over ranges and
-//! mended from the newer: of two owners the higher term holds, and an end holds always.
+//! Copies that are missing, made again at a bounded rate; and what two stores hold, compared by sums over
+//! ranges and mended from the newer: of two owners the higher term holds, and an end holds always.
 
 use crate::cargo::{Key, Millis, Node, Note, Range, Record, Stands, Sum};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A store that is no member and not connected for so long holds no copies any more. An orderly restart is shorter.
+/// A store that is no member and not connected for so long holds no copies any more. An orderly restart is
+/// shorter.
 const WRITTEN_OFF: Millis = 5000;
-/// Bytes a second of copies made anew. Three times what a store takes in at the busiest hour that is known (130 messages of
-/// 1.2 KB a second, twice), so the messages of some seconds are safe again in a second or two; and a fiftieth of the
-/// narrowest link, so no delivery waits for it.
+/// Bytes a second of copies made anew. Three times what a store takes in at the busiest hour that is known
+/// (130 messages of 1.2 KB a second, twice), so the messages of some seconds are safe again in a second or
+/// two; and a fiftieth of the narrowest link, so no delivery waits for it.
 pub const RATE: u64 = 1_000_000;
 /// And so many at once: a tenth of a second.
 const BURST: u64 = RATE / 10;
@@ -19,7 +20,8 @@
 const CONFIRM: Millis = 3000;
 /// Where nobody can take a copy: looked at again after so long.
 const NOBODY: Millis = 1000;
-/// Digests are compared so often, of messages that are older than the second figure: what is on its way would always differ.
+/// Digests are compared so often, of messages that are older than the second figure: what is on its way would
+/// always differ.
 const COMPARE: (Millis, Millis) = (10_000, 2000);
 /// Numbers in a range: a power of two.
 const PART: u32 = 10;
--- a/hold/src/row.rs
+++ b/hold/src/row.rs
@@ -1,11 +1,13 @@
-//! Messages in order: of one route and key each starts when all that were accepted before it was sent have ended.
+//! Messages in order: of one route and key each starts when all that were accepted before it was sent have
+//! ended.
 //!
-//! All stores see one order, by (`taken`, key). `taken` is raised at the store beyond all that is known of the row when a
-//! message is put, so that clocks of edges don't matter. Edges choose the store of a row by [`place`]. One that is not the
-//! place, or has not asked since its neighbours changed, asks the others *before* it keeps the message: they name what
-//! they know of the row, and remember the newcomer. So whoever takes the next one knows of this one, wherever it is.
-//! A message that came in another way (taken over, handed over, read from disk) asks before it starts. Nobody waits for a
-//! higher one, so no two wait for each other.
+//! All stores see one order, by (`taken`, key). `taken` is raised at the store beyond all that is known of
+//! the row when a message is put, so that clocks of edges don't matter. Edges choose the store of a row by
+//! [`place`]. One that is not the place, or has not asked since its neighbours changed, asks the others
+//! *before* it keeps the message: they name what they know of the row, and remember the newcomer. So whoever
+//! takes the next one knows of this one, wherever it is. A message that came in another way (taken over,
+//! handed over, read from disk) asks before it starts. Nobody waits for a higher one, so no two wait for each
+//! other.
 
 use crate::cargo::{Key, Millis, Node, Note, Record};
 use crate::hold::{Effect, Hold, Stage, Waits};
@@ -114,7 +116,8 @@
         self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect()
     }
 
-    /// This store is where all would put a message of the row, it knows all who might have another, and has asked them.
+    /// This store is where all would put a message of the row, it knows all who might have another, and has
+    /// asked them.
     fn knows(&self, row: &str) -> bool {
         let listed = || self.peers.iter().filter(|(_, p)| p.listed);
         let asked = self.rows.all.get(row).and_then(|row| row.asked);
@@ -210,7 +213,8 @@
         }
         let Some(asking) = self.rows.asking.remove(&number) else { return };
         let Asking { row: name, key, answered, found, beyond, landing, told, .. } = asking;
-        // An accepted message lies on `losses` + 1 stores: if no more than `losses` are silent, all are named.
+        // An accepted message lies on `losses` + 1 stores: if no more than `losses` are silent, all are
+        // named.
         let there = |p: &crate::copies::Peer| p.listed || !p.written_off;
         let silent = self.peers.iter().filter(|(node, p)| there(p) && !answered.contains(node)).count();
         let enough = silent <= self.terms.losses && self.acquainted;
@@ -239,8 +243,8 @@
         }
         entry.cleared = true;
         let spot = (entry.cargo.taken, key);
-        // Earlier ones that nobody names have ended. Of later ones nothing is known by that: those that came since then and
-        // were told here wait for them.
+        // Earlier ones that nobody names have ended. Of later ones nothing is known by that: those that came
+        // since then and were told here wait for them.
         let row = self.rows.row(&name);
         row.outside.retain(|other| landing || *other > spot);
         row.outside
@@ -266,7 +270,8 @@
         copies.into_iter().for_each(|to| self.copy_to(to, shared.clone()));
     }
 
-    /// Whether a message that is due may start, as far as its row goes. If not, it is looked at again when that changes.
+    /// Whether a message that is due may start, as far as its row goes. If not, it is looked at again when
+    /// that changes.
     pub(crate) fn may_start(&mut self, now: Millis, key: Key) -> bool {
         let Some(entry) = self.entries.get(&key) else { return false };
         let Some(name) = entry.cargo.order_key.clone() else { return true };
--- a/hold/src/tokens.rs
+++ b/hold/src/tokens.rs
@@ -1,8 +1,8 @@
 //! The ceiling of a service over all stores: one store hands out tokens, and each request takes one.
 //!
-//! The holder paces itself: what it hands out in any window is the rate times the window and a small burst, and one
-//! that has just become the holder begins with none. So two holders in a row keep the ceiling together, whatever the
-//! first one has used, as long as it has stopped before the second begins.
+//! The holder paces itself: what it hands out in any window is the rate times the window and a small burst,
+//! and one that has just become the holder begins with none. So two holders in a row keep the ceiling
+//! together, whatever the first one has used, as long as it has stopped before the second begins.
 
 use crate::cargo::Millis;
 
@@ -34,8 +34,8 @@
 
     pub fn rated(&mut self, rate: f64, window_ms: u64, overrun: f64) {
         self.rate = rate;
-        // Over the bound there are rate x window x (overrun - 1) + 5 to spare: a third of that is the burst, the
-        // rest is for clocks, ways that differ, and tokens that lie about.
+        // Over the bound there are rate x window x (overrun - 1) + 5 to spare: a third of that is the burst,
+        // the rest is for clocks, ways that differ, and tokens that lie about.
         let spare = rate * window_ms as f64 / 1000.0 * (overrun - 1.0).max(0.0) + 5.0;
         self.burst = (spare / 3.0).clamp(1.0, 64.0);
         self.held = self.held.min(self.burst);
@@ -108,7 +108,8 @@
         if self.holds() {
             self.held = (self.held + 1.0).min(self.burst);
         } else {
-            // For the rest of its own life: given back again and again it would else be used beyond the window.
+            // For the rest of its own life: given back again and again it would else be used beyond the
+            // window.
             self.got.push((self.last, 1));
         }
     }
--- a/hold/tests/faults.rs
+++ b/hold/tests/faults.rs
@@ -28,7 +28,8 @@
     world
 }
 
-/// So many times wider the search is, where somebody asks for it: `HOLD_WIDE=20 cargo test -p stileroute-hold`.
+/// So many times wider the search is, where somebody asks for it: `HOLD_WIDE=20 cargo test -p
+/// stileroute-hold`.
 fn wide() -> u64 {
     std::env::var("HOLD_WIDE").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
 }
@@ -265,7 +266,8 @@
         let (a, b, at, after) = (pick(3) as usize, pick(3) as usize, 2500 + pick(1500), pick(4000));
         // Two disks lost one soon after the other are more than is to be borne.
         let second = if first == Fault::Wipe && second == Fault::Wipe { Fault::Power } else { second };
-        // A disk lost while another store is away, and two away for longer than 5 s, are more than is to be borne.
+        // A disk lost while another store is away, and two away for longer than 5 s, are more than is to be
+        // borne.
         let more =
             first == Fault::Wipe || second == Fault::Wipe || (first, second) == (Fault::Long, Fault::Long);
         let in_row = seed.is_multiple_of(3) && !more;
@@ -328,9 +330,9 @@
     world.act(6000, Act::Strike(1, Fault::Wipe));
     world.run(20_000);
     world.check_copies();
-    let most = world.copied.range(6..).map(|(_, bytes)| *bytes).max().unwrap();
+    let most = world.copied.range(60..).map(|(_, bytes)| *bytes).max().unwrap();
     // Of two stores that fill the third.
-    assert!((700_000..2_300_000).contains(&most), "{most} in a second");
+    assert!((100_000..500_000).contains(&most), "{most} in a tenth of a second");
     world.run(60_000);
     world.check(true);
 }
@@ -366,7 +368,7 @@
         &[Does::Fails],
     ];
     for n in 0..40 {
-        world.send(2500 + 45 * n, n as usize % 3, "row", all[(n / 3) as usize % all.len()], 0);
+        world.send(2500 + 45 * n, (n / 3) as usize % 3, "row", all[(n / 3) as usize % all.len()], 0);
     }
     world
 }
@@ -416,3 +418,19 @@
         }
     }
 }
+
+#[test]
+fn a_store_alone_waits_for_the_others_before_it_goes_on_with_a_row() {
+    for seed in 0..12 {
+        let mut world = rows(seed);
+        world.act(2771, Act::Strike(1, Fault::Kill));
+        world.act(3088, Act::Strike(2, Fault::Power));
+        world.run(45_000);
+        world.check(true);
+        let mut world = rows(seed);
+        world.act(3943, Act::Strike(1, Fault::Leave));
+        world.act(4352, Act::Strike(2, Fault::Blink));
+        world.run(45_000);
+        world.check(true);
+    }
+}
--- a/hold/tests/world/mod.rs
+++ b/hold/tests/world/mod.rs
@@ -1,5 +1,5 @@
-//! A small world of several stores: clocks, disks, connections, edges, executors and receivers, all in one thread and in
-//! virtual time. What is checked is what the stand-ins have seen, and what lies on the disks.
+//! A small world of several stores: clocks, disks, connections, edges, executors and receivers, all in one
+//! thread and in virtual time. What is checked is what the stand-ins have seen, and what lies on the disks.
 #![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -156,6 +156,7 @@
     config: Arc<Config>,
     next_ticket: u64,
     pub bytes: u64,
+    /// Bytes of copies in each tenth of a second.
     pub copied: BTreeMap<u64, u64>,
 }
 
@@ -385,7 +386,8 @@
         self.at(back, What::Start { at });
     }
 
-    /// Others give up its connections after a second, and its session lapses; it learns of that when it wakes.
+    /// Others give up its connections after a second, and its session lapses; it learns of that when it
+    /// wakes.
     fn freeze(&mut self, at: usize, ms: u64) {
         let life = self.stores[at].life;
         self.stores[at].frozen = self.now + ms;
@@ -516,7 +518,7 @@
                 let Some(link) = self.links.get(&pair).copied() else { return };
                 if let Note::Copy(all) = &note {
                     let size: u64 = all.iter().map(|s| s.cargo.body.len() as u64).sum();
-                    *self.copied.entry(self.now / 1000).or_default() += size;
+                    *self.copied.entry(self.now / 100).or_default() += size;
                 }
                 self.row_asks += usize::from(matches!(note, Note::RowAsk { .. }));
                 let bytes = postcard::to_stdvec(&note).unwrap();
@@ -608,7 +610,10 @@
                 self.turn(at);
             }
             What::Send { message } => {
-                self.messages[message].cargo.taken = WALL + self.now;
+                // The clocks of edges differ, by more than a message takes.
+                let ahead = [0, 400, 150][self.messages[message].first % 3];
+                let row = self.messages[message].cargo.order_key.is_some();
+                self.messages[message].cargo.taken = WALL + self.now + if row { ahead } else { 0 };
                 self.messages[message].cargo.config = self.config.revision;
                 self.messages[message].sent = self.now;
                 self.offer(message);
