A message that two stores have taken is kept by one: edges tell all stores which, and again after a break

Ruled out: clocks, call-backs, takeovers. Blamed: nothing told the first store. Edges now say which one is kept; the others drop theirs unless it runs, a store that is back is told again, and what is not yet safe goes with the connection it came by.

--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -7,7 +7,7 @@
 use crate::node::{wall, Common};
 use crate::report::Told;
 use crate::signals::{Class, Found, Signal};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use stileroute_charter::RouteKind;
 use stileroute_hold::{place, Cargo, Key, Node, Refusal};
@@ -18,6 +18,8 @@
 const SILENCE: Millis = 200;
 /// A store that did not answer gets messages only after the others for so long, and none at all until it is heard again.
 const SHUN: Millis = 1500;
+/// So long a store that is back is told what others keep in its place.
+const TELL: Millis = 120_000;
 /// Most messages that wait for a store.
 const MOST: usize = 4000;
 /// One that asks what became of a message waits two seconds.
@@ -67,6 +69,8 @@
     /// Since when.
     shunned: HashMap<Node, Millis>,
     leaving: HashSet<Node>,
+    /// Messages offered to several stores, and which one is kept: told again to each store that is back.
+    superseded: VecDeque<(Millis, Signal)>,
     next_ticket: u64,
     next_store: usize,
     figures: Figures,
@@ -90,6 +94,7 @@
             waits: BTreeMap::new(),
             shunned: HashMap::new(),
             leaving: HashSet::new(),
+            superseded: VecDeque::new(),
             next_ticket: 1,
             next_store: 0,
             figures: Figures::default(),
@@ -148,6 +153,9 @@
             Word::Up(hello) if hello.class == Class::Store => {
                 self.leaving.remove(&hello.node);
                 self.shunned.remove(&hello.node);
+                for (_, signal) in &self.superseded {
+                    self.common.links.say(&mut self.common.net, hello.node, signal);
+                }
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Store) => self.store_lost(node),
@@ -303,15 +311,32 @@
             None => {
                 self.figures.uncertain += 1;
                 self.answer(put.conn, Answer::bare(502));
+                self.supersede(&put, None);
             }
         }
     }
 
+    /// Tells all stores which of several is kept.
+    fn supersede(&mut self, put: &Put, kept: Option<Key>) {
+        let now = self.common.net.now();
+        let signal = Signal::Superseded { id: put.cargo.id.clone(), print: put.cargo.print(), kept };
+        for store in self.common.links.class(Class::Store) {
+            self.common.links.say(&mut self.common.net, store, &signal);
+        }
+        self.superseded.push_back((now, signal));
+        while self.superseded.front().is_some_and(|(at, _)| now > at + TELL) || self.superseded.len() > MOST {
+            self.superseded.pop_front();
+        }
+    }
+
     fn taken(&mut self, _from: Node, ticket: u64, result: Result<String, Refusal>) {
         let Some(mut put) = self.puts.remove(&ticket) else { return };
         match result {
             Ok(name) => {
                 self.figures.taken += 1;
+                if put.tried.len() > 1 {
+                    self.supersede(&put, Key::parse(&name).map(|(key, _)| key));
+                }
                 let headers = vec![("X-Queue-Message-Id", name)];
                 self.answer(put.conn, Answer { status: 202, headers, ..Answer::default() });
             }
@@ -369,6 +394,7 @@
             if now >= put.until {
                 self.figures.uncertain += 1;
                 self.answer(put.conn, Answer::bare(504));
+                self.supersede(&put, None);
             } else {
                 self.send(ticket, put);
             }
--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -95,6 +95,12 @@
     Retire {
         node: Node,
     },
+    /// An edge to all stores: of a message that it offered to several, this one is kept, or none.
+    Superseded {
+        id: String,
+        print: u64,
+        kept: Option<Key>,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -165,6 +165,18 @@
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Store) => self.hold.down(now, node),
+            Word::Down(node, Class::Edge) => {
+                let lost: Vec<u64> = self
+                    .askers
+                    .iter()
+                    .filter(|(_, (edge, _))| *edge == node)
+                    .map(|(ticket, _)| *ticket)
+                    .collect();
+                for ticket in lost {
+                    self.askers.remove(&ticket);
+                    self.hold.abandoned(ticket);
+                }
+            }
             Word::Down(..) => {}
             Word::Said(from, Class::Core, Signal::News(news)) => {
                 let config = self.common.heard_news(from, &news);
@@ -206,6 +218,9 @@
                     self.hold.configure(now, fine, config);
                 }
             }
+            Word::Said(_, Class::Edge, Signal::Superseded { id, print, kept }) => {
+                self.hold.superseded(&id, print, kept);
+            }
             Word::Said(from, Class::Edge, Signal::Put { ticket, cargo }) => {
                 self.next_ticket += 1;
                 self.askers.insert(self.next_ticket, (from, ticket));
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -179,6 +179,8 @@
     pub taken_over: u64,
     pub handed_over: u64,
     pub copied_anew: u64,
+    /// Dropped because another store keeps the same message.
+    pub withdrawn: u64,
     pub no_disk: u64,
     /// Owned here and on too few disks, as of now; how long it took until none was, the last time.
     pub thin: usize,
@@ -223,6 +225,8 @@
     /// Read from disk, and not yet released.
     pub(crate) held: BTreeSet<Key>,
     /// Offered to a successor that has not said yes.
+    /// Another store keeps the same message: not to be run here, whoever owns it now.
+    pub(crate) unwanted: HashSet<Key>,
     pub(crate) handing: HashMap<Key, Node>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
     /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is
@@ -288,6 +292,7 @@
             held: BTreeSet::new(),
             handing: HashMap::new(),
             wall: wall.saturating_sub(now),
+            unwanted: HashSet::new(),
             landing: BTreeSet::new(),
             live: BTreeSet::new(),
             thin: BTreeSet::new(),
@@ -568,6 +573,9 @@
         if entry.turn.is_some() {
             return;
         }
+        if self.unwanted.contains(&key) {
+            return self.withdraw(key);
+        }
         if self.leaving {
             self.hand_over(key);
             return;
@@ -918,6 +926,7 @@
             }
             self.held.remove(&key);
             self.handing.remove(&key);
+            self.unwanted.remove(&key);
         }
     }
 
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -10,6 +10,7 @@
 mod retire;
 mod row;
 mod tokens;
+mod twice;
 
 pub use cargo::{Cargo, End, Handed, Key, Millis, Node, Note, Owned, Record, Refusal, Shared};
 pub use hold::{first_number, Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -370,3 +370,46 @@
     assert_eq!(one.hold.find(key), None);
     assert!(one.records.contains(&Record::Drop { key }));
 }
+
+/// An edge that heard nothing has offered the message to another store, which keeps it.
+#[test]
+fn what_another_store_keeps_is_dropped_here_wherever_it_stands() {
+    let kept = Some(Key { origin: 9, number: 9 });
+    let dropped = |one: &One, key: Key| one.hold.find(key).is_none();
+    // Not yet safe, waiting for its time, and a copy that is taken over later.
+    let mut one = One::ready(Ledger::default());
+    let (key, to) = copies(&one.put(1, cargo("plain")))[0];
+    one.hold.superseded("m", cargo("plain").print(), kept);
+    let effects = one.pass(0);
+    assert!(dropped(&one, key) && said(&effects, to, |n| matches!(n, Note::Drop(keys) if keys[0] == key)));
+    let delayed = Cargo { delay_ms: 5000, ..cargo("plain") };
+    let (key, _) = one.taken(delayed.clone());
+    one.hold.superseded("m", delayed.print(), Some(key));
+    assert!(!dropped(&one, key), "the one that is kept");
+    one.hold.superseded("m", cargo("paid").print(), kept);
+    assert!(!dropped(&one, key), "another message under the same id");
+    one.hold.superseded("m", delayed.print(), kept);
+    assert!(dropped(&one, key));
+    let shared = shared(B, vec![ME]);
+    one.note(B, Note::Copy(vec![shared.clone()]));
+    one.hold.superseded(&shared.cargo.id, shared.cargo.print(), kept);
+    one.hold.members(one.now, &[(ME, 0), (C, 2)]);
+    one.hold.down(one.now, B);
+    let effects = one.pass(9000);
+    assert_eq!((dropped(&one, shared.key), attempts(&effects).len()), (true, 0));
+    // What is out may have run: it is left.
+    let (key, effects) = one.taken(cargo("plain"));
+    assert_eq!(attempts(&effects).len(), 1);
+    one.hold.superseded("m", cargo("plain").print(), kept);
+    assert!(!dropped(&one, key));
+}
+
+/// It read what was sent to it before it stood still; the edge has gone elsewhere since.
+#[test]
+fn what_nobody_waits_for_any_more_is_not_taken() {
+    let mut one = One::ready(Ledger::default());
+    let (key, to) = copies(&one.put(4, cargo("plain")))[0];
+    one.hold.abandoned(4);
+    let effects = one.note(to, Note::Copied(vec![key]));
+    assert!(one.hold.find(key).is_none() && attempts(&effects).is_empty());
+}
