A store whose disk stands still takes nothing, and a slow one is asked for copies only after the others

Ruled out: the edges (their store answered), the disks of the others. Blamed: copies.rs chose the next in the ring as long as it was connected, and hold.rs took messages behind a write that had not come back.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -477,10 +477,10 @@
         if retiring != Retiring::No {
             return Some(Retire::Taken);
         }
-        // With one of those that are left lost, as is to be borne, there must still be stores for every copy.
+        // Every message lies on so many stores. With just as many left none can be taken while one is away.
         let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
         let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No).count();
-        if left < 2 * self.common.boot.losses.machines + 1 {
+        if left < self.common.boot.losses.machines + 1 {
             return Some(Retire::TooFew);
         }
         let now = self.common.net.now();
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -15,6 +15,8 @@
 const GONE: Millis = 2000;
 /// The next in line waits so much longer, for the first may be about to take over.
 const LINE: Millis = 1500;
+/// One that did not confirm a copy in time is asked only after the others for so long.
+const SLOW: Millis = 1500;
 /// After its start a store waits so long for those that hold copies of what it owned.
 const PATIENCE: Millis = 3000;
 
@@ -220,6 +222,8 @@
             return;
         }
         for from in slow {
+            // Others get the copies of the next messages: each would wait here as long as this one has.
+            self.peers.entry(from).or_default().full_until = now + SLOW;
             let Some(to) = self.choose(now, &copies).first().copied() else { continue };
             let Some(entry) = self.entries.get_mut(&key) else { return };
             entry.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
@@ -357,6 +361,9 @@
 
     fn keep_copy(&mut self, now: Millis, from: Node, shared: Shared) {
         let key = shared.key;
+        if self.stalled(now) && !self.entries.contains_key(&key) {
+            return self.to(from).not_copied.push(key);
+        }
         let known = self.entries.get(&key).map(|e| (e.term, e.end.clone(), e.owed));
         match known {
             Some((_, Some(end), owed)) => {
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -27,6 +27,8 @@
 /// Messages that are kept for others to pick up at the most.
 const MOST: usize = 400_000;
 const UPKEEP: Millis = 250;
+/// A disk that has not answered for so long stands still, for all that is known.
+const STALLED: Millis = 120;
 /// A turn that comes so much too late comes after a freeze.
 const FROZEN: Millis = 500;
 
@@ -249,6 +251,9 @@
     next_attempt: u64,
     next_ticket: u64,
     waits: HashMap<u64, Vec<Waits>>,
+    /// Since when the disk has had what is waited for.
+    writing: BTreeMap<u64, Millis>,
+    ticked: Millis,
     records: Vec<Vec<u8>>,
     sync: bool,
     due_waits: Vec<Waits>,
@@ -304,6 +309,8 @@
             receivers: HashMap::new(),
             calling: HashMap::new(),
             waits: HashMap::new(),
+            writing: BTreeMap::new(),
+            ticked: now,
             records: Vec::new(),
             sync: false,
             due_waits: Vec::new(),
@@ -389,7 +396,8 @@
     /// A message from an edge.
     pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
         let copies = self.choose(now, &[]);
-        if self.leaving || copies.len() < self.terms.losses || self.entries.len() >= MOST {
+        if self.leaving || self.stalled(now) || copies.len() < self.terms.losses || self.entries.len() >= MOST
+        {
             self.figures.refused += 1;
             self.effects.push(Effect::Taken { ticket, result: Err(Refusal::NotTaken) });
             return;
@@ -414,8 +422,14 @@
         }
     }
 
+    /// The disk does not answer: what is taken now would wait behind what it has. Another store takes it in time.
+    pub(crate) fn stalled(&self, now: Millis) -> bool {
+        self.writing.first_key_value().is_some_and(|(_, since)| now > since + STALLED)
+    }
+
     /// The disk has answered.
     pub fn kept(&mut self, now: Millis, ticket: u64, ok: bool) {
+        self.writing.remove(&ticket);
         for wait in self.waits.remove(&ticket).unwrap_or_default() {
             match (wait, ok) {
                 (Waits::Retire, ok) => {
@@ -970,6 +984,7 @@
 
     /// What is due. Call it at the end of each turn, then carry out what `take` gives.
     pub fn tick(&mut self, now: Millis, fine: Time) {
+        self.ticked = now;
         if now > self.upkeep + UPKEEP + FROZEN {
             // It has slept: others may have taken messages in its place, and it has not heard of that yet.
             self.rows.changed = now;
@@ -1071,6 +1086,7 @@
             let waits = std::mem::take(&mut self.due_waits);
             if !waits.is_empty() {
                 self.waits.insert(ticket, waits);
+                self.writing.insert(ticket, self.ticked);
             }
             let records = std::mem::take(&mut self.records);
             effects.push(Effect::Disk { ticket, records, sync: std::mem::take(&mut self.sync) });
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -413,3 +413,31 @@
     let effects = one.note(to, Note::Copied(vec![key]));
     assert!(one.hold.find(key).is_none() && attempts(&effects).is_empty());
 }
+
+/// What it took would wait behind what the disk has: another store takes it in time.
+#[test]
+fn a_store_whose_disk_stands_still_takes_nothing_and_keeps_no_copies() {
+    let mut one = One::ready(Ledger::default());
+    one.disk_silent = true;
+    one.put(1, cargo("plain"));
+    one.pass(150);
+    let effects = one.put(2, Cargo { id: "n".into(), ..cargo("plain") });
+    let refused = |e: &Effect| matches!(e, Effect::Taken { ticket: 2, result: Err(Refusal::NotTaken) });
+    assert!(effects.iter().any(refused));
+    let effects = one.note(B, Note::Copy(vec![shared(B, vec![ME])]));
+    assert!(said(&effects, B, |n| matches!(n, Note::NotCopied(_))));
+}
+
+/// The second message does not wait for the store that left the first without an answer.
+#[test]
+fn a_store_that_confirmed_no_copy_in_time_is_asked_after_the_others() {
+    let mut one = One::ready(Ledger::default());
+    let (key, slow) = copies(&one.put(1, cargo("plain")))[0];
+    let other = if slow == B { C } else { B };
+    while copies(&one.pass(5)).is_empty() {
+        assert!(one.now < 1000);
+    }
+    one.note(other, Note::Copied(vec![key]));
+    let (_, next) = copies(&one.put(2, Cargo { id: "n".into(), ..cargo("plain") }))[0];
+    assert_ne!(next, slow);
+}
