--- a/drydock/src/client.rs
+++ b/drydock/src/client.rs
@@ -212,13 +212,13 @@
         answered
     }
 
-    /// Many at once, on eight connections to one edge.
+    /// Many at once, on sixteen connections to one edge.
     pub fn burst(self: &Arc<Clients>, plan: &Plan, edge: usize, count: u64) {
-        for _ in 0..8 {
+        for _ in 0..16 {
             let (clients, plan) = (Arc::clone(self), plan.clone());
             std::thread::spawn(move || {
                 let mut wire = None;
-                for _ in 0..count / 8 {
+                for _ in 0..count / 16 {
                     clients.send(&plan, edge, &mut wire);
                 }
             });
--- a/drydock/src/fleet.rs
+++ b/drydock/src/fleet.rs
@@ -162,7 +162,6 @@
 
     pub fn start(&mut self, role: Role, at: usize) -> Plain<()> {
         let program = self.program.clone();
-        self.find(role, at);
         let place = self.machines.iter().position(|m| (m.role, m.at) == (role, at)).unwrap_or(0);
         let boot = self.boot(&self.machines[place]);
         let machine = &mut self.machines[place];
@@ -194,6 +193,14 @@
         }
     }
 
+    /// Stops a process where it stands, or lets it go on.
+    pub fn stall(&mut self, role: Role, at: usize, stands: bool) {
+        let signal = if stands { Signal::SIGSTOP } else { Signal::SIGCONT };
+        if let Some(child) = &self.find(role, at).child {
+            let _ = kill(Pid::from_raw(child.id() as i32), signal);
+        }
+    }
+
     pub fn kill_all(&mut self) {
         for child in self.machines.iter_mut().filter_map(|m| m.child.as_mut()) {
             let _ = child.kill();
--- a/drydock/src/prove.rs
+++ b/drydock/src/prove.rs
@@ -153,13 +153,17 @@
     }
 
     fn lose_store(&mut self, at: usize, disk: bool) -> Plain<()> {
+        let from = self.sight.now();
         if disk {
-            // Large ones, not due yet: their copies are under way when the store goes.
+            // The others stall for a moment, so that copies of large ones, which are not due yet, are still under way.
             let plan = Plan { delay_ms: 1500, large: true, ..Plan::to("/alder/") };
-            self.clients.burst(&plan, at, 64);
-            self.sleep(60);
+            let others: Vec<usize> = (0..EACH).filter(|other| *other != at).collect();
+            others.iter().for_each(|other| self.fleet.stall(Role::Store, *other, true));
+            self.clients.burst(&plan, at, 160);
+            self.sleep(250);
+            self.fleet.kill(Role::Store, at);
+            others.iter().for_each(|other| self.fleet.stall(Role::Store, *other, false));
         }
-        let from = self.sight.now();
         self.fleet.kill(Role::Store, at);
         self.say(&format!("store-{} is killed{}", at + 1, if disk { ", its disk is lost" } else { "" }));
         if disk {
@@ -282,7 +286,8 @@
 fn play(mut fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
     let endpoint = fleet.outside(90, 9000);
     let receiver = fleet.outside(91, 9000);
-    crate::receiver::listen(receiver, Arc::clone(sight))?;
+    let down = Arc::new(AtomicBool::new(false));
+    crate::receiver::listen(receiver, Arc::clone(sight), &down)?;
     fleet.start_all()?;
     let mut operator = Operator::new(fleet.controls(), sight);
     let services: Services =
@@ -357,7 +362,12 @@
     course.sleep(3000);
     course.lose_store(0, false)?;
     course.sleep(5000);
+    // Call-backs that are owed when the store goes are owed by those that have its copies.
+    course.say("the receiver of call-backs is down");
+    down.store(true, Ordering::Relaxed);
+    course.sleep(1000);
     course.lose_store(1, true)?;
+    down.store(false, Ordering::Relaxed);
     course.sleep(6500);
     course.orderly(Role::Store, 2, "store-3")?;
     course.sleep(3500);
--- a/drydock/src/receiver.rs
+++ b/drydock/src/receiver.rs
@@ -4,7 +4,7 @@
 use crate::sight::Sight;
 use crate::wire::Wire;
 use std::net::{SocketAddrV4, TcpListener};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,25 +19,26 @@
     }
 }
 
-pub fn listen(at: SocketAddrV4, sight: Arc<Sight>) -> Result<(), String> {
+/// While `down` is up it takes nothing.
+pub fn listen(at: SocketAddrV4, sight: Arc<Sight>, down: &Arc<AtomicBool>) -> Result<(), String> {
     let listener = TcpListener::bind(at).map_err(|e| format!("{at}: {e}"))?;
-    let count = Arc::new(AtomicU64::new(0));
+    let (count, down) = (Arc::new(AtomicU64::new(0)), Arc::clone(down));
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (sight, count) = (Arc::clone(&sight), Arc::clone(&count));
-            std::thread::spawn(move || take(Wire::over(stream), &sight, &count));
+            let (sight, count, down) = (Arc::clone(&sight), Arc::clone(&count), Arc::clone(&down));
+            std::thread::spawn(move || take(Wire::over(stream), &sight, &count, &down));
         }
     });
     Ok(())
 }
 
-fn take(mut wire: Wire, sight: &Sight, count: &AtomicU64) {
+fn take(mut wire: Wire, sight: &Sight, count: &AtomicU64, down: &AtomicBool) {
     while let Ok(Some(request)) = wire.hear(Instant::now() + Duration::from_secs(5)) {
         let number = count.fetch_add(1, Ordering::Relaxed);
         if number % 40 == 39 {
             std::thread::sleep(Duration::from_millis(300));
         }
-        let taken = number % 25 != 24;
+        let taken = number % 25 != 24 && !down.load(Ordering::Relaxed);
         let value: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let id = value["id"].as_str().unwrap_or_default().to_string();
         sight.write().calls.push(Call { id, said: said(&request.body), taken });
