--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -7,15 +7,19 @@
 use crate::node::{wall, Common};
 use crate::report::Told;
 use crate::signals::{Class, Found, Signal};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use stileroute_charter::RouteKind;
-use stileroute_hold::{Cargo, Key, Node, Refusal};
+use stileroute_hold::{place, Cargo, Key, Node, Refusal};
 
-/// A store that has not answered for so long is taken to be gone, and another is asked.
+/// A store that has not answered for so long is taken to be stuck, and another is asked; one of which nothing at all has
+/// been heard meanwhile is taken to be gone sooner.
 const PATIENCE: Millis = 400;
-/// A store that was silent gets no new messages for so long, unless it speaks.
+const SILENCE: Millis = 200;
+/// A store that did not answer gets messages only after the others for so long, and none at all until it is heard again.
 const SHUN: Millis = 1500;
+/// So long a store that is back is told what others keep in its place.
+const TELL: Millis = 120_000;
 /// Most messages that wait for a store.
 const MOST: usize = 4000;
 /// One that asks what became of a message waits two seconds.
@@ -62,8 +66,11 @@
     finds: HashMap<u64, Find>,
     /// By when each wait is looked at.
     waits: BTreeMap<(Millis, u64), ()>,
+    /// Since when.
     shunned: HashMap<Node, Millis>,
     leaving: HashSet<Node>,
+    /// Messages offered to several stores, and which one is kept: told again to each store that is back.
+    superseded: VecDeque<(Millis, Signal)>,
     next_ticket: u64,
     next_store: usize,
     figures: Figures,
@@ -87,6 +94,7 @@
             waits: BTreeMap::new(),
             shunned: HashMap::new(),
             leaving: HashSet::new(),
+            superseded: VecDeque::new(),
             next_ticket: 1,
             next_store: 0,
             figures: Figures::default(),
@@ -145,6 +153,9 @@
             Word::Up(hello) if hello.class == Class::Store => {
                 self.leaving.remove(&hello.node);
                 self.shunned.remove(&hello.node);
+                for (_, signal) in &self.superseded {
+                    self.common.links.say(&mut self.common.net, hello.node, signal);
+                }
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Store) => self.store_lost(node),
@@ -235,7 +246,10 @@
             target: request.target,
             content_type: request.content_type,
             callback: request.callback.filter(|_| route.callback),
-            order_key: request.order_key.filter(|_| route.in_order),
+            order_key: request
+                .order_key
+                .filter(|_| route.in_order)
+                .map(|key| format!("{}\0{key}", route.name)),
             delay_ms: request.delay_ms.unwrap_or(0),
             taken: wall(),
             config: config.revision,
@@ -246,8 +260,14 @@
         self.send(ticket, put);
     }
 
-    /// The stores to choose from: of the own zone first, in turn.
-    fn store(&mut self, not: &[Node]) -> Option<Node> {
+    /// Nothing has been heard of it since it did not answer: what is sent there now would only be uncertain later.
+    fn gone(&self, node: Node) -> bool {
+        let since = self.shunned.get(&node);
+        since.is_some_and(|since| self.common.links.heard(node).is_none_or(|heard| heard <= *since))
+    }
+
+    /// The stores to choose from: of the own zone first, in turn; of a row always the same one, as long as it is there.
+    fn store(&mut self, not: &[Node], row: Option<&str>) -> Option<Node> {
         let now = self.common.net.now();
         let zone = &self.common.boot.zone;
         let mut all: Vec<(bool, bool, Node)> = self
@@ -255,10 +275,17 @@
             .links
             .up()
             .filter(|h| h.class == Class::Store && !not.contains(&h.node) && !self.leaving.contains(&h.node))
-            .map(|h| (self.shunned.get(&h.node).is_some_and(|until| now < *until), h.zone != *zone, h.node))
+            .filter(|h| !self.gone(h.node))
+            .map(|h| {
+                let slow = self.shunned.get(&h.node).is_some_and(|since| now < since + SHUN);
+                (slow, h.zone != *zone, h.node)
+            })
             .collect();
         all.sort_unstable();
         let first = *all.first()?;
+        if let Some(row) = row {
+            return place(row, all.iter().filter(|s| s.0 == first.0).map(|s| s.2));
+        }
         let alike = all.iter().take_while(|s| (s.0, s.1) == (first.0, first.1)).count();
         self.next_store = self.next_store.wrapping_add(1);
         Some(all[self.next_store % alike].2)
@@ -266,14 +293,14 @@
 
     fn send(&mut self, ticket: u64, mut put: Put) {
         let now = self.common.net.now();
-        match self.store(&put.tried) {
+        match self.store(&put.tried, put.cargo.order_key.as_deref()) {
             Some(store) => {
                 put.tried.push(store);
                 put.sent = now;
                 self.figures.again += u64::from(put.tried.len() > 1);
                 let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
                 self.common.links.say(&mut self.common.net, store, &signal);
-                self.waits.insert(((now + PATIENCE).min(put.until), ticket), ());
+                self.waits.insert(((now + SILENCE).min(put.until), ticket), ());
                 self.puts.insert(ticket, put);
             }
             // Nobody has it: that is a promise, and the client may come back. Else nothing is promised.
@@ -284,15 +311,32 @@
             None => {
                 self.figures.uncertain += 1;
                 self.answer(put.conn, Answer::bare(502));
+                self.supersede(&put, None);
             }
         }
     }
 
+    /// Tells all stores which of several is kept.
+    fn supersede(&mut self, put: &Put, kept: Option<Key>) {
+        let now = self.common.net.now();
+        let signal = Signal::Superseded { id: put.cargo.id.clone(), print: put.cargo.print(), kept };
+        for store in self.common.links.class(Class::Store) {
+            self.common.links.say(&mut self.common.net, store, &signal);
+        }
+        self.superseded.push_back((now, signal));
+        while self.superseded.front().is_some_and(|(at, _)| now > at + TELL) || self.superseded.len() > MOST {
+            self.superseded.pop_front();
+        }
+    }
+
     fn taken(&mut self, _from: Node, ticket: u64, result: Result<String, Refusal>) {
         let Some(mut put) = self.puts.remove(&ticket) else { return };
         match result {
             Ok(name) => {
                 self.figures.taken += 1;
+                if put.tried.len() > 1 {
+                    self.supersede(&put, Key::parse(&name).map(|(key, _)| key));
+                }
                 let headers = vec![("X-Queue-Message-Id", name)];
                 self.answer(put.conn, Answer { status: 202, headers, ..Answer::default() });
             }
@@ -335,18 +379,22 @@
                 continue;
             }
             let Some(put) = self.puts.get(&ticket) else { continue };
-            if now < put.until && now < put.sent + PATIENCE {
+            let heard = |node: &Node| self.common.links.heard(*node).is_some_and(|heard| heard > put.sent);
+            let speaks = put.tried.last().is_some_and(heard);
+            if now < put.until && now < put.sent + if speaks { PATIENCE } else { SILENCE } {
                 self.waits.insert(((put.sent + PATIENCE).min(put.until), ticket), ());
                 continue;
             }
             let Some(mut put) = self.puts.remove(&ticket) else { continue };
             if let Some(store) = put.tried.last() {
-                self.shunned.insert(*store, now + SHUN);
+                // Of when it was sent: what has been heard since counts.
+                self.shunned.insert(*store, if speaks { now } else { put.sent });
             }
             put.uncertain = true;
             if now >= put.until {
                 self.figures.uncertain += 1;
                 self.answer(put.conn, Answer::bare(504));
+                self.supersede(&put, None);
             } else {
                 self.send(ticket, put);
             }
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -6,7 +6,7 @@
 use crate::net::{Event, Failure, Millis, Reply};
 use crate::node::{lot, wall, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Found, Signal, Standing};
+use crate::signals::{Beat, Class, Found, Retiring, Signal, Standing};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddrV4;
@@ -113,6 +113,14 @@
                 self.hold.leave(now);
             }
             self.carry_out();
+            let retiring = self.hold.retired().map_or(Retiring::No, |empty| {
+                if empty {
+                    Retiring::Complete
+                } else {
+                    Retiring::Rolling
+                }
+            });
+            self.common.retires(retiring);
             for line in self.hold.log() {
                 tracing::debug!("{line}");
             }
@@ -157,6 +165,18 @@
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Store) => self.hold.down(now, node),
+            Word::Down(node, Class::Edge) => {
+                let lost: Vec<u64> = self
+                    .askers
+                    .iter()
+                    .filter(|(_, (edge, _))| *edge == node)
+                    .map(|(ticket, _)| *ticket)
+                    .collect();
+                for ticket in lost {
+                    self.askers.remove(&ticket);
+                    self.hold.abandoned(ticket);
+                }
+            }
             Word::Down(..) => {}
             Word::Said(from, Class::Core, Signal::News(news)) => {
                 let config = self.common.heard_news(from, &news);
@@ -198,6 +218,9 @@
                     self.hold.configure(now, fine, config);
                 }
             }
+            Word::Said(_, Class::Edge, Signal::Superseded { id, print, kept }) => {
+                self.hold.superseded(&id, print, kept);
+            }
             Word::Said(from, Class::Edge, Signal::Put { ticket, cargo }) => {
                 self.next_ticket += 1;
                 self.askers.insert(self.next_ticket, (from, ticket));
@@ -216,6 +239,12 @@
                 self.common.links.say(&mut self.common.net, from, &Signal::Found { ticket, found });
             }
             Word::Said(from, Class::Store, Signal::Note(note)) => self.hold.note(now, from, note),
+            Word::Said(_, Class::Core, Signal::Retire { node }) if node == self.common.links.me().node => {
+                self.hold.retire(now);
+                for edge in self.common.links.class(Class::Edge) {
+                    self.common.links.say(&mut self.common.net, edge, &Signal::Leaving);
+                }
+            }
             Word::Said(..) => {}
         }
     }
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -41,6 +41,7 @@
     pub target: String,
     pub content_type: Option<String>,
     pub callback: Option<String>,
+    /// Route and key of a message that must not start before those of the same that were accepted earlier.
     pub order_key: Option<String>,
     /// Not to run sooner than so long after it was taken.
     pub delay_ms: u64,
@@ -59,23 +60,33 @@
 }
 
 /// A message as one store tells it to another.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Shared {
     pub key: Key,
     pub owner: Node,
     /// Rises with each change of owner: the higher one holds.
     pub term: u32,
     pub copies: Vec<Node>,
-    /// How long until it is due, and until it has waited too long.
+    /// How long until it is due, and how long it has waited since it was taken.
     pub due_in: u64,
+    pub waited: u64,
     pub tries: u32,
     pub cargo: Cargo,
 }
 
+impl Shared {
+    /// Of two the higher one holds.
+    pub(crate) fn rank(&self) -> (u32, std::cmp::Reverse<Node>) {
+        (self.term, std::cmp::Reverse(self.owner))
+    }
+}
+
 /// On disk.
+#[allow(clippy::large_enum_variant)]
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
-    /// The disk's own number: another one is another disk. Numbers below `first` were given with a disk that is lost.
+    /// The disk's own number: another one is another disk. Numbers below `first` were given with a disk that
+    /// is lost.
     Born {
         disk: u64,
         first: u64,
@@ -101,6 +112,49 @@
     Drop {
         key: Key,
     },
+    /// An operator has ordered this store to be emptied.
+    Retire,
+}
+
+/// Who owns a message, and where its copies lie.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Owned {
+    pub key: Key,
+    pub owner: Node,
+    pub term: u32,
+    pub copies: Vec<Node>,
+}
+
+/// A message as it stands at one store: live, or ended with its call-back owed.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Stands {
+    pub key: Key,
+    pub owner: Node,
+    pub term: u32,
+    pub ended: bool,
+}
+
+/// Numbers in a row among what one store owns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Range {
+    pub owner: Node,
+    pub part: u64,
+}
+
+/// How many there are in a range, and all of them mixed into one number in which no order counts.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Sum {
+    pub range: Range,
+    pub count: u32,
+    pub mix: u64,
+}
+
+/// A message that is given to another store, with what its owner knows of it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Handed {
+    pub key: Key,
+    pub term: u32,
+    pub tries: u32,
 }
 
 /// Between stores.
@@ -114,25 +168,57 @@
     Ends(Vec<(Key, End, bool)>),
     Called(Vec<Key>),
     /// Who owns these now.
-    Own(Vec<(Key, Node, u32)>),
+    Own(Vec<Owned>),
     Drop(Vec<Key>),
     /// The sender owned these and has lost them with its disk.
     Lost(Vec<Key>),
     Want(Vec<Key>),
-    /// The live messages that both hold, as the sender sees them.
+    /// What both hold of the live messages, as sums over ranges; those younger than `over` ms are left out.
+    Digests {
+        disk: u64,
+        over: u64,
+        sums: Vec<Sum>,
+    },
+    /// The live messages of these ranges that both hold, as the sender sees them. `answer`: the receiver's
+    /// are wanted too.
     Standing {
         disk: u64,
-        live: Vec<(Key, Node, u32)>,
+        answer: bool,
+        ranges: Vec<Range>,
+        live: Vec<Stands>,
     },
     /// All that was to be said to a `Standing` has been said.
     Stood,
     /// The sender ends: these are the receiver's from now on.
-    Handover(Vec<(Key, u32)>),
-    HandoverTaken(Vec<Key>),
+    Handover(Vec<Handed>),
+    /// Those that the receiver has taken, and by which term.
+    HandoverTaken(Vec<(Key, u32)>),
+    /// It does not know these, and takes none of them.
+    HandoverRefused(Vec<Key>),
+    /// What is live of this row? `announced`: the sender is about to keep this message of it.
+    RowAsk {
+        number: u64,
+        row: String,
+        taken: u64,
+        key: Key,
+        announced: bool,
+    },
+    /// A new one comes not before `beyond`.
+    RowLive {
+        number: u64,
+        beyond: u64,
+        live: Vec<(u64, Key)>,
+    },
+    /// Announced, and ended.
+    RowDone(Vec<(String, Key)>),
     /// Takes no more messages and copies: it is about to end.
     Leaving,
     Ping(u64),
     Pong(u64),
+    /// The sender is to be emptied for good: copies that lie there are to lie elsewhere.
+    Retiring,
+    /// The sender counts on no copy that lies at the receiver.
+    Relieved,
     /// Tokens of a service with a ceiling: so many are wanted, so many may be used.
     TokensWanted {
         service: String,
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -1,15 +1,20 @@
-//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state machine:
-//! events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
+//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state
+//! machine: events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
 
 mod cargo;
 mod copies;
 mod hold;
 mod lane;
 mod ledger;
+mod repair;
+mod retire;
+mod row;
 mod tokens;
+mod twice;
 
-pub use cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
+pub use cargo::{Cargo, End, Handed, Key, Millis, Node, Note, Owned, Record, Refusal, Shared};
 pub use hold::{first_number, Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
 pub use hold::{MessageView, ServiceView, Stages};
 pub use lane::Server;
 pub use ledger::Ledger;
+pub use row::place;
--- a/hold/src/tokens.rs
+++ b/hold/src/tokens.rs
@@ -1,8 +1,8 @@
 //! The ceiling of a service over all stores: one store hands out tokens, and each request takes one.
 //!
-//! The holder paces itself: what it hands out in any window is the rate times the window and a small burst, and one
-//! that has just become the holder begins with none. So two holders in a row keep the ceiling together, whatever the
-//! first one has used, as long as it has stopped before the second begins.
+//! The holder paces itself: what it hands out in any window is the rate times the window and a small burst,
+//! and one that has just become the holder begins with none. So two holders in a row keep the ceiling
+//! together, whatever the first one has used, as long as it has stopped before the second begins.
 
 use crate::cargo::Millis;
 
@@ -21,6 +21,8 @@
     /// Tokens got from the holder, and until when each lot holds.
     got: Vec<(Millis, u32)>,
     asked: Option<Millis>,
+    /// Until when the token that was taken last holds.
+    last: Millis,
 }
 
 impl Bucket {
@@ -32,8 +34,8 @@
 
     pub fn rated(&mut self, rate: f64, window_ms: u64, overrun: f64) {
         self.rate = rate;
-        // Over the bound there are rate x window x (overrun - 1) + 5 to spare: a third of that is the burst, the
-        // rest is for clocks, ways that differ, and tokens that lie about.
+        // Over the bound there are rate x window x (overrun - 1) + 5 to spare: a third of that is the burst,
+        // the rest is for clocks, ways that differ, and tokens that lie about.
         let spare = rate * window_ms as f64 / 1000.0 * (overrun - 1.0).max(0.0) + 5.0;
         self.burst = (spare / 3.0).clamp(1.0, 64.0);
         self.held = self.held.min(self.burst);
@@ -92,8 +94,9 @@
         }
         self.got.retain(|(until, count)| *until > now && *count > 0);
         match self.got.first_mut() {
-            Some((_, count)) => {
+            Some((until, count)) => {
                 *count -= 1;
+                self.last = *until;
                 true
             }
             None => false,
@@ -101,12 +104,13 @@
     }
 
     /// The one that was taken last was not used.
-    pub fn give_back(&mut self, now: Millis) {
+    pub fn give_back(&mut self) {
         if self.holds() {
             self.held = (self.held + 1.0).min(self.burst);
         } else {
-            // Not for longer than its own life: it has begun some time ago.
-            self.got.push((now + LIFE / 2, 1));
+            // For the rest of its own life: given back again and again it would else be used beyond the
+            // window.
+            self.got.push((self.last, 1));
         }
     }
 
@@ -119,3 +123,19 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_token_that_is_given_back_again_and_again_lives_no_longer() {
+        let mut bucket = Bucket::new(0, 20.0, 5000, 1.1);
+        bucket.got(0, 1);
+        for now in (0..LIFE).step_by(10) {
+            assert!(bucket.take(now), "{now}");
+            bucket.give_back();
+        }
+        assert!(!bucket.take(LIFE));
+    }
+}
--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -7,7 +7,17 @@
 fn member(node: Node, class: Class) -> Member {
     let control = (class == Class::Core).then(|| SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000 + node as u16));
     let ip = Ipv4Addr::LOCALHOST;
-    Member { node, name: format!("n{node}"), class, zone: "z".into(), ip, life: 1, control, config: 0 }
+    Member {
+        node,
+        name: format!("n{node}"),
+        class,
+        zone: "z".into(),
+        ip,
+        life: 1,
+        control,
+        config: 0,
+        retiring: Retiring::No,
+    }
 }
 
 fn beat(id: &str, port: u16, count: u64, standing: Standing) -> Beat {
@@ -63,7 +73,8 @@
 fn calls_are_merged_by_their_count() {
     use Standing::*;
     // (what comes, one after the other) -> what a store that knows nothing is told
-    let cases: [(&[Beat], &[(&str, Standing)]); 6] = [
+    type Case<'a> = (&'a [Beat], &'a [(&'a str, Standing)]);
+    let cases: [Case; 6] = [
         (&[beat("a", 1, 1, Serving)], &[("a", Serving)]),
         (&[beat("a", 1, 2, Draining), beat("a", 1, 1, Serving)], &[("a", Draining)]),
         (&[beat("a", 1, 1, Serving), beat("a", 1, 1, Gone), beat("a", 1, 1, Serving)], &[]),
