--- a/drydock/src/main.rs
+++ b/drydock/src/main.rs
@@ -61,26 +61,9 @@
     }
 }
 
-/// A folder that nobody else has: below TMPDIR where that is set, else in memory where there is room, for the disk of a
-/// shared machine stalls for seconds.
+/// A folder that nobody else has; TMPDIR names another place, where the disk of a shared machine stalls for seconds.
 fn home() -> Result<PathBuf, String> {
-    let memory = if std::env::var_os("TMPDIR").is_none() { in_memory() } else { None };
-    let below = memory.unwrap_or_else(std::env::temp_dir);
-    let home = below.join(format!("harbour-{}", std::process::id()));
+    let home = std::env::temp_dir().join(format!("harbour-{}", std::process::id()));
     std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
     Ok(home)
 }
-
-/// The file system in memory that has most room, at least a gigabyte, where this user may write.
-fn in_memory() -> Option<PathBuf> {
-    let mounts = std::fs::read_to_string("/proc/mounts").ok()?;
-    let all = mounts.lines().filter_map(|line| {
-        let mut words = line.split(' ').skip(1);
-        let (path, kind) = (PathBuf::from(words.next()?), words.next()?);
-        let room = nix::sys::statvfs::statvfs(&path).ok()?;
-        let free = room.blocks_available() * room.fragment_size();
-        let mine = nix::unistd::access(&path, nix::unistd::AccessFlags::W_OK).is_ok();
-        (kind == "tmpfs" && mine && free >= 1 << 30).then_some((free, path))
-    });
-    all.max().map(|(_, path)| path)
-}
