--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -361,6 +361,16 @@
         }
     }
 
+    /// A control node in an executor's own zone, where this one is in another: a beat there crosses none. Bare, as an address
+    /// and port; a URL is not followed.
+    fn near_core(&self, zone: &str) -> Option<String> {
+        if self.common.boot.zone == zone {
+            return None;
+        }
+        let near = self.common.links.up().find(|h| h.class == Class::Core && h.zone == zone)?;
+        near.control.map(|at| at.to_string())
+    }
+
     /// To the store, if its session is here.
     fn order_retirement(&mut self, node: Node) {
         if self.roster.sessions.get(&node).is_some_and(|s| s.up) {
@@ -424,6 +434,7 @@
 impl Desk<Heartbeat> for Core {
     fn settle(&mut self, _: u64, call: Heartbeat) -> Option<Heard> {
         let now = self.common.net.now();
+        let beat_url = self.near_core(&call.zone);
         self.roster.beat(
             now,
             Beat {
@@ -439,7 +450,7 @@
             },
         );
         // Cut off from the others it could not tell them: the executor is to tell another as well.
-        Some(Heard { beat_url: None, told: self.pilot.in_touch(now) || !self.roster.ready })
+        Some(Heard { beat_url, told: self.pilot.in_touch(now) || !self.roster.ready })
     }
 }
 
