An answer to an earlier request is passed over, and a connection that names a stranger closed

Cause: take_reply of harbour/src/net/client.rs kept a connection whose answer named another request; judge in store.rs refused the answer only, so every later request there was answered with the one before. Change: call is told the request's id; second answers are passed over, strangers close the connection. Both new tests fail with the check off.

--- a/harbour/src/net/client.rs
+++ b/harbour/src/net/client.rs
@@ -3,6 +3,7 @@
 use super::{ConnId, Event, Millis, Net, Side, CONNECT};
 use httparse::Status;
 use mio::net::TcpStream;
+use std::collections::VecDeque;
 use std::net::{SocketAddr, SocketAddrV4};
 use stileroute_hawser::{framing, has_token, header, Chunks, Framing};
 
@@ -40,8 +41,31 @@
 
 pub(super) struct Outward {
     pub to: SocketAddrV4,
-    /// The call under way, and by when it is to be answered.
-    call: Option<(u64, Millis)>,
+    call: Option<Call>,
+    /// The requests that were answered here last.
+    answered: VecDeque<String>,
+    /// A second answer came: whatever comes next may be one too.
+    strayed: bool,
+}
+
+/// The call under way.
+struct Call {
+    ticket: u64,
+    deadline: Millis,
+    /// The request's id, where its answer repeats it.
+    id: Option<String>,
+}
+
+impl Outward {
+    /// Whose an answer is: `Some(true)` that of the call under way, `Some(false)` a second one to an earlier request.
+    fn whose(&self, reply: &Reply) -> Option<bool> {
+        let wanted = self.call.as_ref().and_then(|call| call.id.as_deref());
+        if wanted.is_none() || wanted == reply.id.as_deref() {
+            return Some(true);
+        }
+        let id = reply.id.as_ref()?;
+        self.answered.contains(id).then_some(false)
+    }
 }
 
 /// Most of one answer's bytes.
@@ -49,6 +73,8 @@
 /// An idle connection is given up so long before the other side would close it, and after so long where it says nothing.
 const MARGIN: Millis = 400;
 const IDLE: Millis = 4000;
+/// So many answered requests are remembered of a connection, to know a second answer by.
+const ANSWERED: usize = 4;
 
 #[derive(Debug)]
 enum Found {
@@ -113,6 +139,7 @@
 
 impl Net {
     /// Sends a request; its end comes as `Event::Replied`. Takes an idle connection, or opens one of at most `most`.
+    /// `id`: what its answer has to name.
     pub fn call(
         &mut self,
         to: SocketAddrV4,
@@ -120,7 +147,9 @@
         ticket: u64,
         deadline: Millis,
         most: usize,
+        id: Option<&str>,
     ) -> Result<(), Failure> {
+        let wanted = id.map(str::to_string);
         let now = self.now;
         let fresh = loop {
             let Some(id) = self.pools.entry(to).or_default().idle.pop() else { break None };
@@ -136,7 +165,8 @@
                     return Err(Failure::NoRoom);
                 }
                 let stream = TcpStream::connect(SocketAddr::V4(to)).map_err(|_| Failure::NotConnected)?;
-                let side = Side::Outward(Outward { to, call: None });
+                let side =
+                    Side::Outward(Outward { to, call: None, answered: VecDeque::new(), strayed: false });
                 let id = self.enter(stream, side, false, Millis::MAX).ok_or(Failure::NoRoom)?;
                 self.pools.entry(to).or_default().open += 1;
                 self.opened += 1;
@@ -148,7 +178,7 @@
             conn.deadline = until;
             conn.out.extend_from_slice(bytes);
             if let Side::Outward(outward) = &mut conn.side {
-                outward.call = Some((ticket, deadline));
+                outward.call = Some(Call { ticket, deadline, id: wanted });
             }
         }
         self.watch(id, until);
@@ -158,26 +188,38 @@
 
     pub(super) fn take_reply(&mut self, id: ConnId) {
         let now = self.now;
-        let Some(conn) = self.get(id) else { return };
-        let Side::Outward(outward) = &mut conn.side else { return };
-        if conn.input.is_empty() {
-            return;
-        }
-        let Some((ticket, _)) = outward.call else {
-            // A second answer, or bytes that nobody asked for: whatever comes next here would be another's.
-            return self.close(id);
-        };
-        match parse(&conn.input) {
-            Found::More | Found::ToEnd { .. } => {}
-            Found::Garbled => self.finish(id, ticket, Err(Failure::Garbled), None),
-            Found::Whole { reply, used, keep } => {
-                let more = conn.input.len() > used || conn.ended;
-                conn.input.drain(..used);
-                if conn.input.capacity() > super::KEEP {
-                    conn.input = Vec::new();
+        loop {
+            let Some(conn) = self.get(id) else { return };
+            let Side::Outward(outward) = &mut conn.side else { return };
+            if conn.input.is_empty() {
+                return;
+            }
+            let Some(ticket) = outward.call.as_ref().map(|call| call.ticket) else {
+                // A second answer, or bytes that nobody asked for: whatever comes next here would be another's.
+                return self.close(id);
+            };
+            let (reply, used, keep) = match parse(&conn.input) {
+                Found::More | Found::ToEnd { .. } => return,
+                Found::Garbled => return self.finish(id, ticket, Err(Failure::Garbled), None),
+                Found::Whole { reply, used, keep } => (reply, used, keep),
+            };
+            let whose = outward.whose(&reply);
+            conn.input.drain(..used);
+            if conn.input.capacity() > super::KEEP && conn.input.is_empty() {
+                conn.input = Vec::new();
+            }
+            match whose {
+                Some(true) => {
+                    let more = !conn.input.is_empty() || conn.ended || outward.strayed;
+                    let keep = keep.filter(|_| !more).map(|keep| now + keep);
+                    return self.finish(id, ticket, Ok(reply), keep);
                 }
-                let keep = keep.filter(|_| !more).map(|keep| now + keep);
-                self.finish(id, ticket, Ok(reply), keep);
+                // A second answer to a request before: the one that is waited for comes behind it. Taken for it, or with the
+                // connection given up, a message that is running would run again.
+                Some(false) => outward.strayed = true,
+                // Kept, this connection would hand each request the answer to the one before, for as long as it is used:
+                // seconds after the executor is well again each of them would run twice.
+                None => return self.finish(id, ticket, Err(Failure::Garbled), None),
             }
         }
     }
@@ -187,9 +229,11 @@
         self.happened.push_back(Event::Replied { ticket, result });
         if let Some(conn) = self.get(id) {
             if let Side::Outward(outward) = &mut conn.side {
-                outward.call = None;
+                let answered = outward.call.take().and_then(|call| call.id);
                 let to = outward.to;
                 if let Some(until) = keep {
+                    outward.answered.truncate(ANSWERED - 1);
+                    answered.into_iter().for_each(|id| outward.answered.push_front(id));
                     conn.deadline = until;
                     self.watch(id, until);
                     self.pools.entry(to).or_default().idle.push(id);
@@ -203,7 +247,7 @@
     pub(super) fn reply_to_end(&mut self, id: ConnId) {
         let Some(conn) = self.get(id) else { return };
         let Side::Outward(outward) = &conn.side else { return };
-        let Some((ticket, _)) = outward.call else { return self.close(id) };
+        let Some(ticket) = outward.call.as_ref().map(|call| call.ticket) else { return self.close(id) };
         let result = match parse(&conn.input) {
             Found::ToEnd { reply } => Ok(reply),
             _ => Err(Failure::Broken),
@@ -215,7 +259,7 @@
         let Some(conn) = self.get(id) else { return };
         let open = conn.open;
         let Side::Outward(outward) = &conn.side else { return };
-        let Some((ticket, _)) = outward.call else { return self.close(id) };
+        let Some(ticket) = outward.call.as_ref().map(|call| call.ticket) else { return self.close(id) };
         let failure = if open { Failure::Broken } else { Failure::NotConnected };
         self.finish(id, ticket, Err(failure), None);
     }
@@ -225,7 +269,7 @@
         let Some(conn) = self.get(id) else { return };
         let open = conn.open;
         let Side::Outward(outward) = &conn.side else { return };
-        match outward.call {
+        match outward.call.as_ref().map(|call| (call.ticket, call.deadline)) {
             None => self.close(id),
             Some((ticket, deadline)) if now >= deadline || !open => {
                 let failure = if open { Failure::Late } else { Failure::NotConnected };
@@ -296,6 +340,79 @@
         assert_matches!(parse(b"HTTP/1.1 200 OK\r\n\r\nto the end"), Found::ToEnd { .. });
     }
 
+    /// An executor on loopback: connections that came, and the last request's end.
+    struct Peer {
+        net: Net,
+        socket: std::net::TcpListener,
+        conns: Vec<std::net::TcpStream>,
+    }
+
+    impl Peer {
+        fn new() -> Peer {
+            let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            socket.set_nonblocking(true).unwrap();
+            Peer { net: Net::new(16).unwrap().0, socket, conns: Vec::new() }
+        }
+
+        /// One request, and these answers to it on the connection by which it came.
+        fn ask(&mut self, id: &str, answers: &[&str]) -> (usize, Result<Reply, Failure>) {
+            let SocketAddr::V4(to) = self.socket.local_addr().unwrap() else { panic!("no IPv4") };
+            let text = format!("POST / HTTP/1.1\r\nX-Request-Id: {id}\r\n\r\n");
+            let deadline = self.net.look() + 5000;
+            self.net.call(to, text.as_bytes(), 7, deadline, 8, Some(id)).unwrap();
+            let mut from = None;
+            loop {
+                for event in self.net.turn(deadline.min(self.net.now() + 20)) {
+                    if let Event::Replied { result, .. } = event {
+                        return (from.unwrap(), result);
+                    }
+                }
+                if let Ok((conn, _)) = self.socket.accept() {
+                    conn.set_nonblocking(true).unwrap();
+                    self.conns.push(conn);
+                }
+                let asked = |conn: &mut std::net::TcpStream| {
+                    let mut bytes = [0; 512];
+                    std::io::Read::read(conn, &mut bytes).is_ok_and(|some| some > 0)
+                };
+                if let Some(at) = self.conns.iter_mut().position(asked) {
+                    from = Some(at);
+                    for id in answers {
+                        let text = format!(
+                            "HTTP/1.1 200 OK\r\nX-Server-Seal: of-{id}\r\nX-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n"
+                        );
+                        std::io::Write::write_all(&mut self.conns[at], text.as_bytes()).unwrap();
+                    }
+                }
+            }
+        }
+    }
+
+    fn seal(result: Result<Reply, Failure>) -> String {
+        result.unwrap().seal.unwrap()
+    }
+
+    #[test]
+    fn a_second_answer_is_not_taken_for_the_next() {
+        let mut peer = Peer::new();
+        let (first, result) = peer.ask("a", &["a"]);
+        assert_eq!(seal(result), "of-a");
+        let (same, result) = peer.ask("b", &["a", "b"]);
+        assert_eq!((same, seal(result).as_str()), (first, "of-b"), "the second answer to a is passed over");
+        let (other, result) = peer.ask("c", &["c"]);
+        assert_eq!(seal(result), "of-c");
+        assert_ne!(other, first, "what strayed once is used no more");
+    }
+
+    #[test]
+    fn after_the_answer_to_another_request_a_connection_is_used_no_more() {
+        let mut peer = Peer::new();
+        let (first, result) = peer.ask("a", &["stranger"]);
+        assert_eq!(result.err(), Some(Failure::Garbled));
+        let (other, result) = peer.ask("b", &["b"]);
+        assert_eq!((other, seal(result).as_str()), (first + 1, "of-b"));
+    }
+
     #[test]
     fn garbage_is_no_answer() {
         let rows = [
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -346,7 +346,8 @@
                 bytes.extend_from_slice(&cargo.body);
                 let id = cargo.id.clone();
                 self.next_ticket += 1;
-                match self.common.net.call(to, &bytes, self.next_ticket, now + timeout_ms, conns) {
+                let until = now + timeout_ms;
+                match self.common.net.call(to, &bytes, self.next_ticket, until, conns, Some(&id)) {
                     Ok(()) => {
                         self.out.insert(self.next_ticket, Out::Attempt { attempt, id });
                     }
@@ -365,7 +366,7 @@
                     body.len()
                 );
                 self.next_ticket += 1;
-                match self.common.net.call(to, bytes.as_bytes(), self.next_ticket, now + CALL, CALLS) {
+                match self.common.net.call(to, bytes.as_bytes(), self.next_ticket, now + CALL, CALLS, None) {
                     Ok(()) => {
                         self.out.insert(self.next_ticket, Out::Call(key));
                     }
