Copies lie so that whole zones and regions may be lost, as tolerate names them

Seen: by reading. tolerate.region_losses was read and not heeded; with zones to be borne all copies went to other zones, not into one more than may be lost; of five control nodes with two in a zone both copies could lie there; the check of a retirement counted machines only. Change: choose() of hold/src/copies.rs by zone and region; control copies at a majority of voters where places may be lost; retirement by machines, zones and regions; edges and sessions prefer the own region after the own zone. The tests fail with the old choose and with two copies.

--- a/charter/src/boot.rs
+++ b/charter/src/boot.rs
@@ -159,7 +159,43 @@
     }
 }
 
+impl Boot {
+    /// The region of each zone, by number, in the order of `zones`.
+    pub fn regions(&self) -> Vec<usize> {
+        let names: std::collections::BTreeSet<&String> = self.zones.values().collect();
+        self.zones.values().map(|name| names.iter().position(|n| *n == name).unwrap_or(0)).collect()
+    }
+
+    /// 0: the own zone, 1: the own region, 2: further away.
+    pub fn far(&self, zone: &str) -> u8 {
+        match self.zones.get(zone) {
+            _ if zone == self.zone => 0,
+            Some(region) if *region == self.region => 1,
+            _ => 2,
+        }
+    }
+
+    /// Stores in these zones are enough to bear the losses that are named.
+    pub fn suffice<'a>(&self, zones: impl Iterator<Item = &'a str>) -> bool {
+        let all: Vec<&str> = zones.collect();
+        let apart: std::collections::BTreeSet<&str> = all.iter().copied().collect();
+        let regions: std::collections::BTreeSet<_> = apart.iter().map(|zone| self.zones.get(*zone)).collect();
+        all.len() > self.losses.copies()
+            && apart.len() > self.losses.zones
+            && regions.len() > self.losses.regions
+    }
+}
+
 impl Losses {
+    /// So many copies beside the first bear each of these losses: a place more than may be lost, and a machine more.
+    pub fn copies(&self) -> usize {
+        self.machines.max(self.zones).max(self.regions)
+    }
+    /// Whole places may be lost, with all machines there.
+    pub fn places(&self) -> bool {
+        self.zones > 0 || self.regions > 0
+    }
+
     fn from_place(place: Place) -> Losses {
         Losses {
             machines: place.small("machine_losses", 1),
--- a/charter/tests/boot.rs
+++ b/charter/tests/boot.rs
@@ -72,3 +72,22 @@
         assert_matches!(Boot::parse("node.json", &WHOLE[..cut]), Err(_), "{cut}");
     }
 }
+
+#[test]
+fn places_and_losses() {
+    let boot = Boot::parse("node.json", WHOLE).unwrap();
+    // Zones in order: dune-a, weir-a (the own one), weir-b.
+    assert_eq!(boot.regions(), [0, 1, 1]);
+    assert_eq!(["weir-a", "weir-b", "dune-a", "unknown"].map(|zone| boot.far(zone)), [0, 1, 2, 2]);
+    assert!(boot.losses.places());
+    assert_eq!(boot.losses.copies(), 2);
+    let rows: [(&[&str], bool); 4] = [
+        (&["weir-a", "weir-a", "weir-b"], true),
+        (&["weir-a", "weir-b"], false),
+        (&["weir-a", "weir-a", "weir-a"], false),
+        (&["weir-a", "weir-b", "dune-a", "dune-a"], true),
+    ];
+    for (zones, enough) in rows {
+        assert_eq!(boot.suffice(zones.iter().copied()), enough, "{zones:?}");
+    }
+}
--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -89,7 +89,9 @@
         };
         let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
             .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
-        let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, boot.losses.machines, lot());
+        let losses = boot.losses.machines;
+        let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, losses, lot());
+        let terms = Terms { places: boot.losses.places(), ..terms };
         let bounds = Bounds { body: 8 << 20, ..Bounds::default() };
         let control =
             common.net.listen(at, Some(bounds)).map_err(|e| miette::miette!("control address: {e}"))?;
@@ -490,8 +492,8 @@
         }
         // Every message lies on so many stores. With just as many left none can be taken while one is away.
         let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
-        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No).count();
-        if left < self.common.boot.losses.machines + 1 {
+        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No);
+        if !self.common.boot.suffice(left.map(|m| m.zone.as_str())) {
             return Some(Retire::TooFew);
         }
         let now = self.common.net.now();
--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -266,11 +266,11 @@
         since.is_some_and(|since| self.common.links.heard(node).is_none_or(|heard| heard <= *since))
     }
 
-    /// The stores to choose from: of the own zone first, in turn; of a row always the same one, as long as it is there.
+    /// The stores to choose from: of the own zone first, then of the region, in turn; of a row always the same one, as long as it is there.
     fn store(&mut self, not: &[Node], row: Option<&str>) -> Option<Node> {
         let now = self.common.net.now();
-        let zone = &self.common.boot.zone;
-        let mut all: Vec<(bool, bool, Node)> = self
+        let boot = &self.common.boot;
+        let mut all: Vec<(bool, u8, Node)> = self
             .common
             .links
             .up()
@@ -278,7 +278,7 @@
             .filter(|h| !self.gone(h.node))
             .map(|h| {
                 let slow = self.shunned.get(&h.node).is_some_and(|since| now < since + SHUN);
-                (slow, h.zone != *zone, h.node)
+                (slow, boot.far(&h.zone), h.node)
             })
             .collect();
         all.sort_unstable();
--- a/harbour/src/node.rs
+++ b/harbour/src/node.rs
@@ -203,7 +203,6 @@
     /// Keeps up a session with one control node, of the own zone where one is there, and asks it for news.
     pub fn keep_session(&mut self) {
         let now = self.net.now();
-        let zone = self.boot.zone.clone();
         let late = self.session.asked.is_some_and(|at| now > at + 2000);
         if self.session.with.is_some_and(|with| late || !self.links.is_up(with)) {
             self.session.with = None;
@@ -218,12 +217,13 @@
             let shunned = |node: Node| {
                 self.session.shunned.iter().find(|(n, _)| *n == node).map_or(0, |(_, until)| *until)
             };
-            let mut all: Vec<(Millis, bool, u32, Node)> = self
+            let mut all: Vec<(Millis, u8, u32, Node)> = self
                 .links
                 .up()
                 .filter(|h| h.class == Class::Core)
                 .map(|h| {
-                    (shunned(h.node), h.zone != zone, h.node.rotate_left(self.links.me().node & 31), h.node)
+                    let lot = h.node.rotate_left(self.links.me().node & 31);
+                    (shunned(h.node), self.boot.far(&h.zone), lot, h.node)
                 })
                 .collect();
             all.sort_unstable();
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -12,7 +12,9 @@
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
-use stileroute_hold::{first_number, Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms};
+use stileroute_hold::{
+    first_number, Bear, Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms,
+};
 use stileroute_logbook::{Logbook, Options, Trouble};
 
 /// A receiver of call-backs has so long.
@@ -72,8 +74,9 @@
             zone,
             disk: number,
             first,
-            losses: boot.losses.machines,
-            spread: boot.losses.zones > 0,
+            losses: boot.losses.copies(),
+            regions: boot.regions(),
+            bear: Bear { zones: boot.losses.zones, regions: boot.losses.regions },
             window_ms: boot.bounds.ceiling_window_ms,
             overrun: boot.bounds.origin_overrun,
             status_ms: boot.bounds.status_ms,
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -4,6 +4,7 @@
 use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Range, Record, Shared, Stands};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
 use crate::repair::range;
+use std::collections::BTreeSet;
 
 /// A copy that is not confirmed for so long is asked of another store: well before an edge gives up a silent
 /// store (200 ms).
@@ -143,20 +144,48 @@
         !self.heard && self.peers.values().any(|p| p.listed && !p.connected && now > p.since + GONE / 2)
     }
 
-    /// Where the copies of a new message go: nearby where zones need not be borne, else into other zones.
-    pub(crate) fn choose(&self, now: Millis, not: &[Node]) -> Vec<Node> {
-        let mut able: Vec<(bool, bool, u32, Node)> = self
-            .peers
-            .iter()
-            .filter(|(node, p)| p.connected && !p.leaving && !not.contains(node))
-            .map(|(node, p)| {
-                let near = p.zone == self.terms.zone;
-                // In a ring from this store on, so that copies are spread over all.
-                (now < p.full_until, near == self.terms.spread, node.wrapping_sub(self.terms.me), *node)
-            })
-            .collect();
-        able.sort_unstable();
-        able.into_iter().map(|(_, _, _, node)| node).take(self.terms.losses).collect()
+    /// Zone and region of a store.
+    fn place(&self, zone: usize) -> (usize, usize) {
+        (zone, self.terms.regions.get(zone).copied().unwrap_or(usize::MAX))
+    }
+
+    /// Where so many copies of a message go, beside those that lie at `stay`: into as many zones and regions as have to be
+    /// borne and one more, and nearby from then on, for bytes between zones are dear. Where too few are there, into what is.
+    pub(crate) fn choose(&self, now: Millis, stay: &[Node], not: &[Node], wanted: usize) -> Vec<Node> {
+        let own = self.place(self.terms.zone);
+        let mut places = vec![own];
+        places.extend(stay.iter().filter_map(|node| self.peers.get(node)).map(|p| self.place(p.zone)));
+        let mut chosen: Vec<Node> = Vec::new();
+        for _ in 0..wanted {
+            let zones: BTreeSet<usize> = places.iter().map(|(zone, _)| *zone).collect();
+            let regions: BTreeSet<usize> = places.iter().map(|(_, region)| *region).collect();
+            let bear = self.terms.bear;
+            let (more_zones, more_regions) = (zones.len() <= bear.zones, regions.len() <= bear.regions);
+            let able = self.peers.iter().filter(|(node, p)| {
+                p.connected
+                    && !p.leaving
+                    && !not.contains(node)
+                    && !stay.contains(node)
+                    && !chosen.contains(node)
+            });
+            let next = able.min_by_key(|(node, p)| {
+                let (zone, region) = self.place(p.zone);
+                // Safe first: one that is slow, in another zone, is waited for rather than two copies lost with one zone.
+                (
+                    more_regions && regions.contains(&region),
+                    more_zones && zones.contains(&zone),
+                    now < p.full_until,
+                    region != own.1,
+                    zone != own.0,
+                    // In a ring from this store on, so that copies are spread over all.
+                    node.wrapping_sub(self.terms.me),
+                )
+            });
+            let Some((node, peer)) = next else { break };
+            places.push(self.place(peer.zone));
+            chosen.push(*node);
+        }
+        chosen
     }
 
     pub(crate) fn copy_to(&mut self, to: Node, shared: Shared) {
@@ -224,7 +253,8 @@
         for from in slow {
             // Others get the copies of the next messages: each would wait here as long as this one has.
             self.peers.entry(from).or_default().full_until = now + SLOW;
-            let Some(to) = self.choose(now, &copies).first().copied() else { continue };
+            let stay: Vec<Node> = copies.iter().copied().filter(|node| *node != from).collect();
+            let Some(to) = self.choose(now, &stay, &copies, 1).first().copied() else { continue };
             let Some(entry) = self.entries.get_mut(&key) else { return };
             entry.missing.iter_mut().filter(|m| **m == from).for_each(|m| *m = to);
             entry.copies.iter_mut().filter(|c| **c == from).for_each(|c| *c = to);
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -32,6 +32,13 @@
 /// A turn that comes so much too late comes after a freeze.
 const FROZEN: Millis = 500;
 
+/// Whole places that may be lost at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Bear {
+    pub zones: usize,
+    pub regions: usize,
+}
+
 #[derive(Clone, Debug)]
 pub struct Terms {
     pub me: Node,
@@ -42,8 +49,10 @@
     pub first: u64,
     /// So many copies beside the own one.
     pub losses: usize,
-    /// Copies lie in other zones, for a zone may be lost.
-    pub spread: bool,
+    /// The region of each zone.
+    pub regions: Vec<usize>,
+    /// So many zones, or regions, may be lost at once: copies lie in one more than that.
+    pub bear: Bear,
     pub window_ms: u64,
     pub overrun: f64,
     pub status_ms: u64,
@@ -395,7 +404,7 @@
 
     /// A message from an edge.
     pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
-        let copies = self.choose(now, &[]);
+        let copies = self.choose(now, &[], &[], self.terms.losses);
         if self.leaving || self.stalled(now) || copies.len() < self.terms.losses || self.entries.len() >= MOST
         {
             self.figures.refused += 1;
--- a/hold/src/repair.rs
+++ b/hold/src/repair.rs
@@ -245,7 +245,7 @@
             };
             let (size, copies) = (entry.cargo.body.len() as u64 + AROUND, entry.copies.clone());
             let lacking = self.terms.losses.saturating_sub(copies.len());
-            let new: Vec<Node> = self.choose(now, &copies).into_iter().take(lacking).collect();
+            let new = self.choose(now, &copies, &copies, lacking);
             let Some(entry) = self.entries.get_mut(&key) else { return };
             entry.missing.extend(&new);
             entry.copies.extend(&new);
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -22,13 +22,18 @@
 
 impl One {
     fn new(ledger: Ledger, losses: usize) -> One {
+        One::placed(ledger, losses, Bear { zones: 1, regions: 0 }, vec![0; 8])
+    }
+
+    fn placed(ledger: Ledger, losses: usize, bear: Bear, regions: Vec<usize>) -> One {
         let terms = Terms {
             me: ME,
             zone: 0,
             disk: 7,
             first: 1,
             losses,
-            spread: true,
+            regions,
+            bear,
             window_ms: 5000,
             overrun: 1.1,
             status_ms: 120_000,
@@ -116,6 +121,39 @@
     }
 }
 
+/// Zones 0 and 1 in region 0, zone 2 in region 1; this store is in zone 0. Lost as a whole with copies beside it, a zone or
+/// region that has to be borne would take a message that was answered 202.
+#[test]
+fn copies_lie_where_the_losses_to_be_borne_leave_one() {
+    const NEAR: Node = 11;
+    const ZONE: Node = 12;
+    const REGION: Node = 13;
+    const NEAR_TOO: Node = 14;
+    let all = [(ME, 0), (NEAR, 0), (NEAR_TOO, 0), (ZONE, 1), (REGION, 2)];
+    let rows: [(usize, usize, usize, &[Node], &[Node]); 8] = [
+        (1, 0, 0, &[], &[NEAR]),
+        (2, 0, 0, &[], &[NEAR, NEAR_TOO]),
+        (1, 1, 0, &[], &[ZONE]),
+        (2, 1, 0, &[], &[ZONE, NEAR]),
+        (2, 2, 0, &[], &[ZONE, REGION]),
+        (1, 0, 1, &[], &[REGION]),
+        (2, 1, 1, &[], &[REGION, NEAR]),
+        // Nothing is there of what is wanted: what is there is taken, for no more than that can be lost.
+        (1, 1, 0, &[ZONE, REGION], &[NEAR]),
+    ];
+    for (losses, zones, regions, away, wanted) in rows {
+        let mut one = One::placed(Ledger::default(), losses, Bear { zones, regions }, vec![0, 0, 1]);
+        one.hold.members(0, &all);
+        for (node, _) in all.iter().filter(|(node, _)| *node != ME && !away.contains(node)) {
+            one.hold.up(0, *node);
+        }
+        let to: Vec<Node> = copies(&one.put(1, cargo("plain"))).iter().map(|(_, to)| *to).collect();
+        let mut wanted = wanted.to_vec();
+        wanted.sort_unstable();
+        assert_eq!(to, wanted, "{losses} machines, {zones} zones, {regions} regions, without {away:?}");
+    }
+}
+
 fn cargo(path: &str) -> Cargo {
     let callback = Some("http://10.0.0.9:80/x".to_string());
     let (id, host, method) = ("m".to_string(), "h".to_string(), "POST".to_string());
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -117,7 +117,7 @@
         };
         if pilotage.watch.is_none() && pilotage.terms.first_start && seeds.contains(&pilotage.terms.me) {
             // Reckoned alike by all that begin: nothing has to be elected, and nobody waits for anybody.
-            let copies = seeds.iter().take(pilotage.terms.losses + 1).copied().collect();
+            let copies = seeds.iter().take(pilotage.terms.bears(seeds.len()) + 1).copied().collect();
             let watch = Watch { epoch: 1, primary: seeds[0], copies, voters: seeds, drawn: 1 };
             pilotage.blank = false;
             if watch.copies.contains(&pilotage.terms.me) {
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -152,7 +152,7 @@
     }
 
     fn enough(&self, watch: &Watch) -> bool {
-        watch.copies.len() > self.terms.losses.min(watch.voters.len() - 1)
+        watch.copies.len() > self.terms.bears(watch.voters.len()).min(watch.voters.len() - 1)
     }
 
     /// May answer: the lease holds, and enough copies hold all there is.
@@ -445,7 +445,7 @@
     }
 
     fn wanted_copies(&self, watch: &Watch) -> usize {
-        (self.terms.losses + 1).min(watch.voters.len())
+        (self.terms.bears(watch.voters.len()) + 1).min(watch.voters.len())
     }
 
     /// Copies that are gone, or whose disk does not take what they are sent.
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -178,6 +178,9 @@
     pub first_start: bool,
     /// So many machines may be lost at once: one copy more than that is held.
     pub losses: usize,
+    /// Whole places may be lost, with every voter there: then as many copies are held as a majority may lose, and one more.
+    /// Where they lie need not be known for that.
+    pub places: bool,
     pub pulse_ms: Millis,
     pub lease_ms: Millis,
     pub silence_ms: Millis,
@@ -185,7 +188,25 @@
 }
 
 impl Terms {
+    /// Losses of copies that are borne among so many voters.
+    pub(crate) fn bears(&self, voters: usize) -> usize {
+        if self.places {
+            self.losses.max(voters.saturating_sub(1) / 2)
+        } else {
+            self.losses
+        }
+    }
     pub fn new(me: Voter, seeds: Vec<Voter>, first_start: bool, losses: usize, seed: u64) -> Terms {
-        Terms { me, seeds, first_start, losses, pulse_ms: 200, lease_ms: 700, silence_ms: 900, seed }
+        Terms {
+            me,
+            seeds,
+            first_start,
+            losses,
+            places: false,
+            pulse_ms: 200,
+            lease_ms: 700,
+            silence_ms: 900,
+            seed,
+        }
     }
 }
--- a/pilotage/tests/faults.rs
+++ b/pilotage/tests/faults.rs
@@ -214,6 +214,24 @@
     }
 }
 
+/// One machine, or one place with two voters of five. With `losses` + 1 copies both could lie in that place.
+#[test]
+fn a_place_that_is_lost_takes_no_configuration() {
+    for seed in 0..30 {
+        let mut world = World::of_places(5, 1, seed);
+        scenario(&mut world);
+        world.run(1000);
+        let copies: Vec<usize> = (0..5).filter(|i| world.watch().copies.contains(&voter(*i))).collect();
+        assert_eq!(copies.len(), 3);
+        let both = [copies[seed as usize % 3], copies[(seed as usize + 1) % 3]];
+        for i in both {
+            world.strike(i, Wipe, None);
+        }
+        world.read((0..5).find(|i| !both.contains(i)).unwrap(), 3000);
+        world.calm();
+    }
+}
+
 #[test]
 fn a_machine_replaced_for_good_leaves_three_voters() {
     for seed in 0..9 {
--- a/pilotage/tests/world/mod.rs
+++ b/pilotage/tests/world/mod.rs
@@ -52,6 +52,7 @@
 
 #[derive(Default)]
 pub struct World {
+    places: bool,
     pub now: Millis,
     pub nodes: Vec<Node>,
     pub calls: Vec<Call>,
@@ -92,6 +93,13 @@
 }
 
 impl World {
+    /// Whole places may be lost: any two of five.
+    pub fn of_places(seeds: usize, losses: usize, seed: u64) -> World {
+        let mut world = World { places: true, ..World::new(0, losses, seed) };
+        world.seeds = seeds;
+        (0..seeds).for_each(|_| world.add());
+        world
+    }
     pub fn new(seeds: usize, losses: usize, seed: u64) -> World {
         let luck = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
         let mut world = World { seeds, losses, luck, disk: 2, delay: 4, ..World::default() };
@@ -128,6 +136,7 @@
         let seed = self.draw(u64::MAX);
         let node = &mut self.nodes[i];
         let terms = Terms::new(voter(i), seeds, node.life == 0, self.losses, seed);
+        let terms = Terms { places: self.places, ..terms };
         node.pilot = Some(Pilotage::new(terms, node.disk.clone(), self.now + node.clock));
         node.life += 1;
         self.note(format!("{i} starts"));
