--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -130,7 +130,8 @@
     const REGION: Node = 13;
     const NEAR_TOO: Node = 14;
     let all = [(ME, 0), (NEAR, 0), (NEAR_TOO, 0), (ZONE, 1), (REGION, 2)];
-    let rows: [(usize, usize, usize, &[Node], &[Node]); 8] = [
+    type Row<'a> = (usize, usize, usize, &'a [Node], &'a [Node]);
+    let rows: [Row; 8] = [
         (1, 0, 0, &[], &[NEAR]),
         (2, 0, 0, &[], &[NEAR, NEAR_TOO]),
         (1, 1, 0, &[], &[ZONE]),
