Retiring: two orders in a row leave enough stores, and the newest word of a store holds

Seen in make prove-system with a second order while the first was on its way (store-3, then store-4 at another control node): both confirmed, one store left of three where two are needed. Cause: core.rs counted as going only stores whose session says so, and that comes to the other control nodes 200 ms later at the earliest. An order now counts for 3 s as one that goes, here and where it is told (Signal::Retire). Ruled out: the count itself, right where one node heard both.

Seen too: 40 s without an answer to begin, and read never complete, though the store logged rolling and complete within 330 ms, at the node that had its session. Cause: roster count_members let what other control nodes tell overwrite the own session; after a core cut the store had turned to another node, its connection with the one before still stood, and so did the old session there, with no order. The furthest word of all sessions holds now: nobody goes back on an order.

Test in roster/tests. Two orders in the same millisecond at two nodes can still both pass: only a vote could tell them apart.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -212,7 +212,10 @@
                     self.pilot.signal(now, voter, signal);
                 }
             }
-            Word::Said(_, Class::Core, Signal::Retire { node }) => self.order_retirement(node),
+            Word::Said(_, Class::Core, Signal::Retire { node }) => {
+                self.roster.order(now, node);
+                self.order_retirement(node);
+            }
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
                 self.roster.told_sessions(now, from, members)
             }
@@ -489,12 +492,11 @@
             return Some(Retire::Taken);
         }
         // Every message lies on so many stores. With just as many left none can be taken while one is away.
-        let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
-        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No).count();
-        if left < self.common.boot.losses.machines + 1 {
+        let now = self.common.net.now();
+        if self.roster.stay_without(now, node) < self.common.boot.losses.machines + 1 {
             return Some(Retire::TooFew);
         }
-        let now = self.common.net.now();
+        self.roster.order(now, node);
         self.retirements.insert(place, (call.node, now));
         self.order_retirement(node);
         for core in self.common.links.class(Class::Core) {
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -29,6 +29,8 @@
 pub const TELL: Millis = 500;
 /// How often silent executors and lost sessions are looked for.
 const LOOK: Millis = 200;
+/// An order to empty a store that the store has not taken by then is as if it had not been given.
+const ORDERED: Millis = 3000;
 /// Most nodes and executors that are kept.
 const MOST: usize = 20_000;
 
@@ -79,6 +81,8 @@
     pub members: Vec<Member>,
     /// Stores that were seen empty: the machine is taken away at once, and may be asked after all the same.
     pub retired: BTreeSet<String>,
+    /// Stores that are told to empty themselves, until they have said themselves that they do, and since when.
+    ordered: BTreeMap<Node, Millis>,
     members_changed: u64,
     asks: HashMap<Node, Ask>,
     /// From here on what it knows is whole enough for those that know more than nothing.
@@ -102,6 +106,7 @@
             cores: BTreeMap::new(),
             members: Vec::new(),
             retired: BTreeSet::new(),
+            ordered: BTreeMap::new(),
             members_changed: 0,
             asks: HashMap::new(),
             ready_at: now + beat_interval_ms * 3 / 2 + 200,
@@ -127,6 +132,19 @@
         self.members.iter().find(|m| m.class == Class::Store && m.name == name)
     }
 
+    /// A store is told, here or by another control node, to empty itself.
+    pub fn order(&mut self, now: Millis, node: Node) {
+        self.ordered.insert(node, now);
+    }
+
+    /// How many stores stay if this one goes as well. One that was ordered to go a moment ago does not, though it has not said
+    /// so yet: two orders, one after the other at two control nodes, would leave too few.
+    pub fn stay_without(&self, now: Millis, node: Node) -> usize {
+        let ordered = |m: &Member| self.ordered.get(&m.node).is_some_and(|at| now < at + ORDERED);
+        let stores = self.members.iter().filter(|m| m.class == Class::Store && m.node != node);
+        stores.filter(|m| m.retiring == Retiring::No && !ordered(m)).count()
+    }
+
     // ---- Executors ----
 
     /// An executor called here.
@@ -217,7 +235,11 @@
         // What changes without a node's coming or going is left out: it would be news to all each time.
         let plain = |member: &Member| Member { config: 0, life: 0, ..member.clone() };
         for member in own.chain(others).filter(|m| m.class == Class::Store) {
-            all.insert(member.node, plain(member));
+            // A store that has turned to another control node may have a session with the one before as well, for the connection
+            // stands: what it said there is older. Nobody who is to be emptied ever goes back on it.
+            let known = all.get(&member.node).map_or(Retiring::No, |other| other.retiring);
+            let retiring = member.retiring.max(known);
+            all.insert(member.node, Member { retiring, ..plain(member) });
         }
         for core in self.cores.values().chain(std::iter::once(&self.me)) {
             all.insert(core.node, plain(core));
--- a/roster/src/types.rs
+++ b/roster/src/types.rs
@@ -34,7 +34,9 @@
 }
 
 /// Whether a store is to be emptied, and whether it is empty.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, strum::Display)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, strum::Display,
+)]
 #[strum(serialize_all = "lowercase")]
 pub enum Retiring {
     #[default]
--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -189,3 +189,26 @@
     here.tick(6500, true, None);
     assert!(before > 0 && stores(&here) == 1);
 }
+
+#[test]
+fn a_store_that_is_to_be_emptied_counts_as_one_that_goes_whoever_tells_of_it() {
+    let mut roster = ready();
+    let store = |node, retiring| Member { retiring, ..member(node, Class::Store) };
+    for node in [7, 8, 9] {
+        roster.asked(3000, store(node, Retiring::No), 0, 0);
+    }
+    assert_eq!(roster.stay_without(3001, 7), 2);
+    // Ordered at another control node, and not yet confirmed: for a while it counts as one that goes.
+    roster.order(3001, 8);
+    assert_eq!((roster.stay_without(3002, 7), roster.stay_without(3002, 8)), (1, 2));
+    assert_eq!(roster.stay_without(6001, 7), 2, "it never took the order");
+    // It has its session here, and another control node tells of the one that it had before.
+    roster.asked(6100, store(8, Retiring::Rolling), 0, 0);
+    roster.told_sessions(6101, 2, vec![store(8, Retiring::No), store(9, Retiring::No)]);
+    assert_eq!(roster.store("n8").map(|m| m.retiring), Some(Retiring::Rolling));
+    assert_eq!(roster.stay_without(6102, 7), 1);
+    roster.asked(6200, store(8, Retiring::Complete), 0, 0);
+    roster.told_sessions(6201, 2, vec![store(8, Retiring::Rolling)]);
+    assert_eq!(roster.store("n8").map(|m| m.retiring), Some(Retiring::Complete));
+    assert!(roster.retired.contains("n8"));
+}
