Proof of the whole system: frozen, cut off, two operators, machines renewed and emptied

Every machine has internal ports of its own, and drydock stands between all of them with a relay for each ordered pair: harbour dials others at its own ports, so who calls whom is told by address and port, and no code of harbour knows of it. The judge reads back at every control node (SPLIT), excuses a freeze by what was in hand alone, and a cut by nothing.

--- a/drydock/src/executor.rs
+++ b/drydock/src/executor.rs
@@ -1,6 +1,6 @@
 //! Stand-in executors, each with a life of its own: they announce themselves, work, fail, drain, leave and crash.
 
-use crate::fleet::BEAT_MS;
+use crate::fleet::{Controls, BEAT_MS};
 use crate::history::{Arrival, Drain, Work};
 use crate::message::{self, Fate};
 use crate::sight::Sight;
@@ -34,7 +34,7 @@
     pub id: String,
     pub address: SocketAddrV4,
     kind: Kind,
-    controls: Vec<SocketAddrV4>,
+    controls: Controls,
     sight: Arc<Sight>,
     runs: Runs,
     running: AtomicUsize,
@@ -51,7 +51,7 @@
         id: &str,
         address: SocketAddrV4,
         kind: Kind,
-        controls: Vec<SocketAddrV4>,
+        controls: Controls,
         sight: &Arc<Sight>,
         runs: &Runs,
     ) -> Result<Arc<Executor>, String> {
@@ -176,8 +176,9 @@
     fn call(&self, what: &str, body: &str) -> bool {
         let count = self.calls.fetch_add(1, Ordering::Relaxed) as usize;
         let target = format!("/v1/servers/{}/{what}", self.id);
-        (0..self.controls.len()).any(|step| {
-            let to = self.controls[(count + step) % self.controls.len()];
+        let controls = self.controls.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        (0..controls.len()).any(|step| {
+            let to = controls[(count + step) % controls.len()];
             let said = wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1));
             !self.gone() && said.is_ok_and(|words| (200..300).contains(&words.status()))
         })
--- a/drydock/src/fleet.rs
+++ b/drydock/src/fleet.rs
@@ -1,19 +1,25 @@
-//! The fleet: nine processes of `harbour`, each a machine of its own on loopback.
+//! The fleet: nine processes of `harbour` and those added later, each a machine of its own on loopback.
 
+use crate::relay::{self, Way};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::json;
+use std::collections::HashMap;
 use std::fs::{self, File};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener};
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 pub const FRONT: u16 = 8260;
 pub const READINESS: u16 = 8261;
 pub const CONTROL: u16 = 8262;
-const INTERNAL: (u16, u16) = (7300, 7315);
+/// The ports for traffic between nodes: so many for each machine, which has those of its place.
+const INTERNAL: u16 = 7300;
+const PORTS: u16 = 16;
 pub const BEAT_MS: u64 = 1200;
 pub const GRACE: Duration = Duration::from_secs(6);
 pub const EACH: usize = 3;
@@ -63,9 +69,15 @@
     at: usize,
     dir: PathBuf,
     child: Option<Child>,
-    lives: u32,
+    /// It starts with the whole system, for the first time.
+    first: bool,
+    /// It was taken away, and never comes back.
+    away: bool,
 }
 
+/// Where operators and executors find control nodes: it changes when one is replaced.
+pub type Controls = Arc<Mutex<Vec<SocketAddrV4>>>;
+
 /// Ends what it started when it is dropped.
 pub struct Fleet {
     program: PathBuf,
@@ -73,6 +85,11 @@
     pub home: PathBuf,
     net: u8,
     machines: Vec<Machine>,
+    seeds: Vec<SocketAddrV4>,
+    controls: Controls,
+    /// By the two places, the lower first.
+    ways: HashMap<(usize, usize), Way>,
+    over: Way,
 }
 
 pub type Plain<T> = Result<T, String>;
@@ -83,36 +100,101 @@
         if !program.is_file() {
             return Err(format!("{}: no such program, build it first", program.display()));
         }
-        let mut fleet = Fleet { program: program.to_path_buf(), home, net, machines: Vec::new() };
+        let seeds = (0..EACH).map(|at| SocketAddrV4::new(address(net, Role::Core, at), CONTROL)).collect();
+        let controls = Arc::new(Mutex::new(Vec::new()));
+        let (over, ways) = (Way::default(), HashMap::new());
+        let program = program.to_path_buf();
+        let mut fleet = Fleet { program, home, net, machines: Vec::new(), seeds, controls, ways, over };
         for role in Role::ALL {
             for at in 0..EACH {
-                let dir = fleet.home.join(fleet.name(role, at));
-                fs::create_dir_all(dir.join("data")).map_err(|e| format!("{}: {e}", dir.display()))?;
-                fleet.machines.push(Machine { role, at, dir, child: None, lives: 0 });
-                let port = match role {
-                    Role::Core => CONTROL,
-                    Role::Store => INTERNAL.0 + 1,
-                    Role::Edge => FRONT,
-                };
-                let address = SocketAddrV4::new(fleet.ip(role, at), port);
-                TcpListener::bind(address).map_err(|e| format!("{address}: {e}; another fleet may run"))?;
+                fleet.add(role, at, true)?;
             }
         }
         Ok(fleet)
     }
 
-    fn name(&self, role: Role, at: usize) -> String {
+    /// One more machine, with an empty disk; it does not run yet.
+    pub fn add(&mut self, role: Role, at: usize, first: bool) -> Plain<()> {
+        let dir = self.home.join(self.name(role, at));
+        fs::create_dir_all(dir.join("data")).map_err(|e| format!("{}: {e}", dir.display()))?;
+        let own = self.internal(self.machines.len(), role, at);
+        let port = match role {
+            Role::Core => CONTROL,
+            Role::Store => own.port(),
+            Role::Edge => FRONT,
+        };
+        let front = SocketAddrV4::new(self.ip(role, at), port);
+        TcpListener::bind(front).map_err(|e| format!("{front}: {e}; another fleet may run"))?;
+        let here = self.machines.len();
+        for there in 0..here {
+            let (other, of) = (self.machines[there].role, self.machines[there].at);
+            let way = Arc::new(AtomicBool::new(false));
+            // Nobody dials an edge.
+            if other != Role::Edge {
+                let to = self.internal(there, other, of);
+                relay::stand_in(self.internal(here, other, of), to, &way, &self.over)?;
+            }
+            if role != Role::Edge {
+                relay::stand_in(self.internal(there, role, at), own, &way, &self.over)?;
+            }
+            self.ways.insert((there, here), way);
+        }
+        self.machines.push(Machine { role, at, dir, child: None, first, away: false });
+        if role == Role::Core {
+            let control = SocketAddrV4::new(self.ip(role, at), CONTROL);
+            self.controls.lock().unwrap_or_else(PoisonError::into_inner).push(control);
+        }
+        Ok(())
+    }
+
+    /// Where the machine at a place finds another.
+    fn internal(&self, place: usize, role: Role, at: usize) -> SocketAddrV4 {
+        let step = u16::from(role.number()) - 1;
+        SocketAddrV4::new(self.ip(role, at), INTERNAL + PORTS * place as u16 + step)
+    }
+
+    fn place(&self, role: Role, at: usize) -> usize {
+        self.machines.iter().position(|m| (m.role, m.at) == (role, at)).unwrap_or(0)
+    }
+
+    /// Cuts a machine off from all others of some roles, or heals that.
+    pub fn cut(&self, role: Role, at: usize, from: &[Role], apart: bool) {
+        let here = self.place(role, at);
+        for ((one, other), way) in &self.ways {
+            let far = if *one == here { *other } else { *one };
+            if (*one == here || *other == here) && from.contains(&self.machines[far].role) {
+                way.store(apart, Ordering::Relaxed);
+            }
+        }
+    }
+
+    /// Kills a machine, which never comes back, nor its disk; operators and executors look for it no more.
+    pub fn take_away(&mut self, role: Role, at: usize) -> Plain<()> {
+        self.kill(role, at);
+        self.wipe(role, at)?;
+        self.find(role, at).away = true;
+        let ip = self.ip(role, at);
+        let mut controls = self.controls.lock().unwrap_or_else(PoisonError::into_inner);
+        controls.retain(|control| role != Role::Core || *control.ip() != ip);
+        Ok(())
+    }
+
+    pub fn name(&self, role: Role, at: usize) -> String {
         format!("{}-{}", role.word(), at + 1)
     }
     pub fn ip(&self, role: Role, at: usize) -> Ipv4Addr {
-        Ipv4Addr::new(127, self.net, role.number(), at as u8 + 1)
+        address(self.net, role, at)
     }
     /// An address for a stand-in.
     pub fn outside(&self, part: u8, port: u16) -> SocketAddrV4 {
         SocketAddrV4::new(Ipv4Addr::new(127, self.net, 9, part), port)
     }
-    pub fn controls(&self) -> Vec<SocketAddrV4> {
-        (0..EACH).map(|at| SocketAddrV4::new(self.ip(Role::Core, at), CONTROL)).collect()
+    pub fn controls(&self) -> Controls {
+        Arc::clone(&self.controls)
+    }
+    /// Machines of a role that were not taken away.
+    pub fn here(&self, role: Role) -> Vec<usize> {
+        self.machines.iter().filter(|m| m.role == role && !m.away).map(|m| m.at).collect()
     }
     pub fn fronts(&self) -> Vec<SocketAddrV4> {
         (0..EACH).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), FRONT)).collect()
@@ -123,7 +205,8 @@
 
     fn boot(&self, machine: &Machine) -> serde_json::Value {
         let ip = self.ip(machine.role, machine.at);
-        let zone = |at: usize| format!("quay-{}", at + 1);
+        let zone = |at: usize| format!("quay-{}", at % EACH + 1);
+        let first = INTERNAL + PORTS * self.place(machine.role, machine.at) as u16;
         let zones: serde_json::Map<String, serde_json::Value> =
             (0..EACH).map(|at| (zone(at), json!("bay"))).collect();
         let bind = match machine.role {
@@ -142,9 +225,9 @@
             "region": "bay",
             "zones": zones,
             "bind_addresses": bind,
-            "internal_ports": [INTERNAL.0, INTERNAL.1],
-            "seed_nodes": self.controls().iter().map(|c| c.to_string()).collect::<Vec<_>>(),
-            "first_start": machine.lives == 0,
+            "internal_ports": [first, first + PORTS - 1],
+            "seed_nodes": self.seeds.iter().map(|c| c.to_string()).collect::<Vec<_>>(),
+            "first_start": machine.first,
             "counted": machine.role != Role::Edge,
             "limits": {"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 256, "max_open_files": 4096,
                        "bandwidth_mbps": 1000.0, "disk_mb": if data.is_some() { 512 } else { 0 }},
@@ -156,13 +239,13 @@
     }
 
     fn find(&mut self, role: Role, at: usize) -> &mut Machine {
-        let place = self.machines.iter().position(|m| (m.role, m.at) == (role, at));
-        &mut self.machines[place.unwrap_or(0)]
+        let place = self.place(role, at);
+        &mut self.machines[place]
     }
 
     pub fn start(&mut self, role: Role, at: usize) -> Plain<()> {
         let program = self.program.clone();
-        let place = self.machines.iter().position(|m| (m.role, m.at) == (role, at)).unwrap_or(0);
+        let place = self.place(role, at);
         let boot = self.boot(&self.machines[place]);
         let machine = &mut self.machines[place];
         let file = machine.dir.join("node.json");
@@ -177,12 +260,15 @@
             command.pre_exec(|| Ok(nix::sys::prctl::set_pdeathsig(Signal::SIGKILL)?));
         }
         machine.child = Some(command.spawn().map_err(said)?);
-        machine.lives += 1;
+        machine.first = false;
         Ok(())
     }
 
     pub fn start_all(&mut self) -> Plain<()> {
-        Role::ALL.into_iter().try_for_each(|role| (0..EACH).try_for_each(|at| self.start(role, at)))
+        for role in Role::ALL {
+            self.here(role).into_iter().try_for_each(|at| self.start(role, at))?;
+        }
+        Ok(())
     }
 
     /// Kills a process; it is gone when this returns.
@@ -256,7 +342,7 @@
     /// The control node that leads, as the last of them to take the duty says in its log.
     pub fn primary(&self) -> Option<usize> {
         let mut found: Option<(u64, usize)> = None;
-        for at in 0..EACH {
+        for at in self.here(Role::Core) {
             let log = self.home.join(self.name(Role::Core, at)).join("log");
             let text = fs::read_to_string(log).unwrap_or_default();
             for line in text.lines().filter(|line| line.contains("what=\"leads\"")) {
@@ -269,12 +355,17 @@
     }
 }
 
+fn address(net: u8, role: Role, at: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, net, role.number(), at as u8 + 1)
+}
+
 fn term(child: &Child) {
     let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
         self.kill_all();
     }
 }
--- a/drydock/src/history.rs
+++ b/drydock/src/history.rs
@@ -111,6 +111,17 @@
     pub acked: Option<Micros>,
     /// Service and most tries of each.
     pub routes: BTreeMap<String, (String, u32)>,
+    pub body: Vec<u8>,
+}
+
+/// What one control node read back: the version that was sent with just these bytes, if there is one.
+#[derive(Clone, Debug)]
+pub struct Read {
+    /// Those of one round are asked with no change between them.
+    pub round: u32,
+    pub at: Micros,
+    pub control: String,
+    pub version: Option<u64>,
 }
 
 /// An executor whose draining was acknowledged.
@@ -147,6 +158,11 @@
     pub drains: Vec<Drain>,
     /// From a fault until the machine was started again.
     pub troubles: Vec<(Micros, Micros)>,
+    /// From when a process was stopped where it stood until it went on: what it had in hand it still has.
+    pub freezes: Vec<(Micros, Micros)>,
+    /// A machine was cut off: it lives, and knows all that it did.
+    pub cuts: Vec<(Micros, Micros)>,
+    pub reads: Vec<Read>,
     pub takes: Vec<Take>,
     pub seen: Vec<Seen>,
 }
--- a/drydock/src/main.rs
+++ b/drydock/src/main.rs
@@ -1,14 +1,17 @@
 //! `harbour-drydock`: starts a whole fleet of `harbour` on loopback, and proves it under load and faults.
 
 mod client;
+mod course;
 mod executor;
 mod fleet;
 mod history;
 mod judge;
 mod message;
 mod operator;
+mod ordeals;
 mod prove;
 mod receiver;
+mod relay;
 mod show;
 mod sight;
 mod wire;
--- a/drydock/src/operator.rs
+++ b/drydock/src/operator.rs
@@ -1,12 +1,13 @@
 //! The stand-in operator: sends configurations to control nodes until one answers clearly, and reads back.
 
-use crate::history::{Micros, Version};
+use crate::fleet::Controls;
+use crate::history::{Micros, Read, Version};
 use crate::sight::Sight;
 use crate::wire;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 use std::time::{Duration, Instant};
 
 pub const HOST: &str = "quay.example";
@@ -41,14 +42,22 @@
 }
 
 pub struct Operator {
-    pub controls: Vec<SocketAddrV4>,
+    pub controls: Controls,
     pub sight: Arc<Sight>,
     turn: usize,
+    /// It goes to this one alone first, and to others only where that gives no clear answer.
+    pub first: Option<SocketAddrV4>,
 }
 
 impl Operator {
-    pub fn new(controls: Vec<SocketAddrV4>, sight: &Arc<Sight>) -> Operator {
-        Operator { controls, sight: Arc::clone(sight), turn: 0 }
+    pub fn new(controls: Controls, sight: &Arc<Sight>) -> Operator {
+        Operator { controls, sight: Arc::clone(sight), turn: 0, first: None }
+    }
+
+    fn next(&mut self) -> SocketAddrV4 {
+        self.turn += 1;
+        let controls = self.controls.lock().unwrap_or_else(PoisonError::into_inner);
+        self.first.take().unwrap_or(controls[self.turn % controls.len()])
     }
 
     /// Calls one node after the other until one answers clearly; no answer where none does in time.
@@ -62,8 +71,7 @@
         let until = Instant::now() + most;
         let mut pause = Duration::from_millis(20);
         while Instant::now() < until {
-            self.turn += 1;
-            let to = self.controls[self.turn % self.controls.len()];
+            let to = self.next();
             if let Ok(words) = wire::call(to, method, target, body.as_bytes(), Duration::from_secs(1)) {
                 let status = words.status();
                 if status < 500 && !matches!(status, 307 | 408 | 429) {
@@ -76,6 +84,27 @@
         None
     }
 
+    /// Writes down a valid configuration that is about to be sent.
+    pub fn prepare(&self, number: u64, routes: &Routes, services: &Services) -> String {
+        let body = configuration(number, routes, services);
+        let sent = self.sight.now();
+        let held: BTreeMap<String, (String, u32)> = routes
+            .iter()
+            .map(|(prefix, service, tries)| (prefix.to_string(), (service.to_string(), *tries)))
+            .collect();
+        let version = Version { number, sent, acked: None, routes: held, body: body.clone().into_bytes() };
+        self.sight.write().versions.push(version);
+        body
+    }
+
+    pub fn acknowledged(&self, number: u64) -> Micros {
+        let now = self.sight.now();
+        if let Some(version) = self.sight.write().versions.iter_mut().find(|v| v.number == number) {
+            version.acked = Some(now);
+        }
+        now
+    }
+
     /// Sends a valid configuration and writes down when it was sent and acknowledged. Gives how long that took.
     pub fn replace(
         &mut self,
@@ -84,21 +113,34 @@
         services: &Services,
         most: Duration,
     ) -> (String, Option<Micros>) {
-        let body = configuration(number, routes, services);
         let sent = self.sight.now();
-        let held: BTreeMap<String, (String, u32)> = routes
-            .iter()
-            .map(|(prefix, service, tries)| (prefix.to_string(), (service.to_string(), *tries)))
-            .collect();
-        self.sight.write().versions.push(Version { number, sent, acked: None, routes: held });
+        let body = self.prepare(number, routes, services);
         let said = self.order("POST", "/v1/settings/replace", &body, most);
-        let acked = said.is_some_and(|(status, _)| status == 200).then(|| self.sight.now());
-        if let Some(version) = self.sight.write().versions.iter_mut().find(|v| v.number == number) {
-            version.acked = acked;
-        }
+        let acked = said.is_some_and(|(status, _)| status == 200).then(|| self.acknowledged(number));
         (body, acked.map(|at| at - sent))
     }
 
+    /// What each control node reads back; none for one that answers nothing in time.
+    pub fn read_all(&mut self, round: u32, most: Duration) -> Vec<Option<u64>> {
+        let controls = self.controls.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let read = |to: SocketAddrV4| {
+            let until = Instant::now() + most;
+            while Instant::now() < until {
+                let at = self.sight.now();
+                let said = wire::call(to, "GET", "/v1/settings/read", b"", Duration::from_secs(1));
+                if let Some(words) = said.ok().filter(|words| words.status() == 200) {
+                    let mut history = self.sight.write();
+                    let version = history.versions.iter().find(|v| v.body == words.body).map(|v| v.number);
+                    history.reads.push(Read { round, at, control: to.to_string(), version });
+                    return Some(version.unwrap_or(0));
+                }
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            None
+        };
+        controls.into_iter().map(read).collect()
+    }
+
     pub fn read(&mut self, most: Duration) -> Option<Vec<u8>> {
         let said = self.order("GET", "/v1/settings/read", "", most)?;
         (said.0 == 200).then_some(said.1)
--- a/drydock/src/show.rs
+++ b/drydock/src/show.rs
@@ -72,11 +72,12 @@
 fn tell(fleet: &Fleet, executors: &[Arc<Executor>]) {
     let list =
         |all: Vec<std::net::SocketAddrV4>| all.iter().map(ToString::to_string).collect::<Vec<_>>().join("  ");
+    let controls = fleet.controls().lock().map(|all| all.clone()).unwrap_or_default();
     let edge = fleet.fronts()[0];
     println!("a fleet of nine runs, until Ctrl-C; logs and disks: {}", fleet.home.display());
     println!("  edges (clients)                  {}", list(fleet.fronts()));
     println!("  edges (readiness)                {}", list(fleet.readiness()));
-    println!("  control (operators, executors)   {}", list(fleet.controls()));
+    println!("  control (operators, executors)   {}", list(controls.clone()));
     println!("  executors of service orders      {}", list(executors.iter().map(|e| e.address).collect()));
     println!("\nsend a message, see its name in X-Queue-Message-Id:");
     println!(
@@ -85,5 +86,5 @@
     println!("ask what became of it, at any edge:");
     println!("  curl -H 'Host: {HOST}' http://{}/v1/message/NAME", fleet.fronts()[2]);
     println!("read the configuration back:");
-    println!("  curl http://{}/v1/settings/read", fleet.controls()[1]);
+    println!("  curl http://{}/v1/settings/read", controls[1]);
 }
