--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -214,7 +214,10 @@
                     self.pilot.signal(now, voter, signal);
                 }
             }
-            Word::Said(_, Class::Core, Signal::Retire { node }) => self.order_retirement(node),
+            Word::Said(_, Class::Core, Signal::Retire { node }) => {
+                self.roster.order(now, node);
+                self.order_retirement(node);
+            }
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
                 self.roster.told_sessions(now, from, members)
             }
@@ -491,12 +494,12 @@
             return Some(Retire::Taken);
         }
         // Every message lies on so many stores. With just as many left none can be taken while one is away.
-        let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
-        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No);
-        if !self.common.boot.suffice(left.map(|m| m.zone.as_str())) {
+        let now = self.common.net.now();
+        let left = self.roster.stay_without(now, node).map(|m| m.zone.as_str());
+        if !self.common.boot.suffice(left) {
             return Some(Retire::TooFew);
         }
-        let now = self.common.net.now();
+        self.roster.order(now, node);
         self.retirements.insert(place, (call.node, now));
         self.order_retirement(node);
         for core in self.common.links.class(Class::Core) {
