Connections that executors forget: after a loss on an idle one none rests as long there

Cause (idle_race): an executor forgets a connection sooner than it says; what is sent on it is lost, may have run, and is sent again. Each idle connection to it would lose one message. After a loss none that rested half as long is used there again for 20 s. And when a store's part of max_conns shrinks (stores added), connections over it go as they fall idle: before, they stayed and the executor reset as many new ones of the added stores.

--- a/harbour/src/net/client.rs
+++ b/harbour/src/net/client.rs
@@ -42,6 +42,36 @@
     pub to: SocketAddrV4,
     /// The call under way, and by when it is to be answered.
     call: Option<(u64, Millis)>,
+    /// Idle since then; and for how long it had been when the call under way took it.
+    idle_since: Millis,
+    rested: Option<Millis>,
+}
+
+/// Some executors forget connections sooner than they say, and what is sent on one is lost: it may have run, and runs again.
+/// After such a loss none that rested for half as long carries a request to that address; so the second and third are seldom
+/// lost, and a lower bound is found by halves. It is forgotten in its turn, for the executor may be another by then.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Rest {
+    most: Millis,
+    until: Millis,
+}
+
+const FORGOTTEN: Millis = 20_000;
+
+impl Rest {
+    /// A request was lost on a connection that had rested for so long. Shorter rests say nothing: any connection may break.
+    fn lost(old: Option<Rest>, now: Millis, rested: Millis) -> Option<Rest> {
+        let old = old.filter(|rest| rest.until > now);
+        if rested < 40 {
+            return old;
+        }
+        let most = old.map_or(rested / 2, |rest| rest.most.min(rested / 2));
+        Some(Rest { most, until: now + FORGOTTEN })
+    }
+
+    fn may(rest: Option<Rest>, now: Millis, rested: Millis) -> bool {
+        rest.is_none_or(|rest| rest.until <= now || rested <= rest.most)
+    }
 }
 
 /// Most of one answer's bytes.
@@ -123,12 +153,17 @@
     ) -> Result<(), Failure> {
         let now = self.now;
         let fresh = loop {
-            let Some(id) = self.pools.entry(to).or_default().idle.pop() else { break None };
-            if self.get(id).is_some_and(|conn| !conn.ended && conn.deadline > now + 5) {
+            let pool = self.pools.entry(to).or_default();
+            pool.most = most.max(1);
+            let rest = pool.rest;
+            let Some(id) = pool.idle.pop() else { break None };
+            let good = self.get(id).is_some_and(|conn| !conn.ended && conn.deadline > now + 5);
+            if good && Rest::may(rest, now, self.rests(id)) {
                 break Some(id);
             }
             self.close(id);
         };
+        let rested = fresh.map(|id| self.rests(id));
         let id = match fresh {
             Some(id) => id,
             None => {
@@ -136,7 +171,7 @@
                     return Err(Failure::NoRoom);
                 }
                 let stream = TcpStream::connect(SocketAddr::V4(to)).map_err(|_| Failure::NotConnected)?;
-                let side = Side::Outward(Outward { to, call: None });
+                let side = Side::Outward(Outward { to, call: None, idle_since: now, rested: None });
                 let id = self.enter(stream, side, false, Millis::MAX).ok_or(Failure::NoRoom)?;
                 self.pools.entry(to).or_default().open += 1;
                 self.opened += 1;
@@ -148,7 +183,7 @@
             conn.deadline = until;
             conn.out.extend_from_slice(bytes);
             if let Side::Outward(outward) = &mut conn.side {
-                outward.call = Some((ticket, deadline));
+                (outward.call, outward.rested) = (Some((ticket, deadline)), rested);
             }
         }
         self.watch(id, until);
@@ -156,6 +191,25 @@
         Ok(())
     }
 
+    /// For how long a connection has been idle.
+    fn rests(&mut self, id: ConnId) -> Millis {
+        let now = self.now;
+        match self.get(id).map(|conn| &conn.side) {
+            Some(Side::Outward(outward)) => now.saturating_sub(outward.idle_since),
+            _ => 0,
+        }
+    }
+
+    /// No byte of an answer came on a connection that had carried others.
+    fn lost_at_rest(&mut self, id: ConnId) {
+        let now = self.now;
+        let Some(conn) = self.get(id).filter(|conn| conn.input.is_empty()) else { return };
+        let Side::Outward(Outward { to, rested: Some(rested), .. }) = conn.side else { return };
+        self.lost_at_rest += 1;
+        let pool = self.pools.entry(to).or_default();
+        pool.rest = Rest::lost(pool.rest, now, rested);
+    }
+
     pub(super) fn take_reply(&mut self, id: ConnId) {
         let now = self.now;
         let Some(conn) = self.get(id) else { return };
@@ -185,11 +239,18 @@
     /// Tells how the call ended, and keeps the connection until then, if at all.
     fn finish(&mut self, id: ConnId, ticket: u64, result: Result<Reply, Failure>, keep: Option<Millis>) {
         self.happened.push_back(Event::Replied { ticket, result });
+        let now = self.now;
         if let Some(conn) = self.get(id) {
             if let Side::Outward(outward) = &mut conn.side {
                 outward.call = None;
                 let to = outward.to;
-                if let Some(until) = keep {
+                // With more stores each one's part is smaller: those over it go as they fall idle, or the executor would
+                // reset as many of others.
+                let over = self.pools.get(&to).is_some_and(|pool| pool.open > pool.most);
+                if let Some(until) = keep.filter(|_| !over) {
+                    let Some(conn) = self.get(id) else { return };
+                    let Side::Outward(outward) = &mut conn.side else { return };
+                    outward.idle_since = now;
                     conn.deadline = until;
                     self.watch(id, until);
                     self.pools.entry(to).or_default().idle.push(id);
@@ -208,6 +269,7 @@
             Found::ToEnd { reply } => Ok(reply),
             _ => Err(Failure::Broken),
         };
+        self.lost_at_rest(id);
         self.finish(id, ticket, result, None);
     }
 
@@ -217,6 +279,7 @@
         let Side::Outward(outward) = &conn.side else { return };
         let Some((ticket, _)) = outward.call else { return self.close(id) };
         let failure = if open { Failure::Broken } else { Failure::NotConnected };
+        self.lost_at_rest(id);
         self.finish(id, ticket, Err(failure), None);
     }
 
@@ -239,10 +302,11 @@
     }
 
     pub(super) fn left(&mut self, id: ConnId, to: SocketAddrV4) {
+        let now = self.now;
         if let Some(pool) = self.pools.get_mut(&to) {
             pool.open = pool.open.saturating_sub(1);
             pool.idle.retain(|idle| *idle != id);
-            if pool.open == 0 {
+            if pool.open == 0 && pool.rest.is_none_or(|rest| rest.until <= now) {
                 self.pools.remove(&to);
             }
         }
@@ -296,6 +360,22 @@
         assert_matches!(parse(b"HTTP/1.1 200 OK\r\n\r\nto the end"), Found::ToEnd { .. });
     }
 
+    #[test]
+    fn a_connection_that_was_forgotten_bounds_how_long_the_next_may_rest() {
+        // Executors that forget what rested 320 ms: what was lost at 900 ms says little, at 340 enough.
+        let mut rest = None;
+        assert!(Rest::may(rest, 0, 4000));
+        for (now, rested, most) in [(0, 900, 450), (500, 440, 220), (900, 30, 220), (1000, 900, 220)] {
+            rest = Rest::lost(rest, now, rested);
+            assert_matches!(rest, Some(rest) if rest.most == most && rest.until > now + FORGOTTEN / 2);
+            assert!(Rest::may(rest, now, most) && !Rest::may(rest, now, most + 1), "{rested}");
+        }
+        // The executor may be another by then.
+        assert!(Rest::may(rest, 1000 + FORGOTTEN, 4000));
+        assert_matches!(Rest::lost(rest, 1000 + FORGOTTEN, 900), Some(Rest { most: 450, .. }));
+        assert_matches!(Rest::lost(None, 0, 39), None);
+    }
+
     #[test]
     fn garbage_is_no_answer() {
         let rows = [
--- a/harbour/src/net/mod.rs
+++ b/harbour/src/net/mod.rs
@@ -99,6 +99,9 @@
 struct Pool {
     open: usize,
     idle: Vec<ConnId>,
+    rest: Option<client::Rest>,
+    /// As many as may be open, as was said last.
+    most: usize,
 }
 
 pub struct Net {
@@ -115,6 +118,8 @@
     start: Instant,
     now: Millis,
     scratch: Vec<u8>,
+    pub turns: u64,
+    pub lost_at_rest: u64,
     pub opened: u64,
     pub refused: u64,
     pub garbled: u64,
@@ -141,6 +146,8 @@
             start: Instant::now(),
             now: 0,
             scratch: vec![0; 64 << 10],
+            turns: 0,
+            lost_at_rest: 0,
             opened: 0,
             refused: 0,
             garbled: 0,
@@ -195,6 +202,7 @@
     /// Waits until something happens or `until` has come; writes out first what the turn before left.
     pub fn turn(&mut self, until: Millis) -> VecDeque<Event> {
         self.flush();
+        self.turns += 1;
         if self.happened.is_empty() {
             self.look_at_clock();
             let timer = self.timers.peek().map_or(u64::MAX, |t| t.0 .0);
