News of the fleet: words said together, sessions told when they change, nothing gone through in every turn

Seen by reading: in every turn links.rs went through all links twice and compared wanted with dialled addresses; roster went through all questions, and through all executors for the last change; each list of sessions went to all control nodes twice a second, and once for every session that came (square at a start of all); a call of a new executor was compared with all; an edge woke 4 times a second for each store it is connected with (a word each way each 0.5 s, each by its own clock). Now: who dialled says the word, all at one time, and the other answers; links, questions and executors have an index; sessions are told when they change, at most 10 times a second, and hold as long as the control node that told them is heard. New counters: harbour_said_total and _bytes_total by what it is about, harbour_turns_total.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -61,6 +61,7 @@
     /// Orders to empty a store that it has not confirmed, and since when.
     retirements: HashMap<u64, (String, Millis)>,
     released: Option<Millis>,
+    heard_at: Millis,
 }
 
 impl Core {
@@ -110,6 +111,7 @@
             passed: HashMap::new(),
             retirements: HashMap::new(),
             released: None,
+            heard_at: 0,
             common,
         })
     }
@@ -153,6 +155,9 @@
 
     /// Of two control nodes the one with the lower address opens the connection.
     fn connect(&mut self) {
+        if !self.common.stirred() {
+            return;
+        }
         let me = self.common.boot.ip;
         let mut all: Vec<std::net::Ipv4Addr> = self.common.boot.seeds.iter().map(|s| *s.ip()).collect();
         all.extend(self.pilot.watch().iter().flat_map(|w| w.voters.iter().map(|v| *v.ip())));
@@ -161,7 +166,9 @@
         let seed = self.common.boot.seeds.iter().any(|s| *s.ip() == me);
         let wanted: Vec<SocketAddrV4> = all
             .into_iter()
-            .filter(|ip| *ip > me || (!seed && *ip != me && self.common.links.up().all(|h| h.ip != *ip)))
+            .filter(|ip| {
+                *ip > me || (!seed && *ip != me && self.common.links.hellos(Class::Core).all(|h| h.ip != *ip))
+            })
             .map(|ip| self.common.links.address(ip, Class::Core))
             .collect();
         let now = self.common.net.now();
@@ -196,7 +203,7 @@
                     self.places.remove(&place);
                 });
                 self.passed_to_lost(node);
-                self.roster.core_down(now, node);
+                self.roster.core_down(node);
             }
             Word::Down(node, _) => self.roster.session_down(now, node),
             Word::Said(from, class, Signal::Ask { life, version, config, retiring })
@@ -367,7 +374,7 @@
         if self.common.boot.zone == zone {
             return None;
         }
-        let near = self.common.links.up().find(|h| h.class == Class::Core && h.zone == zone)?;
+        let near = self.common.links.hellos(Class::Core).find(|h| h.zone == zone)?;
         near.control.map(|at| at.to_string())
     }
 
@@ -394,6 +401,14 @@
     /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
         let in_touch = self.pilot.in_touch(now);
+        if now >= self.heard_at {
+            self.heard_at = now + HEARD;
+            for core in self.common.links.class(Class::Core) {
+                if let Some(at) = self.common.links.heard(core) {
+                    self.roster.core_heard(core, at);
+                }
+            }
+        }
         let force = self.pilot.in_force().map(|chart| (chart.version, chart.body.as_slice()));
         self.roster.tick(now, in_touch, force);
         for effect in self.roster.take() {
@@ -410,6 +425,8 @@
     }
 }
 
+/// How often it is looked when other control nodes were heard.
+const HEARD: Millis = 200;
 /// An order to empty a store is confirmed by then, or the operator sends it again.
 const RETIRE: Millis = 1500;
 
--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -120,6 +120,9 @@
     }
 
     fn connect(&mut self) {
+        if !self.common.stirred() {
+            return;
+        }
         let mut wanted = self.common.cores();
         let stores = self.common.session.members.iter().filter(|m| m.class == Class::Store);
         wanted.extend(stores.map(|m| self.common.links.address(m.ip, Class::Store)));
@@ -145,7 +148,7 @@
     fn ready(&self) -> bool {
         self.common.leaving_since.is_none()
             && self.common.config.is_some()
-            && self.common.links.up().any(|h| h.class == Class::Store && !self.leaving.contains(&h.node))
+            && self.common.links.hellos(Class::Store).any(|h| !self.leaving.contains(&h.node))
     }
 
     fn word(&mut self, word: Word) {
@@ -273,8 +276,8 @@
         let mut all: Vec<(bool, bool, Node)> = self
             .common
             .links
-            .up()
-            .filter(|h| h.class == Class::Store && !not.contains(&h.node) && !self.leaving.contains(&h.node))
+            .hellos(Class::Store)
+            .filter(|h| !not.contains(&h.node) && !self.leaving.contains(&h.node))
             .filter(|h| !self.gone(h.node))
             .map(|h| {
                 let slow = self.shunned.get(&h.node).is_some_and(|since| now < since + SHUN);
--- a/harbour/src/links.rs
+++ b/harbour/src/links.rs
@@ -2,21 +2,59 @@
 
 use crate::net::{ConnId, Event, Millis, Net};
 use crate::signals::{Class, Hello, Signal, PROTOCOL};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_hold::Node;
 
 /// Nothing said for so long: a word is said. Nothing heard for so long: nobody is there.
 const WORD: Millis = 500;
 const SILENCE: Millis = 1600;
+/// Whoever opened a connection says the word, and the other answers it where it has said nothing for so long. Each by its own
+/// clock, every word was a wake-up of its own: an edge with a dozen and more stores woke for little else.
+const ANSWER: Millis = 200;
+/// Words that fall due within so long are said together: over half of `WORD`, so that all come to be said at one time.
+const TOGETHER: Millis = WORD - ANSWER;
 /// Between two tries to open a connection.
 const RETRY: Millis = 100;
 
+/// When a word is due on a connection.
+#[derive(Clone, Copy)]
+struct Pulse {
+    dialled: bool,
+    heard: Millis,
+    said: Millis,
+}
+
+impl Pulse {
+    /// Whoever was dialled answers, and speaks by itself only where the other does not: it may be of an older build, or stuck.
+    fn word(&self) -> Millis {
+        match self.dialled {
+            // Where the other has said nothing, too, it is asked.
+            true => (self.said + WORD).min(self.heard + WORD).max(self.said + ANSWER),
+            false => self.said + 2 * WORD,
+        }
+    }
+    fn answers(&self, now: Millis) -> bool {
+        !self.dialled && now >= self.said + ANSWER
+    }
+}
+
 struct Link {
     hello: Option<Hello>,
     dialled: Option<SocketAddrV4>,
-    heard: Millis,
-    said: Millis,
+    pulse: Pulse,
+}
+
+impl Link {
+    fn new(now: Millis, dialled: Option<SocketAddrV4>) -> Link {
+        Link { hello: None, dialled, pulse: Pulse { dialled: dialled.is_some(), heard: now, said: now } }
+    }
+    fn word(&self) -> Millis {
+        self.hello.as_ref().map_or(Millis::MAX, |_| self.pulse.word())
+    }
+    fn silent(&self) -> Millis {
+        self.pulse.heard + SILENCE
+    }
 }
 
 /// What a role is told.
@@ -40,15 +78,37 @@
     me: Hello,
     links: HashMap<ConnId, Link>,
     by_node: HashMap<Node, ConnId>,
+    /// Who is connected: to find a control node nobody goes through all edges.
+    by_class: [BTreeSet<Node>; 4],
     /// Addresses to be connected with, and when to try again.
     wanted: HashMap<SocketAddrV4, Millis>,
+    /// Where a connection that was opened from here stands.
+    dialled: HashSet<SocketAddrV4>,
+    /// Before this nothing is due: all are gone through only then, not in every turn.
+    look_at: Millis,
     ports: (u16, u16),
     pub unread: u64,
+    /// What was said, by what it is about and whether to another zone: frames and bytes.
+    pub told: BTreeMap<(&'static str, bool), (u64, u64)>,
+    /// How often all connections were gone through.
+    pub looks: u64,
 }
 
 impl Links {
     pub fn new(me: Hello, ports: (u16, u16)) -> Links {
-        Links { me, links: HashMap::new(), by_node: HashMap::new(), wanted: HashMap::new(), ports, unread: 0 }
+        Links {
+            me,
+            links: HashMap::new(),
+            by_node: HashMap::new(),
+            by_class: Default::default(),
+            wanted: HashMap::new(),
+            dialled: HashSet::new(),
+            look_at: 0,
+            ports,
+            unread: 0,
+            told: BTreeMap::new(),
+            looks: 0,
+        }
     }
 
     pub fn me(&self) -> &Hello {
@@ -68,7 +128,11 @@
     pub fn want(&mut self, now: Millis, all: impl IntoIterator<Item = SocketAddrV4>) {
         let old = std::mem::take(&mut self.wanted);
         for address in all {
-            self.wanted.insert(address, old.get(&address).copied().unwrap_or(now));
+            let at = old.get(&address).copied().unwrap_or(now);
+            if !self.dialled.contains(&address) {
+                self.look_at = self.look_at.min(at);
+            }
+            self.wanted.insert(address, at);
         }
     }
 
@@ -77,7 +141,7 @@
     }
     /// When anything was last heard of it.
     pub fn heard(&self, node: Node) -> Option<Millis> {
-        self.by_node.get(&node).and_then(|conn| self.links.get(conn)).map(|link| link.heard)
+        self.by_node.get(&node).and_then(|conn| self.links.get(conn)).map(|link| link.pulse.heard)
     }
     pub fn hello(&self, node: Node) -> Option<&Hello> {
         self.links.get(self.by_node.get(&node)?)?.hello.as_ref()
@@ -87,12 +151,14 @@
     }
     /// Who is connected, of one class.
     pub fn class(&self, class: Class) -> Vec<Node> {
-        let mut all: Vec<Node> = self.up().filter(|h| h.class == class).map(|h| h.node).collect();
-        all.sort_unstable();
-        all
+        self.by_class[class as usize].iter().copied().collect()
+    }
+    /// What those of one class that are connected have said of themselves.
+    pub fn hellos(&self, class: Class) -> impl Iterator<Item = &Hello> {
+        self.by_class[class as usize].iter().filter_map(|node| self.hello(*node))
     }
     pub fn by_control(&self, control: SocketAddrV4) -> Option<Node> {
-        self.up().find(|h| h.control == Some(control)).map(|h| h.node)
+        self.hellos(Class::Core).find(|h| h.control == Some(control)).map(|h| h.node)
     }
 
     pub fn say(&mut self, net: &mut Net, to: Node, signal: &Signal) -> bool {
@@ -102,11 +168,17 @@
     }
 
     fn say_on(&mut self, net: &mut Net, conn: ConnId, signal: &Signal) {
+        let mut far = false;
         if let Some(link) = self.links.get_mut(&conn) {
-            link.said = net.now();
+            link.pulse.said = net.now();
+            far = link.hello.as_ref().is_some_and(|hello| hello.zone != self.me.zone);
         }
         match postcard::to_stdvec(signal) {
-            Ok(bytes) => net.send(conn, &bytes),
+            Ok(bytes) => {
+                let told = self.told.entry((signal.about(), far)).or_default();
+                *told = (told.0 + 1, told.1 + bytes.len() as u64 + 4);
+                net.send(conn, &bytes);
+            }
             Err(error) => tracing::error!(%error, "a signal that can't be written"),
         }
     }
@@ -114,51 +186,57 @@
     /// Dials, says a word where nothing is said, and gives up who is silent.
     pub fn tick(&mut self, net: &mut Net) -> Vec<Word> {
         let now = net.now();
-        let dialled: Vec<SocketAddrV4> = self.links.values().filter_map(|l| l.dialled).collect();
+        let mut words = Vec::new();
+        if now < self.look_at {
+            return words;
+        }
+        self.looks += 1;
         let mut due: Vec<SocketAddrV4> = Vec::new();
         for (address, at) in &mut self.wanted {
-            if *at <= now && !dialled.contains(address) {
+            if *at <= now && !self.dialled.contains(address) {
                 *at = now + RETRY;
                 due.push(*address);
             }
         }
         for address in due {
             if let Some(conn) = net.dial(address) {
-                let link = Link { hello: None, dialled: Some(address), heard: now, said: now };
-                self.links.insert(conn, link);
+                self.links.insert(conn, Link::new(now, Some(address)));
+                self.dialled.insert(address);
             }
         }
-        let quiet: Vec<ConnId> = self
-            .links
-            .iter()
-            .filter(|(_, l)| l.hello.is_some() && now >= l.said + WORD)
-            .map(|(conn, _)| *conn)
-            .collect();
+        let quiet: Vec<ConnId> =
+            self.links.iter().filter(|(_, l)| l.word() <= now + TOGETHER).map(|(conn, _)| *conn).collect();
         quiet.into_iter().for_each(|conn| self.say_on(net, conn, &Signal::Ping));
         let gone: Vec<ConnId> =
-            self.links.iter().filter(|(_, l)| now >= l.heard + SILENCE).map(|(conn, _)| *conn).collect();
-        let mut words = Vec::new();
+            self.links.iter().filter(|(_, l)| now >= l.silent()).map(|(conn, _)| *conn).collect();
         for conn in gone {
-            words.extend(self.lost(conn));
+            words.extend(self.lost(now, conn));
             net.close(conn);
         }
+        // What is said or heard from here on puts things off only: this is never too late.
+        let links = self.links.values().map(|l| l.word().min(l.silent()));
+        let dial = self.wanted.iter().filter(|(a, _)| !self.dialled.contains(a)).map(|(_, at)| *at);
+        self.look_at = links.chain(dial).min().unwrap_or(Millis::MAX).max(now + 1);
         words
     }
 
     pub fn next(&self) -> Millis {
-        let quiet = self.links.values().filter(|l| l.hello.is_some()).map(|l| l.said + WORD).min();
-        let dialled: Vec<SocketAddrV4> = self.links.values().filter_map(|l| l.dialled).collect();
-        let dial = self.wanted.iter().filter(|(a, _)| !dialled.contains(a)).map(|(_, at)| *at).min();
-        quiet.into_iter().chain(dial).min().unwrap_or(Millis::MAX)
+        self.look_at
     }
 
-    fn lost(&mut self, conn: ConnId) -> Option<Word> {
+    fn lost(&mut self, now: Millis, conn: ConnId) -> Option<Word> {
         let link = self.links.remove(&conn)?;
+        if let Some(address) = link.dialled {
+            self.dialled.remove(&address);
+            let again = self.wanted.get(&address).copied().unwrap_or(Millis::MAX);
+            self.look_at = self.look_at.min(again.max(now));
+        }
         let hello = link.hello?;
         if self.by_node.get(&hello.node) != Some(&conn) {
             return None;
         }
         self.by_node.remove(&hello.node);
+        self.by_class[hello.class as usize].remove(&hello.node);
         if hello.class != Class::Visitor {
             tracing::info!(node = hello.name, "link down");
         }
@@ -170,28 +248,30 @@
         let now = net.now();
         match event {
             Event::PeerUp { conn } => {
-                let link = self.links.entry(conn).or_insert(Link {
-                    hello: None,
-                    dialled: None,
-                    heard: now,
-                    said: now,
-                });
-                link.heard = now;
+                let link = self.links.entry(conn).or_insert(Link::new(now, None));
+                link.pulse.heard = now;
+                self.look_at = self.look_at.min(now + SILENCE);
                 let hello = Signal::Hello(self.me.clone());
                 self.say_on(net, conn, &hello);
             }
-            Event::PeerDown { conn } => words.extend(self.lost(conn)),
+            Event::PeerDown { conn } => words.extend(self.lost(now, conn)),
             Event::Frame { conn, bytes } => {
                 let link = self.links.get_mut(&conn)?;
-                link.heard = now;
+                link.pulse.heard = now;
                 match (postcard::from_bytes(&bytes), link.hello.as_ref().map(|h| (h.node, h.class))) {
                     (Ok(Signal::Hello(hello)), None)
                         if hello.protocol == PROTOCOL && hello.node != self.me.node =>
                     {
                         link.hello = Some(hello.clone());
+                        self.look_at = self.look_at.min(link.word());
+                        self.by_class[hello.class as usize].insert(hello.node);
                         // A newer connection of the same node: the old one is dead, though nothing has said so.
                         if let Some(old) = self.by_node.insert(hello.node, conn) {
-                            self.links.remove(&old);
+                            // (Not `lost`: the node has its new connection already.)
+                            if let Some(address) = self.links.remove(&old).and_then(|link| link.dialled) {
+                                self.dialled.remove(&address);
+                                self.look_at = now;
+                            }
                             net.close(old);
                             words.push(Word::Down(hello.node, hello.class));
                         }
@@ -200,13 +280,17 @@
                         }
                         words.push(Word::Up(hello));
                     }
-                    (Ok(Signal::Ping), Some(_)) => {}
+                    (Ok(Signal::Ping), Some(_)) => {
+                        if link.pulse.answers(now) {
+                            self.say_on(net, conn, &Signal::Ping);
+                        }
+                    }
                     (Ok(signal), Some((node, class))) if !matches!(signal, Signal::Hello(_)) => {
                         words.push(Word::Said(node, class, signal));
                     }
                     _ => {
                         self.unread += 1;
-                        words.extend(self.lost(conn));
+                        words.extend(self.lost(now, conn));
                         net.garble(conn);
                     }
                 }
@@ -216,3 +300,55 @@
         None
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An edge and those it has dialled, each in a state of its own at first: how many words were said in all, how often the
+    /// edge woke for them, and the longest silence that any side heard. `speaks`: the others say something by themselves.
+    fn a_while(others: u64, speaks: Option<Millis>) -> (u64, u64, Millis) {
+        let end = |dialled, at| Pulse { dialled, heard: at, said: at };
+        let mut ends: Vec<(Pulse, Pulse)> =
+            (0..others).map(|n| (end(true, n * 37 % WORD), end(false, n * 53 % WORD))).collect();
+        let (mut words, mut wakes, mut longest) = (0, 0, 0);
+        for now in WORD..WORD + 20_000 {
+            let look = ends.iter().any(|(here, _)| here.word() <= now);
+            let mut woken = look;
+            for (at, (here, there)) in ends.iter_mut().enumerate() {
+                if look && here.word() <= now + TOGETHER {
+                    longest = longest.max(now - there.heard);
+                    (here.said, there.heard, words) = (now, now, words + 1);
+                    if there.answers(now) {
+                        (there.said, words) = (now, words + 1);
+                        longest = longest.max(now - here.heard);
+                        here.heard = now;
+                    }
+                }
+                if there.word() <= now || speaks.is_some_and(|every| (now + at as u64 * 7) % every == 0) {
+                    longest = longest.max(now - here.heard);
+                    (there.said, here.heard, words, woken) = (now, now, words + 1, true);
+                }
+            }
+            wakes += u64::from(woken);
+        }
+        (words, wakes, longest)
+    }
+
+    #[test]
+    fn words_are_said_together_and_nobody_is_silent_for_long() {
+        // Each by its own clock the edge woke 4 times a second for each of the others.
+        for others in [1, 24, 100] {
+            let (words, wakes, longest) = a_while(others, None);
+            assert!(words <= others * 20 * 5, "{others}: {words} words");
+            assert!(wakes <= 20 * 2 + 20, "{others}: woken {wakes} times");
+            assert!(longest <= SILENCE / 2, "{others}: {longest} ms of silence");
+        }
+        // Where the others say something the edge still lets them hear of it.
+        let (_, _, longest) = a_while(24, Some(200));
+        assert!(longest <= SILENCE / 2, "{longest} ms of silence");
+        // One that never answers is asked again and again, and is silent all the same.
+        let mute = Pulse { dialled: true, heard: 0, said: 600 };
+        assert_eq!((mute.word(), mute.heard + SILENCE), (600 + ANSWER, SILENCE));
+    }
+}
--- a/harbour/src/node.rs
+++ b/harbour/src/node.rs
@@ -31,6 +31,9 @@
     (stileroute::tariff::mark(name) >> 32) as Node
 }
 
+/// What depends on who is connected is looked at so often, and when somebody comes or goes.
+const AROUND: Millis = 250;
+
 pub struct Common {
     pub boot: Boot,
     pub net: Net,
@@ -42,6 +45,8 @@
     pub inquiries: Vec<Inquiry>,
     /// The listener for figures, where one is open.
     pub scraped: Option<usize>,
+    stirred: bool,
+    stirred_at: Millis,
     ready: bool,
     boot_path: PathBuf,
     term: Arc<AtomicBool>,
@@ -126,6 +131,8 @@
             config: None,
             inquiries: Vec::new(),
             scraped,
+            stirred: true,
+            stirred_at: 0,
             ready: false,
             boot_path: boot_path.to_path_buf(),
             term,
@@ -146,6 +153,10 @@
             events.extend(self.links.event(&mut self.net, event, &mut words));
         }
         words.extend(self.links.tick(&mut self.net));
+        let moved = |word: &Word| {
+            matches!(word, Word::Up(_) | Word::Down(..) | Word::Said(_, Class::Core, Signal::News(_)))
+        };
+        self.stirred |= words.iter().any(moved);
         self.sort_out(&mut words, &mut events);
         if self.hup.swap(false, Ordering::Relaxed) {
             self.reread();
@@ -153,6 +164,19 @@
         (words, events)
     }
 
+    /// Whether it may have changed with whom this node is to be connected: somebody came or went, or a control node said
+    /// something. Now and then all the same, for what is due by time alone. Reckoned anew in every turn it was a fifth of an
+    /// edge's work.
+    pub fn stirred(&mut self) -> bool {
+        let now = self.net.now();
+        let due = now >= self.stirred_at;
+        let stirred = std::mem::take(&mut self.stirred) || due;
+        if stirred {
+            self.stirred_at = now + AROUND;
+        }
+        stirred
+    }
+
     /// The process has been told to end; true once.
     pub fn told_to_end(&mut self) -> bool {
         if self.leaving_since.is_none() && self.term.load(Ordering::Relaxed) {
@@ -220,8 +244,7 @@
             };
             let mut all: Vec<(Millis, bool, u32, Node)> = self
                 .links
-                .up()
-                .filter(|h| h.class == Class::Core)
+                .hellos(Class::Core)
                 .map(|h| {
                     (shunned(h.node), h.zone != zone, h.node.rotate_left(self.links.me().node & 31), h.node)
                 })
--- a/harbour/src/report.rs
+++ b/harbour/src/report.rs
@@ -128,6 +128,16 @@
             );
         }
         sheet.count("harbour_links_unread_total", "Frames that could not be read.", &[], self.links.unread);
+        let (frames, bytes) = ("harbour_said_total", "harbour_said_bytes_total");
+        for ((about, far), said) in &self.links.told {
+            let labels = [("about", *about), ("zone", if *far { "other" } else { "own" })];
+            sheet.count(frames, "Frames to other processes, by what they are about.", &labels, said.0);
+        }
+        for ((about, far), said) in &self.links.told {
+            let labels = [("about", *about), ("zone", if *far { "other" } else { "own" })];
+            sheet.count(bytes, "Bytes to other processes, by what they are about.", &labels, said.1);
+        }
+        sheet.count("harbour_turns_total", "Turns of the loop: wake-ups.", &[], self.net.turns);
         sheet.gauge("harbour_connections", "Open connections of all kinds.", &[], self.net.open());
         sheet.count(
             "harbour_connections_opened_total",
@@ -135,6 +145,12 @@
             &[],
             self.net.opened,
         );
+        sheet.count(
+            "harbour_connections_lost_total",
+            "Requests lost on a connection that had been idle.",
+            &[],
+            self.net.lost_at_rest,
+        );
         sheet.count(
             "harbour_connections_refused_total",
             "Connections for which there was no room.",
--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -103,6 +103,37 @@
     },
 }
 
+impl Signal {
+    /// What it is about, for the counters: which part is of messages, and which is news of the fleet.
+    pub fn about(&self) -> &'static str {
+        match self {
+            Signal::Hello(_) | Signal::Ping => "link",
+            Signal::Ask { .. } | Signal::News(_) => "session",
+            Signal::Sessions(_) => "sessions",
+            Signal::Beats(_) => "executors",
+            Signal::Pilot(_) | Signal::Pass { .. } | Signal::Settled { .. } => "control",
+            Signal::Put { .. } | Signal::Taken { .. } => "taking",
+            Signal::Find { .. } | Signal::Found { .. } => "asking",
+            Signal::Superseded { .. } => "twice",
+            Signal::Leaving | Signal::Retire { .. } => "leaving",
+            Signal::Report { .. } | Signal::Reported { .. } | Signal::Trace { .. } | Signal::Count { .. } => {
+                "operators"
+            }
+            Signal::Note(note) => match note {
+                Note::Copy(_) | Note::Copied(_) | Note::NotCopied(_) => "copies",
+                Note::Ends(_) | Note::Called(_) => "ends",
+                Note::Digests { .. } | Note::Standing { .. } | Note::Stood => "comparing",
+                Note::Own(_) | Note::Drop(_) | Note::Lost(_) | Note::Want(_) => "owners",
+                Note::Handover(_) | Note::HandoverTaken(_) | Note::HandoverRefused(_) => "handover",
+                Note::RowAsk { .. } | Note::RowLive { .. } | Note::RowDone(_) => "rows",
+                Note::TokensWanted { .. } | Note::Tokens { .. } => "tokens",
+                Note::Leaving | Note::Retiring | Note::Relieved => "leaving",
+                Note::Ping(_) | Note::Pong(_) => "link",
+            },
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Passed {
     Replace { body: Vec<u8> },
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -150,6 +150,9 @@
 
     /// Of two stores the one with the lower address opens the connection.
     fn connect(&mut self) {
+        if !self.common.stirred() {
+            return;
+        }
         let mut wanted = self.common.cores();
         let me = self.common.boot.ip;
         let stores = self.common.session.members.iter().filter(|m| m.class == Class::Store && m.ip > me);
--- a/roster/src/executors.rs
+++ b/roster/src/executors.rs
@@ -2,6 +2,7 @@
 
 use crate::{Beat, Millis, Standing, MOST};
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 
 /// What an executor that is gone is remembered for: late calls of it must not bring it back.
 const TOMB: Millis = 60_000;
@@ -28,6 +29,10 @@
     /// Those that called, and those of them with news, since the other control nodes were told.
     fresh: Vec<String>,
     urgent: Vec<String>,
+    /// Who is or was at an address: of many that call at once none is compared with all others.
+    at: HashMap<SocketAddrV4, Vec<String>>,
+    /// The version of the last change.
+    changed: u64,
     /// Silent for longer than this, one is gone.
     silence: Millis,
     out_of_touch: Millis,
@@ -37,11 +42,19 @@
     pub fn new(beat_interval_ms: Millis, now: Millis) -> Executors {
         // Three calls may be lost, or be late.
         let silence = beat_interval_ms * 16 / 5 + 300;
-        Executors { all: HashMap::new(), fresh: Vec::new(), urgent: Vec::new(), silence, out_of_touch: now }
+        Executors {
+            all: HashMap::new(),
+            fresh: Vec::new(),
+            urgent: Vec::new(),
+            at: HashMap::new(),
+            changed: 0,
+            silence,
+            out_of_touch: now,
+        }
     }
 
     pub fn changed(&self) -> u64 {
-        self.all.values().map(|known| known.changed).max().unwrap_or(0)
+        self.changed
     }
 
     pub fn called(&mut self, id: String, changed: bool) {
@@ -69,7 +82,10 @@
                 && old.capacity == now.capacity;
             if !same {
                 *version += 1;
-                known.changed = *version;
+                (known.changed, self.changed) = (*version, *version);
+                if old.address != now.address {
+                    self.at.entry(now.address).or_default().push(now.id.clone());
+                }
                 tracing::info!(id = now.id, standing = %now.standing, "executor");
             }
             return !same;
@@ -78,14 +94,18 @@
             return false;
         }
         *version += 1;
+        self.changed = *version;
         // A new life at an address ends the one that was there: it may be another service's now.
-        for known in self.all.values_mut() {
+        let there = self.at.entry(beat.address).or_default();
+        for id in there.iter() {
+            let Some(known) = self.all.get_mut(id) else { continue };
             let there = known.beat.address == beat.address && known.beat.standing != Standing::Gone;
             if there && known.heard <= heard {
                 known.beat.standing = Standing::Gone;
                 known.changed = *version;
             }
         }
+        there.push(beat.id.clone());
         tracing::info!(id = beat.id, service = beat.backend, standing = %beat.standing, "executor");
         self.all.insert(beat.id.clone(), Known { beat, heard, changed: *version });
         true
@@ -98,7 +118,7 @@
         };
         known.beat.standing = Standing::Gone;
         *version += 1;
-        known.changed = *version;
+        (known.changed, self.changed) = (*version, *version);
         tracing::info!(id, "executor left");
         true
     }
@@ -126,10 +146,19 @@
             for known in self.all.values_mut().filter(silent) {
                 known.beat.standing = Standing::Gone;
                 *version += 1;
-                known.changed = *version;
+                (known.changed, self.changed) = (*version, *version);
                 tracing::info!(id = known.beat.id, "executor silent");
             }
         }
+        let before = self.all.len();
         self.all.retain(|_, known| known.beat.standing != Standing::Gone || now < known.heard + TOMB);
+        if self.all.len() < before {
+            let all = &self.all;
+            let there = |at: &SocketAddrV4, id: &String| all.get(id).is_some_and(|k| k.beat.address == *at);
+            self.at.retain(|at, ids| {
+                ids.retain(|id| there(at, id));
+                !ids.is_empty()
+            });
+        }
     }
 }
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -25,8 +25,13 @@
 pub const CUT: Millis = 300;
 /// A session that ended is counted for so long: most nodes are back at once.
 pub const GRACE: Millis = 1500;
-/// Control nodes tell each other what they hold so often, and changes at once.
+/// Control nodes tell each other which executors called so often, and changes at once.
 pub const TELL: Millis = 500;
+/// Their sessions they tell when these have changed, no sooner than so after the last time: many that come at once are told
+/// of together, for each time all are told of. What was told holds as long as the node that told it is heard.
+const CHANGED: Millis = 100;
+/// And again after so long all the same.
+const ANEW: Millis = 10_000;
 /// How often silent executors and lost sessions are looked for.
 const LOOK: Millis = 200;
 /// Most nodes and executors that are kept.
@@ -80,13 +85,21 @@
     /// Stores that were seen empty: the machine is taken away at once, and may be asked after all the same.
     pub retired: BTreeSet<String>,
     members_changed: u64,
+    /// Questions that have no answer yet; by when they came; those that came since the last look; and what there was to tell
+    /// then. All of them are gone through only when there is something new.
     asks: HashMap<Node, Ask>,
+    by_time: BTreeSet<(Millis, Node)>,
+    new_asks: Vec<Node>,
+    looked: (u64, u64, u64, bool),
     /// From here on what it knows is whole enough for those that know more than nothing.
     ready_at: Millis,
     pub ready: bool,
     tell_at: Millis,
     look_at: Millis,
+    /// Members are to be counted again.
+    recount: bool,
     sessions_changed: bool,
+    sessions_told: Millis,
     effects: Vec<Effect>,
 }
 
@@ -104,11 +117,16 @@
             retired: BTreeSet::new(),
             members_changed: 0,
             asks: HashMap::new(),
+            by_time: BTreeSet::new(),
+            new_asks: Vec::new(),
+            looked: (0, 0, 0, false),
             ready_at: now + beat_interval_ms * 3 / 2 + 200,
             ready: false,
             tell_at: now + TELL,
             look_at: now,
+            recount: true,
             sessions_changed: false,
+            sessions_told: 0,
             effects: Vec::new(),
             me,
         }
@@ -165,19 +183,27 @@
             self.effects.push(Effect::AllBeats { to: core.node, beats });
         }
         self.cores.insert(core.node, core);
+        // It knows nothing of the sessions here.
         self.sessions_changed = true;
-        self.count_members(now);
+        self.recount = true;
     }
 
-    pub fn core_down(&mut self, now: Millis, core: Node) {
+    pub fn core_down(&mut self, core: Node) {
         self.cores.remove(&core);
-        self.count_members(now);
+        self.recount = true;
+    }
+
+    /// Something, whatever it is, was heard of another control node then: what it told of its sessions still holds.
+    pub fn core_heard(&mut self, core: Node, at: Millis) {
+        if let Some((told, _)) = self.told.get_mut(&core) {
+            *told = at.max(*told);
+        }
     }
 
     /// Another control node tells of its sessions.
     pub fn told_sessions(&mut self, now: Millis, from: Node, members: Vec<Member>) {
         self.told.insert(from, (now, members));
-        self.count_members(now);
+        self.recount = true;
     }
 
     /// A node asks: that is its session. `life` and `version` are those of the news that it had last.
@@ -187,21 +213,31 @@
             return;
         }
         let same = |s: &Session| s.up && s.member.life == member.life && s.member.retiring == member.retiring;
-        let new = !self.sessions.get(&node).is_some_and(same);
-        self.asks.insert(node, Ask { life, version, config: member.config, at: now, class: member.class });
+        let old = self.sessions.get(&node);
+        let new = !old.is_some_and(same);
+        // No news to anyone but operators, whom any control node tells it.
+        self.sessions_changed |= old.is_none_or(|s| s.member.config != member.config);
+        let ask = Ask { life, version, config: member.config, at: now, class: member.class };
+        if let Some(old) = self.asks.insert(node, ask) {
+            self.by_time.remove(&(old.at, node));
+        }
+        self.by_time.insert((now, node));
+        self.new_asks.push(node);
         if new {
             tracing::info!(node = member.name, class = %member.class, "session");
         }
         self.sessions.insert(node, Session { member, seen: now, up: true });
         if new {
             self.sessions_changed = true;
-            self.count_members(now);
+            self.recount = true;
         }
     }
 
     /// The connection with a node ended.
     pub fn session_down(&mut self, now: Millis, node: Node) {
-        self.asks.remove(&node);
+        if let Some(ask) = self.asks.remove(&node) {
+            self.by_time.remove(&(ask.at, node));
+        }
         if let Some(session) = self.sessions.get_mut(&node) {
             (session.up, session.seen) = (false, now);
         }
@@ -209,7 +245,9 @@
 
     /// Who is there: own sessions, those that other control nodes tell, and the control nodes themselves.
     fn count_members(&mut self, now: Millis) {
+        let before = self.sessions.len();
         self.sessions.retain(|_, s| s.up || now < s.seen + GRACE);
+        self.sessions_changed |= self.sessions.len() < before;
         self.told.retain(|_, (at, _)| now < *at + GRACE + TELL);
         let mut all: BTreeMap<Node, Member> = BTreeMap::new();
         let own = self.sessions.values().map(|s| &s.member);
@@ -243,6 +281,14 @@
         if !self.ready && now >= self.ready_at {
             self.ready = true;
             self.version += 1;
+            self.recount = true;
+        }
+        if now >= self.look_at {
+            self.look_at = now + LOOK;
+            self.executors.look_for_silent(&mut self.version, now, in_touch);
+            self.recount = true;
+        }
+        if std::mem::take(&mut self.recount) {
             self.count_members(now);
         }
         let routine = now >= self.tell_at;
@@ -253,39 +299,43 @@
         if !beats.is_empty() {
             self.effects.push(Effect::TellBeats(beats));
         }
-        if std::mem::take(&mut self.sessions_changed) || routine {
+        let changed = self.sessions_changed && now >= self.sessions_told + CHANGED;
+        if changed || now >= self.sessions_told + ANEW {
+            (self.sessions_changed, self.sessions_told) = (false, now);
             let all = self.sessions.values().filter(|s| s.up || now < s.seen + GRACE);
             self.effects.push(Effect::TellSessions(all.map(|s| s.member.clone()).collect()));
         }
-        if now >= self.look_at {
-            self.look_at = now + LOOK;
-            self.executors.look_for_silent(&mut self.version, now, in_touch);
-            self.count_members(now);
-        }
         self.answer(now, in_touch, force);
     }
 
     pub fn next(&self) -> Millis {
-        let hold = self.asks.values().map(|ask| ask.at + CUT.max(HOLD)).min().unwrap_or(Millis::MAX);
-        hold.min(self.tell_at).min(self.look_at)
+        let hold = self.by_time.first().map_or(Millis::MAX, |(at, _)| at + HOLD);
+        let tell = if self.sessions_changed { self.sessions_told + CHANGED } else { Millis::MAX };
+        hold.min(self.tell_at).min(self.look_at).min(tell)
     }
 
     fn answer(&mut self, now: Millis, in_touch: bool, force: Option<(u64, &[u8])>) {
         let version = force.map_or(0, |(version, _)| version);
         let executors_changed = self.executors.changed();
+        let wait = if !in_touch && self.ready { CUT } else { HOLD };
         let due = |ask: &Ask| {
-            if !in_touch && self.ready && now >= ask.at + CUT {
-                return true;
-            }
             let executors = if ask.class == Class::Store { executors_changed } else { 0 };
             let tells = self.ready || ask.life == 0 || ask.life == self.life;
             let newer =
                 ask.life != self.life || self.members_changed > ask.version || executors > ask.version;
-            (tells && newer) || ask.config < version || now >= ask.at + HOLD
+            (tells && newer) || ask.config < version || now >= ask.at + wait
+        };
+        let there_is = (self.members_changed, executors_changed, version, self.ready);
+        let new = std::mem::take(&mut self.new_asks);
+        let due: Vec<Node> = if std::mem::replace(&mut self.looked, there_is) != there_is {
+            self.asks.iter().filter(|(_, ask)| due(ask)).map(|(node, _)| *node).collect()
+        } else {
+            let waited = self.by_time.iter().take_while(|(at, _)| now >= at + wait).map(|(_, node)| *node);
+            waited.chain(new).filter(|node| self.asks.get(node).is_some_and(due)).collect()
         };
-        let due: Vec<Node> = self.asks.iter().filter(|(_, ask)| due(ask)).map(|(node, _)| *node).collect();
         for node in due {
             let Some(ask) = self.asks.remove(&node) else { continue };
+            self.by_time.remove(&(ask.at, node));
             let config = force.filter(|(v, _)| *v > ask.config).map(|(_, body)| body.to_vec());
             let news = if !in_touch && self.ready && config.is_none() {
                 News { cut_off: true, ..News::default() }
