--- a/harbour/src/links.rs
+++ b/harbour/src/links.rs
@@ -325,7 +325,9 @@
                         here.heard = now;
                     }
                 }
-                if there.word() <= now || speaks.is_some_and(|every| (now + at as u64 * 7) % every == 0) {
+                if there.word() <= now
+                    || speaks.is_some_and(|every| (now + at as u64 * 7).is_multiple_of(every))
+                {
                     longest = longest.max(now - here.heard);
                     (there.said, here.heard, words, woken) = (now, now, words + 1, true);
                 }
