--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -173,13 +173,20 @@
         _ => None,
     });
     there.told_sessions(3001, 1, sessions.expect("told at once"));
+    there.tick(3001, true, None);
     assert_eq!((stores(&here), stores(&there)), (1, 1));
     here.session_down(3100, 9);
     here.tick(3100 + GRACE - 100, true, None);
     assert_eq!(stores(&here), 1);
     here.tick(3100 + GRACE + 300, true, None);
-    there.tick(3001 + GRACE + TELL + 300, true, None);
-    assert_eq!((stores(&here), stores(&there)), (0, 0));
+    // Told as soon as it counts no more; and with no word of the node that told it, it counts as long as that is heard.
+    let told = here.take().into_iter().any(|e| matches!(e, Effect::TellSessions(all) if all.is_empty()));
+    assert!(told);
+    there.core_heard(1, 4000);
+    there.tick(4000 + GRACE + TELL - 1, true, None);
+    assert_eq!((stores(&here), stores(&there)), (0, 1));
+    there.tick(4000 + GRACE + TELL + 300, true, None);
+    assert_eq!(stores(&there), 0);
     // Back within the time nobody is told of anything.
     here.asked(6000, member(9, Class::Store), 0, 0);
     here.tick(6000, true, None);
@@ -197,6 +204,7 @@
     for node in [7, 8, 9] {
         roster.asked(3000, store(node, Retiring::No), 0, 0);
     }
+    roster.tick(3000, true, None);
     assert_eq!(roster.stay_without(3001, 7).count(), 2);
     // Ordered at another control node, and not yet confirmed: for a while it counts as one that goes.
     roster.order(3001, 8);
@@ -205,10 +213,60 @@
     // It has its session here, and another control node tells of the one that it had before.
     roster.asked(6100, store(8, Retiring::Rolling), 0, 0);
     roster.told_sessions(6101, 2, vec![store(8, Retiring::No), store(9, Retiring::No)]);
+    roster.tick(6101, true, None);
     assert_eq!(roster.store("n8").map(|m| m.retiring), Some(Retiring::Rolling));
     assert_eq!(roster.stay_without(6102, 7).count(), 1);
     roster.asked(6200, store(8, Retiring::Complete), 0, 0);
     roster.told_sessions(6201, 2, vec![store(8, Retiring::Rolling)]);
+    roster.tick(6201, true, None);
     assert_eq!(roster.store("n8").map(|m| m.retiring), Some(Retiring::Complete));
     assert!(roster.retired.contains("n8"));
 }
+
+#[test]
+fn what_is_told_does_not_grow_with_the_square_of_the_fleet() {
+    // Sessions that come one a millisecond: each list told holds all, so they are told of together.
+    let mut roster = ready();
+    let (mut lists, mut entries) = (0, 0);
+    let mut count = |roster: &mut Roster, now: Millis| {
+        roster.tick(now, true, None);
+        for effect in roster.take() {
+            if let Effect::TellSessions(all) = effect {
+                (lists, entries) = (lists + 1, entries + all.len());
+            }
+        }
+    };
+    for node in 0..1000 {
+        roster.asked(3000 + u64::from(node), member(10 + node, Class::Edge), 0, 0);
+        count(&mut roster, 3000 + u64::from(node));
+    }
+    // With nothing new they are told again only now and then, and what was asked is answered when its time is over.
+    for now in (4000..9000).step_by(10) {
+        for node in 0..20 {
+            roster.asked(now, member(10 + node, Class::Edge), 77, u64::MAX);
+        }
+        count(&mut roster, now);
+    }
+    assert!(lists <= 12 && entries <= 7000, "{lists} lists, {entries} entries");
+}
+
+#[test]
+fn a_thousand_executors_that_call_at_once_are_not_compared_with_each_other() {
+    let mut roster = ready();
+    let all = (0..1000).map(|n| beat(&format!("old-{n}"), n, 5, Standing::Serving)).collect();
+    roster.told_beats(3000, all);
+    // A new life at each address ends the one that was there, and no other.
+    for n in 0..500 {
+        roster.beat(3100, beat(&format!("new-{n}"), n, 1, Standing::Serving));
+    }
+    let serving = |r: &Roster| r.executors().filter(|k| k.beat.standing == Standing::Serving).count();
+    assert_eq!(serving(&roster), 1000);
+    assert!(roster
+        .executors()
+        .filter(|k| k.beat.standing == Standing::Gone)
+        .all(|k| k.beat.id.starts_with("old-")));
+    // One that moves to an address ends nobody there, and whoever begins there after it ends it.
+    roster.beat(3200, beat("old-900", 4000, 6, Standing::Serving));
+    roster.beat(3300, beat("third", 4000, 1, Standing::Serving));
+    assert_eq!(serving(&roster), 1000);
+}
