Ping and Pong between stores are gone: nobody ever sent one

Seen by reading: Note::Ping and Note::Pong were handled and never made; a link's own words tell that a store is there (harbour/src/links.rs). All tests of hold pass without them.

--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -213,8 +213,6 @@
     RowDone(Vec<(String, Key)>),
     /// Takes no more messages and copies: it is about to end.
     Leaving,
-    Ping(u64),
-    Pong(u64),
     /// The sender is to be emptied for good: copies that lie there are to lie elsewhere.
     Retiring,
     /// The sender counts on no copy that lies at the receiver.
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -352,8 +352,6 @@
             Note::Relieved => {
                 self.relieved.insert(from);
             }
-            Note::Ping(number) => self.push(Effect::Send { to: from, note: Note::Pong(number) }),
-            Note::Pong(_) => {}
             Note::TokensWanted { service, count } => self.tokens_wanted(now, from, service, count),
             Note::Tokens { service, count } => self.tokens_came(now, &service, count),
         }
