Repeats have a budget: failed ones a fifth of first attempts, half an executor's slots, another executor

Cause: each store repeated on its own, and only the pause of a message grew (hold.rs delivered, AGAIN); lane.rs pick asked the module anew each time, as for a first attempt, so the executor that had just failed a message was as good as any. The module sets aside who resets or is silent to all, but not who answers 500 or spoils answers. Change: hold/src/repeats.rs. Repeats stand in a queue of their own, so that those held back hold up no first attempt. One that fails costs a token, of which each first attempt brings 0.2 and the stores together 4 a second; one that is done, or never ran, gives it back, so a service that is well again gets what waited at its own pace. An executor's slots for repeats (half, rounded up) are dealt out among the stores by the same rule from the same list; a store that finds no room for 0.5 s sends one wherever none of its own is out. The executor that failed a message comes last for it. The counters are in the figures and in status, by service. Messages that always fail end after their tries. Seen failing with budget, dealing and the place of the last failure switched off.

--- a/harbour/src/status.rs
+++ b/harbour/src/status.rs
@@ -216,11 +216,15 @@
             for part in store["services"].members() {
                 let all = services.entry(part["service"].to_string()).or_insert_with(|| {
                     jzon::object! { "waiting" => 0, "out" => 0, "oldest_ms" => 0, "ceiling" => JsonValue::Null,
+                        "repeats" => jzon::object! { "first" => 0, "again" => 0, "held_back" => 0, "waiting" => 0, "most_at_one" => 0 },
                         "stores" => JsonValue::new_object(), "executors" => JsonValue::new_object() }
                 });
                 let sum = |a: &JsonValue, b: &JsonValue| a.as_u64().unwrap_or(0) + b.as_u64().unwrap_or(0);
                 all["waiting"] = sum(&all["waiting"], &part["waiting"]).into();
                 all["out"] = sum(&all["out"], &part["out"]).into();
+                for key in ["first", "again", "held_back", "waiting", "most_at_one"] {
+                    all["repeats"][key] = sum(&all["repeats"][key], &part["repeats"][key]).into();
+                }
                 let oldest = all["oldest_ms"].as_u64().max(part["oldest_ms"].as_u64());
                 all["oldest_ms"] = oldest.into();
                 if !part["ceiling"].is_null() {
@@ -327,6 +331,17 @@
             let holders = if holders.is_empty() { "nobody".to_string() } else { holders };
             text += &format!(", at most {}/s, tokens by {holders}", service["ceiling"]["rate_per_s"]);
         }
+        if service["repeats"]["again"].as_u64().is_some_and(|count| count > 0) {
+            let repeats = &service["repeats"];
+            text += &format!(
+                ", {} repeats of {} first attempts, {} wait, {} were held back, at most {} at one executor",
+                repeats["again"],
+                repeats["first"],
+                repeats["waiting"],
+                repeats["held_back"],
+                repeats["most_at_one"]
+            );
+        }
         text.push('\n');
         for (id, one) in service["executors"].entries() {
             let shares: Vec<String> = one["shares"]
--- a/harbour/src/store/report.rs
+++ b/harbour/src/store/report.rs
@@ -84,6 +84,13 @@
                 "oldest_ms" => service.oldest_ms,
                 "ceiling" => ceiling,
                 "executors" => executors,
+                "repeats" => jzon::object! {
+                    "first" => service.repeats.first,
+                    "again" => service.repeats.again,
+                    "held_back" => service.repeats.held_back,
+                    "waiting" => service.repeats_waiting,
+                    "most_at_one" => service.repeats.most,
+                },
             });
         }
         report["services"] = services.into();
@@ -157,6 +164,29 @@
             let labels = [("service", service.name.as_str())];
             sheet.gauge("harbour_out", "Requests that are out at executors.", &labels, service.out);
         }
+        for service in &services {
+            let of = [("first", service.repeats.first), ("repeat", service.repeats.again)];
+            for (attempt, count) in of {
+                let labels = [("service", service.name.as_str()), ("attempt", attempt)];
+                let help = "Deliveries that went out: first ones, and repeats of what ran or may have run.";
+                sheet.count("harbour_attempts_total", help, &labels, count);
+            }
+        }
+        for service in &services {
+            let labels = [("service", service.name.as_str())];
+            let help = "Repeats that had to wait for their part.";
+            sheet.count("harbour_repeats_held_back_total", help, &labels, service.repeats.held_back);
+        }
+        for service in &services {
+            let labels = [("service", service.name.as_str())];
+            let help = "Repeats that wait, among the queue.";
+            sheet.gauge("harbour_repeats_waiting", help, &labels, service.repeats_waiting);
+        }
+        for service in &services {
+            let labels = [("service", service.name.as_str())];
+            let help = "Most repeats of this store that were out at one executor at once.";
+            sheet.gauge("harbour_repeats_most_at_one", help, &labels, service.repeats.most);
+        }
         for service in services.iter().filter(|s| s.ceiling.is_some()) {
             let here = u8::from(service.ceiling.is_some_and(|(_, _, here)| here));
             let help = "1: this store hands out the service's tokens.";
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -6,7 +6,7 @@
 
 use crate::cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
 use crate::copies::Peer;
-use crate::lane::{Lane, Picked, Server, Turn};
+use crate::lane::{Again, Lane, Picked, Server, Turn};
 use crate::ledger::Ledger;
 use crate::tokens::Bucket;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
@@ -80,6 +80,9 @@
     pub expires: Millis,
     pub tries: u32,
     fails: u32,
+    /// It ran, or may have: the next attempt is a repeat. And who failed it last, at which service.
+    ran: bool,
+    failed_at: Option<(usize, usize)>,
     pub end: Option<End>,
     pub owed: bool,
     /// Where it has still to become safe, and who waits for that.
@@ -570,8 +573,9 @@
     /// own for each service, so that the duties are spread.
     pub(crate) fn deal_duties(&mut self, now: Millis) {
         let nodes = 1 + self.peers.values().filter(|p| p.listed).count();
+        let place = self.peers.iter().filter(|(node, p)| p.listed && **node < self.terms.me).count();
         for lane in &mut self.lanes {
-            lane.nodes(nodes);
+            lane.nodes(place, nodes);
             let Some(bucket) = &mut lane.bucket else { continue };
             let holder = holder_of(&lane.name, self.terms.me, &self.peers);
             let may = self.heard && self.acquainted && !self.leaving;
@@ -626,7 +630,7 @@
         let late = now > entry.due + route.run_target_ms;
         let turn = (late, route.priority, entry.due, key);
         entry.turn = Some((at, turn));
-        self.lanes[at].ready.insert(turn);
+        self.lanes[at].enter(turn, entry.ran);
         self.lane_wait = 0;
     }
 
@@ -636,7 +640,7 @@
                 self.delayed.remove(&(at, key));
             }
             if let Some((at, turn)) = entry.turn.take() {
-                self.lanes[at].ready.remove(&turn);
+                self.lanes[at].leave(&turn);
             }
         }
         self.early.remove(&key);
@@ -650,17 +654,21 @@
         }
         self.lane_wait = Millis::MAX;
         for at in 0..self.lanes.len() {
-            while let Some(turn) = self.lanes[at].ready.first().copied() {
+            let mut again = true;
+            loop {
+                let (turn, look) = self.lanes[at].first_turn(now, again);
+                self.lane_wait = self.lane_wait.min(look);
+                let Some(turn) = turn else { break };
                 let (late, priority, due, key) = turn;
                 let Some((config, entry)) = self.config.as_ref().zip(self.entries.get_mut(&key)) else {
-                    self.lanes[at].ready.remove(&turn);
+                    self.lanes[at].leave(&turn);
                     continue;
                 };
                 // An earlier one of its row has come to light since: it waits again.
                 let spot = (entry.cargo.taken, key);
                 if entry.cargo.order_key.as_ref().is_some_and(|row| !self.rows.is_first(row, spot)) {
                     entry.turn = None;
-                    self.lanes[at].ready.remove(&turn);
+                    self.lanes[at].leave(&turn);
                     continue;
                 }
                 let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else { break };
@@ -669,8 +677,12 @@
                     // Too late for its aim: those that can still be in time go first.
                     let turn_now = (true, priority, due, key);
                     entry.turn = Some((at, turn_now));
-                    self.lanes[at].ready.remove(&turn);
-                    self.lanes[at].ready.insert(turn_now);
+                    self.lanes[at].leave(&turn);
+                    if entry.ran {
+                        self.lanes[at].again.insert(turn_now);
+                    } else {
+                        self.lanes[at].ready.insert(turn_now);
+                    }
                     continue;
                 }
                 let timeout_ms = route.timeout_ms;
@@ -681,7 +693,7 @@
                 }
                 if let Some(bucket) = &mut lane.bucket {
                     if !bucket.take(now) {
-                        let wanted = lane.ready.len().min(4) as u32;
+                        let wanted = (lane.ready.len() + lane.again.len()).min(4) as u32;
                         if bucket.ask(now) {
                             let holder = holder_of(&lane.name, self.terms.me, &self.peers);
                             let note = Note::TokensWanted { service: lane.name.clone(), count: wanted };
@@ -696,7 +708,16 @@
                 let attempt = self.next_attempt;
                 let stores = 1 + self.peers.values().filter(|p| p.listed || p.connected).count();
                 lane.share = (lane.max_conns / stores).max(2);
-                match lane.pick(fine, now, key, attempt) {
+                let avoid = entry.failed_at.filter(|(lane, _)| *lane == at).map(|(_, executor)| executor);
+                let repeat = entry.ran.then_some(Again { avoid });
+                match lane.pick(fine, now, key, attempt, repeat) {
+                    Picked::Full(until) => {
+                        if let Some(bucket) = &mut lane.bucket {
+                            bucket.give_back();
+                        }
+                        self.lane_wait = self.lane_wait.min(until);
+                        again = false;
+                    }
                     Picked::Wait(until) => {
                         if let Some(bucket) = &mut lane.bucket {
                             bucket.give_back();
@@ -706,7 +727,7 @@
                     }
                     Picked::Go { executor } => {
                         self.next_attempt += 1;
-                        lane.ready.remove(&turn);
+                        lane.leave(&turn);
                         entry.turn = None;
                         entry.stage = Stage::Out;
                         self.figures.attempts += 1;
@@ -751,7 +772,13 @@
             Outcome::Garbled => Judged::Broken,
         };
         let Some(at) = self.lanes.iter().position(|lane| lane.sent.contains_key(&attempt)) else { return };
-        let Some(key) = self.lanes[at].settle(fine, now, attempt, judged, load) else { return };
+        // What was stopped at its time, too: the work was done in vain.
+        let ran = matches!(
+            outcome,
+            Outcome::Failed | Outcome::Stopped | Outcome::Broken | Outcome::Late | Outcome::Garbled
+        );
+        let settled = self.lanes[at].settle(fine, now, attempt, judged, ran, load);
+        let Some((key, executor)) = settled else { return };
         if outcome == Outcome::Over {
             self.lanes[at].pause = now + 200;
         }
@@ -760,6 +787,9 @@
         if entry.end.is_some() {
             return;
         }
+        if ran || outcome == Outcome::Running {
+            (entry.ran, entry.failed_at) = (true, Some((at, executor)));
+        }
         match outcome {
             Outcome::Done { seal } => return self.finish(now, key, End::Complete { seal }),
             Outcome::Refused => return self.finish(now, key, End::Failed),
@@ -1110,7 +1140,7 @@
     }
 
     pub fn lanes(&self) -> impl Iterator<Item = (&str, usize, usize, Vec<(String, f64, usize)>)> {
-        self.lanes.iter().map(|l| (l.name.as_str(), l.ready.len(), l.sent.len(), l.shares()))
+        self.lanes.iter().map(|l| (l.name.as_str(), l.waiting(), l.sent.len(), l.shares()))
     }
 
     pub fn log(&mut self) -> Vec<String> {
@@ -1147,6 +1177,8 @@
             expires: Millis::MAX,
             tries: shared.tries,
             fails: 0,
+            ran: shared.tries > 0,
+            failed_at: None,
             end: None,
             owed: false,
             missing: Vec::new(),
--- a/hold/src/hold/report.rs
+++ b/hold/src/hold/report.rs
@@ -2,6 +2,7 @@
 
 use super::{holder_of, Hold, Stage};
 use crate::cargo::{End, Key, Millis, Node};
+use crate::lane::Repeats;
 
 #[derive(Clone, Debug)]
 pub struct ServiceView {
@@ -12,6 +13,9 @@
     pub oldest_ms: Millis,
     /// Executor, its share, and requests that are out there.
     pub shares: Vec<(String, f64, usize)>,
+    /// Repeats that wait among these, and what went out so far.
+    pub repeats_waiting: usize,
+    pub repeats: Repeats,
     /// Rate a second, who hands out the tokens, and whether that is this store.
     pub ceiling: Option<(f64, Node, bool)>,
 }
@@ -58,10 +62,18 @@
             });
             ServiceView {
                 name: lane.name.clone(),
-                waiting: lane.ready.len(),
+                waiting: lane.waiting(),
                 out: lane.sent.len(),
-                oldest_ms: lane.ready.iter().map(|turn| now.saturating_sub(turn.2)).max().unwrap_or(0),
+                oldest_ms: lane
+                    .ready
+                    .iter()
+                    .chain(&lane.again)
+                    .map(|turn| now.saturating_sub(turn.2))
+                    .max()
+                    .unwrap_or(0),
                 shares: lane.shares(),
+                repeats_waiting: lane.again.len(),
+                repeats: lane.repeats,
                 ceiling: rate.map(|rate| {
                     let here = lane.bucket.as_ref().is_some_and(|bucket| bucket.holds());
                     (rate, holder_of(&lane.name, self.terms.me, &self.peers), here)
--- a/hold/src/lane.rs
+++ b/hold/src/lane.rs
@@ -1,6 +1,7 @@
 //! One service: who serves it, what waits for it, and the module that decides who gets the next.
 
 use crate::cargo::{Key, Millis};
+use crate::repeats::{dealt, Budget, LONG};
 use crate::tokens::Bucket;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -34,6 +35,9 @@
     /// When it last answered anything, and requests out there.
     heard: Millis,
     out: usize,
+    /// Of these, repeats; and so many of them may be out from here.
+    pub again: usize,
+    may_again: usize,
     listed: bool,
 }
 
@@ -43,6 +47,13 @@
     pub executor: usize,
     at: Millis,
     op: Op,
+    push: usize,
+    again: bool,
+}
+
+/// A repeat, and where it last failed.
+pub(crate) struct Again {
+    pub avoid: Option<usize>,
 }
 
 /// What waits: those that may still be in time first, then by priority, then by when they fell due.
@@ -52,6 +63,13 @@
     pub name: String,
     pub known: Vec<Known>,
     pub ready: BTreeSet<Turn>,
+    /// Repeats stand in a queue of their own: those that must wait hold up nobody's first attempt.
+    pub again: BTreeSet<Turn>,
+    pub budget: Budget,
+    pub repeats: Repeats,
+    /// Since when no repeat has found room.
+    stuck: Option<Millis>,
+    stores: (usize, usize),
     pub sent: HashMap<u64, Sent>,
     pub bucket: Option<Bucket>,
     pub endpoint: bool,
@@ -71,6 +89,18 @@
     },
     /// Not before this, unless something changes.
     Wait(Millis),
+    /// No executor has room for a repeat of this store: first attempts go on.
+    Full(Millis),
+}
+
+/// Since the start: first attempts, repeats, repeats that had to wait for their part, and the most that were out at one
+/// executor at once.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Repeats {
+    pub first: u64,
+    pub again: u64,
+    pub held_back: u64,
+    pub most: usize,
 }
 
 impl Lane {
@@ -111,6 +141,11 @@
             name: name.to_string(),
             known: Vec::new(),
             ready: BTreeSet::new(),
+            again: BTreeSet::new(),
+            budget: Budget::new(0),
+            repeats: Repeats::default(),
+            stuck: None,
+            stores: (0, 1),
             sent: HashMap::new(),
             bucket: None,
             endpoint: false,
@@ -124,8 +159,60 @@
     }
 
     /// So many stores deliver.
-    pub fn nodes(&mut self, nodes: usize) {
+    pub fn nodes(&mut self, me: usize, nodes: usize) {
         self.dispatcher.fleet(nodes, nodes);
+        if std::mem::replace(&mut self.stores, (me, nodes)) != (me, nodes) {
+            self.deal();
+        }
+    }
+
+    /// Deals out the slots that repeats may take. All stores have the same list, by the names of the executors.
+    fn deal(&mut self) {
+        let (me, stores) = self.stores;
+        self.known.iter_mut().for_each(|k| k.may_again = 0);
+        let mut serving: Vec<&mut Known> =
+            self.known.iter_mut().filter(|k| k.listed && k.server.serving).collect();
+        serving.sort_unstable_by(|a, b| a.server.id.cmp(&b.server.id));
+        let shares = dealt(serving.iter().map(|k| k.server.capacity), me, stores);
+        serving.iter_mut().zip(shares).for_each(|(known, may)| known.may_again = may);
+        self.budget.sized(self.room(), stores);
+    }
+
+    fn room(&self) -> f64 {
+        self.known.iter().filter(|k| k.listed && k.server.serving).map(|k| k.server.capacity).sum()
+    }
+
+    /// What goes next: a repeat only if one may go. Else when to look again for one.
+    pub fn first_turn(&mut self, now: Millis, again: bool) -> (Option<Turn>, Millis) {
+        let first = self.ready.first().copied();
+        let Some(repeat) = self.again.first().copied() else { return (first, Millis::MAX) };
+        if !again || first.is_some_and(|first| first < repeat) {
+            return (first, Millis::MAX);
+        }
+        match self.budget.may(now) {
+            Ok(()) => (Some(repeat), Millis::MAX),
+            Err(at) => (first, at),
+        }
+    }
+
+    pub fn enter(&mut self, turn: Turn, again: bool) {
+        if again {
+            self.again.insert(turn);
+            self.repeats.held_back += u64::from(self.again.len() > self.budget.whole());
+        } else {
+            self.ready.insert(turn);
+        }
+    }
+
+    pub fn leave(&mut self, turn: &Turn) {
+        if !self.ready.remove(turn) {
+            self.again.remove(turn);
+        }
+    }
+
+    /// Waiting, repeats among them.
+    pub fn waiting(&self) -> usize {
+        self.ready.len() + self.again.len()
     }
 
     pub fn shares(&self) -> Vec<(String, f64, usize)> {
@@ -150,7 +237,15 @@
                 None => {
                     let left = server.cold_left_ms as Time * 10;
                     let started = (left > 0).then(|| fine - (WARM - left).max(0));
-                    let known = Known { server: server.clone(), started, heard: now, out: 0, listed: true };
+                    let known = Known {
+                        server: server.clone(),
+                        started,
+                        heard: now,
+                        out: 0,
+                        again: 0,
+                        may_again: 0,
+                        listed: true,
+                    };
                     // The place of one that is gone for good is used again once the list has grown long.
                     let gone = (self.known.len() >= 128)
                         .then(|| self.known.iter().position(|k| !k.listed && k.out == 0));
@@ -188,6 +283,7 @@
         for at in new {
             self.dispatcher.report(fine, at, &[0.0, 0.0, self.known[at].server.capacity]);
         }
+        self.deal();
     }
 
     pub fn upkeep(&mut self, fine: Time) {
@@ -199,7 +295,14 @@
     }
 
     /// Who gets the next message, as the design has it.
-    pub fn pick(&mut self, fine: Time, now: Millis, key: Key, attempt: u64) -> Picked {
+    pub fn pick(
+        &mut self,
+        fine: Time,
+        now: Millis,
+        key: Key,
+        attempt: u64,
+        mut again: Option<Again>,
+    ) -> Picked {
         if now < self.pause {
             return Picked::Wait(self.pause);
         }
@@ -213,9 +316,7 @@
         // After a break all that waits is due at once, and each store knows only its own part of what the
         // executors hold: no more is out from here than they work on together. One store alone can still keep
         // all of them busy.
-        let room: f64 =
-            self.known.iter().filter(|k| k.listed && k.server.serving).map(|k| k.server.capacity).sum();
-        if !self.endpoint && self.sent.len() as f64 >= room.max(4.0) {
+        if !self.endpoint && self.sent.len() as f64 >= self.room().max(4.0) {
             return Picked::Wait(now + 10);
         }
         if self.endpoint && self.sent.len() >= self.share {
@@ -239,12 +340,25 @@
         loop {
             let mut op = asked.clone();
             op.limits.domains = domains;
-            match self.dispatcher.place(fine, &mut op) {
+            let mut step = self.dispatcher.place(fine, &mut op);
+            // Executors that may not have this repeat are passed over, each once.
+            let mut passed = 0;
+            while let (Step::Push { executor }, Some(repeat)) = (&step, &again) {
+                if self.overrun(*executor) || self.takes(now, *executor, repeat) {
+                    break;
+                }
+                passed += 1;
+                op.closed = passed > self.known.len();
+                let last = op.pushes.len().saturating_sub(1);
+                step = self.dispatcher.settle(fine, &mut op, last, Judged::Withheld, &[]);
+            }
+            let push = op.pushes.len().saturating_sub(1);
+            match step {
                 Step::Push { executor } if self.overrun(executor) => {
                     // Closed first: else the module would send it again at once, and count that as out for
                     // ever.
                     op.closed = true;
-                    self.dispatcher.settle(fine, &mut op, 0, Judged::Withheld, &[]);
+                    self.dispatcher.settle(fine, &mut op, push, Judged::Withheld, &[]);
                     // The near ones have enough in hand: those of other zones may be idle.
                     let domain = 1u64.checked_shl(self.known[executor].server.zone as u32).unwrap_or(0);
                     if domains & domain == 0 {
@@ -253,10 +367,33 @@
                     domains &= !domain;
                 }
                 Step::Push { executor } if executor < self.known.len() => {
-                    self.known[executor].out += 1;
-                    self.sent.insert(attempt, Sent { key, executor, at: now, op });
+                    let known = &mut self.known[executor];
+                    known.out += 1;
+                    match again {
+                        Some(_) => {
+                            known.again += 1;
+                            self.stuck = None;
+                            self.budget.spent();
+                            self.repeats.again += 1;
+                            self.repeats.most = self.repeats.most.max(known.again);
+                        }
+                        None => {
+                            self.budget.first();
+                            self.repeats.first += 1;
+                        }
+                    }
+                    self.sent
+                        .insert(attempt, Sent { key, executor, at: now, op, push, again: again.is_some() });
                     return Picked::Go { executor };
                 }
+                // Nobody else serves: the one that failed it is better than none.
+                _ if passed > 0 && again.as_ref().is_some_and(|repeat| repeat.avoid.is_some()) => {
+                    again.iter_mut().for_each(|repeat| repeat.avoid = None);
+                }
+                _ if passed > 0 => {
+                    self.stuck.get_or_insert(now);
+                    return Picked::Full(now + 20);
+                }
                 Step::Nack { come_back } => {
                     return Picked::Wait(now + (come_back / 10).clamp(5, 100) as Millis);
                 }
@@ -265,6 +402,14 @@
         }
     }
 
+    /// A repeat may go there: not to the one that failed it, and no more of them than are this store's part of
+    /// its slots.
+    fn takes(&self, now: Millis, executor: usize, repeat: &Again) -> bool {
+        let Some(known) = self.known.get(executor) else { return false };
+        let long = self.stuck.is_some_and(|since| now > since + LONG) && known.again == 0;
+        repeat.avoid != Some(executor) && (known.again < known.may_again || long)
+    }
+
     /// It holds twice what it works on from here alone.
     fn overrun(&self, executor: usize) -> bool {
         // Nor more than its connections that are this store's part: with many stores that is the narrower bound.
@@ -279,11 +424,16 @@
         now: Millis,
         attempt: u64,
         judged: Judged,
+        ran: bool,
         load: Option<[f64; 3]>,
-    ) -> Option<Key> {
-        let Sent { key, executor, at, mut op } = self.sent.remove(&attempt)?;
+    ) -> Option<(Key, usize)> {
+        let Sent { key, executor, at, mut op, push, again } = self.sent.remove(&attempt)?;
         let known = &mut self.known[executor];
         known.out = known.out.saturating_sub(1);
+        known.again -= usize::from(again).min(known.again);
+        if again && !ran {
+            self.budget.back();
+        }
         let silent = judged == Judged::TimedOut && known.heard < at;
         let answered = matches!(judged, Judged::Acked | Judged::Unfit | Judged::Full | Judged::Moot);
         if answered {
@@ -298,9 +448,9 @@
             }
         }
         let values = load.map_or(Vec::new(), |values| values.to_vec());
-        self.dispatcher.settle(fine, &mut op, 0, judged, &values);
+        self.dispatcher.settle(fine, &mut op, push, judged, &values);
         // Nobody waits for the op any more: the message itself may come again as another.
-        Some(key)
+        Some((key, executor))
     }
 
     pub fn log(&mut self) -> Vec<String> {
