--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -285,6 +285,7 @@
     assert!(json["nodes"].members().all(|node| node["version"] == 7), "{json}");
     assert_eq!(json["control"]["epoch"], 1);
     assert!(!json["services"]["crane"]["executors"]["i-crane-1"]["shares"].is_empty(), "{json}");
+    assert!(json["services"]["crane"]["repeats"]["first"].as_u64().is_some_and(|n| n > 0), "{json}");
 
     let traced = |id: &str| {
         texts(
