Test: what docs/replace.md says of machines replaced, retired and lost, as it stands there

A core that had a store's session before the one that has it now does not see that it takes the order: 503 there and 404 to read, reproduced by hand with a core frozen for 0.8 s; the test asks another core, as operators may.

--- /dev/null
+++ b/harbour/tests/commands.rs
@@ -0,0 +1,262 @@
+//! What docs/replace.md says of machines that are replaced, retired and lost, on three cores, three stores and an edge on
+//! loopback: each command that it shows is tried, in the state that it is shown for.
+
+use std::fs::{self, File};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Output, Stdio};
+use std::time::{Duration, Instant};
+
+const DOCS: &str = include_str!("../../docs/replace.md");
+/// The service has no executor, so what is sent stays.
+const CONFIG: &str = r#"{"revision":REV,"routes":[{"name":"stuck","hostname":"quay.example","path_prefix":"/",
+ "route_type":"deferred","timeout_ms":1500,"target_ms":80,"priority":1,"backend":"lock","max_tries":4,
+ "max_wait_s":600,"run_target_ms":1000}],"backends":[{"name":"lock"}],"limits":{}}"#;
+
+struct Fleet {
+    dir: PathBuf,
+    net: String,
+    end: Instant,
+    /// Told when the test fails.
+    message: String,
+    children: Vec<(String, Child)>,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("{}", self.status());
+            eprintln!(
+                "{:?}",
+                self.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300", &self.message)
+            );
+            for (name, _) in &self.children {
+                eprintln!(
+                    "{name}:\n{}",
+                    fs::read_to_string(self.dir.join(name).join("log")).unwrap_or_default()
+                );
+            }
+        }
+        for (_, child) in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let pid = std::process::id();
+        let dir = std::env::temp_dir().join(format!("harbour-commands-{pid}"));
+        let net = format!("127.{}.{}", 192 + pid / 250 % 60, 1 + pid % 250);
+        Fleet {
+            dir,
+            net,
+            end: Instant::now() + Duration::from_secs(60),
+            message: String::new(),
+            children: Vec::new(),
+        }
+    }
+
+    fn until<T>(&self, what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+        loop {
+            if let Some(found) = look() {
+                return found;
+            }
+            assert!(Instant::now() < self.end, "in vain: {what}");
+            std::thread::park_timeout(Duration::from_millis(20));
+        }
+    }
+
+    /// core-1 to core-3 are hosts 1 to 3, storage-1 to storage-3 hosts 11 to 13, edge-1 host 21.
+    fn start(&mut self, name: &str, first: bool) {
+        let (kind, number) = name.split_once('-').unwrap();
+        let number: u8 = number.parse().unwrap();
+        let (host, serves, role) = match kind {
+            "core" => (number, "control", "core"),
+            "storage" => (10 + number, "storage", "store"),
+            _ => (20 + number, "edge", "edge"),
+        };
+        let (net, home) = (&self.net, self.dir.join(name));
+        fs::create_dir_all(home.join("data")).unwrap();
+        let bind = match role {
+            "core" => format!(r#""control":"{net}.{host}:18262""#),
+            "edge" => format!(r#""front":"{net}.{host}:18263","readiness":"{net}.{host}:18268""#),
+            _ => String::new(),
+        };
+        let data = if role == "edge" { "null".to_string() } else { format!("{:?}", home.join("data")) };
+        let text = format!(
+            r#"{{"node_name":"{name}","role":"any","machine_class":"any","serves":["{serves}"],"ip":"{net}.{host}",
+            "zone":"z1","region":"r","zones":{{"z1":"r"}},"bind_addresses":{{{bind}}},"internal_ports":[17300,17315],
+            "seed_nodes":["{net}.1:18262","{net}.2:18262","{net}.3:18262"],"first_start":{first},
+            "limits":{{"disk_mb":64}},"data_dir":{data},"beat_interval_ms":200,"tolerate":{{"machine_losses":1}},
+            "bounds":{{"grace_s":6}}}}"#
+        );
+        let boot = home.join("node.json");
+        fs::write(&boot, text).unwrap();
+        let log = File::options().create(true).append(true).open(home.join("log")).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
+        command.arg("--boot").arg(boot).arg(role).env_remove("HARBOUR_LOG");
+        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
+        self.children.push((name.to_string(), command.spawn().unwrap()));
+    }
+
+    fn kill(&mut self, name: &str) {
+        let at = self.children.iter().position(|(n, _)| n == name).unwrap();
+        let (_, mut child) = self.children.swap_remove(at);
+        child.kill().unwrap();
+        child.wait().unwrap();
+    }
+
+    /// The machine gets an empty disk.
+    fn wipe(&self, name: &str) {
+        fs::remove_dir_all(self.dir.join(name).join("data")).unwrap();
+    }
+
+    /// A command of the docs, after the program's name, with what this fleet has in the place of the examples.
+    fn harbour(&self, words: &str, message: &str) -> Output {
+        assert!(DOCS.lines().any(|line| line == format!("harbour {words}")), "not in the docs: {words}");
+        let words = words
+            .replace("10.1.0.14:7300", &format!("{}.3:17300", self.net))
+            .replace("/etc/stileroute/node.json", self.dir.join("storage-1/node.json").to_str().unwrap())
+            .replace("/var/lib/harbour", self.dir.join("storage-1/data").to_str().unwrap())
+            .replace("9c41d07b.655f3c0000002.2b1f8e06", message);
+        Command::new(env!("CARGO_BIN_EXE_harbour")).args(words.split(' ')).output().unwrap()
+    }
+
+    /// Status and body of an answer, if there is one, and the message's name.
+    fn http(&self, at: &str, method: &str, path: &str, body: &str) -> Option<(u16, String, String)> {
+        let address: SocketAddr = format!("{}.{at}", self.net).parse().unwrap();
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_secs(4))).ok()?;
+        let id = std::time::UNIX_EPOCH.elapsed().unwrap().as_nanos();
+        let head = format!("{method} {path} HTTP/1.1\r\nHost: quay.example\r\nConnection: close\r\n");
+        write!(stream, "{head}X-Request-Id: m-{id}\r\nContent-Length: {}\r\n\r\n{body}", body.len()).ok()?;
+        let mut text = String::new();
+        stream.read_to_string(&mut text).ok()?;
+        let (head, body) = text.split_once("\r\n\r\n")?;
+        let name =
+            head.lines().find_map(|line| line.strip_prefix("X-Queue-Message-Id: ")).unwrap_or_default();
+        Some((head.split(' ').nth(1)?.parse().ok()?, body.to_string(), name.to_string()))
+    }
+
+    /// A curl line of the docs, at this core.
+    fn curl(&self, core: u8, line: &str, of: &str, with: &str) -> Option<(u16, String, String)> {
+        assert!(DOCS.lines().any(|shown| shown == line), "not in the docs: {line}");
+        let (words, path) = line.split_once(" http://10.1.0.14:8262").unwrap();
+        let body = words.split_once(" -d ").map_or("", |(_, body)| body.trim_matches('\''));
+        let method = if body.is_empty() { "GET" } else { "POST" };
+        self.http(&format!("{core}:18262"), method, &path.replace(of, with), body)
+    }
+
+    fn configure(&self, revision: u64) -> Option<u16> {
+        let text = CONFIG.replace("REV", &revision.to_string());
+        self.http("3:18262", "POST", "/v1/settings/replace", &text).map(|answer| answer.0)
+    }
+
+    fn send(&self) -> Option<(u16, String, String)> {
+        self.http("21:18263", "POST", "/crate", "heavy")
+    }
+
+    /// Where a message lies: one delivers it, another has its copy.
+    fn stages(&self, message: &str) -> Vec<String> {
+        let out = self.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300 --json", message);
+        let Ok(json) = jzon::parse(&String::from_utf8_lossy(&out.stdout)) else { return Vec::new() };
+        let stage = |(_, store): (_, &jzon::JsonValue)| store["stage"].as_str().map(String::from);
+        let mut stages: Vec<String> = json["stores"].entries().filter_map(stage).collect();
+        stages.sort();
+        stages
+    }
+
+    fn safe(&self, message: &str) -> Option<()> {
+        (self.stages(message) == ["copy", "waiting"]).then_some(())
+    }
+
+    fn status(&self) -> String {
+        String::from_utf8(self.harbour("status --at 10.1.0.14:7300", "").stdout).unwrap()
+    }
+}
+
+#[test]
+fn machines_are_replaced_retired_and_lost_as_the_page_says() {
+    let mut fleet = Fleet::new();
+    let all = ["core-1", "core-2", "core-3", "storage-1", "storage-2", "storage-3", "edge-1"];
+    all.iter().for_each(|name| fleet.start(name, true));
+    fleet.until("the configuration is taken", || fleet.configure(7).filter(|status| *status == 200));
+    let taken = |fleet: &Fleet| fleet.until("taken", || fleet.send().filter(|answer| answer.0 == 202)).2;
+    let message = taken(&fleet);
+    fleet.message.clone_from(&message);
+    fleet.until("it lies on two disks", || fleet.safe(&message));
+
+    // A store without its disk: its messages are copied anew, and it is known again.
+    fleet.kill("storage-1");
+    fleet.wipe("storage-1");
+    let checked = fleet.harbour("check boot /etc/stileroute/node.json", "");
+    assert!(checked.status.success(), "{checked:?}");
+    fleet.start("storage-1", false);
+    fleet.until("two disks again, with the new one there", || {
+        (fleet.safe(&message).is_some() && fleet.status().contains("store storage-1 ")).then_some(())
+    });
+
+    // Retired: the last two are not let go.
+    let begin = "curl -d '{\"deadline_s\":30}' http://10.1.0.14:8262/v1/retire/storage-3/begin";
+    let read = "curl http://10.1.0.14:8262/v1/retire/storage-3/read";
+    assert_eq!(fleet.curl(3, begin, "storage-3", "storage-9").map(|a| a.0), Some(404));
+    // A core that had the store's session before may not see that it took the order: another is asked.
+    let any = |line: &str, told: &str| {
+        let says = |a: (u16, String, String)| a.0 == 200 && a.1.contains(told);
+        (1..=3).rev().find(|core| fleet.curl(*core, line, "", "").is_some_and(says))
+    };
+    fleet.until("the order is taken", || any(begin, "{}"));
+    let core = fleet.until("emptied", || any(read, "complete"));
+    assert_eq!(fleet.curl(core, begin, "storage-3", "storage-2").map(|a| a.0), Some(409));
+    fleet.kill("storage-3");
+    fleet.wipe("storage-3");
+    fleet.until("it lies on the two that are left", || fleet.safe(&message));
+
+    // More stores gone than can be borne: nothing is taken. Their disks bring all back.
+    ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.kill(name));
+    fleet.until("refused", || fleet.send().filter(|answer| answer.0 == 503));
+    assert!(fleet.stages(&message).is_empty());
+    let verified = fleet.harbour("state verify /var/lib/harbour", "");
+    let told = String::from_utf8_lossy(&verified.stdout);
+    assert!(verified.status.success() && told.contains("opens: true"), "{verified:?}");
+    ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.start(name, false));
+    fleet.until("all is back", || fleet.safe(&message));
+
+    // Without their disks it is gone, and nobody guesses: no store knows of it, and its state is 404.
+    ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.kill(name));
+    ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.wipe(name));
+    let verified = fleet.harbour("state verify /var/lib/harbour", "");
+    assert_eq!(verified.status.code(), Some(2), "{verified:?}");
+    ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.start(name, false));
+    taken(&fleet);
+    let asked = fleet.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300", &message);
+    assert_eq!(asked.status.code(), Some(1), "{asked:?}");
+    let state = || fleet.http("21:18263", "GET", &format!("/v1/message/{message}"), "");
+    assert_eq!(fleet.until("its state", state).0, 404);
+
+    // Most of the core without its disks: nobody leads, and it stays so.
+    let cores = ["core-1", "core-2"];
+    // Both are gone before either is back: one by one, the others would tell it where they stand.
+    let anew = |fleet: &mut Fleet, first: bool| {
+        cores.into_iter().for_each(|name| fleet.kill(name));
+        cores.into_iter().for_each(|name| fleet.wipe(name));
+        cores.into_iter().for_each(|name| fleet.start(name, first));
+    };
+    anew(&mut fleet, false);
+    fleet.until("both are blank", || {
+        let said = fleet.status();
+        (said.contains("blank: core-1") && said.contains("blank: core-2") && said.contains("nobody leads"))
+            .then_some(())
+    });
+    assert_eq!(fleet.configure(8), Some(503));
+
+    // The way out, by hand: they begin anew beside the one that is left, and the configuration is sent once more.
+    anew(&mut fleet, true);
+    fleet.until("a configuration is taken again", || fleet.configure(9).filter(|status| *status == 200));
+    fleet.until("in force at all", || (fleet.status().matches("version 9").count() == 6).then_some(()));
+    taken(&fleet);
+}
