--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -13,18 +13,23 @@
 //! - a node that has lost its disk has forgotten what it granted: it votes again only after a majority of the others has
 //!   told it where they stand, and as a copy it is hollow, and does not stand, before it was filled.
 
+mod planted;
 mod primary;
 mod types;
 mod voter;
 
+#[cfg(feature = "planted")]
+pub use planted::{Planted, Sounder};
 pub use types::*;
 
+#[cfg(not(feature = "planted"))]
+use planted::Planted;
 use primary::Duty;
 use std::collections::{BTreeMap, BTreeSet};
 use voter::Learning;
 
 /// What is done when the disk has a record.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Hash)]
 enum After {
     Grant { to: Voter, watch: Watch },
     OwnGrant { watch: Watch },
@@ -44,6 +49,7 @@
 }
 
 /// One control node's part.
+#[derive(Clone)]
 pub struct Pilotage {
     terms: Terms,
     watch: Option<Watch>,
@@ -115,7 +121,8 @@
             effects: Vec::new(),
             terms,
         };
-        if pilotage.watch.is_none() && pilotage.terms.first_start && seeds.contains(&pilotage.terms.me) {
+        let first = pilotage.terms.first_start || pilotage.planted(Planted::BlankVotes);
+        if pilotage.watch.is_none() && first && seeds.contains(&pilotage.terms.me) {
             // Reckoned alike by all that begin: nothing has to be elected, and nobody waits for anybody.
             let copies = seeds.iter().take(pilotage.terms.losses + 1).copied().collect();
             let watch = Watch { epoch: 1, primary: seeds[0], copies, voters: seeds, drawn: 1 };
@@ -220,7 +227,10 @@
 
     /// A chart is in force: never one below what was in force here before.
     fn enforce(&mut self, chart: Chart) {
-        if self.force.as_ref().is_none_or(|old| chart.version > old.version) && chart.version > 0 {
+        let newer = self.force.as_ref().is_none_or(|old| chart.version > old.version);
+        if (newer || self.planted(Planted::ForceBlind) && self.force.as_ref() != Some(&chart))
+            && chart.version > 0
+        {
             self.effects.push(Effect::InForce { version: chart.version });
             self.force = Some(chart);
         }
--- /dev/null
+++ b/pilotage/src/planted.rs
@@ -0,0 +1,251 @@
+//! For the search over orders of events in `soundings/`: faults that it must find, and a digest of a node's state. Without
+//! the feature `planted`, which only the search's own build of these sources has, no fault can be set, and nothing is left.
+
+#[cfg(not(feature = "planted"))]
+use crate::Pilotage;
+
+/// A fault of which a property has to tell. Each undoes one rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// The lease outlasts the silence after which others are voted for.
+    LongLease,
+    /// A write is answered when the first copy has it.
+    EarlyAnswer,
+    /// Another body of the version that is held is taken.
+    EqualTaken,
+    /// What is told to be in force is, whatever was before.
+    ForceBlind,
+    /// A chart of the right version is taken for the one in force.
+    DigestUnheeded,
+    /// A voter grants a second watch of one epoch.
+    GrantedTwice,
+    /// A grant is told before it is on disk.
+    GrantUnsynced,
+    /// A node that lost its disk takes itself for one that never ran.
+    BlankVotes,
+    /// A copy that lost its chart stands for the duty.
+    HollowStands,
+    /// A candidate by an older list of copies is voted for.
+    DrawnUnheeded,
+    /// A write that a copy may have is answered as not done.
+    BegunForgotten,
+    /// Nobody takes over a watch that it is told.
+    NeverAdopts,
+}
+
+#[cfg(feature = "planted")]
+impl Planted {
+    pub const ALL: [Planted; 12] = [
+        Planted::LongLease,
+        Planted::EarlyAnswer,
+        Planted::EqualTaken,
+        Planted::ForceBlind,
+        Planted::DigestUnheeded,
+        Planted::GrantedTwice,
+        Planted::GrantUnsynced,
+        Planted::BlankVotes,
+        Planted::HollowStands,
+        Planted::DrawnUnheeded,
+        Planted::BegunForgotten,
+        Planted::NeverAdopts,
+    ];
+}
+
+#[cfg(not(feature = "planted"))]
+impl Pilotage {
+    #[inline(always)]
+    pub(crate) const fn planted(&self, _: Planted) -> bool {
+        false
+    }
+}
+
+#[cfg(feature = "planted")]
+pub use sounded::Sounder;
+
+#[cfg(feature = "planted")]
+mod sounded {
+    use super::Planted;
+    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, FORGET, TURN};
+    use crate::{After, Effect, Millis, Pilotage, Signal, Terms, Voter};
+    use std::hash::{Hash, Hasher};
+
+    /// Writes a state into a hasher, so that states from which the same follows come out the same. Times count from now, and
+    /// are one where every rule takes them alike; serials count from the last one of whoever gave them.
+    pub struct Sounder<'a, H> {
+        pub hasher: &'a mut H,
+        pub now: Millis,
+        pub serials: &'a [(Voter, u64)],
+    }
+
+    impl<H: Hasher> Sounder<'_, H> {
+        /// A time of which it counts whether it lies back further than `most`, and how far until then.
+        fn time(&mut self, at: Millis, most: Millis) {
+            (at as i64 - self.now as i64).max(-1 - most as i64).hash(self.hasher);
+        }
+        fn serial(&mut self, of: Voter, serial: u64) {
+            let last = self.serials.iter().find(|(voter, _)| *voter == of).map_or(0, |(_, last)| *last);
+            last.wrapping_sub(serial).hash(self.hasher);
+        }
+        /// For what was sent at another clock's time `now` has to be that clock's.
+        pub fn signal(&mut self, from: Voter, to: Voter, signal: &Signal) {
+            match signal {
+                Signal::Pulse { epoch, sent_at, version, digest } => {
+                    (1, epoch, version, digest).hash(self.hasher);
+                    self.time(*sent_at, FORGET);
+                }
+                Signal::PulseAck { epoch, sent_at, votes, holds } => {
+                    (2, epoch, votes, holds).hash(self.hasher);
+                    self.time(*sent_at, FORGET);
+                }
+                Signal::Store { epoch, serial, chart } => {
+                    (3, epoch, chart).hash(self.hasher);
+                    self.serial(from, *serial);
+                }
+                Signal::Stored { epoch, serial } => {
+                    (4, epoch).hash(self.hasher);
+                    self.serial(to, *serial);
+                }
+                signal => signal.hash(self.hasher),
+            }
+        }
+        pub fn effect(&mut self, from: Voter, effect: &Effect) {
+            match effect {
+                Effect::Send { to, signal } => {
+                    (1, to).hash(self.hasher);
+                    self.signal(from, *to, signal);
+                }
+                Effect::Keep { ticket: _, record } => (2, record).hash(self.hasher),
+                effect => effect.hash(self.hasher),
+            }
+        }
+        fn after(&mut self, me: Voter, after: &After) {
+            match after {
+                After::Stored { to, epoch, serial, chart } => {
+                    (1, to, epoch, chart).hash(self.hasher);
+                    self.serial(*to, *serial);
+                }
+                After::OwnStored { serial } => {
+                    2.hash(self.hasher);
+                    self.serial(me, *serial);
+                }
+                after => after.hash(self.hasher),
+            }
+        }
+        fn stand(&mut self, stand: &Stand, silence: Millis) {
+            let Stand { watch, before, grants, against, since, released } = stand;
+            (watch, before, grants, against, released).hash(self.hasher);
+            self.time(*since, silence);
+        }
+        fn job(&mut self, me: Voter, job: &Job) {
+            let Job { serial, chart, ticket, missing, since, sent, joins } = job;
+            (chart, ticket, missing, joins).hash(self.hasher);
+            self.serial(me, *serial);
+            self.time(*since, ANSWER);
+            self.time(*sent, ANSWER);
+        }
+        fn lead(&mut self, me: Voter, lead: &Lead, voters: &[Voter]) {
+            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by } = lead;
+            (2, hollow, settled).hash(self.hasher);
+            self.time(*pulse_at, 0);
+            self.time(leave_by.unwrap_or(0), 0);
+            // Only for those that never acked does it count how long that is.
+            if voters.iter().any(|v| *v != me && !acks.contains_key(v)) {
+                self.time(*since, FORGET);
+            }
+            for (voter, at) in acks {
+                voter.hash(self.hasher);
+                self.time(*at, FORGET);
+            }
+            (acks.len(), queue.len(), leave_by.is_some()).hash(self.hasher);
+            (job.is_some(), change.is_some()).hash(self.hasher);
+            job.iter().for_each(|job| self.job(me, job));
+            if let Some(change) = change {
+                self.stand(change, 0);
+                self.time(*asked, ANSWER);
+            }
+            for waiting in queue {
+                (waiting.ticket, &waiting.chart, waiting.begun).hash(self.hasher);
+                self.time(waiting.since, TURN);
+            }
+        }
+    }
+
+    impl Pilotage {
+        pub(crate) fn planted(&self, fault: Planted) -> bool {
+            self.terms.planted == Some(fault)
+        }
+
+        /// Whatever the node's future depends on, but for chance: two states with one digest are taken as one.
+        pub fn fingerprint<H: Hasher>(&self, to: &mut Sounder<H>) {
+            // Named one by one, so that a new field can't be forgotten.
+            let Pilotage {
+                terms: Terms { me, silence_ms, .. },
+                watch,
+                safe,
+                pulsing,
+                chart,
+                force,
+                blank,
+                hollow,
+                learning,
+                duty,
+                started,
+                heard,
+                pulsed: _,
+                lent,
+                lent_told,
+                stand_at,
+                learners,
+                links,
+                after,
+                next_ticket: _,
+                serial: _,
+                luck: _,
+                released,
+                effects,
+            } = self;
+            // Of an older epoch it is of no use any more.
+            let pulsing = pulsing.filter(|(epoch, _)| *epoch >= self.epoch());
+            (watch, safe, pulsing, chart, force, blank, hollow).hash(to.hasher);
+            (lent, lent_told, learners, links, released, effects.is_empty()).hash(to.hasher);
+            // By their order, for that is how they are answered.
+            after.len().hash(to.hasher);
+            after.values().for_each(|after| to.after(*me, after));
+            to.time(*heard.max(started), *silence_ms);
+            if *blank {
+                learning.told.hash(to.hasher);
+                to.time(learning.ask_at, 0);
+            }
+            match duty {
+                Duty::Follow => to.time(*stand_at, 0),
+                Duty::Stand(stand) => {
+                    to.time(*stand_at, 0);
+                    to.stand(stand, *silence_ms);
+                }
+                Duty::Lead(lead) => to.lead(*me, lead, watch.as_ref().map_or(&[], |w| &w.voters)),
+            }
+        }
+
+        /// The last serial that it gave.
+        pub fn serial(&self) -> u64 {
+            self.serial
+        }
+        /// From here on chance draws as from this.
+        pub fn set_luck(&mut self, luck: u64) {
+            self.luck = luck;
+        }
+
+        /// Whether it answers at this time.
+        pub fn answers(&self, now: Millis) -> bool {
+            self.acts(now)
+        }
+        /// The chart on its disk is missing.
+        pub fn hollow(&self) -> bool {
+            self.hollow
+        }
+        /// What it writes or reads by now.
+        pub fn chart(&self) -> &crate::Chart {
+            &self.chart
+        }
+    }
+}
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -1,12 +1,12 @@
 //! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
 
 use crate::voter::majority;
-use crate::{After, Chart, Effect, Millis, Pilotage, Record, Signal, Terms, Verdict, Voter, Watch};
+use crate::{After, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Terms, Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A write waits so long for its turn, and is answered at the latest after so long.
-const TURN: Millis = 1500;
-const ANSWER: Millis = 2500;
+pub(crate) const TURN: Millis = 1500;
+pub(crate) const ANSWER: Millis = 2500;
 /// Most writes that wait.
 const QUEUE: usize = 32;
 /// A copy that has not acked, or not stored, for so long is replaced where another is there.
@@ -14,9 +14,9 @@
 /// One that has not acked at all since the duty began, so long: mostly the primary of before.
 const ABSENT: Millis = 400;
 /// A voter that is silent for so long is left out, if the others are more with it than they need.
-const FORGET: Millis = 10_000;
+pub(crate) const FORGET: Millis = 10_000;
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) enum Duty {
     Follow,
     Stand(Stand),
@@ -24,11 +24,11 @@
 }
 
 /// A watch that is asked for.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Stand {
     pub watch: Watch,
-    before: Watch,
-    grants: BTreeSet<Voter>,
+    pub before: Watch,
+    pub grants: BTreeSet<Voter>,
     /// They have given another their vote for this epoch.
     pub against: BTreeSet<Voter>,
     pub since: Millis,
@@ -51,49 +51,49 @@
 }
 
 /// A write under way.
-#[derive(Debug)]
-struct Job {
-    serial: u64,
-    chart: Chart,
+#[derive(Clone, Debug)]
+pub(crate) struct Job {
+    pub serial: u64,
+    pub chart: Chart,
     /// Nobody where the own chart is stored again, or a copy is filled.
-    ticket: Option<u64>,
-    missing: BTreeSet<Voter>,
-    since: Millis,
-    sent: Millis,
+    pub ticket: Option<u64>,
+    pub missing: BTreeSet<Voter>,
+    pub since: Millis,
+    pub sent: Millis,
     /// To become a copy when it has it, in place of those.
-    joins: Option<(Voter, Vec<Voter>)>,
+    pub joins: Option<(Voter, Vec<Voter>)>,
 }
 
-#[derive(Debug)]
-struct Waiting {
-    ticket: u64,
-    chart: Chart,
-    since: Millis,
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub ticket: u64,
+    pub chart: Chart,
+    pub since: Millis,
     /// A copy may have it already: it can't be said that it was not done.
-    begun: bool,
+    pub begun: bool,
 }
 
 impl Waiting {
-    fn given_up(&self) -> Effect {
-        let verdict = if self.begun { Verdict::Uncertain } else { Verdict::NotDone };
+    fn given_up(&self, lies: bool) -> Effect {
+        let verdict = if self.begun && !lies { Verdict::Uncertain } else { Verdict::NotDone };
         Effect::Answer { ticket: self.ticket, verdict }
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Lead {
-    pulse_at: Millis,
-    since: Millis,
-    acks: BTreeMap<Voter, Millis>,
-    hollow: BTreeSet<Voter>,
-    job: Option<Job>,
-    queue: VecDeque<Waiting>,
+    pub pulse_at: Millis,
+    pub since: Millis,
+    pub acks: BTreeMap<Voter, Millis>,
+    pub hollow: BTreeSet<Voter>,
+    pub job: Option<Job>,
+    pub queue: VecDeque<Waiting>,
     /// Other copies are asked for.
-    change: Option<Stand>,
-    asked: Millis,
+    pub change: Option<Stand>,
+    pub asked: Millis,
     /// All copies of this epoch hold the own chart.
-    settled: bool,
-    leave_by: Option<Millis>,
+    pub settled: bool,
+    pub leave_by: Option<Millis>,
 }
 
 impl Lead {
@@ -132,12 +132,13 @@
 
     pub(crate) fn step_down(&mut self, now: Millis) {
         self.draw_stand(now);
+        let lies = self.planted(Planted::BegunForgotten);
         if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
             if let Some(ticket) = lead.job.as_ref().and_then(|job| job.ticket) {
                 self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
             }
             for waiting in lead.queue {
-                self.effects.push(waiting.given_up());
+                self.effects.push(waiting.given_up(lies));
             }
             self.effects.push(Effect::Turn { epoch: self.epoch(), what: "steps down" });
         }
@@ -146,7 +147,8 @@
     /// The lease holds: more than half of the voters, this one among them, acked a pulse sent since then.
     pub fn leads(&self, now: Millis) -> bool {
         let (Duty::Lead(lead), Some(watch)) = (&self.duty, &self.watch) else { return false };
-        let fresh = |at: &Millis| now <= at + self.terms.lease_ms;
+        let long = if self.planted(Planted::LongLease) { 3 * self.terms.silence_ms } else { 0 };
+        let fresh = |at: &Millis| now <= at + self.terms.lease_ms + long;
         let acked = lead.acks.iter().filter(|(_, at)| fresh(at)).map(|(v, _)| v);
         majority(&watch.voters, acked.chain(std::iter::once(&self.terms.me))) && !self.released
     }
@@ -156,7 +158,7 @@
     }
 
     /// May answer: the lease holds, and enough copies hold all there is.
-    fn acts(&self, now: Millis) -> bool {
+    pub(crate) fn acts(&self, now: Millis) -> bool {
         let settled = matches!(&self.duty, Duty::Lead(lead) if lead.settled && lead.leave_by.is_none());
         settled
             && self.leads(now)
@@ -296,13 +298,14 @@
     }
 
     fn answer_late(&mut self, now: Millis) {
+        let lies = self.planted(Planted::BegunForgotten);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(job) = lead.job.as_mut().filter(|job| now > job.since + ANSWER) {
             let late = job.ticket.take().map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
             self.effects.extend(late);
         }
         while lead.queue.front().is_some_and(|w| now > w.since + TURN) {
-            self.effects.extend(lead.queue.pop_front().map(|w| w.given_up()));
+            self.effects.extend(lead.queue.pop_front().map(|w| w.given_up(lies)));
         }
     }
 
@@ -312,6 +315,7 @@
         }
         let enough = self.enough(watch);
         let own = self.chart.clone();
+        let equal_taken = self.planted(Planted::EqualTaken);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if lead.job.is_some() || lead.change.is_some() {
             return;
@@ -326,7 +330,8 @@
             return;
         }
         while let Some(Waiting { ticket, chart, .. }) = lead.queue.pop_front() {
-            if chart.version <= self.chart.version {
+            let equal = chart.version == self.chart.version && !equal_taken;
+            if chart.version < self.chart.version || equal {
                 self.effects.push(Effect::Answer { ticket, verdict: Verdict::Unchanged });
                 continue;
             }
@@ -372,11 +377,15 @@
             return;
         }
         let leads = self.leads(now);
+        let early = self.planted(Planted::EarlyAnswer);
         let enough = self.watch.as_ref().is_some_and(|w| self.enough(w));
         let Duty::Lead(lead) = &mut self.duty else { return };
         let Some(job) = lead.job.as_mut().filter(|job| job.serial == serial) else { return };
         job.missing.remove(&from);
         lead.hollow.remove(&from);
+        if early && job.ticket.is_some() {
+            job.missing.clear();
+        }
         if !job.missing.is_empty() {
             return;
         }
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -7,7 +7,7 @@
 /// A control node, by its control address.
 pub type Voter = std::net::SocketAddrV4;
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Watch {
     pub epoch: u64,
     pub primary: Voter,
@@ -18,7 +18,7 @@
     pub drawn: u64,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Chart {
     /// Nought: none has come yet.
     pub version: u64,
@@ -34,7 +34,7 @@
 }
 
 /// Between control nodes.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Signal {
     /// `released`: the primary itself has stopped and named the proposer.
     Propose {
@@ -84,7 +84,7 @@
 }
 
 /// On disk.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
     Watch(Watch),
     Chart(Chart),
@@ -97,7 +97,7 @@
 }
 
 /// What the records come to.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Kept {
     pub watch: Option<Watch>,
     pub chart: Option<Chart>,
@@ -124,7 +124,7 @@
 }
 
 /// How an operator's call ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Verdict {
     Accepted,
     /// Not above the version that is held: acknowledged, changes nothing.
@@ -139,7 +139,7 @@
     NotDone,
 }
 
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Effect {
     Send {
         to: Voter,
@@ -182,10 +182,24 @@
     pub lease_ms: Millis,
     pub silence_ms: Millis,
     pub seed: u64,
+    /// A fault for the search in `soundings/` to find.
+    #[cfg(feature = "planted")]
+    pub planted: Option<crate::Planted>,
 }
 
 impl Terms {
     pub fn new(me: Voter, seeds: Vec<Voter>, first_start: bool, losses: usize, seed: u64) -> Terms {
-        Terms { me, seeds, first_start, losses, pulse_ms: 200, lease_ms: 700, silence_ms: 900, seed }
+        Terms {
+            me,
+            seeds,
+            first_start,
+            losses,
+            pulse_ms: 200,
+            lease_ms: 700,
+            silence_ms: 900,
+            seed,
+            #[cfg(feature = "planted")]
+            planted: None,
+        }
     }
 }
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -1,14 +1,14 @@
 //! A voter's part: granting watches, hearing the primary, standing for the duty, and learning after a lost disk.
 
 use crate::primary::{Duty, Stand};
-use crate::{After, Effect, Millis, Pilotage, Record, Signal, Voter, Watch};
+use crate::{After, Effect, Millis, Pilotage, Planted, Record, Signal, Voter, Watch};
 use std::collections::BTreeMap;
 
 /// What a node that has lost its disk has been told.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Learning {
     pub ask_at: Millis,
-    told: BTreeMap<Voter, Watch>,
+    pub told: BTreeMap<Voter, Watch>,
 }
 
 const ASK: Millis = 200;
@@ -54,8 +54,11 @@
             return self.grant(from, watch);
         }
         // By the epoch alone, one that missed a change of copies and stood twice would seem to be the newer.
-        let fit = watch.drawn >= mine.drawn && watch.copies.contains(&from);
-        if watch.epoch <= mine.epoch || !free || !fit || self.stands_for(now, watch.epoch) {
+        let fit = (watch.drawn >= mine.drawn || self.planted(Planted::DrawnUnheeded))
+            && watch.copies.contains(&from);
+        let known =
+            watch.epoch < mine.epoch || (watch.epoch == mine.epoch && !self.planted(Planted::GrantedTwice));
+        if known || !free || !fit || self.stands_for(now, watch.epoch) {
             return self.send(from, Signal::Denied { watch: mine });
         }
         (self.heard, self.pulsed) = (now, false);
@@ -70,6 +73,9 @@
         if self.safe >= watch.epoch {
             return self.send(to, Signal::Granted { watch });
         }
+        if self.planted(Planted::GrantUnsynced) {
+            self.send(to, Signal::Granted { watch: watch.clone() });
+        }
         self.keep_watch(watch.clone(), After::Grant { to, watch });
     }
 
@@ -91,6 +97,9 @@
     /// knows a list that is newer is not voted for by one that does not, and the other way round, so both have to be told.
     pub(crate) fn adopt(&mut self, now: Millis, watch: Watch) {
         let Some(mine) = self.watch.clone().filter(|_| !self.blank) else { return };
+        if self.planted(Planted::NeverAdopts) {
+            return;
+        }
         let (higher, newer) = (watch.epoch > mine.epoch, watch.drawn > mine.drawn);
         // A primary was granted its epoch by more than half: no list that is newer, and not of a later epoch, can have been.
         let asked = matches!(&self.duty, Duty::Lead(lead) if !higher || lead.asks_for(&watch));
@@ -144,7 +153,8 @@
         self.duty = Duty::Follow;
         self.send(from, Signal::PulseAck { epoch, sent_at, votes: true, holds: !self.hollow });
         if self.force.as_ref().map_or(0, |c| c.version) < version {
-            if self.chart.version == version && self.chart.digest() == digest {
+            let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
+            if self.chart.version == version && same {
                 self.enforce(self.chart.clone());
             } else {
                 self.send(from, Signal::AskChart);
@@ -195,7 +205,7 @@
         if now < self.free_at() && self.lent != Some(self.terms.me) {
             return;
         }
-        if mine.copies.contains(&self.terms.me) && !self.hollow {
+        if mine.copies.contains(&self.terms.me) && (!self.hollow || self.planted(Planted::HollowStands)) {
             return self.stand_for(now, false);
         }
         // A change of copies may be known to others than those that it names: only these can stand by it.
--- /dev/null
+++ b/soundings/src/lookout.rs
@@ -0,0 +1,209 @@
+//! What must hold at every step, and after a calm.
+
+use crate::sea::{index, Sea};
+use std::collections::BTreeMap;
+use stileroute_pilotage_planted::{Chart, Effect, Millis, Signal, Voter, Watch};
+
+/// Each in one sentence: its text is what the search prints.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Property {
+    OneActs,
+    NothingOld,
+    OneBody,
+    NeverBack,
+    OneLeads,
+    OneGrant,
+    GrantOnDisk,
+    BlankIsSilent,
+    HollowSits,
+    NotDoneStays,
+    SoonAgain,
+}
+
+impl Property {
+    pub const ALL: [Property; 11] = [
+        Property::OneActs,
+        Property::NothingOld,
+        Property::OneBody,
+        Property::NeverBack,
+        Property::OneLeads,
+        Property::OneGrant,
+        Property::GrantOnDisk,
+        Property::BlankIsSilent,
+        Property::HollowSits,
+        Property::NotDoneStays,
+        Property::SoonAgain,
+    ];
+    pub fn sentence(self) -> &'static str {
+        match self {
+            Property::OneActs => "no two nodes answer for the control state at one time",
+            Property::NothingOld => {
+                "what is read is never older than what was acknowledged or in force before"
+            }
+            Property::OneBody => "two bodies of one version are never both in force, acknowledged or read",
+            Property::NeverBack => "the version in force at a node does not go back within its life",
+            Property::OneLeads => "no two nodes lead by one epoch, whenever",
+            Property::OneGrant => "a voter grants one watch of an epoch, also over its ends and restarts",
+            Property::GrantOnDisk => "a grant is told only when it is on disk",
+            Property::BlankIsSilent => "a node that lost its disk votes only after more than half told it",
+            Property::HollowSits => "a node that lost its chart does not stand before it was filled",
+            Property::NotDoneStays => "what was answered as not done is never in force",
+            Property::SoonAgain => "after all is healed a write is soon accepted and in force at all nodes",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Breach {
+    pub property: Property,
+    pub evidence: String,
+}
+
+/// What was seen from outside.
+#[derive(Clone, Default)]
+pub struct Lookout {
+    /// Acknowledged, read or in force anywhere, by version.
+    pub known: BTreeMap<u64, Vec<u8>>,
+    /// The highest of it.
+    pub highest: u64,
+    /// Who led by which epoch.
+    pub led: BTreeMap<u64, Voter>,
+    /// Answered as not done.
+    pub never: Vec<Chart>,
+    pub breach: Option<Breach>,
+}
+
+/// What was seen of one node.
+#[derive(Clone, Default)]
+pub struct Seen {
+    /// In force in this life.
+    pub force: Option<Chart>,
+    /// By the disk that it has now.
+    pub granted: BTreeMap<u64, Watch>,
+    /// Its disk was lost: it has no vote before these have told it enough.
+    pub blank: bool,
+    pub told: BTreeMap<usize, Watch>,
+    /// Its disk was lost, and counts as lost until it is whole again.
+    pub lost: bool,
+}
+
+impl Lookout {
+    pub fn fail(&mut self, property: Property, evidence: String) {
+        if self.breach.is_none() {
+            self.breach = Some(Breach { property, evidence });
+        }
+    }
+    /// Somebody outside may go by this.
+    pub fn learn(&mut self, chart: &Chart, how: &str) {
+        if self.known.entry(chart.version).or_insert_with(|| chart.body.clone()) != &chart.body {
+            let body = String::from_utf8_lossy(&chart.body).into_owned();
+            self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", chart.version));
+        }
+        if self.never.contains(chart) {
+            self.fail(
+                Property::NotDoneStays,
+                format!("{} is {how}, and was answered as not done", chart.version),
+            );
+        }
+        self.highest = self.highest.max(chart.version);
+    }
+}
+
+impl Sea {
+    /// After something happened at a node.
+    pub(crate) fn look_at(&mut self, i: usize) {
+        let node = &mut self.nodes[i];
+        let Some(pilot) = &node.pilot else { return };
+        let now = self.now + node.clock;
+        if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
+            let before = node.seen.force.replace(chart.clone());
+            let chart = chart.clone();
+            if let Some(before) = before.filter(|before| chart.version < before.version) {
+                let evidence = format!("node {i} had {} in force, and now {}", before.version, chart.version);
+                self.lookout.fail(Property::NeverBack, evidence);
+            }
+            self.lookout.learn(&chart, "in force");
+        }
+        let pilot = self.nodes[i].pilot.as_ref();
+        let led = pilot.filter(|p| p.leads(now)).and_then(|p| p.watch()).map(|w| (w.epoch, w.primary));
+        if let Some((epoch, primary)) = led {
+            let first = *self.lookout.led.entry(epoch).or_insert(primary);
+            if first != primary {
+                let evidence = format!("nodes {} and {i} lead by epoch {epoch}", index(first));
+                self.lookout.fail(Property::OneLeads, evidence);
+            }
+        }
+        self.look_around();
+    }
+
+    /// All nodes at one moment: who would answer now, and what?
+    pub(crate) fn look_around(&mut self) {
+        let mut acts = None;
+        for (i, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| !n.frozen) {
+            let now = self.now + node.clock;
+            let Some(pilot) = node.pilot.as_mut().filter(|p| p.answers(now)) else { continue };
+            if let Some(other) = acts.replace(i) {
+                let evidence = format!("nodes {other} and {i} both answer");
+                return self.lookout.fail(Property::OneActs, evidence);
+            }
+            pilot.read(now, 0);
+            let Some(Effect::Chart { chart, .. }) = pilot.take().pop() else { continue };
+            let chart = chart.unwrap_or_default();
+            let highest = self.lookout.highest;
+            if chart.version < highest {
+                let evidence = format!("node {i} answers {} after {highest}", chart.version);
+                self.lookout.fail(Property::NothingOld, evidence);
+            }
+            if chart.version > 0 {
+                self.lookout.learn(&chart, "read");
+            }
+        }
+        let Some(acts) = acts else { return };
+        let copies = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).map(|w| w.copies.clone());
+        for (i, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.seen.lost) {
+            let named = copies.iter().flatten().any(|copy| index(*copy) == i);
+            let whole = node.pilot.as_ref().is_some_and(|p| !p.blank() && (!named || !p.hollow()));
+            node.seen.lost = !whole;
+        }
+    }
+
+    /// Before it is sent.
+    pub(crate) fn look_at_signal(&mut self, i: usize, signal: &Signal) {
+        let node = &mut self.nodes[i];
+        let votes = matches!(signal, Signal::Granted { .. } | Signal::PulseAck { votes: true, .. });
+        if votes && node.seen.blank {
+            let highest = node.seen.told.values().max_by_key(|w| w.epoch);
+            let told =
+                |w: &Watch| w.voters.iter().filter(|v| node.seen.told.contains_key(&index(**v))).count();
+            if !highest.is_some_and(|w| told(w) * 2 > w.voters.len()) {
+                let evidence = format!("node {i} votes, and {} have told it", node.seen.told.len());
+                self.lookout.fail(Property::BlankIsSilent, evidence);
+            }
+            self.nodes[i].seen.blank = false;
+        }
+        let Signal::Granted { watch } = signal else { return };
+        let node = &mut self.nodes[i];
+        if node.disk.watch.as_ref().is_none_or(|disk| disk.epoch < watch.epoch) {
+            self.lookout.fail(Property::GrantOnDisk, format!("node {i} grants epoch {}", watch.epoch));
+        }
+        let node = &mut self.nodes[i];
+        let first = node.seen.granted.entry(watch.epoch).or_insert_with(|| watch.clone());
+        if first != watch {
+            let (epoch, one, other) = (watch.epoch, index(first.primary), index(watch.primary));
+            let evidence = format!("node {i} grants epoch {epoch} to {one} and {other}");
+            self.lookout.fail(Property::OneGrant, evidence);
+        }
+    }
+
+    /// A chart lost with the disk is no reason to stand.
+    pub(crate) fn look_at_candidate(&mut self, i: usize) {
+        let node = &self.nodes[i];
+        if node.wiped && node.disk.chart.is_none() {
+            self.lookout.fail(Property::HollowSits, format!("node {i} stands with no chart on its disk"));
+        }
+    }
+
+    pub(crate) fn since(&self, at: Millis) -> Millis {
+        self.now.saturating_sub(at)
+    }
+}
--- /dev/null
+++ b/soundings/src/search.rs
@@ -0,0 +1,284 @@
+//! Depth first over all turns, with what was seen left out, on as many threads as there are; the counts are the same on any.
+
+use crate::lookout::Breach;
+use crate::sea::{Bounds, Sea};
+use crate::turns::Turn;
+use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Mutex;
+
+/// After so many steps from the start, what is taken.
+pub type Course = Vec<(u32, Turn)>;
+
+/// Into so many parts the first turns are shared out. Each part has its own memory of what was seen, so that the counts
+/// don't depend on which thread is faster.
+const PARTS: usize = 64;
+/// A way that is longer than that goes round and round.
+const LONGEST: u32 = 60_000;
+
+/// A breach, and the way to it.
+#[derive(Clone, Debug)]
+pub struct Found {
+    pub breach: Breach,
+    pub course: Course,
+    pub bounds: Bounds,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Soundings {
+    /// States looked at, those among them that were new, and those that had been seen with as much still to come.
+    pub states: u64,
+    pub distinct: u64,
+    pub pruned: u64,
+    /// Steps and turns gone.
+    pub transitions: u64,
+    /// Ways that went through to the calm.
+    pub ways: u64,
+    /// Most steps in one.
+    pub deepest: u32,
+    /// The longest that a write waited after all was healed, in simulated milliseconds.
+    pub waited: u64,
+    pub found: Option<Found>,
+    /// It ended before all was seen: this many parts of so many are whole.
+    pub whole: (usize, usize),
+}
+
+impl Soundings {
+    pub fn add(&mut self, other: Soundings) {
+        self.states += other.states;
+        self.distinct += other.distinct;
+        self.pruned += other.pruned;
+        self.transitions += other.transitions;
+        self.ways += other.ways;
+        self.deepest = self.deepest.max(other.deepest);
+        self.waited = self.waited.max(other.waited);
+        self.whole = (self.whole.0 + other.whole.0, self.whole.1 + other.whole.1);
+        if self.found.is_none() {
+            self.found = other.found;
+        }
+    }
+}
+
+/// A digest is mixed already.
+#[derive(Default)]
+struct AsItIs(u64);
+impl Hasher for AsItIs {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+    fn write(&mut self, _: &[u8]) {}
+    fn write_u64(&mut self, v: u64) {
+        self.0 = v;
+    }
+}
+
+/// By what may still be taken: troubles and delays, up to three each. How long turns could be taken from there, in units
+/// of 10 ms; nought: not seen.
+type Left = [u16; 16];
+type Seen = HashMap<u64, Left, BuildHasherDefault<AsItIs>>;
+
+#[derive(Clone, Copy)]
+struct Budget {
+    troubles: u8,
+    delays: u8,
+}
+
+impl Budget {
+    fn spend(self, turn: Turn) -> Budget {
+        if turn.trouble() {
+            Budget { troubles: self.troubles - 1, ..self }
+        } else {
+            Budget { delays: self.delays - 1, ..self }
+        }
+    }
+    fn none(self) -> bool {
+        self.troubles == 0 && self.delays == 0
+    }
+}
+
+struct Search<'a> {
+    base: &'a Seen,
+    seen: Seen,
+    course: Course,
+    sum: Soundings,
+    stop: &'a AtomicBool,
+}
+
+impl Search<'_> {
+    /// True where it was seen with as much still to come.
+    fn known(&mut self, sea: &Sea, budget: Budget) -> bool {
+        self.sum.states += 1;
+        let left = if budget.none() { 1 } else { (sea.left() / 10 + 1) as u16 };
+        let digest = sea.digest();
+        let covers = |seen: &Left| {
+            (usize::from(budget.troubles)..4)
+                .any(|t| (usize::from(budget.delays)..4).any(|d| seen[t * 4 + d] >= left))
+        };
+        if self.base.get(&digest).is_some_and(covers) {
+            self.sum.pruned += 1;
+            return true;
+        }
+        let entry = self.seen.entry(digest).or_insert([0; 16]);
+        if covers(entry) {
+            self.sum.pruned += 1;
+            return true;
+        }
+        self.sum.distinct += u64::from(*entry == [0; 16]);
+        entry[usize::from(budget.troubles) * 4 + usize::from(budget.delays)] = left;
+        false
+    }
+
+    /// Goes on by itself to the end, and collects where turns can be taken.
+    fn along(&mut self, mut sea: Sea, mut steps: u32, budget: Budget) -> Vec<(u32, Sea, Turn)> {
+        let mut turns = Vec::new();
+        loop {
+            if sea.lookout.breach.is_some() || sea.over {
+                break;
+            }
+            let open = !budget.none() && sea.left() > 0;
+            if !open {
+                sea.begin_calm();
+            }
+            if self.known(&sea, budget) {
+                break;
+            }
+            if open {
+                let here = sea.turns(budget.troubles > 0, budget.delays > 0);
+                turns.extend(here.into_iter().map(|turn| (steps, turn)).map(|(s, t)| (s, sea.clone(), t)));
+            }
+            sea.step();
+            steps += 1;
+            self.sum.transitions += 1;
+            self.sum.deepest = self.sum.deepest.max(steps);
+            if steps > LONGEST {
+                break;
+            }
+        }
+        if sea.over {
+            self.sum.ways += 1;
+            self.sum.waited = self.sum.waited.max(sea.waited);
+        }
+        if let Some(breach) = sea.lookout.breach.take() {
+            self.found(&sea, breach);
+        }
+        turns
+    }
+    fn found(&mut self, sea: &Sea, breach: Breach) {
+        if self.sum.found.is_none() {
+            self.sum.found = Some(Found { breach, course: self.course.clone(), bounds: sea.bounds });
+        }
+    }
+
+    fn search(&mut self, sea: Sea, steps: u32, budget: Budget) {
+        for (steps, mut sea, turn) in self.along(sea, steps, budget) {
+            if self.sum.found.is_some() || self.stop.load(Ordering::Relaxed) {
+                return;
+            }
+            sea.take(turn);
+            self.sum.transitions += 1;
+            self.course.push((steps, turn));
+            self.search(sea, steps, budget.spend(turn));
+            self.course.pop();
+        }
+    }
+}
+
+/// Every way within these bounds. Ends at the first breach of a part, or when it is told to.
+pub fn sound(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Soundings {
+    let budget = Budget { troubles: bounds.troubles, delays: bounds.delays };
+    let empty = Seen::default();
+    let new =
+        |base| Search { base, seen: Seen::default(), course: Vec::new(), sum: Soundings::default(), stop };
+    let mut trunk = new(&empty);
+    let mut firsts = trunk.along(Sea::new(bounds), 0, budget);
+    let (base, mut sum) = (trunk.seen, trunk.sum);
+    if sum.found.is_some() || firsts.is_empty() {
+        sum.whole = (1, 1);
+        return sum;
+    }
+    // One turn at one step and the next comes to much the same: these stay together.
+    firsts.sort_by_key(|(steps, _, turn)| (turn.kin(), *steps));
+    let size = firsts.len().div_ceil(PARTS);
+    let parts: Vec<&[(u32, Sea, Turn)]> = firsts.chunks(size).collect();
+    let results: Vec<Mutex<Option<Soundings>>> = parts.iter().map(|_| Mutex::new(None)).collect();
+    let (next, broken) = (AtomicUsize::new(0), AtomicUsize::new(usize::MAX));
+    std::thread::scope(|scope| {
+        for _ in 0..threads.max(1) {
+            scope.spawn(|| loop {
+                let part = next.fetch_add(1, Ordering::Relaxed);
+                // What comes after the first part with a breach does not count.
+                if part >= parts.len() || part > broken.load(Ordering::Relaxed) {
+                    return;
+                }
+                let mut search = new(&base);
+                for (steps, sea, turn) in parts[part] {
+                    if search.sum.found.is_some() || stop.load(Ordering::Relaxed) {
+                        break;
+                    }
+                    let mut sea = sea.clone();
+                    sea.take(*turn);
+                    search.sum.transitions += 1;
+                    search.course = vec![(*steps, *turn)];
+                    search.search(sea, *steps, budget.spend(*turn));
+                }
+                if search.sum.found.is_some() {
+                    broken.fetch_min(part, Ordering::Relaxed);
+                }
+                search.sum.whole = (usize::from(!stop.load(Ordering::Relaxed)), 1);
+                if let Ok(mut result) = results[part].lock() {
+                    *result = Some(search.sum);
+                }
+            });
+        }
+    });
+    sum.whole = (0, parts.len() - results.len().min(parts.len()));
+    for result in results {
+        match result.into_inner() {
+            Ok(Some(part)) if sum.found.is_none() => sum.add(part),
+            _ => sum.whole.1 += usize::from(sum.found.is_none()),
+        }
+    }
+    sum
+}
+
+/// The first breach with as few turns as it takes, up to the bounds: no turn of it can be left out.
+pub fn find(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Soundings {
+    let mut all = Soundings::default();
+    for turns in 0..=bounds.troubles + bounds.delays {
+        for troubles in (0..=bounds.troubles.min(turns)).rev().filter(|t| turns - t <= bounds.delays) {
+            all.add(sound(Bounds { troubles, delays: turns - troubles, ..bounds }, threads, stop));
+            if all.found.is_some() {
+                return all;
+            }
+        }
+    }
+    all
+}
+
+/// Goes one course again and tells what happens, a line each.
+pub fn retrace(found: &Found) -> Vec<String> {
+    let Found { course, bounds, .. } = found;
+    let mut sea = Sea::new(*bounds);
+    sea.trace = Some(Vec::new());
+    let mut turns = course.iter().peekable();
+    let mut budget = Budget { troubles: bounds.troubles, delays: bounds.delays };
+    for steps in 0..LONGEST {
+        while let Some((_, turn)) = turns.next_if(|(at, _)| *at == steps) {
+            sea.take(*turn);
+            budget = budget.spend(*turn);
+        }
+        if budget.none() || sea.left() == 0 {
+            sea.begin_calm();
+        }
+        if sea.lookout.breach.is_some() || sea.over {
+            break;
+        }
+        sea.step();
+    }
+    let mut lines = sea.trace.take().unwrap_or_default();
+    if let Some(breach) = &sea.lookout.breach {
+        lines.push(format!("{:5} ms  BREACH: {}: {}", sea.now, breach.property.sentence(), breach.evidence));
+    }
+    lines
+}
--- /dev/null
+++ b/soundings/src/turns.rs
@@ -0,0 +1,215 @@
+//! Where something could go another way than it does by itself.
+
+use crate::sea::{Due, Grain, Sea, Step};
+use stileroute_pilotage_planted::{Millis, Signal};
+
+/// What takes another turn, at the state before a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Turn {
+    /// The process ends, and is back after so long; so many of the records under way are on disk.
+    Kill {
+        node: usize,
+        reached: usize,
+        back: Millis,
+    },
+    Power {
+        node: usize,
+        reached: usize,
+        back: Millis,
+    },
+    Wipe {
+        node: usize,
+        back: Millis,
+    },
+    Freeze {
+        node: usize,
+        span: Millis,
+    },
+    Cut {
+        a: usize,
+        b: usize,
+        span: Millis,
+    },
+    CutOff {
+        node: usize,
+        span: Millis,
+    },
+    /// SIGTERM.
+    Release {
+        node: usize,
+    },
+    /// The message that comes next, and all that follow it from there, come so much later.
+    Late {
+        from: usize,
+        to: usize,
+        by: Millis,
+    },
+    /// The connection breaks and is made anew at once: what was on its way, both ways, is lost.
+    Lost {
+        from: usize,
+        to: usize,
+    },
+    DiskLate {
+        node: usize,
+        by: Millis,
+    },
+    DiskRefuses {
+        node: usize,
+    },
+}
+
+/// Less than the silence after which others stand, and more.
+const BACK: [Millis; 2] = [20, 1_100];
+const FROZEN: [Millis; 3] = [300, 1_000, 2_200];
+const APART: [Millis; 2] = [500, 1_600];
+/// After whatever else is due now; longer than the lease.
+const LATE: [Millis; 3] = [1, 150, 950];
+const DISK_LATE: [Millis; 2] = [60, 1_150];
+/// A cut is noticed by the connections so late.
+const CUT_NOTICED: Millis = 200;
+
+impl Turn {
+    /// Those with one number come to much the same, a little earlier or later.
+    pub fn kin(&self) -> (u8, usize, usize, Millis) {
+        match *self {
+            Turn::Kill { node, back, .. } => (0, node, 0, back),
+            Turn::Power { node, back, .. } => (1, node, 0, back),
+            Turn::Wipe { node, back } => (2, node, 0, back),
+            Turn::Freeze { node, span } => (3, node, 0, span),
+            Turn::Cut { a, b, span } => (4, a.min(b), a.max(b), span),
+            Turn::CutOff { node, span } => (5, node, 0, span),
+            Turn::Release { node } => (6, node, 0, 0),
+            Turn::Late { from, to, by } => (7, from, to, by),
+            Turn::Lost { from, to } => (8, from.min(to), from.max(to), 0),
+            Turn::DiskLate { node, by } => (9, node, 0, by),
+            Turn::DiskRefuses { node } => (10, node, 0, 0),
+        }
+    }
+    /// It counts as trouble, and else as a delay.
+    pub fn trouble(&self) -> bool {
+        !matches!(
+            self,
+            Turn::Late { .. } | Turn::Lost { .. } | Turn::DiskLate { .. } | Turn::DiskRefuses { .. }
+        )
+    }
+}
+
+impl Sea {
+    /// All turns that may be taken here. Trouble strikes a node where it has just done something: between two steps of one
+    /// node, what others do is not changed by when it strikes there.
+    pub fn turns(&self, troubles: bool, delays: bool) -> Vec<Turn> {
+        let mut turns = Vec::new();
+        let fine = self.bounds.grain == Grain::Fine;
+        if let Some((node, _)) =
+            self.touched.filter(|(i, weighty)| troubles && (*weighty || fine) && self.up(*i))
+        {
+            self.troubles(node, &mut turns);
+        }
+        if delays {
+            self.delays(fine, &mut turns);
+        }
+        turns
+    }
+
+    fn troubles(&self, node: usize, turns: &mut Vec<Turn>) {
+        let at = &self.nodes[node];
+        let lost = self.nodes.iter().enumerate().filter(|(i, n)| *i != node && n.seen.lost).count();
+        let bearable = lost < self.bounds.losses;
+        for back in BACK {
+            for reached in 0..=at.writing.len() {
+                // A disk that has nothing yet is as good as lost.
+                let empty = at.disk.watch.is_none() && reached < at.writing.len();
+                if bearable || !empty {
+                    turns.push(Turn::Kill { node, reached, back });
+                    turns.push(Turn::Power { node, reached, back });
+                }
+            }
+            if bearable {
+                turns.push(Turn::Wipe { node, back });
+            }
+        }
+        turns.extend(FROZEN.map(|span| Turn::Freeze { node, span }));
+        for span in APART {
+            turns.push(Turn::CutOff { node, span });
+            // Of three a node that meets one of the others meets the rest: with five that is not gone through.
+            let others = (0..self.bounds.nodes).filter(|b| *b != node && self.joined[self.way(node, *b)]);
+            turns.extend(others.map(|b| Turn::Cut { a: node, b, span }));
+        }
+        turns.push(Turn::Release { node });
+    }
+
+    fn delays(&self, fine: bool, turns: &mut Vec<Turn>) {
+        match self.next() {
+            Some((_, Step::Said(from, to))) => {
+                let head = self.wires[self.wire(from, to)].front();
+                let pulse = |s: &Signal| matches!(s, Signal::Pulse { .. } | Signal::PulseAck { .. });
+                if head.is_some_and(|(_, signal)| fine || !pulse(signal)) {
+                    turns.extend(LATE.map(|by| Turn::Late { from, to, by }));
+                    turns.push(Turn::Lost { from, to });
+                }
+            }
+            Some((_, Step::Synced(node))) => {
+                turns.extend(DISK_LATE.map(|by| Turn::DiskLate { node, by }));
+                // Where there is nothing on disk yet, one that refuses would be a disk that was lost.
+                if self.nodes[node].disk.watch.is_some() {
+                    turns.push(Turn::DiskRefuses { node });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub fn take(&mut self, turn: Turn) {
+        self.note(|| format!("== {turn:?}"));
+        self.touched = None;
+        match turn {
+            Turn::Kill { node, reached, back } => {
+                self.end(node, reached, true, false);
+                self.at_least(back, Due::Start(node));
+            }
+            Turn::Power { node, reached, back } => {
+                self.end(node, reached, false, false);
+                self.at_least(back, Due::Start(node));
+            }
+            Turn::Wipe { node, back } => {
+                self.end(node, 0, false, true);
+                self.at_least(back, Due::Start(node));
+            }
+            Turn::Freeze { node, span } => {
+                self.nodes[node].frozen = true;
+                self.at_least(span, Due::Thaw(node));
+            }
+            Turn::Cut { a, b, span } => self.cut(a, b, span),
+            Turn::CutOff { node, span } => {
+                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.cut(node, b, span));
+            }
+            Turn::Release { node } => self.with(node, |pilot, now| pilot.release(now)),
+            Turn::Late { from, to, by } => {
+                let (until, wire) = (self.next().map_or(self.now, |(at, _)| at) + by, self.wire(from, to));
+                self.wires[wire].iter_mut().for_each(|(due, _)| *due = (*due).max(until));
+            }
+            Turn::Lost { from, to } => {
+                self.part(from, to, 1, None);
+                // Made anew a moment later, when both have heard of it.
+                let way = self.way(from, to);
+                self.cuts[way] += 1;
+                self.at(3, Due::Heal(from, to));
+            }
+            Turn::DiskLate { node, by } => {
+                let until = self.next().map_or(self.now, |(at, _)| at) + by;
+                self.nodes[node].writing.iter_mut().for_each(|(due, ..)| *due = (*due).max(until));
+            }
+            Turn::DiskRefuses { node } => {
+                self.now = self.next().map_or(self.now, |(at, _)| at);
+                self.synced(node, false);
+            }
+        }
+    }
+
+    fn cut(&mut self, a: usize, b: usize, span: Millis) {
+        let way = self.way(a, b);
+        self.cuts[way] += 1;
+        self.part(a, b, CUT_NOTICED, None);
+        self.at_least(span, Due::Heal(a, b));
+    }
+}
