--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -25,7 +25,7 @@
     BlankVotes,
     /// A copy that lost its chart stands for the duty.
     HollowStands,
-    /// A candidate by an older list of copies is voted for.
+    /// The age of a list of copies counts for nothing: it is as new as the epoch that goes with it.
     DrawnUnheeded,
     /// A write that a copy may have is answered as not done.
     BegunForgotten,
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -56,9 +56,9 @@
         // By the epoch alone, one that missed a change of copies and stood twice would seem to be the newer.
         let fit = (watch.drawn >= mine.drawn || self.planted(Planted::DrawnUnheeded))
             && watch.copies.contains(&from);
-        let known =
-            watch.epoch < mine.epoch || (watch.epoch == mine.epoch && !self.planted(Planted::GrantedTwice));
-        if known || !free || !fit || self.stands_for(now, watch.epoch) {
+        let twice = self.planted(Planted::GrantedTwice) && watch.epoch == mine.epoch && watch != mine;
+        let kept = watch.epoch <= mine.epoch || !free || !fit || self.stands_for(now, watch.epoch);
+        if kept && !twice {
             return self.send(from, Signal::Denied { watch: mine });
         }
         (self.heard, self.pulsed) = (now, false);
@@ -106,8 +106,8 @@
         if asked || !(higher || newer) || (!newer && self.stands_for(now, watch.epoch)) {
             return;
         }
-        let (top, list) =
-            (if higher { &watch } else { &mine }, if mine.drawn > watch.drawn { &mine } else { &watch });
+        let own = mine.drawn > watch.drawn || self.planted(Planted::DrawnUnheeded);
+        let (top, list) = (if higher { &watch } else { &mine }, if own { &mine } else { &watch });
         self.take_up(now, Watch { epoch: top.epoch, primary: top.primary, ..list.clone() });
     }
 
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -43,7 +43,7 @@
             Property::OneBody => "two bodies of one version are never both in force, acknowledged or read",
             Property::NeverBack => "the version in force at a node does not go back within its life",
             Property::OneLeads => "no two nodes lead by one epoch, whenever",
-            Property::OneGrant => "a voter grants one watch of an epoch, also over its ends and restarts",
+            Property::OneGrant => "a voter grants an epoch to one candidate, also over its ends and restarts",
             Property::GrantOnDisk => "a grant is told only when it is on disk",
             Property::BlankIsSilent => "a node that lost its disk votes only after more than half told it",
             Property::HollowSits => "a node that lost its chart does not stand before it was filled",
@@ -79,7 +79,7 @@
     /// In force in this life.
     pub force: Option<Chart>,
     /// By the disk that it has now.
-    pub granted: BTreeMap<u64, Watch>,
+    pub granted: BTreeMap<u64, Voter>,
     /// Its disk was lost: it has no vote before these have told it enough.
     pub blank: bool,
     pub told: BTreeMap<usize, Watch>,
@@ -187,9 +187,11 @@
             self.lookout.fail(Property::GrantOnDisk, format!("node {i} grants epoch {}", watch.epoch));
         }
         let node = &mut self.nodes[i];
-        let first = node.seen.granted.entry(watch.epoch).or_insert_with(|| watch.clone());
-        if first != watch {
-            let (epoch, one, other) = (watch.epoch, index(first.primary), index(watch.primary));
+        // To one candidate with an older and a newer list is well: its grants count for the one that it asks for last, and it
+        // does not act before a list of its own is granted.
+        let first = *node.seen.granted.entry(watch.epoch).or_insert(watch.primary);
+        if first != watch.primary {
+            let (epoch, one, other) = (watch.epoch, index(first), index(watch.primary));
             let evidence = format!("node {i} grants epoch {epoch} to {one} and {other}");
             self.lookout.fail(Property::OneGrant, evidence);
         }
--- a/soundings/src/sea.rs
+++ b/soundings/src/sea.rs
@@ -12,9 +12,8 @@
 const SYNC: Millis = 3;
 const ROUND: Millis = 50;
 pub(crate) const NOTICED: Millis = 2;
-/// An attempt of a call waits so long for its answer; a call has so many.
+/// An attempt of a call waits so long for its answer.
 const PATIENCE: Millis = 500;
-const ATTEMPTS: u64 = 8;
 /// Turns may be taken so long after the last call has ended, and no longer than that after the start.
 const AFTER: Millis = 500;
 const LONGEST: Millis = 6_000;
@@ -55,14 +54,16 @@
     pub planted: Option<Planted>,
 }
 
-/// Stages: the calls of one are made at one moment, when all of the one before have ended. Node and version; each body differs.
-pub const SCRIPTS: [&[&[(usize, u64)]]; 3] = [
-    // One version with two bodies, at two nodes, and a change after it.
-    &[&[(1, 1)], &[(0, 2), (1, 2)]],
+/// A call: at which node, which version, and how often it is tried until the operator gives up.
+type Asked = (usize, u64, u64);
+/// Stages: the calls of one are made at one moment, when all of the one before have ended. No two bodies are alike.
+pub const SCRIPTS: [&[&[Asked]]; 3] = [
+    // One version with two bodies, at two nodes.
+    &[&[(1, 1, 8)], &[(0, 2, 8), (1, 2, 8)]],
+    // The same, and one of them gives up at once.
+    &[&[(2, 1, 8)], &[(0, 2, 1), (1, 2, 8)]],
     // Two versions at two nodes.
-    &[&[(2, 1)], &[(1, 3), (0, 2)]],
-    // One after the other.
-    &[&[(0, 1)], &[(1, 2)], &[(2, 3)]],
+    &[&[(2, 1, 8)], &[(1, 3, 8), (0, 2, 8)]],
 ];
 
 #[derive(Clone, Default)]
@@ -111,6 +112,7 @@
     pub chart: Chart,
     pub at: usize,
     pub attempt: u64,
+    pub attempts: u64,
     /// An attempt has had no clear answer.
     pub unclear: bool,
     pub done: Option<Verdict>,
@@ -322,17 +324,16 @@
         let script = SCRIPTS[self.bounds.script];
         let Some(calls) = script.get(self.stage) else { return };
         self.stage += 1;
-        for (at, version) in calls.iter() {
-            self.call(*at, *version);
+        for (at, version, attempts) in calls.iter() {
+            self.call(*at, *version, *attempts);
         }
     }
-    fn call(&mut self, at: usize, version: u64) -> usize {
+    fn call(&mut self, at: usize, version: u64, attempts: u64) {
         let call = self.calls.len();
         let body = format!("v{version} of call {call}").into_bytes();
         let chart = Chart { version, body };
-        self.calls.push(Call { chart, at, attempt: 0, unclear: false, done: None, left: false });
+        self.calls.push(Call { chart, at, attempt: 0, attempts, unclear: false, done: None, left: false });
         self.attempt(call, 0, Some(at));
-        call
     }
     fn attempt(&mut self, call: usize, attempt: u64, at: Option<usize>) {
         let calm = self.calm.is_some_and(|(calm, _)| calm == call);
@@ -342,7 +343,7 @@
         }
         // Where there was no answer it is not known what becomes of it.
         c.unclear |= at.is_none() && attempt > 0;
-        if attempt == ATTEMPTS && !calm {
+        if attempt == c.attempts && !calm {
             c.left = true;
             return self.ended_call(call);
         }
@@ -396,8 +397,11 @@
                 }
                 return self.ended_call(call);
             }
-            Verdict::NotPrimary { primary: Some(primary) } => (5, index(primary)),
-            _ => (30, (i + 1) % self.bounds.nodes),
+            // Whoever was sent on once waits a little before it asks on.
+            Verdict::NotPrimary { primary: Some(primary) } => {
+                (if attempt < 2 { 5 } else { 150 }, index(primary))
+            }
+            _ => (150, (i + 1) % self.bounds.nodes),
         };
         c.unclear |= verdict == Verdict::Uncertain;
         self.agenda.retain(|(_, due)| !matches!(due, Due::Next { call: c, .. } if *c == call));
@@ -490,7 +494,10 @@
             }
             Step::Due => {
                 let Some(first) = self.next_due().cloned() else { return };
-                self.agenda.retain(|due| *due != first);
+                // One of them: two cuts that end at one moment are two.
+                if let Some(at) = self.agenda.iter().position(|due| *due == first) {
+                    self.agenda.swap_remove(at);
+                }
                 self.happen(first.1);
             }
             Step::Said(from, to) => {
@@ -616,7 +623,7 @@
         let at = self.lookout.highest as usize % self.bounds.nodes;
         self.note(|| "all is healed".to_string());
         self.calm = Some((self.calls.len(), self.now));
-        self.call(at, version);
+        self.call(at, version, u64::MAX);
     }
     fn calm_down(&mut self) {
         let Some((call, since)) = self.calm.filter(|_| !self.over) else { return };
--- a/soundings/src/search.rs
+++ b/soundings/src/search.rs
@@ -60,6 +60,9 @@
     }
 }
 
+/// A state, and what may be taken there.
+type Fork = (u32, Sea, Vec<Turn>);
+
 /// A digest is mixed already.
 #[derive(Default)]
 struct AsItIs(u64);
@@ -130,7 +133,7 @@
     }
 
     /// Goes on by itself to the end, and collects where turns can be taken.
-    fn along(&mut self, mut sea: Sea, mut steps: u32, budget: Budget) -> Vec<(u32, Sea, Turn)> {
+    fn along(&mut self, mut sea: Sea, mut steps: u32, budget: Budget) -> Vec<Fork> {
         let mut turns = Vec::new();
         loop {
             if sea.lookout.breach.is_some() || sea.over {
@@ -145,7 +148,9 @@
             }
             if open {
                 let here = sea.turns(budget.troubles > 0, budget.delays > 0);
-                turns.extend(here.into_iter().map(|turn| (steps, turn)).map(|(s, t)| (s, sea.clone(), t)));
+                if !here.is_empty() {
+                    turns.push((steps, sea.clone(), here));
+                }
             }
             sea.step();
             steps += 1;
@@ -171,17 +176,23 @@
     }
 
     fn search(&mut self, sea: Sea, steps: u32, budget: Budget) {
-        for (steps, mut sea, turn) in self.along(sea, steps, budget) {
-            if self.sum.found.is_some() || self.stop.load(Ordering::Relaxed) {
-                return;
+        for (steps, sea, turns) in self.along(sea, steps, budget) {
+            for turn in turns {
+                if self.sum.found.is_some() || self.stop.load(Ordering::Relaxed) {
+                    return;
+                }
+                self.turn(&sea, steps, turn, budget);
             }
-            sea.take(turn);
-            self.sum.transitions += 1;
-            self.course.push((steps, turn));
-            self.search(sea, steps, budget.spend(turn));
-            self.course.pop();
         }
     }
+    fn turn(&mut self, sea: &Sea, steps: u32, turn: Turn, budget: Budget) {
+        let mut sea = sea.clone();
+        sea.take(turn);
+        self.sum.transitions += 1;
+        self.course.push((steps, turn));
+        self.search(sea, steps, budget.spend(turn));
+        self.course.pop();
+    }
 }
 
 /// Every way within these bounds. Ends at the first breach of a part, or when it is told to.
@@ -191,16 +202,20 @@
     let new =
         |base| Search { base, seen: Seen::default(), course: Vec::new(), sum: Soundings::default(), stop };
     let mut trunk = new(&empty);
-    let mut firsts = trunk.along(Sea::new(bounds), 0, budget);
+    let forks = trunk.along(Sea::new(bounds), 0, budget);
     let (base, mut sum) = (trunk.seen, trunk.sum);
+    let mut firsts: Vec<(&Sea, u32, Turn)> = forks
+        .iter()
+        .flat_map(|(steps, sea, turns)| turns.iter().map(move |turn| (sea, *steps, *turn)))
+        .collect();
     if sum.found.is_some() || firsts.is_empty() {
         sum.whole = (1, 1);
         return sum;
     }
     // One turn at one step and the next comes to much the same: these stay together.
-    firsts.sort_by_key(|(steps, _, turn)| (turn.kin(), *steps));
+    firsts.sort_by_key(|(_, steps, turn)| (turn.kin(), *steps));
     let size = firsts.len().div_ceil(PARTS);
-    let parts: Vec<&[(u32, Sea, Turn)]> = firsts.chunks(size).collect();
+    let parts: Vec<&[(&Sea, u32, Turn)]> = firsts.chunks(size).collect();
     let results: Vec<Mutex<Option<Soundings>>> = parts.iter().map(|_| Mutex::new(None)).collect();
     let (next, broken) = (AtomicUsize::new(0), AtomicUsize::new(usize::MAX));
     std::thread::scope(|scope| {
@@ -212,15 +227,11 @@
                     return;
                 }
                 let mut search = new(&base);
-                for (steps, sea, turn) in parts[part] {
+                for (sea, steps, turn) in parts[part] {
                     if search.sum.found.is_some() || stop.load(Ordering::Relaxed) {
                         break;
                     }
-                    let mut sea = sea.clone();
-                    sea.take(*turn);
-                    search.sum.transitions += 1;
-                    search.course = vec![(*steps, *turn)];
-                    search.search(sea, *steps, budget.spend(*turn));
+                    search.turn(sea, *steps, *turn, budget);
                 }
                 if search.sum.found.is_some() {
                     broken.fetch_min(part, Ordering::Relaxed);
--- a/soundings/src/turns.rs
+++ b/soundings/src/turns.rs
@@ -1,7 +1,7 @@
 //! Where something could go another way than it does by itself.
 
 use crate::sea::{Due, Grain, Sea, Step};
-use stileroute_pilotage_planted::{Millis, Signal};
+use stileroute_pilotage_planted::{Millis, Record, Signal};
 
 /// What takes another turn, at the state before a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -118,8 +118,9 @@
         for back in BACK {
             for reached in 0..=at.writing.len() {
                 // A disk that has nothing yet is as good as lost.
-                let empty = at.disk.watch.is_none() && reached < at.writing.len();
-                if bearable || !empty {
+                let watch = |(_, _, record): &(Millis, u64, Record)| matches!(record, Record::Watch(_));
+                let holds = at.disk.watch.is_some() || at.writing.iter().take(reached).any(watch);
+                if bearable || holds {
                     turns.push(Turn::Kill { node, reached, back });
                     turns.push(Turn::Power { node, reached, back });
                 }
