--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -181,7 +181,7 @@
             let highest = node.seen.told.values().max_by_key(|w| w.epoch);
             let told =
                 |w: &Watch| w.voters.iter().filter(|v| node.seen.told.contains_key(&index(**v))).count();
-            if !highest.is_some_and(|w| told(w) * 2 > w.voters.len()) {
+            if highest.is_none_or(|w| told(w) * 2 <= w.voters.len()) {
                 let evidence = format!("node {i} votes, and {} have told it", node.seen.told.len());
                 self.lookout.fail(Property::BlankIsSilent, evidence);
             }
--- a/soundings/src/main.rs
+++ b/soundings/src/main.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 use stileroute_soundings::{
-    find, retrace, sound, Bounds, Chance, Found, Grain, Planted, Soundings, FAULTS, PLAN,
+    find, retrace, sound, Bounds, Chance, Found, Grain, Planted, Soundings, Spans, FAULTS, PLAN,
 };
 
 /// Searches all orders of events of the control group within bounds.
@@ -47,6 +47,8 @@
     delays: u8,
     #[options(no_short, help = "turns at every step, not only where more than a pulse happened")]
     fine: bool,
+    #[options(no_short, help = "one span of each trouble, not all")]
+    one_span: bool,
     #[options(
         help = "random waits: rising (as without it), falling or alike",
         meta = "WORD",
@@ -73,10 +75,10 @@
 }
 
 fn line(bounds: &Bounds, sum: &Soundings, since: Instant) -> String {
-    let Bounds { nodes, troubles, delays, grain, chance, script, .. } = bounds;
+    let Bounds { nodes, troubles, delays, grain, spans, chance, script, .. } = bounds;
     let Soundings { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
     format!(
-        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} chance={chance:?} script={script} \
+        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} spans={spans:?} chance={chance:?} script={script} \
          states={states} distinct={distinct} pruned={pruned} transitions={transitions} ways={ways} deepest={deepest} \
          waited_ms={waited} parts={}/{} seconds={:.1}",
         whole.0,
@@ -99,6 +101,7 @@
         troubles: words.troubles,
         delays: words.delays,
         grain: if words.fine { Grain::Fine } else { Grain::Coarse },
+        spans: if words.one_span { Spans::One } else { Spans::All },
         chance: words.chance.unwrap_or(Chance::Rising),
         script: words.script,
         planted: words.planted,
--- a/soundings/src/proof.rs
+++ b/soundings/src/proof.rs
@@ -1,7 +1,7 @@
 //! What `make prove-soundings` goes through, in about a minute on eight cores.
 
 use crate::lookout::Property;
-use crate::sea::{Bounds, Chance, Grain};
+use crate::sea::{Bounds, Chance, Grain, Spans};
 use stileroute_pilotage_planted::Planted;
 
 /// Three nodes that bear one loss, everything as small as it comes.
@@ -11,6 +11,7 @@
     troubles: 1,
     delays: 0,
     grain: Grain::Coarse,
+    spans: Spans::All,
     chance: Chance::Rising,
     script: 0,
     planted: None,
@@ -24,7 +25,7 @@
     Bounds { delays: 1, chance: Chance::Alike, script: 1, ..THREE },
     Bounds { delays: 1, script: 2, ..THREE },
     Bounds { troubles: 0, delays: 2, ..THREE },
-    Bounds { troubles: 2, script: 1, ..THREE },
+    Bounds { troubles: 2, spans: Spans::One, script: 1, ..THREE },
     Bounds { chance: Chance::Alike, script: 1, ..FIVE },
     Bounds { chance: Chance::Falling, script: 2, ..FIVE },
     Bounds { grain: Grain::Fine, ..FIVE },
@@ -34,7 +35,7 @@
 pub const FAULTS: [(Planted, Property, Bounds); 13] = [
     (Planted::LongLease, Property::OneActs, THREE),
     (Planted::EarlyAnswer, Property::NothingOld, THREE),
-    (Planted::DrawnUnheeded, Property::NothingOld, Bounds { troubles: 2, ..THREE }),
+    (Planted::DrawnUnheeded, Property::NothingOld, Bounds { troubles: 2, spans: Spans::One, ..THREE }),
     (Planted::EqualTaken, Property::OneBody, THREE),
     (Planted::DigestUnheeded, Property::OneBody, Bounds { script: 1, ..THREE }),
     (Planted::ForceBlind, Property::NeverBack, THREE),
@@ -43,6 +44,6 @@
     (Planted::GrantUnsynced, Property::GrantOnDisk, THREE),
     (Planted::BlankVotes, Property::BlankIsSilent, THREE),
     (Planted::HollowStands, Property::HollowSits, THREE),
-    (Planted::BegunForgotten, Property::NotDoneStays, Bounds { troubles: 2, ..THREE }),
+    (Planted::BegunForgotten, Property::NotDoneStays, Bounds { troubles: 2, spans: Spans::One, ..THREE }),
     (Planted::NeverAdopts, Property::SoonAgain, THREE),
 ];
--- a/soundings/src/sea.rs
+++ b/soundings/src/sea.rs
@@ -32,6 +32,15 @@
     Fine,
 }
 
+/// How long a trouble lasts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Spans {
+    /// Each span that a trouble of its kind may last.
+    All,
+    /// Only the one after which others have stood.
+    One,
+}
+
 /// How long the nodes wait at random: always the same share of what they may, so that states can be told to be the same.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Chance {
@@ -50,6 +59,7 @@
     /// Most delays: a message or disk late, a message lost, a record refused.
     pub delays: u8,
     pub grain: Grain,
+    pub spans: Spans,
     pub chance: Chance,
     /// Which calls the operators make: an index into [`SCRIPTS`].
     pub script: usize,
--- a/soundings/src/turns.rs
+++ b/soundings/src/turns.rs
@@ -1,6 +1,6 @@
 //! Where something could go another way than it does by itself.
 
-use crate::sea::{Due, Grain, Sea, Step};
+use crate::sea::{Due, Grain, Sea, Spans, Step};
 use stileroute_pilotage_planted::{Millis, Record, Signal};
 
 /// What takes another turn, at the state before a step.
@@ -115,7 +115,11 @@
         let at = &self.nodes[node];
         let lost = self.nodes.iter().enumerate().filter(|(i, n)| *i != node && n.seen.lost).count();
         let bearable = lost < self.bounds.losses;
-        for back in BACK {
+        let of = |spans: &'static [Millis], one: usize| match self.bounds.spans {
+            Spans::All => spans,
+            Spans::One => &spans[one..=one],
+        };
+        for back in of(&BACK, 1).iter().copied() {
             for reached in 0..=at.writing.len() {
                 // A disk that has nothing yet is as good as lost.
                 let watch = |(_, _, record): &(Millis, u64, Record)| matches!(record, Record::Watch(_));
@@ -129,8 +133,8 @@
                 turns.push(Turn::Wipe { node, back });
             }
         }
-        turns.extend(FROZEN.map(|span| Turn::Freeze { node, span }));
-        for span in APART {
+        turns.extend(of(&FROZEN, 1).iter().map(|span| Turn::Freeze { node, span: *span }));
+        for span in of(&APART, 1).iter().copied() {
             turns.push(Turn::CutOff { node, span });
             // Of three a node that meets one of the others meets the rest: with five that is not gone through.
             let others = (0..self.bounds.nodes).filter(|b| *b != node && self.joined[self.way(node, *b)]);
