--- a/drydock/src/ordeals.rs
+++ b/drydock/src/ordeals.rs
@@ -238,6 +238,9 @@
         self.sleep(4500);
         let said = self.begin_retiring("store-99");
         self.answered("a store that nobody knows is not emptied (404)", said.map(|status| status == 404));
+        // It has something to hand over, and something in hand.
+        self.clients.burst(&Plan { delay_ms: 900, ..Plan::to("/alder/") }, 0, 160);
+        self.sleep(300);
         let said = self.begin_retiring("store-4");
         self.answered("one of three stores is to be emptied", said.map(|status| status == 200));
         let said = self.begin_retiring("store-3");
