After a long sleep a store waits for the others; replaced voters are forgotten in 3 s; call-backs shared out

Ruled out: the fence that is there (it asks whether control nodes are heard, and what they said before the sleep is read first); the take-over itself (right in soundings). Cause: look_after_fence (hold/src/copies.rs) by silence alone; FORGET (pilotage/src/primary.rs) of ten seconds, in which a dead voter of four leaves two living ones no majority; four call-backs from each of nineteen stores are 76, 64 are taken. Change: a sleep over 1.2 s fences until the others have spoken; FORGET 3 s; 48 call-backs at a receiver over all stores; an order to empty a store is answered in 0.9 s, for the operator leaves after 1 s.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -432,8 +432,8 @@
 
 /// How often it is looked when other control nodes were heard.
 const HEARD: Millis = 200;
-/// An order to empty a store is confirmed by then, or the operator sends it again.
-const RETIRE: Millis = 1500;
+/// An order to empty a store is confirmed by then, or the operator sends it again: he goes elsewhere after a second of silence.
+const RETIRE: Millis = 900;
 
 fn member_of(hello: &Hello, config: u64) -> Member {
     Member {
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -22,6 +22,8 @@
 const SLOW: Millis = 1500;
 /// After its start a store waits so long for those that hold copies of what it owned.
 const PATIENCE: Millis = 3000;
+/// By then whatever came in a sleep has been read.
+const AWAKE: Millis = 300;
 
 /// Another store.
 #[derive(Debug, Default)]
@@ -146,16 +148,19 @@
     /// lapsed. It knows the one (`lapsed`, `heard`) by its own steady clock, and of the other that they may have missed it
     /// up to `DEAF` before it missed them. Nor does it start anything when it is heard again, or has slept, before they
     /// have said what became of its messages.
-    pub(crate) fn look_after_fence(&mut self, now: Millis, slept: bool) {
+    ///
+    /// After a long sleep it does not matter whether they are heard: what they said before they gave this store up may be read
+    /// first, and the ends of their connections later.
+    pub(crate) fn look_after_fence(&mut self, now: Millis, slept: bool, long: bool) {
         let silent = self.lapsed || !self.heard;
         let apart = |p: &Peer| p.listed && !p.connected && now + DEAF > p.since + GONE;
-        if silent && (slept || self.fence.is_some() || self.peers.values().any(apart)) {
+        if long || (silent && (slept || self.fence.is_some() || self.peers.values().any(apart))) {
             self.figures.fenced += u64::from(self.fence.is_none());
             self.fence = Some(now);
         }
         let Some(since) = self.fence.filter(|_| !silent) else { return };
         let settled = self.peers.values().all(|p| p.stood || !(p.listed || p.connected));
-        if settled || now > since + PATIENCE {
+        if (settled && now >= since + AWAKE) || now > since + PATIENCE {
             self.fence = None;
         }
     }
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -24,6 +24,8 @@
 const SLACK: Millis = 1500;
 /// Connections to one receiver of call-backs from here.
 const CALLS: usize = 4;
+/// And from all stores together.
+const RECEIVER: usize = 48;
 /// Messages that are kept for others to pick up at the most.
 const MOST: usize = 400_000;
 const UPKEEP: Millis = 250;
@@ -31,6 +33,8 @@
 const STALLED: Millis = 120;
 /// A turn that comes so much too late comes after a freeze.
 const FROZEN: Millis = 500;
+/// And by so much, after one in which others may have taken over what is here.
+const MISSED: Millis = 1200;
 
 /// Whole places that may be lost at once.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -891,10 +895,12 @@
 
     fn call_back(&mut self, now: Millis) -> Millis {
         let mut next = Millis::MAX;
-        let mut calls = Vec::new();
+        let mut out = Vec::new();
+        // A receiver takes few connections from all stores together, and resets what is beyond: with many stores each has less.
+        let calls = (RECEIVER / (1 + self.peers.values().filter(|p| p.listed).count())).clamp(1, CALLS);
         for (place, receiver) in &mut self.receivers {
             // One that fails is tried with one call at a time, and less and less often.
-            let most = if receiver.fails > 0 { 1 } else { CALLS };
+            let most = if receiver.fails > 0 { 1 } else { calls };
             while receiver.out < most && !receiver.queue.is_empty() {
                 if now < receiver.pause {
                     next = next.min(receiver.pause);
@@ -913,11 +919,11 @@
                     }
                     End::Failed => format!("{{\"id\":{},\"state\":\"failed\",\"seal\":null}}", quoted(id)),
                 };
-                calls.push((key, entry.cargo.callback.clone().unwrap_or_default(), body));
+                out.push((key, entry.cargo.callback.clone().unwrap_or_default(), body));
             }
         }
-        self.figures.calls += calls.len() as u64;
-        self.effects.extend(calls.into_iter().map(|(key, url, body)| Effect::Call { key, url, body }));
+        self.figures.calls += out.len() as u64;
+        self.effects.extend(out.into_iter().map(|(key, url, body)| Effect::Call { key, url, body }));
         next
     }
 
@@ -1043,7 +1049,8 @@
         let lapsed = self.lapsed;
         self.lanes.iter_mut().filter_map(|lane| lane.bucket.as_mut()).for_each(|b| b.paused = lapsed);
         let slept = now > self.upkeep + UPKEEP + FROZEN;
-        self.look_after_fence(now, slept);
+        let long = now > self.upkeep + UPKEEP + MISSED;
+        self.look_after_fence(now, slept, long);
         if slept {
             // It has slept: others may have taken messages in its place, and it has not heard of that yet.
             self.rows.changed = now;
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -122,6 +122,29 @@
     }
 }
 
+/// In its first turn after a freeze it has read what the control nodes said before they gave it up, and not yet that the other
+/// stores have. What fell due meanwhile they have run: seen in the proof, 15 to 19 messages twice.
+#[test]
+fn after_a_long_sleep_nothing_is_started_before_the_others_have_spoken() {
+    let mut one = One::ready(Ledger::default());
+    let (_, effects) = one.taken(Cargo { delay_ms: 1000, ..cargo("plain") });
+    assert!(attempts(&effects).is_empty());
+    one.now += 5500;
+    assert!(attempts(&one.pass(0)).is_empty());
+    for other in [B, C] {
+        one.hold.down(one.now, other);
+    }
+    assert!(attempts(&one.pass(500)).is_empty(), "they may be back, and say what they ran");
+    for other in [B, C] {
+        one.hold.up(one.now, other);
+    }
+    assert!(attempts(&one.pass(100)).is_empty());
+    let mut all = one.note(B, Note::Stood);
+    all.extend(one.note(C, Note::Stood));
+    all.extend(one.pass(50));
+    assert_eq!(attempts(&all).len(), 1);
+}
+
 /// Another store holds a copy of what this one owned and does not know. Lost with the disk before, it is taken over; given with
 /// this disk and never finished taking, it is dropped. Told apart by the time of day, what was lost would be dropped where the
 /// clock was put back, or both disks began in one second: seen on a bench day, 58 messages that had been answered 202.
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -14,7 +14,8 @@
 /// One that has not acked at all since the duty began, so long: mostly the primary of before.
 const ABSENT: Millis = 400;
 /// A voter that is silent for so long is left out, if the others are more with it than they need.
-pub(crate) const FORGET: Millis = 10_000;
+/// Soon: until then one that was replaced for good votes by its silence, and with four voters the next loss leaves no majority.
+pub(crate) const FORGET: Millis = 3000;
 
 #[derive(Clone, Debug)]
 pub(crate) enum Duty {
--- a/pilotage/tests/faults.rs
+++ b/pilotage/tests/faults.rs
@@ -248,6 +248,23 @@
     }
 }
 
+/// Once a lost machine is replaced and what it held is caught up (4.2 s), the next may be lost. Seen failing with the silent
+/// one kept as a voter for ten seconds: two of four are no majority.
+#[test]
+fn a_machine_replaced_and_then_another_lost() {
+    for seed in 0..12 {
+        let mut world = quiet(3, 1, seed);
+        world.strike(seed as usize % 3, Wipe, None);
+        world.run(500);
+        world.add();
+        world.run(4200);
+        let next = if seed < 6 { world.primary() } else { world.copy() };
+        world.strike(next, Power, None);
+        let call = world.replace((0..4).find(|i| world.up(*i)).unwrap(), 9);
+        world.wait(call, 3000);
+    }
+}
+
 #[test]
 fn a_full_disk_costs_its_machine_the_duty_and_the_copy() {
     for (seed, full) in (0..12).map(|seed| (seed, seed as usize % 3)) {
