Sessions that a control node told hold while it is connected; unknown only where the taker could be asked

Cause, by reading: an edge that does not know the store yet asks all that it knows (edge.rs, find); and a control node that has slept gave up by its clock what the others had told it (count_members, roster/src/lib.rs), which since is told anew only when it changes, so stores with sessions elsewhere were no members for up to ten seconds. Change: told sessions hold while the connection stands, 2 s more after it; 503 where the store that took it is not connected.

--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -423,7 +423,8 @@
         let ticket = self.ticket();
         let until = now + ASKER;
         let mut stores = self.common.session.members.iter().filter(|m| m.class == Class::Store);
-        let unsure = up.is_empty() || stores.any(|m| !up.contains(&m.node));
+        // The store that took it may be so new that it is no member here yet.
+        let unsure = !up.contains(&key.origin) || stores.any(|m| !up.contains(&m.node));
         let find = Find { conn, key, body, left, asked: 0, sent: now, until, waiting: None, unsure };
         self.finds.insert(ticket, find);
         self.ask_next(ticket);
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -266,7 +266,10 @@
         let before = self.sessions.len();
         self.sessions.retain(|_, s| s.up || now < s.seen + GRACE);
         self.sessions_changed |= self.sessions.len() < before;
-        self.told.retain(|_, (at, _)| now < *at + GRACE + TELL);
+        // As long as the connection stands, which ends with silence: it is told anew only when it changes. Given up by the clock
+        // alone, after a sleep of this node all stores with sessions elsewhere would be no members for seconds.
+        let cores = &self.cores;
+        self.told.retain(|node, (at, _)| cores.contains_key(node) || now < *at + GRACE + TELL);
         let mut all: BTreeMap<Node, Member> = BTreeMap::new();
         let own = self.sessions.values().map(|s| &s.member);
         let others = self.told.values().flat_map(|(_, members)| members);
--- a/roster/tests/roster.rs
+++ b/roster/tests/roster.rs
@@ -270,3 +270,21 @@
     roster.beat(3300, beat("third", 4000, 1, Standing::Serving));
     assert_eq!(serving(&roster), 1000);
 }
+
+#[test]
+fn what_another_control_node_told_holds_as_long_as_it_is_connected() {
+    let mut roster = ready();
+    let stores = |r: &Roster| r.members.iter().filter(|m| m.class == Class::Store).count();
+    roster.core_up(3000, member(2, Class::Core));
+    roster.told_sessions(3000, 2, vec![member(8, Class::Store)]);
+    roster.tick(3000, true, None);
+    // This node has slept: nothing was heard, but the connection stands.
+    roster.tick(9000, true, None);
+    assert_eq!(stores(&roster), 1);
+    roster.core_heard(2, 9000);
+    roster.core_down(2);
+    roster.tick(10_900, true, None);
+    assert_eq!(stores(&roster), 1);
+    roster.tick(11_300, true, None);
+    assert_eq!(stores(&roster), 0);
+}
