--- a/harbour/tests/commands.rs
+++ b/harbour/tests/commands.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
 const DOCS: &str = include_str!("../../docs/replace.md");
@@ -48,9 +49,11 @@
 
 impl Fleet {
     fn new() -> Fleet {
-        let pid = std::process::id();
-        let dir = std::env::temp_dir().join(format!("harbour-commands-{pid}"));
-        let net = format!("127.{}.{}", 192 + pid / 250 % 60, 1 + pid % 250);
+        static FLEETS: AtomicU32 = AtomicU32::new(0);
+        let (pid, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
+        let dir = std::env::temp_dir().join(format!("harbour-commands-{pid}-{fleet}"));
+        // Each test has a net of its own, and so have two runs at a time.
+        let net = format!("127.{}.{}", 192 + 30 * fleet + pid / 250 % 30, 1 + pid % 250);
         Fleet {
             dir,
             net,
@@ -72,6 +75,10 @@
 
     /// core-1 to core-3 are hosts 1 to 3, storage-1 to storage-3 hosts 11 to 13, edge-1 host 21.
     fn start(&mut self, name: &str, first: bool) {
+        self.start_with(name, first, &[]);
+    }
+
+    fn start_with(&mut self, name: &str, first: bool, words: &[&str]) {
         let (kind, number) = name.split_once('-').unwrap();
         let number: u8 = number.parse().unwrap();
         let (host, serves, role) = match kind {
@@ -98,7 +105,7 @@
         fs::write(&boot, text).unwrap();
         let log = File::options().create(true).append(true).open(home.join("log")).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
-        command.arg("--boot").arg(boot).arg(role).env_remove("HARBOUR_LOG");
+        command.args(words).arg("--boot").arg(boot).arg(role).env_remove("HARBOUR_LOG");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.children.push((name.to_string(), command.spawn().unwrap()));
     }
@@ -110,6 +117,21 @@
         child.wait().unwrap();
     }
 
+    fn log(&self, name: &str) -> String {
+        fs::read_to_string(self.dir.join(name).join("log")).unwrap()
+    }
+
+    /// Its settings file gets this in the place of that, and it is told so.
+    fn settings(&self, name: &str, that: &str, this: &str) {
+        let boot = self.dir.join(name).join("node.json");
+        let text = fs::read_to_string(&boot).unwrap();
+        assert!(text.contains(that));
+        fs::write(&boot, text.replace(that, this)).unwrap();
+        let (_, child) = self.children.iter().find(|(n, _)| n == name).unwrap();
+        let told = Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap();
+        assert!(told.success());
+    }
+
     /// The machine gets an empty disk.
     fn wipe(&self, name: &str) {
         fs::remove_dir_all(self.dir.join(name).join("data")).unwrap();
@@ -262,3 +284,23 @@
     fleet.until("in force at all", || (fleet.status().matches("version 9").count() == 6).then_some(()));
     taken(&fleet);
 }
+
+/// As docs/harbour.md says: SIGHUP reads the settings whole or not at all, and `--log` says how much is written.
+#[test]
+fn settings_are_read_again_and_logs_have_levels() {
+    let mut fleet = Fleet::new();
+    fleet.start("core-1", true);
+    fleet.start_with("core-2", true, &["--log", "error"]);
+    let up = |host: u8| fleet.http(&format!("{host}:18262"), "GET", "/v1/settings/read", "");
+    fleet.until("both answer", || up(1).and(up(2)));
+    let said = |text: &str| fleet.log("core-1").contains(text).then_some(());
+    fleet.settings("core-1", "\"grace_s\":6", "\"grace_s\":\"long\"");
+    fleet.until("the fault is named", || said("bounds.grace_s"));
+    assert!(said("settings read again").is_none());
+    fleet.settings("core-1", "\"grace_s\":\"long\"", "\"grace_s\":5");
+    fleet.until("they are read again", || said("settings read again"));
+    fleet.settings("core-1", "\"node_name\":\"core-1\"", "\"node_name\":\"core-9\"");
+    fleet.until("another node's are not taken", || said("settings name another node: not taken"));
+    assert!(up(1).is_some() && fleet.log("core-1").contains(" INFO starts"));
+    assert_eq!(fleet.log("core-2"), "", "nothing is an error yet");
+}
