make prove-system-long: 61 processes, two stores lost at once, until all copies are back

Change: the drydock's fleet takes a shape (cores, stores, edges, losses, relays or none); drydock/src/sixty.rs is a second course on it with the same load, stand-ins and judge. Stores tell harbour_messages_thin and harbour_thin_seconds, which were kept and told nowhere. Ends are asked for before the second loss: they are not copied anew.

--- a/drydock/src/client.rs
+++ b/drydock/src/client.rs
@@ -6,6 +6,7 @@
 use crate::receiver;
 use crate::sight::Sight;
 use crate::wire::{self, Cut, Wire};
+use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -238,11 +239,14 @@
         None
     }
 
-    /// Asks every edge what became of every message that was accepted; those that wait are asked again until the end.
-    pub fn ask_all(self: &Arc<Clients>, most: Duration) {
+    /// Asks some edges what became of every message that was accepted and due before an instant, and was not asked for yet;
+    /// those that wait are asked again until the end.
+    pub fn ask_all(self: &Arc<Clients>, edges: &[usize], due: Micros, most: Duration) {
         let all: Vec<(String, String)> = {
             let history = self.sight.write();
+            let known: HashSet<&str> = history.readings.iter().map(|reading| reading.id.as_str()).collect();
             let accepted = history.sent.iter().filter(|s| s.answered == Answered::Status(202));
+            let accepted = accepted.filter(|s| s.at + s.delay < due && !known.contains(s.id.as_str()));
             accepted.map(|s| (s.id.clone(), s.name.clone().unwrap_or_else(|| s.id.clone()))).collect()
         };
         let all = Arc::new(all);
@@ -251,7 +255,7 @@
             let (clients, all) = (Arc::clone(self), Arc::clone(&all));
             std::thread::spawn(move || clients.ask_edge(edge, &all, until))
         };
-        let asking: Vec<_> = (0..self.fronts.len()).map(ask).collect();
+        let asking: Vec<_> = edges.iter().copied().map(ask).collect();
         for thread in asking {
             let readings = thread.join().unwrap_or_default();
             self.sight.write().readings.extend(readings);
--- a/drydock/src/fleet.rs
+++ b/drydock/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The fleet: nine processes of `harbour` and those added later, each a machine of its own on loopback.
+//! The fleet: nine processes of `harbour`, or sixty and one, and those added later, each a machine of its own on loopback.
 
 use crate::relay::{self, Way};
 use nix::sys::signal::{kill, Signal};
@@ -17,6 +17,8 @@
 pub const FRONT: u16 = 8260;
 pub const READINESS: u16 = 8261;
 pub const CONTROL: u16 = 8262;
+/// Where stores tell their counters.
+const FIGURES: u16 = 8263;
 /// The ports for traffic between nodes: so many for each machine, which has those of its place.
 const INTERNAL: u16 = 7300;
 const PORTS: u16 = 16;
@@ -24,6 +26,30 @@
 pub const GRACE: Duration = Duration::from_secs(6);
 pub const EACH: usize = 3;
 
+/// How large a fleet is laid out, and what it is to bear.
+#[derive(Clone, Copy)]
+pub struct Shape {
+    pub cores: usize,
+    pub stores: usize,
+    pub edges: usize,
+    pub losses: usize,
+    /// Relays stand between any two, so that ways can be cut: a listener for each pair, too many for a large fleet.
+    pub ways: bool,
+}
+
+pub const NINE: Shape = Shape { cores: EACH, stores: EACH, edges: EACH, losses: 1, ways: true };
+pub const SIXTY: Shape = Shape { cores: 5, stores: 12, edges: 44, losses: 2, ways: false };
+
+impl Shape {
+    pub fn of(&self, role: Role) -> usize {
+        match role {
+            Role::Core => self.cores,
+            Role::Store => self.stores,
+            Role::Edge => self.edges,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     Core,
@@ -80,9 +106,10 @@
 
 /// Ends what it started when it is dropped.
 pub struct Fleet {
-    program: PathBuf,
+    pub program: PathBuf,
     /// Below this folder all that the fleet writes lies.
     pub home: PathBuf,
+    pub shape: Shape,
     net: u8,
     machines: Vec<Machine>,
     seeds: Vec<SocketAddrV4>,
@@ -95,18 +122,20 @@
 pub type Plain<T> = Result<T, String>;
 
 impl Fleet {
-    /// Lays out nine machines; none runs yet. All addresses are in 127.`net`.
-    pub fn lay_out(program: &Path, home: PathBuf, net: u8) -> Plain<Fleet> {
+    /// Lays out the machines; none runs yet. All addresses are in 127.`net`.
+    pub fn lay_out(program: &Path, home: PathBuf, net: u8, shape: Shape) -> Plain<Fleet> {
         if !program.is_file() {
             return Err(format!("{}: no such program, build it first", program.display()));
         }
-        let seeds = (0..EACH).map(|at| SocketAddrV4::new(address(net, Role::Core, at), CONTROL)).collect();
+        let seeds =
+            (0..shape.cores).map(|at| SocketAddrV4::new(address(net, Role::Core, at), CONTROL)).collect();
         let controls = Arc::new(Mutex::new(Vec::new()));
         let (over, ways) = (Way::default(), HashMap::new());
         let program = program.to_path_buf();
-        let mut fleet = Fleet { program, home, net, machines: Vec::new(), seeds, controls, ways, over };
+        let mut fleet =
+            Fleet { program, home, shape, net, machines: Vec::new(), seeds, controls, ways, over };
         for role in Role::ALL {
-            for at in 0..EACH {
+            for at in 0..shape.of(role) {
                 fleet.add(role, at, true)?;
             }
         }
@@ -126,7 +155,7 @@
         let front = SocketAddrV4::new(self.ip(role, at), port);
         TcpListener::bind(front).map_err(|e| format!("{front}: {e}; another fleet may run"))?;
         let here = self.machines.len();
-        for there in 0..here {
+        for there in 0..if self.shape.ways { here } else { 0 } {
             let (other, of) = (self.machines[there].role, self.machines[there].at);
             let way = Arc::new(AtomicBool::new(false));
             // Nobody dials an edge.
@@ -150,7 +179,12 @@
     /// Where the machine at a place finds another.
     fn internal(&self, place: usize, role: Role, at: usize) -> SocketAddrV4 {
         let step = u16::from(role.number()) - 1;
-        SocketAddrV4::new(self.ip(role, at), INTERNAL + PORTS * place as u16 + step)
+        SocketAddrV4::new(self.ip(role, at), self.first_port(place) + step)
+    }
+
+    /// With no relays between them all use the same ports, each at its own address.
+    fn first_port(&self, place: usize) -> u16 {
+        INTERNAL + if self.shape.ways { PORTS * place as u16 } else { 0 }
     }
 
     fn place(&self, role: Role, at: usize) -> usize {
@@ -197,21 +231,25 @@
         self.machines.iter().filter(|m| m.role == role && !m.away).map(|m| m.at).collect()
     }
     pub fn fronts(&self) -> Vec<SocketAddrV4> {
-        (0..EACH).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), FRONT)).collect()
+        (0..self.shape.edges).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), FRONT)).collect()
     }
     pub fn readiness(&self) -> Vec<SocketAddrV4> {
-        (0..EACH).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), READINESS)).collect()
+        (0..self.shape.edges).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), READINESS)).collect()
+    }
+
+    pub fn figures(&self, store: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(Role::Store, store), FIGURES)
     }
 
     fn boot(&self, machine: &Machine) -> serde_json::Value {
         let ip = self.ip(machine.role, machine.at);
         let zone = |at: usize| format!("quay-{}", at % EACH + 1);
-        let first = INTERNAL + PORTS * self.place(machine.role, machine.at) as u16;
+        let first = self.first_port(self.place(machine.role, machine.at));
         let zones: serde_json::Map<String, serde_json::Value> =
             (0..EACH).map(|at| (zone(at), json!("bay"))).collect();
         let bind = match machine.role {
             Role::Core => json!({"control": format!("{ip}:{CONTROL}")}),
-            Role::Store => json!({}),
+            Role::Store => json!({"figures": format!("{ip}:{FIGURES}")}),
             Role::Edge => json!({"front": format!("{ip}:{FRONT}"), "readiness": format!("{ip}:{READINESS}")}),
         };
         let data = (machine.role != Role::Edge).then(|| machine.dir.join("data"));
@@ -233,7 +271,7 @@
                        "bandwidth_mbps": 1000.0, "disk_mb": if data.is_some() { 512 } else { 0 }},
             "data_dir": data,
             "beat_interval_ms": BEAT_MS,
-            "tolerate": {"machine_losses": 1, "zones": 0, "region_losses": 0},
+            "tolerate": {"machine_losses": self.shape.losses, "zones": 0, "region_losses": 0},
             "bounds": {"grace_s": GRACE.as_secs(), "status_s": 600}
         })
     }
--- a/drydock/src/main.rs
+++ b/drydock/src/main.rs
@@ -14,6 +14,7 @@
 mod relay;
 mod show;
 mod sight;
+mod sixty;
 mod wire;
 
 use clap::{Parser, Subcommand};
@@ -46,6 +47,9 @@
         /// Keeps the folder with the logs and disks, and prints all breaches.
         #[arg(long)]
         keep: bool,
+        /// Sixty-one processes, and two stores lost at once with their disks, twice.
+        #[arg(long)]
+        long: bool,
     },
 }
 
@@ -53,7 +57,7 @@
     let words = Words::parse();
     let done = match words.command {
         Command::Start => show::show(&words.harbour, words.net.unwrap_or(60)),
-        Command::Prove { rate, keep } => prove::prove(&words.harbour, words.net, rate, keep),
+        Command::Prove { rate, keep, long } => prove::prove(&words.harbour, words.net, rate, keep, long),
     };
     match done {
         Ok(code) => code,
--- a/drydock/src/prove.rs
+++ b/drydock/src/prove.rs
@@ -3,7 +3,7 @@
 use crate::client::{Clients, Plan};
 use crate::course::{Course, CEILING, FIRST, LOAD};
 use crate::executor::{Executor, Kind, Runs};
-use crate::fleet::{Fleet, Plain, Role, EACH};
+use crate::fleet::{Fleet, Plain, Role, EACH, NINE, SIXTY};
 use crate::history::{Answered, Arrival, History, Micros, Sent, SECOND};
 use crate::judge::{judge, story, Breach};
 use crate::operator::{Operator, Services};
@@ -16,18 +16,19 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-pub fn prove(program: &Path, net: Option<u8>, rate: u64, keep: bool) -> Plain<ExitCode> {
+pub fn prove(program: &Path, net: Option<u8>, rate: u64, keep: bool, long: bool) -> Plain<ExitCode> {
     let home = crate::home()?;
+    let shape = if long { SIXTY } else { NINE };
     let mine = 100 + (std::process::id() % 100) as u8;
     let fleet = match net {
-        Some(net) => Fleet::lay_out(program, home.clone(), net)?,
-        None => Fleet::lay_out(program, home.clone(), mine)
-            .or_else(|_| Fleet::lay_out(program, home.clone(), mine + 100))?,
+        Some(net) => Fleet::lay_out(program, home.clone(), net, shape)?,
+        None => Fleet::lay_out(program, home.clone(), mine, shape)
+            .or_else(|_| Fleet::lay_out(program, home.clone(), mine + 100, shape))?,
     };
     let sight = Sight::new(&home);
-    let history = play(fleet, &sight, rate)?;
+    let history = if long { crate::sixty::play(fleet, &sight, rate)? } else { play(fleet, &sight, rate)? };
     let breaches = judge(&history);
-    println!("{}", figures(&history, &sight));
+    println!("prove-system{}: {}", if long { "-long" } else { "" }, figures(&history, &sight));
     let busy = sight.busy();
     if keep {
         println!("kept: {}", home.display());
@@ -181,7 +182,7 @@
     }
     course.say("the load has ended");
     course.sleep(2500);
-    clients.ask_all(Duration::from_secs(12));
+    clients.ask_all(&[0, 1, 2], Micros::MAX, Duration::from_secs(12));
     course.sleep(2000);
     clients.over.store(true, Ordering::Relaxed);
     course.say("all have been asked for");
@@ -233,11 +234,15 @@
         done.is_some_and(|done| all.iter().any(|a| a.at > done))
     });
     format!(
-        "prove-system: {} messages, {} accepted, {} turned away, {} unanswered; ms p50/p99 to the 202 {}, to the run {}; \
+        "{} messages, {} accepted, {} turned away, {} unanswered; ms p50/p99 to the 202 {}, to the run {}; \
          {} run again after a success; {} call-backs; timers {} ms late, disk {} ms; {} s",
         history.sent.len(),
         accepted.len(),
-        history.sent.iter().filter(|s| matches!(s.answered, Answered::Status(status) if status != 202)).count(),
+        history
+            .sent
+            .iter()
+            .filter(|s| matches!(s.answered, Answered::Status(status) if status != 202))
+            .count(),
         history.sent.iter().filter(|s| matches!(s.answered, Answered::Cut | Answered::Late)).count(),
         part(accepted.iter().map(|s| s.answered_at - s.at).collect()),
         part(starts.collect()),
--- a/drydock/src/show.rs
+++ b/drydock/src/show.rs
@@ -1,7 +1,7 @@
 //! A fleet to look at: it runs until Ctrl-C.
 
 use crate::executor::{Executor, Kind, Runs};
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, NINE};
 use crate::operator::{Operator, HOST};
 use crate::sight::Sight;
 use std::path::Path;
@@ -18,7 +18,7 @@
         signal_hook::flag::register(signal, Arc::clone(&stop)).map_err(|e| e.to_string())?;
     }
     let home = crate::home()?;
-    let mut fleet = Fleet::lay_out(program, home.clone(), net)?;
+    let mut fleet = Fleet::lay_out(program, home.clone(), net, NINE)?;
     fleet.start_all()?;
     let sight = Sight::new(&home);
     let mut operator = Operator::new(fleet.controls(), &sight);
--- a/harbour/src/store/report.rs
+++ b/harbour/src/store/report.rs
@@ -223,6 +223,10 @@
         for (event, count) in events {
             sheet.count("harbour_hold_total", "What happened to messages.", &[("event", event)], count);
         }
+        let help = "Own messages that are on too few disks.";
+        sheet.gauge("harbour_messages_thin", help, &[], f.thin);
+        let help = "How long some were on too few disks, the last time that this was so.";
+        sheet.gauge("harbour_thin_seconds", help, &[], f.thin_ms as f64 / 1000.0);
         disk(sheet, self.disk.figures());
         let trouble = u8::from(self.disk_trouble);
         sheet.gauge("harbour_disk_trouble", "1: the disk refused the last write.", &[], trouble);
