--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -61,6 +61,7 @@
     /// Orders to empty a store that it has not confirmed, and since when.
     retirements: HashMap<u64, (String, Millis)>,
     released: Option<Millis>,
+    heard_at: Millis,
 }
 
 impl Core {
@@ -89,7 +90,9 @@
         };
         let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
             .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
-        let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, boot.losses.machines, lot());
+        let losses = boot.losses.machines;
+        let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, losses, lot());
+        let terms = Terms { places: boot.losses.places(), ..terms };
         let bounds = Bounds { body: 8 << 20, ..Bounds::default() };
         let control =
             common.net.listen(at, Some(bounds)).map_err(|e| miette::miette!("control address: {e}"))?;
@@ -110,6 +113,7 @@
             passed: HashMap::new(),
             retirements: HashMap::new(),
             released: None,
+            heard_at: 0,
             common,
         })
     }
@@ -153,6 +157,9 @@
 
     /// Of two control nodes the one with the lower address opens the connection.
     fn connect(&mut self) {
+        if !self.common.stirred() {
+            return;
+        }
         let me = self.common.boot.ip;
         let mut all: Vec<std::net::Ipv4Addr> = self.common.boot.seeds.iter().map(|s| *s.ip()).collect();
         all.extend(self.pilot.watch().iter().flat_map(|w| w.voters.iter().map(|v| *v.ip())));
@@ -161,7 +168,9 @@
         let seed = self.common.boot.seeds.iter().any(|s| *s.ip() == me);
         let wanted: Vec<SocketAddrV4> = all
             .into_iter()
-            .filter(|ip| *ip > me || (!seed && *ip != me && self.common.links.up().all(|h| h.ip != *ip)))
+            .filter(|ip| {
+                *ip > me || (!seed && *ip != me && self.common.links.hellos(Class::Core).all(|h| h.ip != *ip))
+            })
             .map(|ip| self.common.links.address(ip, Class::Core))
             .collect();
         let now = self.common.net.now();
@@ -196,7 +205,7 @@
                     self.places.remove(&place);
                 });
                 self.passed_to_lost(node);
-                self.roster.core_down(now, node);
+                self.roster.core_down(node);
             }
             Word::Down(node, _) => self.roster.session_down(now, node),
             Word::Said(from, class, Signal::Ask { life, version, config, retiring })
@@ -212,7 +221,10 @@
                     self.pilot.signal(now, voter, signal);
                 }
             }
-            Word::Said(_, Class::Core, Signal::Retire { node }) => self.order_retirement(node),
+            Word::Said(_, Class::Core, Signal::Retire { node }) => {
+                self.roster.order(now, node);
+                self.order_retirement(node);
+            }
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
                 self.roster.told_sessions(now, from, members)
             }
@@ -367,7 +379,7 @@
         if self.common.boot.zone == zone {
             return None;
         }
-        let near = self.common.links.up().find(|h| h.class == Class::Core && h.zone == zone)?;
+        let near = self.common.links.hellos(Class::Core).find(|h| h.zone == zone)?;
         near.control.map(|at| at.to_string())
     }
 
@@ -394,6 +406,14 @@
     /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
         let in_touch = self.pilot.in_touch(now);
+        if now >= self.heard_at {
+            self.heard_at = now + HEARD;
+            for core in self.common.links.class(Class::Core) {
+                if let Some(at) = self.common.links.heard(core) {
+                    self.roster.core_heard(core, at);
+                }
+            }
+        }
         let force = self.pilot.in_force().map(|chart| (chart.version, chart.body.as_slice()));
         self.roster.tick(now, in_touch, force);
         for effect in self.roster.take() {
@@ -410,6 +430,8 @@
     }
 }
 
+/// How often it is looked when other control nodes were heard.
+const HEARD: Millis = 200;
 /// An order to empty a store is confirmed by then, or the operator sends it again.
 const RETIRE: Millis = 1500;
 
@@ -489,12 +511,12 @@
             return Some(Retire::Taken);
         }
         // Every message lies on so many stores. With just as many left none can be taken while one is away.
-        let stores = self.roster.members.iter().filter(|m| m.class == Class::Store);
-        let left = stores.filter(|m| m.node != node && m.retiring == Retiring::No).count();
-        if left < self.common.boot.losses.machines + 1 {
+        let now = self.common.net.now();
+        let left = self.roster.stay_without(now, node).map(|m| m.zone.as_str());
+        if !self.common.boot.suffice(left) {
             return Some(Retire::TooFew);
         }
-        let now = self.common.net.now();
+        self.roster.order(now, node);
         self.retirements.insert(place, (call.node, now));
         self.order_retirement(node);
         for core in self.common.links.class(Class::Core) {
