--- a/drydock/src/ordeals.rs
+++ b/drydock/src/ordeals.rs
@@ -117,6 +117,11 @@
         self.operator.first = Some(self.control(other));
         let (_, acked) = self.operator.replace(number, &with(number), &services, Duration::from_secs(8));
         self.take(&format!("the acknowledgement of version {number} ({what})"), acked, ACK);
+        if how == Behind::CutOff {
+            // What it says now, if anything, is the newest all the same.
+            self.round += 1;
+            self.operator.read_at(to, self.round, Duration::from_millis(300));
+        }
         self.sleep(4000 - (self.sight.now().saturating_sub(from) / 1000).min(4000));
         self.put_behind(how, primary, false);
         let to = self.sight.now();
@@ -233,6 +238,9 @@
         self.sleep(4500);
         let said = self.begin_retiring("store-99");
         self.answered("a store that nobody knows is not emptied (404)", said.map(|status| status == 404));
+        // It has something to hand over, and something in hand.
+        self.clients.burst(&Plan { delay_ms: 900, ..Plan::to("/alder/") }, 0, 160);
+        self.sleep(300);
         let said = self.begin_retiring("store-4");
         self.answered("one of three stores is to be emptied", said.map(|status| status == 200));
         let said = self.begin_retiring("store-3");
