Soundings: one-way cuts, cuts of twenty seconds and clocks that drift

The lease and the silence are constants now, with the drift of steady clocks that is allowed for (a tenth), and the build fails where the lease could outlast the silence. The search gains troubles in one direction only (one way, a node that hears nobody, one that nobody hears), spans of 20 s, clocks that run apart by the bound, and no random waits.

Planted: a lease that counts from an ack's arrival, a margin of 20 ms; and clocks two and a half times as far apart as allowed. Each is found by 'no two nodes answer at one time'.

--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -9,6 +9,10 @@
 pub enum Planted {
     /// The lease outlasts the silence after which others are voted for.
     LongLease,
+    /// The lease counts from when an ack came, not from when its pulse was sent.
+    LeaseByArrival,
+    /// The lease is as long as the silence, but for 20 ms: clocks that drift make it outlast that.
+    ThinMargin,
     /// A write is answered when the first copy has it.
     EarlyAnswer,
     /// Another body of the version that is held is taken.
@@ -37,9 +41,11 @@
 
 #[cfg(feature = "planted")]
 impl Planted {
-    pub const ALL: [Planted; 13] = [
+    pub const ALL: [Planted; 15] = [
         Planted::OwnVoteEnough,
         Planted::LongLease,
+        Planted::LeaseByArrival,
+        Planted::ThinMargin,
         Planted::EarlyAnswer,
         Planted::EqualTaken,
         Planted::ForceBlind,
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -148,7 +148,10 @@
     /// The lease holds: more than half of the voters, this one among them, acked a pulse sent since then.
     pub fn leads(&self, now: Millis) -> bool {
         let (Duty::Lead(lead), Some(watch)) = (&self.duty, &self.watch) else { return false };
-        let long = if self.planted(Planted::LongLease) { 3 * self.terms.silence_ms } else { 0 };
+        let mut long = if self.planted(Planted::LongLease) { 3 * self.terms.silence_ms } else { 0 };
+        if self.planted(Planted::ThinMargin) {
+            long = self.terms.silence_ms - self.terms.lease_ms - 20;
+        }
         let fresh = |at: &Millis| now <= at + self.terms.lease_ms + long;
         let acked = lead.acks.iter().filter(|(_, at)| fresh(at)).map(|(v, _)| v);
         majority(&watch.voters, acked.chain(std::iter::once(&self.terms.me))) && !self.released
@@ -231,6 +234,7 @@
         (votes, holds): (bool, bool),
     ) {
         let mine = self.epoch();
+        let by_arrival = self.planted(Planted::LeaseByArrival);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if epoch != mine || sent_at > now {
             return;
@@ -242,7 +246,7 @@
         }
         if votes {
             let at = lead.acks.entry(from).or_default();
-            *at = (*at).max(sent_at);
+            *at = (*at).max(if by_arrival { now } else { sent_at });
         }
         self.lead(now);
     }
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -4,6 +4,21 @@
 
 /// Milliseconds on the steady clock.
 pub type Millis = u64;
+/// Within this span no clock gains or loses more than this against true time, in thousandths. Steady clocks that are kept in
+/// step are slewed by half a thousandth; the rest is for virtual machines whose clock is stretched.
+pub const MAX_CLOCK_DRIFT: u64 = 100;
+/// A primary acts no longer than this after it sent the pulse that a majority acked, by its clock.
+pub const LEASE: Millis = 700;
+/// A voter grants nothing to others for so long after it acked a pulse, by its own clock.
+pub const SILENCE: Millis = 900;
+
+/// The lease has run out, by the slowest clock, before the silence has, by the fastest: one millisecond is for the rounding of
+/// each of the two clocks.
+pub const fn lease_ends_first(lease: Millis, silence: Millis, drift: u64) -> bool {
+    (lease + 1) * (1_000 + drift) < (silence - 1) * (1_000 - drift)
+}
+const _: () = assert!(lease_ends_first(LEASE, SILENCE, MAX_CLOCK_DRIFT));
+
 /// A control node, by its control address.
 pub type Voter = std::net::SocketAddrV4;
 
@@ -207,8 +222,8 @@
             losses,
             places: false,
             pulse_ms: 200,
-            lease_ms: 700,
-            silence_ms: 900,
+            lease_ms: LEASE,
+            silence_ms: SILENCE,
             seed,
             #[cfg(feature = "planted")]
             planted: None,
--- a/soundings/src/lib.rs
+++ b/soundings/src/lib.rs
@@ -12,8 +12,8 @@
 mod turns;
 
 pub use lookout::{Breach, Lookout, Property};
-pub use proof::{FAULTS, PLAN, THREE};
-pub use sea::{Bounds, Chance, Grain, Sea, Spans, SCRIPTS};
+pub use proof::{FAULTS, PLAN, THREE, TOO_FAR};
+pub use sea::{Bounds, Chance, Drift, Grain, Sea, Spans, SCRIPTS};
 pub use search::{find, retrace, sound, Course, Found, Soundings};
 pub use stileroute_pilotage_planted::Planted;
 pub use turns::Turn;
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -114,7 +114,7 @@
     pub(crate) fn look_at(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         let Some(pilot) = &node.pilot else { return };
-        let now = self.now + node.clock;
+        let now = node.local(self.now);
         if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
             let before = node.seen.force.replace(chart.clone());
             let chart = chart.clone();
@@ -140,7 +140,7 @@
     pub(crate) fn look_around(&mut self) {
         let answers = |(i, node): (usize, &crate::sea::Node)| {
             let pilot = node.pilot.as_ref().filter(|_| !node.frozen)?;
-            pilot.answers(self.now + node.clock).then_some(i)
+            pilot.answers(node.local(self.now)).then_some(i)
         };
         let mut acting = self.nodes.iter().enumerate().filter_map(answers);
         let (acts, other) = (acting.next(), acting.next());
@@ -160,8 +160,9 @@
 
     fn read(&mut self, i: usize) {
         let node = &mut self.nodes[i];
+        let now = node.local(self.now);
         let Some(pilot) = &mut node.pilot else { return };
-        pilot.read(self.now + node.clock, 0);
+        pilot.read(now, 0);
         let Some(Effect::Chart { chart, .. }) = pilot.take().pop() else { return };
         let (chart, highest) = (chart.unwrap_or_default(), self.lookout.highest);
         if chart.version < highest {
--- a/soundings/src/main.rs
+++ b/soundings/src/main.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
 use stileroute_soundings::{
-    find, retrace, sound, Bounds, Chance, Found, Grain, Planted, Soundings, Spans, FAULTS, PLAN,
+    find, retrace, sound, Bounds, Chance, Drift, Found, Grain, Planted, Soundings, Spans, FAULTS, PLAN,
+    TOO_FAR,
 };
 
 /// Searches all orders of events of the control group within bounds.
@@ -49,12 +50,21 @@
     fine: bool,
     #[options(no_short, help = "one span of each trouble, not all")]
     one_span: bool,
+    #[options(no_short, help = "troubles last 20 s")]
+    long: bool,
     #[options(
-        help = "random waits: rising (as without it), falling or alike",
+        help = "random waits: rising (as without it), falling, alike or soonest",
         meta = "WORD",
         parse(try_from_str = "chance")
     )]
     chance: Option<Chance>,
+    #[options(
+        no_short,
+        help = "clocks: alike (as without it), first-slow, first-fast or too-far",
+        meta = "WORD",
+        parse(try_from_str = "drift")
+    )]
+    drift: Option<Drift>,
     #[options(help = "operators' calls: 0, 1 or 2", default = "0", meta = "N")]
     script: usize,
     #[options(help = "a fault to find, by its name", meta = "NAME", parse(try_from_str = "planted"))]
@@ -66,7 +76,17 @@
         "rising" => Ok(Chance::Rising),
         "falling" => Ok(Chance::Falling),
         "alike" => Ok(Chance::Alike),
-        _ => Err("rising, falling or alike".to_string()),
+        "soonest" => Ok(Chance::Soonest),
+        _ => Err("rising, falling, alike or soonest".to_string()),
+    }
+}
+fn drift(word: &str) -> Result<Drift, String> {
+    match word {
+        "alike" => Ok(Drift::None),
+        "first-slow" => Ok(Drift::FirstSlow),
+        "first-fast" => Ok(Drift::FirstFast),
+        "too-far" => Ok(Drift::TooFar),
+        _ => Err("alike, first-slow, first-fast or too-far".to_string()),
     }
 }
 fn planted(word: &str) -> Result<Planted, String> {
@@ -75,10 +95,10 @@
 }
 
 fn line(bounds: &Bounds, sum: &Soundings, since: Instant) -> String {
-    let Bounds { nodes, troubles, delays, grain, spans, chance, script, .. } = bounds;
+    let Bounds { nodes, troubles, delays, grain, spans, chance, drift, script, .. } = bounds;
     let Soundings { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
     format!(
-        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} spans={spans:?} chance={chance:?} script={script} \
+        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} spans={spans:?} chance={chance:?} drift={drift:?} script={script} \
          states={states} distinct={distinct} pruned={pruned} transitions={transitions} ways={ways} deepest={deepest} \
          waited_ms={waited} parts={}/{} seconds={:.1}",
         whole.0,
@@ -101,8 +121,13 @@
         troubles: words.troubles,
         delays: words.delays,
         grain: if words.fine { Grain::Fine } else { Grain::Coarse },
-        spans: if words.one_span { Spans::One } else { Spans::All },
+        spans: match (words.one_span, words.long) {
+            (_, true) => Spans::Long,
+            (true, false) => Spans::One,
+            (false, false) => Spans::All,
+        },
         chance: words.chance.unwrap_or(Chance::Rising),
+        drift: words.drift.unwrap_or(Drift::None),
         script: words.script,
         planted: words.planted,
     };
@@ -146,6 +171,13 @@
             show(found);
         }
     }
+    let (property, bounds) = TOO_FAR;
+    let sum = find(bounds, threads, stop);
+    if sum.found.as_ref().is_none_or(|found| found.breach.property != property) {
+        println!("NOT PROVED: clocks that drift too far were not found by: {}", property.sentence());
+        return false;
+    }
+    println!("found clocks that drift too far by {property:?} after states={}", sum.states);
     println!(
         "PROVED: states={} distinct={} transitions={} ways={} waited_ms={} faults_found={} seconds={:.1}",
         all.states,
--- a/soundings/src/proof.rs
+++ b/soundings/src/proof.rs
@@ -1,7 +1,7 @@
 //! What `make prove-soundings` goes through, in about a minute on eight cores.
 
 use crate::lookout::Property;
-use crate::sea::{Bounds, Chance, Grain, Spans};
+use crate::sea::{Bounds, Chance, Drift, Grain, Spans};
 use stileroute_pilotage_planted::Planted;
 
 /// Three nodes that bear one loss, everything as small as it comes.
@@ -13,12 +13,18 @@
     grain: Grain::Coarse,
     spans: Spans::All,
     chance: Chance::Rising,
+    drift: Drift::None,
     script: 0,
     planted: None,
 };
 const FIVE: Bounds = Bounds { nodes: 5, losses: 2, ..THREE };
 
-pub const PLAN: [Bounds; 10] = [
+/// The primary's clock is slow and the others' are fast, and nobody waits at random before it stands.
+const DRIFTING: Bounds = Bounds { drift: Drift::FirstSlow, chance: Chance::Soonest, ..THREE };
+/// With clocks that drift further than is allowed for, this must be broken.
+pub const TOO_FAR: (Property, Bounds) = (Property::OneActs, Bounds { drift: Drift::TooFar, ..DRIFTING });
+
+pub const PLAN: [Bounds; 15] = [
     Bounds { grain: Grain::Fine, ..THREE },
     Bounds { grain: Grain::Fine, chance: Chance::Alike, script: 1, ..THREE },
     Bounds { delays: 1, chance: Chance::Falling, ..THREE },
@@ -29,11 +35,18 @@
     Bounds { chance: Chance::Alike, script: 1, ..FIVE },
     Bounds { chance: Chance::Falling, script: 2, ..FIVE },
     Bounds { grain: Grain::Fine, ..FIVE },
+    Bounds { spans: Spans::Long, ..THREE },
+    Bounds { spans: Spans::Long, script: 1, ..FIVE },
+    DRIFTING,
+    Bounds { drift: Drift::FirstFast, delays: 1, script: 1, ..THREE },
+    Bounds { troubles: 2, spans: Spans::One, ..DRIFTING },
 ];
 
 /// Each fault, the property that tells of it first, and the bounds within which it does.
-pub const FAULTS: [(Planted, Property, Bounds); 13] = [
+pub const FAULTS: [(Planted, Property, Bounds); 15] = [
     (Planted::LongLease, Property::OneActs, THREE),
+    (Planted::LeaseByArrival, Property::OneActs, THREE),
+    (Planted::ThinMargin, Property::OneActs, DRIFTING),
     (Planted::EarlyAnswer, Property::NothingOld, THREE),
     (Planted::DrawnUnheeded, Property::NothingOld, Bounds { troubles: 2, spans: Spans::One, ..THREE }),
     (Planted::EqualTaken, Property::OneBody, THREE),
--- a/soundings/src/sea.rs
+++ b/soundings/src/sea.rs
@@ -5,12 +5,13 @@
 use std::hash::{Hash, Hasher};
 use stileroute_pilotage_planted::{
     Chart, Effect, Kept, Millis, Pilotage, Planted, Record, Signal, Sounder, Terms, Verdict, Voter,
+    MAX_CLOCK_DRIFT,
 };
 
 /// A message takes so long, a disk, and until it is noticed that a connection broke, or is there.
 const HOP: Millis = 4;
 const SYNC: Millis = 3;
-const ROUND: Millis = 50;
+pub(crate) const ROUND: Millis = 50;
 pub(crate) const NOTICED: Millis = 2;
 /// An attempt of a call waits so long for its answer.
 const PATIENCE: Millis = 500;
@@ -39,6 +40,52 @@
     All,
     /// Only the one after which others have stood.
     One,
+    /// Twenty seconds.
+    Long,
+}
+
+/// How fast the clocks of the nodes run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Drift {
+    /// All alike.
+    None,
+    /// That of the first primary is slow, the others are fast, by as much as is allowed for.
+    FirstSlow,
+    /// The other way round.
+    FirstFast,
+    /// As `FirstSlow`, and two and a half times as far as is allowed for: the lease outlasts the silence.
+    TooFar,
+}
+
+impl Drift {
+    /// By how much the clock of node `i` gains on true time, in thousandths.
+    fn rate(self, i: usize) -> i64 {
+        let (slow, bound) = (i == 0, MAX_CLOCK_DRIFT as i64);
+        match self {
+            Drift::None => 0,
+            Drift::FirstSlow => {
+                if slow {
+                    -bound
+                } else {
+                    bound
+                }
+            }
+            Drift::FirstFast => {
+                if slow {
+                    bound
+                } else {
+                    -bound
+                }
+            }
+            Drift::TooFar => {
+                if slow {
+                    -bound * 5 / 2
+                } else {
+                    bound * 5 / 2
+                }
+            }
+        }
+    }
 }
 
 /// How long the nodes wait at random: always the same share of what they may, so that states can be told to be the same.
@@ -48,6 +95,8 @@
     Falling,
     /// Two that stand do so at one time, until the calm, where chance is chance again.
     Alike,
+    /// Nobody waits at all, until the calm.
+    Soonest,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -61,6 +110,7 @@
     pub grain: Grain,
     pub spans: Spans,
     pub chance: Chance,
+    pub drift: Drift,
     /// Which calls the operators make: an index into [`SCRIPTS`].
     pub script: usize,
     pub planted: Option<Planted>,
@@ -82,8 +132,9 @@
 pub(crate) struct Node {
     pub pilot: Option<Pilotage>,
     pub life: u64,
-    /// What its clock shows at the start of all.
+    /// What its clock shows at the start of all, and what it gains from then on, in thousandths.
     pub clock: Millis,
+    pub rate: i64,
     pub disk: Kept,
     pub writing: VecDeque<(Millis, u64, Record)>,
     pub wiped: bool,
@@ -93,6 +144,20 @@
     pub seen: Seen,
 }
 
+impl Node {
+    /// What its clock shows.
+    pub fn local(&self, now: Millis) -> Millis {
+        self.clock + now * self.speed() / 1_000
+    }
+    /// When its clock shows that.
+    fn when(&self, local: Millis) -> Millis {
+        (local.saturating_sub(self.clock) * 1_000).div_ceil(self.speed())
+    }
+    fn speed(&self) -> u64 {
+        (1_000 + self.rate) as u64
+    }
+}
+
 /// What is to come at a certain time.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) enum Due {
@@ -100,6 +165,8 @@
     End(usize),
     Start(usize),
     Heal(usize, usize),
+    /// What the first sends reaches the second again.
+    Hears(usize, usize),
     Link {
         at: usize,
         peer: usize,
@@ -153,6 +220,8 @@
     pub(crate) wires: Vec<VecDeque<(Millis, Signal)>>,
     pub(crate) joined: Vec<bool>,
     pub(crate) cuts: Vec<u8>,
+    /// Nothing arrives this way before then; what is sent meanwhile waits.
+    pub(crate) held: Vec<Millis>,
     pub(crate) agenda: Vec<(Millis, Due)>,
     pub(crate) calls: Vec<Call>,
     stage: usize,
@@ -188,14 +257,21 @@
             Chance::Rising => i,
             Chance::Falling => n - 1 - i,
             Chance::Alike => n / 2,
+            Chance::Soonest => 0,
+        };
+        let new = |i: usize| Node {
+            clock: 100_000 + 7_777 * i as Millis,
+            rate: bounds.drift.rate(i),
+            ..Node::default()
         };
         let mut sea = Sea {
             bounds,
             now: 0,
-            nodes: (0..n).map(|i| Node { clock: 100_000 + 7_777 * i as Millis, ..Node::default() }).collect(),
+            nodes: (0..n).map(new).collect(),
             wires: vec![VecDeque::new(); n * n],
             joined: vec![false; n * n],
             cuts: vec![0; n * n],
+            held: vec![0; n * n],
             agenda: vec![(20, Due::Stage)],
             calls: Vec::new(),
             stage: 0,
@@ -245,7 +321,7 @@
         let seeds = (0..bounds.nodes).map(voter).collect();
         let mut terms = Terms::new(voter(i), seeds, node.life == 0, bounds.losses, seed);
         terms.planted = bounds.planted;
-        node.pilot = Some(Pilotage::new(terms, node.disk.clone(), self.now + node.clock));
+        node.pilot = Some(Pilotage::new(terms, node.disk.clone(), node.local(self.now)));
         node.life += 1;
         node.seen.blank = node.life > 1 && node.disk.watch.is_none();
         self.note(|| format!("node {i} starts"));
@@ -255,9 +331,10 @@
     pub(crate) fn join(&mut self, a: usize, b: usize) {
         let way = self.way(a, b);
         let able = |i: usize| self.nodes[i].pilot.is_some();
-        if a != b && able(a) && able(b) && self.cuts[way] == 0 && !self.joined[way] {
+        let (to, fro) = (self.wire(a, b), self.wire(b, a));
+        let heard = self.held[to].max(self.held[fro]) <= self.now;
+        if a != b && able(a) && able(b) && heard && self.cuts[way] == 0 && !self.joined[way] {
             self.joined[way] = true;
-            let (to, fro) = (self.wire(a, b), self.wire(b, a));
             self.wires[to].clear();
             self.wires[fro].clear();
             self.linked(a, b, true, NOTICED);
@@ -440,7 +517,7 @@
     pub(crate) fn with(&mut self, i: usize, what: impl FnOnce(&mut Pilotage, Millis)) {
         let calm = self.calm.is_some();
         let node = &mut self.nodes[i];
-        let now = self.now + node.clock;
+        let now = node.local(self.now);
         let Some(pilot) = &mut node.pilot else { return };
         if !calm {
             pilot.set_luck(self.luck[i]);
@@ -453,7 +530,8 @@
             node.outbox.extend(effects);
             weighty
         };
-        node.due = pilot.next(now) - node.clock;
+        let next = pilot.next(now);
+        node.due = node.when(next);
         self.touched = Some((i, weighty));
         self.look_at(i);
     }
@@ -547,7 +625,8 @@
                 self.look_at_signal(i, &signal);
                 if self.joined[self.way(i, to)] {
                     let wire = self.wire(i, to);
-                    let due = (self.now + HOP).max(self.wires[wire].back().map_or(0, |(due, _)| *due));
+                    let last = self.wires[wire].back().map_or(0, |(due, _)| *due);
+                    let due = (self.now + HOP).max(last).max(self.held[wire]);
                     self.wires[wire].push_back((due, signal));
                 }
             }
@@ -593,6 +672,10 @@
                 self.cuts[way] -= 1;
                 self.join(a, b);
             }
+            Due::Hears(from, to) => {
+                self.note(|| format!("{to} hears {from} again"));
+                self.join(from, to);
+            }
             Due::Link { at, peer, up } => {
                 if self.joined[self.way(at, peer)] == up {
                     self.with(at, |pilot, now| {
@@ -614,7 +697,9 @@
 
     /// Trouble goes on somewhere.
     pub(crate) fn troubled(&self) -> bool {
-        let trouble = |due: &Due| matches!(due, Due::Thaw(_) | Due::End(_) | Due::Start(_) | Due::Heal(..));
+        let trouble = |due: &Due| {
+            matches!(due, Due::Thaw(_) | Due::End(_) | Due::Start(_) | Due::Heal(..) | Due::Hears(..))
+        };
         self.nodes.iter().any(|n| n.pilot.is_none() || n.frozen)
             || self.agenda.iter().any(|(_, due)| trouble(due))
     }
@@ -682,6 +767,8 @@
         let serials: Vec<(Voter, u64)> = self.nodes.iter().enumerate().map(serial).collect();
         for (i, node) in self.nodes.iter().enumerate() {
             (node.frozen, &node.disk, node.wiped, node.pilot.is_some()).hash(&mut hasher);
+            // Clocks tick in whole milliseconds: where between two of them.
+            (now * node.speed() % 1_000).hash(&mut hasher);
             (node.seen.lost, node.seen.blank, node.outbox.len(), node.writing.len()).hash(&mut hasher);
             let epoch = node.pilot.as_ref().and_then(|p| p.watch()).map_or(0, |w| w.epoch);
             // An older one is granted no more.
@@ -692,7 +779,7 @@
             for (due, _, record) in &node.writing {
                 (away(*due).max(0), record).hash(&mut hasher);
             }
-            let mut to = Sounder { hasher: &mut hasher, now: now + node.clock, serials: &serials };
+            let mut to = Sounder { hasher: &mut hasher, now: node.local(now), serials: &serials };
             node.outbox.iter().for_each(|effect| to.effect(voter(i), effect));
             // Not which life of it this is: all lives are alike.
             if let Some(pilot) = &node.pilot {
@@ -702,13 +789,12 @@
         }
         for (at, wire) in self.wires.iter().enumerate() {
             let (from, to) = (at / self.nodes.len(), at % self.nodes.len());
-            wire.len().hash(&mut hasher);
+            (wire.len(), self.held[at].saturating_sub(now)).hash(&mut hasher);
             for (due, signal) in wire {
                 away(*due).max(0).hash(&mut hasher);
                 // An ack tells the time of the clock that it goes to.
-                let clock =
-                    self.nodes[if matches!(signal, Signal::PulseAck { .. }) { to } else { from }].clock;
-                let mut sounder = Sounder { hasher: &mut hasher, now: now + clock, serials: &serials };
+                let clock = &self.nodes[if matches!(signal, Signal::PulseAck { .. }) { to } else { from }];
+                let mut sounder = Sounder { hasher: &mut hasher, now: clock.local(now), serials: &serials };
                 sounder.signal(voter(from), voter(to), signal);
             }
         }
--- a/soundings/src/turns.rs
+++ b/soundings/src/turns.rs
@@ -1,6 +1,6 @@
 //! Where something could go another way than it does by itself.
 
-use crate::sea::{Due, Grain, Sea, Spans, Step};
+use crate::sea::{Due, Grain, Sea, Spans, Step, ROUND};
 use stileroute_pilotage_planted::{Millis, Record, Signal};
 
 /// What takes another turn, at the state before a step.
@@ -34,6 +34,22 @@
         node: usize,
         span: Millis,
     },
+    /// What the one sends reaches the other only later; the other way all is well.
+    OneWay {
+        from: usize,
+        to: usize,
+        span: Millis,
+    },
+    /// It hears nobody, and is heard.
+    Deaf {
+        node: usize,
+        span: Millis,
+    },
+    /// It hears all, and nobody hears it.
+    Mute {
+        node: usize,
+        span: Millis,
+    },
     /// SIGTERM.
     Release {
         node: usize,
@@ -62,6 +78,8 @@
 const BACK: [Millis; 3] = [20, 1_100, 2_200];
 const FROZEN: [Millis; 3] = [300, 1_000, 2_200];
 const APART: [Millis; 2] = [500, 1_600];
+/// A cut, a freeze or an absence that outlasts whatever the group waits for.
+const LONG: [Millis; 1] = [20_000];
 /// After whatever else is due now; longer than the lease.
 const LATE: [Millis; 3] = [1, 150, 950];
 const DISK_LATE: [Millis; 2] = [60, 1_150];
@@ -83,6 +101,9 @@
             Turn::Lost { from, to } => (8, from.min(to), from.max(to), 0),
             Turn::DiskLate { node, by } => (9, node, 0, by),
             Turn::DiskRefuses { node } => (10, node, 0, 0),
+            Turn::OneWay { from, to, span } => (11, from, to, span),
+            Turn::Deaf { node, span } => (12, node, 0, span),
+            Turn::Mute { node, span } => (13, node, 0, span),
         }
     }
     /// It counts as trouble, and else as a delay.
@@ -118,6 +139,7 @@
         let of = |spans: &'static [Millis], one: usize| match self.bounds.spans {
             Spans::All => spans,
             Spans::One => &spans[one..=one],
+            Spans::Long => &LONG,
         };
         for back in of(&BACK, 1).iter().copied() {
             for reached in 0..=at.writing.len() {
@@ -138,7 +160,12 @@
             turns.push(Turn::CutOff { node, span });
             // Of three a node that meets one of the others meets the rest: with five that is not gone through.
             let others = (0..self.bounds.nodes).filter(|b| *b != node && self.joined[self.way(node, *b)]);
-            turns.extend(others.map(|b| Turn::Cut { a: node, b, span }));
+            for b in others {
+                turns.push(Turn::Cut { a: node, b, span });
+                turns.push(Turn::OneWay { from: node, to: b, span });
+            }
+            turns.push(Turn::Deaf { node, span });
+            turns.push(Turn::Mute { node, span });
         }
         turns.push(Turn::Release { node });
     }
@@ -188,6 +215,13 @@
             Turn::CutOff { node, span } => {
                 (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.cut(node, b, span));
             }
+            Turn::OneWay { from, to, span } => self.hold(from, to, span),
+            Turn::Deaf { node, span } => {
+                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.hold(b, node, span));
+            }
+            Turn::Mute { node, span } => {
+                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.hold(node, b, span));
+            }
             Turn::Release { node } => self.with(node, |pilot, now| pilot.release(now)),
             Turn::Late { from, to, by } => {
                 let (until, wire) = (self.next().map_or(self.now, |(at, _)| at) + by, self.wire(from, to));
@@ -217,4 +251,12 @@
         self.part(a, b, CUT_NOTICED, None);
         self.at_least(span, Due::Heal(a, b));
     }
+
+    /// What is on its way, and what is sent from here on, arrives when the span is over, in its order: no connection breaks.
+    fn hold(&mut self, from: usize, to: usize, span: Millis) {
+        let (until, wire) = ((self.now + span).next_multiple_of(ROUND), self.wire(from, to));
+        self.held[wire] = self.held[wire].max(until);
+        self.wires[wire].iter_mut().for_each(|(due, _)| *due = (*due).max(until));
+        self.at_least(span, Due::Hears(from, to));
+    }
 }
--- a/soundings/tests/soundings.rs
+++ b/soundings/tests/soundings.rs
@@ -1,7 +1,7 @@
 //! The search finds what it has to, counts the same on any number of threads, and goes a found way again.
 
 use std::sync::atomic::AtomicBool;
-use stileroute_soundings::{find, retrace, sound, Bounds, Chance, Property, FAULTS, PLAN, THREE};
+use stileroute_soundings::{find, retrace, sound, Bounds, Chance, Property, FAULTS, PLAN, THREE, TOO_FAR};
 
 #[test]
 fn each_planted_fault_is_found_by_its_property() {
@@ -37,3 +37,11 @@
     };
     assert_eq!(counts(&one), counts(&three));
 }
+
+/// The bound on the drift of clocks matters: twice and a half of it breaks the lease, and the search sees that.
+#[test]
+fn clocks_that_drift_further_than_allowed_break_the_lease() {
+    let (property, bounds) = TOO_FAR;
+    let found = find(bounds, 8, &AtomicBool::new(false)).found.expect("found nothing");
+    assert_eq!(found.breach.property, property, "{}", found.breach.evidence);
+}
