Control group: a voter that is replaced is out of the group at once

Cause: a new control node became a fourth voter, and the one it replaced was left out only after 3 s of silence. A second loss in between left two of four, and nobody led.

Change: a voter counts as gone after 1 s without an ack, 0.4 s where its connection broke too, or at once where it is told to end in a group of an even number (signal Leave, or the handover of a primary that ends); it waits up to 0.5 s to be taken out. The new one and the one that is gone are changed one right after the other; nobody joins while it is open whether another is gone. Nodes that are no voters are forgotten when their connection breaks: after 64 of them none could have joined.

--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -26,7 +26,10 @@
 use planted::Planted;
 use primary::Duty;
 use std::collections::{BTreeMap, BTreeSet};
-use voter::Learning;
+use voter::{Learning, Leaving};
+
+/// Control nodes that are heard at one time and are no voters: far more than ever join together.
+const LEARNERS: usize = 64;
 
 /// What is done when the disk has a record.
 #[derive(Clone, Debug, Hash)]
@@ -85,6 +88,10 @@
     serial: u64,
     luck: u64,
     released: bool,
+    /// Its process ends, and it waits to be taken out of the voters.
+    leaving: Option<Leaving>,
+    /// The primary that ended and named this node: it leaves, unless it is back.
+    left: Option<Voter>,
     effects: Vec<Effect>,
 }
 
@@ -118,6 +125,8 @@
             serial: terms.seed | 1,
             luck: terms.seed,
             released: false,
+            leaving: None,
+            left: None,
             effects: Vec::new(),
             terms,
         };
@@ -209,6 +218,11 @@
     /// A connection to another control node is open, or broke.
     pub fn link(&mut self, now: Millis, voter: Voter, up: bool) {
         self.links.insert(voter, up);
+        if up {
+            self.is_back(voter);
+        } else {
+            self.learners.remove(&voter);
+        }
         if up && self.blank {
             self.learning.ask_at = now;
         }
@@ -220,7 +234,8 @@
 
     /// A control node that is no voter has a session: it hears the pulses, and may become one.
     pub fn learn(&mut self, voter: Voter) {
-        if voter != self.terms.me && self.learners.len() < 64 {
+        if voter != self.terms.me && self.links.get(&voter) != Some(&false) && self.learners.len() < LEARNERS
+        {
             self.learners.insert(voter);
         }
     }
@@ -278,7 +293,8 @@
             Signal::PulseAck { epoch, sent_at, votes, holds } => {
                 self.acked(now, from, epoch, sent_at, (votes, holds))
             }
-            Signal::Handover { epoch } => self.handed(now, from, epoch),
+            Signal::Handover { epoch, ends } => self.handed(now, from, epoch, ends),
+            Signal::Leave { epoch } => self.leaves(now, from, epoch),
             Signal::WhatWatch => self.tell_watch(from),
             Signal::ThisWatch { watch } => self.told_watch(now, from, watch),
             Signal::AskChart => {
@@ -296,6 +312,7 @@
             self.ask_around(now);
             return;
         }
+        self.take_leave(now);
         match self.duty {
             Duty::Lead(_) => self.lead(now),
             Duty::Stand(_) | Duty::Follow => self.stand(now),
@@ -308,6 +325,7 @@
         }
         match &self.duty {
             Duty::Lead(lead) => lead.next(now, &self.terms),
+            _ if self.leaving.is_some() => self.leaving.as_ref().map_or(now + 1, |l| l.next(now)),
             // It stands no more: nothing is due but what comes in.
             _ if self.released => now + self.terms.silence_ms,
             Duty::Stand(_) | Duty::Follow => self.stand_at.max(now + 1),
--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -74,7 +74,8 @@
 #[cfg(feature = "planted")]
 mod sounded {
     use super::Planted;
-    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, FORGET, TURN};
+    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, LOST, TURN};
+    use crate::voter::Leaving;
     use crate::{After, Effect, Millis, Pilotage, Signal, Terms, Voter};
     use std::hash::{Hash, Hasher};
 
@@ -100,11 +101,11 @@
             match signal {
                 Signal::Pulse { epoch, sent_at, version, digest } => {
                     (1, epoch, version, digest).hash(self.hasher);
-                    self.time(*sent_at, FORGET);
+                    self.time(*sent_at, LOST);
                 }
                 Signal::PulseAck { epoch, sent_at, votes, holds } => {
                     (2, epoch, votes, holds).hash(self.hasher);
-                    self.time(*sent_at, FORGET);
+                    self.time(*sent_at, LOST);
                 }
                 Signal::Store { epoch, serial, chart } => {
                     (3, epoch, chart).hash(self.hasher);
@@ -153,17 +154,18 @@
             self.time(*sent, ANSWER);
         }
         fn lead(&mut self, me: Voter, lead: &Lead, voters: &[Voter]) {
-            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by } = lead;
-            (2, hollow, settled).hash(self.hasher);
+            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by, leaving } =
+                lead;
+            (2, hollow, settled, leaving).hash(self.hasher);
             self.time(*pulse_at, 0);
             self.time(leave_by.unwrap_or(0), 0);
             // Only for those that never acked does it count how long that is.
             if voters.iter().any(|v| *v != me && !acks.contains_key(v)) {
-                self.time(*since, FORGET);
+                self.time(*since, LOST);
             }
             for (voter, at) in acks {
                 voter.hash(self.hasher);
-                self.time(*at, FORGET);
+                self.time(*at, LOST);
             }
             (acks.len(), queue.len(), leave_by.is_some()).hash(self.hasher);
             (job.is_some(), change.is_some()).hash(self.hasher);
@@ -211,8 +213,15 @@
                 serial: _,
                 luck: _,
                 released,
+                leaving,
+                left,
                 effects,
             } = self;
+            (left, leaving.is_some()).hash(to.hasher);
+            for Leaving { by, ask_at } in leaving {
+                to.time(*by, 0);
+                to.time(*ask_at, 0);
+            }
             // Of an older epoch it is of no use any more.
             let pulsing = pulsing.filter(|(epoch, _)| *epoch >= self.epoch());
             (watch, safe, pulsing, chart, force, blank, hollow).hash(to.hasher);
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -9,13 +9,12 @@
 pub(crate) const ANSWER: Millis = 2500;
 /// Most writes that wait.
 const QUEUE: usize = 32;
-/// A copy that has not acked, or not stored, for so long is replaced where another is there.
-const LOST: Millis = 1000;
+/// A copy that has not acked, or not stored, for so long is replaced where another is there; so is a voter.
+pub(crate) const LOST: Millis = 1000;
 /// One that has not acked at all since the duty began, so long: mostly the primary of before.
 const ABSENT: Millis = 400;
-/// A voter that is silent for so long is left out, if the others are more with it than they need.
-/// Soon: until then one that was replaced for good votes by its silence, and with four voters the next loss leaves no majority.
-pub(crate) const FORGET: Millis = 3000;
+/// A node that is told to end waits at most so long for its duty or its vote to be taken from it.
+const LEAVE: Millis = 500;
 
 #[derive(Clone, Debug)]
 pub(crate) enum Duty {
@@ -95,6 +94,8 @@
     /// All copies of this epoch hold the own chart.
     pub settled: bool,
     pub leave_by: Option<Millis>,
+    /// Their processes end.
+    pub leaving: BTreeSet<Voter>,
 }
 
 impl Lead {
@@ -108,7 +109,7 @@
     fn silent(&self, now: Millis, voter: &Voter, most: Millis) -> bool {
         match self.acks.get(voter) {
             Some(at) => now > at + most,
-            None => now > self.since + if most > LOST { most } else { ABSENT },
+            None => now > self.since + most.min(ABSENT),
         }
     }
     fn here(&self, now: Millis, voter: &Voter) -> bool {
@@ -125,7 +126,8 @@
 
 impl Pilotage {
     pub(crate) fn begin_duty(&mut self, now: Millis) {
-        let lead = Lead { pulse_at: now, since: now, ..Lead::default() };
+        let leaving = self.left.take().into_iter().collect();
+        let lead = Lead { pulse_at: now, since: now, leaving, ..Lead::default() };
         self.duty = Duty::Lead(Box::new(lead));
         self.lend(self.terms.me);
         self.effects.push(Effect::Turn { epoch: self.epoch(), what: "leads" });
@@ -196,9 +198,13 @@
     /// The process is to end: the duty goes to a copy that is here.
     pub fn release(&mut self, now: Millis) {
         match &mut self.duty {
-            Duty::Lead(lead) => lead.leave_by = Some(now + 500),
+            Duty::Lead(lead) => lead.leave_by = Some(now + LEAVE),
+            _ if self.leaving.is_some() => return,
             _ => {
                 self.step_down(now);
+                if self.leave(now, now + LEAVE) {
+                    return;
+                }
                 self.released = true;
                 return self.effects.push(Effect::Released);
             }
@@ -217,7 +223,7 @@
         }
         self.step_down(now);
         if let Some(next) = next {
-            self.send(next, Signal::Handover { epoch: watch.epoch });
+            self.send(next, Signal::Handover { epoch: watch.epoch, ends });
         }
         if ends {
             self.released = true;
@@ -285,12 +291,12 @@
         // What was sent may be lost: it is sent again while it is wanted.
         let again = self.terms.pulse_ms;
         if let Some(change) = lead.change.as_ref().filter(|_| now >= lead.asked + again) {
-            let wanted = change.watch.clone();
+            let (wanted, before) = (change.watch.clone(), change.before.voters.clone());
             lead.asked = now;
             if !change.grants.contains(&self.terms.me) {
                 self.keep_watch(wanted.clone(), After::OwnGrant { watch: wanted.clone() });
             }
-            self.propose(&wanted, false);
+            self.propose(&wanted, &before, false);
         }
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(job) = lead.job.as_mut().filter(|job| now >= job.sent + again) {
@@ -433,7 +439,7 @@
         if watch.drawn != watch.epoch {
             return self.ask_change(now, watch.clone());
         }
-        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v));
+        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v) && !lead.leaving.contains(v));
         let other = other.copied().find(|v| lead.here(now, v) && !link_down(v));
         if let Some(job) = &lead.job {
             let slow = now > job.since + LOST;
@@ -468,35 +474,81 @@
         let slow = lead.job.as_ref().filter(|job| now > job.since + LOST);
         let gone = |v: &Voter| {
             self.links.get(v) == Some(&false)
+                || Self::leaves_by(lead, watch, v)
                 || lead.silent(now, v, LOST)
                 || slow.is_some_and(|job| job.missing.contains(v))
         };
         watch.copies.iter().copied().filter(|v| *v != self.terms.me && gone(v)).collect()
     }
 
-    /// One voter comes or goes at a time, so that majorities of before and after always meet.
+    /// One voter comes or goes at a time, so that any majority of before and any of after meet: one that has granted a change
+    /// which was never granted by enough still needs a majority of the voters that it knows, and so may the others.
     fn look_after_voters(&mut self, now: Millis, watch: &Watch) {
         let force = self.force.as_ref().map_or(0, |c| c.version);
         let Duty::Lead(lead) = &self.duty else { return };
         if force == 0 || lead.job.is_some() || !lead.settled {
             return;
         }
-        let mut next = watch.clone();
-        let new = |l: &&Voter| !watch.voters.contains(l) && lead.here(now, l);
-        let gone =
-            |v: &Voter| *v != self.terms.me && lead.silent(now, v, FORGET) && !watch.copies.contains(v);
-        if let Some(learner) = self.learners.iter().find(new) {
-            next.voters.push(*learner);
-            next.voters.sort();
-        } else if let Some(at) =
-            watch.voters.iter().position(gone).filter(|_| watch.voters.len().is_multiple_of(2))
-        {
-            // An even number bears no more losses than one less, and one that is gone for good would count as lost.
-            next.voters.remove(at);
-        } else {
-            return;
+        if let Some(voters) = self.next_voters(now, lead, watch) {
+            self.ask_change(now, Watch { voters, ..watch.clone() });
+        }
+    }
+
+    /// One that is gone is replaced in two changes, one right after the other: the new one first, then the group is even and
+    /// the one that is gone is left out. An even number bears no more losses than one less, and who is gone counts as lost.
+    fn next_voters(&self, now: Millis, lead: &Lead, watch: &Watch) -> Option<Vec<Voter>> {
+        let voters = &watch.voters;
+        let others = || voters.iter().filter(|v| **v != self.terms.me);
+        if voters.len().is_multiple_of(2) {
+            let gone = others().find(|v| !watch.copies.contains(v) && self.gone(now, lead, watch, v));
+            if let Some(gone) = gone {
+                return Some(voters.iter().filter(|v| *v != gone).copied().collect());
+            }
+        }
+        // Who has just fallen silent may be gone: until that is known nobody joins, or four would be left with one that is gone.
+        if others().any(|v| !self.present(now, lead, v) && !self.gone(now, lead, watch, v)) {
+            return None;
+        }
+        let joins = self.learners.iter().find(|l| {
+            !voters.contains(l) && lead.here(now, l) && !lead.leaving.contains(l) && !self.link_down(l)
+        })?;
+        let mut next = voters.clone();
+        next.push(*joins);
+        next.sort();
+        Some(next)
+    }
+
+    fn link_down(&self, voter: &Voter) -> bool {
+        self.links.get(voter) == Some(&false)
+    }
+
+    /// It acked the last pulses.
+    fn present(&self, now: Millis, lead: &Lead, voter: &Voter) -> bool {
+        lead.acks.contains_key(voter)
+            && !lead.silent(now, voter, 2 * self.terms.pulse_ms)
+            && !self.link_down(voter)
+    }
+
+    /// It has said that it goes for good, has been silent for long, or its connection broke and it was not back soon.
+    fn gone(&self, now: Millis, lead: &Lead, watch: &Watch, voter: &Voter) -> bool {
+        Self::leaves_by(lead, watch, voter)
+            || lead.silent(now, voter, if self.link_down(voter) { ABSENT } else { LOST })
+    }
+
+    /// It ends, and the group needs it no more. In an odd group whoever ends is taken for one that starts again.
+    fn leaves_by(lead: &Lead, watch: &Watch, voter: &Voter) -> bool {
+        watch.voters.len().is_multiple_of(2) && lead.leaving.contains(voter)
+    }
+
+    /// A voter is told to end.
+    pub(crate) fn leaves(&mut self, now: Millis, from: Voter, epoch: u64) {
+        let mine = self.epoch();
+        if let Duty::Lead(lead) = &mut self.duty {
+            if epoch == mine {
+                lead.leaving.insert(from);
+                self.lead(now);
+            }
         }
-        self.ask_change(now, next);
     }
 
     /// Asks for the watch without the copies that were lost, and with one that has been filled. No more than are wanted: each
@@ -512,10 +564,11 @@
         let Some(before) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &mut self.duty else { return };
         let next = Watch { epoch: before.epoch + 1, drawn: before.epoch + 1, ..next };
+        let before_voters = before.voters.clone();
         lead.change = Some(Stand::new(now, next.clone(), before, false));
         lead.asked = now;
         self.keep_watch(next.clone(), After::OwnGrant { watch: next.clone() });
-        self.propose(&next, false);
+        self.propose(&next, &before_voters, false);
     }
 
     /// A voter has a watch on its disk that this node asked for.
@@ -531,13 +584,18 @@
                 if !change.won(None) || !change.grants.contains(&self.terms.me) {
                     return;
                 }
+                let before = std::mem::take(&mut change.before.voters);
                 lead.change = None;
                 self.safe = self.safe.max(watch.epoch);
                 lead.acks.retain(|v, _| watch.voters.contains(v));
                 lead.pulse_at = now;
                 self.effects.push(Effect::Turn { epoch: watch.epoch, what: "has other copies" });
-                self.watch = Some(watch);
+                self.watch = Some(watch.clone());
                 self.lend(self.terms.me);
+                // Who votes no more hears it too: it may wait for that to end.
+                for voter in before.into_iter().filter(|v| !watch.voters.contains(v)) {
+                    self.send(voter, Signal::ThisWatch { watch: Some(watch.clone()) });
+                }
                 self.lead(now);
             }
             _ => {}
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -87,6 +87,12 @@
     },
     Handover {
         epoch: u64,
+        /// The process of the primary ends.
+        ends: bool,
+    },
+    /// The process of a voter ends, and the group is one larger than it needs to be: it asks to be taken out.
+    Leave {
+        epoch: u64,
     },
     WhatWatch,
     ThisWatch {
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -13,6 +13,20 @@
 
 const ASK: Millis = 200;
 
+/// How a voter that ends waits to be taken out.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    /// It ends all the same.
+    pub by: Millis,
+    pub ask_at: Millis,
+}
+
+impl Leaving {
+    pub fn next(&self, now: Millis) -> Millis {
+        self.by.min(self.ask_at).max(now + 1)
+    }
+}
+
 /// More than half of the voters are among these.
 pub(crate) fn majority<'a>(voters: &[Voter], among: impl Iterator<Item = &'a Voter> + Clone) -> bool {
     voters.iter().filter(|v| among.clone().any(|a| a == *v)).count() * 2 > voters.len()
@@ -89,6 +103,7 @@
     /// Takes a watch over in memory; it is told on only when it is on disk.
     fn follow(&mut self, now: Millis, watch: Watch) {
         self.step_down(now);
+        self.left = None;
         self.safe = self.safe.min(watch.epoch.saturating_sub(1));
         self.watch = Some(watch);
     }
@@ -151,7 +166,9 @@
         // The own vote is lent from here on: a candidacy that was under way does not count with it any more.
         self.lend(from);
         self.duty = Duty::Follow;
-        self.send(from, Signal::PulseAck { epoch, sent_at, votes: true, holds: !self.hollow });
+        // One that was taken out as it ends does not join again.
+        let votes = !self.released || mine.voters.contains(&self.terms.me);
+        self.send(from, Signal::PulseAck { epoch, sent_at, votes, holds: !self.hollow });
         if self.force.as_ref().map_or(0, |c| c.version) < version {
             let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
             if self.chart.version == version && same {
@@ -189,7 +206,7 @@
     /// Nobody has been heard for long enough: a copy stands for the duty.
     pub(crate) fn stand(&mut self, now: Millis) {
         let Some(mine) = self.watch.clone() else { return };
-        if now < self.stand_at || self.released {
+        if now < self.stand_at || self.released || self.leaving.is_some() {
             return;
         }
         if let Duty::Stand(stand) = &self.duty {
@@ -199,7 +216,7 @@
             if watch == mine && self.safe < watch.epoch {
                 self.keep_watch(watch.clone(), After::OwnGrant { watch: watch.clone() });
             }
-            return self.propose(&watch, released);
+            return self.propose(&watch, &[], released);
         }
         self.draw_stand(now);
         if now < self.free_at() && self.lent != Some(self.terms.me) {
@@ -223,7 +240,7 @@
         self.duty = Duty::Stand(Stand::new(now, watch.clone(), mine, released));
         self.stand_at = now + self.terms.pulse_ms;
         self.effects.push(Effect::Turn { epoch: watch.epoch, what: "stands" });
-        self.propose(&watch, released);
+        self.propose(&watch, &[], released);
         self.count_grants(now);
     }
 
@@ -231,12 +248,14 @@
     pub(crate) fn stand_first(&mut self, now: Millis, watch: Watch) {
         self.duty = Duty::Stand(Stand::new(now, watch.clone(), watch.clone(), false));
         self.stand_at = now + self.terms.pulse_ms;
-        self.propose(&watch, false);
+        self.propose(&watch, &[], false);
         self.keep_watch(watch.clone(), After::OwnGrant { watch });
     }
 
-    pub(crate) fn propose(&mut self, watch: &Watch, released: bool) {
-        for voter in watch.voters.clone() {
+    /// Also to those who vote until then: a majority of them has to grant it too.
+    pub(crate) fn propose(&mut self, watch: &Watch, before: &[Voter], released: bool) {
+        let until_then = before.iter().filter(|v| !watch.voters.contains(v));
+        for voter in watch.voters.iter().chain(until_then).copied() {
             self.send(voter, Signal::Propose { watch: watch.clone(), released });
         }
     }
@@ -261,14 +280,54 @@
     }
 
     /// The primary that ends has named this one.
-    pub(crate) fn handed(&mut self, now: Millis, from: Voter, epoch: u64) {
+    pub(crate) fn handed(&mut self, now: Millis, from: Voter, epoch: u64, ends: bool) {
         let me = self.terms.me;
         let by_it = |w: &Watch| w.epoch == epoch && w.primary == from && w.copies.contains(&me) && from != me;
         if self.watch.as_ref().is_some_and(by_it) && !self.blank && !self.hollow && !self.released {
+            self.left = Some(from).filter(|_| ends);
             self.stand_for(now, true);
         }
     }
 
+    // ---- Leaving for good ----
+
+    /// Told to end, as a voter of an even group: one that comes in its place has come before it goes. An even group bears no
+    /// more losses without it, and as a voter that is gone it would count as lost. In an odd one it is taken for a restart.
+    pub(crate) fn leave(&mut self, now: Millis, by: Millis) -> bool {
+        let surplus = |w: &Watch| w.voters.len().is_multiple_of(2) && w.voters.contains(&self.terms.me);
+        let heard = self.pulsed && now < self.heard + self.terms.silence_ms;
+        if self.blank || !heard || !self.watch.as_ref().is_some_and(surplus) {
+            return false;
+        }
+        self.leaving = Some(Leaving { by, ask_at: now });
+        self.take_leave(now);
+        true
+    }
+
+    /// Out of the voters, and with that on disk, or not in time: the process may end. Until then it votes as ever.
+    pub(crate) fn take_leave(&mut self, now: Millis) {
+        let Some(watch) = self.watch.clone() else { return };
+        let Some(leaving) = &mut self.leaving else { return };
+        let out = !watch.voters.contains(&self.terms.me) && self.safe >= watch.epoch;
+        if out || now >= leaving.by {
+            self.leaving = None;
+            self.released = true;
+            return self.effects.push(Effect::Released);
+        }
+        if now >= leaving.ask_at {
+            leaving.ask_at = now + self.terms.pulse_ms / 4;
+            self.send(watch.primary, Signal::Leave { epoch: watch.epoch });
+        }
+    }
+
+    /// A process that was to end is there again.
+    pub(crate) fn is_back(&mut self, voter: Voter) {
+        self.left = self.left.filter(|left| *left != voter);
+        if let Duty::Lead(lead) = &mut self.duty {
+            lead.leaving.remove(&voter);
+        }
+    }
+
     // ---- After a lost disk ----
 
     pub(crate) fn ask_around(&mut self, now: Millis) {
--- a/pilotage/tests/faults.rs
+++ b/pilotage/tests/faults.rs
@@ -205,7 +205,7 @@
         world.add();
         world.add();
         world.run(3000);
-        assert_eq!(world.watch().voters.len(), 5);
+        assert_eq!(world.voters().len(), 5);
         let primary = world.primary();
         world.strike(primary, Power, None);
         world.strike((primary + 1 + seed as usize % 4) % 5, Wipe, None);
@@ -242,7 +242,7 @@
             world.run(500);
             world.add();
             world.run(15_000);
-            assert_eq!(world.watch().voters.len(), 3, "round {round}");
+            assert_eq!(world.voters().len(), 3, "round {round}");
             world.calm();
         }
     }
--- a/pilotage/tests/world/mod.rs
+++ b/pilotage/tests/world/mod.rs
@@ -361,7 +361,9 @@
             Happening::Link { peer, up } if up == self.conns.contains_key(&way(i, peer)) => {
                 self.with(i, |pilot, now| {
                     pilot.link(now, voter(peer), up);
-                    pilot.learn(voter(peer));
+                    if up {
+                        pilot.learn(voter(peer));
+                    }
                 });
             }
             _ => {}
@@ -423,6 +425,9 @@
         let pilot = self.nodes[self.primary()].pilot.as_ref();
         pilot.and_then(|p| p.watch()).cloned().unwrap_or_else(|| self.fail("no watch"))
     }
+    pub fn voters(&self) -> Vec<usize> {
+        self.watch().voters.into_iter().map(index).collect()
+    }
     /// A copy beside the primary.
     pub fn copy(&self) -> usize {
         let others = self.watch().copies.into_iter().map(index);
