Control state carries the stores that are retired, and a serial of its own

Cause: the replicated value was the configuration alone, newer by the operators' own number. An order to retire a store was remembered in the memory of control nodes only.

Change: Chart is {serial, version, body, retirements}. The primary draws the serial, one more with each write; what is in force, pulses and the digest go by serial and whole value, configurations go by version as before. Orders to retire (Pilotage::retire) and steps of a retirement (advance) wait in the same queue. 64 retirements are remembered, the oldest complete one goes first, one under way never. The disk's record of the value is a new one; the old one is read for one release, its version taken for the serial. In tests/world the value in force at a node must rise by serial and never fall by version (it had to rise by version: a retirement changes no version); soundings checks both as well, and compares configurations where it compared whole values.

--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -362,17 +362,22 @@
                 let settings = chart.map_or(Settings::None, |chart| Settings::Whole(chart.body));
                 self.said(ticket, settings.into());
             }
-            Effect::InForce { version } => {
-                tracing::info!(version, "configuration in force");
-                if let Some(chart) = self.pilot.in_force() {
-                    self.common.config = Config::read(&chart.body).ok().map(std::sync::Arc::new);
-                }
-            }
+            Effect::InForce { .. } => self.in_force(),
             Effect::Turn { epoch, what } => tracing::info!(epoch, what, "control duty"),
             Effect::Released => self.released = Some(self.common.net.now()),
         }
     }
 
+    /// The replicated value changed: the configuration may have, or which stores are retired.
+    fn in_force(&mut self) {
+        let Some(chart) = self.pilot.in_force() else { return };
+        let known = self.common.config.as_ref().map_or(0, |config| config.revision);
+        if chart.version > 0 && chart.version != known {
+            tracing::info!(version = chart.version, "configuration in force");
+            self.common.config = Config::read(&chart.body).ok().map(std::sync::Arc::new);
+        }
+    }
+
     /// A control node in an executor's own zone, where this one is in another: a beat there crosses none. Bare, as an address
     /// and port; a URL is not followed.
     fn near_core(&self, zone: &str) -> Option<String> {
@@ -414,7 +419,8 @@
                 }
             }
         }
-        let force = self.pilot.in_force().map(|chart| (chart.version, chart.body.as_slice()));
+        let force = self.pilot.in_force().filter(|chart| chart.version > 0);
+        let force = force.map(|chart| (chart.version, chart.body.as_slice()));
         self.roster.tick(now, in_touch, force);
         for effect in self.roster.take() {
             let (to, signal) = match effect {
--- a/harbour/src/state.rs
+++ b/harbour/src/state.rs
@@ -65,6 +65,7 @@
             kinds.add(match &record {
                 Watching::Watch(_) => "watch",
                 Watching::Chart(_) => "chart",
+                Watching::Unnumbered(_) => "chart of an older build",
                 Watching::Lent { .. } => "lent",
             });
             kept.apply(record);
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -1,8 +1,8 @@
 //! Who decides on the control state, and which copies hold it. A state machine: events and a steady clock go in,
 //! [`Effect`]s come out.
 //!
-//! The state is one value, the operators' configuration, of which the highest version is the whole. A primary writes it to
-//! every copy before it answers. A small group of voters keeps only the *watch*: the epoch, who is primary, which nodes are
+//! The state is one value: the operators' configuration and the stores that are retired, with a serial that rises with each
+//! write. A primary writes it whole to every copy before it answers. A small group of voters keeps only the *watch*: the epoch, who is primary, which nodes are
 //! copies, and who votes. A majority of voters, each with it on disk first, grants a new watch; no log is replicated.
 //!
 //! What keeps it safe:
@@ -227,11 +227,11 @@
 
     /// A chart is in force: never one below what was in force here before.
     fn enforce(&mut self, chart: Chart) {
-        let newer = self.force.as_ref().is_none_or(|old| chart.version > old.version);
+        let newer = self.force.as_ref().is_none_or(|old| chart.serial > old.serial);
         if (newer || self.planted(Planted::ForceBlind) && self.force.as_ref() != Some(&chart))
-            && chart.version > 0
+            && chart.serial > 0
         {
-            self.effects.push(Effect::InForce { version: chart.version });
+            self.effects.push(Effect::InForce { serial: chart.serial });
             self.force = Some(chart);
         }
     }
@@ -272,8 +272,8 @@
             Signal::Denied { watch } => self.denied(now, from, watch),
             Signal::Store { epoch, serial, chart } => self.store(from, epoch, serial, chart),
             Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
-            Signal::Pulse { epoch, sent_at, version, digest } => {
-                self.pulsed(now, from, epoch, sent_at, version, digest)
+            Signal::Pulse { epoch, sent_at, force, digest } => {
+                self.pulsed(now, from, epoch, sent_at, force, digest)
             }
             Signal::PulseAck { epoch, sent_at, votes, holds } => {
                 self.acked(now, from, epoch, sent_at, (votes, holds))
--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -92,8 +92,8 @@
         /// For what was sent at another clock's time `now` has to be that clock's.
         pub fn signal(&mut self, from: Voter, to: Voter, signal: &Signal) {
             match signal {
-                Signal::Pulse { epoch, sent_at, version, digest } => {
-                    (1, epoch, version, digest).hash(self.hasher);
+                Signal::Pulse { epoch, sent_at, force, digest } => {
+                    (1, epoch, force, digest).hash(self.hasher);
                     self.time(*sent_at, FORGET);
                 }
                 Signal::PulseAck { epoch, sent_at, votes, holds } => {
@@ -140,8 +140,8 @@
             self.time(*since, silence);
         }
         fn job(&mut self, me: Voter, job: &Job) {
-            let Job { serial, chart, ticket, missing, since, sent, joins } = job;
-            (chart, ticket, missing, joins).hash(self.hasher);
+            let Job { serial, chart, change, missing, since, sent, joins } = job;
+            (chart, change, missing, joins).hash(self.hasher);
             self.serial(me, *serial);
             self.time(*since, ANSWER);
             self.time(*sent, ANSWER);
@@ -167,7 +167,7 @@
                 self.time(*asked, ANSWER);
             }
             for waiting in queue {
-                (waiting.ticket, &waiting.chart, waiting.begun).hash(self.hasher);
+                (&waiting.order, waiting.begun).hash(self.hasher);
                 self.time(waiting.since, TURN);
             }
         }
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -1,7 +1,8 @@
 //! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
 
 use crate::voter::majority;
-use crate::{After, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Terms, Verdict, Voter, Watch};
+use crate::{After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Stage, Terms};
+use crate::{Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A write waits so long for its turn, and is answered at the latest after so long.
@@ -51,13 +52,26 @@
     }
 }
 
+/// A change that was asked for, and who waits for the answer: nobody where the primary noticed it by itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Order {
+    pub ticket: Option<u64>,
+    pub change: Change,
+}
+
+impl Order {
+    fn answer(&self, verdict: Verdict) -> Option<Effect> {
+        self.ticket.map(|ticket| Effect::Answer { ticket, verdict })
+    }
+}
+
 /// A write under way.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub serial: u64,
     pub chart: Chart,
-    /// Nobody where the own chart is stored again, or a copy is filled.
-    pub ticket: Option<u64>,
+    /// None where the own chart is stored again, or a copy is filled.
+    pub change: Option<Order>,
     pub missing: BTreeSet<Voter>,
     pub since: Millis,
     pub sent: Millis,
@@ -67,17 +81,16 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
-    pub ticket: u64,
-    pub chart: Chart,
+    pub order: Order,
     pub since: Millis,
     /// A copy may have it already: it can't be said that it was not done.
     pub begun: bool,
 }
 
 impl Waiting {
-    fn given_up(&self, lies: bool) -> Effect {
+    fn given_up(&self, lies: bool) -> Option<Effect> {
         let verdict = if self.begun && !lies { Verdict::Uncertain } else { Verdict::NotDone };
-        Effect::Answer { ticket: self.ticket, verdict }
+        self.order.answer(verdict)
     }
 }
 
@@ -135,11 +148,10 @@
         self.draw_stand(now);
         let lies = self.planted(Planted::BegunForgotten);
         if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
-            if let Some(ticket) = lead.job.as_ref().and_then(|job| job.ticket) {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
-            }
+            let under_way = lead.job.and_then(|job| job.change);
+            self.effects.extend(under_way.and_then(|order| order.answer(Verdict::Uncertain)));
             for waiting in lead.queue {
-                self.effects.push(waiting.given_up(lies));
+                self.effects.extend(waiting.given_up(lies));
             }
             self.effects.push(Effect::Turn { epoch: self.epoch(), what: "steps down" });
         }
@@ -168,22 +180,63 @@
 
     /// An operator's configuration.
     pub fn replace(&mut self, now: Millis, ticket: u64, version: u64, body: Vec<u8>) {
+        let change = Change::Configuration { version, body };
+        self.take_order(now, Order { ticket: Some(ticket), change });
+    }
+
+    /// An order to retire a store, that the caller has checked against `settled` and `retiring_soon`.
+    pub fn retire(&mut self, now: Millis, ticket: u64, node: u32, name: String) {
+        let change = Change::Retire { node, name };
+        self.take_order(now, Order { ticket: Some(ticket), change });
+    }
+
+    /// A store that is retired has come further. Only the primary writes that down, and nobody waits for it: it is called
+    /// again until the value says so.
+    pub fn advance(&mut self, now: Millis, node: u32, stage: Stage) {
+        let order = Order { ticket: None, change: Change::Advance { node, stage } };
+        if !self.acts(now) || self.orders().any(|waiting| *waiting == order) {
+            return;
+        }
+        self.take_order(now, order);
+    }
+
+    fn take_order(&mut self, now: Millis, order: Order) {
         let primary = self.primary().filter(|p| *p != self.terms.me);
-        let chart = Chart { version, body };
         let Duty::Lead(lead) = &mut self.duty else {
-            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotPrimary { primary } });
+            return self.effects.extend(order.answer(Verdict::NotPrimary { primary }));
         };
         if lead.queue.len() >= QUEUE || lead.leave_by.is_some() {
-            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotDone });
+            return self.effects.extend(order.answer(Verdict::NotDone));
         }
-        lead.queue.push_back(Waiting { ticket, chart, since: now, begun: false });
+        lead.queue.push_back(Waiting { order, since: now, begun: false });
         self.lead(now);
     }
 
+    /// Those under way and those that wait.
+    fn orders(&self) -> impl Iterator<Item = &Order> {
+        let lead = if let Duty::Lead(lead) = &self.duty { Some(lead) } else { None };
+        let under_way = lead.and_then(|lead| lead.job.as_ref()?.change.as_ref());
+        let waiting = lead.into_iter().flat_map(|lead| lead.queue.iter().map(|waiting| &waiting.order));
+        under_way.into_iter().chain(waiting)
+    }
+
+    /// The newest value, if this is the primary and nobody else can be.
+    pub fn settled(&self, now: Millis) -> Option<&Chart> {
+        self.acts(now).then_some(&self.chart)
+    }
+
+    /// Stores whose retirement is under way to the copies, or waits for its turn.
+    pub fn retiring_soon(&self) -> impl Iterator<Item = u32> + '_ {
+        self.orders().filter_map(|order| match order.change {
+            Change::Retire { node, .. } => Some(node),
+            _ => None,
+        })
+    }
+
     /// The newest configuration, if this is the primary and nobody else can be.
     pub fn read(&mut self, now: Millis, ticket: u64) {
-        if self.acts(now) {
-            let chart = Some(self.chart.clone()).filter(|c| c.version > 0);
+        if let Some(chart) = self.settled(now) {
+            let chart = Some(chart.clone()).filter(|c| c.version > 0);
             return self.effects.push(Effect::Chart { ticket, chart });
         }
         let primary = self.primary().filter(|p| *p != self.terms.me);
@@ -254,13 +307,13 @@
             self.enforce(self.chart.clone());
         }
         let Some(watch) = self.watch.clone() else { return };
-        let (version, digest) = self.force.as_ref().map_or((0, 0), |c| (c.version, c.digest()));
         let learners: Vec<Voter> =
             self.learners.iter().copied().filter(|l| !watch.voters.contains(l)).collect();
         let Duty::Lead(lead) = &mut self.duty else { return };
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
-            let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, version, digest };
+            let (force, digest) = self.force.as_ref().map_or((0, 0), |c| (c.serial, c.digest()));
+            let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, force, digest };
             let all: Vec<Voter> = watch.voters.iter().chain(&learners).copied().collect();
             all.into_iter().for_each(|voter| self.send(voter, pulse.clone()));
         }
@@ -302,11 +355,12 @@
         let lies = self.planted(Planted::BegunForgotten);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(job) = lead.job.as_mut().filter(|job| now > job.since + ANSWER) {
-            let late = job.ticket.take().map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
+            let ticket = job.change.as_mut().and_then(|order| order.ticket.take());
+            let late = ticket.map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
             self.effects.extend(late);
         }
         while lead.queue.front().is_some_and(|w| now > w.since + TURN) {
-            self.effects.extend(lead.queue.pop_front().map(|w| w.given_up(lies)));
+            self.effects.extend(lead.queue.pop_front().and_then(|w| w.given_up(lies)));
         }
     }
 
@@ -330,14 +384,14 @@
         if !enough || lead.leave_by.is_some() {
             return;
         }
-        while let Some(Waiting { ticket, chart, .. }) = lead.queue.pop_front() {
-            let equal = chart.version == self.chart.version && !equal_taken;
-            if chart.version < self.chart.version || equal {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Unchanged });
-                continue;
+        while let Some(Waiting { order, .. }) = lead.queue.pop_front() {
+            match order.change.applied(&self.chart, equal_taken) {
+                Applied::Unchanged => self.effects.extend(order.answer(Verdict::Unchanged)),
+                Applied::Full => self.effects.extend(order.answer(Verdict::NotDone)),
+                Applied::Changed(chart) => {
+                    return self.write(now, chart, Some(order), watch.copies.clone(), None);
+                }
             }
-            let copies = watch.copies.clone();
-            return self.write(now, chart, Some(ticket), copies, None);
         }
     }
 
@@ -345,7 +399,7 @@
         &mut self,
         now: Millis,
         chart: Chart,
-        ticket: Option<u64>,
+        change: Option<Order>,
         to: Vec<Voter>,
         joins: Option<(Voter, Vec<Voter>)>,
     ) {
@@ -359,16 +413,15 @@
             self.keep(Record::Chart(chart.clone()), After::OwnStored { serial });
         }
         if let Duty::Lead(lead) = &mut self.duty {
-            lead.job = Some(Job { serial, chart, ticket, missing, since: now, sent: now, joins });
+            lead.job = Some(Job { serial, chart, change, missing, since: now, sent: now, joins });
         }
     }
 
     /// It refuses, or hangs: another is to decide. Whether the copies have what was written is not known.
     pub(crate) fn own_disk_failed(&mut self, now: Millis) {
         let Duty::Lead(lead) = &mut self.duty else { return };
-        if let Some(ticket) = lead.job.take().and_then(|job| job.ticket) {
-            self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
-        }
+        let under_way = lead.job.take().and_then(|job| job.change);
+        self.effects.extend(under_way.and_then(|order| order.answer(Verdict::Uncertain)));
         lead.settled = false;
         self.hand_over(now, false);
     }
@@ -384,7 +437,7 @@
         let Some(job) = lead.job.as_mut().filter(|job| job.serial == serial) else { return };
         job.missing.remove(&from);
         lead.hollow.remove(&from);
-        if early && job.ticket.is_some() {
+        if early && job.change.is_some() {
             job.missing.clear();
         }
         if !job.missing.is_empty() {
@@ -397,13 +450,8 @@
         }
         lead.settled = true;
         self.chart = job.chart;
-        match (job.ticket, leads) {
-            (Some(ticket), true) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Accepted }),
-            (Some(ticket), false) => {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain })
-            }
-            _ => {}
-        }
+        let verdict = if leads { Verdict::Accepted } else { Verdict::Uncertain };
+        self.effects.extend(job.change.and_then(|order| order.answer(verdict)));
         if enough && leads {
             // The others hear of it with the next pulse: now, for the data plane waits for it.
             if let Duty::Lead(lead) = &mut self.duty {
@@ -440,8 +488,9 @@
                 None if other.is_none() => return,
                 // A write that waits for one that is gone is settled with the copies that come after it.
                 None => {
-                    if let Some(Job { ticket: Some(ticket), chart, .. }) = lead.job.take() {
-                        lead.queue.push_front(Waiting { ticket, chart, since: now, begun: true });
+                    let order = lead.job.take().and_then(|job| job.change);
+                    if let Some(order) = order.filter(|order| order.ticket.is_some()) {
+                        lead.queue.push_front(Waiting { order, since: now, begun: true });
                     }
                     // Those that are left are made alike again: what was answered late may be on all of them.
                     lead.settled = false;
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -18,18 +18,137 @@
     pub drawn: u64,
 }
 
+/// The replicated value: the operators' configuration, and which stores are retired.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Chart {
-    /// Nought: none has come yet.
+    /// Drawn by the primary, one more with each write: of two values that were in force the higher is the newer.
+    pub serial: u64,
+    /// The operators' own number of the configuration. Nought: none has come yet.
     pub version: u64,
     pub body: Vec<u8>,
+    /// In the order in which they were accepted.
+    pub retirements: Vec<Retirement>,
 }
 
 impl Chart {
-    /// Tells two bodies of one version apart: one of them was given up, and must not be taken for the other.
+    /// Tells two values with one serial apart: one of them was given up, and must not be taken for the other. It guards
+    /// against confusion, not against an attacker: it travels with each pulse, so it is short.
     pub fn digest(&self) -> u64 {
+        let mut hash = Fnv::default();
+        hash.number(self.serial);
+        hash.number(self.version);
+        hash.bytes(&self.body);
+        for Retirement { node, name, stage } in &self.retirements {
+            hash.number(u64::from(*node));
+            hash.bytes(name.as_bytes());
+            hash.number(*stage as u64);
+        }
+        hash.0
+    }
+    /// The same version with the same content, whatever else was written with it.
+    pub fn same_configuration(&self, other: &Chart) -> bool {
+        self.version == other.version && self.body == other.body
+    }
+    /// The order to retire a store, if one was accepted.
+    pub fn retirement(&self, node: u32) -> Option<&Retirement> {
+        self.retirements.iter().find(|retirement| retirement.node == node)
+    }
+}
+
+/// FNV-1a; each part goes in with its length.
+struct Fnv(u64);
+
+impl Default for Fnv {
+    fn default() -> Fnv {
+        Fnv(0xCBF2_9CE4_8422_2325)
+    }
+}
+impl Fnv {
+    fn bytes(&mut self, bytes: &[u8]) {
+        self.number(bytes.len() as u64);
+        self.raw(bytes);
+    }
+    fn number(&mut self, number: u64) {
+        self.raw(&number.to_le_bytes());
+    }
+    fn raw(&mut self, bytes: &[u8]) {
         let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01B3);
-        self.body.iter().fold(0xCBF2_9CE4_8422_2325 ^ self.version, step)
+        self.0 = bytes.iter().fold(self.0, step);
+    }
+}
+
+/// An accepted order to retire a store.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Retirement {
+    /// The store, by the hash of its name.
+    pub node: u32,
+    pub name: String,
+    pub stage: Stage,
+}
+
+/// How far a retirement has come. It never goes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Accepted; whether the store has it is not known.
+    Ordered,
+    /// The store has the order on its disk.
+    Rolling,
+    /// The store has said that it is empty.
+    Complete,
+}
+
+/// Most retirements that are remembered. Beyond, the oldest complete one is forgotten.
+pub const RETIREMENTS: usize = 64;
+
+/// A change of the replicated value, as the primary takes it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Change {
+    Configuration { version: u64, body: Vec<u8> },
+    Retire { node: u32, name: String },
+    Advance { node: u32, stage: Stage },
+}
+
+/// What a change makes of the value that is held.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Applied {
+    Unchanged,
+    /// As many retirements as are remembered are under way.
+    Full,
+    Changed(Chart),
+}
+
+impl Change {
+    /// `equal_taken`: a planted fault.
+    pub(crate) fn applied(&self, held: &Chart, equal_taken: bool) -> Applied {
+        let mut next = Chart { serial: held.serial + 1, ..held.clone() };
+        match self {
+            Change::Configuration { version, body } => {
+                if *version < held.version || (*version == held.version && !equal_taken) {
+                    return Applied::Unchanged;
+                }
+                (next.version, next.body) = (*version, body.clone());
+            }
+            Change::Retire { node, name } => {
+                if held.retirement(*node).is_some() {
+                    return Applied::Unchanged;
+                }
+                if next.retirements.len() >= RETIREMENTS {
+                    let complete = next.retirements.iter().position(|r| r.stage == Stage::Complete);
+                    let Some(oldest) = complete else { return Applied::Full };
+                    next.retirements.remove(oldest);
+                }
+                let order = Retirement { node: *node, name: name.clone(), stage: Stage::Ordered };
+                next.retirements.push(order);
+            }
+            Change::Advance { node, stage } => {
+                let mut known = next.retirements.iter_mut();
+                let Some(known) = known.find(|r| r.node == *node && r.stage < *stage) else {
+                    return Applied::Unchanged;
+                };
+                known.stage = *stage;
+            }
+        }
+        Applied::Changed(next)
     }
 }
 
@@ -60,7 +179,8 @@
     Pulse {
         epoch: u64,
         sent_at: Millis,
-        version: u64,
+        /// Of the value in force.
+        force: u64,
         digest: u64,
     },
     PulseAck {
@@ -87,13 +207,29 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
     Watch(Watch),
-    Chart(Chart),
+    /// Read, never written: the value as builds before 0.2 wrote it, without a serial and retirements. Its version is taken
+    /// for the serial. To be removed one release later.
+    Unnumbered(Unnumbered),
     /// The vote is lent to the primary of this epoch, and to nobody else. Written once in an epoch, and waited for by nobody:
     /// without it a process that has just begun waits until whatever its earlier life lent has run out.
     Lent {
         epoch: u64,
         to: Voter,
     },
+    Chart(Chart),
+}
+
+/// A configuration without a serial, from an older build's disk.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Unnumbered {
+    pub version: u64,
+    pub body: Vec<u8>,
+}
+
+impl From<Unnumbered> for Chart {
+    fn from(Unnumbered { version, body }: Unnumbered) -> Chart {
+        Chart { serial: version, version, body, retirements: Vec::new() }
+    }
 }
 
 /// What the records come to.
@@ -113,6 +249,7 @@
             Record::Watch(_) => {}
             // The last one stored, not the highest: one that was given up is written over by what holds.
             Record::Chart(chart) => self.chart = Some(chart),
+            Record::Unnumbered(old) => self.chart = Some(old.into()),
             Record::Lent { epoch, to } => self.lent = Some((epoch, to)),
         }
     }
@@ -160,7 +297,7 @@
         chart: Option<Chart>,
     },
     InForce {
-        version: u64,
+        serial: u64,
     },
     /// A change of duty, for the log.
     Turn {
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -125,7 +125,7 @@
         from: Voter,
         epoch: u64,
         sent_at: Millis,
-        version: u64,
+        force: u64,
         digest: u64,
     ) {
         if self.blank {
@@ -152,9 +152,9 @@
         self.lend(from);
         self.duty = Duty::Follow;
         self.send(from, Signal::PulseAck { epoch, sent_at, votes: true, holds: !self.hollow });
-        if self.force.as_ref().map_or(0, |c| c.version) < version {
+        if self.force.as_ref().map_or(0, |c| c.serial) < force {
             let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
-            if self.chart.version == version && same {
+            if self.chart.serial == force && same {
                 self.enforce(self.chart.clone());
             } else {
                 self.send(from, Signal::AskChart);
--- a/pilotage/tests/rules.rs
+++ b/pilotage/tests/rules.rs
@@ -2,7 +2,7 @@
 
 use stileroute_pilotage::{Chart, Effect, Kept, Pilotage, Signal, Terms, Verdict, Voter, Watch};
 
-const PULSE: Signal = Signal::Pulse { epoch: 4, sent_at: 5, version: 0, digest: 0 };
+const PULSE: Signal = Signal::Pulse { epoch: 4, sent_at: 5, force: 0, digest: 0 };
 
 fn voter(i: u8) -> Voter {
     Voter::new([10, 0, 0, i].into(), 9000)
--- a/pilotage/tests/world/mod.rs
+++ b/pilotage/tests/world/mod.rs
@@ -36,13 +36,15 @@
     held: Vec<To>,
     outbox: VecDeque<Effect>,
     due: Millis,
-    force: u64,
+    pub force: Chart,
     pub released: bool,
 }
 
 #[derive(Clone, Default)]
 pub struct Call {
     pub version: Option<u64>,
+    /// Not the configuration: a store is to be retired.
+    retires: Option<u32>,
     body: Vec<u8>,
     at: usize,
     attempt: u64,
@@ -74,6 +76,8 @@
     cut: BTreeSet<(usize, usize)>,
     order: BTreeMap<(usize, usize), Millis>,
     probe_at: Millis,
+    /// Stores whose retirement was acknowledged: no value that comes in force later is without them.
+    ordered: BTreeSet<u32>,
     /// What was answered, by version, and the highest of it.
     known: BTreeMap<u64, Vec<u8>>,
     acked: u64,
@@ -92,6 +96,8 @@
     format!("configuration {version}").into_bytes()
 }
 
+// Each file of tests uses its part of it.
+#[allow(dead_code)]
 impl World {
     /// Whole places may be lost: any two of five.
     pub fn of_places(seeds: usize, losses: usize, seed: u64) -> World {
@@ -202,6 +208,20 @@
     pub fn replace(&mut self, at: usize, version: u64) -> usize {
         self.call(at, Some(version), body(version))
     }
+    /// An order to retire a store, first at this node.
+    pub fn retire(&mut self, at: usize, node: u32) -> usize {
+        self.calls.push(Call { retires: Some(node), at, ..Call::default() });
+        self.attempt(self.calls.len() - 1, 0, Some(at));
+        self.calls.len() - 1
+    }
+    /// A store has come further, as the node that leads sees.
+    pub fn advance(&mut self, node: u32, stage: Stage) {
+        (0..self.nodes.len()).for_each(|i| self.with(i, |pilot, now| pilot.advance(now, node, stage)));
+    }
+    /// Stores that are retired by what node `i` has in force, in their order.
+    pub fn retired(&self, i: usize) -> Vec<(u32, Stage)> {
+        self.nodes[i].force.retirements.iter().map(|r| (r.node, r.stage)).collect()
+    }
     #[track_caller]
     pub fn read(&mut self, at: usize, most: Millis) {
         let read = self.call(at, None, Vec::new());
@@ -216,12 +236,14 @@
         c.floor = self.acked;
         c.at = at.unwrap_or((c.at + 1) % nodes);
         let (i, version, body, attempt) = (c.at, c.version, c.body.clone(), c.attempt);
+        let retires = c.retires;
         let (there, ticket) = (self.up(i), call as u64 * 1000 + attempt);
         // Where nobody is it is noticed at once, and at a machine that ends meanwhile, soon.
         self.at(if there { 500 } else { 30 }, i, Happening::Try { call, attempt, at: None });
-        self.with(i, |pilot, now| match version {
-            Some(version) => pilot.replace(now, ticket, version, body),
-            None => pilot.read(now, ticket),
+        self.with(i, |pilot, now| match (version, retires) {
+            (_, Some(node)) => pilot.retire(now, ticket, node, format!("storage-{node}")),
+            (Some(version), _) => pilot.replace(now, ticket, version, body),
+            (None, None) => pilot.read(now, ticket),
         });
     }
     fn answered(&mut self, ticket: u64, verdict: Verdict, chart: Option<Chart>) {
@@ -230,12 +252,18 @@
         if c.attempt != attempt || c.done.is_some() {
             return;
         }
-        let (at, floor) = (c.at, if c.version.is_some() { 0 } else { c.floor });
+        let writes = c.version.is_some() || c.retires.is_some();
+        let (at, floor) = (c.at, if writes { 0 } else { c.floor });
         let (after, next) = match verdict {
             Verdict::Accepted | Verdict::Unchanged => {
                 c.done = Some(verdict);
+                if let Some(node) = c.retires {
+                    self.ordered.insert(node);
+                    return;
+                }
                 let (version, body) = (c.version.unwrap_or(0), c.body.clone());
-                let wrote = Some(Chart { version, body }).filter(|_| verdict == Verdict::Accepted);
+                let wrote = Some(Chart { version, body, ..Chart::default() })
+                    .filter(|_| verdict == Verdict::Accepted);
                 self.note(format!("call {call} {version:?} {verdict:?} {chart:?}"));
                 self.seen(&wrote.or(chart).unwrap_or_default(), floor);
                 return assert!(self.acked >= version, "acknowledged, and not in force");
@@ -257,11 +285,20 @@
     }
     /// Asks all nodes at one moment: no more than one may answer, with nothing older than was answered before.
     fn probe(&mut self) {
+        let ordered = self.ordered.clone();
         self.probe_at = self.now + 10;
         let mut charts = Vec::new();
         for node in self.nodes.iter_mut().filter(|n| !n.frozen) {
             let Some(pilot) = &mut node.pilot else { continue };
             pilot.read(self.now + node.clock, 0);
+            let settled = pilot.settled(self.now + node.clock);
+            // Of a full list the oldest complete one may go.
+            let settled = settled.filter(|chart| chart.retirements.len() < RETIREMENTS);
+            let forgotten =
+                settled.is_some_and(|chart| ordered.iter().any(|node| chart.retirement(*node).is_none()));
+            if forgotten {
+                self.fail("an acknowledged order to retire a store is forgotten");
+            }
             if let Some(Effect::Chart { chart, .. }) = pilot.take().pop() {
                 charts.push(chart.unwrap_or_default());
             }
@@ -324,12 +361,14 @@
             }
             Effect::Answer { ticket, verdict } => self.answered(ticket, verdict, None),
             Effect::Chart { ticket, chart } => self.answered(ticket, Verdict::Unchanged, chart),
-            Effect::InForce { version } => {
-                let chart = self.nodes[i].pilot.as_ref().and_then(|p| p.in_force()).cloned();
-                if version <= std::mem::replace(&mut self.nodes[i].force, version) {
-                    self.fail(&format!("{i} goes back to {version}"));
+            Effect::InForce { serial } => {
+                let chart =
+                    self.nodes[i].pilot.as_ref().and_then(|p| p.in_force()).cloned().unwrap_or_default();
+                let before = std::mem::replace(&mut self.nodes[i].force, chart.clone());
+                if serial != chart.serial || serial <= before.serial || chart.version < before.version {
+                    self.fail(&format!("{i} goes back to {} from {}", chart.serial, before.serial));
                 }
-                self.seen(&chart.unwrap_or_default(), 0);
+                self.seen(&chart, 0);
             }
             Effect::Turn { epoch, what } => self.note(format!("{i} {what} by {epoch}")),
             Effect::Released => self.nodes[i].released = true,
@@ -410,7 +449,7 @@
         self.wait(write, 3000);
         self.read(at, 500);
         self.run(1200);
-        let old = self.nodes.iter().position(|node| node.pilot.is_some() && node.force != version);
+        let old = self.nodes.iter().position(|node| node.pilot.is_some() && node.force.version != version);
         if old.is_some() || self.acked != version {
             self.fail(&format!("{old:?} has not the last in force"));
         }
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -99,7 +99,7 @@
             let body = String::from_utf8_lossy(&chart.body).into_owned();
             self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", chart.version));
         }
-        if self.never.contains(chart) {
+        if self.never.iter().any(|never| never.same_configuration(chart)) {
             self.fail(
                 Property::NotDoneStays,
                 format!("{} is {how}, and was answered as not done", chart.version),
@@ -118,8 +118,10 @@
         if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
             let before = node.seen.force.replace(chart.clone());
             let chart = chart.clone();
-            if let Some(before) = before.filter(|before| chart.version < before.version) {
-                let evidence = format!("node {i} had {} in force, and now {}", before.version, chart.version);
+            let back = |before: &Chart| chart.serial < before.serial || chart.version < before.version;
+            if let Some(before) = before.filter(back) {
+                let told = |chart: &Chart| format!("{} (serial {})", chart.version, chart.serial);
+                let evidence = format!("node {i} had {} in force, and now {}", told(&before), told(&chart));
                 self.lookout.fail(Property::NeverBack, evidence);
             }
             self.lookout.learn(&chart, "in force");
--- a/soundings/src/sea.rs
+++ b/soundings/src/sea.rs
@@ -345,7 +345,7 @@
     fn call(&mut self, at: usize, version: u64, attempts: u64) {
         let call = self.calls.len();
         let body = format!("v{version} of call {call}").into_bytes();
-        let chart = Chart { version, body };
+        let chart = Chart { version, body, ..Chart::default() };
         self.calls.push(Call { chart, at, attempt: 0, attempts, unclear: false, done: None, left: false });
         self.attempt(call, 0, Some(at));
     }
@@ -374,7 +374,7 @@
         self.at(0, Due::Ask { at, call, attempt });
     }
     fn ask(&mut self, at: usize, call: usize, attempt: u64) {
-        let Chart { version, body } = self.calls[call].chart.clone();
+        let Chart { version, body, .. } = self.calls[call].chart.clone();
         self.note(|| format!("node {at} is asked for {version}, call {call}"));
         self.with(at, |pilot, now| pilot.replace(now, call as u64 * 1_000 + attempt, version, body));
     }
@@ -559,7 +559,7 @@
             }
             Effect::Answer { ticket, verdict } => self.answered(i, ticket, verdict),
             Effect::Chart { .. } => {}
-            Effect::InForce { version } => self.note(|| format!("node {i} has {version} in force")),
+            Effect::InForce { serial } => self.note(|| format!("node {i} has the value {serial} in force")),
             Effect::Turn { epoch, what } => {
                 self.note(|| format!("node {i} {what} by {epoch}"));
                 if what == "stands" {
@@ -657,7 +657,9 @@
             let evidence = format!("the last write, {}, came to {:?}", chart.version, self.calls[call].done);
             return self.lookout.fail(Property::SoonAgain, evidence);
         }
-        let has = |i: &usize| self.nodes[*i].seen.force.as_ref() == Some(chart);
+        let has = |i: &usize| {
+            self.nodes[*i].seen.force.as_ref().is_some_and(|force| force.same_configuration(chart))
+        };
         match (0..self.bounds.nodes).find(|i| !has(i)) {
             None => {
                 self.waited = accepted - since;
@@ -769,6 +771,7 @@
             )
         }
         Record::Chart(chart) => format!("chart {}: {}", chart.version, String::from_utf8_lossy(&chart.body)),
+        Record::Unnumbered(old) => format!("chart {} of an older build", old.version),
         Record::Lent { epoch, to } => format!("lent by {epoch} to {}", index(*to)),
     }
 }
