--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -140,7 +140,7 @@
         from: Voter,
         epoch: u64,
         sent_at: Millis,
-        version: u64,
+        force: u64,
         digest: u64,
     ) {
         if self.blank {
@@ -169,9 +169,9 @@
         // One that was taken out as it ends does not join again.
         let votes = !self.released || mine.voters.contains(&self.terms.me);
         self.send(from, Signal::PulseAck { epoch, sent_at, votes, holds: !self.hollow });
-        if self.force.as_ref().map_or(0, |c| c.version) < version {
+        if self.force.as_ref().map_or(0, |c| c.serial) < force {
             let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
-            if self.chart.version == version && same {
+            if self.chart.serial == force && same {
                 self.enforce(self.chart.clone());
             } else {
                 self.send(from, Signal::AskChart);
--- a/pilotage/tests/replaced.rs
+++ b/pilotage/tests/replaced.rs
@@ -18,7 +18,7 @@
 }
 /// Two of three are lost one after the other: whoever is left leads within 3 s and takes a write.
 fn bears_one_more(world: &mut World, which: u64) {
-    let lost = if which % 2 == 0 { world.primary() } else { world.copy() };
+    let lost = if which.is_multiple_of(2) { world.primary() } else { world.copy() };
     world.strike(lost, Power, None);
     let up = (0..world.nodes.len()).find(|i| world.up(*i)).unwrap();
     let call = world.replace(up, 9);
