Control group: a primary told to end that is followed meanwhile ends; growth in the search

Cause: the wish to end was kept in the duty of the primary, and forgotten with it. Found by the search with a node that joins.

Change: whoever steps down with it waits no longer than it would have. Soundings: spare nodes, that join, come for one that is lost for good, or come before one that is told to end; a loss for good, a split of two from the rest, and the property that whoever comes soon votes and whoever it came for does not any more.

Seen: pilotage/tests/replaced.rs, a_primary_told_to_end_that_another_follows_meanwhile_ends, fails without it.

--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -37,11 +37,19 @@
     BegunForgotten,
     /// Nobody takes over a watch that it is told.
     NeverAdopts,
+    /// One voter takes the place of another in one change: majorities of before and after need not meet.
+    SwapAtOnce,
+    /// A voter is taken for gone after 3 s of silence, and not sooner.
+    GoneStays,
+    /// A copy is named in place of another before it is filled.
+    UnfilledNamed,
+    /// Whoever acks counts for the lease, also one that is no voter.
+    LearnersCount,
 }
 
 #[cfg(feature = "planted")]
 impl Planted {
-    pub const ALL: [Planted; 15] = [
+    pub const ALL: [Planted; 19] = [
         Planted::OwnVoteEnough,
         Planted::LongLease,
         Planted::LeaseByArrival,
@@ -57,6 +65,10 @@
         Planted::DrawnUnheeded,
         Planted::BegunForgotten,
         Planted::NeverAdopts,
+        Planted::SwapAtOnce,
+        Planted::GoneStays,
+        Planted::UnfilledNamed,
+        Planted::LearnersCount,
     ];
 }
 
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -1,6 +1,6 @@
 //! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
 
-use crate::voter::majority;
+use crate::voter::{majority, Leaving};
 use crate::{After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Stage, Terms};
 use crate::{Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -150,6 +150,8 @@
         self.draw_stand(now);
         let lies = self.planted(Planted::BegunForgotten);
         if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
+            // It was to end, and another leads before it handed its duty over.
+            self.leaving = lead.leave_by.map(|by| Leaving { by, ask_at: now });
             let under_way = lead.job.and_then(|job| job.change);
             self.effects.extend(under_way.and_then(|order| order.answer(Verdict::Uncertain)));
             for waiting in lead.queue {
@@ -168,6 +170,9 @@
         }
         let fresh = |at: &Millis| now <= at + self.terms.lease_ms + long;
         let acked = lead.acks.iter().filter(|(_, at)| fresh(at)).map(|(v, _)| v);
+        if self.planted(Planted::LearnersCount) && (acked.clone().count() + 1) * 2 > watch.voters.len() {
+            return true;
+        }
         majority(&watch.voters, acked.chain(std::iter::once(&self.terms.me))) && !self.released
     }
 
@@ -279,6 +284,7 @@
             self.send(next, Signal::Handover { epoch: watch.epoch, ends });
         }
         if ends {
+            self.leaving = None;
             self.released = true;
             self.effects.push(Effect::Released);
         }
@@ -508,6 +514,9 @@
             }
         }
         if let Some(voter) = other.filter(|_| watch.copies.len() - lost.len() < want) {
+            if self.planted(Planted::UnfilledNamed) {
+                return self.change_copies(now, voter, &lost);
+            }
             return self.write(now, own, None, vec![voter], Some((voter, lost)));
         }
         self.look_after_voters(now, watch);
@@ -562,6 +571,9 @@
             !voters.contains(l) && lead.here(now, l) && !lead.leaving.contains(l) && !self.link_down(l)
         })?;
         let mut next = voters.clone();
+        if self.planted(Planted::SwapAtOnce) {
+            next.retain(|v| *v == self.terms.me || !self.gone(now, lead, watch, v));
+        }
         next.push(*joins);
         next.sort();
         Some(next)
@@ -580,6 +592,9 @@
 
     /// It has said that it goes for good, has been silent for long, or its connection broke and it was not back soon.
     fn gone(&self, now: Millis, lead: &Lead, watch: &Watch, voter: &Voter) -> bool {
+        if self.planted(Planted::GoneStays) {
+            return lead.acks.get(voter).map_or(now > lead.since + 3_000, |at| now > at + 3_000);
+        }
         Self::leaves_by(lead, watch, voter)
             || lead.silent(now, voter, if self.link_down(voter) { ABSENT } else { LOST })
     }
--- a/pilotage/tests/replaced.rs
+++ b/pilotage/tests/replaced.rs
@@ -218,3 +218,19 @@
         world.read((0..7).find(|i| world.up(*i)).unwrap(), 3000);
     }
 }
+
+/// Seen failing: it forgot that it was told to end, and ran on until it was killed.
+#[test]
+fn a_primary_told_to_end_that_another_follows_meanwhile_ends() {
+    for seed in 0..12 {
+        let mut world = quiet(3, 1, seed);
+        let primary = world.primary();
+        (0..3).filter(|i| *i != primary).for_each(|i| world.cut(primary, i));
+        world.run(2000);
+        assert_ne!(world.primary(), primary);
+        world.release(primary);
+        world.heal();
+        world.run(700);
+        assert!(world.nodes[primary].released);
+    }
+}
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -18,10 +18,11 @@
     HollowSits,
     NotDoneStays,
     SoonAgain,
+    SoonReplaced,
 }
 
 impl Property {
-    pub const ALL: [Property; 11] = [
+    pub const ALL: [Property; 12] = [
         Property::OneActs,
         Property::NothingOld,
         Property::OneBody,
@@ -33,6 +34,7 @@
         Property::HollowSits,
         Property::NotDoneStays,
         Property::SoonAgain,
+        Property::SoonReplaced,
     ];
     pub fn sentence(self) -> &'static str {
         match self {
@@ -48,6 +50,7 @@
             Property::BlankIsSilent => "a node that lost its disk votes only after more than half told it",
             Property::HollowSits => "a node that lost its chart does not stand before it was filled",
             Property::NotDoneStays => "what was answered as not done is never in force",
+            Property::SoonReplaced => "whoever comes soon votes, and whoever it came for does not any more",
             Property::SoonAgain => "after all is healed a write is soon accepted and in force at all nodes",
         }
     }
@@ -152,9 +155,14 @@
         }
         let Some(acts) = acts else { return };
         self.read(acts);
-        let copies = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).map(|w| w.copies.clone());
+        let watch = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).cloned();
+        let (copies, voters) = watch.map(|w| (w.copies, w.voters)).unzip();
         for (i, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.seen.lost) {
             let named = copies.iter().flatten().any(|copy| index(*copy) == i);
+            if node.gone {
+                node.seen.lost = named || voters.iter().flatten().any(|voter| index(*voter) == i);
+                continue;
+            }
             let whole = node.pilot.as_ref().is_some_and(|p| !p.blank() && (!named || !p.hollow()));
             node.seen.lost = !whole;
         }
@@ -214,6 +222,24 @@
         }
     }
 
+    /// Of those that are there all vote, and of those that are gone none.
+    pub(crate) fn voters_settled(&self) -> bool {
+        if self.bounds.spares == 0 {
+            return true;
+        }
+        let acts = |node: &&crate::sea::Node| {
+            !node.frozen && node.pilot.as_ref().is_some_and(|p| p.answers(node.local(self.now)))
+        };
+        let watch = self.nodes.iter().find(acts).and_then(|n| n.pilot.as_ref()).and_then(|p| p.watch());
+        let Some(watch) = watch else { return false };
+        // One that is gone with nobody in its place stays: an odd group takes it for one that may come back.
+        let odd = !watch.voters.len().is_multiple_of(2);
+        self.nodes.iter().enumerate().all(|(i, node)| {
+            let votes = watch.voters.contains(&crate::sea::voter(i));
+            votes == (node.pilot.is_some() && !node.gone) || (votes && node.gone && odd)
+        })
+    }
+
     pub(crate) fn since(&self, at: Millis) -> Millis {
         self.now.saturating_sub(at)
     }
--- a/soundings/src/main.rs
+++ b/soundings/src/main.rs
@@ -42,6 +42,8 @@
     help: bool,
     #[options(help = "control nodes, 3 or 5", default = "3", meta = "N")]
     nodes: usize,
+    #[options(no_short, help = "control nodes that may come later", default = "0", meta = "N")]
+    spares: usize,
     #[options(help = "most troubles, up to 3", default = "1", meta = "N")]
     troubles: u8,
     #[options(help = "most delays, up to 3", default = "0", meta = "N")]
@@ -95,10 +97,10 @@
 }
 
 fn line(bounds: &Bounds, sum: &Soundings, since: Instant) -> String {
-    let Bounds { nodes, troubles, delays, grain, spans, chance, drift, script, .. } = bounds;
+    let Bounds { nodes, spares, troubles, delays, grain, spans: times, chance, drift, script, .. } = bounds;
     let Soundings { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
     format!(
-        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} spans={spans:?} chance={chance:?} drift={drift:?} script={script} \
+        "nodes={nodes} spares={spares} troubles={troubles} delays={delays} grain={grain:?} spans={times:?} chance={chance:?} drift={drift:?} script={script} \
          states={states} distinct={distinct} pruned={pruned} transitions={transitions} ways={ways} deepest={deepest} \
          waited_ms={waited} parts={}/{} seconds={:.1}",
         whole.0,
@@ -117,6 +119,7 @@
 fn search(words: &Search, threads: usize, stop: &AtomicBool) -> bool {
     let bounds = Bounds {
         nodes: words.nodes,
+        spares: words.spares,
         losses: (words.nodes - 1) / 2,
         troubles: words.troubles,
         delays: words.delays,
@@ -201,6 +204,7 @@
             if search.troubles > 3
                 || search.delays > 3
                 || ![3, 5].contains(&search.nodes)
+                || search.spares > 2
                 || search.script > 2 =>
         {
             eprintln!(
--- a/soundings/src/proof.rs
+++ b/soundings/src/proof.rs
@@ -7,6 +7,7 @@
 /// Three nodes that bear one loss, everything as small as it comes.
 pub const THREE: Bounds = Bounds {
     nodes: 3,
+    spares: 0,
     losses: 1,
     troubles: 1,
     delays: 0,
--- a/soundings/src/sea.rs
+++ b/soundings/src/sea.rs
@@ -17,12 +17,16 @@
 const PATIENCE: Millis = 500;
 /// Turns may be taken so long after the last call has ended, and no longer than that after the start.
 const AFTER: Millis = 500;
+/// The same, where nodes are replaced: until one that is lost is out of the group.
+const AFTER_GROWTH: Millis = 2_000;
 const LONGEST: Millis = 6_000;
 /// The last call is made so long after the last trouble: whoever is back has heard a pulse by then.
 const SETTLED: Millis = 250;
 /// After the last trouble it has so long to be accepted, and then to be in force at all nodes.
 const ACCEPTED: Millis = 4_000;
 const EVERYWHERE: Millis = 1_500;
+/// And so long until whoever is there votes, and nobody else.
+const REPLACED: Millis = 2_500;
 
 /// At which steps a turn is offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -101,7 +105,9 @@
 
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
+    /// Control nodes that start first, and those that may come later, empty, at addresses of their own.
     pub nodes: usize,
+    pub spares: usize,
     pub losses: usize,
     /// Most troubles: an end, a loss of power or disk, a freeze, a cut, an orderly end.
     pub troubles: u8,
@@ -139,6 +145,8 @@
     pub writing: VecDeque<(Millis, u64, Record)>,
     pub wiped: bool,
     pub frozen: bool,
+    /// It comes not back: lost for good, or taken away by plan.
+    pub gone: bool,
     pub outbox: VecDeque<Effect>,
     pub due: Millis,
     pub seen: Seen,
@@ -164,6 +172,8 @@
     Thaw(usize),
     End(usize),
     Start(usize),
+    /// SIGTERM, to be taken away.
+    Retire(usize),
     Heal(usize, usize),
     /// What the first sends reaches the second again.
     Hears(usize, usize),
@@ -252,7 +262,7 @@
 
 impl Sea {
     pub fn new(bounds: Bounds) -> Sea {
-        let n = bounds.nodes;
+        let n = bounds.nodes + bounds.spares;
         let share = |i: usize| match bounds.chance {
             Chance::Rising => i,
             Chance::Falling => n - 1 - i,
@@ -285,7 +295,7 @@
             waited: 0,
             luck: (0..n).map(|i| luck(share(i) as u64, n as u64)).collect(),
         };
-        (0..n).for_each(|i| sea.start(i));
+        (0..bounds.nodes).for_each(|i| sea.start(i));
         sea
     }
 
@@ -319,13 +329,13 @@
         // Serials of one life don't follow those of another.
         let seed = (i as u64 + 1) * 1_000_000 + node.life * 10_000;
         let seeds = (0..bounds.nodes).map(voter).collect();
-        let mut terms = Terms::new(voter(i), seeds, node.life == 0, bounds.losses, seed);
+        let mut terms = Terms::new(voter(i), seeds, node.life == 0 && i < bounds.nodes, bounds.losses, seed);
         terms.planted = bounds.planted;
         node.pilot = Some(Pilotage::new(terms, node.disk.clone(), node.local(self.now)));
         node.life += 1;
-        node.seen.blank = node.life > 1 && node.disk.watch.is_none();
+        node.seen.blank = (node.life > 1 || i >= bounds.nodes) && node.disk.watch.is_none();
         self.note(|| format!("node {i} starts"));
-        (0..bounds.nodes).for_each(|peer| self.join(i, peer));
+        (0..self.nodes.len()).for_each(|peer| self.join(i, peer));
         self.with(i, |_, _| ());
     }
     pub(crate) fn join(&mut self, a: usize, b: usize) {
@@ -388,11 +398,11 @@
             node.seen.granted.clear();
         }
         self.agenda.retain(|(_, due)| match due {
-            Due::Thaw(at) | Due::End(at) => *at != i,
+            Due::Thaw(at) | Due::End(at) | Due::Retire(at) => *at != i,
             Due::Ask { at, .. } | Due::Link { at, .. } => *at != i,
             _ => true,
         });
-        for peer in (0..self.bounds.nodes).filter(|peer| *peer != i) {
+        for peer in (0..self.nodes.len()).filter(|peer| *peer != i) {
             self.part(i, peer, if kill { 1 } else { 3_000 }, Some(i).filter(|_| kill));
             self.agenda.retain(|(_, due)| !matches!(due, Due::Link { at, .. } if *at == i));
         }
@@ -441,10 +451,10 @@
         self.agenda.retain(|(_, due)| !matches!(due, Due::Next { call: c, .. } if *c == call));
         let c = &mut self.calls[call];
         c.attempt += 1;
-        c.at = at.unwrap_or((c.at + 1) % self.bounds.nodes);
+        c.at = at.unwrap_or((c.at + 1) % self.nodes.len());
         let (at, attempt) = (c.at, c.attempt);
         if self.nodes[at].pilot.is_none() {
-            let next = (at + 1) % self.bounds.nodes;
+            let next = (at + 1) % self.nodes.len();
             return self.at(30, Due::Next { call, attempt, at: Some(next) });
         }
         self.at(PATIENCE, Due::Next { call, attempt, at: None });
@@ -567,7 +577,9 @@
     }
     fn next_due(&self) -> Option<&(Millis, Due)> {
         let open = |due: &Due| match due {
-            Due::Link { at, .. } | Due::Ask { at, .. } | Due::End(at) => !self.nodes[*at].frozen,
+            Due::Link { at, .. } | Due::Ask { at, .. } | Due::End(at) | Due::Retire(at) => {
+                !self.nodes[*at].frozen
+            }
             _ => true,
         };
         self.agenda.iter().filter(|(_, due)| open(due)).min()
@@ -663,9 +675,15 @@
                 self.note(|| format!("node {i} has ended"));
                 let all = self.nodes[i].writing.len();
                 self.end(i, all, true, false);
-                self.at(300, Due::Start(i));
+                if !self.nodes[i].gone {
+                    self.at(300, Due::Start(i));
+                }
             }
             Due::Start(i) => self.start(i),
+            Due::Retire(i) => {
+                self.note(|| format!("node {i} is told to end"));
+                self.with(i, |pilot, now| pilot.release(now));
+            }
             Due::Heal(a, b) => {
                 self.note(|| format!("{a} and {b} meet again"));
                 let way = self.way(a, b);
@@ -698,9 +716,12 @@
     /// Trouble goes on somewhere.
     pub(crate) fn troubled(&self) -> bool {
         let trouble = |due: &Due| {
-            matches!(due, Due::Thaw(_) | Due::End(_) | Due::Start(_) | Due::Heal(..) | Due::Hears(..))
+            matches!(
+                due,
+                Due::Thaw(_) | Due::End(_) | Due::Start(_) | Due::Retire(_) | Due::Heal(..) | Due::Hears(..)
+            )
         };
-        self.nodes.iter().any(|n| n.pilot.is_none() || n.frozen)
+        self.nodes.iter().any(|n| (n.pilot.is_none() && !n.gone && n.life > 0) || n.frozen)
             || self.agenda.iter().any(|(_, due)| trouble(due))
     }
     /// Turns may still be taken so long.
@@ -708,7 +729,8 @@
         if self.calm.is_some() {
             return 0;
         }
-        let until = self.ended.map_or(LONGEST, |ended| (ended + AFTER).min(LONGEST));
+        let after = if self.bounds.spares > 0 { AFTER_GROWTH } else { AFTER };
+        let until = self.ended.map_or(LONGEST, |ended| (ended + after).min(LONGEST));
         until.saturating_sub(self.now)
     }
     pub fn calm(&self) -> bool {
@@ -725,7 +747,7 @@
     }
     fn last_call(&mut self) {
         let version = self.calls.iter().map(|c| c.chart.version).max().unwrap_or(0) + 1;
-        self.call(self.lookout.highest as usize % self.bounds.nodes, version, u64::MAX);
+        self.call(self.lookout.highest as usize % self.nodes.len(), version, u64::MAX);
     }
     fn calm_down(&mut self) {
         let Some((call, since)) = self.calm.filter(|_| !self.over) else { return };
@@ -745,7 +767,13 @@
         let has = |i: &usize| {
             self.nodes[*i].seen.force.as_ref().is_some_and(|force| force.same_configuration(chart))
         };
-        match (0..self.bounds.nodes).find(|i| !has(i)) {
+        match (0..self.nodes.len()).filter(|i| self.up(*i)).find(|i| !has(i)) {
+            None if !self.voters_settled() => {
+                if self.since(since) > REPLACED {
+                    let evidence = format!("{} ms after the last trouble", self.since(since));
+                    self.lookout.fail(Property::SoonReplaced, evidence);
+                }
+            }
             None => {
                 self.waited = accepted - since;
                 self.over = true;
@@ -768,7 +796,7 @@
         let serial = |(i, node): (usize, &Node)| (voter(i), node.pilot.as_ref().map_or(0, |p| p.serial()));
         let serials: Vec<(Voter, u64)> = self.nodes.iter().enumerate().map(serial).collect();
         for (i, node) in self.nodes.iter().enumerate() {
-            (node.frozen, &node.disk, node.wiped, node.pilot.is_some()).hash(&mut hasher);
+            (node.frozen, node.gone, &node.disk, node.wiped, node.pilot.is_some()).hash(&mut hasher);
             // Clocks tick in whole milliseconds: where between two of them.
             (now * node.speed() % 1_000).hash(&mut hasher);
             (node.seen.lost, node.seen.blank, node.outbox.len(), node.writing.len()).hash(&mut hasher);
--- a/soundings/src/turns.rs
+++ b/soundings/src/turns.rs
@@ -50,6 +50,30 @@
         node: usize,
         span: Millis,
     },
+    /// A node more.
+    Join {
+        node: usize,
+    },
+    /// It is lost for good, and an empty one comes a moment later.
+    Replace {
+        node: usize,
+        with: usize,
+    },
+    /// An empty one comes, and the other is told to end, for good.
+    Succeed {
+        node: usize,
+        with: usize,
+    },
+    /// It is lost for good, with nobody in its place.
+    Gone {
+        node: usize,
+    },
+    /// These two meet each other, and none of the rest.
+    Split {
+        node: usize,
+        with: usize,
+        span: Millis,
+    },
     /// SIGTERM.
     Release {
         node: usize,
@@ -83,6 +107,9 @@
 /// After whatever else is due now; longer than the lease.
 const LATE: [Millis; 3] = [1, 150, 950];
 const DISK_LATE: [Millis; 2] = [60, 1_150];
+/// A node that is lost for good is replaced so much later, and one that is replaced by plan ends so long after the new one came.
+const SUCCESSOR: Millis = 300;
+const PLANNED: Millis = 600;
 /// A cut is noticed by the connections so late.
 const CUT_NOTICED: Millis = 200;
 
@@ -104,6 +131,11 @@
             Turn::OneWay { from, to, span } => (11, from, to, span),
             Turn::Deaf { node, span } => (12, node, 0, span),
             Turn::Mute { node, span } => (13, node, 0, span),
+            Turn::Join { node } => (14, node, 0, 0),
+            Turn::Replace { node, with } => (15, node, with, 0),
+            Turn::Succeed { node, with } => (16, node, with, 0),
+            Turn::Gone { node } => (17, node, 0, 0),
+            Turn::Split { node, with, span } => (18, node, with, span),
         }
     }
     /// It counts as trouble, and else as a delay.
@@ -134,6 +166,9 @@
 
     fn troubles(&self, node: usize, turns: &mut Vec<Turn>) {
         let at = &self.nodes[node];
+        if at.gone {
+            return;
+        }
         let lost = self.nodes.iter().enumerate().filter(|(i, n)| *i != node && n.seen.lost).count();
         let bearable = lost < self.bounds.losses;
         let of = |spans: &'static [Millis], one: usize| match self.bounds.spans {
@@ -159,7 +194,7 @@
         for span in of(&APART, 1).iter().copied() {
             turns.push(Turn::CutOff { node, span });
             // Of three a node that meets one of the others meets the rest: with five that is not gone through.
-            let others = (0..self.bounds.nodes).filter(|b| *b != node && self.joined[self.way(node, *b)]);
+            let others = (0..self.nodes.len()).filter(|b| *b != node && self.joined[self.way(node, *b)]);
             for b in others {
                 turns.push(Turn::Cut { a: node, b, span });
                 turns.push(Turn::OneWay { from: node, to: b, span });
@@ -168,6 +203,28 @@
             turns.push(Turn::Mute { node, span });
         }
         turns.push(Turn::Release { node });
+        self.growth(node, bearable, turns);
+    }
+
+    fn growth(&self, node: usize, bearable: bool, turns: &mut Vec<Turn>) {
+        let spare = (self.bounds.nodes..self.nodes.len()).find(|i| self.nodes[*i].life == 0);
+        // Before the first configuration nobody joins, and none is replaced.
+        if let Some(with) = spare.filter(|_| self.lookout.highest > 0) {
+            turns.push(Turn::Join { node: with });
+            if bearable {
+                turns.push(Turn::Replace { node, with });
+                turns.push(Turn::Succeed { node, with });
+            }
+        }
+        let came = (self.bounds.nodes..self.nodes.len()).filter(|i| self.nodes[*i].life > 0);
+        for with in came {
+            if bearable {
+                turns.push(Turn::Gone { node });
+            }
+            if with != node && self.up(with) {
+                turns.push(Turn::Split { node, with, span: APART[1] });
+            }
+        }
     }
 
     fn delays(&self, fine: bool, turns: &mut Vec<Turn>) {
@@ -213,14 +270,32 @@
             }
             Turn::Cut { a, b, span } => self.cut(a, b, span),
             Turn::CutOff { node, span } => {
-                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.cut(node, b, span));
+                (0..self.nodes.len()).filter(|b| *b != node).for_each(|b| self.cut(node, b, span));
             }
             Turn::OneWay { from, to, span } => self.hold(from, to, span),
             Turn::Deaf { node, span } => {
-                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.hold(b, node, span));
+                (0..self.nodes.len()).filter(|b| *b != node).for_each(|b| self.hold(b, node, span));
             }
             Turn::Mute { node, span } => {
-                (0..self.bounds.nodes).filter(|b| *b != node).for_each(|b| self.hold(node, b, span));
+                (0..self.nodes.len()).filter(|b| *b != node).for_each(|b| self.hold(node, b, span));
+            }
+            Turn::Join { node } => self.start(node),
+            Turn::Replace { node, with } => {
+                self.lose(node);
+                self.at_least(SUCCESSOR, Due::Start(with));
+            }
+            Turn::Succeed { node, with } => {
+                self.start(with);
+                self.nodes[node].gone = true;
+                self.nodes[node].seen.lost = true;
+                self.at_least(PLANNED, Due::Retire(node));
+            }
+            Turn::Gone { node } => self.lose(node),
+            Turn::Split { node, with, span } => {
+                for other in (0..self.nodes.len()).filter(|i| ![node, with].contains(i)) {
+                    self.cut(node, other, span);
+                    self.cut(with, other, span);
+                }
             }
             Turn::Release { node } => self.with(node, |pilot, now| pilot.release(now)),
             Turn::Late { from, to, by } => {
@@ -245,6 +320,11 @@
         }
     }
 
+    fn lose(&mut self, node: usize) {
+        self.end(node, 0, false, false);
+        (self.nodes[node].gone, self.nodes[node].seen.lost) = (true, true);
+    }
+
     fn cut(&mut self, a: usize, b: usize, span: Millis) {
         let way = self.way(a, b);
         self.cuts[way] += 1;
