Queue: an emptied store takes nothing with it; faults planted in hold/

Cause, found by reading: a store said that it was empty while it held one of the two disks of a message, in two cases. What it had out failed late and went to a successor that had long said that it counted on nothing there; and an owner was gone and no member any more, and its messages not yet taken over. Ends were not copied on: with both stores that knew one emptied, or one emptied and the other's disk lost, a question within status_s was answered as if there had been no such message. A retiring store could be counted on again by a late Want, or by the digests of what was left there. And an order that was lost with the power, of which others had heard, had them move copies away from that store again and again, for good.

Change: a word that nobody counts on a store stands until its sender names that store again; every owner of what lies here has said so before it is empty; ends are passed on to machine_losses + 1 others, synced there (two new frames between stores, nothing new on disk); one that is to be emptied is not counted on; `retiring` of a peer ends with the connection.

soundings/hold builds the sources of hold/ once more with 13 faults that can be planted, after the manner of soundings/pilotage; no build in service can have the feature.

--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -156,6 +156,17 @@
     pub tries: u32,
 }
 
+/// An end as a store that is to be emptied passes it on.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownEnd {
+    pub key: Key,
+    pub end: End,
+    /// Its call-back has not been taken.
+    pub owed: bool,
+    /// Body and time of a message that failed: they are asked for.
+    pub dead: Option<Cargo>,
+}
+
 /// Between stores.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Note {
@@ -216,6 +227,9 @@
     Retiring,
     /// The sender counts on no copy that lies at the receiver.
     Relieved,
+    /// The sender is to be emptied: keep the ends that it knows; `EndsKept` when they are on disk.
+    KnownEnds(Vec<KnownEnd>),
+    EndsKept(Vec<Key>),
     /// Tokens of a service with a ceiling: so many are wanted, so many may be used.
     TokensWanted {
         service: String,
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -3,6 +3,7 @@
 
 use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Range, Record, Shared, Stands};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
+use crate::planted::Planted;
 use crate::repair::range;
 use std::collections::BTreeSet;
 
@@ -62,6 +63,7 @@
     pub own: Vec<Owned>,
     pub drop: Vec<Key>,
     pub ends: Vec<(Key, End, bool)>,
+    pub ends_kept: Vec<Key>,
     pub called: Vec<Key>,
     pub handover: Vec<Handed>,
 }
@@ -101,6 +103,8 @@
     pub fn up(&mut self, now: Millis, node: Node) {
         let peer = self.peers.entry(node).or_default();
         (peer.connected, peer.leaving, peer.stood, peer.since) = (true, false, false, now);
+        // One that is to be emptied yet says so again: an order that was lost with its power is none.
+        peer.retiring = false;
         peer.out = Outbox::default();
         self.rows.changed = now;
         // One of the two begins: the other answers with what differs.
@@ -126,6 +130,7 @@
         (peer.connected, peer.stood, peer.since) = (false, false, now);
         peer.out = Outbox::default();
         self.relieved.remove(&node);
+        self.passing.gone(node);
         let waiting: Vec<Key> = self
             .landing
             .iter()
@@ -271,6 +276,7 @@
             // Nothing has been sent yet: whoever is gone by then is replaced at the next look.
             return;
         }
+        let list_stays = self.planted(Planted::OldCopyList);
         for from in slow {
             // Others get the copies of the next messages: each would wait here as long as this one has.
             self.peers.entry(from).or_default().full_until = now + SLOW;
@@ -281,11 +287,15 @@
             entry.copies.iter_mut().filter(|c| **c == from).for_each(|c| *c = to);
             // On disk before the answer: after a restart those that hold copies are waited for, and no
             // others.
-            entry.missing.push(me);
             let (term, copies) = (entry.term, entry.copies.clone());
-            self.record(&Record::Own { key, owner: me, term, copies }, true);
-            self.wait_for_disk(Waits::Own(key));
-            self.to(from).drop.push(key);
+            if !list_stays {
+                entry.missing.push(me);
+                self.record(&Record::Own { key, owner: me, term, copies }, true);
+                self.wait_for_disk(Waits::Own(key));
+            }
+            if !self.planted(Planted::DropUnsent) {
+                self.to(from).drop.push(key);
+            }
             if let Some(shared) = self.shared(now, key) {
                 self.copy_to(to, shared);
             }
@@ -369,6 +379,7 @@
             Note::HandoverTaken(keys) => {
                 for (key, term) in keys {
                     self.handing.remove(&key);
+                    self.counted_on_by(from);
                     let Some(entry) = self.entries.get(&key) else { continue };
                     self.figures.handed_over += 1;
                     let mut copies = entry.copies.clone();
@@ -407,6 +418,8 @@
             Note::Relieved => {
                 self.relieved.insert(from);
             }
+            Note::KnownEnds(ends) => self.keep_ends(now, from, ends),
+            Note::EndsKept(keys) => self.passing.kept(from, keys),
             Note::TokensWanted { service, count } => self.tokens_wanted(now, from, service, count),
             Note::Tokens { service, count } => self.tokens_came(now, from, &service, count),
         }
@@ -414,6 +427,7 @@
 
     fn keep_copy(&mut self, now: Millis, from: Node, shared: Shared) {
         let key = shared.key;
+        self.counted_on_by(from);
         if self.stalled(now) && !self.entries.contains_key(&key) {
             return self.to(from).not_copied.push(key);
         }
@@ -432,7 +446,11 @@
             }
             _ => {
                 self.record(&Record::Put { shared: shared.clone() }, true);
-                self.wait_for_disk(Waits::CopyOf(from, key));
+                if self.planted(Planted::CopyUnsynced) {
+                    self.to(from).copied.push(key);
+                } else {
+                    self.wait_for_disk(Waits::CopyOf(from, key));
+                }
                 self.enter(now, &shared, Stage::Copy);
             }
         }
@@ -451,7 +469,9 @@
 
     fn ended_elsewhere(&mut self, now: Millis, key: Key, end: End, owed: bool) {
         let at = self.wall_of(now);
-        self.record(&Record::End { key, end: end.clone(), owed, at }, false);
+        if !self.planted(Planted::EndUnkept) {
+            self.record(&Record::End { key, end: end.clone(), owed, at }, false);
+        }
         self.close_copy(now, key, end, owed);
     }
 
@@ -474,6 +494,10 @@
             return;
         }
         (entry.owner, entry.term, entry.copies) = (owner, term, copies.clone());
+        if copies.contains(&self.terms.me) {
+            self.counted_on_by(owner);
+        }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         let ticket = entry.ticket.take();
         entry.landing.take().map(|at| self.landing.remove(&(at, key)));
         let mine = owner == self.terms.me;
@@ -586,6 +610,7 @@
     /// This store delivers a message from now on. `from`: the one that gives it away in order.
     fn take_over(&mut self, now: Millis, key: Key, from: Option<(Node, Handed)>) {
         let me = self.terms.me;
+        let raised = u32::from(!self.planted(Planted::TermUnraised));
         let giver = from.map(|(node, _)| node);
         let Some(entry) = self.entries.get_mut(&key) else {
             if let Some(giver) = giver {
@@ -605,7 +630,7 @@
         if let Some((_, handed)) = from {
             (entry.term, entry.tries) = (entry.term.max(handed.term), entry.tries.max(handed.tries));
         }
-        entry.term += 1;
+        entry.term += raised;
         entry.copies.retain(|node| *node != me && *node != before);
         entry.copies.extend(giver);
         let (term, ended) = (entry.term, entry.end.is_some());
@@ -685,7 +710,8 @@
             Some(peer) => peer.stood || (!peer.connected && now > PATIENCE),
             None => now > PATIENCE,
         };
-        let ready = |key: &Key| self.entries.get(key).is_none_or(|e| e.copies.iter().all(spoken));
+        let early = self.planted(Planted::ReleasedEarly);
+        let ready = |key: &Key| early || self.entries.get(key).is_none_or(|e| e.copies.iter().all(spoken));
         let free: Vec<Key> = self.held.iter().copied().filter(ready).collect();
         for key in free {
             self.held.remove(&key);
@@ -738,8 +764,10 @@
         let Some(entry) = self.entries.get(&key) else { return };
         let able = |node: &&Node| self.peers.get(node).is_some_and(|p| p.connected && p.stood && !p.leaving);
         let safe = entry.copies.iter().filter(|node| !entry.missing.contains(node));
-        let (to, term, tries) = (safe.copied().find(|node| able(&node)), entry.term, entry.tries);
-        if let Some(to) = to {
+        let (term, tries) = (entry.term, entry.tries);
+        let successors = safe.copied().filter(|node| able(&node));
+        let most = if self.planted(Planted::HandedTwice) { usize::MAX } else { 1 };
+        for to in successors.take(most).collect::<Vec<Node>>() {
             self.unschedule(key);
             if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_none()) {
                 entry.stage = Stage::Held;
@@ -791,6 +819,9 @@
             if !out.own.is_empty() {
                 notes.push((*node, Note::Own(std::mem::take(&mut out.own))));
             }
+            if !out.ends_kept.is_empty() {
+                notes.push((*node, Note::EndsKept(std::mem::take(&mut out.ends_kept))));
+            }
             if !out.not_handed.is_empty() {
                 notes.push((*node, Note::HandoverRefused(std::mem::take(&mut out.not_handed))));
             }
--- a/hold/src/hold.rs
+++ b/hold/src/hold.rs
@@ -8,6 +8,7 @@
 use crate::copies::Peer;
 use crate::lane::{Again, Lane, Picked, Server, Turn};
 use crate::ledger::Ledger;
+use crate::planted::Planted;
 use crate::tokens::Bucket;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
@@ -228,6 +229,7 @@
     Own(Key),
     CopyOf(Node, Key),
     HandedBy(Node, Key),
+    EndOf(Node, Key),
     Retire,
 }
 
@@ -288,6 +290,8 @@
     pub(crate) retiring: bool,
     pub(crate) retire_kept: bool,
     pub(crate) relieved: BTreeSet<Node>,
+    /// Ends that go to others before this store is gone.
+    pub(crate) passing: crate::ends::Passing,
     /// The control nodes hear this store: without them and without a peer it may be the one that is cut off.
     pub heard: bool,
     /// So long without a word of them that they may call its session lapsed.
@@ -296,6 +300,8 @@
     pub(crate) fence: Option<Millis>,
     /// The members have been told: before that a store would take itself for the only one.
     pub(crate) acquainted: bool,
+    #[cfg(feature = "planted")]
+    pub(crate) planted: Option<Planted>,
     pub figures: Figures,
 }
 
@@ -345,10 +351,13 @@
             retiring: ledger.retire,
             retire_kept: ledger.retire,
             relieved: BTreeSet::new(),
+            passing: Default::default(),
             heard: true,
             lapsed: false,
             fence: None,
             acquainted: false,
+            #[cfg(feature = "planted")]
+            planted: None,
             figures: Figures::default(),
             terms,
         };
@@ -362,6 +371,7 @@
     }
 
     fn recall(&mut self, key: Key, kept: crate::ledger::Kept, now: Millis, wall: u64) {
+        let known = kept.shared.is_some();
         let shared = kept.shared.unwrap_or_default();
         let (end, owed) = match kept.end {
             Some((end, owed, _)) => (Some(end), owed),
@@ -372,7 +382,9 @@
         }
         let gone = wall.saturating_sub(shared.cargo.taken);
         // Whoever owns it, or held a copy, may be gone for good: it is missed from now on all the same.
-        for node in shared.copies.iter().chain([&shared.owner]).filter(|node| **node != self.terms.me) {
+        for node in
+            shared.copies.iter().chain([&shared.owner]).filter(|node| known && **node != self.terms.me)
+        {
             self.peers.entry(*node).or_insert_with(|| Peer::new(now));
         }
         let mut entry = Entry::of(&shared, now);
@@ -462,6 +474,9 @@
                     // Not on disk it would be forgotten: the operator asks again.
                     self.retiring = ok;
                 }
+                (Waits::EndOf(from, key), true) => self.to(from).ends_kept.push(key),
+                // It is sent again.
+                (Waits::EndOf(..), false) => self.figures.no_disk += 1,
                 (Waits::Own(key), true) => self.safe_at(now, key, self.terms.me),
                 (Waits::Own(key), false) => {
                     self.figures.no_disk += 1;
@@ -502,9 +517,10 @@
     }
 
     pub(crate) fn safe_at(&mut self, now: Millis, key: Key, node: Node) {
+        let early = self.planted(Planted::EarlyAnswer) && node == self.terms.me;
         let Some(entry) = self.entries.get_mut(&key) else { return };
         let was = entry.missing.len();
-        entry.missing.retain(|missing| *missing != node);
+        entry.missing.retain(|missing| *missing != node && !early);
         if entry.stage != Stage::Landing && was > entry.missing.len() && entry.missing.is_empty() {
             self.figures.repaired += 1;
             return self.look_at_copies(now, key);
@@ -670,7 +686,7 @@
 
     /// Sends what can be sent.
     fn pump(&mut self, now: Millis, fine: Time) {
-        if self.leaving || self.fence.is_some() {
+        if self.leaving || self.fence.is_some() && !self.planted(Planted::FenceUnheeded) {
             self.lane_wait = now + UPKEEP;
             return;
         }
@@ -864,8 +880,10 @@
             End::Complete { .. } => self.figures.done += 1,
             End::Failed => self.figures.failed += 1,
         }
-        self.forget.push_back((now + self.terms.status_ms + 60_000, key));
-        self.record(&Record::End { key, end: end.clone(), owed, at: self.wall_of(now) }, false);
+        self.forget_later(now, key);
+        if !self.planted(Planted::EndUnkept) {
+            self.record(&Record::End { key, end: end.clone(), owed, at: self.wall_of(now) }, false);
+        }
         for to in told {
             self.to(to).ends.push((key, end.clone(), owed));
         }
@@ -877,6 +895,12 @@
         }
     }
 
+    /// Those who ask are told of it for so long.
+    pub(crate) fn forget_later(&mut self, now: Millis, key: Key) {
+        self.passing.again();
+        self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+    }
+
     /// The number was given by a life that began with the present disk.
     pub(crate) fn given_here(&self, number: u64) -> bool {
         let begun = self.terms.begun.iter().chain([&self.terms.first]);
@@ -939,7 +963,7 @@
         self.held.remove(&key);
         self.handing.remove(&key);
         self.file(key);
-        self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+        self.forget_later(now, key);
         self.uncertain(ticket);
         if own && owed {
             self.owe(key);
@@ -1203,7 +1227,7 @@
 }
 
 impl Entry {
-    fn of(shared: &Shared, now: Millis) -> Entry {
+    pub(crate) fn of(shared: &Shared, now: Millis) -> Entry {
         Entry {
             cargo: shared.cargo.clone(),
             owner: shared.owner,
--- a/hold/src/ledger.rs
+++ b/hold/src/ledger.rs
@@ -40,7 +40,9 @@
             }
             Record::Put { shared } => {
                 let kept = self.all.entry(shared.key).or_default();
-                if kept.end.is_none() && kept.shared.as_ref().is_none_or(|old| old.term <= shared.term) {
+                // Of one that has ended only what was not known: the bytes of a dead one, passed on by another store.
+                let live = kept.end.is_none();
+                if kept.shared.as_ref().is_none_or(|old| live && old.term <= shared.term) {
                     kept.shared = Some(shared);
                 }
             }
--- a/hold/src/lib.rs
+++ b/hold/src/lib.rs
@@ -3,9 +3,11 @@
 
 mod cargo;
 mod copies;
+mod ends;
 mod hold;
 mod lane;
 mod ledger;
+mod planted;
 mod repair;
 mod repeats;
 mod retire;
@@ -13,9 +15,13 @@
 mod tokens;
 mod twice;
 
-pub use cargo::{Cargo, End, Handed, Key, Millis, Node, Note, Owned, Record, Refusal, Shared, Stands};
+pub use cargo::{
+    Cargo, End, Handed, Key, KnownEnd, Millis, Node, Note, Owned, Record, Refusal, Shared, Stands,
+};
 pub use hold::{first_number, Bear, Effect, Entry, Figures, Hold, Outcome, Stage, State, Terms};
 pub use hold::{MessageView, ServiceView, Stages};
 pub use lane::{Repeats, Server};
 pub use ledger::Ledger;
+#[cfg(feature = "planted")]
+pub use planted::Planted;
 pub use row::place;
--- /dev/null
+++ b/hold/src/planted.rs
@@ -0,0 +1,74 @@
+//! For the search over orders of events in `soundings/`: faults that it, or a test, must find. Without the feature `planted`,
+//! which only the package `soundings/hold` has, no fault can be set, and nothing of this is left in a build.
+
+use crate::hold::Hold;
+
+/// A fault of which a property has to tell. Each undoes one rule.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// A message is answered as taken when the own disk has it, and no copy yet.
+    EarlyAnswer,
+    /// A copy is confirmed before its record is synced.
+    CopyUnsynced,
+    /// A store starts messages that others may have taken over.
+    FenceUnheeded,
+    /// After a start messages go on before those that hold copies have spoken.
+    ReleasedEarly,
+    /// A copy that was replaced by another: the list on disk stays the old one.
+    OldCopyList,
+    /// A slow copy that was replaced by another is not told to drop the message.
+    DropUnsent,
+    /// An end is told, and not kept on disk.
+    EndUnkept,
+    /// A message is offered to all that hold copies of it, not to one.
+    HandedTwice,
+    /// A take-over does not raise the term.
+    TermUnraised,
+    /// A store says that it is empty when it owns nothing, whoever counts on its copies.
+    RetiredEarly,
+    /// What a store has said once, that it counts on no copy here, stands whatever it says later.
+    RelievedForever,
+    /// A store says that it is empty while it holds copies of what a lost store owned.
+    OrphansUnheeded,
+    /// Ends that a store knows go with it.
+    EndsGoAlong,
+}
+
+#[cfg(feature = "planted")]
+impl Planted {
+    pub const ALL: [Planted; 13] = [
+        Planted::EarlyAnswer,
+        Planted::CopyUnsynced,
+        Planted::FenceUnheeded,
+        Planted::ReleasedEarly,
+        Planted::OldCopyList,
+        Planted::DropUnsent,
+        Planted::EndUnkept,
+        Planted::HandedTwice,
+        Planted::TermUnraised,
+        Planted::RetiredEarly,
+        Planted::RelievedForever,
+        Planted::OrphansUnheeded,
+        Planted::EndsGoAlong,
+    ];
+}
+
+#[cfg(not(feature = "planted"))]
+impl Hold {
+    #[inline(always)]
+    pub(crate) const fn planted(&self, _: Planted) -> bool {
+        false
+    }
+}
+
+#[cfg(feature = "planted")]
+impl Hold {
+    pub(crate) fn planted(&self, fault: Planted) -> bool {
+        self.planted == Some(fault)
+    }
+
+    /// From here on this store has the fault.
+    pub fn plant(&mut self, fault: Option<Planted>) {
+        self.planted = fault;
+    }
+}
--- a/hold/src/repair.rs
+++ b/hold/src/repair.rs
@@ -69,6 +69,12 @@
         keys.filter_map(|(_, key)| Some((*key, self.entries.get(key)?)))
     }
 
+    /// Who owns any of what lies here.
+    pub(crate) fn owners(&self) -> impl Iterator<Item = Node> + '_ {
+        let from = |node: Node| self.live.range((node, Key::default())..).next().map(|(owner, _)| *owner);
+        std::iter::successors(from(0), move |last| from(last.checked_add(1)?))
+    }
+
     pub(crate) fn owned_here(&self) -> impl Iterator<Item = (Key, &Entry)> {
         self.owned_by_node(self.terms.me)
     }
@@ -158,6 +164,9 @@
 
     /// A store that should hold a copy has none yet.
     pub(crate) fn not_yet_on(&mut self, now: Millis, key: Key, node: Node) {
+        if self.is_emptied(node) {
+            return self.not_on(now, key, node);
+        }
         let Some(entry) = self.mine(key) else { return };
         if !entry.copies.contains(&node) {
             entry.copies.push(node);
@@ -178,6 +187,9 @@
 
     /// A store holds a copy that was not counted: too few are there, so it counts again.
     pub(crate) fn adopt(&mut self, now: Millis, key: Key, node: Node) {
+        if self.is_emptied(node) {
+            return;
+        }
         let Some(entry) = self.mine(key) else { return };
         entry.copies.push(node);
         let (owner, term, copies) = (entry.owner, entry.term, entry.copies.clone());
--- a/hold/src/retire.rs
+++ b/hold/src/retire.rs
@@ -3,6 +3,7 @@
 
 use crate::cargo::{Key, Millis, Node, Note, Record};
 use crate::hold::{Effect, Hold, Waits};
+use crate::planted::Planted;
 
 /// How often one that retires is told that nobody counts on it: a word lost with a connection comes again.
 const TELL: Millis = 500;
@@ -34,16 +35,46 @@
             return None;
         }
         let empty = self.owned_here().next().is_none() && self.in_hand() == 0 && self.ends_at.is_none();
+        if self.planted(Planted::RetiredEarly) {
+            return Some(empty);
+        }
+        let empty = empty && self.owners_count_on_nothing() && self.ends_lie_elsewhere();
         let mut others = self.peers.iter().filter(|(_, p)| p.listed).peekable();
         // Cut off, or before it knows them, it can't speak for the others.
         let known = others.peek().is_some() && self.heard && self.acquainted;
         Some(empty && known && others.all(|(node, p)| p.connected && self.relieved.contains(node)))
     }
 
+    fn ends_lie_elsewhere(&self) -> bool {
+        self.passing.done() || self.planted(Planted::EndsGoAlong)
+    }
+
+    /// Of every copy that lies here the owner has said that it counts on none. One whose owner is gone may be the only one
+    /// that is left: it is taken over, and given away, first.
+    fn owners_count_on_nothing(&self) -> bool {
+        let free = |node: Node| {
+            self.relieved.contains(&node) && self.peers.get(&node).is_some_and(|peer| peer.connected)
+        };
+        self.owners().all(free) || self.planted(Planted::OrphansUnheeded)
+    }
+
+    /// A store names this one as holder of a copy: what it said before, that it counts on none, holds no longer.
+    pub(crate) fn counted_on_by(&mut self, node: Node) {
+        if !self.planted(Planted::RelievedForever) {
+            self.relieved.remove(&node);
+        }
+    }
+
+    /// It is to be emptied: no copy that lies there is counted on.
+    pub(crate) fn is_emptied(&self, node: Node) -> bool {
+        self.peers.get(&node).is_some_and(|peer| peer.retiring)
+    }
+
     /// Another store retires: what it holds for this one is copied elsewhere, at the rate of repair.
     pub(crate) fn look_after_retiring(&mut self, now: Millis) {
         if self.retiring {
             self.hand_all_over();
+            self.pass_ends_on(now);
         }
         let retiring =
             self.peers.iter().filter(|(_, p)| p.retiring && p.connected && now >= p.relieved_at + TELL);
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -604,3 +604,22 @@
     one.pass(100);
     assert!(got(&one.note(B, wanted()), 1));
 }
+
+/// A word of one that is to be emptied comes late: it asks for what it should have held, or names what is left there.
+#[test]
+fn one_that_is_to_be_emptied_is_not_counted_on_again() {
+    let mut one = One::ready(Ledger::default());
+    let (key, _) = one.taken(Cargo { delay_ms: 30_000, ..cargo("plain") });
+    one.note(B, Note::Retiring);
+    assert_eq!(copies(&one.pass(600)), [(key, C)]);
+    one.note(C, Note::Copied(vec![key]));
+    assert!(copies(&one.note(B, Note::Want(vec![key]))).is_empty());
+    assert!(copies(&one.pass(1000)).is_empty());
+    one.hold.down(one.now, C);
+    one.hold.members(one.now, &[(ME, 0), (B, 1)]);
+    one.pass(5500);
+    let live = vec![Stands { key, owner: ME, term: 0, ended: false }];
+    one.note(B, Note::Standing { disk: 9, answer: false, ranges: Vec::new(), live });
+    let counted = one.hold.view(one.now, key).unwrap().copies;
+    assert!(counted.is_empty(), "{counted:?}");
+}
--- a/hold/tests/world/mod.rs
+++ b/hold/tests/world/mod.rs
@@ -2,7 +2,10 @@
 //! thread and in virtual time. What is checked is what the stand-ins have seen, and what lies on the disks.
 #![allow(dead_code)]
 
+pub mod emptied;
+
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 use stileroute_charter::Config;
 use stileroute_hold::*;
@@ -166,6 +169,14 @@
     pub bytes: u64,
     /// Bytes of copies in each tenth of a second.
     pub copied: BTreeMap<u64, u64>,
+    prepare: Prepare,
+}
+
+/// What is done with each store when it starts: a fault is planted in it, where the sources were built for that.
+pub type Prepare = Rc<dyn Fn(&mut Hold)>;
+
+pub fn as_it_is() -> Prepare {
+    Rc::new(|_| ())
 }
 
 pub fn config(revision: u64, extra: &str, max_tries: u32, max_wait_s: f64) -> Arc<Config> {
@@ -237,6 +248,7 @@
             next_ticket: 0,
             bytes: 0,
             copied: BTreeMap::new(),
+            prepare: as_it_is(),
         };
         for at in 0..stores {
             world.stores.push(Store {
@@ -261,6 +273,12 @@
         world
     }
 
+    /// All stores, from here on.
+    pub fn prepare(&mut self, prepare: &Prepare) {
+        self.prepare = Rc::clone(prepare);
+        self.stores.iter_mut().filter_map(|s| s.hold.as_mut()).for_each(|hold| prepare(hold));
+    }
+
     fn random(&mut self, below: u64) -> u64 {
         self.seed ^= self.seed << 13;
         self.seed ^= self.seed >> 7;
@@ -336,7 +354,9 @@
         };
         (store.life, store.began, store.leaving, store.flushed) = (store.life + 1, now, None, false);
         store.askers.clear();
-        store.hold = Some(Hold::new(terms, ledger, 0, WALL + now));
+        let mut hold = Hold::new(terms, ledger, 0, WALL + now);
+        (self.prepare)(&mut hold);
+        store.hold = Some(hold);
         for other in 0..self.stores.len() {
             if other != at {
                 self.at(60, What::Link { a: at, b: other });
@@ -989,7 +1009,13 @@
 
     /// At rest every live message lies on `losses` + 1 disks.
     pub fn check_copies(&self) {
-        let disks = self.disks(false);
+        self.check_copies_without(usize::MAX);
+    }
+
+    /// And when the disk of this store is taken away.
+    pub fn check_copies_without(&self, gone: usize) {
+        let mut disks = self.disks(false);
+        disks.iter_mut().enumerate().filter(|(at, _)| *at == gone).for_each(|(_, l)| *l = Ledger::default());
         for (n, message) in self.messages.iter().enumerate() {
             let Some((State::Waiting, _)) = self.ask(n) else { continue };
             let key = Key::parse(message.name.as_deref().unwrap()).unwrap().0;
