--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -9,6 +9,10 @@
 pub enum Planted {
     /// The lease outlasts the silence after which others are voted for.
     LongLease,
+    /// The lease counts from when an ack came, not from when its pulse was sent.
+    LeaseByArrival,
+    /// The lease is as long as the silence, but for 20 ms: clocks that drift make it outlast that.
+    ThinMargin,
     /// A write is answered when the first copy has it.
     EarlyAnswer,
     /// Another body of the version that is held is taken.
@@ -37,9 +41,11 @@
 
 #[cfg(feature = "planted")]
 impl Planted {
-    pub const ALL: [Planted; 13] = [
+    pub const ALL: [Planted; 15] = [
         Planted::OwnVoteEnough,
         Planted::LongLease,
+        Planted::LeaseByArrival,
+        Planted::ThinMargin,
         Planted::EarlyAnswer,
         Planted::EqualTaken,
         Planted::ForceBlind,
@@ -68,7 +74,8 @@
 #[cfg(feature = "planted")]
 mod sounded {
     use super::Planted;
-    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, FORGET, TURN};
+    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, LOST, TURN};
+    use crate::voter::Leaving;
     use crate::{After, Effect, Millis, Pilotage, Signal, Terms, Voter};
     use std::hash::{Hash, Hasher};
 
@@ -92,13 +99,13 @@
         /// For what was sent at another clock's time `now` has to be that clock's.
         pub fn signal(&mut self, from: Voter, to: Voter, signal: &Signal) {
             match signal {
-                Signal::Pulse { epoch, sent_at, version, digest } => {
-                    (1, epoch, version, digest).hash(self.hasher);
-                    self.time(*sent_at, FORGET);
+                Signal::Pulse { epoch, sent_at, force, digest } => {
+                    (1, epoch, force, digest).hash(self.hasher);
+                    self.time(*sent_at, LOST);
                 }
                 Signal::PulseAck { epoch, sent_at, votes, holds } => {
                     (2, epoch, votes, holds).hash(self.hasher);
-                    self.time(*sent_at, FORGET);
+                    self.time(*sent_at, LOST);
                 }
                 Signal::Store { epoch, serial, chart } => {
                     (3, epoch, chart).hash(self.hasher);
@@ -140,24 +147,25 @@
             self.time(*since, silence);
         }
         fn job(&mut self, me: Voter, job: &Job) {
-            let Job { serial, chart, ticket, missing, since, sent, joins } = job;
-            (chart, ticket, missing, joins).hash(self.hasher);
+            let Job { serial, chart, change, missing, since, sent, joins } = job;
+            (chart, change, missing, joins).hash(self.hasher);
             self.serial(me, *serial);
             self.time(*since, ANSWER);
             self.time(*sent, ANSWER);
         }
         fn lead(&mut self, me: Voter, lead: &Lead, voters: &[Voter]) {
-            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by } = lead;
-            (2, hollow, settled).hash(self.hasher);
+            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by, leaving } =
+                lead;
+            (2, hollow, settled, leaving).hash(self.hasher);
             self.time(*pulse_at, 0);
             self.time(leave_by.unwrap_or(0), 0);
             // Only for those that never acked does it count how long that is.
             if voters.iter().any(|v| *v != me && !acks.contains_key(v)) {
-                self.time(*since, FORGET);
+                self.time(*since, LOST);
             }
             for (voter, at) in acks {
                 voter.hash(self.hasher);
-                self.time(*at, FORGET);
+                self.time(*at, LOST);
             }
             (acks.len(), queue.len(), leave_by.is_some()).hash(self.hasher);
             (job.is_some(), change.is_some()).hash(self.hasher);
@@ -167,7 +175,7 @@
                 self.time(*asked, ANSWER);
             }
             for waiting in queue {
-                (waiting.ticket, &waiting.chart, waiting.begun).hash(self.hasher);
+                (&waiting.order, waiting.begun).hash(self.hasher);
                 self.time(waiting.since, TURN);
             }
         }
@@ -205,8 +213,15 @@
                 serial: _,
                 luck: _,
                 released,
+                leaving,
+                left,
                 effects,
             } = self;
+            (left, leaving.is_some()).hash(to.hasher);
+            if let Some(Leaving { by, ask_at }) = leaving {
+                to.time(*by, 0);
+                to.time(*ask_at, 0);
+            }
             // Of an older epoch it is of no use any more.
             let pulsing = pulsing.filter(|(epoch, _)| *epoch >= self.epoch());
             (watch, safe, pulsing, chart, force, blank, hollow).hash(to.hasher);
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -99,7 +99,7 @@
             let body = String::from_utf8_lossy(&chart.body).into_owned();
             self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", chart.version));
         }
-        if self.never.contains(chart) {
+        if self.never.iter().any(|never| never.same_configuration(chart)) {
             self.fail(
                 Property::NotDoneStays,
                 format!("{} is {how}, and was answered as not done", chart.version),
@@ -114,12 +114,14 @@
     pub(crate) fn look_at(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         let Some(pilot) = &node.pilot else { return };
-        let now = self.now + node.clock;
+        let now = node.local(self.now);
         if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
             let before = node.seen.force.replace(chart.clone());
             let chart = chart.clone();
-            if let Some(before) = before.filter(|before| chart.version < before.version) {
-                let evidence = format!("node {i} had {} in force, and now {}", before.version, chart.version);
+            let back = |before: &Chart| chart.serial < before.serial || chart.version < before.version;
+            if let Some(before) = before.filter(back) {
+                let told = |chart: &Chart| format!("{} (serial {})", chart.version, chart.serial);
+                let evidence = format!("node {i} had {} in force, and now {}", told(&before), told(&chart));
                 self.lookout.fail(Property::NeverBack, evidence);
             }
             self.lookout.learn(&chart, "in force");
@@ -140,7 +142,7 @@
     pub(crate) fn look_around(&mut self) {
         let answers = |(i, node): (usize, &crate::sea::Node)| {
             let pilot = node.pilot.as_ref().filter(|_| !node.frozen)?;
-            pilot.answers(self.now + node.clock).then_some(i)
+            pilot.answers(node.local(self.now)).then_some(i)
         };
         let mut acting = self.nodes.iter().enumerate().filter_map(answers);
         let (acts, other) = (acting.next(), acting.next());
@@ -160,8 +162,9 @@
 
     fn read(&mut self, i: usize) {
         let node = &mut self.nodes[i];
+        let now = node.local(self.now);
         let Some(pilot) = &mut node.pilot else { return };
-        pilot.read(self.now + node.clock, 0);
+        pilot.read(now, 0);
         let Some(Effect::Chart { chart, .. }) = pilot.take().pop() else { return };
         let (chart, highest) = (chart.unwrap_or_default(), self.lookout.highest);
         if chart.version < highest {
