--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -1,7 +1,8 @@
 //! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
 
 use crate::voter::majority;
-use crate::{After, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Terms, Verdict, Voter, Watch};
+use crate::{After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Stage, Terms};
+use crate::{Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// A write waits so long for its turn, and is answered at the latest after so long.
@@ -9,13 +10,12 @@
 pub(crate) const ANSWER: Millis = 2500;
 /// Most writes that wait.
 const QUEUE: usize = 32;
-/// A copy that has not acked, or not stored, for so long is replaced where another is there.
-const LOST: Millis = 1000;
+/// A copy that has not acked, or not stored, for so long is replaced where another is there; so is a voter.
+pub(crate) const LOST: Millis = 1000;
 /// One that has not acked at all since the duty began, so long: mostly the primary of before.
 const ABSENT: Millis = 400;
-/// A voter that is silent for so long is left out, if the others are more with it than they need.
-/// Soon: until then one that was replaced for good votes by its silence, and with four voters the next loss leaves no majority.
-pub(crate) const FORGET: Millis = 3000;
+/// A node that is told to end waits at most so long for its duty or its vote to be taken from it.
+const LEAVE: Millis = 500;
 
 #[derive(Clone, Debug)]
 pub(crate) enum Duty {
@@ -51,13 +51,26 @@
     }
 }
 
+/// A change that was asked for, and who waits for the answer: nobody where the primary noticed it by itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Order {
+    pub ticket: Option<u64>,
+    pub change: Change,
+}
+
+impl Order {
+    fn answer(&self, verdict: Verdict) -> Option<Effect> {
+        self.ticket.map(|ticket| Effect::Answer { ticket, verdict })
+    }
+}
+
 /// A write under way.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
     pub serial: u64,
     pub chart: Chart,
-    /// Nobody where the own chart is stored again, or a copy is filled.
-    pub ticket: Option<u64>,
+    /// None where the own chart is stored again, or a copy is filled.
+    pub change: Option<Order>,
     pub missing: BTreeSet<Voter>,
     pub since: Millis,
     pub sent: Millis,
@@ -67,17 +80,16 @@
 
 #[derive(Clone, Debug)]
 pub(crate) struct Waiting {
-    pub ticket: u64,
-    pub chart: Chart,
+    pub order: Order,
     pub since: Millis,
     /// A copy may have it already: it can't be said that it was not done.
     pub begun: bool,
 }
 
 impl Waiting {
-    fn given_up(&self, lies: bool) -> Effect {
+    fn given_up(&self, lies: bool) -> Option<Effect> {
         let verdict = if self.begun && !lies { Verdict::Uncertain } else { Verdict::NotDone };
-        Effect::Answer { ticket: self.ticket, verdict }
+        self.order.answer(verdict)
     }
 }
 
@@ -95,6 +107,8 @@
     /// All copies of this epoch hold the own chart.
     pub settled: bool,
     pub leave_by: Option<Millis>,
+    /// Their processes end.
+    pub leaving: BTreeSet<Voter>,
 }
 
 impl Lead {
@@ -108,7 +122,7 @@
     fn silent(&self, now: Millis, voter: &Voter, most: Millis) -> bool {
         match self.acks.get(voter) {
             Some(at) => now > at + most,
-            None => now > self.since + if most > LOST { most } else { ABSENT },
+            None => now > self.since + most.min(ABSENT),
         }
     }
     fn here(&self, now: Millis, voter: &Voter) -> bool {
@@ -125,7 +139,8 @@
 
 impl Pilotage {
     pub(crate) fn begin_duty(&mut self, now: Millis) {
-        let lead = Lead { pulse_at: now, since: now, ..Lead::default() };
+        let leaving = self.left.take().into_iter().collect();
+        let lead = Lead { pulse_at: now, since: now, leaving, ..Lead::default() };
         self.duty = Duty::Lead(Box::new(lead));
         self.lend(self.terms.me);
         self.effects.push(Effect::Turn { epoch: self.epoch(), what: "leads" });
@@ -135,11 +150,10 @@
         self.draw_stand(now);
         let lies = self.planted(Planted::BegunForgotten);
         if let Duty::Lead(lead) = std::mem::replace(&mut self.duty, Duty::Follow) {
-            if let Some(ticket) = lead.job.as_ref().and_then(|job| job.ticket) {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
-            }
+            let under_way = lead.job.and_then(|job| job.change);
+            self.effects.extend(under_way.and_then(|order| order.answer(Verdict::Uncertain)));
             for waiting in lead.queue {
-                self.effects.push(waiting.given_up(lies));
+                self.effects.extend(waiting.given_up(lies));
             }
             self.effects.push(Effect::Turn { epoch: self.epoch(), what: "steps down" });
         }
@@ -148,7 +162,10 @@
     /// The lease holds: more than half of the voters, this one among them, acked a pulse sent since then.
     pub fn leads(&self, now: Millis) -> bool {
         let (Duty::Lead(lead), Some(watch)) = (&self.duty, &self.watch) else { return false };
-        let long = if self.planted(Planted::LongLease) { 3 * self.terms.silence_ms } else { 0 };
+        let mut long = if self.planted(Planted::LongLease) { 3 * self.terms.silence_ms } else { 0 };
+        if self.planted(Planted::ThinMargin) {
+            long = self.terms.silence_ms - self.terms.lease_ms - 20;
+        }
         let fresh = |at: &Millis| now <= at + self.terms.lease_ms + long;
         let acked = lead.acks.iter().filter(|(_, at)| fresh(at)).map(|(v, _)| v);
         majority(&watch.voters, acked.chain(std::iter::once(&self.terms.me))) && !self.released
@@ -168,22 +185,63 @@
 
     /// An operator's configuration.
     pub fn replace(&mut self, now: Millis, ticket: u64, version: u64, body: Vec<u8>) {
+        let change = Change::Configuration { version, body };
+        self.take_order(now, Order { ticket: Some(ticket), change });
+    }
+
+    /// An order to retire a store, that the caller has checked against `settled` and `retiring_soon`.
+    pub fn retire(&mut self, now: Millis, ticket: u64, node: u32, name: String) {
+        let change = Change::Retire { node, name };
+        self.take_order(now, Order { ticket: Some(ticket), change });
+    }
+
+    /// A store that is retired has come further. Only the primary writes that down, and nobody waits for it: it is called
+    /// again until the value says so.
+    pub fn advance(&mut self, now: Millis, node: u32, stage: Stage) {
+        let order = Order { ticket: None, change: Change::Advance { node, stage } };
+        if !self.acts(now) || self.orders().any(|waiting| *waiting == order) {
+            return;
+        }
+        self.take_order(now, order);
+    }
+
+    fn take_order(&mut self, now: Millis, order: Order) {
         let primary = self.primary().filter(|p| *p != self.terms.me);
-        let chart = Chart { version, body };
         let Duty::Lead(lead) = &mut self.duty else {
-            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotPrimary { primary } });
+            return self.effects.extend(order.answer(Verdict::NotPrimary { primary }));
         };
         if lead.queue.len() >= QUEUE || lead.leave_by.is_some() {
-            return self.effects.push(Effect::Answer { ticket, verdict: Verdict::NotDone });
+            return self.effects.extend(order.answer(Verdict::NotDone));
         }
-        lead.queue.push_back(Waiting { ticket, chart, since: now, begun: false });
+        lead.queue.push_back(Waiting { order, since: now, begun: false });
         self.lead(now);
     }
 
+    /// Those under way and those that wait.
+    fn orders(&self) -> impl Iterator<Item = &Order> {
+        let lead = if let Duty::Lead(lead) = &self.duty { Some(lead) } else { None };
+        let under_way = lead.and_then(|lead| lead.job.as_ref()?.change.as_ref());
+        let waiting = lead.into_iter().flat_map(|lead| lead.queue.iter().map(|waiting| &waiting.order));
+        under_way.into_iter().chain(waiting)
+    }
+
+    /// The newest value, if this is the primary and nobody else can be.
+    pub fn settled(&self, now: Millis) -> Option<&Chart> {
+        self.acts(now).then_some(&self.chart)
+    }
+
+    /// Stores whose retirement is under way to the copies, or waits for its turn.
+    pub fn retiring_soon(&self) -> impl Iterator<Item = u32> + '_ {
+        self.orders().filter_map(|order| match order.change {
+            Change::Retire { node, .. } => Some(node),
+            _ => None,
+        })
+    }
+
     /// The newest configuration, if this is the primary and nobody else can be.
     pub fn read(&mut self, now: Millis, ticket: u64) {
-        if self.acts(now) {
-            let chart = Some(self.chart.clone()).filter(|c| c.version > 0);
+        if let Some(chart) = self.settled(now) {
+            let chart = Some(chart.clone()).filter(|c| c.version > 0);
             return self.effects.push(Effect::Chart { ticket, chart });
         }
         let primary = self.primary().filter(|p| *p != self.terms.me);
@@ -193,9 +251,13 @@
     /// The process is to end: the duty goes to a copy that is here.
     pub fn release(&mut self, now: Millis) {
         match &mut self.duty {
-            Duty::Lead(lead) => lead.leave_by = Some(now + 500),
+            Duty::Lead(lead) => lead.leave_by = Some(now + LEAVE),
+            _ if self.leaving.is_some() => return,
             _ => {
                 self.step_down(now);
+                if self.leave(now, now + LEAVE) {
+                    return;
+                }
                 self.released = true;
                 return self.effects.push(Effect::Released);
             }
@@ -214,7 +276,7 @@
         }
         self.step_down(now);
         if let Some(next) = next {
-            self.send(next, Signal::Handover { epoch: watch.epoch });
+            self.send(next, Signal::Handover { epoch: watch.epoch, ends });
         }
         if ends {
             self.released = true;
@@ -231,6 +293,7 @@
         (votes, holds): (bool, bool),
     ) {
         let mine = self.epoch();
+        let by_arrival = self.planted(Planted::LeaseByArrival);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if epoch != mine || sent_at > now {
             return;
@@ -242,7 +305,7 @@
         }
         if votes {
             let at = lead.acks.entry(from).or_default();
-            *at = (*at).max(sent_at);
+            *at = (*at).max(if by_arrival { now } else { sent_at });
         }
         self.lead(now);
     }
@@ -254,13 +317,13 @@
             self.enforce(self.chart.clone());
         }
         let Some(watch) = self.watch.clone() else { return };
-        let (version, digest) = self.force.as_ref().map_or((0, 0), |c| (c.version, c.digest()));
         let learners: Vec<Voter> =
             self.learners.iter().copied().filter(|l| !watch.voters.contains(l)).collect();
         let Duty::Lead(lead) = &mut self.duty else { return };
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
-            let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, version, digest };
+            let (force, digest) = self.force.as_ref().map_or((0, 0), |c| (c.serial, c.digest()));
+            let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, force, digest };
             let all: Vec<Voter> = watch.voters.iter().chain(&learners).copied().collect();
             all.into_iter().for_each(|voter| self.send(voter, pulse.clone()));
         }
@@ -281,12 +344,12 @@
         // What was sent may be lost: it is sent again while it is wanted.
         let again = self.terms.pulse_ms;
         if let Some(change) = lead.change.as_ref().filter(|_| now >= lead.asked + again) {
-            let wanted = change.watch.clone();
+            let (wanted, before) = (change.watch.clone(), change.before.voters.clone());
             lead.asked = now;
             if !change.grants.contains(&self.terms.me) {
                 self.keep_watch(wanted.clone(), After::OwnGrant { watch: wanted.clone() });
             }
-            self.propose(&wanted, false);
+            self.propose(&wanted, &before, false);
         }
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(job) = lead.job.as_mut().filter(|job| now >= job.sent + again) {
@@ -302,11 +365,12 @@
         let lies = self.planted(Planted::BegunForgotten);
         let Duty::Lead(lead) = &mut self.duty else { return };
         if let Some(job) = lead.job.as_mut().filter(|job| now > job.since + ANSWER) {
-            let late = job.ticket.take().map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
+            let ticket = job.change.as_mut().and_then(|order| order.ticket.take());
+            let late = ticket.map(|ticket| Effect::Answer { ticket, verdict: Verdict::Uncertain });
             self.effects.extend(late);
         }
         while lead.queue.front().is_some_and(|w| now > w.since + TURN) {
-            self.effects.extend(lead.queue.pop_front().map(|w| w.given_up(lies)));
+            self.effects.extend(lead.queue.pop_front().and_then(|w| w.given_up(lies)));
         }
     }
 
@@ -330,14 +394,14 @@
         if !enough || lead.leave_by.is_some() {
             return;
         }
-        while let Some(Waiting { ticket, chart, .. }) = lead.queue.pop_front() {
-            let equal = chart.version == self.chart.version && !equal_taken;
-            if chart.version < self.chart.version || equal {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Unchanged });
-                continue;
+        while let Some(Waiting { order, .. }) = lead.queue.pop_front() {
+            match order.change.applied(&self.chart, equal_taken) {
+                Applied::Unchanged => self.effects.extend(order.answer(Verdict::Unchanged)),
+                Applied::Full => self.effects.extend(order.answer(Verdict::NotDone)),
+                Applied::Changed(chart) => {
+                    return self.write(now, chart, Some(order), watch.copies.clone(), None);
+                }
             }
-            let copies = watch.copies.clone();
-            return self.write(now, chart, Some(ticket), copies, None);
         }
     }
 
@@ -345,7 +409,7 @@
         &mut self,
         now: Millis,
         chart: Chart,
-        ticket: Option<u64>,
+        change: Option<Order>,
         to: Vec<Voter>,
         joins: Option<(Voter, Vec<Voter>)>,
     ) {
@@ -359,16 +423,15 @@
             self.keep(Record::Chart(chart.clone()), After::OwnStored { serial });
         }
         if let Duty::Lead(lead) = &mut self.duty {
-            lead.job = Some(Job { serial, chart, ticket, missing, since: now, sent: now, joins });
+            lead.job = Some(Job { serial, chart, change, missing, since: now, sent: now, joins });
         }
     }
 
     /// It refuses, or hangs: another is to decide. Whether the copies have what was written is not known.
     pub(crate) fn own_disk_failed(&mut self, now: Millis) {
         let Duty::Lead(lead) = &mut self.duty else { return };
-        if let Some(ticket) = lead.job.take().and_then(|job| job.ticket) {
-            self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain });
-        }
+        let under_way = lead.job.take().and_then(|job| job.change);
+        self.effects.extend(under_way.and_then(|order| order.answer(Verdict::Uncertain)));
         lead.settled = false;
         self.hand_over(now, false);
     }
@@ -384,7 +447,7 @@
         let Some(job) = lead.job.as_mut().filter(|job| job.serial == serial) else { return };
         job.missing.remove(&from);
         lead.hollow.remove(&from);
-        if early && job.ticket.is_some() {
+        if early && job.change.is_some() {
             job.missing.clear();
         }
         if !job.missing.is_empty() {
@@ -397,13 +460,8 @@
         }
         lead.settled = true;
         self.chart = job.chart;
-        match (job.ticket, leads) {
-            (Some(ticket), true) => self.effects.push(Effect::Answer { ticket, verdict: Verdict::Accepted }),
-            (Some(ticket), false) => {
-                self.effects.push(Effect::Answer { ticket, verdict: Verdict::Uncertain })
-            }
-            _ => {}
-        }
+        let verdict = if leads { Verdict::Accepted } else { Verdict::Uncertain };
+        self.effects.extend(job.change.and_then(|order| order.answer(verdict)));
         if enough && leads {
             // The others hear of it with the next pulse: now, for the data plane waits for it.
             if let Duty::Lead(lead) = &mut self.duty {
@@ -429,7 +487,7 @@
         if watch.drawn != watch.epoch {
             return self.ask_change(now, watch.clone());
         }
-        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v));
+        let other = watch.voters.iter().filter(|v| !watch.copies.contains(v) && !lead.leaving.contains(v));
         let other = other.copied().find(|v| lead.here(now, v) && !link_down(v));
         if let Some(job) = &lead.job {
             let slow = now > job.since + LOST;
@@ -440,8 +498,9 @@
                 None if other.is_none() => return,
                 // A write that waits for one that is gone is settled with the copies that come after it.
                 None => {
-                    if let Some(Job { ticket: Some(ticket), chart, .. }) = lead.job.take() {
-                        lead.queue.push_front(Waiting { ticket, chart, since: now, begun: true });
+                    let order = lead.job.take().and_then(|job| job.change);
+                    if let Some(order) = order.filter(|order| order.ticket.is_some()) {
+                        lead.queue.push_front(Waiting { order, since: now, begun: true });
                     }
                     // Those that are left are made alike again: what was answered late may be on all of them.
                     lead.settled = false;
@@ -464,35 +523,81 @@
         let slow = lead.job.as_ref().filter(|job| now > job.since + LOST);
         let gone = |v: &Voter| {
             self.links.get(v) == Some(&false)
+                || Self::leaves_by(lead, watch, v)
                 || lead.silent(now, v, LOST)
                 || slow.is_some_and(|job| job.missing.contains(v))
         };
         watch.copies.iter().copied().filter(|v| *v != self.terms.me && gone(v)).collect()
     }
 
-    /// One voter comes or goes at a time, so that majorities of before and after always meet.
+    /// One voter comes or goes at a time, so that any majority of before and any of after meet: one that has granted a change
+    /// which was never granted by enough still needs a majority of the voters that it knows, and so may the others.
     fn look_after_voters(&mut self, now: Millis, watch: &Watch) {
-        let force = self.force.as_ref().map_or(0, |c| c.version);
+        let force = self.force.as_ref().map_or(0, |c| c.serial);
         let Duty::Lead(lead) = &self.duty else { return };
         if force == 0 || lead.job.is_some() || !lead.settled {
             return;
         }
-        let mut next = watch.clone();
-        let new = |l: &&Voter| !watch.voters.contains(l) && lead.here(now, l);
-        let gone =
-            |v: &Voter| *v != self.terms.me && lead.silent(now, v, FORGET) && !watch.copies.contains(v);
-        if let Some(learner) = self.learners.iter().find(new) {
-            next.voters.push(*learner);
-            next.voters.sort();
-        } else if let Some(at) =
-            watch.voters.iter().position(gone).filter(|_| watch.voters.len().is_multiple_of(2))
-        {
-            // An even number bears no more losses than one less, and one that is gone for good would count as lost.
-            next.voters.remove(at);
-        } else {
-            return;
+        if let Some(voters) = self.next_voters(now, lead, watch) {
+            self.ask_change(now, Watch { voters, ..watch.clone() });
+        }
+    }
+
+    /// One that is gone is replaced in two changes, one right after the other: the new one first, then the group is even and
+    /// the one that is gone is left out. An even number bears no more losses than one less, and who is gone counts as lost.
+    fn next_voters(&self, now: Millis, lead: &Lead, watch: &Watch) -> Option<Vec<Voter>> {
+        let voters = &watch.voters;
+        let others = || voters.iter().filter(|v| **v != self.terms.me);
+        if voters.len().is_multiple_of(2) {
+            let gone = others().find(|v| !watch.copies.contains(v) && self.gone(now, lead, watch, v));
+            if let Some(gone) = gone {
+                return Some(voters.iter().filter(|v| *v != gone).copied().collect());
+            }
+        }
+        // Who has just fallen silent may be gone: until that is known nobody joins, or four would be left with one that is gone.
+        if others().any(|v| !self.present(now, lead, v) && !self.gone(now, lead, watch, v)) {
+            return None;
+        }
+        let joins = self.learners.iter().find(|l| {
+            !voters.contains(l) && lead.here(now, l) && !lead.leaving.contains(l) && !self.link_down(l)
+        })?;
+        let mut next = voters.clone();
+        next.push(*joins);
+        next.sort();
+        Some(next)
+    }
+
+    fn link_down(&self, voter: &Voter) -> bool {
+        self.links.get(voter) == Some(&false)
+    }
+
+    /// It acked the last pulses.
+    fn present(&self, now: Millis, lead: &Lead, voter: &Voter) -> bool {
+        lead.acks.contains_key(voter)
+            && !lead.silent(now, voter, 2 * self.terms.pulse_ms)
+            && !self.link_down(voter)
+    }
+
+    /// It has said that it goes for good, has been silent for long, or its connection broke and it was not back soon.
+    fn gone(&self, now: Millis, lead: &Lead, watch: &Watch, voter: &Voter) -> bool {
+        Self::leaves_by(lead, watch, voter)
+            || lead.silent(now, voter, if self.link_down(voter) { ABSENT } else { LOST })
+    }
+
+    /// It ends, and the group needs it no more. In an odd group whoever ends is taken for one that starts again.
+    fn leaves_by(lead: &Lead, watch: &Watch, voter: &Voter) -> bool {
+        watch.voters.len().is_multiple_of(2) && lead.leaving.contains(voter)
+    }
+
+    /// A voter is told to end.
+    pub(crate) fn leaves(&mut self, now: Millis, from: Voter, epoch: u64) {
+        let mine = self.epoch();
+        if let Duty::Lead(lead) = &mut self.duty {
+            if epoch == mine {
+                lead.leaving.insert(from);
+                self.lead(now);
+            }
         }
-        self.ask_change(now, next);
     }
 
     /// Asks for the watch without the copies that were lost, and with one that has been filled. No more than are wanted: each
@@ -508,10 +613,11 @@
         let Some(before) = self.watch.clone() else { return };
         let Duty::Lead(lead) = &mut self.duty else { return };
         let next = Watch { epoch: before.epoch + 1, drawn: before.epoch + 1, ..next };
+        let before_voters = before.voters.clone();
         lead.change = Some(Stand::new(now, next.clone(), before, false));
         lead.asked = now;
         self.keep_watch(next.clone(), After::OwnGrant { watch: next.clone() });
-        self.propose(&next, false);
+        self.propose(&next, &before_voters, false);
     }
 
     /// A voter has a watch on its disk that this node asked for.
@@ -527,13 +633,18 @@
                 if !change.won(None) || !change.grants.contains(&self.terms.me) {
                     return;
                 }
+                let before = std::mem::take(&mut change.before.voters);
                 lead.change = None;
                 self.safe = self.safe.max(watch.epoch);
                 lead.acks.retain(|v, _| watch.voters.contains(v));
                 lead.pulse_at = now;
                 self.effects.push(Effect::Turn { epoch: watch.epoch, what: "has other copies" });
-                self.watch = Some(watch);
+                self.watch = Some(watch.clone());
                 self.lend(self.terms.me);
+                // Who votes no more hears it too: it may wait for that to end.
+                for voter in before.into_iter().filter(|v| !watch.voters.contains(v)) {
+                    self.send(voter, Signal::ThisWatch { watch: Some(watch.clone()) });
+                }
                 self.lead(now);
             }
             _ => {}
