Harbour: who answers at an address has to be of it, and a late word of one store ends no wait for another

Links: a process that was dialled is taken only if the address it tells (or that of its listener for calls) and its class are those that were dialled; before, whatever answered there was, and what was meant for the one was said to the other. A number that is held under one name is refused under another: a visitor that drew a store's number ended the store's connection. The links' tests stand in links/tests.rs as they were.

Edge (edge/asking.rs, without I/O): a store that was given up and refuses late no longer ends the wait for the one asked since, which offered the message to a third; nor does a late 'it waits' of such a store answer in place of the end that the next one knows.

--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -1,7 +1,10 @@
 //! The edge: takes messages from clients, has a store keep them, and answers; asks stores what became of one.
 
+mod asking;
 mod report;
 
+use asking::{Find, Heard, Put, Refused};
+
 use crate::links::Word;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{wall, Common};
@@ -27,29 +30,6 @@
 /// After the order to end: so long new connections are still taken, and at the latest then the process ends.
 const LINGER: Millis = 2300;
 
-struct Put {
-    conn: ConnId,
-    cargo: Cargo,
-    tried: Vec<Node>,
-    sent: Millis,
-    until: Millis,
-    uncertain: bool,
-}
-
-struct Find {
-    conn: ConnId,
-    key: Key,
-    body: bool,
-    left: Vec<Node>,
-    asked: Node,
-    sent: Millis,
-    until: Millis,
-    /// One said that it never ended: any other answer is better.
-    waiting: Option<(Found, Option<Vec<u8>>)>,
-    /// A store that may know it could not be asked, or has not answered.
-    unsure: bool,
-}
-
 #[derive(Default)]
 struct Figures {
     taken: u64,
@@ -334,10 +314,10 @@
         }
     }
 
-    fn taken(&mut self, _from: Node, ticket: u64, result: Result<String, Refusal>) {
-        let Some(mut put) = self.puts.remove(&ticket) else { return };
+    fn taken(&mut self, from: Node, ticket: u64, result: Result<String, Refusal>) {
         match result {
             Ok(name) => {
+                let Some(put) = self.puts.remove(&ticket) else { return };
                 self.figures.taken += 1;
                 if put.tried.len() > 1 {
                     self.supersede(&put, Key::parse(&name).map(|(key, _)| key));
@@ -346,8 +326,11 @@
                 self.answer(put.conn, Answer { status: 202, headers, ..Answer::default() });
             }
             Err(refusal) => {
-                put.uncertain |= refusal == Refusal::Uncertain;
-                self.send(ticket, put);
+                let Some(put) = self.puts.get_mut(&ticket) else { return };
+                if put.refused(from, refusal) == Refused::Next {
+                    let put = self.puts.remove(&ticket);
+                    put.into_iter().for_each(|put| self.send(ticket, put));
+                }
             }
         }
     }
@@ -467,20 +450,14 @@
 
     fn found(&mut self, from: Node, ticket: u64, found: Option<(Found, Option<Vec<u8>>)>) {
         let Some(find) = self.finds.get_mut(&ticket) else { return };
-        match found {
-            Some(found @ (Found::Waiting, _))
-                if find.asked == from && !find.left.is_empty() && from != find.key.origin =>
-            {
-                find.waiting = Some(found);
-                self.ask_next(ticket);
-            }
-            Some(found) => {
+        match find.heard(from, found) {
+            Heard::Answer(found) => {
                 if let Some(find) = self.finds.remove(&ticket) {
                     self.answer(find.conn, said(found, find.body));
                 }
             }
-            None if find.asked == from => self.ask_next(ticket),
-            None => {}
+            Heard::Next => self.ask_next(ticket),
+            Heard::Wait => {}
         }
     }
 }
--- /dev/null
+++ b/harbour/src/edge/asking.rs
@@ -0,0 +1,81 @@
+//! What an edge asks stores for its clients, one store after the other, and what their answers lead to. No I/O.
+//!
+//! An answer is tied to its question by the ticket. It may come when another store has been asked meanwhile: what it says
+//! counts, but it ends no wait but its own.
+
+use crate::net::{ConnId, Millis};
+use crate::signals::Found;
+use stileroute_hold::{Cargo, Key, Node, Refusal};
+
+/// A message that is offered to stores until one has taken it.
+pub struct Put {
+    pub conn: ConnId,
+    pub cargo: Cargo,
+    pub tried: Vec<Node>,
+    pub sent: Millis,
+    pub until: Millis,
+    /// A store that was asked may have it.
+    pub uncertain: bool,
+}
+
+/// What a refusal leads to.
+#[derive(Debug, PartialEq)]
+pub enum Refused {
+    /// Another store is asked.
+    Next,
+    /// Another has been asked already, and is waited for.
+    Wait,
+}
+
+impl Put {
+    pub fn refused(&mut self, from: Node, refusal: Refusal) -> Refused {
+        self.uncertain |= refusal == Refusal::Uncertain;
+        match self.tried.last() == Some(&from) {
+            true => Refused::Next,
+            false => Refused::Wait,
+        }
+    }
+}
+
+/// What is known of a message: its state, and its bytes where they were asked for.
+pub type Known = (Found, Option<Vec<u8>>);
+
+/// A question what became of a message.
+pub struct Find {
+    pub conn: ConnId,
+    pub key: Key,
+    pub body: bool,
+    pub left: Vec<Node>,
+    pub asked: Node,
+    pub sent: Millis,
+    pub until: Millis,
+    /// One said that it never ended: any other answer is better.
+    pub waiting: Option<Known>,
+    /// A store that may know it could not be asked, or has not answered.
+    pub unsure: bool,
+}
+
+/// What a store's word leads to.
+#[derive(Debug, PartialEq)]
+pub enum Heard {
+    Answer(Known),
+    Next,
+    Wait,
+}
+
+impl Find {
+    pub fn heard(&mut self, from: Node, found: Option<Known>) -> Heard {
+        let next = if self.asked == from { Heard::Next } else { Heard::Wait };
+        match found {
+            Some(found @ (Found::Waiting, _)) if from != self.key.origin => {
+                self.waiting = Some(found);
+                next
+            }
+            Some(found) => Heard::Answer(found),
+            None => next,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/harbour/src/links.rs
+++ b/harbour/src/links.rs
@@ -272,6 +272,16 @@
         Some(Word::Down(hello.node, hello.class))
     }
 
+    /// Who says this of itself may be talked to on a connection that was opened to `dialled`, if it was opened from here.
+    fn is_welcome(&self, dialled: Option<SocketAddrV4>, hello: &Hello) -> bool {
+        let is_at = |ip| dialled.is_none_or(|dialled| self.address(ip, hello.class) == dialled);
+        // Another process may have the address by now: what is meant for the one would be said to the other.
+        let is_dialled = is_at(hello.ip) || hello.control.is_some_and(|control| is_at(*control.ip()));
+        let is_other = |held: &Hello| held.name != hello.name;
+        let is_new = hello.node != self.me.node && !self.hello(hello.node).is_some_and(is_other);
+        hello.protocol == PROTOCOL && is_dialled && is_new
+    }
+
     /// What an event of the net means here; events that are not of links come back.
     pub fn event(&mut self, net: &mut Net, event: Event, words: &mut Vec<Word>) -> Option<Event> {
         let now = net.now();
@@ -287,10 +297,11 @@
             Event::Frame { conn, bytes } => {
                 let link = self.links.get_mut(&conn)?;
                 link.pulse.hears(now);
-                match (postcard::from_bytes(&bytes), link.hello.as_ref().map(|h| (h.node, h.class))) {
-                    (Ok(Signal::Hello(hello)), None)
-                        if hello.protocol == PROTOCOL && hello.node != self.me.node =>
-                    {
+                let (known, dialled) = (link.hello.as_ref().map(|h| (h.node, h.class)), link.dialled);
+                let answers = link.pulse.answers(now);
+                match (postcard::from_bytes(&bytes), known) {
+                    (Ok(Signal::Hello(hello)), None) if self.is_welcome(dialled, &hello) => {
+                        let link = self.links.get_mut(&conn)?;
                         link.hello = Some(hello.clone());
                         self.by_class[hello.class as usize].insert(hello.node);
                         // A newer connection of the same node: the old one is dead, though nothing has said so.
@@ -309,7 +320,7 @@
                         words.push(Word::Up(hello));
                     }
                     (Ok(Signal::Ping), Some(_)) => {
-                        if link.pulse.answers(now) {
+                        if answers {
                             self.say_on(net, conn, &Signal::Ping);
                         }
                     }
@@ -330,73 +341,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// An edge and those it has dialled, each in a state of its own at first: how many words were said in all, how often the
-    /// edge woke for them, and the longest silence that any side heard. `speaks`: the others say something by themselves.
-    fn a_while(others: u64, speaks: Option<Millis>) -> (u64, u64, Millis) {
-        let begin = |n: u64| {
-            let (one, other) = (n * 37 % WORD, n * 53 % WORD);
-            let here = Pulse { dialled: true, heard: one, said: other, asked: None };
-            (here, Pulse { dialled: false, heard: other, said: one, asked: None })
-        };
-        let mut ends: Vec<(Pulse, Pulse)> = (0..others).map(begin).collect();
-        let (mut words, mut wakes, mut longest) = (0, 0, 0);
-        for now in WORD..WORD + 20_000 {
-            let look = now % WORD == 123;
-            let mut woken = look;
-            for (at, (here, there)) in ends.iter_mut().enumerate() {
-                if look && here.due(now) {
-                    longest = longest.max(now - there.heard);
-                    (here.said, there.heard, words) = (now, now, words + 1);
-                    here.asked.get_or_insert(now);
-                    if there.answers(now) {
-                        (there.said, words) = (now, words + 1);
-                        longest = longest.max(now - here.heard);
-                        here.hears(now);
-                    }
-                }
-                let own = speaks.is_some_and(|every| (now + at as u64 * 7).is_multiple_of(every));
-                if there.due(now) || own {
-                    longest = longest.max(now - here.heard);
-                    (there.said, here.heard, words, woken) = (now, now, words + 1, true);
-                }
-            }
-            wakes += u64::from(woken);
-        }
-        (words, wakes, longest)
-    }
-
-    #[test]
-    fn words_are_said_together_and_nobody_is_silent_for_long() {
-        // Each by its own clock the edge woke 4 times a second for each of the others.
-        for others in [1, 24, 100] {
-            let (words, wakes, longest) = a_while(others, None);
-            assert!(words <= others * 20 * 4, "{others}: {words} words");
-            assert!(wakes <= 20 * 2 + 2, "{others}: woken {wakes} times");
-            assert!(longest <= SILENCE / 2, "{others}: {longest} ms of silence");
-        }
-        // Where the others say something the edge still lets them hear of it, and is asked for no more.
-        for every in [100, 190, 210, 700] {
-            let (words, _, longest) = a_while(24, Some(every));
-            assert!(longest <= SILENCE / 2, "{every}: {longest} ms of silence");
-            assert!(words <= 24 * 20 * (4 + 1000 / every), "{every}: {words} words");
-        }
-        // One that never answers is asked again and again, and given up all the same.
-        let mut mute = Pulse::new(true, 0);
-        for now in (0..3000).step_by(500).filter(|now| *now > 0) {
-            assert!(mute.due(now));
-            mute.says(now);
-        }
-        assert_eq!(mute.silent(), SILENCE);
-        // After a sleep of its own, in which it has asked nothing, it asks first.
-        let mut slept = Pulse::new(true, 0);
-        assert!(slept.silent() > 5000 && slept.due(5000));
-        slept.says(5000);
-        assert_eq!(slept.silent(), 5000 + SILENCE - WORD);
-        slept.hears(5001);
-        assert!(slept.silent() > 60_000);
-        assert_eq!(Pulse::new(false, 0).silent(), SILENCE, "who was dialled hears the other's words");
-    }
-}
+mod tests;
