Hold: a message sent once more and accepted is not dropped for what became of its first try

An edge that got no store to keep a message answers 502 or 504 and tells all stores that none is kept; it tells each store that comes back so again, for two minutes. Told apart by id and content alone, the same message that the client had sent again meanwhile under its old id, and that was accepted, was dropped with it. The time at which the edge took it now counts too (not in rows, where a store may move it).

--- a/hold/src/twice.rs
+++ b/hold/src/twice.rs
@@ -10,12 +10,14 @@
 const MOST: usize = 10_000;
 
 impl Cargo {
-    /// Tells this message from another that a client sent under the same id.
+    /// Tells this message from another that a client sent under the same id, also from the same sent again later. (In a row
+    /// a store may move the time at which it was taken.)
     pub fn print(&self) -> u64 {
         let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01B3);
         let head = [&self.host, &self.method, &self.target].map(|text| text.as_bytes());
         let delay = self.delay_ms.to_le_bytes();
-        let parts = head.into_iter().chain([self.body.as_slice(), &delay]);
+        let taken = if self.order_key.is_none() { self.taken } else { 0 }.to_le_bytes();
+        let parts = head.into_iter().chain([self.body.as_slice(), &delay, &taken]);
         // A byte that no text holds stands between the parts.
         parts.fold(0xCBF2_9CE4_8422_2325, |hash, part| step(part.iter().fold(hash, step), &0xFF))
     }
--- a/hold/tests/words.rs
+++ b/hold/tests/words.rs
@@ -492,6 +492,20 @@
     assert!(!dropped(&one, key));
 }
 
+/// An edge tells a store that is back, for two minutes, which offers came to nothing. A client that has sent the same once
+/// more under the same id meanwhile, and was answered 202, means another message.
+#[test]
+fn what_a_client_sent_again_and_was_taken_is_not_dropped_for_its_first_try() {
+    let mut one = One::ready(Ledger::default());
+    let first = Cargo { delay_ms: 5000, ..cargo("plain") };
+    let again = Cargo { taken: first.taken + 700, ..first.clone() };
+    let (key, _) = one.taken(again.clone());
+    one.hold.superseded("m", first.print(), None);
+    assert!(one.hold.find(key).is_some(), "it was accepted");
+    one.hold.superseded("m", again.print(), None);
+    assert!(one.hold.find(key).is_none());
+}
+
 /// It read what was sent to it before it stood still; the edge has gone elsewhere since.
 #[test]
 fn what_nobody_waits_for_any_more_is_not_taken() {
