Control group with its disk logs: a thousand changes with trouble at each point of the log

Cause: the group's state machines were played with disks of their own, and the disk log without the group; nothing drove both through hundreds of changes.

Change: harbour/tests/control_log.rs drives three nodes with real disk logs on a clock that jumps. At each of eleven numbered points of the log (writes, syncs, changes of segments, checkpoints) a process is killed, power is lost (any subset of what was not synced is gone) or the disk is lost, at a copy, in turn. Checked at each event: no more than one node leads, with nothing older than what was acknowledged. After each change: whoever came back has caught up within 2,000 ms, as a copy on disk; the folder never took more than the segment limit and four records; memory that is live does not grow by 64 KiB.

--- /dev/null
+++ b/harbour/tests/control_log/machine.rs
@@ -0,0 +1,179 @@
+//! One control node: its part in the group, and its disk log on a disk that may lose what was not synced.
+
+use std::fs;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use stileroute_logbook::{Fold, Logbook, Operation, Options, Step, Trouble as Refused};
+use stileroute_pilotage::{Kept, Millis, Pilotage, Record, Terms};
+
+use crate::power::{write, Disk, Files};
+
+pub const CHECKPOINT_AFTER: u64 = 4 << 10;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    Kill,
+    Power,
+    Wipe,
+}
+
+/// As the control node folds its records.
+#[derive(Default)]
+struct Ledger(Kept);
+
+impl Fold for Ledger {
+    fn apply(&mut self, record: &[u8]) {
+        self.0.apply(postcard::from_bytes(record).expect("a record"));
+    }
+
+    fn snapshot(&self, out: &mut dyn FnMut(&[u8])) {
+        self.0.records().for_each(|record| out(&postcard::to_stdvec(&record).expect("encodes")));
+    }
+}
+
+/// What the disk has to tell the test.
+#[derive(Default)]
+struct Watched {
+    disk: Disk,
+    /// Where the next trouble strikes.
+    armed: Option<Step>,
+    /// The disk as it was there.
+    struck: Option<Disk>,
+    /// Most bytes that the folder took, while a checkpoint has both the old and the new.
+    peak: u64,
+}
+
+struct Open {
+    pilot: Pilotage,
+    book: Logbook,
+    answers: Receiver<(u64, Result<(), Refused>)>,
+    checkpoints: Receiver<()>,
+    rolled: Arc<AtomicBool>,
+}
+
+pub struct Machine {
+    dir: PathBuf,
+    watched: Arc<Mutex<Watched>>,
+    open: Option<Open>,
+    pub life: u64,
+    /// The version on its disk.
+    pub kept: u64,
+    pub due: Millis,
+}
+
+impl Machine {
+    pub fn new(dir: PathBuf) -> Machine {
+        let _ = fs::remove_dir_all(&dir);
+        Machine { dir, watched: Arc::default(), open: None, life: 0, kept: 0, due: 0 }
+    }
+
+    pub fn start(&mut self, terms: Terms, now: Millis) {
+        let (answer, answers) = channel();
+        let (checkpointed, checkpoints) = channel();
+        let checkpointed = Mutex::new(checkpointed);
+        let rolled = Arc::new(AtomicBool::new(false));
+        let (rolled_, watched, observed) = (rolled.clone(), self.watched.clone(), self.watched.clone());
+        let hook = move |step: Step| {
+            match step {
+                Step::SegmentMake => rolled_.store(true, Ordering::Relaxed),
+                Step::CheckpointEnded => drop(checkpointed.lock().unwrap().send(())),
+                _ => {}
+            }
+            let mut watched = watched.lock().unwrap();
+            if matches!(step, Step::SnapshotRename | Step::SnapshotFolder | Step::Remove) {
+                watched.peak = watched.peak.max(watched.disk.bytes());
+            }
+            if watched.armed == Some(step) {
+                watched.armed = None;
+                watched.struck = Some(watched.disk.clone());
+            }
+            Ok(())
+        };
+        let options = Options {
+            checkpoint_after: CHECKPOINT_AFTER,
+            lazy_sync: Duration::from_secs(3600),
+            hook: Some(Arc::new(hook)),
+            observer: Some(Arc::new(move |operation: Operation| {
+                observed.lock().unwrap().disk.apply(&operation);
+            })),
+            ..Options::new("watch")
+        };
+        let done = move |ticket, result| drop(answer.send((ticket, result)));
+        let (book, ledger) =
+            Logbook::open::<Ledger>(&self.dir, options, done).expect("a legal start is never refused");
+        // Segments that an earlier life closed are folded once something is appended.
+        rolled.store(self.segments() > 1, Ordering::Relaxed);
+        self.kept = ledger.0.chart.as_ref().map_or(0, |chart| chart.version);
+        let pilot = Pilotage::new(terms, ledger.0, now);
+        self.open = Some(Open { pilot, book, answers, checkpoints, rolled });
+        self.life += 1;
+    }
+
+    pub fn pilot(&mut self) -> Option<&mut Pilotage> {
+        self.open.as_mut().map(|open| &mut open.pilot)
+    }
+
+    /// Writes and syncs, and waits for the checkpoint that follows from it, if one does.
+    pub fn keep(&mut self, record: &Record) {
+        let Some(open) = &self.open else { return };
+        let append = |records: Vec<Vec<u8>>, sync| {
+            open.book.append(1, records, sync);
+            let (_, result) = open.answers.recv_timeout(Duration::from_secs(20)).expect("an answer");
+            result.expect("nothing is refused");
+        };
+        append(vec![postcard::to_stdvec(record).expect("encodes")], true);
+        append(Vec::new(), false);
+        while open.rolled.swap(false, Ordering::Relaxed) {
+            open.checkpoints.recv_timeout(Duration::from_secs(20)).expect("the checkpoint ends");
+            append(Vec::new(), false);
+        }
+        if let Record::Chart(chart) = record {
+            self.kept = chart.version;
+        }
+    }
+
+    pub fn arm(&mut self, step: Option<Step>) {
+        self.watched.lock().unwrap().armed = step;
+    }
+
+    /// Trouble has struck within what was done last.
+    pub fn struck(&self) -> bool {
+        self.watched.lock().unwrap().struck.is_some()
+    }
+
+    /// Ends it as it was when trouble struck.
+    pub fn end(&mut self, trouble: Trouble, draw: &mut dyn FnMut(u64) -> u64) {
+        self.open = None;
+        let mut watched = self.watched.lock().unwrap();
+        let Some(disk) = watched.struck.take() else { return };
+        let files = match trouble {
+            Trouble::Kill => disk.seen(),
+            Trouble::Power => disk.drawn(draw),
+            Trouble::Wipe => Files::new(),
+        };
+        write(&self.dir, &files);
+        // A killed process leaves the system what it has not synced; power may yet be lost.
+        watched.disk = if trouble == Trouble::Kill { disk } else { Disk::holding(&files) };
+    }
+
+    fn segments(&self) -> usize {
+        let files = fs::read_dir(&self.dir).into_iter().flatten().flatten();
+        files.filter(|file| file.file_name().to_string_lossy().starts_with("log-")).count()
+    }
+
+    /// The most its disk ever took.
+    pub fn peak(&self) -> u64 {
+        self.watched.lock().unwrap().peak
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        self.open = None;
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
--- a/logbook/tests/power/disk.rs
+++ b/logbook/tests/power/disk.rs
@@ -79,7 +79,17 @@
     folder: bool,
 }
 
+// Each file of tests uses its part of it.
+#[allow(dead_code)]
 impl Disk {
+    /// One that holds these, all lasting.
+    pub fn holding(files: &Files) -> Disk {
+        let contents =
+            files.values().map(|bytes| Content { synced: bytes.clone(), changes: Vec::new() }).collect();
+        let names: BTreeMap<String, usize> = files.keys().cloned().zip(0..).collect();
+        Disk { contents, lasting: names.clone(), names, unsynced: Vec::new(), folder: true }
+    }
+
     pub fn apply(&mut self, operation: &Operation) {
         match operation {
             Operation::FolderMade => self.folder = false,
@@ -109,6 +119,10 @@
             Operation::FolderSynced => {
                 self.lasting = self.names.clone();
                 self.unsynced.clear();
+                let gone = |at: &usize| !self.names.values().any(|content| content == at);
+                for at in (0..self.contents.len()).filter(gone).collect::<Vec<_>>() {
+                    self.contents[at] = Content::default();
+                }
             }
         }
     }
@@ -130,6 +144,10 @@
         self.names.iter().map(|(name, content)| (name.clone(), self.contents[*content].seen())).collect()
     }
 
+    pub fn bytes(&self) -> u64 {
+        self.seen().values().map(|bytes| bytes.len() as u64).sum()
+    }
+
     /// Everything that a loss of power may leave.
     pub fn outcomes(&self) -> Vec<Files> {
         let mut all = Vec::new();
@@ -158,6 +176,27 @@
         all
     }
 
+    /// One of the things that a loss of power may leave, drawn.
+    pub fn drawn(&self, draw: &mut dyn FnMut(u64) -> u64) -> Files {
+        if !self.folder && draw(2) == 0 {
+            return Files::new();
+        }
+        let mut names = self.lasting.clone();
+        for (name, content) in &self.unsynced {
+            match content {
+                _ if draw(2) == 0 => {}
+                Some(content) => drop(names.insert(name.clone(), *content)),
+                None => drop(names.remove(name)),
+            }
+        }
+        let mut left = |content: &usize| {
+            let content = &self.contents[*content];
+            let fates: Vec<Fate> = content.changes.iter().map(|_| FATES[draw(4) as usize]).collect();
+            content.with(fates.into_iter())
+        };
+        names.iter().map(|(name, content)| (name.clone(), left(content))).collect()
+    }
+
     /// Of a few changes every combination; of more, all alike, and each one by itself.
     fn fates(&self, names: &BTreeMap<String, usize>) -> Vec<Vec<Fate>> {
         let changes: usize = names.values().map(|content| self.contents[*content].changes.len()).sum();
