--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/example.json
 
-.PHONY: build test lint run harbour prove-rig prove-routes prove-processes prove-processes-long prove-soundings prove-system prove-system-long
+.PHONY: build test lint run harbour prove-rig prove-routes prove-processes prove-processes-long prove-soundings prove-system prove-system-long prove-control
 
 build:
 	cargo build --release --locked
@@ -42,6 +42,11 @@
 	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
 	target/release/harbour-drydock prove
 
+# The control nodes on their worst days: three fleets side by side, some 65 s.
+prove-control:
+	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
+	target/release/harbour-drydock prove-control
+
 # Outside CI: 61 processes, some 80 s.
 prove-system-long:
 	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
--- /dev/null
+++ b/drydock/src/control.rs
@@ -0,0 +1,142 @@
+//! The proof of the control side: three courses, each with a fleet of its own, side by side.
+
+use crate::executor::Kind;
+use crate::fleet::{Plain, NINE};
+use crate::history::History;
+use crate::judge::judge;
+use crate::operator::{Routes, Services};
+use crate::prove::{figures, lay_out, tell_all, verdict};
+use crate::setup::{Place, Running, Setup};
+use crate::sight::Sight;
+use crate::{churn, isolation, replacement};
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Messages a second in each fleet: enough to see that they are taken, and little of the machine.
+const RATE: u64 = 40;
+/// Versions after the first configuration.
+const NUMBERS_FROM: u64 = 100;
+
+const ROUTES: [(&str, &str, u32); 3] =
+    [("/alder/", "alder", 4), ("/birch/", "birch", 4), ("/larch/", "birch", 4)];
+const LOAD: [(&str, u64); 3] = [("/alder/", 5), ("/birch/", 3), ("/larch/", 2)];
+
+/// One of the courses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Part {
+    /// Control nodes lose contact, in both directions and in one, and freeze.
+    Isolation,
+    /// Machines are replaced, and another is lost at once.
+    Replacement,
+    /// Many changes with restarts, two under one number, orders sent again.
+    Churn,
+}
+
+impl Part {
+    const ALL: [Part; 3] = [Part::Isolation, Part::Replacement, Part::Churn];
+
+    fn name(self) -> &'static str {
+        match self {
+            Part::Isolation => "isolation",
+            Part::Replacement => "replacement",
+            Part::Churn => "churn",
+        }
+    }
+
+    fn label(self) -> &'static str {
+        match self {
+            Part::Isolation => "isolation    ",
+            Part::Replacement => "replacement  ",
+            Part::Churn => "churn        ",
+        }
+    }
+
+    fn play(self, running: Running, numbers: &Numbers) -> Plain<History> {
+        match self {
+            Part::Isolation => isolation::play(running, numbers),
+            Part::Replacement => replacement::play(running, numbers),
+            Part::Churn => churn::play(running, numbers),
+        }
+    }
+}
+
+/// Numbers for versions, each above all that were given before.
+#[derive(Clone)]
+pub struct Numbers(Arc<AtomicU64>);
+
+impl Numbers {
+    fn new() -> Numbers {
+        Numbers(Arc::new(AtomicU64::new(NUMBERS_FROM)))
+    }
+    pub fn next(&self) -> u64 {
+        self.0.fetch_add(1, Ordering::SeqCst)
+    }
+}
+
+pub fn kind(service: &str) -> Kind {
+    Kind {
+        service: service.to_string(),
+        capacity: 8,
+        work_ms: (5, 20),
+        tells_load: false,
+        fails: true,
+        beats_after_ms: 0,
+        endpoint: false,
+    }
+}
+
+fn setup(part: Part) -> Setup {
+    let services: Services = vec![("alder", 0.0, None), ("birch", 0.0, None)];
+    let routes: Routes = ROUTES.to_vec();
+    let mut executors = Vec::new();
+    for place in 1..=2 {
+        executors.push(Place::new(format!("alder-{place}"), place, &kind("alder")));
+        executors.push(Place::new(format!("birch-{place}"), 10 + place, &kind("birch")));
+    }
+    let (mix, ready_within) = (LOAD.to_vec(), Duration::from_secs(15));
+    Setup { label: part.label(), routes, services, executors, mix, rate: RATE, ready_within }
+}
+
+/// Plays one course; its history, and the watch on the machine's own delays.
+fn run(part: Part, program: &Path, home: &Path, net: Option<u8>) -> Plain<(History, Arc<Sight>)> {
+    let home = home.join(part.name());
+    std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
+    let fleet = lay_out(program, &home, net, NINE, part as u8)?;
+    let sight = Sight::new(&home);
+    let running = setup(part).begin(fleet, &sight)?;
+    let history = part.play(running, &Numbers::new())?;
+    Ok((history, sight))
+}
+
+pub fn prove(program: &Path, net: Option<u8>, keep: bool, only: Option<Part>) -> Plain<ExitCode> {
+    let home = crate::home()?;
+    let parts: Vec<Part> = Part::ALL.into_iter().filter(|part| only.is_none_or(|o| o == *part)).collect();
+    let played: Vec<Plain<(History, Arc<Sight>)>> = std::thread::scope(|scope| {
+        let home = &home;
+        let begun: Vec<_> =
+            parts.iter().map(|part| scope.spawn(move || run(*part, program, home, net))).collect();
+        let panicked = || Err("a course ended by a panic".to_string());
+        begun.into_iter().map(|thread| thread.join().unwrap_or_else(|_| panicked())).collect()
+    });
+    let mut breaches = Vec::new();
+    let mut busy = None;
+    for (part, played) in parts.iter().zip(played) {
+        let (history, sight) = played.map_err(|e| format!("{}: {e}", part.name()))?;
+        println!("prove-control, {}: {}", part.name(), figures(&history, &sight));
+        let found = judge(&history);
+        if keep {
+            tell_all(&history, &sight, &found);
+        }
+        busy = busy.or(sight.busy());
+        breaches.extend(found);
+    }
+    if keep {
+        println!("kept: {}", home.display());
+    } else {
+        let _ = std::fs::remove_dir_all(&home);
+    }
+    Ok(verdict(&breaches, busy))
+}
--- a/drydock/src/course.rs
+++ b/drydock/src/course.rs
@@ -35,6 +35,8 @@
     [("/alder/", 53), ("/birch/", 25), ("/cedar/", 8), ("/elm/", 4), ("/larch/", 6), ("/fir/", 4)];
 
 pub struct Course {
+    /// Printed before each line.
+    pub label: &'static str,
     pub fleet: Fleet,
     pub sight: Arc<Sight>,
     pub clients: Arc<Clients>,
@@ -52,7 +54,14 @@
     }
 
     pub fn say(&self, what: &str) {
-        println!("{:7.2} s  {what}", self.sight.now() as f64 / SECOND as f64);
+        println!("{}{:7.2} s  {what}", self.label, self.sight.now() as f64 / SECOND as f64);
+    }
+
+    /// No process has ended by itself.
+    pub fn none_fallen(&mut self) {
+        if let Some(what) = self.fleet.fallen() {
+            self.seen(&what, false);
+        }
     }
 
     pub fn seen(&self, what: &str, right: bool) {
--- a/drydock/src/executor.rs
+++ b/drydock/src/executor.rs
@@ -3,6 +3,7 @@
 use crate::fleet::{Controls, BEAT_MS};
 use crate::history::{Arrival, Drain, Work};
 use crate::message::{self, Fate};
+use crate::operator;
 use crate::sight::Sight;
 use crate::wire::{self, Wire, Words};
 use serde_json::json;
@@ -15,6 +16,8 @@
 /// Runs by id: all executors know which run of a message it is.
 pub type Runs = Arc<Mutex<HashMap<String, u32>>>;
 
+const HEARTBEAT: &str = "heartbeat";
+
 #[derive(Clone)]
 pub struct Kind {
     pub service: String,
@@ -174,13 +177,18 @@
 
     /// One call to the control nodes, from one to the next until one acknowledges.
     fn call(&self, what: &str, body: &str) -> bool {
+        let drains = what == HEARTBEAT && self.draining.load(Ordering::Relaxed);
         let count = self.calls.fetch_add(1, Ordering::Relaxed) as usize;
         let target = format!("/v1/servers/{}/{what}", self.id);
         let controls = self.controls.lock().unwrap_or_else(PoisonError::into_inner).clone();
         (0..controls.len()).any(|step| {
             let to = controls[(count + step) % controls.len()];
-            let said = wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1));
-            !self.gone() && said.is_ok_and(|words| (200..300).contains(&words.status()))
+            let said = if drains {
+                operator::ask(&self.sight, to, "POST", &target, body.as_bytes())
+            } else {
+                wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1)).ok()
+            };
+            !self.gone() && said.is_some_and(|words| (200..300).contains(&words.status()))
         })
     }
 
@@ -198,7 +206,7 @@
                 "cold_left_ms": 0,
                 "call_count": self.calls.load(Ordering::Relaxed) + 1,
             });
-            let heard = self.call("heartbeat", &body.to_string());
+            let heard = self.call(HEARTBEAT, &body.to_string());
             if heard && draining && !self.drained.swap(true, Ordering::Relaxed) {
                 let acked = self.sight.now();
                 self.sight.write().drains.push(Drain { server: self.id.clone(), acked });
--- a/drydock/src/fleet.rs
+++ b/drydock/src/fleet.rs
@@ -1,6 +1,6 @@
 //! The fleet: nine processes of `harbour`, or sixty and one, and those added later, each a machine of its own on loopback.
 
-use crate::relay::{self, Way};
+use crate::relay::{self, Way, Ways};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
 use serde_json::json;
@@ -10,7 +10,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -58,7 +58,7 @@
 }
 
 impl Role {
-    const ALL: [Role; 3] = [Role::Core, Role::Store, Role::Edge];
+    pub const ALL: [Role; 3] = [Role::Core, Role::Store, Role::Edge];
 
     fn word(self) -> &'static str {
         match self {
@@ -90,6 +90,16 @@
     }
 }
 
+/// The direction of a cut, as the machine sees it that is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Towards {
+    Both,
+    /// It hears the others, and they don't hear it.
+    Others,
+    /// It is heard, and hears nothing.
+    Itself,
+}
+
 struct Machine {
     role: Role,
     at: usize,
@@ -114,7 +124,7 @@
     machines: Vec<Machine>,
     seeds: Vec<SocketAddrV4>,
     controls: Controls,
-    /// By the two places, the lower first.
+    /// By the two places, who says first.
     ways: HashMap<(usize, usize), Way>,
     over: Way,
 }
@@ -157,16 +167,18 @@
         let here = self.machines.len();
         for there in 0..if self.shape.ways { here } else { 0 } {
             let (other, of) = (self.machines[there].role, self.machines[there].at);
-            let way = Arc::new(AtomicBool::new(false));
+            let ways = Ways { out: Way::default(), back: Way::default() };
             // Nobody dials an edge.
             if other != Role::Edge {
                 let to = self.internal(there, other, of);
-                relay::stand_in(self.internal(here, other, of), to, &way, &self.over)?;
+                relay::stand_in(self.internal(here, other, of), to, &ways, &self.over)?;
             }
             if role != Role::Edge {
-                relay::stand_in(self.internal(there, role, at), own, &way, &self.over)?;
+                let turned = Ways { out: Arc::clone(&ways.back), back: Arc::clone(&ways.out) };
+                relay::stand_in(self.internal(there, role, at), own, &turned, &self.over)?;
             }
-            self.ways.insert((there, here), way);
+            self.ways.insert((here, there), ways.out);
+            self.ways.insert((there, here), ways.back);
         }
         self.machines.push(Machine { role, at, dir, child: None, first, away: false });
         if role == Role::Core {
@@ -193,10 +205,21 @@
 
     /// Cuts a machine off from all others of some roles, or heals that.
     pub fn cut(&self, role: Role, at: usize, from: &[Role], apart: bool) {
+        self.cut_towards(role, at, from, Towards::Both, apart);
+    }
+
+    /// The same for one direction alone.
+    pub fn cut_towards(&self, role: Role, at: usize, from: &[Role], towards: Towards, apart: bool) {
         let here = self.place(role, at);
-        for ((one, other), way) in &self.ways {
-            let far = if *one == here { *other } else { *one };
-            if (*one == here || *other == here) && from.contains(&self.machines[far].role) {
+        for ((says, hears), way) in &self.ways {
+            let (outwards, inwards) = (*says == here, *hears == here);
+            let meant = match towards {
+                Towards::Both => outwards || inwards,
+                Towards::Others => outwards,
+                Towards::Itself => inwards,
+            };
+            let far = if outwards { *hears } else { *says };
+            if meant && from.contains(&self.machines[far].role) {
                 way.store(apart, Ordering::Relaxed);
             }
         }
@@ -237,6 +260,16 @@
         (0..self.shape.edges).map(|at| SocketAddrV4::new(self.ip(Role::Edge, at), READINESS)).collect()
     }
 
+    /// Where operators and executors call a control node.
+    pub fn control(&self, at: usize) -> SocketAddrV4 {
+        SocketAddrV4::new(self.ip(Role::Core, at), CONTROL)
+    }
+
+    /// What lies in the data folder of a machine, in bytes.
+    pub fn disk_bytes(&self, role: Role, at: usize) -> u64 {
+        folder_bytes(&self.home.join(self.name(role, at)).join("data"))
+    }
+
     pub fn figures(&self, store: usize) -> SocketAddrV4 {
         SocketAddrV4::new(self.ip(Role::Store, store), FIGURES)
     }
@@ -397,6 +430,16 @@
     Ipv4Addr::new(127, net, role.number(), at as u8 + 1)
 }
 
+fn folder_bytes(folder: &Path) -> u64 {
+    let entries = fs::read_dir(folder).into_iter().flatten().flatten();
+    let bytes = |entry: fs::DirEntry| match entry.metadata() {
+        Ok(about) if about.is_dir() => folder_bytes(&entry.path()),
+        Ok(about) => about.len(),
+        Err(_) => 0,
+    };
+    entries.map(bytes).sum()
+}
+
 fn term(child: &Child) {
     let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGTERM);
 }
--- a/drydock/src/history.rs
+++ b/drydock/src/history.rs
@@ -120,8 +120,56 @@
     /// Those of one round are asked with no change between them.
     pub round: u32,
     pub at: Micros,
+    pub answered_at: Micros,
     pub control: String,
     pub version: Option<u64>,
+    pub content: Content,
+}
+
+/// What tells two configurations under one number apart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Content(pub u64);
+
+impl Content {
+    pub fn of(body: &[u8]) -> Content {
+        Content(
+            body.iter().fold(0xcbf2_9ce4_8422_2325, |sum, byte| {
+                (sum ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3)
+            }),
+        )
+    }
+}
+
+/// What a control node was asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Ask {
+    Replace(Content),
+    Read,
+    Retire(String),
+    RetireRead(String),
+    /// An executor says that it drains.
+    Draining(String),
+}
+
+/// One request to one control node, and what came of it.
+#[derive(Clone, Debug)]
+pub struct Order {
+    pub at: Micros,
+    pub answered_at: Micros,
+    pub control: String,
+    pub ask: Ask,
+    /// None where no whole answer came.
+    pub status: Option<u16>,
+    /// Whether an acknowledgement says that just this content is in force; none where it says neither.
+    pub applied: Option<bool>,
+}
+
+/// A control node had no contact with the other control nodes, in one direction at least, and with all others it had.
+#[derive(Clone, Debug)]
+pub struct Isolation {
+    pub control: String,
+    pub from: Micros,
+    pub to: Micros,
 }
 
 /// An executor whose draining was acknowledged.
@@ -162,6 +210,8 @@
     pub freezes: Vec<(Micros, Micros)>,
     /// A machine was cut off: it lives, and knows all that it did.
     pub cuts: Vec<(Micros, Micros)>,
+    pub isolations: Vec<Isolation>,
+    pub orders: Vec<Order>,
     pub reads: Vec<Read>,
     pub takes: Vec<Take>,
     pub seen: Vec<Seen>,
--- a/drydock/src/judge.rs
+++ b/drydock/src/judge.rs
@@ -1,5 +1,7 @@
 //! The judge: finds what breaks a rule in what the stand-ins saw.
 
+mod control;
+
 use crate::history::{Answered, Arrival, History, Micros, Said, Sent, Version, Work, SECOND};
 use std::collections::HashMap;
 use std::fmt;
@@ -31,6 +33,10 @@
     Seen,
     /// Control nodes differ, or what was acknowledged is not read back as it was sent, nor a higher one.
     Split,
+    /// What was acknowledged is refused when it is sent again.
+    Denied,
+    /// An operator was told that a content is in force, and another one is.
+    Applied,
     /// Accepted, and not done with in time: no end, no call-back, no answer to who asks.
     Owed,
     Twice,
@@ -40,6 +46,10 @@
     Ceiling,
     Drain,
     Bound,
+    /// A control node with no contact to the others answers as if it knew what is current.
+    Stale,
+    /// A message was turned away while nothing but control nodes had no contact.
+    Shut,
 }
 
 impl Rule {
@@ -108,7 +118,7 @@
     }
     judge.ceilings();
     judge.drains();
-    judge.reads();
+    judge.control();
     for take in &history.takes {
         match take.took {
             Some(took) if took <= take.most => {}
@@ -332,31 +342,6 @@
         }
     }
 
-    fn reads(&mut self) {
-        let reads = &self.history.reads;
-        let mut found = Vec::new();
-        for read in reads {
-            let acked = self.versions.iter().filter(|v| v.acked.is_some_and(|at| at <= read.at));
-            let floor = acked.map(|v| v.number).max().unwrap_or(0);
-            let who = &read.control;
-            match read.version {
-                None => found.push((read.at, format!("{who} reads back what nobody sent"))),
-                Some(version) if version < floor => {
-                    found.push((read.at, format!("{who} reads back {version}, {floor} was acknowledged")));
-                }
-                Some(version) => {
-                    let other = reads
-                        .iter()
-                        .find(|o| o.round == read.round && o.version.is_some_and(|v| v > version));
-                    if let Some((other, newer)) = other.and_then(|o| Some((&o.control, o.version?))) {
-                        found.push((read.at, format!("{who} reads back {version}, {other} {newer}")));
-                    }
-                }
-            }
-        }
-        found.into_iter().for_each(|(at, what)| self.add(Rule::Split, at, what));
-    }
-
     fn drains(&mut self) {
         for drain in &self.history.drains {
             let after = drain.acked + DRAIN;
--- a/drydock/src/judge_tests.rs
+++ b/drydock/src/judge_tests.rs
@@ -2,8 +2,8 @@
 
 use super::{judge, Rule};
 use crate::history::{
-    Answered, Arrival, Call, Drain, History, Micros, Read, Reading, Said, Seen, Sent, Take, Version, Work,
-    SECOND,
+    Answered, Arrival, Ask, Call, Content, Drain, History, Isolation, Micros, Order, Read, Reading, Said,
+    Seen, Sent, Take, Version, Work, SECOND,
 };
 
 const MS: Micros = 1000;
@@ -56,7 +56,26 @@
 }
 
 fn read(control: &str, at: Micros, version: Option<u64>) -> Read {
-    Read { round: 1, at, control: control.into(), version }
+    let (answered_at, content) = (at + MS, Content::default());
+    Read { round: 1, at, answered_at, control: control.into(), version, content }
+}
+
+/// Just what `version` makes: its body is empty, so all are one content.
+const SENT: Ask = Ask::Replace(Content(0xcbf2_9ce4_8422_2325));
+
+/// To a control node that has lost contact from 70 to 90 s.
+fn order(at: Micros, ask: Ask, status: u16) -> Order {
+    let status = Some(status);
+    Order { at, answered_at: at + MS, control: "c-3".into(), ask, status, applied: None }
+}
+
+fn retire(at: Micros, status: u16) -> Order {
+    order(at, Ask::Retire("store-1".into()), status)
+}
+
+/// Acknowledged at 5 s, and again at 68 s.
+fn acknowledged_twice() -> Vec<Order> {
+    [5, 68].into_iter().flat_map(|at| [order(at * SECOND, SENT, 200), retire(at * SECOND, 200)]).collect()
 }
 
 /// One message that was done, one that failed twice, one refused for good; an invalid order refused, a drain, a fault.
@@ -67,6 +86,8 @@
         drains: vec![Drain { server: "s-1".into(), acked: 40 * SECOND }],
         troubles: vec![(60 * SECOND, 62 * SECOND)],
         takes: vec![Take { what: "a takeover".into(), took: Some(2 * SECOND), most: 5 * SECOND }],
+        isolations: vec![Isolation { control: "c-3".into(), from: 70 * SECOND, to: 90 * SECOND }],
+        orders: acknowledged_twice(),
         reads: vec![read("c-1", 90 * SECOND, Some(1)), read("c-2", 91 * SECOND, Some(1))],
         seen: vec![Seen { what: "an invalid one is refused".into(), right: true }],
         ..History::default()
@@ -99,7 +120,7 @@
 #[test]
 fn each_rule_that_is_broken_once_is_found_and_no_other() {
     assert_eq!(found(|_| {}), []);
-    let rows: [(&str, Rule, Change); 40] = [
+    let rows: [(&str, Rule, Change); 51] = [
         ("never ended", Rule::Owed, |h| h.readings[0].said = Said::Waiting),
         ("forgotten", Rule::Lost, |h| h.readings[2].said = Said::Unknown),
         ("silence to who asks", Rule::Owed, |h| h.readings[1].said = Said::Nothing),
@@ -168,6 +189,37 @@
             h.versions.push(late);
             h.reads.push(Read { round: 2, ..read("c-1", 93 * SECOND, Some(1)) });
         }),
+        ("a version is read at one node, and later an older one at another", Rule::Split, |h| {
+            let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
+            h.versions.push(Version { acked: None, ..unclear });
+            h.reads = vec![read("c-1", 90 * SECOND, Some(2)), read("c-2", 91 * SECOND, Some(1))];
+            h.reads[1].round = 0;
+        }),
+        ("two contents of one version are read back", Rule::Split, |h| h.reads[1].content = Content(7)),
+        ("the same configuration is refused", Rule::Denied, |h| h.orders.push(order(69 * SECOND, SENT, 409))),
+        ("the same order to retire finds nobody", Rule::Denied, |h| h.orders.push(retire(69 * SECOND, 404))),
+        ("a content is said to be applied, another one is", Rule::Applied, |h| {
+            h.orders[0].applied = Some(true);
+        }),
+        ("a change is acknowledged with no contact to the others", Rule::Stale, |h| {
+            h.orders.push(order(71_501 * MS, Ask::Replace(Content(7)), 200));
+        }),
+        ("a change is refused with no contact to the others", Rule::Stale, |h| {
+            h.orders.push(order(71_501 * MS, Ask::Replace(Content(7)), 409));
+        }),
+        ("a configuration is read with no contact to the others", Rule::Stale, |h| {
+            h.orders.push(order(89 * SECOND, Ask::Read, 200));
+        }),
+        ("a store is unknown to who has no contact", Rule::Stale, |h| {
+            h.orders.push(order(80 * SECOND, Ask::Retire("store-9".into()), 404));
+        }),
+        ("a message is turned away meanwhile", Rule::Shut, |h| {
+            h.sent.push(Sent { answered: Answered::Status(503), ..sent("m9", 71 * SECOND) });
+        }),
+        ("a draining is heard with no contact to the others, and does not hold", Rule::Drain, |h| {
+            h.drains.push(Drain { server: "s-2".into(), acked: 75 * SECOND });
+            h.arrivals.push(other("m1", 79 * SECOND, Work::NotRun(503)));
+        }),
         ("before its delay is over", Rule::Early, |h| h.sent[0].delay = 200 * MS),
         ("the old service, after the new version", Rule::Config, |h| {
             h.versions.push(version(2, 5 * SECOND, &[("/a/", "t")]));
@@ -213,7 +265,7 @@
 
 #[test]
 fn what_the_rules_allow_is_no_breach() {
-    let rows: [(&str, Change); 18] = [
+    let rows: [(&str, Change); 26] = [
         ("again, just after a fault that came just after it", |h| {
             h.troubles.push((10_500 * MS, 11 * SECOND));
             h.arrivals.push(other("m1", 14 * SECOND, done("z")));
@@ -240,6 +292,33 @@
             h.versions.push(version(2, 92 * SECOND, &[("/a/", "s")]));
             h.reads.push(Read { round: 2, ..read("c-1", 93 * SECOND, Some(2)) });
         }),
+        ("with no contact no clear answer, and one before the lease ended", |h| {
+            let unclear = |status| Order { status, ..order(75 * SECOND, Ask::Read, 0) };
+            h.orders.extend([unclear(Some(503)), unclear(None), order(71 * SECOND, Ask::Read, 200)]);
+        }),
+        ("another node, or one that is back in contact, answers", |h| {
+            h.orders.push(Order { control: "c-1".into(), ..order(75 * SECOND, Ask::Read, 200) });
+            h.orders.push(order(90 * SECOND, Ask::Read, 200));
+        }),
+        ("an order is refused that nobody acknowledged, or before it was", |h| {
+            h.orders.push(order(69 * SECOND, Ask::Replace(Content(7)), 409));
+            h.orders.push(retire(4 * SECOND, 404));
+        }),
+        ("what was acknowledged has no clear answer", |h| h.orders.push(retire(69 * SECOND, 503))),
+        ("a content is said to be applied and is read back", |h| {
+            h.orders[0].applied = Some(true);
+            h.reads.iter_mut().for_each(|read| read.content = Content::of(&[]));
+        }),
+        ("a content is said not to be applied", |h| h.orders[0].applied = Some(false)),
+        ("an older version in a read that overlaps one of a newer", |h| {
+            let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
+            h.versions.push(Version { acked: None, ..unclear });
+            h.reads = vec![read("c-1", 90 * SECOND, Some(2)), read("c-2", 90 * SECOND, Some(1))];
+            h.reads.iter_mut().for_each(|read| read.round = 0);
+        }),
+        ("a message is taken, or has no route, with a control node out of contact", |h| {
+            h.isolations.push(Isolation { control: "c-4".into(), from: 9 * SECOND, to: 15 * SECOND });
+        }),
         ("cut while one was frozen, or cut off", |h| {
             h.freezes.push((20 * SECOND, 21 * SECOND));
             h.cuts.push((30 * SECOND, 31 * SECOND));
--- a/drydock/src/main.rs
+++ b/drydock/src/main.rs
@@ -1,10 +1,13 @@
 //! `harbour-drydock`: starts a whole fleet of `harbour` on loopback, and proves it under load and faults.
 
+mod churn;
 mod client;
+mod control;
 mod course;
 mod executor;
 mod fleet;
 mod history;
+mod isolation;
 mod judge;
 mod message;
 mod operator;
@@ -12,6 +15,8 @@
 mod prove;
 mod receiver;
 mod relay;
+mod replacement;
+mod setup;
 mod show;
 mod sight;
 mod sixty;
@@ -51,13 +56,26 @@
         #[arg(long)]
         long: bool,
     },
+    /// The same for the control nodes on their worst days: three fleets side by side.
+    ProveControl {
+        /// Keeps the folders with the logs and disks, and prints all breaches.
+        #[arg(long)]
+        keep: bool,
+        /// Plays one of the courses alone.
+        #[arg(long)]
+        only: Option<control::Part>,
+    },
 }
 
 fn main() -> ExitCode {
     let words = Words::parse();
     let done = match words.command {
         Command::Start => show::show(&words.harbour, words.net.unwrap_or(60)),
-        Command::Prove { rate, keep, long } => prove::prove(&words.harbour, words.net, rate, keep, long),
+        Command::Prove { rate, keep, long } => {
+            let proof = if long { prove::Proof::Long } else { prove::Proof::System };
+            prove::prove(&words.harbour, words.net, rate, keep, proof)
+        }
+        Command::ProveControl { keep, only } => control::prove(&words.harbour, words.net, keep, only),
     };
     match done {
         Ok(code) => code,
--- a/drydock/src/operator.rs
+++ b/drydock/src/operator.rs
@@ -1,9 +1,9 @@
 //! The stand-in operator: sends configurations to control nodes until one answers clearly, and reads back.
 
 use crate::fleet::Controls;
-use crate::history::{Micros, Read, Version};
+use crate::history::{Ask, Content, Micros, Order, Read, Version};
 use crate::sight::Sight;
-use crate::wire;
+use crate::wire::{self, Words};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -11,6 +11,12 @@
 use std::time::{Duration, Instant};
 
 pub const HOST: &str = "quay.example";
+pub const REPLACE: &str = "/v1/settings/replace";
+const READ: &str = "/v1/settings/read";
+/// A caller goes on to another node after so long a silence.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Reads that belong to no round: one is compared with no other but by its time.
+pub const NO_ROUND: u32 = 0;
 
 /// What a configuration is made of: prefix, service, most tries.
 pub type Routes = Vec<(&'static str, &'static str, u32)>;
@@ -72,11 +78,9 @@
         let mut pause = Duration::from_millis(20);
         while Instant::now() < until {
             let to = self.next();
-            if let Ok(words) = wire::call(to, method, target, body.as_bytes(), Duration::from_secs(1)) {
-                let status = words.status();
-                if status < 500 && !matches!(status, 307 | 408 | 429) {
-                    return Some((status, words.body));
-                }
+            let said = ask(&self.sight, to, method, target, body.as_bytes());
+            if let Some(words) = said.filter(is_clear) {
+                return Some((words.status(), words.body));
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(Duration::from_millis(200));
@@ -97,14 +101,26 @@
         body
     }
 
-    pub fn acknowledged(&self, number: u64) -> Micros {
+    /// Writes down that a configuration was acknowledged, unless it was before.
+    pub fn acknowledged(&self, body: &str) -> Micros {
         let now = self.sight.now();
-        if let Some(version) = self.sight.write().versions.iter_mut().find(|v| v.number == number) {
-            version.acked = Some(now);
+        let mut history = self.sight.write();
+        if let Some(version) = history.versions.iter_mut().rev().find(|v| v.body == body.as_bytes()) {
+            version.acked.get_or_insert(now);
         }
         now
     }
 
+    /// Sends a configuration that was prepared to one control node, once; whether it was acknowledged.
+    pub fn send_to(&self, to: SocketAddrV4, body: &str) -> bool {
+        let said = ask(&self.sight, to, "POST", REPLACE, body.as_bytes());
+        let acked = said.is_some_and(|words| words.status() == 200);
+        if acked {
+            self.acknowledged(body);
+        }
+        acked
+    }
+
     /// Sends a valid configuration and writes down when it was sent and acknowledged. Gives how long that took.
     pub fn replace(
         &mut self,
@@ -115,8 +131,8 @@
     ) -> (String, Option<Micros>) {
         let sent = self.sight.now();
         let body = self.prepare(number, routes, services);
-        let said = self.order("POST", "/v1/settings/replace", &body, most);
-        let acked = said.is_some_and(|(status, _)| status == 200).then(|| self.acknowledged(number));
+        let said = self.order("POST", REPLACE, &body, most);
+        let acked = said.is_some_and(|(status, _)| status == 200).then(|| self.acknowledged(&body));
         (body, acked.map(|at| at - sent))
     }
 
@@ -129,21 +145,62 @@
     pub fn read_at(&self, to: SocketAddrV4, round: u32, most: Duration) -> Option<u64> {
         let until = Instant::now() + most;
         while Instant::now() < until {
-            let at = self.sight.now();
-            let said = wire::call(to, "GET", "/v1/settings/read", b"", Duration::from_secs(1));
-            if let Some(words) = said.ok().filter(|words| words.status() == 200) {
-                let mut history = self.sight.write();
-                let version = history.versions.iter().find(|v| v.body == words.body).map(|v| v.number);
-                history.reads.push(Read { round, at, control: to.to_string(), version });
-                return Some(version.unwrap_or(0));
+            if let Some(version) = self.read_once(to, round) {
+                return Some(version);
             }
             std::thread::sleep(Duration::from_millis(50));
         }
         None
     }
 
+    /// Asks one control node for the configuration, once.
+    pub fn read_once(&self, to: SocketAddrV4, round: u32) -> Option<u64> {
+        let at = self.sight.now();
+        let words = ask(&self.sight, to, "GET", READ, b"").filter(|words| words.status() == 200)?;
+        let (answered_at, content) = (self.sight.now(), Content::of(&words.body));
+        let mut history = self.sight.write();
+        let version = history.versions.iter().rev().find(|v| v.body == words.body).map(|v| v.number);
+        history.reads.push(Read { round, at, answered_at, control: to.to_string(), version, content });
+        Some(version.unwrap_or(0))
+    }
+
     pub fn read(&mut self, most: Duration) -> Option<Vec<u8>> {
-        let said = self.order("GET", "/v1/settings/read", "", most)?;
+        let said = self.order("GET", READ, "", most)?;
         (said.0 == 200).then_some(said.1)
     }
 }
+
+/// An answer after which the caller goes on to no other node.
+fn is_clear(words: &Words) -> bool {
+    words.status() < 500 && !matches!(words.status(), 307 | 408 | 429)
+}
+
+/// One request to one control node, written down with what came of it.
+pub fn ask(sight: &Sight, to: SocketAddrV4, method: &str, target: &str, body: &[u8]) -> Option<Words> {
+    let at = sight.now();
+    let words = wire::call(to, method, target, body, SILENCE).ok();
+    if let Some(ask) = asked(target, body) {
+        let status = words.as_ref().map(Words::status);
+        let applied = words.as_ref().filter(|words| words.status() == 200).and_then(says_applied);
+        let (answered_at, control) = (sight.now(), to.to_string());
+        sight.write().orders.push(Order { at, answered_at, control, ask, status, applied });
+    }
+    words
+}
+
+/// What a request asks for, where the judge looks at it.
+fn asked(target: &str, body: &[u8]) -> Option<Ask> {
+    let parts: Vec<&str> = target.split('/').collect();
+    Some(match parts[..] {
+        ["", "v1", "settings", "replace"] => Ask::Replace(Content::of(body)),
+        ["", "v1", "settings", "read"] => Ask::Read,
+        ["", "v1", "retire", store, "begin"] => Ask::Retire(store.to_string()),
+        ["", "v1", "retire", store, "read"] => Ask::RetireRead(store.to_string()),
+        ["", "v1", "servers", id, "heartbeat"] => Ask::Draining(id.to_string()),
+        _ => return None,
+    })
+}
+
+fn says_applied(words: &Words) -> Option<bool> {
+    serde_json::from_slice::<Value>(&words.body).ok()?["applied"].as_bool()
+}
--- a/drydock/src/ordeals.rs
+++ b/drydock/src/ordeals.rs
@@ -2,7 +2,7 @@
 
 use crate::client::Plan;
 use crate::course::{Course, ACK, APPLY, TAKEN_OVER};
-use crate::fleet::{Plain, Role, CONTROL, EACH};
+use crate::fleet::{Plain, Role, EACH};
 use crate::history::{Micros, Read, SECOND};
 use crate::operator::Operator;
 use crate::wire;
@@ -22,34 +22,42 @@
     CutOff,
 }
 
-fn marker(number: u64) -> &'static str {
+pub fn marker(number: u64) -> &'static str {
     // A few dozen over the life of the process.
     Box::leak(format!("/mark-{number}/").into_boxed_str())
 }
 
 impl Course {
-    fn control(&self, at: usize) -> SocketAddrV4 {
-        SocketAddrV4::new(self.fleet.ip(Role::Core, at), CONTROL)
-    }
-
-    /// All control nodes read back the same, it is in force at every edge, and the markers of others are gone from there.
-    fn settled(&mut self, numbers: &[u64], why: &str) {
+    /// All control nodes read back the same, and it is in force at every edge: that version.
+    pub fn agreed(&mut self, why: &str) -> Option<u64> {
         self.round += 1;
         let reads = self.operator.read_all(self.round, Duration::from_secs(5));
         for _ in reads.iter().filter(|read| read.is_none()) {
             self.take(&format!("an answer of every control node to who reads ({why})"), None, ACK);
         }
-        let Some(force) = reads.into_iter().flatten().max() else { return };
+        let force = reads.into_iter().flatten().max()?;
+        self.in_force(force, why);
+        self.say(&format!("{force} is read back by all and in force at every edge ({why})"));
+        if !self.routes.iter().any(|(prefix, ..)| *prefix == marker(force)) {
+            self.routes.push((marker(force), "alder", 4));
+        }
+        Some(force)
+    }
+
+    /// How long until every edge takes messages for the route of a version.
+    pub fn in_force(&mut self, version: u64, why: &str) -> Option<Micros> {
         let begun = self.sight.now();
         let taken =
-            (0..EACH).map(|edge| self.clients.until_taken(marker(force), edge, Duration::from_secs(8)));
+            (0..EACH).map(|edge| self.clients.until_taken(marker(version), edge, Duration::from_secs(8)));
         let last = taken.collect::<Option<Vec<Micros>>>().and_then(|all| all.into_iter().max());
         let took = last.map(|at| at.saturating_sub(begun));
-        self.take(&format!("version {force} in force at every edge ({why})"), took, APPLY);
-        self.say(&format!("of versions {numbers:?}, {force} is read back by all and in force at every edge"));
-        if !self.routes.iter().any(|(prefix, ..)| *prefix == marker(force)) {
-            self.routes.push((marker(force), "alder", 4));
-        }
+        self.take(&format!("version {version} in force at every edge ({why})"), took, APPLY);
+        took
+    }
+
+    /// As agreed, and the markers of other versions are gone from the edges.
+    fn settled(&mut self, numbers: &[u64], why: &str) {
+        let Some(force) = self.agreed(why) else { return };
         // What was turned away or taken where another version is in force is for the judge to find.
         self.sleep(APPLY / 1000 + 100);
         for other in numbers.iter().filter(|other| **other != force) {
@@ -67,7 +75,7 @@
         let order = |side: u64| {
             let mut operator = Operator::new(self.fleet.controls(), &self.sight);
             let (gate, base, services) = (Arc::clone(&gate), self.routes.clone(), self.services.clone());
-            let to: Vec<SocketAddrV4> = controls.iter().map(|at| self.control(*at)).collect();
+            let to: Vec<SocketAddrV4> = controls.iter().map(|at| self.fleet.control(*at)).collect();
             std::thread::spawn(move || {
                 let mut unclear = 0;
                 for step in 0..RACES {
@@ -108,13 +116,14 @@
             routes.push((marker(number), "alder", 4));
             routes
         };
-        let (late, to) = (number + 1, self.control(primary));
+        let (late, to) = (number + 1, self.fleet.control(primary));
         let body = self.operator.prepare(late, &with(late), &services);
+        let late_body = body.clone();
         let asked = std::thread::spawn(move || {
             wire::call(to, "POST", "/v1/settings/replace", body.as_bytes(), Duration::from_secs(8))
         });
         let other = self.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
-        self.operator.first = Some(self.control(other));
+        self.operator.first = Some(self.fleet.control(other));
         let (_, acked) = self.operator.replace(number, &with(number), &services, Duration::from_secs(8));
         self.take(&format!("the acknowledgement of version {number} ({what})"), acked, ACK);
         if how == Behind::CutOff {
@@ -131,7 +140,7 @@
         drop(history);
         let said = asked.join().ok().and_then(Result::ok).map(|words| words.status());
         if said == Some(200) {
-            self.operator.acknowledged(late);
+            self.operator.acknowledged(&late_body);
         }
         let (ms, said) = (acked.map_or(0, |us| us / 1000), said.unwrap_or(0));
         self.say(&format!(
@@ -193,7 +202,7 @@
     }
 
     /// Until a store that was told to is empty; then the machine goes for good, with its disk.
-    fn emptied(&mut self, at: usize) -> Plain<()> {
+    pub fn emptied(&mut self, at: usize) -> Plain<()> {
         let (name, begun) = (self.fleet.name(Role::Store, at), self.sight.now());
         let target = format!("/v1/retire/{name}/read");
         let complete = |said: Option<(u16, Vec<u8>)>| {
@@ -218,7 +227,7 @@
         Ok(())
     }
 
-    fn add(&mut self, role: Role, at: usize) -> Plain<()> {
+    pub fn add(&mut self, role: Role, at: usize) -> Plain<()> {
         self.fleet.add(role, at, false)?;
         self.fleet.start(role, at)?;
         self.say(&format!("{} is added, with an empty disk", self.fleet.name(role, at)));
--- a/drydock/src/prove.rs
+++ b/drydock/src/prove.rs
@@ -1,56 +1,99 @@
 //! The course of the proof: the load, the changes, the faults, and the verdict.
 
-use crate::client::{Clients, Plan};
-use crate::course::{Course, CEILING, FIRST, LOAD};
-use crate::executor::{Executor, Kind, Runs};
-use crate::fleet::{Fleet, Plain, Role, EACH, NINE, SIXTY};
+use crate::client::Plan;
+use crate::course::{CEILING, FIRST, LOAD};
+use crate::executor::{Executor, Kind};
+use crate::fleet::{Fleet, Plain, Role, Shape, NINE, SIXTY};
 use crate::history::{Answered, Arrival, History, Micros, Sent, SECOND};
 use crate::judge::{judge, story, Breach};
-use crate::operator::{Operator, Services};
+use crate::operator::Services;
 use crate::ordeals::{tell, Behind};
+use crate::setup::{Place, Running, Setup};
 use crate::sight::Sight;
 use std::collections::HashMap;
 use std::path::Path;
 use std::process::ExitCode;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 
-pub fn prove(program: &Path, net: Option<u8>, rate: u64, keep: bool, long: bool) -> Plain<ExitCode> {
+/// Networks 127.x that are tried.
+const FIRST_NET: u8 = 100;
+const NETS: u32 = 150;
+/// The most fleets of one proof at once.
+const SIDE_BY_SIDE: u32 = 3;
+
+/// Which course is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    System,
+    /// Sixty-one processes.
+    Long,
+}
+
+impl Proof {
+    fn name(self) -> &'static str {
+        match self {
+            Proof::System => "prove-system",
+            Proof::Long => "prove-system-long",
+        }
+    }
+}
+
+pub fn prove(program: &Path, net: Option<u8>, rate: u64, keep: bool, proof: Proof) -> Plain<ExitCode> {
     let home = crate::home()?;
-    let shape = if long { SIXTY } else { NINE };
-    let mine = 100 + (std::process::id() % 100) as u8;
-    let fleet = match net {
-        Some(net) => Fleet::lay_out(program, home.clone(), net, shape)?,
-        None => Fleet::lay_out(program, home.clone(), mine, shape)
-            .or_else(|_| Fleet::lay_out(program, home.clone(), mine + 100, shape))?,
-    };
+    let shape = if proof == Proof::Long { SIXTY } else { NINE };
+    let fleet = lay_out(program, &home, net, shape, 0)?;
     let sight = Sight::new(&home);
-    let history = if long { crate::sixty::play(fleet, &sight, rate)? } else { play(fleet, &sight, rate)? };
+    let history = match proof {
+        Proof::System => play(fleet, &sight, rate)?,
+        Proof::Long => crate::sixty::play(fleet, &sight, rate)?,
+    };
     let breaches = judge(&history);
-    println!("prove-system{}: {}", if long { "-long" } else { "" }, figures(&history, &sight));
-    let busy = sight.busy();
+    println!("{}: {}", proof.name(), figures(&history, &sight));
     if keep {
         println!("kept: {}", home.display());
-        breaches.iter().for_each(|breach| println!("  {breach}"));
-        let mut spans = vec![(0, 0); 1 + (sight.now() / (5 * SECOND)) as usize];
-        for arrival in history.arrivals.iter().filter(|a| a.service == "cedar") {
-            spans[(arrival.at / (5 * SECOND)) as usize].0 += 1;
-        }
-        for sent in history.sent.iter().filter(|s| s.prefix == "/cedar/" && s.name.is_some()) {
-            spans[((sent.at + sent.delay) / (5 * SECOND)) as usize].1 += 1;
-        }
-        println!("  under the ceiling, runs and messages due in each 5 s: {spans:?}");
-        println!("  read back: {}", tell(&history.reads));
-        slowest(&history).iter().for_each(|story| println!("  slow: {story}"));
+        tell_all(&history, &sight, &breaches);
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    Ok(verdict(&breaches, busy))
+    Ok(verdict(&breaches, sight.busy()))
+}
+
+/// A fleet at addresses that nobody else uses; those that run side by side have different places.
+pub fn lay_out(program: &Path, home: &Path, net: Option<u8>, shape: Shape, place: u8) -> Plain<Fleet> {
+    if let Some(net) = net {
+        return Fleet::lay_out(program, home.to_path_buf(), net + place, shape);
+    }
+    let own = std::process::id() * SIDE_BY_SIDE + u32::from(place);
+    let nets = (0..NETS).step_by(50).map(|step| FIRST_NET + ((own + step) % NETS) as u8);
+    let mut last = Err("no network".to_string());
+    for net in nets {
+        last = Fleet::lay_out(program, home.to_path_buf(), net, shape);
+        if last.is_ok() {
+            break;
+        }
+    }
+    last
+}
+
+/// All breaches, and what helps to find the reason.
+pub fn tell_all(history: &History, sight: &Sight, breaches: &[Breach]) {
+    breaches.iter().for_each(|breach| println!("  {breach}"));
+    let mut spans = vec![(0, 0); 1 + (sight.now() / (5 * SECOND)) as usize];
+    for arrival in history.arrivals.iter().filter(|a| a.service == "cedar") {
+        spans[(arrival.at / (5 * SECOND)) as usize].0 += 1;
+    }
+    for sent in history.sent.iter().filter(|s| s.prefix == "/cedar/" && s.name.is_some()) {
+        spans[((sent.at + sent.delay) / (5 * SECOND)) as usize].1 += 1;
+    }
+    println!("  under the ceiling, runs and messages due in each 5 s: {spans:?}");
+    println!("  read back: {}", tell(&history.reads));
+    slowest(history).iter().for_each(|story| println!("  slow: {story}"));
 }
 
 /// What does not count time is a breach on any machine; what does is none where the machine was too busy.
-fn verdict(breaches: &[Breach], busy: Option<String>) -> ExitCode {
+pub fn verdict(breaches: &[Breach], busy: Option<String>) -> ExitCode {
     let hard = breaches.iter().find(|breach| !breach.rule.timed() || busy.is_none());
     if let Some(first) = hard {
         println!("NOT PROVED: {first} ({} breaches)", breaches.len());
@@ -67,21 +110,10 @@
     }
 }
 
-fn play(mut fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
+fn play(fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
     let endpoint = fleet.outside(90, 9000);
-    let receiver = fleet.outside(91, 9000);
-    let down = Arc::new(AtomicBool::new(false));
-    crate::receiver::listen(receiver, Arc::clone(sight), &down)?;
-    fleet.start_all()?;
-    let mut operator = Operator::new(fleet.controls(), sight);
     let services: Services =
         vec![("alder", 0.0, None), ("birch", 0.0, None), ("cedar", CEILING, Some(endpoint))];
-    sight.write().ceilings.push(("cedar".to_string(), CEILING));
-    let (_, acked) = operator.replace(3, &FIRST.to_vec(), &services, Duration::from_secs(15));
-    acked.ok_or("the first configuration was never taken")?;
-
-    let runs = Runs::default();
-    let controls = fleet.controls();
     let kind = |service: &str, capacity, work_ms, tells_load| Kind {
         service: service.to_string(),
         capacity,
@@ -92,39 +124,29 @@
         endpoint: service == "cedar",
     };
     let (alder, birch) = (kind("alder", 6, (5, 30), false), kind("birch", 2, (10, 50), true));
-    let begin = |id: &str, part: u8, kind: &Kind| {
-        Executor::start(id, fleet.outside(part, 9000), kind.clone(), Arc::clone(&controls), sight, &runs)
-    };
-    let mut alders = Vec::new();
-    let mut birches = Vec::new();
+    let mut executors = vec![Place::new("cedar", 90, &kind("cedar", 20, (5, 20), false))];
     for part in 1..=3 {
-        alders.push(begin(&format!("alder-{part}"), part, &alder)?);
-        birches.push(begin(&format!("birch-{part}"), 10 + part, &birch)?);
-    }
-    let _cedar = begin("cedar", 90, &kind("cedar", 20, (5, 20), false))?;
-
-    let lot = u64::from(std::process::id()) ^ 0xd1d0;
-    let clients = Clients::new(sight, fleet.fronts(), fleet.readiness(), receiver, lot, LOAD.to_vec());
-    let stop = Arc::new(AtomicBool::new(false));
-    for edge in 0..EACH {
-        clients.until_taken("/alder/", edge, Duration::from_secs(10)).ok_or("the fleet does not begin")?;
+        executors.push(Place::new(format!("alder-{part}"), part, &alder));
+        executors.push(Place::new(format!("birch-{part}"), 10 + part, &birch));
     }
-    let threads = clients.press(rate, &stop);
-    let mut course = Course {
-        fleet,
-        sight: Arc::clone(sight),
-        clients: Arc::clone(&clients),
-        operator,
-        services,
+    let setup = Setup {
+        label: "",
         routes: FIRST.to_vec(),
-        takeovers: Vec::new(),
-        round: 0,
+        services,
+        executors,
+        mix: LOAD.to_vec(),
+        rate,
+        ready_within: Duration::from_secs(10),
     };
-    course.say(&format!("nine run, {rate} messages a second"));
+    let mut running = setup.begin(fleet, sight)?;
+    let Running { course, executors, runs, receiver_down, .. } = &mut running;
+    let clients = Arc::clone(&course.clients);
+    let controls = course.fleet.controls();
+    let by_id = |id: &str| executors.iter().find(|e| e.id == id).cloned().ok_or(format!("no executor {id}"));
+    let (leaving, crashing) = (by_id("birch-1")?, by_id("alder-3")?);
     course.sleep(3000);
     course.configurations();
     course.sleep(1000);
-    let leaving = Arc::clone(&birches[0]);
     course.say("300 at once for a service with a ceiling of 30 a second");
     clients.burst(&Plan::to("/cedar/"), 0, 152);
     clients.burst(&Plan::to("/cedar/"), 1, 152);
@@ -132,14 +154,13 @@
     let left = std::thread::spawn(move || leaving.leave());
     course.sleep(4000);
     course.say("alder-3 crashes; it lives anew elsewhere, and its address is another service's");
-    alders[2].crash();
+    crashing.crash();
     course.sleep(2500);
-    let address = alders[2].address;
+    let address = crashing.address;
     let outside =
         |part: u8| std::net::SocketAddrV4::new([127, address.ip().octets()[1], 9, part].into(), 9000);
-    let start = |id: &str, at, kind: &Kind| {
-        Executor::start(id, at, kind.clone(), Arc::clone(&controls), sight, &runs)
-    };
+    let start =
+        |id: &str, at, kind: &Kind| Executor::start(id, at, kind.clone(), Arc::clone(&controls), sight, runs);
     let _again = start("alder-3b", outside(4), &alder)?;
     let _other = start("birch-4", address, &Kind { beats_after_ms: 700, ..birch.clone() })?;
     let _ = left.join();
@@ -150,10 +171,10 @@
     course.sleep(5000);
     // Call-backs that are owed when the store goes are owed by those that have its copies.
     course.say("the receiver of call-backs is down");
-    down.store(true, Ordering::Relaxed);
+    receiver_down.store(true, Ordering::Relaxed);
     course.sleep(1000);
     course.lose_store(1, true)?;
-    down.store(false, Ordering::Relaxed);
+    receiver_down.store(false, Ordering::Relaxed);
     course.sleep(6500);
     course.orderly(Role::Store, 2, "store-3")?;
     course.sleep(3500);
@@ -171,29 +192,15 @@
     // With the control node that took another's place: it votes, and the one that is gone does not count any more.
     course.leave_behind(Behind::Frozen, 60)?;
     course.leave_behind(Behind::CutOff, 70)?;
-    if let Some(what) = course.fleet.fallen() {
-        course.seen(&what, false);
-    }
+    course.none_fallen();
     course.lose_all()?;
     course.sleep(4000);
-    stop.store(true, Ordering::Relaxed);
-    for thread in threads {
-        let _ = thread.join();
-    }
-    course.say("the load has ended");
-    course.sleep(2500);
-    clients.ask_all(&[0, 1, 2], Micros::MAX, Duration::from_secs(12));
-    course.sleep(2000);
-    clients.over.store(true, Ordering::Relaxed);
-    course.say("all have been asked for");
-    if let Some(what) = course.fleet.fallen() {
-        course.seen(&what, false);
-    }
-    course.fleet.stop_all();
+    running.end_load();
+    running.course.sleep(2500);
     let takeovers: Vec<String> =
-        course.takeovers.iter().map(|(what, us)| format!("{what} {}", us / 1000)).collect();
+        running.course.takeovers.iter().map(|(what, us)| format!("{what} {}", us / 1000)).collect();
+    let history = running.end(&[0, 1, 2], Duration::from_secs(12));
     println!("takeovers in ms: {}", takeovers.join(", "));
-    let history = sight.write().clone();
     Ok(history)
 }
 
@@ -215,7 +222,7 @@
     all.iter().step_by(1 + all.len() / 400).take(12).map(tell).collect()
 }
 
-fn figures(history: &History, sight: &Sight) -> String {
+pub fn figures(history: &History, sight: &Sight) -> String {
     let part = |mut all: Vec<Micros>| {
         all.sort_unstable();
         let at =
--- a/drydock/src/relay.rs
+++ b/drydock/src/relay.rs
@@ -12,36 +12,51 @@
 
 const LOOK: Duration = Duration::from_millis(3);
 
-/// Whether the way between two machines is cut: one for both directions.
+/// Whether the way from one machine to another is cut: one for each direction.
 pub type Way = Arc<AtomicBool>;
 
+/// The two directions between who dials and who listens.
+#[derive(Clone)]
+pub struct Ways {
+    pub out: Way,
+    pub back: Way,
+}
+
+impl Ways {
+    /// A handshake needs both directions.
+    fn any_cut(&self) -> bool {
+        self.out.load(Ordering::Relaxed) || self.back.load(Ordering::Relaxed)
+    }
+}
+
 /// Stands at `at` for who listens at `to`.
-pub fn stand_in(at: SocketAddrV4, to: SocketAddrV4, way: &Way, over: &Way) -> Result<(), String> {
+pub fn stand_in(at: SocketAddrV4, to: SocketAddrV4, ways: &Ways, over: &Way) -> Result<(), String> {
     let listener = TcpListener::bind(at).map_err(|e| format!("{at}: {e}"))?;
-    let (way, over) = (Arc::clone(way), Arc::clone(over));
+    let (ways, over) = (ways.clone(), Arc::clone(over));
     std::thread::spawn(move || {
         for near in listener.incoming().flatten() {
             if over.load(Ordering::Relaxed) {
                 return;
             }
-            let way = Arc::clone(&way);
-            std::thread::spawn(move || carry(near, to, &way));
+            let ways = ways.clone();
+            std::thread::spawn(move || carry(near, to, &ways));
         }
     });
     Ok(())
 }
 
-fn carry(near: TcpStream, to: SocketAddrV4, way: &Way) {
-    if way.load(Ordering::Relaxed) {
-        wait(way);
+fn carry(near: TcpStream, to: SocketAddrV4, ways: &Ways) {
+    if ways.any_cut() {
+        wait(&ways.out);
+        wait(&ways.back);
         return;
     }
     let Ok(far) = TcpStream::connect(to) else { return };
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
     let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else { return };
-    let back = Arc::clone(way);
+    let back = Arc::clone(&ways.back);
     std::thread::spawn(move || pour(far_too, near_too, &back));
-    pour(near, far, way);
+    pour(near, far, &ways.out);
 }
 
 fn wait(way: &Way) {
--- /dev/null
+++ b/drydock/src/setup.rs
@@ -0,0 +1,124 @@
+//! How every course begins and ends: the fleet, its first configuration, executors and load; and what became of all messages.
+
+use crate::client::Clients;
+use crate::course::Course;
+use crate::executor::{Executor, Kind, Runs};
+use crate::fleet::{Fleet, Plain, Role};
+use crate::history::{History, Micros};
+use crate::operator::{Operator, Routes, Services};
+use crate::sight::Sight;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// The number of every first configuration.
+const FIRST_VERSION: u64 = 3;
+/// Control nodes settle who leads before edges are ready.
+const FIRST_LEASE: Duration = Duration::from_secs(5);
+
+/// An executor that is there from the beginning: its id and the last part of its address.
+pub struct Place {
+    pub id: String,
+    pub part: u8,
+    pub kind: Kind,
+}
+
+impl Place {
+    pub fn new(id: impl Into<String>, part: u8, kind: &Kind) -> Place {
+        Place { id: id.into(), part, kind: kind.clone() }
+    }
+}
+
+/// What a course begins with.
+pub struct Setup {
+    /// Printed before each line of the course.
+    pub label: &'static str,
+    pub routes: Routes,
+    pub services: Services,
+    pub executors: Vec<Place>,
+    /// Prefixes and their parts of the load.
+    pub mix: Vec<(&'static str, u64)>,
+    pub rate: u64,
+    /// Every edge takes messages so soon after the first configuration.
+    pub ready_within: Duration,
+}
+
+/// A course that has begun.
+pub struct Running {
+    pub course: Course,
+    pub executors: Vec<Arc<Executor>>,
+    pub runs: Runs,
+    /// While it is up the receiver takes no call-backs.
+    pub receiver_down: Arc<AtomicBool>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Setup {
+    pub fn begin(self, mut fleet: Fleet, sight: &Arc<Sight>) -> Plain<Running> {
+        let receiver = fleet.outside(91, 9000);
+        let receiver_down = Arc::new(AtomicBool::new(false));
+        crate::receiver::listen(receiver, Arc::clone(sight), &receiver_down)?;
+        fleet.start_all()?;
+        let ceilings = self.services.iter().filter(|(_, rate, _)| *rate > 0.0);
+        sight.write().ceilings = ceilings.map(|(name, rate, _)| (name.to_string(), *rate)).collect();
+        let mut operator = Operator::new(fleet.controls(), sight);
+        let (_, acked) =
+            operator.replace(FIRST_VERSION, &self.routes, &self.services, self.ready_within + FIRST_LEASE);
+        acked.ok_or("the first configuration was never taken")?;
+
+        let runs = Runs::default();
+        let start = |place: &Place| {
+            let at = fleet.outside(place.part, 9000);
+            Executor::start(&place.id, at, place.kind.clone(), fleet.controls(), sight, &runs)
+        };
+        let executors = self.executors.iter().map(start).collect::<Plain<Vec<_>>>()?;
+
+        let lot = u64::from(std::process::id()) ^ 0xd1d0;
+        let first = self.mix.first().map_or("/", |(prefix, _)| *prefix);
+        let clients = Clients::new(sight, fleet.fronts(), fleet.readiness(), receiver, lot, self.mix);
+        for edge in 0..fleet.shape.edges {
+            clients.until_taken(first, edge, self.ready_within).ok_or("the fleet does not begin")?;
+        }
+        let stop = Arc::new(AtomicBool::new(false));
+        let threads = clients.press(self.rate, &stop);
+        let course = Course {
+            label: self.label,
+            fleet,
+            sight: Arc::clone(sight),
+            clients,
+            operator,
+            services: self.services,
+            routes: self.routes,
+            takeovers: Vec::new(),
+            round: 0,
+        };
+        let all: usize = Role::ALL.iter().map(|role| course.fleet.shape.of(*role)).sum();
+        course.say(&format!("{all} run, {} messages a second", self.rate));
+        Ok(Running { course, executors, runs, receiver_down, stop, threads })
+    }
+}
+
+impl Running {
+    pub fn end_load(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads.drain(..) {
+            let _ = thread.join();
+        }
+        self.course.say("the load has ended");
+    }
+
+    /// Asks some edges for all messages, and ends the fleet.
+    pub fn end(mut self, edges: &[usize], asked_for: Duration) -> History {
+        let Running { course, .. } = &mut self;
+        course.clients.ask_all(edges, Micros::MAX, asked_for);
+        course.sleep(2000);
+        course.clients.over.store(true, Ordering::Relaxed);
+        course.say("all have been asked for");
+        course.none_fallen();
+        course.fleet.stop_all();
+        let history = course.sight.write().clone();
+        history
+    }
+}
--- a/drydock/src/sixty.rs
+++ b/drydock/src/sixty.rs
@@ -2,18 +2,18 @@
 //!
 //! The first loss is made good by copies made anew; had it not been, the second would lose what lay on too few disks.
 
-use crate::client::{Clients, Plan};
+use crate::client::Plan;
 use crate::course::Course;
-use crate::executor::{Executor, Kind, Runs};
+use crate::executor::Kind;
 use crate::fleet::{Fleet, Plain, Role, EACH};
 use crate::history::{Answered, History, Micros, Said, SECOND};
 use crate::message;
-use crate::operator::{Operator, Services};
+use crate::operator::Services;
+use crate::setup::{Place, Setup};
 use crate::sight::Sight;
 use crate::wire;
 use serde_json::Value;
 use std::process::Command;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,16 +37,16 @@
 
 /// Counters of all stores that run.
 #[derive(Default)]
-struct Counted {
-    thin: f64,
+pub struct Counted {
+    pub thin: f64,
     anew: f64,
     /// Entries that have not ended: own and copies.
     live: f64,
     /// Stores that told nothing.
-    silent: usize,
+    pub silent: usize,
 }
 
-fn count(fleet: &Fleet, away: &[usize]) -> Counted {
+pub fn count(fleet: &Fleet, away: &[usize]) -> Counted {
     let mut all = Counted::default();
     for at in fleet.here(Role::Store).into_iter().filter(|at| !away.contains(at)) {
         let said = wire::call(fleet.figures(at), "GET", "/metrics", b"", Duration::from_secs(1));
@@ -120,19 +120,11 @@
     }
 }
 
-pub fn play(mut fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
-    let receiver = fleet.outside(91, 9000);
-    crate::receiver::listen(receiver, Arc::clone(sight), &Arc::new(AtomicBool::new(false)))?;
-    fleet.start_all()?;
+pub fn play(fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
     let (shape, program) = (fleet.shape, fleet.program.clone());
     let edges = shape.edges;
-    let mut operator = Operator::new(fleet.controls(), sight);
     let services: Services = vec![("alder", 0.0, None), ("birch", 0.0, None)];
-    let (_, acked) = operator.replace(3, &ROUTES.to_vec(), &services, Duration::from_secs(20));
-    acked.ok_or("the first configuration was never taken")?;
-    let runs = Runs::default();
-    let mut executors = Vec::new();
-    for part in 0..8u8 {
+    let executors = (0..8u8).map(|part| {
         let service = if part < 5 { "alder" } else { "birch" };
         let kind = Kind {
             service: service.to_string(),
@@ -143,28 +135,21 @@
             beats_after_ms: 0,
             endpoint: false,
         };
-        let (id, at) = (format!("{service}-{}", part + 1), fleet.outside(part + 1, 9000));
-        executors.push(Executor::start(&id, at, kind, fleet.controls(), sight, &runs)?);
-    }
-    let lot = u64::from(std::process::id()) ^ 0xd1d0;
-    let clients = Clients::new(sight, fleet.fronts(), fleet.readiness(), receiver, lot, LOAD.to_vec());
-    let stop = Arc::new(AtomicBool::new(false));
-    for edge in 0..edges {
-        clients.until_taken("/alder/", edge, Duration::from_secs(15)).ok_or("the fleet does not begin")?;
-    }
-    let threads = clients.press(rate, &stop);
-    let mut course = Course {
-        fleet,
-        sight: Arc::clone(sight),
-        clients: Arc::clone(&clients),
-        operator,
-        services,
+        Place::new(format!("{service}-{}", part + 1), part + 1, &kind)
+    });
+    let executors = executors.collect();
+    let setup = Setup {
+        label: "",
         routes: ROUTES.to_vec(),
-        takeovers: Vec::new(),
-        round: 0,
+        services,
+        executors,
+        mix: LOAD.to_vec(),
+        rate,
+        ready_within: Duration::from_secs(15),
     };
-    let all = shape.cores + shape.stores + edges;
-    course.say(&format!("{all} run, {rate} messages a second"));
+    let mut running = setup.begin(fleet, sight)?;
+    let course = &mut running.course;
+    let clients = Arc::clone(&course.clients);
     course.sleep(2000);
 
     let begun = Instant::now();
@@ -211,7 +196,7 @@
     ));
     let step = 1 + names.len() / SAMPLE;
     let sample: Vec<String> = names.iter().step_by(step).cloned().collect();
-    let short = short_of(&course, &program, &sample, copies as usize);
+    let short = short_of(course, &program, &sample, copies as usize);
     course.say(&format!("of {} looked for at every store, {short} lie with too few", sample.len()));
     // Late copies are not lost ones: what is lost is told by the next loss.
     course.answered("those looked for lie with as many stores as promised", (short == 0).then_some(true));
@@ -229,20 +214,8 @@
 
     let until = begun + Duration::from_millis(WAITING * 1000 / A_SECOND + DELAY_MS);
     std::thread::sleep(until.saturating_duration_since(Instant::now()));
-    stop.store(true, Ordering::Relaxed);
-    for thread in threads {
-        let _ = thread.join();
-    }
-    course.say("those that waited were due, and the load has ended");
-    course.sleep(3000);
-    clients.ask_all(&asked, Micros::MAX, Duration::from_secs(15));
-    course.sleep(1000);
-    clients.over.store(true, Ordering::Relaxed);
-    course.say("all have been asked for");
-    if let Some(what) = course.fleet.fallen() {
-        course.seen(&what, false);
-    }
-    course.fleet.stop_all();
-    let history = sight.write().clone();
-    Ok(history)
+    course.say("those that waited were due");
+    running.end_load();
+    running.course.sleep(3000);
+    Ok(running.end(&asked, Duration::from_secs(15)))
 }
