Control group: a replacement is finished before a primary that is told to end goes

Change: acks of nodes that are no voters outlast a change; a primary that ends lets the new one join first, within its 0.5 s.

--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -342,9 +342,10 @@
                 self.send(voter, Signal::Pulse(pulse));
             }
         }
-        let Duty::Lead(lead) = &mut self.duty else { return };
+        let Duty::Lead(lead) = &self.duty else { return };
         if let Some(by) = lead.leave_by {
-            if (lead.job.is_none() && lead.change.is_none()) || now >= by {
+            let idle = lead.job.is_none() && lead.change.is_none() && !self.half_replaced(now, lead, &watch);
+            if idle || now >= by {
                 return self.hand_over(now, true);
             }
         }
@@ -497,9 +498,12 @@
         let lost = self.lost_copies(now, watch);
         let link_down = |v: &Voter| self.links.get(v) == Some(&false);
         let Duty::Lead(lead) = &mut self.duty else { return };
-        if lead.change.is_some() || lead.leave_by.is_some() {
+        if lead.change.is_some() {
             return;
         }
+        if lead.leave_by.is_some() {
+            return self.look_after_voters(now, watch);
+        }
         if watch.drawn != watch.epoch {
             return self.ask_change(now, watch.clone());
         }
@@ -558,6 +562,9 @@
             return;
         }
         let Some(voters) = self.next_voters(now, lead, watch) else { return };
+        if lead.leave_by.is_some() && !self.half_replaced(now, lead, watch) {
+            return;
+        }
         // One that is asked for and never granted holds up everything: it is not begun without a majority of both in sight.
         let present = |v: &&Voter| {
             **v == self.terms.me || self.present(now, lead, v) || self.planted(Planted::BlindChange)
@@ -594,6 +601,12 @@
         joins.filter(|_| !open).map(with)
     }
 
+    /// One that is gone was left out, and the one that comes is yet to join: one that ends now would be the second loss.
+    fn half_replaced(&self, now: Millis, lead: &Lead, watch: &Watch) -> bool {
+        let more = |next: Vec<Voter>| next.len() > watch.voters.len();
+        watch.voters.len().is_multiple_of(2) && self.next_voters(now, lead, watch).is_some_and(more)
+    }
+
     /// Other voters were asked for, and those who would have to grant it are gone: the voters stay as they were. Whoever has
     /// granted it needs a majority of the voters asked for, which has one in common with the majority that grants this.
     fn take_back(&mut self, now: Millis, watch: &Watch) {
@@ -677,7 +690,8 @@
                 let before = std::mem::take(&mut change.before.voters);
                 lead.change = None;
                 self.safe = self.safe.max(watch.epoch);
-                lead.acks.retain(|v, _| watch.voters.contains(v));
+                // Whoever was left out counts anew, should it come again.
+                lead.acks.retain(|v, _| watch.voters.contains(v) || !before.contains(v));
                 lead.pulse_at = now;
                 self.effects.push(Effect::Turn { epoch: watch.epoch, what: "has other copies" });
                 self.watch = Some(watch.clone());
