--- a/harbour/src/calls.rs
+++ b/harbour/src/calls.rs
@@ -10,6 +10,8 @@
     const METHOD: &'static str;
     /// The path with `*` for the part that names something.
     const PATH: &'static str;
+    /// Longest body; a longer one is refused by name.
+    const BODY: usize = usize::MAX;
     fn read(name: &str, body: &[u8]) -> Result<Self, String>;
 }
 
@@ -24,6 +26,9 @@
     if request.method != C::METHOD {
         return None;
     }
+    if request.body.len() > C::BODY {
+        return Some(Some(fault(413, &format!("body: over {} bytes", C::BODY))));
+    }
     Some(match C::read(name, &request.body) {
         Ok(call) => desk.settle(place, call).map(Into::into),
         Err(reason) => Some(fault(400, &reason)),
@@ -153,14 +158,37 @@
     }
 }
 
+/// Half of what the disk takes at once, and a quarter of what goes to another process at once.
+pub const LARGEST_CONFIGURATION: usize = stileroute_logbook::MAX_APPEND / 2;
+
 #[derive(Debug)]
 pub struct Replace {
     pub body: Vec<u8>,
     pub version: u64,
 }
+/// The configuration that is in force, as a change is acknowledged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct InForce {
+    pub revision: u64,
+    /// Of the whole body, as it was sent.
+    pub digest: String,
+    /// It is the one that was sent, byte for byte: another may stand under the same number.
+    pub applied: bool,
+}
+impl InForce {
+    pub fn new(revision: u64, body: &[u8], applied: bool) -> InForce {
+        InForce { revision, digest: content_digest(body), applied }
+    }
+}
+
+/// Names a configuration's content, for operators to compare: BLAKE3, in hexadecimal.
+pub fn content_digest(body: &[u8]) -> String {
+    blake3::hash(body).to_hex().to_string()
+}
+
 /// How a change of the configuration ended.
 pub enum Replaced {
-    InForce,
+    InForce(InForce),
     /// It may be in force: sent again, it does no harm.
     Uncertain,
     NotNow,
@@ -168,7 +196,10 @@
 impl From<Replaced> for Answer {
     fn from(replaced: Replaced) -> Answer {
         match replaced {
-            Replaced::InForce => Answer::json(200, "{}".to_string()),
+            Replaced::InForce(InForce { revision, digest, applied }) => Answer::json(
+                200,
+                jzon::object! { "revision" => revision, "digest" => digest, "applied" => applied }.dump(),
+            ),
             Replaced::Uncertain => fault(504, "it may be in force or come in force: send it again"),
             Replaced::NotNow => Answer {
                 headers: vec![("Retry-After", "1".to_string())],
@@ -181,6 +212,7 @@
     type Answer = Replaced;
     const METHOD: &'static str = "POST";
     const PATH: &'static str = "/v1/settings/replace";
+    const BODY: usize = LARGEST_CONFIGURATION;
     fn read(_: &str, body: &[u8]) -> Result<Replace, String> {
         match stileroute_charter::Config::read(body) {
             Ok(config) => Ok(Replace { body: body.to_vec(), version: config.revision }),
@@ -253,15 +285,23 @@
 pub struct RetireRead {
     pub node: String,
 }
+#[derive(Debug)]
 pub enum Retired {
     Unknown,
     Rolling,
     Complete,
+    NotNow,
 }
 impl From<Retired> for Answer {
     fn from(retired: Retired) -> Answer {
         let state = match retired {
             Retired::Unknown => return fault(404, "no such machine, or it is not to be emptied"),
+            Retired::NotNow => {
+                return Answer {
+                    headers: vec![("Retry-After", "1".to_string())],
+                    ..fault(503, "no primary can answer now")
+                }
+            }
             Retired::Rolling => "rolling",
             Retired::Complete => "complete",
         };
@@ -381,7 +421,7 @@
         let cut_off = Heard { beat_url: None, told: false };
         let answers: [(Answer, u16); 7] = [
             (cut_off.into(), 503),
-            (Replaced::InForce.into(), 200),
+            (Replaced::InForce(InForce::new(7, b"seven", true)).into(), 200),
             (Replaced::Uncertain.into(), 504),
             (Replaced::NotNow.into(), 503),
             (Settings::None.into(), 404),
--- a/harbour/src/core.rs
+++ b/harbour/src/core.rs
@@ -1,51 +1,31 @@
 //! The control node: executors' and operators' calls, sessions of nodes, the configuration with the others, and news.
 
+mod in_hand;
+pub mod ledger;
 mod report;
+mod retire;
+#[cfg(test)]
+mod tests;
 
 use crate::calls::{
-    self, Desk, Done, Heard, Heartbeat, Leave, ReadSettings, Replace, Replaced, Retire, RetireBegin,
-    RetireRead, Retired, Settings,
+    self, Call, Desk, Done, Heard, Heartbeat, InForce, Leave, ReadSettings, Replace, Replaced, RetireBegin,
+    RetireRead, Settings,
 };
 use crate::links::Word;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{lot, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Hello, Member, Passed, Retiring, Signal, Standing};
-use std::collections::HashMap;
+use crate::signals::{Beat, Class, Hello, Member, Passed, PassedKind, Retiring, Signal, Standing};
+use in_hand::{InHand, Origin};
+use ledger::Ledger;
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
 use stileroute_charter::Config;
-use stileroute_hold::Node;
-use stileroute_logbook::{Fold, Logbook, Options, Trouble};
-use stileroute_pilotage::{Effect, Kept, Pilotage, Record, Terms, Verdict};
+use stileroute_logbook::{Logbook, Options, Trouble};
+use stileroute_pilotage::{Effect, Pilotage, Terms, Verdict};
 use stileroute_roster::{Effect as Notice, Roster};
 
-#[derive(Default)]
-struct Ledger(Kept);
-
-impl Fold for Ledger {
-    fn apply(&mut self, record: &[u8]) {
-        match postcard::from_bytes(record) {
-            Ok(record) => self.0.apply(record),
-            Err(error) => tracing::error!(%error, "a record that can't be read"),
-        }
-    }
-    fn snapshot(&self, out: &mut dyn FnMut(&[u8])) {
-        for record in self.0.records() {
-            if let Ok(bytes) = postcard::to_stdvec(&record) {
-                out(&bytes);
-            }
-        }
-    }
-}
-
-enum Place {
-    Here(ConnId),
-    /// Another control node passed it on.
-    There(Node, u64),
-}
-
 pub struct Core {
     common: Common,
     control: usize,
@@ -53,13 +33,8 @@
     disk: Logbook,
     disk_said: Receiver<(u64, Result<(), Trouble>)>,
     roster: Roster,
-    places: HashMap<u64, Place>,
-    next_place: u64,
-    /// Calls by their place while the machine settles them, and those that another settles.
-    calls: HashMap<u64, Passed>,
-    passed: HashMap<u64, (Node, bool)>,
-    /// Orders to empty a store that it has not confirmed, and since when.
-    retirements: HashMap<u64, (String, Millis)>,
+    in_hand: InHand,
+    told: retire::Told,
     released: Option<Millis>,
     heard_at: Millis,
 }
@@ -93,13 +68,13 @@
         let losses = boot.losses.machines;
         let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, losses, lot());
         let terms = Terms { places: boot.losses.places(), ..terms };
-        let bounds = Bounds { body: 8 << 20, ..Bounds::default() };
+        let bounds = Bounds { body: LARGEST_BODY, ..Bounds::default() };
         let control =
             common.net.listen(at, Some(bounds)).map_err(|e| miette::miette!("control address: {e}"))?;
         let now = common.net.now();
         let me = member_of(common.links.me(), 0);
         let roster = Roster::new(me, lot(), common.boot.beat_interval_ms, now);
-        let pilot = Pilotage::new(terms, ledger.0, now);
+        let pilot = Pilotage::new(terms, ledger.kept, now);
         tracing::info!(blank = pilot.blank(), epoch = pilot.watch().map_or(0, |w| w.epoch), "disk read");
         Ok(Core {
             control,
@@ -107,11 +82,8 @@
             disk,
             disk_said,
             roster,
-            places: HashMap::new(),
-            next_place: 1,
-            calls: HashMap::new(),
-            passed: HashMap::new(),
-            retirements: HashMap::new(),
+            in_hand: InHand::new(lot()),
+            told: retire::Told::default(),
             released: None,
             heard_at: 0,
             common,
@@ -131,7 +103,8 @@
             self.carry_out();
             self.connect();
             self.tell(now);
-            self.answer_retirements(now);
+            self.look_after_retirements(now);
+            self.give_up_overdue(now);
             if self.common.told_to_end() {
                 self.pilot.release(now);
                 self.carry_out();
@@ -151,7 +124,7 @@
         if now > since + 300 {
             self.common.net.stop_listening(self.control);
         }
-        (released && self.common.net.in_hand() == 0 && self.places.is_empty())
+        (released && self.common.net.in_hand() == 0 && self.in_hand.len() == 0)
             || now > since + self.common.boot.bounds.grace_ms.saturating_sub(1500)
     }
 
@@ -195,16 +168,10 @@
                 if let Some(control) = control {
                     self.pilot.link(now, control, false);
                 }
-                let lost: Vec<u64> = self
-                    .places
-                    .iter()
-                    .filter(|(_, place)| matches!(place, Place::There(to, _) if *to == node))
-                    .map(|(place, _)| *place)
-                    .collect();
-                lost.into_iter().for_each(|place| {
-                    self.places.remove(&place);
-                });
-                self.passed_to_lost(node);
+                // It may have settled what was passed to it.
+                for (place, kind) in self.in_hand.lost(node) {
+                    self.said(place, kind.uncertain());
+                }
                 self.roster.core_down(node);
             }
             Word::Down(node, _) => self.roster.session_down(now, node),
@@ -221,26 +188,19 @@
                     self.pilot.signal(now, voter, signal);
                 }
             }
-            Word::Said(_, Class::Core, Signal::Retire { node }) => {
-                self.roster.order(now, node);
-                self.order_retirement(node);
-            }
             Word::Said(from, Class::Core, Signal::Sessions(members)) => {
                 self.roster.told_sessions(now, from, members)
             }
             Word::Said(_, Class::Core, Signal::Beats(beats)) => self.roster.told_beats(now, beats),
             Word::Said(from, Class::Core, Signal::Pass { ticket, call }) => {
-                let place = self.place(Place::There(from, ticket));
-                match call {
-                    Passed::Replace { body } => match Config::read(&body) {
-                        Ok(config) => self.pilot.replace(now, place, config.revision, body),
-                        Err(faults) => self.said(place, calls::fault(400, &faults.to_string())),
-                    },
-                    Passed::Read => self.pilot.read(now, place),
+                let place = self.in_hand.open(now, Origin::Core(from, ticket));
+                if let Some(answer) = self.settle_passed(place, call) {
+                    self.said(place, answer);
                 }
             }
-            Word::Said(_, Class::Core, Signal::Settled { ticket, status, body }) => {
-                self.passed.remove(&ticket);
+            Word::Said(from, Class::Core, Signal::Settled { ticket, status, body })
+                if self.in_hand.waits_for(ticket, from) =>
+            {
                 let retry = if status == 503 { vec![("Retry-After", "1".to_string())] } else { Vec::new() };
                 self.said(ticket, Answer { status, json: true, body, headers: retry, close: false });
             }
@@ -265,7 +225,7 @@
     }
 
     fn request(&mut self, conn: ConnId, request: &Request) {
-        let place = self.place(Place::Here(conn));
+        let place = self.in_hand.open(self.common.net.now(), Origin::Client(conn));
         let answer = calls::handle::<Heartbeat, _>(self, place, request)
             .or_else(|| calls::handle::<Leave, _>(self, place, request))
             .or_else(|| calls::handle::<Replace, _>(self, place, request))
@@ -279,19 +239,26 @@
         }
     }
 
-    fn place(&mut self, place: Place) -> u64 {
-        self.next_place += 1;
-        self.places.insert(self.next_place, place);
-        self.next_place
+    /// A call that another control node passed on.
+    fn settle_passed(&mut self, place: u64, call: Passed) -> Option<Answer> {
+        match call {
+            Passed::Replace { body, .. } => match Replace::read("", &body) {
+                Ok(call) => self.settle(place, call).map(Answer::from),
+                Err(reason) => Some(calls::fault(400, &reason)),
+            },
+            Passed::Read => self.settle(place, ReadSettings).map(Answer::from),
+            Passed::RetireBegin { node } => self.settle(place, RetireBegin { node }).map(Answer::from),
+            Passed::RetireRead { node } => self.settle(place, RetireRead { node }).map(Answer::from),
+        }
     }
 
     fn said(&mut self, place: u64, answer: Answer) {
-        match self.places.remove(&place) {
-            Some(Place::Here(conn)) => {
+        match self.in_hand.close(place) {
+            Some(Origin::Client(conn)) => {
                 let close = self.common.leaving_since.is_some();
                 self.common.net.answer(conn, Answer { close, ..answer });
             }
-            Some(Place::There(node, ticket)) => {
+            Some(Origin::Core(node, ticket)) => {
                 let signal = Signal::Settled { ticket, status: answer.status, body: answer.body };
                 self.common.links.say(&mut self.common.net, node, &signal);
             }
@@ -299,26 +266,23 @@
         }
     }
 
-    /// Calls that were passed to a node that is gone: it may have settled them.
-    fn passed_to_lost(&mut self, node: Node) {
-        let here: Vec<u64> =
-            self.passed.iter().filter(|(_, (to, _))| *to == node).map(|(place, _)| *place).collect();
-        for place in here {
-            let read = self.passed.remove(&place).is_some_and(|(_, read)| read);
-            let answer = if read { Settings::NotNow.into() } else { Replaced::Uncertain.into() };
-            self.said(place, answer);
+    /// What this node can't settle goes to the one that can, if it is known and there.
+    fn pass(&mut self, place: u64, primary: Option<SocketAddrV4>) {
+        let to = primary.and_then(|p| self.common.links.by_control(p));
+        let call = to.and_then(|to| self.in_hand.pass(place, to));
+        let sent = to.zip(call).is_some_and(|(to, call)| {
+            self.common.links.say(&mut self.common.net, to, &Signal::Pass { ticket: place, call })
+        });
+        if let Some(kind) = self.in_hand.kind(place).filter(|_| !sent) {
+            self.said(place, kind.not_now());
         }
     }
 
-    /// What this node can't settle goes to the one that can, if it is known and there.
-    fn pass(&mut self, place: u64, primary: Option<SocketAddrV4>) -> bool {
-        let Some(call) = self.calls.remove(&place) else { return false };
-        let to = primary.and_then(|p| self.common.links.by_control(p));
-        // Only from here: a call goes on once, not round and round.
-        let here = matches!(self.places.get(&place), Some(Place::Here(_)));
-        let Some(to) = to.filter(|_| here) else { return false };
-        self.passed.insert(place, (to, matches!(call, Passed::Read)));
-        self.common.links.say(&mut self.common.net, to, &Signal::Pass { ticket: place, call })
+    /// The one that was to settle them has said nothing for too long.
+    fn give_up_overdue(&mut self, now: Millis) {
+        for (place, kind) in self.in_hand.overdue(now) {
+            self.said(place, kind.uncertain());
+        }
     }
 
     fn carry_out(&mut self) {
@@ -339,26 +303,10 @@
                 }
             }
             Effect::Keep { ticket, record } => {
-                self.disk.append(ticket, vec![record_bytes(&record)], true);
-            }
-            Effect::Answer { ticket, verdict } => {
-                let read = matches!(self.calls.get(&ticket), Some(Passed::Read));
-                match verdict {
-                    Verdict::NotPrimary { primary } => {
-                        if !self.pass(ticket, primary) {
-                            let answer = if read { Settings::NotNow.into() } else { Replaced::NotNow.into() };
-                            self.said(ticket, answer);
-                        }
-                        return;
-                    }
-                    Verdict::Accepted | Verdict::Unchanged => self.said(ticket, Replaced::InForce.into()),
-                    Verdict::Uncertain => self.said(ticket, Replaced::Uncertain.into()),
-                    Verdict::NotDone => self.said(ticket, Replaced::NotNow.into()),
-                }
-                self.calls.remove(&ticket);
+                self.disk.append(ticket, ledger::pieces(&record), true);
             }
+            Effect::Answer { ticket, verdict } => self.answered(ticket, verdict),
             Effect::Chart { ticket, chart } => {
-                self.calls.remove(&ticket);
                 let settings = chart.map_or(Settings::None, |chart| Settings::Whole(chart.body));
                 self.said(ticket, settings.into());
             }
@@ -368,6 +316,33 @@
         }
     }
 
+    /// How an order to the primary ended.
+    fn answered(&mut self, place: u64, verdict: Verdict) {
+        let Some(kind) = self.in_hand.kind(place) else { return };
+        match verdict {
+            Verdict::NotPrimary { primary } => self.pass(place, primary),
+            Verdict::Uncertain => self.said(place, kind.uncertain()),
+            Verdict::NotDone => self.said(place, kind.not_now()),
+            Verdict::Accepted | Verdict::Unchanged if kind == PassedKind::RetireBegin => {
+                self.in_hand.await_store(place);
+            }
+            Verdict::Accepted | Verdict::Unchanged => {
+                let answer = self.acknowledged(place, verdict).map_or_else(|| kind.uncertain(), Answer::from);
+                self.said(place, answer);
+            }
+        }
+    }
+
+    /// What is in force as a change is acknowledged: the one that was sent, or the one by which it was found to be none.
+    fn acknowledged(&self, place: u64, verdict: Verdict) -> Option<Replaced> {
+        let (version, body) = self.in_hand.configuration(place)?;
+        if verdict == Verdict::Accepted {
+            return Some(Replaced::InForce(InForce::new(version, body, true)));
+        }
+        let held = self.pilot.held();
+        Some(Replaced::InForce(InForce::new(held.version, &held.body, body == held.body)))
+    }
+
     /// The replicated value changed: the configuration may have, or which stores are retired.
     fn in_force(&mut self) {
         let Some(chart) = self.pilot.in_force() else { return };
@@ -388,26 +363,6 @@
         near.control.map(|at| at.to_string())
     }
 
-    /// To the store, if its session is here.
-    fn order_retirement(&mut self, node: Node) {
-        if self.roster.sessions.get(&node).is_some_and(|s| s.up) {
-            self.common.links.say(&mut self.common.net, node, &Signal::Retire { node });
-        }
-    }
-
-    /// Orders to empty a store are answered when the store has the order on its disk.
-    fn answer_retirements(&mut self, now: Millis) {
-        let places: Vec<u64> = self.retirements.keys().copied().collect();
-        for place in places {
-            let Some((name, since)) = self.retirements.get(&place).cloned() else { continue };
-            let taken = self.roster.store(&name).is_some_and(|m| m.retiring != Retiring::No);
-            if taken || now > since + RETIRE {
-                self.retirements.remove(&place);
-                self.said(place, if taken { Retire::Taken.into() } else { Retire::NotNow.into() });
-            }
-        }
-    }
-
     /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
         let in_touch = self.pilot.in_touch(now);
@@ -436,10 +391,10 @@
     }
 }
 
+/// Longest body of a call that is read at all; each kind of call has a bound of its own below it.
+const LARGEST_BODY: usize = 8 << 20;
 /// How often it is looked when other control nodes were heard.
 const HEARD: Millis = 200;
-/// An order to empty a store is confirmed by then, or the operator sends it again: he goes elsewhere after a second of silence.
-const RETIRE: Millis = 900;
 
 fn member_of(hello: &Hello, config: u64) -> Member {
     Member {
@@ -455,10 +410,6 @@
     }
 }
 
-fn record_bytes(record: &Record) -> Vec<u8> {
-    postcard::to_stdvec(record).unwrap_or_default()
-}
-
 impl Desk<Heartbeat> for Core {
     fn settle(&mut self, _: u64, call: Heartbeat) -> Option<Heard> {
         let now = self.common.net.now();
@@ -492,7 +443,7 @@
 impl Desk<Replace> for Core {
     fn settle(&mut self, place: u64, call: Replace) -> Option<Replaced> {
         let now = self.common.net.now();
-        self.calls.insert(place, Passed::Replace { body: call.body.clone() });
+        self.in_hand.keep(place, Passed::Replace { version: call.version, body: call.body.clone() });
         self.pilot.replace(now, place, call.version, call.body);
         self.carry_out();
         None
@@ -502,44 +453,9 @@
 impl Desk<ReadSettings> for Core {
     fn settle(&mut self, place: u64, _: ReadSettings) -> Option<Settings> {
         let now = self.common.net.now();
-        self.calls.insert(place, Passed::Read);
+        self.in_hand.keep(place, Passed::Read);
         self.pilot.read(now, place);
         self.carry_out();
         None
     }
 }
-
-impl Desk<RetireBegin> for Core {
-    fn settle(&mut self, place: u64, call: RetireBegin) -> Option<Retire> {
-        let Some(store) = self.roster.store(&call.node) else { return Some(Retire::Unknown) };
-        let (node, retiring) = (store.node, store.retiring);
-        if retiring != Retiring::No {
-            return Some(Retire::Taken);
-        }
-        // Every message lies on so many stores. With just as many left none can be taken while one is away.
-        let now = self.common.net.now();
-        let left = self.roster.stay_without(now, node).map(|m| m.zone.as_str());
-        if !self.common.boot.suffice(left) {
-            return Some(Retire::TooFew);
-        }
-        self.roster.order(now, node);
-        self.retirements.insert(place, (call.node, now));
-        self.order_retirement(node);
-        for core in self.common.links.class(Class::Core) {
-            self.common.links.say(&mut self.common.net, core, &Signal::Retire { node });
-        }
-        None
-    }
-}
-
-impl Desk<RetireRead> for Core {
-    fn settle(&mut self, _: u64, call: RetireRead) -> Option<Retired> {
-        let complete = self.roster.retired.contains(&call.node);
-        Some(match self.roster.store(&call.node).map(|m| m.retiring) {
-            Some(Retiring::Rolling) => Retired::Rolling,
-            Some(Retiring::Complete) => Retired::Complete,
-            None if complete => Retired::Complete,
-            _ => Retired::Unknown,
-        })
-    }
-}
--- a/harbour/src/core/report.rs
+++ b/harbour/src/core/report.rs
@@ -82,7 +82,7 @@
             let labels = [("standing", &*standing.to_string())];
             sheet.gauge("harbour_executors", "Executors known, by standing.", &labels, count);
         }
-        sheet.gauge("harbour_calls_in_hand", "Calls that have not been answered.", &[], self.places.len());
+        sheet.gauge("harbour_calls_in_hand", "Calls that have not been answered.", &[], self.in_hand.len());
         crate::store::report::disk(sheet, self.disk.figures());
     }
 }
--- /dev/null
+++ b/harbour/src/core/retire.rs
@@ -0,0 +1,210 @@
+//! Retirements: which orders are taken, which stores are told, and what is said of one. The agreed value remembers them; here
+//! is only what has been told.
+
+use super::Core;
+use crate::calls::{Desk, Retire, RetireBegin, RetireRead, Retired};
+use crate::net::Millis;
+use crate::node::number;
+use crate::signals::{Class, Passed, Retiring, Signal};
+use std::collections::BTreeMap;
+use stileroute_hold::Node;
+use stileroute_pilotage::{Chart, Stage};
+use stileroute_roster::Roster;
+
+/// An order to retire a store is confirmed by then, or the operator sends it again: he goes elsewhere after a second of silence.
+const CONFIRMED: Millis = 900;
+/// A store that has not said that it retires is told again after so long.
+const AGAIN: Millis = 500;
+
+/// What becomes of an order at the primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Judgement {
+    /// It is written down.
+    Take,
+    /// It was before: only the store is waited for.
+    Known,
+    Unknown,
+    TooFew,
+    NotNow,
+}
+
+/// `held` is the agreed value; `soon` are the stores whose orders are being written; `suffice` says whether the stores that
+/// stay, by their zones, bear the losses that are named.
+pub fn judge(
+    name: &str,
+    held: &Chart,
+    soon: &[Node],
+    roster: &Roster,
+    suffice: impl Fn(&[&str]) -> bool,
+) -> Judgement {
+    let node = number(name);
+    if held.retirement(node).is_some() {
+        return Judgement::Known;
+    }
+    // While it does not know yet who is there, none is refused for good.
+    let refused = |judgement| if roster.ready { judgement } else { Judgement::NotNow };
+    let Some(store) = roster.store(name) else { return refused(Judgement::Unknown) };
+    if store.retiring != Retiring::No {
+        return Judgement::Take;
+    }
+    let agreed = |other: Node| other == node || held.retirement(other).is_some();
+    let zones = |goes: &dyn Fn(Node) -> bool| {
+        let stay = roster.stay_without(goes);
+        suffice(&stay.map(|member| member.zone.as_str()).collect::<Vec<_>>())
+    };
+    // Every message lies on so many stores. With just as many left none can be taken while one is away.
+    if !zones(&agreed) {
+        return refused(Judgement::TooFew);
+    }
+    // Those that are being written may yet come to nothing.
+    if !zones(&|other| agreed(other) || soon.contains(&other)) {
+        return Judgement::NotNow;
+    }
+    Judgement::Take
+}
+
+/// What is said of a retirement, by the agreed value and by what the store itself says. It is complete only when both say so:
+/// a new machine of the same name, which is told to retire as well, may hold something.
+pub fn standing(name: &str, agreed: Option<&Chart>, roster: &Roster) -> Option<Retired> {
+    let stage = agreed.and_then(|chart| chart.retirement(number(name))).map(|retirement| retirement.stage);
+    let says = roster.store(name).map(|store| store.retiring);
+    match (stage, says) {
+        (Some(Stage::Complete), None | Some(Retiring::Complete)) => Some(Retired::Complete),
+        (Some(_), _) => Some(Retired::Rolling),
+        (None, _) => None,
+    }
+}
+
+fn stage(retiring: Retiring) -> Option<Stage> {
+    match retiring {
+        Retiring::No => None,
+        Retiring::Rolling => Some(Stage::Rolling),
+        Retiring::Complete => Some(Stage::Complete),
+    }
+}
+
+/// When each store was last told.
+#[derive(Default)]
+pub struct Told(BTreeMap<Node, Millis>);
+
+impl Told {
+    /// Stores with sessions here that are to retire, have not said that they do, and were not told just now.
+    pub fn due(&mut self, now: Millis, agreed: &Chart, roster: &Roster) -> Vec<Node> {
+        self.0.retain(|node, _| agreed.retirement(*node).is_some());
+        let lacks = |node: &Node| {
+            let session = roster.sessions.get(node).filter(|session| session.up);
+            session.is_some_and(|s| s.member.class == Class::Store && s.member.retiring == Retiring::No)
+        };
+        let mut due: Vec<Node> = agreed.retirements.iter().map(|r| r.node).filter(lacks).collect();
+        due.retain(|node| self.0.get(node).is_none_or(|at| now >= at + AGAIN));
+        due.iter().for_each(|node| {
+            self.0.insert(*node, now);
+        });
+        due
+    }
+}
+
+impl Core {
+    /// Tells stores, writes down how far they have come, and answers orders that they have confirmed.
+    pub(super) fn look_after_retirements(&mut self, now: Millis) {
+        self.tell_stores(now);
+        self.note_stages(now);
+        self.confirm(now);
+    }
+
+    fn tell_stores(&mut self, now: Millis) {
+        let Some(agreed) = self.pilot.in_force() else { return };
+        for node in self.told.due(now, agreed, &self.roster) {
+            self.common.links.say(&mut self.common.net, node, &Signal::Retire { node });
+        }
+    }
+
+    /// At the primary.
+    fn note_stages(&mut self, now: Millis) {
+        let Some(held) = self.pilot.settled(now).filter(|held| !held.retirements.is_empty()) else { return };
+        let further = |retirement: &stileroute_pilotage::Retirement| {
+            let says = stage(self.roster.store(&retirement.name)?.retiring)?;
+            (says > retirement.stage).then_some((retirement.node, says))
+        };
+        let steps: Vec<(Node, Stage)> = held.retirements.iter().filter_map(further).collect();
+        if steps.is_empty() {
+            return;
+        }
+        for (node, stage) in steps {
+            self.pilot.advance(now, node, stage);
+        }
+        self.carry_out();
+    }
+
+    /// Orders are acknowledged when the store has them on its disk.
+    fn confirm(&mut self, now: Millis) {
+        for (place, name, since) in self.in_hand.awaiting_stores() {
+            if self.confirmed(&name) {
+                self.said(place, Retire::Taken.into());
+            } else if now > since + CONFIRMED {
+                self.said(place, Retire::NotNow.into());
+            }
+        }
+    }
+
+    /// The store has said that it has the order, now or before.
+    fn confirmed(&self, name: &str) -> bool {
+        let agreed = self.pilot.in_force().and_then(|chart| chart.retirement(number(name)));
+        let says = self.roster.store(name).is_some_and(|store| store.retiring != Retiring::No);
+        agreed.is_some_and(|retirement| says || retirement.stage != Stage::Ordered)
+    }
+
+    fn judge(&self, now: Millis, name: &str) -> Option<Judgement> {
+        let held = self.pilot.settled(now)?;
+        let soon: Vec<Node> = self.pilot.retiring_soon().collect();
+        let suffice = |zones: &[&str]| self.common.boot.suffice(zones.iter().copied());
+        Some(judge(name, held, &soon, &self.roster, suffice))
+    }
+}
+
+impl Desk<RetireBegin> for Core {
+    fn settle(&mut self, place: u64, RetireBegin { node: name }: RetireBegin) -> Option<Retire> {
+        let now = self.common.net.now();
+        if self.confirmed(&name) {
+            return Some(Retire::Taken);
+        }
+        self.in_hand.keep(place, Passed::RetireBegin { node: name.clone() });
+        let Some(judgement) = self.judge(now, &name) else {
+            self.pass(place, self.pilot.primary());
+            return None;
+        };
+        match judgement {
+            Judgement::Unknown => return Some(Retire::Unknown),
+            Judgement::TooFew => return Some(Retire::TooFew),
+            Judgement::NotNow => return Some(Retire::NotNow),
+            Judgement::Known => self.in_hand.await_store(place),
+            Judgement::Take => {
+                self.pilot.retire(now, place, number(&name), name);
+                self.carry_out();
+            }
+        }
+        None
+    }
+}
+
+impl Desk<RetireRead> for Core {
+    fn settle(&mut self, place: u64, RetireRead { node: name }: RetireRead) -> Option<Retired> {
+        let now = self.common.net.now();
+        if let Some(standing) = standing(&name, self.pilot.in_force(), &self.roster) {
+            return Some(standing);
+        }
+        self.in_hand.keep(place, Passed::RetireRead { node: name.clone() });
+        // Only who decides can say that there is no such order.
+        if self.pilot.settled(now).is_none() {
+            self.pass(place, self.pilot.primary());
+            return None;
+        }
+        let says = self.roster.store(&name).and_then(|store| stage(store.retiring));
+        Some(match says {
+            Some(Stage::Complete) => Retired::Complete,
+            Some(_) => Retired::Rolling,
+            None if self.roster.ready => Retired::Unknown,
+            None => Retired::NotNow,
+        })
+    }
+}
--- /dev/null
+++ b/harbour/src/core/tests.rs
@@ -0,0 +1,250 @@
+//! Calls in hand and retirements, without I/O.
+
+use super::in_hand::{InHand, Origin};
+use super::ledger::{pieces, Joiner, Ledger};
+use super::retire::{judge, standing, Judgement, Told};
+use crate::calls::{Retired, LARGEST_CONFIGURATION};
+use crate::node::number;
+use crate::signals::{Class, Member, Passed, PassedKind, Retiring};
+use assert_matches::assert_matches;
+use std::net::Ipv4Addr;
+use stileroute_logbook::{Fold, MAX_APPEND, MAX_RECORD};
+use stileroute_pilotage::{Chart, Record, Retirement, Stage, Unnumbered, RETIREMENTS};
+use stileroute_roster::Roster;
+
+const CLIENT: Origin = Origin::Client(9);
+
+fn begin(name: &str) -> Passed {
+    Passed::RetireBegin { node: name.to_string() }
+}
+
+/// A call of a client that was passed to the control node 2.
+fn passed() -> (InHand, u64) {
+    let mut in_hand = InHand::new(100);
+    let place = in_hand.open(0, CLIENT);
+    in_hand.keep(place, Passed::Read);
+    assert_eq!(in_hand.pass(place, 2), Some(Passed::Read));
+    (in_hand, place)
+}
+
+#[test]
+fn only_the_node_that_was_asked_settles_a_call_and_only_once() {
+    let (mut in_hand, place) = passed();
+    assert!(in_hand.waits_for(place, 2));
+    assert!(!in_hand.waits_for(place, 3), "it was not asked");
+    assert!(!in_hand.waits_for(place + 1, 2), "no such call");
+    assert_eq!(in_hand.close(place), Some(CLIENT));
+    // It comes again, late: the place is nobody else's by now.
+    let next = in_hand.open(1, Origin::Client(10));
+    assert!(!in_hand.waits_for(place, 2) && !in_hand.waits_for(next, 2));
+    assert_eq!((in_hand.close(place), in_hand.close(next)), (None, Some(Origin::Client(10))));
+}
+
+#[test]
+fn a_call_that_this_node_settles_itself_takes_no_answer_from_others() {
+    let mut in_hand = InHand::new(100);
+    let place = in_hand.open(0, CLIENT);
+    in_hand.keep(place, Passed::Read);
+    assert!(!in_hand.waits_for(place, 2));
+}
+
+#[test]
+fn a_call_goes_on_once() {
+    let (mut in_hand, place) = passed();
+    assert_eq!(in_hand.pass(place, 3), None);
+    let from_core = in_hand.open(0, Origin::Core(5, 1));
+    in_hand.keep(from_core, Passed::Read);
+    assert_eq!(in_hand.pass(from_core, 3), None, "it was passed on already");
+    assert_eq!(in_hand.kind(from_core), Some(PassedKind::Read));
+}
+
+#[test]
+fn each_call_that_waits_for_a_lost_node_is_given_back_and_nothing_is_left_of_those_it_passed() {
+    let (mut in_hand, place) = passed();
+    let elsewhere = in_hand.open(0, CLIENT);
+    in_hand.keep(elsewhere, Passed::Read);
+    in_hand.pass(elsewhere, 3);
+    let from_lost = in_hand.open(0, Origin::Core(2, 1));
+    in_hand.keep(from_lost, begin("s-1"));
+    in_hand.await_store(from_lost);
+    assert_eq!(in_hand.lost(2), [(place, PassedKind::Read)]);
+    assert_eq!(in_hand.close(from_lost), None);
+    assert!(in_hand.awaiting_stores().is_empty());
+    in_hand.close(place);
+    assert_eq!(in_hand.len(), 1, "the one that another settles");
+}
+
+#[test]
+fn a_call_that_was_passed_on_and_is_not_answered_is_given_up() {
+    let (mut in_hand, place) = passed();
+    let own = in_hand.open(0, CLIENT);
+    in_hand.keep(own, Passed::Read);
+    assert!(in_hand.overdue(4000).is_empty());
+    assert_eq!(in_hand.overdue(4001), [(place, PassedKind::Read)]);
+}
+
+#[test]
+fn answers_of_a_node_that_can_not_know_end_no_operators_call() {
+    let kinds = [PassedKind::Replace, PassedKind::Read, PassedKind::RetireBegin, PassedKind::RetireRead];
+    for kind in kinds {
+        assert_eq!(kind.not_now().status, 503, "{kind:?}");
+        assert!(kind.uncertain().status >= 500, "{kind:?}");
+    }
+    assert_eq!(PassedKind::Replace.uncertain().status, 504);
+}
+
+fn store(name: &str, retiring: Retiring) -> Member {
+    Member {
+        node: number(name),
+        name: name.to_string(),
+        class: Class::Store,
+        zone: "z".to_string(),
+        ip: Ipv4Addr::LOCALHOST,
+        life: 1,
+        control: None,
+        config: 0,
+        retiring,
+    }
+}
+
+/// Knows these stores; `ready` if it has been up for long enough.
+fn roster(stores: &[(&str, Retiring)], ready: bool) -> Roster {
+    let mut roster = Roster::new(Member { class: Class::Core, ..store("core-1", Retiring::No) }, 77, 1200, 0);
+    let now = if ready { 3000 } else { 10 };
+    for (name, retiring) in stores {
+        roster.asked(now, store(name, *retiring), 0, 0);
+    }
+    roster.tick(now, true, None);
+    roster.take();
+    roster
+}
+
+fn held(retirements: &[(&str, Stage)]) -> Chart {
+    let one = |(name, stage): &(&str, Stage)| Retirement {
+        node: number(name),
+        name: name.to_string(),
+        stage: *stage,
+    };
+    Chart { serial: 9, retirements: retirements.iter().map(one).collect(), ..Chart::default() }
+}
+
+/// Two have to stay.
+fn judged(name: &str, held: &Chart, soon: &[&str], roster: &Roster) -> Judgement {
+    let soon: Vec<u32> = soon.iter().map(|name| number(name)).collect();
+    judge(name, held, &soon, roster, |zones| zones.len() >= 2)
+}
+
+const FOUR: [(&str, Retiring); 4] =
+    [("s-1", Retiring::No), ("s-2", Retiring::No), ("s-3", Retiring::No), ("s-4", Retiring::No)];
+
+#[test]
+fn two_orders_at_one_moment_never_leave_too_few() {
+    let roster = roster(&FOUR, true);
+    let none = held(&[]);
+    assert_eq!(judged("s-1", &none, &[], &roster), Judgement::Take);
+    // The first is being written: two would stay, and then one.
+    assert_eq!(judged("s-2", &none, &["s-1"], &roster), Judgement::Take);
+    assert_eq!(judged("s-3", &none, &["s-1", "s-2"], &roster), Judgement::NotNow, "they may come to nothing");
+    // They are agreed on, and no store has said so yet.
+    let agreed = held(&[("s-1", Stage::Ordered), ("s-2", Stage::Ordered)]);
+    assert_eq!(judged("s-3", &agreed, &[], &roster), Judgement::TooFew);
+    // One that was said to be empty is gone by now, and one that never was a member counts for none.
+    assert_eq!(judged("s-1", &held(&[("s-9", Stage::Complete)]), &[], &roster), Judgement::Take);
+    assert_eq!(judged("s-9", &none, &[], &roster), Judgement::Unknown);
+}
+
+#[test]
+fn an_order_sent_again_is_never_refused_also_when_the_machine_is_gone() {
+    let left = roster(&FOUR[1..3], true);
+    for stage in [Stage::Ordered, Stage::Rolling, Stage::Complete] {
+        assert_eq!(judged("s-1", &held(&[("s-1", stage)]), &[], &left), Judgement::Known);
+    }
+}
+
+#[test]
+fn a_control_node_that_does_not_know_yet_who_is_there_refuses_nothing_for_good() {
+    let young = roster(&FOUR[..2], false);
+    assert_eq!(judged("s-9", &held(&[]), &[], &young), Judgement::NotNow);
+    assert_eq!(judged("s-1", &held(&[]), &[], &young), Judgement::NotNow);
+}
+
+#[test]
+fn complete_is_what_the_store_has_said_and_no_other_machine_of_its_name_contradicts() {
+    let complete = held(&[("s-1", Stage::Complete)]);
+    let rolling = held(&[("s-1", Stage::Rolling)]);
+    let says = |retiring| roster(&[("s-1", retiring)], true);
+    let gone = roster(&[], true);
+    let of = |chart, roster: &Roster| standing("s-1", Some(chart), roster);
+    assert_matches!(of(&complete, &gone), Some(Retired::Complete));
+    assert_matches!(of(&complete, &says(Retiring::Complete)), Some(Retired::Complete));
+    // It is restarting: nobody has said that it is empty.
+    assert_matches!(of(&rolling, &gone), Some(Retired::Rolling));
+    // It has said so to one node, and the value does not: whoever restarts would have forgotten it.
+    assert_matches!(of(&rolling, &says(Retiring::Complete)), Some(Retired::Rolling));
+    // A new machine of the name.
+    assert_matches!(of(&complete, &says(Retiring::No)), Some(Retired::Rolling));
+    assert_matches!(of(&held(&[]), &says(Retiring::Complete)), None);
+    assert_matches!(standing("s-1", None, &gone), None);
+}
+
+#[test]
+fn a_store_is_told_where_its_session_is_until_it_says_that_it_retires() {
+    let agreed = held(&[("s-1", Stage::Ordered), ("s-2", Stage::Rolling), ("s-9", Stage::Ordered)]);
+    let mut here = roster(&FOUR, true);
+    let mut told = Told::default();
+    let (first, second) = (number("s-1"), number("s-2"));
+    // The second has lost its disk, or is another machine of its name.
+    assert_eq!(told.due(3000, &agreed, &here), [first, second]);
+    assert!(told.due(3499, &agreed, &here).is_empty());
+    assert_eq!(told.due(3500, &agreed, &here), [first, second]);
+    here.asked(3600, store("s-1", Retiring::Rolling), 0, 0);
+    here.session_down(3600, second);
+    assert!(told.due(9000, &agreed, &here).is_empty());
+    here.asked(9100, store("s-2", Retiring::No), 0, 0);
+    assert_eq!(told.due(9100, &agreed, &here), [second]);
+}
+
+/// The largest there is, with as many retirements as are remembered, of the longest names that are read.
+fn largest() -> Chart {
+    let name = |i: usize| format!("{i:0>255}");
+    let retirement = |i| Retirement { node: i as u32, name: name(i), stage: Stage::Complete };
+    let body = (0..LARGEST_CONFIGURATION).map(|i| i as u8).collect();
+    Chart { serial: 70, version: 7, body, retirements: (0..RETIREMENTS).map(retirement).collect() }
+}
+
+#[test]
+fn the_largest_value_that_is_taken_is_also_taken_by_the_disk() {
+    let all = pieces(&Record::Chart(largest()));
+    assert!(all.iter().all(|piece| piece.len() <= MAX_RECORD));
+    assert!(all.iter().map(|piece| piece.len() + 4).sum::<usize>() <= MAX_APPEND);
+    let mut ledger = Ledger::default();
+    all.iter().for_each(|piece| ledger.apply(piece));
+    assert_eq!(ledger.kept.chart, Some(largest()));
+    // A checkpoint holds the same.
+    let mut again = Ledger::default();
+    ledger.snapshot(&mut |piece| again.apply(piece));
+    assert_eq!(again.kept, ledger.kept);
+}
+
+#[test]
+fn a_short_record_is_one_piece_as_before_and_an_older_builds_is_read() {
+    #[derive(serde::Serialize)]
+    enum Older {
+        #[allow(dead_code)]
+        Watch,
+        Chart {
+            version: u64,
+            body: Vec<u8>,
+        },
+    }
+    let older = postcard::to_stdvec(&Older::Chart { version: 7, body: b"seven".to_vec() }).unwrap();
+    let read = Joiner::default().push(&older);
+    let unnumbered = Unnumbered { version: 7, body: b"seven".to_vec() };
+    assert_matches!(read, Some(Ok(Record::Unnumbered(old))) if old == unnumbered);
+    let short = Record::Chart(held(&[("s-1", Stage::Rolling)]));
+    assert_eq!(pieces(&short), [postcard::to_stdvec(&short).unwrap()]);
+    // A piece that was left over from an append that did not come through is of no record.
+    let mut joiner = Joiner::default();
+    assert_matches!(joiner.push(&[0xFF, 0, 9, 9]), None);
+    assert_matches!(joiner.push(&pieces(&short)[0]), Some(Ok(record)) if record == short);
+}
--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -91,7 +91,7 @@
     Count {
         ticket: u64,
     },
-    /// A store is to be emptied: from control node to control node, and from the one with its session to the store.
+    /// A store is to be emptied: from the control node with its session to the store.
     Retire {
         node: Node,
     },
@@ -133,8 +133,11 @@
     }
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, strum::EnumDiscriminants)]
+#[strum_discriminants(name(PassedKind), doc = "Which call it is.")]
 pub enum Passed {
-    Replace { body: Vec<u8> },
+    Replace { version: u64, body: Vec<u8> },
     Read,
+    RetireBegin { node: String },
+    RetireRead { node: String },
 }
--- a/harbour/src/state.rs
+++ b/harbour/src/state.rs
@@ -1,5 +1,6 @@
 //! What is on the disk of a machine whose process is stopped: read through, with no change to it.
 
+use crate::core::ledger::Joiner;
 use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::collections::BTreeMap;
@@ -59,9 +60,9 @@
 }
 
 fn watch(dir: &Path) -> Result<JsonValue, Trouble> {
-    let (mut kept, mut kinds) = (Kept::default(), Kinds::default());
-    let report = read(dir, &mut |bytes| match postcard::from_bytes::<Watching>(bytes) {
-        Ok(record) => {
+    let (mut kept, mut kinds, mut joiner) = (Kept::default(), Kinds::default(), Joiner::default());
+    let report = read(dir, &mut |bytes| match joiner.push(bytes) {
+        Some(Ok(record)) => {
             kinds.add(match &record {
                 Watching::Watch(_) => "watch",
                 Watching::Chart(_) => "chart",
@@ -70,7 +71,8 @@
             });
             kept.apply(record);
         }
-        Err(_) => kinds.add("unread"),
+        Some(Err(_)) => kinds.add("unread"),
+        None => kinds.add("piece"),
     })?;
     let mut object = files(&report);
     object["records_by_kind"] = kinds.json();
--- a/harbour/tests/commands.rs
+++ b/harbour/tests/commands.rs
@@ -1,6 +1,7 @@
 //! What docs/replace.md says of machines that are replaced, retired and lost, on three cores, three stores and an edge on
 //! loopback: each command that it shows is tried, in the state that it is shown for.
 
+use assert_matches::assert_matches;
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -238,6 +239,26 @@
     fleet.wipe("storage-3");
     fleet.until("it lies on the two that are left", || fleet.safe(&message));
 
+    // The machine is gone, and nobody forgets that it was retired: the order is acknowledged again by each core, and so it
+    // is when all of them were killed.
+    let remembered = |fleet: &Fleet, core: u8| {
+        fleet.until("acknowledged again", || {
+            let again = fleet.curl(core, begin, "", "").map(|a| a.0);
+            assert_matches!(again, None | Some(200 | 503), "an order that was taken is refused");
+            (again == Some(200)).then_some(())
+        });
+        fleet.until("still complete", || {
+            let state = fleet.curl(core, read, "", "").map(|a| (a.0, a.1.contains("complete")));
+            assert_matches!(state, None | Some((200, true) | (503, _)), "what was complete is not any more");
+            (state == Some((200, true))).then_some(())
+        });
+    };
+    (1..=3).for_each(|core| remembered(&fleet, core));
+    let cores = ["core-1", "core-2", "core-3"];
+    cores.iter().for_each(|name| fleet.kill(name));
+    cores.iter().for_each(|name| fleet.start(name, false));
+    (1..=3).for_each(|core| remembered(&fleet, core));
+
     // More stores gone than can be borne: nothing is taken. Their disks bring all back.
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.kill(name));
     fleet.until("refused", || fleet.send().filter(|answer| answer.0 == 503));
@@ -283,6 +304,19 @@
     fleet.until("a configuration is taken again", || fleet.configure(9).filter(|status| *status == 200));
     fleet.until("in force at all", || (fleet.status().matches("version 9").count() == 6).then_some(()));
     taken(&fleet);
+
+    // A configuration that is longer than one record of the disk; one beyond the bound is refused by name and harms nobody.
+    let long = |revision: &str, length: usize| {
+        let text = CONFIG.replace("REV", revision);
+        fleet.http("3:18262", "POST", "/v1/settings/replace", &format!("{}{text}", " ".repeat(length)))
+    };
+    fleet.until("a long one is taken", || long("10", 2 << 20).filter(|answer| answer.0 == 200));
+    assert_matches!(long("11", 5 << 20), Some((413, text, _)) if text.contains("body: over 4194304 bytes"));
+    fleet.until("in force at all", || (fleet.status().matches("version 10").count() == 6).then_some(()));
+    cores.iter().for_each(|name| fleet.kill(name));
+    cores.iter().for_each(|name| fleet.start(name, false));
+    let kept = || fleet.http("2:18262", "GET", "/v1/settings/read", "").filter(|answer| answer.0 == 200);
+    assert!(fleet.until("read back", kept).1.len() > 2 << 20);
 }
 
 /// As docs/harbour.md says: SIGHUP reads the settings whole or not at all, and `--log` says how much is written.
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -194,6 +194,10 @@
     pub fn in_force(&self) -> Option<&Chart> {
         self.force.as_ref()
     }
+    /// What this node's disk holds. At the primary, what it decides by.
+    pub fn held(&self) -> &Chart {
+        &self.chart
+    }
     /// It leads, or has heard the primary not long ago: what it tells others is not of yesterday.
     pub fn in_touch(&self, now: Millis) -> bool {
         !self.blank && (self.leads(now) || (self.pulsed && now < self.heard + 2 * self.terms.silence_ms))
@@ -227,7 +231,7 @@
 
     /// A chart is in force: never one below what was in force here before.
     fn enforce(&mut self, chart: Chart) {
-        let newer = self.force.as_ref().is_none_or(|old| chart.serial > old.serial);
+        let newer = self.force.as_ref().is_none_or(|old| chart.rank() > old.rank());
         if (newer || self.planted(Planted::ForceBlind) && self.force.as_ref() != Some(&chart))
             && chart.serial > 0
         {
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -1,7 +1,9 @@
 //! The primary's part: pulses and the lease, writing to all copies, and keeping as many copies as losses are to be borne.
 
 use crate::voter::majority;
-use crate::{After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Record, Signal, Stage, Terms};
+use crate::{
+    After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Rank, Record, Signal, Stage, Terms,
+};
 use crate::{Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -312,7 +314,8 @@
         let Duty::Lead(lead) = &mut self.duty else { return };
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
-            let (force, digest) = self.force.as_ref().map_or((0, 0), |c| (c.serial, c.digest()));
+            let (force, digest) =
+                self.force.as_ref().map_or((Rank::default(), 0), |c| (c.rank(), c.digest()));
             let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, force, digest };
             let all: Vec<Voter> = watch.voters.iter().chain(&learners).copied().collect();
             all.into_iter().for_each(|voter| self.send(voter, pulse.clone()));
--- a/pilotage/src/types.rs
+++ b/pilotage/src/types.rs
@@ -21,7 +21,7 @@
 /// The replicated value: the operators' configuration, and which stores are retired.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Chart {
-    /// Drawn by the primary, one more with each write: of two values that were in force the higher is the newer.
+    /// Drawn by the primary, one more with each write.
     pub serial: u64,
     /// The operators' own number of the configuration. Nought: none has come yet.
     pub version: u64,
@@ -45,6 +45,9 @@
         }
         hash.0
     }
+    pub fn rank(&self) -> Rank {
+        Rank { version: self.version, serial: self.serial }
+    }
     /// The same version with the same content, whatever else was written with it.
     pub fn same_configuration(&self, other: &Chart) -> bool {
         self.version == other.version && self.body == other.body
@@ -55,6 +58,15 @@
     }
 }
 
+/// Which of two values is the newer. Neither number ever falls from one write to the next, so the serial alone would do, but
+/// for one case: a control side that has lost most of its disks and is begun anew by hand counts serials from one, and the
+/// nodes that are left take its configuration by its higher version.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Rank {
+    pub version: u64,
+    pub serial: u64,
+}
+
 /// FNV-1a; each part goes in with its length.
 struct Fnv(u64);
 
@@ -180,7 +192,7 @@
         epoch: u64,
         sent_at: Millis,
         /// Of the value in force.
-        force: u64,
+        force: Rank,
         digest: u64,
     },
     PulseAck {
--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter's part: granting watches, hearing the primary, standing for the duty, and learning after a lost disk.
 
 use crate::primary::{Duty, Stand};
-use crate::{After, Effect, Millis, Pilotage, Planted, Record, Signal, Voter, Watch};
+use crate::{After, Chart, Effect, Millis, Pilotage, Planted, Rank, Record, Signal, Voter, Watch};
 use std::collections::BTreeMap;
 
 /// What a node that has lost its disk has been told.
@@ -125,7 +125,7 @@
         from: Voter,
         epoch: u64,
         sent_at: Millis,
-        force: u64,
+        force: Rank,
         digest: u64,
     ) {
         if self.blank {
@@ -152,9 +152,9 @@
         self.lend(from);
         self.duty = Duty::Follow;
         self.send(from, Signal::PulseAck { epoch, sent_at, votes: true, holds: !self.hollow });
-        if self.force.as_ref().map_or(0, |c| c.serial) < force {
+        if self.force.as_ref().map_or(Rank::default(), Chart::rank) < force {
             let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
-            if self.chart.serial == force && same {
+            if self.chart.rank() == force && same {
                 self.enforce(self.chart.clone());
             } else {
                 self.send(from, Signal::AskChart);
@@ -163,7 +163,7 @@
     }
 
     /// The primary wants this written; also to one that is to become a copy.
-    pub(crate) fn store(&mut self, from: Voter, epoch: u64, serial: u64, chart: crate::Chart) {
+    pub(crate) fn store(&mut self, from: Voter, epoch: u64, serial: u64, chart: Chart) {
         if self.blank {
             return;
         }
--- a/roster/src/lib.rs
+++ b/roster/src/lib.rs
@@ -34,8 +34,6 @@
 const ANEW: Millis = 10_000;
 /// How often silent executors and lost sessions are looked for.
 const LOOK: Millis = 200;
-/// An order to empty a store that the store has not taken by then is as if it had not been given.
-const ORDERED: Millis = 3000;
 /// Most nodes and executors that are kept.
 const MOST: usize = 20_000;
 
@@ -84,10 +82,6 @@
     /// Control nodes that are connected.
     cores: BTreeMap<Node, Member>,
     pub members: Vec<Member>,
-    /// Stores that were seen empty: the machine is taken away at once, and may be asked after all the same.
-    pub retired: BTreeSet<String>,
-    /// Stores that are told to empty themselves, until they have said themselves that they do, and since when.
-    ordered: BTreeMap<Node, Millis>,
     members_changed: u64,
     /// Questions that have no answer yet; by when they came; those that came since the last look; and what there was to tell
     /// then. All of them are gone through only when there is something new.
@@ -118,8 +112,6 @@
             told: HashMap::new(),
             cores: BTreeMap::new(),
             members: Vec::new(),
-            retired: BTreeSet::new(),
-            ordered: BTreeMap::new(),
             members_changed: 0,
             asks: HashMap::new(),
             by_time: BTreeSet::new(),
@@ -150,17 +142,10 @@
         self.members.iter().find(|m| m.class == Class::Store && m.name == name)
     }
 
-    /// A store is told, here or by another control node, to empty itself.
-    pub fn order(&mut self, now: Millis, node: Node) {
-        self.ordered.insert(node, now);
-    }
-
-    /// The stores that stay if this one goes as well. One that was ordered to go a moment ago does not, though it has not said
-    /// so yet: two orders, one after the other at two control nodes, would leave too few.
-    pub fn stay_without(&self, now: Millis, node: Node) -> impl Iterator<Item = &Member> {
-        let ordered = move |m: &Member| self.ordered.get(&m.node).is_some_and(|at| now < at + ORDERED);
-        let stores = self.members.iter().filter(move |m| m.class == Class::Store && m.node != node);
-        stores.filter(move |m| m.retiring == Retiring::No && !ordered(m))
+    /// The stores that stay if these go as well as those that have said that they do.
+    pub fn stay_without<'a>(&'a self, goes: impl Fn(Node) -> bool + 'a) -> impl Iterator<Item = &'a Member> {
+        let stores = self.members.iter().filter(|m| m.class == Class::Store && m.retiring == Retiring::No);
+        stores.filter(move |m| !goes(m.node))
     }
 
     // ---- Executors ----
@@ -287,12 +272,6 @@
         }
         let all: Vec<Member> = all.into_values().collect();
         if all != self.members {
-            for member in all.iter().filter(|m| m.class == Class::Store) {
-                match member.retiring {
-                    Retiring::Complete => self.retired.insert(member.name.clone()),
-                    _ => self.retired.remove(&member.name),
-                };
-            }
             self.members = all;
             self.version += 1;
             self.members_changed = self.version;
