Pilotage: the digest of what is in force is reckoned once

Cause: the primary hashed and copied the whole value with each pulse and each ack; with a configuration of 2 MiB a debug build was busy with that alone.

Change: kept with the value in force; copied only when it is another.

--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -61,6 +61,8 @@
     chart: Chart,
     /// The highest that is known to be in force.
     force: Option<Chart>,
+    /// Of that: it goes with each pulse, and a configuration may be long.
+    force_digest: u64,
     /// It has lost its disk, or never had one: no vote until it has learned.
     blank: bool,
     /// No chart on disk: it may be named as a copy, but is none until it was filled.
@@ -103,6 +105,7 @@
             watch: kept.watch,
             chart: kept.chart.unwrap_or_default(),
             force: None,
+            force_digest: 0,
             learning: Learning::default(),
             duty: Duty::Follow,
             started: now,
@@ -236,6 +239,7 @@
             && chart.serial > 0
         {
             self.effects.push(Effect::InForce { serial: chart.serial });
+            self.force_digest = chart.digest();
             self.force = Some(chart);
         }
     }
--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -188,6 +188,7 @@
                 pulsing,
                 chart,
                 force,
+                force_digest: _,
                 blank,
                 hollow,
                 learning,
--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -304,7 +304,7 @@
 
     /// What the primary does next.
     pub(crate) fn lead(&mut self, now: Millis) {
-        if self.acts(now) {
+        if self.acts(now) && self.force.as_ref() != Some(&self.chart) {
             // Also what was stored everywhere while the lease had lapsed.
             self.enforce(self.chart.clone());
         }
@@ -315,7 +315,7 @@
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
             let (force, digest) =
-                self.force.as_ref().map_or((Rank::default(), 0), |c| (c.rank(), c.digest()));
+                self.force.as_ref().map_or((Rank::default(), 0), |c| (c.rank(), self.force_digest));
             let pulse = Signal::Pulse { epoch: watch.epoch, sent_at: now, force, digest };
             let all: Vec<Voter> = watch.voters.iter().chain(&learners).copied().collect();
             all.into_iter().for_each(|voter| self.send(voter, pulse.clone()));
