--- a/pilotage/src/primary.rs
+++ b/pilotage/src/primary.rs
@@ -2,7 +2,8 @@
 
 use crate::voter::{majority, Leaving};
 use crate::{
-    After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Pulse, Record, Signal, Stage, Terms,
+    After, Applied, Change, Chart, Effect, Millis, Pilotage, Planted, Pulse, Rank, Record, Signal, Stage,
+    Terms,
 };
 use crate::{Verdict, Voter, Watch};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -320,7 +321,7 @@
 
     /// What the primary does next.
     pub(crate) fn lead(&mut self, now: Millis) {
-        if self.acts(now) {
+        if self.acts(now) && self.force.as_ref() != Some(&self.chart) {
             // Also what was stored everywhere while the lease had lapsed.
             self.enforce(self.chart.clone());
         }
@@ -331,7 +332,8 @@
         let Duty::Lead(lead) = &mut self.duty else { return };
         if now >= lead.pulse_at {
             lead.pulse_at = now + self.terms.pulse_ms;
-            let (force, digest) = self.force.as_ref().map_or((0, 0), |c| (c.serial, c.digest()));
+            let (force, digest) =
+                self.force.as_ref().map_or((Rank::default(), 0), |c| (c.rank(), self.force_digest));
             let acks = if leads { lead.acks.clone() } else { BTreeMap::new() };
             for voter in watch.voters.iter().chain(&learners).copied() {
                 let acked = acks.get(&voter).copied();
--- a/pilotage/tests/rules.rs
+++ b/pilotage/tests/rules.rs
@@ -1,11 +1,11 @@
 //! Single rules that schedules seldom touch, one machine at a time.
 
-use stileroute_pilotage::{Chart, Effect, Kept, Pilotage, Pulse, Signal, Terms, Verdict, Voter, Watch};
+use stileroute_pilotage::{Chart, Effect, Kept, Pilotage, Pulse, Rank, Signal, Terms, Verdict, Voter, Watch};
 
 const PULSE: Signal = pulse(5, None);
 
 const fn pulse(sent_at: u64, acked: Option<u64>) -> Signal {
-    Signal::Pulse(Pulse { epoch: 4, sent_at, force: 0, digest: 0, acked })
+    Signal::Pulse(Pulse { epoch: 4, sent_at, force: Rank { version: 0, serial: 0 }, digest: 0, acked })
 }
 
 fn voter(i: u8) -> Voter {
@@ -194,3 +194,24 @@
     say(&mut p, 9200, 1, pulse(9000, Some(3850)));
     assert!(p.in_touch(9200));
 }
+
+/// As docs/replace.md says of a control side that has lost most of its disks: its serials begin anew, its versions do not.
+#[test]
+fn a_control_side_that_is_begun_anew_is_followed_by_its_higher_version_and_not_by_a_lower_one() {
+    let mut p = machine(3, watch(4, 1, [1, 2], 4));
+    let chart = |version, serial| Chart { version, serial, body: b"any".to_vec(), ..Chart::default() };
+    let told = |p: &mut Pilotage, chart: Chart| {
+        p.signal(10, voter(1), Signal::ThisChart { chart });
+        p.in_force().map(|c| (c.version, c.serial))
+    };
+    assert_eq!(told(&mut p, chart(7, 12)), Some((7, 12)));
+    assert_eq!(told(&mut p, chart(7, 1)), Some((7, 12)));
+    assert_eq!(told(&mut p, chart(6, 13)), Some((7, 12)));
+    let pulse = |p: &mut Pilotage, chart: &Chart| {
+        let (force, digest) = (chart.rank(), chart.digest());
+        say(p, 20, 1, Signal::Pulse(Pulse { epoch: 4, sent_at: 15, force, digest, acked: None }))
+    };
+    assert!(!pulse(&mut p, &chart(7, 1)).contains(&Signal::AskChart));
+    assert!(pulse(&mut p, &chart(9, 2)).contains(&Signal::AskChart));
+    assert_eq!(told(&mut p, chart(9, 2)), Some((9, 2)));
+}
