--- a/harbour/src/net/mod.rs
+++ b/harbour/src/net/mod.rs
@@ -9,7 +9,7 @@
 mod frames;
 #[cfg(test)]
 mod generator;
-mod planted;
+pub mod planted;
 mod server;
 
 pub use dialogue::{Answer, Bounds, Request};
--- a/harbour/src/net/planted.rs
+++ b/harbour/src/net/planted.rs
@@ -4,6 +4,8 @@
 /// A fault. Each undoes one rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
+    /// A message is answered before the disk has it.
+    AnswerBeforeDisk,
     /// Whatever answer comes next is taken for that of the call under way.
     TiedByOrder,
     /// A call that was sent and met with silence is reported as never sent.
--- a/harbour/src/store.rs
+++ b/harbour/src/store.rs
@@ -3,6 +3,7 @@
 pub mod report;
 
 use crate::links::Word;
+use crate::net::planted::{planted, Planted};
 use crate::net::{Event, Failure, Millis, Reply};
 use crate::node::{lot, wall, Common};
 use crate::report::Told;
@@ -326,7 +327,12 @@
     fn effect(&mut self, effect: Effect) {
         let now = self.common.net.now();
         match effect {
-            Effect::Disk { ticket, records, sync } => self.disk.append(ticket, records, sync),
+            Effect::Disk { ticket, records, sync } => {
+                self.disk.append(ticket, records, sync);
+                if planted(Planted::AnswerBeforeDisk) {
+                    self.hold.kept(now, ticket, true);
+                }
+            }
             Effect::Send { to, note } => {
                 self.common.links.say(&mut self.common.net, to, &Signal::Note(note));
             }
@@ -427,3 +433,6 @@
         _ => Outcome::Garbled,
     }
 }
+
+#[cfg(test)]
+mod tests;
