prove-control sees what it is to see: each rule with its cure off

Cause: two of five planted faults were not found. An executor that the others had missed for 4 s needs no draining, so a draining acknowledged by a node that is cut off broke nothing; and a second content under a number took the first one's place between two reads. The bound on the disk was above what a log grows to that never begins anew.

Change: the executor beats at another control node until it drains, and says that it drains to the cut-off one alone; all nodes are read back both before and after the two contents are sent again; changes of 40 kB, 10 MB allowed on a control node's disk.

--- a/drydock/src/churn.rs
+++ b/drydock/src/churn.rs
@@ -20,9 +20,9 @@
 /// Two operators, each with several orders under way.
 const UNDER_WAY: usize = 2 * 4;
 /// Routes that make a change large enough for the disk log to begin new segments meanwhile.
-const ROUTES: u64 = 60;
-/// The disk log of a control node: a snapshot and segments of 4 MB.
-const DISK_BYTES: u64 = 24 << 20;
+const ROUTES: u64 = 120;
+/// The disk log of a control node begins anew with a snapshot after 4 MB; the segments before may still lie there.
+const DISK_BYTES: u64 = 10 << 20;
 /// A control node that was started again answers with what is current.
 const CAUGHT_UP: Micros = 4 * SECOND;
 /// Between two losses: the first has caught up.
@@ -173,15 +173,21 @@
                     body
                 })
                 .collect();
+            // Neither takes the other's place, now or when it is sent again.
+            self.read_round();
             self.send_again(&bodies, "at once");
-            self.round += 1;
-            self.operator.read_all(self.round, Duration::from_secs(5));
+            self.read_round();
             all.extend(bodies);
         }
         self.agreed("two contents under one number");
         all
     }
 
+    fn read_round(&mut self) {
+        self.round += 1;
+        self.operator.read_all(self.round, Duration::from_secs(5));
+    }
+
     fn control_nodes(&self) -> Vec<SocketAddrV4> {
         self.fleet.here(Role::Core).into_iter().map(|at| self.fleet.control(at)).collect()
     }
--- a/drydock/src/isolation.rs
+++ b/drydock/src/isolation.rs
@@ -3,7 +3,7 @@
 use crate::control::{kind, Numbers};
 use crate::course::{Course, ACK};
 use crate::executor::Executor;
-use crate::fleet::{Plain, Role, Towards};
+use crate::fleet::{Controls, Plain, Role, Towards};
 use crate::history::{Content, History, Isolation, Micros, Read, SECOND};
 use crate::operator::{ask, Operator, Routes, NO_ROUND, REPLACE};
 use crate::ordeals::marker;
@@ -11,7 +11,7 @@
 use crate::wire::{self, Wire};
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -25,6 +25,8 @@
 const PAUSE_MS: u64 = 60;
 /// Changes that the others try to get in force before one that the primary had begun.
 const OVERTAKEN: usize = 3;
+/// The executor drains long after the lease has ended.
+const DRAINS_AFTER_MS: u64 = 4_000;
 const FREEZE_MS: u64 = 2_500;
 /// Routes of a configuration whose answer is larger than what the sockets between hold.
 const MANY_ROUTES: u64 = 3_000;
@@ -78,7 +80,7 @@
         let course = &mut self.course;
         let primary = course.primary()?;
         let isolated = course.fleet.control(primary);
-        let draining = if drain { Some(self.start_draining(isolated)?) } else { None };
+        let draining = if drain { Some(self.start_draining(primary)?) } else { None };
         let course = &mut self.course;
         let name = match towards {
             Towards::Both => "cut off",
@@ -90,9 +92,11 @@
         course.fleet.cut_towards(Role::Core, primary, &[Role::Core], towards, true);
         course.say(&format!("core-{}, which leads, is {name} for {} s", primary + 1, span_ms / 1000));
         let other_side = press_on(course, isolated, numbers, &over);
-        let leaving = draining.map(|executor| {
+        let leaving = draining.map(|(executor, controls)| {
             std::thread::spawn(move || {
-                std::thread::sleep(Duration::from_secs(3));
+                std::thread::sleep(Duration::from_millis(DRAINS_AFTER_MS));
+                // The others have just heard that it serves; that it drains it tells the isolated one alone.
+                *controls.lock().unwrap_or_else(PoisonError::into_inner) = vec![isolated];
                 executor.leave();
             })
         });
@@ -111,14 +115,16 @@
         Ok(())
     }
 
-    /// An executor that calls one control node alone.
-    fn start_draining(&mut self, to: SocketAddrV4) -> Plain<Arc<Executor>> {
+    /// An executor that calls another control node than the primary, and where it finds it.
+    fn start_draining(&mut self, primary: usize) -> Plain<(Arc<Executor>, Controls)> {
         let course = &self.course;
-        let controls = Arc::new(Mutex::new(vec![to]));
+        let other = course.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
+        let controls = Arc::new(Mutex::new(vec![course.fleet.control(other)]));
         let at = course.fleet.outside(20, 9000);
-        let executor = Executor::start("alder-20", at, kind("alder"), controls, &course.sight, &self.runs)?;
+        let (kind, found) = (kind("alder"), Arc::clone(&controls));
+        let executor = Executor::start("alder-20", at, kind, found, &course.sight, &self.runs)?;
         course.sleep(1500);
-        Ok(executor)
+        Ok((executor, controls))
     }
 }
 
