Command line: apply, read, diff and retire; a 200 says what is in force

Cause: an operator whose configuration carries the number of another one that is in force was answered with the same 200 and took it for his own.

Result: tried by the fleet test, each exit code.

--- a/harbour/src/main.rs
+++ b/harbour/src/main.rs
@@ -8,6 +8,7 @@
 mod links;
 mod net;
 mod node;
+mod operate;
 mod report;
 mod settings;
 mod signals;
--- a/harbour/src/status.rs
+++ b/harbour/src/status.rs
@@ -167,6 +167,15 @@
     Ok(fleet)
 }
 
+/// Where the control nodes take orders, those that answer: what leads first.
+pub fn control_addresses(at: Option<&str>, boot: Option<&Path>) -> Result<Vec<SocketAddrV4>, u8> {
+    let fleet = open(at, boot)?;
+    let leads = |report: &&JsonValue| report["duty"]["leads"] != true;
+    let mut reports: Vec<&JsonValue> = fleet.all(Class::Core).collect();
+    reports.sort_by_key(leads);
+    Ok(reports.iter().filter_map(|report| report["duty"]["control"].as_str()?.parse().ok()).collect())
+}
+
 impl Fleet {
     fn all(&self, class: Class) -> impl Iterator<Item = &JsonValue> {
         let class = class.to_string();
--- a/harbour/src/words.rs
+++ b/harbour/src/words.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::operate::{self, Asked};
 use crate::signals::Class;
 use crate::{settings, state, status};
 use gumdrop::Options;
@@ -44,6 +45,14 @@
     Check(CheckWords),
     #[options(help = "a running system: nodes, control duty, executors, queues, ceilings")]
     Status(FleetWords),
+    #[options(help = "send a configuration, and say whether it is in force")]
+    Apply(OrderWords),
+    #[options(help = "the configuration that is in force")]
+    Read(FleetWords),
+    #[options(help = "whether a configuration is in force, and what differs")]
+    Diff(OrderWords),
+    #[options(help = "empty a store, so that it can be taken away")]
+    Retire(RetireWords),
     #[options(help = "what the stores know of one message")]
     Message(MessageWords),
     #[options(help = "the counters of one process")]
@@ -104,6 +113,32 @@
     json: bool,
 }
 
+#[derive(Debug, Options)]
+pub struct OrderWords {
+    #[options(help = "show this")]
+    help: bool,
+    #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
+    at: Option<String>,
+    #[options(no_short, help = "as JSON")]
+    json: bool,
+    #[options(free, required, help = "the configuration")]
+    file: PathBuf,
+}
+
+#[derive(Debug, Options)]
+pub struct RetireWords {
+    #[options(help = "show this")]
+    help: bool,
+    #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
+    at: Option<String>,
+    #[options(no_short, help = "as JSON")]
+    json: bool,
+    #[options(no_short, help = "only say how far it is")]
+    status: bool,
+    #[options(free, required, help = "the store's name")]
+    name: String,
+}
+
 #[derive(Debug, Options)]
 pub struct MessageWords {
     #[options(help = "show this")]
@@ -150,6 +185,12 @@
             Some(CheckCommand::Boot(words)) => settings::check_boot(&words.file, words.json),
         },
         Some(Command::Status(words)) => status::status(words.at.as_deref(), boot, words.json),
+        Some(Command::Apply(words)) => operate::apply(&words.file, &asked(&words.at, boot, words.json)),
+        Some(Command::Read(words)) => operate::read(&asked(&words.at, boot, words.json)),
+        Some(Command::Diff(words)) => operate::diff(&words.file, &asked(&words.at, boot, words.json)),
+        Some(Command::Retire(words)) => {
+            operate::retire(&words.name, words.status, &asked(&words.at, boot, words.json))
+        }
         Some(Command::Message(words)) => status::message(&words.id, words.at.as_deref(), boot, words.json),
         Some(Command::Figures(words)) => status::figures(words.at.as_deref(), boot, words.json),
         Some(Command::State(words)) => match &words.command {
@@ -168,6 +209,10 @@
     Task::Done(done)
 }
 
+fn asked<'a>(at: &'a Option<String>, boot: Option<&'a std::path::Path>, json: bool) -> Asked<'a> {
+    Asked { at: at.as_deref(), boot, json }
+}
+
 fn usage(text: &str) -> u8 {
     eprintln!("{text}");
     UNUSABLE
--- a/harbour/tests/commands.rs
+++ b/harbour/tests/commands.rs
@@ -259,6 +259,12 @@
         });
     };
     (1..=3).for_each(|core| remembered(&fleet, core));
+    let retire = |words: &[&str]| {
+        let at = format!("{}.3:17300", fleet.net);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
+        command.args(["retire", "storage-3", "--at", &at]).args(words).output().unwrap()
+    };
+    assert_eq!((retire(&[]).status.code(), retire(&["--status"]).status.code()), (Some(0), Some(0)));
     let cores = ["core-1", "core-2", "core-3"];
     cores.iter().for_each(|name| fleet.kill(name));
     cores.iter().for_each(|name| fleet.start(name, false));
--- a/harbour/tests/fleet.rs
+++ b/harbour/tests/fleet.rs
@@ -302,6 +302,52 @@
     let stages: BTreeSet<String> = json["stores"].entries().map(|(_, t)| t["stage"].to_string()).collect();
     assert_eq!(stages, BTreeSet::from(["copy".to_string(), "waiting".to_string()]), "{json}");
 
+    // Orders from the command line: each end has its exit code.
+    let file = |name: &str, text: &str| {
+        let path = fleet.dir.join(name);
+        fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_string()
+    };
+    let own = file("own.json", CONFIG);
+    let other = file("other.json", &CONFIG.replacen("\"max_wait_s\":60", "\"max_wait_s\":61", 1));
+    let lower = file("lower.json", &CONFIG.replacen("\"revision\":7", "\"revision\":6", 1));
+    let broken = file("broken.json", "{\"routes\":7}");
+    let order = |words: &[&str]| {
+        let out = program().args(words).args(["--at", &fleet.at(1, 17300)]).output().unwrap();
+        (out.status.code(), texts(&out).0)
+    };
+    for (words, code, part) in [
+        (&["apply", &own][..], 0, "revision 7 is in force"),
+        (&["apply", &other], 3, "CONFLICT"),
+        (&["apply", &lower], 3, "revision 7 is in force, not 6"),
+        (&["apply", &broken], 2, ""),
+        (&["apply", "/nowhere.json"], 2, ""),
+        (&["diff", &own], 0, "revision 7 is in force"),
+        (&["diff", &other], 3, "route quick: differs"),
+        (&["read"], 0, CONFIG),
+        (&["retire", "store-1"], 3, "too few would be left"),
+        (&["retire", "store-9"], 2, ""),
+        (&["retire", "store-9", "--status"], 2, ""),
+        (&["retire", "../x"], 2, ""),
+    ] {
+        let (told, text) = order(words);
+        assert_eq!((told, text.contains(part)), (Some(code), true), "{words:?}: {text}");
+    }
+    // What the answer of the control node itself says, and the command's JSON.
+    let sent = |text: &str| {
+        let answer = http(&control, "POST", "/v1/settings/replace", "", text).unwrap();
+        assert_eq!(answer.0, 200, "acknowledged, as the operators' pages want it");
+        jzon::parse(&answer.2).unwrap()
+    };
+    let (same, different) = (sent(CONFIG), sent(&fs::read_to_string(&other).unwrap()));
+    assert_eq!((same["applied"] == true, different["applied"] == false), (true, true));
+    assert_eq!((&same["revision"], &same["digest"]), (&different["revision"], &different["digest"]));
+    let json = jzon::parse(&order(&["apply", &other, "--json"]).1).unwrap();
+    assert!(
+        json["ok"] == false && json["digest"] == same["digest"] && json["sent"] != json["digest"],
+        "{json}"
+    );
+
     // The figures of each role, and that the docs explain each of them.
     let mut figures = http(&scrape, "GET", "/metrics", "", "").unwrap().2;
     assert_eq!(http(&scrape, "GET", "/", "", "").unwrap().0, 404);
@@ -355,6 +401,9 @@
         let figures = http(&scrape, "GET", "/metrics", "", "")?.2;
         figures.contains("harbour_control_heard 0").then_some(())
     });
+    // Nobody can say what is in force.
+    let out = program().args(["apply", &own, "--at", &fleet.at(4, 17302)]).output().unwrap();
+    assert_eq!(out.status.code(), Some(4), "{out:?}");
     ["edge-1", "store-2", "store-1"].into_iter().for_each(|name| end(&mut fleet, name));
 
     for line in offline {
