--- a/pilotage/src/planted.rs
+++ b/pilotage/src/planted.rs
@@ -37,11 +37,19 @@
     BegunForgotten,
     /// Nobody takes over a watch that it is told.
     NeverAdopts,
+    /// One voter takes the place of another in one change: majorities of before and after need not meet.
+    SwapAtOnce,
+    /// A voter is taken for gone after 3 s of silence, and not sooner.
+    GoneStays,
+    /// A copy is named in place of another before it is filled.
+    UnfilledNamed,
+    /// Whoever acks counts for the lease, also one that is no voter.
+    LearnersCount,
 }
 
 #[cfg(feature = "planted")]
 impl Planted {
-    pub const ALL: [Planted; 15] = [
+    pub const ALL: [Planted; 19] = [
         Planted::OwnVoteEnough,
         Planted::LongLease,
         Planted::LeaseByArrival,
@@ -57,6 +65,10 @@
         Planted::DrawnUnheeded,
         Planted::BegunForgotten,
         Planted::NeverAdopts,
+        Planted::SwapAtOnce,
+        Planted::GoneStays,
+        Planted::UnfilledNamed,
+        Planted::LearnersCount,
     ];
 }
 
@@ -76,7 +88,7 @@
     use super::Planted;
     use crate::primary::{Duty, Job, Lead, Stand, ANSWER, LOST, TURN};
     use crate::voter::Leaving;
-    use crate::{After, Effect, Millis, Pilotage, Signal, Terms, Voter};
+    use crate::{After, Effect, Millis, Pilotage, Pulse, Signal, Terms, Voter};
     use std::hash::{Hash, Hasher};
 
     /// Writes a state into a hasher, so that states from which the same follows come out the same. Times count from now, and
@@ -99,7 +111,8 @@
         /// For what was sent at another clock's time `now` has to be that clock's.
         pub fn signal(&mut self, from: Voter, to: Voter, signal: &Signal) {
             match signal {
-                Signal::Pulse { epoch, sent_at, force, digest } => {
+                // Which ack was seen tells others what to say to nodes that are none of this group, and nothing here.
+                Signal::Pulse(Pulse { epoch, sent_at, force, digest, acked: _ }) => {
                     (1, epoch, force, digest).hash(self.hasher);
                     self.time(*sent_at, LOST);
                 }
@@ -203,7 +216,8 @@
                 duty,
                 started,
                 heard,
-                pulsed: _,
+                pulsed,
+                contact: _,
                 lent,
                 lent_told,
                 stand_at,
@@ -218,7 +232,7 @@
                 left,
                 effects,
             } = self;
-            (left, leaving.is_some()).hash(to.hasher);
+            (left, leaving.is_some(), *pulsed).hash(to.hasher);
             if let Some(Leaving { by, ask_at }) = leaving {
                 to.time(*by, 0);
                 to.time(*ask_at, 0);
