--- a/roster/src/types.rs
+++ b/roster/src/types.rs
@@ -80,6 +80,7 @@
     pub cut_off: bool,
     /// The list is whole, not only what has changed.
     pub whole: bool,
+    #[serde(with = "serde_bytes")]
     pub config: Option<Vec<u8>>,
     pub members: Option<Vec<Member>>,
     pub servers: Vec<Beat>,
--- a/soundings/src/lookout.rs
+++ b/soundings/src/lookout.rs
@@ -18,10 +18,11 @@
     HollowSits,
     NotDoneStays,
     SoonAgain,
+    SoonReplaced,
 }
 
 impl Property {
-    pub const ALL: [Property; 11] = [
+    pub const ALL: [Property; 12] = [
         Property::OneActs,
         Property::NothingOld,
         Property::OneBody,
@@ -33,6 +34,7 @@
         Property::HollowSits,
         Property::NotDoneStays,
         Property::SoonAgain,
+        Property::SoonReplaced,
     ];
     pub fn sentence(self) -> &'static str {
         match self {
@@ -48,6 +50,7 @@
             Property::BlankIsSilent => "a node that lost its disk votes only after more than half told it",
             Property::HollowSits => "a node that lost its chart does not stand before it was filled",
             Property::NotDoneStays => "what was answered as not done is never in force",
+            Property::SoonReplaced => "whoever comes soon votes, and whoever it came for does not any more",
             Property::SoonAgain => "after all is healed a write is soon accepted and in force at all nodes",
         }
     }
@@ -99,7 +102,7 @@
             let body = String::from_utf8_lossy(&chart.body).into_owned();
             self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", chart.version));
         }
-        if self.never.contains(chart) {
+        if self.never.iter().any(|never| never.same_configuration(chart)) {
             self.fail(
                 Property::NotDoneStays,
                 format!("{} is {how}, and was answered as not done", chart.version),
@@ -114,12 +117,14 @@
     pub(crate) fn look_at(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         let Some(pilot) = &node.pilot else { return };
-        let now = self.now + node.clock;
+        let now = node.local(self.now);
         if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
             let before = node.seen.force.replace(chart.clone());
             let chart = chart.clone();
-            if let Some(before) = before.filter(|before| chart.version < before.version) {
-                let evidence = format!("node {i} had {} in force, and now {}", before.version, chart.version);
+            let back = |before: &Chart| chart.serial < before.serial || chart.version < before.version;
+            if let Some(before) = before.filter(back) {
+                let told = |chart: &Chart| format!("{} (serial {})", chart.version, chart.serial);
+                let evidence = format!("node {i} had {} in force, and now {}", told(&before), told(&chart));
                 self.lookout.fail(Property::NeverBack, evidence);
             }
             self.lookout.learn(&chart, "in force");
@@ -140,7 +145,7 @@
     pub(crate) fn look_around(&mut self) {
         let answers = |(i, node): (usize, &crate::sea::Node)| {
             let pilot = node.pilot.as_ref().filter(|_| !node.frozen)?;
-            pilot.answers(self.now + node.clock).then_some(i)
+            pilot.answers(node.local(self.now)).then_some(i)
         };
         let mut acting = self.nodes.iter().enumerate().filter_map(answers);
         let (acts, other) = (acting.next(), acting.next());
@@ -150,9 +155,14 @@
         }
         let Some(acts) = acts else { return };
         self.read(acts);
-        let copies = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).map(|w| w.copies.clone());
+        let watch = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).cloned();
+        let (copies, voters) = watch.map(|w| (w.copies, w.voters)).unzip();
         for (i, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.seen.lost) {
             let named = copies.iter().flatten().any(|copy| index(*copy) == i);
+            if node.gone {
+                node.seen.lost = named || voters.iter().flatten().any(|voter| index(*voter) == i);
+                continue;
+            }
             let whole = node.pilot.as_ref().is_some_and(|p| !p.blank() && (!named || !p.hollow()));
             node.seen.lost = !whole;
         }
@@ -160,8 +170,9 @@
 
     fn read(&mut self, i: usize) {
         let node = &mut self.nodes[i];
+        let now = node.local(self.now);
         let Some(pilot) = &mut node.pilot else { return };
-        pilot.read(self.now + node.clock, 0);
+        pilot.read(now, 0);
         let Some(Effect::Chart { chart, .. }) = pilot.take().pop() else { return };
         let (chart, highest) = (chart.unwrap_or_default(), self.lookout.highest);
         if chart.version < highest {
@@ -211,6 +222,24 @@
         }
     }
 
+    /// Of those that are there all vote, and of those that are gone none.
+    pub(crate) fn voters_settled(&self) -> bool {
+        if self.bounds.spares == 0 {
+            return true;
+        }
+        let acts = |node: &&crate::sea::Node| {
+            !node.frozen && node.pilot.as_ref().is_some_and(|p| p.answers(node.local(self.now)))
+        };
+        let watch = self.nodes.iter().find(acts).and_then(|n| n.pilot.as_ref()).and_then(|p| p.watch());
+        let Some(watch) = watch else { return false };
+        // One that is gone with nobody in its place stays: an odd group takes it for one that may come back.
+        let odd = !watch.voters.len().is_multiple_of(2);
+        self.nodes.iter().enumerate().all(|(i, node)| {
+            let votes = watch.voters.contains(&crate::sea::voter(i));
+            votes == (node.pilot.is_some() && !node.gone) || (votes && node.gone && odd)
+        })
+    }
+
     pub(crate) fn since(&self, at: Millis) -> Millis {
         self.now.saturating_sub(at)
     }
