Logbook: large values one after another wait for room; the largest configuration measured; identity in `state verify`

Cause: values of 8 MiB that come faster than checkpoints clear them away were refused as Full with 56 of 128 MiB in use, the eighth in a release build: a valid configuration refused. `harbour state verify` did not tell of which folder a file is.

Change: an append that by itself fills a segment waits for the checkpoint under way, or one that can be begun, where it was refused; smaller ones, all of a store's, are refused as before. `harbour state verify` prints the folder's identity; a file of another folder is refused by name and ends it with 1.

--- a/harbour/src/state.rs
+++ b/harbour/src/state.rs
@@ -107,6 +107,7 @@
         .collect();
     jzon::object! {
         "opens" => report.opens(),
+        "identity" => report.identity.clone(),
         "records" => report.records,
         "bytes" => report.bytes,
         "files" => files,
--- a/harbour/tests/control_log/memory.rs
+++ b/harbour/tests/control_log/memory.rs
@@ -6,10 +6,12 @@
 struct Counting;
 
 static LIVE: AtomicUsize = AtomicUsize::new(0);
+static PEAK: AtomicUsize = AtomicUsize::new(0);
 
 unsafe impl GlobalAlloc for Counting {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        LIVE.fetch_add(layout.size(), Ordering::Relaxed);
+        let live = LIVE.fetch_add(layout.size(), Ordering::Relaxed) + layout.size();
+        PEAK.fetch_max(live, Ordering::Relaxed);
         System.alloc(layout)
     }
 
@@ -25,3 +27,10 @@
 pub fn live() -> usize {
     LIVE.load(Ordering::Relaxed)
 }
+
+/// Most that was live at once since the last call, beyond what was live `before`.
+// Each file of tests uses its part of it.
+#[allow(dead_code)]
+pub fn peak_since(before: usize) -> usize {
+    PEAK.swap(live(), Ordering::Relaxed).saturating_sub(before)
+}
--- /dev/null
+++ b/harbour/tests/state.rs
@@ -0,0 +1,67 @@
+//! `harbour state verify` on folders of control nodes.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+
+use stileroute_logbook::{Fold, Logbook, Options};
+use stileroute_pilotage::{Chart, Record};
+
+#[derive(Default)]
+struct Nothing;
+
+impl Fold for Nothing {
+    fn apply(&mut self, _: &[u8]) {}
+    fn snapshot(&self, _: &mut dyn FnMut(&[u8])) {}
+}
+
+const CONFIGURATION: &[u8] = b"{\"revision\":1,\"routes\":[],\"backends\":[],\"limits\":{}}";
+
+struct Machine(PathBuf);
+
+impl Machine {
+    /// With one configuration on its disk.
+    fn new(name: &str) -> Machine {
+        let machine = Machine(std::env::temp_dir().join(format!("state-{name}-{}", std::process::id())));
+        let chart = Chart { serial: 1, version: 1, body: CONFIGURATION.to_vec(), ..Chart::default() };
+        let record = postcard::to_stdvec(&Record::Chart(chart)).unwrap();
+        let (book, _) = Logbook::open::<Nothing>(&machine.watch(), Options::new("watch"), |_, _| {}).unwrap();
+        book.append(1, vec![record], true);
+        book.stop();
+        machine
+    }
+
+    fn watch(&self) -> PathBuf {
+        self.0.join("watch")
+    }
+}
+
+impl Drop for Machine {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+fn verify(dir: &Path) -> (Option<i32>, String) {
+    let run = Command::new(env!("CARGO_BIN_EXE_harbour")).args(["state", "verify"]).arg(dir).output();
+    let Output { status, stdout, .. } = run.unwrap();
+    (status.code(), String::from_utf8(stdout).unwrap())
+}
+
+#[test]
+fn the_identity_is_told_and_a_file_of_another_machine_is_refused_by_name() {
+    let (one, other) = (Machine::new("one"), Machine::new("other"));
+    let format = fs::read_to_string(one.watch().join("FORMAT")).unwrap();
+    let identity = format.split_whitespace().last().unwrap().to_string();
+    let (code, told) = verify(&one.0);
+    assert!(code == Some(0) && told.contains(&format!("identity: {identity}")), "{code:?} {told}");
+
+    fs::copy(other.watch().join("log-0000000001"), one.watch().join("log-0000000001")).unwrap();
+    let (code, told) = verify(&one.0);
+    let line = told.lines().find(|line| line.contains("log-0000000001")).unwrap_or_default();
+    assert!(
+        line.contains("folder: it was written in ") && line.ends_with(&format!("and this is {identity}")),
+        "{told}"
+    );
+    assert_eq!(code, Some(1), "{told}");
+}
--- a/logbook/src/folder.rs
+++ b/logbook/src/folder.rs
@@ -208,6 +208,13 @@
     }
 }
 
+impl Folder {
+    /// Bytes of the files that count.
+    pub fn used(&self) -> u64 {
+        self.snapshot + self.closed + self.log.len
+    }
+}
+
 /// Reads a file that must be whole; its length.
 pub fn whole(dir: &Path, expected: Expected, on_record: &mut dyn FnMut(&[u8])) -> Result<u64, Trouble> {
     let name = file_name(expected);
--- a/logbook/src/verify.rs
+++ b/logbook/src/verify.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug)]
 pub struct Report {
     pub kind: String,
+    /// Drawn when the folder was made; its files carry it.
+    pub identity: String,
     pub files: Vec<FileReport>,
     /// Of the files that count.
     pub records: u64,
@@ -76,7 +78,8 @@
 pub fn verify(dir: &Path, on_record: &mut dyn FnMut(&[u8])) -> Result<Report, Trouble> {
     let names = Names::read(dir)?;
     let Format { kind, identity: folder } = read_format(dir)?;
-    let mut report = Report { kind, files: Vec::new(), records: 0, bytes: 0 };
+    let identity = folder.to_string();
+    let mut report = Report { kind, identity, files: Vec::new(), records: 0, bytes: 0 };
     let snapshot = names.snapshots.last().map(|&number| (Kind::Snapshot, number));
     let live = names.live();
     for (kind, number) in snapshot.into_iter().chain(live.clone().map(|number| (Kind::Log, number))) {
--- a/logbook/src/writer.rs
+++ b/logbook/src/writer.rs
@@ -1,5 +1,6 @@
 //! The writer's thread, and the fold of a checkpoint on a thread of its own.
 
+use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -42,6 +43,8 @@
     fold: fn(&Task) -> Result<Option<u64>, Trouble>,
     done: D,
     commands: Receiver<Command>,
+    /// Came while an append waited for room, and come before what is in `commands`.
+    backlog: VecDeque<Command>,
     queue: Sender<Command>,
     counters: Arc<Counters>,
     folding: Option<Folding>,
@@ -67,6 +70,7 @@
             fold,
             done,
             commands,
+            backlog: VecDeque::new(),
             queue,
             counters,
             folding: None,
@@ -84,8 +88,9 @@
             while let Some(Command::Append { ticket, records, sync }) = next {
                 gathered += frame::size(&records);
                 group.push((ticket, records, sync));
-                next = if gathered < GROUP { self.commands.try_recv().ok() } else { None };
+                next = if gathered < GROUP { self.next_at_once() } else { None };
             }
+            self.wait_for_room(&group);
             let full = !group.is_empty() && self.write(&mut group);
             match next {
                 Some(Command::Folded(result)) => self.folded(result),
@@ -99,7 +104,43 @@
         }
     }
 
-    fn wait(&self) -> Option<Command> {
+    fn next_at_once(&mut self) -> Option<Command> {
+        self.backlog.pop_front().or_else(|| self.commands.try_recv().ok())
+    }
+
+    /// Appends that fill a segment each may come faster than checkpoints clear them away: they wait for those that are under
+    /// way or can be begun, where smaller ones are refused. Each checkpoint leaves less to clear, so this ends.
+    fn wait_for_room(&mut self, group: &[Append]) {
+        while self.is_large_and_does_not_fit(group) {
+            self.checkpoint(true);
+            if self.folding.is_none() {
+                return;
+            }
+            match self.commands.recv() {
+                Ok(Command::Folded(result)) => self.folded(result),
+                Ok(command) => {
+                    let stops = matches!(command, Command::Stop { .. });
+                    self.backlog.push_back(command);
+                    if stops {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn is_large_and_does_not_fit(&self, group: &[Append]) -> bool {
+        let sizes = || group.iter().map(|(_, records, _)| frame::size(records) as u64);
+        let large = sizes().any(|size| size >= self.due() && size <= MAX_APPEND as u64);
+        let most = most_used(&self.folder.options, true);
+        large && self.folder.options.room > 0 && self.folder.used() + sizes().sum::<u64>() > most
+    }
+
+    fn wait(&mut self) -> Option<Command> {
+        if let Some(command) = self.backlog.pop_front() {
+            return Some(command);
+        }
         let unfolded = self.folding.is_none() && self.folder.base < self.folder.log.number;
         let by = match (self.sync_by, self.rest_until.filter(|_| unfolded)) {
             (Some(sync), Some(rest)) => sync.min(rest),
@@ -112,15 +153,15 @@
     /// Writes a group at once, syncs once if one of it asks for that, and answers all of it in order. If the sync fails the
     /// whole group is taken back, also what did not ask for it. Whether one was refused for want of room.
     fn write(&mut self, group: &mut Vec<Append>) -> bool {
-        let Folder { options, log, snapshot, closed, .. } = &mut self.folder;
+        let used = self.folder.used();
+        let Folder { options, log, .. } = &mut self.folder;
         let (len, entries) = (log.len, log.entries);
-        let used = *snapshot + *closed + len;
         let (mut put, mut records, mut sync, mut full) = (0, 0, false, false);
         self.bytes.clear();
         let mut refused = Vec::with_capacity(group.len());
         for (_, append, with_sync) in group.iter() {
             let size = frame::size(append);
-            let most = if *with_sync { options.room / 16 * 7 } else { options.room / 2 };
+            let most = most_used(options, *with_sync);
             let largest = append.iter().map(Vec::len).max().unwrap_or(0);
             refused.push(if largest > MAX_RECORD {
                 Some(Trouble::TooLarge { bytes: largest })
@@ -189,14 +230,21 @@
         }
     }
 
+    /// Bytes in a segment after which a checkpoint begins.
+    fn due(&self) -> u64 {
+        match self.folder.options {
+            Options { room: 0, checkpoint_after, .. } => checkpoint_after,
+            Options { room, checkpoint_after, .. } => checkpoint_after.min(room / 8),
+        }
+    }
+
     /// Begins a checkpoint if one is due.
     fn checkpoint(&mut self, full: bool) {
         if self.folding.is_some() || self.rest_until.is_some_and(|until| until > Instant::now()) {
             return;
         }
         self.rest_until = None;
-        let Options { room, checkpoint_after, .. } = self.folder.options;
-        let due = if room > 0 { checkpoint_after.min(room / 8) } else { checkpoint_after };
+        let (room, due) = (self.folder.options.room, self.due());
         let len = self.folder.log.len;
         // Some ends that came since may be enough to have room again; none, and it would be for nothing.
         if len >= due.max(FILE_HEAD + 1) || full && len > FILE_HEAD + room / 1024 {
@@ -278,6 +326,15 @@
     }
 }
 
+/// Bytes of the folder beyond which an append is refused. What frees room comes without sync, and must not be refused first.
+fn most_used(options: &Options, sync: bool) -> u64 {
+    if sync {
+        options.room / 16 * 7
+    } else {
+        options.room / 2
+    }
+}
+
 /// What a checkpoint's thread is to do: fold the snapshot `from` and the segments from there on into the snapshot `to`.
 pub struct Task {
     dir: PathBuf,
--- a/logbook/tests/logbook.rs
+++ b/logbook/tests/logbook.rs
@@ -542,3 +542,30 @@
         book.put(&["a=1"], true).unwrap();
     }
 }
+
+#[test]
+fn an_append_that_fills_a_segment_waits_for_the_checkpoint_that_makes_room() {
+    let dir = Dir::new();
+    let (go, may_go) = channel::<()>();
+    let may_go = Mutex::new(may_go);
+    let hook = move |step| {
+        if step == Step::FoldRead {
+            let _ = may_go.lock().unwrap().recv();
+        }
+        Ok(())
+    };
+    let (mut book, _) = Book::open(&dir.0, Options { room: 8000, checkpoint_after: 1000, ..hooked(hook) });
+    let large = |key: &str| format!("key={key}{}", "x".repeat(1300));
+    for key in ["1", "2"] {
+        book.put(&[&large(key)], true).unwrap();
+    }
+    // The first is in a closed segment, whose checkpoint is held; the second in the one written to; no room for the third.
+    book.queue(&[&large("3")], true);
+    book.queue(&["after=1"], true);
+    drop(go);
+    for _ in 0..2 {
+        assert_matches!(book.answer(), (_, Ok(())));
+    }
+    book.book.stop();
+    assert_eq!(dir.fold().unwrap(), keys(&[&large("3"), "after=1"]));
+}
