--- a/logbook/src/writer.rs
+++ b/logbook/src/writer.rs
@@ -1,16 +1,18 @@
 //! The writer's thread, and the fold of a checkpoint on a thread of its own.
 
-use std::fs::{self, File};
-use std::io::{self, Write};
-use std::path::{Path, PathBuf};
+use std::collections::VecDeque;
+use std::io;
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{Receiver, Sender};
 use std::sync::Arc;
 use std::thread::{self, Builder, JoinHandle};
 use std::time::{Duration, Instant};
 
+use crate::disk::{self, DiskFile};
 use crate::folder::{self, snapshot_name, Folder, Segment};
-use crate::frame::{self, Kind, FILE_HEAD};
+use crate::frame::{self, Expected, Identity, Kind, FILE_HEAD};
+use crate::planted::Planted;
 use crate::{count, Counters, Fold, Options, Step, Trouble, MAX_APPEND, MAX_RECORD};
 
 pub enum Command {
@@ -41,6 +43,8 @@
     fold: fn(&Task) -> Result<Option<u64>, Trouble>,
     done: D,
     commands: Receiver<Command>,
+    /// Came while an append waited for room, and come before what is in `commands`.
+    backlog: VecDeque<Command>,
     queue: Sender<Command>,
     counters: Arc<Counters>,
     folding: Option<Folding>,
@@ -66,6 +70,7 @@
             fold,
             done,
             commands,
+            backlog: VecDeque::new(),
             queue,
             counters,
             folding: None,
@@ -83,8 +88,9 @@
             while let Some(Command::Append { ticket, records, sync }) = next {
                 gathered += frame::size(&records);
                 group.push((ticket, records, sync));
-                next = if gathered < GROUP { self.commands.try_recv().ok() } else { None };
+                next = if gathered < GROUP { self.next_at_once() } else { None };
             }
+            self.wait_for_room(&group);
             let full = !group.is_empty() && self.write(&mut group);
             match next {
                 Some(Command::Folded(result)) => self.folded(result),
@@ -98,7 +104,43 @@
         }
     }
 
-    fn wait(&self) -> Option<Command> {
+    fn next_at_once(&mut self) -> Option<Command> {
+        self.backlog.pop_front().or_else(|| self.commands.try_recv().ok())
+    }
+
+    /// Appends that fill a segment each may come faster than checkpoints clear them away: they wait for those that are under
+    /// way or can be begun, where smaller ones are refused. Each checkpoint leaves less to clear, so this ends.
+    fn wait_for_room(&mut self, group: &[Append]) {
+        while self.is_large_and_does_not_fit(group) {
+            self.checkpoint(true);
+            if self.folding.is_none() {
+                return;
+            }
+            match self.commands.recv() {
+                Ok(Command::Folded(result)) => self.folded(result),
+                Ok(command) => {
+                    let stops = matches!(command, Command::Stop { .. });
+                    self.backlog.push_back(command);
+                    if stops {
+                        return;
+                    }
+                }
+                Err(_) => return,
+            }
+        }
+    }
+
+    fn is_large_and_does_not_fit(&self, group: &[Append]) -> bool {
+        let sizes = || group.iter().map(|(_, records, _)| frame::size(records) as u64);
+        let large = sizes().any(|size| size >= self.due() && size <= MAX_APPEND as u64);
+        let most = most_used(&self.folder.options, true);
+        large && self.folder.options.room > 0 && self.folder.used() + sizes().sum::<u64>() > most
+    }
+
+    fn wait(&mut self) -> Option<Command> {
+        if let Some(command) = self.backlog.pop_front() {
+            return Some(command);
+        }
         let unfolded = self.folding.is_none() && self.folder.base < self.folder.log.number;
         let by = match (self.sync_by, self.rest_until.filter(|_| unfolded)) {
             (Some(sync), Some(rest)) => sync.min(rest),
@@ -111,15 +153,15 @@
     /// Writes a group at once, syncs once if one of it asks for that, and answers all of it in order. If the sync fails the
     /// whole group is taken back, also what did not ask for it. Whether one was refused for want of room.
     fn write(&mut self, group: &mut Vec<Append>) -> bool {
-        let Folder { options, log, snapshot, closed, .. } = &mut self.folder;
+        let used = self.folder.used();
+        let Folder { options, log, .. } = &mut self.folder;
         let (len, entries) = (log.len, log.entries);
-        let used = *snapshot + *closed + len;
         let (mut put, mut records, mut sync, mut full) = (0, 0, false, false);
         self.bytes.clear();
         let mut refused = Vec::with_capacity(group.len());
         for (_, append, with_sync) in group.iter() {
             let size = frame::size(append);
-            let most = if *with_sync { options.room / 16 * 7 } else { options.room / 2 };
+            let most = most_used(options, *with_sync);
             let largest = append.iter().map(Vec::len).max().unwrap_or(0);
             refused.push(if largest > MAX_RECORD {
                 Some(Trouble::TooLarge { bytes: largest })
@@ -147,7 +189,7 @@
                 count(&self.counters.failures, 1);
                 Err(Trouble::io("writing")(error))
             }
-            Ok(()) if sync => self.sync(),
+            Ok(()) if sync && !self.folder.options.planted(Planted::EarlyAnswer) => self.sync(),
             Ok(()) => {
                 if put > 0 {
                     self.sync_by.get_or_insert_with(|| Instant::now() + self.folder.options.lazy_sync);
@@ -159,7 +201,8 @@
             count(&self.counters.records, records);
             count(&self.counters.bytes, self.bytes.len() as u64);
         } else if self.folder.log.len > len {
-            self.folder.log.back_to(len, entries);
+            let Folder { options, log, .. } = &mut self.folder;
+            log.back_to(len, entries, options);
         }
         if self.bytes.capacity() > 2 * GROUP {
             self.bytes = Vec::new();
@@ -187,14 +230,21 @@
         }
     }
 
+    /// Bytes in a segment after which a checkpoint begins.
+    fn due(&self) -> u64 {
+        match self.folder.options {
+            Options { room: 0, checkpoint_after, .. } => checkpoint_after,
+            Options { room, checkpoint_after, .. } => checkpoint_after.min(room / 8),
+        }
+    }
+
     /// Begins a checkpoint if one is due.
     fn checkpoint(&mut self, full: bool) {
         if self.folding.is_some() || self.rest_until.is_some_and(|until| until > Instant::now()) {
             return;
         }
         self.rest_until = None;
-        let Options { room, checkpoint_after, .. } = self.folder.options;
-        let due = if room > 0 { checkpoint_after.min(room / 8) } else { checkpoint_after };
+        let (room, due) = (self.folder.options.room, self.due());
         let len = self.folder.log.len;
         // Some ends that came since may be enough to have room again; none, and it would be for nothing.
         if len >= due.max(FILE_HEAD + 1) || full && len > FILE_HEAD + room / 1024 {
@@ -212,22 +262,27 @@
     /// Closes the segment, all of it synced, and begins the next.
     fn roll(&mut self) -> Result<(), Trouble> {
         self.sync()?;
-        let Folder { dir, options, log, closed, .. } = &mut self.folder;
-        let next = Segment::create(dir, log.number + 1, options).map_err(Trouble::io("making a segment"))?;
+        let Folder { dir, options, identity, log, closed, .. } = &mut self.folder;
+        let next = Segment::create(dir, log.number + 1, *identity, options)
+            .map_err(Trouble::io("making a segment"))?;
         *closed += log.len;
         *log = next;
         Ok(())
     }
 
     fn begin_fold(&mut self) -> Result<(), Trouble> {
-        let Folder { dir, options, base, snapshot, closed, log } = &self.folder;
+        let Folder { dir, options, identity, base, snapshot, closed, log } = &mut self.folder;
+        // A snapshot that is kept while the name of the segment after it is lost would look like damage.
+        if !options.planted(Planted::NamelessCovered) {
+            log.sync_name(dir, options).map_err(Trouble::io("syncing the folder"))?;
+        }
         let (to, closed, give_up) = (log.number, *closed, Arc::new(AtomicBool::new(false)));
         let left = match options.room {
             0 => u64::MAX,
-            room => room.saturating_sub(snapshot + closed + log.len),
+            room => room.saturating_sub(*snapshot + closed + log.len),
         };
         let (dir, options, give_up_) = (dir.clone(), options.clone(), give_up.clone());
-        let task = Task { dir, options, from: *base, to, left, give_up: give_up_ };
+        let task = Task { dir, options, folder: *identity, from: *base, to, left, give_up: give_up_ };
         let (queue, fold) = (self.queue.clone(), self.fold);
         let thread = Builder::new().name("logbook-fold".into()).spawn(move || {
             let _ = queue.send(Command::Folded(fold(&task)));
@@ -271,10 +326,20 @@
     }
 }
 
+/// Bytes of the folder beyond which an append is refused. What frees room comes without sync, and must not be refused first.
+fn most_used(options: &Options, sync: bool) -> u64 {
+    if sync {
+        options.room / 16 * 7
+    } else {
+        options.room / 2
+    }
+}
+
 /// What a checkpoint's thread is to do: fold the snapshot `from` and the segments from there on into the snapshot `to`.
 pub struct Task {
     dir: PathBuf,
     options: Options,
+    folder: Identity,
     from: u64,
     to: u64,
     /// Bytes the snapshot may take.
@@ -286,6 +351,10 @@
     fn given_up(&self) -> bool {
         self.give_up.load(Ordering::Relaxed)
     }
+
+    fn expected(&self, kind: Kind, number: u64) -> Expected {
+        Expected { kind, number, folder: self.folder }
+    }
 }
 
 /// Work between pauses: the loop and the writer share one processor with the fold.
@@ -311,13 +380,15 @@
         }
     };
     if task.from > 1 {
-        folder::whole(&task.dir, Kind::Snapshot, task.from, &mut apply)?;
+        folder::whole(&task.dir, task.expected(Kind::Snapshot, task.from), &mut apply)?;
     }
     for number in task.from..task.to {
-        folder::whole(&task.dir, Kind::Log, number, &mut apply)?;
+        folder::whole(&task.dir, task.expected(Kind::Log, number), &mut apply)?;
     }
 
-    let unfinished = task.dir.join(format!("{}.tmp", snapshot_name(task.to)));
+    let Task { dir, options, to, .. } = task;
+    let name = snapshot_name(*to);
+    let unfinished = format!("{name}.tmp");
     let step = |step, doing, run: &dyn Fn() -> io::Result<()>| {
         task.options.at(step).and_then(|()| run()).map_err(Trouble::io(doing))
     };
@@ -329,18 +400,20 @@
     let renamed = match written {
         _ if task.given_up() => Ok(None),
         Ok(len) => step(Step::SnapshotRename, "renaming the snapshot", &|| {
-            fs::rename(&unfinished, task.dir.join(snapshot_name(task.to)))
+            disk::rename(dir, &unfinished, &name, options)
         })
         .map(|()| Some(len)),
         Err(trouble) => Err(trouble),
     };
     let Ok(Some(len)) = renamed else {
-        let _ = fs::remove_file(&unfinished);
+        let _ = disk::remove(dir, &unfinished, options);
         return renamed;
     };
     // Before this returns a power loss may bring the old name back, so what it replaces stays.
-    step(Step::SnapshotFolder, "syncing the folder", &|| folder::sync(&task.dir))?;
-    if let Err(trouble) = step(Step::Remove, "removing", &|| folder::remove_before(&task.dir, task.to)) {
+    if !options.planted(Planted::DroppedEarly) {
+        step(Step::SnapshotFolder, "syncing the folder", &|| disk::sync_folder(dir, options))?;
+    }
+    if let Err(trouble) = step(Step::Remove, "removing", &|| folder::remove_before(dir, *to, options)) {
         tracing::warn!(%trouble, "what a snapshot replaced is still there");
     }
     Ok(Some(len))
@@ -348,7 +421,7 @@
 
 struct Snapshot<'a> {
     task: &'a Task,
-    file: File,
+    file: DiskFile,
     bytes: Vec<u8>,
     entries: u32,
     records: u64,
@@ -358,9 +431,10 @@
 }
 
 impl Snapshot<'_> {
-    fn new<'a>(task: &'a Task, path: &Path) -> Result<Snapshot<'a>, Trouble> {
-        let file = File::create(path).map_err(Trouble::io("making a snapshot"))?;
-        let bytes = frame::file_head(Kind::Snapshot, task.to).to_vec();
+    fn new<'a>(task: &'a Task, name: &str) -> Result<Snapshot<'a>, Trouble> {
+        let made = DiskFile::make(&task.dir, name, &task.options);
+        let file = made.map_err(Trouble::io("making a snapshot"))?;
+        let bytes = frame::file_head(task.expected(Kind::Snapshot, task.to)).to_vec();
         let mut snapshot =
             Snapshot { task, file, bytes, entries: 0, records: 0, len: 0, unsynced: 0, failed: None };
         snapshot.flush()?;
@@ -403,13 +477,13 @@
         }
         let writing = Trouble::io("writing a snapshot");
         self.task.options.at(Step::SnapshotWrite).map_err(&writing)?;
-        self.file.write_all(&self.bytes).map_err(&writing)?;
+        self.file.write(&self.bytes, &self.task.options).map_err(&writing)?;
         self.bytes.clear();
         self.len += more;
         self.unsynced += more;
         if self.unsynced >= SYNC_EVERY {
             self.unsynced = 0;
-            self.file.sync_data().map_err(&writing)?;
+            self.file.sync_data(&self.task.options).map_err(&writing)?;
         }
         Ok(())
     }
@@ -426,7 +500,9 @@
         self.flush()?;
         let syncing = Trouble::io("syncing a snapshot");
         self.task.options.at(Step::SnapshotSync).map_err(&syncing)?;
-        self.file.sync_all().map_err(&syncing)?;
+        if !self.task.options.planted(Planted::SnapshotUnsynced) {
+            self.file.sync_all(&self.task.options).map_err(&syncing)?;
+        }
         Ok(self.len)
     }
 }
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -13,6 +13,7 @@
 //! - a node that has lost its disk has forgotten what it granted: it votes again only after a majority of the others has
 //!   told it where they stand, and as a copy it is hollow, and does not stand, before it was filled.
 
+mod contact;
 mod planted;
 mod primary;
 mod types;
@@ -22,6 +23,7 @@
 pub use planted::{Planted, Sounder};
 pub use types::*;
 
+use contact::Contact;
 #[cfg(not(feature = "planted"))]
 use planted::Planted;
 use primary::Duty;
@@ -64,6 +66,8 @@
     chart: Chart,
     /// The highest that is known to be in force.
     force: Option<Chart>,
+    /// Of that: it goes with each pulse, and a configuration may be long.
+    force_digest: u64,
     /// It has lost its disk, or never had one: no vote until it has learned.
     blank: bool,
     /// No chart on disk: it may be named as a copy, but is none until it was filled.
@@ -75,6 +79,7 @@
     heard: Millis,
     /// What was heard last was a pulse: `heard` also stands for grants and starts.
     pulsed: bool,
+    contact: Contact,
     /// Who has this node's vote until it has been silent.
     lent: Option<Voter>,
     /// The epoch for which the disk has been told of it.
@@ -110,11 +115,13 @@
             watch: kept.watch,
             chart: kept.chart.unwrap_or_default(),
             force: None,
+            force_digest: 0,
             learning: Learning::default(),
             duty: Duty::Follow,
             started: now,
             heard: now,
             pulsed: false,
+            contact: Contact::default(),
             lent,
             lent_told: lent.map_or(0, |_| epoch),
             stand_at: 0,
@@ -203,9 +210,14 @@
     pub fn in_force(&self) -> Option<&Chart> {
         self.force.as_ref()
     }
-    /// It leads, or has heard the primary not long ago: what it tells others is not of yesterday.
+    /// What this node's disk holds. At the primary, what it decides by.
+    pub fn held(&self) -> &Chart {
+        &self.chart
+    }
+    /// It leads, or a primary that held the lease has heard it, and it that primary, not long ago: what it tells others is
+    /// not of yesterday.
     pub fn in_touch(&self, now: Millis) -> bool {
-        !self.blank && (self.leads(now) || (self.pulsed && now < self.heard + 2 * self.terms.silence_ms))
+        !self.blank && (self.leads(now) || self.contact.within(now, 2 * self.terms.silence_ms))
     }
     /// Who decides, as far as is known here.
     pub fn primary(&self) -> Option<Voter> {
@@ -242,11 +254,12 @@
 
     /// A chart is in force: never one below what was in force here before.
     fn enforce(&mut self, chart: Chart) {
-        let newer = self.force.as_ref().is_none_or(|old| chart.serial > old.serial);
+        let newer = self.force.as_ref().is_none_or(|old| chart.rank() > old.rank());
         if (newer || self.planted(Planted::ForceBlind) && self.force.as_ref() != Some(&chart))
             && chart.serial > 0
         {
             self.effects.push(Effect::InForce { serial: chart.serial });
+            self.force_digest = chart.digest();
             self.force = Some(chart);
         }
     }
@@ -287,9 +300,7 @@
             Signal::Denied { watch } => self.denied(now, from, watch),
             Signal::Store { epoch, serial, chart } => self.store(from, epoch, serial, chart),
             Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
-            Signal::Pulse { epoch, sent_at, force, digest } => {
-                self.pulsed(now, from, epoch, sent_at, force, digest)
-            }
+            Signal::Pulse(pulse) => self.pulsed(now, from, pulse),
             Signal::PulseAck { epoch, sent_at, votes, holds } => {
                 self.acked(now, from, epoch, sent_at, (votes, holds))
             }
--- a/pilotage/tests/replaced.rs
+++ b/pilotage/tests/replaced.rs
@@ -218,3 +218,38 @@
         world.read((0..7).find(|i| world.up(*i)).unwrap(), 3000);
     }
 }
+
+/// Seen failing: it forgot that it was told to end, and ran on until it was killed.
+#[test]
+fn a_primary_told_to_end_that_another_follows_meanwhile_ends() {
+    for seed in 0..12 {
+        let mut world = quiet(3, 1, seed);
+        let primary = world.primary();
+        (0..3).filter(|i| *i != primary).for_each(|i| world.cut(primary, i));
+        world.run(2000);
+        assert_ne!(world.primary(), primary);
+        world.release(primary);
+        world.heal();
+        world.run(700);
+        assert!(world.nodes[primary].released);
+    }
+}
+
+/// The one that comes is lost as it comes, at each moment from 0.7 s after the loss (until 0.6 s it is open whether there was
+/// one): the two that are left go on. Seen failing with the new one made a
+/// voter before the lost one is left out: two of four.
+#[test]
+fn the_one_that_comes_is_lost_at_each_moment() {
+    for after in (0..900).step_by(2) {
+        let mut world = quiet(3, 1, 6);
+        let lost = world.copy();
+        world.strike(lost, Power, None);
+        world.run(700);
+        world.add();
+        world.run(after);
+        world.trace.push(format!("lost {after} ms after it came"));
+        world.strike(3, Power, None);
+        let call = world.replace(world.primary(), 9);
+        world.wait(call, 3000);
+    }
+}
--- a/soundings/src/main.rs
+++ b/soundings/src/main.rs
@@ -6,8 +6,8 @@
 use std::time::Instant;
 use stileroute_soundings::queue::{prove_queue, search_queue_by_hand, QueueWords};
 use stileroute_soundings::{
-    find, retrace, sound, Bounds, Chance, Drift, Found, Grain, Planted, Soundings, Spans, FAULTS, PLAN,
-    TOO_FAR,
+    find, retrace, sound, Bounds, Chance, Drift, Found, Grain, Kinds, Planted, Soundings, Spans, FAULTS,
+    PLAN, TOO_FAR,
 };
 
 /// Searches all orders of events of the control group within bounds.
@@ -45,6 +45,8 @@
     help: bool,
     #[options(help = "control nodes, 3 or 5", default = "3", meta = "N")]
     nodes: usize,
+    #[options(no_short, help = "control nodes that may come later", default = "0", meta = "N")]
+    spares: usize,
     #[options(help = "most troubles, up to 3", default = "1", meta = "N")]
     troubles: u8,
     #[options(help = "most delays, up to 3", default = "0", meta = "N")]
@@ -53,6 +55,8 @@
     fine: bool,
     #[options(no_short, help = "one span of each trouble, not all")]
     one_span: bool,
+    #[options(no_short, help = "only troubles that come with growth")]
+    growth: bool,
     #[options(no_short, help = "troubles last 20 s")]
     long: bool,
     #[options(
@@ -98,10 +102,11 @@
 }
 
 fn line(bounds: &Bounds, sum: &Soundings, since: Instant) -> String {
-    let Bounds { nodes, troubles, delays, grain, spans, chance, drift, script, .. } = bounds;
+    let Bounds { nodes, spares, troubles, delays, grain, spans: times, kinds, chance, drift, script, .. } =
+        bounds;
     let Soundings { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
     format!(
-        "nodes={nodes} troubles={troubles} delays={delays} grain={grain:?} spans={spans:?} chance={chance:?} drift={drift:?} script={script} \
+        "nodes={nodes} spares={spares} troubles={troubles} delays={delays} grain={grain:?} spans={times:?} kinds={kinds:?} chance={chance:?} drift={drift:?} script={script} \
          states={states} distinct={distinct} pruned={pruned} transitions={transitions} ways={ways} deepest={deepest} \
          waited_ms={waited} parts={}/{} seconds={:.1}",
         whole.0,
@@ -120,6 +125,7 @@
 fn search(words: &Search, threads: usize, stop: &AtomicBool) -> bool {
     let bounds = Bounds {
         nodes: words.nodes,
+        spares: words.spares,
         losses: (words.nodes - 1) / 2,
         troubles: words.troubles,
         delays: words.delays,
@@ -129,6 +135,7 @@
             (true, false) => Spans::One,
             (false, false) => Spans::All,
         },
+        kinds: if words.growth { Kinds::Growth } else { Kinds::All },
         chance: words.chance.unwrap_or(Chance::Rising),
         drift: words.drift.unwrap_or(Drift::None),
         script: words.script,
@@ -204,6 +211,7 @@
             if search.troubles > 3
                 || search.delays > 3
                 || ![3, 5].contains(&search.nodes)
+                || search.spares > 2
                 || search.script > 2 =>
         {
             eprintln!(
