--- a/harbour/src/net/exchange/generated.rs
+++ b/harbour/src/net/exchange/generated.rs
@@ -132,99 +132,135 @@
     Reset,
 }
 
-/// One connection from its opening until it may not be used again. What is wrong, if anything is.
-fn play(seed: u64) -> Result<(), String> {
-    let mut chance = Generator::new(seed);
-    let (mut exchange, mut input) = (Exchange::default(), Vec::new());
-    let tied = !chance.once_in(4);
-    let (mut earlier, mut strayed) = (Vec::new(), false);
-    for at in 0..CALLS {
+/// How a call ended, and what had come by then.
+struct Outcome {
+    ticket: u64,
+    result: Result<Reply, Failure>,
+    keep: Option<Millis>,
+    /// Bytes that had come, and whether the request was out whole.
+    fed: usize,
+    written: bool,
+    /// By the end of the connection, and not by bytes.
+    by: Option<End>,
+}
+
+/// One connection from its opening until it may not be used again.
+struct Connection {
+    chance: Generator,
+    exchange: Exchange,
+    input: Vec<u8>,
+    tied: bool,
+    earlier: Vec<String>,
+    strayed: bool,
+}
+
+impl Connection {
+    fn new(seed: u64) -> Connection {
+        let mut chance = Generator::new(seed);
+        let tied = !chance.once_in(4);
+        let (exchange, input, earlier) = (Exchange::default(), Vec::new(), Vec::new());
+        Connection { chance, exchange, input, tied, earlier, strayed: false }
+    }
+
+    /// One call. Gives whether another may follow, or what is wrong.
+    fn call(&mut self, at: usize) -> Result<bool, String> {
         let id = format!("r{at}");
-        let call = |chance: &mut Generator| Call {
-            ticket: at as u64,
-            deadline: 0,
-            id: tied.then(|| id.clone()),
-            bodiless: chance.once_in(8),
-        };
-        let call = call(&mut chance);
-        let script = script(&mut chance, at, &call, &earlier);
-        let cut = if chance.once_in(4) { chance.below(script.bytes.len()) } else { script.bytes.len() };
-        let end = chance.pick(&[End::Silence, End::Silence, End::Closed, End::Reset]);
-        let written_from = if chance.once_in(6) { chance.below(cut + 1) } else { 0 };
-        exchange.begin(call);
-        let (mut fed, mut outcome) = (0, None);
-        strayed |= script.strays;
-        for piece in chance.split(&script.bytes[..cut]) {
-            input.extend_from_slice(piece);
+        let (named, bodiless) = (self.tied.then(|| id.clone()), self.chance.once_in(8));
+        let call = Call { ticket: at as u64, deadline: 0, id: named, bodiless };
+        let script = script(&mut self.chance, at, &call, &self.earlier);
+        self.strayed |= script.strays;
+        self.exchange.begin(call);
+        let outcome = self.outcome(&script)?;
+        self.judge(at, &script, &outcome)?;
+        // Nothing more comes of the call.
+        let again = [self.exchange.read(&mut Vec::new(), true, false), self.exchange.late(true)];
+        if again.iter().any(|step| matches!(step, Step::Done { .. })) {
+            return Err("a second outcome".to_string());
+        }
+        self.earlier.push(id);
+        Ok(outcome.keep.is_some())
+    }
+
+    /// Lets the bytes come, all of them or a part, and then the end.
+    fn outcome(&mut self, script: &Script) -> Result<Outcome, String> {
+        let whole = script.bytes.len();
+        let cut = if self.chance.once_in(4) { self.chance.below(whole) } else { whole };
+        let end = self.chance.pick(&[End::Silence, End::Silence, End::Closed, End::Reset]);
+        let written_from = if self.chance.once_in(6) { self.chance.below(cut + 1) } else { 0 };
+        let mut fed = 0;
+        for piece in self.chance.split(&script.bytes[..cut]) {
+            self.input.extend_from_slice(piece);
             fed += piece.len();
             let written = fed >= written_from;
-            match exchange.read(&mut input, written, false) {
-                Step::Wait => continue,
-                Step::Close => return Err(format!("call {at}: closed with no outcome")),
+            match self.exchange.read(&mut self.input, written, false) {
+                Step::Wait => {}
+                Step::Close => return Err("closed with no outcome".to_string()),
                 Step::Done { ticket, result, keep } => {
-                    outcome = Some((ticket, result, keep, fed, written));
-                    break;
+                    return Ok(Outcome { ticket, result, keep, fed, written, by: None });
                 }
             }
         }
-        let by_end = outcome.is_none();
-        let (ticket, result, keep, fed, written) = match outcome {
-            Some(outcome) => outcome,
-            None => {
-                let step = match end {
-                    End::Silence => exchange.late(true),
-                    End::Closed => exchange.end(&input, true),
-                    End::Reset => exchange.broke(true),
-                };
-                let Step::Done { ticket, result, keep } = step else {
-                    return Err(format!("call {at}: no outcome of {end:?}"));
-                };
-                (ticket, result, keep, fed, true)
-            }
+        let step = match end {
+            End::Silence => self.exchange.late(true),
+            End::Closed => self.exchange.end(&self.input, true),
+            End::Reset => self.exchange.broke(true),
         };
-        if ticket != at as u64 {
-            return Err(format!("call {at}: the outcome of {ticket}"));
+        match step {
+            Step::Done { ticket, result, keep } => {
+                Ok(Outcome { ticket, result, keep, fed, written: true, by: Some(end) })
+            }
+            step => Err(format!("{step:?} of {end:?}")),
+        }
+    }
+
+    fn judge(&self, at: usize, script: &Script, outcome: &Outcome) -> Result<(), String> {
+        if outcome.ticket != at as u64 {
+            return Err(format!("the outcome of {}", outcome.ticket));
         }
-        let whole = script.whole_at.is_some_and(|whole_at| fed >= whole_at);
-        let ended_by_closing = script.to_end && by_end && end == End::Closed;
-        let due = whole && (!script.to_end || ended_by_closing);
-        match &result {
+        let ended_by_closing = script.to_end && outcome.by == Some(End::Closed);
+        let came = script.whole_at.is_some_and(|whole_at| outcome.fed >= whole_at);
+        let due = came && (!script.to_end || ended_by_closing);
+        match &outcome.result {
             Ok(reply) if reply.seal.as_deref() != Some(&seal(at, false)) => {
-                return Err(format!("call {at}: given the answer {:?}", reply.seal));
+                return Err(format!("given the answer {:?}", reply.seal));
             }
             // A body up to the end of the connection can't be seen to be cut short; only the head is used of it.
             Ok(_) if due || ended_by_closing => {}
-            Ok(_) => return Err(format!("call {at}: an answer out of a part of one")),
-            Err(failure) if due && written => return Err(format!("call {at}: {failure} for its answer")),
-            Err(failure) if !failure.may_have_run() => {
-                return Err(format!("call {at}: {failure}, and it was sent"));
-            }
+            Ok(_) => return Err("an answer out of a part of one".to_string()),
+            Err(failure) if due && outcome.written => return Err(format!("{failure} for its answer")),
+            Err(failure) if !failure.may_have_run() => return Err(format!("{failure}, and it was sent")),
             Err(_) => {}
         }
-        let second = input.len();
-        if keep.is_some() {
-            let lost = result.is_err() || strayed || second > 0 || script.closes || script.to_end || !written;
-            if lost || by_end {
-                return Err(format!("call {at}: the connection is kept, and the tie is lost"));
-            }
+        let surplus = self.strayed || !self.input.is_empty();
+        let ends = script.closes || script.to_end || outcome.by.is_some();
+        let lost = outcome.result.is_err() || surplus || ends || !outcome.written;
+        match outcome.keep {
+            Some(_) if lost => Err("the connection is kept, and the tie is lost".to_string()),
+            _ => Ok(()),
         }
-        // Nothing more comes of the call.
-        let again = [exchange.read(&mut Vec::new(), true, false), exchange.late(true)];
-        if again.iter().any(|step| matches!(step, Step::Done { .. })) {
-            return Err(format!("call {at}: a second outcome"));
+    }
+
+    /// Bytes that nobody asked for, while nothing is under way.
+    fn stray(&mut self) -> Result<(), String> {
+        let mut stray = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec();
+        stray.truncate(1 + self.chance.below(stray.len()));
+        match self.exchange.read(&mut stray, true, false) {
+            Step::Close => Ok(()),
+            step => Err(format!("{step:?} of bytes that nobody asked for")),
         }
-        if keep.is_none() {
+    }
+}
+
+/// What is wrong with a connection, if anything is.
+fn play(seed: u64) -> Result<(), String> {
+    let mut connection = Connection::new(seed);
+    for at in 0..CALLS {
+        if !connection.call(at).map_err(|wrong| format!("call {at}: {wrong}"))? {
             return Ok(());
         }
-        if chance.once_in(5) {
-            let mut stray = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_vec();
-            stray.truncate(1 + chance.below(stray.len()));
-            return match exchange.read(&mut stray, true, false) {
-                Step::Close => Ok(()),
-                step => Err(format!("after call {at}: {step:?} of bytes that nobody asked for")),
-            };
+        if connection.chance.once_in(5) {
+            return connection.stray();
         }
-        earlier.push(id);
     }
     Ok(())
 }
