--- a/pilotage/src/voter.rs
+++ b/pilotage/src/voter.rs
@@ -1,7 +1,7 @@
 //! A voter's part: granting watches, hearing the primary, standing for the duty, and learning after a lost disk.
 
 use crate::primary::{Duty, Stand};
-use crate::{After, Effect, Millis, Pilotage, Planted, Pulse, Record, Signal, Voter, Watch};
+use crate::{After, Chart, Effect, Millis, Pilotage, Planted, Pulse, Rank, Record, Signal, Voter, Watch};
 use std::collections::BTreeMap;
 
 /// What a node that has lost its disk has been told.
@@ -167,9 +167,9 @@
         acked.into_iter().for_each(|sent_at| self.contact.confirmed(sent_at));
         self.contact.acked(sent_at, now);
         self.send(from, Signal::PulseAck { epoch, sent_at, votes, holds: !self.hollow });
-        if self.force.as_ref().map_or(0, |c| c.serial) < force {
+        if self.force.as_ref().map_or(Rank::default(), Chart::rank) < force {
             let same = self.chart.digest() == digest || self.planted(Planted::DigestUnheeded);
-            if self.chart.serial == force && same {
+            if self.chart.rank() == force && same {
                 self.enforce(self.chart.clone());
             } else {
                 self.send(from, Signal::AskChart);
@@ -178,7 +178,7 @@
     }
 
     /// The primary wants this written; also to one that is to become a copy.
-    pub(crate) fn store(&mut self, from: Voter, epoch: u64, serial: u64, chart: crate::Chart) {
+    pub(crate) fn store(&mut self, from: Voter, epoch: u64, serial: u64, chart: Chart) {
         if self.blank {
             return;
         }
