Capacity: fleets of real state machines and frames in one process, with what they cost

Nothing of our own measured how costs grow with the fleet. stileroute-capacity plays 30, 100 and 300 nodes on a simulated clock and prints bytes, messages, state and processor time by role and kind, with the power of the size. harbour's links.rs and signals.rs are compiled in by #[path]; nothing of harbour is changed.

--- /dev/null
+++ b/capacity/src/layout.rs
@@ -0,0 +1,131 @@
+//! Which nodes, zones and executors a fleet of a given size has.
+
+use crate::links::address;
+use crate::signals::{Class, Hello, PROTOCOL};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use stileroute_hold::Node;
+
+/// The region of each zone: three regions with eight zones, as the operators' target has them.
+pub const REGION_OF_ZONE: [usize; 8] = [0, 0, 0, 1, 1, 1, 2, 2];
+/// Machines that are set aside for control, at every size: one each in six of the zones.
+pub const CONTROL_NODES: usize = 6;
+/// Zones that have a control node: two of each region.
+const CONTROL_ZONES: [usize; CONTROL_NODES] = [0, 3, 6, 1, 4, 7];
+/// One node in so many is a store.
+const NODES_PER_STORE: usize = 5;
+/// One service for so many executors.
+const EXECUTORS_PER_SERVICE: usize = 30;
+/// A process listens at the first three of these ports, by its class.
+pub const INTERNAL_PORTS: (u16, u16) = (7000, 7002);
+const CONTROL_PORT: u16 = 7100;
+
+/// How far a frame goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, strum::Display, strum::EnumIter)]
+pub enum Distance {
+    #[strum(serialize = "in a zone")]
+    SameZone,
+    #[strum(serialize = "between zones")]
+    SameRegion,
+    #[strum(serialize = "between regions")]
+    OtherRegion,
+}
+
+pub fn distance(from_zone: usize, to_zone: usize) -> Distance {
+    match (from_zone == to_zone, REGION_OF_ZONE[from_zone] == REGION_OF_ZONE[to_zone]) {
+        (true, _) => Distance::SameZone,
+        (false, true) => Distance::SameRegion,
+        (false, false) => Distance::OtherRegion,
+    }
+}
+
+pub fn zone_name(zone: usize) -> String {
+    format!("region{}-zone{}", REGION_OF_ZONE[zone] + 1, zone + 1)
+}
+
+/// The zone with this name. Nodes and executors are only ever given names from [`zone_name`].
+pub fn zone_number(name: &str) -> Option<usize> {
+    (0..REGION_OF_ZONE.len()).find(|zone| zone_name(*zone) == name)
+}
+
+/// A node's place in the fleet. It keeps it over restarts.
+#[derive(Clone, Debug)]
+pub struct Place {
+    pub class: Class,
+    pub zone: usize,
+    pub name: String,
+    pub ip: Ipv4Addr,
+}
+
+impl Place {
+    fn new(class: Class, number: usize, zone: usize) -> Place {
+        let name = format!("{class}-{}-{number}", zone_name(zone));
+        let block = match class {
+            Class::Core => 1,
+            Class::Store => 2,
+            Class::Edge | Class::Visitor => 3,
+        };
+        let ip = Ipv4Addr::new(10, block, (number >> 8) as u8, (number & 0xFF) as u8);
+        Place { class, zone, name, ip }
+    }
+
+    /// A node's number is a hash of its name, as in the real program.
+    pub fn node(&self) -> Node {
+        (stileroute::tariff::mark(&self.name) >> 32) as Node
+    }
+
+    pub fn control(&self) -> Option<SocketAddrV4> {
+        (self.class == Class::Core).then(|| SocketAddrV4::new(self.ip, CONTROL_PORT))
+    }
+
+    pub fn listens_at(&self) -> SocketAddrV4 {
+        address(INTERNAL_PORTS, self.ip, self.class)
+    }
+
+    pub fn hello(&self, life: u64) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            node: self.node(),
+            name: self.name.clone(),
+            class: self.class,
+            zone: zone_name(self.zone),
+            ip: self.ip,
+            life,
+            control: self.control(),
+        }
+    }
+}
+
+/// A whole fleet.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub places: Vec<Place>,
+    pub executors: usize,
+    pub services: usize,
+}
+
+impl Layout {
+    /// Control nodes come first, then stores, then edges.
+    pub fn new(nodes: usize, executors_per_node: usize) -> Layout {
+        let zones = REGION_OF_ZONE.len();
+        let stores = (nodes / NODES_PER_STORE).max(1);
+        let edges = nodes.saturating_sub(CONTROL_NODES + stores).max(1);
+        let control = CONTROL_ZONES.iter().enumerate().map(|(n, zone)| Place::new(Class::Core, n, *zone));
+        let store = (0..stores).map(|n| Place::new(Class::Store, n, n % zones));
+        let edge = (0..edges).map(|n| Place::new(Class::Edge, n, n % zones));
+        let executors = nodes * executors_per_node;
+        Layout {
+            places: control.chain(store).chain(edge).collect(),
+            executors,
+            services: executors.div_ceil(EXECUTORS_PER_SERVICE),
+        }
+    }
+
+    /// All control nodes that a process is told of at its start: three, as the operators' settings name them.
+    pub fn seeds(&self) -> Vec<SocketAddrV4> {
+        self.places.iter().filter_map(Place::control).take(3).collect()
+    }
+
+    pub fn first(&self, class: Class) -> Option<usize> {
+        self.places.iter().position(|place| place.class == class)
+    }
+}
