--- a/capacity/src/allocation.rs
+++ b/capacity/src/allocation.rs
@@ -1,31 +1,39 @@
 //! Counts the bytes on the heap, so that the state of a node can be told apart from that of the others.
 
 use std::alloc::{GlobalAlloc, Layout, System};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::cell::Cell;
 
-static LIVE: AtomicUsize = AtomicUsize::new(0);
+thread_local! {
+    /// Each thread counts for itself: a fleet is played by one, and tests play several at a time.
+    static LIVE: Cell<i64> = const { Cell::new(0) };
+}
 
 struct Counting;
 
 #[global_allocator]
 static ALLOCATOR: Counting = Counting;
 
+fn count(bytes: i64) {
+    // A thread that is ending counts no more.
+    let _ = LIVE.try_with(|live| live.set(live.get() + bytes));
+}
+
 // SAFETY: every call goes to the system's allocator unchanged; only sizes are counted beside it.
 unsafe impl GlobalAlloc for Counting {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        LIVE.fetch_add(layout.size(), Ordering::Relaxed);
+        count(layout.size() as i64);
         System.alloc(layout)
     }
 
     unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        LIVE.fetch_sub(layout.size(), Ordering::Relaxed);
+        count(-(layout.size() as i64));
         System.dealloc(pointer, layout)
     }
 }
 
-/// Bytes that all of the process has asked for and not given back. What the allocator needs beside them is not in it.
+/// Bytes that this thread has asked for and not given back. What the allocator needs beside them is not in it.
 pub fn live_bytes() -> i64 {
-    LIVE.load(Ordering::Relaxed) as i64
+    LIVE.with(Cell::get)
 }
 
 /// Bytes on the heap that `build` has left behind in what it gives back.
--- a/capacity/src/lib.rs
+++ b/capacity/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fit;
 pub mod heartbeat;
 pub mod layout;
+#[rustfmt::skip] // Formatted where it belongs; its tests are not looked for from here.
 #[path = "../../harbour/src/links.rs"]
 pub mod links;
 pub mod member_node;
--- a/pilotage/src/lib.rs
+++ b/pilotage/src/lib.rs
@@ -1,8 +1,8 @@
 //! Who decides on the control state, and which copies hold it. A state machine: events and a steady clock go in,
 //! [`Effect`]s come out.
 //!
-//! The state is one value, the operators' configuration, of which the highest version is the whole. A primary writes it to
-//! every copy before it answers. A small group of voters keeps only the *watch*: the epoch, who is primary, which nodes are
+//! The state is one value: the operators' configuration and the stores that are retired, with a serial that rises with each
+//! write. A primary writes it whole to every copy before it answers. A small group of voters keeps only the *watch*: the epoch, who is primary, which nodes are
 //! copies, and who votes. A majority of voters, each with it on disk first, grants a new watch; no log is replicated.
 //!
 //! What keeps it safe:
@@ -13,6 +13,7 @@
 //! - a node that has lost its disk has forgotten what it granted: it votes again only after a majority of the others has
 //!   told it where they stand, and as a copy it is hollow, and does not stand, before it was filled.
 
+mod contact;
 mod planted;
 mod primary;
 mod types;
@@ -22,11 +23,15 @@
 pub use planted::{Planted, Sounder};
 pub use types::*;
 
+use contact::Contact;
 #[cfg(not(feature = "planted"))]
 use planted::Planted;
 use primary::Duty;
 use std::collections::{BTreeMap, BTreeSet};
-use voter::Learning;
+use voter::{Learning, Leaving};
+
+/// Control nodes that are heard at one time and are no voters: far more than ever join together.
+const LEARNERS: usize = 64;
 
 /// What is done when the disk has a record.
 #[derive(Clone, Debug, Hash)]
@@ -61,6 +66,8 @@
     chart: Chart,
     /// The highest that is known to be in force.
     force: Option<Chart>,
+    /// Of that: it goes with each pulse, and a configuration may be long.
+    force_digest: u64,
     /// It has lost its disk, or never had one: no vote until it has learned.
     blank: bool,
     /// No chart on disk: it may be named as a copy, but is none until it was filled.
@@ -72,6 +79,7 @@
     heard: Millis,
     /// What was heard last was a pulse: `heard` also stands for grants and starts.
     pulsed: bool,
+    contact: Contact,
     /// Who has this node's vote until it has been silent.
     lent: Option<Voter>,
     /// The epoch for which the disk has been told of it.
@@ -85,6 +93,10 @@
     serial: u64,
     luck: u64,
     released: bool,
+    /// Its process ends, and it waits to be taken out of the voters.
+    leaving: Option<Leaving>,
+    /// The primary that ended and named this node: it leaves, unless it is back.
+    left: Option<Voter>,
     effects: Vec<Effect>,
 }
 
@@ -103,11 +115,13 @@
             watch: kept.watch,
             chart: kept.chart.unwrap_or_default(),
             force: None,
+            force_digest: 0,
             learning: Learning::default(),
             duty: Duty::Follow,
             started: now,
             heard: now,
             pulsed: false,
+            contact: Contact::default(),
             lent,
             lent_told: lent.map_or(0, |_| epoch),
             stand_at: 0,
@@ -118,6 +132,8 @@
             serial: terms.seed | 1,
             luck: terms.seed,
             released: false,
+            leaving: None,
+            left: None,
             effects: Vec::new(),
             terms,
         };
@@ -194,9 +210,14 @@
     pub fn in_force(&self) -> Option<&Chart> {
         self.force.as_ref()
     }
-    /// It leads, or has heard the primary not long ago: what it tells others is not of yesterday.
+    /// What this node's disk holds. At the primary, what it decides by.
+    pub fn held(&self) -> &Chart {
+        &self.chart
+    }
+    /// It leads, or a primary that held the lease has heard it, and it that primary, not long ago: what it tells others is
+    /// not of yesterday.
     pub fn in_touch(&self, now: Millis) -> bool {
-        !self.blank && (self.leads(now) || (self.pulsed && now < self.heard + 2 * self.terms.silence_ms))
+        !self.blank && (self.leads(now) || self.contact.within(now, 2 * self.terms.silence_ms))
     }
     /// Who decides, as far as is known here.
     pub fn primary(&self) -> Option<Voter> {
@@ -209,6 +230,11 @@
     /// A connection to another control node is open, or broke.
     pub fn link(&mut self, now: Millis, voter: Voter, up: bool) {
         self.links.insert(voter, up);
+        if up {
+            self.is_back(voter);
+        } else {
+            self.learners.remove(&voter);
+        }
         if up && self.blank {
             self.learning.ask_at = now;
         }
@@ -220,18 +246,20 @@
 
     /// A control node that is no voter has a session: it hears the pulses, and may become one.
     pub fn learn(&mut self, voter: Voter) {
-        if voter != self.terms.me && self.learners.len() < 64 {
+        if voter != self.terms.me && self.links.get(&voter) != Some(&false) && self.learners.len() < LEARNERS
+        {
             self.learners.insert(voter);
         }
     }
 
     /// A chart is in force: never one below what was in force here before.
     fn enforce(&mut self, chart: Chart) {
-        let newer = self.force.as_ref().is_none_or(|old| chart.version > old.version);
+        let newer = self.force.as_ref().is_none_or(|old| chart.rank() > old.rank());
         if (newer || self.planted(Planted::ForceBlind) && self.force.as_ref() != Some(&chart))
-            && chart.version > 0
+            && chart.serial > 0
         {
-            self.effects.push(Effect::InForce { version: chart.version });
+            self.effects.push(Effect::InForce { serial: chart.serial });
+            self.force_digest = chart.digest();
             self.force = Some(chart);
         }
     }
@@ -272,13 +300,12 @@
             Signal::Denied { watch } => self.denied(now, from, watch),
             Signal::Store { epoch, serial, chart } => self.store(from, epoch, serial, chart),
             Signal::Stored { epoch, serial } => self.stored(now, from, epoch, serial),
-            Signal::Pulse { epoch, sent_at, version, digest } => {
-                self.pulsed(now, from, epoch, sent_at, version, digest)
-            }
+            Signal::Pulse(pulse) => self.pulsed(now, from, pulse),
             Signal::PulseAck { epoch, sent_at, votes, holds } => {
                 self.acked(now, from, epoch, sent_at, (votes, holds))
             }
-            Signal::Handover { epoch } => self.handed(now, from, epoch),
+            Signal::Handover { epoch, ends } => self.handed(now, from, epoch, ends),
+            Signal::Leave { epoch } => self.leaves(now, from, epoch),
             Signal::WhatWatch => self.tell_watch(from),
             Signal::ThisWatch { watch } => self.told_watch(now, from, watch),
             Signal::AskChart => {
@@ -296,6 +323,7 @@
             self.ask_around(now);
             return;
         }
+        self.take_leave(now);
         match self.duty {
             Duty::Lead(_) => self.lead(now),
             Duty::Stand(_) | Duty::Follow => self.stand(now),
@@ -308,6 +336,7 @@
         }
         match &self.duty {
             Duty::Lead(lead) => lead.next(now, &self.terms),
+            _ if self.leaving.is_some() => self.leaving.as_ref().map_or(now + 1, |l| l.next(now)),
             // It stands no more: nothing is due but what comes in.
             _ if self.released => now + self.terms.silence_ms,
             Duty::Stand(_) | Duty::Follow => self.stand_at.max(now + 1),
