--- a/capacity/src/lib.rs
+++ b/capacity/src/lib.rs
@@ -5,8 +5,12 @@
 //! (`harbour/src/signals.rs`). `harbour` is a program without a library, so these two files are compiled here a
 //! second time by `#[path]`, against the simulated network of [`net`]; nothing of `harbour` is moved or changed.
 //!
+//! As a unit test this crate is empty: its tests lie in `tests/`, and those of `harbour`'s files belong to `harbour`.
+//!
 //! What one message costs in a store is measured apart from that, in [`message`], on real `hold` state machines.
 
+#![cfg(not(test))]
+
 pub mod allocation;
 pub mod control_node;
 pub mod fit;
