--- /dev/null
+++ b/capacity/tests/slopes.rs
@@ -0,0 +1,82 @@
+//! How costs grow with the fleet must not get worse. Sizes are small, so that the test is quick; what the capacity page uses
+//! is measured at up to a thousand nodes by `make measure-capacity`.
+
+use stileroute_capacity::fit::{power, Spread};
+use stileroute_capacity::message::{comparison_cost, message_cost, BODY};
+use stileroute_capacity::report::{Fleets, Row};
+use stileroute_capacity::run::{run, Terms};
+
+const SIZES: [usize; 3] = [20, 40, 80];
+
+fn fleets() -> Fleets {
+    let terms = |nodes| Terms { nodes, executors_per_node: 10, calm: 3000, changes: true, seed: 1 };
+    let runs = SIZES.iter().map(|nodes| vec![run(terms(*nodes))]).collect();
+    Fleets { sizes: SIZES.to_vec(), runs }
+}
+
+/// The power of the first row of this name, which may stand in two tables.
+fn power_of(rows: &[Row], name: &str) -> f64 {
+    let row = rows.iter().find(|row| row.name == name);
+    row.and_then(|row| row.power).unwrap_or_else(|| panic!("no power for {name}"))
+}
+
+#[test]
+fn costs_grow_with_the_fleet_no_faster_than_they_did() {
+    let fleets = fleets();
+    assert!(fleets.complete(), "a store does not know all executors, or a node lacks the configuration");
+    let rows = fleets.rows();
+    // In proportion to the fleet.
+    let linear = ["control: bytes a second in and out", "control: messages a second in and out"];
+    let states = ["control: state, kB", "store: state, kB", "edge: state, kB"];
+    let flows = ["executors", "heartbeats", "session", "control"];
+    for name in linear.iter().chain(&states).chain(&flows) {
+        let power = power_of(&rows, name);
+        assert!(power <= 1.25, "{name} grows with the power {power:.2}");
+    }
+    // Words on connections: edges times stores, until one of the two hears from fewer of the other.
+    let link = power_of(&rows, "link");
+    assert!(link <= 2.15, "link grows with the power {link:.2}");
+    // One change, told to all that need it.
+    for row in rows.iter().filter(|row| row.table.starts_with("one change")) {
+        let power = row.power.unwrap_or_default();
+        assert!(power <= 1.6, "{} grows with the power {power:.2}", row.name);
+    }
+}
+
+#[test]
+fn a_store_that_does_not_know_all_executors_is_seen() {
+    // A control node keeps 20,000 executors; those beyond are left out without a word.
+    let terms =
+        |executors| Terms { nodes: 10, executors_per_node: executors, calm: 1, changes: false, seed: 1 };
+    assert!(run(terms(1900)).complete);
+    assert!(!run(terms(2100)).complete);
+}
+
+#[test]
+fn a_message_costs_what_it_has_and_little_more() {
+    let cost = message_cost(500).expect("a configuration of the measurement's own");
+    // Two stores keep the body; what is around it is an entry and its places in the indexes.
+    assert!(cost.waiting_heap >= 2.0 * BODY as f64, "{} bytes", cost.waiting_heap);
+    assert!(cost.waiting_heap <= 2.0 * BODY as f64 + 3000.0, "{} bytes", cost.waiting_heap);
+    // Two records of the message and two of its end.
+    assert_eq!(cost.disk.0, 4.0);
+    assert!(cost.disk.1 >= 2.0 * BODY as f64 && cost.disk.1 <= 2.0 * BODY as f64 + 400.0, "{}", cost.disk.1);
+}
+
+#[test]
+fn a_comparison_tells_sums_and_no_messages() {
+    let (_, bytes) = comparison_cost(2000).expect("a configuration of the measurement's own");
+    assert!(bytes > 0.0 && bytes < 1.0, "{bytes} bytes a message that waits");
+}
+
+#[test]
+fn the_power_is_that_of_the_figures() {
+    let of = |figure: fn(f64) -> f64| power(&[10.0, 30.0, 90.0].map(|size| (size, figure(size))));
+    let near = |power: Option<f64>, wanted: f64| power.is_some_and(|power| (power - wanted).abs() < 1e-9);
+    assert!(near(of(|_| 7.0), 0.0));
+    assert!(near(of(|size| 3.0 * size), 1.0));
+    assert!(near(of(|size| size * size / 5.0), 2.0));
+    assert_eq!(of(|_| 0.0), None);
+    assert_eq!(power(&[(10.0, 1.0)]), None);
+    assert_eq!(Spread::of(vec![3.0, 1.0, 2.0]), Spread { least: 1.0, middle: 2.0, most: 3.0 });
+}
