--- a/hawser/src/lib.rs
+++ b/hawser/src/lib.rs
@@ -167,7 +167,7 @@
 pub struct Whole {
     pub status: u16,
     pub body: Vec<u8>,
-    /// The connection can't be used again: the other side closes it, or sent more than the answer.
+    /// The other side closes the connection after it.
     pub close: bool,
 }
 
@@ -187,49 +187,25 @@
         if self.held.len() > MOST {
             return Err("answer too large".to_string());
         }
-        let mut from = 0;
-        loop {
-            let mut headers = [httparse::EMPTY_HEADER; HEADERS];
-            let mut head = httparse::Response::new(&mut headers);
-            from += match head.parse(&self.held[from..]) {
-                Ok(httparse::Status::Complete(end)) => end,
-                Ok(httparse::Status::Partial) => return Ok(None),
-                Err(error) => return Err(error.to_string()),
-            };
-            // The answer itself comes behind an interim one.
-            if !is_interim(head.code) {
-                return whole(&head, &self.held[from..]);
+        let mut headers = [httparse::EMPTY_HEADER; HEADERS];
+        let mut head = httparse::Response::new(&mut headers);
+        let end = match head.parse(&self.held) {
+            Ok(httparse::Status::Complete(end)) => end,
+            Ok(httparse::Status::Partial) => return Ok(None),
+            Err(error) => return Err(error.to_string()),
+        };
+        let status = head.code.unwrap_or(0);
+        let close = has_token(head.headers, "Connection", "close") || head.version == Some(0);
+        let rest = &self.held[end..];
+        let body = match framing(head.headers, head.version).flatten() {
+            Some(Framing::Length(length)) => rest.get(..length).map(<[u8]>::to_vec),
+            Some(Framing::Chunked) => {
+                let (mut chunks, mut body) = (Chunks::default(), Vec::new());
+                chunks.feed(rest, |part| body.extend_from_slice(part)).map_err(|_| "chunks are malformed")?;
+                chunks.done().then_some(body)
             }
-        }
+            _ => return Err("answer has no length".to_string()),
+        };
+        Ok(body.map(|body| Whole { status, body, close }))
     }
 }
-
-/// 101 is none: what follows it would not be HTTP.
-fn is_interim(status: Option<u16>) -> bool {
-    status.is_some_and(|status| (100..200).contains(&status) && status != 101)
-}
-
-/// The answer with this head, if the rest that has come holds it whole.
-fn whole(head: &httparse::Response, rest: &[u8]) -> Result<Option<Whole>, String> {
-    let status = head.code.unwrap_or(0);
-    let (body, used) = match framing(head.headers, head.version).flatten() {
-        _ if status == 204 || status == 304 => (Vec::new(), 0),
-        Some(Framing::Length(length)) => match rest.get(..length) {
-            Some(body) => (body.to_vec(), length),
-            None => return Ok(None),
-        },
-        Some(Framing::Chunked) => {
-            let (mut chunks, mut body) = (Chunks::default(), Vec::new());
-            let fed = chunks.feed(rest, |part| body.extend_from_slice(part));
-            let used = fed.map_err(|_| "chunks are malformed")?;
-            if !chunks.done() {
-                return Ok(None);
-            }
-            (body, used)
-        }
-        _ => return Err("answer has no length".to_string()),
-    };
-    let closes = has_token(head.headers, "Connection", "close") || head.version == Some(0);
-    // Bytes behind an answer belong to nothing that was asked: the next answer could not be told from them.
-    Ok(Some(Whole { status, body, close: closes || rest.len() > used }))
-}
