--- a/harbour/src/edge.rs
+++ b/harbour/src/edge.rs
@@ -141,7 +141,6 @@
                 for (_, signal) in &self.superseded {
                     self.common.links.say(&mut self.common.net, hello.node, signal);
                 }
-                self.offer_parked();
             }
             Word::Up(_) => {}
             Word::Down(node, Class::Store) => self.store_lost(node),
@@ -242,7 +241,7 @@
             body: request.body,
         };
         let ticket = self.ticket();
-        let put = Put::new(conn, cargo, now, until);
+        let put = Put { conn, cargo, tried: Vec::new(), sent: now, until, uncertain: false };
         self.send(ticket, put);
     }
 
@@ -277,79 +276,31 @@
         Some(all[self.next_store % alike].2)
     }
 
-    fn offer(&mut self, ticket: u64, mut put: Put, store: Node) {
+    fn send(&mut self, ticket: u64, mut put: Put) {
         let now = self.common.net.now();
-        put.tried.push(store);
-        put.sent = now;
-        self.figures.again += u64::from(put.offered_again());
-        let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
-        self.common.links.say(&mut self.common.net, store, &signal);
-        self.waits.insert(((now + SILENCE).min(put.until), ticket), ());
-        self.puts.insert(ticket, put);
-    }
-
-    fn send(&mut self, ticket: u64, put: Put) {
         match self.store(&put.tried, put.cargo.order_key.as_deref()) {
-            Some(store) => self.offer(ticket, put, store),
+            Some(store) => {
+                put.tried.push(store);
+                put.sent = now;
+                self.figures.again += u64::from(put.tried.len() > 1);
+                let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
+                self.common.links.say(&mut self.common.net, store, &signal);
+                self.waits.insert(((now + SILENCE).min(put.until), ticket), ());
+                self.puts.insert(ticket, put);
+            }
             // Nobody has it: that is a promise, and the client may come back. Else nothing is promised.
             None if !put.uncertain => {
                 self.figures.refused += 1;
                 self.answer(put.conn, Answer::come_back(503, 1));
             }
-            None => self.park(ticket, put),
-        }
-    }
-
-    /// No store took it, and one may have it: it waits for one that can be asked, as long as its client waits. An edge that
-    /// is to end holds nothing for so long.
-    fn park(&mut self, ticket: u64, mut put: Put) {
-        let now = self.common.net.now();
-        let leaving = self.common.leaving_since.is_some();
-        match put.park(now).filter(|_| !leaving) {
-            Some(again) => {
-                self.waits.insert((again, ticket), ());
-                self.puts.insert(ticket, put);
-            }
             None => {
                 self.figures.uncertain += 1;
-                self.answer(put.conn, Answer::bare(if now < put.until { 502 } else { 504 }));
+                self.answer(put.conn, Answer::bare(502));
                 self.supersede(&put, None);
             }
         }
     }
 
-    /// Offers a parked message anew, if a store can be asked. Under a new ticket: what is still said of the offers before
-    /// counts no more, so that their copies may be given up. The store drops what it may hold of them before it takes the
-    /// message again; both are said on one connection, in this order.
-    fn offer_anew(&mut self, ticket: u64) {
-        let Some(put) = self.puts.get(&ticket) else { return };
-        let row = put.cargo.order_key.clone();
-        let Some(store) = self.store(&[], row.as_deref()) else { return };
-        let Some(mut put) = self.puts.remove(&ticket) else { return };
-        put.begin_anew();
-        let signal = Signal::Superseded { id: put.cargo.id.clone(), print: put.cargo.print(), kept: None };
-        self.common.links.say(&mut self.common.net, store, &signal);
-        let ticket = self.ticket();
-        self.offer(ticket, put, store);
-    }
-
-    fn look_after_parked(&mut self, ticket: u64) {
-        let now = self.common.net.now();
-        if self.puts.get(&ticket).is_some_and(|put| now < put.until) {
-            self.offer_anew(ticket);
-        }
-        // Still under its old ticket: there was no store to ask.
-        let put = self.puts.remove(&ticket);
-        put.into_iter().for_each(|put| self.park(ticket, put));
-    }
-
-    /// A store is there: whatever is parked is offered to it.
-    fn offer_parked(&mut self) {
-        let parked: Vec<u64> =
-            self.puts.iter().filter(|(_, put)| put.parked).map(|(ticket, _)| *ticket).collect();
-        parked.into_iter().for_each(|ticket| self.offer_anew(ticket));
-    }
-
     /// Tells all stores which of several is kept.
     fn supersede(&mut self, put: &Put, kept: Option<Key>) {
         let now = self.common.net.now();
@@ -368,7 +319,7 @@
             Ok(name) => {
                 let Some(put) = self.puts.remove(&ticket) else { return };
                 self.figures.taken += 1;
-                if put.offered_again() {
+                if put.tried.len() > 1 {
                     self.supersede(&put, Key::parse(&name).map(|(key, _)| key));
                 }
                 let headers = vec![("X-Queue-Message-Id", name)];
@@ -386,8 +337,12 @@
 
     fn store_lost(&mut self, node: Node) {
         self.leaving.remove(&node);
-        let lost: Vec<u64> =
-            self.puts.iter().filter(|(_, put)| put.waits_for(node)).map(|(ticket, _)| *ticket).collect();
+        let lost: Vec<u64> = self
+            .puts
+            .iter()
+            .filter(|(_, p)| p.tried.last() == Some(&node))
+            .map(|(ticket, _)| *ticket)
+            .collect();
         for ticket in lost {
             if let Some(mut put) = self.puts.remove(&ticket) {
                 put.uncertain = true;
@@ -415,10 +370,6 @@
                 continue;
             }
             let Some(put) = self.puts.get(&ticket) else { continue };
-            if put.parked {
-                self.look_after_parked(ticket);
-                continue;
-            }
             let heard = |node: &Node| self.common.links.heard(*node).is_some_and(|heard| heard > put.sent);
             let speaks = put.tried.last().is_some_and(heard);
             if now < put.until && now < put.sent + if speaks { PATIENCE } else { SILENCE } {
@@ -525,6 +476,3 @@
     };
     Answer::json(200, object.dump())
 }
-
-#[cfg(test)]
-mod tests;
--- a/harbour/src/edge/asking.rs
+++ b/harbour/src/edge/asking.rs
@@ -16,15 +16,8 @@
     pub until: Millis,
     /// A store that was asked may have it.
     pub uncertain: bool,
-    /// All stores have been asked in vain: it is offered anew when one can be asked again.
-    pub parked: bool,
-    /// How long it is parked before those that are there are asked again; zero until it was parked.
-    pub pause: Millis,
 }
 
-/// How long a message is parked first, and at most.
-const PAUSE: (Millis, Millis) = (100, 800);
-
 /// What a refusal leads to.
 #[derive(Debug, PartialEq)]
 pub enum Refused {
@@ -35,36 +28,9 @@
 }
 
 impl Put {
-    pub fn new(conn: ConnId, cargo: Cargo, now: Millis, until: Millis) -> Put {
-        Put { conn, cargo, tried: Vec::new(), sent: now, until, uncertain: false, parked: false, pause: 0 }
-    }
-
-    /// It has been offered to more than one store, or to one more than once.
-    pub fn offered_again(&self) -> bool {
-        self.tried.len() > 1 || self.pause > 0
-    }
-
-    /// No store is left to ask. Tells when those that are there are asked again; `None`: its client's time is over.
-    pub fn park(&mut self, now: Millis) -> Option<Millis> {
-        self.parked = now < self.until;
-        self.pause = (self.pause * 2).clamp(PAUSE.0, PAUSE.1);
-        self.parked.then(|| (now + self.pause).min(self.until))
-    }
-
-    /// All stores may be asked once more.
-    pub fn begin_anew(&mut self) {
-        self.parked = false;
-        self.tried.clear();
-    }
-
-    /// Waits for the word of this store.
-    pub fn waits_for(&self, store: Node) -> bool {
-        !self.parked && self.tried.last() == Some(&store)
-    }
-
     pub fn refused(&mut self, from: Node, refusal: Refusal) -> Refused {
         self.uncertain |= refusal == Refusal::Uncertain;
-        match self.waits_for(from) {
+        match self.tried.last() == Some(&from) {
             true => Refused::Next,
             false => Refused::Wait,
         }
