Queue: ends are brought back to as many disks after a store is lost

Cause: seen by real processes, a store lost for good and replaced, copies made anew, then another store's disk lost: questions for what these two had ended were answered 404 within status_s. Repair made copies of what is live anew, and not of ends.

Change: when a store is written off, or is back with another disk, those that knew ends together with it pass them on, synced and confirmed, at the rate of repair (hold/src/ends.rs, the same way as before a store is emptied). Each connection of stores begins with the number of the disk (one small frame): a store whose digests agreed was not known to have another one.

Test: ends_are_passed_on_when_another_disk_that_held_them_is_lost; failed for a store that is back with another disk before that frame was there, and fails with the fault EndsGoAlong (soundings/tests/queue_planted.rs). Not covered: the store that is left was restarted between, and does not know which disk the other had.

--- a/harbour/src/signals.rs
+++ b/harbour/src/signals.rs
@@ -123,7 +123,7 @@
             Signal::Note(note) => match note {
                 Note::Copy(_) | Note::Copied(_) | Note::NotCopied(_) => "copies",
                 Note::Ends(_) | Note::Called(_) | Note::KnownEnds(_) | Note::EndsKept(_) => "ends",
-                Note::Digests { .. } | Note::Standing { .. } | Note::Stood => "comparing",
+                Note::Digests { .. } | Note::Disk(_) | Note::Standing { .. } | Note::Stood => "comparing",
                 Note::Own(_) | Note::Drop(_) | Note::Lost(_) | Note::Want(_) => "owners",
                 Note::Handover(_) | Note::HandoverTaken(_) | Note::HandoverRefused(_) => "handover",
                 Note::RowAsk { .. } | Note::RowLive { .. } | Note::RowDone(_) => "rows",
--- a/hold/src/cargo.rs
+++ b/hold/src/cargo.rs
@@ -183,6 +183,8 @@
     /// The sender owned these and has lost them with its disk.
     Lost(Vec<Key>),
     Want(Vec<Key>),
+    /// The number of the sender's disk, with each connection: another one is another disk.
+    Disk(u64),
     /// What both hold of the live messages, as sums over ranges; those younger than `over` ms are left out.
     Digests {
         disk: u64,
--- a/hold/src/copies.rs
+++ b/hold/src/copies.rs
@@ -109,6 +109,7 @@
         peer.retiring = false;
         peer.out = Outbox::default();
         self.rows.changed = now;
+        self.push(Effect::Send { to: node, note: Note::Disk(self.terms.disk) });
         // One of the two begins: the other answers with what differs.
         if self.terms.me < node {
             self.compare(now, node, 0);
@@ -375,6 +376,7 @@
                 self.push(Effect::Send { to: from, note: Note::Stood });
             }
             Note::Stood => self.stood(now, from),
+            Note::Disk(disk) => self.seen_disk(from, disk),
             Note::Handover(keys) => {
                 for handed in keys {
                     self.take_over(now, handed.key, Some((from, handed)));
@@ -617,6 +619,7 @@
         let peer = self.peers.entry(from).or_default();
         if peer.disk.replace(disk).is_some_and(|old| old != disk) {
             tracing::info!(node = from, "a store is back with another disk");
+            self.passing.lost(from);
         }
     }
 
@@ -717,6 +720,7 @@
         self.release(now);
         self.look_at_holders(now);
         self.look_after_retiring(now);
+        self.pass_ends_on(now);
     }
 
     /// How many that hold a copy, and are here, come before this store. One that is no longer named comes
--- a/hold/src/ends.rs
+++ b/hold/src/ends.rs
@@ -1,11 +1,12 @@
-//! Ends that a store knows outlive it: before one that retires is gone, as many other stores as must hold a message have the
-//! ends that it knows on disk. Else a question within `status_s` is answered as if there had been no such message.
+//! Ends are known on as many disks as messages lie on. Before a store that retires is gone, so many others have the ends that it
+//! knows; and when one is lost for good, or back with another disk, those that knew ends together with it pass them on. Else a
+//! question within `status_s` is answered as if there had been no such message.
 
 use crate::cargo::{Cargo, End, Key, KnownEnd, Millis, Node, Note, Record, Shared};
 use crate::hold::{Effect, Entry, Hold, Stage, Waits};
 use crate::planted::Planted;
 use crate::repair::RATE;
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
 /// An end that was passed on is confirmed by then, or sent again.
 const CONFIRM: Millis = 3000;
@@ -19,6 +20,8 @@
 pub(crate) struct Passing {
     kept: HashMap<Node, HashSet<Key>>,
     sent: HashMap<(Node, Key), Millis>,
+    /// Stores whose disk is lost: ends that they knew, too, are passed on.
+    lost: BTreeSet<Node>,
     /// Nothing has ended, and nobody has gone, since all were passed on.
     done: bool,
 }
@@ -33,6 +36,16 @@
         self.done
     }
 
+    /// What that store knew is known on one disk less.
+    pub fn lost(&mut self, node: Node) {
+        self.gone(node);
+        self.lost.insert(node);
+    }
+
+    fn concerns(&self, entry: &Entry) -> bool {
+        self.lost.contains(&entry.owner) || entry.copies.iter().any(|node| self.lost.contains(node))
+    }
+
     /// What that store had may be gone with its disk.
     pub fn gone(&mut self, node: Node) {
         self.done = false;
@@ -56,17 +69,23 @@
 impl Hold {
     /// Passes on, at a bounded rate, the ends that too few others have confirmed.
     pub(crate) fn pass_ends_on(&mut self, now: Millis) {
-        if self.passing.done || self.planted(Planted::EndsGoAlong) {
+        let nothing = self.passing.done || !self.retiring && self.passing.lost.is_empty();
+        if nothing || self.planted(Planted::EndsGoAlong) {
             return;
         }
         let able = |p: &crate::copies::Peer| p.listed && p.connected && !p.leaving;
         let others: Vec<Node> = self.peers.iter().filter(|(_, p)| able(p)).map(|(node, _)| *node).collect();
-        let wanted = others.len().min(self.terms.losses + 1);
+        let leaves = usize::from(self.retiring);
+        let wanted = others.len().min(self.terms.losses + leaves);
+        if wanted == 0 {
+            return;
+        }
         let (mut lacking, mut bytes) = (false, 0);
         let mut parcels: BTreeMap<Node, Vec<KnownEnd>> = BTreeMap::new();
-        for (key, entry) in self.entries.iter().filter(|(_, e)| e.end.is_some()) {
+        let passed = |e: &Entry| e.end.is_some() && (self.retiring || self.passing.concerns(e));
+        for (key, entry) in self.entries.iter().filter(|(_, e)| passed(e)) {
             let have = others.iter().filter(|node| self.passing.has(**node, *key)).count();
-            if have >= wanted && wanted > 0 {
+            if have >= wanted {
                 continue;
             }
             lacking = true;
@@ -78,6 +97,9 @@
             }
         }
         self.passing.done = !lacking;
+        if !lacking && !self.retiring {
+            self.passing = Passing { done: true, ..Passing::default() };
+        }
         for (to, ends) in parcels {
             self.passing.sent.extend(ends.iter().map(|known| ((to, known.key), now)));
             self.push(Effect::Send { to, note: Note::KnownEnds(ends) });
@@ -109,21 +131,21 @@
             match self.entries.get(&key).map(|e| e.end.is_some()) {
                 Some(true) => {}
                 Some(false) => self.close_copy(now, key, end.clone(), owed),
-                None => self.enter_end(now, from, key, end.clone(), dead.clone()),
+                None => self.enter_end(now, key, end.clone(), dead.clone()),
             }
             let Some(owed) = self.entries.get(&key).map(|e| e.owed) else { continue };
             // The end first: what is read of a torn batch is never a live message.
             let at = self.wall_of(now);
             self.record(&Record::End { key, end, owed, at }, true);
             if let Some(cargo) = dead {
-                self.record(&Record::Put { shared: ended(from, key, cargo) }, true);
+                self.record(&Record::Put { shared: ended(self.terms.me, key, cargo) }, true);
             }
             self.wait_for_disk(Waits::EndOf(from, key));
         }
     }
 
-    fn enter_end(&mut self, now: Millis, from: Node, key: Key, end: End, dead: Option<Cargo>) {
-        let mut entry = Entry::of(&ended(from, key, dead.unwrap_or_default()), now);
+    fn enter_end(&mut self, now: Millis, key: Key, end: End, dead: Option<Cargo>) {
+        let mut entry = Entry::of(&ended(self.terms.me, key, dead.unwrap_or_default()), now);
         (entry.stage, entry.end) = (Stage::Ended, Some(end));
         self.entries.insert(key, entry);
         self.forget_later(now, key);
--- a/hold/src/repair.rs
+++ b/hold/src/repair.rs
@@ -230,6 +230,7 @@
             }
         }
         for node in gone {
+            self.passing.lost(node);
             let held = self.owned_here().filter(|(_, e)| e.copies.contains(&node));
             let held: Vec<Key> = held.map(|(key, _)| key).collect();
             held.into_iter().for_each(|key| self.not_on(now, key, node));
--- a/hold/src/retire.rs
+++ b/hold/src/retire.rs
@@ -75,7 +75,6 @@
     pub(crate) fn look_after_retiring(&mut self, now: Millis) {
         if self.retiring {
             self.hand_all_over();
-            self.pass_ends_on(now);
         }
         if self.fence.is_some() {
             // Those that hold copies may have taken over, and are asked first.
--- a/hold/tests/retire.rs
+++ b/hold/tests/retire.rs
@@ -24,6 +24,11 @@
     emptied::ends_are_asked_for_later(&as_it_is());
 }
 
+#[test]
+fn ends_are_passed_on_when_another_disk_that_held_them_is_lost() {
+    emptied::ends_outlive_two_disks(&as_it_is());
+}
+
 /// The others have heard of the order, and it was not on its disk when the power went: it is as any other store.
 #[test]
 fn an_order_that_was_lost_with_the_power_is_none() {
--- a/hold/tests/world/emptied.rs
+++ b/hold/tests/world/emptied.rs
@@ -83,3 +83,22 @@
         world.check(true);
     }
 }
+
+/// One store is lost for good, or back with another disk; when copies are made anew, one of those that held the same messages
+/// is lost, too. What had ended is told all the same.
+pub fn ends_outlive_two_disks(prepare: &Prepare) {
+    for first in [Act::Gone(1), Act::Strike(1, Fault::Wipe)] {
+        let mut world = world(8, prepare);
+        for n in 0..12 {
+            let does = if n % 3 == 0 { Does::Refuses } else { Does::Well };
+            world.send(2500 + 20 * n, EMPTIED, "plain", &[does], 0);
+        }
+        world.act(4000, first.clone());
+        world.act(13_000, Act::Gone(EMPTIED));
+        world.run(20_000);
+        for n in 0..12 {
+            let state = world.ask(n).map(|(state, bytes)| (matches!(state, State::Failed), bytes.is_some()));
+            assert_eq!(state, Some((n % 3 == 0, n % 3 == 0)), "{n} after {first:?}");
+        }
+    }
+}
--- a/soundings/src/queue/fleet.rs
+++ b/soundings/src/queue/fleet.rs
@@ -346,7 +346,7 @@
     fn send(&mut self, at: usize, to: Node, note: Note) {
         let Some(to) = self.stores.iter().position(|store| store.node == to) else { return };
         let Some(link) = self.links.get(&(at.min(to), at.max(to))).copied() else { return };
-        let quiet = matches!(note, Note::Digests { .. } | Note::Stood | Note::Relieved);
+        let quiet = matches!(note, Note::Digests { .. } | Note::Disk(_) | Note::Stood | Note::Relieved);
         self.told(|| format!("{at} to {to}: {note:?}"));
         self.wires.entry((at, to)).or_default().push_back(note);
         self.at(NOTE, Event::Note { from: at, to, link });
--- a/soundings/tests/queue_planted.rs
+++ b/soundings/tests/queue_planted.rs
@@ -11,7 +11,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(Planted, Day); 13] = [
+const DAYS: [(Planted, Day); 14] = [
     (Planted::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (Planted::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (Planted::FenceUnheeded, a_store_is_cut_off),
@@ -25,6 +25,7 @@
     (Planted::RelievedForever, emptied::a_message_is_handed_over_late),
     (Planted::OrphansUnheeded, emptied::an_owner_is_gone),
     (Planted::EndsGoAlong, emptied::ends_are_asked_for_later),
+    (Planted::EndsGoAlong, emptied::ends_outlive_two_disks),
 ];
 
 fn planted(fault: Option<Planted>) -> Prepare {
