Command line: check config refuses what control nodes refuse with 413

Cause: a configuration between 4 and 8 MiB was said to be fit for sending, and was then refused.

Change: the bound of the order, LARGEST_CONFIGURATION, is the check's as well. Test: harbour/tests/check_config.rs, failed before.

--- a/harbour/src/settings.rs
+++ b/harbour/src/settings.rs
@@ -3,6 +3,7 @@
 //! Refused is only what the program cannot work with: a process that does not start is worse than one with an odd
 //! figure. What it works with, but not as one may expect, is warned of.
 
+use crate::calls::LARGEST_CONFIGURATION;
 use crate::signals::Class;
 use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
@@ -156,6 +157,11 @@
 pub fn check_config(path: &Path, json: bool) -> u8 {
     let file = path.display().to_string();
     let read = match std::fs::read(path) {
+        // Control nodes refuse it with 413 before they read it.
+        Ok(body) if body.len() > LARGEST_CONFIGURATION => {
+            let reason = format!("{} bytes; at most {LARGEST_CONFIGURATION} can be sent", body.len());
+            Err(vec![Fault { file: file.clone(), key: String::new(), reason }])
+        }
         Ok(body) => Config::read(&body).map_err(|faults| faults.0),
         Err(e) => {
             let reason = format!("cannot be read: {e}");
--- /dev/null
+++ b/harbour/tests/check_config.rs
@@ -0,0 +1,30 @@
+//! `harbour check config` and the bound of the control nodes.
+
+use std::fs;
+use std::process::Command;
+
+/// What control nodes refuse with 413 beyond.
+const LARGEST: usize = 4 << 20;
+
+/// A valid configuration of so many bytes; keys that are not known are passed over.
+fn configuration(bytes: usize) -> String {
+    let (head, tail) = (r#"{"revision":1,"routes":[],"backends":[],"note":""#, r#""}"#);
+    format!("{head}{}{tail}", "x".repeat(bytes - head.len() - tail.len()))
+}
+
+#[test]
+fn a_configuration_beyond_what_control_nodes_take_is_refused_by_the_check() {
+    let file = std::env::temp_dir().join(format!("configuration-{}.json", std::process::id()));
+    let check = |bytes: usize| {
+        fs::write(&file, configuration(bytes)).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
+        let output = command.args(["check", "config"]).arg(&file).output().unwrap();
+        (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
+    };
+    let (taken, text) = check(LARGEST);
+    assert_eq!(taken, Some(0), "{text}");
+    let (refused, text) = check(LARGEST + 1);
+    assert_eq!(refused, Some(2), "{text}");
+    assert!(text.contains("4194305 bytes; at most 4194304 can be sent"), "{text}");
+    fs::remove_file(&file).unwrap();
+}
