--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/example.json
 
-.PHONY: build test lint run harbour prove-rig prove-routes prove-processes prove-processes-long prove-soundings prove-system prove-system-long prove-control
+.PHONY: build test lint run fleet test-testbed test-routes test-processes test-processes-long test-model test-system test-system-long test-control
 
 build:
 	cargo build --release --locked
@@ -16,47 +16,47 @@
 	BALANCER_CONFIG=$(CONFIG) target/release/stileroute
 
 # A whole fleet of nine processes on loopback, until Ctrl-C.
-harbour:
-	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
-	target/release/harbour-drydock start
+fleet:
+	cargo build --release --locked -p stileroute-server -p stileroute-system-test
+	target/release/stileroute-system-test start
 
 # The proofs. Each ends with one line of figures.
-prove-rig:
+test-testbed:
 	cargo build --release --locked --workspace
-	rig/prove.sh
+	crates/testbed/test.sh
 
-prove-routes:
+test-routes:
 	cargo build --release --locked --workspace
-	routes/prove.sh
+	crates/route-limits/test.sh
 
-prove-processes:
+test-processes:
 	cargo build --release --locked --workspace
-	rig/prove-processes.sh
+	crates/testbed/test-processes.sh
 
-# All orders of events of the control group and of the queue, in bounds; `target/release/harbour-soundings search --help` goes deeper.
-prove-soundings:
-	cargo build --release --locked -p stileroute-soundings
-	target/release/harbour-soundings prove
-	target/release/harbour-soundings queue
+# All orders of events of the control group and of the queue, in bounds; `target/release/stileroute-model-check search --help` goes deeper.
+test-model:
+	cargo build --release --locked -p stileroute-model-check
+	target/release/stileroute-model-check prove
+	target/release/stileroute-model-check queue
 
-prove-system:
-	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
-	target/release/harbour-drydock prove
+test-system:
+	cargo build --release --locked -p stileroute-server -p stileroute-system-test
+	target/release/stileroute-system-test prove
 
 # The control nodes on their worst days: three fleets side by side, some 65 s.
-prove-control:
-	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
-	target/release/harbour-drydock prove-control
+test-control:
+	cargo build --release --locked -p stileroute-server -p stileroute-system-test
+	target/release/stileroute-system-test prove-control
 
 # Outside CI: 61 processes, some 80 s.
-prove-system-long:
-	cargo build --release --locked -p stileroute-harbour -p stileroute-drydock
-	target/release/harbour-drydock prove --long
+test-system-long:
+	cargo build --release --locked -p stileroute-server -p stileroute-system-test
+	target/release/stileroute-system-test prove --long
 
 # Outside CI: some ten minutes with three hundred processes.
-prove-processes-long:
+test-processes-long:
 	cargo build --release --locked --workspace
-	rig/prove-processes-long.sh
+	crates/testbed/test-processes-long.sh
 
 # What docs/CAPACITY.md uses: how costs grow with the fleet, simulated; some minute, one core. A thousand nodes take longer:
 # `target/release/stileroute-capacity --nodes 1000 --runs 1`.
--- a/capacity/src/control_node.rs
+++ b/crates/capacity/src/control_node.rs
@@ -1,13 +1,13 @@
-//! A control node: the real roster and the real control group, joined as `harbour/src/core.rs` joins them.
+//! A control node: the real registry and the real control group, joined as `crates/server/src/core.rs` joins them.
 
 use crate::layout::Layout;
-use crate::links::{Links, Word};
+use crate::links::{LinkEvent, Links};
 use crate::net::{Millis, Net};
-use crate::signals::{Beat, Class, Hello, Member, Retiring, Signal};
+use crate::signals::{Class, Heartbeat, Hello, Member, Retiring, Signal};
 use std::net::SocketAddrV4;
-use stileroute_hold::Node;
-use stileroute_pilotage::{Effect, Kept, Pilotage, Terms};
-use stileroute_roster::{Effect as Notice, Roster};
+use stileroute_control_group::{ControlGroup, Effect, GroupSettings, Persisted};
+use stileroute_queue::Node;
+use stileroute_registry::{Effect as Notice, Registry};
 
 /// Losses that the fleet has to bear.
 const LOSSES: usize = 1;
@@ -17,14 +17,14 @@
 const DISK: Millis = 1;
 
 pub struct ControlNode {
-    pub roster: Roster,
-    group: Pilotage,
+    pub registry: Registry,
+    group: ControlGroup,
     seeds: Vec<SocketAddrV4>,
     /// Writes that the disk has, and when it has done with them.
     writing: Vec<(Millis, u64)>,
     heard_at: Millis,
     next_ticket: u64,
-    disk: Kept,
+    disk: Persisted,
 }
 
 fn member_of(hello: &Hello, config: u64) -> Member {
@@ -43,14 +43,14 @@
 
 impl ControlNode {
     /// `disk`: what an earlier life has kept; none at the first start.
-    pub fn new(hello: &Hello, layout: &Layout, disk: Option<Kept>, now: Millis) -> ControlNode {
+    pub fn new(hello: &Hello, layout: &Layout, disk: Option<Persisted>, now: Millis) -> ControlNode {
         let seeds = layout.seeds();
         let me = hello.control.unwrap_or(SocketAddrV4::new(hello.ip, 0));
-        let terms = Terms::new(me, seeds.clone(), disk.is_none(), LOSSES, hello.life);
+        let settings = GroupSettings::new(me, seeds.clone(), disk.is_none(), LOSSES, hello.life);
         let disk = disk.unwrap_or_default();
         ControlNode {
-            roster: Roster::new(member_of(hello, 0), hello.life, crate::heartbeat::INTERVAL, now),
-            group: Pilotage::new(terms, disk.clone(), now),
+            registry: Registry::new(member_of(hello, 0), hello.life, crate::heartbeat::INTERVAL, now),
+            group: ControlGroup::new(settings, disk.clone(), now),
             seeds,
             writing: Vec::new(),
             heard_at: 0,
@@ -59,12 +59,12 @@
         }
     }
 
-    pub fn disk(self) -> Kept {
+    pub fn disk(self) -> Persisted {
         self.disk
     }
 
     pub fn version_in_force(&self) -> u64 {
-        self.group.in_force().map_or(0, |chart| chart.version)
+        self.group.committed().map_or(0, |state| state.version)
     }
 
     /// An operator's configuration.
@@ -73,50 +73,50 @@
         self.group.replace(now, self.next_ticket, version, body);
     }
 
-    pub fn heartbeat(&mut self, now: Millis, beat: Beat) {
-        self.roster.beat(now, beat);
+    pub fn heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
+        self.registry.heartbeat(now, heartbeat);
     }
 
     pub fn next(&self, now: Millis) -> Millis {
         let disk = self.writing.iter().map(|(at, _)| *at).min().unwrap_or(Millis::MAX);
-        self.group.next(now).min(self.roster.next()).min(disk)
+        self.group.next(now).min(self.registry.next()).min(disk)
     }
 
-    pub fn word(&mut self, links: &Links, now: Millis, word: Word) {
-        match word {
-            Word::Up(hello) if hello.class == Class::Core => {
+    pub fn link_event(&mut self, links: &Links, now: Millis, link_event: LinkEvent) {
+        match link_event {
+            LinkEvent::Up(hello) if hello.class == Class::Core => {
                 if let Some(control) = hello.control {
                     self.group.link(now, control, true);
                     self.group.learn(control);
                 }
-                self.roster.core_up(now, member_of(&hello, 0));
+                self.registry.core_up(now, member_of(&hello, 0));
             }
-            Word::Up(_) => {}
-            Word::Down(node, Class::Core) => {
-                let control = self.roster.members.iter().find(|m| m.node == node).and_then(|m| m.control);
+            LinkEvent::Up(_) => {}
+            LinkEvent::Down(node, Class::Core) => {
+                let control = self.registry.members.iter().find(|m| m.node == node).and_then(|m| m.control);
                 if let Some(control) = control {
                     self.group.link(now, control, false);
                 }
-                self.roster.core_down(node);
+                self.registry.core_down(node);
             }
-            Word::Down(node, _) => self.roster.session_down(now, node),
-            Word::Said(from, class, signal) => self.said(links, now, from, class, signal),
+            LinkEvent::Down(node, _) => self.registry.session_down(now, node),
+            LinkEvent::Said(from, class, signal) => self.said(links, now, from, class, signal),
         }
     }
 
     fn said(&mut self, links: &Links, now: Millis, from: Node, class: Class, signal: Signal) {
         match (class, signal) {
-            (Class::Core, Signal::Pilot(signal)) => {
+            (Class::Core, Signal::Control(signal)) => {
                 if let Some(voter) = links.hello(from).and_then(|hello| hello.control) {
                     self.group.signal(now, voter, signal);
                 }
             }
-            (Class::Core, Signal::Sessions(members)) => self.roster.told_sessions(now, from, members),
-            (Class::Core, Signal::Beats(beats)) => self.roster.told_beats(now, beats),
+            (Class::Core, Signal::Sessions(members)) => self.registry.told_sessions(now, from, members),
+            (Class::Core, Signal::Heartbeats(heartbeats)) => self.registry.told_heartbeats(now, heartbeats),
             (_, Signal::Ask { life, version, config, retiring }) if class != Class::Core => {
                 if let Some(hello) = links.hello(from) {
                     let member = Member { retiring, ..member_of(hello, config) };
-                    self.roster.asked(now, member, life, version);
+                    self.registry.asked(now, member, life, version);
                 }
             }
             _ => {}
@@ -129,7 +129,7 @@
         let (done, writing) = std::mem::take(&mut self.writing).into_iter().partition(|(at, _)| *at <= now);
         self.writing = writing;
         let done: Vec<(Millis, u64)> = done;
-        done.into_iter().for_each(|(_, ticket)| self.group.kept(now, ticket, true));
+        done.into_iter().for_each(|(_, ticket)| self.group.persisted(now, ticket, true));
         self.group.tick(now);
         self.carry_out(links, net);
         self.connect(links, now);
@@ -146,10 +146,10 @@
                 match effect {
                     Effect::Send { to, signal } => {
                         if let Some(node) = links.by_control(to) {
-                            links.say(net, node, &Signal::Pilot(signal));
+                            links.say(net, node, &Signal::Control(signal));
                         }
                     }
-                    Effect::Keep { ticket, record } => {
+                    Effect::Persist { ticket, record } => {
                         self.disk.apply(record);
                         self.writing.push((net.now() + DISK, ticket));
                     }
@@ -163,8 +163,8 @@
     fn connect(&mut self, links: &mut Links, now: Millis) {
         let me = links.me().ip;
         let mut all: Vec<std::net::Ipv4Addr> = self.seeds.iter().map(|seed| *seed.ip()).collect();
-        all.extend(self.group.watch().iter().flat_map(|watch| watch.voters.iter().map(|voter| *voter.ip())));
-        all.extend(self.roster.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
+        all.extend(self.group.view().iter().flat_map(|watch| watch.voters.iter().map(|voter| *voter.ip())));
+        all.extend(self.registry.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
         let seed = self.seeds.iter().any(|seed| *seed.ip() == me);
         let opens = |ip: &std::net::Ipv4Addr| {
             *ip > me || (!seed && *ip != me && links.hellos(Class::Core).all(|hello| hello.ip != *ip))
@@ -182,17 +182,19 @@
             self.heard_at = now + HEARD_EVERY;
             for core in links.class(Class::Core) {
                 if let Some(at) = links.heard(core) {
-                    self.roster.core_heard(core, at);
+                    self.registry.core_heard(core, at);
                 }
             }
         }
-        let in_force = self.group.in_force().map(|chart| (chart.version, chart.body.as_slice()));
-        self.roster.tick(now, in_touch, in_force);
-        for notice in self.roster.take() {
+        let committed = self.group.committed().map(|state| (state.version, state.body.as_slice()));
+        self.registry.tick(now, in_touch, committed);
+        for notice in self.registry.take() {
             let (to, signal) = match notice {
                 Notice::News { to, news } => (vec![to], Signal::News(news)),
-                Notice::AllBeats { to, beats } => (vec![to], Signal::Beats(beats)),
-                Notice::TellBeats(beats) => (links.class(Class::Core), Signal::Beats(beats)),
+                Notice::AllHeartbeats { to, heartbeats } => (vec![to], Signal::Heartbeats(heartbeats)),
+                Notice::TellHeartbeats(heartbeats) => {
+                    (links.class(Class::Core), Signal::Heartbeats(heartbeats))
+                }
                 Notice::TellSessions(all) => (links.class(Class::Core), Signal::Sessions(all)),
             };
             for node in to {
--- a/capacity/src/heartbeat.rs
+++ b/crates/capacity/src/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use crate::layout::zone_name;
 use crate::net::Millis;
-use crate::signals::{Beat, Standing};
+use crate::signals::{Heartbeat, Standing};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// How often an executor calls, as on the operators' sites.
@@ -24,10 +24,10 @@
         format!("i-{:06x}-{:04x}", self.number, self.life)
     }
 
-    pub fn beat(&self) -> Beat {
+    pub fn heartbeat(&self) -> Heartbeat {
         let block = (self.number >> 16) as u8;
         let ip = Ipv4Addr::new(172, 16 + block, (self.number >> 8) as u8, self.number as u8);
-        Beat {
+        Heartbeat {
             id: self.id(),
             backend: format!("service-{:05}", self.service),
             address: SocketAddrV4::new(ip, 8080),
@@ -42,16 +42,21 @@
 }
 
 /// Bytes of the call, and of the answer to it, as HTTP/1.1 with the headers of the operators' examples.
-pub fn wire_bytes(beat: &Beat, control: SocketAddrV4) -> (usize, usize) {
+pub fn wire_bytes(heartbeat: &Heartbeat, control: SocketAddrV4) -> (usize, usize) {
     let body = format!(
         "{{\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"revision\":\"v1\",\"capacity\":{},\
          \"state\":\"serving\",\"cold_left_ms\":{},\"call_count\":{}}}",
-        beat.backend, beat.address, beat.zone, beat.capacity, beat.cold_left_ms, beat.call_count
+        heartbeat.backend,
+        heartbeat.address,
+        heartbeat.zone,
+        heartbeat.capacity,
+        heartbeat.cold_left_ms,
+        heartbeat.call_count
     );
     let head = format!(
         "POST /v1/servers/{}/heartbeat HTTP/1.1\r\nHost: {control}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n",
-        beat.id,
+        heartbeat.id,
         body.len()
     );
     let answer = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}";
--- a/capacity/src/layout.rs
+++ b/crates/capacity/src/layout.rs
@@ -3,7 +3,7 @@
 use crate::links::address;
 use crate::signals::{Class, Hello, PROTOCOL};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute_hold::Node;
+use stileroute_queue::Node;
 
 /// The region of each zone: three regions with eight zones, as the operators' target has them.
 pub const REGION_OF_ZONE: [usize; 8] = [0, 0, 0, 1, 1, 1, 2, 2];
@@ -70,7 +70,7 @@
 
     /// A node's number is a hash of its name, as in the real program.
     pub fn node(&self) -> Node {
-        (stileroute::tariff::mark(&self.name) >> 32) as Node
+        (stileroute_dispatch::types::mark(&self.name) >> 32) as Node
     }
 
     pub fn control(&self) -> Option<SocketAddrV4> {
--- a/capacity/src/main.rs
+++ b/crates/capacity/src/main.rs
@@ -5,7 +5,7 @@
 use std::process::ExitCode;
 use stileroute_capacity::message::{comparison_cost, executor_heap, message_cost, service_cost};
 use stileroute_capacity::report::{json, tables, Fleets, Units};
-use stileroute_capacity::run::{run, Terms};
+use stileroute_capacity::run::{run, GroupSettings};
 
 /// Fewer nodes than this are no fleet: six are control nodes.
 const FEWEST: usize = 10;
@@ -36,7 +36,7 @@
 }
 
 fn sizes(text: &str) -> miette::Result<Vec<usize>> {
-    let size = |word: &str| word.trim().parse().ok().filter(|size| *size >= FEWEST);
+    let size = |link_event: &str| link_event.trim().parse().ok().filter(|size| *size >= FEWEST);
     let sizes: Option<Vec<usize>> = text.split(',').map(size).collect();
     sizes.ok_or_else(|| {
         miette!("--nodes {text}: whole numbers of {FEWEST} at least, with commas between them")
@@ -55,27 +55,28 @@
     })
 }
 
-fn measure(words: &Words) -> miette::Result<bool> {
-    let sizes = sizes(&words.nodes)?;
-    let terms = |nodes: usize, seed: u64| Terms {
+fn measure(link_events: &Words) -> miette::Result<bool> {
+    let sizes = sizes(&link_events.nodes)?;
+    let settings = |nodes: usize, seed: u64| GroupSettings {
         nodes,
-        executors_per_node: words.executors,
-        calm: words.seconds.max(1) * 1000,
-        changes: !words.calm_only,
+        executors_per_node: link_events.executors,
+        calm: link_events.seconds.max(1) * 1000,
+        changes: !link_events.calm_only,
         seed,
     };
-    let of_size = |nodes: &usize| (1..=words.runs.max(1)).map(|seed| run(terms(*nodes, seed))).collect();
+    let of_size =
+        |nodes: &usize| (1..=link_events.runs.max(1)).map(|seed| run(settings(*nodes, seed))).collect();
     let runs = sizes.iter().map(of_size).collect();
     let fleets = Fleets { sizes, runs };
     let (rows, units) = (fleets.rows(), units()?);
-    let text = if words.json { json(&fleets, &rows, &units) } else { tables(&fleets, &rows, &units) };
+    let text = if link_events.json { json(&fleets, &rows, &units) } else { tables(&fleets, &rows, &units) };
     println!("{text}");
     Ok(fleets.complete())
 }
 
 fn main() -> ExitCode {
-    let words = Words::parse_args_default_or_exit();
-    match measure(&words) {
+    let link_events = Words::parse_args_default_or_exit();
+    match measure(&link_events) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => {
             eprintln!("not complete: a store does not know all executors, or a node lacks the configuration");
--- a/capacity/src/member_node.rs
+++ b/crates/capacity/src/member_node.rs
@@ -1,13 +1,13 @@
 //! A hollow edge or store: its connections and its session with a control node, and no messages of clients. It follows
-//! `harbour/src/node.rs` in whom it asks, and `edge.rs` and `store.rs` there in whom it connects with.
+//! `crates/server/src/node.rs` in whom it asks, and `edge.rs` and `store.rs` there in whom it connects with.
 
 use crate::layout::{distance, zone_number, Layout, Place};
-use crate::links::{Links, Word};
+use crate::links::{LinkEvent, Links};
 use crate::net::{Millis, Net};
-use crate::signals::{Beat, Class, Member, News, Retiring, Signal, Standing};
+use crate::signals::{Class, Heartbeat, Member, News, Retiring, Signal, Standing};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use stileroute_hold::Node;
+use stileroute_queue::Node;
 
 /// A control node that has not answered for so long is given up.
 const PATIENCE: Millis = 2000;
@@ -26,7 +26,7 @@
     config: u64,
     members: Vec<Member>,
     /// Of a store: the executors that it has been told of.
-    pub executors: HashMap<String, Beat>,
+    pub executors: HashMap<String, Heartbeat>,
     /// The whole configuration, as a node keeps it.
     body: Vec<u8>,
     stirred: bool,
@@ -62,11 +62,11 @@
         session.min(self.stirred_at.max(now + 1))
     }
 
-    pub fn word(&mut self, links: &mut Links, net: &mut Net, word: Word) {
-        match word {
-            Word::Up(_) | Word::Down(..) => self.stirred = true,
-            Word::Said(from, Class::Core, Signal::News(news)) => self.heard(links, net, from, news),
-            Word::Said(..) => {}
+    pub fn link_event(&mut self, links: &mut Links, net: &mut Net, link_event: LinkEvent) {
+        match link_event {
+            LinkEvent::Up(_) | LinkEvent::Down(..) => self.stirred = true,
+            LinkEvent::Said(from, Class::Core, Signal::News(news)) => self.heard(links, net, from, news),
+            LinkEvent::Said(..) => {}
         }
     }
 
@@ -125,10 +125,10 @@
         if news.whole {
             self.executors.clear();
         }
-        for beat in news.servers {
-            match beat.standing {
-                Standing::Gone => self.executors.remove(&beat.id),
-                _ => self.executors.insert(beat.id.clone(), beat),
+        for heartbeat in news.servers {
+            match heartbeat.standing {
+                Standing::Gone => self.executors.remove(&heartbeat.id),
+                _ => self.executors.insert(heartbeat.id.clone(), heartbeat),
             };
         }
         self.ask(links, net);
--- a/capacity/src/message.rs
+++ b/crates/capacity/src/message.rs
@@ -8,9 +8,10 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
-use stileroute_charter::Config;
-use stileroute_hold::{
-    first_number, Bear, Cargo, Effect, Hold, Ledger, Millis, Node, Note, Outcome, Server, Terms,
+use stileroute_config::Config;
+use stileroute_queue::{
+    first_number, Bear, Effect, Ledger, Message, Millis, Node, Outcome, PeerMessage, Queue, QueueSettings,
+    Server,
 };
 
 /// Bytes of a body, as on the operators' sites.
@@ -70,8 +71,8 @@
     (0..count).map(server).collect()
 }
 
-fn cargo(number: usize) -> Cargo {
-    Cargo {
+fn message(number: usize) -> Message {
+    Message {
         id: format!("{number:016x}"),
         host: "host-000000.example".into(),
         method: "POST".into(),
@@ -80,12 +81,12 @@
         taken: WALL,
         config: 1,
         body: vec![b'x'; BODY],
-        ..Cargo::default()
+        ..Message::default()
     }
 }
 
-fn terms(me: Node, losses: usize) -> Terms {
-    Terms {
+fn terms(me: Node, losses: usize) -> QueueSettings {
+    QueueSettings {
         me,
         zone: 0,
         disk: u64::from(me),
@@ -104,7 +105,7 @@
 /// Some stores that hear each other and whose disks answer at once.
 pub struct Stores {
     now: Millis,
-    holds: Vec<Hold>,
+    queues: Vec<Queue>,
     /// Frames between stores, by what they are about.
     pub frames: BTreeMap<&'static str, Volume>,
     pub disk: Volume,
@@ -116,22 +117,22 @@
         let text = configuration(services, 0.0);
         let config = Config::read(text.as_bytes()).map_err(|faults| miette::miette!("{faults}"))?;
         let config = Arc::new(config);
-        let new = |me: usize| Hold::new(terms(me as Node + 1, losses), Ledger::default(), 0, WALL);
+        let new = |me: usize| Queue::new(terms(me as Node + 1, losses), Ledger::default(), 0, WALL);
         let mut stores = Stores {
             now: 0,
-            holds: (0..count).map(new).collect(),
+            queues: (0..count).map(new).collect(),
             frames: BTreeMap::new(),
             disk: Volume::default(),
             attempts: Vec::new(),
         };
         let all: Vec<(Node, usize)> = (0..count).map(|at| (at as Node + 1, 0)).collect();
         for at in 0..count {
-            stores.holds[at].configure(0, 0, Arc::clone(&config));
-            stores.holds[at].members(0, &all);
+            stores.queues[at].configure(0, 0, Arc::clone(&config));
+            stores.queues[at].members(0, &all);
         }
         for at in 0..count {
             let others = all.iter().filter(|(node, _)| *node != at as Node + 1);
-            others.for_each(|(node, _)| stores.holds[at].up(0, *node));
+            others.for_each(|(node, _)| stores.queues[at].up(0, *node));
         }
         stores.settle();
         Ok(stores)
@@ -139,15 +140,15 @@
 
     /// Executors of the first service at all stores.
     pub fn list(&mut self, count: usize) {
-        for hold in &mut self.holds {
+        for queue in &mut self.queues {
             let all = HashMap::from([(service_name(0), servers(count))]);
-            hold.list(self.now, self.now as i64 * FINE, all);
+            queue.list(self.now, self.now as i64 * FINE, all);
         }
         self.settle();
     }
 
     pub fn put(&mut self, number: usize) {
-        self.holds[0].put(self.now, number as u64, cargo(number));
+        self.queues[0].put(self.now, number as u64, message(number));
         self.settle();
     }
 
@@ -161,7 +162,7 @@
         let fine = self.now as i64 * FINE;
         for (at, attempt) in std::mem::take(&mut self.attempts) {
             let outcome = Outcome::Done { seal: "3e1b.07.5a2.600.0.c9f2a4d1".into() };
-            self.holds[at].delivered(self.now, fine, attempt, outcome, None);
+            self.queues[at].delivered(self.now, fine, attempt, outcome, None);
         }
         self.settle();
     }
@@ -171,39 +172,39 @@
     }
 
     pub fn live(&self) -> usize {
-        self.holds.iter().map(Hold::live).sum()
+        self.queues.iter().map(Queue::live).sum()
     }
 
     fn settle(&mut self) {
-        let mut notes: VecDeque<(usize, Node, Note)> = VecDeque::new();
+        let mut notes: VecDeque<(usize, Node, PeerMessage)> = VecDeque::new();
         loop {
             let before = notes.len();
-            for at in 0..self.holds.len() {
-                self.holds[at].tick(self.now, self.now as i64 * FINE);
-                for effect in self.holds[at].take() {
+            for at in 0..self.queues.len() {
+                self.queues[at].tick(self.now, self.now as i64 * FINE);
+                for effect in self.queues[at].take() {
                     self.effect(at, effect, &mut notes);
                 }
             }
             match notes.pop_front() {
-                Some((at, from, note)) => self.holds[at].note(self.now, from, note),
+                Some((at, from, note)) => self.queues[at].note(self.now, from, note),
                 None if before == 0 => return,
                 None => {}
             }
         }
     }
 
-    fn effect(&mut self, at: usize, effect: Effect, notes: &mut VecDeque<(usize, Node, Note)>) {
+    fn effect(&mut self, at: usize, effect: Effect, notes: &mut VecDeque<(usize, Node, PeerMessage)>) {
         match effect {
             Effect::Disk { ticket, records, .. } => {
                 let bytes = records.iter().map(Vec::len).sum::<usize>() as u64;
                 self.disk += Volume { messages: records.len() as u64, bytes };
-                self.holds[at].kept(self.now, ticket, true);
+                self.queues[at].kept(self.now, ticket, true);
             }
             Effect::Send { to, note } => {
-                let signal = Signal::Note(note);
+                let signal = Signal::PeerMessage(note);
                 let bytes = postcard::to_stdvec(&signal).map_or(0, |bytes| bytes.len() + FRAME_HEAD) as u64;
                 *self.frames.entry(signal.about()).or_default() += Volume { messages: 1, bytes };
-                if let Signal::Note(note) = signal {
+                if let Signal::PeerMessage(note) = signal {
                     notes.push_back((to as usize - 1, at as Node + 1, note));
                 }
             }
@@ -271,19 +272,19 @@
     let config = Config::read(text.as_bytes()).map_err(|faults| miette::miette!("{faults}"))?;
     let read = thread_cpu_ns() - began;
     let config = Arc::new(config);
-    let (mut hold, heap) = heap_of(|| {
-        let mut hold = Hold::new(terms(1, 1), Ledger::default(), 0, WALL);
-        hold.configure(0, 0, Arc::clone(&config));
-        hold
+    let (mut queue, heap) = heap_of(|| {
+        let mut queue = Queue::new(terms(1, 1), Ledger::default(), 0, WALL);
+        queue.configure(0, 0, Arc::clone(&config));
+        queue
     });
     let all: Vec<(Node, usize)> = (0..stores).map(|at| (at as Node + 1, 0)).collect();
-    hold.members(0, &all);
+    queue.members(0, &all);
     let began = thread_cpu_ns();
     let mut now = 0;
     while now < 2000 {
-        now = hold.next().clamp(now + 1, 2000);
-        hold.tick(now, now as i64 * FINE);
-        hold.take();
+        now = queue.next().clamp(now + 1, 2000);
+        queue.tick(now, now as i64 * FINE);
+        queue.take();
     }
     let upkeep = thread_cpu_ns() - began;
     Ok(ServiceCost {
--- a/capacity/src/net.rs
+++ b/crates/capacity/src/net.rs
@@ -1,4 +1,4 @@
-//! The network as one simulated node sees it, with the calls that `harbour/src/links.rs` makes.
+//! The network as one simulated node sees it, with the calls that `crates/server/src/links.rs` makes.
 
 use std::net::SocketAddrV4;
 
--- a/capacity/src/run.rs
+++ b/crates/capacity/src/run.rs
@@ -20,7 +20,7 @@
 const RENEWED: usize = 10;
 
 #[derive(Clone, Copy, Debug)]
-pub struct Terms {
+pub struct GroupSettings {
     pub nodes: usize,
     pub executors_per_node: usize,
     pub calm: Millis,
@@ -157,29 +157,29 @@
     }
 }
 
-pub fn run(terms: Terms) -> Measured {
-    let layout = Layout::new(terms.nodes, terms.executors_per_node);
-    let mut simulation = Simulation::new(layout, terms.seed);
+pub fn run(settings: GroupSettings) -> Measured {
+    let layout = Layout::new(settings.nodes, settings.executors_per_node);
+    let mut simulation = Simulation::new(layout, settings.seed);
     simulation.run_until(FORMED / 3);
     simulation.configure(1, CONFIGURATION);
     simulation.run_until(FORMED);
     let complete = is_complete(&simulation, 1);
     simulation.reset_counters();
-    let until = simulation.now + terms.calm;
+    let until = simulation.now + settings.calm;
     simulation.run_until(until);
-    let span = terms.calm as f64 / 1000.0;
+    let span = settings.calm as f64 / 1000.0;
     let calm = bytes(&simulation);
     let mut measured = Measured {
-        nodes: terms.nodes,
+        nodes: settings.nodes,
         roles: roles_of(&simulation, span),
         flows: flows_of(&simulation.traffic, span),
         changes: BTreeMap::new(),
         complete,
     };
-    if !terms.changes {
+    if !settings.changes {
         return measured;
     }
-    let share = WATCHED as f64 / terms.calm as f64;
+    let share = WATCHED as f64 / settings.calm as f64;
     for change in Change::iter() {
         simulation.reset_counters();
         let until = simulation.now + WATCHED;
--- a/capacity/src/simulation.rs
+++ b/crates/capacity/src/simulation.rs
@@ -7,11 +7,11 @@
 use crate::links::Links;
 use crate::member_node::MemberNode;
 use crate::net::{Action, ConnId, Event, Millis, Net};
-use crate::signals::{Beat, Class, Signal};
+use crate::signals::{Class, Heartbeat, Signal};
 use crate::traffic::{Flow, Role, Traffic};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
-use stileroute_pilotage::Kept;
+use stileroute_control_group::Persisted;
 
 /// Each frame is preceded by its length.
 const FRAME_HEAD: usize = 4;
@@ -56,7 +56,7 @@
 
 enum Delivery {
     Link(Event),
-    Heartbeat(Beat),
+    Heartbeat(Heartbeat),
 }
 
 /// What one node has cost.
@@ -73,7 +73,7 @@
     pub layout: Layout,
     pub now: Millis,
     nodes: Vec<Option<Running>>,
-    disks: Vec<Option<Kept>>,
+    disks: Vec<Option<Persisted>>,
     by_address: HashMap<SocketAddrV4, usize>,
     /// The other end of each connection, and whose it is.
     ends: HashMap<ConnId, (usize, ConnId)>,
@@ -82,7 +82,7 @@
     wakes: BTreeSet<(Millis, usize)>,
     starts: BTreeSet<(Millis, usize)>,
     pub executors: Vec<Executor>,
-    beats: BTreeMap<Millis, Vec<usize>>,
+    heartbeats: BTreeMap<Millis, Vec<usize>>,
     pub traffic: Traffic,
     pub costs: Vec<Cost>,
     lives: u64,
@@ -105,7 +105,7 @@
             wakes: BTreeSet::new(),
             starts: BTreeSet::new(),
             executors: Vec::new(),
-            beats: BTreeMap::new(),
+            heartbeats: BTreeMap::new(),
             traffic: Traffic::new(count),
             costs: vec![Cost::default(); count],
             lives: 0,
@@ -122,7 +122,7 @@
             let zone = (number / simulation.layout.services) % crate::layout::REGION_OF_ZONE.len();
             simulation.executors.push(Executor { number, service, zone, life: 1, call_count: 0 });
             let first = START_SPREAD + simulation.chance(INTERVAL);
-            simulation.beats.entry(first).or_default().push(number);
+            simulation.heartbeats.entry(first).or_default().push(number);
         }
         simulation
     }
@@ -210,9 +210,9 @@
             self.start(at);
             active.entry(at).or_default();
         }
-        for number in self.beats.remove(&self.now).unwrap_or_default() {
+        for number in self.heartbeats.remove(&self.now).unwrap_or_default() {
             self.call(number);
-            self.beats.entry(self.now + INTERVAL).or_default().push(number);
+            self.heartbeats.entry(self.now + INTERVAL).or_default().push(number);
         }
         while let Some(entry) = self.deliveries.first_entry().filter(|entry| *entry.key() <= self.now) {
             for (at, delivery) in entry.remove() {
@@ -248,18 +248,18 @@
     fn call(&mut self, number: usize) {
         let executor = &mut self.executors[number];
         executor.call_count += 1;
-        let (zone, beat) = (executor.zone, executor.beat());
+        let (zone, heartbeat) = (executor.zone, executor.heartbeat());
         let places = self.layout.places.iter().enumerate();
         let up = places.filter(|(at, p)| p.class == Class::Core && self.nodes[*at].is_some());
         let turn = |at: usize| (at + number) % crate::layout::CONTROL_NODES;
         let Some((at, place)) = up.min_by_key(|(at, p)| (distance(zone, p.zone), turn(*at))) else { return };
         let Some(control) = place.control() else { return };
         let far = distance(zone, place.zone);
-        let (call, answer) = wire_bytes(&beat, control);
+        let (call, answer) = wire_bytes(&heartbeat, control);
         let flow = |sender| Flow { sender, kind: "heartbeats", distance: far };
         self.traffic.count(flow(Role::Executor), call, None, Some(at));
         self.traffic.count(flow(Role::Control), answer, Some(at), None);
-        self.deliver(self.now + delay(far), at, Delivery::Heartbeat(beat));
+        self.deliver(self.now + delay(far), at, Delivery::Heartbeat(heartbeat));
     }
 
     fn deliver(&mut self, when: Millis, at: usize, delivery: Delivery) {
@@ -341,8 +341,8 @@
     match delivery {
         Delivery::Link(Event::Frame { bytes, .. }) => bytes.capacity() as i64,
         Delivery::Link(_) => 0,
-        Delivery::Heartbeat(beat) => {
-            (beat.id.capacity() + beat.backend.capacity() + beat.zone.capacity()) as i64
+        Delivery::Heartbeat(heartbeat) => {
+            (heartbeat.id.capacity() + heartbeat.backend.capacity() + heartbeat.zone.capacity()) as i64
         }
     }
 }
@@ -358,21 +358,21 @@
 fn take_turn(running: &mut Running, now: Millis, deliveries: Vec<Delivery>) -> Vec<Action> {
     let Running { net, links, part, .. } = running;
     net.set_now(now);
-    let mut words = Vec::new();
+    let mut link_events = Vec::new();
     for delivery in deliveries {
         match (delivery, &mut *part) {
             (Delivery::Link(event), _) => {
-                links.event(net, event, &mut words);
+                links.event(net, event, &mut link_events);
             }
-            (Delivery::Heartbeat(beat), Part::Control(node)) => node.heartbeat(now, beat),
+            (Delivery::Heartbeat(heartbeat), Part::Control(node)) => node.heartbeat(now, heartbeat),
             (Delivery::Heartbeat(_), Part::Member(_)) => {}
         }
     }
-    words.extend(links.tick(net));
-    for word in words {
+    link_events.extend(links.tick(net));
+    for link_event in link_events {
         match part {
-            Part::Control(node) => node.word(links, now, word),
-            Part::Member(node) => node.word(links, net, word),
+            Part::Control(node) => node.link_event(links, now, link_event),
+            Part::Member(node) => node.link_event(links, net, link_event),
         }
     }
     match part {
--- a/capacity/tests/slopes.rs
+++ b/crates/capacity/tests/slopes.rs
@@ -5,14 +5,15 @@
 use stileroute_capacity::layout::Layout;
 use stileroute_capacity::message::{comparison_cost, message_cost, BODY};
 use stileroute_capacity::report::{Fleets, Row};
-use stileroute_capacity::run::{is_complete, run, Terms};
+use stileroute_capacity::run::{is_complete, run, GroupSettings};
 use stileroute_capacity::simulation::Simulation;
 
 const SIZES: [usize; 3] = [16, 32, 64];
 
 fn fleets() -> Fleets {
-    let terms = |nodes| Terms { nodes, executors_per_node: 10, calm: 2000, changes: true, seed: 1 };
-    let runs = SIZES.iter().map(|nodes| vec![run(terms(*nodes))]).collect();
+    let settings =
+        |nodes| GroupSettings { nodes, executors_per_node: 10, calm: 2000, changes: true, seed: 1 };
+    let runs = SIZES.iter().map(|nodes| vec![run(settings(*nodes))]).collect();
     Fleets { sizes: SIZES.to_vec(), runs }
 }
 
@@ -53,7 +54,7 @@
     let mut simulation = Simulation::new(layout, 1);
     // All have called once, and all control nodes have told each other.
     simulation.run_until(3000);
-    let kept: Vec<usize> = simulation.controls().map(|node| node.roster.executors().count()).collect();
+    let kept: Vec<usize> = simulation.controls().map(|node| node.registry.executors().count()).collect();
     assert!(kept.iter().all(|kept| *kept < all && *kept >= all / 2), "{kept:?} of {all}");
     assert!(!is_complete(&simulation, 0));
 }
--- a/charter/tests/boot.rs
+++ b/crates/config/tests/boot.rs
@@ -2,7 +2,7 @@
 
 use assert_matches::assert_matches;
 use miette::Diagnostic;
-use stileroute_charter::{Boot, Losses};
+use stileroute_config::{Boot, Losses};
 
 const WHOLE: &str = r#"{"node_name":"gate-3","role":"keeper","machine_class":"stone","serves":["edge","control"],
  "ip":"10.9.0.3","zone":"weir-a","region":"weir","zones":{"weir-b":"weir","dune-a":"dune"},
--- a/charter/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -1,7 +1,7 @@
 //! Configurations: what is read, what is refused, and that no bytes bring it down.
 
 use assert_matches::assert_matches;
-use stileroute_charter::{Config, Limits, RouteKind};
+use stileroute_config::{Config, Limits, RouteKind};
 
 const WHOLE: &str = r#"{"revision":12,"future":[{}],"routes":[
  {"name":"jetty","hostname":"Ferry.example","path_prefix":"/quay/","route_type":"deferred","timeout_ms":1500,
--- a/pilotage/src/contact.rs
+++ b/crates/control-group/src/contact.rs
@@ -1,18 +1,18 @@
 //! Whether what a follower knows is of now: the mirror of the primary's lease.
 //!
-//! That a pulse has come says little: it may have waited while the process was frozen or the network held it, and a primary that
-//! is cut off with a minority goes on pulsing. So a pulse says which ack of this node the primary has seen, if it holds the lease: the
-//! pulse was sent after that ack was, and when that was this node knows by its own clock.
+//! That a heartbeat has come says little: it may have waited while the process was frozen or the network held it, and a primary that
+//! is cut off with a minority goes on unknown_leader. So a heartbeat says which ack of this node the primary has seen, if it holds the lease: the
+//! heartbeat was sent after that ack was, and when that was this node knows by its own clock.
 
 use crate::Millis;
 use std::collections::VecDeque;
 
-/// Acks that are remembered until a pulse names one: three seconds of them.
+/// Acks that are remembered until a heartbeat names one: three seconds of them.
 const ACKS: usize = 16;
 
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Contact {
-    /// When the pulse was sent by the primary's clock, and the ack by the own one.
+    /// When the heartbeat was sent by the primary's clock, and the ack by the own one.
     acks: VecDeque<(Millis, Millis)>,
     since: Option<Millis>,
 }
@@ -25,7 +25,7 @@
         self.acks.push_back((sent_at, now));
     }
 
-    /// A primary that holds the lease has seen the ack of the pulse that it sent then.
+    /// A primary that holds the lease has seen the ack of the heartbeat that it sent then.
     pub fn confirmed(&mut self, sent_at: Millis) {
         while let Some((sent, at)) = self.acks.front().copied().filter(|(sent, _)| *sent <= sent_at) {
             self.acks.pop_front();
--- a/pilotage/src/planted.rs
+++ b/crates/control-group/src/planted.rs
@@ -1,15 +1,15 @@
-//! For the search over orders of events in `soundings/`: faults that it must find, and a digest of a node's state. Without
+//! For the search over orders of events in `crates/model-check/`: faults that it must find, and a digest of a node's state. Without
 //! the feature `planted`, which only the search's own build of these sources has, no fault can be set, and nothing is left.
 
 #[cfg(not(feature = "planted"))]
-use crate::Pilotage;
+use crate::ControlGroup;
 
 /// A fault of which a property has to tell. Each undoes one rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Planted {
     /// The lease outlasts the silence after which others are voted for.
     LongLease,
-    /// The lease counts from when an ack came, not from when its pulse was sent.
+    /// The lease counts from when an ack came, not from when its heartbeat was sent.
     LeaseByArrival,
     /// The lease is as long as the silence, but for 20 ms: clocks that drift make it outlast that.
     ThinMargin,
@@ -17,25 +17,25 @@
     EarlyAnswer,
     /// Another body of the version that is held is taken.
     EqualTaken,
-    /// What is told to be in force is, whatever was before.
-    ForceBlind,
-    /// A chart of the right version is taken for the one in force.
+    /// What is told to be committed is, whatever was before.
+    CommitGoesBack,
+    /// A state of the right version is taken for the one committed.
     DigestUnheeded,
     /// A candidate leads with its own vote alone.
     OwnVoteEnough,
-    /// A voter grants a second watch of one epoch.
+    /// A voter grants a second view of one epoch.
     GrantedTwice,
     /// A grant is told before it is on disk.
     GrantUnsynced,
     /// A node that lost its disk takes itself for one that never ran.
     BlankVotes,
-    /// A copy that lost its chart stands for the duty.
-    HollowStands,
+    /// A copy that lost its state stands for the role.
+    UnfilledCandidate,
     /// The age of a list of copies counts for nothing: it is as new as the epoch that goes with it.
-    DrawnUnheeded,
+    MembershipEpochIgnored,
     /// A write that a copy may have is answered as not done.
     BegunForgotten,
-    /// Nobody takes over a watch that it is told.
+    /// Nobody takes over a view that it is told.
     NeverAdopts,
     /// One voter takes the place of another in one change: majorities of before and after need not meet.
     SwapAtOnce,
@@ -58,13 +58,13 @@
         Planted::ThinMargin,
         Planted::EarlyAnswer,
         Planted::EqualTaken,
-        Planted::ForceBlind,
+        Planted::CommitGoesBack,
         Planted::DigestUnheeded,
         Planted::GrantedTwice,
         Planted::GrantUnsynced,
         Planted::BlankVotes,
-        Planted::HollowStands,
-        Planted::DrawnUnheeded,
+        Planted::UnfilledCandidate,
+        Planted::MembershipEpochIgnored,
         Planted::BegunForgotten,
         Planted::NeverAdopts,
         Planted::SwapAtOnce,
@@ -76,7 +76,7 @@
 }
 
 #[cfg(not(feature = "planted"))]
-impl Pilotage {
+impl ControlGroup {
     #[inline(always)]
     pub(crate) const fn planted(&self, _: Planted) -> bool {
         false
@@ -84,25 +84,25 @@
 }
 
 #[cfg(feature = "planted")]
-pub use sounded::Sounder;
+pub use fingerprint::Fingerprinter;
 
 #[cfg(feature = "planted")]
-mod sounded {
+mod fingerprint {
     use super::Planted;
-    use crate::primary::{Duty, Job, Lead, Stand, ANSWER, LOST, TURN};
+    use crate::primary::{Candidacy, Job, Lead, Role, ANSWER, LOST, TURN};
     use crate::voter::Leaving;
-    use crate::{After, Effect, Millis, Pilotage, Pulse, Signal, Terms, Voter};
+    use crate::{After, ControlGroup, Effect, GroupSettings, Heartbeat, Millis, Signal, Voter};
     use std::hash::{Hash, Hasher};
 
     /// Writes a state into a hasher, so that states from which the same follows come out the same. Times count from now, and
     /// are one where every rule takes them alike; serials count from the last one of whoever gave them.
-    pub struct Sounder<'a, H> {
+    pub struct Fingerprinter<'a, H> {
         pub hasher: &'a mut H,
         pub now: Millis,
         pub serials: &'a [(Voter, u64)],
     }
 
-    impl<H: Hasher> Sounder<'_, H> {
+    impl<H: Hasher> Fingerprinter<'_, H> {
         /// A time of which it counts whether it lies back further than `most`, and how far until then.
         fn time(&mut self, at: Millis, most: Millis) {
             (at as i64 - self.now as i64).max(-1 - most as i64).hash(self.hasher);
@@ -115,16 +115,16 @@
         pub fn signal(&mut self, from: Voter, to: Voter, signal: &Signal) {
             match signal {
                 // Which ack was seen tells others what to say to nodes that are none of this group, and nothing here.
-                Signal::Pulse(Pulse { epoch, sent_at, force, digest, acked: _ }) => {
-                    (1, epoch, force, digest).hash(self.hasher);
+                Signal::Heartbeat(Heartbeat { epoch, sent_at, committed, digest, acked: _ }) => {
+                    (1, epoch, committed, digest).hash(self.hasher);
                     self.time(*sent_at, LOST);
                 }
-                Signal::PulseAck { epoch, sent_at, votes, holds } => {
+                Signal::HeartbeatAck { epoch, sent_at, votes, holds } => {
                     (2, epoch, votes, holds).hash(self.hasher);
                     self.time(*sent_at, LOST);
                 }
-                Signal::Store { epoch, serial, chart } => {
-                    (3, epoch, chart).hash(self.hasher);
+                Signal::Store { epoch, serial, state } => {
+                    (3, epoch, state).hash(self.hasher);
                     self.serial(from, *serial);
                 }
                 Signal::Stored { epoch, serial } => {
@@ -140,14 +140,14 @@
                     (1, to).hash(self.hasher);
                     self.signal(from, *to, signal);
                 }
-                Effect::Keep { ticket: _, record } => (2, record).hash(self.hasher),
+                Effect::Persist { ticket: _, record } => (2, record).hash(self.hasher),
                 effect => effect.hash(self.hasher),
             }
         }
         fn after(&mut self, me: Voter, after: &After) {
             match after {
-                After::Stored { to, epoch, serial, chart } => {
-                    (1, to, epoch, chart).hash(self.hasher);
+                After::Stored { to, epoch, serial, state } => {
+                    (1, to, epoch, state).hash(self.hasher);
                     self.serial(*to, *serial);
                 }
                 After::OwnStored { serial } => {
@@ -157,23 +157,34 @@
                 after => after.hash(self.hasher),
             }
         }
-        fn stand(&mut self, stand: &Stand, silence: Millis) {
-            let Stand { watch, before, grants, against, since, released } = stand;
-            (watch, before, grants, against, released).hash(self.hasher);
+        fn stand(&mut self, stand: &Candidacy, silence: Millis) {
+            let Candidacy { view, before, grants, against, since, released } = stand;
+            (view, before, grants, against, released).hash(self.hasher);
             self.time(*since, silence);
         }
         fn job(&mut self, me: Voter, job: &Job) {
-            let Job { serial, chart, change, missing, since, sent, joins } = job;
-            (chart, change, missing, joins).hash(self.hasher);
+            let Job { serial, state, change, missing, since, sent, joins } = job;
+            (state, change, missing, joins).hash(self.hasher);
             self.serial(me, *serial);
             self.time(*since, ANSWER);
             self.time(*sent, ANSWER);
         }
         fn lead(&mut self, me: Voter, lead: &Lead, voters: &[Voter]) {
-            let Lead { pulse_at, since, acks, hollow, job, queue, change, asked, settled, leave_by, leaving } =
-                lead;
-            (2, hollow, settled, leaving).hash(self.hasher);
-            self.time(*pulse_at, 0);
+            let Lead {
+                heartbeat_at,
+                since,
+                acks,
+                unfilled,
+                job,
+                queue,
+                change,
+                asked,
+                settled,
+                leave_by,
+                leaving,
+            } = lead;
+            (2, unfilled, settled, leaving).hash(self.hasher);
+            self.time(*heartbeat_at, 0);
             self.time(leave_by.unwrap_or(0), 0);
             // Only for those that never acked does it count how long that is.
             if voters.iter().any(|v| *v != me && !acks.contains_key(v)) {
@@ -197,53 +208,53 @@
         }
     }
 
-    impl Pilotage {
+    impl ControlGroup {
         pub(crate) fn planted(&self, fault: Planted) -> bool {
-            self.terms.planted == Some(fault)
+            self.settings.planted == Some(fault)
         }
 
         /// Whatever the node's future depends on, but for chance: two states with one digest are taken as one.
-        pub fn fingerprint<H: Hasher>(&self, to: &mut Sounder<H>) {
+        pub fn fingerprint<H: Hasher>(&self, to: &mut Fingerprinter<H>) {
             // Named one by one, so that a new field can't be forgotten.
-            let Pilotage {
-                terms: Terms { me, silence_ms, .. },
-                watch,
+            let ControlGroup {
+                settings: GroupSettings { me, silence_ms, .. },
+                view,
                 safe,
-                pulsing,
-                chart,
-                force,
+                unknown_leader,
+                state,
+                committed,
                 force_digest: _,
                 blank,
-                hollow,
+                unfilled,
                 learning,
-                duty,
+                role,
                 started,
                 heard,
-                pulsed,
+                heartbeat_heard,
                 contact: _,
-                lent,
-                lent_told,
-                stand_at,
+                voted_for,
+                vote_persisted,
+                candidate_at,
                 learners,
                 links,
                 after,
                 next_ticket: _,
                 serial: _,
-                luck: _,
+                random_state: _,
                 released,
                 leaving,
                 left,
                 effects,
             } = self;
-            (left, leaving.is_some(), *pulsed).hash(to.hasher);
+            (left, leaving.is_some(), *heartbeat_heard).hash(to.hasher);
             if let Some(Leaving { by, ask_at }) = leaving {
                 to.time(*by, 0);
                 to.time(*ask_at, 0);
             }
             // Of an older epoch it is of no use any more.
-            let pulsing = pulsing.filter(|(epoch, _)| *epoch >= self.epoch());
-            (watch, safe, pulsing, chart, force, blank, hollow).hash(to.hasher);
-            (lent, lent_told, learners, links, released, effects.is_empty()).hash(to.hasher);
+            let unknown_leader = unknown_leader.filter(|(epoch, _)| *epoch >= self.epoch());
+            (view, safe, unknown_leader, state, committed, blank, unfilled).hash(to.hasher);
+            (voted_for, vote_persisted, learners, links, released, effects.is_empty()).hash(to.hasher);
             // By their order, for that is how they are answered.
             after.len().hash(to.hasher);
             after.values().for_each(|after| to.after(*me, after));
@@ -252,13 +263,13 @@
                 learning.told.hash(to.hasher);
                 to.time(learning.ask_at, 0);
             }
-            match duty {
-                Duty::Follow => to.time(*stand_at, 0),
-                Duty::Stand(stand) => {
-                    to.time(*stand_at, 0);
+            match role {
+                Role::Follow => to.time(*candidate_at, 0),
+                Role::Candidacy(stand) => {
+                    to.time(*candidate_at, 0);
                     to.stand(stand, *silence_ms);
                 }
-                Duty::Lead(lead) => to.lead(*me, lead, watch.as_ref().map_or(&[], |w| &w.voters)),
+                Role::Lead(lead) => to.lead(*me, lead, view.as_ref().map_or(&[], |w| &w.voters)),
             }
         }
 
@@ -267,21 +278,21 @@
             self.serial
         }
         /// From here on chance draws as from this.
-        pub fn set_luck(&mut self, luck: u64) {
-            self.luck = luck;
+        pub fn set_random_state(&mut self, random_state: u64) {
+            self.random_state = random_state;
         }
 
         /// Whether it answers at this time.
         pub fn answers(&self, now: Millis) -> bool {
-            self.acts(now)
+            self.may_answer(now)
         }
-        /// The chart on its disk is missing.
-        pub fn hollow(&self) -> bool {
-            self.hollow
+        /// The state on its disk is missing.
+        pub fn unfilled(&self) -> bool {
+            self.unfilled
         }
         /// What it writes or reads by now.
-        pub fn chart(&self) -> &crate::Chart {
-            &self.chart
+        pub fn state(&self) -> &crate::ControlState {
+            &self.state
         }
     }
 }
--- a/pilotage/src/types.rs
+++ b/crates/control-group/src/types.rs
@@ -7,9 +7,9 @@
 /// Within this span no clock gains or loses more than this against true time, in thousandths. Steady clocks that are kept in
 /// step are slewed by half a thousandth; the rest is for virtual machines whose clock is stretched.
 pub const MAX_CLOCK_DRIFT: u64 = 100;
-/// A primary acts no longer than this after it sent the pulse that a majority acked, by its clock.
+/// A primary acts no longer than this after it sent the heartbeat that a majority acked, by its clock.
 pub const LEASE: Millis = 700;
-/// A voter grants nothing to others for so long after it acked a pulse, by its own clock.
+/// A voter grants nothing to others for so long after it acked a heartbeat, by its own clock.
 pub const SILENCE: Millis = 900;
 
 /// The lease has run out, by the slowest clock, before the silence has, by the fastest: one millisecond is for the rounding of
@@ -23,19 +23,19 @@
 pub type Voter = std::net::SocketAddrV4;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Watch {
+pub struct View {
     pub epoch: u64,
     pub primary: Voter,
     pub copies: Vec<Voter>,
     pub voters: Vec<Voter>,
     /// The epoch in which a primary had these copies and voters written down. A candidate takes them over as they are; before
     /// it acts, it has them written down anew, so that whoever knows only older ones is not voted for any more.
-    pub drawn: u64,
+    pub membership_epoch: u64,
 }
 
 /// The replicated value: the operators' configuration, and which stores are retired.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Chart {
+pub struct ControlState {
     /// Drawn by the primary, one more with each write.
     pub serial: u64,
     /// The operators' own number of the configuration. Nought: none has come yet.
@@ -46,9 +46,9 @@
     pub retirements: Vec<Retirement>,
 }
 
-impl Chart {
+impl ControlState {
     /// Tells two values with one serial apart: one of them was given up, and must not be taken for the other. It guards
-    /// against confusion, not against an attacker: it travels with each pulse, so it is short.
+    /// against confusion, not against an attacker: it travels with each heartbeat, so it is short.
     pub fn digest(&self) -> u64 {
         let mut hash = Fnv::default();
         hash.number(self.serial);
@@ -65,7 +65,7 @@
         Rank { version: self.version, serial: self.serial }
     }
     /// The same version with the same content, whatever else was written with it.
-    pub fn same_configuration(&self, other: &Chart) -> bool {
+    pub fn same_configuration(&self, other: &ControlState) -> bool {
         self.version == other.version && self.body == other.body
     }
     /// The order to retire a store, if one was accepted.
@@ -142,13 +142,13 @@
     Unchanged,
     /// As many retirements as are remembered are under way.
     Full,
-    Changed(Chart),
+    Changed(ControlState),
 }
 
 impl Change {
     /// `equal_taken`: a planted fault.
-    pub(crate) fn applied(&self, held: &Chart, equal_taken: bool) -> Applied {
-        let mut next = Chart { serial: held.serial + 1, ..held.clone() };
+    pub(crate) fn applied(&self, held: &ControlState, equal_taken: bool) -> Applied {
+        let mut next = ControlState { serial: held.serial + 1, ..held.clone() };
         match self {
             Change::Configuration { version, body } => {
                 if *version < held.version || (*version == held.version && !equal_taken) {
@@ -182,13 +182,13 @@
 
 /// A primary's heartbeat.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Pulse {
+pub struct Heartbeat {
     pub epoch: u64,
     pub sent_at: Millis,
-    /// Of the value in force.
-    pub force: Rank,
+    /// Of the value committed.
+    pub committed: Rank,
     pub digest: u64,
-    /// The last of these pulses that the one it is sent to has acked, unless the lease has run out.
+    /// The last of these heartbeats that the one it is sent to has acked, unless the lease has run out.
     pub acked: Option<Millis>,
 }
 
@@ -197,31 +197,31 @@
 pub enum Signal {
     /// `released`: the primary itself has stopped and named the proposer.
     Propose {
-        watch: Watch,
+        view: View,
         released: bool,
     },
     /// The whole of it: one that lost power may ask for another by the same epoch.
     Granted {
-        watch: Watch,
+        view: View,
     },
     Denied {
-        watch: Watch,
+        view: View,
     },
     Store {
         epoch: u64,
         serial: u64,
-        chart: Chart,
+        state: ControlState,
     },
     Stored {
         epoch: u64,
         serial: u64,
     },
-    Pulse(Pulse),
-    PulseAck {
+    Heartbeat(Heartbeat),
+    HeartbeatAck {
         epoch: u64,
         sent_at: Millis,
         votes: bool,
-        /// It has a chart on disk: only such a copy may stand for the duty.
+        /// It has a state on disk: only such a copy may stand for the role.
         holds: bool,
     },
     Handover {
@@ -233,30 +233,30 @@
     Leave {
         epoch: u64,
     },
-    WhatWatch,
-    ThisWatch {
-        watch: Option<Watch>,
+    AskView,
+    TellView {
+        view: Option<View>,
     },
-    AskChart,
-    ThisChart {
-        chart: Chart,
+    AskState,
+    TellState {
+        state: ControlState,
     },
 }
 
 /// On disk.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Record {
-    Watch(Watch),
+    View(View),
     /// Read, never written: the value as builds before 0.2 wrote it, without a serial and retirements. Its version is taken
     /// for the serial. To be removed one release later.
     Unnumbered(Unnumbered),
     /// The vote is lent to the primary of this epoch, and to nobody else. Written once in an epoch, and waited for by nobody:
     /// without it a process that has just begun waits until whatever its earlier life lent has run out.
-    Lent {
+    Vote {
         epoch: u64,
         to: Voter,
     },
-    Chart(Chart),
+    ControlState(ControlState),
 }
 
 /// A configuration without a serial, from an older build's disk.
@@ -267,37 +267,37 @@
     pub body: Vec<u8>,
 }
 
-impl From<Unnumbered> for Chart {
-    fn from(Unnumbered { version, body }: Unnumbered) -> Chart {
-        Chart { serial: version, version, body, retirements: Vec::new() }
+impl From<Unnumbered> for ControlState {
+    fn from(Unnumbered { version, body }: Unnumbered) -> ControlState {
+        ControlState { serial: version, version, body, retirements: Vec::new() }
     }
 }
 
 /// What the records come to.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
-pub struct Kept {
-    pub watch: Option<Watch>,
-    pub chart: Option<Chart>,
-    pub lent: Option<(u64, Voter)>,
+pub struct Persisted {
+    pub view: Option<View>,
+    pub state: Option<ControlState>,
+    pub voted_for: Option<(u64, Voter)>,
 }
 
-impl Kept {
+impl Persisted {
     pub fn apply(&mut self, record: Record) {
         match record {
-            Record::Watch(watch) if self.watch.as_ref().is_none_or(|old| old.epoch <= watch.epoch) => {
-                self.watch = Some(watch);
+            Record::View(view) if self.view.as_ref().is_none_or(|old| old.epoch <= view.epoch) => {
+                self.view = Some(view);
             }
-            Record::Watch(_) => {}
+            Record::View(_) => {}
             // The last one stored, not the highest: one that was given up is written over by what holds.
-            Record::Chart(chart) => self.chart = Some(chart),
-            Record::Unnumbered(old) => self.chart = Some(old.into()),
-            Record::Lent { epoch, to } => self.lent = Some((epoch, to)),
+            Record::ControlState(state) => self.state = Some(state),
+            Record::Unnumbered(old) => self.state = Some(old.into()),
+            Record::Vote { epoch, to } => self.voted_for = Some((epoch, to)),
         }
     }
     pub fn records(&self) -> impl Iterator<Item = Record> + '_ {
-        let watch = self.watch.iter().cloned().map(Record::Watch);
-        let lent = self.lent.iter().map(|(epoch, to)| Record::Lent { epoch: *epoch, to: *to });
-        watch.chain(self.chart.iter().cloned().map(Record::Chart)).chain(lent)
+        let view = self.view.iter().cloned().map(Record::View);
+        let voted_for = self.voted_for.iter().map(|(epoch, to)| Record::Vote { epoch: *epoch, to: *to });
+        view.chain(self.state.iter().cloned().map(Record::ControlState)).chain(voted_for)
     }
 }
 
@@ -311,9 +311,9 @@
     NotPrimary {
         primary: Option<Voter>,
     },
-    /// It may be in force, or come in force.
+    /// It may be committed, or come committed.
     Uncertain,
-    /// It is not in force and will not be, unless it is sent again.
+    /// It is not committed and will not be, unless it is sent again.
     NotDone,
 }
 
@@ -324,7 +324,7 @@
         signal: Signal,
     },
     /// Write it, sync it, then call `kept`.
-    Keep {
+    Persist {
         ticket: u64,
         record: Record,
     },
@@ -333,24 +333,24 @@
         verdict: Verdict,
     },
     /// To one that has asked to read.
-    Chart {
+    ControlState {
         ticket: u64,
-        chart: Option<Chart>,
+        state: Option<ControlState>,
     },
-    InForce {
+    Committed {
         serial: u64,
     },
-    /// A change of duty, for the log.
-    Turn {
+    /// A change of role, for the log.
+    RoleChanged {
         epoch: u64,
         what: &'static str,
     },
-    /// The duty is handed over, or there was none: the process may end.
+    /// The role is handed over, or there was none: the process may end.
     Released,
 }
 
 #[derive(Clone, Debug)]
-pub struct Terms {
+pub struct GroupSettings {
     pub me: Voter,
     pub seeds: Vec<Voter>,
     pub first_start: bool,
@@ -359,32 +359,32 @@
     /// Whole places may be lost, with every voter there: then as many copies are held as a majority may lose, and one more.
     /// Where they lie need not be known for that.
     pub places: bool,
-    pub pulse_ms: Millis,
+    pub heartbeat_ms: Millis,
     pub lease_ms: Millis,
     pub silence_ms: Millis,
     pub seed: u64,
-    /// A fault for the search in `soundings/` to find.
+    /// A fault for the search in `crates/model-check/` to find.
     #[cfg(feature = "planted")]
     pub planted: Option<crate::Planted>,
 }
 
-impl Terms {
+impl GroupSettings {
     /// Losses of copies that are borne among so many voters.
-    pub(crate) fn bears(&self, voters: usize) -> usize {
+    pub(crate) fn tolerated(&self, voters: usize) -> usize {
         if self.places {
             self.losses.max(voters.saturating_sub(1) / 2)
         } else {
             self.losses
         }
     }
-    pub fn new(me: Voter, seeds: Vec<Voter>, first_start: bool, losses: usize, seed: u64) -> Terms {
-        Terms {
+    pub fn new(me: Voter, seeds: Vec<Voter>, first_start: bool, losses: usize, seed: u64) -> GroupSettings {
+        GroupSettings {
             me,
             seeds,
             first_start,
             losses,
             places: false,
-            pulse_ms: 200,
+            heartbeat_ms: 200,
             lease_ms: LEASE,
             silence_ms: SILENCE,
             seed,
--- a/pilotage/tests/faults.rs
+++ b/crates/control-group/tests/faults.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use stileroute_pilotage::{Signal, Verdict};
+use stileroute_control_group::{Signal, Verdict};
 use world::*;
 
 /// First start, first configuration, three changes, a reading.
@@ -47,11 +47,11 @@
 #[test]
 fn nothing_but_pulses_when_nothing_happens() {
     let mut world = quiet(3, 1, 3);
-    let (epoch, effects) = (world.watch().epoch, world.effects);
+    let (epoch, effects) = (world.view().epoch, world.effects);
     world.sent.clear();
     world.run(10_000);
-    assert_eq!(epoch, world.watch().epoch);
-    assert!(world.sent.iter().all(|s| matches!(s, Signal::Pulse(_) | Signal::PulseAck { .. })));
+    assert_eq!(epoch, world.view().epoch);
+    assert!(world.sent.iter().all(|s| matches!(s, Signal::Heartbeat(_) | Signal::HeartbeatAck { .. })));
     assert!(world.effects - effects == world.sent.len() && world.sent.len() <= 4 * 51);
 }
 
@@ -64,7 +64,7 @@
             world.strike(primary, trouble, None);
             let call = world.replace((primary + 1) % 3, 9);
             world.wait(call, 2200);
-            let copies = world.watch().copies;
+            let copies = world.view().copies;
             assert!(copies.len() == 2 && !copies.contains(&voter(primary)), "{copies:?}");
         }
     }
@@ -106,8 +106,8 @@
     }
 }
 
-/// For twenty seconds: on the small side nobody says that it is in touch, also one that hears the primary of before, which pulses
-/// on. Seen failing with the pulse itself as the sign of contact.
+/// For twenty seconds: on the small side nobody says that it is in touch, also one that hears the primary of before, which heartbeats
+/// on. Seen failing with the heartbeat itself as the sign of contact.
 #[test]
 fn the_small_side_of_a_long_cut_is_out_of_touch() {
     for seed in 0..20 {
@@ -132,12 +132,12 @@
 #[test]
 fn a_cut_between_two_changes_no_duty() {
     let mut world = quiet(3, 1, 5);
-    let watch = world.watch();
+    let view = world.view();
     world.cut(world.primary(), world.copy());
     world.run(3000);
     world.heal();
     world.run(1000);
-    assert_eq!(world.watch().primary, watch.primary, "one that was cut off has no better claim");
+    assert_eq!(world.view().primary, view.primary, "one that was cut off has no better claim");
     world.calm();
 }
 
@@ -173,7 +173,7 @@
     for seed in 0..10 {
         let mut world = quiet(3, 1, seed);
         let (primary, copy) = (world.primary(), world.copy());
-        let blank = |world: &World| world.nodes[copy].pilot.as_ref().is_some_and(|p| p.blank());
+        let blank = |world: &World| world.nodes[copy].group.as_ref().is_some_and(|p| p.blank());
         world.cut(copy, primary);
         world.strike(copy, Wipe, Some(10));
         world.run(2000);
@@ -205,7 +205,7 @@
 }
 
 /// The vote that an earlier life lent to the primary is on disk: nobody waits for a lease that only it could hold. Seen failing
-/// (800 ms and more) without `Record::Lent`.
+/// (800 ms and more) without `Record::Vote`.
 #[test]
 fn all_power_lost_and_back_the_same_primary_answers_at_once() {
     for seed in 0..20 {
@@ -244,7 +244,7 @@
         let mut world = World::of_places(5, 1, seed);
         scenario(&mut world);
         world.run(1000);
-        let copies: Vec<usize> = (0..5).filter(|i| world.watch().copies.contains(&voter(*i))).collect();
+        let copies: Vec<usize> = (0..5).filter(|i| world.view().copies.contains(&voter(*i))).collect();
         assert_eq!(copies.len(), 3);
         let both = [copies[seed as usize % 3], copies[(seed as usize + 1) % 3]];
         for i in both {
@@ -295,7 +295,7 @@
         world.nodes[full].full = true;
         let call = world.replace(full, 9);
         world.wait(call, 3000);
-        assert!(!world.watch().copies.contains(&voter(full)) || world.watch().primary != voter(full));
+        assert!(!world.view().copies.contains(&voter(full)) || world.view().primary != voter(full));
         world.nodes[full].full = false;
         world.run(1500);
         world.calm();
@@ -308,19 +308,19 @@
         let (seeds, losses) = if seed % 3 == 0 { (5, 2) } else { (3, 1) };
         let mut world = World::new(seeds, losses, seed + 1000);
         world.trace.push(format!("seed {seed}"));
-        world.delay = [4, 150][world.draw(2) as usize];
-        world.disk = [2, 40, 400][world.draw(3) as usize];
+        world.delay = [4, 150][world.random_below(2) as usize];
+        world.disk = [2, 40, 400][world.random_below(3) as usize];
         for version in 1..=8 {
-            let node = world.draw(seeds as u64) as usize;
+            let node = world.random_below(seeds as u64) as usize;
             world.replace(node, version);
-            let pause = 20 + world.draw(700);
+            let pause = 20 + world.random_below(700);
             world.run(pause);
-            if world.draw(5) == 0 {
+            if world.random_below(5) == 0 {
                 world.heal();
             }
-            let node = (node + world.draw(2) as usize) % seeds;
+            let node = (node + world.random_below(2) as usize) % seeds;
             let down = (0..seeds).filter(|i| !world.up(*i)).count();
-            let (back, what) = (20 + world.draw(1500), world.draw(6) as usize);
+            let (back, what) = (20 + world.random_below(1500), world.random_below(6) as usize);
             if what == 4 {
                 world.cut(node, (node + 1) % seeds);
             } else if what < 4 && down < losses && world.up(node) {
--- a/pilotage/tests/replaced.rs
+++ b/crates/control-group/tests/replaced.rs
@@ -37,7 +37,7 @@
             world.add();
             world.run(2000);
             assert!(!world.voters().contains(&lost) && world.voters().contains(&3), "{:?}", world.voters());
-            assert!(!world.watch().copies.contains(&voter(lost)));
+            assert!(!world.view().copies.contains(&voter(lost)));
             bears_one_more(&mut world, seed / 3);
         }
     }
@@ -82,8 +82,8 @@
         world.run(200);
         assert!(world.nodes[old].released, "a follower waits for no more than two agreements");
         world.run(if led { 100 } else { 0 });
-        assert!(!world.voters().contains(&old) && !world.watch().copies.contains(&voter(old)));
-        assert_eq!(world.watch().copies.len(), 2);
+        assert!(!world.voters().contains(&old) && !world.view().copies.contains(&voter(old)));
+        assert_eq!(world.view().copies.len(), 2);
         world.run(300);
         assert_eq!(world.voters().len(), 3, "it does not join again as it ends");
         world.strike(old, Kill, None);
@@ -133,12 +133,12 @@
         world.run(500);
         world.add();
         world.run(2500);
-        let (epoch, call) = (world.watch().epoch, world.replace(3, 7));
+        let (epoch, call) = (world.view().epoch, world.replace(3, 7));
         world.wait(call, 1000);
         world.run(4500);
         assert!(world.voters().contains(&lost));
         assert!(
-            world.watch().epoch <= epoch + 2,
+            world.view().epoch <= epoch + 2,
             "one change lets it in, and nobody stands against the primary"
         );
         world.calm();
@@ -212,7 +212,7 @@
         world.add();
         world.add();
         world.run(3500);
-        assert_eq!((world.voters().len(), world.watch().copies.len()), (5, 3));
+        assert_eq!((world.voters().len(), world.view().copies.len()), (5, 3));
         let next = [world.primary(), world.copy()];
         next.iter().for_each(|i| world.strike(*i, Wipe, None));
         world.read((0..7).find(|i| world.up(*i)).unwrap(), 3000);
--- a/pilotage/tests/retirements.rs
+++ b/crates/control-group/tests/retirements.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use assert_matches::assert_matches;
-use stileroute_pilotage::*;
+use stileroute_control_group::*;
 use world::*;
 
 /// A configuration, eight orders at once at all nodes, and each once more at the next node.
@@ -54,7 +54,7 @@
         let mut world = World::new(3, 1, 5);
         orders(&mut world);
         world.run(500);
-        let before = world.nodes[0].force.serial;
+        let before = world.nodes[0].committed.serial;
         (0..3).for_each(|i| world.strike(i, trouble, Some(100)));
         world.run(100);
         for at in 0..3 {
@@ -62,7 +62,7 @@
             assert_eq!(world.wait(again, 3000), Verdict::Unchanged);
         }
         world.run(500);
-        assert_eq!(world.nodes[0].force.serial, before);
+        assert_eq!(world.nodes[0].committed.serial, before);
         assert!(world.retired(1).contains(&(3, Stage::Complete)));
     }
 }
@@ -72,15 +72,15 @@
     let mut world = World::new(3, 1, 5);
     orders(&mut world);
     world.run(500);
-    let serial = world.nodes[0].force.serial;
+    let serial = world.nodes[0].committed.serial;
     world.advance(3, Stage::Rolling);
     world.advance(9, Stage::Complete);
     world.run(500);
-    assert_eq!(world.nodes[0].force.serial, serial);
+    assert_eq!(world.nodes[0].committed.serial, serial);
     // Noticed at each turn of the loop until it is written.
     (0..5).for_each(|_| world.advance(4, Stage::Rolling));
     world.run(500);
-    assert_eq!(world.nodes[0].force.serial, serial + 1);
+    assert_eq!(world.nodes[0].committed.serial, serial + 1);
     assert!(
         world.retired(2).contains(&(4, Stage::Rolling)) && world.retired(2).contains(&(3, Stage::Complete))
     );
@@ -108,26 +108,26 @@
 #[test]
 fn an_older_builds_value_is_read_with_its_version_for_a_serial() {
     let old = Record::Unnumbered(Unnumbered { version: 7, body: b"seven".to_vec() });
-    let mut kept = Kept::default();
-    kept.apply(old);
-    let read = Chart { serial: 7, version: 7, body: b"seven".to_vec(), retirements: Vec::new() };
-    assert_matches!(&kept.chart, Some(chart) if *chart == read);
+    let mut persisted = Persisted::default();
+    persisted.apply(old);
+    let read = ControlState { serial: 7, version: 7, body: b"seven".to_vec(), retirements: Vec::new() };
+    assert_matches!(&persisted.state, Some(state) if *state == read);
     // What is written from here on is in the new form.
-    assert_eq!(kept.records().collect::<Vec<_>>(), [Record::Chart(read)]);
+    assert_eq!(persisted.records().collect::<Vec<_>>(), [Record::ControlState(read)]);
 }
 
 #[test]
 fn a_value_is_told_from_another_by_any_part_of_it() {
     let order = |name: &str, stage| Retirement { node: 1, name: name.to_string(), stage };
-    let of = |retirements| Chart { serial: 3, version: 2, body: b"two".to_vec(), retirements };
+    let of = |retirements| ControlState { serial: 3, version: 2, body: b"two".to_vec(), retirements };
     let base = of(vec![order("a", Stage::Ordered)]);
     let others = [
         of(Vec::new()),
         of(vec![order("b", Stage::Ordered)]),
         of(vec![order("a", Stage::Rolling)]),
-        Chart { serial: 4, ..base.clone() },
-        Chart { version: 3, ..base.clone() },
-        Chart { body: b"owt".to_vec(), ..base.clone() },
+        ControlState { serial: 4, ..base.clone() },
+        ControlState { version: 3, ..base.clone() },
+        ControlState { body: b"owt".to_vec(), ..base.clone() },
     ];
     for other in others {
         assert_ne!(other.digest(), base.digest(), "{other:?}");
--- a/pilotage/tests/rules.rs
+++ b/crates/control-group/tests/rules.rs
@@ -1,24 +1,34 @@
 //! Single rules that schedules seldom touch, one machine at a time.
 
-use stileroute_pilotage::{Chart, Effect, Kept, Pilotage, Pulse, Rank, Signal, Terms, Verdict, Voter, Watch};
+use stileroute_control_group::{
+    ControlGroup, ControlState, Effect, GroupSettings, Heartbeat, Persisted, Rank, Signal, Verdict, View,
+    Voter,
+};
 
-const PULSE: Signal = pulse(5, None);
+const PULSE: Signal = heartbeat(5, None);
 
-const fn pulse(sent_at: u64, acked: Option<u64>) -> Signal {
-    Signal::Pulse(Pulse { epoch: 4, sent_at, force: Rank { version: 0, serial: 0 }, digest: 0, acked })
+const fn heartbeat(sent_at: u64, acked: Option<u64>) -> Signal {
+    Signal::Heartbeat(Heartbeat {
+        epoch: 4,
+        sent_at,
+        committed: Rank { version: 0, serial: 0 },
+        digest: 0,
+        acked,
+    })
 }
 
 fn voter(i: u8) -> Voter {
     Voter::new([10, 0, 0, i].into(), 9000)
 }
-fn watch(epoch: u64, primary: u8, copies: [u8; 2], drawn: u64) -> Watch {
+fn view(epoch: u64, primary: u8, copies: [u8; 2], membership_epoch: u64) -> View {
     let voters = (1..=3).map(voter).collect();
-    Watch { epoch, primary: voter(primary), copies: copies.map(voter).to_vec(), voters, drawn }
+    View { epoch, primary: voter(primary), copies: copies.map(voter).to_vec(), voters, membership_epoch }
 }
-/// Node `me`, started at 0 with this watch and a chart on its disk.
-fn machine(me: u8, watch: Watch) -> Pilotage {
-    let kept = Kept { watch: Some(watch), chart: Some(Chart::default()), ..Kept::default() };
-    Pilotage::new(Terms::new(voter(me), (1..=3).map(voter).collect(), false, 1, 1), kept, 0)
+/// Node `me`, started at 0 with this view and a state on its disk.
+fn machine(me: u8, view: View) -> ControlGroup {
+    let persisted =
+        Persisted { view: Some(view), state: Some(ControlState::default()), ..Persisted::default() };
+    ControlGroup::new(GroupSettings::new(voter(me), (1..=3).map(voter).collect(), false, 1, 1), persisted, 0)
 }
 fn sent(effects: &[Effect], to: u8) -> Vec<Signal> {
     let signal = |e: &Effect| match e {
@@ -28,24 +38,24 @@
     effects.iter().filter_map(signal).collect()
 }
 /// Says it, does what is asked of the disk, and tells what was sent back.
-fn say(p: &mut Pilotage, now: u64, from: u8, signal: Signal) -> Vec<Signal> {
+fn say(p: &mut ControlGroup, now: u64, from: u8, signal: Signal) -> Vec<Signal> {
     p.signal(now, voter(from), signal);
     sent(&sync(p, now), from)
 }
-fn propose(p: &mut Pilotage, now: u64, watch: &Watch, released: bool) -> Vec<Signal> {
-    let wanted = Signal::Propose { watch: watch.clone(), released };
-    say(p, now, watch.primary.ip().octets()[3], wanted)
+fn propose(p: &mut ControlGroup, now: u64, view: &View, released: bool) -> Vec<Signal> {
+    let wanted = Signal::Propose { view: view.clone(), released };
+    say(p, now, view.primary.ip().octets()[3], wanted)
 }
 fn ack(epoch: u64, sent_at: u64) -> Signal {
-    Signal::PulseAck { epoch, sent_at, votes: true, holds: true }
+    Signal::HeartbeatAck { epoch, sent_at, votes: true, holds: true }
 }
 /// Does what is asked of its disk.
-fn sync(p: &mut Pilotage, now: u64) -> Vec<Effect> {
+fn sync(p: &mut ControlGroup, now: u64) -> Vec<Effect> {
     let mut all = p.take();
     let mut done = 0;
     while let Some(effect) = all.get(done) {
-        if let Effect::Keep { ticket, .. } = effect {
-            p.kept(now, *ticket, true);
+        if let Effect::Persist { ticket, .. } = effect {
+            p.persisted(now, *ticket, true);
             all.extend(p.take());
         }
         done += 1;
@@ -58,12 +68,12 @@
         _ => None,
     })
 }
-/// The primary 1 by the first watch, settled, with 2 as the other copy, at the time 100.
-fn leader() -> Pilotage {
-    let terms = Terms::new(voter(1), (1..=3).map(voter).collect(), true, 1, 1);
-    let mut p = Pilotage::new(terms, Kept::default(), 0);
+/// The primary 1 by the first view, settled, with 2 as the other copy, at the time 100.
+fn leader() -> ControlGroup {
+    let settings = GroupSettings::new(voter(1), (1..=3).map(voter).collect(), true, 1, 1);
+    let mut p = ControlGroup::new(settings, Persisted::default(), 0);
     sync(&mut p, 0);
-    p.signal(0, voter(2), Signal::Granted { watch: watch(1, 1, [1, 2], 1) });
+    p.signal(0, voter(2), Signal::Granted { view: view(1, 1, [1, 2], 1) });
     (2..=3).for_each(|from| p.signal(0, voter(from), ack(1, 0)));
     let (epoch, serial) = last_store(&sync(&mut p, 0), 2).unwrap_or_default();
     p.signal(100, voter(2), Signal::Stored { epoch, serial });
@@ -74,71 +84,71 @@
 
 #[test]
 fn a_grant_is_on_disk_before_it_is_told() {
-    let mut p = machine(3, watch(4, 1, [1, 2], 4));
-    let wanted = watch(5, 2, [1, 2], 4);
-    let ask = Signal::Propose { watch: wanted.clone(), released: true };
+    let mut p = machine(3, view(4, 1, [1, 2], 4));
+    let wanted = view(5, 2, [1, 2], 4);
+    let ask = Signal::Propose { view: wanted.clone(), released: true };
     for (now, ticket) in [(10, 1), (20, 2)] {
         p.signal(now, voter(2), ask.clone());
         p.signal(now + 1, voter(2), ask.clone());
         assert!(sent(&p.take(), 2).is_empty());
         // The first time the disk refuses it.
-        p.kept(now + 2, ticket, ticket == 2);
+        p.persisted(now + 2, ticket, ticket == 2);
     }
-    assert_eq!(sent(&p.take(), 2), [Signal::Granted { watch: wanted }]);
+    assert_eq!(sent(&p.take(), 2), [Signal::Granted { view: wanted }]);
 }
 
 #[test]
 fn no_vote_after_a_start_nor_by_an_old_release_nor_for_who_missed_a_change_of_copies() {
-    let mut p = machine(3, watch(4, 1, [1, 2], 4));
-    let denied = [Signal::Denied { watch: watch(4, 1, [1, 2], 4) }];
-    assert_eq!(propose(&mut p, 850, &watch(5, 2, [1, 2], 4), false), denied);
-    assert_eq!(propose(&mut p, 850, &watch(6, 2, [1, 2], 4), true), denied);
-    assert_eq!(propose(&mut p, 950, &watch(9, 2, [1, 2], 2), false), denied);
-    let wanted = watch(5, 2, [1, 2], 4);
-    assert_eq!(propose(&mut p, 950, &wanted, false), [Signal::Granted { watch: wanted }]);
+    let mut p = machine(3, view(4, 1, [1, 2], 4));
+    let denied = [Signal::Denied { view: view(4, 1, [1, 2], 4) }];
+    assert_eq!(propose(&mut p, 850, &view(5, 2, [1, 2], 4), false), denied);
+    assert_eq!(propose(&mut p, 850, &view(6, 2, [1, 2], 4), true), denied);
+    assert_eq!(propose(&mut p, 950, &view(9, 2, [1, 2], 2), false), denied);
+    let wanted = view(5, 2, [1, 2], 4);
+    assert_eq!(propose(&mut p, 950, &wanted, false), [Signal::Granted { view: wanted }]);
 }
 
 #[test]
 fn hearsay_does_not_free_a_vote_that_is_lent() {
-    let mut p = machine(3, watch(4, 1, [1, 2], 4));
+    let mut p = machine(3, view(4, 1, [1, 2], 4));
     assert_eq!(say(&mut p, 2000, 1, PULSE).len(), 1);
-    let heard_of = watch(5, 2, [1, 2], 4);
-    say(&mut p, 2010, 1, Signal::ThisWatch { watch: Some(heard_of.clone()) });
-    let denied = [Signal::Denied { watch: heard_of.clone() }];
+    let heard_of = view(5, 2, [1, 2], 4);
+    say(&mut p, 2010, 1, Signal::TellView { view: Some(heard_of.clone()) });
+    let denied = [Signal::Denied { view: heard_of.clone() }];
     assert_eq!(propose(&mut p, 2100, &heard_of, false), denied);
-    assert_eq!(propose(&mut p, 2100, &watch(6, 2, [1, 2], 4), false), denied);
-    assert_eq!(propose(&mut p, 2950, &heard_of, false), [Signal::Granted { watch: heard_of }]);
+    assert_eq!(propose(&mut p, 2100, &view(6, 2, [1, 2], 4), false), denied);
+    assert_eq!(propose(&mut p, 2950, &heard_of, false), [Signal::Granted { view: heard_of }]);
 }
 
 #[test]
 fn epoch_and_list_of_copies_are_learned_each_by_itself() {
-    let mut p = machine(2, watch(4, 1, [1, 2], 2));
-    say(&mut p, 2000, 3, Signal::Denied { watch: watch(4, 3, [2, 3], 4) });
-    assert_eq!(p.watch(), Some(&watch(4, 1, [2, 3], 4)));
-    say(&mut p, 2000, 3, Signal::Denied { watch: watch(6, 3, [1, 3], 3) });
-    assert_eq!(p.watch(), Some(&watch(6, 3, [2, 3], 4)));
+    let mut p = machine(2, view(4, 1, [1, 2], 2));
+    say(&mut p, 2000, 3, Signal::Denied { view: view(4, 3, [2, 3], 4) });
+    assert_eq!(p.view(), Some(&view(4, 1, [2, 3], 4)));
+    say(&mut p, 2000, 3, Signal::Denied { view: view(6, 3, [1, 3], 3) });
+    assert_eq!(p.view(), Some(&view(6, 3, [2, 3], 4)));
 }
 
 #[test]
 fn a_candidate_that_lends_its_vote_stands_no_more() {
-    let mut p = machine(2, watch(4, 1, [1, 2], 4));
+    let mut p = machine(2, view(4, 1, [1, 2], 4));
     p.tick(1500);
     assert!(!sent(&p.take(), 3).is_empty());
     // Another that stands for the same epoch does not take the own vote away.
-    let other = watch(5, 1, [1, 2], 4);
-    say(&mut p, 1505, 3, Signal::Denied { watch: other.clone() });
-    assert_eq!(propose(&mut p, 1505, &other, false), [Signal::Denied { watch: watch(4, 1, [1, 2], 4) }]);
+    let other = view(5, 1, [1, 2], 4);
+    say(&mut p, 1505, 3, Signal::Denied { view: other.clone() });
+    assert_eq!(propose(&mut p, 1505, &other, false), [Signal::Denied { view: view(4, 1, [1, 2], 4) }]);
     say(&mut p, 1510, 1, PULSE);
-    say(&mut p, 1520, 3, Signal::Granted { watch: watch(5, 2, [1, 2], 4) });
-    assert_eq!(p.watch().map(|w| w.epoch), Some(4));
+    say(&mut p, 1520, 3, Signal::Granted { view: view(5, 2, [1, 2], 4) });
+    assert_eq!(p.view().map(|w| w.epoch), Some(4));
 }
 
 #[test]
 fn who_can_not_stand_tells_those_who_can_and_is_not_woken_once_released() {
-    let mine = watch(4, 1, [1, 2], 4);
+    let mine = view(4, 1, [1, 2], 4);
     let mut p = machine(3, mine.clone());
     p.tick(1500);
-    assert_eq!(sent(&p.take(), 2), [Signal::ThisWatch { watch: Some(mine) }]);
+    assert_eq!(sent(&p.take(), 2), [Signal::TellView { view: Some(mine) }]);
     p.release(1600);
     assert!(p.take() == [Effect::Released] && p.next(5000) > 5500);
 }
@@ -153,16 +163,16 @@
     let (epoch, serial) = last_store(&sync(&mut p, 120), 3).unwrap_or_default();
     p.signal(130, voter(3), Signal::Stored { epoch, serial });
     sync(&mut p, 130);
-    let told = say(&mut p, 140, 2, Signal::WhatWatch);
-    assert_eq!(told, [Signal::ThisWatch { watch: Some(watch(2, 1, [1, 3], 2)) }]);
-    p.signal(150, voter(3), Signal::Denied { watch: watch(9, 2, [1, 2], 1) });
+    let told = say(&mut p, 140, 2, Signal::AskView);
+    assert_eq!(told, [Signal::TellView { view: Some(view(2, 1, [1, 3], 2)) }]);
+    p.signal(150, voter(3), Signal::Denied { view: view(9, 2, [1, 2], 1) });
     assert!(p.take().contains(&Effect::Answer { ticket: 7, verdict: Verdict::Uncertain }));
 }
 
 #[test]
 fn a_copy_that_lost_its_disk_is_filled_in_place_and_a_joiner_that_is_gone_not_waited_for() {
     let mut p = leader();
-    p.signal(110, voter(2), Signal::PulseAck { epoch: 1, sent_at: 105, votes: true, holds: false });
+    p.signal(110, voter(2), Signal::HeartbeatAck { epoch: 1, sent_at: 105, votes: true, holds: false });
     assert!(last_store(&sync(&mut p, 110), 2).is_some());
     p.link(110, voter(2), false);
     p.tick(120);
@@ -173,47 +183,48 @@
     assert!(last_store(&sync(&mut p, 140), 2).is_some());
 }
 
-/// Seen failing with a pulse's coming as the sign of contact.
+/// Seen failing with a heartbeat's coming as the sign of contact.
 #[test]
 fn pulses_of_a_primary_without_the_lease_or_that_waited_are_no_contact() {
-    let mut p = machine(3, watch(4, 1, [1, 2], 4));
-    say(&mut p, 1000, 1, pulse(50, None));
+    let mut p = machine(3, view(4, 1, [1, 2], 4));
+    say(&mut p, 1000, 1, heartbeat(50, None));
     assert!(!p.in_touch(1001), "nothing says that the primary holds the lease");
-    say(&mut p, 1200, 1, pulse(250, Some(50)));
+    say(&mut p, 1200, 1, heartbeat(250, Some(50)));
     assert!(p.in_touch(2799) && !p.in_touch(2801), "sent after the ack at 1000");
-    // The primary is cut off with this node, and goes on pulsing.
+    // The primary is cut off with this node, and goes on unknown_leader.
     (1..10).for_each(|i| {
-        say(&mut p, 1200 + i * 200, 1, pulse(250 + i * 200, None));
+        say(&mut p, 1200 + i * 200, 1, heartbeat(250 + i * 200, None));
     });
     assert!(!p.in_touch(3001));
     // Frozen until here: what had come meanwhile is of then.
     (1..10).for_each(|i| {
-        say(&mut p, 9000, 1, pulse(2050 + i * 200, Some(1850)));
+        say(&mut p, 9000, 1, heartbeat(2050 + i * 200, Some(1850)));
     });
     assert!(!p.in_touch(9000));
-    say(&mut p, 9200, 1, pulse(9000, Some(3850)));
+    say(&mut p, 9200, 1, heartbeat(9000, Some(3850)));
     assert!(p.in_touch(9200));
 }
 
 /// As docs/replace.md says of a control side that has lost most of its disks: its serials begin anew, its versions do not.
 #[test]
 fn a_control_side_that_is_begun_anew_is_followed_by_its_higher_version_and_not_by_a_lower_one() {
-    let mut p = machine(3, watch(4, 1, [1, 2], 4));
-    let chart = |version, serial| Chart { version, serial, body: b"any".to_vec(), ..Chart::default() };
-    let told = |p: &mut Pilotage, chart: Chart| {
-        p.signal(10, voter(1), Signal::ThisChart { chart });
-        p.in_force().map(|c| (c.version, c.serial))
+    let mut p = machine(3, view(4, 1, [1, 2], 4));
+    let state =
+        |version, serial| ControlState { version, serial, body: b"any".to_vec(), ..ControlState::default() };
+    let told = |p: &mut ControlGroup, state: ControlState| {
+        p.signal(10, voter(1), Signal::TellState { state });
+        p.committed().map(|c| (c.version, c.serial))
     };
-    assert_eq!(told(&mut p, chart(7, 12)), Some((7, 12)));
-    assert_eq!(told(&mut p, chart(7, 1)), Some((7, 12)));
-    assert_eq!(told(&mut p, chart(6, 13)), Some((7, 12)));
-    let pulse = |p: &mut Pilotage, chart: &Chart| {
-        let (force, digest) = (chart.rank(), chart.digest());
-        say(p, 20, 1, Signal::Pulse(Pulse { epoch: 4, sent_at: 15, force, digest, acked: None }))
+    assert_eq!(told(&mut p, state(7, 12)), Some((7, 12)));
+    assert_eq!(told(&mut p, state(7, 1)), Some((7, 12)));
+    assert_eq!(told(&mut p, state(6, 13)), Some((7, 12)));
+    let heartbeat = |p: &mut ControlGroup, state: &ControlState| {
+        let (committed, digest) = (state.rank(), state.digest());
+        say(p, 20, 1, Signal::Heartbeat(Heartbeat { epoch: 4, sent_at: 15, committed, digest, acked: None }))
     };
-    assert!(!pulse(&mut p, &chart(7, 1)).contains(&Signal::AskChart));
-    assert!(pulse(&mut p, &chart(9, 2)).contains(&Signal::AskChart));
-    assert_eq!(told(&mut p, chart(9, 2)), Some((9, 2)));
+    assert!(!heartbeat(&mut p, &state(7, 1)).contains(&Signal::AskState));
+    assert!(heartbeat(&mut p, &state(9, 2)).contains(&Signal::AskState));
+    assert_eq!(told(&mut p, state(9, 2)), Some((9, 2)));
 }
 
 /// Of the voters 1, 2 and 3 the last is silent, and 4 has come: 1 and 2 are asked to go on without 3. Seen failing without
@@ -229,7 +240,7 @@
     [2, 4].into_iter().for_each(|from| p.signal(2000, voter(from), ack(1, 1990)));
     let proposed = |effects: &[Effect], to| {
         sent(effects, to).into_iter().rev().find_map(|s| match s {
-            Signal::Propose { watch, .. } => Some((watch.epoch, watch.voters)),
+            Signal::Propose { view, .. } => Some((view.epoch, view.voters)),
             _ => None,
         })
     };
@@ -239,10 +250,10 @@
     let three = (1..=3).map(voter).collect();
     assert_eq!(proposed(&sync(&mut p, 3010), 3), Some((3, three)));
     // 2 had granted the other, and tells of it: that is this node's own, and older.
-    let older = Watch { voters: two, ..watch(2, 1, [1, 2], 2) };
-    p.signal(3020, voter(2), Signal::ThisWatch { watch: Some(older) });
-    p.signal(3030, voter(3), Signal::Granted { watch: watch(3, 1, [1, 2], 3) });
-    assert_eq!(p.watch(), Some(&watch(3, 1, [1, 2], 3)));
+    let older = View { voters: two, ..view(2, 1, [1, 2], 2) };
+    p.signal(3020, voter(2), Signal::TellView { view: Some(older) });
+    p.signal(3030, voter(3), Signal::Granted { view: view(3, 1, [1, 2], 3) });
+    assert_eq!(p.view(), Some(&view(3, 1, [1, 2], 3)));
 }
 
 /// With 2 and 3 silent nothing is asked: who would have to grant it is not in sight. Seen failing without that rule.
--- a/pilotage/tests/world/mod.rs
+++ b/crates/control-group/tests/world/mod.rs
@@ -3,7 +3,7 @@
 //! at every answer, and every few milliseconds by asking all nodes.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use stileroute_pilotage::*;
+use stileroute_control_group::*;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Trouble {
@@ -26,17 +26,17 @@
 
 #[derive(Default)]
 pub struct Node {
-    pub pilot: Option<Pilotage>,
+    pub group: Option<ControlGroup>,
     life: u64,
     clock: Millis,
-    disk: Kept,
+    disk: Persisted,
     writing: VecDeque<(u64, Record)>,
     pub full: bool,
     frozen: bool,
     held: Vec<To>,
     outbox: VecDeque<Effect>,
     due: Millis,
-    pub force: Chart,
+    pub committed: ControlState,
     pub released: bool,
 }
 
@@ -71,12 +71,12 @@
     losses: usize,
     queue: BTreeMap<(Millis, u64), To>,
     next: u64,
-    luck: u64,
+    random_state: u64,
     conns: BTreeMap<(usize, usize), u64>,
     cut: BTreeSet<(usize, usize)>,
     order: BTreeMap<(usize, usize), Millis>,
     probe_at: Millis,
-    /// Stores whose retirement was acknowledged: no value that comes in force later is without them.
+    /// Stores whose retirement was acknowledged: no value that comes committed later is without them.
     ordered: BTreeSet<u32>,
     /// What was answered, by version, and the highest of it.
     known: BTreeMap<u64, Vec<u8>>,
@@ -107,22 +107,22 @@
         world
     }
     pub fn new(seeds: usize, losses: usize, seed: u64) -> World {
-        let luck = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
-        let mut world = World { seeds, losses, luck, disk: 2, delay: 4, ..World::default() };
+        let random_state = seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1;
+        let mut world = World { seeds, losses, random_state, disk: 2, delay: 4, ..World::default() };
         (0..seeds).for_each(|_| world.add());
         world
     }
     /// Another control node, empty, and no seed after the first ones.
     pub fn add(&mut self) {
-        let clock = 1_000 + self.draw(1_000_000);
+        let clock = 1_000 + self.random_below(1_000_000);
         self.nodes.push(Node { clock, ..Node::default() });
         self.start(self.nodes.len() - 1);
     }
-    pub fn draw(&mut self, most: u64) -> u64 {
-        self.luck ^= self.luck << 13;
-        self.luck ^= self.luck >> 7;
-        self.luck ^= self.luck << 17;
-        self.luck % most.max(1)
+    pub fn random_below(&mut self, most: u64) -> u64 {
+        self.random_state ^= self.random_state << 13;
+        self.random_state ^= self.random_state >> 7;
+        self.random_state ^= self.random_state << 17;
+        self.random_state % most.max(1)
     }
     /// To a node, in this life of it.
     fn at(&mut self, after: Millis, node: usize, what: Happening) {
@@ -139,18 +139,18 @@
     }
     fn start(&mut self, i: usize) {
         let seeds = (0..self.seeds).map(voter).collect();
-        let seed = self.draw(u64::MAX);
+        let seed = self.random_below(u64::MAX);
         let node = &mut self.nodes[i];
-        let terms = Terms::new(voter(i), seeds, node.life == 0, self.losses, seed);
-        let terms = Terms { places: self.places, ..terms };
-        node.pilot = Some(Pilotage::new(terms, node.disk.clone(), self.now + node.clock));
+        let settings = GroupSettings::new(voter(i), seeds, node.life == 0, self.losses, seed);
+        let settings = GroupSettings { places: self.places, ..settings };
+        node.group = Some(ControlGroup::new(settings, node.disk.clone(), self.now + node.clock));
         node.life += 1;
         self.note(format!("{i} starts"));
         (0..self.nodes.len()).for_each(|peer| self.connect(i, peer));
         self.carry_out(i);
     }
     fn connect(&mut self, a: usize, b: usize) {
-        let up = |i: usize| self.nodes[i].pilot.is_some();
+        let up = |i: usize| self.nodes[i].group.is_some();
         let free = !self.cut.contains(&way(a, b)) && !self.conns.contains_key(&way(a, b));
         if a != b && up(a) && up(b) && free {
             self.conns.insert(way(a, b), self.next);
@@ -169,7 +169,7 @@
     pub fn cut(&mut self, a: usize, b: usize) {
         self.note(format!("cut {a} {b}"));
         self.cut.insert(way(a, b));
-        let noticed = 100 + self.draw(2000);
+        let noticed = 100 + self.random_below(2000);
         self.disconnect(a, b, noticed);
     }
     pub fn heal(&mut self) {
@@ -188,11 +188,11 @@
         self.order.retain(|(from, _), _| *from != i);
         let whole = self.nodes[i].writing.len() as u64;
         // What was being written is there in part, in its order; some losses of power take all of it.
-        let reached = self.draw(whole + 1) * u64::from(trouble == Kill || self.draw(2) == 0);
+        let reached = self.random_below(whole + 1) * u64::from(trouble == Kill || self.random_below(2) == 0);
         let Node { clock, life, mut disk, writing, .. } = std::mem::take(&mut self.nodes[i]);
         writing.into_iter().take(reached as usize).for_each(|(_, record)| disk.apply(record));
         if trouble == Wipe {
-            disk = Kept::default();
+            disk = Persisted::default();
         }
         self.nodes[i] = Node { clock, life, disk, ..Node::default() };
         let noticed = if trouble == Kill { 1 } else { 3000 };
@@ -216,11 +216,11 @@
     }
     /// A store has come further, as the node that leads sees.
     pub fn advance(&mut self, node: u32, stage: Stage) {
-        (0..self.nodes.len()).for_each(|i| self.with(i, |pilot, now| pilot.advance(now, node, stage)));
+        (0..self.nodes.len()).for_each(|i| self.with(i, |group, now| group.advance(now, node, stage)));
     }
-    /// Stores that are retired by what node `i` has in force, in their order.
+    /// Stores that are retired by what node `i` has committed, in their order.
     pub fn retired(&self, i: usize) -> Vec<(u32, Stage)> {
-        self.nodes[i].force.retirements.iter().map(|r| (r.node, r.stage)).collect()
+        self.nodes[i].committed.retirements.iter().map(|r| (r.node, r.stage)).collect()
     }
     #[track_caller]
     pub fn read(&mut self, at: usize, most: Millis) {
@@ -240,13 +240,13 @@
         let (there, ticket) = (self.up(i), call as u64 * 1000 + attempt);
         // Where nobody is it is noticed at once, and at a machine that ends meanwhile, soon.
         self.at(if there { 500 } else { 30 }, i, Happening::Try { call, attempt, at: None });
-        self.with(i, |pilot, now| match (version, retires) {
-            (_, Some(node)) => pilot.retire(now, ticket, node, format!("storage-{node}")),
-            (Some(version), _) => pilot.replace(now, ticket, version, body),
-            (None, None) => pilot.read(now, ticket),
+        self.with(i, |group, now| match (version, retires) {
+            (_, Some(node)) => group.retire(now, ticket, node, format!("storage-{node}")),
+            (Some(version), _) => group.replace(now, ticket, version, body),
+            (None, None) => group.read(now, ticket),
         });
     }
-    fn answered(&mut self, ticket: u64, verdict: Verdict, chart: Option<Chart>) {
+    fn answered(&mut self, ticket: u64, verdict: Verdict, state: Option<ControlState>) {
         let (call, attempt) = ((ticket / 1000) as usize, ticket % 1000);
         let c = &mut self.calls[call];
         if c.attempt != attempt || c.done.is_some() {
@@ -262,11 +262,11 @@
                     return;
                 }
                 let (version, body) = (c.version.unwrap_or(0), c.body.clone());
-                let wrote = Some(Chart { version, body, ..Chart::default() })
+                let wrote = Some(ControlState { version, body, ..ControlState::default() })
                     .filter(|_| verdict == Verdict::Accepted);
-                self.note(format!("call {call} {version:?} {verdict:?} {chart:?}"));
-                self.seen(&wrote.or(chart).unwrap_or_default(), floor);
-                return assert!(self.acked >= version, "acknowledged, and not in force");
+                self.note(format!("call {call} {version:?} {verdict:?} {state:?}"));
+                self.seen(&wrote.or(state).unwrap_or_default(), floor);
+                return assert!(self.acked >= version, "acknowledged, and not committed");
             }
             Verdict::NotPrimary { primary: Some(primary) } => (5, index(primary)),
             _ => (30, (at + 1) % self.nodes.len()),
@@ -274,58 +274,58 @@
         self.at(after, at, Happening::Try { call, attempt, at: Some(next) })
     }
     /// An answer: nothing older than what was answered before it was asked, and always the same by one number.
-    fn seen(&mut self, chart: &Chart, floor: u64) {
-        if chart.version < floor {
-            self.fail(&format!("answered {} after {floor}", chart.version));
+    fn seen(&mut self, state: &ControlState, floor: u64) {
+        if state.version < floor {
+            self.fail(&format!("answered {} after {floor}", state.version));
         }
-        if self.known.entry(chart.version).or_insert_with(|| chart.body.clone()) != &chart.body {
-            self.fail(&format!("two contents of {}", chart.version));
+        if self.known.entry(state.version).or_insert_with(|| state.body.clone()) != &state.body {
+            self.fail(&format!("two contents of {}", state.version));
         }
-        self.acked = self.acked.max(chart.version);
+        self.acked = self.acked.max(state.version);
     }
     /// Asks all nodes at one moment: no more than one may answer, with nothing older than was answered before.
     fn probe(&mut self) {
         let ordered = self.ordered.clone();
         self.probe_at = self.now + 10;
-        let mut charts = Vec::new();
+        let mut states = Vec::new();
         for node in self.nodes.iter_mut().filter(|n| !n.frozen) {
-            let Some(pilot) = &mut node.pilot else { continue };
-            pilot.read(self.now + node.clock, 0);
-            let settled = pilot.settled(self.now + node.clock);
+            let Some(group) = &mut node.group else { continue };
+            group.read(self.now + node.clock, 0);
+            let settled = group.settled(self.now + node.clock);
             // Of a full list the oldest complete one may go.
-            let settled = settled.filter(|chart| chart.retirements.len() < RETIREMENTS);
+            let settled = settled.filter(|state| state.retirements.len() < RETIREMENTS);
             let forgotten =
-                settled.is_some_and(|chart| ordered.iter().any(|node| chart.retirement(*node).is_none()));
+                settled.is_some_and(|state| ordered.iter().any(|node| state.retirement(*node).is_none()));
             if forgotten {
                 self.fail("an acknowledged order to retire a store is forgotten");
             }
-            if let Some(Effect::Chart { chart, .. }) = pilot.take().pop() {
-                charts.push(chart.unwrap_or_default());
+            if let Some(Effect::ControlState { state, .. }) = group.take().pop() {
+                states.push(state.unwrap_or_default());
             }
         }
-        if let Some(chart) = charts.pop() {
-            self.seen(&chart, self.acked);
+        if let Some(state) = states.pop() {
+            self.seen(&state, self.acked);
         }
-        if !charts.is_empty() {
+        if !states.is_empty() {
             self.fail("two answer as primary");
         }
     }
     /// Does this with one that runs, and carries out what comes of it.
-    fn with(&mut self, i: usize, what: impl FnOnce(&mut Pilotage, Millis)) {
+    fn with(&mut self, i: usize, what: impl FnOnce(&mut ControlGroup, Millis)) {
         let node = &mut self.nodes[i];
         let now = self.now + node.clock;
-        if let Some(pilot) = node.pilot.as_mut().filter(|_| !node.frozen) {
-            what(pilot, now);
+        if let Some(group) = node.group.as_mut().filter(|_| !node.frozen) {
+            what(group, now);
         }
         self.carry_out(i);
     }
     fn carry_out(&mut self, i: usize) {
         loop {
             let node = &mut self.nodes[i];
-            let Some(pilot) = &mut node.pilot else { return };
-            node.outbox.extend(pilot.take());
+            let Some(group) = &mut node.group else { return };
+            node.outbox.extend(group.take());
             let now = self.now + node.clock;
-            node.due = pilot.next(now) - node.clock;
+            node.due = group.next(now) - node.clock;
             if node.frozen {
                 return;
             }
@@ -339,7 +339,7 @@
     }
     /// After a while, but not before what went that way before.
     fn in_turn(&mut self, way: (usize, usize), most: Millis) -> Millis {
-        let at = self.now + 1 + self.draw(most);
+        let at = self.now + 1 + self.random_below(most);
         let last = self.order.entry(way).or_default();
         *last = at.max(*last);
         *last - self.now
@@ -354,23 +354,23 @@
                     self.at(after, to, Happening::Said { from: i, conn, signal });
                 }
             }
-            Effect::Keep { ticket, record } => {
+            Effect::Persist { ticket, record } => {
                 self.nodes[i].writing.push_back((ticket, record));
                 let after = self.in_turn((i, i), self.disk);
                 self.at(after, i, Happening::Synced);
             }
             Effect::Answer { ticket, verdict } => self.answered(ticket, verdict, None),
-            Effect::Chart { ticket, chart } => self.answered(ticket, Verdict::Unchanged, chart),
-            Effect::InForce { serial } => {
-                let chart =
-                    self.nodes[i].pilot.as_ref().and_then(|p| p.in_force()).cloned().unwrap_or_default();
-                let before = std::mem::replace(&mut self.nodes[i].force, chart.clone());
-                if serial != chart.serial || serial <= before.serial || chart.version < before.version {
-                    self.fail(&format!("{i} goes back to {} from {}", chart.serial, before.serial));
+            Effect::ControlState { ticket, state } => self.answered(ticket, Verdict::Unchanged, state),
+            Effect::Committed { serial } => {
+                let state =
+                    self.nodes[i].group.as_ref().and_then(|p| p.committed()).cloned().unwrap_or_default();
+                let before = std::mem::replace(&mut self.nodes[i].committed, state.clone());
+                if serial != state.serial || serial <= before.serial || state.version < before.version {
+                    self.fail(&format!("{i} goes back to {} from {}", state.serial, before.serial));
                 }
-                self.seen(&chart, 0);
+                self.seen(&state, 0);
             }
-            Effect::Turn { epoch, what } => self.note(format!("{i} {what} by {epoch}")),
+            Effect::RoleChanged { epoch, what } => self.note(format!("{i} {what} by {epoch}")),
             Effect::Released => self.nodes[i].released = true,
         }
     }
@@ -379,7 +379,7 @@
         match what {
             Happening::Try { call, attempt, at } => return self.attempt(call, attempt, at),
             _ if life != node.life => {}
-            Happening::Start if node.pilot.is_none() => return self.start(i),
+            Happening::Start if node.group.is_none() => return self.start(i),
             Happening::Thaw if node.frozen => {
                 node.frozen = false;
                 let held = std::mem::take(&mut node.held);
@@ -389,25 +389,25 @@
             }
             what if node.frozen => node.held.push((i, life, what)),
             Happening::Said { from, conn, signal } if self.conns.get(&way(from, i)) == Some(&conn) => {
-                self.with(i, |pilot, now| pilot.signal(now, voter(from), signal));
+                self.with(i, |group, now| group.signal(now, voter(from), signal));
             }
             Happening::Synced => {
                 let Some((ticket, record)) = node.writing.pop_front() else { return };
                 let ok = !node.full;
                 Some(record).filter(|_| ok).into_iter().for_each(|record| node.disk.apply(record));
-                self.with(i, |pilot, now| pilot.kept(now, ticket, ok));
+                self.with(i, |group, now| group.persisted(now, ticket, ok));
             }
             Happening::Link { peer, up } if up == self.conns.contains_key(&way(i, peer)) => {
-                self.with(i, |pilot, now| {
-                    pilot.link(now, voter(peer), up);
+                self.with(i, |group, now| {
+                    group.link(now, voter(peer), up);
                     if up {
-                        pilot.learn(voter(peer));
+                        group.learn(voter(peer));
                     }
                 });
             }
             _ => {}
         }
-        self.with(i, |pilot, now| pilot.tick(now));
+        self.with(i, |group, now| group.tick(now));
     }
     pub fn run(&mut self, span: Millis) {
         let until = self.now + span;
@@ -415,7 +415,7 @@
     }
     /// One thing more; not past that time.
     fn step(&mut self, until: Millis) -> bool {
-        let runs = |n: &&Node| n.pilot.is_some() && !n.frozen;
+        let runs = |n: &&Node| n.group.is_some() && !n.frozen;
         let due = self.nodes.iter().filter(runs).map(|n| n.due).min().unwrap_or(Millis::MAX);
         let first = self.queue.keys().next().map_or(Millis::MAX, |(at, _)| *at);
         let at = due.min(first).min(self.probe_at);
@@ -430,7 +430,7 @@
         } else if self.probe_at <= at {
             self.probe();
         } else if let Some(i) = self.nodes.iter().position(|n| runs(&n) && n.due <= at) {
-            self.with(i, |pilot, now| pilot.tick(now));
+            self.with(i, |group, now| group.tick(now));
         }
         true
     }
@@ -441,46 +441,47 @@
         while self.calls[call].done.is_none() && self.step(until) {}
         self.calls[call].done.unwrap_or_else(|| self.fail(&format!("call {call} has no answer")))
     }
-    /// Nothing troubles it from here on: a write is answered within 3 s, is read back, and is in force everywhere.
+    /// Nothing troubles it from here on: a write is answered within 3 s, is read back, and is committed everywhere.
     #[track_caller]
     pub fn calm(&mut self) {
         let version = self.acked.max(self.calls.iter().filter_map(|c| c.version).max().unwrap_or(0)) + 1;
-        let at = self.draw(self.nodes.len() as u64) as usize;
+        let at = self.random_below(self.nodes.len() as u64) as usize;
         (self.disk, self.delay) = (2, 4);
         let write = self.replace(at, version);
         self.wait(write, 3000);
         self.read(at, 500);
         self.run(1200);
-        let old = self.nodes.iter().position(|node| node.pilot.is_some() && node.force.version != version);
+        let old =
+            self.nodes.iter().position(|node| node.group.is_some() && node.committed.version != version);
         if old.is_some() || self.acked != version {
-            self.fail(&format!("{old:?} has not the last in force"));
+            self.fail(&format!("{old:?} has not the last committed"));
         }
     }
     pub fn primary(&self) -> usize {
-        let leads = |n: &Node| n.pilot.as_ref().is_some_and(|p| p.leads(self.now + n.clock));
+        let leads = |n: &Node| n.group.as_ref().is_some_and(|p| p.leads(self.now + n.clock));
         self.nodes.iter().position(leads).unwrap_or_else(|| self.fail("nobody leads"))
     }
-    pub fn watch(&self) -> Watch {
-        let pilot = self.nodes[self.primary()].pilot.as_ref();
-        pilot.and_then(|p| p.watch()).cloned().unwrap_or_else(|| self.fail("no watch"))
+    pub fn view(&self) -> View {
+        let group = self.nodes[self.primary()].group.as_ref();
+        group.and_then(|p| p.view()).cloned().unwrap_or_else(|| self.fail("no view"))
     }
     pub fn voters(&self) -> Vec<usize> {
-        self.watch().voters.into_iter().map(index).collect()
+        self.view().voters.into_iter().map(index).collect()
     }
     /// A copy beside the primary.
     pub fn copy(&self) -> usize {
-        let others = self.watch().copies.into_iter().map(index);
+        let others = self.view().copies.into_iter().map(index);
         others.filter(|i| *i != self.primary()).min().unwrap_or_else(|| self.fail("no copy"))
     }
     pub fn in_touch(&self, i: usize) -> bool {
         let node = &self.nodes[i];
-        node.pilot.as_ref().is_some_and(|p| p.in_touch(self.now + node.clock))
+        node.group.as_ref().is_some_and(|p| p.in_touch(self.now + node.clock))
     }
     pub fn up(&self, i: usize) -> bool {
-        self.nodes[i].pilot.is_some() && !self.nodes[i].frozen
+        self.nodes[i].group.is_some() && !self.nodes[i].frozen
     }
     pub fn release(&mut self, i: usize) {
         self.note(format!("{i} is told to end"));
-        self.with(i, |pilot, now| pilot.release(now));
+        self.with(i, |group, now| group.release(now));
     }
 }
--- a/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`choice`] holds every decision; [`tariff`] holds the plain types it is started with; [`posted`] reads
 //! them from the settings object; [`peers`] holds what instances tell one another.
 
-pub mod choice;
 pub mod peers;
-pub mod posted;
+pub mod policy;
+pub mod settings;
 pub mod state;
-pub mod tariff;
+pub mod types;
--- a/src/peers.rs
+++ b/crates/dispatch/src/peers.rs
@@ -5,7 +5,7 @@
 //! holds there or, with the top bit set, a category that it barred there. 256 bytes at most. The newest entry
 //! counts and a lost one is made good by the next; what can't be read is counted and dropped whole.
 
-use crate::tariff::{Letter, Terms, Time, SECOND};
+use crate::types::{Letter, Terms, Time, SECOND};
 use std::collections::BTreeMap;
 
 const VERSION: u8 = 1;
--- a/src/choice/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -18,7 +18,7 @@
 
 use crate::peers::Peers;
 use crate::state::{Executor, Learned, Memory};
-use crate::tariff::*;
+use crate::types::*;
 use estimate::Sample;
 pub use shares::split;
 
--- a/src/posted.rs
+++ b/crates/dispatch/src/settings.rs
@@ -2,7 +2,7 @@
 //!
 //! Both the simulator's adapter and the node get this object, with the same names and units.
 
-use crate::tariff::{Category, Effect, Gauge, Scope, Tariff, Terms, Time};
+use crate::types::{Category, Effect, Gauge, Scope, Tariff, Terms, Time};
 use serde::Deserialize;
 
 /// Nanoseconds in one of the library's time units.
--- a/src/state.rs
+++ b/crates/dispatch/src/state.rs
@@ -1,7 +1,7 @@
 //! What an instance keeps of each executor and each category for as long as it knows them; what lives as long as an
-//! op or a push is in `tariff.rs`. Nothing is decided here.
+//! op or a push is in `types.rs`. Nothing is decided here.
 
-use crate::tariff::{Time, SECOND};
+use crate::types::{Time, SECOND};
 use serde::{Deserialize, Serialize};
 
 /// What an instance has learned, for the one that takes its place. Another version reads what it knows of it.
--- a/tests/choice.rs
+++ b/crates/dispatch/tests/policy.rs
@@ -1,7 +1,7 @@
 //! Tables of cases for the decisions.
 
-use stileroute::choice::{split, Dispatcher};
-use stileroute::tariff::*;
+use stileroute_dispatch::policy::{split, Dispatcher};
+use stileroute_dispatch::types::*;
 
 const MS: Time = 10;
 
@@ -1171,6 +1171,6 @@
     // One that knows other categories has learned of something else.
     let mut other = begin();
     let categories = memory.categories[..2].to_vec();
-    other.recall(now, stileroute::state::Memory { categories, ..memory });
+    other.recall(now, stileroute_dispatch::state::Memory { categories, ..memory });
     assert!(!other.avoids(now, 2));
 }
--- a/members/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! The protocol is SWIM's (Das, Gupta, Motivala: "SWIM: Scalable Weakly-consistent Infection-style Process Group Membership
 //! Protocol", 2002) with what Lifeguard adds (Dadgar, Phillips, Currey: "Lifeguard: Local Health Awareness for More Accurate
-//! Failure Detection", 2017), written here from the papers. `docs/members.md` tells what was kept and changed, and why.
+//! Failure Detection", 2017), written here from the papers. `docs/gossip.md` tells what was kept and changed, and why.
 
 pub mod detector;
 pub mod table;
--- a/members/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -5,7 +5,7 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute_members::{Members, Send, Settings, State, Time, SECOND};
+use stileroute_gossip::{Members, Send, Settings, State, Time, SECOND};
 
 const TICK: Time = SECOND / 20;
 
@@ -269,7 +269,7 @@
     assert!(many < 1.5 * few && many < 400.0, "{few} and {many} bytes a second");
 }
 
-/// The figures of docs/members.md: `cargo test --release -p stileroute-members -- --ignored --nocapture`.
+/// The figures of docs/gossip.md: `cargo test --release -p stileroute-gossip -- --ignored --nocapture`.
 #[test]
 #[ignore = "prints figures, holds nothing against a bound"]
 fn figures() {
--- a/soundings/src/turns.rs
+++ b/crates/model-check/src/choices.rs
@@ -1,11 +1,11 @@
 //! Where something could go another way than it does by itself.
 
-use crate::sea::{Due, Grain, Kinds, Sea, Spans, Step, ROUND};
-use stileroute_pilotage_planted::{Millis, Record, Signal};
+use crate::world::{Due, Grain, Kinds, Spans, Step, World, ROUND};
+use stileroute_control_group_planted::{Millis, Record, Signal};
 
-/// What takes another turn, at the state before a step.
+/// What takes another choice, at the state before a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum Turn {
+pub enum Choice {
     /// The process ends, and is back after so long; so many of the records under way are on disk.
     Kill {
         node: usize,
@@ -118,59 +118,59 @@
 /// A cut is noticed by the connections so late.
 const CUT_NOTICED: Millis = 200;
 
-impl Turn {
+impl Choice {
     /// Those with one number come to much the same, a little earlier or later.
     pub fn kin(&self) -> (u8, usize, usize, Millis) {
         match *self {
-            Turn::Kill { node, back, .. } => (0, node, 0, back),
-            Turn::Power { node, back, .. } => (1, node, 0, back),
-            Turn::Wipe { node, back } => (2, node, 0, back),
-            Turn::Freeze { node, span } => (3, node, 0, span),
-            Turn::Cut { a, b, span } => (4, a.min(b), a.max(b), span),
-            Turn::CutOff { node, span } => (5, node, 0, span),
-            Turn::Release { node } => (6, node, 0, 0),
-            Turn::Late { from, to, by } => (7, from, to, by),
-            Turn::Lost { from, to } => (8, from.min(to), from.max(to), 0),
-            Turn::DiskLate { node, by } => (9, node, 0, by),
-            Turn::DiskRefuses { node } => (10, node, 0, 0),
-            Turn::OneWay { from, to, span } => (11, from, to, span),
-            Turn::Deaf { node, span } => (12, node, 0, span),
-            Turn::Mute { node, span } => (13, node, 0, span),
-            Turn::Join { node } => (14, node, 0, 0),
-            Turn::Replace { node, with } => (15, node, with, 0),
-            Turn::Succeed { node, with } => (16, node, with, 0),
-            Turn::Gone { node } => (17, node, 0, 0),
-            Turn::Split { node, with, span } => (18, node, with, span),
-            Turn::Presumed { node, with } => (19, node, with, 0),
+            Choice::Kill { node, back, .. } => (0, node, 0, back),
+            Choice::Power { node, back, .. } => (1, node, 0, back),
+            Choice::Wipe { node, back } => (2, node, 0, back),
+            Choice::Freeze { node, span } => (3, node, 0, span),
+            Choice::Cut { a, b, span } => (4, a.min(b), a.max(b), span),
+            Choice::CutOff { node, span } => (5, node, 0, span),
+            Choice::Release { node } => (6, node, 0, 0),
+            Choice::Late { from, to, by } => (7, from, to, by),
+            Choice::Lost { from, to } => (8, from.min(to), from.max(to), 0),
+            Choice::DiskLate { node, by } => (9, node, 0, by),
+            Choice::DiskRefuses { node } => (10, node, 0, 0),
+            Choice::OneWay { from, to, span } => (11, from, to, span),
+            Choice::Deaf { node, span } => (12, node, 0, span),
+            Choice::Mute { node, span } => (13, node, 0, span),
+            Choice::Join { node } => (14, node, 0, 0),
+            Choice::Replace { node, with } => (15, node, with, 0),
+            Choice::Succeed { node, with } => (16, node, with, 0),
+            Choice::Gone { node } => (17, node, 0, 0),
+            Choice::Split { node, with, span } => (18, node, with, span),
+            Choice::Presumed { node, with } => (19, node, with, 0),
         }
     }
     /// It counts as trouble, and else as a delay.
     pub fn trouble(&self) -> bool {
         !matches!(
             self,
-            Turn::Late { .. } | Turn::Lost { .. } | Turn::DiskLate { .. } | Turn::DiskRefuses { .. }
+            Choice::Late { .. } | Choice::Lost { .. } | Choice::DiskLate { .. } | Choice::DiskRefuses { .. }
         )
     }
 }
 
-impl Sea {
-    /// All turns that may be taken here. Trouble strikes a node where it has just done something: between two steps of one
+impl World {
+    /// All choices that may be taken here. Trouble strikes a node where it has just done something: between two steps of one
     /// node, what others do is not changed by when it strikes there.
-    pub fn turns(&self, troubles: bool, delays: bool) -> Vec<Turn> {
-        let mut turns = Vec::new();
+    pub fn choices(&self, troubles: bool, delays: bool) -> Vec<Choice> {
+        let mut choices = Vec::new();
         let fine = self.bounds.grain == Grain::Fine;
         if let Some((node, _)) =
             self.touched.filter(|(i, weighty)| troubles && (*weighty || fine) && self.up(*i))
         {
-            self.troubles(node, &mut turns);
+            self.troubles(node, &mut choices);
         }
         if delays {
-            self.delays(fine, &mut turns);
+            self.delays(fine, &mut choices);
         }
-        turns
+        choices
     }
 
-    fn troubles(&self, node: usize, turns: &mut Vec<Turn>) {
+    fn troubles(&self, node: usize, choices: &mut Vec<Choice>) {
         let at = &self.nodes[node];
         if at.gone {
             return;
@@ -178,7 +178,7 @@
         let lost = self.nodes.iter().enumerate().filter(|(i, n)| *i != node && n.seen.lost).count();
         let bearable = lost < self.bounds.losses;
         if self.bounds.kinds == Kinds::Growth {
-            return self.growth(node, bearable, turns);
+            return self.growth(node, bearable, choices);
         }
         let of = |spans: &'static [Millis], one: usize| match self.bounds.spans {
             Spans::All => spans,
@@ -188,145 +188,145 @@
         for back in of(&BACK, 1).iter().copied() {
             for reached in 0..=at.writing.len() {
                 // A disk that has nothing yet is as good as lost.
-                let watch = |(_, _, record): &(Millis, u64, Record)| matches!(record, Record::Watch(_));
-                let holds = at.disk.watch.is_some() || at.writing.iter().take(reached).any(watch);
+                let view = |(_, _, record): &(Millis, u64, Record)| matches!(record, Record::View(_));
+                let holds = at.disk.view.is_some() || at.writing.iter().take(reached).any(view);
                 if bearable || holds {
-                    turns.push(Turn::Kill { node, reached, back });
-                    turns.push(Turn::Power { node, reached, back });
+                    choices.push(Choice::Kill { node, reached, back });
+                    choices.push(Choice::Power { node, reached, back });
                 }
             }
             if bearable {
-                turns.push(Turn::Wipe { node, back });
+                choices.push(Choice::Wipe { node, back });
             }
         }
-        turns.extend(of(&FROZEN, 1).iter().map(|span| Turn::Freeze { node, span: *span }));
+        choices.extend(of(&FROZEN, 1).iter().map(|span| Choice::Freeze { node, span: *span }));
         for span in of(&APART, 1).iter().copied() {
-            turns.push(Turn::CutOff { node, span });
+            choices.push(Choice::CutOff { node, span });
             // Of three a node that meets one of the others meets the rest: with five that is not gone through.
             let others = (0..self.nodes.len()).filter(|b| *b != node && self.joined[self.way(node, *b)]);
             for b in others {
-                turns.push(Turn::Cut { a: node, b, span });
-                turns.push(Turn::OneWay { from: node, to: b, span });
+                choices.push(Choice::Cut { a: node, b, span });
+                choices.push(Choice::OneWay { from: node, to: b, span });
             }
-            turns.push(Turn::Deaf { node, span });
-            turns.push(Turn::Mute { node, span });
+            choices.push(Choice::Deaf { node, span });
+            choices.push(Choice::Mute { node, span });
         }
-        turns.push(Turn::Release { node });
-        self.growth(node, bearable, turns);
+        choices.push(Choice::Release { node });
+        self.growth(node, bearable, choices);
     }
 
-    fn growth(&self, node: usize, bearable: bool, turns: &mut Vec<Turn>) {
+    fn growth(&self, node: usize, bearable: bool, choices: &mut Vec<Choice>) {
         let spare = (self.bounds.nodes..self.nodes.len()).find(|i| self.nodes[*i].life == 0);
         // Before the first configuration nobody joins, and none is replaced.
-        if let Some(with) = spare.filter(|_| self.lookout.highest > 0) {
-            turns.push(Turn::Join { node: with });
+        if let Some(with) = spare.filter(|_| self.invariants.highest > 0) {
+            choices.push(Choice::Join { node: with });
             if bearable {
-                turns.push(Turn::Replace { node, with });
-                turns.push(Turn::Succeed { node, with });
-                turns.push(Turn::Presumed { node, with });
+                choices.push(Choice::Replace { node, with });
+                choices.push(Choice::Succeed { node, with });
+                choices.push(Choice::Presumed { node, with });
             }
         }
         let came = (self.bounds.nodes..self.nodes.len()).filter(|i| self.nodes[*i].life > 0);
         for with in came {
             if bearable {
-                turns.push(Turn::Gone { node });
+                choices.push(Choice::Gone { node });
             }
             if with != node && self.up(with) {
-                turns.push(Turn::Split { node, with, span: APART[1] });
+                choices.push(Choice::Split { node, with, span: APART[1] });
             }
         }
     }
 
-    fn delays(&self, fine: bool, turns: &mut Vec<Turn>) {
+    fn delays(&self, fine: bool, choices: &mut Vec<Choice>) {
         match self.next() {
             Some((_, Step::Said(from, to))) => {
                 let head = self.wires[self.wire(from, to)].front();
-                let pulse = |s: &Signal| matches!(s, Signal::Pulse(_) | Signal::PulseAck { .. });
-                if head.is_some_and(|(_, signal)| fine || !pulse(signal)) {
-                    turns.extend(LATE.map(|by| Turn::Late { from, to, by }));
-                    turns.push(Turn::Lost { from, to });
+                let heartbeat = |s: &Signal| matches!(s, Signal::Heartbeat(_) | Signal::HeartbeatAck { .. });
+                if head.is_some_and(|(_, signal)| fine || !heartbeat(signal)) {
+                    choices.extend(LATE.map(|by| Choice::Late { from, to, by }));
+                    choices.push(Choice::Lost { from, to });
                 }
             }
             Some((_, Step::Synced(node))) => {
-                turns.extend(DISK_LATE.map(|by| Turn::DiskLate { node, by }));
+                choices.extend(DISK_LATE.map(|by| Choice::DiskLate { node, by }));
                 // Where there is nothing on disk yet, one that refuses would be a disk that was lost.
-                if self.nodes[node].disk.watch.is_some() {
-                    turns.push(Turn::DiskRefuses { node });
+                if self.nodes[node].disk.view.is_some() {
+                    choices.push(Choice::DiskRefuses { node });
                 }
             }
             _ => {}
         }
     }
 
-    pub fn take(&mut self, turn: Turn) {
-        self.note(|| format!("== {turn:?}"));
+    pub fn take(&mut self, choice: Choice) {
+        self.note(|| format!("== {choice:?}"));
         self.touched = None;
-        match turn {
-            Turn::Kill { node, reached, back } => {
+        match choice {
+            Choice::Kill { node, reached, back } => {
                 self.end(node, reached, true, false);
                 self.at_least(back, Due::Start(node));
             }
-            Turn::Power { node, reached, back } => {
+            Choice::Power { node, reached, back } => {
                 self.end(node, reached, false, false);
                 self.at_least(back, Due::Start(node));
             }
-            Turn::Wipe { node, back } => {
+            Choice::Wipe { node, back } => {
                 self.end(node, 0, false, true);
                 self.at_least(back, Due::Start(node));
             }
-            Turn::Freeze { node, span } => {
+            Choice::Freeze { node, span } => {
                 self.nodes[node].frozen = true;
                 self.at_least(span, Due::Thaw(node));
             }
-            Turn::Cut { a, b, span } => self.cut(a, b, span),
-            Turn::CutOff { node, span } => self.cut_off(node, span),
-            Turn::OneWay { from, to, span } => self.hold(from, to, span),
-            Turn::Deaf { node, span } => {
+            Choice::Cut { a, b, span } => self.cut(a, b, span),
+            Choice::CutOff { node, span } => self.cut_off(node, span),
+            Choice::OneWay { from, to, span } => self.hold(from, to, span),
+            Choice::Deaf { node, span } => {
                 (0..self.nodes.len()).filter(|b| *b != node).for_each(|b| self.hold(b, node, span));
             }
-            Turn::Mute { node, span } => {
+            Choice::Mute { node, span } => {
                 (0..self.nodes.len()).filter(|b| *b != node).for_each(|b| self.hold(node, b, span));
             }
-            Turn::Join { node } => self.start(node),
-            Turn::Replace { node, with } => {
+            Choice::Join { node } => self.start(node),
+            Choice::Replace { node, with } => {
                 self.lose(node);
                 self.at_least(SUCCESSOR, Due::Start(with));
             }
-            Turn::Presumed { node, with } => {
+            Choice::Presumed { node, with } => {
                 self.cut_off(node, APART[1]);
                 (self.nodes[node].presumed, self.nodes[node].seen.lost) = (true, true);
                 self.at_least(SUCCESSOR, Due::Start(with));
             }
-            Turn::Succeed { node, with } => {
+            Choice::Succeed { node, with } => {
                 self.start(with);
                 self.nodes[node].gone = true;
                 self.nodes[node].seen.lost = true;
                 self.at_least(PLANNED, Due::Retire(node));
             }
-            Turn::Gone { node } => self.lose(node),
-            Turn::Split { node, with, span } => {
+            Choice::Gone { node } => self.lose(node),
+            Choice::Split { node, with, span } => {
                 for other in (0..self.nodes.len()).filter(|i| ![node, with].contains(i)) {
                     self.cut(node, other, span);
                     self.cut(with, other, span);
                 }
             }
-            Turn::Release { node } => self.with(node, |pilot, now| pilot.release(now)),
-            Turn::Late { from, to, by } => {
+            Choice::Release { node } => self.with(node, |group, now| group.release(now)),
+            Choice::Late { from, to, by } => {
                 let (until, wire) = (self.next().map_or(self.now, |(at, _)| at) + by, self.wire(from, to));
                 self.wires[wire].iter_mut().for_each(|(due, _)| *due = (*due).max(until));
             }
-            Turn::Lost { from, to } => {
+            Choice::Lost { from, to } => {
                 self.part(from, to, 1, None);
                 // Made anew a moment later, when both have heard of it.
                 let way = self.way(from, to);
                 self.cuts[way] += 1;
                 self.at(3, Due::Heal(from, to));
             }
-            Turn::DiskLate { node, by } => {
+            Choice::DiskLate { node, by } => {
                 let until = self.next().map_or(self.now, |(at, _)| at) + by;
                 self.nodes[node].writing.iter_mut().for_each(|(due, ..)| *due = (*due).max(until));
             }
-            Turn::DiskRefuses { node } => {
+            Choice::DiskRefuses { node } => {
                 self.now = self.next().map_or(self.now, |(at, _)| at);
                 self.synced(node, false);
             }
--- a/soundings/src/lookout.rs
+++ b/crates/model-check/src/invariants.rs
@@ -1,8 +1,8 @@
 //! What must hold at every step, and after a calm.
 
-use crate::sea::{index, Sea};
+use crate::world::{index, World};
 use std::collections::BTreeMap;
-use stileroute_pilotage_planted::{Chart, Effect, Millis, Signal, Voter, Watch};
+use stileroute_control_group_planted::{ControlState, Effect, Millis, Signal, View, Voter};
 
 /// Each in one sentence: its text is what the search prints.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -15,7 +15,7 @@
     OneGrant,
     GrantOnDisk,
     BlankIsSilent,
-    HollowSits,
+    UnfilledServes,
     NotDoneStays,
     SoonAgain,
     SoonReplaced,
@@ -31,7 +31,7 @@
         Property::OneGrant,
         Property::GrantOnDisk,
         Property::BlankIsSilent,
-        Property::HollowSits,
+        Property::UnfilledServes,
         Property::NotDoneStays,
         Property::SoonAgain,
         Property::SoonReplaced,
@@ -40,18 +40,18 @@
         match self {
             Property::OneActs => "no two nodes answer for the control state at one time",
             Property::NothingOld => {
-                "what is read is never older than what was acknowledged or in force before"
+                "what is read is never older than what was acknowledged or committed before"
             }
-            Property::OneBody => "two bodies of one version are never both in force, acknowledged or read",
-            Property::NeverBack => "the version in force at a node does not go back within its life",
+            Property::OneBody => "two bodies of one version are never both committed, acknowledged or read",
+            Property::NeverBack => "the version committed at a node does not go back within its life",
             Property::OneLeads => "no two nodes lead by one epoch, whenever",
             Property::OneGrant => "a voter grants an epoch to one candidate, also over its ends and restarts",
             Property::GrantOnDisk => "a grant is told only when it is on disk",
             Property::BlankIsSilent => "a node that lost its disk votes only after more than half told it",
-            Property::HollowSits => "a node that lost its chart does not stand before it was filled",
-            Property::NotDoneStays => "what was answered as not done is never in force",
+            Property::UnfilledServes => "a node that lost its state does not stand before it was filled",
+            Property::NotDoneStays => "what was answered as not done is never committed",
             Property::SoonReplaced => "whoever comes soon votes, and whoever it came for does not any more",
-            Property::SoonAgain => "after all is healed a write is soon accepted and in force at all nodes",
+            Property::SoonAgain => "after all is healed a write is soon accepted and committed at all nodes",
         }
     }
 }
@@ -64,78 +64,78 @@
 
 /// What was seen from outside.
 #[derive(Clone, Default)]
-pub struct Lookout {
-    /// Acknowledged, read or in force anywhere, by version.
+pub struct Invariants {
+    /// Acknowledged, read or committed anywhere, by version.
     pub known: BTreeMap<u64, Vec<u8>>,
     /// The highest of it.
     pub highest: u64,
     /// Who led by which epoch.
     pub led: BTreeMap<u64, Voter>,
     /// Answered as not done.
-    pub never: Vec<Chart>,
+    pub never: Vec<ControlState>,
     pub breach: Option<Breach>,
 }
 
 /// What was seen of one node.
 #[derive(Clone, Default)]
 pub struct Seen {
-    /// In force in this life.
-    pub force: Option<Chart>,
+    /// Committed in this life.
+    pub committed: Option<ControlState>,
     /// By the disk that it has now.
     pub granted: BTreeMap<u64, Voter>,
     /// Its disk was lost: it has no vote before these have told it enough.
     pub blank: bool,
-    pub told: BTreeMap<usize, Watch>,
+    pub told: BTreeMap<usize, View>,
     /// Its disk was lost, and counts as lost until it is whole again.
     pub lost: bool,
 }
 
-impl Lookout {
+impl Invariants {
     pub fn fail(&mut self, property: Property, evidence: String) {
         if self.breach.is_none() {
             self.breach = Some(Breach { property, evidence });
         }
     }
     /// Somebody outside may go by this.
-    pub fn learn(&mut self, chart: &Chart, how: &str) {
-        if self.known.entry(chart.version).or_insert_with(|| chart.body.clone()) != &chart.body {
-            let body = String::from_utf8_lossy(&chart.body).into_owned();
-            self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", chart.version));
+    pub fn learn(&mut self, state: &ControlState, how: &str) {
+        if self.known.entry(state.version).or_insert_with(|| state.body.clone()) != &state.body {
+            let body = String::from_utf8_lossy(&state.body).into_owned();
+            self.fail(Property::OneBody, format!("another body of {} is {how}: {body}", state.version));
         }
-        if self.never.iter().any(|never| never.same_configuration(chart)) {
+        if self.never.iter().any(|never| never.same_configuration(state)) {
             self.fail(
                 Property::NotDoneStays,
-                format!("{} is {how}, and was answered as not done", chart.version),
+                format!("{} is {how}, and was answered as not done", state.version),
             );
         }
-        self.highest = self.highest.max(chart.version);
+        self.highest = self.highest.max(state.version);
     }
 }
 
-impl Sea {
+impl World {
     /// After something happened at a node.
     pub(crate) fn look_at(&mut self, i: usize) {
         let node = &mut self.nodes[i];
-        let Some(pilot) = &node.pilot else { return };
+        let Some(group) = &node.group else { return };
         let now = node.local(self.now);
-        if let Some(chart) = pilot.in_force().filter(|chart| node.seen.force.as_ref() != Some(chart)) {
-            let before = node.seen.force.replace(chart.clone());
-            let chart = chart.clone();
-            let back = |before: &Chart| chart.serial < before.serial || chart.version < before.version;
+        if let Some(state) = group.committed().filter(|state| node.seen.committed.as_ref() != Some(state)) {
+            let before = node.seen.committed.replace(state.clone());
+            let state = state.clone();
+            let back = |before: &ControlState| state.serial < before.serial || state.version < before.version;
             if let Some(before) = before.filter(back) {
-                let told = |chart: &Chart| format!("{} (serial {})", chart.version, chart.serial);
-                let evidence = format!("node {i} had {} in force, and now {}", told(&before), told(&chart));
-                self.lookout.fail(Property::NeverBack, evidence);
+                let told = |state: &ControlState| format!("{} (serial {})", state.version, state.serial);
+                let evidence = format!("node {i} had {} committed, and now {}", told(&before), told(&state));
+                self.invariants.fail(Property::NeverBack, evidence);
             }
-            self.lookout.learn(&chart, "in force");
+            self.invariants.learn(&state, "committed");
         }
-        let pilot = self.nodes[i].pilot.as_ref();
-        let led = pilot.filter(|p| p.leads(now)).and_then(|p| p.watch()).map(|w| (w.epoch, w.primary));
+        let group = self.nodes[i].group.as_ref();
+        let led = group.filter(|p| p.leads(now)).and_then(|p| p.view()).map(|w| (w.epoch, w.primary));
         if let Some((epoch, primary)) = led {
-            let first = *self.lookout.led.entry(epoch).or_insert(primary);
+            let first = *self.invariants.led.entry(epoch).or_insert(primary);
             if first != primary {
                 let evidence = format!("nodes {} and {i} lead by epoch {epoch}", index(first));
-                self.lookout.fail(Property::OneLeads, evidence);
+                self.invariants.fail(Property::OneLeads, evidence);
             }
         }
         self.look_around();
@@ -143,20 +143,20 @@
 
     /// All nodes at one moment: who would answer now, and what?
     pub(crate) fn look_around(&mut self) {
-        let answers = |(i, node): (usize, &crate::sea::Node)| {
-            let pilot = node.pilot.as_ref().filter(|_| !node.frozen)?;
-            pilot.answers(node.local(self.now)).then_some(i)
+        let answers = |(i, node): (usize, &crate::world::Node)| {
+            let group = node.group.as_ref().filter(|_| !node.frozen)?;
+            group.answers(node.local(self.now)).then_some(i)
         };
         let mut acting = self.nodes.iter().enumerate().filter_map(answers);
-        let (acts, other) = (acting.next(), acting.next());
-        if let (Some(one), Some(other)) = (acts, other) {
+        let (may_answer, other) = (acting.next(), acting.next());
+        if let (Some(one), Some(other)) = (may_answer, other) {
             let evidence = format!("nodes {one} and {other} both answer");
-            return self.lookout.fail(Property::OneActs, evidence);
+            return self.invariants.fail(Property::OneActs, evidence);
         }
-        let Some(acts) = acts else { return };
-        self.read(acts);
-        let watch = self.nodes[acts].pilot.as_ref().and_then(|p| p.watch()).cloned();
-        let (copies, voters) = watch.map(|w| (w.copies, w.voters)).unzip();
+        let Some(may_answer) = may_answer else { return };
+        self.read(may_answer);
+        let view = self.nodes[may_answer].group.as_ref().and_then(|p| p.view()).cloned();
+        let (copies, voters) = view.map(|w| (w.copies, w.voters)).unzip();
         let cut_off: Vec<bool> = (0..self.nodes.len())
             .map(|i| (0..self.nodes.len()).any(|peer| peer != i && self.cuts[self.way(i, peer)] > 0))
             .collect();
@@ -165,7 +165,7 @@
         for (i, node) in self.nodes.iter_mut().enumerate().filter(|(_, n)| n.seen.lost) {
             let named = copies.iter().flatten().any(|copy| index(*copy) == i);
             let votes = voters.iter().flatten().any(|voter| index(*voter) == i);
-            let whole = node.pilot.as_ref().is_some_and(|p| !p.blank() && (!named || !p.hollow()));
+            let whole = node.group.as_ref().is_some_and(|p| !p.blank() && (!named || !p.unfilled()));
             let replaced = !named && !votes;
             node.seen.lost =
                 !complete || if node.gone { !replaced } else { !whole || (node.presumed && cut_off[i]) };
@@ -175,54 +175,55 @@
     fn read(&mut self, i: usize) {
         let node = &mut self.nodes[i];
         let now = node.local(self.now);
-        let Some(pilot) = &mut node.pilot else { return };
-        pilot.read(now, 0);
-        let Some(Effect::Chart { chart, .. }) = pilot.take().pop() else { return };
-        let (chart, highest) = (chart.unwrap_or_default(), self.lookout.highest);
-        if chart.version < highest {
-            let evidence = format!("node {i} answers {} after {highest}", chart.version);
-            self.lookout.fail(Property::NothingOld, evidence);
+        let Some(group) = &mut node.group else { return };
+        group.read(now, 0);
+        let Some(Effect::ControlState { state, .. }) = group.take().pop() else { return };
+        let (state, highest) = (state.unwrap_or_default(), self.invariants.highest);
+        if state.version < highest {
+            let evidence = format!("node {i} answers {} after {highest}", state.version);
+            self.invariants.fail(Property::NothingOld, evidence);
         }
-        if chart.version > 0 {
-            self.lookout.learn(&chart, "read");
+        if state.version > 0 {
+            self.invariants.learn(&state, "read");
         }
     }
 
     /// Before it is sent.
     pub(crate) fn look_at_signal(&mut self, i: usize, signal: &Signal) {
         let node = &mut self.nodes[i];
-        let votes = matches!(signal, Signal::Granted { .. } | Signal::PulseAck { votes: true, .. });
+        let votes = matches!(signal, Signal::Granted { .. } | Signal::HeartbeatAck { votes: true, .. });
         if votes && node.seen.blank {
             let highest = node.seen.told.values().max_by_key(|w| w.epoch);
             let told =
-                |w: &Watch| w.voters.iter().filter(|v| node.seen.told.contains_key(&index(**v))).count();
+                |w: &View| w.voters.iter().filter(|v| node.seen.told.contains_key(&index(**v))).count();
             if highest.is_none_or(|w| told(w) * 2 <= w.voters.len()) {
                 let evidence = format!("node {i} votes, and {} have told it", node.seen.told.len());
-                self.lookout.fail(Property::BlankIsSilent, evidence);
+                self.invariants.fail(Property::BlankIsSilent, evidence);
             }
             self.nodes[i].seen.blank = false;
         }
-        let Signal::Granted { watch } = signal else { return };
+        let Signal::Granted { view } = signal else { return };
         let node = &mut self.nodes[i];
-        if node.disk.watch.as_ref().is_none_or(|disk| disk.epoch < watch.epoch) {
-            self.lookout.fail(Property::GrantOnDisk, format!("node {i} grants epoch {}", watch.epoch));
+        if node.disk.view.as_ref().is_none_or(|disk| disk.epoch < view.epoch) {
+            self.invariants.fail(Property::GrantOnDisk, format!("node {i} grants epoch {}", view.epoch));
         }
         let node = &mut self.nodes[i];
         // To one candidate with an older and a newer list is well: its grants count for the one that it asks for last, and it
         // does not act before a list of its own is granted.
-        let first = *node.seen.granted.entry(watch.epoch).or_insert(watch.primary);
-        if first != watch.primary {
-            let (epoch, one, other) = (watch.epoch, index(first), index(watch.primary));
+        let first = *node.seen.granted.entry(view.epoch).or_insert(view.primary);
+        if first != view.primary {
+            let (epoch, one, other) = (view.epoch, index(first), index(view.primary));
             let evidence = format!("node {i} grants epoch {epoch} to {one} and {other}");
-            self.lookout.fail(Property::OneGrant, evidence);
+            self.invariants.fail(Property::OneGrant, evidence);
         }
     }
 
-    /// A chart lost with the disk is no reason to stand.
+    /// A state lost with the disk is no reason to stand.
     pub(crate) fn look_at_candidate(&mut self, i: usize) {
         let node = &self.nodes[i];
-        if node.wiped && node.disk.chart.is_none() {
-            self.lookout.fail(Property::HollowSits, format!("node {i} stands with no chart on its disk"));
+        if node.wiped && node.disk.state.is_none() {
+            self.invariants
+                .fail(Property::UnfilledServes, format!("node {i} stands with no state on its disk"));
         }
     }
 
@@ -231,16 +232,16 @@
         if self.bounds.spares == 0 {
             return true;
         }
-        let acts = |node: &&crate::sea::Node| {
-            !node.frozen && node.pilot.as_ref().is_some_and(|p| p.answers(node.local(self.now)))
+        let may_answer = |node: &&crate::world::Node| {
+            !node.frozen && node.group.as_ref().is_some_and(|p| p.answers(node.local(self.now)))
         };
-        let watch = self.nodes.iter().find(acts).and_then(|n| n.pilot.as_ref()).and_then(|p| p.watch());
-        let Some(watch) = watch else { return false };
+        let view = self.nodes.iter().find(may_answer).and_then(|n| n.group.as_ref()).and_then(|p| p.view());
+        let Some(view) = view else { return false };
         // One that is gone with nobody in its place stays: an odd group takes it for one that may come back.
-        let odd = !watch.voters.len().is_multiple_of(2);
+        let odd = !view.voters.len().is_multiple_of(2);
         self.nodes.iter().enumerate().all(|(i, node)| {
-            let votes = watch.voters.contains(&crate::sea::voter(i));
-            votes == (node.pilot.is_some() && !node.gone) || (votes && node.gone && odd)
+            let votes = view.voters.contains(&crate::world::voter(i));
+            votes == (node.group.is_some() && !node.gone) || (votes && node.gone && odd)
         })
     }
 
--- a/soundings/src/main.rs
+++ b/crates/model-check/src/main.rs
@@ -1,12 +1,12 @@
-//! `harbour-soundings`: searches all orders of events of the control group within bounds, and tells how many there were.
+//! `stileroute-model-check`: searches all orders of events of the control group within bounds, and tells how many there were.
 
 use gumdrop::Options;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
-use stileroute_soundings::queue::{prove_queue, search_queue_by_hand, QueueWords};
-use stileroute_soundings::{
-    find, retrace, sound, Bounds, Chance, Drift, Found, Grain, Kinds, Planted, Soundings, Spans, FAULTS,
+use stileroute_model_check::queue::{prove_queue, search_queue_by_hand, QueueWords};
+use stileroute_model_check::{
+    explore, find, retrace, Bounds, Chance, Drift, Found, Grain, Kinds, Planted, Spans, Statistics, FAULTS,
     PLAN, TOO_FAR,
 };
 
@@ -51,7 +51,7 @@
     troubles: u8,
     #[options(help = "most delays, up to 3", default = "0", meta = "N")]
     delays: u8,
-    #[options(no_short, help = "turns at every step, not only where more than a pulse happened")]
+    #[options(no_short, help = "choices at every step, not only where more than a heartbeat happened")]
     fine: bool,
     #[options(no_short, help = "one span of each trouble, not all")]
     one_span: bool,
@@ -101,10 +101,10 @@
     named.ok_or_else(|| format!("one of {:?}", Planted::ALL))
 }
 
-fn line(bounds: &Bounds, sum: &Soundings, since: Instant) -> String {
+fn line(bounds: &Bounds, sum: &Statistics, since: Instant) -> String {
     let Bounds { nodes, spares, troubles, delays, grain, spans: times, kinds, chance, drift, script, .. } =
         bounds;
-    let Soundings { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
+    let Statistics { states, distinct, pruned, transitions, ways, deepest, waited, whole, .. } = sum;
     format!(
         "nodes={nodes} spares={spares} troubles={troubles} delays={delays} grain={grain:?} spans={times:?} kinds={kinds:?} chance={chance:?} drift={drift:?} script={script} \
          states={states} distinct={distinct} pruned={pruned} transitions={transitions} ways={ways} deepest={deepest} \
@@ -143,7 +143,7 @@
     };
     let since = Instant::now();
     let sum =
-        if words.planted.is_some() { find(bounds, threads, stop) } else { sound(bounds, threads, stop) };
+        if words.planted.is_some() { find(bounds, threads, stop) } else { explore(bounds, threads, stop) };
     println!("{}", line(&bounds, &sum, since));
     sum.found.iter().for_each(show);
     sum.found.is_none()
@@ -151,10 +151,10 @@
 
 fn prove(ways: bool, threads: usize, stop: &AtomicBool) -> bool {
     let since = Instant::now();
-    let mut all = Soundings::default();
+    let mut all = Statistics::default();
     for bounds in &PLAN {
         let since = Instant::now();
-        let sum = sound(*bounds, threads, stop);
+        let sum = explore(*bounds, threads, stop);
         println!("{}", line(bounds, &sum, since));
         if let Some(found) = &sum.found {
             show(found);
@@ -170,12 +170,12 @@
             sum.found.iter().for_each(show);
             return false;
         };
-        let turns: Vec<String> = found.course.iter().map(|(_, turn)| format!("{turn:?}")).collect();
+        let choices: Vec<String> = found.course.iter().map(|(_, choice)| format!("{choice:?}")).collect();
         println!(
-            "found {planted:?} by {property:?} after states={} turns={}: {}",
+            "found {planted:?} by {property:?} after states={} choices={}: {}",
             sum.states,
-            turns.len(),
-            turns.join(", ")
+            choices.len(),
+            choices.join(", ")
         );
         if ways {
             show(found);
@@ -215,7 +215,7 @@
                 || search.script > 2 =>
         {
             eprintln!(
-                "harbour-soundings: three or five nodes, up to three troubles and delays, scripts 0 to 2"
+                "stileroute-model-check: three or five nodes, up to three troubles and delays, scripts 0 to 2"
             );
             return ExitCode::from(2);
         }
--- a/soundings/src/proof.rs
+++ b/crates/model-check/src/proof.rs
@@ -1,8 +1,8 @@
-//! What `make prove-soundings` goes through, in about a minute on eight cores.
+//! What `make test-model_check` goes through, in about a minute on eight cores.
 
-use crate::lookout::Property;
-use crate::sea::{Bounds, Chance, Drift, Grain, Kinds, Spans};
-use stileroute_pilotage_planted::Planted;
+use crate::invariants::Property;
+use crate::world::{Bounds, Chance, Drift, Grain, Kinds, Spans};
+use stileroute_control_group_planted::Planted;
 
 /// Three nodes that bear one loss, everything as small as it comes.
 pub const THREE: Bounds = Bounds {
@@ -58,15 +58,19 @@
     (Planted::LeaseByArrival, Property::OneActs, THREE),
     (Planted::ThinMargin, Property::OneActs, DRIFTING),
     (Planted::EarlyAnswer, Property::NothingOld, THREE),
-    (Planted::DrawnUnheeded, Property::NothingOld, Bounds { troubles: 2, spans: Spans::One, ..THREE }),
+    (
+        Planted::MembershipEpochIgnored,
+        Property::NothingOld,
+        Bounds { troubles: 2, spans: Spans::One, ..THREE },
+    ),
     (Planted::EqualTaken, Property::OneBody, THREE),
     (Planted::DigestUnheeded, Property::OneBody, Bounds { script: 1, ..THREE }),
-    (Planted::ForceBlind, Property::NeverBack, THREE),
+    (Planted::CommitGoesBack, Property::NeverBack, THREE),
     (Planted::OwnVoteEnough, Property::OneLeads, THREE),
     (Planted::GrantedTwice, Property::OneGrant, THREE),
     (Planted::GrantUnsynced, Property::GrantOnDisk, THREE),
     (Planted::BlankVotes, Property::BlankIsSilent, THREE),
-    (Planted::HollowStands, Property::HollowSits, THREE),
+    (Planted::UnfilledCandidate, Property::UnfilledServes, THREE),
     (Planted::BegunForgotten, Property::NotDoneStays, Bounds { troubles: 2, spans: Spans::One, ..THREE }),
     (Planted::NeverAdopts, Property::SoonAgain, THREE),
     (Planted::SwapAtOnce, Property::OneLeads, GROWTH),
--- a/soundings/src/queue/turns.rs
+++ b/crates/model-check/src/queue/choices.rs
@@ -1,9 +1,9 @@
 //! Where something could go another way in the queue.
 
 use super::fleet::{Event, Fleet};
-use stileroute_hold::Millis;
+use stileroute_queue::Millis;
 
-/// What takes another turn, at the state before a step.
+/// What takes another choice, at the state before a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QueueTurn {
     /// The process ends, so many of the records under way are on disk, and it is back after so long.
@@ -100,47 +100,47 @@
 }
 
 impl Fleet {
-    /// All turns that may be taken here: at the store that has just done something.
-    pub fn turns(&self, troubles: bool, delays: bool) -> Vec<QueueTurn> {
-        let mut turns = Vec::new();
+    /// All choices that may be taken here: at the store that has just done something.
+    pub fn choices(&self, troubles: bool, delays: bool) -> Vec<QueueTurn> {
+        let mut choices = Vec::new();
         let Some(store) = self.touched.filter(|store| self.stores[*store].runs(self.now)) else {
-            return turns;
+            return choices;
         };
         if troubles {
-            self.troubles_of(store, &mut turns);
+            self.troubles_of(store, &mut choices);
         }
         if delays {
             for to in (0..self.stores.len()).filter(|to| self.on_its_way(store, *to)) {
-                turns.extend(LATE.map(|by| QueueTurn::Late { from: store, to, by }));
+                choices.extend(LATE.map(|by| QueueTurn::Late { from: store, to, by }));
             }
         }
-        turns
+        choices
     }
 
-    fn troubles_of(&self, store: usize, turns: &mut Vec<QueueTurn>) {
+    fn troubles_of(&self, store: usize, choices: &mut Vec<QueueTurn>) {
         let under_way = self.stores[store].disk.writing.len();
         let one = self.bounds.one_span;
         let of = |spans: [Millis; 2]| spans.into_iter().skip(usize::from(one));
         let apart = || (0..self.stores.len()).filter(move |other| *other != store);
         for reached in (0..=under_way).filter(|reached| !one || [0, under_way].contains(reached)) {
-            turns.extend(of(BACK).map(|back| QueueTurn::Kill { store, reached, back }));
-            turns.extend(of(BACK).map(|back| QueueTurn::Power { store, reached, back }));
+            choices.extend(of(BACK).map(|back| QueueTurn::Kill { store, reached, back }));
+            choices.extend(of(BACK).map(|back| QueueTurn::Power { store, reached, back }));
         }
         // No more disks are lost than are to be borne.
         if !self.stores.iter().any(|other| other.lost_disk) {
-            turns.extend(of(BACK).map(|back| QueueTurn::Wipe { store, back }));
+            choices.extend(of(BACK).map(|back| QueueTurn::Wipe { store, back }));
         }
-        turns.extend(of(FROZEN).map(|span| QueueTurn::Freeze { store, span }));
-        turns.extend(of(APART).map(|span| QueueTurn::CutOff { store, span }));
+        choices.extend(of(FROZEN).map(|span| QueueTurn::Freeze { store, span }));
+        choices.extend(of(APART).map(|span| QueueTurn::CutOff { store, span }));
         for to in apart() {
             for span in of(APART) {
-                turns.push(QueueTurn::Cut { from: store, to, both: false, span });
-                turns.push(QueueTurn::Cut { from: store, to, both: true, span });
+                choices.push(QueueTurn::Cut { from: store, to, both: false, span });
+                choices.push(QueueTurn::Cut { from: store, to, both: true, span });
             }
         }
-        turns.push(QueueTurn::Leave { store });
+        choices.push(QueueTurn::Leave { store });
         if self.bounds.one_away && self.another_is_away(store) {
-            turns.retain(|turn| turn.span() < LAPSE);
+            choices.retain(|choice| choice.span() < LAPSE);
         }
     }
 
@@ -149,12 +149,12 @@
         self.away.iter().any(|(other, until)| *other != store && *until > self.now)
     }
 
-    pub fn take(&mut self, turn: QueueTurn) {
-        if let Some(store) = turn.strikes().filter(|_| turn.span() >= LAPSE) {
-            self.away.push((store, self.now + turn.span()));
+    pub fn take(&mut self, choice: QueueTurn) {
+        if let Some(store) = choice.strikes().filter(|_| choice.span() >= LAPSE) {
+            self.away.push((store, self.now + choice.span()));
         }
-        self.told(|| format!("TURN {turn:?}"));
-        match turn {
+        self.told(|| format!("TURN {choice:?}"));
+        match choice {
             QueueTurn::Kill { store, reached, back } => self.end(store, reached, 5, back),
             QueueTurn::Power { store, reached, back } => self.end(store, reached, SILENT, back),
             QueueTurn::Wipe { store, back } => {
@@ -174,7 +174,7 @@
             QueueTurn::Leave { store } => {
                 self.stores[store].leaving = Some(self.now);
                 self.trouble(LEFT);
-                self.turn(store);
+                self.choice(store);
             }
             QueueTurn::Late { from, to, by } => {
                 let until = self.now + by;
--- a/soundings/src/queue/fleet.rs
+++ b/crates/model-check/src/queue/fleet.rs
@@ -1,10 +1,10 @@
 //! Two or three stores, their disks and connections, one edge and one executor, in virtual time.
 
-use super::lookout::QueueBreach;
+use super::choices::LAPSE;
+use super::invariants::QueueBreach;
 use super::stores::{config, executor, Disk, Store, Writing, WALL};
-use super::turns::LAPSE;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
-use stileroute_hold::{Cargo, Effect, Hold, Key, Millis, Node, Note, Outcome, Planted, Refusal};
+use stileroute_queue::{Effect, Key, Message, Millis, Node, Outcome, PeerMessage, Planted, Queue, Refusal};
 
 /// What the stores are asked to do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -25,12 +25,12 @@
     pub one_span: bool,
     /// No second store is away, for longer than others wait for it, while one is: one loss is to be borne.
     pub one_away: bool,
-    /// Turns at one step of a store in so many.
+    /// Choices at one step of a store in so many.
     pub every: u32,
     pub planted: Option<Planted>,
 }
 
-/// Messages are sent from here on, and turns may be taken for so long.
+/// Messages are sent from here on, and choices may be taken for so long.
 const BEGIN: Millis = 1200;
 const WINDOW: Millis = 700;
 const NOTE: Millis = 2;
@@ -48,8 +48,8 @@
 const LATEST: Millis = 25_000;
 
 #[derive(Clone, Debug, Default)]
-pub struct Message {
-    cargo: Cargo,
+pub struct Sent {
+    message: Message,
     first: usize,
     /// The executor refuses it; its first attempt fails.
     pub refuses: bool,
@@ -63,7 +63,7 @@
 }
 
 pub struct Run {
-    pub message: usize,
+    pub sent: usize,
     pub at: Millis,
     /// When the executor is through, and whether that ends the message.
     pub over: Millis,
@@ -74,13 +74,13 @@
 
 #[derive(Debug)]
 pub enum Event {
-    Note { from: usize, to: usize, link: u64 },
+    PeerMessage { from: usize, to: usize, link: u64 },
     Synced { at: usize, life: u64, serial: u64 },
-    Offer { message: usize },
-    Put { message: usize, to: usize, asked: u64 },
-    Said { message: usize, asked: u64, result: Result<String, Refusal> },
-    Impatient { message: usize, asked: u64 },
-    Superseded { to: usize, message: usize },
+    Offer { sent: usize },
+    Put { sent: usize, to: usize, asked: u64 },
+    Said { sent: usize, asked: u64, result: Result<String, Refusal> },
+    Impatient { sent: usize, asked: u64 },
+    Superseded { to: usize, sent: usize },
     Done { at: usize, life: u64, attempt: u64, run: usize, outcome: Outcome },
     Called { at: usize, life: u64, key: Key },
     Retire { at: usize },
@@ -104,11 +104,11 @@
     events: BTreeMap<(Millis, u64), Event>,
     pub stores: Vec<Store>,
     pub links: BTreeMap<(usize, usize), u64>,
-    wires: HashMap<(usize, usize), VecDeque<Note>>,
+    wires: HashMap<(usize, usize), VecDeque<PeerMessage>>,
     /// From one to another nothing comes through until then, or everything late.
     pub cuts: BTreeMap<(usize, usize), Millis>,
     pub late: BTreeMap<(usize, usize), Millis>,
-    pub messages: Vec<Message>,
+    pub messages: Vec<Sent>,
     pub runs: Vec<Run>,
     askers: HashMap<(usize, u64), (usize, u64)>,
     /// The store that has just done something others see.
@@ -158,7 +158,7 @@
         let emptying = self.bounds.script == QueueScript::Emptying;
         let stores = self.bounds.stores;
         for (at, delay_ms) in [(0, 0), (1, 2500), (2, 0)] {
-            let cargo = Cargo {
+            let message = Message {
                 id: format!("id{at}"),
                 host: "h".to_string(),
                 method: "POST".to_string(),
@@ -167,13 +167,13 @@
                 delay_ms,
                 config: 1,
                 body: vec![at as u8; 8],
-                ..Cargo::default()
+                ..Message::default()
             };
             // The delayed one lies on the store that is emptied.
             let first = if at == 1 { stores - 1 } else { at % 2 };
             let (refuses, fails_first) = (at == 2, emptying && at == 0);
-            self.messages.push(Message { cargo, first, refuses, fails_first, ..Message::default() });
-            self.at(BEGIN + 10 * at as u64, Event::Offer { message: at });
+            self.messages.push(Sent { message, first, refuses, fails_first, ..Sent::default() });
+            self.at(BEGIN + 10 * at as u64, Event::Offer { sent: at });
         }
         if emptying {
             self.at(BEGIN + 60, Event::Retire { at: 0 });
@@ -196,7 +196,7 @@
         self.troubles.push((self.now, self.now + span));
     }
 
-    /// Whether turns may be taken now.
+    /// Whether choices may be taken now.
     pub fn open(&self) -> bool {
         (BEGIN..BEGIN + WINDOW).contains(&self.now) && self.busy.is_multiple_of(self.bounds.every)
     }
@@ -208,7 +208,7 @@
     // ---- Processes and connections ----
 
     fn start(&mut self, at: usize) {
-        if self.stores[at].hold.is_some() || self.stores[at].vanished {
+        if self.stores[at].queue.is_some() || self.stores[at].vanished {
             return;
         }
         self.lives += 1;
@@ -224,7 +224,7 @@
 
     /// The process ends; who was connected learns of it after so long.
     pub fn stop(&mut self, at: usize, noticed: Millis) {
-        self.stores[at].hold = None;
+        self.stores[at].queue = None;
         self.stores[at].leaving = None;
         let links: Vec<((usize, usize), u64)> =
             self.links.iter().filter(|((a, b), _)| *a == at || *b == at).map(|(k, v)| (*k, *v)).collect();
@@ -253,31 +253,31 @@
     }
 
     /// Lets a store that runs see to something, and do what follows.
-    fn with(&mut self, at: usize, life: Option<u64>, see: impl FnOnce(&mut Hold, Millis)) {
+    fn with(&mut self, at: usize, life: Option<u64>, see: impl FnOnce(&mut Queue, Millis)) {
         let now = self.time(at);
         let store = &mut self.stores[at];
         if life.is_some_and(|life| life != store.life) {
             return;
         }
-        if let Some(hold) = &mut store.hold {
-            see(hold, now);
-            self.turn(at);
+        if let Some(queue) = &mut store.queue {
+            see(queue, now);
+            self.choice(at);
         }
     }
 
-    /// One turn of one store, as `harbour/src/store.rs` drives it.
-    pub fn turn(&mut self, at: usize) {
+    /// One choice of one store, as `crates/server/src/store.rs` drives it.
+    pub fn choice(&mut self, at: usize) {
         let now = self.time(at);
         let leaving = self.stores[at].leaving;
-        let Some(hold) = self.stores[at].hold.as_mut() else { return };
+        let Some(queue) = self.stores[at].queue.as_mut() else { return };
         if leaving.is_some() {
-            hold.leave(now);
+            queue.leave(now);
         }
         self.carry_out(at);
         if let Some(since) = leaving {
             self.may_end(at, since);
         }
-        let empty = self.stores[at].hold.as_ref().is_some_and(|hold| hold.retired() == Some(true));
+        let empty = self.stores[at].queue.as_ref().is_some_and(|queue| queue.retired() == Some(true));
         if empty && self.emptied.insert(at) {
             self.told(|| format!("store {at} says that it is empty"));
             self.breach = self.breach.take().or_else(|| self.look_at_emptied(at));
@@ -288,11 +288,11 @@
 
     fn may_end(&mut self, at: usize, since: Millis) {
         let done = |fleet: &Fleet| {
-            let idle = fleet.stores[at].hold.as_ref().is_some_and(|hold| hold.in_hand() == 0);
+            let idle = fleet.stores[at].queue.as_ref().is_some_and(|queue| queue.in_hand() == 0);
             idle && fleet.now > since + 150
         };
         if done(self) && !std::mem::replace(&mut self.stores[at].flushed, true) {
-            self.stores[at].hold.iter_mut().for_each(Hold::flush);
+            self.stores[at].queue.iter_mut().for_each(Queue::flush);
             self.carry_out(at);
         }
         if (done(self) && self.now > since + 300) || self.now > since + GRACE {
@@ -306,9 +306,9 @@
     fn carry_out(&mut self, at: usize) {
         for _ in 0..8 {
             let now = self.time(at);
-            let Some(hold) = self.stores[at].hold.as_mut() else { return };
-            hold.tick(now, now as i64 * 10);
-            let effects = hold.take();
+            let Some(queue) = self.stores[at].queue.as_mut() else { return };
+            queue.tick(now, now as i64 * 10);
+            let effects = queue.take();
             if effects.is_empty() {
                 return;
             }
@@ -333,8 +333,8 @@
             }
             Effect::Send { to, note } => self.send(at, to, note),
             Effect::Taken { ticket, result } => {
-                if let Some((message, asked)) = self.askers.remove(&(at, ticket)) {
-                    self.at(EDGE, Event::Said { message, asked, result });
+                if let Some((sent, asked)) = self.askers.remove(&(at, ticket)) {
+                    self.at(EDGE, Event::Said { sent, asked, result });
                     self.touch(at);
                 }
             }
@@ -343,35 +343,38 @@
         }
     }
 
-    fn send(&mut self, at: usize, to: Node, note: Note) {
+    fn send(&mut self, at: usize, to: Node, note: PeerMessage) {
         let Some(to) = self.stores.iter().position(|store| store.node == to) else { return };
         let Some(link) = self.links.get(&(at.min(to), at.max(to))).copied() else { return };
-        let quiet = matches!(note, Note::Digests { .. } | Note::Disk(_) | Note::Stood | Note::Relieved);
+        let quiet = matches!(
+            note,
+            PeerMessage::Digests { .. } | PeerMessage::Disk(_) | PeerMessage::Stood | PeerMessage::Relieved
+        );
         self.told(|| format!("{at} to {to}: {note:?}"));
         self.wires.entry((at, to)).or_default().push_back(note);
-        self.at(NOTE, Event::Note { from: at, to, link });
+        self.at(NOTE, Event::PeerMessage { from: at, to, link });
         if !quiet {
             self.touch(at);
         }
     }
 
     fn deliver(&mut self, at: usize, attempt: u64, key: Key) {
-        let id = self.stores[at].hold.as_ref().and_then(|hold| Some(hold.cargo(key)?.id.clone()));
-        let Some(message) = self.messages.iter().position(|m| Some(&m.cargo.id) == id.as_ref()) else {
+        let id = self.stores[at].queue.as_ref().and_then(|queue| Some(queue.message(key)?.id.clone()));
+        let Some(sent) = self.messages.iter().position(|m| Some(&m.message.id) == id.as_ref()) else {
             return;
         };
         self.breach = self.breach.take().or_else(|| self.look_at_start(at, key));
         let (life, run) = (self.stores[at].life, self.runs.len());
-        let seen = self.runs.iter().any(|run| run.message == message);
-        let m = &self.messages[message];
+        let seen = self.runs.iter().any(|run| run.sent == sent);
+        let m = &self.messages[sent];
         let fails = m.fails_first && !seen;
         let (after, outcome) = match (fails, m.refuses) {
             (true, _) => (FAILS_AFTER, Outcome::Late),
             (false, true) => (RUN, Outcome::Refused),
             (false, false) => (RUN, Outcome::Done { seal: "s".to_string() }),
         };
-        self.told(|| format!("{at} starts message {message}: {outcome:?}"));
-        self.runs.push(Run { message, at: self.now, over: self.now + after, ends: !fails, read: None });
+        self.told(|| format!("{at} starts message {sent}: {outcome:?}"));
+        self.runs.push(Run { sent, at: self.now, over: self.now + after, ends: !fails, read: None });
         self.at(after, Event::Done { at, life, attempt, run, outcome });
         self.touch(at);
     }
@@ -379,45 +382,45 @@
     // ---- The edge ----
 
     /// One store after the other, and none twice.
-    fn offer(&mut self, message: usize) {
+    fn offer(&mut self, sent: usize) {
         let stores = self.stores.len();
-        let m = &self.messages[message];
+        let m = &self.messages[sent];
         let able = |at: &usize| {
             let store = &self.stores[*at];
-            !m.tried.contains(at) && store.hold.is_some() && store.leaving.is_none()
+            !m.tried.contains(at) && store.queue.is_some() && store.leaving.is_none()
         };
         let next = (0..stores).map(|k| (m.first + k) % stores).find(able);
         let Some(to) = next else {
             let unclear = m.unclear;
-            self.messages[message].asked = 0;
-            self.messages[message].refused = !unclear;
-            return self.supersede(message);
+            self.messages[sent].asked = 0;
+            self.messages[sent].refused = !unclear;
+            return self.supersede(sent);
         };
         self.serial += 1;
         let asked = self.serial;
-        let m = &mut self.messages[message];
+        let m = &mut self.messages[sent];
         m.tried.push(to);
         m.asked = asked;
-        self.at(EDGE, Event::Put { message, to, asked });
-        self.at(PATIENCE, Event::Impatient { message, asked });
+        self.at(EDGE, Event::Put { sent, to, asked });
+        self.at(PATIENCE, Event::Impatient { sent, asked });
     }
 
-    fn not_said(&mut self, message: usize, asked: u64) {
-        if self.messages[message].asked == asked && self.messages[message].key.is_none() {
-            self.messages[message].unclear = true;
-            self.offer(message);
+    fn not_said(&mut self, sent: usize, asked: u64) {
+        if self.messages[sent].asked == asked && self.messages[sent].key.is_none() {
+            self.messages[sent].unclear = true;
+            self.offer(sent);
         }
     }
 
     /// Of one that was offered to several stores all are told which one is kept.
-    fn supersede(&mut self, message: usize) {
-        if self.messages[message].unclear {
-            (0..self.stores.len()).for_each(|to| self.at(EDGE, Event::Superseded { to, message }));
+    fn supersede(&mut self, sent: usize) {
+        if self.messages[sent].unclear {
+            (0..self.stores.len()).for_each(|to| self.at(EDGE, Event::Superseded { to, sent }));
         }
     }
 
-    fn said(&mut self, message: usize, asked: u64, result: Result<String, Refusal>) {
-        let m = &mut self.messages[message];
+    fn said(&mut self, sent: usize, asked: u64, result: Result<String, Refusal>) {
+        let m = &mut self.messages[sent];
         if m.asked != asked || m.key.is_some() {
             return;
         }
@@ -425,12 +428,12 @@
             Ok(name) => {
                 m.key = Key::parse(&name).map(|(key, _)| key);
                 m.asked = 0;
-                self.told(|| format!("message {message} is accepted as {name}"));
-                self.supersede(message);
+                self.told(|| format!("message {sent} is accepted as {name}"));
+                self.supersede(sent);
             }
             Err(refusal) => {
                 m.unclear |= refusal == Refusal::Uncertain;
-                self.offer(message);
+                self.offer(sent);
             }
         }
     }
@@ -440,7 +443,7 @@
     /// Who is to see to it: it waits while that one stands still.
     fn target(event: &Event) -> Option<usize> {
         match event {
-            Event::Note { to, .. } | Event::Put { to, .. } | Event::Superseded { to, .. } => Some(*to),
+            Event::PeerMessage { to, .. } | Event::Put { to, .. } | Event::Superseded { to, .. } => Some(*to),
             Event::Synced { at, .. }
             | Event::Done { at, .. }
             | Event::Called { at, .. }
@@ -455,7 +458,7 @@
     pub fn step(&mut self) {
         self.touched = None;
         let timer = |store: &Store| {
-            store.hold.as_ref().map(|hold| store.began.saturating_add(hold.next()).max(store.frozen))
+            store.queue.as_ref().map(|queue| store.began.saturating_add(queue.next()).max(store.frozen))
         };
         let due = self.stores.iter().enumerate().filter_map(|(at, store)| Some((timer(store)?, at))).min();
         let due = due.map(|(when, at)| (when.max(self.now + 1), at));
@@ -469,7 +472,7 @@
             }
             (_, Some((when, at))) => {
                 self.now = when;
-                self.turn(at);
+                self.choice(at);
             }
             _ => self.over = true,
         }
@@ -493,33 +496,33 @@
             return self.at(thaw - self.now, event);
         }
         match event {
-            Event::Note { from, to, link } => self.arrive(from, to, link),
+            Event::PeerMessage { from, to, link } => self.arrive(from, to, link),
             Event::Synced { at, life, serial } => self.synced(at, life, serial),
-            Event::Offer { message } => {
-                self.messages[message].cargo.taken = WALL + self.now;
-                self.offer(message);
+            Event::Offer { sent } => {
+                self.messages[sent].message.taken = WALL + self.now;
+                self.offer(sent);
             }
-            Event::Put { message, to, asked } => self.put(message, to, asked),
-            Event::Said { message, asked, result } => self.said(message, asked, result),
-            Event::Impatient { message, asked } => self.not_said(message, asked),
-            Event::Superseded { to, message } => {
-                let m = &self.messages[message];
-                let (id, print, kept) = (m.cargo.id.clone(), m.cargo.print(), m.key);
-                self.with(to, None, |hold, _| hold.superseded(&id, print, kept));
+            Event::Put { sent, to, asked } => self.put(sent, to, asked),
+            Event::Said { sent, asked, result } => self.said(sent, asked, result),
+            Event::Impatient { sent, asked } => self.not_said(sent, asked),
+            Event::Superseded { to, sent } => {
+                let m = &self.messages[sent];
+                let (id, print, kept) = (m.message.id.clone(), m.message.print(), m.key);
+                self.with(to, None, |queue, _| queue.superseded(&id, print, kept));
             }
             Event::Done { at, life, attempt, run, outcome } => {
-                let reads = self.stores[at].life == life && self.stores[at].hold.is_some();
+                let reads = self.stores[at].life == life && self.stores[at].queue.is_some();
                 if reads && matches!(outcome, Outcome::Done { .. }) {
                     self.runs[run].read = Some(self.now);
                 }
-                self.with(at, Some(life), |hold, now| {
-                    hold.delivered(now, now as i64 * 10, attempt, outcome, None)
+                self.with(at, Some(life), |queue, now| {
+                    queue.delivered(now, now as i64 * 10, attempt, outcome, None)
                 });
             }
             Event::Called { at, life, key } => {
-                self.with(at, Some(life), |hold, now| hold.called(now, key, true))
+                self.with(at, Some(life), |queue, now| queue.called(now, key, true))
             }
-            Event::Retire { at } => self.with(at, None, Hold::retire),
+            Event::Retire { at } => self.with(at, None, Queue::retire),
             Event::Vanish { at, life } => self.vanish(at, life),
             Event::Start { at } => self.start(at),
             Event::Listen { at } => self.listen(at),
@@ -527,16 +530,16 @@
             Event::Broken { a, b, link } => self.broken(a, b, link),
             Event::Down { at, other, life } => {
                 let other = self.stores[other].node;
-                self.with(at, Some(life), |hold, now| hold.down(now, other));
+                self.with(at, Some(life), |queue, now| queue.down(now, other));
             }
             // Until the control nodes have been heard again it knows that it may be cut off.
             Event::Thaw { at, life } => {
-                self.with(at, Some(life), |hold, _| (hold.heard, hold.lapsed) = (false, true));
+                self.with(at, Some(life), |queue, _| (queue.heard, queue.lapsed) = (false, true));
                 self.tell_again(at);
             }
             Event::Deaf { at, life, heard } => {
                 if self.stores[at].off {
-                    self.with(at, Some(life), |hold, _| (hold.heard, hold.lapsed) = (heard, true));
+                    self.with(at, Some(life), |queue, _| (queue.heard, queue.lapsed) = (heard, true));
                 }
             }
             Event::Heard { at } => {
@@ -564,38 +567,38 @@
         let until = |table: &BTreeMap<(usize, usize), Millis>| table.get(&(from, to)).copied().unwrap_or(0);
         let until = until(&self.cuts).max(until(&self.late));
         if until > self.now {
-            return self.at(until - self.now, Event::Note { from, to, link });
+            return self.at(until - self.now, Event::PeerMessage { from, to, link });
         }
         let Some(note) = self.wires.get_mut(&(from, to)).and_then(VecDeque::pop_front) else { return };
         let from = self.stores[from].node;
-        self.with(to, None, |hold, now| hold.note(now, from, note));
+        self.with(to, None, |queue, now| queue.note(now, from, note));
     }
 
     fn synced(&mut self, at: usize, life: u64, serial: u64) {
-        if self.stores[at].life != life || self.stores[at].hold.is_none() {
+        if self.stores[at].life != life || self.stores[at].queue.is_none() {
             return;
         }
         while self.stores[at].disk.first_serial <= serial {
             let Some(ticket) = self.stores[at].disk.reach() else { break };
             let now = self.time(at);
-            self.stores[at].hold.iter_mut().for_each(|hold| hold.kept(now, ticket, true));
+            self.stores[at].queue.iter_mut().for_each(|queue| queue.kept(now, ticket, true));
         }
-        self.turn(at);
+        self.choice(at);
     }
 
-    fn put(&mut self, message: usize, to: usize, asked: u64) {
-        if self.stores[to].hold.is_none() {
-            return self.not_said(message, asked);
+    fn put(&mut self, sent: usize, to: usize, asked: u64) {
+        if self.stores[to].queue.is_none() {
+            return self.not_said(sent, asked);
         }
         self.serial += 1;
         let ticket = self.serial;
-        self.askers.insert((to, ticket), (message, asked));
-        let cargo = self.messages[message].cargo.clone();
-        self.with(to, None, |hold, now| hold.put(now, ticket, cargo));
+        self.askers.insert((to, ticket), (sent, asked));
+        let message = self.messages[sent].message.clone();
+        self.with(to, None, |queue, now| queue.put(now, ticket, message));
     }
 
     fn vanish(&mut self, at: usize, life: u64) {
-        if self.stores[at].life == life && self.stores[at].hold.is_some() {
+        if self.stores[at].life == life && self.stores[at].queue.is_some() {
             self.told(|| format!("store {at} is taken away"));
             self.stop(at, 5);
             self.stores[at].disk = Disk::default();
@@ -605,17 +608,17 @@
 
     fn listen(&mut self, at: usize) {
         let servers = HashMap::from([("works".to_string(), vec![executor()])]);
-        self.with(at, None, |hold, now| {
-            hold.list(now, now as i64 * 10, servers);
-            hold.configure(now, now as i64 * 10, config());
+        self.with(at, None, |queue, now| {
+            queue.list(now, now as i64 * 10, servers);
+            queue.configure(now, now as i64 * 10, config());
         });
         self.tell_again(at);
     }
 
     fn tell_again(&mut self, to: usize) {
-        let answered = |m: &Message| m.unclear && (m.key.is_some() || m.asked == 0);
+        let answered = |m: &Sent| m.unclear && (m.key.is_some() || m.asked == 0);
         let all: Vec<usize> = (0..self.messages.len()).filter(|at| answered(&self.messages[*at])).collect();
-        all.into_iter().for_each(|message| self.at(EDGE, Event::Superseded { to, message }));
+        all.into_iter().for_each(|sent| self.at(EDGE, Event::Superseded { to, sent }));
     }
 
     fn link_up(&mut self, a: usize, b: usize) {
@@ -629,12 +632,12 @@
         self.links.insert(pair, self.serial);
         for (x, y) in [(a, b), (b, a)] {
             let other = self.stores[y].node;
-            self.with(x, None, |hold, now| {
-                // As `harbour/src/links.rs` has it: the end of the connection before is told first.
-                if hold.stores().any(|(node, connected, ..)| node == other && connected) {
-                    hold.down(now, other);
+            self.with(x, None, |queue, now| {
+                // As `crates/server/src/links.rs` has it: the end of the connection before is told first.
+                if queue.stores().any(|(node, connected, ..)| node == other && connected) {
+                    queue.down(now, other);
                 }
-                hold.up(now, other);
+                queue.up(now, other);
             });
         }
     }
@@ -655,9 +658,9 @@
         let all: Vec<(Node, usize)> = listed.map(|(at, store)| (store.node, at)).collect();
         for at in 0..self.stores.len() {
             if self.stores[at].runs(self.now) && !self.stores[at].off {
-                self.with(at, None, |hold, now| {
-                    (hold.heard, hold.lapsed) = (true, false);
-                    hold.members(now, &all);
+                self.with(at, None, |queue, now| {
+                    (queue.heard, queue.lapsed) = (true, false);
+                    queue.members(now, &all);
                 });
             }
         }
--- a/soundings/src/queue/lookout.rs
+++ b/crates/model-check/src/queue/invariants.rs
@@ -1,7 +1,7 @@
 //! What must hold of the queue at every step, and after a calm: seen from its clients, its executor and the disks.
 
-use super::fleet::{Fleet, Message, Run};
-use stileroute_hold::{Key, Ledger, Millis, State};
+use super::fleet::{Fleet, Run, Sent};
+use stileroute_queue::{Key, Ledger, Millis, State};
 
 /// Once trouble is over, what was told late or not at all may run again for so long.
 const QUIET: Millis = 4000;
@@ -64,19 +64,19 @@
     /// What is broken now, if anything.
     pub fn look(&self) -> Option<QueueBreach> {
         let breach = |property, evidence| Some(QueueBreach { property, evidence });
-        for (at, message) in self.messages.iter().enumerate() {
-            let runs = || self.runs.iter().filter(move |run| run.message == at);
-            if message.refused && runs().next().is_some() {
+        for (at, sent) in self.messages.iter().enumerate() {
+            let runs = || self.runs.iter().filter(move |run| run.sent == at);
+            if sent.refused && runs().next().is_some() {
                 return breach(QueueProperty::RefusedNeverRuns, format!("message {at}"));
             }
             if let Some(again) = self.again(at) {
                 return breach(QueueProperty::NoSecondRun, format!("message {at} at {} ms", again.at));
             }
-            let Some(key) = message.key else { continue };
+            let Some(key) = sent.key else { continue };
             if !self.has_ended(at) && !self.disks().any(|(_, disk)| holds(disk, key)) {
                 return breach(QueueProperty::AcceptedIsKept, format!("message {at} is on no disk"));
             }
-            if let Some(evidence) = self.told_wrong(at, message, key) {
+            if let Some(evidence) = self.told_wrong(at, sent, key) {
                 return breach(QueueProperty::EndIsTrue, evidence);
             }
         }
@@ -84,8 +84,8 @@
     }
 
     /// It has been done, or the executor refused it.
-    pub fn has_ended(&self, message: usize) -> bool {
-        self.runs.iter().any(|run| run.message == message && run.ends && run.over <= self.now)
+    pub fn has_ended(&self, sent: usize) -> bool {
+        self.runs.iter().any(|run| run.sent == sent && run.ends && run.over <= self.now)
     }
 
     fn disks(&self) -> impl Iterator<Item = (usize, &Ledger)> {
@@ -93,20 +93,20 @@
         left.map(|(at, store)| (at, &store.disk.kept))
     }
 
-    fn again(&self, message: usize) -> Option<&Run> {
+    fn again(&self, sent: usize) -> Option<&Run> {
         let trouble = |at: Millis| self.troubles.iter().any(|(from, to)| *from <= at && at <= to + QUIET);
-        let runs = || self.runs.iter().filter(move |run| run.message == message);
+        let runs = || self.runs.iter().filter(move |run| run.sent == sent);
         let read = runs().filter_map(|run| run.read).min()?;
         runs().find(|run| run.at > read && !trouble(run.at))
     }
 
-    fn told_wrong(&self, at: usize, message: &Message, key: Key) -> Option<String> {
-        let told = self.stores.iter().filter_map(|store| store.hold.as_ref()?.find(key));
+    fn told_wrong(&self, at: usize, sent: &Sent, key: Key) -> Option<String> {
+        let told = self.stores.iter().filter_map(|store| store.queue.as_ref()?.find(key));
         for (state, _) in told {
             let right = match state {
                 State::Waiting => true,
-                State::Complete { .. } => !message.refuses && self.has_ended(at),
-                State::Failed => message.refuses && self.has_ended(at),
+                State::Complete { .. } => !sent.refuses && self.has_ended(at),
+                State::Failed => sent.refuses && self.has_ended(at),
             };
             if !right {
                 return Some(format!("message {at} is told {state:?}"));
@@ -119,9 +119,9 @@
     pub fn look_at_emptied(&self, emptied: usize) -> Option<QueueBreach> {
         // A disk that was lost is the loss that is borne.
         let enough = if self.stores.iter().any(|store| store.lost_disk) { 1 } else { 2 };
-        let short = |(at, message): &(usize, &Message)| {
+        let short = |(at, sent): &(usize, &Sent)| {
             let on = |key| self.disks().filter(|(at, disk)| *at != emptied && holds(disk, key)).count();
-            !self.has_ended(*at) && message.key.is_some_and(|key| on(key) < enough)
+            !self.has_ended(*at) && sent.key.is_some_and(|key| on(key) < enough)
         };
         let (at, _) = self.messages.iter().enumerate().find(short)?;
         let evidence = format!("message {at} is on fewer than {enough} other disks");
@@ -131,7 +131,8 @@
     /// A store starts a message.
     pub fn look_at_start(&self, store: usize, key: Key) -> Option<QueueBreach> {
         let starts = &self.stores[store];
-        let term = starts.hold.as_ref().and_then(|hold| Some(hold.view(self.now - starts.began, key)?.term));
+        let term =
+            starts.queue.as_ref().and_then(|queue| Some(queue.view(self.now - starts.began, key)?.term));
         let newer = |(at, other): &(usize, &super::stores::Store)| {
             let shared = other.disk.kept.all.get(&key).and_then(|kept| kept.shared.as_ref());
             *at != store
@@ -146,11 +147,11 @@
     /// After the calm.
     pub fn look_at_calm(&self) -> Option<QueueBreach> {
         let told = |key| {
-            let all = self.stores.iter().filter_map(|store| Some(store.hold.as_ref()?.find(key)?.0));
+            let all = self.stores.iter().filter_map(|store| Some(store.queue.as_ref()?.find(key)?.0));
             all.into_iter().any(|state| state != State::Waiting)
         };
-        let missing = |message: &&Message| message.key.is_some_and(|key| !told(key));
-        let at = self.messages.iter().position(|message| missing(&message))?;
+        let missing = |sent: &&Sent| sent.key.is_some_and(|key| !told(key));
+        let at = self.messages.iter().position(|sent| missing(&sent))?;
         let ended = self.has_ended(at);
         let evidence = format!(
             "of message {at} no end is told, {}",
--- a/soundings/src/queue/plan.rs
+++ b/crates/model-check/src/queue/plan.rs
@@ -1,8 +1,8 @@
-//! What `make prove-soundings` goes through of the queue.
+//! What `make test-model_check` goes through of the queue.
 
 use super::fleet::{QueueBounds, QueueScript};
-use super::lookout::QueueProperty;
-use stileroute_hold::Planted;
+use super::invariants::QueueProperty;
+use stileroute_queue::Planted;
 
 const TAKING: QueueBounds = QueueBounds {
     stores: 3,
@@ -34,7 +34,7 @@
 ];
 
 /// Each fault that shows within these bounds, and the property that tells of it first. The others are found by
-/// `soundings/tests/queue_planted.rs`.
+/// `crates/model-check/tests/queue_planted.rs`.
 pub const QUEUE_FAULTS: [(Planted, QueueProperty, QueueBounds); 12] = [
     (Planted::EarlyAnswer, QueueProperty::AcceptedIsKept, TAKING),
     (Planted::CopyUnsynced, QueueProperty::AcceptedIsKept, TWICE),
--- a/soundings/src/queue/report.rs
+++ b/crates/model-check/src/queue/report.rs
@@ -6,7 +6,7 @@
 use gumdrop::Options;
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
-use stileroute_hold::Planted;
+use stileroute_queue::Planted;
 
 #[derive(Debug, Options)]
 pub struct QueueWords {
@@ -28,7 +28,7 @@
     one_span: bool,
     #[options(no_short, help = "not two stores away at a time")]
     one_away: bool,
-    #[options(help = "turns at one step in so many", default = "1", meta = "N")]
+    #[options(help = "choices at one step in so many", default = "1", meta = "N")]
     every: u32,
     #[options(help = "a fault to find, by its name", meta = "NAME", parse(try_from_str = "planted"))]
     planted: Option<Planted>,
@@ -109,11 +109,11 @@
             counts.found.iter().for_each(show);
             return false;
         };
-        let turns: Vec<String> = found.course.iter().map(|(_, turn)| format!("{turn:?}")).collect();
+        let choices: Vec<String> = found.course.iter().map(|(_, choice)| format!("{choice:?}")).collect();
         println!(
-            "found {fault:?} by {property:?} after states={} turns: {}",
+            "found {fault:?} by {property:?} after states={} choices: {}",
             counts.states,
-            turns.join(", ")
+            choices.join(", ")
         );
         if ways {
             show(found);
--- a/soundings/src/queue/search.rs
+++ b/crates/model-check/src/queue/search.rs
@@ -1,9 +1,9 @@
-//! Plays every course of no more than so many turns, each from its start, on as many threads as there are; the counts are the
+//! Plays every course of no more than so many choices, each from its start, on as many threads as there are; the counts are the
 //! same on any.
 
+use super::choices::QueueTurn;
 use super::fleet::{Fleet, QueueBounds};
-use super::lookout::QueueBreach;
-use super::turns::QueueTurn;
+use super::invariants::QueueBreach;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
 
@@ -43,19 +43,19 @@
     }
 }
 
-/// Plays a course, and names the turns that could come after its last.
+/// Plays a course, and names the choices that could come after its last.
 fn play(bounds: QueueBounds, course: &Course, counts: &mut QueueCounts) -> Course {
-    let spent = |trouble: bool| course.iter().filter(|(_, turn)| turn.trouble() == trouble).count();
+    let spent = |trouble: bool| course.iter().filter(|(_, choice)| choice.trouble() == trouble).count();
     let troubles = spent(true) < usize::from(bounds.troubles);
     let delays = spent(false) < usize::from(bounds.delays);
     let mut fleet = Fleet::new(bounds);
-    let mut turns = course.iter().peekable();
+    let mut choices = course.iter().peekable();
     let (mut steps, mut next) = (0, Vec::new());
     while !fleet.over && fleet.breach.is_none() {
-        if let Some((_, turn)) = turns.next_if(|(at, _)| *at == steps) {
-            fleet.take(*turn);
-        } else if turns.peek().is_none() && fleet.open() {
-            next.extend(fleet.turns(troubles, delays).into_iter().map(|turn| (steps, turn)));
+        if let Some((_, choice)) = choices.next_if(|(at, _)| *at == steps) {
+            fleet.take(*choice);
+        } else if choices.peek().is_none() && fleet.open() {
+            next.extend(fleet.choices(troubles, delays).into_iter().map(|choice| (steps, choice)));
         }
         fleet.step();
         steps += 1;
@@ -71,11 +71,11 @@
 
 fn beyond(bounds: QueueBounds, course: &mut Course, counts: &mut QueueCounts, stop: &AtomicBool) {
     let next = play(bounds, course, counts);
-    for turn in next {
+    for choice in next {
         if counts.found.is_some() || stop.load(Ordering::Relaxed) {
             return;
         }
-        course.push(turn);
+        course.push(choice);
         beyond(bounds, course, counts, stop);
         course.pop();
     }
@@ -118,13 +118,13 @@
     sum
 }
 
-/// The first breach with as few turns as it takes, up to the bounds.
+/// The first breach with as few choices as it takes, up to the bounds.
 pub fn find_in_queue(bounds: QueueBounds, threads: usize, stop: &AtomicBool) -> QueueCounts {
     let mut all = QueueCounts { whole: true, ..QueueCounts::default() };
-    for turns in 0..=bounds.troubles + bounds.delays {
-        for troubles in (0..=bounds.troubles.min(turns)).rev().filter(|t| turns - t <= bounds.delays) {
+    for choices in 0..=bounds.troubles + bounds.delays {
+        for troubles in (0..=bounds.troubles.min(choices)).rev().filter(|t| choices - t <= bounds.delays) {
             all.add(search_queue(
-                QueueBounds { troubles, delays: turns - troubles, ..bounds },
+                QueueBounds { troubles, delays: choices - troubles, ..bounds },
                 threads,
                 stop,
             ));
@@ -140,11 +140,11 @@
 pub fn retrace_queue(found: &QueueFound) -> Vec<String> {
     let mut fleet = Fleet::new(found.bounds);
     fleet.trace = Some(Vec::new());
-    let mut turns = found.course.iter().peekable();
+    let mut choices = found.course.iter().peekable();
     let mut steps = 0;
     while !fleet.over && fleet.breach.is_none() {
-        if let Some((_, turn)) = turns.next_if(|(at, _)| *at == steps) {
-            fleet.take(*turn);
+        if let Some((_, choice)) = choices.next_if(|(at, _)| *at == steps) {
+            fleet.take(*choice);
         }
         fleet.step();
         steps += 1;
