--- a/soundings/src/queue/stores.rs
+++ b/crates/model-check/src/queue/stores.rs
@@ -2,8 +2,10 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
-use stileroute_charter::Config;
-use stileroute_hold::{first_number, Bear, Hold, Ledger, Millis, Node, Planted, Record, Server, Terms};
+use stileroute_config::Config;
+use stileroute_queue::{
+    first_number, Bear, Ledger, Millis, Node, Planted, Queue, QueueSettings, Record, Server,
+};
 
 /// Time of day when the steady clock stands at nought.
 pub const WALL: u64 = 1_700_000_000_000;
@@ -52,7 +54,7 @@
 
 pub struct Store {
     pub node: Node,
-    pub hold: Option<Hold>,
+    pub queue: Option<Queue>,
     /// Counts its starts.
     pub life: u64,
     pub began: Millis,
@@ -73,7 +75,7 @@
     pub fn new(at: usize) -> Store {
         Store {
             node: NODES[at],
-            hold: None,
+            queue: None,
             life: 0,
             began: 0,
             disk: Disk::blank(at as u64 + 1),
@@ -92,7 +94,7 @@
         let mut ledger = Ledger::default();
         self.disk.records.iter().for_each(|record| ledger.enter(record.clone()));
         let first = first_number(lot << 37);
-        let terms = Terms {
+        let terms = QueueSettings {
             me: self.node,
             zone: at,
             disk: self.disk.number,
@@ -109,15 +111,15 @@
         let born = Record::Born { disk: self.disk.number, first };
         self.disk.kept.enter(born.clone());
         self.disk.records.push(born);
-        let mut hold = Hold::new(terms, ledger, 0, WALL + now);
-        hold.plant(planted);
-        self.hold = Some(hold);
+        let mut queue = Queue::new(terms, ledger, 0, WALL + now);
+        queue.plant(planted);
+        self.queue = Some(queue);
         (self.life, self.began) = (self.life + 1, now);
         (self.leaving, self.flushed) = (None, false);
     }
 
     pub fn runs(&self, now: Millis) -> bool {
-        self.hold.is_some() && self.frozen <= now
+        self.queue.is_some() && self.frozen <= now
     }
 }
 
--- a/soundings/src/search.rs
+++ b/crates/model-check/src/search.rs
@@ -1,17 +1,17 @@
-//! Depth first over all turns, with what was seen left out, on as many threads as there are; the counts are the same on any.
+//! Depth first over all choices, with what was seen left out, on as many threads as there are; the counts are the same on any.
 
-use crate::lookout::Breach;
-use crate::sea::{Bounds, Sea};
-use crate::turns::Turn;
+use crate::choices::Choice;
+use crate::invariants::Breach;
+use crate::world::{Bounds, World};
 use std::collections::HashMap;
 use std::hash::{BuildHasherDefault, Hasher};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
 
 /// After so many steps from the start, what is taken.
-pub type Course = Vec<(u32, Turn)>;
+pub type Course = Vec<(u32, Choice)>;
 
-/// Into so many parts the first turns are shared out. Each part has its own memory of what was seen, so that the counts
+/// Into so many parts the first choices are shared out. Each part has its own memory of what was seen, so that the counts
 /// don't depend on which thread is faster.
 const PARTS: usize = 64;
 /// A way that is longer than that goes round and round.
@@ -26,12 +26,12 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Soundings {
+pub struct Statistics {
     /// States looked at, those among them that were new, and those that had been seen with as much still to come.
     pub states: u64,
     pub distinct: u64,
     pub pruned: u64,
-    /// Steps and turns gone.
+    /// Steps and choices gone.
     pub transitions: u64,
     /// Ways that went through to the calm.
     pub ways: u64,
@@ -44,8 +44,8 @@
     pub whole: (usize, usize),
 }
 
-impl Soundings {
-    pub fn add(&mut self, other: Soundings) {
+impl Statistics {
+    pub fn add(&mut self, other: Statistics) {
         self.states += other.states;
         self.distinct += other.distinct;
         self.pruned += other.pruned;
@@ -61,7 +61,7 @@
 }
 
 /// A state, and what may be taken there.
-type Fork = (u32, Sea, Vec<Turn>);
+type Fork = (u32, World, Vec<Choice>);
 
 /// A digest is mixed already.
 #[derive(Default)]
@@ -76,7 +76,7 @@
     }
 }
 
-/// By what may still be taken: troubles and delays, up to three each. How long turns could be taken from there, in units
+/// By what may still be taken: troubles and delays, up to three each. How long choices could be taken from there, in units
 /// of 10 ms; nought: not seen.
 type Left = [u16; 16];
 type Seen = HashMap<u64, Left, BuildHasherDefault<AsItIs>>;
@@ -88,8 +88,8 @@
 }
 
 impl Budget {
-    fn spend(self, turn: Turn) -> Budget {
-        if turn.trouble() {
+    fn spend(self, choice: Choice) -> Budget {
+        if choice.trouble() {
             Budget { troubles: self.troubles - 1, ..self }
         } else {
             Budget { delays: self.delays - 1, ..self }
@@ -104,16 +104,16 @@
     base: &'a Seen,
     seen: Seen,
     course: Course,
-    sum: Soundings,
+    sum: Statistics,
     stop: &'a AtomicBool,
 }
 
 impl Search<'_> {
     /// True where it was seen with as much still to come.
-    fn known(&mut self, sea: &Sea, budget: Budget) -> bool {
+    fn known(&mut self, world: &World, budget: Budget) -> bool {
         self.sum.states += 1;
-        let left = if budget.none() { 1 } else { (sea.left() / 10 + 1) as u16 };
-        let digest = sea.digest();
+        let left = if budget.none() { 1 } else { (world.left() / 10 + 1) as u16 };
+        let digest = world.digest();
         let covers = |seen: &Left| {
             (usize::from(budget.troubles)..4)
                 .any(|t| (usize::from(budget.delays)..4).any(|d| seen[t * 4 + d] >= left))
@@ -132,27 +132,27 @@
         false
     }
 
-    /// Goes on by itself to the end, and collects where turns can be taken.
-    fn along(&mut self, mut sea: Sea, mut steps: u32, budget: Budget) -> Vec<Fork> {
-        let mut turns = Vec::new();
+    /// Goes on by itself to the end, and collects where choices can be taken.
+    fn along(&mut self, mut world: World, mut steps: u32, budget: Budget) -> Vec<Fork> {
+        let mut choices = Vec::new();
         loop {
-            if sea.lookout.breach.is_some() || sea.over {
+            if world.invariants.breach.is_some() || world.over {
                 break;
             }
-            let open = !budget.none() && sea.left() > 0;
+            let open = !budget.none() && world.left() > 0;
             if !open {
-                sea.begin_calm();
+                world.begin_calm();
             }
-            if self.known(&sea, budget) {
+            if self.known(&world, budget) {
                 break;
             }
             if open {
-                let here = sea.turns(budget.troubles > 0, budget.delays > 0);
+                let here = world.choices(budget.troubles > 0, budget.delays > 0);
                 if !here.is_empty() {
-                    turns.push((steps, sea.clone(), here));
+                    choices.push((steps, world.clone(), here));
                 }
             }
-            sea.step();
+            world.step();
             steps += 1;
             self.sum.transitions += 1;
             self.sum.deepest = self.sum.deepest.max(steps);
@@ -160,63 +160,63 @@
                 break;
             }
         }
-        if sea.over {
+        if world.over {
             self.sum.ways += 1;
-            self.sum.waited = self.sum.waited.max(sea.waited);
+            self.sum.waited = self.sum.waited.max(world.waited);
         }
-        if let Some(breach) = sea.lookout.breach.take() {
-            self.found(&sea, breach);
+        if let Some(breach) = world.invariants.breach.take() {
+            self.found(&world, breach);
         }
-        turns
+        choices
     }
-    fn found(&mut self, sea: &Sea, breach: Breach) {
+    fn found(&mut self, world: &World, breach: Breach) {
         if self.sum.found.is_none() {
-            self.sum.found = Some(Found { breach, course: self.course.clone(), bounds: sea.bounds });
+            self.sum.found = Some(Found { breach, course: self.course.clone(), bounds: world.bounds });
         }
     }
 
-    fn search(&mut self, sea: Sea, steps: u32, budget: Budget) {
-        for (steps, sea, turns) in self.along(sea, steps, budget) {
-            for turn in turns {
+    fn search(&mut self, world: World, steps: u32, budget: Budget) {
+        for (steps, world, choices) in self.along(world, steps, budget) {
+            for choice in choices {
                 if self.sum.found.is_some() || self.stop.load(Ordering::Relaxed) {
                     return;
                 }
-                self.turn(&sea, steps, turn, budget);
+                self.choice(&world, steps, choice, budget);
             }
         }
     }
-    fn turn(&mut self, sea: &Sea, steps: u32, turn: Turn, budget: Budget) {
-        let mut sea = sea.clone();
-        sea.take(turn);
+    fn choice(&mut self, world: &World, steps: u32, choice: Choice, budget: Budget) {
+        let mut world = world.clone();
+        world.take(choice);
         self.sum.transitions += 1;
-        self.course.push((steps, turn));
-        self.search(sea, steps, budget.spend(turn));
+        self.course.push((steps, choice));
+        self.search(world, steps, budget.spend(choice));
         self.course.pop();
     }
 }
 
 /// Every way within these bounds. Ends at the first breach of a part, or when it is told to.
-pub fn sound(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Soundings {
+pub fn explore(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Statistics {
     let budget = Budget { troubles: bounds.troubles, delays: bounds.delays };
     let empty = Seen::default();
     let new =
-        |base| Search { base, seen: Seen::default(), course: Vec::new(), sum: Soundings::default(), stop };
+        |base| Search { base, seen: Seen::default(), course: Vec::new(), sum: Statistics::default(), stop };
     let mut trunk = new(&empty);
-    let forks = trunk.along(Sea::new(bounds), 0, budget);
+    let forks = trunk.along(World::new(bounds), 0, budget);
     let (base, mut sum) = (trunk.seen, trunk.sum);
-    let mut firsts: Vec<(&Sea, u32, Turn)> = forks
+    let mut firsts: Vec<(&World, u32, Choice)> = forks
         .iter()
-        .flat_map(|(steps, sea, turns)| turns.iter().map(move |turn| (sea, *steps, *turn)))
+        .flat_map(|(steps, world, choices)| choices.iter().map(move |choice| (world, *steps, *choice)))
         .collect();
     if sum.found.is_some() || firsts.is_empty() {
         sum.whole = (1, 1);
         return sum;
     }
-    // One turn at one step and the next comes to much the same: these stay together.
-    firsts.sort_by_key(|(_, steps, turn)| (turn.kin(), *steps));
+    // One choice at one step and the next comes to much the same: these stay together.
+    firsts.sort_by_key(|(_, steps, choice)| (choice.kin(), *steps));
     let size = firsts.len().div_ceil(PARTS);
-    let parts: Vec<&[(&Sea, u32, Turn)]> = firsts.chunks(size).collect();
-    let results: Vec<Mutex<Option<Soundings>>> = parts.iter().map(|_| Mutex::new(None)).collect();
+    let parts: Vec<&[(&World, u32, Choice)]> = firsts.chunks(size).collect();
+    let results: Vec<Mutex<Option<Statistics>>> = parts.iter().map(|_| Mutex::new(None)).collect();
     let (next, broken) = (AtomicUsize::new(0), AtomicUsize::new(usize::MAX));
     std::thread::scope(|scope| {
         for _ in 0..threads.max(1) {
@@ -227,11 +227,11 @@
                     return;
                 }
                 let mut search = new(&base);
-                for (sea, steps, turn) in parts[part] {
+                for (world, steps, choice) in parts[part] {
                     if search.sum.found.is_some() || stop.load(Ordering::Relaxed) {
                         break;
                     }
-                    search.turn(sea, *steps, *turn, budget);
+                    search.choice(world, *steps, *choice, budget);
                 }
                 if search.sum.found.is_some() {
                     broken.fetch_min(part, Ordering::Relaxed);
@@ -253,12 +253,12 @@
     sum
 }
 
-/// The first breach with as few turns as it takes, up to the bounds: no turn of it can be left out.
-pub fn find(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Soundings {
-    let mut all = Soundings::default();
-    for turns in 0..=bounds.troubles + bounds.delays {
-        for troubles in (0..=bounds.troubles.min(turns)).rev().filter(|t| turns - t <= bounds.delays) {
-            all.add(sound(Bounds { troubles, delays: turns - troubles, ..bounds }, threads, stop));
+/// The first breach with as few choices as it takes, up to the bounds: no choice of it can be left out.
+pub fn find(bounds: Bounds, threads: usize, stop: &AtomicBool) -> Statistics {
+    let mut all = Statistics::default();
+    for choices in 0..=bounds.troubles + bounds.delays {
+        for troubles in (0..=bounds.troubles.min(choices)).rev().filter(|t| choices - t <= bounds.delays) {
+            all.add(explore(Bounds { troubles, delays: choices - troubles, ..bounds }, threads, stop));
             if all.found.is_some() {
                 return all;
             }
@@ -270,26 +270,31 @@
 /// Goes one course again and tells what happens, a line each.
 pub fn retrace(found: &Found) -> Vec<String> {
     let Found { course, bounds, .. } = found;
-    let mut sea = Sea::new(*bounds);
-    sea.trace = Some(Vec::new());
-    let mut turns = course.iter().peekable();
+    let mut world = World::new(*bounds);
+    world.trace = Some(Vec::new());
+    let mut choices = course.iter().peekable();
     let mut budget = Budget { troubles: bounds.troubles, delays: bounds.delays };
     for steps in 0..LONGEST {
-        while let Some((_, turn)) = turns.next_if(|(at, _)| *at == steps) {
-            sea.take(*turn);
-            budget = budget.spend(*turn);
+        while let Some((_, choice)) = choices.next_if(|(at, _)| *at == steps) {
+            world.take(*choice);
+            budget = budget.spend(*choice);
         }
-        if budget.none() || sea.left() == 0 {
-            sea.begin_calm();
+        if budget.none() || world.left() == 0 {
+            world.begin_calm();
         }
-        if sea.lookout.breach.is_some() || sea.over {
+        if world.invariants.breach.is_some() || world.over {
             break;
         }
-        sea.step();
+        world.step();
     }
-    let mut lines = sea.trace.take().unwrap_or_default();
-    if let Some(breach) = &sea.lookout.breach {
-        lines.push(format!("{:5} ms  BREACH: {}: {}", sea.now, breach.property.sentence(), breach.evidence));
+    let mut lines = world.trace.take().unwrap_or_default();
+    if let Some(breach) = &world.invariants.breach {
+        lines.push(format!(
+            "{:5} ms  BREACH: {}: {}",
+            world.now,
+            breach.property.sentence(),
+            breach.evidence
+        ));
     }
     lines
 }
--- a/soundings/src/sea.rs
+++ b/crates/model-check/src/world.rs
@@ -1,11 +1,11 @@
 //! Nodes, disks, connections and operators. Left alone it does the next thing that is due, by a fixed order.
 
-use crate::lookout::{Lookout, Property, Seen};
+use crate::invariants::{Invariants, Property, Seen};
 use std::collections::VecDeque;
 use std::hash::{Hash, Hasher};
-use stileroute_pilotage_planted::{
-    Chart, Effect, Kept, Millis, Pilotage, Planted, Record, Signal, Sounder, Terms, Verdict, Voter,
-    MAX_CLOCK_DRIFT,
+use stileroute_control_group_planted::{
+    ControlGroup, ControlState, Effect, Fingerprinter, GroupSettings, Millis, Persisted, Planted, Record,
+    Signal, Verdict, Voter, MAX_CLOCK_DRIFT,
 };
 
 /// A message takes so long, a disk, and until it is noticed that a connection broke, or is there.
@@ -15,23 +15,23 @@
 pub(crate) const NOTICED: Millis = 2;
 /// An attempt of a call waits so long for its answer.
 const PATIENCE: Millis = 500;
-/// Turns may be taken so long after the last call has ended, and no longer than that after the start.
+/// Choices may be taken so long after the last call has ended, and no longer than that after the start.
 const AFTER: Millis = 500;
 /// The same, where nodes are replaced: until one that is lost is out of the group.
 const AFTER_GROWTH: Millis = 2_000;
 const LONGEST: Millis = 6_000;
-/// The last call is made so long after the last trouble: whoever is back has heard a pulse by then.
+/// The last call is made so long after the last trouble: whoever is back has heard a heartbeat by then.
 const SETTLED: Millis = 250;
-/// After the last trouble it has so long to be accepted, and then to be in force at all nodes.
+/// After the last trouble it has so long to be accepted, and then to be committed at all nodes.
 const ACCEPTED: Millis = 4_000;
 const EVERYWHERE: Millis = 1_500;
 /// And then so long until whoever is there votes, and nobody else.
 const REPLACED: Millis = 2_000;
 
-/// At which steps a turn is offered.
+/// At which steps a choice is offered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Grain {
-    /// Where a node did more than pulse, ack a pulse, or look at the clock.
+    /// Where a node did more than heartbeat, ack a heartbeat, or look at the clock.
     Coarse,
     /// At each step.
     Fine,
@@ -145,12 +145,12 @@
 
 #[derive(Clone, Default)]
 pub(crate) struct Node {
-    pub pilot: Option<Pilotage>,
+    pub group: Option<ControlGroup>,
     pub life: u64,
     /// What its clock shows at the start of all, and what it gains from then on, in thousandths.
     pub clock: Millis,
     pub rate: i64,
-    pub disk: Kept,
+    pub disk: Persisted,
     pub writing: VecDeque<(Millis, u64, Record)>,
     pub wiped: bool,
     pub frozen: bool,
@@ -211,7 +211,7 @@
 
 #[derive(Clone, Hash)]
 pub(crate) struct Call {
-    pub chart: Chart,
+    pub state: ControlState,
     pub at: usize,
     pub attempt: u64,
     pub attempts: u64,
@@ -222,7 +222,7 @@
     pub left: bool,
 }
 
-/// What comes next, if nothing takes another turn.
+/// What comes next, if nothing takes another choice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
     Carry(usize),
@@ -233,7 +233,7 @@
 }
 
 #[derive(Clone)]
-pub struct Sea {
+pub struct World {
     pub bounds: Bounds,
     pub now: Millis,
     pub(crate) nodes: Vec<Node>,
@@ -251,14 +251,14 @@
     calm: Option<(usize, Millis)>,
     accepted: Option<Millis>,
     pub over: bool,
-    /// The node where something happened last, and whether more than a pulse.
+    /// The node where something happened last, and whether more than a heartbeat.
     pub(crate) touched: Option<(usize, bool)>,
-    pub lookout: Lookout,
+    pub invariants: Invariants,
     /// What happened, where it is wanted.
     pub trace: Option<Vec<String>>,
     /// How long the write waited after all was healed.
     pub waited: Millis,
-    luck: Vec<u64>,
+    random_state: Vec<u64>,
 }
 
 pub(crate) fn voter(i: usize) -> Voter {
@@ -267,12 +267,12 @@
 pub(crate) fn index(voter: Voter) -> usize {
     usize::from(voter.ip().octets()[3]) - 1
 }
-fn pulse(signal: &Signal) -> bool {
-    matches!(signal, Signal::Pulse(_) | Signal::PulseAck { .. })
+fn heartbeat(signal: &Signal) -> bool {
+    matches!(signal, Signal::Heartbeat(_) | Signal::HeartbeatAck { .. })
 }
 
-impl Sea {
-    pub fn new(bounds: Bounds) -> Sea {
+impl World {
+    pub fn new(bounds: Bounds) -> World {
         let n = bounds.nodes + bounds.spares;
         let share = |i: usize| match bounds.chance {
             Chance::Rising => i,
@@ -285,7 +285,7 @@
             rate: bounds.drift.rate(i),
             ..Node::default()
         };
-        let mut sea = Sea {
+        let mut world = World {
             bounds,
             now: 0,
             nodes: (0..n).map(new).collect(),
@@ -301,13 +301,13 @@
             accepted: None,
             over: false,
             touched: None,
-            lookout: Lookout::default(),
+            invariants: Invariants::default(),
             trace: None,
             waited: 0,
-            luck: (0..n).map(|i| luck(share(i) as u64, n as u64)).collect(),
+            random_state: (0..n).map(|i| random_state(share(i) as u64, n as u64)).collect(),
         };
-        (0..bounds.nodes).for_each(|i| sea.start(i));
-        sea
+        (0..bounds.nodes).for_each(|i| world.start(i));
+        world
     }
 
     pub(crate) fn note(&mut self, what: impl FnOnce() -> String) {
@@ -329,7 +329,7 @@
         self.agenda.push(((self.now + after).next_multiple_of(ROUND), what));
     }
     pub(crate) fn up(&self, i: usize) -> bool {
-        self.nodes[i].pilot.is_some() && !self.nodes[i].frozen
+        self.nodes[i].group.is_some() && !self.nodes[i].frozen
     }
 
     // ---- Processes and connections ----
@@ -340,18 +340,19 @@
         // Serials of one life don't follow those of another.
         let seed = (i as u64 + 1) * 1_000_000 + node.life * 10_000;
         let seeds = (0..bounds.nodes).map(voter).collect();
-        let mut terms = Terms::new(voter(i), seeds, node.life == 0 && i < bounds.nodes, bounds.losses, seed);
-        terms.planted = bounds.planted;
-        node.pilot = Some(Pilotage::new(terms, node.disk.clone(), node.local(self.now)));
+        let mut settings =
+            GroupSettings::new(voter(i), seeds, node.life == 0 && i < bounds.nodes, bounds.losses, seed);
+        settings.planted = bounds.planted;
+        node.group = Some(ControlGroup::new(settings, node.disk.clone(), node.local(self.now)));
         node.life += 1;
-        node.seen.blank = (node.life > 1 || i >= bounds.nodes) && node.disk.watch.is_none();
+        node.seen.blank = (node.life > 1 || i >= bounds.nodes) && node.disk.view.is_none();
         self.note(|| format!("node {i} starts"));
         (0..self.nodes.len()).for_each(|peer| self.join(i, peer));
         self.with(i, |_, _| ());
     }
     pub(crate) fn join(&mut self, a: usize, b: usize) {
         let way = self.way(a, b);
-        let able = |i: usize| self.nodes[i].pilot.is_some();
+        let able = |i: usize| self.nodes[i].group.is_some();
         let (to, fro) = (self.wire(a, b), self.wire(b, a));
         let heard = self.held[to].max(self.held[fro]) <= self.now;
         if a != b && able(a) && able(b) && heard && self.cuts[way] == 0 && !self.joined[way] {
@@ -395,15 +396,15 @@
         for (_, _, record) in std::mem::take(&mut node.writing).into_iter().take(reached) {
             node.disk.apply(record);
         }
-        node.pilot = None;
+        node.group = None;
         node.frozen = false;
         node.outbox.clear();
-        node.seen.force = None;
+        node.seen.committed = None;
         node.seen.told.clear();
         if wipe {
-            node.disk = Kept::default();
+            node.disk = Persisted::default();
         }
-        if node.disk.watch.is_none() {
+        if node.disk.view.is_none() {
             // Nothing was synced yet: that is no other than a disk that was lost.
             (node.wiped, node.seen.lost) = (true, true);
             node.seen.granted.clear();
@@ -443,8 +444,8 @@
     fn call(&mut self, at: usize, version: u64, attempts: u64) {
         let call = self.calls.len();
         let body = format!("v{version} of call {call}").into_bytes();
-        let chart = Chart { version, body, ..Chart::default() };
-        self.calls.push(Call { chart, at, attempt: 0, attempts, unclear: false, done: None, left: false });
+        let state = ControlState { version, body, ..ControlState::default() };
+        self.calls.push(Call { state, at, attempt: 0, attempts, unclear: false, done: None, left: false });
         self.attempt(call, 0, Some(at));
     }
     fn attempt(&mut self, call: usize, attempt: u64, at: Option<usize>) {
@@ -464,7 +465,7 @@
         c.attempt += 1;
         c.at = at.unwrap_or((c.at + 1) % self.nodes.len());
         let (at, attempt) = (c.at, c.attempt);
-        if self.nodes[at].pilot.is_none() {
+        if self.nodes[at].group.is_none() {
             let next = (at + 1) % self.nodes.len();
             return self.at(30, Due::Next { call, attempt, at: Some(next) });
         }
@@ -472,22 +473,22 @@
         self.at(0, Due::Ask { at, call, attempt });
     }
     fn ask(&mut self, at: usize, call: usize, attempt: u64) {
-        let Chart { version, body, .. } = self.calls[call].chart.clone();
+        let ControlState { version, body, .. } = self.calls[call].state.clone();
         self.note(|| format!("node {at} is asked for {version}, call {call}"));
-        self.with(at, |pilot, now| pilot.replace(now, call as u64 * 1_000 + attempt, version, body));
+        self.with(at, |group, now| group.replace(now, call as u64 * 1_000 + attempt, version, body));
     }
     fn answered(&mut self, i: usize, ticket: u64, verdict: Verdict) {
         let (call, attempt) = ((ticket / 1_000) as usize, ticket % 1_000);
         self.note(|| format!("node {i} answers call {call}: {verdict:?}"));
         let calm = self.calm.is_some_and(|(calm, _)| calm == call);
         let c = &mut self.calls[call];
-        let (chart, open) = (c.chart.clone(), c.attempt == attempt && c.done.is_none() && !c.left);
+        let (state, open) = (c.state.clone(), c.attempt == attempt && c.done.is_none() && !c.left);
         match verdict {
             // Whoever hears it, and also where nobody waits for it any more: it is said.
-            Verdict::Accepted => self.lookout.learn(&chart, "acknowledged"),
-            Verdict::Unchanged if self.lookout.highest < chart.version => {
-                let evidence = format!("{} is acknowledged, and none as high is in force", chart.version);
-                self.lookout.fail(Property::NothingOld, evidence);
+            Verdict::Accepted => self.invariants.learn(&state, "acknowledged"),
+            Verdict::Unchanged if self.invariants.highest < state.version => {
+                let evidence = format!("{} is acknowledged, and none as high is committed", state.version);
+                self.invariants.fail(Property::NothingOld, evidence);
             }
             _ => {}
         }
@@ -502,10 +503,10 @@
             }
             Verdict::NotDone if !c.unclear && !calm => {
                 c.done = Some(verdict);
-                self.lookout.never.push(chart.clone());
-                if self.lookout.known.get(&chart.version) == Some(&chart.body) {
-                    let evidence = format!("{} was in force before", chart.version);
-                    self.lookout.fail(Property::NotDoneStays, evidence);
+                self.invariants.never.push(state.clone());
+                if self.invariants.known.get(&state.version) == Some(&state.body) {
+                    let evidence = format!("{} was committed before", state.version);
+                    self.invariants.fail(Property::NotDoneStays, evidence);
                 }
                 return self.ended_call(call);
             }
@@ -535,23 +536,24 @@
     // ---- Steps ----
 
     /// Does this with one that runs; what it wants done is carried out by the steps that follow.
-    pub(crate) fn with(&mut self, i: usize, what: impl FnOnce(&mut Pilotage, Millis)) {
+    pub(crate) fn with(&mut self, i: usize, what: impl FnOnce(&mut ControlGroup, Millis)) {
         let calm = self.calm.is_some();
         let node = &mut self.nodes[i];
         let now = node.local(self.now);
-        let Some(pilot) = &mut node.pilot else { return };
+        let Some(group) = &mut node.group else { return };
         if !calm {
-            pilot.set_luck(self.luck[i]);
+            group.set_random_state(self.random_state[i]);
         }
-        what(pilot, now);
-        pilot.tick(now);
+        what(group, now);
+        group.tick(now);
         let weighty = {
-            let effects = pilot.take();
-            let weighty = effects.iter().any(|e| !matches!(e, Effect::Send { signal, .. } if pulse(signal)));
+            let effects = group.take();
+            let weighty =
+                effects.iter().any(|e| !matches!(e, Effect::Send { signal, .. } if heartbeat(signal)));
             node.outbox.extend(effects);
             weighty
         };
-        let next = pilot.next(now);
+        let next = group.next(now);
         node.due = node.when(next);
         self.touched = Some((i, weighty));
         self.look_at(i);
@@ -618,13 +620,13 @@
             Step::Said(from, to) => {
                 let wire = self.wire(from, to);
                 let Some((_, signal)) = self.wires[wire].pop_front() else { return };
-                if !pulse(&signal) {
+                if !heartbeat(&signal) {
                     self.note(|| format!("node {to} hears from {from}: {}", short(&signal)));
                 }
-                if let Signal::ThisWatch { watch: Some(watch) } = &signal {
-                    self.nodes[to].seen.told.insert(from, watch.clone());
+                if let Signal::TellView { view: Some(view) } = &signal {
+                    self.nodes[to].seen.told.insert(from, view.clone());
                 }
-                self.with(to, |pilot, now| pilot.signal(now, voter(from), signal));
+                self.with(to, |group, now| group.signal(now, voter(from), signal));
             }
             Step::Synced(i) => self.synced(i, true),
             Step::Tick(i) => self.with(i, |_, _| ()),
@@ -637,11 +639,11 @@
         if ok {
             node.disk.apply(record);
         }
-        self.with(i, |pilot, now| pilot.kept(now, ticket, ok));
+        self.with(i, |group, now| group.persisted(now, ticket, ok));
         self.touched = Some((i, true));
     }
     fn carry(&mut self, i: usize, effect: Effect) {
-        self.touched = Some((i, !matches!(&effect, Effect::Send { signal, .. } if pulse(signal))));
+        self.touched = Some((i, !matches!(&effect, Effect::Send { signal, .. } if heartbeat(signal))));
         match effect {
             Effect::Send { to, signal } => {
                 let to = index(to);
@@ -653,16 +655,18 @@
                     self.wires[wire].push_back((due, signal));
                 }
             }
-            Effect::Keep { ticket, record } => {
+            Effect::Persist { ticket, record } => {
                 self.note(|| format!("node {i} writes {}", brief(&record)));
                 let node = &mut self.nodes[i];
                 let due = (self.now + SYNC).max(node.writing.back().map_or(0, |(due, ..)| *due));
                 node.writing.push_back((due, ticket, record));
             }
             Effect::Answer { ticket, verdict } => self.answered(i, ticket, verdict),
-            Effect::Chart { .. } => {}
-            Effect::InForce { serial } => self.note(|| format!("node {i} has the value {serial} in force")),
-            Effect::Turn { epoch, what } => {
+            Effect::ControlState { .. } => {}
+            Effect::Committed { serial } => {
+                self.note(|| format!("node {i} has the value {serial} committed"))
+            }
+            Effect::RoleChanged { epoch, what } => {
                 self.note(|| format!("node {i} {what} by {epoch}"));
                 if what == "stands" {
                     self.look_at_candidate(i);
@@ -693,7 +697,7 @@
             Due::Start(i) => self.start(i),
             Due::Retire(i) => {
                 self.note(|| format!("node {i} is told to end"));
-                self.with(i, |pilot, now| pilot.release(now));
+                self.with(i, |group, now| group.release(now));
             }
             Due::Heal(a, b) => {
                 self.note(|| format!("{a} and {b} meet again"));
@@ -707,10 +711,10 @@
             }
             Due::Link { at, peer, up } => {
                 if self.joined[self.way(at, peer)] == up {
-                    self.with(at, |pilot, now| {
-                        pilot.link(now, voter(peer), up);
+                    self.with(at, |group, now| {
+                        group.link(now, voter(peer), up);
                         if up {
-                            pilot.learn(voter(peer));
+                            group.learn(voter(peer));
                         }
                     });
                 }
@@ -732,10 +736,10 @@
                 Due::Thaw(_) | Due::End(_) | Due::Start(_) | Due::Retire(_) | Due::Heal(..) | Due::Hears(..)
             )
         };
-        self.nodes.iter().any(|n| (n.pilot.is_none() && !n.gone && n.life > 0) || n.frozen)
+        self.nodes.iter().any(|n| (n.group.is_none() && !n.gone && n.life > 0) || n.frozen)
             || self.agenda.iter().any(|(_, due)| trouble(due))
     }
-    /// Turns may still be taken so long.
+    /// Choices may still be taken so long.
     pub(crate) fn left(&self) -> Millis {
         if self.calm.is_some() {
             return 0;
@@ -747,7 +751,7 @@
     pub fn calm(&self) -> bool {
         self.calm.is_some()
     }
-    /// Nobody takes a turn any more: when all is healed and the calls have ended, one more is made.
+    /// Nobody takes a choice any more: when all is healed and the calls have ended, one more is made.
     pub(crate) fn begin_calm(&mut self) {
         if self.calm.is_some() || self.ended.is_none() || self.troubled() {
             return;
@@ -757,32 +761,37 @@
         self.at(SETTLED, Due::Last);
     }
     fn last_call(&mut self) {
-        let version = self.calls.iter().map(|c| c.chart.version).max().unwrap_or(0) + 1;
-        self.call(self.lookout.highest as usize % self.nodes.len(), version, u64::MAX);
+        let version = self.calls.iter().map(|c| c.state.version).max().unwrap_or(0) + 1;
+        self.call(self.invariants.highest as usize % self.nodes.len(), version, u64::MAX);
     }
     fn calm_down(&mut self) {
         let Some((call, since)) = self.calm.filter(|_| !self.over) else { return };
         let Some(accepted) = self.accepted else {
             if self.since(since) > ACCEPTED {
                 let evidence = format!("no answer {} ms after all was healed", self.since(since));
-                self.lookout.fail(Property::SoonAgain, evidence);
+                self.invariants.fail(Property::SoonAgain, evidence);
             }
             return;
         };
-        let chart = &self.calls[call].chart;
-        if self.lookout.highest > chart.version || self.lookout.known.get(&chart.version) != Some(&chart.body)
+        let state = &self.calls[call].state;
+        if self.invariants.highest > state.version
+            || self.invariants.known.get(&state.version) != Some(&state.body)
         {
-            let evidence = format!("the last write, {}, came to {:?}", chart.version, self.calls[call].done);
-            return self.lookout.fail(Property::SoonAgain, evidence);
+            let evidence = format!("the last write, {}, came to {:?}", state.version, self.calls[call].done);
+            return self.invariants.fail(Property::SoonAgain, evidence);
         }
         let has = |i: &usize| {
-            self.nodes[*i].seen.force.as_ref().is_some_and(|force| force.same_configuration(chart))
+            self.nodes[*i]
+                .seen
+                .committed
+                .as_ref()
+                .is_some_and(|committed| committed.same_configuration(state))
         };
         match (0..self.nodes.len()).filter(|i| self.up(*i)).find(|i| !has(i)) {
             None if !self.voters_settled() => {
                 if self.since(accepted) > REPLACED {
                     let evidence = format!("{} ms after a write was accepted", self.since(accepted));
-                    self.lookout.fail(Property::SoonReplaced, evidence);
+                    self.invariants.fail(Property::SoonReplaced, evidence);
                 }
             }
             None => {
@@ -790,8 +799,8 @@
                 self.over = true;
             }
             Some(i) if self.since(accepted) > EVERYWHERE => {
-                let evidence = format!("node {i} has not the last write in force");
-                self.lookout.fail(Property::SoonAgain, evidence);
+                let evidence = format!("node {i} has not the last write committed");
+                self.invariants.fail(Property::SoonAgain, evidence);
             }
             Some(_) => {}
         }
@@ -804,15 +813,15 @@
         let mut hasher = Mixer::default();
         let now = self.now;
         let away = |at: Millis| at as i64 - now as i64;
-        let serial = |(i, node): (usize, &Node)| (voter(i), node.pilot.as_ref().map_or(0, |p| p.serial()));
+        let serial = |(i, node): (usize, &Node)| (voter(i), node.group.as_ref().map_or(0, |p| p.serial()));
         let serials: Vec<(Voter, u64)> = self.nodes.iter().enumerate().map(serial).collect();
         for (i, node) in self.nodes.iter().enumerate() {
-            (node.frozen, node.gone, node.presumed, &node.disk, node.wiped, node.pilot.is_some())
+            (node.frozen, node.gone, node.presumed, &node.disk, node.wiped, node.group.is_some())
                 .hash(&mut hasher);
             // Clocks tick in whole milliseconds: where between two of them.
             (now * node.speed() % 1_000).hash(&mut hasher);
             (node.seen.lost, node.seen.blank, node.outbox.len(), node.writing.len()).hash(&mut hasher);
-            let epoch = node.pilot.as_ref().and_then(|p| p.watch()).map_or(0, |w| w.epoch);
+            let epoch = node.group.as_ref().and_then(|p| p.view()).map_or(0, |w| w.epoch);
             // An older one is granted no more.
             node.seen.granted.range(epoch..).for_each(|granted| granted.hash(&mut hasher));
             if node.seen.blank {
@@ -821,11 +830,11 @@
             for (due, _, record) in &node.writing {
                 (away(*due).max(0), record).hash(&mut hasher);
             }
-            let mut to = Sounder { hasher: &mut hasher, now: node.local(now), serials: &serials };
+            let mut to = Fingerprinter { hasher: &mut hasher, now: node.local(now), serials: &serials };
             node.outbox.iter().for_each(|effect| to.effect(voter(i), effect));
             // Not which life of it this is: all lives are alike.
-            if let Some(pilot) = &node.pilot {
-                pilot.fingerprint(&mut to);
+            if let Some(group) = &node.group {
+                group.fingerprint(&mut to);
                 away(node.due).max(0).hash(&mut hasher);
             }
         }
@@ -835,20 +844,22 @@
             for (due, signal) in wire {
                 away(*due).max(0).hash(&mut hasher);
                 // An ack tells the time of the clock that it goes to.
-                let clock = &self.nodes[if matches!(signal, Signal::PulseAck { .. }) { to } else { from }];
-                let mut sounder = Sounder { hasher: &mut hasher, now: clock.local(now), serials: &serials };
+                let clock =
+                    &self.nodes[if matches!(signal, Signal::HeartbeatAck { .. }) { to } else { from }];
+                let mut sounder =
+                    Fingerprinter { hasher: &mut hasher, now: clock.local(now), serials: &serials };
                 sounder.signal(voter(from), voter(to), signal);
             }
         }
         for call in &self.calls {
             // How it came to its end does not count any more.
             let open = Some(call).filter(|c| c.done.is_none() && !c.left);
-            (&call.chart, open).hash(&mut hasher);
+            (&call.state, open).hash(&mut hasher);
         }
-        (&self.joined, &self.cuts, self.stage, &self.lookout.known).hash(&mut hasher);
-        (self.lookout.highest, &self.lookout.never).hash(&mut hasher);
-        let lowest = self.nodes.iter().filter_map(|n| n.disk.watch.as_ref()).map(|w| w.epoch).min();
-        self.lookout.led.range(lowest.unwrap_or(0)..).for_each(|led| led.hash(&mut hasher));
+        (&self.joined, &self.cuts, self.stage, &self.invariants.known).hash(&mut hasher);
+        (self.invariants.highest, &self.invariants.never).hash(&mut hasher);
+        let lowest = self.nodes.iter().filter_map(|n| n.disk.view.as_ref()).map(|w| w.epoch).min();
+        self.invariants.led.range(lowest.unwrap_or(0)..).for_each(|led| led.hash(&mut hasher));
         let mut agenda: Vec<(i64, &Due)> = self.agenda.iter().map(|(at, due)| (away(*at), due)).collect();
         agenda.sort();
         agenda.hash(&mut hasher);
@@ -859,46 +870,59 @@
 }
 
 /// From here a draw comes to about this share of the most.
-fn luck(share: u64, of: u64) -> u64 {
+fn random_state(share: u64, of: u64) -> u64 {
     // The next of the generator, shifted as `draw` does, modulo 300: found by trying, once for each node.
     let wanted = share * 300 / of.max(1);
-    let step =
-        |luck: u64| luck.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-    (0..).find(|luck| (step(*luck) >> 33) % 300 == wanted).unwrap_or(0)
+    let step = |random_state: u64| {
+        random_state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407)
+    };
+    (0..).find(|random_state| (step(*random_state) >> 33) % 300 == wanted).unwrap_or(0)
 }
 
 fn short(signal: &Signal) -> String {
     match signal {
-        Signal::Store { epoch, serial, chart } => format!("store {} by {epoch} ({serial})", chart.version),
-        Signal::Propose { watch, released } => {
+        Signal::Store { epoch, serial, state } => format!("store {} by {epoch} ({serial})", state.version),
+        Signal::Propose { view, released } => {
             let freed = if *released { ", released" } else { "" };
-            format!("propose epoch {} for {}{freed}", watch.epoch, index(watch.primary))
+            format!("propose epoch {} for {}{freed}", view.epoch, index(view.primary))
         }
-        Signal::Granted { watch } => format!("granted epoch {} to {}", watch.epoch, index(watch.primary)),
-        Signal::Denied { watch } => {
-            format!("denied, by epoch {} of {}, drawn {}", watch.epoch, index(watch.primary), watch.drawn)
+        Signal::Granted { view } => format!("granted epoch {} to {}", view.epoch, index(view.primary)),
+        Signal::Denied { view } => {
+            format!(
+                "denied, by epoch {} of {}, drawn {}",
+                view.epoch,
+                index(view.primary),
+                view.membership_epoch
+            )
         }
-        Signal::ThisWatch { watch: Some(watch) } => {
-            format!("this watch: epoch {} of {}, drawn {}", watch.epoch, index(watch.primary), watch.drawn)
+        Signal::TellView { view: Some(view) } => {
+            format!(
+                "this view: epoch {} of {}, drawn {}",
+                view.epoch,
+                index(view.primary),
+                view.membership_epoch
+            )
         }
-        Signal::ThisChart { chart } => format!("this chart: {}", chart.version),
+        Signal::TellState { state } => format!("this state: {}", state.version),
         other => format!("{other:?}"),
     }
 }
 fn brief(record: &Record) -> String {
     match record {
-        Record::Watch(watch) => {
-            let copies: Vec<usize> = watch.copies.iter().map(|c| index(*c)).collect();
+        Record::View(view) => {
+            let copies: Vec<usize> = view.copies.iter().map(|c| index(*c)).collect();
             format!(
-                "watch: epoch {} of {}, copies {copies:?}, drawn {}",
-                watch.epoch,
-                index(watch.primary),
-                watch.drawn
+                "view: epoch {} of {}, copies {copies:?}, drawn {}",
+                view.epoch,
+                index(view.primary),
+                view.membership_epoch
             )
         }
-        Record::Chart(chart) => format!("chart {}: {}", chart.version, String::from_utf8_lossy(&chart.body)),
-        Record::Unnumbered(old) => format!("chart {} of an older build", old.version),
-        Record::Lent { epoch, to } => format!("lent by {epoch} to {}", index(*to)),
+        Record::ControlState(state) => {
+            format!("state {}: {}", state.version, String::from_utf8_lossy(&state.body))
+        }
+        Record::Unnumbered(old) => format!("state {} of an older build", old.version),
+        Record::Vote { epoch, to } => format!("lent by {epoch} to {}", index(*to)),
     }
 }
 
--- a/soundings/tests/soundings.rs
+++ b/crates/model-check/tests/model_check.rs
@@ -1,7 +1,9 @@
 //! The search finds what it has to, counts the same on any number of threads, and goes a found way again.
 
 use std::sync::atomic::AtomicBool;
-use stileroute_soundings::{find, retrace, sound, Bounds, Chance, Property, FAULTS, PLAN, THREE, TOO_FAR};
+use stileroute_model_check::{
+    explore, find, retrace, Bounds, Chance, Property, FAULTS, PLAN, THREE, TOO_FAR,
+};
 
 #[test]
 fn each_planted_fault_is_found_by_its_property() {
@@ -30,9 +32,9 @@
 #[test]
 fn counts_are_the_same_on_one_thread_and_on_three() {
     let bounds = Bounds { troubles: 0, delays: 1, ..THREE };
-    let [one, three] = [1, 3].map(|threads| sound(bounds, threads, &AtomicBool::new(false)));
+    let [one, three] = [1, 3].map(|threads| explore(bounds, threads, &AtomicBool::new(false)));
     assert!(one.found.is_none() && one.whole.0 == one.whole.1 && one.distinct > 1_000 && one.ways > 10);
-    let counts = |s: &stileroute_soundings::Soundings| {
+    let counts = |s: &stileroute_model_check::Statistics| {
         (s.states, s.distinct, s.pruned, s.transitions, s.ways, s.deepest, s.waited)
     };
     assert_eq!(counts(&one), counts(&three));
--- a/soundings/tests/queue.rs
+++ b/crates/model-check/tests/queue.rs
@@ -1,7 +1,7 @@
 //! The search of the queue finds what it has to, and counts the same on any number of threads.
 
 use std::sync::atomic::AtomicBool;
-use stileroute_soundings::queue::{
+use stileroute_model_check::queue::{
     find_in_queue, retrace_queue, search_queue, QueueBounds, QueueScript, QUEUE_FAULTS, QUEUE_PLAN,
 };
 
--- a/soundings/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -1,12 +1,12 @@
 //! Each fault that is planted in the queue is found, and the same days are well without it.
 
-#[path = "../../hold/tests/world/mod.rs"]
+#[path = "../../queue/tests/world/mod.rs"]
 mod world;
 
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
-use stileroute_hold::{Hold, Planted};
-use stileroute_soundings::queue::QUEUE_FAULTS;
+use stileroute_model_check::queue::QUEUE_FAULTS;
+use stileroute_queue::{Planted, Queue};
 use world::{emptied, Act, Does, Fault, Prepare, World};
 
 type Day = fn(&Prepare);
@@ -29,7 +29,7 @@
 ];
 
 fn planted(fault: Option<Planted>) -> Prepare {
-    Rc::new(move |hold: &mut Hold| hold.plant(fault))
+    Rc::new(move |queue: &mut Queue| queue.plant(fault))
 }
 
 fn fails(day: Day, fault: Option<Planted>) -> bool {
@@ -58,7 +58,7 @@
     world.run(until);
     world.check(false);
     let runs = |id: &str| world.runs.iter().filter(|run| run.id == id).count();
-    let other: Vec<_> = world.messages.iter().map(|m| (&m.cargo.id, runs(&m.cargo.id))).collect();
+    let other: Vec<_> = world.messages.iter().map(|m| (&m.message.id, runs(&m.message.id))).collect();
     assert!(other.iter().all(|(_, runs)| *runs == 1), "{other:?}");
 }
 
--- a/soundings/logbook/tests/planted.rs
+++ b/crates/model-check/wal/tests/planted.rs
@@ -1,12 +1,12 @@
 //! Each planted fault is found by the search that finds none in what is in service.
 
-extern crate stileroute_logbook_planted as stileroute_logbook;
+extern crate stileroute_wal_planted as stileroute_wal;
 
-#[path = "../../../logbook/tests/power/mod.rs"]
+#[path = "../../../wal/tests/power/mod.rs"]
 mod power;
 
 use power::{search, Failing, Play};
-use stileroute_logbook::{Options, Planted, Step};
+use stileroute_wal::{Options, Planted, Step};
 
 fn faults(planted: Planted, failing: Failing) -> Option<String> {
     let options = |options| Options { planted: Some(planted), ..options };
--- a/node/src/desk/mod.rs
+++ b/crates/node/src/desk/mod.rs
@@ -17,12 +17,12 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use stileroute::choice::{Dispatcher, UPKEEP};
-use stileroute::state::Memory;
-use stileroute::tariff::{mark, Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
-use stileroute_routes::gate::{Entry, Gate, Pass};
-use stileroute_routes::pattern::Request as Ways;
-use stileroute_routes::table::Table;
+use stileroute_dispatch::policy::{Dispatcher, UPKEEP};
+use stileroute_dispatch::state::Memory;
+use stileroute_dispatch::types::{mark, Ask, Effect, Limits, Listed, Outcome, Step, Time, SECOND};
+use stileroute_route_limits::gate::{Entry, Gate, Pass};
+use stileroute_route_limits::pattern::Request as Ways;
+use stileroute_route_limits::table::Table;
 
 /// The desk's clock: Unix time at the start, and from then on a clock that is never set.
 struct Clock {
--- a/node/src/desk/ops.rs
+++ b/crates/node/src/desk/ops.rs
@@ -3,8 +3,8 @@
 use crate::port::{Job, Link, Owed};
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
-use stileroute::tariff::{Op, Outcome, Time};
-use stileroute_routes::gate::Pass;
+use stileroute_dispatch::types::{Op, Outcome, Time};
+use stileroute_route_limits::gate::Pass;
 
 /// One op, from its request to the outcome of its last push.
 pub struct Held {
--- a/node/src/desk/queue.rs
+++ b/crates/node/src/desk/queue.rs
@@ -3,8 +3,8 @@
 use crate::port::{Asked, Job, Owed};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::sync::Arc;
-use stileroute::tariff::Time;
-use stileroute_routes::gate::Pass;
+use stileroute_dispatch::types::Time;
+use stileroute_route_limits::gate::Pass;
 
 pub struct Waiting {
     pub job: Arc<dyn Job>,
--- a/node/src/drive/calls.rs
+++ b/crates/node/src/drive/calls.rs
@@ -17,7 +17,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use stileroute::state::Memory;
+use stileroute_dispatch::state::Memory;
 
 /// How long one may take to send a call, or to take its answer in.
 const SLOW: Duration = Duration::from_secs(5);
--- a/node/src/drive/clients.rs
+++ b/crates/node/src/drive/clients.rs
@@ -18,7 +18,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, PoisonError, RwLock};
 use std::time::{Duration, Instant};
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 
 /// An answer on its way to a client.
 pub struct Reply {
--- a/node/src/drive/members.rs
+++ b/crates/node/src/drive/members.rs
@@ -12,9 +12,9 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use stileroute_members::table::{How, Member};
-use stileroute_members::wire::LONGEST;
-use stileroute_members::{Count, Entry, Members, Send, Time, SECOND};
+use stileroute_gossip::table::{How, Member};
+use stileroute_gossip::wire::LONGEST;
+use stileroute_gossip::{Count, Entry, Members, Send, Time, SECOND};
 
 /// How long one look for messages takes at the most: time is looked at in between.
 const LOOK: Duration = Duration::from_millis(25);
--- a/node/src/drive/peers.rs
+++ b/crates/node/src/drive/peers.rs
@@ -9,8 +9,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use stileroute::peers::LONGEST;
-use stileroute::tariff::Letter;
+use stileroute_dispatch::peers::LONGEST;
+use stileroute_dispatch::types::Letter;
 
 /// The longest that the desk may be held up by a message that finds no room on its way out.
 const MOST: Duration = Duration::from_millis(1);
--- a/node/src/life/members.rs
+++ b/crates/node/src/life/members.rs
@@ -1,10 +1,10 @@
 //! The section `members` of the operators' file: where this instance hears others, and where it looks for them first.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute::tariff::Time;
-use stileroute_members::wire::Key;
-use stileroute_members::Settings;
-use stileroute_operator::{Keys, Place, Set};
+use stileroute_dispatch::types::Time;
+use stileroute_gossip::wire::Key;
+use stileroute_gossip::Settings;
+use stileroute_operator_file::{Keys, Place, Set};
 
 #[derive(Debug)]
 pub struct MembersAt {
--- a/node/src/life/operator.rs
+++ b/crates/node/src/life/operator.rs
@@ -5,10 +5,10 @@
 use super::start::Start;
 use std::path::Path;
 use std::sync::Arc;
-use stileroute::tariff::Terms;
-use stileroute_operator::{load, Fault, Keys};
-use stileroute_routes::table::Table;
-use stileroute_routes::Ground;
+use stileroute_dispatch::types::Terms;
+use stileroute_operator_file::{load, Fault, Keys};
+use stileroute_route_limits::table::Table;
+use stileroute_route_limits::Ground;
 
 /// The variable that names the file where the words of the command line don't.
 pub const VARIABLE: &str = "STILEROUTE_OPERATOR";
@@ -29,7 +29,7 @@
 }
 
 pub fn check(file: &str, text: &str, ground: &Ground) -> Result<Operator, Vec<Fault>> {
-    stileroute_operator::read(file, text, |keys: &Keys| {
+    stileroute_operator_file::read(file, text, |keys: &Keys| {
         let routes = Table::read(keys, ground);
         let json = keys.table("log").and_then(|table| {
             let json = table.word("form", &[("text", false), ("json", true)]);
@@ -61,7 +61,7 @@
     pub fn ground(&self) -> Ground {
         let mut categories = vec![None; self.tariff.categories.len()];
         for (name, kind) in &self.door.categories {
-            let ttl = if kind.ttl == stileroute::tariff::Time::MAX { 0 } else { kind.ttl };
+            let ttl = if kind.ttl == stileroute_dispatch::types::Time::MAX { 0 } else { kind.ttl };
             categories[kind.at] = Some((name.clone(), ttl, self.tariff.categories[kind.at].clone()));
         }
         Ground {
--- a/node/src/life/start.rs
+++ b/crates/node/src/life/start.rs
@@ -8,8 +8,8 @@
 use std::os::fd::RawFd;
 use std::path::PathBuf;
 use std::time::Duration;
-use stileroute::posted::Posted;
-use stileroute::tariff::{Effect, Tariff, Time};
+use stileroute_dispatch::settings::Posted;
+use stileroute_dispatch::types::{Effect, Tariff, Time};
 
 /// All that the node starts with.
 pub struct Start {
--- a/node/src/life/words.rs
+++ b/crates/node/src/life/words.rs
@@ -4,10 +4,10 @@
 use super::start::{self, Start};
 use clap::{CommandFactory, Parser, Subcommand};
 use std::path::{Path, PathBuf};
-use stileroute_operator::Place;
-use stileroute_routes::pattern::{Path as Route, Request};
-use stileroute_routes::table::{Kind, Rule};
-use stileroute_routes::Ground;
+use stileroute_operator_file::Place;
+use stileroute_route_limits::pattern::{Path as Route, Request};
+use stileroute_route_limits::table::{Kind, Rule};
+use stileroute_route_limits::Ground;
 
 /// stileroute: pushes jobs (ops) to workers (executors), beside each submitter.
 ///
--- a/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -27,7 +27,7 @@
 use std::io::Write;
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
-use stileroute::tariff::mark;
+use stileroute_dispatch::types::mark;
 use store::figures::Figures;
 use store::outs::Outs;
 use store::pool::Pool;
--- a/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -9,8 +9,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use stileroute::tariff::{Letter, Time};
-use stileroute_routes::table::Table;
+use stileroute_dispatch::types::{Letter, Time};
+use stileroute_route_limits::table::Table;
 
 /// What a client hands in. Whatever an outlet needs of it to speak its own protocol, it asks for here.
 pub trait Job: Send + Sync {
--- a/node/src/reload.rs
+++ b/crates/node/src/reload.rs
@@ -6,7 +6,7 @@
 use crate::say;
 use crossbeam_channel::Sender;
 use std::path::PathBuf;
-use stileroute_routes::Ground;
+use stileroute_route_limits::Ground;
 
 /// Takes from the new configuration what may change while the node runs. A faulty one changes nothing.
 /// Both files are read before either is taken: the one must not go on under half of what was meant.
--- a/node/src/wire/mod.rs
+++ b/crates/node/src/wire/mod.rs
@@ -2,7 +2,7 @@
 
 pub mod call;
 /// Heads and framing, shared with the whole system.
-pub use stileroute_hawser as http;
+pub use stileroute_http1 as http;
 pub mod jobs;
 pub mod names;
 pub mod push;
--- a/node/tests/common/mod.rs
+++ b/crates/node/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{entries, read_message, Act, Discovery, Fleet, NodeProcess, Script, Signal};
+use stileroute_testbed::stand::{entries, read_message, Act, Discovery, Fleet, NodeProcess, Script, Signal};
 
 pub const WAIT: Duration = Duration::from_secs(20);
 
--- a/node/tests/days.rs
+++ b/crates/node/tests/days.rs
@@ -6,15 +6,15 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use stileroute_rig::experiment::read;
-use stileroute_rig::faults::Weather;
-use stileroute_rig::fleet::{specs, Machine};
-use stileroute_rig::judge::{Answer, Judge, Saw};
-use stileroute_rig::load::Source;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::play::executors::Executor;
-use stileroute_rig::play::world::{locked, World};
-use stileroute_rig::play::{play, SLACK_MS};
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::faults::Weather;
+use stileroute_testbed::fleet::{specs, Machine};
+use stileroute_testbed::judge::{Answer, Judge, Saw};
+use stileroute_testbed::load::Source;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::play::executors::Executor;
+use stileroute_testbed::play::world::{locked, World};
+use stileroute_testbed::play::{play, SLACK_MS};
 
 fn plan(effect: &str, more: &str) -> Plan {
     let text = format!(
--- a/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{entries, nowhere, Discovery, NodeProcess, Signal};
+use stileroute_testbed::stand::{entries, nowhere, Discovery, NodeProcess, Signal};
 
 /// A port for messages that nobody has just now.
 fn port() -> u16 {
--- a/node/tests/move.rs
+++ b/crates/node/tests/move.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{entry, read_message, Discovery, NodeProcess};
+use stileroute_testbed::stand::{entry, read_message, Discovery, NodeProcess};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_stileroute");
 const EXECUTORS: usize = 4;
--- a/node/tests/operating.rs
+++ b/crates/node/tests/operating.rs
@@ -11,7 +11,7 @@
 use std::sync::Mutex;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use stileroute_rig::stand::{
+use stileroute_testbed::stand::{
     entries, entry, nowhere, read_message, Act, Discovery, Fleet, NodeProcess, Signal,
 };
 
--- a/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -3,10 +3,10 @@
 
 use std::path::Path;
 use std::sync::{Condvar, Mutex};
-use stileroute_rig::experiment::read;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::play::play;
-use stileroute_rig::report::Played;
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::play::play;
+use stileroute_testbed::report::Played;
 
 fn plan(nodes: &str, list: &str, faults: &str) -> Plan {
     // Two sides that hold each other dead look for each other every five seconds.
--- a/node/tests/routes.rs
+++ b/crates/node/tests/routes.rs
@@ -5,16 +5,16 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
-use stileroute_rig::experiment::read;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::play::play;
-use stileroute_rig::stand::{entries, read_message, Act, Discovery, Fleet, NodeProcess};
-use stileroute_routes::limits::KEYS;
+use stileroute_route_limits::limits::KEYS;
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::play::play;
+use stileroute_testbed::stand::{entries, read_message, Act, Discovery, Fleet, NodeProcess};
 
 const BINARY: &str = env!("CARGO_BIN_EXE_stileroute");
 
 fn deploy(name: &str) -> PathBuf {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("../deploy").join(name)
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy").join(name)
 }
 
 fn run(words: &[&str]) -> Output {
--- a/node/tests/sockets.rs
+++ b/crates/node/tests/sockets.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 use std::thread::{sleep, spawn};
 use std::time::Instant;
-use stileroute_rig::stand::{
+use stileroute_testbed::stand::{
     at_end, entries, entry, nowhere, read_message, Act, Discovery, Fleet, Push, Script, Signal,
 };
 
--- a/operator/src/lib.rs
+++ b/crates/operator-file/src/lib.rs
@@ -9,7 +9,7 @@
 use std::ops::{Deref, Range, RangeInclusive};
 use std::path::Path;
 use std::rc::Rc;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use toml::de::{DeTable, DeValue};
 use toml::Spanned;
 
--- a/hold/src/copies.rs
+++ b/crates/queue/src/copies.rs
@@ -1,9 +1,9 @@
 //! Copies of messages at other stores: making them, telling their ends, taking over what a lost store owned,
 //! and settling with one that is back who delivers what.
 
-use crate::cargo::{End, Handed, Key, Millis, Node, Note, Owned, Range, Record, Shared, Stands};
-use crate::hold::{Effect, Entry, Hold, Stage, Waits};
+use crate::message::{End, Handed, Key, Millis, Node, Owned, PeerMessage, Range, Record, Shared, Stands};
 use crate::planted::Planted;
+use crate::queue::{Effect, Entry, Queue, Stage, Waits};
 use crate::repair::range;
 use std::collections::BTreeSet;
 
@@ -76,7 +76,7 @@
     }
 }
 
-impl Hold {
+impl Queue {
     pub(crate) fn to(&mut self, node: Node) -> &mut Outbox {
         &mut self.peers.entry(node).or_default().out
     }
@@ -109,7 +109,7 @@
         peer.retiring = false;
         peer.out = Outbox::default();
         self.rows.changed = now;
-        self.push(Effect::Send { to: node, note: Note::Disk(self.terms.disk) });
+        self.push(Effect::Send { to: node, note: PeerMessage::Disk(self.terms.disk) });
         // One of the two begins: the other answers with what differs.
         if self.terms.me < node {
             self.compare(now, node, 0);
@@ -121,10 +121,10 @@
         self.to(node).ends.extend(owed);
         self.ends_at.get_or_insert(now);
         if self.leaving {
-            self.push(Effect::Send { to: node, note: Note::Leaving });
+            self.push(Effect::Send { to: node, note: PeerMessage::Leaving });
         }
         if self.retiring {
-            self.push(Effect::Send { to: node, note: Note::Retiring });
+            self.push(Effect::Send { to: node, note: PeerMessage::Retiring });
         }
     }
 
@@ -232,7 +232,7 @@
             due_in: e.due.saturating_sub(now),
             waited: e.waited(now),
             tries: e.tries,
-            cargo: e.cargo.clone(),
+            message: e.message.clone(),
         })
     }
 
@@ -307,21 +307,21 @@
     }
 
     /// A note of another store.
-    pub fn note(&mut self, now: Millis, from: Node, note: Note) {
+    pub fn note(&mut self, now: Millis, from: Node, note: PeerMessage) {
         match note {
-            Note::Copy(all) => all.into_iter().for_each(|shared| self.keep_copy(now, from, shared)),
-            Note::Copied(keys) => keys.into_iter().for_each(|key| self.safe_at(now, key, from)),
-            Note::NotCopied(keys) => {
+            PeerMessage::Copy(all) => all.into_iter().for_each(|shared| self.keep_copy(now, from, shared)),
+            PeerMessage::Copied(keys) => keys.into_iter().for_each(|key| self.safe_at(now, key, from)),
+            PeerMessage::NotCopied(keys) => {
                 self.peers.entry(from).or_default().full_until = now + 2000;
                 for key in keys {
                     self.copy_elsewhere(now, key, Some(from));
                     self.not_on(now, key, from);
                 }
             }
-            Note::Ends(all) => {
+            PeerMessage::Ends(all) => {
                 all.into_iter().for_each(|(key, end, owed)| self.told_end(now, key, end, owed))
             }
-            Note::Called(keys) => {
+            PeerMessage::Called(keys) => {
                 for key in keys {
                     // Of one that has not ended here all is needed yet.
                     if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_some()) {
@@ -332,13 +332,13 @@
                     }
                 }
             }
-            Note::Own(all) => {
+            PeerMessage::Own(all) => {
                 for owned in all {
                     self.contradict(now, from, &owned);
                     self.owned_by(now, owned);
                 }
             }
-            Note::Drop(keys) => {
+            PeerMessage::Drop(keys) => {
                 for key in keys {
                     match self.entries.get(&key).filter(|e| e.end.is_none()).map(|e| e.owner == from) {
                         Some(true) => {
@@ -350,7 +350,7 @@
                     }
                 }
             }
-            Note::Lost(keys) => {
+            PeerMessage::Lost(keys) => {
                 for key in keys {
                     // Of several that hold a copy one takes over at once, and the others if it does not.
                     let mine = self.entries.get(&key).filter(|e| e.owner == from);
@@ -364,25 +364,25 @@
                     }
                 }
             }
-            Note::Want(keys) => {
+            PeerMessage::Want(keys) => {
                 keys.into_iter().for_each(|key| self.not_yet_on(now, key, from));
             }
-            Note::Digests { disk, over, sums } => self.digests(now, from, disk, over, &sums),
-            Note::Standing { disk, answer, ranges, live } => {
+            PeerMessage::Digests { disk, over, sums } => self.digests(now, from, disk, over, &sums),
+            PeerMessage::Standing { disk, answer, ranges, live } => {
                 self.standing(now, from, disk, &ranges, live);
                 if answer {
                     self.list_ranges(from, ranges, false);
                 }
-                self.push(Effect::Send { to: from, note: Note::Stood });
+                self.push(Effect::Send { to: from, note: PeerMessage::Stood });
             }
-            Note::Stood => self.stood(now, from),
-            Note::Disk(disk) => self.seen_disk(from, disk),
-            Note::Handover(keys) => {
+            PeerMessage::Stood => self.stood(now, from),
+            PeerMessage::Disk(disk) => self.seen_disk(from, disk),
+            PeerMessage::Handover(keys) => {
                 for handed in keys {
                     self.take_over(now, handed.key, Some((from, handed)));
                 }
             }
-            Note::HandoverTaken(keys) => {
+            PeerMessage::HandoverTaken(keys) => {
                 for (key, term) in keys {
                     self.handing.remove(&key);
                     self.counted_on_by(from);
@@ -394,7 +394,7 @@
                     self.owned_by(now, Owned { key, owner: from, term, copies });
                 }
             }
-            Note::HandoverRefused(keys) => {
+            PeerMessage::HandoverRefused(keys) => {
                 for key in keys {
                     self.handing.remove(&key);
                     if self.retiring {
@@ -406,28 +406,28 @@
                     }
                 }
             }
-            Note::RowAsk { number, row, taken, key, announced } => {
+            PeerMessage::RowAsk { number, row, taken, key, announced } => {
                 self.row_asked(now, from, (number, row, taken, key, announced));
             }
-            Note::RowLive { number, beyond, live } => self.row_told(now, from, number, beyond, live),
-            Note::RowDone(all) => self.row_done(all),
-            Note::Leaving => {
+            PeerMessage::RowLive { number, beyond, live } => self.row_told(now, from, number, beyond, live),
+            PeerMessage::RowDone(all) => self.row_done(all),
+            PeerMessage::Leaving => {
                 self.rows.changed = now;
                 self.peers.entry(from).or_default().leaving = true;
                 self.deal_duties(now);
             }
-            Note::Retiring => {
+            PeerMessage::Retiring => {
                 let peer = self.peers.entry(from).or_default();
                 (peer.leaving, peer.retiring) = (true, true);
                 self.deal_duties(now);
             }
-            Note::Relieved => {
+            PeerMessage::Relieved => {
                 self.relieved.insert(from);
             }
-            Note::KnownEnds(ends) => self.keep_ends(now, from, ends),
-            Note::EndsKept(keys) => self.passing.kept(from, keys),
-            Note::TokensWanted { service, count } => self.tokens_wanted(now, from, service, count),
-            Note::Tokens { service, count } => self.tokens_came(now, from, &service, count),
+            PeerMessage::KnownEnds(ends) => self.keep_ends(now, from, ends),
+            PeerMessage::EndsKept(keys) => self.passing.kept(from, keys),
+            PeerMessage::TokensWanted { service, count } => self.tokens_wanted(now, from, service, count),
+            PeerMessage::Tokens { service, count } => self.tokens_came(now, from, &service, count),
         }
     }
 
@@ -447,7 +447,7 @@
             Some((term, None, _)) if (term, std::cmp::Reverse(self.owner(key))) > shared.rank() => {
                 self.figures.former += 1;
                 if let Some(owned) = self.owned(key) {
-                    self.push(Effect::Send { to: from, note: Note::Own(vec![owned]) });
+                    self.push(Effect::Send { to: from, note: PeerMessage::Own(vec![owned]) });
                 }
             }
             _ => {
@@ -466,7 +466,7 @@
         let Some(entry) = self.entries.get(&key) else { return };
         if entry.end.is_some() {
             if !owed && entry.owed {
-                self.note(now, 0, Note::Called(vec![key]));
+                self.note(now, 0, PeerMessage::Called(vec![key]));
             }
             return;
         }
@@ -604,10 +604,10 @@
         // this store has named it. Taken over on its silence alone it would run twice.
         self.tell_ends();
         for (note, empty) in [
-            (Note::Own(own.clone()), own.is_empty()),
-            (Note::Want(want.clone()), want.is_empty()),
-            (Note::Drop(drop.clone()), drop.is_empty()),
-            (Note::Lost(lost.clone()), lost.is_empty()),
+            (PeerMessage::Own(own.clone()), own.is_empty()),
+            (PeerMessage::Want(want.clone()), want.is_empty()),
+            (PeerMessage::Drop(drop.clone()), drop.is_empty()),
+            (PeerMessage::Lost(lost.clone()), lost.is_empty()),
         ] {
             if !empty {
                 self.push(Effect::Send { to: from, note });
@@ -792,7 +792,7 @@
         let peers: Vec<Node> =
             self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
         for to in peers {
-            self.push(Effect::Send { to, note: Note::Leaving });
+            self.push(Effect::Send { to, note: PeerMessage::Leaving });
         }
         self.deal_duties(now);
         self.tell_ends();
@@ -844,10 +844,10 @@
         let mut notes = Vec::new();
         for (node, peer) in self.peers.iter_mut().filter(|(_, p)| p.connected) {
             for part in std::mem::take(&mut peer.out.ends).chunks(4000) {
-                notes.push((*node, Note::Ends(part.to_vec())));
+                notes.push((*node, PeerMessage::Ends(part.to_vec())));
             }
             if !peer.out.called.is_empty() {
-                notes.push((*node, Note::Called(std::mem::take(&mut peer.out.called))));
+                notes.push((*node, PeerMessage::Called(std::mem::take(&mut peer.out.called))));
             }
         }
         notes.into_iter().for_each(|(to, note)| self.push(Effect::Send { to, note }));
@@ -861,41 +861,41 @@
                 // Frames are bounded: no more than a megabyte or so in one.
                 let mut size = 0;
                 let fits = |s: &&Shared| {
-                    size += s.cargo.body.len() + 512;
+                    size += s.message.body.len() + 512;
                     size < 1 << 20
                 };
                 let some = out.copy.iter().take_while(fits).count().max(1);
-                notes.push((*node, Note::Copy(out.copy.drain(..some).collect())));
+                notes.push((*node, PeerMessage::Copy(out.copy.drain(..some).collect())));
             }
             if !out.copied.is_empty() {
-                notes.push((*node, Note::Copied(std::mem::take(&mut out.copied))));
+                notes.push((*node, PeerMessage::Copied(std::mem::take(&mut out.copied))));
             }
             if !out.not_copied.is_empty() {
-                notes.push((*node, Note::NotCopied(std::mem::take(&mut out.not_copied))));
+                notes.push((*node, PeerMessage::NotCopied(std::mem::take(&mut out.not_copied))));
             }
             if !out.drop.is_empty() {
-                notes.push((*node, Note::Drop(std::mem::take(&mut out.drop))));
+                notes.push((*node, PeerMessage::Drop(std::mem::take(&mut out.drop))));
             }
             if !out.own.is_empty() {
                 for part in std::mem::take(&mut out.own).chunks(4000) {
-                    notes.push((*node, Note::Own(part.to_vec())));
+                    notes.push((*node, PeerMessage::Own(part.to_vec())));
                 }
             }
             if !out.ends_kept.is_empty() {
-                notes.push((*node, Note::EndsKept(std::mem::take(&mut out.ends_kept))));
+                notes.push((*node, PeerMessage::EndsKept(std::mem::take(&mut out.ends_kept))));
             }
             if !out.not_handed.is_empty() {
-                notes.push((*node, Note::HandoverRefused(std::mem::take(&mut out.not_handed))));
+                notes.push((*node, PeerMessage::HandoverRefused(std::mem::take(&mut out.not_handed))));
             }
             if !out.handed.is_empty() {
-                notes.push((*node, Note::HandoverTaken(std::mem::take(&mut out.handed))));
+                notes.push((*node, PeerMessage::HandoverTaken(std::mem::take(&mut out.handed))));
             }
             if !out.handover.is_empty() {
                 // Ends first: what has ended must not be run by the successor.
                 if !out.ends.is_empty() {
-                    notes.push((*node, Note::Ends(std::mem::take(&mut out.ends))));
+                    notes.push((*node, PeerMessage::Ends(std::mem::take(&mut out.ends))));
                 }
-                notes.push((*node, Note::Handover(std::mem::take(&mut out.handover))));
+                notes.push((*node, PeerMessage::Handover(std::mem::take(&mut out.handover))));
             }
         }
         notes.into_iter().for_each(|(to, note)| self.push(Effect::Send { to, note }));
--- a/hold/src/twice.rs
+++ b/crates/queue/src/duplicates.rs
@@ -3,13 +3,13 @@
 //! one is kept, and the others drop theirs unless it runs already. It tells them again when a connection comes back: a store
 //! that stood still reads what was sent to it before, and only then that nobody waits for it.
 
-use crate::cargo::{Cargo, Key, Record};
-use crate::hold::{Hold, Stage};
+use crate::message::{Key, Message, Record};
+use crate::queue::{Queue, Stage};
 
 /// Most messages that are known to be unwanted and owned by others.
 const MOST: usize = 10_000;
 
-impl Cargo {
+impl Message {
     /// Tells this message from another that a client sent under the same id, also from the same sent again later. (In a row
     /// a store may move the time at which it was taken.)
     pub fn print(&self) -> u64 {
@@ -23,13 +23,13 @@
     }
 }
 
-impl Hold {
+impl Queue {
     /// Of a message that was offered to several stores one is kept (none: nothing was promised), and the others go.
     pub fn superseded(&mut self, id: &str, print: u64, kept: Option<Key>) {
         let same = |key: &Key| {
             let entry = self.entries.get(key)?;
-            let alike = Some(*key) != kept && entry.end.is_none() && entry.cargo.id == id;
-            (alike && entry.cargo.print() == print).then_some(*key)
+            let alike = Some(*key) != kept && entry.end.is_none() && entry.message.id == id;
+            (alike && entry.message.print() == print).then_some(*key)
         };
         let others: Vec<Key> = self.live.iter().filter_map(|(_, key)| same(key)).collect();
         for key in others {
--- a/hold/src/ends.rs
+++ b/crates/queue/src/ends.rs
@@ -2,9 +2,9 @@
 //! knows; and when one is lost for good, or back with another disk, those that knew ends together with it pass them on. Else a
 //! question within `status_s` is answered as if there had been no such message.
 
-use crate::cargo::{Cargo, End, Key, KnownEnd, Millis, Node, Note, Record, Shared};
-use crate::hold::{Effect, Entry, Hold, Stage, Waits};
+use crate::message::{End, Key, KnownEnd, Message, Millis, Node, PeerMessage, Record, Shared};
 use crate::planted::Planted;
+use crate::queue::{Effect, Entry, Queue, Stage, Waits};
 use crate::repair::RATE;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 
@@ -66,7 +66,7 @@
     }
 }
 
-impl Hold {
+impl Queue {
     /// Passes on, at a bounded rate, the ends that too few others have confirmed.
     pub(crate) fn pass_ends_on(&mut self, now: Millis) {
         let nothing = self.passing.done || !self.retiring && self.passing.lost.is_empty();
@@ -91,7 +91,7 @@
             lacking = true;
             for to in self.next_for_end(now, *key, entry, &others, wanted.saturating_sub(have)) {
                 if bytes < AT_ONCE {
-                    bytes += AROUND + entry.cargo.body.len() as u64;
+                    bytes += AROUND + entry.message.body.len() as u64;
                     parcels.entry(to).or_default().extend(known_end(*key, entry));
                 }
             }
@@ -102,7 +102,7 @@
         }
         for (to, ends) in parcels {
             self.passing.sent.extend(ends.iter().map(|known| ((to, known.key), now)));
-            self.push(Effect::Send { to, note: Note::KnownEnds(ends) });
+            self.push(Effect::Send { to, note: PeerMessage::KnownEnds(ends) });
         }
     }
 
@@ -137,14 +137,14 @@
             // The end first: what is read of a torn batch is never a live message.
             let at = self.wall_of(now);
             self.record(&Record::End { key, end, owed, at }, true);
-            if let Some(cargo) = dead {
-                self.record(&Record::Put { shared: ended(self.terms.me, key, cargo) }, true);
+            if let Some(message) = dead {
+                self.record(&Record::Put { shared: ended(self.terms.me, key, message) }, true);
             }
             self.wait_for_disk(Waits::EndOf(from, key));
         }
     }
 
-    fn enter_end(&mut self, now: Millis, key: Key, end: End, dead: Option<Cargo>) {
+    fn enter_end(&mut self, now: Millis, key: Key, end: End, dead: Option<Message>) {
         let mut entry = Entry::of(&ended(self.terms.me, key, dead.unwrap_or_default()), now);
         (entry.stage, entry.end) = (Stage::Ended, Some(end));
         self.entries.insert(key, entry);
@@ -152,14 +152,15 @@
     }
 }
 
-fn ended(owner: Node, key: Key, cargo: Cargo) -> Shared {
-    Shared { key, owner, cargo, ..Shared::default() }
+fn ended(owner: Node, key: Key, message: Message) -> Shared {
+    Shared { key, owner, message, ..Shared::default() }
 }
 
 /// Of one that failed the bytes are asked for, too.
 fn known_end(key: Key, entry: &Entry) -> Option<KnownEnd> {
     let end = entry.end.clone()?;
-    let bytes = || Cargo { body: entry.cargo.body.clone(), taken: entry.cargo.taken, ..Cargo::default() };
-    let dead = (end == End::Failed && entry.cargo.taken > 0).then(bytes);
+    let bytes =
+        || Message { body: entry.message.body.clone(), taken: entry.message.taken, ..Message::default() };
+    let dead = (end == End::Failed && entry.message.taken > 0).then(bytes);
     Some(KnownEnd { key, end, owed: entry.owed, dead })
 }
--- a/hold/src/ledger.rs
+++ b/crates/queue/src/ledger.rs
@@ -1,8 +1,8 @@
 //! What the records on disk come to: read at the start, and folded when the log is made shorter.
 
-use crate::cargo::{End, Key, Record, Shared};
+use crate::message::{End, Key, Record, Shared};
 use std::collections::HashMap;
-use stileroute_logbook::Fold;
+use stileroute_wal::Fold;
 
 /// Ends are asked for so long, and then for nothing.
 const KEPT: u64 = 240_000;
@@ -51,7 +51,7 @@
                 let kept = self.all.entry(key).or_default();
                 // What a call-back needs is kept, the rest is not: but of dead ones the bytes are asked for.
                 if let Some(shared) = kept.shared.as_mut().filter(|_| end != End::Failed) {
-                    shared.cargo.body = Vec::new();
+                    shared.message.body = Vec::new();
                 }
                 kept.end = Some((end, owed, at));
             }
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,27 @@
+//! The durable queue of one store: messages, their copies, attempts, ends, call-backs and ceilings. A state
+//! machine: events and a clock go in, [`Effect`]s come out; sockets, disk and time are the program's.
+
+mod copies;
+mod duplicates;
+mod ends;
+mod ledger;
+mod message;
+mod ordering;
+mod planted;
+mod queue;
+mod repair;
+mod repeats;
+mod retire;
+mod service_queue;
+mod tokens;
+
+pub use ledger::Ledger;
+pub use message::{
+    End, Handed, Key, KnownEnd, Message, Millis, Node, Owned, PeerMessage, Record, Refusal, Shared, Stands,
+};
+pub use ordering::place;
+#[cfg(feature = "planted")]
+pub use planted::Planted;
+pub use queue::{first_number, Bear, Effect, Entry, Figures, Outcome, Queue, QueueSettings, Stage, State};
+pub use queue::{MessageView, ServiceView, Stages};
+pub use service_queue::{Repeats, Server};
--- a/hold/src/cargo.rs
+++ b/crates/queue/src/message.rs
@@ -34,7 +34,7 @@
 
 /// A message as it was taken.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Cargo {
+pub struct Message {
     pub id: String,
     pub host: String,
     pub method: String,
@@ -71,7 +71,7 @@
     pub due_in: u64,
     pub waited: u64,
     pub tries: u32,
-    pub cargo: Cargo,
+    pub message: Message,
 }
 
 impl Shared {
@@ -164,12 +164,12 @@
     /// Its call-back has not been taken.
     pub owed: bool,
     /// Body and time of a message that failed: they are asked for.
-    pub dead: Option<Cargo>,
+    pub dead: Option<Message>,
 }
 
 /// Between stores.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Note {
+pub enum PeerMessage {
     /// Keep these; `Copied` when they are safe.
     Copy(Vec<Shared>),
     Copied(Vec<Key>),
--- a/hold/src/row.rs
+++ b/crates/queue/src/ordering.rs
@@ -9,8 +9,8 @@
 //! handed over, read from disk) asks before it starts. Nobody waits for a higher one, so no two wait for each
 //! other.
 
-use crate::cargo::{Key, Millis, Node, Note, Record};
-use crate::hold::{Effect, Hold, Stage, Waits};
+use crate::message::{Key, Millis, Node, PeerMessage, Record};
+use crate::queue::{Effect, Queue, Stage, Waits};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// While another store holds an earlier one, it is asked again so often, should its word get lost.
@@ -108,10 +108,10 @@
 
 /// The store of a row among those that are there: each is as likely, and few rows move when one goes.
 pub fn place(row: &str, nodes: impl Iterator<Item = Node>) -> Option<Node> {
-    nodes.max_by_key(|node| stileroute::tariff::mark(&format!("{row}/{node}")))
+    nodes.max_by_key(|node| stileroute_dispatch::types::mark(&format!("{row}/{node}")))
 }
 
-impl Hold {
+impl Queue {
     fn connected(&self) -> BTreeSet<Node> {
         self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect()
     }
@@ -130,13 +130,15 @@
 
     /// A message of a row has been put. True: it may be kept at once.
     pub(crate) fn put_in_row(&mut self, now: Millis, key: Key) -> bool {
-        let Some(name) = self.entries.get(&key).and_then(|e| e.cargo.order_key.clone()) else { return true };
+        let Some(name) = self.entries.get(&key).and_then(|e| e.message.order_key.clone()) else {
+            return true;
+        };
         let row = self.rows.row(&name);
         row.used = now;
         let beyond = row.beyond(key);
         let knows = self.knows(&name);
         if let Some(entry) = self.entries.get_mut(&key) {
-            entry.cargo.taken = entry.cargo.taken.max(beyond);
+            entry.message.taken = entry.message.taken.max(beyond);
             (entry.cleared, entry.asking) = (true, !knows);
         }
         self.file(key);
@@ -149,7 +151,7 @@
     }
 
     fn ask(&mut self, now: Millis, name: String, key: Key, landing: bool) {
-        let Some(taken) = self.entries.get(&key).map(|e| e.cargo.taken) else { return };
+        let Some(taken) = self.entries.get(&key).map(|e| e.message.taken) else { return };
         self.rows.number += 1;
         let number = self.rows.number;
         let waiting = self.connected();
@@ -157,7 +159,7 @@
             entry.announced = true;
         }
         for to in &waiting {
-            let note = Note::RowAsk { number, row: name.clone(), taken, key, announced: landing };
+            let note = PeerMessage::RowAsk { number, row: name.clone(), taken, key, announced: landing };
             self.push(Effect::Send { to: *to, note });
         }
         let (answered, found, told) = (BTreeSet::new(), BTreeSet::new(), BTreeSet::new());
@@ -184,7 +186,7 @@
             }
             self.rows.wake.insert(name.clone());
         }
-        self.push(Effect::Send { to: from, note: Note::RowLive { number, beyond, live } });
+        self.push(Effect::Send { to: from, note: PeerMessage::RowLive { number, beyond, live } });
     }
 
     pub(crate) fn row_told(&mut self, now: Millis, from: Node, number: u64, beyond: u64, live: Vec<Spot>) {
@@ -237,12 +239,12 @@
             self.rows.wake.insert(name);
             return;
         };
-        let moved = landing && beyond > entry.cargo.taken;
+        let moved = landing && beyond > entry.message.taken;
         if moved {
-            entry.cargo.taken = beyond;
+            entry.message.taken = beyond;
         }
         entry.cleared = true;
-        let spot = (entry.cargo.taken, key);
+        let spot = (entry.message.taken, key);
         // Earlier ones that nobody names have ended. Of later ones nothing is known by that: those that came
         // since then and were told here wait for them.
         let row = self.rows.row(&name);
@@ -274,8 +276,8 @@
     /// that changes.
     pub(crate) fn may_start(&mut self, now: Millis, key: Key) -> bool {
         let Some(entry) = self.entries.get(&key) else { return false };
-        let Some(name) = entry.cargo.order_key.clone() else { return true };
-        let (spot, cleared) = ((entry.cargo.taken, key), entry.cleared);
+        let Some(name) = entry.message.order_key.clone() else { return true };
+        let (spot, cleared) = ((entry.message.taken, key), entry.cleared);
         let row = self.rows.row(&name);
         if row.live.first() != Some(&spot) {
             return false;
@@ -306,7 +308,7 @@
         if !self.rows.done.is_empty() {
             let done = std::mem::take(&mut self.rows.done);
             for to in self.connected() {
-                self.push(Effect::Send { to, note: Note::RowDone(done.clone()) });
+                self.push(Effect::Send { to, note: PeerMessage::RowDone(done.clone()) });
             }
         }
         while self.rows.later.first().is_some_and(|(at, _)| *at <= now) {
--- a/hold/src/planted.rs
+++ b/crates/queue/src/planted.rs
@@ -1,7 +1,7 @@
-//! For the search over orders of events in `soundings/`: faults that it, or a test, must find. Without the feature `planted`,
-//! which only the package `soundings/hold` has, no fault can be set, and nothing of this is left in a build.
+//! For the search over orders of events in `crates/model-check/`: faults that it, or a test, must find. Without the feature `planted`,
+//! which only the package `crates/model-check/hold` has, no fault can be set, and nothing of this is left in a build.
 
-use crate::hold::Hold;
+use crate::queue::Queue;
 
 /// A fault of which a property has to tell. Each undoes one rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,7 +60,7 @@
 }
 
 #[cfg(not(feature = "planted"))]
-impl Hold {
+impl Queue {
     #[inline(always)]
     pub(crate) const fn planted(&self, _: Planted) -> bool {
         false
@@ -68,7 +68,7 @@
 }
 
 #[cfg(feature = "planted")]
-impl Hold {
+impl Queue {
     pub(crate) fn planted(&self, fault: Planted) -> bool {
         self.planted == Some(fault)
     }
--- a/hold/src/hold.rs
+++ b/crates/queue/src/queue.rs
@@ -4,17 +4,17 @@
 
 pub use report::{MessageView, ServiceView, Stages};
 
-use crate::cargo::{Cargo, End, Key, Millis, Node, Note, Record, Refusal, Shared};
 use crate::copies::Peer;
-use crate::lane::{Again, Lane, Picked, Server, Turn};
 use crate::ledger::Ledger;
+use crate::message::{End, Key, Message, Millis, Node, PeerMessage, Record, Refusal, Shared};
 use crate::planted::Planted;
+use crate::service_queue::{Again, Picked, Server, ServiceQueue, Turn};
 use crate::tokens::Bucket;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
-use stileroute::tariff::{Outcome as Judged, Time};
-use stileroute_charter::Config;
+use stileroute_config::Config;
+use stileroute_dispatch::types::{Outcome as Judged, Time};
 
 /// Ends are told to the copies in batches, at the latest after so long.
 const TELL: Millis = 40;
@@ -45,7 +45,7 @@
 }
 
 #[derive(Clone, Debug)]
-pub struct Terms {
+pub struct QueueSettings {
     pub me: Node,
     pub zone: usize,
     /// Number of the disk, drawn when it was empty.
@@ -80,7 +80,7 @@
 
 #[derive(Debug)]
 pub struct Entry {
-    pub cargo: Cargo,
+    pub message: Message,
     pub owner: Node,
     pub term: u32,
     pub copies: Vec<Node>,
@@ -128,7 +128,7 @@
     },
     Send {
         to: Node,
-        note: Note,
+        note: PeerMessage,
     },
     Taken {
         ticket: u64,
@@ -233,12 +233,12 @@
     Retire,
 }
 
-pub struct Hold {
-    pub(crate) terms: Terms,
+pub struct Queue {
+    pub(crate) terms: QueueSettings,
     pub(crate) entries: HashMap<Key, Entry>,
     pub(crate) peers: BTreeMap<Node, Peer>,
     config: Option<Arc<Config>>,
-    lanes: Vec<Lane>,
+    service_queues: Vec<ServiceQueue>,
     lane_of: HashMap<String, usize>,
     servers: HashMap<String, Vec<Server>>,
     delayed: BTreeSet<(Millis, Key)>,
@@ -260,7 +260,7 @@
     pub(crate) thin: BTreeSet<(Millis, Key)>,
     pub(crate) thin_since: Option<Millis>,
     pub(crate) bucket: crate::repair::Bytes,
-    pub(crate) rows: crate::row::Rows,
+    pub(crate) rows: crate::ordering::Rows,
     /// To be taken over by then, if their owner is not back.
     pub(crate) orphans: BTreeSet<(Millis, Key)>,
     /// Their owner has said that it has lost them with its disk.
@@ -305,10 +305,10 @@
     pub figures: Figures,
 }
 
-impl Hold {
+impl Queue {
     /// Begins with what the disk holds. `wall` is the time of day in ms.
-    pub fn new(terms: Terms, ledger: Ledger, now: Millis, wall: u64) -> Hold {
-        let mut hold = Hold {
+    pub fn new(terms: QueueSettings, ledger: Ledger, now: Millis, wall: u64) -> Queue {
+        let mut queue = Queue {
             // Numbers never come again: each life has a line of its own.
             next_number: terms.first,
             next_attempt: 1,
@@ -316,7 +316,7 @@
             entries: HashMap::new(),
             peers: BTreeMap::new(),
             config: None,
-            lanes: Vec::new(),
+            service_queues: Vec::new(),
             lane_of: HashMap::new(),
             servers: HashMap::new(),
             delayed: BTreeSet::new(),
@@ -362,12 +362,12 @@
             terms,
         };
         for (key, kept) in ledger.all {
-            hold.recall(key, kept, now, wall);
+            queue.recall(key, kept, now, wall);
         }
         if ledger.retire {
-            hold.begin_retiring(now);
+            queue.begin_retiring(now);
         }
-        hold
+        queue
     }
 
     fn recall(&mut self, key: Key, kept: crate::ledger::Kept, now: Millis, wall: u64) {
@@ -377,10 +377,10 @@
             Some((end, owed, _)) => (Some(end), owed),
             None => (None, false),
         };
-        if end.is_none() && shared.cargo.id.is_empty() && shared.cargo.method.is_empty() {
+        if end.is_none() && shared.message.id.is_empty() && shared.message.method.is_empty() {
             return;
         }
-        let gone = wall.saturating_sub(shared.cargo.taken);
+        let gone = wall.saturating_sub(shared.message.taken);
         // Whoever owns it, or held a copy, may be gone for good: it is missed from now on all the same.
         for node in
             shared.copies.iter().chain([&shared.owner]).filter(|node| known && **node != self.terms.me)
@@ -390,7 +390,7 @@
         let mut entry = Entry::of(&shared, now);
         entry.born = now as i64 - gone as i64;
         // Clocks of machines differ a little: rather late than early.
-        entry.due = now + (shared.cargo.delay_ms + 60).saturating_sub(gone).min(shared.cargo.delay_ms);
+        entry.due = now + (shared.message.delay_ms + 60).saturating_sub(gone).min(shared.message.delay_ms);
         entry.stage = match (&end, shared.owner == self.terms.me) {
             (Some(_), _) => Stage::Ended,
             (None, true) => Stage::Held,
@@ -420,7 +420,9 @@
         let most = self
             .config
             .as_ref()
-            .and_then(|c| c.route(&entry.cargo.host, &entry.cargo.target).map(|at| c.routes[at].max_wait_ms))
+            .and_then(|c| {
+                c.route(&entry.message.host, &entry.message.target).map(|at| c.routes[at].max_wait_ms)
+            })
             .unwrap_or(90_000);
         entry.expires = entry.born.saturating_add_unsigned(most + SLACK).max(0) as Millis;
         if entry.end.is_none() {
@@ -431,7 +433,7 @@
     // ---- What comes from outside ----
 
     /// A message from an edge.
-    pub fn put(&mut self, now: Millis, ticket: u64, cargo: Cargo) {
+    pub fn put(&mut self, now: Millis, ticket: u64, message: Message) {
         let copies = self.choose(now, &[], &[], self.terms.losses);
         if self.leaving || self.stalled(now) || copies.len() < self.terms.losses || self.entries.len() >= MOST
         {
@@ -441,9 +443,15 @@
         }
         self.next_number += 1;
         let key = Key { origin: self.terms.me, number: self.next_number };
-        let due_in = cargo.delay_ms;
-        let shared =
-            Shared { key, owner: self.terms.me, copies: copies.clone(), due_in, cargo, ..Shared::default() };
+        let due_in = message.delay_ms;
+        let shared = Shared {
+            key,
+            owner: self.terms.me,
+            copies: copies.clone(),
+            due_in,
+            message,
+            ..Shared::default()
+        };
         let mut entry = Entry::of(&shared, now);
         entry.stage = Stage::Landing;
         entry.ticket = Some(ticket);
@@ -547,17 +555,23 @@
                     let target =
                         config.routes.iter().filter(|r| config.services[r.service].name == service.name);
                     let target = target.map(|r| r.run_target_ms).min().unwrap_or(1000);
-                    let seed = self.terms.seed ^ stileroute::tariff::mark(&service.name);
-                    self.lanes.push(Lane::new(&service.name, self.terms.zone, 3, target, seed));
-                    self.lane_of.insert(service.name.clone(), self.lanes.len() - 1);
-                    self.lanes.len() - 1
+                    let seed = self.terms.seed ^ stileroute_dispatch::types::mark(&service.name);
+                    self.service_queues.push(ServiceQueue::new(
+                        &service.name,
+                        self.terms.zone,
+                        3,
+                        target,
+                        seed,
+                    ));
+                    self.lane_of.insert(service.name.clone(), self.service_queues.len() - 1);
+                    self.service_queues.len() - 1
                 }
             };
-            let lane = &mut self.lanes[at];
-            lane.max_conns = service.max_conns.max(1) as usize;
-            lane.endpoint = service.endpoint.is_some();
+            let service_queue = &mut self.service_queues[at];
+            service_queue.max_conns = service.max_conns.max(1) as usize;
+            service_queue.endpoint = service.endpoint.is_some();
             let window = (service.rate_per_s, self.terms.window_ms, self.terms.overrun);
-            match &mut lane.bucket {
+            match &mut service_queue.bucket {
                 Some(bucket) if service.rate_per_s > 0.0 => bucket.rated(window.0, window.1, window.2),
                 bucket => {
                     *bucket =
@@ -573,8 +587,10 @@
                 cold_left_ms: 0,
             });
             match fixed {
-                Some(server) => lane.list(fine, now, &[server]),
-                None => lane.list(fine, now, self.servers.get(&service.name).map_or(&[], Vec::as_slice)),
+                Some(server) => service_queue.list(fine, now, &[server]),
+                None => {
+                    service_queue.list(fine, now, self.servers.get(&service.name).map_or(&[], Vec::as_slice))
+                }
             }
         }
         self.config = Some(config);
@@ -598,10 +614,10 @@
 
     /// The executors of all services.
     pub fn list(&mut self, now: Millis, fine: Time, servers: HashMap<String, Vec<Server>>) {
-        for lane in self.lanes.iter_mut().filter(|lane| !lane.endpoint) {
-            let (old, new) = (self.servers.get(&lane.name), servers.get(&lane.name));
+        for service_queue in self.service_queues.iter_mut().filter(|service_queue| !service_queue.endpoint) {
+            let (old, new) = (self.servers.get(&service_queue.name), servers.get(&service_queue.name));
             if old != new {
-                lane.list(fine, now, new.map_or(&[], Vec::as_slice));
+                service_queue.list(fine, now, new.map_or(&[], Vec::as_slice));
             }
         }
         self.servers = servers;
@@ -612,10 +628,10 @@
     pub(crate) fn deal_duties(&mut self, now: Millis) {
         let nodes = 1 + self.peers.values().filter(|p| p.listed).count();
         let place = self.peers.iter().filter(|(node, p)| p.listed && **node < self.terms.me).count();
-        for lane in &mut self.lanes {
-            lane.nodes(place, nodes);
-            let Some(bucket) = &mut lane.bucket else { continue };
-            let holder = holder_of(&lane.name, self.terms.me, &self.peers);
+        for service_queue in &mut self.service_queues {
+            service_queue.nodes(place, nodes);
+            let Some(bucket) = &mut service_queue.bucket else { continue };
+            let holder = holder_of(&service_queue.name, self.terms.me, &self.peers);
             let may = self.heard && self.acquainted && !self.leaving;
             bucket.holder(now, holder == self.terms.me && may);
         }
@@ -650,8 +666,8 @@
             self.early.insert(key);
             return;
         };
-        let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else {
-            if entry.cargo.config > config.revision {
+        let Some(route) = config.route(&entry.message.host, &entry.message.target) else {
+            if entry.message.config > config.revision {
                 self.early.insert(key);
             } else {
                 self.figures.dropped += 1;
@@ -659,7 +675,7 @@
             }
             return;
         };
-        if entry.cargo.config > config.revision {
+        if entry.message.config > config.revision {
             self.early.insert(key);
             return;
         }
@@ -668,7 +684,7 @@
         let late = now > entry.due + route.run_target_ms;
         let turn = (late, route.priority, entry.due, key);
         entry.turn = Some((at, turn));
-        self.lanes[at].enter(turn, entry.ran);
+        self.service_queues[at].enter(turn, entry.ran);
         self.lane_wait = 0;
     }
 
@@ -678,7 +694,7 @@
                 self.delayed.remove(&(at, key));
             }
             if let Some((at, turn)) = entry.turn.take() {
-                self.lanes[at].leave(&turn);
+                self.service_queues[at].leave(&turn);
             }
         }
         self.early.remove(&key);
@@ -691,50 +707,53 @@
             return;
         }
         self.lane_wait = Millis::MAX;
-        for at in 0..self.lanes.len() {
+        for at in 0..self.service_queues.len() {
             let mut again = true;
             loop {
-                let (turn, look) = self.lanes[at].first_turn(now, again);
+                let (turn, look) = self.service_queues[at].first_turn(now, again);
                 self.lane_wait = self.lane_wait.min(look);
                 let Some(turn) = turn else { break };
                 let (late, priority, due, key) = turn;
                 let Some((config, entry)) = self.config.as_ref().zip(self.entries.get_mut(&key)) else {
-                    self.lanes[at].leave(&turn);
+                    self.service_queues[at].leave(&turn);
                     continue;
                 };
                 // An earlier one of its row has come to light since: it waits again.
-                let spot = (entry.cargo.taken, key);
-                if entry.cargo.order_key.as_ref().is_some_and(|row| !self.rows.is_first(row, spot)) {
+                let spot = (entry.message.taken, key);
+                if entry.message.order_key.as_ref().is_some_and(|row| !self.rows.is_first(row, spot)) {
                     entry.turn = None;
-                    self.lanes[at].leave(&turn);
+                    self.service_queues[at].leave(&turn);
                     continue;
                 }
-                let Some(route) = config.route(&entry.cargo.host, &entry.cargo.target) else { break };
+                let Some(route) = config.route(&entry.message.host, &entry.message.target) else { break };
                 let route = &config.routes[route];
                 if !late && now > due + route.run_target_ms {
                     // Too late for its aim: those that can still be in time go first.
                     let turn_now = (true, priority, due, key);
                     entry.turn = Some((at, turn_now));
-                    self.lanes[at].leave(&turn);
+                    self.service_queues[at].leave(&turn);
                     if entry.ran {
-                        self.lanes[at].again.insert(turn_now);
+                        self.service_queues[at].again.insert(turn_now);
                     } else {
-                        self.lanes[at].ready.insert(turn_now);
+                        self.service_queues[at].ready.insert(turn_now);
                     }
                     continue;
                 }
                 let timeout_ms = route.timeout_ms;
-                let lane = &mut self.lanes[at];
-                if now < lane.pause {
-                    self.lane_wait = self.lane_wait.min(lane.pause);
+                let service_queue = &mut self.service_queues[at];
+                if now < service_queue.pause {
+                    self.lane_wait = self.lane_wait.min(service_queue.pause);
                     break;
                 }
-                if let Some(bucket) = &mut lane.bucket {
+                if let Some(bucket) = &mut service_queue.bucket {
                     if !bucket.take(now) {
-                        let wanted = (lane.ready.len() + lane.again.len()).min(4) as u32;
+                        let wanted = (service_queue.ready.len() + service_queue.again.len()).min(4) as u32;
                         if bucket.ask(now) {
-                            let holder = holder_of(&lane.name, self.terms.me, &self.peers);
-                            let note = Note::TokensWanted { service: lane.name.clone(), count: wanted };
+                            let holder = holder_of(&service_queue.name, self.terms.me, &self.peers);
+                            let note = PeerMessage::TokensWanted {
+                                service: service_queue.name.clone(),
+                                count: wanted,
+                            };
                             if holder != self.terms.me {
                                 self.effects.push(Effect::Send { to: holder, note });
                             }
@@ -745,19 +764,22 @@
                 }
                 let attempt = self.next_attempt;
                 let stores = 1 + self.peers.values().filter(|p| p.listed || p.connected).count();
-                lane.share = (lane.max_conns / stores).max(2);
-                let avoid = entry.failed_at.filter(|(lane, _)| *lane == at).map(|(_, executor)| executor);
+                service_queue.share = (service_queue.max_conns / stores).max(2);
+                let avoid = entry
+                    .failed_at
+                    .filter(|(service_queue, _)| *service_queue == at)
+                    .map(|(_, executor)| executor);
                 let repeat = entry.ran.then_some(Again { avoid });
-                match lane.pick(fine, now, key, attempt, repeat) {
+                match service_queue.pick(fine, now, key, attempt, repeat) {
                     Picked::Full(until) => {
-                        if let Some(bucket) = &mut lane.bucket {
+                        if let Some(bucket) = &mut service_queue.bucket {
                             bucket.give_back();
                         }
                         self.lane_wait = self.lane_wait.min(until);
                         again = false;
                     }
                     Picked::Wait(until) => {
-                        if let Some(bucket) = &mut lane.bucket {
+                        if let Some(bucket) = &mut service_queue.bucket {
                             bucket.give_back();
                         }
                         self.lane_wait = self.lane_wait.min(until);
@@ -765,19 +787,19 @@
                     }
                     Picked::Go { executor } => {
                         self.next_attempt += 1;
-                        lane.leave(&turn);
+                        service_queue.leave(&turn);
                         entry.turn = None;
                         entry.stage = Stage::Out;
                         self.figures.attempts += 1;
                         self.figures.again += u64::from(entry.fails > 0);
-                        let server = &lane.known[executor].server;
+                        let server = &service_queue.known[executor].server;
                         self.effects.push(Effect::Deliver {
                             attempt,
                             key,
                             to: server.address,
                             expect: (!server.id.is_empty()).then(|| server.id.clone()),
                             timeout_ms,
-                            conns: lane.share,
+                            conns: service_queue.share,
                         });
                     }
                 }
@@ -785,8 +807,8 @@
         }
     }
 
-    pub fn cargo(&self, key: Key) -> Option<&Cargo> {
-        self.entries.get(&key).map(|entry| &entry.cargo)
+    pub fn message(&self, key: Key) -> Option<&Message> {
+        self.entries.get(&key).map(|entry| &entry.message)
     }
 
     /// An attempt came to its end.
@@ -809,16 +831,20 @@
             Outcome::Stopped | Outcome::Late => Judged::TimedOut,
             Outcome::Garbled => Judged::Broken,
         };
-        let Some(at) = self.lanes.iter().position(|lane| lane.sent.contains_key(&attempt)) else { return };
+        let Some(at) =
+            self.service_queues.iter().position(|service_queue| service_queue.sent.contains_key(&attempt))
+        else {
+            return;
+        };
         // What was stopped at its time, too: the work was done in vain.
         let ran = matches!(
             outcome,
             Outcome::Failed | Outcome::Stopped | Outcome::Broken | Outcome::Late | Outcome::Garbled
         );
-        let settled = self.lanes[at].settle(fine, now, attempt, judged, ran, load);
+        let settled = self.service_queues[at].settle(fine, now, attempt, judged, ran, load);
         let Some((key, executor)) = settled else { return };
         if outcome == Outcome::Over {
-            self.lanes[at].pause = now + 200;
+            self.service_queues[at].pause = now + 200;
         }
         self.lane_wait = 0;
         let Some(entry) = self.entries.get_mut(&key) else { return };
@@ -844,7 +870,7 @@
         }
         entry.stage = Stage::Waiting;
         let limit = self.config.as_ref().and_then(|config| {
-            config.route(&entry.cargo.host, &entry.cargo.target).map(|at| config.routes[at].max_tries)
+            config.route(&entry.message.host, &entry.message.target).map(|at| config.routes[at].max_tries)
         });
         if limit.is_some_and(|limit| entry.tries >= limit) {
             return self.finish(now, key, End::Failed);
@@ -867,7 +893,7 @@
     pub(crate) fn finish(&mut self, now: Millis, key: Key, end: End) {
         self.unschedule(key);
         let Some(entry) = self.entries.get_mut(&key) else { return };
-        let owed = entry.cargo.callback.is_some();
+        let owed = entry.message.callback.is_some();
         (entry.stage, entry.end, entry.owed) = (Stage::Ended, Some(end.clone()), owed);
         entry.strip();
         self.expiring.remove(&(entry.expires, key));
@@ -912,7 +938,7 @@
     }
 
     pub(crate) fn owe(&mut self, key: Key) {
-        let Some(url) = self.entries.get(&key).and_then(|e| e.cargo.callback.as_deref()) else { return };
+        let Some(url) = self.entries.get(&key).and_then(|e| e.message.callback.as_deref()) else { return };
         let place = receiver(url);
         self.receivers.entry(place).or_default().queue.push_back(key);
     }
@@ -936,14 +962,14 @@
                 let Some((entry, end)) = entry.and_then(|e| Some((e, e.end.as_ref()?))) else { continue };
                 receiver.out += 1;
                 self.calling.insert(key, place.clone());
-                let id = &entry.cargo.id;
+                let id = &entry.message.id;
                 let body = match end {
                     End::Complete { seal } => {
                         format!("{{\"id\":{},\"state\":\"complete\",\"seal\":{}}}", quoted(id), quoted(seal))
                     }
                     End::Failed => format!("{{\"id\":{},\"state\":\"failed\",\"seal\":null}}", quoted(id)),
                 };
-                out.push((key, entry.cargo.callback.clone().unwrap_or_default(), body));
+                out.push((key, entry.message.callback.clone().unwrap_or_default(), body));
             }
         }
         self.figures.calls += out.len() as u64;
@@ -1009,8 +1035,8 @@
             Some(End::Complete { seal }) => State::Complete { seal: seal.clone() },
             Some(End::Failed) => State::Failed,
         };
-        let here = !matches!(state, State::Complete { .. }) && entry.cargo.taken > 0;
-        Some((state, here.then_some(entry.cargo.body.as_slice())))
+        let here = !matches!(state, State::Complete { .. }) && entry.message.taken > 0;
+        Some((state, here.then_some(entry.message.body.as_slice())))
     }
 
     pub(crate) fn remove(&mut self, key: Key) {
@@ -1038,8 +1064,8 @@
             was.map(|owner| self.live.remove(&(owner, key)));
             filed.map(|owner| self.live.insert((owner, key)));
         }
-        let row = (entry.end.is_none()).then_some(&entry.cargo.order_key);
-        let row = row.and_then(|name| name.clone()).map(|name| Box::new((name, entry.cargo.taken)));
+        let row = (entry.end.is_none()).then_some(&entry.message.order_key);
+        let row = row.and_then(|name| name.clone()).map(|name| Box::new((name, entry.message.taken)));
         if entry.row != row {
             if let Some(old) = std::mem::replace(&mut entry.row, row) {
                 self.rows.leave(&old.0, (old.1, key), entry.announced && entry.end.is_some());
@@ -1071,7 +1097,10 @@
     pub fn tick(&mut self, now: Millis, fine: Time) {
         self.ticked = now;
         let lapsed = self.lapsed;
-        self.lanes.iter_mut().filter_map(|lane| lane.bucket.as_mut()).for_each(|b| b.paused = lapsed);
+        self.service_queues
+            .iter_mut()
+            .filter_map(|service_queue| service_queue.bucket.as_mut())
+            .for_each(|b| b.paused = lapsed);
         let slept = now > self.upkeep + UPKEEP + FROZEN;
         let long = now > self.upkeep + UPKEEP + MISSED;
         self.look_after_fence(now, slept, long);
@@ -1120,7 +1149,7 @@
         }
         if now >= self.upkeep + UPKEEP {
             self.upkeep = now;
-            self.lanes.iter_mut().for_each(|lane| lane.upkeep(fine));
+            self.service_queues.iter_mut().for_each(|service_queue| service_queue.upkeep(fine));
             self.deal_duties(now);
             self.look_after(now);
         }
@@ -1186,9 +1215,10 @@
 
     /// Tokens are wanted by another store.
     pub(crate) fn tokens_wanted(&mut self, now: Millis, from: Node, service: String, count: u32) {
-        let lane = self.lane_of.get(&service).map(|at| &mut self.lanes[*at]);
-        let count = lane.and_then(|l| l.bucket.as_mut()).map_or(0, |b| b.hand_out(now, count.min(16)));
-        self.effects.push(Effect::Send { to: from, note: Note::Tokens { service, count } });
+        let service_queue = self.lane_of.get(&service).map(|at| &mut self.service_queues[*at]);
+        let count =
+            service_queue.and_then(|l| l.bucket.as_mut()).map_or(0, |b| b.hand_out(now, count.min(16)));
+        self.effects.push(Effect::Send { to: from, note: PeerMessage::Tokens { service, count } });
     }
 
     /// Of one that does not hold the duty (any more) none are taken: together with those of its successor they would be
@@ -1197,18 +1227,20 @@
         let holder = holder_of(service, self.terms.me, &self.peers) == from;
         self.figures.former += u64::from(!holder && count > 0);
         let count = if holder { count } else { 0 };
-        if let Some(bucket) = self.lane_of.get(service).and_then(|at| self.lanes[*at].bucket.as_mut()) {
+        if let Some(bucket) =
+            self.lane_of.get(service).and_then(|at| self.service_queues[*at].bucket.as_mut())
+        {
             bucket.got(now, count);
             self.lane_wait = if count > 0 { 0 } else { self.lane_wait };
         }
     }
 
-    pub fn lanes(&self) -> impl Iterator<Item = (&str, usize, usize, Vec<(String, f64, usize)>)> {
-        self.lanes.iter().map(|l| (l.name.as_str(), l.waiting(), l.sent.len(), l.shares()))
+    pub fn service_queues(&self) -> impl Iterator<Item = (&str, usize, usize, Vec<(String, f64, usize)>)> {
+        self.service_queues.iter().map(|l| (l.name.as_str(), l.waiting(), l.sent.len(), l.shares()))
     }
 
     pub fn log(&mut self) -> Vec<String> {
-        self.lanes.iter_mut().flat_map(Lane::log).collect()
+        self.service_queues.iter_mut().flat_map(ServiceQueue::log).collect()
     }
 
     /// Tells all ends now.
@@ -1218,7 +1250,9 @@
 
     /// Requests that are out, and messages that are not yet safe.
     pub fn in_hand(&self) -> usize {
-        self.lanes.iter().map(|lane| lane.sent.len()).sum::<usize>() + self.landing.len() + self.handing.len()
+        self.service_queues.iter().map(|service_queue| service_queue.sent.len()).sum::<usize>()
+            + self.landing.len()
+            + self.handing.len()
     }
 
     pub fn live(&self) -> usize {
@@ -1229,7 +1263,7 @@
 impl Entry {
     pub(crate) fn of(shared: &Shared, now: Millis) -> Entry {
         Entry {
-            cargo: shared.cargo.clone(),
+            message: shared.message.clone(),
             owner: shared.owner,
             term: shared.term,
             copies: shared.copies.clone(),
@@ -1260,13 +1294,13 @@
 
     /// Of one that has ended only what a call-back needs is kept.
     pub(crate) fn strip(&mut self) {
-        let cargo = std::mem::take(&mut self.cargo);
+        let message = std::mem::take(&mut self.message);
         if self.owed {
-            self.cargo = Cargo { id: cargo.id, callback: cargo.callback, ..Cargo::default() };
+            self.message = Message { id: message.id, callback: message.callback, ..Message::default() };
         }
         if matches!(self.end, Some(End::Failed)) {
             // Dead ones are asked for their bytes.
-            (self.cargo.body, self.cargo.taken) = (cargo.body, cargo.taken);
+            (self.message.body, self.message.taken) = (message.body, message.taken);
         }
     }
 
@@ -1292,7 +1326,7 @@
 
 /// Who hands out the tokens of a service.
 pub(crate) fn holder_of(service: &str, me: Node, peers: &BTreeMap<Node, Peer>) -> Node {
-    let weight = |node: Node| stileroute::tariff::mark(&format!("{service}/{node}"));
+    let weight = |node: Node| stileroute_dispatch::types::mark(&format!("{service}/{node}"));
     let all = peers.iter().filter(|(_, p)| p.listed && !p.leaving).map(|(node, _)| *node);
     all.chain(std::iter::once(me)).max_by_key(|node| weight(*node)).unwrap_or(me)
 }
--- a/hold/src/hold/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -1,8 +1,8 @@
 //! What the hold tells operators of itself. It goes through all entries: for one who asks now and then, not for the loop.
 
-use super::{holder_of, Hold, Stage};
-use crate::cargo::{End, Key, Millis, Node};
-use crate::lane::Repeats;
+use super::{holder_of, Queue, Stage};
+use crate::message::{End, Key, Millis, Node};
+use crate::service_queue::Repeats;
 
 #[derive(Clone, Debug)]
 pub struct ServiceView {
@@ -54,33 +54,34 @@
     pub owed: bool,
 }
 
-impl Hold {
+impl Queue {
     pub fn services(&self, now: Millis) -> Vec<ServiceView> {
-        let view = |lane: &crate::lane::Lane| {
+        let view = |service_queue: &crate::service_queue::ServiceQueue| {
             let rate = self.config.as_ref().and_then(|config| {
-                Some(config.services[config.service(&lane.name)?].rate_per_s).filter(|rate| *rate > 0.0)
+                Some(config.services[config.service(&service_queue.name)?].rate_per_s)
+                    .filter(|rate| *rate > 0.0)
             });
             ServiceView {
-                name: lane.name.clone(),
-                waiting: lane.waiting(),
-                out: lane.sent.len(),
-                oldest_ms: lane
+                name: service_queue.name.clone(),
+                waiting: service_queue.waiting(),
+                out: service_queue.sent.len(),
+                oldest_ms: service_queue
                     .ready
                     .iter()
-                    .chain(&lane.again)
+                    .chain(&service_queue.again)
                     .map(|turn| now.saturating_sub(turn.2))
                     .max()
                     .unwrap_or(0),
-                shares: lane.shares(),
-                repeats_waiting: lane.again.len(),
-                repeats: lane.repeats,
+                shares: service_queue.shares(),
+                repeats_waiting: service_queue.again.len(),
+                repeats: service_queue.repeats,
                 ceiling: rate.map(|rate| {
-                    let here = lane.bucket.as_ref().is_some_and(|bucket| bucket.holds());
-                    (rate, holder_of(&lane.name, self.terms.me, &self.peers), here)
+                    let here = service_queue.bucket.as_ref().is_some_and(|bucket| bucket.holds());
+                    (rate, holder_of(&service_queue.name, self.terms.me, &self.peers), here)
                 }),
             }
         };
-        self.lanes.iter().map(view).collect()
+        self.service_queues.iter().map(view).collect()
     }
 
     pub fn stages(&self, now: Millis) -> Stages {
@@ -107,7 +108,7 @@
         let entry = self.entries.get(&key)?;
         let from_now = |at: Millis| i64::try_from(at).unwrap_or(i64::MAX).saturating_sub(now as i64);
         Some(MessageView {
-            id: entry.cargo.id.clone(),
+            id: entry.message.id.clone(),
             owner: entry.owner,
             copies: entry.copies.clone(),
             term: entry.term,
@@ -115,9 +116,9 @@
             tries: entry.tries,
             due_in_ms: from_now(entry.due),
             expires_in_ms: from_now(entry.expires),
-            taken: entry.cargo.taken,
-            config: entry.cargo.config,
-            bytes: entry.cargo.body.len(),
+            taken: entry.message.taken,
+            config: entry.message.config,
+            bytes: entry.message.body.len(),
             end: entry.end.clone(),
             owed: entry.owed,
         })
--- a/hold/src/repair.rs
+++ b/crates/queue/src/repair.rs
@@ -1,9 +1,9 @@
 //! Copies that are missing, made again at a bounded rate; and what two stores hold, compared by sums over
 //! ranges and mended from the newer: of two owners the higher term holds, and an end holds always.
 
-use crate::cargo::{Key, Millis, Node, Note, Range, Record, Stands, Sum};
-use crate::hold::{Effect, Entry, Hold, Stage, Waits};
+use crate::message::{Key, Millis, Node, PeerMessage, Range, Record, Stands, Sum};
 use crate::planted::Planted;
+use crate::queue::{Effect, Entry, Queue, Stage, Waits};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A store that is no member and not connected for so long holds no copies any more. An orderly restart is
@@ -63,7 +63,7 @@
     )
 }
 
-impl Hold {
+impl Queue {
     /// Live messages, and ended ones with a call-back owed, that a node owns.
     pub(crate) fn owned_by_node(&self, node: Node) -> impl Iterator<Item = (Key, &Entry)> {
         let keys = self.live.range((node, Key::default())..).take_while(move |(owner, _)| *owner == node);
@@ -102,7 +102,10 @@
         self.figures.compared += 1;
         let sums = self.sums(now, node, over).into_iter();
         let sums = sums.map(|(range, (count, mix))| Sum { range, count, mix }).collect();
-        self.push(Effect::Send { to: node, note: Note::Digests { disk: self.terms.disk, over, sums } });
+        self.push(Effect::Send {
+            to: node,
+            note: PeerMessage::Digests { disk: self.terms.disk, over, sums },
+        });
     }
 
     /// Lists what differs, or says that nothing does.
@@ -119,7 +122,7 @@
         differ.extend(mine.into_keys());
         self.figures.differed += differ.len() as u64;
         if differ.is_empty() {
-            self.push(Effect::Send { to: from, note: Note::Stood });
+            self.push(Effect::Send { to: from, note: PeerMessage::Stood });
             return self.stood(now, from);
         }
         self.list_ranges(from, differ.into_iter().collect(), true);
@@ -131,7 +134,7 @@
         let live = live
             .map(|(key, e)| Stands { key, owner: e.owner, term: e.term, ended: e.end.is_some() })
             .collect();
-        let note = Note::Standing { disk: self.terms.disk, answer, ranges, live };
+        let note = PeerMessage::Standing { disk: self.terms.disk, answer, ranges, live };
         self.push(Effect::Send { to, note });
     }
 
@@ -215,7 +218,7 @@
 
     /// Stores that are gone for good hold no copies any more; and digests are compared when it is time.
     pub(crate) fn look_at_holders(&mut self, now: Millis) {
-        let Hold { peers, heard, acquainted, terms, .. } = self;
+        let Queue { peers, heard, acquainted, terms, .. } = self;
         let (mut gone, mut compare) = (Vec::new(), Vec::new());
         for (node, peer) in peers {
             let here = peer.listed || peer.connected;
@@ -264,7 +267,7 @@
                 self.thin.pop_first();
                 continue;
             };
-            let (size, copies) = (entry.cargo.body.len() as u64 + AROUND, entry.copies.clone());
+            let (size, copies) = (entry.message.body.len() as u64 + AROUND, entry.copies.clone());
             let lacking = self.terms.losses.saturating_sub(copies.len());
             let new = self.choose(now, &copies, &copies, lacking);
             let Some(entry) = self.entries.get_mut(&key) else { return };
--- a/hold/src/repeats.rs
+++ b/crates/queue/src/repeats.rs
@@ -7,7 +7,7 @@
 //! What is held back waits its turn: it is on disk. A store counts its own first attempts, so its part of the
 //! bound is its part of the load.
 
-use crate::cargo::Millis;
+use crate::message::Millis;
 
 /// So many repeats may fail for each first attempt.
 const PART: f64 = 0.2;
--- a/hold/src/retire.rs
+++ b/crates/queue/src/retire.rs
@@ -1,15 +1,15 @@
 //! Emptying a store for good: it takes nothing more, gives what it owns to those that hold the copies, and the others make
 //! the copies that lie here anew elsewhere. It is empty when all of them have said that they count on it no longer.
 
-use crate::cargo::{Key, Millis, Node, Note, Record};
 use crate::copies::Peer;
-use crate::hold::{Effect, Hold, Waits};
+use crate::message::{Key, Millis, Node, PeerMessage, Record};
 use crate::planted::Planted;
+use crate::queue::{Effect, Queue, Waits};
 
 /// How often one that retires is told that nobody counts on it: a word lost with a connection comes again.
 const TELL: Millis = 500;
 
-impl Hold {
+impl Queue {
     /// Ordered by an operator. It holds over restarts: the order is on disk before it is confirmed.
     pub fn retire(&mut self, now: Millis) {
         if std::mem::replace(&mut self.retiring, true) {
@@ -25,7 +25,7 @@
         let peers: Vec<Node> =
             self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
         for to in peers {
-            self.push(Effect::Send { to, note: Note::Retiring });
+            self.push(Effect::Send { to, note: PeerMessage::Retiring });
         }
         self.leave(now);
     }
@@ -91,7 +91,7 @@
             counted.into_iter().for_each(|key| self.not_on(now, key, node));
             if free {
                 self.peers.entry(node).or_default().relieved_at = now;
-                self.push(Effect::Send { to: node, note: Note::Relieved });
+                self.push(Effect::Send { to: node, note: PeerMessage::Relieved });
             }
         }
     }
--- a/hold/src/lane.rs
+++ b/crates/queue/src/service_queue.rs
@@ -1,12 +1,12 @@
 //! One service: who serves it, what waits for it, and the module that decides who gets the next.
 
-use crate::cargo::{Key, Millis};
+use crate::message::{Key, Millis};
 use crate::repeats::{dealt, Budget, LONG};
 use crate::tokens::Bucket;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
-use stileroute::choice::Dispatcher;
-use stileroute::tariff::{
+use stileroute_dispatch::policy::Dispatcher;
+use stileroute_dispatch::types::{
     mark, Ask, Category, Effect, Gauge, Limits, Listed, Op, Outcome as Judged, Step, Tariff, Terms, Time,
     SECOND,
 };
@@ -26,7 +26,7 @@
 const WARM: Time = 5 * SECOND;
 /// A crossing of zones costs bytes and time: so many parts of a message's worth.
 const CROSS: f64 = 0.15;
-/// The longest pause of a lane whose endpoint fails, and the first.
+/// The longest pause of a service queue whose endpoint fails, and the first.
 const PAUSE: (Millis, Millis) = (400, 50);
 
 pub(crate) struct Known {
@@ -59,7 +59,7 @@
 /// What waits: those that may still be in time first, then by priority, then by when they fell due.
 pub(crate) type Turn = (bool, i64, Millis, Key);
 
-pub(crate) struct Lane {
+pub(crate) struct ServiceQueue {
     pub name: String,
     pub known: Vec<Known>,
     pub ready: BTreeSet<Turn>,
@@ -103,8 +103,8 @@
     pub most: usize,
 }
 
-impl Lane {
-    pub fn new(name: &str, domain: usize, nodes: usize, target: Millis, seed: u64) -> Lane {
+impl ServiceQueue {
+    pub fn new(name: &str, domain: usize, nodes: usize, target: Millis, seed: u64) -> ServiceQueue {
         let tariff = Tariff {
             terms: Terms {
                 domain,
@@ -120,7 +120,7 @@
                 keepalive: 4 * SECOND,
                 ..Terms::default()
             },
-            // The second is for a lane that has nothing out: whatever its executors are like, one message
+            // The second is for a service queue that has nothing out: whatever its executors are like, one message
             // goes, for else nothing more would ever be learned of them.
             categories: [target as Time * 10, 60 * SECOND]
                 .map(|target| Category {
@@ -137,7 +137,7 @@
             overload_factor: 4.0,
             gauges: vec![Gauge::Held, Gauge::Waiting, Gauge::FreeSlots],
         };
-        Lane {
+        ServiceQueue {
             name: name.to_string(),
             known: Vec::new(),
             ready: BTreeSet::new(),
--- a/hold/src/tokens.rs
+++ b/crates/queue/src/tokens.rs
@@ -4,7 +4,7 @@
 //! and one that has just become the holder begins with none. So two holders in a row keep the ceiling
 //! together, whatever the first one has used, as long as it has stopped before the second begins.
 
-use crate::cargo::Millis;
+use crate::message::Millis;
 
 /// Tokens that are not used for so long are worth nothing: they would pile up beyond the window.
 const LIFE: Millis = 250;
--- a/hold/tests/faults.rs
+++ b/crates/queue/tests/faults.rs
@@ -29,7 +29,7 @@
 }
 
 /// So many times wider the search is, where somebody asks for it: `HOLD_WIDE=20 cargo test -p
-/// stileroute-hold`.
+/// stileroute-queue`.
 fn wide() -> u64 {
     std::env::var("HOLD_WIDE").ok().and_then(|text| text.parse().ok()).unwrap_or(1)
 }
@@ -375,7 +375,7 @@
     let mut world = World::new(3, 1, 20);
     for n in 0..200 {
         let at = world.send(2000 + 15 * n, n as usize % 3, "plain", &[Does::Well], 30_000);
-        world.messages[at].cargo.body = vec![7; 16_000];
+        world.messages[at].message.body = vec![7; 16_000];
     }
     world.act(6000, Act::Strike(1, Fault::Wipe));
     world.run(20_000);
@@ -393,10 +393,10 @@
     (0..20).for_each(|n| _ = world.send(4000 + 20 * n, n as usize % 3, "plain", &[Does::Well], 0));
     world.no_ends_until = 5000;
     world.run(9000);
-    let left: usize = world.stores.iter().map(|s| s.hold.as_ref().unwrap().live()).sum();
+    let left: usize = world.stores.iter().map(|s| s.queue.as_ref().unwrap().live()).sum();
     assert_eq!(left, 30 * 2 + 20, "ends that were not told leave live copies");
     world.run(18_000);
-    let left: usize = world.stores.iter().map(|s| s.hold.as_ref().unwrap().live()).sum();
+    let left: usize = world.stores.iter().map(|s| s.queue.as_ref().unwrap().live()).sum();
     assert_eq!(left, 30 * 2);
     let before = world.bytes;
     world.run(58_000);
--- a/hold/tests/repeats.rs
+++ b/crates/queue/tests/repeats.rs
@@ -3,7 +3,7 @@
 mod world;
 
 use std::collections::{BTreeMap, HashMap};
-use stileroute_hold::*;
+use stileroute_queue::*;
 use world::{config, WALL};
 
 const STORES: usize = 3;
@@ -41,7 +41,7 @@
     let mut stores = Vec::new();
     let members: Vec<(Node, usize)> = (0..STORES).map(|at| (10 + at as Node, at)).collect();
     for at in 0..STORES {
-        let terms = Terms {
+        let terms = QueueSettings {
             me: members[at].0,
             zone: at,
             disk: 1,
@@ -55,9 +55,9 @@
             status_ms: 120_000,
             seed: at as u64,
         };
-        let mut hold = Hold::new(terms, Ledger::default(), 0, WALL);
-        hold.members(0, &members);
-        members.iter().filter(|(node, _)| *node != members[at].0).for_each(|(node, _)| hold.up(0, *node));
+        let mut queue = Queue::new(terms, Ledger::default(), 0, WALL);
+        queue.members(0, &members);
+        members.iter().filter(|(node, _)| *node != members[at].0).for_each(|(node, _)| queue.up(0, *node));
         let servers = (0..EXECUTORS).map(|n| Server {
             id: format!("e{n}"),
             address: format!("10.0.0.{n}:80").parse().unwrap(),
@@ -66,9 +66,9 @@
             serving: true,
             cold_left_ms: 0,
         });
-        hold.list(0, 0, HashMap::from([("works".to_string(), servers.collect())]));
-        hold.configure(0, 0, config(1, "", 6, 60.0));
-        stores.push(hold);
+        queue.list(0, 0, HashMap::from([("works".to_string(), servers.collect())]));
+        queue.configure(0, 0, config(1, "", 6, 60.0));
+        stores.push(queue);
     }
     let (mut day, mut out) = (Day::default(), BTreeMap::<(u64, u64), Sent>::new());
     let mut tried: HashMap<String, Vec<(usize, bool)>> = HashMap::new();
@@ -78,16 +78,16 @@
     while now < length + 70_000 {
         while next_put <= now && now < length {
             let (id, at) = (format!("id{n}"), n % STORES);
-            let cargo = Cargo {
+            let message = Message {
                 id: id.clone(),
                 host: "h".into(),
                 method: "POST".into(),
                 target: format!("/plain/{n}"),
                 taken: WALL + now,
-                ..Cargo::default()
+                ..Message::default()
             };
             born.insert(id, now);
-            stores[at].put(now, n as u64 + 1, cargo);
+            stores[at].put(now, n as u64 + 1, message);
             (n, next_put) = (n + 1, next_put + gap);
         }
         while let Some(entry) = out.first_entry().filter(|e| e.key().0 <= now) {
@@ -101,7 +101,7 @@
                     match effect {
                         Effect::Disk { ticket, .. } => store.kept(now, ticket, true),
                         Effect::Deliver { attempt, key, to, .. } => {
-                            let id = store.cargo(key).unwrap().id.clone();
+                            let id = store.message(key).unwrap().id.clone();
                             let executor = usize::from(to.ip().octets()[3]);
                             let before = tried.entry(id.clone()).or_default();
                             let again = before.iter().any(|(_, ran)| *ran);
@@ -137,7 +137,7 @@
                 }
             }
         }
-        let timers = stores.iter().map(Hold::next).min().unwrap();
+        let timers = stores.iter().map(Queue::next).min().unwrap();
         let next = out.first_key_value().map_or(u64::MAX, |((at, _), _)| *at);
         let put = if next_put < length { next_put } else { u64::MAX };
         now = timers.min(next).min(put).max(now + 1);
--- a/hold/tests/words.rs
+++ b/crates/queue/tests/words.rs
@@ -4,7 +4,7 @@
 
 use assert_matches::assert_matches;
 use std::collections::HashMap;
-use stileroute_hold::*;
+use stileroute_queue::*;
 use world::{config, WALL};
 
 const ME: Node = 1;
@@ -12,7 +12,7 @@
 const C: Node = 3;
 
 struct One {
-    hold: Hold,
+    queue: Queue,
     now: u64,
     /// Acks of the disk are withheld.
     disk_silent: bool,
@@ -26,7 +26,7 @@
     }
 
     fn placed(ledger: Ledger, losses: usize, bear: Bear, regions: Vec<usize>) -> One {
-        let terms = Terms {
+        let terms = QueueSettings {
             me: ME,
             zone: 0,
             disk: 7,
@@ -40,17 +40,17 @@
             status_ms: 120_000,
             seed: 5,
         };
-        let hold = Hold::new(terms, ledger, 0, WALL);
-        One { hold, now: 0, disk_silent: false, waiting: Vec::new(), records: Vec::new() }
+        let queue = Queue::new(terms, ledger, 0, WALL);
+        One { queue, now: 0, disk_silent: false, waiting: Vec::new(), records: Vec::new() }
     }
 
     /// With both others there and agreed with, configured, and with executors.
     fn ready(ledger: Ledger) -> One {
         let mut one = One::new(ledger, 1);
-        one.hold.members(0, &[(ME, 0), (B, 1), (C, 2)]);
+        one.queue.members(0, &[(ME, 0), (B, 1), (C, 2)]);
         for other in [B, C] {
-            one.hold.up(0, other);
-            one.hold.note(0, other, Note::Stood);
+            one.queue.up(0, other);
+            one.queue.note(0, other, PeerMessage::Stood);
         }
         one.configure(1);
         one.pass(10);
@@ -67,8 +67,8 @@
             cold_left_ms: 0,
         };
         let (now, fine) = (self.now, self.now as i64 * 10);
-        self.hold.list(now, fine, HashMap::from([("works".to_string(), vec![server])]));
-        self.hold.configure(now, fine, config(revision, "", 3, 60.0));
+        self.queue.list(now, fine, HashMap::from([("works".to_string(), vec![server])]));
+        self.queue.configure(now, fine, config(revision, "", 3, 60.0));
     }
 
     /// Lets time pass, and gives what the store does meanwhile.
@@ -76,8 +76,8 @@
         let until = self.now + ms;
         let mut all = Vec::new();
         loop {
-            self.hold.tick(self.now, self.now as i64 * 10);
-            for effect in self.hold.take() {
+            self.queue.tick(self.now, self.now as i64 * 10);
+            for effect in self.queue.take() {
                 if let Effect::Disk { ticket, records, sync } = effect {
                     self.waiting.push((ticket, sync));
                     self.records.extend(records.iter().map(|r| postcard::from_bytes::<Record>(r).unwrap()));
@@ -87,11 +87,11 @@
             }
             if !self.disk_silent && !self.waiting.is_empty() {
                 for (ticket, _) in std::mem::take(&mut self.waiting) {
-                    self.hold.kept(self.now, ticket, true);
+                    self.queue.kept(self.now, ticket, true);
                 }
                 continue;
             }
-            let next = self.hold.next().max(self.now + 1);
+            let next = self.queue.next().max(self.now + 1);
             if next > until {
                 self.now = until;
                 return all;
@@ -100,24 +100,24 @@
         }
     }
 
-    fn note(&mut self, from: Node, note: Note) -> Vec<Effect> {
-        self.hold.note(self.now, from, note);
+    fn note(&mut self, from: Node, note: PeerMessage) -> Vec<Effect> {
+        self.queue.note(self.now, from, note);
         self.pass(0)
     }
 
-    fn put(&mut self, ticket: u64, cargo: Cargo) -> Vec<Effect> {
-        self.hold.put(self.now, ticket, cargo);
+    fn put(&mut self, ticket: u64, message: Message) -> Vec<Effect> {
+        self.queue.put(self.now, ticket, message);
         self.pass(0)
     }
 
     /// Puts one and has its copy confirmed: its key, and what the store does then.
-    fn taken(&mut self, cargo: Cargo) -> (Key, Vec<Effect>) {
-        let (key, to) = copies(&self.put(1, cargo))[0];
-        (key, self.note(to, Note::Copied(vec![key])))
+    fn taken(&mut self, message: Message) -> (Key, Vec<Effect>) {
+        let (key, to) = copies(&self.put(1, message))[0];
+        (key, self.note(to, PeerMessage::Copied(vec![key])))
     }
 
     fn answered(&mut self, attempt: u64, outcome: Outcome) -> Vec<Effect> {
-        self.hold.delivered(self.now, self.now as i64 * 10, attempt, outcome, None);
+        self.queue.delivered(self.now, self.now as i64 * 10, attempt, outcome, None);
         self.pass(0)
     }
 }
@@ -127,20 +127,20 @@
 #[test]
 fn after_a_long_sleep_nothing_is_started_before_the_others_have_spoken() {
     let mut one = One::ready(Ledger::default());
-    let (_, effects) = one.taken(Cargo { delay_ms: 1000, ..cargo("plain") });
+    let (_, effects) = one.taken(Message { delay_ms: 1000, ..message("plain") });
     assert!(attempts(&effects).is_empty());
     one.now += 5500;
     assert!(attempts(&one.pass(0)).is_empty());
     for other in [B, C] {
-        one.hold.down(one.now, other);
+        one.queue.down(one.now, other);
     }
     assert!(attempts(&one.pass(500)).is_empty(), "they may be back, and say what they ran");
     for other in [B, C] {
-        one.hold.up(one.now, other);
+        one.queue.up(one.now, other);
     }
     assert!(attempts(&one.pass(100)).is_empty());
-    let mut all = one.note(B, Note::Stood);
-    all.extend(one.note(C, Note::Stood));
+    let mut all = one.note(B, PeerMessage::Stood);
+    all.extend(one.note(C, PeerMessage::Stood));
     all.extend(one.pass(50));
     assert_eq!(attempts(&all).len(), 1);
 }
@@ -160,9 +160,9 @@
     let stands = |number| Stands { key: Key { origin: ME, number }, owner: ME, term: 0, ended: false };
     let live: Vec<Stands> = lines.iter().map(|first| stands(first + 5)).collect();
     let keys: Vec<Key> = live.iter().map(|s| s.key).collect();
-    let effects = one.note(B, Note::Standing { disk: 9, answer: false, ranges: Vec::new(), live });
-    assert!(said(&effects, B, |n| matches!(n, Note::Lost(all) if *all == [keys[0], keys[2]])));
-    assert!(said(&effects, B, |n| matches!(n, Note::Drop(all) if *all == [keys[1], keys[3]])));
+    let effects = one.note(B, PeerMessage::Standing { disk: 9, answer: false, ranges: Vec::new(), live });
+    assert!(said(&effects, B, |n| matches!(n, PeerMessage::Lost(all) if *all == [keys[0], keys[2]])));
+    assert!(said(&effects, B, |n| matches!(n, PeerMessage::Drop(all) if *all == [keys[1], keys[3]])));
     // Another disk forgets the lives of the one before, and of one disk only so many are remembered.
     let mut ledger = Ledger::default();
     ledger.enter(Record::Born { disk: 7, first: lines[0] });
@@ -193,27 +193,27 @@
     ];
     for (losses, zones, regions, away, wanted) in rows {
         let mut one = One::placed(Ledger::default(), losses, Bear { zones, regions }, vec![0, 0, 1]);
-        one.hold.members(0, &all);
+        one.queue.members(0, &all);
         for (node, _) in all.iter().filter(|(node, _)| *node != ME && !away.contains(node)) {
-            one.hold.up(0, *node);
+            one.queue.up(0, *node);
         }
-        let to: Vec<Node> = copies(&one.put(1, cargo("plain"))).iter().map(|(_, to)| *to).collect();
+        let to: Vec<Node> = copies(&one.put(1, message("plain"))).iter().map(|(_, to)| *to).collect();
         let mut wanted = wanted.to_vec();
         wanted.sort_unstable();
         assert_eq!(to, wanted, "{losses} machines, {zones} zones, {regions} regions, without {away:?}");
     }
 }
 
-fn cargo(path: &str) -> Cargo {
+fn message(path: &str) -> Message {
     let callback = Some("http://10.0.0.9:80/x".to_string());
     let (id, host, method) = ("m".to_string(), "h".to_string(), "POST".to_string());
     let (target, body) = (format!("/{path}/1"), b"bytes".to_vec());
-    Cargo { id, host, method, target, callback, taken: WALL, body, ..Cargo::default() }
+    Message { id, host, method, target, callback, taken: WALL, body, ..Message::default() }
 }
 
 fn shared(owner: Node, copies: Vec<Node>) -> Shared {
     let key = Key { origin: owner, number: 99 };
-    Shared { key, owner, copies, cargo: cargo("plain"), ..Shared::default() }
+    Shared { key, owner, copies, message: message("plain"), ..Shared::default() }
 }
 
 fn ledger(shared: &Shared) -> Ledger {
@@ -233,25 +233,25 @@
 fn copies(effects: &[Effect]) -> Vec<(Key, Node)> {
     let mut all = Vec::new();
     for effect in effects {
-        if let Effect::Send { to, note: Note::Copy(some) } = effect {
+        if let Effect::Send { to, note: PeerMessage::Copy(some) } = effect {
             all.extend(some.iter().map(|s| (s.key, *to)));
         }
     }
     all
 }
 
-fn said(effects: &[Effect], who: Node, what: impl Fn(&Note) -> bool) -> bool {
+fn said(effects: &[Effect], who: Node, what: impl Fn(&PeerMessage) -> bool) -> bool {
     effects.iter().any(|e| matches!(e, Effect::Send { to, note } if *to == who && what(note)))
 }
 
-fn owned(key: Key, owner: Node, term: u32) -> Note {
-    Note::Own(vec![Owned { key, owner, term, copies: vec![C] }])
+fn owned(key: Key, owner: Node, term: u32) -> PeerMessage {
+    PeerMessage::Own(vec![Owned { key, owner, term, copies: vec![C] }])
 }
 
 #[test]
 fn what_another_has_taken_over_is_not_run_again_here() {
     let mut one = One::ready(Ledger::default());
-    let (key, effects) = one.taken(cargo("plain"));
+    let (key, effects) = one.taken(message("plain"));
     let attempt = attempts(&effects)[0];
     one.note(B, owned(key, B, 1));
     let mut effects = one.answered(attempt, Outcome::Failed);
@@ -262,14 +262,14 @@
 #[test]
 fn its_new_owner_is_told_of_the_end_of_a_run() {
     let mut one = One::ready(Ledger::default());
-    let (key, effects) = one.taken(cargo("plain"));
+    let (key, effects) = one.taken(message("plain"));
     // Neither B nor C is the copy: the owner is told all the same.
-    let copy = if copies(&one.put(2, cargo("gone")))[0].1 == B { C } else { B };
+    let copy = if copies(&one.put(2, message("gone")))[0].1 == B { C } else { B };
     one.note(copy, owned(key, copy, 1));
-    one.note(copy, Note::Own(vec![Owned { key, owner: copy, term: 2, copies: vec![ME] }]));
+    one.note(copy, PeerMessage::Own(vec![Owned { key, owner: copy, term: 2, copies: vec![ME] }]));
     let mut effects = one.answered(attempts(&effects)[0], Outcome::Done { seal: "s".into() });
     effects.extend(one.pass(50));
-    assert!(said(&effects, copy, |n| matches!(n, Note::Ends(all) if all[0].0 == key)), "{effects:?}");
+    assert!(said(&effects, copy, |n| matches!(n, PeerMessage::Ends(all) if all[0].0 == key)), "{effects:?}");
     assert!(!effects.iter().any(|e| matches!(e, Effect::Call { .. })), "the owner calls back");
 }
 
@@ -284,14 +284,14 @@
 #[test]
 fn an_owner_that_was_gone_before_the_start_is_missed() {
     let mut one = One::new(ledger(&shared(B, vec![ME])), 1);
-    one.hold.members(0, &[(ME, 0), (C, 2)]);
-    one.hold.up(0, C);
+    one.queue.members(0, &[(ME, 0), (C, 2)]);
+    one.queue.up(0, C);
     one.configure(1);
     assert!(attempts(&one.pass(1900)).is_empty());
     let effects = one.pass(1500);
     assert_eq!(attempts(&effects).len(), 1);
     // All are told, for a copy that nobody knows of would be taken over too.
-    assert!(said(&effects, C, |n| matches!(n, Note::Own(all) if all[0].owner == ME)));
+    assert!(said(&effects, C, |n| matches!(n, PeerMessage::Own(all) if all[0].owner == ME)));
 }
 
 #[test]
@@ -299,32 +299,32 @@
     let mut one = One::ready(ledger(&shared(B, vec![ME])));
     one.pass(61_600);
     let key = Key { origin: B, number: 99 };
-    one.hold.list(one.now, one.now as i64 * 10, HashMap::new());
-    one.note(B, Note::Handover(vec![Handed { key, term: 0, tries: 0 }]));
+    one.queue.list(one.now, one.now as i64 * 10, HashMap::new());
+    one.note(B, PeerMessage::Handover(vec![Handed { key, term: 0, tries: 0 }]));
     one.pass(300);
-    assert_matches!(one.hold.find(key), Some((State::Failed, _)));
+    assert_matches!(one.queue.find(key), Some((State::Failed, _)));
 }
 
 #[test]
 fn no_ceiling_is_held_before_the_members_are_known() {
     let mut one = One::new(Ledger::default(), 0);
     one.configure(1);
-    one.put(1, cargo("paid"));
+    one.put(1, message("paid"));
     assert!(attempts(&one.pass(5000)).is_empty());
-    one.hold.members(one.now, &[(ME, 0)]);
+    one.queue.members(one.now, &[(ME, 0)]);
     assert_eq!(attempts(&one.pass(3000)).len(), 1);
 }
 
 #[test]
 fn a_slow_copy_is_replaced_and_dropped_and_the_new_place_is_on_disk_first() {
     let mut one = One::ready(Ledger::default());
-    let (key, slow) = copies(&one.put(1, cargo("plain")))[0];
+    let (key, slow) = copies(&one.put(1, message("plain")))[0];
     one.disk_silent = true;
     let effects = one.pass(220);
     let other = if slow == B { C } else { B };
     assert_eq!(copies(&effects), [(key, other)]);
-    assert!(said(&effects, slow, |n| *n == Note::Drop(vec![key])));
-    let effects = one.note(other, Note::Copied(vec![key]));
+    assert!(said(&effects, slow, |n| *n == PeerMessage::Drop(vec![key])));
+    let effects = one.note(other, PeerMessage::Copied(vec![key]));
     assert!(!effects.iter().any(|e| matches!(e, Effect::Taken { .. })), "not yet on disk who has it");
     one.disk_silent = false;
     let effects = one.pass(1);
@@ -334,32 +334,32 @@
 #[test]
 fn what_is_not_safe_in_time_is_taken_back() {
     let mut one = One::ready(Ledger::default());
-    let (key, first) = copies(&one.put(1, cargo("plain")))[0];
+    let (key, first) = copies(&one.put(1, message("plain")))[0];
     let effects = one.pass(395);
     let refused = |e: &Effect| matches!(e, Effect::Taken { result: Err(Refusal::Uncertain), .. });
     assert!(effects.iter().any(refused), "{effects:?}");
-    assert!(said(&effects, first, |n| matches!(n, Note::Drop(all) if all.contains(&key))));
-    assert_eq!(one.hold.in_hand(), 0);
-    assert_eq!(one.hold.find(key), None);
+    assert!(said(&effects, first, |n| matches!(n, PeerMessage::Drop(all) if all.contains(&key))));
+    assert_eq!(one.queue.in_hand(), 0);
+    assert_eq!(one.queue.find(key), None);
     assert!(one.records.contains(&Record::Drop { key }));
 }
 
 #[test]
 fn one_that_leaves_does_not_wait_for_a_successor_that_is_gone() {
     let mut one = One::ready(Ledger::default());
-    let late = Cargo { delay_ms: 5000, ..cargo("plain") };
+    let late = Message { delay_ms: 5000, ..message("plain") };
     let (_, copy) = copies(&one.put(1, late))[0];
-    let key = Key { origin: ME, number: copies(&one.put(2, cargo("plain")))[0].0.number - 1 };
-    one.note(copy, Note::Copied(vec![key]));
-    one.hold.leave(one.now);
+    let key = Key { origin: ME, number: copies(&one.put(2, message("plain")))[0].0.number - 1 };
+    one.note(copy, PeerMessage::Copied(vec![key]));
+    one.queue.leave(one.now);
     let effects = one.pass(400);
-    assert!(said(&effects, copy, |n| matches!(n, Note::Handover(_))));
-    assert_eq!(one.hold.in_hand(), 1);
-    one.hold.down(one.now, copy);
+    assert!(said(&effects, copy, |n| matches!(n, PeerMessage::Handover(_))));
+    assert_eq!(one.queue.in_hand(), 1);
+    one.queue.down(one.now, copy);
     one.pass(0);
-    assert_eq!(one.hold.in_hand(), 0);
+    assert_eq!(one.queue.in_hand(), 0);
     // Told once, however often the program says that it is to end.
-    one.hold.leave(one.now);
+    one.queue.leave(one.now);
     let effects = one.pass(10);
     assert!(!said(&effects, B, |_| true) && !said(&effects, C, |_| true), "{effects:?}");
 }
@@ -368,8 +368,8 @@
 fn a_handover_of_what_is_not_known_is_answered() {
     let mut one = One::ready(Ledger::default());
     let key = Key { origin: B, number: 5 };
-    let effects = one.note(B, Note::Handover(vec![Handed { key, term: 0, tries: 0 }]));
-    assert!(said(&effects, B, |n| *n == Note::HandoverRefused(vec![key])));
+    let effects = one.note(B, PeerMessage::Handover(vec![Handed { key, term: 0, tries: 0 }]));
+    assert!(said(&effects, B, |n| *n == PeerMessage::HandoverRefused(vec![key])));
 }
 
 #[test]
@@ -378,13 +378,13 @@
     for round in 0..3 {
         let mut keys = Vec::new();
         for _ in 0..4 {
-            let (key, effects) = one.taken(cargo("plain"));
+            let (key, effects) = one.taken(message("plain"));
             let effects = one.answered(attempts(&effects)[0], Outcome::Done { seal: "s".into() });
             assert!(effects.iter().any(|e| matches!(e, Effect::Call { .. })), "none in round {round}");
             keys.push(key);
         }
-        one.note(B, Note::Called(keys.clone()));
-        keys.into_iter().for_each(|key| one.hold.called(one.now, key, true));
+        one.note(B, PeerMessage::Called(keys.clone()));
+        keys.into_iter().for_each(|key| one.queue.called(one.now, key, true));
     }
 }
 
@@ -392,24 +392,24 @@
 fn a_call_back_of_another_takes_nothing_from_a_live_message() {
     let mut one = One::ready(ledger(&shared(B, vec![ME])));
     let key = Key { origin: B, number: 99 };
-    one.note(B, Note::Called(vec![key]));
-    assert_eq!(one.hold.find(key), Some((State::Waiting, Some(b"bytes".as_slice()))));
+    one.note(B, PeerMessage::Called(vec![key]));
+    assert_eq!(one.queue.find(key), Some((State::Waiting, Some(b"bytes".as_slice()))));
 }
 
 #[test]
 fn what_was_read_from_disk_waits_for_those_that_hold_copies() {
     let mut one = One::new(ledger(&shared(ME, vec![B])), 1);
-    one.hold.members(0, &[(ME, 0), (B, 1)]);
-    one.hold.up(0, B);
+    one.queue.members(0, &[(ME, 0), (B, 1)]);
+    one.queue.up(0, B);
     one.configure(1);
     assert!(attempts(&one.pass(8000)).is_empty());
-    assert_eq!(attempts(&one.note(B, Note::Stood)).len(), 1);
+    assert_eq!(attempts(&one.note(B, PeerMessage::Stood)).len(), 1);
 }
 
 #[test]
 fn a_changed_configuration_leaves_the_pause_after_a_failure() {
     let mut one = One::ready(Ledger::default());
-    let (_, effects) = one.taken(cargo("plain"));
+    let (_, effects) = one.taken(message("plain"));
     one.answered(attempts(&effects)[0], Outcome::Failed);
     one.configure(2);
     assert!(attempts(&one.pass(70)).is_empty());
@@ -419,22 +419,22 @@
 #[test]
 fn a_newer_copy_in_the_place_of_a_message_that_waits_is_not_run() {
     let mut one = One::ready(Ledger::default());
-    one.hold.list(one.now, 0, HashMap::new());
-    let (key, _) = one.taken(cargo("plain"));
+    one.queue.list(one.now, 0, HashMap::new());
+    let (key, _) = one.taken(message("plain"));
     let newer = Shared { key, owner: B, term: 3, ..shared(B, vec![ME]) };
-    one.note(B, Note::Copy(vec![newer]));
+    one.note(B, PeerMessage::Copy(vec![newer]));
     one.configure(2);
     assert!(attempts(&one.pass(3000)).is_empty());
-    assert_eq!(one.hold.find(key), Some((State::Waiting, Some(b"bytes".as_slice()))));
+    assert_eq!(one.queue.find(key), Some((State::Waiting, Some(b"bytes".as_slice()))));
 }
 
 #[test]
 fn its_edge_hears_of_a_message_that_another_owns_before_it_was_safe() {
     let mut one = One::ready(Ledger::default());
-    let (key, to) = copies(&one.put(1, cargo("plain")))[0];
+    let (key, to) = copies(&one.put(1, message("plain")))[0];
     let effects = one.note(to, owned(key, to, 1));
     assert!(effects.iter().any(|e| matches!(e, Effect::Taken { result: Err(Refusal::Uncertain), .. })));
-    assert_eq!(one.hold.in_hand(), 0);
+    assert_eq!(one.queue.in_hand(), 0);
 }
 
 #[test]
@@ -442,12 +442,12 @@
     let mut one = One::ready(Ledger::default());
     one.disk_silent = true;
     let shared = shared(B, vec![ME]);
-    one.note(B, Note::Copy(vec![shared.clone()]));
+    one.note(B, PeerMessage::Copy(vec![shared.clone()]));
     let ticket = one.waiting[0].0;
-    one.note(B, Note::Handover(vec![Handed { key: shared.key, term: 0, tries: 1 }]));
-    one.hold.kept(one.now, ticket, false);
+    one.note(B, PeerMessage::Handover(vec![Handed { key: shared.key, term: 0, tries: 1 }]));
+    one.queue.kept(one.now, ticket, false);
     one.pass(0);
-    assert_matches!(one.hold.find(shared.key), Some((State::Waiting, Some(_))));
+    assert_matches!(one.queue.find(shared.key), Some((State::Waiting, Some(_))));
 }
 
 #[test]
@@ -455,7 +455,7 @@
     let mut one = One::ready(ledger(&shared(B, vec![ME])));
     let key = Key { origin: B, number: 99 };
     one.pass(61_600 + 120_500);
-    assert_eq!(one.hold.find(key), None);
+    assert_eq!(one.queue.find(key), None);
     assert!(one.records.contains(&Record::Drop { key }));
 }
 
@@ -463,32 +463,34 @@
 #[test]
 fn what_another_store_keeps_is_dropped_here_wherever_it_stands() {
     let kept = Some(Key { origin: 9, number: 9 });
-    let dropped = |one: &One, key: Key| one.hold.find(key).is_none();
+    let dropped = |one: &One, key: Key| one.queue.find(key).is_none();
     // Not yet safe, waiting for its time, and a copy that is taken over later.
     let mut one = One::ready(Ledger::default());
-    let (key, to) = copies(&one.put(1, cargo("plain")))[0];
-    one.hold.superseded("m", cargo("plain").print(), kept);
+    let (key, to) = copies(&one.put(1, message("plain")))[0];
+    one.queue.superseded("m", message("plain").print(), kept);
     let effects = one.pass(0);
-    assert!(dropped(&one, key) && said(&effects, to, |n| matches!(n, Note::Drop(keys) if keys[0] == key)));
-    let delayed = Cargo { delay_ms: 5000, ..cargo("plain") };
+    assert!(
+        dropped(&one, key) && said(&effects, to, |n| matches!(n, PeerMessage::Drop(keys) if keys[0] == key))
+    );
+    let delayed = Message { delay_ms: 5000, ..message("plain") };
     let (key, _) = one.taken(delayed.clone());
-    one.hold.superseded("m", delayed.print(), Some(key));
+    one.queue.superseded("m", delayed.print(), Some(key));
     assert!(!dropped(&one, key), "the one that is kept");
-    one.hold.superseded("m", cargo("paid").print(), kept);
+    one.queue.superseded("m", message("paid").print(), kept);
     assert!(!dropped(&one, key), "another message under the same id");
-    one.hold.superseded("m", delayed.print(), kept);
+    one.queue.superseded("m", delayed.print(), kept);
     assert!(dropped(&one, key));
     let shared = shared(B, vec![ME]);
-    one.note(B, Note::Copy(vec![shared.clone()]));
-    one.hold.superseded(&shared.cargo.id, shared.cargo.print(), kept);
-    one.hold.members(one.now, &[(ME, 0), (C, 2)]);
-    one.hold.down(one.now, B);
+    one.note(B, PeerMessage::Copy(vec![shared.clone()]));
+    one.queue.superseded(&shared.message.id, shared.message.print(), kept);
+    one.queue.members(one.now, &[(ME, 0), (C, 2)]);
+    one.queue.down(one.now, B);
     let effects = one.pass(9000);
     assert_eq!((dropped(&one, shared.key), attempts(&effects).len()), (true, 0));
     // What is out may have run: it is left.
-    let (key, effects) = one.taken(cargo("plain"));
+    let (key, effects) = one.taken(message("plain"));
     assert_eq!(attempts(&effects).len(), 1);
-    one.hold.superseded("m", cargo("plain").print(), kept);
+    one.queue.superseded("m", message("plain").print(), kept);
     assert!(!dropped(&one, key));
 }
 
@@ -497,23 +499,23 @@
 #[test]
 fn what_a_client_sent_again_and_was_taken_is_not_dropped_for_its_first_try() {
     let mut one = One::ready(Ledger::default());
-    let first = Cargo { delay_ms: 5000, ..cargo("plain") };
-    let again = Cargo { taken: first.taken + 700, ..first.clone() };
+    let first = Message { delay_ms: 5000, ..message("plain") };
+    let again = Message { taken: first.taken + 700, ..first.clone() };
     let (key, _) = one.taken(again.clone());
-    one.hold.superseded("m", first.print(), None);
-    assert!(one.hold.find(key).is_some(), "it was accepted");
-    one.hold.superseded("m", again.print(), None);
-    assert!(one.hold.find(key).is_none());
+    one.queue.superseded("m", first.print(), None);
+    assert!(one.queue.find(key).is_some(), "it was accepted");
+    one.queue.superseded("m", again.print(), None);
+    assert!(one.queue.find(key).is_none());
 }
 
 /// It read what was sent to it before it stood still; the edge has gone elsewhere since.
 #[test]
 fn what_nobody_waits_for_any_more_is_not_taken() {
     let mut one = One::ready(Ledger::default());
-    let (key, to) = copies(&one.put(4, cargo("plain")))[0];
-    one.hold.abandoned(4);
-    let effects = one.note(to, Note::Copied(vec![key]));
-    assert!(one.hold.find(key).is_none() && attempts(&effects).is_empty());
+    let (key, to) = copies(&one.put(4, message("plain")))[0];
+    one.queue.abandoned(4);
+    let effects = one.note(to, PeerMessage::Copied(vec![key]));
+    assert!(one.queue.find(key).is_none() && attempts(&effects).is_empty());
 }
 
 /// What it took would wait behind what the disk has: another store takes it in time.
@@ -521,26 +523,26 @@
 fn a_store_whose_disk_stands_still_takes_nothing_and_keeps_no_copies() {
     let mut one = One::ready(Ledger::default());
     one.disk_silent = true;
-    one.put(1, cargo("plain"));
+    one.put(1, message("plain"));
     one.pass(150);
-    let effects = one.put(2, Cargo { id: "n".into(), ..cargo("plain") });
+    let effects = one.put(2, Message { id: "n".into(), ..message("plain") });
     let refused = |e: &Effect| matches!(e, Effect::Taken { ticket: 2, result: Err(Refusal::NotTaken) });
     assert!(effects.iter().any(refused));
-    let effects = one.note(B, Note::Copy(vec![shared(B, vec![ME])]));
-    assert!(said(&effects, B, |n| matches!(n, Note::NotCopied(_))));
+    let effects = one.note(B, PeerMessage::Copy(vec![shared(B, vec![ME])]));
+    assert!(said(&effects, B, |n| matches!(n, PeerMessage::NotCopied(_))));
 }
 
 /// The second message does not wait for the store that left the first without an answer.
 #[test]
 fn a_store_that_confirmed_no_copy_in_time_is_asked_after_the_others() {
     let mut one = One::ready(Ledger::default());
-    let (key, slow) = copies(&one.put(1, cargo("plain")))[0];
+    let (key, slow) = copies(&one.put(1, message("plain")))[0];
     let other = if slow == B { C } else { B };
     while copies(&one.pass(5)).is_empty() {
         assert!(one.now < 1000);
     }
-    one.note(other, Note::Copied(vec![key]));
-    let (_, next) = copies(&one.put(2, Cargo { id: "n".into(), ..cargo("plain") }))[0];
+    one.note(other, PeerMessage::Copied(vec![key]));
+    let (_, next) = copies(&one.put(2, Message { id: "n".into(), ..message("plain") }))[0];
     assert_ne!(next, slow);
 }
 
@@ -549,11 +551,11 @@
 fn no_more_is_sent_to_an_executor_than_this_store_has_connections_for() {
     let mut one = One::ready(Ledger::default());
     let fine = one.now as i64 * 10;
-    one.hold.configure(one.now, fine, config(2, "few", 3, 60.0));
+    one.queue.configure(one.now, fine, config(2, "few", 3, 60.0));
     let mut sent = Vec::new();
     for n in 0..4 {
-        let (key, to) = copies(&one.put(n, Cargo { id: format!("m{n}"), ..cargo("plain") }))[0];
-        sent.extend(attempts(&one.note(to, Note::Copied(vec![key]))));
+        let (key, to) = copies(&one.put(n, Message { id: format!("m{n}"), ..message("plain") }))[0];
+        sent.extend(attempts(&one.note(to, PeerMessage::Copied(vec![key]))));
     }
     sent.extend(attempts(&one.pass(100)));
     assert_eq!(sent.len(), 2);
@@ -566,36 +568,36 @@
 #[test]
 fn one_that_may_have_been_taken_over_from_starts_nothing_before_the_others_have_spoken() {
     let mut one = One::ready(Ledger::default());
-    let (key, to) = copies(&one.put(1, Cargo { delay_ms: 6000, ..cargo("plain") }))[0];
-    one.note(to, Note::Copied(vec![key]));
+    let (key, to) = copies(&one.put(1, Message { delay_ms: 6000, ..message("plain") }))[0];
+    one.note(to, PeerMessage::Copied(vec![key]));
     one.now += 7000;
-    one.hold.lapsed = true;
+    one.queue.lapsed = true;
     assert!(attempts(&one.pass(100)).is_empty());
-    [B, C].into_iter().for_each(|other| one.hold.down(one.now, other));
-    one.hold.lapsed = false;
-    one.hold.up(one.now, B);
-    assert!(attempts(&one.note(B, Note::Stood)).is_empty());
+    [B, C].into_iter().for_each(|other| one.queue.down(one.now, other));
+    one.queue.lapsed = false;
+    one.queue.up(one.now, B);
+    assert!(attempts(&one.note(B, PeerMessage::Stood)).is_empty());
     assert!(attempts(&one.pass(200)).is_empty());
-    assert_eq!(one.hold.figures.fenced, 1);
-    one.hold.up(one.now, C);
-    assert_eq!(attempts(&one.note(C, Note::Stood)).len(), 1);
+    assert_eq!(one.queue.figures.fenced, 1);
+    one.queue.up(one.now, C);
+    assert_eq!(attempts(&one.note(C, PeerMessage::Stood)).len(), 1);
 }
 
 /// Two that both take themselves for the holder would together hand out more than the ceiling.
 #[test]
 fn tokens_of_one_that_does_not_hold_them_are_refused_and_counted() {
     let mut one = One::ready(Ledger::default());
-    let (key, to) = copies(&one.put(1, cargo("paid")))[0];
-    let effects = one.note(to, Note::Copied(vec![key]));
+    let (key, to) = copies(&one.put(1, message("paid")))[0];
+    let effects = one.note(to, PeerMessage::Copied(vec![key]));
     let asked = |e: &Effect| match e {
-        Effect::Send { to, note: Note::TokensWanted { .. } } => Some(*to),
+        Effect::Send { to, note: PeerMessage::TokensWanted { .. } } => Some(*to),
         _ => None,
     };
     let holder = effects.iter().find_map(asked).expect("another store holds the duty");
     let former = if holder == B { C } else { B };
-    let tokens = Note::Tokens { service: "point".into(), count: 1 };
+    let tokens = PeerMessage::Tokens { service: "point".into(), count: 1 };
     assert!(attempts(&one.note(former, tokens.clone())).is_empty());
-    assert_eq!(one.hold.figures.former, 1);
+    assert_eq!(one.queue.figures.former, 1);
     assert_eq!(attempts(&one.note(holder, tokens)).len(), 1);
 }
 
@@ -604,17 +606,17 @@
 #[test]
 fn a_holder_whose_session_may_have_lapsed_hands_out_nothing() {
     let mut one = One::ready(Ledger::default());
-    let wanted = || Note::TokensWanted { service: "point".into(), count: 1 };
-    one.hold.members(one.now, &[(ME, 0)]);
+    let wanted = || PeerMessage::TokensWanted { service: "point".into(), count: 1 };
+    one.queue.members(one.now, &[(ME, 0)]);
     one.pass(2500);
     let got = |effects: &[Effect], count| {
-        said(effects, B, |n| matches!(n, Note::Tokens { count: c, .. } if *c == count))
+        said(effects, B, |n| matches!(n, PeerMessage::Tokens { count: c, .. } if *c == count))
     };
     assert!(got(&one.note(B, wanted()), 1));
-    one.hold.lapsed = true;
+    one.queue.lapsed = true;
     one.pass(100);
     assert!(got(&one.note(B, wanted()), 0));
-    one.hold.lapsed = false;
+    one.queue.lapsed = false;
     one.pass(100);
     assert!(got(&one.note(B, wanted()), 1));
 }
@@ -623,17 +625,17 @@
 #[test]
 fn one_that_is_to_be_emptied_is_not_counted_on_again() {
     let mut one = One::ready(Ledger::default());
-    let (key, _) = one.taken(Cargo { delay_ms: 30_000, ..cargo("plain") });
-    one.note(B, Note::Retiring);
+    let (key, _) = one.taken(Message { delay_ms: 30_000, ..message("plain") });
+    one.note(B, PeerMessage::Retiring);
     assert_eq!(copies(&one.pass(600)), [(key, C)]);
-    one.note(C, Note::Copied(vec![key]));
-    assert!(copies(&one.note(B, Note::Want(vec![key]))).is_empty());
+    one.note(C, PeerMessage::Copied(vec![key]));
+    assert!(copies(&one.note(B, PeerMessage::Want(vec![key]))).is_empty());
     assert!(copies(&one.pass(1000)).is_empty());
-    one.hold.down(one.now, C);
-    one.hold.members(one.now, &[(ME, 0), (B, 1)]);
+    one.queue.down(one.now, C);
+    one.queue.members(one.now, &[(ME, 0), (B, 1)]);
     one.pass(5500);
     let live = vec![Stands { key, owner: ME, term: 0, ended: false }];
-    one.note(B, Note::Standing { disk: 9, answer: false, ranges: Vec::new(), live });
-    let counted = one.hold.view(one.now, key).unwrap().copies;
+    one.note(B, PeerMessage::Standing { disk: 9, answer: false, ranges: Vec::new(), live });
+    let counted = one.queue.view(one.now, key).unwrap().copies;
     assert!(counted.is_empty(), "{counted:?}");
 }
--- a/hold/tests/world/emptied.rs
+++ b/crates/queue/tests/world/emptied.rs
@@ -1,7 +1,7 @@
 //! Stores that are emptied: days that a fault in it would not survive.
 
 use super::{Act, Does, Fault, Prepare, World};
-use stileroute_hold::State;
+use stileroute_queue::State;
 
 /// Four stores of which one is to be emptied. Of store 3 the copies lie there, its own lie at store 1.
 const EMPTIED: usize = 0;
