--- a/hold/tests/world/mod.rs
+++ b/crates/queue/tests/world/mod.rs
@@ -7,8 +7,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
-use stileroute_charter::Config;
-use stileroute_hold::*;
+use stileroute_config::Config;
+use stileroute_queue::*;
 
 pub const WALL: u64 = 1_700_000_000_000;
 /// A planned or unplanned end is noticed by the control nodes after so long; an orderly one at once.
@@ -48,12 +48,12 @@
 
 #[derive(Debug)]
 enum What {
-    Note { from: usize, to: usize, link: u64, note: Note },
+    PeerMessage { from: usize, to: usize, link: u64, note: PeerMessage },
     Kept { at: usize, life: u64, ticket: u64, upto: usize, ok: bool },
-    Send { message: usize },
-    Put { message: usize, to: usize, ticket: u64 },
-    Said { message: usize, from: usize, ticket: u64, result: Result<String, Refusal> },
-    Impatient { message: usize, ticket: u64 },
+    Send { sent: usize },
+    Put { sent: usize, to: usize, ticket: u64 },
+    Said { sent: usize, from: usize, ticket: u64, result: Result<String, Refusal> },
+    Impatient { sent: usize, ticket: u64 },
     Done { at: usize, life: u64, attempt: u64, id: String, outcome: Outcome },
     Called { at: usize, life: u64, key: Key, taken: bool },
     Start { at: usize },
@@ -89,7 +89,7 @@
 
 pub struct Store {
     pub node: Node,
-    pub hold: Option<Hold>,
+    pub queue: Option<Queue>,
     life: u64,
     began: u64,
     /// The records, and whether a sync has covered them.
@@ -107,8 +107,8 @@
 }
 
 #[derive(Clone, Debug, Default)]
-pub struct Message {
-    pub cargo: Cargo,
+pub struct Sent {
+    pub message: Message,
     pub does: Vec<Does>,
     first: usize,
     tried: Vec<usize>,
@@ -143,7 +143,7 @@
     cuts: BTreeSet<(usize, usize)>,
     last: HashMap<(usize, usize), u64>,
     next_link: u64,
-    pub messages: Vec<Message>,
+    pub messages: Vec<Sent>,
     pub runs: Vec<Run>,
     pub calls: Vec<(String, String, bool)>,
     /// So many call-backs of each id are not taken.
@@ -173,7 +173,7 @@
 }
 
 /// What is done with each store when it starts: a fault is planted in it, where the sources were built for that.
-pub type Prepare = Rc<dyn Fn(&mut Hold)>;
+pub type Prepare = Rc<dyn Fn(&mut Queue)>;
 
 pub fn as_it_is() -> Prepare {
     Rc::new(|_| ())
@@ -253,7 +253,7 @@
         for at in 0..stores {
             world.stores.push(Store {
                 node: 0x1000 + 7 * at as Node,
-                hold: None,
+                queue: None,
                 life: 0,
                 began: 0,
                 disk: Vec::new(),
@@ -276,7 +276,7 @@
     /// All stores, from here on.
     pub fn prepare(&mut self, prepare: &Prepare) {
         self.prepare = Rc::clone(prepare);
-        self.stores.iter_mut().filter_map(|s| s.hold.as_mut()).for_each(|hold| prepare(hold));
+        self.stores.iter_mut().filter_map(|s| s.queue.as_mut()).for_each(|queue| prepare(queue));
     }
 
     fn random(&mut self, below: u64) -> u64 {
@@ -299,7 +299,7 @@
     /// A message that a client sends at `at` to the store that is next for its edge.
     pub fn send(&mut self, at: u64, first: usize, path: &str, does: &[Does], delay_ms: u64) -> usize {
         let n = self.messages.len();
-        let cargo = Cargo {
+        let message = Message {
             id: format!("id{n}"),
             host: "h".into(),
             method: "POST".into(),
@@ -309,12 +309,12 @@
             order_key: (path == "row").then(|| format!("row\0{}", n % 3)),
             delay_ms,
             body: format!("body of {n}").into_bytes(),
-            ..Cargo::default()
+            ..Message::default()
         };
-        let message = Message { cargo, does: does.to_vec(), first, ..Message::default() };
-        self.messages.push(message);
+        let sent = Sent { message, does: does.to_vec(), first, ..Sent::default() };
+        self.messages.push(sent);
         self.seq += 1;
-        self.queue.insert((at, self.seq), What::Send { message: n });
+        self.queue.insert((at, self.seq), What::Send { sent: n });
         n
     }
 
@@ -322,7 +322,7 @@
 
     fn start(&mut self, at: usize) {
         let (now, losses) = (self.now, self.losses);
-        if self.stores[at].hold.is_some() || self.stores[at].gone {
+        if self.stores[at].queue.is_some() || self.stores[at].gone {
             return;
         }
         let mut ledger = Ledger::default();
@@ -338,7 +338,7 @@
         let first = first_number(self.next_life << 37);
         let born = Record::Born { disk: store.disk_number, first };
         store.disk.push((postcard::to_stdvec(&born).unwrap(), true));
-        let terms = Terms {
+        let terms = QueueSettings {
             me: store.node,
             zone: at,
             disk: store.disk_number,
@@ -354,9 +354,9 @@
         };
         (store.life, store.began, store.leaving, store.flushed) = (store.life + 1, now, None, false);
         store.askers.clear();
-        let mut hold = Hold::new(terms, ledger, 0, WALL + now);
-        (self.prepare)(&mut hold);
-        store.hold = Some(hold);
+        let mut queue = Queue::new(terms, ledger, 0, WALL + now);
+        (self.prepare)(&mut queue);
+        store.queue = Some(queue);
         for other in 0..self.stores.len() {
             if other != at {
                 self.at(60, What::Link { a: at, b: other });
@@ -370,14 +370,14 @@
         self.now - self.stores[at].began
     }
 
-    fn hold(&mut self, at: usize) -> Option<(&mut Hold, u64)> {
+    fn queue(&mut self, at: usize) -> Option<(&mut Queue, u64)> {
         let now = self.time(at);
-        self.stores[at].hold.as_mut().map(|hold| (hold, now))
+        self.stores[at].queue.as_mut().map(|queue| (queue, now))
     }
 
     /// The process ends; who was connected learns of it after so long.
     fn stop(&mut self, at: usize, noticed: u64) {
-        self.stores[at].hold = None;
+        self.stores[at].queue = None;
         self.stores[at].leaving = None;
         let links: Vec<((usize, usize), u64)> =
             self.links.iter().filter(|((a, b), _)| *a == at || *b == at).map(|(k, v)| (*k, *v)).collect();
@@ -390,7 +390,7 @@
     }
 
     pub fn hit(&mut self, at: usize, fault: Fault) {
-        if self.stores[at].hold.is_none() {
+        if self.stores[at].queue.is_none() {
             return;
         }
         if fault == Fault::Leave {
@@ -435,7 +435,7 @@
     /// Who is to see to it: it waits while that one stands still.
     fn target(what: &What) -> Option<usize> {
         match what {
-            What::Note { to, .. } | What::Put { to, .. } => Some(*to),
+            What::PeerMessage { to, .. } | What::Put { to, .. } => Some(*to),
             What::Kept { at, .. } | What::Done { at, .. } | What::Called { at, .. } => Some(*at),
             What::Down { at, .. } | What::Listen { at } => Some(*at),
             _ => None,
@@ -452,7 +452,7 @@
 
     fn members(&mut self) {
         for store in &mut self.stores {
-            store.listed |= store.hold.is_some() && store.frozen <= self.now && !store.isolated;
+            store.listed |= store.queue.is_some() && store.frozen <= self.now && !store.isolated;
         }
         let all: Vec<(Node, usize)> =
             self.stores.iter().enumerate().filter(|(_, s)| s.listed).map(|(i, s)| (s.node, i)).collect();
@@ -460,9 +460,9 @@
             if self.stores[at].frozen > self.now || self.stores[at].isolated {
                 continue;
             }
-            if let Some((hold, now)) = self.hold(at) {
-                (hold.heard, hold.lapsed) = (true, false);
-                hold.members(now, &all);
+            if let Some((queue, now)) = self.queue(at) {
+                (queue.heard, queue.lapsed) = (true, false);
+                queue.members(now, &all);
             }
         }
     }
@@ -478,28 +478,28 @@
             cold_left_ms: 0,
         });
         let servers = HashMap::from([("works".to_string(), servers.collect::<Vec<_>>())]);
-        if let Some((hold, now)) = self.hold(at) {
-            hold.list(now, now as i64 * 10, servers);
-            hold.configure(now, now as i64 * 10, config);
+        if let Some((queue, now)) = self.queue(at) {
+            queue.list(now, now as i64 * 10, servers);
+            queue.configure(now, now as i64 * 10, config);
         }
     }
 
-    // ---- One turn of one store, as `harbour/src/store.rs` drives it ----
+    // ---- One turn of one store, as `crates/server/src/store.rs` drives it ----
 
     fn turn(&mut self, at: usize) {
         if let Some(since) = self.stores[at].leaving {
-            let Some((hold, now)) = self.hold(at) else { return };
-            hold.leave(now);
+            let Some((queue, now)) = self.queue(at) else { return };
+            queue.leave(now);
             self.carry_out(at);
-            let Some((hold, _)) = self.hold(at) else { return };
-            let done = hold.in_hand() == 0 && self.now > since + 150;
+            let Some((queue, _)) = self.queue(at) else { return };
+            let done = queue.in_hand() == 0 && self.now > since + 150;
             if done && !self.stores[at].flushed {
                 self.stores[at].flushed = true;
-                self.hold(at).unwrap().0.flush();
+                self.queue(at).unwrap().0.flush();
                 self.carry_out(at);
             }
-            let Some(hold) = &self.stores[at].hold else { return };
-            let done = hold.in_hand() == 0 && self.now > since + 150;
+            let Some(queue) = &self.stores[at].queue else { return };
+            let done = queue.in_hand() == 0 && self.now > since + 150;
             if (done && self.now > since + 300) || self.now > since + GRACE {
                 self.stores[at].disk.iter_mut().for_each(|(_, synced)| *synced = true);
                 self.stop(at, 5);
@@ -512,9 +512,9 @@
 
     fn carry_out(&mut self, at: usize) {
         for _ in 0..8 {
-            let Some((hold, now)) = self.hold(at) else { return };
-            hold.tick(now, now as i64 * 10);
-            let effects = hold.take();
+            let Some((queue, now)) = self.queue(at) else { return };
+            queue.tick(now, now as i64 * 10);
+            let effects = queue.take();
             if effects.is_empty() {
                 return;
             }
@@ -523,7 +523,7 @@
                 if let Some((_, fault)) = self.strike.filter(|(k, _)| *k == self.effects) {
                     self.hit(at, fault);
                 }
-                if self.stores[at].hold.is_none() {
+                if self.stores[at].queue.is_none() {
                     return;
                 }
                 self.effect(at, effect);
@@ -547,33 +547,35 @@
                 let Some(to) = self.stores.iter().position(|s| s.node == to) else { return };
                 let pair = (at.min(to), at.max(to));
                 let Some(link) = self.links.get(&pair).copied() else { return };
-                if let Note::Copy(all) = &note {
-                    let size: u64 = all.iter().map(|s| s.cargo.body.len() as u64).sum();
+                if let PeerMessage::Copy(all) = &note {
+                    let size: u64 = all.iter().map(|s| s.message.body.len() as u64).sum();
                     *self.copied.entry(self.now / 100).or_default() += size;
                 }
-                self.row_asks += usize::from(matches!(note, Note::RowAsk { .. }));
+                self.row_asks += usize::from(matches!(note, PeerMessage::RowAsk { .. }));
                 let bytes = postcard::to_stdvec(&note).unwrap();
                 self.bytes += bytes.len() as u64;
                 let wait = 1 + self.random(4);
                 let when = (self.now + wait).max(self.last.get(&(at, to)).copied().unwrap_or(0));
                 self.last.insert((at, to), when);
                 let note = postcard::from_bytes(&bytes).unwrap();
-                self.at(when - self.now, What::Note { from: at, to, link, note });
+                self.at(when - self.now, What::PeerMessage { from: at, to, link, note });
             }
             Effect::Taken { ticket, result } => {
-                if let Some((message, ticket)) = self.stores[at].askers.remove(&ticket) {
-                    self.at(EDGE, What::Said { message, from: at, ticket, result });
+                if let Some((sent, ticket)) = self.stores[at].askers.remove(&ticket) {
+                    self.at(EDGE, What::Said { sent, from: at, ticket, result });
                 }
             }
             Effect::Deliver { attempt, key, timeout_ms, .. } => {
-                let Some(cargo) = self.stores[at].hold.as_ref().and_then(|h| h.cargo(key)) else { return };
-                let (id, paid) = (cargo.id.clone(), cargo.target.starts_with("/paid/"));
+                let Some(message) = self.stores[at].queue.as_ref().and_then(|h| h.message(key)) else {
+                    return;
+                };
+                let (id, paid) = (message.id.clone(), message.target.starts_with("/paid/"));
                 assert!(!id.is_empty(), "a request without its message: {key:?}");
                 let n: usize = id[2..].parse().unwrap();
-                let message = &self.messages[n];
-                assert_eq!(cargo.body, message.cargo.body, "{id}: bytes were changed");
+                let sent = &self.messages[n];
+                assert_eq!(message.body, sent.message.body, "{id}: bytes were changed");
                 let tries = self.runs.iter().filter(|r| r.id == id).count();
-                let does = *message.does.get(tries).or(message.does.last()).unwrap_or(&Does::Well);
+                let does = *sent.does.get(tries).or(sent.does.last()).unwrap_or(&Does::Well);
                 let (mut wait, mut outcome) =
                     (20 + self.random(30), Outcome::Done { seal: format!("s-{id}") });
                 if paid {
@@ -619,57 +621,57 @@
             return self.at(thaw - self.now, what);
         }
         match what {
-            What::Note { from, to, link, note } => {
-                if matches!(note, Note::Ends(_)) && self.now < self.no_ends_until {
+            What::PeerMessage { from, to, link, note } => {
+                if matches!(note, PeerMessage::Ends(_)) && self.now < self.no_ends_until {
                     return;
                 }
                 if self.links.get(&(from.min(to), from.max(to))) == Some(&link) && self.open(from, to) {
                     let from = self.stores[from].node;
-                    if let Some((hold, now)) = self.hold(to) {
-                        hold.note(now, from, note);
+                    if let Some((queue, now)) = self.queue(to) {
+                        queue.note(now, from, note);
                         self.turn(to);
                     }
                 }
             }
             What::Kept { at, life, ticket, upto, ok } => {
-                if self.stores[at].life != life || self.stores[at].hold.is_none() {
+                if self.stores[at].life != life || self.stores[at].queue.is_none() {
                     return;
                 }
                 self.stores[at].disk[..upto].iter_mut().for_each(|(_, synced)| *synced = true);
-                let (hold, now) = self.hold(at).unwrap();
-                hold.kept(now, ticket, ok);
+                let (queue, now) = self.queue(at).unwrap();
+                queue.kept(now, ticket, ok);
                 self.turn(at);
             }
-            What::Send { message } => {
+            What::Send { sent } => {
                 // The clocks of edges differ, by more than a message takes.
-                let ahead = [0, 400, 150][self.messages[message].first % 3];
-                let row = self.messages[message].cargo.order_key.is_some();
-                self.messages[message].cargo.taken = WALL + self.now + if row { ahead } else { 0 };
-                self.messages[message].cargo.config = self.config.revision;
-                self.messages[message].sent = self.now;
-                self.offer(message);
+                let ahead = [0, 400, 150][self.messages[sent].first % 3];
+                let row = self.messages[sent].message.order_key.is_some();
+                self.messages[sent].message.taken = WALL + self.now + if row { ahead } else { 0 };
+                self.messages[sent].message.config = self.config.revision;
+                self.messages[sent].sent = self.now;
+                self.offer(sent);
             }
-            What::Put { message, to, ticket } => {
-                if self.stores[to].hold.is_none() {
+            What::Put { sent, to, ticket } => {
+                if self.stores[to].queue.is_none() {
                     // The edge sees its connection closed.
-                    let lost = self.messages[message].ticket == ticket;
+                    let lost = self.messages[sent].ticket == ticket;
                     if lost {
-                        self.messages[message].uncertain = true;
-                        self.offer(message);
+                        self.messages[sent].uncertain = true;
+                        self.offer(sent);
                     }
                     return;
                 }
                 self.next_ticket += 1;
                 let mine = self.next_ticket;
-                self.stores[to].askers.insert(mine, (message, ticket));
-                let cargo = self.messages[message].cargo.clone();
-                let (hold, now) = self.hold(to).unwrap();
-                hold.put(now, mine, cargo);
+                self.stores[to].askers.insert(mine, (sent, ticket));
+                let message = self.messages[sent].message.clone();
+                let (queue, now) = self.queue(to).unwrap();
+                queue.put(now, mine, message);
                 self.turn(to);
             }
-            What::Said { message, from, ticket, result } => {
+            What::Said { sent, from, ticket, result } => {
                 let _ = from;
-                let m = &mut self.messages[message];
+                let m = &mut self.messages[sent];
                 if m.ticket != ticket || m.name.is_some() {
                     return;
                 }
@@ -677,39 +679,39 @@
                     Ok(name) => (m.name, m.answered, m.ticket) = (Some(name), self.now, 0),
                     Err(refusal) => {
                         m.uncertain |= refusal == Refusal::Uncertain;
-                        self.offer(message);
+                        self.offer(sent);
                     }
                 }
             }
-            What::Impatient { message, ticket } => {
-                if self.messages[message].ticket == ticket && self.messages[message].name.is_none() {
-                    self.messages[message].uncertain = true;
-                    self.offer(message);
+            What::Impatient { sent, ticket } => {
+                if self.messages[sent].ticket == ticket && self.messages[sent].name.is_none() {
+                    self.messages[sent].uncertain = true;
+                    self.offer(sent);
                 }
             }
             What::Done { at, life, attempt, id, outcome } => {
                 let now = self.now;
-                if self.stores[at].life != life || self.stores[at].hold.is_none() {
+                if self.stores[at].life != life || self.stores[at].queue.is_none() {
                     return;
                 }
                 if matches!(outcome, Outcome::Done { .. }) {
                     let run = self.runs.iter_mut().rfind(|r| r.id == id && r.done == Some(now));
                     run.into_iter().for_each(|r| r.read = Some(now));
                 }
-                let (hold, now) = self.hold(at).unwrap();
-                hold.delivered(now, now as i64 * 10, attempt, outcome, None);
+                let (queue, now) = self.queue(at).unwrap();
+                queue.delivered(now, now as i64 * 10, attempt, outcome, None);
                 self.turn(at);
             }
             What::Called { at, life, key, taken } => {
-                if self.stores[at].life == life && self.stores[at].hold.is_some() {
-                    let (hold, now) = self.hold(at).unwrap();
-                    hold.called(now, key, taken);
+                if self.stores[at].life == life && self.stores[at].queue.is_some() {
+                    let (queue, now) = self.queue(at).unwrap();
+                    queue.called(now, key, taken);
                     self.turn(at);
                 }
             }
             What::Start { at } => self.start(at),
             What::Link { a, b } => {
-                let runs = |at: usize| self.stores[at].hold.is_some() && self.stores[at].frozen <= self.now;
+                let runs = |at: usize| self.stores[at].queue.is_some() && self.stores[at].frozen <= self.now;
                 let both = runs(a) && runs(b);
                 let pair = (a.min(b), a.max(b));
                 if both && self.open(a, b) && !self.links.contains_key(&pair) {
@@ -717,8 +719,8 @@
                     self.links.insert(pair, self.next_link);
                     for (x, y) in [(a, b), (b, a)] {
                         let other = self.stores[y].node;
-                        let (hold, now) = self.hold(x).unwrap();
-                        hold.up(now, other);
+                        let (queue, now) = self.queue(x).unwrap();
+                        queue.up(now, other);
                         self.turn(x);
                     }
                 }
@@ -735,23 +737,23 @@
             }
             What::Down { at, other, life } => {
                 let other = self.stores[other].node;
-                if self.stores[at].life == life && self.stores[at].hold.is_some() {
-                    let (hold, now) = self.hold(at).unwrap();
-                    hold.down(now, other);
+                if self.stores[at].life == life && self.stores[at].queue.is_some() {
+                    let (queue, now) = self.queue(at).unwrap();
+                    queue.down(now, other);
                     self.turn(at);
                 }
             }
             // Until the control nodes have been heard again it knows that it may be cut off.
             What::Thaw { at, life } => {
-                if let Some((hold, _)) = self.hold(at).filter(|_| life > 0) {
-                    (hold.heard, hold.lapsed) = (false, true);
+                if let Some((queue, _)) = self.queue(at).filter(|_| life > 0) {
+                    (queue.heard, queue.lapsed) = (false, true);
                     self.turn(at);
                 }
             }
             What::Deaf { at, life, lapsed } => {
                 let off = self.stores[at].life == life && self.stores[at].isolated;
-                if let Some((hold, _)) = self.hold(at).filter(|_| off) {
-                    (hold.lapsed, hold.heard) = (true, lapsed);
+                if let Some((queue, _)) = self.queue(at).filter(|_| off) {
+                    (queue.lapsed, queue.heard) = (true, lapsed);
                     self.turn(at);
                 }
             }
@@ -812,8 +814,8 @@
                 self.at(50, What::Link { a, b });
             }
             Act::Retire(at) => {
-                if let Some((hold, now)) = self.hold(at) {
-                    hold.retire(now);
+                if let Some((queue, now)) = self.queue(at) {
+                    queue.retire(now);
                 }
                 self.turn(at);
             }
@@ -841,14 +843,14 @@
     }
 
     /// As an edge does it: one store after the other, and no store twice.
-    fn offer(&mut self, message: usize) {
+    fn offer(&mut self, sent: usize) {
         let n = self.stores.len();
-        let m = &mut self.messages[message];
+        let m = &mut self.messages[sent];
         let able = |at: &usize| {
-            !m.tried.contains(at) && self.stores[*at].hold.is_some() && self.stores[*at].leaving.is_none()
+            !m.tried.contains(at) && self.stores[*at].queue.is_some() && self.stores[*at].leaving.is_none()
         };
         let mut next = (0..n).map(|k| (m.first + k) % n).filter(able);
-        let to = match m.cargo.order_key.clone() {
+        let to = match m.message.order_key.clone() {
             Some(row) => {
                 let to = place(&row, next.map(|at| self.stores[at].node));
                 to.and_then(|node| self.stores.iter().position(|s| s.node == node))
@@ -864,13 +866,13 @@
         self.next_ticket += 1;
         m.ticket = self.next_ticket;
         let ticket = m.ticket;
-        self.at(EDGE, What::Put { message, to, ticket });
-        self.at(PATIENCE, What::Impatient { message, ticket });
+        self.at(EDGE, What::Put { sent, to, ticket });
+        self.at(PATIENCE, What::Impatient { sent, ticket });
     }
 
     pub fn run(&mut self, until: u64) {
         loop {
-            let timer = |s: &Store| s.hold.as_ref().map(|h| s.began.saturating_add(h.next()).max(s.frozen));
+            let timer = |s: &Store| s.queue.as_ref().map(|h| s.began.saturating_add(h.next()).max(s.frozen));
             let due = self.stores.iter().enumerate().filter_map(|(at, s)| Some((timer(s)?, at))).min();
             let event = self.queue.keys().next().copied();
             let due = due.map(|(when, at)| (when.max(self.now + 1), at));
@@ -900,14 +902,14 @@
     // ---- What must hold ----
 
     /// What an edge says to one who asks.
-    pub fn ask(&self, message: usize) -> Option<(State, Option<Vec<u8>>)> {
-        let (key, first) = Key::parse(self.messages[message].name.as_deref()?)?;
+    pub fn ask(&self, sent: usize) -> Option<(State, Option<Vec<u8>>)> {
+        let (key, first) = Key::parse(self.messages[sent].name.as_deref()?)?;
         let mut waiting = None;
         let rank = |s: &&Store| first.iter().position(|n| *n == s.node).unwrap_or(usize::MAX);
-        let mut stores: Vec<&Store> = self.stores.iter().filter(|s| s.hold.is_some()).collect();
+        let mut stores: Vec<&Store> = self.stores.iter().filter(|s| s.queue.is_some()).collect();
         stores.sort_by_key(rank);
         for store in stores {
-            match store.hold.as_ref().unwrap().find(key) {
+            match store.queue.as_ref().unwrap().find(key) {
                 Some((State::Waiting, bytes)) => waiting = Some((State::Waiting, bytes.map(<[u8]>::to_vec))),
                 Some((state, bytes)) => return Some((state, bytes.map(<[u8]>::to_vec))),
                 None => {}
@@ -931,10 +933,10 @@
     /// All that was promised, as far as the stand-ins can see. `ended`: by now nothing may wait any more.
     pub fn check(&self, ended: bool) {
         let trouble = |at: u64| self.unplanned.iter().any(|(from, to)| *from <= at && at <= to + QUIET);
-        for (n, message) in self.messages.iter().enumerate() {
-            let id = &message.cargo.id;
+        for (n, sent) in self.messages.iter().enumerate() {
+            let id = &sent.message.id;
             let runs: Vec<&Run> = self.runs.iter().filter(|r| r.id == *id).collect();
-            if message.refused {
+            if sent.refused {
                 assert!(runs.is_empty(), "{id} was refused and ran");
                 continue;
             }
@@ -942,33 +944,33 @@
                 let again = runs.iter().find(|r| r.at > read && !trouble(r.at));
                 assert!(again.is_none(), "{id} ran again at {} after {read}: {runs:?}", again.unwrap().at);
             }
-            let early = runs.iter().find(|r| r.at < message.sent + message.cargo.delay_ms);
+            let early = runs.iter().find(|r| r.at < sent.sent + sent.message.delay_ms);
             assert!(early.is_none(), "{id} ran before its time: {early:?}");
-            if message.name.is_none() {
+            if sent.name.is_none() {
                 continue;
             }
             let called: Vec<_> = self.calls.iter().filter(|(of, _, taken)| of == id && *taken).collect();
             let Some((state, bytes)) = self.ask(n) else {
                 // Only of one that has ended, and whose receiver knows so, nothing more need be kept.
-                assert!(!called.is_empty(), "{id} is lost: {message:?} {runs:?}");
+                assert!(!called.is_empty(), "{id} is lost: {sent:?} {runs:?}");
                 continue;
             };
             match &state {
                 State::Waiting => {
-                    assert!(!ended, "{id} still waits: {message:?} {runs:?}");
-                    assert_eq!(bytes.as_ref(), Some(&message.cargo.body), "{id}");
+                    assert!(!ended, "{id} still waits: {sent:?} {runs:?}");
+                    assert_eq!(bytes.as_ref(), Some(&sent.message.body), "{id}");
                 }
                 State::Complete { seal } => {
                     assert!(runs.iter().any(|r| r.done.is_some()) && *seal == format!("s-{id}"), "{id}");
                 }
                 State::Failed => {
-                    let gone = message.cargo.target.starts_with("/gone/");
+                    let gone = sent.message.target.starts_with("/gone/");
                     let refused = runs.iter().any(|r| r.does == Does::Refuses);
                     let failed = runs.iter().filter(|r| r.does == Does::Fails).count();
-                    let late = self.now > message.sent + (self.max_wait_s * 1000.0) as u64;
+                    let late = self.now > sent.sent + (self.max_wait_s * 1000.0) as u64;
                     let reason = gone || refused || late || failed >= self.max_tries as usize;
                     assert!(reason, "{id} failed without a reason: {runs:?}");
-                    assert_eq!(bytes.as_ref(), Some(&message.cargo.body), "{id}: bytes of a dead one");
+                    assert_eq!(bytes.as_ref(), Some(&sent.message.body), "{id}: bytes of a dead one");
                 }
             }
             let word = if matches!(state, State::Complete { .. }) { "complete" } else { "failed" };
@@ -984,11 +986,11 @@
     }
 
     fn check_order(&self) {
-        let runs = |m: &Message| -> Vec<&Run> { self.runs.iter().filter(|r| r.id == m.cargo.id).collect() };
-        for later in self.messages.iter().filter(|m| m.cargo.order_key.is_some()) {
+        let runs = |m: &Sent| -> Vec<&Run> { self.runs.iter().filter(|r| r.id == m.message.id).collect() };
+        for later in self.messages.iter().filter(|m| m.message.order_key.is_some()) {
             let Some(start) = runs(later).iter().map(|r| r.at).min() else { continue };
-            let before = |m: &&Message| m.name.is_some() && m.answered < later.sent;
-            let row = self.messages.iter().filter(|m| m.cargo.order_key == later.cargo.order_key);
+            let before = |m: &&Sent| m.name.is_some() && m.answered < later.sent;
+            let row = self.messages.iter().filter(|m| m.message.order_key == later.message.order_key);
             for earlier in row.filter(before) {
                 let runs = runs(earlier);
                 let done = runs.iter().filter_map(|r| r.done).min();
@@ -996,7 +998,7 @@
                 let failed = runs.iter().filter(|r| r.does == Does::Fails).nth(self.max_tries as usize - 1);
                 let end = [done, refused, failed.map(|r| r.over)].into_iter().flatten().min();
                 let end = end.unwrap_or(earlier.sent + (self.max_wait_s * 1000.0) as u64);
-                let (a, b) = (&earlier.cargo.id, &later.cargo.id);
+                let (a, b) = (&earlier.message.id, &later.message.id);
                 assert!(end <= start, "{b} started at {start}, before {a} had ended at {end}");
             }
         }
@@ -1004,7 +1006,7 @@
 
     /// Whether a store that is to be emptied says that it is.
     pub fn retired(&self, at: usize) -> Option<bool> {
-        self.stores[at].hold.as_ref()?.retired()
+        self.stores[at].queue.as_ref()?.retired()
     }
 
     /// At rest every live message lies on `losses` + 1 disks.
@@ -1016,12 +1018,12 @@
     pub fn check_copies_without(&self, gone: usize) {
         let mut disks = self.disks(false);
         disks.iter_mut().enumerate().filter(|(at, _)| *at == gone).for_each(|(_, l)| *l = Ledger::default());
-        for (n, message) in self.messages.iter().enumerate() {
+        for (n, sent) in self.messages.iter().enumerate() {
             let Some((State::Waiting, _)) = self.ask(n) else { continue };
-            let key = Key::parse(message.name.as_deref().unwrap()).unwrap().0;
+            let key = Key::parse(sent.name.as_deref().unwrap()).unwrap().0;
             let lies = |l: &&Ledger| l.all.get(&key).is_some_and(|k| k.end.is_none() && k.shared.is_some());
             let copies = disks.iter().filter(lies).count();
-            assert!(copies > self.losses, "{} lies on {copies} disks", message.cargo.id);
+            assert!(copies > self.losses, "{} lies on {copies} disks", sent.message.id);
         }
     }
 
--- a/roster/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -1,6 +1,6 @@
 //! The table of executors.
 
-use crate::{Beat, Millis, Standing, MOST};
+use crate::{Heartbeat, Millis, Standing, MOST};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 
@@ -10,17 +10,17 @@
 /// One executor, as it last told of itself.
 #[derive(Clone, Debug)]
 pub struct Known {
-    pub beat: Beat,
+    pub heartbeat: Heartbeat,
     pub heard: Millis,
     pub(crate) changed: u64,
 }
 
 impl Known {
     /// As it is told on: with how long ago it called, and how much colder it was then.
-    pub(crate) fn aged(&self, now: Millis) -> Beat {
+    pub(crate) fn aged(&self, now: Millis) -> Heartbeat {
         let age_ms = now.saturating_sub(self.heard);
-        let cold_left_ms = self.beat.cold_left_ms.saturating_sub(age_ms);
-        Beat { age_ms, cold_left_ms, ..self.beat.clone() }
+        let cold_left_ms = self.heartbeat.cold_left_ms.saturating_sub(age_ms);
+        Heartbeat { age_ms, cold_left_ms, ..self.heartbeat.clone() }
     }
 }
 
@@ -66,16 +66,18 @@
 
     /// What was told of an executor, here or at another control node: the higher count of calls is the newer. Whether that
     /// was news.
-    pub fn merge(&mut self, version: &mut u64, now: Millis, beat: Beat) -> bool {
-        let heard = now.saturating_sub(beat.age_ms);
-        if let Some(known) = self.all.get_mut(&beat.id) {
-            let gone = known.beat.standing == Standing::Gone;
-            if beat.call_count < known.beat.call_count || (gone && beat.call_count == known.beat.call_count) {
+    pub fn merge(&mut self, version: &mut u64, now: Millis, heartbeat: Heartbeat) -> bool {
+        let heard = now.saturating_sub(heartbeat.age_ms);
+        if let Some(known) = self.all.get_mut(&heartbeat.id) {
+            let gone = known.heartbeat.standing == Standing::Gone;
+            if heartbeat.call_count < known.heartbeat.call_count
+                || (gone && heartbeat.call_count == known.heartbeat.call_count)
+            {
                 return false;
             }
             known.heard = known.heard.max(heard);
-            let old = std::mem::replace(&mut known.beat, beat);
-            let now = &known.beat;
+            let old = std::mem::replace(&mut known.heartbeat, heartbeat);
+            let now = &known.heartbeat;
             let same = old.standing == now.standing
                 && old.address == now.address
                 && old.backend == now.backend
@@ -96,27 +98,28 @@
         *version += 1;
         self.changed = *version;
         // A new life at an address ends the one that was there: it may be another service's now.
-        let there = self.at.entry(beat.address).or_default();
+        let there = self.at.entry(heartbeat.address).or_default();
         for id in there.iter() {
             let Some(known) = self.all.get_mut(id) else { continue };
-            let there = known.beat.address == beat.address && known.beat.standing != Standing::Gone;
+            let there =
+                known.heartbeat.address == heartbeat.address && known.heartbeat.standing != Standing::Gone;
             if there && known.heard <= heard {
-                known.beat.standing = Standing::Gone;
+                known.heartbeat.standing = Standing::Gone;
                 known.changed = *version;
             }
         }
-        there.push(beat.id.clone());
-        tracing::info!(id = beat.id, service = beat.backend, standing = %beat.standing, "executor");
-        self.all.insert(beat.id.clone(), Known { beat, heard, changed: *version });
+        there.push(heartbeat.id.clone());
+        tracing::info!(id = heartbeat.id, service = heartbeat.backend, standing = %heartbeat.standing, "executor");
+        self.all.insert(heartbeat.id.clone(), Known { heartbeat, heard, changed: *version });
         true
     }
 
     /// It said that it ends.
     pub fn end(&mut self, version: &mut u64, id: &str) -> bool {
-        let Some(known) = self.all.get_mut(id).filter(|k| k.beat.standing != Standing::Gone) else {
+        let Some(known) = self.all.get_mut(id).filter(|k| k.heartbeat.standing != Standing::Gone) else {
             return false;
         };
-        known.beat.standing = Standing::Gone;
+        known.heartbeat.standing = Standing::Gone;
         *version += 1;
         (known.changed, self.changed) = (*version, *version);
         tracing::info!(id, "executor left");
@@ -124,7 +127,7 @@
     }
 
     /// What the other control nodes are to hear: changes at once, all that called now and then.
-    pub fn untold(&mut self, now: Millis, routine: bool) -> Vec<Beat> {
+    pub fn untold(&mut self, now: Millis, routine: bool) -> Vec<Heartbeat> {
         let mut ids = std::mem::take(&mut self.urgent);
         if routine {
             ids = std::mem::take(&mut self.fresh);
@@ -141,20 +144,22 @@
         }
         if now > self.out_of_touch + self.silence {
             let silence = self.silence;
-            let silent =
-                |known: &&mut Known| known.beat.standing != Standing::Gone && now > known.heard + silence;
+            let silent = |known: &&mut Known| {
+                known.heartbeat.standing != Standing::Gone && now > known.heard + silence
+            };
             for known in self.all.values_mut().filter(silent) {
-                known.beat.standing = Standing::Gone;
+                known.heartbeat.standing = Standing::Gone;
                 *version += 1;
                 (known.changed, self.changed) = (*version, *version);
-                tracing::info!(id = known.beat.id, "executor silent");
+                tracing::info!(id = known.heartbeat.id, "executor silent");
             }
         }
         let before = self.all.len();
-        self.all.retain(|_, known| known.beat.standing != Standing::Gone || now < known.heard + TOMB);
+        self.all.retain(|_, known| known.heartbeat.standing != Standing::Gone || now < known.heard + TOMB);
         if self.all.len() < before {
             let all = &self.all;
-            let there = |at: &SocketAddrV4, id: &String| all.get(id).is_some_and(|k| k.beat.address == *at);
+            let there =
+                |at: &SocketAddrV4, id: &String| all.get(id).is_some_and(|k| k.heartbeat.address == *at);
             self.at.retain(|at, ids| {
                 ids.retain(|id| there(at, id));
                 !ids.is_empty()
--- a/roster/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -46,11 +46,11 @@
     },
     /// To every other control node that is connected.
     TellSessions(Vec<Member>),
-    TellBeats(Vec<Beat>),
+    TellHeartbeats(Vec<Heartbeat>),
     /// To one control node that has just been met: all that is known.
-    AllBeats {
+    AllHeartbeats {
         to: Node,
-        beats: Vec<Beat>,
+        heartbeats: Vec<Heartbeat>,
     },
 }
 
@@ -70,7 +70,7 @@
     class: Class,
 }
 
-pub struct Roster {
+pub struct Registry {
     me: Member,
     /// Of this process: another start counts anew.
     life: u64,
@@ -101,10 +101,10 @@
     effects: Vec<Effect>,
 }
 
-impl Roster {
+impl Registry {
     /// `life` is a number that no other start of any process has.
-    pub fn new(me: Member, life: u64, beat_interval_ms: Millis, now: Millis) -> Roster {
-        Roster {
+    pub fn new(me: Member, life: u64, beat_interval_ms: Millis, now: Millis) -> Registry {
+        Registry {
             life,
             version: 1,
             executors: Executors::new(beat_interval_ms, now),
@@ -151,10 +151,10 @@
     // ---- Executors ----
 
     /// An executor called here.
-    pub fn beat(&mut self, now: Millis, beat: Beat) {
-        let id = beat.id.clone();
+    pub fn heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
+        let id = heartbeat.id.clone();
         // A change is told on before the answer goes out: both leave with the same turn of the loop.
-        let changed = self.executors.merge(&mut self.version, now, beat);
+        let changed = self.executors.merge(&mut self.version, now, heartbeat);
         self.executors.called(id, changed);
     }
 
@@ -166,10 +166,10 @@
     }
 
     /// Another control node tells what executors told it.
-    pub fn told_beats(&mut self, now: Millis, beats: Vec<Beat>) {
-        let whole = beats.len() > 1;
-        for beat in beats {
-            self.executors.merge(&mut self.version, now, beat);
+    pub fn told_heartbeats(&mut self, now: Millis, heartbeats: Vec<Heartbeat>) {
+        let whole = heartbeats.len() > 1;
+        for heartbeat in heartbeats {
+            self.executors.merge(&mut self.version, now, heartbeat);
         }
         // One that knows them all has told them.
         if !self.ready && whole {
@@ -182,8 +182,8 @@
     /// Another control node is connected.
     pub fn core_up(&mut self, now: Millis, core: Member) {
         if self.ready {
-            let beats = self.executors.all.values().map(|known| known.aged(now)).collect();
-            self.effects.push(Effect::AllBeats { to: core.node, beats });
+            let heartbeats = self.executors.all.values().map(|known| known.aged(now)).collect();
+            self.effects.push(Effect::AllHeartbeats { to: core.node, heartbeats });
         }
         self.cores.insert(core.node, core);
         // It knows nothing of the sessions here.
@@ -299,9 +299,9 @@
         if routine {
             self.tell_at = now + TELL;
         }
-        let beats = self.executors.untold(now, routine);
-        if !beats.is_empty() {
-            self.effects.push(Effect::TellBeats(beats));
+        let heartbeats = self.executors.untold(now, routine);
+        if !heartbeats.is_empty() {
+            self.effects.push(Effect::TellHeartbeats(heartbeats));
         }
         let changed = self.sessions_changed && now >= self.sessions_told + CHANGED;
         if changed || now >= self.sessions_told + ANEW {
@@ -365,7 +365,7 @@
         if ask.class == Class::Store {
             news.whole = !known;
             let changed = self.executors.all.values().filter(|k| k.changed > since);
-            let told = changed.filter(|k| known || k.beat.standing != Standing::Gone);
+            let told = changed.filter(|k| known || k.heartbeat.standing != Standing::Gone);
             news.servers = told.map(|k| k.aged(now)).collect();
         }
         news
--- a/roster/src/types.rs
+++ b/crates/registry/src/types.rs
@@ -56,7 +56,7 @@
 
 /// An executor, as it told of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     pub id: String,
     pub backend: String,
     pub address: SocketAddrV4,
@@ -83,5 +83,5 @@
     #[serde(with = "serde_bytes")]
     pub config: Option<Vec<u8>>,
     pub members: Option<Vec<Member>>,
-    pub servers: Vec<Beat>,
+    pub servers: Vec<Heartbeat>,
 }
--- a/routes/examples/cost.rs
+++ b/crates/route-limits/examples/cost.rs
@@ -3,11 +3,11 @@
 use std::hint::black_box;
 use std::sync::Arc;
 use std::time::Instant;
-use stileroute::tariff::{Category, Effect, Terms, SECOND};
-use stileroute_routes::gate::{Entry, Gate};
-use stileroute_routes::pattern::Request;
-use stileroute_routes::table::Table;
-use stileroute_routes::Ground;
+use stileroute_dispatch::types::{Category, Effect, Terms, SECOND};
+use stileroute_route_limits::gate::{Entry, Gate};
+use stileroute_route_limits::pattern::Request;
+use stileroute_route_limits::table::Table;
+use stileroute_route_limits::Ground;
 
 fn main() {
     let category = |name: &str, effect| {
@@ -45,7 +45,7 @@
             );
         }
         let begun = Instant::now();
-        let table = stileroute_operator::read("cost.toml", &text, |keys| Table::read(keys, &ground));
+        let table = stileroute_operator_file::read("cost.toml", &text, |keys| Table::read(keys, &ground));
         let checked = begun.elapsed().as_secs_f64() * 1e3;
         let table = match table {
             Ok(table) => Arc::new(table),
--- a/routes/src/budget.rs
+++ b/crates/route-limits/src/budget.rs
@@ -3,7 +3,7 @@
 use crate::limits::Budget;
 use hdrhistogram::Histogram;
 use std::collections::VecDeque;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 
 const SLOTS: usize = 16;
 
--- a/routes/src/check.rs
+++ b/crates/route-limits/src/check.rs
@@ -11,8 +11,8 @@
 use crate::table::{Kind, Rule, Table};
 use crate::Ground;
 use std::collections::BTreeSet;
-use stileroute::tariff::{Effect, Scope, Time};
-use stileroute_operator::{Faults, Place, Rule as Broken, Set};
+use stileroute_dispatch::types::{Effect, Scope, Time};
+use stileroute_operator_file::{Faults, Place, Rule as Broken, Set};
 
 /// The settings, as the last rule of all.
 const SETTINGS: usize = usize::MAX;
--- a/routes/src/gate.rs
+++ b/crates/route-limits/src/gate.rs
@@ -9,7 +9,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
-use stileroute::tariff::{Limits, Time};
+use stileroute_dispatch::types::{Limits, Time};
 
 /// A retry budget with what is counted against it.
 #[derive(Clone, Debug)]
@@ -115,7 +115,7 @@
         let value = |time: &Option<crate::table::Held<Time>>| time.as_ref().map(|held| held.set.value);
         let category = request.category;
         let effect = table.effect(category, &held);
-        let own = stileroute::tariff::Limits::default();
+        let own = stileroute_dispatch::types::Limits::default();
         let times = self.times_of(category);
         let copy_after =
             held.copy_after.as_ref().and_then(|held| times.as_ref()?.borrow().quantile(held.set.value));
@@ -217,7 +217,7 @@
 mod tests {
     use super::*;
     use crate::Ground;
-    use stileroute::tariff::{Category, Effect, Terms, SECOND};
+    use stileroute_dispatch::types::{Category, Effect, Terms, SECOND};
 
     fn table(text: &str) -> Arc<Table> {
         let own = Category {
@@ -232,7 +232,7 @@
         let terms = Terms { max_pushes: 5, ..Terms::default() };
         let ground =
             Ground { categories: vec![("c".to_string(), 9 * SECOND, own)], terms, ..Ground::default() };
-        let read = stileroute_operator::read("t.toml", text, |keys| Table::read(keys, &ground));
+        let read = stileroute_operator_file::read("t.toml", text, |keys| Table::read(keys, &ground));
         Arc::new(read.unwrap_or_else(|faults| panic!("{}", faults[0])))
     }
 
--- a/routes/src/lib.rs
+++ b/crates/route-limits/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod pattern;
 pub mod table;
 
-use stileroute::posted::Posted;
-use stileroute::tariff::{Category, Terms, Time};
+use stileroute_dispatch::settings::Posted;
+use stileroute_dispatch::types::{Category, Terms, Time};
 
 /// What the platform's settings say, as far as routes are held against it.
 #[derive(Clone, Debug, Default)]
--- a/routes/src/limits.rs
+++ b/crates/route-limits/src/limits.rs
@@ -1,8 +1,8 @@
 //! The limits that a route, a category or the defaults may set, and how they are read.
 
 use crate::Ground;
-use stileroute::tariff::{Effect, Scope, Time};
-use stileroute_operator::{nearest, Keys, Set};
+use stileroute_dispatch::types::{Effect, Scope, Time};
+use stileroute_operator_file::{nearest, Keys, Set};
 
 /// Further pushes as a part of first ones, over a window, with so many free in it at the least.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/routes/src/table.rs
+++ b/crates/route-limits/src/table.rs
@@ -4,8 +4,8 @@
 use crate::pattern::{segments, Path, Pattern, Request};
 use crate::{check, Ground};
 use std::collections::HashMap;
-use stileroute::tariff::{self, Effect, Time};
-use stileroute_operator::{nearest, Keys, Place, Set};
+use stileroute_dispatch::types::{self, Effect, Time};
+use stileroute_operator_file::{nearest, Keys, Place, Set};
 
 /// Where a rule comes from; in the order of precedence, the last first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -149,7 +149,7 @@
     pub domains: Option<Held<'a, u64>>,
     pub effect: Option<Held<'a, crate::limits::Narrowed>>,
     pub resend_within: Option<Held<'a, Time>>,
-    pub resend_group: Option<Held<'a, tariff::Scope>>,
+    pub resend_group: Option<Held<'a, types::Scope>>,
 }
 
 impl Effective<'_> {
@@ -186,7 +186,7 @@
         line!(domains, "domains", |bits: &u64| names(bits, &ground.domains));
         line!(effect, "effect", |to: &crate::limits::Narrowed| format!("{to:?}").to_lowercase());
         line!(resend_within, "resend-within", time);
-        line!(resend_group, "resend-group", |scope: &tariff::Scope| format!("{scope:?}").to_lowercase());
+        line!(resend_group, "resend-group", |scope: &types::Scope| format!("{scope:?}").to_lowercase());
         all
     }
 }
--- a/routes/tests/common/mod.rs
+++ b/crates/route-limits/tests/common/mod.rs
@@ -1,10 +1,10 @@
 //! The ground that the tests of routes stand on.
 #![allow(dead_code)]
 
-use stileroute::tariff::{Category, Effect, Scope, Terms, SECOND};
-use stileroute_operator::Fault;
-use stileroute_routes::table::Table;
-use stileroute_routes::Ground;
+use stileroute_dispatch::types::{Category, Effect, Scope, Terms, SECOND};
+use stileroute_operator_file::Fault;
+use stileroute_route_limits::table::Table;
+use stileroute_route_limits::Ground;
 
 pub fn ground() -> Ground {
     let category = |effect, kind| Category {
@@ -44,5 +44,5 @@
 }
 
 pub fn read_on(text: &str, ground: &Ground) -> Result<Table, Vec<Fault>> {
-    stileroute_operator::read("bad.toml", text, |keys| Table::read(keys, ground))
+    stileroute_operator_file::read("bad.toml", text, |keys| Table::read(keys, ground))
 }
--- a/routes/tests/files.rs
+++ b/crates/route-limits/tests/files.rs
@@ -3,7 +3,7 @@
 
 mod common;
 use common::{ground, read};
-use stileroute_operator::Fault;
+use stileroute_operator_file::Fault;
 
 /// A file, the line of its fault, and what is said of it. The ground: `lookup` (redeliverable, TTL 5 s), `notice`
 /// (deduplicated by domain within 3 s, TTL 5 s, only on kind large), `booking` (at-most-once, TTL 9 s), five pushes,
--- a/routes/tests/safe.rs
+++ b/crates/route-limits/tests/safe.rs
@@ -7,13 +7,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
-use stileroute::choice::Dispatcher;
-use stileroute::tariff::{Ask, Effect, Listed, Outcome, Scope, Step, Tariff, Time, SECOND};
-use stileroute_routes::gate::{Entry, Gate};
-use stileroute_routes::limits::{narrowness, Narrowed};
-use stileroute_routes::pattern::{Path, Pattern, Request};
-use stileroute_routes::table::{Effective, Table};
-use stileroute_routes::Ground;
+use stileroute_dispatch::policy::Dispatcher;
+use stileroute_dispatch::types::{Ask, Effect, Listed, Outcome, Scope, Step, Tariff, Time, SECOND};
+use stileroute_route_limits::gate::{Entry, Gate};
+use stileroute_route_limits::limits::{narrowness, Narrowed};
+use stileroute_route_limits::pattern::{Path, Pattern, Request};
+use stileroute_route_limits::table::{Effective, Table};
+use stileroute_route_limits::Ground;
 
 const PATHS: [&str; 9] = ["/a", "/b", "/a/b", "/a/{x}", "/{x}/b", "/{x}/{y}", "/a/*", "/b/*", "/a/b/*"];
 /// Every path that can make a difference to those: each segment a, b or another, up to three of them.
@@ -91,7 +91,8 @@
 fn wrong(ground: &Ground, category: usize, held: &Effective) -> Option<&'static str> {
     let (_, _, own) = &ground.categories[category];
     let (ttl, effect) = (ground.ttl(category), own.effect);
-    let time = |held: &Option<stileroute_routes::table::Held<Time>>| held.as_ref().map(|held| held.set.value);
+    let time =
+        |held: &Option<stileroute_route_limits::table::Held<Time>>| held.as_ref().map(|held| held.set.value);
     let to = held.effect.as_ref().map(|held| held.set.value);
     let base = narrowness(effect);
     let set = match to {
@@ -141,7 +142,7 @@
 /// A table of the file with its check left out.
 fn unchecked(text: &str, ground: &Ground) -> Option<Table> {
     let mut table = None;
-    let _ = stileroute_operator::read("f.toml", text, |keys| {
+    let _ = stileroute_operator_file::read("f.toml", text, |keys| {
         table = Table::read(keys, ground);
         table.as_ref().map(|_| ())
     });
--- a/harbour/src/words.rs
+++ b/crates/server/src/args.rs
@@ -12,14 +12,14 @@
 pub const UNUSABLE: u8 = 2;
 
 #[derive(Debug, Options)]
-pub struct Words {
+pub struct Args {
     #[options(help = "show this")]
     help: bool,
     #[options(help = "settings file, instead of the one that STILEROUTE_BOOT names", meta = "FILE")]
     pub boot: Option<PathBuf>,
     #[options(
         no_short,
-        help = "error, warn, info or debug; else what HARBOUR_LOG says, else info",
+        help = "error, warn, info or debug; else what STILEROUTE_LOG says, else info",
         meta = "LEVEL"
     )]
     pub log: Option<String>,
@@ -36,41 +36,41 @@
 #[derive(Debug, Options)]
 pub enum Command {
     #[options(help = "take messages from clients")]
-    Edge(NoWords),
+    Edge(NoArgs),
     #[options(help = "keep and deliver messages")]
-    Store(NoWords),
+    Store(NoArgs),
     #[options(help = "know who is there, and keep the configuration")]
-    Core(NoWords),
+    Core(NoArgs),
     #[options(help = "say all that is wrong with a file, before anything reads it")]
-    Check(CheckWords),
+    Check(CheckArgs),
     #[options(help = "a running system: nodes, control duty, executors, queues, ceilings")]
-    Status(FleetWords),
+    Status(FleetArgs),
     #[options(help = "send a configuration, and say whether it is in force")]
     Apply(OrderWords),
     #[options(help = "the configuration that is in force")]
-    Read(FleetWords),
+    Read(FleetArgs),
     #[options(help = "whether a configuration is in force, and what differs")]
     Diff(OrderWords),
     #[options(help = "empty a store, so that it can be taken away")]
-    Retire(RetireWords),
+    Retire(RetireArgs),
     #[options(help = "what the stores know of one message")]
-    Message(MessageWords),
+    Message(MessageArgs),
     #[options(help = "the counters of one process")]
-    Figures(FleetWords),
+    Figures(FleetArgs),
     #[options(help = "what is on the disk of a machine that is stopped")]
-    State(StateWords),
+    State(StateArgs),
     #[options(help = "version of this program, and of what its processes speak")]
-    Version(JsonWords),
+    Version(JsonArgs),
 }
 
 #[derive(Debug, Options)]
-pub struct NoWords {
+pub struct NoArgs {
     #[options(help = "show this")]
     help: bool,
 }
 
 #[derive(Debug, Options)]
-pub struct JsonWords {
+pub struct JsonArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "as JSON")]
@@ -78,7 +78,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct CheckWords {
+pub struct CheckArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(command)]
@@ -88,13 +88,13 @@
 #[derive(Debug, Options)]
 pub enum CheckCommand {
     #[options(help = "an operator's configuration")]
-    Config(FileWords),
+    Config(FileArgs),
     #[options(help = "a settings file")]
-    Boot(FileWords),
+    Boot(FileArgs),
 }
 
 #[derive(Debug, Options)]
-pub struct FileWords {
+pub struct FileArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "as JSON")]
@@ -104,7 +104,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct FleetWords {
+pub struct FleetArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
@@ -126,7 +126,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct RetireWords {
+pub struct RetireArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
@@ -140,7 +140,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct MessageWords {
+pub struct MessageArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
@@ -152,7 +152,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct StateWords {
+pub struct StateArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(command)]
@@ -162,7 +162,7 @@
 #[derive(Debug, Options)]
 pub enum StateCommand {
     #[options(help = "read a data folder through, and change nothing")]
-    Verify(FileWords),
+    Verify(FileArgs),
 }
 
 /// What is to be done: a role to be run, or something that has been done.
@@ -172,36 +172,36 @@
 }
 
 /// Does what the words ask; what they lack is told with the usage.
-pub fn task(words: &Words) -> Task {
-    let boot = words.boot.as_deref();
-    let done = match &words.command {
-        None => usage(Words::usage()),
+pub fn task(args: &Args) -> Task {
+    let boot = args.boot.as_deref();
+    let done = match &args.command {
+        None => usage(Args::usage()),
         Some(Command::Edge(_)) => return Task::Run(Class::Edge),
         Some(Command::Store(_)) => return Task::Run(Class::Store),
         Some(Command::Core(_)) => return Task::Run(Class::Core),
-        Some(Command::Check(words)) => match &words.command {
+        Some(Command::Check(args)) => match &args.command {
             None => usage(CheckCommand::usage()),
-            Some(CheckCommand::Config(words)) => settings::check_config(&words.file, words.json),
-            Some(CheckCommand::Boot(words)) => settings::check_boot(&words.file, words.json),
+            Some(CheckCommand::Config(args)) => settings::check_config(&args.file, args.json),
+            Some(CheckCommand::Boot(args)) => settings::check_boot(&args.file, args.json),
         },
-        Some(Command::Status(words)) => status::status(words.at.as_deref(), boot, words.json),
-        Some(Command::Apply(words)) => operate::apply(&words.file, &asked(&words.at, boot, words.json)),
-        Some(Command::Read(words)) => operate::read(&asked(&words.at, boot, words.json)),
-        Some(Command::Diff(words)) => operate::diff(&words.file, &asked(&words.at, boot, words.json)),
-        Some(Command::Retire(words)) => {
-            operate::retire(&words.name, words.status, &asked(&words.at, boot, words.json))
+        Some(Command::Status(args)) => status::status(args.at.as_deref(), boot, args.json),
+        Some(Command::Apply(args)) => operate::apply(&args.file, &asked(&args.at, boot, args.json)),
+        Some(Command::Read(args)) => operate::read(&asked(&args.at, boot, args.json)),
+        Some(Command::Diff(args)) => operate::diff(&args.file, &asked(&args.at, boot, args.json)),
+        Some(Command::Retire(args)) => {
+            operate::retire(&args.name, args.status, &asked(&args.at, boot, args.json))
         }
-        Some(Command::Message(words)) => status::message(&words.id, words.at.as_deref(), boot, words.json),
-        Some(Command::Figures(words)) => status::figures(words.at.as_deref(), boot, words.json),
-        Some(Command::State(words)) => match &words.command {
+        Some(Command::Message(args)) => status::message(&args.id, args.at.as_deref(), boot, args.json),
+        Some(Command::Figures(args)) => status::figures(args.at.as_deref(), boot, args.json),
+        Some(Command::State(args)) => match &args.command {
             None => usage(StateCommand::usage()),
-            Some(StateCommand::Verify(words)) => state::verify(&words.file, words.json),
+            Some(StateCommand::Verify(args)) => state::verify(&args.file, args.json),
         },
-        Some(Command::Version(words)) => {
+        Some(Command::Version(args)) => {
             let (program, protocol) = (env!("CARGO_PKG_VERSION"), crate::signals::PROTOCOL);
-            match words.json {
+            match args.json {
                 true => say(&jzon::object! { "program" => program, "protocol" => protocol }.pretty(2)),
-                false => say(&format!("harbour {program}, protocol {protocol}")),
+                false => say(&format!("stilerouted {program}, protocol {protocol}")),
             }
             0
         }
@@ -224,12 +224,12 @@
     let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
 }
 
-/// How much is logged, by the words or else by HARBOUR_LOG.
-pub fn level(words: &Words) -> Result<Level, String> {
-    let (key, text) = match &words.log {
+/// How much is logged, by the words or else by STILEROUTE_LOG.
+pub fn level(args: &Args) -> Result<Level, String> {
+    let (key, text) = match &args.log {
         Some(text) => ("--log", text.clone()),
-        None => match std::env::var("HARBOUR_LOG") {
-            Ok(text) if !text.is_empty() => ("HARBOUR_LOG", text),
+        None => match std::env::var("STILEROUTE_LOG") {
+            Ok(text) if !text.is_empty() => ("STILEROUTE_LOG", text),
             _ => return Ok(Level::INFO),
         },
     };
--- a/harbour/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -16,12 +16,16 @@
 }
 
 /// Who settles a call; without an answer it comes later, to the place.
-pub trait Desk<C: Call> {
+pub trait CallHandler<C: Call> {
     fn settle(&mut self, place: u64, call: C) -> Option<C::Answer>;
 }
 
 /// Whether the request is a call of this kind, and if so what is said at once.
-pub fn handle<C: Call, D: Desk<C>>(desk: &mut D, place: u64, request: &Request) -> Option<Option<Answer>> {
+pub fn handle<C: Call, D: CallHandler<C>>(
+    handler: &mut D,
+    place: u64,
+    request: &Request,
+) -> Option<Option<Answer>> {
     let name = part(C::PATH, &request.target)?;
     if request.method != C::METHOD {
         return None;
@@ -30,7 +34,7 @@
         return Some(Some(fault(413, &format!("body: over {} bytes", C::BODY))));
     }
     Some(match C::read(name, &request.body) {
-        Ok(call) => desk.settle(place, call).map(Into::into),
+        Ok(call) => handler.settle(place, call).map(Into::into),
         Err(reason) => Some(fault(400, &reason)),
     })
 }
@@ -87,7 +91,7 @@
 }
 
 #[derive(Debug)]
-pub struct Heartbeat {
+pub struct HeartbeatCall {
     pub id: String,
     pub backend: String,
     pub address: SocketAddrV4,
@@ -115,18 +119,18 @@
     }
 }
 
-impl Call for Heartbeat {
+impl Call for HeartbeatCall {
     type Answer = Heard;
     const METHOD: &'static str = "POST";
     const PATH: &'static str = "/v1/servers/*/heartbeat";
-    fn read(name: &str, body: &[u8]) -> Result<Heartbeat, String> {
+    fn read(name: &str, body: &[u8]) -> Result<HeartbeatCall, String> {
         let value = object(body)?;
         let address = text(&value, "address")?;
         let state = text(&value, "state")?;
         if name.len() > 128 {
             return Err("id: over 128 letters".to_string());
         }
-        Ok(Heartbeat {
+        Ok(HeartbeatCall {
             id: name.to_string(),
             backend: text(&value, "backend")?,
             address: address
@@ -215,7 +219,7 @@
     const PATH: &'static str = "/v1/settings/replace";
     const BODY: usize = LARGEST_CONFIGURATION;
     fn read(_: &str, body: &[u8]) -> Result<Replace, String> {
-        match stileroute_charter::Config::read(body) {
+        match stileroute_config::Config::read(body) {
             Ok(config) => Ok(Replace { body: body.to_vec(), version: config.revision }),
             Err(faults) => Err(faults.to_string()),
         }
@@ -328,14 +332,14 @@
 
     /// Answers what it was asked; replies to nothing at once.
     #[derive(Default)]
-    struct Clerk(Vec<String>);
-    impl Desk<Heartbeat> for Clerk {
-        fn settle(&mut self, place: u64, call: Heartbeat) -> Option<Heard> {
+    struct TestHandler(Vec<String>);
+    impl CallHandler<HeartbeatCall> for TestHandler {
+        fn settle(&mut self, place: u64, call: HeartbeatCall) -> Option<Heard> {
             self.0.push(format!("{place} {call:?}"));
             Some(Heard { beat_url: Some("10.0.0.1:1".to_string()), told: true })
         }
     }
-    impl Desk<Leave> for Clerk {
+    impl CallHandler<Leave> for TestHandler {
         fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
             self.0.push(call.id);
             None
@@ -349,9 +353,9 @@
 
     #[test]
     fn a_heartbeat_is_read_or_refused_by_its_key() {
-        assert_matches!(Heartbeat::read("i-1", BEAT.as_bytes()), Ok(beat) => {
-            assert_eq!((beat.id.as_str(), beat.backend.as_str(), beat.zone.as_str()), ("i-1", "crane", "z"));
-            assert_eq!((beat.capacity, beat.draining, beat.cold_left_ms, beat.call_count), (4, true, 70, 9));
+        assert_matches!(HeartbeatCall::read("i-1", BEAT.as_bytes()), Ok(heartbeat) => {
+            assert_eq!((heartbeat.id.as_str(), heartbeat.backend.as_str(), heartbeat.zone.as_str()), ("i-1", "crane", "z"));
+            assert_eq!((heartbeat.capacity, heartbeat.draining, heartbeat.cold_left_ms, heartbeat.call_count), (4, true, 70, 9));
         });
         let rows = [
             ("\"backend\":\"crane\",", "", "backend: no text"),
@@ -370,17 +374,17 @@
         for (of, with, told) in rows {
             assert!(BEAT.contains(of), "{of}");
             let body = BEAT.replacen(of, with, 1);
-            assert_matches!(Heartbeat::read("i-1", body.as_bytes()), Err(e) if e.starts_with(told), "{body}");
+            assert_matches!(HeartbeatCall::read("i-1", body.as_bytes()), Err(e) if e.starts_with(told), "{body}");
         }
         for cut in 0..BEAT.len() {
-            assert_matches!(Heartbeat::read("i-1", &BEAT.as_bytes()[..cut]), Err(_), "{cut}");
+            assert_matches!(HeartbeatCall::read("i-1", &BEAT.as_bytes()[..cut]), Err(_), "{cut}");
         }
-        assert_matches!(Heartbeat::read(&"i".repeat(129), BEAT.as_bytes()), Err(e) if e.starts_with("id: "));
-        assert_matches!(Heartbeat::read("i", &[b' '; 65 << 10]), Err(e) if e.starts_with("body: over"));
-        assert_matches!(Heartbeat::read("i", b"\xff"), Err(e) if e == "body: not UTF-8");
+        assert_matches!(HeartbeatCall::read(&"i".repeat(129), BEAT.as_bytes()), Err(e) if e.starts_with("id: "));
+        assert_matches!(HeartbeatCall::read("i", &[b' '; 65 << 10]), Err(e) if e.starts_with("body: over"));
+        assert_matches!(HeartbeatCall::read("i", b"\xff"), Err(e) if e == "body: not UTF-8");
         // A capacity that is left out or nought is one slot.
         let none = BEAT.replace("\"capacity\":4,", "");
-        assert_matches!(Heartbeat::read("i", none.as_bytes()), Ok(Heartbeat { capacity: 1, .. }));
+        assert_matches!(HeartbeatCall::read("i", none.as_bytes()), Ok(HeartbeatCall { capacity: 1, .. }));
     }
 
     #[test]
@@ -396,18 +400,21 @@
 
     #[test]
     fn a_request_finds_its_call_by_method_and_path() {
-        let mut clerk = Clerk::default();
-        let beat = request("POST", "/v1/servers/i-1/heartbeat?x", BEAT);
-        assert_matches!(handle::<Heartbeat, _>(&mut clerk, 5, &beat), Some(Some(Answer { status: 200, body, .. })) => {
+        let mut handler = TestHandler::default();
+        let heartbeat = request("POST", "/v1/servers/i-1/heartbeat?x", BEAT);
+        assert_matches!(handle::<HeartbeatCall, _>(&mut handler, 5, &heartbeat), Some(Some(Answer { status: 200, body, .. })) => {
             assert_eq!(body, br#"{"beat_url":"10.0.0.1:1"}"#);
         });
         let bad = request("POST", "/v1/servers/i-1/heartbeat", "{}");
-        assert_matches!(handle::<Heartbeat, _>(&mut clerk, 5, &bad), Some(Some(Answer { status: 400, .. })));
         assert_matches!(
-            handle::<Leave, _>(&mut clerk, 5, &request("POST", "/v1/servers/i-2/leave", "")),
+            handle::<HeartbeatCall, _>(&mut handler, 5, &bad),
+            Some(Some(Answer { status: 400, .. }))
+        );
+        assert_matches!(
+            handle::<Leave, _>(&mut handler, 5, &request("POST", "/v1/servers/i-2/leave", "")),
             Some(None)
         );
-        assert_eq!((clerk.0.len(), clerk.0[1].as_str()), (2, "i-2"));
+        assert_eq!((handler.0.len(), handler.0[1].as_str()), (2, "i-2"));
         for (method, target) in [
             ("GET", "/v1/servers/i-1/heartbeat"),
             ("POST", "/v1/servers//heartbeat"),
@@ -416,7 +423,7 @@
             ("POST", "/v1/servers/i-1/heartbeats"),
             ("POST", ""),
         ] {
-            let answer = handle::<Heartbeat, _>(&mut clerk, 5, &request(method, target, BEAT));
+            let answer = handle::<HeartbeatCall, _>(&mut handler, 5, &request(method, target, BEAT));
             assert_matches!(answer, None, "{method} {target}");
         }
         let cut_off = Heard { beat_url: None, told: false };
--- a/harbour/src/core.rs
+++ b/crates/server/src/core.rs
@@ -8,31 +8,31 @@
 mod tests;
 
 use crate::calls::{
-    self, Call, Desk, Done, Heard, Heartbeat, InForce, Leave, ReadSettings, Replace, Replaced, RetireBegin,
-    RetireRead, Settings,
+    self, Call, CallHandler, Done, Heard, HeartbeatCall, InForce, Leave, ReadSettings, Replace, Replaced,
+    RetireBegin, RetireRead, Settings,
 };
-use crate::links::Word;
+use crate::links::LinkEvent;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{lot, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Hello, Member, Passed, PassedKind, Retiring, Signal, Standing};
+use crate::signals::{Class, Heartbeat, Hello, Member, Passed, PassedKind, Retiring, Signal, Standing};
 use in_hand::{InHand, Origin};
 use ledger::Ledger;
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
-use stileroute_charter::Config;
-use stileroute_logbook::{Logbook, Options, Trouble};
-use stileroute_pilotage::{Effect, Pilotage, Terms, Verdict};
-use stileroute_roster::{Effect as Notice, Roster};
+use stileroute_config::Config;
+use stileroute_control_group::{ControlGroup, Effect, GroupSettings, Verdict};
+use stileroute_registry::{Effect as Notice, Registry};
+use stileroute_wal::{Options, Trouble, Wal};
 
 pub struct Core {
     common: Common,
     control: usize,
-    pilot: Pilotage,
-    disk: Logbook,
+    group: ControlGroup,
+    disk: Wal,
     disk_said: Receiver<(u64, Result<(), Trouble>)>,
-    roster: Roster,
+    registry: Registry,
     in_hand: InHand,
     told: retire::Told,
     released: Option<Millis>,
@@ -63,25 +63,25 @@
             lazy_sync: Duration::from_millis(200),
             ..Options::new("watch")
         };
-        let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
+        let (disk, ledger) = Wal::open::<Ledger>(&dir, options, done)
             .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
         let losses = boot.losses.machines;
-        let terms = Terms::new(at, boot.seeds.clone(), boot.first_start, losses, lot());
-        let terms = Terms { places: boot.losses.places(), ..terms };
+        let settings = GroupSettings::new(at, boot.seeds.clone(), boot.first_start, losses, lot());
+        let settings = GroupSettings { places: boot.losses.places(), ..settings };
         let bounds = Bounds { body: LARGEST_BODY, ..Bounds::default() };
         let control =
             common.net.listen(at, Some(bounds)).map_err(|e| miette::miette!("control address: {e}"))?;
         let now = common.net.now();
         let me = member_of(common.links.me(), 0);
-        let roster = Roster::new(me, lot(), common.boot.beat_interval_ms, now);
-        let pilot = Pilotage::new(terms, ledger.0, now);
-        tracing::info!(blank = pilot.blank(), epoch = pilot.watch().map_or(0, |w| w.epoch), "disk read");
+        let registry = Registry::new(me, lot(), common.boot.beat_interval_ms, now);
+        let group = ControlGroup::new(settings, ledger.0, now);
+        tracing::info!(blank = group.blank(), epoch = group.view().map_or(0, |w| w.epoch), "disk read");
         Ok(Core {
             control,
-            pilot,
+            group,
             disk,
             disk_said,
-            roster,
+            registry,
             in_hand: InHand::new(lot()),
             told: retire::Told::default(),
             released: None,
@@ -93,20 +93,20 @@
     pub fn run(mut self) -> miette::Result<()> {
         loop {
             let now = self.common.net.now();
-            let until = self.pilot.next(now).min(self.roster.next());
-            let (words, events) = self.common.turn(until);
-            words.into_iter().for_each(|word| self.word(word));
+            let until = self.group.next(now).min(self.registry.next());
+            let (link_events, events) = self.common.turn(until);
+            link_events.into_iter().for_each(|link_event| self.link_event(link_event));
             events.into_iter().for_each(|event| self.event(event));
             self.inquiries();
             let now = self.common.net.now();
-            self.pilot.tick(now);
+            self.group.tick(now);
             self.carry_out();
             self.connect();
             self.tell(now);
             self.look_after_retirements(now);
             self.give_up_overdue(now);
             if self.common.told_to_end() {
-                self.pilot.release(now);
+                self.group.release(now);
                 self.carry_out();
             }
             if self.may_end(now) {
@@ -135,8 +135,8 @@
         }
         let me = self.common.boot.ip;
         let mut all: Vec<std::net::Ipv4Addr> = self.common.boot.seeds.iter().map(|s| *s.ip()).collect();
-        all.extend(self.pilot.watch().iter().flat_map(|w| w.voters.iter().map(|v| *v.ip())));
-        all.extend(self.roster.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
+        all.extend(self.group.view().iter().flat_map(|w| w.voters.iter().map(|v| *v.ip())));
+        all.extend(self.registry.members.iter().filter(|m| m.class == Class::Core).map(|m| m.ip));
         // One that is no seed is not known to the others: it opens the connections itself.
         let seed = self.common.boot.seeds.iter().any(|s| *s.ip() == me);
         let wanted: Vec<SocketAddrV4> = all
@@ -152,59 +152,61 @@
 
     // ---- What is said ----
 
-    fn word(&mut self, word: Word) {
+    fn link_event(&mut self, link_event: LinkEvent) {
         let now = self.common.net.now();
-        match word {
-            Word::Up(hello) if hello.class == Class::Core => {
+        match link_event {
+            LinkEvent::Up(hello) if hello.class == Class::Core => {
                 if let Some(control) = hello.control {
-                    self.pilot.link(now, control, true);
-                    self.pilot.learn(control);
+                    self.group.link(now, control, true);
+                    self.group.learn(control);
                 }
-                self.roster.core_up(now, member_of(&hello, 0));
+                self.registry.core_up(now, member_of(&hello, 0));
             }
-            Word::Up(_) => {}
-            Word::Down(node, Class::Core) => {
-                let control = self.roster.members.iter().find(|m| m.node == node).and_then(|m| m.control);
+            LinkEvent::Up(_) => {}
+            LinkEvent::Down(node, Class::Core) => {
+                let control = self.registry.members.iter().find(|m| m.node == node).and_then(|m| m.control);
                 if let Some(control) = control {
-                    self.pilot.link(now, control, false);
+                    self.group.link(now, control, false);
                 }
                 // It may have settled what was passed to it.
                 for (place, kind) in self.in_hand.lost(node) {
                     self.said(place, kind.uncertain());
                 }
-                self.roster.core_down(node);
+                self.registry.core_down(node);
             }
-            Word::Down(node, _) => self.roster.session_down(now, node),
-            Word::Said(from, class, Signal::Ask { life, version, config, retiring })
+            LinkEvent::Down(node, _) => self.registry.session_down(now, node),
+            LinkEvent::Said(from, class, Signal::Ask { life, version, config, retiring })
                 if class != Class::Core =>
             {
                 if let Some(hello) = self.common.links.hello(from) {
                     let member = Member { retiring, ..member_of(hello, config) };
-                    self.roster.asked(now, member, life, version);
+                    self.registry.asked(now, member, life, version);
                 }
             }
-            Word::Said(from, Class::Core, Signal::Pilot(signal)) => {
+            LinkEvent::Said(from, Class::Core, Signal::Control(signal)) => {
                 if let Some(voter) = self.common.links.hello(from).and_then(|h| h.control) {
-                    self.pilot.signal(now, voter, signal);
+                    self.group.signal(now, voter, signal);
                 }
             }
-            Word::Said(from, Class::Core, Signal::Sessions(members)) => {
-                self.roster.told_sessions(now, from, members)
+            LinkEvent::Said(from, Class::Core, Signal::Sessions(members)) => {
+                self.registry.told_sessions(now, from, members)
             }
-            Word::Said(_, Class::Core, Signal::Beats(beats)) => self.roster.told_beats(now, beats),
-            Word::Said(from, Class::Core, Signal::Pass { ticket, call }) => {
+            LinkEvent::Said(_, Class::Core, Signal::Heartbeats(heartbeats)) => {
+                self.registry.told_heartbeats(now, heartbeats)
+            }
+            LinkEvent::Said(from, Class::Core, Signal::Pass { ticket, call }) => {
                 let place = self.in_hand.open(now, Origin::Core(from, ticket));
                 if let Some(answer) = self.settle_passed(place, call) {
                     self.said(place, answer);
                 }
             }
-            Word::Said(from, Class::Core, Signal::Settled { ticket, status, body })
+            LinkEvent::Said(from, Class::Core, Signal::Settled { ticket, status, body })
                 if self.in_hand.waits_for(ticket, from) =>
             {
                 let retry = if status == 503 { vec![("Retry-After", "1".to_string())] } else { Vec::new() };
                 self.said(ticket, Answer { status, json: true, body, headers: retry, close: false });
             }
-            Word::Said(..) => {}
+            LinkEvent::Said(..) => {}
         }
     }
 
@@ -216,7 +218,7 @@
                     if let Err(error) = &result {
                         tracing::error!(%error, "disk refuses");
                     }
-                    self.pilot.kept(now, ticket, result.is_ok());
+                    self.group.persisted(now, ticket, result.is_ok());
                 }
             }
             Event::Request { conn, request, .. } => self.request(conn, &request),
@@ -226,7 +228,7 @@
 
     fn request(&mut self, conn: ConnId, request: &Request) {
         let place = self.in_hand.open(self.common.net.now(), Origin::Client(conn));
-        let answer = calls::handle::<Heartbeat, _>(self, place, request)
+        let answer = calls::handle::<HeartbeatCall, _>(self, place, request)
             .or_else(|| calls::handle::<Leave, _>(self, place, request))
             .or_else(|| calls::handle::<Replace, _>(self, place, request))
             .or_else(|| calls::handle::<ReadSettings, _>(self, place, request))
@@ -287,7 +289,7 @@
 
     fn carry_out(&mut self) {
         loop {
-            let effects = self.pilot.take();
+            let effects = self.group.take();
             if effects.is_empty() {
                 return;
             }
@@ -299,19 +301,19 @@
         match effect {
             Effect::Send { to, signal } => {
                 if let Some(node) = self.common.links.by_control(to) {
-                    self.common.links.say(&mut self.common.net, node, &Signal::Pilot(signal));
+                    self.common.links.say(&mut self.common.net, node, &Signal::Control(signal));
                 }
             }
-            Effect::Keep { ticket, record } => {
+            Effect::Persist { ticket, record } => {
                 self.disk.append(ticket, vec![ledger::bytes(&record)], true);
             }
             Effect::Answer { ticket, verdict } => self.answered(ticket, verdict),
-            Effect::Chart { ticket, chart } => {
-                let settings = chart.map_or(Settings::None, |chart| Settings::Whole(chart.body));
+            Effect::ControlState { ticket, state } => {
+                let settings = state.map_or(Settings::None, |state| Settings::Whole(state.body));
                 self.said(ticket, settings.into());
             }
-            Effect::InForce { .. } => self.in_force(),
-            Effect::Turn { epoch, what } => tracing::info!(epoch, what, "control duty"),
+            Effect::Committed { .. } => self.committed(),
+            Effect::RoleChanged { epoch, what } => tracing::info!(epoch, what, "control duty"),
             Effect::Released => self.released = Some(self.common.net.now()),
         }
     }
@@ -339,21 +341,21 @@
         if verdict == Verdict::Accepted {
             return Some(Replaced::InForce(InForce::new(version, body, true)));
         }
-        let held = self.pilot.held();
+        let held = self.group.held();
         Some(Replaced::InForce(InForce::new(held.version, &held.body, body == held.body)))
     }
 
     /// The replicated value changed: the configuration may have, or which stores are retired.
-    fn in_force(&mut self) {
-        let Some(chart) = self.pilot.in_force() else { return };
+    fn committed(&mut self) {
+        let Some(state) = self.group.committed() else { return };
         let known = self.common.config.as_ref().map_or(0, |config| config.revision);
-        if chart.version > 0 && chart.version != known {
-            tracing::info!(version = chart.version, "configuration in force");
-            self.common.config = Config::read(&chart.body).ok().map(std::sync::Arc::new);
+        if state.version > 0 && state.version != known {
+            tracing::info!(version = state.version, "configuration in force");
+            self.common.config = Config::read(&state.body).ok().map(std::sync::Arc::new);
         }
     }
 
-    /// A control node in an executor's own zone, where this one is in another: a beat there crosses none. Bare, as an address
+    /// A control node in an executor's own zone, where this one is in another: a heartbeat there crosses none. Bare, as an address
     /// and port; a URL is not followed.
     fn near_core(&self, zone: &str) -> Option<String> {
         if self.common.boot.zone == zone {
@@ -365,23 +367,25 @@
 
     /// Who is there, and who is told of it.
     fn tell(&mut self, now: Millis) {
-        let in_touch = self.pilot.in_touch(now);
+        let in_touch = self.group.in_touch(now);
         if now >= self.heard_at {
             self.heard_at = now + HEARD;
             for core in self.common.links.class(Class::Core) {
                 if let Some(at) = self.common.links.heard(core) {
-                    self.roster.core_heard(core, at);
+                    self.registry.core_heard(core, at);
                 }
             }
         }
-        let force = self.pilot.in_force().filter(|chart| chart.version > 0);
-        let force = force.map(|chart| (chart.version, chart.body.as_slice()));
-        self.roster.tick(now, in_touch, force);
-        for effect in self.roster.take() {
+        let force = self.group.committed().filter(|state| state.version > 0);
+        let force = force.map(|state| (state.version, state.body.as_slice()));
+        self.registry.tick(now, in_touch, force);
+        for effect in self.registry.take() {
             let (to, signal) = match effect {
                 Notice::News { to, news } => (vec![to], Signal::News(news)),
-                Notice::AllBeats { to, beats } => (vec![to], Signal::Beats(beats)),
-                Notice::TellBeats(beats) => (self.common.links.class(Class::Core), Signal::Beats(beats)),
+                Notice::AllHeartbeats { to, heartbeats } => (vec![to], Signal::Heartbeats(heartbeats)),
+                Notice::TellHeartbeats(heartbeats) => {
+                    (self.common.links.class(Class::Core), Signal::Heartbeats(heartbeats))
+                }
                 Notice::TellSessions(all) => (self.common.links.class(Class::Core), Signal::Sessions(all)),
             };
             for node in to {
@@ -410,13 +414,13 @@
     }
 }
 
-impl Desk<Heartbeat> for Core {
-    fn settle(&mut self, _: u64, call: Heartbeat) -> Option<Heard> {
+impl CallHandler<HeartbeatCall> for Core {
+    fn settle(&mut self, _: u64, call: HeartbeatCall) -> Option<Heard> {
         let now = self.common.net.now();
         let beat_url = self.near_core(&call.zone);
-        self.roster.beat(
+        self.registry.heartbeat(
             now,
-            Beat {
+            Heartbeat {
                 id: call.id,
                 backend: call.backend,
                 address: call.address,
@@ -429,32 +433,32 @@
             },
         );
         // Cut off from the others it could not tell them: the executor is to tell another as well.
-        Some(Heard { beat_url, told: self.pilot.in_touch(now) || !self.roster.ready })
+        Some(Heard { beat_url, told: self.group.in_touch(now) || !self.registry.ready })
     }
 }
 
-impl Desk<Leave> for Core {
+impl CallHandler<Leave> for Core {
     fn settle(&mut self, _: u64, call: Leave) -> Option<Done> {
-        self.roster.leave(&call.id);
+        self.registry.leave(&call.id);
         Some(Done)
     }
 }
 
-impl Desk<Replace> for Core {
+impl CallHandler<Replace> for Core {
     fn settle(&mut self, place: u64, call: Replace) -> Option<Replaced> {
         let now = self.common.net.now();
         self.in_hand.keep(place, Passed::Replace { version: call.version, body: call.body.clone() });
-        self.pilot.replace(now, place, call.version, call.body);
+        self.group.replace(now, place, call.version, call.body);
         self.carry_out();
         None
     }
 }
 
-impl Desk<ReadSettings> for Core {
+impl CallHandler<ReadSettings> for Core {
     fn settle(&mut self, place: u64, _: ReadSettings) -> Option<Settings> {
         let now = self.common.net.now();
         self.in_hand.keep(place, Passed::Read);
-        self.pilot.read(now, place);
+        self.group.read(now, place);
         self.carry_out();
         None
     }
--- a/harbour/src/core/in_hand.rs
+++ b/crates/server/src/core/in_hand.rs
@@ -5,7 +5,7 @@
 use crate::net::{Answer, ConnId, Millis};
 use crate::signals::{Passed, PassedKind};
 use std::collections::HashMap;
-use stileroute_hold::Node;
+use stileroute_queue::Node;
 
 /// The primary answers within 2.5 s: a call that was passed on and has no answer by then has lost it.
 const PASSED: Millis = 4000;
--- a/harbour/src/core/ledger.rs
+++ b/crates/server/src/core/ledger.rs
@@ -1,7 +1,7 @@
 //! The control node's records on disk.
 
-use stileroute_logbook::Fold;
-use stileroute_pilotage::{Kept, Record};
+use stileroute_control_group::{Persisted, Record};
+use stileroute_wal::Fold;
 
 /// A record as the log takes it.
 pub fn bytes(record: &Record) -> Vec<u8> {
@@ -10,7 +10,7 @@
 
 /// What all records amount to.
 #[derive(Default)]
-pub struct Ledger(pub Kept);
+pub struct Ledger(pub Persisted);
 
 impl Fold for Ledger {
     fn apply(&mut self, record: &[u8]) {
--- /dev/null
+++ b/crates/server/src/core/report.rs
@@ -0,0 +1,103 @@
+//! What a control node tells operators.
+
+use super::Core;
+use crate::figures::Sheet;
+use crate::node::Common;
+use crate::report::{member, Told};
+use crate::signals::{Class, Standing};
+use jzon::JsonValue;
+use std::collections::BTreeMap;
+
+impl Core {
+    fn force(&self) -> u64 {
+        self.group.committed().map_or(0, |state| state.version)
+    }
+}
+
+impl Told for Core {
+    fn common(&mut self) -> &mut Common {
+        &mut self.common
+    }
+
+    fn report(&self) -> JsonValue {
+        let now = self.common.net.now();
+        let mut report = self.common.report();
+        report["version"] = self.force().into();
+        // Its own sessions last: what others told of a node may be from before it came here.
+        let told = self.registry.told.values().flat_map(|(_, members)| members);
+        let own = self.registry.sessions.values().filter(|s| s.up).map(|s| &s.member);
+        let mut known = BTreeMap::new();
+        for one in self.registry.members.iter().filter(|m| m.class == Class::Core).chain(told).chain(own) {
+            known.insert(one.name.clone(), member(one));
+        }
+        let known: Vec<JsonValue> = known.into_values().collect();
+        report["known"] = known.into();
+        report["ready"] = self.registry.ready.into();
+        let list = |voters: &[std::net::SocketAddrV4]| -> JsonValue {
+            voters.iter().map(|v| JsonValue::from(v.to_string())).collect::<Vec<_>>().into()
+        };
+        report["duty"] = jzon::object! {
+            "control" => self.common.boot.control.map(|at| at.to_string()),
+            "epoch" => self.group.view().map_or(0, |w| w.epoch),
+            "primary" => self.group.primary().map(|p| p.to_string()),
+            "copies" => self.group.view().map_or(JsonValue::Null, |w| list(&w.copies)),
+            "voters" => self.group.view().map_or(JsonValue::Null, |w| list(&w.voters)),
+            "leads" => self.group.leads(now),
+            "blank" => self.group.blank(),
+        };
+        let executors: Vec<JsonValue> = self
+            .registry
+            .executors()
+            .filter(|known| known.heartbeat.standing != Standing::Gone)
+            .map(|known| {
+                jzon::object! {
+                    "id" => known.heartbeat.id.clone(),
+                    "service" => known.heartbeat.backend.clone(),
+                    "address" => known.heartbeat.address.to_string(),
+                    "zone" => known.heartbeat.zone.clone(),
+                    "standing" => known.heartbeat.standing.to_string(),
+                    "capacity" => known.heartbeat.capacity,
+                    "beat_ms" => now.saturating_sub(known.heard),
+                }
+            })
+            .collect();
+        report["executors"] = executors.into();
+        report
+    }
+
+    fn figures(&self, sheet: &mut Sheet) {
+        let now = self.common.net.now();
+        self.common.figures(sheet, |_| "control");
+        sheet.gauge(
+            "stileroute_control_version",
+            "Version that this node holds in force.",
+            &[],
+            self.force(),
+        );
+        let epoch = self.group.view().map_or(0, |w| w.epoch);
+        sheet.gauge("stileroute_control_epoch", "Epoch of the control duty.", &[], epoch);
+        let leads = u8::from(self.group.leads(now));
+        sheet.gauge("stileroute_control_leads", "1: this node decides, and its lease holds.", &[], leads);
+        let blank = u8::from(self.group.blank());
+        sheet.gauge(
+            "stileroute_control_blank",
+            "1: it has lost its disk and has not learned yet.",
+            &[],
+            blank,
+        );
+        let sessions = self.registry.sessions.values().filter(|s| s.up).count();
+        sheet.gauge("stileroute_sessions", "Sessions of edges and stores with this node.", &[], sessions);
+        for standing in [Standing::Serving, Standing::Draining] {
+            let count = self.registry.executors().filter(|k| k.heartbeat.standing == standing).count();
+            let labels = [("standing", &*standing.to_string())];
+            sheet.gauge("stileroute_executors", "Executors known, by standing.", &labels, count);
+        }
+        sheet.gauge(
+            "stileroute_calls_in_hand",
+            "Calls that have not been answered.",
+            &[],
+            self.in_hand.len(),
+        );
+        crate::store::report::disk(sheet, self.disk.figures());
+    }
+}
--- a/harbour/src/core/retire.rs
+++ b/crates/server/src/core/retire.rs
@@ -2,14 +2,14 @@
 //! is only what has been told.
 
 use super::Core;
-use crate::calls::{Desk, Retire, RetireBegin, RetireRead, Retired};
+use crate::calls::{CallHandler, Retire, RetireBegin, RetireRead, Retired};
 use crate::net::Millis;
 use crate::node::number;
 use crate::signals::{Class, Passed, Retiring, Signal};
 use std::collections::BTreeMap;
-use stileroute_hold::Node;
-use stileroute_pilotage::{Chart, Stage};
-use stileroute_roster::Roster;
+use stileroute_control_group::{ControlState, Stage};
+use stileroute_queue::Node;
+use stileroute_registry::Registry;
 
 /// An order to retire a store is confirmed by then, or the operator sends it again: he goes elsewhere after a second of silence.
 const CONFIRMED: Millis = 900;
@@ -32,9 +32,9 @@
 /// stay, by their zones, bear the losses that are named.
 pub fn judge(
     name: &str,
-    held: &Chart,
+    held: &ControlState,
     soon: &[Node],
-    roster: &Roster,
+    registry: &Registry,
     suffice: impl Fn(&[&str]) -> bool,
 ) -> Judgement {
     let node = number(name);
@@ -42,14 +42,14 @@
         return Judgement::Known;
     }
     // While it does not know yet who is there, none is refused for good.
-    let refused = |judgement| if roster.ready { judgement } else { Judgement::NotNow };
-    let Some(store) = roster.store(name) else { return refused(Judgement::Unknown) };
+    let refused = |judgement| if registry.ready { judgement } else { Judgement::NotNow };
+    let Some(store) = registry.store(name) else { return refused(Judgement::Unknown) };
     if store.retiring != Retiring::No {
         return Judgement::Take;
     }
     let agreed = |other: Node| other == node || held.retirement(other).is_some();
     let zones = |goes: &dyn Fn(Node) -> bool| {
-        let stay = roster.stay_without(goes);
+        let stay = registry.stay_without(goes);
         suffice(&stay.map(|member| member.zone.as_str()).collect::<Vec<_>>())
     };
     // Every message lies on so many stores. With just as many left none can be taken while one is away.
@@ -65,9 +65,9 @@
 
 /// What is said of a retirement, by the agreed value and by what the store itself says. It is complete only when both say so:
 /// a new machine of the same name, which is told to retire as well, may hold something.
-pub fn standing(name: &str, agreed: Option<&Chart>, roster: &Roster) -> Option<Retired> {
-    let stage = agreed.and_then(|chart| chart.retirement(number(name))).map(|retirement| retirement.stage);
-    let says = roster.store(name).map(|store| store.retiring);
+pub fn standing(name: &str, agreed: Option<&ControlState>, registry: &Registry) -> Option<Retired> {
+    let stage = agreed.and_then(|state| state.retirement(number(name))).map(|retirement| retirement.stage);
+    let says = registry.store(name).map(|store| store.retiring);
     match (stage, says) {
         (Some(Stage::Complete), None | Some(Retiring::Complete)) => Some(Retired::Complete),
         (Some(_), _) => Some(Retired::Rolling),
@@ -89,10 +89,10 @@
 
 impl Told {
     /// Stores with sessions here that are to retire, have not said that they do, and were not told just now.
-    pub fn due(&mut self, now: Millis, agreed: &Chart, roster: &Roster) -> Vec<Node> {
+    pub fn due(&mut self, now: Millis, agreed: &ControlState, registry: &Registry) -> Vec<Node> {
         self.0.retain(|node, _| agreed.retirement(*node).is_some());
         let lacks = |node: &Node| {
-            let session = roster.sessions.get(node).filter(|session| session.up);
+            let session = registry.sessions.get(node).filter(|session| session.up);
             session.is_some_and(|s| s.member.class == Class::Store && s.member.retiring == Retiring::No)
         };
         let mut due: Vec<Node> = agreed.retirements.iter().map(|r| r.node).filter(lacks).collect();
@@ -113,17 +113,17 @@
     }
 
     fn tell_stores(&mut self, now: Millis) {
-        let Some(agreed) = self.pilot.in_force() else { return };
-        for node in self.told.due(now, agreed, &self.roster) {
+        let Some(agreed) = self.group.committed() else { return };
+        for node in self.told.due(now, agreed, &self.registry) {
             self.common.links.say(&mut self.common.net, node, &Signal::Retire { node });
         }
     }
 
     /// At the primary.
     fn note_stages(&mut self, now: Millis) {
-        let Some(held) = self.pilot.settled(now).filter(|held| !held.retirements.is_empty()) else { return };
-        let further = |retirement: &stileroute_pilotage::Retirement| {
-            let says = stage(self.roster.store(&retirement.name)?.retiring)?;
+        let Some(held) = self.group.settled(now).filter(|held| !held.retirements.is_empty()) else { return };
+        let further = |retirement: &stileroute_control_group::Retirement| {
+            let says = stage(self.registry.store(&retirement.name)?.retiring)?;
             (says > retirement.stage).then_some((retirement.node, says))
         };
         let steps: Vec<(Node, Stage)> = held.retirements.iter().filter_map(further).collect();
@@ -131,7 +131,7 @@
             return;
         }
         for (node, stage) in steps {
-            self.pilot.advance(now, node, stage);
+            self.group.advance(now, node, stage);
         }
         self.carry_out();
     }
@@ -149,20 +149,20 @@
 
     /// The store has said that it has the order, now or before.
     fn confirmed(&self, name: &str) -> bool {
-        let agreed = self.pilot.in_force().and_then(|chart| chart.retirement(number(name)));
-        let says = self.roster.store(name).is_some_and(|store| store.retiring != Retiring::No);
+        let agreed = self.group.committed().and_then(|state| state.retirement(number(name)));
+        let says = self.registry.store(name).is_some_and(|store| store.retiring != Retiring::No);
         agreed.is_some_and(|retirement| says || retirement.stage != Stage::Ordered)
     }
 
     fn judge(&self, now: Millis, name: &str) -> Option<Judgement> {
-        let held = self.pilot.settled(now)?;
-        let soon: Vec<Node> = self.pilot.retiring_soon().collect();
+        let held = self.group.settled(now)?;
+        let soon: Vec<Node> = self.group.retiring_soon().collect();
         let suffice = |zones: &[&str]| self.common.boot.suffice(zones.iter().copied());
-        Some(judge(name, held, &soon, &self.roster, suffice))
+        Some(judge(name, held, &soon, &self.registry, suffice))
     }
 }
 
-impl Desk<RetireBegin> for Core {
+impl CallHandler<RetireBegin> for Core {
     fn settle(&mut self, place: u64, RetireBegin { node: name }: RetireBegin) -> Option<Retire> {
         let now = self.common.net.now();
         if self.confirmed(&name) {
@@ -170,7 +170,7 @@
         }
         self.in_hand.keep(place, Passed::RetireBegin { node: name.clone() });
         let Some(judgement) = self.judge(now, &name) else {
-            self.pass(place, self.pilot.primary());
+            self.pass(place, self.group.primary());
             return None;
         };
         match judgement {
@@ -179,7 +179,7 @@
             Judgement::NotNow => return Some(Retire::NotNow),
             Judgement::Known => self.in_hand.await_store(place),
             Judgement::Take => {
-                self.pilot.retire(now, place, number(&name), name);
+                self.group.retire(now, place, number(&name), name);
                 self.carry_out();
             }
         }
@@ -187,23 +187,23 @@
     }
 }
 
-impl Desk<RetireRead> for Core {
+impl CallHandler<RetireRead> for Core {
     fn settle(&mut self, place: u64, RetireRead { node: name }: RetireRead) -> Option<Retired> {
         let now = self.common.net.now();
-        if let Some(standing) = standing(&name, self.pilot.in_force(), &self.roster) {
+        if let Some(standing) = standing(&name, self.group.committed(), &self.registry) {
             return Some(standing);
         }
         self.in_hand.keep(place, Passed::RetireRead { node: name.clone() });
         // Only who decides can say that there is no such order.
-        if self.pilot.settled(now).is_none() {
-            self.pass(place, self.pilot.primary());
+        if self.group.settled(now).is_none() {
+            self.pass(place, self.group.primary());
             return None;
         }
-        let says = self.roster.store(&name).and_then(|store| stage(store.retiring));
+        let says = self.registry.store(&name).and_then(|store| stage(store.retiring));
         Some(match says {
             Some(Stage::Complete) => Retired::Complete,
             Some(_) => Retired::Rolling,
-            None if self.roster.ready => Retired::Unknown,
+            None if self.registry.ready => Retired::Unknown,
             None => Retired::NotNow,
         })
     }
--- a/harbour/src/core/tests.rs
+++ b/crates/server/src/core/tests.rs
@@ -8,9 +8,9 @@
 use crate::signals::{Class, Member, Passed, PassedKind, Retiring};
 use assert_matches::assert_matches;
 use std::net::Ipv4Addr;
-use stileroute_logbook::{Fold, MAX_RECORD};
-use stileroute_pilotage::{Chart, Record, Retirement, Stage, RETIREMENTS};
-use stileroute_roster::Roster;
+use stileroute_control_group::{ControlState, Record, Retirement, Stage, RETIREMENTS};
+use stileroute_registry::Registry;
+use stileroute_wal::{Fold, MAX_RECORD};
 
 const CLIENT: Origin = Origin::Client(9);
 
@@ -108,30 +108,31 @@
 }
 
 /// Knows these stores; `ready` if it has been up for long enough.
-fn roster(stores: &[(&str, Retiring)], ready: bool) -> Roster {
-    let mut roster = Roster::new(Member { class: Class::Core, ..store("core-1", Retiring::No) }, 77, 1200, 0);
+fn registry(stores: &[(&str, Retiring)], ready: bool) -> Registry {
+    let mut registry =
+        Registry::new(Member { class: Class::Core, ..store("core-1", Retiring::No) }, 77, 1200, 0);
     let now = if ready { 3000 } else { 10 };
     for (name, retiring) in stores {
-        roster.asked(now, store(name, *retiring), 0, 0);
+        registry.asked(now, store(name, *retiring), 0, 0);
     }
-    roster.tick(now, true, None);
-    roster.take();
-    roster
+    registry.tick(now, true, None);
+    registry.take();
+    registry
 }
 
-fn held(retirements: &[(&str, Stage)]) -> Chart {
+fn held(retirements: &[(&str, Stage)]) -> ControlState {
     let one = |(name, stage): &(&str, Stage)| Retirement {
         node: number(name),
         name: name.to_string(),
         stage: *stage,
     };
-    Chart { serial: 9, retirements: retirements.iter().map(one).collect(), ..Chart::default() }
+    ControlState { serial: 9, retirements: retirements.iter().map(one).collect(), ..ControlState::default() }
 }
 
 /// Two have to stay.
-fn judged(name: &str, held: &Chart, soon: &[&str], roster: &Roster) -> Judgement {
+fn judged(name: &str, held: &ControlState, soon: &[&str], registry: &Registry) -> Judgement {
     let soon: Vec<u32> = soon.iter().map(|name| number(name)).collect();
-    judge(name, held, &soon, roster, |zones| zones.len() >= 2)
+    judge(name, held, &soon, registry, |zones| zones.len() >= 2)
 }
 
 const FOUR: [(&str, Retiring); 4] =
@@ -139,23 +140,27 @@
 
 #[test]
 fn two_orders_at_one_moment_never_leave_too_few() {
-    let roster = roster(&FOUR, true);
+    let registry = registry(&FOUR, true);
     let none = held(&[]);
-    assert_eq!(judged("s-1", &none, &[], &roster), Judgement::Take);
+    assert_eq!(judged("s-1", &none, &[], &registry), Judgement::Take);
     // The first is being written: two would stay, and then one.
-    assert_eq!(judged("s-2", &none, &["s-1"], &roster), Judgement::Take);
-    assert_eq!(judged("s-3", &none, &["s-1", "s-2"], &roster), Judgement::NotNow, "they may come to nothing");
+    assert_eq!(judged("s-2", &none, &["s-1"], &registry), Judgement::Take);
+    assert_eq!(
+        judged("s-3", &none, &["s-1", "s-2"], &registry),
+        Judgement::NotNow,
+        "they may come to nothing"
+    );
     // They are agreed on, and no store has said so yet.
     let agreed = held(&[("s-1", Stage::Ordered), ("s-2", Stage::Ordered)]);
-    assert_eq!(judged("s-3", &agreed, &[], &roster), Judgement::TooFew);
+    assert_eq!(judged("s-3", &agreed, &[], &registry), Judgement::TooFew);
     // One that was said to be empty is gone by now, and one that never was a member counts for none.
-    assert_eq!(judged("s-1", &held(&[("s-9", Stage::Complete)]), &[], &roster), Judgement::Take);
-    assert_eq!(judged("s-9", &none, &[], &roster), Judgement::Unknown);
+    assert_eq!(judged("s-1", &held(&[("s-9", Stage::Complete)]), &[], &registry), Judgement::Take);
+    assert_eq!(judged("s-9", &none, &[], &registry), Judgement::Unknown);
 }
 
 #[test]
 fn an_order_sent_again_is_never_refused_also_when_the_machine_is_gone() {
-    let left = roster(&FOUR[1..3], true);
+    let left = registry(&FOUR[1..3], true);
     for stage in [Stage::Ordered, Stage::Rolling, Stage::Complete] {
         assert_eq!(judged("s-1", &held(&[("s-1", stage)]), &[], &left), Judgement::Known);
     }
@@ -163,7 +168,7 @@
 
 #[test]
 fn a_control_node_that_does_not_know_yet_who_is_there_refuses_nothing_for_good() {
-    let young = roster(&FOUR[..2], false);
+    let young = registry(&FOUR[..2], false);
     assert_eq!(judged("s-9", &held(&[]), &[], &young), Judgement::NotNow);
     assert_eq!(judged("s-1", &held(&[]), &[], &young), Judgement::NotNow);
 }
@@ -172,9 +177,9 @@
 fn complete_is_what_the_store_has_said_and_no_other_machine_of_its_name_contradicts() {
     let complete = held(&[("s-1", Stage::Complete)]);
     let rolling = held(&[("s-1", Stage::Rolling)]);
-    let says = |retiring| roster(&[("s-1", retiring)], true);
-    let gone = roster(&[], true);
-    let of = |chart, roster: &Roster| standing("s-1", Some(chart), roster);
+    let says = |retiring| registry(&[("s-1", retiring)], true);
+    let gone = registry(&[], true);
+    let of = |state, registry: &Registry| standing("s-1", Some(state), registry);
     assert_matches!(of(&complete, &gone), Some(Retired::Complete));
     assert_matches!(of(&complete, &says(Retiring::Complete)), Some(Retired::Complete));
     // It is restarting: nobody has said that it is empty.
@@ -190,7 +195,7 @@
 #[test]
 fn a_store_is_told_where_its_session_is_until_it_says_that_it_retires() {
     let agreed = held(&[("s-1", Stage::Ordered), ("s-2", Stage::Rolling), ("s-9", Stage::Ordered)]);
-    let mut here = roster(&FOUR, true);
+    let mut here = registry(&FOUR, true);
     let mut told = Told::default();
     let (first, second) = (number("s-1"), number("s-2"));
     // The second has lost its disk, or is another machine of its name.
@@ -205,20 +210,20 @@
 }
 
 /// The largest there is, with as many retirements as are remembered, of the longest names that are read.
-fn largest() -> Chart {
+fn largest() -> ControlState {
     let name = |i: usize| format!("{i:0>255}");
     let retirement = |i| Retirement { node: i as u32, name: name(i), stage: Stage::Complete };
     let body = (0..LARGEST_CONFIGURATION).map(|i| i as u8).collect();
-    Chart { serial: 70, version: 7, body, retirements: (0..RETIREMENTS).map(retirement).collect() }
+    ControlState { serial: 70, version: 7, body, retirements: (0..RETIREMENTS).map(retirement).collect() }
 }
 
 #[test]
 fn the_largest_value_that_is_taken_is_also_taken_by_the_disk() {
-    let record = bytes(&Record::Chart(largest()));
+    let record = bytes(&Record::ControlState(largest()));
     assert!(record.len() <= MAX_RECORD);
     let mut ledger = Ledger::default();
     ledger.apply(&record);
-    assert_eq!(ledger.0.chart, Some(largest()));
+    assert_eq!(ledger.0.state, Some(largest()));
     // A checkpoint holds the same.
     let mut again = Ledger::default();
     ledger.snapshot(&mut |record| again.apply(record));
@@ -231,14 +236,14 @@
     enum Older {
         #[allow(dead_code)]
         Watch,
-        Chart {
+        ControlState {
             version: u64,
             body: Vec<u8>,
         },
     }
-    let older = postcard::to_stdvec(&Older::Chart { version: 7, body: b"seven".to_vec() }).unwrap();
+    let older = postcard::to_stdvec(&Older::ControlState { version: 7, body: b"seven".to_vec() }).unwrap();
     let mut ledger = Ledger::default();
     ledger.apply(&older);
-    let read = Chart { serial: 7, version: 7, body: b"seven".to_vec(), retirements: Vec::new() };
-    assert_eq!(ledger.0.chart, Some(read));
+    let read = ControlState { serial: 7, version: 7, body: b"seven".to_vec(), retirements: Vec::new() };
+    assert_eq!(ledger.0.state, Some(read));
 }
--- a/harbour/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -5,15 +5,15 @@
 
 use asking::{Find, Heard, Put, Refused};
 
-use crate::links::Word;
+use crate::links::LinkEvent;
 use crate::net::{Answer, Bounds, ConnId, Event, Millis, Request};
 use crate::node::{wall, Common};
 use crate::report::Told;
 use crate::signals::{Class, Found, Signal};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
-use stileroute_charter::RouteKind;
-use stileroute_hold::{place, Cargo, Key, Node, Refusal};
+use stileroute_config::RouteKind;
+use stileroute_queue::{place, Key, Message, Node, Refusal};
 
 /// A store that has not answered for so long is taken to be stuck, and another is asked; one of which nothing at all has
 /// been heard meanwhile is taken to be gone sooner.
@@ -86,8 +86,8 @@
     pub fn run(mut self) -> miette::Result<()> {
         loop {
             let until = self.waits.keys().next().map_or(Millis::MAX, |(at, _)| *at);
-            let (words, events) = self.common.turn(until);
-            words.into_iter().for_each(|word| self.word(word));
+            let (link_events, events) = self.common.turn(until);
+            link_events.into_iter().for_each(|link_event| self.link_event(link_event));
             events.into_iter().for_each(|event| self.event(event));
             self.inquiries();
             self.look_after();
@@ -133,19 +133,19 @@
             && self.common.links.hellos(Class::Store).any(|h| !self.leaving.contains(&h.node))
     }
 
-    fn word(&mut self, word: Word) {
-        match word {
-            Word::Up(hello) if hello.class == Class::Store => {
+    fn link_event(&mut self, link_event: LinkEvent) {
+        match link_event {
+            LinkEvent::Up(hello) if hello.class == Class::Store => {
                 self.leaving.remove(&hello.node);
                 self.shunned.remove(&hello.node);
                 for (_, signal) in &self.superseded {
                     self.common.links.say(&mut self.common.net, hello.node, signal);
                 }
             }
-            Word::Up(_) => {}
-            Word::Down(node, Class::Store) => self.store_lost(node),
-            Word::Down(..) => {}
-            Word::Said(from, Class::Core, Signal::News(news)) => {
+            LinkEvent::Up(_) => {}
+            LinkEvent::Down(node, Class::Store) => self.store_lost(node),
+            LinkEvent::Down(..) => {}
+            LinkEvent::Said(from, Class::Core, Signal::News(news)) => {
                 if let Some(config) = self.common.heard_news(from, &news) {
                     let limits = &config.limits;
                     let bounds = Bounds {
@@ -157,16 +157,16 @@
                     self.common.net.bound(self.front, bounds);
                 }
             }
-            Word::Said(from, Class::Store, Signal::Taken { ticket, result }) => {
+            LinkEvent::Said(from, Class::Store, Signal::Taken { ticket, result }) => {
                 self.taken(from, ticket, result)
             }
-            Word::Said(from, Class::Store, Signal::Found { ticket, found }) => {
+            LinkEvent::Said(from, Class::Store, Signal::Found { ticket, found }) => {
                 self.found(from, ticket, found)
             }
-            Word::Said(from, Class::Store, Signal::Leaving) => {
+            LinkEvent::Said(from, Class::Store, Signal::Leaving) => {
                 self.leaving.insert(from);
             }
-            Word::Said(..) => {}
+            LinkEvent::Said(..) => {}
         }
     }
 
@@ -224,7 +224,7 @@
         }
         let now = self.common.net.now();
         let until = now + request.left_ms.unwrap_or(4000).clamp(50, 10_000);
-        let cargo = Cargo {
+        let message = Message {
             id: request.id,
             host: request.host,
             method: request.method,
@@ -241,7 +241,7 @@
             body: request.body,
         };
         let ticket = self.ticket();
-        let put = Put { conn, cargo, tried: Vec::new(), sent: now, until, uncertain: false };
+        let put = Put { conn, message, tried: Vec::new(), sent: now, until, uncertain: false };
         self.send(ticket, put);
     }
 
@@ -278,12 +278,12 @@
 
     fn send(&mut self, ticket: u64, mut put: Put) {
         let now = self.common.net.now();
-        match self.store(&put.tried, put.cargo.order_key.as_deref()) {
+        match self.store(&put.tried, put.message.order_key.as_deref()) {
             Some(store) => {
                 put.tried.push(store);
                 put.sent = now;
                 self.figures.again += u64::from(put.tried.len() > 1);
-                let signal = Signal::Put { ticket, cargo: put.cargo.clone() };
+                let signal = Signal::Put { ticket, message: put.message.clone() };
                 self.common.links.say(&mut self.common.net, store, &signal);
                 self.waits.insert(((now + SILENCE).min(put.until), ticket), ());
                 self.puts.insert(ticket, put);
@@ -304,7 +304,7 @@
     /// Tells all stores which of several is kept.
     fn supersede(&mut self, put: &Put, kept: Option<Key>) {
         let now = self.common.net.now();
-        let signal = Signal::Superseded { id: put.cargo.id.clone(), print: put.cargo.print(), kept };
+        let signal = Signal::Superseded { id: put.message.id.clone(), print: put.message.print(), kept };
         for store in self.common.links.class(Class::Store) {
             self.common.links.say(&mut self.common.net, store, &signal);
         }
--- a/harbour/src/edge/asking.rs
+++ b/crates/server/src/edge/asking.rs
@@ -5,12 +5,12 @@
 
 use crate::net::{ConnId, Millis};
 use crate::signals::Found;
-use stileroute_hold::{Cargo, Key, Node, Refusal};
+use stileroute_queue::{Key, Message, Node, Refusal};
 
 /// A message that is offered to stores until one has taken it.
 pub struct Put {
     pub conn: ConnId,
-    pub cargo: Cargo,
+    pub message: Message,
     pub tried: Vec<Node>,
     pub sent: Millis,
     pub until: Millis,
--- a/harbour/src/edge/asking/tests.rs
+++ b/crates/server/src/edge/asking/tests.rs
@@ -7,8 +7,8 @@
 
 #[test]
 fn a_late_refusal_does_not_end_the_wait_for_the_store_asked_since() {
-    let cargo = Cargo::default();
-    let mut put = Put { conn: 0, cargo, tried: vec![FIRST, SECOND], sent: 0, until: 0, uncertain: false };
+    let message = Message::default();
+    let mut put = Put { conn: 0, message, tried: vec![FIRST, SECOND], sent: 0, until: 0, uncertain: false };
     assert_eq!(put.refused(FIRST, Refusal::NotTaken), Refused::Wait);
     assert!(!put.uncertain);
     assert_eq!(put.refused(FIRST, Refusal::Uncertain), Refused::Wait);
--- a/harbour/src/edge/report.rs
+++ b/crates/server/src/edge/report.rs
@@ -22,8 +22,8 @@
     fn figures(&self, sheet: &mut Sheet) {
         let door = |port| if port == self.front { "front" } else { "readiness" };
         self.common.figures(sheet, door);
-        sheet.gauge("harbour_ready", "1: says that it is ready.", &[], u8::from(self.ready()));
-        sheet.gauge("harbour_taking", "Messages that wait for a store.", &[], self.puts.len());
+        sheet.gauge("stileroute_ready", "1: says that it is ready.", &[], u8::from(self.ready()));
+        sheet.gauge("stileroute_taking", "Messages that wait for a store.", &[], self.puts.len());
         let f = &self.figures;
         let results = [
             ("taken", f.taken),
@@ -34,10 +34,10 @@
         ];
         for (result, count) in results {
             let help = "Messages by what became of taking them; again: another store was asked.";
-            sheet.count("harbour_messages_total", help, &[("result", result)], count);
+            sheet.count("stileroute_messages_total", help, &[("result", result)], count);
         }
-        sheet.count("harbour_asked_total", "Questions after a message.", &[], f.asked);
+        sheet.count("stileroute_asked_total", "Questions after a message.", &[], f.asked);
         let help = "From the whole request to its 202.";
-        sheet.histogram("harbour_accept_seconds", help, &self.common.net.accepted);
+        sheet.histogram("stileroute_accept_seconds", help, &self.common.net.accepted);
     }
 }
--- a/harbour/src/figures.rs
+++ b/crates/server/src/figures.rs
@@ -1,4 +1,4 @@
-//! Counters in the usual text form. Every name is explained in docs/harbour.md.
+//! Counters in the usual text form. Every name is explained in docs/server.md.
 
 use std::fmt::{Display, Write};
 
--- a/harbour/src/links.rs
+++ b/crates/server/src/links.rs
@@ -4,7 +4,7 @@
 use crate::signals::{Class, Hello, Signal, PROTOCOL};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute_hold::Node;
+use stileroute_queue::Node;
 
 /// Nothing said for so long: a word is said. Nothing heard for so long: nobody is there.
 const WORD: Millis = 500;
@@ -18,7 +18,7 @@
 
 /// When a word is due on a connection.
 #[derive(Clone, Copy)]
-struct Pulse {
+struct Keepalive {
     dialled: bool,
     heard: Millis,
     said: Millis,
@@ -26,9 +26,9 @@
     asked: Option<Millis>,
 }
 
-impl Pulse {
-    fn new(dialled: bool, now: Millis) -> Pulse {
-        Pulse { dialled, heard: now, said: now, asked: None }
+impl Keepalive {
+    fn new(dialled: bool, now: Millis) -> Keepalive {
+        Keepalive { dialled, heard: now, said: now, asked: None }
     }
     fn hears(&mut self, now: Millis) {
         (self.heard, self.asked) = (now, None);
@@ -66,21 +66,21 @@
 struct Link {
     hello: Option<Hello>,
     dialled: Option<SocketAddrV4>,
-    pulse: Pulse,
+    keepalive: Keepalive,
 }
 
 impl Link {
     fn new(now: Millis, dialled: Option<SocketAddrV4>) -> Link {
-        Link { hello: None, dialled, pulse: Pulse::new(dialled.is_some(), now) }
+        Link { hello: None, dialled, keepalive: Keepalive::new(dialled.is_some(), now) }
     }
     /// One that has said nothing at all yet is given up in any case.
     fn silent(&self) -> Millis {
-        self.hello.as_ref().map_or(self.pulse.heard + SILENCE, |_| self.pulse.silent())
+        self.hello.as_ref().map_or(self.keepalive.heard + SILENCE, |_| self.keepalive.silent())
     }
 }
 
 /// What a role is told.
-pub enum Word {
+pub enum LinkEvent {
     Up(Hello),
     Down(Node, Class),
     Said(Node, Class, Signal),
@@ -166,7 +166,7 @@
     }
     /// When anything was last heard of it.
     pub fn heard(&self, node: Node) -> Option<Millis> {
-        self.by_node.get(&node).and_then(|conn| self.links.get(conn)).map(|link| link.pulse.heard)
+        self.by_node.get(&node).and_then(|conn| self.links.get(conn)).map(|link| link.keepalive.heard)
     }
     pub fn hello(&self, node: Node) -> Option<&Hello> {
         self.links.get(self.by_node.get(&node)?)?.hello.as_ref()
@@ -195,7 +195,7 @@
     fn say_on(&mut self, net: &mut Net, conn: ConnId, signal: &Signal) {
         let mut far = false;
         if let Some(link) = self.links.get_mut(&conn) {
-            link.pulse.says(net.now());
+            link.keepalive.says(net.now());
             far = link.hello.as_ref().is_some_and(|hello| hello.zone != self.me.zone);
         }
         match postcard::to_stdvec(signal) {
@@ -209,7 +209,7 @@
     }
 
     /// Dials, says a word where nothing is said, and gives up who is silent.
-    pub fn tick(&mut self, net: &mut Net) -> Vec<Word> {
+    pub fn tick(&mut self, net: &mut Net) -> Vec<LinkEvent> {
         let now = net.now();
         let mut words = Vec::new();
         if now < self.look_at {
@@ -231,7 +231,7 @@
         }
         if now >= self.word_at {
             self.word_at = now + WORD;
-            let due = |l: &Link| l.hello.is_some() && l.pulse.due(now);
+            let due = |l: &Link| l.hello.is_some() && l.keepalive.due(now);
             let quiet: Vec<ConnId> =
                 self.links.iter().filter(|(_, l)| due(l)).map(|(conn, _)| *conn).collect();
             quiet.into_iter().for_each(|conn| self.say_on(net, conn, &Signal::Ping));
@@ -253,7 +253,7 @@
         self.look_at
     }
 
-    fn lost(&mut self, now: Millis, conn: ConnId) -> Option<Word> {
+    fn lost(&mut self, now: Millis, conn: ConnId) -> Option<LinkEvent> {
         let link = self.links.remove(&conn)?;
         if let Some(address) = link.dialled {
             self.dialled.remove(&address);
@@ -269,7 +269,7 @@
         if hello.class != Class::Visitor {
             tracing::info!(node = hello.name, "link down");
         }
-        Some(Word::Down(hello.node, hello.class))
+        Some(LinkEvent::Down(hello.node, hello.class))
     }
 
     /// Who says this of itself may be talked to on a connection that was opened to `dialled`, if it was opened from here.
@@ -283,12 +283,12 @@
     }
 
     /// What an event of the net means here; events that are not of links come back.
-    pub fn event(&mut self, net: &mut Net, event: Event, words: &mut Vec<Word>) -> Option<Event> {
+    pub fn event(&mut self, net: &mut Net, event: Event, words: &mut Vec<LinkEvent>) -> Option<Event> {
         let now = net.now();
         match event {
             Event::PeerUp { conn } => {
                 let link = self.links.entry(conn).or_insert(Link::new(now, None));
-                link.pulse.hears(now);
+                link.keepalive.hears(now);
                 self.look_at = self.look_at.min(now + SILENCE);
                 let hello = Signal::Hello(self.me.clone());
                 self.say_on(net, conn, &hello);
@@ -296,9 +296,9 @@
             Event::PeerDown { conn } => words.extend(self.lost(now, conn)),
             Event::Frame { conn, bytes } => {
                 let link = self.links.get_mut(&conn)?;
-                link.pulse.hears(now);
+                link.keepalive.hears(now);
                 let (known, dialled) = (link.hello.as_ref().map(|h| (h.node, h.class)), link.dialled);
-                let answers = link.pulse.answers(now);
+                let answers = link.keepalive.answers(now);
                 match (postcard::from_bytes(&bytes), known) {
                     (Ok(Signal::Hello(hello)), None) if self.is_welcome(dialled, &hello) => {
                         let link = self.links.get_mut(&conn)?;
@@ -312,12 +312,12 @@
                                 self.look_at = now;
                             }
                             net.close(old);
-                            words.push(Word::Down(hello.node, hello.class));
+                            words.push(LinkEvent::Down(hello.node, hello.class));
                         }
                         if hello.class != Class::Visitor {
                             tracing::debug!(node = hello.name, "link up");
                         }
-                        words.push(Word::Up(hello));
+                        words.push(LinkEvent::Up(hello));
                     }
                     (Ok(Signal::Ping), Some(_)) => {
                         if answers {
@@ -325,7 +325,7 @@
                         }
                     }
                     (Ok(signal), Some((node, class))) if !matches!(signal, Signal::Hello(_)) => {
-                        words.push(Word::Said(node, class, signal));
+                        words.push(LinkEvent::Said(node, class, signal));
                     }
                     _ => {
                         self.unread += 1;
--- a/harbour/src/links/tests.rs
+++ b/crates/server/src/links/tests.rs
@@ -5,10 +5,10 @@
 fn a_while(others: u64, speaks: Option<Millis>) -> (u64, u64, Millis) {
     let begin = |n: u64| {
         let (one, other) = (n * 37 % WORD, n * 53 % WORD);
-        let here = Pulse { dialled: true, heard: one, said: other, asked: None };
-        (here, Pulse { dialled: false, heard: other, said: one, asked: None })
+        let here = Keepalive { dialled: true, heard: one, said: other, asked: None };
+        (here, Keepalive { dialled: false, heard: other, said: one, asked: None })
     };
-    let mut ends: Vec<(Pulse, Pulse)> = (0..others).map(begin).collect();
+    let mut ends: Vec<(Keepalive, Keepalive)> = (0..others).map(begin).collect();
     let (mut words, mut wakes, mut longest) = (0, 0, 0);
     for now in WORD..WORD + 20_000 {
         let look = now % WORD == 123;
@@ -51,20 +51,20 @@
         assert!(words <= 24 * 20 * (4 + 1000 / every), "{every}: {words} words");
     }
     // One that never answers is asked again and again, and given up all the same.
-    let mut mute = Pulse::new(true, 0);
+    let mut mute = Keepalive::new(true, 0);
     for now in (0..3000).step_by(500).filter(|now| *now > 0) {
         assert!(mute.due(now));
         mute.says(now);
     }
     assert_eq!(mute.silent(), SILENCE);
     // After a sleep of its own, in which it has asked nothing, it asks first.
-    let mut slept = Pulse::new(true, 0);
+    let mut slept = Keepalive::new(true, 0);
     assert!(slept.silent() > 5000 && slept.due(5000));
     slept.says(5000);
     assert_eq!(slept.silent(), 5000 + SILENCE - WORD);
     slept.hears(5001);
     assert!(slept.silent() > 60_000);
-    assert_eq!(Pulse::new(false, 0).silent(), SILENCE, "who was dialled hears the other's words");
+    assert_eq!(Keepalive::new(false, 0).silent(), SILENCE, "who was dialled hears the other's words");
 }
 
 const STORE: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
@@ -86,7 +86,7 @@
         End { net: Net::new(16).unwrap().0, links: Links::new(me, (7300, 7309)) }
     }
 
-    fn hears(&mut self, dialled: Option<SocketAddrV4>, first: &Signal) -> Vec<Word> {
+    fn hears(&mut self, dialled: Option<SocketAddrV4>, first: &Signal) -> Vec<LinkEvent> {
         let conn = self.net.dial(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9)).unwrap();
         let now = self.net.now();
         self.links.links.insert(conn, Link::new(now, dialled));
@@ -129,7 +129,7 @@
     assert!(end.hears(None, &visitor).is_empty());
     assert!(end.links.is_up(2));
     // The same name again is the same node, started anew.
-    assert!(matches!(end.hears(None, &store)[..], [Word::Down(2, _), Word::Up(_)]));
+    assert!(matches!(end.hears(None, &store)[..], [LinkEvent::Down(2, _), LinkEvent::Up(_)]));
 }
 
 #[test]
--- a/harbour/src/main.rs
+++ b/crates/server/src/main.rs
@@ -1,6 +1,7 @@
-//! `harbour`: the whole ingest and dispatch service in one program; the first word is the role. See docs/system.md for
-//! its design and docs/harbour.md for running it.
+//! `stilerouted`: the whole ingest and dispatch service in one program; the first word is the role. See docs/system.md for
+//! its design and docs/server.md for running it.
 
+mod args;
 mod calls;
 mod core;
 mod edge;
@@ -15,46 +16,45 @@
 mod state;
 mod status;
 mod store;
-mod words;
 
+use args::{Args, Task, UNUSABLE};
 use gumdrop::Options;
 use node::Common;
 use signals::Class;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use stileroute_charter::Boot;
-use words::{Task, Words, UNUSABLE};
+use stileroute_config::Boot;
 
 fn main() -> ExitCode {
-    let words = Words::parse_args_default_or_exit();
-    match words::task(&words) {
+    let args = Args::parse_args_default_or_exit();
+    match args::task(&args) {
         Task::Done(code) => ExitCode::from(code),
-        Task::Run(class) => start(words, class),
+        Task::Run(class) => start(args, class),
     }
 }
 
 /// Runs a role. Settings that can't be used end it with 2 and one line for each fault; anything else with 1.
-fn start(words: Words, class: Class) -> ExitCode {
+fn start(args: Args, class: Class) -> ExitCode {
     let unusable = |reason: String| {
         eprintln!("{reason}");
         ExitCode::from(UNUSABLE)
     };
-    let level = match words::level(&words) {
+    let level = match args::level(&args) {
         Ok(level) => level,
         Err(reason) => return unusable(reason),
     };
     let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_target(false);
     log.with_writer(std::io::stderr).init();
-    let path = words.boot.clone().or_else(|| std::env::var_os("STILEROUTE_BOOT").map(PathBuf::from));
+    let path = args.boot.clone().or_else(|| std::env::var_os("STILEROUTE_BOOT").map(PathBuf::from));
     let Some(path) = path else {
         return unusable("command line: --boot: missing, and STILEROUTE_BOOT is not set".to_string());
     };
-    if words.figures.is_some_and(|at| !at.ip().is_loopback()) {
+    if args.figures.is_some_and(|at| !at.ip().is_loopback()) {
         return unusable("command line: --figures: must be a loopback address".to_string());
     }
     match settings::read(&path, class) {
         Err(faults) => unusable(faults.to_string()),
-        Ok(boot) => match run(Boot { figures: words.figures.or(boot.figures), ..boot }, &path, class) {
+        Ok(boot) => match run(Boot { figures: args.figures.or(boot.figures), ..boot }, &path, class) {
             Ok(()) => ExitCode::SUCCESS,
             Err(report) => {
                 eprintln!("{}: {report}", path.display());
--- a/harbour/src/net/dialogue.rs
+++ b/crates/server/src/net/dialogue.rs
@@ -6,7 +6,7 @@
 use super::Millis;
 use httparse::Status;
 use std::io::Write;
-use stileroute_hawser::{self as hawser, framing, has_token, header, Chunks, Framing};
+use stileroute_http1::{self as http1, framing, has_token, header, Chunks, Framing};
 
 /// What a request may be, and how long it may take to come.
 #[derive(Clone, Copy, Debug)]
@@ -197,18 +197,18 @@
         Err(_) => return Found::Fault(400),
     };
     // Anything that another program could read in another way is refused: so is a request hidden in a body.
-    if !hawser::lines_are_whole(&bytes[..end]) {
+    if !http1::lines_are_whole(&bytes[..end]) {
         return Found::Fault(400);
     }
     let headers = &*head.headers;
     let single = ["Host", "X-Request-Id", "X-Delay-Ms", "X-Time-Left-Ms", "X-Callback-Url", "X-Order-Key"];
-    if single.iter().any(|name| hawser::repeated(headers, name)) {
+    if single.iter().any(|name| http1::repeated(headers, name)) {
         return Found::Fault(400);
     }
     let text = |name| header(headers, name).map(str::to_string);
     let number = |name| match header(headers, name) {
         None => Ok(None),
-        Some(text) if hawser::is_number(text) => text.parse::<u64>().map(Some).map_err(|_| ()),
+        Some(text) if http1::is_number(text) => text.parse::<u64>().map(Some).map_err(|_| ()),
         Some(_) => Err(()),
     };
     let Some(framing) = framing(headers, head.version) else { return Found::Fault(400) };
--- a/harbour/src/net/exchange.rs
+++ b/crates/server/src/net/exchange.rs
@@ -7,8 +7,8 @@
 use super::Millis;
 use httparse::Status;
 use std::collections::VecDeque;
-use stileroute::tariff::mark;
-use stileroute_hawser::{framing, has_token, header, repeated, Chunks, Framing};
+use stileroute_dispatch::types::mark;
+use stileroute_http1::{framing, has_token, header, repeated, Chunks, Framing};
 
 /// An answer, whole.
 #[derive(Clone, Debug, Default)]
@@ -288,8 +288,8 @@
 /// How long a connection may rest: by `timeout=5` among the words of Keep-Alive, in seconds, with a margin.
 fn rest_allowed(keep_alive: Option<&str>) -> Millis {
     let told = keep_alive.and_then(|text| {
-        let word = text.split([',', ' ']).find_map(|part| part.trim().strip_prefix("timeout="))?;
-        word.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
+        let link_event = text.split([',', ' ']).find_map(|part| part.trim().strip_prefix("timeout="))?;
+        link_event.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
     });
     told.map_or(IDLE, |seconds| (seconds * 1000.0) as Millis).saturating_sub(MARGIN).min(60_000)
 }
--- a/harbour/src/node.rs
+++ b/crates/server/src/node.rs
@@ -1,6 +1,6 @@
 //! What every role has: its settings, its loop, its links, its session with a control node, and how it is told to end.
 
-use crate::links::{Links, Word};
+use crate::links::{LinkEvent, Links};
 use crate::net::{Bounds, Event, Millis, Net};
 use crate::report::Inquiry;
 use crate::settings;
@@ -10,8 +10,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use stileroute_charter::{Boot, Config};
-use stileroute_hold::Node;
+use stileroute_config::{Boot, Config};
+use stileroute_queue::Node;
 
 /// Time of day in ms.
 pub fn wall() -> u64 {
@@ -28,7 +28,7 @@
 
 /// A node's number, from its name.
 pub fn number(name: &str) -> Node {
-    (stileroute::tariff::mark(name) >> 32) as Node
+    (stileroute_dispatch::types::mark(name) >> 32) as Node
 }
 
 /// What depends on who is connected is looked at so often, and when somebody comes or goes.
@@ -143,25 +143,28 @@
     }
 
     /// One turn of the loop; words of links and events of the net are told apart.
-    pub fn turn(&mut self, until: Millis) -> (Vec<Word>, Vec<Event>) {
+    pub fn turn(&mut self, until: Millis) -> (Vec<LinkEvent>, Vec<Event>) {
         let until = until.min(self.links.next()).min(self.session_next());
         // A signal interrupts the wait; one that came just before it is seen at the latest then.
         let until = until.min(self.net.now() + 250);
         let happened = self.net.turn(until);
-        let (mut words, mut events) = (Vec::new(), Vec::new());
+        let (mut link_events, mut events) = (Vec::new(), Vec::new());
         for event in happened {
-            events.extend(self.links.event(&mut self.net, event, &mut words));
+            events.extend(self.links.event(&mut self.net, event, &mut link_events));
         }
-        words.extend(self.links.tick(&mut self.net));
-        let moved = |word: &Word| {
-            matches!(word, Word::Up(_) | Word::Down(..) | Word::Said(_, Class::Core, Signal::News(_)))
+        link_events.extend(self.links.tick(&mut self.net));
+        let moved = |link_event: &LinkEvent| {
+            matches!(
+                link_event,
+                LinkEvent::Up(_) | LinkEvent::Down(..) | LinkEvent::Said(_, Class::Core, Signal::News(_))
+            )
         };
-        self.stirred |= words.iter().any(moved);
-        self.sort_out(&mut words, &mut events);
+        self.stirred |= link_events.iter().any(moved);
+        self.sort_out(&mut link_events, &mut events);
         if self.hup.swap(false, Ordering::Relaxed) {
             self.reread();
         }
-        (words, events)
+        (link_events, events)
     }
 
     /// Whether it may have changed with whom this node is to be connected: somebody came or went, or a control node said
--- a/harbour/src/operate.rs
+++ b/crates/server/src/operate.rs
@@ -1,15 +1,15 @@
 //! An operator's orders from the command line: a configuration is applied, read or compared, a store is retired. Each is sent
 //! to one control node after another until one has a clear answer, and what is in force is read back before it is said.
 
+use crate::args::{say, UNUSABLE};
 use crate::calls::content_digest;
 use crate::status::control_addresses;
-use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpStream};
 use std::path::Path;
 use std::time::{Duration, Instant};
-use stileroute_charter::Config;
+use stileroute_config::Config;
 
 /// Another content is in force; an order was refused; a retirement is not complete.
 const NOT_SO: u8 = 3;
--- a/harbour/src/report.rs
+++ b/crates/server/src/report.rs
@@ -1,12 +1,12 @@
 //! What a process tells of itself: to the command line over the internal protocol, and as figures.
 
 use crate::figures::Sheet;
-use crate::links::Word;
+use crate::links::LinkEvent;
 use crate::net::{Answer, ConnId, Event};
 use crate::node::Common;
 use crate::signals::{Class, Signal, PROTOCOL};
 use jzon::JsonValue;
-use stileroute_hold::{Key, Node};
+use stileroute_queue::{Key, Node};
 
 /// What somebody wants to know.
 pub enum Inquiry {
@@ -19,21 +19,21 @@
 
 impl Common {
     /// Takes out what is for operators; of visitors the role hears nothing.
-    pub fn sort_out(&mut self, words: &mut Vec<Word>, events: &mut Vec<Event>) {
+    pub fn sort_out(&mut self, link_events: &mut Vec<LinkEvent>, events: &mut Vec<Event>) {
         let inquiries = &mut self.inquiries;
-        words.retain(|word| {
-            match word {
-                Word::Said(from, Class::Visitor, Signal::Report { ticket }) => {
+        link_events.retain(|link_event| {
+            match link_event {
+                LinkEvent::Said(from, Class::Visitor, Signal::Report { ticket }) => {
                     inquiries.push(Inquiry::Report(*from, *ticket));
                 }
-                Word::Said(from, Class::Visitor, Signal::Trace { ticket, key }) => {
+                LinkEvent::Said(from, Class::Visitor, Signal::Trace { ticket, key }) => {
                     inquiries.push(Inquiry::Trace(*from, *ticket, *key));
                 }
-                Word::Said(from, Class::Visitor, Signal::Count { ticket }) => {
+                LinkEvent::Said(from, Class::Visitor, Signal::Count { ticket }) => {
                     inquiries.push(Inquiry::Count(*from, *ticket));
                 }
-                Word::Said(_, class, _) | Word::Down(_, class) => return *class != Class::Visitor,
-                Word::Up(hello) => return hello.class != Class::Visitor,
+                LinkEvent::Said(_, class, _) | LinkEvent::Down(_, class) => return *class != Class::Visitor,
+                LinkEvent::Up(hello) => return hello.class != Class::Visitor,
             }
             false
         });
@@ -99,36 +99,46 @@
         let seconds = |ms: u64| ms as f64 / 1000.0;
         let class = me.class.to_string();
         let labels = [("node", me.name.as_str()), ("class", &class), ("zone", &me.zone)];
-        sheet.gauge("harbour_node", "Always 1: which process this is.", &labels, 1);
-        sheet.gauge("harbour_up_seconds", "Since the process began.", &[], seconds(now));
+        sheet.gauge("stileroute_node", "Always 1: which process this is.", &labels, 1);
+        sheet.gauge("stileroute_up_seconds", "Since the process began.", &[], seconds(now));
         let version = self.config.as_ref().map_or(0, |c| c.revision);
-        sheet.gauge("harbour_config_version", "Version in force here; 0: none yet.", &[], version);
+        sheet.gauge("stileroute_config_version", "Version in force here; 0: none yet.", &[], version);
         if me.class != Class::Core {
             let session = if self.fresh() { now.saturating_sub(self.session.since) } else { 0 };
             let heard = u8::from(self.fresh());
             let news = if self.session.heard == 0 { now } else { now.saturating_sub(self.session.heard) };
-            sheet.gauge("harbour_control_heard", "1: control nodes answer; 0: nothing is heard.", &[], heard);
             sheet.gauge(
-                "harbour_session_seconds",
+                "stileroute_control_heard",
+                "1: control nodes answer; 0: nothing is heard.",
+                &[],
+                heard,
+            );
+            sheet.gauge(
+                "stileroute_session_seconds",
                 "Age of the session with a control node.",
                 &[],
                 seconds(session),
             );
-            sheet.gauge("harbour_news_age_seconds", "Since a control node answered.", &[], seconds(news));
+            sheet.gauge("stileroute_news_age_seconds", "Since a control node answered.", &[], seconds(news));
             let lost = self.session.lost;
-            sheet.count("harbour_sessions_lost_total", "Sessions that ended unasked.", &[], lost);
+            sheet.count("stileroute_sessions_lost_total", "Sessions that ended unasked.", &[], lost);
         }
         for class in [Class::Core, Class::Store, Class::Edge] {
             let (name, count) = (class.to_string(), self.links.class(class).len());
             sheet.gauge(
-                "harbour_links",
+                "stileroute_links",
                 "Connections with other processes, by class.",
                 &[("class", &name)],
                 count,
             );
         }
-        sheet.count("harbour_links_unread_total", "Frames that could not be read.", &[], self.links.unread);
-        let (frames, bytes) = ("harbour_said_total", "harbour_said_bytes_total");
+        sheet.count(
+            "stileroute_links_unread_total",
+            "Frames that could not be read.",
+            &[],
+            self.links.unread,
+        );
+        let (frames, bytes) = ("stileroute_said_total", "stileroute_said_bytes_total");
         for ((about, far), said) in &self.links.told {
             let labels = [("about", *about), ("zone", if *far { "other" } else { "own" })];
             sheet.count(frames, "Frames to other processes, by what they are about.", &labels, said.0);
@@ -137,28 +147,28 @@
             let labels = [("about", *about), ("zone", if *far { "other" } else { "own" })];
             sheet.count(bytes, "Bytes to other processes, by what they are about.", &labels, said.1);
         }
-        sheet.count("harbour_turns_total", "Turns of the loop: wake-ups.", &[], self.net.turns);
-        sheet.gauge("harbour_connections", "Open connections of all kinds.", &[], self.net.open());
+        sheet.count("stileroute_turns_total", "Turns of the loop: wake-ups.", &[], self.net.turns);
+        sheet.gauge("stileroute_connections", "Open connections of all kinds.", &[], self.net.open());
         sheet.count(
-            "harbour_connections_opened_total",
+            "stileroute_connections_opened_total",
             "Connections opened to executors and receivers.",
             &[],
             self.net.opened,
         );
         sheet.count(
-            "harbour_connections_lost_total",
+            "stileroute_connections_lost_total",
             "Requests lost on a connection that had been idle.",
             &[],
             self.net.lost_at_rest,
         );
         sheet.count(
-            "harbour_connections_refused_total",
+            "stileroute_connections_refused_total",
             "Connections for which there was no room.",
             &[],
             self.net.refused,
         );
         sheet.count(
-            "harbour_garbled_total",
+            "stileroute_garbled_total",
             "Requests and frames that made no sense.",
             &[],
             self.net.garbled,
@@ -166,7 +176,7 @@
         for ((port, status), count) in &self.net.answers {
             let door = if Some(*port) == self.scraped { "figures" } else { door(*port) };
             let labels = [("door", door), ("status", &*status.to_string())];
-            sheet.count("harbour_answers_total", "Answers by door and status.", &labels, *count);
+            sheet.count("stileroute_answers_total", "Answers by door and status.", &labels, *count);
         }
     }
 }
--- a/harbour/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -3,12 +3,12 @@
 //! Refused is only what the program cannot work with: a process that does not start is worse than one with an odd
 //! figure. What it works with, but not as one may expect, is warned of.
 
+use crate::args::{say, UNUSABLE};
 use crate::calls::LARGEST_CONFIGURATION;
 use crate::signals::Class;
-use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::path::Path;
-use stileroute_charter::{Boot, Config, Fault, Faults};
+use stileroute_config::{Boot, Config, Fault, Faults};
 
 /// More would be copied to more stores than any deployment has.
 const LOSSES: usize = 8;
--- a/harbour/src/signals.rs
+++ b/crates/server/src/signals.rs
@@ -2,8 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute_hold::{Cargo, Key, Node, Note, Refusal};
-pub use stileroute_roster::{Beat, Class, Member, News, Retiring, Standing};
+use stileroute_queue::{Key, Message, Node, PeerMessage, Refusal};
+pub use stileroute_registry::{Class, Heartbeat, Member, News, Retiring, Standing};
 
 /// A version of the protocol: others are turned away by name.
 pub const PROTOCOL: u16 = 1;
@@ -43,7 +43,7 @@
     News(News),
     Put {
         ticket: u64,
-        cargo: Cargo,
+        message: Message,
     },
     Taken {
         ticket: u64,
@@ -60,11 +60,11 @@
         ticket: u64,
         found: Option<(Found, Option<Vec<u8>>)>,
     },
-    Note(Note),
-    Pilot(stileroute_pilotage::Signal),
+    PeerMessage(PeerMessage),
+    Control(stileroute_control_group::Signal),
     /// Between control nodes: the sessions here, and the executors that called.
     Sessions(Vec<Member>),
-    Beats(Vec<Beat>),
+    Heartbeats(Vec<Heartbeat>),
     /// A call that only the primary can settle.
     Pass {
         ticket: u64,
@@ -111,8 +111,8 @@
             Signal::Hello(_) | Signal::Ping => "link",
             Signal::Ask { .. } | Signal::News(_) => "session",
             Signal::Sessions(_) => "sessions",
-            Signal::Beats(_) => "executors",
-            Signal::Pilot(_) | Signal::Pass { .. } | Signal::Settled { .. } => "control",
+            Signal::Heartbeats(_) => "executors",
+            Signal::Control(_) | Signal::Pass { .. } | Signal::Settled { .. } => "control",
             Signal::Put { .. } | Signal::Taken { .. } => "taking",
             Signal::Find { .. } | Signal::Found { .. } => "asking",
             Signal::Superseded { .. } => "twice",
@@ -120,15 +120,25 @@
             Signal::Report { .. } | Signal::Reported { .. } | Signal::Trace { .. } | Signal::Count { .. } => {
                 "operators"
             }
-            Signal::Note(note) => match note {
-                Note::Copy(_) | Note::Copied(_) | Note::NotCopied(_) => "copies",
-                Note::Ends(_) | Note::Called(_) | Note::KnownEnds(_) | Note::EndsKept(_) => "ends",
-                Note::Digests { .. } | Note::Disk(_) | Note::Standing { .. } | Note::Stood => "comparing",
-                Note::Own(_) | Note::Drop(_) | Note::Lost(_) | Note::Want(_) => "owners",
-                Note::Handover(_) | Note::HandoverTaken(_) | Note::HandoverRefused(_) => "handover",
-                Note::RowAsk { .. } | Note::RowLive { .. } | Note::RowDone(_) => "rows",
-                Note::TokensWanted { .. } | Note::Tokens { .. } => "tokens",
-                Note::Leaving | Note::Retiring | Note::Relieved => "leaving",
+            Signal::PeerMessage(note) => match note {
+                PeerMessage::Copy(_) | PeerMessage::Copied(_) | PeerMessage::NotCopied(_) => "copies",
+                PeerMessage::Ends(_)
+                | PeerMessage::Called(_)
+                | PeerMessage::KnownEnds(_)
+                | PeerMessage::EndsKept(_) => "ends",
+                PeerMessage::Digests { .. }
+                | PeerMessage::Disk(_)
+                | PeerMessage::Standing { .. }
+                | PeerMessage::Stood => "comparing",
+                PeerMessage::Own(_) | PeerMessage::Drop(_) | PeerMessage::Lost(_) | PeerMessage::Want(_) => {
+                    "owners"
+                }
+                PeerMessage::Handover(_)
+                | PeerMessage::HandoverTaken(_)
+                | PeerMessage::HandoverRefused(_) => "handover",
+                PeerMessage::RowAsk { .. } | PeerMessage::RowLive { .. } | PeerMessage::RowDone(_) => "rows",
+                PeerMessage::TokensWanted { .. } | PeerMessage::Tokens { .. } => "tokens",
+                PeerMessage::Leaving | PeerMessage::Retiring | PeerMessage::Relieved => "leaving",
             },
         }
     }
--- a/harbour/src/state.rs
+++ b/crates/server/src/state.rs
@@ -1,13 +1,13 @@
 //! What is on the disk of a machine whose process is stopped: read through, with no change to it.
 
-use crate::words::{say, UNUSABLE};
+use crate::args::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::collections::BTreeMap;
 use std::path::Path;
-use stileroute_charter::Config;
-use stileroute_hold::{End, Ledger, Record};
-use stileroute_logbook::{verify as read, State, Trouble};
-use stileroute_pilotage::{Kept, Record as Watching};
+use stileroute_config::Config;
+use stileroute_control_group::{Persisted, Record as Watching};
+use stileroute_queue::{End, Ledger, Record};
+use stileroute_wal::{verify as read, State, Trouble};
 
 /// Damage was found.
 const DAMAGED: u8 = 1;
@@ -59,14 +59,14 @@
 }
 
 fn watch(dir: &Path) -> Result<JsonValue, Trouble> {
-    let (mut kept, mut kinds) = (Kept::default(), Kinds::default());
+    let (mut kept, mut kinds) = (Persisted::default(), Kinds::default());
     let report = read(dir, &mut |bytes| match postcard::from_bytes::<Watching>(bytes) {
         Ok(record) => {
             kinds.add(match &record {
-                Watching::Watch(_) => "watch",
-                Watching::Chart(_) => "chart",
-                Watching::Unnumbered(_) => "chart of an older build",
-                Watching::Lent { .. } => "lent",
+                Watching::View(_) => "watch",
+                Watching::ControlState(_) => "state",
+                Watching::Unnumbered(_) => "state of an older build",
+                Watching::Vote { .. } => "lent",
             });
             kept.apply(record);
         }
@@ -74,16 +74,16 @@
     })?;
     let mut object = files(&report);
     object["records_by_kind"] = kinds.json();
-    object["epoch"] = kept.watch.as_ref().map_or(0, |w| w.epoch).into();
-    object["primary"] = kept.watch.as_ref().map(|w| w.primary.to_string()).into();
-    let version = kept.chart.as_ref().map_or(0, |chart| chart.version);
+    object["epoch"] = kept.view.as_ref().map_or(0, |w| w.epoch).into();
+    object["primary"] = kept.view.as_ref().map(|w| w.primary.to_string()).into();
+    let version = kept.state.as_ref().map_or(0, |state| state.version);
     object["version"] = version.into();
-    let reads = kept.chart.as_ref().is_none_or(|chart| Config::read(&chart.body).is_ok());
+    let reads = kept.state.as_ref().is_none_or(|state| Config::read(&state.body).is_ok());
     object["configuration_reads"] = reads.into();
     Ok(object)
 }
 
-fn files(report: &stileroute_logbook::Report) -> JsonValue {
+fn files(report: &stileroute_wal::Report) -> JsonValue {
     let files: Vec<JsonValue> = report
         .files
         .iter()
--- a/harbour/src/status.rs
+++ b/crates/server/src/status.rs
@@ -1,17 +1,17 @@
 //! Questions to a running system, over the protocol of its own processes, by one who is none of them.
 
+use crate::args::{say, UNUSABLE};
 use crate::links;
 use crate::node::lot;
 use crate::signals::{Class, Hello, Signal, PROTOCOL};
-use crate::words::{say, UNUSABLE};
 use jzon::JsonValue;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::Duration;
-use stileroute_charter::Boot;
-use stileroute_hold::Key;
+use stileroute_config::Boot;
+use stileroute_queue::Key;
 
 /// A process that is there answers at once.
 const PATIENCE: Duration = Duration::from_millis(1500);
@@ -48,7 +48,9 @@
     loop {
         let mut size = [0; 4];
         stream.read_exact(&mut size).map_err(|e| match e.kind() {
-            std::io::ErrorKind::UnexpectedEof => format!("{at}: hung up: no harbour, or of another protocol"),
+            std::io::ErrorKind::UnexpectedEof => {
+                format!("{at}: hung up: no stilerouted, or of another protocol")
+            }
             _ => format!("{at}: {e}"),
         })?;
         let size = u32::from_le_bytes(size) as usize;
@@ -361,7 +363,7 @@
             text += &format!("    {id}");
             if one["address"].is_string() {
                 text += &format!(" at {} in {}, {}", one["address"], one["zone"], one["standing"]);
-                text += &format!(", {} slots, beat {} ms ago", one["capacity"], one["beat_ms"]);
+                text += &format!(", {} slots, heartbeat {} ms ago", one["capacity"], one["beat_ms"]);
             }
             text += &format!(", {} out", one["out"].as_u64().unwrap_or(0));
             if !shares.is_empty() {
--- a/harbour/src/store.rs
+++ b/crates/server/src/store.rs
@@ -2,21 +2,21 @@
 
 pub mod report;
 
-use crate::links::Word;
+use crate::links::LinkEvent;
 use crate::net::planted::{planted, Planted};
 use crate::net::{Event, Failure, Millis, Reply};
 use crate::node::{lot, wall, Common};
 use crate::report::Told;
-use crate::signals::{Beat, Class, Found, Retiring, Signal, Standing};
+use crate::signals::{Class, Found, Heartbeat, Retiring, Signal, Standing};
 use std::collections::HashMap;
 use std::io::Write;
 use std::net::SocketAddrV4;
 use std::sync::mpsc::Receiver;
 use std::time::Duration;
-use stileroute_hold::{
-    first_number, Bear, Effect, Hold, Key, Ledger, Node, Outcome, Record, Server, State, Terms,
+use stileroute_queue::{
+    first_number, Bear, Effect, Key, Ledger, Node, Outcome, Queue, QueueSettings, Record, Server, State,
 };
-use stileroute_logbook::{Logbook, Options, Trouble};
+use stileroute_wal::{Options, Trouble, Wal};
 
 /// A receiver of call-backs has so long.
 const CALL: Millis = 3000;
@@ -30,10 +30,10 @@
 
 pub struct Store {
     common: Common,
-    hold: Hold,
-    disk: Logbook,
+    queue: Queue,
+    disk: Wal,
     disk_said: Receiver<(u64, Result<(), Trouble>)>,
-    servers: HashMap<String, Beat>,
+    servers: HashMap<String, Heartbeat>,
     out: HashMap<u64, Out>,
     next_ticket: u64,
     /// Whose messages wait to be taken: the edge, and its own ticket.
@@ -60,14 +60,14 @@
         };
         let room = common.boot.means.disk_mb << 20;
         let options = Options { room, lazy_sync: Duration::from_millis(200), ..Options::new("hold") };
-        let (disk, ledger) = Logbook::open::<Ledger>(&dir, options, done)
+        let (disk, ledger) = Wal::open::<Ledger>(&dir, options, done)
             .map_err(|e| miette::miette!("{}: {e}", dir.display()))?;
         let (number, first) = (ledger.disk.unwrap_or_else(lot), first_number(lot()));
         let record = postcard::to_stdvec(&Record::Born { disk: number, first }).unwrap_or_default();
         disk.append(0, vec![record], true);
         let zone = common.boot.zones.keys().position(|zone| *zone == common.boot.zone).unwrap_or(0);
         let boot = &common.boot;
-        let terms = Terms {
+        let terms = QueueSettings {
             me: common.links.me().node,
             zone,
             disk: number,
@@ -84,10 +84,10 @@
         tracing::info!(messages = ledger.all.len(), disk = number, "disk read");
         // Both clocks after the disk was read: with the steady one from before, delayed messages would run early.
         let (now, wall) = (common.net.look(), wall());
-        let hold = Hold::new(terms, ledger, now, wall);
+        let queue = Queue::new(terms, ledger, now, wall);
         Ok(Store {
             common,
-            hold,
+            queue,
             disk,
             disk_said,
             servers: HashMap::new(),
@@ -102,24 +102,24 @@
 
     pub fn run(mut self) -> miette::Result<()> {
         loop {
-            let (words, events) = self.common.turn(self.hold.next());
-            words.into_iter().for_each(|word| self.word(word));
+            let (link_events, events) = self.common.turn(self.queue.next());
+            link_events.into_iter().for_each(|link_event| self.link_event(link_event));
             events.into_iter().for_each(|event| self.event(event));
             self.inquiries();
             self.common.keep_session();
             self.connect();
-            self.hold.heard = self.common.fresh();
+            self.queue.heard = self.common.fresh();
             let now = self.common.net.now();
             // From the last answer on: the session stood then, and is counted for so long after its end.
-            self.hold.lapsed = now >= self.common.session.heard + stileroute_roster::GRACE;
+            self.queue.lapsed = now >= self.common.session.heard + stileroute_registry::GRACE;
             if self.common.told_to_end() {
                 for edge in self.common.links.class(Class::Edge) {
                     self.common.links.say(&mut self.common.net, edge, &Signal::Leaving);
                 }
-                self.hold.leave(now);
+                self.queue.leave(now);
             }
             self.carry_out();
-            let retiring = self.hold.retired().map_or(Retiring::No, |empty| {
+            let retiring = self.queue.retired().map_or(Retiring::No, |empty| {
                 if empty {
                     Retiring::Complete
                 } else {
@@ -127,7 +127,7 @@
                 }
             });
             self.common.retires(retiring);
-            for line in self.hold.log() {
+            for line in self.queue.log() {
                 tracing::debug!("{line}");
             }
             if self.may_end(now) {
@@ -141,11 +141,11 @@
     fn may_end(&mut self, now: Millis) -> bool {
         let Some(since) = self.common.leaving_since else { return false };
         let grace = self.common.boot.bounds.grace_ms.saturating_sub(1000);
-        let done = self.hold.in_hand() == 0 && now > since + 150;
+        let done = self.queue.in_hand() == 0 && now > since + 150;
         if done && !self.flushed {
             // The last ends go out before the process does: whoever took over must not run them again.
             self.flushed = true;
-            self.hold.flush();
+            self.queue.flush();
             self.carry_out();
             return false;
         }
@@ -165,16 +165,16 @@
         self.common.links.want(now, wanted);
     }
 
-    fn word(&mut self, word: Word) {
+    fn link_event(&mut self, link_event: LinkEvent) {
         let now = self.common.net.now();
-        match word {
-            Word::Up(hello) if hello.class == Class::Store => self.hold.up(now, hello.node),
-            Word::Up(hello) if hello.class == Class::Edge && self.hold.leaving => {
+        match link_event {
+            LinkEvent::Up(hello) if hello.class == Class::Store => self.queue.up(now, hello.node),
+            LinkEvent::Up(hello) if hello.class == Class::Edge && self.queue.leaving => {
                 self.common.links.say(&mut self.common.net, hello.node, &Signal::Leaving);
             }
-            Word::Up(_) => {}
-            Word::Down(node, Class::Store) => self.hold.down(now, node),
-            Word::Down(node, Class::Edge) => {
+            LinkEvent::Up(_) => {}
+            LinkEvent::Down(node, Class::Store) => self.queue.down(now, node),
+            LinkEvent::Down(node, Class::Edge) => {
                 let lost: Vec<u64> = self
                     .askers
                     .iter()
@@ -183,11 +183,11 @@
                     .collect();
                 for ticket in lost {
                     self.askers.remove(&ticket);
-                    self.hold.abandoned(ticket);
+                    self.queue.abandoned(ticket);
                 }
             }
-            Word::Down(..) => {}
-            Word::Said(from, Class::Core, Signal::News(news)) => {
+            LinkEvent::Down(..) => {}
+            LinkEvent::Said(from, Class::Core, Signal::News(news)) => {
                 let config = self.common.heard_news(from, &news);
                 if news.members.is_some() {
                     let zone = |name: &str| {
@@ -201,42 +201,42 @@
                         .filter(|m| m.class == Class::Store)
                         .map(|m| (m.node, zone(&m.zone)))
                         .collect();
-                    self.hold.members(now, &stores);
+                    self.queue.members(now, &stores);
                 }
                 if news.whole {
                     self.servers.clear();
                 }
                 let changed = news.whole || !news.servers.is_empty();
-                for beat in news.servers {
-                    match beat.standing {
+                for heartbeat in news.servers {
+                    match heartbeat.standing {
                         Standing::Gone => {
-                            if let Some(old) = self.servers.remove(&beat.id) {
+                            if let Some(old) = self.servers.remove(&heartbeat.id) {
                                 self.common.net.forget(old.address);
                             }
                         }
                         _ => {
-                            self.servers.insert(beat.id.clone(), beat);
+                            self.servers.insert(heartbeat.id.clone(), heartbeat);
                         }
                     }
                 }
                 let fine = self.common.net.fine();
                 if changed {
-                    self.hold.list(now, fine, self.listed());
+                    self.queue.list(now, fine, self.listed());
                 }
                 if let Some(config) = config {
-                    self.hold.configure(now, fine, config);
+                    self.queue.configure(now, fine, config);
                 }
             }
-            Word::Said(_, Class::Edge, Signal::Superseded { id, print, kept }) => {
-                self.hold.superseded(&id, print, kept);
+            LinkEvent::Said(_, Class::Edge, Signal::Superseded { id, print, kept }) => {
+                self.queue.superseded(&id, print, kept);
             }
-            Word::Said(from, Class::Edge, Signal::Put { ticket, cargo }) => {
+            LinkEvent::Said(from, Class::Edge, Signal::Put { ticket, message }) => {
                 self.next_ticket += 1;
                 self.askers.insert(self.next_ticket, (from, ticket));
-                self.hold.put(now, self.next_ticket, cargo);
+                self.queue.put(now, self.next_ticket, message);
             }
-            Word::Said(from, Class::Edge, Signal::Find { ticket, key, body }) => {
-                let found = self.hold.find(key).map(|(state, bytes)| {
+            LinkEvent::Said(from, Class::Edge, Signal::Find { ticket, key, body }) => {
+                let found = self.queue.find(key).map(|(state, bytes)| {
                     let bytes = bytes.filter(|_| body).map(<[u8]>::to_vec);
                     let found = match state {
                         State::Waiting => Found::Waiting,
@@ -247,30 +247,34 @@
                 });
                 self.common.links.say(&mut self.common.net, from, &Signal::Found { ticket, found });
             }
-            Word::Said(from, Class::Store, Signal::Note(note)) => self.hold.note(now, from, note),
-            Word::Said(_, Class::Core, Signal::Retire { node }) if node == self.common.links.me().node => {
-                self.hold.retire(now);
+            LinkEvent::Said(from, Class::Store, Signal::PeerMessage(note)) => {
+                self.queue.note(now, from, note)
+            }
+            LinkEvent::Said(_, Class::Core, Signal::Retire { node })
+                if node == self.common.links.me().node =>
+            {
+                self.queue.retire(now);
                 for edge in self.common.links.class(Class::Edge) {
                     self.common.links.say(&mut self.common.net, edge, &Signal::Leaving);
                 }
             }
-            Word::Said(..) => {}
+            LinkEvent::Said(..) => {}
         }
     }
 
     fn listed(&self) -> HashMap<String, Vec<Server>> {
         let mut all: HashMap<String, Vec<Server>> = HashMap::new();
-        let mut beats: Vec<&Beat> = self.servers.values().collect();
-        beats.sort_unstable_by(|a, b| a.id.cmp(&b.id));
-        for beat in beats {
-            let zone = self.common.boot.zones.keys().position(|zone| *zone == beat.zone);
-            all.entry(beat.backend.clone()).or_default().push(Server {
-                id: beat.id.clone(),
-                address: beat.address,
+        let mut heartbeats: Vec<&Heartbeat> = self.servers.values().collect();
+        heartbeats.sort_unstable_by(|a, b| a.id.cmp(&b.id));
+        for heartbeat in heartbeats {
+            let zone = self.common.boot.zones.keys().position(|zone| *zone == heartbeat.zone);
+            all.entry(heartbeat.backend.clone()).or_default().push(Server {
+                id: heartbeat.id.clone(),
+                address: heartbeat.address,
                 zone: zone.unwrap_or(self.common.boot.zones.len()),
-                capacity: f64::from(beat.capacity),
-                serving: beat.standing == Standing::Serving,
-                cold_left_ms: beat.cold_left_ms,
+                capacity: f64::from(heartbeat.capacity),
+                serving: heartbeat.standing == Standing::Serving,
+                cold_left_ms: heartbeat.cold_left_ms,
             });
         }
         all
@@ -288,7 +292,7 @@
                             Ok(()) => tracing::info!("disk takes again"),
                         }
                     }
-                    self.hold.kept(now, ticket, result.is_ok());
+                    self.queue.kept(now, ticket, result.is_ok());
                 }
             }
             Event::Replied { ticket, result } => self.replied(ticket, result),
@@ -305,9 +309,11 @@
                 let outcome = judge(&id, result);
                 self.tally.ended(&outcome);
                 let fine = self.common.net.fine();
-                self.hold.delivered(now, fine, attempt, outcome, load);
+                self.queue.delivered(now, fine, attempt, outcome, load);
+            }
+            Some(Out::Call(key)) => {
+                self.queue.called(now, key, result.is_ok_and(|reply| reply.status == 200))
             }
-            Some(Out::Call(key)) => self.hold.called(now, key, result.is_ok_and(|reply| reply.status == 200)),
             None => {}
         }
     }
@@ -315,8 +321,8 @@
     fn carry_out(&mut self) {
         for _ in 0..8 {
             let (now, fine) = (self.common.net.now(), self.common.net.fine());
-            self.hold.tick(now, fine);
-            let effects = self.hold.take();
+            self.queue.tick(now, fine);
+            let effects = self.queue.take();
             if effects.is_empty() {
                 return;
             }
@@ -330,11 +336,11 @@
             Effect::Disk { ticket, records, sync } => {
                 self.disk.append(ticket, records, sync);
                 if planted(Planted::AnswerBeforeDisk) {
-                    self.hold.kept(now, ticket, true);
+                    self.queue.kept(now, ticket, true);
                 }
             }
             Effect::Send { to, note } => {
-                self.common.links.say(&mut self.common.net, to, &Signal::Note(note));
+                self.common.links.say(&mut self.common.net, to, &Signal::PeerMessage(note));
             }
             Effect::Taken { ticket, result } => {
                 if let Some((edge, ticket)) = self.askers.remove(&ticket) {
@@ -342,21 +348,24 @@
                 }
             }
             Effect::Deliver { attempt, key, to, expect, timeout_ms, conns } => {
-                self.tally.began(self.hold.first_wait(now, key));
-                let Some(cargo) = self.hold.cargo(key) else { return };
-                let mut bytes = Vec::with_capacity(cargo.body.len() + 320);
-                let _ =
-                    write!(bytes, "{} {} HTTP/1.1\r\nHost: {}\r\n", cargo.method, cargo.target, cargo.host);
-                let _ = write!(bytes, "X-Request-Id: {}\r\nX-Time-Left-Ms: {timeout_ms}\r\n", cargo.id);
+                self.tally.began(self.queue.first_wait(now, key));
+                let Some(message) = self.queue.message(key) else { return };
+                let mut bytes = Vec::with_capacity(message.body.len() + 320);
+                let _ = write!(
+                    bytes,
+                    "{} {} HTTP/1.1\r\nHost: {}\r\n",
+                    message.method, message.target, message.host
+                );
+                let _ = write!(bytes, "X-Request-Id: {}\r\nX-Time-Left-Ms: {timeout_ms}\r\n", message.id);
                 if let Some(expect) = expect {
                     let _ = write!(bytes, "X-Expect-Server: {expect}\r\n");
                 }
-                if let Some(kind) = &cargo.content_type {
+                if let Some(kind) = &message.content_type {
                     let _ = write!(bytes, "Content-Type: {kind}\r\n");
                 }
-                let _ = write!(bytes, "Content-Length: {}\r\n\r\n", cargo.body.len());
-                bytes.extend_from_slice(&cargo.body);
-                let id = cargo.id.clone();
+                let _ = write!(bytes, "Content-Length: {}\r\n\r\n", message.body.len());
+                bytes.extend_from_slice(&message.body);
+                let id = message.id.clone();
                 self.next_ticket += 1;
                 let until = now + timeout_ms;
                 match self.common.net.call(to, &bytes, self.next_ticket, until, conns, Some(&id)) {
@@ -367,12 +376,12 @@
                         let fine = self.common.net.fine();
                         let outcome = judge(&id, Err(failure));
                         self.tally.ended(&outcome);
-                        self.hold.delivered(now, fine, attempt, outcome, None);
+                        self.queue.delivered(now, fine, attempt, outcome, None);
                     }
                 }
             }
             Effect::Call { key, url: text, body } => {
-                let Some((to, path)) = url(&text) else { return self.hold.called(now, key, false) };
+                let Some((to, path)) = url(&text) else { return self.queue.called(now, key, false) };
                 let bytes = format!(
                     "POST {path} HTTP/1.1\r\nHost: {to}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{body}",
                     body.len()
@@ -382,7 +391,7 @@
                     Ok(()) => {
                         self.out.insert(self.next_ticket, Out::Call(key));
                     }
-                    Err(_) => self.hold.called(now, key, false),
+                    Err(_) => self.queue.called(now, key, false),
                 }
             }
         }
--- a/harbour/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -7,7 +7,7 @@
 use crate::report::Told;
 use jzon::JsonValue;
 use std::collections::BTreeMap;
-use stileroute_hold::{End, Key, Outcome};
+use stileroute_queue::{End, Key, Outcome};
 
 /// Deliveries.
 #[derive(Default)]
@@ -55,7 +55,7 @@
     fn report(&self) -> JsonValue {
         let now = self.common.net.now();
         let mut report = self.common.report();
-        let stages = self.hold.stages(now);
+        let stages = self.queue.stages(now);
         report["messages"] = jzon::object! {
             "landing" => stages.landing,
             "held" => stages.held,
@@ -68,7 +68,7 @@
         };
         report["disk_trouble"] = self.disk_trouble.into();
         let mut services = Vec::new();
-        for service in self.hold.services(now) {
+        for service in self.queue.services(now) {
             let executors: Vec<JsonValue> = service
                 .shares
                 .into_iter()
@@ -95,7 +95,7 @@
         }
         report["services"] = services.into();
         let stores: Vec<JsonValue> = self
-            .hold
+            .queue
             .stores()
             .map(|(node, connected, listed, leaving)| {
                 jzon::object! {
@@ -111,7 +111,7 @@
     }
 
     fn trace(&self, key: Key) -> JsonValue {
-        let Some(view) = self.hold.view(self.common.net.now(), key) else { return JsonValue::Null };
+        let Some(view) = self.queue.view(self.common.net.now(), key) else { return JsonValue::Null };
         let copies: Vec<JsonValue> =
             view.copies.into_iter().map(|node| self.common.name(node).into()).collect();
         let end = match view.end {
@@ -139,7 +139,7 @@
     fn figures(&self, sheet: &mut Sheet) {
         let now = self.common.net.now();
         self.common.figures(sheet, |_| "none");
-        let stages = self.hold.stages(now);
+        let stages = self.queue.stages(now);
         let by_stage = [
             ("landing", stages.landing),
             ("held", stages.held),
@@ -149,58 +149,58 @@
             ("ended", stages.ended),
         ];
         for (stage, count) in by_stage {
-            sheet.gauge("harbour_messages", "Messages here, by stage.", &[("stage", stage)], count);
+            sheet.gauge("stileroute_messages", "Messages here, by stage.", &[("stage", stage)], count);
         }
-        sheet.gauge("harbour_callbacks_owed", "Call-backs that have not been taken.", &[], stages.owed);
+        sheet.gauge("stileroute_callbacks_owed", "Call-backs that have not been taken.", &[], stages.owed);
         let oldest = stages.oldest_ms as f64 / 1000.0;
         let help = "By how much the oldest own message that has not ended is past its due time.";
-        sheet.gauge("harbour_oldest_message_seconds", help, &[], oldest);
-        let services = self.hold.services(now);
+        sheet.gauge("stileroute_oldest_message_seconds", help, &[], oldest);
+        let services = self.queue.services(now);
         for service in &services {
             let labels = [("service", service.name.as_str())];
-            sheet.gauge("harbour_queue", "Messages that wait for an executor.", &labels, service.waiting);
+            sheet.gauge("stileroute_queue", "Messages that wait for an executor.", &labels, service.waiting);
         }
         for service in &services {
             let labels = [("service", service.name.as_str())];
-            sheet.gauge("harbour_out", "Requests that are out at executors.", &labels, service.out);
+            sheet.gauge("stileroute_out", "Requests that are out at executors.", &labels, service.out);
         }
         for service in &services {
             let of = [("first", service.repeats.first), ("repeat", service.repeats.again)];
             for (attempt, count) in of {
                 let labels = [("service", service.name.as_str()), ("attempt", attempt)];
                 let help = "Deliveries that went out: first ones, and repeats of what ran or may have run.";
-                sheet.count("harbour_attempts_total", help, &labels, count);
+                sheet.count("stileroute_attempts_total", help, &labels, count);
             }
         }
         for service in &services {
             let labels = [("service", service.name.as_str())];
             let help = "Repeats that had to wait for their part.";
-            sheet.count("harbour_repeats_held_back_total", help, &labels, service.repeats.held_back);
+            sheet.count("stileroute_repeats_held_back_total", help, &labels, service.repeats.held_back);
         }
         for service in &services {
             let labels = [("service", service.name.as_str())];
             let help = "Repeats that wait, among the queue.";
-            sheet.gauge("harbour_repeats_waiting", help, &labels, service.repeats_waiting);
+            sheet.gauge("stileroute_repeats_waiting", help, &labels, service.repeats_waiting);
         }
         for service in &services {
             let labels = [("service", service.name.as_str())];
             let help = "Most repeats of this store that were out at one executor at once.";
-            sheet.gauge("harbour_repeats_most_at_one", help, &labels, service.repeats.most);
+            sheet.gauge("stileroute_repeats_most_at_one", help, &labels, service.repeats.most);
         }
         for service in services.iter().filter(|s| s.ceiling.is_some()) {
             let here = u8::from(service.ceiling.is_some_and(|(_, _, here)| here));
             let help = "1: this store hands out the service's tokens.";
-            sheet.gauge("harbour_tokens_holder", help, &[("service", &service.name)], here);
+            sheet.gauge("stileroute_tokens_holder", help, &[("service", &service.name)], here);
         }
         for (outcome, count) in &self.tally.outcomes {
             let labels = [("outcome", *outcome)];
-            sheet.count("harbour_deliveries_total", "Deliveries by how they ended.", &labels, *count);
+            sheet.count("stileroute_deliveries_total", "Deliveries by how they ended.", &labels, *count);
         }
         let help = "Deliveries without an answer that may have run.";
-        sheet.count("harbour_deliveries_unsure_total", help, &[], self.tally.unsure);
+        sheet.count("stileroute_deliveries_unsure_total", help, &[], self.tally.unsure);
         let help = "From a message's due time to its first delivery.";
-        sheet.histogram("harbour_to_run_seconds", help, &self.tally.to_run);
-        let f = &self.hold.figures;
+        sheet.histogram("stileroute_to_run_seconds", help, &self.tally.to_run);
+        let f = &self.queue.figures;
         let events = [
             ("taken", f.taken),
             ("refused", f.refused),
@@ -221,19 +221,24 @@
             ("fenced", f.fenced),
         ];
         for (event, count) in events {
-            sheet.count("harbour_hold_total", "What happened to messages.", &[("event", event)], count);
+            sheet.count(
+                "stileroute_queue_events_total",
+                "What happened to messages.",
+                &[("event", event)],
+                count,
+            );
         }
         let help = "Own messages that are on too few disks.";
-        sheet.gauge("harbour_messages_thin", help, &[], f.thin);
+        sheet.gauge("stileroute_messages_thin", help, &[], f.thin);
         let help = "How long some were on too few disks, the last time that this was so.";
-        sheet.gauge("harbour_thin_seconds", help, &[], f.thin_ms as f64 / 1000.0);
+        sheet.gauge("stileroute_thin_seconds", help, &[], f.thin_ms as f64 / 1000.0);
         disk(sheet, self.disk.figures());
         let trouble = u8::from(self.disk_trouble);
-        sheet.gauge("harbour_disk_trouble", "1: the disk refused the last write.", &[], trouble);
+        sheet.gauge("stileroute_disk_trouble", "1: the disk refused the last write.", &[], trouble);
     }
 }
 
-pub fn disk(sheet: &mut Sheet, f: stileroute_logbook::Figures) {
+pub fn disk(sheet: &mut Sheet, f: stileroute_wal::Figures) {
     let all = [
         ("records", f.records),
         ("bytes", f.bytes),
@@ -242,6 +247,6 @@
         ("checkpoints", f.checkpoints),
     ];
     for (what, count) in all {
-        sheet.count("harbour_disk_total", "What was done on the disk.", &[("what", what)], count);
+        sheet.count("stileroute_disk_total", "What was done on the disk.", &[("what", what)], count);
     }
 }
--- a/harbour/src/store/tests.rs
+++ b/crates/server/src/store/tests.rs
@@ -4,8 +4,8 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::time::Instant;
-use stileroute_charter::{Boot, Config};
-use stileroute_hold::Cargo;
+use stileroute_config::{Boot, Config};
+use stileroute_queue::Message;
 
 const CONFIG: &[u8] =
     br#"{"revision":7,"routes":[{"name":"quick","hostname":"quay.example","path_prefix":"/in/",
@@ -41,7 +41,7 @@
         (boot.ip, boot.internal_ports) = (Ipv4Addr::LOCALHOST, (0, 0));
         let mut store = Store::new(Common::start(boot, Path::new(""), Class::Store).unwrap()).unwrap();
         let (now, fine) = (store.common.net.now(), store.common.net.fine());
-        store.hold.configure(now, fine, Arc::new(Config::read(CONFIG).unwrap()));
+        store.queue.configure(now, fine, Arc::new(Config::read(CONFIG).unwrap()));
         store.carry_out();
         Lone { store, dir }
     }
@@ -49,8 +49,8 @@
     fn takes(&mut self) {
         let (id, host) = ("m".to_string(), "quay.example".to_string());
         let (method, target) = ("POST".to_string(), "/in/x".to_string());
-        let cargo = Cargo { id, host, method, target, taken: wall(), ..Cargo::default() };
-        self.store.word(Word::Said(EDGE, Class::Edge, Signal::Put { ticket: 5, cargo }));
+        let message = Message { id, host, method, target, taken: wall(), ..Message::default() };
+        self.store.link_event(LinkEvent::Said(EDGE, Class::Edge, Signal::Put { ticket: 5, message }));
         self.store.carry_out();
     }
 
--- a/harbour/tests/check_config.rs
+++ b/crates/server/tests/check_config.rs
@@ -1,4 +1,4 @@
-//! `harbour check config` and the bound of the control nodes.
+//! `stilerouted check config` and the bound of the control nodes.
 
 use std::fs;
 use std::process::Command;
@@ -17,7 +17,7 @@
     let file = std::env::temp_dir().join(format!("configuration-{}.json", std::process::id()));
     let check = |bytes: usize| {
         fs::write(&file, configuration(bytes)).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stilerouted"));
         let output = command.args(["check", "config"]).arg(&file).output().unwrap();
         (output.status.code(), String::from_utf8_lossy(&[output.stdout, output.stderr].concat()).into_owned())
     };
--- a/harbour/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -10,7 +10,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
-const DOCS: &str = include_str!("../../docs/replace.md");
+const DOCS: &str = include_str!("../../../docs/replace.md");
 /// The service has no executor, so what is sent stays.
 const CONFIG: &str = r#"{"revision":REV,"routes":[{"name":"stuck","hostname":"quay.example","path_prefix":"/",
  "route_type":"deferred","timeout_ms":1500,"target_ms":80,"priority":1,"backend":"lock","max_tries":4,
@@ -31,7 +31,10 @@
             eprintln!("{}", self.status());
             eprintln!(
                 "{:?}",
-                self.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300", &self.message)
+                self.stilerouted(
+                    "message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300",
+                    &self.message
+                )
             );
             for (name, _) in &self.children {
                 eprintln!(
@@ -52,7 +55,7 @@
     fn new() -> Fleet {
         static FLEETS: AtomicU32 = AtomicU32::new(0);
         let (pid, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
-        let dir = std::env::temp_dir().join(format!("harbour-commands-{pid}-{fleet}"));
+        let dir = std::env::temp_dir().join(format!("stilerouted-commands-{pid}-{fleet}"));
         // Each test has a net of its own, and so have two runs at a time.
         let net = format!("127.{}.{}", 192 + 30 * fleet + pid / 250 % 30, 1 + pid % 250);
         Fleet {
@@ -105,8 +108,8 @@
         let boot = home.join("node.json");
         fs::write(&boot, text).unwrap();
         let log = File::options().create(true).append(true).open(home.join("log")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
-        command.args(words).arg("--boot").arg(boot).arg(role).env_remove("HARBOUR_LOG");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stilerouted"));
+        command.args(words).arg("--boot").arg(boot).arg(role).env_remove("STILEROUTE_LOG");
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log);
         self.children.push((name.to_string(), command.spawn().unwrap()));
     }
@@ -139,14 +142,14 @@
     }
 
     /// A command of the docs, after the program's name, with what this fleet has in the place of the examples.
-    fn harbour(&self, words: &str, message: &str) -> Output {
-        assert!(DOCS.lines().any(|line| line == format!("harbour {words}")), "not in the docs: {words}");
+    fn stilerouted(&self, words: &str, message: &str) -> Output {
+        assert!(DOCS.lines().any(|line| line == format!("stilerouted {words}")), "not in the docs: {words}");
         let words = words
             .replace("10.1.0.14:7300", &format!("{}.3:17300", self.net))
             .replace("/etc/stileroute/node.json", self.dir.join("storage-1/node.json").to_str().unwrap())
-            .replace("/var/lib/harbour", self.dir.join("storage-1/data").to_str().unwrap())
+            .replace("/var/lib/stilerouted", self.dir.join("storage-1/data").to_str().unwrap())
             .replace("9c41d07b.655f3c0000002.2b1f8e06", message);
-        Command::new(env!("CARGO_BIN_EXE_harbour")).args(words.split(' ')).output().unwrap()
+        Command::new(env!("CARGO_BIN_EXE_stilerouted")).args(words.split(' ')).output().unwrap()
     }
 
     /// Status and body of an answer, if there is one, and the message's name.
@@ -185,7 +188,8 @@
 
     /// Where a message lies: one delivers it, another has its copy.
     fn stages(&self, message: &str) -> Vec<String> {
-        let out = self.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300 --json", message);
+        let out =
+            self.stilerouted("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300 --json", message);
         let Ok(json) = jzon::parse(&String::from_utf8_lossy(&out.stdout)) else { return Vec::new() };
         let stage = |(_, store): (_, &jzon::JsonValue)| store["stage"].as_str().map(String::from);
         let mut stages: Vec<String> = json["stores"].entries().filter_map(stage).collect();
@@ -198,7 +202,7 @@
     }
 
     fn status(&self) -> String {
-        String::from_utf8(self.harbour("status --at 10.1.0.14:7300", "").stdout).unwrap()
+        String::from_utf8(self.stilerouted("status --at 10.1.0.14:7300", "").stdout).unwrap()
     }
 }
 
@@ -216,7 +220,7 @@
     // A store without its disk: its messages are copied anew, and it is known again.
     fleet.kill("storage-1");
     fleet.wipe("storage-1");
-    let checked = fleet.harbour("check boot /etc/stileroute/node.json", "");
+    let checked = fleet.stilerouted("check boot /etc/stileroute/node.json", "");
     assert!(checked.status.success(), "{checked:?}");
     fleet.start("storage-1", false);
     fleet.until("two disks again, with the new one there", || {
@@ -261,7 +265,7 @@
     (1..=3).for_each(|core| remembered(&fleet, core));
     let retire = |words: &[&str]| {
         let at = format!("{}.3:17300", fleet.net);
-        let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stilerouted"));
         command.args(["retire", "storage-3", "--at", &at]).args(words).output().unwrap()
     };
     assert_eq!((retire(&[]).status.code(), retire(&["--status"]).status.code()), (Some(0), Some(0)));
@@ -274,7 +278,7 @@
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.kill(name));
     fleet.until("refused", || fleet.send().filter(|answer| answer.0 == 503));
     assert!(fleet.stages(&message).is_empty());
-    let verified = fleet.harbour("state verify /var/lib/harbour", "");
+    let verified = fleet.stilerouted("state verify /var/lib/stilerouted", "");
     let told = String::from_utf8_lossy(&verified.stdout);
     assert!(verified.status.success() && told.contains("opens: true"), "{verified:?}");
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.start(name, false));
@@ -284,11 +288,11 @@
     // as soon as all stores are there to say so, and 503 until then.
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.kill(name));
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.wipe(name));
-    let verified = fleet.harbour("state verify /var/lib/harbour", "");
+    let verified = fleet.stilerouted("state verify /var/lib/stilerouted", "");
     assert_eq!(verified.status.code(), Some(2), "{verified:?}");
     ["storage-1", "storage-2"].into_iter().for_each(|name| fleet.start(name, false));
     taken(&fleet);
-    let asked = fleet.harbour("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300", &message);
+    let asked = fleet.stilerouted("message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300", &message);
     assert_eq!(asked.status.code(), Some(1), "{asked:?}");
     let state =
         || fleet.http("21:18263", "GET", &format!("/v1/message/{message}"), "").filter(|a| a.0 != 503);
@@ -336,7 +340,7 @@
     assert!(fleet.until("read back", kept).1.len() > 2 << 20);
 }
 
-/// As docs/harbour.md says: SIGHUP reads the settings whole or not at all, and `--log` says how much is written.
+/// As docs/server.md says: SIGHUP reads the settings whole or not at all, and `--log` says how much is written.
 #[test]
 fn settings_are_read_again_and_logs_have_levels() {
     let mut fleet = Fleet::new();
--- a/harbour/tests/control_log.rs
+++ b/crates/server/tests/control_log.rs
@@ -7,14 +7,14 @@
 mod machine;
 #[path = "control_log/memory.rs"]
 mod memory;
-#[path = "../../logbook/tests/power/disk.rs"]
+#[path = "../../wal/tests/power/disk.rs"]
 mod power;
 
 use std::collections::BTreeMap;
 
 use group::Group;
 use machine::{Trouble, CHECKPOINT_AFTER};
-use stileroute_logbook::Step;
+use stileroute_wal::Step;
 
 const CHANGES: u64 = 1000;
 const BODY: usize = 900;
--- a/harbour/tests/control_log/group.rs
+++ b/crates/server/tests/control_log/group.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
-use stileroute_logbook::Step;
-use stileroute_pilotage::{Effect, Millis, Signal, Terms, Verdict, Voter};
+use stileroute_control_group::{Effect, GroupSettings, Millis, Signal, Verdict, Voter};
+use stileroute_wal::Step;
 
 use crate::machine::{Machine, Trouble};
 
@@ -16,7 +16,7 @@
 
 enum Happening {
     Said { from: (usize, u64), signal: Signal },
-    Kept { ticket: u64 },
+    Persisted { ticket: u64 },
     Link { peer: usize, up: bool },
     Start,
 }
@@ -96,13 +96,14 @@
 
     fn start(&mut self, i: usize) {
         let first = self.machines[i].life == 0;
-        let terms = Terms::new(voter(i), (0..NODES).map(voter).collect(), first, 1, self.draw(u64::MAX));
+        let terms =
+            GroupSettings::new(voter(i), (0..NODES).map(voter).collect(), first, 1, self.draw(u64::MAX));
         self.machines[i].start(terms, self.now);
         if !first {
             self.behind.push((i, self.now, self.acked));
         }
         for peer in (0..NODES).filter(|peer| *peer != i) {
-            if self.machines[peer].pilot().is_some() {
+            if self.machines[peer].group().is_some() {
                 self.link(i, peer, true);
             }
         }
@@ -117,7 +118,7 @@
 
     /// At one of the copies, the first time it comes there.
     pub fn arm(&mut self, step: Step, trouble: Trouble, which: usize) {
-        let watches = self.machines.iter_mut().filter_map(|machine| machine.pilot()?.watch().cloned());
+        let watches = self.machines.iter_mut().filter_map(|machine| machine.group()?.view().cloned());
         let watch = watches.max_by_key(|watch| watch.epoch).expect("a node runs");
         let node = index(watch.copies[which % watch.copies.len()]);
         self.armed = Some((node, step, trouble, 0));
@@ -173,8 +174,8 @@
         let (at, ticket) = (order.at, order.version * 1000 + order.attempt);
         let (version, body) = (order.version, order.body.clone());
         order.at = (at + 1) % NODES;
-        match self.machines[at].pilot() {
-            Some(pilot) => pilot.replace(now, ticket, version, body),
+        match self.machines[at].group() {
+            Some(group) => group.replace(now, ticket, version, body),
             None => self.order.iter_mut().for_each(|order| order.again = now + 30),
         }
         self.carry_out(at);
@@ -200,8 +201,8 @@
     fn carry_out(&mut self, i: usize) {
         let now = self.now;
         loop {
-            let Some(pilot) = self.machines[i].pilot() else { return };
-            let (effects, due) = (pilot.take(), pilot.next(now));
+            let Some(group) = self.machines[i].group() else { return };
+            let (effects, due) = (group.take(), group.next(now));
             self.machines[i].due = due;
             if effects.is_empty() {
                 return;
@@ -221,9 +222,9 @@
                 let from = (i, self.machines[i].life);
                 self.at(WAY, index(to), Happening::Said { from, signal });
             }
-            Effect::Keep { ticket, record } => {
+            Effect::Persist { ticket, record } => {
                 self.machines[i].keep(&record);
-                self.at(1, i, Happening::Kept { ticket });
+                self.at(1, i, Happening::Persisted { ticket });
             }
             Effect::Answer { ticket, verdict } => self.answered(ticket, verdict),
             _ => {}
@@ -240,18 +241,18 @@
         }
         if let Happening::Said { from: (from, life), .. } = &what {
             // The connection ended with the process that spoke.
-            if self.machines[*from].life != *life || self.machines[*from].pilot().is_none() {
+            if self.machines[*from].life != *life || self.machines[*from].group().is_none() {
                 return;
             }
         }
-        let Some(pilot) = self.machines[i].pilot() else { return };
+        let Some(group) = self.machines[i].group() else { return };
         match what {
-            Happening::Said { from: (from, _), signal } => pilot.signal(now, voter(from), signal),
-            Happening::Kept { ticket } => pilot.kept(now, ticket, true),
+            Happening::Said { from: (from, _), signal } => group.signal(now, voter(from), signal),
+            Happening::Persisted { ticket } => group.persisted(now, ticket, true),
             Happening::Link { peer, up } => {
-                pilot.link(now, voter(peer), up);
+                group.link(now, voter(peer), up);
                 if up {
-                    pilot.learn(voter(peer));
+                    group.learn(voter(peer));
                 }
             }
             Happening::Start => {}
@@ -262,7 +263,7 @@
     /// One thing more.
     fn step(&mut self) {
         let now = self.now;
-        let runs = |machine: &mut Machine| machine.pilot().is_some().then_some(machine.due);
+        let runs = |machine: &mut Machine| machine.group().is_some().then_some(machine.due);
         let due = self.machines.iter_mut().filter_map(runs).min().unwrap_or(Millis::MAX);
         let first = self.queue.keys().next().map_or(Millis::MAX, |(at, _)| *at);
         let again = self.order.as_ref().filter(|order| !order.done).map_or(Millis::MAX, |order| order.again);
@@ -275,8 +276,8 @@
         let now = self.now;
         for i in 0..NODES {
             if self.machines[i].due <= now {
-                if let Some(pilot) = self.machines[i].pilot() {
-                    pilot.tick(now);
+                if let Some(group) = self.machines[i].group() {
+                    group.tick(now);
                 }
                 self.carry_out(i);
             }
@@ -287,7 +288,7 @@
     /// No more than one leads, and with nothing older than what was acknowledged.
     fn check(&mut self) {
         let now = self.now;
-        let settled = |machine: &mut Machine| machine.pilot()?.settled(now).map(|chart| chart.version);
+        let settled = |machine: &mut Machine| machine.group()?.settled(now).map(|state| state.version);
         let leading: Vec<u64> = self.machines.iter_mut().filter_map(settled).collect();
         assert!(leading.len() <= 1, "two lead at {now}");
         let old = leading.iter().find(|version| **version < self.acked);
@@ -318,15 +319,15 @@
             !caught_up
         });
         self.behind = behind;
-        self.behind.is_empty() && self.machines.iter_mut().all(|machine| machine.pilot().is_some())
+        self.behind.is_empty() && self.machines.iter_mut().all(|machine| machine.group().is_some())
     }
 
     fn caught_up(&mut self, node: usize, wanted: u64) -> bool {
         let kept = self.machines[node].kept;
-        let Some(pilot) = self.machines[node].pilot() else { return true };
-        let copy = pilot.watch().is_some_and(|watch| watch.copies.contains(&voter(node)));
-        let force = pilot.in_force().map_or(0, |chart| chart.version);
-        !pilot.blank() && force >= wanted && (!copy || kept >= wanted)
+        let Some(group) = self.machines[node].group() else { return true };
+        let copy = group.view().is_some_and(|watch| watch.copies.contains(&voter(node)));
+        let force = group.committed().map_or(0, |state| state.version);
+        !group.blank() && force >= wanted && (!copy || kept >= wanted)
     }
 
     pub fn largest_disk(&self) -> u64 {
