--- a/harbour/tests/control_log/machine.rs
+++ b/crates/server/tests/control_log/machine.rs
@@ -7,8 +7,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use stileroute_logbook::{Fold, Logbook, Operation, Options, Step, Trouble as Refused};
-use stileroute_pilotage::{Kept, Millis, Pilotage, Record, Terms};
+use stileroute_control_group::{ControlGroup, GroupSettings, Millis, Persisted, Record};
+use stileroute_wal::{Fold, Operation, Options, Step, Trouble as Refused, Wal};
 
 use crate::power::{write, Disk, Files};
 
@@ -23,7 +23,7 @@
 
 /// As the control node folds its records.
 #[derive(Default)]
-struct Ledger(Kept);
+struct Ledger(Persisted);
 
 impl Fold for Ledger {
     fn apply(&mut self, record: &[u8]) {
@@ -48,8 +48,8 @@
 }
 
 struct Open {
-    pilot: Pilotage,
-    book: Logbook,
+    group: ControlGroup,
+    book: Wal,
     answers: Receiver<(u64, Result<(), Refused>)>,
     checkpoints: Receiver<()>,
     rolled: Arc<AtomicBool>,
@@ -71,7 +71,7 @@
         Machine { dir, watched: Arc::default(), open: None, life: 0, kept: 0, due: 0 }
     }
 
-    pub fn start(&mut self, terms: Terms, now: Millis) {
+    pub fn start(&mut self, terms: GroupSettings, now: Millis) {
         let (answer, answers) = channel();
         let (checkpointed, checkpoints) = channel();
         let checkpointed = Mutex::new(checkpointed);
@@ -104,17 +104,17 @@
         };
         let done = move |ticket, result| drop(answer.send((ticket, result)));
         let (book, ledger) =
-            Logbook::open::<Ledger>(&self.dir, options, done).expect("a legal start is never refused");
+            Wal::open::<Ledger>(&self.dir, options, done).expect("a legal start is never refused");
         // Segments that an earlier life closed are folded once something is appended.
         rolled.store(self.segments() > 1, Ordering::Relaxed);
-        self.kept = ledger.0.chart.as_ref().map_or(0, |chart| chart.version);
-        let pilot = Pilotage::new(terms, ledger.0, now);
-        self.open = Some(Open { pilot, book, answers, checkpoints, rolled });
+        self.kept = ledger.0.state.as_ref().map_or(0, |state| state.version);
+        let group = ControlGroup::new(terms, ledger.0, now);
+        self.open = Some(Open { group, book, answers, checkpoints, rolled });
         self.life += 1;
     }
 
-    pub fn pilot(&mut self) -> Option<&mut Pilotage> {
-        self.open.as_mut().map(|open| &mut open.pilot)
+    pub fn group(&mut self) -> Option<&mut ControlGroup> {
+        self.open.as_mut().map(|open| &mut open.group)
     }
 
     /// Writes and syncs, and waits for the checkpoint that follows from it, if one does.
@@ -131,8 +131,8 @@
             open.checkpoints.recv_timeout(Duration::from_secs(20)).expect("the checkpoint ends");
             append(Vec::new(), false);
         }
-        if let Record::Chart(chart) = record {
-            self.kept = chart.version;
+        if let Record::ControlState(state) = record {
+            self.kept = state.version;
         }
     }
 
--- a/harbour/tests/fleet.rs
+++ b/crates/server/tests/fleet.rs
@@ -1,5 +1,5 @@
 //! A small system on loopback addresses: one core, two stores, one edge, and an executor played here. Each command that
-//! docs/harbour.md shows is tried on it, as it stands there.
+//! docs/server.md shows is tried on it, as it stands there.
 
 use std::collections::BTreeSet;
 use std::fs::{self, File};
@@ -11,7 +11,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
-const DOCS: &str = include_str!("../../docs/harbour.md");
+const DOCS: &str = include_str!("../../../docs/server.md");
 const CONFIG: &str = r#"{"revision":7,"routes":[
  {"name":"quick","hostname":"quay.example","path_prefix":"/in/","route_type":"deferred","timeout_ms":1500,
   "target_ms":80,"priority":1,"backend":"crane","max_tries":4,"max_wait_s":60,"run_target_ms":1000},
@@ -72,8 +72,8 @@
 }
 
 fn program() -> Command {
-    let mut command = Command::new(env!("CARGO_BIN_EXE_harbour"));
-    command.env_remove("STILEROUTE_BOOT").env_remove("HARBOUR_LOG").stdin(Stdio::null());
+    let mut command = Command::new(env!("CARGO_BIN_EXE_stilerouted"));
+    command.env_remove("STILEROUTE_BOOT").env_remove("STILEROUTE_LOG").stdin(Stdio::null());
     command
 }
 
@@ -84,7 +84,7 @@
 impl Fleet {
     fn new(name: &str) -> Fleet {
         let pid = std::process::id();
-        let dir = std::env::temp_dir().join(format!("harbour-{name}-{pid}"));
+        let dir = std::env::temp_dir().join(format!("stilerouted-{name}-{pid}"));
         fs::create_dir_all(&dir).unwrap();
         let net = format!("127.{}.{}", 64 + pid / 250 % 128, 1 + pid % 250);
         Fleet { dir, net, children: Vec::new(), over: Arc::default() }
@@ -183,7 +183,7 @@
         line.replace("10.1.0.14:7300", &self.at(1, 17300))
             .replace("10.1.0.12:7301", &self.at(2, 17301))
             .replace("/etc/stileroute/node.json", self.dir.join("store-1.json").to_str().unwrap())
-            .replace("/var/lib/harbour", self.dir.join("store-1").to_str().unwrap())
+            .replace("/var/lib/stilerouted", self.dir.join("store-1").to_str().unwrap())
             .replace("config.json", self.dir.join("config.json").to_str().unwrap())
             .replace("10.1.0.14:8262", &self.at(1, 18262))
             .replace("9c41d07b.655f3c0000002.2b1f8e06", message)
@@ -267,7 +267,7 @@
 
     // What the status says, as text and as JSON.
     let text = until("all has run", || {
-        let text = texts(&fleet.try_line("harbour status --at 10.1.0.14:7300", "")).0;
+        let text = texts(&fleet.try_line("stilerouted status --at 10.1.0.14:7300", "")).0;
         let run = text.contains("crane: 0 waiting, 0 out") && text.matches("version 7").count() == 4;
         (run && !text.contains("HEARS NOTHING") && !text.contains("SILENT")).then_some(text)
     });
@@ -279,7 +279,7 @@
     for part in ["lock: ", "at most 5/s, tokens by store-", "i-crane-1 at"] {
         assert!(text.contains(part), "{part}: {text}");
     }
-    let json = texts(&fleet.try_line("harbour status --json --at 10.1.0.12:7301", "")).0;
+    let json = texts(&fleet.try_line("stilerouted status --json --at 10.1.0.12:7301", "")).0;
     let json = jzon::parse(&json).unwrap();
     assert_eq!((json["nodes"].len(), json["silent"].len()), (4, 0), "{json}");
     assert!(json["nodes"].members().all(|node| node["version"] == 7), "{json}");
@@ -287,12 +287,14 @@
     assert!(!json["services"]["crane"]["executors"]["i-crane-1"]["shares"].is_empty(), "{json}");
     assert!(json["services"]["crane"]["repeats"]["first"].as_u64().is_some_and(|n| n > 0), "{json}");
 
-    let traced = |id: &str| {
-        texts(
-            &fleet.try_line("harbour message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300 --json", id),
-        )
-        .0
-    };
+    let traced =
+        |id: &str| {
+            texts(&fleet.try_line(
+                "stilerouted message 9c41d07b.655f3c0000002.2b1f8e06 --at 10.1.0.14:7300 --json",
+                id,
+            ))
+            .0
+        };
     until("the end is told to the copy", || {
         let json = jzon::parse(&traced(&done)).unwrap();
         let ends = json["stores"].entries().filter(|(_, t)| t["end"]["seal"] == "s-m-1").count();
@@ -358,20 +360,22 @@
     }
     let names = figures.lines().filter_map(|line| line.strip_prefix("# HELP ")?.split(' ').next());
     for name in names.collect::<BTreeSet<_>>() {
-        assert!(DOCS.contains(&format!("`{name}`")), "docs/harbour.md says nothing of {name}");
+        assert!(DOCS.contains(&format!("`{name}`")), "docs/server.md says nothing of {name}");
     }
-    for part in ["harbour_control_heard 1", "door=\"front\",status=\"202\"} 3", "harbour_config_version 7"] {
+    for part in
+        ["stileroute_control_heard 1", "door=\"front\",status=\"202\"} 3", "stileroute_config_version 7"]
+    {
         assert!(figures.contains(part), "{part}: {figures}");
     }
-    assert!(figures.contains("harbour_deliveries_total{outcome=\"done\"}"), "{figures}");
+    assert!(figures.contains("stileroute_deliveries_total{outcome=\"done\"}"), "{figures}");
 
     // Each command of the docs: those that ask the system, those that read a file, and the starts that were made above.
     let (mut offline, mut starts) = (Vec::new(), 0);
     for line in shown() {
         match line.split(' ').collect::<Vec<_>>()[..] {
-            ["harbour", "state", ..] => offline.push(line),
-            ["harbour", "--boot", _, "core" | "store" | "edge"] => starts += 1,
-            ["harbour", ..] => {
+            ["stilerouted", "state", ..] => offline.push(line),
+            ["stilerouted", "--boot", _, "core" | "store" | "edge"] => starts += 1,
+            ["stilerouted", ..] => {
                 let out = fleet.try_line(line, &done);
                 assert!(out.status.success(), "{line}: {out:?}");
             }
@@ -399,7 +403,7 @@
     end(&mut fleet, "core-1");
     until("the edge hears nothing", || {
         let figures = http(&scrape, "GET", "/metrics", "", "")?.2;
-        figures.contains("harbour_control_heard 0").then_some(())
+        figures.contains("stileroute_control_heard 0").then_some(())
     });
     // Nobody can say what is in force.
     let out = program().args(["apply", &own, "--at", &fleet.at(4, 17302)]).output().unwrap();
--- a/harbour/tests/large_configurations.rs
+++ b/crates/server/tests/large_configurations.rs
@@ -11,9 +11,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use stileroute_charter::Config;
-use stileroute_logbook::{Fold, Logbook, Options, Step, MAX_RECORD};
-use stileroute_pilotage::{Chart, Kept, Record, Retirement, Stage, RETIREMENTS};
+use stileroute_config::Config;
+use stileroute_control_group::{ControlState, Persisted, Record, Retirement, Stage, RETIREMENTS};
+use stileroute_wal::{Fold, Options, Step, Wal, MAX_RECORD};
 
 /// Bytes of the largest configuration.
 const LARGEST: usize = 8 << 20;
@@ -40,7 +40,7 @@
 }
 
 #[derive(Default)]
-struct Ledger(Kept);
+struct Ledger(Persisted);
 
 impl Fold for Ledger {
     fn apply(&mut self, record: &[u8]) {
@@ -58,7 +58,12 @@
 }
 
 fn value(serial: u64, body: &[u8]) -> Record {
-    Record::Chart(Chart { serial, version: serial, body: body.to_vec(), retirements: Vec::new() })
+    Record::ControlState(ControlState {
+        serial,
+        version: serial,
+        body: body.to_vec(),
+        retirements: Vec::new(),
+    })
 }
 
 /// One process: both tests count its memory.
@@ -79,7 +84,7 @@
     assert_eq!(config.routes.len(), ROUTES);
     let kept = memory::live() - before;
     println!("read {} bytes, {ROUTES} routes: {took:?}, {peak} bytes at most, {kept} kept", body.len());
-    // The bound on what the values of a text may take (`MEMORY` in charter/src/read.rs), and what is made of them.
+    // The bound on what the values of a text may take (`MEMORY` in crates/config/src/read.rs), and what is made of them.
     assert!(peak < (96 << 20) + 4 * body.len(), "{peak} bytes");
     assert!(took < Duration::from_secs(20), "{took:?}");
     drop(config);
@@ -97,8 +102,8 @@
 fn fits_a_record() {
     let retirement = |node| Retirement { node, name: "n".repeat(255), stage: Stage::Complete };
     let retirements = (0..RETIREMENTS as u32).map(retirement).collect();
-    let chart = Chart { serial: u64::MAX, version: u64::MAX, body: vec![b'x'; LARGEST], retirements };
-    let record = postcard::to_stdvec(&Record::Chart(chart)).expect("encodes");
+    let state = ControlState { serial: u64::MAX, version: u64::MAX, body: vec![b'x'; LARGEST], retirements };
+    let record = postcard::to_stdvec(&Record::ControlState(state)).expect("encodes");
     println!("the largest value takes {} bytes, a record may have {MAX_RECORD}", record.len());
     assert!(record.len() <= MAX_RECORD, "{} bytes", record.len());
 }
@@ -127,7 +132,7 @@
     let before = memory::live();
     memory::peak_since(before);
     let hooked = Options { hook: Some(Arc::new(hook)), ..options() };
-    let (book, _) = Logbook::open::<Ledger>(&dir, hooked, done).expect("opens");
+    let (book, _) = Wal::open::<Ledger>(&dir, hooked, done).expect("opens");
     let since = Instant::now();
     for serial in 1..=changes {
         book.append(serial, vec![postcard::to_stdvec(&value(serial, &body)).expect("encodes")], true);
@@ -142,7 +147,7 @@
     let amplified = written as f64 / (changes * body.len() as u64) as f64;
     let peak = peak.load(Ordering::Relaxed);
     let since = Instant::now();
-    let (_, ledger) = Logbook::open::<Ledger>(&dir, options(), |_, _| {}).expect("opens");
+    let (_, ledger) = Wal::open::<Ledger>(&dir, options(), |_, _| {}).expect("opens");
     let opened = since.elapsed();
     println!(
         "{changes} changes of {} bytes in {took:?}: written {amplified:.2} times, {} checkpoints, folder {peak} bytes at most, \
@@ -150,7 +155,7 @@
         body.len(),
         figures.checkpoints,
     );
-    let kept = ledger.0.chart.expect("a value");
+    let kept = ledger.0.state.expect("a value");
     assert!(kept.serial == changes && kept.body == body);
     assert!(peak <= ROOM, "{peak} bytes");
     assert!(amplified <= 2.1, "written {amplified} times");
--- a/harbour/tests/state.rs
+++ b/crates/server/tests/state.rs
@@ -1,11 +1,11 @@
-//! `harbour state verify` on folders of control nodes.
+//! `stilerouted state verify` on folders of control nodes.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
-use stileroute_logbook::{Fold, Logbook, Options};
-use stileroute_pilotage::{Chart, Record};
+use stileroute_control_group::{ControlState, Record};
+use stileroute_wal::{Fold, Options, Wal};
 
 #[derive(Default)]
 struct Nothing;
@@ -23,9 +23,10 @@
     /// With one configuration on its disk.
     fn new(name: &str) -> Machine {
         let machine = Machine(std::env::temp_dir().join(format!("state-{name}-{}", std::process::id())));
-        let chart = Chart { serial: 1, version: 1, body: CONFIGURATION.to_vec(), ..Chart::default() };
-        let record = postcard::to_stdvec(&Record::Chart(chart)).unwrap();
-        let (book, _) = Logbook::open::<Nothing>(&machine.watch(), Options::new("watch"), |_, _| {}).unwrap();
+        let state =
+            ControlState { serial: 1, version: 1, body: CONFIGURATION.to_vec(), ..ControlState::default() };
+        let record = postcard::to_stdvec(&Record::ControlState(state)).unwrap();
+        let (book, _) = Wal::open::<Nothing>(&machine.watch(), Options::new("watch"), |_, _| {}).unwrap();
         book.append(1, vec![record], true);
         book.stop();
         machine
@@ -43,7 +44,7 @@
 }
 
 fn verify(dir: &Path) -> (Option<i32>, String) {
-    let run = Command::new(env!("CARGO_BIN_EXE_harbour")).args(["state", "verify"]).arg(dir).output();
+    let run = Command::new(env!("CARGO_BIN_EXE_stilerouted")).args(["state", "verify"]).arg(dir).output();
     let Output { status, stdout, .. } = run.unwrap();
     (status.code(), String::from_utf8(stdout).unwrap())
 }
--- a/drill/src/main.rs
+++ b/crates/sim-adapter/src/main.rs
@@ -8,9 +8,9 @@
 use std::collections::{BTreeSet, HashMap};
 use std::fmt::Write as _;
 use std::io::{BufRead, Write as _};
-use stileroute::choice::{Dispatcher, UPKEEP};
-use stileroute::posted::{down, up, UNIT};
-use stileroute::tariff::{mark, Ask, Limits, Listed, Op, Outcome, Step, Time};
+use stileroute_dispatch::policy::{Dispatcher, UPKEEP};
+use stileroute_dispatch::settings::{down, up, UNIT};
+use stileroute_dispatch::types::{mark, Ask, Limits, Listed, Op, Outcome, Step, Time};
 use wire::{Batch, Element, Msg};
 
 /// One instance with the ops and timers that the adapter keeps for it.
@@ -351,7 +351,7 @@
             Err(error) => Err(format!("standard input: {error}")),
         };
         if let Err(problem) = problem {
-            eprintln!("stileroute-drill: {problem}");
+            eprintln!("stileroute-sim-adapter: {problem}");
             std::process::exit(2);
         }
     }
--- a/drill/src/wire.rs
+++ b/crates/sim-adapter/src/wire.rs
@@ -2,7 +2,7 @@
 
 use serde::Deserialize;
 use std::borrow::Cow;
-use stileroute::posted::Posted;
+use stileroute_dispatch::settings::Posted;
 
 #[derive(Deserialize)]
 pub struct Batch<'a> {
--- a/drill/tests/wire.rs
+++ b/crates/sim-adapter/tests/wire.rs
@@ -4,7 +4,7 @@
 use std::process::{Command, Stdio};
 
 fn drill(input: &str) -> (String, String, Option<i32>) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_stileroute-drill"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_stileroute-sim-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -18,11 +18,11 @@
 }
 
 const SPAWN: &str = concat!(
-    r#"{"op":"SPAWN","node":"node/0","init-seed":5,"conf":{"balancers":2,"caps":{"cancel":true,"max-pushes":4},"#,
+    r#"{"op":"SPAWN","node":"crates/node/0","init-seed":5,"conf":{"balancers":2,"caps":{"cancel":true,"max-pushes":4},"#,
     r#""categories":[{"target-latency-ns":500000000,"semantics":"repeatable","ttl-ns":8000000000}],"#,
     r#""discovery":"subscribe","granularity-ns":2000000,"rules":{"overload-factor":2.5,"start-capacity":0.14,"#,
     r#""tip-after-ns":1000000000,"warm-within-ns":23000000000},"strange":1}},"#,
-    r#"{"op":"MEMBERS","node":"node/0","scope":"remembered","generation":4,"elements":"#,
+    r#"{"op":"MEMBERS","node":"crates/node/0","scope":"remembered","generation":4,"elements":"#,
     r#"[{"executor":"10.0.0.1:9","stage-state":"active"},{"executor":"10.0.0.2:9","stage-state":"active"}]}"#
 );
 
@@ -32,26 +32,30 @@
 
 #[test]
 fn an_op_goes_out_and_is_answered() {
-    let ingress = r#"{"op":"INGRESS","node":"node/0","ticket":"00c5","grade":0,"drop-dead-ns":8000000000}"#;
+    let ingress =
+        r#"{"op":"INGRESS","node":"crates/node/0","ticket":"00c5","grade":0,"drop-dead-ns":8000000000}"#;
     let result = |executor: &str| {
         format!(
-            r#"{{"op":"RESULT","node":"node/0","ticket":"00000000000000c5","round-no":0,"executor":"{executor}","status":"S","took-ns":1,"final":true}}"#
+            r#"{{"op":"RESULT","node":"crates/node/0","ticket":"00000000000000c5","round-no":0,"executor":"{executor}","status":"S","took-ns":1,"final":true}}"#
         )
     };
     let start = batch(1, SPAWN) + &batch(2, "") + &batch(3_000_000, ingress);
     let (out, err, code) = drill(&start);
     assert_eq!((err.as_str(), code), ("", Some(0)));
     let lines: Vec<&str> = out.lines().collect();
-    assert!(lines[0].contains(r#""op":"OBSERVE","node":"node/0","active":true"#), "{out}");
+    assert!(lines[0].contains(r#""op":"OBSERVE","node":"crates/node/0","active":true"#), "{out}");
     assert_eq!(lines[1], r#"{"out":[]}"#);
-    assert!(lines[2].contains(r#""op":"ATTEMPT","node":"node/0","ticket":"00000000000000c5""#), "{out}");
+    assert!(
+        lines[2].contains(r#""op":"ATTEMPT","node":"crates/node/0","ticket":"00000000000000c5""#),
+        "{out}"
+    );
     let executor = if lines[2].contains("10.0.0.1:9") { "10.0.0.1:9" } else { "10.0.0.2:9" };
     // A late outcome, a withdrawal of an op already dropped and an unknown message change nothing.
     let rest = [
         result(executor),
         result(executor),
-        r#"{"op":"WITHDRAWN","node":"node/0","ticket":"00c5"}"#.into(),
-        r#"{"op":"NEWS","node":"node/0"}"#.into(),
+        r#"{"op":"WITHDRAWN","node":"crates/node/0","ticket":"00c5"}"#.into(),
+        r#"{"op":"NEWS","node":"crates/node/0"}"#.into(),
     ];
     let (out, err, code) = drill(&(start + &batch(9_000_000, &rest.join(","))));
     assert_eq!((err.lines().count(), code), (1, Some(0)), "{err}");
@@ -60,8 +64,9 @@
 
 #[test]
 fn an_instance_can_die_and_start_again_in_one_batch() {
-    let again = format!(r#"{{"op":"KILLED","node":"node/0"}},{SPAWN}"#);
-    let ingress = r#"{"op":"INGRESS","node":"node/0","ticket":"01","grade":0,"drop-dead-ns":8000000000}"#;
+    let again = format!(r#"{{"op":"KILLED","node":"crates/node/0"}},{SPAWN}"#);
+    let ingress =
+        r#"{"op":"INGRESS","node":"crates/node/0","ticket":"01","grade":0,"drop-dead-ns":8000000000}"#;
     let (out, _, code) = drill(&(batch(1, SPAWN) + &batch(5, &again) + &batch(3_000_000, ingress)));
     assert_eq!(code, Some(0));
     assert!(out.lines().nth(1).unwrap().contains("OBSERVE"), "{out}");
@@ -75,16 +80,20 @@
         (r#"{"clock-ns":"soon","msgs":[]}"#, "clock-ns"),
         (r#"{"msgs":[]}"#, "clock-ns"),
         (r#"{"clock-ns":1,"msgs":[{"op":"BELL"}]}"#, "node"),
-        (r#"{"clock-ns":1,"msgs":[{"op":"SPAWN","node":"node/1","init-seed":1}]}"#, "conf"),
-        (r#"{"clock-ns":1,"msgs":[{"op":"SPAWN","node":"node/1","init-seed":1,"conf":{}}]}"#, "balancers"),
-        (r#"{"clock-ns":1,"msgs":[{"op":"INGRESS","node":"node/0","ticket":7}]}"#, "ticket"),
+        (r#"{"clock-ns":1,"msgs":[{"op":"SPAWN","node":"crates/node/1","init-seed":1}]}"#, "conf"),
+        (
+            r#"{"clock-ns":1,"msgs":[{"op":"SPAWN","node":"crates/node/1","init-seed":1,"conf":{}}]}"#,
+            "balancers",
+        ),
+        (r#"{"clock-ns":1,"msgs":[{"op":"INGRESS","node":"crates/node/0","ticket":7}]}"#, "ticket"),
     ];
     for (input, field) in cases {
         let (_, err, code) = drill(&format!("{input}\n"));
         assert_eq!(code, Some(2), "{input}");
         assert!(err.contains(field) && err.lines().count() == 1, "{input}: {err}");
     }
-    let grade = r#"{"op":"INGRESS","node":"node/0","ticket":"01","grade":9,"drop-dead-ns":8000000000}"#;
+    let grade =
+        r#"{"op":"INGRESS","node":"crates/node/0","ticket":"01","grade":9,"drop-dead-ns":8000000000}"#;
     let (_, err, code) = drill(&(batch(1, SPAWN) + &batch(2, grade)));
     assert!(code == Some(2) && err.contains("grade"), "{err}");
 }
--- a/drydock/src/churn.rs
+++ b/crates/system-test/src/churn.rs
@@ -1,12 +1,12 @@
 //! Many changes with restarts in between, two contents under one number, and orders that are sent again.
 
 use crate::control::Numbers;
-use crate::course::{Course, ACK};
 use crate::fleet::{Plain, Role};
 use crate::history::{Ask, History, Micros, SECOND};
 use crate::isolation::with_marker;
 use crate::operator::{ask, Operator, NO_ROUND};
-use crate::ordeals::marker;
+use crate::scenarios::marker;
+use crate::schedule::{Schedule, ACK};
 use crate::setup::Running;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -31,23 +31,23 @@
 const RETIRE: &[u8] = b"{\"deadline_s\":20}";
 
 pub fn play(mut running: Running, numbers: &Numbers) -> Plain<History> {
-    let course = &mut running.course;
-    course.sleep(1000);
-    course.many_changes(numbers)?;
-    let pairs = course.pairs_under_one_number(numbers);
-    course.lose_primary_for_a_while()?;
-    course.send_again(&pairs, "after a takeover");
-    course.restart_control_nodes()?;
-    course.send_again(&pairs, "after all control nodes were started again");
-    course.change_acknowledged("after all control nodes were started again", numbers);
-    course.agreed("after all control nodes were started again");
-    course.retire_two_at_once()?;
+    let schedule = &mut running.schedule;
+    schedule.sleep(1000);
+    schedule.many_changes(numbers)?;
+    let pairs = schedule.pairs_under_one_number(numbers);
+    schedule.lose_primary_for_a_while()?;
+    schedule.send_again(&pairs, "after a takeover");
+    schedule.restart_control_nodes()?;
+    schedule.send_again(&pairs, "after all control nodes were started again");
+    schedule.change_acknowledged("after all control nodes were started again", numbers);
+    schedule.agreed("after all control nodes were started again");
+    schedule.retire_two_at_once()?;
     running.end_load();
-    running.course.sleep(1500);
+    running.schedule.sleep(1500);
     Ok(running.end(&[0, 1, 2], Duration::from_secs(10)))
 }
 
-impl Course {
+impl Schedule {
     fn many_changes(&mut self, numbers: &Numbers) -> Plain<()> {
         self.routes.extend((0..ROUTES).map(|one| (marker(2_000_000 + one), "birch", 4)));
         let stop = Arc::new(AtomicBool::new(false));
@@ -73,7 +73,7 @@
 
     /// One of those that send changes at once, until it is told to stop or there were enough.
     fn keep_changing(&self, until: u64, numbers: &Numbers, stop: &Arc<AtomicBool>) -> JoinHandle<()> {
-        let mut operator = Operator::new(self.fleet.controls(), &self.sight);
+        let mut operator = Operator::new(self.fleet.controls(), &self.recorder);
         let (base, services) = (self.routes.clone(), self.services.clone());
         let (numbers, stop) = (numbers.clone(), Arc::clone(stop));
         std::thread::spawn(move || {
@@ -90,7 +90,7 @@
     /// What became of the changes, and of the disks of control nodes.
     fn account(&mut self, first: u64) {
         let (sent, acked, refused) = {
-            let history = self.sight.write();
+            let history = self.recorder.write();
             let ours = || history.versions.iter().filter(|v| v.number > first);
             let clear = |status: Option<u16>| matches!(status, Some(400..=499));
             let refused =
@@ -119,7 +119,7 @@
     }
 
     fn restart_core(&mut self, at: usize, how: Restart) -> Plain<()> {
-        let from = self.sight.now();
+        let from = self.recorder.now();
         if how == Restart::InOrder {
             let took = self.fleet.stop(Role::Core, at).map(|took| took.as_micros() as Micros);
             self.take("the end of a control node after SIGTERM, with changes under way", took, 6 * SECOND);
@@ -131,17 +131,17 @@
         self.sleep(700);
         self.fleet.start(Role::Core, at)?;
         self.trouble(from);
-        let started = self.sight.now();
+        let started = self.recorder.now();
         let to = self.fleet.control(at);
         let mut caught_up = None;
-        while caught_up.is_none() && self.sight.now() < started + 2 * CAUGHT_UP {
-            caught_up = self.operator.read_once(to, NO_ROUND).map(|_| self.sight.now() - started);
+        while caught_up.is_none() && self.recorder.now() < started + 2 * CAUGHT_UP {
+            caught_up = self.operator.read_once(to, NO_ROUND).map(|_| self.recorder.now() - started);
             self.sleep(10);
         }
         self.take(&format!("until a control node knew what is current ({how:?})"), caught_up, CAUGHT_UP);
         let ms = caught_up.map_or("never".to_string(), |us| format!("{} ms after its start", us / 1000));
         self.say(&format!("core-{} was started again ({how:?}) and knows what is current {ms}", at + 1));
-        self.sleep(BETWEEN_MS.saturating_sub((self.sight.now() - started) / 1000));
+        self.sleep(BETWEEN_MS.saturating_sub((self.recorder.now() - started) / 1000));
         Ok(())
     }
 
@@ -157,7 +157,7 @@
                 let mut routes = with_marker(&self.routes, number);
                 routes[2].1 = service;
                 let body = self.operator.prepare(number, &routes, &self.services);
-                let operator = Operator::new(self.fleet.controls(), &self.sight);
+                let operator = Operator::new(self.fleet.controls(), &self.recorder);
                 let (gate, to, sent) = (Arc::clone(&gate), nodes[(pair + side) % nodes.len()], body.clone());
                 let thread = std::thread::spawn(move || {
                     gate.wait();
@@ -210,7 +210,7 @@
 
     fn lose_primary_for_a_while(&mut self) -> Plain<()> {
         let primary = self.primary()?;
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.kill(Role::Core, primary);
         self.say(&format!("core-{}, which leads, is killed", primary + 1));
         self.sleep(1500);
@@ -221,7 +221,7 @@
     }
 
     fn restart_control_nodes(&mut self) -> Plain<()> {
-        let from = self.sight.now();
+        let from = self.recorder.now();
         let all = self.fleet.here(Role::Core);
         all.iter().for_each(|at| self.fleet.kill(Role::Core, *at));
         self.sleep(500);
@@ -239,11 +239,11 @@
         let gate = Arc::new(Barrier::new(2));
         let begin = |store: usize| {
             let (name, to) = (self.fleet.name(Role::Store, store), nodes[store % nodes.len()]);
-            let (gate, sight) = (Arc::clone(&gate), Arc::clone(&self.sight));
+            let (gate, recorder) = (Arc::clone(&gate), Arc::clone(&self.recorder));
             std::thread::spawn(move || {
                 gate.wait();
-                let said = ask(&sight, to, "POST", &retire_target(&name), RETIRE);
-                said.map(|words| words.status())
+                let said = ask(&recorder, to, "POST", &retire_target(&name), RETIRE);
+                said.map(|args| args.status())
             })
         };
         let both = [begin(0), begin(1)].map(|thread| thread.join().ok().flatten());
@@ -272,8 +272,8 @@
         while Instant::now() < until {
             for store in 0..2 {
                 let target = retire_target(&self.fleet.name(Role::Store, store));
-                let said = ask(&self.sight, self.control_nodes()[0], "POST", &target, RETIRE);
-                if said.is_some_and(|words| words.status() == 200) {
+                let said = ask(&self.recorder, self.control_nodes()[0], "POST", &target, RETIRE);
+                if said.is_some_and(|args| args.status() == 200) {
                     return Some(store);
                 }
             }
@@ -291,7 +291,7 @@
             let mut status = None;
             while !matches!(status, Some(200..=499)) && Instant::now() < until {
                 status =
-                    ask(&self.sight, to, "POST", &retire_target(name), RETIRE).map(|words| words.status());
+                    ask(&self.recorder, to, "POST", &retire_target(name), RETIRE).map(|args| args.status());
                 self.sleep(20);
             }
             let clear = matches!(status, Some(200..=499));
--- a/drydock/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -4,7 +4,7 @@
 use crate::message;
 use crate::operator::HOST;
 use crate::receiver;
-use crate::sight::Sight;
+use crate::recorder::Recorder;
 use crate::wire::{self, Cut, Wire};
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
@@ -17,7 +17,7 @@
 const ASKS: Duration = Duration::from_secs(2);
 
 pub struct Clients {
-    pub sight: Arc<Sight>,
+    pub recorder: Arc<Recorder>,
     fronts: Vec<SocketAddrV4>,
     /// Whether new connections go to an edge: two misses take it out, an answer of 200 takes it in again.
     ready: Vec<AtomicBool>,
@@ -46,7 +46,7 @@
 
 impl Clients {
     pub fn new(
-        sight: &Arc<Sight>,
+        recorder: &Arc<Recorder>,
         fronts: Vec<SocketAddrV4>,
         readiness: Vec<SocketAddrV4>,
         receiver: SocketAddrV4,
@@ -55,7 +55,7 @@
     ) -> Arc<Clients> {
         let ready = fronts.iter().map(|_| AtomicBool::new(true)).collect();
         let clients = Arc::new(Clients {
-            sight: Arc::clone(sight),
+            recorder: Arc::clone(recorder),
             fronts,
             ready,
             receiver,
@@ -75,7 +75,7 @@
         let mut misses = 0;
         while !self.over.load(Ordering::Relaxed) {
             let said = wire::call(at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
-            misses = if said.is_ok_and(|words| words.status() == 200) { 0 } else { misses + 1 };
+            misses = if said.is_ok_and(|args| args.status() == 200) { 0 } else { misses + 1 };
             self.ready[edge].store(misses < 2, Ordering::Relaxed);
             std::thread::sleep(Duration::from_secs(1));
         }
@@ -175,7 +175,7 @@
             bytes.extend_from_slice(&body);
         }
         let reused = wire.is_some();
-        let mut at = self.sight.now();
+        let mut at = self.recorder.now();
         let mut name = None;
         let opened = match wire.take() {
             Some(wire) => Ok(wire),
@@ -184,12 +184,12 @@
         let answered = match opened {
             Err(_) => Answered::Never,
             Ok(mut open) => {
-                at = self.sight.now();
+                at = self.recorder.now();
                 match open.ask(&bytes, PATIENCE) {
-                    Ok((words, again)) => {
-                        name = words.header("X-Queue-Message-Id").map(str::to_string);
+                    Ok((args, again)) => {
+                        name = args.header("X-Queue-Message-Id").map(str::to_string);
                         *wire = again.then_some(open);
-                        Answered::Status(words.status())
+                        Answered::Status(args.status())
                     }
                     Err(Cut::Late) => Answered::Late,
                     Err(_) => Answered::Cut,
@@ -206,10 +206,10 @@
             edge,
             reused,
             answered,
-            answered_at: self.sight.now(),
+            answered_at: self.recorder.now(),
             name,
         };
-        self.sight.write().sent.push(sent);
+        self.recorder.write().sent.push(sent);
         answered
     }
 
@@ -232,7 +232,7 @@
         let until = Instant::now() + most;
         while Instant::now() < until {
             if self.send(&plan, edge, &mut None) == Answered::Status(202) {
-                return Some(self.sight.now());
+                return Some(self.recorder.now());
             }
             std::thread::sleep(Duration::from_millis(40));
         }
@@ -243,7 +243,7 @@
     /// those that wait are asked again until the end.
     pub fn ask_all(self: &Arc<Clients>, edges: &[usize], due: Micros, most: Duration) {
         let all: Vec<(String, String)> = {
-            let history = self.sight.write();
+            let history = self.recorder.write();
             let known: HashSet<&str> = history.readings.iter().map(|reading| reading.id.as_str()).collect();
             let accepted = history.sent.iter().filter(|s| s.answered == Answered::Status(202));
             let accepted = accepted.filter(|s| s.at + s.delay < due && !known.contains(s.id.as_str()));
@@ -258,7 +258,7 @@
         let asking: Vec<_> = edges.iter().copied().map(ask).collect();
         for thread in asking {
             let readings = thread.join().unwrap_or_default();
-            self.sight.write().readings.extend(readings);
+            self.recorder.write().readings.extend(readings);
         }
     }
 
@@ -287,10 +287,10 @@
         };
         let Ok(mut open) = opened else { return Said::Nothing };
         match open.ask(bytes.as_bytes(), ASKS) {
-            Ok((words, again)) => {
+            Ok((args, again)) => {
                 *wire = again.then_some(open);
-                match words.status() {
-                    200 => receiver::said(&words.body),
+                match args.status() {
+                    200 => receiver::said(&args.body),
                     404 => Said::Unknown,
                     _ => Said::Nothing,
                 }
--- a/drydock/src/control.rs
+++ b/crates/system-test/src/control.rs
@@ -6,8 +6,8 @@
 use crate::judge::{judge, Breach};
 use crate::operator::{Routes, Services};
 use crate::prove::{figures, lay_out, tell_all, verdict};
+use crate::recorder::Recorder;
 use crate::setup::{Place, Running, Setup};
-use crate::sight::Sight;
 use crate::{churn, isolation, replacement};
 use std::path::Path;
 use std::process::ExitCode;
@@ -100,41 +100,41 @@
     Setup { label: part.label(), routes, services, executors, mix, rate: RATE, ready_within }
 }
 
-/// Plays one course; its history, and the watch on the machine's own delays.
-fn run(part: Part, program: &Path, home: &Path, net: Option<u8>) -> Plain<(History, Arc<Sight>)> {
+/// Plays one schedule; its history, and the watch on the machine's own delays.
+fn run(part: Part, program: &Path, home: &Path, net: Option<u8>) -> Plain<(History, Arc<Recorder>)> {
     let home = home.join(part.name());
     std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
     let fleet = lay_out(program, &home, net, NINE, part as u8)?;
-    let sight = Sight::new(&home);
-    let running = setup(part).begin(fleet, &sight)?;
+    let recorder = Recorder::new(&home);
+    let running = setup(part).begin(fleet, &recorder)?;
     let history = part.play(running, &Numbers::new())?;
-    Ok((history, sight))
+    Ok((history, recorder))
 }
 
 pub fn prove(program: &Path, net: Option<u8>, keep: bool, only: Option<Part>) -> Plain<ExitCode> {
     let home = crate::home()?;
     let parts: Vec<Part> = Part::ALL.into_iter().filter(|part| only.is_none_or(|o| o == *part)).collect();
-    let played: Vec<Plain<(History, Arc<Sight>)>> = std::thread::scope(|scope| {
+    let played: Vec<Plain<(History, Arc<Recorder>)>> = std::thread::scope(|scope| {
         let home = &home;
         let begun: Vec<_> =
             parts.iter().map(|part| scope.spawn(move || run(*part, program, home, net))).collect();
-        let panicked = || Err("a course ended by a panic".to_string());
+        let panicked = || Err("a schedule ended by a panic".to_string());
         begun.into_iter().map(|thread| thread.join().unwrap_or_else(|_| panicked())).collect()
     });
     let known = known_red();
     let mut breaches = Vec::new();
     let mut busy = None;
     for (part, played) in parts.iter().zip(played) {
-        let (history, sight) = played.map_err(|e| format!("{}: {e}", part.name()))?;
-        println!("prove-control, {}: {}", part.name(), figures(&history, &sight));
+        let (history, recorder) = played.map_err(|e| format!("{}: {e}", part.name()))?;
+        println!("prove-control, {}: {}", part.name(), figures(&history, &recorder));
         let mut found = judge(&history);
         if keep {
-            tell_all(&history, &sight, &found);
+            tell_all(&history, &recorder, &found);
         }
         if *part == Part::Replacement {
             found = without_known_red(found, known.as_deref());
         }
-        busy = busy.or(sight.busy());
+        busy = busy.or(recorder.busy());
         breaches.extend(found);
     }
     if keep {
--- a/drydock/src/executor.rs
+++ b/crates/system-test/src/executor.rs
@@ -4,8 +4,8 @@
 use crate::history::{Arrival, Drain, Work};
 use crate::message::{self, Fate};
 use crate::operator;
-use crate::sight::Sight;
-use crate::wire::{self, Wire, Words};
+use crate::recorder::Recorder;
+use crate::wire::{self, Args, Wire};
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
@@ -38,7 +38,7 @@
     pub address: SocketAddrV4,
     kind: Kind,
     controls: Controls,
-    sight: Arc<Sight>,
+    recorder: Arc<Recorder>,
     runs: Runs,
     running: AtomicUsize,
     seals: AtomicU64,
@@ -55,7 +55,7 @@
         address: SocketAddrV4,
         kind: Kind,
         controls: Controls,
-        sight: &Arc<Sight>,
+        recorder: &Arc<Recorder>,
         runs: &Runs,
     ) -> Result<Arc<Executor>, String> {
         let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
@@ -64,7 +64,7 @@
             address,
             kind,
             controls,
-            sight: Arc::clone(sight),
+            recorder: Arc::clone(recorder),
             runs: Arc::clone(runs),
             running: AtomicUsize::new(0),
             seals: AtomicU64::new(0),
@@ -102,25 +102,25 @@
 
     fn serve(&self, mut wire: Wire) {
         while let Ok(Some(request)) = wire.hear(Instant::now() + Duration::from_secs(5)) {
-            let at = self.sight.now();
+            let at = self.recorder.now();
             if self.gone() {
                 return;
             }
             let (answer, arrival) = self.work(&request, at);
             let mut arrival = arrival;
             let said = !self.gone() && wire.say(answer.as_bytes());
-            arrival.ended = self.sight.now();
+            arrival.ended = self.recorder.now();
             if !said && arrival.ran() {
                 arrival.work = Work::Broke;
             }
-            self.sight.write().arrivals.push(arrival);
+            self.recorder.write().arrivals.push(arrival);
             if !said {
                 return;
             }
         }
     }
 
-    fn work(&self, request: &Words, at: u64) -> (String, Arrival) {
+    fn work(&self, request: &Args, at: u64) -> (String, Arrival) {
         let id = request.header("X-Request-Id").unwrap_or_default().to_string();
         let expected = request.header("X-Expect-Server");
         let running = self.running.fetch_add(1, Ordering::Relaxed);
@@ -184,11 +184,11 @@
         (0..controls.len()).any(|step| {
             let to = controls[(count + step) % controls.len()];
             let said = if drains {
-                operator::ask(&self.sight, to, "POST", &target, body.as_bytes())
+                operator::ask(&self.recorder, to, "POST", &target, body.as_bytes())
             } else {
                 wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1)).ok()
             };
-            !self.gone() && said.is_some_and(|words| (200..300).contains(&words.status()))
+            !self.gone() && said.is_some_and(|args| (200..300).contains(&args.status()))
         })
     }
 
@@ -208,8 +208,8 @@
             });
             let heard = self.call(HEARTBEAT, &body.to_string());
             if heard && draining && !self.drained.swap(true, Ordering::Relaxed) {
-                let acked = self.sight.now();
-                self.sight.write().drains.push(Drain { server: self.id.clone(), acked });
+                let acked = self.recorder.now();
+                self.recorder.write().drains.push(Drain { server: self.id.clone(), acked });
             }
             let until = Instant::now() + Duration::from_millis(if heard { BEAT_MS } else { 200 });
             while Instant::now() < until && !self.gone() && self.draining.load(Ordering::Relaxed) == draining
--- a/drydock/src/fleet.rs
+++ b/crates/system-test/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The fleet: nine processes of `harbour`, or sixty and one, and those added later, each a machine of its own on loopback.
+//! The fleet: nine processes of `stilerouted`, or large_fleet and one, and those added later, each a machine of its own on loopback.
 
 use crate::relay::{self, Way, Ways};
 use nix::sys::signal::{kill, Signal};
@@ -38,7 +38,7 @@
 }
 
 pub const NINE: Shape = Shape { cores: EACH, stores: EACH, edges: EACH, losses: 1, ways: true };
-pub const SIXTY: Shape = Shape { cores: 5, stores: 12, edges: 44, losses: 2, ways: false };
+pub const LARGE_FLEET: Shape = Shape { cores: 5, stores: 12, edges: 44, losses: 2, ways: false };
 
 impl Shape {
     pub fn of(&self, role: Role) -> usize {
--- a/drydock/src/isolation.rs
+++ b/crates/system-test/src/isolation.rs
@@ -1,12 +1,12 @@
 //! Control nodes that lose contact with the others, and with nobody else; and a primary that freezes with a change in its hands.
 
 use crate::control::{kind, Numbers};
-use crate::course::{Course, ACK};
 use crate::executor::Executor;
 use crate::fleet::{Controls, Plain, Role, Towards};
 use crate::history::{Content, History, Isolation, Micros, Read, SECOND};
 use crate::operator::{ask, Operator, Routes, NO_ROUND, REPLACE};
-use crate::ordeals::marker;
+use crate::scenarios::marker;
+use crate::schedule::{Schedule, ACK};
 use crate::setup::Running;
 use crate::wire::{self, Wire};
 use std::net::SocketAddrV4;
@@ -32,28 +32,33 @@
 const MANY_ROUTES: u64 = 3_000;
 
 pub fn play(mut running: Running, numbers: &Numbers) -> Plain<History> {
-    running.course.sleep(1000);
+    running.schedule.sleep(1000);
     running.isolate(Towards::Both, LONG_MS, true, numbers)?;
     running.isolate(Towards::Others, SHORT_MS, false, numbers)?;
     running.isolate(Towards::Itself, SHORT_MS, false, numbers)?;
-    let course = &mut running.course;
+    let schedule = &mut running.schedule;
     for span_ms in [600, 1_400] {
-        course.heal_while_a_change_waits(span_ms, numbers)?;
+        schedule.heal_while_a_change_waits(span_ms, numbers)?;
     }
     for after_us in [200, 1_000] {
-        course.freeze_with_a_change(after_us, numbers)?;
+        schedule.freeze_with_a_change(after_us, numbers)?;
     }
     running.end_load();
-    running.course.sleep(1000);
+    running.schedule.sleep(1000);
     Ok(running.end(&[0, 1, 2], Duration::from_secs(10)))
 }
 
 /// An operator that reaches one control node alone, and keeps sending and reading.
-fn press_on(course: &Course, to: SocketAddrV4, numbers: &Numbers, over: &Arc<AtomicBool>) -> JoinHandle<()> {
-    let operator = Operator::new(Arc::new(Mutex::new(vec![to])), &course.sight);
-    let (base, services) = (course.routes.clone(), course.services.clone());
-    let first = course.first_body();
-    let (numbers, over, sight) = (numbers.clone(), Arc::clone(over), Arc::clone(&course.sight));
+fn press_on(
+    schedule: &Schedule,
+    to: SocketAddrV4,
+    numbers: &Numbers,
+    over: &Arc<AtomicBool>,
+) -> JoinHandle<()> {
+    let operator = Operator::new(Arc::new(Mutex::new(vec![to])), &schedule.recorder);
+    let (base, services) = (schedule.routes.clone(), schedule.services.clone());
+    let first = schedule.first_body();
+    let (numbers, over, recorder) = (numbers.clone(), Arc::clone(over), Arc::clone(&schedule.recorder));
     std::thread::spawn(move || {
         while !over.load(Ordering::Relaxed) {
             let number = numbers.next();
@@ -62,7 +67,7 @@
             operator.read_once(to, NO_ROUND);
             // Nor does it know any more whether an order that changes nothing is acknowledged, or who is there.
             operator.send_to(to, &first);
-            ask(&sight, to, "POST", "/v1/retire/store-99/begin", b"{\"deadline_s\":20}");
+            ask(&recorder, to, "POST", "/v1/retire/store-99/begin", b"{\"deadline_s\":20}");
             std::thread::sleep(Duration::from_millis(PAUSE_MS));
         }
     })
@@ -77,21 +82,21 @@
 impl Running {
     /// The primary loses contact with the other control nodes, with an operator on each side.
     fn isolate(&mut self, towards: Towards, span_ms: u64, drain: bool, numbers: &Numbers) -> Plain<()> {
-        let course = &mut self.course;
-        let primary = course.primary()?;
-        let isolated = course.fleet.control(primary);
+        let schedule = &mut self.schedule;
+        let primary = schedule.primary()?;
+        let isolated = schedule.fleet.control(primary);
         let draining = if drain { Some(self.start_draining(primary)?) } else { None };
-        let course = &mut self.course;
+        let schedule = &mut self.schedule;
         let name = match towards {
             Towards::Both => "cut off",
             Towards::Others => "not heard by the others",
             Towards::Itself => "deaf to the others",
         };
         let over = Arc::new(AtomicBool::new(false));
-        let from = course.sight.now();
-        course.fleet.cut_towards(Role::Core, primary, &[Role::Core], towards, true);
-        course.say(&format!("core-{}, which leads, is {name} for {} s", primary + 1, span_ms / 1000));
-        let other_side = press_on(course, isolated, numbers, &over);
+        let from = schedule.recorder.now();
+        schedule.fleet.cut_towards(Role::Core, primary, &[Role::Core], towards, true);
+        schedule.say(&format!("core-{}, which leads, is {name} for {} s", primary + 1, span_ms / 1000));
+        let other_side = press_on(schedule, isolated, numbers, &over);
         let leaving = draining.map(|(executor, controls)| {
             std::thread::spawn(move || {
                 std::thread::sleep(Duration::from_millis(DRAINS_AFTER_MS));
@@ -100,35 +105,35 @@
                 executor.leave();
             })
         });
-        course.go_on_without(primary, from, from + span_ms * 1000, name, numbers);
+        schedule.go_on_without(primary, from, from + span_ms * 1000, name, numbers);
 
-        course.fleet.cut_towards(Role::Core, primary, &[Role::Core], towards, false);
-        let to = course.sight.now();
+        schedule.fleet.cut_towards(Role::Core, primary, &[Role::Core], towards, false);
+        let to = schedule.recorder.now();
         let control = isolated.to_string();
-        course.sight.write().isolations.push(Isolation { control, from, to });
-        course.back_in_contact(isolated, to, name);
+        schedule.recorder.write().isolations.push(Isolation { control, from, to });
+        schedule.back_in_contact(isolated, to, name);
         over.store(true, Ordering::Relaxed);
         let _ = other_side.join();
         leaving.map(JoinHandle::join);
-        course.sleep(UNCLEAR_ENDS_MS);
-        course.agreed(name);
+        schedule.sleep(UNCLEAR_ENDS_MS);
+        schedule.agreed(name);
         Ok(())
     }
 
     /// An executor that calls another control node than the primary, and where it finds it.
     fn start_draining(&mut self, primary: usize) -> Plain<(Arc<Executor>, Controls)> {
-        let course = &self.course;
-        let other = course.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
-        let controls = Arc::new(Mutex::new(vec![course.fleet.control(other)]));
-        let at = course.fleet.outside(20, 9000);
+        let schedule = &self.schedule;
+        let other = schedule.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
+        let controls = Arc::new(Mutex::new(vec![schedule.fleet.control(other)]));
+        let at = schedule.fleet.outside(20, 9000);
         let (kind, found) = (kind("alder"), Arc::clone(&controls));
-        let executor = Executor::start("alder-20", at, kind, found, &course.sight, &self.runs)?;
-        course.sleep(1500);
+        let executor = Executor::start("alder-20", at, kind, found, &schedule.recorder, &self.runs)?;
+        schedule.sleep(1500);
         Ok((executor, controls))
     }
 }
 
-impl Course {
+impl Schedule {
     pub fn primary(&self) -> Plain<usize> {
         self.fleet.primary().ok_or_else(|| "no control node says that it leads".to_string())
     }
@@ -138,7 +143,7 @@
         let others: Vec<usize> =
             self.fleet.here(Role::Core).into_iter().filter(|at| *at != primary).collect();
         let to: Vec<SocketAddrV4> = others.iter().map(|at| self.fleet.control(*at)).collect();
-        let mut operator = Operator::new(Arc::new(Mutex::new(to.clone())), &self.sight);
+        let mut operator = Operator::new(Arc::new(Mutex::new(to.clone())), &self.recorder);
         let services = self.services.clone();
         // A service of its own for one route: a store or an edge that goes by the old version is seen.
         let (old, new) = if self.routes[2].1 == "birch" { ("birch", "alder") } else { ("alder", "birch") };
@@ -154,7 +159,7 @@
         ));
         self.routes.push((marker(first), "alder", 4));
         let mut turn = 0;
-        while self.sight.now() < until {
+        while self.recorder.now() < until {
             let number = numbers.next();
             operator.first = Some(to[turn % to.len()]);
             let (_, acked) = operator.replace(
@@ -200,9 +205,9 @@
         (acked, 0)
     }
 
-    /// The configuration that the course began with, as it was sent.
+    /// The configuration that the schedule began with, as it was sent.
     fn first_body(&self) -> String {
-        let history = self.sight.write();
+        let history = self.recorder.write();
         let first = history.versions.first().map(|version| version.body.clone()).unwrap_or_default();
         String::from_utf8(first).unwrap_or_default()
     }
@@ -212,7 +217,7 @@
         let until = Instant::now() + Duration::from_secs(6);
         let mut back = None;
         while back.is_none() && Instant::now() < until {
-            back = self.operator.read_once(node, NO_ROUND).map(|_| self.sight.now() - from);
+            back = self.operator.read_once(node, NO_ROUND).map(|_| self.recorder.now() - from);
             self.sleep(10);
         }
         self.take(&format!("an answer of the node that was {name}"), back, ACK);
@@ -227,7 +232,7 @@
         let sent = body.clone();
         let asked = std::thread::spawn(move || {
             let said = wire::call(to, "POST", REPLACE, sent.as_bytes(), Duration::from_secs(8));
-            said.ok().map(|words| words.status())
+            said.ok().map(|args| args.status())
         });
         (body, asked)
     }
@@ -244,15 +249,15 @@
     fn heal_while_a_change_waits(&mut self, span_ms: u64, numbers: &Numbers) -> Plain<()> {
         let primary = self.primary()?;
         let to = self.fleet.control(primary);
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.cut(Role::Core, primary, &[Role::Core], true);
         let (body, asked) = self.send_late(to, numbers);
         self.sleep(span_ms);
         self.fleet.cut(Role::Core, primary, &[Role::Core], false);
-        let healed = self.sight.now();
-        self.sight.write().isolations.push(Isolation { control: to.to_string(), from, to: healed });
+        let healed = self.recorder.now();
+        self.recorder.write().isolations.push(Isolation { control: to.to_string(), from, to: healed });
         let said = self.end_late(&body, asked);
-        let took = self.sight.now() - healed;
+        let took = self.recorder.now() - healed;
         self.say(&format!(
             "a cut of {span_ms} ms with a change at core-{}: it says {} {} ms after",
             primary + 1,
@@ -281,7 +286,7 @@
         let half = self.read_half(to)?;
         let (body, asked) = self.send_late(to, numbers);
         std::thread::sleep(Duration::from_micros(after_us));
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.stall(Role::Core, primary, true);
         self.say(&format!("core-{}, which leads, is frozen with a change and half an answer", primary + 1));
         self.operator.first = self
@@ -291,13 +296,13 @@
             .find(|at| *at != primary)
             .map(|at| self.fleet.control(at));
         self.change_acknowledged("the primary is frozen with a change", numbers);
-        self.sleep(FREEZE_MS.saturating_sub((self.sight.now() - from) / 1000));
+        self.sleep(FREEZE_MS.saturating_sub((self.recorder.now() - from) / 1000));
         self.fleet.stall(Role::Core, primary, false);
-        let woke = self.sight.now();
-        self.sight.write().freezes.push((from, woke));
+        let woke = self.recorder.now();
+        self.recorder.write().freezes.push((from, woke));
         self.read_rest(half, to, large.len());
         let said = self.end_late(&body, asked);
-        let ms = (self.sight.now() - woke) / 1000;
+        let ms = (self.recorder.now() - woke) / 1000;
         self.say(&format!("it wakes, and says {} to the change, {ms} ms after", said.unwrap_or(0)));
         self.sleep(UNCLEAR_ENDS_MS.saturating_sub(ms));
         self.agreed("a freeze with a change in hand");
@@ -317,7 +322,7 @@
 
     /// Asks for the configuration, and reads the beginning of the answer only.
     fn read_half(&mut self, to: SocketAddrV4) -> Plain<(Micros, Wire)> {
-        let at = self.sight.now();
+        let at = self.recorder.now();
         let mut wire = Wire::connect(to, Duration::from_secs(1)).map_err(|e| format!("{to}: {e:?}"))?;
         wire.say(
             format!("GET /v1/settings/read HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n\r\n").as_bytes(),
@@ -328,22 +333,22 @@
 
     fn read_rest(&mut self, half: (Micros, Wire), to: SocketAddrV4, length: usize) {
         let (at, mut wire) = half;
-        let words = wire.hear(Instant::now() + Duration::from_secs(5));
-        let Some(words) = words.ok().flatten() else {
+        let args = wire.hear(Instant::now() + Duration::from_secs(5));
+        let Some(args) = args.ok().flatten() else {
             self.say("the answer that was half written ends in the middle");
             return;
         };
-        if words.status() != 200 {
+        if args.status() != 200 {
             return;
         }
-        let (answered_at, content, control) = (self.sight.now(), Content::of(&words.body), to.to_string());
-        let mut history = self.sight.write();
-        let version = history.versions.iter().rev().find(|v| v.body == words.body).map(|v| v.number);
+        let (answered_at, content, control) = (self.recorder.now(), Content::of(&args.body), to.to_string());
+        let mut history = self.recorder.write();
+        let version = history.versions.iter().rev().find(|v| v.body == args.body).map(|v| v.number);
         history.reads.push(Read { round: NO_ROUND, at, answered_at, control, version, content });
         drop(history);
         self.say(&format!(
             "the answer that was half written comes whole: {} of {length} bytes",
-            words.body.len()
+            args.body.len()
         ));
     }
 }
--- a/drydock/src/sixty.rs
+++ b/crates/system-test/src/large_fleet.rs
@@ -3,14 +3,14 @@
 //! The first loss is made good by copies made anew; had it not been, the second would lose what lay on too few disks.
 
 use crate::client::Plan;
-use crate::course::Course;
 use crate::executor::Kind;
 use crate::fleet::{Fleet, Plain, Role, EACH};
 use crate::history::{Answered, History, Micros, Said, SECOND};
 use crate::message;
 use crate::operator::Services;
+use crate::recorder::Recorder;
+use crate::schedule::Schedule;
 use crate::setup::{Place, Setup};
-use crate::sight::Sight;
 use crate::wire;
 use serde_json::Value;
 use std::process::Command;
@@ -50,18 +50,18 @@
     let mut all = Counted::default();
     for at in fleet.here(Role::Store).into_iter().filter(|at| !away.contains(at)) {
         let said = wire::call(fleet.figures(at), "GET", "/metrics", b"", Duration::from_secs(1));
-        let Some(words) = said.ok().filter(|words| words.status() == 200) else {
+        let Some(args) = said.ok().filter(|args| args.status() == 200) else {
             all.silent += 1;
             continue;
         };
-        for line in String::from_utf8_lossy(&words.body).lines() {
+        for line in String::from_utf8_lossy(&args.body).lines() {
             let Some((name, value)) = line.rsplit_once(' ') else { continue };
             let value: f64 = value.parse().unwrap_or(0.0);
             match name {
-                "harbour_messages_thin" => all.thin += value,
-                "harbour_hold_total{event=\"copied_anew\"}" => all.anew += value,
-                "harbour_messages{stage=\"ended\"}" => {}
-                name if name.starts_with("harbour_messages{stage=") => all.live += value,
+                "stileroute_messages_thin" => all.thin += value,
+                "stileroute_queue_events_total{event=\"copied_anew\"}" => all.anew += value,
+                "stileroute_messages{stage=\"ended\"}" => {}
+                name if name.starts_with("stileroute_messages{stage=") => all.live += value,
                 _ => {}
             }
         }
@@ -70,8 +70,8 @@
 }
 
 /// Of some that wait, how many lie with fewer stores than promised.
-fn short_of(course: &Course, program: &std::path::Path, names: &[String], copies: usize) -> usize {
-    let boot = course.fleet.home.join(course.fleet.name(Role::Core, 0)).join("node.json");
+fn short_of(schedule: &Schedule, program: &std::path::Path, names: &[String], copies: usize) -> usize {
+    let boot = schedule.fleet.home.join(schedule.fleet.name(Role::Core, 0)).join("node.json");
     let enough = |name: &&String| {
         let mut command = Command::new(program);
         command.arg("message").arg("--json").arg("--at").arg(&boot).arg(name);
@@ -83,9 +83,9 @@
     names.iter().filter(|name| !enough(name)).count()
 }
 
-impl Course {
+impl Schedule {
     fn lose_two(&mut self, two: [usize; 2]) -> Plain<Micros> {
-        let from = self.sight.now();
+        let from = self.recorder.now();
         two.iter().for_each(|at| self.fleet.stall(Role::Store, *at, true));
         two.iter().for_each(|at| self.fleet.kill(Role::Store, *at));
         two.iter().try_for_each(|at| self.fleet.wipe(Role::Store, *at))?;
@@ -105,7 +105,7 @@
     fn copied(&self, away: &[usize], from: Micros, entries: f64, most: Micros) -> (Option<Micros>, Counted) {
         let mut since: Option<Micros> = None;
         loop {
-            let now = self.sight.now();
+            let now = self.recorder.now();
             let counted = count(&self.fleet, away);
             let whole = counted.silent == 0 && counted.thin == 0.0 && counted.live >= entries;
             since = if whole { since.or(Some(now)) } else { None };
@@ -120,7 +120,7 @@
     }
 }
 
-pub fn play(fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
+pub fn play(fleet: Fleet, recorder: &Arc<Recorder>, rate: u64) -> Plain<History> {
     let (shape, program) = (fleet.shape, fleet.program.clone());
     let edges = shape.edges;
     let services: Services = vec![("alder", 0.0, None), ("birch", 0.0, None)];
@@ -147,10 +147,10 @@
         rate,
         ready_within: Duration::from_secs(15),
     };
-    let mut running = setup.begin(fleet, sight)?;
-    let course = &mut running.course;
-    let clients = Arc::clone(&course.clients);
-    course.sleep(2000);
+    let mut running = setup.begin(fleet, recorder)?;
+    let schedule = &mut running.schedule;
+    let clients = Arc::clone(&schedule.clients);
+    schedule.sleep(2000);
 
     let begun = Instant::now();
     let plan = Plan { delay_ms: DELAY_MS, ..Plan::to("/alder/") };
@@ -161,7 +161,7 @@
         std::thread::sleep(due.saturating_sub(begun.elapsed()));
     }
     let (names, bytes): (Vec<String>, Vec<u64>) = {
-        let history = sight.write();
+        let history = recorder.write();
         let waits = history.sent.iter().filter(|s| s.delay == DELAY_MS * 1000);
         let waits = waits.filter(|s| s.answered == Answered::Status(202));
         let weight = |id: &str| message::body(id).len() as u64 + AROUND;
@@ -174,21 +174,21 @@
     let again = live * copies * 2 / shape.stores as u64;
     let senders = (shape.stores / EACH - 2) as u64;
     let most = BEFORE + again * SECOND / RATE / senders * 5 / 4;
-    course.say(&format!("{waiting} wait, {:.1} MB, each on {copies} disks", live as f64 / 1e6));
+    schedule.say(&format!("{waiting} wait, {:.1} MB, each on {copies} disks", live as f64 / 1e6));
     let taken = waiting as u64 * 10 >= WAITING * 9;
     // A disk that stalls has stores take nothing: no answer in time, not a wrong one.
-    course.answered("nine in ten of those with a long delay are accepted", taken.then_some(true));
+    schedule.answered("nine in ten of those with a long delay are accepted", taken.then_some(true));
     let entries = (waiting as u64 * copies) as f64;
-    let before = count(&course.fleet, &[]);
-    course.seen("all copies of those that wait are there before the loss", before.live >= entries);
+    let before = count(&schedule.fleet, &[]);
+    schedule.seen("all copies of those that wait are there before the loss", before.live >= entries);
 
     // Both of one zone.
     let first = [1, 7];
-    let from = course.lose_two(first)?;
-    let (took, after) = course.copied(&first, from, entries, most);
-    course.take("until every message had its copies again after two stores were lost", took, most);
+    let from = schedule.lose_two(first)?;
+    let (took, after) = schedule.copied(&first, from, entries, most);
+    schedule.take("until every message had its copies again after two stores were lost", took, most);
     let ms = took.map_or("never".to_string(), |us| format!("{} ms", us / 1000));
-    course.say(&format!(
+    schedule.say(&format!(
         "every message has its copies again: {ms}, {} ms are allowed, {} copies made anew (at the end {} on too few disks)",
         most / 1000,
         after.anew,
@@ -196,26 +196,26 @@
     ));
     let step = 1 + names.len() / SAMPLE;
     let sample: Vec<String> = names.iter().step_by(step).cloned().collect();
-    let short = short_of(course, &program, &sample, copies as usize);
-    course.say(&format!("of {} looked for at every store, {short} lie with too few", sample.len()));
+    let short = short_of(schedule, &program, &sample, copies as usize);
+    schedule.say(&format!("of {} looked for at every store, {short} lie with too few", sample.len()));
     // Late copies are not lost ones: what is lost is told by the next loss.
-    course.answered("those looked for lie with as many stores as promised", (short == 0).then_some(true));
+    schedule.answered("those looked for lie with as many stores as promised", (short == 0).then_some(true));
     // Ends are not copied anew: those that lay with the two are asked for while a third store has them.
     let asked = [0, edges / 2, edges - 1];
-    clients.ask_all(&asked, sight.now() - SECOND, Duration::from_secs(2));
+    clients.ask_all(&asked, recorder.now() - SECOND, Duration::from_secs(2));
     let settled = |said: &Said| !matches!(said, Said::Waiting | Said::Nothing);
-    sight.write().readings.retain(|reading| settled(&reading.said));
-    course.bring_back(first, from)?;
-    course.sleep(BETWEEN_MS);
+    recorder.write().readings.retain(|reading| settled(&reading.said));
+    schedule.bring_back(first, from)?;
+    schedule.sleep(BETWEEN_MS);
     let second = [4, 2];
-    let from = course.lose_two(second)?;
-    course.sleep(6000);
-    course.bring_back(second, from)?;
+    let from = schedule.lose_two(second)?;
+    schedule.sleep(6000);
+    schedule.bring_back(second, from)?;
 
     let until = begun + Duration::from_millis(WAITING * 1000 / A_SECOND + DELAY_MS);
     std::thread::sleep(until.saturating_duration_since(Instant::now()));
-    course.say("those that waited were due");
+    schedule.say("those that waited were due");
     running.end_load();
-    running.course.sleep(3000);
+    running.schedule.sleep(3000);
     Ok(running.end(&asked, Duration::from_secs(15)))
 }
--- a/drydock/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -1,38 +1,38 @@
-//! `harbour-drydock`: starts a whole fleet of `harbour` on loopback, and proves it under load and faults.
+//! `stileroute-system-test`: starts a whole fleet of `stilerouted` on loopback, and proves it under load and faults.
 
 mod churn;
 mod client;
 mod control;
-mod course;
 mod executor;
 mod fleet;
 mod history;
 mod isolation;
 mod judge;
+mod large_fleet;
 mod message;
 mod operator;
-mod ordeals;
 mod prove;
 mod receiver;
+mod recorder;
 mod relay;
 mod replacement;
+mod scenarios;
+mod schedule;
 mod setup;
 mod show;
-mod sight;
-mod sixty;
 mod wire;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-/// Starts a whole fleet of harbour on loopback, and proves it under load and faults.
+/// Starts a whole fleet of stilerouted on loopback, and proves it under load and faults.
 #[derive(Parser)]
 #[command(version)]
-struct Words {
+struct Args {
     /// The program of the fleet.
-    #[arg(long, default_value = "target/release/harbour", global = true)]
-    harbour: PathBuf,
+    #[arg(long, default_value = "target/release/stilerouted", global = true)]
+    stilerouted: PathBuf,
     /// All addresses are in 127.NET; without it one is chosen where nobody listens.
     #[arg(long, global = true)]
     net: Option<u8>,
@@ -68,19 +68,19 @@
 }
 
 fn main() -> ExitCode {
-    let words = Words::parse();
-    let done = match words.command {
-        Command::Start => show::show(&words.harbour, words.net.unwrap_or(60)),
+    let args = Args::parse();
+    let done = match args.command {
+        Command::Start => show::show(&args.stilerouted, args.net.unwrap_or(60)),
         Command::Prove { rate, keep, long } => {
             let proof = if long { prove::Proof::Long } else { prove::Proof::System };
-            prove::prove(&words.harbour, words.net, rate, keep, proof)
+            prove::prove(&args.stilerouted, args.net, rate, keep, proof)
         }
-        Command::ProveControl { keep, only } => control::prove(&words.harbour, words.net, keep, only),
+        Command::ProveControl { keep, only } => control::prove(&args.stilerouted, args.net, keep, only),
     };
     match done {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("harbour-drydock: {error}");
+            eprintln!("stileroute-system-test: {error}");
             ExitCode::FAILURE
         }
     }
@@ -88,7 +88,7 @@
 
 /// A folder that nobody else has; TMPDIR names another place, where the disk of a shared machine stalls for seconds.
 fn home() -> Result<PathBuf, String> {
-    let home = std::env::temp_dir().join(format!("harbour-{}", std::process::id()));
+    let home = std::env::temp_dir().join(format!("stilerouted-{}", std::process::id()));
     std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
     Ok(home)
 }
--- a/drydock/src/operator.rs
+++ b/crates/system-test/src/operator.rs
@@ -2,8 +2,8 @@
 
 use crate::fleet::Controls;
 use crate::history::{Ask, Content, Micros, Order, Read, Version};
-use crate::sight::Sight;
-use crate::wire::{self, Words};
+use crate::recorder::Recorder;
+use crate::wire::{self, Args};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -49,15 +49,15 @@
 
 pub struct Operator {
     pub controls: Controls,
-    pub sight: Arc<Sight>,
+    pub recorder: Arc<Recorder>,
     turn: usize,
     /// It goes to this one alone first, and to others only where that gives no clear answer.
     pub first: Option<SocketAddrV4>,
 }
 
 impl Operator {
-    pub fn new(controls: Controls, sight: &Arc<Sight>) -> Operator {
-        Operator { controls, sight: Arc::clone(sight), turn: 0, first: None }
+    pub fn new(controls: Controls, recorder: &Arc<Recorder>) -> Operator {
+        Operator { controls, recorder: Arc::clone(recorder), turn: 0, first: None }
     }
 
     fn next(&mut self) -> SocketAddrV4 {
@@ -78,9 +78,9 @@
         let mut pause = Duration::from_millis(20);
         while Instant::now() < until {
             let to = self.next();
-            let said = ask(&self.sight, to, method, target, body.as_bytes());
-            if let Some(words) = said.filter(is_clear) {
-                return Some((words.status(), words.body));
+            let said = ask(&self.recorder, to, method, target, body.as_bytes());
+            if let Some(args) = said.filter(is_clear) {
+                return Some((args.status(), args.body));
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(Duration::from_millis(200));
@@ -91,20 +91,20 @@
     /// Writes down a valid configuration that is about to be sent.
     pub fn prepare(&self, number: u64, routes: &Routes, services: &Services) -> String {
         let body = configuration(number, routes, services);
-        let sent = self.sight.now();
+        let sent = self.recorder.now();
         let held: BTreeMap<String, (String, u32)> = routes
             .iter()
             .map(|(prefix, service, tries)| (prefix.to_string(), (service.to_string(), *tries)))
             .collect();
         let version = Version { number, sent, acked: None, routes: held, body: body.clone().into_bytes() };
-        self.sight.write().versions.push(version);
+        self.recorder.write().versions.push(version);
         body
     }
 
     /// Writes down that a configuration was acknowledged, unless it was before.
     pub fn acknowledged(&self, body: &str) -> Micros {
-        let now = self.sight.now();
-        let mut history = self.sight.write();
+        let now = self.recorder.now();
+        let mut history = self.recorder.write();
         if let Some(version) = history.versions.iter_mut().rev().find(|v| v.body == body.as_bytes()) {
             version.acked.get_or_insert(now);
         }
@@ -113,8 +113,8 @@
 
     /// Sends a configuration that was prepared to one control node, once; whether it was acknowledged.
     pub fn send_to(&self, to: SocketAddrV4, body: &str) -> bool {
-        let said = ask(&self.sight, to, "POST", REPLACE, body.as_bytes());
-        let acked = said.is_some_and(|words| words.status() == 200);
+        let said = ask(&self.recorder, to, "POST", REPLACE, body.as_bytes());
+        let acked = said.is_some_and(|args| args.status() == 200);
         if acked {
             self.acknowledged(body);
         }
@@ -129,7 +129,7 @@
         services: &Services,
         most: Duration,
     ) -> (String, Option<Micros>) {
-        let sent = self.sight.now();
+        let sent = self.recorder.now();
         let body = self.prepare(number, routes, services);
         let said = self.order("POST", REPLACE, &body, most);
         let acked = said.is_some_and(|(status, _)| status == 200).then(|| self.acknowledged(&body));
@@ -155,11 +155,11 @@
 
     /// Asks one control node for the configuration, once.
     pub fn read_once(&self, to: SocketAddrV4, round: u32) -> Option<u64> {
-        let at = self.sight.now();
-        let words = ask(&self.sight, to, "GET", READ, b"").filter(|words| words.status() == 200)?;
-        let (answered_at, content) = (self.sight.now(), Content::of(&words.body));
-        let mut history = self.sight.write();
-        let version = history.versions.iter().rev().find(|v| v.body == words.body).map(|v| v.number);
+        let at = self.recorder.now();
+        let args = ask(&self.recorder, to, "GET", READ, b"").filter(|args| args.status() == 200)?;
+        let (answered_at, content) = (self.recorder.now(), Content::of(&args.body));
+        let mut history = self.recorder.write();
+        let version = history.versions.iter().rev().find(|v| v.body == args.body).map(|v| v.number);
         history.reads.push(Read { round, at, answered_at, control: to.to_string(), version, content });
         Some(version.unwrap_or(0))
     }
@@ -171,21 +171,21 @@
 }
 
 /// An answer after which the caller goes on to no other node.
-fn is_clear(words: &Words) -> bool {
-    words.status() < 500 && !matches!(words.status(), 307 | 408 | 429)
+fn is_clear(args: &Args) -> bool {
+    args.status() < 500 && !matches!(args.status(), 307 | 408 | 429)
 }
 
 /// One request to one control node, written down with what came of it.
-pub fn ask(sight: &Sight, to: SocketAddrV4, method: &str, target: &str, body: &[u8]) -> Option<Words> {
-    let at = sight.now();
-    let words = wire::call(to, method, target, body, SILENCE).ok();
+pub fn ask(recorder: &Recorder, to: SocketAddrV4, method: &str, target: &str, body: &[u8]) -> Option<Args> {
+    let at = recorder.now();
+    let args = wire::call(to, method, target, body, SILENCE).ok();
     if let Some(ask) = asked(target, body) {
-        let status = words.as_ref().map(Words::status);
-        let applied = words.as_ref().filter(|words| words.status() == 200).and_then(says_applied);
-        let (answered_at, control) = (sight.now(), to.to_string());
-        sight.write().orders.push(Order { at, answered_at, control, ask, status, applied });
+        let status = args.as_ref().map(Args::status);
+        let applied = args.as_ref().filter(|args| args.status() == 200).and_then(says_applied);
+        let (answered_at, control) = (recorder.now(), to.to_string());
+        recorder.write().orders.push(Order { at, answered_at, control, ask, status, applied });
     }
-    words
+    args
 }
 
 /// What a request asks for, where the judge looks at it.
@@ -201,6 +201,6 @@
     })
 }
 
-fn says_applied(words: &Words) -> Option<bool> {
-    serde_json::from_slice::<Value>(&words.body).ok()?["applied"].as_bool()
+fn says_applied(args: &Args) -> Option<bool> {
+    serde_json::from_slice::<Value>(&args.body).ok()?["applied"].as_bool()
 }
--- a/drydock/src/prove.rs
+++ b/crates/system-test/src/prove.rs
@@ -1,15 +1,15 @@
-//! The course of the proof: the load, the changes, the faults, and the verdict.
+//! The schedule of the proof: the load, the changes, the faults, and the verdict.
 
 use crate::client::Plan;
-use crate::course::{CEILING, FIRST, LOAD};
 use crate::executor::{Executor, Kind};
-use crate::fleet::{Fleet, Plain, Role, Shape, NINE, SIXTY};
+use crate::fleet::{Fleet, Plain, Role, Shape, LARGE_FLEET, NINE};
 use crate::history::{Answered, Arrival, History, Micros, Sent, SECOND};
 use crate::judge::{judge, story, Breach};
 use crate::operator::Services;
-use crate::ordeals::{tell, Behind};
+use crate::recorder::Recorder;
+use crate::scenarios::{tell, Behind};
+use crate::schedule::{CEILING, FIRST, LOAD};
 use crate::setup::{Place, Running, Setup};
-use crate::sight::Sight;
 use std::collections::HashMap;
 use std::path::Path;
 use std::process::ExitCode;
@@ -23,7 +23,7 @@
 /// The most fleets of one proof at once.
 const SIDE_BY_SIDE: u32 = 3;
 
-/// Which course is played.
+/// Which schedule is played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Proof {
     System,
@@ -34,30 +34,30 @@
 impl Proof {
     fn name(self) -> &'static str {
         match self {
-            Proof::System => "prove-system",
-            Proof::Long => "prove-system-long",
+            Proof::System => "test-system",
+            Proof::Long => "test-system-long",
         }
     }
 }
 
 pub fn prove(program: &Path, net: Option<u8>, rate: u64, keep: bool, proof: Proof) -> Plain<ExitCode> {
     let home = crate::home()?;
-    let shape = if proof == Proof::Long { SIXTY } else { NINE };
+    let shape = if proof == Proof::Long { LARGE_FLEET } else { NINE };
     let fleet = lay_out(program, &home, net, shape, 0)?;
-    let sight = Sight::new(&home);
+    let recorder = Recorder::new(&home);
     let history = match proof {
-        Proof::System => play(fleet, &sight, rate)?,
-        Proof::Long => crate::sixty::play(fleet, &sight, rate)?,
+        Proof::System => play(fleet, &recorder, rate)?,
+        Proof::Long => crate::large_fleet::play(fleet, &recorder, rate)?,
     };
     let breaches = judge(&history);
-    println!("{}: {}", proof.name(), figures(&history, &sight));
+    println!("{}: {}", proof.name(), figures(&history, &recorder));
     if keep {
         println!("kept: {}", home.display());
-        tell_all(&history, &sight, &breaches);
+        tell_all(&history, &recorder, &breaches);
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    Ok(verdict(&breaches, sight.busy()))
+    Ok(verdict(&breaches, recorder.busy()))
 }
 
 /// A fleet at addresses that nobody else uses; those that run side by side have different places.
@@ -78,9 +78,9 @@
 }
 
 /// All breaches, and what helps to find the reason.
-pub fn tell_all(history: &History, sight: &Sight, breaches: &[Breach]) {
+pub fn tell_all(history: &History, recorder: &Recorder, breaches: &[Breach]) {
     breaches.iter().for_each(|breach| println!("  {breach}"));
-    let mut spans = vec![(0, 0); 1 + (sight.now() / (5 * SECOND)) as usize];
+    let mut spans = vec![(0, 0); 1 + (recorder.now() / (5 * SECOND)) as usize];
     for arrival in history.arrivals.iter().filter(|a| a.service == "cedar") {
         spans[(arrival.at / (5 * SECOND)) as usize].0 += 1;
     }
@@ -104,13 +104,13 @@
         return ExitCode::SUCCESS;
     };
     println!("NO VERDICT: the machine is too busy, {busy}; seen: {first}");
-    match std::env::var("DRYDOCK_ALLOW_NO_VERDICT").as_deref() {
+    match std::env::var("SYSTEM_TEST_ALLOW_NO_VERDICT").as_deref() {
         Ok("1") => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
     }
 }
 
-fn play(fleet: Fleet, sight: &Arc<Sight>, rate: u64) -> Plain<History> {
+fn play(fleet: Fleet, recorder: &Arc<Recorder>, rate: u64) -> Plain<History> {
     let endpoint = fleet.outside(90, 9000);
     let services: Services =
         vec![("alder", 0.0, None), ("birch", 0.0, None), ("cedar", CEILING, Some(endpoint))];
@@ -138,67 +138,68 @@
         rate,
         ready_within: Duration::from_secs(10),
     };
-    let mut running = setup.begin(fleet, sight)?;
-    let Running { course, executors, runs, receiver_down, .. } = &mut running;
-    let clients = Arc::clone(&course.clients);
-    let controls = course.fleet.controls();
+    let mut running = setup.begin(fleet, recorder)?;
+    let Running { schedule, executors, runs, receiver_down, .. } = &mut running;
+    let clients = Arc::clone(&schedule.clients);
+    let controls = schedule.fleet.controls();
     let by_id = |id: &str| executors.iter().find(|e| e.id == id).cloned().ok_or(format!("no executor {id}"));
     let (leaving, crashing) = (by_id("birch-1")?, by_id("alder-3")?);
-    course.sleep(3000);
-    course.configurations();
-    course.sleep(1000);
-    course.say("300 at once for a service with a ceiling of 30 a second");
+    schedule.sleep(3000);
+    schedule.configurations();
+    schedule.sleep(1000);
+    schedule.say("300 at once for a service with a ceiling of 30 a second");
     clients.burst(&Plan::to("/cedar/"), 0, 152);
     clients.burst(&Plan::to("/cedar/"), 1, 152);
-    course.say("birch-1 drains and leaves in order");
+    schedule.say("birch-1 drains and leaves in order");
     let left = std::thread::spawn(move || leaving.leave());
-    course.sleep(4000);
-    course.say("alder-3 crashes; it lives anew elsewhere, and its address is another service's");
+    schedule.sleep(4000);
+    schedule.say("alder-3 crashes; it lives anew elsewhere, and its address is another service's");
     crashing.crash();
-    course.sleep(2500);
+    schedule.sleep(2500);
     let address = crashing.address;
     let outside =
         |part: u8| std::net::SocketAddrV4::new([127, address.ip().octets()[1], 9, part].into(), 9000);
-    let start =
-        |id: &str, at, kind: &Kind| Executor::start(id, at, kind.clone(), Arc::clone(&controls), sight, runs);
+    let start = |id: &str, at, kind: &Kind| {
+        Executor::start(id, at, kind.clone(), Arc::clone(&controls), recorder, runs)
+    };
     let _again = start("alder-3b", outside(4), &alder)?;
     let _other = start("birch-4", address, &Kind { beats_after_ms: 700, ..birch.clone() })?;
     let _ = left.join();
-    course.sleep(500);
-    course.lose_primary()?;
-    course.sleep(3000);
-    course.lose_store(0, false)?;
-    course.sleep(5000);
+    schedule.sleep(500);
+    schedule.lose_primary()?;
+    schedule.sleep(3000);
+    schedule.lose_store(0, false)?;
+    schedule.sleep(5000);
     // Call-backs that are owed when the store goes are owed by those that have its copies.
-    course.say("the receiver of call-backs is down");
+    schedule.say("the receiver of call-backs is down");
     receiver_down.store(true, Ordering::Relaxed);
-    course.sleep(1000);
-    course.lose_store(1, true)?;
+    schedule.sleep(1000);
+    schedule.lose_store(1, true)?;
     receiver_down.store(false, Ordering::Relaxed);
-    course.sleep(6500);
-    course.orderly(Role::Store, 2, "store-3")?;
-    course.sleep(3500);
-    course.orderly(Role::Edge, 1, "edge-2")?;
-    course.sleep(3000);
-    let primary = course.fleet.primary().ok_or("no control node says that it leads")?;
-    course.orderly(Role::Core, primary, &format!("core-{}, which leads,", primary + 1))?;
-    course.change(16, "/iris/", "after the primary was restarted");
-    course.sleep(1000);
-    course.race(30);
-    course.renew_core(50)?;
-    course.freeze_store(0);
-    course.cut_store(2);
-    course.renew_stores()?;
+    schedule.sleep(6500);
+    schedule.orderly(Role::Store, 2, "store-3")?;
+    schedule.sleep(3500);
+    schedule.orderly(Role::Edge, 1, "edge-2")?;
+    schedule.sleep(3000);
+    let primary = schedule.fleet.primary().ok_or("no control node says that it leads")?;
+    schedule.orderly(Role::Core, primary, &format!("core-{}, which leads,", primary + 1))?;
+    schedule.change(16, "/iris/", "after the primary was restarted");
+    schedule.sleep(1000);
+    schedule.race(30);
+    schedule.renew_core(50)?;
+    schedule.freeze_store(0);
+    schedule.cut_store(2);
+    schedule.renew_stores()?;
     // With the control node that took another's place: it votes, and the one that is gone does not count any more.
-    course.leave_behind(Behind::Frozen, 60)?;
-    course.leave_behind(Behind::CutOff, 70)?;
-    course.none_fallen();
-    course.lose_all()?;
-    course.sleep(4000);
+    schedule.leave_behind(Behind::Frozen, 60)?;
+    schedule.leave_behind(Behind::CutOff, 70)?;
+    schedule.none_fallen();
+    schedule.lose_all()?;
+    schedule.sleep(4000);
     running.end_load();
-    running.course.sleep(2500);
+    running.schedule.sleep(2500);
     let takeovers: Vec<String> =
-        running.course.takeovers.iter().map(|(what, us)| format!("{what} {}", us / 1000)).collect();
+        running.schedule.takeovers.iter().map(|(what, us)| format!("{what} {}", us / 1000)).collect();
     let history = running.end(&[0, 1, 2], Duration::from_secs(12));
     println!("takeovers in ms: {}", takeovers.join(", "));
     Ok(history)
@@ -222,7 +223,7 @@
     all.iter().step_by(1 + all.len() / 400).take(12).map(tell).collect()
 }
 
-pub fn figures(history: &History, sight: &Sight) -> String {
+pub fn figures(history: &History, recorder: &Recorder) -> String {
     let part = |mut all: Vec<Micros>| {
         all.sort_unstable();
         let at =
@@ -255,8 +256,8 @@
         part(starts.collect()),
         again.count(),
         history.calls.iter().filter(|c| c.taken).count(),
-        sight.late_ms(),
-        sight.disk_ms(),
-        sight.now() / SECOND
+        recorder.late_ms(),
+        recorder.disk_ms(),
+        recorder.now() / SECOND
     )
 }
--- a/drydock/src/receiver.rs
+++ b/crates/system-test/src/receiver.rs
@@ -1,7 +1,7 @@
 //! The stand-in that takes call-backs: now and then it fails, now and then it is slow.
 
 use crate::history::{Call, Said};
-use crate::sight::Sight;
+use crate::recorder::Recorder;
 use crate::wire::Wire;
 use std::net::{SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -20,19 +20,19 @@
 }
 
 /// While `down` is up it takes nothing.
-pub fn listen(at: SocketAddrV4, sight: Arc<Sight>, down: &Arc<AtomicBool>) -> Result<(), String> {
+pub fn listen(at: SocketAddrV4, recorder: Arc<Recorder>, down: &Arc<AtomicBool>) -> Result<(), String> {
     let listener = TcpListener::bind(at).map_err(|e| format!("{at}: {e}"))?;
     let (count, down) = (Arc::new(AtomicU64::new(0)), Arc::clone(down));
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (sight, count, down) = (Arc::clone(&sight), Arc::clone(&count), Arc::clone(&down));
-            std::thread::spawn(move || take(Wire::over(stream), &sight, &count, &down));
+            let (recorder, count, down) = (Arc::clone(&recorder), Arc::clone(&count), Arc::clone(&down));
+            std::thread::spawn(move || take(Wire::over(stream), &recorder, &count, &down));
         }
     });
     Ok(())
 }
 
-fn take(mut wire: Wire, sight: &Sight, count: &AtomicU64, down: &AtomicBool) {
+fn take(mut wire: Wire, recorder: &Recorder, count: &AtomicU64, down: &AtomicBool) {
     while let Ok(Some(request)) = wire.hear(Instant::now() + Duration::from_secs(5)) {
         let number = count.fetch_add(1, Ordering::Relaxed);
         if number % 40 == 39 {
@@ -41,7 +41,7 @@
         let taken = number % 25 != 24 && !down.load(Ordering::Relaxed);
         let value: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let id = value["id"].as_str().unwrap_or_default().to_string();
-        sight.write().calls.push(Call { id, said: said(&request.body), taken });
+        recorder.write().calls.push(Call { id, said: said(&request.body), taken });
         let status = if taken { "200 OK" } else { "503 No" };
         if !wire.say(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes()) {
             return;
--- a/drydock/src/sight.rs
+++ b/crates/system-test/src/recorder.rs
@@ -13,7 +13,7 @@
 /// So does a disk that takes longer for a few bytes: stores wait 300 ms for each other's.
 const DISK_MS: u64 = 200;
 
-pub struct Sight {
+pub struct Recorder {
     begun: Instant,
     history: Mutex<History>,
     /// How late the worst of its own timers was.
@@ -22,37 +22,37 @@
     disk: AtomicU64,
 }
 
-impl Sight {
+impl Recorder {
     /// `home` lies on the disk whose stalls are looked at too.
-    pub fn new(home: &Path) -> Arc<Sight> {
-        let sight = Sight {
+    pub fn new(home: &Path) -> Arc<Recorder> {
+        let recorder = Recorder {
             begun: Instant::now(),
             history: Mutex::default(),
             late: AtomicU64::new(0),
             disk: AtomicU64::new(0),
         };
-        let sight = Arc::new(sight);
-        let weak = Arc::downgrade(&sight);
+        let recorder = Arc::new(recorder);
+        let weak = Arc::downgrade(&recorder);
         // A machine that is too busy wakes this up late.
         std::thread::spawn(move || {
-            while let Some(sight) = weak.upgrade() {
+            while let Some(recorder) = weak.upgrade() {
                 let before = Instant::now();
                 std::thread::sleep(Duration::from_millis(10));
                 let late = before.elapsed().saturating_sub(Duration::from_millis(10));
-                sight.late.fetch_max(late.as_micros() as u64, Ordering::Relaxed);
+                recorder.late.fetch_max(late.as_micros() as u64, Ordering::Relaxed);
             }
         });
-        let weak = Arc::downgrade(&sight);
+        let weak = Arc::downgrade(&recorder);
         let file = File::create(home.join("late"));
         std::thread::spawn(move || {
-            while let (Some(sight), Ok(mut file)) = (weak.upgrade(), file.as_ref()) {
+            while let (Some(recorder), Ok(mut file)) = (weak.upgrade(), file.as_ref()) {
                 let before = Instant::now();
                 let _ = file.write_all(b"late").and_then(|()| file.sync_data());
-                sight.disk.fetch_max(before.elapsed().as_micros() as u64, Ordering::Relaxed);
+                recorder.disk.fetch_max(before.elapsed().as_micros() as u64, Ordering::Relaxed);
                 std::thread::sleep(Duration::from_millis(50));
             }
         });
-        sight
+        recorder
     }
 
     pub fn now(&self) -> Micros {
--- a/drydock/src/relay.rs
+++ b/crates/system-test/src/relay.rs
@@ -1,7 +1,7 @@
 //! The links between machines: one relay for each ordered pair, which can be cut and healed.
 //!
 //! Every machine has ports of its own for traffic between nodes, and dials others at these. So who calls whom is told by
-//! address and port alone, and `harbour` needs to know nothing of it. What a cut holds up comes late, as on a real network;
+//! address and port alone, and `stilerouted` needs to know nothing of it. What a cut holds up comes late, as on a real network;
 //! a connection begun under a cut comes to nothing.
 
 use std::io::{Read, Write};
--- a/drydock/src/replacement.rs
+++ b/crates/system-test/src/replacement.rs
@@ -2,11 +2,11 @@
 
 use crate::client::Plan;
 use crate::control::Numbers;
-use crate::course::Course;
 use crate::fleet::{Plain, Role};
 use crate::history::{History, Micros, SECOND};
+use crate::large_fleet;
+use crate::schedule::Schedule;
 use crate::setup::Running;
-use crate::sixty;
 use std::time::Duration;
 
 /// A new machine counts again so long after its start.
@@ -18,27 +18,27 @@
 const WAITING: u64 = 160;
 
 pub fn play(mut running: Running, numbers: &Numbers) -> Plain<History> {
-    let course = &mut running.course;
-    course.sleep(1000);
-    course.replace_lost_core(3, numbers)?;
-    course.replace_core_in_order(4, numbers)?;
-    course.replace_store(3)?;
-    running.course.sleep(4500);
+    let schedule = &mut running.schedule;
+    schedule.sleep(1000);
+    schedule.replace_lost_core(3, numbers)?;
+    schedule.replace_core_in_order(4, numbers)?;
+    schedule.replace_store(3)?;
+    running.schedule.sleep(4500);
     running.end_load();
-    running.course.sleep(2500);
+    running.schedule.sleep(2500);
     Ok(running.end(&[0, 1, 2], Duration::from_secs(12)))
 }
 
-impl Course {
+impl Schedule {
     /// The old one is gone first.
     fn replace_lost_core(&mut self, new: usize, numbers: &Numbers) -> Plain<()> {
         let primary = self.primary()?;
         let gone = self.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.take_away(Role::Core, gone)?;
         self.say(&format!("core-{} is lost with its disk, and never comes back", gone + 1));
         self.sleep(300);
-        let started = self.sight.now();
+        let started = self.recorder.now();
         self.add(Role::Core, new)?;
         self.trouble(from);
         self.lose_primary_when_new_counts(
@@ -51,7 +51,7 @@
     /// The new one comes first; the old one, which leads, is asked to end.
     fn replace_core_in_order(&mut self, new: usize, numbers: &Numbers) -> Plain<()> {
         let old = self.primary()?;
-        let started = self.sight.now();
+        let started = self.recorder.now();
         self.add(Role::Core, new)?;
         self.sleep(HANDOVER_MS);
         let took = self.fleet.stop(Role::Core, old).map(|took| took.as_micros() as Micros);
@@ -66,9 +66,9 @@
     }
 
     fn lose_primary_when_new_counts(&mut self, started: Micros, why: &str, numbers: &Numbers) -> Plain<()> {
-        self.sleep((started + CATCH_UP).saturating_sub(self.sight.now()) / 1000);
+        self.sleep((started + CATCH_UP).saturating_sub(self.recorder.now()) / 1000);
         let primary = self.primary()?;
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.kill(Role::Core, primary);
         self.say(&format!("core-{}, which leads, is killed", primary + 1));
         let acked = self.change_acknowledged(why, numbers);
@@ -86,11 +86,11 @@
         let plan = Plan { delay_ms: 16_000, ..Plan::to("/alder/") };
         self.clients.burst(&plan, 0, WAITING);
         self.sleep(1000);
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.take_away(Role::Store, 1)?;
         self.say("store-2 is lost with its disk, and never comes back");
         self.sleep(300);
-        let started = self.sight.now();
+        let started = self.recorder.now();
         self.add(Role::Store, new)?;
         self.trouble(from);
         self.sleep(CATCH_UP / 1000);
@@ -98,9 +98,9 @@
         self.take("until every message had its copies again after a store was replaced", took, REPAIRED);
         let ms = took.map_or("never".to_string(), |us| format!("after {} ms", us / 1000));
         self.say(&format!("every message has its copies again {ms}"));
-        self.sleep((started + CATCH_UP).saturating_sub(self.sight.now()) / 1000);
+        self.sleep((started + CATCH_UP).saturating_sub(self.recorder.now()) / 1000);
 
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.kill(Role::Store, 0);
         self.fleet.wipe(Role::Store, 0)?;
         self.say("store-1 is killed, its disk is lost");
@@ -113,9 +113,9 @@
     /// How long after a loss no store that runs had a message on too few disks, and that held for a second.
     fn repaired(&self, from: Micros) -> Option<Micros> {
         let mut since = None;
-        while self.sight.now() < from + 2 * REPAIRED {
-            let now = self.sight.now();
-            let counted = sixty::count(&self.fleet, &[]);
+        while self.recorder.now() < from + 2 * REPAIRED {
+            let now = self.recorder.now();
+            let counted = large_fleet::count(&self.fleet, &[]);
             let whole = counted.silent == 0 && counted.thin == 0.0;
             since = if whole { since.or(Some(now)) } else { None };
             if since.is_some_and(|since| now >= since + SECOND) {
--- a/drydock/src/ordeals.rs
+++ b/crates/system-test/src/scenarios.rs
@@ -1,10 +1,10 @@
 //! The faults that leave somebody alive and behind, and machines that come and go for good.
 
 use crate::client::Plan;
-use crate::course::{Course, ACK, APPLY, TAKEN_OVER};
 use crate::fleet::{Plain, Role, EACH};
 use crate::history::{Micros, Read, SECOND};
 use crate::operator::Operator;
+use crate::schedule::{Schedule, ACK, APPLY, TAKEN_OVER};
 use crate::wire;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Barrier};
@@ -27,7 +27,7 @@
     Box::leak(format!("/mark-{number}/").into_boxed_str())
 }
 
-impl Course {
+impl Schedule {
     /// All control nodes read back the same, and it is in force at every edge: that version.
     pub fn agreed(&mut self, why: &str) -> Option<u64> {
         self.round += 1;
@@ -46,7 +46,7 @@
 
     /// How long until every edge takes messages for the route of a version.
     pub fn in_force(&mut self, version: u64, why: &str) -> Option<Micros> {
-        let begun = self.sight.now();
+        let begun = self.recorder.now();
         let taken =
             (0..EACH).map(|edge| self.clients.until_taken(marker(version), edge, Duration::from_secs(8)));
         let last = taken.collect::<Option<Vec<Micros>>>().and_then(|all| all.into_iter().max());
@@ -73,7 +73,7 @@
         let gate = Arc::new(Barrier::new(2));
         let controls = self.fleet.here(Role::Core);
         let order = |side: u64| {
-            let mut operator = Operator::new(self.fleet.controls(), &self.sight);
+            let mut operator = Operator::new(self.fleet.controls(), &self.recorder);
             let (gate, base, services) = (Arc::clone(&gate), self.routes.clone(), self.services.clone());
             let to: Vec<SocketAddrV4> = controls.iter().map(|at| self.fleet.control(*at)).collect();
             std::thread::spawn(move || {
@@ -107,7 +107,7 @@
             Behind::Frozen => ("frozen", "after the primary was frozen"),
             Behind::CutOff => ("cut off", "after the primary was cut off"),
         };
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.put_behind(how, primary, true);
         self.say(&format!("core-{}, which leads, is {name}", primary + 1));
         let (base, services) = (self.routes.clone(), self.services.clone());
@@ -131,14 +131,14 @@
             self.round += 1;
             self.operator.read_at(to, self.round, Duration::from_millis(300));
         }
-        self.sleep(4000 - (self.sight.now().saturating_sub(from) / 1000).min(4000));
+        self.sleep(4000 - (self.recorder.now().saturating_sub(from) / 1000).min(4000));
         self.put_behind(how, primary, false);
-        let to = self.sight.now();
-        let mut history = self.sight.write();
+        let to = self.recorder.now();
+        let mut history = self.recorder.write();
         let list = if how == Behind::Frozen { &mut history.freezes } else { &mut history.cuts };
         list.push((from, to));
         drop(history);
-        let said = asked.join().ok().and_then(Result::ok).map(|words| words.status());
+        let said = asked.join().ok().and_then(Result::ok).map(|args| args.status());
         if said == Some(200) {
             self.operator.acknowledged(&late_body);
         }
@@ -164,13 +164,13 @@
         let plan = Plan { delay_ms: 1500, ..Plan::to("/alder/") };
         self.clients.burst(&plan, at, 160);
         self.sleep(400);
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.stall(Role::Store, at, true);
         self.say(&format!("store-{} is frozen", at + 1));
         self.sleep(5500);
         self.fleet.stall(Role::Store, at, false);
-        let to = self.sight.now();
-        self.sight.write().freezes.push((from, to));
+        let to = self.recorder.now();
+        self.recorder.write().freezes.push((from, to));
         self.sleep(500);
         let took = self.waited(from);
         self.take("until all that a frozen store held had run elsewhere", Some(took), TAKEN_OVER);
@@ -184,13 +184,13 @@
         let plan = Plan { delay_ms: 1500, ..Plan::to("/alder/") };
         self.clients.burst(&plan, at, 160);
         self.sleep(400);
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.cut(Role::Store, at, &[Role::Store], true);
         self.say(&format!("store-{} is cut off from the other stores", at + 1));
         self.sleep(4000);
         self.fleet.cut(Role::Store, at, &[Role::Store], false);
-        let to = self.sight.now();
-        self.sight.write().cuts.push((from, to));
+        let to = self.recorder.now();
+        self.recorder.write().cuts.push((from, to));
         self.say("they are in touch again");
         self.sleep(3000);
     }
@@ -203,7 +203,7 @@
 
     /// Until a store that was told to is empty; then the machine goes for good, with its disk.
     pub fn emptied(&mut self, at: usize) -> Plain<()> {
-        let (name, begun) = (self.fleet.name(Role::Store, at), self.sight.now());
+        let (name, begun) = (self.fleet.name(Role::Store, at), self.recorder.now());
         let target = format!("/v1/retire/{name}/read");
         let complete = |said: Option<(u16, Vec<u8>)>| {
             let body = said.filter(|(status, _)| *status == 200).map(|(_, body)| body).unwrap_or_default();
@@ -211,9 +211,9 @@
             value["state"] == "complete"
         };
         let mut took = None;
-        while took.is_none() && self.sight.now() < begun + 2 * EMPTIED {
+        while took.is_none() && self.recorder.now() < begun + 2 * EMPTIED {
             if complete(self.operator.order("GET", &target, "", Duration::from_secs(1))) {
-                took = Some(self.sight.now() - begun);
+                took = Some(self.recorder.now() - begun);
             } else {
                 self.sleep(50);
             }
@@ -237,7 +237,7 @@
     /// A store is lost for good and an empty one at another address takes its place; that is emptied again and taken away, and
     /// one more is added.
     pub fn renew_stores(&mut self) -> Plain<()> {
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.take_away(Role::Store, 1)?;
         self.say("store-2 is lost with its disk, and never comes back");
         self.sleep(1000);
@@ -264,7 +264,7 @@
     /// The primary is lost for good; an empty machine at another address takes its place.
     pub fn renew_core(&mut self, number: u64) -> Plain<()> {
         let primary = self.fleet.primary().ok_or("no control node says that it leads")?;
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.take_away(Role::Core, primary)?;
         self.say(&format!("core-{}, which leads, is lost with its disk, and never comes back", primary + 1));
         self.add(Role::Core, 3)?;
--- a/drydock/src/course.rs
+++ b/crates/system-test/src/schedule.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{Fleet, Plain, Role, EACH};
 use crate::history::{Answered, Micros, Seen, Sent, Take, SECOND};
 use crate::operator::{configuration, Operator, Routes, Services};
-use crate::sight::Sight;
+use crate::recorder::Recorder;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
@@ -34,11 +34,11 @@
 pub const LOAD: [(&str, u64); 6] =
     [("/alder/", 53), ("/birch/", 25), ("/cedar/", 8), ("/elm/", 4), ("/larch/", 6), ("/fir/", 4)];
 
-pub struct Course {
+pub struct Schedule {
     /// Printed before each line.
     pub label: &'static str,
     pub fleet: Fleet,
-    pub sight: Arc<Sight>,
+    pub recorder: Arc<Recorder>,
     pub clients: Arc<Clients>,
     pub operator: Operator,
     pub services: Services,
@@ -48,13 +48,13 @@
     pub round: u32,
 }
 
-impl Course {
+impl Schedule {
     pub fn sleep(&self, ms: u64) {
         std::thread::sleep(Duration::from_millis(ms));
     }
 
     pub fn say(&self, what: &str) {
-        println!("{}{:7.2} s  {what}", self.label, self.sight.now() as f64 / SECOND as f64);
+        println!("{}{:7.2} s  {what}", self.label, self.recorder.now() as f64 / SECOND as f64);
     }
 
     /// No process has ended by itself.
@@ -65,7 +65,7 @@
     }
 
     pub fn seen(&self, what: &str, right: bool) {
-        self.sight.write().seen.push(Seen { what: what.to_string(), right });
+        self.recorder.write().seen.push(Seen { what: what.to_string(), right });
     }
 
     /// Of what was answered: no answer in time is another thing than a wrong one.
@@ -77,7 +77,7 @@
     }
 
     pub fn take(&self, what: &str, took: Option<Micros>, most: Micros) {
-        self.sight.write().takes.push(Take { what: what.to_string(), took, most });
+        self.recorder.write().takes.push(Take { what: what.to_string(), took, most });
     }
 
     /// A configuration with one more route, and how long until it is acknowledged and in force at all edges.
@@ -86,7 +86,7 @@
         let routes = self.routes.clone();
         let (_, acked) = self.operator.replace(number, &routes, &self.services, Duration::from_secs(10));
         self.take(&format!("the acknowledgement of version {number} ({why})"), acked, ACK);
-        let begun = self.sight.now();
+        let begun = self.recorder.now();
         let mut force = Some(0);
         for edge in 0..EACH {
             let taken = self.clients.until_taken(prefix, edge, Duration::from_secs(8));
@@ -100,8 +100,8 @@
 
     /// The machine is gone from now on, for so long.
     pub fn trouble(&self, from: Micros) {
-        let to = self.sight.now();
-        self.sight.write().troubles.push((from, to));
+        let to = self.recorder.now();
+        self.recorder.write().troubles.push((from, to));
     }
 
     pub fn configurations(&mut self) {
@@ -132,7 +132,7 @@
         let primary = self.fleet.primary().ok_or("no control node says that it leads")?;
         let routes = self.routes.clone();
         let (body, acked) = self.operator.replace(10, &routes, &self.services, Duration::from_secs(10));
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.kill(Role::Core, primary);
         self.fleet.wipe(Role::Core, primary)?;
         self.take("the acknowledgement of version 10", acked, ACK);
@@ -153,13 +153,13 @@
     }
 
     pub fn acked(&self, number: u64) -> Micros {
-        let history = self.sight.write();
+        let history = self.recorder.write();
         let version = history.versions.iter().find(|v| v.number == number);
         version.and_then(|v| v.acked).unwrap_or(0)
     }
 
     pub fn lose_store(&mut self, at: usize, disk: bool) -> Plain<()> {
-        let from = self.sight.now();
+        let from = self.recorder.now();
         if disk {
             // The others stall for a moment, so that copies of large ones, which are not due yet, are still under way.
             let plan = Plan { delay_ms: 1500, large: true, ..Plan::to("/alder/") };
@@ -189,8 +189,8 @@
 
     /// Until the last message that was accepted before a loss and had not run has run, where there is no ceiling.
     pub fn waited(&self, from: Micros) -> Micros {
-        let now = self.sight.now();
-        let history = self.sight.write();
+        let now = self.recorder.now();
+        let history = self.recorder.write();
         let mut first: HashMap<&str, Micros> = HashMap::new();
         for arrival in history.arrivals.iter().filter(|a| a.ran()) {
             let at = first.entry(&arrival.id).or_insert(arrival.at);
@@ -220,14 +220,14 @@
         self.routes.push(("/hazel/", "alder", 4));
         let routes = self.routes.clone();
         let (body, acked) = self.operator.replace(90, &routes, &self.services, Duration::from_secs(10));
-        let from = self.sight.now();
+        let from = self.recorder.now();
         self.fleet.kill_all();
         self.take("the acknowledgement of version 90", acked, ACK);
         self.say("version 90 is acknowledged, and all nine are killed");
         self.sleep(1000);
         self.fleet.start_all()?;
         self.trouble(from);
-        let begun = self.sight.now();
+        let begun = self.recorder.now();
         let read = self.operator.read(Duration::from_secs(10));
         let right = read.map(|read| read == body.as_bytes());
         self.answered("after the loss of all, version 90 is read back byte for byte", right);
--- a/drydock/src/setup.rs
+++ b/crates/system-test/src/setup.rs
@@ -1,12 +1,12 @@
-//! How every course begins and ends: the fleet, its first configuration, executors and load; and what became of all messages.
+//! How every schedule begins and ends: the fleet, its first configuration, executors and load; and what became of all messages.
 
 use crate::client::Clients;
-use crate::course::Course;
 use crate::executor::{Executor, Kind, Runs};
 use crate::fleet::{Fleet, Plain, Role};
 use crate::history::{History, Micros};
 use crate::operator::{Operator, Routes, Services};
-use crate::sight::Sight;
+use crate::recorder::Recorder;
+use crate::schedule::Schedule;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread::JoinHandle;
@@ -30,9 +30,9 @@
     }
 }
 
-/// What a course begins with.
+/// What a schedule begins with.
 pub struct Setup {
-    /// Printed before each line of the course.
+    /// Printed before each line of the schedule.
     pub label: &'static str,
     pub routes: Routes,
     pub services: Services,
@@ -44,9 +44,9 @@
     pub ready_within: Duration,
 }
 
-/// A course that has begun.
+/// A schedule that has begun.
 pub struct Running {
-    pub course: Course,
+    pub schedule: Schedule,
     pub executors: Vec<Arc<Executor>>,
     pub runs: Runs,
     /// While it is up the receiver takes no call-backs.
@@ -56,14 +56,14 @@
 }
 
 impl Setup {
-    pub fn begin(self, mut fleet: Fleet, sight: &Arc<Sight>) -> Plain<Running> {
+    pub fn begin(self, mut fleet: Fleet, recorder: &Arc<Recorder>) -> Plain<Running> {
         let receiver = fleet.outside(91, 9000);
         let receiver_down = Arc::new(AtomicBool::new(false));
-        crate::receiver::listen(receiver, Arc::clone(sight), &receiver_down)?;
+        crate::receiver::listen(receiver, Arc::clone(recorder), &receiver_down)?;
         fleet.start_all()?;
         let ceilings = self.services.iter().filter(|(_, rate, _)| *rate > 0.0);
-        sight.write().ceilings = ceilings.map(|(name, rate, _)| (name.to_string(), *rate)).collect();
-        let mut operator = Operator::new(fleet.controls(), sight);
+        recorder.write().ceilings = ceilings.map(|(name, rate, _)| (name.to_string(), *rate)).collect();
+        let mut operator = Operator::new(fleet.controls(), recorder);
         let (_, acked) =
             operator.replace(FIRST_VERSION, &self.routes, &self.services, self.ready_within + FIRST_LEASE);
         acked.ok_or("the first configuration was never taken")?;
@@ -71,22 +71,22 @@
         let runs = Runs::default();
         let start = |place: &Place| {
             let at = fleet.outside(place.part, 9000);
-            Executor::start(&place.id, at, place.kind.clone(), fleet.controls(), sight, &runs)
+            Executor::start(&place.id, at, place.kind.clone(), fleet.controls(), recorder, &runs)
         };
         let executors = self.executors.iter().map(start).collect::<Plain<Vec<_>>>()?;
 
         let lot = u64::from(std::process::id()) ^ 0xd1d0;
         let first = self.mix.first().map_or("/", |(prefix, _)| *prefix);
-        let clients = Clients::new(sight, fleet.fronts(), fleet.readiness(), receiver, lot, self.mix);
+        let clients = Clients::new(recorder, fleet.fronts(), fleet.readiness(), receiver, lot, self.mix);
         for edge in 0..fleet.shape.edges {
             clients.until_taken(first, edge, self.ready_within).ok_or("the fleet does not begin")?;
         }
         let stop = Arc::new(AtomicBool::new(false));
         let threads = clients.press(self.rate, &stop);
-        let course = Course {
+        let schedule = Schedule {
             label: self.label,
             fleet,
-            sight: Arc::clone(sight),
+            recorder: Arc::clone(recorder),
             clients,
             operator,
             services: self.services,
@@ -94,9 +94,9 @@
             takeovers: Vec::new(),
             round: 0,
         };
-        let all: usize = Role::ALL.iter().map(|role| course.fleet.shape.of(*role)).sum();
-        course.say(&format!("{all} run, {} messages a second", self.rate));
-        Ok(Running { course, executors, runs, receiver_down, stop, threads })
+        let all: usize = Role::ALL.iter().map(|role| schedule.fleet.shape.of(*role)).sum();
+        schedule.say(&format!("{all} run, {} messages a second", self.rate));
+        Ok(Running { schedule, executors, runs, receiver_down, stop, threads })
     }
 }
 
@@ -106,19 +106,19 @@
         for thread in self.threads.drain(..) {
             let _ = thread.join();
         }
-        self.course.say("the load has ended");
+        self.schedule.say("the load has ended");
     }
 
     /// Asks some edges for all messages, and ends the fleet.
     pub fn end(mut self, edges: &[usize], asked_for: Duration) -> History {
-        let Running { course, .. } = &mut self;
-        course.clients.ask_all(edges, Micros::MAX, asked_for);
-        course.sleep(2000);
-        course.clients.over.store(true, Ordering::Relaxed);
-        course.say("all have been asked for");
-        course.none_fallen();
-        course.fleet.stop_all();
-        let history = course.sight.write().clone();
+        let Running { schedule, .. } = &mut self;
+        schedule.clients.ask_all(edges, Micros::MAX, asked_for);
+        schedule.sleep(2000);
+        schedule.clients.over.store(true, Ordering::Relaxed);
+        schedule.say("all have been asked for");
+        schedule.none_fallen();
+        schedule.fleet.stop_all();
+        let history = schedule.recorder.write().clone();
         history
     }
 }
--- a/drydock/src/show.rs
+++ b/crates/system-test/src/show.rs
@@ -3,7 +3,7 @@
 use crate::executor::{Executor, Kind, Runs};
 use crate::fleet::{Fleet, NINE};
 use crate::operator::{Operator, HOST};
-use crate::sight::Sight;
+use crate::recorder::Recorder;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,8 +20,8 @@
     let home = crate::home()?;
     let mut fleet = Fleet::lay_out(program, home.clone(), net, NINE)?;
     fleet.start_all()?;
-    let sight = Sight::new(&home);
-    let mut operator = Operator::new(fleet.controls(), &sight);
+    let recorder = Recorder::new(&home);
+    let mut operator = Operator::new(fleet.controls(), &recorder);
     let (routes, services) = (vec![(PREFIX, "orders", 4)], vec![("orders", 0.0, None)]);
     let (_, acked) = operator.replace(1, &routes, &services, Duration::from_secs(10));
     acked.ok_or_else(|| format!("no configuration was taken; logs: {}", home.display()))?;
@@ -39,12 +39,12 @@
     for part in 1..=3 {
         let id = format!("orders-{part}");
         let at = fleet.outside(part, 9000);
-        executors.push(Executor::start(&id, at, kind.clone(), fleet.controls(), &sight, &runs)?);
+        executors.push(Executor::start(&id, at, kind.clone(), fleet.controls(), &recorder, &runs)?);
     }
     let begun = Instant::now();
     let up = |at: &std::net::SocketAddrV4| {
         let said = crate::wire::call(*at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
-        said.is_ok_and(|words| words.status() == 200)
+        said.is_ok_and(|args| args.status() == 200)
     };
     while !fleet.readiness().iter().all(up) && begun.elapsed() < Duration::from_secs(10) {
         std::thread::sleep(Duration::from_millis(50));
@@ -59,7 +59,7 @@
         }
         told = told.or(fallen);
         // What the stand-ins saw is not judged here.
-        let mut history = sight.write();
+        let mut history = recorder.write();
         (history.arrivals, history.sent) = (Vec::new(), Vec::new());
     }
     println!("ends what it started");
--- a/drydock/src/wire.rs
+++ b/crates/system-test/src/wire.rs
@@ -15,14 +15,14 @@
 
 /// A request or an answer; `first` is the method or the status.
 #[derive(Clone, Debug, Default)]
-pub struct Words {
+pub struct Args {
     pub first: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
-impl Words {
+impl Args {
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
@@ -55,11 +55,11 @@
     }
 
     /// The next whole message; none where the other side closed between two.
-    pub fn hear(&mut self, until: Instant) -> Result<Option<Words>, Cut> {
+    pub fn hear(&mut self, until: Instant) -> Result<Option<Args>, Cut> {
         loop {
-            if let Some((words, used)) = read(&self.input)? {
+            if let Some((args, used)) = read(&self.input)? {
                 self.input.drain(..used);
-                return Ok(Some(words));
+                return Ok(Some(args));
             }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
@@ -82,13 +82,13 @@
     }
 
     /// Asks and waits for the answer; whether the connection may be used again comes with it.
-    pub fn ask(&mut self, bytes: &[u8], patience: Duration) -> Result<(Words, bool), Cut> {
+    pub fn ask(&mut self, bytes: &[u8], patience: Duration) -> Result<(Args, bool), Cut> {
         if !self.say(bytes) {
             return Err(Cut::Closed);
         }
-        let words = self.hear(Instant::now() + patience)?.ok_or(Cut::Closed)?;
-        let again = !words.closes();
-        Ok((words, again))
+        let args = self.hear(Instant::now() + patience)?.ok_or(Cut::Closed)?;
+        let again = !args.closes();
+        Ok((args, again))
     }
 }
 
@@ -99,7 +99,7 @@
     target: &str,
     body: &[u8],
     patience: Duration,
-) -> Result<Words, Cut> {
+) -> Result<Args, Cut> {
     let mut bytes = format!(
         "{method} {target} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n",
@@ -107,10 +107,10 @@
     )
     .into_bytes();
     bytes.extend_from_slice(body);
-    Wire::connect(to, patience)?.ask(&bytes, patience).map(|(words, _)| words)
+    Wire::connect(to, patience)?.ask(&bytes, patience).map(|(args, _)| args)
 }
 
-fn read(bytes: &[u8]) -> Result<Option<(Words, usize)>, Cut> {
+fn read(bytes: &[u8]) -> Result<Option<(Args, usize)>, Cut> {
     if bytes.is_empty() {
         return Ok(None);
     }
@@ -139,14 +139,14 @@
     };
     let headers: Vec<(String, String)> =
         headers.iter().map(|h| (h.name.to_string(), String::from_utf8_lossy(h.value).into_owned())).collect();
-    let mut words = Words { first, target, headers, body: Vec::new() };
-    // Harbour frames all that it says by length.
-    let length: usize = match words.header("Content-Length") {
+    let mut args = Args { first, target, headers, body: Vec::new() };
+    // Stilerouted frames all that it says by length.
+    let length: usize = match args.header("Content-Length") {
         Some(text) => text.parse().map_err(|_| Cut::Garbled)?,
-        None if words.header("Transfer-Encoding").is_some() => return Err(Cut::Garbled),
+        None if args.header("Transfer-Encoding").is_some() => return Err(Cut::Garbled),
         None => 0,
     };
     let Some(body) = bytes[end..].get(..length) else { return Ok(None) };
-    words.body = body.to_vec();
-    Ok(Some((words, end + length)))
+    args.body = body.to_vec();
+    Ok(Some((args, end + length)))
 }
--- a/rig/src/bin/stileroute-wrong-node.rs
+++ b/crates/testbed/src/bin/stileroute-wrong-node.rs
@@ -1,5 +1,5 @@
 //! A stand-in for a node that is wrong on purpose, by the variable WRONG: `herds`, `old-list` or `twice`; anything else
-//! is right. The judge of a day on sockets must find each out: `rig/tests/wrong_nodes.rs`, `make prove-processes`.
+//! is right. The judge of a day on sockets must find each out: `crates/testbed/tests/wrong_nodes.rs`, `make test-processes`.
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -7,7 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::spawn;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
-use stileroute_rig::stand::read_message;
+use stileroute_testbed::stand::read_message;
 
 struct Node {
     wrong: String,
--- a/rig/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -4,7 +4,7 @@
 use crate::fleet::{chance, ms, seconds, Condition, Spec};
 use crate::plan::{Between, Fault, On, Only, Plan, Set, What};
 use rand::seq::SliceRandom;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 
 /// One trouble, with the executors and the nodes that it meets picked.
 #[derive(Clone, Debug)]
--- a/rig/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -5,7 +5,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::VecDeque;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 
 /// Tenths of a millisecond in a number of milliseconds, rounded.
 pub fn ms(ms: f64) -> Time {
--- a/rig/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -108,7 +108,7 @@
         What::NodePaused | What::NodeKilled => fault.for_s = fault.for_s.min(4.0),
         What::NodeStopped => fault.for_s = 4.0,
         // One that is back before anyone can have been told is cold without a node's knowing: an open matter, and
-        // every hunt would find that first (docs/rig.md).
+        // every hunt would find that first (docs/testbed.md).
         What::Killed | What::DomainLost | What::SiteLost => {
             fault.for_s = fault.for_s.max(plan.fleet.list.late_s[1] + 0.5)
         }
--- a/rig/src/judge.rs
+++ b/crates/testbed/src/judge.rs
@@ -5,7 +5,7 @@
 use crate::plan::{EffectName, Group, Plan, What};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 
 /// How a push ended, as its executor knows it.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/rig/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,5 +1,5 @@
 //! The rig: one model of the fleet, played in simulated time or behind real sockets, with load, faults, experiments
-//! and a judge of the four rules that keeps its own ledger. `docs/rig.md` tells how far it may be trusted.
+//! and a judge of the four rules that keeps its own ledger. `docs/testbed.md` tells how far it may be trusted.
 
 pub mod experiment;
 pub mod faults;
--- a/rig/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1, LogNormal, StandardNormal};
 use rand_pcg::Pcg64Mcg;
-use stileroute::tariff::{Time, SECOND};
+use stileroute_dispatch::types::{Time, SECOND};
 
 /// A client's job, of which each try is an op.
 #[derive(Clone, Debug)]
--- a/rig/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,20 +1,20 @@
-//! `stileroute-rig`: tries a build of stileroute on a model of the fleet.
+//! `stileroute-testbed`: tries a build of stileroute on a model of the fleet.
 
 use clap::{Parser, Subcommand};
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
-use stileroute_rig::experiment::{self, Experiment};
-use stileroute_rig::report::{compare, Played, Report};
-use stileroute_rig::{hunt, page, run};
+use stileroute_testbed::experiment::{self, Experiment};
+use stileroute_testbed::report::{compare, Played, Report};
+use stileroute_testbed::{hunt, page, run};
 
 /// Tries stileroute on a model of the fleet, with load and faults, under a judge of the four rules.
 ///
 /// Exit codes: 0 all rules kept; 1 a rule broken by the module, or a figure of it beyond what the file expects; 2 bad
 /// input, nothing played; 3 no verdict, for the machine was short of something or the rig itself was late.
 #[derive(Parser)]
-#[command(name = "stileroute-rig", version)]
+#[command(name = "stileroute-testbed", version)]
 struct Words {
     #[command(subcommand)]
     what: What,
@@ -215,7 +215,7 @@
     match work(Words::parse()) {
         Ok(code) => code,
         Err(Failed(line, code)) => {
-            eprintln!("stileroute-rig: {line}");
+            eprintln!("stileroute-testbed: {line}");
             ExitCode::from(code)
         }
     }
--- a/rig/src/play/clients.rs
+++ b/crates/testbed/src/play/clients.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at};
--- a/rig/src/play/discovery.rs
+++ b/crates/testbed/src/play/discovery.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
--- a/rig/src/play/executors.rs
+++ b/crates/testbed/src/play/executors.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{mpsc, watch, Notify};
--- a/rig/src/play/mod.rs
+++ b/crates/testbed/src/play/mod.rs
@@ -26,7 +26,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use stileroute::tariff::{Time, SECOND};
+use stileroute_dispatch::types::{Time, SECOND};
 use tokio::sync::mpsc;
 use tokio::time::{sleep_until, timeout};
 use world::{locked, World};
--- a/rig/src/play/stage.rs
+++ b/crates/testbed/src/play/stage.rs
@@ -17,7 +17,7 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::sync::mpsc;
 
 /// A node that was started, or why it does not serve.
--- a/rig/src/play/starve.rs
+++ b/crates/testbed/src/play/starve.rs
@@ -10,7 +10,7 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::sync::mpsc;
 
 /// What the task is told of a process: its part of the time, or none where it may run on.
--- a/rig/src/play/world.rs
+++ b/crates/testbed/src/play/world.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, RwLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use stileroute::tariff::Time;
+use stileroute_dispatch::types::Time;
 use tokio::sync::watch;
 
 /// A lock is only poisoned by a panic, and a panic of the rig is no verdict on anything.
--- a/rig/src/policy.rs
+++ b/crates/testbed/src/policy.rs
@@ -6,8 +6,10 @@
 use crate::plan::PolicyName;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use stileroute::choice::Dispatcher;
-use stileroute::tariff::{Ask, Effect, Letter, Listed, Op, Outcome, Push, Step, Tariff, Time, SECOND};
+use stileroute_dispatch::policy::Dispatcher;
+use stileroute_dispatch::types::{
+    Ask, Effect, Letter, Listed, Op, Outcome, Push, Step, Tariff, Time, SECOND,
+};
 
 /// The true state, which only the seeing baseline looks at.
 pub struct Truth<'a> {
--- a/rig/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use stileroute::tariff::{Time, SECOND};
+use stileroute_dispatch::types::{Time, SECOND};
 
 /// One play.
 #[derive(Clone, Debug, Default, Serialize, Deserialize, PartialEq)]
--- a/rig/src/run.rs
+++ b/crates/testbed/src/run.rs
@@ -9,7 +9,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
-use stileroute::tariff::Tariff;
+use stileroute_dispatch::types::Tariff;
 
 /// What clocks and network add to a limit of the rules in simulated time, in milliseconds: a call-off is on its way
 /// while the next push is, which a farther way lets arrive first.
--- a/rig/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -4,9 +4,9 @@
 use crate::plan::{EffectName, GaugeName, Group, Order, Plan};
 use serde_json::{json, Value};
 use std::sync::Arc;
-use stileroute::posted::Posted;
-use stileroute_routes::table::Table;
-use stileroute_routes::Ground;
+use stileroute_dispatch::settings::Posted;
+use stileroute_route_limits::table::Table;
+use stileroute_route_limits::Ground;
 
 fn ns_of_ms(ms: f64) -> i64 {
     (ms * 1e6).round() as i64
@@ -107,7 +107,8 @@
     let Some(text) = &plan.operator else { return Ok((None, Vec::new())) };
     let posted: Posted = serde_json::from_value(settings(plan, 0)).map_err(|error| error.to_string())?;
     let ground = Ground::of(&posted)?;
-    let read = |text: &str| stileroute_operator::read("operator", text, |keys| Table::read(keys, &ground));
+    let read =
+        |text: &str| stileroute_operator_file::read("operator", text, |keys| Table::read(keys, &ground));
     let first =
         read(text).map_err(|faults| faults.iter().map(|f| f.to_string()).collect::<Vec<_>>().join("; "))?;
     let next = plan.operator_next.iter().filter_map(|text| read(text).ok()).map(Arc::new).collect();
--- a/rig/src/sim/mod.rs
+++ b/crates/testbed/src/sim/mod.rs
@@ -22,12 +22,12 @@
 use std::collections::{BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
-use stileroute::choice::UPKEEP;
-use stileroute::posted::Posted;
-use stileroute::tariff::{Ask, Limits, Listed, Op, Outcome, Step, Tariff, Time, SECOND};
-use stileroute_routes::gate::{Entry, Gate, Pass};
-use stileroute_routes::pattern::Request;
-use stileroute_routes::table::Table;
+use stileroute_dispatch::policy::UPKEEP;
+use stileroute_dispatch::settings::Posted;
+use stileroute_dispatch::types::{Ask, Limits, Listed, Op, Outcome, Step, Tariff, Time, SECOND};
+use stileroute_route_limits::gate::{Entry, Gate, Pass};
+use stileroute_route_limits::pattern::Request;
+use stileroute_route_limits::table::Table;
 
 /// Who decides at a node, made anew at each start of it, from its settings and a seed.
 pub type Maker<'a> = &'a dyn Fn(usize, &Tariff, u64) -> Box<dyn Policy>;
--- a/rig/src/together.rs
+++ b/crates/testbed/src/together.rs
@@ -6,7 +6,7 @@
 use crate::load::Asked;
 use crate::plan::Plan;
 use serde::{Deserialize, Serialize};
-use stileroute::tariff::{Time, SECOND};
+use stileroute_dispatch::types::{Time, SECOND};
 
 /// The span over which peaks are counted.
 const SPAN: Time = SECOND / 2;
--- a/rig/prove-processes-long.sh
+++ b/crates/testbed/test-processes-long.sh
@@ -3,12 +3,12 @@
 # in the model; as many executors as they stay on time with; and the starved fleet again and again. Not for CI: some ten
 # minutes, on a machine with nothing else to do. Ends with 1 if the module broke a rule or a day had no verdict.
 set -uo pipefail
-cd "$(dirname "$0")/.."
-rig=target/release/stileroute-rig
+cd "$(dirname "$0")/../.."
+rig=target/release/stileroute-testbed
 out=${1:-target/long}
 mkdir -p "$out"
 code=0
-# A day of the rig/experiments folder with more to it: its name, what it is called here, lines before its tables, lines after.
+# A day of the crates/testbed/experiments folder with more to it: its name, what it is called here, lines before its tables, lines after.
 day() { printf 'extends = "%s"\nname = "%s"\n%s\n%s\n' "$PWD/rig/experiments/$1.toml" "$2" "$3" "$4" >"$out/$2.toml"; }
 # Plays it in one way.
 run() {
--- a/rig/prove-processes.sh
+++ b/crates/testbed/test-processes.sh
@@ -3,25 +3,25 @@
 # broken, come to what the day expects; the model comes near it; and stand-ins for nodes that are wrong are found out.
 # Wants a release build; under 55 s.
 set -euo pipefail
-cd "$(dirname "$0")/.."
+cd "$(dirname "$0")/../.."
 begun=$SECONDS
-rig=target/release/stileroute-rig
+rig=target/release/stileroute-testbed
 here=$(mktemp -d)
 trap 'rm -rf "$here"' EXIT
 # The last line tells what was missed, not only that something was.
 say() {
     cat "$here/$1"
-    why=$(grep -m2 -oE '(MISSED|rule [0-9] broken|error|stileroute-rig: ).*' "$here/$1" | paste -sd';' || true)
-    echo "prove-processes: $2${why:+ ($why)}"
+    why=$(grep -m2 -oE '(MISSED|rule [0-9] broken|error|stileroute-testbed: ).*' "$here/$1" | paste -sd';' || true)
+    echo "test-processes: $2${why:+ ($why)}"
     exit 1
 }
 # A machine too busy for the bounds that count time gives no verdict, and the reason; that is neither a yes nor a no.
 none() {
-    echo "prove-processes: NO VERDICT: $(grep -m1 -o 'NO VERDICT: .*' "$here/$1" | cut -c13-)"
+    echo "test-processes: NO VERDICT: $(grep -m1 -o 'NO VERDICT: .*' "$here/$1" | cut -c13-)"
     [ "${PROVE_ALLOW_NO_VERDICT:-}" = 1 ] && exit 0
     exit 3
 }
-day=rig/experiments/prove-processes.toml
+day=crates/testbed/experiments/prove-processes.toml
 code=0
 $rig play "$day" >"$here/play" 2>&1 || code=$?
 if [ "$code" = 3 ]; then
@@ -32,7 +32,7 @@
 [ "$code" = 0 ] || say play "the day on sockets is not what it should be"
 $rig sim "$day" >"$here/sim" || say sim "the day in the model is not what it should be"
 stand_in() {
-    WRONG=$1 $rig play rig/experiments/wrong-nodes.toml --node target/release/stileroute-wrong-node \
+    WRONG=$1 $rig play crates/testbed/experiments/wrong-nodes.toml --node target/release/stileroute-wrong-node \
         >"$here/$1" 2>&1 && echo 0 >"$here/$1.code" || echo $? >"$here/$1.code"
 }
 stand_ins="right herds old-list twice"
@@ -52,5 +52,5 @@
 done
 benefit() { grep -m1 -o 'benefit [0-9.]*' "$here/$1" | grep -o '[0-9.]*$'; }
 grep -A3 '^stileroute' "$here/play"
-echo "prove-processes: 120 processes, benefit $(benefit play) on sockets, $(benefit sim) simulated, no rule broken, three" \
+echo "test-processes: 120 processes, benefit $(benefit play) on sockets, $(benefit sim) simulated, no rule broken, three" \
     "wrong stand-ins found, $((SECONDS - begun)) s"
--- a/rig/tests/hunt.rs
+++ b/crates/testbed/tests/hunt.rs
@@ -1,9 +1,9 @@
 //! A hunt draws the same days from the same seed and makes a failing one as small as it goes.
 
 use std::path::Path;
-use stileroute_rig::experiment::{load, read};
-use stileroute_rig::hunt::hunt_for;
-use stileroute_rig::plan::{Plan, What};
+use stileroute_testbed::experiment::{load, read};
+use stileroute_testbed::hunt::hunt_for;
+use stileroute_testbed::plan::{Plan, What};
 
 fn experiment() -> Plan {
     load(&Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/hunt.toml")).unwrap().plan
--- a/rig/tests/judge.rs
+++ b/crates/testbed/tests/judge.rs
@@ -1,13 +1,13 @@
 //! A judge that cannot fail is worth nothing: for each rule a policy that is wrong on purpose breaks it, is caught,
 //! and the op is named with its time line. The module on the same days is not.
 
-use stileroute::choice::Dispatcher;
-use stileroute::tariff::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time};
-use stileroute_rig::experiment::read;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::policy::{Policy, Truth};
-use stileroute_rig::report::Played;
-use stileroute_rig::run::{play_simulated, play_with};
+use stileroute_dispatch::policy::Dispatcher;
+use stileroute_dispatch::types::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time};
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::policy::{Policy, Truth};
+use stileroute_testbed::report::Played;
+use stileroute_testbed::run::{play_simulated, play_with};
 
 /// How a policy is wrong.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/rig/tests/plan.rs
+++ b/crates/testbed/tests/plan.rs
@@ -2,8 +2,8 @@
 
 use std::path::Path;
 use std::process::Command;
-use stileroute_rig::experiment::{load, read};
-use stileroute_rig::run::simulate;
+use stileroute_testbed::experiment::{load, read};
+use stileroute_testbed::run::simulate;
 
 const GOOD: &str = "name = 'day'
 seconds = 6.0
@@ -148,10 +148,11 @@
 
 #[test]
 fn the_binary_refuses_in_one_line_and_plays_nothing() {
-    let path = std::env::temp_dir().join(format!("stileroute-rig-{}.toml", std::process::id()));
+    let path = std::env::temp_dir().join(format!("stileroute-testbed-{}.toml", std::process::id()));
     std::fs::write(&path, GOOD.replace("'part:0.5'", "'executor:99'")).unwrap();
     for what in ["sim", "check"] {
-        let out = Command::new(env!("CARGO_BIN_EXE_stileroute-rig")).arg(what).arg(&path).output().unwrap();
+        let out =
+            Command::new(env!("CARGO_BIN_EXE_stileroute-testbed")).arg(what).arg(&path).output().unwrap();
         let text = String::from_utf8(out.stderr).unwrap();
         assert!(out.status.code() == Some(2) && out.stdout.is_empty() && text.lines().count() == 1, "{text}");
         assert!(text.contains(":26: fault.0.on: there is no executor '99'"), "{text}");
@@ -173,10 +174,10 @@
 
 #[test]
 fn more_processes_than_the_machine_bears_are_refused_before_one_is_started() {
-    let path = std::env::temp_dir().join(format!("stileroute-rig-many-{}.toml", std::process::id()));
+    let path = std::env::temp_dir().join(format!("stileroute-testbed-many-{}.toml", std::process::id()));
     std::fs::write(&path, GOOD.replace("count = 3", "count = 20000")).unwrap();
     let run = |words: &[&str]| {
-        Command::new(env!("CARGO_BIN_EXE_stileroute-rig")).args(words).arg(&path).output().unwrap()
+        Command::new(env!("CARGO_BIN_EXE_stileroute-testbed")).args(words).arg(&path).output().unwrap()
     };
     for words in [&["check", "--sockets"][..], &["play"]] {
         let out = run(words);
--- a/rig/tests/routes.rs
+++ b/crates/testbed/tests/routes.rs
@@ -1,8 +1,8 @@
 //! Routes on simulated days: a retry storm held by budgets, and time-outs that cross late answers.
 
-use stileroute_rig::experiment::read;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::run::play_simulated;
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::run::play_simulated;
 
 fn day(effect: &str, operator: &str, more: &str) -> Plan {
     let text = format!(
@@ -25,7 +25,7 @@
     let with = play_simulated(&day("redeliverable", &format!("[defaults]\n{budget}"), STORM), 1).unwrap();
     let node = play_simulated(&day("redeliverable", &format!("[node]\n{budget}"), STORM), 1).unwrap();
     assert!(without.broken.is_empty() && with.broken.is_empty() && node.broken.is_empty());
-    let per_op = |p: &stileroute_rig::report::Played| p.pushes as f64 / p.ops as f64;
+    let per_op = |p: &stileroute_testbed::report::Played| p.pushes as f64 / p.ops as f64;
     assert!(per_op(&without) > 1.8, "no storm: {}", per_op(&without));
     for held in [&with, &node] {
         // The window slides by a sixteenth; three nodes count each for themselves.
--- a/rig/tests/together.rs
+++ b/crates/testbed/tests/together.rs
@@ -1,18 +1,18 @@
 //! The figures of a fleet together: from ledgers made by hand, from days with nodes that are wrong on purpose, and from
 //! days with each fault between processes, each beside the same day without it.
 
-use stileroute::choice::Dispatcher;
-use stileroute::tariff::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time, SECOND};
-use stileroute_rig::experiment::read;
-use stileroute_rig::faults::Weather;
-use stileroute_rig::fleet::{specs, Up};
-use stileroute_rig::judge::{Answer, End, Judge, Ledger, Life, Saw};
-use stileroute_rig::load::Asked;
-use stileroute_rig::plan::Plan;
-use stileroute_rig::policy::{policy, Policy, Truth};
-use stileroute_rig::report::Played;
-use stileroute_rig::run::{play_simulated, play_with};
-use stileroute_rig::together::{Evidence, Together};
+use stileroute_dispatch::policy::Dispatcher;
+use stileroute_dispatch::types::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time, SECOND};
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::faults::Weather;
+use stileroute_testbed::fleet::{specs, Up};
+use stileroute_testbed::judge::{Answer, End, Judge, Ledger, Life, Saw};
+use stileroute_testbed::load::Asked;
+use stileroute_testbed::plan::Plan;
+use stileroute_testbed::policy::{policy, Policy, Truth};
+use stileroute_testbed::report::Played;
+use stileroute_testbed::run::{play_simulated, play_with};
+use stileroute_testbed::together::{Evidence, Together};
 
 /// Four executors of two slots in two domains, and six nodes; what is added stands before the category.
 fn plan(more: &str) -> Plan {
@@ -368,7 +368,7 @@
         "{replicas}[[fault]]\nwhat = 'release'\non = 'executor:0'\nfrom-s = 3.0\nfor-s = 2.0\n"
     ));
     let make = |_: usize, tariff: &Tariff, seed: u64| policy(plan.policy, tariff, seed);
-    let sim = stileroute_rig::sim::Sim::new(&plan, 1, &make).unwrap().play();
+    let sim = stileroute_testbed::sim::Sim::new(&plan, 1, &make).unwrap().play();
     let told = |node: usize| sim.ledger.told[&(node, 0)].iter().find(|(_, active)| !active).unwrap().0;
     assert!((32_000..34_500).contains(&told(0)) && told(1) > told(0) + SECOND, "{} {}", told(0), told(1));
     let overbooked = with("[[fault]]\nwhat = 'list-overbooked'\nfactor = 1.0\nfrom-s = 2.0\nfor-s = 9.0\n");
@@ -391,7 +391,7 @@
     let revived = |faults: &str| {
         let plan = self::plan(&format!("{replicas}{faults}"));
         let make = |_: usize, tariff: &Tariff, seed: u64| policy(plan.policy, tariff, seed);
-        let day = stileroute_rig::sim::Sim::new(&plan, 1, &make).unwrap().play();
+        let day = stileroute_testbed::sim::Sim::new(&plan, 1, &make).unwrap().play();
         day.ledger.told[&(0, 0)].iter().any(|(at, active)| *active && (60_000..119_000).contains(at))
     };
     assert!(
@@ -411,7 +411,7 @@
     let heard = |faults: &str| {
         let plan = self::plan(&format!("{replicas}{faults}"));
         let make = |_: usize, tariff: &Tariff, seed: u64| policy(plan.policy, tariff, seed);
-        let day = stileroute_rig::sim::Sim::new(&plan, 1, &make).unwrap().play();
+        let day = stileroute_testbed::sim::Sim::new(&plan, 1, &make).unwrap().play();
         [0, 1].map(|node| day.ledger.told[&(node, 1)].iter().find(|(_, active)| !active).unwrap().0)
     };
     let ([outside, inside], [apart, within]) = (heard(dies), heard(&format!("{cut_off}{dies}")));
--- a/rig/tests/wrong_nodes.rs
+++ b/crates/testbed/tests/wrong_nodes.rs
@@ -1,9 +1,9 @@
 //! Stand-ins for nodes, as processes, that are wrong on purpose: the judge of a day on sockets finds each out, and finds
 //! nothing where they are right.
 
-use stileroute_rig::experiment::read;
-use stileroute_rig::play::play;
-use stileroute_rig::report::Played;
+use stileroute_testbed::experiment::read;
+use stileroute_testbed::play::play;
+use stileroute_testbed::report::Played;
 
 fn day(wrong: &str) -> Played {
     let text = "name = 'day'\nseconds = 6.0\nseeds = [1]\n[fleet]\ndomains = ['a', 'b']\ngrace-ms = 500.0\n\
--- a/logbook/src/folder.rs
+++ b/crates/wal/src/folder.rs
@@ -14,7 +14,7 @@
 pub const MISSING: &str = "the file is missing";
 pub const FORMAT: &str = "FORMAT";
 const FORMAT_UNFINISHED: &str = "FORMAT.tmp";
-const PROGRAM: &str = "stileroute-logbook";
+const PROGRAM: &str = "stileroute-wal";
 /// `frame::VERSION`, as it stands in FORMAT.
 const VERSION_WORD: &str = "1";
 
--- a/logbook/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -1,7 +1,7 @@
 //! Records on disk: a log of segments with a snapshot, one writer, one queue.
 //!
 //! ```text
-//! FORMAT              stileroute-logbook 1 KIND IDENTITY
+//! FORMAT              stileroute-wal 1 KIND IDENTITY
 //! snapshot-0000000007 the fold of everything before segment 7
 //! log-0000000007      what came after it; the highest number is written to
 //! *.tmp               unfinished, removed at the next opening
@@ -85,7 +85,7 @@
     /// For tests: told of each operation on the folder once it is done.
     #[doc(hidden)]
     pub observer: Option<Observer>,
-    /// A fault for the tests in `soundings/logbook/` to find.
+    /// A fault for the tests in `crates/model-check/wal/` to find.
     #[cfg(feature = "planted")]
     pub planted: Option<Planted>,
 }
@@ -243,29 +243,29 @@
 }
 
 /// Dropping it without `stop` writes what is queued and leaves the rest to the system, as when the process is killed.
-pub struct Logbook {
+pub struct Wal {
     queue: Sender<Command>,
     counters: Arc<Counters>,
     writer: Option<JoinHandle<()>>,
 }
 
-impl Logbook {
+impl Wal {
     /// Recovers: cuts off a torn end, finishes or undoes a checkpoint, and returns the fold of all that is there, synced.
     pub fn open<F: Fold>(
         dir: &Path,
         options: Options,
         done: impl Fn(u64, Result<(), Trouble>) + Send + 'static,
-    ) -> Result<(Logbook, F), Trouble> {
+    ) -> Result<(Wal, F), Trouble> {
         let mut fold = F::default();
         let folder = Folder::open(dir, options, &mut |record| fold.apply(record))?;
         let counters = Arc::new(Counters::default());
         let (queue, commands) = channel();
         let writer = Writer::new(folder, writer::fold::<F>, done, commands, queue.clone(), counters.clone());
         let writer = Builder::new()
-            .name("logbook".into())
+            .name("wal".into())
             .spawn(move || writer.run())
             .map_err(Trouble::io("starting the writer"))?;
-        Ok((Logbook { queue, counters, writer: Some(writer) }, fold))
+        Ok((Wal { queue, counters, writer: Some(writer) }, fold))
     }
 
     /// Queues; `done(ticket, result)` is called on the writer's thread, in the order of the appends. With `sync` that is after
@@ -304,7 +304,7 @@
     }
 }
 
-impl Drop for Logbook {
+impl Drop for Wal {
     fn drop(&mut self) {
         self.end(false);
     }
--- a/logbook/src/planted.rs
+++ b/crates/wal/src/planted.rs
@@ -1,4 +1,4 @@
-//! Faults for the tests of `soundings/logbook/` to find. Without the feature `planted`, which only that package's own build
+//! Faults for the tests of `crates/model-check/wal/` to find. Without the feature `planted`, which only that package's own build
 //! of these sources has, no fault can be set, and nothing is left.
 
 use crate::Options;
--- a/logbook/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -284,7 +284,7 @@
         let (dir, options, give_up_) = (dir.clone(), options.clone(), give_up.clone());
         let task = Task { dir, options, folder: *identity, from: *base, to, left, give_up: give_up_ };
         let (queue, fold) = (self.queue.clone(), self.fold);
-        let thread = Builder::new().name("logbook-fold".into()).spawn(move || {
+        let thread = Builder::new().name("wal-fold".into()).spawn(move || {
             let _ = queue.send(Command::Folded(fold(&task)));
         });
         let thread = thread.map_err(Trouble::io("starting a checkpoint"))?;
--- a/logbook/tests/power/disk.rs
+++ b/crates/wal/tests/power/disk.rs
@@ -4,7 +4,7 @@
 use std::fs;
 use std::path::Path;
 
-use stileroute_logbook::Operation;
+use stileroute_wal::Operation;
 
 /// The names of a folder and the bytes behind each.
 pub type Files = BTreeMap<String, Vec<u8>>;
--- a/logbook/tests/power/mod.rs
+++ b/crates/wal/tests/power/mod.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use disk::{Disk, Files};
-use stileroute_logbook::{verify, Fold, Logbook, Operation, Options, Step, Trouble};
+use stileroute_wal::{verify, Fold, Operation, Options, Step, Trouble, Wal};
 
 /// Records are counted up; the fold is the count, and whether one was missing or of another content.
 #[derive(Default, Debug, Clone, PartialEq, Eq)]
@@ -77,7 +77,7 @@
 const BETWEEN: [Step; 2] = [Step::SnapshotFolder, Step::Remove];
 
 struct Writer {
-    book: Logbook,
+    book: Wal,
     answers: Receiver<(u64, Result<(), Trouble>)>,
     trace: Trace,
     /// The last record that is there.
@@ -91,7 +91,7 @@
         let done = move |ticket, result| {
             let _ = sender.send((ticket, result));
         };
-        let (book, count) = Logbook::open::<Count>(dir, options, done)?;
+        let (book, count) = Wal::open::<Count>(dir, options, done)?;
         Ok((Writer { book, answers, trace: trace.clone(), last: count.last, ticket: 0 }, count))
     }
 
@@ -132,7 +132,7 @@
     })
 }
 
-/// The whole life of a logbook: its first opening, some changes of segments and checkpoints, with appends all along.
+/// The whole life of a wal: its first opening, some changes of segments and checkpoints, with appends all along.
 fn first_life(dir: &Path, play: &Play) -> Vec<Event> {
     let trace = Trace::default();
     let (say, words) = channel();
@@ -275,7 +275,7 @@
 /// Plays once, and then every kill and every loss of power in it.
 pub fn search(play: &Play) -> Found {
     static NEXT: AtomicU64 = AtomicU64::new(0);
-    let name = format!("logbook-power-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let name = format!("wal-power-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
     // Syncs are real, and there are many thousands of them: in memory, where there is such a folder.
     let memory = Path::new("/dev/shm");
     let parent = if memory.is_dir() { memory.to_path_buf() } else { std::env::temp_dir() };
--- a/logbook/tests/power_loss.rs
+++ b/crates/wal/tests/power_loss.rs
@@ -3,7 +3,7 @@
 mod power;
 
 use power::{search, Play};
-use stileroute_logbook::Step;
+use stileroute_wal::Step;
 
 #[test]
 fn whatever_a_loss_of_power_keeps_the_folder_opens_with_what_was_answered() {
--- a/logbook/tests/logbook.rs
+++ b/crates/wal/tests/wal.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use assert_matches::assert_matches;
-use stileroute_logbook::{verify, Figures, Fold, Logbook, Options, State, Step, Trouble, MAX_RECORD};
+use stileroute_wal::{verify, Figures, Fold, Options, State, Step, Trouble, Wal, MAX_RECORD};
 
 /// Of records KEY=VALUE the last of each key; KEY= alone removes it.
 #[derive(Default, Debug, PartialEq, Clone)]
@@ -36,7 +36,7 @@
 impl Dir {
     fn new() -> Dir {
         static NEXT: AtomicU64 = AtomicU64::new(0);
-        let name = format!("logbook-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+        let name = format!("wal-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
         Dir(std::env::temp_dir().join(name))
     }
 
@@ -64,7 +64,7 @@
 
     /// What an opening finds; it is open no more.
     fn fold(&self) -> Result<Keys, Trouble> {
-        Logbook::open(&self.0, options(), |_, _| {}).map(|(_, fold)| fold)
+        Wal::open(&self.0, options(), |_, _| {}).map(|(_, fold)| fold)
     }
 }
 
@@ -86,7 +86,7 @@
 }
 
 struct Book {
-    book: Logbook,
+    book: Wal,
     answers: Receiver<(u64, Result<(), Trouble>)>,
     ticket: u64,
 }
@@ -95,7 +95,7 @@
     fn open(dir: &Path, options: Options) -> (Book, Keys) {
         let (sender, answers) = channel();
         let done = move |ticket, result| sender.send((ticket, result)).unwrap();
-        let (book, fold) = Logbook::open(dir, options, done).unwrap();
+        let (book, fold) = Wal::open(dir, options, done).unwrap();
         (Book { book, answers, ticket: 0 }, fold)
     }
 
@@ -413,10 +413,10 @@
 fn another_format_or_kind_is_refused_by_name_and_left_as_it_is() {
     let dir = Dir::new();
     Book::open(&dir.0, options()).0.put(&["a=1"], true).unwrap();
-    let other = Logbook::open::<Keys>(&dir.0, Options::new("queue"), |_, _| {}).err().unwrap();
+    let other = Wal::open::<Keys>(&dir.0, Options::new("queue"), |_, _| {}).err().unwrap();
     assert!(other.to_string().contains("\"keys\""), "{other}");
     let edits: [&dyn Fn(&Dir); 4] = [
-        &|dir| fs::write(dir.0.join("FORMAT"), "stileroute-logbook 2 keys\n").unwrap(),
+        &|dir| fs::write(dir.0.join("FORMAT"), "stileroute-wal 2 keys\n").unwrap(),
         &|dir| fs::write(dir.0.join("FORMAT"), "").unwrap(),
         &|dir| fs::remove_file(dir.0.join("FORMAT")).unwrap(),
         &|dir| {
@@ -530,7 +530,7 @@
 fn a_folder_that_was_made_before_there_were_identities_opens_and_goes_on_without() {
     let dir = Dir::new();
     Book::open(&dir.0, options()).0.put(&["a=1"], true).unwrap();
-    dir.edit("FORMAT", |bytes| *bytes = b"stileroute-logbook 1 keys\n".to_vec());
+    dir.edit("FORMAT", |bytes| *bytes = b"stileroute-wal 1 keys\n".to_vec());
     dir.edit(LOG, |bytes| {
         bytes[12..16].fill(0);
         let sum = crc32fast::hash(&bytes[..16]);
