Control group: the primary's part divided by concern

Code was moved as it was: only the visibility of methods that another of these files calls, the names of a binding and some words of comments changed.

--- a/crates/control-group/src/planted.rs
+++ b/crates/control-group/src/planted.rs
@@ -89,7 +89,8 @@
 #[cfg(feature = "planted")]
 mod fingerprint {
     use super::Planted;
-    use crate::primary::{Candidacy, Job, Lead, Role, ANSWER, LOST, TURN};
+    use crate::primary::orders::{Job, ANSWER, TURN};
+    use crate::primary::{Candidacy, Lead, Role, LOST};
     use crate::voter::Leaving;
     use crate::{After, ControlGroup, Effect, GroupSettings, Heartbeat, Millis, Signal, Voter};
     use std::hash::{Hash, Hasher};
