--- a/crates/model-check/src/proof.rs
+++ b/crates/model-check/src/proof.rs
@@ -1,4 +1,4 @@
-//! What `make test-model_check` goes through, in about a minute on eight cores.
+//! What `make test-model` goes through, in about a minute on eight cores.
 
 use crate::invariants::Property;
 use crate::world::{Bounds, Chance, Drift, Grain, Kinds, Spans};
--- a/crates/model-check/src/queue/plan.rs
+++ b/crates/model-check/src/queue/plan.rs
@@ -1,4 +1,4 @@
-//! What `make test-model_check` goes through of the queue.
+//! What `make test-model` goes through of the queue.
 
 use super::fleet::{QueueBounds, QueueScript};
 use super::invariants::QueueProperty;
