--- a/crates/node/src/life/log.rs
+++ b/crates/node/src/life/log.rs
@@ -89,8 +89,8 @@
 }
 
 /// Targets of events: what belongs to an ended connection, what to the fate of an op.
-pub const ENDED: &str = "stileroute_dispatch::ended";
-pub const OP: &str = "stileroute_dispatch::op";
+pub const ENDED: &str = "stileroute::ended";
+pub const OP: &str = "stileroute::op";
 
 /// Writes events as lines: their message alone, or all their fields as JSON.
 struct Lines {
