Queue: the table and the copies divided by concern

Cause: crates/queue/src/queue.rs had 1,353 lines and copies.rs 903, with the table, intake, delivery, ends, timers, ownership and connections in one file each.

Change: code moved, none rewritten. queue.rs keeps the table and its indices; queue/ has types, intake, configuration, token_holders, delivery, completion, call_backs, timers and numbers beside report. copies.rs keeps the record of another store; copies/ has notes, connections, fence, placement, ownership, take_over, release, handover and outbox. Functions, fields and constants used by a neighbouring file are pub(super), which is as far as they were seen before. Public paths of the crate, frames and records on disk stay. The planted build compiles the same lib.rs and needs no change.

Measured: each function, type and constant of the old files stands exactly once in the new ones, whitespace, trailing commas and pub(super) aside; beside them there are the impl blocks around them, imports (one under a cfg), module lines and module docs (report.rs says queue for hold).

--- /dev/null
+++ b/crates/queue/src/copies/connections.rs
@@ -0,0 +1,93 @@
+//! Members and connections: what is said to a store that comes, and done about one that is gone.
+
+use super::{Outbox, Peer};
+use crate::message::{End, Key, Millis, Node, PeerMessage};
+use crate::queue::{Effect, Queue};
+
+impl Queue {
+    /// The stores that are members, as the control nodes tell.
+    pub fn members(&mut self, now: Millis, stores: &[(Node, usize)]) {
+        self.acquainted = true;
+        let listed = |peers: &std::collections::BTreeMap<Node, Peer>| -> Vec<Node> {
+            peers.iter().filter(|(_, p)| p.listed).map(|(node, _)| *node).collect()
+        };
+        let before = listed(&self.peers);
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        for (node, zone) in stores.iter().filter(|(node, _)| *node != self.terms.me) {
+            let peer = self.peers.entry(*node).or_insert_with(|| Peer::new(now));
+            (peer.zone, peer.listed) = (*zone, true);
+        }
+        if listed(&self.peers) != before {
+            self.rows.changed = now;
+        }
+        self.deal_duties(now);
+    }
+
+    /// A connection to another store is open: each says what it holds in common with the other.
+    pub fn up(&mut self, now: Millis, node: Node) {
+        let peer = self.peers.entry(node).or_default();
+        (peer.connected, peer.leaving, peer.stood, peer.since) = (true, false, false, now);
+        // One that is to be emptied yet says so again: an order that was lost with its power is none.
+        peer.retiring = false;
+        peer.out = Outbox::default();
+        self.rows.changed = now;
+        self.push(Effect::Send { to: node, note: PeerMessage::Disk(self.terms.disk) });
+        // One of the two begins: the other answers with what differs.
+        if self.terms.me < node {
+            self.compare(now, node, 0);
+        }
+        // Ends that were told while it was away, or got lost with the connection.
+        let mine = self.owned_here().filter(|(_, e)| e.copies.contains(&node));
+        let owed: Vec<(Key, End, bool)> =
+            mine.filter_map(|(key, e)| Some((key, e.end.clone()?, e.owed))).collect();
+        self.to(node).ends.extend(owed);
+        self.ends_at.get_or_insert(now);
+        if self.leaving {
+            self.push(Effect::Send { to: node, note: PeerMessage::Leaving });
+        }
+        if self.retiring {
+            self.push(Effect::Send { to: node, note: PeerMessage::Retiring });
+        }
+    }
+
+    pub fn down(&mut self, now: Millis, node: Node) {
+        let peer = self.peers.entry(node).or_default();
+        (peer.connected, peer.stood, peer.since) = (false, false, now);
+        peer.out = Outbox::default();
+        self.relieved.remove(&node);
+        self.passing.gone(node);
+        let waiting: Vec<Key> = self
+            .landing
+            .iter()
+            .map(|(_, key)| *key)
+            .filter(|key| self.entries.get(key).is_some_and(|e| e.missing.contains(&node)))
+            .collect();
+        for key in waiting {
+            self.copy_elsewhere(now, key, Some(node));
+        }
+        // It may have taken these or not. They stay as they are until it says so, here or after the next
+        // start; but nobody waits for its answer any more.
+        self.handing.retain(|_, to| *to != node);
+        self.lost_on_the_way(now, node);
+        self.row_lost(now, node);
+    }
+
+    pub(crate) fn seen_disk(&mut self, from: Node, disk: u64) {
+        let peer = self.peers.entry(from).or_default();
+        if peer.disk.replace(disk).is_some_and(|old| old != disk) {
+            tracing::info!(node = from, "a store is back with another disk");
+            self.passing.lost(from);
+        }
+    }
+
+    /// All that another store had to say about what both hold has been said.
+    pub(crate) fn stood(&mut self, now: Millis, from: Node) {
+        let first = !std::mem::replace(&mut self.peers.entry(from).or_default().stood, true);
+        self.release(now);
+        if self.leaving && first {
+            self.hand_all_over();
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/copies/handover.rs
@@ -0,0 +1,60 @@
+//! Leaving in order: what waits is given to those that hold the copies.
+
+use crate::message::{Handed, Key, Millis, Node, PeerMessage};
+use crate::planted::Planted;
+use crate::queue::{Effect, Entry, Queue, Stage};
+
+impl Queue {
+    /// Takes nothing more, and gives what waits to those that hold the copies.
+    pub fn leave(&mut self, now: Millis) {
+        if std::mem::replace(&mut self.leaving, true) {
+            return;
+        }
+        let peers: Vec<Node> =
+            self.peers.iter().filter(|(_, p)| p.connected).map(|(node, _)| *node).collect();
+        for to in peers {
+            self.push(Effect::Send { to, note: PeerMessage::Leaving });
+        }
+        self.deal_duties(now);
+        self.tell_ends();
+        self.hand_all_over();
+    }
+
+    pub(crate) fn hand_all_over(&mut self) {
+        // Offered to one whose connection broke before it answered: once all that hold copies have spoken and none has taken
+        // it, it is this store's still, and is offered again. (One that ends leaves that to its next start.)
+        let settled =
+            |node: &Node| self.peers.get(node).is_none_or(|p| p.stood || !(p.listed || p.connected));
+        let refused = |key: &Key, e: &Entry| {
+            let open = e.stage == Stage::Held && !self.held.contains(key);
+            self.retiring && open && e.copies.iter().all(settled)
+        };
+        let waiting: Vec<Key> = self
+            .owned_here()
+            .filter(|(key, e)| e.stage == Stage::Waiting || e.end.is_some() || refused(key, e))
+            .map(|(key, _)| key)
+            .filter(|key| !self.handing.contains_key(key))
+            .collect();
+        for key in waiting {
+            self.hand_over(key);
+        }
+    }
+
+    /// Names the successor of one message: it is nobody's until the successor has said yes.
+    pub(crate) fn hand_over(&mut self, key: Key) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        let able = |node: &&Node| self.peers.get(node).is_some_and(|p| p.connected && p.stood && !p.leaving);
+        let safe = entry.copies.iter().filter(|node| !entry.missing.contains(node));
+        let (term, tries) = (entry.term, entry.tries);
+        let successors = safe.copied().filter(|node| able(&node));
+        let most = if self.planted(Planted::HandedTwice) { usize::MAX } else { 1 };
+        for to in successors.take(most).collect::<Vec<Node>>() {
+            self.unschedule(key);
+            if let Some(entry) = self.entries.get_mut(&key).filter(|e| e.end.is_none()) {
+                entry.stage = Stage::Held;
+            }
+            self.handing.insert(key, to);
+            self.to(to).handover.push(Handed { key, term, tries });
+        }
+    }
+}
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -1,6 +1,7 @@
-//! What the hold tells operators of itself. It goes through all entries: for one who asks now and then, not for the loop.
+//! What the queue tells operators of itself. It goes through all entries: for one who asks now and then, not for the loop.
 
-use super::{holder_of, Queue, Stage};
+use super::token_holders::holder_of;
+use super::{Queue, Stage};
 use crate::message::{End, Key, Millis, Node};
 use crate::service_queue::Repeats;
 
--- /dev/null
+++ b/crates/queue/src/queue/timers.rs
@@ -0,0 +1,134 @@
+//! What is due at a given time, and the effects of a turn handed to the program.
+
+use super::{Effect, Queue, Stage, Waits, UPKEEP};
+use crate::message::{End, Key, Millis, Record};
+use std::collections::BTreeSet;
+use stileroute_dispatch::types::Time;
+
+/// A turn that comes so much too late comes after a freeze.
+const FROZEN: Millis = 500;
+
+/// And by so much, after one in which others may have taken over what is here.
+const MISSED: Millis = 1200;
+
+impl Queue {
+    /// What is due. Call it at the end of each turn, then carry out what `take` gives.
+    pub fn tick(&mut self, now: Millis, fine: Time) {
+        self.ticked = now;
+        let lapsed = self.lapsed;
+        self.service_queues
+            .iter_mut()
+            .filter_map(|service_queue| service_queue.bucket.as_mut())
+            .for_each(|b| b.paused = lapsed);
+        let slept = now > self.upkeep + UPKEEP + FROZEN;
+        let long = now > self.upkeep + UPKEEP + MISSED;
+        self.look_after_fence(now, slept, long);
+        if slept {
+            // It has slept: others may have taken messages in its place, and it has not heard of that yet.
+            self.rows.changed = now;
+        }
+        while let Some((at, key)) = self.delayed.first().copied().filter(|(at, _)| *at <= now) {
+            self.delayed.remove(&(at, key));
+            if let Some(entry) = self.entries.get_mut(&key) {
+                entry.wake = None;
+            }
+            self.schedule(now, key);
+        }
+        while let Some((at, key)) = self.expiring.first().copied().filter(|(at, _)| *at <= now) {
+            self.expiring.remove(&(at, key));
+            let own = self.entries.get(&key).is_some_and(|e| e.owner == self.terms.me && e.end.is_none());
+            if own && self.entries.get(&key).is_some_and(|e| e.stage != Stage::Landing) {
+                self.figures.expired += 1;
+                self.finish(now, key, End::Failed);
+            } else if self.entries.get(&key).is_some_and(|e| e.end.is_none()) {
+                // A copy whose owner has not told an end: kept until the owner is asked, at most so long.
+                self.forget.push_back((now + self.terms.status_ms, key));
+            }
+        }
+        while let Some((at, key)) = self.forget.front().copied() {
+            if at > now {
+                break;
+            }
+            self.forget.pop_front();
+            let Some(entry) = self.entries.get(&key) else { continue };
+            match (entry.owner == self.terms.me, &entry.end) {
+                // The call-back is owed yet.
+                (true, Some(_)) if entry.owed => {
+                    self.forget.push_back((now + self.terms.status_ms + 60_000, key));
+                }
+                // It was a copy when it was put here, and has been taken over.
+                (true, None) => {}
+                // Its owner never told an end. Left on the disk it would be read as live for ever.
+                (false, None) => {
+                    self.record(&Record::Drop { key }, false);
+                    self.remove(key);
+                }
+                _ => self.remove(key),
+            }
+        }
+        if now >= self.upkeep + UPKEEP {
+            self.upkeep = now;
+            self.service_queues.iter_mut().for_each(|service_queue| service_queue.upkeep(fine));
+            self.deal_duties(now);
+            self.look_after(now);
+        }
+        self.look_after_landing(now);
+        self.repair(now);
+        self.move_up(now);
+        let calls = self.call_back(now);
+        self.pump(now, fine);
+        self.lane_wait = self.lane_wait.min(calls);
+        if self.ends_at.is_some_and(|at| at <= now) {
+            self.ends_at = None;
+            self.tell_ends();
+        }
+        self.tell();
+    }
+
+    /// When `tick` is wanted next.
+    pub fn next(&self) -> Millis {
+        let first = |set: &BTreeSet<(Millis, Key)>| set.first().map_or(Millis::MAX, |(at, _)| *at);
+        let times = [
+            first(&self.delayed),
+            first(&self.expiring),
+            first(&self.landing),
+            self.next_repair(),
+            self.rows.next(),
+            self.ends_at.unwrap_or(Millis::MAX),
+            self.upkeep + UPKEEP,
+            self.lane_wait,
+        ];
+        times.into_iter().min().unwrap_or(0)
+    }
+
+    pub(crate) fn record(&mut self, record: &Record, sync: bool) {
+        if let Ok(bytes) = postcard::to_stdvec(record) {
+            self.records.push(bytes);
+            self.sync |= sync;
+        }
+    }
+
+    pub(crate) fn wait_for_disk(&mut self, wait: Waits) {
+        self.due_waits.push(wait);
+    }
+
+    pub(crate) fn push(&mut self, effect: Effect) {
+        self.effects.push(effect);
+    }
+
+    pub fn take(&mut self) -> Vec<Effect> {
+        let mut effects = std::mem::take(&mut self.effects);
+        if !self.records.is_empty() {
+            let ticket = self.next_ticket;
+            self.next_ticket += 1;
+            let waits = std::mem::take(&mut self.due_waits);
+            if !waits.is_empty() {
+                self.waits.insert(ticket, waits);
+                self.writing.insert(ticket, self.ticked);
+            }
+            let records = std::mem::take(&mut self.records);
+            effects.push(Effect::Disk { ticket, records, sync: std::mem::take(&mut self.sync) });
+        }
+        effects
+    }
+}
--- /dev/null
+++ b/crates/queue/src/queue/token_holders.rs
@@ -0,0 +1,51 @@
+//! Which store hands out the tokens of a service, and how the others ask it for some.
+
+use super::{Effect, Queue};
+use crate::copies::Peer;
+use crate::message::{Millis, Node, PeerMessage};
+use std::collections::BTreeMap;
+
+/// Who hands out the tokens of a service.
+pub(crate) fn holder_of(service: &str, me: Node, peers: &BTreeMap<Node, Peer>) -> Node {
+    let weight = |node: Node| stileroute_dispatch::types::mark(&format!("{service}/{node}"));
+    let all = peers.iter().filter(|(_, p)| p.listed && !p.leaving).map(|(node, _)| *node);
+    all.chain(std::iter::once(me)).max_by_key(|node| weight(*node)).unwrap_or(me)
+}
+
+impl Queue {
+    /// Who hands out the tokens of each service: the first of the stores that are members, in an order of its
+    /// own for each service, so that the duties are spread.
+    pub(crate) fn deal_duties(&mut self, now: Millis) {
+        let nodes = 1 + self.peers.values().filter(|p| p.listed).count();
+        let place = self.peers.iter().filter(|(node, p)| p.listed && **node < self.terms.me).count();
+        for service_queue in &mut self.service_queues {
+            service_queue.nodes(place, nodes);
+            let Some(bucket) = &mut service_queue.bucket else { continue };
+            let holder = holder_of(&service_queue.name, self.terms.me, &self.peers);
+            let may = self.heard && self.acquainted && !self.leaving;
+            bucket.holder(now, holder == self.terms.me && may);
+        }
+    }
+
+    /// Tokens are wanted by another store.
+    pub(crate) fn tokens_wanted(&mut self, now: Millis, from: Node, service: String, count: u32) {
+        let service_queue = self.lane_of.get(&service).map(|at| &mut self.service_queues[*at]);
+        let count =
+            service_queue.and_then(|l| l.bucket.as_mut()).map_or(0, |b| b.hand_out(now, count.min(16)));
+        self.effects.push(Effect::Send { to: from, note: PeerMessage::Tokens { service, count } });
+    }
+
+    /// Of one that does not hold the duty (any more) none are taken: together with those of its successor they would be
+    /// over the ceiling.
+    pub(crate) fn tokens_came(&mut self, now: Millis, from: Node, service: &str, count: u32) {
+        let holder = holder_of(service, self.terms.me, &self.peers) == from;
+        self.figures.former += u64::from(!holder && count > 0);
+        let count = if holder { count } else { 0 };
+        if let Some(bucket) =
+            self.lane_of.get(service).and_then(|at| self.service_queues[*at].bucket.as_mut())
+        {
+            bucket.got(now, count);
+            self.lane_wait = if count > 0 { 0 } else { self.lane_wait };
+        }
+    }
+}
