--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,6 +1,6 @@
 //! stileroute decides, beside each submitter, which executor gets which op.
 //!
-//! [`choice`] holds every decision; [`tariff`] holds the plain types it is started with; [`posted`] reads
+//! [`policy`] holds every decision; [`types`] holds the plain types it is started with; [`settings`] reads
 //! them from the settings object; [`peers`] holds what instances tell one another.
 
 pub mod peers;
--- a/crates/wal/src/folder.rs
+++ b/crates/wal/src/folder.rs
@@ -14,7 +14,8 @@
 pub const MISSING: &str = "the file is missing";
 pub const FORMAT: &str = "FORMAT";
 const FORMAT_UNFINISHED: &str = "FORMAT.tmp";
-const PROGRAM: &str = "stileroute-wal";
+/// As it has stood on disks since before the package had its present name.
+const PROGRAM: &str = "stileroute-logbook";
 /// `frame::VERSION`, as it stands in FORMAT.
 const VERSION_WORD: &str = "1";
 
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -1,7 +1,7 @@
 //! Records on disk: a log of segments with a snapshot, one writer, one queue.
 //!
 //! ```text
-//! FORMAT              stileroute-wal 1 KIND IDENTITY
+//! FORMAT              stileroute-logbook 1 KIND IDENTITY
 //! snapshot-0000000007 the fold of everything before segment 7
 //! log-0000000007      what came after it; the highest number is written to
 //! *.tmp               unfinished, removed at the next opening
--- a/crates/wal/tests/wal.rs
+++ b/crates/wal/tests/wal.rs
@@ -416,7 +416,7 @@
     let other = Wal::open::<Keys>(&dir.0, Options::new("queue"), |_, _| {}).err().unwrap();
     assert!(other.to_string().contains("\"keys\""), "{other}");
     let edits: [&dyn Fn(&Dir); 4] = [
-        &|dir| fs::write(dir.0.join("FORMAT"), "stileroute-wal 2 keys\n").unwrap(),
+        &|dir| fs::write(dir.0.join("FORMAT"), "stileroute-logbook 2 keys\n").unwrap(),
         &|dir| fs::write(dir.0.join("FORMAT"), "").unwrap(),
         &|dir| fs::remove_file(dir.0.join("FORMAT")).unwrap(),
         &|dir| {
@@ -530,7 +530,7 @@
 fn a_folder_that_was_made_before_there_were_identities_opens_and_goes_on_without() {
     let dir = Dir::new();
     Book::open(&dir.0, options()).0.put(&["a=1"], true).unwrap();
-    dir.edit("FORMAT", |bytes| *bytes = b"stileroute-wal 1 keys\n".to_vec());
+    dir.edit("FORMAT", |bytes| *bytes = b"stileroute-logbook 1 keys\n".to_vec());
     dir.edit(LOG, |bytes| {
         bytes[12..16].fill(0);
         let sum = crc32fast::hash(&bytes[..16]);
