--- a/crates/system-test/src/churn.rs
+++ b/crates/system-test/src/churn.rs
@@ -243,7 +243,7 @@
             std::thread::spawn(move || {
                 gate.wait();
                 let said = ask(&recorder, to, "POST", &retire_target(&name), RETIRE);
-                said.map(|args| args.status())
+                said.map(|message| message.status())
             })
         };
         let both = [begin(0), begin(1)].map(|thread| thread.join().ok().flatten());
@@ -273,7 +273,7 @@
             for store in 0..2 {
                 let target = retire_target(&self.fleet.name(Role::Store, store));
                 let said = ask(&self.recorder, self.control_nodes()[0], "POST", &target, RETIRE);
-                if said.is_some_and(|args| args.status() == 200) {
+                if said.is_some_and(|message| message.status() == 200) {
                     return Some(store);
                 }
             }
@@ -290,8 +290,8 @@
             let until = Instant::now() + Duration::from_micros(ACK);
             let mut status = None;
             while !matches!(status, Some(200..=499)) && Instant::now() < until {
-                status =
-                    ask(&self.recorder, to, "POST", &retire_target(name), RETIRE).map(|args| args.status());
+                status = ask(&self.recorder, to, "POST", &retire_target(name), RETIRE)
+                    .map(|message| message.status());
                 self.sleep(20);
             }
             let clear = matches!(status, Some(200..=499));
--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -75,7 +75,7 @@
         let mut misses = 0;
         while !self.over.load(Ordering::Relaxed) {
             let said = wire::call(at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
-            misses = if said.is_ok_and(|args| args.status() == 200) { 0 } else { misses + 1 };
+            misses = if said.is_ok_and(|message| message.status() == 200) { 0 } else { misses + 1 };
             self.ready[edge].store(misses < 2, Ordering::Relaxed);
             std::thread::sleep(Duration::from_secs(1));
         }
@@ -186,10 +186,10 @@
             Ok(mut open) => {
                 at = self.recorder.now();
                 match open.ask(&bytes, PATIENCE) {
-                    Ok((args, again)) => {
-                        name = args.header("X-Queue-Message-Id").map(str::to_string);
+                    Ok((message, again)) => {
+                        name = message.header("X-Queue-Message-Id").map(str::to_string);
                         *wire = again.then_some(open);
-                        Answered::Status(args.status())
+                        Answered::Status(message.status())
                     }
                     Err(Cut::Late) => Answered::Late,
                     Err(_) => Answered::Cut,
@@ -287,10 +287,10 @@
         };
         let Ok(mut open) = opened else { return Said::Nothing };
         match open.ask(bytes.as_bytes(), ASKS) {
-            Ok((args, again)) => {
+            Ok((message, again)) => {
                 *wire = again.then_some(open);
-                match args.status() {
-                    200 => receiver::said(&args.body),
+                match message.status() {
+                    200 => receiver::said(&message.body),
                     404 => Said::Unknown,
                     _ => Said::Nothing,
                 }
--- a/crates/system-test/src/control.rs
+++ b/crates/system-test/src/control.rs
@@ -126,7 +126,7 @@
     let mut busy = None;
     for (part, played) in parts.iter().zip(played) {
         let (history, recorder) = played.map_err(|e| format!("{}: {e}", part.name()))?;
-        println!("prove-control, {}: {}", part.name(), figures(&history, &recorder));
+        println!("test-control, {}: {}", part.name(), figures(&history, &recorder));
         let mut found = judge(&history);
         if keep {
             tell_all(&history, &recorder, &found);
@@ -146,7 +146,7 @@
 }
 
 /// The check that may be listed there: that ends are known after a store was replaced and another lost its disk.
-const ENDS: &str = "prove-control replacement ends";
+const ENDS: &str = "test-control replacement ends";
 const KNOWN_RED: &str = "KNOWN-RED.txt";
 
 /// The line of the list at the root of the repository that names the check of ends, if there is one.
--- a/crates/system-test/src/executor.rs
+++ b/crates/system-test/src/executor.rs
@@ -5,7 +5,7 @@
 use crate::message::{self, Fate};
 use crate::operator;
 use crate::recorder::Recorder;
-use crate::wire::{self, Args, Wire};
+use crate::wire::{self, Message, Wire};
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
@@ -120,7 +120,7 @@
         }
     }
 
-    fn work(&self, request: &Args, at: u64) -> (String, Arrival) {
+    fn work(&self, request: &Message, at: u64) -> (String, Arrival) {
         let id = request.header("X-Request-Id").unwrap_or_default().to_string();
         let expected = request.header("X-Expect-Server");
         let running = self.running.fetch_add(1, Ordering::Relaxed);
@@ -188,7 +188,7 @@
             } else {
                 wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1)).ok()
             };
-            !self.gone() && said.is_some_and(|args| (200..300).contains(&args.status()))
+            !self.gone() && said.is_some_and(|message| (200..300).contains(&message.status()))
         })
     }
 
--- a/crates/system-test/src/isolation.rs
+++ b/crates/system-test/src/isolation.rs
@@ -232,7 +232,7 @@
         let sent = body.clone();
         let asked = std::thread::spawn(move || {
             let said = wire::call(to, "POST", REPLACE, sent.as_bytes(), Duration::from_secs(8));
-            said.ok().map(|args| args.status())
+            said.ok().map(|message| message.status())
         });
         (body, asked)
     }
@@ -333,22 +333,23 @@
 
     fn read_rest(&mut self, half: (Micros, Wire), to: SocketAddrV4, length: usize) {
         let (at, mut wire) = half;
-        let args = wire.hear(Instant::now() + Duration::from_secs(5));
-        let Some(args) = args.ok().flatten() else {
+        let message = wire.hear(Instant::now() + Duration::from_secs(5));
+        let Some(message) = message.ok().flatten() else {
             self.say("the answer that was half written ends in the middle");
             return;
         };
-        if args.status() != 200 {
+        if message.status() != 200 {
             return;
         }
-        let (answered_at, content, control) = (self.recorder.now(), Content::of(&args.body), to.to_string());
+        let (answered_at, content, control) =
+            (self.recorder.now(), Content::of(&message.body), to.to_string());
         let mut history = self.recorder.write();
-        let version = history.versions.iter().rev().find(|v| v.body == args.body).map(|v| v.number);
+        let version = history.versions.iter().rev().find(|v| v.body == message.body).map(|v| v.number);
         history.reads.push(Read { round: NO_ROUND, at, answered_at, control, version, content });
         drop(history);
         self.say(&format!(
             "the answer that was half written comes whole: {} of {length} bytes",
-            args.body.len()
+            message.body.len()
         ));
     }
 }
--- a/crates/system-test/src/large_fleet.rs
+++ b/crates/system-test/src/large_fleet.rs
@@ -50,11 +50,11 @@
     let mut all = Counted::default();
     for at in fleet.here(Role::Store).into_iter().filter(|at| !away.contains(at)) {
         let said = wire::call(fleet.figures(at), "GET", "/metrics", b"", Duration::from_secs(1));
-        let Some(args) = said.ok().filter(|args| args.status() == 200) else {
+        let Some(message) = said.ok().filter(|message| message.status() == 200) else {
             all.silent += 1;
             continue;
         };
-        for line in String::from_utf8_lossy(&args.body).lines() {
+        for line in String::from_utf8_lossy(&message.body).lines() {
             let Some((name, value)) = line.rsplit_once(' ') else { continue };
             let value: f64 = value.parse().unwrap_or(0.0);
             match name {
--- a/crates/system-test/src/operator.rs
+++ b/crates/system-test/src/operator.rs
@@ -3,7 +3,7 @@
 use crate::fleet::Controls;
 use crate::history::{Ask, Content, Micros, Order, Read, Version};
 use crate::recorder::Recorder;
-use crate::wire::{self, Args};
+use crate::wire::{self, Message};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -79,8 +79,8 @@
         while Instant::now() < until {
             let to = self.next();
             let said = ask(&self.recorder, to, method, target, body.as_bytes());
-            if let Some(args) = said.filter(is_clear) {
-                return Some((args.status(), args.body));
+            if let Some(message) = said.filter(is_clear) {
+                return Some((message.status(), message.body));
             }
             std::thread::sleep(pause);
             pause = (pause * 2).min(Duration::from_millis(200));
@@ -114,7 +114,7 @@
     /// Sends a configuration that was prepared to one control node, once; whether it was acknowledged.
     pub fn send_to(&self, to: SocketAddrV4, body: &str) -> bool {
         let said = ask(&self.recorder, to, "POST", REPLACE, body.as_bytes());
-        let acked = said.is_some_and(|args| args.status() == 200);
+        let acked = said.is_some_and(|message| message.status() == 200);
         if acked {
             self.acknowledged(body);
         }
@@ -156,10 +156,10 @@
     /// Asks one control node for the configuration, once.
     pub fn read_once(&self, to: SocketAddrV4, round: u32) -> Option<u64> {
         let at = self.recorder.now();
-        let args = ask(&self.recorder, to, "GET", READ, b"").filter(|args| args.status() == 200)?;
-        let (answered_at, content) = (self.recorder.now(), Content::of(&args.body));
+        let message = ask(&self.recorder, to, "GET", READ, b"").filter(|message| message.status() == 200)?;
+        let (answered_at, content) = (self.recorder.now(), Content::of(&message.body));
         let mut history = self.recorder.write();
-        let version = history.versions.iter().rev().find(|v| v.body == args.body).map(|v| v.number);
+        let version = history.versions.iter().rev().find(|v| v.body == message.body).map(|v| v.number);
         history.reads.push(Read { round, at, answered_at, control: to.to_string(), version, content });
         Some(version.unwrap_or(0))
     }
@@ -171,21 +171,27 @@
 }
 
 /// An answer after which the caller goes on to no other node.
-fn is_clear(args: &Args) -> bool {
-    args.status() < 500 && !matches!(args.status(), 307 | 408 | 429)
+fn is_clear(message: &Message) -> bool {
+    message.status() < 500 && !matches!(message.status(), 307 | 408 | 429)
 }
 
 /// One request to one control node, written down with what came of it.
-pub fn ask(recorder: &Recorder, to: SocketAddrV4, method: &str, target: &str, body: &[u8]) -> Option<Args> {
+pub fn ask(
+    recorder: &Recorder,
+    to: SocketAddrV4,
+    method: &str,
+    target: &str,
+    body: &[u8],
+) -> Option<Message> {
     let at = recorder.now();
-    let args = wire::call(to, method, target, body, SILENCE).ok();
+    let message = wire::call(to, method, target, body, SILENCE).ok();
     if let Some(ask) = asked(target, body) {
-        let status = args.as_ref().map(Args::status);
-        let applied = args.as_ref().filter(|args| args.status() == 200).and_then(says_applied);
+        let status = message.as_ref().map(Message::status);
+        let applied = message.as_ref().filter(|message| message.status() == 200).and_then(says_applied);
         let (answered_at, control) = (recorder.now(), to.to_string());
         recorder.write().orders.push(Order { at, answered_at, control, ask, status, applied });
     }
-    args
+    message
 }
 
 /// What a request asks for, where the judge looks at it.
@@ -201,6 +207,6 @@
     })
 }
 
-fn says_applied(args: &Args) -> Option<bool> {
-    serde_json::from_slice::<Value>(&args.body).ok()?["applied"].as_bool()
+fn says_applied(message: &Message) -> Option<bool> {
+    serde_json::from_slice::<Value>(&message.body).ok()?["applied"].as_bool()
 }
--- a/crates/system-test/src/scenarios.rs
+++ b/crates/system-test/src/scenarios.rs
@@ -138,7 +138,7 @@
         let list = if how == Behind::Frozen { &mut history.freezes } else { &mut history.cuts };
         list.push((from, to));
         drop(history);
-        let said = asked.join().ok().and_then(Result::ok).map(|args| args.status());
+        let said = asked.join().ok().and_then(Result::ok).map(|message| message.status());
         if said == Some(200) {
             self.operator.acknowledged(&late_body);
         }
--- a/crates/system-test/src/show.rs
+++ b/crates/system-test/src/show.rs
@@ -44,7 +44,7 @@
     let begun = Instant::now();
     let up = |at: &std::net::SocketAddrV4| {
         let said = crate::wire::call(*at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
-        said.is_ok_and(|args| args.status() == 200)
+        said.is_ok_and(|message| message.status() == 200)
     };
     while !fleet.readiness().iter().all(up) && begun.elapsed() < Duration::from_secs(10) {
         std::thread::sleep(Duration::from_millis(50));
--- a/crates/system-test/src/wire.rs
+++ b/crates/system-test/src/wire.rs
@@ -15,14 +15,14 @@
 
 /// A request or an answer; `first` is the method or the status.
 #[derive(Clone, Debug, Default)]
-pub struct Args {
+pub struct Message {
     pub first: String,
     pub target: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
 }
 
-impl Args {
+impl Message {
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
@@ -55,11 +55,11 @@
     }
 
     /// The next whole message; none where the other side closed between two.
-    pub fn hear(&mut self, until: Instant) -> Result<Option<Args>, Cut> {
+    pub fn hear(&mut self, until: Instant) -> Result<Option<Message>, Cut> {
         loop {
-            if let Some((args, used)) = read(&self.input)? {
+            if let Some((message, used)) = read(&self.input)? {
                 self.input.drain(..used);
-                return Ok(Some(args));
+                return Ok(Some(message));
             }
             let left = until.saturating_duration_since(Instant::now());
             if left.is_zero() || self.stream.set_read_timeout(Some(left)).is_err() {
@@ -82,13 +82,13 @@
     }
 
     /// Asks and waits for the answer; whether the connection may be used again comes with it.
-    pub fn ask(&mut self, bytes: &[u8], patience: Duration) -> Result<(Args, bool), Cut> {
+    pub fn ask(&mut self, bytes: &[u8], patience: Duration) -> Result<(Message, bool), Cut> {
         if !self.say(bytes) {
             return Err(Cut::Closed);
         }
-        let args = self.hear(Instant::now() + patience)?.ok_or(Cut::Closed)?;
-        let again = !args.closes();
-        Ok((args, again))
+        let message = self.hear(Instant::now() + patience)?.ok_or(Cut::Closed)?;
+        let again = !message.closes();
+        Ok((message, again))
     }
 }
 
@@ -99,7 +99,7 @@
     target: &str,
     body: &[u8],
     patience: Duration,
-) -> Result<Args, Cut> {
+) -> Result<Message, Cut> {
     let mut bytes = format!(
         "{method} {target} HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\n\r\n",
@@ -107,10 +107,10 @@
     )
     .into_bytes();
     bytes.extend_from_slice(body);
-    Wire::connect(to, patience)?.ask(&bytes, patience).map(|(args, _)| args)
+    Wire::connect(to, patience)?.ask(&bytes, patience).map(|(message, _)| message)
 }
 
-fn read(bytes: &[u8]) -> Result<Option<(Args, usize)>, Cut> {
+fn read(bytes: &[u8]) -> Result<Option<(Message, usize)>, Cut> {
     if bytes.is_empty() {
         return Ok(None);
     }
@@ -139,14 +139,14 @@
     };
     let headers: Vec<(String, String)> =
         headers.iter().map(|h| (h.name.to_string(), String::from_utf8_lossy(h.value).into_owned())).collect();
-    let mut args = Args { first, target, headers, body: Vec::new() };
+    let mut message = Message { first, target, headers, body: Vec::new() };
     // Stilerouted frames all that it says by length.
-    let length: usize = match args.header("Content-Length") {
+    let length: usize = match message.header("Content-Length") {
         Some(text) => text.parse().map_err(|_| Cut::Garbled)?,
-        None if args.header("Transfer-Encoding").is_some() => return Err(Cut::Garbled),
+        None if message.header("Transfer-Encoding").is_some() => return Err(Cut::Garbled),
         None => 0,
     };
     let Some(body) = bytes[end..].get(..length) else { return Ok(None) };
-    args.body = body.to_vec();
-    Ok(Some((args, end + length)))
+    message.body = body.to_vec();
+    Ok(Some((message, end + length)))
 }
