--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -48,9 +48,9 @@
     early: HashSet<Key>,
     /// Read from disk, and not yet released.
     pub(crate) held: BTreeSet<Key>,
-    /// Offered to a successor that has not said yes.
     /// Another store keeps the same message: not to be run here, whoever owns it now.
     pub(crate) unwanted: HashSet<Key>,
+    /// Offered to a successor that has not said yes.
     pub(crate) handing: HashMap<Key, Node>,
     pub(crate) landing: BTreeSet<(Millis, Key)>,
     /// Live, or with a call-back owed, by owner: what is compared with others and looked through when one is
