Names: three types that the renaming of the packages had missed

OrderWords, QueueWords and QueueTurn are OrderArgs, QueueArgs and QueueChoice, as their neighbours. No behaviour changes; clippy of both packages is clean.

--- a/crates/model-check/src/main.rs
+++ b/crates/model-check/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::time::Instant;
-use stileroute_model_check::queue::{prove_queue, search_queue_by_hand, QueueWords};
+use stileroute_model_check::queue::{prove_queue, search_queue_by_hand, QueueArgs};
 use stileroute_model_check::{
     explore, find, retrace, Bounds, Chance, Drift, Found, Grain, Kinds, Planted, Spans, Statistics, FAULTS,
     PLAN, TOO_FAR,
@@ -28,7 +28,7 @@
     #[options(help = "goes through bounds of your own")]
     Search(Search),
     #[options(help = "the same for the queue: its bounds of CI and planted faults, or bounds of your own")]
-    Queue(QueueWords),
+    Queue(QueueArgs),
 }
 
 #[derive(Debug, Options)]
--- a/crates/model-check/src/queue/choices.rs
+++ b/crates/model-check/src/queue/choices.rs
@@ -5,7 +5,7 @@
 
 /// What takes another choice, at the state before a step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum QueueTurn {
+pub enum QueueChoice {
     /// The process ends, so many of the records under way are on disk, and it is back after so long.
     Kill {
         store: usize,
@@ -65,43 +65,43 @@
 const DEAF: [Millis; 2] = [1500, 2500];
 const LAPSE_OFF: Millis = 1700;
 
-impl QueueTurn {
+impl QueueChoice {
     /// How long it lasts.
     fn span(&self) -> Millis {
         match *self {
-            QueueTurn::Kill { back, .. } | QueueTurn::Power { back, .. } | QueueTurn::Wipe { back, .. } => {
-                back
-            }
-            QueueTurn::Freeze { span, .. } | QueueTurn::Cut { span, .. } | QueueTurn::CutOff { span, .. } => {
-                span
-            }
-            QueueTurn::Leave { .. } => LEFT,
-            QueueTurn::Late { by, .. } => by,
+            QueueChoice::Kill { back, .. }
+            | QueueChoice::Power { back, .. }
+            | QueueChoice::Wipe { back, .. } => back,
+            QueueChoice::Freeze { span, .. }
+            | QueueChoice::Cut { span, .. }
+            | QueueChoice::CutOff { span, .. } => span,
+            QueueChoice::Leave { .. } => LEFT,
+            QueueChoice::Late { by, .. } => by,
         }
     }
 
     fn strikes(&self) -> Option<usize> {
         match *self {
-            QueueTurn::Kill { store, .. }
-            | QueueTurn::Power { store, .. }
-            | QueueTurn::Wipe { store, .. }
-            | QueueTurn::Freeze { store, .. }
-            | QueueTurn::CutOff { store, .. }
-            | QueueTurn::Leave { store } => Some(store),
-            QueueTurn::Cut { from, .. } => Some(from),
-            QueueTurn::Late { .. } => None,
+            QueueChoice::Kill { store, .. }
+            | QueueChoice::Power { store, .. }
+            | QueueChoice::Wipe { store, .. }
+            | QueueChoice::Freeze { store, .. }
+            | QueueChoice::CutOff { store, .. }
+            | QueueChoice::Leave { store } => Some(store),
+            QueueChoice::Cut { from, .. } => Some(from),
+            QueueChoice::Late { .. } => None,
         }
     }
 
     /// It counts as trouble, and else as a delay.
     pub fn trouble(&self) -> bool {
-        !matches!(self, QueueTurn::Late { .. })
+        !matches!(self, QueueChoice::Late { .. })
     }
 }
 
 impl Fleet {
     /// All choices that may be taken here: at the store that has just done something.
-    pub fn choices(&self, troubles: bool, delays: bool) -> Vec<QueueTurn> {
+    pub fn choices(&self, troubles: bool, delays: bool) -> Vec<QueueChoice> {
         let mut choices = Vec::new();
         let Some(store) = self.touched.filter(|store| self.stores[*store].runs(self.now)) else {
             return choices;
@@ -111,34 +111,34 @@
         }
         if delays {
             for to in (0..self.stores.len()).filter(|to| self.on_its_way(store, *to)) {
-                choices.extend(LATE.map(|by| QueueTurn::Late { from: store, to, by }));
+                choices.extend(LATE.map(|by| QueueChoice::Late { from: store, to, by }));
             }
         }
         choices
     }
 
-    fn troubles_of(&self, store: usize, choices: &mut Vec<QueueTurn>) {
+    fn troubles_of(&self, store: usize, choices: &mut Vec<QueueChoice>) {
         let under_way = self.stores[store].disk.writing.len();
         let one = self.bounds.one_span;
         let of = |spans: [Millis; 2]| spans.into_iter().skip(usize::from(one));
         let apart = || (0..self.stores.len()).filter(move |other| *other != store);
         for reached in (0..=under_way).filter(|reached| !one || [0, under_way].contains(reached)) {
-            choices.extend(of(BACK).map(|back| QueueTurn::Kill { store, reached, back }));
-            choices.extend(of(BACK).map(|back| QueueTurn::Power { store, reached, back }));
+            choices.extend(of(BACK).map(|back| QueueChoice::Kill { store, reached, back }));
+            choices.extend(of(BACK).map(|back| QueueChoice::Power { store, reached, back }));
         }
         // No more disks are lost than are to be borne.
         if !self.stores.iter().any(|other| other.lost_disk) {
-            choices.extend(of(BACK).map(|back| QueueTurn::Wipe { store, back }));
+            choices.extend(of(BACK).map(|back| QueueChoice::Wipe { store, back }));
         }
-        choices.extend(of(FROZEN).map(|span| QueueTurn::Freeze { store, span }));
-        choices.extend(of(APART).map(|span| QueueTurn::CutOff { store, span }));
+        choices.extend(of(FROZEN).map(|span| QueueChoice::Freeze { store, span }));
+        choices.extend(of(APART).map(|span| QueueChoice::CutOff { store, span }));
         for to in apart() {
             for span in of(APART) {
-                choices.push(QueueTurn::Cut { from: store, to, both: false, span });
-                choices.push(QueueTurn::Cut { from: store, to, both: true, span });
+                choices.push(QueueChoice::Cut { from: store, to, both: false, span });
+                choices.push(QueueChoice::Cut { from: store, to, both: true, span });
             }
         }
-        choices.push(QueueTurn::Leave { store });
+        choices.push(QueueChoice::Leave { store });
         if self.bounds.one_away && self.another_is_away(store) {
             choices.retain(|choice| choice.span() < LAPSE);
         }
@@ -149,20 +149,20 @@
         self.away.iter().any(|(other, until)| *other != store && *until > self.now)
     }
 
-    pub fn take(&mut self, choice: QueueTurn) {
+    pub fn take(&mut self, choice: QueueChoice) {
         if let Some(store) = choice.strikes().filter(|_| choice.span() >= LAPSE) {
             self.away.push((store, self.now + choice.span()));
         }
         self.told(|| format!("TURN {choice:?}"));
         match choice {
-            QueueTurn::Kill { store, reached, back } => self.end(store, reached, 5, back),
-            QueueTurn::Power { store, reached, back } => self.end(store, reached, SILENT, back),
-            QueueTurn::Wipe { store, back } => {
+            QueueChoice::Kill { store, reached, back } => self.end(store, reached, 5, back),
+            QueueChoice::Power { store, reached, back } => self.end(store, reached, SILENT, back),
+            QueueChoice::Wipe { store, back } => {
                 self.end(store, 0, 5, back);
                 self.lose_disk(store);
             }
-            QueueTurn::Freeze { store, span } => self.freeze(store, span),
-            QueueTurn::Cut { from, to, both, span } => {
+            QueueChoice::Freeze { store, span } => self.freeze(store, span),
+            QueueChoice::Cut { from, to, both, span } => {
                 self.cut(from, to, span);
                 if both {
                     self.cut(to, from, span);
@@ -170,13 +170,13 @@
                 self.trouble(span);
                 self.break_when_silent(from, to, span);
             }
-            QueueTurn::CutOff { store, span } => self.cut_off(store, span),
-            QueueTurn::Leave { store } => {
+            QueueChoice::CutOff { store, span } => self.cut_off(store, span),
+            QueueChoice::Leave { store } => {
                 self.stores[store].leaving = Some(self.now);
                 self.trouble(LEFT);
                 self.choice(store);
             }
-            QueueTurn::Late { from, to, by } => {
+            QueueChoice::Late { from, to, by } => {
                 let until = self.now + by;
                 self.late.insert((from, to), until);
                 self.trouble(by);
--- a/crates/model-check/src/queue/report.rs
+++ b/crates/model-check/src/queue/report.rs
@@ -9,7 +9,7 @@
 use stileroute_queue::Planted;
 
 #[derive(Debug, Options)]
-pub struct QueueWords {
+pub struct QueueArgs {
     #[options(help = "prints this")]
     help: bool,
     #[options(help = "prints the way to each planted fault")]
@@ -34,7 +34,7 @@
     planted: Option<Planted>,
 }
 
-impl QueueWords {
+impl QueueArgs {
     pub fn ways(&self) -> bool {
         self.ways
     }
--- a/crates/model-check/src/queue/search.rs
+++ b/crates/model-check/src/queue/search.rs
@@ -1,14 +1,14 @@
 //! Plays every course of no more than so many choices, each from its start, on as many threads as there are; the counts are the
 //! same on any.
 
-use super::choices::QueueTurn;
+use super::choices::QueueChoice;
 use super::fleet::{Fleet, QueueBounds};
 use super::invariants::QueueBreach;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Mutex;
 
 /// After so many steps from the start, what is taken.
-type Course = Vec<(u32, QueueTurn)>;
+type Course = Vec<(u32, QueueChoice)>;
 
 /// A breach, and the way to it.
 #[derive(Clone, Debug)]
--- a/crates/server/src/args.rs
+++ b/crates/server/src/args.rs
@@ -46,11 +46,11 @@
     #[options(help = "a running system: nodes, control duty, executors, queues, ceilings")]
     Status(FleetArgs),
     #[options(help = "send a configuration, and say whether it is in force")]
-    Apply(OrderWords),
+    Apply(OrderArgs),
     #[options(help = "the configuration that is in force")]
     Read(FleetArgs),
     #[options(help = "whether a configuration is in force, and what differs")]
-    Diff(OrderWords),
+    Diff(OrderArgs),
     #[options(help = "empty a store, so that it can be taken away")]
     Retire(RetireArgs),
     #[options(help = "what the stores know of one message")]
@@ -114,7 +114,7 @@
 }
 
 #[derive(Debug, Options)]
-pub struct OrderWords {
+pub struct OrderArgs {
     #[options(help = "show this")]
     help: bool,
     #[options(no_short, help = "internal address of a process, or a settings file", meta = "IP:PORT|FILE")]
