--- a/crates/model-check/src/queue/fleet/edge.rs
+++ b/crates/model-check/src/queue/fleet/edge.rs
@@ -49,10 +49,11 @@
 
     pub(super) fn put_answered(&mut self, sent: usize, asked: u64, result: Result<String, PutError>) {
         let m = &mut self.messages[sent];
-        if m.pending_put != asked || m.key.is_some() {
+        if m.pending_put == 0 || m.key.is_some() {
             return;
         }
         match result {
+            // Whichever store it is that answers: it may have been given up since.
             Ok(name) => {
                 m.key = Key::parse(&name).map(|location| location.key);
                 m.pending_put = 0;
@@ -61,7 +62,9 @@
             }
             Err(refusal) => {
                 m.is_uncertain |= refusal == PutError::Uncertain;
-                self.offer(sent);
+                if m.pending_put == asked {
+                    self.offer(sent);
+                }
             }
         }
     }
@@ -74,7 +77,11 @@
         let ticket = self.serial;
         self.askers.insert((to, ticket), (sent, asked));
         let message = self.messages[sent].message.clone();
-        self.call(to, None, |queue, now| queue.put(now, ticket, message));
+        if self.messages[sent].is_uncertain {
+            self.call(to, None, |queue, now| queue.put_resubmitted(now, ticket, message));
+        } else {
+            self.call(to, None, |queue, now| queue.put(now, ticket, message));
+        }
     }
 
     pub(super) fn resend_superseded(&mut self, to: usize) {
--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -11,7 +11,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 14] = [
+const DAYS: [(PlantedFault, Day); 16] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -26,6 +26,8 @@
     (PlantedFault::OrphansUnheeded, retirement_scenarios::an_owner_is_gone),
     (PlantedFault::EndsGoAlong, retirement_scenarios::ends_are_asked_for_later),
     (PlantedFault::EndsGoAlong, retirement_scenarios::ends_outlive_two_disks),
+    (PlantedFault::ResubmittedUnasked, the_second_store_reads_late_that_the_first_has_it),
+    (PlantedFault::PeerDisksForgotten, retirement_scenarios::ends_outlive_a_restart_between_two_losses),
 ];
 
 fn planted(fault: Option<PlantedFault>) -> Prepare {
@@ -138,3 +140,16 @@
     world.act(3000, Action::Inject(0, Fault::Shutdown));
     once(world, 15_000);
 }
+
+/// The first store is slow, and accepts the message just after its edge has asked the second, which is slow to read what the
+/// edge says then.
+fn the_second_store_reads_late_that_the_first_has_it(prepare: &Prepare) {
+    for sync_ms in (190..210).step_by(2) {
+        let mut world = world(3, 1, prepare);
+        world.edge_patience_ms = 200;
+        world.superseded_delay_ms = 15;
+        world.act(2400, Action::DiskSlow(0, sync_ms));
+        world.send(2500, 0, "plain", &[Behavior::Succeeds], 0);
+        once(world, 15_000);
+    }
+}
--- a/crates/queue/src/duplicates.rs
+++ b/crates/queue/src/duplicates.rs
@@ -7,9 +7,10 @@
 use crate::message::{Key, Message};
 use crate::queue::Queue;
 use crate::record::Record;
+use std::collections::{HashMap, VecDeque};
 
 /// Superseded messages that are remembered at the most.
-const MAX_SUPERSEDED_KEYS: usize = 10_000;
+const MAX_SUPERSEDED: usize = 10_000;
 
 /// FNV-1a, 64 bits (Fowler, Noll and Vo).
 const FNV_OFFSET_BASIS: u64 = 0xCBF2_9CE4_8422_2325;
@@ -18,6 +19,39 @@
 /// Stands between the parts of a message in its fingerprint: no UTF-8 text holds this byte.
 const PART_SEPARATOR: u8 = 0xFF;
 
+/// Which of several copies of a message is kept.
+#[derive(Clone, Copy, Debug)]
+struct Superseded {
+    fingerprint: u64,
+    kept: Option<Key>,
+}
+
+/// What edges have said of messages that they had offered to several stores, for replicas that come later: the newest ones.
+#[derive(Debug, Default)]
+pub(crate) struct SupersededMessages {
+    by_id: HashMap<String, Superseded>,
+    oldest_first: VecDeque<String>,
+}
+
+impl SupersededMessages {
+    fn insert(&mut self, id: &str, superseded: Superseded) {
+        if self.by_id.insert(id.to_string(), superseded).is_none() {
+            self.oldest_first.push_back(id.to_string());
+        }
+        if self.oldest_first.len() > MAX_SUPERSEDED {
+            if let Some(oldest) = self.oldest_first.pop_front() {
+                self.by_id.remove(&oldest);
+            }
+        }
+    }
+
+    /// Whether another one than `key` is kept of this message, or none.
+    fn kept_elsewhere(&self, key: Key, message: &Message) -> bool {
+        let known = self.by_id.get(&message.id);
+        known.is_some_and(|known| known.kept != Some(key) && known.fingerprint == message.fingerprint())
+    }
+}
+
 impl Message {
     /// Tells this message from another that a client sent under the same id, also from the same one submitted again later.
     ///
@@ -38,26 +72,55 @@
     ///
     /// `id` and `fingerprint` identify the message, see [`Message::fingerprint`].
     pub fn drop_superseded(&mut self, id: &str, fingerprint: u64, kept: Option<Key>) {
-        let is_superseded = |key: &Key| {
-            let Some(entry) = self.entries.get(key) else { return false };
-            let may_be = Some(*key) != kept && entry.end.is_none() && entry.message.id == id;
-            may_be && entry.message.fingerprint() == fingerprint
+        let is_same = |key: &Key| {
+            let entry = self.entries.get(key).filter(|entry| entry.end.is_none() && entry.message.id == id);
+            entry.is_some_and(|entry| entry.message.fingerprint() == fingerprint)
         };
         let keys = self.live_by_owner.iter().map(|(_, key)| *key);
-        let superseded: Vec<Key> = keys.filter(is_superseded).collect();
-        for key in superseded {
-            if self.superseded_keys.len() < MAX_SUPERSEDED_KEYS {
-                self.superseded_keys.insert(key);
-            }
-            let own = self.entries.get(&key).filter(|entry| entry.owner == self.settings.node);
-            match own.map(|entry| entry.stage) {
-                Some(Stage::Persisting) => self.roll_back(key),
-                // One in flight may have run. One that is offered in a handover is looked at when the answer comes.
-                Some(Stage::InFlight) | None => {}
-                Some(_) if self.handovers.contains_key(&key) => {}
-                Some(_) => self.withdraw(key),
+        let same: Vec<Key> = keys.filter(is_same).collect();
+        for key in same {
+            if Some(key) == kept {
+                self.confirm_kept(key);
+            } else {
+                self.supersede(key);
             }
         }
+        self.superseded_messages.insert(id, Superseded { fingerprint, kept });
+    }
+
+    /// The edge keeps this one of all that were accepted: it need not wait any longer.
+    fn confirm_kept(&mut self, key: Key) {
+        let Some(entry) = self.entries.get_mut(&key).filter(|entry| entry.stage == Stage::Waiting) else {
+            return;
+        };
+        if std::mem::take(&mut entry.may_be_elsewhere) && entry.backoff_steps == 0 {
+            entry.not_before = 0;
+            self.unschedule(key);
+            self.schedule(self.last_tick_at, key);
+        }
+    }
+
+    fn supersede(&mut self, key: Key) {
+        if self.superseded_keys.len() < MAX_SUPERSEDED {
+            self.superseded_keys.insert(key);
+        }
+        let own = self.entries.get(&key).filter(|entry| entry.owner == self.settings.node);
+        match own.map(|entry| entry.stage) {
+            Some(Stage::Persisting) => self.roll_back(key),
+            // One in flight may have run. One that is offered in a handover is looked at when the answer comes.
+            Some(Stage::InFlight) | None => {}
+            Some(_) if self.handovers.contains_key(&key) => {}
+            Some(_) => self.withdraw(key),
+        }
+    }
+
+    /// A replica has come. If it is of a message of which another store keeps the same, it is not started here either, should
+    /// this store take it over.
+    pub(crate) fn note_superseded_replica(&mut self, key: Key, message: &Message) {
+        let is_superseded = self.superseded_messages.kept_elsewhere(key, message);
+        if is_superseded && self.superseded_keys.len() < MAX_SUPERSEDED {
+            self.superseded_keys.insert(key);
+        }
     }
 
     /// Nobody waits any more for a message that is not yet safe: the connection by which it came is gone.
--- a/crates/queue/src/end_replication.rs
+++ b/crates/queue/src/end_replication.rs
@@ -34,12 +34,15 @@
         self.is_complete = false;
     }
 
-    /// All ends lie on enough other disks. Unless this store retires, what is known of its peers is not needed any more.
-    pub(crate) fn complete(&mut self, is_retiring: bool) {
+    /// All ends lie on enough other disks. Unless this store retires, what is known of its peers is not needed any more. Gives
+    /// the stores that had lost ends.
+    pub(crate) fn complete(&mut self, is_retiring: bool) -> BTreeSet<Node> {
+        let restored = self.lost_stores.clone();
         if !is_retiring {
             *self = EndReplication::default();
         }
         self.is_complete = true;
+        restored
     }
 
     /// What that store had may be gone with its disk.
--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -55,7 +55,8 @@
             }
         }
         if is_complete {
-            self.end_replication.complete(self.is_retiring());
+            let restored = self.end_replication.complete(self.is_retiring());
+            self.record_replaced_disks(restored);
         }
         for (to, ends) in batches {
             self.end_replication.mark_sent(now, to, &ends);
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -113,6 +113,8 @@
     pub(crate) backoff_steps: u32,
     /// It ran, or may have run: the next attempt is a retry.
     pub(crate) has_run: bool,
+    /// Another store may have accepted it too: its edge says which one is kept.
+    pub(crate) may_be_elsewhere: bool,
     /// The executor where it last ran in vain: a retry goes elsewhere.
     pub(crate) last_failed_on: Option<ExecutorRef>,
     /// How it ended.
@@ -154,6 +156,7 @@
             failed_attempts: shared.attempts,
             backoff_steps: 0,
             has_run: shared.attempts > 0,
+            may_be_elsewhere: false,
             last_failed_on: None,
             end: None,
             callback_pending: false,
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -16,6 +16,7 @@
 mod ordering;
 mod outbox;
 mod peer;
+mod peer_disks;
 mod peer_message;
 mod pending_writes;
 mod planted_fault;
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -37,6 +37,8 @@
     pub failed_writes: u64,
     /// Claims of former owners or token holders that were ignored.
     pub stale_claims: u64,
+    /// Times that the token holders of all services were settled anew.
+    pub token_holder_assignments: u64,
     /// Times that this store stopped starting attempts because others might have taken over.
     pub fence_activations: u64,
     /// Messages owned here that have too few replicas now.
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -58,8 +58,13 @@
     pub(crate) compared_at: Millis,
     /// Until then other stores are preferred for replicas: it was slow, or its disk was full.
     pub(crate) avoided_until: Millis,
-    /// Identifies its disk, once it has named it.
-    pub(crate) disk_id: Option<u64>,
+    /// When a message of it came last, or its connection was opened.
+    pub(crate) last_heard_at: Millis,
+    /// A replica of a message accepted at that time was not confirmed in time, and the store has not been heard since: its
+    /// connection may be dead.
+    pub(crate) unresponsive_since: Option<i64>,
+    /// It refused a replica, and is not offered another before then.
+    pub(crate) refuses_until: Millis,
     /// What it is sent at the end of the turn.
     pub(crate) outbox: Outbox,
 }
@@ -80,6 +85,27 @@
         self.service == ServiceState::Retiring
     }
 
+    /// A replica may be sent to it: it is connected, in service, and neither silent nor known to refuse.
+    pub(crate) fn takes_replicas(&self, now: Millis) -> bool {
+        self.is_connected
+            && !self.is_draining()
+            && self.unresponsive_since.is_none()
+            && now >= self.refuses_until
+    }
+
+    /// Notes that a message of it has come.
+    pub(crate) fn heard(&mut self, now: Millis) {
+        self.last_heard_at = now;
+        self.unresponsive_since = None;
+    }
+
+    /// A replica sent to it, of a message that was accepted at that time, was not confirmed in time.
+    pub(crate) fn replica_overdue(&mut self, accepted_at: i64) {
+        if (self.last_heard_at as i64) < accepted_at {
+            self.unresponsive_since.get_or_insert(accepted_at);
+        }
+    }
+
     /// Its replicas no longer count.
     pub(crate) fn is_written_off(&self) -> bool {
         self.replica_status == ReplicaStatus::WrittenOff
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -33,12 +33,16 @@
     CopiesUnconfirmed,
     /// The ends that a retiring store knows are lost with it.
     EndsGoAlong,
+    /// A store forgets with its process which disks the others had.
+    PeerDisksForgotten,
+    /// A message that another store may have accepted too is started before its edge has said which one is kept.
+    ResubmittedUnasked,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 15] = [
+    pub const ALL: [PlantedFault; 17] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -54,5 +58,7 @@
         PlantedFault::OrphansUnheeded,
         PlantedFault::CopiesUnconfirmed,
         PlantedFault::EndsGoAlong,
+        PlantedFault::PeerDisksForgotten,
+        PlantedFault::ResubmittedUnasked,
     ];
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -30,6 +30,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use stileroute_config::Config;
+use token_holders::TokenHolders;
 
 /// Added to the time that a message may wait, for differing clocks of clients and for their first attempts to submit it: a
 /// message must not be called failed while its sender counts on it.
@@ -96,6 +97,8 @@
     pub(crate) unreleased: BTreeSet<Key>,
     /// Messages of which another store keeps the same one: not started here, whoever owns them.
     pub(crate) superseded_keys: HashSet<Key>,
+    /// What edges have said of messages that several stores were offered.
+    pub(crate) superseded_messages: crate::duplicates::SupersededMessages,
     /// Messages offered to a successor that has not answered.
     pub(crate) handovers: HashMap<Key, Node>,
     /// Messages to be taken over at a time, if their owner is not back by then.
@@ -106,6 +109,7 @@
     config: Option<Arc<Config>>,
     service_queues: Vec<ServiceQueue>,
     service_queue_index: HashMap<String, usize>,
+    token_holders: TokenHolders,
     executors: HashMap<String, Vec<Executor>>,
     callbacks: Callbacks,
     next_number: u64,
@@ -117,14 +121,18 @@
     pub(crate) flush_ends_at: Option<Millis>,
     /// When the service queues are to be looked at again.
     next_dispatch_at: Millis,
-    last_tick_at: Millis,
+    pub(crate) last_tick_at: Millis,
     last_upkeep_at: Millis,
     /// Time of day at zero of the steady clock.
     wall_clock_offset_ms: u64,
 
     pub(crate) peers: BTreeMap<Node, Peer>,
+    /// The disks of other stores, as they named them last.
+    pub(crate) peer_disks: BTreeMap<Node, u64>,
     /// The membership has arrived: before that a store would take itself for the only one.
     pub(crate) knows_members: bool,
+    /// Whether messages were accepted when that was last looked at, for the log.
+    was_accepting: bool,
     /// No more messages are accepted; those that wait are handed over.
     pub is_draining: bool,
     pub(crate) retirement: RetirementOrder,
@@ -145,6 +153,7 @@
         for (key, message) in stored.messages {
             queue.restore(key, message, now, wall_clock_ms);
         }
+        queue.restore_peer_disks(now, stored.peer_disks);
         if stored.retirement_ordered {
             queue.retirement = RetirementOrder::Durable;
             queue.begin_retiring(now);
@@ -169,12 +178,14 @@
             awaiting_config: HashSet::new(),
             unreleased: BTreeSet::new(),
             superseded_keys: HashSet::new(),
+            superseded_messages: Default::default(),
             handovers: HashMap::new(),
             orphans: BTreeSet::new(),
             lost_by_owner: HashMap::new(),
             config: None,
             service_queues: Vec::new(),
             service_queue_index: HashMap::new(),
+            token_holders: TokenHolders::default(),
             executors: HashMap::new(),
             callbacks: Callbacks::default(),
             // Numbers never come again: each incarnation has a range of its own.
@@ -188,7 +199,9 @@
             last_upkeep_at: now,
             wall_clock_offset_ms: wall_clock_ms.saturating_sub(now),
             peers: BTreeMap::new(),
+            peer_disks: BTreeMap::new(),
             knows_members: false,
+            was_accepting: false,
             is_draining: false,
             retirement: RetirementOrder::None,
             released_by: BTreeSet::new(),
--- a/crates/queue/src/queue/configuration.rs
+++ b/crates/queue/src/queue/configuration.rs
@@ -28,7 +28,7 @@
             self.configure_service(now, dispatch_time, index, service);
         }
         self.config = Some(config);
-        self.assign_token_holders(now);
+        self.invalidate_token_holders();
         self.reschedule_all(now);
     }
 
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -12,9 +12,26 @@
 /// Most messages that the table holds, ended ones among them.
 const MAX_ENTRIES: usize = 400_000;
 
+/// An edge that hears nothing for 200 ms offers a message to another store. One that was accepted so long after the edge took it
+/// may have been offered elsewhere.
+const LATE_ACCEPTANCE_MS: Millis = 120;
+
+/// A message that another store may have accepted too is not started for so long, unless its edge says before that it is kept
+/// here. If the other one is kept, its edge says so in that time.
+const CONFIRMATION_WINDOW_MS: Millis = 100;
+
 impl Queue {
     /// A message has come from an edge. The answer is an [`Effect::PutResult`] with the same `ticket`.
     pub fn put(&mut self, now: Millis, ticket: u64, message: Message) {
+        self.take_in(now, ticket, message, false);
+    }
+
+    /// The same of a message that the edge has offered to another store before, which has not answered: that one may have it.
+    pub fn put_resubmitted(&mut self, now: Millis, ticket: u64, message: Message) {
+        self.take_in(now, ticket, message, true);
+    }
+
+    fn take_in(&mut self, now: Millis, ticket: u64, message: Message, is_resubmitted: bool) {
         let replicas = self.choose_replica_stores(now, &[], &[], self.settings.replica_count);
         if self.must_reject(now, replicas.len()) {
             self.metrics.rejected += 1;
@@ -37,6 +54,7 @@
         let mut entry = Entry::from_shared(&shared, now);
         entry.stage = Stage::Persisting;
         entry.ticket = Some(ticket);
+        entry.may_be_elsewhere = is_resubmitted;
         entry.unconfirmed = unconfirmed;
         let check_at = now + crate::peer::REPLICA_CONFIRM_LIMIT;
         entry.persist_check_at = Some(check_at);
@@ -49,6 +67,25 @@
         }
     }
 
+    /// Whether a message that came now would be accepted, as far as replicas, disk and table allow it.
+    pub fn accepts_messages(&self, now: Millis) -> bool {
+        let replicas = self.choose_replica_stores(now, &[], &[], self.settings.replica_count);
+        !self.must_reject(now, replicas.len())
+    }
+
+    /// Logs where the store begins or ceases to accept messages.
+    pub(super) fn log_intake_change(&mut self, now: Millis) {
+        let accepts = self.accepts_messages(now);
+        if std::mem::replace(&mut self.was_accepting, accepts) == accepts {
+            return;
+        }
+        if accepts {
+            tracing::info!("accepts messages");
+        } else {
+            tracing::warn!("accepts no messages: it drains, or too few stores can take replicas");
+        }
+    }
+
     fn must_reject(&self, now: Millis, replicas: usize) -> bool {
         self.is_draining
             || self.is_disk_stalled(now)
@@ -155,8 +192,17 @@
 
     /// All disks have a new message: its sender is answered, and it waits for its turn.
     fn accept(&mut self, now: Millis, key: Key) {
+        let wall_clock_ms = self.wall_clock_ms(now);
+        let is_unasked = self.planted(PlantedFault::ResubmittedUnasked);
         let Some(entry) = self.entries.get_mut(&key) else { return };
         entry.stage = Stage::Waiting;
+        // By both clocks: the process may have read the message late, or stood still since.
+        let is_late = entry.age_ms(now) >= LATE_ACCEPTANCE_MS
+            || wall_clock_ms >= entry.message.accepted_at_ms + LATE_ACCEPTANCE_MS;
+        entry.may_be_elsewhere |= is_late && entry.message.accepted_at_ms > 0;
+        if entry.may_be_elsewhere && !is_unasked {
+            entry.not_before = entry.not_before.max(now + CONFIRMATION_WINDOW_MS);
+        }
         let ticket = entry.ticket.take();
         let first_replica = entry.replicas.first().copied();
         if let Some(at) = entry.persist_check_at.take() {
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -53,6 +53,8 @@
     pub replica: usize,
     /// In [`Stage::Ended`].
     pub ended: usize,
+    /// Replicas that the list of their owner, as it is known here, does not name: this store holds more than its share.
+    pub surplus_replicas: usize,
     /// Ended messages owned here whose callback has not been accepted.
     pub callbacks_pending: usize,
     /// How far the oldest message owned here that has not ended is past its due time, in milliseconds.
@@ -141,7 +143,10 @@
                 Stage::Suspended => counts.suspended += 1,
                 Stage::Waiting => counts.waiting += 1,
                 Stage::InFlight => counts.in_flight += 1,
-                Stage::Replica => counts.replica += 1,
+                Stage::Replica => {
+                    counts.replica += 1;
+                    counts.surplus_replicas += usize::from(!entry.replicas.contains(&self.settings.node));
+                }
                 Stage::Ended => counts.ended += 1,
             }
             let is_owned_here = entry.owner == self.settings.node;
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -22,6 +22,7 @@
     pub fn tick(&mut self, now: Millis, dispatch_time: Time) {
         self.last_tick_at = now;
         self.pause_token_buckets();
+        self.refresh_token_holders(now);
         self.notice_process_pause(now);
         self.start_delayed(now);
         self.fail_expired(now);
@@ -116,8 +117,8 @@
         for service_queue in &mut self.service_queues {
             service_queue.run_upkeep(dispatch_time);
         }
-        self.assign_token_holders(now);
         self.check_peers(now);
+        self.log_intake_change(now);
     }
 
     /// When [`tick`](Queue::tick) has to be called next, if nothing else happens before.
--- a/crates/queue/src/queue/token_holders.rs
+++ b/crates/queue/src/queue/token_holders.rs
@@ -6,7 +6,7 @@
 use crate::peer::Peer;
 use crate::peer_message::PeerMessage;
 use crate::token_bucket::TokenBucket;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use stileroute_dispatch::types::mark;
 
 /// Most tokens granted to one request of another store.
@@ -15,25 +15,98 @@
 /// The store that hands out the tokens of a service: the first of the members by rendezvous hashing, so that the services are
 /// spread over the stores.
 pub(crate) fn token_holder(service: &str, own_node: Node, peers: &BTreeMap<Node, Peer>) -> Node {
-    let weight = |node: Node| mark(&format!("{service}/{node}"));
+    let own_weight = holder_weight(service, own_node);
+    token_successor(service, peers)
+        .filter(|node| (holder_weight(service, *node), *node) > (own_weight, own_node))
+        .unwrap_or(own_node)
+}
+
+fn holder_weight(service: &str, node: Node) -> u64 {
+    mark(&format!("{service}/{node}"))
+}
+
+/// A store that ceases to hand out the tokens of a service grants its successor so many, more than any request is granted. They
+/// are not used: they say that the successor may begin at once. A store of an earlier version ignores them, for they do not come
+/// from the holder, and begins after the usual delay.
+const HANDOVER_TOKENS: u32 = MAX_TOKENS_PER_GRANT + 1;
+
+/// A store that has just started may hear that it is to begin before it knows the members. It counts for so long, which is less
+/// than any other store would wait before it began.
+const HANDOVER_LIFETIME: Millis = 1000;
+
+/// The store that hands out the tokens of a service once this one has ceased to.
+fn token_successor(service: &str, peers: &BTreeMap<Node, Peer>) -> Option<Node> {
     let members =
         peers.iter().filter(|(_, peer)| peer.is_member && !peer.is_draining()).map(|(node, _)| *node);
-    members.chain(std::iter::once(own_node)).max_by_key(|node| weight(*node)).unwrap_or(own_node)
+    members.max_by_key(|node| holder_weight(service, *node))
+}
+
+/// What decides whether the token holders have to be settled anew, and what former holders have said.
+#[derive(Debug)]
+pub(super) struct TokenHolders {
+    /// Members or the configuration have changed since they were settled.
+    is_stale: bool,
+    /// Whether this store might hand out tokens at all, when they were settled.
+    may_hold: bool,
+    /// When the former holder of a service last said that this store is to begin.
+    handed_over_at: HashMap<String, Millis>,
+}
+
+impl Default for TokenHolders {
+    fn default() -> TokenHolders {
+        TokenHolders { is_stale: true, may_hold: false, handed_over_at: HashMap::new() }
+    }
 }
 
 impl Queue {
-    /// After a change of members: settles for each service whether this store hands out its tokens, and this store's share of
-    /// the retry slots.
-    pub(crate) fn assign_token_holders(&mut self, now: Millis) {
+    /// Notes that members, configuration or this store's own part have changed: the token holders are settled anew in this turn.
+    pub(crate) fn invalidate_token_holders(&mut self) {
+        self.token_holders.is_stale = true;
+    }
+
+    /// Settles the token holders, if anything has changed that decides who they are.
+    pub(crate) fn refresh_token_holders(&mut self, now: Millis) {
+        let may_hold = self.control_contact.is_heard && self.knows_members && !self.is_draining;
+        let has_changed = std::mem::replace(&mut self.token_holders.may_hold, may_hold) != may_hold;
+        if std::mem::take(&mut self.token_holders.is_stale) || has_changed {
+            self.assign_token_holders(now);
+        }
+    }
+
+    /// Settles for each service whether this store hands out its tokens, and this store's share of the retry slots.
+    fn assign_token_holders(&mut self, now: Millis) {
+        self.metrics.token_holder_assignments += 1;
         let own_node = self.settings.node;
         let stores = 1 + self.peers.values().filter(|peer| peer.is_member).count();
         let own_index = self.peers.iter().filter(|(node, peer)| peer.is_member && **node < own_node).count();
-        let may_hold = self.control_contact.is_heard && self.knows_members && !self.is_draining;
+        let may_hold = self.token_holders.may_hold;
+        let is_shutting_down = self.is_draining;
+        let mut handovers = Vec::new();
         for service_queue in &mut self.service_queues {
             service_queue.set_store_position(own_index, stores);
             let Some(bucket) = &mut service_queue.token_bucket else { continue };
+            let (was_holder, was_handing_out) = (bucket.is_holder(), bucket.is_handing_out(now));
             let holder = token_holder(&service_queue.name, own_node, &self.peers);
             bucket.set_holder(now, holder == own_node && may_hold);
+            let handed_over_at = self.token_holders.handed_over_at.get(&service_queue.name);
+            if handed_over_at.is_some_and(|at| now < at + HANDOVER_LIFETIME) {
+                bucket.take_over(now);
+            }
+            let successor = if is_shutting_down {
+                token_successor(&service_queue.name, &self.peers)
+            } else {
+                Some(holder).filter(|holder| *holder != own_node)
+            };
+            if was_holder && !bucket.is_holder() {
+                self.token_holders.handed_over_at.remove(&service_queue.name);
+            }
+            if was_handing_out && !bucket.is_holder() {
+                handovers.extend(successor.map(|successor| (successor, service_queue.name.clone())));
+            }
+        }
+        for (to, service) in handovers {
+            let message = PeerMessage::GrantTokens { service, count: HANDOVER_TOKENS };
+            self.emit(Effect::Send { to, message });
         }
     }
 
@@ -47,6 +120,14 @@
     /// Tokens have come. Those of a store that is not the holder any more are refused: together with the successor's they would
     /// exceed the rate limit.
     pub(crate) fn tokens_received(&mut self, now: Millis, from: Node, service: &str, count: u32) {
+        if count == HANDOVER_TOKENS && self.is_token_holder(service) {
+            self.token_holders.handed_over_at.insert(service.to_string(), now);
+            if let Some(bucket) = self.token_bucket(service) {
+                bucket.take_over(now);
+            }
+            self.next_dispatch_at = 0;
+            return;
+        }
         let is_from_holder = token_holder(service, self.settings.node, &self.peers) == from;
         self.metrics.stale_claims += u64::from(!is_from_holder && count > 0);
         let count = if is_from_holder { count } else { 0 };
@@ -57,6 +138,10 @@
         }
     }
 
+    fn is_token_holder(&self, service: &str) -> bool {
+        token_holder(service, self.settings.node, &self.peers) == self.settings.node
+    }
+
     fn token_bucket(&mut self, service: &str) -> Option<&mut TokenBucket> {
         let index = *self.service_queue_index.get(service)?;
         self.service_queues[index].token_bucket.as_mut()
--- a/crates/queue/src/record.rs
+++ b/crates/queue/src/record.rs
@@ -54,4 +54,11 @@
     },
     /// An operator has ordered that this store be retired.
     RetirementOrdered,
+    /// Another store has named its disk, and all ends that the disk before it may have held lie on enough other disks.
+    PeerDiskKnown {
+        /// The other store.
+        node: Node,
+        /// Its disk; `None` where the store is gone for good.
+        disk_id: Option<u64>,
+    },
 }
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -27,7 +27,7 @@
         if members_of(&self.peers) != before {
             self.ordering.peers_changed_at = now;
         }
-        self.assign_token_holders(now);
+        self.invalidate_token_holders();
     }
 
     /// A connection to another store is open: each tells the other what it holds in common with it.
@@ -36,9 +36,12 @@
         peer.is_connected = true;
         peer.is_reconciled = false;
         peer.connection_changed_at = now;
+        peer.heard(now);
+        peer.refuses_until = 0;
         // One that is still retiring says so again: an order that was lost with its power is none.
         peer.service = ServiceState::InService;
         peer.outbox = Outbox::default();
+        self.invalidate_token_holders();
         self.ordering.peers_changed_at = now;
         self.emit(Effect::Send { to: node, message: PeerMessage::DiskId(self.settings.disk_id) });
         // One of the two begins: the other answers with what differs.
@@ -89,15 +92,6 @@
         self.stop_awaiting_answers_of(now, node);
     }
 
-    /// Another store has identified its disk.
-    pub(super) fn disk_identified(&mut self, from: Node, disk_id: u64) {
-        let peer = self.peers.entry(from).or_default();
-        if peer.disk_id.replace(disk_id).is_some_and(|known| known != disk_id) {
-            tracing::info!(node = from, "a store is back with another disk");
-            self.end_replication.store_lost(from);
-        }
-    }
-
     /// Another store has said all that it knows about what both hold.
     pub(super) fn peer_reconciled(&mut self, now: Millis, from: Node) {
         let peer = self.peers.entry(from).or_default();
--- a/crates/queue/src/replication/handover.rs
+++ b/crates/queue/src/replication/handover.rs
@@ -13,7 +13,7 @@
             return;
         }
         self.send_to_connected(&PeerMessage::Draining);
-        self.assign_token_holders(now);
+        self.refresh_token_holders(now);
         self.send_ends();
         self.offer_all();
     }
--- a/crates/queue/src/replication/peer_messages.rs
+++ b/crates/queue/src/replication/peer_messages.rs
@@ -10,6 +10,9 @@
 impl Queue {
     /// Acts on a message of another store.
     pub fn handle_peer_message(&mut self, now: Millis, from: Node, message: PeerMessage) {
+        if let Some(peer) = self.peers.get_mut(&from) {
+            peer.heard(now);
+        }
         match message {
             PeerMessage::Replicate(replicas) => {
                 replicas.into_iter().for_each(|replica| self.store_replica(now, from, replica));
@@ -55,7 +58,7 @@
             }
             PeerMessage::GroupMessagesEnded(ended) => self.group_messages_ended(ended),
             PeerMessage::Draining => self.peer_drains(now, from),
-            PeerMessage::Retiring => self.peer_retires(now, from),
+            PeerMessage::Retiring => self.peer_retires(from),
             PeerMessage::NoReplicasNeeded => {
                 self.released_by.insert(from);
             }
@@ -72,11 +75,11 @@
         if peer.service == ServiceState::InService {
             peer.service = ServiceState::Draining;
         }
-        self.assign_token_holders(now);
+        self.invalidate_token_holders();
     }
 
-    fn peer_retires(&mut self, now: Millis, node: Node) {
+    fn peer_retires(&mut self, node: Node) {
         self.peers.entry(node).or_default().service = ServiceState::Retiring;
-        self.assign_token_holders(now);
+        self.invalidate_token_holders();
     }
 }
--- a/crates/queue/src/replication/placement.rs
+++ b/crates/queue/src/replication/placement.rs
@@ -23,7 +23,8 @@
     /// taken.
     ///
     /// Replicas go into one zone and one region more than may be lost at once, and nearby from then on, for bytes between
-    /// zones are dear. Where too few stores are there, all of them are given.
+    /// zones are dear. Where too few stores are there, all of them are given. A store that has let a replica run into its
+    /// time-out is none of them before it is heard again, and one that has refused a replica is none for a short time.
     pub(crate) fn choose_replica_stores(
         &self,
         now: Millis,
@@ -37,8 +38,7 @@
         let mut chosen: Vec<Node> = Vec::new();
         for _ in 0..count {
             let is_able = |node: &Node, peer: &Peer| {
-                peer.is_connected
-                    && !peer.is_draining()
+                peer.takes_replicas(now)
                     && !excluded.contains(node)
                     && !present.contains(node)
                     && !chosen.contains(node)
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -21,6 +21,9 @@
 /// A store whose disk had no room is avoided for so long.
 const FULL_STORE_AVOIDANCE: Millis = 2000;
 
+/// A store that has refused a replica is offered the next one no sooner, even where there is no other store.
+const REFUSAL_RETRY_DELAY: Millis = 200;
+
 impl Queue {
     /// Sends a replica at the end of the turn.
     pub(crate) fn send_replica(&mut self, to: Node, replica: ReplicatedMessage) {
@@ -100,7 +103,10 @@
     /// it: else both would take over. `before`: the list of replicas before any was replaced.
     fn replace_replica(&mut self, now: Millis, key: Key, slow: Node, before: &[Node]) {
         // Others get the replicas of the next messages: each would wait here as long as this one has.
-        self.peers.entry(slow).or_default().avoided_until = now + SLOW_STORE_AVOIDANCE;
+        let Some(accepted_at) = self.entries.get(&key).map(|entry| entry.accepted_at) else { return };
+        let peer = self.peers.entry(slow).or_default();
+        peer.avoided_until = now + SLOW_STORE_AVOIDANCE;
+        peer.replica_overdue(accepted_at);
         let present: Vec<Node> = before.iter().copied().filter(|node| *node != slow).collect();
         let Some(to) = self.choose_replica_stores(now, &present, before, 1).first().copied() else { return };
         let is_list_recorded = !self.planted(PlantedFault::OldCopyList);
@@ -126,7 +132,9 @@
 
     /// Another store could not keep replicas.
     pub(super) fn replication_rejected(&mut self, now: Millis, from: Node, keys: Vec<Key>) {
-        self.peers.entry(from).or_default().avoided_until = now + FULL_STORE_AVOIDANCE;
+        let peer = self.peers.entry(from).or_default();
+        peer.avoided_until = now + FULL_STORE_AVOIDANCE;
+        peer.refuses_until = now + REFUSAL_RETRY_DELAY;
         for key in keys {
             self.replace_unconfirmed(now, key, Some(from));
             self.replica_lost(now, key, from);
@@ -161,6 +169,7 @@
 
     fn write_replica(&mut self, now: Millis, from: Node, replica: ReplicatedMessage) {
         let key = replica.key;
+        self.note_superseded_replica(key, &replica.message);
         self.record(&Record::Put { replica: replica.clone() }, true);
         if self.planted(PlantedFault::CopyUnsynced) {
             self.outbox(from).replicated.push(key);
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -1,8 +1,8 @@
 //! The state that the records on disk add up to: read when the store starts, and written anew when its log is compacted.
 
-use crate::message::{End, Key, ReplicatedMessage};
+use crate::message::{End, Key, Node, ReplicatedMessage};
 use crate::record::Record;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use stileroute_wal::StateMachine;
 
 /// Ends are kept on disk for so long, in milliseconds: clients ask for them no later.
@@ -40,6 +40,8 @@
     pub incarnation_first_numbers: Vec<u64>,
     /// An operator has ordered that this store be retired.
     pub retirement_ordered: bool,
+    /// The disks of other stores, as they were last named.
+    pub peer_disks: BTreeMap<Node, u64>,
     /// All messages that are live, or whose end is kept.
     pub messages: HashMap<Key, StoredMessage>,
     /// Records that could not be decoded.
@@ -75,6 +77,12 @@
                 }
             }
             Record::RetirementOrdered => self.retirement_ordered = true,
+            Record::PeerDiskKnown { node, disk_id: Some(disk_id) } => {
+                self.peer_disks.insert(node, disk_id);
+            }
+            Record::PeerDiskKnown { node, disk_id: None } => {
+                self.peer_disks.remove(&node);
+            }
             Record::Dropped { key } => {
                 self.messages.remove(&key);
             }
@@ -135,6 +143,9 @@
         if self.retirement_ordered {
             put(&Record::RetirementOrdered);
         }
+        for (node, disk_id) in &self.peer_disks {
+            put(&Record::PeerDiskKnown { node: *node, disk_id: Some(*disk_id) });
+        }
         for (key, message) in &self.messages {
             if message.end.as_ref().is_some_and(|end| self.is_outdated(end)) {
                 continue;
--- a/crates/queue/src/token_bucket.rs
+++ b/crates/queue/src/token_bucket.rs
@@ -9,9 +9,39 @@
 /// Tokens from the holder that are not used for so long expire: piled up they would be used beyond the window.
 const TOKEN_LIFETIME_MS: Millis = 250;
 
-/// A new holder begins so long after the change, when the former one has certainly stopped.
+/// A new holder begins so long after the change, when the former one has stopped. One that stops in order says so, and its
+/// successor does not wait ([`TokenBucket::take_over`]).
+///
+/// On a partition the former holder stops by its own clock, when its session may have lapsed: [`SESSION_GRACE_MS`] after the last
+/// answer of a control node, which may have answered for [`CONTROL_CONTACT_MS`] after the others ceased to hear it. The others
+/// list the holder no more [`SESSION_REPORT_LIFETIME_MS`] after that. So this is the least wait, see [`holders_overlap_ms`].
 const NEW_HOLDER_DELAY_MS: Millis = 1500;
 
+/// A session that is not renewed lapses after so long: `SESSION_GRACE` in `crates/registry/`.
+const SESSION_GRACE_MS: Millis = 1500;
+
+/// A control node knows after so long that it is cut off from the others: `ControlGroup::is_in_contact`.
+const CONTROL_CONTACT_MS: Millis = 1800;
+
+/// The sessions that a control node reported hold for so long after it was last heard (`PEER_SESSIONS_LIFETIME` in
+/// `crates/registry/`), less the interval at which it is noted when it was heard.
+const SESSION_REPORT_LIFETIME_MS: Millis = 1800;
+
+/// Clocks that are kept in step are slewed by half a thousandth; this is twenty times as much, in thousandths.
+const CLOCK_DRIFT_PER_MILLE: Millis = 10;
+
+/// How long the former holder, on the slowest clock, and its successor, on the fastest, may both hand out tokens.
+const fn holders_overlap_ms(delay_ms: Millis) -> Millis {
+    let former_stops = (CONTROL_CONTACT_MS + SESSION_GRACE_MS) * (1000 + CLOCK_DRIFT_PER_MILLE);
+    let successor_begins = (SESSION_REPORT_LIFETIME_MS + delay_ms) * (1000 - CLOCK_DRIFT_PER_MILLE);
+    former_stops.saturating_sub(successor_begins) / 1000
+}
+
+/// What both hand out in that time, and the tokens of the former that are used later, have to fit into what the tolerance leaves
+/// beside the burst: of a window of five seconds and a tenth to spare that is a third of a second.
+const MAX_OVERLAP_MS: Millis = 333 - TOKEN_LIFETIME_MS;
+const _: () = assert!(holders_overlap_ms(NEW_HOLDER_DELAY_MS) <= MAX_OVERLAP_MS);
+
 /// A request to the holder that is not answered for so long is repeated.
 const REQUEST_RETRY_MS: Millis = 200;
 
@@ -95,6 +125,18 @@
         }
     }
 
+    /// The former holder has stopped and says so: this store, its successor, begins at once, with an empty bucket.
+    pub fn take_over(&mut self, now: Millis) {
+        if let Some(holder_from) = &mut self.holder_from {
+            *holder_from = now.min(*holder_from);
+        }
+    }
+
+    /// Whether this store is the holder and hands out tokens now.
+    pub fn is_handing_out(&self, now: Millis) -> bool {
+        !self.is_paused && self.holder_from.is_some_and(|holder_from| now >= holder_from)
+    }
+
     /// Whether this store is the holder, even if it may not hand out tokens yet.
     pub fn is_holder(&self) -> bool {
         self.holder_from.is_some()
--- a/crates/queue/tests/retirement.rs
+++ b/crates/queue/tests/retirement.rs
@@ -30,6 +30,11 @@
     retirement_scenarios::ends_outlive_two_disks(&without_fault());
 }
 
+#[test]
+fn ends_are_transferred_though_their_store_restarts_between_two_losses() {
+    retirement_scenarios::ends_outlive_a_restart_between_two_losses(&without_fault());
+}
+
 /// The others have heard of the order, and it was not on its disk when the power went: it is as any other store.
 #[test]
 fn a_retirement_order_lost_with_the_power_has_no_effect() {
--- a/crates/queue/tests/simulation/edge.rs
+++ b/crates/queue/tests/simulation/edge.rs
@@ -46,14 +46,29 @@
         let Some(to) = to else {
             m.ticket = 0;
             m.is_refused = !m.is_uncertain;
-            return;
+            return self.announce_kept(sent);
         };
         m.tried_stores.push(to);
         self.next_ticket += 1;
         m.ticket = self.next_ticket;
         let ticket = m.ticket;
         self.at(EDGE_DELAY_MS, Event::Put { sent, to, ticket });
-        self.at(EDGE_TIMEOUT_MS, Event::EdgeTimeout { sent, ticket });
+        self.at(self.edge_patience_ms, Event::EdgeTimeout { sent, ticket });
+    }
+
+    /// Of a message that several stores were offered all are told which one is kept, or that none is.
+    pub(super) fn announce_kept(&mut self, sent: usize) {
+        if self.messages[sent].tried_stores.len() > 1 {
+            let delay_ms = self.superseded_delay_ms;
+            (0..self.stores.len()).for_each(|to| self.at(delay_ms, Event::Superseded { sent, to }));
+        }
+    }
+
+    pub(super) fn kept_announced(&mut self, sent: usize, to: usize) {
+        let message = &self.messages[sent];
+        let (id, fingerprint) = (message.message.id.clone(), message.message.fingerprint());
+        let kept = message.name.as_deref().and_then(Key::parse).map(|location| location.key);
+        self.with(to, |queue, _| queue.drop_superseded(&id, fingerprint, kept));
     }
 
     /// What an edge says to one who asks.
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -6,7 +6,7 @@
     /// The store that is to act on an event: the event waits while that store is frozen.
     fn target(event: &Event) -> Option<usize> {
         match event {
-            Event::PeerMessage { to, .. } | Event::Put { to, .. } => Some(*to),
+            Event::PeerMessage { to, .. } | Event::Put { to, .. } | Event::Superseded { to, .. } => Some(*to),
             Event::WriteCompleted { at, .. }
             | Event::AttemptEnded { at, .. }
             | Event::CallbackEnded { at, .. } => Some(*at),
@@ -37,6 +37,7 @@
                     self.offer(sent);
                 }
             }
+            Event::Superseded { sent, to } => self.kept_announced(sent, to),
             Event::AttemptEnded { at, life, attempt, id, outcome } => {
                 self.attempt_ended(at, life, attempt, &id, outcome);
             }
@@ -90,7 +91,7 @@
     }
 
     /// Calls the queue of a store, if its process runs, and plays the turn that follows.
-    fn with(&mut self, at: usize, call: impl FnOnce(&mut Queue, u64)) {
+    pub(super) fn with(&mut self, at: usize, call: impl FnOnce(&mut Queue, u64)) {
         if let Some((queue, now)) = self.queue(at) {
             call(queue, now);
             self.turn(at);
@@ -132,23 +133,31 @@
         let put_ticket = self.next_ticket;
         self.stores[to].put_tickets.insert(put_ticket, (sent, ticket));
         let message = self.messages[sent].message.clone();
-        self.with(to, |queue, now| queue.put(now, put_ticket, message));
+        if self.messages[sent].is_uncertain {
+            self.with(to, |queue, now| queue.put_resubmitted(now, put_ticket, message));
+        } else {
+            self.with(to, |queue, now| queue.put(now, put_ticket, message));
+        }
     }
 
     fn put_answered(&mut self, sent: usize, ticket: u64, result: Result<String, PutError>) {
         let message = &mut self.messages[sent];
-        if message.ticket != ticket || message.name.is_some() {
+        if message.name.is_some() || message.ticket == 0 {
             return;
         }
         match result {
+            // Whichever store it is that answers: it may have been given up since.
             Ok(name) => {
                 message.name = Some(name);
                 message.answered_at = self.now;
                 message.ticket = 0;
+                self.announce_kept(sent);
             }
             Err(error) => {
                 message.is_uncertain |= error == PutError::Uncertain;
-                self.offer(sent);
+                if message.ticket == ticket {
+                    self.offer(sent);
+                }
             }
         }
     }
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -25,8 +25,8 @@
 const SESSION_LAPSE_DELAY_MS: u64 = 2500;
 /// A store that shuts down waits at most so long for what is in flight.
 const SHUTDOWN_GRACE_MS: u64 = 5000;
-/// An edge that is not answered by then asks another store.
-const EDGE_TIMEOUT_MS: u64 = 400;
+/// An edge that is not answered by then asks another store, unless a day sets another time.
+const EDGE_PATIENCE_MS: u64 = 400;
 /// Between an edge and a store a message takes so long.
 const EDGE_DELAY_MS: u64 = 2;
 /// After a fault a message that was completed may run again for so long.
@@ -69,6 +69,7 @@
     Put { sent: usize, to: usize, ticket: u64 },
     PutAnswered { sent: usize, from: usize, ticket: u64, result: Result<String, PutError> },
     EdgeTimeout { sent: usize, ticket: u64 },
+    Superseded { sent: usize, to: usize },
     AttemptEnded { at: usize, life: u64, attempt: u64, id: String, outcome: AttemptOutcome },
     CallbackEnded { at: usize, life: u64, key: Key, taken: bool },
     Start { at: usize },
@@ -216,6 +217,10 @@
     pub callback_failures: usize,
     /// No callback is taken before.
     pub callbacks_fail_until: u64,
+    /// An edge that is not answered by then asks another store.
+    pub edge_patience_ms: u64,
+    /// What an edge says of the copies of a message takes so long to reach a store.
+    pub superseded_delay_ms: u64,
     /// Queries about FIFO groups that were sent.
     pub group_queries: usize,
     /// Notices of ends get lost until then: no fault that occurs by itself, so that there is something to repair.
@@ -270,6 +275,8 @@
             callbacks: Vec::new(),
             callback_failures: 0,
             callbacks_fail_until: 0,
+            edge_patience_ms: EDGE_PATIENCE_MS,
+            superseded_delay_ms: EDGE_DELAY_MS,
             group_queries: 0,
             ends_lost_until: 0,
             paid_requests_at: Vec::new(),
--- a/crates/queue/tests/simulation/retirement_scenarios.rs
+++ b/crates/queue/tests/simulation/retirement_scenarios.rs
@@ -105,3 +105,23 @@
         }
     }
 }
+
+/// A store restarts while another is back with another disk, and is lost when the ends that both knew should be on other disks.
+pub fn ends_outlive_a_restart_between_two_losses(prepare: &Prepare) {
+    for restarted_at in [4100, 5200] {
+        let mut world = world(9, prepare);
+        for n in 0..12 {
+            let does = if n % 3 == 0 { Behavior::Refuses } else { Behavior::Succeeds };
+            world.send(2500 + 20 * n, EMPTIED, "plain", &[does], 0);
+        }
+        world.act(4000, Action::Inject(1, Fault::DiskLoss));
+        world.act(restarted_at, Action::Inject(EMPTIED, Fault::QuickRestart));
+        world.act(13_000, Action::Remove(EMPTIED));
+        world.run(20_000);
+        for n in 0..12 {
+            let state =
+                world.ask(n).map(|(state, bytes)| (matches!(state, MessageState::Failed), bytes.is_some()));
+            assert_eq!(state, Some((n % 3 == 0, n % 3 == 0)), "{n} after a restart at {restarted_at}");
+        }
+    }
+}
--- a/crates/queue/tests/single_store.rs
+++ b/crates/queue/tests/single_store.rs
@@ -1,126 +1,13 @@
 //! One store alone, told what other stores and executors would say: what a whole day seldom brings about.
 
 mod simulation;
+mod support;
 
 use assert_matches::assert_matches;
-use simulation::{config, WALL};
+use simulation::config;
 use std::collections::HashMap;
 use stileroute_queue::*;
-
-const ME: Node = 1;
-const B: Node = 2;
-const C: Node = 3;
-
-struct SingleStore {
-    queue: Queue,
-    now: u64,
-    /// Acks of the disk are withheld.
-    disk_silent: bool,
-    waiting: Vec<(u64, bool)>,
-    records: Vec<Record>,
-}
-
-impl SingleStore {
-    fn new(ledger: StateTable, losses: usize) -> SingleStore {
-        SingleStore::placed(ledger, losses, ToleratedLosses { zones: 1, regions: 0 }, vec![0; 8])
-    }
-
-    fn placed(ledger: StateTable, losses: usize, bear: ToleratedLosses, regions: Vec<usize>) -> SingleStore {
-        let terms = QueueSettings {
-            node: ME,
-            zone: 0,
-            disk_id: 7,
-            first_number: 1,
-            earlier_first_numbers: ledger.incarnation_first_numbers.clone(),
-            replica_count: losses,
-            region_of_zone: regions,
-            tolerated_losses: bear,
-            rate_window_ms: 5000,
-            rate_tolerance: 1.1,
-            status_retention_ms: 120_000,
-            seed: 5,
-        };
-        let queue = Queue::new(terms, ledger, 0, WALL);
-        SingleStore { queue, now: 0, disk_silent: false, waiting: Vec::new(), records: Vec::new() }
-    }
-
-    /// With both others there and agreed with, configured, and with executors.
-    fn ready(ledger: StateTable) -> SingleStore {
-        let mut one = SingleStore::new(ledger, 1);
-        one.queue.set_members(0, &[(ME, 0), (B, 1), (C, 2)]);
-        for other in [B, C] {
-            one.queue.peer_connected(0, other);
-            one.queue.handle_peer_message(0, other, PeerMessage::Reconciled);
-        }
-        one.configure(1);
-        one.pass(10);
-        one
-    }
-
-    fn configure(&mut self, revision: u64) {
-        let server = Executor {
-            id: "e".into(),
-            address: "10.0.0.1:80".parse().unwrap(),
-            zone: 0,
-            capacity: 8.0,
-            is_serving: true,
-            warm_up_left_ms: 0,
-        };
-        let (now, fine) = (self.now, self.now as i64 * 10);
-        self.queue.set_executors(now, fine, HashMap::from([("works".to_string(), vec![server])]));
-        self.queue.configure(now, fine, config(revision, "", 3, 60.0));
-    }
-
-    /// Lets time pass, and gives what the store does meanwhile.
-    fn pass(&mut self, ms: u64) -> Vec<Effect> {
-        let until = self.now + ms;
-        let mut all = Vec::new();
-        loop {
-            self.queue.tick(self.now, self.now as i64 * 10);
-            for effect in self.queue.take_effects() {
-                if let Effect::Persist { ticket, records, sync } = effect {
-                    self.waiting.push((ticket, sync));
-                    self.records.extend(records.iter().map(|r| postcard::from_bytes::<Record>(r).unwrap()));
-                } else {
-                    all.push(effect);
-                }
-            }
-            if !self.disk_silent && !self.waiting.is_empty() {
-                for (ticket, _) in std::mem::take(&mut self.waiting) {
-                    self.queue.write_completed(self.now, ticket, true);
-                }
-                continue;
-            }
-            let next = self.queue.next_deadline().max(self.now + 1);
-            if next > until {
-                self.now = until;
-                return all;
-            }
-            self.now = next;
-        }
-    }
-
-    fn note(&mut self, from: Node, note: PeerMessage) -> Vec<Effect> {
-        self.queue.handle_peer_message(self.now, from, note);
-        self.pass(0)
-    }
-
-    fn put(&mut self, ticket: u64, message: Message) -> Vec<Effect> {
-        self.queue.put(self.now, ticket, message);
-        self.pass(0)
-    }
-
-    /// Puts one and has its copy confirmed: its key, and what the store does then.
-    fn taken(&mut self, message: Message) -> (Key, Vec<Effect>) {
-        let (key, to) = copies(&self.put(1, message))[0];
-        (key, self.note(to, PeerMessage::Replicated(vec![key])))
-    }
-
-    fn answered(&mut self, attempt: u64, outcome: AttemptOutcome) -> Vec<Effect> {
-        self.queue.attempt_ended(self.now, self.now as i64 * 10, attempt, outcome, None);
-        self.pass(0)
-    }
-}
+use support::*;
 
 /// In its first turn after a freeze it has read what the control nodes said before they gave it up, and not yet that the other
 /// stores have. What fell due meanwhile they have run: seen in the proof, 15 to 19 messages twice.
@@ -221,61 +108,6 @@
     }
 }
 
-fn message(path: &str) -> Message {
-    let callback = Some("http://10.0.0.9:80/x".to_string());
-    let (id, host, method) = ("m".to_string(), "h".to_string(), "POST".to_string());
-    let (target, body) = (format!("/{path}/1"), b"bytes".to_vec());
-    Message {
-        id,
-        host,
-        method,
-        target,
-        callback_url: callback,
-        accepted_at_ms: WALL,
-        body,
-        ..Message::default()
-    }
-}
-
-fn shared(owner: Node, copies: Vec<Node>) -> ReplicatedMessage {
-    let key = Key { origin: owner, number: 99 };
-    ReplicatedMessage {
-        key,
-        owner,
-        replicas: copies,
-        message: message("plain"),
-        ..ReplicatedMessage::default()
-    }
-}
-
-fn ledger(shared: &ReplicatedMessage) -> StateTable {
-    let mut ledger = StateTable::default();
-    ledger.apply_record(Record::Put { replica: shared.clone() });
-    ledger
-}
-
-fn attempts(effects: &[Effect]) -> Vec<u64> {
-    let attempt = |e: &Effect| match e {
-        Effect::StartAttempt { attempt, .. } => Some(*attempt),
-        _ => None,
-    };
-    effects.iter().filter_map(attempt).collect()
-}
-
-fn copies(effects: &[Effect]) -> Vec<(Key, Node)> {
-    let mut all = Vec::new();
-    for effect in effects {
-        if let Effect::Send { to, message: PeerMessage::Replicate(some) } = effect {
-            all.extend(some.iter().map(|s| (s.key, *to)));
-        }
-    }
-    all
-}
-
-fn said(effects: &[Effect], who: Node, what: impl Fn(&PeerMessage) -> bool) -> bool {
-    effects.iter().any(|e| matches!(e, Effect::Send { to, message: note } if *to == who && what(note)))
-}
-
 fn owned(key: Key, owner: Node, term: u32) -> PeerMessage {
     PeerMessage::OwnershipChanged(vec![Ownership { key, owner, term, replicas: vec![C] }])
 }
@@ -526,9 +358,10 @@
     let effects = one.pass(9000);
     assert_eq!((dropped(&one, shared.key), attempts(&effects).len()), (true, 0));
     // What is out may have run: it is left.
-    let (key, effects) = one.taken(message("plain"));
+    let timely = Message { accepted_at_ms: simulation::WALL + one.now, ..message("plain") };
+    let (key, effects) = one.taken(timely.clone());
     assert_eq!(attempts(&effects).len(), 1);
-    one.queue.drop_superseded("m", message("plain").fingerprint(), kept);
+    one.queue.drop_superseded("m", timely.fingerprint(), kept);
     assert!(!dropped(&one, key));
 }
 
--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -9,7 +9,7 @@
 use crate::links::LinkEvent;
 use crate::net::{ConnectionId, Event, Millis, Net, Request, RequestLimits, Response};
 use crate::node::{NodeRuntime, Polled};
-use crate::protocol::{Frame, NodeRole};
+use crate::protocol::{Frame, NodeRole, RESUBMISSION_FLAG};
 use crate::start_error::StartError;
 use pending::{PendingLookup, PendingSubmission};
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
@@ -161,7 +161,9 @@
 
     fn store_frame(&mut self, store: Node, frame: Frame) {
         match frame {
-            Frame::SubmitResult { request_id, result } => self.submission_answered(store, request_id, result),
+            Frame::SubmitResult { request_id, result } => {
+                self.submission_answered(store, request_id & !RESUBMISSION_FLAG, result);
+            }
             Frame::LookupResult { request_id, result } => self.lookup_answered(store, request_id, result),
             Frame::Draining => {
                 self.draining_stores.insert(store);
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -5,7 +5,7 @@
 use crate::callback_url::parse_callback_url;
 use crate::net::{ConnectionId, Millis, Request, Response};
 use crate::node::wall_clock_ms;
-use crate::protocol::{Frame, NodeRole};
+use crate::protocol::{Frame, NodeRole, RESUBMISSION_FLAG};
 use stileroute_config::{Config, Route, RouteKind, ZoneDistance};
 use stileroute_queue::{preferred_store, Key, Message, Node, PutError};
 
@@ -67,7 +67,9 @@
                 submission.tried_stores.push(store);
                 submission.sent_at = now;
                 self.counts.resubmitted += u64::from(submission.tried_stores.len() > 1);
-                let frame = Frame::Submit { request_id, message: submission.message.clone() };
+                let flag = if submission.may_be_kept { RESUBMISSION_FLAG } else { 0 };
+                let message = submission.message.clone();
+                let frame = Frame::Submit { request_id: request_id | flag, message };
                 self.runtime.links.send(&mut self.runtime.net, store, &frame);
                 let timeout_at = (now + STORE_SILENCE_LIMIT_MS).min(submission.deadline);
                 self.timeouts.insert((timeout_at, request_id));
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -15,6 +15,10 @@
 /// Each frame on a connection is preceded by its length in so many bytes, little-endian.
 pub const FRAME_LENGTH_BYTES: usize = 4;
 
+/// Set in the `request_id` of a `Submit` whose message another store may have accepted: it was offered it, and has not answered.
+/// A store of an earlier version repeats the id as it is, and starts the message at once.
+pub const RESUBMISSION_FLAG: u64 = 1 << 63;
+
 /// What a process says of itself in the first frame of a connection, in both directions.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PeerInfo {
--- a/crates/server/src/store/link_events.rs
+++ b/crates/server/src/store/link_events.rs
@@ -2,8 +2,10 @@
 
 use super::{Store, Submitter};
 use crate::links::LinkEvent;
+use crate::net::Millis;
 use crate::protocol::{
     ExecutorState, Frame, Heartbeat, KnownMessage, MembershipUpdate, MessageStatus, NodeRole,
+    RESUBMISSION_FLAG,
 };
 use std::collections::HashMap;
 use stileroute_queue::{Executor, Key, Message, Node};
@@ -64,7 +66,11 @@
         let now = self.runtime.net.now();
         let id = self.next_id();
         self.submitters.insert(id, Submitter { edge, request_id });
-        self.queue.put(now, id, message);
+        if request_id & RESUBMISSION_FLAG == 0 {
+            self.queue.put(now, id, message);
+        } else {
+            self.queue.put_resubmitted(now, id, message);
+        }
     }
 
     /// What this store knows of a message.
@@ -102,7 +108,7 @@
         if update.is_complete {
             self.executors.clear();
         }
-        update.executors.into_iter().for_each(|heartbeat| self.apply_heartbeat(heartbeat));
+        update.executors.into_iter().for_each(|heartbeat| self.apply_heartbeat(now, heartbeat));
         let now_tenths_ms = self.runtime.net.now_tenths_ms();
         if has_changed {
             self.queue.set_executors(now, now_tenths_ms, self.executors_by_service());
@@ -112,7 +118,10 @@
         }
     }
 
-    fn apply_heartbeat(&mut self, heartbeat: Heartbeat) {
+    fn apply_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
+        if !self.departed_executors.admits(now, &heartbeat) {
+            return;
+        }
         if heartbeat.state != ExecutorState::Offline {
             self.executors.insert(heartbeat.id.clone(), heartbeat);
         } else if let Some(executor) = self.executors.remove(&heartbeat.id) {
