Registry: an executor that has left stays gone

Cause: a heartbeat under way when its executor left came with a higher call_count and brought it back until it was silent; a leave that nobody knew the executor of was forgotten; a control node that was cut off acknowledged a leave that no store heard of.

--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -3,7 +3,7 @@
 use crate::messages::{ExecutorState, Heartbeat, Millis};
 use crate::version::VersionCounter;
 use std::collections::HashMap;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 
 /// Control nodes tell each other so often which executors sent heartbeats; changes at once.
 pub const HEARTBEAT_GOSSIP_INTERVAL: Millis = 500;
@@ -14,6 +14,10 @@
 /// An executor is silent after 3.2 intervals of heartbeats and this allowance: three may be lost, or be late.
 const SILENCE_ALLOWANCE: Millis = 300;
 
+/// The sequence of an executor that has left: no heartbeat comes after it. An identifier stands for one start of an executor, so
+/// whatever arrives under it later was sent before it left. A process of an earlier version ignores it for the same reason.
+pub const FINAL_SEQUENCE: u64 = u64::MAX;
+
 /// One executor, as its latest heartbeat describes it.
 #[derive(Clone, Debug)]
 pub struct ExecutorRecord {
@@ -43,6 +47,21 @@
     }
 }
 
+/// An executor of which nothing is known but that it has left.
+fn unknown_executor(id: &str) -> Heartbeat {
+    Heartbeat {
+        id: id.to_string(),
+        backend: String::new(),
+        address: SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0),
+        zone: String::new(),
+        capacity: 0,
+        state: ExecutorState::Offline,
+        warmup_left_ms: 0,
+        sequence: FINAL_SEQUENCE,
+        age_ms: 0,
+    }
+}
+
 /// All executors, and which of them have still to be broadcast to the other control nodes.
 pub struct ExecutorTable {
     records: HashMap<String, ExecutorRecord>,
@@ -147,13 +166,20 @@
         }
     }
 
-    /// Sets an executor offline that has deregistered. Returns whether it was not offline before.
-    pub fn deregister(&mut self, version: &mut VersionCounter, id: &str) -> bool {
-        let Some(record) = self.records.get_mut(id).filter(|record| !record.is_offline()) else {
+    /// Sets an executor offline for good that has deregistered, known or not. Returns whether that is new.
+    pub fn deregister(&mut self, version: &mut VersionCounter, now: Millis, id: &str) -> bool {
+        if self.records.get(id).is_some_and(|record| record.heartbeat.sequence == FINAL_SEQUENCE) {
             return false;
-        };
+        }
+        if self.records.len() >= MAX_EXECUTORS && !self.records.contains_key(id) {
+            return false;
+        }
         self.changed_in = version.advance();
+        let unknown = || ExecutorRecord { heartbeat: unknown_executor(id), last_heard: now, changed_in: 0 };
+        let record = self.records.entry(id.to_string()).or_insert_with(unknown);
         record.set_offline(self.changed_in);
+        record.heartbeat.sequence = FINAL_SEQUENCE;
+        record.last_heard = now;
         tracing::info!(id, "executor left");
         true
     }
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -123,8 +123,8 @@
     }
 
     /// An executor told this control node that it ends.
-    pub fn deregister_executor(&mut self, id: &str) {
-        if self.executors.deregister(&mut self.version, id) {
+    pub fn deregister_executor(&mut self, now: Millis, id: &str) {
+        if self.executors.deregister(&mut self.version, now, id) {
             self.executors.queue_broadcast(id.to_string(), true);
         }
     }
--- /dev/null
+++ b/crates/registry/tests/departures.rs
@@ -0,0 +1,98 @@
+//! An executor that has left stays gone: a heartbeat that was on its way when it left does not bring it back, wherever it comes.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use stileroute_registry::*;
+
+fn control_node(node: NodeId) -> Registry {
+    let member = Member {
+        node,
+        name: format!("core-{node}"),
+        role: NodeRole::Control,
+        zone: "z".into(),
+        ip: Ipv4Addr::LOCALHOST,
+        incarnation: 1,
+        control_address: Some(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000)),
+        config_version: 0,
+        retirement: RetirementState::NotRetiring,
+    };
+    let mut registry = Registry::new(member, u64::from(node), 1200, 0);
+    registry.tick(3000, true, None);
+    registry.take_effects();
+    registry
+}
+
+fn heartbeat(sequence: u64) -> Heartbeat {
+    Heartbeat {
+        id: "e".into(),
+        backend: "s".into(),
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
+        zone: "z".into(),
+        capacity: 4,
+        state: ExecutorState::Serving,
+        warmup_left_ms: 0,
+        sequence,
+        age_ms: 0,
+    }
+}
+
+fn is_serving(registry: &Registry) -> bool {
+    registry.executors().any(|executor| executor.heartbeat.state == ExecutorState::Serving)
+}
+
+/// What a control node tells the others of executors.
+fn broadcasts(registry: &mut Registry, now: Millis) -> Vec<Heartbeat> {
+    registry.tick(now, true, None);
+    let effects = registry.take_effects().into_iter();
+    let heartbeats = effects.filter_map(|effect| match effect {
+        RegistryEffect::BroadcastHeartbeats(heartbeats) => Some(heartbeats),
+        _ => None,
+    });
+    heartbeats.flatten().collect()
+}
+
+#[test]
+fn a_late_heartbeat_does_not_bring_back_an_executor_that_has_left() {
+    let mut registry = control_node(1);
+    registry.record_heartbeat(3000, heartbeat(4));
+    assert!(is_serving(&registry));
+    registry.deregister_executor(3100, "e");
+    for sequence in [4, 5, 6, 999_999] {
+        registry.record_heartbeat(3200, heartbeat(sequence));
+        assert!(!is_serving(&registry), "heartbeat {sequence}");
+    }
+}
+
+#[test]
+fn a_late_heartbeat_by_way_of_another_control_node_does_not_either() {
+    let (mut first, mut second) = (control_node(1), control_node(2));
+    first.record_heartbeat(3000, heartbeat(4));
+    second.merge_peer_heartbeats(3001, broadcasts(&mut first, 3001));
+    first.deregister_executor(3100, "e");
+    second.merge_peer_heartbeats(3102, broadcasts(&mut first, 3101));
+    assert!(!is_serving(&second));
+    second.record_heartbeat(4500, heartbeat(5));
+    first.merge_peer_heartbeats(4502, broadcasts(&mut second, 4501));
+    assert!(!is_serving(&first) && !is_serving(&second));
+}
+
+/// All control nodes were started anew, and one hears of the executor first that it leaves.
+#[test]
+fn an_executor_that_nobody_knew_before_it_left_is_remembered_everywhere() {
+    let (mut first, mut second) = (control_node(1), control_node(2));
+    first.deregister_executor(3100, "e");
+    second.merge_peer_heartbeats(3102, broadcasts(&mut first, 3101));
+    second.record_heartbeat(3500, heartbeat(9));
+    first.record_heartbeat(3500, heartbeat(9));
+    assert!(!is_serving(&first) && !is_serving(&second));
+}
+
+#[test]
+fn an_executor_that_was_only_silent_is_back_with_its_next_heartbeat() {
+    let mut registry = control_node(1);
+    registry.record_heartbeat(3000, heartbeat(4));
+    registry.tick(9000, true, None);
+    registry.tick(15_000, true, None);
+    assert!(!is_serving(&registry));
+    registry.record_heartbeat(15_100, heartbeat(5));
+    assert!(is_serving(&registry));
+}
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -253,8 +253,25 @@
     /// The executor.
     pub id: String,
 }
+
+/// The answer to [`LeaveCall`].
+pub enum LeaveReply {
+    /// It is recorded, and the other control nodes learn of it.
+    Recorded,
+    /// This control node can't tell the others: the executor is to call another one.
+    Partitioned,
+}
+impl From<LeaveReply> for Response {
+    fn from(reply: LeaveReply) -> Response {
+        match reply {
+            LeaveReply::Recorded => Acknowledged.into(),
+            LeaveReply::Partitioned => HeartbeatReply::Partitioned.into(),
+        }
+    }
+}
+
 impl Call for LeaveCall {
-    type Reply = Acknowledged;
+    type Reply = LeaveReply;
     const METHOD: &'static str = "POST";
     const PATH: &'static str = "/v1/servers/*/leave";
     fn parse(name: &str, _: &[u8]) -> Result<LeaveCall, InvalidCall> {
@@ -375,6 +392,9 @@
     pub node: String,
 }
 
+/// Warns an operator who has taken the last spare store away.
+const NO_SPARE_STORE: &str = "no spare store is left: the loss of another stops intake";
+
 /// The answer to [`BeginRetirement`].
 pub enum BeginRetirementReply {
     /// No store of this name is a member.
@@ -382,7 +402,10 @@
     /// The stores that stay could not bear the losses that the settings name.
     TooFewStores,
     /// The store has the order on its disk.
-    Accepted,
+    Accepted {
+        /// How many further stores may be lost while messages are still accepted.
+        spare_stores: usize,
+    },
     /// No primary can decide it now, or the store has not confirmed it; to send it again is harmless.
     Unavailable,
 }
@@ -391,7 +414,13 @@
         match reply {
             BeginRetirementReply::UnknownStore => error_response(404, "no such machine"),
             BeginRetirementReply::TooFewStores => error_response(409, "too few would be left"),
-            BeginRetirementReply::Accepted => Acknowledged.into(),
+            BeginRetirementReply::Accepted { spare_stores } => {
+                let mut body = jzon::object! { "spare_stores" => spare_stores };
+                if spare_stores == 0 {
+                    body["warning"] = NO_SPARE_STORE.into();
+                }
+                Response::json(200, body.dump())
+            }
             BeginRetirementReply::Unavailable => unavailable("it has not confirmed"),
         }
     }
--- a/crates/server/src/calls/tests.rs
+++ b/crates/server/src/calls/tests.rs
@@ -14,7 +14,7 @@
     }
 }
 impl CallHandler<LeaveCall> for TestHandler {
-    fn handle_call(&mut self, _: u64, call: LeaveCall) -> Option<Acknowledged> {
+    fn handle_call(&mut self, _: u64, call: LeaveCall) -> Option<LeaveReply> {
         self.0.push(call.id);
         None
     }
@@ -164,7 +164,14 @@
             written(BeginRetirementReply::TooFewStores),
             r#"409 [] true false {"error":"too few would be left"}"#,
         ),
-        (written(BeginRetirementReply::Accepted), r#"200 [] true false {}"#),
+        (
+            written(BeginRetirementReply::Accepted { spare_stores: 2 }),
+            r#"200 [] true false {"spare_stores":2}"#,
+        ),
+        (
+            written(BeginRetirementReply::Accepted { spare_stores: 0 }),
+            r#"200 [] true false {"spare_stores":0,"warning":"no spare store is left: the loss of another stops intake"}"#,
+        ),
         (
             written(BeginRetirementReply::Unavailable),
             r#"503 ["Retry-After: 1"] true false {"error":"it has not confirmed"}"#,
--- a/crates/server/src/control_node/calls.rs
+++ b/crates/server/src/control_node/calls.rs
@@ -4,8 +4,8 @@
 use super::pending_calls::Origin;
 use super::ControlNode;
 use crate::calls::{
-    self, Acknowledged, ActiveConfig, BeginRetirement, Call, CallHandler, Dispatched, HeartbeatCall,
-    HeartbeatReply, LeaveCall, ReadConfig, ReadConfigReply, ReadRetirement, ReplaceConfig, ReplaceOutcome,
+    self, ActiveConfig, BeginRetirement, Call, CallHandler, Dispatched, HeartbeatCall, HeartbeatReply,
+    LeaveCall, LeaveReply, ReadConfig, ReadConfigReply, ReadRetirement, ReplaceConfig, ReplaceOutcome,
 };
 use crate::net::{ConnectionId, Millis, Request, Response};
 use crate::protocol::{ExecutorState, ForwardedCall, ForwardedCallKind, Frame, Heartbeat, NodeRole};
@@ -153,8 +153,11 @@
             age_ms: 0,
         };
         self.plane.registry.record_heartbeat(now, heartbeat);
-        // Partitioned from the other control nodes it could not tell them: the executor is to call another one as well.
-        let is_recorded = self.plane.group.is_in_contact(now) || !self.plane.registry.is_ready();
+        // Partitioned from the other control nodes it could not tell them: the executor is to call another one as well. A node
+        // that has just started takes what is no promise.
+        let is_promise = call.is_draining;
+        let is_recorded =
+            self.plane.group.is_in_contact(now) || (!is_promise && !self.plane.registry.is_ready());
         Some(if is_recorded {
             HeartbeatReply::Recorded { heartbeat_url }
         } else {
@@ -164,9 +167,12 @@
 }
 
 impl CallHandler<LeaveCall> for ControlNode {
-    fn handle_call(&mut self, _: u64, call: LeaveCall) -> Option<Acknowledged> {
-        self.plane.registry.deregister_executor(&call.id);
-        Some(Acknowledged)
+    fn handle_call(&mut self, _: u64, call: LeaveCall) -> Option<LeaveReply> {
+        let now = self.runtime.net.now();
+        self.plane.registry.deregister_executor(now, &call.id);
+        // From the answer on nothing may be sent to the executor, whoever would send it.
+        let is_recorded = self.plane.group.is_in_contact(now);
+        Some(if is_recorded { LeaveReply::Recorded } else { LeaveReply::Partitioned })
     }
 }
 
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -18,6 +18,7 @@
             "out" => stages.in_flight,
             "copy" => stages.replica,
             "ended" => stages.ended,
+            "surplus" => stages.surplus_replicas,
             "owed" => stages.callbacks_pending,
             "oldest_ms" => stages.oldest_overdue_ms,
         }
@@ -125,6 +126,8 @@
     for (stage, count) in by_stage {
         metrics.gauge("stileroute_messages", "Messages here, by stage.", &[("stage", stage)], count);
     }
+    let help = "Replicas that their owner's list does not name: this store holds more than its share.";
+    metrics.gauge("stileroute_messages_surplus", help, &[], stages.surplus_replicas);
     let help = "Call-backs that have not been taken.";
     metrics.gauge("stileroute_callbacks_owed", help, &[], stages.callbacks_pending);
     let help = "By how much the oldest own message that has not ended is past its due time.";
@@ -191,6 +194,7 @@
         let mut report = self.runtime.report();
         report["messages"] = self.messages_as_json();
         report["disk_trouble"] = self.is_disk_failing.into();
+        report["accepts"] = self.queue.accepts_messages(self.runtime.net.now()).into();
         report["services"] = self.services_as_json();
         report["stores"] = self.stores_as_json();
         report
@@ -229,6 +233,9 @@
         self.statistics.write_metrics(metrics);
         self.write_event_metrics(metrics);
         disk_metrics(metrics, &self.disk.statistics());
+        let help = "1: a message that came now would be accepted; 0: too few stores can take replicas, or it drains.";
+        let accepts = u8::from(self.queue.accepts_messages(self.runtime.net.now()));
+        metrics.gauge("stileroute_accepts_messages", help, &[], accepts);
         let help = "1: the disk refused the last write.";
         metrics.gauge("stileroute_disk_trouble", help, &[], u8::from(self.is_disk_failing));
     }
--- a/crates/server/src/store/tests.rs
+++ b/crates/server/src/store/tests.rs
@@ -116,6 +116,6 @@
     lone.store.write_metrics(&mut metrics);
     for (outcome, label) in &outcomes {
         let line = format!("stileroute_deliveries_total{{outcome=\"{label}\"}} 1");
-        assert!(metrics.text.lines().any(|shown| shown == line), "{outcome:?}: {line}");
+        assert!(metrics.text().lines().any(|shown| shown == line), "{outcome:?}: {line}");
     }
 }
