--- a/crates/server/src/inspection.rs
+++ b/crates/server/src/inspection.rs
@@ -73,7 +73,7 @@
     fn metrics_text(&self) -> String {
         let mut metrics = Exposition::default();
         self.write_metrics(&mut metrics);
-        metrics.text
+        metrics.text()
     }
 
     /// Answers what was asked in this turn of the loop.
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -8,6 +8,7 @@
 mod control_plane;
 mod dial_targets;
 mod disk;
+mod disk_owner;
 mod edge;
 mod inquiry;
 mod inspection;
@@ -29,6 +30,7 @@
 use gumdrop::Options;
 use node::NodeRuntime;
 use protocol::NodeRole;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::process::ExitCode;
 use stileroute_config::NodeSettings;
@@ -54,7 +56,8 @@
         return Err(CommandError::FiguresNotLoopback);
     }
     let boot = settings::read(&path, class).map_err(CommandError::Settings)?;
-    let boot = NodeSettings { metrics_address: args.figures.or(boot.metrics_address), ..boot };
+    let scraped = args.metrics_port.map(|port| SocketAddrV4::new(boot.ip, port));
+    let boot = NodeSettings { metrics_address: args.figures.or(scraped).or(boot.metrics_address), ..boot };
     match run(boot, &path, class) {
         Ok(()) => Ok(ExitStatus::Success),
         Err(report) => Err(CommandError::Role { settings: path, report }),
--- a/crates/server/src/metrics.rs
+++ b/crates/server/src/metrics.rs
@@ -1,6 +1,11 @@
 //! Metrics in the text exposition format of Prometheus (version 0.0.4). Each name is explained in docs/server.md.
+//!
+//! The samples are made anew for each question, from counters that their owners keep; the format is the `prometheus` package's.
 
-use std::fmt::{Display, Write};
+use prometheus::proto::{
+    Bucket, Counter, Gauge, Histogram as EncodedHistogram, LabelPair, Metric, MetricFamily, MetricType,
+};
+use prometheus::TextEncoder;
 
 /// Upper bounds of a histogram's buckets, in milliseconds.
 const BUCKETS_MS: [u64; 10] = [5, 10, 20, 40, 80, 160, 320, 1000, 5000, 15_000];
@@ -28,64 +33,101 @@
 /// The labels of a sample: names and values.
 type Labels<'a> = &'a [(&'a str, &'a str)];
 
-/// The metrics of a process, as they are written one after the other. All samples of one name have to follow one another,
-/// since its description is written before the first of them.
+/// What a gauge can show. Whole numbers are exact below 2^53.
+pub trait GaugeValue {
+    /// The value of the sample.
+    fn as_sample(&self) -> f64;
+}
+
+macro_rules! gauge_values {
+    ($($kind:ty),*) => {
+        $(impl GaugeValue for $kind {
+            fn as_sample(&self) -> f64 {
+                *self as f64
+            }
+        })*
+    };
+}
+gauge_values!(u8, u64, usize, f64);
+
+/// The metrics of a process, in the order in which they are written.
 #[derive(Default)]
 pub struct Exposition {
-    /// What has been written.
-    pub text: String,
-    /// The name that was described last.
-    described: String,
+    families: Vec<MetricFamily>,
 }
 
 impl Exposition {
-    fn describe(&mut self, name: &str, kind: &str, help: &str) {
-        if self.described != name {
-            self.described = name.to_string();
-            // Writing to a `String` can't fail.
-            let _ = writeln!(self.text, "# HELP {name} {help}\n# TYPE {name} {kind}");
+    /// Adds a sample to the metric of this name, which is described with its first sample. All samples of one metric have to
+    /// follow one another.
+    fn add(&mut self, name: &str, kind: MetricType, help: &str, sample: Metric) {
+        if self.families.last().is_none_or(|family| family.name() != name) {
+            let mut family = MetricFamily::default();
+            family.set_name(name.to_string());
+            family.set_help(help.to_string());
+            family.set_field_type(kind);
+            self.families.push(family);
         }
-    }
-
-    fn sample(&mut self, name: &str, labels: Labels, value: impl Display) {
-        self.text.push_str(name);
-        for (index, (label, text)) in labels.iter().enumerate() {
-            let separator = if index == 0 { '{' } else { ',' };
-            let text = text.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n");
-            let _ = write!(self.text, "{separator}{label}=\"{text}\"");
+        if let Some(family) = self.families.last_mut() {
+            family.mut_metric().push(sample);
         }
-        let end = if labels.is_empty() { "" } else { "}" };
-        let _ = writeln!(self.text, "{end} {value}");
     }
 
     /// A number that only rises while the process runs.
     pub fn counter(&mut self, name: &str, help: &str, labels: Labels, value: u64) {
-        self.describe(name, "counter", help);
-        self.sample(name, labels, value);
+        let mut counter = Counter::default();
+        counter.set_value(value.as_sample());
+        let mut sample = labelled(labels);
+        sample.set_counter(counter);
+        self.add(name, MetricType::COUNTER, help, sample);
     }
 
     /// A number that rises and falls.
-    pub fn gauge(&mut self, name: &str, help: &str, labels: Labels, value: impl Display) {
-        self.describe(name, "gauge", help);
-        self.sample(name, labels, value);
+    pub fn gauge(&mut self, name: &str, help: &str, labels: Labels, value: impl GaugeValue) {
+        let mut gauge = Gauge::default();
+        gauge.set_value(value.as_sample());
+        let mut sample = labelled(labels);
+        sample.set_gauge(gauge);
+        self.add(name, MetricType::GAUGE, help, sample);
     }
 
     /// A histogram, recorded in milliseconds and written in seconds.
     pub fn histogram(&mut self, name: &str, help: &str, histogram: &Histogram) {
-        self.describe(name, "histogram", help);
-        let bucket_name = format!("{name}_bucket");
         let mut cumulative = 0;
-        for (bound_ms, count) in BUCKETS_MS.iter().zip(histogram.buckets) {
+        let buckets = BUCKETS_MS.iter().zip(histogram.buckets).map(|(bound_ms, count)| {
             cumulative += count;
-            let bound = seconds(*bound_ms).to_string();
-            self.sample(&bucket_name, &[("le", &bound)], cumulative);
-        }
-        self.sample(&bucket_name, &[("le", "+Inf")], histogram.count);
-        self.sample(&format!("{name}_sum"), &[], seconds(histogram.sum_ms));
-        self.sample(&format!("{name}_count"), &[], histogram.count);
+            let mut bucket = Bucket::default();
+            bucket.set_upper_bound(seconds(*bound_ms));
+            bucket.set_cumulative_count(cumulative);
+            bucket
+        });
+        let mut encoded = EncodedHistogram::default();
+        encoded.set_bucket(buckets.collect());
+        encoded.set_sample_count(histogram.count);
+        encoded.set_sample_sum(seconds(histogram.sum_ms));
+        let mut sample = Metric::default();
+        sample.set_histogram(encoded);
+        self.add(name, MetricType::HISTOGRAM, help, sample);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> String {
+        TextEncoder::new().encode_to_string(&self.families).unwrap_or_else(|error| {
+            tracing::error!(%error, "metrics not encoded");
+            String::new()
+        })
     }
 }
 
+fn labelled(labels: Labels) -> Metric {
+    let pairs = labels.iter().map(|(name, value)| {
+        let mut pair = LabelPair::default();
+        pair.set_name((*name).to_string());
+        pair.set_value((*value).to_string());
+        pair
+    });
+    Metric::from_label(pairs.collect())
+}
+
 fn seconds(ms: u64) -> f64 {
     ms as f64 / 1000.0
 }
--- a/crates/server/src/metrics/tests.rs
+++ b/crates/server/src/metrics/tests.rs
@@ -8,11 +8,12 @@
     let mut times = Histogram::default();
     [5, 6, 20_000].into_iter().for_each(|ms| times.record(ms));
     sheet.histogram("t_seconds", "Ts.", &times);
+    let text = sheet.text();
     let begin =
         "# HELP a_total As.\n# TYPE a_total counter\na_total{of=\"x\\\"y\\\\\"} 3\na_total{of=\"z\"} 4\n";
-    assert!(sheet.text.starts_with(begin), "{}", sheet.text);
+    assert!(text.starts_with(begin), "{text}");
     for line in ["t_seconds_bucket{le=\"0.005\"} 1", "t_seconds_bucket{le=\"0.01\"} 2", "le=\"15\"} 2"] {
-        assert!(sheet.text.contains(line), "{line}: {}", sheet.text);
+        assert!(text.contains(line), "{line}: {text}");
     }
-    assert!(sheet.text.ends_with("le=\"+Inf\"} 3\nt_seconds_sum 20.011\nt_seconds_count 3\n"));
+    assert!(text.ends_with("le=\"+Inf\"} 3\nt_seconds_sum 20.011\nt_seconds_count 3\n"));
 }
