Server: disks know their node, two roles on a machine are told apart, an order says when no store is to spare

Cause: swapped data folders were used as if they were the machine's own; two roles on one machine had one identifier; nobody was told that an order to retire a store took the last spare one. Change: a file beside each log names its node and is checked before the log is opened; edges and control nodes have an identifier of name and role; the answer to an order, status, two metrics and a log line tell of spare stores. The answer of retire was {} and is pinned anew as {"spare_stores":N}.

--- a/crates/config/src/node_settings.rs
+++ b/crates/config/src/node_settings.rs
@@ -194,6 +194,37 @@
             && zones.len() > self.fault_tolerance.zones
             && regions.len() > self.fault_tolerance.regions
     }
+
+    /// The key that gives this address of the machine to something else than metrics, if there is one.
+    pub fn key_of_address(&self, address: SocketAddrV4) -> Option<&'static str> {
+        let named = [
+            ("bind_addresses.front", self.front_address),
+            ("bind_addresses.readiness", self.readiness_address),
+            ("bind_addresses.control", self.control_address),
+        ];
+        let PortRange { first, last } = self.internal_ports;
+        let is_internal = *address.ip() == self.ip && (first..=last).contains(&address.port());
+        let used = named.into_iter().find(|(_, other)| *other == Some(address)).map(|(key, _)| key);
+        used.or(is_internal.then_some("internal_ports"))
+    }
+
+    /// How many of the stores in these zones, one entry for each store, may be lost before messages are no longer accepted for
+    /// want of stores for their replicas: 0 where the loss of any single one may be enough for that.
+    pub fn spare_stores<'a>(&self, zones: impl Iterator<Item = &'a str>) -> usize {
+        let zones: Vec<&str> = zones.collect();
+        let needed = self.fault_tolerance.additional_replicas() + 1;
+        let is_dispensable = |lost: usize| self.are_stores_sufficient(without_one(&zones, lost));
+        if (0..zones.len()).all(is_dispensable) {
+            zones.len().saturating_sub(needed)
+        } else {
+            0
+        }
+    }
+}
+
+/// All but one of some stores' zones.
+fn without_one<'a>(zones: &'a [&'a str], lost: usize) -> impl Iterator<Item = &'a str> {
+    zones.iter().enumerate().filter(move |(index, _)| *index != lost).map(|(_, zone)| *zone)
 }
 
 impl ResourceLimits {
--- a/crates/server/src/cli/args.rs
+++ b/crates/server/src/cli/args.rs
@@ -35,6 +35,13 @@
         meta = "IP:PORT"
     )]
     pub figures: Option<SocketAddrV4>,
+    /// `--metrics-port`: where a scraper reads the counters.
+    #[options(
+        no_short,
+        help = "serve the counters at this port of the machine's own address, under /metrics",
+        meta = "PORT"
+    )]
+    pub metrics_port: Option<u16>,
     /// The command.
     #[options(command)]
     pub command: Option<Command>,
--- a/crates/server/src/cli/orders.rs
+++ b/crates/server/src/cli/orders.rs
@@ -186,7 +186,8 @@
 
 /// What an answer says of a retirement.
 fn retirement(name: &str, reply: &Reply) -> Result<Outcome, OrderError> {
-    let state = reply.json()["state"].as_str().unwrap_or("ordered").to_string();
+    let body = reply.json();
+    let state = body["state"].as_str().unwrap_or("ordered").to_string();
     let (status, text) = match (reply.status, state.as_str()) {
         (200, "complete") => (ExitStatus::Success, format!("{name} is empty: take it away with its disk")),
         (200, "rolling") => (ExitStatus::Differs, format!("{name} is being emptied: leave it running")),
@@ -196,7 +197,13 @@
         (404, _) => return Err(OrderError::UnknownStore { name: name.to_string(), reason: reply.reason() }),
         _ => return Err(OrderError::RetirementRejected { reason: reply.reason() }),
     };
-    Ok(Outcome::new(status, text).with_detail("state", state))
+    let warning = body["warning"].as_str();
+    let text = warning.map_or(text.clone(), |warning| format!("{text}\nWARNING: {warning}"));
+    let outcome = Outcome::new(status, text).with_detail("state", state);
+    Ok(match body["spare_stores"].as_u64() {
+        Some(spare_stores) => outcome.with_detail("spare_stores", spare_stores),
+        None => outcome,
+    })
 }
 
 #[cfg(test)]
--- a/crates/server/src/cli/status.rs
+++ b/crates/server/src/cli/status.rs
@@ -28,10 +28,13 @@
 fn as_json(fleet: &Fleet) -> JsonValue {
     let silent: Vec<JsonValue> =
         fleet.unreachable.values().map(|process| process.to_string().into()).collect();
-    let control = fleet.leading_control_report().map_or(JsonValue::Null, |report| report["duty"].clone());
+    let leading = fleet.leading_control_report();
+    let control = leading.map_or(JsonValue::Null, |report| report["duty"].clone());
+    let storage = leading.map_or(JsonValue::Null, |report| report["storage"].clone());
     let nodes: Vec<JsonValue> = fleet.reports.values().map(node_as_json).collect();
     jzon::object! {
         "control" => control,
+        "storage" => storage,
         "nodes" => nodes,
         "silent" => silent,
         "services" => services(fleet),
@@ -70,12 +73,22 @@
     let mut text = format!("control: epoch {}, primary {}, {leader}\n", control["epoch"], control["primary"]);
     let (replicas, voters) = (joined(&control["copies"]), joined(&control["voters"]));
     text += &format!("  copies: {replicas}\n  voters: {voters}\n");
+    text += &storage_as_text(&report["storage"]);
     for report in fleet.reports_of(NodeRole::Control).filter(|report| report["duty"]["blank"] == true) {
         text += &format!("  blank: {}\n", report["node"]);
     }
     text
 }
 
+/// How many stores may be lost while messages are still accepted; nothing where an older process does not say.
+fn storage_as_text(storage: &JsonValue) -> String {
+    if storage.is_null() {
+        return String::new();
+    }
+    let warning = if storage["spare"] == 0 { ": THE LOSS OF ANOTHER STOPS INTAKE" } else { "" };
+    format!("  stores: {} in service, {} spare{warning}\n", storage["in_service"], storage["spare"])
+}
+
 /// The members of a list with blanks between them.
 pub fn joined(values: &JsonValue) -> String {
     values.members().map(JsonValue::to_string).collect::<Vec<_>>().join(" ")
@@ -87,8 +100,9 @@
     let readiness = if report["ready"] == false { ", not ready" } else { "" };
     let shutdown = if report["leaving"] == true { ", ends" } else { "" };
     let disk = if report["disk_trouble"] == true { ", DISK REFUSES" } else { "" };
+    let intake = if report["accepts"] == false { ", ACCEPTS NO MESSAGES" } else { "" };
     let mut text = format!(
-        "  {} {} in {} at {address}: version {}{session}{readiness}{shutdown}{disk}\n",
+        "  {} {} in {} at {address}: version {}{session}{readiness}{shutdown}{disk}{intake}\n",
         report["class"], report["node"], report["zone"], report["version"]
     );
     let messages = &report["messages"];
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -1,6 +1,7 @@
 //! `stilerouted state verify`: reads the data folder of a machine whose process is stopped, and changes nothing in it.
 
 use super::output::{print, ExitStatus, OutputFormat};
+use crate::disk_owner;
 use jzon::JsonValue;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
@@ -79,6 +80,7 @@
         MessageRecord::OwnerChanged { .. } => "own",
         MessageRecord::Dropped { .. } => "drop",
         MessageRecord::RetirementOrdered => "retire",
+        MessageRecord::PeerDiskKnown { .. } => "peer disk",
     }
 }
 
@@ -173,9 +175,11 @@
     for (name, verify_folder) in roles {
         let folder = data_dir.join(name);
         if folder.is_dir() {
-            folders[name] = verify_folder(&folder).unwrap_or_else(|error| {
+            let mut verified = verify_folder(&folder).unwrap_or_else(|error| {
                 jzon::object! { "opens" => false, "trouble" => error.to_string() }
             });
+            verified["owner"] = disk_owner::read(data_dir, name).ok().flatten().into();
+            folders[name] = verified;
         }
     }
     if folders.is_empty() {
--- a/crates/server/src/control_node.rs
+++ b/crates/server/src/control_node.rs
@@ -6,6 +6,7 @@
 mod pending_calls;
 mod report;
 mod retirement;
+mod spare_stores;
 
 use crate::control_plane::{member_of, ControlPlane};
 use crate::disk::Disk;
@@ -18,6 +19,7 @@
 use disk_records::DiskRecords;
 use pending_calls::{Origin, PendingCalls};
 use retirement::RetirementNotices;
+use spare_stores::SpareStoreWatch;
 use std::sync::Arc;
 use stileroute_config::Config;
 use stileroute_control_group::{ControlGroup, Effect, GroupSettings};
@@ -46,6 +48,7 @@
     disk: Disk,
     calls: PendingCalls,
     notices: RetirementNotices,
+    spare_store_watch: SpareStoreWatch,
     /// When the group said that this node is free to go.
     ready_to_exit_at: Option<Millis>,
 }
@@ -92,6 +95,7 @@
             // Random: an answer to an earlier incarnation of this process finds no call.
             calls: PendingCalls::new(random_seed()),
             notices: RetirementNotices::default(),
+            spare_store_watch: SpareStoreWatch::default(),
             ready_to_exit_at: None,
         })
     }
@@ -112,6 +116,7 @@
             }
             self.plane.publish(&mut self.runtime.links, &mut self.runtime.net, now);
             self.advance_retirements(now);
+            self.watch_spare_stores(now);
             self.answer_overdue_calls(now);
             if self.runtime.take_shutdown_request() {
                 self.plane.group.shut_down(now);
--- a/crates/server/src/control_node/report.rs
+++ b/crates/server/src/control_node/report.rs
@@ -1,5 +1,6 @@
 //! What a control node tells operators: its report and its metrics.
 
+use super::spare_stores::StoresInService;
 use super::ControlNode;
 use crate::inspection::Inspect;
 use crate::metrics::Exposition;
@@ -9,6 +10,7 @@
 use jzon::JsonValue;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use stileroute_queue::Node as NodeId;
 
 impl ControlNode {
     /// Version of the configuration in force here; 0 where there is none.
@@ -25,9 +27,10 @@
         let own = own.map(|session| &session.member);
         // Own sessions last: what others said of a node may be from before it came here.
         let members = control_nodes.chain(of_peers).chain(own);
-        let by_name: BTreeMap<String, JsonValue> =
-            members.map(|member| (member.name.clone(), member_as_json(member))).collect();
-        by_name.into_values().collect::<Vec<_>>().into()
+        // Two roles on one machine share its name.
+        let by_process = members.map(|member| ((member.name.clone(), member.node), member_as_json(member)));
+        let by_process: BTreeMap<(String, NodeId), JsonValue> = by_process.collect();
+        by_process.into_values().collect::<Vec<_>>().into()
     }
 
     /// The control group as this node sees it.
@@ -78,6 +81,8 @@
         report["known"] = self.members_as_json();
         report["ready"] = self.plane.registry.is_ready().into();
         report["duty"] = self.group_as_json();
+        let StoresInService { count, spare } = self.stores_in_service();
+        report["storage"] = jzon::object! { "in_service" => count, "spare" => spare };
         report["executors"] = self.executors_as_json();
         report
     }
@@ -94,6 +99,11 @@
         metrics.gauge("stileroute_control_leads", help, &[], leads);
         let help = "1: it has lost its disk and has not learned yet.";
         metrics.gauge("stileroute_control_blank", help, &[], u8::from(group.is_awaiting_view()));
+        let StoresInService { count, spare } = self.stores_in_service();
+        let help = "Stores that are there and not to be emptied.";
+        metrics.gauge("stileroute_stores_in_service", help, &[], count);
+        let help = "Stores that may be lost while messages are still accepted; 0: another loss stops intake.";
+        metrics.gauge("stileroute_spare_stores", help, &[], spare);
         let sessions = registry.sessions().filter(|session| session.is_connected).count();
         let help = "Sessions of edges and stores with this node.";
         metrics.gauge("stileroute_sessions", help, &[], sessions);
--- a/crates/server/src/control_node/retirement.rs
+++ b/crates/server/src/control_node/retirement.rs
@@ -4,7 +4,7 @@
 use super::ControlNode;
 use crate::calls::{BeginRetirement, BeginRetirementReply, CallHandler, ReadRetirement, RetirementProgress};
 use crate::net::Millis;
-use crate::node::node_id;
+use crate::node::store_id;
 use crate::protocol::{ForwardedCall, Frame, NodeRole, RetirementState};
 use std::collections::BTreeMap;
 use stileroute_control_group::{ControlState, Retirement, RetirementStage};
@@ -43,7 +43,7 @@
     registry: &Registry,
     suffices: impl Fn(&[&str]) -> bool,
 ) -> OrderDecision {
-    let node = node_id(name);
+    let node = store_id(name);
     if state.retirement(node).is_some() {
         return OrderDecision::AlreadyCommitted;
     }
@@ -76,7 +76,7 @@
     committed: Option<&ControlState>,
     registry: &Registry,
 ) -> Option<RetirementProgress> {
-    let retirement = committed.and_then(|state| state.retirement(node_id(name)))?;
+    let retirement = committed.and_then(|state| state.retirement(store_id(name)))?;
     let reported = registry.store_named(name).map(|store| store.retirement);
     Some(match (retirement.stage, reported) {
         (RetirementStage::Complete, None | Some(RetirementState::Complete)) => RetirementProgress::Complete,
@@ -154,16 +154,22 @@
     fn answer_orders(&mut self, now: Millis) {
         for order in self.calls.unconfirmed_orders() {
             if self.is_confirmed(&order.store) {
-                self.answer_call(order.call_id, BeginRetirementReply::Accepted.into());
+                let reply = self.accepted_order();
+                self.answer_call(order.call_id, reply.into());
             } else if now > order.since + CONFIRMATION_TIMEOUT_MS {
                 self.answer_call(order.call_id, BeginRetirementReply::Unavailable.into());
             }
         }
     }
 
+    /// The answer to an order that its store has confirmed.
+    fn accepted_order(&self) -> BeginRetirementReply {
+        BeginRetirementReply::Accepted { spare_stores: self.stores_in_service().spare }
+    }
+
     /// Whether the store has said that it has the order, now or before.
     fn is_confirmed(&self, name: &str) -> bool {
-        let committed = self.plane.group.committed().and_then(|state| state.retirement(node_id(name)));
+        let committed = self.plane.group.committed().and_then(|state| state.retirement(store_id(name)));
         let store = self.plane.registry.store_named(name);
         let is_retiring = store.is_some_and(|store| store.retirement != RetirementState::NotRetiring);
         committed.is_some_and(|retirement| is_retiring || retirement.stage != RetirementStage::Ordered)
@@ -186,7 +192,7 @@
     ) -> Option<BeginRetirementReply> {
         let now = self.runtime.net.now();
         if self.is_confirmed(&name) {
-            return Some(BeginRetirementReply::Accepted);
+            return Some(self.accepted_order());
         }
         self.calls.set_content(call_id, ForwardedCall::BeginRetirement { node: name.clone() });
         let Some(decision) = self.decide_order(now, &name) else {
@@ -199,7 +205,7 @@
             OrderDecision::NotNow => return Some(BeginRetirementReply::Unavailable),
             OrderDecision::AlreadyCommitted => self.calls.await_store(call_id),
             OrderDecision::Propose => {
-                self.plane.group.retire_store(now, call_id, node_id(&name), name);
+                self.plane.group.retire_store(now, call_id, store_id(&name), name);
                 self.apply_group_effects();
             }
         }
--- a/crates/server/src/control_node/retirement/tests.rs
+++ b/crates/server/src/control_node/retirement/tests.rs
@@ -5,7 +5,7 @@
 
 fn store(name: &str, retirement: RetirementState) -> Member {
     Member {
-        node: node_id(name),
+        node: store_id(name),
         name: name.to_string(),
         role: NodeRole::Store,
         zone: "z".to_string(),
@@ -36,7 +36,7 @@
 
 fn state(retirements: &[(&str, RetirementStage)]) -> ControlState {
     let one = |(name, stage): &(&str, RetirementStage)| Retirement {
-        node: node_id(name),
+        node: store_id(name),
         name: name.to_string(),
         stage: *stage,
     };
@@ -45,7 +45,7 @@
 
 /// Two have to stay.
 fn decision(name: &str, state: &ControlState, pending: &[&str], registry: &Registry) -> OrderDecision {
-    let pending: Vec<u32> = pending.iter().map(|name| node_id(name)).collect();
+    let pending: Vec<u32> = pending.iter().map(|name| store_id(name)).collect();
     decide(name, state, &pending, registry, |zones| zones.len() >= 2)
 }
 
@@ -122,7 +122,7 @@
     ]);
     let mut here = registry(&FOUR, true);
     let mut notices = RetirementNotices::default();
-    let (first, second) = (node_id("s-1"), node_id("s-2"));
+    let (first, second) = (store_id("s-1"), store_id("s-2"));
     // The second has lost its disk, or is another machine of its name.
     assert_eq!(notices.due(3000, &committed, &here), [first, second]);
     assert!(notices.due(3499, &committed, &here).is_empty());
--- a/crates/server/src/disk.rs
+++ b/crates/server/src/disk.rs
@@ -1,5 +1,6 @@
 //! The log of a role on its disk, and the results of its writes.
 
+use crate::disk_owner;
 use crate::node::NodeRuntime;
 use crate::start_error::StartError;
 use std::sync::mpsc::{channel, Receiver};
@@ -35,6 +36,7 @@
         let folder = data_dir.join(options.schema);
         std::fs::create_dir_all(&folder)
             .map_err(|source| StartError::DataFolder { folder: folder.clone(), source })?;
+        disk_owner::claim(data_dir, options.schema, &node.boot.node_name)?;
         let (sender, results) = channel();
         let waker = Arc::clone(&node.waker);
         let on_result = move |ticket, result| {
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -41,11 +41,19 @@
     hasher.finish()
 }
 
-/// A node's identifier: a hash of its name.
-pub fn node_id(name: &str) -> Node {
+/// A store's identifier: a hash of its name. Messages and disks name it.
+pub fn store_id(name: &str) -> Node {
     (stileroute_dispatch::types::mark(name) >> 32) as Node
 }
 
+/// The identifier of a process: of two roles on one machine, which share its name, each has its own.
+pub fn process_id(name: &str, role: NodeRole) -> Node {
+    match role {
+        NodeRole::Store => store_id(name),
+        other => store_id(&format!("{name}/{other}")),
+    }
+}
+
 /// Why a process can't start.
 #[derive(Debug, thiserror::Error, miette::Diagnostic)]
 pub enum NodeStartError {
@@ -63,14 +71,6 @@
         /// What the system says.
         source: std::io::Error,
     },
-    /// The address for the metrics can't be bound.
-    #[error("bind_addresses.figures: {address}: {source}")]
-    MetricsAddress {
-        /// The address.
-        address: SocketAddrV4,
-        /// What the system says.
-        source: std::io::Error,
-    },
 }
 
 /// What [`NodeRuntime::poll`] returns.
@@ -129,7 +129,7 @@
             Links::new(local_peer_info(&boot, role), (boot.internal_ports.first, boot.internal_ports.last));
         let address = links.listen_address(boot.ip, role);
         net.listen_peers(address).map_err(|source| NodeStartError::InternalAddress { address, source })?;
-        let metrics_listener = listen_for_metrics(&mut net, boot.metrics_address)?;
+        let metrics_listener = listen_for_metrics(&mut net, &boot);
         Ok(NodeRuntime {
             session: Session::new(&boot.seeds),
             boot,
@@ -220,7 +220,7 @@
 fn local_peer_info(boot: &NodeSettings, role: NodeRole) -> PeerInfo {
     PeerInfo {
         protocol_version: PROTOCOL_VERSION,
-        node: node_id(&boot.node_name),
+        node: process_id(&boot.node_name, role),
         name: boot.node_name.clone(),
         role,
         zone: boot.zone.clone(),
@@ -230,14 +230,22 @@
     }
 }
 
-fn listen_for_metrics(
-    net: &mut Net,
-    address: Option<SocketAddrV4>,
-) -> Result<Option<ListenerId>, NodeStartError> {
-    let Some(address) = address else { return Ok(None) };
+/// Opens the listener for metrics, if there is an address for one. Where it can't be had the process runs without it: figures
+/// are not worth a node.
+fn listen_for_metrics(net: &mut Net, boot: &NodeSettings) -> Option<ListenerId> {
+    let address = boot.metrics_address?;
+    if let Some(key) = boot.key_of_address(address) {
+        tracing::error!(%address, "no listener for metrics: it is {key} too");
+        return None;
+    }
     let limits = RequestLimits { max_body_bytes: 0, ..RequestLimits::default() };
-    let listener = net.listen_http(address, limits);
-    listener.map(Some).map_err(|source| NodeStartError::MetricsAddress { address, source })
+    match net.listen_http(address, limits) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            tracing::error!(%address, %error, "no listener for metrics");
+            None
+        }
+    }
 }
 
 fn may_change_topology(link_event: &LinkEvent) -> bool {
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -75,7 +75,7 @@
         let local = self.links.local();
         let class = local.role.to_string();
         let labels = [("node", local.name.as_str()), ("class", &class), ("zone", &local.zone)];
-        metrics.gauge("stileroute_node", "Always 1: which process this is.", &labels, 1);
+        metrics.gauge("stileroute_node", "Always 1: which process this is.", &labels, 1u8);
         let up = seconds(self.net.now());
         metrics.gauge("stileroute_up_seconds", "Since the process began.", &[], up);
         let help = "Version in force here; 0: none yet.";
--- a/crates/server/src/start_error.rs
+++ b/crates/server/src/start_error.rs
@@ -1,5 +1,6 @@
 //! Why a role could not be started.
 
+use crate::disk_owner::OwnerError;
 use std::path::PathBuf;
 use stileroute_wal::OpenError;
 
@@ -22,6 +23,9 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// The data folder belongs to another node, or does not say whose it is.
+    #[error("data_dir: {0}")]
+    DataOwner(#[from] OwnerError),
     /// The log could not be opened.
     #[error("{}: {source}", folder.display())]
     Log {
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -3,6 +3,7 @@
 
 mod deliveries;
 mod delivery_statistics;
+mod departed_executors;
 mod executor_http;
 mod link_events;
 mod report;
@@ -16,6 +17,7 @@
 use crate::protocol::{Frame, Heartbeat, NodeRole, RetirementState};
 use crate::start_error::StartError;
 use delivery_statistics::DeliveryStatistics;
+use departed_executors::DepartedExecutors;
 use std::collections::HashMap;
 use stileroute_queue::{first_number, Key, Node, Queue, QueueSettings, Record, StateTable, ToleratedLosses};
 use stileroute_registry::SESSION_GRACE;
@@ -57,6 +59,7 @@
     disk: Disk,
     /// The last heartbeat of each executor that the control nodes name, by its id.
     executors: HashMap<String, Heartbeat>,
+    departed_executors: DepartedExecutors,
     in_flight: HashMap<u64, InFlight>,
     /// By the id under which the queue knows each submission.
     submitters: HashMap<u64, Submitter>,
@@ -92,6 +95,7 @@
             queue,
             disk,
             executors: HashMap::new(),
+            departed_executors: DepartedExecutors::default(),
             in_flight: HashMap::new(),
             submitters: HashMap::new(),
             last_id: 1,
--- a/crates/server/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -257,7 +257,9 @@
         let says = |a: (u16, String, String)| a.0 == 200 && a.1.contains(part);
         (1..=3).rev().find(|core| fleet.curl(*core, line, "", "").is_some_and(says))
     };
-    fleet.until("the order is taken", || any(BEGIN, "{}"));
+    // With two losses of one to be borne, none is to spare from here on, and the operator is told.
+    let answer = r#"{"spare_stores":0,"warning":"no spare store is left: the loss of another stops intake"}"#;
+    fleet.until("the order is taken", || any(BEGIN, answer));
     let core = fleet.until("emptied", || any(READ, "complete"));
     assert_eq!(fleet.curl(core, BEGIN, "storage-3", "storage-2").map(|a| a.0), Some(409));
     fleet.kill("storage-3");
@@ -290,7 +292,9 @@
     let (ordered, emptied) = (retire(&[]), retire(&["--status"]));
     assert_eq!((ordered.status.code(), emptied.status.code()), (Some(0), Some(0)));
     let said = |output: &Output| String::from_utf8(output.stdout.clone()).unwrap();
-    assert_eq!(said(&ordered), "storage-3 has the order: ask with --status until it is empty\n");
+    let warning = "WARNING: no spare store is left: the loss of another stops intake";
+    let order = "storage-3 has the order: ask with --status until it is empty";
+    assert_eq!(said(&ordered), format!("{order}\n{warning}\n"));
     assert_eq!(said(&emptied), "storage-3 is empty: take it away with its disk\n");
     let cores = ["core-1", "core-2", "core-3"];
     cores.iter().for_each(|name| fleet.kill(name));
