Queue: after a fence all stores are asked before anything starts; the searches cut the fleet into halves and black it out

Cause (found by the search once it had the halves): a store that was replaced in a new message's list, and whose order to drop it was lost with the connection, takes it over on the other side of a cut into halves; back, the owner asked only the list. Both kept it, and a delayed one would have run at both. The searches of the control group and of the queue have cuts into two halves and a lost disk while all others, edges too, lose power.

--- a/crates/model-check/src/choice.rs
+++ b/crates/model-check/src/choice.rs
@@ -116,6 +116,15 @@
         /// How long.
         span: Millis,
     },
+    /// A machine loses its disk while all others lose power; all are started again after `back`.
+    Blackout {
+        /// The one that loses its disk.
+        node: usize,
+        /// Whether the records under way at the others are on disk.
+        are_synced: bool,
+        /// How long all are away.
+        back: Millis,
+    },
     /// A process is told to end, and is started again.
     ShutDown {
         /// Whose process.
@@ -175,6 +184,7 @@
             Choice::Lose { node } => (17, node, 0, 0),
             Choice::Split { node, with, span } => (18, node, with, span),
             Choice::ReplaceWhileIsolated { node, with } => (19, node, with, 0),
+            Choice::Blackout { node, are_synced, back } => (20, node, usize::from(are_synced), back),
         }
     }
     /// Whether it counts as a fault; else it counts as a delay.
--- a/crates/model-check/src/choices.rs
+++ b/crates/model-check/src/choices.rs
@@ -87,7 +87,36 @@
             choices.push(Choice::HoldOutgoing { node, span });
         }
         choices.push(Choice::ShutDown { node });
-        self.add_growth(node, is_loss_tolerated, choices);
+        if self.bounds.fault_kinds == FaultKinds::FleetWide {
+            self.add_halves(node, of(&PARTITION_SPANS, 1), choices);
+            if is_loss_tolerated {
+                self.add_blackouts(node, of(&RESTART_SPANS, 1), choices);
+            }
+        } else {
+            self.add_growth(node, is_loss_tolerated, choices);
+        }
+    }
+
+    /// The node and another against the rest. Of three nodes that is an isolated one.
+    fn add_halves(&self, node: usize, spans: &[Millis], choices: &mut Vec<Choice>) {
+        if self.nodes.len() > 3 {
+            let others = (0..self.nodes.len()).filter(|other| *other != node);
+            choices
+                .extend(others.flat_map(|with| {
+                    spans.iter().map(move |span| Choice::Split { node, with, span: *span })
+                }));
+        }
+    }
+
+    /// Where every other disk has a view: one that has nothing yet counts as lost.
+    fn add_blackouts(&self, node: usize, spans: &[Millis], choices: &mut Vec<Choice>) {
+        let has_view = |other: &usize| self.nodes[*other].disk.view.is_some();
+        if !(0..self.nodes.len()).filter(|other| *other != node).all(|other| has_view(&other)) {
+            return;
+        }
+        for back in spans.iter().copied() {
+            choices.extend([false, true].map(|are_synced| Choice::Blackout { node, are_synced, back }));
+        }
     }
 
     fn add_growth(&self, node: usize, is_loss_tolerated: bool, choices: &mut Vec<Choice>) {
@@ -186,6 +215,7 @@
                     self.partition(with, other, span);
                 }
             }
+            Choice::Blackout { node, are_synced, back } => self.black_out(node, are_synced, back),
             Choice::ShutDown { node } => self.with(node, |group, now| group.shut_down(now)),
             Choice::DelayMessages { from, to, by } => {
                 let (until, direction) =
@@ -210,6 +240,18 @@
         }
     }
 
+    fn black_out(&mut self, wiped: usize, are_synced: bool, back: Millis) {
+        for node in 0..self.nodes.len() {
+            let unsynced = self.nodes[node].unsynced.len();
+            let synced = if are_synced { unsynced } else { 0 };
+            let end = if node == wiped { ProcessEnd::DiskLoss } else { ProcessEnd::PowerLoss };
+            if self.nodes[node].group.is_some() || node == wiped {
+                self.end(node, if node == wiped { 0 } else { synced }, end);
+                self.schedule_rounded(back, Scheduled::Start(node));
+            }
+        }
+    }
+
     fn lose(&mut self, node: usize) {
         self.end(node, 0, ProcessEnd::PowerLoss);
         self.nodes[node].is_gone_for_good = true;
--- a/crates/model-check/src/queue/fleet/bounds.rs
+++ b/crates/model-check/src/queue/fleet/bounds.rs
@@ -24,8 +24,8 @@
     pub delays: u8,
     /// Of each fault only the longer duration, and of the writes in flight all or none.
     pub one_span: bool,
-    /// No second store is away, for longer than others wait for it, while one is: one loss is tolerated.
-    pub one_away: bool,
+    /// Also faults that strike all at once: a cut into two halves, and a lost disk while all others lose power.
+    pub fleet_wide: bool,
     /// Choices at one step of a store in so many.
     pub every: u32,
     /// A fault that is planted in each store.
--- a/crates/model-check/src/simulation/bounds.rs
+++ b/crates/model-check/src/simulation/bounds.rs
@@ -29,6 +29,9 @@
     All,
     /// Only those that add nodes, and that come with that: replacements, losses for good, splits.
     Growth,
+    /// Each of them but those with new nodes, and those that strike all at once: a cut into two halves, and a lost disk while all
+    /// others lose power.
+    FleetWide,
 }
 
 /// How fast the clocks of the nodes run.
--- a/crates/queue/src/replication/release.rs
+++ b/crates/queue/src/replication/release.rs
@@ -34,12 +34,19 @@
         }
     }
 
-    /// After a fence: announces what others may have taken over without this store's knowledge, so that they can object.
+    /// After a fence: announces all that waits to all, so that they can object. Also what lies at stores that have answered: one
+    /// that was replaced in the list while the message was being persisted may have it all the same, and may have taken over on the
+    /// other side of a partition.
     pub(super) fn announce_all_waiting(&mut self, now: Millis) {
         let waiting = self.owned_here().filter(|(_, entry)| entry.stage == Stage::Waiting);
         let waiting: Vec<Key> = waiting.map(|(key, _)| key).collect();
+        let asks_all = !self.planted(PlantedFault::FenceUnannounced);
         for key in waiting {
-            self.announce_doubtful(now, key);
+            if asks_all {
+                self.announce_and_wait(now, key);
+            } else {
+                self.announce_doubtful(now, key);
+            }
             self.unschedule(key);
             self.schedule(now, key);
         }
