--- a/crates/server/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -4,7 +4,7 @@
 use assert_matches::assert_matches;
 use std::fs::{self, File};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -57,7 +57,7 @@
         let (pid, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("stilerouted-commands-{pid}-{fleet}"));
         // Each test has a net of its own, and so have two runs at a time.
-        let net = format!("127.{}.{}", 192 + 30 * fleet + pid / 250 % 30, 1 + pid % 250);
+        let net = format!("127.{}.{}", 192 + 15 * fleet + pid / 250 % 15, 1 + pid % 250);
         Fleet {
             dir,
             net,
@@ -121,6 +121,21 @@
         child.wait().unwrap();
     }
 
+    /// The exit code of a process that has ended by itself.
+    fn exit_code(&mut self, name: &str) -> Option<i32> {
+        let (_, child) = self.children.iter_mut().find(|(n, _)| n == name).unwrap();
+        child.try_wait().unwrap().and_then(|status| status.code())
+    }
+
+    /// Two machines that are off get each other's disk.
+    fn swap_disks(&self, one: &str, other: &str) {
+        let data = |name: &str| self.dir.join(name).join("data");
+        let aside = self.dir.join("aside");
+        fs::rename(data(one), &aside).unwrap();
+        fs::rename(data(other), data(one)).unwrap();
+        fs::rename(aside, data(other)).unwrap();
+    }
+
     fn log(&self, name: &str) -> String {
         fs::read_to_string(self.dir.join(name).join("log")).unwrap()
     }
@@ -211,15 +226,115 @@
     }
 }
 
+const ALL: [&str; 7] = ["core-1", "core-2", "core-3", "storage-1", "storage-2", "storage-3", "edge-1"];
+
+/// All processes, with a configuration in force.
+fn configured_fleet() -> Fleet {
+    let mut fleet = Fleet::new();
+    ALL.iter().for_each(|name| fleet.start(name, true));
+    fleet.until("the configuration is taken", || fleet.configure(7).filter(|status| *status == 200));
+    fleet
+}
+
+/// Each of the four refuses by the name of the disk's owner and ends; with the disks back nothing is lost.
+#[test]
+fn swapped_disks_are_refused_before_anything_in_them_is_used() {
+    let mut fleet = configured_fleet();
+    fleet.message = fleet.accepted();
+    fleet.until("it lies on two disks", || fleet.safe(&fleet.message));
+    let swapped = [("storage-1", "storage-2"), ("core-1", "core-2")];
+    for (one, other) in swapped {
+        [one, other].iter().for_each(|name| fleet.kill(name));
+        fleet.swap_disks(one, other);
+        for (name, owner) in [(one, other), (other, one)] {
+            fleet.start(name, false);
+            let code = loop {
+                assert!(Instant::now() < fleet.end, "{name} runs on another's disk");
+                match fleet.exit_code(name) {
+                    Some(code) => break code,
+                    None => std::thread::park_timeout(Duration::from_millis(20)),
+                }
+            };
+            assert_ne!(code, 0);
+            let log = fleet.log(name);
+            let reason = log.lines().last().unwrap();
+            assert!(reason.contains(&format!("belongs to {owner:?}")), "{log}");
+        }
+        [one, other].iter().for_each(|name| fleet.kill(name));
+        fleet.swap_disks(one, other);
+        [one, other].iter().for_each(|name| fleet.start(name, false));
+    }
+    fleet.until("it lies on two disks as before", || fleet.safe(&fleet.message));
+    let read = || fleet.http("1:18262", "GET", "/v1/settings/read", "").filter(|answer| answer.0 == 200);
+    assert!(fleet.until("the configuration", read).1.contains("\"revision\":7"));
+}
+
+/// An executor: an address where connections are counted, and its calls.
+struct StandIn {
+    id: &'static str,
+    listener: TcpListener,
+}
+
+impl StandIn {
+    fn new(id: &'static str) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.set_nonblocking(true).unwrap();
+        StandIn { id, listener }
+    }
+
+    fn was_called(&self) -> bool {
+        self.listener.accept().is_ok()
+    }
+
+    fn beat(&self, fleet: &Fleet, core: u8, call_count: u64) -> Option<u16> {
+        let address = self.listener.local_addr().unwrap();
+        let body = format!(
+            r#"{{"backend":"lock","address":"{address}","zone":"z1","capacity":4,"state":"serving",
+            "cold_left_ms":0,"call_count":{call_count}}}"#
+        );
+        let path = format!("/v1/servers/{}/heartbeat", self.id);
+        fleet.http(&format!("{core}:18262"), "POST", &path, &body).map(|answer| answer.0)
+    }
+}
+
+/// Its heartbeat was on its way when it left, and comes by way of another core: nothing is sent to it, also when all cores have
+/// been started anew since. Another executor of the service is called.
+#[test]
+fn a_heartbeat_that_comes_after_a_leave_brings_no_executor_back() {
+    let mut fleet = configured_fleet();
+    let (left, other) = (StandIn::new("e-left"), StandIn::new("e-other"));
+    fleet.until("its heartbeat is acknowledged", || left.beat(&fleet, 1, 1).filter(|status| *status == 200));
+    let leave = || fleet.http("2:18262", "POST", "/v1/servers/e-left/leave", "{}");
+    fleet.until("its leave is acknowledged", || leave().filter(|answer| answer.0 == 200));
+    fleet.message = fleet.accepted();
+    let is_left_alone = |fleet: &Fleet, call_count: u64| {
+        let until = Instant::now() + Duration::from_millis(1500);
+        while Instant::now() < until {
+            left.beat(fleet, 3, call_count);
+            assert!(!left.was_called(), "called after it left, heartbeat {call_count}");
+            std::thread::park_timeout(Duration::from_millis(100));
+        }
+    };
+    is_left_alone(&fleet, 9);
+    let cores = ["core-1", "core-2", "core-3"];
+    cores.iter().for_each(|name| fleet.kill(name));
+    cores.iter().for_each(|name| fleet.start(name, false));
+    fleet.until("the cores lead again", || fleet.configure(8).filter(|status| *status == 200));
+    is_left_alone(&fleet, 12);
+    let mut call_count = 0;
+    fleet.until("another executor is called", || {
+        call_count += 1;
+        other.beat(&fleet, 1, call_count);
+        other.was_called().then_some(())
+    });
+}
+
 const BEGIN: &str = "curl -d '{\"deadline_s\":30}' http://10.1.0.14:8262/v1/retire/storage-3/begin";
 const READ: &str = "curl http://10.1.0.14:8262/v1/retire/storage-3/read";
 
 #[test]
 fn machines_are_replaced_retired_and_lost_as_the_page_says() {
-    let mut fleet = Fleet::new();
-    let all = ["core-1", "core-2", "core-3", "storage-1", "storage-2", "storage-3", "edge-1"];
-    all.iter().for_each(|name| fleet.start(name, true));
-    fleet.until("the configuration is taken", || fleet.configure(7).filter(|status| *status == 200));
+    let mut fleet = configured_fleet();
     fleet.message = fleet.accepted();
     fleet.until("it lies on two disks", || fleet.safe(&fleet.message));
 
