Control node: its part in the group ends before its machine is taken away with a store that was emptied

Change: a control node whose own machine is being emptied leaves the group as on SIGTERM, and complete is not said while one of an even number of voters runs on the machine. Unit test for when a voter is needed.

--- a/crates/server/src/control_node.rs
+++ b/crates/server/src/control_node.rs
@@ -49,6 +49,8 @@
     calls: PendingCalls,
     notices: RetirementNotices,
     spare_store_watch: SpareStoreWatch,
+    /// Whether this node has given up its part in the group, for its machine is being retired.
+    has_left_group: bool,
     /// When the group said that this node is free to go.
     ready_to_exit_at: Option<Millis>,
 }
@@ -96,6 +98,7 @@
             calls: PendingCalls::new(random_seed()),
             notices: RetirementNotices::default(),
             spare_store_watch: SpareStoreWatch::default(),
+            has_left_group: false,
             ready_to_exit_at: None,
         })
     }
--- a/crates/server/src/control_node/retirement.rs
+++ b/crates/server/src/control_node/retirement.rs
@@ -7,6 +7,7 @@
 use crate::node::store_id;
 use crate::protocol::{ForwardedCall, Frame, NodeRole, RetirementState};
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_control_group::{ControlState, Retirement, RetirementStage};
 use stileroute_queue::Node;
 use stileroute_registry::Registry;
@@ -93,6 +94,12 @@
     }
 }
 
+/// Whether the loss of a machine would leave the control group with less than it is meant to tolerate: one of an even number of
+/// voters runs on it. The group removes that voter by the next change; an odd number has a voter to spare.
+fn is_voter_needed(voters: &[SocketAddrV4], machine: Ipv4Addr) -> bool {
+    voters.len().is_multiple_of(2) && voters.iter().any(|voter| *voter.ip() == machine)
+}
+
 /// When each store was last notified of its retirement.
 #[derive(Default)]
 pub struct RetirementNotices(BTreeMap<Node, Millis>);
@@ -120,11 +127,25 @@
 impl ControlNode {
     /// Notifies stores, records how far they are, and answers orders that they have confirmed.
     pub(super) fn advance_retirements(&mut self, now: Millis) {
+        self.leave_group_with_machine(now);
         self.notify_stores(now);
         self.record_stages(now);
         self.answer_orders(now);
     }
 
+    /// A store on this machine is being retired, and the machine is taken away when it is empty: this control node's part in the
+    /// group ends before that.
+    fn leave_group_with_machine(&mut self, now: Millis) {
+        let own_store = store_id(&self.runtime.boot.node_name);
+        let is_retired =
+            self.plane.group.committed().is_some_and(|state| state.retirement(own_store).is_some());
+        if is_retired && !std::mem::replace(&mut self.has_left_group, true) {
+            tracing::info!("this machine is being retired: the control role is given up");
+            self.plane.group.shut_down(now);
+            self.apply_group_effects();
+        }
+    }
+
     fn notify_stores(&mut self, now: Millis) {
         let Some(committed) = self.plane.group.committed() else { return };
         for node in self.notices.due(now, committed, &self.plane.registry) {
@@ -135,9 +156,13 @@
     /// At the primary: what stores say goes into the replicated state.
     fn record_stages(&mut self, now: Millis) {
         let Some(state) = self.plane.group.readable_state(now) else { return };
+        let voters = self.plane.group.view().map_or(&[][..], |view| &view.voters);
         let advanced = |retirement: &Retirement| {
             let store = self.plane.registry.store_named(&retirement.name)?;
-            let stage = reported_stage(store.retirement)?;
+            let stage = match reported_stage(store.retirement)? {
+                RetirementStage::Complete if is_voter_needed(voters, store.ip) => RetirementStage::Draining,
+                stage => stage,
+            };
             (stage > retirement.stage).then_some((retirement.node, stage))
         };
         let steps: Vec<(Node, RetirementStage)> = state.retirements.iter().filter_map(advanced).collect();
--- a/crates/server/src/control_node/retirement/tests.rs
+++ b/crates/server/src/control_node/retirement/tests.rs
@@ -133,3 +133,12 @@
     here.record_poll(9100, store("s-2", RetirementState::NotRetiring), 0, 0);
     assert_eq!(notices.due(9100, &committed, &here), [second]);
 }
+
+#[test]
+fn a_machine_with_one_of_an_even_number_of_voters_is_not_let_go() {
+    let voter = |host: u8| SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), 9000);
+    let machine = Ipv4Addr::new(10, 0, 0, 4);
+    assert!(is_voter_needed(&[1, 2, 3, 4].map(voter), machine));
+    assert!(!is_voter_needed(&[1, 2, 3].map(voter), machine), "it has been removed");
+    assert!(!is_voter_needed(&[1, 2, 3, 4, 5].map(voter), machine), "four of five are left");
+}
