--- a/crates/server/src/control_plane.rs
+++ b/crates/server/src/control_plane.rs
@@ -1,7 +1,5 @@
 //! Joins the control group and the registry of one control node with its links: what peers send goes into the two state
 //! machines, and what these want sent goes out.
-//!
-//! `crates/capacity` compiles this file as well, against its simulated network.
 
 use crate::links::{LinkEvent, Links};
 use crate::net::{Millis, Net};
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -183,7 +183,7 @@
 }
 
 impl Frame {
-    /// The category under which the frame is counted in the metrics and in the capacity measurements.
+    /// The category under which the frame is counted in the metrics.
     pub fn category(&self) -> &'static str {
         match self {
             Frame::Hello(_) | Frame::Ping => "link",
