Control node: no order that takes too many voters with the store's machine; make fleet prints the line for status

Cause: with three control nodes on three storage machines (trial) the order to empty one was taken, its voter went with the machine, and one lost disk later nobody could be told the views any more. Change: 409 where the voters that stay would not bear the losses; make fleet prints stilerouted status --at; status says which address it wants where it got one that speaks HTTP.

--- a/crates/server/src/cli/internal_client.rs
+++ b/crates/server/src/cli/internal_client.rs
@@ -10,6 +10,8 @@
 const IO_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Length of the largest frame that is read, in bytes.
 const MAX_FRAME_BYTES: usize = 16 << 20;
+/// What stands in the place of a frame's length where the other side speaks HTTP.
+const HTTP_START: &[u8; 4] = b"HTTP";
 
 /// Why a process gave no answer.
 #[derive(Debug, thiserror::Error)]
@@ -42,6 +44,14 @@
         /// The process that was asked.
         address: SocketAddrV4,
     },
+    /// It answered in HTTP: it is an address for clients, executors or operators.
+    #[error(
+        "{address}: speaks HTTP: --at wants an internal address, of one of the first three of internal_ports"
+    )]
+    Http {
+        /// The process that was asked.
+        address: SocketAddrV4,
+    },
     /// Its answer is no JSON.
     #[error("{address}: {source}")]
     Json {
@@ -113,6 +123,9 @@
         ErrorKind::UnexpectedEof => AskError::HungUp { address },
         _ => AskError::Io { address, source },
     })?;
+    if length == *HTTP_START {
+        return Err(AskError::Http { address });
+    }
     let length = u32::from_le_bytes(length) as usize;
     if length > MAX_FRAME_BYTES {
         return Err(AskError::OtherProtocol { address });
--- a/crates/server/src/control_node/retirement.rs
+++ b/crates/server/src/control_node/retirement.rs
@@ -100,6 +100,12 @@
     voters.len().is_multiple_of(2) && voters.iter().any(|voter| *voter.ip() == machine)
 }
 
+/// Whether the voters that stay without a machine still have a majority after so many losses.
+fn are_voters_sufficient(voters: &[SocketAddrV4], machine: Ipv4Addr, tolerated_losses: usize) -> bool {
+    let remaining = voters.iter().filter(|voter| *voter.ip() != machine).count();
+    remaining == voters.len() || remaining > 2 * tolerated_losses
+}
+
 /// When each store was last notified of its retirement.
 #[derive(Default)]
 pub struct RetirementNotices(BTreeMap<Node, Millis>);
@@ -205,7 +211,19 @@
         let state = self.plane.group.readable_state(now)?;
         let pending: Vec<Node> = self.plane.group.pending_retirements().collect();
         let suffices = |zones: &[&str]| self.runtime.boot.are_stores_sufficient(zones.iter().copied());
-        Some(decide(name, state, &pending, &self.plane.registry, suffices))
+        let decision = decide(name, state, &pending, &self.plane.registry, suffices);
+        if decision != OrderDecision::Propose || self.may_lose_machine_of(name) {
+            return Some(decision);
+        }
+        Some(OrderDecision::TooFewRemaining)
+    }
+
+    /// Where a control node runs on the store's machine, it is taken away too: the others have to be enough.
+    fn may_lose_machine_of(&self, name: &str) -> bool {
+        let Some((store, view)) = self.plane.registry.store_named(name).zip(self.plane.group.view()) else {
+            return true;
+        };
+        are_voters_sufficient(&view.voters, store.ip, self.runtime.boot.fault_tolerance.machines)
     }
 }
 
--- a/crates/server/src/control_node/retirement/tests.rs
+++ b/crates/server/src/control_node/retirement/tests.rs
@@ -142,3 +142,13 @@
     assert!(!is_voter_needed(&[1, 2, 3].map(voter), machine), "it has been removed");
     assert!(!is_voter_needed(&[1, 2, 3, 4, 5].map(voter), machine), "four of five are left");
 }
+
+#[test]
+fn a_store_is_not_emptied_where_its_machine_takes_too_many_voters_with_it() {
+    let voter = |host: u8| SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, host), 9000);
+    let (shared, apart) = (Ipv4Addr::new(10, 0, 0, 3), Ipv4Addr::new(10, 0, 0, 9));
+    assert!(!are_voters_sufficient(&[1, 2, 3].map(voter), shared, 1));
+    assert!(are_voters_sufficient(&[1, 2, 3].map(voter), apart, 1));
+    assert!(are_voters_sufficient(&[1, 2, 3, 4].map(voter), shared, 1));
+    assert!(!are_voters_sufficient(&[1, 2, 3, 4, 5].map(voter), shared, 2));
+}
--- a/crates/system-test/src/show.rs
+++ b/crates/system-test/src/show.rs
@@ -85,6 +85,8 @@
     );
     println!("ask what became of it, at any edge:");
     println!("  curl -H 'Host: {HOST}' http://{}/v1/message/NAME", fleet.fronts()[2]);
+    println!("see all processes, their sessions, queues and executors:");
+    println!("  target/release/stilerouted status --at {}", fleet.status_address());
     println!("read the configuration back:");
     println!("  curl http://{}/v1/settings/read", controls[1]);
 }
