--- a/crates/gossip/src/detector.rs
+++ b/crates/gossip/src/detector.rs
@@ -1,590 +1,250 @@
-//! Who lives: probes, directly and by way of others, suspicion that the suspected can refute, and news that rides on every
-//! message. Each instance sends and hears about as much, however many there are.
+//! The failure detector and the dissemination of updates: probes, directly and by way of others, suspicions that the suspected
+//! member can refute, and updates that ride on every message. Each instance sends and receives about as much, however many
+//! there are.
 
-use crate::table::{Count, Entry, How, Member, State, Table};
-use crate::wire::{room, Dropped, Key, Kind, Message};
+mod dissemination;
+mod probing;
+mod receiving;
+mod settings;
+mod suspicions;
+
+pub use settings::Settings;
+
+use crate::member::{Entry, Member, State};
+use crate::table::{MemberCount, Table};
+use crate::wire::Kind;
 use crate::{Time, SECOND};
-use rand::seq::{IndexedRandom, SliceRandom};
+use dissemination::PendingUpdate;
+use probing::{Probe, RelayedProbe};
+use rand::seq::IndexedRandom;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
-
-/// How often and how patiently, and where the others are first looked for.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// Any of the others; one that answers is enough.
-    pub seeds: Vec<SocketAddrV4>,
-    pub key: Option<Key>,
-    /// One member is probed so often; a tenth of it is the least that a tick should wait.
-    pub every: Time,
-    /// After so long without an answer others are asked to probe it.
-    pub timeout: Time,
-    /// So many others.
-    pub indirect: usize,
-    /// A suspicion lasts so many probes times the logarithm of the number of members at least.
-    pub patience: f64,
-}
-
-impl Default for Settings {
-    fn default() -> Settings {
-        let seeds = Vec::new();
-        Settings { seeds, key: None, every: SECOND, timeout: SECOND * 3 / 10, indirect: 3, patience: 3.0 }
-    }
-}
-
-/// A message that is to go out.
+use suspicions::Suspicion;
+
+/// The worse this instance receives, the longer it waits before it holds silence against others (Lifeguard's local health
+/// multiplier); at most by so much.
+const MAX_HEALTH_PENALTY: usize = 8;
+/// A member that seems dead is probed again so often, in case only the network between was at fault.
+const RECONNECT_INTERVAL: Time = 5 * SECOND;
+/// All that another member holds is requested so often for every [`SYNC_FLEET_SIZE`] members, so that it costs the same in a large
+/// fleet; more often after a start, and after this instance was held dead.
+const SYNC_INTERVAL: Time = 30 * SECOND;
+const SYNC_FLEET_SIZE: f64 = 50.0;
+
+/// A message that is to be sent.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Send {
+pub struct Datagram {
+    /// The recipient.
     pub to: SocketAddrV4,
-    pub text: Vec<u8>,
+    /// The encoded message.
+    pub bytes: Vec<u8>,
 }
 
-/// What happened so far, for figures.
+/// What has happened since the start, for metrics.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Figures {
+pub struct Counters {
+    /// Messages sent.
     pub sent: u64,
+    /// Their bytes.
     pub sent_bytes: u64,
-    pub heard: u64,
-    pub garbled: u64,
-    pub strangers: u64,
+    /// Messages received and processed.
+    pub received: u64,
+    /// Messages that could not be decoded.
+    pub malformed: u64,
+    /// Messages without the key.
+    pub unauthenticated: u64,
+    /// Messages that had been received before.
     pub replayed: u64,
-    /// Suspicions that began here, and those of this instance that it refuted.
+    /// Suspicions that began here.
     pub suspected: u64,
+    /// Suspicions of this instance that it refuted.
     pub refuted: u64,
-    /// Times that this instance was found to have stood still.
-    pub stood_still: u64,
-    /// Another process has the same id and lives.
+    /// Times that this instance was found to have been paused.
+    pub pauses: u64,
+    /// Another process that runs has the same identifier.
     pub conflicts: u64,
 }
 
-/// A probe that is out.
-struct Probe {
-    id: u64,
-    seq: u32,
-    /// When others are asked, and when it has failed.
-    ask_at: Time,
-    over_at: Time,
-    asked: bool,
-    /// How many of those asked have said that they hear us but not it.
-    nacks: usize,
-}
-
-/// A probe that another has asked for.
-struct Errand {
-    seq: u32,
-    their_seq: u32,
-    to: SocketAddrV4,
-    nack_at: Time,
-    over_at: Time,
-}
-
-/// A suspicion: it is confirmed when its time is over, and that comes sooner the more others share it.
-struct Suspicion {
-    begun: Time,
-    by: Vec<u64>,
-}
-
-/// News that still rides along, and how often it has.
-struct News {
-    entry: Entry,
-    rides: usize,
-}
-
-/// The worse this instance hears, the longer it waits before it holds that against others; at most so much longer.
-const DEAFEST: usize = 8;
-/// News rides along so many times the natural logarithm of the number of members.
-const RIDES: f64 = 2.0;
-/// From the longest to the shortest time that a suspicion lasts.
-const LONGER: f64 = 6.0;
-/// So many others that share it make it last the shortest time.
-const SHARED: usize = 3;
-/// Whoever seems dead is looked for again so often, in case only the way between was: and the seeds, while alone.
-const AGAIN: Time = 5 * SECOND;
-/// For so long after its start a process takes one of its name with a later life for the one before it, whose clock was set
-/// back since; from then on for its successor.
-const YOUNG: Time = 10 * SECOND;
-/// All that another holds is asked for so often for every so many members, so that it costs the same in a large fleet;
-/// more often after a start, and after having been held dead.
-const WHOLE: Time = 30 * SECOND;
-const WHOLE_OF: f64 = 50.0;
-
-pub struct Members {
+/// One instance's view of the fleet, and its part in the protocol.
+pub struct Detector {
     settings: Settings,
-    /// What this instance tells of itself.
+    /// What this instance announces of itself.
     own: Entry,
-    number: u64,
-    seq: u32,
+    last_number: u64,
+    last_seq: u32,
     table: Table,
-    order: Vec<u64>,
+    /// The members that are probed next, the first one last.
+    probe_order: Vec<u64>,
     probe: Option<Probe>,
-    errands: Vec<Errand>,
+    relayed_probes: Vec<RelayedProbe>,
     suspicions: BTreeMap<u64, Suspicion>,
-    news: Vec<News>,
-    /// How badly this instance hears: nought is well.
-    deaf: usize,
-    next_probe: Time,
-    next_again: Time,
-    next_whole: Time,
-    whole_every: Time,
-    last_tick: Option<Time>,
-    born: Option<Time>,
+    pending_updates: Vec<PendingUpdate>,
+    /// How badly this instance receives: nought is well.
+    health_penalty: usize,
+    next_probe_at: Time,
+    next_reconnect_at: Time,
+    next_sync_at: Time,
+    sync_interval: Time,
+    last_tick_at: Option<Time>,
+    started_at: Option<Time>,
     /// It has left, or another process has taken its place.
-    pub over: bool,
-    chance: Pcg64Mcg,
-    pub figures: Figures,
+    pub is_stopped: bool,
+    random: Pcg64Mcg,
+    /// For metrics.
+    pub counters: Counters,
 }
 
-impl Members {
-    /// `life` must be higher than that of the process before, if there was one: Unix time does, and where it was set back
-    /// the instance hears of its former death and answers it.
-    pub fn new(id: u64, life: u64, at: SocketAddrV4, domain: u8, settings: Settings, seed: u64) -> Members {
-        Members {
+impl Detector {
+    /// An instance that knows nobody yet. `incarnation` must be higher than that of the process before, if there was one: Unix
+    /// time is, and where it was set back the instance learns of its former end and refutes it.
+    pub fn new(
+        id: u64,
+        incarnation: u64,
+        address: SocketAddrV4,
+        domain: u8,
+        settings: Settings,
+        seed: u64,
+    ) -> Detector {
+        Detector {
             settings,
-            own: Entry { id, life, at, domain, state: State::Alive, by: 0 },
-            number: 0,
-            seq: 0,
+            own: Entry { id, incarnation, address, domain, state: State::Alive, suspected_by: 0 },
+            last_number: 0,
+            last_seq: 0,
             table: Table::default(),
-            order: Vec::new(),
+            probe_order: Vec::new(),
             probe: None,
-            errands: Vec::new(),
+            relayed_probes: Vec::new(),
             suspicions: BTreeMap::new(),
-            news: Vec::new(),
-            deaf: 0,
-            next_probe: 0,
-            next_again: 0,
-            next_whole: 0,
-            whole_every: SECOND,
-            last_tick: None,
-            born: None,
-            over: false,
-            chance: Pcg64Mcg::seed_from_u64(seed),
-            figures: Figures::default(),
+            pending_updates: Vec::new(),
+            health_penalty: 0,
+            next_probe_at: 0,
+            next_reconnect_at: 0,
+            next_sync_at: 0,
+            sync_interval: SECOND,
+            last_tick_at: None,
+            started_at: None,
+            is_stopped: false,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            counters: Counters::default(),
         }
     }
 
+    /// What this instance announces of itself.
     pub fn own(&self) -> &Entry {
         &self.own
     }
 
+    /// All other members that are known.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.table.members.values()
     }
 
-    pub fn count(&self, now: Time) -> Count {
+    /// How many members there are, this instance among them.
+    pub fn count(&self, now: Time) -> MemberCount {
         self.table.count(now, self.own.domain)
     }
 
-    /// How many live, this instance among them.
-    fn living(&self) -> f64 {
-        1.0 + self.table.living() as f64
+    /// How many are alive, this instance among them.
+    fn fleet_size(&self) -> f64 {
+        1.0 + self.table.alive_count() as f64
     }
 
-    /// How often news rides along: so often it gets to all, but for a vanishing part.
-    fn rides(&self) -> usize {
-        (RIDES * (self.living() + 1.0).ln()).ceil() as usize
+    fn is_alone(&self) -> bool {
+        self.table.alive_count() == 0
     }
 
-    /// Longer while this instance hears badly.
-    fn patient(&self, time: Time) -> Time {
-        time * (1 + self.deaf as Time)
+    /// A time-out, longer while this instance receives badly.
+    fn with_health_penalty(&self, time: Time) -> Time {
+        time * (1 + self.health_penalty as Time)
     }
 
-    fn hears(&mut self, worse: bool) {
-        self.deaf = if worse { (self.deaf + 1).min(DEAFEST) } else { self.deaf.saturating_sub(1) };
+    fn health_worsened(&mut self) {
+        self.health_penalty = (self.health_penalty + 1).min(MAX_HEALTH_PENALTY);
     }
 
-    fn seq(&mut self) -> u32 {
-        self.seq = self.seq.wrapping_add(1);
-        self.seq
+    fn health_improved(&mut self) {
+        self.health_penalty = self.health_penalty.saturating_sub(1);
     }
 
-    // ---- What goes out ----
-
-    fn send(&mut self, out: &mut Vec<Send>, to: SocketAddrV4, kind: Kind, mut entries: Vec<Entry>) {
-        let rides = self.rides();
-        let left = room().saturating_sub(entries.len());
-        // What has ridden least goes first; what has ridden enough is dropped.
-        self.news.sort_by_key(|news| news.rides);
-        for news in self.news.iter_mut().take(left) {
-            news.rides += 1;
-            entries.push(news.entry);
-        }
-        self.news.retain(|news| news.rides < rides);
-        self.number += 1;
-        let message = Message { from: self.own.id, life: self.own.life, number: self.number, kind, entries };
-        let text = message.write(self.settings.key.as_ref());
-        self.figures.sent += 1;
-        self.figures.sent_bytes += text.len() as u64;
-        out.push(Send { to, text });
+    fn next_seq(&mut self) -> u32 {
+        self.last_seq = self.last_seq.wrapping_add(1);
+        self.last_seq
     }
 
-    fn spread(&mut self, entry: Entry) {
-        self.news.retain(|news| news.entry.id != entry.id);
-        self.news.push(News { entry, rides: 0 });
+    /// Some members that are alive, without those `excluded`.
+    fn sample_alive(&mut self, count: usize, excluded: &[u64]) -> Vec<(u64, SocketAddrV4)> {
+        let is_eligible =
+            |member: &&Member| member.entry.state == State::Alive && !excluded.contains(&member.entry.id);
+        let eligible = self.table.members.values().filter(is_eligible);
+        let eligible: Vec<(u64, SocketAddrV4)> =
+            eligible.map(|member| (member.entry.id, member.entry.address)).collect();
+        eligible.sample(&mut self.random, count).copied().collect()
     }
 
-    /// Some living members, but for some.
-    fn some(&mut self, count: usize, but: &[u64]) -> Vec<(u64, SocketAddrV4)> {
-        let living: Vec<(u64, SocketAddrV4)> = self
-            .table
-            .members
-            .values()
-            .filter(|member| member.entry.state == State::Alive && !but.contains(&member.entry.id))
-            .map(|member| (member.entry.id, member.entry.at))
-            .collect();
-        living.sample(&mut self.chance, count).copied().collect()
-    }
-
-    // ---- Time ----
-
-    /// What time has brought about. To be called at least ten times in each probing interval.
-    pub fn tick(&mut self, now: Time) -> Vec<Send> {
-        let mut out = Vec::new();
-        if self.over {
-            return out;
+    /// Does what is due. To be called at least ten times in each probe interval.
+    pub fn tick(&mut self, now: Time) -> Vec<Datagram> {
+        let mut datagrams = Vec::new();
+        if self.is_stopped {
+            return datagrams;
         }
-        self.born.get_or_insert(now);
-        self.stood_still(now);
-        self.errands_over(now, &mut out);
-        self.probe_over(now, &mut out);
-        self.suspicions_over(now);
-        if now >= self.next_probe {
-            self.next_probe = now + self.settings.every;
-            self.probe_next(now, &mut out);
+        self.started_at.get_or_insert(now);
+        self.notice_pause(now);
+        self.expire_relayed_probes(now, &mut datagrams);
+        self.advance_probe(now, &mut datagrams);
+        self.expire_suspicions(now);
+        if now >= self.next_probe_at {
+            self.next_probe_at = now + self.settings.probe_interval;
+            self.probe_next(now, &mut datagrams);
         }
-        if now >= self.next_again {
-            self.next_again = now + if self.alone() { SECOND } else { AGAIN };
-            self.look_again(&mut out);
+        if now >= self.next_reconnect_at {
+            self.next_reconnect_at = now + if self.is_alone() { SECOND } else { RECONNECT_INTERVAL };
+            self.reconnect(&mut datagrams);
         }
-        if now >= self.next_whole {
-            self.next_whole = now + self.whole_every;
-            let most = WHOLE as f64 * (self.living() / WHOLE_OF).max(1.0);
-            self.whole_every = (self.whole_every * 2).min(most as Time);
-            if let Some((_, at)) = self.some(1, &[]).pop() {
-                self.send(&mut out, at, Kind::Sync { from: 0 }, vec![self.own]);
-            }
-            self.table.forget(now);
+        if now >= self.next_sync_at {
+            self.synchronize(now, &mut datagrams);
         }
-        out
-    }
-
-    fn alone(&self) -> bool {
-        self.table.living() == 0
+        datagrams
     }
 
-    /// Between two ticks far more time has gone than should have: this instance stood still, and has heard nobody. That
-    /// says nothing of the others; all that runs out is put off by as much.
-    fn stood_still(&mut self, now: Time) {
-        let gap = self.last_tick.map_or(0, |last| now - last);
-        self.last_tick = Some(now);
-        if gap <= self.settings.every {
+    /// Far more time has passed since the last tick than should have: this instance was paused, and has received nothing. That
+    /// says nothing of the others, so all time-outs are put off by as much.
+    fn notice_pause(&mut self, now: Time) {
+        let gap = self.last_tick_at.map_or(0, |last| now - last);
+        self.last_tick_at = Some(now);
+        if gap <= self.settings.probe_interval {
             return;
         }
-        self.figures.stood_still += 1;
-        self.deaf = DEAFEST;
-        self.suspicions.values_mut().for_each(|suspicion| suspicion.begun += gap);
+        self.counters.pauses += 1;
+        self.health_penalty = MAX_HEALTH_PENALTY;
+        self.suspicions.values_mut().for_each(|suspicion| suspicion.began_at += gap);
         self.probe = None;
-        self.errands.clear();
-    }
-
-    fn probe_next(&mut self, now: Time, out: &mut Vec<Send>) {
-        if self.probe.is_some() {
-            return;
-        }
-        // Each once in a round, in an order of its own: nobody is left out for long, and no two go round in step.
-        let next = loop {
-            match self.order.pop() {
-                Some(id) if self.table.lives(id) => break Some(id),
-                Some(_) => {}
-                None => {
-                    let living = self.table.members.iter().filter(|(_, m)| m.entry.state < State::Dead);
-                    self.order = living.map(|(id, _)| *id).collect();
-                    self.order.shuffle(&mut self.chance);
-                    if self.order.is_empty() {
-                        break None;
-                    }
-                }
-            }
-        };
-        let Some(id) = next else { return };
-        let (at, seq) = (self.table.members[&id].entry.at, self.seq());
-        let (ask_at, over_at) =
-            (now + self.patient(self.settings.timeout), now + self.patient(self.settings.every));
-        self.probe = Some(Probe { id, seq, ask_at, over_at, asked: false, nacks: 0 });
-        // One that is suspected is told so first, that it may answer.
-        let entry = self.table.members[&id].entry;
-        let told = if entry.state == State::Suspect { vec![entry] } else { Vec::new() };
-        self.send(out, at, Kind::Ping { seq, id }, told);
-    }
-
-    fn probe_over(&mut self, now: Time, out: &mut Vec<Send>) {
-        let Some(probe) = &mut self.probe else { return };
-        let (id, seq) = (probe.id, probe.seq);
-        if now >= probe.ask_at && !probe.asked {
-            probe.asked = true;
-            let at = self.table.members.get(&id).map(|member| member.entry.at);
-            let others = self.some(self.settings.indirect, &[id]);
-            for (_, other) in others {
-                at.iter()
-                    .for_each(|at| self.send(out, other, Kind::Request { seq, id, at: *at }, Vec::new()));
-            }
-        }
-        let Some(probe) = self.probe.take_if(|probe| now >= probe.over_at) else { return };
-        let Some(held) = self.table.members.get(&id).map(|member| member.entry) else { return };
-        // Those asked would have said that they hear us: that they don't either may be our own ears.
-        let asked = self.settings.indirect.min(self.table.members.len().saturating_sub(1));
-        self.hears(probe.asked && probe.nacks < asked.div_ceil(2) && asked > 0);
-        let entry = Entry { state: State::Suspect, by: self.own.id, ..held };
-        if held.state == State::Alive {
-            self.figures.suspected += 1;
-        }
-        self.suspect(now, entry, How::Silent);
-    }
-
-    /// Holds a member suspect, or counts one more who does.
-    fn suspect(&mut self, now: Time, entry: Entry, how: How) {
-        let by = entry.by;
-        if self.table.take(now, entry, how) {
-            self.suspicions.insert(entry.id, Suspicion { begun: now, by: vec![by] });
-            self.spread(entry);
-        } else if let Some(suspicion) = self.suspicions.get_mut(&entry.id) {
-            let same =
-                self.table.members.get(&entry.id).is_some_and(|member| member.entry.life == entry.life);
-            if same && !suspicion.by.contains(&by) && suspicion.by.len() <= SHARED {
-                suspicion.by.push(by);
-                // That others share it is worth telling on.
-                self.spread(entry);
-            }
-        }
-    }
-
-    fn suspicions_over(&mut self, now: Time) {
-        let least = self.settings.patience * self.living().log10().max(1.0) * self.settings.every as f64;
-        let most = least * LONGER;
-        let deaf = 1.0 + self.deaf as f64 / DEAFEST as f64;
-        let mut over = Vec::new();
-        self.suspicions.retain(|id, suspicion| {
-            let Some(member) = self.table.members.get(id) else { return false };
-            if member.entry.state != State::Suspect {
-                return false;
-            }
-            let shared = (suspicion.by.len() as f64).ln() / ((SHARED + 1) as f64).ln();
-            let lasts = (most - (most - least) * shared.min(1.0)) * deaf;
-            let ends = now >= suspicion.begun + lasts as Time;
-            if ends {
-                over.push(Entry { state: State::Dead, by: 0, ..member.entry });
-            }
-            !ends
-        });
-        for entry in over {
-            if self.table.take(now, entry, How::Unanswered) {
-                self.spread(entry);
-            }
-        }
-    }
-
-    /// Whoever is held dead may only have been out of hearing; and one that is alone looks for anybody.
-    fn look_again(&mut self, out: &mut Vec<Send>) {
-        let dead = |member: &&Member| member.entry.state == State::Dead;
-        let dead: Vec<Entry> = self.table.members.values().filter(dead).map(|member| member.entry).collect();
-        if let Some(entry) = dead.choose(&mut self.chance).copied() {
-            let seq = self.seq();
-            self.send(out, entry.at, Kind::Ping { seq, id: entry.id }, vec![self.own, entry]);
-        }
-        let own = self.own.at;
-        let known: Vec<SocketAddrV4> = self.table.members.values().map(|member| member.entry.at).collect();
-        let seeds: Vec<SocketAddrV4> =
-            self.settings.seeds.iter().copied().filter(|at| *at != own && !known.contains(at)).collect();
-        // Of many that are listed one at a time is asked, and while alone three.
-        let count = if self.alone() { 3 } else { 1 };
-        let asked: Vec<SocketAddrV4> = seeds.sample(&mut self.chance, count).copied().collect();
-        for at in asked {
-            self.send(out, at, Kind::Sync { from: 0 }, vec![self.own]);
-        }
-    }
-
-    // ---- What comes in ----
-
-    /// A message that came from an address.
-    pub fn heard(&mut self, now: Time, from: SocketAddrV4, text: &[u8]) -> Vec<Send> {
-        let mut out = Vec::new();
-        let message = match Message::read(text, self.settings.key.as_ref()) {
-            Ok(message) => message,
-            Err(dropped) => {
-                match dropped {
-                    Dropped::Garbled => self.figures.garbled += 1,
-                    Dropped::Stranger => self.figures.strangers += 1,
-                }
-                return out;
-            }
-        };
-        if self.over || (message.from == self.own.id && message.life == self.own.life) {
-            return out;
-        }
-        let known = self.table.members.get_mut(&message.from);
-        let stranger = known.is_none();
-        if let Some(member) = known {
-            if !member.fresh(message.life, message.number) {
-                self.figures.replayed += 1;
-                // One that started anew by a clock that was set back must hear of the life that it had.
-                let entry = member.entry;
-                if message.life < entry.life {
-                    self.send(&mut out, from, Kind::Told { next: 0 }, vec![entry]);
-                }
-                return out;
-            }
-        }
-        self.figures.heard += 1;
-        for entry in &message.entries {
-            self.news_of(now, *entry, message.from);
-        }
-        if self.over {
-            return out;
-        }
-        if let Some(member) = self.table.members.get_mut(&message.from).filter(|_| stranger) {
-            member.fresh(message.life, message.number);
-        }
-        // That it is heard makes nobody a member: only what it tells of itself does, with the address that it has.
-        self.answer(now, from, &message, &mut out);
-        out
+        self.relayed_probes.clear();
     }
 
-    /// News of a member, told by one.
-    fn news_of(&mut self, now: Time, entry: Entry, by: u64) {
-        if entry.id == self.own.id {
-            return self.news_of_own(now, entry);
-        }
-        let how = if entry.id == by { How::Itself } else { How::Told(by) };
-        if entry.state == State::Suspect {
-            return self.suspect(now, entry, how);
-        }
-        if self.table.take(now, entry, how) {
-            self.suspicions.remove(&entry.id);
-            self.spread(entry);
-        }
-    }
-
-    /// Others hold something of this instance.
-    fn news_of_own(&mut self, now: Time, entry: Entry) {
-        let same = entry.life == self.own.life;
-        if entry.life < self.own.life {
-            // Who holds a life of it dead or suspect that is over has not heard of this one.
-            if entry.state != State::Alive {
-                let own = self.own;
-                self.spread(own);
-            }
-            return;
-        }
-        if same && entry.state == State::Alive && entry.at == self.own.at {
-            return;
-        }
-        if entry.state == State::Alive && entry.at != self.own.at {
-            // Another process has this name. One that has just started takes the place of the older; of two that
-            // started in the same moment the lower address gives way.
-            let young = self.born.is_none_or(|born| now < born + YOUNG);
-            self.figures.conflicts += 1;
-            if same && entry.at > self.own.at || !same && !young {
-                self.over = true;
-                return;
-            }
-        }
-        // Whatever is said of a life, a later one answers it. Who is suspected without cause hears badly.
-        if entry.state != State::Alive {
-            self.figures.refuted += 1;
-            self.hears(true);
-            if entry.state == State::Dead {
-                self.whole_every = SECOND;
-                self.next_whole = now;
-            }
-        }
-        self.own.life = entry.life + 1;
-        self.number = 0;
-        let own = self.own;
-        self.spread(own);
-    }
-
-    fn answer(&mut self, now: Time, from: SocketAddrV4, message: &Message, out: &mut Vec<Send>) {
-        match message.kind {
-            Kind::Ping { seq, id } => {
-                // Who is at an address that another had before is not that one.
-                if id == self.own.id {
-                    self.send(out, from, Kind::Ack { seq }, Vec::new());
-                } else {
-                    let own = self.own;
-                    self.send(out, from, Kind::Told { next: 0 }, vec![own]);
-                }
-            }
-            Kind::Ack { seq } => {
-                // From itself, or from one that was asked to probe it.
-                let own = |probe: &Probe| probe.seq == seq && (probe.asked || probe.id == message.from);
-                if self.probe.as_ref().is_some_and(own) {
-                    self.probe = None;
-                    self.hears(false);
-                } else if let Some(at) = self.errands.iter().position(|errand| errand.seq == seq) {
-                    let errand = self.errands.remove(at);
-                    self.send(out, errand.to, Kind::Ack { seq: errand.their_seq }, Vec::new());
-                }
-            }
-            Kind::Request { seq: their_seq, id, at } => {
-                let seq = self.seq();
-                let nack_at = now + self.settings.timeout * 4 / 5;
-                let over_at = now + self.settings.every;
-                // Asked without end, it runs no more errands than it has members to ask for.
-                if self.errands.len() < 64 {
-                    self.errands.push(Errand { seq, their_seq, to: from, nack_at, over_at });
-                    self.send(out, at, Kind::Ping { seq, id }, Vec::new());
-                }
-            }
-            Kind::Nack { seq } => {
-                if let Some(probe) = self.probe.as_mut().filter(|probe| probe.seq == seq) {
-                    probe.nacks += 1;
-                }
-            }
-            Kind::Sync { from: first } => {
-                let own = (self.own.id >= first).then_some(self.own);
-                // One more than there is room for tells where to go on.
-                let others =
-                    self.table.members.range(first..).map(|(_, member)| member.entry).take(room() + 1);
-                let mut entries: Vec<Entry> = others.chain(own).collect();
-                entries.sort_by_key(|entry| entry.id);
-                let next = entries.get(room()).map_or(0, |entry| entry.id);
-                entries.truncate(room());
-                self.send(out, from, Kind::Told { next }, entries);
-            }
-            Kind::Told { next } => {
-                if next > 0 {
-                    self.send(out, from, Kind::Sync { from: next }, Vec::new());
-                }
-            }
-        }
-    }
-
-    fn errands_over(&mut self, now: Time, out: &mut Vec<Send>) {
-        let due: Vec<(SocketAddrV4, u32)> =
-            self.errands.iter().filter(|e| now >= e.nack_at).map(|e| (e.to, e.their_seq)).collect();
-        for errand in &mut self.errands {
-            if now >= errand.nack_at {
-                errand.nack_at = Time::MAX;
-            }
-        }
-        for (to, seq) in due {
-            self.send(out, to, Kind::Nack { seq }, Vec::new());
+    /// Requests all that one other member holds, and forgets members that are long gone.
+    fn synchronize(&mut self, now: Time, datagrams: &mut Vec<Datagram>) {
+        self.next_sync_at = now + self.sync_interval;
+        let longest = SYNC_INTERVAL as f64 * (self.fleet_size() / SYNC_FLEET_SIZE).max(1.0);
+        self.sync_interval = (self.sync_interval * 2).min(longest as Time);
+        if let Some((_, address)) = self.sample_alive(1, &[]).pop() {
+            self.send(datagrams, address, Kind::Sync { from: 0 }, vec![self.own]);
         }
-        self.errands.retain(|errand| now < errand.over_at);
+        self.table.remove_expired(now);
     }
 
-    /// Goes: tells some members so, who tell the others. Nothing is sent after that.
-    pub fn leave(&mut self) -> Vec<Send> {
-        let mut out = Vec::new();
-        if !self.over {
+    /// Announces its own end to some members, which tell the others. Nothing is sent after that.
+    pub fn leave(&mut self) -> Vec<Datagram> {
+        let mut datagrams = Vec::new();
+        if !self.is_stopped {
             let own = Entry { state: State::Left, ..self.own };
-            let some = self.some(self.rides(), &[]);
-            for (_, at) in some {
-                self.send(&mut out, at, Kind::Told { next: 0 }, vec![own]);
+            let receivers = self.sample_alive(self.transmission_limit(), &[]);
+            for (_, address) in receivers {
+                self.send(&mut datagrams, address, Kind::Members { next: 0 }, vec![own]);
             }
-            self.over = true;
+            self.is_stopped = true;
         }
-        out
+        datagrams
     }
 }
--- /dev/null
+++ b/crates/gossip/src/detector/probing.rs
@@ -0,0 +1,180 @@
+//! Probes: one member in each interval, directly and then by way of others; and probes on behalf of others.
+
+use super::{Datagram, Detector};
+use crate::member::{Entry, Evidence, Member, State};
+use crate::wire::Kind;
+use crate::Time;
+use rand::seq::{IndexedRandom, SliceRandom};
+use std::net::SocketAddrV4;
+
+/// Most probes that are under way on behalf of others.
+const MAX_RELAYED_PROBES: usize = 64;
+/// Listed seeds that are asked at a time, while this instance knows nobody and otherwise.
+const SEEDS_ASKED_ALONE: usize = 3;
+const SEEDS_ASKED: usize = 1;
+
+/// The probe that is under way.
+pub(super) struct Probe {
+    /// The member that is probed.
+    pub id: u64,
+    /// Names the answer.
+    pub seq: u32,
+    /// When other members are asked to probe it.
+    ask_others_at: Time,
+    /// When it has failed.
+    fails_at: Time,
+    /// Others were asked.
+    pub were_others_asked: bool,
+    /// How many of those asked have answered that they receive this instance's messages, but not the member's.
+    pub nacks: usize,
+}
+
+/// A probe on behalf of another member.
+pub(super) struct RelayedProbe {
+    /// Names the answer to this instance.
+    pub seq: u32,
+    /// Names the answer to the member that asked.
+    pub requested_seq: u32,
+    /// The member that asked.
+    pub requested_by: SocketAddrV4,
+    /// When that member is told that there is no answer yet; `None` once it was.
+    nack_at: Option<Time>,
+    expires_at: Time,
+}
+
+impl Detector {
+    /// The next member to be probed. Each once in a round, in an order of this instance's own: nobody is left out for long, and no
+    /// two instances probe in step.
+    fn next_to_probe(&mut self) -> Option<u64> {
+        loop {
+            match self.probe_order.pop() {
+                Some(id) if self.table.is_alive(id) => return Some(id),
+                Some(_) => {}
+                None => {
+                    let alive =
+                        self.table.members.iter().filter(|(_, member)| member.entry.state < State::Dead);
+                    self.probe_order = alive.map(|(id, _)| *id).collect();
+                    self.probe_order.shuffle(&mut self.random);
+                    if self.probe_order.is_empty() {
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Begins the next probe, unless one is under way.
+    pub(super) fn probe_next(&mut self, now: Time, datagrams: &mut Vec<Datagram>) {
+        if self.probe.is_some() {
+            return;
+        }
+        let Some(id) = self.next_to_probe() else { return };
+        let entry = self.table.members[&id].entry;
+        let seq = self.next_seq();
+        self.probe = Some(Probe {
+            id,
+            seq,
+            ask_others_at: now + self.with_health_penalty(self.settings.probe_timeout),
+            fails_at: now + self.with_health_penalty(self.settings.probe_interval),
+            were_others_asked: false,
+            nacks: 0,
+        });
+        // A member that is suspected is told so first, so that it can refute that.
+        let entries = if entry.state == State::Suspect { vec![entry] } else { Vec::new() };
+        self.send(datagrams, entry.address, Kind::Ping { seq, id }, entries);
+    }
+
+    /// Asks others where the probe has no answer in time, and suspects the member where theirs has none either.
+    pub(super) fn advance_probe(&mut self, now: Time, datagrams: &mut Vec<Datagram>) {
+        let Some(probe) = &mut self.probe else { return };
+        let (id, seq) = (probe.id, probe.seq);
+        if now >= probe.ask_others_at && !probe.were_others_asked {
+            probe.were_others_asked = true;
+            self.ask_others_to_probe(id, seq, datagrams);
+        }
+        let Some(probe) = self.probe.take_if(|probe| now >= probe.fails_at) else { return };
+        let Some(known) = self.table.members.get(&id).map(|member| member.entry) else { return };
+        // Those asked would have answered that they receive this instance's messages: that they do not either may be the fault of
+        // its own network.
+        let asked = self.settings.indirect_probes.min(self.table.members.len().saturating_sub(1));
+        if probe.were_others_asked && probe.nacks < asked.div_ceil(2) && asked > 0 {
+            self.health_worsened();
+        } else {
+            self.health_improved();
+        }
+        if known.state == State::Alive {
+            self.counters.suspected += 1;
+        }
+        let entry = Entry { state: State::Suspect, suspected_by: self.own.id, ..known };
+        self.suspect(now, entry, Evidence::NoReply);
+    }
+
+    fn ask_others_to_probe(&mut self, id: u64, seq: u32, datagrams: &mut Vec<Datagram>) {
+        let address = self.table.members.get(&id).map(|member| member.entry.address);
+        let others = self.sample_alive(self.settings.indirect_probes, &[id]);
+        let Some(address) = address else { return };
+        for (_, other) in others {
+            self.send(datagrams, other, Kind::Request { seq, id, address }, Vec::new());
+        }
+    }
+
+    /// Looks for members that may only have been partitioned, and for seeds that were never heard of.
+    pub(super) fn reconnect(&mut self, datagrams: &mut Vec<Datagram>) {
+        let is_dead = |member: &&Member| member.entry.state == State::Dead;
+        let dead = self.table.members.values().filter(is_dead);
+        let dead: Vec<Entry> = dead.map(|member| member.entry).collect();
+        if let Some(entry) = dead.choose(&mut self.random).copied() {
+            let seq = self.next_seq();
+            self.send(datagrams, entry.address, Kind::Ping { seq, id: entry.id }, vec![self.own, entry]);
+        }
+        let own = self.own.address;
+        let known: Vec<SocketAddrV4> =
+            self.table.members.values().map(|member| member.entry.address).collect();
+        let seeds = self.settings.seeds.iter().copied();
+        let seeds: Vec<SocketAddrV4> =
+            seeds.filter(|address| *address != own && !known.contains(address)).collect();
+        let count = if self.is_alone() { SEEDS_ASKED_ALONE } else { SEEDS_ASKED };
+        let asked: Vec<SocketAddrV4> = seeds.sample(&mut self.random, count).copied().collect();
+        for address in asked {
+            self.send(datagrams, address, Kind::Sync { from: 0 }, vec![self.own]);
+        }
+    }
+
+    /// Probes a member on behalf of another one.
+    pub(super) fn relay_probe(
+        &mut self,
+        now: Time,
+        requested_by: SocketAddrV4,
+        requested_seq: u32,
+        id: u64,
+        address: SocketAddrV4,
+        datagrams: &mut Vec<Datagram>,
+    ) {
+        let seq = self.next_seq();
+        if self.relayed_probes.len() >= MAX_RELAYED_PROBES {
+            return;
+        }
+        self.relayed_probes.push(RelayedProbe {
+            seq,
+            requested_seq,
+            requested_by,
+            nack_at: Some(now + self.settings.probe_timeout * 4 / 5),
+            expires_at: now + self.settings.probe_interval,
+        });
+        self.send(datagrams, address, Kind::Ping { seq, id }, Vec::new());
+    }
+
+    /// Answers members whose probe has no answer yet, and forgets probes that nobody waits for any more.
+    pub(super) fn expire_relayed_probes(&mut self, now: Time, datagrams: &mut Vec<Datagram>) {
+        let mut due = Vec::new();
+        for probe in &mut self.relayed_probes {
+            if probe.nack_at.take_if(|nack_at| now >= *nack_at).is_some() {
+                due.push((probe.requested_by, probe.requested_seq));
+            }
+        }
+        for (to, seq) in due {
+            self.send(datagrams, to, Kind::Nack { seq }, Vec::new());
+        }
+        self.relayed_probes.retain(|probe| now < probe.expires_at);
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/member/tests.rs
@@ -0,0 +1,37 @@
+use super::*;
+use crate::table::Table;
+use std::net::Ipv4Addr;
+
+fn entry(id: u64, incarnation: u64, state: State) -> Entry {
+    Entry {
+        id,
+        incarnation,
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, id as u16),
+        domain: (id % 2) as u8,
+        state,
+        suspected_by: 0,
+    }
+}
+
+#[test]
+fn a_replay_is_distinguished_from_a_late_message() {
+    let mut table = Table::default();
+    table.apply(0, entry(1, 7, State::Alive), Evidence::Itself);
+    let member = table.members.get_mut(&1).unwrap();
+    // Life, number, and whether it is new.
+    let cases = [
+        (7, 1, true),
+        (7, 1, false),
+        (7, 5, true),
+        (7, 3, true),
+        (7, 3, false),
+        (7, 200, true),
+        (7, 100, false),
+        (7, 150, true),
+        (8, 1, true),
+        (7, 201, false),
+    ];
+    for (life, number, new) in cases {
+        assert_eq!(member.accept_number(life, number), new, "{life} {number}");
+    }
+}
--- /dev/null
+++ b/crates/gossip/src/table/tests.rs
@@ -0,0 +1,65 @@
+use super::*;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+fn entry(id: u64, incarnation: u64, state: State) -> Entry {
+    Entry {
+        id,
+        incarnation,
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, id as u16),
+        domain: (id % 2) as u8,
+        state,
+        suspected_by: 0,
+    }
+}
+
+#[test]
+fn a_later_incarnation_replaces_and_of_one_incarnation_the_worse_state() {
+    use State::{Alive, Dead, Left, Suspect};
+    // What is held, what is told, and whether that is news.
+    let cases = [
+        ((5, Alive), (5, Alive), false),
+        ((5, Alive), (5, Suspect), true),
+        ((5, Suspect), (5, Alive), false),
+        ((5, Suspect), (6, Alive), true),
+        ((5, Dead), (5, Alive), false),
+        ((5, Dead), (6, Alive), true),
+        ((5, Left), (5, Dead), false),
+        ((6, Alive), (5, Dead), false),
+        ((5, Dead), (5, Left), true),
+    ];
+    for ((life, state), (told, says), is_newer) in cases {
+        let mut table = Table::default();
+        assert!(table.apply(1, entry(1, life, state), Evidence::Itself));
+        assert_eq!(
+            table.apply(2, entry(1, told, says), Evidence::ReportedBy(9)),
+            is_newer,
+            "{life} {state:?} {told} {says:?}"
+        );
+        let held = table.members[&1].entry;
+        assert_eq!((held.incarnation, held.state), if is_newer { (told, says) } else { (life, state) });
+    }
+}
+
+#[test]
+fn a_dead_member_may_still_send_and_is_counted_so() {
+    let mut table = Table::default();
+    for (id, state) in [(1, State::Alive), (2, State::Suspect), (3, State::Dead), (4, State::Left)] {
+        table.apply(0, entry(id, 1, state), Evidence::Itself);
+    }
+    let count = table.count(SECOND, 1);
+    assert_eq!((count.likely, count.possibly_sending), (3, 5));
+    assert_eq!(count.by_domain, [(0, 1), (1, 2)].into());
+    assert_eq!(table.count(DEPARTURE_ALLOWANCE, 0).possibly_sending, 4, "who has left sends no more");
+    assert_eq!(table.count(PARTITION_ALLOWANCE, 0).possibly_sending, 3);
+    table.remove_expired(RETENTION);
+    assert_eq!(table.members.len(), 2);
+}
+
+#[test]
+fn members_beyond_the_limit_are_rejected_and_counted() {
+    let mut table = Table::default();
+    (0..MAX_MEMBERS as u64 + 5).for_each(|id| {
+        table.apply(0, entry(id, 1, State::Alive), Evidence::ReportedBy(1));
+    });
+    assert_eq!((table.members.len(), table.rejected), (MAX_MEMBERS, 5));
+}
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -5,13 +5,13 @@
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use stileroute_gossip::{Members, Send, Settings, State, Time, SECOND};
+use stileroute_gossip::{Datagram, Detector, Settings, State, Time, SECOND};
 
 const TICK: Time = SECOND / 20;
 
 struct Node {
     id: u64,
-    members: Option<Members>,
+    members: Option<Detector>,
     /// Takes no time until then, and what comes waits.
     paused: Time,
     held: Vec<(SocketAddrV4, Vec<u8>)>,
@@ -65,7 +65,7 @@
     }
 
     fn start(&mut self, node: usize, life: u64) {
-        let own = Members::new(
+        let own = Detector::new(
             self.nodes[node].id,
             life,
             at(node),
@@ -76,12 +76,12 @@
         self.nodes[node].members = Some(own);
     }
 
-    fn post(&mut self, from: usize, sends: Vec<Send>) {
+    fn post(&mut self, from: usize, sends: Vec<Datagram>) {
         for send in sends {
             if !self.chance.random_bool(self.loss) {
                 self.count += 1;
                 let late = self.chance.random_range(5..30);
-                self.air.insert((self.now + late, self.count), (at(from), send.to, send.text));
+                self.air.insert((self.now + late, self.count), (at(from), send.to, send.bytes));
             }
         }
     }
@@ -103,7 +103,7 @@
                 if self.now < self.nodes[node].paused {
                     self.nodes[node].held.push((from, text));
                 } else if let Some(members) = &mut self.nodes[node].members {
-                    let sends = members.heard(self.now, from, &text);
+                    let sends = members.receive(self.now, from, &text);
                     self.post(node, sends);
                 }
             }
@@ -112,7 +112,7 @@
                     continue;
                 }
                 for (from, text) in std::mem::take(&mut self.nodes[node].held) {
-                    let sends = self.nodes[node].members.as_mut().map(|m| m.heard(self.now, from, &text));
+                    let sends = self.nodes[node].members.as_mut().map(|m| m.receive(self.now, from, &text));
                     self.post(node, sends.unwrap_or_default());
                 }
                 let sends = self.nodes[node].members.as_mut().map(|members| members.tick(self.now));
@@ -129,7 +129,7 @@
 
     fn living(&self) -> Vec<usize> {
         (0..self.nodes.len())
-            .filter(|node| self.nodes[*node].members.as_ref().is_some_and(|m| !m.over))
+            .filter(|node| self.nodes[*node].members.as_ref().is_some_and(|m| !m.is_stopped))
             .collect()
     }
 
@@ -149,7 +149,7 @@
         None
     }
 
-    fn figure(&self, of: impl Fn(&Members) -> u64) -> u64 {
+    fn figure(&self, of: impl Fn(&Detector) -> u64) -> u64 {
         self.nodes.iter().filter_map(|node| node.members.as_ref()).map(of).sum()
     }
 }
@@ -159,7 +159,7 @@
 }
 
 fn safe(net: &Net, node: usize) -> usize {
-    net.nodes[node].members.as_ref().map_or(0, |members| members.count(net.now).safe)
+    net.nodes[node].members.as_ref().map_or(0, |members| members.count(net.now).possibly_sending)
 }
 
 /// A fleet in which all know all.
@@ -176,7 +176,7 @@
         let net = whole(count, 1);
         let members = net.nodes[0].members.as_ref().unwrap();
         assert_eq!(members.count(net.now).by_domain.values().sum::<usize>(), count);
-        assert_eq!(net.figure(|members| members.figures.suspected), 0);
+        assert_eq!(net.figure(|members| members.counters.suspected), 0);
     }
     let mut alone = Net::new(1, 1);
     alone.run(30 * SECOND);
@@ -192,12 +192,12 @@
         assert!(took < most, "{count}: a kill was known after {took} s");
         assert!(net.all(|net, node| safe(net, node) == count && likely(net, node) == count - 1));
         // It leaves: nobody suspects it.
-        let before = net.figure(|members| members.figures.suspected);
+        let before = net.figure(|members| members.counters.suspected);
         let sends = net.nodes[7].members.as_mut().unwrap().leave();
         net.post(7, sends);
         let took = net.until(60, |net, node| net.state(node, 7) == Some(State::Left)).unwrap();
         assert!(
-            took < 10.0 && net.figure(|members| members.figures.suspected) == before,
+            took < 10.0 && net.figure(|members| members.counters.suspected) == before,
             "{count}: {took} s"
         );
         // And is back, killed or not, as a new life.
@@ -219,7 +219,7 @@
             |net: &Net, node: usize| (0..100).any(|other| net.state(node, other) == Some(State::Dead));
         let dead = net.living().into_iter().filter(|node| wrong(&net, *node)).count();
         assert!(dead <= most, "{dead} hold somebody dead at {loss} of all messages lost");
-        let part = net.figure(|members| members.figures.suspected) as f64 / (100.0 * 120.0);
+        let part = net.figure(|members| members.counters.suspected) as f64 / (100.0 * 120.0);
         assert!(part < loss / 2.0, "{part} of the probes at {loss} ended in a suspicion");
         net.loss = 0.0;
         let took = net.until(60, |net, node| likely(net, node) == 100).unwrap();
@@ -237,7 +237,7 @@
     // On waking up they blame nobody: all that they hold dead are others that stood still as well.
     net.run(5 * SECOND);
     assert!(net.all(|net, node| (20..60).all(|other| net.state(node, other) != Some(State::Dead))));
-    assert!(net.nodes[..20].iter().all(|node| node.members.as_ref().unwrap().figures.stood_still > 0));
+    assert!(net.nodes[..20].iter().all(|node| node.members.as_ref().unwrap().counters.pauses > 0));
     let took = net.until(60, |net, node| likely(net, node) == 60).unwrap();
     assert!(took < 20.0, "{took} s");
 }
@@ -261,9 +261,9 @@
     let cost = |count: usize| {
         let mut net = whole(count, 6);
         net.run(200 * SECOND);
-        let before = net.figure(|members| members.figures.sent_bytes);
+        let before = net.figure(|members| members.counters.sent_bytes);
         net.run(180 * SECOND);
-        (net.figure(|members| members.figures.sent_bytes) - before) as f64 / 180.0 / count as f64
+        (net.figure(|members| members.counters.sent_bytes) - before) as f64 / 180.0 / count as f64
     };
     let (few, many) = (cost(30), cost(300));
     assert!(many < 1.5 * few && many < 400.0, "{few} and {many} bytes a second");
@@ -277,9 +277,9 @@
         let mut net = Net::new(count, 11);
         let known = net.until(60, |net, node| likely(net, node) == count);
         net.run(200 * SECOND);
-        let before = (net.figure(|m| m.figures.sent), net.figure(|m| m.figures.sent_bytes));
+        let before = (net.figure(|m| m.counters.sent), net.figure(|m| m.counters.sent_bytes));
         net.run(180 * SECOND);
-        let after = (net.figure(|m| m.figures.sent), net.figure(|m| m.figures.sent_bytes));
+        let after = (net.figure(|m| m.counters.sent), net.figure(|m| m.counters.sent_bytes));
         let each = |all: u64| all as f64 / 180.0 / count as f64;
         net.nodes[5].members = None;
         let dead = net.until(60, |net, node| net.state(node, 5) == Some(State::Dead));
@@ -311,10 +311,10 @@
     net.by_at.insert(at(beside), beside);
     net.start(beside, 2);
     net.run(20 * SECOND);
-    assert!(net.nodes[4].members.as_ref().unwrap().over, "the older one says nothing more");
-    assert!(!net.nodes[beside].members.as_ref().unwrap().over);
+    assert!(net.nodes[4].members.as_ref().unwrap().is_stopped, "the older one says nothing more");
+    assert!(!net.nodes[beside].members.as_ref().unwrap().is_stopped);
     assert!(
-        net.all(|net, node| likely(net, node) == 10) && net.figure(|members| members.figures.suspected) == 0
+        net.all(|net, node| likely(net, node) == 10) && net.figure(|members| members.counters.suspected) == 0
     );
     // Killed, and started with a clock that was set back: its life begins below the one that it had.
     net.nodes[3].members = None;
@@ -328,22 +328,22 @@
 fn strangers_replays_and_garbage_change_nothing() {
     let key = Some([3; 32]);
     let keyed =
-        |node: usize| Members::new(id(node), 1, at(node), 0, Settings { key, ..settings() }, node as u64);
+        |node: usize| Detector::new(id(node), 1, at(node), 0, Settings { key, ..settings() }, node as u64);
     let (mut one, mut two) = (keyed(0), keyed(1));
     let hello = two.tick(SECOND).remove(0);
-    let answer = one.heard(SECOND, at(1), &hello.text);
+    let answer = one.receive(SECOND, at(1), &hello.bytes);
     assert_eq!(one.count(SECOND).likely, 2);
-    two.heard(SECOND, at(0), &answer[0].text);
+    two.receive(SECOND, at(0), &answer[0].bytes);
     assert_eq!(two.count(SECOND).likely, 2);
     // Again, from elsewhere, by who doesn't know the key, and spoilt.
-    assert!(one.heard(2 * SECOND, at(9), &hello.text).is_empty());
-    let mut stranger = Members::new(id(5), 1, at(5), 0, settings(), 5);
+    assert!(one.receive(2 * SECOND, at(9), &hello.bytes).is_empty());
+    let mut stranger = Detector::new(id(5), 1, at(5), 0, settings(), 5);
     let call = stranger.tick(SECOND).remove(0);
-    assert!(one.heard(2 * SECOND, at(5), &call.text).is_empty());
-    for cut in 0..hello.text.len() {
-        assert!(one.heard(2 * SECOND, at(1), &hello.text[..cut]).is_empty());
+    assert!(one.receive(2 * SECOND, at(5), &call.bytes).is_empty());
+    for cut in 0..hello.bytes.len() {
+        assert!(one.receive(2 * SECOND, at(1), &hello.bytes[..cut]).is_empty());
     }
-    let figures = one.figures;
-    assert_eq!((figures.replayed, figures.heard, one.count(2 * SECOND).likely), (1, 1, 2));
-    assert_eq!(figures.strangers + figures.garbled, 1 + hello.text.len() as u64);
+    let counters = one.counters;
+    assert_eq!((counters.replayed, counters.received, one.count(2 * SECOND).likely), (1, 1, 2));
+    assert_eq!(counters.unauthenticated + counters.malformed, 1 + hello.bytes.len() as u64);
 }
--- a/crates/node/src/drive/members.rs
+++ b/crates/node/src/drive/members.rs
@@ -12,9 +12,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use stileroute_gossip::table::{How, Member};
-use stileroute_gossip::wire::LONGEST;
-use stileroute_gossip::{Count, Entry, Members, Send, Time, SECOND};
+use stileroute_gossip::wire::MAX_MESSAGE_BYTES;
+use stileroute_gossip::{Datagram, Detector, Entry, Evidence, Member, MemberCount, Time, SECOND};
 
 /// How long one look for messages takes at the most: time is looked at in between.
 const LOOK: Duration = Duration::from_millis(25);
@@ -72,8 +71,9 @@
         };
         let own = at.advertise.unwrap_or(bound);
         // Later than that of any process before, unless the clock was set back; then it is told so.
-        let life = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let members = Members::new(me.id, life, own, me.domain, at.settings.clone(), me.seed ^ life);
+        let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
+        let members =
+            Detector::new(me.id, incarnation, own, me.domain, at.settings.clone(), me.seed ^ incarnation);
         let (shown, stop) = (Arc::new(Shown::default()), Arc::new(AtomicBool::new(false)));
         let mut run = Run {
             socket,
@@ -83,7 +83,7 @@
             start: Instant::now(),
             nodes: me.nodes,
             all: at.all,
-            told: (Count::default(), 0),
+            told: (MemberCount::default(), 0),
             show_at: 0,
             was_over: false,
         };
@@ -101,14 +101,14 @@
 
 struct Run {
     socket: UdpSocket,
-    members: Members,
+    members: Detector,
     desk: Sender<Event>,
     shown: Arc<Shown>,
     start: Instant,
     nodes: usize,
     all: bool,
     /// What was counted and what the desk was told to be likely: after a while that no longer rests on the settings.
-    told: (Count, usize),
+    told: (MemberCount, usize),
     show_at: Time,
     was_over: bool,
 }
@@ -119,12 +119,12 @@
     }
 
     fn run(&mut self, stop: &AtomicBool) {
-        let mut bytes = [0; LONGEST + 1];
+        let mut bytes = [0; MAX_MESSAGE_BYTES + 1];
         while !stop.load(Ordering::Relaxed) {
             // A burst of messages must not keep time from being looked at.
             let until = Instant::now() + LOOK;
             while let Ok((read, SocketAddr::V4(from))) = self.socket.recv_from(&mut bytes) {
-                let sends = self.members.heard(self.now(), from, &bytes[..read]);
+                let sends = self.members.receive(self.now(), from, &bytes[..read]);
                 self.send(&sends);
                 if Instant::now() >= until {
                     break;
@@ -140,26 +140,26 @@
     }
 
     /// One that can't leave is lost, as any may be.
-    fn send(&self, sends: &[Send]) {
+    fn send(&self, sends: &[Datagram]) {
         for send in sends {
-            let _ = self.socket.send_to(&send.text, send.to);
+            let _ = self.socket.send_to(&send.bytes, send.to);
         }
     }
 
     fn tell(&mut self, now: Time) {
         let mut count = self.members.count(now);
         if !self.all || now < HEARS_ALL {
-            count.safe = count.safe.max(self.nodes);
+            count.possibly_sending = count.possibly_sending.max(self.nodes);
         }
         // Until it has heard of others, or where not all are members, who is likely to be there stands in the settings.
         let likely = if self.all && now >= HEARS_ALL { count.likely } else { count.likely.max(self.nodes) };
         if (&count, likely) != (&self.told.0, self.told.1)
-            && self.desk.try_send(Event::Fleet { likely, safe: count.safe }).is_ok()
+            && self.desk.try_send(Event::Fleet { likely, safe: count.possibly_sending }).is_ok()
         {
-            say!("members: {} live, {} may be sending", count.likely, count.safe);
+            say!("members: {} live, {} may be sending", count.likely, count.possibly_sending);
             self.told = (count, likely);
         }
-        if self.members.over && !self.was_over {
+        if self.members.is_stopped && !self.was_over {
             self.was_over = true;
             say!("members: another process has this node's name, and its place");
         }
@@ -171,12 +171,12 @@
 
     fn lines(&self, now: Time) -> String {
         let mut out = line(self.members.own(), "itself", 0);
-        for Member { entry, how, since, .. } in self.members.members() {
-            let how = match how {
-                How::Itself => "from itself".to_string(),
-                How::Told(by) => format!("told by {by:016x}"),
-                How::Silent => "did not answer here".to_string(),
-                How::Unanswered => "did not answer a suspicion".to_string(),
+        for Member { entry, evidence, since, .. } in self.members.members() {
+            let how = match evidence {
+                Evidence::Itself => "from itself".to_string(),
+                Evidence::ReportedBy(by) => format!("told by {by:016x}"),
+                Evidence::NoReply => "did not answer here".to_string(),
+                Evidence::NotRefuted => "did not answer a suspicion".to_string(),
             };
             out += &line(entry, &how, now - since);
         }
@@ -184,24 +184,24 @@
     }
 
     fn figures(&self) -> String {
-        let figures = &self.members.figures;
+        let counters = &self.members.counters;
         let count = &self.told.0;
         let rows = [
             ("members_likely", "gauge", "Instances that are likely to live.", count.likely as u64),
-            ("members_safe", "gauge", "Instances that may be sending.", count.safe as u64),
-            ("members_sent_total", "counter", "Messages to other instances.", figures.sent),
-            ("members_sent_bytes_total", "counter", "Their bytes.", figures.sent_bytes),
-            ("members_heard_total", "counter", "Messages of other instances.", figures.heard),
-            ("members_garbled_total", "counter", "Messages that could not be read.", figures.garbled),
-            ("members_strangers_total", "counter", "Messages without the key.", figures.strangers),
-            ("members_replayed_total", "counter", "Messages that came again.", figures.replayed),
-            ("members_suspected_total", "counter", "Suspicions that began here.", figures.suspected),
-            ("members_refuted_total", "counter", "Suspicions of this instance, answered.", figures.refuted),
+            ("members_safe", "gauge", "Instances that may be sending.", count.possibly_sending as u64),
+            ("members_sent_total", "counter", "Messages to other instances.", counters.sent),
+            ("members_sent_bytes_total", "counter", "Their bytes.", counters.sent_bytes),
+            ("members_heard_total", "counter", "Messages of other instances.", counters.received),
+            ("members_garbled_total", "counter", "Messages that could not be read.", counters.malformed),
+            ("members_strangers_total", "counter", "Messages without the key.", counters.unauthenticated),
+            ("members_replayed_total", "counter", "Messages that came again.", counters.replayed),
+            ("members_suspected_total", "counter", "Suspicions that began here.", counters.suspected),
+            ("members_refuted_total", "counter", "Suspicions of this instance, answered.", counters.refuted),
             (
                 "members_stood_still_total",
                 "counter",
                 "Times that this instance stood still.",
-                figures.stood_still,
+                counters.pauses,
             ),
         ];
         let mut out = String::new();
@@ -213,10 +213,10 @@
 }
 
 fn line(entry: &Entry, how: &str, age: Time) -> String {
-    let Entry { id, life, at, domain, state, .. } = entry;
+    let Entry { id, incarnation, address, domain, state, .. } = entry;
     format!(
-        "{id:016x} {at} domain {domain} life {life} {} for {:.1} s: {how}\n",
-        state.word(),
+        "{id:016x} {address} domain {domain} life {incarnation} {} for {:.1} s: {how}\n",
+        state.label(),
         age as f64 / SECOND as f64
     )
 }
--- a/crates/node/src/life/members.rs
+++ b/crates/node/src/life/members.rs
@@ -61,7 +61,7 @@
     if let Some(every) = table.time("every") {
         let least: Time = 2_000;
         if (least..=600_000).contains(&every.value) {
-            (settings.every, settings.timeout) = (every.value, every.value * 3 / 10);
+            (settings.probe_interval, settings.probe_timeout) = (every.value, every.value * 3 / 10);
         } else {
             table.log().add(every.position, "must be from 200ms to 1m", None);
         }
