--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -33,12 +33,22 @@
     CopiesUnconfirmed,
     /// The ends that a retiring store knows are lost with it.
     EndsGoAlong,
+    /// A store forgets with its process which disks the others had.
+    PeerDisksForgotten,
+    /// A message that another store may have accepted too is started before its edge has said which one is kept.
+    ResubmittedUnasked,
+    /// A retiring store leaves the list of replicas before the replica that replaces its own is confirmed.
+    ListShortenedEarly,
+    /// A store that restarts does not ask stores that are being retired what became of its messages.
+    RetiringUnasked,
+    /// After a fence only the stores in the list of replicas are asked what became of a message.
+    FenceUnannounced,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 15] = [
+    pub const ALL: [PlantedFault; 20] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -54,5 +64,10 @@
         PlantedFault::OrphansUnheeded,
         PlantedFault::CopiesUnconfirmed,
         PlantedFault::EndsGoAlong,
+        PlantedFault::PeerDisksForgotten,
+        PlantedFault::ResubmittedUnasked,
+        PlantedFault::ListShortenedEarly,
+        PlantedFault::RetiringUnasked,
+        PlantedFault::FenceUnannounced,
     ];
 }
--- a/crates/server/src/control_node/retirement.rs
+++ b/crates/server/src/control_node/retirement.rs
@@ -4,9 +4,10 @@
 use super::ControlNode;
 use crate::calls::{BeginRetirement, BeginRetirementReply, CallHandler, ReadRetirement, RetirementProgress};
 use crate::net::Millis;
-use crate::node::node_id;
+use crate::node::store_id;
 use crate::protocol::{ForwardedCall, Frame, NodeRole, RetirementState};
 use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_control_group::{ControlState, Retirement, RetirementStage};
 use stileroute_queue::Node;
 use stileroute_registry::Registry;
@@ -43,7 +44,7 @@
     registry: &Registry,
     suffices: impl Fn(&[&str]) -> bool,
 ) -> OrderDecision {
-    let node = node_id(name);
+    let node = store_id(name);
     if state.retirement(node).is_some() {
         return OrderDecision::AlreadyCommitted;
     }
@@ -76,7 +77,7 @@
     committed: Option<&ControlState>,
     registry: &Registry,
 ) -> Option<RetirementProgress> {
-    let retirement = committed.and_then(|state| state.retirement(node_id(name)))?;
+    let retirement = committed.and_then(|state| state.retirement(store_id(name)))?;
     let reported = registry.store_named(name).map(|store| store.retirement);
     Some(match (retirement.stage, reported) {
         (RetirementStage::Complete, None | Some(RetirementState::Complete)) => RetirementProgress::Complete,
@@ -93,6 +94,18 @@
     }
 }
 
+/// Whether the loss of a machine would leave the control group with less than it is meant to tolerate: one of an even number of
+/// voters runs on it. The group removes that voter by the next change; an odd number has a voter to spare.
+fn is_voter_needed(voters: &[SocketAddrV4], machine: Ipv4Addr) -> bool {
+    voters.len().is_multiple_of(2) && voters.iter().any(|voter| *voter.ip() == machine)
+}
+
+/// Whether the voters that stay without a machine still have a majority after so many losses.
+fn are_voters_sufficient(voters: &[SocketAddrV4], machine: Ipv4Addr, tolerated_losses: usize) -> bool {
+    let remaining = voters.iter().filter(|voter| *voter.ip() != machine).count();
+    remaining == voters.len() || remaining > 2 * tolerated_losses
+}
+
 /// When each store was last notified of its retirement.
 #[derive(Default)]
 pub struct RetirementNotices(BTreeMap<Node, Millis>);
@@ -120,11 +133,25 @@
 impl ControlNode {
     /// Notifies stores, records how far they are, and answers orders that they have confirmed.
     pub(super) fn advance_retirements(&mut self, now: Millis) {
+        self.leave_group_with_machine(now);
         self.notify_stores(now);
         self.record_stages(now);
         self.answer_orders(now);
     }
 
+    /// A store on this machine is being retired, and the machine is taken away when it is empty: this control node's part in the
+    /// group ends before that.
+    fn leave_group_with_machine(&mut self, now: Millis) {
+        let own_store = store_id(&self.runtime.boot.node_name);
+        let is_retired =
+            self.plane.group.committed().is_some_and(|state| state.retirement(own_store).is_some());
+        if is_retired && !std::mem::replace(&mut self.has_left_group, true) {
+            tracing::info!("this machine is being retired: the control role is given up");
+            self.plane.group.shut_down(now);
+            self.apply_group_effects();
+        }
+    }
+
     fn notify_stores(&mut self, now: Millis) {
         let Some(committed) = self.plane.group.committed() else { return };
         for node in self.notices.due(now, committed, &self.plane.registry) {
@@ -135,9 +162,13 @@
     /// At the primary: what stores say goes into the replicated state.
     fn record_stages(&mut self, now: Millis) {
         let Some(state) = self.plane.group.readable_state(now) else { return };
+        let voters = self.plane.group.view().map_or(&[][..], |view| &view.voters);
         let advanced = |retirement: &Retirement| {
             let store = self.plane.registry.store_named(&retirement.name)?;
-            let stage = reported_stage(store.retirement)?;
+            let stage = match reported_stage(store.retirement)? {
+                RetirementStage::Complete if is_voter_needed(voters, store.ip) => RetirementStage::Draining,
+                stage => stage,
+            };
             (stage > retirement.stage).then_some((retirement.node, stage))
         };
         let steps: Vec<(Node, RetirementStage)> = state.retirements.iter().filter_map(advanced).collect();
@@ -154,16 +185,22 @@
     fn answer_orders(&mut self, now: Millis) {
         for order in self.calls.unconfirmed_orders() {
             if self.is_confirmed(&order.store) {
-                self.answer_call(order.call_id, BeginRetirementReply::Accepted.into());
+                let reply = self.accepted_order();
+                self.answer_call(order.call_id, reply.into());
             } else if now > order.since + CONFIRMATION_TIMEOUT_MS {
                 self.answer_call(order.call_id, BeginRetirementReply::Unavailable.into());
             }
         }
     }
 
+    /// The answer to an order that its store has confirmed.
+    fn accepted_order(&self) -> BeginRetirementReply {
+        BeginRetirementReply::Accepted { spare_stores: self.stores_in_service().spare }
+    }
+
     /// Whether the store has said that it has the order, now or before.
     fn is_confirmed(&self, name: &str) -> bool {
-        let committed = self.plane.group.committed().and_then(|state| state.retirement(node_id(name)));
+        let committed = self.plane.group.committed().and_then(|state| state.retirement(store_id(name)));
         let store = self.plane.registry.store_named(name);
         let is_retiring = store.is_some_and(|store| store.retirement != RetirementState::NotRetiring);
         committed.is_some_and(|retirement| is_retiring || retirement.stage != RetirementStage::Ordered)
@@ -174,7 +211,19 @@
         let state = self.plane.group.readable_state(now)?;
         let pending: Vec<Node> = self.plane.group.pending_retirements().collect();
         let suffices = |zones: &[&str]| self.runtime.boot.are_stores_sufficient(zones.iter().copied());
-        Some(decide(name, state, &pending, &self.plane.registry, suffices))
+        let decision = decide(name, state, &pending, &self.plane.registry, suffices);
+        if decision != OrderDecision::Propose || self.may_lose_machine_of(name) {
+            return Some(decision);
+        }
+        Some(OrderDecision::TooFewRemaining)
+    }
+
+    /// Where a control node runs on the store's machine, it is taken away too: the others have to be enough.
+    fn may_lose_machine_of(&self, name: &str) -> bool {
+        let Some((store, view)) = self.plane.registry.store_named(name).zip(self.plane.group.view()) else {
+            return true;
+        };
+        are_voters_sufficient(&view.voters, store.ip, self.runtime.boot.fault_tolerance.machines)
     }
 }
 
@@ -186,7 +235,7 @@
     ) -> Option<BeginRetirementReply> {
         let now = self.runtime.net.now();
         if self.is_confirmed(&name) {
-            return Some(BeginRetirementReply::Accepted);
+            return Some(self.accepted_order());
         }
         self.calls.set_content(call_id, ForwardedCall::BeginRetirement { node: name.clone() });
         let Some(decision) = self.decide_order(now, &name) else {
@@ -199,7 +248,7 @@
             OrderDecision::NotNow => return Some(BeginRetirementReply::Unavailable),
             OrderDecision::AlreadyCommitted => self.calls.await_store(call_id),
             OrderDecision::Propose => {
-                self.plane.group.retire_store(now, call_id, node_id(&name), name);
+                self.plane.group.retire_store(now, call_id, store_id(&name), name);
                 self.apply_group_effects();
             }
         }
