--- a/crates/model-check/src/main.rs
+++ b/crates/model-check/src/main.rs
@@ -59,6 +59,8 @@
     one_span: bool,
     #[options(no_short, help = "only troubles that come with growth")]
     growth: bool,
+    #[options(no_short, help = "also a fleet in two halves, and all power lost with one disk")]
+    fleet_wide: bool,
     #[options(no_short, help = "troubles last 20 s")]
     long: bool,
     #[options(
@@ -159,7 +161,11 @@
             (true, false) => FaultDurations::One,
             (false, false) => FaultDurations::All,
         },
-        fault_kinds: if arguments.growth { FaultKinds::Growth } else { FaultKinds::All },
+        fault_kinds: match (arguments.growth, arguments.fleet_wide) {
+            (true, _) => FaultKinds::Growth,
+            (false, true) => FaultKinds::FleetWide,
+            (false, false) => FaultKinds::All,
+        },
         random_waits: arguments.chance.unwrap_or(RandomWaits::Rising),
         drift: arguments.drift.unwrap_or(Drift::None),
         script: arguments.script,
