--- a/crates/system-test/src/control.rs
+++ b/crates/system-test/src/control.rs
@@ -1,4 +1,4 @@
-//! The proof of the control side: three courses, each with a fleet of its own, side by side.
+//! The proof of the control side: four courses, each with a fleet of its own, side by side.
 
 use crate::executor::Kind;
 use crate::fleet::{Plain, NINE};
@@ -8,7 +8,7 @@
 use crate::prove::{figures, lay_out, tell_all, verdict};
 use crate::recorder::Recorder;
 use crate::setup::{Place, Running, Setup};
-use crate::{churn, isolation, replacement};
+use crate::{churn, halves, isolation, replacement};
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -33,16 +33,19 @@
     Replacement,
     /// Many changes with restarts, two under one number, orders sent again.
     Churn,
+    /// The fleet is cut into two halves, also with another loss.
+    Halves,
 }
 
 impl Part {
-    const ALL: [Part; 3] = [Part::Isolation, Part::Replacement, Part::Churn];
+    const ALL: [Part; 4] = [Part::Isolation, Part::Replacement, Part::Churn, Part::Halves];
 
     fn name(self) -> &'static str {
         match self {
             Part::Isolation => "isolation",
             Part::Replacement => "replacement",
             Part::Churn => "churn",
+            Part::Halves => "halves",
         }
     }
 
@@ -51,6 +54,7 @@
             Part::Isolation => "isolation    ",
             Part::Replacement => "replacement  ",
             Part::Churn => "churn        ",
+            Part::Halves => "halves       ",
         }
     }
 
@@ -59,6 +63,7 @@
             Part::Isolation => isolation::play(running, numbers),
             Part::Replacement => replacement::play(running, numbers),
             Part::Churn => churn::play(running, numbers),
+            Part::Halves => halves::play(running, numbers),
         }
     }
 }
--- a/crates/system-test/src/fleet.rs
+++ b/crates/system-test/src/fleet.rs
@@ -228,6 +228,15 @@
         }
     }
 
+    /// All machines of one place lose contact with all others, or get it back.
+    pub fn halve(&self, place: usize, apart: bool) {
+        for ((says, hears), way) in &self.ways {
+            if (self.machines[*says].at == place) != (self.machines[*hears].at == place) {
+                way.store(apart, Ordering::Relaxed);
+            }
+        }
+    }
+
     /// Kills a machine, which never comes back, nor its disk; operators and executors look for it no more.
     pub fn take_away(&mut self, role: Role, at: usize) -> Plain<()> {
         self.kill(role, at);
--- a/crates/system-test/src/history.rs
+++ b/crates/system-test/src/history.rs
@@ -210,6 +210,8 @@
     pub freezes: Vec<(Micros, Micros)>,
     /// A machine was cut off: it lives, and knows all that it did.
     pub cuts: Vec<(Micros, Micros)>,
+    /// All machines of one place had no contact with the others.
+    pub halvings: Vec<(Micros, Micros)>,
     pub isolations: Vec<Isolation>,
     pub orders: Vec<Order>,
     pub reads: Vec<Read>,
--- a/crates/system-test/src/isolation.rs
+++ b/crates/system-test/src/isolation.rs
@@ -49,7 +49,7 @@
 }
 
 /// An operator that reaches one control node alone, and keeps sending and reading.
-fn press_on(
+pub fn press_on(
     schedule: &Schedule,
     to: SocketAddrV4,
     numbers: &Numbers,
--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -5,6 +5,7 @@
 mod control;
 mod executor;
 mod fleet;
+mod halves;
 mod history;
 mod isolation;
 mod judge;
@@ -69,7 +70,7 @@
         #[arg(long)]
         keep: bool,
     },
-    /// The same for the control nodes on their worst days: three fleets side by side.
+    /// The same for the control nodes on their worst days: four fleets side by side.
     ProveControl {
         /// Keeps the folders with the logs and disks, and prints all breaches.
         #[arg(long)]
