--- a/crates/dispatch/src/policy/mod.rs
+++ b/crates/dispatch/src/policy/mod.rs
@@ -66,13 +66,15 @@
     turned: u32,      // calls turned away in a row
     turned_away: f64, // part of the ops judged hopeless of late; told in the log as overload
     overloaded: bool,
-    /// Messages to peers and lines for the log, taken by the adapter.
+    /// Messages to peers, taken by the adapter.
     pub letters: Vec<Letter>,
+    /// Lines for the log.
     pub log: Vec<String>,
     chance: Chance,
 }
 
 impl Dispatcher {
+    /// An instance with these settings; the same seed gives the same draws.
     pub fn new(tariff: &Tariff, seed: u64) -> Dispatcher {
         let nodes = tariff.terms.nodes.max(1);
         // Peers are told of every push and its end: no more of them than an op can pay for.
--- a/crates/dispatch/src/settings.rs
+++ b/crates/dispatch/src/settings.rs
@@ -18,6 +18,7 @@
     -(-ns).div_euclid(UNIT)
 }
 
+/// The settings object of a deployment, as it is posted to each instance.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Posted {
@@ -33,6 +34,7 @@
     /// Names of the failure domains and of the kinds of executor, by index.
     #[serde(default)]
     pub failure_domains: Vec<String>,
+    /// Names of the kinds of executor, by index.
     #[serde(default)]
     pub shapes: Vec<String>,
     #[serde(default)]
@@ -50,6 +52,7 @@
     score_parts: Parts,
     #[serde(default = "whole")]
     surplus_benefit: f64,
+    /// The tenants, by index.
     #[serde(default)]
     pub tenants: Vec<Tenant>,
     #[serde(default)]
@@ -60,15 +63,19 @@
     1.0
 }
 
+/// Who shares the fleet with others.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub struct Tenant {
+    /// Its name.
     #[serde(default)]
     pub name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
 
+// Each is a key of the settings object.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct Caps {
@@ -173,7 +180,11 @@
         (down(self.caps.dial_timeout_ns), down(self.caps.keepalive_ns))
     }
 
-    /// The settings in the library's words.
+    /// The settings in the library's types.
+    ///
+    /// # Errors
+    ///
+    /// A text that names the key and what is wrong with its value.
     pub fn tariff(&self) -> Result<Tariff, String> {
         let mut categories = Vec::new();
         for (at, grade) in self.categories.iter().enumerate() {
--- a/crates/dispatch/src/types.rs
+++ b/crates/dispatch/src/types.rs
@@ -9,16 +9,27 @@
 /// Which executors drop a repeat of a deduplicated op.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Scope {
+    /// Every executor.
     All,
+    /// The executors of one failure domain.
     Domain,
+    /// The executors of one cell.
     Cell,
 }
 
 /// What a second run of an op would do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Effect {
+    /// Nothing: it may run any number of times.
     Redeliverable,
-    Deduplicated { scope: Scope, window: Time },
+    /// Nothing, where the executors in `scope` still know the first run: they do so for `window`.
+    Deduplicated {
+        /// Which executors know it.
+        scope: Scope,
+        /// For how long.
+        window: Time,
+    },
+    /// Harm: it must not run twice.
     AtMostOnce,
 }
 
@@ -27,42 +38,61 @@
 pub struct Category {
     /// Target latency, to which `stretch` times the op's own work is added.
     pub target: Time,
+    /// How many times its own work is added to the target latency.
     pub stretch: f64,
+    /// What a second run does.
     pub effect: Effect,
+    /// What an answer in time earns.
     pub benefit: f64,
     /// The part of the benefit that a late answer still earns.
     pub late: f64,
     /// The only kind of executor that runs it, if not any.
     pub kind: Option<usize>,
+    /// Rank in the executors' queues, where they serve by priority; the highest first.
     pub priority: i64,
 }
 
 /// One value of a load report.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Gauge {
+    /// Ops at the executor, waiting or running.
     Held,
+    /// Ops in its queue.
     Waiting,
+    /// Slots in use.
     Busy,
+    /// Slots that are free.
     FreeSlots,
+    /// Memory that is free.
     FreeMemory,
+    /// Something that no decision uses.
     Other,
 }
 
 /// What holds for the whole life of an instance just as it is read.
+// The switches are independent of one another, each a key of the settings object.
+#[allow(clippy::struct_excessive_bools)]
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
+    /// The failure domain of this instance.
     pub domain: usize,
+    /// The granularity of the clock.
     pub tick: Time,
+    /// A push can be called off.
     pub cancel: bool,
+    /// An op may be out at two executors at once.
     pub second_copies: bool,
     /// The longest come-back time that clients heed; zero where none may be given.
     pub come_back: Time,
+    /// Pushes that an op may have.
     pub max_pushes: usize,
+    /// The list of executors comes by subscription.
     pub subscribe: bool,
-    /// How long a cold executor must be overloaded to fall, its share of capacity at start, and the
-    /// time by which it is warm.
+    /// How long a cold executor must be overloaded to fall.
     pub tip_after: Time,
+    /// Share of its capacity that a cold executor starts with.
     pub start_share: f64,
+    /// The time by which an executor is warm.
     pub warm_within: Time,
     /// Weights in the list fall with what an executor holds.
     pub live_weights: bool,
@@ -76,14 +106,17 @@
     pub cross: f64,
     /// Weight of the worst-served category in the result.
     pub worst_category: f64,
-    /// Number of this instance, and how many there are.
+    /// Number of this instance.
     pub me: usize,
+    /// How many instances there are.
     pub nodes: usize,
-    /// Price of a new connection, in parts of an op, and how long an idle one is kept.
+    /// Price of a new connection, in parts of an op.
     pub handshake: f64,
+    /// How long an idle connection is kept.
     pub keepalive: Time,
-    /// Instances may tell one another what they see; price of 256 bytes delivered, in parts of an op.
+    /// Instances may tell one another what they see.
     pub peers: bool,
+    /// Price of 256 bytes delivered to a peer, in parts of an op.
     pub price_peer: f64,
     /// The part of its benefit that an op over its tenant's share keeps.
     pub surplus: f64,
@@ -94,28 +127,36 @@
 /// All that is read at start. The instance derives its few figures from it and drops it.
 #[derive(Clone, Debug, Default)]
 pub struct Tariff {
+    /// What holds for the whole life of the instance.
     pub terms: Terms,
+    /// The categories of ops, by index.
     pub categories: Vec<Category>,
     /// Ops a second within the share of each tenant, over all instances.
     pub quotas: Vec<f64>,
+    /// How many times its capacity an executor has to be given to be overloaded.
     pub overload_factor: f64,
+    /// What the values of a load report are, in their order.
     pub gauges: Vec<Gauge>,
 }
 
 /// What an op may do less than its category allows. It comes in with the op and holds to its end.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
+    /// Pushes that the op may have.
     pub pushes: usize,
-    /// Most time of a push that has not started, and without news of one that has.
+    /// Most time of a push that has not started.
     pub no_start: Time,
+    /// Most time without news of a push that has started.
     pub no_progress: Time,
     /// Before a further push; the random part on top of it is as long times `pause_spread` at most.
     pub pause: Time,
+    /// The random part of the pause, in parts of `pause`.
     pub pause_spread: f64,
     /// After so long a second copy goes out, where the settings allow any.
     pub copy_after: Time,
     /// Kinds and failure domains that it may go to, a bit each.
     pub kinds: u64,
+    /// Failure domains that it may go to, a bit each.
     pub domains: u64,
     /// A narrower effect than its category's.
     pub effect: Option<Effect>,
@@ -143,12 +184,19 @@
 /// An op as it arrives.
 #[derive(Clone, Copy, Debug)]
 pub struct Ask {
+    /// Index of its category.
     pub category: usize,
+    /// Slots that it takes at an executor.
     pub slots: f64,
+    /// Memory that it takes there.
     pub memory: f64,
+    /// How much work it is, where its client says so.
     pub hint: Option<Time>,
+    /// When its client stops waiting.
     pub deadline: Time,
+    /// What it may do less than its category allows.
     pub limits: Limits,
+    /// Index of the tenant whose share it counts against.
     pub tenant: usize,
     /// What the op is about, as a hash, where an executor sets up for it and keeps that a while; else zero.
     pub key: u64,
@@ -157,13 +205,21 @@
 /// How a push ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
+    /// Done.
     Acked,
+    /// The executor answered that it failed.
     Error,
+    /// The executor had no room; it never ran.
     Full,
+    /// No answer came in time.
     TimedOut,
+    /// No connection came up; it never ran.
     NotConnected,
+    /// The connection was reset after it was written.
     Reset,
+    /// It was called off.
     Cancelled,
+    /// It was called off before it started; it never ran.
     Moot,
     /// Kept back before anything of it was written, for its executor was taken out by hand.
     Withheld,
@@ -188,7 +244,9 @@
 /// One push of an op.
 #[derive(Clone, Debug, Default)]
 pub struct Push {
+    /// Index of the executor.
     pub executor: usize,
+    /// How it ended; `None` while it is out.
     pub outcome: Option<Outcome>,
     pub(crate) sent: Time,
     pub(crate) started: Option<Time>,
@@ -216,14 +274,18 @@
 /// One op, from its arrival to the outcome of its last push.
 #[derive(Clone, Debug, Default)]
 pub struct Op {
+    /// Its pushes, in the order in which they left.
     pub pushes: Vec<Push>,
     /// It has its final answer, or nobody waits for it any more.
     pub closed: bool,
+    /// Index of its category.
     pub category: usize,
     pub(crate) slots: f64,
     pub(crate) base: f64,
     pub(crate) came: Time,
+    /// When its client stops waiting.
     pub deadline: Time,
+    /// What it may do less than its category allows.
     pub limits: Limits,
     /// No further push before this.
     pub(crate) not_before: Time,
@@ -263,11 +325,17 @@
 /// One line of the list of executors, under the index given at the door.
 #[derive(Clone, Copy, Debug)]
 pub struct Listed {
+    /// Index of the executor.
     pub executor: usize,
+    /// Its failure domain.
     pub domain: usize,
+    /// What kind of machine it is.
     pub kind: usize,
+    /// The cell in which it drops repeats.
     pub cell: usize,
+    /// It takes work.
     pub active: bool,
+    /// Its weight or size, as the list tells it.
     pub weight: f64,
     /// A hash of its name, the same at every instance.
     pub mark: u64,
@@ -279,13 +347,22 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Step {
     /// Send it to this executor.
-    Push { executor: usize },
+    Push {
+        /// Index of the executor.
+        executor: usize,
+    },
     /// Call this push off, then ask again.
-    Stop { push: usize },
+    Stop {
+        /// Index among the op's pushes.
+        push: usize,
+    },
     /// Nothing now.
     Hold,
     /// Final: turned away, a retry is harmless; come back after this long (zero: no advice).
-    Nack { come_back: Time },
+    Nack {
+        /// How long to stay away.
+        come_back: Time,
+    },
     /// Final: failed, nothing promised.
     DeadLetter,
 }
@@ -306,7 +383,9 @@
 /// What an instance has for others: to one of them by its number, or to all.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Letter {
+    /// Number of the instance; `None`: all.
     pub to: Option<usize>,
+    /// The encoded message.
     pub text: Vec<u8>,
 }
 
