Queue: a message's name ends with a checksum, so that one that was cut short or altered names no message

Change: numbers of this build have a bit that no earlier build gave, and their names a CRC-32 at the end; such a name is read only as it was written. Names of earlier builds are read as before, and earlier builds read the new ones. Result: two tests in wire_format, one of them over every cut, change and insertion of a letter.

--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -25,19 +25,40 @@
     pub stores: Vec<Node>,
 }
 
+/// Set in the numbers of messages whose text ends with a checksum. Earlier builds never gave a number with this bit.
+pub(crate) const CHECKED_NUMBER: u64 = 1 << 35;
+
 impl Key {
-    /// The text that clients get for the message: hexadecimal numbers, with its first replica at the end.
+    /// The text that clients get for the message: hexadecimal numbers, with its first replica behind the key and a checksum at the
+    /// end, so that a text which was cut short or altered names no message.
     pub fn to_text(&self, replica: Option<Node>) -> String {
-        match replica {
+        let text = match replica {
             Some(replica) => format!("{:x}.{:x}.{replica:x}", self.origin, self.number),
             None => format!("{:x}.{:x}", self.origin, self.number),
+        };
+        if self.number & CHECKED_NUMBER == 0 {
+            return text;
         }
+        let checksum = crc32fast::hash(text.as_bytes());
+        format!("{text}.{checksum:08x}")
     }
 
     /// Reads what [`Key::to_text`] has written; `None` if the text names no message.
+    pub fn parse(text: &str) -> Option<KeyLocation> {
+        let mut location = Key::parse_unchecked(text)?;
+        if location.key.number & CHECKED_NUMBER == 0 {
+            return Some(location);
+        }
+        // The last part is the checksum, not a store.
+        location.stores.pop();
+        let replica = location.stores.get(1).copied();
+        (location.key.to_text(replica) == text).then_some(location)
+    }
+
+    /// Reads a text without regard to a checksum, which counts as a store: so do earlier builds, which ask no store of that number.
     ///
     /// Replicas are read up to the first that is no hexadecimal number.
-    pub fn parse(text: &str) -> Option<KeyLocation> {
+    fn parse_unchecked(text: &str) -> Option<KeyLocation> {
         let mut parts = text.split('.');
         let origin = Node::from_str_radix(parts.next()?, 16).ok()?;
         let number = u64::from_str_radix(parts.next()?, 16).ok()?;
--- a/crates/queue/src/queue/message_numbers.rs
+++ b/crates/queue/src/queue/message_numbers.rs
@@ -1,6 +1,7 @@
 //! The numbers of messages: each incarnation of a store numbers its messages in a range of its own.
 
 use super::Queue;
+use crate::message::CHECKED_NUMBER;
 
 /// The lower bits of a message number count within the range of one incarnation; the bits above are random.
 const COUNTER_BITS: u32 = 36;
@@ -11,7 +12,7 @@
 /// of the former one, or with the clock put back, would give the same numbers again, and take messages lost with the disk for
 /// ones that it had never finished accepting.
 pub fn first_number(random: u64) -> u64 {
-    ((random >> COUNTER_BITS) | 1) << COUNTER_BITS
+    ((random >> COUNTER_BITS) | 1) << COUNTER_BITS | CHECKED_NUMBER
 }
 
 /// The range that a number belongs to.
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -5,9 +5,9 @@
 use serde::Serialize;
 use std::fmt::Debug;
 use stileroute_queue::{
-    AcceptedHandover, End, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer, Key,
-    KeyLocation, KeyRange, Message, Ownership, PeerMessage, PutError, RangeDigest, Record, ReplicatedMessage,
-    TransferredEnd,
+    first_number, AcceptedHandover, End, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer,
+    Key, KeyLocation, KeyRange, Message, Ownership, PeerMessage, PutError, RangeDigest, Record,
+    ReplicatedMessage, TransferredEnd,
 };
 
 fn assert_bytes<Value: Serialize + DeserializeOwned + PartialEq + Debug>(value: &Value, hex: &str) {
@@ -222,8 +222,44 @@
     assert_eq!(key().to_text(None), "12c.11170");
     assert_eq!(key().to_text(Some(700)), "12c.11170.2bc");
     assert_eq!(Key::default().to_text(Some(0)), "0.0.0");
+    let most = Key { origin: u32::MAX, number: !CHECKED_NUMBER };
+    assert_eq!(most.to_text(Some(u32::MAX)), "ffffffff.fffffff7ffffffff.ffffffff");
+}
+
+/// The bit in a number that says that the text ends with a checksum.
+const CHECKED_NUMBER: u64 = 1 << 35;
+
+#[test]
+fn the_text_of_a_number_of_this_build_ends_with_a_checksum() {
+    let key = Key { origin: 300, number: CHECKED_NUMBER | 70_000 };
+    assert_eq!(key.to_text(None), "12c.800011170.4eb79b6c");
+    assert_eq!(key.to_text(Some(700)), "12c.800011170.2bc.7f60446a");
     let most = Key { origin: u32::MAX, number: u64::MAX };
-    assert_eq!(most.to_text(Some(u32::MAX)), "ffffffff.ffffffffffffffff.ffffffff");
+    assert_eq!(most.to_text(Some(u32::MAX)), "ffffffff.ffffffffffffffff.ffffffff.d51e662d");
+    assert_eq!(first_number(u64::MAX) & CHECKED_NUMBER, CHECKED_NUMBER);
+}
+
+#[test]
+fn a_text_with_a_checksum_that_was_cut_short_or_altered_names_no_message() {
+    for replica in [None, Some(700), Some(0)] {
+        let key = Key { origin: 300, number: CHECKED_NUMBER | 70_000 };
+        let text = key.to_text(replica);
+        assert_eq!(Key::parse(&text).map(|location| location.key), Some(key), "{text}");
+        for at in 0..text.len() {
+            let (before, after) = text.split_at(at);
+            let after_one = &after[1..];
+            let altered =
+                ["", "0", "1", "7", "a", "A", ".", "+", "g"].map(|by| format!("{before}{by}{after_one}"));
+            let inserted = ["0", "f", ".", "+", " "].map(|by| format!("{before}{by}{after}"));
+            let wrong =
+                altered.into_iter().chain(inserted).chain([before.to_string(), format!("{text}.{before}")]);
+            for wrong in wrong.filter(|wrong| *wrong != text) {
+                let read = Key::parse(&wrong).map(|location| location.key);
+                // A digit of the number may be the bit that asks for the checksum: such a number was given by no build.
+                assert!(read.is_none_or(|read| read != key), "{wrong} is read as {text}");
+            }
+        }
+    }
 }
 
 #[test]
