--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 test-upgrade:
 	crates/system-test/test-upgrade.sh
 
-# The control nodes on their worst days: three fleets side by side, some 65 s.
+# The control nodes on their worst days: four fleets side by side, some 65 s.
 test-control:
 	cargo build --release --locked -p stileroute-server -p stileroute-system-test
 	target/release/stileroute-system-test prove-control
