--- a/crates/gossip/src/member.rs
+++ b/crates/gossip/src/member.rs
@@ -115,4 +115,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/gossip/src/member/tests.rs
+++ b/crates/gossip/src/member/tests.rs
@@ -2,7 +2,8 @@
 use crate::table::Table;
 use std::net::Ipv4Addr;
 
-fn entry(id: u64, incarnation: u64, state: State) -> Entry {
+/// An entry of this machine's own address, with the identifier as its port.
+pub fn entry(id: u64, incarnation: u64, state: State) -> Entry {
     Entry {
         id,
         incarnation,
--- a/crates/gossip/src/table/tests.rs
+++ b/crates/gossip/src/table/tests.rs
@@ -1,16 +1,5 @@
 use super::*;
-use std::net::{Ipv4Addr, SocketAddrV4};
-
-fn entry(id: u64, incarnation: u64, state: State) -> Entry {
-    Entry {
-        id,
-        incarnation,
-        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, id as u16),
-        domain: (id % 2) as u8,
-        state,
-        suspected_by: 0,
-    }
-}
+use crate::member::tests::entry;
 
 #[test]
 fn a_later_incarnation_replaces_and_of_one_incarnation_the_worse_state() {
