System test: the loss of all in halves is counted from the kill on

Cause: the span that excuses second runs began with the cut, so runs between the cut and the kill were excused by the kill as well. Change: it begins when the processes are killed; what the cut excuses is its own rule.

--- a/crates/system-test/src/halves.rs
+++ b/crates/system-test/src/halves.rs
@@ -128,13 +128,14 @@
         self.say("the fleet is in halves, with the primary in the smaller one");
         self.sleep(2500);
         self.change_acknowledged("the fleet is in halves, before all are killed", numbers);
+        let killed = self.recorder.now();
         self.fleet.kill_all();
         self.say("all nine are killed");
         self.sleep(1000);
         self.fleet.halve(alone, false);
         self.record_halving(self.fleet.control(alone).to_string(), from, self.recorder.now());
         self.fleet.start_all()?;
-        self.trouble(from);
+        self.trouble(killed);
         self.sleep(RECOVERED_MS);
         self.change_acknowledged("all were killed in halves", numbers);
         self.agreed("all were killed in halves");
