Testbed: an op on a connection to a node that was killed meanwhile is the kill's

Cause: a client read how often its node had been killed after its connection was made. Change: the counts are read before the connection is made, and go with it (`NodeConnection`).

--- a/crates/testbed/src/play/clients.rs
+++ b/crates/testbed/src/play/clients.rs
@@ -83,6 +83,10 @@
     }
 }
 
+/// How long a client waits for a connection to a node, and how long before it tries another.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+const CONNECT_PAUSE: Duration = Duration::from_millis(20);
+
 enum Heard {
     Whole(Message),
     /// The connection ended with nothing at all said on it.
@@ -135,28 +139,66 @@
     }
 }
 
+/// A connection to a node, and what the front knew of the node before the connection was made.
+///
+/// Whatever ends the node's process after that may have ended the connection too, so an op that is sent on it later is
+/// judged by these counts and not by those that hold when it is sent.
+#[derive(Debug)]
+pub struct NodeConnection {
+    stream: TcpStream,
+    node: usize,
+    /// When the client first looked for a node.
+    wanted: Time,
+    /// Requests were sent on it before; the node may have closed it since.
+    reused: bool,
+    life: u64,
+    killed: u64,
+}
+
+impl NodeConnection {
+    /// Connects to a node that the front sends clients of this domain to. A node that is just gone is left for another,
+    /// until `give_up`; none where no node takes clients by then.
+    pub async fn open(world: &World, front: &Front, domain: usize, give_up: Time) -> Option<NodeConnection> {
+        let wanted = world.now();
+        loop {
+            let node = front.pick(domain, world.now())?;
+            // An idle connection to a process that is gone stands for nobody; a new one finds out.
+            let (at, idle, life, killed) = front.node(node, |seen| {
+                let idle = if seen.takes { seen.idle.pop() } else { None };
+                (seen.at, idle, seen.life, seen.killed)
+            });
+            if let Some(stream) = idle {
+                return Some(NodeConnection { stream, node, wanted, reused: true, life, killed });
+            }
+            match timeout(CONNECT_TIMEOUT, TcpStream::connect(at)).await {
+                Ok(Ok(stream)) => {
+                    let _ = stream.set_nodelay(true);
+                    return Some(NodeConnection { stream, node, wanted, reused: false, life, killed });
+                }
+                _ if world.now() > give_up => return None,
+                _ => sleep(CONNECT_PAUSE).await,
+            }
+        }
+    }
+}
+
 /// One op, to its answer; none where there is nobody to answer it.
 async fn one_try(world: &World, front: &Front, job: usize, asked: &Asked) -> Option<Answer> {
     let ttl = ms(world.plan.category[asked.category].ttl_ms);
-    let begun = world.now();
-    // A connection to a node that takes some; a node that is just gone is left for another.
-    let (node, mut stream, mut used) = loop {
-        let node = front.pick(asked.domain, world.now())?;
-        // A connection to a process that is gone stands for nobody; a new one finds out.
-        let (at, idle) = front.node(node, |seen| (seen.at, if seen.takes { seen.idle.pop() } else { None }));
-        if let Some(stream) = idle {
-            break (node, stream, true);
-        }
-        match timeout(Duration::from_millis(500), TcpStream::connect(at)).await {
-            Ok(Ok(stream)) => {
-                let _ = stream.set_nodelay(true);
-                break (node, stream, false);
-            }
-            _ if world.now() > begun + ttl => return None,
-            _ => sleep(Duration::from_millis(20)).await,
-        }
-    };
-    let (life, killed) = front.node(node, |seen| (seen.life, seen.killed));
+    let connection = NodeConnection::open(world, front, asked.domain, world.now() + ttl).await?;
+    ask(world, front, job, asked, connection).await
+}
+
+/// Sends one op on a connection and waits for its answer; none where its node was killed or stands still.
+pub async fn ask(
+    world: &World,
+    front: &Front,
+    job: usize,
+    asked: &Asked,
+    connection: NodeConnection,
+) -> Option<Answer> {
+    let NodeConnection { mut stream, node, wanted, mut reused, life, killed } = connection;
+    let ttl = ms(world.plan.category[asked.category].ttl_ms);
     let now = world.now();
     let op = locked(&world.ledger).open(job, node, asked.category, now, now + ttl);
     let text = request(world, op, job, asked);
@@ -169,7 +211,7 @@
             Err(_) => Heard::Closed,
         };
         // A node may close an idle connection just as a request is on its way there.
-        if !matches!(heard, Heard::Closed) || !std::mem::take(&mut used) {
+        if !matches!(heard, Heard::Closed) || !std::mem::take(&mut reused) {
             break heard;
         }
         let at = front.node(node, |seen| seen.at);
@@ -183,7 +225,7 @@
     };
     let now = world.now();
     let (dead, stood) = front.node(node, |seen| {
-        let stood = seen.paused.is_some() || seen.stood.1 > begun;
+        let stood = seen.paused.is_some() || seen.stood.1 > wanted;
         (seen.killed != killed || killed % 2 == 1, stood)
     });
     let answer = match heard {
