Gossip: nobody suspects a member that announced that it leaves

Cause: a leave was announced to 2 ln n members. One that had not heard probed the member meanwhile, asked others to probe it, and suspected it: others that knew better probed it too, in vain. So a_kill_a_leave_a_pause_and_a_restart_are_known_to_all failed at times. Change: who is asked to probe a member that left says so; at least 32 members are told of a leave; a probe of one that left ends.

--- a/crates/gossip/src/detector.rs
+++ b/crates/gossip/src/detector.rs
@@ -32,6 +32,9 @@
 /// fleet; more often after a start, and after this instance was held dead.
 const SYNC_INTERVAL: Time = 30 * SECOND;
 const SYNC_FLEET_SIZE: f64 = 50.0;
+/// A member that leaves tells at least so many others itself: a small fleet is told at once, and in a large one whoever probes it
+/// meanwhile is likely to ask somebody who was told.
+const DEPARTURE_RECEIVERS: usize = 32;
 
 /// A message that is to be sent.
 #[derive(Clone, Debug, PartialEq)]
@@ -239,7 +242,7 @@
         let mut datagrams = Vec::new();
         if !self.is_stopped {
             let own = Entry { state: State::Left, ..self.own };
-            let receivers = self.sample_alive(self.transmission_limit(), &[]);
+            let receivers = self.sample_alive(self.transmission_limit().max(DEPARTURE_RECEIVERS), &[]);
             for (_, address) in receivers {
                 self.send(&mut datagrams, address, Kind::Members { next: 0 }, vec![own]);
             }
--- a/crates/gossip/src/detector/probing.rs
+++ b/crates/gossip/src/detector/probing.rs
@@ -150,6 +150,10 @@
         address: SocketAddrV4,
         datagrams: &mut Vec<Datagram>,
     ) {
+        if let Some(departed) = self.departed(id) {
+            self.send(datagrams, requested_by, Kind::Members { next: 0 }, vec![departed]);
+            return;
+        }
         let seq = self.next_seq();
         if self.relayed_probes.len() >= MAX_RELAYED_PROBES {
             return;
@@ -164,6 +168,12 @@
         self.send(datagrams, address, Kind::Ping { seq, id }, Vec::new());
     }
 
+    /// What is known of a member that has left. Whoever asks for a probe of it has not heard, and would suspect it.
+    fn departed(&self, id: u64) -> Option<Entry> {
+        let entry = self.table.members.get(&id)?.entry;
+        (entry.state == State::Left).then_some(entry)
+    }
+
     /// Answers members whose probe has no answer yet, and forgets probes that nobody waits for any more.
     pub(super) fn expire_relayed_probes(&mut self, now: Time, datagrams: &mut Vec<Datagram>) {
         let mut due = Vec::new();
--- a/crates/gossip/src/detector/receiving.rs
+++ b/crates/gossip/src/detector/receiving.rs
@@ -84,6 +84,10 @@
         if self.table.apply(now, entry, evidence) {
             self.suspicions.remove(&entry.id);
             self.disseminate(entry);
+            if entry.state == State::Left {
+                // That it does not answer says nothing about either side's network.
+                self.probe.take_if(|probe| probe.id == entry.id);
+            }
         }
     }
 
--- a/crates/gossip/tests/fleet.rs
+++ b/crates/gossip/tests/fleet.rs
@@ -208,6 +208,27 @@
     }
 }
 
+#[test]
+fn nobody_suspects_a_member_that_announced_that_it_leaves() {
+    // A probe may be under way at any point when the announcement goes out, so many fleets at many points of time.
+    for count in [12, 60] {
+        let mut suspected = Vec::new();
+        for seed in 0..100 {
+            let mut net = whole(count, seed);
+            net.run(seed as Time * TICK);
+            let before = net.figure(|members| members.counters.suspected);
+            let sends = net.nodes[7].members.as_mut().unwrap().leave();
+            net.post(7, sends);
+            let took = net.until(20, |net, node| net.state(node, 7) == Some(State::Left)).unwrap();
+            assert!(took < 10.0, "{count} members, seed {seed}: known to all after {took} s");
+            if net.figure(|members| members.counters.suspected) > before {
+                suspected.push(seed);
+            }
+        }
+        assert!(suspected.is_empty(), "{count} members: suspected with the seeds {suspected:?}");
+    }
+}
+
 #[test]
 fn lost_messages_kill_hardly_anybody_and_nobody_for_long() {
     // A part of all messages, and how many of a hundred may hold somebody dead after two minutes of it.
