Queue: how many attempts of a message have failed is on disk

Cause: the count was in memory, so a message that always fails got all attempts of its route again from each restart of its store: more than three times max_tries failures (BUDGET) where stores are killed again and again. No check looked for it. Change: Record::AttemptFailed; a newer replica does not lower the count; a handover records it. The simulation of the queue checks the budget in all its searches; planted fault FailedAttemptsForgotten.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -11,7 +11,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 16] = [
+const DAYS: [(PlantedFault, Day); 17] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -28,6 +28,7 @@
     (PlantedFault::EndsGoAlong, retirement_scenarios::ends_outlive_two_disks),
     (PlantedFault::ResubmittedUnasked, the_second_store_reads_late_that_the_first_has_it),
     (PlantedFault::PeerDisksForgotten, retirement_scenarios::ends_outlive_a_restart_between_two_losses),
+    (PlantedFault::FailedAttemptsForgotten, a_poison_message_outlives_many_restarts),
 ];
 
 fn planted(fault: Option<PlantedFault>) -> Prepare {
@@ -141,6 +142,17 @@
     once(world, 15_000);
 }
 
+fn a_poison_message_outlives_many_restarts(prepare: &Prepare) {
+    // At some of these gaps each life of the store is long enough for one attempt, and too short for the next one.
+    for gap_ms in (500..2500).step_by(50) {
+        let mut world = world(3, 1, prepare);
+        world.send(2500, 0, "plain", &[Behavior::Fails], 0);
+        (0..14).for_each(|n| world.act(2560 + gap_ms * n, Action::Inject(0, Fault::Kill)));
+        world.run(60_000);
+        world.check(true);
+    }
+}
+
 /// The first store is slow, and accepts the message just after its edge has asked the second, which is slow to read what the
 /// edge says then.
 fn the_second_store_reads_late_that_the_first_has_it(prepare: &Prepare) {
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -43,12 +43,14 @@
     RetiringUnasked,
     /// After a fence only the stores in the list of replicas are asked what became of a message.
     FenceUnannounced,
+    /// A store forgets with its process how many attempts of a message have failed.
+    FailedAttemptsForgotten,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 20] = [
+    pub const ALL: [PlantedFault; 21] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -69,5 +71,6 @@
         PlantedFault::ListShortenedEarly,
         PlantedFault::RetiringUnasked,
         PlantedFault::FenceUnannounced,
+        PlantedFault::FailedAttemptsForgotten,
     ];
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -386,7 +386,12 @@
     pub(crate) fn insert_replica_of(&mut self, now: Millis, shared: &ReplicatedMessage, stage: Stage) {
         let mut entry = Entry::from_shared(shared, now);
         entry.stage = stage;
-        let former_ticket = self.entries.get_mut(&shared.key).and_then(|former| former.ticket.take());
+        let former = self.entries.get_mut(&shared.key);
+        let former_failures = former.as_ref().map_or(0, |former| former.failed_attempts);
+        // The other store may not have heard of attempts that failed here.
+        entry.failed_attempts = entry.failed_attempts.max(former_failures);
+        entry.has_run |= former_failures > 0;
+        let former_ticket = former.and_then(|former| former.ticket.take());
         self.remove(shared.key);
         self.report_unknown_outcome(former_ticket);
         self.entries.insert(shared.key, entry);
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -8,6 +8,7 @@
 use crate::message::{End, Key, Millis};
 use crate::peer_message::{GroupPosition, PeerMessage};
 use crate::planted_fault::PlantedFault;
+use crate::record::Record;
 use crate::service_queue::{QueuePosition, Retry, Selection, SettledAttempt};
 use std::ops::ControlFlow;
 use stileroute_dispatch::types::{Outcome as DispatchOutcome, Time};
@@ -295,9 +296,14 @@
         match outcome {
             AttemptOutcome::Completed { seal } => return self.finish(now, key, End::Complete { seal }),
             AttemptOutcome::Rejected => return self.finish(now, key, End::Failed),
-            AttemptOutcome::Failed => entry.failed_attempts += 1,
+            AttemptOutcome::Failed => {
+                entry.failed_attempts += 1;
+                let failed_attempts = entry.failed_attempts;
+                self.record_failed_attempts(key, failed_attempts);
+            }
             _ => {}
         }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         if entry.stage != Stage::InFlight {
             return;
         }
@@ -310,6 +316,13 @@
         self.retry_or_fail(now, key, &outcome);
     }
 
+    /// Writes to disk how many attempts of a message have failed, so that a restart does not grant it all of them again.
+    pub(crate) fn record_failed_attempts(&mut self, key: Key, failed_attempts: u32) {
+        if !self.planted(PlantedFault::FailedAttemptsForgotten) {
+            self.record(&Record::AttemptFailed { key, failed_attempts }, true);
+        }
+    }
+
     /// After an attempt that did not complete: the message fails for good, or waits for its next attempt.
     fn retry_or_fail(&mut self, now: Millis, key: Key, outcome: &AttemptOutcome) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
--- a/crates/queue/src/record.rs
+++ b/crates/queue/src/record.rs
@@ -61,4 +61,11 @@
         /// Its disk; `None` where the store is gone for good.
         disk_id: Option<u64>,
     },
+    /// An executor has said of one more attempt of a message that it failed.
+    AttemptFailed {
+        /// Which message.
+        key: Key,
+        /// How many have failed so far, as far as this store knows.
+        failed_attempts: u32,
+    },
 }
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -33,7 +33,10 @@
                 continue;
             }
             entry.term = entry.term.max(offer.term);
-            entry.failed_attempts = entry.failed_attempts.max(offer.attempts);
+            if offer.attempts > entry.failed_attempts {
+                entry.failed_attempts = offer.attempts;
+                self.record_failed_attempts(offer.key, offer.attempts);
+            }
             self.become_owner(now, offer.key, Some(from));
         }
     }
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -86,6 +86,12 @@
             Record::Dropped { key } => {
                 self.messages.remove(&key);
             }
+            Record::AttemptFailed { key, failed_attempts } => {
+                let message = self.messages.get_mut(&key);
+                if let Some(replica) = message.and_then(|message| message.replica.as_mut()) {
+                    replica.attempts = replica.attempts.max(failed_attempts);
+                }
+            }
         }
     }
 
@@ -97,8 +103,11 @@
         }
     }
 
-    fn put(&mut self, replica: ReplicatedMessage) {
+    fn put(&mut self, mut replica: ReplicatedMessage) {
         let message = self.messages.entry(replica.key).or_default();
+        if let Some(old) = &message.replica {
+            replica.attempts = replica.attempts.max(old.attempts);
+        }
         // Of one that has ended only what was not known: the bytes of a failed one, transferred by another store.
         let is_live = message.end.is_none();
         if message.replica.as_ref().is_none_or(|old| is_live && old.term <= replica.term) {
--- a/crates/queue/tests/faults.rs
+++ b/crates/queue/tests/faults.rs
@@ -521,3 +521,18 @@
         world.check(true);
     }
 }
+
+#[test]
+fn a_message_that_always_fails_ends_though_its_store_restarts_again_and_again() {
+    for fault in [Fault::QuickRestart, Fault::Kill, Fault::PowerLoss] {
+        for gap_ms in (500..2500).step_by(50) {
+            let mut world = Simulation::new(3, 1, gap_ms);
+            world.send(2500, 0, "plain", &[Behavior::Fails], 0);
+            world.send(2510, 1, "plain", &[Behavior::Refuses], 0);
+            (0..14).for_each(|n| world.act(2560 + gap_ms * n, Action::Inject(n as usize % 2, fault)));
+            (0..14).for_each(|n| world.act(2570 + gap_ms * n, Action::Inject(0, fault)));
+            world.run(60_000);
+            world.check(true);
+        }
+    }
+}
--- a/crates/queue/tests/simulation/checks.rs
+++ b/crates/queue/tests/simulation/checks.rs
@@ -3,6 +3,9 @@
 use super::configuration::RATE_LIMIT_PER_S;
 use super::*;
 
+/// Answers that a message may get, as a multiple of those that end it in calm: a store that lost its memory of some may repeat them.
+const BUDGET_MULTIPLE: usize = 3;
+
 impl Simulation {
     /// What each disk would give after a loss of power.
     pub(super) fn disks(&self, all: bool) -> Vec<StateTable> {
@@ -73,6 +76,7 @@
                 assert!(called.iter().any(|(_, body, _)| body.contains(word)), "{id}: no call-back {runs:?}");
             }
         }
+        self.check_attempt_budget();
         self.check_order();
         // What every span of the window may hold.
         let most = (RATE_LIMIT_PER_S * 5.0 * 1.1 + 5.0) as usize;
@@ -80,6 +84,27 @@
         assert!(over.is_none(), "over the ceiling: {over:?}");
     }
 
+    /// A message that executors have failed, or refused, [`BUDGET_MULTIPLE`] times as often as its route allows reaches none again,
+    /// whichever stores have had it meanwhile. Counted are answers that a store has read.
+    fn check_attempt_budget(&self) {
+        for sent in &self.messages {
+            let id = &sent.message.id;
+            let mut runs: Vec<&Execution> = self.executions.iter().filter(|r| r.id == *id).collect();
+            runs.sort_by_key(|run| run.started_at);
+            let budgets = [
+                (Behavior::Fails, BUDGET_MULTIPLE * self.max_tries as usize),
+                (Behavior::Refuses, BUDGET_MULTIPLE),
+            ];
+            for (behavior, budget) in budgets {
+                let answers =
+                    runs.iter().filter(|run| run.behavior == behavior).filter_map(|run| run.failure_read_at);
+                let Some(used_up_at) = answers.clone().nth(budget - 1) else { continue };
+                let beyond = runs.iter().find(|run| run.started_at > used_up_at);
+                assert!(beyond.is_none(), "{id} ran again after {budget} times {behavior:?}: {runs:?}");
+            }
+        }
+    }
+
     pub(super) fn check_order(&self) {
         let runs = |m: &SentMessage| -> Vec<&Execution> {
             self.executions.iter().filter(|r| r.id == m.message.id).collect()
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -171,6 +171,11 @@
             let execution = self.executions.iter_mut().rfind(|r| r.id == id && r.completed_at == Some(now));
             execution.into_iter().for_each(|r| r.read_at = Some(now));
         }
+        if matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Rejected) {
+            let now = self.now;
+            let execution = self.executions.iter_mut().rfind(|r| r.id == id && r.ended_at == now);
+            execution.into_iter().for_each(|r| r.failure_read_at = Some(now));
+        }
         self.with(at, |queue, now| queue.attempt_ended(now, now as i64 * 10, attempt, outcome, None));
     }
 
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -189,6 +189,8 @@
     pub ended_at: u64,
     /// When the store that sent it had read the answer.
     pub read_at: Option<u64>,
+    /// When the store that sent it had read that it failed, or was refused.
+    pub failure_read_at: Option<u64>,
 }
 
 /// The simulated site.
--- a/crates/queue/tests/simulation/turns.rs
+++ b/crates/queue/tests/simulation/turns.rs
@@ -127,6 +127,7 @@
                     behavior: does,
                     ended_at: over,
                     read_at: None,
+                    failure_read_at: None,
                 });
                 self.at(wait, Event::AttemptEnded { at, life, attempt, id, outcome });
             }
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -125,6 +125,7 @@
     assert_bytes(&Record::RetirementOrdered, "06");
     assert_bytes(&Record::PeerDiskKnown { node: 300, disk_id: Some(1000) }, "07ac0201e807");
     assert_bytes(&Record::PeerDiskKnown { node: 300, disk_id: None }, "07ac0200");
+    assert_bytes(&Record::AttemptFailed { key: key(), failed_attempts: 300 }, "08ac02f0a204ac02");
 }
 
 #[test]
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -81,6 +81,7 @@
         MessageRecord::Dropped { .. } => "drop",
         MessageRecord::RetirementOrdered => "retire",
         MessageRecord::PeerDiskKnown { .. } => "peer disk",
+        MessageRecord::AttemptFailed { .. } => "attempt failed",
     }
 }
 
