--- a/crates/server/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -297,6 +297,9 @@
     }
 }
 
+/// All stores have heard of a leave so long after its acknowledgement: the least `drain_ms` of the operators' sites is 3 s.
+const LEAVE_HEARD_WITHIN: Duration = Duration::from_secs(1);
+
 /// Its heartbeat was on its way when it left, and comes by way of another core: nothing is sent to it, also when all cores have
 /// been started anew since. Another executor of the service is called.
 #[test]
@@ -307,6 +310,9 @@
     let leave = || fleet.http("2:18262", "POST", "/v1/servers/e-left/leave", "{}");
     fleet.until("its leave is acknowledged", || leave().filter(|answer| answer.0 == 200));
     fleet.message = fleet.accepted();
+    // A store that has not heard of the leave yet may call it; from then on nobody may.
+    std::thread::park_timeout(LEAVE_HEARD_WITHIN);
+    while left.was_called() {}
     let is_left_alone = |fleet: &Fleet, call_count: u64| {
         let until = Instant::now() + Duration::from_millis(1500);
         while Instant::now() < until {
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -233,10 +233,21 @@
 
     /// Ends a process in order.
     pub fn end(&mut self, name: &str) {
-        let index = self.children.iter().position(|(child, _)| child == name).unwrap();
-        let (_, mut child) = self.children.swap_remove(index);
+        self.terminate(name);
+        self.wait_for_exit(name);
+    }
+
+    /// Sends SIGTERM to a process.
+    pub fn terminate(&self, name: &str) {
+        let (_, child) = self.children.iter().find(|(child, _)| child == name).unwrap();
         let signalled = Command::new("kill").arg(child.id().to_string()).status().unwrap();
         assert!(signalled.success());
+    }
+
+    /// Waits until a process has ended, without an error.
+    pub fn wait_for_exit(&mut self, name: &str) {
+        let index = self.children.iter().position(|(child, _)| child == name).unwrap();
+        let (_, mut child) = self.children.swap_remove(index);
         let status = self.wait_for("the process ends", || child.try_wait().unwrap());
         assert!(status.success(), "{name}: {status}: {}", self.log(name));
     }
