--- a/crates/node/src/drive/calls.rs
+++ b/crates/node/src/drive/calls.rs
@@ -18,6 +18,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use stileroute_dispatch::state::Memory;
+use thiserror::Error;
 
 /// How long one may take to send a call, or to take its answer in.
 const SLOW: Duration = Duration::from_secs(5);
@@ -55,16 +56,27 @@
     open: AtomicUsize,
 }
 
+/// Why operators can't call.
+#[derive(Debug, Error)]
+pub enum OperatorsAddressError {
+    /// Their address can't be opened.
+    #[error("admin_addr: {address}: {source}")]
+    Bind { address: SocketAddr, source: std::io::Error },
+    /// No thread can be started for them.
+    #[error("admin_addr: no thread: {0}")]
+    Thread(std::io::Error),
+}
+
 impl Calls {
     pub fn new(reach: Reach) -> Arc<Calls> {
         Arc::new(Calls { reach, callers: Mutex::default(), open: AtomicUsize::new(0) })
     }
 
     /// Opens the address and serves it by a thread of its own; the address, with the port that was given.
-    pub fn open(self: Arc<Calls>, at: SocketAddr) -> Result<SocketAddr, String> {
-        let listener = TcpListener::bind(at).and_then(|listener| Ok((listener.local_addr()?, listener)));
-        let (at, listener) = listener.map_err(|error| format!("admin_addr: {at}: {error}"))?;
-        let thread = |error: std::io::Error| format!("admin_addr: no thread: {error}");
+    pub fn open(self: Arc<Calls>, address: SocketAddr) -> Result<SocketAddr, OperatorsAddressError> {
+        let listener = TcpListener::bind(address).and_then(|listener| Ok((listener.local_addr()?, listener)));
+        let (at, listener) = listener.map_err(|source| OperatorsAddressError::Bind { address, source })?;
+        let thread = OperatorsAddressError::Thread;
         let outs = &self.reach.outs;
         outs.carried_out(outs.state().number);
         self.reach.look_beside(Duration::ZERO);
--- a/crates/node/src/drive/directory.rs
+++ b/crates/node/src/drive/directory.rs
@@ -1,6 +1,6 @@
 //! Follows the list of executors: asks when the desk says so, then holds the watch until it breaks.
 
-use super::exchange;
+use super::{exchange, ExchangeError};
 use crate::port::Event;
 use crate::say;
 use crate::wire::targets::{self, List};
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
 /// How long a watch waits for news, and how much longer an answer may take before discovery counts as silent.
 const WAIT_MS: u64 = 4000;
@@ -60,14 +61,15 @@
     while ask.recv().is_ok() {
         let turned_away = loop {
             let at = post.at();
-            let code = follow(at, post, &mut from, &desk);
+            let end = follow(at, post, &mut from, &desk);
             post.state().1 = None;
             // Before the address is looked at: a call that is dropped here must not be that of a new one.
             while ask.try_recv().is_ok() {}
             let moved = post.at() != at;
-            say!("discovery {at}: connection ended: {}", if moved { "moved" } else { code });
+            let end = if moved { WatchEnd::Moved } else { end };
+            say!("discovery {at}: connection ended: {end}");
             if !moved {
-                break code == TURNED_AWAY;
+                break matches!(end, WatchEnd::TurnedAway);
             }
         };
         if desk.send(Event::ListSilent { turned_away }).is_err() {
@@ -76,8 +78,28 @@
     }
 }
 
-/// Why a call ended for which the service had no room.
-const TURNED_AWAY: &str = "turned-away";
+/// Why the calls to discovery at one address ended.
+#[derive(Debug, Error)]
+enum WatchEnd {
+    /// No connection could be made.
+    #[error("unreached")]
+    Unreached,
+    /// Discovery is asked at another address now.
+    #[error("moved")]
+    Moved,
+    /// The node ends.
+    #[error("stopped")]
+    Stopped,
+    /// The service had no room for the call.
+    #[error("turned-away")]
+    TurnedAway,
+    /// An answer came that holds no list.
+    #[error("garbled")]
+    Garbled,
+    /// No answer came.
+    #[error("{0}")]
+    NoAnswer(ExchangeError),
+}
 
 /// Watch after watch, from the version that is known. Only where none is known, as at another address, a call for the whole
 /// list comes first: it costs the service each line, and hundreds of nodes that start or lose it together would
@@ -87,7 +109,7 @@
     post: &Post,
     from: &mut Option<(SocketAddr, i64)>,
     desk: &Sender<Event>,
-) -> &'static str {
+) -> WatchEnd {
     let host = at.to_string();
     let mut held = None;
     loop {
@@ -95,11 +117,11 @@
             Some(stream) => stream,
             None => match TcpStream::connect_timeout(&at, LATE) {
                 Ok(stream) => Arc::new(stream),
-                Err(_) => return "unreached",
+                Err(_) => return WatchEnd::Unreached,
             },
         };
         if !post.enter(at, &stream) {
-            return "moved";
+            return WatchEnd::Moved;
         }
         let _ = stream.set_nodelay(true);
         let newer = from.filter(|from| from.0 == at).map(|from| from.1);
@@ -111,29 +133,35 @@
                 held = (!close).then_some(stream);
                 list
             }
-            Err(code) => return code,
+            Err(end) => return end,
         };
         if post.at() != at {
-            return "moved";
+            return WatchEnd::Moved;
         }
         // Another place counts its versions in its own way.
         let anew = newer.is_none() && from.is_some();
         *from = Some((at, newer.map_or(list.index, |before| before.max(list.index))));
         if desk.send(Event::List { list: (&list).into(), anew }).is_err() {
-            return "stopped";
+            return WatchEnd::Stopped;
         }
     }
 }
 
-fn ask_for(stream: &TcpStream, text: &str, wait: Duration) -> Result<(List, bool), &'static str> {
+/// Asks for a list; beside it whether the connection ends with the answer.
+fn ask_for(stream: &TcpStream, text: &str, wait: Duration) -> Result<(List, bool), WatchEnd> {
     let _ = stream.set_write_timeout(Some(LATE));
-    let answer = exchange(stream, text, Instant::now() + wait)?;
-    if answer.as_ref().is_ok_and(|whole| matches!(whole.status, 429 | 503)) {
-        return Err(TURNED_AWAY);
+    let answer = exchange(stream, text, Instant::now() + wait).map_err(|error| match error {
+        ExchangeError::Malformed(error) => unreadable(&error),
+        error => WatchEnd::NoAnswer(error),
+    })?;
+    if matches!(answer.status, 429 | 503) {
+        return Err(WatchEnd::TurnedAway);
     }
-    let told = answer.and_then(|whole| targets::read(&whole).map(|list| (list, whole.closes_connection)));
-    told.map_err(|error| {
-        say!("discovery: answer can't be read: {error}");
-        "garbled"
-    })
+    let list = targets::read(&answer).map_err(|error| unreadable(&error))?;
+    Ok((list, answer.closes_connection))
+}
+
+fn unreadable(error: &dyn std::error::Error) -> WatchEnd {
+    say!("discovery: answer can't be read: {error}");
+    WatchEnd::Garbled
 }
--- a/crates/node/src/drive/members.rs
+++ b/crates/node/src/drive/members.rs
@@ -7,6 +7,7 @@
 use crate::say;
 use crossbeam_channel::Sender;
 use std::fmt::Write;
+use std::io;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -14,6 +15,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute_gossip::wire::MAX_MESSAGE_BYTES;
 use stileroute_gossip::{Datagram, Detector, Entry, Evidence, Member, MemberCount, Time, SECOND};
+use thiserror::Error;
 
 /// How long one look for messages takes at the most: time is looked at in between.
 const LOOK: Duration = Duration::from_millis(25);
@@ -52,6 +54,17 @@
     thread: JoinHandle<()>,
 }
 
+/// Why a node takes no part in membership.
+#[derive(Debug, Error)]
+pub enum MembersError {
+    /// Its address can't be opened, or there is no thread for it.
+    #[error("members: {listen}: {source}")]
+    Open { listen: SocketAddrV4, source: io::Error },
+    /// The socket that was opened has an address of another family.
+    #[error("members: no IPv4 address")]
+    NotIpv4,
+}
+
 /// Who this instance is.
 pub struct Me {
     pub id: u64,
@@ -62,12 +75,12 @@
 }
 
 impl Carrier {
-    pub fn open(at: &MembersAt, me: Me, desk: Sender<Event>) -> Result<Carrier, String> {
-        let wrong = |error: std::io::Error| format!("members: {}: {error}", at.listen);
+    pub fn open(at: &MembersAt, me: Me, desk: Sender<Event>) -> Result<Carrier, MembersError> {
+        let wrong = |source: io::Error| MembersError::Open { listen: at.listen, source };
         let socket = UdpSocket::bind(at.listen).map_err(wrong)?;
         socket.set_read_timeout(Some(LOOK)).map_err(wrong)?;
         let SocketAddr::V4(bound) = socket.local_addr().map_err(wrong)? else {
-            return Err("members: no IPv4 address".to_string());
+            return Err(MembersError::NotIpv4);
         };
         let own = at.advertise.unwrap_or(bound);
         // Later than that of any process before, unless the clock was set back; then it is told so.
--- a/crates/node/src/drive/mod.rs
+++ b/crates/node/src/drive/mod.rs
@@ -11,39 +11,56 @@
 pub mod peers;
 
 pub use crate::store::seats::look;
-use crate::wire::http::{Response, ResponseReader};
+use crate::wire::http::{Response, ResponseError, ResponseReader};
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Instant;
+use thiserror::Error;
 
 /// Bytes read at once.
 pub const CHUNK: usize = 8 * 1024;
 
-/// Sends `text` and reads the answer to it; what is wrong with that, or the reason why none came in time.
-pub fn exchange(
-    mut stream: &TcpStream,
-    text: &str,
-    until: Instant,
-) -> Result<Result<Response, String>, &'static str> {
-    stream.write_all(text.as_bytes()).map_err(|_| "unwritten")?;
+/// Why a call has no answer that can be read.
+#[derive(Debug, Error)]
+pub enum ExchangeError {
+    /// It could not be sent whole.
+    #[error("unwritten")]
+    Unwritten,
+    /// Nothing, or not all, came in time.
+    #[error("silent")]
+    Silent,
+    /// The other side closed the connection before the answer was complete.
+    #[error("closed")]
+    Closed,
+    /// The connection broke.
+    #[error("reset")]
+    Reset,
+    /// What came is no answer.
+    #[error("{0}")]
+    Malformed(#[from] ResponseError),
+}
+
+/// Sends `text` and reads the answer to it.
+pub fn exchange(mut stream: &TcpStream, text: &str, until: Instant) -> Result<Response, ExchangeError> {
+    stream.write_all(text.as_bytes()).map_err(|_| ExchangeError::Unwritten)?;
     let (mut gather, mut chunk) = (ResponseReader::default(), [0; CHUNK]);
     loop {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() || stream.set_read_timeout(Some(left)).is_err() {
-            return Err("silent");
+            return Err(ExchangeError::Silent);
         }
         match stream.read(&mut chunk) {
-            Ok(0) => return Err("closed"),
-            Ok(read) => match gather.feed(&chunk[..read]) {
-                Ok(None) => {}
-                Ok(Some(whole)) => return Ok(Ok(whole)),
-                Err(error) => return Ok(Err(error.to_string())),
-            },
+            Ok(0) => return Err(ExchangeError::Closed),
+            Ok(read) => {
+                if let Some(whole) = gather.feed(&chunk[..read])? {
+                    return Ok(whole);
+                }
+            }
             Err(error) if error.kind() == ErrorKind::Interrupted => {}
             Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                return Err("silent");
+                return Err(ExchangeError::Silent);
             }
-            Err(_) => return Err("reset"),
+            Err(_) => return Err(ExchangeError::Reset),
         }
     }
 }
--- a/crates/node/src/drive/peers.rs
+++ b/crates/node/src/drive/peers.rs
@@ -5,18 +5,31 @@
 
 use crate::port::{Carrier, Event};
 use crossbeam_channel::Sender;
+use std::io;
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use stileroute_dispatch::peers::LONGEST;
 use stileroute_dispatch::types::Letter;
+use thiserror::Error;
 
 /// The longest that the desk may be held up by a message that finds no room on its way out.
 const MOST: Duration = Duration::from_millis(1);
 /// After a failed read, so that one that goes on failing takes no core.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Why a node can't exchange messages with others.
+#[derive(Debug, Error)]
+pub enum PeersError {
+    /// Its own address can't be opened.
+    #[error("peers.nodes[{node}]: {source}")]
+    Bind { node: usize, source: io::Error },
+    /// There is no second descriptor for what comes in.
+    #[error("peers: {0}")]
+    Clone(io::Error),
+}
+
 /// The carrier of a node's messages.
 pub struct Peers {
     socket: UdpSocket,
@@ -28,16 +41,16 @@
 }
 
 impl Peers {
-    pub fn open(me: usize, nodes: &[SocketAddr]) -> Result<Peers, String> {
+    pub fn open(me: usize, nodes: &[SocketAddr]) -> Result<Peers, PeersError> {
         let socket = UdpSocket::bind(nodes[me])
             .and_then(|socket| socket.set_write_timeout(Some(MOST)).map(|()| socket))
-            .map_err(|error| format!("peers.nodes[{me}]: {error}"))?;
+            .map_err(|source| PeersError::Bind { node: me, source })?;
         Ok(Peers { socket, me, nodes: nodes.to_vec(), dropped: Arc::default() })
     }
 
     /// What takes messages in, for a thread of its own: it ends with the desk.
-    pub fn receiver(&self) -> Result<impl FnOnce(Sender<Event>) + Send + 'static, String> {
-        let socket = self.socket.try_clone().map_err(|error| format!("peers: {error}"))?;
+    pub fn receiver(&self) -> Result<impl FnOnce(Sender<Event>) + Send + 'static, PeersError> {
+        let socket = self.socket.try_clone().map_err(PeersError::Clone)?;
         let (nodes, dropped) = (self.nodes.clone(), self.dropped.clone());
         Ok(move |desk: Sender<Event>| {
             let mut bytes = [0; LONGEST + 1];
--- a/crates/node/src/life/budget.rs
+++ b/crates/node/src/life/budget.rs
@@ -1,6 +1,7 @@
 //! How many descriptors and buffers each part of the node may hold.
 
 use crate::wire::http::MAX_MESSAGE_BYTES;
+use thiserror::Error;
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
@@ -25,6 +26,14 @@
 const REQUEST: usize = 2 * MAX_MESSAGE_BYTES + 3 * STACK;
 const STRANGER: usize = MAX_MESSAGE_BYTES + STACK;
 
+/// The limits leave no room for four requests at once.
+#[derive(Clone, Copy, Debug, PartialEq, Error)]
+#[error("limits: too small to serve: sockets {sockets}, memory_mb {memory_mb}")]
+pub struct BudgetError {
+    pub sockets: usize,
+    pub memory_mb: usize,
+}
+
 impl Budget {
     /// What is left of it while another process of the node has as much.
     pub fn part(self, beside: bool) -> Budget {
@@ -37,7 +46,12 @@
     /// few more of these end, probe or are idle. The rest is for clients that have nothing in hand, whom a
     /// crowd of silent ones must not keep out. `operators`: they have an address of their own; `shared`:
     /// a second process may run beside this one, which needs as much of its own.
-    pub fn split(sockets: usize, memory_mb: usize, operators: bool, shared: bool) -> Result<Budget, String> {
+    pub fn split(
+        sockets: usize,
+        memory_mb: usize,
+        operators: bool,
+        shared: bool,
+    ) -> Result<Budget, BudgetError> {
         let bytes = memory_mb << 20;
         let operators = if operators { 1 + CALLERS + LEAVING } else { 0 };
         let kept = (KEPT + operators) * if shared { 2 } else { 1 };
@@ -46,7 +60,7 @@
         let executors = requests + requests / 8;
         let others = free.saturating_sub(requests + executors).min(bytes / 5 / STRANGER);
         if requests < 4 {
-            return Err(format!("limits: too small to serve: sockets {sockets}, memory_mb {memory_mb}"));
+            return Err(BudgetError { sockets, memory_mb });
         }
         Ok(Budget { requests, clients: requests + others, executors })
     }
--- a/crates/node/src/life/members.rs
+++ b/crates/node/src/life/members.rs
@@ -5,6 +5,16 @@
 use stileroute_gossip::wire::Key;
 use stileroute_gossip::Settings;
 use stileroute_operator_file::{Located, Position, Section};
+use thiserror::Error;
+
+/// Why a key file can't be used.
+#[derive(Debug, Error)]
+enum KeyFileError {
+    #[error("{0}")]
+    Unreadable(#[from] std::io::Error),
+    #[error("must hold 64 hex digits")]
+    NotHexadecimal,
+}
 
 #[derive(Debug)]
 pub struct MembersAt {
@@ -71,16 +81,16 @@
 }
 
 /// A key of 64 hex digits, in a file that only this program should read.
-fn key_of(path: &str) -> Result<Key, String> {
-    let text = std::fs::read_to_string(path).map_err(|error| error.to_string())?;
+fn key_of(path: &str) -> Result<Key, KeyFileError> {
+    let text = std::fs::read_to_string(path)?;
     let digits = text.trim();
     let mut key = [0; 32];
     if digits.len() != 64 || !digits.is_ascii() {
-        return Err("must hold 64 hex digits".to_string());
+        return Err(KeyFileError::NotHexadecimal);
     }
     for (byte, at) in key.iter_mut().zip((0..64).step_by(2)) {
-        *byte =
-            u8::from_str_radix(&digits[at..at + 2], 16).map_err(|_| "must hold 64 hex digits".to_string())?;
+        let pair = u8::from_str_radix(&digits[at..at + 2], 16);
+        *byte = pair.map_err(|_| KeyFileError::NotHexadecimal)?;
     }
     Ok(key)
 }
--- a/crates/node/src/life/signals.rs
+++ b/crates/node/src/life/signals.rs
@@ -4,11 +4,17 @@
 use crossbeam_channel::Sender;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use thiserror::Error;
+
+/// Signals can't be caught, or there is no thread for them.
+#[derive(Debug, Error)]
+#[error("signals: {0}")]
+pub struct SignalsError(#[from] std::io::Error);
 
 /// Tells the desk of the first signal to end, and of each further one. SIGHUP must be caught from the first
 /// moment: left alone, it ends the process with all that it holds.
-pub fn watch(desk: Sender<Event>, again: impl Fn() + Send + 'static) -> Result<(), String> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|error| format!("signals: {error}"))?;
+pub fn watch(desk: Sender<Event>, again: impl Fn() + Send + 'static) -> Result<(), SignalsError> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     let run = move || {
         for signal in signals.forever() {
             if signal == SIGHUP {
@@ -18,5 +24,6 @@
             }
         }
     };
-    super::spawn("signals", run).map(|_| ()).map_err(|error| format!("signals: {error}"))
+    super::spawn("signals", run)?;
+    Ok(())
 }
--- a/crates/node/src/life/start.rs
+++ b/crates/node/src/life/start.rs
@@ -1,6 +1,6 @@
 //! What the node is told at start: read, checked and given defaults here and nowhere else.
 
-use super::budget::Budget;
+use super::budget::{Budget, BudgetError};
 use crate::wire::targets::List;
 use serde::Deserialize;
 use std::collections::HashMap;
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use stileroute_dispatch::settings::Posted;
 use stileroute_dispatch::types::{Effect, Tariff, Time};
+use thiserror::Error;
 
 /// All that the node starts with.
 pub struct Start {
@@ -108,36 +109,77 @@
 /// A seat is free again soon.
 const COME_BACK: Time = 2_000;
 
+/// Why the node does not start: one line, with the key that is wrong.
+#[derive(Debug, Error)]
+pub enum StartError {
+    #[error("BALANCER_CONFIG is not set")]
+    NoConfiguration,
+    #[error("BALANCER_CONFIG: {path}: {source}")]
+    Unreadable { path: String, source: std::io::Error },
+    /// A key is missing, or has a value of another type.
+    #[error("{key}: {source}")]
+    Malformed { key: String, source: serde_json::Error },
+    #[error("{key}: missing, and {variable} is not set")]
+    NoAddress { key: &'static str, variable: &'static str },
+    #[error("{key}: not an address with a port: {text}")]
+    NotAnAddress { key: String, text: String },
+    #[error("admin_addr: {0} is the address of 'listen'")]
+    SharedAddress(SocketAddr),
+    #[error("BALANCER_PASSED_SOCKET: not the number of a descriptor: {0}")]
+    NotADescriptor(String),
+    #[error("seed: not hex digits: {0}")]
+    SeedNotHexadecimal(String),
+    /// What the dispatcher says of its settings.
+    #[error("settings.{0}")]
+    Settings(String),
+    #[error("peers: settings.caps.peers does not allow messages")]
+    PeersNotAllowed,
+    #[error("peers.nodes: {given} addresses where settings.balancers says {expected}")]
+    PeerCount { given: usize, expected: usize },
+    #[error("peers.nodes[{index}]: '{text}' is given twice")]
+    RepeatedPeer { index: usize, text: String },
+    #[error("settings.categories[{0}].name: missing")]
+    UnnamedCategory(usize),
+    #[error("settings.categories[{index}].name: '{name}' is given twice")]
+    RepeatedCategory { index: usize, name: String },
+    #[error("settings.categories: empty")]
+    NoCategories,
+    #[error(transparent)]
+    Budget(#[from] BudgetError),
+}
+
 /// Reads the environment and the file that it names. What is wrong is told in one line with its key.
-pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+pub fn read(var: impl Fn(&str) -> Option<String>) -> Result<Start, StartError> {
     check(&load(&var)?, var, false)
 }
 
 /// Reads the file again while the node runs, whole: a file with a fault anywhere is not taken.
-pub fn again(var: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+pub fn again(var: impl Fn(&str) -> Option<String>) -> Result<Start, StartError> {
     check(&load(&var)?, var, true)
 }
 
-fn load(var: impl Fn(&str) -> Option<String>) -> Result<String, String> {
-    let path = var("BALANCER_CONFIG").ok_or("BALANCER_CONFIG is not set")?;
-    std::fs::read_to_string(&path).map_err(|error| format!("BALANCER_CONFIG: {path}: {error}"))
+fn load(var: impl Fn(&str) -> Option<String>) -> Result<String, StartError> {
+    let path = var("BALANCER_CONFIG").ok_or(StartError::NoConfiguration)?;
+    std::fs::read_to_string(&path).map_err(|source| StartError::Unreadable { path, source })
+}
+
+fn parse_address(key: &str, text: &str) -> Result<SocketAddr, StartError> {
+    text.parse().map_err(|_| StartError::NotAnAddress { key: key.to_string(), text: text.to_string() })
 }
 
 /// The nodes' addresses, one for each; the settings must allow messages and tell which one this is.
-fn addresses(peers: &Peers, tariff: &Tariff) -> Result<Vec<SocketAddr>, String> {
+fn addresses(peers: &Peers, tariff: &Tariff) -> Result<Vec<SocketAddr>, StartError> {
     if !tariff.terms.peers {
-        return Err("peers: settings.caps.peers does not allow messages".to_string());
+        return Err(StartError::PeersNotAllowed);
     }
     if peers.nodes.len() != tariff.terms.nodes {
-        let (given, wanted) = (peers.nodes.len(), tariff.terms.nodes);
-        return Err(format!("peers.nodes: {given} addresses where settings.balancers says {wanted}"));
+        return Err(StartError::PeerCount { given: peers.nodes.len(), expected: tariff.terms.nodes });
     }
     let mut nodes = Vec::with_capacity(peers.nodes.len());
-    for (at, text) in peers.nodes.iter().enumerate() {
-        let node: SocketAddr =
-            text.parse().map_err(|_| format!("peers.nodes[{at}]: not an address with a port: {text}"))?;
+    for (index, text) in peers.nodes.iter().enumerate() {
+        let node = parse_address(&format!("peers.nodes[{index}]"), text)?;
         if nodes.contains(&node) {
-            return Err(format!("peers.nodes[{at}]: '{text}' is given twice"));
+            return Err(StartError::RepeatedPeer { index, text: text.clone() });
         }
         nodes.push(node);
     }
@@ -145,15 +187,18 @@
 }
 
 /// `again`: the file is newer than the environment, so its address of discovery goes first.
-pub fn check(text: &str, var: impl Fn(&str) -> Option<String>, again: bool) -> Result<Start, String> {
+pub fn check(text: &str, var: impl Fn(&str) -> Option<String>, again: bool) -> Result<Start, StartError> {
     let mut json = serde_json::Deserializer::from_str(text);
-    let file: File = serde_path_to_error::deserialize(&mut json)
-        .map_err(|error| format!("{}: {}", error.path(), error.inner()))?;
-    let address = |env: &'static str, key: &'static str, value: Option<String>, file_first: bool| {
-        let (outer, inner) = (var(env).map(|value| (env, value)), value.map(|value| (key, value)));
+    let file: File = serde_path_to_error::deserialize(&mut json).map_err(|error| StartError::Malformed {
+        key: error.path().to_string(),
+        source: error.into_inner(),
+    })?;
+    let address = |variable: &'static str, key: &'static str, value: Option<String>, file_first: bool| {
+        let outer = var(variable).map(|value| (variable, value));
+        let inner = value.map(|value| (key, value));
         let found = if file_first { inner.or(outer) } else { outer.or(inner) };
-        let (key, value) = found.ok_or_else(|| format!("{key}: missing, and {env} is not set"))?;
-        value.parse::<SocketAddr>().map_err(|_| format!("{key}: not an address with a port: {value}"))
+        let (key, value) = found.ok_or(StartError::NoAddress { key, variable })?;
+        parse_address(key, &value)
     };
     let listen = address("BALANCER_LISTEN", "listen", file.listen, false)?;
     let operators = match (var("BALANCER_ADMIN_ADDR"), &file.admin_addr) {
@@ -162,23 +207,25 @@
     };
     // Ports that are drawn differ.
     if operators.is_some_and(|at| at == listen && at.port() != 0) {
-        return Err(format!("admin_addr: {listen} is the address of 'listen'"));
+        return Err(StartError::SharedAddress(listen));
     }
     let inherited = var("BALANCER_PASSED_SOCKET").map(|text| {
         // The first three are the standard streams.
         let number = text.parse().ok().filter(|number: &RawFd| *number > 2);
-        number.ok_or_else(|| format!("BALANCER_PASSED_SOCKET: not the number of a descriptor: {text}"))
+        number.ok_or(StartError::NotADescriptor(text))
     });
     let inherited = inherited.transpose()?;
     let discovery = address("BALANCER_DISCOVERY", "discovery", file.discovery, again)?;
     let seed = match &file.seed {
-        Some(text) => u64::from_str_radix(text, 16).map_err(|_| format!("seed: not hex digits: {text}"))?,
+        Some(text) => {
+            u64::from_str_radix(text, 16).map_err(|_| StartError::SeedNotHexadecimal(text.clone()))?
+        }
         None => std::time::SystemTime::now()
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(1, |since| since.as_nanos() as u64),
     };
     let posted = file.settings;
-    let mut tariff = posted.tariff().map_err(|error| format!("settings.{error}"))?;
+    let mut tariff = posted.tariff().map_err(StartError::Settings)?;
     // On sockets the list always has to be asked for.
     tariff.terms.subscribe = true;
     let peers = file.peers.map(|peers| addresses(&peers, &tariff)).transpose()?;
@@ -188,17 +235,17 @@
     let (mut categories, ttls) = (HashMap::new(), posted.ttls());
     for (at, name) in posted.categories().into_iter().enumerate() {
         if name.is_empty() {
-            return Err(format!("settings.categories[{at}].name: missing"));
+            return Err(StartError::UnnamedCategory(at));
         }
         let marked = matches!(tariff.categories[at].effect, Effect::Deduplicated { .. });
         // Where none is told, the client's own time is all that counts.
         let ttl = Some(ttls[at]).filter(|ttl| *ttl > 0).unwrap_or(Time::MAX);
         if categories.insert(name.clone(), Kind { at, marked, ttl }).is_some() {
-            return Err(format!("settings.categories[{at}].name: '{name}' is given twice"));
+            return Err(StartError::RepeatedCategory { index: at, name });
         }
     }
     if categories.is_empty() {
-        return Err("settings.categories: empty".to_string());
+        return Err(StartError::NoCategories);
     }
     let (dial, keep) = posted.connection_times();
     // An idle connection goes well before the executor would close it under a push.
--- a/crates/node/src/life/words.rs
+++ b/crates/node/src/life/words.rs
@@ -63,7 +63,7 @@
 
 /// The settings and, where one is named, the operators' file.
 fn both(path: Option<&Path>) -> Result<(Start, Ground, Option<Operator>), Vec<String>> {
-    let start = start::read(|name| std::env::var(name).ok()).map_err(|problem| vec![problem])?;
+    let start = start::read(|name| std::env::var(name).ok()).map_err(|error| vec![error.to_string()])?;
     let ground = start.ground();
     let operator = match path {
         None => None,
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -1,8 +1,5 @@
 //! `stileroute`: the decisions of the library as a node on sockets. The parts are put together here.
 
-// Not finished yet: what these lints name is still to be documented or divided.
-#![allow(clippy::struct_excessive_bools, clippy::too_many_lines)]
-
 mod desk;
 mod drive;
 mod life;
@@ -14,49 +11,111 @@
 mod wire;
 
 use clap::Parser;
-use crossbeam_channel::bounded;
+use crossbeam_channel::{bounded, Sender};
 use desk::{Desk, Operators};
-use drive::calls::{Calls, Reach};
+use drive::calls::{Calls, OperatorsAddressError, Reach};
 use drive::clients::Clients;
 use drive::directory::Post;
 use drive::executors::Executors;
-use drive::listener;
-use drive::members::{Carrier as MembersCarrier, Me};
+use drive::listener::{self, ListenError};
+use drive::members::{Carrier as MembersCarrier, Me, MembersError};
 use drive::outlet::Http;
-use drive::peers::Peers;
+use drive::peers::{Peers, PeersError};
+use life::members::MembersAt;
+use life::operator::Operator;
+use life::signals::SignalsError;
+use life::start::Start;
+use life::start::StartError;
 use life::words::{Command, Words};
 use life::{operator, signals, spawn, start};
 use port::{Carrier, Event};
-use std::io::Write;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, RwLock};
 use stileroute_dispatch::types::mark;
+use stileroute_route_limits::Ground;
 use store::figures::Figures;
 use store::outs::Outs;
 use store::pool::Pool;
 use store::seats::Seats;
+use thiserror::Error;
 
 /// Events that may wait for the desk; who tells more has to wait.
 const EVENTS: usize = 1024;
 /// Orders of operators that may wait.
 const ORDERS: usize = 8;
 
-fn run(words: &Words) -> Result<(), String> {
+/// Why the node has ended: one line for the log.
+#[derive(Debug, Error)]
+enum RunError {
+    #[error(transparent)]
+    Start(#[from] StartError),
+    #[error(transparent)]
+    Listen(#[from] ListenError),
+    /// The faults of the operators' file, each on a line of its own.
+    #[error("{}", .0.join("\nstileroute: "))]
+    OperatorFile(Vec<String>),
+    #[error("threads: {0}")]
+    Thread(io::Error),
+    #[error("listen: {0}")]
+    NoAddress(io::Error),
+    #[error(transparent)]
+    Signals(#[from] SignalsError),
+    #[error(transparent)]
+    Members(#[from] MembersError),
+    #[error(transparent)]
+    Peers(#[from] PeersError),
+    #[error(transparent)]
+    OperatorsAddress(#[from] OperatorsAddressError),
+}
+
+/// The operators' file, and what it was checked against.
+struct OperatorFile {
+    path: PathBuf,
+    ground: Ground,
+    content: Operator,
+}
+
+impl OperatorFile {
+    fn read(path: &Path, start: &Start) -> Result<OperatorFile, RunError> {
+        let ground = start.ground();
+        let content = operator::read(path, &ground)
+            .map_err(|faults| RunError::OperatorFile(operator::told(&faults)))?;
+        Ok(OperatorFile { path: path.to_path_buf(), ground, content })
+    }
+}
+
+/// Takes part in membership from here on.
+fn open_members(at: &MembersAt, start: &Start, desk: Sender<Event>) -> Result<MembersCarrier, MembersError> {
+    let terms = &start.tariff.terms;
+    let me = Me { id: mark(&start.name), domain: terms.domain as u8, nodes: terms.nodes, seed: start.seed };
+    MembersCarrier::open(at, me, desk)
+}
+
+/// Exchanges messages with the other nodes from here on.
+fn open_peers(
+    nodes: &[SocketAddr],
+    start: &Start,
+    desk: Sender<Event>,
+) -> Result<Box<dyn Carrier>, RunError> {
+    let peers = Peers::open(start.tariff.terms.me, nodes)?;
+    let receive = peers.receiver()?;
+    spawn("peers", move || receive(desk)).map_err(RunError::Thread)?;
+    Ok(Box::new(peers))
+}
+
+fn run(words: &Words) -> Result<(), RunError> {
     let start = start::read(|name| std::env::var(name).ok())?;
     // Before anything else is opened, which might take the number of a descriptor that was not handed in.
     let inherited = start.inherited.map(listener::inherited).transpose()?;
-    let mut operator = None;
-    if let Some(path) = &words.operator {
-        let ground = start.ground();
-        let read =
-            operator::read(path, &ground).map_err(|faults| operator::told(&faults).join("\nstileroute: "))?;
-        operator = Some((path.clone(), ground, read));
-    }
-    let json = operator.as_ref().is_some_and(|(.., read)| read.json);
-    let routes = operator.as_ref().map(|(.., read)| read.routes.clone());
-    let members_at = operator.as_mut().and_then(|(.., read)| read.members.take());
+    let mut operator = words.operator.as_deref().map(|path| OperatorFile::read(path, &start)).transpose()?;
+    let json = operator.as_ref().is_some_and(|file| file.content.json);
+    let routes = operator.as_ref().map(|file| file.content.routes.clone());
+    let members_at = operator.as_mut().and_then(|file| file.content.members.take());
     let budget = start.budget;
-    life::log::open(json).map_err(|error| format!("threads: {error}"))?;
+    life::log::open(json).map_err(RunError::Thread)?;
     let (tell, events) = bounded::<Event>(EVENTS);
     let (ask, asked) = bounded(1);
     let figures = start.operators.map(|_| Figures::new(&start.categories));
@@ -85,32 +144,19 @@
     });
     let outlet = Http::new(executors, budget.executors, start.keep_idle);
     let post = Post::new(start.discovery, ask.clone());
-    let operator = operator.map(|(path, ground, _)| (path, ground));
+    let operator = operator.map(|file| (file.path, file.ground));
     let (told, turned) = (tell.clone(), post.clone());
     signals::watch(tell.clone(), move || reload::turn(&told, &turned, operator.as_ref()))?;
     let listener = inherited.map_or_else(|| listener::open(start.listen), Ok)?;
-    let at = listener.local_addr().map_err(|error| format!("listen: {error}"))?;
-    let thread = |error: std::io::Error| format!("threads: {error}");
+    let at = listener.local_addr().map_err(RunError::NoAddress)?;
+    let thread = RunError::Thread;
     let told_by_peers = tell.clone();
-    let members = members_at
-        .map(|at| {
-            let terms = &start.tariff.terms;
-            let (id, domain) = (mark(&start.name), terms.domain as u8);
-            MembersCarrier::open(&at, Me { id, domain, nodes: terms.nodes, seed: start.seed }, tell.clone())
-        })
-        .transpose()?;
+    let members = members_at.map(|at| open_members(&at, &start, tell.clone())).transpose()?;
     let news = tell;
     let known = start.known.index;
     spawn("discovery", move || drive::directory::run(&post, known, asked, news)).map_err(thread)?;
-    let peers = match &start.peers {
-        Some(nodes) => {
-            let peers = Peers::open(start.tariff.terms.me, nodes)?;
-            let (receive, tell) = (peers.receiver()?, told_by_peers);
-            spawn("peers", move || receive(tell)).map_err(thread)?;
-            Some(Box::new(peers) as Box<dyn Carrier>)
-        }
-        None => None,
-    };
+    let nodes = start.peers.as_deref();
+    let peers = nodes.map(|nodes| open_peers(nodes, &start, told_by_peers)).transpose()?;
     let (mut reach, mut kept) = (None, None);
     let operators = figures.map(|figures| {
         let ((order, orders), (learns, learned)) = (bounded(ORDERS), bounded(1));
--- a/crates/node/src/store/seats.rs
+++ b/crates/node/src/store/seats.rs
@@ -34,9 +34,46 @@
     more: bool,
     /// The request in hand is the last one here.
     last: bool,
-    /// Why this side ends the connection, and whether that has been done.
-    end: Option<&'static str>,
-    cut: bool,
+    ending: Ending,
+}
+
+/// Whether this side ends the connection.
+#[derive(Clone, Copy, PartialEq)]
+enum Ending {
+    /// It does not.
+    Open,
+    /// It does, for this reason, when the other side has read the last answer.
+    Decided(&'static str),
+    /// It has, for this reason.
+    Cut(&'static str),
+}
+
+impl Ending {
+    fn reason(self) -> Option<&'static str> {
+        match self {
+            Ending::Open => None,
+            Ending::Decided(reason) | Ending::Cut(reason) => Some(reason),
+        }
+    }
+
+    /// The reason stays the first one that was given.
+    fn decide(&mut self, reason: &'static str) {
+        if *self == Ending::Open {
+            *self = Ending::Decided(reason);
+        }
+    }
+
+    fn cut(&mut self, reason: &'static str) {
+        *self = Ending::Cut(self.reason().unwrap_or(reason));
+    }
+
+    fn is_open(self) -> bool {
+        self == Ending::Open
+    }
+
+    fn is_cut(self) -> bool {
+        matches!(self, Ending::Cut(_))
+    }
 }
 
 /// How long one that has said nothing, or not all, or has had its last answer, is left alone while others want
@@ -48,7 +85,7 @@
     pub fn new(number: u64, stream: TcpStream) -> Arc<Seat> {
         let opened = Instant::now();
         let (at, since) = (At::Rest, opened);
-        let state = State { at, since, proven: false, more: false, last: false, end: None, cut: false };
+        let state = State { at, since, proven: false, more: false, last: false, ending: Ending::Open };
         Arc::new(Seat { number, stream, opened, state: Mutex::new(state) })
     }
 
@@ -60,19 +97,19 @@
     /// request that was read can't be left to the client to send again.
     pub fn begin(&self) -> bool {
         let mut state = self.state();
-        if state.end.is_none() {
+        if state.ending.is_open() {
             (state.at, state.since) = (At::Reading, Instant::now());
         }
-        state.end.is_none()
+        state.ending.is_open()
     }
 
     /// The request is whole. `more`: part of a further one has come with it.
     pub fn take(&self, more: bool) -> bool {
         let mut state = self.state();
-        if state.end.is_none() {
+        if state.ending.is_open() {
             (state.at, state.since, state.more) = (At::Busy, Instant::now(), more);
         }
-        state.end.is_none()
+        state.ending.is_open()
     }
 
     /// What was in hand is answered; `known`: it was an op.
@@ -102,8 +139,7 @@
     }
 
     fn cut(&self, state: &mut State, why: &'static str) {
-        state.end.get_or_insert(why);
-        state.cut = true;
+        state.ending.cut(why);
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
@@ -111,18 +147,18 @@
     /// all at once while it is still sending would reset the connection, and the answer with it.
     pub fn finish(&self, why: &'static str) {
         let mut state = self.state();
-        state.end.get_or_insert(why);
+        state.ending.decide(why);
         (state.at, state.since) = (At::Leaving, Instant::now());
         let _ = self.stream.shutdown(Shutdown::Write);
     }
 
     pub fn ended(&self) -> Option<&'static str> {
-        self.state().end
+        self.state().ending.reason()
     }
 
     /// No request is in hand, and nothing has come that was not read yet.
     fn idle(&self, state: &State) -> bool {
-        state.at == At::Rest && state.end.is_none() && self.empty()
+        state.at == At::Rest && state.ending.is_open() && self.empty()
     }
 
     /// Nothing is here to be read. Only asked while nothing is in hand: nobody writes here then, so the socket
@@ -134,7 +170,7 @@
     /// May be closed for another one's sake: when it could at the earliest, and whether it is proven.
     fn spare(&self, state: &State) -> Option<(Instant, bool)> {
         match state.at {
-            _ if state.cut => None,
+            _ if state.ending.is_cut() => None,
             At::Leaving => Some((state.since + PATIENCE, false)),
             // What a known client has begun may become whole while it is closed, and would be lost.
             At::Reading if !state.more && !state.proven => Some((state.since + HALF_SENT, false)),
@@ -188,7 +224,7 @@
     pub fn quiet(&self) -> bool {
         self.all().values().all(|seat| {
             let state = seat.state();
-            state.end.is_some() || seat.idle(&state)
+            !state.ending.is_open() || seat.idle(&state)
         })
     }
 
@@ -197,7 +233,7 @@
         let mut all = self.all();
         while all.len() >= most() {
             let most = most();
-            let going = all.values().filter(|seat| seat.state().cut).count();
+            let going = all.values().filter(|seat| seat.state().ending.is_cut()).count();
             if all.len() - going >= most {
                 Seats::evict(&all, Instant::now());
             }
--- a/crates/node/src/tests.rs
+++ b/crates/node/src/tests.rs
@@ -374,7 +374,7 @@
         "x\r\n\r\n",
     ] {
         let answer = ResponseReader::default().feed(text.as_bytes()).map_err(|error| error.to_string());
-        let read = answer.and_then(|whole| targets::read(&whole.unwrap()));
+        let read = answer.and_then(|whole| targets::read(&whole.unwrap()).map_err(|error| error.to_string()));
         assert!(read.is_err(), "{text}");
     }
     assert!(
@@ -396,7 +396,7 @@
     }
     assert!(Budget::split(256, 32, false, false).unwrap().requests >= 78);
     for (sockets, memory) in [(0, 192), (20, 192), (1024, 0)] {
-        assert!(Budget::split(sockets, memory, false, false).unwrap_err().starts_with("limits"));
+        assert!(Budget::split(sockets, memory, false, false).unwrap_err().to_string().starts_with("limits"));
     }
 }
 
@@ -434,14 +434,15 @@
         let text = good.replacen(from, to, 1);
         assert_ne!(text, good);
         let error = read(&text).map(|_| ()).unwrap_err();
+        let error = error.to_string();
         assert!(error.contains(key) && !error.contains('\n'), "{key}: {error}");
     }
     let twice = |name: &str| {
         let own = ["BALANCER_LISTEN", "BALANCER_ADMIN_ADDR"].contains(&name);
         own.then(|| "127.0.0.1:2".to_string())
     };
-    assert!(start::check(&good, twice, false).map(|_| ()).unwrap_err().contains("admin_addr"));
-    assert!(start::read(|_| None).map(|_| ()).unwrap_err().contains("BALANCER_CONFIG"));
+    assert!(start::check(&good, twice, false).map(|_| ()).unwrap_err().to_string().contains("admin_addr"));
+    assert!(start::read(|_| None).map(|_| ()).unwrap_err().to_string().contains("BALANCER_CONFIG"));
 }
 
 #[test]
--- a/crates/node/src/wire/targets.rs
+++ b/crates/node/src/wire/targets.rs
@@ -4,6 +4,7 @@
 use super::names;
 use crate::port;
 use serde::Deserialize;
+use thiserror::Error;
 
 /// A list of executors, whole or changes only.
 #[derive(Clone, Debug, Deserialize)]
@@ -69,10 +70,21 @@
     format!("GET {}{query} HTTP/1.1\r\nHost: {host}\r\n\r\n", names::TARGETS)
 }
 
+/// Why an answer of discovery holds no list.
+#[derive(Debug, Error)]
+pub enum ListError {
+    /// It is no 200.
+    #[error("status {0}")]
+    Status(u16),
+    /// Its body is not the list's JSON.
+    #[error("{0}")]
+    Malformed(#[from] serde_json::Error),
+}
+
 /// Reads an answer of discovery.
-pub fn read(answer: &Response) -> Result<List, String> {
+pub fn read(answer: &Response) -> Result<List, ListError> {
     if answer.status != 200 {
-        return Err(format!("status {}", answer.status));
+        return Err(ListError::Status(answer.status));
     }
-    serde_json::from_slice(&answer.body).map_err(|error| error.to_string())
+    Ok(serde_json::from_slice(&answer.body)?)
 }
