--- a/crates/route-limits/src/lib.rs
+++ b/crates/route-limits/src/lib.rs
@@ -17,6 +17,12 @@
 
 use stileroute_dispatch::settings::Posted;
 use stileroute_dispatch::types::{Category, Terms, Time};
+use thiserror::Error;
+
+/// The dispatcher does not accept the settings, for this reason.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("{0}")]
+pub struct SettingsError(String);
 
 /// What the platform's settings say, as far as routes are held against it.
 #[derive(Clone, Debug, Default)]
@@ -29,9 +35,9 @@
 }
 
 impl Ground {
-    /// What the settings object says; the reason where it can't be read.
-    pub fn of(posted: &Posted) -> Result<Ground, String> {
-        let tariff = posted.tariff()?;
+    /// What the settings object says.
+    pub fn of(posted: &Posted) -> Result<Ground, SettingsError> {
+        let tariff = posted.tariff().map_err(SettingsError)?;
         let names = posted.categories().into_iter().zip(posted.ttls());
         let categories = names.zip(tariff.categories).map(|((name, ttl), own)| (name, ttl, own)).collect();
         let (kinds, domains) = (posted.shapes.clone(), posted.failure_domains.clone());
--- a/crates/route-limits/src/pattern.rs
+++ b/crates/route-limits/src/pattern.rs
@@ -2,6 +2,27 @@
 //! one covers the other where it does in each.
 
 use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// Why a text is no condition on a path.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum PathError {
+    /// It does not begin with a slash.
+    #[error("'{0}' does not begin with '/'")]
+    NoLeadingSlash(String),
+    /// It has a space, a query or a fragment.
+    #[error("'{0}' is no path: no space, '?' or '#'")]
+    ForbiddenCharacter(String),
+    /// Braces stand around a part of a segment, or around nothing.
+    #[error("'{0}': a free segment is '{{name}}', whole")]
+    PartlyFreeSegment(String),
+    /// A prefix has a free segment.
+    #[error("a prefix has no free segments")]
+    FreeSegmentInPrefix,
+    /// A star stands elsewhere than at the end.
+    #[error("'*' stands only at the end, as a segment of its own")]
+    MisplacedStar,
+}
 
 /// A condition on the path, by segments. A query is not part of it, and nothing is decoded.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
@@ -21,25 +42,25 @@
 
 impl Path {
     /// `/a/b` is exact, `/a/{x}` leaves one segment free, `/a/*` is a prefix.
-    pub fn read(text: &str) -> Result<Path, String> {
+    pub fn read(text: &str) -> Result<Path, PathError> {
         if !text.starts_with('/') {
-            return Err(format!("'{text}' does not begin with '/'"));
+            return Err(PathError::NoLeadingSlash(text.to_string()));
         }
         if !text.bytes().all(|b| b.is_ascii_graphic()) || text.contains(['?', '#']) {
-            return Err(format!("'{text}' is no path: no space, '?' or '#'"));
+            return Err(PathError::ForbiddenCharacter(text.to_string()));
         }
         let all: Vec<&str> = segments(text).collect();
         let free = |segment: &str| segment.starts_with('{') && segment.ends_with('}') && segment.len() > 2;
         for segment in &all {
             if segment.contains(['{', '}']) && !free(segment) {
-                return Err(format!("'{segment}': a free segment is '{{name}}', whole"));
+                return Err(PathError::PartlyFreeSegment(segment.to_string()));
             }
         }
         if let Some((last, first)) = all.split_last().filter(|(last, _)| **last == "*") {
             debug_assert_eq!(*last, "*");
             // A prefix with a free segment would make two routes cover a third together, which no pairwise check sees.
             if first.iter().any(|segment| free(segment) || segment.contains('*')) {
-                return Err("a prefix has no free segments".to_string());
+                return Err(PathError::FreeSegmentInPrefix);
             }
             return Ok(match first.is_empty() {
                 true => Path::Any,
@@ -47,7 +68,7 @@
             });
         }
         if all.iter().any(|segment| segment.contains('*')) {
-            return Err("'*' stands only at the end, as a segment of its own".to_string());
+            return Err(PathError::MisplacedStar);
         }
         Ok(Path::Whole(all.iter().map(|s| (!free(s)).then(|| s.to_string())).collect()))
     }
--- a/crates/route-limits/src/read.rs
+++ b/crates/route-limits/src/read.rs
@@ -150,9 +150,9 @@
                 faults.add(path.position, "no request reaches it: the node answers /-/ itself", None);
             }
             Ok(own) => pattern.path = own,
-            Err(reason) => {
+            Err(error) => {
                 wrong = true;
-                faults.add(path.position, reason, None);
+                faults.add(path.position, error.to_string(), None);
             }
         }
     }
--- a/crates/testbed/src/settings.rs
+++ b/crates/testbed/src/settings.rs
@@ -106,7 +106,7 @@
 pub fn routes(plan: &Plan) -> Result<Routes, String> {
     let Some(text) = &plan.operator else { return Ok((None, Vec::new())) };
     let posted: Posted = serde_json::from_value(settings(plan, 0)).map_err(|error| error.to_string())?;
-    let ground = Ground::of(&posted)?;
+    let ground = Ground::of(&posted).map_err(|error| error.to_string())?;
     let read =
         |text: &str| stileroute_operator_file::read("operator", text, |keys| Table::read(keys, &ground));
     let first =
