Control nodes: the one that an executor calls says when it falls silent; lists of members in storms are few

Cause: each heartbeat was passed on to every other control node, every new store sent each node the whole list of members, and every change of a session or of a configuration the list of all sessions to the other control nodes. These bytes grow with the fleet's square. Change: an executor has a holder, which announces it, its changes and its silence, and all that it holds every 10 s; who takes its word says so by an empty Heartbeats, others get each heartbeat. Members change three times in 0.45 s at the most, sessions that only operators look at are told once a second.

--- a/crates/registry/src/effect.rs
+++ b/crates/registry/src/effect.rs
@@ -14,13 +14,24 @@
     },
     /// Tell every connected control node which nodes have a session here; the list replaces the one before.
     BroadcastSessions(Vec<Member>),
-    /// Tell every connected control node of executors that sent heartbeats here.
-    BroadcastHeartbeats(Vec<Heartbeat>),
-    /// Tell one control node, which has just connected, of all executors.
+    /// Tell control nodes of executors, wherever these send their heartbeats: one that has just connected of all, and those of an
+    /// earlier version of each heartbeat.
     SendHeartbeats {
+        /// The control nodes.
+        to: Vec<NodeId>,
+        /// The executors, those that are offline too.
+        heartbeats: Vec<Heartbeat>,
+    },
+    /// Tell control nodes of executors that send their heartbeats here, or have done so and are offline.
+    SendHeldExecutors {
+        /// Control nodes that take this one's word for it.
+        to: Vec<NodeId>,
+        /// The executors.
+        heartbeats: Vec<Heartbeat>,
+    },
+    /// Tell a control node that has just connected that its word is taken for the executors that it holds.
+    SayHolderAware {
         /// The control node.
         to: NodeId,
-        /// All that are known, those that are offline too.
-        heartbeats: Vec<Heartbeat>,
     },
 }
--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -1,6 +1,6 @@
 //! The table of executors, merged from heartbeats that came here or to other control nodes.
 
-use crate::messages::{ExecutorState, Heartbeat, Millis};
+use crate::messages::{ExecutorState, Heartbeat, Millis, NodeId};
 use crate::version::VersionCounter;
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -14,10 +14,38 @@
 /// An executor is silent after 3.2 intervals of heartbeats and this allowance: three may be lost, or be late.
 const SILENCE_ALLOWANCE: Millis = 300;
 
+/// A control node repeats so often which executors send it their heartbeats. In between it tells others only of changes.
+pub const HOLDER_REFRESH_INTERVAL: Millis = 10_000;
+/// What another control node holds counts as silent so long after its last heartbeat that is known here, beyond the usual limit.
+/// That node says it sooner, unless it is itself partitioned from the rest.
+const HOLDER_SILENCE_ALLOWANCE: Millis = HOLDER_REFRESH_INTERVAL + 2_000;
+
 /// The sequence of an executor that has left: no heartbeat comes after it. An identifier stands for one start of an executor, so
 /// whatever arrives under it later was sent before it left. A process of an earlier version ignores it for the same reason.
 pub const FINAL_SEQUENCE: u64 = u64::MAX;
 
+/// Which control node receives the heartbeats of an executor, and says when they stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Holder {
+    /// None that is known and connected: each control node waits for its heartbeats by itself.
+    Unknown,
+    /// This one.
+    Own,
+    /// Another one, which is connected.
+    Peer(NodeId),
+}
+
+/// What a heartbeat has changed in the table.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Merged {
+    /// Nothing: a later one is known.
+    Outdated,
+    /// The time of the last heartbeat.
+    Refreshed,
+    /// More than that.
+    Changed,
+}
+
 /// One executor, as its latest heartbeat describes it.
 #[derive(Clone, Debug)]
 pub struct ExecutorRecord {
@@ -27,6 +55,7 @@
     pub last_heard: Millis,
     /// The version of its last change.
     pub(crate) changed_in: u64,
+    holder: Holder,
 }
 
 impl ExecutorRecord {
@@ -109,8 +138,63 @@
         self.unsent.push(id);
     }
 
-    /// Merges a heartbeat that came here or to another control node. Returns whether anything but its time has changed.
-    pub fn merge(&mut self, version: &mut VersionCounter, now: Millis, heartbeat: Heartbeat) -> bool {
+    /// A heartbeat came to this control node.
+    pub fn receive(&mut self, version: &mut VersionCounter, now: Millis, heartbeat: Heartbeat) {
+        let id = heartbeat.id.clone();
+        let merged = self.merge(version, now, heartbeat);
+        let Some(record) = self.records.get_mut(&id).filter(|_| merged != Merged::Outdated) else { return };
+        let is_new_here = std::mem::replace(&mut record.holder, Holder::Own) != Holder::Own;
+        self.queue_broadcast(id, is_new_here || merged == Merged::Changed);
+    }
+
+    /// Another control node passed on heartbeats, of executors that may send them anywhere.
+    pub fn merge_table(&mut self, version: &mut VersionCounter, now: Millis, heartbeats: Vec<Heartbeat>) {
+        for heartbeat in heartbeats {
+            self.merge(version, now, heartbeat);
+        }
+    }
+
+    /// Another control node told of executors that send it their heartbeats.
+    pub fn merge_held(
+        &mut self,
+        version: &mut VersionCounter,
+        now: Millis,
+        from: NodeId,
+        heartbeats: Vec<Heartbeat>,
+    ) {
+        for heartbeat in heartbeats {
+            let id = heartbeat.id.clone();
+            let merged = self.merge(version, now, heartbeat);
+            let Some(record) = self.records.get_mut(&id) else { continue };
+            if merged != Merged::Outdated {
+                record.holder = Holder::Peer(from);
+            } else if record.holder == Holder::Own {
+                // A late heartbeat came there. Whoever took it for the latest has to hear of the one that came here.
+                self.queue_broadcast(id, true);
+            }
+        }
+    }
+
+    /// A control node is not connected any more: for what it held the silence is counted here, from now on.
+    pub fn holder_lost(&mut self, now: Millis, peer: NodeId) {
+        let is_held_there = |record: &&mut ExecutorRecord| record.holder == Holder::Peer(peer);
+        for record in self.records.values_mut().filter(is_held_there) {
+            record.holder = Holder::Unknown;
+            if !record.is_offline() {
+                record.last_heard = record.last_heard.max(now);
+            }
+        }
+    }
+
+    /// The executors that send their heartbeats here.
+    pub fn held_here(&self, now: Millis) -> Vec<Heartbeat> {
+        let held =
+            self.records.values().filter(|record| record.holder == Holder::Own && !record.is_offline());
+        held.map(|record| record.aged_heartbeat(now)).collect()
+    }
+
+    /// Merges a heartbeat that came here or to another control node.
+    fn merge(&mut self, version: &mut VersionCounter, now: Millis, heartbeat: Heartbeat) -> Merged {
         let heard = now.saturating_sub(heartbeat.age_ms);
         let Some(record) = self.records.get_mut(&heartbeat.id) else {
             return self.insert(version, heard, heartbeat);
@@ -119,7 +203,7 @@
         let is_older = heartbeat.sequence < sequence;
         let is_from_before_end = record.is_offline() && heartbeat.sequence == sequence;
         if is_older || is_from_before_end {
-            return false;
+            return Merged::Outdated;
         }
         record.last_heard = record.last_heard.max(heard);
         let old = std::mem::replace(&mut record.heartbeat, heartbeat);
@@ -129,7 +213,7 @@
             && old.backend == new.backend
             && old.capacity == new.capacity;
         if is_same {
-            return false;
+            return Merged::Refreshed;
         }
         self.changed_in = version.advance();
         record.changed_in = self.changed_in;
@@ -137,22 +221,23 @@
             self.by_address.entry(new.address).or_default().push(new.id.clone());
         }
         tracing::info!(id = new.id, state = %new.state, "executor");
-        true
+        Merged::Changed
     }
 
-    /// Adds an executor that is not known yet. Returns whether there was room for it.
-    fn insert(&mut self, version: &mut VersionCounter, heard: Millis, heartbeat: Heartbeat) -> bool {
+    /// Adds an executor that is not known yet, if there is room for it.
+    fn insert(&mut self, version: &mut VersionCounter, heard: Millis, heartbeat: Heartbeat) -> Merged {
         if self.records.len() >= MAX_EXECUTORS {
-            return false;
+            return Merged::Outdated;
         }
         self.changed_in = version.advance();
         self.end_predecessors(heartbeat.address, heard);
         self.by_address.entry(heartbeat.address).or_default().push(heartbeat.id.clone());
         tracing::info!(id = heartbeat.id, service = heartbeat.backend, state = %heartbeat.state, "executor");
         let id = heartbeat.id.clone();
-        let record = ExecutorRecord { heartbeat, last_heard: heard, changed_in: self.changed_in };
+        let holder = Holder::Unknown;
+        let record = ExecutorRecord { heartbeat, last_heard: heard, changed_in: self.changed_in, holder };
         self.records.insert(id, record);
-        true
+        Merged::Changed
     }
 
     /// A new executor at an address ends those that were there: the address may be another service's now.
@@ -175,7 +260,12 @@
             return false;
         }
         self.changed_in = version.advance();
-        let unknown = || ExecutorRecord { heartbeat: unknown_executor(id), last_heard: now, changed_in: 0 };
+        let unknown = || ExecutorRecord {
+            heartbeat: unknown_executor(id),
+            last_heard: now,
+            changed_in: 0,
+            holder: Holder::Unknown,
+        };
         let record = self.records.entry(id.to_string()).or_insert_with(unknown);
         record.set_offline(self.changed_in);
         record.heartbeat.sequence = FINAL_SEQUENCE;
@@ -184,13 +274,20 @@
         true
     }
 
-    /// What has to be broadcast now: in a routine broadcast all that sent heartbeats here, otherwise only
-    /// of those that changed.
-    pub fn take_unsent(&mut self, now: Millis, is_routine: bool) -> Vec<Heartbeat> {
-        let mut ids = std::mem::take(&mut self.unsent_changes);
-        if is_routine {
-            ids = std::mem::take(&mut self.unsent);
-        }
+    /// The executors that have changed, or send their heartbeats here since a short time ago: all control nodes are told at once.
+    pub fn take_changes(&mut self, now: Millis) -> Vec<Heartbeat> {
+        let ids = std::mem::take(&mut self.unsent_changes);
+        self.aged_heartbeats(now, ids)
+    }
+
+    /// The executors that sent heartbeats here since the last call: a control node of an earlier version is told of each
+    /// heartbeat.
+    pub fn take_routine(&mut self, now: Millis) -> Vec<Heartbeat> {
+        let ids = std::mem::take(&mut self.unsent);
+        self.aged_heartbeats(now, ids)
+    }
+
+    fn aged_heartbeats(&self, now: Millis, mut ids: Vec<String>) -> Vec<Heartbeat> {
         ids.sort_unstable();
         ids.dedup();
         let records = ids.iter().filter_map(|id| self.records.get(id));
@@ -212,12 +309,20 @@
 
     fn expire_silent(&mut self, version: &mut VersionCounter, now: Millis) {
         let silence_limit = self.silence_limit;
-        let is_silent =
-            |record: &&mut ExecutorRecord| !record.is_offline() && now > record.last_heard + silence_limit;
+        let is_silent = |record: &&mut ExecutorRecord| {
+            let allowance = match record.holder {
+                Holder::Peer(_) => HOLDER_SILENCE_ALLOWANCE,
+                Holder::Own | Holder::Unknown => 0,
+            };
+            !record.is_offline() && now > record.last_heard + silence_limit + allowance
+        };
         for record in self.records.values_mut().filter(is_silent) {
             self.changed_in = version.advance();
             record.set_offline(self.changed_in);
             tracing::info!(id = record.heartbeat.id, "executor silent");
+            if record.holder == Holder::Own {
+                self.unsent_changes.push(record.heartbeat.id.clone());
+            }
         }
     }
 
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -26,7 +26,7 @@
 mod version;
 
 pub use effect::RegistryEffect;
-pub use executors::{ExecutorRecord, FINAL_SEQUENCE, HEARTBEAT_GOSSIP_INTERVAL};
+pub use executors::{ExecutorRecord, FINAL_SEQUENCE, HEARTBEAT_GOSSIP_INTERVAL, HOLDER_REFRESH_INTERVAL};
 pub use membership::{Session, SESSION_GRACE};
 pub use messages::{
     ExecutorState, Heartbeat, Member, MembershipUpdate, Millis, NodeId, NodeRole, RetirementState,
--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -3,15 +3,20 @@
 use crate::executors::HEARTBEAT_GOSSIP_INTERVAL;
 use crate::messages::{Member, Millis, NodeId, NodeRole, RetirementState};
 use crate::version::VersionCounter;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 /// Most nodes that can have sessions here.
 const MAX_SESSIONS: usize = 20_000;
 /// A session still counts for so long after its connection ended: most nodes reconnect at once.
 pub const SESSION_GRACE: Millis = 1500;
 /// Changes of the sessions are broadcast no sooner than so after the last broadcast: each one holds all sessions, so many nodes
-/// that connect at once are reported together.
+/// that connect at once are reported together. Those of stores make a list of members; of the others only operators are told.
 const MIN_BROADCAST_INTERVAL: Millis = 100;
+const MIN_BROADCAST_INTERVAL_OF_OTHERS: Millis = 1000;
+/// The members change at most so often in each [`CHANGE_WINDOW`]: every node is sent the whole list then, and where the power is
+/// back, all stores come within a second. A single change is told at once.
+const MAX_CHANGES_PER_WINDOW: usize = 3;
+const CHANGE_WINDOW: Millis = 450;
 /// The sessions are broadcast after so long even if nothing has changed.
 const MAX_BROADCAST_INTERVAL: Millis = 10_000;
 /// The sessions of a control node that is not connected hold for so long after it was last heard.
@@ -34,6 +39,16 @@
     }
 }
 
+/// What has changed of the sessions since they were broadcast last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum UnsentChange {
+    Nothing,
+    /// What only operators look at: sessions of other nodes than stores, and which configuration a node has.
+    ForOperators,
+    /// Sessions of stores.
+    OfStores,
+}
+
 /// The sessions that another control node reported last.
 struct PeerSessions {
     /// When anything was last heard of that control node.
@@ -51,10 +66,11 @@
     members: Vec<Member>,
     /// The version of the last change of the members.
     changed_in: u64,
+    /// When the members changed: the last [`MAX_CHANGES_PER_WINDOW`] times, the oldest first.
+    changed_at: VecDeque<Millis>,
     /// The members have to be computed again.
     is_stale: bool,
-    /// The sessions have changed since they were broadcast last.
-    has_unsent_sessions: bool,
+    unsent_change: UnsentChange,
     last_broadcast: Millis,
 }
 
@@ -68,8 +84,9 @@
             peers: BTreeMap::new(),
             members: Vec::new(),
             changed_in: 0,
+            changed_at: VecDeque::new(),
             is_stale: true,
-            has_unsent_sessions: false,
+            unsent_change: UnsentChange::Nothing,
             last_broadcast: 0,
         }
     }
@@ -105,7 +122,7 @@
     pub fn peer_connected(&mut self, peer: Member) {
         self.peers.insert(peer.node, peer);
         // It knows nothing of the sessions here.
-        self.has_unsent_sessions = true;
+        self.unsent_change = UnsentChange::OfStores;
         self.is_stale = true;
     }
 
@@ -125,6 +142,11 @@
         self.is_stale = true;
     }
 
+    /// The control nodes that are connected.
+    pub fn peers(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.peers.keys().copied()
+    }
+
     /// Whether a node's session can be kept.
     pub fn has_room_for(&self, node: NodeId) -> bool {
         self.sessions.len() < MAX_SESSIONS || self.sessions.contains_key(&node)
@@ -143,7 +165,9 @@
         if !is_same {
             tracing::info!(node = member.name, role = %member.role, "session");
         }
-        self.has_unsent_sessions |= has_other_config || !is_same;
+        if has_other_config || !is_same {
+            self.note_unsent(!is_same && member.role == NodeRole::Store);
+        }
         self.is_stale |= !is_same;
         self.sessions.insert(member.node, Session { member, last_seen: now, is_connected: true });
     }
@@ -157,21 +181,41 @@
 
     /// Computes the members again if anything has happened that could change them.
     pub fn refresh(&mut self, version: &mut VersionCounter, now: Millis) {
-        if !std::mem::take(&mut self.is_stale) {
+        if now < self.next_refresh() {
             return;
         }
+        self.is_stale = false;
         self.expire_sessions(now);
         let members = self.compute_members();
         if members != self.members {
             self.members = members;
             self.changed_in = version.advance();
+            self.note_change(now);
         }
     }
 
+    fn note_change(&mut self, now: Millis) {
+        if self.changed_at.len() == MAX_CHANGES_PER_WINDOW {
+            self.changed_at.pop_front();
+        }
+        self.changed_at.push_back(now);
+    }
+
+    /// When the members are to be computed again; far in the future where nothing has happened.
+    pub fn next_refresh(&self) -> Millis {
+        if !self.is_stale {
+            return Millis::MAX;
+        }
+        let is_window_full = self.changed_at.len() == MAX_CHANGES_PER_WINDOW;
+        let oldest = self.changed_at.front().filter(|_| is_window_full);
+        oldest.map_or(0, |changed_at| changed_at + CHANGE_WINDOW)
+    }
+
     fn expire_sessions(&mut self, now: Millis) {
-        let before = self.sessions.len();
+        let ended = self.sessions.values().filter(|session| !session.counts(now));
+        let ended: Vec<NodeRole> = ended.map(|session| session.member.role).collect();
         self.sessions.retain(|_, session| session.counts(now));
-        self.has_unsent_sessions |= self.sessions.len() < before;
+        ended.into_iter().for_each(|role| self.note_unsent(role == NodeRole::Store));
         // A connection ends with silence, and peers report again only what changes, so what they reported holds while they are
         // connected. By the clock alone, all stores with sessions elsewhere would be dropped for seconds after this process was
         // suspended.
@@ -204,7 +248,7 @@
         if now < self.next_broadcast() && now < self.last_broadcast + MAX_BROADCAST_INTERVAL {
             return None;
         }
-        self.has_unsent_sessions = false;
+        self.unsent_change = UnsentChange::Nothing;
         self.last_broadcast = now;
         let sessions = self.sessions.values().filter(|session| session.counts(now));
         Some(sessions.map(|session| session.member.clone()).collect())
@@ -212,12 +256,17 @@
 
     /// When changed sessions are to be broadcast; far in the future where nothing has changed.
     pub fn next_broadcast(&self) -> Millis {
-        if self.has_unsent_sessions {
-            self.last_broadcast + MIN_BROADCAST_INTERVAL
-        } else {
-            Millis::MAX
+        match self.unsent_change {
+            UnsentChange::Nothing => Millis::MAX,
+            UnsentChange::ForOperators => self.last_broadcast + MIN_BROADCAST_INTERVAL_OF_OTHERS,
+            UnsentChange::OfStores => self.last_broadcast + MIN_BROADCAST_INTERVAL,
         }
     }
+
+    fn note_unsent(&mut self, is_of_store: bool) {
+        let change = if is_of_store { UnsentChange::OfStores } else { UnsentChange::ForOperators };
+        self.unsent_change = self.unsent_change.max(change);
+    }
 }
 
 /// A member without what changes while it stays one: else each change would be a new list for all nodes.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -1,13 +1,14 @@
 //! The registry: executors, members and polls, joined by one clock and one version counter.
 
 use crate::effect::RegistryEffect;
-use crate::executors::{ExecutorRecord, ExecutorTable, HEARTBEAT_GOSSIP_INTERVAL};
+use crate::executors::{ExecutorRecord, ExecutorTable, HEARTBEAT_GOSSIP_INTERVAL, HOLDER_REFRESH_INTERVAL};
 use crate::membership::{Membership, Session};
 use crate::messages::{
     ExecutorState, Heartbeat, Member, MembershipUpdate, Millis, NodeId, NodeRole, RetirementState,
 };
 use crate::polls::{AnswerableState, PendingPolls, Poll, LONG_POLL_TIMEOUT, PARTITIONED_POLL_TIMEOUT};
 use crate::version::VersionCounter;
+use std::collections::BTreeSet;
 
 /// How often silent executors and ended sessions are looked for.
 const EXPIRY_CHECK_INTERVAL: Millis = 200;
@@ -40,6 +41,9 @@
     ready_at: Millis,
     is_ready: bool,
     next_gossip: Millis,
+    next_holder_refresh: Millis,
+    /// Connected control nodes that take this one's word for what it holds.
+    holder_aware_peers: BTreeSet<NodeId>,
     next_expiry_check: Millis,
     effects: Vec<RegistryEffect>,
 }
@@ -56,6 +60,8 @@
             ready_at: now + heartbeat_interval * 3 / 2 + READY_ALLOWANCE,
             is_ready: false,
             next_gossip: now + HEARTBEAT_GOSSIP_INTERVAL,
+            next_holder_refresh: now + HOLDER_REFRESH_INTERVAL,
+            holder_aware_peers: BTreeSet::new(),
             next_expiry_check: now,
             effects: Vec::new(),
         }
@@ -117,9 +123,7 @@
 
     /// An executor sent a heartbeat to this control node.
     pub fn record_heartbeat(&mut self, now: Millis, heartbeat: Heartbeat) {
-        let id = heartbeat.id.clone();
-        let has_changed = self.executors.merge(&mut self.version, now, heartbeat);
-        self.executors.queue_broadcast(id, has_changed);
+        self.executors.receive(&mut self.version, now, heartbeat);
     }
 
     /// An executor told this control node that it ends.
@@ -133,25 +137,40 @@
     pub fn merge_peer_heartbeats(&mut self, now: Millis, heartbeats: Vec<Heartbeat>) {
         // A control node that is ready sends all it knows when it connects, and any list may be that one.
         let may_be_complete = heartbeats.len() > 1;
-        for heartbeat in heartbeats {
-            self.executors.merge(&mut self.version, now, heartbeat);
-        }
+        self.executors.merge_table(&mut self.version, now, heartbeats);
         if !self.is_ready && may_be_complete {
             self.ready_at = self.ready_at.min(now + READY_AFTER_TABLE);
         }
     }
 
+    /// Another control node told of executors that send it their heartbeats: it says when these stop.
+    pub fn merge_held_executors(&mut self, now: Millis, from: NodeId, heartbeats: Vec<Heartbeat>) {
+        self.executors.merge_held(&mut self.version, now, from, heartbeats);
+    }
+
+    /// Another control node takes this one's word for the executors that send their heartbeats here.
+    pub fn peer_is_holder_aware(&mut self, now: Millis, peer: NodeId) {
+        self.holder_aware_peers.insert(peer);
+        let heartbeats = self.executors.held_here(now);
+        if !heartbeats.is_empty() {
+            self.effects.push(RegistryEffect::SendHeldExecutors { to: vec![peer], heartbeats });
+        }
+    }
+
     /// Another control node has connected.
     pub fn peer_connected(&mut self, now: Millis, peer: Member) {
+        self.effects.push(RegistryEffect::SayHolderAware { to: peer.node });
         if self.is_ready {
             let heartbeats = self.executors.records().map(|record| record.aged_heartbeat(now)).collect();
-            self.effects.push(RegistryEffect::SendHeartbeats { to: peer.node, heartbeats });
+            self.effects.push(RegistryEffect::SendHeartbeats { to: vec![peer.node], heartbeats });
         }
         self.membership.peer_connected(peer);
     }
 
     /// The connection with another control node has ended.
-    pub fn peer_disconnected(&mut self, peer: NodeId) {
+    pub fn peer_disconnected(&mut self, now: Millis, peer: NodeId) {
+        self.holder_aware_peers.remove(&peer);
+        self.executors.holder_lost(now, peer);
         self.membership.peer_disconnected(peer);
     }
 
@@ -201,21 +220,41 @@
 
     /// When [`tick`](Registry::tick) has to be called at the latest.
     pub fn next_deadline(&self) -> Millis {
-        let own = self.next_gossip.min(self.next_expiry_check);
-        own.min(self.polls.next_timeout()).min(self.membership.next_broadcast())
+        let own = self.next_gossip.min(self.next_expiry_check).min(self.next_holder_refresh);
+        let membership = self.membership.next_refresh().min(self.membership.next_broadcast());
+        own.min(self.polls.next_timeout()).min(membership)
     }
 
     fn broadcast(&mut self, now: Millis) {
-        let is_routine = now >= self.next_gossip;
-        if is_routine {
+        self.broadcast_executors(now);
+        if let Some(sessions) = self.membership.take_unsent_sessions(now) {
+            self.effects.push(RegistryEffect::BroadcastSessions(sessions));
+        }
+    }
+
+    /// Tells control nodes of changes at once, and of what is held here from time to time; those of an earlier version of each
+    /// heartbeat.
+    fn broadcast_executors(&mut self, now: Millis) {
+        let holder_aware: Vec<NodeId> = self.holder_aware_peers.iter().copied().collect();
+        let peers = self.membership.peers().filter(|peer| !self.holder_aware_peers.contains(peer));
+        let others: Vec<NodeId> = peers.collect();
+        let changes = self.executors.take_changes(now);
+        let mut for_others = changes.clone();
+        let mut for_holder_aware = changes;
+        if now >= self.next_gossip {
             self.next_gossip = now + HEARTBEAT_GOSSIP_INTERVAL;
+            for_others = self.executors.take_routine(now);
         }
-        let heartbeats = self.executors.take_unsent(now, is_routine);
-        if !heartbeats.is_empty() {
-            self.effects.push(RegistryEffect::BroadcastHeartbeats(heartbeats));
+        if now >= self.next_holder_refresh {
+            self.next_holder_refresh = now + HOLDER_REFRESH_INTERVAL;
+            for_holder_aware.extend(self.executors.held_here(now));
         }
-        if let Some(sessions) = self.membership.take_unsent_sessions(now) {
-            self.effects.push(RegistryEffect::BroadcastSessions(sessions));
+        if !for_holder_aware.is_empty() && !holder_aware.is_empty() {
+            let effect = RegistryEffect::SendHeldExecutors { to: holder_aware, heartbeats: for_holder_aware };
+            self.effects.push(effect);
+        }
+        if !for_others.is_empty() && !others.is_empty() {
+            self.effects.push(RegistryEffect::SendHeartbeats { to: others, heartbeats: for_others });
         }
     }
 
--- a/crates/registry/tests/departures.rs
+++ b/crates/registry/tests/departures.rs
@@ -15,7 +15,9 @@
         config_version: 0,
         retirement: RetirementState::NotRetiring,
     };
+    let other = Member { node: node + 1, name: format!("core-{}", node + 1), ..member.clone() };
     let mut registry = Registry::new(member, u64::from(node), 1200, 0);
+    registry.peer_connected(0, other);
     registry.tick(3000, true, None);
     registry.take_effects();
     registry
@@ -44,7 +46,7 @@
     registry.tick(now, true, None);
     let effects = registry.take_effects().into_iter();
     let heartbeats = effects.filter_map(|effect| match effect {
-        RegistryEffect::BroadcastHeartbeats(heartbeats) => Some(heartbeats),
+        RegistryEffect::SendHeartbeats { heartbeats, .. } => Some(heartbeats),
         _ => None,
     });
     heartbeats.flatten().collect()
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -113,11 +113,12 @@
     registry.record_poll(4000, member(9, NodeRole::Store), none.incarnation, none.version);
     registry.tick(4001, true, None);
     assert_matches!(update_to(registry.take_effects(), 9), None);
+    registry.peer_connected(4001, member(2, NodeRole::Control));
     registry.record_heartbeat(4002, heartbeat("a", 1, 2, ExecutorState::Draining));
     registry.tick(4002, true, None);
     let effects = registry.take_effects();
     assert!(effects.iter().any(
-        |e| matches!(e, RegistryEffect::BroadcastHeartbeats(all) if all[0].state == ExecutorState::Draining)
+        |e| matches!(e, RegistryEffect::SendHeartbeats { heartbeats, .. } if heartbeats[0].state == ExecutorState::Draining)
     ));
     assert_eq!(ids(&update_to(effects, 9).expect("at once")), [("a".to_string(), ExecutorState::Draining)]);
     // An edge is sent no executors.
@@ -266,7 +267,34 @@
         }
         count(&mut registry, now);
     }
-    assert!(lists <= 12 && entries <= 7000, "{lists} lists, {entries} entries");
+    assert!(lists <= 5 && entries <= 4000, "{lists} lists, {entries} entries");
+}
+
+/// All stores of a large fleet are back within half a second, and every node polls again as soon as it is answered.
+#[test]
+fn a_storm_of_stores_sends_each_node_few_lists() {
+    let mut registry = ready();
+    let (mut lists, mut entries) = (0, 0);
+    let mut last_change = 0;
+    for now in 3000..4000 {
+        if now < 3500 && now % 8 == 0 {
+            registry.record_poll(now, member(1000 + (now / 8) as NodeId, NodeRole::Store), 0, 0);
+        }
+        for node in 0..20 {
+            registry.record_poll(now, member(10 + node, NodeRole::Edge), 77, last_change);
+        }
+        registry.tick(now, true, None);
+        for effect in registry.take_effects() {
+            let RegistryEffect::SendUpdate { to: 10, update } = effect else { continue };
+            last_change = update.version;
+            if let Some(members) = update.members {
+                (lists, entries) = (lists + 1, entries + members.len());
+            }
+        }
+    }
+    let stores = registry.members().iter().filter(|member| member.role == NodeRole::Store).count();
+    assert_eq!(stores, 63);
+    assert!(lists <= 7, "{lists} lists with {entries} entries");
 }
 
 #[test]
@@ -302,7 +330,7 @@
     registry.tick(9000, true, None);
     assert_eq!(stores(&registry), 1);
     registry.peer_heard(2, 9000);
-    registry.peer_disconnected(2);
+    registry.peer_disconnected(9000, 2);
     registry.tick(10_900, true, None);
     assert_eq!(stores(&registry), 1);
     registry.tick(11_300, true, None);
--- a/crates/server/src/control_plane.rs
+++ b/crates/server/src/control_plane.rs
@@ -49,7 +49,7 @@
                 if let Some(address) = member.and_then(|member| member.control_address) {
                     self.group.peer_disconnected(now, address);
                 }
-                self.registry.peer_disconnected(node);
+                self.registry.peer_disconnected(now, node);
             }
             LinkEvent::Down(node, _) => self.registry.session_disconnected(now, node),
             LinkEvent::Received(from, NodeRole::Control, frame) => {
@@ -67,7 +67,12 @@
                 }
             }
             Frame::Sessions(members) => self.registry.record_peer_sessions(now, from, members),
+            // Says that the sender takes this node's word: a control node of an earlier version makes nothing of an empty list.
+            Frame::Heartbeats(heartbeats) if heartbeats.is_empty() => {
+                self.registry.peer_is_holder_aware(now, from);
+            }
             Frame::Heartbeats(heartbeats) => self.registry.merge_peer_heartbeats(now, heartbeats),
+            Frame::HeldExecutors(heartbeats) => self.registry.merge_held_executors(now, from, heartbeats),
             _ => {}
         }
     }
@@ -123,12 +128,11 @@
         for effect in self.registry.take_effects() {
             let (receivers, frame) = match effect {
                 RegistryEffect::SendUpdate { to, update } => (vec![to], Frame::Update(update)),
-                RegistryEffect::SendHeartbeats { to, heartbeats } => {
-                    (vec![to], Frame::Heartbeats(heartbeats))
-                }
-                RegistryEffect::BroadcastHeartbeats(heartbeats) => {
-                    (links.nodes_with_role(NodeRole::Control), Frame::Heartbeats(heartbeats))
+                RegistryEffect::SendHeartbeats { to, heartbeats } => (to, Frame::Heartbeats(heartbeats)),
+                RegistryEffect::SendHeldExecutors { to, heartbeats } => {
+                    (to, Frame::HeldExecutors(heartbeats))
                 }
+                RegistryEffect::SayHolderAware { to } => (vec![to], Frame::Heartbeats(Vec::new())),
                 RegistryEffect::BroadcastSessions(members) => {
                     (links.nodes_with_role(NodeRole::Control), Frame::Sessions(members))
                 }
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -180,6 +180,9 @@
         /// The one that is kept; `None` if none was confirmed.
         kept: Option<Key>,
     },
+    /// Between control nodes: executors that send the sender their heartbeats, which it repeats seldom and corrects at once. Only for
+    /// a receiver that has said, by an empty `Heartbeats`, that it takes the sender's word for them.
+    HeldExecutors(Vec<Heartbeat>),
 }
 
 impl Frame {
@@ -189,7 +192,7 @@
             Frame::Hello(_) | Frame::Ping => "link",
             Frame::UpdateRequest { .. } | Frame::Update(_) => "session",
             Frame::Sessions(_) => "sessions",
-            Frame::Heartbeats(_) => "executors",
+            Frame::Heartbeats(_) | Frame::HeldExecutors(_) => "executors",
             Frame::ControlGroup(_) | Frame::Forward { .. } | Frame::ForwardResult { .. } => "control",
             Frame::Submit { .. } | Frame::SubmitResult { .. } => "taking",
             Frame::Lookup { .. } | Frame::LookupResult { .. } => "asking",
--- a/crates/server/src/protocol/tests.rs
+++ b/crates/server/src/protocol/tests.rs
@@ -134,11 +134,13 @@
         Frame::RetireStore { node: 0xDEAD_BEEF },
         Frame::Superseded { message_id: "id".to_string(), fingerprint: u64::MAX, kept: None },
         Frame::Superseded { message_id: "id".to_string(), fingerprint: 1, kept: Some(KEY) },
+        Frame::HeldExecutors(vec![heartbeat(ExecutorState::Serving)]),
+        Frame::Heartbeats(Vec::new()),
     ]
 }
 
 /// The counters' name of each frame above, and its bytes.
-const PINNED: [(&str, &str); 36] = [
+const PINNED: [(&str, &str); 38] = [
     ("link", "0001effdb6f50d06656467652d3100027a310a000001ef9bafcdf8acd1910100"),
     ("link", "0001effdb6f50d06656467652d3101027a310a000001ef9bafcdf8acd1910100"),
     ("link", "0001effdb6f50d06656467652d3102027a310a000001ef9bafcdf8acd19101010a000002bb03"),
@@ -175,6 +177,8 @@
     ("leaving", "13effdb6f50d"),
     ("twice", "14026964ffffffffffffffffff0100"),
     ("twice", "14026964010184868808ac02"),
+    ("executors", "150103692d31056372616e650a000001903f017a040046098001"),
+    ("executors", "0c00"),
 ];
 
 #[test]
