--- a/crates/registry/tests/departures.rs
+++ b/crates/registry/tests/departures.rs
@@ -1,40 +1,20 @@
 //! An executor that has left stays gone: a heartbeat that was on its way when it left does not bring it back, wherever it comes.
 
-use std::net::{Ipv4Addr, SocketAddrV4};
+mod support;
+
 use stileroute_registry::*;
+use support::member;
 
 fn control_node(node: NodeId) -> Registry {
-    let member = Member {
-        node,
-        name: format!("core-{node}"),
-        role: NodeRole::Control,
-        zone: "z".into(),
-        ip: Ipv4Addr::LOCALHOST,
-        incarnation: 1,
-        control_address: Some(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000)),
-        config_version: 0,
-        retirement: RetirementState::NotRetiring,
-    };
-    let other = Member { node: node + 1, name: format!("core-{}", node + 1), ..member.clone() };
-    let mut registry = Registry::new(member, u64::from(node), 1200, 0);
-    registry.peer_connected(0, other);
+    let mut registry = Registry::new(member(node, NodeRole::Control), u64::from(node), 1200, 0);
+    registry.peer_connected(0, member(node + 1, NodeRole::Control));
     registry.tick(3000, true, None);
     registry.take_effects();
     registry
 }
 
 fn heartbeat(sequence: u64) -> Heartbeat {
-    Heartbeat {
-        id: "e".into(),
-        backend: "s".into(),
-        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
-        zone: "z".into(),
-        capacity: 4,
-        state: ExecutorState::Serving,
-        warmup_left_ms: 0,
-        sequence,
-        age_ms: 0,
-    }
+    support::heartbeat("e", 80, sequence, ExecutorState::Serving)
 }
 
 fn is_serving(registry: &Registry) -> bool {
--- a/crates/registry/tests/holders.rs
+++ b/crates/registry/tests/holders.rs
@@ -1,41 +1,19 @@
 //! Several control nodes on a simulated clock. Each executor sends its heartbeats to one of them, which tells the others when they
 //! begin and when they stop, and little in between.
 
+mod support;
+
 use std::collections::BTreeSet;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_registry::*;
+use support::{heartbeat, member};
 
 const HEARTBEAT_INTERVAL: Millis = 1200;
 /// An executor is silent so long after its last heartbeat: 3.2 intervals and 0.3 s.
 const SILENCE_LIMIT: Millis = 4140;
 const TICK: Millis = 20;
 
-fn control_member(node: NodeId) -> Member {
-    Member {
-        node,
-        name: format!("core-{node}"),
-        role: NodeRole::Control,
-        zone: "z".into(),
-        ip: Ipv4Addr::LOCALHOST,
-        incarnation: 1,
-        control_address: Some(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000 + node as u16)),
-        config_version: 0,
-        retirement: RetirementState::NotRetiring,
-    }
-}
-
-fn heartbeat(executor: usize, sequence: u64) -> Heartbeat {
-    Heartbeat {
-        id: format!("e-{executor}"),
-        backend: "s".into(),
-        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 1 + executor as u16),
-        zone: "z".into(),
-        capacity: 4,
-        state: ExecutorState::Serving,
-        warmup_left_ms: 0,
-        sequence,
-        age_ms: 0,
-    }
+fn beat_of(executor: usize, sequence: u64) -> Heartbeat {
+    heartbeat(&format!("e-{executor}"), 1 + executor as u16, sequence, ExecutorState::Serving)
 }
 
 /// An executor: the control node that it calls, and how often it has called.
@@ -79,8 +57,8 @@
 
     fn start(&mut self, node: usize) {
         let incarnation = self.now + 1;
-        let member = control_member(node as NodeId);
-        self.control_nodes[node] = Some(Registry::new(member, incarnation, HEARTBEAT_INTERVAL, self.now));
+        let own = member(node as NodeId, NodeRole::Control);
+        self.control_nodes[node] = Some(Registry::new(own, incarnation, HEARTBEAT_INTERVAL, self.now));
         for other in (0..self.control_nodes.len()).filter(|other| *other != node) {
             self.connect(node, other);
             self.connect(other, node);
@@ -93,7 +71,7 @@
         }
         let now = self.now;
         if let Some(registry) = &mut self.control_nodes[node] {
-            registry.peer_connected(now, control_member(other as NodeId));
+            registry.peer_connected(now, member(other as NodeId, NodeRole::Control));
         }
     }
 
@@ -106,7 +84,7 @@
 
     fn beat(&mut self, executor: usize, node: usize, sequence: u64) {
         if let Some(registry) = &mut self.control_nodes[node] {
-            registry.record_heartbeat(self.now, heartbeat(executor, sequence));
+            registry.record_heartbeat(self.now, beat_of(executor, sequence));
         }
     }
 
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -1,39 +1,10 @@
 //! One or two control nodes and the nodes that poll them, on a simulated clock.
 
+mod support;
+
 use assert_matches::assert_matches;
-use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_registry::*;
-
-fn member(node: NodeId, role: NodeRole) -> Member {
-    let control =
-        (role == NodeRole::Control).then(|| SocketAddrV4::new(Ipv4Addr::LOCALHOST, 9000 + node as u16));
-    let ip = Ipv4Addr::LOCALHOST;
-    Member {
-        node,
-        name: format!("n{node}"),
-        role,
-        zone: "z".into(),
-        ip,
-        incarnation: 1,
-        control_address: control,
-        config_version: 0,
-        retirement: RetirementState::NotRetiring,
-    }
-}
-
-fn heartbeat(id: &str, port: u16, count: u64, state: ExecutorState) -> Heartbeat {
-    Heartbeat {
-        id: id.into(),
-        backend: "s".into(),
-        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, port),
-        zone: "z".into(),
-        capacity: 4,
-        state,
-        warmup_left_ms: 3000,
-        sequence: count,
-        age_ms: 0,
-    }
-}
+use support::{heartbeat, member};
 
 /// A control node whose table of executors is complete, at 3 s.
 fn ready() -> Registry {
