--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -10,6 +10,7 @@
 mod error;
 mod fault_collector;
 mod fault_tolerance;
+mod host_name;
 mod node_settings;
 mod reason;
 mod route;
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -1,7 +1,7 @@
 //! A route of the operators' configuration: which requests go to which service, and how.
 
+use crate::host_name::normalized_host;
 use crate::reason::FaultReason;
-use crate::route_table::normalized_host;
 use crate::section::Section;
 use crate::values;
 use std::collections::HashMap;
--- a/crates/config/src/route_table.rs
+++ b/crates/config/src/route_table.rs
@@ -1,9 +1,9 @@
 //! Look-up of the route of a request: by its host, then by the longest path prefix.
 
 use crate::fault_collector::FaultCollector;
+use crate::host_name::normalized_host;
 use crate::reason::FaultReason;
 use crate::route::Route;
-use std::borrow::Cow;
 use std::collections::HashMap;
 
 /// The routes of each normalized host.
@@ -74,16 +74,3 @@
     }
     candidate
 }
-
-/// A host as it is compared: without a port, in lower case (RFC 9110, section 4.2.3). Copied only where it has capitals.
-pub fn normalized_host(host: &str) -> Cow<'_, str> {
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    };
-    if name.bytes().any(|byte| byte.is_ascii_uppercase()) {
-        name.to_ascii_lowercase().into()
-    } else {
-        name.into()
-    }
-}
