--- a/crates/registry/src/membership.rs
+++ b/crates/registry/src/membership.rs
@@ -14,9 +14,10 @@
 const MIN_BROADCAST_INTERVAL: Millis = 100;
 const MIN_BROADCAST_INTERVAL_OF_OTHERS: Millis = 1000;
 /// The members change at most so often in each [`CHANGE_WINDOW`]: every node is sent the whole list then, and where the power is
-/// back, all stores come within a second. A single change is told at once.
-const MAX_CHANGES_PER_WINDOW: usize = 3;
-const CHANGE_WINDOW: Millis = 450;
+/// back, all stores come within a second. What a small fleet can change in that time is told at once: nodes that wait for a store
+/// to be listed reject messages meanwhile.
+const MAX_CHANGES_PER_WINDOW: usize = 12;
+const CHANGE_WINDOW: Millis = 500;
 /// The sessions are broadcast after so long even if nothing has changed.
 const MAX_BROADCAST_INTERVAL: Millis = 10_000;
 /// The sessions of a control node that is not connected hold for so long after it was last heard.
