--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -274,6 +274,11 @@
         true
     }
 
+    /// Whether there are changes that no control node has been told of.
+    pub fn has_changes(&self) -> bool {
+        !self.unsent_changes.is_empty()
+    }
+
     /// The executors that have changed, or send their heartbeats here since a short time ago: all control nodes are told at once.
     pub fn take_changes(&mut self, now: Millis) -> Vec<Heartbeat> {
         let ids = std::mem::take(&mut self.unsent_changes);
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -235,6 +235,10 @@
     /// Tells control nodes of changes at once, and of what is held here from time to time; those of an earlier version of each
     /// heartbeat.
     fn broadcast_executors(&mut self, now: Millis) {
+        let is_repetition_due = now >= self.next_gossip.min(self.next_holder_refresh);
+        if !is_repetition_due && !self.executors.has_changes() {
+            return;
+        }
         let holder_aware: Vec<NodeId> = self.holder_aware_peers.iter().copied().collect();
         let peers = self.membership.peers().filter(|peer| !self.holder_aware_peers.contains(peer));
         let others: Vec<NodeId> = peers.collect();
