Stores and edges show where ends of messages lie, are copied and are missed

Cause: of an accepted message that is answered 404 neither log nor metrics say which store knew its end, when it was copied, or who was asked. The operators' collector keeps the first 4 KiB of a page, and a store's own figures came behind those of its links. Change: stileroute_ends_thin; events ends_sent, ends_received, ends_forgotten and unknown; stileroute_asked_in_vain_total at edges, and a log line (one a second at most) that names the stores that were asked; a log line when the transfer of ends is complete; a store's page begins with its messages. No decision is changed.

--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -56,10 +56,13 @@
         }
         if is_complete {
             let restored = self.end_replication.complete(self.is_retiring());
+            let ends_sent = self.metrics.ends_transferred;
+            tracing::info!(stores = ?restored, ends_sent, "the ends that a lost store knew are on enough disks again");
             self.record_replaced_disks(restored);
         }
         for (to, ends) in batches {
             self.end_replication.mark_sent(now, to, &ends);
+            self.metrics.ends_transferred += ends.len() as u64;
             self.emit(Effect::Send { to, message: PeerMessage::TransferEnds(ends) });
         }
     }
@@ -119,6 +122,7 @@
         entry.stage = Stage::Ended;
         entry.end = Some(end);
         self.entries.insert(key, entry);
+        self.metrics.ends_received += 1;
         self.schedule_forget(now, key);
     }
 }
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// The stores beside `node` that hold it, as far as `node` knows: the replicas, and the owner where that is another.
+    pub(crate) fn other_holders(&self, node: Node) -> impl Iterator<Item = Node> + '_ {
+        let owner = Some(self.owner).filter(|owner| !self.replicas.contains(owner));
+        self.replicas.iter().copied().chain(owner).filter(move |holder| *holder != node)
+    }
+
     /// How long ago it was accepted, in milliseconds.
     pub(crate) fn age_ms(&self, now: Millis) -> u64 {
         (now as i64 - self.accepted_at).max(0) as u64
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -49,6 +49,12 @@
     pub repaired: u64,
     /// Bytes sent by repair.
     pub repaired_bytes: u64,
+    /// Ends sent to other stores because too few had them.
+    pub ends_transferred: u64,
+    /// Ends that other stores have transferred, recorded here for the first time.
+    pub ends_received: u64,
+    /// Messages removed from the table because the time for which their end can be looked up is over.
+    pub ends_forgotten: u64,
     /// Comparisons of digests with other stores.
     pub digest_comparisons: u64,
     /// Ranges of messages whose digests differed.
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -55,6 +55,8 @@
     pub ended: usize,
     /// Replicas that the list of their owner, as it is known here, does not name: this store holds more than its share.
     pub surplus_replicas: usize,
+    /// Ended messages that, for all that this store knows, lie on fewer other disks than replicas are wanted.
+    pub under_replicated_ends: usize,
     /// Ended messages owned here whose callback has not been accepted.
     pub callbacks_pending: usize,
     /// How far the oldest message owned here that has not ended is past its due time, in milliseconds.
@@ -147,7 +149,11 @@
                     counts.replica += 1;
                     counts.surplus_replicas += usize::from(!entry.replicas.contains(&self.settings.node));
                 }
-                Stage::Ended => counts.ended += 1,
+                Stage::Ended => {
+                    counts.ended += 1;
+                    let other_holders = entry.other_holders(self.settings.node).count();
+                    counts.under_replicated_ends += usize::from(other_holders < self.settings.replica_count);
+                }
             }
             let is_owned_here = entry.owner == self.settings.node;
             counts.callbacks_pending += usize::from(is_owned_here && entry.callback_pending);
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -108,7 +108,10 @@
                 self.record(&Record::Dropped { key }, false);
                 self.remove(key);
             }
-            _ => self.remove(key),
+            _ => {
+                self.metrics.ends_forgotten += 1;
+                self.remove(key);
+            }
         }
     }
 
--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -43,6 +43,10 @@
     /// Times that a submission was sent to a further store.
     resubmitted: u64,
     lookups: u64,
+    /// Lookups answered 404: all stores were asked, and none knows the message.
+    unknown_lookups: u64,
+    /// Lookups answered 503: a store that may know the message could not be asked.
+    inconclusive_lookups: u64,
 }
 
 /// A frame that says which of several copies of a message is kept. Stores that connect later get it as well.
@@ -69,6 +73,8 @@
     /// Counts up, so that stores that are equally near take turns.
     round_robin: usize,
     counts: EdgeCounts,
+    /// The next lookup that finds nothing is logged no sooner.
+    next_unknown_log_at: Millis,
 }
 
 impl Edge {
@@ -96,6 +102,7 @@
             last_request_id: 1,
             round_robin: 0,
             counts: EdgeCounts::default(),
+            next_unknown_log_at: 0,
         })
     }
 
--- a/crates/server/src/edge/lookups.rs
+++ b/crates/server/src/edge/lookups.rs
@@ -8,6 +8,8 @@
 
 /// For all stores together, in ms: a client waits two seconds.
 const LOOKUP_TIMEOUT_MS: Millis = 1800;
+/// Lookups that find nothing are logged no more often, in ms: clients may ask for what never was.
+const UNKNOWN_LOG_INTERVAL_MS: Millis = 1000;
 /// A client whose question could not be answered may come back after so long.
 const RETRY_AFTER_S: u64 = 1;
 
@@ -41,6 +43,7 @@
             asked_store: 0,
             sent_at: now,
             deadline: now + LOOKUP_TIMEOUT_MS,
+            stores_without_it: Vec::new(),
             known_as_pending: None,
             is_inconclusive: is_store_missing,
         };
@@ -79,12 +82,40 @@
             Some(known) => response_to(known, lookup.include_body),
             // A store that knows nothing of a message says so. One that could not be asked may know it: with a 404, an accepted
             // message would be taken for lost.
-            None if lookup.is_inconclusive || is_late => Response::retry_after(503, RETRY_AFTER_S),
-            None => Response::empty(404),
+            None if lookup.is_inconclusive || is_late => {
+                self.counts.inconclusive_lookups += 1;
+                Response::retry_after(503, RETRY_AFTER_S)
+            }
+            None => {
+                self.log_unknown(&lookup);
+                Response::empty(404)
+            }
         };
         self.answer(lookup.connection, response);
     }
 
+    /// Every store was asked, and none knows the message. Those that were asked stand in the log: a store that should have known it
+    /// is among them, or none ever did.
+    fn log_unknown(&mut self, lookup: &PendingLookup) {
+        self.counts.unknown_lookups += 1;
+        let now = self.runtime.net.now();
+        if now < self.next_unknown_log_at {
+            return;
+        }
+        self.next_unknown_log_at = now + UNKNOWN_LOG_INTERVAL_MS;
+        let asked: Vec<String> =
+            lookup.stores_without_it.iter().map(|store| self.runtime.node_name(*store)).collect();
+        let origin = self.runtime.node_name(lookup.key.origin);
+        let (number, so_far) = (lookup.key.number, self.counts.unknown_lookups);
+        tracing::info!(
+            origin,
+            number = format!("{number:x}"),
+            ?asked,
+            so_far,
+            "no store knows a message that was asked for"
+        );
+    }
+
     /// A store says what it knows of a message.
     pub(super) fn lookup_answered(&mut self, store: Node, request_id: u64, result: Option<KnownMessage>) {
         let Some(lookup) = self.lookups.get_mut(&request_id) else { return };
--- a/crates/server/src/edge/pending.rs
+++ b/crates/server/src/edge/pending.rs
@@ -60,6 +60,8 @@
     pub sent_at: Millis,
     /// When the client is answered at the latest.
     pub deadline: Millis,
+    /// The stores that have said that they know nothing of it.
+    pub stores_without_it: Vec<Node>,
     /// What a store said that has the message as one without an end: any other answer is better.
     pub known_as_pending: Option<KnownMessage>,
     /// A store that may know the message could not be asked, or has not answered.
@@ -88,7 +90,10 @@
                 next
             }
             Some(known) => AfterReply::Answer(known),
-            None => next,
+            None => {
+                self.stores_without_it.push(store);
+                next
+            }
         }
     }
 }
--- a/crates/server/src/edge/pending/tests.rs
+++ b/crates/server/src/edge/pending/tests.rs
@@ -23,20 +23,24 @@
     assert_eq!(submission.rejected(SECOND, PutError::Rejected), AfterRejection::TryNextStore);
 }
 
-#[test]
-fn a_late_reply_that_a_message_is_pending_does_not_hide_its_end() {
-    let key = Key { origin: ORIGIN, number: 1 };
-    let asks = |asked| PendingLookup {
+fn lookup_at(asked_store: Node) -> PendingLookup {
+    PendingLookup {
         connection: 0,
-        key,
+        key: Key { origin: ORIGIN, number: 1 },
         include_body: false,
         remaining_stores: Vec::new(),
-        asked_store: asked,
+        asked_store,
         sent_at: 0,
         deadline: 0,
+        stores_without_it: Vec::new(),
         known_as_pending: None,
         is_inconclusive: false,
-    };
+    }
+}
+
+#[test]
+fn a_late_reply_that_a_message_is_pending_does_not_hide_its_end() {
+    let asks = lookup_at;
     let waits = || Some(KnownMessage { status: MessageStatus::Pending, body: None });
     // The first was given up, and the second, asked since, knows the end.
     let mut lookup = asks(SECOND);
@@ -57,3 +61,14 @@
         AfterReply::Answer(_)
     );
 }
+
+#[test]
+fn each_store_that_knows_nothing_of_a_message_is_remembered() {
+    let mut lookup = lookup_at(FIRST);
+    lookup.replied(FIRST, None);
+    lookup.asked_store = SECOND;
+    lookup.replied(SECOND, Some(KnownMessage { status: MessageStatus::Pending, body: None }));
+    lookup.asked_store = ORIGIN;
+    lookup.replied(ORIGIN, None);
+    assert_eq!(lookup.stores_without_it, vec![FIRST, ORIGIN]);
+}
--- a/crates/server/src/edge/report.rs
+++ b/crates/server/src/edge/report.rs
@@ -39,6 +39,12 @@
         }
         let help = "Questions after a message.";
         metrics.counter("stileroute_asked_total", help, &[], self.counts.lookups);
+        let answers =
+            [("unknown", self.counts.unknown_lookups), ("unclear", self.counts.inconclusive_lookups)];
+        for (answer, count) in answers {
+            let help = "Questions without a state in the answer; unknown: 404, no store knows the message; unclear: 503.";
+            metrics.counter("stileroute_asked_in_vain_total", help, &[("answer", answer)], count);
+        }
         let help = "From the whole request to its 202.";
         metrics.histogram("stileroute_accept_seconds", help, &self.runtime.net.accept_latency);
     }
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -69,6 +69,8 @@
     /// Whether the ends of messages have been sent out for the last time.
     has_flushed_ends: bool,
     statistics: DeliveryStatistics,
+    /// Lookups of edges for messages of which nothing is known here.
+    unknown_lookups: u64,
 }
 
 impl Store {
@@ -102,6 +104,7 @@
             is_disk_failing: false,
             has_flushed_ends: false,
             statistics: DeliveryStatistics::default(),
+            unknown_lookups: 0,
         })
     }
 
--- a/crates/server/src/store/link_events.rs
+++ b/crates/server/src/store/link_events.rs
@@ -52,6 +52,7 @@
             Frame::Submit { request_id, message } => self.submitted(edge, request_id, message),
             Frame::Lookup { request_id, key, include_body } => {
                 let result = self.look_up(key, include_body);
+                self.unknown_lookups += u64::from(result.is_none());
                 let frame = Frame::LookupResult { request_id, result };
                 self.runtime.links.send(&mut self.runtime.net, edge, &frame);
             }
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -21,6 +21,7 @@
             "surplus" => stages.surplus_replicas,
             "owed" => stages.callbacks_pending,
             "oldest_ms" => stages.oldest_overdue_ms,
+            "thin_ends" => stages.under_replicated_ends,
         }
     }
 
@@ -102,6 +103,10 @@
             ("no_disk", counts.failed_writes),
             ("former_refused", counts.stale_claims),
             ("fenced", counts.fence_activations),
+            ("ends_sent", counts.ends_transferred),
+            ("ends_received", counts.ends_received),
+            ("ends_forgotten", counts.ends_forgotten),
+            ("unknown", self.unknown_lookups),
         ];
         for (event, count) in events {
             let help = "What happened to messages.";
@@ -128,6 +133,8 @@
     }
     let help = "Replicas that their owner's list does not name: this store holds more than its share.";
     metrics.gauge("stileroute_messages_surplus", help, &[], stages.surplus_replicas);
+    let help = "Ended messages that, for all that this store knows, lie on too few disks.";
+    metrics.gauge("stileroute_ends_thin", help, &[], stages.under_replicated_ends);
     let help = "Call-backs that have not been taken.";
     metrics.gauge("stileroute_callbacks_owed", help, &[], stages.callbacks_pending);
     let help = "By how much the oldest own message that has not ended is past its due time.";
@@ -226,12 +233,13 @@
     }
 
     fn write_metrics(&self, metrics: &mut Exposition) {
+        // What lies on too few disks comes first: some collectors keep only the beginning of a page.
+        write_stage_metrics(metrics, &self.queue.stage_counts(self.runtime.net.now()));
+        self.write_event_metrics(metrics);
         // A store has no listener for requests but the one for metrics.
         self.runtime.write_metrics(metrics, |_| "none");
-        write_stage_metrics(metrics, &self.queue.stage_counts(self.runtime.net.now()));
         self.write_service_metrics(metrics);
         self.statistics.write_metrics(metrics);
-        self.write_event_metrics(metrics);
         disk_metrics(metrics, &self.disk.statistics());
         let help = "1: a message that came now would be accepted; 0: too few stores can take replicas, or it drains.";
         let accepts = u8::from(self.queue.accepts_messages(self.runtime.net.now()));
