System test: a soak of stores that are lost one after another, from a seed

Cause: no proof on real processes loses more than two disks in one run. Change: stileroute-system-test prove-losses; each seed draws its own series of lost disks, replacements, retirements, kills of all stores and orderly restarts with SIGHUPs; the next fault comes when the last one is repaired; all that was accepted is asked for at the end.

--- a/crates/queue/tests/losses_in_series.rs
+++ b/crates/queue/tests/losses_in_series.rs
@@ -9,6 +9,11 @@
 /// Messages that each run sends; every third is refused by its executor, and so fails.
 const MESSAGES: u64 = 12;
 
+/// Whether the executor refuses the message.
+fn is_refused(n: u64) -> bool {
+    n.is_multiple_of(3)
+}
+
 /// The first loss comes when all messages have ended and their callbacks are delivered.
 const FIRST_LOSS_AT: u64 = 6000;
 
@@ -27,7 +32,7 @@
 fn ended_messages(stores: usize, replicas: usize) -> Simulation {
     let mut world = Simulation::new(stores, replicas, 11);
     for n in 0..MESSAGES {
-        let behavior = if n % 3 == 0 { Behavior::Refuses } else { Behavior::Succeeds };
+        let behavior = if is_refused(n) { Behavior::Refuses } else { Behavior::Succeeds };
         world.send(2500 + 40 * n, n as usize % stores, "plain", &[behavior], 0);
     }
     world
@@ -38,7 +43,7 @@
     let is_known = |n: &u64| {
         let state = world.ask(*n as usize);
         let state = state.map(|(state, body)| (matches!(state, MessageState::Failed), body.is_some()));
-        state == Some((n % 3 == 0, n % 3 == 0))
+        state == Some((is_refused(*n), is_refused(*n)))
     };
     (0..MESSAGES).filter(is_known).count() as u64
 }
--- a/crates/system-test/src/control.rs
+++ b/crates/system-test/src/control.rs
@@ -93,7 +93,8 @@
     }
 }
 
-fn setup(part: Part) -> Setup {
+/// The load of a fleet of nine on which stores or control nodes fail. `label` is printed before each line of its schedule.
+pub fn setup(label: String) -> Setup {
     let services: Services = vec![("alder", 0.0, None), ("birch", 0.0, None)];
     let routes: Routes = ROUTES.to_vec();
     let mut executors = Vec::new();
@@ -102,7 +103,7 @@
         executors.push(Place::new(format!("birch-{place}"), 10 + place, &kind("birch")));
     }
     let (mix, ready_within) = (LOAD.to_vec(), Duration::from_secs(15));
-    Setup { label: part.label(), routes, services, executors, mix, rate: RATE, ready_within }
+    Setup { label, routes, services, executors, mix, rate: RATE, ready_within }
 }
 
 /// Plays one schedule; its history, and the watch on the machine's own delays.
@@ -111,7 +112,7 @@
     std::fs::create_dir_all(&home).map_err(|e| format!("{}: {e}", home.display()))?;
     let fleet = lay_out(program, &home, net, NINE, part as u8)?;
     let recorder = Recorder::new(&home);
-    let running = setup(part).begin(fleet, &recorder)?;
+    let running = setup(part.label().to_string()).begin(fleet, &recorder)?;
     let history = part.play(running, &Numbers::new())?;
     Ok((history, recorder))
 }
--- a/crates/system-test/src/fleet.rs
+++ b/crates/system-test/src/fleet.rs
@@ -261,6 +261,10 @@
     pub fn controls(&self) -> Controls {
         Arc::clone(&self.controls)
     }
+    /// How many machines of a role were laid out or added, those that were taken away among them.
+    pub fn count(&self, role: Role) -> usize {
+        self.machines.iter().filter(|machine| machine.role == role).count()
+    }
     /// Machines of a role that were not taken away.
     pub fn here(&self, role: Role) -> Vec<usize> {
         self.machines.iter().filter(|m| m.role == role && !m.away).map(|m| m.at).collect()
@@ -379,6 +383,13 @@
         }
     }
 
+    /// Asks a process to read its settings again.
+    pub fn hang_up(&mut self, role: Role, at: usize) {
+        if let Some(child) = &self.find(role, at).child {
+            let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGHUP);
+        }
+    }
+
     pub fn kill_all(&mut self) {
         for child in self.machines.iter_mut().filter_map(|m| m.child.as_mut()) {
             let _ = child.kill();
--- a/crates/system-test/src/large_fleet.rs
+++ b/crates/system-test/src/large_fleet.rs
@@ -39,6 +39,7 @@
 #[derive(Default)]
 pub struct Counted {
     pub thin: f64,
+    pub thin_ends: f64,
     anew: f64,
     /// Entries that have not ended: own and copies.
     live: f64,
@@ -59,6 +60,7 @@
             let value: f64 = value.parse().unwrap_or(0.0);
             match name {
                 "stileroute_messages_thin" => all.thin += value,
+                "stileroute_ends_thin" => all.thin_ends += value,
                 "stileroute_queue_events_total{event=\"copied_anew\"}" => all.anew += value,
                 "stileroute_messages{stage=\"ended\"}" => {}
                 name if name.starts_with("stileroute_messages{stage=") => all.live += value,
@@ -139,7 +141,7 @@
     });
     let executors = executors.collect();
     let setup = Setup {
-        label: "",
+        label: String::new(),
         routes: ROUTES.to_vec(),
         services,
         executors,
--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -10,6 +10,7 @@
 mod isolation;
 mod judge;
 mod large_fleet;
+mod losses;
 mod message;
 mod operator;
 mod prove;
@@ -70,6 +71,15 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Puts fleets of nine under load while disks of stores are lost one after another, with restarts, replacements and
+    /// retirements between, in an order drawn from each seed; asks for all messages at the end.
+    ProveLosses {
+        #[command(flatten)]
+        soak: losses::Soak,
+        /// Keeps the folders with the logs and disks, and prints all breaches.
+        #[arg(long)]
+        keep: bool,
+    },
     /// The same for the control nodes on their worst days: four fleets side by side.
     ProveControl {
         /// Keeps the folders with the logs and disks, and prints all breaches.
@@ -93,6 +103,7 @@
             let programs = upgrade::Programs { landed, current: args.stilerouted };
             upgrade::prove(&programs, args.net, rate, keep)
         }
+        Command::ProveLosses { soak, keep } => losses::prove(&args.stilerouted, args.net, keep, soak),
         Command::ProveControl { keep, only } => control::prove(&args.stilerouted, args.net, keep, only),
     };
     match done {
--- a/crates/system-test/src/prove.rs
+++ b/crates/system-test/src/prove.rs
@@ -21,7 +21,7 @@
 const FIRST_NET: u8 = 100;
 const NETS: u32 = 150;
 /// The most fleets of one proof at once.
-const SIDE_BY_SIDE: u32 = 3;
+pub const SIDE_BY_SIDE: u32 = 8;
 
 /// Which schedule is played.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -137,7 +137,7 @@
         executors.push(Place::new(format!("birch-{part}"), 10 + part, &birch));
     }
     Setup {
-        label: "",
+        label: String::new(),
         routes: FIRST.to_vec(),
         services,
         executors,
--- a/crates/system-test/src/replacement.rs
+++ b/crates/system-test/src/replacement.rs
@@ -111,7 +111,7 @@
     }
 
     /// How long after a loss no store that runs had a message on too few disks, and that held for a second.
-    fn repaired(&self, from: Micros) -> Option<Micros> {
+    pub fn repaired(&self, from: Micros) -> Option<Micros> {
         let mut since = None;
         while self.recorder.now() < from + 2 * REPAIRED {
             let now = self.recorder.now();
--- a/crates/system-test/src/scenarios.rs
+++ b/crates/system-test/src/scenarios.rs
@@ -195,7 +195,7 @@
         self.sleep(3000);
     }
 
-    fn begin_retiring(&mut self, name: &str) -> Option<u16> {
+    pub fn begin_retiring(&mut self, name: &str) -> Option<u16> {
         let target = format!("/v1/retire/{name}/begin");
         let most = Duration::from_secs(5);
         self.operator.order("POST", &target, "{\"deadline_s\":20}", most).map(|(status, _)| status)
--- a/crates/system-test/src/schedule.rs
+++ b/crates/system-test/src/schedule.rs
@@ -36,7 +36,7 @@
 
 pub struct Schedule {
     /// Printed before each line.
-    pub label: &'static str,
+    pub label: String,
     pub fleet: Fleet,
     pub recorder: Arc<Recorder>,
     pub clients: Arc<Clients>,
--- a/crates/system-test/src/setup.rs
+++ b/crates/system-test/src/setup.rs
@@ -33,7 +33,7 @@
 /// What a schedule begins with.
 pub struct Setup {
     /// Printed before each line of the schedule.
-    pub label: &'static str,
+    pub label: String,
     pub routes: Routes,
     pub services: Services,
     pub executors: Vec<Place>,
