--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -118,7 +118,11 @@
         if self.end_replication.under_replicated.is_empty() {
             return self.ends_replicated(now);
         }
-        self.end_replication.under_replicated_since.get_or_insert(now);
+        if self.end_replication.under_replicated_since.is_none() {
+            let ends = self.end_replication.under_replicated.len();
+            tracing::info!(ends, "ends lie on too few disks: they are copied to other stores");
+            self.end_replication.under_replicated_since = Some(now);
+        }
         let keys = self.next_ends_to_check();
         let mut batches = EndBatches::default();
         let mut next_look_from = None;
--- a/crates/server/src/cli/status.rs
+++ b/crates/server/src/cli/status.rs
@@ -117,10 +117,24 @@
             messages["ended"],
             messages["oldest_ms"]
         );
+        text += &replication_as_text(report);
     }
     text
 }
 
+/// What a store says of copies that are missing; nothing where the loss of another store is tolerated, or an older process does not
+/// say.
+fn replication_as_text(report: &JsonValue) -> String {
+    if report["fully_replicated"] != false {
+        return String::new();
+    }
+    let messages = &report["messages"];
+    format!(
+        "    NOT FULLY REPLICATED: {} messages and {} ends on too few disks: take no other machine away\n",
+        messages["thin"], messages["thin_ends"]
+    )
+}
+
 /// With which control node an edge or a store has its session.
 fn session_as_text(report: &JsonValue) -> String {
     if report["class"] == "core" {
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -21,6 +21,7 @@
             "surplus" => stages.surplus_replicas,
             "owed" => stages.callbacks_pending,
             "oldest_ms" => stages.oldest_overdue_ms,
+            "thin" => self.queue.missing_copies().messages,
             "thin_ends" => stages.under_replicated_ends,
         }
     }
@@ -204,6 +205,7 @@
         report["accepts"] = self.queue.accepts_messages(self.runtime.net.now()).into();
         report["services"] = self.services_as_json();
         report["stores"] = self.stores_as_json();
+        report["fully_replicated"] = self.queue.is_fully_replicated().into();
         report
     }
 
@@ -234,6 +236,8 @@
 
     fn write_metrics(&self, metrics: &mut Exposition) {
         // What lies on too few disks comes first: some collectors keep only the beginning of a page.
+        let help = "1: nothing that this store knows of lies on too few disks, and it has heard of all that the others hold.";
+        metrics.gauge("stileroute_fully_replicated", help, &[], u8::from(self.queue.is_fully_replicated()));
         write_stage_metrics(metrics, &self.queue.stage_counts(self.runtime.net.now()));
         self.write_event_metrics(metrics);
         // A store has no listener for requests but the one for metrics.
