Queue: a dropped replica isn't confirmed, two late replicas aren't replaced by one store, inherited lists don't block repair

Change: a drop cancels the confirmation; a store in the list is not chosen again; only stores that count are expected to confirm; a store whose disk is heard of for the first time, and which is on the list of some end, counts as one that lost its disk. Planted faults DroppedConfirmed and ReplicaChosenTwice; PeerDisksForgotten now also trusts the first disk that it hears of, for the new rule covers it otherwise. The random series stall disks, lose two disks at once where that is tolerated, and have longer delays.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -11,7 +11,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 20] = [
+const DAYS: [(PlantedFault, Day); 22] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -31,6 +31,8 @@
     (PlantedFault::FailedAttemptsForgotten, a_poison_message_outlives_many_restarts),
     (PlantedFault::EndsCopiedOnce, loss_scenarios::ends_outlive_three_losses),
     (PlantedFault::GoneReplicasCounted, loss_scenarios::two_are_lost_after_a_retirement_and_a_restart),
+    (PlantedFault::DroppedConfirmed, loss_scenarios::a_dropped_replica_reaches_the_disk),
+    (PlantedFault::ReplicaChosenTwice, loss_scenarios::two_replicas_are_late),
     (PlantedFault::InheritedListTrusted, loss_scenarios::an_inherited_list_is_out_of_date),
 ];
 
--- a/crates/queue/src/end_holders.rs
+++ b/crates/queue/src/end_holders.rs
@@ -39,6 +39,12 @@
         }
     }
 
+    /// Whether a store is on the list of those that hold some end.
+    pub(crate) fn is_end_holder(&self, node: Node) -> bool {
+        let own_node = self.settings.node;
+        self.settled_entries().any(|(_, entry)| entry.other_holders(own_node).any(|holder| holder == node))
+    }
+
     /// Looks through all ends for those on too few disks: after a start, and when another store is to be emptied.
     pub(crate) fn find_under_replicated_ends(&mut self) {
         let keys: Vec<Key> = self.settled_entries().map(|(key, _)| key).collect();
--- a/crates/queue/src/peer_disks.rs
+++ b/crates/queue/src/peer_disks.rs
@@ -24,9 +24,11 @@
         if known == Some(disk_id) {
             return;
         }
-        if known.is_none() {
+        let is_trusted = self.planted(PlantedFault::PeerDisksForgotten) || !self.is_end_holder(from);
+        if known.is_none() && is_trusted {
             return self.record_peer_disk(from, Some(disk_id));
         }
+        // Also where nothing is known of an earlier disk, and the store is said to hold ends: by whom it was said may be long ago.
         tracing::info!(node = from, "a store is back with another disk");
         self.peers.entry(from).or_default().disk_lost_at = Some(now);
         self.holder_lost(from);
--- a/crates/queue/src/pending_writes.rs
+++ b/crates/queue/src/pending_writes.rs
@@ -73,6 +73,14 @@
         self.in_flight.remove(&ticket).unwrap_or_default()
     }
 
+    /// A replica is dropped while its record is on its way to disk: that is not confirmed any more, for what comes after it on the
+    /// disk is that it was dropped.
+    pub fn cancel_replica(&mut self, key: Key) {
+        let is_other = |wait: &PendingWrite| !matches!(wait, PendingWrite::ReplicaFor(_, of) if *of == key);
+        self.collecting.retain(is_other);
+        self.in_flight.values_mut().for_each(|waits| waits.retain(is_other));
+    }
+
     /// Whether the oldest write that something waits for is overdue.
     pub fn is_disk_stalled(&self, now: Millis) -> bool {
         self.started_at.first_key_value().is_some_and(|(_, since)| now > since + DISK_STALL_LIMIT_MS)
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -33,7 +33,7 @@
     CopiesUnconfirmed,
     /// The ends that a retiring store knows are lost with it.
     EndsGoAlong,
-    /// A store forgets with its process which disks the others had.
+    /// A store forgets with its process which disks the others had, and takes the one that it hears of next for the same.
     PeerDisksForgotten,
     /// A message that another store may have accepted too is started before its edge has said which one is kept.
     ResubmittedUnasked,
@@ -51,12 +51,16 @@
     InheritedListTrusted,
     /// Replicas at a store that is gone for good, and was written off, count.
     GoneReplicasCounted,
+    /// A replica that was dropped before it was on disk is confirmed all the same.
+    DroppedConfirmed,
+    /// Two slow replicas of a message are replaced by one and the same store, which then counts twice.
+    ReplicaChosenTwice,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 24] = [
+    pub const ALL: [PlantedFault; 26] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -81,5 +85,7 @@
         PlantedFault::EndsCopiedOnce,
         PlantedFault::InheritedListTrusted,
         PlantedFault::GoneReplicasCounted,
+        PlantedFault::DroppedConfirmed,
+        PlantedFault::ReplicaChosenTwice,
     ];
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -116,7 +116,7 @@
     next_attempt: u64,
 
     effects: Vec<Effect>,
-    pending_writes: PendingWrites,
+    pub(crate) pending_writes: PendingWrites,
     /// When ends that were not sent yet are sent to the peers.
     pub(crate) flush_ends_at: Option<Millis>,
     /// When the service queues are to be looked at again.
--- a/crates/queue/src/repair.rs
+++ b/crates/queue/src/repair.rs
@@ -52,13 +52,13 @@
             self.under_replicated.remove(&(at, key));
         }
         if is_owned_here {
-            self.drop_retiring_replicas(key);
+            self.drop_uncounted_replicas(key);
         }
     }
 
-    /// The replicas that replace those at retiring stores are confirmed: only now those leave the list, on disk too. A store that
+    /// The replicas that replace those at stores which do not count are confirmed: only now those leave the list, on disk too. A store that
     /// restarted before would ask only the ones in the list what became of the message, and they may know nothing of it.
-    fn drop_retiring_replicas(&mut self, key: Key) {
+    fn drop_uncounted_replicas(&mut self, key: Key) {
         let Some(entry) = self.entries.get(&key).filter(|entry| !entry.is_settled()) else { return };
         let lasting = entry.replicas.iter().copied().filter(|node| self.counts_copies_at(*node));
         let lasting: Vec<Node> = lasting.collect();
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -130,11 +130,24 @@
 
     /// This store owns a message by what another says: the replicas that the other names have not confirmed theirs to this owner.
     fn distrust_list(&mut self, now: Millis, key: Key) {
-        let Some(entry) = self.entries.get_mut(&key) else { return };
-        entry.unconfirmed.clone_from(&entry.replicas);
+        let Some(entry) = self.entries.get(&key) else { return };
+        let expected = entry.replicas.iter().copied().filter(|replica| self.counts_copies_at(*replica));
+        let expected: Vec<Node> = expected.collect();
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.unconfirmed = expected;
+        }
         self.check_replication(now, key);
     }
 
+    /// A replica that was dropped is not confirmed to its owner, neither once its record is on disk nor at the end of this turn: the
+    /// owner may have sent another since, which is not on disk yet, or was rejected.
+    fn cancel_replica_confirmation(&mut self, owner: Node, key: Key) {
+        if !self.planted(PlantedFault::DroppedConfirmed) {
+            self.pending_writes.cancel_replica(key);
+            self.outbox(owner).replicated.retain(|confirmed| *confirmed != key);
+        }
+    }
+
     /// The owner of these messages has discarded them.
     pub(super) fn apply_drops(&mut self, from: Node, keys: Vec<Key>) {
         for key in keys {
@@ -142,6 +155,7 @@
             if entry.owner == from {
                 self.remove(key);
                 self.record(&Record::Dropped { key }, false);
+                self.cancel_replica_confirmation(from, key);
             } else {
                 self.metrics.stale_claims += 1;
             }
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -107,8 +107,15 @@
         let peer = self.peers.entry(slow).or_default();
         peer.avoided_until = now + SLOW_STORE_AVOIDANCE;
         peer.replica_overdue(accepted_at);
-        let present: Vec<Node> = before.iter().copied().filter(|node| *node != slow).collect();
-        let Some(to) = self.choose_replica_stores(now, &present, before, 1).first().copied() else { return };
+        // The list as it is now, too: another slow store may just have been replaced by one that is not to be chosen twice.
+        let mut excluded = before.to_vec();
+        if !self.planted(PlantedFault::ReplicaChosenTwice) {
+            excluded.extend(self.entries.get(&key).into_iter().flat_map(|entry| &entry.replicas));
+        }
+        let present: Vec<Node> = excluded.iter().copied().filter(|node| *node != slow).collect();
+        let Some(to) = self.choose_replica_stores(now, &present, &excluded, 1).first().copied() else {
+            return;
+        };
         let is_list_recorded = !self.planted(PlantedFault::OldCopyList);
         let node = self.settings.node;
         let Some(entry) = self.entries.get_mut(&key) else { return };
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -71,13 +71,16 @@
         let is_term_raised = !self.planted(PlantedFault::TermUnraised);
         let is_list_trusted = self.planted(PlantedFault::InheritedListTrusted);
         let awaits_objections = giver.is_none() && !self.planted(PlantedFault::TakenUnasked);
+        let Some(entry) = self.entries.get(&key) else { return };
+        // The list is as the former owner had it when this store's replica was made, and may have changed since: what it names
+        // counts once it has confirmed to this owner. Of a store that is gone, or is being retired, nothing is expected.
+        let is_expected = |replica: &Node| *replica != entry.owner && self.counts_copies_at(*replica);
+        let expected: Vec<Node> = entry.replicas.iter().copied().filter(is_expected).collect();
         let Some(entry) = self.entries.get_mut(&key) else { return };
         let former_owner = std::mem::replace(&mut entry.owner, node);
         entry.term += u32::from(is_term_raised);
         entry.replicas.retain(|replica| *replica != node && *replica != former_owner);
-        // The list is as the former owner had it when this store's replica was made, and may have changed since: what it names
-        // counts once it has confirmed to this owner.
-        entry.unconfirmed = if is_list_trusted { Vec::new() } else { entry.replicas.clone() };
+        entry.unconfirmed = if is_list_trusted { Vec::new() } else { expected };
         entry.replicas.extend(giver);
         if awaits_objections {
             entry.not_before = entry.not_before.max(now + OBJECTION_WINDOW);
--- a/crates/queue/tests/losses_in_series.rs
+++ b/crates/queue/tests/losses_in_series.rs
@@ -59,6 +59,21 @@
     loss_scenarios::an_inherited_list_is_out_of_date(&without_fault());
 }
 
+#[test]
+fn a_replica_that_was_dropped_is_not_confirmed() {
+    loss_scenarios::a_dropped_replica_reaches_the_disk(&without_fault());
+}
+
+#[test]
+fn two_late_replicas_are_replaced_by_two_stores() {
+    loss_scenarios::two_replicas_are_late(&without_fault());
+}
+
+#[test]
+fn repair_ends_though_inherited_lists_name_a_retired_store() {
+    loss_scenarios::a_retired_store_is_in_inherited_lists(&without_fault());
+}
+
 /// Stores lose their disks in turn for a minute while messages come and end, as on the day of the incident.
 #[test]
 fn every_message_is_known_through_nine_losses_under_load() {
--- a/crates/queue/tests/random_series.rs
+++ b/crates/queue/tests/random_series.rs
@@ -45,26 +45,31 @@
             1 => Behavior::Slow(300),
             _ => Behavior::Succeeds,
         };
-        let delay_ms = [0, 0, 700, 6000, 25_000][dice.below(5)];
+        let delay_ms = [0, 0, 700, 6000, 25_000, 50_000][dice.below(6)];
         world.send(2500 + INTERVAL_MS * n, dice.below(stores), "plain", &[behavior], delay_ms);
     }
     world
 }
 
-/// Lets the fault strike, with what belongs to it.
-fn strike(world: &mut Simulation, dice: &mut Dice) -> String {
+/// Lets the fault strike, with what belongs to it. As many disks as are tolerated may be lost at once.
+fn strike(world: &mut Simulation, dice: &mut Dice, tolerated: usize) -> String {
     let present = world.present_stores();
     let store = present[dice.below(present.len())];
     let at = world.now + 1;
-    let what = match dice.below(12) {
-        0..=3 => vec![(0, Action::Inject(store, Fault::DiskLoss))],
+    let what = match dice.below(13) {
+        0..=3 => {
+            let first = dice.below(present.len());
+            let lost = (0..1 + dice.below(tolerated)).map(|n| present[(first + n) % present.len()]);
+            lost.map(|store| (0, Action::Inject(store, Fault::DiskLoss))).collect()
+        }
         4 => vec![(0, Action::Remove(store)), (800, Action::Add)],
         5 => vec![(0, Action::Retire(store)), (300, Action::Add)],
         6 => vec![(0, Action::PowerLossOfAll)],
         7 => vec![(0, Action::DiskLossInBlackout(store))],
         8 => vec![(0, Action::Inject(store, Fault::Shutdown))],
         9 => vec![(0, Action::Inject(store, Fault::KillLong))],
-        10 => present.iter().map(|store| (0, Action::Inject(*store, Fault::Kill))).collect(),
+        10 => stalled_disks(&present, dice),
+        11 => present.iter().map(|store| (0, Action::Inject(*store, Fault::Kill))).collect(),
         _ => vec![(0, Action::Inject(store, Fault::Freeze))],
     };
     let line = format!("{at}: {what:?}");
@@ -78,6 +83,15 @@
     line
 }
 
+/// Some disks take longer than a replica may take, while messages come; then all are as before.
+fn stalled_disks(present: &[usize], dice: &mut Dice) -> Vec<(u64, Action)> {
+    let sync_ms = 100 + dice.below(300) as u64;
+    let stalled: Vec<usize> = present.iter().copied().filter(|_| dice.below(3) > 0).collect();
+    let begin = stalled.iter().map(|store| (0, Action::DiskSlow(*store, sync_ms)));
+    let end = stalled.iter().map(|store| (1500, Action::DiskSlow(*store, 2)));
+    begin.chain(end).collect()
+}
+
 /// A store is emptied, and is taken away when it says that it is empty.
 fn retire(world: &mut Simulation, store: usize) {
     world.act(world.now + 1, Action::Retire(store));
@@ -104,7 +118,7 @@
     let mut world = world(stores, replicas, seed);
     world.run(5000);
     for _ in 0..FAULTS {
-        log.push(strike(&mut world, &mut dice));
+        log.push(strike(&mut world, &mut dice, replicas));
         wait_for_repair(&mut world, replicas);
     }
     world.run(2500 + INTERVAL_MS * MESSAGES + 40_000);
--- a/crates/queue/tests/simulation/loss_scenarios.rs
+++ b/crates/queue/tests/simulation/loss_scenarios.rs
@@ -99,3 +99,53 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Disks take longer than a replica may take, while messages come: replicas are replaced, dropped and sent again. What was accepted
+/// lies on enough disks afterwards.
+fn disks_stall(stores: usize, replicas: usize, stalled: &[usize], prepare: &Prepare) {
+    for sync_ms in (110..380).step_by(9) {
+        let mut world = Simulation::new(stores, replicas, sync_ms);
+        world.prepare(prepare);
+        for store in stalled {
+            world.act(3000, Action::DiskSlow(*store, sync_ms));
+            world.act(4500, Action::DiskSlow(*store, 2));
+        }
+        for n in 0..40 {
+            world.send(2950 + 35 * n as u64, n % stores, "plain", &[Behavior::Unreachable], 50_000);
+        }
+        world.run(9000);
+        assert!(world.says_fully_replicated());
+        world.check_disks(replicas + 1);
+    }
+}
+
+/// All disks stall: a replica is dropped, and its record reaches the disk afterwards.
+pub fn a_dropped_replica_reaches_the_disk(prepare: &Prepare) {
+    disks_stall(4, 1, &[0, 1, 2, 3], prepare);
+}
+
+/// Two replicas of one message are late at once.
+pub fn two_replicas_are_late(prepare: &Prepare) {
+    disks_stall(5, 2, &[0, 3, 4], prepare);
+}
+
+/// A store was emptied and is gone; another loses its disk, and the lists that are inherited from it still name the first. All is on
+/// enough disks again, and that is said.
+pub fn a_retired_store_is_in_inherited_lists(prepare: &Prepare) {
+    for (retired, lost) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        let mut world = Simulation::new(3, 1, 12);
+        world.prepare(prepare);
+        for n in 0..30 {
+            world.send(2500 + 20 * n as u64, n % 3, "plain", &[Behavior::Unreachable], 50_000);
+        }
+        world.act(4000, Action::Retire(retired));
+        world.run(7000);
+        assert_eq!(world.retirement_state(retired), Some(RetirementState::Empty));
+        world.act(7001, Action::Remove(retired));
+        world.act(7300, Action::Add);
+        world.act(16_000, Action::Inject(lost, Fault::DiskLoss));
+        world.run(25_000);
+        assert!(world.says_fully_replicated(), "{retired} retired, {lost} lost its disk");
+        world.check_disks(2);
+    }
+}
