--- a/crates/queue/tests/random_series.rs
+++ b/crates/queue/tests/random_series.rs
@@ -121,7 +121,7 @@
         log.push(strike(&mut world, &mut dice, replicas));
         wait_for_repair(&mut world, replicas);
     }
-    world.run(2500 + INTERVAL_MS * MESSAGES + 40_000);
+    world.run(2500 + INTERVAL_MS * MESSAGES + 70_000);
     world.check(true);
     world.check_replicas();
 }
