--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -118,14 +118,17 @@
         if self.end_replication.under_replicated.is_empty() {
             return self.ends_replicated(now);
         }
-        if self.end_replication.under_replicated_since.is_none() {
+        // What ends after a loss with a holder that is not certain is copied too, and is too little to be told each time.
+        if self.end_replication.under_replicated_since.is_none()
+            && !self.end_replication.lost_stores.is_empty()
+        {
             let ends = self.end_replication.under_replicated.len();
             tracing::info!(ends, "ends lie on too few disks: they are copied to other stores");
             self.end_replication.under_replicated_since = Some(now);
         }
         let keys = self.next_ends_to_check();
         let mut batches = EndBatches::default();
-        let mut next_look_from = None;
+        let mut next_look_from = keys.last().copied().filter(|_| keys.len() == MAX_ENDS_PER_CHECK);
         for key in keys {
             if !batches.has_room() {
                 next_look_from = Some(key);
