--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -101,12 +101,14 @@
         let batch: Vec<u64> =
             seeds.by_ref().take(soak.jobs.clamp(1, u64::from(SIDE_BY_SIDE)) as usize).collect();
         let played: Vec<Plain<bool>> = std::thread::scope(|scope| {
-            let begin = |(place, seed): (usize, &u64)| {
-                let series = Series { seed: *seed, place: place as u8, faults: soak.faults, keep };
+            let begin = |seed: &u64| {
+                // The stand-ins of a fleet listen until the program ends: the next fleets get addresses of their own.
+                let place = (*seed - soak.seed) as u8;
+                let series = Series { seed: *seed, place, faults: soak.faults, keep };
                 let home = home.join(format!("seed-{seed}"));
                 scope.spawn(move || series.prove(program, &home, net))
             };
-            let begun: Vec<_> = batch.iter().enumerate().map(begin).collect();
+            let begun: Vec<_> = batch.iter().map(begin).collect();
             let panicked = || Err("a series ended by a panic".to_string());
             begun.into_iter().map(|thread| thread.join().unwrap_or_else(|_| panicked())).collect()
         });
@@ -127,7 +129,7 @@
 /// The series of one seed, on a fleet of its own.
 struct Series {
     seed: u64,
-    /// Which of the fleets that run side by side.
+    /// Which of the fleets of this run.
     place: u8,
     faults: usize,
     keep: bool,
