Queue: a retiring store doesn't transfer ends whose callback is pending

Cause: the end was transferred to a store that never had the message, and was kept there as one whose callback is delivered; when the new owner made its replica there, that store said so, and the callback was dropped: an answer given by one who can't know. Change: only ends that are done with are transferred; one whose callback is pending is its owner's to replicate, whole.

--- a/crates/queue/src/end_holders.rs
+++ b/crates/queue/src/end_holders.rs
@@ -23,6 +23,7 @@
             self.remove_end_holder(key, node);
         }
         self.note_under_replicated_end(key);
+        self.end_replication.mark_incomplete();
     }
 
     /// The disk of a store is lost, or the store was away for so long that what it holds is made anew elsewhere.
--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -71,7 +71,9 @@
         }
         let mut is_complete = true;
         let mut batches = EndBatches::default();
-        for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.end.is_some()) {
+        // One whose callback is pending is its owner's to replicate, whole: a store that has the end alone takes the callback for
+        // delivered.
+        for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.is_settled()) {
             let confirmed = stores.iter().filter(|node| self.end_replication.is_confirmed(**node, *key));
             let lacking = wanted.saturating_sub(confirmed.count());
             if lacking == 0 {
--- a/crates/queue/tests/retirement.rs
+++ b/crates/queue/tests/retirement.rs
@@ -59,3 +59,20 @@
     assert_eq!(world.retirement_state(0), Some(RetirementState::Empty));
     world.check_replicas_without(0);
 }
+
+/// Messages have ended and their call-backs are owed when their store is emptied: a store that is told of such an end and never
+/// had the message cannot say that the call-back was delivered.
+#[test]
+fn callbacks_that_are_owed_by_a_store_that_is_emptied_are_delivered() {
+    for retired_at in (2520..2900).step_by(20) {
+        let mut world = Simulation::new(4, 1, retired_at);
+        world.callbacks_fail_until = 8000;
+        for n in 0..12 {
+            world.send(2500 + 20 * n, 0, "plain", &[Behavior::Succeeds], 0);
+        }
+        world.act(retired_at, Action::Retire(0));
+        world.act(retired_at + 4000, Action::Remove(0));
+        world.run(40_000);
+        world.check(true);
+    }
+}
