Store: count the fence from the control group's own contact, not from a cut-off node's answer

A store that loses its control node at a cut begins a session with the one in its own half, which answers until it knows after 1.8 s that it is cut off itself. The fence counted from that answer and rose 3.1 s after the cut, not 2.0 s. Change: an update says how old the control node's contact with a majority is (last field, absent from earlier releases); the fence counts 1.9 s from it beside 1.5 s from the last answer. Stores are answered at once when contact is fresh again. The course halves sends messages that fall due in the second that counts.

--- a/crates/control-group/src/control_group.rs
+++ b/crates/control-group/src/control_group.rs
@@ -183,8 +183,17 @@
     /// Whether what this node tells others is recent: it holds the lease itself, or it was in contact with a primary that did
     /// less than two grace periods ago.
     pub fn is_in_contact(&self, now: Millis) -> bool {
+        self.last_contact(now).is_some()
+    }
+
+    /// Since when this node can't know whether others have gone on without it: the last instant at which it heard a majority as
+    /// primary, or a primary that did. `None` if it is not in contact.
+    pub fn last_contact(&self, now: Millis) -> Option<Millis> {
+        if self.is_awaiting_view() {
+            return None;
+        }
         let span = 2 * self.settings.grace_period_ms;
-        !self.is_awaiting_view() && (self.holds_lease(now) || self.primary_contact.is_within(now, span))
+        self.majority_heard_at(now).or_else(|| self.primary_contact.within(now, span))
     }
 
     /// The primary of the newest view that is known here.
--- a/crates/control-group/src/primary/lease.rs
+++ b/crates/control-group/src/primary/lease.rs
@@ -22,6 +22,22 @@
         is_majority(&view.voters, with_own) && !self.may_exit
     }
 
+    /// When this node, as primary with the lease, sent the newest heartbeat that a majority has acknowledged.
+    pub(crate) fn majority_heard_at(&self, now: Millis) -> Option<Millis> {
+        let (Role::Primary(leadership), Some(view)) = (&self.role, &self.view) else { return None };
+        if !self.holds_lease(now) {
+            return None;
+        }
+        let voters = view.voters.iter().filter(|voter| **voter != self.settings.node_id);
+        let mut acked: Vec<Millis> =
+            voters.filter_map(|voter| leadership.acked.get(voter).copied()).collect();
+        acked.sort_unstable_by(|left, right| right.cmp(left));
+        // This node is one of the majority. With no other voter needed it is always in contact with itself.
+        let others_needed = view.voters.len() / 2;
+        let Some(last_needed) = others_needed.checked_sub(1) else { return Some(now) };
+        acked.get(last_needed).copied()
+    }
+
     fn lease_period(&self) -> Millis {
         if self.planted(Planted::ThinMargin) {
             return self.settings.grace_period_ms - FAULTY_MARGIN;
--- a/crates/control-group/src/primary_contact.rs
+++ b/crates/control-group/src/primary_contact.rs
@@ -51,8 +51,8 @@
         self.unconfirmed.clear();
     }
 
-    /// Whether there was contact less than this span ago.
-    pub fn is_within(&self, now: Millis, span: Millis) -> bool {
-        self.confirmed_at.is_some_and(|at| now < at + span)
+    /// The last acknowledgement that a primary confirmed, if that was less than this span ago.
+    pub fn within(&self, now: Millis, span: Millis) -> Option<Millis> {
+        self.confirmed_at.filter(|at| now < at + span)
     }
 }
--- a/crates/control-group/tests/protocol_rules.rs
+++ b/crates/control-group/tests/protocol_rules.rs
@@ -198,7 +198,8 @@
     assert!(!node.is_in_contact(1001), "nothing says that the primary holds the lease");
     deliver(&mut node, 1200, 1, heartbeat(250, Some(50)));
     assert!(node.is_in_contact(2799) && !node.is_in_contact(2801), "sent after the ack at 1000");
-    // The primary is cut off with this node, and goes on unknown_leader.
+    assert_eq!(node.last_contact(1300), Some(1000));
+    // The primary is cut off with this node, and goes on without its lease.
     (1..10).for_each(|i| {
         deliver(&mut node, 1200 + i * 200, 1, heartbeat(250 + i * 200, None));
     });
--- a/crates/queue/src/control_contact.rs
+++ b/crates/queue/src/control_contact.rs
@@ -7,4 +7,18 @@
     pub is_heard: bool,
     /// The last answer is so old that the control nodes may declare this store's session lapsed.
     pub session_may_have_lapsed: bool,
+    /// The control node that answers may itself be cut off from the others, for so long that these may have listed this store as
+    /// gone.
+    pub group_may_be_lost: bool,
+}
+
+impl ControlContact {
+    /// As long as control nodes answer and hear one another.
+    pub const FULL: ControlContact =
+        ControlContact { is_heard: true, session_may_have_lapsed: false, group_may_be_lost: false };
+
+    /// Whether other stores may have been told that this one is gone.
+    pub(crate) fn may_be_listed_as_gone(self) -> bool {
+        self.session_may_have_lapsed || self.group_may_be_lost || !self.is_heard
+    }
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -164,7 +164,7 @@
 
     fn empty(settings: QueueSettings, now: Millis, wall_clock_ms: u64) -> Queue {
         Queue {
-            control_contact: ControlContact { is_heard: true, session_may_have_lapsed: false },
+            control_contact: ControlContact::FULL,
             metrics: QueueMetrics::default(),
             entries: HashMap::new(),
             live_by_owner: BTreeSet::new(),
--- a/crates/queue/src/replication/fence.rs
+++ b/crates/queue/src/replication/fence.rs
@@ -22,7 +22,7 @@
     /// After a long freeze it does not matter whether they are heard: what they sent before they gave this store up may be read
     /// first, and the ends of their connections later.
     pub(crate) fn update_fence(&mut self, now: Millis, was_frozen: bool, was_frozen_long: bool) {
-        let is_cut_off = self.control_contact.session_may_have_lapsed || !self.control_contact.is_heard;
+        let is_cut_off = self.control_contact.may_be_listed_as_gone();
         let may_have_given_up = |peer: &Peer| {
             let missed_since = peer.connection_changed_at;
             peer.is_member
--- a/crates/queue/tests/single_store.rs
+++ b/crates/queue/tests/single_store.rs
@@ -462,6 +462,20 @@
     assert_eq!(attempts(&one.pass(110)).len(), 1);
 }
 
+/// A control node that is cut off together with the store goes on answering it, while the others may have listed it as gone.
+#[test]
+fn a_store_without_its_peers_and_with_a_control_node_that_may_be_cut_off_starts_nothing() {
+    for (group_may_be_lost, started) in [(false, 1), (true, 0)] {
+        let mut one = SingleStore::ready(StateTable::default());
+        let (key, to) = copies(&one.put(1, Message { delay_ms: 3000, ..message("plain") }))[0];
+        one.note(to, PeerMessage::Replicated(vec![key]));
+        [B, C].into_iter().for_each(|other| one.queue.peer_disconnected(one.now, other));
+        one.queue.control_contact.group_may_be_lost = group_may_be_lost;
+        let sent: usize = (0..35).map(|_| attempts(&one.pass(100)).len()).sum();
+        assert_eq!(sent, started, "may be lost: {group_may_be_lost}");
+    }
+}
+
 /// Two that both take themselves for the holder would together hand out more than the ceiling.
 #[test]
 fn tokens_from_a_store_that_is_not_their_holder_are_rejected_and_counted() {
--- a/crates/registry/src/lib.rs
+++ b/crates/registry/src/lib.rs
@@ -19,6 +19,7 @@
 
 mod effect;
 mod executors;
+mod group_contact;
 mod membership;
 mod messages;
 mod polls;
@@ -27,6 +28,7 @@
 
 pub use effect::RegistryEffect;
 pub use executors::{ExecutorRecord, FINAL_SEQUENCE, HEARTBEAT_GOSSIP_INTERVAL, HOLDER_REFRESH_INTERVAL};
+pub use group_contact::GroupContact;
 pub use membership::{Session, SESSION_GRACE};
 pub use messages::{
     ExecutorState, Heartbeat, Member, MembershipUpdate, Millis, NodeId, NodeRole, RetirementState,
--- a/crates/registry/src/messages.rs
+++ b/crates/registry/src/messages.rs
@@ -1,7 +1,8 @@
 //! The messages and identifiers that control nodes, other nodes and executors exchange about who is present.
 //!
 //! Everything here that is `Serialize` travels as postcard, which encodes by the order of fields and variants: never reorder,
-//! add or remove one. `tests/wire_bytes.rs` fixes the bytes.
+//! add or remove one. Only a frame's last field may be added, if it can be absent: earlier releases don't read it.
+//! `tests/wire_bytes.rs` fixes the bytes.
 
 use serde::{Deserialize, Serialize};
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -123,4 +124,13 @@
     pub members: Option<Vec<Member>>,
     /// Executors; empty for nodes that are not stores.
     pub executors: Vec<Heartbeat>,
+    /// How long ago the control node last knew that it is not cut off from the others, in milliseconds. Control nodes of earlier
+    /// releases don't say: then 0.
+    #[serde(deserialize_with = "zero_if_absent")]
+    pub contact_age_ms: u64,
+}
+
+/// Reads the last field of a frame, which earlier releases don't send.
+fn zero_if_absent<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    Ok(u64::deserialize(deserializer).unwrap_or_default())
 }
--- a/crates/registry/src/polls.rs
+++ b/crates/registry/src/polls.rs
@@ -27,6 +27,7 @@
     pub executors_changed_in: u64,
     pub config_version: u64,
     pub is_ready: bool,
+    pub is_contact_fresh: bool,
 }
 
 /// The waiting polls, at most one of each node.
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -2,6 +2,7 @@
 
 use crate::effect::RegistryEffect;
 use crate::executors::{ExecutorRecord, ExecutorTable, HEARTBEAT_GOSSIP_INTERVAL, HOLDER_REFRESH_INTERVAL};
+use crate::group_contact::GroupContact;
 use crate::membership::{Membership, Session};
 use crate::messages::{
     ExecutorState, Heartbeat, Member, MembershipUpdate, Millis, NodeId, NodeRole, RetirementState,
@@ -45,6 +46,8 @@
     /// Connected control nodes that take this one's word for what it holds.
     holder_aware_peers: BTreeSet<NodeId>,
     next_expiry_check: Millis,
+    /// Whether contact with the other control nodes was fresh in the last turn.
+    was_contact_fresh: bool,
     effects: Vec<RegistryEffect>,
 }
 
@@ -63,6 +66,7 @@
             next_holder_refresh: now + HOLDER_REFRESH_INTERVAL,
             holder_aware_peers: BTreeSet::new(),
             next_expiry_check: now,
+            was_contact_fresh: true,
             effects: Vec::new(),
         }
     }
@@ -201,8 +205,8 @@
         self.membership.session_disconnected(now, node);
     }
 
-    /// Does what is due. `is_in_contact` says whether this node is the primary or hears it.
-    pub fn tick(&mut self, now: Millis, is_in_contact: bool, config: Option<CommittedConfig>) {
+    /// Does what is due. `contact` says whether this node is the primary or hears it.
+    pub fn tick(&mut self, now: Millis, contact: GroupContact, config: Option<CommittedConfig>) {
         if !self.is_ready && now >= self.ready_at {
             self.is_ready = true;
             self.version.advance();
@@ -210,12 +214,12 @@
         }
         if now >= self.next_expiry_check {
             self.next_expiry_check = now + EXPIRY_CHECK_INTERVAL;
-            self.executors.expire(&mut self.version, now, is_in_contact);
+            self.executors.expire(&mut self.version, now, !contact.is_lost());
             self.membership.invalidate();
         }
         self.membership.refresh(&mut self.version, now);
         self.broadcast(now);
-        self.answer_polls(now, is_in_contact, config);
+        self.answer_polls(now, contact, config);
     }
 
     /// When [`tick`](Registry::tick) has to be called at the latest.
@@ -262,17 +266,25 @@
         }
     }
 
-    fn answer_polls(&mut self, now: Millis, is_in_contact: bool, config: Option<CommittedConfig>) {
+    fn answer_polls(&mut self, now: Millis, contact: GroupContact, config: Option<CommittedConfig>) {
+        let was_fresh = std::mem::replace(&mut self.was_contact_fresh, contact.is_fresh());
+        // Stores may be about to stop for want of contact: they are told at once that it is there again.
+        let is_contact_renewed = contact.is_fresh() && !was_fresh;
         let state = AnswerableState {
             members_changed_in: self.membership.changed_in(),
             executors_changed_in: self.executors.changed_in(),
             config_version: config.map_or(0, |config| config.version),
             is_ready: self.is_ready,
+            is_contact_fresh: contact.is_fresh(),
         };
-        let is_partitioned = !is_in_contact && self.is_ready;
+        let is_partitioned = contact.is_lost() && self.is_ready;
         let timeout = if is_partitioned { PARTITIONED_POLL_TIMEOUT } else { LONG_POLL_TIMEOUT };
         let incarnation = self.incarnation;
-        let is_due = |poll: &Poll| now >= poll.received + timeout || is_answerable(poll, incarnation, &state);
+        let is_due = |poll: &Poll| {
+            now >= poll.received + timeout
+                || is_answerable(poll, incarnation, &state)
+                || (is_contact_renewed && poll.role == NodeRole::Store)
+        };
         for node in self.polls.due(now, timeout, state, is_due) {
             let Some(poll) = self.polls.remove(node) else { continue };
             let newer = config.filter(|config| config.version > poll.config_version);
@@ -280,7 +292,7 @@
             let update = if is_partitioned && body.is_none() {
                 MembershipUpdate { is_partitioned: true, ..MembershipUpdate::default() }
             } else {
-                self.update_for(now, &poll, body)
+                MembershipUpdate { contact_age_ms: contact.age_ms(), ..self.update_for(now, &poll, body) }
             };
             self.effects.push(RegistryEffect::SendUpdate { to: node, update });
         }
@@ -304,6 +316,7 @@
             config,
             members: has_new_members.then(|| self.members().to_vec()),
             executors: if is_store { self.executors_since(now, since, has_own_version) } else { Vec::new() },
+            contact_age_ms: 0,
         }
     }
 
--- a/crates/registry/tests/departures.rs
+++ b/crates/registry/tests/departures.rs
@@ -8,7 +8,7 @@
 fn control_node(node: NodeId) -> Registry {
     let mut registry = Registry::new(member(node, NodeRole::Control), u64::from(node), 1200, 0);
     registry.peer_connected(0, member(node + 1, NodeRole::Control));
-    registry.tick(3000, true, None);
+    registry.tick(3000, GroupContact::NOW, None);
     registry.take_effects();
     registry
 }
@@ -23,7 +23,7 @@
 
 /// What a control node tells the others of executors.
 fn broadcasts(registry: &mut Registry, now: Millis) -> Vec<Heartbeat> {
-    registry.tick(now, true, None);
+    registry.tick(now, GroupContact::NOW, None);
     let effects = registry.take_effects().into_iter();
     let heartbeats = effects.filter_map(|effect| match effect {
         RegistryEffect::SendHeartbeats { heartbeats, .. } => Some(heartbeats),
@@ -72,8 +72,8 @@
 fn an_executor_that_was_only_silent_is_back_with_its_next_heartbeat() {
     let mut registry = control_node(1);
     registry.record_heartbeat(3000, heartbeat(4));
-    registry.tick(9000, true, None);
-    registry.tick(15_000, true, None);
+    registry.tick(9000, GroupContact::NOW, None);
+    registry.tick(15_000, GroupContact::NOW, None);
     assert!(!is_serving(&registry));
     registry.record_heartbeat(15_100, heartbeat(5));
     assert!(is_serving(&registry));
--- a/crates/registry/tests/holders.rs
+++ b/crates/registry/tests/holders.rs
@@ -117,9 +117,10 @@
     }
 
     fn tick(&mut self, node: usize) {
-        let is_in_contact = !self.isolated.contains(&node);
+        let is_isolated = self.isolated.contains(&node);
+        let contact = if is_isolated { GroupContact::Lost } else { GroupContact::NOW };
         let Some(registry) = &mut self.control_nodes[node] else { return };
-        registry.tick(self.now, is_in_contact, None);
+        registry.tick(self.now, contact, None);
         for effect in registry.take_effects() {
             self.deliver(node, effect);
         }
--- a/crates/registry/tests/registry.rs
+++ b/crates/registry/tests/registry.rs
@@ -9,7 +9,7 @@
 /// A control node whose table of executors is complete, at 3 s.
 fn ready() -> Registry {
     let mut registry = Registry::new(member(1, NodeRole::Control), 77, 1200, 0);
-    registry.tick(3000, true, None);
+    registry.tick(3000, GroupContact::NOW, None);
     registry.take_effects();
     registry
 }
@@ -32,10 +32,10 @@
     let id = node.node;
     let (incarnation, version) = last.map_or((0, 0), |n| (n.incarnation, n.version));
     registry.record_poll(now, node, incarnation, version);
-    registry.tick(now, true, None);
+    registry.tick(now, GroupContact::NOW, None);
     let mut update = update_to(registry.take_effects(), id);
     if update.is_none() {
-        registry.tick(until, true, None);
+        registry.tick(until, GroupContact::NOW, None);
         update = update_to(registry.take_effects(), id);
     }
     update
@@ -82,11 +82,11 @@
         .expect("after a while");
     assert!(none.executors.is_empty() && none.members.is_none() && !none.is_complete);
     registry.record_poll(4000, member(9, NodeRole::Store), none.incarnation, none.version);
-    registry.tick(4001, true, None);
+    registry.tick(4001, GroupContact::NOW, None);
     assert_matches!(update_to(registry.take_effects(), 9), None);
     registry.peer_connected(4001, member(2, NodeRole::Control));
     registry.record_heartbeat(4002, heartbeat("a", 1, 2, ExecutorState::Draining));
-    registry.tick(4002, true, None);
+    registry.tick(4002, GroupContact::NOW, None);
     let effects = registry.take_effects();
     assert!(effects.iter().any(
         |e| matches!(e, RegistryEffect::SendHeartbeats { heartbeats, .. } if heartbeats[0].state == ExecutorState::Draining)
@@ -116,7 +116,7 @@
         1001,
         vec![heartbeat("a", 1, 5, ExecutorState::Serving), heartbeat("b", 2, 5, ExecutorState::Serving)],
     );
-    registry.tick(1400, true, None);
+    registry.tick(1400, GroupContact::NOW, None);
     registry.take_effects();
     let update = poll(&mut registry, 1401, member(9, NodeRole::Store), Some(&last), 1401).expect("at once");
     assert!(update.is_complete && update.executors.len() == 2);
@@ -124,27 +124,66 @@
 
 #[test]
 fn a_silent_executor_goes_offline_unless_this_node_is_partitioned() {
-    for (in_touch, want) in [(true, 0), (false, 1)] {
+    for (contact, want) in [(GroupContact::NOW, 0), (GroupContact::Lost, 1)] {
         let mut registry = ready();
         registry.record_heartbeat(3000, heartbeat("a", 1, 1, ExecutorState::Serving));
         for now in (3000..9000).step_by(100) {
-            registry.tick(now, in_touch, None);
+            registry.tick(now, contact, None);
         }
         let serving = registry.executors().filter(|k| k.heartbeat.state == ExecutorState::Serving).count();
-        assert_eq!(serving, want, "in touch: {in_touch}");
+        assert_eq!(serving, want, "{contact:?}");
     }
 }
 
+#[test]
+fn an_update_says_how_old_the_contact_with_the_other_control_nodes_is() {
+    let mut registry = ready();
+    let first = poll(&mut registry, 3001, member(9, NodeRole::Store), None, 3001).expect("an update");
+    assert_eq!(first.contact_age_ms, 0);
+    registry.record_poll(3100, member(9, NodeRole::Store), first.incarnation, first.version);
+    registry.tick(3100 + LONG_POLL_TIMEOUT, GroupContact::Held { age: 1300 }, None);
+    assert_eq!(update_to(registry.take_effects(), 9).expect("when the poll times out").contact_age_ms, 1300);
+}
+
+#[test]
+fn a_store_is_told_at_once_of_contact_that_is_there_again_and_no_other_node() {
+    let mut registry = ready();
+    let nodes = [(8, NodeRole::Edge), (9, NodeRole::Store)];
+    nodes.iter().for_each(|(node, role)| registry.record_poll(3001, member(*node, *role), 0, 0));
+    // The store is listed by then.
+    registry.tick(3500, GroupContact::NOW, None);
+    registry.take_effects();
+    for (node, role) in nodes {
+        let first = poll(&mut registry, 3500, member(node, role), None, 3500).expect("an update");
+        registry.record_poll(3600, member(node, role), first.incarnation, first.version);
+    }
+    let mut receivers = |now, age| {
+        registry.tick(now, GroupContact::Held { age }, None);
+        let updates = registry.take_effects().into_iter().filter_map(|effect| match effect {
+            RegistryEffect::SendUpdate { to, update } => Some((to, update.contact_age_ms)),
+            _ => None,
+        });
+        updates.collect::<Vec<_>>()
+    };
+    assert_eq!(receivers(3700, 1000), []);
+    assert_eq!(receivers(3800, 200), [(9, 200)]);
+    assert_eq!(receivers(3900, 300), []);
+}
+
 #[test]
 fn a_partitioned_control_node_says_so_and_sends_nothing_stale() {
     let mut registry = ready();
     let first = poll(&mut registry, 3001, member(9, NodeRole::Edge), None, 3001).expect("an update");
     registry.record_poll(3100, member(9, NodeRole::Edge), first.incarnation, first.version);
-    registry.tick(3100 + PARTITIONED_POLL_TIMEOUT, false, None);
+    registry.tick(3100 + PARTITIONED_POLL_TIMEOUT, GroupContact::Lost, None);
     assert!(update_to(registry.take_effects(), 9).expect("soon").is_partitioned);
     // A configuration that the node lacks is sent all the same: it was committed, however long ago.
     registry.record_poll(4000, member(9, NodeRole::Edge), first.incarnation, first.version);
-    registry.tick(4000 + PARTITIONED_POLL_TIMEOUT, false, Some(CommittedConfig { version: 3, body: b"{}" }));
+    registry.tick(
+        4000 + PARTITIONED_POLL_TIMEOUT,
+        GroupContact::Lost,
+        Some(CommittedConfig { version: 3, body: b"{}" }),
+    );
     let update = update_to(registry.take_effects(), 9).expect("soon");
     assert!(!update.is_partitioned && update.config.is_some());
 }
@@ -154,18 +193,18 @@
     let (mut here, mut there) = (ready(), ready());
     let stores = |r: &Registry| r.members().iter().filter(|m| m.role == NodeRole::Store).count();
     here.record_poll(3000, member(9, NodeRole::Store), 0, 0);
-    here.tick(3000, true, None);
+    here.tick(3000, GroupContact::NOW, None);
     let sessions = here.take_effects().into_iter().find_map(|e| match e {
         RegistryEffect::BroadcastSessions(all) => Some(all),
         _ => None,
     });
     there.record_peer_sessions(3001, 1, sessions.expect("broadcast at once"));
-    there.tick(3001, true, None);
+    there.tick(3001, GroupContact::NOW, None);
     assert_eq!((stores(&here), stores(&there)), (1, 1));
     here.session_disconnected(3100, 9);
-    here.tick(3100 + SESSION_GRACE - 100, true, None);
+    here.tick(3100 + SESSION_GRACE - 100, GroupContact::NOW, None);
     assert_eq!(stores(&here), 1);
-    here.tick(3100 + SESSION_GRACE + 300, true, None);
+    here.tick(3100 + SESSION_GRACE + 300, GroupContact::NOW, None);
     // Broadcast as soon as it no longer counts. Where no broadcast arrives, it counts as long as its control node is heard.
     let update = here
         .take_effects()
@@ -173,17 +212,17 @@
         .any(|e| matches!(e, RegistryEffect::BroadcastSessions(all) if all.is_empty()));
     assert!(update);
     there.peer_heard(1, 4000);
-    there.tick(4000 + SESSION_GRACE + HEARTBEAT_GOSSIP_INTERVAL - 1, true, None);
+    there.tick(4000 + SESSION_GRACE + HEARTBEAT_GOSSIP_INTERVAL - 1, GroupContact::NOW, None);
     assert_eq!((stores(&here), stores(&there)), (0, 1));
-    there.tick(4000 + SESSION_GRACE + HEARTBEAT_GOSSIP_INTERVAL + 300, true, None);
+    there.tick(4000 + SESSION_GRACE + HEARTBEAT_GOSSIP_INTERVAL + 300, GroupContact::NOW, None);
     assert_eq!(stores(&there), 0);
     // A reconnect within the grace period changes no list.
     here.record_poll(6000, member(9, NodeRole::Store), 0, 0);
-    here.tick(6000, true, None);
+    here.tick(6000, GroupContact::NOW, None);
     let before = here.take_effects().len();
     here.session_disconnected(6100, 9);
     here.record_poll(6500, member(9, NodeRole::Store), 77, u64::MAX);
-    here.tick(6500, true, None);
+    here.tick(6500, GroupContact::NOW, None);
     assert!(before > 0 && stores(&here) == 1);
 }
 
@@ -194,7 +233,7 @@
     for node in [7, 8, 9] {
         registry.record_poll(3000, store(node, RetirementState::NotRetiring), 0, 0);
     }
-    registry.tick(3000, true, None);
+    registry.tick(3000, GroupContact::NOW, None);
     assert_eq!(registry.stores_remaining_without(|node| node == 7).count(), 2);
     // Ordered, and not yet confirmed: the caller names it beside the one that is to leave.
     assert_eq!(registry.stores_remaining_without(|node| [7, 8].contains(&node)).count(), 1);
@@ -205,12 +244,12 @@
         2,
         vec![store(8, RetirementState::NotRetiring), store(9, RetirementState::NotRetiring)],
     );
-    registry.tick(6101, true, None);
+    registry.tick(6101, GroupContact::NOW, None);
     assert_eq!(registry.store_named("n8").map(|m| m.retirement), Some(RetirementState::Draining));
     assert_eq!(registry.stores_remaining_without(|node| node == 7).count(), 1);
     registry.record_poll(6200, store(8, RetirementState::Complete), 0, 0);
     registry.record_peer_sessions(6201, 2, vec![store(8, RetirementState::Draining)]);
-    registry.tick(6201, true, None);
+    registry.tick(6201, GroupContact::NOW, None);
     assert_eq!(registry.store_named("n8").map(|m| m.retirement), Some(RetirementState::Complete));
 }
 
@@ -220,7 +259,7 @@
     let mut registry = ready();
     let (mut lists, mut entries) = (0, 0);
     let mut count = |registry: &mut Registry, now: Millis| {
-        registry.tick(now, true, None);
+        registry.tick(now, GroupContact::NOW, None);
         for effect in registry.take_effects() {
             if let RegistryEffect::BroadcastSessions(all) = effect {
                 (lists, entries) = (lists + 1, entries + all.len());
@@ -254,7 +293,7 @@
         for node in 0..20 {
             registry.record_poll(now, member(10 + node, NodeRole::Edge), 77, last_change);
         }
-        registry.tick(now, true, None);
+        registry.tick(now, GroupContact::NOW, None);
         for effect in registry.take_effects() {
             let RegistryEffect::SendUpdate { to: 10, update } = effect else { continue };
             last_change = update.version;
@@ -296,14 +335,14 @@
     let stores = |r: &Registry| r.members().iter().filter(|m| m.role == NodeRole::Store).count();
     registry.peer_connected(3000, member(2, NodeRole::Control));
     registry.record_peer_sessions(3000, 2, vec![member(8, NodeRole::Store)]);
-    registry.tick(3000, true, None);
+    registry.tick(3000, GroupContact::NOW, None);
     // This process was suspended: nothing was heard, but the connection still exists.
-    registry.tick(9000, true, None);
+    registry.tick(9000, GroupContact::NOW, None);
     assert_eq!(stores(&registry), 1);
     registry.peer_heard(2, 9000);
     registry.peer_disconnected(9000, 2);
-    registry.tick(10_900, true, None);
+    registry.tick(10_900, GroupContact::NOW, None);
     assert_eq!(stores(&registry), 1);
-    registry.tick(11_300, true, None);
+    registry.tick(11_300, GroupContact::NOW, None);
     assert_eq!(stores(&registry), 0);
 }
--- a/crates/registry/tests/wire_bytes.rs
+++ b/crates/registry/tests/wire_bytes.rs
@@ -116,7 +116,7 @@
 
 #[test]
 fn news_keep_their_bytes() {
-    assert_bytes(&MembershipUpdate::default(), "00000000000000");
+    assert_bytes(&MembershipUpdate::default(), "0000000000000000");
     let full = MembershipUpdate {
         incarnation: 77,
         version: 300,
@@ -125,10 +125,18 @@
         config: Some(vec![0x7b, 0x7d]),
         members: Some(vec![member(NodeRole::Edge, None, RetirementState::Complete)]),
         executors: vec![heartbeat(ExecutorState::Draining)],
+        contact_age_ms: 300,
     };
-    assert_bytes(&full, "4dac02010001027b7d0101848688080773746f72652d3100027a310a01000eac020007020106657865632d31056372616e650a020005903f027a321001c413810128");
+    assert_bytes(&full, "4dac02010001027b7d0101848688080773746f72652d3100027a310a01000eac020007020106657865632d31056372616e650a020005903f027a321001c413810128ac02");
     assert_bytes(
         &MembershipUpdate { is_partitioned: false, is_complete: true, config: None, members: None, ..full },
-        "4dac02000100000106657865632d31056372616e650a020005903f027a321001c413810128",
+        "4dac02000100000106657865632d31056372616e650a020005903f027a321001c413810128ac02",
     );
 }
+
+#[test]
+fn an_update_of_an_earlier_release_has_no_age_of_contact() {
+    let earlier = [0x4d, 0xac, 0x02, 0, 0, 0, 0, 0];
+    let update: MembershipUpdate = postcard::from_bytes(&earlier).expect("decodes");
+    assert_eq!((update.incarnation, update.version, update.contact_age_ms), (77, 300, 0));
+}
--- a/crates/server/src/control_node/retirement/tests.rs
+++ b/crates/server/src/control_node/retirement/tests.rs
@@ -2,6 +2,7 @@
 use crate::protocol::Member;
 use assert_matches::assert_matches;
 use std::net::Ipv4Addr;
+use stileroute_registry::GroupContact;
 
 fn store(name: &str, retirement: RetirementState) -> Member {
     Member {
@@ -29,7 +30,7 @@
     for (name, retiring) in stores {
         registry.record_poll(now, store(name, *retiring), 0, 0);
     }
-    registry.tick(now, true, None);
+    registry.tick(now, GroupContact::NOW, None);
     registry.take_effects();
     registry
 }
--- a/crates/server/src/control_plane.rs
+++ b/crates/server/src/control_plane.rs
@@ -7,7 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use stileroute_control_group::{ControlGroup, Effect};
 use stileroute_queue::Node;
-use stileroute_registry::{CommittedConfig, Registry, RegistryEffect};
+use stileroute_registry::{CommittedConfig, GroupContact, Registry, RegistryEffect};
 
 /// How often the registry learns when the other control nodes were last heard, in ms.
 const PEER_CONTACT_INTERVAL: Millis = 200;
@@ -113,7 +113,7 @@
 
     /// Lets the registry do what is due, and sends what it has for other nodes.
     pub fn publish(&mut self, links: &mut Links, net: &mut Net, now: Millis) {
-        let is_in_contact = self.group.is_in_contact(now);
+        let contact = GroupContact::since(self.group.last_contact(now), now);
         if now >= self.next_contact_check {
             self.next_contact_check = now + PEER_CONTACT_INTERVAL;
             for node in links.nodes_with_role(NodeRole::Control) {
@@ -124,7 +124,7 @@
         }
         let in_force = self.group.committed().filter(|state| state.version > 0);
         let in_force = in_force.map(|state| CommittedConfig { version: state.version, body: &state.body });
-        self.registry.tick(now, is_in_contact, in_force);
+        self.registry.tick(now, contact, in_force);
         for effect in self.registry.take_effects() {
             let (receivers, frame) = match effect {
                 RegistryEffect::SendUpdate { to, update } => (vec![to], Frame::Update(update)),
--- a/crates/server/src/node/session.rs
+++ b/crates/server/src/node/session.rs
@@ -9,7 +9,8 @@
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use stileroute_config::Config;
-use stileroute_queue::Node;
+use stileroute_queue::{ControlContact, Node};
+use stileroute_registry::SESSION_GRACE;
 
 /// A control node that has not answered a poll for so long is given up.
 const CONTROL_REPLY_TIMEOUT: Millis = 2000;
@@ -17,6 +18,10 @@
 const SESSION_FRESHNESS: Millis = 2500;
 /// How long a control node that is partitioned from the others is chosen only if there is no other.
 const PARTITIONED_BACKOFF: Millis = 1500;
+/// A control node that is cut off together with this node goes on answering for a while. The others list this node as gone no sooner
+/// than [`SESSION_GRACE`] after they last heard that control node, and other stores take over no sooner than 2 s after they have missed
+/// the connection to this one, which may break in the instant of the cut.
+const GROUP_CONTACT_GRACE: Millis = 1900;
 /// How soon a control node is looked for while there is none.
 const CHOICE_RETRY_INTERVAL: Millis = 100;
 
@@ -42,6 +47,8 @@
     pub established_at: Millis,
     /// When a control node last answered; 0 if none has.
     pub last_update_at: Millis,
+    /// When the control nodes that answered last knew that they were not cut off from the others.
+    last_group_contact_at: Millis,
     /// The members that a control node last told of.
     pub members: Vec<Member>,
     /// How many sessions ended because the control node did not answer or was not connected any more.
@@ -68,6 +75,7 @@
             control_node: None,
             established_at: 0,
             last_update_at: 0,
+            last_group_contact_at: 0,
             members: Vec::new(),
             losses: 0,
             known_control_nodes: Vec::new(),
@@ -218,6 +226,8 @@
             return None;
         }
         self.session.last_update_at = now;
+        let group_contact_at = now.saturating_sub(update.contact_age_ms);
+        self.session.last_group_contact_at = self.session.last_group_contact_at.max(group_contact_at);
         if self.session.established_with.replace(from) != Some(from) {
             self.session.established_at = now;
             let node = self.links.peer(from).map_or("", |peer| peer.name.as_str());
@@ -252,6 +262,17 @@
         Some(config)
     }
 
+    /// What is known of the control nodes, as a store's queue asks for it.
+    pub fn control_contact(&self) -> ControlContact {
+        let now = self.net.now();
+        ControlContact {
+            is_heard: self.has_fresh_session(),
+            // Counted from the last update: the session was alive then, and other nodes count it for so long after its end.
+            session_may_have_lapsed: now >= self.session.last_update_at + SESSION_GRACE,
+            group_may_be_lost: now >= self.session.last_group_contact_at + GROUP_CONTACT_GRACE,
+        }
+    }
+
     /// Whether a control node has answered lately.
     pub fn has_fresh_session(&self) -> bool {
         let last_update_at = self.session.last_update_at;
--- a/crates/server/src/protocol/tests.rs
+++ b/crates/server/src/protocol/tests.rs
@@ -93,6 +93,7 @@
             heartbeat(ExecutorState::Draining),
             heartbeat(ExecutorState::Offline),
         ],
+        contact_age_ms: 300,
     };
     vec![
         Frame::Hello(peer_info(NodeRole::Edge, None)),
@@ -149,8 +150,8 @@
     ("session", "020180010300"),
     ("session", "020180010301"),
     ("session", "020180010302"),
-    ("session", "0300000000000000"),
-    ("session", "030506010101027b7d010407016e00027a320a000001c80100030007016e01027a320a000001c80100030107016e02027a320a000001c801010a000002bb03030207016e03027a320a000001c8010003000303692d31056372616e650a000001903f017a04004609800103692d31056372616e650a000001903f017a04014609800103692d31056372616e650a000001903f017a040246098001"),
+    ("session", "030000000000000000"),
+    ("session", "030506010101027b7d010407016e00027a320a000001c80100030007016e01027a320a000001c80100030107016e02027a320a000001c801010a000002bb03030207016e03027a320a000001c8010003000303692d31056372616e650a000001903f017a04004609800103692d31056372616e650a000001903f017a04014609800103692d31056372616e650a000001903f017a040246098001ac02"),
     ("taking", "04ac0202696409682e6578616d706c6504504f5354042f743f71010a746578742f706c61696e00010372006bdc0b80d095ffbc31020300ff0a"),
     ("taking", "050100046e616d65"),
     ("taking", "05010100"),
@@ -197,6 +198,16 @@
     assert_eq!(seen, PINNED);
 }
 
+/// Of a release before updates said how old the contact of the control nodes is, which is the last field since.
+#[test]
+fn an_update_of_an_earlier_release_is_read_and_the_present_one_begins_with_the_same_bytes() {
+    let earlier = [3, 77, 44, 0, 0, 0, 0, 0];
+    let update = MembershipUpdate { incarnation: 77, version: 44, ..MembershipUpdate::default() };
+    let present = Frame::Update(update);
+    assert_eq!(postcard::from_bytes::<Frame>(&earlier).as_ref(), Ok(&present));
+    assert_eq!(postcard::to_stdvec(&present).unwrap().split_last(), Some((&0, earlier.as_slice())));
+}
+
 #[test]
 fn a_passed_call_has_the_kind_of_its_name() {
     let calls = [
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -20,7 +20,6 @@
 use departed_executors::DepartedExecutors;
 use std::collections::HashMap;
 use stileroute_queue::{first_number, Key, Node, Queue, QueueSettings, Record, StateTable, ToleratedLosses};
-use stileroute_registry::SESSION_GRACE;
 use stileroute_wal::Options;
 
 /// Name of the log and of its folder.
@@ -120,10 +119,7 @@
             let own_ip = self.runtime.boot.ip;
             self.runtime.update_dial_targets(|store| store.ip > own_ip);
             let now = self.runtime.net.now();
-            self.queue.control_contact.is_heard = self.runtime.has_fresh_session();
-            // Counted from the last update: the session was alive then, and other nodes count it for so long after its end.
-            self.queue.control_contact.session_may_have_lapsed =
-                now >= self.runtime.session.last_update_at + SESSION_GRACE;
+            self.queue.control_contact = self.runtime.control_contact();
             if self.runtime.take_shutdown_request() {
                 self.notify_edges_of_draining();
                 self.queue.begin_draining(now);
--- a/crates/system-test/src/halves.rs
+++ b/crates/system-test/src/halves.rs
@@ -16,6 +16,14 @@
 /// What is sent just before a cut falls due when the smaller half starts nothing more.
 const DELAY_MS: u64 = 4_000;
 const WAITING: u64 = 120;
+/// So long after the cut the first messages fall due that the smaller half must no longer start ([`crate::judge::FENCED`]), and the
+/// last before the larger one takes over.
+const FENCED_DELAYS_MS: std::ops::Range<u64> = 2_400..3_600;
+const FENCED_DELAY_STEP_MS: usize = 100;
+/// So many fall due at each step.
+const DUE_AT_ONCE: u64 = 16;
+/// What was sent at once has been accepted after so long.
+const BURST_MS: u64 = 100;
 /// From then on the smaller half, with one store, accepts nothing, and the larger one everything.
 const SETTLED: Micros = 3 * SECOND;
 /// So many messages are accepted by the larger half in the time that is left, of some 25 a second.
@@ -54,6 +62,7 @@
         let smaller = self.fleet.control(alone);
         let over = Arc::new(AtomicBool::new(false));
         let from = self.recorder.now();
+        self.send_due_behind_the_fence(alone);
         self.fleet.halve(alone, true);
         self.say(&format!("core-{0}, store-{0} and edge-{0} are cut off from the others", alone + 1));
         let other_side = press_on(self, smaller, numbers, &over);
@@ -85,6 +94,14 @@
         Ok(())
     }
 
+    /// Messages to the smaller half that fall due when it may start nothing, and the larger one has not taken over yet.
+    fn send_due_behind_the_fence(&self, alone: usize) {
+        for delay_ms in FENCED_DELAYS_MS.step_by(FENCED_DELAY_STEP_MS) {
+            self.clients.burst(&Plan { delay_ms, ..Plan::to("/alder/") }, alone, DUE_AT_ONCE);
+        }
+        self.sleep(BURST_MS);
+    }
+
     fn record_halving(&self, control: String, from: Micros, to: Micros) {
         let mut history = self.recorder.write();
         history.halvings.push((from, to));
--- a/crates/system-test/src/judge.rs
+++ b/crates/system-test/src/judge.rs
@@ -24,7 +24,7 @@
 
 /// A store that neither the control nodes nor the other stores answer starts nothing so long after it lost them: their
 /// connections count as lost after 1.6 s, it waits 0.4 s more, and a tenth is for what was under way (docs/system.md, "Fencing").
-const FENCED: Micros = SECOND * 21 / 10;
+pub const FENCED: Micros = SECOND * 21 / 10;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Rule {
