Queue: a planted fault for a store that counts on a control node cut off with it

The queue's simulation cuts a store off together with its control node and closes the connections at once.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -11,7 +11,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 22] = [
+const DAYS: [(PlantedFault, Day); 23] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -34,6 +34,7 @@
     (PlantedFault::DroppedConfirmed, loss_scenarios::a_dropped_replica_reaches_the_disk),
     (PlantedFault::ReplicaChosenTwice, loss_scenarios::two_replicas_are_late),
     (PlantedFault::InheritedListTrusted, loss_scenarios::an_inherited_list_is_out_of_date),
+    (PlantedFault::CutOffControlNodeTrusted, a_store_is_cut_off_with_a_control_node),
 ];
 
 fn planted(fault: Option<PlantedFault>) -> Prepare {
@@ -99,6 +100,18 @@
     once(world, 25_000);
 }
 
+/// Its control node answers on. What falls due once it may have been listed as gone is not started by both sides.
+fn a_store_is_cut_off_with_a_control_node(prepare: &Prepare) {
+    const CUT_AT: u64 = 3500;
+    let mut world = world(3, 1, prepare);
+    for n in 0..40 {
+        let sent_at = 2600 + 3 * n;
+        world.send(sent_at, 0, "plain", &[Behavior::Succeeds], CUT_AT + 2050 + 25 * n - sent_at);
+    }
+    world.act(CUT_AT, Action::IsolateWithControlNode(0, 6000));
+    once(world, 25_000);
+}
+
 /// The copy knows the end of what the owner reads as live.
 fn an_end_is_lost_with_the_power(prepare: &Prepare) {
     let mut world = world(3, 1, prepare);
--- a/crates/queue/src/control_contact.rs
+++ b/crates/queue/src/control_contact.rs
@@ -17,7 +17,7 @@
     pub const FULL: ControlContact =
         ControlContact { is_heard: true, session_may_have_lapsed: false, group_may_be_lost: false };
 
-    /// Whether other stores may have been told that this one is gone.
+    /// Whether control nodes that this store can't hear may have listed it as gone.
     pub(crate) fn may_be_listed_as_gone(self) -> bool {
         self.session_may_have_lapsed || self.group_may_be_lost || !self.is_heard
     }
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -55,12 +55,14 @@
     DroppedConfirmed,
     /// Two slow replicas of a message are replaced by one and the same store, which then counts twice.
     ReplicaChosenTwice,
+    /// A store counts on a control node that may be cut off together with it.
+    CutOffControlNodeTrusted,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 26] = [
+    pub const ALL: [PlantedFault; 27] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -87,5 +89,6 @@
         PlantedFault::GoneReplicasCounted,
         PlantedFault::DroppedConfirmed,
         PlantedFault::ReplicaChosenTwice,
+        PlantedFault::CutOffControlNodeTrusted,
     ];
 }
--- a/crates/queue/src/replication/fence.rs
+++ b/crates/queue/src/replication/fence.rs
@@ -3,6 +3,7 @@
 use super::{RECONCILIATION_LIMIT, TAKEOVER_DELAY};
 use crate::message::Millis;
 use crate::peer::Peer;
+use crate::planted_fault::PlantedFault;
 use crate::queue::Queue;
 
 /// A connection that one side has given up may look open to the other for so long.
@@ -22,7 +23,9 @@
     /// After a long freeze it does not matter whether they are heard: what they sent before they gave this store up may be read
     /// first, and the ends of their connections later.
     pub(crate) fn update_fence(&mut self, now: Millis, was_frozen: bool, was_frozen_long: bool) {
-        let is_cut_off = self.control_contact.may_be_listed_as_gone();
+        let mut contact = self.control_contact;
+        contact.group_may_be_lost &= !self.planted(PlantedFault::CutOffControlNodeTrusted);
+        let is_cut_off = contact.may_be_listed_as_gone();
         let may_have_given_up = |peer: &Peer| {
             let missed_since = peer.connection_changed_at;
             peer.is_member
--- a/crates/queue/tests/simulation/actions.rs
+++ b/crates/queue/tests/simulation/actions.rs
@@ -2,7 +2,38 @@
 
 use super::*;
 
+const LAPSED: ControlContact = ControlContact { session_may_have_lapsed: true, ..ControlContact::FULL };
+const UNHEARD: ControlContact = ControlContact { is_heard: false, ..LAPSED };
+
+/// What a store knows so long after it was cut off. It last heard the control nodes just before.
+const ISOLATED_ALONE: [(u64, ControlContact); 2] = [(1500, LAPSED), (2500, UNHEARD)];
+/// Its control node has an answer for it 1.6 s after the cut, with the age of its own contact.
+const ISOLATED_WITH_CONTROL_NODE: [(u64, ControlContact); 3] = [
+    (1900, ControlContact { group_may_be_lost: true, ..ControlContact::FULL }),
+    (3100, ControlContact { group_may_be_lost: true, ..LAPSED }),
+    (4100, ControlContact { group_may_be_lost: true, ..UNHEARD }),
+];
+
 impl Simulation {
+    /// Cuts a store off; the others' control nodes list it as gone after `lapses_after`.
+    fn isolate(&mut self, at: usize, ms: u64, losses: &[(u64, ControlContact)], lapses_after: u64) {
+        self.note_fault(self.now + ms);
+        let life = self.stores[at].incarnation;
+        self.stores[at].control.is_isolated = true;
+        for other in (0..self.stores.len()).filter(|other| *other != at) {
+            let pair = (at.min(other), at.max(other));
+            self.partitions.insert(pair);
+            if let Some(link) = self.connections.get(&pair).copied() {
+                self.at(5, Event::Disconnect { a: pair.0, b: pair.1, link });
+            }
+        }
+        for (after, contact) in losses {
+            self.at(*after, Event::ControlLost { at, life, contact: *contact });
+        }
+        self.at(lapses_after, Event::SessionLapses { at, life });
+        self.at(ms, Event::IsolationEnds { at, life });
+    }
+
     pub(super) fn perform(&mut self, act: Action) {
         match act {
             Action::Inject(at, fault) => {
@@ -17,23 +48,8 @@
                     self.at(1000, Event::Disconnect { a: pair.0, b: pair.1, link });
                 }
             }
-            Action::Isolate(at, ms) => {
-                self.note_fault(self.now + ms);
-                let life = self.stores[at].incarnation;
-                self.stores[at].control.is_isolated = true;
-                for other in (0..self.stores.len()).filter(|other| *other != at) {
-                    let pair = (at.min(other), at.max(other));
-                    self.partitions.insert(pair);
-                    if let Some(link) = self.connections.get(&pair).copied() {
-                        self.at(5, Event::Disconnect { a: pair.0, b: pair.1, link });
-                    }
-                }
-                // It last heard the control nodes just before.
-                self.at(1500, Event::ControlLost { at, life, lapsed: true });
-                self.at(2500, Event::ControlLost { at, life, lapsed: false });
-                self.at(1700, Event::SessionLapses { at, life });
-                self.at(ms, Event::IsolationEnds { at, life });
-            }
+            Action::Isolate(at, ms) => self.isolate(at, ms, &ISOLATED_ALONE, 1700),
+            Action::IsolateWithControlNode(at, ms) => self.isolate(at, ms, &ISOLATED_WITH_CONTROL_NODE, 1800),
             Action::Reconnect(a, b) => {
                 self.note_fault(self.now);
                 self.partitions.remove(&(a.min(b), a.max(b)));
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -64,12 +64,9 @@
                     });
                 }
             }
-            Event::ControlLost { at, life, lapsed } => {
+            Event::ControlLost { at, life, contact } => {
                 if self.stores[at].incarnation == life && self.stores[at].control.is_isolated {
-                    self.with(at, |queue, _| {
-                        (queue.control_contact.session_may_have_lapsed, queue.control_contact.is_heard) =
-                            (true, lapsed);
-                    });
+                    self.with(at, |queue, _| queue.control_contact = contact);
                 }
             }
             Event::IsolationEnds { at, .. } => self.end_isolation(at),
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -81,7 +81,7 @@
     SessionLapses { at: usize, life: u64 },
     PeerLost { at: usize, other: usize, life: u64 },
     Thaw { at: usize, life: u64 },
-    ControlLost { at: usize, life: u64, lapsed: bool },
+    ControlLost { at: usize, life: u64, contact: ControlContact },
     IsolationEnds { at: usize, life: u64 },
     Act(Action),
 }
@@ -94,6 +94,8 @@
     Reconnect(usize, usize),
     /// Off from all other stores and from the control nodes for so long, and both ends are told so at once.
     Isolate(usize, u64),
+    /// The same together with a control node, which answers until it knows that it is cut off itself.
+    IsolateWithControlNode(usize, u64),
     DiskFull(usize, bool),
     DiskSlow(usize, u64),
     PowerLossOfAll,
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -131,8 +131,7 @@
                 continue;
             }
             if let Some((queue, now)) = self.queue(at) {
-                (queue.control_contact.is_heard, queue.control_contact.session_may_have_lapsed) =
-                    (true, false);
+                queue.control_contact = ControlContact::FULL;
                 queue.set_members(now, &all);
             }
         }
