Queue: lost messages wait for the control group to be heard, and are then taken over

Cause: what an owner lost with its disk was struck off the list of messages to take over when its time came while the control nodes were not heard, and was not listed again, for its owner is back: the comparison of digests 10 s later found it. Change: nothing is struck off before this store may take over. Result: what_an_owner_lost_is_taken_over_when_the_control_group_is_heard_again fails before and passes now.

--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -123,11 +123,10 @@
 
     /// What has to be looked at a few times a second: stores that are gone, messages to take over, replicas, and ends.
     pub(crate) fn check_peers(&mut self, now: Millis) {
-        let may_take_over = self.control_contact.is_heard && self.knows_members;
-        if may_take_over {
+        if self.control_contact.is_heard && self.knows_members {
             self.list_orphans(now);
+            self.take_over_orphans(now);
         }
-        self.take_over_orphans(now, may_take_over);
         self.release_suspended(now);
         self.check_replica_holders(now);
         self.check_retirements(now);
@@ -153,7 +152,7 @@
     }
 
     /// Takes over messages whose owner is not back in time.
-    fn take_over_orphans(&mut self, now: Millis, may_take_over: bool) {
+    fn take_over_orphans(&mut self, now: Millis) {
         for _ in 0..MAX_TAKEOVERS_PER_TURN {
             let due = self.orphans.first().copied().filter(|(at, _)| *at <= now);
             let Some((_, key)) = due else { break };
@@ -162,7 +161,7 @@
             let owner = self.owner_of(key);
             let is_back = self.peers.get(&owner).is_none_or(|peer| peer.is_connected);
             let is_lost = self.lost_by_owner.remove(&key) == Some(owner);
-            if may_take_over && (is_lost || !is_back) {
+            if is_lost || !is_back {
                 self.take_over(now, key);
             }
         }
--- a/crates/queue/tests/single_store.rs
+++ b/crates/queue/tests/single_store.rs
@@ -168,6 +168,17 @@
     assert!(said(&effects, C, |n| matches!(n, PeerMessage::OwnershipChanged(all) if all[0].owner == ME)));
 }
 
+/// The owner is back with an empty disk, and the store that is first in the list does not take over.
+#[test]
+fn what_an_owner_lost_is_taken_over_when_the_control_group_is_heard_again() {
+    let mut one = SingleStore::ready(ledger(&shared(B, vec![C, ME])));
+    one.note(B, PeerMessage::LostWithDisk(vec![Key { origin: B, number: 99 }]));
+    one.queue.control_contact.is_heard = false;
+    assert!(attempts(&one.pass(2000)).is_empty());
+    one.queue.control_contact.is_heard = true;
+    assert_eq!(attempts(&one.pass(600)).len(), 1);
+}
+
 #[test]
 fn a_message_that_was_handed_over_late_expires() {
     let mut one = SingleStore::ready(ledger(&shared(B, vec![ME])));
