--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -3,6 +3,7 @@
 mod churn;
 mod client;
 mod control;
+mod drawn_day;
 mod executor;
 mod fleet;
 mod halves;
@@ -80,6 +81,11 @@
         #[arg(long)]
         keep: bool,
     },
+    /// Prints a day of troubles for the operators' bench, drawn from a seed.
+    DrawDay {
+        #[command(flatten)]
+        plan: drawn_day::DayPlan,
+    },
     /// The same for the control nodes on their worst days: four fleets side by side.
     ProveControl {
         /// Keeps the folders with the logs and disks, and prints all breaches.
@@ -104,6 +110,10 @@
             upgrade::prove(&programs, args.net, rate, keep)
         }
         Command::ProveLosses { soak, keep } => losses::prove(&args.stilerouted, args.net, keep, soak),
+        Command::DrawDay { plan } => {
+            print!("{}", drawn_day::DrawnDay::draw(&plan));
+            Ok(ExitCode::SUCCESS)
+        }
         Command::ProveControl { keep, only } => control::prove(&args.stilerouted, args.net, keep, only),
     };
     match done {
