--- a/crates/node/tests/days.rs
+++ b/crates/node/tests/days.rs
@@ -6,9 +6,9 @@
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
+use stileroute_testbed::executor::{specs, ExecutorModel};
 use stileroute_testbed::experiment::read;
 use stileroute_testbed::faults::Weather;
-use stileroute_testbed::fleet::{specs, Machine};
 use stileroute_testbed::judge::{Answer, Judge, Saw};
 use stileroute_testbed::load::Source;
 use stileroute_testbed::plan::Plan;
@@ -75,7 +75,7 @@
     let (fell, _fallen) = tokio::sync::mpsc::unbounded_channel();
     let executors: Vec<Arc<Executor>> = (0..2)
         .map(|x| {
-            let machine = Machine::new(&plan, specs[x].clone(), 1000, None);
+            let machine = ExecutorModel::new(&plan, specs[x].clone(), 1000, None);
             Executor::start(&world, x, machine, fell.clone()).unwrap()
         })
         .collect();
--- a/crates/testbed/src/faults.rs
+++ b/crates/testbed/src/faults.rs
@@ -1,8 +1,10 @@
 //! The troubles of a day: when each comes and goes, whom it meets, and what all that hold at a moment make of an
 //! executor, of a way through the network, and of the load. No clock and no I/O.
 
-use crate::fleet::{chance, ms, seconds, Condition, Spec};
+use crate::executor::{Condition, ExecutorSpec};
 use crate::plan::{Between, Fault, On, Only, Plan, Set, What};
+use crate::random::generator;
+use crate::time::{ms, seconds};
 use rand::seq::SliceRandom;
 use stileroute_dispatch::types::Time;
 
@@ -95,7 +97,7 @@
 const DRAINS_FOR: f64 = 2.0;
 
 /// The executors that a fault meets, drawn from the seed where it names a part.
-fn executors(on: &On, specs: &[Spec], seed: u64, number: u64) -> Vec<usize> {
+fn executors(on: &On, specs: &[ExecutorSpec], seed: u64, number: u64) -> Vec<usize> {
     let mut picked: Vec<usize> = (0..specs.len()).collect();
     match *on {
         On::All => {}
@@ -121,7 +123,7 @@
 
 fn truncate(picked: &mut Vec<usize>, part: f64, seed: u64, purpose: u64) {
     let count = ((picked.len() as f64 * part).ceil() as usize).max(1);
-    picked.shuffle(&mut chance(seed, purpose));
+    picked.shuffle(&mut generator(seed, purpose));
     picked.truncate(count);
     picked.sort_unstable();
 }
@@ -146,7 +148,7 @@
 
 impl Weather {
     /// The troubles of a plan, with whom they meet drawn from the seed, and their changes in order of time.
-    pub fn new(plan: &Plan, specs: &[Spec], seed: u64) -> (Weather, Vec<Change>) {
+    pub fn new(plan: &Plan, specs: &[ExecutorSpec], seed: u64) -> (Weather, Vec<Change>) {
         let (mut troubles, mut changes) = (Vec::new(), Vec::new());
         for (number, fault) in plan.fault.iter().enumerate() {
             // A plan is checked before it is played, so an unknown name can't come here.
@@ -381,7 +383,7 @@
             [[fault]]\nwhat='release'\nfrom-s=10.0\nfor-s=12.0\non='domain:a'\n\
             [[fault]]\nwhat='errors'\nfrom-s=0.0\nfor-s=30.0\npart=0.5\ncategory='c'\n";
         let plan = read("w.toml", text).unwrap().plan;
-        let specs = crate::fleet::specs(&plan, 1);
+        let specs = crate::executor::specs(&plan, 1);
         let (mut weather, changes) = Weather::new(&plan, &specs, 1);
         let mut seen = Vec::new();
         for change in changes {
--- a/crates/testbed/src/hunt.rs
+++ b/crates/testbed/src/hunt.rs
@@ -1,7 +1,7 @@
 //! Draws days with faults at random, and shrinks one that fails to the smallest that still does.
 
-use crate::fleet::chance;
 use crate::plan::{Between, Fault, Hunt, Only, Plan, PolicyName, What};
+use crate::random::generator;
 use crate::report::Played;
 use crate::run::play_simulated;
 use rand::seq::IndexedRandom;
@@ -140,7 +140,7 @@
     let hunt = plan.hunt.as_ref().ok_or("the experiment has no table 'hunt'")?;
     for day in 0..hunt.days {
         let seed = seed.wrapping_mul(1_000_003).wrapping_add(day as u64);
-        let mut chance = chance(seed, 9);
+        let mut chance = generator(seed, 9);
         let count = chance.random_range(1..=hunt.most_faults);
         let mut drawn = Plan { fault: Vec::new(), ..plan.clone() };
         while drawn.fault.len() < count {
--- a/crates/testbed/src/judge.rs
+++ b/crates/testbed/src/judge.rs
@@ -1,8 +1,9 @@
 //! The judge of the four rules. It keeps a ledger of what clients and executors saw, never of what a node says, and
 //! reads it when the day is over.
 
-use crate::fleet::{ms, seconds, Up};
+use crate::executor::Availability;
 use crate::plan::{EffectName, Group, Plan, What};
+use crate::time::{ms, seconds};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use stileroute_dispatch::types::Time;
@@ -86,7 +87,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Life {
     pub at: Time,
-    pub up: Up,
+    pub up: Availability,
     /// Its latest start, where that is not long past.
     pub started: Option<Time>,
     /// Nothing at it runs on.
@@ -159,7 +160,7 @@
     /// What an executor was at a time.
     pub fn life(&self, executor: usize, at: Time) -> Life {
         let lives = self.lives.get(executor).map_or(&[][..], |lives| lives);
-        let warm = Life { at: Time::MIN, up: Up::Serving, started: None, halted: false };
+        let warm = Life { at: Time::MIN, up: Availability::Serving, started: None, halted: false };
         lives.iter().rfind(|life| life.at <= at).copied().unwrap_or(warm)
     }
 
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -4,9 +4,9 @@
 // Not finished yet: what these lints name is still to be documented or divided.
 #![allow(clippy::missing_errors_doc, clippy::struct_excessive_bools, clippy::too_many_lines, missing_docs)]
 
+pub mod executor;
 pub mod experiment;
 pub mod faults;
-pub mod fleet;
 pub mod hunt;
 pub mod judge;
 pub mod load;
@@ -14,9 +14,11 @@
 pub mod plan;
 pub mod play;
 pub mod policy;
+pub mod random;
 pub mod report;
 pub mod run;
 pub mod settings;
 pub mod sim;
 pub mod stand;
+pub mod time;
 pub mod together;
--- a/crates/testbed/src/load.rs
+++ b/crates/testbed/src/load.rs
@@ -1,8 +1,10 @@
 //! The load: jobs as clients mean them, drawn with the seed. No clock and no I/O.
 
+use crate::executor::ExecutorSpec;
 use crate::faults::Weather;
-use crate::fleet::{chance, ms, Spec};
 use crate::plan::Plan;
+use crate::random::generator;
+use crate::time::ms;
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1, LogNormal, StandardNormal};
 use rand_pcg::Pcg64Mcg;
@@ -48,7 +50,7 @@
 }
 
 impl Source {
-    pub fn new(plan: &Plan, specs: &[Spec], seed: u64) -> Source {
+    pub fn new(plan: &Plan, specs: &[ExecutorSpec], seed: u64) -> Source {
         let capacity: f64 = specs.iter().map(|spec| spec.slots * spec.speed).sum();
         let parts: f64 = plan.category.iter().map(|category| category.part).sum();
         let work = |c: &crate::plan::Category| c.part / parts * c.work_ms * c.slots;
@@ -61,8 +63,8 @@
         Source {
             plan: plan.clone(),
             gap: SECOND as f64 / per_second,
-            chance: chance(seed, 3),
-            front: chance(seed, 4),
+            chance: generator(seed, 3),
+            front: generator(seed, 4),
         }
     }
 
--- a/crates/testbed/src/play/clients.rs
+++ b/crates/testbed/src/play/clients.rs
@@ -3,9 +3,9 @@
 use super::executors::result_of;
 use super::http::{Message, Reader};
 use super::world::{locked, World};
-use crate::fleet::ms;
 use crate::judge::{Answer, Saw};
 use crate::load::{Asked, Source};
+use crate::time::ms;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -238,7 +238,7 @@
                     let after =
                         message.header("retry-after").and_then(|text| text.trim().parse::<f64>().ok());
                     Answer::Nacked(
-                        after.map_or(0, |seconds| crate::fleet::seconds(seconds.clamp(0.0, 3600.0))),
+                        after.map_or(0, |seconds| crate::time::seconds(seconds.clamp(0.0, 3600.0))),
                     )
                 }
                 _ => Answer::DeadLettered,
--- a/crates/testbed/src/play/discovery.rs
+++ b/crates/testbed/src/play/discovery.rs
@@ -4,9 +4,9 @@
 use super::http::{Message, Reader};
 use super::ways::{host_of, listen_for_all, node_of};
 use super::world::{locked, World};
-use crate::fleet::seconds;
 use crate::settings::endpoint;
 use crate::sim::Bears;
+use crate::time::seconds;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
--- a/crates/testbed/src/play/executors.rs
+++ b/crates/testbed/src/play/executors.rs
@@ -2,9 +2,10 @@
 
 use super::http::{Message, Reader};
 use super::world::{locked, span, World};
-use crate::fleet::{ms, Happening, Job, Machine, Up};
+use crate::executor::{Availability, ExecutorEvent, ExecutorModel, Job};
 use crate::judge::{End, Fall, Life, Saw};
 use crate::plan::{EffectName, GaugeName};
+use crate::time::ms;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -28,7 +29,7 @@
 }
 
 struct Inner {
-    machine: Machine,
+    machine: ExecutorModel,
     jobs: HashMap<u64, Out>,
     next: u64,
 }
@@ -61,7 +62,7 @@
     pub fn start(
         world: &Arc<World>,
         number: usize,
-        machine: Machine,
+        machine: ExecutorModel,
         fell: mpsc::UnboundedSender<usize>,
     ) -> Result<Arc<Executor>, String> {
         let listener =
@@ -99,7 +100,7 @@
     }
 
     /// Does something with the machine, and tells whoever it concerns what came of it.
-    fn with<T>(&self, work: impl FnOnce(&mut Machine, Time, &mut Vec<Happening>) -> T) -> T {
+    fn with<T>(&self, work: impl FnOnce(&mut ExecutorModel, Time, &mut Vec<ExecutorEvent>) -> T) -> T {
         let now = self.world.now();
         let mut out = Vec::new();
         let mut inner = locked(&self.inner);
@@ -113,7 +114,7 @@
         result
     }
 
-    fn load(&self, machine: &Machine) -> String {
+    fn load(&self, machine: &ExecutorModel) -> String {
         let gauges = &self.world.plan.fleet.report.gauges;
         let name = |gauge: &GaugeName| match gauge {
             GaugeName::Held => "rif",
@@ -126,26 +127,26 @@
         pairs.collect::<Vec<_>>().join(",")
     }
 
-    fn tell(&self, jobs: &mut HashMap<u64, Out>, now: Time, happening: Happening, load: &str) {
+    fn tell(&self, jobs: &mut HashMap<u64, Out>, now: Time, happening: ExecutorEvent, load: &str) {
         let world = &self.world;
         let x = self.number;
-        if happening.of_handshake() {
+        if happening.is_handshake() {
             return;
         }
         let (id, end, state) = match happening {
-            Happening::Fallen => {
+            ExecutorEvent::Fallen => {
                 locked(&world.ledger).falls.push(Fall { executor: x, at: now });
                 // Its machine is held by the caller; what it is now is known all the same.
                 locked(&world.ledger).lives[x].push(Life {
                     at: now,
-                    up: Up::Fallen,
+                    up: Availability::Fallen,
                     started: None,
                     halted: false,
                 });
                 let _ = self.fell.send(x);
                 return;
             }
-            Happening::Started(id) => {
+            ExecutorEvent::Started(id) => {
                 if let Some(out) = jobs.get(&id) {
                     world.saw(out.op, now, Saw::Began(x));
                     if world.plan.fleet.tells_start {
@@ -155,17 +156,17 @@
                 }
                 return;
             }
-            Happening::Progress(id, share) => {
+            ExecutorEvent::Progress(id, share) => {
                 if let Some(out) = jobs.get(&id) {
                     let text = format!("{{\"state\":\"running\",\"share\":{share:.3}}}\n");
                     let _ = out.lines.send(Line { text, last: false, dies: false });
                 }
                 return;
             }
-            Happening::Done(id) => (id, End::Done, "done"),
-            Happening::Failed(id) => (id, End::Failed, "failed"),
-            Happening::Returned(id) => (id, End::Returned, "returned"),
-            Happening::Lost(id, done) => {
+            ExecutorEvent::Done(id) => (id, End::Done, "done"),
+            ExecutorEvent::Failed(id) => (id, End::Failed, "failed"),
+            ExecutorEvent::Returned(id) => (id, End::Returned, "returned"),
+            ExecutorEvent::Lost(id, done) => {
                 if let Some(out) = jobs.get(&id) {
                     self.save(out.op, done);
                 }
@@ -211,7 +212,7 @@
                     locked(&self.world.ledger).connected[self.number].push(self.world.now());
                     let work = ms(self.world.plan.fleet.handshake_work_ms) as f64;
                     if work > 0.0 {
-                        self.with(|machine, now, out| machine.shake(now, work, out));
+                        self.with(|machine, now, out| machine.open_connection(now, work, out));
                     }
                     let own = self.clone();
                     tokio::spawn(async move {
@@ -470,7 +471,7 @@
         true
     }
 
-    pub fn up(&self) -> Up {
+    pub fn up(&self) -> Availability {
         locked(&self.inner).machine.up
     }
 }
--- a/crates/testbed/src/play/mod.rs
+++ b/crates/testbed/src/play/mod.rs
@@ -12,12 +12,14 @@
 pub mod ways;
 pub mod world;
 
+use crate::executor::{specs, ExecutorModel, ExecutorSpec};
 use crate::faults::Weather;
-use crate::fleet::{chance, ms, seconds, specs, Machine, Spec};
 use crate::judge::{Broken, Life};
 use crate::load::Source;
 use crate::plan::Plan;
+use crate::random::generator;
 use crate::report::{figures, Played};
+use crate::time::{ms, seconds};
 use clients::Front;
 use discovery::Status;
 use executors::Executor;
@@ -50,18 +52,18 @@
 
 fn executors(
     world: &Arc<World>,
-    specs: &[Spec],
+    specs: &[ExecutorSpec],
     seed: u64,
     fell: &mpsc::UnboundedSender<usize>,
 ) -> Result<Vec<Arc<Executor>>, String> {
     let plan = &world.plan;
-    let mut draw = chance(seed, 2);
+    let mut draw = generator(seed, 2);
     let [least, most] = plan.fleet.report.refresh_ms;
     let started = plan.fleet.cold.at_start.then(|| world.now());
     let mut executors = Vec::new();
     for (number, spec) in specs.iter().enumerate() {
         let refresh = ms(draw.random_range(least..=most));
-        let machine = Machine::new(plan, spec.clone(), refresh, started);
+        let machine = ExecutorModel::new(plan, spec.clone(), refresh, started);
         if let Some(at) = started {
             let life = Life { at, up: machine.up, started, halted: false };
             locked(&world.ledger).lives[number].push(life);
--- a/crates/testbed/src/play/nodes.rs
+++ b/crates/testbed/src/play/nodes.rs
@@ -4,8 +4,8 @@
 use super::keeps::Kept;
 use super::machine::{look, Process};
 use super::world::locked;
-use crate::fleet::chance;
 use crate::plan::{Plan, What};
+use crate::random::generator;
 use crate::settings::settings;
 use crate::stand::{NodeProcess, Signal};
 use rand::RngExt;
@@ -124,7 +124,7 @@
             "name": format!("n{node}"),
             "listen": at.to_string(),
             "discovery": self.discovery[node].to_string(),
-            "seed": format!("{:016x}", chance(self.seed, 1000 + node as u64).random::<u64>()),
+            "seed": format!("{:016x}", generator(self.seed, 1000 + node as u64).random::<u64>()),
             "limits": {"sockets": plan.nodes.sockets, "memory_mb": plan.nodes.memory_mb},
             "known": {"index": 0, "snapshot": true, "endpoints": []},
             "settings": settings(plan, node),
--- a/crates/testbed/src/play/stage.rs
+++ b/crates/testbed/src/play/stage.rs
@@ -8,10 +8,12 @@
 use super::starve;
 use super::ways::{host_of, Letters, Middleman};
 use super::world::{locked, World};
+use crate::executor::{Availability, ExecutorSpec};
 use crate::faults::{Change, Trouble};
-use crate::fleet::{chance, ms, Spec, Up};
 use crate::plan::{Between, Plan, What};
+use crate::random::generator;
 use crate::stand::Signal;
+use crate::time::ms;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -26,7 +28,7 @@
 pub struct Stage {
     pub plan: Plan,
     pub world: Arc<World>,
-    pub specs: Vec<Spec>,
+    pub specs: Vec<ExecutorSpec>,
     pub executors: Vec<Arc<Executor>>,
     /// What the list says of each executor, and what it said before.
     listed: Vec<(Status, i64)>,
@@ -50,7 +52,7 @@
         world: &Arc<World>,
         seed: u64,
         binary: &Path,
-        specs: Vec<Spec>,
+        specs: Vec<ExecutorSpec>,
         executors: Vec<Arc<Executor>>,
         born: mpsc::UnboundedSender<Born>,
     ) -> Result<Stage, String> {
@@ -74,7 +76,7 @@
             entries.push(Entry { name, zone, kind, cell: spec.cell, domain, address });
         }
         // A replica for each node hears as the agent of that node.
-        let late = |replica: usize| chance(seed, 50 + replica as u64);
+        let late = |replica: usize| generator(seed, 50 + replica as u64);
         let (service, port) = Service::start(world, entries, since, late)?;
         let mut nodes = Nodes::new(&plan, seed, binary)?;
         let port = Stage::way_to_discovery(world, port)?;
@@ -198,7 +200,7 @@
             }
             (What::Release, true) => {
                 for x in met {
-                    if self.executors[x].up() == Up::Serving {
+                    if self.executors[x].up() == Availability::Serving {
                         self.list(x, Status::Terminating);
                         self.executors[x].drain();
                     }
--- a/crates/testbed/src/play/starve.rs
+++ b/crates/testbed/src/play/starve.rs
@@ -1,7 +1,7 @@
 //! Nodes that get only a part of their time: each stands still for random short spells. One task for all of them.
 
 use super::world::{span, World};
-use crate::fleet::chance;
+use crate::random::generator;
 use crate::stand::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
@@ -21,7 +21,7 @@
 
 pub fn start(world: &Arc<World>, seed: u64) -> mpsc::UnboundedSender<Order> {
     let (orders, coming) = mpsc::unbounded_channel();
-    tokio::spawn(run(world.clone(), chance(seed, 9), coming));
+    tokio::spawn(run(world.clone(), generator(seed, 9), coming));
     orders
 }
 
--- a/crates/testbed/src/play/world.rs
+++ b/crates/testbed/src/play/world.rs
@@ -117,7 +117,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::fleet::specs;
+    use crate::executor::specs;
 
     #[test]
     fn a_fault_that_comes_late_gives_no_verdict() {
--- a/crates/testbed/src/policy.rs
+++ b/crates/testbed/src/policy.rs
@@ -1,9 +1,10 @@
 //! Who decides: the module, or a baseline to hold it against. Baselines live here only; they keep to the rules on
 //! answers, further pushes and drains, and know nothing of cold executors.
 
+use crate::executor::ExecutorModel;
 use crate::faults::Weather;
-use crate::fleet::{chance, Machine};
 use crate::plan::PolicyName;
+use crate::random::generator;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use stileroute_dispatch::policy::Dispatcher;
@@ -13,7 +14,7 @@
 
 /// The true state, which only the seeing baseline looks at.
 pub struct Truth<'a> {
-    pub machines: &'a [Machine],
+    pub machines: &'a [ExecutorModel],
     pub weather: &'a Weather,
     pub node: usize,
     pub domain: usize,
@@ -128,7 +129,7 @@
         Baseline {
             name,
             tariff: tariff.clone(),
-            chance: chance(seed, 7),
+            chance: generator(seed, 7),
             executors: Vec::new(),
             turn: 0,
             asks_at: 0,
--- a/crates/testbed/src/report.rs
+++ b/crates/testbed/src/report.rs
@@ -124,7 +124,7 @@
         seed,
         ..Played::default()
     };
-    let specs = crate::fleet::specs(plan, seed);
+    let specs = crate::executor::specs(plan, seed);
     played.executors = specs
         .iter()
         .enumerate()
@@ -223,7 +223,7 @@
     for (at, tenant) in plan.tenant.iter().enumerate() {
         played.tenants.insert(tenant.name.clone(), part(by_tenant[at]));
     }
-    let slack = crate::fleet::ms(slack_ms);
+    let slack = crate::time::ms(slack_ms);
     let evidence = Evidence { plan, specs: &specs, ledger, asked, gains: &gains, from, slack };
     played.together = evidence.figures(&judge);
     played
--- a/crates/testbed/src/sim/executor.rs
+++ b/crates/testbed/src/sim/executor.rs
@@ -67,34 +67,34 @@
     }
 
     /// Tells nodes and judge what happened at an executor, and sets its next wake-up.
-    pub(super) fn happened(&mut self, x: usize, mut out: Vec<Happening>) {
+    pub(super) fn happened(&mut self, x: usize, mut out: Vec<ExecutorEvent>) {
         let now = self.now;
         for happening in out.drain(..) {
-            if happening.of_handshake() {
+            if happening.is_handshake() {
                 continue;
             }
             let (id, end, outcome) = match happening {
-                Happening::Fallen => {
+                ExecutorEvent::Fallen => {
                     self.day.ledger.falls.push(Fall { executor: x, at: now });
                     self.lives(x);
                     self.unlist(x);
                     continue;
                 }
-                Happening::Started(id) => {
+                ExecutorEvent::Started(id) => {
                     self.day.ledger.saw((id >> 16) as usize, now, Saw::Began(x));
                     if self.plan.fleet.tells_start {
                         self.back(id, None, |op, push| Coming::Note(op, push, true));
                     }
                     continue;
                 }
-                Happening::Progress(id, _) => {
+                ExecutorEvent::Progress(id, _) => {
                     self.back(id, None, |op, push| Coming::Note(op, push, false));
                     continue;
                 }
-                Happening::Done(id) => (id, End::Done, Outcome::Acked),
-                Happening::Failed(id) => (id, End::Failed, Outcome::Error),
-                Happening::Returned(id) => (id, End::Returned, Outcome::Full),
-                Happening::Lost(id, done) => {
+                ExecutorEvent::Done(id) => (id, End::Done, Outcome::Acked),
+                ExecutorEvent::Failed(id) => (id, End::Failed, Outcome::Error),
+                ExecutorEvent::Returned(id) => (id, End::Returned, Outcome::Full),
+                ExecutorEvent::Lost(id, done) => {
                     let sheet = &self.day.ledger.sheets[(id >> 16) as usize];
                     let own = &self.plan.category[sheet.category];
                     let step = ms(self.plan.fleet.saved_ms) as f64;
@@ -115,7 +115,7 @@
         self.wake[x] += 1;
         if let Some(next) = self.machines[x].next() {
             let wake = self.wake[x];
-            self.push_event(next.max(self.now + 1), x, Coming::Machine(wake));
+            self.push_event(next.max(self.now + 1), x, Coming::ExecutorModel(wake));
         }
     }
 
@@ -157,11 +157,11 @@
     }
 
     /// A new connection costs the executor work.
-    pub(super) fn shake(&mut self, x: usize) {
+    pub(super) fn open_connection(&mut self, x: usize) {
         let work = ms(self.plan.fleet.handshake_work_ms) as f64;
         if work > 0.0 {
             let mut out = std::mem::take(&mut self.out);
-            self.machines[x].shake(self.now, work, &mut out);
+            self.machines[x].open_connection(self.now, work, &mut out);
             self.happened(x, out);
         }
     }
--- a/crates/testbed/src/sim/mod.rs
+++ b/crates/testbed/src/sim/mod.rs
@@ -7,13 +7,15 @@
 mod trouble;
 mod way;
 
+use crate::executor::{specs, Availability, ExecutorEvent, ExecutorModel, Job};
 use crate::faults::{Change, Way, Weather};
-use crate::fleet::{chance, ms, seconds, specs, Happening, Job, Machine, Up};
 use crate::judge::{Answer, End, Fall, Ledger, Life, Saw};
 use crate::load::{Asked, Source};
 use crate::plan::{Between, Plan, What};
 use crate::policy::{Policy, Truth};
+use crate::random::generator;
 use crate::settings::settings;
+use crate::time::{ms, seconds};
 pub use list::Bears;
 use list::Replica;
 use rand::RngExt;
@@ -73,7 +75,7 @@
     /// At an executor.
     Push(usize, usize),
     Cancel(usize, usize),
-    Machine(u64),
+    ExecutorModel(u64),
     Answer(usize, Answer),
     Overdue(usize),
     Trouble(Change),
@@ -180,7 +182,7 @@
     events: BinaryHeap<Reverse<Event>>,
     nodes: Vec<Node>,
     tariffs: Vec<Tariff>,
-    machines: Vec<Machine>,
+    machines: Vec<ExecutorModel>,
     /// Of each executor: the latest wake-up that counts, connections, what the list says of it.
     wake: Vec<u64>,
     connections: Vec<usize>,
@@ -199,7 +201,7 @@
     part: f64,
     source: Source,
     chance: Pcg64Mcg,
-    out: Vec<Happening>,
+    out: Vec<ExecutorEvent>,
     /// Routes in force, and those that replace them, turn by turn.
     routes: Option<Arc<Table>>,
     next_routes: Vec<Arc<Table>>,
@@ -212,18 +214,18 @@
         let specs = specs(plan, seed);
         let (weather, changes) = Weather::new(plan, &specs, seed);
         let source = Source::new(plan, &specs, seed);
-        let mut chance = chance(seed, 2);
+        let mut chance = generator(seed, 2);
         let [least, most] = plan.fleet.report.refresh_ms;
         let cold = plan.fleet.cold.at_start;
         let started = cold.then_some(0);
         let mut machines = Vec::new();
         for spec in &specs {
             let refresh = ms(chance.random_range(least..=most));
-            machines.push(Machine::new(plan, spec.clone(), refresh, started));
+            machines.push(ExecutorModel::new(plan, spec.clone(), refresh, started));
         }
         let mut day_lives = vec![Vec::new(); specs.len()];
         if cold {
-            day_lives.fill(vec![Life { at: 0, up: Up::Serving, started, halted: false }]);
+            day_lives.fill(vec![Life { at: 0, up: Availability::Serving, started, halted: false }]);
         }
         let line = |x: usize| Listed {
             mark: 0,
@@ -462,7 +464,7 @@
             }
             Coming::Push(op, push) => self.reach(op, push),
             Coming::Cancel(op, push) => self.call_off(op, push),
-            Coming::Machine(wake) => {
+            Coming::ExecutorModel(wake) => {
                 if self.wake[who] == wake {
                     let mut out = std::mem::take(&mut self.out);
                     self.machines[who].advance(now, &mut out);
@@ -539,7 +541,7 @@
 }
 
 /// What the seeing baseline sees from a domain. It borrows no more than that, for the node itself is asked meanwhile.
-fn truth<'t>(plan: &Plan, machines: &'t [Machine], weather: &'t Weather, node: usize) -> Truth<'t> {
+fn truth<'t>(plan: &Plan, machines: &'t [ExecutorModel], weather: &'t Weather, node: usize) -> Truth<'t> {
     let (near, far) = (ms(plan.fleet.near_ms), ms(plan.fleet.far_ms));
     Truth { machines, weather, node, domain: plan.domain_of_node(node), near, far }
 }
--- a/crates/testbed/src/sim/trouble.rs
+++ b/crates/testbed/src/sim/trouble.rs
@@ -40,7 +40,7 @@
             (What::Killed | What::DomainLost, false) => met.into_iter().for_each(|x| self.start(x)),
             (What::Release, true) => {
                 for x in met {
-                    if self.machines[x].up != Up::Serving {
+                    if self.machines[x].up != Availability::Serving {
                         continue;
                     }
                     self.listed[x].active = false;
@@ -116,7 +116,7 @@
 
     pub(super) fn start(&mut self, x: usize) {
         if self.weather.keeps_down(x)
-            || self.machines[x].up == Up::Serving
+            || self.machines[x].up == Availability::Serving
             || !self.machines[x].start(self.now)
         {
             return;
--- a/crates/testbed/src/sim/way.rs
+++ b/crates/testbed/src/sim/way.rs
@@ -52,7 +52,7 @@
         if !old {
             self.connections[x] += 1;
             self.day.ledger.connected[x].push(now);
-            self.shake(x);
+            self.open_connection(x);
             // A handshake goes there and back before the first byte.
             flight.arrives += 2 * lat + ms(self.plan.fleet.handshake_ms);
         }
--- a/crates/testbed/src/together.rs
+++ b/crates/testbed/src/together.rs
@@ -1,10 +1,11 @@
 //! How a fleet does together: figures of a day over all its nodes and executors, from the ledger alone. They are the
 //! same for a simulated day and for one on sockets.
 
-use crate::fleet::{seconds, Spec, Up};
+use crate::executor::{Availability, ExecutorSpec};
 use crate::judge::{Judge, Ledger, Saw};
 use crate::load::Asked;
 use crate::plan::Plan;
+use crate::time::seconds;
 use serde::{Deserialize, Serialize};
 use stileroute_dispatch::types::{Time, SECOND};
 
@@ -98,7 +99,7 @@
 /// What the figures of a day are made of.
 pub struct Evidence<'a> {
     pub plan: &'a Plan,
-    pub specs: &'a [Spec],
+    pub specs: &'a [ExecutorSpec],
     pub ledger: &'a Ledger,
     pub asked: &'a [Asked],
     /// By job.
@@ -199,13 +200,13 @@
             let (spec, life) = (&self.specs[x], self.ledger.life(x, at));
             let sheet = &self.ledger.sheets[op];
             figures.crossed += u64::from(self.plan.domain_of_node(node) != spec.domain);
-            figures.to_gone += u64::from(life.up != Up::Serving);
+            figures.to_gone += u64::from(life.up != Availability::Serving);
             let since = life.started.filter(|since| at < since + warm);
-            figures.to_cold += u64::from(since.is_some() && life.up == Up::Serving);
+            figures.to_cold += u64::from(since.is_some() && life.up == Availability::Serving);
             let told = self.ledger.told.get(&(node, x));
             let told = told.and_then(|told| told.iter().rfind(|(since, _)| *since + self.slack < at));
-            if let Some((since, false)) = told.filter(|_| life.up != Up::Serving) {
-                let count = if life.up == Up::Draining {
+            if let Some((since, false)) = told.filter(|_| life.up != Availability::Serving) {
+                let count = if life.up == Availability::Draining {
                     &mut figures.stale.draining
                 } else {
                     &mut figures.stale.gone
@@ -219,7 +220,7 @@
                 figures.stale.disabled += 1;
                 ages.push(at - since);
             }
-            if let Some(since) = since.filter(|_| life.up == Up::Serving) {
+            if let Some(since) = since.filter(|_| life.up == Availability::Serving) {
                 let sent = &mut warmed[x];
                 sent.retain(|(then, _)| *then > at - tip && *then >= since);
                 let own = &self.plan.category[sheet.category];
@@ -363,7 +364,7 @@
         let free_for = |x: usize, category: usize, busy: f64, nobody_waits: bool, at: Time| {
             let life = ledger.life(x, at);
             let spec = &self.specs[x];
-            let able = life.up == Up::Serving && !life.halted && nobody_waits && may[category][x];
+            let able = life.up == Availability::Serving && !life.halted && nobody_waits && may[category][x];
             let left = spec.slots - busy;
             if able && left >= slots[category] - 1e-9 {
                 left * spec.speed
--- a/crates/testbed/tests/clients.rs
+++ b/crates/testbed/tests/clients.rs
@@ -2,9 +2,9 @@
 
 use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
+use stileroute_testbed::executor::specs;
 use stileroute_testbed::experiment;
 use stileroute_testbed::faults::Weather;
-use stileroute_testbed::fleet::specs;
 use stileroute_testbed::judge::{Answer, Saw};
 use stileroute_testbed::load::{Asked, Source};
 use stileroute_testbed::play::clients::{ask, Front, NodeConnection};
--- a/crates/testbed/tests/together.rs
+++ b/crates/testbed/tests/together.rs
@@ -3,9 +3,9 @@
 
 use stileroute_dispatch::policy::Dispatcher;
 use stileroute_dispatch::types::{Ask, Listed, Op, Outcome, Push, Step, Tariff, Time, SECOND};
+use stileroute_testbed::executor::{specs, Availability};
 use stileroute_testbed::experiment::read;
 use stileroute_testbed::faults::Weather;
-use stileroute_testbed::fleet::{specs, Up};
 use stileroute_testbed::judge::{Answer, End, Judge, Ledger, Life, Saw};
 use stileroute_testbed::load::Asked;
 use stileroute_testbed::plan::Plan;
@@ -89,7 +89,9 @@
         assert!(near(figures.idle, idle), "{what}: {} for {idle}", figures.idle);
     }
     // An executor that is down, draining or halted is not free.
-    for (up, halted) in [(Up::Down, false), (Up::Draining, false), (Up::Serving, true)] {
+    for (up, halted) in
+        [(Availability::Down, false), (Availability::Draining, false), (Availability::Serving, true)]
+    {
         let mut ledger = ledger(&plan);
         [(0, 0), (0, 0), (0, SECOND)].into_iter().for_each(|(c, b)| op(&mut ledger, 0, 0, c, b));
         ledger.lives[2].push(Life { at: 0, up, started: None, halted });
@@ -152,13 +154,13 @@
 #[test]
 fn decisions_are_stale_by_what_a_node_had_been_told() {
     let plan = plan(BASE);
-    let serving = |at, started| Life { at, up: Up::Serving, started, halted: false };
+    let serving = |at, started| Life { at, up: Availability::Serving, started, halted: false };
     let down = |at, up| Life { at, up, started: None, halted: false };
     // What the executor was, whether the node had been told at 1 s, and what a push at 2 s counts as.
     let cases = [
-        ("told that it drains", vec![down(5000, Up::Draining)], true, (0, 1, 0)),
-        ("told that it is gone", vec![down(5000, Up::Fallen)], true, (1, 0, 0)),
-        ("not told", vec![down(5000, Up::Draining)], false, (0, 0, 0)),
+        ("told that it drains", vec![down(5000, Availability::Draining)], true, (0, 1, 0)),
+        ("told that it is gone", vec![down(5000, Availability::Fallen)], true, (1, 0, 0)),
+        ("not told", vec![down(5000, Availability::Draining)], false, (0, 0, 0)),
         ("it serves all the same", vec![serving(5000, None)], true, (0, 0, 0)),
     ];
     for (what, lives, told, expected) in cases {
