Queue: entries of the table lie on the heap one by one

Ends are known at more stores since, so the table grew past 14,336 slots, doubled, and has the old and the new slots, half a kilobyte each, for a moment. Change: the table holds pointers (entry_table.rs).

--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -10,6 +10,7 @@
 mod end_replication;
 mod end_transfer;
 mod entry;
+mod entry_table;
 mod fault_injection;
 mod fifo_groups;
 mod hashing;
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -16,6 +16,7 @@
 use crate::control_contact::ControlContact;
 use crate::effect::Effect;
 use crate::entry::{Entry, MessageState, OrderSlot, Stage};
+use crate::entry_table::EntryTable;
 use crate::message::{End, Key, Message, Millis, Node, ReplicatedMessage};
 use crate::metrics::QueueMetrics;
 use crate::peer::Peer;
@@ -73,7 +74,7 @@
     /// Counters since the start.
     pub metrics: QueueMetrics,
 
-    pub(crate) entries: HashMap<Key, Entry>,
+    pub(crate) entries: EntryTable,
     /// Messages that have not ended, or whose callback is pending, by owner: what is compared with other stores and searched
     /// when one is gone. The table with its ended messages is about a hundred times as large.
     pub(crate) live_by_owner: BTreeSet<(Node, Key)>,
@@ -166,7 +167,7 @@
         Queue {
             control_contact: ControlContact::FULL,
             metrics: QueueMetrics::default(),
-            entries: HashMap::new(),
+            entries: EntryTable::default(),
             live_by_owner: BTreeSet::new(),
             ordering: Default::default(),
             delayed: BTreeSet::new(),
