System test: a cut begins when it is made, not before the messages that are sent ahead of it; docs

Cause: the course halves noted a cut's beginning before the burst that it sends ahead of it, 0.1 s too early. What the smaller half starts 2.0 to 2.1 s after the cut is excused (FENCED), and would have been held against it. Change: the time is taken where it was before the burst was added.

--- a/crates/system-test/src/drawn_day/kinds.rs
+++ b/crates/system-test/src/drawn_day/kinds.rs
@@ -1,4 +1,5 @@
-//! The kinds of trouble that the bench knows on all deployments of the whole system, and what each may come with.
+//! The kinds of trouble that are drawn, and the variants that each may come in: most of what the bench knows on all deployments of the
+//! whole system, without `seed_turnover`.
 
 /// A kind of trouble.
 #[derive(Debug)]
--- a/crates/system-test/src/halves.rs
+++ b/crates/system-test/src/halves.rs
@@ -61,8 +61,8 @@
         self.clients.burst(&plan, alone, WAITING);
         let smaller = self.fleet.control(alone);
         let over = Arc::new(AtomicBool::new(false));
-        let from = self.recorder.now();
         self.send_due_behind_the_fence(alone);
+        let from = self.recorder.now();
         self.fleet.halve(alone, true);
         self.say(&format!("core-{0}, store-{0} and edge-{0} are cut off from the others", alone + 1));
         let other_side = press_on(self, smaller, numbers, &over);
