Config, edge: keys of a configuration that nothing reads are named in the log, in a metric and by check

Cause: a configuration with fields that no code reads was acknowledged without a word, and neither logs nor metrics said whether clients send keys, so the hypotheses of the incident couldn't be told apart. Change: what reads a text notes each key that it asks for; the rest is named once in a line at WARN when the configuration comes into force, counted by stileroute_config_unread_keys, and warned of by check config. An edge counts messages that carry a key or an idempotency key. A request with two such headers of one name is malformed.

--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -3,6 +3,7 @@
 use crate::document::parse_object;
 use crate::error::ConfigError;
 use crate::fault_collector::FaultCollector;
+use crate::key_use::KeyUse;
 use crate::reason::FaultReason;
 use crate::route::Route;
 use crate::route_table::RouteTable;
@@ -35,6 +36,8 @@
     pub limits: HttpLimits,
     /// The bytes that it was read from, which are sent on unchanged.
     pub body: Arc<[u8]>,
+    /// Keys that stand in it and that nothing here reads, such as `routes[].split`: what they ask for is not carried out.
+    pub unread_keys: Vec<String>,
     table: RouteTable,
     /// Index of each service by its name.
     service_indices: HashMap<String, usize>,
@@ -60,12 +63,12 @@
     ///
     /// All that is wrong with it. Then nothing of it may come into force.
     pub fn parse(body: &[u8]) -> Result<Config, ConfigError> {
-        let faults = FaultCollector::new(FILE);
+        let (faults, key_use) = (FaultCollector::new(FILE), KeyUse::default());
         let object = match parse_object(body) {
             Ok(object) => object,
             Err(reason) => return Err(faults.refuse(reason)),
         };
-        let root = Section::root(&object, &faults);
+        let root = Section::root(&object, &faults, &key_use);
         let revision = root.unsigned("revision", None);
         let limits = HttpLimits::from_section(root.section("limits"));
         let (services, service_indices) = read_services(root);
@@ -73,7 +76,17 @@
         let routes: Vec<Route> = root.sections("routes", MAX_ENTRIES).into_iter().map(route).collect();
         let table = RouteTable::new(&routes, &faults);
         faults.finish(())?;
-        Ok(Config { revision, routes, services, limits, body: body.into(), table, service_indices })
+        let unread_keys = key_use.unread(&object);
+        Ok(Config {
+            revision,
+            routes,
+            services,
+            limits,
+            body: body.into(),
+            unread_keys,
+            table,
+            service_indices,
+        })
     }
 
     /// The index of a request's route: of the routes of its host, the one with the longest prefix with which the path begins.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -11,6 +11,7 @@
 mod fault_collector;
 mod fault_tolerance;
 mod host_name;
+mod key_use;
 mod node_settings;
 mod reason;
 mod route;
--- a/crates/config/src/node_settings.rs
+++ b/crates/config/src/node_settings.rs
@@ -4,6 +4,7 @@
 use crate::error::ConfigError;
 use crate::fault_collector::FaultCollector;
 use crate::fault_tolerance::FaultTolerance;
+use crate::key_use::KeyUse;
 use crate::reason::FaultReason;
 use crate::section::Section;
 use crate::time_bounds::TimeBounds;
@@ -62,6 +63,8 @@
     pub fault_tolerance: FaultTolerance,
     /// The bounds of the deployment's guarantees.
     pub bounds: TimeBounds,
+    /// Keys that stand in the file and that nothing here reads.
+    pub unread_keys: Vec<String>,
 }
 
 /// The ports from `first` to `last`, both included.
@@ -128,12 +131,13 @@
     }
 
     fn from_bytes(file: &str, bytes: &[u8]) -> Result<NodeSettings, ConfigError> {
-        let faults = FaultCollector::new(file);
+        let (faults, key_use) = (FaultCollector::new(file), KeyUse::default());
         let object = match parse_object(bytes) {
             Ok(object) => object,
             Err(reason) => return Err(faults.refuse(reason)),
         };
-        let mut settings = NodeSettings::from_section(Section::root(&object, &faults));
+        let mut settings = NodeSettings::from_section(Section::root(&object, &faults, &key_use));
+        settings.unread_keys = key_use.unread(&object);
         let own_region = || settings.region.clone();
         settings.zone_regions.entry(settings.zone.clone()).or_insert_with(own_region);
         faults.finish(settings)
@@ -163,6 +167,7 @@
             heartbeat_interval_ms: root.duration_ms("beat_interval_ms", Some(DEFAULT_HEARTBEAT_INTERVAL_MS)),
             fault_tolerance: FaultTolerance::from_section(root.section("tolerate")),
             bounds: TimeBounds::from_section(root.section("bounds")),
+            unread_keys: Vec::new(),
         }
     }
 
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -1,6 +1,7 @@
 //! Typed reading of the fields of one JSON object, with the path of each key for the faults.
 
 use crate::fault_collector::FaultCollector;
+use crate::key_use::KeyUse;
 use crate::reason::FaultReason;
 use crate::values::{self, describe};
 use jzon::object::Object;
@@ -12,6 +13,7 @@
 #[derive(Clone, Copy)]
 pub struct Section<'a> {
     faults: &'a FaultCollector,
+    key_use: &'a KeyUse,
     object: &'a Object,
     /// The key of the object, or of the list that it is in; empty for the outermost object.
     key: &'static str,
@@ -21,8 +23,17 @@
 
 impl<'a> Section<'a> {
     /// The outermost object of a text.
-    pub fn root(object: &'a Object, faults: &'a FaultCollector) -> Section<'a> {
-        Section { faults, object, key: "", index: None }
+    pub fn root(object: &'a Object, faults: &'a FaultCollector, key_use: &'a KeyUse) -> Section<'a> {
+        Section { faults, key_use, object, key: "", index: None }
+    }
+
+    /// The value of a key, which counts as read from now on.
+    fn get(&self, key: &str) -> Option<&'a JsonValue> {
+        // The entries of a list are read alike: the first stands for all.
+        if self.index.is_none_or(|index| index == 0) {
+            self.key_use.read(self.key, key);
+        }
+        self.object.get(key)
     }
 
     /// Notes a fault at a key of this object.
@@ -51,7 +62,7 @@
         expected: &'static str,
         read: impl Fn(&JsonValue) -> Option<T>,
     ) -> T {
-        let Some(value) = self.object.get(key) else {
+        let Some(value) = self.get(key) else {
             return default.unwrap_or_else(|| {
                 self.fault(key, FaultReason::Missing);
                 T::default()
@@ -109,7 +120,8 @@
     /// The object under a key; an empty one where it is missing.
     pub fn section(&self, key: &'static str) -> Section<'a> {
         static EMPTY: OnceLock<Object> = OnceLock::new();
-        let object = match self.object.get(key) {
+        self.key_use.open(key);
+        let object = match self.get(key) {
             Some(JsonValue::Object(object)) => object,
             Some(other) => {
                 self.wrong_value(key, "an object", other);
@@ -122,7 +134,8 @@
 
     /// The objects in the list under a key, which is required, with their indices. Of a list that is too long none is read.
     pub fn sections(&self, key: &'static str, limit: usize) -> Vec<Section<'a>> {
-        match self.object.get(key) {
+        self.key_use.open(key);
+        match self.get(key) {
             Some(JsonValue::Array(values)) if values.len() <= limit => self.elements(key, values),
             Some(JsonValue::Array(_)) => {
                 self.fault(key, FaultReason::TooManyEntries { limit });
--- a/crates/server/src/cli/check.rs
+++ b/crates/server/src/cli/check.rs
@@ -16,7 +16,8 @@
             let (version, routes, services) = (config.revision, config.routes.len(), config.services.len());
             let summary =
                 format!("{file}: version {version}, {routes} routes, {services} services: can be sent");
-            print_findings(&summary, &Findings::default(), format)
+            let warnings = config.unread_keys.iter().map(|key| unread_key(&file, key)).collect();
+            print_findings(&summary, &Findings { faults: Vec::new(), warnings }, format)
         }
         Err(faults) => {
             // Control nodes read configurations that come without a file: here they have one.
@@ -27,6 +28,13 @@
     }
 }
 
+/// A key that is accepted, and whose value changes nothing.
+fn unread_key(file: &str, key: &str) -> SettingsFault {
+    let reason =
+        FaultReason::FailedCheck("nothing reads this key: what it asks for is not carried out".into());
+    SettingsFault { file: file.to_string(), key: key.to_string(), reason }
+}
+
 fn read_config(path: &Path) -> Result<Config, Vec<SettingsFault>> {
     let fault_of_file = |reason| vec![SettingsFault { file: String::new(), key: String::new(), reason }];
     let body =
--- a/crates/server/src/control_node.rs
+++ b/crates/server/src/control_node.rs
@@ -13,7 +13,7 @@
 use crate::inspection::Inspect;
 use crate::links::LinkEvent;
 use crate::net::{Event, Millis, RequestLimits};
-use crate::node::{random_seed, NodeRuntime, Polled};
+use crate::node::{log_configuration, random_seed, NodeRuntime, Polled};
 use crate::protocol::{Frame, NodeRole};
 use crate::start_error::StartError;
 use disk_records::DiskRecords;
@@ -219,8 +219,8 @@
         let Some(state) = self.plane.group.committed() else { return };
         let known = self.runtime.config.as_ref().map_or(0, |config| config.revision);
         if state.version > 0 && state.version != known {
-            tracing::info!(version = state.version, "configuration in force");
             self.runtime.config = Config::parse(&state.body).ok().map(Arc::new);
+            self.runtime.config.iter().for_each(|config| log_configuration(config));
         }
     }
 }
--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -43,6 +43,10 @@
     /// Times that a submission was sent to a further store.
     resubmitted: u64,
     lookups: u64,
+    /// Submissions that carried a tenant's key.
+    with_key: u64,
+    /// Submissions that carried an idempotency key.
+    with_idempotency_key: u64,
     /// Lookups answered 404: all stores were asked, and none knows the message.
     unknown_lookups: u64,
     /// Lookups answered 503: a store that may know the message could not be asked.
--- a/crates/server/src/edge/report.rs
+++ b/crates/server/src/edge/report.rs
@@ -37,6 +37,11 @@
             let help = "Messages by what became of taking them; again: another store was asked.";
             metrics.counter("stileroute_messages_total", help, &[("result", result)], count);
         }
+        let carried = [("key", self.counts.with_key), ("idempotency_key", self.counts.with_idempotency_key)];
+        for (what, count) in carried {
+            let help = "Messages by what clients sent along: a key of theirs, an idempotency key.";
+            metrics.counter("stileroute_carried_total", help, &[("what", what)], count);
+        }
         let help = "Questions after a message.";
         metrics.counter("stileroute_asked_total", help, &[], self.counts.lookups);
         let answers =
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -27,6 +27,8 @@
 impl Edge {
     /// A request of a client that is to become a message.
     pub(super) fn accept(&mut self, connection: ConnectionId, request: Request) {
+        self.counts.with_key += u64::from(request.authorization.is_some());
+        self.counts.with_idempotency_key += u64::from(request.idempotency_key.is_some());
         let Some(config) = self.runtime.config.clone() else {
             self.counts.rejected += 1;
             return self.answer(connection, Response::retry_after(503, RETRY_AFTER_S));
--- a/crates/server/src/net/server/message.rs
+++ b/crates/server/src/net/server/message.rs
@@ -48,6 +48,10 @@
     pub callback_url: Option<String>,
     /// `X-Order-Key`: messages of the same key are delivered in order.
     pub order_key: Option<String>,
+    /// `Authorization`, as it was sent.
+    pub authorization: Option<String>,
+    /// `X-Idempotency-Key`: all requests with one key are one message.
+    pub idempotency_key: Option<String>,
     /// The body, without its framing.
     pub body: Vec<u8>,
 }
--- a/crates/server/src/net/server/parser.rs
+++ b/crates/server/src/net/server/parser.rs
@@ -11,8 +11,16 @@
 const MAX_HEADERS: usize = 64;
 /// Headers that have a meaning here. With two of the same name it would depend on the reader which one holds; of `Host` a
 /// request may have only one in any case (RFC 9112, 3.2).
-const SINGLE_HEADERS: [&str; 6] =
-    ["Host", "X-Request-Id", "X-Delay-Ms", "X-Time-Left-Ms", "X-Callback-Url", "X-Order-Key"];
+const SINGLE_HEADERS: [&str; 8] = [
+    "Host",
+    "X-Request-Id",
+    "X-Delay-Ms",
+    "X-Time-Left-Ms",
+    "X-Callback-Url",
+    "X-Order-Key",
+    "Authorization",
+    "X-Idempotency-Key",
+];
 
 /// Why a request is rejected. The connection ends with the response, for what follows can't be told apart from the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -155,6 +163,8 @@
         time_left_ms: milliseconds(headers, "X-Time-Left-Ms")?,
         callback_url: text("X-Callback-Url"),
         order_key: text("X-Order-Key"),
+        authorization: text("Authorization"),
+        idempotency_key: text("X-Idempotency-Key"),
         body,
     })
 }
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -4,7 +4,7 @@
 mod process_signals;
 mod session;
 
-pub use session::Session;
+pub use session::{log_configuration, Session};
 
 use crate::inquiry::Inquiry;
 use crate::links::{LinkEvent, Links};
--- a/crates/server/src/node/session.rs
+++ b/crates/server/src/node/session.rs
@@ -256,7 +256,7 @@
         if self.config.as_ref().is_some_and(|present| config.revision <= present.revision) {
             return None;
         }
-        tracing::info!(version = config.revision, "configuration in force");
+        log_configuration(&config);
         let config = Arc::new(config);
         self.config = Some(Arc::clone(&config));
         Some(config)
@@ -279,3 +279,13 @@
         last_update_at > 0 && self.net.now() < last_update_at + SESSION_FRESHNESS
     }
 }
+
+/// A configuration has come into force. What it asks for and this program does not know of is not carried out: that is said, for
+/// the configuration was acknowledged.
+pub fn log_configuration(config: &Config) {
+    tracing::info!(version = config.revision, "configuration in force");
+    if !config.unread_keys.is_empty() {
+        let keys = config.unread_keys.join(" ");
+        tracing::warn!(version = config.revision, keys, "the configuration has keys that nothing here reads");
+    }
+}
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -80,6 +80,10 @@
         metrics.gauge("stileroute_up_seconds", "Since the process began.", &[], up);
         let help = "Version in force here; 0: none yet.";
         metrics.gauge("stileroute_config_version", help, &[], self.config_revision());
+        let unread = self.config.as_ref().map_or(0, |config| config.unread_keys.len());
+        let help =
+            "Keys of that configuration that nothing here reads: what they ask for is not carried out.";
+        metrics.gauge("stileroute_config_unread_keys", help, &[], unread);
         if local.role != NodeRole::Control {
             self.write_session_metrics(metrics);
         }
