--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -8,8 +8,8 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use jzon::JsonValue;
@@ -30,6 +30,12 @@
     ("edge-1", 4, "edge", "edge", 17302),
 ];
 
+/// Fleets that tests of one file may have at a time.
+const FLEETS_PER_PROCESS: u32 = 4;
+/// Processes that have nets of their own among those with the same second part.
+const PROCESSES_PER_NET: u32 = 60;
+static FLEET_COUNT: AtomicU32 = AtomicU32::new(0);
+
 /// Status, head and body of an answer.
 pub type Answer = (u16, String, String);
 
@@ -52,6 +58,8 @@
     deadline: Instant,
     children: Vec<(String, Child)>,
     is_over: Arc<AtomicBool>,
+    /// The heads of the requests that the executor has run, in order.
+    runs: Arc<Mutex<Vec<String>>>,
 }
 
 impl Drop for Fleet {
@@ -71,19 +79,26 @@
 
 impl Fleet {
     /// A folder and no processes. Each file of tests has loopback nets of its own, 60 from `first_net` on, and so have two runs
-    /// at a time. `limit` is for the whole test.
+    /// at a time, and the tests of one file. `limit` is for the whole test.
     pub fn new(name: &str, first_net: u32, limit: Duration) -> Fleet {
         let pid = std::process::id();
         let dir = std::env::temp_dir().join(format!("stilerouted-{name}-{pid}"));
         fs::create_dir_all(&dir).unwrap();
-        let net = format!("127.{}.{}", first_net + pid / 250 % 60, 1 + pid % 250);
+        let index = FLEET_COUNT.fetch_add(1, Ordering::Relaxed) % FLEETS_PER_PROCESS;
+        let third_part = 1 + (pid % PROCESSES_PER_NET) * FLEETS_PER_PROCESS + index;
+        let net = format!("127.{}.{third_part}", first_net + pid / PROCESSES_PER_NET % 60);
         let deadline = Instant::now() + limit;
-        Fleet { dir, net, deadline, children: Vec::new(), is_over: Arc::default() }
+        Fleet { dir, net, deadline, children: Vec::new(), is_over: Arc::default(), runs: Arc::default() }
     }
 
     /// Starts all processes, and waits until the configuration is in force and the edge is ready. `edge_options` stand before
     /// the edge's role.
     pub fn start(&mut self, edge_options: &[&str]) {
+        self.start_with(edge_options, CONFIGURATION);
+    }
+
+    /// The same with another configuration.
+    pub fn start_with(&mut self, edge_options: &[&str], configuration: &str) {
         for (name, host, serves, role, _) in NODES {
             let boot = self.write_settings(name, host, serves);
             let checked = program().args(["check", "boot"]).arg(&boot).output().unwrap();
@@ -93,7 +108,7 @@
         }
         self.play_executor();
         self.wait_for("the configuration is taken", || {
-            let answer = self.http("1:18262", "POST", "/v1/settings/replace", "", CONFIGURATION);
+            let answer = self.http("1:18262", "POST", "/v1/settings/replace", "", configuration);
             answer.filter(|answer| answer.0 == 200)
         });
         self.wait_for("the edge is ready", || {
@@ -101,6 +116,12 @@
         });
     }
 
+    /// The heads of the requests that the executor has run and that name this request id.
+    pub fn runs_of(&self, id: &str) -> Vec<String> {
+        let line = format!("X-Request-Id: {id}\r\n");
+        self.runs.lock().unwrap().iter().filter(|head| head.contains(&line)).cloned().collect()
+    }
+
     /// The address of a port of one of its hosts.
     pub fn at(&self, host: u8, port: u16) -> String {
         format!("{}.{host}:{port}", self.net)
@@ -256,8 +277,12 @@
     fn play_executor(&self) {
         let at = format!("{}.9:18080", self.net);
         let listener = TcpListener::bind(&at).unwrap();
+        let runs = Arc::clone(&self.runs);
         std::thread::spawn(move || {
-            listener.incoming().flatten().for_each(|stream| drop(std::thread::spawn(move || serve(stream))));
+            for stream in listener.incoming().flatten() {
+                let runs = Arc::clone(&runs);
+                std::thread::spawn(move || serve(stream, &runs));
+            }
         });
         let (control, is_over) = (format!("{}.1:18262", self.net), Arc::clone(&self.is_over));
         std::thread::spawn(move || {
@@ -291,7 +316,7 @@
 }
 
 /// Answers each request on a connection with success.
-fn serve(mut stream: TcpStream) {
+fn serve(mut stream: TcpStream, runs: &Mutex<Vec<String>>) {
     let (mut bytes, mut some) = (Vec::new(), [0; 4096]);
     loop {
         match stream.read(&mut some) {
@@ -308,6 +333,7 @@
         if body.len() < length {
             continue;
         }
+        runs.lock().unwrap().push(format!("{head}\r\n"));
         bytes.clear();
         let id = header("X-Request-Id").unwrap_or_default();
         let answer = format!(
--- /dev/null
+++ b/crates/server/tests/tenants.rs
@@ -0,0 +1,113 @@
+//! Messages of tenants, on real processes.
+//!
+//! A configuration that names tenants, their keys and routes that only tenants may use was acknowledged and brought to every edge, and
+//! nothing acted on it: an executor ran messages with a key that no configuration had, it was never told whose message it ran, and each
+//! further try with an idempotency key became one more message. Each edge said so itself, once there was a line for it:
+//! `the configuration has keys that nothing here reads version=4 keys="backends[].protocol backends[].tls customers routes[].public"`,
+//! and in one play of the recorded day two messages of one key, 1.95 s apart, were both answered 202 and both run, 0.047 s and 1.992 s
+//! from its start, without any fault of a machine between them.
+
+mod support;
+
+use std::time::Duration;
+use support::{Answer, Fleet};
+
+const FIRST_NET: u32 = 186;
+const TIME_LIMIT: Duration = Duration::from_secs(28);
+/// Request ids and idempotency keys are made from it.
+const SEED: u64 = 74;
+
+const CONFIGURATION: &str = r#"{"revision":7,"routes":[
+ {"name":"quick","hostname":"quay.example","path_prefix":"/in/","route_type":"deferred","timeout_ms":1500,
+  "target_ms":80,"priority":1,"backend":"crane","max_tries":4,"max_wait_s":60,"run_target_ms":1000,"public":false}],
+ "backends":[{"name":"crane"}],"limits":{"header_timeout_ms":1000},
+ "customers":[{"name":"ferry","api_keys":["key-of-ferry","second-key-of-ferry"],"priority":1,"rate_per_s":200,"burst":200},
+  {"name":"lugger","api_keys":["key-of-lugger"],"priority":1,"rate_per_s":200,"burst":200}]}"#;
+
+fn start(name: &str) -> Fleet {
+    println!("seed {SEED}");
+    let mut fleet = Fleet::new(name, FIRST_NET, TIME_LIMIT);
+    fleet.start_with(&[], CONFIGURATION);
+    fleet
+}
+
+fn submit(fleet: &Fleet, id: &str, headers: &str) -> Answer {
+    let headers = format!("X-Request-Id: {id}\r\n{headers}");
+    fleet.http("4:18263", "POST", "/in/1", &headers, "heavy").expect("the edge answers")
+}
+
+fn message_name(answer: &Answer) -> &str {
+    let name = answer.1.lines().find_map(|line| line.strip_prefix("X-Queue-Message-Id: "));
+    name.unwrap_or_else(|| panic!("no name: {answer:?}"))
+}
+
+/// Waits until a message has run, and gives the head of the request that the executor was handed.
+fn run_of(fleet: &Fleet, id: &str) -> String {
+    fleet.wait_for("the message runs", || fleet.runs_of(id).into_iter().next())
+}
+
+#[test]
+fn an_executor_is_told_the_tenant_of_the_key_and_never_the_key() {
+    let fleet = start("tenant-named");
+    let id = format!("r-{SEED}-1");
+    let headers =
+        "Authorization: Bearer second-key-of-ferry\r\nX-Tenant: lugger\r\nX-Idempotency-Key: i-1\r\n";
+    let answer = submit(&fleet, &id, headers);
+    assert_eq!(answer.0, 202, "{answer:?}");
+    let run = run_of(&fleet, &id);
+    let tenants: Vec<&str> =
+        run.lines().filter(|line| line.to_lowercase().starts_with("x-tenant:")).collect();
+    assert_eq!(tenants, ["X-Tenant: ferry"], "{run}");
+    assert!(!run.contains("key-of-ferry"), "{run}");
+    for name in ["edge-1", "store-1", "store-2", "core-1"] {
+        assert!(!fleet.log(name).contains("key-of-"), "{name} logs a key: {}", fleet.log(name));
+    }
+}
+
+#[test]
+fn a_request_with_a_key_that_no_configuration_has_is_answered_401_and_never_runs() {
+    let fleet = start("unknown-key");
+    let rejected = ["", "Authorization: Bearer key-of-nobody\r\n", "Authorization: Basic key-of-ferry\r\n"];
+    for (number, headers) in rejected.into_iter().enumerate() {
+        let id = format!("r-{SEED}-{number}");
+        let answer = submit(&fleet, &id, &format!("{headers}X-Idempotency-Key: i-{number}\r\n"));
+        assert_eq!(answer.0, 401, "{headers:?}: {answer:?}");
+    }
+    // What is accepted after them has run: they would have, too.
+    for number in 10..14 {
+        let id = format!("r-{SEED}-{number}");
+        let headers = format!("Authorization: Bearer key-of-lugger\r\nX-Idempotency-Key: i-{number}\r\n");
+        assert_eq!(submit(&fleet, &id, &headers).0, 202);
+        run_of(&fleet, &id);
+    }
+    for number in 0..rejected.len() {
+        let runs = fleet.runs_of(&format!("r-{SEED}-{number}"));
+        assert!(runs.is_empty(), "{runs:?}");
+    }
+}
+
+#[test]
+fn a_further_try_with_an_idempotency_key_is_the_first_message() {
+    let fleet = start("one-run");
+    let key = format!("X-Idempotency-Key: i-{SEED}\r\n");
+    let ferry = format!("Authorization: Bearer key-of-ferry\r\n{key}");
+    let first_id = format!("r-{SEED}-1");
+    let first = submit(&fleet, &first_id, &ferry);
+    assert_eq!(first.0, 202, "{first:?}");
+    run_of(&fleet, &first_id);
+    // Stores take messages by turns: so many tries reach each of them.
+    for number in 2..8 {
+        let again = submit(&fleet, &format!("r-{SEED}-{number}"), &ferry);
+        assert_eq!((again.0, message_name(&again)), (202, message_name(&first)), "try {number}");
+    }
+    // The same key of another tenant is another message.
+    let other_id = format!("r-{SEED}-9");
+    let other = submit(&fleet, &other_id, &format!("Authorization: Bearer key-of-lugger\r\n{key}"));
+    assert_eq!(other.0, 202);
+    assert_ne!(message_name(&other), message_name(&first));
+    run_of(&fleet, &other_id);
+    for number in 2..8 {
+        let runs = fleet.runs_of(&format!("r-{SEED}-{number}"));
+        assert!(runs.is_empty(), "try {number} ran too: {runs:?}");
+    }
+}
