Config, edge, queue: a tenant's key is asked for, its tenant kept with the message and named to executors

Cause: nobody read the tenants of a configuration nor a request's key. Change: customers is checked (two tenants with one key, an empty or doubled name: refused by name, no key ever quoted) and kept as digests that are compared in constant time; a request on a route that isn't public gets 401 for a missing or unknown key before anything is kept; executors get X-Tenant from the key alone; the tenant lies with the message on every disk, behind a flag, so that messages without one keep the bytes of earlier releases. Questions after a message are answered to its tenant alone. Keys of a configuration that ask for what isn't done are named beside those unread.

--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -5,12 +5,14 @@
 use crate::fault_collector::FaultCollector;
 use crate::key_use::KeyUse;
 use crate::reason::FaultReason;
-use crate::route::Route;
+use crate::route::{Route, RouteKind};
 use crate::route_table::RouteTable;
 use crate::section::Section;
-use crate::service::Service;
+use crate::service::{Service, DEFAULT_PROTOCOL};
+use crate::tenant::TenantTable;
 use crate::values;
 use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 
 /// What faults name as their file: a configuration comes in a request.
@@ -24,7 +26,7 @@
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 15_000;
 
 /// A complete and consistent configuration.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Config {
     /// Version that the operators gave it; a higher one replaces it.
     pub revision: u64,
@@ -32,6 +34,8 @@
     pub routes: Vec<Route>,
     /// All services, as listed.
     pub services: Vec<Service>,
+    /// The tenants, one of whose keys each request on a route that isn't public has to carry; `None`: no route asks for a key.
+    pub tenants: Option<TenantTable>,
     /// What clients' connections and requests are held to.
     pub limits: HttpLimits,
     /// The bytes that it was read from, which are sent on unchanged.
@@ -56,6 +60,19 @@
     pub idle_timeout_ms: u64,
 }
 
+impl fmt::Debug for Config {
+    /// Without the bytes that it was read from: these hold the tenants' keys.
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.debug_struct("Config")
+            .field("revision", &self.revision)
+            .field("routes", &self.routes)
+            .field("services", &self.services)
+            .field("tenants", &self.tenants.as_ref().map(|table| &table.tenants))
+            .field("limits", &self.limits)
+            .finish_non_exhaustive()
+    }
+}
+
 impl Config {
     /// Reads a configuration.
     ///
@@ -72,6 +89,7 @@
         let revision = root.unsigned("revision", None);
         let limits = HttpLimits::from_section(root.section("limits"));
         let (services, service_indices) = read_services(root);
+        let tenants = TenantTable::from_root(root);
         let route = |section| Route::from_section(section, &service_indices);
         let routes: Vec<Route> = root.sections("routes", MAX_ENTRIES).into_iter().map(route).collect();
         let table = RouteTable::new(&routes, &faults);
@@ -81,6 +99,7 @@
             revision,
             routes,
             services,
+            tenants,
             limits,
             body: body.into(),
             unread_keys,
@@ -95,6 +114,20 @@
         self.table.find(&self.routes, host, path)
     }
 
+    /// Keys that are read, and whose values ask for something that the program does not do.
+    pub fn unserved_keys(&self) -> Vec<&'static str> {
+        let is_rate_limited =
+            |table: &TenantTable| table.tenants.iter().any(|tenant| tenant.rate_limit_per_s > 0.0);
+        let asked_for = [
+            ("routes[].route_type", self.routes.iter().any(|route| route.kind == RouteKind::Other)),
+            ("backends[].protocol", self.services.iter().any(|service| service.protocol != DEFAULT_PROTOCOL)),
+            ("backends[].tls", self.services.iter().any(|service| service.wants_tls)),
+            ("backends[].pull", self.services.iter().any(|service| service.pulls_requests)),
+            ("customers[].rate_per_s", self.tenants.as_ref().is_some_and(is_rate_limited)),
+        ];
+        asked_for.into_iter().filter(|(_, is_asked_for)| *is_asked_for).map(|(key, _)| key).collect()
+    }
+
     /// The index of the service of this name.
     pub fn service(&self, name: &str) -> Option<usize> {
         self.service_indices.get(name).copied()
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,6 +18,7 @@
 mod route_table;
 mod section;
 mod service;
+mod tenant;
 mod time_bounds;
 mod values;
 
@@ -28,4 +29,5 @@
 pub use reason::FaultReason;
 pub use route::{Route, RouteKind};
 pub use service::Service;
+pub use tenant::{Tenant, TenantTable};
 pub use time_bounds::TimeBounds;
--- a/crates/config/src/reason.rs
+++ b/crates/config/src/reason.rs
@@ -72,6 +72,23 @@
         /// Index of the earlier service.
         first: usize,
     },
+    /// A tenant has the name of an earlier one.
+    #[error("{name} is the name of customers[{first}] too")]
+    DuplicateTenant {
+        /// The beginning of the name, in quotes.
+        name: String,
+        /// Index of the earlier tenant.
+        first: usize,
+    },
+    /// A key is one of an earlier tenant's, too. The key itself isn't told.
+    #[error("holds a key that customers[{first}] has too")]
+    SharedKey {
+        /// Index of the earlier tenant.
+        first: usize,
+    },
+    /// What should be keys is something else. What is there isn't told, for it may hold some.
+    #[error("must be a list of text that is not empty")]
+    NoKeys,
     /// A route has the host and the path prefix of an earlier one.
     #[error("host and prefix are those of routes[{first}] too")]
     DuplicateRoute {
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -37,6 +37,8 @@
     pub max_attempts: u32,
     /// Requests with the same order key are executed one after the other.
     pub is_ordered: bool,
+    /// Requests need no key of a tenant.
+    pub is_public: bool,
     /// Clients may name a URL to which the result is delivered.
     pub allows_callback: bool,
 }
@@ -73,6 +75,7 @@
             service: service.unwrap_or_default(),
             max_attempts: read_max_attempts(section),
             is_ordered: section.flag("in_order"),
+            is_public: section.flag("public"),
             allows_callback: section.flag("callback_url"),
         };
         route.check(section);
--- a/crates/config/src/section.rs
+++ b/crates/config/src/section.rs
@@ -132,6 +132,24 @@
         Section { object, key, index: None, ..*self }
     }
 
+    /// Whether a key is there.
+    pub fn has(&self, key: &str) -> bool {
+        self.get(key).is_some()
+    }
+
+    /// The texts in the list under a key, none of which is ever quoted; none where the key is missing.
+    pub fn secrets(&self, key: &str, limit: usize) -> Vec<String> {
+        let Some(value) = self.get(key) else { return Vec::new() };
+        let Some(secrets) = values::list(value, values::text) else {
+            self.fault(key, FaultReason::NoKeys);
+            return Vec::new();
+        };
+        if secrets.len() > limit {
+            self.fault(key, FaultReason::TooManyEntries { limit });
+        }
+        secrets
+    }
+
     /// The objects in the list under a key, which is required, with their indices. Of a list that is too long none is read.
     pub fn sections(&self, key: &'static str, limit: usize) -> Vec<Section<'a>> {
         self.key_use.open(key);
--- a/crates/config/src/service.rs
+++ b/crates/config/src/service.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddrV4;
 
 const DEFAULT_HEALTH_PATH: &str = "/health";
+/// The protocol that executors are spoken to in.
+pub(crate) const DEFAULT_PROTOCOL: &str = "h1";
 const DEFAULT_MAX_CONNECTIONS: u32 = 64;
 
 /// A service, as an entry of `backends` describes it.
@@ -20,6 +22,10 @@
     pub rate_limit_per_s: f64,
     /// The service recognises a request that it has executed already.
     pub deduplicates: bool,
+    /// The key `protocol`: read and checked, but executors are always spoken to in HTTP/1.1.
+    pub protocol: String,
+    /// The key `tls`: read and checked, but executors are always spoken to in clear.
+    pub wants_tls: bool,
     /// The key `pull`: read and checked, but nothing acts on it.
     pub pulls_requests: bool,
     /// The service's one address; `None` where executors register with heartbeats.
@@ -40,6 +46,13 @@
             max_connections: section.narrow_unsigned("max_conns", DEFAULT_MAX_CONNECTIONS),
             rate_limit_per_s: section.non_negative("rate_per_s", 0.0),
             deduplicates: section.flag("self_dedupe"),
+            protocol: section.value(
+                "protocol",
+                Some(DEFAULT_PROTOCOL.into()),
+                "text that is not empty",
+                values::text,
+            ),
+            wants_tls: section.flag("tls"),
             pulls_requests: section.flag("pull"),
             endpoint: section.address("endpoint"),
         }
--- a/crates/config/tests/accepted_keys.rs
+++ b/crates/config/tests/accepted_keys.rs
@@ -160,10 +160,10 @@
 const CONFIGURATION: &str = r#"{"revision":12,
  "routes":[{"name":"jetty","hostname":"Ferry.example","path_prefix":"/quay/","route_type":"deferred","timeout_ms":1500,
   "target_ms":80,"run_target_ms":1200,"max_wait_s":7.25,"priority":-2,"backend":"crane","max_tries":4,"in_order":true,
-  "callback_url":true},
+  "callback_url":true,"public":true},
   {"name":"lock","hostname":"ferry.example","path_prefix":"/","route_type":"Deferred","timeout_ms":0.2,"target_ms":60,
   "backend":"crane"}],
- "backends":[{"name":"crane","health_path":"/well","max_conns":9,"rate_per_s":2.5,"self_dedupe":true,"pull":true,
+ "backends":[{"name":"crane","health_path":"/well","max_conns":9,"rate_per_s":2.5,"self_dedupe":true,"pull":true,"protocol":"h2","tls":true,
   "endpoint":"10.9.8.7:8099"},{"name":"barge"}],
  "limits":{"max_header_bytes":1000,"max_body_bytes":2000,"header_timeout_ms":30,"idle_timeout_ms":40}}"#;
 
@@ -185,6 +185,7 @@
             service: 0,
             max_attempts: 4,
             is_ordered: true,
+            is_public: true,
             allows_callback: true,
         },
         Route {
@@ -200,6 +201,7 @@
             service: 0,
             max_attempts: 3,
             is_ordered: false,
+            is_public: false,
             allows_callback: false,
         },
     ];
@@ -211,6 +213,8 @@
             max_connections: 9,
             rate_limit_per_s: 2.5,
             deduplicates: true,
+            protocol: "h2".into(),
+            wants_tls: true,
             pulls_requests: true,
             endpoint: "10.9.8.7:8099".parse().ok(),
         },
@@ -220,6 +224,8 @@
             max_connections: 64,
             rate_limit_per_s: 0.0,
             deduplicates: false,
+            protocol: "h1".into(),
+            wants_tls: false,
             pulls_requests: false,
             endpoint: None,
         },
--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -261,9 +261,12 @@
     let end = entry.end.clone()?;
     let message = &entry.message;
     let has_body = end == End::Failed && message.accepted_at_ms > 0;
-    let failed_message = has_body.then(|| Message {
-        body: message.body.clone(),
-        accepted_at_ms: message.accepted_at_ms,
+    let is_identified = message.tenant.is_some() || message.idempotency_key.is_some();
+    let failed_message = (has_body || is_identified).then(|| Message {
+        body: if has_body { message.body.clone() } else { Vec::new() },
+        accepted_at_ms: if has_body { message.accepted_at_ms } else { 0 },
+        tenant: message.tenant.clone(),
+        idempotency_key: message.idempotency_key.clone(),
         ..Message::default()
     });
     Some(TransferredEnd { key, end, callback_pending: entry.callback_pending, failed_message })
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -172,9 +172,11 @@
     }
 
     /// Frees the content of a message that has ended, but for what is still needed: identity and URL for a pending
-    /// callback, and the body of a failed message, which operators may ask for.
+    /// callback, the body of a failed message, which operators may ask for, the tenant, who alone may ask, and the idempotency key,
+    /// for further tries may come.
     pub(crate) fn discard_content(&mut self) {
-        let message = std::mem::take(&mut self.message);
+        let mut message = std::mem::take(&mut self.message);
+        let (tenant, idempotency_key) = (message.tenant.take(), message.idempotency_key.take());
         if self.callback_pending {
             self.message =
                 Message { id: message.id, callback_url: message.callback_url, ..Message::default() };
@@ -182,6 +184,7 @@
         if matches!(self.end, Some(End::Failed)) {
             (self.message.body, self.message.accepted_at_ms) = (message.body, message.accepted_at_ms);
         }
+        (self.message.tenant, self.message.idempotency_key) = (tenant, idempotency_key);
     }
 
     /// The stores beside `node` that hold it, as far as `node` knows: the replicas, and the owner where that is another.
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -16,6 +16,7 @@
 mod hashing;
 mod live_index;
 mod message;
+mod message_encoding;
 mod metrics;
 mod ordering;
 mod outbox;
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -69,7 +69,7 @@
 }
 
 /// A message as a client has submitted it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Message {
     /// Identifier that the client chose: executors use it to recognise a repeated delivery.
     pub id: String,
@@ -93,6 +93,12 @@
     pub config_revision: u64,
     /// Body of the request.
     pub body: Vec<u8>,
+    /// The tenant whose key the request carried; kept after the end, for questions.
+    pub tenant: Option<String>,
+    /// The client's idempotency key: all requests of one tenant with one key are one message. Kept after the end.
+    pub idempotency_key: Option<String>,
+    /// The term in which the accepting store held the shard of that key; 0 where there is none.
+    pub shard_term: u64,
 }
 
 /// How a message ended.
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -89,7 +89,7 @@
     pub end: End,
     /// Its callback has yet to be delivered.
     pub callback_pending: bool,
-    /// Body and time of a message that failed: clients may still ask for them.
+    /// Body and time of a message that failed: clients may still ask for them. Tenant and idempotency key of any that has them.
     pub failed_message: Option<Message>,
 }
 
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -39,9 +39,22 @@
         accepted_at_ms: 2000,
         config_revision: 3,
         body: vec![0xAB, 0xCD],
+        ..Message::default()
     }
 }
 
+/// The same of a tenant: a flag in the time of acceptance, and the fields that earlier releases don't know behind the body.
+fn tenants_message() -> Message {
+    Message {
+        tenant: Some("ferry".into()),
+        idempotency_key: Some("k-1".into()),
+        shard_term: 300,
+        ..message()
+    }
+}
+
+const EXTENDED: &str = "02696404686f737404504f5354022f74010a746578742f706c61696e01052f6261636b0103726f77e807d08f80808080808080010302abcd0105666572727901036b2d31ac02";
+
 fn replicated() -> ReplicatedMessage {
     ReplicatedMessage {
         key: key(),
@@ -87,6 +100,7 @@
         "02696404686f737404504f5354022f74010a746578742f706c61696e01052f6261636b0103726f77e807d00f0302abcd",
     );
     assert_bytes(&Message::default(), "0000000000000000000000");
+    assert_bytes(&tenants_message(), EXTENDED);
     assert_bytes(&complete(), "00047365616c");
     assert_bytes(&End::Failed, "01");
     assert_bytes(&replicated(), "ac02f0a20404050206bc05a006090a02696404686f737404504f5354022f74010a746578742f706c61696e01052f6261636b0103726f77e807d00f0302abcd");
--- a/crates/server/src/cli/check.rs
+++ b/crates/server/src/cli/check.rs
@@ -8,6 +8,11 @@
 use std::path::Path;
 use stileroute_config::{Config, FaultReason, NodeSettings, SettingsFault};
 
+/// Of a key that is not known.
+const NOTHING_READS: &str = "nothing reads this key: what it asks for is not carried out";
+/// Of a key that is known, and whose value asks for what the program has not got.
+const NOT_DONE: &str = "asks for what is not done: it has no effect";
+
 /// Checks an operator's configuration.
 pub fn check_config(path: &Path, format: OutputFormat) -> ExitStatus {
     let file = path.display().to_string();
@@ -16,7 +21,9 @@
             let (version, routes, services) = (config.revision, config.routes.len(), config.services.len());
             let summary =
                 format!("{file}: version {version}, {routes} routes, {services} services: can be sent");
-            let warnings = config.unread_keys.iter().map(|key| unread_key(&file, key)).collect();
+            let unread = config.unread_keys.iter().map(|key| without_effect(&file, key, NOTHING_READS));
+            let unserved = config.unserved_keys().into_iter().map(|key| without_effect(&file, key, NOT_DONE));
+            let warnings = unread.chain(unserved).collect();
             print_findings(&summary, &Findings { faults: Vec::new(), warnings }, format)
         }
         Err(faults) => {
@@ -29,10 +36,12 @@
 }
 
 /// A key that is accepted, and whose value changes nothing.
-fn unread_key(file: &str, key: &str) -> SettingsFault {
-    let reason =
-        FaultReason::FailedCheck("nothing reads this key: what it asks for is not carried out".into());
-    SettingsFault { file: file.to_string(), key: key.to_string(), reason }
+fn without_effect(file: &str, key: &str, reason: &str) -> SettingsFault {
+    SettingsFault {
+        file: file.to_string(),
+        key: key.to_string(),
+        reason: FaultReason::FailedCheck(reason.into()),
+    }
 }
 
 fn read_config(path: &Path) -> Result<Config, Vec<SettingsFault>> {
--- a/crates/server/src/cli/orders/differences.rs
+++ b/crates/server/src/cli/orders/differences.rs
@@ -2,12 +2,12 @@
 
 use jzon::JsonValue;
 
-/// Routes and services by their names, and the limits: what a file adds to, lacks of and changes in what is in force.
+/// Routes, services and tenants by their names, and the limits; of tenants no key is shown: what a file adds to, lacks of and changes in what is in force.
 pub fn differences(in_force: &[u8], file: &[u8]) -> Vec<String> {
     let parse = |bytes: &[u8]| jzon::parse(&String::from_utf8_lossy(bytes)).unwrap_or(JsonValue::Null);
     let (in_force, file) = (parse(in_force), parse(file));
     let mut lines = Vec::new();
-    for (key, kind) in [("routes", "route"), ("backends", "service")] {
+    for (key, kind) in [("routes", "route"), ("backends", "service"), ("customers", "tenant")] {
         lines.extend(differences_of_list(kind, &in_force[key], &file[key]));
     }
     if in_force["limits"] != file["limits"] {
--- a/crates/server/src/cli/orders/tests.rs
+++ b/crates/server/src/cli/orders/tests.rs
@@ -17,6 +17,16 @@
     assert!(differences(IN_FORCE.as_bytes(), IN_FORCE.as_bytes()).is_empty());
 }
 
+#[test]
+fn differences_of_tenants_are_named_without_their_keys() {
+    let with =
+        |customers: &str| format!(r#"{{"revision":7,"routes":[],"backends":[],"customers":{customers}}}"#);
+    let in_force = with(r#"[{"name":"ferry","api_keys":["secret-1"]},{"name":"lugger","api_keys":[]}]"#);
+    let file = with(r#"[{"name":"ferry","api_keys":["secret-2"]},{"name":"barge","api_keys":["secret-3"]}]"#);
+    let named = ["tenant ferry: differs", "tenant barge: only in the file", "tenant lugger: only in force"];
+    assert_eq!(differences(in_force.as_bytes(), file.as_bytes()), named);
+}
+
 #[test]
 fn an_incomplete_answer_is_none() {
     let complete = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}";
--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -1,5 +1,6 @@
 //! The edge: accepts messages from clients once a store has them, and asks stores what became of a message.
 
+mod authentication;
 mod lookups;
 mod pending;
 mod report;
@@ -11,6 +12,7 @@
 use crate::node::{NodeRuntime, Polled};
 use crate::protocol::{Frame, NodeRole, RESUBMISSION_FLAG};
 use crate::start_error::StartError;
+use authentication::AuthenticationError;
 use pending::{PendingLookup, PendingSubmission};
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
@@ -37,6 +39,10 @@
 struct EdgeCounts {
     accepted: u64,
     without_route: u64,
+    /// Submissions and lookups without a key, answered 401.
+    without_key: u64,
+    /// Submissions and lookups with a key of no tenant, answered 401.
+    with_unknown_key: u64,
     rejected: u64,
     /// Submissions whose client could not be told whether the message is kept.
     outcome_unknown: u64,
@@ -216,9 +222,9 @@
         }
         let message_id = |path: &str| request.target.strip_prefix(path).filter(|_| request.method == "GET");
         if let Some(id) = message_id(MESSAGE_STATE_PATH) {
-            self.start_lookup(connection, id, false);
+            self.start_lookup(connection, &request, id, false);
         } else if let Some(id) = message_id(MESSAGE_BODY_PATH) {
-            self.start_lookup(connection, id, true);
+            self.start_lookup(connection, &request, id, true);
         } else {
             self.accept(connection, request);
         }
@@ -243,6 +249,17 @@
         self.runtime.net.respond(connection, Response { close_connection, ..response });
     }
 
+    /// A request whose sender is not known: nothing of it is kept.
+    fn answer_unauthorized(&mut self, connection: ConnectionId, error: AuthenticationError) {
+        match error {
+            AuthenticationError::MissingKey => self.counts.without_key += 1,
+            AuthenticationError::UnknownKey => self.counts.with_unknown_key += 1,
+        }
+        // RFC 9110, 15.5.2: the answer names the scheme.
+        let headers = vec![("WWW-Authenticate", "Bearer".to_string())];
+        self.answer(connection, Response { status: 401, headers, ..Response::default() });
+    }
+
     /// A new id, under which a store answers.
     fn next_request_id(&mut self) -> u64 {
         self.last_request_id += 1;
--- a/crates/server/src/edge/lookups.rs
+++ b/crates/server/src/edge/lookups.rs
@@ -1,8 +1,9 @@
 //! What became of a message: one store after another is asked until one knows it.
 
-use super::pending::{AfterReply, PendingLookup};
+use super::authentication::{authenticate, AuthenticationError};
+use super::pending::{Access, AfterReply, Asker, PendingLookup};
 use super::{Edge, STORE_REPLY_TIMEOUT_MS};
-use crate::net::{ConnectionId, Millis, Response};
+use crate::net::{ConnectionId, Millis, Request, Response};
 use crate::protocol::{Frame, KnownMessage, MessageStatus, NodeRole};
 use stileroute_queue::{Key, KeyLocation, Node};
 
@@ -15,9 +16,19 @@
 
 impl Edge {
     /// A client asks for the state of a message, or for its body.
-    pub(super) fn start_lookup(&mut self, connection: ConnectionId, message_id: &str, include_body: bool) {
+    pub(super) fn start_lookup(
+        &mut self,
+        connection: ConnectionId,
+        request: &Request,
+        message_id: &str,
+        include_body: bool,
+    ) {
         self.counts.lookups += 1;
         let now = self.runtime.net.now();
+        let asker = match self.asker(request.authorization.as_deref()) {
+            Ok(asker) => asker,
+            Err(error) => return self.answer_unauthorized(connection, error),
+        };
         let Some(KeyLocation { key, stores: likely_stores }) = Key::parse(message_id) else {
             return self.answer(connection, Response::empty(404));
         };
@@ -37,6 +48,7 @@
             !connected.contains(&key.origin) || stores.any(|store| !connected.contains(&store.node));
         let lookup = PendingLookup {
             connection,
+            asker,
             key,
             include_body,
             remaining_stores,
@@ -52,6 +64,26 @@
         self.ask_next_store(request_id);
     }
 
+    /// Who asks, by the request's `Authorization`. Without a key it depends on the message whether there is an answer.
+    fn asker(&self, authorization: Option<&str>) -> Result<Asker, AuthenticationError> {
+        let tenants = self.runtime.config.as_ref().and_then(|config| config.tenants.as_ref());
+        let Some(tenants) = tenants else { return Ok(Asker::Anyone) };
+        match authenticate(tenants, authorization) {
+            Ok(tenant) => Ok(Asker::Tenant(tenant.name.to_string())),
+            Err(AuthenticationError::MissingKey) => Ok(Asker::WithoutKey),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// A store has answered, or nothing better will come.
+    fn answer_known(&mut self, lookup: &PendingLookup, known: KnownMessage) {
+        match lookup.asker.access_to(known.tenant.as_deref()) {
+            Access::Granted => self.answer(lookup.connection, response_to(known, lookup.include_body)),
+            Access::OtherTenant => self.answer(lookup.connection, Response::empty(404)),
+            Access::KeyNeeded => self.answer_unauthorized(lookup.connection, AuthenticationError::MissingKey),
+        }
+    }
+
     /// The store that was asked is gone or silent: it may know the message.
     fn store_gave_no_answer(&mut self, request_id: u64) {
         if let Some(lookup) = self.lookups.get_mut(&request_id) {
@@ -78,20 +110,17 @@
     fn finish_lookup(&mut self, request_id: u64) {
         let Some(lookup) = self.lookups.remove(&request_id) else { return };
         let is_late = self.runtime.net.now() >= lookup.deadline;
-        let response = match lookup.known_as_pending {
-            Some(known) => response_to(known, lookup.include_body),
-            // A store that knows nothing of a message says so. One that could not be asked may know it: with a 404, an accepted
-            // message would be taken for lost.
-            None if lookup.is_inconclusive || is_late => {
-                self.counts.inconclusive_lookups += 1;
-                Response::retry_after(503, RETRY_AFTER_S)
-            }
-            None => {
-                self.log_unknown(&lookup);
-                Response::empty(404)
-            }
-        };
-        self.answer(lookup.connection, response);
+        if let Some(known) = lookup.known_as_pending.clone() {
+            return self.answer_known(&lookup, known);
+        }
+        // A store that knows nothing of a message says so. One that could not be asked may know it: with a 404, an accepted message would
+        // be taken for lost.
+        if lookup.is_inconclusive || is_late {
+            self.counts.inconclusive_lookups += 1;
+            return self.answer(lookup.connection, Response::retry_after(503, RETRY_AFTER_S));
+        }
+        self.log_unknown(&lookup);
+        self.answer(lookup.connection, Response::empty(404));
     }
 
     /// Every store was asked, and none knows the message. Those that were asked stand in the log: a store that should have known it
@@ -122,7 +151,7 @@
         match lookup.replied(store, result) {
             AfterReply::Answer(known) => {
                 if let Some(lookup) = self.lookups.remove(&request_id) {
-                    self.answer(lookup.connection, response_to(known, lookup.include_body));
+                    self.answer_known(&lookup, known);
                 }
             }
             AfterReply::AskNextStore => self.ask_next_store(request_id),
--- a/crates/server/src/edge/pending.rs
+++ b/crates/server/src/edge/pending.rs
@@ -44,10 +44,46 @@
     }
 }
 
+/// Who asks what became of a message.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Asker {
+    /// The configuration names no tenants: anybody may ask.
+    Anyone,
+    /// The question came without a key: it is about a message of a public route, or is not answered.
+    WithoutKey,
+    /// A tenant, which may ask for its own messages, and for those of nobody.
+    Tenant(String),
+}
+
+/// Whether a question may be answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Access {
+    /// It may.
+    Granted,
+    /// It is about a message of another tenant, of which the asker is not to know that it exists.
+    OtherTenant,
+    /// It needs a key.
+    KeyNeeded,
+}
+
+impl Asker {
+    /// Whether this asker may be told of a message of this tenant.
+    pub fn access_to(&self, tenant: Option<&str>) -> Access {
+        match (self, tenant) {
+            (Asker::Anyone, _) | (_, None) => Access::Granted,
+            (Asker::Tenant(own), Some(tenant)) if own == tenant => Access::Granted,
+            (Asker::Tenant(_), Some(_)) => Access::OtherTenant,
+            (Asker::WithoutKey, Some(_)) => Access::KeyNeeded,
+        }
+    }
+}
+
 /// A client's question what became of a message.
 pub struct PendingLookup {
     /// The client's connection.
     pub connection: ConnectionId,
+    /// Who asks.
+    pub asker: Asker,
     /// The message.
     pub key: Key,
     /// Whether its body is asked for, and not its state.
--- a/crates/server/src/edge/pending/tests.rs
+++ b/crates/server/src/edge/pending/tests.rs
@@ -26,6 +26,7 @@
 fn lookup_at(asked_store: Node) -> PendingLookup {
     PendingLookup {
         connection: 0,
+        asker: Asker::Anyone,
         key: Key { origin: ORIGIN, number: 1 },
         include_body: false,
         remaining_stores: Vec::new(),
@@ -41,23 +42,24 @@
 #[test]
 fn a_late_reply_that_a_message_is_pending_does_not_hide_its_end() {
     let asks = lookup_at;
-    let waits = || Some(KnownMessage { status: MessageStatus::Pending, body: None });
+    let waits = || Some(KnownMessage { status: MessageStatus::Pending, body: None, tenant: None });
     // The first was given up, and the second, asked since, knows the end.
     let mut lookup = asks(SECOND);
     assert_eq!(lookup.replied(FIRST, waits()), AfterReply::KeepWaiting);
     assert_eq!(lookup.known_as_pending, waits());
     assert_eq!(lookup.replied(FIRST, None), AfterReply::KeepWaiting);
-    let end = Some(KnownMessage { status: MessageStatus::Failed, body: None });
+    let end = Some(KnownMessage { status: MessageStatus::Failed, body: None, tenant: None });
     assert_matches!(
         lookup.replied(SECOND, end),
-        AfterReply::Answer(KnownMessage { status: MessageStatus::Failed, body: None })
+        AfterReply::Answer(KnownMessage { status: MessageStatus::Failed, body: None, tenant: None })
     );
     // The one that is asked leads on to the next, and the owner is believed at once.
     assert_eq!(asks(FIRST).replied(FIRST, waits()), AfterReply::AskNextStore);
     assert_eq!(asks(FIRST).replied(FIRST, None), AfterReply::AskNextStore);
     assert_matches!(asks(SECOND).replied(ORIGIN, waits()), AfterReply::Answer(_));
     assert_matches!(
-        asks(SECOND).replied(FIRST, Some(KnownMessage { status: MessageStatus::Failed, body: None })),
+        asks(SECOND)
+            .replied(FIRST, Some(KnownMessage { status: MessageStatus::Failed, body: None, tenant: None })),
         AfterReply::Answer(_)
     );
 }
@@ -67,8 +69,20 @@
     let mut lookup = lookup_at(FIRST);
     lookup.replied(FIRST, None);
     lookup.asked_store = SECOND;
-    lookup.replied(SECOND, Some(KnownMessage { status: MessageStatus::Pending, body: None }));
+    lookup.replied(SECOND, Some(KnownMessage { status: MessageStatus::Pending, body: None, tenant: None }));
     lookup.asked_store = ORIGIN;
     lookup.replied(ORIGIN, None);
     assert_eq!(lookup.stores_without_it, vec![FIRST, ORIGIN]);
 }
+
+#[test]
+fn a_tenant_is_told_of_its_own_messages_and_of_nobody_s() {
+    let tenant = Asker::Tenant("ferry".into());
+    assert_eq!(tenant.access_to(Some("ferry")), Access::Granted);
+    assert_eq!(tenant.access_to(Some("lugger")), Access::OtherTenant);
+    assert_eq!(Asker::WithoutKey.access_to(Some("ferry")), Access::KeyNeeded);
+    assert_eq!(Asker::Anyone.access_to(Some("ferry")), Access::Granted);
+    for asker in [tenant, Asker::WithoutKey, Asker::Anyone] {
+        assert_eq!(asker.access_to(None), Access::Granted, "{asker:?}");
+    }
+}
--- a/crates/server/src/edge/report.rs
+++ b/crates/server/src/edge/report.rs
@@ -29,6 +29,8 @@
         let results = [
             ("taken", self.counts.accepted),
             ("no_route", self.counts.without_route),
+            ("no_key", self.counts.without_key),
+            ("unknown_key", self.counts.with_unknown_key),
             ("refused", self.counts.rejected),
             ("uncertain", self.counts.outcome_unknown),
             ("again", self.counts.resubmitted),
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -1,12 +1,13 @@
 //! Accepting messages: each is offered to one store after another until one has it, and only then its client is told so.
 
+use super::authentication::{authenticate, AuthenticationError};
 use super::pending::{AfterRejection, PendingSubmission};
 use super::{Edge, SupersededNotice, STORE_REPLY_TIMEOUT_MS, STORE_SILENCE_LIMIT_MS};
 use crate::callback_url::parse_callback_url;
 use crate::net::{ConnectionId, Millis, Request, Response};
 use crate::node::wall_clock_ms;
 use crate::protocol::{Frame, NodeRole, RESUBMISSION_FLAG};
-use stileroute_config::{Config, Route, RouteKind, ZoneDistance};
+use stileroute_config::{Config, Route, RouteKind, Tenant, ZoneDistance};
 use stileroute_queue::{preferred_store, Key, Message, Node, PutError};
 
 /// A store that did not answer gets messages only after the others for so long, in ms, and none before it is heard again.
@@ -17,6 +18,8 @@
 const MAX_PENDING_SUBMISSIONS: usize = 4000;
 /// Longest request id, in bytes.
 const MAX_REQUEST_ID_BYTES: usize = 256;
+/// Longest idempotency key, in bytes.
+const MAX_IDEMPOTENCY_KEY_BYTES: usize = 1024;
 /// How long a client waits that does not say so, in ms.
 const DEFAULT_CLIENT_TIMEOUT_MS: Millis = 4000;
 /// What a client may say of that is limited to this, in ms.
@@ -38,6 +41,10 @@
             self.counts.without_route += 1;
             return self.answer(connection, Response::empty(404));
         };
+        let tenant = match authenticate_on(route, &config, &request) {
+            Ok(tenant) => tenant,
+            Err(error) => return self.answer_unauthorized(connection, error),
+        };
         if !is_valid(&request) {
             return self.answer(connection, Response::empty(400));
         }
@@ -50,7 +57,7 @@
         let timeout_ms = request.time_left_ms.unwrap_or(DEFAULT_CLIENT_TIMEOUT_MS).clamp(shortest, longest);
         let submission = PendingSubmission {
             connection,
-            message: message_of(request, route, &config),
+            message: message_of(request, route, &config, tenant),
             tried_stores: Vec::new(),
             sent_at: now,
             deadline: now + timeout_ms,
@@ -222,10 +229,26 @@
 fn is_valid(request: &Request) -> bool {
     let id_length = request.request_id.len();
     let has_valid_url = request.callback_url.as_deref().is_none_or(|url| parse_callback_url(url).is_some());
-    (1..=MAX_REQUEST_ID_BYTES).contains(&id_length) && has_valid_url
+    let key_length = request.idempotency_key.as_ref().map_or(1, String::len);
+    let has_valid_key = (1..=MAX_IDEMPOTENCY_KEY_BYTES).contains(&key_length);
+    (1..=MAX_REQUEST_ID_BYTES).contains(&id_length) && has_valid_key && has_valid_url
+}
+
+/// The tenant that sends a request on a route; none where the configuration names no tenants, or on a public route.
+fn authenticate_on<'config>(
+    route: &Route,
+    config: &'config Config,
+    request: &Request,
+) -> Result<Option<&'config Tenant>, AuthenticationError> {
+    let Some(tenants) = &config.tenants else { return Ok(None) };
+    let tenant = authenticate(tenants, request.authorization.as_deref());
+    if route.is_public {
+        return Ok(tenant.ok());
+    }
+    tenant.map(Some)
 }
 
-fn message_of(request: Request, route: &Route, config: &Config) -> Message {
+fn message_of(request: Request, route: &Route, config: &Config, tenant: Option<&Tenant>) -> Message {
     let ordering_key = request.order_key.filter(|_| route.is_ordered);
     Message {
         id: request.request_id,
@@ -239,5 +262,8 @@
         accepted_at_ms: wall_clock_ms(),
         config_revision: config.revision,
         body: request.body,
+        tenant: tenant.map(|tenant| tenant.name.to_string()),
+        idempotency_key: request.idempotency_key,
+        shard_term: 0,
     }
 }
--- a/crates/server/src/links.rs
+++ b/crates/server/src/links.rs
@@ -57,6 +57,8 @@
 }
 
 /// What a role is told of its peers.
+// Most events are frames, and most frames of the large variant: a box would only add an allocation to each.
+#[allow(clippy::large_enum_variant)]
 pub enum LinkEvent {
     /// There is a connection with this node.
     Up(PeerInfo),
--- a/crates/server/src/net/server/message.rs
+++ b/crates/server/src/net/server/message.rs
@@ -115,6 +115,7 @@
         202 => "Accepted",
         307 => "Temporary Redirect",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
--- a/crates/server/src/node/session.rs
+++ b/crates/server/src/node/session.rs
@@ -283,9 +283,23 @@
 /// A configuration has come into force. What it asks for and this program does not know of is not carried out: that is said, for
 /// the configuration was acknowledged.
 pub fn log_configuration(config: &Config) {
-    tracing::info!(version = config.revision, "configuration in force");
+    match &config.tenants {
+        None => tracing::info!(version = config.revision, "configuration in force"),
+        Some(table) => {
+            let (tenants, keys) = (table.tenants.len(), table.key_count());
+            tracing::info!(version = config.revision, tenants, keys, "configuration in force");
+        }
+    }
     if !config.unread_keys.is_empty() {
         let keys = config.unread_keys.join(" ");
         tracing::warn!(version = config.revision, keys, "the configuration has keys that nothing here reads");
     }
+    let unserved = config.unserved_keys().join(" ");
+    if !unserved.is_empty() {
+        tracing::warn!(
+            version = config.revision,
+            keys = unserved,
+            "the configuration asks for what is not done here"
+        );
+    }
 }
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -61,6 +61,14 @@
     pub status: MessageStatus,
     /// Its body, if that was asked for and is still there.
     pub body: Option<Vec<u8>>,
+    /// The tenant whose message it is. Earlier releases don't say: then none.
+    #[serde(deserialize_with = "none_if_absent")]
+    pub tenant: Option<String>,
+}
+
+/// Reads the last field of a frame, which earlier releases don't send.
+fn none_if_absent<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Option<String>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
 }
 
 /// One frame between two processes of the system, or between the command line and a process.
--- a/crates/server/src/protocol/tests.rs
+++ b/crates/server/src/protocol/tests.rs
@@ -61,6 +61,7 @@
         accepted_at_ms: 1_700_000_000_000,
         config_revision: 2,
         body: vec![0, 255, 10],
+        ..Message::default()
     }
 }
 
@@ -69,7 +70,7 @@
 }
 
 fn lookup_result(known: Option<(MessageStatus, Option<Vec<u8>>)>) -> Frame {
-    let result = known.map(|(status, body)| KnownMessage { status, body });
+    let result = known.map(|(status, body)| KnownMessage { status, body, tenant: None });
     Frame::LookupResult { request_id: 1, result }
 }
 
@@ -159,9 +160,9 @@
     ("leaving", "06"),
     ("asking", "070284868808ac0201"),
     ("asking", "080100"),
-    ("asking", "0801010000"),
-    ("asking", "08010101017301020102"),
-    ("asking", "0801010200"),
+    ("asking", "080101000000"),
+    ("asking", "0801010101730102010200"),
+    ("asking", "080101020000"),
     ("copies", "09010184868808ac02"),
     ("control", "0a040102"),
     ("sessions", "0b0107016e01027a320a000001c801000300"),
@@ -220,3 +221,13 @@
         assert_eq!(ForwardedCallKind::from(&call), kind);
     }
 }
+
+#[test]
+fn what_an_earlier_release_knows_of_a_message_is_nobody_s() {
+    // As pinned before there were tenants: the same bytes without the last one.
+    let earlier = [0x08, 0x01, 0x01, 0x01, 0x01, 0x73, 0x01, 0x02, 0x01, 0x02];
+    let frame: Frame = postcard::from_bytes(&earlier).expect("decodes");
+    let status = MessageStatus::Complete { seal: "s".to_string() };
+    let known = KnownMessage { status, body: Some(vec![1, 2]), tenant: None };
+    assert_eq!(frame, Frame::LookupResult { request_id: 1, result: Some(known) });
+}
--- a/crates/server/src/report.rs
+++ b/crates/server/src/report.rs
@@ -84,6 +84,9 @@
         let help =
             "Keys of that configuration that nothing here reads: what they ask for is not carried out.";
         metrics.gauge("stileroute_config_unread_keys", help, &[], unread);
+        let unserved = self.config.as_ref().map_or(0, |config| config.unserved_keys().len());
+        let help = "Keys of that configuration that ask for what this program does not do.";
+        metrics.gauge("stileroute_config_unserved_keys", help, &[], unserved);
         if local.role != NodeRole::Control {
             self.write_session_metrics(metrics);
         }
--- a/crates/server/src/store/executor_http.rs
+++ b/crates/server/src/store/executor_http.rs
@@ -16,6 +16,9 @@
     if let Some(expected_id) = expected_id {
         let _ = write!(bytes, "X-Expect-Server: {expected_id}\r\n");
     }
+    if let Some(tenant) = &message.tenant {
+        let _ = write!(bytes, "X-Tenant: {tenant}\r\n");
+    }
     if let Some(content_type) = &message.content_type {
         let _ = write!(bytes, "Content-Type: {content_type}\r\n");
     }
--- a/crates/server/src/store/link_events.rs
+++ b/crates/server/src/store/link_events.rs
@@ -83,7 +83,8 @@
             stileroute_queue::MessageState::Complete { seal } => MessageStatus::Complete { seal },
             stileroute_queue::MessageState::Failed => MessageStatus::Failed,
         };
-        Some(KnownMessage { status, body })
+        let tenant = self.queue.message(key).and_then(|message| message.tenant.clone());
+        Some(KnownMessage { status, body, tenant })
     }
 
     fn control_frame(&mut self, from: Node, frame: Frame) {
