--- a/crates/config/src/time_bounds.rs
+++ b/crates/config/src/time_bounds.rs
@@ -44,6 +44,18 @@
     pub rate_limit_window_ms: u64,
     /// The factor by which a service's rate limit may be exceeded within a window.
     pub rate_limit_overrun: f64,
+    /// A key that was taken away is refused by every edge, also by one that is cut off from the control nodes.
+    pub revokes_everywhere: bool,
+    /// Within this time after the acknowledgement of the configuration that took it away.
+    pub revoke_ms: u64,
+    /// For so long after it was first sent, an idempotency key stands for its first message.
+    pub idempotency_window_ms: u64,
+    /// The window over which a tenant's rate limit is measured.
+    pub quota_window_ms: u64,
+    /// The part by which a tenant's rate limit may be exceeded within a window; 0.1 is a tenth.
+    pub quota_overrun: f64,
+    /// Messages by which it may be exceeded besides.
+    pub quota_slack: u64,
 }
 
 impl TimeBounds {
@@ -69,6 +81,12 @@
             early_slack_ms: duration_ms("early_slack_ms", 100),
             rate_limit_window_ms: duration_ms("ceiling_window_s", 5000),
             rate_limit_overrun: section.non_negative("origin_overrun", 1.1),
+            revokes_everywhere: section.flag("revoke_everywhere"),
+            revoke_ms: duration_ms("revoke_ms", 5000),
+            idempotency_window_ms: duration_ms("key_window_s", 60_000),
+            quota_window_ms: duration_ms("quota_window_s", 5000),
+            quota_overrun: section.non_negative("quota_overrun", 0.1),
+            quota_slack: section.unsigned("quota_slack", Some(20)),
         }
     }
 }
--- a/crates/config/tests/accepted_keys.rs
+++ b/crates/config/tests/accepted_keys.rs
@@ -15,7 +15,8 @@
  "tolerate":{"machine_losses":2,"zones":1,"region_losses":3},
  "bounds":{"seed_lag_s":1,"reuse_after_s":2.5,"contact_ms":3,"ack_ms":4,"catch_up_s":5,"drain_ms":6,"grace_s":7,
   "loss_slack_ms":8,"config_apply_ms":9,"rollback_slack_ms":10,"max_stretch_ms":11,"recovery_s":12,"done_within_s":13,
-  "status_s":14,"callback_timeout_s":15,"visible_ms":16,"early_slack_ms":17,"ceiling_window_s":18,"origin_overrun":1.5}}"#;
+  "status_s":14,"callback_timeout_s":15,"visible_ms":16,"early_slack_ms":17,"ceiling_window_s":18,"origin_overrun":1.5,
+  "revoke_everywhere":true,"revoke_ms":19,"key_window_s":20,"quota_window_s":21,"quota_overrun":0.25,"quota_slack":22}}"#;
 
 const LEAST_SETTINGS: &str = r#"{"node_name":"gate-3","role":"keeper","machine_class":"stone","ip":"10.9.0.3",
  "zone":"weir-a","region":"weir","internal_ports":[7100,7100]}"#;
@@ -77,6 +78,12 @@
             early_slack_ms: 17,
             rate_limit_window_ms: 18_000,
             rate_limit_overrun: 1.5,
+            revokes_everywhere: true,
+            revoke_ms: 19,
+            idempotency_window_ms: 20_000,
+            quota_window_ms: 21_000,
+            quota_overrun: 0.25,
+            quota_slack: 22,
         }
     );
 }
@@ -128,6 +135,12 @@
             early_slack_ms: 100,
             rate_limit_window_ms: 5000,
             rate_limit_overrun: 1.1,
+            revokes_everywhere: false,
+            revoke_ms: 5000,
+            idempotency_window_ms: 60_000,
+            quota_window_ms: 5000,
+            quota_overrun: 0.1,
+            quota_slack: 20,
         }
     );
 }
--- a/crates/model-check/src/queue/stores.rs
+++ b/crates/model-check/src/queue/stores.rs
@@ -122,6 +122,8 @@
             rate_window_ms: 5000,
             rate_tolerance: 1.1,
             status_retention_ms: 120_000,
+            idempotency_window_ms: 60_000,
+            has_lost_disk: false,
             seed: at as u64,
         };
         let born = Record::IncarnationStarted { disk_id: self.disk.disk_id, first_number: first };
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -1,5 +1,6 @@
 //! What a store knows of one message.
 
+use crate::idempotency::IdempotencyDigest;
 use crate::message::{End, Message, Millis, Node, ReplicatedMessage};
 use crate::service_queue::QueuePosition;
 
@@ -137,6 +138,11 @@
     pub(crate) order: OrderState,
     /// Where it waits for an executor.
     pub(crate) queue_slot: Option<ServiceQueueSlot>,
+    /// The digest of its idempotency key, if it has one.
+    pub(crate) digest: Option<IdempotencyDigest>,
+    /// It has an idempotency key, and it is not certain that it was accepted: it was read from disk, or taken over. Another message may
+    /// have been accepted with that key instead.
+    pub(crate) is_key_unchecked: bool,
 }
 
 impl Entry {
@@ -168,6 +174,8 @@
             order_slot: None,
             order: OrderState::default(),
             queue_slot: None,
+            digest: shared.message.idempotency_digest(),
+            is_key_unchecked: false,
         }
     }
 
--- /dev/null
+++ b/crates/queue/src/idempotency/claims.rs
@@ -0,0 +1,230 @@
+//! Claims: how this store comes to hold shards.
+
+use super::digest::{preferred_store_of_shard, Shard, SHARD_COUNT};
+use super::shard_table::{PendingClaim, ShardTerm};
+use crate::effect::Effect;
+use crate::message::{Millis, Node};
+use crate::peer::Peer;
+use crate::peer_message::{ClaimAnswer, PeerMessage};
+use crate::pending_writes::PendingWrite;
+use crate::planted_fault::PlantedFault;
+use crate::queue::Queue;
+use crate::record::Record;
+use std::collections::BTreeSet;
+
+/// Once enough stores have granted a claim, the others are waited for until then: they may know more of a message.
+const STRAGGLER_LIMIT_MS: Millis = 30;
+
+/// A claim that not enough stores have granted by then is given up.
+const CLAIM_TIMEOUT_MS: Millis = 250;
+
+/// The next claim after one that failed is made no sooner; different for each store, so that two that want one shard take turns.
+const CLAIM_RETRY_DELAY_MS: Millis = 20;
+const CLAIM_RETRY_SPREAD_MS: Millis = 40;
+
+/// The shards that fall to this store are claimed once members and connections have not changed for so long.
+const REBALANCE_DELAY_MS: Millis = 500;
+
+/// A store that is no member and not connected for so long is gone: what it held lies elsewhere by then, and it accepts nothing more.
+const GONE_AFTER_MS: Millis = 10_000;
+
+/// Beyond the window of the keys, what a store held does not matter any more.
+const WINDOW_MARGIN_MS: Millis = 10_000;
+
+impl Queue {
+    /// Members or connections have changed: other shards may fall to this store.
+    pub(crate) fn shards_may_move(&mut self, now: Millis) {
+        self.shards.rebalance_since = Some(now);
+    }
+
+    /// Claims the shards that fall to this store, where it does not hold them.
+    pub(crate) fn rebalance_shards(&mut self, now: Millis) {
+        let is_due = self.shards.rebalance_since.is_some_and(|since| now >= since + REBALANCE_DELAY_MS);
+        if !is_due || !self.uses_idempotency_keys || !self.knows_members || self.is_draining {
+            return;
+        }
+        self.shards.rebalance_since = None;
+        let is_able = |peer: &Peer| peer.is_member && peer.is_connected && !peer.is_draining();
+        let able = self.peers.iter().filter(|(_, peer)| is_able(peer)).map(|(node, _)| *node);
+        let stores: Vec<Node> = able.chain([self.settings.node]).collect();
+        let falls_here = |shard: &Shard| {
+            preferred_store_of_shard(*shard, stores.iter().copied()) == Some(self.settings.node)
+                && self.shards.held_term(*shard).is_none()
+        };
+        let missing: Vec<Shard> = (0..SHARD_COUNT).filter(falls_here).collect();
+        self.shards.wanted.extend(missing);
+    }
+
+    /// Claims all shards that are wanted, unless a claim is under way or one has just failed.
+    pub(crate) fn start_claim(&mut self, now: Millis) {
+        let is_possible = self.shards.pending.is_none()
+            && now >= self.shards.next_claim_at
+            && !self.shards.wanted.is_empty()
+            && !self.shards.are_terms_missing
+            && self.knows_members;
+        if !is_possible {
+            return;
+        }
+        let shards: Vec<Shard> = self.shards.wanted.iter().copied().collect();
+        let known = shards.iter().map(|shard| self.shards.term_of(*shard).term).max().unwrap_or(0);
+        let term = known.max(self.shards.refused_term) + 1;
+        let holder = self.settings.node;
+        for shard in &shards {
+            self.shards.raise(*shard, ShardTerm { term, holder });
+        }
+        self.shards.last_claim_id += 1;
+        let id = self.shards.last_claim_id;
+        self.record(
+            &Record::ShardsGranted { claim: ShardTerm { term, holder }, shards: shards.clone() },
+            true,
+        );
+        self.after_write(PendingWrite::OwnClaim(id));
+        let connected = self.peers.iter().filter(|(_, peer)| peer.is_connected);
+        let awaited: BTreeSet<Node> = connected.map(|(node, _)| *node).collect();
+        for to in &awaited {
+            let message = PeerMessage::ClaimShards { claim_id: id, term, shards: shards.clone() };
+            self.emit(Effect::Send { to: *to, message });
+        }
+        self.metrics.shard_claims += 1;
+        self.shards.pending = Some(PendingClaim {
+            id,
+            term,
+            shards,
+            started_at: now,
+            is_durable: false,
+            awaited,
+            granted: BTreeSet::new(),
+            named: Vec::new(),
+        });
+    }
+
+    /// This store's own record of a claim is on disk.
+    pub(crate) fn claim_recorded(&mut self, now: Millis, id: u64) {
+        if let Some(claim) = self.shards.pending.as_mut().filter(|claim| claim.id == id) {
+            claim.is_durable = true;
+        }
+        self.finish_claim(now);
+    }
+
+    /// Another store has answered a claim.
+    pub(crate) fn claim_answered(&mut self, now: Millis, from: Node, id: u64, answer: ClaimAnswer) {
+        let Some(claim) = self.shards.pending.as_mut().filter(|claim| claim.id == id) else { return };
+        claim.awaited.remove(&from);
+        match answer {
+            ClaimAnswer::Granted(named) => {
+                claim.granted.insert(from);
+                claim.named.extend(named);
+            }
+            ClaimAnswer::Refused { term } => {
+                self.shards.refused_term = self.shards.refused_term.max(term);
+                return self.give_up_claim(now);
+            }
+            ClaimAnswer::Abstained => {}
+        }
+        self.finish_claim(now);
+    }
+
+    /// A connection is lost, and with it the answer to a claim.
+    pub(crate) fn stop_awaiting_claim_answer(&mut self, now: Millis, node: Node) {
+        if let Some(claim) = &mut self.shards.pending {
+            claim.awaited.remove(&node);
+            self.finish_claim(now);
+        }
+    }
+
+    /// Looks at the time of the claim that is under way.
+    pub(crate) fn check_claim(&mut self, now: Millis) {
+        self.finish_claim(now);
+        let is_late = |claim: &PendingClaim| now >= claim.started_at + CLAIM_TIMEOUT_MS;
+        if self.shards.pending.as_ref().is_some_and(is_late) {
+            self.give_up_claim(now);
+        }
+        self.start_claim(now);
+    }
+
+    /// When [`Queue::check_claim`] has to be called next.
+    pub(crate) fn next_claim_check_at(&self) -> Millis {
+        match &self.shards.pending {
+            Some(claim) if self.last_tick_at < claim.started_at + STRAGGLER_LIMIT_MS => {
+                claim.started_at + STRAGGLER_LIMIT_MS
+            }
+            Some(claim) => claim.started_at + CLAIM_TIMEOUT_MS,
+            None if !self.shards.wanted.is_empty() && self.can_claim() => self.shards.next_claim_at,
+            None => Millis::MAX,
+        }
+    }
+
+    fn can_claim(&self) -> bool {
+        !self.shards.are_terms_missing && self.knows_members
+    }
+
+    fn give_up_claim(&mut self, now: Millis) {
+        self.shards.pending = None;
+        self.metrics.shard_claims_failed += 1;
+        let spread = u64::from(self.settings.node) % CLAIM_RETRY_SPREAD_MS;
+        self.shards.next_claim_at = now + CLAIM_RETRY_DELAY_MS + spread;
+    }
+
+    /// Acts on a claim once enough stores have granted it.
+    fn finish_claim(&mut self, now: Millis) {
+        let is_unasked = self.planted(PlantedFault::ShardsHeldUnasked);
+        let Some(claim) = &self.shards.pending else { return };
+        let is_complete = claim.awaited.is_empty() || now >= claim.started_at + STRAGGLER_LIMIT_MS;
+        let has_quorum = self.silent_stores(&claim.granted) <= self.settings.replica_count || is_unasked;
+        if !claim.is_durable || !is_complete {
+            return;
+        }
+        if !has_quorum {
+            if claim.awaited.is_empty() {
+                self.give_up_claim(now);
+            }
+            return;
+        }
+        let Some(claim) = self.shards.pending.take() else { return };
+        let own = ShardTerm { term: claim.term, holder: self.settings.node };
+        for shard in claim.shards {
+            // Another store may have claimed it with a higher term meanwhile.
+            if self.shards.term_of(shard) == own {
+                self.shards.hold(claim.started_at, shard, claim.term);
+            }
+        }
+        for submission in claim.named {
+            if self.shards.held_term(submission.digest.shard()) == Some(claim.term) {
+                self.shards.add_named(now, submission);
+            }
+        }
+        self.resume_waiting(now);
+        self.check_unchecked(now);
+    }
+
+    /// How many stores may hold messages of a shard and are none of these.
+    pub(super) fn silent_stores(&self, heard: &BTreeSet<Node>) -> usize {
+        let may_hold = |peer: &Peer| peer.is_present() || !peer.is_gone;
+        self.peers.iter().filter(|(node, peer)| may_hold(peer) && !heard.contains(node)).count()
+    }
+
+    /// How many stores that may hold messages of a shard are not connected.
+    pub(super) fn absent_stores(&self) -> usize {
+        let connected = self.peers.iter().filter(|(_, peer)| peer.is_connected);
+        self.silent_stores(&connected.map(|(node, _)| *node).collect())
+    }
+
+    /// Notes which stores are gone for good. While more are absent than may be lost at once they may be alive, behind a cut, and what
+    /// they have accepted may lie among themselves alone: then they count until the window of all their keys is over.
+    pub(crate) fn note_gone_stores(&mut self, now: Millis) {
+        let may_judge = self.control_contact.is_heard && self.knows_members;
+        let absent = self.absent_stores();
+        let window_ms = self.settings.idempotency_window_ms + WINDOW_MARGIN_MS;
+        for peer in self.peers.values_mut() {
+            let absent_ms = now.saturating_sub(peer.connection_changed_at);
+            let is_gone = peer.is_retiring()
+                || (absent <= self.settings.replica_count && absent_ms > GONE_AFTER_MS)
+                || absent_ms > window_ms;
+            if peer.is_present() {
+                peer.is_gone = false;
+            } else if may_judge && is_gone {
+                peer.is_gone = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/idempotency/grants.rs
@@ -0,0 +1,158 @@
+//! Grants: what this store answers to the claims of others, and how it learns their terms anew after the loss of its disk.
+
+use super::digest::{IdempotencyDigest, Shard, SHARD_COUNT};
+use super::shard_table::ShardTerm;
+use crate::effect::Effect;
+use crate::entry::Entry;
+use crate::message::{Key, Millis, Node, ReplicatedMessage};
+use crate::peer_message::{ClaimAnswer, KnownSubmission, PeerMessage};
+use crate::pending_writes::PendingWrite;
+use crate::planted_fault::PlantedFault;
+use crate::queue::Queue;
+use crate::record::Record;
+use std::collections::BTreeMap;
+
+/// Beyond the window of the keys, messages are not named any more.
+const WINDOW_MARGIN_MS: u64 = 10_000;
+
+/// An age beyond this is none: the time at which the message was accepted is not known any more.
+const KNOWN_AGE_LIMIT_MS: u64 = 365 * 86_400_000;
+
+/// After the loss of its disk a store asks the others for their terms so often.
+const TERMS_REQUEST_INTERVAL_MS: Millis = 500;
+
+impl Queue {
+    /// Another store claims shards.
+    pub(crate) fn claim_received(&mut self, from: Node, claim_id: u64, term: u64, shards: Vec<Shard>) {
+        self.uses_idempotency_keys = true;
+        let claim = ShardTerm { term, holder: from };
+        let is_blank = self.shards.are_terms_missing && !self.planted(PlantedFault::BlankStoreGrants);
+        let shards: Vec<Shard> = shards.into_iter().filter(|shard| *shard < SHARD_COUNT).collect();
+        let highest = shards.iter().map(|shard| self.shards.term_of(*shard)).max().unwrap_or_default();
+        // Who misses more stores than may be lost can't say that it would know of them.
+        if is_blank || self.absent_stores() > self.settings.replica_count {
+            return self.answer_claim(from, claim_id, ClaimAnswer::Abstained);
+        }
+        if highest > claim {
+            return self.answer_claim(from, claim_id, ClaimAnswer::Refused { term: highest.term });
+        }
+        for shard in &shards {
+            self.shards.raise(*shard, claim);
+        }
+        self.record(&Record::ShardsGranted { claim, shards: shards.clone() }, true);
+        self.after_write(PendingWrite::Grant { to: from, claim_id, shards });
+    }
+
+    /// A grant is on disk: only now it is given, with all messages of these shards that lie here.
+    pub(crate) fn grant_recorded(&mut self, now: Millis, to: Node, claim_id: u64, shards: &[Shard]) {
+        let mut known = Vec::new();
+        for shard in shards {
+            let first = IdempotencyDigest::first_of(*shard);
+            for (digest, key) in self.entries.with_digests_from(first) {
+                if digest.shard() != *shard {
+                    break;
+                }
+                known.extend(self.known_in_window(now, digest, key));
+            }
+        }
+        self.answer_claim(to, claim_id, ClaimAnswer::Granted(known));
+    }
+
+    /// A grant could not be recorded: it is none.
+    pub(crate) fn grant_failed(&mut self, to: Node, claim_id: u64) {
+        self.answer_claim(to, claim_id, ClaimAnswer::Abstained);
+    }
+
+    fn answer_claim(&mut self, to: Node, claim_id: u64, answer: ClaimAnswer) {
+        self.emit(Effect::Send { to, message: PeerMessage::ClaimAnswered { claim_id, answer } });
+    }
+
+    fn known_in_window(&self, now: Millis, digest: IdempotencyDigest, key: Key) -> Option<KnownSubmission> {
+        let in_window = |entry: &&Entry| {
+            let age_ms = entry.age_ms(now);
+            let window_ms = self.settings.idempotency_window_ms + WINDOW_MARGIN_MS;
+            entry.end.is_none() || age_ms <= window_ms || age_ms > KNOWN_AGE_LIMIT_MS
+        };
+        let entry = self.entries.get(&key).filter(in_window)?;
+        Some(KnownSubmission { digest, key, standing: self.standing_of(entry) })
+    }
+
+    /// Another store sends a replica of a message that it is about to accept. It is kept only if that store may still hold the shard.
+    pub(crate) fn store_new_replica(&mut self, now: Millis, from: Node, replica: ReplicatedMessage) {
+        self.uses_idempotency_keys = true;
+        let key = replica.key;
+        let Some(digest) = replica.message.idempotency_digest() else { return };
+        let claim = ShardTerm { term: replica.message.shard_term, holder: from };
+        if self.shards.are_terms_missing && !self.planted(PlantedFault::BlankStoreGrants) {
+            return self.outbox(from).replication_rejected.push(key);
+        }
+        let known = self.shards.term_of(digest.shard());
+        if known > claim && !self.planted(PlantedFault::StaleHolderHeeded) {
+            self.emit(Effect::Send { to: from, message: PeerMessage::StaleShard { term: known.term, key } });
+            return;
+        }
+        if claim > known {
+            // The claim was granted by others; what is kept in its term binds this store, too.
+            self.shards.raise(digest.shard(), claim);
+            self.record(&Record::ShardsGranted { claim, shards: vec![digest.shard()] }, true);
+        }
+        self.store_replica(now, from, replica);
+    }
+
+    /// Another store has granted a higher claim of the shard of a message that is being persisted here.
+    pub(crate) fn shard_is_stale(&mut self, term: u64, key: Key) {
+        self.shards.refused_term = self.shards.refused_term.max(term);
+        let digest = self.entries.get(&key).and_then(|entry| entry.message.idempotency_digest());
+        if let Some(digest) = digest {
+            self.shards.release(digest.shard());
+        }
+        self.roll_back(key);
+    }
+
+    /// Another store has lost its disk, and asks for the terms that are known here.
+    pub(crate) fn terms_requested(&mut self, from: Node) {
+        if self.shards.are_terms_missing {
+            return;
+        }
+        let terms = self.shards.all_terms().collect();
+        self.emit(Effect::Send { to: from, message: PeerMessage::ShardTerms(terms) });
+    }
+
+    /// Another store has named its terms.
+    pub(crate) fn terms_received(&mut self, from: Node, terms: Vec<(Shard, ShardTerm)>) {
+        for (shard, term) in terms {
+            self.shards.raise(shard, term);
+        }
+        self.shards.terms_named_by.insert(from);
+        let silent = self.silent_stores(&self.shards.terms_named_by.clone());
+        if !self.shards.are_terms_missing || silent > self.settings.replica_count || !self.knows_members {
+            return;
+        }
+        // All that the others have granted is known: on disk first, for it binds from now on.
+        let mut shards_by_claim: BTreeMap<ShardTerm, Vec<Shard>> = BTreeMap::new();
+        for (shard, claim) in self.shards.all_terms() {
+            shards_by_claim.entry(claim).or_default().push(shard);
+        }
+        for (claim, shards) in shards_by_claim {
+            self.record(&Record::ShardsGranted { claim, shards }, true);
+        }
+        self.record(&Record::ShardTermsMissing(false), true);
+        self.after_write(PendingWrite::ShardTerms);
+    }
+
+    /// The terms of the others are on disk.
+    pub(crate) fn terms_recorded(&mut self) {
+        self.shards.are_terms_missing = false;
+        tracing::info!("the holders of all shards are known again");
+    }
+
+    /// After the loss of the disk: asks the others for their terms.
+    pub(crate) fn request_terms(&mut self, now: Millis) {
+        let is_due = now >= self.shards.next_terms_request_at;
+        if !self.shards.are_terms_missing || !self.uses_idempotency_keys || !is_due {
+            return;
+        }
+        self.shards.next_terms_request_at = now + TERMS_REQUEST_INTERVAL_MS;
+        self.send_to_connected(&PeerMessage::RequestShardTerms);
+    }
+}
--- /dev/null
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -0,0 +1,204 @@
+//! Submissions with an idempotency key: each is the first one, or is answered with the name of the first.
+
+use super::digest::IdempotencyDigest;
+use super::shard_table::WaitingSubmission;
+use crate::effect::Effect;
+use crate::entry::{Entry, Stage};
+use crate::message::{Key, Message, Millis, PutError};
+use crate::peer_message::SubmissionStanding;
+use crate::queue::Queue;
+
+/// A submission waits so long for its shard, in milliseconds: its edge asks another store after 200 ms of silence.
+const SHARD_PATIENCE_MS: Millis = 160;
+
+/// A shard whose replicas are in doubt is not claimed anew sooner.
+const REFRESH_INTERVAL_MS: Millis = 300;
+
+/// After a roll-back its key is not used again for so long: a replica may still be on its way to be dropped.
+const ROLLBACK_MEMORY_MS: Millis = 2000;
+
+/// Without control nodes for so long, no new key is accepted: other stores may soon take this one for gone.
+const CONTROL_LOSS_LIMIT_MS: Millis = 6000;
+
+/// What is known of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Submission {
+    /// No message has it, as far as is known here.
+    Unknown,
+    /// A message that is accepted.
+    Accepted(Key),
+    /// A message that is being persisted here.
+    Persisting(Key),
+    /// Of a message only a replica is known: it may be dropped, or taken over.
+    InDoubt,
+}
+
+impl Queue {
+    /// A submission whose message has an idempotency key.
+    pub(crate) fn submit_once(
+        &mut self,
+        now: Millis,
+        ticket: u64,
+        message: Message,
+        digest: IdempotencyDigest,
+    ) {
+        self.uses_idempotency_keys = true;
+        match self.known_submission(digest) {
+            Submission::Accepted(key) => self.answer_with_first(ticket, key),
+            Submission::Persisting(key) => self.shards.followers.entry(key).or_default().push(ticket),
+            Submission::Unknown if self.shards.was_rolled_back(digest) || self.is_control_lost(now) => {
+                self.reject(ticket);
+            }
+            Submission::Unknown => match self.shards.held_term(digest.shard()) {
+                Some(term) => {
+                    let message = Message { shard_term: term, ..message };
+                    self.take_in(now, ticket, message, false);
+                }
+                None => self.wait_for_shard(now, ticket, message, digest),
+            },
+            Submission::InDoubt if now < self.shards.claimed_at(digest.shard()) + REFRESH_INTERVAL_MS => {
+                self.reject(ticket);
+            }
+            Submission::InDoubt => {
+                self.shards.release(digest.shard());
+                self.wait_for_shard(now, ticket, message, digest);
+            }
+        }
+    }
+
+    fn known_submission(&self, digest: IdempotencyDigest) -> Submission {
+        let mut known = Submission::Unknown;
+        for key in self.entries.with_digest(digest) {
+            match self.entries.get(&key) {
+                Some(entry) if self.is_accepted(entry) => return Submission::Accepted(key),
+                Some(entry) if self.is_being_persisted(entry) => known = Submission::Persisting(key),
+                Some(_) if known == Submission::Unknown => known = Submission::InDoubt,
+                _ => {}
+            }
+        }
+        for named in self.shards.named(digest) {
+            match named.standing {
+                SubmissionStanding::Accepted => return Submission::Accepted(named.key),
+                _ if known == Submission::Unknown => known = Submission::InDoubt,
+                _ => {}
+            }
+        }
+        known
+    }
+
+    /// Whether it is certain that a message was accepted, or will be delivered all the same.
+    pub(super) fn is_accepted(&self, entry: &Entry) -> bool {
+        let is_owned_here = entry.owner == self.settings.node;
+        entry.end.is_some() || (is_owned_here && entry.stage != Stage::Persisting && !entry.is_key_unchecked)
+    }
+
+    /// What this store can say of a message. One that is being persisted may be accepted in the next moment: it is in doubt.
+    pub(super) fn standing_of(&self, entry: &Entry) -> SubmissionStanding {
+        if self.is_accepted(entry) {
+            SubmissionStanding::Accepted
+        } else if entry.is_key_unchecked {
+            SubmissionStanding::NotAccepted
+        } else {
+            SubmissionStanding::Replica
+        }
+    }
+
+    fn is_being_persisted(&self, entry: &Entry) -> bool {
+        entry.owner == self.settings.node && entry.stage == Stage::Persisting
+    }
+
+    fn is_control_lost(&self, now: Millis) -> bool {
+        self.shards.control_lost_since.is_some_and(|since| now >= since + CONTROL_LOSS_LIMIT_MS)
+    }
+
+    fn reject(&mut self, ticket: u64) {
+        self.metrics.rejected += 1;
+        self.emit(Effect::PutResult { ticket, result: Err(PutError::Rejected) });
+    }
+
+    /// A further submission is the first message, whose name it gets.
+    fn answer_with_first(&mut self, ticket: u64, key: Key) {
+        self.metrics.deduplicated += 1;
+        self.emit(Effect::PutResult { ticket, result: Ok(key.to_text(None)) });
+    }
+
+    fn wait_for_shard(&mut self, now: Millis, ticket: u64, message: Message, digest: IdempotencyDigest) {
+        self.shards.wanted.insert(digest.shard());
+        let deadline = now + SHARD_PATIENCE_MS;
+        self.shards.waiting.push(WaitingSubmission { ticket, message, deadline });
+        self.start_claim(now);
+    }
+
+    /// Looks again at submissions that wait for a shard, after a claim has succeeded.
+    pub(super) fn resume_waiting(&mut self, now: Millis) {
+        for submission in std::mem::take(&mut self.shards.waiting) {
+            let WaitingSubmission { ticket, message, deadline } = submission;
+            let Some(digest) = message.idempotency_digest() else { continue };
+            if self.shards.held_term(digest.shard()).is_some() {
+                self.submit_once(now, ticket, message, digest);
+            } else {
+                self.shards.waiting.push(WaitingSubmission { ticket, message, deadline });
+            }
+        }
+    }
+
+    /// Rejects submissions that have waited for too long, and answers those whose first one has come to an end of its own.
+    pub(crate) fn settle_submissions(&mut self, now: Millis) {
+        while let Some(late) = self.shards.waiting.iter().position(|waiting| waiting.deadline <= now) {
+            let ticket = self.shards.waiting.remove(late).ticket;
+            self.metrics.shard_timeouts += 1;
+            self.reject(ticket);
+        }
+        let is_settled =
+            |key: &Key| self.entries.get(key).is_none_or(|entry| !self.is_being_persisted(entry));
+        let settled: Vec<Key> = self.shards.followers.keys().copied().filter(is_settled).collect();
+        for key in settled {
+            let is_accepted = self.entries.get(&key).is_some_and(|entry| self.is_accepted(entry));
+            for ticket in self.shards.followers.remove(&key).unwrap_or_default() {
+                if is_accepted {
+                    self.answer_with_first(ticket, key);
+                } else {
+                    self.report_unknown_outcome(Some(ticket));
+                }
+            }
+        }
+    }
+
+    /// When [`Queue::settle_submissions`] has to be called next.
+    pub(crate) fn next_submission_deadline(&self) -> Millis {
+        self.shards.waiting.iter().map(|waiting| waiting.deadline).min().unwrap_or(Millis::MAX)
+    }
+
+    /// A message with an idempotency key is rolled back.
+    pub(crate) fn note_rolled_back_submission(&mut self, key: Key) {
+        let digest = self.entries.get(&key).and_then(|entry| entry.message.idempotency_digest());
+        if let Some(digest) = digest {
+            self.shards.note_rolled_back(self.last_tick_at, digest);
+        }
+    }
+
+    /// Whether others wait for the outcome of a message besides the one that submitted it.
+    pub(crate) fn has_followers(&self, key: Key) -> bool {
+        self.shards.followers.contains_key(&key)
+    }
+
+    /// Nobody waits any more for a submission, whose connection is gone.
+    pub(crate) fn forget_submission(&mut self, ticket: u64) {
+        self.shards.waiting.retain(|waiting| waiting.ticket != ticket);
+        self.shards.followers.values_mut().for_each(|tickets| tickets.retain(|other| *other != ticket));
+    }
+
+    /// Forgets what is too old, and notes since when no control node is heard.
+    pub(crate) fn maintain_shards(&mut self, now: Millis) {
+        self.shards.forget_old(now, ROLLBACK_MEMORY_MS);
+        self.note_gone_stores(now);
+        self.rebalance_shards(now);
+        self.request_terms(now);
+        self.check_unchecked(now);
+        if self.control_contact.is_heard {
+            self.shards.control_lost_since = None;
+        } else {
+            self.shards.control_lost_since.get_or_insert(now);
+        }
+    }
+}
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -14,6 +14,7 @@
 mod fault_injection;
 mod fifo_groups;
 mod hashing;
+mod idempotency;
 mod live_index;
 mod message;
 mod message_encoding;
@@ -42,12 +43,13 @@
 pub use durability::MissingCopies;
 pub use effect::Effect;
 pub use entry::{Entry, MessageState, Stage};
+pub use idempotency::{preferred_store_of_shard, IdempotencyDigest, Shard, ShardTerm, SHARD_COUNT};
 pub use message::{End, Key, KeyLocation, Message, Millis, Node, PutError, ReplicatedMessage};
 pub use metrics::QueueMetrics;
 pub use ordering::preferred_store;
 pub use peer_message::{
-    AcceptedHandover, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer, KeyRange,
-    Ownership, PeerMessage, RangeDigest, TransferredEnd,
+    AcceptedHandover, ClaimAnswer, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer,
+    KeyRange, KnownSubmission, Ownership, PeerMessage, RangeDigest, SubmissionStanding, TransferredEnd,
 };
 #[cfg(feature = "planted")]
 pub use planted_fault::PlantedFault;
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -33,6 +33,16 @@
     pub replicas_resent: u64,
     /// Messages dropped because another store keeps the same one.
     pub withdrawn: u64,
+    /// Submissions that were answered with the name of the first message with their idempotency key.
+    pub deduplicated: u64,
+    /// Submissions rejected because the shard of their key was not held in time.
+    pub shard_timeouts: u64,
+    /// Claims of shards that were made.
+    pub shard_claims: u64,
+    /// Claims of shards that were refused, or not granted by enough stores.
+    pub shard_claims_failed: u64,
+    /// Messages that may not have been accepted, and were dropped because another was accepted with their key.
+    pub rivals_dropped: u64,
     /// Writes that the disk refused.
     pub failed_writes: u64,
     /// Claims of former owners or token holders that were ignored.
--- a/crates/queue/src/outbox.rs
+++ b/crates/queue/src/outbox.rs
@@ -17,6 +17,8 @@
 pub(crate) struct Outbox {
     /// Replicas that it is to store.
     pub(crate) replicas: Vec<ReplicatedMessage>,
+    /// Replicas of messages with idempotency keys that are about to be accepted here.
+    pub(crate) new_replicas: Vec<ReplicatedMessage>,
     /// Replicas of its messages that are on disk here.
     pub(crate) replicated: Vec<Key>,
     /// Replicas of its messages that could not be stored here.
@@ -44,6 +46,24 @@
     (!items.is_empty()).then(|| message(std::mem::take(items)))
 }
 
+/// Takes replicas, in as many messages as their bytes need.
+fn batches_of(
+    replicas: &mut Vec<ReplicatedMessage>,
+    message: fn(Vec<ReplicatedMessage>) -> PeerMessage,
+) -> Vec<PeerMessage> {
+    let mut messages = Vec::new();
+    while !replicas.is_empty() {
+        let mut bytes = 0;
+        let fits = |replica: &&ReplicatedMessage| {
+            bytes += replica.message.body.len() + REPLICA_OVERHEAD_BYTES;
+            bytes < MAX_REPLICA_BYTES_PER_MESSAGE
+        };
+        let count = replicas.iter().take_while(fits).count().max(1);
+        messages.push(message(replicas.drain(..count).collect()));
+    }
+    messages
+}
+
 impl Outbox {
     /// Takes the batch of ends and of delivered callbacks.
     pub(crate) fn take_ends(&mut self) -> Vec<PeerMessage> {
@@ -57,7 +77,8 @@
 
     /// Takes everything but the batch of ends, which goes along only where a handover depends on it.
     pub(crate) fn take_messages(&mut self) -> Vec<PeerMessage> {
-        let mut messages = self.take_replicas();
+        let mut messages = batches_of(&mut self.replicas, PeerMessage::Replicate);
+        messages.extend(batches_of(&mut self.new_replicas, PeerMessage::ReplicateNew));
         messages.extend(message_of(&mut self.replicated, PeerMessage::Replicated));
         messages.extend(message_of(&mut self.replication_rejected, PeerMessage::ReplicationRejected));
         messages.extend(message_of(&mut self.drops, PeerMessage::Drop));
@@ -74,18 +95,4 @@
         }
         messages
     }
-
-    fn take_replicas(&mut self) -> Vec<PeerMessage> {
-        let mut messages = Vec::new();
-        while !self.replicas.is_empty() {
-            let mut bytes = 0;
-            let fits = |replica: &&ReplicatedMessage| {
-                bytes += replica.message.body.len() + REPLICA_OVERHEAD_BYTES;
-                bytes < MAX_REPLICA_BYTES_PER_MESSAGE
-            };
-            let count = self.replicas.iter().take_while(fits).count().max(1);
-            messages.push(PeerMessage::Replicate(self.replicas.drain(..count).collect()));
-        }
-        messages
-    }
 }
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -54,6 +54,8 @@
     pub(crate) orphans_listed_at: Millis,
     /// Whether its replicas count.
     pub(crate) replica_status: ReplicaStatus,
+    /// It is gone for good, as far as idempotency keys go: what it held lies elsewhere, or its keys may be used again.
+    pub(crate) is_gone: bool,
     /// When it was last seen to have another disk than before.
     pub(crate) disk_lost_at: Option<Millis>,
     /// When digests were last compared with it.
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -1,5 +1,6 @@
 //! What stores send to each other.
 
+use crate::idempotency::{IdempotencyDigest, Shard, ShardTerm};
 use crate::message::{End, Key, Message, Node, ReplicatedMessage};
 use serde::{Deserialize, Serialize};
 
@@ -93,6 +94,42 @@
     pub failed_message: Option<Message>,
 }
 
+/// What a store can say of a message with an idempotency key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum SubmissionStanding {
+    /// A replica lies there, or it is being persisted: it may have been accepted or not.
+    Replica,
+    /// The store owns it, and will not deliver it before it has claimed the shard of its key once more.
+    NotAccepted,
+    /// It was accepted, or will be delivered all the same.
+    Accepted,
+}
+
+/// A message with an idempotency key, as a store names it to one that claims the shard of the key.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KnownSubmission {
+    /// The digest of its key.
+    pub digest: IdempotencyDigest,
+    /// Which message.
+    pub key: Key,
+    /// What is certain of it.
+    pub standing: SubmissionStanding,
+}
+
+/// A store's answer to a claim of shards.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ClaimAnswer {
+    /// The claim is granted; these messages of the shards lie on the sender's disk.
+    Granted(Vec<KnownSubmission>),
+    /// A higher claim of one of the shards was granted before.
+    Refused {
+        /// Its term.
+        term: u64,
+    },
+    /// The sender can't say: it has lost its disk, or misses too many stores.
+    Abstained,
+}
+
 /// Position of a message in its FIFO group: messages start in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GroupPosition {
@@ -210,4 +247,34 @@
         /// How many requests may be sent; 0 if none.
         count: u32,
     },
+    /// Keep these replicas of messages that the sender is about to accept, unless another store has claimed the shards of their
+    /// idempotency keys; answered with `Replicated` once they are on disk, or with `StaleShard`.
+    ReplicateNew(Vec<ReplicatedMessage>),
+    /// A replica was not kept: a higher claim of its shard was granted.
+    StaleShard {
+        /// The term of that claim.
+        term: u64,
+        /// The message.
+        key: Key,
+    },
+    /// The sender wants to hold these shards; answered with `ClaimAnswered`.
+    ClaimShards {
+        /// Identifies the claim in its answer.
+        claim_id: u64,
+        /// The term of the claim.
+        term: u64,
+        /// The shards.
+        shards: Vec<Shard>,
+    },
+    /// Answers `ClaimShards`.
+    ClaimAnswered {
+        /// The claim's identifier.
+        claim_id: u64,
+        /// What the sender says to it.
+        answer: ClaimAnswer,
+    },
+    /// The sender has lost its disk, and with it the claims that it had granted: answered with `ShardTerms`.
+    RequestShardTerms,
+    /// The highest claims that the sender has granted.
+    ShardTerms(Vec<(Shard, ShardTerm)>),
 }
--- a/crates/queue/src/pending_writes.rs
+++ b/crates/queue/src/pending_writes.rs
@@ -1,6 +1,7 @@
 //! Records on their way to disk, and what has to happen once they are there.
 
 use crate::effect::Effect;
+use crate::idempotency::Shard;
 use crate::message::{Key, Millis, Node};
 use crate::record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -21,6 +22,19 @@
     EndFrom(Node, Key),
     /// The order to retire this store is recorded.
     Retirement,
+    /// This store's own claim of shards is recorded, by its identifier.
+    OwnClaim(u64),
+    /// A claim of another store is granted, which is answered.
+    Grant {
+        /// The store that claims the shards.
+        to: Node,
+        /// Its identifier of the claim.
+        claim_id: u64,
+        /// The shards.
+        shards: Vec<Shard>,
+    },
+    /// The claims that other stores know are recorded.
+    ShardTerms,
 }
 
 /// Collects the records of one turn into one write, and remembers what waits for each write.
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -57,12 +57,20 @@
     ReplicaChosenTwice,
     /// A store counts on a control node that may be cut off together with it.
     CutOffControlNodeTrusted,
+    /// A store holds a shard without the grants of other stores.
+    ShardsHeldUnasked,
+    /// A store that has granted a claim of a shard keeps new replicas from its earlier holder all the same.
+    StaleHolderHeeded,
+    /// A store whose disk was lost grants claims, and keeps new replicas, before it knows what it had granted.
+    BlankStoreGrants,
+    /// A message that was taken over, or read from disk, starts before it is certain that no other was accepted with its key.
+    KeyUnchecked,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 27] = [
+    pub const ALL: [PlantedFault; 31] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -90,5 +98,9 @@
         PlantedFault::DroppedConfirmed,
         PlantedFault::ReplicaChosenTwice,
         PlantedFault::CutOffControlNodeTrusted,
+        PlantedFault::ShardsHeldUnasked,
+        PlantedFault::StaleHolderHeeded,
+        PlantedFault::BlankStoreGrants,
+        PlantedFault::KeyUnchecked,
     ];
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -17,6 +17,7 @@
 use crate::effect::Effect;
 use crate::entry::{Entry, MessageState, OrderSlot, Stage};
 use crate::entry_table::EntryTable;
+use crate::idempotency::ShardTable;
 use crate::message::{End, Key, Message, Millis, Node, ReplicatedMessage};
 use crate::metrics::QueueMetrics;
 use crate::peer::Peer;
@@ -139,6 +140,10 @@
     pub(crate) retirement: RetirementOrder,
     /// Stores that have said that they count on no replica here.
     pub(crate) released_by: BTreeSet<Node>,
+    /// The shards of idempotency keys.
+    pub(crate) shards: ShardTable,
+    /// The configuration names tenants, or a message had an idempotency key.
+    pub(crate) uses_idempotency_keys: bool,
     /// Ends that are passed on to other stores.
     pub(crate) end_replication: crate::end_replication::EndReplication,
     /// Since when no attempt is started, for others may have taken over.
@@ -150,7 +155,9 @@
 impl Queue {
     /// A queue that begins with what the disk holds. `wall_clock_ms` is the time of day at `now`, in milliseconds.
     pub fn new(settings: QueueSettings, stored: StateTable, now: Millis, wall_clock_ms: u64) -> Queue {
-        let mut queue = Queue::empty(settings, now, wall_clock_ms);
+        let are_terms_missing = stored.are_shard_terms_missing || settings.has_lost_disk;
+        let shards = ShardTable::new(&stored.shard_terms, are_terms_missing);
+        let mut queue = Queue::empty(settings, shards, now, wall_clock_ms);
         for (key, message) in stored.messages {
             queue.restore(key, message, now, wall_clock_ms);
         }
@@ -163,7 +170,7 @@
         queue
     }
 
-    fn empty(settings: QueueSettings, now: Millis, wall_clock_ms: u64) -> Queue {
+    fn empty(settings: QueueSettings, shards: ShardTable, now: Millis, wall_clock_ms: u64) -> Queue {
         Queue {
             control_contact: ControlContact::FULL,
             metrics: QueueMetrics::default(),
@@ -207,6 +214,8 @@
             is_draining: false,
             retirement: RetirementOrder::None,
             released_by: BTreeSet::new(),
+            shards,
+            uses_idempotency_keys: false,
             end_replication: Default::default(),
             fenced_since: None,
             #[cfg(feature = "planted")]
@@ -240,6 +249,7 @@
             (None, false) => Stage::Replica,
         };
         (entry.end, entry.callback_pending) = (end, callback_pending);
+        entry.is_key_unchecked = entry.digest.is_some() && entry.stage == Stage::Suspended;
         let stage = entry.stage;
         let is_callback_owed_here = callback_pending && entry.owner == self.settings.node;
         self.entries.insert(key, entry);
--- a/crates/queue/src/queue/configuration.rs
+++ b/crates/queue/src/queue/configuration.rs
@@ -27,6 +27,9 @@
             let index = self.service_queue_for(service, &config);
             self.configure_service(now, dispatch_time, index, service);
         }
+        if config.tenants.is_some() && !std::mem::replace(&mut self.uses_idempotency_keys, true) {
+            self.shards_may_move(now);
+        }
         self.config = Some(config);
         self.invalidate_token_holders();
         self.reschedule_all(now);
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -50,7 +50,7 @@
 impl Queue {
     /// Puts an accepted message where it waits: for its time, for a configuration, or for an executor.
     pub(crate) fn schedule(&mut self, now: Millis, key: Key) {
-        let Some(entry) = self.entries.get_mut(&key).filter(|entry| entry.stage == Stage::Waiting) else {
+        let Some(entry) = self.entries.get(&key).filter(|entry| entry.stage == Stage::Waiting) else {
             return;
         };
         if entry.queue_slot.is_some() {
@@ -59,9 +59,13 @@
         if self.superseded_keys.contains(&key) {
             return self.withdraw(key);
         }
+        if !self.is_key_checked(now, key) {
+            return;
+        }
         if self.is_draining {
             return self.offer(key);
         }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         let start_at = entry.due_at.max(entry.not_before);
         if start_at > now {
             entry.delayed_until = Some(start_at);
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -23,15 +23,22 @@
 impl Queue {
     /// A message has come from an edge. The answer is an [`Effect::PutResult`] with the same `ticket`.
     pub fn put(&mut self, now: Millis, ticket: u64, message: Message) {
-        self.take_in(now, ticket, message, false);
+        match message.idempotency_digest() {
+            Some(digest) => self.submit_once(now, ticket, message, digest),
+            None => self.take_in(now, ticket, message, false),
+        }
     }
 
     /// The same of a message that the edge has offered to another store before, which has not answered: that one may have it.
     pub fn put_resubmitted(&mut self, now: Millis, ticket: u64, message: Message) {
-        self.take_in(now, ticket, message, true);
+        match message.idempotency_digest() {
+            // Wherever the first one is: by its key it is the same message.
+            Some(digest) => self.submit_once(now, ticket, message, digest),
+            None => self.take_in(now, ticket, message, true),
+        }
     }
 
-    fn take_in(&mut self, now: Millis, ticket: u64, message: Message, is_resubmitted: bool) {
+    pub(crate) fn take_in(&mut self, now: Millis, ticket: u64, message: Message, is_resubmitted: bool) {
         let replicas = self.choose_replica_stores(now, &[], &[], self.settings.replica_count);
         if self.must_reject(now, replicas.len()) {
             self.metrics.rejected += 1;
@@ -116,6 +123,9 @@
             PendingWrite::TakenOverFrom(former_owner, key) => self.confirm_handover(former_owner, key),
             PendingWrite::EndFrom(sender, key) => self.outbox(sender).ends_stored.push(key),
             PendingWrite::Retirement => self.retirement = RetirementOrder::Durable,
+            PendingWrite::OwnClaim(id) => self.claim_recorded(now, id),
+            PendingWrite::Grant { to, claim_id, shards } => self.grant_recorded(now, to, claim_id, &shards),
+            PendingWrite::ShardTerms => self.terms_recorded(),
         }
     }
 
@@ -139,6 +149,9 @@
             PendingWrite::EndFrom(..) => self.metrics.failed_writes += 1,
             // A restart would forget the order: the operator has to repeat it.
             PendingWrite::Retirement => self.retirement = RetirementOrder::None,
+            PendingWrite::Grant { to, claim_id, .. } => self.grant_failed(to, claim_id),
+            // A claim that isn't recorded ends by its time-out; terms are asked for again.
+            PendingWrite::OwnClaim(_) | PendingWrite::ShardTerms => self.metrics.failed_writes += 1,
         }
     }
 
@@ -165,6 +178,7 @@
             return;
         };
         let (ticket, replicas) = (entry.ticket, entry.replicas.clone());
+        self.note_rolled_back_submission(key);
         self.record(&Record::Dropped { key }, false);
         for replica in replicas {
             self.outbox(replica).drops.push(key);
@@ -199,12 +213,14 @@
         // By both clocks: the process may have read the message late, or stood still since.
         let is_late = entry.age_ms(now) >= LATE_ACCEPTANCE_MS
             || wall_clock_ms >= entry.message.accepted_at_ms + LATE_ACCEPTANCE_MS;
-        entry.may_be_elsewhere |= is_late && entry.message.accepted_at_ms > 0;
+        // A message with an idempotency key is nowhere else: its edge says nothing of it.
+        entry.may_be_elsewhere |= is_late && entry.message.accepted_at_ms > 0 && entry.digest.is_none();
         if entry.may_be_elsewhere && !is_unasked {
             entry.not_before = entry.not_before.max(now + CONFIRMATION_WINDOW_MS);
         }
         let ticket = entry.ticket.take();
-        let first_replica = entry.replicas.first().copied();
+        // Of a message with an idempotency key the name is the same for each further submission, wherever its replicas lie by then.
+        let first_replica = entry.replicas.first().copied().filter(|_| entry.digest.is_none());
         if let Some(at) = entry.persist_check_at.take() {
             self.persisting.remove(&(at, key));
         }
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -68,6 +68,8 @@
 pub struct MessageView {
     /// The identity that its sender gave it.
     pub id: String,
+    /// The tenant whose message it is.
+    pub tenant: Option<String>,
     /// The store that delivers it.
     pub owner: Node,
     /// Stores with replicas beside the owner.
@@ -108,6 +110,11 @@
 }
 
 impl Queue {
+    /// How many shards of idempotency keys this store holds.
+    pub fn held_shard_count(&self) -> usize {
+        self.shards.held_count()
+    }
+
     /// All services.
     pub fn service_views(&self, now: Millis) -> Vec<ServiceView> {
         self.service_queues.iter().map(|service_queue| self.service_view(now, service_queue)).collect()
@@ -170,6 +177,7 @@
         let from_now = |at: Millis| i64::try_from(at).unwrap_or(i64::MAX).saturating_sub(now as i64);
         Some(MessageView {
             id: entry.message.id.clone(),
+            tenant: entry.message.tenant.clone(),
             owner: entry.owner,
             replicas: entry.replicas.clone(),
             term: entry.term,
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -33,6 +33,10 @@
         self.replace_overdue(now);
         self.repair(now);
         self.advance_groups(now);
+        if self.uses_idempotency_keys {
+            self.check_claim(now);
+            self.settle_submissions(now);
+        }
         let next_callback_at = self.start_callbacks(now);
         self.start_attempts(now, dispatch_time);
         self.next_dispatch_at = self.next_dispatch_at.min(next_callback_at);
@@ -121,6 +125,9 @@
             service_queue.run_upkeep(dispatch_time);
         }
         self.check_peers(now);
+        if self.uses_idempotency_keys {
+            self.maintain_shards(now);
+        }
         self.log_intake_change(now);
     }
 
@@ -133,6 +140,8 @@
             first(&self.persisting),
             self.next_repair_at(),
             self.ordering.next_check_at(),
+            self.next_submission_deadline(),
+            self.next_claim_check_at(),
             self.flush_ends_at.unwrap_or(Millis::MAX),
             self.last_upkeep_at + UPKEEP_INTERVAL_MS,
             self.next_dispatch_at,
--- a/crates/queue/src/record.rs
+++ b/crates/queue/src/record.rs
@@ -1,5 +1,6 @@
 //! The records that a store writes to its log.
 
+use crate::idempotency::{Shard, ShardTerm};
 use crate::message::{End, Key, Node, ReplicatedMessage};
 use serde::{Deserialize, Serialize};
 
@@ -68,4 +69,13 @@
         /// How many have failed so far, as far as this store knows.
         failed_attempts: u32,
     },
+    /// A claim of shards was granted, or made.
+    ShardsGranted {
+        /// The claim.
+        claim: ShardTerm,
+        /// The shards.
+        shards: Vec<Shard>,
+    },
+    /// Whether the claims that were granted were lost with the disk before this one, and are not known yet.
+    ShardTermsMissing(bool),
 }
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -26,6 +26,7 @@
         }
         if members_of(&self.peers) != before {
             self.ordering.peers_changed_at = now;
+            self.shards_may_move(now);
         }
         self.invalidate_token_holders();
     }
@@ -43,6 +44,7 @@
         peer.outbox = Outbox::default();
         self.invalidate_token_holders();
         self.ordering.peers_changed_at = now;
+        self.shards_may_move(now);
         self.emit(Effect::Send { to: node, message: PeerMessage::DiskId(self.settings.disk_id) });
         // One of the two begins: the other answers with what differs.
         if self.settings.node < node {
@@ -90,6 +92,8 @@
         self.handovers.retain(|_, to| *to != node);
         self.drop_repairs_in_flight_to(now, node);
         self.stop_awaiting_answers_of(now, node);
+        self.stop_awaiting_claim_answer(now, node);
+        self.shards_may_move(now);
     }
 
     /// Another store has said all that it knows about what both hold.
--- a/crates/queue/src/replication/handover.rs
+++ b/crates/queue/src/replication/handover.rs
@@ -43,7 +43,7 @@
 
     /// Offers one message to a store that holds a confirmed replica: neither starts it until that one has accepted.
     pub(crate) fn offer(&mut self, key: Key) {
-        let Some(entry) = self.entries.get(&key) else { return };
+        let Some(entry) = self.entries.get(&key).filter(|entry| !entry.is_key_unchecked) else { return };
         let is_able = |node: &Node| {
             let peer = self.peers.get(node);
             peer.is_some_and(|peer| peer.is_connected && peer.is_reconciled && !peer.is_draining())
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -120,6 +120,7 @@
             self.queue_callback(key);
         } else if is_owned_here && !is_in_flight {
             // It was taken over here, and that was lost with the power. Others may have gone on since.
+            self.mark_key_unchecked(key);
             self.unreleased.insert(key);
             self.release_suspended(now);
         }
--- a/crates/queue/src/replication/peer_messages.rs
+++ b/crates/queue/src/replication/peer_messages.rs
@@ -66,6 +66,18 @@
             PeerMessage::EndsStored(keys) => self.ends_stored_at(from, keys),
             PeerMessage::RequestTokens { service, count } => self.tokens_wanted(now, from, service, count),
             PeerMessage::GrantTokens { service, count } => self.tokens_received(now, from, &service, count),
+            PeerMessage::ReplicateNew(replicas) => {
+                replicas.into_iter().for_each(|replica| self.store_new_replica(now, from, replica));
+            }
+            PeerMessage::StaleShard { term, key } => self.shard_is_stale(term, key),
+            PeerMessage::ClaimShards { claim_id, term, shards } => {
+                self.claim_received(from, claim_id, term, shards);
+            }
+            PeerMessage::ClaimAnswered { claim_id, answer } => {
+                self.claim_answered(now, from, claim_id, answer)
+            }
+            PeerMessage::RequestShardTerms => self.terms_requested(from),
+            PeerMessage::ShardTerms(terms) => self.terms_received(from, terms),
         }
     }
 
@@ -76,6 +88,7 @@
             peer.service = ServiceState::Draining;
         }
         self.invalidate_token_holders();
+        self.shards_may_move(now);
     }
 
     fn peer_retires(&mut self, node: Node) {
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -27,7 +27,12 @@
 impl Queue {
     /// Sends a replica at the end of the turn.
     pub(crate) fn send_replica(&mut self, to: Node, replica: ReplicatedMessage) {
-        self.outbox(to).replicas.push(replica);
+        let entry = self.entries.get(&replica.key);
+        let is_new = entry.is_some_and(|entry| entry.stage == Stage::Persisting && entry.digest.is_some());
+        let outbox = self.outbox(to);
+        // One that is about to be accepted is kept only as long as this store holds the shard of its key.
+        let replicas = if is_new { &mut outbox.new_replicas } else { &mut outbox.replicas };
+        replicas.push(replica);
     }
 
     /// A message with its ownership, as it is sent to other stores and kept on disk.
@@ -149,7 +154,7 @@
     }
 
     /// Stores a replica for another store, and confirms it once it is on disk.
-    pub(super) fn store_replica(&mut self, now: Millis, from: Node, replica: ReplicatedMessage) {
+    pub(crate) fn store_replica(&mut self, now: Millis, from: Node, replica: ReplicatedMessage) {
         let key = replica.key;
         self.needs_replicas_again(from);
         let Some(entry) = self.entries.get(&key) else {
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -82,6 +82,7 @@
         entry.replicas.retain(|replica| *replica != node && *replica != former_owner);
         entry.unconfirmed = if is_list_trusted { Vec::new() } else { expected };
         entry.replicas.extend(giver);
+        entry.is_key_unchecked |= giver.is_none() && entry.digest.is_some() && entry.end.is_none();
         if awaits_objections {
             entry.not_before = entry.not_before.max(now + OBJECTION_WINDOW);
         }
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -36,6 +36,10 @@
     pub rate_tolerance: f64,
     /// For how long the end of a message can be looked up, in milliseconds.
     pub status_retention_ms: u64,
+    /// For how long an idempotency key stands for its first message, in milliseconds after that was sent.
+    pub idempotency_window_ms: u64,
+    /// The disk is empty, and the system does not start for the first time: what lay on it is lost.
+    pub has_lost_disk: bool,
     /// Seed of the dispatchers' random choices.
     pub seed: u64,
 }
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -1,5 +1,6 @@
 //! The state that the records on disk add up to: read when the store starts, and written anew when its log is compacted.
 
+use crate::idempotency::{Shard, ShardTerm};
 use crate::message::{End, Key, Node, ReplicatedMessage};
 use crate::record::Record;
 use std::collections::{BTreeMap, HashMap};
@@ -42,6 +43,10 @@
     pub retirement_ordered: bool,
     /// The disks of other stores, as they were last named.
     pub peer_disks: BTreeMap<Node, u64>,
+    /// The highest claim of each shard that was granted or made.
+    pub shard_terms: BTreeMap<Shard, ShardTerm>,
+    /// The claims that were granted before the disk was lost are not known yet.
+    pub are_shard_terms_missing: bool,
     /// All messages that are live, or whose end is kept.
     pub messages: HashMap<Key, StoredMessage>,
     /// Records that could not be decoded.
@@ -86,6 +91,13 @@
             Record::Dropped { key } => {
                 self.messages.remove(&key);
             }
+            Record::ShardsGranted { claim, shards } => {
+                for shard in shards {
+                    let known = self.shard_terms.entry(shard).or_default();
+                    *known = claim.max(*known);
+                }
+            }
+            Record::ShardTermsMissing(are_missing) => self.are_shard_terms_missing = are_missing,
             Record::AttemptFailed { key, failed_attempts } => {
                 let message = self.messages.get_mut(&key);
                 if let Some(replica) = message.and_then(|message| message.replica.as_mut()) {
@@ -152,6 +164,16 @@
         if self.retirement_ordered {
             put(&Record::RetirementOrdered);
         }
+        if self.are_shard_terms_missing {
+            put(&Record::ShardTermsMissing(true));
+        }
+        let mut shards_by_claim: BTreeMap<ShardTerm, Vec<Shard>> = BTreeMap::new();
+        for (shard, claim) in &self.shard_terms {
+            shards_by_claim.entry(*claim).or_default().push(*shard);
+        }
+        for (claim, shards) in shards_by_claim {
+            put(&Record::ShardsGranted { claim, shards });
+        }
         for (node, disk_id) in &self.peer_disks {
             put(&Record::PeerDiskKnown { node: *node, disk_id: Some(*disk_id) });
         }
--- a/crates/queue/tests/retries.rs
+++ b/crates/queue/tests/retries.rs
@@ -49,6 +49,8 @@
         rate_window_ms: 5000,
         rate_tolerance: 1.1,
         status_retention_ms: 120_000,
+        idempotency_window_ms: 60_000,
+        has_lost_disk: false,
         seed: at as u64,
     };
     let mut queue = Queue::new(terms, StateTable::default(), 0, WALL);
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -41,6 +41,8 @@
             rate_window_ms: 5000,
             rate_tolerance: 1.1,
             status_retention_ms: 120_000,
+            idempotency_window_ms: 60_000,
+            has_lost_disk: false,
             seed: 5,
         };
         let queue = Queue::new(terms, ledger, 0, WALL);
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -82,6 +82,8 @@
         MessageRecord::RetirementOrdered => "retire",
         MessageRecord::PeerDiskKnown { .. } => "peer disk",
         MessageRecord::AttemptFailed { .. } => "attempt failed",
+        MessageRecord::ShardsGranted { .. } => "shards",
+        MessageRecord::ShardTermsMissing(_) => "shard terms",
     }
 }
 
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -8,7 +8,9 @@
 use crate::node::wall_clock_ms;
 use crate::protocol::{Frame, NodeRole, RESUBMISSION_FLAG};
 use stileroute_config::{Config, Route, RouteKind, Tenant, ZoneDistance};
-use stileroute_queue::{preferred_store, Key, Message, Node, PutError};
+use stileroute_queue::{
+    preferred_store, preferred_store_of_shard, IdempotencyDigest, Key, Message, Node, PutError,
+};
 
 /// A store that did not answer gets messages only after the others for so long, in ms, and none before it is heard again.
 const UNRESPONSIVE_PENALTY_MS: Millis = 1500;
@@ -20,6 +22,8 @@
 const MAX_REQUEST_ID_BYTES: usize = 256;
 /// Longest idempotency key, in bytes.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 1024;
+/// Stores that are asked for a message with an idempotency key at most: each claims the shard of the key for itself.
+const MAX_STORES_FOR_KEY: usize = 3;
 /// How long a client waits that does not say so, in ms.
 const DEFAULT_CLIENT_TIMEOUT_MS: Millis = 4000;
 /// What a client may say of that is limited to this, in ms.
@@ -70,8 +74,7 @@
     /// Offers a message to the next store. Where there is none left, the client is answered.
     fn submit(&mut self, request_id: u64, mut submission: PendingSubmission) {
         let now = self.runtime.net.now();
-        let ordering_key = submission.message.ordering_key.as_deref();
-        match self.choose_store(&submission.tried_stores, ordering_key) {
+        match self.choose_store(&submission.tried_stores, &submission.message) {
             Some(store) => {
                 submission.tried_stores.push(store);
                 submission.sent_at = now;
@@ -98,8 +101,13 @@
     }
 
     /// The next store for a message: of the own zone before the region before others, those that answer before those that did
-    /// not. Stores that are alike take turns; messages of one ordering key go to the same store while it is there.
-    fn choose_store(&mut self, tried: &[Node], ordering_key: Option<&str>) -> Option<Node> {
+    /// not. Stores that are alike take turns; messages of one ordering key, and those of one shard of idempotency keys, go to the same
+    /// store while it is there.
+    fn choose_store(&mut self, tried: &[Node], message: &Message) -> Option<Node> {
+        let shard = message.idempotency_digest().map(IdempotencyDigest::shard);
+        if shard.is_some() && tried.len() >= MAX_STORES_FOR_KEY {
+            return None;
+        }
         let now = self.runtime.net.now();
         let boot = &self.runtime.boot;
         let mut stores: Vec<(bool, ZoneDistance, Node)> = self
@@ -116,10 +124,13 @@
             .collect();
         stores.sort_unstable();
         let (is_penalised, distance, _) = *stores.first()?;
-        if let Some(ordering_key) = ordering_key {
-            let alike = stores.iter().filter(|store| store.0 == is_penalised).map(|store| store.2);
+        let mut alike = stores.iter().filter(|store| store.0 == is_penalised).map(|store| store.2);
+        if let Some(ordering_key) = &message.ordering_key {
             return preferred_store(ordering_key, alike);
         }
+        if let Some(shard) = shard {
+            return preferred_store_of_shard(shard, &mut alike);
+        }
         let alike = stores.iter().take_while(|store| (store.0, store.1) == (is_penalised, distance)).count();
         self.round_robin = self.round_robin.wrapping_add(1);
         Some(stores[self.round_robin % alike].2)
@@ -133,8 +144,12 @@
             .is_some_and(|since| last_heard_at.is_none_or(|heard_at| heard_at <= *since))
     }
 
-    /// Tells all stores which of several copies of a message is kept, or that none is.
+    /// Tells all stores which of several copies of a message is kept, or that none is. Of one with an idempotency key there is one at
+    /// most, and that one may have been accepted: it is left to the stores.
     fn announce_kept(&mut self, submission: &PendingSubmission, kept: Option<Key>) {
+        if submission.message.idempotency_key.is_some() {
+            return;
+        }
         let now = self.runtime.net.now();
         let message = &submission.message;
         let (message_id, fingerprint) = (message.id.clone(), message.fingerprint());
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -218,9 +218,10 @@
 /// The category of what one store sends to another.
 fn queue_category(message: &PeerMessage) -> &'static str {
     match message {
-        PeerMessage::Replicate(_) | PeerMessage::Replicated(_) | PeerMessage::ReplicationRejected(_) => {
-            "copies"
-        }
+        PeerMessage::Replicate(_)
+        | PeerMessage::ReplicateNew(_)
+        | PeerMessage::Replicated(_)
+        | PeerMessage::ReplicationRejected(_) => "copies",
         PeerMessage::Ended(_)
         | PeerMessage::CallbacksDelivered(_)
         | PeerMessage::TransferEnds(_)
@@ -239,6 +240,11 @@
         PeerMessage::GroupQuery { .. }
         | PeerMessage::GroupQueryReply { .. }
         | PeerMessage::GroupMessagesEnded(_) => "rows",
+        PeerMessage::StaleShard { .. }
+        | PeerMessage::ClaimShards { .. }
+        | PeerMessage::ClaimAnswered { .. }
+        | PeerMessage::RequestShardTerms
+        | PeerMessage::ShardTerms(_) => "shards",
         PeerMessage::RequestTokens { .. } | PeerMessage::GrantTokens { .. } => "tokens",
         PeerMessage::Draining | PeerMessage::Retiring | PeerMessage::NoReplicasNeeded => "leaving",
     }
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -85,8 +85,11 @@
         let record = Record::IncarnationStarted { disk_id, first_number };
         // Encoding into memory has no way to fail.
         let record = postcard::to_stdvec(&record).unwrap_or_default();
-        disk.append(0, vec![record], true);
-        let settings = queue_settings(&runtime, disk_id, first_number, &table);
+        let has_lost_disk = table.disk_id.is_none() && !runtime.boot.is_first_start;
+        let terms_missing = has_lost_disk.then_some(Record::ShardTermsMissing(true));
+        let terms_missing = terms_missing.and_then(|record| postcard::to_stdvec(&record).ok());
+        disk.append(0, std::iter::once(record).chain(terms_missing).collect(), true);
+        let settings = queue_settings(&runtime, disk_id, first_number, &table, has_lost_disk);
         tracing::info!(messages = table.messages.len(), disk = disk_id, "disk read");
         // Both clocks after the disk was read: with the steady one from before, delayed messages would run early.
         let (now, wall_clock_ms) = (runtime.net.refresh_now(), wall_clock_ms());
@@ -199,6 +202,7 @@
     disk_id: u64,
     first_number: u64,
     table: &StateTable,
+    has_lost_disk: bool,
 ) -> QueueSettings {
     let boot = &runtime.boot;
     let zone = boot.zone_regions.keys().position(|zone| *zone == boot.zone).unwrap_or(0);
@@ -217,6 +221,8 @@
         rate_window_ms: boot.bounds.rate_limit_window_ms,
         rate_tolerance: boot.bounds.rate_limit_overrun,
         status_retention_ms: boot.bounds.status_retention_ms,
+        idempotency_window_ms: boot.bounds.idempotency_window_ms,
+        has_lost_disk,
         seed: random_seed(),
     }
 }
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -108,11 +108,18 @@
             ("ends_received", counts.ends_received),
             ("ends_forgotten", counts.ends_forgotten),
             ("unknown", self.unknown_lookups),
+            ("deduplicated", counts.deduplicated),
+            ("rival_dropped", counts.rivals_dropped),
+            ("shard_timeout", counts.shard_timeouts),
+            ("shards_claimed", counts.shard_claims),
+            ("claim_failed", counts.shard_claims_failed),
         ];
         for (event, count) in events {
             let help = "What happened to messages.";
             metrics.counter("stileroute_queue_events_total", help, &[("event", event)], count);
         }
+        let help = "Shards of idempotency keys that this store holds; there are 1024.";
+        metrics.gauge("stileroute_shards_held", help, &[], self.queue.held_shard_count());
         let help = "Own messages that are on too few disks.";
         metrics.gauge("stileroute_messages_thin", help, &[], counts.under_replicated);
         let help = "How long some were on too few disks, the last time that this was so.";
@@ -219,6 +226,7 @@
         };
         jzon::object! {
             "id" => view.id,
+            "tenant" => view.tenant,
             "owner" => self.runtime.node_name(view.owner),
             "copies" => replicas.collect::<Vec<_>>(),
             "term" => view.term,
