--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -72,6 +72,15 @@
     pub accepted_at_ms: u64,
 }
 
+/// Whether a message with an idempotency key was accepted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Acceptance {
+    /// It was accepted here, or handed over by the store that had accepted it; or it has no key.
+    Certain,
+    /// It was read from disk, or taken over: another may have been accepted with its key instead.
+    Unchecked,
+}
+
 /// What ordered delivery needs to know of a message. Flags alone, so that they lie in the padding of [`Entry`], of which a store
 /// has very many.
 #[derive(Debug, Default)]
@@ -140,9 +149,8 @@
     pub(crate) queue_slot: Option<ServiceQueueSlot>,
     /// The digest of its idempotency key, if it has one.
     pub(crate) digest: Option<IdempotencyDigest>,
-    /// It has an idempotency key, and it is not certain that it was accepted: it was read from disk, or taken over. Another message may
-    /// have been accepted with that key instead.
-    pub(crate) is_key_unchecked: bool,
+    /// Whether it was accepted, as far as its idempotency key goes.
+    pub(crate) acceptance: Acceptance,
 }
 
 impl Entry {
@@ -175,7 +183,7 @@
             order: OrderState::default(),
             queue_slot: None,
             digest: shared.message.idempotency_digest(),
-            is_key_unchecked: false,
+            acceptance: Acceptance::Certain,
         }
     }
 
--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -4,7 +4,7 @@
 use super::shard_table::{PendingClaim, ShardTerm};
 use crate::effect::Effect;
 use crate::message::{Millis, Node};
-use crate::peer::Peer;
+use crate::peer::{KeyHolder, Peer};
 use crate::peer_message::{ClaimAnswer, PeerMessage};
 use crate::pending_writes::PendingWrite;
 use crate::planted_fault::PlantedFault;
@@ -40,7 +40,7 @@
     /// Claims the shards that fall to this store, where it does not hold them.
     pub(crate) fn rebalance_shards(&mut self, now: Millis) {
         let is_due = self.shards.rebalance_since.is_some_and(|since| now >= since + REBALANCE_DELAY_MS);
-        if !is_due || !self.uses_idempotency_keys || !self.knows_members || self.is_draining {
+        if !is_due || !self.shards.are_used || !self.knows_members || self.is_draining {
             return;
         }
         self.shards.rebalance_since = None;
@@ -199,7 +199,7 @@
 
     /// How many stores may hold messages of a shard and are none of these.
     pub(super) fn silent_stores(&self, heard: &BTreeSet<Node>) -> usize {
-        let may_hold = |peer: &Peer| peer.is_present() || !peer.is_gone;
+        let may_hold = |peer: &Peer| peer.is_present() || peer.key_holder == KeyHolder::Counts;
         self.peers.iter().filter(|(node, peer)| may_hold(peer) && !heard.contains(node)).count()
     }
 
@@ -221,9 +221,9 @@
                 || (absent <= self.settings.replica_count && absent_ms > GONE_AFTER_MS)
                 || absent_ms > window_ms;
             if peer.is_present() {
-                peer.is_gone = false;
+                peer.key_holder = KeyHolder::Counts;
             } else if may_judge && is_gone {
-                peer.is_gone = true;
+                peer.key_holder = KeyHolder::Gone;
             }
         }
     }
--- a/crates/queue/src/idempotency/grants.rs
+++ b/crates/queue/src/idempotency/grants.rs
@@ -24,7 +24,7 @@
 impl Queue {
     /// Another store claims shards.
     pub(crate) fn claim_received(&mut self, from: Node, claim_id: u64, term: u64, shards: Vec<Shard>) {
-        self.uses_idempotency_keys = true;
+        self.shards.are_used = true;
         let claim = ShardTerm { term, holder: from };
         let is_blank = self.shards.are_terms_missing && !self.planted(PlantedFault::BlankStoreGrants);
         let shards: Vec<Shard> = shards.into_iter().filter(|shard| *shard < SHARD_COUNT).collect();
@@ -79,7 +79,7 @@
 
     /// Another store sends a replica of a message that it is about to accept. It is kept only if that store may still hold the shard.
     pub(crate) fn store_new_replica(&mut self, now: Millis, from: Node, replica: ReplicatedMessage) {
-        self.uses_idempotency_keys = true;
+        self.shards.are_used = true;
         let key = replica.key;
         let Some(digest) = replica.message.idempotency_digest() else { return };
         let claim = ShardTerm { term: replica.message.shard_term, holder: from };
@@ -149,7 +149,7 @@
     /// After the loss of the disk: asks the others for their terms.
     pub(crate) fn request_terms(&mut self, now: Millis) {
         let is_due = now >= self.shards.next_terms_request_at;
-        if !self.shards.are_terms_missing || !self.uses_idempotency_keys || !is_due {
+        if !self.shards.are_terms_missing || !self.shards.are_used || !is_due {
             return;
         }
         self.shards.next_terms_request_at = now + TERMS_REQUEST_INTERVAL_MS;
--- a/crates/queue/src/idempotency/shard_table.rs
+++ b/crates/queue/src/idempotency/shard_table.rs
@@ -77,6 +77,8 @@
     pub(super) unchecked: BTreeMap<Key, Option<Millis>>,
     /// Digests of messages that were rolled back here, and when: a replica may still be on its way.
     rolled_back: VecDeque<(Millis, IdempotencyDigest)>,
+    /// The configuration names tenants, or a message had an idempotency key.
+    pub(crate) are_used: bool,
     /// The disk was lost, and with it the terms: nothing is granted, and no new replica kept, before they are known again.
     pub(super) are_terms_missing: bool,
     /// Stores that have named their terms since this store's start.
@@ -107,6 +109,7 @@
             followers: HashMap::new(),
             unchecked: BTreeMap::new(),
             rolled_back: VecDeque::new(),
+            are_used: false,
             are_terms_missing,
             terms_named_by: BTreeSet::new(),
             next_terms_request_at: 0,
--- a/crates/queue/src/idempotency/submissions.rs
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -3,7 +3,7 @@
 use super::digest::IdempotencyDigest;
 use super::shard_table::WaitingSubmission;
 use crate::effect::Effect;
-use crate::entry::{Entry, Stage};
+use crate::entry::{Acceptance, Entry, Stage};
 use crate::message::{Key, Message, Millis, PutError};
 use crate::peer_message::SubmissionStanding;
 use crate::queue::Queue;
@@ -42,7 +42,7 @@
         message: Message,
         digest: IdempotencyDigest,
     ) {
-        self.uses_idempotency_keys = true;
+        self.shards.are_used = true;
         match self.known_submission(digest) {
             Submission::Accepted(key) => self.answer_with_first(ticket, key),
             Submission::Persisting(key) => self.shards.followers.entry(key).or_default().push(ticket),
@@ -89,14 +89,15 @@
     /// Whether it is certain that a message was accepted, or will be delivered all the same.
     pub(super) fn is_accepted(&self, entry: &Entry) -> bool {
         let is_owned_here = entry.owner == self.settings.node;
-        entry.end.is_some() || (is_owned_here && entry.stage != Stage::Persisting && !entry.is_key_unchecked)
+        entry.end.is_some()
+            || (is_owned_here && entry.stage != Stage::Persisting && entry.acceptance == Acceptance::Certain)
     }
 
     /// What this store can say of a message. One that is being persisted may be accepted in the next moment: it is in doubt.
     pub(super) fn standing_of(&self, entry: &Entry) -> SubmissionStanding {
         if self.is_accepted(entry) {
             SubmissionStanding::Accepted
-        } else if entry.is_key_unchecked {
+        } else if entry.acceptance == Acceptance::Unchecked {
             SubmissionStanding::NotAccepted
         } else {
             SubmissionStanding::Replica
--- a/crates/queue/src/idempotency/unchecked.rs
+++ b/crates/queue/src/idempotency/unchecked.rs
@@ -3,7 +3,7 @@
 
 use super::digest::IdempotencyDigest;
 use super::shard_table::NamedSubmission;
-use crate::entry::Stage;
+use crate::entry::{Acceptance, Stage};
 use crate::message::{Key, Millis};
 use crate::peer_message::SubmissionStanding;
 use crate::planted_fault::PlantedFault;
@@ -24,7 +24,7 @@
     /// A message is owned here, and it is not certain that it was accepted.
     pub(crate) fn mark_key_unchecked(&mut self, key: Key) {
         if let Some(entry) = self.entries.get_mut(&key).filter(|entry| entry.digest.is_some()) {
-            entry.is_key_unchecked = true;
+            entry.acceptance = Acceptance::Unchecked;
         }
     }
 
@@ -34,10 +34,11 @@
     pub(crate) fn is_key_checked(&mut self, now: Millis, key: Key) -> bool {
         let is_skipped = self.planted(PlantedFault::KeyUnchecked);
         let Some(entry) = self.entries.get(&key) else { return false };
-        let Some(digest) = entry.digest.filter(|_| entry.is_key_unchecked && !is_skipped) else {
+        let Some(digest) = entry.digest.filter(|_| entry.acceptance == Acceptance::Unchecked && !is_skipped)
+        else {
             return true;
         };
-        self.uses_idempotency_keys = true;
+        self.shards.are_used = true;
         let is_replicated = entry.unconfirmed.is_empty()
             && self.are_replicas_confirmed(entry)
             && self.lasting_replicas(entry) >= self.settings.replica_count;
@@ -56,7 +57,7 @@
             Rival::None => {
                 self.shards.unchecked.remove(&key);
                 if let Some(entry) = self.entries.get_mut(&key) {
-                    entry.is_key_unchecked = false;
+                    entry.acceptance = Acceptance::Certain;
                 }
                 true
             }
@@ -101,7 +102,7 @@
         let keys: Vec<Key> = self.shards.unchecked.keys().copied().collect();
         for key in keys {
             let entry = self.entries.get(&key);
-            if entry.is_some_and(|entry| entry.is_key_unchecked && entry.end.is_none()) {
+            if entry.is_some_and(|entry| entry.acceptance == Acceptance::Unchecked && entry.end.is_none()) {
                 self.schedule(now, key);
             } else {
                 self.shards.unchecked.remove(&key);
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -33,6 +33,16 @@
     WrittenOff,
 }
 
+/// Whether messages with idempotency keys may lie at a peer that no other store knows of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum KeyHolder {
+    /// They may.
+    #[default]
+    Counts,
+    /// It is gone for good: what it held lies elsewhere by now, or its keys may be used again.
+    Gone,
+}
+
 /// Another store: its membership, its connection, and what is about to be sent to it.
 #[derive(Debug, Default)]
 pub struct Peer {
@@ -54,8 +64,8 @@
     pub(crate) orphans_listed_at: Millis,
     /// Whether its replicas count.
     pub(crate) replica_status: ReplicaStatus,
-    /// It is gone for good, as far as idempotency keys go: what it held lies elsewhere, or its keys may be used again.
-    pub(crate) is_gone: bool,
+    /// Whether messages with idempotency keys may lie there alone.
+    pub(crate) key_holder: KeyHolder,
     /// When it was last seen to have another disk than before.
     pub(crate) disk_lost_at: Option<Millis>,
     /// When digests were last compared with it.
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -15,7 +15,7 @@
 
 use crate::control_contact::ControlContact;
 use crate::effect::Effect;
-use crate::entry::{Entry, MessageState, OrderSlot, Stage};
+use crate::entry::{Acceptance, Entry, MessageState, OrderSlot, Stage};
 use crate::entry_table::EntryTable;
 use crate::idempotency::ShardTable;
 use crate::message::{End, Key, Message, Millis, Node, ReplicatedMessage};
@@ -142,8 +142,6 @@
     pub(crate) released_by: BTreeSet<Node>,
     /// The shards of idempotency keys.
     pub(crate) shards: ShardTable,
-    /// The configuration names tenants, or a message had an idempotency key.
-    pub(crate) uses_idempotency_keys: bool,
     /// Ends that are passed on to other stores.
     pub(crate) end_replication: crate::end_replication::EndReplication,
     /// Since when no attempt is started, for others may have taken over.
@@ -215,7 +213,6 @@
             retirement: RetirementOrder::None,
             released_by: BTreeSet::new(),
             shards,
-            uses_idempotency_keys: false,
             end_replication: Default::default(),
             fenced_since: None,
             #[cfg(feature = "planted")]
@@ -249,7 +246,9 @@
             (None, false) => Stage::Replica,
         };
         (entry.end, entry.callback_pending) = (end, callback_pending);
-        entry.is_key_unchecked = entry.digest.is_some() && entry.stage == Stage::Suspended;
+        if entry.digest.is_some() && entry.stage == Stage::Suspended {
+            entry.acceptance = Acceptance::Unchecked;
+        }
         let stage = entry.stage;
         let is_callback_owed_here = callback_pending && entry.owner == self.settings.node;
         self.entries.insert(key, entry);
--- a/crates/queue/src/queue/configuration.rs
+++ b/crates/queue/src/queue/configuration.rs
@@ -27,7 +27,7 @@
             let index = self.service_queue_for(service, &config);
             self.configure_service(now, dispatch_time, index, service);
         }
-        if config.tenants.is_some() && !std::mem::replace(&mut self.uses_idempotency_keys, true) {
+        if config.tenants.is_some() && !std::mem::replace(&mut self.shards.are_used, true) {
             self.shards_may_move(now);
         }
         self.config = Some(config);
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -33,7 +33,7 @@
         self.replace_overdue(now);
         self.repair(now);
         self.advance_groups(now);
-        if self.uses_idempotency_keys {
+        if self.shards.are_used {
             self.check_claim(now);
             self.settle_submissions(now);
         }
@@ -125,7 +125,7 @@
             service_queue.run_upkeep(dispatch_time);
         }
         self.check_peers(now);
-        if self.uses_idempotency_keys {
+        if self.shards.are_used {
             self.maintain_shards(now);
         }
         self.log_intake_change(now);
--- a/crates/queue/src/replication/handover.rs
+++ b/crates/queue/src/replication/handover.rs
@@ -1,6 +1,6 @@
 //! Handover: a store that drains gives what waits to stores that hold replicas.
 
-use crate::entry::{Entry, Stage};
+use crate::entry::{Acceptance, Entry, Stage};
 use crate::message::{Key, Millis, Node};
 use crate::peer_message::{AcceptedHandover, HandoverOffer, Ownership, PeerMessage};
 use crate::planted_fault::PlantedFault;
@@ -43,7 +43,10 @@
 
     /// Offers one message to a store that holds a confirmed replica: neither starts it until that one has accepted.
     pub(crate) fn offer(&mut self, key: Key) {
-        let Some(entry) = self.entries.get(&key).filter(|entry| !entry.is_key_unchecked) else { return };
+        let Some(entry) = self.entries.get(&key).filter(|entry| entry.acceptance == Acceptance::Certain)
+        else {
+            return;
+        };
         let is_able = |node: &Node| {
             let peer = self.peers.get(node);
             peer.is_some_and(|peer| peer.is_connected && peer.is_reconciled && !peer.is_draining())
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -1,7 +1,7 @@
 //! Takeover: this store becomes the owner of what another owned, which is gone or hands it over.
 
 use super::{OBJECTION_WINDOW, TAKEOVER_DELAY};
-use crate::entry::Stage;
+use crate::entry::{Acceptance, Stage};
 use crate::message::{Key, Millis, Node};
 use crate::peer::Peer;
 use crate::peer_message::{AcceptedHandover, HandoverOffer, Ownership};
@@ -82,7 +82,9 @@
         entry.replicas.retain(|replica| *replica != node && *replica != former_owner);
         entry.unconfirmed = if is_list_trusted { Vec::new() } else { expected };
         entry.replicas.extend(giver);
-        entry.is_key_unchecked |= giver.is_none() && entry.digest.is_some() && entry.end.is_none();
+        if giver.is_none() && entry.digest.is_some() && entry.end.is_none() {
+            entry.acceptance = Acceptance::Unchecked;
+        }
         if awaits_objections {
             entry.not_before = entry.not_before.max(now + OBJECTION_WINDOW);
         }
