Queue: of messages with one key only the one of the highest term may have been accepted; simulation of keys under faults

Cause, found by the simulation: a blackout with a lost disk left two uncertain messages of one key at one store, and each was delivered. Change: an uncertain message is dropped if another of a higher term, or an accepted one, is known, and else accepted anew in the term of a claim of its owner.

--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -79,6 +79,8 @@
     Certain,
     /// It was read from disk, or taken over: another may have been accepted with its key instead.
     Unchecked,
+    /// No other was accepted; it is being written to all its disks in a new term of its shard.
+    Reaccepting,
 }
 
 /// What ordered delivery needs to know of a message. Flags alone, so that they lie in the padding of [`Entry`], of which a store
--- a/crates/queue/src/idempotency/grants.rs
+++ b/crates/queue/src/idempotency/grants.rs
@@ -3,7 +3,7 @@
 use super::digest::{IdempotencyDigest, Shard, SHARD_COUNT};
 use super::shard_table::ShardTerm;
 use crate::effect::Effect;
-use crate::entry::Entry;
+use crate::entry::{Acceptance, Entry};
 use crate::message::{Key, Millis, Node, ReplicatedMessage};
 use crate::peer_message::{ClaimAnswer, KnownSubmission, PeerMessage};
 use crate::pending_writes::PendingWrite;
@@ -74,7 +74,8 @@
             entry.end.is_none() || age_ms <= window_ms || age_ms > KNOWN_AGE_LIMIT_MS
         };
         let entry = self.entries.get(&key).filter(in_window)?;
-        Some(KnownSubmission { digest, key, standing: self.standing_of(entry) })
+        let (shard_term, is_accepted) = (entry.message.shard_term, self.is_accepted(entry));
+        Some(KnownSubmission { digest, key, shard_term, is_accepted })
     }
 
     /// Another store sends a replica of a message that it is about to accept. It is kept only if that store may still hold the shard.
@@ -106,6 +107,10 @@
         if let Some(digest) = digest {
             self.shards.release(digest.shard());
         }
+        // One that was being accepted anew is uncertain again.
+        if self.entries.get(&key).is_some_and(|entry| entry.acceptance == Acceptance::Reaccepting) {
+            self.set_acceptance(key, Acceptance::Unchecked);
+        }
         self.roll_back(key);
     }
 
--- a/crates/queue/src/idempotency/shard_table.rs
+++ b/crates/queue/src/idempotency/shard_table.rs
@@ -2,7 +2,7 @@
 
 use super::digest::{IdempotencyDigest, Shard, SHARD_COUNT};
 use crate::message::{Key, Message, Millis, Node};
-use crate::peer_message::{KnownSubmission, SubmissionStanding};
+use crate::peer_message::KnownSubmission;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
@@ -22,8 +22,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct NamedSubmission {
     pub(super) key: Key,
-    /// What is certain of it.
-    pub(super) standing: SubmissionStanding,
+    /// The term of the shard in which it was to be accepted.
+    pub(super) shard_term: u64,
+    /// It was accepted; else it may have been or not.
+    pub(super) is_accepted: bool,
     named_at: Millis,
 }
 
@@ -73,8 +75,8 @@
     pub(super) waiting: Vec<WaitingSubmission>,
     /// Tickets of further submissions with the key of a message that is being persisted.
     pub(super) followers: HashMap<Key, Vec<u64>>,
-    /// Messages owned here that may not have been accepted, and since when each is known to lie on enough disks.
-    pub(super) unchecked: BTreeMap<Key, Option<Millis>>,
+    /// Messages owned here that may not have been accepted.
+    pub(super) unchecked: BTreeSet<Key>,
     /// Digests of messages that were rolled back here, and when: a replica may still be on its way.
     rolled_back: VecDeque<(Millis, IdempotencyDigest)>,
     /// The configuration names tenants, or a message had an idempotency key.
@@ -107,7 +109,7 @@
             refused_term: 0,
             waiting: Vec::new(),
             followers: HashMap::new(),
-            unchecked: BTreeMap::new(),
+            unchecked: BTreeSet::new(),
             rolled_back: VecDeque::new(),
             are_used: false,
             are_terms_missing,
@@ -175,11 +177,14 @@
 
     /// Another store has named a message: of what several say of it the most certain counts.
     pub(super) fn add_named(&mut self, now: Millis, submission: KnownSubmission) {
-        let KnownSubmission { digest, key, standing } = submission;
+        let KnownSubmission { digest, key, shard_term, is_accepted } = submission;
         let named = self.named.entry(digest).or_default();
         match named.iter_mut().find(|named| named.key == key) {
-            Some(known) => known.standing = known.standing.max(standing),
-            None => named.push(NamedSubmission { key, standing, named_at: now }),
+            Some(known) => {
+                known.shard_term = known.shard_term.max(shard_term);
+                known.is_accepted |= is_accepted;
+            }
+            None => named.push(NamedSubmission { key, shard_term, is_accepted, named_at: now }),
         }
     }
 
--- a/crates/queue/src/idempotency/submissions.rs
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -5,7 +5,6 @@
 use crate::effect::Effect;
 use crate::entry::{Acceptance, Entry, Stage};
 use crate::message::{Key, Message, Millis, PutError};
-use crate::peer_message::SubmissionStanding;
 use crate::queue::Queue;
 
 /// A submission waits so long for its shard, in milliseconds: its edge asks another store after 200 ms of silence.
@@ -77,10 +76,11 @@
             }
         }
         for named in self.shards.named(digest) {
-            match named.standing {
-                SubmissionStanding::Accepted => return Submission::Accepted(named.key),
-                _ if known == Submission::Unknown => known = Submission::InDoubt,
-                _ => {}
+            if named.is_accepted {
+                return Submission::Accepted(named.key);
+            }
+            if known == Submission::Unknown {
+                known = Submission::InDoubt;
             }
         }
         known
@@ -93,17 +93,6 @@
             || (is_owned_here && entry.stage != Stage::Persisting && entry.acceptance == Acceptance::Certain)
     }
 
-    /// What this store can say of a message. One that is being persisted may be accepted in the next moment: it is in doubt.
-    pub(super) fn standing_of(&self, entry: &Entry) -> SubmissionStanding {
-        if self.is_accepted(entry) {
-            SubmissionStanding::Accepted
-        } else if entry.acceptance == Acceptance::Unchecked {
-            SubmissionStanding::NotAccepted
-        } else {
-            SubmissionStanding::Replica
-        }
-    }
-
     fn is_being_persisted(&self, entry: &Entry) -> bool {
         entry.owner == self.settings.node && entry.stage == Stage::Persisting
     }
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -94,17 +94,6 @@
     pub failed_message: Option<Message>,
 }
 
-/// What a store can say of a message with an idempotency key.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum SubmissionStanding {
-    /// A replica lies there, or it is being persisted: it may have been accepted or not.
-    Replica,
-    /// The store owns it, and will not deliver it before it has claimed the shard of its key once more.
-    NotAccepted,
-    /// It was accepted, or will be delivered all the same.
-    Accepted,
-}
-
 /// A message with an idempotency key, as a store names it to one that claims the shard of the key.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct KnownSubmission {
@@ -112,8 +101,10 @@
     pub digest: IdempotencyDigest,
     /// Which message.
     pub key: Key,
-    /// What is certain of it.
-    pub standing: SubmissionStanding,
+    /// The term of the shard in which it was to be accepted.
+    pub shard_term: u64,
+    /// It was accepted, or will be delivered all the same; else it may have been accepted or not.
+    pub is_accepted: bool,
 }
 
 /// A store's answer to a claim of shards.
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -201,6 +201,7 @@
         } else if unconfirmed_before > 0 {
             self.metrics.repaired += 1;
             self.check_replication(now, key);
+            self.replicas_confirmed(now, key);
         }
     }
 
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -2,7 +2,7 @@
 
 use super::ownership::claim;
 use crate::effect::Effect;
-use crate::entry::Stage;
+use crate::entry::{Acceptance, Stage};
 use crate::message::{Key, Millis, Node, ReplicatedMessage};
 use crate::peer::REPLICA_CONFIRM_LIMIT;
 use crate::peer_message::{Ownership, PeerMessage};
@@ -28,7 +28,11 @@
     /// Sends a replica at the end of the turn.
     pub(crate) fn send_replica(&mut self, to: Node, replica: ReplicatedMessage) {
         let entry = self.entries.get(&replica.key);
-        let is_new = entry.is_some_and(|entry| entry.stage == Stage::Persisting && entry.digest.is_some());
+        let is_new = entry.is_some_and(|entry| {
+            let is_being_accepted =
+                entry.stage == Stage::Persisting || entry.acceptance == Acceptance::Reaccepting;
+            entry.digest.is_some() && is_being_accepted
+        });
         let outbox = self.outbox(to);
         // One that is about to be accepted is kept only as long as this store holds the shard of its key.
         let replicas = if is_new { &mut outbox.new_replicas } else { &mut outbox.replicas };
--- a/crates/queue/tests/random_series.rs
+++ b/crates/queue/tests/random_series.rs
@@ -113,9 +113,29 @@
     }
 }
 
-fn play(stores: usize, replicas: usize, seed: u64, log: &mut Vec<String>) {
+/// Tries with idempotency keys in the place of messages without: of each key up to four, some at once, some seconds apart, and of every
+/// second one the edge can't reach some store.
+fn world_of_keys(stores: usize, replicas: usize, seed: u64) -> Simulation {
+    let mut dice = Dice(seed ^ 0x5eed);
+    let mut world = Simulation::new(stores, replicas, seed);
+    for n in 0..MESSAGES {
+        let delay_ms = [0, 0, 0, 700, 6000][dice.below(5)];
+        for _ in 0..1 + dice.below(4) {
+            let after = [0, 3, 150, 700, 2500, 8000][dice.below(6)];
+            let unreachable = (dice.below(2) == 0).then(|| dice.below(stores));
+            let at = 2500 + INTERVAL_MS * n + after;
+            world.send_with_key(at, unreachable, &format!("k-{n}"), delay_ms);
+        }
+    }
+    world
+}
+
+/// Makes the stores and the messages of a series: how many stores, how many may be lost at once, and the seed.
+type MakeWorld = fn(usize, usize, u64) -> Simulation;
+
+fn play(make: MakeWorld, stores: usize, replicas: usize, seed: u64, log: &mut Vec<String>) {
     let mut dice = Dice(seed);
-    let mut world = world(stores, replicas, seed);
+    let mut world = make(stores, replicas, seed);
     world.run(5000);
     for _ in 0..FAULTS {
         log.push(strike(&mut world, &mut dice, replicas));
@@ -132,11 +152,11 @@
     count * wide
 }
 
-fn assert_nothing_is_lost(stores: usize, replicas: usize, count: u64) {
+fn assert_nothing_is_lost(make: MakeWorld, stores: usize, replicas: usize, count: u64) {
     let mut failed = Vec::new();
     for seed in 0..seeds(count) {
         let mut log = Vec::new();
-        let played = catch_unwind(AssertUnwindSafe(|| play(stores, replicas, seed, &mut log)));
+        let played = catch_unwind(AssertUnwindSafe(|| play(make, stores, replicas, seed, &mut log)));
         if let Err(reason) = played {
             let reason = reason.downcast_ref::<String>().cloned().unwrap_or_default();
             failed.push(format!("seed {seed}: {reason}\n  {}", log.join("\n  ")));
@@ -147,15 +167,25 @@
 
 #[test]
 fn three_stores_lose_nothing() {
-    assert_nothing_is_lost(3, 1, 30);
+    assert_nothing_is_lost(world, 3, 1, 30);
 }
 
 #[test]
 fn four_stores_lose_nothing() {
-    assert_nothing_is_lost(4, 1, 20);
+    assert_nothing_is_lost(world, 4, 1, 20);
 }
 
 #[test]
 fn five_stores_that_may_lose_two_lose_nothing() {
-    assert_nothing_is_lost(5, 2, 15);
+    assert_nothing_is_lost(world, 5, 2, 15);
+}
+
+#[test]
+fn three_stores_run_each_key_once() {
+    assert_nothing_is_lost(world_of_keys, 3, 1, 30);
+}
+
+#[test]
+fn five_stores_that_may_lose_two_run_each_key_once() {
+    assert_nothing_is_lost(world_of_keys, 5, 2, 15);
 }
--- a/crates/queue/tests/simulation/checks.rs
+++ b/crates/queue/tests/simulation/checks.rs
@@ -41,7 +41,8 @@
             }
             let early = runs.iter().find(|r| r.started_at < sent.sent_at + sent.message.delay_ms);
             assert!(early.is_none(), "{id} ran before its time: {early:?}");
-            if sent.name.is_none() {
+            // One with an idempotency key may be another one's: see `check_keys`.
+            if sent.name.is_none() || sent.message.idempotency_key.is_some() {
                 continue;
             }
             let called: Vec<_> = self.callbacks.iter().filter(|(of, _, taken)| of == id && *taken).collect();
@@ -74,6 +75,7 @@
                 assert!(called.iter().any(|(_, body, _)| body.contains(word)), "{id}: no call-back {runs:?}");
             }
         }
+        self.check_keys(ended);
         self.check_attempt_budget();
         self.check_order();
         // What every span of the window may hold.
--- a/crates/queue/tests/simulation/edge.rs
+++ b/crates/queue/tests/simulation/edge.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Stores that an edge asks for a message with an idempotency key at most.
+const MAX_STORES_FOR_KEY: usize = 3;
+
 impl Simulation {
     /// A message that a client sends at `at` to the store that is next for its edge.
     pub fn send(&mut self, at: u64, first: usize, path: &str, does: &[Behavior], delay_ms: u64) -> usize {
@@ -26,17 +29,34 @@
         n
     }
 
+    /// The same with an idempotency key. Its edge sends it to the store of the key's shard, but for one that it can't reach.
+    pub fn send_with_key(&mut self, at: u64, unreachable: Option<usize>, key: &str, delay_ms: u64) -> usize {
+        let n = self.send(at, 0, "plain", &[Behavior::Succeeds], delay_ms);
+        let sent = &mut self.messages[n];
+        sent.unreachable_store = unreachable;
+        (sent.message.tenant, sent.message.idempotency_key) = (Some("tenant".into()), Some(key.into()));
+        n
+    }
+
     /// As an edge does it: one store after the other, and no store twice.
     pub(super) fn offer(&mut self, sent: usize) {
         let n = self.stores.len();
         let m = &mut self.messages[sent];
+        let shard = m.message.idempotency_digest().map(IdempotencyDigest::shard);
         let able = |at: &usize| {
             !m.tried_stores.contains(at)
+                && m.unreachable_store != Some(*at)
+                && (shard.is_none() || m.tried_stores.len() < MAX_STORES_FOR_KEY)
                 && self.stores[*at].queue.is_some()
                 && self.stores[*at].shutdown.is_none()
         };
         let mut next = (0..n).map(|k| (m.first_store + k) % n).filter(able);
         let to = match m.message.ordering_key.clone() {
+            None if shard.is_some() => {
+                let nodes = next.map(|at| self.stores[at].node);
+                let to = preferred_store_of_shard(shard.unwrap_or_default(), nodes);
+                to.and_then(|node| self.stores.iter().position(|s| s.node == node))
+            }
             Some(row) => {
                 let to = preferred_store(&row, next.map(|at| self.stores[at].node));
                 to.and_then(|node| self.stores.iter().position(|s| s.node == node))
@@ -58,7 +78,8 @@
 
     /// Of a message that several stores were offered all are told which one is kept, or that none is.
     pub(super) fn announce_kept(&mut self, sent: usize) {
-        if self.messages[sent].tried_stores.len() > 1 {
+        let has_key = self.messages[sent].message.idempotency_key.is_some();
+        if self.messages[sent].tried_stores.len() > 1 && !has_key {
             let delay_ms = self.superseded_delay_ms;
             (0..self.stores.len()).for_each(|to| self.at(delay_ms, Event::Superseded { sent, to }));
         }
--- /dev/null
+++ b/crates/queue/tests/simulation/key_checks.rs
@@ -0,0 +1,54 @@
+//! What must hold of idempotency keys, as clients and executors see it.
+
+use super::*;
+
+impl Simulation {
+    /// All messages that clients have sent with one key.
+    fn sent_by_key(&self) -> BTreeMap<String, Vec<usize>> {
+        let mut sent: BTreeMap<String, Vec<usize>> = BTreeMap::new();
+        for (n, message) in self.messages.iter().enumerate() {
+            if let Some(key) = &message.message.idempotency_key {
+                sent.entry(key.clone()).or_default().push(n);
+            }
+        }
+        sent
+    }
+
+    /// Of all messages with one key one runs at the most, all that were accepted have one name, and what that one stands for is known.
+    /// `ended`: by now nothing may wait any more.
+    pub fn check_keys(&self, ended: bool) {
+        for (key, sent) in self.sent_by_key() {
+            let ids: Vec<&str> = sent.iter().map(|n| self.messages[*n].message.id.as_str()).collect();
+            let runs: Vec<&Execution> =
+                self.executions.iter().filter(|run| ids.contains(&run.id.as_str())).collect();
+            let ran: BTreeSet<&str> = runs.iter().map(|run| run.id.as_str()).collect();
+            assert!(ran.len() <= 1, "{key} ran as {ran:?}: {runs:?}");
+            let accepted: Vec<usize> =
+                sent.iter().copied().filter(|n| self.messages[*n].name.is_some()).collect();
+            let names: BTreeSet<&String> =
+                accepted.iter().filter_map(|n| self.messages[*n].name.as_ref()).collect();
+            assert!(names.len() <= 1, "{key} has the names {names:?}");
+            let Some(first) = accepted.first() else { continue };
+            let Some((state, _)) = self.ask(*first) else { panic!("{key} is lost: {runs:?}") };
+            match state {
+                MessageState::Waiting => assert!(!ended, "{key} still waits: {runs:?}"),
+                MessageState::Complete { seal } => {
+                    let complete =
+                        runs.iter().find(|run| run.completed_at.is_some() && seal == format!("s-{}", run.id));
+                    assert!(complete.is_some(), "{key} is complete with {seal}: {runs:?}");
+                }
+                MessageState::Failed => {
+                    let late = self.now > self.messages[*first].sent_at + (self.max_wait_s * 1000.0) as u64;
+                    assert!(late, "{key} failed without a reason: {runs:?}");
+                }
+            }
+        }
+    }
+
+    /// How many keys were accepted, and how many sent.
+    pub fn accepted_keys(&self) -> (usize, usize) {
+        let sent = self.sent_by_key();
+        let is_accepted = |sent: &&Vec<usize>| sent.iter().any(|n| self.messages[*n].name.is_some());
+        (sent.values().filter(is_accepted).count(), sent.len())
+    }
+}
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -7,6 +7,7 @@
 mod configuration;
 mod edge;
 mod events;
+mod key_checks;
 pub mod loss_scenarios;
 mod processes;
 pub mod retirement_scenarios;
@@ -165,6 +166,8 @@
     pub behaviors: Vec<Behavior>,
     /// The store that its edge would choose first.
     first_store: usize,
+    /// A store that its edge can't reach.
+    unreachable_store: Option<usize>,
     /// Stores that were asked.
     tried_stores: Vec<usize>,
     /// The put that the edge waits for; 0 for none.
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -13,6 +13,7 @@
             ledger.apply_record(postcard::from_bytes(record).unwrap());
         }
         let store = &mut self.stores[at];
+        let has_lost_disk = ledger.disk_id.is_none() && now > 0;
         if ledger.disk_id.is_none() {
             self.next_disk += 1;
             store.disk_id = self.next_disk;
@@ -21,6 +22,9 @@
         let first = first_number(self.next_incarnation << 37);
         let born = Record::IncarnationStarted { disk_id: store.disk_id, first_number: first };
         store.disk.push((postcard::to_stdvec(&born).unwrap(), true));
+        if has_lost_disk {
+            store.disk.push((postcard::to_stdvec(&Record::ShardTermsMissing(true)).unwrap(), true));
+        }
         let terms = QueueSettings {
             node: store.node,
             zone: at,
@@ -34,7 +38,7 @@
             rate_tolerance: 1.1,
             status_retention_ms: 120_000,
             idempotency_window_ms: 60_000,
-            has_lost_disk: false,
+            has_lost_disk,
             seed: at as u64,
         };
         store.incarnation += 1;
