Edge: no key that may have been taken away is accepted without contact with the control group

Cause: an edge that is cut off from the control nodes doesn't hear that a key was taken away, and went on accepting it. Change: where the deployment asks for it (revoke_everywhere), an edge accepts requests on routes that need a key only while the control nodes that it hears knew themselves in contact less than revoke_ms less a second ago; else 503 with when to come back, and it isn't ready.

--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -4,6 +4,7 @@
 mod lookups;
 mod pending;
 mod report;
+mod revocation;
 mod submissions;
 
 use crate::inspection::Inspect;
@@ -14,6 +15,7 @@
 use crate::start_error::StartError;
 use authentication::AuthenticationError;
 use pending::{PendingLookup, PendingSubmission};
+use revocation::are_keys_current;
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use stileroute_config::Config;
@@ -39,6 +41,8 @@
 struct EdgeCounts {
     accepted: u64,
     without_route: u64,
+    /// Submissions with keys that may have been taken away, answered 503: the control nodes were not heard for too long.
+    without_contact: u64,
     /// Submissions and lookups without a key, answered 401.
     without_key: u64,
     /// Submissions and lookups with a key of no tenant, answered 401.
@@ -153,6 +157,7 @@
     fn is_ready(&self) -> bool {
         self.runtime.draining_since.is_none()
             && self.runtime.config.is_some()
+            && self.accepts_keys()
             && self
                 .runtime
                 .links
@@ -160,6 +165,13 @@
                 .any(|store| !self.draining_stores.contains(&store.node))
     }
 
+    /// Whether requests on routes that need a key may be accepted: none of the keys that are known here was taken away too long ago.
+    fn accepts_keys(&self) -> bool {
+        let has_tenants = self.runtime.config.as_ref().is_some_and(|config| config.tenants.is_some());
+        let contact_at = self.runtime.group_contact_at();
+        !has_tenants || are_keys_current(&self.runtime.boot.bounds, contact_at, self.runtime.net.now())
+    }
+
     fn link_event(&mut self, link_event: LinkEvent) {
         match link_event {
             LinkEvent::Up(peer) if peer.role == NodeRole::Store => self.store_connected(peer.node),
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -49,6 +49,10 @@
             Ok(tenant) => tenant,
             Err(error) => return self.answer_unauthorized(connection, error),
         };
+        if !route.is_public && !self.accepts_keys() {
+            self.counts.without_contact += 1;
+            return self.answer(connection, Response::retry_after(503, RETRY_AFTER_S));
+        }
         if !is_valid(&request) {
             return self.answer(connection, Response::empty(400));
         }
--- a/crates/server/src/node/session.rs
+++ b/crates/server/src/node/session.rs
@@ -273,6 +273,11 @@
         }
     }
 
+    /// When the control nodes that answered last knew that they were not cut off from the others; `None` if none has known it.
+    pub fn group_contact_at(&self) -> Option<Millis> {
+        Some(self.session.last_group_contact_at).filter(|at| *at > 0)
+    }
+
     /// Whether a control node has answered lately.
     pub fn has_fresh_session(&self) -> bool {
         let last_update_at = self.session.last_update_at;
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -58,6 +58,8 @@
     deadline: Instant,
     children: Vec<(String, Child)>,
     is_over: Arc<AtomicBool>,
+    /// The key `bounds` of all settings files.
+    pub bounds: String,
     /// The heads of the requests that the executor has run, in order.
     runs: Arc<Mutex<Vec<String>>>,
 }
@@ -88,7 +90,15 @@
         let third_part = 1 + (pid % PROCESSES_PER_NET) * FLEETS_PER_PROCESS + index;
         let net = format!("127.{}.{third_part}", first_net + pid / PROCESSES_PER_NET % 60);
         let deadline = Instant::now() + limit;
-        Fleet { dir, net, deadline, children: Vec::new(), is_over: Arc::default(), runs: Arc::default() }
+        Fleet {
+            dir,
+            net,
+            deadline,
+            children: Vec::new(),
+            is_over: Arc::default(),
+            bounds: r#"{"grace_s":6}"#.to_string(),
+            runs: Arc::default(),
+        }
     }
 
     /// Starts all processes, and waits until the configuration is in force and the edge is ready. `edge_options` stand before
@@ -134,7 +144,7 @@
 
     /// Writes the settings file of a node.
     pub fn write_settings(&self, name: &str, host: u8, serves: &str) -> PathBuf {
-        let net = &self.net;
+        let (net, bounds) = (&self.net, &self.bounds);
         let bind = match serves {
             "edge" => format!(r#""front":"{net}.{host}:18263","readiness":"{net}.{host}:18268""#),
             "control" => format!(r#""control":"{net}.{host}:18262""#),
@@ -145,7 +155,7 @@
             r#"{{"node_name":"{name}","role":"any","machine_class":"any","serves":["{serves}"],"ip":"{net}.{host}",
             "zone":"z1","region":"r","zones":{{"z1":"r"}},"bind_addresses":{{{bind}}},"internal_ports":[17300,17315],
             "seed_nodes":["{net}.1:18262"],"first_start":true,"limits":{{"disk_mb":64}},"data_dir":{data},
-            "beat_interval_ms":200,"tolerate":{{"machine_losses":1}},"bounds":{{"grace_s":6}}}}"#
+            "beat_interval_ms":200,"tolerate":{{"machine_losses":1}},"bounds":{bounds}}}"#
         );
         let path = self.dir.join(format!("{name}.json"));
         fs::write(&path, settings).unwrap();
--- a/crates/server/tests/tenants.rs
+++ b/crates/server/tests/tenants.rs
@@ -111,3 +111,28 @@
         assert!(runs.is_empty(), "try {number} ran too: {runs:?}");
     }
 }
+
+#[test]
+fn an_edge_without_control_nodes_accepts_no_key_that_may_have_been_taken_away() {
+    println!("seed {SEED}");
+    let mut fleet = Fleet::new("taken-away", FIRST_NET, TIME_LIMIT);
+    fleet.bounds = r#"{"grace_s":6,"revoke_everywhere":true,"revoke_ms":4000}"#.to_string();
+    let public = r#"{"name":"open","hostname":"quay.example","path_prefix":"/open/","route_type":"deferred",
+        "timeout_ms":1500,"target_ms":80,"backend":"crane","public":true}],"backends""#;
+    let configuration = CONFIGURATION.replacen("],\n \"backends\"", &format!(",{public}"), 1);
+    fleet.start_with(&[], &configuration);
+    let headers = |n: u64| format!("Authorization: Bearer key-of-ferry\r\nX-Idempotency-Key: i-{n}\r\n");
+    assert_eq!(submit(&fleet, &format!("r-{SEED}-1"), &headers(1)).0, 202);
+    fleet.end("core-1");
+    let rejected = fleet.wait_for("the edge accepts no key any more", || {
+        let answer = submit(&fleet, &format!("r-{SEED}-2"), &headers(2));
+        (answer.0 != 202).then_some(answer)
+    });
+    assert_eq!(rejected.0, 503, "{rejected:?}");
+    assert!(rejected.1.contains("Retry-After: "), "{rejected:?}");
+    let readiness = fleet.http("4:18268", "GET", "/v1/readiness", "", "").map(|answer| answer.0);
+    assert_eq!(readiness, Some(503), "clients are sent to other edges");
+    let id = format!("X-Request-Id: r-{SEED}-3\r\n");
+    let open = fleet.http("4:18263", "POST", "/open/1", &id, "heavy");
+    assert_eq!(open.map(|answer| answer.0), Some(202), "a public route needs no key");
+}
