--- a/crates/config/src/config.rs
+++ b/crates/config/src/config.rs
@@ -116,14 +116,11 @@
 
     /// Keys that are read, and whose values ask for something that the program does not do.
     pub fn unserved_keys(&self) -> Vec<&'static str> {
-        let is_rate_limited =
-            |table: &TenantTable| table.tenants.iter().any(|tenant| tenant.rate_limit_per_s > 0.0);
         let asked_for = [
             ("routes[].route_type", self.routes.iter().any(|route| route.kind == RouteKind::Other)),
             ("backends[].protocol", self.services.iter().any(|service| service.protocol != DEFAULT_PROTOCOL)),
             ("backends[].tls", self.services.iter().any(|service| service.wants_tls)),
             ("backends[].pull", self.services.iter().any(|service| service.pulls_requests)),
-            ("customers[].rate_per_s", self.tenants.as_ref().is_some_and(is_rate_limited)),
         ];
         asked_for.into_iter().filter(|(_, is_asked_for)| *is_asked_for).map(|(key, _)| key).collect()
     }
--- a/crates/config/src/tenant.rs
+++ b/crates/config/src/tenant.rs
@@ -20,9 +20,9 @@
     pub name: Arc<str>,
     /// The key `priority`: read and checked, but nothing acts on it.
     pub priority: i64,
-    /// The key `rate_per_s`, accepted messages a second of all edges together: read and checked, but nothing acts on it.
+    /// Most accepted messages a second, over all stores; 0 for no limit.
     pub rate_limit_per_s: f64,
-    /// The key `burst`: read and checked, but nothing acts on it.
+    /// Accepted messages by which it may be exceeded at once.
     pub burst: f64,
 }
 
--- a/crates/config/tests/tenants.rs
+++ b/crates/config/tests/tenants.rs
@@ -28,7 +28,7 @@
     let ferry = &table.tenants[0];
     assert_eq!((ferry.priority, ferry.rate_limit_per_s, ferry.burst), (1, 207.0, 20.5));
     assert!(config.unread_keys.is_empty(), "{:?}", config.unread_keys);
-    assert_eq!(config.unserved_keys(), ["customers[].rate_per_s"], "limits of tenants are not kept");
+    assert!(config.unserved_keys().is_empty());
 }
 
 #[test]
--- a/crates/queue/src/duplicates.rs
+++ b/crates/queue/src/duplicates.rs
@@ -126,6 +126,7 @@
     /// Nobody waits any more for a message that is not yet safe: the connection by which it came is gone.
     pub fn drop_abandoned(&mut self, ticket: u64) {
         self.forget_submission(ticket);
+        self.forget_quota_submission(ticket);
         let has_ticket = |key: &Key| self.entries.get(key).is_some_and(|entry| entry.ticket == Some(ticket));
         let mut persisting = self.persisting.iter().map(|(_, key)| *key);
         // Others may wait for it by now, who have submitted it with the same key.
--- a/crates/queue/src/idempotency/submissions.rs
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -51,7 +51,7 @@
             Submission::Unknown => match self.shards.held_term(digest.shard()) {
                 Some(term) => {
                     let message = Message { shard_term: term, ..message };
-                    self.take_in(now, ticket, message, false);
+                    self.admit(now, ticket, message, false);
                 }
                 None => self.wait_for_shard(now, ticket, message, digest),
             },
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -36,6 +36,7 @@
 mod service_queue;
 mod settings;
 mod state_table;
+mod tenant_quotas;
 mod token_bucket;
 
 pub use attempt_outcome::AttemptOutcome;
@@ -57,5 +58,5 @@
 pub use record::Record;
 pub use retirement::RetirementState;
 pub use service_queue::{Executor, ExecutorShare, RetryCounts};
-pub use settings::{QueueSettings, ToleratedLosses};
+pub use settings::{QueueSettings, QuotaBounds, ToleratedLosses};
 pub use state_table::{StateTable, StoredEnd, StoredMessage};
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -150,4 +150,10 @@
     /// It may run: asking another store could run it twice.
     #[error("it is unknown whether the store has accepted the message")]
     Uncertain,
+    /// The tenant has used up its quota: it is not kept and will never run, and another store would say the same.
+    #[error("the tenant has used up its quota")]
+    QuotaExceeded,
+    /// It is not known whether the quota allows it: it is not kept and will never run.
+    #[error("the holder of the tenant's quota did not answer")]
+    QuotaUnknown,
 }
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -37,6 +37,10 @@
     pub deduplicated: u64,
     /// Submissions rejected because the shard of their key was not held in time.
     pub shard_timeouts: u64,
+    /// Submissions rejected because the tenant had used up its quota.
+    pub over_quota: u64,
+    /// Submissions rejected because the holder of the tenant's quota did not answer in time.
+    pub quota_timeouts: u64,
     /// Claims of shards that were made.
     pub shard_claims: u64,
     /// Claims of shards that were refused, or not granted by enough stores.
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -10,6 +10,8 @@
 mod timers;
 mod token_holders;
 
+pub(crate) use token_holders::token_holder;
+
 pub use message_numbers::first_number;
 pub use report::{MessageView, PeerView, RateLimitView, ServiceView, StageCounts};
 
@@ -28,6 +30,7 @@
 use crate::service_queue::{Executor, ServiceQueue};
 use crate::settings::QueueSettings;
 use crate::state_table::{StateTable, StoredEnd, StoredMessage};
+use crate::tenant_quotas::TenantQuotas;
 use callbacks::Callbacks;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
@@ -140,6 +143,8 @@
     pub(crate) retirement: RetirementOrder,
     /// Stores that have said that they count on no replica here.
     pub(crate) released_by: BTreeSet<Node>,
+    /// The quotas of tenants.
+    pub(crate) quotas: TenantQuotas,
     /// The shards of idempotency keys.
     pub(crate) shards: ShardTable,
     /// Ends that are passed on to other stores.
@@ -212,6 +217,7 @@
             is_draining: false,
             retirement: RetirementOrder::None,
             released_by: BTreeSet::new(),
+            quotas: TenantQuotas::default(),
             shards,
             end_replication: Default::default(),
             fenced_since: None,
--- a/crates/queue/src/queue/configuration.rs
+++ b/crates/queue/src/queue/configuration.rs
@@ -27,6 +27,7 @@
             let index = self.service_queue_for(service, &config);
             self.configure_service(now, dispatch_time, index, service);
         }
+        self.configure_quotas(now, &config);
         if config.tenants.is_some() && !std::mem::replace(&mut self.shards.are_used, true) {
             self.shards_may_move(now);
         }
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -25,7 +25,7 @@
     pub fn put(&mut self, now: Millis, ticket: u64, message: Message) {
         match message.idempotency_digest() {
             Some(digest) => self.submit_once(now, ticket, message, digest),
-            None => self.take_in(now, ticket, message, false),
+            None => self.admit(now, ticket, message, false),
         }
     }
 
@@ -34,7 +34,7 @@
         match message.idempotency_digest() {
             // Wherever the first one is: by its key it is the same message.
             Some(digest) => self.submit_once(now, ticket, message, digest),
-            None => self.take_in(now, ticket, message, true),
+            None => self.admit(now, ticket, message, true),
         }
     }
 
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -36,6 +36,7 @@
         if self.shards.are_used {
             self.check_claim(now);
             self.settle_submissions(now);
+            self.settle_quotas(now);
         }
         let next_callback_at = self.start_callbacks(now);
         self.start_attempts(now, dispatch_time);
@@ -54,6 +55,9 @@
                 bucket.is_paused = is_paused;
             }
         }
+        for quota in self.quotas.by_name.values_mut() {
+            quota.bucket.is_paused = is_paused;
+        }
     }
 
     /// A process that stood still may have been taken over from without having heard of it.
@@ -141,6 +145,7 @@
             self.next_repair_at(),
             self.ordering.next_check_at(),
             self.next_submission_deadline(),
+            self.quotas.next_deadline(),
             self.next_claim_check_at(),
             self.flush_ends_at.unwrap_or(Millis::MAX),
             self.last_upkeep_at + UPKEEP_INTERVAL_MS,
--- a/crates/queue/src/queue/token_holders.rs
+++ b/crates/queue/src/queue/token_holders.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Settles for each service whether this store hands out its tokens, and this store's share of the retry slots.
+    /// Settles for each service and each tenant whether this store hands out its tokens, and this store's share of the retry slots.
     fn assign_token_holders(&mut self, now: Millis) {
         self.metrics.token_holder_assignments += 1;
         let own_node = self.settings.node;
@@ -84,24 +84,30 @@
         let mut handovers = Vec::new();
         for service_queue in &mut self.service_queues {
             service_queue.set_store_position(own_index, stores);
-            let Some(bucket) = &mut service_queue.token_bucket else { continue };
+        }
+        let of_services = self.service_queues.iter_mut().filter_map(|service_queue| {
+            Some((service_queue.name.as_str(), service_queue.token_bucket.as_mut()?))
+        });
+        let of_tenants =
+            self.quotas.by_name.iter_mut().map(|(name, quota)| (name.as_str(), &mut quota.bucket));
+        for (name, bucket) in of_services.chain(of_tenants) {
             let (was_holder, was_handing_out) = (bucket.is_holder(), bucket.is_handing_out(now));
-            let holder = token_holder(&service_queue.name, own_node, &self.peers);
+            let holder = token_holder(name, own_node, &self.peers);
             bucket.set_holder(now, holder == own_node && may_hold);
-            let handed_over_at = self.token_holders.handed_over_at.get(&service_queue.name);
+            let handed_over_at = self.token_holders.handed_over_at.get(name);
             if handed_over_at.is_some_and(|at| now < at + HANDOVER_LIFETIME) {
                 bucket.take_over(now);
             }
             let successor = if is_shutting_down {
-                token_successor(&service_queue.name, &self.peers)
+                token_successor(name, &self.peers)
             } else {
                 Some(holder).filter(|holder| *holder != own_node)
             };
             if was_holder && !bucket.is_holder() {
-                self.token_holders.handed_over_at.remove(&service_queue.name);
+                self.token_holders.handed_over_at.remove(name);
             }
             if was_handing_out && !bucket.is_holder() {
-                handovers.extend(successor.map(|successor| (successor, service_queue.name.clone())));
+                handovers.extend(successor.map(|successor| (successor, name.to_string())));
             }
         }
         for (to, service) in handovers {
@@ -133,6 +139,7 @@
         let count = if is_from_holder { count } else { 0 };
         let Some(bucket) = self.token_bucket(service) else { return };
         bucket.receive(now, count);
+        self.quota_tokens_received(now, service, count);
         if count > 0 {
             self.next_dispatch_at = 0;
         }
@@ -143,6 +150,9 @@
     }
 
     fn token_bucket(&mut self, service: &str) -> Option<&mut TokenBucket> {
+        if let Some(quota) = self.quotas.by_name.get_mut(service) {
+            return Some(&mut quota.bucket);
+        }
         let index = *self.service_queue_index.get(service)?;
         self.service_queues[index].token_bucket.as_mut()
     }
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -11,6 +11,17 @@
     pub regions: usize,
 }
 
+/// How far a tenant's quota may be exceeded within a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaBounds {
+    /// The length of the window, in milliseconds.
+    pub window_ms: u64,
+    /// The part of what the quota allows within a window by which it may be exceeded; 0.1 is a tenth.
+    pub overrun: f64,
+    /// Messages by which it may be exceeded besides.
+    pub slack: u64,
+}
+
 /// Settings of a [`Queue`](crate::Queue), fixed for the life of the process.
 #[derive(Clone, Debug)]
 pub struct QueueSettings {
@@ -38,6 +49,8 @@
     pub status_retention_ms: u64,
     /// For how long an idempotency key stands for its first message, in milliseconds after that was sent.
     pub idempotency_window_ms: u64,
+    /// How far the quotas of tenants may be exceeded.
+    pub quota: QuotaBounds,
     /// The disk is empty, and the system does not start for the first time: what lay on it is lost.
     pub has_lost_disk: bool,
     /// Seed of the dispatchers' random choices.
--- /dev/null
+++ b/crates/queue/src/tenant_quotas.rs
@@ -0,0 +1,188 @@
+//! Quotas: how many messages of a tenant may be accepted, over all stores together.
+//!
+//! Each tenant's token bucket lies at one store, its holder, by the same rules as that of a service's rate limit: one holder at a time, of
+//! which the next one begins with an empty bucket once the former has stopped (`token_bucket.rs`). Any store takes a token before
+//! it accepts a message, from its own grants or from the holder. Further submissions with the idempotency key of an accepted
+//! message take none. What can't have a token is rejected; nothing of it is kept.
+
+use crate::effect::Effect;
+use crate::message::{Message, Millis, PutError};
+use crate::peer_message::PeerMessage;
+use crate::queue::{token_holder, Queue};
+use crate::token_bucket::TokenBucket;
+use std::collections::{HashMap, VecDeque};
+use stileroute_config::Config;
+
+/// Stands before a tenant's name where tokens are asked for: services and tenants may have one name.
+const TENANT_PREFIX: &str = "tenant\0";
+
+/// A submission waits so long for the holder's answer: its edge gives the store up a little later.
+const HOLDER_PATIENCE_MS: Millis = 150;
+
+/// After the holder had too few tokens it is not asked again for so long.
+const DENIAL_MS: Millis = 60;
+
+/// Most tokens that are asked for at once.
+const MAX_TOKENS_PER_REQUEST: usize = 16;
+
+/// A submission that waits for a token.
+#[derive(Debug)]
+struct WaitingForToken {
+    ticket: u64,
+    message: Message,
+    is_resubmitted: bool,
+    deadline: Millis,
+}
+
+/// The quota of one tenant, as one store has it.
+#[derive(Debug)]
+pub(crate) struct TenantQuota {
+    pub(crate) bucket: TokenBucket,
+    waiting: VecDeque<WaitingForToken>,
+    /// The holder had too few tokens: until then nothing is asked for.
+    denied_until: Millis,
+}
+
+/// The quotas of all tenants that have one, by the names under which their tokens are asked for.
+#[derive(Debug, Default)]
+pub(crate) struct TenantQuotas {
+    pub(crate) by_name: HashMap<String, TenantQuota>,
+    /// The configuration names tenants.
+    are_tenants_known: bool,
+}
+
+impl TenantQuotas {
+    /// When [`Queue::settle_quotas`] has to be called next.
+    pub(crate) fn next_deadline(&self) -> Millis {
+        let first = |quota: &TenantQuota| quota.waiting.front().map(|waiting| waiting.deadline);
+        self.by_name.values().filter_map(first).min().unwrap_or(Millis::MAX)
+    }
+}
+
+/// Whether a message may be accepted.
+enum Admission {
+    Granted,
+    /// The tenant has used up its quota.
+    Exceeded,
+    /// The tenant is not known here, so neither is its quota.
+    Unknown,
+    /// The holder has to be asked.
+    Wait,
+}
+
+impl Queue {
+    /// Applies the quotas of a configuration.
+    pub(crate) fn configure_quotas(&mut self, now: Millis, config: &Config) {
+        let tenants = config.tenants.as_ref().map_or(&[][..], |table| &table.tenants);
+        self.quotas.are_tenants_known = config.tenants.is_some();
+        let mut former = std::mem::take(&mut self.quotas.by_name);
+        for tenant in tenants {
+            let name = format!("{TENANT_PREFIX}{}", tenant.name);
+            let quota = former.remove(&name);
+            let mut quota = quota.unwrap_or_else(|| TenantQuota {
+                bucket: TokenBucket::default(),
+                waiting: VecDeque::new(),
+                denied_until: 0,
+            });
+            quota.bucket.set_quota(now, tenant.rate_limit_per_s, tenant.burst, self.settings.quota);
+            self.quotas.by_name.insert(name, quota);
+        }
+        for waiting in former.into_values().flat_map(|quota| quota.waiting) {
+            self.reject_with(waiting.ticket, PutError::QuotaUnknown);
+        }
+    }
+
+    /// Takes a message in if its tenant's quota allows it.
+    pub(crate) fn admit(&mut self, now: Millis, ticket: u64, message: Message, is_resubmitted: bool) {
+        let Some(name) = message.tenant.as_ref().map(|tenant| format!("{TENANT_PREFIX}{tenant}")) else {
+            return self.take_in(now, ticket, message, is_resubmitted);
+        };
+        match self.take_quota(now, &name) {
+            Admission::Granted => self.take_in(now, ticket, message, is_resubmitted),
+            Admission::Exceeded => {
+                self.metrics.over_quota += 1;
+                self.reject_with(ticket, PutError::QuotaExceeded);
+            }
+            Admission::Unknown => self.reject_with(ticket, PutError::QuotaUnknown),
+            Admission::Wait => {
+                let deadline = now + HOLDER_PATIENCE_MS;
+                let waiting = WaitingForToken { ticket, message, is_resubmitted, deadline };
+                if let Some(quota) = self.quotas.by_name.get_mut(&name) {
+                    quota.waiting.push_back(waiting);
+                }
+                self.ask_for_tokens(now, &name);
+            }
+        }
+    }
+
+    fn take_quota(&mut self, now: Millis, name: &str) -> Admission {
+        if !self.quotas.are_tenants_known {
+            return Admission::Granted;
+        }
+        let Some(quota) = self.quotas.by_name.get_mut(name) else { return Admission::Unknown };
+        if !quota.bucket.has_limit() || quota.bucket.take(now) {
+            return Admission::Granted;
+        }
+        let is_answered = quota.bucket.is_handing_out(now) || now < quota.denied_until;
+        if is_answered {
+            Admission::Exceeded
+        } else {
+            Admission::Wait
+        }
+    }
+
+    /// Asks the holder for as many tokens as submissions wait, unless it has been asked already.
+    fn ask_for_tokens(&mut self, now: Millis, name: &str) {
+        let holder = token_holder(name, self.settings.node, &self.peers);
+        let Some(quota) = self.quotas.by_name.get_mut(name) else { return };
+        if holder == self.settings.node || !quota.bucket.begin_request(now) {
+            return;
+        }
+        let count = quota.waiting.len().min(MAX_TOKENS_PER_REQUEST) as u32;
+        let message = PeerMessage::RequestTokens { service: name.to_string(), count };
+        self.emit(Effect::Send { to: holder, message });
+    }
+
+    /// The holder has answered a request with so many tokens: those that wait are looked at again, and those that get none are over the
+    /// quota.
+    pub(crate) fn quota_tokens_received(&mut self, now: Millis, name: &str, count: u32) {
+        let Some(quota) = self.quotas.by_name.get_mut(name) else { return };
+        let waiting = std::mem::take(&mut quota.waiting);
+        if (count as usize) < waiting.len().min(MAX_TOKENS_PER_REQUEST) {
+            quota.denied_until = now + DENIAL_MS;
+        }
+        for WaitingForToken { ticket, message, is_resubmitted, .. } in waiting {
+            // Meanwhile another submission may have come with its key.
+            match message.idempotency_digest() {
+                Some(digest) => self.submit_once(now, ticket, message, digest),
+                None => self.admit(now, ticket, message, is_resubmitted),
+            }
+        }
+    }
+
+    /// Rejects submissions for which the holder has not answered in time.
+    pub(crate) fn settle_quotas(&mut self, now: Millis) {
+        let mut late = Vec::new();
+        for quota in self.quotas.by_name.values_mut() {
+            while quota.waiting.front().is_some_and(|waiting| waiting.deadline <= now) {
+                late.extend(quota.waiting.pop_front().map(|waiting| waiting.ticket));
+            }
+        }
+        for ticket in late {
+            self.metrics.quota_timeouts += 1;
+            self.reject_with(ticket, PutError::QuotaUnknown);
+        }
+    }
+
+    /// Nobody waits any more for a submission, whose connection is gone.
+    pub(crate) fn forget_quota_submission(&mut self, ticket: u64) {
+        for quota in self.quotas.by_name.values_mut() {
+            quota.waiting.retain(|waiting| waiting.ticket != ticket);
+        }
+    }
+
+    fn reject_with(&mut self, ticket: u64, error: PutError) {
+        self.metrics.rejected += 1;
+        self.emit(Effect::PutResult { ticket, result: Err(error) });
+    }
+}
--- a/crates/queue/src/token_bucket.rs
+++ b/crates/queue/src/token_bucket.rs
@@ -5,6 +5,7 @@
 //! the second begins.
 
 use crate::message::Millis;
+use crate::settings::QuotaBounds;
 
 /// Tokens from the holder that are not used for so long expire: piled up they would be used beyond the window.
 const TOKEN_LIFETIME_MS: Millis = 250;
@@ -107,6 +108,25 @@
         self.tokens = self.tokens.min(self.burst);
     }
 
+    /// Sets the quota of a tenant: `burst` messages at once, and `rate_per_s` from then on. A bucket that is new is empty.
+    ///
+    /// As with a service a third of what may be exceeded goes into the burst, and the rest is for the change of holders.
+    pub fn set_quota(&mut self, now: Millis, rate_per_s: f64, burst: f64, bounds: QuotaBounds) {
+        if self.refilled_at == 0 {
+            self.refilled_at = now;
+        }
+        self.refill_per_s = rate_per_s;
+        let per_window = rate_per_s * bounds.window_ms as f64 / 1000.0 + burst;
+        let spare = per_window * bounds.overrun + bounds.slack as f64;
+        self.burst = burst + (spare / BURST_DIVISOR).max(1.0);
+        self.tokens = self.tokens.min(self.burst);
+    }
+
+    /// Whether there is a limit at all.
+    pub fn has_limit(&self) -> bool {
+        self.refill_per_s > 0.0
+    }
+
     fn refill(&mut self, now: Millis) {
         let elapsed_s = now.saturating_sub(self.refilled_at) as f64 / 1000.0;
         self.refilled_at = now;
--- a/crates/queue/tests/retries.rs
+++ b/crates/queue/tests/retries.rs
@@ -50,6 +50,7 @@
         rate_tolerance: 1.1,
         status_retention_ms: 120_000,
         idempotency_window_ms: 60_000,
+        quota: QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
         has_lost_disk: false,
         seed: at as u64,
     };
--- a/crates/queue/tests/simulation/configuration.rs
+++ b/crates/queue/tests/simulation/configuration.rs
@@ -6,7 +6,8 @@
 /// Rate limit of the service with an endpoint, in requests a second.
 pub(super) const RATE_LIMIT_PER_S: f64 = 20.0;
 
-/// The configuration of this revision. `extra`: "drop" leaves a route out, "few" gives few connections.
+/// The configuration of this revision. `extra`: "drop" leaves a route out, "few" gives few connections, "quota"
+/// names tenants, two of them with a quota of 20 messages a second and 20 at once.
 pub fn config(revision: u64, extra: &str, max_tries: u32, max_wait_s: f64) -> Arc<Config> {
     let mut routes = String::new();
     for (name, backend, order) in [
@@ -38,6 +39,12 @@
         service("works", 0.0, "null"),
         service("point", RATE_LIMIT_PER_S, "\"10.0.0.9:80\"")
     );
+    let customers = r#","customers":[{"name":"hot","api_keys":["a"],"rate_per_s":20,"burst":20},
+        {"name":"calm","api_keys":["b"],"rate_per_s":20,"burst":20},{"name":"tenant","api_keys":["c"]}]}"#;
+    let text = match text.strip_suffix('}') {
+        Some(without_end) if extra == "quota" => format!("{without_end}{customers}"),
+        _ => text,
+    };
     let text = if extra == "few" { text.replace("\"max_conns\":64", "\"max_conns\":6") } else { text };
     Arc::new(Config::parse(text.as_bytes()).unwrap())
 }
--- a/crates/queue/tests/simulation/edge.rs
+++ b/crates/queue/tests/simulation/edge.rs
@@ -38,6 +38,14 @@
         n
     }
 
+    /// A message of a tenant, with a key of its own.
+    pub fn send_as(&mut self, at: u64, tenant: &str) -> usize {
+        let key = format!("k-{}", self.messages.len());
+        let n = self.send_with_key(at, None, &key, 0);
+        self.messages[n].message.tenant = Some(tenant.to_string());
+        n
+    }
+
     /// As an edge does it: one store after the other, and no store twice.
     pub(super) fn offer(&mut self, sent: usize) {
         let n = self.stores.len();
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -150,6 +150,11 @@
                 message.ticket = 0;
                 self.announce_kept(sent);
             }
+            // The edge passes it on, and asks no other store.
+            Err(PutError::QuotaExceeded | PutError::QuotaUnknown) => {
+                message.ticket = 0;
+                message.is_refused = !message.is_uncertain;
+            }
             Err(error) => {
                 message.is_uncertain |= error == PutError::Uncertain;
                 if message.ticket == ticket {
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -38,6 +38,7 @@
             rate_tolerance: 1.1,
             status_retention_ms: 120_000,
             idempotency_window_ms: 60_000,
+            quota: QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
             has_lost_disk,
             seed: at as u64,
         };
--- /dev/null
+++ b/crates/queue/tests/tenant_quotas.rs
@@ -0,0 +1,91 @@
+//! Quotas of tenants, counted over all stores: no window holds more of a tenant's messages than its quota allows, whatever fails, and
+//! below the quota none is rejected in calm.
+
+mod simulation;
+
+use simulation::{Action, Fault, Simulation};
+
+const WINDOW_MS: u64 = 5000;
+/// Of a tenant with 20 messages a second and 20 at once: (20 x 5 + 20) x 1.1 + 20.
+const MOST_IN_WINDOW: usize = 152;
+const BEGIN_MS: u64 = 5000;
+const END_MS: u64 = 25_000;
+
+fn world(stores: usize, replicas: usize, seed: u64) -> Simulation {
+    let mut world = Simulation::new(stores, replicas, seed);
+    world.act(200, Action::Configure("quota"));
+    // Six times the quota, and half of it.
+    for at in (BEGIN_MS..END_MS).step_by(8) {
+        world.send_as(at, "hot");
+    }
+    for at in (BEGIN_MS..END_MS).step_by(100) {
+        world.send_as(at, "calm");
+    }
+    world
+}
+
+/// When messages of a tenant were sent that were accepted, in order.
+fn accepted(world: &Simulation, tenant: &str) -> Vec<u64> {
+    let of_tenant = world.messages.iter().filter(|sent| sent.message.tenant.as_deref() == Some(tenant));
+    let mut times: Vec<u64> = of_tenant.filter(|sent| sent.name.is_some()).map(|sent| sent.sent_at).collect();
+    times.sort_unstable();
+    times
+}
+
+fn most_in_window(times: &[u64]) -> usize {
+    let in_window =
+        |first: &u64| times.iter().filter(|time| (*first..first + WINDOW_MS).contains(time)).count();
+    times.iter().map(in_window).max().unwrap_or(0)
+}
+
+#[test]
+fn a_hot_tenant_gets_its_quota_and_no_more_and_others_lose_nothing() {
+    for (stores, replicas) in [(3, 1), (5, 2)] {
+        let mut world = world(stores, replicas, 5);
+        world.run(END_MS + 10_000);
+        world.check(true);
+        let (hot, calm) = (accepted(&world, "hot"), accepted(&world, "calm"));
+        println!(
+            "{stores} stores: hot {} in all, {} in a window; calm {}",
+            hot.len(),
+            most_in_window(&hot),
+            calm.len()
+        );
+        assert!(most_in_window(&hot) <= MOST_IN_WINDOW, "{}", most_in_window(&hot));
+        // What the rate alone gives in twenty seconds is owed.
+        assert!(hot.len() >= 400, "{}", hot.len());
+        assert_eq!(calm.len(), 200);
+    }
+}
+
+#[test]
+fn whatever_fails_no_window_holds_more_than_the_quota() {
+    let faults =
+        [Fault::Kill, Fault::KillLong, Fault::PowerLoss, Fault::DiskLoss, Fault::Shutdown, Fault::Freeze];
+    for (seed, fault) in (0u64..).zip(faults) {
+        for store in 0..3 {
+            let mut world = world(3, 1, seed);
+            world.act(BEGIN_MS + 3000 + 170 * seed, Action::Inject(store, fault));
+            world.run(END_MS + 10_000);
+            world.check(true);
+            let hot = most_in_window(&accepted(&world, "hot"));
+            println!("seed {seed}, {fault:?} of store {store}: {hot} in a window");
+            assert!(hot <= MOST_IN_WINDOW, "{fault:?} of store {store}: {hot}");
+        }
+    }
+}
+
+#[test]
+fn a_store_that_is_cut_off_hands_out_nothing_beside_its_successor() {
+    for seed in 0..6 {
+        for store in 0..3 {
+            let mut world = world(3, 1, seed);
+            let cut = Action::IsolateWithControlNode(store, 6000);
+            world.act(BEGIN_MS + 2000 + 400 * seed, cut);
+            world.run(END_MS + 10_000);
+            let hot = most_in_window(&accepted(&world, "hot"));
+            println!("seed {seed}, store {store}: {hot} in a window");
+            assert!(hot <= MOST_IN_WINDOW, "store {store}: {hot}");
+        }
+    }
+}
--- a/crates/server/src/edge.rs
+++ b/crates/server/src/edge.rs
@@ -43,6 +43,8 @@
     without_route: u64,
     /// Submissions with keys that may have been taken away, answered 503: the control nodes were not heard for too long.
     without_contact: u64,
+    /// Submissions that the tenant's quota did not allow, answered 429; or 503, where that could not be known.
+    over_quota: u64,
     /// Submissions and lookups without a key, answered 401.
     without_key: u64,
     /// Submissions and lookups with a key of no tenant, answered 401.
--- a/crates/server/src/edge/report.rs
+++ b/crates/server/src/edge/report.rs
@@ -31,6 +31,7 @@
             ("no_route", self.counts.without_route),
             ("no_key", self.counts.without_key),
             ("unknown_key", self.counts.with_unknown_key),
+            ("over_quota", self.counts.over_quota),
             ("no_contact", self.counts.without_contact),
             ("refused", self.counts.rejected),
             ("uncertain", self.counts.outcome_unknown),
--- a/crates/server/src/edge/submissions.rs
+++ b/crates/server/src/edge/submissions.rs
@@ -178,6 +178,9 @@
     ) {
         match result {
             Ok(message_id) => self.submission_accepted(request_id, message_id),
+            // Another store would say the same.
+            Err(PutError::QuotaExceeded) => self.answer_over_quota(request_id, 429),
+            Err(PutError::QuotaUnknown) => self.answer_over_quota(request_id, 503),
             Err(error) => {
                 let Some(submission) = self.submissions.get_mut(&request_id) else { return };
                 if submission.rejected(store, error) == AfterRejection::TryNextStore {
@@ -187,6 +190,17 @@
         }
     }
 
+    /// The tenant's quota doesn't allow a message now. If an earlier store may have accepted it nothing is promised.
+    fn answer_over_quota(&mut self, request_id: u64, status: u16) {
+        let Some(submission) = self.submissions.remove(&request_id) else { return };
+        if submission.may_be_kept {
+            self.counts.outcome_unknown += 1;
+            return self.answer(submission.connection, Response::empty(502));
+        }
+        self.counts.over_quota += 1;
+        self.answer(submission.connection, Response::retry_after(status, RETRY_AFTER_S));
+    }
+
     fn submission_accepted(&mut self, request_id: u64, message_id: String) {
         let Some(submission) = self.submissions.remove(&request_id) else { return };
         self.counts.accepted += 1;
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -19,7 +19,9 @@
 use delivery_statistics::DeliveryStatistics;
 use departed_executors::DepartedExecutors;
 use std::collections::HashMap;
-use stileroute_queue::{first_number, Key, Node, Queue, QueueSettings, Record, StateTable, ToleratedLosses};
+use stileroute_queue::{
+    first_number, Key, Node, Queue, QueueSettings, QuotaBounds, Record, StateTable, ToleratedLosses,
+};
 use stileroute_wal::Options;
 
 /// Name of the log and of its folder.
@@ -222,6 +224,11 @@
         rate_tolerance: boot.bounds.rate_limit_overrun,
         status_retention_ms: boot.bounds.status_retention_ms,
         idempotency_window_ms: boot.bounds.idempotency_window_ms,
+        quota: QuotaBounds {
+            window_ms: boot.bounds.quota_window_ms,
+            overrun: boot.bounds.quota_overrun,
+            slack: boot.bounds.quota_slack,
+        },
         has_lost_disk,
         seed: random_seed(),
     }
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -111,6 +111,8 @@
             ("deduplicated", counts.deduplicated),
             ("rival_dropped", counts.rivals_dropped),
             ("shard_timeout", counts.shard_timeouts),
+            ("over_quota", counts.over_quota),
+            ("quota_timeout", counts.quota_timeouts),
             ("shards_claimed", counts.shard_claims),
             ("claim_failed", counts.shard_claims_failed),
         ];
