--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -3,7 +3,9 @@
 #[path = "../../queue/tests/simulation/mod.rs"]
 mod simulation;
 
-use simulation::{loss_scenarios, retirement_scenarios, Action, Behavior, Fault, Prepare, Simulation};
+use simulation::{
+    key_scenarios, loss_scenarios, retirement_scenarios, Action, Behavior, Fault, Prepare, Simulation,
+};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
 use stileroute_model_check::queue::QUEUE_FAULTS;
@@ -11,7 +13,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 23] = [
+const DAYS: [(PlantedFault, Day); 27] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -35,6 +37,10 @@
     (PlantedFault::ReplicaChosenTwice, loss_scenarios::two_replicas_are_late),
     (PlantedFault::InheritedListTrusted, loss_scenarios::an_inherited_list_is_out_of_date),
     (PlantedFault::CutOffControlNodeTrusted, a_store_is_cut_off_with_a_control_node),
+    (PlantedFault::ShardsHeldUnasked, key_scenarios::tries_reach_different_stores),
+    (PlantedFault::StaleHolderHeeded, key_scenarios::an_earlier_holder_has_not_heard_of_its_successor),
+    (PlantedFault::BlankStoreGrants, key_scenarios::the_store_that_granted_a_claim_loses_its_disk),
+    (PlantedFault::KeyUnchecked, key_scenarios::uncertain_messages_of_one_key_survive_a_blackout),
 ];
 
 fn planted(fault: Option<PlantedFault>) -> Prepare {
--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -171,7 +171,8 @@
     fn finish_claim(&mut self, now: Millis) {
         let is_unasked = self.planted(PlantedFault::ShardsHeldUnasked);
         let Some(claim) = &self.shards.pending else { return };
-        let is_complete = claim.awaited.is_empty() || now >= claim.started_at + STRAGGLER_LIMIT_MS;
+        let is_answered = claim.awaited.is_empty() || now >= claim.started_at + STRAGGLER_LIMIT_MS;
+        let is_complete = is_answered || is_unasked;
         let has_quorum = self.silent_stores(&claim.granted) <= self.settings.replica_count || is_unasked;
         if !claim.is_durable || !is_complete {
             return;
--- a/crates/queue/tests/idempotency.rs
+++ b/crates/queue/tests/idempotency.rs
@@ -8,7 +8,7 @@
 
 mod simulation;
 
-use simulation::{Action, Fault, Simulation};
+use simulation::{key_scenarios, without_fault, Action, Fault, Simulation};
 
 /// The first message is sent when all stores have found each other.
 const BEGIN_MS: u64 = 3000;
@@ -128,3 +128,11 @@
     world.check(true);
     assert_eq!(world.accepted_keys(), (1, 1));
 }
+
+#[test]
+fn no_key_runs_twice_on_the_days_of_its_rules() {
+    key_scenarios::tries_reach_different_stores(&without_fault());
+    key_scenarios::an_earlier_holder_has_not_heard_of_its_successor(&without_fault());
+    key_scenarios::the_store_that_granted_a_claim_loses_its_disk(&without_fault());
+    key_scenarios::uncertain_messages_of_one_key_survive_a_blackout(&without_fault());
+}
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -5,9 +5,9 @@
 use serde::Serialize;
 use std::fmt::Debug;
 use stileroute_queue::{
-    first_number, AcceptedHandover, End, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer,
-    Key, KeyLocation, KeyRange, Message, Ownership, PeerMessage, PutError, RangeDigest, Record,
-    ReplicatedMessage, TransferredEnd,
+    first_number, AcceptedHandover, ClaimAnswer, End, EndNotice, EntrySummary, GroupMessage, GroupPosition,
+    HandoverOffer, IdempotencyDigest, Key, KeyLocation, KeyRange, KnownSubmission, Message, Ownership,
+    PeerMessage, PutError, RangeDigest, Record, ReplicatedMessage, ShardTerm, TransferredEnd, SHARD_COUNT,
 };
 
 fn assert_bytes<Value: Serialize + DeserializeOwned + PartialEq + Debug>(value: &Value, hex: &str) {
@@ -291,3 +291,41 @@
         assert_eq!(Key::parse(text), None, "{text}");
     }
 }
+
+fn known_submission() -> KnownSubmission {
+    let digest = IdempotencyDigest::of(Some("ferry"), "k-1");
+    KnownSubmission { digest, key: key(), shard_term: 300, is_accepted: true }
+}
+
+#[test]
+fn what_stores_say_of_idempotency_keys_has_these_bytes() {
+    let claim = ShardTerm { term: 300, holder: 4 };
+    assert_bytes(&PeerMessage::ReplicateNew(vec![]), "1a00");
+    assert_bytes(&PeerMessage::StaleShard { term: 300, key: key() }, "1bac02ac02f0a204");
+    assert_bytes(
+        &PeerMessage::ClaimShards { claim_id: 7, term: 300, shards: vec![1, 1023] },
+        "1c07ac020201ff07",
+    );
+    let answered = |answer| PeerMessage::ClaimAnswered { claim_id: 7, answer };
+    assert_bytes(&answered(ClaimAnswer::Granted(vec![known_submission()])), GRANTED);
+    assert_bytes(&answered(ClaimAnswer::Refused { term: 300 }), "1d0701ac02");
+    assert_bytes(&answered(ClaimAnswer::Abstained), "1d0702");
+    assert_bytes(&PeerMessage::RequestShardTerms, "1e");
+    assert_bytes(&PeerMessage::ShardTerms(vec![(5, claim)]), "1f0105ac0204");
+    assert_bytes(&Record::ShardsGranted { claim, shards: vec![1, 1023] }, "09ac02040201ff07");
+    assert_bytes(&Record::ShardTermsMissing(true), "0a01");
+    assert_bytes(&PutError::QuotaExceeded, "02");
+    assert_bytes(&PutError::QuotaUnknown, "03");
+}
+
+/// The digest is the beginning of a BLAKE3 hash: stores of all builds divide the keys alike.
+const GRANTED: &str = "1d07000107e6f25e534b69036691edfbe2866471ac02f0a204ac0201";
+
+#[test]
+fn every_digest_is_in_a_shard_and_shards_are_even() {
+    let mut counts = vec![0usize; usize::from(SHARD_COUNT)];
+    for n in 0..100 * usize::from(SHARD_COUNT) {
+        counts[usize::from(IdempotencyDigest::of(Some("ferry"), &format!("k-{n}")).shard())] += 1;
+    }
+    assert!(counts.iter().all(|count| (50..160).contains(count)), "{counts:?}");
+}
