--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -26,10 +26,6 @@
 /// The shards that fall to this store are claimed once members and connections have not changed for so long.
 const REBALANCE_DELAY_MS: Millis = 500;
 
-/// A store that is no member and not connected for so long is gone, if nothing that is known here lies on too few disks: it is written
-/// off before, and what it held lies elsewhere by then.
-const GONE_AFTER_MS: Millis = 6500;
-
 /// Beyond the window of the keys, what a store held does not matter any more.
 const WINDOW_MARGIN_MS: Millis = 10_000;
 
@@ -214,7 +210,8 @@
         !self.shards.are_used || (self.absent_stores() == 0 && !self.shards.are_terms_missing)
     }
 
-    /// Notes which stores are gone for good. While more are absent than may be lost at once they may be alive, behind a cut, and what
+    /// Notes which stores are gone for good: those that are written off, once nothing that is known here lies on too few disks, for what
+    /// they held lies elsewhere then. While more are absent than may be lost at once they may be alive, behind a cut, and what
     /// they have accepted may lie among themselves alone: then they count until the window of all their keys is over.
     pub(crate) fn note_gone_stores(&mut self, now: Millis) {
         let may_judge = self.control_contact.is_heard && self.knows_members;
@@ -224,7 +221,7 @@
         for peer in self.peers.values_mut() {
             let absent_ms = now.saturating_sub(peer.connection_changed_at);
             let is_gone =
-                peer.is_retiring() || (may_be_gone && absent_ms > GONE_AFTER_MS) || absent_ms > window_ms;
+                peer.is_retiring() || (may_be_gone && peer.is_written_off()) || absent_ms > window_ms;
             if peer.is_present() {
                 peer.key_holder = KeyHolder::Counts;
             } else if may_judge && is_gone {
