--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -222,9 +222,7 @@
             let absent_ms = now.saturating_sub(peer.connection_changed_at);
             let is_gone =
                 peer.is_retiring() || (may_be_gone && peer.is_written_off()) || absent_ms > window_ms;
-            if peer.is_present() {
-                peer.key_holder = KeyHolder::Counts;
-            } else if may_judge && is_gone {
+            if !peer.is_present() && may_judge && is_gone {
                 peer.key_holder = KeyHolder::Gone;
             }
         }
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -85,7 +85,13 @@
 }
 
 impl Peer {
-    /// A store that has just become known, and is not connected.
+    /// A store that was not known before, and that the control group lists: as long as it is never connected it is others that know
+    /// whether what it holds matters.
+    pub(crate) fn listed(now: Millis) -> Peer {
+        Peer { connection_changed_at: now, ..Peer::default() }
+    }
+
+    /// A store that is known from the disk, and is not connected.
     pub(crate) fn new(now: Millis) -> Peer {
         Peer { connection_changed_at: now, key_holder: KeyHolder::Counts, ..Peer::default() }
     }
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -3,7 +3,7 @@
 use crate::effect::Effect;
 use crate::message::{Key, Millis, Node};
 use crate::outbox::Outbox;
-use crate::peer::{Peer, Peers, ServiceState};
+use crate::peer::{KeyHolder, Peer, Peers, ServiceState};
 use crate::peer_message::{EndNotice, PeerMessage};
 use crate::queue::Queue;
 
@@ -20,7 +20,7 @@
             peer.is_member = false;
         }
         for (node, zone) in stores.iter().filter(|(node, _)| *node != self.settings.node) {
-            let peer = self.peers.entry(*node).or_insert_with(|| Peer::new(now));
+            let peer = self.peers.entry(*node).or_insert_with(|| Peer::listed(now));
             peer.zone = *zone;
             peer.is_member = true;
         }
@@ -35,6 +35,7 @@
     pub fn peer_connected(&mut self, now: Millis, node: Node) {
         let peer = self.peers.entry(node).or_default();
         peer.is_connected = true;
+        peer.key_holder = KeyHolder::Counts;
         peer.is_reconciled = false;
         peer.connection_changed_at = now;
         peer.heard(now);
