Queue: claims are bounded, and not made again for what nobody needs

Change: 64 shards in a claim, 600 ms for it, and after a claim that failed only what submissions wait for is claimed.

--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -17,7 +17,10 @@
 const STRAGGLER_LIMIT_MS: Millis = 30;
 
 /// A claim that not enough stores have granted by then is given up.
-const CLAIM_TIMEOUT_MS: Millis = 250;
+const CLAIM_TIMEOUT_MS: Millis = 600;
+
+/// Shards in one claim at most: what is known of them comes from every other store at once, over one link.
+const MAX_SHARDS_PER_CLAIM: usize = 64;
 
 /// The next claim after one that failed is made no sooner; different for each store, so that two that want one shard take turns.
 const CLAIM_RETRY_DELAY_MS: Millis = 20;
@@ -53,7 +56,7 @@
         self.shards.wanted.extend(missing);
     }
 
-    /// Claims all shards that are wanted, unless a claim is under way or one has just failed.
+    /// Claims shards that are wanted, unless a claim is under way or one has just failed.
     pub(crate) fn start_claim(&mut self, now: Millis) {
         let is_possible = self.shards.pending.is_none()
             && now >= self.shards.next_claim_at
@@ -63,7 +66,8 @@
         if !is_possible {
             return;
         }
-        let shards: Vec<Shard> = self.shards.wanted.iter().copied().collect();
+        let wanted = self.shards.wanted.iter().copied();
+        let shards: Vec<Shard> = wanted.take(MAX_SHARDS_PER_CLAIM).collect();
         let known = shards.iter().map(|shard| self.shards.term_of(*shard).term).max().unwrap_or(0);
         let claim = ShardTerm::above(known.max(self.shards.refused_term), self.settings.node);
         let term = claim.term;
@@ -153,8 +157,12 @@
         !self.shards.are_terms_missing && self.knows_members
     }
 
+    /// Only what is still needed is claimed again: the shards that submissions wait for now, and in a while those that fall to this
+    /// store. Others want the rest, perhaps, and each claim takes a shard from them.
     fn give_up_claim(&mut self, now: Millis) {
         self.shards.pending = None;
+        self.shards.wanted = self.shards.awaited_shards();
+        self.shards.rebalance_since.get_or_insert(now);
         self.metrics.shard_claims_failed += 1;
         let spread = u64::from(self.settings.node) % CLAIM_RETRY_SPREAD_MS;
         self.shards.next_claim_at = now + CLAIM_RETRY_DELAY_MS + spread;
--- a/crates/queue/src/idempotency/shard_table.rs
+++ b/crates/queue/src/idempotency/shard_table.rs
@@ -159,6 +159,12 @@
         self.held.get(usize::from(shard)).copied().filter(|term| *term > 0)
     }
 
+    /// The shards for which submissions wait.
+    pub(super) fn awaited_shards(&self) -> BTreeSet<Shard> {
+        let digests = self.waiting.iter().filter_map(|waiting| waiting.message.idempotency_digest());
+        digests.map(IdempotencyDigest::shard).collect()
+    }
+
     /// How many shards this store holds.
     pub(crate) fn held_count(&self) -> usize {
         self.held.iter().filter(|term| **term > 0).count()
