--- a/crates/server/tests/tenants.rs
+++ b/crates/server/tests/tenants.rs
@@ -28,9 +28,21 @@
     println!("seed {SEED}");
     let mut fleet = Fleet::new(name, FIRST_NET, TIME_LIMIT);
     fleet.start_with(&[], CONFIGURATION);
+    wait_for_quotas(&fleet);
     fleet
 }
 
+/// The first holder of a tenant's tokens begins some 1.5 s after the start, and with none.
+fn wait_for_quotas(fleet: &Fleet) {
+    for tenant in ["ferry", "lugger"] {
+        fleet.wait_for("the tenant's quota is handed out", || {
+            let id = format!("first-of-{tenant}");
+            let headers = format!("Authorization: Bearer key-of-{tenant}\r\nX-Idempotency-Key: {id}\r\n");
+            (submit(fleet, &id, &headers).0 == 202).then_some(())
+        });
+    }
+}
+
 fn submit(fleet: &Fleet, id: &str, headers: &str) -> Answer {
     let headers = format!("X-Request-Id: {id}\r\n{headers}");
     fleet.http("4:18263", "POST", "/in/1", &headers, "heavy").expect("the edge answers")
@@ -121,6 +133,7 @@
         "timeout_ms":1500,"target_ms":80,"backend":"crane","public":true}],"backends""#;
     let configuration = CONFIGURATION.replacen("],\n \"backends\"", &format!(",{public}"), 1);
     fleet.start_with(&[], &configuration);
+    wait_for_quotas(&fleet);
     let headers = |n: u64| format!("Authorization: Bearer key-of-ferry\r\nX-Idempotency-Key: i-{n}\r\n");
     assert_eq!(submit(&fleet, &format!("r-{SEED}-1"), &headers(1)).0, 202);
     fleet.end("core-1");
