Queue tests: more stores are added at once than may be lost; fails

With one loss tolerated and three stores added at once, 233 of 240 keys were accepted: the blank stores waited for each other's terms.

--- a/crates/queue/tests/idempotency.rs
+++ b/crates/queue/tests/idempotency.rs
@@ -129,6 +129,13 @@
     assert_eq!(world.accepted_keys(), (1, 1));
 }
 
+/// Three blank stores each waited for the other two to say which claims they had granted, and granted none: with one loss tolerated no
+/// shard could be claimed any more.
+#[test]
+fn stores_that_are_added_at_once_learn_who_holds_the_shards() {
+    key_scenarios::many_stores_are_added(&without_fault());
+}
+
 #[test]
 fn no_key_runs_twice_on_the_days_of_its_rules() {
     key_scenarios::tries_reach_different_stores(&without_fault());
--- a/crates/queue/tests/simulation/key_scenarios.rs
+++ b/crates/queue/tests/simulation/key_scenarios.rs
@@ -55,6 +55,22 @@
     world.check(false);
 }
 
+/// More stores are added at once than may be lost.
+pub fn many_stores_are_added(prepare: &Prepare) {
+    let mut world = world(5, prepare);
+    send_keys(&mut world, BEGIN_MS, 0);
+    (0..3).for_each(|_| world.act(BEGIN_MS + 1000, Action::Add));
+    for round in 1..6 {
+        for n in 0..KEYS {
+            world.send_with_key(BEGIN_MS + 2000 * round + 5 * n, None, &format!("k-{round}-{n}"), 0);
+        }
+    }
+    world.run(BEGIN_MS + 30_000);
+    world.check(true);
+    let (accepted, sent) = world.accepted_keys();
+    assert_eq!(accepted, sent, "keys that were never accepted");
+}
+
 /// All stores lose power while messages of each key are on their way to the disks, and one store loses its disk; further tries come
 /// before and after.
 pub fn uncertain_messages_of_one_key_survive_a_blackout(prepare: &Prepare) {
