Queue: blank stores don't wait for each other's terms

Cause: a store with an empty disk learns the claims that were granted from all others but as many as may be lost, and counted other blank stores, which have none, among those that are silent. Change: a store that asks for terms has none: all others' are enough.

--- a/crates/queue/src/idempotency/grants.rs
+++ b/crates/queue/src/idempotency/grants.rs
@@ -116,6 +116,7 @@
 
     /// Another store has lost its disk, and asks for the terms that are known here.
     pub(crate) fn terms_requested(&mut self, from: Node) {
+        self.shards.blank_peers.insert(from);
         if self.shards.are_terms_missing {
             return;
         }
@@ -129,8 +130,8 @@
             self.shards.raise(shard, term);
         }
         self.shards.terms_named_by.insert(from);
-        let silent = self.silent_stores(&self.shards.terms_named_by.clone());
-        if !self.shards.are_terms_missing || silent > self.settings.replica_count || !self.knows_members {
+        self.shards.blank_peers.remove(&from);
+        if !self.shards.are_terms_missing || !self.knows_members || !self.have_enough_named_terms() {
             return;
         }
         // All that the others have granted is known: on disk first, for it binds from now on.
@@ -145,6 +146,14 @@
         self.after_write(PendingWrite::ShardTerms);
     }
 
+    /// Whether all claims that count are known: all stores but as many as may be lost have named theirs, or all that have any. Stores that are
+    /// new have none, however many they are.
+    fn have_enough_named_terms(&self) -> bool {
+        let named = &self.shards.terms_named_by;
+        let named_or_blank = named | &self.shards.blank_peers;
+        self.silent_stores(named) <= self.settings.replica_count || self.silent_stores(&named_or_blank) == 0
+    }
+
     /// The terms of the others are on disk.
     pub(crate) fn terms_recorded(&mut self) {
         self.shards.are_terms_missing = false;
--- a/crates/queue/src/idempotency/shard_table.rs
+++ b/crates/queue/src/idempotency/shard_table.rs
@@ -97,6 +97,8 @@
     pub(super) are_terms_missing: bool,
     /// Stores that have named their terms since this store's start.
     pub(super) terms_named_by: BTreeSet<Node>,
+    /// Stores that have asked for terms, since their own are missing, and have not named any since.
+    pub(super) blank_peers: BTreeSet<Node>,
     /// When the others are asked again for their terms.
     pub(super) next_terms_request_at: Millis,
     /// Since when the shards that fall to this store have to be claimed.
@@ -126,6 +128,7 @@
             are_used: false,
             are_terms_missing,
             terms_named_by: BTreeSet::new(),
+            blank_peers: BTreeSet::new(),
             next_terms_request_at: 0,
             rebalance_since: None,
             control_lost_since: None,
