Queue: every connected store has to answer a claim

A claim that had enough grants didn't wait for answers later than 30 ms, and the third store that had the message may have been one of those. Change: a claim stands only when all connected stores have answered it, or is given up after 600 ms.

--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -13,9 +13,6 @@
 use crate::record::Record;
 use std::collections::BTreeSet;
 
-/// Once enough stores have granted a claim, the others are waited for until then: they may know more of a message.
-const STRAGGLER_LIMIT_MS: Millis = 30;
-
 /// A claim that not enough stores have granted by then is given up.
 const CLAIM_TIMEOUT_MS: Millis = 600;
 
@@ -144,9 +141,6 @@
     /// When [`Queue::check_claim`] has to be called next.
     pub(crate) fn next_claim_check_at(&self) -> Millis {
         match &self.shards.pending {
-            Some(claim) if self.last_tick_at < claim.started_at + STRAGGLER_LIMIT_MS => {
-                claim.started_at + STRAGGLER_LIMIT_MS
-            }
             Some(claim) => claim.started_at + CLAIM_TIMEOUT_MS,
             None if !self.shards.wanted.is_empty() && self.can_claim() => self.shards.next_claim_at,
             None => Millis::MAX,
@@ -172,8 +166,9 @@
     fn finish_claim(&mut self, now: Millis) {
         let is_unasked = self.planted(PlantedFault::ShardsHeldUnasked);
         let Some(claim) = &self.shards.pending else { return };
-        let is_answered = claim.awaited.is_empty() || now >= claim.started_at + STRAGGLER_LIMIT_MS;
-        let is_complete = is_answered || is_unasked;
+        // All that are connected have to answer: a disk that was just lost counts among the losses, and the one that is slow may be the
+        // last that has a message.
+        let is_complete = claim.awaited.is_empty() || is_unasked;
         let has_quorum = self.silent_stores(&claim.granted) <= self.settings.replica_count || is_unasked;
         if !claim.is_durable || !is_complete {
             return;
