Queue: a store that has lost its disk recovers before it grants or makes claims

Symptom: a key that had run to its end ran again, at a store that had lost its disk between.

Cause: a store that was back without its disk learned the terms of the shards from the others, and then granted claims like any other. Of the messages that had lain there it named none, and that counted as if there had been none; as a claimant it counted itself as heard. So a claim could stand while every store that was heard had nothing, and the one that still had the message was silent.

Now such a store abstains, and counts as silent, until all that lay on its disk lies on enough others: each store that may hold a message says so in two rounds of reports, and which stores those are, for the blank one has lost that too. Terms are known again once all but r - 1 others have named theirs, where r may be lost. A store that nobody knew with another disk is new, and has nothing to recover. Stores are written off as gone only while those that are absent or recover are no more than may be lost, and that is on disk.

The same tests found a second fault: an accepted message waited until it expired. The holder of its shard had been away, did not know that the shard had been claimed since, and gave the same outdated term to each question. The asker now tells it the terms; a store that is refused with a higher term learns that.

Metric stileroute_key_recovery_pending.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -4,7 +4,8 @@
 mod simulation;
 
 use simulation::{
-    key_scenarios, loss_scenarios, retirement_scenarios, Action, Behavior, Fault, Prepare, Simulation,
+    key_loss_scenarios, key_scenarios, loss_scenarios, retirement_scenarios, Action, Behavior, Fault,
+    Prepare, Simulation,
 };
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::rc::Rc;
@@ -13,7 +14,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 27] = [
+const DAYS: [(PlantedFault, Day); 28] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -41,6 +42,7 @@
     (PlantedFault::StaleHolderHeeded, key_scenarios::an_earlier_holder_has_not_heard_of_its_successor),
     (PlantedFault::BlankStoreGrants, key_scenarios::the_store_that_granted_a_claim_loses_its_disk),
     (PlantedFault::KeyUnchecked, key_scenarios::uncertain_messages_of_one_key_survive_a_blackout),
+    (PlantedFault::BlankGrantCounts, key_loss_scenarios::a_store_is_killed_while_another_recovers),
 ];
 
 fn planted(fault: Option<PlantedFault>) -> Prepare {
--- a/crates/queue/src/idempotency.rs
+++ b/crates/queue/src/idempotency.rs
@@ -8,6 +8,9 @@
 //! before; and a store that has granted a claim keeps no new replica of a message from an earlier term, so that nothing is accepted
 //! unseen by an earlier holder. No clock, no list of members and no connection has to be right for that.
 //!
+//! One thing is assumed of the stores that are heard: that each still has what lay on its disk. One that has lost its disk
+//! [recovers](recovery) first, and counts among those that have not granted meanwhile.
+//!
 //! What is known of a key is the message itself, on the disks on which it lies, live or ended: there is no second record, and nothing
 //! more to replicate, hand over or repair. Edges send the messages of a shard to one store by rendezvous hashing; another one that gets a
 //! message claims the shard for itself.
@@ -17,6 +20,7 @@
 mod claims;
 mod digest;
 mod grants;
+mod recovery;
 mod shard_table;
 mod submissions;
 mod unchecked;
--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -58,8 +58,7 @@
         let is_possible = self.shards.pending.is_none()
             && now >= self.shards.next_claim_at
             && !self.shards.wanted.is_empty()
-            && !self.shards.are_terms_missing
-            && self.knows_members;
+            && self.can_claim();
         if !is_possible {
             return;
         }
@@ -147,8 +146,9 @@
         }
     }
 
-    fn can_claim(&self) -> bool {
-        !self.shards.are_terms_missing && self.knows_members
+    /// Whether this store knows whom a claim has to be granted by.
+    pub(super) fn can_claim(&self) -> bool {
+        !self.shards.are_terms_missing && !self.is_recovering() && self.knows_members
     }
 
     /// Only what is still needed is claimed again: the shards that submissions wait for now, and in a while those that fall to this
@@ -167,7 +167,7 @@
         let is_unasked = self.planted(PlantedFault::ShardsHeldUnasked);
         let Some(claim) = &self.shards.pending else { return };
         // All that are connected have to answer: a disk that was just lost counts among the losses, and the one that is slow may be the
-        // last that has a message.
+        // last that has a message. A store that recovers from such a loss abstains, and so counts as silent.
         let is_complete = claim.awaited.is_empty() || is_unasked;
         let has_quorum = self.silent_stores(&claim.granted) <= self.settings.replica_count || is_unasked;
         if !claim.is_durable || !is_complete {
@@ -198,8 +198,13 @@
 
     /// How many stores may hold messages of a shard and are none of these.
     pub(super) fn silent_stores(&self, heard: &BTreeSet<Node>) -> usize {
+        self.message_holders().filter(|node| !heard.contains(node)).count()
+    }
+
+    /// The other stores that may hold messages with idempotency keys.
+    pub(super) fn message_holders(&self) -> impl Iterator<Item = Node> + '_ {
         let may_hold = |peer: &Peer| peer.is_present() || peer.key_holder == KeyHolder::Counts;
-        self.peers.iter().filter(|(node, peer)| may_hold(peer) && !heard.contains(node)).count()
+        self.peers.iter().filter(move |(_, peer)| may_hold(peer)).map(|(node, _)| *node)
     }
 
     /// How many stores that may hold messages of a shard are not connected.
@@ -210,24 +215,39 @@
 
     /// Whether a claim would be granted by enough stores if one more were lost, as far as that is known here.
     pub(crate) fn are_shards_safe(&self) -> bool {
-        !self.shards.are_used || (self.absent_stores() == 0 && !self.shards.are_terms_missing)
+        let is_intact = !self.shards.are_terms_missing && !self.is_recovering();
+        !self.shards.are_used || (is_intact && self.absent_stores() == 0 && self.recovering_peers() == 0)
+    }
+
+    /// Enters the stores that were gone for good before this store started.
+    pub(crate) fn restore_gone_stores(&mut self, gone: &BTreeSet<Node>) {
+        for (node, peer) in &mut self.peers {
+            if gone.contains(node) {
+                peer.key_holder = KeyHolder::Gone;
+            }
+        }
     }
 
     /// Notes which stores are gone for good: those that are written off, once nothing that is known here lies on too few disks, for what
-    /// they held lies elsewhere then. While more are absent than may be lost at once they may be alive, behind a cut, and what
-    /// they have accepted may lie among themselves alone: then they count until the window of all their keys is over.
+    /// they held lies elsewhere then. While more are absent, or have lost their disks, than may be lost at once, they may be alive, behind
+    /// a cut, and what they have accepted may lie among themselves alone: then they count until the window of all their keys is over.
     pub(crate) fn note_gone_stores(&mut self, now: Millis) {
         let may_judge = self.control_contact.is_heard && self.knows_members;
-        let may_be_gone = self.absent_stores() <= self.settings.replica_count
+        let lost_or_absent = self.absent_stores() + self.recovering_peers();
+        let may_be_gone = lost_or_absent <= self.settings.replica_count
+            && !self.is_recovering()
             && self.missing_copies() == MissingCopies::default();
         let window_ms = self.settings.idempotency_window_ms + WINDOW_MARGIN_MS;
-        for peer in self.peers.values_mut() {
+        let is_gone = |peer: &Peer| {
             let absent_ms = now.saturating_sub(peer.connection_changed_at);
-            let is_gone =
-                peer.is_retiring() || (may_be_gone && peer.is_written_off()) || absent_ms > window_ms;
-            if !peer.is_present() && may_judge && is_gone {
-                peer.key_holder = KeyHolder::Gone;
-            }
+            peer.is_retiring() || (may_be_gone && peer.is_written_off()) || absent_ms > window_ms
+        };
+        let is_noted = |peer: &Peer| peer.is_present() || peer.key_holder != KeyHolder::Counts;
+        let gone = self.peers.iter().filter(|(_, peer)| may_judge && !is_noted(peer) && is_gone(peer));
+        let gone: Vec<Node> = gone.map(|(node, _)| *node).collect();
+        for node in gone {
+            self.peers.entry(node).or_default().key_holder = KeyHolder::Gone;
+            self.record(&Record::MessageHolderGone { node, is_gone: true }, false);
         }
     }
 }
--- a/crates/queue/src/idempotency/grants.rs
+++ b/crates/queue/src/idempotency/grants.rs
@@ -27,10 +27,11 @@
         self.shards.are_used = true;
         let claim = ShardTerm::from_term(term);
         let is_blank = self.shards.are_terms_missing && !self.planted(PlantedFault::BlankStoreGrants);
+        let is_recovering = self.is_recovering() && !self.planted(PlantedFault::BlankStoreGrants);
         let shards: Vec<Shard> = shards.into_iter().filter(|shard| *shard < SHARD_COUNT).collect();
         let highest = shards.iter().map(|shard| self.shards.term_of(*shard)).max().unwrap_or_default();
-        // Who misses more stores than may be lost can't say that it would know of them.
-        if is_blank || self.absent_stores() > self.settings.replica_count {
+        // Who has lost its disk can't say that no message lay there, and who misses more stores than may be lost that it would know of them.
+        if is_blank || is_recovering || self.absent_stores() > self.settings.replica_count {
             return self.answer_claim(from, claim_id, ClaimAnswer::Abstained);
         }
         if highest > claim {
@@ -105,6 +106,8 @@
         self.shards.refused_term = self.shards.refused_term.max(term);
         let digest = self.entries.get(&key).and_then(|entry| entry.message.idempotency_digest());
         if let Some(digest) = digest {
+            // Also where another store holds the shard: that one has to hear of the claim from this one.
+            self.shards.raise(digest.shard(), ShardTerm::from_term(term));
             self.shards.release(digest.shard());
         }
         // One that was being accepted anew is uncertain again.
@@ -117,11 +120,15 @@
     /// Another store has lost its disk, and asks for the terms that are known here.
     pub(crate) fn terms_requested(&mut self, from: Node) {
         self.shards.blank_peers.insert(from);
-        if self.shards.are_terms_missing {
-            return;
+        self.send_terms(from);
+    }
+
+    /// Tells another store all terms that are known here, unless this one does not know all that bind it.
+    pub(super) fn send_terms(&mut self, to: Node) {
+        if !self.shards.are_terms_missing {
+            let terms = self.shards.all_terms().collect();
+            self.emit(Effect::Send { to, message: PeerMessage::ShardTerms(terms) });
         }
-        let terms = self.shards.all_terms().collect();
-        self.emit(Effect::Send { to: from, message: PeerMessage::ShardTerms(terms) });
     }
 
     /// Another store has named its terms.
@@ -131,35 +138,41 @@
         }
         self.shards.terms_named_by.insert(from);
         self.shards.blank_peers.remove(&from);
-        if !self.shards.are_terms_missing || !self.knows_members || !self.have_enough_named_terms() {
+        self.adopt_named_terms();
+    }
+
+    /// Once all that the others have granted is known it binds this store: on disk first.
+    pub(super) fn adopt_named_terms(&mut self) {
+        let is_adopted = !self.shards.are_terms_missing || self.shards.are_terms_being_recorded;
+        if is_adopted || !self.have_enough_named_terms() {
             return;
         }
-        // All that the others have granted is known: on disk first, for it binds from now on.
         let mut shards_by_claim: BTreeMap<ShardTerm, Vec<Shard>> = BTreeMap::new();
         for (shard, claim) in self.shards.all_terms() {
             shards_by_claim.entry(claim).or_default().push(shard);
         }
+        if shards_by_claim.is_empty() {
+            return self.terms_recorded();
+        }
         for (claim, shards) in shards_by_claim {
             self.record(&Record::ShardsGranted { claim, shards }, true);
         }
-        self.record(&Record::ShardTermsMissing(false), true);
+        self.shards.are_terms_being_recorded = true;
         self.after_write(PendingWrite::ShardTerms);
     }
 
-    /// Whether all claims that count are known: all stores but as many as may be lost have named theirs, or all that have any. Stores that are
-    /// new have none, however many they are.
-    fn have_enough_named_terms(&self) -> bool {
-        let named = &self.shards.terms_named_by;
-        let named_or_blank = named | &self.shards.blank_peers;
-        self.silent_stores(named) <= self.settings.replica_count || self.silent_stores(&named_or_blank) == 0
-    }
-
     /// The terms of the others are on disk.
     pub(crate) fn terms_recorded(&mut self) {
+        self.shards.are_terms_being_recorded = false;
         self.shards.are_terms_missing = false;
         tracing::info!("the holders of all shards are known again");
     }
 
+    /// The terms of the others could not be recorded: they are asked for again.
+    pub(crate) fn terms_not_recorded(&mut self) {
+        self.shards.are_terms_being_recorded = false;
+    }
+
     /// After the loss of the disk: asks the others for their terms.
     pub(crate) fn request_terms(&mut self, now: Millis) {
         let is_due = now >= self.shards.next_terms_request_at;
--- a/crates/queue/src/idempotency/shard_table.rs
+++ b/crates/queue/src/idempotency/shard_table.rs
@@ -1,6 +1,7 @@
 //! What a store knows of the shards: who holds each, which ones it holds itself, and what other stores have named of these.
 
 use super::digest::{IdempotencyDigest, Shard, SHARD_COUNT};
+use super::recovery::Recovery;
 use crate::message::{Key, Message, Millis, Node};
 use crate::peer_message::KnownSubmission;
 use serde::{Deserialize, Serialize};
@@ -95,6 +96,10 @@
     pub(crate) are_used: bool,
     /// The disk was lost, and with it the terms: nothing is granted, and no new replica kept, before they are known again.
     pub(super) are_terms_missing: bool,
+    /// The terms that the others have named are on their way to the disk.
+    pub(super) are_terms_being_recorded: bool,
+    /// The disk was lost, and with it the messages.
+    pub(super) recovery: Recovery,
     /// Stores that have named their terms since this store's start.
     pub(super) terms_named_by: BTreeSet<Node>,
     /// Stores that have asked for terms, since their own are missing, and have not named any since.
@@ -108,8 +113,9 @@
 }
 
 impl ShardTable {
-    /// No shard is held. `terms` are those that lie on the disk.
-    pub(crate) fn new(terms: &BTreeMap<Shard, ShardTerm>, are_terms_missing: bool) -> ShardTable {
+    /// No shard is held. `terms` are those that lie on the disk; `has_lost_disk`: a disk before it was lost, and the recovery from that is
+    /// not complete.
+    pub(crate) fn new(now: Millis, terms: &BTreeMap<Shard, ShardTerm>, has_lost_disk: bool) -> ShardTable {
         let count = usize::from(SHARD_COUNT);
         let mut table = ShardTable {
             terms: vec![ShardTerm::default(); count],
@@ -126,7 +132,9 @@
             unchecked: BTreeMap::new(),
             rolled_back: VecDeque::new(),
             are_used: false,
-            are_terms_missing,
+            are_terms_missing: has_lost_disk,
+            are_terms_being_recorded: false,
+            recovery: Recovery::new(now, has_lost_disk),
             terms_named_by: BTreeSet::new(),
             blank_peers: BTreeSet::new(),
             next_terms_request_at: 0,
@@ -168,6 +176,11 @@
         digests.map(IdempotencyDigest::shard).collect()
     }
 
+    /// Whether this store recovers from the loss of its disk.
+    pub(crate) fn is_recovery_pending(&self) -> bool {
+        self.recovery.is_pending()
+    }
+
     /// How many shards this store holds.
     pub(crate) fn held_count(&self) -> usize {
         self.held.iter().filter(|term| **term > 0).count()
--- a/crates/queue/src/idempotency/submissions.rs
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -53,6 +53,8 @@
                     let message = Message { shard_term: term, ..message };
                     self.admit(now, ticket, message, false);
                 }
+                // Another store can claim the shard.
+                None if self.is_recovering() => self.reject(ticket),
                 None => self.wait_for_shard(now, ticket, message, digest),
             },
             Submission::InDoubt if now < self.shards.claimed_at(digest.shard()) + REFRESH_INTERVAL_MS => {
@@ -184,6 +186,7 @@
         self.note_gone_stores(now);
         self.rebalance_shards(now);
         self.request_terms(now);
+        self.continue_recovery(now);
         self.check_unchecked(now);
         if self.control_contact.is_heard {
             self.shards.control_lost_since = None;
--- a/crates/queue/src/idempotency/unchecked.rs
+++ b/crates/queue/src/idempotency/unchecked.rs
@@ -106,7 +106,7 @@
         for (holder, submissions) in questions {
             if holder == self.settings.node {
                 let verdicts = self.verdicts(now, submissions);
-                self.apply_verdicts(now, verdicts.0, verdicts.1);
+                self.apply_verdicts(now, holder, verdicts.0, verdicts.1);
             } else {
                 let message = PeerMessage::UncertainSubmissions(submissions);
                 self.emit(Effect::Send { to: holder, message });
@@ -179,12 +179,28 @@
     }
 
     /// The holder of a shard has said what becomes of messages that are not certain.
-    pub(crate) fn apply_verdicts(&mut self, now: Millis, accepted: Vec<(Key, u64)>, dropped: Vec<Key>) {
+    pub(crate) fn apply_verdicts(
+        &mut self,
+        now: Millis,
+        from: Node,
+        accepted: Vec<(Key, u64)>,
+        dropped: Vec<Key>,
+    ) {
+        let mut is_holder_outdated = false;
         for (key, term) in accepted {
-            if self.entries.get(&key).is_some_and(|entry| self.may_be_asked_for(entry)) {
+            let Some(entry) = self.entries.get(&key).filter(|entry| self.may_be_asked_for(entry)) else {
+                continue;
+            };
+            if self.is_claim_outdated(entry, term) {
+                is_holder_outdated = true;
+            } else {
                 self.accept_anew(now, key, term);
             }
         }
+        // One that was away does not know that its shards were claimed, and would say the same for ever.
+        if is_holder_outdated && from != self.settings.node {
+            self.send_terms(from);
+        }
         for key in dropped {
             if self.entries.get(&key).is_some_and(|entry| self.may_be_asked_for(entry)) {
                 tracing::info!("a message that was not accepted is dropped: there is another with its key");
@@ -194,6 +210,12 @@
         }
     }
 
+    /// Whether a higher claim of a message's shard is known here than that of the store that has given a verdict on it.
+    fn is_claim_outdated(&self, entry: &Entry, term: u64) -> bool {
+        let claim = ShardTerm::from_term(term);
+        entry.digest.is_some_and(|digest| self.shards.term_of(digest.shard()) > claim)
+    }
+
     /// Accepts a message anew in the term in which its shard is held: it is delivered once it lies in that term on enough disks. Stores
     /// that are away are not waited for: others take their place.
     fn accept_anew(&mut self, now: Millis, key: Key, term: u64) {
@@ -203,9 +225,7 @@
         let mut replicas: Vec<Node> = entry.replicas.iter().copied().filter(takes_replicas).collect();
         let lacking = self.settings.replica_count.saturating_sub(replicas.len());
         let added = self.choose_replica_stores(now, &replicas, &entry.replicas, lacking);
-        let claim = ShardTerm::from_term(term);
-        let is_stale = entry.digest.is_some_and(|digest| self.shards.term_of(digest.shard()) > claim);
-        if added.len() < lacking || is_stale {
+        if added.len() < lacking {
             return;
         }
         replicas.extend(added);
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -50,7 +50,7 @@
 pub use ordering::preferred_store;
 pub use peer_message::{
     AcceptedHandover, ClaimAnswer, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer,
-    KeyRange, KnownSubmission, Ownership, PeerMessage, RangeDigest, TransferredEnd,
+    KeyRange, KnownSubmission, Ownership, PeerMessage, RangeDigest, RecoveryReport, TransferredEnd,
 };
 #[cfg(feature = "planted")]
 pub use planted_fault::PlantedFault;
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -38,12 +38,51 @@
 pub(crate) enum KeyHolder {
     /// They may.
     Counts,
-    /// It is gone for good: what it held lies elsewhere by now, or its keys may be used again. So is one that was never there since this
-    /// store's start, and is not on its disk.
+    /// It was never there since this store's start, and is not on its disk.
     #[default]
+    Unheard,
+    /// It is gone for good: what it held lies elsewhere by now, or its keys may be used again. That is on disk.
     Gone,
 }
 
+/// Whether a peer has lost its disk, and does not know yet which messages lay there.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum PeerRecovery {
+    /// It has not said so on this connection.
+    #[default]
+    None,
+    /// It has.
+    Pending,
+}
+
+/// Which disks a peer has named.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum PeerDisk {
+    /// None.
+    #[default]
+    Unnamed,
+    /// Always the same one.
+    First(u64),
+    /// This one, and another one before: that is lost.
+    Replacement(u64),
+}
+
+impl PeerDisk {
+    /// What is known once the peer has named this disk.
+    pub(crate) fn named(self, disk_id: u64) -> PeerDisk {
+        match self {
+            PeerDisk::Unnamed => PeerDisk::First(disk_id),
+            PeerDisk::First(known) | PeerDisk::Replacement(known) if known == disk_id => self,
+            PeerDisk::First(_) | PeerDisk::Replacement(_) => PeerDisk::Replacement(disk_id),
+        }
+    }
+
+    /// Another disk was known before.
+    pub(crate) fn is_replacement(self) -> bool {
+        matches!(self, PeerDisk::Replacement(_))
+    }
+}
+
 /// Another store: its membership, its connection, and what is about to be sent to it.
 #[derive(Debug, Default)]
 pub struct Peer {
@@ -67,6 +106,10 @@
     pub(crate) replica_status: ReplicaStatus,
     /// Whether messages with idempotency keys may lie there alone.
     pub(crate) key_holder: KeyHolder,
+    /// Whether it recovers from the loss of its disk.
+    pub(crate) recovery: PeerRecovery,
+    /// Its disk, as it has named it, or as this store had recorded it before its start.
+    pub(crate) disk: PeerDisk,
     /// When it was last seen to have another disk than before.
     pub(crate) disk_lost_at: Option<Millis>,
     /// When digests were last compared with it.
--- a/crates/queue/src/peer_disks.rs
+++ b/crates/queue/src/peer_disks.rs
@@ -12,14 +12,17 @@
 impl Queue {
     /// Enters the disks that were known before this store started. Their stores are waited for as those that hold replicas.
     pub(crate) fn restore_peer_disks(&mut self, now: Millis, peer_disks: BTreeMap<Node, u64>) {
-        for node in peer_disks.keys() {
-            self.peers.entry(*node).or_insert_with(|| Peer::new(now));
+        for (node, disk_id) in &peer_disks {
+            let peer = self.peers.entry(*node).or_insert_with(|| Peer::new(now));
+            peer.disk = peer.disk.named(*disk_id);
         }
         self.peer_disks = peer_disks;
     }
 
     /// Another store has identified its disk.
     pub(crate) fn disk_identified(&mut self, now: Millis, from: Node, disk_id: u64) {
+        let peer = self.peers.entry(from).or_default();
+        peer.disk = peer.disk.named(disk_id);
         let known = self.peer_disks.insert(from, disk_id);
         if known == Some(disk_id) {
             return;
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -121,6 +121,21 @@
     Abstained,
 }
 
+/// What a store says to one that has lost its disk.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RecoveryReport {
+    /// The request that is answered.
+    pub round: u64,
+    /// All messages and ends that lie at the sender, and that the lost disk may have held, lie on enough disks.
+    pub is_replicated: bool,
+    /// The sender knew the receiver with another disk: that one is lost. Else the receiver may be new.
+    pub knew_other_disk: bool,
+    /// The sender has lost its disk, too, and has not recovered.
+    pub is_recovering: bool,
+    /// The other stores that may hold messages with idempotency keys, as the sender knows them.
+    pub holders: Vec<Node>,
+}
+
 /// Position of a message in its FIFO group: messages start in this order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct GroupPosition {
@@ -280,4 +295,13 @@
     },
     /// The sender has accepted these messages anew.
     SubmissionsAccepted(Vec<KnownSubmission>),
+    /// The sender has lost its disk, and does not know which messages lay there; answered with `RecoveryReport`.
+    RequestRecoveryReport {
+        /// Counts the requests of the sender: named in the answer.
+        round: u64,
+    },
+    /// Answers `RequestRecoveryReport`.
+    RecoveryReport(RecoveryReport),
+    /// All that lay on the sender's lost disk lies on enough others.
+    Recovered,
 }
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -65,12 +65,14 @@
     BlankStoreGrants,
     /// A message that was taken over, or read from disk, starts before it is certain that no other was accepted with its key.
     KeyUnchecked,
+    /// A store that has lost its disk grants claims, and makes them, as if no message had lain there.
+    BlankGrantCounts,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 31] = [
+    pub const ALL: [PlantedFault; 32] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -102,5 +104,6 @@
         PlantedFault::StaleHolderHeeded,
         PlantedFault::BlankStoreGrants,
         PlantedFault::KeyUnchecked,
+        PlantedFault::BlankGrantCounts,
     ];
 }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -158,13 +158,14 @@
 impl Queue {
     /// A queue that begins with what the disk holds. `wall_clock_ms` is the time of day at `now`, in milliseconds.
     pub fn new(settings: QueueSettings, stored: StateTable, now: Millis, wall_clock_ms: u64) -> Queue {
-        let are_terms_missing = stored.are_shard_terms_missing || settings.has_lost_disk;
-        let shards = ShardTable::new(&stored.shard_terms, are_terms_missing);
+        let has_lost_disk = stored.are_shard_terms_missing || settings.has_lost_disk;
+        let shards = ShardTable::new(now, &stored.shard_terms, has_lost_disk);
         let mut queue = Queue::empty(settings, shards, now, wall_clock_ms);
         for (key, message) in stored.messages {
             queue.restore(key, message, now, wall_clock_ms);
         }
         queue.restore_peer_disks(now, stored.peer_disks);
+        queue.restore_gone_stores(&stored.gone_message_holders);
         queue.find_under_replicated_ends();
         if stored.retirement_ordered {
             queue.retirement = RetirementOrder::Durable;
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -151,7 +151,11 @@
             PendingWrite::Retirement => self.retirement = RetirementOrder::None,
             PendingWrite::Grant { to, claim_id, .. } => self.grant_failed(to, claim_id),
             // A claim that isn't recorded ends by its time-out; terms are asked for again.
-            PendingWrite::OwnClaim(_) | PendingWrite::ShardTerms => self.metrics.failed_writes += 1,
+            PendingWrite::OwnClaim(_) => self.metrics.failed_writes += 1,
+            PendingWrite::ShardTerms => {
+                self.metrics.failed_writes += 1;
+                self.terms_not_recorded();
+            }
         }
     }
 
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -115,6 +115,11 @@
         self.shards.held_count()
     }
 
+    /// Whether this store has lost its disk, and the idempotency keys that lay there are not known to lie on enough others.
+    pub fn is_key_recovery_pending(&self) -> bool {
+        self.shards.is_recovery_pending()
+    }
+
     /// All services.
     pub fn service_views(&self, now: Millis) -> Vec<ServiceView> {
         self.service_queues.iter().map(|service_queue| self.service_view(now, service_queue)).collect()
--- a/crates/queue/src/record.rs
+++ b/crates/queue/src/record.rs
@@ -76,6 +76,14 @@
         /// The shards.
         shards: Vec<Shard>,
     },
-    /// Whether the claims that were granted were lost with the disk before this one, and are not known yet.
+    /// Whether the disk before this one was lost, and the recovery from that is not complete: the claims that were granted, and the messages
+    /// with idempotency keys that lay there, may not be known yet.
     ShardTermsMissing(bool),
+    /// Whether another store is gone for good, so that no message with an idempotency key lies there alone.
+    MessageHolderGone {
+        /// The other store.
+        node: Node,
+        /// `false` where it is back after all.
+        is_gone: bool,
+    },
 }
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -3,9 +3,10 @@
 use crate::effect::Effect;
 use crate::message::{Key, Millis, Node};
 use crate::outbox::Outbox;
-use crate::peer::{KeyHolder, Peer, Peers, ServiceState};
+use crate::peer::{KeyHolder, Peer, PeerRecovery, Peers, ServiceState};
 use crate::peer_message::{EndNotice, PeerMessage};
 use crate::queue::Queue;
+use crate::record::Record;
 
 fn members_of(peers: &Peers) -> Vec<Node> {
     peers.iter().filter(|(_, peer)| peer.is_member).map(|(node, _)| *node).collect()
@@ -35,18 +36,23 @@
     pub fn peer_connected(&mut self, now: Millis, node: Node) {
         let peer = self.peers.entry(node).or_default();
         peer.is_connected = true;
-        peer.key_holder = KeyHolder::Counts;
+        let former_holder = std::mem::replace(&mut peer.key_holder, KeyHolder::Counts);
         peer.is_reconciled = false;
+        peer.recovery = PeerRecovery::None;
         peer.connection_changed_at = now;
         peer.heard(now);
         peer.refuses_until = 0;
         // One that is still retiring says so again: an order that was lost with its power is none.
         peer.service = ServiceState::InService;
         peer.outbox = Outbox::default();
+        if former_holder == KeyHolder::Gone {
+            self.record(&Record::MessageHolderGone { node, is_gone: false }, true);
+        }
         self.invalidate_token_holders();
         self.ordering.peers_changed_at = now;
         self.shards_may_move(now);
         self.emit(Effect::Send { to: node, message: PeerMessage::DiskId(self.settings.disk_id) });
+        self.announce_recovery(node);
         // One of the two begins: the other answers with what differs.
         if self.settings.node < node {
             self.send_digests(now, node, 0);
@@ -93,6 +99,7 @@
         self.handovers.retain(|_, to| *to != node);
         self.drop_repairs_in_flight_to(now, node);
         self.stop_awaiting_answers_of(now, node);
+        self.forget_recovery_report(node);
         self.stop_awaiting_claim_answer(now, node);
         self.shards_may_move(now);
     }
--- a/crates/queue/src/replication/peer_messages.rs
+++ b/crates/queue/src/replication/peer_messages.rs
@@ -80,9 +80,12 @@
             PeerMessage::ShardTerms(terms) => self.terms_received(from, terms),
             PeerMessage::UncertainSubmissions(submissions) => self.uncertain_received(now, from, submissions),
             PeerMessage::SubmissionVerdicts { accepted, dropped } => {
-                self.apply_verdicts(now, accepted, dropped)
+                self.apply_verdicts(now, from, accepted, dropped)
             }
             PeerMessage::SubmissionsAccepted(submissions) => self.submissions_accepted(now, submissions),
+            PeerMessage::RequestRecoveryReport { round } => self.recovery_report_requested(from, round),
+            PeerMessage::RecoveryReport(report) => self.recovery_reported(now, from, report),
+            PeerMessage::Recovered => self.peer_recovered(from),
         }
     }
 
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -3,7 +3,7 @@
 use crate::idempotency::{Shard, ShardTerm};
 use crate::message::{End, Key, Node, ReplicatedMessage};
 use crate::record::Record;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stileroute_wal::StateMachine;
 
 /// Ends are kept on disk for so long, in milliseconds: clients ask for them no later.
@@ -43,6 +43,8 @@
     pub retirement_ordered: bool,
     /// The disks of other stores, as they were last named.
     pub peer_disks: BTreeMap<Node, u64>,
+    /// Stores that are gone for good: no message with an idempotency key lies there alone.
+    pub gone_message_holders: BTreeSet<Node>,
     /// The highest claim of each shard that was granted or made.
     pub shard_terms: BTreeMap<Shard, ShardTerm>,
     /// The claims that were granted before the disk was lost are not known yet.
@@ -98,6 +100,12 @@
                 }
             }
             Record::ShardTermsMissing(are_missing) => self.are_shard_terms_missing = are_missing,
+            Record::MessageHolderGone { node, is_gone: true } => {
+                self.gone_message_holders.insert(node);
+            }
+            Record::MessageHolderGone { node, is_gone: false } => {
+                self.gone_message_holders.remove(&node);
+            }
             Record::AttemptFailed { key, failed_attempts } => {
                 let message = self.messages.get_mut(&key);
                 if let Some(replica) = message.and_then(|message| message.replica.as_mut()) {
@@ -177,6 +185,9 @@
         for (node, disk_id) in &self.peer_disks {
             put(&Record::PeerDiskKnown { node: *node, disk_id: Some(*disk_id) });
         }
+        for node in &self.gone_message_holders {
+            put(&Record::MessageHolderGone { node: *node, is_gone: true });
+        }
         for (key, message) in &self.messages {
             if message.end.as_ref().is_some_and(|end| self.is_outdated(end)) {
                 continue;
--- a/crates/queue/tests/key_losses.rs
+++ b/crates/queue/tests/key_losses.rs
@@ -16,7 +16,8 @@
 mod simulation;
 
 use simulation::key_loss_scenarios::{
-    a_blank_store_is_cut_from_one_that_has_the_keys, all_days, KeyState, LossDay, Silence,
+    a_blank_store_is_cut_from_one_that_has_the_keys, a_store_is_killed_while_another_recovers,
+    a_store_restarts_while_it_recovers, all_days, KeyState, LossDay, Silence,
 };
 use simulation::without_fault;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -50,6 +51,12 @@
     a_blank_store_is_cut_from_one_that_has_the_keys(&without_fault());
 }
 
+#[test]
+fn a_store_that_recovers_counts_as_silent() {
+    a_store_is_killed_while_another_recovers(&without_fault());
+    a_store_restarts_while_it_recovers(&without_fault());
+}
+
 #[test]
 fn one_of_three_disks_is_lost_and_another_store_is_silent() {
     assert_one_run_on(&all_days(3, 1, &TIMES_MS));
--- a/crates/queue/tests/simulation/key_loss_scenarios.rs
+++ b/crates/queue/tests/simulation/key_loss_scenarios.rs
@@ -95,6 +95,11 @@
 impl LossDay {
     /// Plays the day, and holds that no key runs twice and none that was accepted is lost.
     pub fn play(&self, prepare: &Prepare) {
+        self.play_with(&[], prepare);
+    }
+
+    /// Plays the day with further actions, each at its time in milliseconds after the loss.
+    fn play_with(&self, further: &[(u64, Action)], prepare: &Prepare) {
         let mut world = Simulation::new(self.stores, self.replicas, 1 + self.silent_after_ms.unsigned_abs());
         world.prepare(prepare);
         world.act(200, Action::Configure("quota"));
@@ -104,6 +109,9 @@
             world.act(LOSS_MS, Action::Inject(*store, Fault::DiskLoss));
         }
         self.silence(&mut world);
+        for (after_ms, action) in further {
+            world.act(LOSS_MS + after_ms, action.clone());
+        }
         world.run(LOSS_MS + SETTLED_AFTER_MS);
         world.check_keys(true);
     }
@@ -212,3 +220,37 @@
         day.play(prepare);
     }
 }
+
+/// Three stores, of which one has lost its disk, and another that has the messages is killed for 7 s while the first one recovers.
+fn killed_while_another_recovers(lost: usize, silent_after_ms: i64) -> LossDay {
+    LossDay {
+        stores: 3,
+        replicas: 1,
+        lost: vec![lost],
+        silent: (lost + 1) % 3,
+        silence: Silence::KilledLong,
+        silent_after_ms,
+        key_state: KeyState::Ended,
+    }
+}
+
+/// The blank store is back, knows the terms of the shards, and does not know the keys.
+pub fn a_store_is_killed_while_another_recovers(prepare: &Prepare) {
+    for lost in 0..3 {
+        for silent_after_ms in [1580, 1640, 1700, 1760] {
+            killed_while_another_recovers(lost, silent_after_ms).play(prepare);
+        }
+    }
+}
+
+/// And it is killed itself, or the one that would report to it, and is back at once: that it recovers has to be known after that, too.
+pub fn a_store_restarts_while_it_recovers(prepare: &Prepare) {
+    for lost in 0..3 {
+        for restarted in [lost, (lost + 2) % 3] {
+            for restarted_after_ms in [1600, 1680, 1750, 1900] {
+                let restart = (restarted_after_ms, Action::Inject(restarted, Fault::QuickRestart));
+                killed_while_another_recovers(lost, 1640).play_with(&[restart], prepare);
+            }
+        }
+    }
+}
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -7,7 +7,8 @@
 use stileroute_queue::{
     first_number, AcceptedHandover, ClaimAnswer, End, EndNotice, EntrySummary, GroupMessage, GroupPosition,
     HandoverOffer, IdempotencyDigest, Key, KeyLocation, KeyRange, KnownSubmission, Message, Ownership,
-    PeerMessage, PutError, RangeDigest, Record, ReplicatedMessage, ShardTerm, TransferredEnd, SHARD_COUNT,
+    PeerMessage, PutError, RangeDigest, Record, RecoveryReport, ReplicatedMessage, ShardTerm, TransferredEnd,
+    SHARD_COUNT,
 };
 
 fn assert_bytes<Value: Serialize + DeserializeOwned + PartialEq + Debug>(value: &Value, hex: &str) {
@@ -312,8 +313,19 @@
     assert_bytes(&answered(ClaimAnswer::Abstained), "1d0702");
     assert_bytes(&PeerMessage::RequestShardTerms, "1e");
     assert_bytes(&PeerMessage::ShardTerms(vec![(5, claim)]), "1f0105ac0204");
+    assert_bytes(&PeerMessage::RequestRecoveryReport { round: 300 }, "23ac02");
+    let report = RecoveryReport {
+        round: 300,
+        is_replicated: true,
+        knew_other_disk: false,
+        is_recovering: true,
+        holders: vec![5],
+    };
+    assert_bytes(&PeerMessage::RecoveryReport(report), "24ac020100010105");
+    assert_bytes(&PeerMessage::Recovered, "25");
     assert_bytes(&Record::ShardsGranted { claim, shards: vec![1, 1023] }, "09ac02040201ff07");
     assert_bytes(&Record::ShardTermsMissing(true), "0a01");
+    assert_bytes(&Record::MessageHolderGone { node: 300, is_gone: true }, "0bac0201");
     assert_bytes(&PutError::QuotaExceeded, "02");
     assert_bytes(&PutError::QuotaUnknown, "03");
 }
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -84,6 +84,7 @@
         MessageRecord::AttemptFailed { .. } => "attempt failed",
         MessageRecord::ShardsGranted { .. } => "shards",
         MessageRecord::ShardTermsMissing(_) => "shard terms",
+        MessageRecord::MessageHolderGone { .. } => "store gone",
     }
 }
 
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -247,7 +247,10 @@
         | PeerMessage::ShardTerms(_)
         | PeerMessage::UncertainSubmissions(_)
         | PeerMessage::SubmissionVerdicts { .. }
-        | PeerMessage::SubmissionsAccepted(_) => "shards",
+        | PeerMessage::SubmissionsAccepted(_)
+        | PeerMessage::RequestRecoveryReport { .. }
+        | PeerMessage::RecoveryReport(_)
+        | PeerMessage::Recovered => "shards",
         PeerMessage::RequestTokens { .. } | PeerMessage::GrantTokens { .. } => "tokens",
         PeerMessage::Draining | PeerMessage::Retiring | PeerMessage::NoReplicasNeeded => "leaving",
     }
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -122,6 +122,13 @@
         }
         let help = "Shards of idempotency keys that this store holds; there are 1024.";
         metrics.gauge("stileroute_shards_held", help, &[], self.queue.held_shard_count());
+        let help = "1 while this store grants no claims of shards, since it has lost its disk.";
+        metrics.gauge(
+            "stileroute_key_recovery_pending",
+            help,
+            &[],
+            u8::from(self.queue.is_key_recovery_pending()),
+        );
         let help = "Own messages that are on too few disks.";
         metrics.gauge("stileroute_messages_thin", help, &[], counts.under_replicated);
         let help = "How long some were on too few disks, the last time that this was so.";
