--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -14,6 +14,10 @@
 
 /// Of the messages with idempotency keys each so many-th is sent again.
 const SENT_AGAIN_EACH: u64 = 3;
+/// Further tries are sent so often.
+const RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// They are of so many of the last messages: what was sent within some eight seconds.
+const RETRIED_AMONG: usize = 300;
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Those who ask wait two seconds for an answer.
 const ASKS: Duration = Duration::from_secs(2);
@@ -244,6 +248,33 @@
         }
     }
 
+    /// Until the load is over, sends further tries of messages that were accepted some seconds ago.
+    pub fn keep_retrying(self: &Arc<Clients>) {
+        let clients = Arc::clone(self);
+        std::thread::spawn(move || {
+            let mut drawn = 0;
+            while !clients.over.load(Ordering::Relaxed) {
+                drawn += 1;
+                clients.retry_recent(message::mix(clients.lot ^ message::mix(drawn)));
+                std::thread::sleep(RETRY_INTERVAL);
+            }
+        });
+    }
+
+    /// A further try of one of the last messages, if that was accepted.
+    fn retry_recent(&self, lot: u64) {
+        let recent = {
+            let history = self.recorder.write();
+            let back = lot as usize % RETRIED_AMONG;
+            let sent = history.sent.len().checked_sub(back + 1).map(|at| &history.sent[at]);
+            let accepted = sent.filter(|sent| sent.answered == Answered::Status(202));
+            accepted.and_then(|sent| Some((sent.id.clone(), sent.target.clone(), sent.name.clone()?)))
+        };
+        if let Some((id, target, name)) = recent {
+            self.send_again(&id, &target, &name, lot as usize / RETRIED_AMONG);
+        }
+    }
+
     /// Many at once, on sixteen connections to one edge.
     pub fn burst(self: &Arc<Clients>, plan: &Plan, edge: usize, count: u64) {
         for _ in 0..16 {
--- a/crates/system-test/src/drawn_day.rs
+++ b/crates/system-test/src/drawn_day.rs
@@ -2,7 +2,7 @@
 
 mod kinds;
 
-use kinds::{Kind, CHANGES_AND_PLANS, CLOSINGS, FAULTS, LOSSES};
+use kinds::{Kind, CHANGES_AND_PLANS, CLOSINGS, DISK_LOSSES, FAULTS, LOSSES, SILENCES};
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -22,6 +22,9 @@
 /// Of the troubles on such days, so many in a hundred lose, empty, replace or restart machines with disks.
 const LOSSES_PERCENT: u32 = 75;
 
+/// A store is silent at most so long before or after the loss of a disk.
+const SILENCE_OFFSET_S: f64 = 1.5;
+
 /// What a day is made of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
 pub enum Mix {
@@ -29,6 +32,8 @@
     All,
     /// Disks and machines lost one after another, with a little of everything between.
     Losses,
+    /// Disks of stores, each time with another store that is not heard, before or after the loss.
+    LostDisks,
 }
 
 /// How a day is drawn.
@@ -99,15 +104,28 @@
         };
         let mut at = FIRST_TROUBLE_S;
         while at < day_plan.length - QUIET_END_S {
-            let (kind, is_planned) = draw_kind(day_plan.mix, &mut random);
-            let entries = if is_planned { &mut day.plan } else { &mut day.faults };
-            entries.push(Trouble::draw(kind, at, &mut random));
+            if day_plan.mix == Mix::LostDisks {
+                day.lose_disk_beside_silence(at, &mut random);
+            } else {
+                let (kind, is_planned) = draw_kind(day_plan.mix, &mut random);
+                let entries = if is_planned { &mut day.plan } else { &mut day.faults };
+                entries.push(Trouble::draw(kind, at, &mut random));
+            }
             at += random.random_range(0.0..2.0 * day_plan.pause);
         }
         let closes = day_plan.mix == Mix::All || random.random_ratio(CLOSINGS_AFTER_LOSSES_PERCENT, 100);
         day.closing = closes.then(|| Closing::draw(&mut random));
         day
     }
+
+    fn lose_disk_beside_silence(&mut self, at: f64, random: &mut Pcg64) {
+        let offset = random.random_range(-SILENCE_OFFSET_S..SILENCE_OFFSET_S);
+        for (kinds, at) in [(&DISK_LOSSES[..], at), (&SILENCES[..], at + offset)] {
+            if let Some(kind) = kinds.choose(random) {
+                self.faults.push(Trouble::draw(kind, at, random));
+            }
+        }
+    }
 }
 
 impl fmt::Display for DrawnDay {
--- a/crates/system-test/src/drawn_day/kinds.rs
+++ b/crates/system-test/src/drawn_day/kinds.rs
@@ -106,6 +106,24 @@
     kind("node_freeze", STORES, NO_VARIANT, Some(1)),
 ];
 
+/// What loses the disks of stores.
+pub(super) const DISK_LOSSES: [Kind; 2] = [
+    kind("after_ack_wipe", STORES, &["", "oldest", "taken", "timed"], Some(1)),
+    kind("after_ack_wipe", STORES, &["", "oldest"], Some(2)),
+];
+
+/// What keeps a store from being heard, or keeps it waiting.
+pub(super) const SILENCES: [Kind; 8] = [
+    kind("node_kill", STORES, &["", "power"], Some(1)),
+    kind("node_freeze", STORES, NO_VARIANT, Some(1)),
+    kind("node_cut", STORES, &["", "all", "all reset"], Some(1)),
+    kind("node_slow", STORES, NO_VARIANT, None),
+    kind("core_cut", STORES, &["near reset", "one_way"], Some(1)),
+    kind("disk_slow", STORES, NO_VARIANT, Some(1)),
+    kind("disk_stall", STORES, NO_VARIANT, Some(1)),
+    kind("reset_conns", STORES, NO_VARIANT, None),
+];
+
 /// What may strike at the end.
 pub(super) const CLOSINGS: [Kind; 3] = [
     kind("power_off_all", &[], &["", "timed", "taken"], None),
--- a/crates/system-test/src/drawn_day/tests.rs
+++ b/crates/system-test/src/drawn_day/tests.rs
@@ -37,6 +37,23 @@
     assert_eq!(closings.len(), CLOSINGS.len());
 }
 
+#[test]
+fn each_lost_disk_has_a_silent_store_beside_it() {
+    let is_loss = |trouble: &&Trouble| trouble.kind == "after_ack_wipe";
+    let mut silences = BTreeSet::new();
+    for seed in 0..40 {
+        let day = DrawnDay::draw(&plan(seed, Mix::LostDisks));
+        let (lost, silent): (Vec<&Trouble>, Vec<&Trouble>) = day.faults.iter().partition(is_loss);
+        assert_eq!(lost.len(), silent.len(), "seed {seed}");
+        for (loss, silence) in lost.iter().zip(&silent) {
+            assert!((loss.at - silence.at).abs() <= SILENCE_OFFSET_S + 0.1, "seed {seed}");
+            assert_eq!([loss.on, silence.on], [Some("store"); 2], "seed {seed}");
+        }
+        silences.extend(silent.iter().map(|trouble| trouble.kind));
+    }
+    assert_eq!(silences, SILENCES.iter().map(|kind| kind.name).collect());
+}
+
 #[test]
 fn a_day_of_losses_loses_disks_again_and_again() {
     for seed in 0..20 {
--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -13,6 +13,7 @@
 use crate::setup::{Running, Setup};
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// A machine that is back counts as present after so long.
@@ -24,6 +25,9 @@
 /// Between the faults of one step, or two steps that overlap, in milliseconds: at most so long.
 const MAX_PAUSE_MS: u64 = 1200;
 
+/// A store that is silent beside a lost disk is so at least this long after the other one was started again, in milliseconds.
+const SILENCE_MS: u64 = 1000;
+
 /// Breaches that are printed of each seed, unless all are asked for.
 const SHOWN_BREACHES: usize = 5;
 
@@ -60,8 +64,23 @@
     AllKilled,
     /// A store is asked to end, and is started again; SIGHUPs strike another one meanwhile.
     Restarted,
+    /// A store loses its disk, and another one is not heard when it is back.
+    DiskLostBesideSilence,
+}
+
+/// Why a store is not heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Silence {
+    /// Its process is killed.
+    Killed,
+    /// Its process stands still.
+    Frozen,
+    /// It is cut off from the other stores.
+    CutOff,
 }
 
+const SILENCES: [Silence; 3] = [Silence::Killed, Silence::Frozen, Silence::CutOff];
+
 /// Half of the steps lose a disk: the others are what happens between two losses.
 const STEPS: [Step; 8] = [
     Step::DiskLost,
@@ -74,6 +93,21 @@
     Step::Restarted,
 ];
 
+/// The same where messages have idempotency keys: what they are known by has to outlast a second store that is away.
+const STEPS_WITH_KEYS: [Step; 11] = [
+    Step::DiskLostBesideSilence,
+    Step::DiskLostBesideSilence,
+    Step::DiskLostBesideSilence,
+    Step::DiskLost,
+    Step::DiskLost,
+    Step::DiskLost,
+    Step::DiskLost,
+    Step::Replaced,
+    Step::Retired,
+    Step::AllKilled,
+    Step::Restarted,
+];
+
 /// Numbers drawn from a seed.
 struct Dice {
     seed: u64,
@@ -147,7 +181,8 @@
         let recorder = Recorder::new(home);
         let setup = Setup { has_keys: self.keys, ..setup(format!("seed {:<4}    ", self.seed)) };
         let running = setup.begin(fleet, &recorder)?;
-        let history = play(running, self.seed, self.faults)?;
+        let steps = if self.keys { &STEPS_WITH_KEYS[..] } else { &STEPS[..] };
+        let history = play(running, self.seed, self.faults, steps)?;
         let breaches = judge(&history);
         println!("test-losses, seed {}: {}", self.seed, figures(&history, &recorder));
         if self.keep {
@@ -159,15 +194,18 @@
     }
 }
 
-fn play(mut running: Running, seed: u64, faults: usize) -> Plain<History> {
+fn play(mut running: Running, seed: u64, faults: usize, steps: &[Step]) -> Plain<History> {
     let mut dice = Dice { seed, drawn: 0 };
     let schedule = &mut running.schedule;
     schedule.sleep(500);
+    if schedule.clients.has_keys.load(Ordering::Relaxed) {
+        schedule.clients.keep_retrying();
+    }
     let waiting_ms = 6_000 * faults as u64;
     schedule.clients.burst(&Plan { delay_ms: waiting_ms, ..Plan::to("/alder/") }, 0, WAITING);
     schedule.sleep(1500);
     for _ in 0..faults {
-        let step = STEPS[dice.below(STEPS.len())];
+        let step = steps[dice.below(steps.len())];
         schedule.strike(step, &mut dice)?;
     }
     running.schedule.sleep(3000);
@@ -222,11 +260,49 @@
                 self.orderly(Role::Store, store, &name)?;
                 self.fleet.hang_up(Role::Store, other);
             }
+            Step::DiskLostBesideSilence => {
+                let silence = SILENCES[dice.below(SILENCES.len())];
+                let is_silent_first = dice.below(2) == 0;
+                if is_silent_first {
+                    self.silence(other, silence);
+                    self.sleep(dice.pause_ms());
+                }
+                self.fleet.kill(Role::Store, store);
+                self.fleet.wipe(Role::Store, store)?;
+                self.say(&format!("{name} is killed, its disk is lost; another one: {silence:?}"));
+                self.sleep(200 + dice.pause_ms());
+                if !is_silent_first {
+                    self.silence(other, silence);
+                }
+                self.fleet.start(Role::Store, store)?;
+                self.sleep(SILENCE_MS + dice.pause_ms());
+                self.end_silence(other, silence)?;
+                self.trouble(from);
+            }
         }
         self.wait_for_repair(from, &format!("{step:?}"));
         Ok(())
     }
 
+    /// A store is not heard from now on.
+    fn silence(&mut self, store: usize, silence: Silence) {
+        match silence {
+            Silence::Killed => self.fleet.kill(Role::Store, store),
+            Silence::Frozen => self.fleet.stall(Role::Store, store, true),
+            Silence::CutOff => self.fleet.cut(Role::Store, store, &[Role::Store], true),
+        }
+    }
+
+    /// The store is heard again, with all that it had on its disk.
+    fn end_silence(&mut self, store: usize, silence: Silence) -> Plain<()> {
+        match silence {
+            Silence::Killed => self.fleet.start(Role::Store, store)?,
+            Silence::Frozen => self.fleet.stall(Role::Store, store, false),
+            Silence::CutOff => self.fleet.cut(Role::Store, store, &[Role::Store], false),
+        }
+        Ok(())
+    }
+
     /// The next loss is tolerated once the machine counts again and every store says that nothing lies on too few disks.
     fn wait_for_repair(&mut self, from: Micros, what: &str) {
         self.sleep(CATCH_UP / 1000);
