Queue: the shards of a store that recovers fall to others meanwhile; tests: how long new keys are rejected

A store that has lost its disk grants and makes no claims until it has recovered. Until then it is not asked for uncertain messages and no shard is left for it: both waited for it, for no reason.

--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -42,7 +42,7 @@
             return;
         }
         self.shards.rebalance_since = None;
-        let is_able = |peer: &Peer| peer.is_member && peer.is_connected && !peer.is_draining();
+        let is_able = |peer: &Peer| peer.is_member && peer.can_hold_shards();
         let able = self.peers.iter().filter(|(_, peer)| is_able(peer)).map(|(node, _)| *node);
         let stores: Vec<Node> = able.chain([self.settings.node]).collect();
         let falls_here = |shard: &Shard| {
--- a/crates/queue/src/idempotency/recovery.rs
+++ b/crates/queue/src/idempotency/recovery.rs
@@ -131,9 +131,9 @@
     }
 
     /// Another store recovers, and asks whether all that lies here lies on enough disks.
-    pub(crate) fn recovery_report_requested(&mut self, from: Node, round: u64) {
+    pub(crate) fn recovery_report_requested(&mut self, now: Millis, from: Node, round: u64) {
         self.shards.are_used = true;
-        self.peers.entry(from).or_default().recovery = PeerRecovery::Pending;
+        self.set_peer_recovery(now, from, PeerRecovery::Pending);
         let report = RecoveryReport {
             round,
             is_replicated: self.is_all_replicated_for(from),
@@ -221,8 +221,16 @@
     }
 
     /// Another store has recovered.
-    pub(crate) fn peer_recovered(&mut self, node: Node) {
-        self.peers.entry(node).or_default().recovery = PeerRecovery::None;
+    pub(crate) fn peer_recovered(&mut self, now: Millis, node: Node) {
+        self.set_peer_recovery(now, node, PeerRecovery::None);
+    }
+
+    /// The shards of a store that recovers fall to others meanwhile.
+    fn set_peer_recovery(&mut self, now: Millis, node: Node, recovery: PeerRecovery) {
+        let peer = self.peers.entry(node).or_default();
+        if std::mem::replace(&mut peer.recovery, recovery) != recovery {
+            self.shards_may_move(now);
+        }
     }
 
     /// How many connected stores recover from the loss of a disk, or may not have said yet whether they do.
--- a/crates/queue/src/idempotency/unchecked.rs
+++ b/crates/queue/src/idempotency/unchecked.rs
@@ -124,8 +124,8 @@
 
     /// The store to which edges send messages of a key, as far as this store can know.
     fn likely_holder(&self, digest: IdempotencyDigest) -> Node {
-        let able = self.peers.iter().filter(|(_, peer)| peer.is_connected && !peer.is_draining());
-        let own = Some(self.settings.node).filter(|_| !self.is_draining);
+        let able = self.peers.iter().filter(|(_, peer)| peer.can_hold_shards());
+        let own = Some(self.settings.node).filter(|_| !self.is_draining && !self.is_recovering());
         let stores = able.map(|(node, _)| *node).chain(own);
         preferred_store_of_shard(digest.shard(), stores).unwrap_or(self.settings.node)
     }
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -149,6 +149,11 @@
         self.service == ServiceState::Retiring
     }
 
+    /// It may claim shards of idempotency keys: it is connected, in service, and has not lost its disk.
+    pub(crate) fn can_hold_shards(&self) -> bool {
+        self.is_connected && !self.is_draining() && self.recovery == PeerRecovery::None
+    }
+
     /// A replica may be sent to it: it is connected, in service, and neither silent nor known to refuse.
     pub(crate) fn takes_replicas(&self, now: Millis) -> bool {
         self.is_connected
--- a/crates/queue/src/replication/peer_messages.rs
+++ b/crates/queue/src/replication/peer_messages.rs
@@ -83,9 +83,9 @@
                 self.apply_verdicts(now, from, accepted, dropped)
             }
             PeerMessage::SubmissionsAccepted(submissions) => self.submissions_accepted(now, submissions),
-            PeerMessage::RequestRecoveryReport { round } => self.recovery_report_requested(from, round),
+            PeerMessage::RequestRecoveryReport { round } => self.recovery_report_requested(now, from, round),
             PeerMessage::RecoveryReport(report) => self.recovery_reported(now, from, report),
-            PeerMessage::Recovered => self.peer_recovered(from),
+            PeerMessage::Recovered => self.peer_recovered(now, from),
         }
     }
 
--- a/crates/queue/tests/key_losses.rs
+++ b/crates/queue/tests/key_losses.rs
@@ -17,9 +17,9 @@
 
 use simulation::key_loss_scenarios::{
     a_blank_store_is_cut_from_one_that_has_the_keys, a_store_is_killed_while_another_recovers,
-    a_store_restarts_while_it_recovers, all_days, KeyState, LossDay, Silence,
+    a_store_restarts_while_it_recovers, all_days, KeyState, LossDay, Silence, LOSS_MS,
 };
-use simulation::without_fault;
+use simulation::{without_fault, Action, Fault, Simulation};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 
 /// When the silence begins, in milliseconds after the loss of the disks.
@@ -84,3 +84,51 @@
         }
     }
 }
+
+/// A store that is back counts as present after so long: from then on no key may be rejected.
+const CATCH_UP_MS: u64 = 4200;
+/// New keys come so often.
+const NEW_KEY_INTERVAL_MS: u64 = 10;
+/// A store is back without its disk so long after the loss.
+const BACK_AFTER_MS: u64 = 1500;
+
+/// A store that stands still is back so long after that.
+const FROZEN_MS: u64 = 4000;
+
+/// When new keys were rejected, in milliseconds after the loss of these disks; one more store stands still from then on, if there is one.
+fn rejected_after_loss(stores: usize, replicas: usize, lost: &[usize], frozen: Option<usize>) -> Vec<i64> {
+    let mut world = Simulation::new(stores, replicas, 5);
+    world.act(200, Action::Configure("quota"));
+    for store in lost {
+        world.act(LOSS_MS, Action::Inject(*store, Fault::DiskLoss));
+    }
+    if let Some(store) = frozen {
+        world.act(LOSS_MS + BACK_AFTER_MS, Action::Inject(store, Fault::Freeze));
+    }
+    let end = LOSS_MS + BACK_AFTER_MS + FROZEN_MS + CATCH_UP_MS + 2000;
+    for (n, at) in (LOSS_MS - 500..end).step_by(NEW_KEY_INTERVAL_MS as usize).enumerate() {
+        world.send_with_key(at, None, &format!("new-{n}"), 0);
+    }
+    world.run(end + 2000);
+    world.check_keys(true);
+    let rejected = world.messages.iter().filter(|sent| sent.name.is_none());
+    let rejected: Vec<i64> = rejected.map(|sent| sent.sent_at as i64 - LOSS_MS as i64).collect();
+    let span = (rejected.first(), rejected.last());
+    println!("{stores} stores, {lost:?} lost, {frozen:?} frozen: {} keys rejected, {span:?}", rejected.len());
+    rejected
+}
+
+/// As many disks as are tolerated are lost: once their stores have caught up no new key is rejected. Where one more store was away, once
+/// that one has caught up as well.
+#[test]
+fn new_keys_are_accepted_soon_after_a_loss() {
+    for (stores, replicas, lost) in [(3, 1, vec![1]), (5, 1, vec![3]), (5, 2, vec![0]), (5, 2, vec![0, 1])] {
+        for frozen in [None, Some(2)] {
+            let frozen_ms = if frozen.is_some() { FROZEN_MS } else { 0 };
+            let caught_up = (BACK_AFTER_MS + frozen_ms + CATCH_UP_MS) as i64;
+            let rejected = rejected_after_loss(stores, replicas, &lost, frozen);
+            let late = rejected.iter().find(|after| **after > caught_up);
+            assert_eq!(late, None, "{stores} stores, {lost:?} lost: rejected though all have caught up");
+        }
+    }
+}
