Model check: tries with one idempotency key around the loss of a disk; fails

One message with a key, 23 further tries, a lost disk and one more fault: all orders of claim, grant, loss, return and try within the bounds. New property: of all messages with one key one runs at most, and all accepted ones have its name. The planted fault BlankGrantCounts is to be found.

Fails: after a store is wiped and another one killed for 7 s, an accepted message is never delivered (EndIsTold), though all are back and hear each other.

--- a/crates/model-check/src/queue/choices.rs
+++ b/crates/model-check/src/queue/choices.rs
@@ -1,6 +1,7 @@
 //! Where something could go another way in the queue.
 
-use super::fleet::{Event, Fleet};
+use super::fleet::{Event, Fleet, QueueScript};
+use std::collections::BTreeSet;
 use stileroute_queue::Millis;
 
 /// A fault or a delay that strikes before a step.
@@ -129,6 +130,9 @@
     }
 
     fn faults_of(&self, store: usize, choices: &mut Vec<QueueChoice>) {
+        if self.bounds.script == QueueScript::Keys {
+            return self.faults_beside_lost_disk(store, choices);
+        }
         let under_way = self.stores[store].disk.in_flight.len();
         let one = self.bounds.one_span;
         let of = |spans: [Millis; 2]| spans.into_iter().skip(usize::from(one));
@@ -160,6 +164,28 @@
         }
     }
 
+    /// One disk is lost, and its store is back soon; the other fault outlasts that.
+    fn faults_beside_lost_disk(&self, store: usize, choices: &mut Vec<QueueChoice>) {
+        let has_lost_disk = self.stores.iter().any(|other| other.has_lost_disk);
+        if !has_lost_disk {
+            choices.push(QueueChoice::Wipe { store, back: DOWNTIMES[0] });
+        }
+        // Without a lost disk the second fault is that.
+        if !has_lost_disk && !self.fault_periods.is_empty() {
+            return;
+        }
+        let under_way = self.stores[store].disk.in_flight.len();
+        for reached in BTreeSet::from([0, under_way]) {
+            choices.push(QueueChoice::Kill { store, reached, back: DOWNTIMES[1] });
+            choices.push(QueueChoice::Power { store, reached, back: DOWNTIMES[1] });
+        }
+        choices.push(QueueChoice::Freeze { store, span: FREEZES[1] });
+        choices.push(QueueChoice::CutOff { store, span: PARTITIONS[1] });
+        for to in (0..self.stores.len()).filter(|other| *other != store) {
+            choices.push(QueueChoice::Cut { from: store, to, both: true, span: PARTITIONS[1] });
+        }
+    }
+
     /// Lets a choice strike.
     pub fn strike(&mut self, choice: QueueChoice) {
         self.trace_line(|| format!("TURN {choice:?}"));
--- a/crates/model-check/src/queue/fleet/bounds.rs
+++ b/crates/model-check/src/queue/fleet/bounds.rs
@@ -9,6 +9,8 @@
     Taking,
     /// The same, and the first store is retired, with an attempt in flight that fails late.
     Emptying,
+    /// One message with an idempotency key, and further tries with it at all stores, while and after one of them loses its disk.
+    Keys,
 }
 
 /// What a search goes through.
--- a/crates/model-check/src/queue/fleet/edge.rs
+++ b/crates/model-check/src/queue/fleet/edge.rs
@@ -42,7 +42,9 @@
 
     /// Of one that was offered to several stores all are told which one is kept.
     fn supersede(&mut self, sent: usize) {
-        if self.messages[sent].is_uncertain {
+        // Of those with an idempotency key the stores themselves decide it.
+        let has_key = self.messages[sent].message.idempotency_key.is_some();
+        if self.messages[sent].is_uncertain && !has_key {
             (0..self.stores.len()).for_each(|to| self.at(EDGE_DELAY, Event::Superseded { to, sent }));
         }
     }
@@ -86,7 +88,8 @@
 
     pub(super) fn resend_superseded(&mut self, to: usize) {
         let answered = |m: &SubmittedMessage| {
-            !m.is_forgotten && m.is_uncertain && (m.key.is_some() || m.pending_put == 0)
+            let has_key = m.message.idempotency_key.is_some();
+            !m.is_forgotten && !has_key && m.is_uncertain && (m.key.is_some() || m.pending_put == 0)
         };
         let all: Vec<usize> = (0..self.messages.len()).filter(|at| answered(&self.messages[*at])).collect();
         all.into_iter().for_each(|sent| self.at(EDGE_DELAY, Event::Superseded { to, sent }));
--- a/crates/model-check/src/queue/fleet/mod.rs
+++ b/crates/model-check/src/queue/fleet/mod.rs
@@ -16,13 +16,18 @@
 /// Messages are sent from here on, and choices may be taken for so long.
 const FIRST_MESSAGE_AT: Millis = 1200;
 const CHOICE_WINDOW: Millis = 700;
+/// When the tries with one idempotency key are sent, after the first message: densely while a store is back that has lost its disk.
+const KEY_TRIES_MS: [Millis; 24] = [
+    0, 60, 150, 300, 500, 700, 800, 900, 1000, 1100, 1200, 1300, 1400, 1500, 1600, 1800, 2000, 2300, 2600,
+    3000, 4000, 5000, 6000, 8000,
+];
 
 /// A message, and what the edge knows of it.
 #[derive(Clone, Debug, Default)]
 #[allow(clippy::struct_excessive_bools)] // Each is a fact of its own.
 pub struct SubmittedMessage {
     /// What the client sends.
-    message: Message,
+    pub message: Message,
     /// The store that the edge asks first.
     first_store: usize,
     /// The executor rejects it.
@@ -144,6 +149,19 @@
     pub trace: Option<Vec<String>>,
 }
 
+/// A message of the one route.
+fn message(number: usize) -> Message {
+    Message {
+        id: format!("id{number}"),
+        host: "h".to_string(),
+        method: "POST".to_string(),
+        target: format!("/{number}"),
+        config_revision: 1,
+        body: vec![number as u8; 8],
+        ..Message::default()
+    }
+}
+
 impl Fleet {
     /// A fleet at its start.
     pub fn new(bounds: QueueBounds) -> Fleet {
@@ -175,34 +193,44 @@
     }
 
     fn script(&mut self) {
-        let emptying = self.bounds.script == QueueScript::Emptying;
+        match self.bounds.script {
+            QueueScript::Taking => self.send_plain_messages(false),
+            QueueScript::Emptying => {
+                self.send_plain_messages(true);
+                self.at(FIRST_MESSAGE_AT + 60, Event::Retire { at: 0 });
+            }
+            QueueScript::Keys => self.send_tries_of_one_key(),
+        }
+    }
+
+    /// Messages without keys. `fails_first`: the first attempt of the first one fails.
+    fn send_plain_messages(&mut self, fails_first: bool) {
         let stores = self.bounds.stores;
         for (at, delay_ms) in [(0, 0), (1, 2500), (2, 0)] {
             let message = Message {
-                id: format!("id{at}"),
-                host: "h".to_string(),
-                method: "POST".to_string(),
-                target: format!("/{at}"),
                 callback_url: (at == 2).then(|| "http://10.0.1.1:80/".to_string()),
                 delay_ms,
-                config_revision: 1,
-                body: vec![at as u8; 8],
-                ..Message::default()
+                ..message(at)
             };
             // The delayed one lies on the store that is emptied.
             let first = if at == 1 { stores - 1 } else { at % 2 };
-            let (refuses, fails_first) = (at == 2, emptying && at == 0);
             self.messages.push(SubmittedMessage {
                 message,
                 first_store: first,
-                is_rejected_by_executor: refuses,
-                fails_at_first: fails_first,
+                is_rejected_by_executor: at == 2,
+                fails_at_first: fails_first && at == 0,
                 ..SubmittedMessage::default()
             });
             self.at(FIRST_MESSAGE_AT + 10 * at as u64, Event::Offer { sent: at });
         }
-        if emptying {
-            self.at(FIRST_MESSAGE_AT + 60, Event::Retire { at: 0 });
+    }
+
+    fn send_tries_of_one_key(&mut self) {
+        for (at, after_ms) in KEY_TRIES_MS.into_iter().enumerate() {
+            let message = Message { idempotency_key: Some("k".to_string()), ..message(at) };
+            let first_store = at % self.bounds.stores;
+            self.messages.push(SubmittedMessage { message, first_store, ..SubmittedMessage::default() });
+            self.at(FIRST_MESSAGE_AT + after_ms, Event::Offer { sent: at });
         }
     }
 
--- a/crates/model-check/src/queue/invariants.rs
+++ b/crates/model-check/src/queue/invariants.rs
@@ -1,6 +1,7 @@
 //! What must hold of the queue at every step, and after a calm: seen from its clients, its executor and the disks.
 
 use super::fleet::{Execution, Fleet, SubmittedMessage};
+use std::collections::BTreeSet;
 use stileroute_queue::{Key, MessageState, Millis, StateTable};
 
 /// Once trouble is over, what was told late or not at all may run again for so long.
@@ -23,11 +24,13 @@
     EmptiedIsNotNeeded,
     /// After a calm each accepted message has ended, and some store reports it.
     EndIsTold,
+    /// Of all messages with one idempotency key one runs at the most, and all that are accepted have its name.
+    KeyRunsOnce,
 }
 
 impl QueueProperty {
     /// All properties.
-    pub const ALL: [QueueProperty; 7] = [
+    pub const ALL: [QueueProperty; 8] = [
         QueueProperty::AcceptedIsKept,
         QueueProperty::RefusedNeverRuns,
         QueueProperty::NoSecondRun,
@@ -35,6 +38,7 @@
         QueueProperty::EndIsTrue,
         QueueProperty::EmptiedIsNotNeeded,
         QueueProperty::EndIsTold,
+        QueueProperty::KeyRunsOnce,
     ];
 
     /// The property in one sentence, as the search prints it.
@@ -55,6 +59,9 @@
             QueueProperty::EndIsTold => {
                 "after a calm what was accepted has ended, and that is told, on whatever disks are left"
             }
+            QueueProperty::KeyRunsOnce => {
+                "of all messages with one key one runs at most, and all have its name"
+            }
         }
     }
 }
@@ -76,6 +83,9 @@
     /// The first property that does not hold now.
     pub fn check(&self) -> Option<QueueBreach> {
         let breach = |property, evidence| Some(QueueBreach { property, evidence });
+        if let Some(evidence) = self.second_message_of_key() {
+            return breach(QueueProperty::KeyRunsOnce, evidence);
+        }
         for (at, sent) in self.messages.iter().enumerate() {
             let runs = || self.executions.iter().filter(move |run| run.message == at);
             if sent.is_refused && runs().next().is_some() {
@@ -98,9 +108,27 @@
         None
     }
 
-    /// The message has been completed, or the executor has rejected it.
+    /// The message has been completed, or the executor has rejected it; or another one that stands for its idempotency key.
     pub fn has_ended(&self, sent: usize) -> bool {
-        self.executions.iter().any(|run| run.message == sent && run.ends_message && run.ended_at <= self.now)
+        let key = &self.messages[sent].message.idempotency_key;
+        let is_same = |other: usize| {
+            other == sent || (key.is_some() && self.messages[other].message.idempotency_key == *key)
+        };
+        self.executions.iter().any(|run| is_same(run.message) && run.ends_message && run.ended_at <= self.now)
+    }
+
+    /// Two messages with the one idempotency key have run, or are accepted under two names.
+    fn second_message_of_key(&self) -> Option<String> {
+        let is_keyed = |at: usize| self.messages[at].message.idempotency_key.is_some();
+        let mut ran = self.executions.iter().map(|run| run.message).filter(|at| is_keyed(*at));
+        if let Some(first) = ran.next() {
+            if let Some(second) = ran.find(|at| *at != first) {
+                return Some(format!("messages {first} and {second} have run"));
+            }
+        }
+        let accepted = self.messages.iter().filter(|sent| sent.message.idempotency_key.is_some());
+        let names: BTreeSet<Key> = accepted.filter_map(|sent| sent.key).collect();
+        (names.len() > 1).then(|| format!("accepted as {names:?}"))
     }
 
     fn disks(&self) -> impl Iterator<Item = (usize, &StateTable)> {
--- a/crates/model-check/src/queue/plan.rs
+++ b/crates/model-check/src/queue/plan.rs
@@ -26,8 +26,12 @@
 const FLEET_WIDE_ONE_DELAY: QueueBounds = QueueBounds { fleet_wide: true, ..ONE_FAULT_ONE_DELAY };
 const RETIRING_FLEET_WIDE: QueueBounds = QueueBounds { fleet_wide: true, ..RETIRING_TWO_FAULTS };
 
+/// With idempotency keys, around the loss of one disk: claims are many steps, of which each so many-th is chosen at.
+const KEYS_ONE_FAULT: QueueBounds = QueueBounds { script: QueueScript::Keys, every: 2, ..ONE_FAULT };
+const KEYS_TWO_FAULTS: QueueBounds = QueueBounds { troubles: 2, every: 16, ..KEYS_ONE_FAULT };
+
 /// The bounds that `make test-model` searches.
-pub const QUEUE_PLAN: [QueueBounds; 11] = [
+pub const QUEUE_PLAN: [QueueBounds; 13] = [
     ONE_FAULT,
     RETIRING_ONE_FAULT,
     TWO_STORES,
@@ -39,11 +43,13 @@
     FLEET_WIDE_ONE_DELAY,
     FLEET_WIDE,
     RETIRING_FLEET_WIDE,
+    KEYS_ONE_FAULT,
+    KEYS_TWO_FAULTS,
 ];
 
 /// Each fault that shows within these bounds, and the property that tells of it first. The others are found by
 /// `crates/model-check/tests/queue_planted.rs`.
-pub const QUEUE_FAULTS: [(PlantedFault, QueueProperty, QueueBounds); 15] = [
+pub const QUEUE_FAULTS: [(PlantedFault, QueueProperty, QueueBounds); 16] = [
     (PlantedFault::EarlyAnswer, QueueProperty::AcceptedIsKept, ONE_FAULT),
     (PlantedFault::CopyUnsynced, QueueProperty::AcceptedIsKept, TWO_FAULTS),
     (PlantedFault::FenceUnheeded, QueueProperty::OwnerStarts, ONE_FAULT),
@@ -59,4 +65,5 @@
     (PlantedFault::ListShortenedEarly, QueueProperty::OwnerStarts, RETIRING_TWO_FAULTS),
     (PlantedFault::RetiringUnasked, QueueProperty::OwnerStarts, RETIRING_TWO_FAULTS),
     (PlantedFault::FenceUnannounced, QueueProperty::OwnerStarts, FLEET_WIDE),
+    (PlantedFault::BlankGrantCounts, QueueProperty::KeyRunsOnce, KEYS_TWO_FAULTS),
 ];
--- a/crates/model-check/src/queue/report.rs
+++ b/crates/model-check/src/queue/report.rs
@@ -26,6 +26,8 @@
     delays: u8,
     #[options(help = "the first store is emptied")]
     emptying: bool,
+    #[options(help = "tries with one idempotency key, around the loss of a disk")]
+    keys: bool,
     #[options(no_short, help = "one span of each trouble, not all")]
     one_span: bool,
     #[options(no_short, help = "also cuts into halves, and a lost disk while all others lose power")]
@@ -44,7 +46,11 @@
 
     /// The bounds that the arguments give, if `--by-hand` was given.
     pub fn bounds(&self) -> Option<QueueBounds> {
-        let script = if self.emptying { QueueScript::Emptying } else { QueueScript::Taking };
+        let script = match (self.keys, self.emptying) {
+            (true, _) => QueueScript::Keys,
+            (false, true) => QueueScript::Emptying,
+            (false, false) => QueueScript::Taking,
+        };
         self.by_hand.then_some(QueueBounds {
             stores: self.stores.clamp(2, 3),
             script,
--- a/crates/model-check/src/queue/stores.rs
+++ b/crates/model-check/src/queue/stores.rs
@@ -110,6 +110,7 @@
         let mut ledger = StateTable::default();
         self.disk.records.iter().for_each(|record| ledger.apply_record(record.clone()));
         let first = first_number(lot << 37);
+        let has_lost_disk = self.has_lost_disk && ledger.disk_id.is_none();
         let terms = QueueSettings {
             node: self.node,
             zone: at,
@@ -124,12 +125,15 @@
             status_retention_ms: 120_000,
             idempotency_window_ms: 60_000,
             quota: stileroute_queue::QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
-            has_lost_disk: false,
+            has_lost_disk,
             seed: at as u64,
         };
         let born = Record::IncarnationStarted { disk_id: self.disk.disk_id, first_number: first };
-        self.disk.kept.apply_record(born.clone());
-        self.disk.records.push(born);
+        let terms_missing = has_lost_disk.then_some(Record::ShardTermsMissing(true));
+        for record in std::iter::once(born).chain(terms_missing) {
+            self.disk.kept.apply_record(record.clone());
+            self.disk.records.push(record);
+        }
         let mut queue = Queue::new(terms, ledger, 0, START_TIME_MS + now);
         queue.plant(planted);
         self.queue = Some(queue);
