Queue: what a store lost with its disk is taken over past other blank stores, and counts as lost only until then

A message whose owner had lost it counted as on too few disks for 1.5 s after another store had taken it over, and where the first in its list had lost its disk as well nobody took it over for so long. Recoveries waited for that.

Queue tests pass; 7,827 courses with keys and two faults, no breach.

--- a/crates/queue/src/idempotency/recovery.rs
+++ b/crates/queue/src/idempotency/recovery.rs
@@ -156,7 +156,6 @@
         self.knows_members
             && is_reconciled(recovering)
             && self.missing_copies() == MissingCopies::default()
-            && self.orphans.is_empty()
             && self.owners().all(|owner| owner == self.settings.node || is_reconciled(owner))
             && accepted.all(|(_, entry)| is_replicated(entry))
     }
--- a/crates/queue/src/replication.rs
+++ b/crates/queue/src/replication.rs
@@ -15,6 +15,7 @@
 use crate::entry::Entry;
 use crate::message::{Key, Millis, Node};
 use crate::outbox::Outbox;
+use crate::peer::{Peer, PeerRecovery};
 use crate::peer_message::PeerMessage;
 use crate::queue::Queue;
 
@@ -70,10 +71,10 @@
     }
 
     /// How many connected stores come before this one in the list of replicas: the first takes over at once. A store that the
-    /// list no longer names comes last.
+    /// list no longer names comes last. One that recovers from the loss of its disk has nothing to take over.
     fn takeover_rank(&self, entry: &Entry) -> u64 {
-        let is_connected = |node: &Node| self.peers.get(node).is_some_and(|peer| peer.is_connected);
+        let may_take_over = |peer: &Peer| peer.is_connected && peer.recovery == PeerRecovery::None;
         let before = entry.replicas.iter().take_while(|node| **node != self.settings.node);
-        before.filter(|node| is_connected(node)).count() as u64
+        before.filter(|node| self.peers.get(node).is_some_and(may_take_over)).count() as u64
     }
 }
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -96,6 +96,8 @@
         entry.owner = owner;
         entry.term = term;
         entry.replicas.clone_from(&replicas);
+        // Its former owner may have lost it with its disk: now another one has it.
+        self.lost_by_owner.remove(&key);
         if replicas.contains(&self.settings.node) {
             self.needs_replicas_again(owner);
         }
