Node: an op stays in hand until its answer is counted

Cause: the writer of an answer counts it after it is written, but the op left svc_current when the desk gave the answer. Between the two the client has its answer, nothing is in hand, and the answer is not counted. Now the answer carries the op, and one that is refused at the door is in hand as well until it is counted.

--- a/crates/node/src/drive/clients.rs
+++ b/crates/node/src/drive/clients.rs
@@ -5,7 +5,7 @@
 use crate::life::start::Door;
 use crate::port::{Answer, Asked, Event, Fate, Front, Owed};
 use crate::say;
-use crate::store::figures::{Ended, Figures};
+use crate::store::figures::{Ended, Figures, InHand};
 use crate::store::ids::Ids;
 use crate::store::pool::{Bytes, Pool};
 use crate::store::seats::{Seat, Seats};
@@ -23,8 +23,8 @@
 /// An answer on its way to a client.
 pub struct Reply {
     pub status: u16,
-    /// Of the op that it ends, if it does end one.
-    pub category: Option<usize>,
+    /// The op that it ends, if it does end one.
+    pub in_hand: Option<Box<InHand>>,
     pub body: Body,
     pub come_back: Time,
     /// When no one waits for it any more.
@@ -55,7 +55,7 @@
                 (status, Body::Text(format!("refused by an executor: status {status}\n")), 0)
             }
         };
-        Reply { status, category: answer.category, body, come_back, until: answer.until }
+        Reply { status, in_hand: answer.in_hand, body, come_back, until: answer.until }
     }
 }
 
@@ -301,7 +301,9 @@
             });
         }
         let asked = self.door.check(&request).map_err(|fault| own(fault.status, &fault.why))?;
-        let own = |status, text: &str| Reply { category: Some(asked.category), ..own(status, text) };
+        // Also one that is refused is in hand until it is counted.
+        let take = || self.figures.as_ref().map(|figures| figures.take_in_hand(asked.category));
+        let own = |status, text: &str| Reply { in_hand: take(), ..own(status, text) };
         let id = request.id.as_deref().unwrap_or_default();
         let Some(entry) = self.ids.enter(id) else {
             return Err(own(409, &format!("{}: is open here already", names::CALL_ID)));
@@ -319,7 +321,7 @@
             })?),
         };
         let ticket = self.numbers.fetch_add(1, Ordering::Relaxed);
-        let in_hand = self.figures.as_ref().map(|figures| figures.take_in_hand(asked.category));
+        let in_hand = take();
         let reply = Owed { to: pen.replies.clone(), in_hand };
         let job = Arc::new(request);
         let sent = self.desk.send(Event::Asked { ticket, job, asked, came, reply });
@@ -361,7 +363,7 @@
         let mut out = &seat.stream;
         let sent = out.write_all(head.as_bytes()).and_then(|()| out.write_all(body));
         if sent.is_ok() {
-            self.count(reply.category, reply.status);
+            self.count(reply.in_hand.as_ref().map(|op| op.category), reply.status);
         }
         if sent.is_err() {
             seat.end("unwritten");
@@ -416,7 +418,7 @@
 /// An answer that the node gives without the desk.
 fn own(status: u16, text: &str) -> Reply {
     let body = Body::Text(format!("{text}\n"));
-    Reply { status, category: None, body, come_back: 0, until: Instant::now() + BRIEF }
+    Reply { status, in_hand: None, body, come_back: 0, until: Instant::now() + BRIEF }
 }
 
 /// The longest budget that is believed.
--- a/crates/node/src/port.rs
+++ b/crates/node/src/port.rs
@@ -39,7 +39,7 @@
     pub budget: Time,
 }
 
-/// The answer that is owed to a client; its op is in hand until this is dropped.
+/// The answer that is owed to a client; its op is in hand until this, or the answer that is given, is dropped.
 pub struct Owed {
     pub to: Sender<Answer>,
     /// Where figures are kept.
@@ -49,16 +49,15 @@
 impl Owed {
     /// Gives it; whoever is gone gets none.
     pub fn give(self, fate: Fate, until: Instant) {
-        let _ =
-            self.to.try_send(Answer { fate, category: self.in_hand.as_ref().map(|op| op.category), until });
+        let _ = self.to.try_send(Answer { fate, in_hand: self.in_hand, until });
     }
 }
 
 /// The final answer to an op.
 pub struct Answer {
     pub fate: Fate,
-    /// Under which it is counted, if it is.
-    pub category: Option<usize>,
+    /// Under which it is counted, if it is: it stays in hand until then.
+    pub in_hand: Option<Box<InHand>>,
     /// When no one waits for it any more.
     pub until: Instant,
 }
