Queue: tries that can't be answered for lack of stores are rejected at once

While more stores are absent, or recover, than may be lost, no claim can stand: a try waited 160 ms for its shard at each of three stores, and its client's deadline passed. It is rejected at once, with nothing kept, and its client told when to come back.

--- a/crates/queue/src/idempotency/claims.rs
+++ b/crates/queue/src/idempotency/claims.rs
@@ -5,7 +5,7 @@
 use crate::durability::MissingCopies;
 use crate::effect::Effect;
 use crate::message::{Millis, Node};
-use crate::peer::{KeyHolder, Peer};
+use crate::peer::{KeyHolder, Peer, PeerRecovery};
 use crate::peer_message::{ClaimAnswer, PeerMessage};
 use crate::pending_writes::PendingWrite;
 use crate::planted_fault::PlantedFault;
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Whether more stores are absent, or recover, than may be lost: no claim can stand now, as far as this store knows.
+    pub(super) fn is_claim_hopeless(&self) -> bool {
+        let is_recovering = |peer: &&Peer| peer.is_connected && peer.recovery == PeerRecovery::Pending;
+        let recovering = self.peers.values().filter(is_recovering).count();
+        self.knows_members && self.absent_stores() + recovering > self.settings.replica_count
+    }
+
     /// Whether this store knows whom a claim has to be granted by.
     pub(super) fn can_claim(&self) -> bool {
         !self.shards.are_terms_missing && !self.is_recovering() && self.knows_members
@@ -155,6 +162,9 @@
     /// store. Others want the rest, perhaps, and each claim takes a shard from them.
     fn give_up_claim(&mut self, now: Millis) {
         self.shards.pending = None;
+        if self.is_claim_hopeless() {
+            self.reject_waiting();
+        }
         self.shards.wanted = self.shards.awaited_shards();
         self.metrics.shard_claims_failed += 1;
         self.delay_next_claim(now);
--- a/crates/queue/src/idempotency/submissions.rs
+++ b/crates/queue/src/idempotency/submissions.rs
@@ -53,8 +53,6 @@
                     let message = Message { shard_term: term, ..message };
                     self.admit(now, ticket, message, false);
                 }
-                // Another store can claim the shard.
-                None if self.is_recovering() => self.reject(ticket),
                 None => self.wait_for_shard(now, ticket, message, digest),
             },
             Submission::InDoubt if now < self.shards.claimed_at(digest.shard()) + REFRESH_INTERVAL_MS => {
@@ -115,12 +113,23 @@
     }
 
     fn wait_for_shard(&mut self, now: Millis, ticket: u64, message: Message, digest: IdempotencyDigest) {
+        // Answered at once: its edge asks another store, or its client comes back.
+        if self.is_recovering() || self.is_claim_hopeless() {
+            return self.reject(ticket);
+        }
         self.shards.wanted.insert(digest.shard());
         let deadline = now + SHARD_PATIENCE_MS;
         self.shards.waiting.push(WaitingSubmission { ticket, message, deadline });
         self.start_claim(now);
     }
 
+    /// Rejects the submissions that wait for a shard.
+    pub(super) fn reject_waiting(&mut self) {
+        for submission in std::mem::take(&mut self.shards.waiting) {
+            self.reject(submission.ticket);
+        }
+    }
+
     /// Looks again at submissions that wait for a shard, after a claim has succeeded.
     pub(super) fn resume_waiting(&mut self, now: Millis) {
         for submission in std::mem::take(&mut self.shards.waiting) {
