--- a/crates/queue/tests/key_losses.rs
+++ b/crates/queue/tests/key_losses.rs
@@ -21,6 +21,7 @@
 };
 use simulation::{without_fault, Action, Fault, Simulation};
 use std::panic::{catch_unwind, AssertUnwindSafe};
+use stileroute_queue::MessageState;
 
 /// When the silence begins, in milliseconds after the loss of the disks.
 const TIMES_MS: [i64; 12] = [-2500, -1200, -400, 0, 20, 200, 500, 900, 1300, 1520, 1600, 2500];
@@ -132,3 +133,33 @@
         }
     }
 }
+
+/// The window of the keys and its margin, a catch-up and the retries of edges.
+const WINDOW_OVER_MS: u64 = 76_000;
+
+/// More disks than are tolerated are lost at once, up to all of them: what lay there is gone, but once the window of its keys is over new
+/// keys are accepted again. Where no store that kept its disk was left, or no other one at all, nobody named the terms of the shards, and
+/// every try was rejected from then on.
+#[test]
+fn new_keys_are_accepted_in_the_end_though_more_disks_are_lost_than_tolerated() {
+    for (stores, replicas, lost) in [(1, 0, vec![0]), (3, 1, vec![0, 1]), (3, 1, vec![0, 1, 2])] {
+        let mut world = Simulation::new(stores, replicas, 5);
+        world.act(200, Action::Configure("quota"));
+        for n in 0..20 {
+            world.send_with_key(LOSS_MS - 1500 + 20 * n, None, &format!("old-{n}"), 0);
+        }
+        for store in &lost {
+            world.act(LOSS_MS, Action::Inject(*store, Fault::DiskLoss));
+        }
+        let first = world.messages.len();
+        for n in 0..20 {
+            world.send_with_key(LOSS_MS + WINDOW_OVER_MS + 100 * n, None, &format!("new-{n}"), 0);
+        }
+        world.run(LOSS_MS + WINDOW_OVER_MS + 8000);
+        let new: Vec<usize> = (first..world.messages.len()).collect();
+        let rejected = new.iter().filter(|n| world.messages[**n].name.is_none()).count();
+        assert_eq!(rejected, 0, "{stores} stores, {lost:?} lost");
+        let is_complete = |n: &usize| matches!(world.ask(*n), Some((MessageState::Complete { .. }, _)));
+        assert!(new.iter().all(is_complete), "{stores} stores, {lost:?} lost");
+    }
+}
