Queue: keys are accepted again after more lost disks than tolerated, once their window is over

Cause: a blank store learned the terms of the shards from stores that kept their disks alone. Where none was left, or there is no other store, they stayed missing, and every try with an idempotency key was rejected for ever.

Change: once the window of the keys is over, a blank store takes the terms for known when all stores that may hold messages have named theirs or are blank as well.

--- a/crates/queue/src/idempotency/recovery.rs
+++ b/crates/queue/src/idempotency/recovery.rs
@@ -38,6 +38,8 @@
     /// Counts the rounds of reports.
     round: u64,
     next_round_at: Millis,
+    /// None of the keys that lay on the lost disk counts any more.
+    is_window_over: bool,
     /// Another store knew a disk before the present one. One that nobody knew is new, and has lost nothing.
     had_other_disk: bool,
     /// Rounds in a row that have found all on enough disks.
@@ -53,6 +55,7 @@
             started_at,
             round: 0,
             next_round_at: 0,
+            is_window_over: false,
             had_other_disk: false,
             complete_rounds: 0,
             reports: BTreeMap::new(),
@@ -100,9 +103,12 @@
             return;
         }
         let window_ms = self.settings.idempotency_window_ms + WINDOW_MARGIN_MS;
-        let is_window_over = now > self.shards.recovery.started_at + window_ms;
-        if is_window_over && !self.shards.are_terms_missing {
-            return self.end_recovery(now);
+        self.shards.recovery.is_window_over = now > self.shards.recovery.started_at + window_ms;
+        if self.shards.recovery.is_window_over {
+            self.adopt_named_terms();
+            if !self.shards.are_terms_missing {
+                return self.end_recovery(now);
+            }
         }
         if now >= self.shards.recovery.next_round_at {
             self.shards.recovery.complete_rounds = 0;
@@ -247,7 +253,11 @@
         let own_loss = usize::from(!self.is_new_store());
         let is_unnamed_by_few = unnamed.clone().count() + own_loss <= self.settings.replica_count;
         let are_others_blank = unnamed.all(|node| self.shards.blank_peers.contains(node));
-        let has_heard_intact_store = self.shards.recovery.has_heard_intact_store();
-        self.knows_members && has_heard_intact_store && (is_unnamed_by_few || are_others_blank)
+        let recovery = &self.shards.recovery;
+        // Where more disks were lost than may be, no store is left that names any. Once the window is over there is nothing to be named, and
+        // all that are asked are heard: whoever holds a shard yet has named its term.
+        let is_nothing_left = recovery.is_window_over && are_others_blank;
+        let is_known = recovery.has_heard_intact_store() && (is_unnamed_by_few || are_others_blank);
+        self.knows_members && (is_known || is_nothing_left)
     }
 }
