Node, system test: membership in the field's terms, its report a module of its own; steps of the soak stand once

No change in behaviour: drive/members.rs is the socket and event loop, drive/membership_report.rs what operators read. The steps with keys are those without and three more, in the same order, so a seed plays the same series.

--- a/crates/node/src/drive/calls.rs
+++ b/crates/node/src/drive/calls.rs
@@ -2,7 +2,7 @@
 
 use super::clients::Clients;
 use super::listener;
-use super::members::Shown;
+use super::membership_report::MembershipReport;
 use crate::life::budget::{CALLERS, LEAVING};
 use crate::life::spawn;
 use crate::port::Order;
@@ -46,7 +46,7 @@
     pub outs: Outs,
     pub learned: Receiver<Memory>,
     /// The other instances, where they may talk.
-    pub members: Option<Arc<Shown>>,
+    pub members: Option<Arc<MembershipReport>>,
 }
 
 pub struct Calls {
@@ -194,7 +194,7 @@
             Call::Ready if self.reach.clients.is_ready() => text(200, "takes clients"),
             Call::Ready => text(503, "takes no clients"),
             Call::Figures => {
-                let members = self.reach.members.as_ref().map_or(String::new(), |members| members.figures());
+                let members = self.reach.members.as_ref().map_or(String::new(), |members| members.metrics());
                 (200, self.reach.figures.text() + &members)
             }
             Call::Members => match &self.reach.members {
--- a/crates/node/src/drive/members.rs
+++ b/crates/node/src/drive/members.rs
@@ -1,55 +1,34 @@
-//! Carries the messages of membership: one socket, one thread, a datagram each. Nothing waits on it; what it finds out goes
-//! to the desk when it changes, and to operators when they ask.
+//! The socket and the thread of the membership protocol: one datagram for each message. Nothing waits on it; the number of members
+//! goes to the desk when it changes, and a report to operators when they ask.
 
+use super::membership_report::MembershipReport;
 use crate::life::members::MembersAt;
 use crate::life::spawn;
 use crate::port::Event;
 use crate::say;
 use crossbeam_channel::Sender;
-use std::fmt::Write;
 use std::io;
 use std::net::{SocketAddr, SocketAddrV4, UdpSocket};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use stileroute_gossip::wire::MAX_MESSAGE_BYTES;
-use stileroute_gossip::{Datagram, Detector, Entry, Evidence, Member, MemberCount, Time, SECOND};
+use stileroute_gossip::{Datagram, Detector, MemberCount, Time, SECOND};
 use thiserror::Error;
 
-/// How long one look for messages takes at the most: time is looked at in between.
-const LOOK: Duration = Duration::from_millis(25);
-/// Between two tellings of operators.
-const SHOWN: Time = SECOND / 2;
-/// Until so long after its start it takes the settings' number of nodes for the least: it has not heard all yet.
-const HEARS_ALL: Time = 30 * SECOND;
-
-/// What operators read.
-#[derive(Default)]
-pub struct Shown {
-    lines: Mutex<(String, String)>,
-}
-
-impl Shown {
-    fn lines(&self) -> std::sync::MutexGuard<'_, (String, String)> {
-        self.lines.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// A line a member.
-    pub fn members(&self) -> String {
-        self.lines().0.clone()
-    }
-
-    /// The figures, in Prometheus' text form.
-    pub fn figures(&self) -> String {
-        self.lines().1.clone()
-    }
-}
-
-/// The thread that carries it.
-pub struct Carrier {
-    pub shown: Arc<Shown>,
-    pub at: SocketAddrV4,
+/// Messages are waited for, or received in a row, for so long at most: in between the detector's timers are looked at.
+const RECEIVE_LIMIT: Duration = Duration::from_millis(25);
+/// The report for operators is written so often.
+const REPORT_INTERVAL: Time = SECOND / 2;
+/// For so long after its start this instance may not have heard of all: there are at least as many as the settings name.
+const STARTUP_PERIOD: Time = 30 * SECOND;
+
+/// The running membership protocol of this instance.
+pub struct MembershipThread {
+    pub report: Arc<MembershipReport>,
+    /// Where others reach it.
+    pub address: SocketAddrV4,
     stop: Arc<AtomicBool>,
     thread: JoinHandle<()>,
 }
@@ -65,44 +44,51 @@
     NotIpv4,
 }
 
-/// Who this instance is.
-pub struct Me {
+/// What this instance announces of itself, and what its settings say of the fleet.
+pub struct Instance {
+    /// Its identifier.
     pub id: u64,
+    /// Its failure domain.
     pub domain: u8,
-    /// Nodes that the settings name.
+    /// How many nodes the settings name.
     pub nodes: usize,
+    /// Of its random numbers.
     pub seed: u64,
 }
 
-impl Carrier {
-    pub fn open(at: &MembersAt, me: Me, desk: Sender<Event>) -> Result<Carrier, MembersError> {
-        let wrong = |source: io::Error| MembersError::Open { listen: at.listen, source };
-        let socket = UdpSocket::bind(at.listen).map_err(wrong)?;
-        socket.set_read_timeout(Some(LOOK)).map_err(wrong)?;
-        let SocketAddr::V4(bound) = socket.local_addr().map_err(wrong)? else {
+impl MembershipThread {
+    pub fn open(
+        at: &MembersAt,
+        own: Instance,
+        desk: Sender<Event>,
+    ) -> Result<MembershipThread, MembersError> {
+        let failed = |source: io::Error| MembersError::Open { listen: at.listen, source };
+        let socket = UdpSocket::bind(at.listen).map_err(failed)?;
+        socket.set_read_timeout(Some(RECEIVE_LIMIT)).map_err(failed)?;
+        let SocketAddr::V4(bound) = socket.local_addr().map_err(failed)? else {
             return Err(MembersError::NotIpv4);
         };
-        let own = at.advertise.unwrap_or(bound);
+        let address = at.advertise.unwrap_or(bound);
         // Later than that of any process before, unless the clock was set back; then it is told so.
         let incarnation = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64;
-        let members =
-            Detector::new(me.id, incarnation, own, me.domain, at.settings.clone(), me.seed ^ incarnation);
-        let (shown, stop) = (Arc::new(Shown::default()), Arc::new(AtomicBool::new(false)));
-        let mut run = Run {
+        let seed = own.seed ^ incarnation;
+        let detector = Detector::new(own.id, incarnation, address, own.domain, at.settings.clone(), seed);
+        let (report, stop) = (Arc::new(MembershipReport::default()), Arc::new(AtomicBool::new(false)));
+        let mut event_loop = EventLoop {
             socket,
-            members,
+            detector,
             desk,
-            shown: shown.clone(),
-            start: Instant::now(),
-            nodes: me.nodes,
-            all: at.all,
-            told: (MemberCount::default(), 0),
-            show_at: 0,
-            was_over: false,
+            report: report.clone(),
+            started_at: Instant::now(),
+            configured_nodes: own.nodes,
+            are_all_members: at.all,
+            published: Published::default(),
+            next_report_at: 0,
+            was_replacement_logged: false,
         };
         let stopped = stop.clone();
-        let thread = spawn("members", move || run.run(&stopped)).map_err(wrong)?;
-        Ok(Carrier { shown, at: own, stop, thread })
+        let thread = spawn("members", move || event_loop.run(&stopped)).map_err(failed)?;
+        Ok(MembershipThread { report, address, stop, thread })
     }
 
     /// Tells the others that this instance goes.
@@ -112,43 +98,52 @@
     }
 }
 
-struct Run {
+/// What the desk was last told.
+#[derive(Default, PartialEq)]
+struct Published {
+    /// What was counted.
+    count: MemberCount,
+    /// How many are likely to live: after the startup period that no longer rests on the settings.
+    likely: usize,
+}
+
+struct EventLoop {
     socket: UdpSocket,
-    members: Detector,
+    detector: Detector,
     desk: Sender<Event>,
-    shown: Arc<Shown>,
-    start: Instant,
-    nodes: usize,
-    all: bool,
-    /// What was counted and what the desk was told to be likely: after a while that no longer rests on the settings.
-    told: (MemberCount, usize),
-    show_at: Time,
-    was_over: bool,
+    report: Arc<MembershipReport>,
+    started_at: Instant,
+    configured_nodes: usize,
+    /// Every node of the fleet takes part: who has not been heard of is not there.
+    are_all_members: bool,
+    published: Published,
+    next_report_at: Time,
+    was_replacement_logged: bool,
 }
 
-impl Run {
+impl EventLoop {
     fn now(&self) -> Time {
-        (self.start.elapsed().as_micros() / 100) as Time
+        (self.started_at.elapsed().as_micros() / 100) as Time
     }
 
     fn run(&mut self, stop: &AtomicBool) {
         let mut bytes = [0; MAX_MESSAGE_BYTES + 1];
         while !stop.load(Ordering::Relaxed) {
             // A burst of messages must not keep time from being looked at.
-            let until = Instant::now() + LOOK;
+            let until = Instant::now() + RECEIVE_LIMIT;
             while let Ok((read, SocketAddr::V4(from))) = self.socket.recv_from(&mut bytes) {
-                let sends = self.members.receive(self.now(), from, &bytes[..read]);
+                let sends = self.detector.receive(self.now(), from, &bytes[..read]);
                 self.send(&sends);
                 if Instant::now() >= until {
                     break;
                 }
             }
             let now = self.now();
-            let sends = self.members.tick(now);
+            let sends = self.detector.tick(now);
             self.send(&sends);
-            self.tell(now);
+            self.publish(now);
         }
-        let sends = self.members.leave();
+        let sends = self.detector.leave();
         self.send(&sends);
     }
 
@@ -159,77 +154,38 @@
         }
     }
 
-    fn tell(&mut self, now: Time) {
-        let mut count = self.members.count(now);
-        if !self.all || now < HEARS_ALL {
-            count.possibly_sending = count.possibly_sending.max(self.nodes);
-        }
-        // Until it has heard of others, or where not all are members, who is likely to be there stands in the settings.
-        let likely = if self.all && now >= HEARS_ALL { count.likely } else { count.likely.max(self.nodes) };
-        if (&count, likely) != (&self.told.0, self.told.1)
-            && self.desk.try_send(Event::Fleet { likely, safe: count.possibly_sending }).is_ok()
-        {
-            say!("members: {} live, {} may be sending", count.likely, count.possibly_sending);
-            self.told = (count, likely);
+    /// Tells the desk and operators what has changed.
+    fn publish(&mut self, now: Time) {
+        let current = self.count_members(now);
+        if current != self.published && self.tell_desk(&current) {
+            let MemberCount { likely, possibly_sending, .. } = &current.count;
+            say!("members: {likely} live, {possibly_sending} may be sending");
+            self.published = current;
         }
-        if self.members.is_stopped && !self.was_over {
-            self.was_over = true;
+        if self.detector.is_stopped && !self.was_replacement_logged {
+            self.was_replacement_logged = true;
             say!("members: another process has this node's name, and its place");
         }
-        if now >= self.show_at {
-            self.show_at = now + SHOWN;
-            *self.shown.lines() = (self.lines(now), self.figures());
+        if now >= self.next_report_at {
+            self.next_report_at = now + REPORT_INTERVAL;
+            self.report.update(&self.detector, &self.published.count, now);
         }
     }
 
-    fn lines(&self, now: Time) -> String {
-        let mut out = line(self.members.own(), "itself", 0);
-        for Member { entry, evidence, since, .. } in self.members.members() {
-            let how = match evidence {
-                Evidence::Itself => "from itself".to_string(),
-                Evidence::ReportedBy(by) => format!("told by {by:016x}"),
-                Evidence::NoReply => "did not answer here".to_string(),
-                Evidence::NotRefuted => "did not answer a suspicion".to_string(),
-            };
-            out += &line(entry, &how, now - since);
+    fn count_members(&self, now: Time) -> Published {
+        let mut count = self.detector.count(now);
+        let may_miss_some = !self.are_all_members || now < STARTUP_PERIOD;
+        if may_miss_some {
+            count.possibly_sending = count.possibly_sending.max(self.configured_nodes);
         }
-        out
+        // Until it has heard of others, or where not all are members, who is likely to be there stands in the settings.
+        let likely = if may_miss_some { count.likely.max(self.configured_nodes) } else { count.likely };
+        Published { count, likely }
     }
 
-    fn figures(&self) -> String {
-        let counters = &self.members.counters;
-        let count = &self.told.0;
-        let rows = [
-            ("members_likely", "gauge", "Instances that are likely to live.", count.likely as u64),
-            ("members_safe", "gauge", "Instances that may be sending.", count.possibly_sending as u64),
-            ("members_sent_total", "counter", "Messages to other instances.", counters.sent),
-            ("members_sent_bytes_total", "counter", "Their bytes.", counters.sent_bytes),
-            ("members_heard_total", "counter", "Messages of other instances.", counters.received),
-            ("members_garbled_total", "counter", "Messages that could not be read.", counters.malformed),
-            ("members_strangers_total", "counter", "Messages without the key.", counters.unauthenticated),
-            ("members_replayed_total", "counter", "Messages that came again.", counters.replayed),
-            ("members_suspected_total", "counter", "Suspicions that began here.", counters.suspected),
-            ("members_refuted_total", "counter", "Suspicions of this instance, answered.", counters.refuted),
-            (
-                "members_stood_still_total",
-                "counter",
-                "Times that this instance stood still.",
-                counters.pauses,
-            ),
-        ];
-        let mut out = String::new();
-        for (name, kind, help, value) in rows {
-            let _ = write!(out, "# HELP svc_{name} {help}\n# TYPE svc_{name} {kind}\nsvc_{name} {value}\n");
-        }
-        out
+    /// Whether it could be told: it is tried again otherwise.
+    fn tell_desk(&self, current: &Published) -> bool {
+        let event = Event::Fleet { likely: current.likely, safe: current.count.possibly_sending };
+        self.desk.try_send(event).is_ok()
     }
 }
-
-fn line(entry: &Entry, how: &str, age: Time) -> String {
-    let Entry { id, incarnation, address, domain, state, .. } = entry;
-    format!(
-        "{id:016x} {address} domain {domain} life {incarnation} {} for {:.1} s: {how}\n",
-        state.label(),
-        age as f64 / SECOND as f64
-    )
-}
--- a/crates/node/src/drive/mod.rs
+++ b/crates/node/src/drive/mod.rs
@@ -7,6 +7,7 @@
 pub mod lines;
 pub mod listener;
 pub mod members;
+pub mod membership_report;
 pub mod outlet;
 pub mod peers;
 
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -18,7 +18,7 @@
 use drive::directory::Post;
 use drive::executors::Executors;
 use drive::listener::{self, ListenError};
-use drive::members::{Carrier as MembersCarrier, Me, MembersError};
+use drive::members::{Instance, MembersError, MembershipThread};
 use drive::outlet::Http;
 use drive::peers::{Peers, PeersError};
 use life::members::MembersAt;
@@ -88,10 +88,15 @@
 }
 
 /// Takes part in membership from here on.
-fn open_members(at: &MembersAt, start: &Start, desk: Sender<Event>) -> Result<MembersCarrier, MembersError> {
+fn open_members(
+    at: &MembersAt,
+    start: &Start,
+    desk: Sender<Event>,
+) -> Result<MembershipThread, MembersError> {
     let terms = &start.tariff.terms;
-    let me = Me { id: mark(&start.name), domain: terms.domain as u8, nodes: terms.nodes, seed: start.seed };
-    MembersCarrier::open(at, me, desk)
+    let own =
+        Instance { id: mark(&start.name), domain: terms.domain as u8, nodes: terms.nodes, seed: start.seed };
+    MembershipThread::open(at, own, desk)
 }
 
 /// Exchanges messages with the other nodes from here on.
@@ -165,7 +170,7 @@
         let learns = start.inherited.map(|_| learns);
         kept = learns.as_ref().and_then(|_| outs.kept());
         let own = Operators { orders, figures: figures.clone(), outs: outs.state(), learns };
-        let members = members.as_ref().map(|members| members.shown.clone());
+        let members = members.as_ref().map(|members| members.report.clone());
         reach = Some(Reach { figures, clients: clients.clone(), desk: order, outs, learned, members });
         own
     });
@@ -183,7 +188,7 @@
         desk.recall(kept);
     }
     if let Some(members) = &members {
-        say!("members: heard at {}", members.at);
+        say!("members: heard at {}", members.address);
     }
     desk.run(&events);
     if let Some(members) = members {
--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -93,20 +93,13 @@
     Step::Restarted,
 ];
 
-/// The same where messages have idempotency keys: what they are known by has to outlast a second store that is away.
-const STEPS_WITH_KEYS: [Step; 11] = [
-    Step::DiskLostBesideSilence,
-    Step::DiskLostBesideSilence,
-    Step::DiskLostBesideSilence,
-    Step::DiskLost,
-    Step::DiskLost,
-    Step::DiskLost,
-    Step::DiskLost,
-    Step::Replaced,
-    Step::Retired,
-    Step::AllKilled,
-    Step::Restarted,
-];
+/// Where messages have idempotency keys, what these are known by has to outlast a second store that is away: so many steps more.
+const STEPS_BESIDE_SILENCE: usize = 3;
+
+fn steps(has_keys: bool) -> Vec<Step> {
+    let beside_silence = if has_keys { STEPS_BESIDE_SILENCE } else { 0 };
+    [Step::DiskLostBesideSilence].repeat(beside_silence).into_iter().chain(STEPS).collect()
+}
 
 /// Numbers drawn from a seed.
 struct Dice {
@@ -181,8 +174,7 @@
         let recorder = Recorder::new(home);
         let setup = Setup { has_keys: self.keys, ..setup(format!("seed {:<4}    ", self.seed)) };
         let running = setup.begin(fleet, &recorder)?;
-        let steps = if self.keys { &STEPS_WITH_KEYS[..] } else { &STEPS[..] };
-        let history = play(running, self.seed, self.faults, steps)?;
+        let history = play(running, self.seed, self.faults, &steps(self.keys))?;
         let breaches = judge(&history);
         println!("test-losses, seed {}: {}", self.seed, figures(&history, &recorder));
         if self.keep {
