System test: all tries with one key are one message to the judge; uncertain messages are tried again

Before, a further try was sent for accepted messages alone, with an empty body, and a try that ran was found as one that nobody had sent. Clients now try again, with the same key and body, also where they got 502, 504 or no answer, at one edge after another until one takes it, as the clients of the service do. Each try is in the history, and the judge takes those of one key together: one name, one run, no run of a try that was turned away, and an end for what any of them was accepted as. Seven made-up histories that break that and four that don't.

--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -1,6 +1,6 @@
 //! Stand-in clients: they send messages over all edges that are ready, and ask what became of them.
 
-use crate::history::{Answered, Micros, Reading, Said, Seen, Sent};
+use crate::history::{Answered, Micros, Reading, Retry, Said, Sent};
 use crate::message;
 use crate::operator::HOST;
 use crate::receiver;
@@ -18,6 +18,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(10);
 /// They are of so many of the last messages: what was sent within some eight seconds.
 const RETRIED_AMONG: usize = 300;
+/// A message with no certain answer is tried again so often, with such pauses.
+const RETRIES_OF_UNCERTAIN: usize = 5;
+const UNCERTAIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const PATIENCE: Duration = Duration::from_secs(4);
 /// Those who ask wait two seconds for an answer.
 const ASKS: Duration = Duration::from_secs(2);
@@ -52,6 +55,19 @@
     }
 }
 
+/// What came of one try.
+struct Exchange {
+    at: Micros,
+    answered: Answered,
+    answered_at: Micros,
+    name: Option<String>,
+}
+
+/// Whether a message that was answered so may have been taken and may not.
+fn is_uncertain(answered: Answered) -> bool {
+    matches!(answered, Answered::Status(502 | 504) | Answered::Cut | Answered::Late)
+}
+
 impl Clients {
     pub fn new(
         recorder: &Arc<Recorder>,
@@ -154,19 +170,48 @@
         }
     }
 
-    /// One message on the connection, or on a new one where there is none.
+    /// One message on the connection, or on a new one where there is none; where it has a key, further tries with that.
     pub fn send(&self, plan: &Plan, edge: usize, wire: &mut Option<Wire>) -> Answered {
         let number = self.count.fetch_add(1, Ordering::Relaxed);
         let id = message::id(self.lot, number);
         let id = if plan.large { message::large(&id) } else { id };
         let target = format!("{}{id}?n={number}", plan.prefix);
-        let body = message::body(&id);
-        let has_keys = self.has_keys.load(Ordering::Relaxed);
+        let reused = wire.is_some();
+        let exchange = self.exchange(&self.request(plan, &id, &target), edge, wire);
+        let sent = Sent {
+            id,
+            prefix: plan.prefix.clone(),
+            target,
+            at: exchange.at,
+            delay: plan.delay_ms * 1000,
+            callback: plan.callback,
+            edge,
+            reused,
+            answered: exchange.answered,
+            answered_at: exchange.answered_at,
+            name: exchange.name,
+        };
+        self.recorder.write().sent.push(sent.clone());
+        if self.has_keys.load(Ordering::Relaxed) {
+            match sent.answered {
+                Answered::Status(202) if number.is_multiple_of(SENT_AGAIN_EACH) => {
+                    self.retry(&sent, edge + 1);
+                }
+                answered if is_uncertain(answered) => self.retry_until_accepted(&sent),
+                _ => {}
+            }
+        }
+        sent.answered
+    }
+
+    /// The bytes of a try: the first one's id is the key of all.
+    fn request(&self, plan: &Plan, id: &str, target: &str) -> Vec<u8> {
+        let body = message::body(id);
         let mut bytes =
             format!("POST {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\n").into_bytes();
         bytes.extend_from_slice(b"X-Time-Left-Ms: 4000\r\n");
-        if has_keys {
-            bytes.extend_from_slice(format!("X-Idempotency-Key: {id}\r\n").as_bytes());
+        if self.has_keys.load(Ordering::Relaxed) {
+            bytes.extend_from_slice(format!("X-Idempotency-Key: {}\r\n", message::first_id(id)).as_bytes());
         }
         if plan.delay_ms > 0 {
             bytes.extend_from_slice(format!("X-Delay-Ms: {}\r\n", plan.delay_ms).as_bytes());
@@ -187,7 +232,11 @@
             bytes.extend_from_slice(format!("Content-Length: {}\r\n\r\n", body.len()).as_bytes());
             bytes.extend_from_slice(&body);
         }
-        let reused = wire.is_some();
+        bytes
+    }
+
+    /// Sends the bytes of a try and waits for its answer.
+    fn exchange(&self, bytes: &[u8], edge: usize, wire: &mut Option<Wire>) -> Exchange {
         let mut at = self.recorder.now();
         let mut name = None;
         let opened = match wire.take() {
@@ -198,7 +247,7 @@
             Err(_) => Answered::Never,
             Ok(mut open) => {
                 at = self.recorder.now();
-                match open.ask(&bytes, PATIENCE) {
+                match open.ask(bytes, PATIENCE) {
                     Ok((message, again)) => {
                         name = message.header("X-Queue-Message-Id").map(str::to_string);
                         *wire = again.then_some(open);
@@ -209,46 +258,32 @@
                 }
             }
         };
-        let sent = Sent {
-            id,
-            prefix: plan.prefix.clone(),
-            target,
-            at,
-            delay: plan.delay_ms * 1000,
-            callback: plan.callback,
-            edge,
-            reused,
-            answered,
-            answered_at: self.recorder.now(),
-            name,
-        };
-        let again = sent.name.clone().filter(|_| has_keys && number.is_multiple_of(SENT_AGAIN_EACH));
-        let (id, target) = (sent.id.clone(), sent.target.clone());
-        self.recorder.write().sent.push(sent);
-        if let Some(name) = again {
-            self.send_again(&id, &target, &name, edge + 1);
-        }
+        Exchange { at, answered, answered_at: self.recorder.now(), name }
+    }
+
+    /// A further try with the key of a message, at this edge.
+    fn retry(&self, first: &Sent, edge: usize) -> Answered {
+        let edge = edge % self.fronts.len();
+        let number = self.count.fetch_add(1, Ordering::Relaxed);
+        let id = message::retry_id(&first.id, number);
+        let plan = Plan { delay_ms: first.delay / 1000, callback: first.callback, ..Plan::to(&first.prefix) };
+        let exchange = self.exchange(&self.request(&plan, &id, &first.target), edge, &mut None);
+        let Exchange { at, answered, answered_at, name } = exchange;
+        self.recorder.write().retries.push(Retry { id, edge, at, answered, answered_at, name });
         answered
     }
 
-    /// A further try with the key of a message that was accepted under this name, at another edge: if that accepts it, it says the
-    /// same name. The try's own id never reaches an executor: the judge knows of nobody who sent it.
-    fn send_again(&self, key: &str, target: &str, name: &str, edge: usize) {
-        let front = self.fronts[edge % self.fronts.len()];
-        let bytes = format!(
-            "POST {target} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: again-{key}\r\nX-Idempotency-Key: {key}\r\n\
-             X-Time-Left-Ms: 4000\r\nContent-Length: 0\r\n\r\n"
-        );
-        let Ok(mut open) = Wire::connect(front, Duration::from_secs(1)) else { return };
-        let Ok((message, _)) = open.ask(bytes.as_bytes(), PATIENCE) else { return };
-        let other = message.header("X-Queue-Message-Id").filter(|other| *other != name);
-        if let (202, Some(other)) = (message.status(), other) {
-            let what = format!("{key} was accepted as {name}, and again as {other}");
-            self.recorder.write().seen.push(Seen { what, right: false });
+    /// Whether a message was taken is not known: its sender tries again with its key, at one edge after another.
+    fn retry_until_accepted(&self, first: &Sent) {
+        for step in 1..=RETRIES_OF_UNCERTAIN {
+            std::thread::sleep(UNCERTAIN_RETRY_PAUSE);
+            if self.retry(first, first.edge + step) == Answered::Status(202) {
+                return;
+            }
         }
     }
 
-    /// Until the load is over, sends further tries of messages that were accepted some seconds ago.
+    /// Until the load is over, sends further tries of messages that were sent some seconds ago.
     pub fn keep_retrying(self: &Arc<Clients>) {
         let clients = Arc::clone(self);
         std::thread::spawn(move || {
@@ -261,17 +296,17 @@
         });
     }
 
-    /// A further try of one of the last messages, if that was accepted.
+    /// A further try of one of the last messages, unless that was turned away.
     fn retry_recent(&self, lot: u64) {
         let recent = {
             let history = self.recorder.write();
             let back = lot as usize % RETRIED_AMONG;
-            let sent = history.sent.len().checked_sub(back + 1).map(|at| &history.sent[at]);
-            let accepted = sent.filter(|sent| sent.answered == Answered::Status(202));
-            accepted.and_then(|sent| Some((sent.id.clone(), sent.target.clone(), sent.name.clone()?)))
+            history.sent.len().checked_sub(back + 1).map(|at| history.sent[at].clone())
         };
-        if let Some((id, target, name)) = recent {
-            self.send_again(&id, &target, &name, lot as usize / RETRIED_AMONG);
+        let may_be_taken =
+            |sent: &Sent| sent.answered == Answered::Status(202) || is_uncertain(sent.answered);
+        if let Some(first) = recent.filter(may_be_taken) {
+            self.retry(&first, lot as usize / RETRIED_AMONG);
         }
     }
 
@@ -307,9 +342,10 @@
         let all: Vec<(String, String)> = {
             let history = self.recorder.write();
             let known: HashSet<&str> = history.readings.iter().map(|reading| reading.id.as_str()).collect();
-            let accepted = history.sent.iter().filter(|s| s.answered == Answered::Status(202));
-            let accepted = accepted.filter(|s| s.at + s.delay < due && !known.contains(s.id.as_str()));
-            accepted.map(|s| (s.id.clone(), s.name.clone().unwrap_or_else(|| s.id.clone()))).collect()
+            let due = |s: &&Sent| s.at + s.delay < due && !known.contains(s.id.as_str());
+            let names = history.accepted_names();
+            let due = history.sent.iter().filter(due);
+            due.filter_map(|s| Some((s.id.clone(), names.get(s.id.as_str())?.to_string()))).collect()
         };
         let all = Arc::new(all);
         let until = Instant::now() + most;
--- a/crates/system-test/src/history.rs
+++ b/crates/system-test/src/history.rs
@@ -1,6 +1,7 @@
 //! What the stand-ins saw. Times are microseconds since the proof began.
 
-use std::collections::BTreeMap;
+use crate::message;
+use std::collections::{BTreeMap, HashMap};
 
 pub type Micros = u64;
 pub const SECOND: Micros = 1_000_000;
@@ -33,6 +34,19 @@
     pub name: Option<String>,
 }
 
+/// A further try with the idempotency key of a message, which is the id of its first try.
+#[derive(Clone, Debug)]
+pub struct Retry {
+    /// Its own id: the message has it if it is this try that is accepted.
+    pub id: String,
+    pub edge: usize,
+    pub at: Micros,
+    pub answered: Answered,
+    pub answered_at: Micros,
+    /// The name of the message, where it was accepted.
+    pub name: Option<String>,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Work {
     Done {
@@ -197,6 +211,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct History {
     pub sent: Vec<Sent>,
+    pub retries: Vec<Retry>,
     pub arrivals: Vec<Arrival>,
     pub calls: Vec<Call>,
     pub readings: Vec<Reading>,
@@ -218,3 +233,18 @@
     pub takes: Vec<Take>,
     pub seen: Vec<Seen>,
 }
+
+impl History {
+    /// The name of each message that was accepted, by the id of its first try: that of the first answer of 202.
+    pub fn accepted_names(&self) -> HashMap<&str, &str> {
+        let sent = self.sent.iter().map(|sent| (sent.id.as_str(), sent.answered, &sent.name));
+        let retries = self.retries.iter().map(|retry| (retry.id.as_str(), retry.answered, &retry.name));
+        let mut names = HashMap::new();
+        for (id, answered, name) in sent.chain(retries) {
+            if answered == Answered::Status(202) {
+                names.entry(message::first_id(id)).or_insert(name.as_deref().unwrap_or(id));
+            }
+        }
+        names
+    }
+}
--- a/crates/system-test/src/judge.rs
+++ b/crates/system-test/src/judge.rs
@@ -2,7 +2,8 @@
 
 mod control;
 
-use crate::history::{Answered, Arrival, History, Micros, Said, Sent, Version, Work, SECOND};
+use crate::history::{Answered, Arrival, History, Micros, Retry, Said, Sent, Version, Work, SECOND};
+use crate::message;
 use std::collections::HashMap;
 use std::fmt;
 
@@ -79,15 +80,34 @@
     }
 }
 
-/// All of one message.
+/// All of one message, or of all tries with one key.
 #[derive(Default)]
 struct Life<'a> {
     sent: Option<&'a Sent>,
+    retries: Vec<&'a Retry>,
     arrivals: Vec<&'a Arrival>,
     readings: Vec<(usize, &'a Said)>,
     calls: Vec<(&'a Said, bool)>,
 }
 
+impl Life<'_> {
+    /// The try that was accepted, if one was: the first one, or a further one in its place.
+    fn accepted(&self, first: &Sent) -> Option<Sent> {
+        if first.answered == Answered::Status(202) {
+            return Some(first.clone());
+        }
+        let accepted = self.retries.iter().find(|retry| retry.answered == Answered::Status(202))?;
+        Some(Sent {
+            at: accepted.at,
+            edge: accepted.edge,
+            answered: accepted.answered,
+            answered_at: accepted.answered_at,
+            name: accepted.name.clone(),
+            ..first.clone()
+        })
+    }
+}
+
 struct Judge<'a> {
     history: &'a History,
     versions: Vec<&'a Version>,
@@ -103,14 +123,17 @@
     for sent in &history.sent {
         lives.entry(&sent.id).or_default().sent = Some(sent);
     }
+    for retry in &history.retries {
+        lives.entry(message::first_id(&retry.id)).or_default().retries.push(retry);
+    }
     for arrival in &history.arrivals {
-        lives.entry(&arrival.id).or_default().arrivals.push(arrival);
+        lives.entry(message::first_id(&arrival.id)).or_default().arrivals.push(arrival);
     }
     for reading in &history.readings {
-        lives.entry(&reading.id).or_default().readings.push((reading.edge, &reading.said));
+        lives.entry(message::first_id(&reading.id)).or_default().readings.push((reading.edge, &reading.said));
     }
     for call in &history.calls {
-        lives.entry(&call.id).or_default().calls.push((&call.said, call.taken));
+        lives.entry(message::first_id(&call.id)).or_default().calls.push((&call.said, call.taken));
     }
     for (id, life) in &mut lives {
         life.arrivals.sort_by_key(|arrival| arrival.at);
@@ -175,16 +198,7 @@
             }
         }
         let runs: Vec<&Arrival> = life.arrivals.iter().copied().filter(|arrival| arrival.ran()).collect();
-        if let (Answered::Status(status), Some(run)) = (sent.answered, runs.first()) {
-            // 502 and 504 promise nothing.
-            if !matches!(status, 202 | 502 | 504) {
-                self.add(
-                    Rule::Refused,
-                    run.at,
-                    format!("{id}: answered {status}, yet run by {}", run.server),
-                );
-            }
-        }
+        self.refused(sent, life, &runs);
         self.routes(sent, &runs);
         self.twice(sent, &runs);
         if let Some(run) = runs.first().filter(|run| run.at + EARLY < sent.at + sent.delay) {
@@ -192,8 +206,46 @@
             self.add(Rule::Early, run.at, format!("{id}: run {short} ms before its delay was over"));
         }
         self.cut(sent, &runs);
-        if sent.answered == Answered::Status(202) {
-            self.end(sent, life, &runs);
+        self.one_message(sent, life, &runs);
+        if let Some(accepted) = life.accepted(sent) {
+            self.end(&accepted, life, &runs);
+        }
+    }
+
+    /// What was turned away for sure never runs, whatever becomes of other tries with its key.
+    fn refused(&mut self, sent: &Sent, life: &Life, runs: &[&Arrival]) {
+        let retries = life.retries.iter().map(|retry| (&retry.id, retry.answered));
+        for (id, answered) in [(&sent.id, sent.answered)].into_iter().chain(retries) {
+            // 502 and 504 promise nothing.
+            let Answered::Status(status) = answered else { continue };
+            let run = runs.iter().find(|run| run.id == *id && !matches!(status, 202 | 502 | 504));
+            if let Some(run) = run {
+                let what = format!("{id}: answered {status}, yet run by {}", run.server);
+                self.add(Rule::Refused, run.at, what);
+            }
+        }
+    }
+
+    /// All tries with one key are one message: they have one name, and no two of them run.
+    fn one_message(&mut self, sent: &Sent, life: &Life, runs: &[&Arrival]) {
+        let is_accepted = |retry: &&&Retry| retry.answered == Answered::Status(202);
+        let accepted = life.accepted(sent);
+        let other = life
+            .retries
+            .iter()
+            .filter(is_accepted)
+            .find(|retry| accepted.as_ref().is_some_and(|accepted| accepted.name != retry.name));
+        if let (Some(accepted), Some(other)) = (accepted, other) {
+            let (name, other_name) = (accepted.name, &other.name);
+            let what = format!("{}: accepted as {name:?}, and with its key as {other_name:?}", sent.id);
+            self.add(Rule::Mixed, other.answered_at, what);
+        }
+        // One that runs again after a success is found by `twice`.
+        let Some(first) = runs.iter().find(|run| run.seal().is_some()) else { return };
+        let is_beside = |run: &&&Arrival| run.seal().is_some() && run.id != first.id && run.at <= first.ended;
+        if let Some(other) = runs.iter().find(is_beside) {
+            let what = format!("two tries with one key, {} and {}, ran side by side", first.id, other.id);
+            self.add(Rule::Twice, other.at, what);
         }
     }
 
--- a/crates/system-test/src/judge_tests.rs
+++ b/crates/system-test/src/judge_tests.rs
@@ -1,9 +1,9 @@
 //! Made-up histories, each with one rule broken once: it must be found, and nothing else.
 
-use super::{judge, Rule};
+use super::{judge, message, Rule};
 use crate::history::{
-    Answered, Arrival, Ask, Call, Content, Drain, History, Isolation, Micros, Order, Read, Reading, Said,
-    Seen, Sent, Take, Version, Work, SECOND,
+    Answered, Arrival, Ask, Call, Content, Drain, History, Isolation, Micros, Order, Read, Reading, Retry,
+    Said, Seen, Sent, Take, Version, Work, SECOND,
 };
 
 const MS: Micros = 1000;
@@ -24,10 +24,22 @@
     }
 }
 
+/// A further try with the key of "m1".
+fn retry(at: Micros, status: u16) -> Retry {
+    let answered = Answered::Status(status);
+    Retry { id: "m1-1".into(), edge: 1, at, answered, answered_at: at + MS, name: None }
+}
+
+/// The first try of "m1" has no certain answer, and a further one is accepted.
+fn accepted_by_retry(history: &mut History) {
+    history.sent[0].answered = Answered::Status(502);
+    history.retries.push(retry(10_020 * MS, 202));
+}
+
 fn run(id: &str, at: Micros, work: Work) -> Arrival {
     Arrival {
         id: id.into(),
-        target: format!("/a/{id}"),
+        target: format!("/a/{}", message::first_id(id)),
         whole: true,
         service: "s".into(),
         server: "s-1".into(),
@@ -118,7 +130,7 @@
 }
 
 /// What is changed in a history without a breach, and the rule that it then breaks.
-const BREACHES: [(&str, Rule, Change); 53] = [
+const BREACHES: [(&str, Rule, Change); 60] = [
     ("never ended", Rule::Owed, |h| h.readings[0].said = Said::Waiting),
     ("forgotten", Rule::Lost, |h| h.readings[2].said = Said::Unknown),
     ("silence to who asks", Rule::Owed, |h| h.readings[1].said = Said::Nothing),
@@ -143,6 +155,32 @@
     }),
     ("run after 503", Rule::Refused, |h| h.sent[0].answered = Answered::Status(503)),
     ("run after 429", Rule::Refused, |h| h.sent[1].answered = Answered::Status(429)),
+    ("a further try was accepted under another name", Rule::Mixed, |h| {
+        h.retries.push(Retry { name: Some("other".into()), ..retry(20 * SECOND, 202) });
+    }),
+    ("a further try runs after the first had succeeded", Rule::Twice, |h| {
+        h.retries.push(retry(20 * SECOND, 202));
+        h.arrivals.push(run("m1-1", 20_050 * MS, done("z")));
+    }),
+    ("a further try runs beside the first", Rule::Twice, |h| {
+        h.retries.push(retry(10_020 * MS, 502));
+        h.arrivals.push(other("m1-1", 10_055 * MS, done("z")));
+    }),
+    ("a further try was turned away, and runs", Rule::Refused, |h| {
+        h.retries.push(retry(10_020 * MS, 503));
+        h.arrivals.push(run("m1-1", 10_030 * MS, Work::Failed));
+    }),
+    ("accepted by a further try, and forgotten", Rule::Lost, |h| {
+        accepted_by_retry(h);
+        h.readings[2].said = Said::Unknown;
+    }),
+    ("accepted by a further try, and nobody asked", Rule::Lost, |h| {
+        accepted_by_retry(h);
+        h.readings.retain(|r| r.id != "m1");
+    }),
+    ("a further try of a message that nobody sent", Rule::Unasked, |h| {
+        h.arrivals.push(run("m9-1", 30 * SECOND, Work::Failed));
+    }),
     ("nobody sent it", Rule::Unasked, |h| h.arrivals.push(run("m9", 30 * SECOND, Work::Failed))),
     ("another body", Rule::Unasked, |h| h.arrivals[0].whole = false),
     ("another path", Rule::Unasked, |h| h.arrivals[0].target = "/a/m2".into()),
@@ -273,105 +311,120 @@
     assert_eq!(found(|h| h.takes[0].took = None), [Rule::Bound]);
 }
 
+/// What is changed in a history without a breach, and leaves it without one.
+const ALLOWED: [(&str, Change); 31] = [
+    ("further tries have the name of the first, or are turned away", |h| {
+        h.retries.extend([retry(10_020 * MS, 202), retry(20 * SECOND, 503), retry(30 * SECOND, 504)]);
+    }),
+    ("accepted by a further try, and run as the first", accepted_by_retry),
+    ("accepted by a further try, and run as that", |h| {
+        accepted_by_retry(h);
+        h.arrivals[0].id = "m1-1".into();
+    }),
+    ("a further try runs, just after a fault that came just after the first had succeeded", |h| {
+        h.retries.push(retry(11 * SECOND, 202));
+        h.troubles.push((10_500 * MS, 11 * SECOND));
+        h.arrivals.push(other("m1-1", 14 * SECOND, done("z")));
+    }),
+    ("again, just after a fault that came just after it", |h| {
+        h.troubles.push((10_500 * MS, 11 * SECOND));
+        h.arrivals.push(other("m1", 14 * SECOND, done("z")));
+    }),
+    ("again, long after a fault that came before its answer can have been read", |h| {
+        h.troubles.push((10_070 * MS, 11 * SECOND));
+        h.arrivals.push(other("m1", 30 * SECOND, done("z")));
+    }),
+    ("again, while the first ran", |h| h.arrivals.push(run("m1", 10_055 * MS, done("z")))),
+    ("again in a freeze of who had it in hand", |h| {
+        h.freezes.push((10_055 * MS, 14 * SECOND));
+        h.arrivals.push(other("m1", 13 * SECOND, done("z")));
+    }),
+    ("again in a freeze that came before its end was told", |h| {
+        h.freezes.push((10_500 * MS, 14 * SECOND));
+        h.arrivals.push(other("m1", 13 * SECOND, done("z")));
+    }),
+    ("one with no clear answer is in force everywhere", |h| {
+        let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
+        h.versions.push(Version { acked: None, ..unclear });
+        h.reads.iter_mut().for_each(|r| r.version = Some(2));
+    }),
+    ("another round reads a newer one", |h| {
+        h.versions.push(version(2, 92 * SECOND, &[("/a/", "s")]));
+        h.reads.push(Read { round: 2, ..read("c-1", 93 * SECOND, Some(2)) });
+    }),
+    ("with no contact no clear answer, and one before the lease ended", |h| {
+        let unclear = |status| Order { status, ..order(75 * SECOND, Ask::Read, 0) };
+        h.orders.extend([unclear(Some(503)), unclear(None), order(71 * SECOND, Ask::Read, 200)]);
+    }),
+    ("another node, or one that is back in contact, answers", |h| {
+        h.orders.push(Order { control: "c-1".into(), ..order(75 * SECOND, Ask::Read, 200) });
+        h.orders.push(order(90 * SECOND, Ask::Read, 200));
+    }),
+    ("an order is refused that nobody acknowledged, or before it was", |h| {
+        h.orders.push(order(69 * SECOND, Ask::Replace(Content(7)), 409));
+        h.orders.push(retire(4 * SECOND, 404));
+    }),
+    ("what was acknowledged has no clear answer", |h| h.orders.push(retire(69 * SECOND, 503))),
+    ("a content is said to be applied and is read back", |h| {
+        h.orders[0].applied = Some(true);
+        h.reads.iter_mut().for_each(|read| read.content = Content::of(&[]));
+    }),
+    ("a content is said not to be applied", |h| h.orders[0].applied = Some(false)),
+    ("an older version in a read that overlaps one of a newer", |h| {
+        let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
+        h.versions.push(Version { acked: None, ..unclear });
+        h.reads = vec![read("c-1", 90 * SECOND, Some(2)), read("c-2", 90 * SECOND, Some(1))];
+        h.reads.iter_mut().for_each(|read| read.round = 0);
+    }),
+    ("a message is taken, or has no route, with a control node out of contact", |h| {
+        h.isolations.push(Isolation { control: "c-4".into(), from: 9 * SECOND, to: 15 * SECOND });
+    }),
+    ("cut while one was frozen, or cut off", |h| {
+        h.freezes.push((20 * SECOND, 21 * SECOND));
+        h.cuts.push((30 * SECOND, 31 * SECOND));
+        h.sent.push(Sent { answered: Answered::Cut, ..sent("m8", 20 * SECOND) });
+        h.sent.push(Sent { answered: Answered::Cut, ..sent("m9", 30 * SECOND) });
+    }),
+    ("what ended just before a cut into halves runs again in the other half", |h| {
+        h.halvings.push((10_500 * MS, 14 * SECOND));
+        h.arrivals.push(other("m1", 12_900 * MS, done("z")));
+    }),
+    ("502 promises nothing", |h| h.sent[0].answered = Answered::Status(502)),
+    ("cut while a machine was lost", |h| {
+        h.sent.push(Sent { answered: Answered::Cut, ..sent("m9", 61 * SECOND) });
+    }),
+    ("closed before it was read", |h| {
+        h.sent.push(Sent { answered: Answered::Cut, reused: true, ..sent("m9", 20 * SECOND) });
+    }),
+    ("turned away, never run", |h| {
+        h.sent.push(Sent { answered: Answered::Status(503), ..sent("m9", 20 * SECOND) });
+    }),
+    ("to one that drains, in time", |h| {
+        h.arrivals.push(run("m1", 42_900 * MS, Work::NotRun(503)));
+    }),
+    ("421 of one that drains", |h| h.arrivals.push(run("m1", 50 * SECOND, Work::NotRun(421)))),
+    ("just the ceiling", |h| {
+        let many = |n: Micros| other("m1", 70 * SECOND + n * 300 * MS, Work::NotRun(429));
+        h.arrivals.extend((0..16).map(many));
+    }),
+    ("the old service, soon after the new version", |h| {
+        h.versions.push(version(2, 9 * SECOND, &[("/a/", "t")]));
+        h.reads.clear();
+    }),
+    ("failed with a dropped route", |h| {
+        h.versions.push(version(2, 9 * SECOND, &[]));
+        h.reads.clear();
+        h.arrivals.retain(|a| a.id != "m3");
+    }),
+    ("a call-back twice, one with the other seal", |h| {
+        h.arrivals.push(run("m1", 10_055 * MS, done("z")));
+        h.calls.push(Call { id: "m1".into(), said: complete("z"), taken: false });
+    }),
+];
+
 #[test]
 fn what_the_rules_allow_is_no_breach() {
-    let rows: [(&str, Change); 27] = [
-        ("again, just after a fault that came just after it", |h| {
-            h.troubles.push((10_500 * MS, 11 * SECOND));
-            h.arrivals.push(other("m1", 14 * SECOND, done("z")));
-        }),
-        ("again, long after a fault that came before its answer can have been read", |h| {
-            h.troubles.push((10_070 * MS, 11 * SECOND));
-            h.arrivals.push(other("m1", 30 * SECOND, done("z")));
-        }),
-        ("again, while the first ran", |h| h.arrivals.push(run("m1", 10_055 * MS, done("z")))),
-        ("again in a freeze of who had it in hand", |h| {
-            h.freezes.push((10_055 * MS, 14 * SECOND));
-            h.arrivals.push(other("m1", 13 * SECOND, done("z")));
-        }),
-        ("again in a freeze that came before its end was told", |h| {
-            h.freezes.push((10_500 * MS, 14 * SECOND));
-            h.arrivals.push(other("m1", 13 * SECOND, done("z")));
-        }),
-        ("one with no clear answer is in force everywhere", |h| {
-            let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
-            h.versions.push(Version { acked: None, ..unclear });
-            h.reads.iter_mut().for_each(|r| r.version = Some(2));
-        }),
-        ("another round reads a newer one", |h| {
-            h.versions.push(version(2, 92 * SECOND, &[("/a/", "s")]));
-            h.reads.push(Read { round: 2, ..read("c-1", 93 * SECOND, Some(2)) });
-        }),
-        ("with no contact no clear answer, and one before the lease ended", |h| {
-            let unclear = |status| Order { status, ..order(75 * SECOND, Ask::Read, 0) };
-            h.orders.extend([unclear(Some(503)), unclear(None), order(71 * SECOND, Ask::Read, 200)]);
-        }),
-        ("another node, or one that is back in contact, answers", |h| {
-            h.orders.push(Order { control: "c-1".into(), ..order(75 * SECOND, Ask::Read, 200) });
-            h.orders.push(order(90 * SECOND, Ask::Read, 200));
-        }),
-        ("an order is refused that nobody acknowledged, or before it was", |h| {
-            h.orders.push(order(69 * SECOND, Ask::Replace(Content(7)), 409));
-            h.orders.push(retire(4 * SECOND, 404));
-        }),
-        ("what was acknowledged has no clear answer", |h| h.orders.push(retire(69 * SECOND, 503))),
-        ("a content is said to be applied and is read back", |h| {
-            h.orders[0].applied = Some(true);
-            h.reads.iter_mut().for_each(|read| read.content = Content::of(&[]));
-        }),
-        ("a content is said not to be applied", |h| h.orders[0].applied = Some(false)),
-        ("an older version in a read that overlaps one of a newer", |h| {
-            let unclear = version(2, 80 * SECOND, &[("/a/", "s")]);
-            h.versions.push(Version { acked: None, ..unclear });
-            h.reads = vec![read("c-1", 90 * SECOND, Some(2)), read("c-2", 90 * SECOND, Some(1))];
-            h.reads.iter_mut().for_each(|read| read.round = 0);
-        }),
-        ("a message is taken, or has no route, with a control node out of contact", |h| {
-            h.isolations.push(Isolation { control: "c-4".into(), from: 9 * SECOND, to: 15 * SECOND });
-        }),
-        ("cut while one was frozen, or cut off", |h| {
-            h.freezes.push((20 * SECOND, 21 * SECOND));
-            h.cuts.push((30 * SECOND, 31 * SECOND));
-            h.sent.push(Sent { answered: Answered::Cut, ..sent("m8", 20 * SECOND) });
-            h.sent.push(Sent { answered: Answered::Cut, ..sent("m9", 30 * SECOND) });
-        }),
-        ("what ended just before a cut into halves runs again in the other half", |h| {
-            h.halvings.push((10_500 * MS, 14 * SECOND));
-            h.arrivals.push(other("m1", 12_900 * MS, done("z")));
-        }),
-        ("502 promises nothing", |h| h.sent[0].answered = Answered::Status(502)),
-        ("cut while a machine was lost", |h| {
-            h.sent.push(Sent { answered: Answered::Cut, ..sent("m9", 61 * SECOND) });
-        }),
-        ("closed before it was read", |h| {
-            h.sent.push(Sent { answered: Answered::Cut, reused: true, ..sent("m9", 20 * SECOND) });
-        }),
-        ("turned away, never run", |h| {
-            h.sent.push(Sent { answered: Answered::Status(503), ..sent("m9", 20 * SECOND) });
-        }),
-        ("to one that drains, in time", |h| {
-            h.arrivals.push(run("m1", 42_900 * MS, Work::NotRun(503)));
-        }),
-        ("421 of one that drains", |h| h.arrivals.push(run("m1", 50 * SECOND, Work::NotRun(421)))),
-        ("just the ceiling", |h| {
-            let many = |n: Micros| other("m1", 70 * SECOND + n * 300 * MS, Work::NotRun(429));
-            h.arrivals.extend((0..16).map(many));
-        }),
-        ("the old service, soon after the new version", |h| {
-            h.versions.push(version(2, 9 * SECOND, &[("/a/", "t")]));
-            h.reads.clear();
-        }),
-        ("failed with a dropped route", |h| {
-            h.versions.push(version(2, 9 * SECOND, &[]));
-            h.reads.clear();
-            h.arrivals.retain(|a| a.id != "m3");
-        }),
-        ("a call-back twice, one with the other seal", |h| {
-            h.arrivals.push(run("m1", 10_055 * MS, done("z")));
-            h.calls.push(Call { id: "m1".into(), said: complete("z"), taken: false });
-        }),
-    ];
-    for (what, change) in rows {
+    for (what, change) in ALLOWED {
         assert_eq!(found(change), [], "{what}");
     }
 }
--- a/crates/system-test/src/message.rs
+++ b/crates/system-test/src/message.rs
@@ -14,6 +14,9 @@
 
 const LARGE: char = 'L';
 
+/// Stands between the id of a first try and the number of a further one.
+const RETRY_SEPARATOR: char = '-';
+
 /// A mixer of numbers.
 pub fn mix(mut x: u64) -> u64 {
     x = x.wrapping_add(0x9e37_79b9_7f4a_7c15);
@@ -31,8 +34,18 @@
     format!("{LARGE}{id}")
 }
 
+/// The id of a further try with the key of a message.
+pub fn retry_id(first: &str, number: u64) -> String {
+    format!("{first}{RETRY_SEPARATOR}{number:x}")
+}
+
+/// The id of the first try, which is the key of all: what they are about follows from it.
+pub fn first_id(id: &str) -> &str {
+    id.split(RETRY_SEPARATOR).next().unwrap_or(id)
+}
+
 fn digest(id: &str) -> u64 {
-    id.bytes().fold(0xcbf2_9ce4_8422_2325, |sum, b| mix(sum ^ u64::from(b)))
+    first_id(id).bytes().fold(0xcbf2_9ce4_8422_2325, |sum, b| mix(sum ^ u64::from(b)))
 }
 
 pub fn fate(id: &str) -> Fate {
--- a/crates/system-test/src/prove.rs
+++ b/crates/system-test/src/prove.rs
@@ -273,7 +273,7 @@
         done.is_some_and(|done| all.iter().any(|a| a.at > done))
     });
     format!(
-        "{} messages, {} accepted, {} turned away, {} unanswered; ms p50/p99 to the 202 {}, to the run {}; \
+        "{} messages, {} accepted, {} turned away, {} unanswered, {} further tries; ms p50/p99 to the 202 {}, to the run {}; \
          {} run again after a success; {} call-backs; timers {} ms late, disk {} ms; {} s",
         history.sent.len(),
         accepted.len(),
@@ -283,6 +283,7 @@
             .filter(|s| matches!(s.answered, Answered::Status(status) if status != 202))
             .count(),
         history.sent.iter().filter(|s| matches!(s.answered, Answered::Cut | Answered::Late)).count(),
+        history.retries.len(),
         part(accepted.iter().map(|s| s.answered_at - s.at).collect()),
         part(starts.collect()),
         again.count(),
