--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -283,17 +283,17 @@
         }
     }
 
-    /// Until the load is over, sends further tries of messages that were sent some seconds ago.
-    pub fn keep_retrying(self: &Arc<Clients>) {
-        let clients = Arc::clone(self);
+    /// Sends further tries of messages that were sent some seconds ago, until the flag is up.
+    pub fn keep_retrying(self: &Arc<Clients>, stop: &Arc<AtomicBool>) -> std::thread::JoinHandle<()> {
+        let (clients, stop) = (Arc::clone(self), Arc::clone(stop));
         std::thread::spawn(move || {
             let mut drawn = 0;
-            while !clients.over.load(Ordering::Relaxed) {
+            while !stop.load(Ordering::Relaxed) {
                 drawn += 1;
                 clients.retry_recent(message::mix(clients.lot ^ message::mix(drawn)));
                 std::thread::sleep(RETRY_INTERVAL);
             }
-        });
+        })
     }
 
     /// A further try of one of the last messages, unless that was turned away.
--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -188,11 +188,11 @@
 
 fn play(mut running: Running, seed: u64, faults: usize, steps: &[Step]) -> Plain<History> {
     let mut dice = Dice { seed, drawn: 0 };
-    let schedule = &mut running.schedule;
-    schedule.sleep(500);
-    if schedule.clients.has_keys.load(Ordering::Relaxed) {
-        schedule.clients.keep_retrying();
+    running.schedule.sleep(500);
+    if running.schedule.clients.has_keys.load(Ordering::Relaxed) {
+        running.keep_retrying();
     }
+    let schedule = &mut running.schedule;
     let waiting_ms = 6_000 * faults as u64;
     schedule.clients.burst(&Plan { delay_ms: waiting_ms, ..Plan::to("/alder/") }, 0, WAITING);
     schedule.sleep(1500);
--- a/crates/system-test/src/setup.rs
+++ b/crates/system-test/src/setup.rs
@@ -104,6 +104,11 @@
 }
 
 impl Running {
+    /// Until the load ends, messages with keys are tried again some seconds after they were sent.
+    pub fn keep_retrying(&mut self) {
+        self.threads.push(self.schedule.clients.keep_retrying(&self.stop));
+    }
+
     pub fn end_load(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
         for thread in self.threads.drain(..) {
