--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -20,15 +20,27 @@
     read("day.toml", &text).unwrap_or_else(|wrong| panic!("{wrong}")).plan
 }
 
-/// Days that are played at once, over all tests: more, and the rig itself would be late.
-static AT_ONCE: (Mutex<usize>, Condvar) = (Mutex::new(10), Condvar::new());
+/// Days that are played at once on a machine with so many processors or more: with more of them the rig itself would be late.
+const DAYS_AT_ONCE: usize = 10;
+
+/// The days that may begin now, over all tests; none before the first has asked.
+static FREE_DAYS: (Mutex<Option<usize>>, Condvar) = (Mutex::new(None), Condvar::new());
+
+/// A day has ten processes or more: a processor for each day.
+fn days_at_once() -> usize {
+    std::thread::available_parallelism().map_or(2, |processors| processors.get().clamp(2, DAYS_AT_ONCE))
+}
 
 fn day(nodes: &str, list: &str, faults: &str) -> Played {
-    let free = AT_ONCE.0.lock().unwrap();
-    *AT_ONCE.1.wait_while(free, |free| *free == 0).unwrap() -= 1;
+    let free = FREE_DAYS.0.lock().unwrap();
+    let mut free = FREE_DAYS.1.wait_while(free, |free| *free.get_or_insert_with(days_at_once) == 0).unwrap();
+    *free = free.map(|days| days - 1);
+    drop(free);
     let played = std::panic::catch_unwind(|| one_day(nodes, list, faults));
-    *AT_ONCE.0.lock().unwrap() += 1;
-    AT_ONCE.1.notify_one();
+    let mut free = FREE_DAYS.0.lock().unwrap();
+    *free = free.map(|days| days + 1);
+    drop(free);
+    FREE_DAYS.1.notify_one();
     played.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
 }
 
