--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -84,7 +84,8 @@
         MessageRecord::AttemptFailed { .. } => "attempt failed",
         MessageRecord::ShardsGranted { .. } => "shards",
         MessageRecord::ShardTermsMissing(_) => "shard terms",
-        MessageRecord::MessageHolderGone { .. } => "store gone",
+        MessageRecord::MessageHolderGone { is_gone: true, .. } => "store gone",
+        MessageRecord::MessageHolderGone { is_gone: false, .. } => "store heard",
     }
 }
 
