--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -38,7 +38,7 @@
 pub(crate) enum KeyHolder {
     /// They may.
     Counts,
-    /// It was never there since this store's start, and is not on its disk.
+    /// It was never connected to this store: the control group lists it, or lists of replicas on the disk name it.
     #[default]
     Unheard,
     /// It is gone for good: what it held lies elsewhere by now, or its keys may be used again. That is on disk.
