--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -20,34 +20,69 @@
     read("day.toml", &text).unwrap_or_else(|wrong| panic!("{wrong}")).plan
 }
 
-/// Days that are played at once on a machine with so many processors or more: with more of them the rig itself would be late.
+/// Days that are played at once on a machine with twice as many processors or more.
 const DAYS_AT_ONCE: usize = 10;
 
+/// How often a day is played again, with no other beside it, when the machine was too busy for a verdict.
+const PLAYED_AGAIN: usize = 3;
+
 /// The days that may begin now, over all tests; none before the first has asked.
 static FREE_DAYS: (Mutex<Option<usize>>, Condvar) = (Mutex::new(None), Condvar::new());
 
-/// A day has ten processes or more: a processor for each day.
+/// A day has ten processes or more: two processors for each day.
 fn days_at_once() -> usize {
-    std::thread::available_parallelism().map_or(2, |processors| processors.get().clamp(2, DAYS_AT_ONCE))
+    let processors = std::thread::available_parallelism().map_or(2, usize::from);
+    (processors / 2).clamp(2, DAYS_AT_ONCE)
+}
+
+/// Leave to play, given back when it is dropped.
+struct Leave {
+    days: usize,
+}
+
+impl Leave {
+    /// Waits until so many days more may be played.
+    fn wait_for(days: usize) -> Leave {
+        let free = FREE_DAYS.0.lock().unwrap();
+        let mut free =
+            FREE_DAYS.1.wait_while(free, |free| *free.get_or_insert_with(days_at_once) < days).unwrap();
+        *free = free.map(|free| free - days);
+        Leave { days }
+    }
 }
 
+impl Drop for Leave {
+    fn drop(&mut self) {
+        let mut free = FREE_DAYS.0.lock().unwrap();
+        *free = free.map(|free| free + self.days);
+        FREE_DAYS.1.notify_all();
+    }
+}
+
+/// Plays one day. One that has no verdict says nothing of the program: it is played again alone, and fails if it never has one.
 fn day(nodes: &str, list: &str, faults: &str) -> Played {
-    let free = FREE_DAYS.0.lock().unwrap();
-    let mut free = FREE_DAYS.1.wait_while(free, |free| *free.get_or_insert_with(days_at_once) == 0).unwrap();
-    *free = free.map(|days| days - 1);
-    drop(free);
-    let played = std::panic::catch_unwind(|| one_day(nodes, list, faults));
-    let mut free = FREE_DAYS.0.lock().unwrap();
-    *free = free.map(|days| days + 1);
-    drop(free);
-    FREE_DAYS.1.notify_one();
-    played.unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+    let mut played = {
+        let _beside_others = Leave::wait_for(1);
+        one_day(nodes, list, faults)
+    };
+    for _ in 0..PLAYED_AGAIN {
+        let Some(reason) = &played.no_verdict else { break };
+        eprintln!("no verdict, played again alone: {reason}\n{faults}");
+        let _alone = Leave::wait_for(days_at_once());
+        played = one_day(nodes, list, faults);
+    }
+    assert!(played.no_verdict.is_none(), "{faults}: {:?}", played.no_verdict);
+    played
 }
 
+/// Plays one day once. A rule that is broken while there is a verdict fails at once.
 fn one_day(nodes: &str, list: &str, faults: &str) -> Played {
     let played = play(&plan(nodes, list, faults), 1, Path::new(env!("CARGO_BIN_EXE_stileroute"))).unwrap();
-    assert!(played.no_verdict.is_none(), "{faults}: {:?}", played.no_verdict);
-    assert!(played.broken.is_empty(), "{faults}: {:#?}", played.broken.first());
+    assert!(
+        played.no_verdict.is_some() || played.broken.is_empty(),
+        "{faults}: {:#?}",
+        played.broken.first()
+    );
     played
 }
 
