--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -176,7 +176,7 @@
         let id = message::id(self.lot, number);
         let id = if plan.large { message::large(&id) } else { id };
         let target = format!("{}{id}?n={number}", plan.prefix);
-        let reused = wire.is_some();
+        let idle = wire.as_ref().map(|wire| wire.idle().as_micros() as Micros);
         let exchange = self.exchange(&self.request(plan, &id, &target), edge, wire);
         let sent = Sent {
             id,
@@ -186,7 +186,7 @@
             delay: plan.delay_ms * 1000,
             callback: plan.callback,
             edge,
-            reused,
+            idle,
             answered: exchange.answered,
             answered_at: exchange.answered_at,
             name: exchange.name,
--- a/crates/system-test/src/history.rs
+++ b/crates/system-test/src/history.rs
@@ -27,8 +27,8 @@
     pub delay: Micros,
     pub callback: bool,
     pub edge: usize,
-    /// On a connection that had carried others.
-    pub reused: bool,
+    /// How long its connection had carried nothing; none where it was opened for this message.
+    pub idle: Option<Micros>,
     pub answered: Answered,
     pub answered_at: Micros,
     pub name: Option<String>,
--- a/crates/system-test/src/judge/control.rs
+++ b/crates/system-test/src/judge/control.rs
@@ -152,7 +152,7 @@
     fn turned_away(&self, sent: &Sent) -> bool {
         let turned = match sent.answered {
             Answered::Status(202 | 404) => false,
-            Answered::Cut => !sent.reused,
+            Answered::Cut => sent.idle.is_none(),
             _ => true,
         };
         turned && self.calm(sent.at, sent.answered_at)
--- a/crates/system-test/src/wire.rs
+++ b/crates/system-test/src/wire.rs
@@ -37,6 +37,7 @@
 pub struct Wire {
     stream: TcpStream,
     input: Vec<u8>,
+    used_at: Instant,
 }
 
 impl Wire {
@@ -47,7 +48,12 @@
 
     pub fn over(stream: TcpStream) -> Wire {
         let _ = stream.set_nodelay(true);
-        Wire { stream, input: Vec::new() }
+        Wire { stream, input: Vec::new(), used_at: Instant::now() }
+    }
+
+    /// How long it has carried nothing since it was opened, or since the last answer.
+    pub fn idle(&self) -> Duration {
+        self.used_at.elapsed()
     }
 
     pub fn say(&mut self, bytes: &[u8]) -> bool {
@@ -87,6 +93,7 @@
             return Err(Cut::Closed);
         }
         let message = self.hear(Instant::now() + patience)?.ok_or(Cut::Closed)?;
+        self.used_at = Instant::now();
         let again = !message.closes();
         Ok((message, again))
     }
