--- a/crates/system-test/src/client.rs
+++ b/crates/system-test/src/client.rs
@@ -1,11 +1,11 @@
 //! Stand-in clients: they send messages over all edges that are ready, and ask what became of them.
 
 use crate::history::{Answered, Micros, Reading, Retry, Said, Sent};
+use crate::http::{self, Connection, ExchangeError};
 use crate::message;
 use crate::operator::HOST;
 use crate::receiver;
 use crate::recorder::Recorder;
-use crate::wire::{self, Cut, Wire};
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -22,6 +22,7 @@
 const RETRIES_OF_UNCERTAIN: usize = 5;
 const UNCERTAIN_RETRY_PAUSE: Duration = Duration::from_millis(200);
 const PATIENCE: Duration = Duration::from_secs(4);
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Those who ask wait two seconds for an answer.
 const ASKS: Duration = Duration::from_secs(2);
 
@@ -99,7 +100,7 @@
     fn watch(&self, edge: usize, at: SocketAddrV4) {
         let mut misses = 0;
         while !self.over.load(Ordering::Relaxed) {
-            let said = wire::call(at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
+            let said = http::call(at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
             misses = if said.is_ok_and(|message| message.status() == 200) { 0 } else { misses + 1 };
             self.ready[edge].store(misses < 2, Ordering::Relaxed);
             std::thread::sleep(Duration::from_secs(1));
@@ -118,10 +119,10 @@
             let (clients, stop) = (Arc::clone(self), Arc::clone(stop));
             std::thread::spawn(move || {
                 std::thread::sleep(pause * number as u32 / threads as u32);
-                let mut wires: Vec<Option<Wire>> = clients.fronts.iter().map(|_| None).collect();
+                let mut connections: Vec<Option<Connection>> = clients.fronts.iter().map(|_| None).collect();
                 let mut due = Instant::now();
                 while !stop.load(Ordering::Relaxed) {
-                    clients.one(&mut wires);
+                    clients.send_next(&mut connections);
                     due += pause;
                     match due.checked_duration_since(Instant::now()) {
                         Some(left) => std::thread::sleep(left),
@@ -134,7 +135,8 @@
         (0..threads).map(press).collect()
     }
 
-    fn one(&self, wires: &mut [Option<Wire>]) {
+    /// Sends the next message of the load. One that was turned away goes to other edges.
+    fn send_next(&self, connections: &mut [Option<Connection>]) {
         let number = self.count.fetch_add(1, Ordering::Relaxed);
         let dice = message::mix(self.lot ^ message::mix(number));
         let total: u64 = self.mix.iter().map(|(_, part)| part).sum();
@@ -158,9 +160,9 @@
             let next = (0..self.fronts.len()).map(|k| (first + k) % self.fronts.len()).find(ready);
             let edge = next.unwrap_or(first);
             if fresh || step > 0 {
-                wires[edge] = None;
+                connections[edge] = None;
             }
-            let answered = self.send(&plan, edge, &mut wires[edge]);
+            let answered = self.send(&plan, edge, &mut connections[edge]);
             // A promise that it was not taken: another try, at another edge, with an id of its own.
             if !matches!(answered, Answered::Status(429 | 503) | Answered::Never) {
                 return;
@@ -171,13 +173,13 @@
     }
 
     /// One message on the connection, or on a new one where there is none; where it has a key, further tries with that.
-    pub fn send(&self, plan: &Plan, edge: usize, wire: &mut Option<Wire>) -> Answered {
+    pub fn send(&self, plan: &Plan, edge: usize, connection: &mut Option<Connection>) -> Answered {
         let number = self.count.fetch_add(1, Ordering::Relaxed);
         let id = message::id(self.lot, number);
         let id = if plan.large { message::large(&id) } else { id };
         let target = format!("{}{id}?n={number}", plan.prefix);
-        let idle = wire.as_ref().map(|wire| wire.idle().as_micros() as Micros);
-        let exchange = self.exchange(&self.request(plan, &id, &target), edge, wire);
+        let idle = connection.as_ref().map(|connection| connection.idle().as_micros() as Micros);
+        let exchange = self.exchange(&self.request(plan, &id, &target), edge, connection);
         let sent = Sent {
             id,
             prefix: plan.prefix.clone(),
@@ -236,24 +238,20 @@
     }
 
     /// Sends the bytes of a try and waits for its answer.
-    fn exchange(&self, bytes: &[u8], edge: usize, wire: &mut Option<Wire>) -> Exchange {
+    fn exchange(&self, bytes: &[u8], edge: usize, connection: &mut Option<Connection>) -> Exchange {
         let mut at = self.recorder.now();
         let mut name = None;
-        let opened = match wire.take() {
-            Some(wire) => Ok(wire),
-            None => Wire::connect(self.fronts[edge], Duration::from_secs(1)),
-        };
-        let answered = match opened {
+        let answered = match self.open(edge, connection) {
             Err(_) => Answered::Never,
             Ok(mut open) => {
                 at = self.recorder.now();
-                match open.ask(bytes, PATIENCE) {
+                match open.exchange(bytes, PATIENCE) {
                     Ok((message, again)) => {
                         name = message.header("X-Queue-Message-Id").map(str::to_string);
-                        *wire = again.then_some(open);
+                        *connection = again.then_some(open);
                         Answered::Status(message.status())
                     }
-                    Err(Cut::Late) => Answered::Late,
+                    Err(ExchangeError::TimedOut) => Answered::Late,
                     Err(_) => Answered::Cut,
                 }
             }
@@ -261,6 +259,11 @@
         Exchange { at, answered, answered_at: self.recorder.now(), name }
     }
 
+    /// The connection that is open, or a new one to this edge.
+    fn open(&self, edge: usize, connection: &mut Option<Connection>) -> Result<Connection, ExchangeError> {
+        connection.take().map_or_else(|| Connection::connect(self.fronts[edge], CONNECT_TIMEOUT), Ok)
+    }
+
     /// A further try with the key of a message, at this edge.
     fn retry(&self, first: &Sent, edge: usize) -> Answered {
         let edge = edge % self.fronts.len();
@@ -315,9 +318,9 @@
         for _ in 0..16 {
             let (clients, plan) = (Arc::clone(self), plan.clone());
             std::thread::spawn(move || {
-                let mut wire = None;
+                let mut connection = None;
                 for _ in 0..count / 16 {
-                    clients.send(&plan, edge, &mut wire);
+                    clients.send(&plan, edge, &mut connection);
                 }
             });
         }
@@ -361,11 +364,11 @@
     }
 
     fn ask_edge(&self, edge: usize, all: &[(String, String)], until: Instant) -> Vec<Reading> {
-        let mut wire = None;
+        let mut connection = None;
         let mut readings = Vec::with_capacity(all.len());
         for (id, name) in all {
             let said = loop {
-                let said = self.ask(edge, name, &mut wire);
+                let said = self.ask(edge, name, &mut connection);
                 let final_answer = matches!(said, Said::Complete { .. } | Said::Failed | Said::Unknown);
                 if final_answer || Instant::now() > until {
                     break said;
@@ -377,16 +380,12 @@
         readings
     }
 
-    fn ask(&self, edge: usize, name: &str, wire: &mut Option<Wire>) -> Said {
+    fn ask(&self, edge: usize, name: &str, connection: &mut Option<Connection>) -> Said {
         let bytes = format!("GET /v1/message/{name} HTTP/1.1\r\nHost: {HOST}\r\n\r\n");
-        let opened = match wire.take() {
-            Some(wire) => Ok(wire),
-            None => Wire::connect(self.fronts[edge], Duration::from_secs(1)),
-        };
-        let Ok(mut open) = opened else { return Said::Nothing };
-        match open.ask(bytes.as_bytes(), ASKS) {
+        let Ok(mut open) = self.open(edge, connection) else { return Said::Nothing };
+        match open.exchange(bytes.as_bytes(), ASKS) {
             Ok((message, again)) => {
-                *wire = again.then_some(open);
+                *connection = again.then_some(open);
                 match message.status() {
                     200 => receiver::said(&message.body),
                     404 => Said::Unknown,
--- a/crates/system-test/src/executor.rs
+++ b/crates/system-test/src/executor.rs
@@ -2,10 +2,10 @@
 
 use crate::fleet::{Controls, BEAT_MS};
 use crate::history::{Arrival, Drain, Work};
+use crate::http::{self, Connection, Message};
 use crate::message::{self, Fate};
 use crate::operator;
 use crate::recorder::Recorder;
-use crate::wire::{self, Message, Wire};
 use serde_json::json;
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddrV4, TcpListener, TcpStream};
@@ -96,19 +96,19 @@
             streams.extend(stream.try_clone());
             drop(streams);
             let here = Arc::clone(&self);
-            std::thread::spawn(move || here.serve(Wire::over(stream)));
+            std::thread::spawn(move || here.serve(Connection::from_stream(stream)));
         }
     }
 
-    fn serve(&self, mut wire: Wire) {
-        while let Ok(Some(request)) = wire.hear(Instant::now() + Duration::from_secs(5)) {
+    fn serve(&self, mut connection: Connection) {
+        while let Ok(Some(request)) = connection.read_message(Instant::now() + Duration::from_secs(5)) {
             let at = self.recorder.now();
             if self.gone() {
                 return;
             }
             let (answer, arrival) = self.work(&request, at);
             let mut arrival = arrival;
-            let said = !self.gone() && wire.say(answer.as_bytes());
+            let said = !self.gone() && connection.write(answer.as_bytes());
             arrival.ended = self.recorder.now();
             if !said && arrival.ran() {
                 arrival.work = Work::Broke;
@@ -145,7 +145,7 @@
         answer.push_str("Content-Length: 2\r\n\r\nok");
         let arrival = Arrival {
             target: request.target.clone(),
-            whole: request.first == "POST" && request.body == message::body(&id),
+            whole: request.start == "POST" && request.body == message::body(&id),
             service: self.kind.service.clone(),
             server: self.id.clone(),
             at,
@@ -186,7 +186,7 @@
             let said = if drains {
                 operator::ask(&self.recorder, to, "POST", &target, body.as_bytes())
             } else {
-                wire::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1)).ok()
+                http::call(to, "POST", &target, body.as_bytes(), Duration::from_secs(1)).ok()
             };
             !self.gone() && said.is_some_and(|message| (200..300).contains(&message.status()))
         })
--- a/crates/system-test/src/fleet.rs
+++ b/crates/system-test/src/fleet.rs
@@ -281,11 +281,11 @@
         SocketAddrV4::new(self.ip(Role::Core, at), CONTROL)
     }
 
-    /// What lies in the data folder of a machine, in bytes.
     /// The internal address of a control node, for `stilerouted status --at`.
     pub fn status_address(&self) -> SocketAddrV4 {
         self.internal(self.place(Role::Core, 0), Role::Core, 0)
     }
+    /// What lies in the data folder of a machine, in bytes.
     pub fn disk_bytes(&self, role: Role, at: usize) -> u64 {
         folder_bytes(&self.home.join(self.name(role, at)).join("data"))
     }
--- a/crates/system-test/src/isolation.rs
+++ b/crates/system-test/src/isolation.rs
@@ -4,11 +4,11 @@
 use crate::executor::Executor;
 use crate::fleet::{Controls, Plain, Role, Towards};
 use crate::history::{Content, History, Isolation, Micros, Read, SECOND};
+use crate::http::{self, Connection};
 use crate::operator::{ask, Operator, Routes, NO_ROUND, REPLACE};
 use crate::scenarios::marker;
 use crate::schedule::{Schedule, ACK};
 use crate::setup::Running;
-use crate::wire::{self, Wire};
 use std::net::SocketAddrV4;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -231,7 +231,7 @@
         let body = self.operator.prepare(number, &with_marker(&self.routes, number), &self.services);
         let sent = body.clone();
         let asked = std::thread::spawn(move || {
-            let said = wire::call(to, "POST", REPLACE, sent.as_bytes(), Duration::from_secs(8));
+            let said = http::call(to, "POST", REPLACE, sent.as_bytes(), Duration::from_secs(8));
             said.ok().map(|message| message.status())
         });
         (body, asked)
@@ -321,19 +321,20 @@
     }
 
     /// Asks for the configuration, and reads the beginning of the answer only.
-    fn read_half(&mut self, to: SocketAddrV4) -> Plain<(Micros, Wire)> {
+    fn read_half(&mut self, to: SocketAddrV4) -> Plain<(Micros, Connection)> {
         let at = self.recorder.now();
-        let mut wire = Wire::connect(to, Duration::from_secs(1)).map_err(|e| format!("{to}: {e:?}"))?;
-        wire.say(
+        let mut connection =
+            Connection::connect(to, Duration::from_secs(1)).map_err(|e| format!("{to}: {e:?}"))?;
+        connection.write(
             format!("GET /v1/settings/read HTTP/1.1\r\nHost: {to}\r\nConnection: close\r\n\r\n").as_bytes(),
         );
         self.sleep(50);
-        Ok((at, wire))
+        Ok((at, connection))
     }
 
-    fn read_rest(&mut self, half: (Micros, Wire), to: SocketAddrV4, length: usize) {
-        let (at, mut wire) = half;
-        let message = wire.hear(Instant::now() + Duration::from_secs(5));
+    fn read_rest(&mut self, half: (Micros, Connection), to: SocketAddrV4, length: usize) {
+        let (at, mut connection) = half;
+        let message = connection.read_message(Instant::now() + Duration::from_secs(5));
         let Some(message) = message.ok().flatten() else {
             self.say("the answer that was half written ends in the middle");
             return;
--- a/crates/system-test/src/large_fleet.rs
+++ b/crates/system-test/src/large_fleet.rs
@@ -6,12 +6,12 @@
 use crate::executor::Kind;
 use crate::fleet::{Fleet, Plain, Role, EACH};
 use crate::history::{Answered, History, Micros, Said, SECOND};
+use crate::http;
 use crate::message;
 use crate::operator::Services;
 use crate::recorder::Recorder;
 use crate::schedule::Schedule;
 use crate::setup::{Place, Setup};
-use crate::wire;
 use serde_json::Value;
 use std::process::Command;
 use std::sync::Arc;
@@ -50,7 +50,7 @@
 pub fn count(fleet: &Fleet, away: &[usize]) -> Counted {
     let mut all = Counted::default();
     for at in fleet.here(Role::Store).into_iter().filter(|at| !away.contains(at)) {
-        let said = wire::call(fleet.figures(at), "GET", "/metrics", b"", Duration::from_secs(1));
+        let said = http::call(fleet.figures(at), "GET", "/metrics", b"", Duration::from_secs(1));
         let Some(message) = said.ok().filter(|message| message.status() == 200) else {
             all.silent += 1;
             continue;
--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet;
 mod halves;
 mod history;
+mod http;
 mod isolation;
 mod judge;
 mod large_fleet;
@@ -24,7 +25,6 @@
 mod setup;
 mod show;
 mod upgrade;
-mod wire;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
--- a/crates/system-test/src/operator.rs
+++ b/crates/system-test/src/operator.rs
@@ -2,8 +2,8 @@
 
 use crate::fleet::Controls;
 use crate::history::{Ask, Content, Micros, Order, Read, Version};
+use crate::http::{self, Message};
 use crate::recorder::Recorder;
-use crate::wire::{self, Message};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -184,7 +184,7 @@
     body: &[u8],
 ) -> Option<Message> {
     let at = recorder.now();
-    let message = wire::call(to, method, target, body, SILENCE).ok();
+    let message = http::call(to, method, target, body, SILENCE).ok();
     if let Some(ask) = asked(target, body) {
         let status = message.as_ref().map(Message::status);
         let applied = message.as_ref().filter(|message| message.status() == 200).and_then(says_applied);
--- a/crates/system-test/src/receiver.rs
+++ b/crates/system-test/src/receiver.rs
@@ -1,8 +1,8 @@
 //! The stand-in that takes call-backs: now and then it fails, now and then it is slow.
 
 use crate::history::{Call, Said};
+use crate::http::Connection;
 use crate::recorder::Recorder;
-use crate::wire::Wire;
 use std::net::{SocketAddrV4, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -26,14 +26,14 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let (recorder, count, down) = (Arc::clone(&recorder), Arc::clone(&count), Arc::clone(&down));
-            std::thread::spawn(move || take(Wire::over(stream), &recorder, &count, &down));
+            std::thread::spawn(move || take(Connection::from_stream(stream), &recorder, &count, &down));
         }
     });
     Ok(())
 }
 
-fn take(mut wire: Wire, recorder: &Recorder, count: &AtomicU64, down: &AtomicBool) {
-    while let Ok(Some(request)) = wire.hear(Instant::now() + Duration::from_secs(5)) {
+fn take(mut connection: Connection, recorder: &Recorder, count: &AtomicU64, down: &AtomicBool) {
+    while let Ok(Some(request)) = connection.read_message(Instant::now() + Duration::from_secs(5)) {
         let number = count.fetch_add(1, Ordering::Relaxed);
         if number % 40 == 39 {
             std::thread::sleep(Duration::from_millis(300));
@@ -43,7 +43,7 @@
         let id = value["id"].as_str().unwrap_or_default().to_string();
         recorder.write().calls.push(Call { id, said: said(&request.body), taken });
         let status = if taken { "200 OK" } else { "503 No" };
-        if !wire.say(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes()) {
+        if !connection.write(format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n").as_bytes()) {
             return;
         }
     }
--- a/crates/system-test/src/scenarios.rs
+++ b/crates/system-test/src/scenarios.rs
@@ -3,9 +3,9 @@
 use crate::client::Plan;
 use crate::fleet::{Plain, Role, EACH};
 use crate::history::{Micros, Read, SECOND};
+use crate::http;
 use crate::operator::Operator;
 use crate::schedule::{Schedule, ACK, APPLY, TAKEN_OVER};
-use crate::wire;
 use std::net::SocketAddrV4;
 use std::sync::{Arc, Barrier};
 use std::time::Duration;
@@ -120,7 +120,7 @@
         let body = self.operator.prepare(late, &with(late), &services);
         let late_body = body.clone();
         let asked = std::thread::spawn(move || {
-            wire::call(to, "POST", "/v1/settings/replace", body.as_bytes(), Duration::from_secs(8))
+            http::call(to, "POST", "/v1/settings/replace", body.as_bytes(), Duration::from_secs(8))
         });
         let other = self.fleet.here(Role::Core).into_iter().find(|at| *at != primary).unwrap_or(0);
         self.operator.first = Some(self.fleet.control(other));
--- a/crates/system-test/src/show.rs
+++ b/crates/system-test/src/show.rs
@@ -43,7 +43,7 @@
     }
     let begun = Instant::now();
     let up = |at: &std::net::SocketAddrV4| {
-        let said = crate::wire::call(*at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
+        let said = crate::http::call(*at, "GET", "/v1/readiness", b"", Duration::from_secs(1));
         said.is_ok_and(|message| message.status() == 200)
     };
     while !fleet.readiness().iter().all(up) && begun.elapsed() < Duration::from_secs(10) {
