System test: two ids of one key that both ran are a breach, whatever fault is near

The judge now has a rule of its own for that (KEY), which no fault and no busy machine excuses. A second run of the same id is judged as before.

Made-up histories: one that was allowed is a breach now, three are new (a freeze, a cut into halves, a failed first attempt). 'A further try was turned away, and runs' ran beside the first, so it breaks two rules now; it is kept as that, and again with one rule broken.

--- a/crates/system-test/src/judge.rs
+++ b/crates/system-test/src/judge.rs
@@ -36,6 +36,8 @@
     Unasked,
     Route,
     Seen,
+    /// Two tries with one idempotency key both ran.
+    Key,
     /// Control nodes differ, or what was acknowledged is not read back as it was sent, nor a higher one.
     Split,
     /// What was acknowledged is refused when it is sent again.
@@ -76,7 +78,11 @@
 impl fmt::Display for Breach {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         let rule = format!("{:?}", self.rule).to_uppercase();
-        write!(f, "{rule} at {:.3} s: {}", self.at as f64 / SECOND as f64, self.evidence)
+        write!(f, "{rule} at {:.3} s: {}", self.at as f64 / SECOND as f64, self.evidence)?;
+        if self.end_forgotten {
+            f.write_str("; it had ended before a fault")?;
+        }
+        Ok(())
     }
 }
 
@@ -200,13 +206,15 @@
         let runs: Vec<&Arrival> = life.arrivals.iter().copied().filter(|arrival| arrival.ran()).collect();
         self.refused(sent, life, &runs);
         self.routes(sent, &runs);
-        self.twice(sent, &runs);
+        if !self.two_tries_ran(sent, &runs) {
+            self.twice(sent, &runs);
+        }
         if let Some(run) = runs.first().filter(|run| run.at + EARLY < sent.at + sent.delay) {
             let short = (sent.at + sent.delay - run.at) / 1000;
             self.add(Rule::Early, run.at, format!("{id}: run {short} ms before its delay was over"));
         }
         self.cut(sent, &runs);
-        self.one_message(sent, life, &runs);
+        self.one_name(sent, life);
         if let Some(accepted) = life.accepted(sent) {
             self.end(&accepted, life, &runs);
         }
@@ -226,8 +234,8 @@
         }
     }
 
-    /// All tries with one key are one message: they have one name, and no two of them run.
-    fn one_message(&mut self, sent: &Sent, life: &Life, runs: &[&Arrival]) {
+    /// All tries with one key are one message, which has one name.
+    fn one_name(&mut self, sent: &Sent, life: &Life) {
         let is_accepted = |retry: &&&Retry| retry.answered == Answered::Status(202);
         let accepted = life.accepted(sent);
         let other = life
@@ -240,13 +248,15 @@
             let what = format!("{}: accepted as {name:?}, and with its key as {other_name:?}", sent.id);
             self.add(Rule::Mixed, other.answered_at, what);
         }
-        // One that runs again after a success is found by `twice`.
-        let Some(first) = runs.iter().find(|run| run.seal().is_some()) else { return };
-        let is_beside = |run: &&&Arrival| run.seal().is_some() && run.id != first.id && run.at <= first.ended;
-        if let Some(other) = runs.iter().find(is_beside) {
-            let what = format!("two tries with one key, {} and {}, ran side by side", first.id, other.id);
-            self.add(Rule::Twice, other.at, what);
-        }
+    }
+
+    /// Of all tries with one key only one runs, whatever its attempts come to and whichever faults are near. Whether two did.
+    fn two_tries_ran(&mut self, sent: &Sent, runs: &[&Arrival]) -> bool {
+        let Some(first) = runs.first() else { return false };
+        let Some(other) = runs.iter().find(|run| run.id != first.id) else { return false };
+        let what = format!("{} and {} both ran; {}", first.id, other.id, story(sent, runs));
+        self.add(Rule::Key, other.at, what);
+        true
     }
 
     /// Run by a service, taken or turned away as a version that may be in force allows.
--- a/crates/system-test/src/judge_tests.rs
+++ b/crates/system-test/src/judge_tests.rs
@@ -130,7 +130,7 @@
 }
 
 /// What is changed in a history without a breach, and the rule that it then breaks.
-const BREACHES: [(&str, Rule, Change); 62] = [
+const BREACHES: [(&str, Rule, Change); 66] = [
     ("never ended", Rule::Owed, |h| h.readings[0].said = Said::Waiting),
     ("forgotten", Rule::Lost, |h| h.readings[2].said = Said::Unknown),
     ("silence to who asks", Rule::Owed, |h| h.readings[1].said = Said::Nothing),
@@ -158,17 +158,37 @@
     ("a further try was accepted under another name", Rule::Mixed, |h| {
         h.retries.push(Retry { name: Some("other".into()), ..retry(20 * SECOND, 202) });
     }),
-    ("a further try runs after the first had succeeded", Rule::Twice, |h| {
+    ("a further try runs after the first had succeeded", Rule::Key, |h| {
         h.retries.push(retry(20 * SECOND, 202));
         h.arrivals.push(run("m1-1", 20_050 * MS, done("z")));
     }),
-    ("a further try runs beside the first", Rule::Twice, |h| {
+    ("a further try runs beside the first", Rule::Key, |h| {
         h.retries.push(retry(10_020 * MS, 502));
         h.arrivals.push(other("m1-1", 10_055 * MS, done("z")));
     }),
+    ("a further try runs, just after a fault that came just after the first had succeeded", Rule::Key, |h| {
+        h.retries.push(retry(11 * SECOND, 202));
+        h.troubles.push((10_500 * MS, 11 * SECOND));
+        h.arrivals.push(other("m1-1", 14 * SECOND, done("z")));
+    }),
+    ("a further try runs, in a freeze of who had the first in hand", Rule::Key, |h| {
+        h.retries.push(retry(11 * SECOND, 202));
+        h.freezes.push((10_055 * MS, 14 * SECOND));
+        h.arrivals.push(other("m1-1", 13 * SECOND, done("z")));
+    }),
+    ("a further try runs in the other half of a cut", Rule::Key, |h| {
+        h.retries.push(retry(11 * SECOND, 202));
+        h.halvings.push((10_500 * MS, 14 * SECOND));
+        h.arrivals.push(other("m1-1", 12_900 * MS, done("z")));
+    }),
+    ("a further try runs after the first had failed once", Rule::Key, |h| {
+        h.retries.push(retry(12_600 * MS, 202));
+        h.retries[0].id = "m2-1".into();
+        h.arrivals.push(other("m2-1", 12_700 * MS, Work::Failed));
+    }),
     ("a further try was turned away, and runs", Rule::Refused, |h| {
         h.retries.push(retry(10_020 * MS, 503));
-        h.arrivals.push(run("m1-1", 10_030 * MS, Work::Failed));
+        h.arrivals[0].id = "m1-1".into();
     }),
     ("accepted by a further try, and forgotten", Rule::Lost, |h| {
         accepted_by_retry(h);
@@ -319,8 +339,17 @@
     assert_eq!(found(|h| h.takes[0].took = None), [Rule::Bound]);
 }
 
+#[test]
+fn a_try_that_was_turned_away_and_runs_beside_the_first_breaks_two_rules() {
+    let turned_away_and_run = |h: &mut History| {
+        h.retries.push(retry(10_020 * MS, 503));
+        h.arrivals.push(run("m1-1", 10_030 * MS, Work::Failed));
+    };
+    assert_eq!(found(turned_away_and_run), [Rule::Refused, Rule::Key]);
+}
+
 /// What is changed in a history without a breach, and leaves it without one.
-const ALLOWED: [(&str, Change); 33] = [
+const ALLOWED: [(&str, Change); 32] = [
     ("further tries have the name of the first, or are turned away", |h| {
         h.retries.extend([retry(10_020 * MS, 202), retry(20 * SECOND, 503), retry(30 * SECOND, 504)]);
     }),
@@ -329,11 +358,6 @@
         accepted_by_retry(h);
         h.arrivals[0].id = "m1-1".into();
     }),
-    ("a further try runs, just after a fault that came just after the first had succeeded", |h| {
-        h.retries.push(retry(11 * SECOND, 202));
-        h.troubles.push((10_500 * MS, 11 * SECOND));
-        h.arrivals.push(other("m1-1", 14 * SECOND, done("z")));
-    }),
     ("again, just after a fault that came just after it", |h| {
         h.troubles.push((10_500 * MS, 11 * SECOND));
         h.arrivals.push(other("m1", 14 * SECOND, done("z")));
