--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::sync::{Condvar, Mutex};
 use stileroute_testbed::experiment::read;
+use stileroute_testbed::no_verdict_log;
 use stileroute_testbed::plan::Plan;
 use stileroute_testbed::play::play;
 use stileroute_testbed::report::Played;
@@ -68,6 +69,7 @@
     for _ in 0..PLAYED_AGAIN {
         let Some(reason) = &played.no_verdict else { break };
         eprintln!("no verdict, played again alone: {reason}\n{faults}");
+        no_verdict_log::list_played_again("processes", reason);
         let _alone = Leave::wait_for(days_at_once());
         played = one_day(nodes, list, faults);
     }
--- a/crates/system-test/src/control.rs
+++ b/crates/system-test/src/control.rs
@@ -127,19 +127,15 @@
         let panicked = || Err("a schedule ended by a panic".to_string());
         begun.into_iter().map(|thread| thread.join().unwrap_or_else(|_| panicked())).collect()
     });
-    let known = known_red();
     let mut breaches = Vec::new();
     let mut busy = None;
     for (part, played) in parts.iter().zip(played) {
         let (history, recorder) = played.map_err(|e| format!("{}: {e}", part.name()))?;
         println!("test-control, {}: {}", part.name(), figures(&history, &recorder));
-        let mut found = judge(&history);
+        let found = judge(&history);
         if keep {
             tell_all(&history, &recorder, &found);
         }
-        if *part == Part::Replacement {
-            found = without_known_red(found, known.as_deref());
-        }
         busy = busy.or(recorder.busy());
         breaches.extend(found);
     }
@@ -148,26 +144,5 @@
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    Ok(verdict(&breaches, busy))
-}
-
-/// The check that may be listed there: that ends are known after a store was replaced and another lost its disk.
-const ENDS: &str = "test-control replacement ends";
-const KNOWN_RED: &str = "KNOWN-RED.txt";
-
-/// The line of the list at the root of the repository that names the check of ends, if there is one.
-fn known_red() -> Option<String> {
-    let list = std::fs::read_to_string(KNOWN_RED).ok()?;
-    list.lines().find(|line| line.starts_with(ENDS)).map(str::to_string)
-}
-
-/// Ends that nobody knows are printed and don't count while the list names them; all else does.
-fn without_known_red(found: Vec<Breach>, known: Option<&str>) -> Vec<Breach> {
-    let Some(line) = known else { return found };
-    let (red, rest): (Vec<Breach>, Vec<Breach>) = found.into_iter().partition(|b| b.end_forgotten);
-    match red.first() {
-        Some(first) => println!("KNOWN RED, {} breaches ({line}): {first}", red.len()),
-        None => println!("no longer red, take it out of {KNOWN_RED}: {line}"),
-    }
-    rest
+    Ok(verdict(&breaches, busy).exit_code())
 }
--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -7,7 +7,7 @@
 use crate::history::{History, Micros, SECOND};
 use crate::judge::judge;
 use crate::message;
-use crate::prove::{figures, lay_out, tell_all, verdict, SIDE_BY_SIDE};
+use crate::prove::{figures, lay_out, tell_all, verdict, Verdict, SIDE_BY_SIDE};
 use crate::recorder::Recorder;
 use crate::schedule::Schedule;
 use crate::setup::{Running, Setup};
@@ -130,7 +130,7 @@
     while seeds.peek().is_some() {
         let batch: Vec<u64> =
             seeds.by_ref().take(soak.jobs.clamp(1, u64::from(SIDE_BY_SIDE)) as usize).collect();
-        let played: Vec<Plain<bool>> = std::thread::scope(|scope| {
+        let played: Vec<Plain<Verdict>> = std::thread::scope(|scope| {
             let begin = |seed: &u64| {
                 // The stand-ins of a fleet listen until the program ends: the next fleets get addresses of their own.
                 let place = (*seed - soak.seed) as u8;
@@ -152,9 +152,25 @@
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    let failed = verdicts.iter().filter(|is_proved| !**is_proved).count();
-    println!("test-losses: {} seeds played, {failed} not proved", verdicts.len());
-    Ok(if failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(summarize(&verdicts))
+}
+
+/// Prints how many seeds came to which verdict. A seed that is not proved fails the proof.
+fn summarize(verdicts: &[Verdict]) -> ExitCode {
+    let count = |wanted: Verdict| verdicts.iter().filter(|verdict| **verdict == wanted).count();
+    let (not_proved, missing) = (count(Verdict::NotProved), count(Verdict::Missing));
+    println!(
+        "test-losses: {} seeds played, {} proved, {not_proved} not proved, {missing} without a verdict",
+        verdicts.len(),
+        count(Verdict::Proved)
+    );
+    if not_proved > 0 {
+        return Verdict::NotProved.exit_code();
+    }
+    if missing > 0 {
+        return Verdict::Missing.exit_code();
+    }
+    Verdict::Proved.exit_code()
 }
 
 /// The series of one seed, on a fleet of its own.
@@ -168,7 +184,7 @@
 }
 
 impl Series {
-    fn prove(&self, program: &Path, home: &Path, net: Option<u8>) -> Plain<bool> {
+    fn prove(&self, program: &Path, home: &Path, net: Option<u8>) -> Plain<Verdict> {
         std::fs::create_dir_all(home).map_err(|e| format!("{}: {e}", home.display()))?;
         let fleet = lay_out(program, home, net, NINE, self.place)?;
         let recorder = Recorder::new(home);
@@ -182,7 +198,7 @@
         } else {
             breaches.iter().take(SHOWN_BREACHES).for_each(|breach| println!("  {breach}"));
         }
-        Ok(verdict(&breaches, recorder.busy()) == ExitCode::SUCCESS)
+        Ok(verdict(&breaches, recorder.busy()))
     }
 }
 
--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -11,6 +11,8 @@
 mod http;
 mod isolation;
 mod judge;
+#[cfg(test)]
+mod known_red_tests;
 mod large_fleet;
 mod losses;
 mod message;
--- a/crates/system-test/src/prove.rs
+++ b/crates/system-test/src/prove.rs
@@ -11,6 +11,8 @@
 use crate::schedule::{CEILING, FIRST, LOAD};
 use crate::setup::{Place, Running, Setup};
 use std::collections::{BTreeMap, HashMap};
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::Ordering;
@@ -57,7 +59,7 @@
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    Ok(verdict(&breaches, recorder.busy()))
+    Ok(verdict(&breaches, recorder.busy()).exit_code())
 }
 
 /// A fleet at addresses that nobody else uses; those that run side by side have different places.
@@ -107,21 +109,54 @@
     spans.join(", ")
 }
 
+/// What a proof comes to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    Proved,
+    NotProved,
+    /// What was seen counts time, and the machine was too busy for that.
+    Missing,
+}
+
+impl Verdict {
+    /// What the process ends with: a missing verdict is no success, unless `SYSTEM_TEST_ALLOW_NO_VERDICT` is 1.
+    pub fn exit_code(self) -> ExitCode {
+        let is_missing_allowed = std::env::var("SYSTEM_TEST_ALLOW_NO_VERDICT").as_deref() == Ok("1");
+        match self {
+            Verdict::Proved => ExitCode::SUCCESS,
+            Verdict::Missing if is_missing_allowed => ExitCode::SUCCESS,
+            Verdict::Missing | Verdict::NotProved => ExitCode::FAILURE,
+        }
+    }
+}
+
 /// What does not count time is a breach on any machine; what does is none where the machine was too busy.
-pub fn verdict(breaches: &[Breach], busy: Option<String>) -> ExitCode {
+pub fn verdict(breaches: &[Breach], busy: Option<String>) -> Verdict {
     let hard = breaches.iter().find(|breach| !breach.rule.timed() || busy.is_none());
     if let Some(first) = hard {
         println!("NOT PROVED: {first} ({} breaches)", breaches.len());
-        return ExitCode::FAILURE;
+        return Verdict::NotProved;
     }
     let (Some(first), Some(busy)) = (breaches.first(), busy) else {
         println!("PROVED");
-        return ExitCode::SUCCESS;
+        return Verdict::Proved;
     };
-    println!("NO VERDICT: the machine is too busy, {busy}; seen: {first}");
-    match std::env::var("SYSTEM_TEST_ALLOW_NO_VERDICT").as_deref() {
-        Ok("1") => ExitCode::SUCCESS,
-        _ => ExitCode::FAILURE,
+    let line = format!("NO VERDICT: the machine is too busy, {busy}; seen: {first}");
+    println!("{line}");
+    list_without_verdict(&line);
+    Verdict::Missing
+}
+
+/// Appends a line to the file that `NO_VERDICT_LOG` names: CI prints at its end which proofs had no verdict.
+fn list_without_verdict(line: &str) {
+    let Some(path) = std::env::var_os("NO_VERDICT_LOG") else { return };
+    let appended = OpenOptions::new()
+        .create(true)
+        .append(true)
+        .open(&path)
+        .and_then(|mut file| writeln!(file, "{line}"));
+    if let Err(error) = appended {
+        eprintln!("{}: {error}", path.to_string_lossy());
     }
 }
 
--- a/crates/system-test/src/upgrade.rs
+++ b/crates/system-test/src/upgrade.rs
@@ -52,7 +52,7 @@
     } else {
         let _ = std::fs::remove_dir_all(&home);
     }
-    Ok(verdict(&breaches, recorder.busy()))
+    Ok(verdict(&breaches, recorder.busy()).exit_code())
 }
 
 fn play(
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod hunt;
 pub mod judge;
 pub mod load;
+pub mod no_verdict_log;
 pub mod page;
 pub mod plan;
 pub mod play;
--- a/crates/testbed/test-processes.sh
+++ b/crates/testbed/test-processes.sh
@@ -15,8 +15,13 @@
     echo "test-processes: $2${why:+ ($why)}"
     exit 1
 }
+# Lists a play without a verdict for the end of CI.
+list() {
+    echo "$1 $(grep -m1 -o 'NO VERDICT: .*' "$here/$2" | cut -c13-)" >>"${NO_VERDICT_LOG:-/dev/null}"
+}
 # A machine too busy for the bounds that count time gives no verdict, and the reason; that is neither a yes nor a no.
 none() {
+    list "NO VERDICT test-processes $1:" "$1"
     echo "test-processes: NO VERDICT: $(grep -m1 -o 'NO VERDICT: .*' "$here/$1" | cut -c13-)"
     [ "${PROVE_ALLOW_NO_VERDICT:-}" = 1 ] && exit 0
     exit 3
@@ -25,6 +30,7 @@
 code=0
 $rig play "$day" >"$here/play" 2>&1 || code=$?
 if [ "$code" = 3 ]; then
+    list "PLAYED AGAIN test-processes:" play
     code=0
     $rig play "$day" >"$here/play" 2>&1 || code=$?
 fi
@@ -40,7 +46,10 @@
 wait
 # Each is a day of its own, and each may have no verdict: 3 is not "not found out". Once more, with nothing beside it.
 for wrong in $stand_ins; do
-    [ "$(cat "$here/$wrong.code")" != 3 ] || stand_in "$wrong"
+    if [ "$(cat "$here/$wrong.code")" = 3 ]; then
+        list "PLAYED AGAIN test-processes $wrong:" "$wrong"
+        stand_in "$wrong"
+    fi
     [ "$(cat "$here/$wrong.code")" != 3 ] || none "$wrong"
 done
 [ "$(cat "$here/right.code")" = 0 ] || say right "a stand-in that is right is found wrong"
--- a/crates/testbed/tests/wrong_nodes.rs
+++ b/crates/testbed/tests/wrong_nodes.rs
@@ -2,6 +2,7 @@
 //! nothing where they are right.
 
 use stileroute_testbed::experiment::read;
+use stileroute_testbed::no_verdict_log;
 use stileroute_testbed::play::play;
 use stileroute_testbed::report::Played;
 
@@ -27,10 +28,9 @@
     let plan = read("day.toml", text).unwrap().plan;
     let mut played = play(&plan, 1, &script).unwrap();
     for _ in 1..PLAYS {
-        if played.no_verdict.is_none() {
-            break;
-        }
-        eprintln!("{wrong}, played again: {:?}", played.no_verdict);
+        let Some(reason) = &played.no_verdict else { break };
+        eprintln!("{wrong}, played again: {reason}");
+        no_verdict_log::list_played_again(&format!("wrong_nodes {wrong}"), reason);
         played = play(&plan, 1, &script).unwrap();
     }
     std::fs::remove_file(&script).unwrap();
