Log: what is given up after a failed sync is not answered as synced

What callers would have seen: a message answered 202 whose record is on no disk.

After a failed sync the unsynced entries are read back and written again before the next sync. Where they read back otherwise they are given up, with the append that asked for the sync, and that sync then succeeded: the append was answered Ok.

Giving up is an error of the sync now: who waits for it is told, and the records come again. The new test failed before (answered as there, and not there).

--- a/crates/wal/src/segment.rs
+++ b/crates/wal/src/segment.rs
@@ -1,5 +1,6 @@
 //! The segment that is written to.
 
+use std::io;
 use std::path::Path;
 
 use crate::disk::{self, DiskFile};
@@ -184,7 +185,8 @@
         Ok(true)
     }
 
-    /// Reads back the unsynced entries and writes them again, or gives them up if they do not read as complete entries.
+    /// Reads back the unsynced entries and writes them again. If they do not read as complete entries they are given up, and that is
+    /// an error.
     fn rewrite_unsynced(&mut self, options: &Options) -> Result<(), FileError> {
         let mut bytes = vec![0; (self.end.bytes - self.synced.bytes) as usize];
         self.has_excess_bytes = true;
@@ -196,7 +198,9 @@
                 "unsynced records are lost: a sync failed, and they read back otherwise"
             );
             self.end = self.synced;
-            return self.remove_excess(options);
+            self.remove_excess(options)?;
+            let reason = io::Error::other("a sync failed, and what was not synced reads back otherwise");
+            return Err(FileError::new("reading back", self.file.path(), reason));
         }
         self.file.seek(self.synced.bytes)?;
         self.file.write(&bytes, options)?;
--- a/crates/wal/tests/appends.rs
+++ b/crates/wal/tests/appends.rs
@@ -3,14 +3,14 @@
 mod support;
 
 use std::io;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use assert_matches::assert_matches;
 use stileroute_wal::{AppendError, Options, StateMachine, Statistics, Step, MAX_RECORD_BYTES};
-use support::{hooked, keys, options, signal_at, TemporaryFolder, TestLog, TIMEOUT};
+use support::{hooked, keys, options, signal_at, TemporaryFolder, TestLog, LOG, TIMEOUT};
 
 #[test]
 fn results_come_in_order_and_queued_appends_share_one_sync() {
@@ -85,6 +85,32 @@
     }
 }
 
+/// Guards against an append that is answered as synced though it was given up with what the system had lost before it.
+#[test]
+fn records_that_read_back_otherwise_after_a_failed_sync_are_not_answered_as_there() {
+    let folder = TemporaryFolder::new();
+    let is_failing = Arc::new(AtomicBool::new(false));
+    let is_failing_in_hook = is_failing.clone();
+    let (mut log, _) = TestLog::open(
+        &folder.0,
+        hooked(move |step| match is_failing_in_hook.load(Ordering::Relaxed) && step == Step::SyncSegment {
+            true => Err(io::Error::from_raw_os_error(5)),
+            false => Ok(()),
+        }),
+    );
+    log.append(&["lost=1"], false).unwrap();
+    is_failing.store(true, Ordering::Relaxed);
+    assert_matches!(log.append(&["a=1"], true), Err(AppendError::Sync(_)));
+    is_failing.store(false, Ordering::Relaxed);
+    // What the system could not write reads back as something else.
+    folder.edit(LOG, |bytes| bytes.iter_mut().skip(20).for_each(|byte| *byte = 0));
+    let is_there = log.append(&["b=2"], true).is_ok();
+    assert_eq!(folder.copy().recover().unwrap().0.contains_key("b"), is_there);
+    log.append(&["c=3"], true).unwrap();
+    drop(log);
+    assert!(folder.recover().unwrap().0.contains_key("c"));
+}
+
 #[test]
 fn a_full_disk_refuses_appends_until_a_checkpoint_frees_space() {
     let folder = TemporaryFolder::new();
