Log: it goes on writing while a sync runs, so that ends outlive a killed process

Cause: the log's only thread wrote and synced. While a sync stalled, ends waited in memory, at the owner and at the replica alike; who was killed then had not written them.

A thread of its own runs the syncs. Groups are written at once; what one sync covers is what was written when it began, and appends are answered in order after the sync that covers them. A failed sync takes back all that was not answered, also what was written while it ran; what was answered stays, as before. A segment is closed, all synced, before the next sync begins.

--- a/crates/wal/src/disk.rs
+++ b/crates/wal/src/disk.rs
@@ -8,6 +8,7 @@
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
 use crate::error::FileError;
 use crate::instrumentation::Operation;
@@ -85,7 +86,8 @@
 
 /// An open file of the folder.
 pub struct DiskFile {
-    file: File,
+    /// Shared with syncs that run on another thread.
+    file: Arc<File>,
     path: PathBuf,
 }
 
@@ -97,7 +99,7 @@
         creating.read(true).write(true).create(true).truncate(true);
         let file = creating.open(&path).map_err(FileError::on("creating", &path))?;
         options.observed(|| Operation::FileCreated { name: name.to_string() });
-        Ok(DiskFile { file, path })
+        Ok(DiskFile { file: Arc::new(file), path })
     }
 
     /// Opens a file that is there, to read and write it.
@@ -105,7 +107,7 @@
         let path = folder.join(name);
         let opened = OpenOptions::new().read(true).write(true).open(&path);
         let file = opened.map_err(FileError::on("opening", &path))?;
-        Ok(DiskFile { file, path })
+        Ok(DiskFile { file: Arc::new(file), path })
     }
 
     /// Where it is.
@@ -126,10 +128,10 @@
     /// Writes at the current offset.
     pub fn write(&mut self, bytes: &[u8], options: &Options) -> Result<(), FileError> {
         let offset = match options.operation_observer {
-            Some(_) => self.file.stream_position().map_err(FileError::on("writing", &self.path))?,
+            Some(_) => self.file.as_ref().stream_position().map_err(FileError::on("writing", &self.path))?,
             None => 0,
         };
-        let written = self.file.write_all(bytes);
+        let written = self.file.as_ref().write_all(bytes);
         options.observed(|| Operation::Written { name: self.name(), offset, bytes: bytes.to_vec() });
         written.map_err(FileError::on("writing", &self.path))
     }
@@ -143,26 +145,60 @@
 
     /// Sets the current offset.
     pub fn seek(&mut self, offset: u64) -> Result<(), FileError> {
-        let sought = self.file.seek(SeekFrom::Start(offset));
+        let sought = self.file.as_ref().seek(SeekFrom::Start(offset));
         sought.map(drop).map_err(FileError::on("seeking in", &self.path))
     }
 
     /// Fills the buffer from the current offset on.
     pub fn read_exact(&mut self, buffer: &mut [u8]) -> Result<(), FileError> {
-        self.file.read_exact(buffer).map_err(FileError::on("reading", &self.path))
+        self.file.as_ref().read_exact(buffer).map_err(FileError::on("reading", &self.path))
+    }
+
+    /// What a thread needs that syncs the file while this one writes to it.
+    pub fn syncer(&self) -> FileSyncer {
+        FileSyncer { file: Arc::clone(&self.file), path: self.path.clone() }
     }
 
     /// Makes the bytes durable, and of the metadata only what reading them needs (`fdatasync`).
-    pub fn sync_data(&mut self, options: &Options) -> Result<(), FileError> {
-        self.file.sync_data().map_err(FileError::on("syncing", &self.path))?;
-        options.observed(|| Operation::FileSynced { name: self.name() });
-        Ok(())
+    pub fn sync_data(&self, options: &Options) -> Result<(), FileError> {
+        self.syncer().sync_data(options)
     }
 
     /// Makes the bytes and all metadata durable (`fsync`).
-    pub fn sync_all(&mut self, options: &Options) -> Result<(), FileError> {
-        self.file.sync_all().map_err(FileError::on("syncing", &self.path))?;
-        options.observed(|| Operation::FileSynced { name: self.name() });
+    pub fn sync_all(&self, options: &Options) -> Result<(), FileError> {
+        self.syncer().sync_all(options)
+    }
+}
+
+/// Syncs an open file of the folder, while another thread may write to it.
+///
+/// What was written before a sync began is durable once it has ended; what was written meanwhile may or may not be.
+pub struct FileSyncer {
+    file: Arc<File>,
+    path: PathBuf,
+}
+
+impl FileSyncer {
+    /// Where the file is.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Makes the bytes durable, and of the metadata only what reading them needs (`fdatasync`).
+    pub fn sync_data(&self, options: &Options) -> Result<(), FileError> {
+        self.sync(File::sync_data, options)
+    }
+
+    /// Makes the bytes and all metadata durable (`fsync`).
+    pub fn sync_all(&self, options: &Options) -> Result<(), FileError> {
+        self.sync(File::sync_all, options)
+    }
+
+    fn sync(&self, sync: fn(&File) -> io::Result<()>, options: &Options) -> Result<(), FileError> {
+        let name = || self.path.file_name().unwrap_or_default().to_string_lossy().into_owned();
+        options.observed(|| Operation::SyncBegun { name: name() });
+        sync(&self.file).map_err(FileError::on("syncing", &self.path))?;
+        options.observed(|| Operation::FileSynced { name: name() });
         Ok(())
     }
 }
--- a/crates/wal/src/instrumentation.rs
+++ b/crates/wal/src/instrumentation.rs
@@ -88,7 +88,12 @@
         /// Its length in bytes.
         length: u64,
     },
-    /// A file was synced.
+    /// A sync of a file is about to begin.
+    SyncBegun {
+        /// The file.
+        name: String,
+    },
+    /// A file was synced: what was written before that sync began is durable.
     FileSynced {
         /// The file.
         name: String,
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -1,4 +1,4 @@
-//! A write-ahead log on disk: segments of records, a snapshot of what came before them, one writer thread and one queue.
+//! A write-ahead log on disk: segments of records, a snapshot of what came before them, a thread that writes, and one that syncs.
 //!
 //! ```text
 //! FORMAT              stileroute-logbook 1 SCHEMA IDENTITY
--- a/crates/wal/src/planted.rs
+++ b/crates/wal/src/planted.rs
@@ -19,6 +19,8 @@
     DroppedEarly,
     /// An append is answered before its sync.
     EarlyAnswer,
+    /// A sync covers what was written while it ran.
+    LaterWritesCovered,
     /// A torn end counts as valid: what comes next is written behind it.
     TornTaken,
     /// A segment that is written to again keeps what lies behind its torn end.
@@ -28,7 +30,7 @@
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// Each of them, for the search.
-    pub const ALL: [PlantedFault; 9] = [
+    pub const ALL: [PlantedFault; 10] = [
         PlantedFault::ParentUnsynced,
         PlantedFault::NamesTrusted,
         PlantedFault::SegmentNameUnsynced,
@@ -36,6 +38,7 @@
         PlantedFault::SnapshotUnsynced,
         PlantedFault::DroppedEarly,
         PlantedFault::EarlyAnswer,
+        PlantedFault::LaterWritesCovered,
         PlantedFault::TornTaken,
         PlantedFault::NotCut,
     ];
--- a/crates/wal/src/segment.rs
+++ b/crates/wal/src/segment.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::path::Path;
 
-use crate::disk::{self, DiskFile};
+use crate::disk::{self, DiskFile, FileSyncer};
 use crate::error::FileError;
 use crate::file_names::{log_name, unfinished_name};
 use crate::frame::{self, FileId, FileKind, FolderIdentity, FILE_HEADER_BYTES};
@@ -39,6 +39,38 @@
     Failed,
 }
 
+/// What a segment holds at some moment, and what it holds no more: it outlives a loss of power once it is synced.
+#[derive(Clone, Copy, Default)]
+pub struct SyncPoint {
+    /// Where the segment ended.
+    bytes: u64,
+    /// How often it had been made shorter.
+    truncations: u64,
+}
+
+/// A sync of a segment, which any thread may run while the segment is written to.
+pub struct SegmentSync {
+    file: FileSyncer,
+    /// Up to where the segment was written when the sync began.
+    covered: Position,
+    /// How often the segment had been made shorter then.
+    truncations: u64,
+    /// It has to cover one of these.
+    covers_truncation: bool,
+}
+
+impl SegmentSync {
+    /// Syncs; returns once it has ended.
+    pub fn run(&self, options: &Options) -> Result<(), FileError> {
+        options.before(Step::SyncSegment, self.file.path())?;
+        if self.covers_truncation {
+            self.file.sync_all(options)
+        } else {
+            self.file.sync_data(options)
+        }
+    }
+}
+
 /// The segment that is written to.
 pub struct Segment {
     file: DiskFile,
@@ -50,8 +82,10 @@
     pub synced: Position,
     /// Bytes of a failed write may lie behind `end`, and the file's offset may be elsewhere.
     has_excess_bytes: bool,
-    /// It was made shorter and not synced since, so that what was cut off could come back.
-    is_truncation_unsynced: bool,
+    /// How often it was made shorter since it was opened.
+    truncations: u64,
+    /// How many of these are synced; what was cut off by a later one could come back.
+    synced_truncations: u64,
     last_sync: LastSync,
     name: NameState,
 }
@@ -111,7 +145,8 @@
             end,
             synced: end,
             has_excess_bytes: false,
-            is_truncation_unsynced: false,
+            truncations: 0,
+            synced_truncations: 0,
             last_sync: LastSync::Succeeded,
             name: NameState::Synced,
         }
@@ -146,7 +181,7 @@
     /// Cuts off what a failed write may have left.
     fn remove_excess(&mut self, options: &Options) -> Result<(), FileError> {
         if self.has_excess_bytes {
-            self.is_truncation_unsynced = true;
+            self.truncations += 1;
             self.file.truncate(self.end.bytes, options)?;
             self.has_excess_bytes = false;
         }
@@ -162,27 +197,44 @@
         Ok(())
     }
 
-    /// Makes all entries durable. Whether a sync was needed for that, and done.
-    pub fn sync(&mut self, folder: &Path, options: &Options) -> Result<bool, FileError> {
+    /// What has to be synced to make all entries durable; `None` where nothing has to. Until that sync has ended no other may begin.
+    pub fn begin_sync(&mut self, folder: &Path, options: &Options) -> Result<Option<SegmentSync>, FileError> {
         self.sync_name(folder, options)?;
         self.remove_excess(options)?;
-        if self.synced.bytes == self.end.bytes && !self.is_truncation_unsynced {
-            return Ok(false);
+        if self.is_synced_to(self.sync_point()) {
+            return Ok(None);
         }
         if self.last_sync == LastSync::Failed {
             self.rewrite_unsynced(options)?;
         }
-        self.last_sync = LastSync::Failed;
-        options.before(Step::SyncSegment, self.file.path())?;
-        if self.is_truncation_unsynced {
-            self.file.sync_all(options)?;
-        } else {
-            self.file.sync_data(options)?;
+        Ok(Some(SegmentSync {
+            file: self.file.syncer(),
+            covered: self.end,
+            truncations: self.truncations,
+            covers_truncation: self.synced_truncations < self.truncations,
+        }))
+    }
+
+    /// Takes in how a sync has ended that was begun here.
+    pub fn end_sync(&mut self, sync: &SegmentSync, has_succeeded: bool, options: &Options) {
+        if !has_succeeded {
+            self.last_sync = LastSync::Failed;
+            return;
         }
         self.last_sync = LastSync::Succeeded;
-        self.is_truncation_unsynced = false;
-        self.synced = self.end;
-        Ok(true)
+        self.synced_truncations = sync.truncations;
+        let trusts_later_writes = options.has_planted(PlantedFault::LaterWritesCovered);
+        self.synced = if trusts_later_writes { self.end } else { sync.covered };
+    }
+
+    /// What it holds now.
+    pub fn sync_point(&self) -> SyncPoint {
+        SyncPoint { bytes: self.end.bytes, truncations: self.truncations }
+    }
+
+    /// Whether what it held then outlives a loss of power.
+    pub fn is_synced_to(&self, point: SyncPoint) -> bool {
+        point.bytes <= self.synced.bytes && point.truncations <= self.synced_truncations
     }
 
     /// Reads back the unsynced entries and writes them again. If they do not read as complete entries they are given up, and that is
--- a/crates/wal/src/wal.rs
+++ b/crates/wal/src/wal.rs
@@ -44,7 +44,7 @@
         let (queue, commands) = channel();
         let run_checkpoint = checkpoint::run::<M>;
         let writer =
-            Writer::new(folder, run_checkpoint, on_result, commands, queue.clone(), counters.clone());
+            Writer::new(folder, run_checkpoint, on_result, commands, queue.clone(), counters.clone())?;
         let writer =
             Builder::new().name("wal".into()).spawn(move || writer.run()).map_err(OpenError::SpawnWriter)?;
         Ok((Wal { queue, counters, writer: Some(writer) }, state))
@@ -53,8 +53,8 @@
     /// Queues records that go into one entry: after any crash all of them are there or none.
     ///
     /// With `sync` the result comes after the sync. Without it comes after the write: then the records outlive the process, but
-    /// not yet the machine; they are synced within [`Options::max_sync_delay`]. No records with `sync` wait for all that was
-    /// appended before. After an `Err` the records are not there, but may come back if the power fails before the next sync.
+    /// not yet the machine; a sync of them begins within [`Options::max_sync_delay`]. Records are written at once in any case, also
+    /// while a sync runs. No records with `sync` wait for all that was appended before. After an `Err` the records are not there, but may come back if the power fails before the next sync.
     pub fn append(&self, ticket: u64, records: Vec<Vec<u8>>, sync: bool) {
         if self.queue.send(Command::Append(Append { ticket, records, sync })).is_err() {
             tracing::error!(ticket, "the writer's thread has ended");
--- a/crates/wal/src/writer.rs
+++ b/crates/wal/src/writer.rs
@@ -1,10 +1,11 @@
 //! The writer's thread: takes appends in groups, keeps the time of syncs and checkpoints, and ends in order.
 //!
-//! Appends that queue while one group is synced make the next group, and share its sync: group commit (DeWitt et al.,
-//! "Implementation Techniques for Main Memory Database Systems", SIGMOD 1984).
+//! Groups that are written while a sync runs share the next one: group commit (DeWitt et al., "Implementation Techniques for Main
+//! Memory Database Systems", SIGMOD 1984).
 
 mod checkpoints;
 mod group;
+mod syncs;
 
 use std::collections::VecDeque;
 use std::sync::mpsc::{Receiver, Sender};
@@ -12,11 +13,12 @@
 use std::time::{Duration, Instant};
 
 use crate::checkpoint::{CheckpointOutcome, CheckpointTask};
-use crate::error::{AppendError, CheckpointError, FileError};
+use crate::error::{AppendError, CheckpointError, OpenError};
 use crate::folder::Folder;
 use crate::frame;
-use crate::statistics::{add, Counters};
+use crate::statistics::Counters;
 use checkpoints::RunningCheckpoint;
+use syncs::{EndedSync, SyncThread, UnansweredAppend};
 
 /// Bytes after which a group takes no more appends.
 const GROUP_BYTES: usize = 1 << 20;
@@ -27,6 +29,8 @@
 pub enum Command {
     /// Write these records.
     Append(Append),
+    /// A sync has ended.
+    SyncEnded(EndedSync),
     /// The checkpoint's thread has ended.
     CheckpointEnded(Result<CheckpointOutcome, CheckpointError>),
     /// Write what was queued before, and end.
@@ -56,10 +60,15 @@
     commands: Receiver<Command>,
     /// Arrived while an append waited for capacity; they come before what is in `commands`.
     backlog: VecDeque<Command>,
+    /// Written or refused, and not answered yet, in order: the end of the log.
+    unanswered: VecDeque<UnansweredAppend>,
+    syncs: SyncThread,
     /// For the checkpoint's thread.
     queue: Sender<Command>,
     counters: Arc<Counters>,
     checkpoint: Option<RunningCheckpoint>,
+    /// An append was refused because the folder may not grow, and no checkpoint was considered since.
+    is_out_of_capacity: bool,
     /// After a checkpoint that failed: no other before.
     next_checkpoint_at: Option<Instant>,
     /// When unsynced records have to be synced.
@@ -76,20 +85,24 @@
         commands: Receiver<Command>,
         queue: Sender<Command>,
         counters: Arc<Counters>,
-    ) -> Writer<D> {
-        Writer {
+    ) -> Result<Writer<D>, OpenError> {
+        let syncs = SyncThread::start(&folder.options, &queue)?;
+        Ok(Writer {
             folder,
             run_checkpoint,
             on_result,
             commands,
             backlog: VecDeque::new(),
+            unanswered: VecDeque::new(),
+            syncs,
             queue,
             counters,
             checkpoint: None,
+            is_out_of_capacity: false,
             next_checkpoint_at: None,
             sync_deadline: None,
             buffer: Vec::new(),
-        }
+        })
     }
 
     /// Until it is told to stop.
@@ -98,17 +111,21 @@
         loop {
             let next = self.gather(&mut group);
             self.wait_for_capacity(&group);
-            let is_out_of_capacity = !group.is_empty() && self.write_group(&mut group);
+            if !group.is_empty() {
+                self.is_out_of_capacity |= self.write_group(&mut group);
+            }
             match next {
+                Some(Command::SyncEnded(ended)) => {
+                    self.sync_ended(ended);
+                    // Before the next sync begins: under load one runs all the time.
+                    self.begin_checkpoint_if_due();
+                }
                 Some(Command::CheckpointEnded(result)) => self.checkpoint_ended(result),
                 Some(Command::Stop { sync }) => return self.end(sync),
-                _ => {}
-            }
-            if self.sync_deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-                // A failure is logged and counted, and the sync is due again.
-                let _ = self.sync();
+                Some(Command::Append(_)) | None => {}
             }
-            self.begin_checkpoint_if_due(is_out_of_capacity);
+            self.begin_sync_if_due();
+            self.begin_checkpoint_if_due();
         }
     }
 
@@ -133,10 +150,7 @@
         if let Some(command) = self.backlog.pop_front() {
             return Some(command);
         }
-        let has_closed_segments = self.folder.base < self.folder.log.number;
-        let is_checkpoint_wanted = self.checkpoint.is_none() && has_closed_segments;
-        let checkpoint_at = self.next_checkpoint_at.filter(|_| is_checkpoint_wanted);
-        match [self.sync_deadline, checkpoint_at].into_iter().flatten().min() {
+        match self.next_deadline() {
             Some(deadline) => {
                 self.commands.recv_timeout(deadline.saturating_duration_since(Instant::now())).ok()
             }
@@ -144,29 +158,22 @@
         }
     }
 
-    /// Syncs all that was written. After a failure it is due again.
-    fn sync(&mut self) -> Result<(), FileError> {
-        let Folder { path, options, log, .. } = &mut self.folder;
-        match log.sync(path, options) {
-            Ok(was_needed) => {
-                add(&self.counters.syncs, u64::from(was_needed));
-                self.sync_deadline = None;
-                Ok(())
-            }
-            Err(error) => {
-                tracing::warn!(%error, "a sync failed");
-                add(&self.counters.failures, 1);
-                let delay = options.max_sync_delay.max(MIN_SYNC_RETRY_DELAY);
-                self.sync_deadline = Some(Instant::now() + delay);
-                Err(error)
-            }
+    /// When something is to be begun that waits for the time alone. While a sync runs, for its end before anything else.
+    fn next_deadline(&self) -> Option<Instant> {
+        if self.syncs.is_running() {
+            return None;
         }
+        let has_closed_segments = self.folder.base < self.folder.log.number;
+        let is_checkpoint_wanted = self.checkpoint.is_none() && has_closed_segments;
+        let checkpoint_at = self.next_checkpoint_at.filter(|_| is_checkpoint_wanted);
+        [self.sync_deadline, checkpoint_at].into_iter().flatten().min()
     }
 
     fn end(mut self, sync: bool) {
-        if sync {
-            // A failure is logged and counted; the process ends all the same.
-            let _ = self.sync();
+        self.wait_for_running_sync();
+        if sync || !self.unanswered.is_empty() {
+            // A failure is logged, counted and answered; the process ends all the same.
+            let _ = self.sync_and_wait();
         }
         if let Some(checkpoint) = self.checkpoint.take() {
             checkpoint.cancel_and_wait();
--- a/crates/wal/src/writer/checkpoints.rs
+++ b/crates/wal/src/writer/checkpoints.rs
@@ -45,11 +45,14 @@
     /// way or can be begun, where smaller ones are refused. Each checkpoint leaves less to clear, so this ends.
     pub(super) fn wait_for_capacity(&mut self, group: &[Append]) {
         while self.is_large_and_does_not_fit(group) {
-            self.begin_checkpoint_if_due(true);
-            if self.checkpoint.is_none() {
+            self.is_out_of_capacity = true;
+            self.begin_checkpoint_if_due();
+            self.begin_sync_if_due();
+            if self.checkpoint.is_none() && !self.syncs.is_running() {
                 return;
             }
             match self.commands.recv() {
+                Ok(Command::SyncEnded(ended)) => self.sync_ended(ended),
                 Ok(Command::CheckpointEnded(result)) => self.checkpoint_ended(result),
                 Ok(command) => {
                     let is_stop = matches!(command, Command::Stop { .. });
@@ -82,8 +85,13 @@
         }
     }
 
-    /// Closes the segment if it is long enough, and begins a checkpoint if there are closed segments. One is under way at most.
-    pub(super) fn begin_checkpoint_if_due(&mut self, is_out_of_capacity: bool) {
+    /// Closes the segment if it is long enough, and begins a checkpoint if there are closed segments. One is under way at most, and
+    /// none begins while a sync runs.
+    pub(super) fn begin_checkpoint_if_due(&mut self) {
+        if self.syncs.is_running() {
+            return;
+        }
+        let is_out_of_capacity = std::mem::take(&mut self.is_out_of_capacity);
         let must_wait = self.next_checkpoint_at.is_some_and(|at| at > Instant::now());
         if self.checkpoint.is_some() || must_wait {
             return;
@@ -111,7 +119,7 @@
 
     /// Closes the segment, all of it synced, and begins the next.
     fn begin_segment(&mut self) -> Result<(), CheckpointError> {
-        self.sync()?;
+        self.sync_and_wait()?;
         let Folder { path, options, identity, log, closed_bytes, .. } = &mut self.folder;
         let next = Segment::create(path, log.number + 1, *identity, options)?;
         *closed_bytes += log.end.bytes;
--- a/crates/wal/src/writer/group.rs
+++ b/crates/wal/src/writer/group.rs
@@ -1,13 +1,13 @@
-//! Writes a group of appends: which of it is refused, the entries of the rest, and the answers.
+//! Writes a group of appends: which of it is refused, and the entries of the rest.
 
 use std::time::Instant;
 
+use super::syncs::UnansweredAppend;
 use super::{Append, Writer, GROUP_BYTES};
 use crate::error::AppendError;
 use crate::folder::Folder;
 use crate::frame::{self, MAX_APPEND_BYTES, MAX_RECORD_BYTES};
 use crate::options::Options;
-use crate::planted::PlantedFault;
 use crate::segment::Position;
 use crate::statistics::add;
 
@@ -18,14 +18,12 @@
     refusals: Vec<Option<AppendError>>,
     entries: u32,
     records: u64,
-    needs_sync: bool,
     /// One was refused because the folder may not grow.
     is_out_of_capacity: bool,
 }
 
 impl<D: Fn(u64, Result<(), AppendError>)> Writer<D> {
-    /// Writes a group at once, syncs once if one of it asks for that, and answers all of it in order. If the sync fails the
-    /// group is taken back altogether, also what did not ask for it.
+    /// Writes a group at once, or nothing of it, and answers what waits for no sync.
     ///
     /// Returns whether an append was refused because the folder may not grow.
     pub(super) fn write_group(&mut self, group: &mut Vec<Append>) -> bool {
@@ -35,16 +33,16 @@
         if result.is_ok() {
             add(&self.counters.records, encoded.records);
             add(&self.counters.bytes, self.buffer.len() as u64);
-        } else if self.folder.log.end.bytes > start.bytes {
-            let Folder { options, log, .. } = &mut self.folder;
-            log.truncate_to(start, options);
         }
         if self.buffer.capacity() > 2 * GROUP_BYTES {
             self.buffer = Vec::new();
         }
         for (append, refusal) in group.drain(..).zip(encoded.refusals) {
-            (self.on_result)(append.ticket, refusal.map_or_else(|| result.clone(), Err));
+            let result = refusal.map_or_else(|| result.clone(), Err);
+            let needs = self.needed_sync(append.sync && result.is_ok());
+            self.unanswered.push_back(UnansweredAppend { ticket: append.ticket, result, start, needs });
         }
+        self.answer_appends();
         encoded.is_out_of_capacity
     }
 
@@ -60,7 +58,6 @@
             match &refusal {
                 Some(error) => encoded.is_out_of_capacity |= matches!(error, AppendError::DiskFull),
                 None => {
-                    encoded.needs_sync |= append.sync;
                     if !append.records.is_empty() {
                         let number = start.entries.wrapping_add(encoded.entries);
                         put_entry(&append.records, number, log.synced.bytes, &mut self.buffer);
@@ -75,20 +72,16 @@
     }
 
     fn write_entries(&mut self, encoded: &EncodedGroup) -> Result<(), AppendError> {
-        if encoded.entries > 0 {
-            let Folder { options, log, .. } = &mut self.folder;
-            if let Err(error) = log.write(&self.buffer, encoded.entries, options) {
-                add(&self.counters.failures, 1);
-                return Err(AppendError::from_write(error));
-            }
-        }
-        if encoded.needs_sync && !self.folder.options.has_planted(PlantedFault::EarlyAnswer) {
-            return self.sync().map_err(AppendError::from_sync);
+        if encoded.entries == 0 {
+            return Ok(());
         }
-        if encoded.entries > 0 {
-            let max_sync_delay = self.folder.options.max_sync_delay;
-            self.sync_deadline.get_or_insert_with(|| Instant::now() + max_sync_delay);
+        let Folder { options, log, .. } = &mut self.folder;
+        if let Err(error) = log.write(&self.buffer, encoded.entries, options) {
+            add(&self.counters.failures, 1);
+            return Err(AppendError::from_write(error));
         }
+        let max_sync_delay = self.folder.options.max_sync_delay;
+        self.sync_deadline.get_or_insert_with(|| Instant::now() + max_sync_delay);
         Ok(())
     }
 }
--- a/crates/wal/tests/power/disk.rs
+++ b/crates/wal/tests/power/disk.rs
@@ -53,6 +53,8 @@
 struct Content {
     synced: Vec<u8>,
     changes: Vec<Change>,
+    /// How many of the changes a sync that is running covers: those that were made before it began.
+    covered: usize,
 }
 
 impl Content {
@@ -65,6 +67,13 @@
     fn visible(&self) -> Vec<u8> {
         self.after(std::iter::repeat(Fate::Kept))
     }
+
+    /// What was changed before the sync began is durable; what was changed meanwhile may still be lost.
+    fn sync_covered(&mut self) {
+        for change in self.changes.drain(..std::mem::take(&mut self.covered)) {
+            change.apply(Fate::Kept, &mut self.synced);
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -85,7 +94,7 @@
     /// One that holds these, all of them durable.
     pub fn with_durable_files(files: &Files) -> Disk {
         let contents =
-            files.values().map(|bytes| Content { synced: bytes.clone(), changes: Vec::new() }).collect();
+            files.values().map(|bytes| Content { synced: bytes.clone(), ..Content::default() }).collect();
         let names: BTreeMap<String, usize> = files.keys().cloned().zip(0..).collect();
         Disk {
             contents,
@@ -111,11 +120,11 @@
                 self.add_change(name, Change::Write { at: *offset as usize, bytes: bytes.clone() });
             }
             Operation::LengthSet { name, length } => self.add_change(name, Change::Length(*length as usize)),
-            Operation::FileSynced { name } => {
+            Operation::SyncBegun { name } => {
                 let content = &mut self.contents[self.names[name]];
-                content.synced = content.visible();
-                content.changes.clear();
+                content.covered = content.changes.len();
             }
+            Operation::FileSynced { name } => self.contents[self.names[name]].sync_covered(),
             Operation::Renamed { from, to } => {
                 let content = self.names[from];
                 self.set_name(from, None);
--- a/crates/wal/tests/power/mod.rs
+++ b/crates/wal/tests/power/mod.rs
@@ -82,12 +82,52 @@
 const APPENDS: u64 = 10;
 /// Bytes of some five appends.
 const SEGMENT_BYTES: u64 = 200;
+/// Of the appends those in whose place two are made, one of them while the other is synced.
+const TWO_AT_ONCE: [u64; 3] = [2, 6, 7];
 /// Steps of a checkpoint at which more is appended while its thread waits.
 const STEPS_WITH_APPENDS: [Step; 2] = [Step::SyncFolderAfterSnapshot, Step::RemoveCovered];
 
+/// What the log's threads tell the thread that appends.
+enum WriterSignal {
+    Answered(u64, Result<(), AppendError>),
+    /// A sync of a segment has begun, and waits.
+    SyncBegun,
+    /// A segment was written while that sync waits.
+    Written,
+}
+
+/// Holds a sync between its beginning and its end while more is written.
+#[derive(Clone)]
+struct SyncPause {
+    is_wanted: Arc<AtomicBool>,
+    signals: Arc<Mutex<Sender<WriterSignal>>>,
+    may_end: Arc<Mutex<Receiver<()>>>,
+}
+
+impl SyncPause {
+    /// Called after each operation, on the thread that has done it.
+    fn observe(&self, operation: &Operation) {
+        if !self.is_wanted.load(Ordering::Relaxed) {
+            return;
+        }
+        match operation {
+            Operation::SyncBegun { .. } => {
+                self.signal(WriterSignal::SyncBegun);
+                self.may_end.lock().unwrap().recv().unwrap();
+            }
+            Operation::Written { .. } => self.signal(WriterSignal::Written),
+            _ => {}
+        }
+    }
+
+    fn signal(&self, signal: WriterSignal) {
+        self.signals.lock().unwrap().send(signal).unwrap();
+    }
+}
+
 struct Writer {
     wal: Wal,
-    results: Receiver<(u64, Result<(), AppendError>)>,
+    signals: Receiver<WriterSignal>,
     trace: Trace,
     /// The last record that is there.
     last: u64,
@@ -96,20 +136,82 @@
 
 impl Writer {
     fn open(dir: &Path, options: Options, trace: &Trace) -> Result<(Writer, Count), OpenError> {
-        let (sender, results) = channel();
+        Writer::open_with(dir, options, trace, channel())
+    }
+
+    fn open_with(
+        dir: &Path,
+        options: Options,
+        trace: &Trace,
+        (sender, signals): (Sender<WriterSignal>, Receiver<WriterSignal>),
+    ) -> Result<(Writer, Count), OpenError> {
         let done = move |ticket, result| {
-            let _ = sender.send((ticket, result));
+            let _ = sender.send(WriterSignal::Answered(ticket, result));
         };
         let (wal, count) = Wal::open::<Count>(dir, options, done)?;
-        Ok((Writer { wal, results, trace: trace.clone(), last: count.last, ticket: 0 }, count))
+        Ok((Writer { wal, signals, trace: trace.clone(), last: count.last, ticket: 0 }, count))
     }
 
     fn append(&mut self, records: Vec<Vec<u8>>, sync: bool) -> bool {
+        self.queue(records, sync);
+        let (ticket, is_there) = self.next_answer();
+        assert_eq!(ticket, self.ticket);
+        is_there
+    }
+
+    fn queue(&mut self, records: Vec<Vec<u8>>, sync: bool) {
         self.ticket += 1;
         self.wal.append(self.ticket, records, sync);
-        let (ticket, result) = self.results.recv_timeout(Duration::from_secs(20)).unwrap();
-        assert_eq!(ticket, self.ticket);
-        result.is_ok()
+    }
+
+    fn next_signal(&self) -> WriterSignal {
+        self.signals.recv_timeout(Duration::from_secs(20)).unwrap()
+    }
+
+    fn next_answer(&self) -> (u64, bool) {
+        loop {
+            if let WriterSignal::Answered(ticket, result) = self.next_signal() {
+                return (ticket, result.is_ok());
+            }
+        }
+    }
+
+    /// The next two records with sync, the second of which is written while the first is synced.
+    fn next_two(&mut self, pause: &SyncPause, let_end: &Sender<()>) {
+        let first = self.last + 1;
+        pause.is_wanted.store(true, Ordering::Relaxed);
+        self.request(first);
+        // Where the sync can't even begin the first is answered at once.
+        let has_begun = loop {
+            match self.next_signal() {
+                WriterSignal::SyncBegun => break true,
+                WriterSignal::Answered(..) => break false,
+                WriterSignal::Written => {}
+            }
+        };
+        if has_begun {
+            self.request(first + 1);
+            while !matches!(self.next_signal(), WriterSignal::Written) {}
+        }
+        pause.is_wanted.store(false, Ordering::Relaxed);
+        if has_begun {
+            let_end.send(()).unwrap();
+            (first..=first + 1).for_each(|number| self.take_answer(number));
+        }
+    }
+
+    fn request(&mut self, number: u64) {
+        self.trace.lock().unwrap().push(Event::Requested(number));
+        self.queue(vec![format!("{number:08}").into_bytes()], true);
+    }
+
+    fn take_answer(&mut self, number: u64) {
+        let (_, is_there) = self.next_answer();
+        if is_there {
+            assert_eq!(number, self.last + 1, "one is there without the one before it");
+            self.last = number;
+            self.trace.lock().unwrap().push(Event::Acknowledged(number));
+        }
     }
 
     /// The next record; one that was refused is tried again by the next call.
@@ -172,11 +274,31 @@
             _ => Ok(()),
         }
     };
-    let options = Options { step_hook: Some(Arc::new(hook)), ..base_options(&trace, scenario) };
-    let (mut writer, _) = Writer::open(dir, options, &trace).unwrap();
+    let (signal_sender, writer_signals) = channel();
+    let (let_sync_end, may_end) = channel();
+    let pause = SyncPause {
+        is_wanted: Arc::default(),
+        signals: Arc::new(Mutex::new(signal_sender.clone())),
+        may_end: Arc::new(Mutex::new(may_end)),
+    };
+    let (pause_of_observer, trace_of_observer) = (pause.clone(), trace.clone());
+    let observer = move |operation: Operation| {
+        trace_of_observer.lock().unwrap().push(Event::Done(operation.clone()));
+        pause_of_observer.observe(&operation);
+    };
+    let options = Options {
+        step_hook: Some(Arc::new(hook)),
+        operation_observer: Some(Arc::new(observer)),
+        ..base_options(&trace, scenario)
+    };
+    let (mut writer, _) = Writer::open_with(dir, options, &trace, (signal_sender, writer_signals)).unwrap();
     is_open.store(true, Ordering::Relaxed);
     for number in 1..=APPENDS {
-        writer.next(number % 3 != 0);
+        if TWO_AT_ONCE.contains(&number) {
+            writer.next_two(&pause, &let_sync_end);
+        } else {
+            writer.next(number % 3 != 0);
+        }
         writer.wait_until_idle();
         while has_new_segment.swap(false, Ordering::Relaxed) {
             while let HookSignal::Reached(step) = signals.recv_timeout(Duration::from_secs(20)).unwrap() {
--- a/crates/wal/tests/support/mod.rs
+++ b/crates/wal/tests/support/mod.rs
@@ -136,7 +136,7 @@
 /// An open log, and the results of its appends.
 pub struct TestLog {
     pub wal: Wal,
-    results: Receiver<(u64, Result<(), AppendError>)>,
+    pub results: Receiver<(u64, Result<(), AppendError>)>,
     last_ticket: u64,
 }
 
@@ -159,6 +159,11 @@
         self.results.recv_timeout(TIMEOUT).unwrap()
     }
 
+    /// Whether a result has come; it is gone then.
+    pub fn has_result(&self) -> bool {
+        self.results.try_recv().is_ok()
+    }
+
     /// Appends, and waits for the result.
     pub fn append(&mut self, records: &[&str], sync: bool) -> Result<(), AppendError> {
         self.queue(records, sync);
