Quotas: a message that came after the holder was asked is not refused for the tokens asked before

What callers saw: 429 far below the tenant's quota where several of its messages came to one store at once.

Cause: a store asks the holder for as many tokens as messages wait, and took the answer for a refusal if more waited when it came. Those got 429, and for 60 ms all others too. Evidence: ten messages a second at once, half of the quota, three stores (simulated): 118 of 200 were accepted.

A refusal is an answer with fewer tokens than were asked for. As many messages as there are tokens are looked at again, and the others wait for the next answer, with the deadline that they had. The new test failed before, and 200 of 200 are accepted now.

--- a/crates/queue/src/tenant_quotas.rs
+++ b/crates/queue/src/tenant_quotas.rs
@@ -39,6 +39,8 @@
 pub(crate) struct TenantQuota {
     pub(crate) bucket: TokenBucket,
     waiting: VecDeque<WaitingForToken>,
+    /// So many tokens the holder was asked for last.
+    requested: u32,
     /// The holder had too few tokens: until then nothing is asked for.
     denied_until: Millis,
 }
@@ -82,6 +84,7 @@
             let mut quota = quota.unwrap_or_else(|| TenantQuota {
                 bucket: TokenBucket::default(),
                 waiting: VecDeque::new(),
+                requested: 0,
                 denied_until: 0,
             });
             quota.bucket.set_quota(now, tenant.rate_limit_per_s, tenant.burst, self.settings.quota);
@@ -139,25 +142,32 @@
             return;
         }
         let count = quota.waiting.len().min(MAX_TOKENS_PER_REQUEST) as u32;
+        quota.requested = count;
         let message = PeerMessage::RequestTokens { service: name.to_string(), count };
         self.emit(Effect::Send { to: holder, message });
     }
 
-    /// The holder has answered a request with so many tokens: those that wait are looked at again, and those that get none are over the
-    /// quota.
+    /// The holder has answered a request with so many tokens: as many submissions are looked at again, and the others wait for
+    /// the next answer. Where it had fewer than it was asked for, all that wait are over the quota.
     pub(crate) fn quota_tokens_received(&mut self, now: Millis, name: &str, count: u32) {
         let Some(quota) = self.quotas.by_name.get_mut(name) else { return };
-        let waiting = std::mem::take(&mut quota.waiting);
-        if (count as usize) < waiting.len().min(MAX_TOKENS_PER_REQUEST) {
+        let is_denied = count < quota.requested;
+        let settled = if is_denied { quota.waiting.len() } else { quota.waiting.len().min(count as usize) };
+        let settled: Vec<WaitingForToken> = quota.waiting.drain(..settled).collect();
+        let must_ask_again = !quota.waiting.is_empty();
+        if is_denied {
             quota.denied_until = now + DENIAL_MS;
         }
-        for WaitingForToken { ticket, message, is_resubmitted, .. } in waiting {
+        for WaitingForToken { ticket, message, is_resubmitted, .. } in settled {
             // Meanwhile another submission may have come with its key.
             match message.idempotency_digest() {
                 Some(digest) => self.submit_once(now, ticket, message, digest),
                 None => self.admit(now, ticket, message, is_resubmitted),
             }
         }
+        if must_ask_again {
+            self.ask_for_tokens(now, name);
+        }
     }
 
     /// Rejects submissions for which the holder has not answered in time.
--- a/crates/queue/tests/tenant_quotas.rs
+++ b/crates/queue/tests/tenant_quotas.rs
@@ -89,3 +89,23 @@
         }
     }
 }
+
+/// Guards against 429 below the quota for messages that came after the holder was asked: they had no token in its answer, which was
+/// taken for a refusal.
+#[test]
+fn messages_that_come_at_once_are_accepted_as_long_as_the_holder_has_tokens() {
+    for (stores, replicas, seed) in [(3, 1, 1), (3, 1, 2), (5, 2, 3)] {
+        let mut world = Simulation::new(stores, replicas, seed);
+        world.act(200, Action::Configure("quota"));
+        // Half of the rate and of the burst, in one go each second.
+        for at in (BEGIN_MS..END_MS).step_by(1000) {
+            for n in 0..10 {
+                world.send_as(at + n / 4, "calm");
+            }
+        }
+        world.run(END_MS + 10_000);
+        world.check(true);
+        let calm = accepted(&world, "calm");
+        assert_eq!(calm.len(), 200, "{stores} stores, seed {seed}");
+    }
+}
