Quotas, rate limits: a holder that stops in order hands over the tokens that are left

What callers saw: 429 below the quota in the moments after a store was restarted, retired or added in order, where it had handed out their tenant's tokens.

Cause: the successor was told to begin at once, with an empty bucket.

The former holder says what was left in a second grant, which earlier releases ignore, and hands out nothing after it: together the two hand out what one would have. A handover that comes before its receiver knows that it is the successor was used as 17 tokens if the receiver took the sender for the holder; it never is a grant now, and counts for a second.

a_stand_in_hands_over... asserts the second grant too: one more message, compared as a whole as before.

--- a/crates/queue/src/queue/token_holders.rs
+++ b/crates/queue/src/queue/token_holders.rs
@@ -26,8 +26,8 @@
 }
 
 /// A store that ceases to hand out the tokens of a service grants its successor so many, more than any request is granted. They
-/// are not used: they say that the successor may begin at once. A store of an earlier version ignores them, for they do not come
-/// from the holder, and begins after the usual delay.
+/// are not used: they say that the successor may begin at once. A second grant of so many and of the tokens that were left follows,
+/// which a store of an earlier version ignores, for it does not come from the holder.
 const HANDOVER_TOKENS: u32 = MAX_TOKENS_PER_GRANT + 1;
 
 /// A store that has just started may hear that it is to begin before it knows the members. It counts for so long, which is less
@@ -48,13 +48,22 @@
     is_stale: bool,
     /// Whether this store might hand out tokens at all, when they were settled.
     may_hold: bool,
-    /// When the former holder of a service last said that this store is to begin.
-    handed_over_at: HashMap<String, Millis>,
+    /// By service, what its former holder last said.
+    handovers: HashMap<String, Handover>,
+}
+
+/// The former holder of a service says that it has stopped.
+#[derive(Debug)]
+struct Handover {
+    /// When it was heard.
+    at: Millis,
+    /// What was left in the bucket, as far as this store has not taken it over.
+    tokens_left: u32,
 }
 
 impl Default for TokenHolders {
     fn default() -> TokenHolders {
-        TokenHolders { is_stale: true, may_hold: false, handed_over_at: HashMap::new() }
+        TokenHolders { is_stale: true, may_hold: false, handovers: HashMap::new() }
     }
 }
 
@@ -93,10 +102,11 @@
         for (name, bucket) in of_services.chain(of_tenants) {
             let (was_holder, was_handing_out) = (bucket.is_holder(), bucket.is_handing_out(now));
             let holder = token_holder(name, own_node, &self.peers);
-            bucket.set_holder(now, holder == own_node && may_hold);
-            let handed_over_at = self.token_holders.handed_over_at.get(name);
-            if handed_over_at.is_some_and(|at| now < at + HANDOVER_LIFETIME) {
-                bucket.take_over(now);
+            let is_holder = holder == own_node && may_hold;
+            let tokens_left = if was_handing_out && !is_holder { bucket.hand_out(now, u32::MAX) } else { 0 };
+            bucket.set_holder(now, is_holder);
+            if let Some(handover) = self.token_holders.handovers.get_mut(name) {
+                handover.apply(now, bucket);
             }
             let successor = if is_shutting_down {
                 token_successor(name, &self.peers)
@@ -104,15 +114,19 @@
                 Some(holder).filter(|holder| *holder != own_node)
             };
             if was_holder && !bucket.is_holder() {
-                self.token_holders.handed_over_at.remove(name);
+                self.token_holders.handovers.remove(name);
             }
             if was_handing_out && !bucket.is_holder() {
-                handovers.extend(successor.map(|successor| (successor, name.to_string())));
+                handovers.extend(successor.map(|successor| (successor, name.to_string(), tokens_left)));
             }
         }
-        for (to, service) in handovers {
-            let message = PeerMessage::GrantTokens { service, count: HANDOVER_TOKENS };
-            self.emit(Effect::Send { to, message });
+        for (to, service, tokens_left) in handovers {
+            let begin = PeerMessage::GrantTokens { service: service.clone(), count: HANDOVER_TOKENS };
+            self.emit(Effect::Send { to, message: begin });
+            if tokens_left > 0 {
+                let count = HANDOVER_TOKENS.saturating_add(tokens_left);
+                self.emit(Effect::Send { to, message: PeerMessage::GrantTokens { service, count } });
+            }
         }
     }
 
@@ -126,13 +140,8 @@
     /// Tokens have come. Those of a store that is not the holder any more are refused: together with the successor's they would
     /// exceed the rate limit.
     pub(crate) fn tokens_received(&mut self, now: Millis, from: Node, service: &str, count: u32) {
-        if count == HANDOVER_TOKENS && self.is_token_holder(service) {
-            self.token_holders.handed_over_at.insert(service.to_string(), now);
-            if let Some(bucket) = self.token_bucket(service) {
-                bucket.take_over(now);
-            }
-            self.next_dispatch_at = 0;
-            return;
+        if let Some(tokens_left) = count.checked_sub(HANDOVER_TOKENS) {
+            return self.handed_over(now, service, tokens_left);
         }
         let is_from_holder = token_holder(service, self.settings.node, &self.peers) == from;
         self.metrics.stale_claims += u64::from(!is_from_holder && count > 0);
@@ -145,8 +154,15 @@
         }
     }
 
-    fn is_token_holder(&self, service: &str) -> bool {
-        token_holder(service, self.settings.node, &self.peers) == self.settings.node
+    /// The former holder of a service has stopped. Where this store does not know yet that it is the successor that counts for
+    /// [`HANDOVER_LIFETIME`]; it never is a grant.
+    fn handed_over(&mut self, now: Millis, service: &str, tokens_left: u32) {
+        let mut handover = Handover { at: now, tokens_left };
+        if let Some(bucket) = self.token_bucket(service) {
+            handover.apply(now, bucket);
+        }
+        self.token_holders.handovers.insert(service.to_string(), handover);
+        self.next_dispatch_at = 0;
     }
 
     fn token_bucket(&mut self, service: &str) -> Option<&mut TokenBucket> {
@@ -157,3 +173,12 @@
         self.service_queues[index].token_bucket.as_mut()
     }
 }
+
+impl Handover {
+    /// Lets a holder begin, unless the word is too old. The tokens that were left are taken over once.
+    fn apply(&mut self, now: Millis, bucket: &mut TokenBucket) {
+        if now < self.at + HANDOVER_LIFETIME && bucket.is_holder() {
+            bucket.take_over(now, std::mem::take(&mut self.tokens_left));
+        }
+    }
+}
--- a/crates/queue/src/token_bucket.rs
+++ b/crates/queue/src/token_bucket.rs
@@ -1,8 +1,8 @@
 //! The rate limit of a service over all stores: a token bucket at one store, the holder, from which each request takes a token.
 //!
-//! What the holder hands out in any window is at most rate times window and a small burst, and a new holder begins with an empty
-//! bucket. So two holders in a row keep the limit together, whatever the first one has used, as long as it has stopped before
-//! the second begins.
+//! What the holder hands out in any window is at most rate times window and a small burst. A new holder begins with an empty
+//! bucket, or with what the former one says that it had left when it stopped. So two holders in a row keep the limit together,
+//! whatever the first one has used, as long as it has stopped before the second begins.
 
 use crate::message::Millis;
 use crate::settings::QuotaBounds;
@@ -145,11 +145,15 @@
         }
     }
 
-    /// The former holder has stopped and says so: this store, its successor, begins at once, with an empty bucket.
-    pub fn take_over(&mut self, now: Millis) {
-        if let Some(holder_from) = &mut self.holder_from {
-            *holder_from = now.min(*holder_from);
-        }
+    /// The former holder has stopped and says so: this store, its successor, begins at once, with the tokens that the former one
+    /// had left. Together they hand out no more than one holder would have.
+    pub fn take_over(&mut self, now: Millis, tokens_left: u32) {
+        let Some(holder_from) = &mut self.holder_from else { return };
+        *holder_from = now.min(*holder_from);
+        let holder_from = *holder_from;
+        self.begin_empty(holder_from);
+        self.refill(now);
+        self.tokens = (self.tokens + f64::from(tokens_left)).min(self.burst);
     }
 
     /// Whether this store is the holder and hands out tokens now.
@@ -169,15 +173,20 @@
             self.empty_at(now);
             return 0;
         }
-        if self.refilled_at < holder_from {
-            self.empty_at(holder_from);
-        }
+        self.begin_empty(holder_from);
         self.refill(now);
         let count = (self.tokens.floor() as u32).min(wanted);
         self.tokens -= f64::from(count);
         count
     }
 
+    /// What lay in the bucket before this store was the holder does not count.
+    fn begin_empty(&mut self, holder_from: Millis) {
+        if self.refilled_at < holder_from {
+            self.empty_at(holder_from);
+        }
+    }
+
     fn empty_at(&mut self, at: Millis) {
         self.refilled_at = at;
         self.tokens = 0.0;
--- a/crates/queue/tests/tenant_quotas.rs
+++ b/crates/queue/tests/tenant_quotas.rs
@@ -109,3 +109,23 @@
         assert_eq!(calm.len(), 200, "{stores} stores, seed {seed}");
     }
 }
+
+/// Guards against 429 below the quota where a store that hands out tokens stops in order: its successor began with an empty bucket.
+#[test]
+fn a_planned_change_of_the_holder_costs_no_message_below_the_quota() {
+    for store in 0..3 {
+        let mut world = Simulation::new(3, 1, 7);
+        world.act(200, Action::Configure("quota"));
+        for at in (BEGIN_MS..END_MS).step_by(1000) {
+            for n in 0..10 {
+                world.send_as(at + n / 4, "calm");
+            }
+        }
+        world.act(BEGIN_MS + 2950, Action::Inject(store, Fault::Shutdown));
+        world.run(END_MS + 10_000);
+        world.check(true);
+        let calm = accepted(&world, "calm");
+        println!("store {store}: {} of 200", calm.len());
+        assert_eq!(calm.len(), 200, "store {store}");
+    }
+}
--- a/crates/queue/tests/token_handover.rs
+++ b/crates/queue/tests/token_handover.rs
@@ -9,9 +9,12 @@
 
 const SERVICE: &str = "point";
 
-/// What a holder that has stopped grants its successor.
+/// What a holder that has stopped grants its successor; a second grant of so many and of what it had left follows.
 const HANDOVER: u32 = 17;
 
+/// What a holder of [`SERVICE`] has left that has handed out nothing for long: the burst.
+const FULL_BUCKET: u32 = 5;
+
 fn tokens(count: u32) -> PeerMessage {
     PeerMessage::GrantTokens { service: SERVICE.into(), count }
 }
@@ -75,6 +78,16 @@
     assert!(attempts(&one.pass(1000)).is_empty());
 }
 
+/// The former holder may know of the change before its successor does: what it says is no grant of tokens.
+#[test]
+fn a_handover_to_one_that_is_not_the_holder_yet_gives_no_tokens() {
+    let (mut one, holder) = successor();
+    let mut effects = one.note(holder, tokens(HANDOVER));
+    effects.extend(one.note(holder, tokens(HANDOVER + FULL_BUCKET)));
+    effects.extend(one.pass(100));
+    assert!(attempts(&effects).is_empty(), "what says that a holder has stopped was used as tokens");
+}
+
 /// A store that comes back and is the first by its hash: whoever stood in for it stops, and says so.
 #[test]
 fn a_stand_in_hands_over_to_the_holder_that_is_back() {
@@ -82,7 +95,7 @@
     one.queue.set_members(one.now, &[(ME, 0)]);
     one.pass(2000);
     one.queue.set_members(one.now, &[(ME, 0), (holder, 1)]);
-    assert_eq!(granted(&one.pass(1), holder), [HANDOVER]);
+    assert_eq!(granted(&one.pass(1), holder), [HANDOVER, HANDOVER + FULL_BUCKET]);
     // Once only, and not while it is none.
     one.queue.set_members(one.now, &[(ME, 0), (holder, 1)]);
     assert!(granted(&one.pass(500), holder).is_empty());
