Simulation of the queue: a disk with a queue, and holds of writes and syncs

The simulation took each record to disk at the moment of Persist, so no scenario could see a record that waits in memory.

Its disk is a module now: an append is in memory, written, then synced; writes and syncs can be held apart, each for a length of time (HoldWrites, HoldSyncs). Appends are answered in their order, as Wal::append says: after the write, with sync after the sync. A failed sync takes back what was not answered. What survives a kill, a loss of power or of the disk is decided in SimulatedDisk::cut. Syncs of one store may still overlap, as before: a sync lasts sync_ms from the write of its append, whatever else runs.

--- a/crates/queue/tests/simulation/actions.rs
+++ b/crates/queue/tests/simulation/actions.rs
@@ -63,11 +63,19 @@
             }
             Action::DiskFull(at, full) => {
                 self.note_fault(self.now);
-                self.stores[at].is_disk_full = full;
+                self.stores[at].disk.is_full = full;
             }
             Action::DiskSlow(at, ms) => {
                 self.note_fault(self.now);
-                self.stores[at].sync_ms = ms;
+                self.stores[at].disk.sync_ms = ms;
+            }
+            Action::HoldWrites(at, ms) => {
+                self.note_fault(self.now + ms);
+                self.stores[at].disk.hold_writes(self.now + ms);
+            }
+            Action::HoldSyncs(at, ms) => {
+                self.note_fault(self.now + ms);
+                self.stores[at].disk.hold_syncs(self.now + ms);
             }
             Action::PowerLossOfAll => (0..self.stores.len()).for_each(|at| self.inject(at, Fault::PowerLoss)),
             Action::Remove(at) => {
--- a/crates/queue/tests/simulation/checks.rs
+++ b/crates/queue/tests/simulation/checks.rs
@@ -11,9 +11,11 @@
     pub(super) fn disks(&self, all: bool) -> Vec<StateTable> {
         let read = |store: &Store| {
             let mut ledger = StateTable::default();
-            store.disk.iter().filter(|(_, synced)| *synced || all).for_each(|(record, _)| {
+            let records: Vec<_> =
+                if all { store.disk.written().collect() } else { store.disk.synced().collect() };
+            for record in records {
                 ledger.apply_record(postcard::from_bytes(record).unwrap());
-            });
+            }
             ledger
         };
         self.stores.iter().map(read).collect()
--- /dev/null
+++ b/crates/queue/tests/simulation/disk.rs
@@ -0,0 +1,228 @@
+//! The disk of a store with a queue: an append is in memory until it is written, and its records are synced some time later. Holds
+//! delay writes and syncs apart from each other.
+
+use std::collections::VecDeque;
+
+/// Without a request the log syncs what it has written after so long.
+const BACKGROUND_SYNC_MS: u64 = 200;
+/// How long a sync takes, unless a scenario sets another time.
+const SYNC_MS: u64 = 2;
+
+/// What ends a process, as far as its disk is concerned.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum DiskCut {
+    /// The process is gone, and the machine goes on.
+    Kill,
+    /// The machine loses power.
+    PowerLoss,
+    /// The disk is replaced by an empty one.
+    DiskLoss,
+}
+
+/// The disk's answer to an append.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AppendAnswer {
+    /// The append.
+    pub ticket: u64,
+    /// Its records are there, as durable as was asked for.
+    pub is_ok: bool,
+}
+
+/// An append that is not answered.
+#[derive(Debug)]
+struct Append {
+    ticket: u64,
+    /// It is answered after a sync.
+    needs_sync: bool,
+    /// Its records, while they are in memory.
+    in_memory: Vec<Vec<u8>>,
+    /// Where its records lie, once they are written.
+    written: Option<WrittenAppend>,
+}
+
+/// The place of an append that is written.
+#[derive(Clone, Copy, Debug)]
+struct WrittenAppend {
+    /// Index of its first record.
+    begin: usize,
+    /// When the sync that it waits for ends.
+    sync_ends_at: u64,
+}
+
+/// A sync that was begun, and not for an append that waits for it.
+#[derive(Clone, Copy, Debug)]
+struct BackgroundSync {
+    ends_at: u64,
+    /// How many records it covers.
+    covered: usize,
+}
+
+/// The disk of one store.
+///
+/// Several syncs may run at once, and end in the order in which they were begun; each covers what was written when it was begun.
+#[derive(Debug)]
+pub struct SimulatedDisk {
+    /// The written records, and whether a sync has covered them.
+    records: Vec<(Vec<u8>, bool)>,
+    unanswered: VecDeque<Append>,
+    background_syncs: VecDeque<BackgroundSync>,
+    /// No write ends before.
+    writes_held_until: u64,
+    /// No sync ends before.
+    syncs_held_until: u64,
+    /// How long a sync takes.
+    pub sync_ms: u64,
+    /// Syncs fail.
+    pub is_full: bool,
+}
+
+impl Default for SimulatedDisk {
+    fn default() -> SimulatedDisk {
+        SimulatedDisk {
+            records: Vec::new(),
+            unanswered: VecDeque::new(),
+            background_syncs: VecDeque::new(),
+            writes_held_until: 0,
+            syncs_held_until: 0,
+            sync_ms: SYNC_MS,
+            is_full: false,
+        }
+    }
+}
+
+impl SimulatedDisk {
+    /// What a process that starts now finds.
+    pub fn written(&self) -> impl Iterator<Item = &Vec<u8>> {
+        self.records.iter().map(|(record, _)| record)
+    }
+
+    /// What is left after a loss of power.
+    pub fn synced(&self) -> impl Iterator<Item = &Vec<u8>> {
+        self.records.iter().filter(|(_, is_synced)| *is_synced).map(|(record, _)| record)
+    }
+
+    /// Writes and syncs a record before the process goes on.
+    pub fn write_synced(&mut self, record: Vec<u8>) {
+        self.records.push((record, true));
+    }
+
+    /// No write ends before that time.
+    pub fn hold_writes(&mut self, until: u64) {
+        self.writes_held_until = self.writes_held_until.max(until);
+    }
+
+    /// No sync ends before that time.
+    pub fn hold_syncs(&mut self, until: u64) {
+        self.syncs_held_until = self.syncs_held_until.max(until);
+    }
+
+    /// Queues an append.
+    pub fn append(&mut self, now: u64, ticket: u64, records: Vec<Vec<u8>>, needs_sync: bool) {
+        self.unanswered.push_back(Append { ticket, needs_sync, in_memory: records, written: None });
+        self.write(now);
+    }
+
+    /// Does what is due, and answers appends in their order.
+    pub fn advance(&mut self, now: u64) -> Vec<AppendAnswer> {
+        self.write(now);
+        self.end_background_syncs(now);
+        let mut answers = Vec::new();
+        while let Some(written) = self.unanswered.front().and_then(|append| append.written) {
+            let needs_sync = self.unanswered[0].needs_sync;
+            if needs_sync && now < written.sync_ends_at.max(self.syncs_held_until) {
+                break;
+            }
+            if needs_sync && self.is_full {
+                answers.extend(self.take_back(written.begin));
+                break;
+            }
+            let Some(append) = self.unanswered.pop_front() else { break };
+            if needs_sync {
+                let covered = self.unanswered.front().and_then(|next| next.written);
+                self.mark_synced(covered.map_or(self.records.len(), |next| next.begin));
+            }
+            answers.push(AppendAnswer { ticket: append.ticket, is_ok: true });
+        }
+        answers
+    }
+
+    /// When [`advance`](SimulatedDisk::advance) has something to do; it may be in the past.
+    pub fn next_due_at(&self) -> Option<u64> {
+        let answer = self.unanswered.front().map(|append| match append.written {
+            None => self.writes_held_until,
+            Some(written) if append.needs_sync => written.sync_ends_at.max(self.syncs_held_until),
+            Some(_) => 0,
+        });
+        let background = self.background_syncs.front().map(|sync| sync.ends_at.max(self.syncs_held_until));
+        let write = self.unanswered.back().filter(|append| append.written.is_none());
+        let write = write.map(|_| self.writes_held_until);
+        [answer, background, write].into_iter().flatten().min()
+    }
+
+    /// The process ends in order: all that it has queued is synced.
+    pub fn close(&mut self) {
+        for append in std::mem::take(&mut self.unanswered) {
+            self.records.extend(append.in_memory.into_iter().map(|record| (record, true)));
+        }
+        self.background_syncs.clear();
+        self.mark_synced(self.records.len());
+    }
+
+    /// Leaves what survives: a kill keeps what is written, a loss of power what is synced.
+    pub fn cut(&mut self, cut: DiskCut) {
+        self.unanswered.clear();
+        self.background_syncs.clear();
+        match cut {
+            DiskCut::Kill => {}
+            DiskCut::PowerLoss => self.records.retain(|(_, is_synced)| *is_synced),
+            DiskCut::DiskLoss => self.records.clear(),
+        }
+    }
+
+    /// Writes what is in memory, unless writes are held.
+    fn write(&mut self, now: u64) {
+        if now < self.writes_held_until {
+            return;
+        }
+        let earlier = self.unanswered.iter().filter(|append| append.needs_sync);
+        let mut sync_ends_at = earlier.filter_map(|append| Some(append.written?.sync_ends_at)).max();
+        for append in self.unanswered.iter_mut().filter(|append| append.written.is_none()) {
+            let begin = self.records.len();
+            let records = std::mem::take(&mut append.in_memory);
+            self.records.extend(records.into_iter().map(|record| (record, false)));
+            let ends_at = (now + self.sync_ms).max(sync_ends_at.unwrap_or(0));
+            append.written = Some(WrittenAppend { begin, sync_ends_at: ends_at });
+            if append.needs_sync {
+                sync_ends_at = Some(ends_at);
+            } else {
+                let (ends_at, covered) = (now + BACKGROUND_SYNC_MS, self.records.len());
+                self.background_syncs.push_back(BackgroundSync { ends_at, covered });
+            }
+        }
+    }
+
+    fn end_background_syncs(&mut self, now: u64) {
+        while let Some(sync) = self.background_syncs.front().copied() {
+            if now < sync.ends_at.max(self.syncs_held_until) {
+                return;
+            }
+            self.background_syncs.pop_front();
+            self.mark_synced(sync.covered);
+        }
+    }
+
+    fn mark_synced(&mut self, covered: usize) {
+        let covered = covered.min(self.records.len());
+        self.records[..covered].iter_mut().for_each(|(_, is_synced)| *is_synced = true);
+    }
+
+    /// A sync has failed: what is written from this record on, all of it not answered, is gone.
+    fn take_back(&mut self, first: usize) -> Vec<AppendAnswer> {
+        self.records.truncate(first);
+        self.background_syncs.iter_mut().for_each(|sync| sync.covered = sync.covered.min(first));
+        let is_written = |append: &&Append| append.written.is_some();
+        let count = self.unanswered.iter().take_while(is_written).count();
+        let lost = self.unanswered.drain(..count);
+        lost.map(|append| AppendAnswer { ticket: append.ticket, is_ok: false }).collect()
+    }
+}
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -7,9 +7,9 @@
     fn target(event: &Event) -> Option<usize> {
         match event {
             Event::PeerMessage { to, .. } | Event::Put { to, .. } | Event::Superseded { to, .. } => Some(*to),
-            Event::WriteCompleted { at, .. }
-            | Event::AttemptEnded { at, .. }
-            | Event::CallbackEnded { at, .. } => Some(*at),
+            Event::DiskDue { at } | Event::AttemptEnded { at, .. } | Event::CallbackEnded { at, .. } => {
+                Some(*at)
+            }
             Event::PeerLost { at, .. } | Event::ConfigurationTold { at } => Some(*at),
             _ => None,
         }
@@ -22,12 +22,7 @@
         }
         match event {
             Event::PeerMessage { from, to, link, note } => self.message_arrived(from, to, link, note),
-            Event::WriteCompleted { at, life, ticket, upto, ok } => {
-                if self.runs(at, life) {
-                    self.stores[at].disk[..upto].iter_mut().for_each(|(_, synced)| *synced = true);
-                    self.with(at, |queue, now| queue.write_completed(now, ticket, ok));
-                }
-            }
+            Event::DiskDue { at } => self.disk_due(at),
             Event::ClientSends { sent } => self.client_sends(sent),
             Event::Put { sent, to, ticket } => self.put_arrived(sent, to, ticket),
             Event::PutAnswered { sent, ticket, result, .. } => self.put_answered(sent, ticket, result),
@@ -83,7 +78,7 @@
     }
 
     /// The same process runs as when the event was planned.
-    fn runs(&self, at: usize, incarnation: u64) -> bool {
+    pub(super) fn runs(&self, at: usize, incarnation: u64) -> bool {
         self.stores[at].incarnation == incarnation && self.stores[at].queue.is_some()
     }
 
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod actions;
 mod checks;
 mod configuration;
+mod disk;
 mod edge;
 mod events;
 mod key_checks;
@@ -16,6 +17,7 @@
 mod turns;
 
 pub use configuration::config;
+pub use disk::{AppendAnswer, DiskCut, SimulatedDisk};
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
@@ -68,7 +70,7 @@
 #[derive(Debug)]
 enum Event {
     PeerMessage { from: usize, to: usize, link: u64, note: PeerMessage },
-    WriteCompleted { at: usize, life: u64, ticket: u64, upto: usize, ok: bool },
+    DiskDue { at: usize },
     ClientSends { sent: usize },
     Put { sent: usize, to: usize, ticket: u64 },
     PutAnswered { sent: usize, from: usize, ticket: u64, result: Result<String, PutError> },
@@ -101,6 +103,10 @@
     IsolateWithControlNode(usize, u64),
     DiskFull(usize, bool),
     DiskSlow(usize, u64),
+    /// No write of a store's disk ends for so long.
+    HoldWrites(usize, u64),
+    /// No sync of a store's disk ends for so long.
+    HoldSyncs(usize, u64),
     PowerLossOfAll,
     Remove(usize),
     /// A store that was not there before, with an empty disk.
@@ -140,13 +146,11 @@
     incarnation: u64,
     /// When its process was started.
     started_at: u64,
-    /// The records, and whether a sync has covered them.
-    pub disk: Vec<(Vec<u8>, bool)>,
+    /// Its disk.
+    pub disk: SimulatedDisk,
+    /// When its disk is looked at next.
+    disk_due_at: Option<u64>,
     disk_id: u64,
-    /// How long a sync of its disk takes.
-    sync_ms: u64,
-    /// A sync of its disk fails.
-    is_disk_full: bool,
     /// By the ticket of a put at the store: the message, and its ticket at the edge.
     put_tickets: HashMap<u64, (usize, u64)>,
     /// It never comes back.
@@ -320,10 +324,9 @@
             queue: None,
             incarnation: 0,
             started_at: 0,
-            disk: Vec::new(),
+            disk: SimulatedDisk::default(),
+            disk_due_at: None,
             disk_id: 0,
-            sync_ms: 2,
-            is_disk_full: false,
             put_tickets: HashMap::new(),
             shutdown: None,
             control: ControlView::default(),
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -9,7 +9,7 @@
             return;
         }
         let mut ledger = StateTable::default();
-        for (record, _) in &self.stores[at].disk {
+        for record in self.stores[at].disk.written() {
             ledger.apply_record(postcard::from_bytes(record).unwrap());
         }
         let store = &mut self.stores[at];
@@ -21,9 +21,9 @@
         self.next_incarnation += 1;
         let first = first_number(self.next_incarnation << 37);
         let born = Record::IncarnationStarted { disk_id: store.disk_id, first_number: first };
-        store.disk.push((postcard::to_stdvec(&born).unwrap(), true));
+        store.disk.write_synced(postcard::to_stdvec(&born).unwrap());
         if has_lost_disk {
-            store.disk.push((postcard::to_stdvec(&Record::ShardTermsMissing(true)).unwrap(), true));
+            store.disk.write_synced(postcard::to_stdvec(&Record::ShardTermsMissing(true)).unwrap());
         }
         let terms = QueueSettings {
             node: store.node,
@@ -89,11 +89,11 @@
             return;
         }
         self.stop(at, if fault == Fault::PowerLoss { 1000 } else { 5 });
-        match fault {
-            Fault::PowerLoss => self.stores[at].disk.retain(|(_, synced)| *synced),
-            Fault::DiskLoss => self.stores[at].disk.clear(),
-            _ => {}
-        }
+        self.stores[at].disk.cut(match fault {
+            Fault::PowerLoss => DiskCut::PowerLoss,
+            Fault::DiskLoss => DiskCut::DiskLoss,
+            _ => DiskCut::Kill,
+        });
         let back = match fault {
             Fault::QuickRestart => 20,
             Fault::Kill | Fault::Shutdown => 700,
--- a/crates/queue/tests/simulation/turns.rs
+++ b/crates/queue/tests/simulation/turns.rs
@@ -18,7 +18,7 @@
             let Some(queue) = &self.stores[at].queue else { return };
             let done = queue.unfinished_count() == 0 && self.now > since + 150;
             if (done && self.now > since + 300) || self.now > since + SHUTDOWN_GRACE_MS {
-                self.stores[at].disk.iter_mut().for_each(|(_, synced)| *synced = true);
+                self.stores[at].disk.close();
                 self.stop(at, 5);
                 self.at(500, Event::Start { at });
             }
@@ -48,17 +48,34 @@
         }
     }
 
+    /// Looks at the disk of a store again when it has something to do.
+    fn plan_disk(&mut self, at: usize) {
+        let store = &mut self.stores[at];
+        let Some(due_at) = store.disk.next_due_at().map(|due_at| due_at.max(self.now)) else { return };
+        if store.disk_due_at.is_none_or(|planned| due_at < planned) {
+            store.disk_due_at = Some(due_at);
+            self.at(due_at - self.now, Event::DiskDue { at });
+        }
+    }
+
+    /// The disk of a store does what is due, and answers.
+    pub(super) fn disk_due(&mut self, at: usize) {
+        let life = self.stores[at].incarnation;
+        self.stores[at].disk_due_at = None;
+        for AppendAnswer { ticket, is_ok } in self.stores[at].disk.advance(self.now) {
+            if self.runs(at, life) {
+                self.with(at, |queue, now| queue.write_completed(now, ticket, is_ok));
+            }
+        }
+        self.plan_disk(at);
+    }
+
     pub(super) fn effect(&mut self, at: usize, effect: Effect) {
         let life = self.stores[at].incarnation;
         match effect {
             Effect::Persist { ticket, records, sync } => {
-                let store = &mut self.stores[at];
-                let (ok, wait) = (!(store.is_disk_full && sync), if sync { store.sync_ms } else { 200 });
-                if ok {
-                    store.disk.extend(records.into_iter().map(|r| (r, false)));
-                }
-                let upto = store.disk.len();
-                self.at(wait, Event::WriteCompleted { at, life, ticket, upto, ok });
+                self.stores[at].disk.append(self.now, ticket, records, sync);
+                self.plan_disk(at);
             }
             Effect::Send { to, message: note } => {
                 let Some(to) = self.stores.iter().position(|s| s.node == to) else { return };
