Stalls of the log's disk in a build for tests of real processes

No test of real processes could stall a store's disk, and faults that need a stall came only by chance. With the feature `stalled-disk`, which is not a default one, all operations of the log that change its disk (write, length, create, rename, remove, sync of files and folders, those of checkpoints too) wait while a stall lasts. The stalls stand in a file that STILEROUTE_DISK_STALLS names, as times of CLOCK_MONOTONIC, for writes and syncs or for syncs alone.

Without the feature nothing of it is compiled, and a process that is given the variable refuses to start: to ignore it would let a test pass that stalled nothing. A file that can't be read ends the process for the same reason.

--- a/crates/server/src/cli/error.rs
+++ b/crates/server/src/cli/error.rs
@@ -16,6 +16,9 @@
     /// The counters must not be served to other machines.
     #[error("command line: --figures: must be a loopback address")]
     FiguresNotLoopback,
+    /// A test asks for stalls of the disk that this build does not have, and would prove nothing.
+    #[error("environment: {}: this build has no stalls of the disk", crate::disk_stalls::SCHEDULE_VARIABLE)]
+    DiskStallsUnsupported,
     /// A level of logging that does not exist.
     #[error("command line: {option}: {level:?} is none of error, warn, info, debug")]
     UnknownLogLevel {
@@ -72,6 +75,7 @@
             CommandError::NoAnswer { .. } | CommandError::Role { .. } => ExitStatus::Failure,
             CommandError::NoSettingsFile { .. }
             | CommandError::FiguresNotLoopback
+            | CommandError::DiskStallsUnsupported
             | CommandError::UnknownLogLevel { .. }
             | CommandError::InvalidMessageId(_)
             | CommandError::InvalidNodeName(_)
--- a/crates/server/src/disk.rs
+++ b/crates/server/src/disk.rs
@@ -46,6 +46,8 @@
         };
         let capacity_bytes = node.boot.resources.disk_mb << 20;
         let options = Options { capacity_bytes, max_sync_delay: MAX_SYNC_DELAY, ..options };
+        #[cfg(feature = "stalled-disk")]
+        let options = Options { stall_schedule: crate::disk_stalls::schedule(), ..options };
         let (log, state) = Wal::open::<S>(&folder, options, on_result)
             .map_err(|source| StartError::Log { folder: folder.clone(), source })?;
         Ok((Disk { log, results }, state))
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -9,6 +9,7 @@
 mod dial_targets;
 mod disk;
 mod disk_owner;
+mod disk_stalls;
 mod edge;
 mod inquiry;
 mod inspection;
@@ -51,6 +52,9 @@
 /// Runs a role until the process is told to end.
 fn start(args: &Args, class: NodeRole) -> Result<ExitStatus, CommandError> {
     start_logging(args.log_level()?);
+    if disk_stalls::are_unsupported() {
+        return Err(CommandError::DiskStallsUnsupported);
+    }
     let path = args.settings_file()?;
     if args.figures.is_some_and(|address| !address.ip().is_loopback()) {
         return Err(CommandError::FiguresNotLoopback);
--- a/crates/wal/src/disk.rs
+++ b/crates/wal/src/disk.rs
@@ -11,7 +11,7 @@
 use std::sync::Arc;
 
 use crate::error::FileError;
-use crate::instrumentation::Operation;
+use crate::instrumentation::{DiskAccess, Operation};
 use crate::options::Options;
 
 impl Options {
@@ -28,13 +28,14 @@
     let is_missing = |path: &&Path| !path.as_os_str().is_empty() && !path.exists();
     let missing: Vec<&Path> = folder.ancestors().take_while(is_missing).collect();
     if !missing.is_empty() {
+        options.wait_while_stalled(DiskAccess::Write);
         fs::create_dir_all(folder).map_err(opening)?;
         options.observed(|| Operation::FolderCreated);
     }
     for created in missing.into_iter().skip(1).rev() {
-        sync(&parent_of(created)).map_err(opening)?;
+        sync(&parent_of(created), options).map_err(opening)?;
     }
-    sync(&parent_of(folder)).map_err(opening)?;
+    sync(&parent_of(folder), options).map_err(opening)?;
     options.observed(|| Operation::ParentSynced);
     Ok(())
 }
@@ -51,13 +52,14 @@
     }
 }
 
-fn sync(folder: &Path) -> io::Result<()> {
+fn sync(folder: &Path, options: &Options) -> io::Result<()> {
+    options.wait_while_stalled(DiskAccess::Sync);
     File::open(folder)?.sync_all()
 }
 
 /// Names that were created, renamed or removed outlive a loss of power from here on.
 pub fn sync_folder(folder: &Path, options: &Options) -> Result<(), FileError> {
-    sync(folder).map_err(FileError::on("syncing the folder", folder))?;
+    sync(folder, options).map_err(FileError::on("syncing the folder", folder))?;
     options.observed(|| Operation::FolderSynced);
     Ok(())
 }
@@ -65,6 +67,7 @@
 /// Renames a file of the folder, over another if there is one.
 pub fn rename(folder: &Path, from: &str, to: &str, options: &Options) -> Result<(), FileError> {
     let unnamed = folder.join(from);
+    options.wait_while_stalled(DiskAccess::Write);
     fs::rename(&unnamed, folder.join(to)).map_err(FileError::on("renaming", &unnamed))?;
     options.observed(|| Operation::Renamed { from: from.to_string(), to: to.to_string() });
     Ok(())
@@ -73,6 +76,7 @@
 /// Removes a file of the folder. A name that is gone already is no error.
 pub fn remove(folder: &Path, name: &str, options: &Options) -> Result<(), FileError> {
     let path = folder.join(name);
+    options.wait_while_stalled(DiskAccess::Write);
     match fs::remove_file(&path) {
         Err(error) if error.kind() != io::ErrorKind::NotFound => {
             Err(FileError::new("removing", &path, error))
@@ -97,6 +101,7 @@
         let path = folder.join(name);
         let mut creating = OpenOptions::new();
         creating.read(true).write(true).create(true).truncate(true);
+        options.wait_while_stalled(DiskAccess::Write);
         let file = creating.open(&path).map_err(FileError::on("creating", &path))?;
         options.observed(|| Operation::FileCreated { name: name.to_string() });
         Ok(DiskFile { file: Arc::new(file), path })
@@ -131,6 +136,7 @@
             Some(_) => self.file.as_ref().stream_position().map_err(FileError::on("writing", &self.path))?,
             None => 0,
         };
+        options.wait_while_stalled(DiskAccess::Write);
         let written = self.file.as_ref().write_all(bytes);
         options.observed(|| Operation::Written { name: self.name(), offset, bytes: bytes.to_vec() });
         written.map_err(FileError::on("writing", &self.path))
@@ -138,6 +144,7 @@
 
     /// Sets the length, and makes that the current offset.
     pub fn truncate(&mut self, length: u64, options: &Options) -> Result<(), FileError> {
+        options.wait_while_stalled(DiskAccess::Write);
         self.file.set_len(length).map_err(FileError::on("truncating", &self.path))?;
         options.observed(|| Operation::LengthSet { name: self.name(), length });
         self.seek(length)
@@ -197,6 +204,7 @@
     fn sync(&self, sync: fn(&File) -> io::Result<()>, options: &Options) -> Result<(), FileError> {
         let name = || self.path.file_name().unwrap_or_default().to_string_lossy().into_owned();
         options.observed(|| Operation::SyncBegun { name: name() });
+        options.wait_while_stalled(DiskAccess::Sync);
         sync(&self.file).map_err(FileError::on("syncing", &self.path))?;
         options.observed(|| Operation::FileSynced { name: name() });
         Ok(())
--- a/crates/wal/src/instrumentation.rs
+++ b/crates/wal/src/instrumentation.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// How an operation changes the disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum DiskAccess {
+    /// Bytes, lengths or names change.
+    Write,
+    /// What was changed is made durable.
+    Sync,
+}
+
 /// What was done. Files are known by the name that they had at that moment.
 #[doc(hidden)]
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/wal/src/lib.rs
+++ b/crates/wal/src/lib.rs
@@ -52,6 +52,8 @@
 mod scan;
 mod segment;
 mod snapshot;
+#[cfg(feature = "stalled-disk")]
+mod stall_schedule;
 mod state_machine;
 mod statistics;
 mod verify;
--- a/crates/wal/src/options.rs
+++ b/crates/wal/src/options.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::error::FileError;
-use crate::instrumentation::{OperationObserver, Step, StepHook};
+use crate::instrumentation::{DiskAccess, OperationObserver, Step, StepHook};
 use crate::planted::PlantedFault;
 
 const DEFAULT_CHECKPOINT_AFTER_BYTES: u64 = 32 << 20;
@@ -31,6 +31,10 @@
     /// For tests: is called after each operation on the folder.
     #[doc(hidden)]
     pub operation_observer: Option<OperationObserver>,
+    /// For tests of real processes: the file with the stalls of the disk.
+    #[doc(hidden)]
+    #[cfg(feature = "stalled-disk")]
+    pub stall_schedule: Option<std::path::PathBuf>,
     /// A fault for the tests in `crates/model-check/wal/` to find.
     #[cfg(feature = "planted")]
     pub planted_fault: Option<PlantedFault>,
@@ -46,6 +50,8 @@
             max_sync_delay: DEFAULT_MAX_SYNC_DELAY,
             step_hook: None,
             operation_observer: None,
+            #[cfg(feature = "stalled-disk")]
+            stall_schedule: None,
             #[cfg(feature = "planted")]
             planted_fault: None,
         }
@@ -57,6 +63,18 @@
         hook(step).map_err(FileError::on(step.action(), path))
     }
 
+    /// Lets a test stall the disk before an operation that changes it.
+    #[cfg(feature = "stalled-disk")]
+    pub(crate) fn wait_while_stalled(&self, access: DiskAccess) {
+        if let Some(schedule) = &self.stall_schedule {
+            crate::stall_schedule::wait(schedule, access);
+        }
+    }
+
+    #[cfg(not(feature = "stalled-disk"))]
+    #[inline(always)]
+    pub(crate) const fn wait_while_stalled(&self, _: DiskAccess) {}
+
     #[cfg(feature = "planted")]
     pub(crate) fn has_planted(&self, fault: PlantedFault) -> bool {
         self.planted_fault == Some(fault)
