--- a/crates/system-test/src/fleet.rs
+++ b/crates/system-test/src/fleet.rs
@@ -1,5 +1,6 @@
 //! The fleet: nine processes of `stilerouted`, or large_fleet and one, and those added later, each a machine of its own on loopback.
 
+use crate::disk_stalls::{self, DiskStall};
 use crate::relay::{self, Way, Ways};
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
@@ -113,6 +114,13 @@
     away: bool,
 }
 
+impl Machine {
+    /// Where it reads when its disk stalls; beside its disk, and not lost with it.
+    fn stall_schedule(&self) -> PathBuf {
+        self.dir.join("disk-stalls")
+    }
+}
+
 /// Where operators and executors find control nodes: it changes when one is replaced.
 pub type Controls = Arc<Mutex<Vec<SocketAddrV4>>>;
 
@@ -122,6 +130,8 @@
     /// Below this folder all that the fleet writes lies.
     pub home: PathBuf,
     pub shape: Shape,
+    /// Disks of stores can stall: the program has to be a build with the feature `stalled-disk`.
+    pub has_disk_stalls: bool,
     net: u8,
     machines: Vec<Machine>,
     seeds: Vec<SocketAddrV4>,
@@ -144,8 +154,18 @@
         let controls = Arc::new(Mutex::new(Vec::new()));
         let (over, ways) = (Way::default(), HashMap::new());
         let program = program.to_path_buf();
-        let mut fleet =
-            Fleet { program, home, shape, net, machines: Vec::new(), seeds, controls, ways, over };
+        let mut fleet = Fleet {
+            program,
+            home,
+            shape,
+            has_disk_stalls: false,
+            net,
+            machines: Vec::new(),
+            seeds,
+            controls,
+            ways,
+            over,
+        };
         for role in Role::ALL {
             for at in 0..shape.of(role) {
                 fleet.add(role, at, true)?;
@@ -344,12 +364,19 @@
         let boot = self.boot(&self.machines[place]);
         let machine = &mut self.machines[place];
         let program = machine.program.clone();
+        let stalls = (self.has_disk_stalls && role == Role::Store).then(|| machine.stall_schedule());
         let file = machine.dir.join("node.json");
         let said = |e: std::io::Error| format!("{}: {e}", program.display());
         fs::write(&file, boot.to_string()).map_err(said)?;
         let log = File::options().create(true).append(true).open(machine.dir.join("log")).map_err(said)?;
         let mut command = Command::new(&program);
         command.arg(role.word()).env("STILEROUTE_BOOT", &file).stdin(Stdio::null());
+        if let Some(schedule) = stalls {
+            if !schedule.exists() {
+                disk_stalls::write_none(&schedule)?;
+            }
+            command.env(disk_stalls::SCHEDULE_VARIABLE, schedule);
+        }
         command.stdout(log.try_clone().map_err(said)?).stderr(log);
         // SAFETY: only a system call is made between fork and exec. A process must not outlive who started it.
         unsafe {
@@ -383,6 +410,11 @@
         }
     }
 
+    /// Disks of stores stall, as it says, from now on.
+    pub fn stall_disks(&mut self, stall: &DiskStall) -> Plain<()> {
+        stall.stores.iter().try_for_each(|at| stall.write(&self.find(Role::Store, *at).stall_schedule()))
+    }
+
     /// Asks a process to read its settings again.
     pub fn hang_up(&mut self, role: Role, at: usize) {
         if let Some(child) = &self.find(role, at).child {
--- a/crates/system-test/src/losses.rs
+++ b/crates/system-test/src/losses.rs
@@ -3,6 +3,8 @@
 
 use crate::client::Plan;
 use crate::control::setup;
+use crate::dice::Dice;
+use crate::disk_stalls::DiskStall;
 use crate::fleet::{Plain, Role, NINE};
 use crate::history::{History, Micros, SECOND};
 use crate::judge::judge;
@@ -49,6 +51,9 @@
     /// Each message has an idempotency key, and some are sent again with it at other edges.
     #[arg(long)]
     keys: bool,
+    /// Disks of stores stall before and during the steps, which stay the same; needs a program with the feature `stalled-disk`.
+    #[arg(long)]
+    stalls: bool,
 }
 
 /// One step of a series.
@@ -101,18 +106,7 @@
     [Step::DiskLostBesideSilence].repeat(beside_silence).into_iter().chain(STEPS).collect()
 }
 
-/// Numbers drawn from a seed.
-struct Dice {
-    seed: u64,
-    drawn: u64,
-}
-
 impl Dice {
-    fn below(&mut self, bound: usize) -> usize {
-        self.drawn += 1;
-        (message::mix(self.seed ^ message::mix(self.drawn)) % bound as u64) as usize
-    }
-
     fn pause_ms(&mut self) -> u64 {
         self.below(MAX_PAUSE_MS as usize) as u64
     }
@@ -134,8 +128,8 @@
             let begin = |seed: &u64| {
                 // The stand-ins of a fleet listen until the program ends: the next fleets get addresses of their own.
                 let place = (*seed - soak.seed) as u8;
-                let Soak { faults, keys, .. } = soak;
-                let series = Series { seed: *seed, place, faults, keys, keep };
+                let Soak { faults, keys, stalls, .. } = soak;
+                let series = Series { seed: *seed, place, faults, keys, stalls, keep };
                 let home = home.join(format!("seed-{seed}"));
                 scope.spawn(move || series.prove(program, &home, net))
             };
@@ -180,17 +174,19 @@
     place: u8,
     faults: usize,
     keys: bool,
+    stalls: bool,
     keep: bool,
 }
 
 impl Series {
     fn prove(&self, program: &Path, home: &Path, net: Option<u8>) -> Plain<Verdict> {
         std::fs::create_dir_all(home).map_err(|e| format!("{}: {e}", home.display()))?;
-        let fleet = lay_out(program, home, net, NINE, self.place)?;
+        let mut fleet = lay_out(program, home, net, NINE, self.place)?;
+        fleet.has_disk_stalls = self.stalls;
         let recorder = Recorder::new(home);
         let setup = Setup { has_keys: self.keys, ..setup(format!("seed {:<4}    ", self.seed)) };
         let running = setup.begin(fleet, &recorder)?;
-        let history = play(running, self.seed, self.faults, &steps(self.keys))?;
+        let history = play(running, self.seed, self.faults, &steps(self.keys), self.stalls)?;
         let breaches = judge(&history);
         println!("test-losses, seed {}: {}", self.seed, figures(&history, &recorder));
         if self.keep {
@@ -202,8 +198,10 @@
     }
 }
 
-fn play(mut running: Running, seed: u64, faults: usize, steps: &[Step]) -> Plain<History> {
-    let mut dice = Dice { seed, drawn: 0 };
+fn play(mut running: Running, seed: u64, faults: usize, steps: &[Step], has_stalls: bool) -> Plain<History> {
+    let mut dice = Dice::new(seed);
+    // Numbers of their own: the steps are the same with stalls and without.
+    let mut stall_dice = Dice::new(message::mix(seed));
     running.schedule.sleep(500);
     if running.schedule.clients.has_keys.load(Ordering::Relaxed) {
         running.keep_retrying();
@@ -214,6 +212,9 @@
     schedule.sleep(1500);
     for _ in 0..faults {
         let step = steps[dice.below(steps.len())];
+        if has_stalls {
+            schedule.stall_disks(step, &mut stall_dice)?;
+        }
         schedule.strike(step, &mut dice)?;
     }
     running.schedule.sleep(3000);
@@ -292,6 +293,15 @@
         Ok(())
     }
 
+    /// The disks of some stores, or of all, stall from now or soon on; returns when the step is to begin.
+    fn stall_disks(&mut self, step: Step, dice: &mut Dice) -> Plain<()> {
+        let stall = DiskStall::draw(dice, &self.fleet.here(Role::Store), step == Step::AllKilled);
+        self.fleet.stall_disks(&stall)?;
+        self.say(&stall.to_string());
+        self.sleep(stall.lead_ms);
+        Ok(())
+    }
+
     /// A store is not heard from now on.
     fn silence(&mut self, store: usize, silence: Silence) {
         match silence {
--- a/crates/system-test/src/main.rs
+++ b/crates/system-test/src/main.rs
@@ -3,6 +3,8 @@
 mod churn;
 mod client;
 mod control;
+mod dice;
+mod disk_stalls;
 mod drawn_day;
 mod executor;
 mod fleet;
