--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= deploy/example.json
 
-.PHONY: test-tenants build test lint run fleet test-testbed test-routes test-processes test-processes-long test-model test-system test-upgrade test-system-long test-control test-losses
+.PHONY: test-tenants build test lint run fleet test-testbed test-routes test-processes test-processes-long test-model test-system test-upgrade test-system-long test-control test-losses test-stalls
 
 build:
 	cargo build --release --locked
@@ -64,6 +64,11 @@
 	cargo build --release --locked -p stileroute-server -p stileroute-system-test
 	target/release/stileroute-system-test prove-losses --seed 1 --seeds 3 --jobs 3 --faults 5 --keys
 
+# The same while the disks of stores stall, above all before and during a kill of all stores. Builds a daemon with such stalls into a
+# target folder of its own. More seeds: `crates/system-test/test-stalls.sh --seed 14 --seeds 8 --jobs 3 --faults 5 --keys`.
+test-stalls:
+	crates/system-test/test-stalls.sh
+
 # Outside CI: 61 processes, some 80 s.
 test-system-long:
 	cargo build --release --locked -p stileroute-server -p stileroute-system-test
