Log: a failed sync takes back only what was not answered, also within one group

An append without sync is answered once it is written. Where it was in one group with an append whose sync then failed, the segment was cut off at the beginning of the group, so a record was gone whose append had been answered. Groups form behind a stalled write: the end of a message could be forgotten that way, and the message run again after the next start.

Cause: all appends of a group had the position of the group as their start. Each has that of its own entry now.

Shown by a_failed_sync_keeps_what_was_answered_of_the_same_group, which failed before with both answered records gone.

--- a/crates/wal/src/writer/group.rs
+++ b/crates/wal/src/writer/group.rs
@@ -16,6 +16,8 @@
 struct EncodedGroup {
     /// By append, why it is not among the entries.
     refusals: Vec<Option<AppendError>>,
+    /// By append, where its entry begins. A failed sync cuts the segment off there: what comes before may have been answered.
+    starts: Vec<Position>,
     entries: u32,
     records: u64,
     /// One was refused because the folder may not grow.
@@ -37,7 +39,9 @@
         if self.buffer.capacity() > 2 * GROUP_BYTES {
             self.buffer = Vec::new();
         }
-        for (append, refusal) in group.drain(..).zip(encoded.refusals) {
+        let appends = group.drain(..).zip(encoded.refusals).zip(encoded.starts);
+        for ((append, refusal), start_of_entry) in appends {
+            let start = if result.is_ok() { start_of_entry } else { start };
             let result = refusal.map_or_else(|| result.clone(), Err);
             let needs = self.needed_sync(append.sync && result.is_ok());
             self.unanswered.push_back(UnansweredAppend { ticket: append.ticket, result, start, needs });
@@ -54,6 +58,9 @@
         let mut encoded =
             EncodedGroup { refusals: Vec::with_capacity(group.len()), ..EncodedGroup::default() };
         for append in group {
+            let bytes = start.bytes + self.buffer.len() as u64;
+            let entries = start.entries.wrapping_add(encoded.entries);
+            encoded.starts.push(Position { bytes, entries });
             let refusal = refusal(append, used_bytes + self.buffer.len() as u64, options);
             match &refusal {
                 Some(error) => encoded.is_out_of_capacity |= matches!(error, AppendError::DiskFull),
--- a/crates/wal/tests/appends.rs
+++ b/crates/wal/tests/appends.rs
@@ -190,3 +190,30 @@
     log.wal.close();
     assert_eq!(folder.recover().unwrap(), keys(&[&large("3"), "after=1"]));
 }
+
+/// Behind a stalled write two appends form a group. The one without sync is answered once it is written; a failed sync of the other takes
+/// back that one alone.
+#[test]
+fn a_failed_sync_keeps_what_was_answered_of_the_same_group() {
+    let folder = TemporaryFolder::new();
+    let (release, held) = channel::<()>();
+    let held = Mutex::new(held);
+    let is_stalled = AtomicBool::new(true);
+    let hook = move |step| match step {
+        Step::WriteEntries if is_stalled.swap(false, Ordering::SeqCst) => {
+            let _ = held.lock().unwrap().recv();
+            Ok(())
+        }
+        Step::SyncSegment => Err(io::Error::from_raw_os_error(5)),
+        _ => Ok(()),
+    };
+    let (mut log, _) = TestLog::open(&folder.0, hooked(hook));
+    log.queue(&["first=1"], false);
+    log.queue(&["end=1"], false);
+    log.queue(&["put=2"], true);
+    release.send(()).unwrap();
+    let results: Vec<_> = (0..3).map(|_| log.next_result()).collect();
+    assert!(results[0].1.is_ok() && results[1].1.is_ok(), "{results:?}");
+    assert!(results[2].1.is_err(), "{results:?}");
+    assert_eq!(folder.copy().recover().unwrap(), keys(&["end=1", "first=1"]));
+}
