Store: the end of a message outlives the process before the disk has it

Cause, traced on real processes and, apart from that, in the simulation: the record of an end waited in the channel to the log's writer, or in its write call, at the owner and 40 ms later at the replica; a kill of both left the message live on both disks. After a failed sync ends were taken back as well, and nobody appended them again.

Change: a store puts the record of an end into a crash buffer in the turn in which it knows it, and removes it once the log has answered; a start applies what is left to the log's state and writes it. What the log refused is appended again. No more attempts are in flight than there is space for ends. Why it works: what a killed process had told others lies in a page that no disk had to take.

--- a/crates/model-check/src/queue/fleet/events.rs
+++ b/crates/model-check/src/queue/fleet/events.rs
@@ -150,7 +150,7 @@
     pub(super) fn effect(&mut self, at: usize, effect: Effect) {
         let life = self.stores[at].incarnation;
         match effect {
-            Effect::Persist { ticket, records, sync } => {
+            Effect::Persist { ticket, records, sync, .. } => {
                 let disk = &mut self.stores[at].disk;
                 let records = records.iter().filter_map(|bytes| postcard::from_bytes(bytes).ok()).collect();
                 let serial = disk.first_serial + disk.in_flight.len() as u64;
--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -14,7 +14,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 28] = [
+const DAYS: [(PlantedFault, Day); 29] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -22,6 +22,7 @@
     (PlantedFault::OldCopyList, the_copy_that_replaced_another_runs_it),
     (PlantedFault::DropUnsent, a_copy_that_was_replaced_is_still_there),
     (PlantedFault::EndUnkept, all_lose_power_after_the_end),
+    (PlantedFault::EndKeptByDiskAlone, all_are_killed_while_writes_stall),
     (PlantedFault::HandedTwice, one_of_two_copies_gets_it),
     (PlantedFault::TermUnraised, retirement_scenarios::an_owner_is_gone),
     (PlantedFault::RetiredEarly, retirement_scenarios::a_message_is_handed_over_late),
@@ -99,6 +100,19 @@
     world.check(false);
 }
 
+/// What runs while the writes of all stores hang has ended long before the processes are killed.
+fn all_are_killed_while_writes_stall(prepare: &Prepare) {
+    let mut world = world(3, 1, prepare);
+    for n in 0..20 {
+        world.send(2600 + 20 * n, 0, "plain", &[Behavior::Succeeds], 1500);
+    }
+    for store in 0..3 {
+        world.act(4000, Action::HoldWrites(store, 2500));
+        world.act(6000, Action::Inject(store, Fault::Kill));
+    }
+    once(world, 20_000);
+}
+
 fn a_store_is_cut_off(prepare: &Prepare) {
     let mut world = world(3, 1, prepare);
     for n in 0..40 {
--- a/crates/queue/src/effect.rs
+++ b/crates/queue/src/effect.rs
@@ -13,6 +13,10 @@
         ticket: u64,
         /// Encoded [`Record`](crate::Record)s, in the order in which they must lie on disk.
         records: Vec<Vec<u8>>,
+        /// Which of the records, by index, outlive the process from now on, whatever the disk does: other stores and executors know of
+        /// these ends before the disk has them. Each may be applied again at any later time, by
+        /// [`StateTable::apply_kept_end`](crate::StateTable::apply_kept_end).
+        kept_ends: Vec<usize>,
         /// Something waits for these records: they are synced at once instead of with a later write.
         sync: bool,
     },
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -47,6 +47,8 @@
     pub shard_claims_failed: u64,
     /// Messages that may not have been accepted, and were dropped because another was accepted with their key.
     pub rivals_dropped: u64,
+    /// Times that a message was not started because its end could not be kept until the disk has it.
+    pub attempts_delayed_by_disk: u64,
     /// Writes that the disk refused.
     pub failed_writes: u64,
     /// Claims of former owners or token holders that were ignored.
--- a/crates/queue/src/pending_writes.rs
+++ b/crates/queue/src/pending_writes.rs
@@ -41,6 +41,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct PendingWrites {
     records: Vec<Vec<u8>>,
+    /// Which of them outlive the process from this turn on, by index.
+    kept_ends: Vec<usize>,
     needs_sync: bool,
     /// Waits for the write that is being collected.
     collecting: Vec<PendingWrite>,
@@ -59,6 +61,20 @@
         }
     }
 
+    /// Adds the record of an end, which others know before it is on disk.
+    pub fn add_end(&mut self, record: &Record) {
+        let index = self.records.len();
+        self.add(record, false);
+        if index < self.records.len() {
+            self.kept_ends.push(index);
+        }
+    }
+
+    /// How many ends the program has not been given yet.
+    pub fn end_count(&self) -> usize {
+        self.kept_ends.len()
+    }
+
     /// Something waits for the records added so far in this turn.
     pub fn wait(&mut self, wait: PendingWrite) {
         self.collecting.push(wait);
@@ -77,8 +93,9 @@
             self.started_at.insert(ticket, now);
         }
         let records = std::mem::take(&mut self.records);
+        let kept_ends = std::mem::take(&mut self.kept_ends);
         let sync = std::mem::take(&mut self.needs_sync);
-        Some(Effect::Persist { ticket, records, sync })
+        Some(Effect::Persist { ticket, records, kept_ends, sync })
     }
 
     /// The disk has answered for a write: gives what waited for it.
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -17,6 +17,8 @@
     DropUnsent,
     /// An end is sent to others and not kept on disk.
     EndUnkept,
+    /// An end is not kept by the process until the disk has it.
+    EndKeptByDiskAlone,
     /// A message is offered to all stores that hold replicas of it, not to one.
     HandedTwice,
     /// A takeover does not raise the term.
@@ -72,7 +74,7 @@
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 32] = [
+    pub const ALL: [PlantedFault; 33] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -80,6 +82,7 @@
         PlantedFault::OldCopyList,
         PlantedFault::DropUnsent,
         PlantedFault::EndUnkept,
+        PlantedFault::EndKeptByDiskAlone,
         PlantedFault::HandedTwice,
         PlantedFault::TermUnraised,
         PlantedFault::TakenUnasked,
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -75,6 +75,9 @@
     pub(crate) settings: QueueSettings,
     /// Contact with the control group, as the program observes it.
     pub control_contact: ControlContact,
+    /// How many ends the program can keep, until the disk has them, beyond those that it was given: no more attempts than that are in
+    /// flight, for each may lead to an end.
+    pub end_capacity: usize,
     /// Counters since the start.
     pub metrics: QueueMetrics,
 
@@ -119,6 +122,8 @@
     callbacks: Callbacks,
     next_number: u64,
     next_attempt: u64,
+    /// How many attempts may still be started in this turn: the ends of no more can be kept.
+    free_attempts: usize,
 
     effects: Vec<Effect>,
     pub(crate) pending_writes: PendingWrites,
@@ -177,6 +182,7 @@
     fn empty(settings: QueueSettings, shards: ShardTable, now: Millis, wall_clock_ms: u64) -> Queue {
         Queue {
             control_contact: ControlContact::FULL,
+            end_capacity: usize::MAX,
             metrics: QueueMetrics::default(),
             entries: EntryTable::default(),
             live_by_owner: BTreeSet::new(),
@@ -204,6 +210,7 @@
             // Numbers never come again: each incarnation has a range of its own.
             next_number: settings.first_number,
             next_attempt: 1,
+            free_attempts: usize::MAX,
             effects: Vec::new(),
             pending_writes: PendingWrites::default(),
             flush_ends_at: None,
@@ -430,9 +437,11 @@
 
     /// How many attempts, unpersisted messages and handovers have not come to their end.
     pub fn unfinished_count(&self) -> usize {
-        let attempts: usize =
-            self.service_queues.iter().map(|service_queue| service_queue.in_flight.len()).sum();
-        attempts + self.persisting.len() + self.handovers.len()
+        self.attempts_in_flight() + self.persisting.len() + self.handovers.len()
+    }
+
+    fn attempts_in_flight(&self) -> usize {
+        self.service_queues.iter().map(|service_queue| service_queue.in_flight.len()).sum()
     }
 
     /// How many messages have not ended or have a callback pending, replicas included.
--- a/crates/queue/src/queue/completion.rs
+++ b/crates/queue/src/queue/completion.rs
@@ -30,10 +30,7 @@
             End::Failed => self.metrics.failed += 1,
         }
         self.schedule_forget(now, key);
-        if !self.planted(PlantedFault::EndUnkept) {
-            let ended_at_ms = self.wall_clock_ms(now);
-            self.record(&Record::Ended { key, end: end.clone(), callback_pending, ended_at_ms }, false);
-        }
+        self.record_end(now, key, &end, callback_pending);
         for peer in peers_to_tell {
             self.outbox(peer).ends.push(EndNotice { key, end: end.clone(), callback_pending });
         }
@@ -46,6 +43,19 @@
         self.track_end(key);
     }
 
+    /// Records an end that others know, or will within a moment: it must outlive the process before the disk has it.
+    pub(crate) fn record_end(&mut self, now: Millis, key: Key, end: &End, callback_pending: bool) {
+        if self.planted(PlantedFault::EndUnkept) {
+            return;
+        }
+        let ended_at_ms = self.wall_clock_ms(now);
+        let record = Record::Ended { key, end: end.clone(), callback_pending, ended_at_ms };
+        if self.planted(PlantedFault::EndKeptByDiskAlone) {
+            return self.record(&record, false);
+        }
+        self.pending_writes.add_end(&record);
+    }
+
     /// Keeps a message that has ended for as long as its end can be looked up.
     pub(crate) fn schedule_forget(&mut self, now: Millis, key: Key) {
         self.end_replication.mark_incomplete();
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -124,6 +124,8 @@
             return;
         }
         self.next_dispatch_at = Millis::MAX;
+        self.free_attempts =
+            self.end_capacity.saturating_sub(self.attempts_in_flight() + self.pending_writes.end_count());
         for index in 0..self.service_queues.len() {
             let mut may_retry = true;
             while self.start_next(now, dispatch_time, index, &mut may_retry).is_continue() {}
@@ -147,6 +149,11 @@
             Candidate::Moved => return ControlFlow::Continue(()),
             Candidate::Blocked => return ControlFlow::Break(()),
         };
+        if self.free_attempts == 0 {
+            self.metrics.attempts_delayed_by_disk += 1;
+            self.dispatch_again_at(now + UPKEEP_INTERVAL_MS);
+            return ControlFlow::Break(());
+        }
         let paused_until = self.service_queues[index].paused_until;
         if now < paused_until {
             self.dispatch_again_at(paused_until);
@@ -253,6 +260,7 @@
         let Some(entry) = self.entries.get_mut(&key) else { return };
         entry.queue_slot = None;
         entry.stage = Stage::InFlight;
+        self.free_attempts -= 1;
         self.metrics.attempts += 1;
         self.metrics.retries += u64::from(entry.backoff_steps > 0);
         let executor = &service_queue.executors[executor].executor;
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -40,10 +40,7 @@
     }
 
     fn close_with_end(&mut self, now: Millis, key: Key, end: End, callback_pending: bool) {
-        if !self.planted(PlantedFault::EndUnkept) {
-            let ended_at_ms = self.wall_clock_ms(now);
-            self.record(&Record::Ended { key, end: end.clone(), callback_pending, ended_at_ms }, false);
-        }
+        self.record_end(now, key, &end, callback_pending);
         self.close_entry(now, key, end, callback_pending);
     }
 
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -119,6 +119,21 @@
         }
     }
 
+    /// Applies an end that outlived the process before without the disk, unless one is known. The message itself may not have been
+    /// written either: then the end alone is known, and another store that has the message live is told. Whether the end was new, and
+    /// has to be written.
+    pub fn apply_kept_end(&mut self, record: &[u8]) -> bool {
+        let Ok(Record::Ended { key, end, callback_pending, ended_at_ms }) = postcard::from_bytes(record)
+        else {
+            return false;
+        };
+        let is_new = self.messages.get(&key).is_none_or(|message| message.end.is_none());
+        if is_new {
+            self.end(key, StoredEnd { end, callback_pending, ended_at_ms });
+        }
+        is_new
+    }
+
     fn start_incarnation(&mut self, disk_id: u64, first_number: u64) {
         self.disk_id = Some(disk_id);
         self.incarnation_first_numbers.push(first_number);
--- a/crates/queue/tests/simulation/disk.rs
+++ b/crates/queue/tests/simulation/disk.rs
@@ -57,6 +57,13 @@
     covered: usize,
 }
 
+/// Records of the crash buffer. They outlive a kill, and are removed once their append was answered without an error.
+#[derive(Debug)]
+struct KeptRecords {
+    ticket: u64,
+    records: Vec<Vec<u8>>,
+}
+
 /// The disk of one store.
 ///
 /// Several syncs may run at once, and end in the order in which they were begun; each covers what was written when it was begun.
@@ -66,6 +73,8 @@
     records: Vec<(Vec<u8>, bool)>,
     unanswered: VecDeque<Append>,
     background_syncs: VecDeque<BackgroundSync>,
+    /// Records in the crash buffer, by the append that has them too.
+    kept: Vec<KeptRecords>,
     /// No write ends before.
     writes_held_until: u64,
     /// No sync ends before.
@@ -82,6 +91,7 @@
             records: Vec::new(),
             unanswered: VecDeque::new(),
             background_syncs: VecDeque::new(),
+            kept: Vec::new(),
             writes_held_until: 0,
             syncs_held_until: 0,
             sync_ms: SYNC_MS,
@@ -116,6 +126,18 @@
         self.syncs_held_until = self.syncs_held_until.max(until);
     }
 
+    /// Puts records of an append into the crash buffer.
+    pub fn keep(&mut self, ticket: u64, records: Vec<Vec<u8>>) {
+        if !records.is_empty() {
+            self.kept.push(KeptRecords { ticket, records });
+        }
+    }
+
+    /// What a process that starts now finds in the crash buffer.
+    pub fn take_kept(&mut self) -> Vec<Vec<u8>> {
+        std::mem::take(&mut self.kept).into_iter().flat_map(|kept| kept.records).collect()
+    }
+
     /// Queues an append.
     pub fn append(&mut self, now: u64, ticket: u64, records: Vec<Vec<u8>>, needs_sync: bool) {
         self.unanswered.push_back(Append { ticket, needs_sync, in_memory: records, written: None });
@@ -141,6 +163,7 @@
                 let covered = self.unanswered.front().and_then(|next| next.written);
                 self.mark_synced(covered.map_or(self.records.len(), |next| next.begin));
             }
+            self.kept.retain(|kept| kept.ticket != append.ticket);
             answers.push(AppendAnswer { ticket: append.ticket, is_ok: true });
         }
         answers
@@ -165,17 +188,24 @@
             self.records.extend(append.in_memory.into_iter().map(|record| (record, true)));
         }
         self.background_syncs.clear();
+        self.kept.clear();
         self.mark_synced(self.records.len());
     }
 
-    /// Leaves what survives: a kill keeps what is written, a loss of power what is synced.
+    /// Leaves what survives: a kill keeps what is written and what is in the crash buffer, a loss of power what is synced.
     pub fn cut(&mut self, cut: DiskCut) {
         self.unanswered.clear();
         self.background_syncs.clear();
         match cut {
             DiskCut::Kill => {}
-            DiskCut::PowerLoss => self.records.retain(|(_, is_synced)| *is_synced),
-            DiskCut::DiskLoss => self.records.clear(),
+            DiskCut::PowerLoss => {
+                self.kept.clear();
+                self.records.retain(|(_, is_synced)| *is_synced);
+            }
+            DiskCut::DiskLoss => {
+                self.kept.clear();
+                self.records.clear();
+            }
         }
     }
 
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -13,6 +13,11 @@
             ledger.apply_record(postcard::from_bytes(record).unwrap());
         }
         let store = &mut self.stores[at];
+        for record in store.disk.take_kept() {
+            if ledger.apply_kept_end(&record) {
+                store.disk.write_synced(record);
+            }
+        }
         let has_lost_disk = ledger.disk_id.is_none() && now > 0;
         if ledger.disk_id.is_none() {
             self.next_disk += 1;
--- a/crates/queue/tests/simulation/turns.rs
+++ b/crates/queue/tests/simulation/turns.rs
@@ -73,8 +73,10 @@
     pub(super) fn effect(&mut self, at: usize, effect: Effect) {
         let life = self.stores[at].incarnation;
         match effect {
-            Effect::Persist { ticket, records, sync } => {
-                self.stores[at].disk.append(self.now, ticket, records, sync);
+            Effect::Persist { ticket, records, kept_ends, sync } => {
+                let disk = &mut self.stores[at].disk;
+                disk.keep(ticket, kept_ends.into_iter().map(|index| records[index].clone()).collect());
+                disk.append(self.now, ticket, records, sync);
                 self.plan_disk(at);
             }
             Effect::Send { to, message: note } => {
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -16,6 +16,8 @@
     pub disk_silent: bool,
     pub waiting: Vec<(u64, bool)>,
     pub records: Vec<Record>,
+    /// Those of them that outlive the process before the disk has them.
+    pub kept_ends: Vec<Record>,
 }
 
 impl SingleStore {
@@ -47,7 +49,14 @@
             seed: 5,
         };
         let queue = Queue::new(terms, ledger, 0, WALL);
-        SingleStore { queue, now: 0, disk_silent: false, waiting: Vec::new(), records: Vec::new() }
+        SingleStore {
+            queue,
+            now: 0,
+            disk_silent: false,
+            waiting: Vec::new(),
+            records: Vec::new(),
+            kept_ends: Vec::new(),
+        }
     }
 
     /// With both others there and agreed with, configured, and with executors.
@@ -84,9 +93,12 @@
         loop {
             self.queue.tick(self.now, self.now as i64 * 10);
             for effect in self.queue.take_effects() {
-                if let Effect::Persist { ticket, records, sync } = effect {
+                if let Effect::Persist { ticket, records, kept_ends, sync } = effect {
                     self.waiting.push((ticket, sync));
-                    self.records.extend(records.iter().map(|r| postcard::from_bytes::<Record>(r).unwrap()));
+                    let records: Vec<Record> =
+                        records.iter().map(|r| postcard::from_bytes(r).unwrap()).collect();
+                    self.kept_ends.extend(kept_ends.into_iter().map(|index| records[index].clone()));
+                    self.records.extend(records);
                 } else {
                     all.push(effect);
                 }
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -2,6 +2,7 @@
 
 use super::output::{print, ExitStatus, OutputFormat};
 use crate::disk_owner;
+use crate::store::kept_ends::FILE_NAME as KEPT_ENDS_FILE;
 use jzon::JsonValue;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
@@ -56,6 +57,7 @@
 fn verify_store(folder: &Path) -> Result<JsonValue, ReadError> {
     let mut table = StateTable::default();
     let (report, kinds) = read_records(folder, message_record_kind, |record| table.apply_record(record))?;
+    let unwritten_ends = apply_kept_ends(folder, &mut table);
     let ends = || table.messages.values().filter_map(|message| message.end.as_ref());
     let live = table.messages.values().filter(|message| message.end.is_none()).count();
     let complete = ends().filter(|stored| matches!(stored.end, End::Complete { .. })).count();
@@ -68,9 +70,25 @@
     object["complete"] = complete.into();
     object["failed"] = failed.into();
     object["callbacks_owed"] = callbacks_owed.into();
+    if let Some(unwritten_ends) = unwritten_ends {
+        object["ends_unwritten"] = unwritten_ends;
+    }
     Ok(object)
 }
 
+/// Applies the ends that the next start would find beside the log: how many the log does not have, or why they can't be read. `None`
+/// where there is no such file.
+fn apply_kept_ends(folder: &Path, table: &mut StateTable) -> Option<JsonValue> {
+    let file = folder.with_file_name(KEPT_ENDS_FILE);
+    if !file.exists() {
+        return None;
+    }
+    Some(match stileroute_crash_buffer::read(&file) {
+        Ok(records) => records.iter().filter(|record| table.apply_kept_end(record)).count().into(),
+        Err(error) => error.to_string().into(),
+    })
+}
+
 fn message_record_kind(record: &MessageRecord) -> &'static str {
     match record {
         MessageRecord::IncarnationStarted { .. } => "born",
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -5,6 +5,7 @@
 mod delivery_statistics;
 mod departed_executors;
 mod executor_http;
+pub mod kept_ends;
 mod link_events;
 mod report;
 #[cfg(test)]
@@ -18,7 +19,9 @@
 use crate::start_error::StartError;
 use delivery_statistics::DeliveryStatistics;
 use departed_executors::DepartedExecutors;
+use kept_ends::KeptEnds;
 use std::collections::HashMap;
+use std::path::Path;
 use stileroute_queue::{
     first_number, Key, Node, Queue, QueueSettings, QuotaBounds, Record, StateTable, ToleratedLosses,
 };
@@ -26,6 +29,8 @@
 
 /// Name of the log and of its folder.
 const LOG_SCHEMA: &str = "hold";
+/// Under this ticket the records of the start are appended; the queue's begin with 1.
+const START_TICKET: u64 = 0;
 /// A store that shuts down waits at least so long for messages that are handed over to it, in ms.
 const MIN_DRAIN_MS: Millis = 150;
 /// Between the order to shut down and the end of the process at least, in ms: its last frames have to go out.
@@ -58,6 +63,7 @@
     runtime: NodeRuntime,
     queue: Queue,
     disk: Disk,
+    kept_ends: KeptEnds,
     /// The last heartbeat of each executor that the control nodes name, by its id.
     executors: HashMap<String, Heartbeat>,
     departed_executors: DepartedExecutors,
@@ -81,7 +87,9 @@
     ///
     /// Where no data folder is set, or the log can't be opened.
     pub fn new(mut runtime: NodeRuntime) -> Result<Store, StartError> {
-        let (disk, table) = Disk::open::<StateTable>(&runtime, "a store", Options::new(LOG_SCHEMA))?;
+        let (disk, mut table) = Disk::open::<StateTable>(&runtime, "a store", Options::new(LOG_SCHEMA))?;
+        let data_dir = runtime.boot.data_dir.as_deref().unwrap_or(Path::new("."));
+        let (kept_ends, unwritten_ends) = KeptEnds::open(data_dir, &mut table);
         let disk_id = table.disk_id.unwrap_or_else(random_seed);
         let first_number = first_number(random_seed());
         let record = Record::IncarnationStarted { disk_id, first_number };
@@ -90,7 +98,8 @@
         let has_lost_disk = table.disk_id.is_none() && !runtime.boot.is_first_start;
         let terms_missing = has_lost_disk.then_some(Record::ShardTermsMissing(true));
         let terms_missing = terms_missing.and_then(|record| postcard::to_stdvec(&record).ok());
-        disk.append(0, std::iter::once(record).chain(terms_missing).collect(), true);
+        let records = std::iter::once(record).chain(terms_missing).chain(unwritten_ends);
+        disk.append(START_TICKET, records.collect(), true);
         let settings = queue_settings(&runtime, disk_id, first_number, &table, has_lost_disk);
         tracing::info!(messages = table.messages.len(), disk = disk_id, "disk read");
         // Both clocks after the disk was read: with the steady one from before, delayed messages would run early.
@@ -100,6 +109,7 @@
             runtime,
             queue,
             disk,
+            kept_ends,
             executors: HashMap::new(),
             departed_executors: DepartedExecutors::default(),
             in_flight: HashMap::new(),
@@ -188,6 +198,7 @@
                     Ok(()) => tracing::info!("disk takes again"),
                 }
             }
+            self.kept_ends.write_completed(now, ticket, result.is_ok());
             self.queue.write_completed(now, ticket, result.is_ok());
         }
     }
--- a/crates/server/src/store/deliveries.rs
+++ b/crates/server/src/store/deliveries.rs
@@ -29,10 +29,15 @@
 }
 
 impl Store {
-    /// Lets the queue do what is due, and carries out what it asks for.
+    /// Lets the queue do what is due, and carries out what it asks for. Frames and requests leave with the next poll: by then the ends of
+    /// this turn are kept, in whatever order the effects come.
     pub(super) fn apply_queue_effects(&mut self) {
         for _ in 0..MAX_EFFECT_ROUNDS {
             let (now, now_tenths_ms) = (self.runtime.net.now(), self.runtime.net.now_tenths_ms());
+            for (ticket, records) in self.kept_ends.take_due(now) {
+                self.disk.append(ticket, records, false);
+            }
+            self.queue.end_capacity = self.kept_ends.capacity();
             self.queue.tick(now, now_tenths_ms);
             let effects = self.queue.take_effects();
             if effects.is_empty() {
@@ -44,7 +49,8 @@
 
     fn apply_queue_effect(&mut self, effect: Effect) {
         match effect {
-            Effect::Persist { ticket, records, sync } => {
+            Effect::Persist { ticket, records, kept_ends, sync } => {
+                self.kept_ends.keep(ticket, kept_ends.into_iter().map(|index| records[index].clone()));
                 self.disk.append(ticket, records, sync);
                 if is_injected(InjectedFault::AnswerBeforeDisk) {
                     self.queue.write_completed(self.runtime.net.now(), ticket, true);
--- /dev/null
+++ b/crates/server/src/store/kept_ends/tests.rs
@@ -0,0 +1,108 @@
+use super::*;
+use std::path::PathBuf;
+use stileroute_queue::{End, Key, Record, ReplicatedMessage};
+
+const TICKET: u64 = 7;
+
+fn data_dir(test: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("kept-ends-{}-{test}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn key(number: u64) -> Key {
+    Key { origin: 1, number }
+}
+
+fn end(number: u64) -> Vec<u8> {
+    let end = End::Complete { seal: format!("s{number}") };
+    let record = Record::Ended { key: key(number), end, callback_pending: false, ended_at_ms: 1 };
+    postcard::to_stdvec(&record).unwrap()
+}
+
+/// What the log holds of these messages: all are live.
+fn live(numbers: &[u64]) -> StateTable {
+    let mut table = StateTable::default();
+    for number in numbers {
+        let replica = ReplicatedMessage { key: key(*number), ..ReplicatedMessage::default() };
+        table.apply_record(Record::Put { replica });
+    }
+    table
+}
+
+fn kept(data_dir: &Path, ends: &[u64]) -> KeptEnds {
+    let (mut kept, left) = KeptEnds::open(data_dir, &mut StateTable::default());
+    assert!(left.is_empty());
+    kept.keep(TICKET, ends.iter().map(|number| end(*number)));
+    kept
+}
+
+#[test]
+fn ends_that_the_log_has_not_written_are_there_after_a_kill() {
+    let data_dir = data_dir("kill");
+    std::mem::forget(kept(&data_dir, &[1, 2]));
+    let mut table = live(&[1, 2, 3]);
+    let (mut after, records) = KeptEnds::open(&data_dir, &mut table);
+    let ended = |number| table.messages[&key(number)].end.is_some();
+    assert_eq!([ended(1), ended(2), ended(3)], [true, true, false]);
+    assert_eq!((records.len(), after.unwritten()), (2, 2));
+    // They stay until the append of the start is written: a second kill before that forgets nothing.
+    let (_, again) = KeptEnds::open(&data_dir, &mut live(&[1, 2]));
+    assert_eq!(again.len(), 2);
+    after.write_completed(0, super::super::START_TICKET, true);
+    assert_eq!(after.unwritten(), 0);
+    drop(after);
+    let (_, none) = KeptEnds::open(&data_dir, &mut live(&[1, 2]));
+    assert!(none.is_empty());
+}
+
+#[test]
+fn ends_that_the_log_has_written_are_not_kept() {
+    let data_dir = data_dir("written");
+    let mut kept = kept(&data_dir, &[1]);
+    let capacity = kept.capacity();
+    kept.write_completed(0, TICKET, true);
+    assert_eq!((kept.unwritten(), kept.capacity()), (0, capacity + 1));
+    drop(kept);
+    let mut table = live(&[1]);
+    assert!(KeptEnds::open(&data_dir, &mut table).1.is_empty());
+    assert!(table.messages[&key(1)].end.is_none());
+}
+
+/// A failed sync takes back all that it has not answered, ends among it that others know.
+#[test]
+fn ends_that_the_log_refused_are_kept_and_appended_again() {
+    let data_dir = data_dir("refused");
+    let mut kept = kept(&data_dir, &[1, 2]);
+    kept.write_completed(0, TICKET, false);
+    kept.write_completed(0, TICKET + 1, false);
+    assert!(kept.take_due(RETRY_INTERVAL_MS - 1).is_empty());
+    assert_eq!(kept.take_due(RETRY_INTERVAL_MS), [(TICKET, vec![end(1), end(2)])]);
+    assert!(kept.take_due(10 * RETRY_INTERVAL_MS).is_empty(), "once for each refusal");
+    assert_eq!(kept.unwritten(), 2);
+    kept.write_completed(RETRY_INTERVAL_MS, TICKET, false);
+    assert_eq!(kept.take_due(2 * RETRY_INTERVAL_MS).len(), 1);
+    kept.write_completed(2 * RETRY_INTERVAL_MS, TICKET, true);
+    assert_eq!(kept.unwritten(), 0);
+}
+
+#[test]
+fn what_the_buffer_does_not_take_is_counted_and_appended_again_all_the_same() {
+    let data_dir = data_dir("full");
+    let numbers: Vec<u64> = (0..SLOT_COUNT as u64 + 3).collect();
+    let mut kept = kept(&data_dir, &numbers);
+    assert_eq!((kept.unkept(), kept.capacity()), (3, 0));
+    kept.write_completed(0, TICKET, false);
+    assert_eq!(kept.take_due(RETRY_INTERVAL_MS)[0].1.len(), numbers.len());
+}
+
+#[test]
+fn a_file_that_cannot_be_used_does_not_keep_the_store_from_starting() {
+    let data_dir = data_dir("unusable");
+    std::fs::write(data_dir.join(FILE_NAME), b"something else").unwrap();
+    let mut kept = kept(&data_dir, &[1]);
+    assert_eq!((kept.unkept(), kept.unwritten(), kept.capacity()), (1, 1, usize::MAX));
+    kept.write_completed(0, TICKET, true);
+    assert_eq!(kept.unwritten(), 0);
+}
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -92,6 +92,7 @@
             ("uncertain", counts.outcome_unknown),
             ("done", counts.completed),
             ("failed", counts.failed),
+            ("delayed_by_disk", counts.attempts_delayed_by_disk),
             ("dropped", counts.failed_without_route),
             ("expired", counts.expired),
             ("attempts", counts.attempts),
@@ -262,6 +263,10 @@
         self.write_service_metrics(metrics);
         self.statistics.write_metrics(metrics);
         disk_metrics(metrics, &self.disk.statistics());
+        let help = "Ends that the disk has not written yet; they outlive the process.";
+        metrics.gauge("stileroute_ends_unwritten", help, &[], self.kept_ends.unwritten());
+        let help = "Ends that the disk had not written yet, and that would not have outlived the process.";
+        metrics.counter("stileroute_ends_unkept_total", help, &[], self.kept_ends.unkept());
         let help = "1: a message that came now would be accepted; 0: too few stores can take replicas, or it drains.";
         let accepts = u8::from(self.queue.accepts_messages(self.runtime.net.now()));
         metrics.gauge("stileroute_accepts_messages", help, &[], accepts);
