Server: the loop no longer stands still while a line of its log hangs

Cause: a store says that it accepts no messages some 0.26 s into a stall. Where its standard error is a file on the same disk, the loop stands still in that write: traced as turns of 1,727 to 1,951 ms, and a success that was never sent to the replica. An executor's answer that comes then is not read.

Change: a thread writes the lines; the loop hands them over and never waits.

--- a/crates/server/src/cli/error.rs
+++ b/crates/server/src/cli/error.rs
@@ -19,6 +19,9 @@
     /// A test asks for stalls of the disk that this build does not have, and would prove nothing.
     #[error("environment: {}: this build has no stalls of the disk", crate::disk_stalls::SCHEDULE_VARIABLE)]
     DiskStallsUnsupported,
+    /// The system has no thread for the log.
+    #[error("the thread for the log can't be started: {0}")]
+    LogThread(std::io::Error),
     /// A level of logging that does not exist.
     #[error("command line: {option}: {level:?} is none of error, warn, info, debug")]
     UnknownLogLevel {
@@ -72,7 +75,9 @@
     /// The exit status that the program ends with.
     pub fn exit_status(&self) -> ExitStatus {
         match self {
-            CommandError::NoAnswer { .. } | CommandError::Role { .. } => ExitStatus::Failure,
+            CommandError::NoAnswer { .. } | CommandError::Role { .. } | CommandError::LogThread(_) => {
+                ExitStatus::Failure
+            }
             CommandError::NoSettingsFile { .. }
             | CommandError::FiguresNotLoopback
             | CommandError::DiskStallsUnsupported
--- /dev/null
+++ b/crates/server/src/log_writer/tests.rs
@@ -0,0 +1,57 @@
+use super::*;
+use std::sync::Mutex;
+
+/// An output that waits before each write until the test lets it go on.
+struct HeldOutput {
+    may_write: Receiver<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for HeldOutput {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // The test has ended: nothing is held any more.
+        let _ = self.may_write.recv();
+        self.written.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A loop that stood still for a log line sent no ends and read no answers: a message that had succeeded ran again.
+#[test]
+fn a_line_never_waits_for_the_output_and_what_is_lost_is_told() {
+    let (let_go, may_write) = sync_channel(1);
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let output = HeldOutput { may_write, written: Arc::clone(&written) };
+    let (mut log, flush) = LogWriter::start(output).unwrap();
+    // With one line in the held write, and the channel full, the rest is lost.
+    let lines = MAX_WAITING_LINES + 100;
+    for number in 0..lines {
+        log.write_all(format!("line {number}\n").as_bytes()).unwrap();
+    }
+    drop(let_go);
+    // The channel may be full still, and then the end does not wait.
+    while log.commands.try_send(Command::Line(b"last\n".to_vec())).is_err() {}
+    drop(flush);
+    let text = String::from_utf8(written.lock().unwrap().clone()).unwrap();
+    assert!(text.starts_with("line 0\n"), "{}", &text[..40]);
+    assert!(text.contains(" log lines were lost here"));
+    assert!(text.contains("last\n"));
+    assert!(!text.contains(&format!("line {}\n", lines - 1)));
+}
+
+#[test]
+fn the_end_waits_for_lines_that_were_not_written() {
+    let written = Arc::new(Mutex::new(Vec::new()));
+    let (let_go, may_write) = sync_channel(100);
+    (0..100).for_each(|_| let_go.send(()).unwrap());
+    let (mut log, flush) = LogWriter::start(HeldOutput { may_write, written: Arc::clone(&written) }).unwrap();
+    for number in 0..50 {
+        log.write_all(format!("line {number}\n").as_bytes()).unwrap();
+    }
+    drop(flush);
+    assert!(written.lock().unwrap().ends_with(b"line 49\n"));
+}
--- a/crates/server/src/main.rs
+++ b/crates/server/src/main.rs
@@ -15,6 +15,7 @@
 mod inspection;
 mod keepalive;
 mod links;
+mod log_writer;
 mod metrics;
 mod net;
 mod node;
@@ -29,6 +30,7 @@
 use cli::output::ExitStatus;
 use cli::CommandError;
 use gumdrop::Options;
+use log_writer::{FlushOnDrop, LogWriter};
 use node::NodeRuntime;
 use protocol::NodeRole;
 use std::net::SocketAddrV4;
@@ -51,7 +53,7 @@
 
 /// Runs a role until the process is told to end.
 fn start(args: &Args, class: NodeRole) -> Result<ExitStatus, CommandError> {
-    start_logging(args.log_level()?);
+    let _flush = start_logging(args.log_level()?)?;
     if disk_stalls::are_unsupported() {
         return Err(CommandError::DiskStallsUnsupported);
     }
@@ -68,10 +70,12 @@
     }
 }
 
-/// Logs to standard error, without colours and without the names of modules.
-fn start_logging(level: tracing::Level) {
+/// Logs to standard error, without colours and without the names of modules. What is given back has to be dropped last.
+fn start_logging(level: tracing::Level) -> Result<FlushOnDrop, CommandError> {
+    let (writer, flush) = LogWriter::start(std::io::stderr()).map_err(CommandError::LogThread)?;
     let log = tracing_subscriber::fmt().with_max_level(level).with_ansi(false).with_target(false);
-    log.with_writer(std::io::stderr).init();
+    log.with_writer(writer).init();
+    Ok(flush)
 }
 
 fn run(boot: NodeSettings, path: &Path, class: NodeRole) -> miette::Result<()> {
