Store: a failed attempt outlives the process before the disk has it

Cause: how many attempts had failed went to the log alone. While a write hangs the record waits in the log's channel or in its write call, and a kill forgets it; after a failed sync the log takes it back, and nobody appended it again.

Change: the record goes into a crash buffer of its own (hold.failures) in the turn in which the answer is read, and leaves it once the log has answered; a start applies what is left and writes it; what the log refused is appended again, in one append with the ends of the same ticket. A later count of a message, or its end, makes the earlier needless, so a message has one slot at the most; nothing is taken from the slots of ends. Attempts are begun only while both files have space. The record is written and synced as before, so a loss of power is as before.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -14,7 +14,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 29] = [
+const DAYS: [(PlantedFault, Day); 30] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -33,6 +33,7 @@
     (PlantedFault::ResubmittedUnasked, the_second_store_reads_late_that_the_first_has_it),
     (PlantedFault::PeerDisksForgotten, retirement_scenarios::ends_outlive_a_restart_between_two_losses),
     (PlantedFault::FailedAttemptsForgotten, a_poison_message_outlives_many_restarts),
+    (PlantedFault::FailuresKeptByDiskAlone, a_poison_message_fails_while_writes_stall),
     (PlantedFault::EndsCopiedOnce, loss_scenarios::ends_outlive_three_losses),
     (PlantedFault::GoneReplicasCounted, loss_scenarios::two_are_lost_after_a_retirement_and_a_restart),
     (PlantedFault::DroppedConfirmed, loss_scenarios::a_dropped_replica_reaches_the_disk),
@@ -196,6 +197,25 @@
     }
 }
 
+/// All attempts but the last fail while no write ends, and then all processes are killed.
+fn a_poison_message_fails_while_writes_stall(prepare: &Prepare) {
+    let mut world = world(3, 1, prepare);
+    for n in 0..20 {
+        world.send(2600 + 20 * n, 0, "plain", &[Behavior::Fails], 1500);
+    }
+    for store in 0..3 {
+        world.act(4000, Action::HoldWrites(store, 2500));
+        world.act(6000, Action::Inject(store, Fault::Kill));
+    }
+    world.run(30_000);
+    world.check(true);
+    let failures = |id: &str| {
+        world.executions.iter().filter(|run| run.id == id && run.failure_read_at.is_some()).count()
+    };
+    let most = world.messages.iter().map(|sent| failures(&sent.message.id)).max();
+    assert_eq!(most, Some(world.max_tries as usize));
+}
+
 /// The first store is slow, and accepts the message just after its edge has asked the second, which is slow to read what the
 /// edge says then.
 fn the_second_store_reads_late_that_the_first_has_it(prepare: &Prepare) {
--- a/crates/queue/src/effect.rs
+++ b/crates/queue/src/effect.rs
@@ -4,6 +4,15 @@
 use crate::peer_message::PeerMessage;
 use std::net::SocketAddrV4;
 
+/// A record of a [`Effect::Persist`] that says how many attempts of a message have failed, and that outlives the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KeptFailure {
+    /// The message: a later record of it makes this one needless.
+    pub key: Key,
+    /// Index of the record.
+    pub index: usize,
+}
+
 /// One action for the program, from [`Queue::take_effects`](crate::Queue::take_effects).
 #[derive(Debug)]
 pub enum Effect {
@@ -17,6 +26,9 @@
         /// these ends before the disk has them. Each may be applied again at any later time, by
         /// [`StateTable::apply_kept_end`](crate::StateTable::apply_kept_end).
         kept_ends: Vec<usize>,
+        /// Those that outlive the process in the same way because an executor, or another store, knows of a failed attempt. Each may be
+        /// applied again by [`StateTable::apply_kept_failure`](crate::StateTable::apply_kept_failure).
+        kept_failures: Vec<KeptFailure>,
         /// Something waits for these records: they are synced at once instead of with a later write.
         sync: bool,
     },
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -42,7 +42,7 @@
 pub use attempt_outcome::AttemptOutcome;
 pub use control_contact::ControlContact;
 pub use durability::MissingCopies;
-pub use effect::Effect;
+pub use effect::{Effect, KeptFailure};
 pub use entry::{Entry, MessageState, Stage};
 pub use idempotency::{preferred_store_of_shard, IdempotencyDigest, Shard, ShardTerm, SHARD_COUNT};
 pub use message::{End, Key, KeyLocation, Message, Millis, Node, PutError, ReplicatedMessage};
--- a/crates/queue/src/pending_writes.rs
+++ b/crates/queue/src/pending_writes.rs
@@ -1,6 +1,6 @@
 //! Records on their way to disk, and what has to happen once they are there.
 
-use crate::effect::Effect;
+use crate::effect::{Effect, KeptFailure};
 use crate::idempotency::Shard;
 use crate::message::{Key, Millis, Node};
 use crate::record::Record;
@@ -43,6 +43,8 @@
     records: Vec<Vec<u8>>,
     /// Which of them outlive the process from this turn on, by index.
     kept_ends: Vec<usize>,
+    /// Counts of failed attempts that do so, too.
+    kept_failures: Vec<KeptFailure>,
     needs_sync: bool,
     /// Waits for the write that is being collected.
     collecting: Vec<PendingWrite>,
@@ -61,8 +63,9 @@
         }
     }
 
-    /// Adds the record of an end, which others know before it is on disk.
-    pub fn add_end(&mut self, record: &Record) {
+    /// Adds the record of an end, which others know before it is on disk. With it nobody needs to know how many attempts have failed.
+    pub fn add_end(&mut self, key: Key, record: &Record) {
+        self.kept_failures.retain(|failure| failure.key != key);
         let index = self.records.len();
         self.add(record, false);
         if index < self.records.len() {
@@ -70,9 +73,19 @@
         }
     }
 
-    /// How many ends the program has not been given yet.
-    pub fn end_count(&self) -> usize {
-        self.kept_ends.len()
+    /// Adds a count of failed attempts, which executors know before it is on disk.
+    pub fn add_failure(&mut self, key: Key, record: &Record, needs_sync: bool) {
+        self.kept_failures.retain(|failure| failure.key != key);
+        let index = self.records.len();
+        self.add(record, needs_sync);
+        if index < self.records.len() {
+            self.kept_failures.push(KeptFailure { key, index });
+        }
+    }
+
+    /// How many records that outlive the process the program has not been given yet.
+    pub fn kept_count(&self) -> usize {
+        self.kept_ends.len() + self.kept_failures.len()
     }
 
     /// Something waits for the records added so far in this turn.
@@ -94,8 +107,9 @@
         }
         let records = std::mem::take(&mut self.records);
         let kept_ends = std::mem::take(&mut self.kept_ends);
+        let kept_failures = std::mem::take(&mut self.kept_failures);
         let sync = std::mem::take(&mut self.needs_sync);
-        Some(Effect::Persist { ticket, records, kept_ends, sync })
+        Some(Effect::Persist { ticket, records, kept_ends, kept_failures, sync })
     }
 
     /// The disk has answered for a write: gives what waited for it.
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -47,6 +47,8 @@
     FenceUnannounced,
     /// A store forgets with its process how many attempts of a message have failed.
     FailedAttemptsForgotten,
+    /// How many attempts have failed is not kept by the process until the disk has it.
+    FailuresKeptByDiskAlone,
     /// An end that was copied once to another store is not copied again when one of its disks is lost.
     EndsCopiedOnce,
     /// A store that takes a message over counts the replicas of the former owner's list without having heard of them.
@@ -74,7 +76,7 @@
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 33] = [
+    pub const ALL: [PlantedFault; 34] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -97,6 +99,7 @@
         PlantedFault::RetiringUnasked,
         PlantedFault::FenceUnannounced,
         PlantedFault::FailedAttemptsForgotten,
+        PlantedFault::FailuresKeptByDiskAlone,
         PlantedFault::EndsCopiedOnce,
         PlantedFault::InheritedListTrusted,
         PlantedFault::GoneReplicasCounted,
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -75,8 +75,8 @@
     pub(crate) settings: QueueSettings,
     /// Contact with the control group, as the program observes it.
     pub control_contact: ControlContact,
-    /// How many ends the program can keep, until the disk has them, beyond those that it was given: no more attempts than that are in
-    /// flight, for each may lead to an end.
+    /// How many ends, or counts of failed attempts, the program can keep, until the disk has them, beyond those that it was given: no more
+    /// attempts than that are in flight, for each may lead to one.
     pub end_capacity: usize,
     /// Counters since the start.
     pub metrics: QueueMetrics,
--- a/crates/queue/src/queue/completion.rs
+++ b/crates/queue/src/queue/completion.rs
@@ -53,7 +53,7 @@
         if self.planted(PlantedFault::EndKeptByDiskAlone) {
             return self.record(&record, false);
         }
-        self.pending_writes.add_end(&record);
+        self.pending_writes.add_end(key, &record);
     }
 
     /// Keeps a message that has ended for as long as its end can be looked up.
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -125,7 +125,7 @@
         }
         self.next_dispatch_at = Millis::MAX;
         self.free_attempts =
-            self.end_capacity.saturating_sub(self.attempts_in_flight() + self.pending_writes.end_count());
+            self.end_capacity.saturating_sub(self.attempts_in_flight() + self.pending_writes.kept_count());
         for index in 0..self.service_queues.len() {
             let mut may_retry = true;
             while self.start_next(now, dispatch_time, index, &mut may_retry).is_continue() {}
@@ -328,11 +328,16 @@
         self.retry_or_fail(now, key, &outcome);
     }
 
-    /// Writes to disk how many attempts of a message have failed, so that a restart does not grant it all of them again.
+    /// Records how many attempts of a message have failed, so that a restart does not grant it all of them again.
     pub(crate) fn record_failed_attempts(&mut self, key: Key, failed_attempts: u32) {
-        if !self.planted(PlantedFault::FailedAttemptsForgotten) {
-            self.record(&Record::AttemptFailed { key, failed_attempts }, true);
+        if self.planted(PlantedFault::FailedAttemptsForgotten) {
+            return;
+        }
+        let record = Record::AttemptFailed { key, failed_attempts };
+        if self.planted(PlantedFault::FailuresKeptByDiskAlone) {
+            return self.record(&record, true);
         }
+        self.pending_writes.add_failure(key, &record, true);
     }
 
     /// After an attempt that did not complete: the message fails for good, or waits for its next attempt.
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -111,10 +111,7 @@
                 self.message_holders.insert(node);
             }
             Record::AttemptFailed { key, failed_attempts } => {
-                let message = self.messages.get_mut(&key);
-                if let Some(replica) = message.and_then(|message| message.replica.as_mut()) {
-                    replica.attempts = replica.attempts.max(failed_attempts);
-                }
+                self.raise_failed_attempts(key, failed_attempts);
             }
         }
     }
@@ -134,6 +131,30 @@
         is_new
     }
 
+    /// Applies a count of failed attempts that outlived the process before without the disk, if the message is live and more have
+    /// failed than is known. Whether that is so, and the record has to be written.
+    pub fn apply_kept_failure(&mut self, record: &[u8]) -> bool {
+        match postcard::from_bytes(record) {
+            Ok(Record::AttemptFailed { key, failed_attempts }) if self.is_live(key) => {
+                self.raise_failed_attempts(key, failed_attempts)
+            }
+            _ => false,
+        }
+    }
+
+    fn is_live(&self, key: Key) -> bool {
+        self.messages.get(&key).is_some_and(|message| message.end.is_none())
+    }
+
+    /// So many attempts of a message have failed at least. Whether fewer were known.
+    fn raise_failed_attempts(&mut self, key: Key, failed_attempts: u32) -> bool {
+        let message = self.messages.get_mut(&key);
+        let Some(replica) = message.and_then(|message| message.replica.as_mut()) else { return false };
+        let is_new = failed_attempts > replica.attempts;
+        replica.attempts = replica.attempts.max(failed_attempts);
+        is_new
+    }
+
     fn start_incarnation(&mut self, disk_id: u64, first_number: u64) {
         self.disk_id = Some(disk_id);
         self.incarnation_first_numbers.push(first_number);
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -14,7 +14,7 @@
         }
         let store = &mut self.stores[at];
         for record in store.disk.take_kept() {
-            if ledger.apply_kept_end(&record) {
+            if ledger.apply_kept_end(&record) || ledger.apply_kept_failure(&record) {
                 store.disk.write_synced(record);
             }
         }
--- a/crates/queue/tests/simulation/turns.rs
+++ b/crates/queue/tests/simulation/turns.rs
@@ -73,9 +73,10 @@
     pub(super) fn effect(&mut self, at: usize, effect: Effect) {
         let life = self.stores[at].incarnation;
         match effect {
-            Effect::Persist { ticket, records, kept_ends, sync } => {
+            Effect::Persist { ticket, records, kept_ends, kept_failures, sync } => {
                 let disk = &mut self.stores[at].disk;
-                disk.keep(ticket, kept_ends.into_iter().map(|index| records[index].clone()).collect());
+                let kept = kept_ends.into_iter().chain(kept_failures.into_iter().map(|kept| kept.index));
+                disk.keep(ticket, kept.map(|index| records[index].clone()).collect());
                 disk.append(self.now, ticket, records, sync);
                 self.plan_disk(at);
             }
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -18,6 +18,7 @@
     pub records: Vec<Record>,
     /// Those of them that outlive the process before the disk has them.
     pub kept_ends: Vec<Record>,
+    pub kept_failures: Vec<Record>,
 }
 
 impl SingleStore {
@@ -56,6 +57,7 @@
             waiting: Vec::new(),
             records: Vec::new(),
             kept_ends: Vec::new(),
+            kept_failures: Vec::new(),
         }
     }
 
@@ -93,11 +95,13 @@
         loop {
             self.queue.tick(self.now, self.now as i64 * 10);
             for effect in self.queue.take_effects() {
-                if let Effect::Persist { ticket, records, kept_ends, sync } = effect {
+                if let Effect::Persist { ticket, records, kept_ends, kept_failures, sync } = effect {
                     self.waiting.push((ticket, sync));
                     let records: Vec<Record> =
                         records.iter().map(|r| postcard::from_bytes(r).unwrap()).collect();
                     self.kept_ends.extend(kept_ends.into_iter().map(|index| records[index].clone()));
+                    let failures = kept_failures.into_iter().map(|kept| records[kept.index].clone());
+                    self.kept_failures.extend(failures);
                     self.records.extend(records);
                 } else {
                     all.push(effect);
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -3,6 +3,7 @@
 use super::output::{print, ExitStatus, OutputFormat};
 use crate::disk_owner;
 use crate::store::kept_ends::FILE_NAME as KEPT_ENDS_FILE;
+use crate::store::kept_failures::FILE_NAME as KEPT_FAILURES_FILE;
 use jzon::JsonValue;
 use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
@@ -57,7 +58,9 @@
 fn verify_store(folder: &Path) -> Result<JsonValue, ReadError> {
     let mut table = StateTable::default();
     let (report, kinds) = read_records(folder, message_record_kind, |record| table.apply_record(record))?;
-    let unwritten_ends = apply_kept_ends(folder, &mut table);
+    let unwritten_ends = apply_kept(folder, KEPT_ENDS_FILE, |record| table.apply_kept_end(record));
+    let unwritten_failures =
+        apply_kept(folder, KEPT_FAILURES_FILE, |record| table.apply_kept_failure(record));
     let ends = || table.messages.values().filter_map(|message| message.end.as_ref());
     let live = table.messages.values().filter(|message| message.end.is_none()).count();
     let complete = ends().filter(|stored| matches!(stored.end, End::Complete { .. })).count();
@@ -73,18 +76,21 @@
     if let Some(unwritten_ends) = unwritten_ends {
         object["ends_unwritten"] = unwritten_ends;
     }
+    if let Some(unwritten_failures) = unwritten_failures {
+        object["failures_unwritten"] = unwritten_failures;
+    }
     Ok(object)
 }
 
-/// Applies the ends that the next start would find beside the log: how many the log does not have, or why they can't be read. `None`
-/// where there is no such file.
-fn apply_kept_ends(folder: &Path, table: &mut StateTable) -> Option<JsonValue> {
-    let file = folder.with_file_name(KEPT_ENDS_FILE);
+/// Applies the records that the next start would find in a file beside the log: how many the log does not have, or why they can't be
+/// read. `None` where there is no such file.
+fn apply_kept(folder: &Path, file_name: &str, mut apply: impl FnMut(&[u8]) -> bool) -> Option<JsonValue> {
+    let file = folder.with_file_name(file_name);
     if !file.exists() {
         return None;
     }
     Some(match stileroute_crash_buffer::read(&file) {
-        Ok(records) => records.iter().filter(|record| table.apply_kept_end(record)).count().into(),
+        Ok(records) => records.iter().filter(|record| apply(record)).count().into(),
         Err(error) => error.to_string().into(),
     })
 }
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -6,7 +6,9 @@
 mod departed_executors;
 mod executor_http;
 pub mod kept_ends;
+pub mod kept_failures;
 mod link_events;
+mod refused_appends;
 mod report;
 #[cfg(test)]
 mod tests;
@@ -20,6 +22,7 @@
 use delivery_statistics::DeliveryStatistics;
 use departed_executors::DepartedExecutors;
 use kept_ends::KeptEnds;
+use kept_failures::KeptFailures;
 use std::collections::HashMap;
 use std::path::Path;
 use stileroute_queue::{
@@ -64,6 +67,7 @@
     queue: Queue,
     disk: Disk,
     kept_ends: KeptEnds,
+    kept_failures: KeptFailures,
     /// The last heartbeat of each executor that the control nodes name, by its id.
     executors: HashMap<String, Heartbeat>,
     departed_executors: DepartedExecutors,
@@ -90,6 +94,7 @@
         let (disk, mut table) = Disk::open::<StateTable>(&runtime, "a store", Options::new(LOG_SCHEMA))?;
         let data_dir = runtime.boot.data_dir.as_deref().unwrap_or(Path::new("."));
         let (kept_ends, unwritten_ends) = KeptEnds::open(data_dir, &mut table);
+        let (kept_failures, unwritten_failures) = KeptFailures::open(data_dir, &mut table);
         let disk_id = table.disk_id.unwrap_or_else(random_seed);
         let first_number = first_number(random_seed());
         let record = Record::IncarnationStarted { disk_id, first_number };
@@ -98,7 +103,8 @@
         let has_lost_disk = table.disk_id.is_none() && !runtime.boot.is_first_start;
         let terms_missing = has_lost_disk.then_some(Record::ShardTermsMissing(true));
         let terms_missing = terms_missing.and_then(|record| postcard::to_stdvec(&record).ok());
-        let records = std::iter::once(record).chain(terms_missing).chain(unwritten_ends);
+        let records =
+            std::iter::once(record).chain(terms_missing).chain(unwritten_ends).chain(unwritten_failures);
         disk.append(START_TICKET, records.collect(), true);
         let settings = queue_settings(&runtime, disk_id, first_number, &table, has_lost_disk);
         tracing::info!(messages = table.messages.len(), disk = disk_id, "disk read");
@@ -110,6 +116,7 @@
             queue,
             disk,
             kept_ends,
+            kept_failures,
             executors: HashMap::new(),
             departed_executors: DepartedExecutors::default(),
             in_flight: HashMap::new(),
@@ -199,6 +206,7 @@
                 }
             }
             self.kept_ends.write_completed(now, ticket, result.is_ok());
+            self.kept_failures.write_completed(now, ticket, result.is_ok());
             self.queue.write_completed(now, ticket, result.is_ok());
         }
     }
--- a/crates/server/src/store/deliveries.rs
+++ b/crates/server/src/store/deliveries.rs
@@ -6,8 +6,9 @@
 use crate::net::fault_injection::{is_injected, InjectedFault};
 use crate::net::{CallError, CallReply, Millis, OutgoingCall};
 use crate::protocol::Frame;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
-use stileroute_queue::{Effect, Key};
+use stileroute_queue::{Effect, KeptFailure, Key};
 
 /// A receiver of call-backs has so long to answer, in ms.
 const CALLBACK_TIMEOUT_MS: Millis = 3000;
@@ -34,10 +35,8 @@
     pub(super) fn apply_queue_effects(&mut self) {
         for _ in 0..MAX_EFFECT_ROUNDS {
             let (now, now_tenths_ms) = (self.runtime.net.now(), self.runtime.net.now_tenths_ms());
-            for (ticket, records) in self.kept_ends.take_due(now) {
-                self.disk.append(ticket, records, false);
-            }
-            self.queue.end_capacity = self.kept_ends.capacity();
+            self.append_refused_again(now);
+            self.queue.end_capacity = self.kept_ends.capacity().min(self.kept_failures.capacity());
             self.queue.tick(now, now_tenths_ms);
             let effects = self.queue.take_effects();
             if effects.is_empty() {
@@ -47,10 +46,26 @@
         }
     }
 
+    /// Appends once more what the log refused and others know: one append for each ticket, for its answer settles all that it has.
+    fn append_refused_again(&mut self, now: Millis) {
+        let mut records_by_ticket: BTreeMap<u64, Vec<Vec<u8>>> = BTreeMap::new();
+        for (ticket, records) in
+            self.kept_ends.take_due(now).into_iter().chain(self.kept_failures.take_due(now))
+        {
+            records_by_ticket.entry(ticket).or_default().extend(records);
+        }
+        for (ticket, records) in records_by_ticket {
+            self.disk.append(ticket, records, false);
+        }
+    }
+
     fn apply_queue_effect(&mut self, effect: Effect) {
         match effect {
-            Effect::Persist { ticket, records, kept_ends, sync } => {
+            Effect::Persist { ticket, records, kept_ends, kept_failures, sync } => {
                 self.kept_ends.keep(ticket, kept_ends.into_iter().map(|index| records[index].clone()));
+                for KeptFailure { key, index } in kept_failures {
+                    self.kept_failures.keep(ticket, key, records[index].clone());
+                }
                 self.disk.append(ticket, records, sync);
                 if is_injected(InjectedFault::AnswerBeforeDisk) {
                     self.queue.write_completed(self.runtime.net.now(), ticket, true);
--- a/crates/server/src/store/kept_ends.rs
+++ b/crates/server/src/store/kept_ends.rs
@@ -4,6 +4,7 @@
 //! An executor has run the message, and other stores know its end. While a write or a sync stalls the log holds the end in memory alone,
 //! here and at the replicas; where all these processes are killed then, the message would run again.
 
+use super::refused_appends::RefusedAppends;
 use crate::net::Millis;
 use std::collections::HashMap;
 use std::path::Path;
@@ -16,8 +17,6 @@
 const SLOT_COUNT: usize = 8192;
 /// Of these slots so many are for ends that other stores send: each of two may send as many as it has attempts in flight.
 const SLOTS_FOR_NOTICES: usize = SLOT_COUNT / 4 * 3;
-/// Ends that the log refused are appended again after so long, in ms.
-const RETRY_INTERVAL_MS: Millis = 200;
 
 /// An end that the log has not written.
 struct UnwrittenEnd {
@@ -32,8 +31,7 @@
     buffer: Option<CrashBuffer>,
     /// By the ticket of their append.
     unwritten: HashMap<u64, Vec<UnwrittenEnd>>,
-    /// Appends that the log refused, and when they are tried again.
-    refused: Vec<(Millis, u64)>,
+    refused: RefusedAppends,
     unkept: u64,
 }
 
@@ -51,7 +49,7 @@
     }
 
     fn new(buffer: Option<CrashBuffer>) -> KeptEnds {
-        KeptEnds { buffer, unwritten: HashMap::new(), refused: Vec::new(), unkept: 0 }
+        KeptEnds { buffer, unwritten: HashMap::new(), refused: RefusedAppends::default(), unkept: 0 }
     }
 
     fn begin(
@@ -95,7 +93,7 @@
     pub(super) fn write_completed(&mut self, now: Millis, ticket: u64, is_written: bool) {
         if !is_written {
             if self.unwritten.contains_key(&ticket) {
-                self.refused.push((now + RETRY_INTERVAL_MS, ticket));
+                self.refused.add(now, ticket);
             }
             return;
         }
@@ -106,12 +104,12 @@
 
     /// Ends that the log refused, and that are to be appended once more now: the records by their ticket.
     pub(super) fn take_due(&mut self, now: Millis) -> Vec<(u64, Vec<Vec<u8>>)> {
-        let due = self.refused.extract_if(.., |(at, _)| *at <= now);
+        let due = self.refused.take_due(now);
         let records = |ticket| {
             let ends = self.unwritten.get(&ticket).into_iter().flatten();
             (ticket, ends.map(|end| end.record.clone()).collect())
         };
-        due.map(|(_, ticket)| records(ticket)).collect()
+        due.into_iter().map(records).collect()
     }
 
     /// How many more attempts may be in flight.
--- a/crates/server/src/store/kept_ends/tests.rs
+++ b/crates/server/src/store/kept_ends/tests.rs
@@ -1,3 +1,4 @@
+use super::super::refused_appends::RETRY_INTERVAL_MS;
 use super::*;
 use std::path::PathBuf;
 use stileroute_queue::{End, Key, Record, ReplicatedMessage};
--- /dev/null
+++ b/crates/server/src/store/kept_failures/tests.rs
@@ -0,0 +1,119 @@
+use super::super::refused_appends::RETRY_INTERVAL_MS;
+use super::super::START_TICKET;
+use super::*;
+use std::path::PathBuf;
+use stileroute_queue::ReplicatedMessage;
+
+const TICKET: u64 = 7;
+
+fn data_dir(test: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("kept-failures-{}-{test}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn key(number: u64) -> Key {
+    Key { origin: 1, number }
+}
+
+fn count(number: u64, failed_attempts: u32) -> Vec<u8> {
+    postcard::to_stdvec(&Record::AttemptFailed { key: key(number), failed_attempts }).unwrap()
+}
+
+/// What the log holds of these messages: all are live, and no attempt is known to have failed.
+fn live(numbers: &[u64]) -> StateTable {
+    let mut table = StateTable::default();
+    for number in numbers {
+        let replica = ReplicatedMessage { key: key(*number), ..ReplicatedMessage::default() };
+        table.apply_record(Record::Put { replica });
+    }
+    table
+}
+
+fn failed_attempts(table: &StateTable, number: u64) -> u32 {
+    table.messages[&key(number)].replica.as_ref().unwrap().attempts
+}
+
+fn opened(data_dir: &Path) -> KeptFailures {
+    let (kept, left) = KeptFailures::open(data_dir, &mut StateTable::default());
+    assert!(left.is_empty());
+    kept
+}
+
+#[test]
+fn counts_that_the_log_has_not_written_are_there_after_a_kill() {
+    let data_dir = data_dir("kill");
+    let mut before = opened(&data_dir);
+    before.keep(TICKET, key(1), count(1, 2));
+    before.keep(TICKET, key(2), count(2, 1));
+    std::mem::forget(before);
+    let mut table = live(&[1, 2, 3]);
+    let (mut after, records) = KeptFailures::open(&data_dir, &mut table);
+    assert_eq!([1, 2, 3].map(|number| failed_attempts(&table, number)), [2, 1, 0]);
+    assert_eq!((records.len(), after.unwritten()), (2, 2));
+    // They stay until the append of the start is written: a second kill before that forgets nothing.
+    assert_eq!(KeptFailures::open(&data_dir, &mut live(&[1, 2])).1.len(), 2);
+    after.write_completed(0, START_TICKET, true);
+    assert_eq!(after.unwritten(), 0);
+    drop(after);
+    assert!(KeptFailures::open(&data_dir, &mut live(&[1, 2])).1.is_empty());
+}
+
+/// However often a message fails while the disk stalls, it takes one place.
+#[test]
+fn a_later_count_takes_the_place_of_the_one_before() {
+    let data_dir = data_dir("later");
+    let mut kept = opened(&data_dir);
+    let capacity = kept.capacity();
+    for failed_attempts in 1..=5 {
+        kept.keep(TICKET + u64::from(failed_attempts), key(1), count(1, failed_attempts));
+    }
+    assert_eq!((kept.unwritten(), kept.capacity()), (1, capacity - 1));
+    // The log writes the earlier ones: the last one is not there yet.
+    kept.write_completed(0, TICKET + 4, true);
+    assert_eq!(kept.unwritten(), 1);
+    std::mem::forget(kept);
+    let mut table = live(&[1]);
+    KeptFailures::open(&data_dir, &mut table);
+    assert_eq!(failed_attempts(&table, 1), 5);
+}
+
+#[test]
+fn counts_that_the_log_refused_are_kept_and_the_last_of_each_message_is_appended_again() {
+    let data_dir = data_dir("refused");
+    let mut kept = opened(&data_dir);
+    kept.keep(TICKET, key(1), count(1, 1));
+    kept.keep(TICKET, key(2), count(2, 1));
+    kept.write_completed(0, TICKET, false);
+    kept.keep(TICKET + 1, key(1), count(1, 2));
+    assert!(kept.take_due(RETRY_INTERVAL_MS - 1).is_empty());
+    assert_eq!(kept.take_due(RETRY_INTERVAL_MS), [(TICKET, vec![count(2, 1)])]);
+    kept.write_completed(RETRY_INTERVAL_MS, TICKET, true);
+    assert_eq!(kept.unwritten(), 1);
+    kept.write_completed(RETRY_INTERVAL_MS, TICKET + 1, true);
+    assert_eq!(kept.unwritten(), 0);
+}
+
+#[test]
+fn what_the_buffer_does_not_take_is_counted_and_appended_again_all_the_same() {
+    let data_dir = data_dir("full");
+    let mut kept = opened(&data_dir);
+    for number in 0..SLOT_COUNT as u64 + 3 {
+        kept.keep(TICKET, key(number), count(number, 1));
+    }
+    assert_eq!((kept.unkept(), kept.capacity()), (3, 0));
+    kept.write_completed(0, TICKET, false);
+    assert_eq!(kept.take_due(RETRY_INTERVAL_MS)[0].1.len(), SLOT_COUNT + 3);
+}
+
+#[test]
+fn a_file_that_cannot_be_used_does_not_keep_the_store_from_starting() {
+    let data_dir = data_dir("unusable");
+    std::fs::write(data_dir.join(FILE_NAME), b"something else").unwrap();
+    let mut kept = opened(&data_dir);
+    kept.keep(TICKET, key(1), count(1, 1));
+    assert_eq!((kept.unkept(), kept.unwritten(), kept.capacity()), (1, 1, usize::MAX));
+    kept.write_completed(0, TICKET, true);
+    assert_eq!(kept.unwritten(), 0);
+}
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -267,6 +267,11 @@
         metrics.gauge("stileroute_ends_unwritten", help, &[], self.kept_ends.unwritten());
         let help = "Ends that the disk had not written yet, and that would not have outlived the process.";
         metrics.counter("stileroute_ends_unkept_total", help, &[], self.kept_ends.unkept());
+        let help =
+            "Messages with failed attempts that the disk has not written yet; these outlive the process.";
+        metrics.gauge("stileroute_failures_unwritten", help, &[], self.kept_failures.unwritten());
+        let help = "Failed attempts that the disk had not written yet, and that would not have outlived the process.";
+        metrics.counter("stileroute_failures_unkept_total", help, &[], self.kept_failures.unkept());
         let help = "1: a message that came now would be accepted; 0: too few stores can take replicas, or it drains.";
         let accepts = u8::from(self.queue.accepts_messages(self.runtime.net.now()));
         metrics.gauge("stileroute_accepts_messages", help, &[], accepts);
