Queue: the stores with replicas are told how many attempts have failed

Callers saw a message that fails at each run reach executors more often than max_tries after one store was killed and came back late, lost its disk, or stood still for seconds: no stall, nothing rare.

Cause: a count was recorded at the owner alone. A replica got one with the message (0 as a rule) and at a handover; one that took over began at 0.

Change: a store that reads the answer of a failed attempt tells the other holders in the same turn (AttemptsFailed, some 20 bytes). They take the higher count, record it unsynced and keep it over a kill. What may have been lost with a connection is told when it opens; a store that claims a message is told by whoever knows of failures. A message whose attempts are used up ends when its turn comes, whoever counted them. The next run of a message with failed attempts is a retry at any owner, so the retry budget holds after a takeover, too.

Formats: a new message, at the end. A store of an earlier version would close the connection on it, so it is sent only to one that has said that it takes it: by an empty CallbacksDelivered on each connection, of which earlier versions make nothing. No pinned byte has changed.

The planted fault FailuresUnannounced is found. The search takes the empty message for as quiet as the disk's number before it.

--- a/crates/model-check/src/queue/fleet/connections.rs
+++ b/crates/model-check/src/queue/fleet/connections.rs
@@ -18,12 +18,12 @@
         let Some(to) = self.stores.iter().position(|store| store.node == to) else { return };
         let Some(link) = self.connections.get(&(at.min(to), at.max(to))).copied() else { return };
         let quiet = matches!(
-            note,
+            &note,
             PeerMessage::Digests { .. }
                 | PeerMessage::DiskId(_)
                 | PeerMessage::Reconciled
                 | PeerMessage::NoReplicasNeeded
-        );
+        ) || note == PeerMessage::CallbacksDelivered(Vec::new());
         self.trace_line(|| format!("{at} to {to}: {note:?}"));
         self.in_flight.entry((at, to)).or_default().push_back(note);
         self.at(PEER_MESSAGE_DELAY, Event::PeerMessage { from: at, to, link });
--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -14,7 +14,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 30] = [
+const DAYS: [(PlantedFault, Day); 31] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -33,7 +33,8 @@
     (PlantedFault::ResubmittedUnasked, the_second_store_reads_late_that_the_first_has_it),
     (PlantedFault::PeerDisksForgotten, retirement_scenarios::ends_outlive_a_restart_between_two_losses),
     (PlantedFault::FailedAttemptsForgotten, a_poison_message_outlives_many_restarts),
-    (PlantedFault::FailuresKeptByDiskAlone, a_poison_message_fails_while_writes_stall),
+    (PlantedFault::FailuresKeptByDiskAlone, poison_messages_fail_while_writes_stall),
+    (PlantedFault::FailuresUnannounced, the_owner_of_poison_messages_is_gone),
     (PlantedFault::EndsCopiedOnce, loss_scenarios::ends_outlive_three_losses),
     (PlantedFault::GoneReplicasCounted, loss_scenarios::two_are_lost_after_a_retirement_and_a_restart),
     (PlantedFault::DroppedConfirmed, loss_scenarios::a_dropped_replica_reaches_the_disk),
@@ -187,18 +188,21 @@
 }
 
 fn a_poison_message_outlives_many_restarts(prepare: &Prepare) {
-    // At some of these gaps each life of the store is long enough for one attempt, and too short for the next one.
-    for gap_ms in (500..2500).step_by(50) {
+    // At some of these gaps each life of the store is long enough for one attempt, and too short for the next one. Where one store alone
+    // is killed another one tells it.
+    for (gap_ms, killed) in (500..2500).step_by(50).flat_map(|gap_ms| [(gap_ms, 1), (gap_ms, 3)]) {
         let mut world = world(3, 1, prepare);
         world.send(2500, 0, "plain", &[Behavior::Fails], 0);
-        (0..14).for_each(|n| world.act(2560 + gap_ms * n, Action::Inject(0, Fault::Kill)));
+        for n in 0..14 {
+            (0..killed).for_each(|store| world.act(2560 + gap_ms * n, Action::Inject(store, Fault::Kill)));
+        }
         world.run(60_000);
         world.check(true);
     }
 }
 
 /// All attempts but the last fail while no write ends, and then all processes are killed.
-fn a_poison_message_fails_while_writes_stall(prepare: &Prepare) {
+fn poison_messages_fail_while_writes_stall(prepare: &Prepare) {
     let mut world = world(3, 1, prepare);
     for n in 0..20 {
         world.send(2600 + 20 * n, 0, "plain", &[Behavior::Fails], 1500);
@@ -207,7 +211,22 @@
         world.act(4000, Action::HoldWrites(store, 2500));
         world.act(6000, Action::Inject(store, Fault::Kill));
     }
-    world.run(30_000);
+    assert_attempts_are_counted(world);
+}
+
+/// Some attempts have failed when the owner is killed, and its replicas are taken over.
+fn the_owner_of_poison_messages_is_gone(prepare: &Prepare) {
+    let mut world = world(3, 1, prepare);
+    for n in 0..20 {
+        world.send(2600 + 20 * n, 0, "plain", &[Behavior::Fails], 1500 - 20 * n);
+    }
+    world.act(4250, Action::Inject(0, Fault::KillLong));
+    assert_attempts_are_counted(world);
+}
+
+/// All messages fail at each run, and none more often than its route allows.
+fn assert_attempts_are_counted(mut world: Simulation) {
+    world.run(70_000);
     world.check(true);
     let failures = |id: &str| {
         world.executions.iter().filter(|run| run.id == id && run.failure_read_at.is_some()).count()
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -49,8 +49,9 @@
 pub use metrics::QueueMetrics;
 pub use ordering::preferred_store;
 pub use peer_message::{
-    AcceptedHandover, ClaimAnswer, EndNotice, EntrySummary, GroupMessage, GroupPosition, HandoverOffer,
-    KeyRange, KnownSubmission, Ownership, PeerMessage, RangeDigest, RecoveryReport, TransferredEnd,
+    AcceptedHandover, ClaimAnswer, EndNotice, EntrySummary, FailureNotice, GroupMessage, GroupPosition,
+    HandoverOffer, KeyRange, KnownSubmission, Ownership, PeerMessage, RangeDigest, RecoveryReport,
+    TransferredEnd,
 };
 #[cfg(feature = "planted")]
 pub use planted_fault::PlantedFault;
--- a/crates/queue/src/outbox.rs
+++ b/crates/queue/src/outbox.rs
@@ -1,7 +1,9 @@
 //! What is about to be sent to another store, gathered into few messages.
 
 use crate::message::{Key, ReplicatedMessage};
-use crate::peer_message::{AcceptedHandover, EndNotice, HandoverOffer, Ownership, PeerMessage};
+use crate::peer_message::{
+    AcceptedHandover, EndNotice, FailureNotice, HandoverOffer, Ownership, PeerMessage,
+};
 
 /// Entries of one message at the most: frames are bounded.
 const MAX_ENTRIES_PER_MESSAGE: usize = 4000;
@@ -33,6 +35,8 @@
     pub(crate) ownership: Vec<Ownership>,
     /// Messages that it is to discard.
     pub(crate) drops: Vec<Key>,
+    /// Failed attempts that it should know.
+    pub(crate) failures: Vec<FailureNotice>,
     /// Ends that it should know.
     pub(crate) ends: Vec<EndNotice>,
     /// Ends that it has transferred and that are on disk here.
@@ -81,6 +85,10 @@
         messages.extend(batches_of(&mut self.new_replicas, PeerMessage::ReplicateNew));
         messages.extend(message_of(&mut self.replicated, PeerMessage::Replicated));
         messages.extend(message_of(&mut self.replication_rejected, PeerMessage::ReplicationRejected));
+        // After the replicas that they are of.
+        let failures = std::mem::take(&mut self.failures);
+        let batches = failures.chunks(MAX_ENTRIES_PER_MESSAGE);
+        messages.extend(batches.map(|batch| PeerMessage::AttemptsFailed(batch.to_vec())));
         messages.extend(message_of(&mut self.drops, PeerMessage::Drop));
         let ownership = std::mem::take(&mut self.ownership);
         let batches = ownership.chunks(MAX_ENTRIES_PER_MESSAGE);
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -55,6 +55,16 @@
     Pending,
 }
 
+/// Whether a peer takes notices of failed attempts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum FailureNotices {
+    /// It has not said so on this connection; an earlier version never does.
+    #[default]
+    Unsupported,
+    /// It has.
+    Supported,
+}
+
 /// Which disks a peer has named.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) enum PeerDisk {
@@ -108,6 +118,8 @@
     pub(crate) key_holder: KeyHolder,
     /// Whether it recovers from the loss of its disk.
     pub(crate) recovery: PeerRecovery,
+    /// Whether it takes notices of failed attempts.
+    pub(crate) failure_notices: FailureNotices,
     /// Its disk, as it has named it, or as this store had recorded it before its start.
     pub(crate) disk: PeerDisk,
     /// When it was last seen to have another disk than before.
@@ -162,6 +174,11 @@
             && now >= self.refuses_until
     }
 
+    /// Notices of failed attempts may be sent to it.
+    pub(crate) fn takes_failure_notices(&self) -> bool {
+        self.is_connected && self.failure_notices == FailureNotices::Supported
+    }
+
     /// Notes that a message of it has come.
     pub(crate) fn heard(&mut self, now: Millis) {
         self.last_heard_at = now;
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -81,6 +81,15 @@
     pub callback_pending: bool,
 }
 
+/// How many attempts of a message have failed, sent to the stores that hold a replica of it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FailureNotice {
+    /// Which message.
+    pub key: Key,
+    /// How many have failed so far, as far as the sender knows.
+    pub failed_attempts: u32,
+}
+
 /// The end of a message that a retiring store transfers to one that did not know it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TransferredEnd {
@@ -165,7 +174,8 @@
     ReplicationRejected(Vec<Key>),
     /// These messages have ended.
     Ended(Vec<EndNotice>),
-    /// The callbacks of these ended messages were delivered.
+    /// The callbacks of these ended messages were delivered. An empty one says that the sender takes `AttemptsFailed`; an earlier version
+    /// makes nothing of it.
     CallbacksDelivered(Vec<Key>),
     /// Who owns these messages now.
     OwnershipChanged(Vec<Ownership>),
@@ -304,4 +314,7 @@
     RecoveryReport(RecoveryReport),
     /// All that lay on the sender's lost disk lies on enough others.
     Recovered,
+    /// Attempts of these messages have failed. Only for a receiver that has said, by an empty `CallbacksDelivered`, that it knows this
+    /// message.
+    AttemptsFailed(Vec<FailureNotice>),
 }
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -49,6 +49,8 @@
     FailedAttemptsForgotten,
     /// How many attempts have failed is not kept by the process until the disk has it.
     FailuresKeptByDiskAlone,
+    /// The stores that hold replicas are not told how many attempts have failed.
+    FailuresUnannounced,
     /// An end that was copied once to another store is not copied again when one of its disks is lost.
     EndsCopiedOnce,
     /// A store that takes a message over counts the replicas of the former owner's list without having heard of them.
@@ -76,7 +78,7 @@
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 34] = [
+    pub const ALL: [PlantedFault; 35] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -100,6 +102,7 @@
         PlantedFault::FenceUnannounced,
         PlantedFault::FailedAttemptsForgotten,
         PlantedFault::FailuresKeptByDiskAlone,
+        PlantedFault::FailuresUnannounced,
         PlantedFault::EndsCopiedOnce,
         PlantedFault::InheritedListTrusted,
         PlantedFault::GoneReplicasCounted,
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod configuration;
 mod delivery;
+pub(crate) mod failures;
 mod intake;
 mod message_numbers;
 mod report;
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -1,5 +1,6 @@
 //! Delivery: when a message's turn comes, its attempts, and what the outcome of an attempt leads to.
 
+use super::failures::FailureSource;
 use super::token_holders::token_holder;
 use super::{Queue, UPKEEP_INTERVAL_MS};
 use crate::attempt_outcome::AttemptOutcome;
@@ -8,7 +9,6 @@
 use crate::message::{End, Key, Millis};
 use crate::peer_message::{GroupPosition, PeerMessage};
 use crate::planted_fault::PlantedFault;
-use crate::record::Record;
 use crate::service_queue::{QueuePosition, Retry, Selection, SettledAttempt};
 use std::ops::ControlFlow;
 use stileroute_dispatch::types::{Outcome as DispatchOutcome, Time};
@@ -97,6 +97,9 @@
         let service = &config.services[route.service].name;
         let Some(index) = self.service_queue_index.get(service).copied() else { return };
         let is_late = now > entry.due_at + route.completion_target_ms;
+        if entry.failed_attempts >= route.max_attempts {
+            return self.finish(now, key, End::Failed);
+        }
         let position = QueuePosition { is_late, priority: route.priority, due_at: entry.due_at, key };
         entry.queue_slot = Some(ServiceQueueSlot { service_queue: index, position });
         self.service_queues[index].enter(position, entry.has_run);
@@ -310,8 +313,8 @@
             AttemptOutcome::Rejected => return self.finish(now, key, End::Failed),
             AttemptOutcome::Failed => {
                 entry.failed_attempts += 1;
-                let failed_attempts = entry.failed_attempts;
-                self.record_failed_attempts(key, failed_attempts);
+                self.record_failed_attempts(key, FailureSource::Own);
+                self.announce_failed_attempts(key, None);
             }
             _ => {}
         }
@@ -328,18 +331,6 @@
         self.retry_or_fail(now, key, &outcome);
     }
 
-    /// Records how many attempts of a message have failed, so that a restart does not grant it all of them again.
-    pub(crate) fn record_failed_attempts(&mut self, key: Key, failed_attempts: u32) {
-        if self.planted(PlantedFault::FailedAttemptsForgotten) {
-            return;
-        }
-        let record = Record::AttemptFailed { key, failed_attempts };
-        if self.planted(PlantedFault::FailuresKeptByDiskAlone) {
-            return self.record(&record, true);
-        }
-        self.pending_writes.add_failure(key, &record, true);
-    }
-
     /// After an attempt that did not complete: the message fails for good, or waits for its next attempt.
     fn retry_or_fail(&mut self, now: Millis, key: Key, outcome: &AttemptOutcome) {
         let Some(entry) = self.entries.get_mut(&key) else { return };
--- /dev/null
+++ b/crates/queue/src/queue/failures.rs
@@ -0,0 +1,91 @@
+//! How many attempts of a message have failed: recorded, told to the stores that hold it, and taken from them.
+//!
+//! A count is a lower bound wherever it is known, so of two the higher one holds, and a notice may come late or more than once.
+
+use super::Queue;
+use crate::entry::Entry;
+use crate::message::{Key, Millis, Node};
+use crate::peer::FailureNotices;
+use crate::peer_message::FailureNotice;
+use crate::planted_fault::PlantedFault;
+use crate::record::Record;
+
+/// Where a store knows from that an attempt has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FailureSource {
+    /// It read the answer itself, or owns the message from now on: the count is synced at once.
+    Own,
+    /// Another store has told it, and has the count on its own disk.
+    Notice,
+}
+
+impl Queue {
+    /// Records how many attempts of a message have failed, so that a restart does not grant it all of them again.
+    pub(crate) fn record_failed_attempts(&mut self, key: Key, source: FailureSource) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        if self.planted(PlantedFault::FailedAttemptsForgotten) {
+            return;
+        }
+        let record = Record::AttemptFailed { key, failed_attempts: entry.failed_attempts };
+        let needs_sync = source == FailureSource::Own;
+        if self.planted(PlantedFault::FailuresKeptByDiskAlone) {
+            return self.record(&record, needs_sync);
+        }
+        self.pending_writes.add_failure(key, &record, needs_sync);
+    }
+
+    /// Tells the other stores that hold a message how many of its attempts have failed, at the end of this turn: any of them may
+    /// become its owner. `source`: the store that has told this one.
+    pub(crate) fn announce_failed_attempts(&mut self, key: Key, source: Option<Node>) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        let holders = entry.other_holders(self.settings.node).filter(|node| Some(*node) != source);
+        let holders: Vec<Node> = holders.collect();
+        for node in holders {
+            self.send_failed_attempts(node, key);
+        }
+    }
+
+    /// Tells one other store, if it takes such notices.
+    pub(crate) fn send_failed_attempts(&mut self, to: Node, key: Key) {
+        if self.planted(PlantedFault::FailuresUnannounced) {
+            return;
+        }
+        let notice = self.entries.get(&key).and_then(|entry| failure_notice(key, entry));
+        let peer = self.peers.get_mut(&to).filter(|peer| peer.takes_failure_notices());
+        if let Some((peer, notice)) = peer.zip(notice) {
+            peer.outbox.failures.push(notice);
+        }
+    }
+
+    /// Another store says that it takes notices of failed attempts: it gets those of all messages that both hold, for what was sent
+    /// before got lost with the connection, and an attempt may have ended meanwhile.
+    pub(crate) fn peer_takes_failure_notices(&mut self, node: Node) {
+        let Some(peer) = self.peers.get_mut(&node) else { return };
+        peer.failure_notices = FailureNotices::Supported;
+        let shared = self.shared_with(node).filter(|(_, entry)| entry.failed_attempts > 0);
+        let keys: Vec<Key> = shared.map(|(key, _)| key).collect();
+        for key in keys {
+            self.send_failed_attempts(node, key);
+        }
+    }
+
+    /// Another store says how many attempts of messages have failed.
+    pub(crate) fn apply_failure_notices(&mut self, now: Millis, from: Node, notices: Vec<FailureNotice>) {
+        for FailureNotice { key, failed_attempts } in notices {
+            let entry = self.entries.get_mut(&key).filter(|entry| entry.end.is_none());
+            let Some(entry) = entry.filter(|entry| failed_attempts > entry.failed_attempts) else { continue };
+            entry.failed_attempts = failed_attempts;
+            entry.has_run = true;
+            self.record_failed_attempts(key, FailureSource::Notice);
+            self.announce_failed_attempts(key, Some(from));
+            // Where it waits here it may have used up its attempts.
+            self.unschedule(key);
+            self.schedule(now, key);
+        }
+    }
+}
+
+fn failure_notice(key: Key, entry: &Entry) -> Option<FailureNotice> {
+    let is_open = entry.end.is_none() && entry.failed_attempts > 0;
+    is_open.then_some(FailureNotice { key, failed_attempts: entry.failed_attempts })
+}
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -3,7 +3,7 @@
 use crate::effect::Effect;
 use crate::message::{Key, Millis, Node};
 use crate::outbox::Outbox;
-use crate::peer::{KeyHolder, Peer, PeerRecovery, Peers, ServiceState};
+use crate::peer::{FailureNotices, KeyHolder, Peer, PeerRecovery, Peers, ServiceState};
 use crate::peer_message::{EndNotice, PeerMessage};
 use crate::queue::Queue;
 use crate::record::Record;
@@ -39,6 +39,7 @@
         let former_holder = std::mem::replace(&mut peer.key_holder, KeyHolder::Counts);
         peer.is_reconciled = false;
         peer.recovery = PeerRecovery::None;
+        peer.failure_notices = FailureNotices::default();
         peer.connection_changed_at = now;
         peer.heard(now);
         peer.refuses_until = 0;
@@ -52,6 +53,7 @@
         self.ordering.peers_changed_at = now;
         self.shards_may_move(now);
         self.emit(Effect::Send { to: node, message: PeerMessage::DiskId(self.settings.disk_id) });
+        self.emit(Effect::Send { to: node, message: PeerMessage::CallbacksDelivered(Vec::new()) });
         self.announce_recovery(node);
         self.deliver_handovers(now, node);
         // One of the two begins: the other answers with what differs.
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -75,6 +75,9 @@
         } else if claim(term, owner) > claim(claimed.term, claimed.owner) {
             let known = self.ownership(claimed.key);
             self.outbox(claimed.owner).ownership.extend(known);
+        } else {
+            // The claimant may not have heard of attempts that failed here, or elsewhere.
+            self.send_failed_attempts(claimed.owner, claimed.key);
         }
     }
 
--- a/crates/queue/src/replication/peer_messages.rs
+++ b/crates/queue/src/replication/peer_messages.rs
@@ -22,6 +22,9 @@
             }
             PeerMessage::ReplicationRejected(keys) => self.replication_rejected(now, from, keys),
             PeerMessage::Ended(notices) => self.apply_end_notices(now, notices),
+            PeerMessage::CallbacksDelivered(keys) if keys.is_empty() => {
+                self.peer_takes_failure_notices(from);
+            }
             PeerMessage::CallbacksDelivered(keys) => {
                 keys.into_iter().for_each(|key| self.callback_delivered_elsewhere(key));
             }
@@ -86,6 +89,7 @@
             PeerMessage::RequestRecoveryReport { round } => self.recovery_report_requested(now, from, round),
             PeerMessage::RecoveryReport(report) => self.recovery_reported(now, from, report),
             PeerMessage::Recovered => self.peer_recovered(now, from),
+            PeerMessage::AttemptsFailed(notices) => self.apply_failure_notices(now, from, notices),
         }
     }
 
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -7,6 +7,7 @@
 use crate::peer_message::{AcceptedHandover, HandoverOffer, Ownership};
 use crate::pending_writes::PendingWrite;
 use crate::planted_fault::PlantedFault;
+use crate::queue::failures::FailureSource;
 use crate::queue::Queue;
 use crate::record::Record;
 
@@ -35,7 +36,7 @@
             entry.term = entry.term.max(offer.term);
             if offer.attempts > entry.failed_attempts {
                 entry.failed_attempts = offer.attempts;
-                self.record_failed_attempts(offer.key, offer.attempts);
+                self.record_failed_attempts(offer.key, FailureSource::Own);
             }
             self.become_owner(now, offer.key, Some(from));
         }
--- a/crates/queue/tests/failed_attempts.rs
+++ b/crates/queue/tests/failed_attempts.rs
@@ -20,8 +20,9 @@
 const INTERVAL_MS: u64 = 25;
 /// When the first round begins.
 const FIRST_ROUND_AT: u64 = 4000;
-/// After the last round all messages come to their end within this time.
-const END_MS: u64 = 26_000;
+/// After the last round all messages come to their end within this time: those for whose retries the budget does not suffice have
+/// waited too long by then.
+const END_MS: u64 = 66_000;
 const ALL: &[usize] = &[0, 1, 2];
 /// The number that a store gives to the first attempt after its start.
 const FIRST_ATTEMPT: u64 = 1;
@@ -38,6 +39,8 @@
     fault_after_ms: u64,
     /// The stores that it happens to.
     stores: &'static [usize],
+    /// Only to one of them in each round, in turn.
+    rotates: bool,
     rounds: u64,
     round_ms: u64,
 }
@@ -45,7 +48,17 @@
 impl Day {
     /// One round in which nothing stalls.
     const fn of(name: &'static str, stores: &'static [usize], fault: Fault) -> Day {
-        Day { name, stalled: &[], stall_ms: 0, fault, fault_after_ms: 1000, stores, rounds: 1, round_ms: 0 }
+        Day {
+            name,
+            stalled: &[],
+            stall_ms: 0,
+            fault,
+            fault_after_ms: 1000,
+            stores,
+            rotates: false,
+            rounds: 1,
+            round_ms: 0,
+        }
     }
 
     /// The disks of these stores stall, and the fault comes meanwhile.
@@ -53,7 +66,11 @@
         Day { stalled, stall_ms, fault_after_ms, ..self }
     }
 
-    /// Six rounds.
+    /// Six rounds, each with the fault at another store.
+    const fn in_turn(self, round_ms: u64) -> Day {
+        Day { rotates: true, ..self.repeated(round_ms) }
+    }
+
     const fn repeated(self, round_ms: u64) -> Day {
         Day { rounds: 6, round_ms, ..self }
     }
@@ -71,7 +88,7 @@
                 world.act(begin, Action::HoldWrites(*store, self.stall_ms));
                 world.act(begin, Action::HoldSyncs(*store, self.stall_ms));
             }
-            for store in self.stores {
+            for store in self.stores.iter().filter(|store| !self.rotates || **store as u64 == round % 3) {
                 world.act(begin + self.fault_after_ms, Action::Inject(*store, self.fault));
             }
         }
@@ -87,7 +104,7 @@
         let mut beyond: Vec<String> = Vec::new();
         for seed in 0..SEEDS {
             let world = day.play(seed);
-            world.check(false);
+            world.check(true);
             for sent in &world.messages {
                 let runs = world.executions.iter().filter(|run| run.id == sent.message.id);
                 let failures: Vec<&Execution> = runs.filter(|run| run.failure_read_at.is_some()).collect();
@@ -118,6 +135,17 @@
     ]);
 }
 
+/// Neither a stall nor a second kill is needed: a replica that takes a message over has to know how often it has failed.
+#[test]
+fn failed_attempts_are_counted_over_a_takeover() {
+    assert_attempts_are_counted(&[
+        Day::of("one killed, back late", &[0], Fault::KillLong),
+        Day::of("one disk lost", &[0], Fault::DiskLoss),
+        Day::of("killed in turn, back late", ALL, Fault::KillLong).in_turn(7000),
+        Day::of("disks lost in turn", ALL, Fault::DiskLoss).in_turn(8000),
+    ]);
+}
+
 /// How many attempts of a message have failed, as the records say.
 fn counts(records: &[Record]) -> Vec<(Key, u32)> {
     let count = |record: &Record| match record {
@@ -193,3 +221,89 @@
     one.queue.tick(one.now, one.now as i64 * 10);
     assert!(attempts(&one.queue.take_effects()).is_empty());
 }
+
+fn notice(key: Key, failed_attempts: u32) -> PeerMessage {
+    PeerMessage::AttemptsFailed(vec![FailureNotice { key, failed_attempts }])
+}
+
+/// What a store sends on each connection if it takes notices of failed attempts.
+fn takes_notices() -> PeerMessage {
+    PeerMessage::CallbacksDelivered(Vec::new())
+}
+
+#[test]
+fn the_replica_is_told_in_the_turn_in_which_an_attempt_fails() {
+    let mut one = SingleStore::ready(StateTable::default());
+    let (key, effects) = one.taken(message("plain"));
+    let (_, replica) = copies(&one.put(2, message("plain")))[0];
+    for other in [B, C] {
+        one.note(other, takes_notices());
+    }
+    let effects = one.answered(attempts(&effects)[0], AttemptOutcome::Failed);
+    assert!(said(&effects, replica, |note| *note == notice(key, 1)), "{effects:?}");
+}
+
+/// An earlier version closes a connection on which it can't read a message.
+#[test]
+fn a_store_that_has_not_said_that_it_takes_notices_gets_none() {
+    let mut one = SingleStore::new(StateTable::default(), 1);
+    one.queue.peer_connected(0, B);
+    let effects = one.pass(0);
+    assert!(said(&effects, B, |note| *note == takes_notices()), "it is told that this store takes them");
+    let mut one = SingleStore::ready(StateTable::default());
+    let (_, effects) = one.taken(message("plain"));
+    let effects = one.answered(attempts(&effects)[0], AttemptOutcome::Failed);
+    let is_notice = |note: &PeerMessage| matches!(note, PeerMessage::AttemptsFailed(_));
+    assert!(!said(&effects, B, is_notice) && !said(&effects, C, is_notice));
+}
+
+/// What was sent before the connection broke may be lost.
+#[test]
+fn a_store_that_connects_again_is_told_all_that_has_failed() {
+    let mut one = SingleStore::ready(ledger(&ReplicatedMessage { attempts: 2, ..shared(ME, vec![B]) }));
+    one.queue.peer_disconnected(one.now, B);
+    one.queue.peer_connected(one.now, B);
+    let effects = one.note(B, takes_notices());
+    assert!(said(&effects, B, |note| *note == notice(shared(ME, vec![B]).key, 2)), "{effects:?}");
+}
+
+/// The owner is gone: its replica has been told of two failures, grants one more attempt, and ends the message then.
+#[test]
+fn a_message_that_is_taken_over_has_so_many_attempts_less() {
+    let replica = shared(B, vec![ME]);
+    let mut one = SingleStore::ready(ledger(&replica));
+    one.note(B, notice(replica.key, 2));
+    // It may come again, and late.
+    one.note(B, notice(replica.key, 1));
+    assert_eq!(counts(&one.records), [(replica.key, 2)]);
+    assert_eq!(counts(&one.kept_failures), [(replica.key, 2)]);
+    one.queue.peer_disconnected(one.now, B);
+    one.queue.set_members(one.now, &[(ME, 0), (C, 2)]);
+    let started = attempts(&one.pass(8000));
+    assert_eq!(started.len(), 1);
+    one.answered(started[0], AttemptOutcome::Failed);
+    assert!(attempts(&one.pass(10_000)).is_empty());
+    let state = one.queue.lookup(replica.key).map(|(state, _)| state);
+    assert_eq!(state, Some(MessageState::Failed));
+}
+
+/// A former owner reads an answer late: the last attempt was used up there.
+#[test]
+fn a_message_that_waits_ends_when_its_last_attempt_has_failed_elsewhere() {
+    let mut one = SingleStore::ready(StateTable::default());
+    let (key, _) = one.taken(Message { delay_ms: 1000, ..message("plain") });
+    one.note(B, notice(key, 3));
+    assert!(attempts(&one.pass(10_000)).is_empty());
+    assert_eq!(one.queue.lookup(key).map(|(state, _)| state), Some(MessageState::Failed));
+}
+
+/// A store that takes a message over is told by whoever knows of more failures, before it starts the message.
+#[test]
+fn a_claimant_is_told_of_failures_that_it_may_not_know() {
+    let replica = ReplicatedMessage { attempts: 2, ..shared(B, vec![ME, C]) };
+    let mut one = SingleStore::ready(ledger(&replica));
+    one.note(C, takes_notices());
+    let claimed = Ownership { key: replica.key, owner: C, term: 1, replicas: vec![ME] };
+    let effects = one.note(C, PeerMessage::OwnershipChanged(vec![claimed]));
+    assert!(said(&effects, C, |note| *note == notice(replica.key, 2)), "{effects:?}");
+}
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -5,10 +5,10 @@
 use serde::Serialize;
 use std::fmt::Debug;
 use stileroute_queue::{
-    first_number, AcceptedHandover, ClaimAnswer, End, EndNotice, EntrySummary, GroupMessage, GroupPosition,
-    HandoverOffer, IdempotencyDigest, Key, KeyLocation, KeyRange, KnownSubmission, Message, Ownership,
-    PeerMessage, PutError, RangeDigest, Record, RecoveryReport, ReplicatedMessage, ShardTerm, TransferredEnd,
-    SHARD_COUNT,
+    first_number, AcceptedHandover, ClaimAnswer, End, EndNotice, EntrySummary, FailureNotice, GroupMessage,
+    GroupPosition, HandoverOffer, IdempotencyDigest, Key, KeyLocation, KeyRange, KnownSubmission, Message,
+    Ownership, PeerMessage, PutError, RangeDigest, Record, RecoveryReport, ReplicatedMessage, ShardTerm,
+    TransferredEnd, SHARD_COUNT,
 };
 
 fn assert_bytes<Value: Serialize + DeserializeOwned + PartialEq + Debug>(value: &Value, hex: &str) {
@@ -323,6 +323,9 @@
     };
     assert_bytes(&PeerMessage::RecoveryReport(report), "24ac020100010105");
     assert_bytes(&PeerMessage::Recovered, "25");
+    let failure = FailureNotice { key: key(), failed_attempts: 300 };
+    assert_bytes(&PeerMessage::AttemptsFailed(vec![failure]), "2601ac02f0a204ac02");
+    assert_bytes(&PeerMessage::CallbacksDelivered(Vec::new()), "0400");
     assert_bytes(&Record::ShardsGranted { claim, shards: vec![1, 1023] }, "09ac02040201ff07");
     assert_bytes(&Record::ShardTermsMissing(true), "0a01");
     assert_bytes(&Record::MessageHolderGone { node: 300, is_gone: true }, "0bac0201");
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -224,6 +224,7 @@
         | PeerMessage::ReplicationRejected(_) => "copies",
         PeerMessage::Ended(_)
         | PeerMessage::CallbacksDelivered(_)
+        | PeerMessage::AttemptsFailed(_)
         | PeerMessage::TransferEnds(_)
         | PeerMessage::EndsStored(_) => "ends",
         PeerMessage::Digests { .. }
