Queue: failed attempts that two stores have read at once add up

A store that stood still for seconds wakes and reads the answer of an attempt that it had begun, while another has taken the message over and run it. Of the two totals the higher one held, which forgets what one side has read: the message failed four times where three are allowed.

Change: a notice says beside the total how many answers its sender has read itself. A store keeps the latter by store and takes their sum where that is higher: an answer is read by one store, so nothing counts twice, however often a notice comes. It lies in memory alone; a new replica is followed by a notice.

--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -1,5 +1,6 @@
 //! What a store knows of one message.
 
+use crate::failure_count::FailureCount;
 use crate::idempotency::IdempotencyDigest;
 use crate::message::{End, Message, Millis, Node, ReplicatedMessage};
 use crate::service_queue::QueuePosition;
@@ -120,7 +121,7 @@
     /// When it fails for having waited too long.
     pub expires_at: Millis,
     /// Attempts that the executor said had failed; limited by the route.
-    pub failed_attempts: u32,
+    pub(crate) failures: FailureCount,
     /// Attempts from here that did not complete, whatever the reason: the exponent of the backoff.
     pub(crate) backoff_steps: u32,
     /// It ran, or may have run: the next attempt is a retry.
@@ -169,7 +170,7 @@
             delayed_until: None,
             accepted_at: now as i64 - shared.waited_ms as i64,
             expires_at: Millis::MAX,
-            failed_attempts: shared.attempts,
+            failures: FailureCount::at_least(shared.attempts),
             backoff_steps: 0,
             has_run: shared.attempts > 0,
             may_be_elsewhere: false,
@@ -193,6 +194,7 @@
     /// callback, the body of a failed message, which operators may ask for, the tenant, who alone may ask, and the idempotency key,
     /// for further tries may come.
     pub(crate) fn discard_content(&mut self) {
+        self.failures.discard_readers();
         let mut message = std::mem::take(&mut self.message);
         let (tenant, idempotency_key) = (message.tenant.take(), message.idempotency_key.take());
         if self.callback_pending {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -11,6 +11,7 @@
 mod end_transfer;
 mod entry;
 mod entry_table;
+mod failure_count;
 mod fault_injection;
 mod fifo_groups;
 mod hashing;
--- a/crates/queue/src/peer_message.rs
+++ b/crates/queue/src/peer_message.rs
@@ -88,6 +88,8 @@
     pub key: Key,
     /// How many have failed so far, as far as the sender knows.
     pub failed_attempts: u32,
+    /// Of how many of them the sender has read the answer itself.
+    pub read_by_sender: u32,
 }
 
 /// The end of a message that a retiring store transfers to one that did not know it.
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -413,12 +413,14 @@
     pub(crate) fn insert_replica_of(&mut self, now: Millis, shared: &ReplicatedMessage, stage: Stage) {
         let mut entry = Entry::from_shared(shared, now);
         entry.stage = stage;
-        let former = self.entries.get_mut(&shared.key);
-        let former_failures = former.as_ref().map_or(0, |former| former.failed_attempts);
-        // The other store may not have heard of attempts that failed here.
-        entry.failed_attempts = entry.failed_attempts.max(former_failures);
-        entry.has_run |= former_failures > 0;
-        let former_ticket = former.and_then(|former| former.ticket.take());
+        let mut former_ticket = None;
+        if let Some(former) = self.entries.get_mut(&shared.key) {
+            // The other store may not have heard of attempts that failed here.
+            entry.failures = std::mem::take(&mut former.failures);
+            entry.failures.raise(shared.attempts);
+            former_ticket = former.ticket.take();
+        }
+        entry.has_run = entry.failures.total() > 0;
         self.remove(shared.key);
         self.report_unknown_outcome(former_ticket);
         self.entries.insert(shared.key, entry);
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -97,7 +97,7 @@
         let service = &config.services[route.service].name;
         let Some(index) = self.service_queue_index.get(service).copied() else { return };
         let is_late = now > entry.due_at + route.completion_target_ms;
-        if entry.failed_attempts >= route.max_attempts {
+        if entry.failures.total() >= route.max_attempts {
             return self.finish(now, key, End::Failed);
         }
         let position = QueuePosition { is_late, priority: route.priority, due_at: entry.due_at, key };
@@ -312,7 +312,7 @@
             AttemptOutcome::Completed { seal } => return self.finish(now, key, End::Complete { seal }),
             AttemptOutcome::Rejected => return self.finish(now, key, End::Failed),
             AttemptOutcome::Failed => {
-                entry.failed_attempts += 1;
+                entry.failures.add_read_by(self.settings.node);
                 self.record_failed_attempts(key, FailureSource::Own);
                 self.announce_failed_attempts(key, None);
             }
@@ -338,7 +338,7 @@
             let route = config.route(&entry.message.host, &entry.message.target)?;
             Some(config.routes[route].max_attempts)
         });
-        if max_attempts.is_some_and(|max_attempts| entry.failed_attempts >= max_attempts) {
+        if max_attempts.is_some_and(|max_attempts| entry.failures.total() >= max_attempts) {
             return self.finish(now, key, End::Failed);
         }
         entry.backoff_steps += 1;
--- a/crates/queue/src/queue/failures.rs
+++ b/crates/queue/src/queue/failures.rs
@@ -1,6 +1,7 @@
 //! How many attempts of a message have failed: recorded, told to the stores that hold it, and taken from them.
 //!
-//! A count is a lower bound wherever it is known, so of two the higher one holds, and a notice may come late or more than once.
+//! A count is a lower bound wherever it is known (see [`FailureCount`](crate::failure_count::FailureCount)), so a notice may come late or
+//! more than once.
 
 use super::Queue;
 use crate::entry::Entry;
@@ -26,7 +27,7 @@
         if self.planted(PlantedFault::FailedAttemptsForgotten) {
             return;
         }
-        let record = Record::AttemptFailed { key, failed_attempts: entry.failed_attempts };
+        let record = Record::AttemptFailed { key, failed_attempts: entry.failures.total() };
         let needs_sync = source == FailureSource::Own;
         if self.planted(PlantedFault::FailuresKeptByDiskAlone) {
             return self.record(&record, needs_sync);
@@ -50,7 +51,7 @@
         if self.planted(PlantedFault::FailuresUnannounced) {
             return;
         }
-        let notice = self.entries.get(&key).and_then(|entry| failure_notice(key, entry));
+        let notice = self.entries.get(&key).and_then(|entry| failure_notice(key, entry, self.settings.node));
         let peer = self.peers.get_mut(&to).filter(|peer| peer.takes_failure_notices());
         if let Some((peer, notice)) = peer.zip(notice) {
             peer.outbox.failures.push(notice);
@@ -62,7 +63,7 @@
     pub(crate) fn peer_takes_failure_notices(&mut self, node: Node) {
         let Some(peer) = self.peers.get_mut(&node) else { return };
         peer.failure_notices = FailureNotices::Supported;
-        let shared = self.shared_with(node).filter(|(_, entry)| entry.failed_attempts > 0);
+        let shared = self.shared_with(node).filter(|(_, entry)| entry.failures.total() > 0);
         let keys: Vec<Key> = shared.map(|(key, _)| key).collect();
         for key in keys {
             self.send_failed_attempts(node, key);
@@ -71,10 +72,14 @@
 
     /// Another store says how many attempts of messages have failed.
     pub(crate) fn apply_failure_notices(&mut self, now: Millis, from: Node, notices: Vec<FailureNotice>) {
-        for FailureNotice { key, failed_attempts } in notices {
+        for FailureNotice { key, failed_attempts, read_by_sender } in notices {
             let entry = self.entries.get_mut(&key).filter(|entry| entry.end.is_none());
-            let Some(entry) = entry.filter(|entry| failed_attempts > entry.failed_attempts) else { continue };
-            entry.failed_attempts = failed_attempts;
+            let Some(entry) = entry else { continue };
+            let is_raised = entry.failures.raise(failed_attempts);
+            let is_raised = entry.failures.raise_read_by(from, read_by_sender) || is_raised;
+            if !is_raised {
+                continue;
+            }
             entry.has_run = true;
             self.record_failed_attempts(key, FailureSource::Notice);
             self.announce_failed_attempts(key, Some(from));
@@ -85,7 +90,8 @@
     }
 }
 
-fn failure_notice(key: Key, entry: &Entry) -> Option<FailureNotice> {
-    let is_open = entry.end.is_none() && entry.failed_attempts > 0;
-    is_open.then_some(FailureNotice { key, failed_attempts: entry.failed_attempts })
+fn failure_notice(key: Key, entry: &Entry, sender: Node) -> Option<FailureNotice> {
+    let failed_attempts = entry.failures.total();
+    let is_open = entry.end.is_none() && failed_attempts > 0;
+    is_open.then_some(FailureNotice { key, failed_attempts, read_by_sender: entry.failures.read_by(sender) })
 }
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -187,7 +187,7 @@
             replicas: entry.replicas.clone(),
             term: entry.term,
             stage: entry.stage,
-            failed_attempts: entry.failed_attempts,
+            failed_attempts: entry.failures.total(),
             due_in_ms: from_now(entry.due_at),
             expires_in_ms: from_now(entry.expires_at),
             accepted_at_ms: entry.message.accepted_at_ms,
@@ -201,7 +201,7 @@
     /// How long past its due time a message is, in milliseconds; `None` unless this is its first attempt here.
     pub fn first_attempt_delay_ms(&self, now: Millis, key: Key) -> Option<Millis> {
         let entry = self.entries.get(&key)?;
-        let is_first = entry.backoff_steps == 0 && entry.failed_attempts == 0;
+        let is_first = entry.backoff_steps == 0 && entry.failures.total() == 0;
         is_first.then(|| now.saturating_sub(entry.due_at))
     }
 
--- a/crates/queue/src/replication/handover.rs
+++ b/crates/queue/src/replication/handover.rs
@@ -53,7 +53,7 @@
         };
         let confirmed = entry.replicas.iter().filter(|node| !entry.unconfirmed.contains(node));
         let candidates = confirmed.copied().filter(is_able);
-        let offer = HandoverOffer { key, term: entry.term, attempts: entry.failed_attempts };
+        let offer = HandoverOffer { key, term: entry.term, attempts: entry.failures.total() };
         let count = if self.planted(PlantedFault::HandedTwice) { usize::MAX } else { 1 };
         let receivers: Vec<Node> = candidates.take(count).collect();
         for to in receivers {
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -36,7 +36,9 @@
         let outbox = self.outbox(to);
         // One that is about to be accepted is kept only as long as this store holds the shard of its key.
         let replicas = if is_new { &mut outbox.new_replicas } else { &mut outbox.replicas };
+        let key = replica.key;
         replicas.push(replica);
+        self.send_failed_attempts(to, key);
     }
 
     /// A message with its ownership, as it is sent to other stores and kept on disk.
@@ -49,7 +51,7 @@
             replicas: entry.replicas.clone(),
             due_in_ms: entry.due_at.saturating_sub(now),
             waited_ms: entry.age_ms(now),
-            attempts: entry.failed_attempts,
+            attempts: entry.failures.total(),
             message: entry.message.clone(),
         })
     }
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -34,8 +34,7 @@
                 continue;
             }
             entry.term = entry.term.max(offer.term);
-            if offer.attempts > entry.failed_attempts {
-                entry.failed_attempts = offer.attempts;
+            if entry.failures.raise(offer.attempts) {
                 self.record_failed_attempts(offer.key, FailureSource::Own);
             }
             self.become_owner(now, offer.key, Some(from));
--- a/crates/queue/tests/failed_attempts.rs
+++ b/crates/queue/tests/failed_attempts.rs
@@ -146,6 +146,14 @@
     ]);
 }
 
+#[test]
+fn failed_attempts_are_counted_over_a_freeze() {
+    assert_attempts_are_counted(&[
+        Day::of("one frozen", &[0], Fault::Freeze),
+        Day::of("frozen in turn", ALL, Fault::Freeze).in_turn(6000),
+    ]);
+}
+
 /// How many attempts of a message have failed, as the records say.
 fn counts(records: &[Record]) -> Vec<(Key, u32)> {
     let count = |record: &Record| match record {
@@ -223,7 +231,7 @@
 }
 
 fn notice(key: Key, failed_attempts: u32) -> PeerMessage {
-    PeerMessage::AttemptsFailed(vec![FailureNotice { key, failed_attempts }])
+    PeerMessage::AttemptsFailed(vec![FailureNotice { key, failed_attempts, read_by_sender: 0 }])
 }
 
 /// What a store sends on each connection if it takes notices of failed attempts.
@@ -240,7 +248,9 @@
         one.note(other, takes_notices());
     }
     let effects = one.answered(attempts(&effects)[0], AttemptOutcome::Failed);
-    assert!(said(&effects, replica, |note| *note == notice(key, 1)), "{effects:?}");
+    let expected = FailureNotice { key, failed_attempts: 1, read_by_sender: 1 };
+    let expected = PeerMessage::AttemptsFailed(vec![expected]);
+    assert!(said(&effects, replica, |note| *note == expected), "{effects:?}");
 }
 
 /// An earlier version closes a connection on which it can't read a message.
--- a/crates/queue/tests/simulation/events.rs
+++ b/crates/queue/tests/simulation/events.rs
@@ -170,7 +170,9 @@
         }
         if matches!(outcome, AttemptOutcome::Failed | AttemptOutcome::Rejected) {
             let now = self.now;
-            let execution = self.executions.iter_mut().rfind(|r| r.id == id && r.ended_at == now);
+            // A store that was frozen reads an answer late.
+            let is_unread = |r: &&mut Execution| r.ended_at <= now && r.failure_read_at.is_none();
+            let execution = self.executions.iter_mut().filter(|r| r.id == id).rfind(is_unread);
             execution.into_iter().for_each(|r| r.failure_read_at = Some(now));
         }
         self.with(at, |queue, now| queue.attempt_ended(now, now as i64 * 10, attempt, outcome, None));
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -323,8 +323,8 @@
     };
     assert_bytes(&PeerMessage::RecoveryReport(report), "24ac020100010105");
     assert_bytes(&PeerMessage::Recovered, "25");
-    let failure = FailureNotice { key: key(), failed_attempts: 300 };
-    assert_bytes(&PeerMessage::AttemptsFailed(vec![failure]), "2601ac02f0a204ac02");
+    let failure = FailureNotice { key: key(), failed_attempts: 300, read_by_sender: 2 };
+    assert_bytes(&PeerMessage::AttemptsFailed(vec![failure]), "2601ac02f0a204ac0202");
     assert_bytes(&PeerMessage::CallbacksDelivered(Vec::new()), "0400");
     assert_bytes(&Record::ShardsGranted { claim, shards: vec![1, 1023] }, "09ac02040201ff07");
     assert_bytes(&Record::ShardTermsMissing(true), "0a01");
