--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -108,11 +108,15 @@
     for n in 0..20 {
         world.send(2600 + 20 * n, 0, "plain", &[Behavior::Succeeds], 1500);
     }
+    kill_all_while_writes_stall(&mut world);
+    once(world, 20_000);
+}
+
+fn kill_all_while_writes_stall(world: &mut Simulation) {
     for store in 0..3 {
         world.act(4000, Action::HoldWrites(store, 2500));
         world.act(6000, Action::Inject(store, Fault::Kill));
     }
-    once(world, 20_000);
 }
 
 fn a_store_is_cut_off(prepare: &Prepare) {
@@ -207,10 +211,7 @@
     for n in 0..20 {
         world.send(2600 + 20 * n, 0, "plain", &[Behavior::Fails], 1500);
     }
-    for store in 0..3 {
-        world.act(4000, Action::HoldWrites(store, 2500));
-        world.act(6000, Action::Inject(store, Fault::Kill));
-    }
+    kill_all_while_writes_stall(&mut world);
     assert_attempts_are_counted(world);
 }
 
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -7,6 +7,8 @@
 mod executor_http;
 pub mod kept_ends;
 pub mod kept_failures;
+#[cfg(test)]
+mod kept_test_support;
 mod link_events;
 mod refused_appends;
 mod report;
--- a/crates/server/src/store/kept_ends/tests.rs
+++ b/crates/server/src/store/kept_ends/tests.rs
@@ -1,37 +1,16 @@
+use super::super::kept_test_support::{data_dir, key, live};
 use super::super::refused_appends::RETRY_INTERVAL_MS;
 use super::*;
-use std::path::PathBuf;
-use stileroute_queue::{End, Key, Record, ReplicatedMessage};
+use stileroute_queue::{End, Record};
 
 const TICKET: u64 = 7;
 
-fn data_dir(test: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("kept-ends-{}-{test}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
-fn key(number: u64) -> Key {
-    Key { origin: 1, number }
-}
-
 fn end(number: u64) -> Vec<u8> {
     let end = End::Complete { seal: format!("s{number}") };
     let record = Record::Ended { key: key(number), end, callback_pending: false, ended_at_ms: 1 };
     postcard::to_stdvec(&record).unwrap()
 }
 
-/// What the log holds of these messages: all are live.
-fn live(numbers: &[u64]) -> StateTable {
-    let mut table = StateTable::default();
-    for number in numbers {
-        let replica = ReplicatedMessage { key: key(*number), ..ReplicatedMessage::default() };
-        table.apply_record(Record::Put { replica });
-    }
-    table
-}
-
 fn kept(data_dir: &Path, ends: &[u64]) -> KeptEnds {
     let (mut kept, left) = KeptEnds::open(data_dir, &mut StateTable::default());
     assert!(left.is_empty());
@@ -41,7 +20,7 @@
 
 #[test]
 fn ends_that_the_log_has_not_written_are_there_after_a_kill() {
-    let data_dir = data_dir("kill");
+    let data_dir = data_dir("ends-kill");
     std::mem::forget(kept(&data_dir, &[1, 2]));
     let mut table = live(&[1, 2, 3]);
     let (mut after, records) = KeptEnds::open(&data_dir, &mut table);
@@ -60,7 +39,7 @@
 
 #[test]
 fn ends_that_the_log_has_written_are_not_kept() {
-    let data_dir = data_dir("written");
+    let data_dir = data_dir("ends-written");
     let mut kept = kept(&data_dir, &[1]);
     let capacity = kept.capacity();
     kept.write_completed(0, TICKET, true);
@@ -74,7 +53,7 @@
 /// A failed sync takes back all that it has not answered, ends among it that others know.
 #[test]
 fn ends_that_the_log_refused_are_kept_and_appended_again() {
-    let data_dir = data_dir("refused");
+    let data_dir = data_dir("ends-refused");
     let mut kept = kept(&data_dir, &[1, 2]);
     kept.write_completed(0, TICKET, false);
     kept.write_completed(0, TICKET + 1, false);
@@ -90,7 +69,7 @@
 
 #[test]
 fn what_the_buffer_does_not_take_is_counted_and_appended_again_all_the_same() {
-    let data_dir = data_dir("full");
+    let data_dir = data_dir("ends-full");
     let numbers: Vec<u64> = (0..SLOT_COUNT as u64 + 3).collect();
     let mut kept = kept(&data_dir, &numbers);
     assert_eq!((kept.unkept(), kept.capacity()), (3, 0));
@@ -100,7 +79,7 @@
 
 #[test]
 fn a_file_that_cannot_be_used_does_not_keep_the_store_from_starting() {
-    let data_dir = data_dir("unusable");
+    let data_dir = data_dir("ends-unusable");
     std::fs::write(data_dir.join(FILE_NAME), b"something else").unwrap();
     let mut kept = kept(&data_dir, &[1]);
     assert_eq!((kept.unkept(), kept.unwritten(), kept.capacity()), (1, 1, usize::MAX));
--- a/crates/server/src/store/kept_failures/tests.rs
+++ b/crates/server/src/store/kept_failures/tests.rs
@@ -1,36 +1,14 @@
+use super::super::kept_test_support::{data_dir, key, live};
 use super::super::refused_appends::RETRY_INTERVAL_MS;
 use super::super::START_TICKET;
 use super::*;
-use std::path::PathBuf;
-use stileroute_queue::ReplicatedMessage;
 
 const TICKET: u64 = 7;
 
-fn data_dir(test: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("kept-failures-{}-{test}", std::process::id()));
-    let _ = std::fs::remove_dir_all(&folder);
-    std::fs::create_dir_all(&folder).unwrap();
-    folder
-}
-
-fn key(number: u64) -> Key {
-    Key { origin: 1, number }
-}
-
 fn count(number: u64, failed_attempts: u32) -> Vec<u8> {
     postcard::to_stdvec(&Record::AttemptFailed { key: key(number), failed_attempts }).unwrap()
 }
 
-/// What the log holds of these messages: all are live, and no attempt is known to have failed.
-fn live(numbers: &[u64]) -> StateTable {
-    let mut table = StateTable::default();
-    for number in numbers {
-        let replica = ReplicatedMessage { key: key(*number), ..ReplicatedMessage::default() };
-        table.apply_record(Record::Put { replica });
-    }
-    table
-}
-
 fn failed_attempts(table: &StateTable, number: u64) -> u32 {
     table.messages[&key(number)].replica.as_ref().unwrap().attempts
 }
@@ -43,7 +21,7 @@
 
 #[test]
 fn counts_that_the_log_has_not_written_are_there_after_a_kill() {
-    let data_dir = data_dir("kill");
+    let data_dir = data_dir("failures-kill");
     let mut before = opened(&data_dir);
     before.keep(TICKET, key(1), count(1, 2));
     before.keep(TICKET, key(2), count(2, 1));
@@ -63,7 +41,7 @@
 /// However often a message fails while the disk stalls, it takes one place.
 #[test]
 fn a_later_count_takes_the_place_of_the_one_before() {
-    let data_dir = data_dir("later");
+    let data_dir = data_dir("failures-later");
     let mut kept = opened(&data_dir);
     let capacity = kept.capacity();
     for failed_attempts in 1..=5 {
@@ -81,7 +59,7 @@
 
 #[test]
 fn counts_that_the_log_refused_are_kept_and_the_last_of_each_message_is_appended_again() {
-    let data_dir = data_dir("refused");
+    let data_dir = data_dir("failures-refused");
     let mut kept = opened(&data_dir);
     kept.keep(TICKET, key(1), count(1, 1));
     kept.keep(TICKET, key(2), count(2, 1));
@@ -97,7 +75,7 @@
 
 #[test]
 fn what_the_buffer_does_not_take_is_counted_and_appended_again_all_the_same() {
-    let data_dir = data_dir("full");
+    let data_dir = data_dir("failures-full");
     let mut kept = opened(&data_dir);
     for number in 0..SLOT_COUNT as u64 + 3 {
         kept.keep(TICKET, key(number), count(number, 1));
@@ -109,7 +87,7 @@
 
 #[test]
 fn a_file_that_cannot_be_used_does_not_keep_the_store_from_starting() {
-    let data_dir = data_dir("unusable");
+    let data_dir = data_dir("failures-unusable");
     std::fs::write(data_dir.join(FILE_NAME), b"something else").unwrap();
     let mut kept = opened(&data_dir);
     kept.keep(TICKET, key(1), count(1, 1));
