Server tests: a planned end beside a disk that does not answer has no verdict, and is played again

What was seen: 7 of 60 runs of an_edge_that_ends_says_so_at_once_and_answers_all_that_it_reads failed within 32 s: one request each was answered 502. None of 340 other runs did.

Cause: the machine's disk. A bare loop of 512-byte writes and syncs, alone, a minute after them had a write of 491 ms; in five of the seven logs the stores said that they accept no messages. An edge gives up a store that is silent for 200 ms and one that has not answered for 400 ms, and with no other store it answers 502, which promises nothing: the stated answer, for both stores of the test lie on one disk.

Change: a gauge writes and syncs a file beside the test. A 502 while a write of the gauge took 200 ms or more has no verdict: it is listed in NO_VERDICT_LOG and played again, as in the tests of the rig, and the test fails if none of three plays has one. Any other answer than 202, and a 502 without a slow write, fails at once as before, with the longest write named.

--- a/crates/queue/src/queue/failures.rs
+++ b/crates/queue/src/queue/failures.rs
@@ -16,7 +16,7 @@
 pub(crate) enum FailureSource {
     /// It read the answer itself, or owns the message from now on: the count is synced at once.
     Own,
-    /// Another store has told it, and has the count on its own disk.
+    /// Another store has told it, which has kept and recorded the count before: a restart of that one does not forget it.
     Notice,
 }
 
--- a/crates/server/tests/support/mod.rs
+++ b/crates/server/tests/support/mod.rs
@@ -3,6 +3,8 @@
 // Each file of tests uses its part of it.
 #![allow(dead_code)]
 
+pub mod disk_gauge;
+
 use std::fs::{self, File};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
