Server tests: an edge's own refusal is told from that of stores whose disk does not answer

The test took any answer but 202 for the edge's refusal of the key.

Change: the test reads from the edge's metrics when the edge has refused a message for want of contact, and demands of that answer what it demanded before: 503, Retry-After, not ready. Until then only 202, 502, 503 and 504 may come. What a stalled disk refuses before and afterwards (the first message, the public route) is tried again, as clients do.

--- a/crates/server/tests/tenants.rs
+++ b/crates/server/tests/tenants.rs
@@ -14,6 +14,8 @@
 
 const FIRST_NET: u32 = 186;
 const TIME_LIMIT: Duration = Duration::from_secs(28);
+/// Where the edge tells its metrics.
+const FIGURES_PORT: u16 = 18299;
 /// Request ids and idempotency keys are made from it.
 const SEED: u64 = 74;
 
@@ -132,20 +134,40 @@
     let public = r#"{"name":"open","hostname":"quay.example","path_prefix":"/open/","route_type":"deferred",
         "timeout_ms":1500,"target_ms":80,"backend":"crane","public":true}],"backends""#;
     let configuration = CONFIGURATION.replacen("],\n \"backends\"", &format!(",{public}"), 1);
-    fleet.start_with(&[], &configuration);
+    let figures = fleet.at(4, FIGURES_PORT);
+    fleet.start_with(&["--figures", &figures], &configuration);
     wait_for_quotas(&fleet);
     let headers = |n: u64| format!("Authorization: Bearer key-of-ferry\r\nX-Idempotency-Key: i-{n}\r\n");
-    assert_eq!(submit(&fleet, &format!("r-{SEED}-1"), &headers(1)).0, 202);
+    fleet.wait_for("the edge accepts the key", || {
+        (submit(&fleet, &format!("r-{SEED}-1"), &headers(1)).0 == 202).then_some(())
+    });
     fleet.end("core-1");
+    // Stores whose disk does not answer refuse too: the edge counts what it refuses itself.
     let rejected = fleet.wait_for("the edge accepts no key any more", || {
         let answer = submit(&fleet, &format!("r-{SEED}-2"), &headers(2));
-        (answer.0 != 202).then_some(answer)
+        assert!([202, 502, 503, 504].contains(&answer.0), "{answer:?}");
+        (refused_without_contact(&fleet) > 0).then_some(answer)
     });
     assert_eq!(rejected.0, 503, "{rejected:?}");
     assert!(rejected.1.contains("Retry-After: "), "{rejected:?}");
     let readiness = fleet.http("4:18268", "GET", "/v1/readiness", "", "").map(|answer| answer.0);
     assert_eq!(readiness, Some(503), "clients are sent to other edges");
+    fleet.wait_for("a public route needs no key", || {
+        (submit_on_public_route(&fleet) == Some(202)).then_some(())
+    });
+}
+
+/// How many messages the edge has refused because the control nodes were not heard for too long.
+fn refused_without_contact(fleet: &Fleet) -> u64 {
+    let figures =
+        fleet.http(&format!("4:{FIGURES_PORT}"), "GET", "/metrics", "", "").expect("the edge has metrics");
+    let name = "stileroute_messages_total{result=\"no_contact\"} ";
+    let count = figures.2.lines().find_map(|line| line.strip_prefix(name)).expect("the metric is there");
+    count.parse().expect("a number")
+}
+
+/// The status of the answer to a message without a key.
+fn submit_on_public_route(fleet: &Fleet) -> Option<u16> {
     let id = format!("X-Request-Id: r-{SEED}-3\r\n");
-    let open = fleet.http("4:18263", "POST", "/open/1", &id, "heavy");
-    assert_eq!(open.map(|answer| answer.0), Some(202), "a public route needs no key");
+    fleet.http("4:18263", "POST", "/open/1", &id, "heavy").map(|answer| answer.0)
 }
