Store: one type keeps the records of ends and of failed attempts that the log has not written

KeptEnds and KeptFailures each held an optional crash buffer, with the same slots, the same reserve for notices of other stores, and a count of what it did not take. KeptRecords serves both. No behaviour changes: files, figures and log lines are the same, and the unit tests of both pass unchanged but for where the number of slots is named. Two tests of failed attempts share their last assertions.

--- a/crates/queue/tests/failed_attempts.rs
+++ b/crates/queue/tests/failed_attempts.rs
@@ -201,6 +201,14 @@
     assert!(!table.apply_kept_failure(b"\xff"));
 }
 
+/// This attempt of a message fails, and no other one follows.
+fn assert_last_attempt(one: &mut SingleStore, attempt: u64, key: Key) {
+    one.answered(attempt, AttemptOutcome::Failed);
+    assert!(attempts(&one.pass(10_000)).is_empty());
+    let state = one.queue.lookup(key).map(|(state, _)| state);
+    assert_eq!(state, Some(MessageState::Failed));
+}
+
 /// What was counted before the process was killed is not granted again after its start.
 #[test]
 fn a_message_whose_count_was_kept_has_so_many_attempts_less() {
@@ -210,10 +218,7 @@
     assert!(table.apply_kept_failure(&postcard::to_stdvec(&kept).expect("a record can be written")));
     let mut one = SingleStore::ready(table);
     assert_eq!(one.queue.metrics.attempts, 1);
-    one.answered(FIRST_ATTEMPT, AttemptOutcome::Failed);
-    assert!(attempts(&one.pass(10_000)).is_empty());
-    let state = one.queue.lookup(replica.key).map(|(state, _)| state);
-    assert_eq!(state, Some(MessageState::Failed));
+    assert_last_attempt(&mut one, FIRST_ATTEMPT, replica.key);
 }
 
 /// A failed attempt of this turn has no place of its own yet when the next message is looked at.
@@ -291,10 +296,7 @@
     one.queue.set_members(one.now, &[(ME, 0), (C, 2)]);
     let started = attempts(&one.pass(8000));
     assert_eq!(started.len(), 1);
-    one.answered(started[0], AttemptOutcome::Failed);
-    assert!(attempts(&one.pass(10_000)).is_empty());
-    let state = one.queue.lookup(replica.key).map(|(state, _)| state);
-    assert_eq!(state, Some(MessageState::Failed));
+    assert_last_attempt(&mut one, started[0], replica.key);
 }
 
 /// A former owner reads an answer late: the last attempt was used up there.
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -7,6 +7,7 @@
 mod executor_http;
 pub mod kept_ends;
 pub mod kept_failures;
+mod kept_records;
 #[cfg(test)]
 mod kept_test_support;
 mod link_events;
--- a/crates/server/src/store/kept_ends.rs
+++ b/crates/server/src/store/kept_ends.rs
@@ -4,19 +4,16 @@
 //! An executor has run the message, and other stores know its end. While a write or a sync stalls the log holds the end in memory alone,
 //! here and at the replicas; where all these processes are killed then, the message would run again.
 
+use super::kept_records::KeptRecords;
 use super::refused_appends::RefusedAppends;
 use crate::net::Millis;
 use std::collections::HashMap;
 use std::path::Path;
-use stileroute_crash_buffer::{CrashBuffer, LeftRecord, Slot};
+use stileroute_crash_buffer::{LeftRecord, Slot};
 use stileroute_queue::StateTable;
 
 /// The file in the data folder, beside the log.
 pub(crate) const FILE_NAME: &str = "hold.ends";
-/// As many ends may be unwritten, which is 2 MiB.
-const SLOT_COUNT: usize = 8192;
-/// Of these slots so many are for ends that other stores send: each of two may send as many as it has attempts in flight.
-const SLOTS_FOR_NOTICES: usize = SLOT_COUNT / 4 * 3;
 
 /// An end that the log has not written.
 struct UnwrittenEnd {
@@ -27,61 +24,42 @@
 
 /// The ends that the log has not written.
 pub(super) struct KeptEnds {
-    /// `None` where the file can't be used: then ends are only in the log.
-    buffer: Option<CrashBuffer>,
+    kept: KeptRecords,
     /// By the ticket of their append.
     unwritten: HashMap<u64, Vec<UnwrittenEnd>>,
     refused: RefusedAppends,
-    unkept: u64,
 }
 
 impl KeptEnds {
     /// Opens the file, and applies the ends that the process before left there to what the log held. Also gives their records,
     /// which have to be part of the append of the start.
     pub(super) fn open(data_dir: &Path, table: &mut StateTable) -> (KeptEnds, Vec<Vec<u8>>) {
-        match CrashBuffer::open(&data_dir.join(FILE_NAME), SLOT_COUNT) {
-            Ok((buffer, left)) => KeptEnds::begin(buffer, left, table),
-            Err(error) => {
-                tracing::error!(%error, "ends do not outlive a killed process before the disk has written them");
-                (KeptEnds::new(None), Vec::new())
-            }
-        }
-    }
-
-    fn new(buffer: Option<CrashBuffer>) -> KeptEnds {
-        KeptEnds { buffer, unwritten: HashMap::new(), refused: RefusedAppends::default(), unkept: 0 }
-    }
-
-    fn begin(
-        mut buffer: CrashBuffer,
-        left: Vec<LeftRecord>,
-        table: &mut StateTable,
-    ) -> (KeptEnds, Vec<Vec<u8>>) {
-        let mut unwritten = Vec::new();
+        let unusable = "ends do not outlive a killed process before the disk has written them";
+        let (mut kept, left) = KeptRecords::open(&data_dir.join(FILE_NAME), unusable);
+        let mut ends = Vec::new();
         for LeftRecord { slot, bytes } in left {
             if table.apply_kept_end(&bytes) {
-                unwritten.push(UnwrittenEnd { record: bytes, slot: Some(slot) });
+                ends.push(UnwrittenEnd { record: bytes, slot: Some(slot) });
             } else {
-                buffer.remove(slot);
+                kept.remove(Some(slot));
             }
         }
-        if !unwritten.is_empty() {
-            tracing::info!(ends = unwritten.len(), "ends outlived the process that had not written them");
+        if !ends.is_empty() {
+            tracing::info!(ends = ends.len(), "ends outlived the process that had not written them");
         }
-        let records = unwritten.iter().map(|end| end.record.clone()).collect();
-        let mut kept = KeptEnds::new(Some(buffer));
-        if !unwritten.is_empty() {
-            kept.unwritten.insert(super::START_TICKET, unwritten);
+        let records = ends.iter().map(|end| end.record.clone()).collect();
+        let mut unwritten = HashMap::new();
+        if !ends.is_empty() {
+            unwritten.insert(super::START_TICKET, ends);
         }
-        (kept, records)
+        (KeptEnds { kept, unwritten, refused: RefusedAppends::default() }, records)
     }
 
     /// Keeps ends that are appended under this ticket.
     pub(super) fn keep(&mut self, ticket: u64, records: impl Iterator<Item = Vec<u8>>) {
         let mut ends = Vec::new();
         for record in records {
-            let slot = self.buffer.as_mut().and_then(|buffer| buffer.insert(&record).ok());
-            self.unkept += u64::from(slot.is_none());
+            let slot = self.kept.insert(&record);
             ends.push(UnwrittenEnd { record, slot });
         }
         if !ends.is_empty() {
@@ -98,8 +76,7 @@
             return;
         }
         let written = self.unwritten.remove(&ticket).unwrap_or_default();
-        let Some(buffer) = &mut self.buffer else { return };
-        written.into_iter().filter_map(|end| end.slot).for_each(|slot| buffer.remove(slot));
+        written.into_iter().for_each(|end| self.kept.remove(end.slot));
     }
 
     /// Ends that the log refused, and that are to be appended once more now: the records by their ticket.
@@ -114,9 +91,7 @@
 
     /// How many more attempts may be in flight.
     pub(super) fn capacity(&self) -> usize {
-        self.buffer
-            .as_ref()
-            .map_or(usize::MAX, |buffer| buffer.free_slots().saturating_sub(SLOTS_FOR_NOTICES))
+        self.kept.capacity()
     }
 
     /// Ends that the log has not written.
@@ -126,7 +101,7 @@
 
     /// Ends so far that the buffer did not take.
     pub(super) fn unkept(&self) -> u64 {
-        self.unkept
+        self.kept.unkept()
     }
 }
 
--- a/crates/server/src/store/kept_ends/tests.rs
+++ b/crates/server/src/store/kept_ends/tests.rs
@@ -1,3 +1,4 @@
+use super::super::kept_records::SLOT_COUNT;
 use super::super::kept_test_support::{data_dir, key, live};
 use super::super::refused_appends::RETRY_INTERVAL_MS;
 use super::*;
--- a/crates/server/src/store/kept_failures.rs
+++ b/crates/server/src/store/kept_failures.rs
@@ -3,19 +3,16 @@
 //!
 //! A message has one place at the most: a later count makes the one before it needless.
 
+use super::kept_records::KeptRecords;
 use super::refused_appends::RefusedAppends;
 use crate::net::Millis;
 use std::collections::HashMap;
 use std::path::Path;
-use stileroute_crash_buffer::{CrashBuffer, LeftRecord, Slot};
+use stileroute_crash_buffer::{LeftRecord, Slot};
 use stileroute_queue::{Key, Record, StateTable};
 
 /// The file in the data folder, beside the log.
 pub(crate) const FILE_NAME: &str = "hold.failures";
-/// So many messages may have an unwritten count, which is 2 MiB.
-const SLOT_COUNT: usize = 8192;
-/// Of these slots so many are for counts that other stores send: each of two may send as many as it has attempts in flight.
-const SLOTS_FOR_NOTICES: usize = SLOT_COUNT / 4 * 3;
 
 /// A count that the log has not written.
 struct UnwrittenFailure {
@@ -28,63 +25,44 @@
 
 /// The counts of failed attempts that the log has not written.
 pub(super) struct KeptFailures {
-    /// `None` where the file can't be used: then counts are only in the log.
-    buffer: Option<CrashBuffer>,
+    kept: KeptRecords,
     unwritten: HashMap<Key, UnwrittenFailure>,
     keys_by_ticket: HashMap<u64, Vec<Key>>,
     refused: RefusedAppends,
-    unkept: u64,
 }
 
 impl KeptFailures {
     /// Opens the file, and applies the counts that the process before left there to what the log held. Also gives their records,
     /// which have to be part of the append of the start.
     pub(super) fn open(data_dir: &Path, table: &mut StateTable) -> (KeptFailures, Vec<Vec<u8>>) {
-        match CrashBuffer::open(&data_dir.join(FILE_NAME), SLOT_COUNT) {
-            Ok((buffer, left)) => KeptFailures::begin(buffer, left, table),
-            Err(error) => {
-                tracing::error!(%error, "failed attempts may be forgotten by a killed process before the disk has written them");
-                (KeptFailures::new(None), Vec::new())
-            }
-        }
-    }
-
-    fn new(buffer: Option<CrashBuffer>) -> KeptFailures {
-        KeptFailures {
-            buffer,
+        let unusable =
+            "failed attempts may be forgotten by a killed process before the disk has written them";
+        let (kept, left) = KeptRecords::open(&data_dir.join(FILE_NAME), unusable);
+        let mut failures = KeptFailures {
+            kept,
             unwritten: HashMap::new(),
             keys_by_ticket: HashMap::new(),
             refused: RefusedAppends::default(),
-            unkept: 0,
-        }
-    }
-
-    fn begin(
-        buffer: CrashBuffer,
-        left: Vec<LeftRecord>,
-        table: &mut StateTable,
-    ) -> (KeptFailures, Vec<Vec<u8>>) {
-        let mut kept = KeptFailures::new(Some(buffer));
+        };
         let mut records = Vec::new();
         for LeftRecord { slot, bytes } in left {
+            let slot = Some(slot);
             let key = if table.apply_kept_failure(&bytes) { counted_message(&bytes) } else { None };
             match key {
                 Some(key) => {
                     records.push(bytes.clone());
-                    let failure =
-                        UnwrittenFailure { ticket: super::START_TICKET, record: bytes, slot: Some(slot) };
-                    kept.replace(key, failure);
+                    let failure = UnwrittenFailure { ticket: super::START_TICKET, record: bytes, slot };
+                    failures.replace(key, failure);
                 }
-                None => kept.remove_slot(Some(slot)),
+                None => failures.kept.remove(slot),
             }
         }
-        (kept, records)
+        (failures, records)
     }
 
     /// Keeps a count that is appended under this ticket, in place of an earlier one of the same message.
     pub(super) fn keep(&mut self, ticket: u64, key: Key, record: Vec<u8>) {
-        let slot = self.buffer.as_mut().and_then(|buffer| buffer.insert(&record).ok());
-        self.unkept += u64::from(slot.is_none());
+        let slot = self.kept.insert(&record);
         self.replace(key, UnwrittenFailure { ticket, record, slot });
     }
 
@@ -92,13 +70,7 @@
     fn replace(&mut self, key: Key, failure: UnwrittenFailure) {
         self.keys_by_ticket.entry(failure.ticket).or_default().push(key);
         if let Some(earlier) = self.unwritten.insert(key, failure) {
-            self.remove_slot(earlier.slot);
-        }
-    }
-
-    fn remove_slot(&mut self, slot: Option<Slot>) {
-        if let Some((buffer, slot)) = self.buffer.as_mut().zip(slot) {
-            buffer.remove(slot);
+            self.kept.remove(earlier.slot);
         }
     }
 
@@ -113,7 +85,7 @@
         for key in self.keys_by_ticket.remove(&ticket).unwrap_or_default() {
             if self.unwritten.get(&key).is_some_and(|failure| failure.ticket == ticket) {
                 let slot = self.unwritten.remove(&key).and_then(|failure| failure.slot);
-                self.remove_slot(slot);
+                self.kept.remove(slot);
             }
         }
     }
@@ -132,9 +104,7 @@
 
     /// How many more attempts may be in flight.
     pub(super) fn capacity(&self) -> usize {
-        self.buffer
-            .as_ref()
-            .map_or(usize::MAX, |buffer| buffer.free_slots().saturating_sub(SLOTS_FOR_NOTICES))
+        self.kept.capacity()
     }
 
     /// Messages with a count that the log has not written.
@@ -144,7 +114,7 @@
 
     /// Counts so far that the buffer did not take.
     pub(super) fn unkept(&self) -> u64 {
-        self.unkept
+        self.kept.unkept()
     }
 }
 
