Review, case 2: a core that was cut off acknowledges a leave alone

The leave of an executor is acknowledged by a core machine up to 1.8 s after it lost the others, which do not learn of it: stores send on for 4.8 s after the acknowledgement, in place of 3 s.

--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod parts;
 
+mod leave_at_a_cut_off_core;
 mod store_restart_after_91_s;
 
 use std::process::exit;
@@ -19,6 +20,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = match case.as_str() {
+        "leave-at-a-cut-off-core" => leave_at_a_cut_off_core::play(trouble),
         "store-restart-after-91-s" => store_restart_after_91_s::play(trouble),
         _ => Err(format!("no case {case}")),
     };
