--- a/review/standins/fleet.rs
+++ b/review/standins/fleet.rs
@@ -115,10 +115,10 @@
         SocketAddrV4::new(Ipv4Addr::new(127, self.net, 9, part), 9000)
     }
     pub fn zone(at: usize) -> &'static str {
-        ["bern-halle", "olten-halle", "aarau-halle"][at]
+        ["bern-halle", "olten-halle", "aarau-halle"][at % 3]
     }
     fn name(machine: &Machine) -> String {
-        format!("{}-{}-1", machine.role.class(), Fleet::zone(machine.at))
+        format!("{}-{}-{}", machine.role.class(), Fleet::zone(machine.at), machine.at / 3 + 1)
     }
     fn folder(&self, machine: &Machine) -> PathBuf {
         self.home.join(Fleet::name(machine))
@@ -184,7 +184,17 @@
     }
 
     fn place(&self, role: Role, at: usize) -> usize {
-        role as usize * 3 + at
+        let is_meant = |machine: &Machine| (machine.role, machine.at) == (role, at);
+        self.machines.iter().position(is_meant).expect("the machine was laid out")
+    }
+
+    /// Adds a fourth store, with an empty disk, and starts it.
+    pub fn add_store(&mut self) -> Result<(), String> {
+        let machine =
+            Machine { role: Role::Store, at: 3, child: None, is_first_start: false, is_behind_proxy: false };
+        fs::create_dir_all(self.folder(&machine).join("data")).map_err(|error| error.to_string())?;
+        self.machines.push(machine);
+        self.start(Role::Store, 3)
     }
 
     /// Starts a process with the command of `deploy/system.toml`.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,7 +8,7 @@
 mod parts;
 
 mod leave_at_a_cut_off_core;
-mod quota_after_restart_of_all;
+mod key_after_a_store_is_added;
 mod store_restart_after_91_s;
 
 use std::process::exit;
@@ -22,7 +22,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let played = match case.as_str() {
         "leave-at-a-cut-off-core" => leave_at_a_cut_off_core::play(trouble),
-        "quota-after-restart-of-all" => quota_after_restart_of_all::play(trouble),
+        "key-after-a-store-is-added" => key_after_a_store_is_added::play(trouble),
         "store-restart-after-91-s" => store_restart_after_91_s::play(trouble),
         _ => Err(format!("no case {case}")),
     };
