--- a/review/standins/leave_at_a_cut_off_core.rs
+++ b/review/standins/leave_at_a_cut_off_core.rs
@@ -20,7 +20,11 @@
     let mut fleet = Fleet::lay_out()?;
     let cut = fleet.put_last_core_behind_proxy()?;
     fleet.start_all()?;
-    let route = [("/alarm/", "temp-alarm", "\"max_tries\":6,\"in_order\":false,\"max_wait_s\":90.0,\"callback_url\":false")];
+    let route = [(
+        "/alarm/",
+        "temp-alarm",
+        "\"max_tries\":6,\"in_order\":false,\"max_wait_s\":90.0,\"callback_url\":false",
+    )];
     let service = [("temp-alarm", "\"rate_per_s\":0.0,\"endpoint\":null")];
     configure(&fleet, &record, &configuration(3, &route, &service))?;
     let executor = |at: usize| {
@@ -63,10 +67,10 @@
     let calm_until = if trouble { healed_at } else { u64::MAX };
     let sent_at: HashMap<&str, u64> = sent.iter().map(|sent| (sent.id.as_str(), sent.at)).collect();
     let arrivals = leaving.arrivals.lock().unwrap().clone();
-    let late: Vec<_> = arrivals.iter().filter(|a| a.has_run && a.at > acked_at + DRAIN_MS + READING_MS).collect();
-    let counted = |at: u64, id: &str| {
-        at < calm_until && sent_at.get(id).is_some_and(|sent| *sent >= calm_from)
-    };
+    let late: Vec<_> =
+        arrivals.iter().filter(|a| a.has_run && a.at > acked_at + DRAIN_MS + READING_MS).collect();
+    let counted =
+        |at: u64, id: &str| at < calm_until && sent_at.get(id).is_some_and(|sent| *sent >= calm_from);
     let broken: Vec<_> = late.iter().filter(|a| counted(a.at, &a.id)).collect();
     record.say(&format!(
         "{} messages sent, {} accepted; {} reached {} over {DRAIN_MS} ms after its leave was acknowledged, {} of them \
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -7,8 +7,8 @@
 mod http;
 mod parts;
 
-mod leave_at_a_cut_off_core;
 mod key_after_a_store_is_added;
+mod leave_at_a_cut_off_core;
 mod store_restart_after_91_s;
 
 use std::process::exit;
@@ -30,7 +30,10 @@
         Ok((broken, text)) => (i32::from(broken), text),
         Err(error) => (2, format!("could not run: {error}\n")),
     };
-    print!("{}", text.lines().filter(|line| line.starts_with('#')).map(|line| format!("{line}\n")).collect::<String>());
+    print!(
+        "{}",
+        text.lines().filter(|line| line.starts_with('#')).map(|line| format!("{line}\n")).collect::<String>()
+    );
     if let Err(error) = std::fs::write(format!("{folder}/record.txt"), &text) {
         eprintln!("record.txt: {error}");
         exit(2);
