Queue: a message expires only by a configuration that knows its route

Cause: update_expiry took a default of 90 s where it knew no route, and a store that has just started knows none, since it keeps no configuration. By the same default replicas that were read from disk were put on the list of messages to be removed, and dropped though their owner waited on.

Change: without a configuration, or with one that is older than the message, the message doesn't expire; the first configuration decides, also that its route is gone. A replica on the list of messages to be removed stays while a configuration that came since lets it wait.

--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -119,7 +119,7 @@
     pub(crate) delayed_until: Option<Millis>,
     /// Time of acceptance on this process's steady clock, in milliseconds; negative if before the start of the process.
     pub(crate) accepted_at: i64,
-    /// Time at which the message fails because it has waited too long.
+    /// Time at which the message fails because it has waited too long; `Millis::MAX` while its route is not known.
     pub expires_at: Millis,
     /// Attempts that the executor reported as failed. The route limits their number.
     pub(crate) failures: FailureCount,
--- a/crates/queue/src/queue/report.rs
+++ b/crates/queue/src/queue/report.rs
@@ -85,8 +85,9 @@
     pub failed_attempts: u32,
     /// Time until the message is due, in milliseconds; negative if that is past.
     pub due_in_ms: i64,
-    /// Time until the message fails because it has waited too long, in milliseconds; negative if that is past.
-    pub expires_in_ms: i64,
+    /// Time until the message fails because it has waited too long, in milliseconds; negative if that is past, and `None`
+    /// while its route is not known.
+    pub expires_in_ms: Option<i64>,
     /// Time of day at which the message was accepted, in milliseconds since 1970; 0 if that is no longer kept.
     pub accepted_at_ms: u64,
     /// Revision of the configuration under which the message was accepted.
@@ -193,7 +194,7 @@
             stage: entry.stage,
             failed_attempts: entry.failures.total(),
             due_in_ms: from_now(entry.due_at),
-            expires_in_ms: from_now(entry.expires_at),
+            expires_in_ms: (entry.expires_at < Millis::MAX).then(|| from_now(entry.expires_at)),
             accepted_at_ms: entry.message.accepted_at_ms,
             config_revision: entry.message.config_revision,
             bytes: entry.message.body.len(),
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -114,6 +114,8 @@
             }
             // The message was a replica when its removal was scheduled, and has been taken over since.
             (true, None) => {}
+            // A configuration that has arrived since allows the message to wait longer.
+            (false, None) if entry.expires_at > now => {}
             // The owner never sent an end. If the message stayed on disk, it would be read as live for ever.
             (false, None) => {
                 self.record(&Record::Dropped { key }, false);
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -260,8 +260,8 @@
     next_disk: u64,
     next_incarnation: u64,
     pub max_tries: u32,
-    max_wait_s: f64,
-    config: Arc<Config>,
+    pub max_wait_s: f64,
+    pub config: Arc<Config>,
     next_ticket: u64,
     /// Bytes of all messages between stores.
     pub sent_bytes: u64,
--- a/crates/queue/tests/support/mod.rs
+++ b/crates/queue/tests/support/mod.rs
@@ -4,6 +4,8 @@
 
 use crate::simulation::{config, START_WALL_CLOCK_MS};
 use std::collections::HashMap;
+use std::sync::Arc;
+use stileroute_config::Config;
 use stileroute_queue::*;
 
 pub const ME: Node = 1;
@@ -76,6 +78,10 @@
     }
 
     pub fn configure(&mut self, revision: u64) {
+        self.configure_with(config(revision, "", 3, 60.0));
+    }
+
+    pub fn configure_with(&mut self, configuration: Arc<Config>) {
         let executor = Executor {
             id: "e".into(),
             address: "10.0.0.1:80".parse().unwrap(),
@@ -86,7 +92,7 @@
         };
         let (now, dispatch_time) = (self.now, self.now as i64 * 10);
         self.queue.set_executors(now, dispatch_time, HashMap::from([("works".to_string(), vec![executor])]));
-        self.queue.configure(now, dispatch_time, config(revision, "", 3, 60.0));
+        self.queue.configure(now, dispatch_time, configuration);
     }
 
     /// Lets time pass, and returns the effects of the store meanwhile.
