Control node: a departure is acknowledged once a majority has recorded it

Cause: a leave, and a heartbeat that says draining, was answered 200 as soon as this node had recorded it, if is_in_contact held, which it does for two grace periods after the last contact. Whether another control node knew was never asked.

Change: the departure is sent to all connected control nodes; each records it, sends it on and confirms. The call is answered once a majority of the voters of the view has it, 503 after 0.5 s otherwise. Any control node that serves the stores later has learned it from one of them, or gets the table when it connects. A repeated call is replicated again. A lone control node is its own majority. Control nodes of an earlier release say nothing of confirmations in their hello, get the departure as a heartbeat, and count as having it while connected, as before.

The pinned bytes of Hello have one more byte, a field that earlier releases pass over; a new test holds that their bytes decode as before and are a prefix.

Evidence: a_departure_is_acknowledged_only_once_another_control_node_has_recorded_it (real processes, each control node in turn with both others frozen) failed before.

--- a/crates/registry/src/executors.rs
+++ b/crates/registry/src/executors.rs
@@ -163,6 +163,24 @@
         }
     }
 
+    /// Merges the last heartbeat of a departing executor, whichever control node received it. Returns whether the
+    /// departure is news.
+    pub fn merge_departure(
+        &mut self,
+        version: &mut VersionCounter,
+        now: Millis,
+        heartbeat: Heartbeat,
+    ) -> bool {
+        self.merge(version, now, heartbeat) == Merged::Changed
+    }
+
+    /// The last heartbeat of an executor that is draining or offline; `None` if it is serving or unknown.
+    pub fn departure(&self, now: Millis, id: &str) -> Option<Heartbeat> {
+        let record = self.records.get(id)?;
+        let is_departing = record.heartbeat.state != ExecutorState::Serving;
+        is_departing.then(|| record.aged_heartbeat(now))
+    }
+
     /// Merges the executors that another control node reports as sending it their heartbeats.
     pub fn merge_held(
         &mut self,
--- a/crates/registry/src/registry.rs
+++ b/crates/registry/src/registry.rs
@@ -142,6 +142,16 @@
         }
     }
 
+    /// The last heartbeat of an executor that is draining or offline here; `None` if it is serving or unknown.
+    pub fn departure(&self, now: Millis, id: &str) -> Option<Heartbeat> {
+        self.executors.departure(now, id)
+    }
+
+    /// Merges the departure of an executor that another control node reports. Returns whether it is news here.
+    pub fn merge_departure(&mut self, now: Millis, heartbeat: Heartbeat) -> bool {
+        self.executors.merge_departure(&mut self.version, now, heartbeat)
+    }
+
     /// Merges heartbeats that another control node forwarded.
     pub fn merge_peer_heartbeats(&mut self, now: Millis, heartbeats: Vec<Heartbeat>) {
         // A control node that is ready sends its whole table when it connects, so any list with more than one
--- a/crates/registry/tests/departures.rs
+++ b/crates/registry/tests/departures.rs
@@ -80,3 +80,34 @@
     registry.record_heartbeat(15_100, heartbeat(5));
     assert!(is_serving(&registry));
 }
+
+/// A departure that is acknowledged has to be sent on by each control node that learns of it, and only by those: the node
+/// that took the call may be cut off before it has reached all others.
+#[test]
+fn a_departure_is_news_once_and_known_from_then_on() {
+    let (mut first, mut second) = (control_node(1), control_node(2));
+    first.record_heartbeat(3000, heartbeat(4));
+    second.merge_peer_heartbeats(3001, broadcasts(&mut first, 3001));
+    assert_eq!((first.departure(3050, "e"), second.departure(3050, "unknown")), (None, None));
+    first.record_heartbeat(3100, support::heartbeat("e", 80, 5, ExecutorState::Draining));
+    for (at, state) in [(3200, ExecutorState::Draining), (3300, ExecutorState::Offline)] {
+        if state == ExecutorState::Offline {
+            first.deregister_executor(at, "e");
+        }
+        let departure = first.departure(at, "e").unwrap();
+        assert_eq!(departure.state, state);
+        assert!(second.merge_departure(at, departure.clone()));
+        assert!(!second.merge_departure(at, departure), "news once only");
+        assert_eq!(second.departure(at, "e").map(|heartbeat| heartbeat.state), Some(state));
+    }
+}
+
+/// Guards against a departure that a control node confirms although it goes on listing the executor.
+#[test]
+fn a_departure_older_than_what_is_known_changes_nothing() {
+    let mut registry = control_node(1);
+    registry.record_heartbeat(3000, heartbeat(9));
+    let late = support::heartbeat("e", 80, 5, ExecutorState::Draining);
+    assert!(!registry.merge_departure(3100, late));
+    assert_eq!(registry.departure(3100, "e"), None);
+}
--- a/crates/server/src/calls.rs
+++ b/crates/server/src/calls.rs
@@ -195,8 +195,10 @@
 }
 
 /// The answer to an executor's heartbeat.
+#[derive(Clone)]
 pub enum HeartbeatReply {
-    /// The heartbeat is recorded, and the other control nodes will receive it.
+    /// The heartbeat is recorded, and the other control nodes will receive it. If it announces draining, a majority of
+    /// them has recorded it too.
     Recorded {
         /// Address and port of a control node in the executor's own zone, if the executor should send its heartbeats
         /// there.
@@ -260,10 +262,12 @@
 }
 
 /// The answer to [`LeaveCall`].
+#[derive(Clone)]
 pub enum LeaveReply {
-    /// The shutdown is recorded, and the other control nodes will receive it.
+    /// The shutdown is recorded here and by a majority of the control nodes.
     Recorded,
-    /// This control node is partitioned from its peers, so the executor has to call another one.
+    /// This control node is partitioned from its peers, or no majority of them has recorded the shutdown in time, so
+    /// the executor has to call another one.
     Partitioned,
 }
 impl From<LeaveReply> for Response {
--- a/crates/server/src/cli/internal_client.rs
+++ b/crates/server/src/cli/internal_client.rs
@@ -115,6 +115,7 @@
         ip: Ipv4Addr::UNSPECIFIED,
         incarnation: random_seed(),
         control_address: None,
+        confirms_departures: false,
     }
 }
 
--- a/crates/server/src/control_node.rs
+++ b/crates/server/src/control_node.rs
@@ -2,6 +2,7 @@
 //! executors and operators are in [`calls`], the retirement of stores in [`retirement`].
 
 mod calls;
+mod departures;
 mod disk_records;
 mod pending_calls;
 mod report;
@@ -16,6 +17,7 @@
 use crate::node::{log_configuration, random_seed, NodeRuntime, Polled};
 use crate::protocol::{Frame, NodeRole};
 use crate::start_error::StartError;
+use departures::PendingDepartures;
 use disk_records::DiskRecords;
 use pending_calls::{Origin, PendingCalls};
 use retirement::RetirementNotices;
@@ -48,6 +50,7 @@
     plane: ControlPlane,
     disk: Disk,
     calls: PendingCalls,
+    departures: PendingDepartures,
     notices: RetirementNotices,
     spare_store_monitor: SpareStoreMonitor,
     /// Whether this node has left the control group because its machine is being retired.
@@ -101,6 +104,7 @@
             // The first call id is random, so that an answer to an earlier incarnation of this process matches no
             // call.
             calls: PendingCalls::new(random_seed()),
+            departures: PendingDepartures::default(),
             notices: RetirementNotices::default(),
             spare_store_monitor: SpareStoreMonitor::default(),
             has_left_group: false,
@@ -111,7 +115,7 @@
     /// Runs the event loop until a shutdown was requested and is complete.
     pub fn run(mut self) {
         loop {
-            let until = self.plane.next_deadline(self.runtime.net.now());
+            let until = self.next_deadline();
             let Polled { link_events, events } = self.runtime.poll(until);
             link_events.into_iter().for_each(|link_event| self.link_event(link_event));
             events.into_iter().for_each(|event| self.event(event));
@@ -126,6 +130,7 @@
             self.advance_retirements(now);
             self.check_spare_stores(now);
             self.answer_overdue_calls(now);
+            self.reject_overdue_departures(now);
             if self.runtime.take_shutdown_request() {
                 self.plane.group.shut_down(now);
                 self.apply_group_effects();
@@ -136,6 +141,10 @@
         }
     }
 
+    fn next_deadline(&self) -> Millis {
+        self.plane.next_deadline(self.runtime.net.now()).min(self.departures.next_deadline())
+    }
+
     /// Whether the process may exit: another node has taken over and all calls have been answered, or the grace
     /// period is over.
     fn is_shutdown_complete(&mut self, now: Millis) -> bool {
@@ -162,6 +171,12 @@
                 NodeRole::Control,
                 Frame::ForwardResult { request_id, status, body },
             ) => self.forwarded_call_answered(from, request_id, status, body),
+            LinkEvent::Received(from, NodeRole::Control, Frame::Departure { request_id, heartbeat }) => {
+                self.departure_received(from, request_id, heartbeat);
+            }
+            LinkEvent::Received(from, NodeRole::Control, Frame::DepartureRecorded { request_id }) => {
+                self.departure_recorded(from, request_id);
+            }
             LinkEvent::Down(node, NodeRole::Control) => {
                 self.plane.link_event(&self.runtime.links, now, link_event);
                 // The lost control node may have carried out the calls that were forwarded to it, so their outcome is
--- a/crates/server/src/control_node/calls.rs
+++ b/crates/server/src/control_node/calls.rs
@@ -140,8 +140,9 @@
 }
 
 impl CallHandler<HeartbeatCall> for ControlNode {
-    fn handle_call(&mut self, _: u64, call: HeartbeatCall) -> Option<HeartbeatReply> {
+    fn handle_call(&mut self, call_id: u64, call: HeartbeatCall) -> Option<HeartbeatReply> {
         let now = self.runtime.net.now();
+        let id = call.id.clone();
         let heartbeat_url = self.heartbeat_url(&call.zone);
         let heartbeat = Heartbeat {
             id: call.id,
@@ -155,27 +156,22 @@
             age_ms: 0,
         };
         self.plane.registry.record_heartbeat(now, heartbeat);
+        let recorded = HeartbeatReply::Recorded { heartbeat_url };
+        if call.is_draining {
+            return self.replicate_departure(call_id, &id, recorded, HeartbeatReply::Partitioned);
+        }
         // A control node that is partitioned from its peers can't pass the heartbeat on, so the executor has to call
-        // another one as well. A node that has just started still accepts a heartbeat unless it announces draining,
-        // because its answer to a draining executor is a promise.
-        let is_promise = call.is_draining;
-        let is_recorded =
-            self.plane.group.is_in_contact(now) || (!is_promise && !self.plane.registry.is_ready());
-        Some(if is_recorded {
-            HeartbeatReply::Recorded { heartbeat_url }
-        } else {
-            HeartbeatReply::Partitioned
-        })
+        // another one as well. A node that has just started still accepts it.
+        let is_recorded = self.plane.group.is_in_contact(now) || !self.plane.registry.is_ready();
+        Some(if is_recorded { recorded } else { HeartbeatReply::Partitioned })
     }
 }
 
 impl CallHandler<LeaveCall> for ControlNode {
-    fn handle_call(&mut self, _: u64, call: LeaveCall) -> Option<LeaveReply> {
+    fn handle_call(&mut self, call_id: u64, call: LeaveCall) -> Option<LeaveReply> {
         let now = self.runtime.net.now();
         self.plane.registry.deregister_executor(now, &call.id);
-        // Once this call is acknowledged, no process may send the executor any more requests.
-        let is_recorded = self.plane.group.is_in_contact(now);
-        Some(if is_recorded { LeaveReply::Recorded } else { LeaveReply::Partitioned })
+        self.replicate_departure(call_id, &call.id, LeaveReply::Recorded, LeaveReply::Partitioned)
     }
 }
 
--- a/crates/server/src/links/tests.rs
+++ b/crates/server/src/links/tests.rs
@@ -13,6 +13,7 @@
         ip,
         incarnation: 1,
         control_address: None,
+        confirms_departures: false,
     }
 }
 
--- a/crates/server/src/node.rs
+++ b/crates/server/src/node.rs
@@ -231,6 +231,7 @@
         ip: boot.ip,
         incarnation: random_seed(),
         control_address: boot.control_address,
+        confirms_departures: role == NodeRole::Control,
     }
 }
 
--- a/crates/server/src/protocol.rs
+++ b/crates/server/src/protocol.rs
@@ -38,6 +38,10 @@
     pub incarnation: u64,
     /// Address at which a control node accepts heartbeats and operators' calls; `None` for other roles.
     pub control_address: Option<SocketAddrV4>,
+    /// Whether the process answers a `Departure` with a `DepartureRecorded`; false if it runs an earlier release, which
+    /// does not send this field.
+    #[serde(deserialize_with = "default_if_absent")]
+    pub confirms_departures: bool,
 }
 
 /// Outcome of a message, as far as a store knows it.
@@ -62,13 +66,17 @@
     /// Body of the message, if the body was requested and is still stored.
     pub body: Option<Vec<u8>>,
     /// Tenant that owns the message; `None` if the sender runs an earlier release, which does not send this field.
-    #[serde(deserialize_with = "none_if_absent")]
+    #[serde(deserialize_with = "default_if_absent")]
     pub tenant: Option<String>,
 }
 
-/// Deserializes the last field of a frame as `None` if it is missing: earlier releases do not send it.
-fn none_if_absent<'de, D: serde::Deserializer<'de>>(deserializer: D) -> Result<Option<String>, D::Error> {
-    Ok(Option::deserialize(deserializer).unwrap_or_default())
+/// Deserializes the last field of a frame as its default if it is missing: earlier releases do not send it.
+fn default_if_absent<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: serde::Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Ok(T::deserialize(deserializer).unwrap_or_default())
 }
 
 /// One frame between two processes of the system, or between the command line and a process.
@@ -193,6 +201,19 @@
     /// corrects it immediately. Sent only to a receiver that has announced, by an empty `Heartbeats` frame, that it
     /// relies on the sender's state of these executors.
     HeldExecutors(Vec<Heartbeat>),
+    /// Between control nodes: an executor is draining or has deregistered. The receiver records this and sends it to the
+    /// control nodes that it is connected to. Sent only to a receiver whose [`PeerInfo`] says that it confirms.
+    Departure {
+        /// Request identifier, repeated in the `DepartureRecorded`; `None` if no confirmation is wanted.
+        request_id: Option<u64>,
+        /// The executor's last heartbeat, whose state is draining or offline.
+        heartbeat: Heartbeat,
+    },
+    /// Reply to `Departure`: the sender has recorded that the executor is draining or has deregistered.
+    DepartureRecorded {
+        /// Request identifier of the `Departure`.
+        request_id: u64,
+    },
 }
 
 impl Frame {
@@ -202,7 +223,10 @@
             Frame::Hello(_) | Frame::Ping => "link",
             Frame::UpdateRequest { .. } | Frame::Update(_) => "session",
             Frame::Sessions(_) => "sessions",
-            Frame::Heartbeats(_) | Frame::HeldExecutors(_) => "executors",
+            Frame::Heartbeats(_)
+            | Frame::HeldExecutors(_)
+            | Frame::Departure { .. }
+            | Frame::DepartureRecorded { .. } => "executors",
             Frame::ControlGroup(_) | Frame::Forward { .. } | Frame::ForwardResult { .. } => "control",
             Frame::Submit { .. } | Frame::SubmitResult { .. } => "taking",
             Frame::Lookup { .. } | Frame::LookupResult { .. } => "asking",
--- a/crates/server/src/protocol/tests.rs
+++ b/crates/server/src/protocol/tests.rs
@@ -17,6 +17,7 @@
         ip: EDGE_IP,
         incarnation: 0x0123_4567_89AB_CDEF,
         control_address,
+        confirms_departures: false,
     }
 }
 
@@ -138,15 +139,19 @@
         Frame::Superseded { message_id: "id".to_string(), fingerprint: 1, kept: Some(KEY) },
         Frame::HeldExecutors(vec![heartbeat(ExecutorState::Serving)]),
         Frame::Heartbeats(Vec::new()),
+        Frame::Hello(PeerInfo { confirms_departures: true, ..peer_info(NodeRole::Control, Some(CONTROL)) }),
+        Frame::Departure { request_id: None, heartbeat: heartbeat(ExecutorState::Draining) },
+        Frame::Departure { request_id: Some(300), heartbeat: heartbeat(ExecutorState::Offline) },
+        Frame::DepartureRecorded { request_id: 300 },
     ]
 }
 
 /// Metrics category and hexadecimal bytes of each frame in `frames()`.
-const PINNED: [(&str, &str); 38] = [
-    ("link", "0001effdb6f50d06656467652d3100027a310a000001ef9bafcdf8acd1910100"),
-    ("link", "0001effdb6f50d06656467652d3101027a310a000001ef9bafcdf8acd1910100"),
-    ("link", "0001effdb6f50d06656467652d3102027a310a000001ef9bafcdf8acd19101010a000002bb03"),
-    ("link", "0001effdb6f50d06656467652d3103027a310a000001ef9bafcdf8acd1910100"),
+const PINNED: [(&str, &str); 42] = [
+    ("link", "0001effdb6f50d06656467652d3100027a310a000001ef9bafcdf8acd191010000"),
+    ("link", "0001effdb6f50d06656467652d3101027a310a000001ef9bafcdf8acd191010000"),
+    ("link", "0001effdb6f50d06656467652d3102027a310a000001ef9bafcdf8acd19101010a000002bb0300"),
+    ("link", "0001effdb6f50d06656467652d3103027a310a000001ef9bafcdf8acd191010000"),
     ("link", "01"),
     ("session", "020180010300"),
     ("session", "020180010301"),
@@ -181,6 +186,10 @@
     ("twice", "14026964010184868808ac02"),
     ("executors", "150103692d31056372616e650a000001903f017a040046098001"),
     ("executors", "0c00"),
+    ("link", "0001effdb6f50d06656467652d3102027a310a000001ef9bafcdf8acd19101010a000002bb0301"),
+    ("executors", "160003692d31056372616e650a000001903f017a040146098001"),
+    ("executors", "1601ac0203692d31056372616e650a000001903f017a040246098001"),
+    ("executors", "17ac02"),
 ];
 
 #[test]
@@ -209,6 +218,17 @@
     assert_eq!(postcard::to_stdvec(&present).unwrap().split_last(), Some((&0, earlier.as_slice())));
 }
 
+/// Earlier releases sent no `confirms_departures`, which is now the last field of the first frame.
+#[test]
+fn a_hello_of_an_earlier_release_is_decoded_and_is_a_prefix_of_the_current_encoding() {
+    let present = Frame::Hello(peer_info(NodeRole::Control, Some(CONTROL)));
+    let bytes = postcard::to_stdvec(&present).unwrap();
+    let (last, earlier) = bytes.split_last().unwrap();
+    let earlier_hex: String = earlier.iter().map(|byte| format!("{byte:02x}")).collect();
+    assert_eq!(earlier_hex, "0001effdb6f50d06656467652d3102027a310a000001ef9bafcdf8acd19101010a000002bb03");
+    assert_eq!((*last, postcard::from_bytes::<Frame>(earlier)), (0, Ok(present)));
+}
+
 #[test]
 fn a_forwarded_call_has_the_kind_of_the_same_name() {
     let calls = [
--- a/crates/server/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -121,6 +121,13 @@
         child.wait().unwrap();
     }
 
+    /// Sends a signal to the process of a node.
+    fn signal(&self, name: &str, signal: &str) {
+        let (_, child) = self.children.iter().find(|(node, _)| node == name).unwrap();
+        let signalled = Command::new("kill").args([signal, &child.id().to_string()]).status().unwrap();
+        assert!(signalled.success());
+    }
+
     /// The exit code of a process that has exited without being killed; `None` while it runs.
     fn exit_code(&mut self, name: &str) -> Option<i32> {
         let (_, child) = self.children.iter_mut().find(|(node, _)| node == name).unwrap();
@@ -146,9 +153,7 @@
         let text = fs::read_to_string(&boot).unwrap();
         assert!(text.contains(from));
         fs::write(&boot, text.replace(from, to)).unwrap();
-        let (_, child) = self.children.iter().find(|(node, _)| node == name).unwrap();
-        let signalled = Command::new("kill").args(["-HUP", &child.id().to_string()]).status().unwrap();
-        assert!(signalled.success());
+        self.signal(name, "-HUP");
     }
 
     /// Replaces the disk of a machine with an empty one.
@@ -288,9 +293,13 @@
     }
 
     fn heartbeat(&self, fleet: &Fleet, core: u8, call_count: u64) -> Option<u16> {
+        self.heartbeat_with_state(fleet, core, call_count, "serving")
+    }
+
+    fn heartbeat_with_state(&self, fleet: &Fleet, core: u8, call_count: u64, state: &str) -> Option<u16> {
         let address = self.listener.local_addr().unwrap();
         let body = format!(
-            r#"{{"backend":"lock","address":"{address}","zone":"z1","capacity":4,"state":"serving",
+            r#"{{"backend":"lock","address":"{address}","zone":"z1","capacity":4,"state":"{state}",
             "cold_left_ms":0,"call_count":{call_count}}}"#
         );
         let path = format!("/v1/servers/{}/heartbeat", self.id);
@@ -338,6 +347,40 @@
     });
 }
 
+/// Guards against a departure that only one control node knows of: if that node is cut off, the others serve the stores without it
+/// and requests go on to the executor (DRAIN). While both others are frozen nobody else can know of it, and no call may be
+/// acknowledged, for as long as the called node still counts as in contact. A refused call that is repeated at the same node is
+/// acknowledged once another node is there.
+#[test]
+fn a_departure_is_acknowledged_only_once_another_control_node_has_recorded_it() {
+    let fleet = configured_fleet();
+    for (called, id) in [(1u8, "e-1"), (2, "e-2"), (3, "e-3")] {
+        let executor = SimulatedExecutor::new(id);
+        let leave = || {
+            let answer =
+                fleet.http(&format!("{called}:18262"), "POST", &format!("/v1/servers/{id}/leave"), "{}");
+            answer.map(|answer| answer.0)
+        };
+        let others: Vec<String> =
+            (1..=3).filter(|core| *core != called).map(|core| format!("core-{core}")).collect();
+        let serving = || executor.heartbeat(&fleet, called, 1).filter(|status| *status == 200);
+        fleet.wait_for("heartbeat acknowledged", serving);
+
+        others.iter().for_each(|name| fleet.signal(name, "-STOP"));
+        assert_eq!(executor.heartbeat_with_state(&fleet, called, 2, "draining"), Some(503), "core-{called}");
+        others.iter().for_each(|name| fleet.signal(name, "-CONT"));
+        let draining =
+            || executor.heartbeat_with_state(&fleet, called, 3, "draining").filter(|status| *status == 200);
+        fleet.wait_for("draining is acknowledged", draining);
+
+        others.iter().for_each(|name| fleet.signal(name, "-STOP"));
+        assert_eq!(leave(), Some(503), "core-{called}");
+        fleet.signal(&others[0], "-CONT");
+        fleet.wait_for("the leave is acknowledged", || leave().filter(|status| *status == 200));
+        fleet.signal(&others[1], "-CONT");
+    }
+}
+
 const BEGIN: &str = "curl -d '{\"deadline_s\":30}' http://10.1.0.14:8262/v1/retire/storage-3/begin";
 const READ: &str = "curl http://10.1.0.14:8262/v1/retire/storage-3/read";
 
