Queue: no message of a tenant is accepted before the configuration is known

Cause: take_quota granted every message while no tenants were known.

Change: without a configuration a store rejects the messages of tenants and keeps nothing of them; the edge asks another store, or answers 503.

Evidence: a_store_without_a_configuration_accepts_no_message_of_a_tenant failed before.

--- a/crates/queue/src/tenant_quotas.rs
+++ b/crates/queue/src/tenant_quotas.rs
@@ -46,12 +46,23 @@
     denied_until: Millis,
 }
 
+/// What this store knows of the tenants.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum TenantKnowledge {
+    /// No configuration has arrived since the start of the process.
+    #[default]
+    NoConfiguration,
+    /// The configuration names no tenants.
+    NoTenants,
+    /// The configuration names the tenants.
+    Configured,
+}
+
 /// The quotas of all tenants that have one, by the names used in token requests.
 #[derive(Debug, Default)]
 pub(crate) struct TenantQuotas {
     pub(crate) by_name: HashMap<String, TenantQuota>,
-    /// Whether the configuration names tenants.
-    are_tenants_known: bool,
+    knowledge: TenantKnowledge,
 }
 
 impl TenantQuotas {
@@ -69,6 +80,8 @@
     Exceeded,
     /// The tenant, and therefore its quota, is not known to this store.
     Unknown,
+    /// This store knows no quotas yet, but another one may.
+    NotConfigured,
     /// The holder of the quota has to be asked for a token.
     Wait,
 }
@@ -77,7 +90,10 @@
     /// Applies the tenant quotas of a configuration.
     pub(crate) fn configure_quotas(&mut self, now: Millis, config: &Config) {
         let tenants = config.tenants.as_ref().map_or(&[][..], |table| &table.tenants);
-        self.quotas.are_tenants_known = config.tenants.is_some();
+        self.quotas.knowledge = match config.tenants {
+            Some(_) => TenantKnowledge::Configured,
+            None => TenantKnowledge::NoTenants,
+        };
         let mut former = std::mem::take(&mut self.quotas.by_name);
         for tenant in tenants {
             let name = format!("{TENANT_PREFIX}{}", tenant.name);
@@ -108,6 +124,7 @@
                 self.reject_with(ticket, PutError::QuotaExceeded);
             }
             Admission::Unknown => self.reject_with(ticket, PutError::QuotaUnknown),
+            Admission::NotConfigured => self.reject_with(ticket, PutError::Rejected),
             Admission::Wait => {
                 let deadline = now + HOLDER_TIMEOUT_MS;
                 let waiting = WaitingForToken { ticket, message, is_resubmitted, deadline };
@@ -120,8 +137,10 @@
     }
 
     fn take_quota(&mut self, now: Millis, name: &str) -> Admission {
-        if !self.quotas.are_tenants_known {
-            return Admission::Granted;
+        match self.quotas.knowledge {
+            TenantKnowledge::NoConfiguration => return Admission::NotConfigured,
+            TenantKnowledge::NoTenants => return Admission::Granted,
+            TenantKnowledge::Configured => {}
         }
         let Some(quota) = self.quotas.by_name.get_mut(name) else { return Admission::Unknown };
         if !quota.bucket.has_limit() || quota.bucket.take(now) {
--- a/crates/queue/tests/tenant_quotas.rs
+++ b/crates/queue/tests/tenant_quotas.rs
@@ -2,8 +2,11 @@
 //! whatever fails; without faults, none is rejected below the quota.
 
 mod simulation;
+mod support;
 
-use simulation::{Action, Fault, Simulation};
+use simulation::{config, Action, Fault, Simulation};
+use stileroute_queue::*;
+use support::*;
 
 const WINDOW_MS: u64 = 5000;
 /// Most messages in a window of a tenant with 20 messages per second and a burst of 20: (20 x 5 + 20) x 1.1 + 20.
@@ -130,3 +133,36 @@
         assert_eq!(calm.len(), 200, "store {store}");
     }
 }
+
+/// The result of the put with this ticket, if it has one.
+fn put_result(effects: &[Effect], ticket: u64) -> Option<Result<String, PutError>> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::PutResult { ticket: of, result } if *of == ticket => Some(result.clone()),
+        _ => None,
+    })
+}
+
+/// A quota exceeded after a restart: a store that had no configuration yet accepted all messages of a tenant. Another
+/// store may have one, so the edge is told to ask there.
+#[test]
+fn a_store_without_a_configuration_accepts_no_message_of_a_tenant() {
+    let mut one = SingleStore::new(StateTable::default(), 1);
+    one.queue.set_members(0, &[(ME, 0), (B, 1), (C, 2)]);
+    for other in [B, C] {
+        one.queue.peer_connected(0, other);
+        one.queue.handle_peer_message(0, other, PeerMessage::Reconciled);
+    }
+    one.pass(10);
+    let of_tenant = |tenant: &str| Message { tenant: Some(tenant.into()), ..message("plain") };
+    let written = one.records.len();
+    let effects = one.put(1, of_tenant("hot"));
+    assert_eq!(put_result(&effects, 1), Some(Err(PutError::Rejected)));
+    assert_eq!((replicas_sent(&effects).len(), one.records.len()), (0, written), "nothing of it is kept");
+    assert_eq!(
+        replicas_sent(&one.put(2, message("plain"))).len(),
+        1,
+        "a message without a tenant is accepted"
+    );
+    one.configure_with(config(2, "quota", 3, 60.0));
+    assert_eq!(replicas_sent(&one.put(3, of_tenant("tenant"))).len(), 1, "a tenant without a quota");
+}
