Control node: a test that a confirmed departure is sent on

With it the file has six tests, for which its loopback networks no longer sufficed (the second octet rose above 255), so each test has ten of them in place of fifteen.

--- a/crates/server/tests/commands.rs
+++ b/crates/server/tests/commands.rs
@@ -16,6 +16,14 @@
  "route_type":"deferred","timeout_ms":1500,"target_ms":80,"priority":1,"backend":"lock","max_tries":4,
  "max_wait_s":600,"run_target_ms":1000}],"backends":[{"name":"lock"}],"limits":{}}"#;
 
+/// Second octet of the loopback networks of the first test; each further test has the next [`NETS_PER_TEST`]. Six tests fit below 255.
+const FIRST_NET: u32 = 192;
+const NETS_PER_TEST: u32 = 10;
+/// First and last port for connections between nodes.
+const INTERNAL_PORTS: [u16; 2] = [17300, 17315];
+/// The same for a node that is reached through a relay.
+const RELAYED_PORTS: [u16; 2] = [17400, 17415];
+
 struct Fleet {
     dir: PathBuf,
     net: String,
@@ -23,6 +31,8 @@
     /// Id of the message whose trace is printed when the test fails.
     message: String,
     children: Vec<(String, Child)>,
+    /// The node that is reached through a relay: it listens on ports of its own.
+    relayed: Option<&'static str>,
 }
 
 impl Drop for Fleet {
@@ -57,13 +67,15 @@
         let (pid, fleet) = (std::process::id(), FLEETS.fetch_add(1, Ordering::Relaxed));
         let dir = std::env::temp_dir().join(format!("stilerouted-commands-{pid}-{fleet}"));
         // Each test uses a separate loopback network, also when two test runs are active at the same time.
-        let net = format!("127.{}.{}", 192 + 15 * fleet + pid / 250 % 15, 1 + pid % 250);
+        let second_octet = FIRST_NET + NETS_PER_TEST * fleet + pid / 250 % NETS_PER_TEST;
+        let net = format!("127.{second_octet}.{}", 1 + pid % 250);
         Fleet {
             dir,
             net,
             deadline: Instant::now() + Duration::from_secs(60),
             message: String::new(),
             children: Vec::new(),
+            relayed: None,
         }
     }
 
@@ -98,9 +110,10 @@
             _ => String::new(),
         };
         let data = if role == "edge" { "null".to_string() } else { format!("{:?}", home.join("data")) };
+        let ports = if self.relayed == Some(name) { RELAYED_PORTS } else { INTERNAL_PORTS };
         let text = format!(
             r#"{{"node_name":"{name}","role":"any","machine_class":"any","serves":["{serves}"],"ip":"{net}.{host}",
-            "zone":"z1","region":"r","zones":{{"z1":"r"}},"bind_addresses":{{{bind}}},"internal_ports":[17300,17315],
+            "zone":"z1","region":"r","zones":{{"z1":"r"}},"bind_addresses":{{{bind}}},"internal_ports":{ports:?},
             "seed_nodes":["{net}.1:18262","{net}.2:18262","{net}.3:18262"],"first_start":{first},
             "limits":{{"disk_mb":64}},"data_dir":{data},"beat_interval_ms":200,"tolerate":{{"machine_losses":1}},
             "bounds":{{"grace_s":6}}}}"#
@@ -134,6 +147,28 @@
         child.try_wait().unwrap().and_then(|status| status.code())
     }
 
+    /// Starts the relay to core-3, which closes the connections of `cut_off` and forwards all others.
+    fn relay_to_core_3_except(&mut self, cut_off: &'static str) {
+        self.relayed = Some("core-3");
+        let listener = TcpListener::bind(format!("{}.3:{}", self.net, INTERNAL_PORTS[0])).unwrap();
+        let core_3 = format!("{}.3:{}", self.net, RELAYED_PORTS[0]);
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let core_3 = core_3.clone();
+                std::thread::spawn(move || relay(stream, &core_3, cut_off));
+            }
+        });
+    }
+
+    /// Whether a control node lists an executor as one that may be sent requests.
+    fn lists(&self, core: u8, id: &str) -> bool {
+        let address = format!("{}.{core}:{}", self.net, INTERNAL_PORTS[0]);
+        let mut command = Command::new(env!("CARGO_BIN_EXE_stilerouted"));
+        let output = command.args(["status", "--json", "--at", &address]).output().unwrap();
+        let status = String::from_utf8_lossy(&output.stdout);
+        status.contains(&format!("\"{id}\""))
+    }
+
     /// Swaps the disks of two stopped machines.
     fn swap_disks(&self, first: &str, second: &str) {
         let data = |name: &str| self.dir.join(name).join("data");
@@ -231,6 +266,21 @@
     }
 }
 
+/// Forwards a connection to `to` in both directions, unless its first bytes contain the name of `cut_off`.
+fn relay(mut stream: TcpStream, to: &str, cut_off: &str) -> Option<()> {
+    let mut first = [0; 4096];
+    let length = stream.read(&mut first).ok()?;
+    if first[..length].windows(cut_off.len()).any(|bytes| bytes == cut_off.as_bytes()) {
+        return None;
+    }
+    let mut target = TcpStream::connect(to).ok()?;
+    target.write_all(&first[..length]).ok()?;
+    let (mut back_from, mut back_to) = (target.try_clone().ok()?, stream.try_clone().ok()?);
+    std::thread::spawn(move || std::io::copy(&mut back_from, &mut back_to));
+    std::io::copy(&mut stream, &mut target).ok()?;
+    Some(())
+}
+
 const ALL_NODES: [&str; 7] = ["core-1", "core-2", "core-3", "storage-1", "storage-2", "storage-3", "edge-1"];
 
 /// Starts all processes, and waits until a configuration is in force.
@@ -381,6 +431,26 @@
     }
 }
 
+/// Guards against a departure that a control node has confirmed and keeps to itself: the node that took the call may have lost its
+/// connection with the third one, whose stores would go on sending requests to the executor (DRAIN).
+#[test]
+fn a_control_node_that_confirms_a_departure_sends_it_on() {
+    let mut fleet = Fleet::new();
+    fleet.relay_to_core_3_except("core-1");
+    ["core-1", "core-2", "core-3"].iter().for_each(|name| fleet.start(name, true));
+    let executor = SimulatedExecutor::new("e-departing");
+    let mut call_count = 0;
+    fleet.wait_for("core-2 accepts heartbeats, and core-3 knows of the executor", || {
+        call_count += 1;
+        executor.heartbeat(&fleet, 2, call_count).filter(|status| *status == 200)?;
+        fleet.lists(3, executor.id).then_some(())
+    });
+    let leave = || fleet.http("1:18262", "POST", "/v1/servers/e-departing/leave", "{}");
+    fleet.wait_for("the leave is acknowledged", || leave().filter(|answer| answer.0 == 200));
+    std::thread::park_timeout(LEAVE_PROPAGATION_TIME);
+    assert!(!fleet.lists(3, executor.id), "core-3 still lists the executor");
+}
+
 const BEGIN: &str = "curl -d '{\"deadline_s\":30}' http://10.1.0.14:8262/v1/retire/storage-3/begin";
 const READ: &str = "curl http://10.1.0.14:8262/v1/retire/storage-3/read";
 
