Queue: ends stay on disk for as long as they can be looked up

Callers would get 404 for a message within status_s, where that is above 240 s and the store had made a checkpoint and was started again.

Cause: END_RETENTION_MS, a fixed span where a setting rules. A checkpoint builds its state from the records alone.

Change: a store whose status_s and margin are above that writes a record with the time at its start, once; with the sites' 120 s nothing new is written.

--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -51,7 +51,7 @@
 
 /// Time for which the end of a message is remembered after it can no longer be looked up, so that late replicas of the
 /// message are recognised.
-const RETENTION_MARGIN_MS: Millis = 60_000;
+pub(crate) const RETENTION_MARGIN_MS: Millis = 60_000;
 
 /// Maximum delay beyond the computed start of a delayed message read from disk. The clocks of machines differ a little,
 /// and starting late is better than starting early.
--- a/crates/queue/src/record.rs
+++ b/crates/queue/src/record.rs
@@ -88,4 +88,9 @@
         /// `false` if the store was connected for the first time, or has returned after all.
         is_gone: bool,
     },
+    /// Ends are kept on disk for a time other than the one of a new disk.
+    EndRetentionSet {
+        /// Time for which an end is kept, in milliseconds.
+        retention_ms: u64,
+    },
 }
--- a/crates/queue/src/state_table.rs
+++ b/crates/queue/src/state_table.rs
@@ -3,12 +3,13 @@
 
 use crate::idempotency::{Shard, ShardTerm};
 use crate::message::{End, Key, Node, ReplicatedMessage};
+use crate::queue::RETENTION_MARGIN_MS;
 use crate::record::Record;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use stileroute_wal::StateMachine;
 
-/// Time for which ends are kept on disk, in milliseconds. Clients do not ask for them later.
-const END_RETENTION_MS: u64 = 240_000;
+/// Minimum time for which ends are kept on disk, in milliseconds.
+const MIN_END_RETENTION_MS: u64 = 240_000;
 
 /// Maximum number of incarnations of a disk that are remembered. A replica of a message from an older incarnation has
 /// waited too long.
@@ -56,6 +57,8 @@
     pub are_shard_terms_missing: bool,
     /// All messages that are live, or whose end is kept.
     pub messages: HashMap<Key, StoredMessage>,
+    /// Time for which ends are kept, in milliseconds, if it was ever set.
+    end_retention_ms: Option<u64>,
     /// Number of records that could not be decoded.
     pub unreadable_records: u64,
     /// Time of day of the latest recorded end, in milliseconds since 1970. The age of other ends is measured from it
@@ -117,9 +120,21 @@
             Record::AttemptFailed { key, failed_attempts } => {
                 self.raise_failed_attempts(key, failed_attempts);
             }
+            Record::EndRetentionSet { retention_ms } => self.end_retention_ms = Some(retention_ms),
         }
     }
 
+    /// The record to append if ends have to be kept on disk for another time than now, so that they can be looked up for
+    /// `status_retention_ms` also after a restart. A checkpoint knows the records alone.
+    pub fn end_retention_change(&self, status_retention_ms: u64) -> Option<Record> {
+        let retention_ms = (status_retention_ms + RETENTION_MARGIN_MS).max(MIN_END_RETENTION_MS);
+        (retention_ms != self.end_retention_ms()).then_some(Record::EndRetentionSet { retention_ms })
+    }
+
+    fn end_retention_ms(&self) -> u64 {
+        self.end_retention_ms.unwrap_or(MIN_END_RETENTION_MS)
+    }
+
     /// Applies an end that survived the previous process without being on disk, unless an end is known. The message
     /// itself may not have been written either: then only the end is known, and another store that has the message live
     /// is notified. Returns whether the end was new and has to be written.
@@ -193,7 +208,7 @@
     }
 
     fn is_outdated(&self, end: &StoredEnd) -> bool {
-        !end.callback_pending && end.ended_at_ms + END_RETENTION_MS < self.latest_end_ms
+        !end.callback_pending && end.ended_at_ms + self.end_retention_ms() < self.latest_end_ms
     }
 }
 
@@ -216,6 +231,9 @@
                 put(&Record::IncarnationStarted { disk_id, first_number: *first_number });
             }
         }
+        if let Some(retention_ms) = self.end_retention_ms {
+            put(&Record::EndRetentionSet { retention_ms });
+        }
         if self.retirement_ordered {
             put(&Record::RetirementOrdered);
         }
--- a/crates/queue/tests/wire_format.rs
+++ b/crates/queue/tests/wire_format.rs
@@ -332,6 +332,7 @@
     assert_bytes(&Record::ShardTermsMissing(true), "0a01");
     assert_bytes(&Record::MessageHolderGone { node: 300, is_gone: true }, "0bac0201");
     assert_bytes(&Record::MessageHolderGone { node: 300, is_gone: false }, "0bac0200");
+    assert_bytes(&Record::EndRetentionSet { retention_ms: 300 }, "0cac02");
     assert_bytes(&PutError::QuotaExceeded, "02");
     assert_bytes(&PutError::QuotaUnknown, "03");
 }
--- a/crates/server/src/cli/verify.rs
+++ b/crates/server/src/cli/verify.rs
@@ -114,6 +114,7 @@
         MessageRecord::ShardTermsMissing(_) => "shard terms",
         MessageRecord::MessageHolderGone { is_gone: true, .. } => "store gone",
         MessageRecord::MessageHolderGone { is_gone: false, .. } => "store heard",
+        MessageRecord::EndRetentionSet { .. } => "end retention",
     }
 }
 
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -100,14 +100,16 @@
         let (kept_failures, unwritten_failures) = KeptFailures::open(data_dir, &mut table);
         let disk_id = table.disk_id.unwrap_or_else(random_seed);
         let first_number = first_number(random_seed());
-        let record = Record::IncarnationStarted { disk_id, first_number };
-        // Encoding a record into memory cannot fail.
-        let record = postcard::to_stdvec(&record).unwrap_or_default();
         let has_lost_disk = table.disk_id.is_none() && !runtime.boot.is_first_start;
-        let terms_missing = has_lost_disk.then_some(Record::ShardTermsMissing(true));
-        let terms_missing = terms_missing.and_then(|record| postcard::to_stdvec(&record).ok());
-        let records =
-            std::iter::once(record).chain(terms_missing).chain(unwritten_ends).chain(unwritten_failures);
+        let first_records = [
+            Some(Record::IncarnationStarted { disk_id, first_number }),
+            has_lost_disk.then_some(Record::ShardTermsMissing(true)),
+            table.end_retention_change(runtime.boot.bounds.status_retention_ms),
+        ];
+        // Encoding a record into memory cannot fail.
+        let first_records =
+            first_records.iter().flatten().map(|record| postcard::to_stdvec(record).unwrap_or_default());
+        let records = first_records.chain(unwritten_ends).chain(unwritten_failures);
         disk.append(START_TICKET, records.collect(), true);
         let settings = queue_settings(&runtime, disk_id, first_number, &table, has_lost_disk);
         tracing::info!(messages = table.messages.len(), disk = disk_id, "stored state read from disk");
