--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -4,6 +4,7 @@
 mod completion;
 mod configuration;
 mod delivery;
+mod expiry;
 pub(crate) mod failures;
 mod intake;
 mod message_numbers;
@@ -38,14 +39,6 @@
 use stileroute_config::Config;
 use token_holders::TokenHolders;
 
-/// Margin added to the time that a message may wait, in milliseconds. It allows for clock differences of clients and
-/// for their first attempts to submit the message: a message must not be reported as failed while its sender still
-/// relies on it.
-const EXPIRY_MARGIN_MS: Millis = 1500;
-
-/// Time that a message may wait if the configuration has no route for it, in milliseconds.
-const UNROUTED_MAX_WAIT_MS: Millis = 90_000;
-
 /// Interval at which members, executors and peers are checked.
 const UPKEEP_INTERVAL_MS: Millis = 250;
 
@@ -295,32 +288,6 @@
         }
     }
 
-    /// Recomputes when a message has waited too long, by its present route. While that is not known, the message does
-    /// not expire.
-    pub(crate) fn update_expiry(&mut self, key: Key) {
-        let max_wait_ms = self.entries.get(&key).and_then(|entry| self.max_wait_ms(entry));
-        let Some(entry) = self.entries.get_mut(&key) else { return };
-        self.expiring.remove(&(entry.expires_at, key));
-        entry.expires_at = max_wait_ms.map_or(Millis::MAX, |max_wait_ms| {
-            let expires_at = entry.accepted_at.saturating_add_unsigned(max_wait_ms + EXPIRY_MARGIN_MS);
-            expires_at.max(0) as Millis
-        });
-        if entry.end.is_none() && max_wait_ms.is_some() {
-            self.expiring.insert((entry.expires_at, key));
-        }
-    }
-
-    /// Time that a message may wait, in milliseconds. `None` if only a configuration that has not arrived can say so:
-    /// the store has none yet, or one that is older than the message.
-    fn max_wait_ms(&self, entry: &Entry) -> Option<Millis> {
-        let config = self.config.as_ref()?;
-        if entry.message.config_revision > config.revision {
-            return None;
-        }
-        let route = config.route(&entry.message.host, &entry.message.target);
-        Some(route.map_or(UNROUTED_MAX_WAIT_MS, |route| config.routes[route].max_wait_ms))
-    }
-
     /// The message as it was submitted, or what is kept of it after its end.
     pub fn message(&self, key: Key) -> Option<&Message> {
         self.entries.get(&key).map(|entry| &entry.message)
--- a/crates/queue/src/queue/delivery.rs
+++ b/crates/queue/src/queue/delivery.rs
@@ -342,14 +342,11 @@
 
     /// Handles an attempt that did not complete: the message fails permanently, or waits for its next attempt.
     fn retry_or_fail(&mut self, now: Millis, key: Key, outcome: &AttemptOutcome) {
-        let Some(entry) = self.entries.get_mut(&key) else { return };
-        let max_attempts = self.config.as_ref().and_then(|config| {
-            let route = config.route(&entry.message.host, &entry.message.target)?;
-            Some(config.routes[route].max_attempts)
-        });
-        if max_attempts.is_some_and(|max_attempts| entry.failures.total() >= max_attempts) {
+        let Some(entry) = self.entries.get(&key) else { return };
+        if self.route_of(entry).is_some_and(|route| entry.failures.total() >= route.max_attempts) {
             return self.finish(now, key, End::Failed);
         }
+        let Some(entry) = self.entries.get_mut(&key) else { return };
         entry.backoff_steps += 1;
         entry.not_before = now + backoff_ms(outcome, entry.backoff_steps);
         self.schedule(now, key);
--- a/crates/queue/src/queue/timers.rs
+++ b/crates/queue/src/queue/timers.rs
@@ -2,8 +2,7 @@
 
 use super::{Queue, RETENTION_MARGIN_MS, UPKEEP_INTERVAL_MS};
 use crate::effect::Effect;
-use crate::entry::Stage;
-use crate::message::{End, Key, Millis};
+use crate::message::{Key, Millis};
 use crate::pending_writes::PendingWrite;
 use crate::record::Record;
 use std::collections::BTreeSet;
@@ -82,20 +81,6 @@
         }
     }
 
-    fn fail_expired(&mut self, now: Millis) {
-        while let Some(key) = pop_due(&mut self.expiring, now) {
-            let Some(entry) = self.entries.get(&key).filter(|entry| entry.end.is_none()) else { continue };
-            if entry.owner == self.settings.node && entry.stage != Stage::Persisting {
-                self.metrics.expired += 1;
-                self.finish(now, key, End::Failed);
-            } else {
-                // The end of a replica has to come from its owner. The message is kept for it, but only for the
-                // retention period.
-                self.forget_at(now + self.settings.status_retention_ms, key);
-            }
-        }
-    }
-
     fn forget_due(&mut self, now: Millis) {
         while let Some((at, key)) = self.forgetting.front().copied() {
             if at > now {
@@ -178,7 +163,7 @@
 }
 
 /// Takes the first key of an index whose time has come.
-fn pop_due(index: &mut BTreeSet<(Millis, Key)>, now: Millis) -> Option<Key> {
+pub(super) fn pop_due(index: &mut BTreeSet<(Millis, Key)>, now: Millis) -> Option<Key> {
     let (at, key) = index.first().copied()?;
     if at > now {
         return None;
