--- a/review/standins-2/common.rs
+++ b/review/standins-2/common.rs
@@ -17,6 +17,7 @@
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
     fn prctl(option: i32, value: u64, b: u64, c: u64, d: u64) -> i32;
+    fn setsid() -> i32;
 }
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
@@ -43,6 +44,11 @@
     pub fn open() -> Record {
         let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
         let file = fs::File::create(&path).unwrap_or_else(|e| cannot_run(&format!("{path}: {e}")));
+        // A script may run for 120 s; what it started ends with it.
+        thread::spawn(|| {
+            thread::sleep(ms(118_000));
+            cannot_run("not done in 118 s");
+        });
         Record(Arc::new((Instant::now(), Mutex::new(file))))
     }
     pub fn at(&self) -> f64 {
@@ -226,10 +232,12 @@
         command.env_clear().env("PATH", std::env::var("PATH").unwrap_or_default());
         command.env("STILEROUTE_BOOT", &file).stdin(Stdio::null());
         command.stdout(log.try_clone().unwrap()).stderr(log);
-        // SAFETY: one system call between fork and exec; a process must not outlive who started it.
+        // SAFETY: system calls alone between fork and exec; a process must not outlive who started it. In a session of its
+        // own it is not continued by the system, once stopped, when the shell that ran the script ends.
         unsafe {
             command.pre_exec(|| {
                 prctl(1, SIGKILL as u64, 0, 0, 0);
+                setsid();
                 Ok(())
             });
         }
--- a/review/standins-2/keys_after_two_disks.rs
+++ b/review/standins-2/keys_after_two_disks.rs
@@ -1,25 +1,31 @@
-//! Many messages that can never be done, then some that are done, all with idempotency keys. Two stores lose their disks
-//! one after the other, the second later than `catch_up_s` after the first is back. Then the clients try the keys again.
+//! Messages with idempotency keys, 5 % of which can never be done and are long. Two stores lose their disks one after the
+//! other, the second later than `catch_up_s` after the first is back. Then the clients try the keys of done ones again.
 mod common;
 use common::*;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::thread;
 
-const POISON: u64 = 6000;
-const DONE: u64 = 300;
-const BODY_BYTES: usize = 7200;
+const MESSAGES: u64 = 2000;
+/// One of so many can never be done, and has a body of so many bytes.
+const POISON_EVERY: u64 = 20;
+const POISON_BYTES: usize = 250_000;
+/// From the return of the first store to the loss of the second disk; `catch_up_s` is 4.2 s.
+const GAP_MS: u64 = 4500;
 const CLIENTS: u64 = 8;
 const KEY: &str = "Bearer k-7f3a91c2";
 const WINDOW_S: f64 = 60.0;
 
-fn send_all(record: &Record, fronts: &[std::net::SocketAddrV4], what: &'static str, count: u64, length: usize) -> Vec<(String, Sent)> {
+fn send_all(record: &Record, fronts: &[std::net::SocketAddrV4]) -> Vec<(String, Sent)> {
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let (record, fronts) = (record.clone(), fronts.to_vec());
             thread::spawn(move || {
                 let mut accepted = Vec::new();
-                for n in (client..count).step_by(CLIENTS as usize) {
+                for n in (client..MESSAGES).step_by(CLIENTS as usize) {
+                    let is_poison = n % POISON_EVERY == 7;
+                    let what = if is_poison { "poison" } else { "done" };
+                    let length = if is_poison { POISON_BYTES } else { 600 };
                     let key = format!("{what}-{n}");
                     let body = body_of(n, length);
                     let more = [("Authorization", KEY), ("X-Idempotency-Key", key.as_str())];
@@ -55,10 +61,9 @@
     fleet.wait_ready(ms(15_000));
     thread::sleep(ms(3000));
     let fronts = fleet.fronts();
-    let poison = send_all(&record, &fronts, "poison", POISON, BODY_BYTES);
-    record.say(&format!("{} of {POISON} messages that can never be done accepted", poison.len()));
-    let first = send_all(&record, &fronts, "done", DONE, 600);
-    record.say(&format!("{} of {DONE} others accepted", first.len()));
+    let all = send_all(&record, &fronts);
+    let first: Vec<(String, Sent)> = all.iter().filter(|(key, _)| key.starts_with("done")).cloned().collect();
+    record.say(&format!("{} of {MESSAGES} messages accepted, {} of them can never be done", all.len(), all.len() - first.len()));
     let ran = |from: f64| {
         let runs = runs.lock().unwrap();
         let done = runs.iter().filter(|run: &&Run| run.outcome == "done" && run.at >= from);
@@ -74,14 +79,14 @@
         for store in [0, 1] {
             fleet.lose_disk(Role::Store, store, ms(1000));
             record.say(&format!("store {} lost its disk and is back with an empty one", store + 1));
-            thread::sleep(ms(if store == 0 { 6000 } else { 1000 }));
+            thread::sleep(ms(if store == 0 { GAP_MS } else { 1000 }));
         }
     } else {
-        thread::sleep(ms(9000));
+        thread::sleep(ms(2 * 1000 + GAP_MS + 1000));
     }
     // Each client tries its key again until it has an answer, or its window is about to end.
     let sent: HashMap<String, f64> = first.iter().map(|(key, sent)| (key.clone(), sent.at)).collect();
-    let mut open: Vec<String> = first.iter().map(|(key, _)| key.clone()).collect();
+    let mut open: Vec<String> = first.iter().step_by(4).map(|(key, _)| key.clone()).collect();
     let (mut answers, mut round): (Counts, u32) = (Counts::default(), 0);
     while !open.is_empty() {
         round += 1;
