Queue: a dropped replica does not end a message of a FIFO group

What was seen: in the queue's simulation a message of an ordered route started before an earlier one of its group had ended.

Cause: a store that was told to drop its replica of a group's message removed it from the group as if it had ended, and could start a later message that it owned. The message goes on at other stores.

Change: a dropped message of a group counts as held elsewhere, so the next one queries the other stores before it starts.

--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -2,7 +2,7 @@
 
 use crate::entry::Stage;
 use crate::message::{End, Key, Millis, Node};
-use crate::peer_message::{EndNotice, Ownership};
+use crate::peer_message::{EndNotice, GroupPosition, Ownership};
 use crate::planted_fault::PlantedFault;
 use crate::queue::Queue;
 use crate::record::Record;
@@ -160,7 +160,16 @@
         for key in keys {
             let Some(entry) = self.entries.get(&key).filter(|entry| entry.end.is_none()) else { continue };
             if entry.owner == from {
+                let slot = entry.order_slot.as_ref();
+                let position = slot.map(|slot| {
+                    let position = GroupPosition { accepted_at_ms: slot.accepted_at_ms, key };
+                    (slot.ordering_key.clone(), position)
+                });
                 self.remove(key);
+                // The message may go on elsewhere: messages of its group wait until the other stores have been queried.
+                if let Some((group, position)) = position {
+                    self.ordering.group_mut(&group).set_elsewhere(position);
+                }
                 self.record(&Record::Dropped { key }, false);
                 self.cancel_replica_confirmation(from, key);
             } else {
