Queue: replicas are recreated in time for the loss after a replacement

Cause: replicas at the silent store counted until it was written off, 5 s after its connection was given up, and nothing was computed from catch_up_s. Behind that, what was missing was copied at 1 MB a second however much it was.

Change: a store that is absent for a part of catch_up_s is suspected. Its replicas and ends are recreated elsewhere, while it stays in the replica lists and in all questions until it is written off as before; replicas that are not needed after its return are dropped once both stores have reconciled. The rate follows from what is missing and the time left, up to half of the link and 10 MB a second. A replacement is chosen by the replicas that count, no longer as if the lost one still covered its zone. check boot warns of a catch_up_s below 4.2.

Four plays of planted faults had been covered by the earlier copying. They are played with a long catch_up_s besides, or with more orders of losses, and each planted fault is found; no assertion changed.

--- a/crates/model-check/src/queue/stores.rs
+++ b/crates/model-check/src/queue/stores.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use stileroute_config::Config;
 use stileroute_queue::{
-    first_number, Executor, Millis, Node, PlantedFault, Queue, QueueSettings, Record, Retention, StateTable,
-    ToleratedLosses,
+    first_number, Executor, Millis, Node, PlantedFault, Queue, QueueSettings, Record, RepairSettings,
+    Retention, StateTable, ToleratedLosses,
 };
 
 /// Time of day when the steady clock stands at nought.
@@ -122,6 +122,7 @@
             tolerated_losses: ToleratedLosses { zones: 1, regions: 0 },
             rate_window_ms: 5000,
             rate_tolerance: 1.1,
+            repair: RepairSettings::new(4200, 1000.0),
             retention: Retention { status_ms: 120_000, idempotency_window_ms: 60_000 },
             quota: stileroute_queue::QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
             has_lost_disk,
--- a/crates/queue/src/durability.rs
+++ b/crates/queue/src/durability.rs
@@ -2,11 +2,11 @@
 //! all use these functions.
 //!
 //! A replica counts only if its holder has confirmed it with the disk it has now, and if the holder is neither retiring
-//! nor written off.
+//! nor absent for so long that its replicas are recreated elsewhere.
 
 use crate::entry::Entry;
 use crate::message::Node;
-use crate::peer::Peer;
+use crate::peer::{Peer, ReplicaStatus};
 use crate::planted_fault::PlantedFault;
 use crate::queue::Queue;
 
@@ -42,11 +42,35 @@
             && self.owned_here().all(|(_, entry)| self.counted_replicas(entry) >= self.settings.replica_count)
     }
 
-    /// Whether replicas stored at another store count: it is neither retiring nor written off.
+    /// Whether replicas stored at another store count: it is neither retiring, nor absent for so long that they are
+    /// recreated elsewhere.
     pub(crate) fn counts_replicas_at(&self, node: Node) -> bool {
-        let is_not_counted =
-            |peer: &Peer| peer.is_written_off() && !self.planted(PlantedFault::GoneReplicasCounted);
-        self.peers.get(&node).is_some_and(|peer| !peer.is_retiring() && !is_not_counted(peer))
+        let is_planted = self.planted(PlantedFault::GoneReplicasCounted);
+        let is_counted = |peer: &Peer| peer.replica_status == ReplicaStatus::CountedOn || is_planted;
+        self.peers.get(&node).is_some_and(|peer| !peer.is_retiring() && is_counted(peer))
+    }
+
+    /// Whether replicas stored at another store may count again: it is neither retiring nor written off.
+    pub(crate) fn may_count_replicas_at(&self, node: Node) -> bool {
+        let is_planted = self.planted(PlantedFault::GoneReplicasCounted);
+        let may_count = |peer: &Peer| !peer.is_written_off() || is_planted;
+        self.peers.get(&node).is_some_and(|peer| !peer.is_retiring() && may_count(peer))
+    }
+
+    /// Whether another store is absent for so long that its replicas are recreated elsewhere, and may still return.
+    pub(crate) fn is_suspected(&self, node: Node) -> bool {
+        self.peers.get(&node).is_some_and(|peer| peer.replica_status == ReplicaStatus::Suspected)
+    }
+
+    /// Whether confirmations of replicas are awaited. That of a store that is suspected is not: it may return with it.
+    pub(crate) fn awaits_replicas(&self, entry: &Entry) -> bool {
+        entry.unconfirmed.iter().any(|node| !self.is_suspected(*node))
+    }
+
+    /// Whether enough replicas of a message are confirmed by stores whose replicas count, and no further confirmation
+    /// is awaited.
+    pub(crate) fn has_enough_replicas(&self, entry: &Entry) -> bool {
+        self.counted_replicas(entry) >= self.settings.replica_count && !self.awaits_replicas(entry)
     }
 
     /// Number of replicas of a message at stores whose replicas count, including replicas that are not confirmed yet.
--- a/crates/queue/src/end_holders.rs
+++ b/crates/queue/src/end_holders.rs
@@ -84,6 +84,15 @@
         self.record(&Record::OwnerChanged { key, owner, term, replicas }, false);
     }
 
+    /// Finds the ends that are stored on too few disks now that those of `node` do not count.
+    pub(crate) fn find_under_replicated_ends_at(&mut self, node: Node) {
+        let own_node = self.settings.node;
+        let is_held_there = |entry: &Entry| entry.other_holders(own_node).any(|holder| holder == node);
+        let held = self.settled_entries().filter(|(_, entry)| is_held_there(entry));
+        let held: Vec<Key> = held.map(|(key, _)| key).collect();
+        held.into_iter().for_each(|key| self.mark_if_under_replicated(key));
+    }
+
     fn mark_if_under_replicated(&mut self, key: Key) {
         let is_under_replicated = |entry: &Entry| self.is_end_under_replicated(entry);
         if self.entries.get(&key).is_some_and(is_under_replicated) {
--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -15,12 +15,12 @@
 use crate::planted_fault::PlantedFault;
 use crate::queue::Queue;
 use crate::record::Record;
-use crate::repair_budget::REPAIR_BYTES_PER_SECOND;
+use crate::repair_settings::MIN_BYTES_PER_SECOND;
 use std::collections::BTreeMap;
 use std::ops::Bound;
 
 /// Maximum bytes per check. There are four checks a second, which adds up to the rate of repair.
-const MAX_BYTES_PER_CHECK: u64 = REPAIR_BYTES_PER_SECOND / 4;
+const MAX_BYTES_PER_CHECK: u64 = MIN_BYTES_PER_SECOND / 4;
 
 /// Maximum number of ends examined in one check, which bounds the work when too few stores are available to receive
 /// ends.
--- a/crates/queue/src/entry.rs
+++ b/crates/queue/src/entry.rs
@@ -144,8 +144,6 @@
     pub(crate) ticket: Option<u64>,
     /// Time under which the message is entered in the queue's index of messages being persisted.
     pub(crate) persist_check_at: Option<Millis>,
-    /// Time under which the message is entered in the queue's index of under-replicated messages.
-    pub(crate) repair_at: Option<Millis>,
     /// The owner under which the message is entered in the index of live messages.
     pub(crate) indexed_owner: Option<Node>,
     /// Position of the message in the index of ordered messages; `None` if it has no ordering key or has ended.
@@ -185,7 +183,6 @@
             unconfirmed: Vec::new(),
             ticket: None,
             persist_check_at: None,
-            repair_at: None,
             indexed_owner: None,
             order_slot: None,
             order: OrderState::default(),
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -4,6 +4,7 @@
 //! The queue is a state machine without I/O: the program feeds in events with the current time and carries out the
 //! [`Effect`]s that come out. Sockets, disk access and clocks belong to the program.
 
+mod absence;
 mod attempt_outcome;
 mod control_contact;
 mod duplicates;
@@ -34,6 +35,9 @@
 mod record;
 mod repair;
 mod repair_budget;
+mod repair_deadline;
+mod repair_queue;
+mod repair_settings;
 mod replication;
 mod retention;
 mod retirement;
@@ -62,6 +66,7 @@
 pub use planted_fault::PlantedFault;
 pub use queue::{first_number, MessageView, PeerView, Queue, RateLimitView, ServiceView, StageCounts};
 pub use record::Record;
+pub use repair_settings::RepairSettings;
 pub use retention::Retention;
 pub use retirement::RetirementState;
 pub use service_queue::{Executor, ExecutorShare, RetryCounts};
--- a/crates/queue/src/peer.rs
+++ b/crates/queue/src/peer.rs
@@ -29,7 +29,10 @@
     /// The replicas count: the peer is present, or has not been away for long.
     #[default]
     CountedOn,
-    /// The peer was away for so long that its replicas are recreated elsewhere.
+    /// The peer is absent and its replicas are recreated elsewhere, but it may return with them: it stays in the replica
+    /// lists, and in all other respects counts as before.
+    Suspected,
+    /// The peer was away for so long that it is taken to be gone for good.
     WrittenOff,
 }
 
@@ -194,7 +197,7 @@
         }
     }
 
-    /// Whether the replicas at the peer no longer count as copies.
+    /// Whether the peer is taken to be gone for good.
     pub(crate) fn is_written_off(&self) -> bool {
         self.replica_status == ReplicaStatus::WrittenOff
     }
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -88,10 +88,11 @@
     forgetting: BTreeSet<(Millis, Key)>,
     /// Messages being persisted, by the time at which a missing confirmation is handled.
     pub(crate) persisting: BTreeSet<(Millis, Key)>,
-    /// Messages owned by this store that have too few replicas, by the time at which repair checks them.
-    pub(crate) under_replicated: BTreeSet<(Millis, Key)>,
+    /// Messages owned by this store that have too few replicas.
+    pub(crate) under_replicated: crate::repair_queue::RepairQueue,
     pub(crate) under_replicated_since: Option<Millis>,
     pub(crate) repair_budget: crate::repair_budget::RepairBudget,
+    pub(crate) repair_deadline: crate::repair_deadline::RepairDeadline,
     /// Messages accepted under a configuration that has not reached this store.
     awaiting_config: HashSet<Key>,
     /// Messages read from disk that wait for reports of the stores that hold replicas.
@@ -185,9 +186,10 @@
             expiring: BTreeSet::new(),
             forgetting: BTreeSet::new(),
             persisting: BTreeSet::new(),
-            under_replicated: BTreeSet::new(),
+            under_replicated: Default::default(),
             under_replicated_since: None,
             repair_budget: Default::default(),
+            repair_deadline: Default::default(),
             awaiting_config: HashSet::new(),
             unreleased: BTreeSet::new(),
             superseded_keys: HashSet::new(),
@@ -310,9 +312,7 @@
         if let Some(at) = entry.persist_check_at {
             self.persisting.remove(&(at, key));
         }
-        if let Some(at) = entry.repair_at {
-            self.under_replicated.remove(&(at, key));
-        }
+        self.under_replicated.cancel(key);
         if let Some(owner) = entry.indexed_owner {
             self.live_by_owner.remove(&(owner, key));
         }
@@ -333,11 +333,9 @@
     pub(crate) fn reindex(&mut self, key: Key) {
         self.reindex_owner(key);
         self.reindex_order(key);
-        let Some(entry) = self.entries.get_mut(&key) else { return };
+        let Some(entry) = self.entries.get(&key) else { return };
         if entry.indexed_owner != Some(self.settings.node) {
-            if let Some(at) = entry.repair_at.take() {
-                self.under_replicated.remove(&(at, key));
-            }
+            self.under_replicated.cancel(key);
         }
     }
 
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -203,12 +203,13 @@
         let Some(entry) = self.entries.get_mut(&key) else { return };
         let unconfirmed_before = entry.unconfirmed.len();
         entry.unconfirmed.retain(|unconfirmed| *unconfirmed != node && !accepts_early);
-        if !entry.unconfirmed.is_empty() {
-            return;
-        }
-        if entry.stage == Stage::Persisting {
+        let is_new = entry.stage == Stage::Persisting;
+        let is_confirmed_by_all = entry.unconfirmed.is_empty();
+        let is_repaired = unconfirmed_before > 0
+            && self.entries.get(&key).is_some_and(|entry| !self.awaits_replicas(entry));
+        if is_new && is_confirmed_by_all {
             self.accept(now, key);
-        } else if unconfirmed_before > 0 {
+        } else if !is_new && is_repaired {
             self.metrics.repaired += 1;
             self.check_replication(now, key);
             self.replicas_confirmed(now, key);
--- a/crates/queue/src/repair_budget.rs
+++ b/crates/queue/src/repair_budget.rs
@@ -2,13 +2,8 @@
 
 use crate::message::Millis;
 
-/// Bytes of repaired replicas per second. This is three times what a store receives in the busiest known hour (130
-/// messages of 1.2 KB a second, twice), so the messages of some seconds are fully replicated again within a second or
-/// two. It is a fiftieth of the narrowest link, so repair does not delay deliveries.
-pub(crate) const REPAIR_BYTES_PER_SECOND: u64 = 1_000_000;
-
-/// Bytes that repair may send at once: a tenth of the bytes per second.
-const REPAIR_BURST_BYTES: u64 = REPAIR_BYTES_PER_SECOND / 10;
+/// Time whose bytes repair may send at once, in milliseconds.
+const BURST_MS: u64 = 100;
 
 /// Token bucket of the bytes that repair may send now.
 #[derive(Debug, Default)]
@@ -18,10 +13,12 @@
 }
 
 impl RepairBudget {
-    /// Adds the bytes that have become available since the last call.
-    pub(crate) fn fill(&mut self, now: Millis) {
-        let added = now.saturating_sub(self.filled_at) * REPAIR_BYTES_PER_SECOND / 1000;
-        self.available_bytes = (self.available_bytes + added as i64).min(REPAIR_BURST_BYTES as i64);
+    /// Adds the bytes that have become available since the last call, at this rate.
+    pub(crate) fn fill(&mut self, now: Millis, bytes_per_second: u64) {
+        let added = now.saturating_sub(self.filled_at).saturating_mul(bytes_per_second) / 1000;
+        let burst_bytes = (bytes_per_second * BURST_MS / 1000) as i64;
+        let available_bytes = self.available_bytes.saturating_add_unsigned(added);
+        self.available_bytes = available_bytes.min(burst_bytes);
         self.filled_at = now;
     }
 
--- a/crates/queue/src/replication/ownership.rs
+++ b/crates/queue/src/replication/ownership.rs
@@ -137,7 +137,7 @@
     /// listed stores have not confirmed their replicas to this owner.
     fn mark_replicas_unconfirmed(&mut self, now: Millis, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
-        let expected = entry.replicas.iter().copied().filter(|replica| self.counts_replicas_at(*replica));
+        let expected = entry.replicas.iter().copied().filter(|replica| self.may_count_replicas_at(*replica));
         let expected: Vec<Node> = expected.collect();
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.unconfirmed = expected;
--- a/crates/queue/src/replication/placement.rs
+++ b/crates/queue/src/replication/placement.rs
@@ -68,6 +68,35 @@
         chosen
     }
 
+    /// Of the replicas of a message, those that are needed: as many as the settings ask for, the earliest first, and
+    /// further ones only where they spread the message over more zones or regions.
+    pub(crate) fn needed_replicas(&self, replicas: &[Node]) -> Vec<Node> {
+        let mut needed = replicas.to_vec();
+        let complete_spread = self.spread(replicas);
+        for node in replicas.iter().rev() {
+            if needed.len() <= self.settings.replica_count {
+                break;
+            }
+            let others: Vec<Node> = needed.iter().copied().filter(|other| other != node).collect();
+            if self.spread(&others) == complete_spread {
+                needed = others;
+            }
+        }
+        needed
+    }
+
+    /// Numbers of zones and regions that a message owned here has with replicas at these stores, as far as they matter
+    /// for the losses to be tolerated.
+    fn spread(&self, replicas: &[Node]) -> (usize, usize) {
+        let peers = replicas.iter().filter_map(|node| self.peers.get(node));
+        let mut domains = vec![self.failure_domain(self.settings.zone)];
+        domains.extend(peers.map(|peer| self.failure_domain(peer.zone)));
+        let zones: BTreeSet<usize> = domains.iter().map(|domain| domain.zone).collect();
+        let regions: BTreeSet<usize> = domains.iter().map(|domain| domain.region).collect();
+        let tolerated = self.settings.tolerated_losses;
+        (zones.len().min(tolerated.zones + 1), regions.len().min(tolerated.regions + 1))
+    }
+
     /// The best of these stores for one more replica besides those in `domains`, with its zone.
     fn best_store<'peers>(
         &self,
--- a/crates/queue/src/replication/reconciliation.rs
+++ b/crates/queue/src/replication/reconciliation.rs
@@ -224,7 +224,7 @@
         corrections: &mut Corrections,
     ) {
         let Some(entry) = self.entries.get(&key) else { return };
-        let has_enough = entry.repair_at.is_none() && entry.unconfirmed.is_empty();
+        let has_enough = !self.under_replicated.contains(key) && entry.unconfirmed.is_empty();
         if !has_enough {
             self.adopt_replica(now, key, from);
         } else if self.are_replicas_confirmed(entry) {
--- a/crates/queue/src/replication/release.rs
+++ b/crates/queue/src/replication/release.rs
@@ -62,7 +62,7 @@
     fn announce_if_uncertain(&mut self, now: Millis, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
         let is_reconciled = |node: &Node| self.peers.get(node).is_some_and(|peer| peer.is_reconciled);
-        let is_list_settled = entry.repair_at.is_none() && entry.unconfirmed.is_empty();
+        let is_list_settled = !self.under_replicated.contains(key) && entry.unconfirmed.is_empty();
         if !is_list_settled || !entry.replicas.iter().all(is_reconciled) {
             return self.announce_and_wait(now, key);
         }
--- a/crates/queue/src/replication/replicas.rs
+++ b/crates/queue/src/replication/replicas.rs
@@ -64,7 +64,9 @@
             return;
         }
         let notice = self.end_notice(key);
-        if let Some(replica) = self.replicated_message(now, key) {
+        if let Some(mut replica) = self.replicated_message(now, key) {
+            // The receiver must not count on a store that is absent now and whose replica may be dropped when it returns.
+            replica.replicas.retain(|node| !self.is_suspected(*node));
             self.metrics.replicas_resent += 1;
             self.send_replica(to, replica);
         }
--- a/crates/queue/src/replication/takeover.rs
+++ b/crates/queue/src/replication/takeover.rs
@@ -77,7 +77,7 @@
         // The replica list is the former owner's at the time when this store's replica was made, and may have changed
         // since. A listed replica counts once it is confirmed to this owner. No replica is expected at a store that
         // is gone or retiring.
-        let is_expected = |replica: &Node| *replica != entry.owner && self.counts_replicas_at(*replica);
+        let is_expected = |replica: &Node| *replica != entry.owner && self.may_count_replicas_at(*replica);
         let expected: Vec<Node> = entry.replicas.iter().copied().filter(is_expected).collect();
         let Some(entry) = self.entries.get_mut(&key) else { return };
         let former_owner = std::mem::replace(&mut entry.owner, node);
--- a/crates/queue/src/settings.rs
+++ b/crates/queue/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a store at its start: its identity, the losses it must tolerate, and its limits.
 
 use crate::message::Node;
+use crate::repair_settings::RepairSettings;
 use crate::retention::Retention;
 
 /// Numbers of complete failure domains that may be lost at once without losing a message.
@@ -47,6 +48,8 @@
     pub rate_window_ms: u64,
     /// Factor by which the requests in one window may exceed rate times window; 1.1 allows a tenth more.
     pub rate_tolerance: f64,
+    /// How soon, and at which rate, lost replicas are recreated.
+    pub repair: RepairSettings,
     /// How long ended messages are of use.
     pub retention: Retention,
     /// How far the quotas of tenants may be exceeded.
--- a/crates/queue/tests/retries.rs
+++ b/crates/queue/tests/retries.rs
@@ -48,6 +48,7 @@
         tolerated_losses: ToleratedLosses::default(),
         rate_window_ms: 5000,
         rate_tolerance: 1.1,
+        repair: RepairSettings::new(4200, 1000.0),
         retention: Retention { status_ms: 120_000, idempotency_window_ms: 60_000 },
         quota: QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
         has_lost_disk: false,
--- a/crates/queue/tests/simulation/actions.rs
+++ b/crates/queue/tests/simulation/actions.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Time after which the session of a store that has lost its connection to the control nodes expires.
+const SESSION_GRACE_MS: u64 = 1500;
+
 const LAPSED: ControlContact = ControlContact { session_may_have_lapsed: true, ..ControlContact::FULL };
 const UNHEARD: ControlContact = ControlContact { is_reachable: false, ..LAPSED };
 
@@ -83,6 +86,11 @@
                 self.inject(at, Fault::DiskLoss);
                 self.stores[at].is_removed = true;
             }
+            Action::RemoveSilently(at) => {
+                self.stop(at, SILENCE_DETECTION_MS, SILENCE_DETECTION_MS + SESSION_GRACE_MS);
+                self.stores[at].disk.cut(DiskCut::DiskLoss);
+                self.stores[at].is_removed = true;
+            }
             Action::Add => self.add_store(),
             Action::DiskLossInBlackout(at) => {
                 let others = self.present_stores().into_iter().filter(|other| *other != at);
--- a/crates/queue/tests/simulation/key_loss_scenarios.rs
+++ b/crates/queue/tests/simulation/key_loss_scenarios.rs
@@ -96,12 +96,21 @@
 impl LossScenario {
     /// Runs the scenario and checks that no key runs twice and that no accepted key is lost.
     pub fn play(&self, prepare: &Prepare) {
-        self.play_with(&[], prepare);
+        self.play_with(StoreBounds::default(), &[], prepare);
+    }
+
+    /// Runs the scenario with further actions, each at its time in milliseconds after the loss, on two sites: one on
+    /// which ends are copied while the lost store is away, and one on which they are not.
+    fn play_on_both_sites(&self, further: &[(u64, Action)], prepare: &Prepare) {
+        for catch_up_ms in [DEFAULT_CATCH_UP_MS, LONG_CATCH_UP_MS] {
+            self.play_with(StoreBounds::with_catch_up(catch_up_ms), further, prepare);
+        }
     }
 
     /// Runs the scenario with further actions, each at its time in milliseconds after the loss.
-    fn play_with(&self, further: &[(u64, Action)], prepare: &Prepare) {
-        let mut world = Simulation::new(self.stores, self.replicas, 1 + self.silent_after_ms.unsigned_abs());
+    fn play_with(&self, bounds: StoreBounds, further: &[(u64, Action)], prepare: &Prepare) {
+        let seed = 1 + self.silent_after_ms.unsigned_abs();
+        let mut world = Simulation::with_bounds(self.stores, self.replicas, seed, bounds);
         world.prepare(prepare);
         world.act(200, Action::Configure("quota"));
         self.send_first_submissions(&mut world);
@@ -225,7 +234,7 @@
             silent_after_ms: 0,
             key_state: KeyState::Ended,
         };
-        scenario.play(prepare);
+        scenario.play_on_both_sites(&[], prepare);
     }
 }
 
@@ -247,7 +256,7 @@
 pub fn a_store_is_killed_while_another_recovers(prepare: &Prepare) {
     for lost in 0..3 {
         for silent_after_ms in [1580, 1640, 1700, 1760] {
-            killed_while_another_recovers(lost, silent_after_ms).play(prepare);
+            killed_while_another_recovers(lost, silent_after_ms).play_on_both_sites(&[], prepare);
         }
     }
 }
@@ -259,7 +268,7 @@
         for restarted in [lost, (lost + 2) % 3] {
             for restarted_after_ms in [1600, 1680, 1750, 1900] {
                 let restart = (restarted_after_ms, Action::Inject(restarted, Fault::QuickRestart));
-                killed_while_another_recovers(lost, 1640).play_with(&[restart], prepare);
+                killed_while_another_recovers(lost, 1640).play_on_both_sites(&[restart], prepare);
             }
         }
     }
--- a/crates/queue/tests/simulation/loss_scenarios.rs
+++ b/crates/queue/tests/simulation/loss_scenarios.rs
@@ -43,10 +43,10 @@
     world.run(FIRST_LOSS_AT_MS + gap * series.len() as u64);
 }
 
-/// The two stores that know an end lose their disks in turn. At the second loss the first store has the end only from
-/// the second.
+/// The two stores that know an end lose their disks in turn. At the second loss the end is only where it was copied to
+/// at the first: at the store that was lost, or at the third one.
 pub fn ends_outlive_three_losses(prepare: &Prepare) {
-    for series in [[0, 1, 0], [1, 2, 1], [2, 0, 2]] {
+    for series in [[0, 1, 0], [1, 2, 1], [2, 0, 2], [0, 1, 2], [1, 2, 0], [2, 0, 1]] {
         let mut world = ended_messages(3, 1, prepare);
         lose_disks(&mut world, &series, 8000);
         assert_eq!(known_ends(&world), MESSAGES, "{series:?}");
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -32,6 +32,14 @@
 pub const START_WALL_CLOCK_MS: u64 = 1_700_000_000_000;
 /// Delay after the end of a store's process until the control group declares its session expired.
 const SESSION_EXPIRY_DELAY_MS: u64 = 2500;
+/// Time after which the other stores give up the connection to a silent store.
+const SILENCE_DETECTION_MS: u64 = 1600;
+/// Time after which another store may be lost, unless a scenario sets another value.
+pub const DEFAULT_CATCH_UP_MS: u64 = 4200;
+/// A `catch_up_ms` with which a store may be away for some seconds before its replicas are recreated.
+pub const LONG_CATCH_UP_MS: u64 = 60_000;
+/// Bandwidth of a store's link.
+const BANDWIDTH_MBPS: f64 = 1000.0;
 /// Longest time for which a store that shuts down waits for its attempts in flight.
 const SHUTDOWN_GRACE_MS: u64 = 5000;
 /// Time after which an edge without an answer asks another store, unless a scenario sets another value.
@@ -133,6 +141,8 @@
     HoldSyncs(usize, u64),
     PowerLossOfAll,
     Remove(usize),
+    /// A store is gone for good without a word: the others learn of it by its silence alone.
+    RemoveSilently(usize),
     /// Adds a new store with an empty disk.
     Add,
     /// A store loses its disk while all others lose power.
@@ -240,6 +250,7 @@
 /// The bounds of a deployment that the stores act on.
 #[derive(Clone, Copy, Debug)]
 pub struct StoreBounds {
+    pub repair: RepairSettings,
     pub retention: Retention,
     pub quota: QuotaBounds,
     /// What the program of a store records on its disk about the retention of ends.
@@ -260,6 +271,7 @@
 impl Default for StoreBounds {
     fn default() -> StoreBounds {
         StoreBounds {
+            repair: RepairSettings::new(DEFAULT_CATCH_UP_MS, BANDWIDTH_MBPS),
             retention: Retention { status_ms: 120_000, idempotency_window_ms: 60_000 },
             quota: QuotaBounds { window_ms: 5000, overrun: 0.1, slack: 20 },
             disk_retention: DiskRetention::Recorded,
@@ -268,6 +280,12 @@
 }
 
 impl StoreBounds {
+    /// Default bounds but for `catch_up_ms`. With [`LONG_CATCH_UP_MS`] nothing is copied while a store is away for some
+    /// seconds, so that a play shows what happens once it is back.
+    pub fn with_catch_up(catch_up_ms: u64) -> StoreBounds {
+        StoreBounds { repair: RepairSettings::new(catch_up_ms, BANDWIDTH_MBPS), ..StoreBounds::default() }
+    }
+
     /// Settings of a store on a disk with this content, in a deployment that tolerates the loss of a zone.
     pub fn store_settings(&self, table: &StateTable, replica_count: usize) -> QueueSettings {
         QueueSettings {
@@ -281,6 +299,7 @@
             tolerated_losses: ToleratedLosses { zones: 1, regions: 0 },
             rate_window_ms: 5000,
             rate_tolerance: 1.1,
+            repair: self.repair,
             retention: self.retention,
             quota: self.quota,
             has_lost_disk: false,
--- a/crates/queue/tests/simulation/processes.rs
+++ b/crates/queue/tests/simulation/processes.rs
@@ -62,8 +62,9 @@
         self.schedule(100, Event::MembersAnnounced);
     }
 
-    /// Ends the process; the stores connected to it learn of it after `noticed` milliseconds.
-    pub(super) fn stop(&mut self, at: usize, noticed: u64) {
+    /// Ends the process; the stores connected to it learn of it after `noticed` milliseconds, and its session expires
+    /// after `expires_after`.
+    pub(super) fn stop(&mut self, at: usize, noticed: u64, expires_after: u64) {
         self.stores[at].queue = None;
         self.stores[at].shutdown = None;
         let links: Vec<((usize, usize), u64)> = self
@@ -77,7 +78,7 @@
             self.schedule(noticed, Event::Disconnect { a, b, link });
         }
         let incarnation = self.stores[at].incarnation;
-        self.schedule(SESSION_EXPIRY_DELAY_MS, Event::SessionExpires { at, incarnation });
+        self.schedule(expires_after, Event::SessionExpires { at, incarnation });
     }
 
     pub fn inject(&mut self, at: usize, fault: Fault) {
@@ -92,7 +93,7 @@
             self.freeze(at, 4000);
             return;
         }
-        self.stop(at, if fault == Fault::PowerLoss { 1000 } else { 5 });
+        self.stop(at, if fault == Fault::PowerLoss { 1000 } else { 5 }, SESSION_EXPIRY_DELAY_MS);
         self.stores[at].disk.cut(match fault {
             Fault::PowerLoss => DiskCut::PowerLoss,
             Fault::DiskLoss => DiskCut::DiskLoss,
@@ -113,7 +114,7 @@
         if self.stores[at].queue.is_none() {
             return;
         }
-        self.stop(at, 5);
+        self.stop(at, 5, SESSION_EXPIRY_DELAY_MS);
         self.stores[at].disk.cut(DiskCut::Kill);
         self.record_fault(self.now + ms);
         self.schedule(ms, Event::Start { at });
--- a/crates/queue/tests/simulation/retirement_scenarios.rs
+++ b/crates/queue/tests/simulation/retirement_scenarios.rs
@@ -1,6 +1,8 @@
 //! Scenarios that a fault in the retirement of a store would not survive.
 
-use super::{Action, Behavior, Fault, Prepare, Simulation};
+use super::{
+    Action, Behavior, Fault, Prepare, Simulation, StoreBounds, DEFAULT_CATCH_UP_MS, LONG_CATCH_UP_MS,
+};
 use stileroute_queue::{MessageState, RetirementState};
 
 /// Four stores, of which this one retires. The replicas of store 3 are here, its own are at store 1.
@@ -111,10 +113,14 @@
 }
 
 /// A store restarts while another has returned with a new disk, and is lost when the ends that both knew should be on
-/// other disks.
+/// other disks. With a long `catch_up_s` the ends are not copied while the other store is away, so that only its new disk
+/// shows that they are missing there.
 pub fn ends_outlive_a_restart_between_two_losses(prepare: &Prepare) {
-    for restarted_at in [4100, 5200] {
-        let mut world = world(9, prepare);
+    let short = [4100, 5200].map(|restarted_at| (DEFAULT_CATCH_UP_MS, restarted_at));
+    let long = [4100, 5200].map(|restarted_at| (LONG_CATCH_UP_MS, restarted_at));
+    for (catch_up_ms, restarted_at) in short.into_iter().chain(long) {
+        let mut world = Simulation::with_bounds(4, 1, 9, StoreBounds::with_catch_up(catch_up_ms));
+        world.prepare(prepare);
         for n in 0..12 {
             let behavior = if n % 3 == 0 { Behavior::Rejects } else { Behavior::Succeeds };
             world.send(2500 + 20 * n, RETIRING, "plain", &[behavior], 0);
@@ -127,7 +133,8 @@
             let state = world
                 .lookup(n)
                 .map(|(state, bytes)| (matches!(state, MessageState::Failed), bytes.is_some()));
-            assert_eq!(state, Some((n % 3 == 0, n % 3 == 0)), "{n} after a restart at {restarted_at}");
+            let expected = Some((n % 3 == 0, n % 3 == 0));
+            assert_eq!(state, expected, "{n} after a restart at {restarted_at}, catch-up {catch_up_ms} ms");
         }
     }
 }
--- a/crates/queue/tests/simulation/turns.rs
+++ b/crates/queue/tests/simulation/turns.rs
@@ -19,7 +19,7 @@
             let done = queue.unfinished_count() == 0 && self.now > since + 150;
             if (done && self.now > since + 300) || self.now > since + SHUTDOWN_GRACE_MS {
                 self.stores[at].disk.close();
-                self.stop(at, 5);
+                self.stop(at, 5, SESSION_EXPIRY_DELAY_MS);
                 self.schedule(500, Event::Start { at });
             }
             return;
--- a/crates/server/src/settings.rs
+++ b/crates/server/src/settings.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 use stileroute_config::{ConfigError, FaultReason, NodeSettings, PortRange, SettingsFault};
+use stileroute_queue::RepairSettings;
 
 /// Largest number of simultaneous machine losses that can be configured: to tolerate more losses, each message would need more
 /// stores than any deployment has.
@@ -143,6 +144,13 @@
         let reason =
             "keeps the ends of messages with keys for longer than status_s does, in memory and on disk";
         self.warn_unless(!retention(bounds).is_extended_by_keys(), "bounds.key_window_s", reason);
+        let is_long_enough = bounds.catch_up_ms >= RepairSettings::MIN_CATCH_UP_MS;
+        let reason = format!(
+            "is {} s, and a store needs {} s to recreate the replicas of one that is gone",
+            bounds.catch_up_ms as f64 / 1000.0,
+            RepairSettings::MIN_CATCH_UP_MS as f64 / 1000.0
+        );
+        self.warn_unless(is_long_enough, "bounds.catch_up_s", reason);
         let reason = "must be above 0 and a day or less";
         self.require((1..=DAY_MS).contains(&bounds.rate_limit_window_ms), "bounds.ceiling_window_s", reason);
         let overrun = bounds.rate_limit_overrun;
--- a/crates/server/src/store.rs
+++ b/crates/server/src/store.rs
@@ -30,8 +30,8 @@
 use std::path::Path;
 use stileroute_config::TimeBounds;
 use stileroute_queue::{
-    first_number, Key, Node, Queue, QueueSettings, QuotaBounds, Record, Retention, StateTable,
-    ToleratedLosses,
+    first_number, Key, Node, Queue, QueueSettings, QuotaBounds, Record, RepairSettings, Retention,
+    StateTable, ToleratedLosses,
 };
 use stileroute_wal::Options;
 
@@ -253,6 +253,7 @@
         },
         rate_window_ms: boot.bounds.rate_limit_window_ms,
         rate_tolerance: boot.bounds.rate_limit_overrun,
+        repair: RepairSettings::new(boot.bounds.catch_up_ms, boot.resources.bandwidth_mbps),
         retention: retention(&boot.bounds),
         quota: QuotaBounds {
             window_ms: boot.bounds.quota_window_ms,
--- a/crates/server/tests/interface.rs
+++ b/crates/server/tests/interface.rs
@@ -139,7 +139,7 @@
 }
 
 /// Changes to the valid settings: the original text, its replacement, and the value of the key `serves`.
-const SETTINGS_CHANGES: [(&str, &str, &str); 35] = [
+const SETTINGS_CHANGES: [(&str, &str, &str); 36] = [
     ("", "", "storage"),
     ("", "", "edge"),
     ("", "", "control"),
@@ -166,6 +166,7 @@
     ("\"grace_s\":6", "\"grace_s\":6,\"status_s\":86401", "storage"),
     ("\"grace_s\":6", "\"grace_s\":6,\"key_window_s\":86401", "storage"),
     ("\"grace_s\":6", "\"grace_s\":6,\"status_s\":14,\"key_window_s\":110", "storage"),
+    ("\"grace_s\":6", "\"grace_s\":6,\"catch_up_s\":4.1", "storage"),
     ("\"grace_s\":6", "\"grace_s\":6,\"ceiling_window_s\":0", "storage"),
     ("\"grace_s\":6", "\"grace_s\":6,\"origin_overrun\":101", "storage"),
     ("\"grace_s\":6", "\"grace_s\":6,\"origin_overrun\":0.5", "storage"),
