Queue: ends are copied the smallest first, and in time for the next loss

Cause: the end of a message is the only record of its key. Ends were copied in the order of their numbers, those of failed messages with their bodies, at 1 MB a second; when the second disk was lost the records of done messages were on that disk alone.

Change: ends are copied the smallest first, at the rate that the missing bytes and the time left ask for, as live messages are. No more than a second's bytes wait for confirmation, and a message between stores has some 256 KB. Messages and ends may each use a quarter of the link.

--- a/crates/queue/src/end_holders.rs
+++ b/crates/queue/src/end_holders.rs
@@ -5,6 +5,7 @@
 //! of the holders loses its disk, each other holder sees which ends are now stored on too few disks, and copies them
 //! again.
 
+use crate::end_transfer::end_bytes;
 use crate::entry::Entry;
 use crate::message::{Key, Node};
 use crate::queue::Queue;
@@ -94,9 +95,9 @@
     }
 
     fn mark_if_under_replicated(&mut self, key: Key) {
-        let is_under_replicated = |entry: &Entry| self.is_end_under_replicated(entry);
-        if self.entries.get(&key).is_some_and(is_under_replicated) {
-            self.end_replication.under_replicated.insert(key);
+        let under_replicated = self.entries.get(&key).filter(|entry| self.is_end_under_replicated(entry));
+        if let Some(bytes) = under_replicated.map(end_bytes) {
+            self.end_replication.under_replicated.insert(key, bytes);
         }
     }
 
--- a/crates/queue/src/end_transfer.rs
+++ b/crates/queue/src/end_transfer.rs
@@ -15,12 +15,14 @@
 use crate::planted_fault::PlantedFault;
 use crate::queue::Queue;
 use crate::record::Record;
-use crate::repair_settings::MIN_BYTES_PER_SECOND;
+use crate::repair_settings::{RepairSettings, MIN_BYTES_PER_SECOND};
 use std::collections::BTreeMap;
-use std::ops::Bound;
 
-/// Maximum bytes per check. There are four checks a second, which adds up to the rate of repair.
-const MAX_BYTES_PER_CHECK: u64 = MIN_BYTES_PER_SECOND / 4;
+/// Number of checks a second, one at each upkeep.
+const CHECKS_PER_SECOND: u64 = 4;
+
+/// Maximum bytes in one message to another store. A longer one would hold up heartbeats on a slow link.
+const MAX_BYTES_PER_TRANSFER: u64 = 256_000;
 
 /// Maximum number of ends examined in one check, which bounds the work when too few stores are available to receive
 /// ends.
@@ -30,19 +32,23 @@
 const END_OVERHEAD_BYTES: u64 = 80;
 
 /// Ends to send in one check, by receiving store.
-#[derive(Default)]
 struct EndBatches {
     by_receiver: BTreeMap<Node, Vec<TransferredEnd>>,
     bytes: u64,
+    max_bytes: u64,
 }
 
 impl EndBatches {
+    fn new(max_bytes: u64) -> EndBatches {
+        EndBatches { by_receiver: BTreeMap::new(), bytes: 0, max_bytes }
+    }
+
     fn has_room(&self) -> bool {
-        self.bytes < MAX_BYTES_PER_CHECK
+        self.bytes < self.max_bytes
     }
 
     fn add(&mut self, to: Node, key: Key, entry: &Entry) {
-        self.bytes += END_OVERHEAD_BYTES + entry.message.body.len() as u64;
+        self.bytes += end_bytes(entry);
         self.by_receiver.entry(to).or_default().extend(transferred_end(key, entry));
     }
 }
@@ -74,7 +80,7 @@
             return;
         }
         let mut is_complete = true;
-        let mut batches = EndBatches::default();
+        let mut batches = EndBatches::new(MIN_BYTES_PER_SECOND / CHECKS_PER_SECOND);
         // An end whose callback is pending is left to its owner, which replicates the complete message: a store that
         // has only the end would assume that the callback was delivered.
         for (key, entry) in self.entries.iter().filter(|(_, entry)| entry.is_settled()) {
@@ -133,17 +139,19 @@
             tracing::info!(ends, "ends are stored on too few disks; copying them to other stores");
             self.end_replication.under_replicated_since = Some(now);
         }
-        let keys = self.next_ends_to_check();
-        let mut batches = EndBatches::default();
-        let mut next_check_from = keys.last().copied().filter(|_| keys.len() == MAX_ENDS_PER_CHECK);
-        for key in keys {
+        let from = self.end_replication.next_check_from;
+        let ends = self.end_replication.under_replicated.from(from, MAX_ENDS_PER_CHECK);
+        let mut batches = EndBatches::new(self.end_bytes_per_check(now));
+        let mut next_check_from = ends.last().copied().filter(|_| ends.len() == MAX_ENDS_PER_CHECK);
+        for (_, key) in ends {
             if !batches.has_room() {
-                next_check_from = Some(key);
+                // The next check begins with the smallest ends again.
+                next_check_from = None;
                 break;
             }
             let Some(entry) = self.entries.get(&key).filter(|entry| self.is_end_under_replicated(entry))
             else {
-                self.end_replication.under_replicated.remove(&key);
+                self.end_replication.under_replicated.remove(key);
                 continue;
             };
             for to in self.end_receivers(now, key, entry) {
@@ -154,11 +162,14 @@
         self.send_end_batches(now, batches);
     }
 
-    /// The ends to examine in this check, starting where the previous check stopped.
-    fn next_ends_to_check(&mut self) -> Vec<Key> {
-        let ends = &self.end_replication;
-        let from = ends.next_check_from.map_or(Bound::Unbounded, Bound::Included);
-        ends.under_replicated.range((from, Bound::Unbounded)).take(MAX_ENDS_PER_CHECK).copied().collect()
+    /// Bytes of ends that may be sent in this check, so that all are copied in time. No more than a second's bytes wait
+    /// for their confirmation.
+    fn end_bytes_per_check(&mut self, now: Millis) -> u64 {
+        let settings: RepairSettings = self.settings.repair;
+        let missing_bytes = self.end_replication.under_replicated.total_bytes();
+        let rate = self.end_replication.deadline.bytes_per_second(now, missing_bytes, settings);
+        let in_flight = self.end_replication.bytes_in_flight(now);
+        (rate / CHECKS_PER_SECOND).min(rate.saturating_sub(in_flight))
     }
 
     /// The stores to send an end to now, in addition to those that hold it. All stores that know the end choose the
@@ -176,13 +187,16 @@
         for (to, ends) in batches.by_receiver {
             self.end_replication.mark_sent(now, to, &ends);
             self.metrics.ends_transferred += ends.len() as u64;
-            self.emit(Effect::Send { to, message: PeerMessage::TransferEnds(ends) });
+            for part in split_by_bytes(ends) {
+                self.emit(Effect::Send { to, message: PeerMessage::TransferEnds(part) });
+            }
         }
     }
 
     /// Called when no end is stored on too few disks. Records the disks that other stores have now, in place of the
     /// ones they lost.
     fn finish_end_replication(&mut self, now: Millis) {
+        self.end_replication.deadline.repair_finished();
         if let Some(since) = self.end_replication.under_replicated_since.take() {
             let ms = now.saturating_sub(since);
             let ends_sent = self.metrics.ends_transferred;
@@ -262,6 +276,37 @@
     }
 }
 
+/// Splits ends into messages of limited size.
+fn split_by_bytes(ends: Vec<TransferredEnd>) -> Vec<Vec<TransferredEnd>> {
+    let mut parts: Vec<Vec<TransferredEnd>> = Vec::new();
+    let mut bytes_left = 0;
+    for end in ends {
+        let bytes = transferred_bytes(&end);
+        match parts.last_mut().filter(|_| bytes <= bytes_left) {
+            Some(part) => {
+                part.push(end);
+                bytes_left -= bytes;
+            }
+            None => {
+                parts.push(vec![end]);
+                bytes_left = MAX_BYTES_PER_TRANSFER.saturating_sub(bytes);
+            }
+        }
+    }
+    parts
+}
+
+/// Estimated size of the end of this message when it is transferred.
+pub(crate) fn end_bytes(entry: &Entry) -> u64 {
+    END_OVERHEAD_BYTES + entry.message.body.len() as u64
+}
+
+/// Estimated size of a transferred end.
+pub(crate) fn transferred_bytes(end: &TransferredEnd) -> u64 {
+    let body_bytes = end.failed_message.as_ref().map_or(0, |message| message.body.len() as u64);
+    END_OVERHEAD_BYTES + body_bytes
+}
+
 /// The end of a message in the form in which it is transferred. The body of a failed message is included, because
 /// clients may ask for it.
 fn transferred_end(key: Key, entry: &Entry) -> Option<TransferredEnd> {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -47,6 +47,7 @@
 mod state_table;
 mod tenant_quotas;
 mod token_bucket;
+mod under_replicated_ends;
 
 pub use attempt_outcome::AttemptOutcome;
 pub use control_contact::ControlContact;
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -326,7 +326,7 @@
         self.unreleased.remove(&key);
         self.handovers.remove(&key);
         self.superseded_keys.remove(&key);
-        self.end_replication.under_replicated.remove(&key);
+        self.end_replication.under_replicated.remove(key);
     }
 
     /// Updates the indices by owner, of ordered messages and of repair for an entry that has changed.
--- a/crates/queue/src/repair_settings.rs
+++ b/crates/queue/src/repair_settings.rs
@@ -18,8 +18,9 @@
 /// Highest rate of repair, in bytes a second, whatever the link allows. A store has half a processor.
 const MAX_BYTES_PER_SECOND: u64 = 10_000_000;
 
-/// The part of a link that repair may use. The rest is left to deliveries and heartbeats.
-const LINK_FRACTION: f64 = 0.5;
+/// The part of a link that the repair of messages may use, and again that of ends. The rest is left to deliveries and
+/// heartbeats.
+const LINK_FRACTION: f64 = 0.25;
 
 /// Bytes a second that a link of 1 Mbit/s carries.
 const BYTES_PER_SECOND_PER_MBPS: f64 = 125_000.0;
@@ -30,7 +31,7 @@
     /// Time after which another store may be lost, in milliseconds: counted from the return of a store that was lost,
     /// or from the start of the empty store that replaces it.
     pub catch_up_ms: u64,
-    /// Highest rate at which this store sends lost replicas, in bytes a second.
+    /// Highest rate at which this store sends lost replicas, and again lost ends, in bytes a second.
     pub max_bytes_per_second: u64,
 }
 
--- a/crates/queue/src/replication/connections.rs
+++ b/crates/queue/src/replication/connections.rs
@@ -52,6 +52,7 @@
         }
         self.invalidate_token_holders();
         self.repair_deadline.store_connected(now);
+        self.end_replication.deadline.store_connected(now);
         self.ordering.peers_changed_at = now;
         self.shards_may_move(now);
         self.emit(Effect::Send { to: node, message: PeerMessage::DiskId(self.settings.disk_id) });
