Queue: keys on disks that were lost together are refused, not run again

Cause: a store recovers from a lost disk until all others report nothing on too few disks. One that had reported 'not yet' and then lost its own disk was blank, lacked nothing and said so; both recoveries ended, and shards were claimed whose records nobody had.

Change: stores count which others have returned with another disk and are recovering, and themselves. Where these are more than may be lost at once (by number, zones or regions) nothing is reported as replicated, and a recovery ends with the window of the keys only: 503, a log line, and the metric stileroute_lost_disks_beyond_tolerance.

--- a/crates/model-check/tests/queue_planted.rs
+++ b/crates/model-check/tests/queue_planted.rs
@@ -16,7 +16,7 @@
 
 type Day = fn(&Prepare);
 
-const DAYS: [(PlantedFault, Day); 31] = [
+const DAYS: [(PlantedFault, Day); 32] = [
     (PlantedFault::EarlyAnswer, the_owner_is_lost_just_after_its_answer),
     (PlantedFault::CopyUnsynced, the_copy_loses_power_and_the_owner_its_disk),
     (PlantedFault::FenceUnheeded, a_store_is_cut_off),
@@ -48,6 +48,7 @@
     (PlantedFault::BlankStoreGrants, key_scenarios::the_store_that_granted_a_claim_loses_its_disk),
     (PlantedFault::KeyUnchecked, key_scenarios::uncertain_messages_of_one_key_survive_a_blackout),
     (PlantedFault::BlankGrantCounts, key_loss_scenarios::a_store_is_killed_while_another_recovers),
+    (PlantedFault::LostDisksUncounted, key_loss_scenarios::a_second_disk_is_lost_during_a_recovery),
 ];
 
 /// Seeds within which each fault has to be found: those of `crates/queue/tests/drawn_figures.rs`.
--- a/crates/queue/src/idempotency/recovery.rs
+++ b/crates/queue/src/idempotency/recovery.rs
@@ -9,6 +9,12 @@
 //!
 //! That a store is recovering is recorded on disk: a restart begins the recovery again. If the other stores cannot
 //! answer, the recovery ends with the idempotency window, because no key of the lost disk counts any more by then.
+//!
+//! While a store recovers, further disks may be lost, and with them messages that were on no other disk any more. No
+//! store is left then that could report them, so reports alone would find everything on enough disks. If more disks are
+//! lost before a recovery ends than may be lost at once, it therefore ends with the idempotency window only, and keys
+//! are refused until then instead of run twice. Each store sees which others have returned with another disk and are
+//! recovering, and reports nothing as replicated while these are too many.
 
 use crate::durability::MissingReplicas;
 use crate::effect::Effect;
@@ -42,6 +48,9 @@
     /// Another store has seen an earlier disk of this store. A store of which no other has seen a disk is new and has
     /// lost nothing.
     had_other_disk: bool,
+    /// The stores that have lost their disks, if these are more than may be lost at once: the recovery then ends with the
+    /// idempotency window only.
+    lost_beyond_tolerance: Vec<Node>,
     /// Consecutive rounds that found all messages on enough disks.
     complete_rounds: u32,
     /// The last report of each connected store.
@@ -57,6 +66,7 @@
             next_round_at: 0,
             is_window_over: false,
             had_other_disk: false,
+            lost_beyond_tolerance: Vec::new(),
             complete_rounds: 0,
             reports: BTreeMap::new(),
         }
@@ -67,6 +77,11 @@
         self.is_pending
     }
 
+    /// Whether more disks were lost than may be lost at once.
+    fn is_beyond_tolerance(&self) -> bool {
+        !self.lost_beyond_tolerance.is_empty()
+    }
+
     /// Whether a store that has not lost its disk has reported: such a store knows the others from its own disk.
     fn has_heard_intact_store(&self) -> bool {
         self.reports.values().any(|report| !report.is_recovering)
@@ -111,6 +126,7 @@
                 return self.end_recovery(now);
             }
         }
+        self.check_tolerance();
         if now >= self.shards.recovery.next_round_at {
             self.shards.recovery.complete_rounds = 0;
             self.begin_recovery_round(now);
@@ -143,7 +159,7 @@
         self.set_peer_recovery(now, from, PeerRecovery::Pending);
         let report = RecoveryReport {
             round,
-            is_replicated: self.is_all_replicated_for(from),
+            is_replicated: self.is_all_replicated_for(from) && !self.are_lost_disks_beyond_tolerance(),
             knew_other_disk: self.peers.get(&from).is_some_and(|peer| peer.disk.is_replacement()),
             is_recovering: self.shards.recovery.is_pending(),
             holders: self.message_holders().collect(),
@@ -174,6 +190,7 @@
         }
         self.shards.recovery.had_other_disk |= report.knew_other_disk;
         self.shards.recovery.reports.insert(from, report);
+        self.check_tolerance();
         self.adopt_received_terms();
         self.check_recovery(now);
     }
@@ -194,7 +211,7 @@
         if self.is_new_store() {
             return self.end_recovery(now);
         }
-        if !recovery.is_round_complete(&self.recovery_holders()) {
+        if recovery.is_beyond_tolerance() || !recovery.is_round_complete(&self.recovery_holders()) {
             return;
         }
         self.shards.recovery.complete_rounds += 1;
@@ -205,6 +222,36 @@
         }
     }
 
+    /// Notes that more disks are lost than may be lost at once. That holds until this recovery ends.
+    fn check_tolerance(&mut self) {
+        if self.shards.recovery.is_beyond_tolerance() || !self.are_lost_disks_beyond_tolerance() {
+            return;
+        }
+        let stores = self.stores_with_lost_disks();
+        tracing::warn!(
+            ?stores,
+            "more disks are lost than may be lost at once; keys are refused until their window is over"
+        );
+        self.shards.recovery.lost_beyond_tolerance = stores;
+    }
+
+    /// The stores that are recovering from the loss of a disk, as far as this store knows, including this one.
+    fn stores_with_lost_disks(&self) -> Vec<Node> {
+        let is_lost = |peer: &Peer| peer.recovery == PeerRecovery::Pending && peer.disk.is_replacement();
+        let others = self.peers.iter().filter(|(_, peer)| is_lost(peer)).map(|(node, _)| *node);
+        let recovery = &self.shards.recovery;
+        let is_lost_here = recovery.is_pending() && recovery.had_other_disk;
+        others.chain(is_lost_here.then_some(self.settings.node)).collect()
+    }
+
+    /// Whether more disks were lost, before the recovery from the first of these losses has ended, than may be lost at
+    /// once.
+    pub fn are_lost_disks_beyond_tolerance(&self) -> bool {
+        let is_counted = !self.planted(PlantedFault::LostDisksUncounted);
+        let is_beyond = || !self.may_be_lost_together(&self.stores_with_lost_disks());
+        is_counted && (self.shards.recovery.is_beyond_tolerance() || is_beyond())
+    }
+
     /// Whether this store is new and has lost nothing: no other store has seen an earlier disk of it, and no more
     /// stores than may be lost have not been asked.
     fn is_new_store(&self) -> bool {
--- a/crates/queue/src/planted_fault.rs
+++ b/crates/queue/src/planted_fault.rs
@@ -89,12 +89,14 @@
     UnconfiguredStoreAdmits,
     /// Quotas are measured over a window of one minute, whatever the window of the deployment is.
     QuotaWindowFixed,
+    /// A store that has lost its disk ends its recovery though too many other disks were lost meanwhile.
+    LostDisksUncounted,
 }
 
 #[cfg(feature = "planted")]
 impl PlantedFault {
     /// All faults, in the order of their definition.
-    pub const ALL: [PlantedFault; 41] = [
+    pub const ALL: [PlantedFault; 42] = [
         PlantedFault::EarlyAnswer,
         PlantedFault::CopyUnsynced,
         PlantedFault::FenceUnheeded,
@@ -136,5 +138,6 @@
         PlantedFault::EndsKeptByStatusAlone,
         PlantedFault::UnconfiguredStoreAdmits,
         PlantedFault::QuotaWindowFixed,
+        PlantedFault::LostDisksUncounted,
     ];
 }
--- a/crates/queue/src/replication/placement.rs
+++ b/crates/queue/src/replication/placement.rs
@@ -68,6 +68,19 @@
         chosen
     }
 
+    /// Whether the loss of all these stores at once is tolerated.
+    pub(crate) fn may_be_lost_together(&self, stores: &[Node]) -> bool {
+        let zone_of = |node: &Node| self.peers.get(node).map_or(self.settings.zone, |peer| peer.zone);
+        let domains: Vec<FailureDomain> =
+            stores.iter().map(|node| self.failure_domain(zone_of(node))).collect();
+        let zones: BTreeSet<usize> = domains.iter().map(|domain| domain.zone).collect();
+        let regions: BTreeSet<usize> = domains.iter().map(|domain| domain.region).collect();
+        let tolerated = self.settings.tolerated_losses;
+        stores.len() <= self.settings.replica_count
+            || zones.len() <= tolerated.zones
+            || regions.len() <= tolerated.regions
+    }
+
     /// Of the replicas of a message, those that are needed: as many as the settings ask for, the earliest first, and
     /// further ones only where they spread the message over more zones or regions.
     pub(crate) fn needed_replicas(&self, replicas: &[Node]) -> Vec<Node> {
--- a/crates/queue/tests/key_losses.rs
+++ b/crates/queue/tests/key_losses.rs
@@ -17,7 +17,7 @@
 mod simulation;
 
 use simulation::key_loss_scenarios::{
-    a_blank_store_is_cut_from_one_that_has_the_keys, a_store_is_killed_while_another_recovers,
+    self, a_blank_store_is_cut_from_one_that_has_the_keys, a_store_is_killed_while_another_recovers,
     a_store_restarts_while_it_recovers, all_loss_scenarios, KeyState, LossScenario, Silence, LOSS_MS,
 };
 use simulation::{without_fault, Action, Fault, Simulation};
@@ -61,6 +61,16 @@
     a_store_restarts_while_it_recovers(&without_fault());
 }
 
+/// Two disks are lost of which one may be, and some keys are on no disk any more: until their window is over they are
+/// refused, and do not run again. A later key is accepted.
+#[test]
+fn keys_that_are_on_no_disk_any_more_are_refused_until_their_window_is_over() {
+    key_loss_scenarios::a_second_disk_is_lost_during_a_recovery(&without_fault());
+    let world = key_loss_scenarios::two_disks_are_lost(0, 1, 1580, &without_fault());
+    let last = world.messages.last().expect("a key is submitted after the window");
+    assert!(last.name.is_some(), "a key that is submitted after the window is accepted");
+}
+
 #[test]
 fn one_of_three_disks_is_lost_and_another_store_is_silent() {
     assert_keys_run_once(&all_loss_scenarios(3, 1, &SILENCE_STARTS_MS));
--- a/crates/queue/tests/simulation/key_checks.rs
+++ b/crates/queue/tests/simulation/key_checks.rs
@@ -17,12 +17,11 @@
     /// Checks that at most one of the messages with the same key runs, that all accepted ones have the same name, and
     /// that the state of the message with that name is known. With `ended`, no message may be waiting any more.
     pub fn check_keys(&self, ended: bool) {
+        self.check_keys_run_once();
         for (key, sent) in self.sent_by_key() {
             let ids: Vec<&str> = sent.iter().map(|n| self.messages[*n].message.id.as_str()).collect();
             let runs: Vec<&Execution> =
                 self.executions.iter().filter(|run| ids.contains(&run.id.as_str())).collect();
-            let ran: BTreeSet<&str> = runs.iter().map(|run| run.id.as_str()).collect();
-            assert!(ran.len() <= 1, "{key} ran as {ran:?}: {runs:?}");
             let accepted: Vec<usize> =
                 sent.iter().copied().filter(|n| self.messages[*n].name.is_some()).collect();
             let names: BTreeSet<&String> =
@@ -45,6 +44,16 @@
         }
     }
 
+    /// Checks that at most one of the messages with the same key runs.
+    pub fn check_keys_run_once(&self) {
+        for (key, sent) in self.sent_by_key() {
+            let ids: Vec<&str> = sent.iter().map(|n| self.messages[*n].message.id.as_str()).collect();
+            let runs = self.executions.iter().filter(|run| ids.contains(&run.id.as_str()));
+            let ran: BTreeSet<&str> = runs.map(|run| run.id.as_str()).collect();
+            assert!(ran.len() <= 1, "{key} ran as {ran:?}");
+        }
+    }
+
     /// Number of accepted keys, and number of keys sent.
     pub fn accepted_keys(&self) -> (usize, usize) {
         let sent = self.sent_by_key();
--- a/crates/queue/tests/simulation/key_loss_scenarios.rs
+++ b/crates/queue/tests/simulation/key_loss_scenarios.rs
@@ -23,6 +23,11 @@
 /// Time after the loss by which everything is repaired and all waiting messages have run.
 const SETTLED_AFTER_MS: u64 = 24_000;
 
+/// Time after the first loss by which the window of all keys on the lost disks is over.
+const AFTER_WINDOW_MS: u64 = 80_000;
+/// The key that is submitted then.
+const KEY_AFTER_WINDOW: &str = "after-the-window";
+
 /// Why a store does not answer while others have lost their disks.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Silence {
@@ -273,3 +278,47 @@
         }
     }
 }
+
+/// When the second disk is lost, in milliseconds after the first: the first store is back after 1500 ms, and nothing was
+/// copied meanwhile.
+const SECOND_LOSS_AFTER_MS: [u64; 6] = [1520, 1580, 1640, 1700, 1800, 1900];
+
+/// A second disk is lost while the store of the first recovers, so that some keys are on no disk any more. The second
+/// store had reported that not all of its messages are on enough disks, and is blank itself now.
+pub fn a_second_disk_is_lost_during_a_recovery(prepare: &Prepare) {
+    for (first, second) in [(0, 1), (0, 2), (1, 0), (1, 2), (2, 0), (2, 1)] {
+        for second_after_ms in SECOND_LOSS_AFTER_MS {
+            two_disks_are_lost(first, second, second_after_ms, prepare).check_keys_run_once();
+        }
+    }
+}
+
+/// Plays the loss of two of three disks. The keys are submitted again until after both recoveries would have ended, and
+/// a last one after their window.
+pub fn two_disks_are_lost(
+    first: usize,
+    second: usize,
+    second_after_ms: u64,
+    prepare: &Prepare,
+) -> Simulation {
+    let scenario = LossScenario {
+        stores: 3,
+        replicas: 1,
+        lost: vec![first],
+        silent: second,
+        silence: Silence::None,
+        silent_after_ms: 0,
+        key_state: KeyState::Ended,
+    };
+    let mut world =
+        Simulation::with_bounds(3, 1, second_after_ms, StoreBounds::with_catch_up(LONG_CATCH_UP_MS));
+    world.prepare(prepare);
+    world.act(200, Action::Configure("quota"));
+    scenario.send_first_submissions(&mut world);
+    scenario.send_resubmissions(&mut world);
+    world.act(LOSS_MS, Action::Inject(first, Fault::DiskLoss));
+    world.act(LOSS_MS + second_after_ms, Action::Inject(second, Fault::DiskLoss));
+    world.send_with_key(LOSS_MS + AFTER_WINDOW_MS, None, KEY_AFTER_WINDOW, 0);
+    world.run(LOSS_MS + AFTER_WINDOW_MS + 5000);
+    world
+}
--- a/crates/server/src/store/report.rs
+++ b/crates/server/src/store/report.rs
@@ -130,6 +130,13 @@
             &[],
             u8::from(self.queue.is_key_recovery_pending()),
         );
+        let help = "1 while keys are refused until their window is over, since more disks were lost than may be lost at once.";
+        metrics.gauge(
+            "stileroute_lost_disks_beyond_tolerance",
+            help,
+            &[],
+            u8::from(self.queue.are_lost_disks_beyond_tolerance()),
+        );
         let help = "Own messages that are on too few disks.";
         metrics.gauge("stileroute_messages_thin", help, &[], counts.under_replicated);
         let help = "How long some were on too few disks, the last time that this was so.";
