Queue: a decision about copies is compared with the messages of its id alone

Cause: for each decision of an edge about a message that it had offered to two stores a store went through all live messages, and each new connection brings all decisions of 120 s. Stores were silent for longer than PEER_TIMEOUT, so connections were lost and came anew.

Change: live messages are indexed by a hash of their ids.

--- a/crates/queue/src/duplicates.rs
+++ b/crates/queue/src/duplicates.rs
@@ -82,8 +82,9 @@
             let entry = self.entries.get(key).filter(|entry| entry.end.is_none() && entry.message.id == id);
             entry.is_some_and(|entry| entry.message.fingerprint() == fingerprint)
         };
-        let keys = self.live_by_owner.iter().map(|(_, key)| *key);
-        let copies: Vec<Key> = keys.filter(is_copy).collect();
+        let candidates: Vec<Key> = self.live_ids.candidates(id).collect();
+        self.metrics.superseded_compared += candidates.len() as u64;
+        let copies: Vec<Key> = candidates.into_iter().filter(is_copy).collect();
         for key in copies {
             if Some(key) == kept {
                 self.confirm_kept(key);
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -20,6 +20,7 @@
 mod fifo_groups;
 mod hashing;
 mod idempotency;
+mod live_ids;
 mod live_index;
 mod message;
 mod message_encoding;
--- a/crates/queue/src/metrics.rs
+++ b/crates/queue/src/metrics.rs
@@ -34,6 +34,8 @@
     pub replicas_resent: u64,
     /// Messages dropped because another store keeps its copy of the same message.
     pub withdrawn: u64,
+    /// Messages that were compared with decisions of edges about copies of a message.
+    pub superseded_compared: u64,
     /// Submissions answered with the key of the first message that was submitted with the same idempotency key.
     pub deduplicated: u64,
     /// Submissions rejected because this store did not get hold of the shard of their idempotency key in time.
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -78,6 +78,8 @@
     /// with other stores and to find those of a store that is gone. The table with its ended messages is about a
     /// hundred times as large.
     pub(crate) live_by_owner: BTreeSet<(Node, Key)>,
+    /// The same messages, by the ids that their clients gave them.
+    pub(crate) live_ids: crate::live_ids::LiveIds,
     pub(crate) ordering: crate::fifo_groups::FifoGroups,
 
     /// Messages that are due later, by their start time.
@@ -181,6 +183,7 @@
             metrics: QueueMetrics::default(),
             entries: EntryTable::default(),
             live_by_owner: BTreeSet::new(),
+            live_ids: Default::default(),
             ordering: Default::default(),
             delayed: BTreeSet::new(),
             expiring: BTreeSet::new(),
@@ -316,6 +319,7 @@
         if let Some(owner) = entry.indexed_owner {
             self.live_by_owner.remove(&(owner, key));
         }
+        self.live_ids.remove(key);
         if let Some(slot) = entry.order_slot {
             self.ordering.remove(
                 &slot.ordering_key,
@@ -350,8 +354,12 @@
         if let Some(former) = former {
             self.live_by_owner.remove(&(former, key));
         }
-        if let Some(owner) = owner {
-            self.live_by_owner.insert((owner, key));
+        match owner {
+            Some(owner) => {
+                self.live_by_owner.insert((owner, key));
+                self.live_ids.insert(key, &entry.message.id);
+            }
+            None => self.live_ids.remove(key),
         }
     }
 
