Queue: a message that could not be accepted again on a full disk is written again

Cause, the first of two: after a start or a takeover a message with a key is written once more before it may start. Where that write failed, nothing wrote it again.

Change: repair writes it again, or has the shard's holder asked where the shard was claimed since. A message goes on once its replicas are complete, whatever it was that completed them.

--- a/crates/queue/src/idempotency/unchecked.rs
+++ b/crates/queue/src/idempotency/unchecked.rs
@@ -249,6 +249,43 @@
         self.check_replication(now, key);
     }
 
+    /// Notes that this store's own record of a message that is being re-accepted could not be written, because the disk
+    /// is full or has failed. Repair writes it again.
+    pub(crate) fn note_failed_reacceptance(&mut self, key: Key) {
+        let node = self.settings.node;
+        if self.entries.get(&key).is_some_and(|entry| entry.unconfirmed.contains(&node)) {
+            self.pending_writes.own_write_failed(key);
+        }
+    }
+
+    /// Writes the own record of a message that is being re-accepted once more. If another store has claimed the shard
+    /// since, or the message is unchecked again, the holder of the shard is asked first.
+    pub(crate) fn write_reaccepted_again(&mut self, now: Millis, key: Key) {
+        let node = self.settings.node;
+        let Some(entry) = self.entries.get(&key).filter(|entry| entry.unconfirmed.contains(&node)) else {
+            return;
+        };
+        let is_current = entry.acceptance == Acceptance::Reaccepting
+            && !self.is_claim_outdated(entry, entry.message.shard_term);
+        let bytes = entry.message.body.len() as u64;
+        let Some(replica) = self.replicated_message(now, key).filter(|_| is_current) else {
+            return self.ask_about_reaccepted(now, key);
+        };
+        self.repair_budget.take(bytes);
+        self.record(&Record::Put { replica }, true);
+        self.after_write(PendingWrite::Ownership(key));
+    }
+
+    /// Makes a message that was being re-accepted unchecked. Its earlier record is still on this store's disk.
+    fn ask_about_reaccepted(&mut self, now: Millis, key: Key) {
+        let node = self.settings.node;
+        let Some(entry) = self.entries.get_mut(&key) else { return };
+        entry.unconfirmed.retain(|unconfirmed| *unconfirmed != node);
+        entry.acceptance = Acceptance::Unchecked;
+        self.check_replication(now, key);
+        self.schedule(now, key);
+    }
+
     /// Schedules a message that was being re-accepted once all its replicas are confirmed.
     pub(crate) fn replicas_confirmed(&mut self, now: Millis, key: Key) {
         let entry = self.entries.get(&key);
--- a/crates/queue/src/pending_writes.rs
+++ b/crates/queue/src/pending_writes.rs
@@ -4,7 +4,7 @@
 use crate::idempotency::Shard;
 use crate::message::{Key, Millis, Node};
 use crate::record::Record;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A disk that has not completed a write for this time is treated as stalled.
 const DISK_STALL_LIMIT_MS: Millis = 120;
@@ -52,6 +52,8 @@
     in_flight: HashMap<u64, Vec<PendingWrite>>,
     started_at: BTreeMap<u64, Millis>,
     last_ticket: u64,
+    /// Messages that are accepted, or about to be accepted again, and whose own record could not be written.
+    failed_own_writes: BTreeSet<Key>,
 }
 
 impl PendingWrites {
@@ -119,6 +121,16 @@
         self.in_flight.remove(&ticket).unwrap_or_default()
     }
 
+    /// Notes that the own record of a message could not be written and is still needed.
+    pub fn own_write_failed(&mut self, key: Key) {
+        self.failed_own_writes.insert(key);
+    }
+
+    /// Whether the own record of a message could not be written. It is to be written again or is not needed any more.
+    pub fn take_failed_own_write(&mut self, key: Key) -> bool {
+        self.failed_own_writes.remove(&key)
+    }
+
     /// Cancels the confirmation of a replica that is dropped while its record is being written, because the next record
     /// on disk says that it was dropped.
     pub fn cancel_replica(&mut self, key: Key) {
--- a/crates/queue/src/queue.rs
+++ b/crates/queue/src/queue.rs
@@ -320,6 +320,7 @@
             self.live_by_owner.remove(&(owner, key));
         }
         self.live_ids.remove(key);
+        self.pending_writes.take_failed_own_write(key);
         if let Some(slot) = entry.order_slot {
             self.ordering.remove(
                 &slot.ordering_key,
--- a/crates/queue/src/queue/intake.rs
+++ b/crates/queue/src/queue/intake.rs
@@ -137,6 +137,7 @@
             PendingWrite::Ownership(key) => {
                 self.metrics.failed_writes += 1;
                 self.roll_back(key);
+                self.note_failed_reacceptance(key);
             }
             PendingWrite::ReplicaFor(owner, key) => {
                 self.metrics.failed_writes += 1;
@@ -212,7 +213,6 @@
         } else if !is_new && is_repaired {
             self.metrics.repaired += 1;
             self.check_replication(now, key);
-            self.replicas_confirmed(now, key);
         }
     }
 
--- a/crates/queue/src/repair.rs
+++ b/crates/queue/src/repair.rs
@@ -26,7 +26,7 @@
     }
 
     /// Checks a message after a change of its replicas: schedules a repair if it has too few, and cancels the repair if
-    /// it has enough.
+    /// it has enough. A message that was being re-accepted goes on then, whatever it was that completed its replicas.
     pub(crate) fn check_replication(&mut self, now: Millis, key: Key) {
         let Some(entry) = self.entries.get(&key) else { return };
         let is_owned_here = entry.owner == self.settings.node;
@@ -37,6 +37,7 @@
         self.under_replicated.cancel(key);
         if is_owned_here {
             self.drop_uncounted_replicas(key);
+            self.replicas_confirmed(now, key);
         }
     }
 
@@ -212,6 +213,9 @@
 
     /// Sends the missing replicas of one message, and chooses stores for new ones.
     fn repair_message(&mut self, now: Millis, key: Key) {
+        if self.pending_writes.take_failed_own_write(key) {
+            self.write_reaccepted_again(now, key);
+        }
         let Some(entry) = self.owned_entry_mut(key) else {
             self.under_replicated.cancel(key);
             return;
@@ -220,8 +224,7 @@
         let Some(entry) = self.entries.get(&key) else { return };
         if self.has_enough_replicas(entry) {
             // A store that had been absent has returned: its confirmation arrived before its replicas counted again.
-            self.check_replication(now, key);
-            return self.replicas_confirmed(now, key);
+            return self.check_replication(now, key);
         }
         let replica_bytes = replica_bytes(entry);
         let counted: Vec<Node> =
--- a/crates/queue/tests/simulated_disk.rs
+++ b/crates/queue/tests/simulated_disk.rs
@@ -74,7 +74,7 @@
 fn a_failed_sync_takes_back_what_was_not_answered() {
     let mut disk = disk_with_three_appends(0, 0);
     assert_eq!(disk.advance(0), answers(&[1], true));
-    disk.is_full = true;
+    disk.largest_synced_write = 0;
     assert_eq!(disk.advance(2), answers(&[2, 3], false));
     assert_eq!(contents(&disk), (1, 0));
 }
--- a/crates/queue/tests/simulation/actions.rs
+++ b/crates/queue/tests/simulation/actions.rs
@@ -67,7 +67,11 @@
             }
             Action::DiskFull(at, full) => {
                 self.record_fault(self.now);
-                self.stores[at].disk.is_full = full;
+                self.stores[at].disk.largest_synced_write = if full { 0 } else { usize::MAX };
+            }
+            Action::DiskTakesAtMost(at, bytes) => {
+                self.record_fault(self.now);
+                self.stores[at].disk.largest_synced_write = bytes;
             }
             Action::DiskSlow(at, ms) => {
                 self.record_fault(self.now);
--- a/crates/queue/tests/simulation/disk.rs
+++ b/crates/queue/tests/simulation/disk.rs
@@ -34,6 +34,8 @@
     ticket: u64,
     /// The append is answered only after a sync.
     needs_sync: bool,
+    /// Size of its records.
+    bytes: usize,
     /// The records of the append while they are in memory.
     in_memory: Vec<Vec<u8>>,
     /// Position of the records once they are written.
@@ -82,8 +84,8 @@
     syncs_held_until: u64,
     /// Duration of a sync.
     pub sync_ms: u64,
-    /// The disk is full: syncs fail.
-    pub is_full: bool,
+    /// The disk is full: synced writes of more bytes than this fail.
+    pub largest_synced_write: usize,
 }
 
 impl Default for SimulatedDisk {
@@ -96,7 +98,7 @@
             writes_held_until: 0,
             syncs_held_until: 0,
             sync_ms: SYNC_MS,
-            is_full: false,
+            largest_synced_write: usize::MAX,
         }
     }
 }
@@ -152,7 +154,8 @@
 
     /// Queues an append.
     pub fn append(&mut self, now: u64, ticket: u64, records: Vec<Vec<u8>>, needs_sync: bool) {
-        self.unanswered.push_back(Append { ticket, needs_sync, in_memory: records, written: None });
+        let bytes = records.iter().map(Vec::len).sum();
+        self.unanswered.push_back(Append { ticket, needs_sync, bytes, in_memory: records, written: None });
         self.write(now);
     }
 
@@ -166,7 +169,7 @@
             if needs_sync && now < written.sync_ends_at.max(self.syncs_held_until) {
                 break;
             }
-            if needs_sync && self.is_full {
+            if needs_sync && self.unanswered[0].bytes > self.largest_synced_write {
                 answers.extend(self.roll_back(written.begin));
                 break;
             }
--- a/crates/queue/tests/simulation/mod.rs
+++ b/crates/queue/tests/simulation/mod.rs
@@ -134,6 +134,8 @@
     /// off itself.
     IsolateWithControlNode(usize, u64),
     DiskFull(usize, bool),
+    /// The store's disk is nearly full: it takes synced writes of at most this many bytes.
+    DiskTakesAtMost(usize, usize),
     DiskSlow(usize, u64),
     /// No write of the store's disk ends for this many milliseconds.
     HoldWrites(usize, u64),
